--- /dev/null
+++ b/coordination/fold/fold.go
@@ -0,0 +1,84 @@
+// Package fold computes shared state from the log: first-writer-wins
+// registers, the same at every reader that has folded the same prefix.
+//
+// It is a pure state machine: no I/O, no clock, no goroutine. Time is only
+// what the entries bring.
+package fold
+
+import (
+	"time"
+
+	"masticplank.example/coordination/record"
+)
+
+// Register is the winner for one key.
+type Register struct {
+	Key    record.Key
+	Nonce  record.Nonce
+	Value  []byte
+	Writer string
+	// Offset is where the winning Put stands in the log. It grows with every
+	// later winner of any key, so it serves as a fencing number.
+	Offset uint64
+	// At is the log's time of the winning Put; Expires is zero for never.
+	At      time.Time
+	Expires time.Time
+}
+
+// Verdict says what the fold made of one record.
+type Verdict uint8
+
+const (
+	// VerdictWon: the Put is its key's register now.
+	VerdictWon Verdict = iota + 1
+	// VerdictLost: another Put of that key came first and is live.
+	VerdictLost
+	// VerdictVoid: the Put can never win (released before, key outside its
+	// time window, or refused by the class's check).
+	VerdictVoid
+	// VerdictReleased: a Release took effect or left a tombstone.
+	VerdictReleased
+	// VerdictCheckpoint: a checkpoint was read.
+	VerdictCheckpoint
+)
+
+// Change reports one record's effect, in log order.
+type Change struct {
+	Verdict Verdict
+	Record  record.Record
+	// Register is the key's register after the record; for VerdictLost it is
+	// the winner. Zero where the key has none.
+	Register Register
+}
+
+// Digest summarises a state for comparison between peers.
+type Digest struct {
+	// Next is the offset that will be folded next.
+	Next uint64
+	// Generation is the number of the manifest in force.
+	Generation uint64
+	// Hash covers the live registers; equal Next and unlike Hash is a broken
+	// invariant.
+	Hash uint64
+}
+
+// Config sets the fold's bounds. All instances must use the same values.
+type Config struct {
+	// ClaimWindow is how far the log's time may be past a claim's KeyTime.
+	// Default 12 h (half of a day's retention).
+	ClaimWindow time.Duration
+	// ClockSkew is how far a claim's KeyTime may be ahead of the log's time,
+	// and the bound on a jump of stamped time. Default 30 s.
+	ClockSkew time.Duration
+	// Retention is how long the log keeps records. Default 24 h.
+	Retention time.Duration
+}
+
+// DefaultConfig returns the defaults given at Config's fields.
+func DefaultConfig() Config {
+	return Config{
+		ClaimWindow: 12 * time.Hour,
+		ClockSkew:   30 * time.Second,
+		Retention:   24 * time.Hour,
+	}
+}
--- /dev/null
+++ b/coordination/record/record_test.go
@@ -0,0 +1,13 @@
+package record
+
+import "testing"
+
+func TestClassesAreDistinct(t *testing.T) {
+	seen := map[Class]bool{}
+	for _, c := range []Class{ClassManifest, ClassClaim, ClassBill, ClassSession, ClassQuarantine, ClassLease} {
+		if seen[c] {
+			t.Errorf("class %q stands twice", c)
+		}
+		seen[c] = true
+	}
+}
--- /dev/null
+++ b/router/cmd/masticplank/main.go
@@ -0,0 +1,4 @@
+// Command masticplank is the operators' tool.
+package main
+
+func main() {}
--- /dev/null
+++ b/router/cmd/masticplankd/main.go
@@ -0,0 +1,4 @@
+// Command masticplankd is one entry instance.
+package main
+
+func main() {}
--- /dev/null
+++ b/router/internal/outcome/outcome.go
@@ -0,0 +1,71 @@
+// Package outcome holds the outcome of a request as a value, and its one
+// mapping to HTTP.
+package outcome
+
+import (
+	"net/http"
+	"time"
+)
+
+// Kind is how a request ended.
+type Kind string
+
+// The kinds; the text is what callers read in Masticplank-Outcome.
+const (
+	Completed  Kind = "completed"
+	Refused    Kind = "refused"
+	Failed     Kind = "failed"
+	Unknown    Kind = "unknown"
+	AlreadyRun Kind = "already_run"
+	Conflict   Kind = "conflict"
+)
+
+// Outcome is a final answer other than the backend server's own.
+type Outcome struct {
+	Kind Kind
+	// Code is stable, for programs; Message is for people.
+	Code    string
+	Message string
+	// RetryAfter is set where asking again can help.
+	RetryAfter time.Duration
+}
+
+// codeStatus maps the codes that do not follow their kind's status.
+var codeStatus = map[string]int{
+	"invalid_api_key":           http.StatusUnauthorized,
+	"model_not_allowed":         http.StatusForbidden,
+	"service_not_allowed":       http.StatusForbidden,
+	"unknown_model":             http.StatusNotFound,
+	"unknown_service":           http.StatusNotFound,
+	"not_found":                 http.StatusNotFound,
+	"body_too_large":            http.StatusRequestEntityTooLarge,
+	"malformed_request":         http.StatusBadRequest,
+	"key_required":              http.StatusBadRequest,
+	"key_expired":               http.StatusUnprocessableEntity,
+	"key_malformed":             http.StatusBadRequest,
+	"request_quarantined":       http.StatusUnprocessableEntity,
+	"session_version_withdrawn": http.StatusGone,
+	"session_invalid":           http.StatusBadRequest,
+	"queue_full":                http.StatusTooManyRequests,
+	"wait_exceeds_deadline":     http.StatusTooManyRequests,
+	"retry_budget_spent":        http.StatusTooManyRequests,
+}
+
+// Status is the HTTP status of o.
+func (o Outcome) Status() int {
+	if s, ok := codeStatus[o.Code]; ok {
+		return s
+	}
+	switch o.Kind {
+	case Completed:
+		return http.StatusOK
+	case Refused:
+		return http.StatusServiceUnavailable
+	case AlreadyRun, Conflict:
+		return http.StatusConflict
+	case Failed:
+		return http.StatusBadGateway
+	default:
+		return http.StatusGatewayTimeout
+	}
+}
--- /dev/null
+++ b/router/internal/settings/settings.go
@@ -0,0 +1,104 @@
+// Package settings reads an instance's settings: JSON with comments, every
+// fault reported at once with file, line and column.
+package settings
+
+// Settings of one entry instance. Every field has a default; Default documents
+// it with its unit and range.
+type Settings struct {
+	// Instance is this process's name, unique in the fleet.
+	Instance string `json:"instance"`
+	// Domain is the failure domain that it runs in.
+	Domain string `json:"domain"`
+	// Listen addresses are IP:port; port 0 picks one and logs it.
+	Listen    Listen    `json:"listen"`
+	Platform  Platform  `json:"platform"`
+	Limits    Limits    `json:"limits"`
+	Log       Log       `json:"log"`
+	Freshness Freshness `json:"freshness"`
+	Shutdown  Shutdown  `json:"shutdown"`
+	Session   Session   `json:"session"`
+	Peer      Peer      `json:"peer"`
+	Decision  Decision  `json:"decision"`
+	// OperatorKeyHashes are SHA-256 sums (hex) of operators' API keys.
+	OperatorKeyHashes []string `json:"operator_key_hashes"`
+}
+
+// Listen holds the three listeners.
+type Listen struct {
+	API   string `json:"api"`
+	Admin string `json:"admin"`
+	Peer  string `json:"peer"`
+}
+
+// Platform holds the base URLs of the platform's services.
+type Platform struct {
+	LogURL    string `json:"log_url"`
+	ListURL   string `json:"list_url"`
+	RatingURL string `json:"rating_url"`
+	// AppendBudget is appends a second for the whole fleet. Default 200.
+	AppendBudget int `json:"append_budget"`
+	// LingerMS is the shortest group commit interval. Default 20.
+	LingerMS int `json:"linger_ms"`
+	// ListIntervalMS is how often the list is fetched. Default 1000.
+	ListIntervalMS int `json:"list_interval_ms"`
+	// LoadIntervalMS is how often each backend server's load is fetched.
+	LoadIntervalMS int `json:"load_interval_ms"`
+}
+
+// Limits towards callers.
+type Limits struct {
+	MaxBodyBytes      int64 `json:"max_body_bytes"`
+	MaxHeaderBytes    int   `json:"max_header_bytes"`
+	ReadTimeoutMS     int   `json:"read_timeout_ms"`
+	IdleTimeoutMS     int   `json:"idle_timeout_ms"`
+	DefaultDeadlineMS int   `json:"default_deadline_ms"`
+}
+
+// Log sets the format ("json" or "text") and level of the log.
+type Log struct {
+	Format string `json:"format"`
+	Level  string `json:"level"`
+}
+
+// Freshness holds F.
+type Freshness struct {
+	BoundMS int `json:"bound_ms"`
+}
+
+// Shutdown is the order of a planned stop.
+type Shutdown struct {
+	// GraceMS is how long readiness fails before new requests are refused.
+	GraceMS int `json:"grace_ms"`
+	// DrainMS bounds the wait for requests in progress.
+	DrainMS int `json:"drain_ms"`
+}
+
+// Session holds the key ring for session tokens; the first key signs.
+type Session struct {
+	Keys []SessionKey `json:"keys"`
+	// TTLSeconds is a token's life.
+	TTLSeconds int `json:"ttl_seconds"`
+}
+
+// SessionKey is one HMAC key, in base64, with its id.
+type SessionKey struct {
+	ID     string `json:"id"`
+	Secret string `json:"secret"`
+}
+
+// Peer sets up mutual TLS between instances; empty files mean plaintext, which
+// is allowed on loopback only.
+type Peer struct {
+	CertFile   string `json:"cert_file"`
+	KeyFile    string `json:"key_file"`
+	CAFile     string `json:"ca_file"`
+	IntervalMS int    `json:"interval_ms"`
+}
+
+// Decision holds the limits of package decision that operators may set.
+type Decision struct {
+	QueueLimit   int     `json:"queue_limit"`
+	RetryBudget  float64 `json:"retry_budget"`
+	RateBudgetMS int     `json:"rate_budget_ms"`
+	MaxEjected   float64 `json:"max_ejected"`
+}
--- /dev/null
+++ b/router/internal/wire/wire.go
@@ -0,0 +1,158 @@
+// Package wire holds what travels between masticplank and its callers, its
+// backend servers and the platform over HTTP: header names and JSON shapes.
+package wire
+
+import "time"
+
+// Headers that masticplank reads or writes.
+const (
+	// HeaderAttempt carries an attempt's nonce to the backend server, which
+	// echoes it in its answer. An answer with another nonce is dropped.
+	HeaderAttempt = "Masticplank-Attempt"
+	// HeaderOutcome tells the caller the outcome: completed, refused, failed,
+	// unknown, already_run, conflict.
+	HeaderOutcome = "Masticplank-Outcome"
+	// HeaderVersion tells the caller the version that answered.
+	HeaderVersion = "Masticplank-Version"
+	// HeaderSession names or carries a session (a name, or a signed token).
+	HeaderSession = "Masticplank-Session"
+	// HeaderTask is the caller's task class.
+	HeaderTask = "Masticplank-Task"
+	// HeaderPriority is the priority within the team, an integer.
+	HeaderPriority = "Masticplank-Priority"
+	// HeaderDeadline is how long the caller waits, as a Go duration.
+	HeaderDeadline = "Masticplank-Deadline"
+	// HeaderIdempotencyKey is the caller's request identity, a UUIDv7.
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderLeaving marks a 503 of a backend server that is leaving.
+	HeaderLeaving = "Masticplank-Leaving"
+	// HeaderNotRun marks an answer of a backend server that refused the
+	// request before running it ("true").
+	HeaderNotRun = "Masticplank-Not-Run"
+	// HeaderFencing carries the fencing number of an order to an engine.
+	HeaderFencing = "Masticplank-Fencing"
+)
+
+// StreamEnd is the data of the last server-sent event of a stream.
+const StreamEnd = "[DONE]"
+
+// Message is one chat message.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// ChatRequest is the body of POST /v1/chat/completions. Towards an engine Model
+// is a version ("model@version").
+type ChatRequest struct {
+	Model     string    `json:"model"`
+	Messages  []Message `json:"messages"`
+	MaxTokens int       `json:"max_tokens,omitempty"`
+	Stream    bool      `json:"stream,omitempty"`
+	Priority  int       `json:"priority,omitempty"`
+}
+
+// Usage counts tokens.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+	CachedTokens     int `json:"cached_tokens,omitempty"`
+}
+
+// ChatChoice is one choice of a plain answer (Message) or a chunk (Delta).
+type ChatChoice struct {
+	Index        int      `json:"index"`
+	Message      *Message `json:"message,omitempty"`
+	Delta        *Message `json:"delta,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+// ChatResponse is a plain answer, or one chunk of a stream. The last chunk
+// before StreamEnd carries Usage.
+type ChatResponse struct {
+	ID      string       `json:"id"`
+	Object  string       `json:"object"`
+	Created int64        `json:"created"`
+	Model   string       `json:"model"`
+	Choices []ChatChoice `json:"choices"`
+	Usage   *Usage       `json:"usage,omitempty"`
+}
+
+// LoadReport is the body of GET /load at an engine or plain service.
+type LoadReport struct {
+	Running  int       `json:"running"`
+	Queued   int       `json:"queued"`
+	Slots    int       `json:"slots"`
+	Versions []string  `json:"versions,omitempty"`
+	Leaving  bool      `json:"leaving"`
+	At       time.Time `json:"at"`
+	// CacheSeq numbers the last cache event; see CacheEvent.
+	CacheSeq uint64       `json:"cache_seq"`
+	Cache    []CacheEvent `json:"cache,omitempty"`
+}
+
+// CacheEvent is one change of an engine's prefix cache.
+type CacheEvent struct {
+	Seq     uint64   `json:"seq"`
+	Added   []uint64 `json:"added,omitempty"`
+	Removed []uint64 `json:"removed,omitempty"`
+}
+
+// Order is the body of PUT /orders at an engine: the whole wanted state.
+type Order struct {
+	Versions []string `json:"versions"`
+	Role     string   `json:"role,omitempty"`
+}
+
+// ListedServer is one row of the platform's instance list (GET /instances).
+type ListedServer struct {
+	ID       string   `json:"id"`
+	Addr     string   `json:"addr"`
+	Domain   string   `json:"domain"`
+	Service  string   `json:"service,omitempty"`
+	Versions []string `json:"versions,omitempty"`
+	Slots    int      `json:"slots"`
+	Leaving  bool     `json:"leaving"`
+}
+
+// ListedInstance is one entry instance in the platform's list.
+type ListedInstance struct {
+	ID     string `json:"id"`
+	Peer   string `json:"peer"`
+	Admin  string `json:"admin"`
+	Domain string `json:"domain"`
+}
+
+// InstanceList is the body of GET /instances at the platform's list service.
+type InstanceList struct {
+	Servers   []ListedServer   `json:"servers"`
+	Instances []ListedInstance `json:"instances"`
+}
+
+// RateRequest and RateResponse are the rating service's POST /rate.
+type RateRequest struct {
+	Team    string `json:"team"`
+	Task    string `json:"task"`
+	Version string `json:"version"`
+	Prompt  string `json:"prompt"`
+	Answer  string `json:"answer"`
+}
+
+// RateResponse holds the score, 0 to 1.
+type RateResponse struct {
+	Score float64 `json:"score"`
+}
+
+// Error is the body of every answer that is not a success.
+type Error struct {
+	Error ErrorBody `json:"error"`
+}
+
+// ErrorBody has a stable code and a text for people.
+type ErrorBody struct {
+	Code       string `json:"code"`
+	Message    string `json:"message"`
+	RetryAfter int    `json:"retry_after_seconds,omitempty"`
+	Generation uint64 `json:"generation,omitempty"`
+}
