--- /dev/null
+++ b/coordination/fold/checkpoint.go
@@ -0,0 +1,131 @@
+package fold
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
+
+	"masticplank.example/coordination/record"
+)
+
+const (
+	// partSize is how much of a snapshot one checkpoint record carries. A
+	// large state spreads over several appends, so other records are not held
+	// up behind one huge append.
+	partSize = 512 << 10
+	// maxParts follows from MaxSnapshot.
+	maxParts = MaxSnapshot/partSize + 1
+	// maxOpen is how many unfinished checkpoints an Assembler keeps. Writers
+	// append theirs one after the other; a few may overlap.
+	maxOpen = 4
+)
+
+// wirePart is the value of a checkpoint record. Parts with one nonce belong
+// together.
+type wirePart struct {
+	_     struct{} `cbor:",toarray"`
+	Next  uint64
+	Part  uint64
+	Parts uint64
+	Data  []byte
+}
+
+// Checkpoint returns the records that carry the state as of now. A reader that
+// finds the records before Digest().Next trimmed starts from them.
+func (s *State) Checkpoint(nonce record.Nonce) ([]record.Record, error) {
+	snapshot, err := s.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	parts := (len(snapshot) + partSize - 1) / partSize
+	out := make([]record.Record, 0, parts)
+	for i := range parts {
+		data := snapshot[i*partSize : min((i+1)*partSize, len(snapshot))]
+		value, err := cbor.Marshal(wirePart{Next: s.next, Part: uint64(i), Parts: uint64(parts), Data: data})
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		out = append(out, record.Record{Kind: record.KindCheckpoint, Nonce: nonce, Value: value})
+	}
+	return out, nil
+}
+
+// Assembler joins the parts of checkpoints read from the log and keeps the one
+// with the highest Next. Which one it is does not matter for the outcome: each
+// is the state after a prefix, and the reader folds the rest of the log on it.
+// The zero value is ready. Not safe for concurrent use.
+type Assembler struct {
+	open []*openCheckpoint
+	best []byte
+	next uint64
+}
+
+type openCheckpoint struct {
+	nonce record.Nonce
+	next  uint64
+	parts [][]byte
+	have  int
+}
+
+// Add takes one record; others than checkpoints and malformed parts are
+// ignored.
+func (a *Assembler) Add(r *record.Record) {
+	if r.Kind != record.KindCheckpoint {
+		return
+	}
+	var w wirePart
+	if err := snapshotDecMode.Unmarshal(r.Value, &w); err != nil {
+		return
+	}
+	if w.Parts == 0 || w.Parts > maxParts || w.Part >= w.Parts || len(w.Data) > partSize {
+		return
+	}
+	o := a.find(r.Nonce, &w)
+	if o == nil || o.parts[w.Part] != nil {
+		return
+	}
+	o.parts[w.Part] = w.Data
+	o.have++
+	if o.have == len(o.parts) {
+		a.finish(o)
+	}
+}
+
+// Best returns the complete checkpoint with the highest Next.
+func (a *Assembler) Best() (snapshot []byte, next uint64, ok bool) {
+	return a.best, a.next, a.best != nil
+}
+
+func (a *Assembler) find(nonce record.Nonce, w *wirePart) *openCheckpoint {
+	for _, o := range a.open {
+		if o.nonce != nonce {
+			continue
+		}
+		if o.next != w.Next || len(o.parts) != int(w.Parts) {
+			return nil
+		}
+		return o
+	}
+	if len(a.open) == maxOpen {
+		a.open = a.open[1:]
+	}
+	o := &openCheckpoint{nonce: nonce, next: w.Next, parts: make([][]byte, w.Parts)}
+	a.open = append(a.open, o)
+	return o
+}
+
+func (a *Assembler) finish(o *openCheckpoint) {
+	for i, other := range a.open {
+		if other == o {
+			a.open = append(a.open[:i:i], a.open[i+1:]...)
+			break
+		}
+	}
+	if a.best != nil && o.next <= a.next {
+		return
+	}
+	var snapshot []byte
+	for _, p := range o.parts {
+		snapshot = append(snapshot, p...)
+	}
+	a.best, a.next = snapshot, o.next
+}
--- a/coordination/fold/fold.go
+++ b/coordination/fold/fold.go
@@ -3,6 +3,15 @@
 //
 // It is a pure state machine: no I/O, no clock, no goroutine. Time is only
 // what the entries bring.
+//
+// Why it is safe: every rule looks at nothing but the entries before it, so two
+// readers of the same prefix hold the same state, whenever and however often
+// they read it. A key has one winner, since the first live Put takes it and
+// later ones find it taken. A released nonce never wins, since a tombstone
+// stands for it longer than the log can still bring it. A claim is never won
+// twice, since its register outlives the window in which the key may be
+// claimed. A manifest is never taken back, since it wins only as the child of
+// the manifest in force and a Release does not reach it.
 package fold
 
 import (
@@ -38,8 +47,11 @@
 	VerdictVoid
 	// VerdictReleased: a Release took effect or left a tombstone.
 	VerdictReleased
-	// VerdictCheckpoint: a checkpoint was read.
+	// VerdictCheckpoint: a checkpoint was read. It changes nothing at a reader
+	// that has folded all records before it.
 	VerdictCheckpoint
+	// VerdictDuplicate: the winning Put was read again; nothing changed.
+	VerdictDuplicate
 )
 
 // Change reports one record's effect, in log order.
--- /dev/null
+++ b/coordination/fold/rules.go
@@ -0,0 +1,125 @@
+package fold
+
+import (
+	"cmp"
+	"strings"
+	"time"
+
+	"masticplank.example/coordination/record"
+)
+
+// rules holds what differs between classes; times are in microseconds.
+type rules struct {
+	window        int64
+	skew          int64
+	retention     int64
+	claimLife     int64
+	tombstoneLife int64
+}
+
+func newRules(cfg Config) rules {
+	r := rules{
+		window:    cfg.ClaimWindow.Microseconds(),
+		skew:      cfg.ClockSkew.Microseconds(),
+		retention: cfg.Retention.Microseconds(),
+	}
+	// A key may be claimed from skew before its time until a window past it,
+	// so a claim is kept for longer than any other Put of its key can win.
+	r.claimLife = 2*r.window + r.skew
+	// A Put may lie in the log no longer than the retention, and a claim can
+	// win no later than its window: past both, a tombstone has no more to void.
+	r.tombstoneLife = max(r.retention, r.claimLife)
+	return r
+}
+
+// expiry is when a register that wins now ends; zero for never.
+func (r *rules) expiry(class record.Class, now int64, lifetime time.Duration) int64 {
+	switch class {
+	case record.ClassManifest:
+		return 0
+	case record.ClassClaim:
+		return now + r.claimLife
+	case record.ClassBill:
+		// The log holds a bill for the retention; a reader of the stream sees
+		// both copies of a doubled one within it. Past it, only memory is
+		// saved by forgetting.
+		return now + r.retention
+	}
+	if lifetime == 0 {
+		return 0
+	}
+	return now + max(1, lifetime.Microseconds())
+}
+
+// kept is what stays of a value in memory. Bills are read from the stream, and
+// there are many: only the fact that one was taken stays.
+func (r *rules) kept(class record.Class, value []byte) []byte {
+	if class == record.ClassBill {
+		return nil
+	}
+	return value
+}
+
+// final says that a winner of the class can't be released.
+func (r *rules) final(class record.Class) bool {
+	return class == record.ClassManifest || class == record.ClassBill
+}
+
+// check judges a Put whose key is free; zero means that it wins.
+func (s *State) check(class record.Class, r *record.Record) Verdict {
+	switch class {
+	case record.ClassClaim:
+		if !s.rules.claimable(s.clock.now, micros(r.KeyTime)) {
+			return VerdictVoid
+		}
+	case record.ClassManifest:
+		if verdict := s.checkManifest(r); verdict != 0 {
+			return verdict
+		}
+	}
+	validate := s.opts.Validators[class]
+	if validate != nil && validate(*r, s) != nil {
+		return VerdictVoid
+	}
+	return 0
+}
+
+// claimable: a key older than the window might have been claimed and forgotten,
+// and one from the future would be forgotten before its window ends.
+func (r *rules) claimable(now, keyTime int64) bool {
+	if keyTime <= 0 {
+		return false
+	}
+	return now-keyTime <= r.window && keyTime-now <= r.skew
+}
+
+// checkManifest admits only the child of the manifest in force, so generations
+// grow by one and never go back, and of two children the first one wins.
+func (s *State) checkManifest(r *record.Record) Verdict {
+	generation, parent, err := record.ParseManifestKey(r.Key)
+	if err != nil {
+		return VerdictVoid
+	}
+	if generation <= s.generation && generation > 0 {
+		return VerdictLost
+	}
+	if generation != s.generation+1 || parent != s.digest {
+		return VerdictVoid
+	}
+	return 0
+}
+
+// supersede makes r the manifest in force. The one before stays for the
+// retention without its value, so that a late retry of its Put is known.
+func (s *State) supersede(r *record.Record) {
+	if old := s.table.find(s.manifest); old != nil && s.generation > 0 {
+		s.table.expire(old, s.clock.now+s.rules.retention)
+	}
+	s.manifest = r.Key
+	s.digest = record.ManifestDigest(r.Value)
+	s.generation++
+}
+
+func cmpUint(a, b uint64) int { return cmp.Compare(a, b) }
+
+func cmpKey(a, b record.Key) int { return strings.Compare(string(a), string(b)) }
--- /dev/null
+++ b/coordination/fold/state.go
@@ -0,0 +1,305 @@
+package fold
+
+import (
+	"encoding/binary"
+	"errors"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+
+	"masticplank.example/coordination/platformlog"
+	"masticplank.example/coordination/record"
+)
+
+// ErrGap means that an entry was offered out of its order.
+var ErrGap = errors.New("fold: entry is not the next one")
+
+// Validator judges the content of a Put that would otherwise win. It must be
+// pure: what it returns may depend on nothing but its arguments, since every
+// reader asks its own. It must not change the state.
+type Validator func(r record.Record, s *State) error
+
+// Options of a State. All instances must use the same.
+type Options struct {
+	// Validators by class; a class without one takes any content.
+	Validators map[record.Class]Validator
+}
+
+// State is the state folded so far. It is not safe for concurrent use.
+type State struct {
+	cfg   Config
+	opts  Options
+	rules rules
+	clock clock
+	next  uint64
+	table table
+	// tombstones void the Puts of released nonces; the value is the expiry.
+	tombstones map[proposal]int64
+	buried     wheel[proposal]
+	// manifest is the key of the manifest in force; digest is its value's.
+	manifest   record.Key
+	digest     string
+	generation uint64
+	malformed  uint64
+}
+
+// proposal names one Put: retries of it carry the same key and nonce.
+type proposal struct {
+	key   record.Key
+	nonce record.Nonce
+}
+
+// New returns the state before the log's first entry. Zero fields of cfg take
+// their defaults.
+func New(cfg Config, opts Options) *State {
+	cfg = cfg.withDefaults()
+	return &State{
+		cfg:        cfg,
+		opts:       opts,
+		rules:      newRules(cfg),
+		clock:      clock{skew: cfg.ClockSkew.Microseconds()},
+		table:      newTable(),
+		tombstones: map[proposal]int64{},
+		buried:     newWheel[proposal](),
+	}
+}
+
+func (c Config) withDefaults() Config {
+	d := DefaultConfig()
+	if c.ClaimWindow <= 0 {
+		c.ClaimWindow = d.ClaimWindow
+	}
+	if c.ClockSkew <= 0 {
+		c.ClockSkew = d.ClockSkew
+	}
+	if c.Retention <= 0 {
+		c.Retention = d.Retention
+	}
+	return c
+}
+
+// Apply folds the next entry and appends what its records did to out. An entry
+// that is no valid batch changes nothing but the time. The one error is ErrGap.
+func (s *State) Apply(e platformlog.Entry, out []Change) ([]Change, error) {
+	if e.Offset != s.next {
+		return out, trace.Wrap(ErrGap, "offset %d, want %d", e.Offset, s.next)
+	}
+	b, err := record.Decode(e.Data)
+	if err != nil {
+		s.malformed++
+		b = record.Batch{}
+	}
+	return s.ApplyBatch(e.Offset, e.Time, &b, out)
+}
+
+// ApplyBatch is Apply for an entry that was decoded already.
+func (s *State) ApplyBatch(offset uint64, logTime time.Time, b *record.Batch, out []Change) ([]Change, error) {
+	if offset != s.next {
+		return out, trace.Wrap(ErrGap, "offset %d, want %d", offset, s.next)
+	}
+	s.clock.observe(micros(logTime), micros(b.Stamped), b.Writer)
+	s.collect()
+	for i := range b.Records {
+		out = append(out, s.applyRecord(offset, b.Writer, &b.Records[i]))
+	}
+	s.next++
+	return out, nil
+}
+
+func (s *State) applyRecord(offset uint64, writer string, r *record.Record) Change {
+	switch r.Kind {
+	case record.KindPut:
+		return s.put(offset, writer, r)
+	case record.KindRelease:
+		return s.release(r)
+	default:
+		return Change{Verdict: VerdictCheckpoint, Record: *r}
+	}
+}
+
+// put judges one Put: taken keys first, so that a late resend learns of the
+// winner and not of a window that has closed since.
+func (s *State) put(offset uint64, writer string, r *record.Record) Change {
+	p := proposal{r.Key, r.Nonce}
+	if s.isTombstone(p) {
+		return Change{Verdict: VerdictVoid, Record: *r}
+	}
+	if w := s.live(r.Key); w != nil {
+		return taken(w, r)
+	}
+	class := r.Key.Class()
+	if verdict := s.check(class, r); verdict != 0 {
+		return Change{Verdict: verdict, Record: *r, Register: s.rival(verdict)}
+	}
+	w := s.win(class, offset, writer, r)
+	c := Change{Verdict: VerdictWon, Record: *r, Register: w.register()}
+	c.Register.Value = r.Value
+	return c
+}
+
+func taken(w *row, r *record.Record) Change {
+	c := Change{Verdict: VerdictLost, Record: *r, Register: w.register()}
+	if w.nonce == r.Nonce {
+		c.Verdict = VerdictDuplicate
+	}
+	return c
+}
+
+// rival is what a Put lost against where its own key has no register: a
+// manifest of a generation that is past loses to the one in force.
+func (s *State) rival(v Verdict) Register {
+	if v != VerdictLost {
+		return Register{}
+	}
+	m, _ := s.Manifest()
+	return m
+}
+
+func (s *State) win(class record.Class, offset uint64, writer string, r *record.Record) *row {
+	w := row{
+		key:     r.Key,
+		nonce:   r.Nonce,
+		value:   s.rules.kept(class, r.Value),
+		writer:  writer,
+		offset:  offset,
+		at:      s.clock.now,
+		expires: s.rules.expiry(class, s.clock.now, r.Lifetime),
+	}
+	if class == record.ClassManifest {
+		s.supersede(r)
+	}
+	return s.table.insert(w)
+}
+
+// release voids one nonce for good, and takes the register that it holds.
+// Manifests and bills that have won are not taken back: one must never revert,
+// and the other must never be charged anew.
+func (s *State) release(r *record.Record) Change {
+	w := s.live(r.Key)
+	if w != nil && w.nonce == r.Nonce {
+		if s.rules.final(r.Key.Class()) {
+			return Change{Verdict: VerdictVoid, Record: *r, Register: w.register()}
+		}
+		s.table.remove(w)
+		w = nil
+	}
+	s.bury(proposal{r.Key, r.Nonce})
+	c := Change{Verdict: VerdictReleased, Record: *r}
+	if w != nil {
+		c.Register = w.register()
+	}
+	return c
+}
+
+func (s *State) bury(p proposal) {
+	expires := s.clock.now + s.rules.tombstoneLife
+	s.tombstones[p] = expires
+	s.buried.add(expires, p)
+}
+
+func (s *State) isTombstone(p proposal) bool {
+	if len(s.tombstones) == 0 {
+		return false
+	}
+	expires, ok := s.tombstones[p]
+	return ok && expires > s.clock.now
+}
+
+// collect drops what has expired a whole bucket ago. It runs at each entry, by
+// the log's time, so that equal prefixes leave equal tables and digests.
+func (s *State) collect() {
+	now := s.clock.now
+	s.table.expiries.collect(now, func(i uint32) {
+		w := &s.table.rows[i]
+		if w.expires != 0 && w.expires <= now {
+			s.table.remove(w)
+		}
+	})
+	s.buried.collect(now, func(p proposal) {
+		if expires, ok := s.tombstones[p]; ok && expires <= now {
+			delete(s.tombstones, p)
+		}
+	})
+}
+
+// live is the row of key, or nil if there is none or it has expired. An expired
+// row that waits for its bucket is removed, which makes room for a new winner.
+func (s *State) live(key record.Key) *row {
+	w := s.table.find(key)
+	if w == nil {
+		return nil
+	}
+	if w.expired(s.clock.now) {
+		s.table.remove(w)
+		return nil
+	}
+	return w
+}
+
+// Lookup returns the live register of key. A bill's value is not kept.
+func (s *State) Lookup(key record.Key) (Register, bool) {
+	w := s.table.find(key)
+	if w == nil || w.expired(s.clock.now) {
+		return Register{}, false
+	}
+	return w.register(), true
+}
+
+// Manifest returns the manifest in force; false before the first.
+func (s *State) Manifest() (Register, bool) {
+	if s.generation == 0 {
+		return Register{}, false
+	}
+	return s.Lookup(s.manifest)
+}
+
+// Registers returns the live registers of class in the order of their offsets.
+func (s *State) Registers(class record.Class) []Register {
+	return s.table.registers(func(w *row) bool {
+		return !w.expired(s.clock.now) && w.key.Class() == class
+	})
+}
+
+// Digest summarises the state.
+func (s *State) Digest() Digest {
+	return Digest{Next: s.next, Generation: s.generation, Hash: s.table.hash}
+}
+
+// Len is the number of registers held.
+func (s *State) Len() int { return len(s.table.index) }
+
+// Malformed counts the entries that were no valid batch.
+func (s *State) Malformed() uint64 { return s.malformed }
+
+// Now is the log's time.
+func (s *State) Now() time.Time { return fromMicros(s.clock.now) }
+
+// Config returns the bounds that the state was made with.
+func (s *State) Config() Config { return s.cfg }
+
+// rowHash is one register's part in Digest.Hash.
+func rowHash(w *row) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	var fixed [24]byte
+	copy(fixed[:16], w.nonce[:])
+	binary.LittleEndian.PutUint64(fixed[16:], w.offset)
+	_, _ = d.Write(fixed[:])
+	_, _ = d.WriteString(string(w.key))
+	return d.Sum64()
+}
+
+func micros(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMicro()
+}
+
+func fromMicros(us int64) time.Time {
+	if us == 0 {
+		return time.Time{}
+	}
+	return time.UnixMicro(us).UTC()
+}
--- /dev/null
+++ b/coordination/platformlog/logtest/log.go
@@ -0,0 +1,239 @@
+// Package logtest is an in-memory log for tests, with switches for the faults
+// of a real one: down, slow, replies lost after or before the effect, refused
+// appends, trimmed records, one client cut off, and no times of its own.
+package logtest
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"masticplank.example/coordination/platformlog"
+)
+
+// Log is the service. Safe for concurrent use. It takes its times from
+// time.Now, which testing/synctest replaces.
+type Log struct {
+	mu      sync.Mutex
+	first   uint64
+	entries []platformlog.Entry
+	// changed is closed and replaced whenever a waiting read must look again.
+	changed chan struct{}
+	faults  faults
+	cut     map[string]bool
+	appends int
+}
+
+// faults holds what is wrong with the service now.
+type faults struct {
+	down        bool
+	timeless    bool
+	slow        time.Duration
+	lostReplies int
+	lostAppends int
+	refused     int
+}
+
+// New returns an empty, healthy log.
+func New() *Log {
+	return &Log{changed: make(chan struct{}), cut: map[string]bool{}}
+}
+
+// Client is one instance's connection to the log.
+type Client struct {
+	log  *Log
+	name string
+}
+
+var _ platformlog.Log = (*Client)(nil)
+
+// Client returns the connection of the instance called name.
+func (l *Log) Client(name string) *Client {
+	return &Client{log: l, name: name}
+}
+
+// SetDown makes every call of every client fail while down is true.
+func (l *Log) SetDown(down bool) {
+	l.set(func() { l.faults.down = down })
+}
+
+// SetSlow delays each append before its effect, and each read.
+func (l *Log) SetSlow(d time.Duration) {
+	l.set(func() { l.faults.slow = d })
+}
+
+// SetTimeless makes entries appended from now on carry no time.
+func (l *Log) SetTimeless(timeless bool) {
+	l.set(func() { l.faults.timeless = timeless })
+}
+
+// LoseReplies lets the next n appends take effect and loses their replies.
+func (l *Log) LoseReplies(n int) {
+	l.set(func() { l.faults.lostReplies = n })
+}
+
+// LoseAppends loses the next n appends before their effect; the client can't
+// tell them from lost replies.
+func (l *Log) LoseAppends(n int) {
+	l.set(func() { l.faults.lostAppends = n })
+}
+
+// RefuseAppends refuses the next n appends without effect.
+func (l *Log) RefuseAppends(n int) {
+	l.set(func() { l.faults.refused = n })
+}
+
+// Cut fails the calls of one client while cut is true.
+func (l *Log) Cut(client string, cut bool) {
+	l.set(func() { l.cut[client] = cut })
+}
+
+// Trim drops the entries before offset first.
+func (l *Log) Trim(first uint64) {
+	l.set(func() {
+		head := l.first + uint64(len(l.entries))
+		first = min(max(first, l.first), head)
+		l.entries = slices.Clone(l.entries[first-l.first:])
+		l.first = first
+	})
+}
+
+// Inject appends data as some other writer would, faults or not, and returns
+// its offset.
+func (l *Log) Inject(data []byte) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.append(data)
+}
+
+// Entries returns what the log keeps now.
+func (l *Log) Entries() []platformlog.Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.entries)
+}
+
+// Appends counts the appends that took effect.
+func (l *Log) Appends() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
+}
+
+func (l *Log) set(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f()
+	l.wake()
+}
+
+func (l *Log) wake() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func (l *Log) append(data []byte) uint64 {
+	e := platformlog.Entry{
+		Offset: l.first + uint64(len(l.entries)),
+		Data:   slices.Clone(data),
+	}
+	if !l.faults.timeless {
+		e.Time = time.Now()
+	}
+	l.entries = append(l.entries, e)
+	l.appends++
+	l.wake()
+	return e.Offset
+}
+
+// Append implements platformlog.Log.
+func (c *Client) Append(ctx context.Context, data []byte) (uint64, error) {
+	if err := c.delay(ctx); err != nil {
+		return 0, fmt.Errorf("%w: %w", platformlog.ErrUnknown, err)
+	}
+	l := c.log
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.faults.down || l.cut[c.name] {
+		return 0, fmt.Errorf("%w: no connection", platformlog.ErrNotAppended)
+	}
+	if take(&l.faults.refused) {
+		return 0, fmt.Errorf("%w: refused", platformlog.ErrNotAppended)
+	}
+	if take(&l.faults.lostAppends) {
+		return 0, fmt.Errorf("%w: connection reset", platformlog.ErrUnknown)
+	}
+	offset := l.append(data)
+	if take(&l.faults.lostReplies) {
+		return 0, fmt.Errorf("%w: connection reset", platformlog.ErrUnknown)
+	}
+	return offset, nil
+}
+
+// Read implements platformlog.Log.
+func (c *Client) Read(ctx context.Context, from uint64, limit int, wait time.Duration) (platformlog.Page, error) {
+	if err := c.delay(ctx); err != nil {
+		return platformlog.Page{}, fmt.Errorf("%w: %w", platformlog.ErrUnavailable, err)
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		page, changed, err := c.look(from, limit)
+		if err != nil || len(page.Entries) > 0 {
+			return page, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			page, _, err = c.look(from, limit)
+			return page, err
+		case <-ctx.Done():
+			return page, fmt.Errorf("%w: %w", platformlog.ErrUnavailable, ctx.Err())
+		}
+	}
+}
+
+func (c *Client) look(from uint64, limit int) (platformlog.Page, <-chan struct{}, error) {
+	l := c.log
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.faults.down || l.cut[c.name] {
+		return platformlog.Page{}, nil, platformlog.ErrUnavailable
+	}
+	page := platformlog.Page{First: l.first, Head: l.first + uint64(len(l.entries))}
+	if from < l.first {
+		return page, nil, platformlog.ErrTrimmed
+	}
+	if from < page.Head {
+		rest := l.entries[from-l.first:]
+		page.Entries = slices.Clone(rest[:min(limit, len(rest))])
+	}
+	return page, l.changed, nil
+}
+
+func (c *Client) delay(ctx context.Context) error {
+	c.log.mu.Lock()
+	d := c.log.faults.slow
+	c.log.mu.Unlock()
+	if d == 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func take(n *int) bool {
+	if *n == 0 {
+		return false
+	}
+	*n--
+	return true
+}
