--- /dev/null
+++ b/coordination/fold/fold_test.go
@@ -0,0 +1,270 @@
+package fold
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"masticplank.example/coordination/platformlog"
+	"masticplank.example/coordination/record"
+)
+
+var start = time.Unix(1_800_000_000, 0).UTC()
+
+var testConfig = Config{ClaimWindow: 100 * time.Second, ClockSkew: 10 * time.Second, Retention: 200 * time.Second}
+
+// feed applies single records to a State and keeps the offsets.
+type feed struct {
+	t *testing.T
+	s *State
+}
+
+func newFeed(t *testing.T) *feed {
+	return &feed{t, New(testConfig, Options{})}
+}
+
+func (f *feed) apply(after time.Duration, r record.Record) Change {
+	f.t.Helper()
+	return f.batch(start.Add(after), record.Batch{Writer: "w", Records: []record.Record{r}})
+}
+
+func (f *feed) batch(at time.Time, b record.Batch) Change {
+	f.t.Helper()
+	out, err := f.s.ApplyBatch(f.s.next, at, &b, nil)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if len(out) == 0 {
+		return Change{}
+	}
+	return out[len(out)-1]
+}
+
+func put(key record.Key, nonce byte) record.Record {
+	return record.Record{Kind: record.KindPut, Key: key, Nonce: record.Nonce{nonce}, Value: []byte{nonce}}
+}
+
+func release(key record.Key, nonce byte) record.Record {
+	return record.Record{Kind: record.KindRelease, Key: key, Nonce: record.Nonce{nonce}}
+}
+
+func claim(key record.Key, nonce byte, keyTime time.Duration) record.Record {
+	r := put(key, nonce)
+	r.KeyTime = start.Add(keyTime)
+	return r
+}
+
+func lasting(r record.Record, d time.Duration) record.Record {
+	r.Lifetime = d
+	return r
+}
+
+func manifest(generation uint64, parent []byte, nonce byte, value string) record.Record {
+	digest := ""
+	if parent != nil {
+		digest = record.ManifestDigest(parent)
+	}
+	r := put(record.ManifestKey(generation, digest), nonce)
+	r.Value = []byte(value)
+	return r
+}
+
+// step is one record at a time after start, with the verdict wanted.
+type step struct {
+	after time.Duration
+	rec   record.Record
+	want  Verdict
+}
+
+func TestRegisterRules(t *testing.T) {
+	const s = time.Second
+	tests := map[string][]step{
+		"first writer wins": {
+			{0, put("session/a", 1), VerdictWon},
+			{0, put("session/a", 2), VerdictLost},
+			{0, put("session/a", 1), VerdictDuplicate},
+		},
+		"release frees the key": {
+			{0, put("session/a", 1), VerdictWon},
+			{0, release("session/a", 1), VerdictReleased},
+			{0, put("session/a", 1), VerdictVoid},
+			{0, put("session/a", 2), VerdictWon},
+		},
+		"release before the put": {
+			{0, release("session/a", 1), VerdictReleased},
+			{0, put("session/a", 1), VerdictVoid},
+			{0, put("session/a", 2), VerdictWon},
+			{0, release("session/a", 1), VerdictReleased},
+			{0, put("session/a", 3), VerdictLost},
+		},
+		"a tombstone outlives what it voids, and no more": {
+			{0, release("session/a", 1), VerdictReleased},
+			{209 * s, put("session/a", 1), VerdictVoid},
+			{210 * s, put("session/a", 1), VerdictWon},
+		},
+		"expiry is exact": {
+			{0, lasting(put("session/a", 1), 1500*time.Millisecond), VerdictWon},
+			{1499 * time.Millisecond, put("session/a", 2), VerdictLost},
+			{1500 * time.Millisecond, put("session/a", 2), VerdictWon},
+		},
+		"time never goes back": {
+			{5 * s, lasting(put("session/a", 1), s), VerdictWon},
+			{6 * s, put("session/b", 1), VerdictWon},
+			{0, put("session/a", 2), VerdictWon},
+		},
+		"claim window": {
+			{0, claim("claim/t/a", 1, -101*s), VerdictVoid},
+			{0, claim("claim/t/a", 1, -100*s), VerdictWon},
+			{0, claim("claim/t/b", 1, 11*s), VerdictVoid},
+			{0, claim("claim/t/b", 1, 10*s), VerdictWon},
+			{0, put("claim/t/c", 1), VerdictVoid},
+		},
+		"a claim can't be won twice, however late": {
+			{0, claim("claim/t/a", 1, 10*s), VerdictWon},
+			{110 * s, claim("claim/t/a", 2, 10*s), VerdictLost},
+			{111 * s, claim("claim/t/a", 2, 10*s), VerdictLost},
+			{210 * s, claim("claim/t/a", 2, 10*s), VerdictVoid},
+		},
+		"a bill lives for the retention": {
+			{0, lasting(put("bill/t/a", 1), s), VerdictWon},
+			{199 * s, put("bill/t/a", 2), VerdictLost},
+			{199 * s, release("bill/t/a", 1), VerdictVoid},
+			{199 * s, put("bill/t/a", 2), VerdictLost},
+		},
+		"manifests are a chain": {
+			{0, manifest(2, nil, 1, "x"), VerdictVoid},
+			{0, manifest(1, []byte("?"), 1, "x"), VerdictVoid},
+			{0, manifest(1, nil, 1, "one"), VerdictWon},
+			{0, manifest(1, nil, 2, "other"), VerdictLost},
+			{0, manifest(2, []byte("other"), 3, "y"), VerdictVoid},
+			{0, manifest(2, []byte("one"), 4, "two"), VerdictWon},
+			{0, manifest(2, []byte("other"), 5, "y"), VerdictLost},
+			{0, manifest(3, []byte("one"), 6, "y"), VerdictVoid},
+			{0, manifest(1, nil, 1, "one"), VerdictDuplicate},
+			{0, put("manifest/zero", 7), VerdictVoid},
+		},
+		"a manifest is never taken back": {
+			{0, manifest(1, nil, 1, "one"), VerdictWon},
+			{0, release(record.ManifestKey(1, ""), 1), VerdictVoid},
+			{9999 * s, manifest(1, nil, 2, "other"), VerdictLost},
+		},
+		"a manifest released first never wins": {
+			{0, release(record.ManifestKey(1, ""), 1), VerdictReleased},
+			{0, manifest(1, nil, 1, "one"), VerdictVoid},
+			{0, manifest(1, nil, 2, "other"), VerdictWon},
+		},
+	}
+	for name, steps := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFeed(t)
+			for i, st := range steps {
+				if c := f.apply(st.after, st.rec); c.Verdict != st.want {
+					t.Fatalf("step %d: verdict %d, want %d", i, c.Verdict, st.want)
+				}
+			}
+		})
+	}
+}
+
+func TestLostManifestNamesTheWinner(t *testing.T) {
+	f := newFeed(t)
+	f.apply(0, manifest(1, nil, 1, "one"))
+	f.apply(0, manifest(2, []byte("one"), 2, "two"))
+	c := f.apply(0, manifest(2, []byte("other"), 3, "three"))
+	if string(c.Register.Value) != "two" || f.s.Digest().Generation != 2 {
+		t.Errorf("got %q at generation %d", c.Register.Value, f.s.Digest().Generation)
+	}
+	if m, ok := f.s.Manifest(); !ok || m.Nonce != (record.Nonce{2}) {
+		t.Errorf("in force: %+v", m)
+	}
+}
+
+func TestValidatorDecides(t *testing.T) {
+	refuse := func(r record.Record, s *State) error {
+		if string(r.Value) == "bad" {
+			return errors.New("bad")
+		}
+		return nil
+	}
+	f := &feed{t, New(testConfig, Options{Validators: map[record.Class]Validator{record.ClassManifest: refuse}})}
+	if c := f.apply(0, manifest(1, nil, 1, "bad")); c.Verdict != VerdictVoid {
+		t.Errorf("bad content: verdict %d", c.Verdict)
+	}
+	if c := f.apply(0, manifest(1, nil, 2, "good")); c.Verdict != VerdictWon {
+		t.Errorf("good content: verdict %d", c.Verdict)
+	}
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	f := newFeed(t)
+	for i := range 20_000 {
+		at := time.Duration(i) * 100 * time.Millisecond
+		f.apply(at, put(record.Key(fmt.Sprintf("bill/t/%d", i)), 1))
+		f.apply(at, release(record.Key(fmt.Sprintf("session/%d", i)), 1))
+	}
+	// 200 s of bills and 210 s of tombstones at 10 a second, and a bucket.
+	if n := f.s.Len(); n > 2011 {
+		t.Errorf("%d registers", n)
+	}
+	if n := len(f.s.tombstones); n > 2111 {
+		t.Errorf("%d tombstones", n)
+	}
+	if n := len(f.s.table.rows); n > 2111 {
+		t.Errorf("%d rows", n)
+	}
+}
+
+func TestMalformedEntryIsSkipped(t *testing.T) {
+	s := New(testConfig, Options{})
+	if _, err := s.Apply(platformlog.Entry{Offset: 0, Data: []byte("junk")}, nil); err != nil {
+		t.Fatal(err)
+	}
+	if s.Malformed() != 1 || s.Digest().Next != 1 {
+		t.Errorf("malformed %d, next %d", s.Malformed(), s.Digest().Next)
+	}
+	if _, err := s.Apply(platformlog.Entry{Offset: 5}, nil); !errors.Is(err, ErrGap) {
+		t.Errorf("gap: %v", err)
+	}
+}
+
+func TestStampedTime(t *testing.T) {
+	type stamp struct {
+		writer string
+		after  time.Duration
+		want   time.Duration
+	}
+	const s = time.Second
+	tests := map[string][]stamp{
+		"running maximum":            {{"a", 0, 0}, {"a", 5 * s, 5 * s}, {"b", 2 * s, 5 * s}, {"b", 15 * s, 15 * s}},
+		"lone jump does not count":   {{"a", 0, 0}, {"b", 999 * s, 0}, {"b", 999 * s, 0}, {"a", s, s}},
+		"confirmed by the lesser":    {{"a", 0, 0}, {"b", 999 * s, 0}, {"a", 50 * s, 50 * s}, {"a", 51 * s, 51 * s}},
+		"second writer jumps beyond": {{"a", 0, 0}, {"a", 50 * s, 0}, {"b", 999 * s, 50 * s}, {"a", 52 * s, 52 * s}},
+		"a wrong clock set right":    {{"a", 0, 0}, {"b", 999 * s, 0}, {"b", 20 * s, 0}, {"a", 999 * s, 20 * s}},
+	}
+	for name, stamps := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFeed(t)
+			for i, st := range stamps {
+				f.batch(time.Time{}, record.Batch{Writer: st.writer, Stamped: start.Add(st.after)})
+				if got := f.s.Now().Sub(start); got != st.want {
+					t.Fatalf("step %d: log time %v, want %v", i, got, st.want)
+				}
+			}
+		})
+	}
+}
+
+func TestBatchOfManySharesAnOffset(t *testing.T) {
+	f := newFeed(t)
+	f.apply(0, put("session/x", 9))
+	b := record.Batch{Writer: "w", Records: []record.Record{put("session/a", 1), put("session/a", 2), put("session/b", 2)}}
+	f.batch(start, b)
+	a, _ := f.s.Lookup("session/a")
+	if a.Offset != 1 || a.Nonce != (record.Nonce{1}) || a.Writer != "w" || !a.At.Equal(start) {
+		t.Errorf("got %+v", a)
+	}
+	if regs := f.s.Registers("session"); len(regs) != 3 || regs[0].Key != "session/x" {
+		t.Errorf("registers %+v", regs)
+	}
+}
--- /dev/null
+++ b/coordination/fold/property_test.go
@@ -0,0 +1,278 @@
+package fold
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"masticplank.example/coordination/platformlog"
+	"masticplank.example/coordination/record"
+)
+
+// model is the rule in its plainest form: no index, no wheel, no hash.
+type model struct {
+	now      time.Time
+	live     map[record.Key]Register
+	dead     map[proposal]time.Time
+	parent   string
+	position uint64
+}
+
+func newModel() *model {
+	return &model{live: map[record.Key]Register{}, dead: map[proposal]time.Time{}}
+}
+
+// apply returns whether r won.
+func (m *model) apply(offset uint64, at time.Time, r record.Record) bool {
+	if at.After(m.now) {
+		m.now = at
+	}
+	for k, reg := range m.live {
+		if !reg.Expires.IsZero() && !reg.Expires.After(m.now) {
+			delete(m.live, k)
+		}
+	}
+	p := proposal{r.Key, r.Nonce}
+	if r.Kind == record.KindRelease {
+		final := r.Key.Class() == record.ClassBill || r.Key.Class() == record.ClassManifest
+		if m.live[r.Key].Nonce == r.Nonce && final {
+			return false
+		}
+		if m.live[r.Key].Nonce == r.Nonce {
+			delete(m.live, r.Key)
+		}
+		m.dead[p] = m.now.Add(2*testConfig.ClaimWindow + testConfig.ClockSkew)
+		return false
+	}
+	_, taken := m.live[r.Key]
+	if r.Kind != record.KindPut || taken || m.dead[p].After(m.now) {
+		return false
+	}
+	life := r.Lifetime
+	switch r.Key.Class() {
+	case record.ClassClaim:
+		age := m.now.Sub(r.KeyTime)
+		if r.KeyTime.IsZero() || age > testConfig.ClaimWindow || -age > testConfig.ClockSkew {
+			return false
+		}
+		life = 2*testConfig.ClaimWindow + testConfig.ClockSkew
+	case record.ClassBill:
+		life = testConfig.Retention
+	case record.ClassManifest:
+		if r.Key != record.ManifestKey(m.position+1, m.parent) {
+			return false
+		}
+		m.position++
+		m.parent = record.ManifestDigest(r.Value)
+		life = 0
+	}
+	reg := Register{Key: r.Key, Nonce: r.Nonce, Offset: offset}
+	if life != 0 {
+		reg.Expires = m.now.Add(life)
+	}
+	m.live[r.Key] = reg
+	return true
+}
+
+func genPut(t *rapid.T, m *model, now time.Time) record.Record {
+	n := byte(rapid.IntRange(1, 6).Draw(t, "nonce"))
+	id := rapid.SampledFrom([]string{"t/a", "t/b", "t/c"}).Draw(t, "id")
+	class := rapid.SampledFrom([]string{"claim", "bill", "session", "lease", "manifest"}).Draw(t, "class")
+	r := put(record.Key(class+"/"+id), n)
+	switch class {
+	case "claim":
+		r.KeyTime = now.Add(-time.Duration(rapid.IntRange(-15, 120).Draw(t, "age")) * time.Second)
+	case "manifest":
+		back := uint64(rapid.IntRange(0, 2).Draw(t, "back"))
+		r.Key = record.ManifestKey(m.position+2-back, m.parent)
+	default:
+		r.Lifetime = time.Duration(rapid.IntRange(0, 40_000).Draw(t, "life")) * time.Millisecond
+	}
+	return r
+}
+
+// TestFoldMatchesModelAtEveryReader: whatever is appended, in whatever order,
+// repeated or released, the fold agrees with the model; a second reader agrees
+// with the first; and a reader that starts from a snapshot at any place and
+// folds the tail ends in the same bytes as a full replay.
+func TestFoldMatchesModelAtEveryReader(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel()
+		var log []platformlog.Entry
+		var wins [][]bool
+		var sent []record.Record
+		now := start
+		for range rapid.IntRange(1, 60).Draw(t, "entries") {
+			now = now.Add(time.Duration(rapid.IntRange(-500, 30_000).Draw(t, "gap")) * time.Millisecond)
+			b := record.Batch{Writer: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "writer")}
+			var won []bool
+			for range rapid.IntRange(0, 4).Draw(t, "records") {
+				var r record.Record
+				switch kind := rapid.IntRange(0, 3).Draw(t, "what"); {
+				case kind == 0 && len(sent) > 0: // a late retry
+					r = rapid.SampledFrom(sent).Draw(t, "retry")
+				case kind == 1:
+					r = genPut(t, m, now)
+					r.Kind, r.Value = record.KindRelease, nil
+				default:
+					r = genPut(t, m, now)
+				}
+				sent = append(sent, r)
+				b.Records = append(b.Records, r)
+				won = append(won, m.apply(uint64(len(log)), now, r))
+			}
+			data, err := record.Encode(b)
+			if err != nil {
+				t.Fatal(err)
+			}
+			log = append(log, platformlog.Entry{Offset: uint64(len(log)), Time: now, Data: data})
+			wins = append(wins, won)
+		}
+		cut := rapid.IntRange(0, len(log)).Draw(t, "snapshot at")
+		checkReaders(t, log, wins, cut)
+	})
+}
+
+func checkReaders(t *rapid.T, log []platformlog.Entry, wins [][]bool, cut int) {
+	full := New(testConfig, Options{})
+	var snapshot []byte
+	var generation uint64
+	for i, e := range log {
+		if i == cut {
+			snapshot = mustSnapshot(t, full)
+		}
+		changes, err := full.Apply(e, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for j, c := range changes {
+			if (c.Verdict == VerdictWon) != wins[i][j] {
+				t.Fatalf("entry %d record %d: verdict %d, model says won=%v", i, j, c.Verdict, wins[i][j])
+			}
+		}
+		if g := full.Digest().Generation; g < generation {
+			t.Fatalf("generation went back from %d to %d", generation, g)
+		}
+		generation = full.Digest().Generation
+	}
+	if cut == len(log) {
+		snapshot = mustSnapshot(t, full)
+	}
+	second, err := Restore(testConfig, Options{}, snapshot)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range log[cut:] {
+		if _, err := second.Apply(e, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if full.Digest() != second.Digest() {
+		t.Fatalf("digests differ: %+v and %+v", full.Digest(), second.Digest())
+	}
+	if !bytes.Equal(mustSnapshot(t, full), mustSnapshot(t, second)) {
+		t.Fatal("snapshots differ")
+	}
+}
+
+func mustSnapshot(t interface{ Fatal(...any) }, s *State) []byte {
+	data, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func bigState(t *testing.T, keys int) *State {
+	s := New(testConfig, Options{})
+	for i := range keys {
+		r := put(record.Key("session/"+string(rune('a'+i))), 1)
+		r.Value = bytes.Repeat([]byte{byte(i)}, partSize/2)
+		if _, err := s.ApplyBatch(uint64(i), start, &record.Batch{Writer: "w", Records: []record.Record{r}}, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return s
+}
+
+func TestCheckpointParts(t *testing.T) {
+	old, fresh := bigState(t, 3), bigState(t, 5)
+	oldParts, err := old.Checkpoint(record.Nonce{1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	newParts, _ := fresh.Checkpoint(record.Nonce{2})
+	if len(newParts) < 3 {
+		t.Fatalf("%d parts", len(newParts))
+	}
+	var a Assembler
+	// Parts of two writers overlap, one comes twice, one is junk.
+	a.Add(&record.Record{Kind: record.KindCheckpoint, Value: []byte("junk")})
+	a.Add(&newParts[0])
+	a.Add(&newParts[0])
+	for i := range oldParts {
+		if _, _, ok := a.Best(); ok {
+			t.Fatal("complete too soon")
+		}
+		a.Add(&oldParts[i])
+	}
+	if _, next, _ := a.Best(); next != 3 {
+		t.Fatalf("best at %d, want 3", next)
+	}
+	for i := range newParts[1:] {
+		a.Add(&newParts[1+i])
+	}
+	// A stale one that is read later changes nothing.
+	for i := range oldParts {
+		a.Add(&oldParts[i])
+	}
+	data, next, ok := a.Best()
+	if !ok || next != 5 {
+		t.Fatalf("best at %d, %v", next, ok)
+	}
+	s, err := Restore(testConfig, Options{}, data)
+	if err != nil || s.Digest() != fresh.Digest() {
+		t.Fatalf("restored %+v, %v", s, err)
+	}
+}
+
+func TestRestoreRefuses(t *testing.T) {
+	f := newFeed(t)
+	f.apply(0, manifest(1, nil, 1, "one"))
+	f.apply(0, put("session/a", 1))
+	good := mustSnapshot(t, f.s)
+	other := testConfig
+	other.Retention++
+	other.Retention += time.Second
+	if _, err := Restore(other, Options{}, good); !errors.Is(err, ErrSnapshot) {
+		t.Errorf("other bounds: %v", err)
+	}
+	// Any single damaged byte is either refused or harmless in form; it never
+	// panics, and never yields another manifest or other registers.
+	for i := range good {
+		bad := bytes.Clone(good)
+		bad[i] ^= 0x41
+		s, err := Restore(testConfig, Options{}, bad)
+		if err != nil {
+			continue
+		}
+		m, _ := s.Manifest()
+		if string(m.Value) != "one" || s.Digest().Generation != 1 {
+			t.Errorf("byte %d: manifest changed to %q", i, m.Value)
+		}
+	}
+}
+
+func FuzzRestore(f *testing.F) {
+	s := New(testConfig, Options{})
+	f.Add(mustSnapshot(f, s))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := Restore(testConfig, Options{}, data)
+		if err == nil {
+			mustSnapshot(t, s)
+		}
+	})
+}
