freshness: the state machine, a test per row

Cause: an instance must know when the state it folded may decide. Confirmations carry the time their head was asked for; outage needs a majority of the live list, nobody who reaches the log, and nobody who knows of a later record; a pause is a gap between ticks by the monotonic or the wall clock. An empty list counts as no list: a list service that fails empty would otherwise make each instance cut off from all a fleet of one.

--- /dev/null
+++ b/coordination/freshness/tracker_test.go
@@ -0,0 +1,254 @@
+package freshness
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// script drives a Tracker by seconds after start, ticking each 100 ms.
+type script struct {
+	t   *testing.T
+	tr  *Tracker
+	now time.Time
+}
+
+func newScript(t *testing.T, live ...string) *script {
+	s := &script{t, New(Config{Self: "me"}), start}
+	s.tr.Tick(s.now)
+	if live != nil {
+		s.tr.Live(live)
+	}
+	return s
+}
+
+func (s *script) run(seconds float64, each func()) {
+	end := s.now.Add(time.Duration(seconds * float64(time.Second)))
+	for s.now.Before(end) {
+		s.now = s.now.Add(100 * time.Millisecond)
+		s.tr.Tick(s.now)
+		if each != nil {
+			each()
+		}
+	}
+}
+
+func (s *script) vouch(peer string, head uint64, age time.Duration, reachable bool) {
+	s.tr.Vouched(s.now, Vouch{Peer: peer, Head: head, HeadAge: age, LogReachable: reachable})
+}
+
+func (s *script) fresh() {
+	s.tr.HeadRead(s.now, 10)
+	s.tr.Folded(10)
+}
+
+func (s *script) want(m Mode) {
+	s.t.Helper()
+	if r := s.tr.Report(s.now); r.Mode != m {
+		s.t.Errorf("at %v: %+v, want mode %d", s.now.Sub(start), r, m)
+	}
+}
+
+var fleet = []string{"me", "a", "b", "c"}
+
+func TestModes(t *testing.T) {
+	tests := map[string]func(s *script){
+		"nothing seen": func(s *script) {
+			s.want(ModeStale)
+			s.run(10, nil)
+			s.want(ModeStale)
+		},
+		"head read but not folded": func(s *script) {
+			s.tr.HeadRead(s.now, 10)
+			s.want(ModeStale)
+			s.tr.Folded(9)
+			s.want(ModeStale)
+			s.tr.Folded(10)
+			s.want(ModeFresh)
+		},
+		"folding a head late confirms the time it was read": func(s *script) {
+			s.tr.HeadRead(s.now, 10)
+			s.run(6, nil)
+			s.tr.Folded(10)
+			s.want(ModeStale)
+		},
+		"fresh for F and no longer": func(s *script) {
+			s.fresh()
+			s.run(5, nil)
+			s.want(ModeFresh)
+			s.run(0.1, nil)
+			s.want(ModeStale)
+		},
+		"log down for all": func(s *script) {
+			s.fresh()
+			s.run(6, func() {
+				s.tr.ReadFailed(s.now)
+				s.vouch("a", 10, time.Minute, false)
+				s.vouch("b", 9, time.Minute, false)
+			})
+			s.want(ModeOutage)
+			s.fresh()
+			s.want(ModeFresh)
+		},
+		"log down, half of the list answers": func(s *script) {
+			s.fresh()
+			s.run(6, func() {
+				s.tr.ReadFailed(s.now)
+				s.vouch("a", 10, time.Minute, false)
+			})
+			s.want(ModeStale)
+		},
+		"log down, who answers is not in the list": func(s *script) {
+			s.fresh()
+			s.run(6, func() {
+				s.tr.ReadFailed(s.now)
+				s.vouch("x", 10, time.Minute, false)
+				s.vouch("y", 10, time.Minute, false)
+			})
+			s.want(ModeStale)
+		},
+		"log down, one peer reaches it and is ahead": func(s *script) {
+			s.fresh()
+			s.run(6, func() {
+				s.tr.ReadFailed(s.now)
+				s.vouch("a", 10, time.Minute, false)
+				s.vouch("b", 10, time.Minute, false)
+				s.vouch("c", 11, 0, true)
+			})
+			s.want(ModeStale)
+		},
+		"log down, a peer has folded more": func(s *script) {
+			s.fresh()
+			s.run(6, func() {
+				s.tr.ReadFailed(s.now)
+				s.vouch("a", 10, time.Minute, false)
+				s.vouch("b", 11, time.Minute, false)
+			})
+			s.want(ModeStale)
+			s.tr.Folded(11)
+			s.want(ModeOutage)
+		},
+		"log down, own read does not know it": func(s *script) {
+			s.run(6, func() {
+				s.vouch("a", 0, time.Minute, false)
+				s.vouch("b", 0, time.Minute, false)
+			})
+			s.want(ModeStale)
+		},
+		"old answers do not make a majority": func(s *script) {
+			s.fresh()
+			s.vouch("a", 10, time.Minute, false)
+			s.vouch("b", 10, time.Minute, false)
+			s.run(6, func() { s.tr.ReadFailed(s.now) })
+			s.want(ModeStale)
+		},
+		"cut from the log, a peer vouches": func(s *script) {
+			s.fresh()
+			s.run(20, func() {
+				s.tr.ReadFailed(s.now)
+				s.vouch("a", 10, time.Second, true)
+			})
+			s.want(ModeFresh)
+			s.run(6, func() {
+				s.tr.ReadFailed(s.now)
+				s.vouch("a", 11, time.Second, true)
+			})
+			s.want(ModeStale)
+			s.tr.Folded(11)
+			s.want(ModeFresh)
+		},
+		"a vouch is as old as its head": func(s *script) {
+			s.tr.Folded(10)
+			s.vouch("a", 10, 4*time.Second, true)
+			s.want(ModeFresh)
+			s.run(1.1, nil)
+			s.want(ModeStale)
+			s.vouch("a", 10, 6*time.Second, true)
+			s.want(ModeStale)
+			s.vouch("a", 10, -time.Hour, true)
+			s.want(ModeStale)
+		},
+		"cut from all": func(s *script) {
+			s.fresh()
+			s.run(60, func() { s.tr.ReadFailed(s.now) })
+			s.want(ModeStale)
+		},
+		"paused and resumed": func(s *script) {
+			s.fresh()
+			s.now = s.now.Add(2600 * time.Millisecond)
+			s.want(ModeStale)
+			s.tr.Tick(s.now)
+			s.want(ModeStale)
+			s.tr.HeadRead(s.now.Add(-time.Second), 10) // sent before the resume
+			s.want(ModeStale)
+			s.tr.HeadRead(s.now, 10)
+			s.want(ModeFresh)
+		},
+		"a pause shorter than F/2": func(s *script) {
+			s.fresh()
+			s.now = s.now.Add(2400 * time.Millisecond)
+			s.want(ModeFresh)
+		},
+		"paused during an outage": func(s *script) {
+			s.fresh()
+			down := func() {
+				s.tr.ReadFailed(s.now)
+				s.vouch("a", 10, time.Minute, false)
+				s.vouch("b", 10, time.Minute, false)
+			}
+			s.run(6, down)
+			s.now = s.now.Add(3 * time.Second)
+			s.want(ModeStale)
+			down()
+			s.want(ModeOutage)
+		},
+		"a name that left the list": func(s *script) {
+			s.fresh()
+			s.run(6, func() {
+				s.tr.ReadFailed(s.now)
+				s.vouch("a", 10, time.Minute, false)
+				s.vouch("b", 10, time.Minute, false)
+			})
+			s.tr.Live([]string{"me", "b", "c", "d"})
+			s.want(ModeStale)
+		},
+	}
+	for name, f := range tests {
+		t.Run(name, func(t *testing.T) { f(newScript(t, fleet...)) })
+	}
+}
+
+func TestSmallFleets(t *testing.T) {
+	tests := map[string]struct {
+		live []string
+		want Mode
+	}{
+		"one alone":   {[]string{"me"}, ModeOutage},
+		"no list yet": {nil, ModeStale},
+		"empty list":  {[]string{}, ModeStale},
+		"two":         {[]string{"me", "a"}, ModeStale},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newScript(t, tt.live...)
+			if tt.live != nil {
+				s.tr.Live(tt.live)
+			}
+			s.fresh()
+			s.run(6, func() { s.tr.ReadFailed(s.now) })
+			s.want(tt.want)
+		})
+	}
+}
+
+// TestSuspendedMachine: the monotonic clock stood still, the wall clock ran on.
+func TestSuspendedMachine(t *testing.T) {
+	s := newScript(t, fleet...)
+	s.fresh()
+	now := time.Now()
+	before := now.Round(0).Add(-time.Hour)
+	if got := pauseOf(before, now); got < time.Hour {
+		t.Errorf("pause of %v", got)
+	}
+}
--- a/coordination/node/config.go
+++ b/coordination/node/config.go
@@ -44,10 +44,10 @@
 	// maxBatchBytes closes a group early; one record may pass it alone.
 	maxBatchBytes = 512 << 10
 	// backoffFirst and backoffMost bound the wait after a failed call. The
-	// most is under the freshness bound, so that a log which is back is found
-	// before anybody turns stale for want of trying.
+	// most and a call's timeout together are under the freshness bound, so that
+	// what is known of the log's being down or back is never older than that.
 	backoffFirst = 50 * time.Millisecond
-	backoffMost  = 2 * time.Second
+	backoffMost  = time.Second
 )
 
 func (c Config) withDefaults() Config {
@@ -75,7 +75,7 @@
 	HeadRead(at time.Time, head uint64)
 	// Folded: everything before next is folded.
 	Folded(next uint64)
-	// ReadFailed: a read at the time at found no log.
+	// ReadFailed: a read was given up at the time at.
 	ReadFailed(at time.Time)
 }
 
--- a/coordination/node/tail.go
+++ b/coordination/node/tail.go
@@ -32,13 +32,13 @@
 func (n *Node) readOnce(ctx context.Context) error {
 	next := n.Digest().Next
 	sent := time.Now()
-	page, err := n.read(ctx, next, n.cfg.PollWait)
+	page, err := n.read(ctx, next, n.pollWait())
 	if errors.Is(err, platformlog.ErrTrimmed) {
 		n.noteHead(sent, page)
 		return n.catchUp(ctx, page.First)
 	}
 	if err != nil {
-		n.noteFailure(sent)
+		n.noteFailure(time.Now())
 		return err
 	}
 	n.noteHead(sent, page)
@@ -72,11 +72,23 @@
 	n.observer.HeadRead(sent, page.Head)
 }
 
-func (n *Node) noteFailure(sent time.Time) {
+// pollWait is how long the next read may wait. After a failure it asks for an
+// answer at once, so that a log which hangs is tried, and found down or back,
+// several times within the freshness bound.
+func (n *Node) pollWait() time.Duration {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	if !n.status.reachable {
+		return 0
+	}
+	return n.cfg.PollWait
+}
+
+func (n *Node) noteFailure(at time.Time) {
 	n.mu.Lock()
 	n.status.reachable = false
 	n.mu.Unlock()
-	n.observer.ReadFailed(sent)
+	n.observer.ReadFailed(at)
 }
 
 // noteReady opens Ready once the target is folded. The target was the head at
