--- /dev/null
+++ b/coordination/gossip/gossip_test.go
@@ -0,0 +1,81 @@
+package gossip
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"masticplank.example/coordination/fold"
+)
+
+func fleet(n, domains int) []Peer {
+	var out []Peer
+	for i := range n {
+		out = append(out, Peer{Name: fmt.Sprint(i), Domain: fmt.Sprint(i % domains)})
+	}
+	return out
+}
+
+func TestPick(t *testing.T) {
+	tests := []struct{ instances, domains, want int }{
+		{1, 1, 0}, {2, 1, 1}, {3, 3, 2}, {8, 3, 3}, {8, 1, 3}, {880, 24, 3},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("%d in %d", tt.instances, tt.domains), func(t *testing.T) {
+			peers := fleet(tt.instances, tt.domains)
+			rng := rand.New(rand.NewPCG(1, 2))
+			drawn := map[string]int{}
+			for range 2000 {
+				got := Pick(rng, peers[0], peers, Fanout)
+				if len(got) != tt.want {
+					t.Fatalf("%d peers, want %d", len(got), tt.want)
+				}
+				names := map[string]bool{peers[0].Name: true}
+				outside := false
+				for _, p := range got {
+					if names[p.Name] {
+						t.Fatalf("%v holds %s twice or oneself", got, p.Name)
+					}
+					names[p.Name] = true
+					drawn[p.Name]++
+					outside = outside || p.Domain != peers[0].Domain
+				}
+				if tt.domains > 1 && !outside {
+					t.Fatalf("%v is all in the own domain", got)
+				}
+			}
+			// Everybody is drawn, or news would not reach all.
+			if want := min(tt.instances, 500) - 1; len(drawn) < want {
+				t.Errorf("only %d of %d were ever drawn", len(drawn), tt.instances-1)
+			}
+		})
+	}
+}
+
+func TestPickRepeatsFromItsSeedAndLeavesTheList(t *testing.T) {
+	peers := fleet(20, 3)
+	before := slices.Clone(peers)
+	draw := func() []Peer { return Pick(rand.New(rand.NewPCG(7, 7)), peers[3], peers, Fanout) }
+	if !slices.Equal(draw(), draw()) {
+		t.Error("one seed drew two sets")
+	}
+	if !slices.Equal(peers, before) {
+		t.Error("the list was reordered")
+	}
+}
+
+func TestCompare(t *testing.T) {
+	own := fold.Digest{Next: 5, Generation: 2, Hash: 9}
+	tests := map[Relation]fold.Digest{
+		RelationEqual:  own,
+		RelationBehind: {Next: 6, Generation: 2, Hash: 1},
+		RelationAhead:  {Next: 4, Generation: 2, Hash: 9},
+		RelationBroken: {Next: 5, Generation: 2, Hash: 8},
+	}
+	for want, peer := range tests {
+		if got := Compare(own, peer); got != want {
+			t.Errorf("%+v: %d, want %d", peer, got, want)
+		}
+	}
+}
--- a/coordination/node/tail.go
+++ b/coordination/node/tail.go
@@ -124,6 +124,8 @@
 	return nil
 }
 
+// publish tells the watchers first: when a Put answers, whoever watches its
+// class has heard of it.
 func (n *Node) publish(changes []fold.Change) {
 	for i := range changes {
 		if changes[i].Verdict != fold.VerdictDuplicate {
