ledger: bills, export, outage buffer

Cause: each completed request must be billed once, through duplicates, replays and outages of the log. A bill's nonce follows from its content, so a peer's copy is the same proposal. Room in the outage buffer is reserved before a request runs; a full buffer refuses work and never a bill. The export folds from the oldest entry kept and emits from the offset asked for.

--- a/coordination/fold/state.go
+++ b/coordination/fold/state.go
@@ -65,6 +65,15 @@
 	}
 }
 
+// NewFrom returns a state that starts at the entry next, as if nothing had come
+// before. It is right only for classes whose registers live no longer than the
+// log keeps records (bills), for a reader that starts at the oldest entry kept.
+func NewFrom(cfg Config, opts Options, next uint64) *State {
+	s := New(cfg, opts)
+	s.next = next
+	return s
+}
+
 func (c Config) withDefaults() Config {
 	d := DefaultConfig()
 	if c.ClaimWindow <= 0 {
--- /dev/null
+++ b/coordination/ledger/bill.go
@@ -0,0 +1,148 @@
+// Package ledger holds bills: one for each completed request, whoever writes it
+// and however often.
+//
+// Why each request is billed once: a bill is the register
+// "bill/<team>/<request id>", so the first one in the log's order counts and
+// the fold voids every other; the fold never takes a bill back. A reader of the
+// stream folds it the same way and so exports the same bills. The nonce of a
+// bill follows from its content, so the copy that a peer holds is the same
+// proposal as the original, and no proposal of its own.
+package ledger
+
+import (
+	"crypto/sha256"
+	"errors"
+	"net/url"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
+
+	"masticplank.example/coordination/record"
+)
+
+// Errors of this package.
+var (
+	// ErrBill means that a bill lacks its team or request id, or that a record
+	// holds no bill.
+	ErrBill = errors.New("ledger: invalid bill")
+	// ErrFull means that the outage buffer has no room; new work is refused.
+	ErrFull = errors.New("ledger: outage buffer is full")
+)
+
+// maxField bounds a bill's names in bytes; escaped they must fit in a key.
+const maxField = 128
+
+// Bill is what one completed request costs its team, all attempts and cascade
+// steps included.
+type Bill struct {
+	Team    string `json:"team"`
+	Request string `json:"request"`
+	// Version that gave the answer; empty for a plain service.
+	Version string `json:"version,omitempty"`
+	Service string `json:"service,omitempty"`
+	// PromptTokens and OutputTokens count all attempts.
+	PromptTokens uint64 `json:"prompt_tokens"`
+	OutputTokens uint64 `json:"output_tokens"`
+	// CostMicros is the cost in millionths of the manifest's unit of cost. It
+	// is a whole number so that sums are exact.
+	CostMicros int64  `json:"cost_micros"`
+	Attempts   uint32 `json:"attempts"`
+	// Canceled: the caller left, and what was generated until then is billed.
+	Canceled bool `json:"canceled,omitempty"`
+}
+
+// wireBill is a Bill in the log.
+type wireBill struct {
+	_            struct{} `cbor:",toarray"`
+	Team         string
+	Request      string
+	Version      string
+	Service      string
+	PromptTokens uint64
+	OutputTokens uint64
+	CostMicros   int64
+	Attempts     uint32
+	Canceled     bool
+}
+
+// Check reports what a bill lacks. Errors wrap ErrBill.
+func (b *Bill) Check() error {
+	if b.Team == "" || b.Request == "" {
+		return trace.Wrap(ErrBill, "no team or no request id")
+	}
+	for _, f := range []string{b.Team, b.Request, b.Version, b.Service} {
+		if len(f) > maxField {
+			return trace.Wrap(ErrBill, "field of %d bytes", len(f))
+		}
+	}
+	if b.CostMicros < 0 {
+		return trace.Wrap(ErrBill, "negative cost")
+	}
+	if len(Key(b.Team, b.Request)) > record.MaxKey {
+		return trace.Wrap(ErrBill, "names too long")
+	}
+	return nil
+}
+
+// Key is the register of a request's bill. Slashes in names are escaped, so no
+// two requests share a key.
+func Key(team, request string) record.Key {
+	return record.Key(string(record.ClassBill) + "/" + url.PathEscape(team) + "/" + url.PathEscape(request))
+}
+
+// Record is the bill's Put, with the same nonce whenever it is made from the
+// same bill. Errors wrap ErrBill.
+func (b *Bill) Record() (record.Record, error) {
+	if err := b.Check(); err != nil {
+		return record.Record{}, err
+	}
+	value, err := cbor.Marshal(wireBill{
+		Team:         b.Team,
+		Request:      b.Request,
+		Version:      b.Version,
+		Service:      b.Service,
+		PromptTokens: b.PromptTokens,
+		OutputTokens: b.OutputTokens,
+		CostMicros:   b.CostMicros,
+		Attempts:     b.Attempts,
+		Canceled:     b.Canceled,
+	})
+	if err != nil {
+		return record.Record{}, trace.Wrap(ErrBill, "%v", err)
+	}
+	sum := sha256.Sum256(value)
+	r := record.Record{Kind: record.KindPut, Key: Key(b.Team, b.Request), Value: value}
+	copy(r.Nonce[:], sum[:])
+	return r, nil
+}
+
+// Parse reads the bill that r puts. Errors wrap ErrBill; a bill under another
+// request's key is one.
+func Parse(r record.Record) (Bill, error) {
+	if r.Kind != record.KindPut || !strings.HasPrefix(string(r.Key), string(record.ClassBill)+"/") {
+		return Bill{}, trace.Wrap(ErrBill, "not the Put of a bill")
+	}
+	var w wireBill
+	if err := cbor.Unmarshal(r.Value, &w); err != nil {
+		return Bill{}, trace.Wrap(ErrBill, "%v", err)
+	}
+	b := Bill{
+		Team:         w.Team,
+		Request:      w.Request,
+		Version:      w.Version,
+		Service:      w.Service,
+		PromptTokens: w.PromptTokens,
+		OutputTokens: w.OutputTokens,
+		CostMicros:   w.CostMicros,
+		Attempts:     w.Attempts,
+		Canceled:     w.Canceled,
+	}
+	if err := b.Check(); err != nil {
+		return Bill{}, err
+	}
+	if Key(b.Team, b.Request) != r.Key {
+		return Bill{}, trace.Wrap(ErrBill, "bill under another request's key")
+	}
+	return b, nil
+}
--- /dev/null
+++ b/coordination/ledger/export.go
@@ -0,0 +1,117 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"masticplank.example/coordination/fold"
+	"masticplank.example/coordination/platformlog"
+	"masticplank.example/coordination/record"
+)
+
+// Line is one bill of an export.
+type Line struct {
+	Offset uint64    `json:"offset"`
+	At     time.Time `json:"at"`
+	Writer string    `json:"writer"`
+	Bill
+}
+
+// Summary tells what an export covered.
+type Summary struct {
+	// First is the oldest offset that the log still kept; bills before it were
+	// for earlier exports.
+	First uint64
+	// Next is where the next export starts (its From).
+	Next uint64
+	// Bills were exported, Duplicates were void.
+	Bills      int
+	Duplicates int
+	// Malformed bills won their register but can't be read; they are not
+	// exported, and somebody should look at them.
+	Malformed int
+}
+
+// exportPage is how many entries one read asks for.
+const exportPage = 512
+
+// Export reads the log to its head and calls emit for each bill that counts, in
+// log order, from offset from on. It folds from the oldest offset kept, since a
+// copy after from may be of a bill before it; two exports in a row therefore
+// give each bill once. An error of emit ends it and is returned.
+func Export(ctx context.Context, log platformlog.Log, cfg fold.Config, from uint64, emit func(Line) error) (Summary, error) {
+	e := exporter{from: from, emit: emit}
+	first, err := firstKept(ctx, log)
+	if err != nil {
+		return e.sum, err
+	}
+	e.sum.First, e.sum.Next = first, first
+	state := fold.NewFrom(cfg, fold.Options{}, first)
+	for {
+		page, err := log.Read(ctx, e.sum.Next, exportPage, 0)
+		if err != nil {
+			return e.sum, trace.Wrap(err)
+		}
+		for _, entry := range page.Entries {
+			changes, err := state.Apply(entry, nil)
+			if err != nil {
+				return e.sum, err
+			}
+			if err := e.entry(changes); err != nil {
+				return e.sum, err
+			}
+			e.sum.Next = entry.Offset + 1
+		}
+		if len(page.Entries) == 0 || e.sum.Next >= page.Head {
+			return e.sum, nil
+		}
+	}
+}
+
+// firstKept asks for offset 0 and learns the oldest offset from the answer.
+func firstKept(ctx context.Context, log platformlog.Log) (uint64, error) {
+	page, err := log.Read(ctx, 0, 1, 0)
+	if err != nil && !errors.Is(err, platformlog.ErrTrimmed) {
+		return 0, trace.Wrap(err)
+	}
+	return page.First, nil
+}
+
+type exporter struct {
+	from uint64
+	emit func(Line) error
+	sum  Summary
+}
+
+func (e *exporter) entry(changes []fold.Change) error {
+	for i := range changes {
+		c := &changes[i]
+		if c.Record.Kind != record.KindPut || c.Record.Key.Class() != record.ClassBill {
+			continue
+		}
+		if c.Verdict != fold.VerdictWon {
+			e.sum.Duplicates++
+			continue
+		}
+		if c.Register.Offset < e.from {
+			continue
+		}
+		if err := e.bill(c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (e *exporter) bill(c *fold.Change) error {
+	b, err := Parse(c.Record)
+	if err != nil {
+		e.sum.Malformed++
+		return nil
+	}
+	e.sum.Bills++
+	return e.emit(Line{Offset: c.Register.Offset, At: c.Register.At, Writer: c.Register.Writer, Bill: b})
+}
--- /dev/null
+++ b/coordination/ledger/ledger_test.go
@@ -0,0 +1,230 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"masticplank.example/coordination/fold"
+	"masticplank.example/coordination/node"
+	"masticplank.example/coordination/platformlog"
+	"masticplank.example/coordination/platformlog/logtest"
+	"masticplank.example/coordination/record"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func bill(request string, cost int64) Bill {
+	return Bill{Team: "weave/rs", Request: request, Version: "m@1", OutputTokens: 7, CostMicros: cost, Attempts: 1}
+}
+
+func mustRecord(t testing.TB, b Bill) record.Record {
+	t.Helper()
+	r, err := b.Record()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func TestBillRoundTrip(t *testing.T) {
+	b := bill("r/1", 5)
+	r := mustRecord(t, b)
+	got, err := Parse(r)
+	if err != nil || got != b {
+		t.Fatalf("got %+v, %v", got, err)
+	}
+	if again := mustRecord(t, b); again.Nonce != r.Nonce {
+		t.Error("one bill has two nonces")
+	}
+	if other := mustRecord(t, bill("r/1", 6)); other.Nonce == r.Nonce || other.Key != r.Key {
+		t.Error("another bill of the request is not told apart")
+	}
+	if Key("a/b", "c") == Key("a", "b/c") {
+		t.Error("two requests share a key")
+	}
+}
+
+func TestBillRefuses(t *testing.T) {
+	for _, b := range []Bill{{}, {Team: "t"}, {Team: "t", Request: "r", CostMicros: -1}} {
+		if _, err := b.Record(); !errors.Is(err, ErrBill) {
+			t.Errorf("%+v: %v", b, err)
+		}
+	}
+	moved := mustRecord(t, bill("a", 1))
+	moved.Key = Key("weave/rs", "b")
+	junk := record.Record{Kind: record.KindPut, Key: Key("t", "r"), Value: []byte("junk")}
+	for _, r := range []record.Record{moved, junk, {}} {
+		if _, err := Parse(r); !errors.Is(err, ErrBill) {
+			t.Errorf("%s: %v", r.Key, err)
+		}
+	}
+}
+
+func inject(t *testing.T, log *logtest.Log, records ...record.Record) {
+	t.Helper()
+	data, err := record.Encode(record.Batch{Writer: "w", Records: records})
+	if err != nil {
+		t.Fatal(err)
+	}
+	log.Inject(data)
+}
+
+func export(t *testing.T, log *logtest.Log, from uint64) (map[string]int64, Summary) {
+	t.Helper()
+	got := map[string]int64{}
+	sum, err := Export(t.Context(), log.Client("x"), fold.DefaultConfig(), from, func(l Line) error {
+		if _, twice := got[l.Request]; twice {
+			t.Errorf("%s is exported twice", l.Request)
+		}
+		got[l.Request] = l.CostMicros
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return got, sum
+}
+
+func TestExportHasEachBillOnce(t *testing.T) {
+	log := logtest.New()
+	a, b := mustRecord(t, bill("a", 1)), mustRecord(t, bill("b", 2))
+	inject(t, log, a)
+	inject(t, log, a, b, mustRecord(t, bill("a", 99)))
+	inject(t, log, record.Record{Kind: record.KindRelease, Key: a.Key, Nonce: a.Nonce})
+	inject(t, log, a, record.Record{Kind: record.KindPut, Key: Key("t", "bad"), Nonce: record.Nonce{1}})
+	log.Inject([]byte("junk"))
+	got, sum := export(t, log, 0)
+	if len(got) != 2 || got["a"] != 1 || got["b"] != 2 {
+		t.Errorf("exported %v", got)
+	}
+	if want := (Summary{First: 0, Next: 5, Bills: 2, Duplicates: 3, Malformed: 1}); sum != want {
+		t.Errorf("summary %+v, want %+v", sum, want)
+	}
+	// The next export starts behind it; late copies of what it had are void.
+	inject(t, log, b, mustRecord(t, bill("c", 3)))
+	log.Trim(1)
+	got, sum = export(t, log, sum.Next)
+	if len(got) != 1 || got["c"] != 3 || sum.First != 1 {
+		t.Errorf("second export %v, %+v", got, sum)
+	}
+}
+
+func TestExportWithTheLogDown(t *testing.T) {
+	log := logtest.New()
+	log.SetDown(true)
+	_, err := Export(t.Context(), log.Client("x"), fold.DefaultConfig(), 0, nil)
+	if !errors.Is(err, platformlog.ErrUnavailable) {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestBufferIsBoundedBeforeTheWork(t *testing.T) {
+	b := NewBuffer(2, nil, nil)
+	r1, err1 := b.Reserve()
+	r2, err2 := b.Reserve()
+	if err1 != nil || err2 != nil {
+		t.Fatal(err1, err2)
+	}
+	if _, err := b.Reserve(); !errors.Is(err, ErrFull) {
+		t.Errorf("third: %v", err)
+	}
+	if err := b.Accept(mustRecord(t, bill("x", 1))); !errors.Is(err, ErrFull) {
+		t.Errorf("copy for a peer: %v", err)
+	}
+	if r1.Hold(t.Context(), mustRecord(t, bill("a", 1))) {
+		t.Error("copied to nobody")
+	}
+	r1.Cancel()
+	r2.Cancel()
+	r2.Cancel()
+	if err := b.Accept(mustRecord(t, bill("b", 1))); err != nil {
+		t.Error(err)
+	}
+	if _, err := b.Reserve(); !errors.Is(err, ErrFull) || b.Len() != 2 {
+		t.Errorf("held %d, %v", b.Len(), err)
+	}
+	if err := b.Accept(record.Record{Kind: record.KindPut}); !errors.Is(err, ErrBill) {
+		t.Errorf("junk of a peer: %v", err)
+	}
+}
+
+// TestOutage: bills of an outage reach the log once each, from the instance and
+// from its peer, also where the instance is gone before the log is back.
+func TestOutage(t *testing.T) {
+	for _, killed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("killed=%v", killed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := logtest.New()
+				start := func(name string) *node.Node {
+					n, err := node.New(log.Client(name), node.Config{Name: name}, node.WithSeed(1))
+					if err != nil {
+						t.Fatal(err)
+					}
+					if err := n.Start(t.Context()); err != nil {
+						t.Fatal(err)
+					}
+					<-n.Ready()
+					return n
+				}
+				a, b := start("a"), start("b")
+				peer := NewBuffer(0, b.Put, nil)
+				own := NewBuffer(0, a.Put, func(_ context.Context, r record.Record) error { return peer.Accept(r) })
+				log.SetDown(true)
+				for i := range 500 {
+					res, err := own.Reserve()
+					if err != nil {
+						t.Fatal(err)
+					}
+					if !res.Hold(t.Context(), mustRecord(t, bill(fmt.Sprint(i), int64(i)))) {
+						t.Fatal("no copy")
+					}
+				}
+				if left := own.Flush(t.Context()); left != 500 {
+					t.Errorf("%d left while down", left)
+				}
+				log.SetDown(false)
+				time.Sleep(10 * time.Second)
+				var wg sync.WaitGroup
+				if killed {
+					_ = a.Stop(t.Context())
+				} else {
+					wg.Go(func() { own.Flush(t.Context()) })
+				}
+				wg.Go(func() { peer.Flush(t.Context()) })
+				wg.Wait()
+				if peer.Len() != 0 || !killed && own.Len() != 0 {
+					t.Errorf("left: own %d, peer %d", own.Len(), peer.Len())
+				}
+				if got, _ := export(t, log, 0); len(got) != 500 {
+					t.Errorf("%d bills exported", len(got))
+				}
+				if n := log.Appends(); n > 20 {
+					t.Errorf("%d appends for the flush", n)
+				}
+				_ = a.Stop(t.Context())
+				_ = b.Stop(t.Context())
+			})
+		})
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	good := mustRecord(f, bill("a", 1))
+	f.Add(string(good.Key), good.Value)
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		b, err := Parse(record.Record{Kind: record.KindPut, Key: record.Key(key), Value: value})
+		if err != nil {
+			return
+		}
+		if r := mustRecord(t, b); string(r.Key) != key {
+			t.Errorf("key %q became %q", key, r.Key)
+		}
+	})
+}
