histories of registers, claims, manifests and bills under faults

Seeded runs of three nodes and five clients on a log that loses replies and appends, refuses, goes down, is slow, cuts one node, while nodes are killed and replaced. porcupine checks registers, claims and manifests; runs and bills are counted; all nodes must end at the digest of a replay.

--- /dev/null
+++ b/coordination/history/cluster_test.go
@@ -0,0 +1,162 @@
+package history
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"masticplank.example/coordination/fold"
+	"masticplank.example/coordination/node"
+	"masticplank.example/coordination/platformlog/logtest"
+)
+
+// cluster is a few nodes on one log that goes wrong, in a synctest bubble.
+type cluster struct {
+	t     *testing.T
+	log   *logtest.Log
+	seed  uint64
+	began time.Time
+
+	mu    sync.Mutex
+	slots []*node.Node
+	names []string
+	born  int
+}
+
+const (
+	slots      = 3
+	clients    = 5
+	opsPerUser = 8
+)
+
+// run makes one seeded history: work runs in clients goroutines while faults
+// strike; afterwards the log is healthy again and all nodes must agree.
+func run(t *testing.T, seed uint64, work func(c *cluster, rng *rand.Rand, client int), check func(c *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := &cluster{t: t, log: logtest.New(), seed: seed, began: time.Now()}
+		c.slots, c.names = make([]*node.Node, slots), make([]string, slots)
+		for i := range slots {
+			c.replace(i)
+		}
+		var wg sync.WaitGroup
+		for client := range clients {
+			wg.Go(func() { work(c, rand.New(rand.NewPCG(seed, uint64(client))), client) })
+		}
+		stop := make(chan struct{})
+		var chaos sync.WaitGroup
+		chaos.Go(func() { c.faults(rand.New(rand.NewPCG(seed, 99)), stop) })
+		wg.Wait()
+		close(stop)
+		chaos.Wait()
+		c.heal()
+		check(c)
+		for _, n := range c.slots {
+			c.kill(n)
+		}
+	})
+}
+
+// replace kills the node of a slot, with no flush, and starts a new one.
+func (c *cluster) replace(slot int) {
+	c.mu.Lock()
+	old := c.slots[slot]
+	c.born++
+	name := fmt.Sprintf("n%d", c.born)
+	c.mu.Unlock()
+	if old != nil {
+		c.kill(old)
+	}
+	n, err := node.New(c.log.Client(name), node.Config{Name: name}, node.WithSeed(c.seed+uint64(c.born)))
+	if err == nil {
+		err = n.Start(c.t.Context())
+	}
+	if err != nil {
+		c.t.Error(err)
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.slots[slot], c.names[slot] = n, name
+}
+
+func (c *cluster) kill(n *node.Node) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = n.Stop(ctx)
+}
+
+func (c *cluster) node(slot int) *node.Node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.slots[slot%slots]
+}
+
+// faults strikes at random until stop is closed.
+func (c *cluster) faults(rng *rand.Rand, stop chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(rng.IntN(300)) * time.Millisecond):
+		}
+		slot := rng.IntN(slots)
+		switch rng.IntN(9) {
+		case 0:
+			c.log.LoseReplies(1 + rng.IntN(3))
+		case 1:
+			c.log.LoseAppends(1 + rng.IntN(3))
+		case 2:
+			c.log.RefuseAppends(1 + rng.IntN(2))
+		case 3:
+			c.log.SetDown(true)
+		case 4:
+			c.log.SetSlow(time.Duration(rng.IntN(500)) * time.Millisecond)
+		case 5:
+			c.mu.Lock()
+			name := c.names[slot]
+			c.mu.Unlock()
+			c.log.Cut(name, rng.IntN(2) == 0)
+		case 6:
+			c.replace(slot)
+		default:
+			c.log.SetDown(false)
+			c.log.SetSlow(0)
+		}
+	}
+}
+
+// heal ends all faults and waits until all is appended and folded.
+func (c *cluster) heal() {
+	c.log.SetDown(false)
+	c.log.SetSlow(0)
+	c.log.FailAppends()
+	for _, name := range c.names {
+		c.log.Cut(name, false)
+	}
+	time.Sleep(time.Minute)
+	synctest.Wait()
+	want := c.replay().Digest()
+	for i, n := range c.slots {
+		if got := n.Digest(); got != want {
+			c.t.Errorf("seed %d: node %s is at %+v, a replay at %+v", c.seed, c.names[i], got, want)
+		}
+	}
+}
+
+// replay folds the log from its beginning.
+func (c *cluster) replay() *fold.State {
+	s := fold.New(fold.DefaultConfig(), fold.Options{})
+	for _, e := range c.log.Entries() {
+		if _, err := s.Apply(e, nil); err != nil {
+			c.t.Error(err)
+		}
+	}
+	return s
+}
+
+func (c *cluster) clock() int64 { return int64(time.Since(c.began)) }
--- /dev/null
+++ b/coordination/history/history_test.go
@@ -0,0 +1,381 @@
+package history
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"masticplank.example/coordination/fold"
+	"masticplank.example/coordination/ledger"
+	"masticplank.example/coordination/node"
+	"masticplank.example/coordination/record"
+)
+
+// seeds is how many histories each test makes: -history.seeds=10000 for the
+// long run. They are the numbers from 0 on, so a failing one can be repeated.
+var (
+	seeds = flag.Int("history.seeds", 100, "histories per test")
+	first = flag.Uint64("history.first", 0, "first seed")
+)
+
+func eachSeed(t *testing.T, f func(t *testing.T, seed uint64)) {
+	t.Logf("seeds %d to %d", *first, *first+uint64(*seeds)-1)
+	for i := range uint64(*seeds) {
+		f(t, *first+i)
+		if t.Failed() {
+			t.Fatalf("seed %d", *first+i)
+		}
+	}
+}
+
+// recorder collects operations; those with unknown outcome never return.
+type recorder struct {
+	mu  sync.Mutex
+	ops []porcupine.Operation
+}
+
+func (r *recorder) add(op porcupine.Operation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ops = append(r.ops, op)
+}
+
+// step is one operation on a register: a Put, or a Release.
+type step struct {
+	key     record.Key
+	nonce   record.Nonce
+	release bool
+}
+
+// registerState is a register with one winner at most. dead holds the released
+// nonces in a comparable form.
+type registerState struct {
+	winner record.Nonce
+	dead   string
+}
+
+func (s registerState) isDead(n record.Nonce) bool {
+	for i := 0; i+len(n) <= len(s.dead); i += len(n) {
+		if s.dead[i:i+len(n)] == string(n[:]) {
+			return true
+		}
+	}
+	return false
+}
+
+// registerModel is what a register may do, one operation at a time.
+var registerModel = porcupine.NondeterministicModel{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[record.Key][]porcupine.Operation{}
+		for _, op := range history {
+			key := op.Input.(step).key
+			byKey[key] = append(byKey[key], op)
+		}
+		var out [][]porcupine.Operation
+		for _, ops := range byKey {
+			out = append(out, ops)
+		}
+		return out
+	},
+	Init: func() []any { return []any{registerState{}} },
+	Step: func(state, input, output any) []any {
+		s, in := state.(registerState), input.(step)
+		if in.release {
+			if s.winner == in.nonce {
+				s.winner = record.Nonce{}
+			}
+			s.dead += string(in.nonce[:])
+			return []any{s}
+		}
+		res := output.(node.Result)
+		free := s.winner == record.Nonce{} && !s.isDead(in.nonce)
+		won := registerState{in.nonce, s.dead}
+		switch res.Outcome {
+		case node.OutcomeWon:
+			if free {
+				return []any{won}
+			}
+			return nil
+		case node.OutcomeLost:
+			if s.winner == res.Register.Nonce && s.winner != in.nonce {
+				return []any{s}
+			}
+			return nil
+		case node.OutcomeUnknown:
+			if free {
+				return []any{s, won}
+			}
+			return []any{s}
+		default:
+			return []any{s}
+		}
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+func nonce(rng *rand.Rand, client, op int) record.Nonce {
+	n := record.Nonce{byte(client + 1), byte(op + 1)}
+	n[2], n[3] = byte(rng.Uint32()), byte(rng.Uint32())
+	return n
+}
+
+// propose makes one Put with a deadline of its own and records it. A Put of
+// unknown outcome is released.
+func (r *recorder) propose(c *cluster, rng *rand.Rand, client int, rec record.Record) node.Result {
+	n := c.node(rng.IntN(slots))
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(rng.IntN(2000))*time.Millisecond)
+	defer cancel()
+	call := c.clock()
+	res := n.Put(ctx, rec)
+	returned := c.clock()
+	if res.Outcome == node.OutcomeUnknown {
+		returned = math.MaxInt64
+	}
+	in := step{key: rec.Key, nonce: rec.Nonce}
+	r.add(porcupine.Operation{ClientId: client, Input: in, Call: call, Output: res, Return: returned})
+	if res.Outcome == node.OutcomeUnknown {
+		r.release(c, n, client, rec)
+	}
+	return res
+}
+
+// release counts from its call until any later time: it takes effect when the
+// log has it, or never if its process is killed first.
+func (r *recorder) release(c *cluster, n *node.Node, client int, rec record.Record) {
+	call := c.clock()
+	n.Release(rec.Key, rec.Nonce)
+	in := step{rec.Key, rec.Nonce, true}
+	r.add(porcupine.Operation{ClientId: 1000 + client, Input: in, Call: call, Return: math.MaxInt64})
+}
+
+// TestRegisters: Puts and releases through killed, cut and slow nodes are those
+// of one register per key.
+func TestRegisters(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		var r recorder
+		work := func(c *cluster, rng *rand.Rand, client int) {
+			for op := range opsPerUser {
+				key := record.Key(fmt.Sprintf("session/%d", rng.IntN(4)))
+				n := nonce(rng, client, op)
+				res := r.propose(c, rng, client, record.Record{Key: key, Nonce: n})
+				if res.Outcome == node.OutcomeWon && rng.IntN(2) == 0 {
+					r.release(c, c.node(rng.IntN(slots)), client, record.Record{Key: key, Nonce: n})
+				}
+				time.Sleep(time.Duration(rng.IntN(200)) * time.Millisecond)
+			}
+		}
+		run(t, seed, work, func(*cluster) {
+			if !porcupine.CheckOperations(registerModel.ToModel(), r.ops) {
+				t.Errorf("seed %d: the history is not that of registers", seed)
+			}
+		})
+	})
+}
+
+// publish is one try to replace the manifest of generation parent.
+type publish struct {
+	parent uint64
+	digest string
+	value  string
+}
+
+// manifestState is the manifest in force.
+type manifestState struct {
+	generation uint64
+	digest     string
+}
+
+var manifestModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{manifestState{}} },
+	Step: func(state, input, output any) []any {
+		s, in, res := state.(manifestState), input.(publish), output.(node.Result)
+		fits := s.generation == in.parent && s.digest == in.digest
+		next := manifestState{in.parent + 1, record.ManifestDigest([]byte(in.value))}
+		switch res.Outcome {
+		case node.OutcomeWon:
+			if fits {
+				return []any{next}
+			}
+			return nil
+		case node.OutcomeLost:
+			if s.generation > in.parent {
+				return []any{s}
+			}
+			return nil
+		case node.OutcomeUnknown:
+			if fits {
+				return []any{s, next}
+			}
+			return []any{s}
+		default:
+			return []any{s}
+		}
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// TestManifests: racing publishers, each on the manifest that its instance has
+// in force, make one chain that never goes back at any instance.
+func TestManifests(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		var r recorder
+		seen := watchGenerations(t)
+		work := func(c *cluster, rng *rand.Rand, client int) {
+			for op := range opsPerUser {
+				n := c.node(rng.IntN(slots))
+				seen.look(n)
+				r.publish(c, rng, n, client, op)
+				seen.look(n)
+				time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
+			}
+		}
+		run(t, seed, work, func(*cluster) {
+			if !porcupine.CheckOperations(manifestModel.ToModel(), r.ops) {
+				t.Errorf("seed %d: the history is not one chain of manifests", seed)
+			}
+		})
+	})
+}
+
+func (r *recorder) publish(c *cluster, rng *rand.Rand, n *node.Node, client, op int) {
+	in := publish{value: fmt.Sprintf("manifest of %d, %d", client, op)}
+	if m, ok := n.Manifest(); ok {
+		in.parent, _, _ = record.ParseManifestKey(m.Key)
+		in.digest = record.ManifestDigest(m.Value)
+	}
+	rec := record.Record{
+		Key:   record.ManifestKey(in.parent+1, in.digest),
+		Nonce: nonce(rng, client, op),
+		Value: []byte(in.value),
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	call := c.clock()
+	res := n.Put(ctx, rec)
+	returned := c.clock()
+	if res.Outcome == node.OutcomeUnknown {
+		returned = math.MaxInt64
+	}
+	r.add(porcupine.Operation{ClientId: client, Input: in, Call: call, Output: res, Return: returned})
+}
+
+// generations checks that no node's generation ever goes back.
+type generations struct {
+	t    *testing.T
+	mu   sync.Mutex
+	seen map[*node.Node]uint64
+}
+
+func watchGenerations(t *testing.T) *generations {
+	return &generations{t: t, seen: map[*node.Node]uint64{}}
+}
+
+func (g *generations) look(n *node.Node) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := n.Digest().Generation
+	if now < g.seen[n] {
+		g.t.Errorf("generation went back from %d to %d", g.seen[n], now)
+	}
+	g.seen[n] = now
+}
+
+// books counts, per request, what callers would see: runs and bills.
+type books struct {
+	mu    sync.Mutex
+	runs  map[string]int
+	bills map[string]record.Record
+}
+
+// TestClaimsAndBills: requests are sent again and again to several instances;
+// whoever wins the claim runs the request and bills it through a buffer, which
+// outlives the outage. Each request runs at most once; each that ran is billed
+// once, and no other.
+func TestClaimsAndBills(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		var r recorder
+		b := &books{runs: map[string]int{}, bills: map[string]record.Record{}}
+		work := func(c *cluster, rng *rand.Rand, client int) {
+			for op := range opsPerUser {
+				request := fmt.Sprintf("r%d", rng.IntN(8))
+				rec := record.Record{
+					Key:     record.Key("claim/t/" + request),
+					Nonce:   nonce(rng, client, op),
+					KeyTime: time.Now(),
+				}
+				if r.propose(c, rng, client, rec).Outcome == node.OutcomeWon {
+					b.ran(t, c, rng, request)
+				}
+				time.Sleep(time.Duration(rng.IntN(200)) * time.Millisecond)
+			}
+		}
+		run(t, seed, work, func(c *cluster) {
+			if !porcupine.CheckOperations(registerModel.ToModel(), r.ops) {
+				t.Errorf("seed %d: the history is not that of claims", seed)
+			}
+			b.check(t, c)
+		})
+	})
+}
+
+// ran bills a run: the first try may fail in any way, and is not waited for.
+// Sometimes a copy with other content is billed too, as by a second run.
+func (b *books) ran(t *testing.T, c *cluster, rng *rand.Rand, request string) {
+	bill := ledger.Bill{Team: "t", Request: request, CostMicros: 7, Attempts: 1}
+	rec, err := bill.Record()
+	if err != nil {
+		t.Error(err)
+	}
+	b.mu.Lock()
+	b.runs[request]++
+	b.bills[request] = rec
+	b.mu.Unlock()
+	for range 1 + rng.IntN(2) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(rng.IntN(500))*time.Millisecond)
+		c.node(rng.IntN(slots)).Put(ctx, rec)
+		cancel()
+	}
+}
+
+// check flushes what two buffers hold of all bills, then reads the ledger.
+func (b *books) check(t *testing.T, c *cluster) {
+	for request, n := range b.runs {
+		if n > 1 {
+			t.Errorf("seed %d: %s ran %d times", c.seed, request, n)
+		}
+	}
+	for slot := range 2 {
+		buffer := ledger.NewBuffer(0, c.node(slot).Put, nil)
+		for _, rec := range b.bills {
+			if err := buffer.Accept(rec); err != nil {
+				t.Error(err)
+			}
+		}
+		if left := buffer.Flush(context.Background()); left != 0 {
+			t.Errorf("seed %d: %d bills left", c.seed, left)
+		}
+	}
+	exported := map[string]int{}
+	_, err := ledger.Export(context.Background(), c.log.Client("export"), fold.DefaultConfig(), 0, func(l ledger.Line) error {
+		exported[l.Request]++
+		return nil
+	})
+	if err != nil {
+		t.Error(err)
+	}
+	for request := range b.runs {
+		if exported[request] != 1 {
+			t.Errorf("seed %d: %s is billed %d times", c.seed, request, exported[request])
+		}
+	}
+	if len(exported) != len(b.runs) {
+		t.Errorf("seed %d: %d requests billed, %d ran", c.seed, len(exported), len(b.runs))
+	}
+}
