late copies of an append, in the node's tests and the histories

Cause: with the release of a Put that lost while a copy was on its way taken out, no test failed. The in-memory log had no append that takes effect late. Found by taking guards out one by one on a scratch copy; the others tried were each red: refused after unknown, void at the end of a context, no tombstone, no first writer, manifest or bill taken back. With the late append, TestLateCopyOfALostPut fails without that release.

Run: go test -race ./node ./history, green.

--- a/coordination/history/cluster_test.go
+++ b/coordination/history/cluster_test.go
@@ -105,7 +105,7 @@
 		case <-time.After(time.Duration(rng.IntN(300)) * time.Millisecond):
 		}
 		slot := rng.IntN(slots)
-		switch rng.IntN(9) {
+		switch rng.IntN(11) {
 		case 0:
 			c.log.LoseReplies(1 + rng.IntN(3))
 		case 1:
@@ -123,6 +123,10 @@
 			c.log.Cut(name, rng.IntN(2) == 0)
 		case 6:
 			c.replace(slot)
+		case 7:
+			c.log.FailAppends(logtest.AppendLate)
+		case 8:
+			c.log.FailAppends(logtest.AppendLate, logtest.AppendRefused, logtest.AppendReplyLost)
 		default:
 			c.log.SetDown(false)
 			c.log.SetSlow(0)
--- a/coordination/node/node_test.go
+++ b/coordination/node/node_test.go
@@ -383,6 +383,23 @@
 	})
 }
 
+// TestLateCopyOfALostPut: the first copy of a Put is on its way for seconds, the
+// second one loses. The caller was told so; the late copy must not win when the
+// winner is gone.
+func TestLateCopyOfALostPut(t *testing.T) {
+	inBubble(t, func(t *testing.T, fl *fleet) {
+		a, b := fl.node("a"), fl.node("b")
+		fl.wantPut(b, put("session/x", 2), OutcomeWon)
+		fl.log.FailAppends(logtest.AppendLate)
+		fl.wantPut(a, put("session/x", 1), OutcomeLost)
+		b.Release("session/x", record.Nonce{2})
+		time.Sleep(2 * logtest.LateBy)
+		if reg, ok := b.Lookup("session/x"); ok {
+			t.Errorf("the late copy won: %+v", reg)
+		}
+	})
+}
+
 func TestStopFlushesReleases(t *testing.T) {
 	inBubble(t, func(t *testing.T, fl *fleet) {
 		a, b := fl.node("a"), fl.node("b")
--- a/coordination/platformlog/logtest/log.go
+++ b/coordination/platformlog/logtest/log.go
@@ -47,8 +47,13 @@
 	AppendLost
 	// AppendReplyLost: it takes effect, and the client hears nothing.
 	AppendReplyLost
+	// AppendLate: the client hears nothing, and it takes effect LateBy later.
+	AppendLate
 )
 
+// LateBy is how late an append with AppendLate takes effect.
+const LateBy = 3 * time.Second
+
 // New returns an empty, healthy log.
 func New() *Log {
 	return &Log{changed: make(chan struct{}), cut: map[string]bool{}}
@@ -180,6 +185,9 @@
 	case AppendReplyLost:
 		l.append(data)
 		return 0, fmt.Errorf("%w: connection reset", platformlog.ErrUnknown)
+	case AppendLate:
+		time.AfterFunc(LateBy, func() { l.Inject(data) })
+		return 0, fmt.Errorf("%w: connection reset", platformlog.ErrUnknown)
 	default:
 		return l.append(data), nil
 	}
