--- /dev/null
+++ b/coordination/faultmatrix/bed_test.go
@@ -0,0 +1,257 @@
+package faultmatrix
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"masticplank.example/coordination/fold"
+	"masticplank.example/coordination/freshness"
+	"masticplank.example/coordination/ledger"
+	"masticplank.example/coordination/node"
+	"masticplank.example/coordination/platformlog/logtest"
+	"masticplank.example/coordination/record"
+)
+
+// window is short, so that a cell can pass it.
+const window = 20 * time.Second
+
+var foldConfig = fold.Config{ClaimWindow: window, ClockSkew: 5 * time.Second, Retention: time.Hour}
+
+// bed is a few instances on one in-memory log, in a synctest bubble.
+type bed struct {
+	t         *testing.T
+	log       *logtest.Log
+	instances map[string]*instance
+	mu        sync.Mutex
+	stop      chan struct{}
+}
+
+// instance is a node with its freshness, and whether its peers hear it.
+type instance struct {
+	*node.Node
+	name    string
+	tracker *freshness.Tracker
+	// frozen instances do not tick; isolated ones are heard by no peer.
+	frozen   atomic.Bool
+	isolated atomic.Bool
+}
+
+// fleet is the list of live instances that all of them are told.
+var fleet = []string{"a", "b", "c"}
+
+func newBed(t *testing.T) *bed {
+	b := &bed{t: t, log: logtest.New(), instances: map[string]*instance{}, stop: make(chan struct{})}
+	t.Cleanup(func() {
+		close(b.stop)
+		for _, in := range b.instances {
+			b.kill(in)
+		}
+	})
+	return b
+}
+
+// begin starts an instance without waiting for it; start waits.
+func (b *bed) begin(name string) *instance {
+	b.t.Helper()
+	in := &instance{name: name, tracker: freshness.New(freshness.Config{Self: name})}
+	in.tracker.Live(fleet)
+	refuse := func(r record.Record, _ *fold.State) error {
+		if string(r.Value) == "invalid" {
+			return errors.New("invalid")
+		}
+		return nil
+	}
+	cfg := node.Config{Name: name, Fold: foldConfig}
+	n, err := node.New(b.log.Client(name), cfg, node.WithSeed(uint64(name[0])),
+		node.WithObserver(in.tracker), node.WithValidator(record.ClassManifest, refuse))
+	if err == nil {
+		err = n.Start(b.t.Context())
+	}
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	in.Node = n
+	b.mu.Lock()
+	b.instances[name] = in
+	b.mu.Unlock()
+	go b.tick(in)
+	return in
+}
+
+func (b *bed) start(name string) *instance {
+	in := b.begin(name)
+	<-in.Ready()
+	return in
+}
+
+// tick ticks in's tracker and lets it ask its peers, every 500 ms.
+func (b *bed) tick(in *instance) {
+	ticker := time.NewTicker(500 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-b.stop:
+			return
+		case now := <-ticker.C:
+			if !in.frozen.Load() {
+				in.tracker.Tick(now)
+				b.ask(in, now)
+			}
+		}
+	}
+}
+
+func (b *bed) ask(in *instance, now time.Time) {
+	for _, name := range fleet {
+		b.mu.Lock()
+		peer := b.instances[name]
+		b.mu.Unlock()
+		if peer == nil || peer == in || peer.isolated.Load() || in.isolated.Load() || peer.frozen.Load() {
+			continue
+		}
+		s := peer.Status()
+		v := freshness.Vouch{Peer: name, Head: s.Head, HeadAge: now.Sub(s.LastHeadRead), LogReachable: s.LogReachable}
+		in.tracker.Vouched(now, v)
+	}
+}
+
+// kill ends an instance with no flush.
+func (b *bed) kill(in *instance) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = in.Stop(ctx)
+}
+
+// freeze pauses an instance for d: it neither ticks nor reaches the log.
+func (b *bed) freeze(in *instance, d time.Duration) {
+	in.frozen.Store(true)
+	b.log.Cut(in.name, true)
+	time.Sleep(d)
+	b.log.Cut(in.name, false)
+	in.frozen.Store(false)
+}
+
+func (b *bed) put(in *instance, r record.Record, want node.Outcome) node.Result {
+	b.t.Helper()
+	return b.putWithin(in, 10*time.Second, r, want)
+}
+
+func (b *bed) putWithin(in *instance, d time.Duration, r record.Record, want node.Outcome) node.Result {
+	b.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	res := in.Put(ctx, r)
+	if res.Outcome != want {
+		b.t.Fatalf("%s at %s: outcome %d, want %d", r.Key, in.name, res.Outcome, want)
+	}
+	return res
+}
+
+// going starts a Put and returns once it is as far as it gets without time.
+func (b *bed) going(in *instance, r record.Record) <-chan node.Result {
+	done := make(chan node.Result, 1)
+	go func() { done <- in.Put(context.Background(), r) }()
+	synctest.Wait()
+	return done
+}
+
+func (b *bed) mode(in *instance, want freshness.Mode) {
+	b.t.Helper()
+	if r := in.tracker.Report(time.Now()); r.Mode != want {
+		b.t.Errorf("%s is in %+v, want mode %d", in.name, r, want)
+	}
+}
+
+// agree waits and checks that the instances hold what a replay of the log gives.
+func (b *bed) agree(instances ...*instance) {
+	b.t.Helper()
+	time.Sleep(5 * time.Second)
+	synctest.Wait()
+	for _, in := range instances[1:] {
+		if in.Digest() != instances[0].Digest() {
+			b.t.Errorf("%s has %+v, %s has %+v", in.name, in.Digest(), instances[0].name, instances[0].Digest())
+		}
+	}
+}
+
+// claim is a claim of the one request of a cell, made now.
+func claim(nonce byte) record.Record {
+	return claimAt(nonce, time.Now())
+}
+
+func claimAt(nonce byte, keyTime time.Time) record.Record {
+	return record.Record{Key: "claim/t/r", Nonce: record.Nonce{nonce}, KeyTime: keyTime}
+}
+
+func manifest(generation uint64, parent string, nonce byte, value string) record.Record {
+	if generation > 1 {
+		parent = record.ManifestDigest([]byte(parent))
+	}
+	return record.Record{Key: record.ManifestKey(generation, parent), Nonce: record.Nonce{nonce}, Value: []byte(value)}
+}
+
+func (b *bed) inForce(in *instance, want string) {
+	b.t.Helper()
+	synctest.Wait()
+	if m, _ := in.Manifest(); string(m.Value) != want {
+		b.t.Errorf("%s has %q in force, want %q", in.name, m.Value, want)
+	}
+}
+
+func (b *bed) bill() record.Record {
+	b.t.Helper()
+	bill := ledger.Bill{Team: "t", Request: "r", CostMicros: 5, Attempts: 1}
+	r, err := bill.Record()
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return r
+}
+
+// billed checks that the ledger has the one request n times.
+func (b *bed) billed(n int) {
+	b.t.Helper()
+	got := 0
+	_, err := ledger.Export(context.Background(), b.log.Client("export"), foldConfig, 0, func(ledger.Line) error {
+		got++
+		return nil
+	})
+	if err != nil || got != n {
+		b.t.Errorf("billed %d times, want %d (%v)", got, n, err)
+	}
+}
+
+// buffer holds the bill of a request, with a copy at peer if there is one.
+func (b *bed) buffer(in *instance, peer *ledger.Buffer) *ledger.Buffer {
+	b.t.Helper()
+	var copyTo ledger.CopyFunc
+	if peer != nil {
+		copyTo = func(_ context.Context, r record.Record) error { return peer.Accept(r) }
+	}
+	buf := ledger.NewBuffer(1, in.Put, copyTo)
+	room, err := buf.Reserve()
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	if copied := room.Hold(context.Background(), b.bill()); copied != (peer != nil) {
+		b.t.Errorf("copied to a peer: %v", copied)
+	}
+	return buf
+}
+
+func (b *bed) flush(buf *ledger.Buffer, left int) {
+	b.t.Helper()
+	if got := buf.Flush(context.Background()); got != left {
+		b.t.Errorf("%d bills left, want %d", got, left)
+	}
+}
+
+func session(i int) record.Record {
+	return record.Record{Key: record.Key(fmt.Sprintf("session/%d", i)), Nonce: record.Nonce{1}, Value: []byte{byte(i)}}
+}
--- /dev/null
+++ b/coordination/faultmatrix/start_test.go
@@ -0,0 +1,254 @@
+package faultmatrix
+
+import (
+	"time"
+
+	"masticplank.example/coordination/freshness"
+	"masticplank.example/coordination/lease"
+	"masticplank.example/coordination/node"
+	"masticplank.example/coordination/platformlog/logtest"
+)
+
+// fill makes a state of a manifest and some sessions.
+func (b *bed) fill(in *instance, from, to int) {
+	b.t.Helper()
+	for i := from; i < to; i++ {
+		b.put(in, session(i), node.OutcomeWon)
+	}
+}
+
+func (b *bed) notReady(in *instance) {
+	b.t.Helper()
+	select {
+	case <-in.Ready():
+		b.t.Errorf("%s is ready", in.name)
+	default:
+	}
+}
+
+// startCells: a new instance is ready only with the whole state.
+var startCells = []cell{
+	{"start", "replay", "none", func(b *bed) {
+		a := b.start("a")
+		b.fill(a, 0, 5)
+		b.agree(a, b.start("c"))
+	}},
+	{"start", "replay", "slow", func(b *bed) {
+		a := b.start("a")
+		b.fill(a, 0, 5)
+		b.log.SetSlow(1500 * time.Millisecond)
+		c := b.begin("c")
+		time.Sleep(time.Second)
+		b.notReady(c)
+		<-c.Ready()
+		if c.Digest() != a.Digest() {
+			b.t.Error("ready before the head")
+		}
+	}},
+	{"start", "replay", "kill", func(b *bed) {
+		a := b.start("a")
+		b.fill(a, 0, 5)
+		b.log.SetSlow(time.Second)
+		b.kill(b.begin("c"))
+		b.log.SetSlow(0)
+		b.agree(a, b.start("c"))
+	}},
+	{"start", "replay", "cut", func(b *bed) {
+		a := b.start("a")
+		b.fill(a, 0, 5)
+		b.log.Cut("c", true)
+		c := b.begin("c")
+		time.Sleep(20 * time.Second)
+		b.notReady(c)
+		b.mode(c, freshness.ModeStale)
+		b.log.Cut("c", false)
+		<-c.Ready()
+		b.agree(a, c)
+	}},
+	{"start", "replay", "log down", func(b *bed) {
+		a := b.start("a")
+		b.fill(a, 0, 5)
+		b.log.SetDown(true)
+		c := b.begin("c")
+		time.Sleep(20 * time.Second)
+		b.notReady(c)
+		b.mode(c, freshness.ModeStale)
+		snapshot, err := a.Snapshot()
+		if err != nil {
+			b.t.Fatal(err)
+		}
+		if err := c.Restore(snapshot); err != nil {
+			b.t.Fatal(err)
+		}
+		<-c.Ready()
+		time.Sleep(2 * time.Second)
+		b.mode(c, freshness.ModeOutage)
+		b.log.SetDown(false)
+		b.agree(a, c)
+		b.mode(c, freshness.ModeFresh)
+	}},
+	{"start", "replay", "trimmed", func(b *bed) {
+		a := b.start("a")
+		b.fill(a, 0, 5)
+		b.log.Trim(3)
+		c := b.begin("c")
+		time.Sleep(20 * time.Second)
+		b.notReady(c)
+		if err := a.Checkpoint(); err != nil {
+			b.t.Fatal(err)
+		}
+		<-c.Ready()
+		b.agree(a, c)
+	}},
+	{"start", "replay", "stale checkpoint", func(b *bed) {
+		// A paused instance appends a checkpoint from before what is kept.
+		a := b.start("a")
+		b.fill(a, 0, 1)
+		if err := a.Checkpoint(); err != nil {
+			b.t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		stale := b.log.Entries()[1].Data
+		b.fill(a, 1, 5)
+		b.log.Trim(4)
+		b.log.Inject(stale)
+		c := b.begin("c")
+		time.Sleep(20 * time.Second)
+		b.notReady(c)
+		if n := c.Digest().Next; n != 0 {
+			b.t.Errorf("it took the stale checkpoint, at %d", n)
+		}
+		before := a.Digest().Hash
+		b.log.Inject(stale)
+		time.Sleep(time.Second)
+		if a.Digest().Hash != before {
+			b.t.Error("a stale checkpoint changed a reader's state")
+		}
+	}},
+	{"start", "catch up", "freeze past trimming", func(b *bed) {
+		a, c := b.start("a"), b.start("c")
+		b.fill(a, 0, 2)
+		c.frozen.Store(true)
+		b.log.Cut("c", true)
+		b.fill(a, 2, 6)
+		if err := a.Checkpoint(); err != nil {
+			b.t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		b.fill(a, 6, 8)
+		b.log.Trim(5)
+		c.frozen.Store(false)
+		b.log.Cut("c", false)
+		b.agree(a, c)
+		b.mode(c, freshness.ModeFresh)
+	}},
+	{"start", "catch up", "log down past the retention", func(b *bed) {
+		// After a long outage a checkpoint is due at once, and is appended.
+		a, c := b.start("a"), b.start("c")
+		b.fill(a, 0, 2)
+		b.log.SetDown(true)
+		time.Sleep(2 * foldConfig.Retention)
+		b.log.SetDown(false)
+		time.Sleep(5 * time.Second)
+		b.log.Trim(2)
+		b.agree(a, c, b.start("b"))
+	}},
+	{"start", "checkpoint", "lost reply", func(b *bed) {
+		a := b.start("a")
+		b.fill(a, 0, 3)
+		b.log.FailAppends(logtest.AppendReplyLost)
+		if err := a.Checkpoint(); err != nil {
+			b.t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		b.log.Trim(3)
+		b.agree(a, b.start("c"))
+	}},
+}
+
+func (b *bed) manager(in *instance) *lease.Manager {
+	b.t.Helper()
+	m, err := lease.New(in, lease.Config{Name: "orders", Holder: in.name}, nil)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return m
+}
+
+func (b *bed) order(m *lease.Manager, e lease.Engine, want lease.Refusal) uint64 {
+	b.t.Helper()
+	fence, got := m.Check(e)
+	if got != want {
+		b.t.Errorf("check of an order: %d, want %d", got, want)
+	}
+	return fence
+}
+
+func (b *bed) take(m *lease.Manager, want bool) {
+	b.t.Helper()
+	if got := m.Take(b.t.Context()); got != want {
+		b.t.Errorf("took the lease: %v, want %v", got, want)
+	}
+}
+
+// orderCells: one sender of orders at a time.
+var orderCells = []cell{
+	{"order", "check", "lapsed lease", func(b *bed) {
+		a, c := b.start("a"), b.start("c")
+		old, next := b.manager(a), b.manager(c)
+		b.take(old, true)
+		first := b.order(old, lease.EngineFences, lease.Allowed)
+		b.freeze(a, 11*time.Second)
+		b.order(old, lease.EngineFences, lease.Lapsed)
+		b.take(next, true)
+		if second := b.order(next, lease.EngineFences, lease.Allowed); second <= first {
+			b.t.Errorf("fencing number %d after %d", second, first)
+		}
+		b.order(next, lease.EngineIgnores, lease.Waiting)
+		time.Sleep(5 * time.Second)
+		b.order(old, lease.EngineFences, lease.NotHolder)
+		b.take(old, false)
+	}},
+	{"order", "take", "kill", func(b *bed) {
+		a, c := b.start("a"), b.start("c")
+		old, next := b.manager(a), b.manager(c)
+		b.take(old, true)
+		b.kill(a)
+		b.take(next, false)
+		time.Sleep(10 * time.Second)
+		b.take(next, true)
+		b.order(next, lease.EngineIgnores, lease.Waiting)
+		time.Sleep(7 * time.Second)
+		b.take(next, true)
+		time.Sleep(5200 * time.Millisecond)
+		b.order(next, lease.EngineIgnores, lease.Allowed)
+	}},
+	{"order", "take", "lost reply", func(b *bed) {
+		a, c := b.start("a"), b.start("c")
+		b.log.FailAppends(logtest.AppendReplyLost)
+		m := b.manager(a)
+		b.take(m, true)
+		b.order(m, lease.EngineFences, lease.Allowed)
+		b.take(b.manager(c), false)
+	}},
+	{"order", "renew", "log down", func(b *bed) {
+		a := b.start("a")
+		m := b.manager(a)
+		b.take(m, true)
+		b.log.SetDown(true)
+		time.Sleep(4 * time.Second)
+		b.take(m, false)
+		b.order(m, lease.EngineFences, lease.Allowed)
+		time.Sleep(4 * time.Second)
+		b.order(m, lease.EngineFences, lease.Lapsed)
+	}},
+	{"order", "renew", "cut", func(b *bed) {
+		a, c := b.start("a"), b.start("c")
+		old, next := b.manager(a), b.manager(c)
+		b.take(old, true)
+		b.log.Cut("a", true)
+		time.Sleep(10 * time.Second)
+		b.order(old, lease.EngineFences, lease.Lapsed)
+		b.take(next, true)
+	}},
+}
