fault matrix: cells that no guard turned red, mended

Cause: 48 guards were taken out one by one on a scratch copy; six of them turned no cell red, and six cells were turned red by none. Pages of two entries make catching up take several reads; a release with the log down, a manifest past its retention, a stale generation under another parent and a lost bill in a buffer are cells or steps now. Every cell has been seen red but start/replay/none and start/replay/kill, which have no guard of their own.

Run: go test -race ./faultmatrix, green, 2.9 s.

--- a/coordination/faultmatrix/bed_test.go
+++ b/coordination/faultmatrix/bed_test.go
@@ -67,7 +67,8 @@
 		}
 		return nil
 	}
-	cfg := node.Config{Name: name, Fold: foldConfig}
+	// Pages are small, so that catching up takes several reads.
+	cfg := node.Config{Name: name, Fold: foldConfig, PageLimit: 2}
 	n, err := node.New(b.log.Client(name), cfg, node.WithSeed(uint64(name[0])),
 		node.WithObserver(in.tracker), node.WithValidator(record.ClassManifest, refuse))
 	if err == nil {
--- a/coordination/faultmatrix/bill_test.go
+++ b/coordination/faultmatrix/bill_test.go
@@ -112,6 +112,11 @@
 			b.t.Fatal(err)
 		}
 		b.put(a, b.bill(), node.OutcomeWon)
+		held := ledger.NewBuffer(0, c.Put, nil)
+		if err := held.Accept(r); err != nil {
+			b.t.Fatal(err)
+		}
+		b.flush(held, 0)
 		b.put(c, r, node.OutcomeLost)
 		b.billed(1)
 	}},
--- a/coordination/faultmatrix/claim_test.go
+++ b/coordination/faultmatrix/claim_test.go
@@ -103,6 +103,21 @@
 		time.Sleep(10 * time.Second)
 		b.put(c, claim(2), node.OutcomeWon)
 	}},
+	{"claim", "release", "log down", func(b *bed) {
+		// Given up while the log takes nothing: dead here at once, and for all
+		// once the log is back.
+		a, c := b.start("a"), b.start("c")
+		b.put(a, claim(1), node.OutcomeWon)
+		b.log.SetDown(true)
+		a.Release("claim/t/r", record.Nonce{1})
+		if _, ok := a.Lookup("claim/t/r"); ok {
+			b.t.Error("released, and still seen by its own process")
+		}
+		time.Sleep(5 * time.Second)
+		b.log.SetDown(false)
+		b.agree(a, c)
+		b.put(c, claim(2), node.OutcomeWon)
+	}},
 	{"claim", "append", "slow", func(b *bed) {
 		// Past its deadline the Put is unknown, not void: it lands later.
 		a, c := b.start("a"), b.start("c")
--- a/coordination/faultmatrix/publish_test.go
+++ b/coordination/faultmatrix/publish_test.go
@@ -31,6 +31,8 @@
 		a, c := b.start("a"), b.start("c")
 		b.put(a, manifest(1, "", 1, "one"), node.OutcomeWon)
 		b.kill(a)
+		time.Sleep(2 * foldConfig.Retention)
+		b.put(c, session(1), node.OutcomeWon)
 		b.inForce(c, "one")
 		b.inForce(b.start("b"), "one")
 	}},
@@ -145,6 +147,7 @@
 		b.put(a, manifest(1, "", 1, "one"), node.OutcomeWon)
 		b.put(a, manifest(2, "one", 2, "two"), node.OutcomeWon)
 		b.put(c, manifest(2, "one", 3, "old"), node.OutcomeLost)
+		b.put(c, manifest(2, "other", 5, "old"), node.OutcomeLost)
 		b.put(c, manifest(3, "one", 4, "old"), node.OutcomeVoid)
 		a.Release(record.ManifestKey(2, record.ManifestDigest([]byte("one"))), record.Nonce{2})
 		b.agree(a, c)
