node: a log that went back confirms nothing

Cause: the head of a wiped or exchanged log lies before the own state, so every read of it would have confirmed the state as fresh. Such a read counts as failed; the node keeps its state. Also: nonces that follow from a publication, fuzz targets for checkpoint parts and terms, and a bound on the length of a lease read from the log.

--- a/coordination/fold/property_test.go
+++ b/coordination/fold/property_test.go
@@ -281,3 +281,18 @@
 		}
 	})
 }
+
+func FuzzAssembler(f *testing.F) {
+	parts, err := New(testConfig, Options{}).Checkpoint(record.Nonce{1})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(parts[0].Value)
+	f.Fuzz(func(t *testing.T, value []byte) {
+		var a Assembler
+		a.Add(&record.Record{Kind: record.KindCheckpoint, Value: value})
+		if data, _, ok := a.Best(); ok {
+			_, _ = Restore(testConfig, Options{}, data)
+		}
+	})
+}
--- a/coordination/history/history_test.go
+++ b/coordination/history/history_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/anishathalye/porcupine"
+	"go.uber.org/goleak"
 
 	"masticplank.example/coordination/fold"
 	"masticplank.example/coordination/ledger"
@@ -25,6 +26,8 @@
 	first = flag.Uint64("history.first", 0, "first seed")
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 func eachSeed(t *testing.T, f func(t *testing.T, seed uint64)) {
 	t.Logf("seeds %d to %d", *first, *first+uint64(*seeds)-1)
 	for i := range uint64(*seeds) {
--- a/coordination/lease/lease_test.go
+++ b/coordination/lease/lease_test.go
@@ -8,11 +8,16 @@
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/goleak"
+
+	"masticplank.example/coordination/fold"
 	"masticplank.example/coordination/node"
 	"masticplank.example/coordination/platformlog/logtest"
 	"masticplank.example/coordination/record"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // managers starts n instances on one log, each with a Manager of one lease.
 func managers(t *testing.T, n int) (*logtest.Log, []*Manager, []*node.Node) {
 	log := logtest.New()
@@ -279,3 +284,14 @@
 		t.Errorf("only %d contenders ever sent an order", orders)
 	}
 }
+
+func FuzzParse(f *testing.F) {
+	m := &Manager{cfg: Config{Name: "x", Holder: "a"}.withDefaults()}
+	f.Add("lease/x/1", []byte{0x82, 0x61, 0x61, 0x01})
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		got, ok := m.parse(fold.Register{Key: record.Key(key), Value: value})
+		if ok && got.length < 0 {
+			t.Errorf("a term of %v", got.length)
+		}
+	})
+}
--- a/coordination/lease/manager.go
+++ b/coordination/lease/manager.go
@@ -187,5 +187,7 @@
 	if err := cbor.Unmarshal(reg.Value, &w); err != nil || w.Duration < 0 {
 		w = wireTerm{Holder: unknownHolder, Duration: int64(m.cfg.Duration)}
 	}
-	return term{number, w.Holder, time.Duration(w.Duration), reg.Offset, reg.Nonce}, true
+	// No instance takes a lease for so long; it must not block the name for good.
+	length := min(time.Duration(w.Duration), keepTerms*m.cfg.Duration)
+	return term{number, w.Holder, length, reg.Offset, reg.Nonce}, true
 }
--- a/coordination/node/node.go
+++ b/coordination/node/node.go
@@ -23,6 +23,9 @@
 	// ErrNoCheckpoint means that the log no longer keeps the records that the
 	// node lacks, and no checkpoint that could stand for them.
 	ErrNoCheckpoint = errors.New("node: trimmed, and no checkpoint is left")
+	// ErrWentBack means that the log's head lies before what was read from it.
+	// The node keeps its state, and counts the log as not reachable.
+	ErrWentBack = errors.New("node: the log went back")
 	// ErrConfig means that New was given an unusable Config.
 	ErrConfig  = errors.New("node: invalid configuration")
 	errStarted = errors.New("node: started before")
--- a/coordination/node/node_test.go
+++ b/coordination/node/node_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -400,6 +401,35 @@
 	})
 }
 
+// seenBy is an Observer that counts.
+type seenBy struct{ heads, failures atomic.Int64 }
+
+func (s *seenBy) HeadRead(time.Time, uint64) { s.heads.Add(1) }
+func (s *seenBy) Folded(uint64)              {}
+func (s *seenBy) ReadFailed(time.Time)       { s.failures.Add(1) }
+
+// TestLogThatWentBack: a wiped log confirms nothing, takes nothing back, and a
+// Put that lands in it is never said to have won.
+func TestLogThatWentBack(t *testing.T) {
+	inBubble(t, func(t *testing.T, fl *fleet) {
+		var seen seenBy
+		a := fl.node("a", WithObserver(&seen))
+		fl.wantPut(a, put("session/x", 1), OutcomeWon)
+		fl.wantPut(a, put("session/y", 1), OutcomeWon)
+		fl.log.Wipe()
+		time.Sleep(2 * time.Second)
+		heads := seen.heads.Load()
+		fl.wantPut(a, put("session/x", 2), OutcomeUnknown)
+		time.Sleep(5 * time.Second)
+		if seen.heads.Load() != heads || seen.failures.Load() == 0 {
+			t.Errorf("%d heads after the wipe, %d failures", seen.heads.Load()-heads, seen.failures.Load())
+		}
+		if s := a.Status(); s.LogReachable || s.Next != 2 {
+			t.Errorf("status %+v", s)
+		}
+	})
+}
+
 func TestStopFlushesReleases(t *testing.T) {
 	inBubble(t, func(t *testing.T, fl *fleet) {
 		a, b := fl.node("a"), fl.node("b")
--- a/coordination/node/tail.go
+++ b/coordination/node/tail.go
@@ -41,6 +41,12 @@
 		n.noteFailure(time.Now())
 		return err
 	}
+	if page.Head < next {
+		// A log that is shorter than what was read from it has lost records or
+		// is another log. Its head confirms nothing.
+		n.noteFailure(time.Now())
+		return trace.Wrap(ErrWentBack, "head %d, folded to %d", page.Head, next)
+	}
 	n.noteHead(sent, page)
 	for _, e := range page.Entries {
 		if err := n.foldEntry(e); err != nil {
--- a/coordination/platformlog/logtest/log.go
+++ b/coordination/platformlog/logtest/log.go
@@ -118,6 +118,12 @@
 	})
 }
 
+// Wipe loses all records and starts again at offset 0, as a log service that
+// was restored from nothing would.
+func (l *Log) Wipe() {
+	l.set(func() { l.first, l.entries = 0, nil })
+}
+
 // Inject appends data as some other writer would, faults or not, and returns
 // its offset.
 func (l *Log) Inject(data []byte) uint64 {
--- a/coordination/record/codec_test.go
+++ b/coordination/record/codec_test.go
@@ -126,6 +126,17 @@
 	}
 }
 
+func TestNonces(t *testing.T) {
+	first, second := NewNonce(), NewNonce()
+	if first == second || first == (Nonce{}) {
+		t.Error("a new nonce is not new")
+	}
+	from, again, other := NonceFrom("a", "bc"), NonceFrom("a", "bc"), NonceFrom("ab", "c")
+	if from != again || from == other {
+		t.Error("a nonce does not follow from its parts")
+	}
+}
+
 func TestManifestKey(t *testing.T) {
 	digest := ManifestDigest([]byte("x"))
 	generation, parent, err := ParseManifestKey(ManifestKey(7, digest))
