--- /dev/null
+++ b/coordination/ledger/example_test.go
@@ -0,0 +1,16 @@
+package ledger_test
+
+import (
+	"fmt"
+
+	"masticplank.example/coordination/ledger"
+)
+
+// One bill is one proposal, whoever makes the record.
+func ExampleBill_Record() {
+	b := ledger.Bill{Team: "weavers", Request: "r-1", Version: "draft@3", OutputTokens: 210, CostMicros: 420, Attempts: 1}
+	own, _ := b.Record()
+	copied, _ := b.Record()
+	fmt.Println(own.Key, own.Nonce == copied.Nonce)
+	// Output: bill/weavers/r-1 true
+}
