node: four holes in checkpoints, restore and stop

Cause, found by reading it again: a part of a checkpoint only rode in a group with room, so under constant load none was ever written and the log would be trimmed without one; a due checkpoint counted as written once it was queued, so a refused one was tried again only after a quarter to half of the retention; a Put that lost while a peer's state was taken over was not released, so its own late record could win after the winner; a planned stop left Puts that it had just appended unknown. Now one part rides in each group, whole checkpoints read back count and others are retried each minute, such a Put is released, and a stop waits for the tail.

Each with its test, red with the change taken out on a scratch copy: TestCheckpointUnderLoad, start/checkpoint/refused, TestRestoreSettlesWaitingPuts, TestPlannedStopSettles.

--- a/coordination/faultmatrix/start_test.go
+++ b/coordination/faultmatrix/start_test.go
@@ -153,6 +153,17 @@
 		b.log.Trim(2)
 		b.agree(a, c, b.start("b"))
 	}},
+	{"start", "checkpoint", "refused", func(b *bed) {
+		// The one that is due is refused: it is tried again long before the
+		// records that it stands for are trimmed.
+		a := b.start("a")
+		b.fill(a, 0, 3)
+		time.Sleep(foldConfig.Retention / 8)
+		b.log.FailAppends(logtest.AppendRefused, logtest.AppendLost)
+		time.Sleep(foldConfig.Retention / 2)
+		b.log.Trim(3)
+		b.agree(a, b.start("c"))
+	}},
 	{"start", "checkpoint", "lost reply", func(b *bed) {
 		a := b.start("a")
 		b.fill(a, 0, 3)
--- a/coordination/fold/checkpoint.go
+++ b/coordination/fold/checkpoint.go
@@ -49,6 +49,26 @@
 	return out, nil
 }
 
+// CheckpointPart says which part of how many r carries; ok is false where r is
+// no part of a checkpoint.
+func CheckpointPart(r *record.Record) (part, parts int, ok bool) {
+	w, ok := parsePart(r)
+	return int(w.Part), int(w.Parts), ok
+}
+
+func parsePart(r *record.Record) (w wirePart, ok bool) {
+	if r.Kind != record.KindCheckpoint {
+		return w, false
+	}
+	if err := snapshotDecMode.Unmarshal(r.Value, &w); err != nil {
+		return w, false
+	}
+	if w.Parts == 0 || w.Parts > maxParts || w.Part >= w.Parts || len(w.Data) > partSize {
+		return w, false
+	}
+	return w, true
+}
+
 // Assembler joins the parts of checkpoints read from the log and keeps the one
 // with the highest Next. Which one it is does not matter for the outcome: each
 // is the state after a prefix, and the reader folds the rest of the log on it.
@@ -69,14 +89,8 @@
 // Add takes one record; others than checkpoints and malformed parts are
 // ignored.
 func (a *Assembler) Add(r *record.Record) {
-	if r.Kind != record.KindCheckpoint {
-		return
-	}
-	var w wirePart
-	if err := snapshotDecMode.Unmarshal(r.Value, &w); err != nil {
-		return
-	}
-	if w.Parts == 0 || w.Parts > maxParts || w.Part >= w.Parts || len(w.Data) > partSize {
+	w, ok := parsePart(r)
+	if !ok {
 		return
 	}
 	o := a.find(r.Nonce, &w)
--- a/coordination/node/append.go
+++ b/coordination/node/append.go
@@ -33,12 +33,21 @@
 		a.pace(ctx)
 		sent := a.appendNext(ctx)
 		if stopping && !sent {
+			n.awaitReadBack(ctx)
 			n.cancel()
 			return
 		}
 	}
 }
 
+// awaitReadBack lets the tail settle what a planned stop has just appended.
+func (n *Node) awaitReadBack(ctx context.Context) {
+	end := time.Now().Add(n.cfg.CallTimeout)
+	for n.proposals.anySent() && ctx.Err() == nil && time.Now().Before(end) {
+		sleep(ctx, n.cfg.Linger)
+	}
+}
+
 // wait returns when there is something to append, or a stop has begun.
 func (a *appender) wait(ctx context.Context) (stopping bool) {
 	var due <-chan time.Time
@@ -113,7 +122,7 @@
 
 // doubt sends what the group settles again later, unless they are read back first.
 func (a *appender) doubt(g group) {
-	g.records, g.extra = nil, nil
+	g.records = nil
 	a.doubts = append(a.doubts, doubt{g, time.Now().Add(a.backoff.next())})
 }
 
--- a/coordination/node/checkpoint.go
+++ b/coordination/node/checkpoint.go
@@ -12,16 +12,24 @@
 	"masticplank.example/coordination/record"
 )
 
+// checkpointRetry is how soon a checkpoint that was not read back is tried
+// again.
+const checkpointRetry = time.Minute
+
 // checkpointPolicy says when this instance appends a checkpoint: once none was
-// read for between a quarter and a half of the retention. The jitter lets the
-// first instance that comes due save the others theirs. A half leaves room for
-// one checkpoint that its writer did not finish, before a quarter of the
-// retention is left. An instance that was cut off for long comes due as soon as
-// it has caught up. Safe for concurrent use.
+// read, whole, for between a quarter and a half of the retention. The jitter
+// lets the first instance that comes due save the others theirs. A half leaves
+// room for tries that fail, before a quarter of the retention is left. An
+// instance that was cut off for long comes due as soon as it has caught up.
+// Safe for concurrent use.
 type checkpointPolicy struct {
 	mu       sync.Mutex
 	interval time.Duration
 	last     time.Time
+	tried    time.Time
+	// nonce and have count the parts of the checkpoint being read.
+	nonce record.Nonce
+	have  int
 }
 
 func newCheckpointPolicy(retention time.Duration, seed uint64) *checkpointPolicy {
@@ -30,17 +38,37 @@
 	return &checkpointPolicy{interval: quarter + jitter, last: time.Now()}
 }
 
-// seen notes a checkpoint read from the log, or one of the own just queued.
-func (p *checkpointPolicy) seen(now time.Time) {
+// seen notes one part of a checkpoint read from the log; only all parts of one
+// count. Two writers whose parts alternate count as none, which costs one more
+// checkpoint.
+func (p *checkpointPolicy) seen(now time.Time, r *record.Record) {
+	part, parts, ok := fold.CheckpointPart(r)
+	if !ok {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.last = now
+	if part == 0 {
+		p.nonce, p.have = r.Nonce, 0
+	}
+	if r.Nonce != p.nonce {
+		return
+	}
+	p.have++
+	if p.have == parts {
+		p.last = now
+	}
 }
 
+// due reports that it is time to try, and takes it as tried.
 func (p *checkpointPolicy) due(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return now.Sub(p.last) >= p.interval
+	if now.Sub(p.last) < p.interval || now.Sub(p.tried) < checkpointRetry {
+		return false
+	}
+	p.tried = now
+	return true
 }
 
 // keepCheckpoint queues a checkpoint when one is due. Only a node that is ready
@@ -49,7 +77,6 @@
 	if !n.isReady() || !n.checkpoints.due(time.Now()) {
 		return nil
 	}
-	n.checkpoints.seen(time.Now())
 	return n.Checkpoint()
 }
 
--- a/coordination/node/node_test.go
+++ b/coordination/node/node_test.go
@@ -360,6 +360,89 @@
 	})
 }
 
+// TestCheckpointUnderLoad: a large checkpoint gets into the log while each
+// group is full, and a writer that starts from it has the same state.
+func TestCheckpointUnderLoad(t *testing.T) {
+	inBubble(t, func(t *testing.T, fl *fleet) {
+		a := fl.node("a")
+		big := func(i int) record.Record {
+			r := put(record.Key(fmt.Sprintf("session/%d", i)), 1)
+			r.Value = make([]byte, maxBatchBytes*3/4)
+			return r
+		}
+		for i := range 4 {
+			fl.wantPut(a, big(i), OutcomeWon)
+		}
+		var wg sync.WaitGroup
+		ctx := within(t, 2*time.Second)
+		for i := range 8 {
+			wg.Go(func() {
+				for k := 0; ctx.Err() == nil; k++ {
+					r := big(i)
+					r.Nonce = record.Nonce{9, byte(i), byte(k)}
+					a.Put(ctx, r)
+				}
+			})
+		}
+		if err := a.Checkpoint(); err != nil {
+			t.Fatal(err)
+		}
+		wg.Wait()
+		fl.log.Trim(4)
+		late := fl.node("late")
+		<-late.Ready()
+		synctest.Wait()
+		if late.Digest() != a.Digest() {
+			t.Errorf("digests %+v and %+v", late.Digest(), a.Digest())
+		}
+	})
+}
+
+// TestRestoreSettlesWaitingPuts: a Put that waits while a peer's state is taken
+// over hears of the winner, and its own late copy never wins.
+func TestRestoreSettlesWaitingPuts(t *testing.T) {
+	inBubble(t, func(t *testing.T, fl *fleet) {
+		a, b := fl.node("a"), fl.node("b")
+		<-a.Ready()
+		fl.log.FailAppends(logtest.AppendLate)
+		done := make(chan Result, 1)
+		go func() { done <- a.Put(t.Context(), put("session/x", 1)) }()
+		synctest.Wait()
+		fl.log.Cut("a", true)
+		fl.wantPut(b, put("session/x", 2), OutcomeWon)
+		snapshot, _ := b.Snapshot()
+		if err := a.Restore(snapshot); err != nil {
+			t.Fatal(err)
+		}
+		if res := <-done; res.Outcome != OutcomeLost || res.Register.Nonce != (record.Nonce{2}) {
+			t.Errorf("result %+v", res)
+		}
+		fl.log.Cut("a", false)
+		time.Sleep(time.Second)
+		b.Release("session/x", record.Nonce{2})
+		time.Sleep(2 * logtest.LateBy)
+		if reg, ok := b.Lookup("session/x"); ok {
+			t.Errorf("the late copy won: %+v", reg)
+		}
+	})
+}
+
+// TestPlannedStopSettles: a Put under way at a planned stop is read back.
+func TestPlannedStopSettles(t *testing.T) {
+	inBubble(t, func(t *testing.T, fl *fleet) {
+		a := fl.node("a")
+		<-a.Ready()
+		fl.log.SetSlow(100 * time.Millisecond)
+		done := make(chan Result, 1)
+		go func() { done <- a.Put(t.Context(), put("session/x", 1)) }()
+		synctest.Wait()
+		fl.stop(a)
+		if res := <-done; res.Outcome != OutcomeWon {
+			t.Errorf("outcome %d", res.Outcome)
+		}
+	})
+}
+
 func TestRestoreWhileDown(t *testing.T) {
 	inBubble(t, func(t *testing.T, fl *fleet) {
 		a := fl.node("a")
--- a/coordination/node/proposals.go
+++ b/coordination/node/proposals.go
@@ -181,7 +181,6 @@
 	records  []record.Record
 	puts     []*proposal
 	releases []record.Record
-	extra    []record.Record
 }
 
 // next takes the next group off the queues and marks its Puts as sent. This and
@@ -213,8 +212,10 @@
 		g.puts = append(g.puts, p)
 		g.records = append(g.records, p.record)
 	}
-	for len(ps.extra) > 0 && fits(&ps.extra[0]) {
-		g.extra = append(g.extra, ps.extra[0])
+	// One part of a checkpoint rides along, however full the group is: under
+	// constant load there is never room, and the log would be trimmed with no
+	// checkpoint in it.
+	if len(ps.extra) > 0 && len(g.records) < record.MaxRecords {
 		g.records = append(g.records, ps.extra[0])
 		ps.extra = ps.extra[1:]
 	}
@@ -269,6 +270,18 @@
 	}
 }
 
+// anySent reports whether a Put that was handed to the log still waits.
+func (ps *proposals) anySent() bool {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	for _, p := range ps.waiting {
+		if p.stage == stageSent {
+			return true
+		}
+	}
+	return false
+}
+
 // readBack settles what a folded record of this process's own was waiting for.
 func (ps *proposals) readBack(c *fold.Change) {
 	ps.mu.Lock()
@@ -322,6 +335,9 @@
 		res := Result{Outcome: OutcomeLost, Register: reg}
 		if reg.Nonce == id.nonce {
 			res.Outcome = OutcomeWon
+		} else {
+			// Its own record may still be on its way.
+			ps.giveUp(id)
 		}
 		p.done <- res
 	}
--- a/coordination/node/tail.go
+++ b/coordination/node/tail.go
@@ -141,7 +141,7 @@
 	for i := range changes {
 		n.proposals.readBack(&changes[i])
 		if changes[i].Verdict == fold.VerdictCheckpoint {
-			n.checkpoints.seen(time.Now())
+			n.checkpoints.seen(time.Now(), &changes[i].Record)
 		}
 	}
 }
