node: three tests that did not see their guard

The three others passed, since the load had ended, the tail was quick enough, and the start waited until a checkpoint came. They now look while there is load, stop while a poll is under way, and give the start ten seconds.

Run on a scratch copy, each with its guard out: TestCheckpointUnderLoad, TestPlannedStopSettles and start/checkpoint/refused red. With it: go test -race ./node ./faultmatrix green.

--- a/coordination/faultmatrix/start_test.go
+++ b/coordination/faultmatrix/start_test.go
@@ -162,7 +162,11 @@
 		b.log.FailAppends(logtest.AppendRefused, logtest.AppendLost)
 		time.Sleep(foldConfig.Retention / 2)
 		b.log.Trim(3)
-		b.agree(a, b.start("c"))
+		c := b.begin("c")
+		time.Sleep(10 * time.Second)
+		if c.Digest() != a.Digest() {
+			b.t.Error("no checkpoint in time")
+		}
 	}},
 	{"start", "checkpoint", "lost reply", func(b *bed) {
 		a := b.start("a")
--- a/coordination/node/node_test.go
+++ b/coordination/node/node_test.go
@@ -387,6 +387,14 @@
 		if err := a.Checkpoint(); err != nil {
 			t.Fatal(err)
 		}
+		time.Sleep(time.Second)
+		var found fold.Assembler
+		for _, e := range fl.log.Entries() {
+			collectParts(&found, e.Data)
+		}
+		if _, _, ok := found.Best(); !ok {
+			t.Error("no checkpoint while there is load")
+		}
 		wg.Wait()
 		fl.log.Trim(4)
 		late := fl.node("late")
@@ -432,7 +440,10 @@
 	inBubble(t, func(t *testing.T, fl *fleet) {
 		a := fl.node("a")
 		<-a.Ready()
-		fl.log.SetSlow(100 * time.Millisecond)
+		// The tail's second poll starts at 1 s and is under way until 1.3 s.
+		fl.log.SetSlow(300 * time.Millisecond)
+		time.Sleep(1050 * time.Millisecond)
+		fl.log.SetSlow(0)
 		done := make(chan Result, 1)
 		go func() { done <- a.Put(t.Context(), put("session/x", 1)) }()
 		synctest.Wait()
