--- /dev/null
+++ b/router/internal/manifest/validate.go
@@ -0,0 +1,233 @@
+package manifest
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"path"
+	"regexp"
+	"strings"
+
+	"github.com/gravitational/trace"
+)
+
+// Limits of a manifest's content. They bound the memory that one publication
+// can take at each instance, not what a deployment may need today.
+const (
+	maxTeams    = 10_000
+	maxVersions = 1_000
+	maxServices = 1_000
+	maxRoutes   = 1_000
+	maxWeight   = 1_000_000
+)
+
+var (
+	idPattern      = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+	versionPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}@[A-Za-z0-9][A-Za-z0-9._-]{0,31}$`)
+	hashPattern    = regexp.MustCompile(`^[0-9a-f]{64}$`)
+)
+
+// Fault is one thing wrong with a manifest.
+type Fault struct {
+	// Path leads to the fault, such as "teams[2].allowed[0]".
+	Path string `json:"path"`
+	Text string `json:"text"`
+}
+
+// Faults is every fault of a manifest; it is an error.
+type Faults []Fault
+
+// Error lists the faults, one a line.
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i, one := range f {
+		lines[i] = one.Path + ": " + one.Text
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Parse reads a manifest from JSON. Unknown keys are refused, so that a
+// misspelt one cannot silently change who may use what.
+func Parse(data []byte) (Manifest, error) {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	var m Manifest
+	if err := dec.Decode(&m); err != nil {
+		return Manifest{}, trace.BadParameter("manifest: %v", err)
+	}
+	if dec.More() {
+		return Manifest{}, trace.BadParameter("manifest: more than one JSON value")
+	}
+	return m, nil
+}
+
+// Encode is the one encoding that goes into the log and under the digest.
+func Encode(m Manifest) ([]byte, error) {
+	data, err := json.Marshal(m)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return data, nil
+}
+
+// Digest names an encoded manifest: SHA-256 in hex.
+func Digest(encoded []byte) string {
+	sum := sha256.Sum256(encoded)
+	return hex.EncodeToString(sum[:])
+}
+
+// checker collects faults.
+type checker struct{ faults Faults }
+
+func (c *checker) add(path, format string, args ...any) {
+	c.faults = append(c.faults, Fault{Path: path, Text: fmt.Sprintf(format, args...)})
+}
+
+func (c *checker) id(path, id string, seen map[string]bool) {
+	if !idPattern.MatchString(id) {
+		c.add(path, "%q is not an id: letters, digits, '.', '_', '-', at most 64", id)
+	}
+	if seen[id] {
+		c.add(path, "%q stands twice", id)
+	}
+	seen[id] = true
+}
+
+func (c *checker) between(path string, v, low, high float64) {
+	if !(v >= low && v <= high) {
+		c.add(path, "%v is not between %v and %v", v, low, high)
+	}
+}
+
+func (c *checker) count(path string, n, most int) {
+	if n > most {
+		c.add(path, "%d entries, at most %d are allowed", n, most)
+	}
+}
+
+// Validate checks a manifest's content and returns every fault. It depends on
+// nothing but m, so all readers of the log come to the same verdict.
+func Validate(m Manifest) Faults {
+	c := &checker{}
+	if m.Publication == "" {
+		c.add("publication", "is empty: give each pipeline run an id, so that publishing again is idempotent")
+	}
+	versions := c.versions(m.Versions)
+	services := c.services(m.Services)
+	teams := c.teams(m.Teams, versions, services)
+	c.objectives(m.Objectives, teams)
+	return c.faults
+}
+
+func (c *checker) versions(rows []Version) map[string]bool {
+	c.count("versions", len(rows), maxVersions)
+	seen := map[string]bool{}
+	for i, v := range rows {
+		c.version(fmt.Sprintf("versions[%d]", i), v, seen)
+	}
+	for i, v := range rows {
+		if v.Predecessor != "" && !seen[v.Predecessor] {
+			c.add(fmt.Sprintf("versions[%d].predecessor", i), "no version %q", v.Predecessor)
+		}
+	}
+	return seen
+}
+
+func (c *checker) version(at string, v Version, seen map[string]bool) {
+	if !versionPattern.MatchString(v.ID) {
+		c.add(at+".id", "%q is not of the form model@version", v.ID)
+	}
+	if seen[v.ID] {
+		c.add(at+".id", "%q stands twice", v.ID)
+	}
+	seen[v.ID] = true
+	if model, _, _ := strings.Cut(v.ID, "@"); model != v.Model {
+		c.add(at+".model", "%q is not the model of %q", v.Model, v.ID)
+	}
+	switch v.State {
+	case StateServing, StateDraining, StateWithdrawn:
+	default:
+		c.add(at+".state", "%q is not one of serving, draining, withdrawn", v.State)
+	}
+	c.between(at+".share", v.Share, 0, 1)
+	c.between(at+".cost", v.Cost, 0, 1e9)
+	c.between(at+".quality", v.Quality, 0, 1)
+}
+
+func (c *checker) services(rows []Service) map[string]bool {
+	c.count("services", len(rows), maxServices)
+	seen := map[string]bool{}
+	for i, s := range rows {
+		at := fmt.Sprintf("services[%d]", i)
+		c.id(at+".id", s.ID, seen)
+		c.between(at+".price", s.Price, 0, 1e9)
+		c.count(at+".routes", len(s.Routes), maxRoutes)
+		for j, r := range s.Routes {
+			c.route(fmt.Sprintf("%s.routes[%d]", at, j), r)
+		}
+	}
+	return seen
+}
+
+func (c *checker) route(at string, r Route) {
+	if r.Method == "" {
+		c.add(at+".method", "is empty")
+	}
+	if _, err := path.Match(r.Path, "/"); err != nil || !strings.HasPrefix(r.Path, "/") {
+		c.add(at+".path", "%q is not a path pattern", r.Path)
+	}
+}
+
+func (c *checker) teams(rows []Team, versions, services map[string]bool) map[string]bool {
+	c.count("teams", len(rows), maxTeams)
+	seen := map[string]bool{}
+	keys := map[string]string{}
+	for i, t := range rows {
+		at := fmt.Sprintf("teams[%d]", i)
+		c.id(at+".id", t.ID, seen)
+		c.between(at+".weight", float64(t.Weight), 1, maxWeight)
+		c.between(at+".quality_target", t.QualityTarget, 0, 1)
+		c.between(at+".queue_limit", float64(t.QueueLimit), 0, 1e6)
+		c.known(at+".allowed", "version", t.Allowed, versions)
+		c.known(at+".services", "service", t.Services, services)
+		c.keys(at, t, keys)
+	}
+	return seen
+}
+
+func (c *checker) known(at, kind string, ids []string, known map[string]bool) {
+	for i, id := range ids {
+		if !known[id] {
+			c.add(fmt.Sprintf("%s[%d]", at, i), "no %s %q", kind, id)
+		}
+	}
+}
+
+func (c *checker) keys(at string, t Team, owner map[string]string) {
+	for i, h := range t.KeyHashes {
+		where := fmt.Sprintf("%s.key_hashes[%d]", at, i)
+		if !hashPattern.MatchString(h) {
+			c.add(where, "is not a SHA-256 sum in lower-case hex")
+		}
+		if other, taken := owner[h]; taken {
+			c.add(where, "is also a key of team %q", other)
+		}
+		owner[h] = t.ID
+	}
+}
+
+func (c *checker) objectives(rows []Objective, teams map[string]bool) {
+	for i, o := range rows {
+		at := fmt.Sprintf("objectives[%d]", i)
+		if !teams[o.Team] {
+			c.add(at+".team", "no team %q", o.Team)
+		}
+		c.between(at+".availability", o.Availability, 0, 0.999999)
+		c.between(at+".bad_exposure", o.BadExposure, 0, 1)
+		c.between(at+".first_token_ms", float64(o.FirstTokenMS), 0, 1e7)
+		c.between(at+".inter_token_ms", float64(o.InterTokenMS), 0, 1e7)
+		c.between(at+".cost_per_request", o.CostPerRequest, 0, 1e9)
+	}
+}
