Settings with every fault at its place, numbered events, settings check

Cause: an instance needs its settings and its log before anything else, and an operator must see every fault of a file in one run.

settings: JSON with comments decoded over the defaults from hujson's syntax tree, so that unknown keys, wrong types and out-of-range values are reported together with line and column. One table of fields holds unit, range and text; docs/SETTINGS.md and the examples of both deployments are held to it by tests. Ruled out: encoding/json's DisallowUnknownFields, which stops at the first fault and has no column.

logging: slog with a catalogue of numbered events, docs/EVENTS.md held to it.

--- /dev/null
+++ b/router/internal/logging/catalogue.go
@@ -0,0 +1,61 @@
+package logging
+
+import "log/slog"
+
+// The events, in groups of a hundred: life of the process, manifests and
+// freshness, requests, bills, peers, decisions, settings.
+var (
+	EventStart      = Event{100, "start", slog.LevelInfo, "The process starts."}
+	EventListening  = Event{101, "listening", slog.LevelInfo, "A listener is open; addr is its address."}
+	EventReady      = Event{102, "ready", slog.LevelInfo, "Readiness succeeds: the balancer may send requests."}
+	EventNotReady   = Event{103, "not_ready", slog.LevelWarn, "Readiness fails; reason says why."}
+	EventStop       = Event{104, "stop", slog.LevelInfo, "The process ends."}
+	EventDrainBegin = Event{105, "drain_begin", slog.LevelInfo, "A planned stop began: readiness fails, requests in progress finish."}
+	EventDrainEnd   = Event{106, "drain_end", slog.LevelInfo, "No request is in progress and all bills are in the log."}
+	EventDrainCut   = Event{107, "drain_cut", slog.LevelError, "The drain time passed with requests still in progress: raise shutdown.drain_ms."}
+
+	EventManifestApplied  = Event{200, "manifest_applied", slog.LevelInfo, "A new generation is in force here."}
+	EventManifestRejected = Event{201, "manifest_rejected", slog.LevelWarn, "A manifest in the log is invalid and stays out of force; its publisher has the faults."}
+	EventFreshnessChanged = Event{202, "freshness_changed", slog.LevelWarn, "The freshness mode changed; stale refuses new work, outage refuses non-idempotent work."}
+	EventLogUnreachable   = Event{203, "log_unreachable", slog.LevelWarn, "The platform's log does not answer."}
+	EventLogReachable     = Event{204, "log_reachable", slog.LevelInfo, "The platform's log answers again."}
+	EventStateRestored    = Event{205, "state_restored", slog.LevelInfo, "State was taken over from a peer, because the log does not answer."}
+	EventStateDiverged    = Event{206, "state_diverged", slog.LevelError, "Two instances at one offset hold unlike state, a broken invariant: keep both logs and replace both instances."}
+
+	EventRequestRefused = Event{300, "request_refused", slog.LevelDebug, "A request was refused and was not run; code says why."}
+	EventAttemptFailed  = Event{301, "attempt_failed", slog.LevelWarn, "An attempt at a backend server failed."}
+	EventWrongNonce     = Event{302, "wrong_nonce", slog.LevelError, "A backend server answered with another attempt's nonce; the answer was dropped."}
+
+	EventBillHeld    = Event{400, "bill_held", slog.LevelWarn, "A bill is held here and at a peer until the log takes it."}
+	EventBillFlushed = Event{401, "bill_flushed", slog.LevelInfo, "Held bills are in the log."}
+	EventBillRefused = Event{402, "bill_refused", slog.LevelError, "No room or no peer to hold a bill; new work is refused until there is."}
+
+	EventPeerConnected = Event{500, "peer_connected", slog.LevelInfo, "A peer answers."}
+	EventPeerLost      = Event{501, "peer_lost", slog.LevelWarn, "A peer no longer answers."}
+	EventPeerRejected  = Event{502, "peer_rejected", slog.LevelWarn, "A peer's message or connection was rejected; nothing changed."}
+
+	EventVersionVerdict = Event{600, "version_verdict", slog.LevelWarn, "A version was judged; bad says how. A bad one gets no new sessions or requests but a trickle."}
+	EventServerEjected  = Event{601, "server_ejected", slog.LevelWarn, "A backend server is ejected as an outlier."}
+	EventQuarantine     = Event{602, "quarantine", slog.LevelError, "A request that crashes backend servers is refused everywhere for a time."}
+
+	EventSettingsFaults = Event{700, "settings_faults", slog.LevelError, "The settings have faults; the process does not start."}
+)
+
+// Catalogue lists every event by number. An event that is not in it has no
+// place in docs/EVENTS.md, which a test refuses.
+func Catalogue() []Event {
+	return []Event{
+		EventStart, EventListening, EventReady, EventNotReady, EventStop,
+		EventDrainBegin, EventDrainEnd, EventDrainCut,
+		EventManifestApplied, EventManifestRejected, EventFreshnessChanged,
+		EventLogUnreachable, EventLogReachable, EventStateRestored, EventStateDiverged,
+		EventRequestRefused, EventAttemptFailed, EventWrongNonce,
+		EventBillHeld, EventBillFlushed, EventBillRefused,
+		EventPeerConnected, EventPeerLost, EventPeerRejected,
+		EventVersionVerdict, EventServerEjected, EventQuarantine,
+		EventSettingsFaults,
+	}
+}
+
+// Retired lists numbers that were used once and must not be used again.
+func Retired() []int { return nil }
--- /dev/null
+++ b/router/internal/logging/event.go
@@ -0,0 +1,33 @@
+// Package logging writes the log by slog as numbered events. Every event is
+// declared in the catalogue; docs/EVENTS.md lists the same.
+package logging
+
+import (
+	"fmt"
+	"log/slog"
+	"strings"
+)
+
+// Event is one kind of log line. Its ID never changes meaning: a number that
+// is no longer used is not given to another event.
+type Event struct {
+	// ID is the number that operators search for.
+	ID int
+	// Name is short and stable, in snake case.
+	Name string
+	// Level at which the event is logged.
+	Level slog.Level
+	// Text says what happened and, where something is to be done, what.
+	Text string
+}
+
+// Table renders the catalogue as a table in Markdown, for docs/EVENTS.md.
+func Table() string {
+	var b strings.Builder
+	b.WriteString("| event | name | level | text |\n")
+	b.WriteString("| --- | --- | --- | --- |\n")
+	for _, ev := range Catalogue() {
+		fmt.Fprintf(&b, "| %d | `%s` | %s | %s |\n", ev.ID, ev.Name, strings.ToLower(ev.Level.String()), ev.Text)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/router/internal/logging/logger.go
@@ -0,0 +1,75 @@
+package logging
+
+import (
+	"context"
+	"io"
+	"log/slog"
+
+	"masticplank.example/router/internal/settings"
+)
+
+// Attribute keys of every event.
+const (
+	// KeyEvent holds the event's number.
+	KeyEvent = "event"
+	// KeyName holds the event's name.
+	KeyName = "name"
+	// KeyInstance holds the instance that logs.
+	KeyInstance = "instance"
+	// KeyError holds an error's text.
+	KeyError = "error"
+)
+
+// Logger emits events. It is safe for concurrent use. The nil Logger drops
+// everything.
+type Logger struct {
+	slog *slog.Logger
+}
+
+// New returns a Logger that writes to w as cfg says.
+func New(w io.Writer, cfg settings.Log) *Logger {
+	opts := &slog.HandlerOptions{Level: level(cfg.Level)}
+	if cfg.Format == settings.FormatText {
+		return &Logger{slog.New(slog.NewTextHandler(w, opts))}
+	}
+	return &Logger{slog.New(slog.NewJSONHandler(w, opts))}
+}
+
+// With returns a Logger whose events all carry attrs.
+func (l *Logger) With(attrs ...slog.Attr) *Logger {
+	if l == nil {
+		return nil
+	}
+	return &Logger{slog.New(l.slog.Handler().WithAttrs(attrs))}
+}
+
+// Emit logs ev with attrs.
+func (l *Logger) Emit(ctx context.Context, ev Event, attrs ...slog.Attr) {
+	if l == nil || !l.slog.Enabled(ctx, ev.Level) {
+		return
+	}
+	all := append([]slog.Attr{slog.Int(KeyEvent, ev.ID), slog.String(KeyName, ev.Name)}, attrs...)
+	l.slog.LogAttrs(ctx, ev.Level, ev.Text, all...)
+}
+
+// Err is an attribute that holds err's text.
+func Err(err error) slog.Attr {
+	if err == nil {
+		return slog.Attr{}
+	}
+	return slog.String(KeyError, err.Error())
+}
+
+// level maps the settings' word; settings are validated before.
+func level(word string) slog.Level {
+	switch word {
+	case settings.LevelDebug:
+		return slog.LevelDebug
+	case settings.LevelWarn:
+		return slog.LevelWarn
+	case settings.LevelError:
+		return slog.LevelError
+	default:
+		return slog.LevelInfo
+	}
+}
--- /dev/null
+++ b/router/internal/logging/logging_test.go
@@ -0,0 +1,96 @@
+package logging
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"log/slog"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	"masticplank.example/router/internal/settings"
+)
+
+func TestEventsPageHoldsTheCatalogue(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/EVENTS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.HasSuffix(string(page), Table()) {
+		t.Errorf("docs/EVENTS.md must end with:\n%s", Table())
+	}
+}
+
+func TestNumbersAndNamesAreUnique(t *testing.T) {
+	names := map[string]bool{}
+	last := 0
+	for _, ev := range Catalogue() {
+		if ev.ID <= last {
+			t.Errorf("%d %s is out of order or doubled", ev.ID, ev.Name)
+		}
+		if slices.Contains(Retired(), ev.ID) {
+			t.Errorf("%d %s has a retired number", ev.ID, ev.Name)
+		}
+		if names[ev.Name] || ev.Text == "" {
+			t.Errorf("%d %s: name doubled or text missing", ev.ID, ev.Name)
+		}
+		last = ev.ID
+		names[ev.Name] = true
+	}
+}
+
+// TestEveryDeclaredEventIsInTheCatalogue reads the source, since a variable
+// that Catalogue leaves out would be logged without documentation.
+func TestEveryDeclaredEventIsInTheCatalogue(t *testing.T) {
+	file, err := parser.ParseFile(token.NewFileSet(), "catalogue.go", nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	declared := 0
+	ast.Inspect(file, func(n ast.Node) bool {
+		if spec, ok := n.(*ast.ValueSpec); ok && strings.HasPrefix(spec.Names[0].Name, "Event") {
+			declared++
+		}
+		return true
+	})
+	if declared != len(Catalogue()) {
+		t.Errorf("%d events declared, %d in the catalogue", declared, len(Catalogue()))
+	}
+}
+
+func TestEmit(t *testing.T) {
+	var out bytes.Buffer
+	log := New(&out, settings.Log{Format: settings.FormatJSON, Level: settings.LevelInfo}).
+		With(slog.String(KeyInstance, "a"))
+	ctx := context.Background()
+	log.Emit(ctx, EventRequestRefused)
+	log.Emit(ctx, EventPeerLost, slog.String("peer", "b"), Err(errors.New("gone")))
+	var got map[string]any
+	if err := json.Unmarshal(out.Bytes(), &got); err != nil {
+		t.Fatalf("%v in %q", err, out.String())
+	}
+	delete(got, slog.TimeKey)
+	want := map[string]any{
+		"level": "WARN", "msg": EventPeerLost.Text, "event": 501.0, "name": "peer_lost",
+		"instance": "a", "peer": "b", "error": "gone",
+	}
+	for k, v := range want {
+		if got[k] != v {
+			t.Errorf("%s: got %v, want %v", k, got[k], v)
+		}
+	}
+	out.Reset()
+	text := New(&out, settings.Log{Format: settings.FormatText, Level: settings.LevelDebug})
+	text.Emit(ctx, EventRequestRefused, Err(nil))
+	if !strings.Contains(out.String(), "event=300 name=request_refused") {
+		t.Errorf("got %q", out.String())
+	}
+	var none *Logger
+	none.With().Emit(ctx, EventStart)
+}
--- /dev/null
+++ b/router/internal/settings/decode.go
@@ -0,0 +1,127 @@
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// decoder copies a syntax tree into Settings. It goes on after a fault, so
+// that one run reports them all, and remembers where each setting stands.
+type decoder struct {
+	list    *faultList
+	offsets map[string]int
+}
+
+// value decodes v into dst, whose setting is path.
+func (d *decoder) value(v hujson.Value, dst reflect.Value, path string) {
+	d.offsets[path] = v.StartOffset
+	switch dst.Kind() {
+	case reflect.Struct:
+		d.object(v, dst, path)
+	case reflect.Slice:
+		d.array(v, dst, path)
+	default:
+		d.scalar(v, dst, path)
+	}
+}
+
+func (d *decoder) object(v hujson.Value, dst reflect.Value, path string) {
+	obj, ok := v.Value.(*hujson.Object)
+	if !ok {
+		d.list.add(v.StartOffset, path, "want an object, got %s", kindName(v))
+		return
+	}
+	known := fieldsByKey(dst.Type())
+	seen := map[string]bool{}
+	for _, m := range obj.Members {
+		key := m.Name.Value.(hujson.Literal).String()
+		child := join(path, key)
+		index, ok := known[key]
+		switch {
+		case !ok:
+			d.list.add(m.Name.StartOffset, child, "unknown key; known here: %s", keyList(dst.Type()))
+		case seen[key]:
+			d.list.add(m.Name.StartOffset, child, "given twice")
+		default:
+			d.value(m.Value, dst.Field(index), child)
+		}
+		seen[key] = true
+	}
+}
+
+func (d *decoder) array(v hujson.Value, dst reflect.Value, path string) {
+	arr, ok := v.Value.(*hujson.Array)
+	if !ok {
+		d.list.add(v.StartOffset, path, "want an array, got %s", kindName(v))
+		return
+	}
+	dst.Set(reflect.MakeSlice(dst.Type(), len(arr.Elements), len(arr.Elements)))
+	for i, e := range arr.Elements {
+		d.value(e, dst.Index(i), fmt.Sprintf("%s[%d]", path, i))
+	}
+}
+
+func (d *decoder) scalar(v hujson.Value, dst reflect.Value, path string) {
+	lit, ok := v.Value.(hujson.Literal)
+	if !ok || lit.Kind() == 'n' || json.Unmarshal(lit, dst.Addr().Interface()) != nil {
+		d.list.add(v.StartOffset, path, "want %s, got %s", typeName(dst.Kind()), kindName(v))
+	}
+}
+
+// fieldsByKey maps the JSON keys of a struct to the indexes of its fields.
+func fieldsByKey(t reflect.Type) map[string]int {
+	out := make(map[string]int, t.NumField())
+	for i := range t.NumField() {
+		out[t.Field(i).Tag.Get("json")] = i
+	}
+	return out
+}
+
+func keyList(t reflect.Type) string {
+	var keys []string
+	for i := range t.NumField() {
+		keys = append(keys, t.Field(i).Tag.Get("json"))
+	}
+	return strings.Join(keys, ", ")
+}
+
+func join(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
+
+// typeName names what a Go kind takes, in the words of JSON.
+func typeName(k reflect.Kind) string {
+	switch k {
+	case reflect.String:
+		return "a string"
+	case reflect.Float64:
+		return "a number"
+	default:
+		return "an integer"
+	}
+}
+
+// kindName names what stands in the file.
+func kindName(v hujson.Value) string {
+	switch v.Value.Kind() {
+	case '{':
+		return "an object"
+	case '[':
+		return "an array"
+	case '"':
+		return "a string"
+	case 'n':
+		return "null"
+	case 't', 'f':
+		return "a boolean"
+	default:
+		return "the number " + string(v.Value.(hujson.Literal))
+	}
+}
--- /dev/null
+++ b/router/internal/settings/defaults.go
@@ -0,0 +1,62 @@
+package settings
+
+// Defaults that other packages and the documentation refer to. Durations are
+// in the unit of the field's name.
+const (
+	defaultAppendBudget      = 200
+	defaultLingerMS          = 20
+	defaultListIntervalMS    = 1000
+	defaultLoadIntervalMS    = 250
+	defaultMaxBodyBytes      = 1 << 20
+	defaultMaxHeaderBytes    = 64 << 10
+	defaultReadTimeoutMS     = 10_000
+	defaultIdleTimeoutMS     = 60_000
+	defaultDeadlineMS        = 30_000
+	defaultFreshnessBoundMS  = 5000
+	defaultGraceMS           = 2000
+	defaultDrainMS           = 30_000
+	defaultSessionTTLSeconds = 24 * 60 * 60
+	defaultPeerIntervalMS    = 1000
+	defaultQueueLimit        = 256
+	defaultRetryBudget       = 0.1
+	defaultRateBudgetMS      = 300
+	defaultMaxEjected        = 0.3
+	defaultListenAddress     = "127.0.0.1:0"
+)
+
+// Default returns the settings that hold where a file is silent. Instance,
+// Domain and the URLs of the platform's log and list have no default: a file
+// must set them. What each value is for stands in the table of fields.
+func Default() Settings {
+	return Settings{
+		Listen: Listen{
+			API:   defaultListenAddress,
+			Admin: defaultListenAddress,
+			Peer:  defaultListenAddress,
+		},
+		Platform: Platform{
+			AppendBudget:   defaultAppendBudget,
+			LingerMS:       defaultLingerMS,
+			ListIntervalMS: defaultListIntervalMS,
+			LoadIntervalMS: defaultLoadIntervalMS,
+		},
+		Limits: Limits{
+			MaxBodyBytes:      defaultMaxBodyBytes,
+			MaxHeaderBytes:    defaultMaxHeaderBytes,
+			ReadTimeoutMS:     defaultReadTimeoutMS,
+			IdleTimeoutMS:     defaultIdleTimeoutMS,
+			DefaultDeadlineMS: defaultDeadlineMS,
+		},
+		Log:       Log{Format: FormatJSON, Level: LevelInfo},
+		Freshness: Freshness{BoundMS: defaultFreshnessBoundMS},
+		Shutdown:  Shutdown{GraceMS: defaultGraceMS, DrainMS: defaultDrainMS},
+		Session:   Session{TTLSeconds: defaultSessionTTLSeconds},
+		Peer:      Peer{IntervalMS: defaultPeerIntervalMS},
+		Decision: Decision{
+			QueueLimit:   defaultQueueLimit,
+			RetryBudget:  defaultRetryBudget,
+			RateBudgetMS: defaultRateBudgetMS,
+			MaxEjected:   defaultMaxEjected,
+		},
+	}
+}
--- /dev/null
+++ b/router/internal/settings/doc_table.go
@@ -0,0 +1,50 @@
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strings"
+)
+
+// DefaultText is the default of f as it would stand in a file; "required" where
+// there is none.
+func (f Field) DefaultText() string {
+	s := Default()
+	found := places(reflect.ValueOf(&s).Elem(), f.Path)
+	if len(found) == 0 {
+		return "none"
+	}
+	v := found[0].value
+	switch {
+	case v.Kind() == reflect.Slice:
+		return "[]"
+	case v.IsZero() && f.Rule.check(v) != "":
+		return "required"
+	}
+	text, err := json.Marshal(v.Interface())
+	if err != nil {
+		return err.Error()
+	}
+	return string(text)
+}
+
+// Note is the comment of f in a settings file.
+func (f Field) Note() string {
+	note := fmt.Sprintf("%s Default %s; range %s", f.Text, f.DefaultText(), f.Rule.Range())
+	if f.Unit != "" {
+		note += "; unit " + f.Unit
+	}
+	return note + "."
+}
+
+// Table renders the fields as a table in Markdown, for docs/SETTINGS.md.
+func Table() string {
+	var b strings.Builder
+	b.WriteString("| setting | default | unit | range | what it is for |\n")
+	b.WriteString("| --- | --- | --- | --- | --- |\n")
+	for _, f := range Fields() {
+		fmt.Fprintf(&b, "| `%s` | `%s` | %s | %s | %s |\n", f.Path, f.DefaultText(), f.Unit, f.Rule.Range(), f.Text)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/router/internal/settings/doc_test.go
@@ -0,0 +1,73 @@
+package settings
+
+import (
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// leaves lists the paths of all settings of a type.
+func leaves(t reflect.Type, path string) []string {
+	switch t.Kind() {
+	case reflect.Struct:
+		var out []string
+		for i := range t.NumField() {
+			out = append(out, leaves(t.Field(i).Type, join(path, t.Field(i).Tag.Get("json")))...)
+		}
+		return out
+	case reflect.Slice:
+		return append([]string{path}, leaves(t.Elem(), path+"[]")...)
+	default:
+		return []string{path}
+	}
+}
+
+func TestEverySettingIsInTheTableInOrder(t *testing.T) {
+	var got []string
+	for _, f := range Fields() {
+		got = append(got, f.Path)
+	}
+	if want := leaves(reflect.TypeOf(Settings{}), ""); !reflect.DeepEqual(got, want) {
+		t.Errorf("Fields has\n%v\nwant\n%v", got, want)
+	}
+}
+
+func TestSettingsPageHoldsTheTable(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/SETTINGS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.HasSuffix(string(page), Table()) {
+		t.Errorf("docs/SETTINGS.md must end with:\n%s", Table())
+	}
+}
+
+func TestExamplesAreValidAndDocumented(t *testing.T) {
+	for name, domains := range map[string][]string{
+		ExampleCoop:   {"salle-rimouski", "salle-matane", "salle-riviere"},
+		ExampleAgency: {"nyarugenge", "gasabo", "kicukiro"},
+	} {
+		data, err := Example(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Parse(name, data); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+		text := strings.Join(strings.Fields(strings.ReplaceAll(string(data), "//", " ")), " ")
+		for _, d := range domains {
+			if !strings.Contains(text, d) {
+				t.Errorf("%s: failure domain %s is not named", name, d)
+			}
+		}
+		for _, f := range Fields() {
+			if !strings.Contains(text, f.Note()) {
+				t.Errorf("%s: %s lacks its comment: %s", name, f.Path, f.Note())
+			}
+		}
+	}
+	if _, err := Example("nobody"); err == nil {
+		t.Error("an example for nobody")
+	}
+}
--- /dev/null
+++ b/router/internal/settings/fault.go
@@ -0,0 +1,81 @@
+package settings
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Fault is one thing wrong in a settings file.
+type Fault struct {
+	// File is the name given to Parse.
+	File string `json:"file"`
+	// Line and Column count from 1; Column counts bytes.
+	Line   int `json:"line"`
+	Column int `json:"column"`
+	// Path names the setting, such as "limits.max_body_bytes"; empty where the
+	// file is no JSON at all.
+	Path string `json:"path,omitempty"`
+	// Message says what is wrong and what would be right.
+	Message string `json:"message"`
+}
+
+// String is "file:line:column: path: message".
+func (f Fault) String() string {
+	where := fmt.Sprintf("%s:%d:%d: ", f.File, f.Line, f.Column)
+	if f.Path == "" {
+		return where + f.Message
+	}
+	return where + f.Path + ": " + f.Message
+}
+
+// Faults are all that is wrong in a settings file, in the order of the file.
+type Faults []Fault
+
+// Error lists the faults, one a line.
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i, fault := range f {
+		lines[i] = fault.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// faultList collects faults by byte offset while a file is read.
+type faultList struct {
+	file   string
+	data   []byte
+	found  []offsetFault
+	broken map[string]bool
+}
+
+type offsetFault struct {
+	offset        int
+	path, message string
+}
+
+// add notes a fault of the setting at path, and that its value is not to be
+// judged any further.
+func (l *faultList) add(offset int, path, format string, args ...any) {
+	l.broken[path] = true
+	l.found = append(l.found, offsetFault{offset, path, fmt.Sprintf(format, args...)})
+}
+
+// faults returns what was found in the order of the file.
+func (l *faultList) faults() Faults {
+	slices.SortStableFunc(l.found, func(a, b offsetFault) int { return a.offset - b.offset })
+	var out Faults
+	for _, f := range l.found {
+		line, column := position(l.data, f.offset)
+		out = append(out, Fault{File: l.file, Line: line, Column: column, Path: f.path, Message: f.message})
+	}
+	return out
+}
+
+// position turns a byte offset into a line and column, both from 1.
+func position(data []byte, offset int) (line, column int) {
+	before := string(data[:min(offset, len(data))])
+	line = 1 + strings.Count(before, "\n")
+	column = len(before) - strings.LastIndexByte(before, '\n')
+	return line, column
+}
--- /dev/null
+++ b/router/internal/settings/fields.go
@@ -0,0 +1,83 @@
+package settings
+
+// Values of the settings that choose among words.
+const (
+	FormatJSON = "json"
+	FormatText = "text"
+
+	LevelDebug = "debug"
+	LevelInfo  = "info"
+	LevelWarn  = "warn"
+	LevelError = "error"
+)
+
+// Field documents one setting: docs/SETTINGS.md, the examples and the checks
+// are all held to it.
+type Field struct {
+	// Path names the setting; "[]" stands for any element of an array.
+	Path string
+	// Unit of the value, empty where it has none.
+	Unit string
+	// Rule is the range of values allowed.
+	Rule Rule
+	// Text says what the setting is for.
+	Text string
+}
+
+const (
+	minuteMS = 60 * 1000
+	hourMS   = 60 * minuteMS
+	daySec   = 24 * 60 * 60
+)
+
+// Fields lists every setting, in the order of the struct.
+func Fields() []Field {
+	return []Field{
+		{"instance", "", nameRule{required: true}, "This instance's name, unique in the fleet."},
+		{"domain", "", nameRule{required: true}, "The failure domain that it runs in."},
+
+		{"listen.api", "", addressRule{}, "Where callers connect."},
+		{"listen.admin", "", addressRule{}, "Health, metrics, status and profiles; not for callers."},
+		{"listen.peer", "", addressRule{}, "Where the other instances connect."},
+
+		{"platform.log_url", "", urlRule{required: true}, "The platform's append-only log."},
+		{"platform.list_url", "", urlRule{required: true}, "The platform's list of live and leaving instances and backend servers."},
+		{"platform.rating_url", "", urlRule{}, "The service that rates answers; empty for none, then no cascade learns."},
+		{"platform.append_budget", "appends/s", intRule{1, 100_000}, "Appends a second for the whole fleet; each instance lingers long enough to stay inside its part."},
+		{"platform.linger_ms", "ms", intRule{1, 1000}, "The shortest interval of group commit; a request that needs the log waits half of it on average."},
+		{"platform.list_interval_ms", "ms", intRule{50, minuteMS}, "How often the list is fetched."},
+		{"platform.load_interval_ms", "ms", intRule{20, minuteMS}, "How often each backend server's load is fetched."},
+
+		{"limits.max_body_bytes", "bytes", intRule{1024, 64 << 20}, "The longest request body; a longer one is refused with 413."},
+		{"limits.max_header_bytes", "bytes", intRule{4096, 1 << 20}, "The longest request header."},
+		{"limits.read_timeout_ms", "ms", intRule{100, 10 * minuteMS}, "How long a caller may take to send a whole request."},
+		{"limits.idle_timeout_ms", "ms", intRule{1000, hourMS}, "How long an idle connection of a caller stays open."},
+		{"limits.default_deadline_ms", "ms", intRule{100, hourMS}, "The deadline of a request that names none."},
+
+		{"log.format", "", wordRule{FormatJSON, FormatText}, "The format of the log."},
+		{"log.level", "", wordRule{LevelDebug, LevelInfo, LevelWarn, LevelError}, "The lowest level that is logged."},
+
+		{"freshness.bound_ms", "ms", intRule{500, 10 * minuteMS}, "How old the last confirmation of the manifest may be; past it an instance refuses new work. The same at every instance."},
+
+		{"shutdown.grace_ms", "ms", intRule{0, 10 * minuteMS}, "How long readiness fails before new requests are refused: longer than the balancer's check."},
+		{"shutdown.drain_ms", "ms", intRule{0, hourMS}, "The longest wait for requests in progress: longer than the longest deadline."},
+
+		{"session.keys", "", countRule{0, 16}, "Key ring of session tokens. The first key signs, all verify. With none, no token is issued."},
+		{"session.keys[].id", "", nameRule{required: true}, "The key's id, unique in the ring; never reused for another secret."},
+		{"session.keys[].secret", "base64", secretRule{}, "The key itself, the same at every instance."},
+		{"session.ttl_seconds", "s", intRule{60, 30 * daySec}, "A session token's life."},
+
+		{"peer.cert_file", "", textRule{}, "This instance's certificate (PEM); its IP must be in it. Empty with plaintext, on loopback only."},
+		{"peer.key_file", "", textRule{}, "The certificate's private key (PEM)."},
+		{"peer.ca_file", "", textRule{}, "Certificates (PEM) of the authority that signs every instance's certificate."},
+		{"peer.interval_ms", "ms", intRule{100, minuteMS}, "How often digests are exchanged with three peers."},
+
+		{"decision.queue_limit", "requests", intRule{1, 1_000_000}, "The longest queue of a team whose manifest entry names none."},
+		{"decision.retry_budget", "part of 1", floatRule{0, 1}, "Retries allowed, as a part of a team's recent successes."},
+		{"decision.rate_budget_ms", "ms", intRule{0, minuteMS}, "How long a held answer may wait for its rating."},
+		{"decision.max_ejected", "part of 1", floatRule{0, 0.9}, "The largest part of a version's backend servers that may be ejected as outliers."},
+
+		{"operator_key_hashes", "", countRule{0, 64}, "Operators' API keys. With none, nobody can publish."},
+		{"operator_key_hashes[]", "hex", hashRule{}, "SHA-256 of an operator's API key: printf %s KEY | sha256sum."},
+	}
+}
--- /dev/null
+++ b/router/internal/settings/rules.go
@@ -0,0 +1,172 @@
+package settings
+
+import (
+	"encoding/base64"
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"reflect"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+// Rule is the range of a setting.
+type Rule interface {
+	// Range describes the values allowed, for people.
+	Range() string
+	// check says what is wrong with v; empty means nothing.
+	check(v reflect.Value) string
+}
+
+// MinSecretBytes is the shortest session key: HS256 is no stronger than its
+// key, and its own output is that long.
+const MinSecretBytes = 32
+
+const maxNameBytes = 64
+
+// intRule allows the integers from min to max.
+type intRule struct{ min, max int64 }
+
+func (r intRule) Range() string { return fmt.Sprintf("%d to %d", r.min, r.max) }
+
+func (r intRule) check(v reflect.Value) string {
+	if n := v.Int(); n < r.min || n > r.max {
+		return fmt.Sprintf("%d is out of range: want %s", n, r.Range())
+	}
+	return ""
+}
+
+// floatRule allows the numbers from min to max.
+type floatRule struct{ min, max float64 }
+
+func (r floatRule) Range() string { return fmt.Sprintf("%g to %g", r.min, r.max) }
+
+func (r floatRule) check(v reflect.Value) string {
+	if n := v.Float(); n < r.min || n > r.max {
+		return fmt.Sprintf("%g is out of range: want %s", n, r.Range())
+	}
+	return ""
+}
+
+// countRule allows arrays of min to max elements.
+type countRule struct{ min, max int }
+
+func (r countRule) Range() string { return fmt.Sprintf("%d to %d entries", r.min, r.max) }
+
+func (r countRule) check(v reflect.Value) string {
+	if n := v.Len(); n < r.min || n > r.max {
+		return fmt.Sprintf("%d entries are out of range: want %s", n, r.Range())
+	}
+	return ""
+}
+
+// wordRule allows the words listed.
+type wordRule []string
+
+func (r wordRule) Range() string { return strings.Join(r, ", ") }
+
+func (r wordRule) check(v reflect.Value) string {
+	if !slices.Contains(r, v.String()) {
+		return fmt.Sprintf("%q is not allowed: want one of %s", v.String(), r.Range())
+	}
+	return ""
+}
+
+// nameRule allows names that can stand in a key, a metric and a log line.
+type nameRule struct{ required bool }
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
+
+func (r nameRule) Range() string {
+	return fmt.Sprintf("1 to %d letters, digits, \".\", \"_\" or \"-\"", maxNameBytes)
+}
+
+func (r nameRule) check(v reflect.Value) string {
+	s := v.String()
+	switch {
+	case s == "" && r.required:
+		return "must be set"
+	case len(s) > maxNameBytes || !namePattern.MatchString(s):
+		return fmt.Sprintf("%q is no name: want %s", s, r.Range())
+	}
+	return ""
+}
+
+// addressRule allows IP:port. A name is refused: instances are reached by
+// their IP numbers, and a resolver would be one more thing to fail.
+type addressRule struct{}
+
+func (addressRule) Range() string { return "IP:port; port 0 picks a free one" }
+
+func (r addressRule) check(v reflect.Value) string {
+	if _, err := netip.ParseAddrPort(v.String()); err != nil {
+		return fmt.Sprintf("%q is no address: want %s", v.String(), r.Range())
+	}
+	return ""
+}
+
+// urlRule allows base URLs of the platform's services.
+type urlRule struct{ required bool }
+
+func (r urlRule) Range() string {
+	if r.required {
+		return "an http or https URL"
+	}
+	return "an http or https URL, or empty"
+}
+
+func (r urlRule) check(v reflect.Value) string {
+	s := v.String()
+	if s == "" {
+		if r.required {
+			return "must be set: want " + r.Range()
+		}
+		return ""
+	}
+	u, err := url.Parse(s)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return fmt.Sprintf("%q is no base URL: want %s", s, r.Range())
+	}
+	return ""
+}
+
+// textRule allows any text.
+type textRule struct{}
+
+func (textRule) Range() string { return "a path, or empty" }
+
+func (textRule) check(reflect.Value) string { return "" }
+
+// secretRule allows base64 of a long enough key. Its messages never show the
+// value.
+type secretRule struct{}
+
+func (secretRule) Range() string { return fmt.Sprintf("at least %d bytes", MinSecretBytes) }
+
+func (r secretRule) check(v reflect.Value) string {
+	key, err := base64.StdEncoding.DecodeString(v.String())
+	if err != nil {
+		return "is not base64"
+	}
+	if len(key) < MinSecretBytes {
+		return fmt.Sprintf("has %d bytes: want %s", len(key), r.Range())
+	}
+	return ""
+}
+
+// hashRule allows the hex form of a SHA-256 sum.
+type hashRule struct{}
+
+const sha256Bytes = 32
+
+func (hashRule) Range() string { return "64 hex digits" }
+
+func (r hashRule) check(v reflect.Value) string {
+	sum, err := hex.DecodeString(v.String())
+	if err != nil || len(sum) != sha256Bytes {
+		return "is no SHA-256 sum: want " + r.Range()
+	}
+	return ""
+}
