--- /dev/null
+++ b/router/internal/admin/admin.go
@@ -0,0 +1,163 @@
+// Package admin is the operators' edge of an instance, on a listener of its own:
+// health, readiness, metrics, profiles, status, and publishing manifests.
+package admin
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/pprof"
+	"strings"
+
+	"github.com/gorilla/mux"
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"masticplank.example/router/internal/manifest"
+	"masticplank.example/router/internal/metrics"
+	"masticplank.example/router/internal/outcome"
+	"masticplank.example/router/internal/publish"
+	"masticplank.example/router/internal/wire"
+)
+
+// maxManifestBytes bounds a published manifest.
+const maxManifestBytes = 4 << 20
+
+// Readiness says why the instance is not ready; empty when it is.
+type Readiness interface{ NotReady() string }
+
+// Deps is what the admin edge shows.
+type Deps struct {
+	Registry  gometrics.Registry
+	Readiness Readiness
+	Manifests *manifest.Holder
+	Publisher *publish.Publisher
+	// Status is encoded as JSON for /status; Burn for /burn.
+	Status func() any
+	Burn   func() any
+	// OperatorKeyHashes are SHA-256 sums (hex) of the operators' keys.
+	OperatorKeyHashes []string
+}
+
+type server struct{ Deps }
+
+// New returns the handler.
+func New(deps Deps) http.Handler {
+	s := &server{deps}
+	r := mux.NewRouter()
+	r.HandleFunc("/healthz", s.health).Methods(http.MethodGet)
+	r.HandleFunc("/readyz", s.ready).Methods(http.MethodGet)
+	r.HandleFunc("/metrics", s.metrics).Methods(http.MethodGet)
+	r.HandleFunc("/status", s.status).Methods(http.MethodGet)
+	r.HandleFunc("/burn", s.burn).Methods(http.MethodGet)
+	r.HandleFunc("/manifest", s.getManifest).Methods(http.MethodGet)
+	r.HandleFunc("/manifest", s.putManifest).Methods(http.MethodPost)
+	r.HandleFunc("/debug/pprof/cmdline", pprof.Cmdline)
+	r.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	r.HandleFunc("/debug/pprof/symbol", pprof.Symbol)
+	r.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	r.PathPrefix("/debug/pprof/").HandlerFunc(pprof.Index)
+	return r
+}
+
+// health says that the process runs; it says nothing of its state.
+func (s *server) health(w http.ResponseWriter, _ *http.Request) {
+	_, _ = io.WriteString(w, "ok\n")
+}
+
+// ready tells the balancer whether to send requests here.
+func (s *server) ready(w http.ResponseWriter, _ *http.Request) {
+	if why := s.Readiness.NotReady(); why != "" {
+		http.Error(w, why, http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
+
+func (s *server) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	_ = metrics.Write(w, s.Registry)
+}
+
+func (s *server) status(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.Status())
+}
+
+func (s *server) burn(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Burn()) }
+
+// manifestAnswer is the body of GET /manifest.
+type manifestAnswer struct {
+	Digest   string            `json:"digest"`
+	Manifest manifest.Manifest `json:"manifest"`
+}
+
+func (s *server) getManifest(w http.ResponseWriter, _ *http.Request) {
+	x := s.Manifests.Current()
+	if x == nil {
+		fail(w, http.StatusNotFound, "no_manifest", "no manifest is in force yet")
+		return
+	}
+	writeJSON(w, http.StatusOK, manifestAnswer{Digest: x.Digest, Manifest: x.Manifest})
+}
+
+// putManifest publishes; "?rebase=true" takes the manifest in force as parent.
+func (s *server) putManifest(w http.ResponseWriter, r *http.Request) {
+	if !s.operator(r) {
+		fail(w, http.StatusUnauthorized, "invalid_operator_key", "the operator key is missing or not known")
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxManifestBytes))
+	if err != nil {
+		fail(w, http.StatusRequestEntityTooLarge, "body_too_large", "the manifest is too large")
+		return
+	}
+	m, err := manifest.Parse(body)
+	if err != nil {
+		fail(w, http.StatusBadRequest, "malformed_request", err.Error())
+		return
+	}
+	result := s.Publisher.Publish(r.Context(), m, r.URL.Query().Get("rebase") == "true")
+	w.Header().Set(wire.HeaderOutcome, string(result.Outcome.Kind))
+	writeJSON(w, result.Outcome.Status(), PublishAnswer{
+		Outcome: string(result.Outcome.Kind),
+		Code:    result.Outcome.Code,
+		Message: result.Outcome.Message,
+		Result:  result,
+	})
+}
+
+// PublishAnswer is the body of POST /manifest.
+type PublishAnswer struct {
+	Outcome string `json:"outcome"`
+	Code    string `json:"code"`
+	Message string `json:"message,omitempty"`
+	publish.Result
+}
+
+// Accepted says whether the manifest is in the log.
+func (a PublishAnswer) Accepted() bool { return a.Outcome == string(outcome.Completed) }
+
+// operator compares the key's hash with every known one in constant time.
+func (s *server) operator(r *http.Request) bool {
+	key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	sum := sha256.Sum256([]byte(key))
+	got := []byte(hex.EncodeToString(sum[:]))
+	known := 0
+	for _, h := range s.OperatorKeyHashes {
+		known |= subtle.ConstantTimeCompare(got, []byte(h))
+	}
+	return known == 1
+}
+
+func fail(w http.ResponseWriter, status int, code, message string) {
+	writeJSON(w, status, wire.Error{Error: wire.ErrorBody{Code: code, Message: message}})
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A failed write means that the reader has gone.
+	_ = json.NewEncoder(w).Encode(body)
+}
--- a/router/internal/api/api.go
+++ b/router/internal/api/api.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"net/http"
 	"time"
 
@@ -19,6 +18,7 @@
 	"masticplank.example/decision"
 	"masticplank.example/router/internal/billing"
 	"masticplank.example/router/internal/driver"
+	"masticplank.example/router/internal/logging"
 	"masticplank.example/router/internal/manifest"
 	"masticplank.example/router/internal/platform"
 	"masticplank.example/router/internal/upstream"
@@ -68,7 +68,7 @@
 	Sessions  Sessions
 	Rater     platform.Rater
 	Recorder  Recorder
-	Log       *slog.Logger
+	Log       *logging.Logger
 	Limits    Limits
 }
 
--- a/router/internal/api/attempt.go
+++ b/router/internal/api/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"log/slog"
 	"net/http"
 
 	"github.com/google/uuid"
@@ -126,10 +127,22 @@
 	if ctx.Err() != nil && result == decision.AttemptUnknown && x.req.Idempotent {
 		result = decision.AttemptCancelled
 	}
-	x.s.Log.Debug("attempt ended without an answer", logging.Attempt(string(d.Server), string(d.Version), err)...)
+	x.logAttempt(ctx, d, failure)
 	x.ended(d, result, failure.Leaving)
 }
 
+func (x *exchange) logAttempt(ctx context.Context, d decision.Dispatch, failure *upstream.Failure) {
+	ev := logging.EventAttemptFailed
+	if failure.WrongNonce {
+		ev = logging.EventWrongNonce
+	}
+	x.s.Log.Emit(ctx, ev,
+		slog.String("server", string(d.Server)),
+		slog.String("version", string(d.Version)),
+		slog.String("request", x.key.id),
+		logging.Err(failure))
+}
+
 // complete gives the caller an answer that is not held: the bill first, then
 // the end of it.
 func (x *exchange) complete(ctx context.Context, a *answer) {
--- a/router/internal/manifest/validate.go
+++ b/router/internal/manifest/validate.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"path"
@@ -72,12 +70,6 @@
 	return data, nil
 }
 
-// Digest names an encoded manifest: SHA-256 in hex.
-func Digest(encoded []byte) string {
-	sum := sha256.Sum256(encoded)
-	return hex.EncodeToString(sum[:])
-}
-
 // checker collects faults.
 type checker struct{ faults Faults }
 
--- /dev/null
+++ b/router/internal/metrics/metrics.go
@@ -0,0 +1,70 @@
+// Package metrics writes a go-metrics registry in the Prometheus text format.
+package metrics
+
+import (
+	"io"
+	"sort"
+	"strings"
+
+	"github.com/gravitational/trace"
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+// prefix of every metric's name.
+const prefix = "masticplank_"
+
+// quantiles given for histograms and timers.
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+// Write writes all metrics of r, sorted by name. Timers are in nanoseconds.
+func Write(w io.Writer, r gometrics.Registry) error {
+	var families []*dto.MetricFamily
+	r.Each(func(name string, m any) {
+		if f := family(name, m); f != nil {
+			families = append(families, f)
+		}
+	})
+	sort.Slice(families, func(i, j int) bool { return families[i].GetName() < families[j].GetName() })
+	for _, f := range families {
+		if _, err := expfmt.MetricFamilyToText(w, f); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
+func family(name string, m any) *dto.MetricFamily {
+	full := prefix + strings.NewReplacer(".", "_", "-", "_", "@", "_", "/", "_").Replace(name)
+	switch v := m.(type) {
+	case gometrics.Counter:
+		return one(full, dto.MetricType_COUNTER, &dto.Metric{Counter: &dto.Counter{Value: ptr(float64(v.Count()))}})
+	case gometrics.Gauge:
+		return one(full, dto.MetricType_GAUGE, &dto.Metric{Gauge: &dto.Gauge{Value: ptr(float64(v.Value()))}})
+	case gometrics.GaugeFloat64:
+		return one(full, dto.MetricType_GAUGE, &dto.Metric{Gauge: &dto.Gauge{Value: ptr(v.Value())}})
+	case gometrics.Timer:
+		s := v.Snapshot()
+		return summary(full, s.Count(), s.Sum(), s.Percentiles(quantiles))
+	case gometrics.Histogram:
+		s := v.Snapshot()
+		return summary(full, s.Count(), s.Sum(), s.Percentiles(quantiles))
+	default:
+		return nil
+	}
+}
+
+func summary(name string, count, sum int64, values []float64) *dto.MetricFamily {
+	s := &dto.Summary{SampleCount: ptr(uint64(count)), SampleSum: ptr(float64(sum))}
+	for i, q := range quantiles {
+		s.Quantile = append(s.Quantile, &dto.Quantile{Quantile: ptr(q), Value: ptr(values[i])})
+	}
+	return one(name, dto.MetricType_SUMMARY, &dto.Metric{Summary: s})
+}
+
+func one(name string, kind dto.MetricType, m *dto.Metric) *dto.MetricFamily {
+	return &dto.MetricFamily{Name: &name, Type: &kind, Metric: []*dto.Metric{m}}
+}
+
+func ptr[T any](v T) *T { return &v }
