Stand-ins for the platform and backend servers, and platform clients

The path needs a log, an instance list, engines, a plain service and a rating service before a first request can pass.

A status alone was ruled out as proof: a 500 may follow the effect.

SSE events carry an id counted without gaps, so that a duplicated chunk and a cut stream can be told from a sound one.

--- /dev/null
+++ b/router/internal/platform/list.go
@@ -0,0 +1,59 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"masticplank.example/router/internal/wire"
+)
+
+// Limits of the list client.
+const (
+	listTimeout  = 3 * time.Second
+	maxListBytes = 32 << 20
+)
+
+// ListClient reads the platform's list over HTTP. It implements List and is
+// safe for concurrent use.
+type ListClient struct {
+	base   string
+	client *http.Client
+}
+
+var _ List = (*ListClient)(nil)
+
+// NewListClient returns a client of the list service at base, an http URL.
+func NewListClient(base string) *ListClient {
+	return &ListClient{base: strings.TrimRight(base, "/"), client: newClient()}
+}
+
+// Fetch implements List. On an error the caller keeps the list that it has.
+func (c *ListClient) Fetch(ctx context.Context) (wire.InstanceList, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/instances", nil)
+	if err != nil {
+		return wire.InstanceList{}, err
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return wire.InstanceList{}, err
+	}
+	defer resp.Body.Close()
+	body, err := readAll(resp.Body, maxListBytes)
+	if err != nil {
+		return wire.InstanceList{}, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return wire.InstanceList{}, statusError(resp.StatusCode, body)
+	}
+	var list wire.InstanceList
+	if err := json.Unmarshal(body, &list); err != nil {
+		return wire.InstanceList{}, fmt.Errorf("platform: malformed list: %w", err)
+	}
+	return list, nil
+}
--- /dev/null
+++ b/router/internal/platform/transport.go
@@ -0,0 +1,65 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"masticplank.example/router/internal/wire"
+)
+
+// Limits of the clients.
+const (
+	dialTimeout   = 2 * time.Second
+	idleTimeout   = 90 * time.Second
+	idlePerHost   = 64
+	maxErrorBytes = 64 << 10
+)
+
+// newClient returns an HTTP client that neither follows redirects nor uses a
+// proxy: a platform service is spoken to directly, so that what its answer
+// proves is known.
+func newClient() *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxIdleConnsPerHost: idlePerHost,
+			IdleConnTimeout:     idleTimeout,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}
+}
+
+// readAll reads a body of at most limit bytes; a longer one is an error.
+func readAll(body io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(data)) > limit {
+		return nil, fmt.Errorf("platform: answer longer than %d bytes", limit)
+	}
+	return data, nil
+}
+
+// statusError describes an answer that is not a success.
+func statusError(status int, body []byte) error {
+	if e, ok := errorBody(body); ok {
+		return fmt.Errorf("platform: status %d: %s: %s", status, e.Code, e.Message)
+	}
+	return fmt.Errorf("platform: status %d", status)
+}
+
+// errorBody decodes the error that all services share.
+func errorBody(body []byte) (wire.ErrorBody, bool) {
+	var e wire.Error
+	if err := json.Unmarshal(body, &e); err != nil || e.Error.Code == "" {
+		return wire.ErrorBody{}, false
+	}
+	return e.Error, true
+}
--- /dev/null
+++ b/router/internal/standin/engine/chat.go
@@ -0,0 +1,183 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"masticplank.example/router/internal/standin/faults"
+	"masticplank.example/router/internal/wire"
+)
+
+// maxChat bounds the body of a chat request.
+const maxChat = 16 << 20
+
+// otherNonce is echoed under the faults WrongNonce and Crossed.
+const otherNonce = "00000000-0000-7000-8000-000000000000"
+
+// job is one chat request that the engine has accepted.
+type job struct {
+	request wire.ChatRequest
+	version Version
+	answer  answer
+	faults  Faults
+	usage   wire.Usage
+	// blocks and hit are the prompt's blocks and how many were cached.
+	blocks []uint64
+	hit    int
+	// nonce is what the answer echoes.
+	nonce string
+	// from is the first chunk to send, above 0 for a resumed stream.
+	from int
+}
+
+func (s *Server) serveChat(w http.ResponseWriter, r *http.Request) {
+	j, ok := s.accept(w, r)
+	if !ok {
+		return
+	}
+	ctx, cancel := s.bind(r.Context())
+	defer cancel()
+	switch err := s.slots.acquire(ctx, j.request.Priority); {
+	case errors.Is(err, errBusy):
+		s.refuse(w, http.StatusTooManyRequests, "busy", err.Error())
+		return
+	case err != nil:
+		cutIfCrashed(ctx)
+		return
+	}
+	defer s.slots.release()
+	s.count(func(st *Stats) {
+		st.Started++
+		st.ByVersion[j.version.ID]++
+	})
+	s.run(ctx, w, j)
+}
+
+// accept decodes and checks a request. It answers refusals itself: all of them
+// say that the request was not run.
+func (s *Server) accept(w http.ResponseWriter, r *http.Request) (*job, bool) {
+	set := s.Faults.Get()
+	j := &job{faults: set, nonce: r.Header.Get(wire.HeaderAttempt)}
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChat)).Decode(&j.request); err != nil {
+		s.refuse(w, http.StatusBadRequest, "malformed_request", err.Error())
+		return nil, false
+	}
+	if set.Leaving {
+		w.Header().Set(wire.HeaderLeaving, "true")
+		s.refuse(w, http.StatusServiceUnavailable, "leaving", "this engine is leaving")
+		return nil, false
+	}
+	if s.Faults.Take(func(f *Faults) *faults.Count { return &f.Busy }) {
+		s.refuse(w, http.StatusTooManyRequests, "busy", "no slot")
+		return nil, false
+	}
+	version, ok := s.orders.loaded(j.request.Model)
+	if !ok {
+		s.refuse(w, http.StatusNotFound, "unknown_version", fmt.Sprintf("version %q is not loaded", j.request.Model))
+		return nil, false
+	}
+	if id := r.Header.Get("Last-Event-ID"); id != "" {
+		last, err := strconv.Atoi(id)
+		if err != nil || last < 0 {
+			s.refuse(w, http.StatusBadRequest, "malformed_request", "Last-Event-ID is not a number")
+			return nil, false
+		}
+		j.from = last + 1
+	}
+	j.version = version
+	s.prepare(j)
+	return j, true
+}
+
+// prepare works out the answer and its usage.
+func (s *Server) prepare(j *job) {
+	quality := j.version.Quality
+	if bad, ok := j.faults.Quality[j.version.ID]; ok {
+		quality = bad
+	}
+	messages := j.request.Messages
+	if s.Faults.Take(func(f *Faults) *faults.Count { return &f.Crossed }) {
+		messages = []wire.Message{{Role: "user", Content: "another request"}}
+		j.nonce = otherNonce
+	}
+	if s.Faults.Take(func(f *Faults) *faults.Count { return &f.WrongNonce }) {
+		j.nonce = otherNonce
+	}
+	j.answer = newAnswer(j.version.ID, messages, j.request.MaxTokens, quality)
+	j.blocks = wire.PromptBlocks(j.request.Messages)
+	j.usage.PromptTokens = wire.PromptTokens(j.request.Messages)
+}
+
+// run generates and sends the answer while holding a slot.
+func (s *Server) run(ctx context.Context, w http.ResponseWriter, j *job) {
+	if j.faults.CrashOnMark && marked(j.request.Messages) {
+		s.Crash()
+		faults.Cut()
+	}
+	if !s.prefill(ctx, j) {
+		s.stopped(ctx)
+		return
+	}
+	if s.strikes(j.faults.ErrorRate[j.version.ID]) {
+		s.count(func(st *Stats) { st.Failed++ })
+		w.Header().Set(wire.HeaderAttempt, j.nonce)
+		faults.WriteError(w, http.StatusInternalServerError, "engine_error", "generation failed")
+		return
+	}
+	sent := false
+	if j.request.Stream {
+		sent = s.sendStream(ctx, w, j)
+	} else {
+		sent = s.sendPlain(ctx, w, j)
+	}
+	if !sent {
+		s.stopped(ctx)
+		return
+	}
+	s.count(func(st *Stats) { st.Completed++ })
+}
+
+// prefill waits out the time to the first token, which cached blocks shorten.
+func (s *Server) prefill(ctx context.Context, j *job) bool {
+	lost := func() bool {
+		return s.Faults.Take(func(f *Faults) *faults.Count { return &f.CacheGaps })
+	}
+	j.hit = s.cache.use(j.blocks, lost)
+	j.usage.CachedTokens = j.hit * wire.BlockTokens()
+	wait := j.faults.scaled(j.firstToken()) + j.faults.late()
+	return pause(ctx, wait)
+}
+
+// stopped ends a request that was not answered in full: a crash cuts the
+// connection; else the caller has gone, which cancels the work.
+func (s *Server) stopped(ctx context.Context) {
+	cutIfCrashed(ctx)
+	s.count(func(st *Stats) { st.Cancelled++ })
+}
+
+// refuse answers a request that was not run.
+func (s *Server) refuse(w http.ResponseWriter, status int, code, message string) {
+	s.count(func(st *Stats) { st.Refused++ })
+	w.Header().Set(wire.HeaderNotRun, "true")
+	faults.WriteError(w, status, code, message)
+}
+
+func cutIfCrashed(ctx context.Context) {
+	if errors.Is(context.Cause(ctx), errCrashed) {
+		faults.Cut()
+	}
+}
+
+func marked(messages []wire.Message) bool {
+	for _, m := range messages {
+		if strings.Contains(m.Content, CrashMark) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/router/internal/standin/engine/generate.go
@@ -0,0 +1,114 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"masticplank.example/router/internal/standin/faults"
+	"masticplank.example/router/internal/wire"
+)
+
+// firstToken is the time to the first token: the version's own, and more for
+// each block of the prompt that was not cached.
+func (j *job) firstToken() time.Duration {
+	missed := len(j.blocks) - j.hit
+	return j.version.FirstToken + time.Duration(missed)*j.version.PerBlock
+}
+
+// late is the fault LateMS as a duration.
+func (f Faults) late() time.Duration { return time.Duration(f.LateMS) * time.Millisecond }
+
+// step waits for one token. A full batch doubles the time between tokens, as
+// in an engine that is bound by memory bandwidth.
+func (s *Server) step(ctx context.Context, j *job) bool {
+	per := j.version.InterToken
+	if per == 0 {
+		return ctx.Err() == nil
+	}
+	running, _ := s.slots.load()
+	others := time.Duration(running - 1)
+	per += per * others / time.Duration(s.cfg.Slots)
+	return pause(ctx, j.faults.scaled(per))
+}
+
+// pause waits for d and reports whether ctx still lives.
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// generate calls emit with each token from the job's first on, in its time. It
+// reports false where ctx ended or emit failed.
+func (s *Server) generate(ctx context.Context, j *job, emit func(i int, token string) bool) bool {
+	made := 0
+	defer func() { s.count(func(st *Stats) { st.Tokens += made }) }()
+	for i := j.from; i < j.answer.length; i++ {
+		if i > j.from && !s.step(ctx, j) {
+			return false
+		}
+		made++
+		if !emit(i, j.answer.token(i)) {
+			return false
+		}
+	}
+	j.usage.CompletionTokens = j.answer.length
+	j.usage.TotalTokens = j.usage.PromptTokens + j.usage.CompletionTokens
+	return true
+}
+
+// sendPlain answers with one JSON object.
+func (s *Server) sendPlain(ctx context.Context, w http.ResponseWriter, j *job) bool {
+	var text strings.Builder
+	whole := s.generate(ctx, j, func(_ int, token string) bool {
+		text.WriteString(token)
+		return true
+	})
+	if !whole {
+		return false
+	}
+	if s.Faults.Take(func(f *Faults) *faults.Count { return &f.LostReply }) {
+		faults.Cut()
+	}
+	message := &wire.Message{Role: "assistant", Content: text.String()}
+	reason := j.answer.finishReason()
+	body := s.envelope(j, "chat.completion", wire.ChatChoice{Message: message, FinishReason: &reason})
+	body.Usage = &j.usage
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(err) // Broken invariant: these types always encode.
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", fmt.Sprint(len(data)))
+	w.Header().Set(wire.HeaderAttempt, j.nonce)
+	if s.Faults.Take(func(f *Faults) *faults.Count { return &f.Truncate }) {
+		_, _ = w.Write(data[:len(data)/2])
+		_ = http.NewResponseController(w).Flush()
+		faults.Cut()
+	}
+	_, err = w.Write(data)
+	return err == nil
+}
+
+// envelope is what plain answers and chunks share.
+func (s *Server) envelope(j *job, object string, choice wire.ChatChoice) wire.ChatResponse {
+	return wire.ChatResponse{
+		ID:      "chatcmpl-" + j.nonce,
+		Object:  object,
+		Created: s.now().Unix(),
+		Model:   j.version.ID,
+		Choices: []wire.ChatChoice{choice},
+	}
+}
--- /dev/null
+++ b/router/internal/standin/listsvc/listsvc.go
@@ -0,0 +1,186 @@
+// Package listsvc is the stand-in for the platform's list of live and leaving
+// instances and backend servers.
+//
+//	GET    /instances             the list, as old as the lag fault makes it
+//	PUT    /instances             replaces the list
+//	PUT    /servers/{id}          adds or replaces one backend server
+//	DELETE /servers/{id}
+//	PUT    /instances/{id}        adds or replaces one entry instance
+//	DELETE /instances/{id}
+//	GET    /faults, PUT /faults   see Faults
+package listsvc
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"masticplank.example/router/internal/standin/faults"
+	"masticplank.example/router/internal/wire"
+)
+
+const (
+	// maxBody bounds a body.
+	maxBody = 32 << 20
+	// maxPast bounds how many former lists are kept for the lag.
+	maxPast = 1024
+)
+
+// Config of the service.
+type Config struct {
+	// List is what it starts with.
+	List wire.InstanceList
+	// Now is the service's clock; nil is time.Now.
+	Now func() time.Time
+}
+
+// Faults of the list service.
+type Faults struct {
+	faults.Common
+	// LagMS is how old the list is that readers get.
+	LagMS int `json:"lag_ms,omitempty"`
+}
+
+// state is one list and since when it has been in force.
+type state struct {
+	since time.Time
+	list  wire.InstanceList
+}
+
+// Server is the service. It is safe for concurrent use.
+type Server struct {
+	Faults  faults.Board[Faults]
+	now     func() time.Time
+	handler http.Handler
+
+	mu sync.Mutex
+	// past holds the lists in order; the last one is in force.
+	past []state
+}
+
+// New returns a service with cfg.List in force.
+func New(cfg Config) *Server {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	s := &Server{now: cfg.Now}
+	s.past = []state{{since: s.now(), list: cfg.List}}
+	r := mux.NewRouter()
+	r.Handle(faults.Path, &s.Faults)
+	r.HandleFunc("/instances", s.get).Methods(http.MethodGet)
+	r.HandleFunc("/instances", s.put).Methods(http.MethodPut)
+	r.HandleFunc("/servers/{id}", s.putServer).Methods(http.MethodPut)
+	r.HandleFunc("/servers/{id}", s.deleteServer).Methods(http.MethodDelete)
+	r.HandleFunc("/instances/{id}", s.putInstance).Methods(http.MethodPut)
+	r.HandleFunc("/instances/{id}", s.deleteInstance).Methods(http.MethodDelete)
+	s.handler = faults.Guard(func() faults.Common { return s.Faults.Get().Common }, r)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.handler.ServeHTTP(w, r) }
+
+// Update changes the list by edit, which gets a copy that it may alter.
+func (s *Server) Update(edit func(*wire.InstanceList)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := s.past[len(s.past)-1].list
+	next := wire.InstanceList{
+		Servers:   slices.Clone(last.Servers),
+		Instances: slices.Clone(last.Instances),
+	}
+	edit(&next)
+	s.past = append(s.past, state{since: s.now(), list: next})
+	if len(s.past) > maxPast {
+		s.past = slices.Delete(s.past, 0, len(s.past)-maxPast)
+	}
+}
+
+// asOf returns the list that was in force at t, or the oldest known.
+func (s *Server) asOf(t time.Time) wire.InstanceList {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := len(s.past) - 1; i > 0; i-- {
+		if !s.past[i].since.After(t) {
+			return s.past[i].list
+		}
+	}
+	return s.past[0].list
+}
+
+func (s *Server) get(w http.ResponseWriter, _ *http.Request) {
+	lag := time.Duration(s.Faults.Get().LagMS) * time.Millisecond
+	faults.WriteJSON(w, http.StatusOK, s.asOf(s.now().Add(-lag)))
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	var list wire.InstanceList
+	if !decode(w, r, &list) {
+		return
+	}
+	s.Update(func(l *wire.InstanceList) { *l = list })
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) putServer(w http.ResponseWriter, r *http.Request) {
+	var server wire.ListedServer
+	if !decode(w, r, &server) {
+		return
+	}
+	server.ID = mux.Vars(r)["id"]
+	s.Update(func(l *wire.InstanceList) {
+		l.Servers = append(slices.DeleteFunc(l.Servers, serverIs(server.ID)), server)
+	})
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) deleteServer(w http.ResponseWriter, r *http.Request) {
+	id := mux.Vars(r)["id"]
+	s.Update(func(l *wire.InstanceList) {
+		l.Servers = slices.DeleteFunc(l.Servers, serverIs(id))
+	})
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) putInstance(w http.ResponseWriter, r *http.Request) {
+	var instance wire.ListedInstance
+	if !decode(w, r, &instance) {
+		return
+	}
+	instance.ID = mux.Vars(r)["id"]
+	s.Update(func(l *wire.InstanceList) {
+		l.Instances = append(slices.DeleteFunc(l.Instances, instanceIs(instance.ID)), instance)
+	})
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) deleteInstance(w http.ResponseWriter, r *http.Request) {
+	id := mux.Vars(r)["id"]
+	s.Update(func(l *wire.InstanceList) {
+		l.Instances = slices.DeleteFunc(l.Instances, instanceIs(id))
+	})
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func serverIs(id string) func(wire.ListedServer) bool {
+	return func(s wire.ListedServer) bool { return s.ID == id }
+}
+
+func instanceIs(id string) func(wire.ListedInstance) bool {
+	return func(i wire.ListedInstance) bool { return i.ID == id }
+}
+
+// decode reads a JSON body strictly; on a fault it answers 400 itself.
+func decode(w http.ResponseWriter, r *http.Request, v any) bool {
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		faults.WriteError(w, http.StatusBadRequest, "malformed_request", err.Error())
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/router/internal/standin/logsvc/logsvc.go
@@ -0,0 +1,197 @@
+// Package logsvc is the stand-in for the platform's append-only log service.
+//
+//	POST /append                        body is the blob -> {"offset":N}
+//	GET  /read?from=&limit=&wait_ms=    -> wire.LogPage; 410 where trimmed
+//	POST /trim?before=                  drops older entries now
+//	GET  /faults, PUT /faults           see Faults
+package logsvc
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+	"golang.org/x/time/rate"
+
+	"masticplank.example/router/internal/standin/faults"
+	"masticplank.example/router/internal/wire"
+)
+
+// Limits of one request.
+const (
+	// MaxBlob is the largest append in bytes.
+	MaxBlob = 8 << 20
+	// MaxLimit is the most entries in one answer.
+	MaxLimit = 1000
+	// MaxWait is the longest long poll.
+	MaxWait = 30 * time.Second
+)
+
+// Config of the service. The zero value keeps everything and takes any rate.
+type Config struct {
+	// Retention is how long an entry is kept; 0 is for ever.
+	Retention time.Duration
+	// MaxEntries is how many entries are kept; 0 is all.
+	MaxEntries int
+	// AppendRate is the most appends a second; 0 is no limit.
+	AppendRate int
+	// Now is the service's clock; nil is time.Now.
+	Now func() time.Time
+}
+
+// Faults of the log service.
+type Faults struct {
+	faults.Common
+	// RefuseAppends answers appends with 503 and the code not_appended.
+	RefuseAppends bool `json:"refuse_appends,omitempty"`
+	// FailAppends answers appends with a bare 500 after they took effect.
+	FailAppends faults.Count `json:"fail_appends,omitempty"`
+	// LostReply cuts the connection after the append took effect.
+	LostReply faults.Count `json:"lost_reply,omitempty"`
+	// LostBefore cuts the connection before the append takes effect.
+	LostBefore faults.Count `json:"lost_before,omitempty"`
+	// LateEffectMS delays the effect of an append, also past its caller's
+	// patience: a caller that gave up still finds its entry later.
+	LateEffectMS int `json:"late_effect_ms,omitempty"`
+}
+
+// Server is the service. It is safe for concurrent use.
+type Server struct {
+	Faults  faults.Board[Faults]
+	store   *store
+	limiter *rate.Limiter
+	handler http.Handler
+}
+
+// New returns a service with an empty log.
+func New(cfg Config) *Server {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	limit := rate.Inf
+	if cfg.AppendRate > 0 {
+		limit = rate.Limit(cfg.AppendRate)
+	}
+	s := &Server{
+		store:   newStore(cfg.Now, cfg.Retention, cfg.MaxEntries),
+		limiter: rate.NewLimiter(limit, max(1, cfg.AppendRate)),
+	}
+	r := mux.NewRouter()
+	r.Handle(faults.Path, &s.Faults)
+	r.HandleFunc("/append", s.serveAppend).Methods(http.MethodPost)
+	r.HandleFunc("/read", s.serveRead).Methods(http.MethodGet)
+	r.HandleFunc("/trim", s.serveTrim).Methods(http.MethodPost)
+	s.handler = faults.Guard(func() faults.Common { return s.Faults.Get().Common }, r)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.handler.ServeHTTP(w, r) }
+
+// Trim drops all entries before offset.
+func (s *Server) Trim(offset uint64) { s.store.dropBefore(offset) }
+
+func (s *Server) serveAppend(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBlob))
+	if err != nil {
+		faults.WriteError(w, http.StatusRequestEntityTooLarge, wire.CodeNotAppended, err.Error())
+		return
+	}
+	if s.Faults.Get().RefuseAppends {
+		faults.WriteError(w, http.StatusServiceUnavailable, wire.CodeNotAppended, "appends are refused")
+		return
+	}
+	if !s.limiter.Allow() {
+		w.Header().Set("Retry-After", "1")
+		faults.WriteError(w, http.StatusTooManyRequests, wire.CodeNotAppended, "too many appends")
+		return
+	}
+	if s.Faults.Take(func(f *Faults) *faults.Count { return &f.LostBefore }) {
+		faults.Cut()
+	}
+	// Not bound to the request: what was sent takes effect in the end.
+	time.Sleep(time.Duration(s.Faults.Get().LateEffectMS) * time.Millisecond)
+	offset := s.store.append(data)
+	if s.Faults.Take(func(f *Faults) *faults.Count { return &f.LostReply }) {
+		faults.Cut()
+	}
+	if s.Faults.Take(func(f *Faults) *faults.Count { return &f.FailAppends }) {
+		faults.WriteError(w, http.StatusInternalServerError, "internal", "failed after the append")
+		return
+	}
+	faults.WriteJSON(w, http.StatusOK, wire.LogAppended{Offset: offset})
+}
+
+func (s *Server) serveRead(w http.ResponseWriter, r *http.Request) {
+	query, err := parseRead(r)
+	if err != nil {
+		faults.WriteError(w, http.StatusBadRequest, "malformed_request", err.Error())
+		return
+	}
+	timer := time.NewTimer(query.wait)
+	defer timer.Stop()
+	for {
+		page, kept, grown := s.store.read(query.from, query.limit)
+		if !kept {
+			faults.WriteJSON(w, http.StatusGone, page)
+			return
+		}
+		if len(page.Entries) > 0 || query.wait == 0 {
+			faults.WriteJSON(w, http.StatusOK, page)
+			return
+		}
+		select {
+		case <-grown:
+		case <-timer.C:
+			query.wait = 0
+		case <-r.Context().Done():
+			return
+		}
+		if s.Faults.Get().Down {
+			faults.Cut()
+		}
+	}
+}
+
+func (s *Server) serveTrim(w http.ResponseWriter, r *http.Request) {
+	before, err := strconv.ParseUint(r.URL.Query().Get("before"), 10, 64)
+	if err != nil {
+		faults.WriteError(w, http.StatusBadRequest, "malformed_request", err.Error())
+		return
+	}
+	s.Trim(before)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// readQuery is what a GET /read asks for.
+type readQuery struct {
+	from  uint64
+	limit int
+	wait  time.Duration
+}
+
+func parseRead(r *http.Request) (readQuery, error) {
+	values := r.URL.Query()
+	from, err := strconv.ParseUint(values.Get("from"), 10, 64)
+	if err != nil {
+		return readQuery{}, err
+	}
+	query := readQuery{from: from, limit: MaxLimit}
+	if text := values.Get("limit"); text != "" {
+		limit, err := strconv.ParseUint(text, 10, 31)
+		if err != nil {
+			return readQuery{}, err
+		}
+		query.limit = min(int(limit), MaxLimit)
+	}
+	if text := values.Get("wait_ms"); text != "" {
+		wait, err := strconv.ParseUint(text, 10, 31)
+		if err != nil {
+			return readQuery{}, err
+		}
+		query.wait = min(time.Duration(wait)*time.Millisecond, MaxWait)
+	}
+	return query, nil
+}
--- /dev/null
+++ b/router/internal/standin/rating/rating.go
@@ -0,0 +1,109 @@
+// Package rating is the stand-in for the platform's service that rates answers.
+//
+//	POST /rate                    wire.RateRequest -> wire.RateResponse
+//	GET  /faults, PUT /faults     see Faults
+//
+// The score is the quality that the engine stand-in wrote into its answer, less
+// what the task makes harder, with noise that depends on the request alone.
+package rating
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gorilla/mux"
+
+	"masticplank.example/router/internal/standin/engine"
+	"masticplank.example/router/internal/standin/faults"
+	"masticplank.example/router/internal/wire"
+)
+
+const (
+	// maxBody bounds a body.
+	maxBody = 16 << 20
+	// unknownQuality is for a text that the engine stand-in did not write.
+	unknownQuality = 0
+)
+
+// Config of the service.
+type Config struct {
+	// Noise is the widest deviation of a score, to either side.
+	Noise float64
+	// Harder is what each task class takes off the score, 0 to 1.
+	Harder map[string]float64
+}
+
+// Faults of the rating service.
+type Faults struct {
+	faults.Common
+	// Wrong turns scores around: 1 for 0 and 0 for 1.
+	Wrong bool `json:"wrong,omitempty"`
+	// Scores replaces the score of all answers of a version.
+	Scores map[string]float64 `json:"scores,omitempty"`
+	// OutOfRange answers with a score above 1.
+	OutOfRange faults.Count `json:"out_of_range,omitempty"`
+	// Fail answers 500.
+	Fail faults.Count `json:"fail,omitempty"`
+}
+
+// Server is the service. It is safe for concurrent use.
+type Server struct {
+	Faults  faults.Board[Faults]
+	cfg     Config
+	handler http.Handler
+}
+
+// New returns a service.
+func New(cfg Config) *Server {
+	s := &Server{cfg: cfg}
+	r := mux.NewRouter()
+	r.Handle(faults.Path, &s.Faults)
+	r.HandleFunc("/rate", s.rate).Methods(http.MethodPost)
+	s.handler = faults.Guard(func() faults.Common { return s.Faults.Get().Common }, r)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.handler.ServeHTTP(w, r) }
+
+func (s *Server) rate(w http.ResponseWriter, r *http.Request) {
+	var request wire.RateRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&request); err != nil {
+		faults.WriteError(w, http.StatusBadRequest, "malformed_request", err.Error())
+		return
+	}
+	if s.Faults.Take(func(f *Faults) *faults.Count { return &f.Fail }) {
+		faults.WriteError(w, http.StatusInternalServerError, "internal", "cannot rate")
+		return
+	}
+	score := s.score(request)
+	if s.Faults.Take(func(f *Faults) *faults.Count { return &f.OutOfRange }) {
+		score += 2
+	}
+	faults.WriteJSON(w, http.StatusOK, wire.RateResponse{Score: score})
+}
+
+// score rates an answer.
+func (s *Server) score(r wire.RateRequest) float64 {
+	set := s.Faults.Get()
+	if score, ok := set.Scores[r.Version]; ok {
+		return score
+	}
+	quality, _, ok := engine.Split(r.Answer)
+	if !ok {
+		quality = unknownQuality
+	}
+	score := quality - s.cfg.Harder[r.Task] + s.cfg.Noise*noise(r)
+	if set.Wrong {
+		score = 1 - score
+	}
+	return min(max(score, 0), 1)
+}
+
+// noise is a number from -1 to 1 that is the same for the same request.
+func noise(r wire.RateRequest) float64 {
+	sum := xxhash.Sum64String(fmt.Sprintf("%q%q%q%q", r.Team, r.Task, r.Prompt, r.Answer))
+	return float64(sum>>11)/(1<<52) - 1
+}
--- /dev/null
+++ b/router/internal/wire/log.go
@@ -0,0 +1,31 @@
+package wire
+
+import "time"
+
+// CodeNotAppended is the error code with which the log service says that an
+// append had no effect. Any other failed answer leaves that open.
+const CodeNotAppended = "not_appended"
+
+// LogAppended is the answer to POST /append at the log service, whose body is
+// the blob itself.
+type LogAppended struct {
+	Offset uint64 `json:"offset"`
+}
+
+// LogEntry is one entry in a LogPage.
+type LogEntry struct {
+	Offset uint64    `json:"offset"`
+	Time   time.Time `json:"time"`
+	// Data is base64 in JSON.
+	Data []byte `json:"data"`
+}
+
+// LogPage is the answer to GET /read?from=&limit=&wait_ms= at the log service.
+// With status 410 the offset is no longer kept, and Entries is empty.
+type LogPage struct {
+	Entries []LogEntry `json:"entries"`
+	// Head is the offset that the next append will get.
+	Head uint64 `json:"head"`
+	// First is the oldest offset that is still kept.
+	First uint64 `json:"first"`
+}
