--- a/router/cmd/masticplank/main.go
+++ b/router/cmd/masticplank/main.go
@@ -1,4 +1,37 @@
 // Command masticplank is the operators' tool.
 package main
 
-func main() {}
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"masticplank.example/router/internal/cli"
+	"masticplank.example/router/internal/cli/manifestcmd"
+	"masticplank.example/router/internal/cli/settingscmd"
+	"masticplank.example/router/internal/cli/standincmd"
+)
+
+func main() {
+	err := command().Execute()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "masticplank:", err)
+	}
+	os.Exit(cli.Status(err))
+}
+
+func command() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "masticplank",
+		Short:         "Operate masticplank, a model-aware router for versions and cascades",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(
+		manifestcmd.New(),
+		settingscmd.New(),
+		standincmd.New(),
+	)
+	return root
+}
--- /dev/null
+++ b/router/internal/adminclient/client.go
@@ -0,0 +1,95 @@
+// Package adminclient reads and drives instances over their admin listeners,
+// for the operators' tool.
+package adminclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"masticplank.example/router/internal/admin"
+	"masticplank.example/router/internal/manifest"
+)
+
+const (
+	// timeout bounds one call; publishing waits for the log.
+	timeout = 15 * time.Second
+	// maxBytes bounds an answer.
+	maxBytes = 32 << 20
+)
+
+// Client talks to one instance. It is safe for concurrent use.
+type Client struct {
+	base string
+	key  string
+	http *http.Client
+}
+
+// New returns a client of the admin listener at base, such as
+// "http://10.0.0.7:9090" or "10.0.0.7:9090". key is the operator's key.
+func New(base, key string) *Client {
+	if !strings.Contains(base, "://") {
+		base = "http://" + base
+	}
+	return &Client{base: strings.TrimRight(base, "/"), key: key, http: &http.Client{Timeout: timeout}}
+}
+
+// Base is the instance's address.
+func (c *Client) Base() string { return c.base }
+
+// Get reads path into out.
+func (c *Client) Get(ctx context.Context, path string, out any) error {
+	_, err := c.do(ctx, http.MethodGet, path, nil, out)
+	return err
+}
+
+// Publish sends a manifest. An answer of any status is returned as it is; an
+// error means that none came.
+func (c *Client) Publish(ctx context.Context, m manifest.Manifest, rebase bool) (admin.PublishAnswer, error) {
+	body, err := manifest.Encode(m)
+	if err != nil {
+		return admin.PublishAnswer{}, trace.Wrap(err)
+	}
+	path := "/manifest"
+	if rebase {
+		path += "?rebase=true"
+	}
+	var answer admin.PublishAnswer
+	status, err := c.do(ctx, http.MethodPost, path, body, &answer)
+	if err != nil && answer.Outcome == "" {
+		return answer, trace.Wrap(err, "status %d", status)
+	}
+	return answer, nil
+}
+
+func (c *Client) do(ctx context.Context, method, path string, body []byte, out any) (int, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, trace.BadParameter("address %s: %v", c.base, err)
+	}
+	if c.key != "" {
+		req.Header.Set("Authorization", "Bearer "+c.key)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, trace.ConnectionProblem(err, "no answer from %s", c.base)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBytes))
+	if err != nil {
+		return resp.StatusCode, trace.ConnectionProblem(err, "the answer of %s broke off", c.base)
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return resp.StatusCode, trace.BadParameter("%s answered %s: %s", c.base, resp.Status, strings.TrimSpace(string(data)))
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return resp.StatusCode, trace.Errorf("%s answered %s", c.base, resp.Status)
+	}
+	return resp.StatusCode, nil
+}
