World: tables and the path from arrival to an answer

Cause: the router needs a world that admits, queues, dispatches and ends requests before the finer policies exist.

Systems, a file each: ingest, expire, retry, escalate (empty), admit, withdraw, place, shift (empty). Escalate stands before placing, not after it, so that an escalated request joins the same tick's placing. Queues are start-time fair, one per version or service, so that a request without a free server holds up no other version.

Ruled out: deficit round robin with a quantum. Costs run from 1 to 100,000 tokens; a quantum is either unfair or loops.

Cascade, verdicts, outlier ejection and prefix affinity are not in yet.

--- /dev/null
+++ b/decision/admit.go
@@ -0,0 +1,94 @@
+package decision
+
+// admit answers each arrival: it goes to a queue, or is refused at once with
+// when to come back. The order is from the certain to the estimated, so that the
+// reason given is the one that matters most to the caller.
+func (w *World) admit() {
+	for _, r := range w.arrived {
+		if r.state == stateArrived {
+			w.admitOne(r)
+		}
+	}
+}
+
+func (w *World) admitOne(r *request) {
+	if !w.fresh {
+		// An instance that may not know the manifest in force must not run by an
+		// old one. Another instance can take the request now.
+		w.refuse(r, ReasonNotFresh, w.retryAfter(0))
+		return
+	}
+	r.team = w.teams[r.Team]
+	to := w.resolve(r)
+	if to.reason != "" {
+		w.refuseFor(r, to.reason)
+		return
+	}
+	if reason := w.bars(r); reason != "" {
+		w.refuseFor(r, reason)
+		return
+	}
+	w.aim(r, to)
+	if reason := w.crowded(r); reason != "" {
+		w.refuse(r, reason, w.retryAfter(w.waitFor(r)))
+		return
+	}
+	w.enqueue(r)
+}
+
+// bars gives the reason why a request that may run by the manifest still must
+// not.
+func (w *World) bars(r *request) RefusalReason {
+	if w.isQuarantined(r.Fingerprint) {
+		// It crashed the servers that ran it; one more would be lost.
+		return ReasonQuarantined
+	}
+	if w.outage && !r.Idempotent {
+		// Nobody can record the claim that keeps it from running twice.
+		return ReasonOutage
+	}
+	if r.Resend && !r.team.retries.spend(w.now, &w.cfg) {
+		return ReasonRetryBudget
+	}
+	return ""
+}
+
+func (w *World) isQuarantined(f Fingerprint) bool {
+	if f == 0 || len(w.quarantined) == 0 {
+		return false
+	}
+	until, ok := w.quarantined[f]
+	if ok && !w.now.Before(until) {
+		delete(w.quarantined, f)
+		return false
+	}
+	return ok
+}
+
+// crowded refuses what could not be answered in time.
+//
+// Load: a burst, or demand over capacity for long. Harm prevented: work that
+// waits past its deadline and is then thrown away, while its caller could have
+// gone elsewhere. The queue's bound limits memory; the estimate is what keeps
+// the queue as long as it is of use, and the time of the answer itself is part
+// of it, since a late answer is worth nothing.
+func (w *World) crowded(r *request) RefusalReason {
+	if r.team.queued >= w.queueLimit(r.team) {
+		return ReasonQueueFull
+	}
+	if !r.deadline.After(w.now) {
+		return ReasonDeadline
+	}
+	need := w.waitFor(r) + r.pool.drain.service(r.item.Cost)
+	if w.now.Add(need).After(r.deadline) {
+		return ReasonWaitTooLong
+	}
+	return ""
+}
+
+func (w *World) queueLimit(t *team) int {
+	if t.QueueLimit > 0 {
+		return t.QueueLimit
+	}
+	return w.cfg.QueueLimit
+}
--- /dev/null
+++ b/decision/config.go
@@ -0,0 +1,118 @@
+package decision
+
+import "time"
+
+// Config sets the limits of the decisions. DefaultConfig documents each value's
+// reason; a zero in a field is taken as its default by NewWorld, except where
+// noted.
+type Config struct {
+	// Seed makes every random choice repeatable.
+	Seed uint64
+	// Domain is the instance's own failure domain, for the small preference of
+	// near servers; empty for none.
+	Domain DomainID
+	// DefaultDeadline is given to requests without one.
+	DefaultDeadline time.Duration
+	// QueueLimit bounds a team's queue, in requests, where the manifest does not.
+	QueueLimit int
+	// MaxAttempts bounds the attempts of one request, cascade steps included.
+	MaxAttempts int
+	// MaxCrashes is how many servers a request may crash before its quarantine.
+	MaxCrashes int
+	// QuarantineFor is the life of a quarantine.
+	QuarantineFor time.Duration
+	// RetryRatio is the part of recent successes that may be retried or resent.
+	RetryRatio float64
+	// RetryFloor is how many retries and resends a team always has, refilled at
+	// one a second.
+	RetryFloor float64
+	// RetryCap bounds what a team may save up.
+	RetryCap float64
+	// FreshnessGrace is how long queued work outlives the loss of freshness.
+	FreshnessGrace time.Duration
+	// ReportLife is how long a load report counts.
+	ReportLife time.Duration
+	// RefusedBackoff keeps a server that refused an attempt out of the choice.
+	RefusedBackoff time.Duration
+	// RetryAfterMin is the least RetryAfter of a refusal that time may cure.
+	RetryAfterMin time.Duration
+	// RateBudget is how long a held answer may wait for its rating.
+	RateBudget time.Duration
+	// DrainWindow is the half-life of the measured drain rate.
+	DrainWindow time.Duration
+	// PromptWeight is the cost of a prompt token in generated tokens.
+	PromptWeight float64
+	// DefaultTokens sizes requests that name no MaxTokens.
+	DefaultTokens int
+	// ServiceCost sizes a call of a plain service, in generated tokens.
+	ServiceCost float64
+}
+
+// DefaultConfig returns the defaults.
+func DefaultConfig() Config {
+	return Config{
+		Seed: 1,
+		// Long enough for a drafting job of 600 tokens at 47 ms a token.
+		DefaultDeadline: 30 * time.Second,
+		// Ten seconds of the peak of one team at today's sizes; the estimate of
+		// the wait refuses long before it, this only bounds memory.
+		QueueLimit: 1000,
+		// A first try and three more: at 24 failure domains the odds that four
+		// independent picks all fail are small, and load is bounded to 4 times.
+		MaxAttempts: 4,
+		// One crash may be the server's fault, two in a row are the request's.
+		MaxCrashes: 2,
+		// Long enough to outlive a caller's resends, short enough that a fixed
+		// server is tried again within the hour.
+		QuarantineFor: 30 * time.Minute,
+		// 10% adds at most a tenth to an overload, whatever callers resend.
+		RetryRatio: 0.1,
+		// A small team with few successes may still retry now and then.
+		RetryFloor: 3,
+		// A minute's worth for a large team; more would let an old success pay
+		// for a storm now.
+		RetryCap: 50,
+		// A blip between two vouches is not worth refusing a queue; a longer
+		// one is, so that callers move on to a fresh instance.
+		FreshnessGrace: time.Second,
+		// Four reports at the usual 500 ms.
+		ReportLife:     2 * time.Second,
+		RefusedBackoff: 200 * time.Millisecond,
+		RetryAfterMin:  500 * time.Millisecond,
+		// Under the time to a first token that callers put up with.
+		RateBudget:    300 * time.Millisecond,
+		DrainWindow:   5 * time.Second,
+		PromptWeight:  0.1,
+		DefaultTokens: 256,
+		ServiceCost:   16,
+	}
+}
+
+// withDefaults fills in fields left at zero.
+func (c Config) withDefaults() Config {
+	d := DefaultConfig()
+	orDefault(&c.DefaultDeadline, d.DefaultDeadline)
+	orDefault(&c.QueueLimit, d.QueueLimit)
+	orDefault(&c.MaxAttempts, d.MaxAttempts)
+	orDefault(&c.MaxCrashes, d.MaxCrashes)
+	orDefault(&c.QuarantineFor, d.QuarantineFor)
+	orDefault(&c.RetryRatio, d.RetryRatio)
+	orDefault(&c.RetryFloor, d.RetryFloor)
+	orDefault(&c.RetryCap, d.RetryCap)
+	orDefault(&c.FreshnessGrace, d.FreshnessGrace)
+	orDefault(&c.ReportLife, d.ReportLife)
+	orDefault(&c.RefusedBackoff, d.RefusedBackoff)
+	orDefault(&c.RetryAfterMin, d.RetryAfterMin)
+	orDefault(&c.RateBudget, d.RateBudget)
+	orDefault(&c.DrainWindow, d.DrainWindow)
+	orDefault(&c.PromptWeight, d.PromptWeight)
+	orDefault(&c.DefaultTokens, d.DefaultTokens)
+	orDefault(&c.ServiceCost, d.ServiceCost)
+	return c
+}
+
+func orDefault[T int | float64 | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
--- /dev/null
+++ b/decision/escalate.go
@@ -0,0 +1,4 @@
+package decision
+
+// escalate judges ratings.
+func (w *World) escalate() {}
--- /dev/null
+++ b/decision/harness_test.go
@@ -0,0 +1,278 @@
+package decision
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// step is the harness's time between ticks.
+const step = 10 * time.Millisecond
+
+var epoch = time.Date(2026, 9, 1, 8, 0, 0, 0, time.UTC)
+
+// outcome is what one caller got.
+type outcome struct {
+	team    TeamID
+	command Command
+	at      time.Time
+	waited  time.Duration
+}
+
+// running is an attempt at the fake backend servers.
+type running struct {
+	Dispatch
+	ends   time.Time
+	result AttemptResult
+}
+
+// harness drives a World with fake backend servers of a fixed pace, checks the
+// invariants at each command and keeps what callers got.
+type harness struct {
+	t      testing.TB
+	w      *World
+	now    time.Time
+	events []Event
+	log    []string
+
+	live     map[RequestID]Request
+	arrived  map[RequestID]time.Time
+	outcomes map[RequestID]outcome
+	running  []running
+	slots    map[ServerID]int
+	inFlight map[ServerID]int
+	allowed  map[TeamID]map[VersionID]bool
+	state    map[VersionID]VersionState
+	ran      map[RequestID]int
+	nextID   RequestID
+
+	// took says how long an attempt runs, ended how it ends.
+	took  func(d Dispatch, r Request) time.Duration
+	ended func(d Dispatch, r Request) AttemptResult
+	// rating scores a completed answer; nil rates nothing.
+	rating func(d Dispatch, r Request) (score float64, late bool)
+	// seen is called for each command.
+	seen func(Command)
+}
+
+func newHarness(t testing.TB, cfg Config) *harness {
+	h := &harness{
+		t: t, w: NewWorld(cfg), now: epoch,
+		live: map[RequestID]Request{}, arrived: map[RequestID]time.Time{},
+		outcomes: map[RequestID]outcome{}, slots: map[ServerID]int{},
+		inFlight: map[ServerID]int{}, ran: map[RequestID]int{},
+	}
+	h.took = func(Dispatch, Request) time.Duration { return 100 * time.Millisecond }
+	h.ended = func(Dispatch, Request) AttemptResult { return AttemptCompleted }
+	h.send(FreshnessChanged{Fresh: true})
+	return h
+}
+
+func (h *harness) send(in ...Event) { h.events = append(h.events, in...) }
+
+func (h *harness) manifest(generation uint64, teams []Team, versions []Version) {
+	h.allowed = map[TeamID]map[VersionID]bool{}
+	for _, t := range teams {
+		h.allowed[t.ID] = map[VersionID]bool{}
+		for _, v := range t.Allowed {
+			h.allowed[t.ID][v] = true
+		}
+	}
+	h.state = map[VersionID]VersionState{}
+	for _, v := range versions {
+		h.state[v.ID] = v.State
+	}
+	h.send(ManifestApplied{Generation: generation, Teams: teams, Versions: versions})
+}
+
+func (h *harness) servers(list ...Server) {
+	for _, s := range list {
+		h.slots[s.ID] = s.Slots
+	}
+	h.send(ServersListed{Servers: list})
+}
+
+// arrive sends a request with a fresh id and returns the id.
+func (h *harness) arrive(r Request) RequestID {
+	h.nextID++
+	r.ID = h.nextID
+	h.live[r.ID] = r
+	h.arrived[r.ID] = h.now
+	h.send(RequestArrived{Request: r})
+	return r.ID
+}
+
+// run ticks for a time.
+func (h *harness) run(d time.Duration) {
+	for end := h.now.Add(d); h.now.Before(end); {
+		h.tick()
+	}
+}
+
+// tick ends the attempts that are due, runs the world once and moves time on.
+func (h *harness) tick() {
+	kept := h.running[:0]
+	var done []running
+	for _, a := range h.running {
+		if a.ends.After(h.now) {
+			kept = append(kept, a)
+			continue
+		}
+		done = append(done, a)
+	}
+	h.running = kept
+	for _, a := range done {
+		h.finish(a, a.result)
+	}
+	in := h.events
+	h.events = nil
+	for _, c := range h.w.Tick(h.now, in) {
+		h.command(c)
+	}
+	h.now = h.now.Add(step)
+}
+
+func (h *harness) finish(a running, result AttemptResult) {
+	h.inFlight[a.Server]--
+	r := h.live[a.Request]
+	if result == AttemptNotRun {
+		h.ran[a.Request]--
+	}
+	h.send(AttemptEnded{Request: a.Request, Attempt: a.Attempt, Result: result, Tokens: r.MaxTokens})
+	if result == AttemptCompleted && a.Rate && h.rating != nil {
+		score, late := h.rating(a.Dispatch, r)
+		h.send(AnswerRated{
+			Request: a.Request, Attempt: a.Attempt, Team: r.Team, Class: r.Class,
+			Version: a.Version, Score: score, Late: late,
+		})
+	}
+}
+
+func (h *harness) command(c Command) {
+	h.log = append(h.log, fmt.Sprintf("%v %T%+v", h.now.Sub(epoch), c, c))
+	if h.seen != nil {
+		h.seen(c)
+	}
+	switch c := c.(type) {
+	case Dispatch:
+		h.dispatch(c)
+	case CancelAttempt:
+		h.cancel(c)
+	case Deliver:
+		h.answer(c.Request, c)
+	case Refuse:
+		if h.ran[c.Request] > 0 {
+			h.t.Errorf("request %d refused as not run, but it ran", c.Request)
+		}
+		h.answer(c.Request, c)
+	case Fail:
+		h.answer(c.Request, c)
+	}
+}
+
+// dispatch checks what must hold whenever work is given to a backend server.
+func (h *harness) dispatch(d Dispatch) {
+	r, live := h.live[d.Request]
+	if !live {
+		h.t.Errorf("dispatch of request %d, which is not live", d.Request)
+	}
+	if d.Version != "" && !h.allowed[r.Team][d.Version] {
+		h.t.Errorf("request %d of team %s on %s, not allowed", d.Request, r.Team, d.Version)
+	}
+	if d.Version != "" && h.state[d.Version] == VersionWithdrawn {
+		h.t.Errorf("request %d on withdrawn %s", d.Request, d.Version)
+	}
+	if r.Pinned != "" && d.Version != r.Pinned {
+		h.t.Errorf("request %d pinned to %s on %s", d.Request, r.Pinned, d.Version)
+	}
+	h.inFlight[d.Server]++
+	if h.inFlight[d.Server] > h.slots[d.Server] {
+		h.t.Errorf("server %s has %d in flight, %d slots", d.Server, h.inFlight[d.Server], h.slots[d.Server])
+	}
+	h.ran[d.Request]++
+	if h.ran[d.Request] > 1 && !r.Idempotent {
+		h.t.Errorf("non-idempotent request %d dispatched again", d.Request)
+	}
+	h.running = append(h.running, running{Dispatch: d, ends: h.now.Add(h.took(d, r)), result: h.ended(d, r)})
+}
+
+func (h *harness) cancel(c CancelAttempt) {
+	for i, a := range h.running {
+		if a.Request == c.Request && a.Attempt == c.Attempt {
+			h.running[i].ends = h.now
+			h.running[i].result = AttemptCancelled
+		}
+	}
+}
+
+func (h *harness) answer(id RequestID, c Command) {
+	if before, twice := h.outcomes[id]; twice {
+		h.t.Errorf("request %d answered twice: %+v, then %+v", id, before.command, c)
+	}
+	h.outcomes[id] = outcome{
+		team: h.live[id].Team, command: c, at: h.now, waited: h.now.Sub(h.arrived[id]),
+	}
+	delete(h.live, id)
+}
+
+// delivered counts a team's whole answers; an empty team counts all.
+func (h *harness) delivered(team TeamID) int {
+	n := 0
+	for _, o := range h.outcomes {
+		if _, ok := o.command.(Deliver); ok && (team == "" || o.team == team) {
+			n++
+		}
+	}
+	return n
+}
+
+// refusals counts refusals by reason.
+func (h *harness) refusals() map[RefusalReason]int {
+	n := map[RefusalReason]int{}
+	for _, o := range h.outcomes {
+		if r, ok := o.command.(Refuse); ok {
+			n[r.Reason]++
+		}
+	}
+	return n
+}
+
+// settled fails the test where a request was left without an answer.
+func (h *harness) settled() {
+	h.t.Helper()
+	if len(h.live) > 0 {
+		h.t.Errorf("%d requests without an answer", len(h.live))
+	}
+}
+
+// The small manifest that most tests use.
+const (
+	weave1 VersionID = "weave@1"
+	weave2 VersionID = "weave@2"
+	draft1 VersionID = "draft@1"
+)
+
+func smallVersions() []Version {
+	return []Version{
+		{ID: weave1, Model: "weave", State: VersionServing, Share: 1, Cost: 1, Quality: 0.6},
+		{ID: draft1, Model: "draft", State: VersionServing, Share: 1, Cost: 10, Quality: 0.9},
+	}
+}
+
+func teamOf(id TeamID, weight int) Team {
+	return Team{
+		ID: id, Weight: weight, QualityTarget: 0.5,
+		Allowed: []VersionID{weave1, weave2, draft1}, Services: []ServiceID{"stock"},
+	}
+}
+
+func serversOf(n, slots int, versions ...VersionID) []Server {
+	var list []Server
+	for i := range n {
+		list = append(list, Server{
+			ID: ServerID(fmt.Sprintf("s%d", i)), Domain: DomainID(fmt.Sprintf("d%d", i%3)),
+			Versions: versions, Slots: slots,
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/decision/ingest_attempt.go
@@ -0,0 +1,47 @@
+package decision
+
+// endedAttempt is an attempt's end that the retry system must judge.
+type endedAttempt struct {
+	attempt *attempt
+	event   AttemptEnded
+}
+
+// ingestEnded frees the slot at once, so that the same tick can fill it. What
+// becomes of the request is the retry system's decision.
+func (w *World) ingestEnded(e AttemptEnded) {
+	key := attemptKey{e.Request, e.Attempt}
+	a := w.attempts[key]
+	if a == nil {
+		return // ended before, or never dispatched: nothing to free
+	}
+	delete(w.attempts, key)
+	a.server.running--
+	if e.Leaving {
+		w.ingestLeaving(a.server.ID)
+	}
+	w.refresh(a.server)
+	w.learnDuration(a, e)
+	if a.request != nil && a.request.current == a {
+		a.request.current = nil
+		w.ended = append(w.ended, endedAttempt{attempt: a, event: e})
+	}
+}
+
+// learnDuration keeps the pool's time per unit of cost, and corrects the team's
+// share by what the attempt truly cost.
+func (w *World) learnDuration(a *attempt, e AttemptEnded) {
+	if e.Result != AttemptCompleted {
+		return
+	}
+	a.pool.drain.learn(w.now.Sub(a.started), a.cost)
+	if e.Tokens <= 0 || a.pool.service != "" {
+		return
+	}
+	actual := a.prompt + float64(e.Tokens)
+	a.pool.queue.Charge(a.pool.flow(a.team), min(actual-a.cost, a.cost))
+}
+
+// ingestRated keeps ratings for the escalate system.
+func (w *World) ingestRated(e AnswerRated) {
+	w.rated = append(w.rated, e)
+}
--- /dev/null
+++ b/decision/ingest_manifest.go
@@ -0,0 +1,142 @@
+package decision
+
+import (
+	"cmp"
+	"slices"
+)
+
+// ingestManifest replaces teams and versions by a newer generation. An older or
+// equal one is dropped: a manifest in force never reverts, also when an event is
+// late.
+func (w *World) ingestManifest(e ManifestApplied) {
+	if e.Generation <= w.generation {
+		return
+	}
+	w.generation = e.Generation
+	w.applyVersions(e.Versions)
+	w.applyTeams(e.Teams)
+	w.recheck = true
+}
+
+func (w *World) applyVersions(rows []Version) {
+	for _, v := range w.versions {
+		v.gone = true
+	}
+	w.models = map[ModelID]*model{}
+	for _, row := range rows {
+		v := w.versions[row.ID]
+		if v == nil {
+			v = &version{pool: w.poolOf(row.ID)}
+			w.versions[row.ID] = v
+		}
+		if !v.gone && v.ID != "" {
+			continue // a second row of the same id: the first one stands
+		}
+		v.Version = row
+		v.gone = false
+		w.joinModel(v)
+	}
+	for _, m := range w.models {
+		w.sortRollout(m)
+	}
+}
+
+func (w *World) joinModel(v *version) {
+	m := w.models[v.Model]
+	if m == nil {
+		m = &model{id: v.Model}
+		w.models[v.Model] = m
+	}
+	m.versions = append(m.versions, v)
+}
+
+// sortRollout orders a model's versions from the newest to the oldest.
+func (w *World) sortRollout(m *model) {
+	slices.SortFunc(m.versions, func(a, b *version) int {
+		if d := cmp.Compare(w.age(b), w.age(a)); d != 0 {
+			return d
+		}
+		return cmp.Compare(b.ID, a.ID)
+	})
+}
+
+// age counts a version's predecessors. The count stops at the number of
+// versions, so that a ring of predecessors ends.
+func (w *World) age(v *version) int {
+	n := 0
+	for n <= len(w.versions) {
+		p := w.versions[v.Predecessor]
+		if p == nil || p.gone || p.Model != v.Model {
+			return n
+		}
+		n++
+		v = p
+	}
+	return n
+}
+
+func (w *World) applyTeams(rows []Team) {
+	for _, t := range w.teams {
+		t.gone = true
+	}
+	for _, row := range rows {
+		t := w.teams[row.ID]
+		if t == nil {
+			t = &team{index: len(w.teams)}
+			t.retries.tokens = w.cfg.RetryFloor
+			t.retries.at = w.now
+			w.teams[row.ID] = t
+		}
+		t.Team = row
+		t.gone = false
+		w.applyAllowed(t)
+		w.applyWeight(t)
+	}
+}
+
+// applyAllowed derives what the team may use, so that a decision need not.
+func (w *World) applyAllowed(t *team) {
+	t.allowed = make(map[VersionID]bool, len(t.Allowed))
+	t.services = make(map[ServiceID]bool, len(t.Services))
+	t.byModel = map[ModelID]*teamModel{}
+	t.models = nil
+	for _, id := range t.Services {
+		t.services[id] = true
+	}
+	for _, id := range t.Allowed {
+		t.allowed[id] = true
+		v := w.versions[id]
+		if v == nil || v.gone || t.byModel[v.Model] != nil {
+			continue
+		}
+		tm := &teamModel{model: w.models[v.Model]}
+		t.byModel[v.Model] = tm
+		t.models = append(t.models, tm)
+	}
+	slices.SortFunc(t.models, func(a, b *teamModel) int {
+		return cmp.Compare(a.model.id, b.model.id)
+	})
+	for _, tm := range t.models {
+		tm.rollout = allowedServing(t, tm.model)
+	}
+}
+
+func allowedServing(t *team, m *model) []*version {
+	var list []*version
+	for _, v := range m.versions {
+		if v.serving() && t.allowed[v.ID] {
+			list = append(list, v)
+		}
+	}
+	return list
+}
+
+// applyWeight tells the weight to the queues that the team uses already.
+func (w *World) applyWeight(t *team) {
+	for _, p := range w.pools {
+		p.setWeight(t)
+	}
+	for _, p := range w.services {
+		p.setWeight(t)
+	}
+}
--- /dev/null
+++ b/decision/queue.go
@@ -0,0 +1,94 @@
+package decision
+
+import "masticplank.example/decision/internal/fair"
+
+// aim points the request at a version's or service's pool.
+func (w *World) aim(r *request, to choice) {
+	r.version = to.version
+	r.pool = to.pool
+	r.item.Cost = w.costOf(r)
+	r.item.Priority = r.Priority
+}
+
+// costOf sizes a request in generated tokens. Prompt tokens are read in parallel
+// and so count for a part. It is an estimate: the true cost corrects the team's
+// share when it is known.
+func (w *World) costOf(r *request) float64 {
+	if r.Service != "" {
+		return w.cfg.ServiceCost
+	}
+	tokens := r.MaxTokens
+	if tokens <= 0 {
+		tokens = w.cfg.DefaultTokens
+	}
+	return max(w.promptCost(r)+float64(tokens), 1)
+}
+
+func (w *World) promptCost(r *request) float64 {
+	return float64(max(r.PromptTokens, 0)) * w.cfg.PromptWeight
+}
+
+// enqueue puts the request in its team's flow of its pool's queue. Each pool has
+// a queue of its own, so that a request whose version has no free slot holds up
+// none for another version.
+func (w *World) enqueue(r *request) {
+	p := r.pool
+	p.queue.Push(p.flow(r.team), &r.item)
+	r.state = stateQueued
+	r.team.queued++
+	w.watch(r, r.deadline)
+	if p.busyPos < 0 {
+		p.busyPos = len(w.busy)
+		w.busy = append(w.busy, p)
+	}
+}
+
+// dequeue takes a queued request out, wherever it stands.
+func (w *World) dequeue(r *request) {
+	if r.state != stateQueued {
+		return
+	}
+	r.pool.queue.Remove(&r.item)
+	w.dequeued(r)
+}
+
+// dequeued keeps the sums after a request has left its queue.
+func (w *World) dequeued(r *request) {
+	r.state = stateArrived
+	r.team.queued--
+	if r.pool.queue.Len() == 0 {
+		w.idle(r.pool)
+	}
+}
+
+// idle takes a pool off the busy list.
+func (w *World) idle(p *pool) {
+	if p.busyPos < 0 {
+		return
+	}
+	last := len(w.busy) - 1
+	moved := w.busy[last]
+	w.busy[p.busyPos] = moved
+	moved.busyPos = p.busyPos
+	w.busy[last] = nil
+	w.busy = w.busy[:last]
+	p.busyPos = -1
+	p.backlogged = false
+}
+
+// flow is the team's part of the pool's queue.
+func (p *pool) flow(t *team) *fair.Flow[*request] {
+	for len(p.flows) <= t.index {
+		p.flows = append(p.flows, nil)
+	}
+	if p.flows[t.index] == nil {
+		p.flows[t.index] = p.queue.NewFlow(t.Weight)
+	}
+	return p.flows[t.index]
+}
+
+func (p *pool) setWeight(t *team) {
+	if t.index < len(p.flows) && p.flows[t.index] != nil {
+		p.queue.SetWeight(p.flows[t.index], t.Weight)
+	}
+}
--- /dev/null
+++ b/decision/shift.go
@@ -0,0 +1,4 @@
+package decision
+
+// shift judges versions and servers.
+func (w *World) shift() {}
--- a/decision/world.go
+++ b/decision/world.go
@@ -1,38 +1,72 @@
 package decision
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // World holds the tables. It is not safe for concurrent use: one goroutine owns
 // it and calls Tick.
 type World struct {
-	cfg  Config
-	rows rows
-}
+	cfg Config
+	tables
+	rng *rand.Rand
 
-// Config sets the limits of the decisions. DefaultConfig documents each.
-type Config struct {
-	// Seed makes every random choice repeatable.
-	Seed uint64
-	// DefaultDeadline is given to requests without one.
-	DefaultDeadline time.Duration
-}
+	now   time.Time
+	fresh bool
+	// outage says that the log is down for everybody.
+	outage bool
+	// staleSince is when freshness was lost.
+	staleSince time.Time
+	// recheck asks the withdraw system to look at every queued request.
+	recheck bool
+	wakeSeq uint64
 
-// DefaultConfig returns the defaults.
-func DefaultConfig() Config {
-	return Config{Seed: 1, DefaultDeadline: 30 * time.Second}
+	// What this tick's events leave to the systems.
+	arrived []*request
+	ended   []endedAttempt
+	rated   []AnswerRated
+	out     []Command
 }
 
 // NewWorld returns an empty world: it refuses everything until it has been told
 // a manifest, servers and that the instance is fresh.
 func NewWorld(cfg Config) *World {
-	return &World{cfg: cfg}
+	cfg = cfg.withDefaults()
+	return &World{cfg: cfg, tables: newTables(), rng: newRand(cfg.Seed)}
 }
 
-type rows struct{}
-
 // Tick applies the events in order, runs the systems once and returns what the
-// router must do, in order. now must not run backwards.
+// router must do, in order. A now before the last one counts as the last one.
+// The commands returned are valid until the next Tick.
 func (w *World) Tick(now time.Time, in []Event) []Command {
-	_ = w.rows
-	return nil
+	w.begin(now)
+	w.ingest(in)
+	w.expire()
+	w.retry()
+	w.escalate()
+	w.admit()
+	w.withdraw()
+	w.place()
+	w.shift()
+	return w.out
+}
+
+// begin starts a tick: the clock moves on and the backlogged pools' meters with
+// it. The work is by backlogged pools, which are as few as versions.
+func (w *World) begin(now time.Time) {
+	elapsed := time.Duration(0)
+	if now.After(w.now) {
+		if !w.now.IsZero() {
+			elapsed = now.Sub(w.now)
+		}
+		w.now = now
+	}
+	for _, p := range w.busy {
+		p.drain.advance(elapsed, w.cfg.DrainWindow)
+	}
+	w.arrived = w.arrived[:0]
+	w.ended = w.ended[:0]
+	w.rated = w.rated[:0]
+	w.out = w.out[:0]
 }
--- /dev/null
+++ b/decision/world_test.go
@@ -0,0 +1,235 @@
+package decision
+
+import (
+	"testing"
+	"time"
+)
+
+// small returns a harness with two teams, two models and two servers.
+func small(t testing.TB) *harness {
+	h := newHarness(t, DefaultConfig())
+	h.manifest(1, []Team{teamOf("weavers", 1), teamOf("shops", 1)}, smallVersions())
+	h.servers(serversOf(2, 2, weave1, draft1)...)
+	h.tick()
+	return h
+}
+
+func TestOneRequest(t *testing.T) {
+	tests := []struct {
+		name    string
+		request Request
+		setup   func(*harness)
+		want    Command
+	}{
+		{name: "delivered", request: Request{Model: "weave"}, want: Deliver{Request: 1, Attempt: 1}},
+		{name: "pinned", request: Request{Pinned: weave1}, want: Deliver{Request: 1, Attempt: 1}},
+		{name: "exact", request: Request{Model: "draft@1"}, want: Deliver{Request: 1, Attempt: 1}},
+		{name: "any", request: Request{}, want: Deliver{Request: 1, Attempt: 1}},
+		{name: "unknown model", request: Request{Model: "none"}, want: Refuse{Request: 1, Reason: ReasonUnknownModel}},
+		{name: "unknown team", request: Request{Team: "none", Model: "weave"}, want: Refuse{Request: 1, Reason: ReasonNotAllowed}},
+		{name: "pin of another model", request: Request{Pinned: weave1, Model: "draft"}, want: Refuse{Request: 1, Reason: ReasonUnknownModel}},
+		{
+			name: "not allowed", request: Request{Model: "draft"},
+			setup: func(h *harness) {
+				h.manifest(2, []Team{{ID: "weavers", Allowed: []VersionID{weave1}}}, smallVersions())
+			},
+			want: Refuse{Request: 1, Reason: ReasonNotAllowed},
+		},
+		{
+			name: "pinned to withdrawn", request: Request{Pinned: weave1},
+			setup: func(h *harness) {
+				v := smallVersions()
+				v[0].State = VersionWithdrawn
+				h.manifest(2, []Team{teamOf("weavers", 1)}, v)
+			},
+			want: Refuse{Request: 1, Reason: ReasonVersionWithdrawn},
+		},
+		{
+			name: "pinned to draining", request: Request{Pinned: weave1},
+			setup: func(h *harness) {
+				v := smallVersions()
+				v[0].State = VersionDraining
+				h.manifest(2, []Team{teamOf("weavers", 1)}, v)
+			},
+			want: Deliver{Request: 1, Attempt: 1},
+		},
+		{
+			name: "older manifest is dropped", request: Request{Model: "weave"},
+			setup: func(h *harness) { h.send(ManifestApplied{Generation: 1}) },
+			want:  Deliver{Request: 1, Attempt: 1},
+		},
+		{
+			name: "no server", request: Request{Service: "stock"},
+			want: Refuse{Request: 1, Reason: ReasonNoServer},
+		},
+		{
+			name: "quarantined", request: Request{Model: "weave", Fingerprint: 7},
+			setup: func(h *harness) { h.send(RequestQuarantined{Fingerprint: 7, Until: h.now.Add(time.Hour)}) },
+			want:  Refuse{Request: 1, Reason: ReasonQuarantined},
+		},
+		{
+			name: "quarantine over", request: Request{Model: "weave", Fingerprint: 7},
+			setup: func(h *harness) { h.send(RequestQuarantined{Fingerprint: 7, Until: h.now}) },
+			want:  Deliver{Request: 1, Attempt: 1},
+		},
+		{
+			name: "not fresh", request: Request{Model: "weave"},
+			setup: func(h *harness) { h.send(FreshnessChanged{}) },
+			want:  Refuse{Request: 1, Reason: ReasonNotFresh},
+		},
+		{
+			name: "outage, not idempotent", request: Request{Model: "weave"},
+			setup: func(h *harness) { h.send(FreshnessChanged{Fresh: true, Outage: true}) },
+			want:  Refuse{Request: 1, Reason: ReasonOutage},
+		},
+		{
+			name: "outage, idempotent", request: Request{Model: "weave", Idempotent: true},
+			setup: func(h *harness) { h.send(FreshnessChanged{Fresh: true, Outage: true}) },
+			want:  Deliver{Request: 1, Attempt: 1},
+		},
+		{
+			name: "deadline passed", request: Request{Model: "weave", Deadline: epoch},
+			want: Refuse{Request: 1, Reason: ReasonDeadline},
+		},
+		{
+			name: "runs past its deadline", request: Request{Model: "weave", Deadline: epoch.Add(time.Second)},
+			setup: func(h *harness) { h.took = func(Dispatch, Request) time.Duration { return time.Hour } },
+			want:  Fail{Request: 1, Result: AttemptUnknown},
+		},
+		{
+			name: "all leaving", request: Request{Model: "weave"},
+			setup: func(h *harness) { h.send(ServerLeaving{Server: "s0"}, ServerLeaving{Server: "s1"}) },
+			want:  Refuse{Request: 1, Reason: ReasonNoServer},
+		},
+		{
+			name: "unknown result of a reservation", request: Request{Model: "weave"},
+			setup: func(h *harness) { h.ended = always(AttemptUnknown) },
+			want:  Fail{Request: 1, Result: AttemptUnknown},
+		},
+		{
+			name: "unknown result, idempotent, each time", request: Request{Model: "weave", Idempotent: true},
+			setup: func(h *harness) { h.ended = always(AttemptUnknown) },
+			want:  Fail{Request: 1, Result: AttemptUnknown},
+		},
+		{
+			name: "refused by each server", request: Request{Model: "weave"},
+			setup: func(h *harness) { h.ended = always(AttemptNotRun) },
+			want:  Refuse{Request: 1, Reason: ReasonNoServer},
+		},
+		{
+			name: "crashes each server", request: Request{Model: "weave", Fingerprint: 9, Idempotent: true},
+			setup: func(h *harness) { h.ended = always(AttemptCrashed) },
+			want:  Fail{Request: 1, Result: AttemptCrashed},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := small(t)
+			if tt.setup != nil {
+				tt.setup(h)
+			}
+			if tt.request.Team == "" {
+				tt.request.Team = "weavers"
+			}
+			h.arrive(tt.request)
+			h.run(5 * time.Second)
+			got := h.outcomes[1].command
+			if r, ok := got.(Refuse); ok {
+				r.RetryAfter = 0
+				got = r
+			}
+			if got != tt.want {
+				t.Errorf("got %T%+v, want %T%+v", got, got, tt.want, tt.want)
+			}
+			h.settled()
+		})
+	}
+}
+
+func always(result AttemptResult) func(Dispatch, Request) AttemptResult {
+	return func(Dispatch, Request) AttemptResult { return result }
+}
+
+// A crashing request takes down two servers at most, and its resend none.
+func TestCrashingRequestIsQuarantined(t *testing.T) {
+	h := small(t)
+	h.ended = always(AttemptCrashed)
+	var quarantines []Quarantine
+	h.seen = func(c Command) {
+		if q, ok := c.(Quarantine); ok {
+			quarantines = append(quarantines, q)
+		}
+	}
+	first := h.arrive(Request{Team: "weavers", Model: "weave", Fingerprint: 5, Idempotent: true})
+	h.run(time.Second)
+	second := h.arrive(Request{Team: "weavers", Model: "weave", Fingerprint: 5, Idempotent: true, Resend: true})
+	h.run(time.Second)
+	if h.ran[first] != 2 || h.ran[second] != 0 {
+		t.Errorf("ran %d and %d times, want 2 and 0", h.ran[first], h.ran[second])
+	}
+	if len(quarantines) != 1 || quarantines[0].Fingerprint != 5 {
+		t.Errorf("quarantines: %v", quarantines)
+	}
+}
+
+// Raising a share only adds: no request leaves the version whose share grew.
+func TestShareOnlyAdds(t *testing.T) {
+	at := func(share float64) []VersionID {
+		h := newHarness(t, DefaultConfig())
+		h.manifest(1, []Team{teamOf("weavers", 1)}, []Version{
+			{ID: weave1, Model: "weave", State: VersionServing, Share: 1 - share},
+			{ID: weave2, Model: "weave", State: VersionServing, Share: share, Predecessor: weave1},
+		})
+		h.servers(serversOf(4, 8, weave1, weave2)...)
+		h.tick()
+		var got []VersionID
+		h.seen = func(c Command) {
+			if d, ok := c.(Dispatch); ok {
+				got = append(got, d.Version)
+			}
+		}
+		for i := range 20 {
+			h.arrive(Request{Team: "weavers", Model: "weave", ShareHash: float64(i) / 20})
+			h.tick()
+		}
+		return got
+	}
+	before, after := at(0.2), at(0.5)
+	n := 0
+	for i := range before {
+		if before[i] == weave2 && after[i] != weave2 {
+			t.Errorf("request %d left %s", i, weave2)
+		}
+		if after[i] == weave2 {
+			n++
+		}
+	}
+	if n != 10 {
+		t.Errorf("%d of 20 on %s, want 10", n, weave2)
+	}
+}
+
+// Queued work follows the manifest that comes while it waits.
+func TestQueuedWorkFollowsTheManifest(t *testing.T) {
+	h := small(t)
+	h.took = func(Dispatch, Request) time.Duration { return time.Second }
+	for range 4 {
+		h.arrive(Request{Team: "weavers", Model: "draft"})
+	}
+	h.tick()
+	pinned := h.arrive(Request{Team: "weavers", Pinned: weave1})
+	free := h.arrive(Request{Team: "weavers", Model: "weave"})
+	h.tick()
+	v := append(smallVersions(), Version{ID: weave2, Model: "weave", State: VersionServing, Share: 1, Predecessor: weave1})
+	v[0].State = VersionWithdrawn
+	h.manifest(2, []Team{teamOf("weavers", 1)}, v)
+	h.servers(serversOf(2, 2, weave1, draft1, weave2)...)
+	h.run(5 * time.Second)
+	if r, ok := h.outcomes[pinned].command.(Refuse); !ok || r.Reason != ReasonVersionWithdrawn {
+		t.Errorf("pinned: %+v", h.outcomes[pinned])
+	}
+	if _, ok := h.outcomes[free].command.(Deliver); !ok {
+		t.Errorf("not pinned: %+v", h.outcomes[free])
+	}
+	h.settled()
+}
