Sessions by signed token and by named register

Cause: a session must stay on its versions at every instance, while no instance keeps anything. A token carries the pins, signed with HS256 by a key ring that rotates by overlap; callers that carry only a name get their pins by the register session/<team>/<name>, whose first writer wins. A Put that the log did not settle in time is released, so it can't set pins later.

Verify takes the caller's team, so that no caller of it can forget to compare; algorithm, issuer and expiry are strict, and the payload is checked again after the signature.

--- /dev/null
+++ b/router/internal/session/names.go
@@ -0,0 +1,103 @@
+package session
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+
+	"masticplank.example/coordination/node"
+	"masticplank.example/coordination/record"
+)
+
+// Names pins sessions that callers know only by name, by the register
+// "session/<team>/<name>": whoever is first in the log's order sets the pins,
+// at whichever instance. Safe for concurrent use.
+type Names struct {
+	store node.Store
+	ttl   time.Duration
+}
+
+// NewNames returns Names whose pins live for ttl from the first use.
+func NewNames(store node.Store, ttl time.Duration) *Names {
+	return &Names{store: store, ttl: ttl}
+}
+
+// Key is the register of a named session.
+func Key(team, name string) record.Key {
+	return record.Key(string(record.ClassSession) + "/" + team + "/" + name)
+}
+
+// Lookup reads the pins that are folded here already; false for none.
+func (n *Names) Lookup(team, name string) (Session, bool, error) {
+	if !ValidName(name) {
+		return Session{}, false, refuse(ReasonName, "")
+	}
+	register, ok := n.store.Lookup(Key(team, name))
+	if !ok {
+		return Session{}, false, nil
+	}
+	s, err := decode(register.Value, team, name)
+	return s, err == nil, err
+}
+
+// Pin returns the session's pins: those in the log, or pins where none are set
+// yet. It waits for the log. ReasonUndecided means that nobody's pins were
+// settled in time and the own proposal is void, so the request has not begun.
+func (n *Names) Pin(ctx context.Context, team, name string, pins map[string]string) (Session, error) {
+	s, ok, err := n.Lookup(team, name)
+	if err != nil || ok {
+		return s, err
+	}
+	own := Session{Team: team, ID: name, Pins: pins, ShareHash: ShareHash(team, name)}
+	if wrong := own.check(); wrong != "" {
+		return Session{}, refuse(ReasonInvalid, wrong)
+	}
+	return n.propose(ctx, own)
+}
+
+func (n *Names) propose(ctx context.Context, own Session) (Session, error) {
+	value, err := json.Marshal(own)
+	if err != nil {
+		return Session{}, trace.Wrap(err)
+	}
+	put := record.Record{
+		Kind:     record.KindPut,
+		Key:      Key(own.Team, own.ID),
+		Nonce:    record.Nonce(uuid.New()),
+		Value:    value,
+		Lifetime: n.ttl,
+	}
+	result := n.store.Put(ctx, put)
+	switch result.Outcome {
+	case node.OutcomeWon:
+		return own, nil
+	case node.OutcomeLost:
+		return decode(result.Register.Value, own.Team, own.ID)
+	case node.OutcomeUnknown:
+		// Released, it can never win later and so never surprise the caller's
+		// next try with pins that were chosen under an older manifest.
+		n.store.Release(put.Key, put.Nonce)
+	}
+	return Session{}, refuse(ReasonUndecided, "")
+}
+
+// decode reads a register's value, which any writer to the log may have made.
+func decode(value []byte, team, name string) (Session, error) {
+	var s Session
+	dec := json.NewDecoder(bytes.NewReader(value))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&s); err != nil {
+		return Session{}, refuse(ReasonRegister, "not JSON of a session")
+	}
+	if wrong := s.check(); wrong != "" {
+		return Session{}, refuse(ReasonRegister, wrong)
+	}
+	if s.Team != team || s.ID != name {
+		return Session{}, refuse(ReasonRegister, "of another session")
+	}
+	return s, nil
+}
--- /dev/null
+++ b/router/internal/session/token.go
@@ -0,0 +1,164 @@
+package session
+
+import (
+	"encoding/base64"
+	"errors"
+	"time"
+
+	"github.com/golang-jwt/jwt/v5"
+	"github.com/gravitational/trace"
+
+	"masticplank.example/router/internal/settings"
+)
+
+const (
+	// MaxTokenBytes bounds a token before anything is parsed; it has room for
+	// MaxPins pins of usual length and stays far under the header limit.
+	MaxTokenBytes = 16 << 10
+
+	// issuer marks masticplank's tokens, so that a key which is by mistake
+	// shared with another system does not make that one's tokens sessions.
+	issuer = "masticplank"
+	// headerKeyID is JWT's name for the key's id.
+	headerKeyID = "kid"
+)
+
+// Tokens issues and verifies session tokens. Safe for concurrent use.
+type Tokens struct {
+	keys   map[string][]byte
+	signer string
+	ttl    time.Duration
+	now    func() time.Time
+	parser *jwt.Parser
+}
+
+// NewTokens takes the key ring of the settings: the first key signs, all
+// verify. To rotate, add the new key at the end everywhere, then move it to
+// the front, and drop the old one a TTL later. now is the clock.
+func NewTokens(cfg settings.Session, now func() time.Time) (*Tokens, error) {
+	t := &Tokens{
+		keys: make(map[string][]byte, len(cfg.Keys)),
+		ttl:  time.Duration(cfg.TTLSeconds) * time.Second,
+		now:  now,
+		parser: jwt.NewParser(
+			jwt.WithValidMethods([]string{jwt.SigningMethodHS256.Alg()}),
+			jwt.WithIssuer(issuer),
+			jwt.WithExpirationRequired(),
+			jwt.WithStrictDecoding(),
+			jwt.WithTimeFunc(now),
+		),
+	}
+	for i, k := range cfg.Keys {
+		secret, err := base64.StdEncoding.DecodeString(k.Secret)
+		if err != nil || len(secret) < settings.MinSecretBytes {
+			return nil, trace.BadParameter("session key %q is no base64 of at least %d bytes", k.ID, settings.MinSecretBytes)
+		}
+		if _, ok := t.keys[k.ID]; ok {
+			return nil, trace.BadParameter("session key %q is given twice", k.ID)
+		}
+		t.keys[k.ID] = secret
+		if i == 0 {
+			t.signer = k.ID
+		}
+	}
+	return t, nil
+}
+
+// claims is a token's payload.
+type claims struct {
+	Session
+	jwt.RegisteredClaims
+}
+
+// Issue signs s and returns the token with the time at which it ends.
+func (t *Tokens) Issue(s Session) (token string, expires time.Time, err error) {
+	if len(t.keys) == 0 {
+		return "", time.Time{}, refuse(ReasonNoKeys, "set session.keys")
+	}
+	if wrong := s.check(); wrong != "" {
+		return "", time.Time{}, refuse(ReasonInvalid, wrong)
+	}
+	now := t.now()
+	expires = now.Add(t.ttl).Truncate(time.Second)
+	unsigned := jwt.NewWithClaims(jwt.SigningMethodHS256, claims{
+		Session: s,
+		RegisteredClaims: jwt.RegisteredClaims{
+			Issuer:    issuer,
+			IssuedAt:  jwt.NewNumericDate(now),
+			ExpiresAt: jwt.NewNumericDate(expires),
+		},
+	})
+	unsigned.Header[headerKeyID] = t.signer
+	token, err = unsigned.SignedString(t.keys[t.signer])
+	if err != nil {
+		return "", time.Time{}, trace.Wrap(err)
+	}
+	if len(token) > MaxTokenBytes {
+		return "", time.Time{}, refuse(ReasonInvalid, "the token would be too long")
+	}
+	return token, expires, nil
+}
+
+// Verify reads a token that a caller of team sent. The error is an *Error.
+func (t *Tokens) Verify(token, team string) (Session, error) {
+	if len(token) > MaxTokenBytes {
+		return Session{}, refuse(ReasonMalformed, "too long")
+	}
+	var c claims
+	if _, err := t.parser.ParseWithClaims(token, &c, t.key); err != nil {
+		return Session{}, refuse(reasonOf(err), "")
+	}
+	if wrong := c.check(); wrong != "" {
+		return Session{}, refuse(ReasonMalformed, wrong)
+	}
+	if c.Team != team {
+		return Session{}, refuse(ReasonTeam, "")
+	}
+	return c.Session, nil
+}
+
+// errUnknownKey passes through the parser, which wraps it.
+var errUnknownKey = errors.New("session: unknown key")
+
+// key finds the key that a token names. The parser has checked the algorithm
+// before it asks.
+func (t *Tokens) key(token *jwt.Token) (any, error) {
+	id, _ := token.Header[headerKeyID].(string)
+	secret, ok := t.keys[id]
+	if !ok {
+		return nil, errUnknownKey
+	}
+	return secret, nil
+}
+
+// reasonOf sorts the parser's errors. The signature is checked before the
+// times, so an expired token was genuine.
+func reasonOf(err error) Reason {
+	switch {
+	case errors.Is(err, errUnknownKey):
+		return ReasonUnknownKey
+	case errors.Is(err, jwt.ErrTokenSignatureInvalid):
+		return ReasonSignature
+	case errors.Is(err, jwt.ErrTokenExpired):
+		return ReasonExpired
+	default:
+		return ReasonMalformed
+	}
+}
+
+// LooksLikeToken tells a token from a session name in the same header: a name
+// may hold dots, but a JWT begins with the base64 of `{"`.
+func LooksLikeToken(header string) bool {
+	const begin = "eyJ"
+	return len(header) > len(begin) && header[:len(begin)] == begin && dots(header) == 2
+}
+
+func dots(s string) int {
+	n := 0
+	for _, c := range []byte(s) {
+		if c == '.' {
+			n++
+		}
+	}
+	return n
+}
