Sessions get their versions from the decision

Cause: a session that the cascade serves needs one version for each model, and picking them outside the decision would ignore verdicts on bad versions. Ruled out: repeating the roll-out's hash in the router.

--- a/decision/commands.go
+++ b/decision/commands.go
@@ -41,6 +41,13 @@
 	Result AttemptResult
 }
 
+// PinSession answers SessionOpening: one version for each model that the team
+// may use, in order of ModelID; none where it may use nothing.
+type PinSession struct {
+	Session  SessionID
+	Versions []VersionID
+}
+
 // CancelAttempt stops an attempt that nobody waits for.
 type CancelAttempt struct {
 	Request RequestID
@@ -62,6 +69,7 @@
 func (Dispatch) command()      {}
 func (Deliver) command()       {}
 func (Refuse) command()        {}
+func (PinSession) command()    {}
 func (Fail) command()          {}
 func (CancelAttempt) command() {}
 func (ShareVerdict) command()  {}
--- a/decision/events.go
+++ b/decision/events.go
@@ -43,6 +43,15 @@
 // Fail or Deliver in the end, unless RequestCancelled comes first.
 type RequestArrived struct{ Request Request }
 
+// SessionOpening asks which versions a new session gets; it is answered by
+// PinSession in the same tick.
+type SessionOpening struct {
+	Session SessionID
+	Team    TeamID
+	// ShareHash is the session's place in roll-outs.
+	ShareHash float64
+}
+
 // RequestCancelled says that the caller has gone.
 type RequestCancelled struct{ Request RequestID }
 
@@ -105,6 +114,7 @@
 func (LoadReported) event()       {}
 func (CacheChanged) event()       {}
 func (RequestArrived) event()     {}
+func (SessionOpening) event()     {}
 func (RequestCancelled) event()   {}
 func (FirstToken) event()         {}
 func (AttemptEnded) event()       {}
--- a/decision/ingest.go
+++ b/decision/ingest.go
@@ -13,6 +13,8 @@
 	switch e := e.(type) {
 	case RequestArrived:
 		w.ingestRequest(e.Request)
+	case SessionOpening:
+		w.opening = append(w.opening, e)
 	case AttemptEnded:
 		w.ingestEnded(e)
 	case AnswerRated:
--- a/decision/resolve.go
+++ b/decision/resolve.go
@@ -87,7 +87,7 @@
 func (w *World) resolveAny(t *team, r *request) choice {
 	var best *version
 	for _, tm := range t.models {
-		v := w.rollout(tm, r.ShareHash)
+		v := w.versionFor(tm, r)
 		if v != nil && v.pool.usable > 0 && (best == nil || better(v, best, t.QualityTarget)) {
 			best = v
 		}
@@ -98,6 +98,9 @@
 	if len(t.models) == 0 {
 		return refused(ReasonNotAllowed)
 	}
+	if w.pinsWithdrawn(r) {
+		return refused(ReasonVersionWithdrawn)
+	}
 	return refused(ReasonNoServer)
 }
 
--- a/decision/types.go
+++ b/decision/types.go
@@ -20,6 +20,8 @@
 	TaskClass string
 	// RequestID numbers a request within this instance.
 	RequestID uint64
+	// SessionID numbers a session that is being opened within this instance.
+	SessionID uint64
 	// AttemptID numbers the attempts of one request from 1.
 	AttemptID uint32
 	// Fingerprint is a hash of team and body, for requests that crash servers.
@@ -94,6 +96,9 @@
 	Model ModelID
 	// Pinned is the session's version for the model; empty without a session.
 	Pinned VersionID
+	// Pins are the session's versions, one a model, for a request whose Model is
+	// empty: the cascade then keeps to them.
+	Pins []VersionID
 	// Service is set for a plain service.
 	Service ServiceID
 	Class   TaskClass
--- a/decision/world.go
+++ b/decision/world.go
@@ -24,6 +24,7 @@
 
 	// What this tick's events leave to the systems.
 	arrived []*request
+	opening []SessionOpening
 	ended   []endedAttempt
 	rated   []AnswerRated
 	out     []Command
@@ -45,6 +46,7 @@
 	w.expire()
 	w.retry()
 	w.escalate()
+	w.openSessions()
 	w.admit()
 	w.withdraw()
 	w.place()
@@ -66,6 +68,7 @@
 		p.drain.advance(elapsed, w.cfg.DrainWindow)
 	}
 	w.arrived = w.arrived[:0]
+	w.opening = w.opening[:0]
 	w.ended = w.ended[:0]
 	w.rated = w.rated[:0]
 	w.out = w.out[:0]
