Tests for the stand-ins and platform clients

Time runs in synctest bubbles, so the first token of a cached prompt, queueing and crashes are checked without a wall clock.

--- /dev/null
+++ b/router/internal/platform/clients_test.go
@@ -0,0 +1,72 @@
+package platform
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+
+	"masticplank.example/router/internal/standin/faults"
+	"masticplank.example/router/internal/standin/listsvc"
+	"masticplank.example/router/internal/standin/rating"
+	"masticplank.example/router/internal/wire"
+)
+
+func TestListClient(t *testing.T) {
+	svc := listsvc.New(listsvc.Config{List: wire.InstanceList{
+		Servers:   []wire.ListedServer{{ID: "e1", Addr: "127.0.0.1:1", Slots: 4, Leaving: true}},
+		Instances: []wire.ListedInstance{{ID: "i1", Domain: "gasabo"}},
+	}})
+	server := httptest.NewServer(svc)
+	defer server.Close()
+	client := NewListClient(server.URL + "/")
+	list, err := client.Fetch(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(list.Servers) != 1 || !list.Servers[0].Leaving || list.Instances[0].Domain != "gasabo" {
+		t.Errorf("list %+v", list)
+	}
+	svc.Faults.Set(listsvc.Faults{Common: faults.Common{Down: true}})
+	if list, err := client.Fetch(context.Background()); err == nil {
+		t.Errorf("down: got %+v", list)
+	}
+}
+
+func TestRatingClient(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults rating.Faults
+		score  float64
+		fails  bool
+	}{
+		{name: "sound", score: 0.75},
+		{name: "wrong", faults: rating.Faults{Wrong: true}, score: 0.25},
+		{name: "set", faults: rating.Faults{Scores: map[string]float64{"m@1": 0.1}}, score: 0.1},
+		{name: "out of range", faults: rating.Faults{OutOfRange: 1}, fails: true},
+		{name: "failing", faults: rating.Faults{Fail: 1}, fails: true},
+		{name: "down", faults: rating.Faults{Common: faults.Common{Down: true}}, fails: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			svc := rating.New(rating.Config{})
+			svc.Faults.Set(tt.faults)
+			server := httptest.NewServer(svc)
+			defer server.Close()
+			score, err := NewRatingClient(server.URL).Rate(context.Background(), wire.RateRequest{
+				Version: "m@1",
+				Answer:  "q=0.750 some words",
+			})
+			if (err != nil) != tt.fails || score != tt.score {
+				t.Errorf("score %v, error %v", score, err)
+			}
+		})
+	}
+}
+
+func TestDecodeScoreRefusesWhatIsNoScore(t *testing.T) {
+	for _, body := range []string{``, `{}`, `{"score":null}`, `{"score":-0.1}`, `{"score":1.1}`, `{"score":"1"}`} {
+		if score, err := decodeScore([]byte(body)); err == nil {
+			t.Errorf("%q gave %v", body, score)
+		}
+	}
+}
--- /dev/null
+++ b/router/internal/standin/engine/engine_test.go
@@ -0,0 +1,396 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"masticplank.example/router/internal/standin/standintest"
+	"masticplank.example/router/internal/wire"
+)
+
+// testVersion has round times that add up by hand.
+func testVersion() Version {
+	return Version{
+		ID:         "m@1",
+		Quality:    0.7,
+		FirstToken: 10 * time.Millisecond,
+		PerBlock:   100 * time.Millisecond,
+		InterToken: time.Millisecond,
+	}
+}
+
+func newEngine(cfg Config) *Server {
+	cfg.Versions = []Version{testVersion(), {ID: "m@2", Quality: 0.9}}
+	return New(cfg)
+}
+
+func user(text string) []wire.Message { return []wire.Message{{Role: "user", Content: text}} }
+
+func chat(ctx context.Context, s *Server, r wire.ChatRequest) standintest.Reply {
+	body, err := json.Marshal(r)
+	if err != nil {
+		panic(err)
+	}
+	header := http.Header{}
+	header.Set(wire.HeaderAttempt, "n1")
+	return standintest.Do(s, standintest.Call{
+		Method:  http.MethodPost,
+		Path:    "/v1/chat/completions",
+		Body:    string(body),
+		Header:  header,
+		Context: ctx,
+	})
+}
+
+// readStream joins a stream's text. It reports the ids in order, and whether the
+// usage and the explicit end came.
+func readStream(t *testing.T, body string) (text string, ids []int, whole bool) {
+	t.Helper()
+	var usage *wire.Usage
+	for event := range strings.SplitSeq(strings.TrimSuffix(body, "\n\n"), "\n\n") {
+		var id int
+		var data string
+		if _, err := fmt.Sscanf(event, "id: %d", &id); err != nil {
+			t.Fatalf("event %q: %v", event, err)
+		}
+		ids = append(ids, id)
+		_, data, _ = strings.Cut(event, "data: ")
+		if data == wire.StreamEnd {
+			return text, ids, usage != nil
+		}
+		var chunk wire.ChatResponse
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			t.Fatal(err)
+		}
+		text += chunk.Choices[0].Delta.Content
+		usage = chunk.Usage
+	}
+	return text, ids, false
+}
+
+func readPlain(t *testing.T, body string) wire.ChatResponse {
+	t.Helper()
+	var answer wire.ChatResponse
+	if err := json.Unmarshal([]byte(body), &answer); err != nil {
+		t.Fatalf("%v in %q", err, body)
+	}
+	return answer
+}
+
+func TestPlainAndStreamedAnswersAreWholeAndOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newEngine(Config{})
+		for _, maxTokens := range []int{0, 1, 2, 40} {
+			for _, version := range []string{"m@1", "m@2"} {
+				r := wire.ChatRequest{Model: version, Messages: user("rug"), MaxTokens: maxTokens}
+				reply := chat(t.Context(), s, r)
+				plain := readPlain(t, reply.Body)
+				if !Check(plain.Choices[0].Message.Content, version, r.Messages, maxTokens) {
+					t.Errorf("plain answer %q", plain.Choices[0].Message.Content)
+				}
+				if reply.Header.Get(wire.HeaderAttempt) != "n1" || plain.Usage.CompletionTokens == 0 {
+					t.Errorf("nonce %q, usage %+v", reply.Header.Get(wire.HeaderAttempt), plain.Usage)
+				}
+				r.Stream = true
+				text, ids, whole := readStream(t, chat(t.Context(), s, r).Body)
+				if !whole || text != plain.Choices[0].Message.Content {
+					t.Errorf("stream %q, whole %v", text, whole)
+				}
+				for i, id := range ids {
+					if i != id {
+						t.Fatalf("ids %v", ids)
+					}
+				}
+			}
+		}
+		other := Expected("m@1", user("rag"), 40)
+		if other == Expected("m@1", user("rug"), 40) || other == Expected("m@2", user("rag"), 40) {
+			t.Error("answers of another prompt or version are alike")
+		}
+	})
+}
+
+func TestRefusalsSayNotRunAndStartNothing(t *testing.T) {
+	good := wire.ChatRequest{Model: "m@1", Messages: user("x")}
+	tests := []struct {
+		name    string
+		faults  string
+		request wire.ChatRequest
+		status  int
+		leaving bool
+	}{
+		{name: "leaving", faults: `{"leaving":true}`, request: good, status: 503, leaving: true},
+		{name: "busy", faults: `{"busy":1}`, request: good, status: 429},
+		{name: "unknown version", faults: `{}`, request: wire.ChatRequest{Model: "m@3"}, status: 404},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newEngine(Config{})
+			standintest.SetFaults(s, tt.faults)
+			reply := chat(t.Context(), s, tt.request)
+			if reply.Status != tt.status || reply.Header.Get(wire.HeaderNotRun) != "true" {
+				t.Errorf("reply %+v", reply)
+			}
+			if got := reply.Header.Get(wire.HeaderLeaving) == "true"; got != tt.leaving {
+				t.Errorf("leaving %v", got)
+			}
+			if stats := s.Stats(); stats.Started != 0 || stats.Refused != 1 {
+				t.Errorf("stats %+v", stats)
+			}
+		})
+	}
+}
+
+func TestFaultsOfOneAnswer(t *testing.T) {
+	tests := []struct {
+		faults string
+		stream bool
+		// check looks at the reply; the engine's own text is known.
+		cut    bool
+		nonce  string
+		own    bool
+		whole  bool
+		double bool
+	}{
+		{faults: `{"truncate":1}`, stream: true, cut: true, nonce: "n1"},
+		{faults: `{"truncate":1}`, cut: true, nonce: "n1"},
+		{faults: `{"end_early":1}`, stream: true, nonce: "n1"},
+		{faults: `{"lost_reply":1}`, cut: true},
+		{faults: `{"lost_reply":1}`, stream: true, cut: true, nonce: "n1", own: true},
+		{faults: `{"wrong_nonce":1}`, nonce: otherNonce, own: true, whole: true},
+		{faults: `{"crossed":1}`, nonce: otherNonce, whole: true},
+		{faults: `{"duplicate_chunk":1}`, stream: true, nonce: "n1", whole: true, double: true},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.faults, tt.stream), func(t *testing.T) {
+			s := New(Config{Versions: []Version{{ID: "m@1"}}})
+			standintest.SetFaults(s, tt.faults)
+			r := wire.ChatRequest{Model: "m@1", Messages: user("x"), Stream: tt.stream}
+			reply := chat(t.Context(), s, r)
+			if reply.Cut != tt.cut || reply.Header.Get(wire.HeaderAttempt) != tt.nonce {
+				t.Errorf("cut %v, nonce %q", reply.Cut, reply.Header.Get(wire.HeaderAttempt))
+			}
+			var text string
+			var ids []int
+			whole := false
+			if tt.stream {
+				text, ids, whole = readStream(t, reply.Body)
+			} else if !tt.cut {
+				text, whole = readPlain(t, reply.Body).Choices[0].Message.Content, true
+			}
+			if whole != tt.whole || Check(text, "m@1", r.Messages, 0) != tt.own {
+				t.Errorf("whole %v, own %v", whole, !tt.own)
+			}
+			if doubled := len(ids) > 0 && ids[len(ids)-1] == len(ids)-2; doubled != tt.double {
+				t.Errorf("ids %v", ids)
+			}
+			// The fault struck once; the next answer is sound.
+			next := readPlain(t, chat(t.Context(), s, wire.ChatRequest{Model: "m@1", Messages: user("x")}).Body)
+			if !Check(next.Choices[0].Message.Content, "m@1", r.Messages, 0) {
+				t.Error("the next answer is not sound")
+			}
+		})
+	}
+}
+
+func TestCachedPrefixShortensTheFirstToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newEngine(Config{})
+		r := wire.ChatRequest{Model: "m@1", Messages: user(strings.Repeat("12345678", 24)), MaxTokens: 1}
+		blocks := len(wire.PromptBlocks(r.Messages))
+		for i, want := range []time.Duration{
+			10*time.Millisecond + time.Duration(blocks)*100*time.Millisecond,
+			10 * time.Millisecond,
+		} {
+			began := time.Now()
+			answer := readPlain(t, chat(t.Context(), s, r).Body)
+			if took := time.Since(began); took != want {
+				t.Errorf("request %d took %s, want %s", i, took, want)
+			}
+			if cached := answer.Usage.CachedTokens; cached != i*blocks*wire.BlockTokens() {
+				t.Errorf("request %d: %d cached tokens", i, cached)
+			}
+		}
+	})
+}
+
+func TestCacheIsBoundedAndTellsWhatItDropped(t *testing.T) {
+	c := newPrefixCache(2)
+	kept := func() bool { return false }
+	c.use([]uint64{1, 2}, kept)
+	c.use([]uint64{3}, kept)
+	if hit := c.use([]uint64{1}, func() bool { return true }); hit != 0 {
+		t.Error("the oldest block is still there")
+	}
+	c.use([]uint64{4}, kept)
+	events := c.between(0, c.last())
+	if len(events) != 3 || events[1].Removed[0] != 1 || events[2].Seq != 4 {
+		t.Errorf("events %+v", events)
+	}
+}
+
+func TestBatchIsBoundedAndQueuesByPriority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newEngine(Config{Slots: 1, QueueLimit: 2})
+		ended := make(chan string, 4)
+		send := func(name string, priority int) {
+			r := wire.ChatRequest{Model: "m@1", Messages: user(name), MaxTokens: 5, Priority: priority}
+			reply := chat(t.Context(), s, r)
+			ended <- fmt.Sprint(name, reply.Status)
+		}
+		go send("first", 0)
+		synctest.Wait()
+		go send("low", 0)
+		synctest.Wait()
+		go send("high", 5)
+		synctest.Wait()
+		if running, queued := s.slots.load(); running != 1 || queued != 2 {
+			t.Errorf("running %d, queued %d", running, queued)
+		}
+		send("over", 9)
+		for _, want := range []string{"over429", "first200", "high200", "low200"} {
+			if got := <-ended; got != want {
+				t.Errorf("%s ended where %s was due", got, want)
+			}
+		}
+	})
+}
+
+func TestCallerThatLeavesCancelsAndFreesItsSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newEngine(Config{Slots: 1})
+		ctx, cancel := context.WithCancel(t.Context())
+		go chat(ctx, s, wire.ChatRequest{Model: "m@1", Messages: user("x"), MaxTokens: 1000, Stream: true})
+		waiting, abandon := context.WithCancel(t.Context())
+		go chat(waiting, s, wire.ChatRequest{Model: "m@1", Messages: user("y")})
+		time.Sleep(50 * time.Millisecond)
+		abandon()
+		cancel()
+		synctest.Wait()
+		if running, queued := s.slots.load(); running != 0 || queued != 0 {
+			t.Errorf("running %d, queued %d", running, queued)
+		}
+		if stats := s.Stats(); stats.Cancelled != 1 || stats.Started != 1 || stats.Tokens >= 1000 {
+			t.Errorf("stats %+v", stats)
+		}
+	})
+}
+
+func TestCrashCutsEveryoneAndPasses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newEngine(Config{Slots: 2})
+		standintest.SetFaults(s, `{"crash_on_mark":true,"crash_ms":3000}`)
+		cut := make(chan bool, 2)
+		for _, name := range []string{"running", "running too", "queued"} {
+			go func() {
+				cut <- chat(t.Context(), s, wire.ChatRequest{Model: "m@1", Messages: user(name), MaxTokens: 10_000}).Cut
+			}()
+			synctest.Wait()
+		}
+		// The crash comes from outside a slot here; a marked prompt does the same.
+		s.Crash()
+		for range 3 {
+			if !<-cut {
+				t.Error("a request outlived the crash")
+			}
+		}
+		if reply := chat(t.Context(), s, wire.ChatRequest{Model: "m@1", Messages: user("x")}); !reply.Cut {
+			t.Errorf("served while down: %+v", reply)
+		}
+		time.Sleep(3 * time.Second)
+		marked := wire.ChatRequest{Model: "m@1", Messages: user("a " + CrashMark)}
+		if reply := chat(t.Context(), s, marked); !reply.Cut {
+			t.Errorf("the marked prompt: %+v", reply)
+		}
+		time.Sleep(3 * time.Second)
+		if reply := chat(t.Context(), s, wire.ChatRequest{Model: "m@1", Messages: user("x")}); reply.Status != http.StatusOK {
+			t.Errorf("after the crash: %+v", reply)
+		}
+		if running, _ := s.slots.load(); running != 0 {
+			t.Errorf("%d slots are held", running)
+		}
+	})
+}
+
+func TestStreamResumesBehindTheLastEvent(t *testing.T) {
+	s := newEngine(Config{})
+	r := wire.ChatRequest{Model: "m@2", Messages: user("x"), MaxTokens: 20, Stream: true}
+	text, _, _ := readStream(t, chat(t.Context(), s, r).Body)
+	body, _ := json.Marshal(r)
+	reply := standintest.Do(s, standintest.Call{
+		Method: http.MethodPost, Path: "/v1/chat/completions", Body: string(body),
+		Header: http.Header{"Last-Event-Id": {"9"}},
+	})
+	rest, ids, whole := readStream(t, reply.Body)
+	if !whole || ids[0] != 10 || !strings.HasSuffix(text, rest) || rest == text {
+		t.Errorf("resumed with %q (ids %v) of %q", rest, ids, text)
+	}
+}
+
+func TestLoadReportLagsAndOrdersAreFenced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newEngine(Config{ReportLag: time.Second, CheckFencing: true})
+		report := func() (out wire.LoadReport) {
+			reply := standintest.Do(s, standintest.Call{Method: http.MethodGet, Path: "/load?since=0"})
+			if err := json.Unmarshal([]byte(reply.Body), &out); err != nil {
+				t.Fatal(err)
+			}
+			return out
+		}
+		report()
+		order := func(fencing, versions string) int {
+			return standintest.Do(s, standintest.Call{
+				Method: http.MethodPut, Path: "/orders", Body: `{"versions":[` + versions + `]}`,
+				Header: http.Header{wire.HeaderFencing: {fencing}},
+			}).Status
+		}
+		for _, tt := range []struct {
+			fencing, versions string
+			want              int
+		}{
+			{"7", `"m@2"`, 200}, {"7", `"m@2"`, 200}, {"6", `"m@1"`, 409}, {"8", `"m@9"`, 409}, {"x", ``, 400},
+		} {
+			if got := order(tt.fencing, tt.versions); got != tt.want {
+				t.Errorf("order %+v: status %d", tt, got)
+			}
+		}
+		standintest.SetFaults(s, `{"leaving":true}`)
+		if r := report(); r.Leaving || len(r.Versions) != 2 {
+			t.Errorf("without a lag: %+v", r)
+		}
+		time.Sleep(time.Second)
+		if r := report(); !r.Leaving || len(r.Versions) != 1 {
+			t.Errorf("after the lag: %+v", r)
+		}
+		ignoring := newEngine(Config{})
+		ignoring.orders.apply(wire.Order{Versions: []string{"m@2"}}, 7)
+		if code, _ := ignoring.orders.apply(wire.Order{Versions: []string{"m@1"}}, 6); code != "" {
+			t.Errorf("an engine that ignores fencing numbers refused: %s", code)
+		}
+	})
+}
+
+func TestErrorRateAndQualityByVersion(t *testing.T) {
+	s := New(Config{Versions: []Version{{ID: "bad@1"}, {ID: "good@1"}}, Seed: 1})
+	standintest.SetFaults(s, `{"error_rate":{"bad@1":0.5},"quality":{"good@1":0.125}}`)
+	failed := 0
+	for range 200 {
+		if chat(t.Context(), s, wire.ChatRequest{Model: "bad@1", Messages: user("x")}).Status == http.StatusInternalServerError {
+			failed++
+		}
+	}
+	if failed < 80 || failed > 120 {
+		t.Errorf("%d of 200 failed", failed)
+	}
+	answer := readPlain(t, chat(t.Context(), s, wire.ChatRequest{Model: "good@1", Messages: user("x")}).Body)
+	text := answer.Choices[0].Message.Content
+	if quality, _, ok := Split(text); !ok || quality != 0.125 || !Check(text, "good@1", user("x"), 0) {
+		t.Errorf("answer %q", text)
+	}
+}
--- /dev/null
+++ b/router/internal/standin/logsvc/logsvc_test.go
@@ -0,0 +1,114 @@
+package logsvc
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"masticplank.example/router/internal/standin/standintest"
+	"masticplank.example/router/internal/wire"
+)
+
+func appendBlob(t *testing.T, s *Server, ctx context.Context) standintest.Reply {
+	t.Helper()
+	return standintest.Do(s, standintest.Call{Method: http.MethodPost, Path: "/append", Body: "x", Context: ctx})
+}
+
+func read(t *testing.T, s *Server, query string) (int, wire.LogPage) {
+	t.Helper()
+	reply := standintest.Do(s, standintest.Call{Method: http.MethodGet, Path: "/read?" + query})
+	var page wire.LogPage
+	if err := json.Unmarshal([]byte(reply.Body), &page); err != nil {
+		t.Fatal(err)
+	}
+	return reply.Status, page
+}
+
+func TestRetentionTrimsByTheLogsOwnClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Config{Retention: time.Hour})
+		appendBlob(t, s, nil)
+		time.Sleep(40 * time.Minute)
+		appendBlob(t, s, nil)
+		if status, page := read(t, s, "from=0"); status != http.StatusOK || len(page.Entries) != 2 {
+			t.Fatalf("before: %d %+v", status, page)
+		}
+		time.Sleep(40 * time.Minute)
+		if status, page := read(t, s, "from=0"); status != http.StatusGone || page.First != 1 || page.Head != 2 {
+			t.Errorf("after: %d %+v", status, page)
+		}
+		time.Sleep(time.Hour)
+		if status, page := read(t, s, "from=2"); status != http.StatusOK || page.First != 2 || page.Head != 2 {
+			t.Errorf("all trimmed: %d %+v", status, page)
+		}
+	})
+}
+
+func TestTimesNeverFallWhereTheClockDoes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := New(Config{Now: func() time.Time { return now }})
+	appendBlob(t, s, nil)
+	now = time.Unix(900, 0)
+	appendBlob(t, s, nil)
+	_, page := read(t, s, "from=0")
+	if page.Entries[1].Time.Before(page.Entries[0].Time) {
+		t.Errorf("times %v then %v", page.Entries[0].Time, page.Entries[1].Time)
+	}
+}
+
+func TestLongPollEndsWithAnEmptyPageAndTheHead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Config{})
+		began := time.Now()
+		status, page := read(t, s, "from=0&wait_ms=5000")
+		if status != http.StatusOK || len(page.Entries) != 0 || page.Head != 0 {
+			t.Errorf("%d %+v", status, page)
+		}
+		if waited := time.Since(began); waited != 5*time.Second {
+			t.Errorf("waited %s", waited)
+		}
+	})
+}
+
+// The worst case of a lost reply: the caller has long given up when its append
+// takes effect.
+func TestLateEffectOutlivesItsCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Config{})
+		standintest.SetFaults(s, `{"late_effect_ms":10000}`)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		go appendBlob(t, s, ctx)
+		<-ctx.Done()
+		if _, page := read(t, s, "from=0"); page.Head != 0 {
+			t.Errorf("took effect already: %+v", page)
+		}
+		time.Sleep(10 * time.Second)
+		if _, page := read(t, s, "from=0"); page.Head != 1 {
+			t.Errorf("never took effect: %+v", page)
+		}
+	})
+}
+
+func TestMalformedRequestsAndFaultsChangeNothing(t *testing.T) {
+	s := New(Config{})
+	for _, query := range []string{"", "from=-1", "from=0&limit=x", "from=0&wait_ms=-1"} {
+		reply := standintest.Do(s, standintest.Call{Method: http.MethodGet, Path: "/read?" + query})
+		if reply.Status != http.StatusBadRequest {
+			t.Errorf("%q: status %d", query, reply.Status)
+		}
+	}
+	standintest.SetFaults(s, `{"down":true}`)
+	if reply := standintest.SetFaults(s, `{"dwon":false}`); reply.Status != http.StatusBadRequest {
+		t.Errorf("unknown fault: status %d", reply.Status)
+	}
+	if !s.Faults.Get().Down {
+		t.Error("a refused body changed the faults")
+	}
+	if reply := appendBlob(t, s, nil); !reply.Cut {
+		t.Errorf("down: %+v", reply)
+	}
+}
--- /dev/null
+++ b/router/internal/standin/rating/rating_test.go
@@ -0,0 +1,31 @@
+package rating
+
+import (
+	"math"
+	"testing"
+
+	"masticplank.example/router/internal/wire"
+)
+
+func TestScoreFollowsQualityTaskAndBoundedNoise(t *testing.T) {
+	s := New(Config{Noise: 0.1, Harder: map[string]float64{"draft": 0.2}})
+	var sum float64
+	const n = 2000
+	for i := range n {
+		r := wire.RateRequest{Task: "draft", Prompt: string(rune(i)), Answer: "q=0.700 x"}
+		score := s.score(r)
+		if score != s.score(r) {
+			t.Fatal("the same request scored differently")
+		}
+		if math.Abs(score-0.5) > 0.1 {
+			t.Fatalf("score %v beyond the noise", score)
+		}
+		sum += score
+	}
+	if mean := sum / n; math.Abs(mean-0.5) > 0.01 {
+		t.Errorf("mean %v, want 0.5", mean)
+	}
+	if got := s.score(wire.RateRequest{Task: "draft", Answer: "not from the engine"}); got > 0.1 {
+		t.Errorf("unknown text scored %v", got)
+	}
+}
--- /dev/null
+++ b/router/internal/standin/service/service_test.go
@@ -0,0 +1,73 @@
+package service
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+
+	"masticplank.example/router/internal/standin/standintest"
+	"masticplank.example/router/internal/wire"
+)
+
+func reserve(s *Server, key string) standintest.Reply {
+	header := http.Header{}
+	header.Set(wire.HeaderIdempotencyKey, key)
+	header.Set(wire.HeaderAttempt, "n1")
+	return standintest.Do(s, standintest.Call{Method: http.MethodPost, Path: "/reservations", Body: `{"wool":3}`, Header: header})
+}
+
+// Each fault's effect on the count is what tests of at-most-once rely on.
+func TestRunsAreCountedUnderEveryFault(t *testing.T) {
+	tests := []struct {
+		faults string
+		runs   int
+		cut    bool
+		status int
+		notRun bool
+	}{
+		{faults: `{}`, runs: 1, status: http.StatusCreated},
+		{faults: `{"down":true}`, cut: true},
+		{faults: `{"leaving":true}`, status: http.StatusServiceUnavailable, notRun: true},
+		{faults: `{"busy":1}`, status: http.StatusTooManyRequests, notRun: true},
+		{faults: `{"lost_reply":1}`, runs: 1, cut: true},
+		{faults: `{"truncate":1}`, runs: 1, cut: true},
+		{faults: `{"fail_after":1}`, runs: 1, status: http.StatusInternalServerError},
+	}
+	for _, tt := range tests {
+		t.Run(tt.faults, func(t *testing.T) {
+			s := New(Config{})
+			standintest.SetFaults(s, tt.faults)
+			reply := reserve(s, "k")
+			if reply.Cut != tt.cut || (!tt.cut && reply.Status != tt.status) {
+				t.Errorf("reply %+v", reply)
+			}
+			if got := reply.Header.Get(wire.HeaderNotRun) == "true"; got != tt.notRun {
+				t.Errorf("not run: %v", got)
+			}
+			if got := s.Stats().Runs["k"]; got != tt.runs {
+				t.Errorf("%d runs, want %d", got, tt.runs)
+			}
+		})
+	}
+}
+
+func TestAnswersNameTheRunAndTheCall(t *testing.T) {
+	s := New(Config{Name: "shop"})
+	reserve(s, "k")
+	reply := reserve(s, "k")
+	var answer Answer
+	if err := json.Unmarshal([]byte(reply.Body), &answer); err != nil {
+		t.Fatal(err)
+	}
+	if answer.Run != 2 || answer.Key != "k" || answer.Body != `{"wool":3}` || reply.Header.Get(wire.HeaderAttempt) != "n1" {
+		t.Errorf("answer %+v, header %v", answer, reply.Header)
+	}
+	get := standintest.Do(s, standintest.Call{Method: http.MethodGet, Path: "/stock/blue?size=2"})
+	if get.Status != http.StatusOK || !strings.Contains(get.Body, `"path":"/stock/blue"`) {
+		t.Errorf("read %+v", get)
+	}
+	if stats := s.Stats(); stats.Reads != 1 || len(stats.Runs) != 1 {
+		t.Errorf("stats %+v", stats)
+	}
+}
--- /dev/null
+++ b/router/internal/standin/standintest/standintest.go
@@ -0,0 +1,61 @@
+// Package standintest calls stand-ins in tests without a socket, so that their
+// time can be a synctest bubble's.
+package standintest
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+)
+
+// Call is one request to a handler.
+type Call struct {
+	Method string
+	Path   string
+	Body   string
+	Header http.Header
+	// Context of the request; nil is the background.
+	Context context.Context
+}
+
+// Reply is what came of a Call.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   string
+	// Cut says that the handler ended the connection without a whole answer;
+	// Body then holds what was flushed before.
+	Cut bool
+}
+
+// Do runs the call on h.
+func Do(h http.Handler, c Call) (reply Reply) {
+	if c.Context == nil {
+		c.Context = context.Background()
+	}
+	r := httptest.NewRequestWithContext(c.Context, c.Method, c.Path, strings.NewReader(c.Body))
+	for name, values := range c.Header {
+		r.Header[name] = values
+	}
+	w := httptest.NewRecorder()
+	defer func() {
+		if p := recover(); p != nil {
+			if err, ok := p.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+				panic(p)
+			}
+			reply.Cut = true
+		}
+		reply.Status = w.Code
+		reply.Header = w.Header()
+		reply.Body = w.Body.String()
+	}()
+	h.ServeHTTP(w, r)
+	return reply
+}
+
+// SetFaults switches faults by their JSON, as an operator would.
+func SetFaults(h http.Handler, json string) Reply {
+	return Do(h, Call{Method: http.MethodPut, Path: "/faults", Body: json})
+}
