Daemon put together with fx; one way to pick a session's versions

The router's own pick of session versions repeated the roll-out of the decision; the decision's stays, since only it knows all verdicts, and its test (TestSessionKeepsItsVersionsThroughARollout) covers what the removed one did for open sessions.

--- a/router/internal/api/api.go
+++ b/router/internal/api/api.go
@@ -21,6 +21,7 @@
 	"masticplank.example/router/internal/logging"
 	"masticplank.example/router/internal/manifest"
 	"masticplank.example/router/internal/platform"
+	"masticplank.example/router/internal/session"
 	"masticplank.example/router/internal/upstream"
 )
 
@@ -65,7 +66,8 @@
 	Upstream  *upstream.Client
 	Store     node.Store
 	Biller    *billing.Biller
-	Sessions  Sessions
+	Tokens    *session.Tokens
+	Names     *session.Names
 	Rater     platform.Rater
 	Recorder  Recorder
 	Log       *logging.Logger
@@ -76,6 +78,8 @@
 type Limits struct {
 	// MaxBody in bytes.
 	MaxBody int64
+	// ReadTimeout bounds the reading of a body, against slow callers.
+	ReadTimeout time.Duration
 	// DefaultDeadline for a request that names none.
 	DefaultDeadline time.Duration
 	// MaxDeadline caps what a caller may ask for.
--- a/router/internal/api/chat.go
+++ b/router/internal/api/chat.go
@@ -60,7 +60,12 @@
 
 // readBody reads the body within the limit.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *outcome.Outcome) {
+	// The deadline is lifted after the body: net/http would else take it for the
+	// end of the caller while a long answer is under way.
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(s.Limits.ReadTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.Limits.MaxBody))
+	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		o := refused("body_too_large", "the body is larger than "+strconv.FormatInt(s.Limits.MaxBody, 10)+" bytes")
--- a/router/internal/api/session.go
+++ b/router/internal/api/session.go
@@ -2,64 +2,115 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"strings"
+
+	"github.com/google/uuid"
 
 	"masticplank.example/decision"
-	"masticplank.example/router/internal/manifest"
 	"masticplank.example/router/internal/outcome"
+	"masticplank.example/router/internal/session"
 	"masticplank.example/router/internal/wire"
 )
 
-// Pins are the versions that a session keeps, by model.
-type Pins struct {
-	// Session is its id; the roll-out's hash is taken from it.
-	Session string
-	ByModel map[string]string
-}
-
-// Sessions opens sessions and reads them back. Safe for concurrent use.
-type Sessions interface {
-	// Open picks the versions of a new session and returns its token.
-	Open(ctx context.Context, team manifest.Team, index *manifest.Index) (token string, p Pins, err error)
-	// Resolve reads a token, or the pins of a session that has only a name; a
-	// name not seen before gets its pins now, by the first writer in the log.
-	Resolve(ctx context.Context, team manifest.Team, index *manifest.Index, tokenOrName string) (Pins, error)
-}
-
 // sessionAnswer is the body of POST /v1/sessions.
 type sessionAnswer struct {
 	Session  string            `json:"session"`
 	Token    string            `json:"token"`
+	Expires  string            `json:"expires"`
 	Versions map[string]string `json:"versions"`
 }
 
-// newSession serves POST /v1/sessions.
+// newSession serves POST /v1/sessions: the token carries the versions, so that
+// no instance keeps anything.
 func (s *Server) newSession(w http.ResponseWriter, r *http.Request, c caller) {
 	if reason := s.Gate.MayRun(true); reason != "" {
 		writeOutcome(w, refusal(reason, retrySoon))
 		return
 	}
-	token, pins, err := s.Sessions.Open(r.Context(), c.team, c.index)
+	id := uuid.NewString()
+	opened := session.Session{
+		Team:      c.team.ID,
+		ID:        id,
+		ShareHash: session.ShareHash(c.team.ID, id),
+	}
+	opened.Pins = s.pickVersions(r.Context(), opened)
+	token, expires, err := s.Tokens.Issue(opened)
 	if err != nil {
 		writeOutcome(w, refused("session_invalid", err.Error()))
 		return
 	}
 	w.Header().Set(wire.HeaderOutcome, string(outcome.Completed))
-	writeJSON(w, http.StatusCreated, sessionAnswer{Session: pins.Session, Token: token, Versions: pins.ByModel})
+	writeJSON(w, http.StatusCreated, sessionAnswer{
+		Session:  id,
+		Token:    token,
+		Expires:  expires.UTC().Format(http.TimeFormat),
+		Versions: opened.Pins,
+	})
 }
 
-// pinSession fixes the request to its session's version, where it has one.
+func (s *Server) pickVersions(ctx context.Context, opened session.Session) map[string]string {
+	pins := map[string]string{}
+	for _, v := range s.Driver.OpenSession(ctx, decision.TeamID(opened.Team), opened.ShareHash) {
+		model, _, _ := strings.Cut(string(v), "@")
+		pins[model] = string(v)
+	}
+	return pins
+}
+
+// pinSession fixes the request to its session's versions, where it has one.
 func (s *Server) pinSession(r *http.Request, c caller, req *decision.Request) *outcome.Outcome {
-	session := r.Header.Get(wire.HeaderSession)
-	if session == "" {
+	header := r.Header.Get(wire.HeaderSession)
+	if header == "" {
 		return nil
 	}
-	pins, err := s.Sessions.Resolve(r.Context(), c.team, c.index, session)
-	if err != nil {
-		o := refused("session_invalid", err.Error())
-		return &o
+	opened, bad := s.readSession(r.Context(), c, header)
+	if bad != nil {
+		return bad
+	}
+	req.ShareHash = opened.ShareHash
+	if req.Model == "" {
+		for _, v := range opened.Pins {
+			req.Pins = append(req.Pins, decision.VersionID(v))
+		}
+		return nil
 	}
-	req.ShareHash = shareHash(pins.Session)
-	req.Pinned = decision.VersionID(pins.ByModel[string(req.Model)])
+	model, _, _ := strings.Cut(string(req.Model), "@")
+	req.Pinned = decision.VersionID(opened.Pins[model])
 	return nil
 }
+
+// readSession reads a token, or the pins of a session that has only a name; a
+// name not seen before gets its pins now, from the first writer in the log.
+func (s *Server) readSession(ctx context.Context, c caller, header string) (session.Session, *outcome.Outcome) {
+	if session.LooksLikeToken(header) {
+		opened, err := s.Tokens.Verify(header, c.team.ID)
+		return opened, sessionFault(err)
+	}
+	known, ok, err := s.Names.Lookup(c.team.ID, header)
+	if err != nil || ok {
+		return known, sessionFault(err)
+	}
+	if reason := s.Gate.MayRun(false); reason != "" {
+		o := refusal(reason, retrySoon)
+		return known, &o
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	own := session.Session{Team: c.team.ID, ID: header, ShareHash: session.ShareHash(c.team.ID, header)}
+	opened, err := s.Names.Pin(ctx, c.team.ID, header, s.pickVersions(ctx, own))
+	return opened, sessionFault(err)
+}
+
+func sessionFault(err error) *outcome.Outcome {
+	if err == nil {
+		return nil
+	}
+	o := refused("session_invalid", err.Error())
+	if errors.Is(err, &session.Error{Reason: session.ReasonUndecided}) {
+		o = refused("session_undecided", err.Error())
+		o.RetryAfter = retrySoon
+	}
+	return &o
+}
--- /dev/null
+++ b/router/internal/daemon/daemon.go
@@ -0,0 +1,98 @@
+// Package daemon puts one entry instance together with fx.
+package daemon
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/gravitational/trace"
+	gometrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+
+	"masticplank.example/router/internal/logging"
+	"masticplank.example/router/internal/settings"
+)
+
+// stopMargin is added to the shutdown's own times for what follows the drain:
+// flushing bills and closing listeners.
+const stopMargin = 10 * time.Second
+
+// Instance is a running instance's addresses, once it has started.
+type Instance struct {
+	API   string
+	Admin string
+	Peer  string
+}
+
+// Run runs an instance until SIGTERM or an interrupt, then stops it gracefully.
+func Run(cfg settings.Settings, log io.Writer) error {
+	app, _ := New(cfg, log)
+	if err := app.Err(); err != nil {
+		return trace.Wrap(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
+	defer cancel()
+	if err := app.Start(ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	<-app.Wait()
+	stopCtx, cancelStop := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer cancelStop()
+	return trace.Wrap(app.Stop(stopCtx))
+}
+
+// New returns the application of one instance; its Instance is filled in while
+// it starts.
+func New(cfg settings.Settings, log io.Writer) (*fx.App, *Instance) {
+	self := &Instance{}
+	app := fx.New(
+		fx.NopLogger,
+		fx.StopTimeout(stopTimeout(cfg)),
+		fx.Supply(cfg, self),
+		fx.Provide(
+			func() *logging.Logger { return newLogger(log, cfg) },
+			func() gometrics.Registry { return gometrics.NewRegistry() },
+			newLogClient, newList, newRater, newUpstream,
+			newHolder, newGate, newNode, newStore,
+			newFleet, newDriver, newDirectory,
+			newHeld, newBiller, newTokens, newNames, newRecorder,
+			newPublisher, newDrain, newAPI, newStatus, newAdmin,
+		),
+		fx.Invoke(startNode, startDriver, startDirectory, startFreshness, startAdmin, startAPI, startDrain),
+	)
+	return app, self
+}
+
+// stopTimeout lets the whole shutdown happen; fx's default of 15 s would cut
+// streams off.
+func stopTimeout(cfg settings.Settings) time.Duration {
+	return ms(cfg.Shutdown.GraceMS) + ms(cfg.Shutdown.DrainMS) + stopMargin
+}
+
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// background runs f from the start to the stop of the app. The context given
+// to a start hook ends with the start, so f gets one of its own.
+func background(lc fx.Lifecycle, f func(ctx context.Context)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() {
+				defer close(done)
+				f(ctx)
+			}()
+			return nil
+		},
+		OnStop: func(stop context.Context) error {
+			cancel()
+			select {
+			case <-done:
+				return nil
+			case <-stop.Done():
+				return stop.Err()
+			}
+		},
+	})
+}
--- /dev/null
+++ b/router/internal/daemon/platform.go
@@ -0,0 +1,132 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/fx"
+
+	"masticplank.example/coordination/fold"
+	"masticplank.example/coordination/freshness"
+	"masticplank.example/coordination/node"
+	"masticplank.example/coordination/platformlog"
+	"masticplank.example/coordination/record"
+	"masticplank.example/router/internal/directory"
+	"masticplank.example/router/internal/driver"
+	"masticplank.example/router/internal/gate"
+	"masticplank.example/router/internal/logging"
+	"masticplank.example/router/internal/manifest"
+	"masticplank.example/router/internal/platform"
+	"masticplank.example/router/internal/settings"
+	"masticplank.example/router/internal/upstream"
+)
+
+// freshnessInterval is how often the mode is looked at between reads, so that
+// the decision hears of a lapse soon after it happened.
+const freshnessInterval = 100 * time.Millisecond
+
+func newLogger(w io.Writer, cfg settings.Settings) *logging.Logger {
+	return logging.New(w, cfg.Log).With(slog.String(logging.KeyInstance, cfg.Instance))
+}
+
+func newLogClient(cfg settings.Settings) platformlog.Log {
+	return platform.NewLogClient(cfg.Platform.LogURL)
+}
+
+func newList(cfg settings.Settings) platform.List {
+	return platform.NewListClient(cfg.Platform.ListURL)
+}
+
+func newRater(cfg settings.Settings) platform.Rater {
+	return platform.NewRatingClient(cfg.Platform.RatingURL)
+}
+
+func newUpstream(lc fx.Lifecycle) *upstream.Client {
+	c := upstream.NewClient()
+	lc.Append(fx.StopHook(c.Close))
+	return c
+}
+
+func newGate(cfg settings.Settings) *gate.Gate {
+	tracker := freshness.New(freshness.Config{Bound: ms(cfg.Freshness.BoundMS)})
+	return gate.New(tracker, time.Now)
+}
+
+// newNode reads the log. It is the one place that knows how the parts of the
+// coordination library hang together here.
+func newNode(cfg settings.Settings, log platformlog.Log, g *gate.Gate) (*node.Node, error) {
+	n, err := node.New(log,
+		node.Config{
+			Name:         cfg.Instance,
+			Linger:       ms(cfg.Platform.LingerMS),
+			AppendBudget: cfg.Platform.AppendBudget,
+		},
+		node.WithObserver(g),
+		node.WithValidator(record.ClassManifest, func(r record.Record, _ *fold.State) error {
+			return manifest.CheckRecord(r)
+		}),
+	)
+	return n, trace.Wrap(err)
+}
+
+func newStore(n *node.Node) node.Store { return n }
+
+func startNode(lc fx.Lifecycle, n *node.Node, h *manifest.Holder, log *logging.Logger) {
+	n.Watch(record.ClassManifest, func(c fold.Change) {
+		if err := h.Fold(c); err != nil {
+			log.Emit(context.Background(), logging.EventManifestRejected, logging.Err(err))
+		}
+	})
+	lc.Append(fx.Hook{OnStart: n.Start, OnStop: n.Stop})
+}
+
+// newHolder tells the decision of each manifest before callers' requests are
+// read under it.
+func newHolder(d *driver.Driver, log *logging.Logger) *manifest.Holder {
+	return manifest.NewHolder(func(x *manifest.Index) {
+		d.Send(x.Tables())
+		log.Emit(context.Background(), logging.EventManifestApplied,
+			slog.Uint64("generation", x.Manifest.Generation),
+			slog.String("digest", x.Digest))
+	})
+}
+
+func newDirectory(cfg settings.Settings, list platform.List, d *driver.Driver) *directory.Directory {
+	return directory.New(list, d, ms(cfg.Platform.ListIntervalMS), ms(cfg.Platform.LoadIntervalMS))
+}
+
+func startDirectory(lc fx.Lifecycle, dir *directory.Directory) { background(lc, dir.Run) }
+
+// startFreshness tells the decision of each change of mode.
+func startFreshness(lc fx.Lifecycle, g *gate.Gate, d *driver.Driver, dir *directory.Directory, log *logging.Logger) {
+	background(lc, func(ctx context.Context) {
+		ticker := time.NewTicker(freshnessInterval)
+		defer ticker.Stop()
+		last := g.Event()
+		d.Send(last)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+			g.Live(names(dir))
+			if now := g.Event(); now != last {
+				last = now
+				d.Send(now)
+				log.Emit(ctx, logging.EventFreshnessChanged, slog.Bool("fresh", now.Fresh), slog.Bool("outage", now.Outage))
+			}
+		}
+	})
+}
+
+func names(dir *directory.Directory) []string {
+	var out []string
+	for _, i := range dir.Instances() {
+		out = append(out, i.ID)
+	}
+	return out
+}
--- /dev/null
+++ b/router/internal/daemon/serve.go
@@ -0,0 +1,208 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	gometrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+
+	"masticplank.example/coordination/node"
+	"masticplank.example/router/internal/admin"
+	"masticplank.example/router/internal/api"
+	"masticplank.example/router/internal/billing"
+	"masticplank.example/router/internal/directory"
+	"masticplank.example/router/internal/driver"
+	"masticplank.example/router/internal/gate"
+	"masticplank.example/router/internal/logging"
+	"masticplank.example/router/internal/manifest"
+	"masticplank.example/router/internal/platform"
+	"masticplank.example/router/internal/publish"
+	"masticplank.example/router/internal/session"
+	"masticplank.example/router/internal/settings"
+	"masticplank.example/router/internal/upstream"
+)
+
+const (
+	// maxDeadline caps what a caller may ask for: a slot held longer than this
+	// would outlive any drain.
+	maxDeadline = 10 * time.Minute
+	// drainPoll is how often a drain looks whether all requests have ended.
+	drainPoll = 10 * time.Millisecond
+)
+
+func newTokens(cfg settings.Settings) (*session.Tokens, error) {
+	return session.NewTokens(cfg.Session, time.Now)
+}
+
+func newNames(cfg settings.Settings, store node.Store) *session.Names {
+	return session.NewNames(store, time.Duration(cfg.Session.TTLSeconds)*time.Second)
+}
+
+func newPublisher(store node.Store, h *manifest.Holder, g *gate.Gate) *publish.Publisher {
+	return publish.New(store, h, g)
+}
+
+// apiParams are what the callers' edge is made of.
+type apiParams struct {
+	fx.In
+
+	Settings  settings.Settings
+	Driver    *driver.Driver
+	Manifests *manifest.Holder
+	Gate      *gate.Gate
+	Directory *directory.Directory
+	Upstream  *upstream.Client
+	Store     node.Store
+	Biller    *billing.Biller
+	Tokens    *session.Tokens
+	Names     *session.Names
+	Rater     platform.Rater
+	Recorder  api.Recorder
+	Log       *logging.Logger
+}
+
+func newAPI(p apiParams) *api.Server {
+	return api.New(api.Deps{
+		Driver:    p.Driver,
+		Manifests: p.Manifests,
+		Gate:      p.Gate,
+		Servers:   p.Directory,
+		Upstream:  p.Upstream,
+		Store:     p.Store,
+		Biller:    p.Biller,
+		Tokens:    p.Tokens,
+		Names:     p.Names,
+		Rater:     p.Rater,
+		Recorder:  p.Recorder,
+		Log:       p.Log,
+		Limits: api.Limits{
+			MaxBody:         p.Settings.Limits.MaxBodyBytes,
+			ReadTimeout:     ms(p.Settings.Limits.ReadTimeoutMS),
+			DefaultDeadline: ms(p.Settings.Limits.DefaultDeadlineMS),
+			MaxDeadline:     maxDeadline,
+		},
+	})
+}
+
+// newAdmin builds the operators' edge.
+func newAdmin(cfg settings.Settings, r gometrics.Registry, d *drain, h *manifest.Holder, p *publish.Publisher, s *status, rec api.Recorder) http.Handler {
+	return admin.New(admin.Deps{
+		Registry:          r,
+		Readiness:         d,
+		Manifests:         h,
+		Publisher:         p,
+		Status:            func() any { return s.report() },
+		Burn:              func() any { return burnOf(rec) },
+		OperatorKeyHashes: cfg.OperatorKeyHashes,
+	})
+}
+
+func startAdmin(lc fx.Lifecycle, cfg settings.Settings, h http.Handler, self *Instance, log *logging.Logger) {
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: ms(cfg.Limits.ReadTimeoutMS), IdleTimeout: ms(cfg.Limits.IdleTimeoutMS)}
+	listen(lc, srv, cfg.Listen.Admin, "admin", &self.Admin, log)
+}
+
+func startAPI(lc fx.Lifecycle, cfg settings.Settings, a *api.Server, d *drain, self *Instance, log *logging.Logger) {
+	d.server = &http.Server{
+		Handler:           a,
+		ReadHeaderTimeout: ms(cfg.Limits.ReadTimeoutMS),
+		IdleTimeout:       ms(cfg.Limits.IdleTimeoutMS),
+		MaxHeaderBytes:    cfg.Limits.MaxHeaderBytes,
+	}
+	listen(lc, d.server, cfg.Listen.API, "api", &self.API, log)
+}
+
+// listen opens a listener at the start and serves until the stop.
+func listen(lc fx.Lifecycle, srv *http.Server, addr, name string, actual *string, log *logging.Logger) {
+	lc.Append(fx.Hook{
+		OnStart: func(ctx context.Context) error {
+			l, err := net.Listen("tcp", addr)
+			if err != nil {
+				return trace.Wrap(err, "%s listener", name)
+			}
+			*actual = l.Addr().String()
+			log.Emit(ctx, logging.EventListening, slog.String("listener", name), slog.String("addr", *actual))
+			go serve(srv, l, name, log)
+			return nil
+		},
+		OnStop: func(ctx context.Context) error { return trace.Wrap(srv.Shutdown(ctx)) },
+	})
+}
+
+func serve(srv *http.Server, l net.Listener, name string, log *logging.Logger) {
+	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		log.Emit(context.Background(), logging.EventNotReady, slog.String("reason", name+" listener closed"), logging.Err(err))
+	}
+}
+
+// drain is the planned stop: readiness fails first, the balancer gets a grace
+// to move on, then the requests in progress finish, streams too.
+type drain struct {
+	cfg    settings.Settings
+	gate   *gate.Gate
+	holder *manifest.Holder
+	driver *driver.Driver
+	log    *logging.Logger
+	server *http.Server
+	leaves atomic.Bool
+}
+
+func newDrain(cfg settings.Settings, g *gate.Gate, h *manifest.Holder, d *driver.Driver, log *logging.Logger) *drain {
+	return &drain{cfg: cfg, gate: g, holder: h, driver: d, log: log}
+}
+
+// NotReady implements admin.Readiness.
+func (d *drain) NotReady() string {
+	switch {
+	case d.leaves.Load():
+		return "draining"
+	case d.holder.Current() == nil:
+		return "no manifest yet"
+	default:
+		return string(d.gate.MayRun(true))
+	}
+}
+
+// startDrain must be invoked last: hooks stop in reverse, so the drain comes
+// before anything that it needs has stopped.
+func startDrain(lc fx.Lifecycle, d *drain, a *api.Server) {
+	lc.Append(fx.StopHook(func(ctx context.Context) {
+		d.leaves.Store(true)
+		d.log.Emit(ctx, logging.EventDrainBegin, slog.Int("open", d.driver.Open()))
+		d.server.SetKeepAlivesEnabled(false)
+		wait(ctx, ms(d.cfg.Shutdown.GraceMS))
+		d.finish(ctx, a)
+	}))
+}
+
+// finish lets the requests in progress end, within the drain time.
+func (d *drain) finish(ctx context.Context, a *api.Server) {
+	ctx, cancel := context.WithTimeout(ctx, ms(d.cfg.Shutdown.DrainMS))
+	defer cancel()
+	err := d.server.Shutdown(ctx)
+	for err == nil && d.driver.Open() > 0 && ctx.Err() == nil {
+		wait(ctx, drainPoll)
+	}
+	a.Wait(ctx)
+	if open := d.driver.Open(); open > 0 {
+		d.log.Emit(ctx, logging.EventDrainCut, slog.Int("open", open))
+		return
+	}
+	d.log.Emit(ctx, logging.EventDrainEnd)
+}
+
+func wait(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/router/internal/driver/driver.go
+++ b/router/internal/driver/driver.go
@@ -47,6 +47,7 @@
 	nextID  atomic.Uint64
 	mu      sync.Mutex
 	tickets map[decision.RequestID]*Ticket
+	opening map[decision.SessionID]chan []decision.VersionID
 }
 
 // New returns a driver; Run starts it.
@@ -57,6 +58,7 @@
 		inbox:   make(chan decision.Event, inboxSize),
 		done:    make(chan struct{}),
 		tickets: map[decision.RequestID]*Ticket{},
+		opening: map[decision.SessionID]chan []decision.VersionID{},
 	}
 }
 
@@ -136,6 +138,8 @@
 			d.deliver(c.Request, c)
 		case decision.Fail:
 			d.deliver(c.Request, c)
+		case decision.PinSession:
+			d.pinSession(c)
 		case decision.CancelAttempt:
 			d.cancelAttempt(c)
 		case decision.ShareVerdict:
@@ -183,6 +187,36 @@
 	})
 }
 
+// OpenSession asks which versions a new session gets. It returns none where
+// ctx ended first or the team may use no model.
+func (d *Driver) OpenSession(ctx context.Context, team decision.TeamID, shareHash float64) []decision.VersionID {
+	id := decision.SessionID(d.nextID.Add(1))
+	answer := make(chan []decision.VersionID, 1)
+	d.mu.Lock()
+	d.opening[id] = answer
+	d.mu.Unlock()
+	d.Send(decision.SessionOpening{Session: id, Team: team, ShareHash: shareHash})
+	select {
+	case versions := <-answer:
+		return versions
+	case <-ctx.Done():
+	case <-d.done:
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.opening, id)
+	return nil
+}
+
+func (d *Driver) pinSession(c decision.PinSession) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if answer, waiting := d.opening[c.Session]; waiting {
+		answer <- c.Versions
+		delete(d.opening, c.Session)
+	}
+}
+
 func (d *Driver) cancelAttempt(c decision.CancelAttempt) {
 	if t := d.ticket(c.Request); t != nil {
 		t.cancel(c.Attempt)
