Tests of manifests and attempts; processes of the thin path

Cause for one of them: net/http counts a request with an Idempotency-Key as replayable and sends it again when a kept connection breaks.

--- /dev/null
+++ b/router/internal/e2e/process_test.go
@@ -0,0 +1,246 @@
+// Package e2e runs the two binaries as separate processes on loopback.
+package e2e
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// patience bounds every wait for something that a healthy process does in
+// milliseconds. No test asserts how long anything took.
+const patience = 60 * time.Second
+
+// binaries holds the folder of the two binaries, built once.
+var binaries string
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "masticplank-e2e-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	build := exec.Command("go", "build", "-o", dir, "masticplank.example/router/cmd/masticplankd", "masticplank.example/router/cmd/masticplank")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	binaries = dir
+	return m.Run()
+}
+
+// process is one running binary.
+type process struct {
+	t    *testing.T
+	name string
+	cmd  *exec.Cmd
+
+	mu    sync.Mutex
+	lines []string
+	found chan string
+	done  chan error
+}
+
+// start runs a binary and reads its lines from stdout and stderr.
+func start(t *testing.T, name, binary string, args ...string) *process {
+	t.Helper()
+	p := &process{
+		t:     t,
+		name:  name,
+		cmd:   exec.Command(filepath.Join(binaries, binary), args...),
+		found: make(chan string, 4096),
+		done:  make(chan error, 1),
+	}
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.cmd.Stdout, p.cmd.Stderr = w, w
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	w.Close()
+	go p.read(r)
+	t.Cleanup(p.kill)
+	return p
+}
+
+func (p *process) read(r io.ReadCloser) {
+	defer r.Close()
+	scanner := bufio.NewScanner(r)
+	for scanner.Scan() {
+		p.mu.Lock()
+		p.lines = append(p.lines, scanner.Text())
+		p.mu.Unlock()
+		select {
+		case p.found <- scanner.Text():
+		default:
+		}
+	}
+	p.done <- p.cmd.Wait()
+	close(p.found)
+}
+
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	if p.t.Failed() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.t.Logf("%s:\n%s", p.name, strings.Join(p.lines, "\n"))
+	}
+}
+
+// await returns the first line that match accepts.
+func (p *process) await(what string, match func(line string) (string, bool)) string {
+	p.t.Helper()
+	timeout := time.After(patience)
+	for {
+		select {
+		case line, open := <-p.found:
+			if !open {
+				p.t.Fatalf("%s ended before %s", p.name, what)
+			}
+			if got, ok := match(line); ok {
+				return got
+			}
+		case <-timeout:
+			p.t.Fatalf("%s: no %s", p.name, what)
+		}
+	}
+}
+
+// terminate sends SIGTERM and returns how the process ended.
+func (p *process) terminate() error {
+	p.t.Helper()
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		p.t.Fatal(err)
+	}
+	select {
+	case err := <-p.done:
+		return err
+	case <-time.After(patience):
+		p.t.Fatalf("%s did not stop", p.name)
+		return nil
+	}
+}
+
+// standin starts "masticplank standin ..." and returns its address.
+func standin(t *testing.T, kind string, args ...string) string {
+	t.Helper()
+	p := start(t, kind, "masticplank", append([]string{"standin", kind, "--listen", "127.0.0.1:0"}, args...)...)
+	return p.await("address", func(line string) (string, bool) {
+		return strings.CutPrefix(line, "listening on ")
+	})
+}
+
+// instance is one masticplankd.
+type instance struct {
+	*process
+	api, admin string
+}
+
+// startInstance writes a settings file and starts masticplankd with it.
+func startInstance(t *testing.T, name, domain string, platform map[string]any) *instance {
+	t.Helper()
+	settings := map[string]any{
+		"instance":            name,
+		"domain":              domain,
+		"platform":            platform,
+		"shutdown":            map[string]any{"grace_ms": 50},
+		"session":             map[string]any{"keys": []any{map[string]any{"id": "k1", "secret": "dGhpcnR5LXR3by1ieXRlcy1vZi1zZWNyZXQtaGVyZSE="}}},
+		"operator_key_hashes": []string{operatorKeyHash},
+	}
+	data, err := json.Marshal(settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), name+".jsonc")
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	i := &instance{process: start(t, name, "masticplankd", "--config", file)}
+	for i.api == "" || i.admin == "" {
+		i.await("listeners", i.listener)
+	}
+	return i
+}
+
+// listener reads the log's "listening" events.
+func (i *instance) listener(line string) (string, bool) {
+	var ev struct {
+		Name, Listener, Addr string
+	}
+	if json.Unmarshal([]byte(line), &ev) != nil || ev.Name != "listening" {
+		return "", false
+	}
+	switch ev.Listener {
+	case "api":
+		i.api = "http://" + ev.Addr
+	case "admin":
+		i.admin = "http://" + ev.Addr
+	}
+	return "", true
+}
+
+// reply is an answer read whole.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// call sends one request.
+func call(t *testing.T, method, url, key, body string, header map[string]string) reply {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader([]byte(body)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
+}
+
+// eventually polls until ok holds; it fails only past patience.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for !ok() {
+		if time.Now().After(deadline) {
+			t.Fatalf("never: %s", what)
+		}
+		<-tick.C
+	}
+}
--- /dev/null
+++ b/router/internal/e2e/thinpath_test.go
@@ -0,0 +1,323 @@
+package e2e
+
+import (
+	"encoding/json"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/uuid"
+
+	"masticplank.example/router/internal/manifest"
+	"masticplank.example/router/internal/standin/engine"
+	"masticplank.example/router/internal/wire"
+)
+
+const (
+	operatorKey = "operator-key"
+	weaversKey  = "weavers-key"
+	clerksKey   = "clerks-key"
+)
+
+var operatorKeyHash = manifest.HashKey(operatorKey)
+
+// fleet is the whole thin path: a log, a list, three engines, a shop service
+// and two instances, each a process of its own.
+type fleet struct {
+	t         *testing.T
+	shop      string
+	instances []*instance
+}
+
+func startFleet(t *testing.T) *fleet {
+	t.Helper()
+	logAddr := standin(t, "log")
+	listAddr := standin(t, "instances")
+	ratingAddr := standin(t, "rating")
+	f := &fleet{t: t, shop: standin(t, "service", "--name", "shop")}
+	list := wire.InstanceList{Servers: []wire.ListedServer{
+		{ID: "shop-1", Addr: f.shop, Domain: "salle-rimouski", Service: "shop", Slots: 8},
+	}}
+	for _, id := range []string{"engine-1", "engine-2", "engine-3"} {
+		list.Servers = append(list.Servers, wire.ListedServer{
+			ID:       id,
+			Addr:     standin(t, "engine"),
+			Domain:   "salle-rimouski",
+			Versions: []string{"small@1", "large@1"},
+			Slots:    8,
+		})
+	}
+	body, err := json.Marshal(list)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := call(t, http.MethodPut, "http://"+listAddr+"/instances", "", string(body), nil); r.status >= 300 {
+		t.Fatalf("list: %+v", r)
+	}
+	platform := map[string]any{
+		"log_url":    "http://" + logAddr,
+		"list_url":   "http://" + listAddr,
+		"rating_url": "http://" + ratingAddr,
+	}
+	f.instances = append(f.instances,
+		startInstance(t, "entry-1", "salle-rimouski", platform),
+		startInstance(t, "entry-2", "salle-matane", platform))
+	return f
+}
+
+// testManifest lets the weavers use both models and the shop, the clerks only
+// the small one.
+func testManifest(publication string) manifest.Manifest {
+	return manifest.Manifest{
+		Publication: publication,
+		Teams: []manifest.Team{
+			{ID: "weavers", KeyHashes: []string{manifest.HashKey(weaversKey)}, Weight: 2, QualityTarget: 0.5,
+				Allowed: []string{"small@1", "large@1"}, Services: []string{"shop"}},
+			{ID: "clerks", KeyHashes: []string{manifest.HashKey(clerksKey)}, Weight: 1, QualityTarget: 0.5,
+				Allowed: []string{"small@1"}},
+		},
+		Versions: []manifest.Version{
+			{ID: "small@1", Model: "small", State: "serving", Share: 1, Cost: 1, Quality: 0.6},
+			{ID: "large@1", Model: "large", State: "serving", Share: 1, Cost: 10, Quality: 0.9},
+		},
+		Services: []manifest.Service{{ID: "shop", Price: 0.5, Routes: []manifest.Route{
+			{Method: "GET", Path: "/stock/*", Idempotent: true},
+			{Method: "POST", Path: "/reservations", Idempotent: false},
+		}}},
+	}
+}
+
+// publish runs "masticplank manifest publish --wait" over all instances.
+func (f *fleet) publish(m manifest.Manifest, args ...string) (string, error) {
+	f.t.Helper()
+	data, err := json.Marshal(m)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	file := filepath.Join(f.t.TempDir(), "manifest.json")
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	var addrs []string
+	for _, i := range f.instances {
+		addrs = append(addrs, i.admin)
+	}
+	args = append([]string{"manifest", "publish", file, "--instances", strings.Join(addrs, ","), "--wait", "30s"}, args...)
+	cmd := exec.Command(filepath.Join(binaries, "masticplank"), args...)
+	cmd.Env = append(os.Environ(), "MASTICPLANK_OPERATOR_KEY="+operatorKey)
+	out, err := cmd.CombinedOutput()
+	return string(out), err
+}
+
+func (f *fleet) awaitReady() {
+	f.t.Helper()
+	for _, i := range f.instances {
+		eventually(f.t, i.name+" ready", func() bool {
+			return call(f.t, http.MethodGet, i.admin+"/readyz", "", "", nil).status == http.StatusOK
+		})
+	}
+}
+
+func TestThinPath(t *testing.T) {
+	f := startFleet(t)
+	eventually(t, "publishing", func() bool {
+		out, err := f.publish(testManifest("run-1"), "--rebase")
+		t.Log(out)
+		return err == nil
+	})
+	f.awaitReady()
+	t.Run("chat", f.testChat)
+	t.Run("stream", f.testStream)
+	t.Run("service", f.testService)
+	t.Run("refusals", f.testRefusals)
+	t.Run("session", f.testSession)
+	t.Run("conflict", f.testConflict)
+	t.Run("graceful shutdown", f.testShutdown)
+}
+
+const helloBody = `{"model":"large","messages":[{"role":"user","content":"draft a twill pattern"}],"max_tokens":12}`
+
+var hello = []wire.Message{{Role: "user", Content: "draft a twill pattern"}}
+
+func (f *fleet) testChat(t *testing.T) {
+	for _, i := range f.instances {
+		r := call(t, http.MethodPost, i.api+"/v1/chat/completions", weaversKey, helloBody, nil)
+		var got wire.ChatResponse
+		if err := json.Unmarshal([]byte(r.body), &got); err != nil || r.status != http.StatusOK {
+			t.Fatalf("%s: status %d, body %s, error %v", i.name, r.status, r.body, err)
+		}
+		checkAnswer(t, got.Choices[0].Message.Content, 12)
+		if r.header.Get(wire.HeaderOutcome) != "completed" || r.header.Get(wire.HeaderVersion) != "large@1" {
+			t.Errorf("%s: header %v", i.name, r.header)
+		}
+	}
+}
+
+func (f *fleet) testStream(t *testing.T) {
+	body := strings.Replace(helloBody, `"max_tokens"`, `"stream":true,"max_tokens"`, 1)
+	r := call(t, http.MethodPost, f.instances[0].api+"/v1/chat/completions", weaversKey, body, nil)
+	if r.err != nil || r.status != http.StatusOK {
+		t.Fatalf("got %+v", r)
+	}
+	text, ended := readEvents(t, r.body)
+	checkAnswer(t, text, 12)
+	if !ended {
+		t.Error("the stream has no end mark")
+	}
+}
+
+// checkAnswer compares with the text that a sound engine gives for hello.
+func checkAnswer(t *testing.T, text string, maxTokens int) {
+	t.Helper()
+	_, rest, ok := engine.Split(text)
+	if want := engine.Expected("large@1", hello, maxTokens); !ok || rest != want {
+		t.Errorf("got %q, want %q", text, want)
+	}
+}
+
+// readEvents joins a stream's deltas.
+func readEvents(t *testing.T, body string) (text string, ended bool) {
+	t.Helper()
+	for _, line := range strings.Split(body, "\n") {
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == wire.StreamEnd {
+			return text, true
+		}
+		var c wire.ChatResponse
+		if err := json.Unmarshal([]byte(data), &c); err != nil {
+			t.Fatalf("chunk %q: %v", data, err)
+		}
+		for _, choice := range c.Choices {
+			if choice.Delta != nil {
+				text += choice.Delta.Content
+			}
+		}
+	}
+	return text, false
+}
+
+func (f *fleet) testService(t *testing.T) {
+	r := call(t, http.MethodGet, f.instances[0].api+"/services/shop/stock/wool", weaversKey, "", nil)
+	if r.status != http.StatusOK {
+		t.Fatalf("stock: %+v", r)
+	}
+	key := uuid.Must(uuid.NewV7()).String()
+	header := map[string]string{wire.HeaderIdempotencyKey: key}
+	first := call(t, http.MethodPost, f.instances[0].api+"/services/shop/reservations", weaversKey, `{"wool":3}`, header)
+	if first.status != http.StatusOK && first.status != http.StatusCreated {
+		t.Fatalf("reservation: %+v", first)
+	}
+	again := call(t, http.MethodPost, f.instances[1].api+"/services/shop/reservations", weaversKey, `{"wool":3}`, header)
+	if again.status != http.StatusConflict || again.header.Get(wire.HeaderOutcome) != "already_run" {
+		t.Errorf("resend at the other instance: %+v", again)
+	}
+	stats := call(t, http.MethodGet, "http://"+f.shop+"/stats", "", "", nil)
+	var got struct {
+		Runs map[string]int `json:"runs"`
+	}
+	if err := json.Unmarshal([]byte(stats.body), &got); err != nil || got.Runs[key] != 1 {
+		t.Errorf("runs of %s: %s", key, stats.body)
+	}
+}
+
+func (f *fleet) testRefusals(t *testing.T) {
+	api := f.instances[0].api
+	chat := api + "/v1/chat/completions"
+	for _, c := range []struct {
+		name, method, url, key, body string
+		status                       int
+		code                         string
+	}{
+		{"wrong key", "POST", chat, "nobody", helloBody, 401, "invalid_api_key"},
+		{"not allowed", "POST", chat, clerksKey, helloBody, 403, "model_not_allowed"},
+		{"unknown model", "POST", chat, weaversKey, strings.Replace(helloBody, "large", "huge", 1), 404, "unknown_model"},
+		{"too large", "POST", chat, weaversKey, strings.Repeat(" ", 2<<20) + helloBody, 413, "body_too_large"},
+		{"malformed", "POST", chat, weaversKey, `{"messages":`, 400, "malformed_request"},
+		{"no key", "POST", api + "/services/shop/reservations", weaversKey, `{}`, 400, "key_required"},
+		{"service not allowed", "GET", api + "/services/shop/stock/wool", clerksKey, "", 403, "service_not_allowed"},
+		{"unknown path", "GET", api + "/v2/nothing", weaversKey, "", 404, "not_found"},
+	} {
+		r := call(t, c.method, c.url, c.key, c.body, nil)
+		var got wire.Error
+		_ = json.Unmarshal([]byte(r.body), &got)
+		if r.status != c.status || got.Error.Code != c.code || r.header.Get(wire.HeaderOutcome) != "refused" {
+			t.Errorf("%s: status %d, code %q, outcome %q", c.name, r.status, got.Error.Code, r.header.Get(wire.HeaderOutcome))
+		}
+	}
+}
+
+func (f *fleet) testSession(t *testing.T) {
+	r := call(t, http.MethodPost, f.instances[0].api+"/v1/sessions", weaversKey, "", nil)
+	var opened struct {
+		Token    string            `json:"token"`
+		Versions map[string]string `json:"versions"`
+	}
+	if err := json.Unmarshal([]byte(r.body), &opened); err != nil || r.status != http.StatusCreated {
+		t.Fatalf("open: %+v", r)
+	}
+	for _, session := range []string{opened.Token, "school-17"} {
+		for _, i := range f.instances {
+			r := call(t, http.MethodPost, i.api+"/v1/chat/completions", weaversKey, helloBody,
+				map[string]string{wire.HeaderSession: session})
+			if r.status != http.StatusOK || r.header.Get(wire.HeaderVersion) != "large@1" {
+				t.Errorf("%s, session %.12s: status %d, body %s", i.name, session, r.status, r.body)
+			}
+		}
+	}
+}
+
+// testConflict publishes twice over the same parent: the second one loses.
+func (f *fleet) testConflict(t *testing.T) {
+	var now struct {
+		Digest   string            `json:"digest"`
+		Manifest manifest.Manifest `json:"manifest"`
+	}
+	r := call(t, http.MethodGet, f.instances[0].admin+"/manifest", "", "", nil)
+	if err := json.Unmarshal([]byte(r.body), &now); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		publication string
+		status      int
+	}{{"run-2", 0}, {"run-3", 4}, {"run-2", 0}} {
+		m := testManifest(c.publication)
+		m.Generation, m.Parent = now.Manifest.Generation+1, now.Digest
+		out, err := f.publish(m)
+		status := 0
+		if exit, ok := err.(*exec.ExitError); ok {
+			status = exit.ExitCode()
+		}
+		if status != c.status {
+			t.Errorf("%s: exit status %d, want %d: %s", c.publication, status, c.status, out)
+		}
+	}
+}
+
+// testShutdown sends SIGTERM while a stream runs: the stream ends whole and the
+// process exits with 0.
+func (f *fleet) testShutdown(t *testing.T) {
+	body := `{"model":"large","stream":true,"max_tokens":200,"messages":[{"role":"user","content":"draft a twill pattern"}]}`
+	i := f.instances[0]
+	got := make(chan reply, 1)
+	go func() {
+		got <- call(t, http.MethodPost, i.api+"/v1/chat/completions", weaversKey, body, nil)
+	}()
+	eventually(t, "stream under way", func() bool {
+		return strings.Contains(call(t, http.MethodGet, i.admin+"/status", "", "", nil).body, `"open":1`)
+	})
+	if err := i.terminate(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+	r := <-got
+	text, ended := readEvents(t, r.body)
+	checkAnswer(t, text, 200)
+	if !ended {
+		t.Errorf("stream cut off: error %v", r.err)
+	}
+}
--- /dev/null
+++ b/router/internal/upstream/upstream_test.go
@@ -0,0 +1,152 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"masticplank.example/decision"
+	"masticplank.example/router/internal/wire"
+)
+
+// server answers with f and counts the requests that reached it.
+func server(t *testing.T, f http.HandlerFunc) (url string, count *atomic.Int64) {
+	t.Helper()
+	count = &atomic.Int64{}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		count.Add(1)
+		f(w, r)
+	}))
+	t.Cleanup(s.Close)
+	return s.URL, count
+}
+
+func echo(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(wire.HeaderAttempt, r.Header.Get(wire.HeaderAttempt))
+}
+
+// hangUp closes the connection after the request was read.
+func hangUp(w http.ResponseWriter, _ *http.Request) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err == nil {
+		conn.Close()
+	}
+}
+
+func closedPort(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return "http://" + l.Addr().String()
+}
+
+// TestResults walks the ways in which an attempt can end. "Not run" may come
+// out only where nothing was written or the backend server itself said so.
+func TestResults(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		handler http.HandlerFunc
+		want    decision.AttemptResult // 0 for a whole answer
+	}{
+		{"whole", func(w http.ResponseWriter, r *http.Request) { echo(w, r); _, _ = io.WriteString(w, "ok") }, 0},
+		{"no connection", nil, decision.AttemptNotRun},
+		{"refused by protocol", func(w http.ResponseWriter, r *http.Request) {
+			echo(w, r)
+			w.Header().Set(wire.HeaderNotRun, "true")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, decision.AttemptNotRun},
+		{"another attempt's refusal", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(wire.HeaderAttempt, "other")
+			w.Header().Set(wire.HeaderNotRun, "true")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, decision.AttemptUnknown},
+		{"wrong nonce", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(wire.HeaderAttempt, "other") }, decision.AttemptUnknown},
+		{"no nonce", func(http.ResponseWriter, *http.Request) {}, decision.AttemptUnknown},
+		{"hung up before an answer", hangUp, decision.AttemptCrashed},
+		{"cut in the body", func(w http.ResponseWriter, r *http.Request) {
+			echo(w, r)
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "half")
+		}, decision.AttemptCrashed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			url := closedPort(t)
+			if c.handler != nil {
+				url, _ = server(t, c.handler)
+			}
+			client := NewClient()
+			defer client.Close()
+			if got := attempt(client, url); got != c.want {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func attempt(client *Client, url string) decision.AttemptResult {
+	ctx := context.Background()
+	resp, err := client.Send(ctx, Call{Method: http.MethodPost, URL: url, Nonce: "n1", Idempotent: true})
+	if err == nil {
+		defer resp.Body.Close()
+		_, err = ReadAll(ctx, resp)
+	}
+	var failure *Failure
+	if errors.As(err, &failure) {
+		return failure.Result
+	}
+	return 0
+}
+
+// TestNonIdempotentIsSentOnce is the trap of net/http: a request with an
+// Idempotency-Key counts as replayable there, and is sent again by itself when
+// a kept connection breaks under it.
+func TestNonIdempotentIsSentOnce(t *testing.T) {
+	var breaks atomic.Bool
+	url, count := server(t, func(w http.ResponseWriter, r *http.Request) {
+		if breaks.Load() {
+			hangUp(w, r)
+			return
+		}
+		echo(w, r)
+	})
+	client := NewClient()
+	defer client.Close()
+	call := Call{Method: http.MethodPost, URL: url, Nonce: "n1", Header: http.Header{wire.HeaderIdempotencyKey: {"k"}}}
+	for range 3 {
+		resp, err := client.Send(context.Background(), call)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+	}
+	breaks.Store(true)
+	before := count.Load()
+	if _, err := client.Send(context.Background(), call); err == nil {
+		t.Fatal("no error")
+	}
+	if got := count.Load() - before; got != 1 {
+		t.Errorf("sent %d times", got)
+	}
+}
+
+func TestCancelledBeforeAConnectionIsNotRun(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	url, count := server(t, echo)
+	client := NewClient()
+	defer client.Close()
+	_, err := client.Send(ctx, Call{Method: http.MethodPost, URL: url, Nonce: "n"})
+	var failure *Failure
+	if !errors.As(err, &failure) || failure.Result != decision.AttemptNotRun || count.Load() != 0 {
+		t.Errorf("got %v after %d requests", err, count.Load())
+	}
+}
