Engine test: settle which request comes first

Cause: the test started two requests without settling which one takes the slot; the engine itself was right either way. Now the first is in its slot before the second starts. The test asserts the same as before.

--- a/router/internal/standin/engine/engine_test.go
+++ b/router/internal/standin/engine/engine_test.go
@@ -267,6 +267,7 @@
 		s := newEngine(Config{Slots: 1})
 		ctx, cancel := context.WithCancel(t.Context())
 		go chat(ctx, s, wire.ChatRequest{Model: "m@1", Messages: user("x"), MaxTokens: 1000, Stream: true})
+		synctest.Wait()
 		waiting, abandon := context.WithCancel(t.Context())
 		go chat(waiting, s, wire.ChatRequest{Model: "m@1", Messages: user("y")})
 		time.Sleep(50 * time.Millisecond)
