Stand-ins refuse under the attempt's own nonce

The router takes a refusal as proof of not run only where it echoes the attempt's nonce, and the stand-ins left it out: every refusal would have counted as an answer to another attempt, and a busy engine as one of unknown outcome. Found by reading upstream against the stand-ins; now each refusal echoes it, and the refusal tests check the nonce.

--- a/router/internal/standin/engine/chat.go
+++ b/router/internal/standin/engine/chat.go
@@ -44,7 +44,7 @@
 	defer cancel()
 	switch err := s.slots.acquire(ctx, j.request.Priority); {
 	case errors.Is(err, errBusy):
-		s.refuse(w, http.StatusTooManyRequests, "busy", err.Error())
+		s.refuse(w, r, http.StatusTooManyRequests, "busy", err.Error())
 		return
 	case err != nil:
 		cutIfCrashed(ctx)
@@ -64,27 +64,27 @@
 	set := s.Faults.Get()
 	j := &job{faults: set, nonce: r.Header.Get(wire.HeaderAttempt)}
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChat)).Decode(&j.request); err != nil {
-		s.refuse(w, http.StatusBadRequest, "malformed_request", err.Error())
+		s.refuse(w, r, http.StatusBadRequest, "malformed_request", err.Error())
 		return nil, false
 	}
 	if set.Leaving {
 		w.Header().Set(wire.HeaderLeaving, "true")
-		s.refuse(w, http.StatusServiceUnavailable, "leaving", "this engine is leaving")
+		s.refuse(w, r, http.StatusServiceUnavailable, "leaving", "this engine is leaving")
 		return nil, false
 	}
 	if s.Faults.Take(func(f *Faults) *faults.Count { return &f.Busy }) {
-		s.refuse(w, http.StatusTooManyRequests, "busy", "no slot")
+		s.refuse(w, r, http.StatusTooManyRequests, "busy", "no slot")
 		return nil, false
 	}
 	version, ok := s.orders.loaded(j.request.Model)
 	if !ok {
-		s.refuse(w, http.StatusNotFound, "unknown_version", fmt.Sprintf("version %q is not loaded", j.request.Model))
+		s.refuse(w, r, http.StatusNotFound, "unknown_version", fmt.Sprintf("version %q is not loaded", j.request.Model))
 		return nil, false
 	}
 	if id := r.Header.Get("Last-Event-ID"); id != "" {
 		last, err := strconv.Atoi(id)
 		if err != nil || last < 0 {
-			s.refuse(w, http.StatusBadRequest, "malformed_request", "Last-Event-ID is not a number")
+			s.refuse(w, r, http.StatusBadRequest, "malformed_request", "Last-Event-ID is not a number")
 			return nil, false
 		}
 		j.from = last + 1
@@ -160,9 +160,11 @@
 	s.count(func(st *Stats) { st.Cancelled++ })
 }
 
-// refuse answers a request that was not run.
-func (s *Server) refuse(w http.ResponseWriter, status int, code, message string) {
+// refuse answers a request that was not run, under its own nonce: a refusal of
+// another attempt would prove nothing about this one.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, status int, code, message string) {
 	s.count(func(st *Stats) { st.Refused++ })
+	w.Header().Set(wire.HeaderAttempt, r.Header.Get(wire.HeaderAttempt))
 	w.Header().Set(wire.HeaderNotRun, "true")
 	faults.WriteError(w, status, code, message)
 }
--- a/router/internal/standin/engine/engine_test.go
+++ b/router/internal/standin/engine/engine_test.go
@@ -134,7 +134,7 @@
 			s := newEngine(Config{})
 			standintest.SetFaults(s, tt.faults)
 			reply := chat(t.Context(), s, tt.request)
-			if reply.Status != tt.status || reply.Header.Get(wire.HeaderNotRun) != "true" {
+			if reply.Status != tt.status || reply.Header.Get(wire.HeaderNotRun) != "true" || reply.Header.Get(wire.HeaderAttempt) != "n1" {
 				t.Errorf("reply %+v", reply)
 			}
 			if got := reply.Header.Get(wire.HeaderLeaving) == "true"; got != tt.leaving {
--- a/router/internal/standin/service/service.go
+++ b/router/internal/standin/service/service.go
@@ -130,17 +130,17 @@
 func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if err != nil {
-		s.refuse(w, http.StatusRequestEntityTooLarge, "body_too_large", err.Error())
+		s.refuse(w, r, http.StatusRequestEntityTooLarge, "body_too_large", err.Error())
 		return
 	}
 	if s.Faults.Get().Leaving {
 		w.Header().Set(wire.HeaderLeaving, "true")
-		s.refuse(w, http.StatusServiceUnavailable, "leaving", "this service is leaving")
+		s.refuse(w, r, http.StatusServiceUnavailable, "leaving", "this service is leaving")
 		return
 	}
 	busy := s.Faults.Take(func(f *Faults) *faults.Count { return &f.Busy })
 	if busy || !s.enter() {
-		s.refuse(w, http.StatusTooManyRequests, "busy", "too many calls")
+		s.refuse(w, r, http.StatusTooManyRequests, "busy", "too many calls")
 		return
 	}
 	defer s.leave()
@@ -199,10 +199,12 @@
 	faults.WriteJSON(w, status, answer)
 }
 
-func (s *Server) refuse(w http.ResponseWriter, status int, code, message string) {
+// refuse answers a call that was not run, under its own nonce.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, status int, code, message string) {
 	s.mu.Lock()
 	s.stats.Refused++
 	s.mu.Unlock()
+	w.Header().Set(wire.HeaderAttempt, r.Header.Get(wire.HeaderAttempt))
 	w.Header().Set(wire.HeaderNotRun, "true")
 	faults.WriteError(w, status, code, message)
 }
--- a/router/internal/standin/service/service_test.go
+++ b/router/internal/standin/service/service_test.go
@@ -45,6 +45,9 @@
 			if got := reply.Header.Get(wire.HeaderNotRun) == "true"; got != tt.notRun {
 				t.Errorf("not run: %v", got)
 			}
+			if nonce := reply.Header.Get(wire.HeaderAttempt); tt.notRun && nonce != "n1" {
+				t.Errorf("refused under nonce %q", nonce)
+			}
 			if got := s.Stats().Runs["k"]; got != tt.runs {
 				t.Errorf("%d runs, want %d", got, tt.runs)
 			}
