--- a/router/internal/standin/engine/engine_test.go
+++ b/router/internal/standin/engine/engine_test.go
@@ -134,7 +134,7 @@
 			s := newEngine(Config{})
 			standintest.SetFaults(s, tt.faults)
 			reply := chat(t.Context(), s, tt.request)
-			if reply.Status != tt.status || reply.Header.Get(wire.HeaderNotRun) != "true" {
+			if reply.Status != tt.status || reply.Header.Get(wire.HeaderNotRun) != "true" || reply.Header.Get(wire.HeaderAttempt) != "n1" {
 				t.Errorf("reply %+v", reply)
 			}
 			if got := reply.Header.Get(wire.HeaderLeaving) == "true"; got != tt.leaving {
@@ -267,6 +267,7 @@
 		s := newEngine(Config{Slots: 1})
 		ctx, cancel := context.WithCancel(t.Context())
 		go chat(ctx, s, wire.ChatRequest{Model: "m@1", Messages: user("x"), MaxTokens: 1000, Stream: true})
+		synctest.Wait()
 		waiting, abandon := context.WithCancel(t.Context())
 		go chat(waiting, s, wire.ChatRequest{Model: "m@1", Messages: user("y")})
 		time.Sleep(50 * time.Millisecond)
