Each instance works with a bounded subset of backend servers

Cause: an instance that follows every backend server's load sends messages in proportion to the fleet (10,000 servers, 4 reports a second each). Ruled out: no reports at all, which leaves instances blind to one another's load. Now 64 of a version by rendezvous hash and at most 64 reports a second; unchanged at today's sizes (15 and 21 servers). TestSubset: 200 instances over 1,000 servers leave none out, and one server leaving moves one place.

--- a/router/internal/daemon/platform.go
+++ b/router/internal/daemon/platform.go
@@ -95,7 +95,7 @@
 }
 
 func newDirectory(cfg settings.Settings, list platform.List, d *driver.Driver) *directory.Directory {
-	return directory.New(list, d, ms(cfg.Platform.ListIntervalMS), ms(cfg.Platform.LoadIntervalMS))
+	return directory.New(cfg.Instance, list, d, ms(cfg.Platform.ListIntervalMS), ms(cfg.Platform.LoadIntervalMS))
 }
 
 func startDirectory(lc fx.Lifecycle, dir *directory.Directory) { background(lc, dir.Run) }
--- a/router/internal/directory/directory.go
+++ b/router/internal/directory/directory.go
@@ -29,6 +29,7 @@
 
 // Directory is safe for concurrent use.
 type Directory struct {
+	instance  string
 	list      platform.List
 	out       Sender
 	client    *http.Client
@@ -42,9 +43,10 @@
 	lastOK    time.Time
 }
 
-// New returns a directory; Run starts it.
-func New(list platform.List, out Sender, listEvery, loadEvery time.Duration) *Directory {
+// New returns the directory of an instance; Run starts it.
+func New(instance string, list platform.List, out Sender, listEvery, loadEvery time.Duration) *Directory {
 	return &Directory{
+		instance:  instance,
 		list:      list,
 		out:       out,
 		client:    &http.Client{Timeout: loadTimeout},
@@ -91,9 +93,10 @@
 	if err != nil {
 		return
 	}
-	rows := make([]decision.Server, 0, len(got.Servers))
+	subset := Subset(d.instance, got.Servers)
+	rows := make([]decision.Server, 0, len(subset))
 	seen := map[decision.ServerID]wire.ListedServer{}
-	for _, s := range got.Servers {
+	for _, s := range subset {
 		rows = append(rows, serverRow(s))
 		seen[decision.ServerID(s.ID)] = s
 	}
@@ -150,19 +153,26 @@
 }
 
 func (d *Directory) followLoad(ctx context.Context, id decision.ServerID) {
-	ticker := time.NewTicker(d.loadEvery)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	var since uint64
 	for {
-		since = d.fetchLoad(ctx, id, since)
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
+		since = d.fetchLoad(ctx, id, since)
+		timer.Reset(pollInterval(d.loadEvery, d.followed()))
 	}
 }
 
+func (d *Directory) followed() int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return len(d.loops)
+}
+
 // fetchLoad reports one server's load and returns the last cache event seen.
 func (d *Directory) fetchLoad(ctx context.Context, id decision.ServerID, since uint64) uint64 {
 	addr, ok := d.Addr(id)
--- /dev/null
+++ b/router/internal/directory/subset.go
@@ -0,0 +1,76 @@
+package directory
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"masticplank.example/router/internal/wire"
+)
+
+const (
+	// subsetSize is how many backend servers of one version or service an
+	// instance works with. Two random choices among 64 balance as well as among
+	// 10,000, and connections and load reports stay bounded in a large fleet.
+	// Today's deployments have fewer, so nothing is left out there.
+	subsetSize = 64
+	// pollBudget is how many load reports an instance fetches a second, over
+	// all backend servers: past it the reports come less often, not more.
+	pollBudget = 64
+)
+
+// Subset picks the backend servers that an instance works with: for each version
+// and service the subsetSize of highest rendezvous hash with the instance's
+// name. A server that joins or leaves changes little of it, and over all
+// instances every server is picked about equally often.
+func Subset(instance string, servers []wire.ListedServer) []wire.ListedServer {
+	picked := map[string]bool{}
+	for _, group := range groups(servers) {
+		for _, s := range highest(instance, group) {
+			picked[s.ID] = true
+		}
+	}
+	out := make([]wire.ListedServer, 0, len(picked))
+	for _, s := range servers {
+		if picked[s.ID] {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// groups lists the servers of each version and service.
+func groups(servers []wire.ListedServer) map[string][]wire.ListedServer {
+	out := map[string][]wire.ListedServer{}
+	for _, s := range servers {
+		if s.Service != "" {
+			out["service/"+s.Service] = append(out["service/"+s.Service], s)
+		}
+		for _, v := range s.Versions {
+			out[v] = append(out[v], s)
+		}
+	}
+	return out
+}
+
+func highest(instance string, group []wire.ListedServer) []wire.ListedServer {
+	if len(group) <= subsetSize {
+		return group
+	}
+	weight := make(map[string]uint64, len(group))
+	for _, s := range group {
+		weight[s.ID] = xxhash.Sum64String(instance + "\x00" + s.ID)
+	}
+	sorted := slices.Clone(group)
+	slices.SortFunc(sorted, func(a, b wire.ListedServer) int {
+		return cmp.Or(cmp.Compare(weight[b.ID], weight[a.ID]), cmp.Compare(a.ID, b.ID))
+	})
+	return sorted[:subsetSize]
+}
+
+// pollInterval stretches the wanted interval where many servers are followed.
+func pollInterval(wanted time.Duration, followed int) time.Duration {
+	return max(wanted, time.Duration(followed)*time.Second/pollBudget)
+}
--- /dev/null
+++ b/router/internal/directory/subset_test.go
@@ -0,0 +1,71 @@
+package directory
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"masticplank.example/router/internal/wire"
+)
+
+func servers(n int) []wire.ListedServer {
+	out := make([]wire.ListedServer, n)
+	for i := range out {
+		out[i] = wire.ListedServer{ID: fmt.Sprintf("s%d", i), Versions: []string{"draft@1"}}
+	}
+	return out
+}
+
+func ids(list []wire.ListedServer) []string {
+	var out []string
+	for _, s := range list {
+		out = append(out, s.ID)
+	}
+	return out
+}
+
+func TestSubsetIsBoundedStableAndEven(t *testing.T) {
+	if got := Subset("entry-1", servers(15)); len(got) != 15 {
+		t.Errorf("a small fleet is cut to %d", len(got))
+	}
+	const fleet, instances = 1000, 200
+	all := servers(fleet)
+	times := map[string]int{}
+	for i := range instances {
+		got := Subset(fmt.Sprintf("entry-%d", i), all)
+		if len(got) != subsetSize {
+			t.Fatalf("%d servers", len(got))
+		}
+		for _, id := range ids(got) {
+			times[id]++
+		}
+	}
+	// On average each server is picked 12.8 times; none may be left out.
+	if len(times) != fleet {
+		t.Errorf("%d of %d servers are picked by nobody", fleet-len(times), fleet)
+	}
+	before := ids(Subset("entry-1", all))
+	gone := before[0]
+	rest := slices.DeleteFunc(servers(fleet), func(s wire.ListedServer) bool { return s.ID == gone })
+	kept := 0
+	for _, id := range ids(Subset("entry-1", rest)) {
+		if slices.Contains(before, id) {
+			kept++
+		}
+	}
+	if kept != subsetSize-1 {
+		t.Errorf("one server left and %d of the subset stayed", kept)
+	}
+}
+
+func TestPollsStayInBudget(t *testing.T) {
+	for followed, want := range map[int]time.Duration{
+		15:   250 * time.Millisecond,
+		1024: 16 * time.Second,
+	} {
+		if got := pollInterval(250*time.Millisecond, followed); got != want {
+			t.Errorf("%d servers: every %v, want %v", followed, got, want)
+		}
+	}
+}
