--- /dev/null
+++ b/router/internal/api/fixture_test.go
@@ -0,0 +1,279 @@
+package api
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"masticplank.example/coordination/fold"
+	"masticplank.example/coordination/node"
+	"masticplank.example/coordination/platformlog/logtest"
+	"masticplank.example/coordination/record"
+	"masticplank.example/decision"
+	"masticplank.example/router/internal/billing"
+	"masticplank.example/router/internal/driver"
+	"masticplank.example/router/internal/logging"
+	"masticplank.example/router/internal/manifest"
+	"masticplank.example/router/internal/session"
+	"masticplank.example/router/internal/settings"
+	"masticplank.example/router/internal/upstream"
+	"masticplank.example/router/internal/wire"
+)
+
+// patience bounds a wait for what happens within milliseconds.
+const patience = 30 * time.Second
+
+const (
+	teamKey = "loom"
+	prompt  = `{"model":"draft","messages":[{"role":"user","content":"a twill"}],"max_tokens":4}`
+)
+
+// fixture is the callers' edge with a real decision and node over an in-memory
+// log, before one backend server that each test scripts.
+type fixture struct {
+	t       *testing.T
+	log     *logtest.Log
+	node    *node.Node
+	gate    *switchGate
+	held    *fakeHolder
+	driver  *driver.Driver
+	edge    *httptest.Server
+	backend *httptest.Server
+	// ran counts what reached the backend server and was not refused by it.
+	ran     atomic.Int64
+	handler atomic.Value
+	index   atomic.Pointer[manifest.Index]
+}
+
+// Current implements Manifests.
+func (f *fixture) Current() *manifest.Index { return f.index.Load() }
+
+// Addr implements Servers.
+func (f *fixture) Addr(decision.ServerID) (string, bool) {
+	return strings.TrimPrefix(f.backend.URL, "http://"), true
+}
+
+// switchGate refuses with whatever reason it holds.
+type switchGate struct {
+	mu     sync.Mutex
+	reason decision.RefusalReason
+	// asked counts the questions; from the one numbered after on, reason holds.
+	asked, after int
+}
+
+func (g *switchGate) MayRun(bool) decision.RefusalReason {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.asked++
+	if g.asked > g.after {
+		return g.reason
+	}
+	return ""
+}
+
+// refuse makes the gate refuse from the question after on.
+func (g *switchGate) refuse(reason decision.RefusalReason, after int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.reason, g.asked, g.after = reason, 0, after
+}
+
+type fakeHolder struct {
+	held  atomic.Int64
+	fails atomic.Bool
+}
+
+func (h *fakeHolder) Hold(context.Context, record.Record) error {
+	if h.fails.Load() {
+		return errors.New("no peer")
+	}
+	h.held.Add(1)
+	return nil
+}
+
+type noRecorder struct{}
+
+func (noRecorder) Observe(Observation) {}
+
+type noRater struct{}
+
+func (noRater) Rate(context.Context, wire.RateRequest) (float64, error) {
+	return 0, context.DeadlineExceeded
+}
+
+type noSink struct{}
+
+func (noSink) ShareVerdict(decision.VersionVerdict) {}
+func (noSink) ShareLeaving(decision.ServerID)       {}
+func (noSink) Quarantine(decision.Quarantine)       {}
+
+func testManifest() manifest.Manifest {
+	return manifest.Manifest{
+		Generation: 1, Publication: "p",
+		Teams: []manifest.Team{{ID: "weavers", KeyHashes: []string{manifest.HashKey(teamKey)}, Weight: 1,
+			Allowed: []string{"draft@1"}, Services: []string{"shop"}}},
+		Versions: []manifest.Version{{ID: "draft@1", Model: "draft", State: manifest.StateServing, Share: 1, Cost: 2, Quality: 0.9}},
+		Services: []manifest.Service{{ID: "shop", Price: 1, Routes: []manifest.Route{
+			{Method: "GET", Path: "/stock/*", Idempotent: true}, {Method: "POST", Path: "/reservations"}}}},
+	}
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	f := &fixture{t: t, log: logtest.New(), gate: &switchGate{}, held: &fakeHolder{}}
+	f.script(chatAnswer)
+	f.backend = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.ran.Add(1)
+		f.handler.Load().(http.HandlerFunc)(w, r)
+		if w.Header().Get(wire.HeaderNotRun) != "" {
+			f.ran.Add(-1)
+		}
+	}))
+	t.Cleanup(f.backend.Close)
+	f.startNode()
+	f.startEdge()
+	return f
+}
+
+// mend ends all faults.
+func (f *fixture) mend(h http.HandlerFunc) {
+	f.log.SetDown(false)
+	f.gate.refuse("", 0)
+	f.script(h)
+	f.eventually("the log read again", func() bool { return f.node.Status().LogReachable })
+}
+
+// eventually polls until ok holds; it fails only past patience.
+func (f *fixture) eventually(what string, ok func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(patience)
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	for !ok() {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("never: %s", what)
+		}
+		<-tick.C
+	}
+}
+
+// script sets what the backend server does.
+func (f *fixture) script(h http.HandlerFunc) { f.handler.Store(h) }
+
+func (f *fixture) startNode() {
+	n, err := node.New(f.log.Client("entry-1"), node.Config{Name: "entry-1", Linger: time.Millisecond})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := n.Start(context.Background()); err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = n.Stop(context.Background()) })
+	f.node = n
+}
+
+func (f *fixture) startEdge() {
+	f.index.Store(manifest.NewIndex(testManifest(), "d"))
+	f.driver = driver.New(decision.NewWorld(decision.DefaultConfig()), noSink{})
+	ctx, cancel := context.WithCancel(context.Background())
+	go f.driver.Run(ctx)
+	f.driver.Send(f.index.Load().Tables())
+	f.driver.Send(decision.ServersListed{Servers: []decision.Server{
+		{ID: "e1", Versions: []decision.VersionID{"draft@1"}, Slots: 4},
+		{ID: "s1", Service: "shop", Slots: 4},
+	}})
+	f.driver.Send(decision.FreshnessChanged{Fresh: true})
+	client := upstream.NewClient()
+	tokens, err := session.NewTokens(settings.Session{TTLSeconds: 60}, time.Now)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.edge = httptest.NewServer(New(Deps{
+		Driver:    f.driver,
+		Manifests: f,
+		Gate:      f.gate,
+		Servers:   f,
+		Upstream:  client,
+		Store:     f.node,
+		Biller:    billing.New(f.node, f.held),
+		Tokens:    tokens,
+		Names:     session.NewNames(f.node, time.Hour),
+		Rater:     noRater{},
+		Recorder:  noRecorder{},
+		Log:       logging.New(io.Discard, settings.Default().Log),
+		Limits:    Limits{MaxBody: 1 << 16, ReadTimeout: time.Minute, DefaultDeadline: 20 * time.Second, MaxDeadline: time.Minute},
+	}))
+	f.t.Cleanup(func() { f.edge.Close(); client.Close(); cancel() })
+}
+
+// answer is what a caller got; err is set where the answer broke off.
+type callerAnswer struct {
+	status  int
+	outcome string
+	header  http.Header
+	body    string
+	err     error
+}
+
+func (f *fixture) call(ctx context.Context, method, path, body, idempotencyKey string) callerAnswer {
+	f.t.Helper()
+	req, err := http.NewRequestWithContext(ctx, method, f.edge.URL+path, bytes.NewBufferString(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+teamKey)
+	if idempotencyKey != "" {
+		req.Header.Set(wire.HeaderIdempotencyKey, idempotencyKey)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return callerAnswer{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return callerAnswer{
+		status:  resp.StatusCode,
+		outcome: resp.Header.Get(wire.HeaderOutcome),
+		header:  resp.Header,
+		body:    string(data),
+		err:     err,
+	}
+}
+
+// bills lists what is in the log, by register, so each request counts once.
+func (f *fixture) bills() []fold.Register {
+	f.t.Helper()
+	return f.registers(record.ClassBill)
+}
+
+const wholeAnswer = `{"choices":[{"message":{"role":"assistant","content":"over under"}}],"usage":{"completion_tokens":4}}`
+
+// chatAnswer answers a plain chat request whole.
+func chatAnswer(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(wire.HeaderAttempt, r.Header.Get(wire.HeaderAttempt))
+	_, _ = io.WriteString(w, wholeAnswer)
+}
+
+// chatStream streams the events given, each as one server-sent event.
+func chatStream(events ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(wire.HeaderAttempt, r.Header.Get(wire.HeaderAttempt))
+		w.Header().Set("Content-Type", "text/event-stream")
+		for _, ev := range events {
+			_, _ = io.WriteString(w, "data: "+ev+"\n\n")
+			w.(http.Flusher).Flush()
+		}
+	}
+}
+
+func (f *fixture) registers(class record.Class) []fold.Register {
+	return f.node.Registers(class)
+}
--- /dev/null
+++ b/router/internal/api/outcome_test.go
@@ -0,0 +1,204 @@
+package api
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/google/uuid"
+
+	"masticplank.example/decision"
+	"masticplank.example/router/internal/wire"
+)
+
+// Chunks of a stream of two tokens.
+const (
+	token1    = `{"choices":[{"delta":{"content":"over "}}]}`
+	token2    = `{"choices":[{"delta":{"content":"under"}}]}`
+	lastChunk = `{"choices":[{"delta":{},"finish_reason":"stop"}],"usage":{"completion_tokens":2}}`
+)
+
+var streamed = strings.Replace(prompt, `"max_tokens"`, `"stream":true,"max_tokens"`, 1)
+
+// hangUp closes the connection, as a backend server does that dies.
+func hangUp(w http.ResponseWriter, _ *http.Request) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err == nil {
+		conn.Close()
+	}
+}
+
+func cutAfter(events ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		chatStream(events...)(w, r)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func status(code int, notRun bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(wire.HeaderAttempt, r.Header.Get(wire.HeaderAttempt))
+		if notRun {
+			w.Header().Set(wire.HeaderNotRun, "true")
+		}
+		w.WriteHeader(code)
+	}
+}
+
+func wrongNonce(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(wire.HeaderAttempt, "another")
+	_, _ = io.WriteString(w, wholeAnswer)
+}
+
+// TestChatOutcomes judges by what the caller gets: a whole answer with one bill,
+// or an outcome that is true, and never a cut stream that looks whole.
+func TestChatOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		body    string
+		backend http.HandlerFunc
+		outcome string
+		broken  bool
+		bills   int
+	}{
+		{"plain", prompt, chatAnswer, "completed", false, 1},
+		{"stream", streamed, chatStream(token1, token2, lastChunk, wire.StreamEnd), "completed", false, 1},
+		{"plain, crash", prompt, hangUp, "failed", false, 0},
+		{"plain, another's answer", prompt, wrongNonce, "unknown", false, 0},
+		{"plain, no usage", prompt, status(200, false), "failed", false, 0},
+		{"plain, server error", prompt, status(500, false), "failed", false, 0},
+		{"plain, refused everywhere", prompt, status(503, true), "refused", false, 0},
+		{"stream cut after a token", streamed, cutAfter(token1), "completed", true, 0},
+		{"stream cut before the end mark", streamed, cutAfter(token1, token2, lastChunk), "completed", true, 0},
+		{"stream ended without its end mark", streamed, chatStream(token1, token2, lastChunk), "completed", true, 0},
+		{"stream ended without usage", streamed, chatStream(token1, wire.StreamEnd), "completed", true, 0},
+		{"stream of no chunks", streamed, chatStream("nonsense"), "failed", false, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.script(c.backend)
+			got := f.call(context.Background(), http.MethodPost, "/v1/chat/completions", c.body, "")
+			if got.outcome != c.outcome || (got.err != nil) != c.broken {
+				t.Errorf("outcome %q, error %v, body %q", got.outcome, got.err, got.body)
+			}
+			if c.broken && strings.Contains(got.body, wire.StreamEnd) {
+				t.Errorf("a cut stream looks whole: %q", got.body)
+			}
+			if n := len(f.bills()); n != c.bills {
+				t.Errorf("%d bills, want %d", n, c.bills)
+			}
+		})
+	}
+}
+
+// TestBillComesBeforeTheEnd takes the log away: the bill is held, and where
+// that fails too, the answer must not end as a billed one.
+func TestBillComesBeforeTheEnd(t *testing.T) {
+	f := newFixture(t)
+	f.script(chatStream(token1, token2, lastChunk, wire.StreamEnd))
+	first := f.call(context.Background(), http.MethodPost, "/v1/chat/completions", streamed, "")
+	if first.err != nil {
+		t.Fatal(first.err)
+	}
+	f.log.SetDown(true)
+	got := f.call(context.Background(), http.MethodPost, "/v1/chat/completions", streamed, "")
+	if got.err != nil || !strings.HasSuffix(strings.TrimSpace(got.body), wire.StreamEnd) {
+		t.Errorf("held bill: error %v, body %q", got.err, got.body)
+	}
+	if n := f.held.held.Load(); n != 1 {
+		t.Errorf("%d bills held", n)
+	}
+	f.held.fails.Store(true)
+	for _, body := range []string{streamed, prompt} {
+		if body == prompt {
+			f.script(chatAnswer)
+		}
+		got := f.call(context.Background(), http.MethodPost, "/v1/chat/completions", body, "")
+		if got.err == nil && got.outcome == "completed" {
+			t.Errorf("no bill, but a whole answer: %q", got.body)
+		}
+	}
+}
+
+// TestResendIsBilledOnce sends an idempotent request twice under one key.
+func TestResendIsBilledOnce(t *testing.T) {
+	f := newFixture(t)
+	key := uuid.Must(uuid.NewV7()).String()
+	for range 2 {
+		if got := f.call(context.Background(), http.MethodPost, "/v1/chat/completions", prompt, key); got.outcome != "completed" {
+			t.Fatalf("got %+v", got)
+		}
+	}
+	if n := len(f.bills()); n != 1 {
+		t.Errorf("%d bills", n)
+	}
+}
+
+// TestReservationRunsAtMostOnce walks a non-idempotent request through a fault
+// at each step, then sends it again. It must never run twice, and what was told
+// "refused" must not have run.
+func TestReservationRunsAtMostOnce(t *testing.T) {
+	reserved := func(w http.ResponseWriter, r *http.Request) { status(201, false)(w, r) }
+	for _, c := range []struct {
+		name    string
+		fault   func(f *fixture)
+		outcome string
+		again   string
+	}{
+		{"no fault", func(*fixture) {}, "completed", "already_run"},
+		{"claim's reply lost", func(f *fixture) { f.log.LoseReplies(1) }, "completed", "already_run"},
+		{"claim lost before effect", func(f *fixture) { f.log.LoseAppends(1) }, "completed", "already_run"},
+		{"claim refused by the log once", func(f *fixture) { f.log.RefuseAppends(1) }, "completed", "already_run"},
+		{"log down", func(f *fixture) { f.log.SetDown(true) }, "refused", "completed"},
+		{"not fresh on arrival", func(f *fixture) { f.gate.refuse(decision.ReasonNotFresh, 0) }, "refused", "completed"},
+		{"not fresh at dispatch", func(f *fixture) { f.gate.refuse(decision.ReasonNotFresh, 1) }, "refused", "completed"},
+		{"not fresh after the claim", func(f *fixture) { f.gate.refuse(decision.ReasonNotFresh, 2) }, "refused", "completed"},
+		{"backend server refuses", func(f *fixture) { f.script(status(503, true)) }, "refused", "completed"},
+		{"backend server dies", func(f *fixture) { f.script(hangUp) }, "failed", "already_run"},
+		{"backend server fails", func(f *fixture) { f.script(status(500, false)) }, "failed", "already_run"},
+		{"another's answer", func(f *fixture) { f.script(wrongNonce) }, "unknown", "already_run"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.script(reserved)
+			c.fault(f)
+			key := uuid.Must(uuid.NewV7()).String()
+			first := f.call(context.Background(), http.MethodPost, "/services/shop/reservations", `{}`, key)
+			if first.outcome != c.outcome {
+				t.Errorf("outcome %q, want %q: %s", first.outcome, c.outcome, first.body)
+			}
+			f.mend(reserved)
+			before := f.ran.Load()
+			if first.outcome == "refused" && before != 0 {
+				t.Errorf("told refused, but it ran %d times", before)
+			}
+			again := f.call(context.Background(), http.MethodPost, "/services/shop/reservations", `{}`, key)
+			if again.outcome != c.again {
+				t.Errorf("again: outcome %q, want %q: %s", again.outcome, c.again, again.body)
+			}
+			if n := f.ran.Load(); n > 1 {
+				t.Errorf("ran %d times", n)
+			}
+		})
+	}
+}
+
+// TestCallerGoneFreesTheSlot cancels a stream in the middle: the engine sees it
+// end, and what was generated is billed once.
+func TestCallerGoneFreesTheSlot(t *testing.T) {
+	f := newFixture(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	f.script(func(w http.ResponseWriter, r *http.Request) {
+		chatStream(token1)(w, r)
+		cancel()
+		<-r.Context().Done()
+		close(ended)
+	})
+	f.call(ctx, http.MethodPost, "/v1/chat/completions", streamed, "")
+	<-ended
+	f.eventually("the ticket closes", func() bool { return f.driver.Open() == 0 })
+	f.eventually("the bill", func() bool { return len(f.bills()) == 1 })
+}
