Wait estimate per team; load, property and fuzz tests of World

Cause, found by the load tests: with one drain rate per queue, up to 8% of the requests at saturation were refused late, after waiting, and a third of the answers of a skewed load came past their deadline, since work with only half of the usual time left was still dispatched.

Now the drain is measured for each team by itself, the first guess is what the other teams leave of the pool, and work without the usual time left is refused before it takes a slot. Found by the properties: a server that was dropped from the list and came back was given its slots twice; it now keeps what it runs.

Ruled out: the whole queue's rate as the bound (it ignores teams that are not queued at that instant); weights of the backlogged teams only (same cause).

--- a/decision/admit.go
+++ b/decision/admit.go
@@ -1,5 +1,7 @@
 package decision
 
+import "time"
+
 // admit answers each arrival: it goes to a queue, or is refused at once with
 // when to come back. The order is from the certain to the estimated, so that the
 // reason given is the one that matters most to the caller.
@@ -71,7 +73,8 @@
 // waits past its deadline and is then thrown away, while its caller could have
 // gone elsewhere. The queue's bound limits memory; the estimate is what keeps
 // the queue as long as it is of use, and the time of the answer itself is part
-// of it, since a late answer is worth nothing.
+// of it, since a late answer is worth nothing. The margin keeps the estimate's
+// error from admitting half of those at the edge in vain.
 func (w *World) crowded(r *request) RefusalReason {
 	if r.team.queued >= w.queueLimit(r.team) {
 		return ReasonQueueFull
@@ -79,7 +82,8 @@
 	if !r.deadline.After(w.now) {
 		return ReasonDeadline
 	}
-	need := w.waitFor(r) + r.pool.drain.service(r.item.Cost)
+	wait := time.Duration(w.cfg.WaitMargin * float64(w.waitFor(r)))
+	need := wait + r.pool.pace.service(r.item.Cost)
 	if w.now.Add(need).After(r.deadline) {
 		return ReasonWaitTooLong
 	}
--- a/decision/config.go
+++ b/decision/config.go
@@ -40,6 +40,8 @@
 	RateBudget time.Duration
 	// DrainWindow is the half-life of the measured drain rate.
 	DrainWindow time.Duration
+	// WaitMargin multiplies the estimated wait at admission.
+	WaitMargin float64
 	// PromptWeight is the cost of a prompt token in generated tokens.
 	PromptWeight float64
 	// DefaultTokens sizes requests that name no MaxTokens.
@@ -82,6 +84,7 @@
 		// Under the time to a first token that callers put up with.
 		RateBudget:    300 * time.Millisecond,
 		DrainWindow:   5 * time.Second,
+		WaitMargin:    1.1,
 		PromptWeight:  0.1,
 		DefaultTokens: 256,
 		ServiceCost:   16,
@@ -105,6 +108,7 @@
 	orDefault(&c.RetryAfterMin, d.RetryAfterMin)
 	orDefault(&c.RateBudget, d.RateBudget)
 	orDefault(&c.DrainWindow, d.DrainWindow)
+	orDefault(&c.WaitMargin, d.WaitMargin)
 	orDefault(&c.PromptWeight, d.PromptWeight)
 	orDefault(&c.DefaultTokens, d.DefaultTokens)
 	orDefault(&c.ServiceCost, d.ServiceCost)
--- a/decision/drain.go
+++ b/decision/drain.go
@@ -5,30 +5,21 @@
 	"time"
 )
 
-// drainMeter measures how fast a pool works off its queue, in cost a second.
+// drainMeter measures how fast a team's part of a pool's queue is worked off, in
+// cost a second.
 //
-// Load: saturation, where other instances use the same pool. The pool's slots
-// and the time per cost give a first guess; what truly left the queue while it
-// was backlogged replaces it, since only that shows this instance's share.
+// Load: saturation, where other teams and other instances use the same pool.
+// What truly left the queue while it was backlogged shows the part that is the
+// team's, whatever the others do.
 type drainMeter struct {
 	// work and busy are what left the queue, and the seconds in which there was
 	// one, both decayed.
 	work float64
 	busy float64
-	// cost and seconds of completed attempts, decayed by count.
-	cost    float64
-	seconds float64
 }
 
-// perAttempt keeps about the last 50 attempts: enough to smooth, few enough to
-// follow a change of load within seconds.
-const perAttempt = 0.98
-
-// advance decays the meter by the time in which the pool was backlogged.
+// advance decays the meter by a time in which the queue was backlogged.
 func (m *drainMeter) advance(elapsed, halfLife time.Duration) {
-	if elapsed <= 0 {
-		return
-	}
 	keep := math.Exp2(-elapsed.Seconds() / halfLife.Seconds())
 	m.work *= keep
 	m.busy = m.busy*keep + elapsed.Seconds()
@@ -37,37 +28,84 @@
 // left notes work that left a backlogged queue.
 func (m *drainMeter) left(cost float64) { m.work += cost }
 
+// rate is the cost a second that leaves the queue. The guess counts as a tenth
+// of the half-life, so that half a second of backlog outweighs it by default.
+func (m *drainMeter) rate(guess float64, halfLife time.Duration) float64 {
+	prior := halfLife.Seconds() / 10
+	if guess == 0 && m.busy < prior {
+		return 0
+	}
+	if guess == 0 {
+		return m.work / m.busy
+	}
+	return (m.work + guess*prior) / (m.busy + prior)
+}
+
+// useMeter measures how much a flow or a pool sends, in cost a second, whether
+// or not there is a backlog.
+type useMeter struct {
+	sum  float64
+	at   time.Time
+	born time.Time
+}
+
+// add notes cost sent now.
+func (m *useMeter) add(cost float64, now time.Time, halfLife time.Duration) {
+	if m.born.IsZero() {
+		m.born = now
+	}
+	m.sum = m.decayed(now, halfLife) + cost
+	m.at = now
+}
+
+// rate is the cost a second of late. A young meter is divided by its age, not by
+// the half-life; under half a second it counts as that old.
+func (m *useMeter) rate(now time.Time, halfLife time.Duration) float64 {
+	if m.born.IsZero() {
+		return 0
+	}
+	age := max(now.Sub(m.born).Seconds(), 0.5)
+	span := (1 - math.Exp2(-age/halfLife.Seconds())) * halfLife.Seconds() / math.Ln2
+	return m.decayed(now, halfLife) / span
+}
+
+func (m *useMeter) decayed(now time.Time, halfLife time.Duration) float64 {
+	return m.sum * math.Exp2(-now.Sub(m.at).Seconds()/halfLife.Seconds())
+}
+
+// paceMeter measures how long a pool's attempts take for their cost.
+type paceMeter struct {
+	// cost and seconds of completed attempts, decayed by count.
+	cost    float64
+	seconds float64
+}
+
+// perAttempt keeps about the last 50 attempts: enough to smooth, few enough to
+// follow a change of load within seconds.
+const perAttempt = 0.98
+
 // learn notes a completed attempt.
-func (m *drainMeter) learn(took time.Duration, cost float64) {
+func (m *paceMeter) learn(took time.Duration, cost float64) {
 	m.cost = m.cost*perAttempt + cost
 	m.seconds = m.seconds*perAttempt + took.Seconds()
 }
 
 // service estimates how long an attempt of the cost takes; 0 before anything is
 // known.
-func (m *drainMeter) service(cost float64) time.Duration {
+func (m *paceMeter) service(cost float64) time.Duration {
 	if m.cost == 0 {
 		return 0
 	}
 	return seconds(cost * m.seconds / m.cost)
 }
 
-// rate is the cost a second that leaves the queue; 0 before anything is known.
-func (m *drainMeter) rate(slots int, window time.Duration) float64 {
-	guess := 0.0
-	if m.seconds > 0 {
-		guess = float64(slots) * m.cost / m.seconds
-	}
-	if guess == 0 {
-		if m.busy < window.Seconds() {
-			return 0
-		}
-		return m.work / m.busy
+// rate guesses the cost a second that so many slots work off; 0 before anything
+// is known.
+func (m *paceMeter) rate(slots int) float64 {
+	if m.seconds == 0 {
+		return 0
 	}
-	// The guess counts as a tenth of the window, so that about half a second of
-	// backlog outweighs it.
-	prior := window.Seconds() / 10
-	return (m.work + guess*prior) / (m.busy + prior)
+	return float64(slots) * m.cost / m.seconds
 }
 
 // seconds turns a number of seconds into a duration, bounded to a day so that no
--- /dev/null
+++ b/decision/fuzz_test.go
@@ -0,0 +1,183 @@
+package decision
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// tape turns fuzzed bytes into values; past its end it gives zeros.
+type tape []byte
+
+func (t *tape) next() byte {
+	if len(*t) == 0 {
+		return 0
+	}
+	b := (*t)[0]
+	*t = (*t)[1:]
+	return b
+}
+
+// number is sometimes one that no sane sender would send.
+func (t *tape) number() float64 {
+	odd := []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1, 2}
+	b := int(t.next())
+	if b < len(odd) {
+		return odd[b]
+	}
+	return float64(b) / 255
+}
+
+func (t *tape) version() VersionID {
+	return []VersionID{"", weave1, weave2, draft1, "none"}[t.next()%5]
+}
+
+func (t *tape) server() ServerID { return []ServerID{"", "s0", "s1", "s2"}[t.next()%4] }
+
+func (t *tape) model() ModelID {
+	return []ModelID{"", "weave", "draft", "weave@1"}[t.next()%4]
+}
+
+func (t *tape) at() time.Time {
+	return epoch.Add(time.Duration(int8(t.next())) * 100 * time.Millisecond)
+}
+
+func (t *tape) event() Event {
+	id, attempt := RequestID(t.next()%16), AttemptID(t.next()%4)
+	switch t.next() % 13 {
+	case 0:
+		return t.manifest()
+	case 1:
+		return ServersListed{Servers: []Server{
+			{ID: t.server(), Versions: []VersionID{t.version(), t.version()}, Slots: int(int8(t.next()))},
+			{ID: t.server(), Versions: []VersionID{t.version()}, Leaving: t.next()%4 == 0, Slots: 3},
+			{ID: t.server(), Service: "stock", Slots: 1},
+		}}
+	case 2:
+		return ServerLeaving{Server: t.server()}
+	case 3:
+		return LoadReported{Server: t.server(), Running: int(int8(t.next())), Queued: int(int8(t.next())), At: t.at()}
+	case 4:
+		return CacheChanged{Server: t.server(), Seq: uint64(t.next()), Added: []BlockHash{BlockHash(t.next())}, Removed: []BlockHash{BlockHash(t.next())}}
+	case 5:
+		return RequestCancelled{Request: id}
+	case 6:
+		return FirstToken{Request: id, Attempt: attempt}
+	case 7:
+		return AttemptEnded{Request: id, Attempt: attempt, Result: AttemptResult(t.next() % 8), Tokens: int(int8(t.next())), Sent: t.next()%4 == 0, Leaving: t.next()%4 == 0}
+	case 8:
+		return AnswerRated{Request: id, Attempt: attempt, Team: "a", Version: t.version(), Score: t.number(), Late: t.next()%2 == 0}
+	case 9:
+		return VersionVerdict{Version: t.version(), Bad: t.next()%2 == 0, Until: t.at()}
+	case 10:
+		return RequestQuarantined{Fingerprint: Fingerprint(t.next() % 4), Until: t.at()}
+	case 11:
+		return FreshnessChanged{Fresh: t.next()%4 != 0, Outage: t.next()%4 == 0}
+	default:
+		return t.request(id)
+	}
+}
+
+func (t *tape) manifest() Event {
+	version := func(id VersionID) Version {
+		return Version{
+			ID: id, Model: t.model(), State: VersionState(t.next() % 5), Share: t.number(),
+			Predecessor: t.version(), Cost: t.number(), Quality: t.number(),
+		}
+	}
+	return ManifestApplied{
+		Generation: uint64(t.next()),
+		Versions:   []Version{version(t.version()), version(weave1), version(draft1)},
+		Teams: []Team{
+			{ID: "a", Weight: int(int8(t.next())), QualityTarget: t.number(), Allowed: []VersionID{weave1, draft1, t.version()}, Services: []ServiceID{"stock"}},
+			{ID: "b", QueueLimit: int(int8(t.next())), Allowed: []VersionID{t.version()}},
+		},
+	}
+}
+
+func (t *tape) request(id RequestID) Event {
+	r := Request{
+		ID: id, Team: []TeamID{"a", "b", ""}[t.next()%3], Model: t.model(), Pinned: t.version(),
+		ShareHash: t.number(), Fingerprint: Fingerprint(t.next() % 4), Blocks: []BlockHash{BlockHash(t.next())},
+		PromptTokens: int(int8(t.next())), MaxTokens: int(int8(t.next())), Priority: int(int8(t.next())),
+		Idempotent: t.next()%2 == 0, Streamed: t.next()%2 == 0, Resend: t.next()%4 == 0,
+	}
+	if t.next()%2 == 0 {
+		r.Pinned = ""
+	}
+	if t.next()%8 == 0 {
+		r.Service = "stock"
+	}
+	if t.next()%2 == 0 {
+		r.Deadline = t.at()
+	}
+	return RequestArrived{Request: r}
+}
+
+// FuzzTick feeds arbitrary events, also impossible ones, at arbitrary times. It
+// must not panic, must not pass a server's capacity and must answer each request
+// once.
+func FuzzTick(f *testing.F) {
+	seed := make([]byte, 600)
+	for i := range seed {
+		seed[i] = byte(i*37 + i/11)
+	}
+	f.Add(seed)
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		in := tape(data)
+		w := NewWorld(Config{Seed: 1})
+		w.Tick(epoch, []Event{FreshnessChanged{Fresh: true}})
+		live := map[RequestID]bool{}
+		for len(in) > 0 {
+			now := in.at()
+			var events []Event
+			for range in.next()%4 + 1 {
+				events = append(events, in.event())
+			}
+			checkTick(t, w, now, events, live)
+		}
+	})
+}
+
+func checkTick(t *testing.T, w *World, now time.Time, events []Event, live map[RequestID]bool) {
+	for _, e := range events {
+		if a, ok := e.(RequestArrived); ok {
+			live[a.Request.ID] = true
+		}
+	}
+	for _, c := range w.Tick(now, events) {
+		var id RequestID
+		switch c := c.(type) {
+		case Deliver:
+			id = c.Request
+		case Refuse:
+			id = c.Request
+		case Fail:
+			id = c.Request
+		default:
+			continue
+		}
+		if !live[id] && !cancelledIn(events, id) {
+			t.Fatalf("request %d answered while not live: %+v", id, c)
+		}
+		if w.requests[id] == nil {
+			delete(live, id)
+		}
+	}
+	for _, s := range w.serverList {
+		if s.running < 0 {
+			t.Fatalf("server %s runs %d", s.ID, s.running)
+		}
+	}
+}
+
+// cancelledIn says whether the id may have been used again within the tick.
+func cancelledIn(events []Event, id RequestID) bool {
+	for _, e := range events {
+		if c, ok := e.(RequestCancelled); ok && c.Request == id {
+			return true
+		}
+	}
+	return false
+}
--- a/decision/harness_test.go
+++ b/decision/harness_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"testing"
 	"time"
 )
 
@@ -26,10 +25,16 @@
 	result AttemptResult
 }
 
+// reporter is a *testing.T, *testing.B, *testing.F or *rapid.T.
+type reporter interface {
+	Helper()
+	Errorf(format string, args ...any)
+}
+
 // harness drives a World with fake backend servers of a fixed pace, checks the
 // invariants at each command and keeps what callers got.
 type harness struct {
-	t      testing.TB
+	t      reporter
 	w      *World
 	now    time.Time
 	events []Event
@@ -55,7 +60,7 @@
 	seen func(Command)
 }
 
-func newHarness(t testing.TB, cfg Config) *harness {
+func newHarness(t reporter, cfg Config) *harness {
 	h := &harness{
 		t: t, w: NewWorld(cfg), now: epoch,
 		live: map[RequestID]Request{}, arrived: map[RequestID]time.Time{},
--- a/decision/ingest_attempt.go
+++ b/decision/ingest_attempt.go
@@ -15,11 +15,10 @@
 		return // ended before, or never dispatched: nothing to free
 	}
 	delete(w.attempts, key)
-	a.server.running--
+	w.release(a.server)
 	if e.Leaving {
 		w.ingestLeaving(a.server.ID)
 	}
-	w.refresh(a.server)
 	w.learnDuration(a, e)
 	if a.request != nil && a.request.current == a {
 		a.request.current = nil
@@ -27,18 +26,27 @@
 	}
 }
 
+// release frees a slot.
+func (w *World) release(s *server) {
+	s.running--
+	if s.gone && s.running == 0 {
+		delete(w.departed, s.ID)
+	}
+	w.refresh(s)
+}
+
 // learnDuration keeps the pool's time per unit of cost, and corrects the team's
 // share by what the attempt truly cost.
 func (w *World) learnDuration(a *attempt, e AttemptEnded) {
 	if e.Result != AttemptCompleted {
 		return
 	}
-	a.pool.drain.learn(w.now.Sub(a.started), a.cost)
+	a.pool.pace.learn(w.now.Sub(a.started), a.cost)
 	if e.Tokens <= 0 || a.pool.service != "" {
 		return
 	}
 	actual := a.prompt + float64(e.Tokens)
-	a.pool.queue.Charge(a.pool.flow(a.team), min(actual-a.cost, a.cost))
+	a.pool.queue.Charge(&a.pool.flow(a.team).Flow, min(actual-a.cost, a.cost))
 }
 
 // ingestRated keeps ratings for the escalate system.
--- a/decision/ingest_servers.go
+++ b/decision/ingest_servers.go
@@ -31,7 +31,7 @@
 func (w *World) listServer(row Server) {
 	s := w.servers[row.ID]
 	if s == nil {
-		s = &server{Server: row, leaving: row.Leaving}
+		s = w.newServer(row)
 		w.servers[row.ID] = s
 		w.serverList = append(w.serverList, s)
 		w.join(s)
@@ -49,16 +49,33 @@
 	w.join(s)
 }
 
+// newServer makes a row. One that was dropped from the list while it still ran
+// something comes back with what it runs, so that its slots are not given twice.
+func (w *World) newServer(row Server) *server {
+	s := w.departed[row.ID]
+	if s == nil {
+		return &server{Server: row, leaving: row.Leaving}
+	}
+	delete(w.departed, row.ID)
+	s.Server = row
+	s.leaving = row.Leaving
+	s.gone = false
+	return s
+}
+
 func sameServer(a, b Server) bool {
 	return a.Domain == b.Domain && a.Service == b.Service && a.Slots == b.Slots &&
 		slices.Equal(a.Versions, b.Versions)
 }
 
-// dropServer forgets a server. Its attempts hold on to the row until they end.
+// dropServer forgets a server, once the attempts that it runs have ended.
 func (w *World) dropServer(s *server) {
 	w.part(s)
 	s.gone = true
 	delete(w.servers, s.ID)
+	if s.running > 0 {
+		w.departed[s.ID] = s
+	}
 	w.forgetCache(s.ID)
 }
 
--- a/decision/internal/fair/fair.go
+++ b/decision/internal/fair/fair.go
@@ -59,18 +59,17 @@
 	flows   int
 }
 
-// NewFlow adds a flow. A weight under 1 counts as 1.
-func (q *Queue[T]) NewFlow(weight int) *Flow[T] {
+// Init makes f a flow of the queue. A weight under 1 counts as 1.
+func (q *Queue[T]) Init(f *Flow[T], weight int) {
 	q.flows++
-	return &Flow[T]{weight: atLeastOne(weight), pos: -1, order: q.flows}
+	*f = Flow[T]{weight: atLeastOne(weight), pos: -1, order: q.flows}
+	q.weight += f.weight
 }
 
 // SetWeight changes a flow's weight for the work that follows.
 func (q *Queue[T]) SetWeight(f *Flow[T], weight int) {
 	next := atLeastOne(weight)
-	if f.pos >= 0 {
-		q.weight += next - f.weight
-	}
+	q.weight += next - f.weight
 	f.weight = next
 }
 
@@ -80,8 +79,8 @@
 // Cost is the sum of all queued items' costs.
 func (q *Queue[T]) Cost() float64 { return q.cost }
 
-// ActiveWeight is the sum of the weights of the flows with queued items.
-func (q *Queue[T]) ActiveWeight() float64 { return q.weight }
+// Weight is the sum of all flows' weights.
+func (q *Queue[T]) Weight() float64 { return q.weight }
 
 // Push queues an item. A flow that was idle starts at the queue's present tag:
 // it gets its share from now on, and no credit for the time it asked nothing.
@@ -97,7 +96,6 @@
 		return
 	}
 	f.tag = max(f.tag, q.virtual)
-	q.weight += f.weight
 	heap.Push(&q.active, f)
 }
 
@@ -155,7 +153,6 @@
 		return
 	}
 	f.cost = 0
-	q.weight -= f.weight
 	heap.Remove(&q.active, f.pos)
 }
 
--- /dev/null
+++ b/decision/internal/fair/fair_test.go
@@ -0,0 +1,97 @@
+package fair
+
+import (
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// While all flows are backlogged, none gets ahead of another by more than one
+// item of each, by weight.
+func TestSharesByWeight(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var q Queue[int]
+		weights := rapid.SliceOfN(rapid.IntRange(1, 5), 2, 5).Draw(t, "weights")
+		maxCost := float64(rapid.IntRange(1, 1000).Draw(t, "maxCost"))
+		flows := make([]Flow[int], len(weights))
+		for i, weight := range weights {
+			q.Init(&flows[i], weight)
+			for range 200 {
+				cost := rapid.Float64Range(1, maxCost).Draw(t, "cost")
+				q.Push(&flows[i], &Item[int]{Value: i, Cost: cost})
+			}
+		}
+		given := make([]float64, len(weights))
+		for backlogged(flows) {
+			it := q.Pop()
+			given[it.Value] += it.Cost / flows[it.Value].Weight()
+			low, high := math.Inf(1), 0.0
+			for _, g := range given {
+				low, high = min(low, g), max(high, g)
+			}
+			if high-low > 2*maxCost {
+				t.Fatalf("given %v by weight, largest item %v", given, maxCost)
+			}
+		}
+	})
+}
+
+func backlogged(flows []Flow[int]) bool {
+	for i := range flows {
+		if flows[i].Len() == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// A flow that was idle is neither owed anything nor behind.
+func TestIdleFlowSavesNoCredit(t *testing.T) {
+	var q Queue[string]
+	var a, b Flow[string]
+	q.Init(&a, 1)
+	q.Init(&b, 1)
+	for range 100 {
+		q.Push(&a, &Item[string]{Value: "a", Cost: 1})
+	}
+	for range 50 {
+		q.Pop()
+	}
+	for range 50 {
+		q.Push(&b, &Item[string]{Value: "b", Cost: 1})
+	}
+	got := ""
+	for range 6 {
+		got += q.Pop().Value
+	}
+	if got != "bababa" && got != "ababab" {
+		t.Errorf("order %q, want them in turn", got)
+	}
+}
+
+// Priority goes first within a flow, then age; Remove and Charge keep the sums.
+func TestOrderAndSums(t *testing.T) {
+	var q Queue[string]
+	var a Flow[string]
+	q.Init(&a, 1)
+	low := &Item[string]{Value: "low", Cost: 2}
+	q.Push(&a, low)
+	q.Push(&a, &Item[string]{Value: "first", Cost: 3, Priority: 1})
+	q.Push(&a, &Item[string]{Value: "second", Cost: 5, Priority: 1})
+	q.Charge(&a, 100)
+	if got := q.Pop().Value; got != "first" {
+		t.Errorf("popped %q", got)
+	}
+	q.Remove(low)
+	q.Remove(low)
+	if q.Len() != 1 || q.Cost() != 5 || a.Cost() != 5 || low.Queued() {
+		t.Errorf("len %d, cost %v, flow %v", q.Len(), q.Cost(), a.Cost())
+	}
+	if got := q.Pop().Value; got != "second" {
+		t.Errorf("popped %q", got)
+	}
+	if q.Pop() != nil || q.Cost() != 0 {
+		t.Error("not empty in the end")
+	}
+}
--- /dev/null
+++ b/decision/load_test.go
@@ -0,0 +1,270 @@
+package decision
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// demand is one team's load: a mean of perSecond requests, like Request.
+type demand struct {
+	perSecond float64
+	request   Request
+	// deadline after arrival.
+	deadline time.Duration
+}
+
+// offer sends Poisson-like arrivals of all demands for a time.
+func offer(h *harness, rng *rand.Rand, d time.Duration, demands ...demand) {
+	for end := h.now.Add(d); h.now.Before(end); {
+		for _, dem := range demands {
+			h.offerTick(rng, dem)
+		}
+		h.tick()
+	}
+}
+
+func (h *harness) offerTick(rng *rand.Rand, dem demand) {
+	rate := dem.perSecond * step.Seconds()
+	for range arrivals(rng, rate) {
+		r := dem.request
+		r.ShareHash = rng.Float64()
+		r.Deadline = h.now.Add(dem.deadline)
+		h.arrive(r)
+	}
+}
+
+// arrivals draws from a binomial with many trials, near Poisson.
+func arrivals(rng *rand.Rand, rate float64) int {
+	const trials = 200
+	n := 0
+	for range trials {
+		if rng.Float64() < rate/trials {
+			n++
+		}
+	}
+	return n
+}
+
+// paced makes attempts take 10 ms a token.
+func paced(d Dispatch, r Request) time.Duration {
+	return time.Duration(r.MaxTokens) * 10 * time.Millisecond
+}
+
+// drafting is one request of 20 tokens: 200 ms at the fakes' pace.
+func drafting(team TeamID) Request {
+	return Request{Team: team, Model: "weave", MaxTokens: 20, Idempotent: true}
+}
+
+// loadWorld has 6 servers of 8 slots: 240 drafting requests a second.
+func loadWorld(t *testing.T, teams ...Team) (*harness, *rand.Rand) {
+	h := newHarness(t, DefaultConfig())
+	h.took = paced
+	h.manifest(1, teams, smallVersions())
+	h.servers(serversOf(6, 8, weave1, draft1)...)
+	h.tick()
+	return h, rand.New(rand.NewPCG(7, 7))
+}
+
+// waits lists, sorted, how long a team's callers waited for whole answers.
+func (h *harness) waits(team TeamID) []time.Duration {
+	var list []time.Duration
+	for _, o := range h.outcomes {
+		if _, ok := o.command.(Deliver); ok && o.team == team {
+			list = append(list, o.waited)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+func percentile(sorted []time.Duration, p float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[int(p*float64(len(sorted)-1))]
+}
+
+// refusedAtOnce fails the test where a refusal came late, or said nothing of
+// when to come back.
+func (h *harness) refusedAtOnce() {
+	h.t.Helper()
+	late, bare, held := 0, 0, 0
+	for _, o := range h.outcomes {
+		r, ok := o.command.(Refuse)
+		if !ok {
+			continue
+		}
+		if o.waited > 2*step {
+			late++
+		}
+		if r.RetryAfter <= 0 {
+			bare++
+		}
+		if r.Reason == ReasonDeadline {
+			held++
+		}
+	}
+	total := len(h.outcomes)
+	if late*100 > total || bare > 0 || held > 0 {
+		h.t.Errorf("of %d: %d refused late, %d without a time, %d held to the deadline", total, late, bare, held)
+	}
+}
+
+// A burst of one team neither delays the other nor is held to its deadline.
+func TestBurst(t *testing.T) {
+	h, rng := loadWorld(t, teamOf("weavers", 1), teamOf("shops", 1))
+	steady := demand{perSecond: 60, request: drafting("shops"), deadline: 5 * time.Second}
+	offer(h, rng, 2*time.Second, steady)
+	for range 2000 {
+		r := drafting("weavers")
+		r.Deadline = h.now.Add(3 * time.Second)
+		h.arrive(r)
+	}
+	offer(h, rng, 6*time.Second, steady)
+	h.run(5 * time.Second)
+	h.settled()
+	h.refusedAtOnce()
+	if p99 := percentile(h.waits("shops"), 0.99); p99 > 600*time.Millisecond {
+		t.Errorf("p99 of the steady team: %v", p99)
+	}
+	// 180 requests a second are free for the burst, for 2.8 s of its deadline.
+	if got := h.delivered("weavers"); got < 400 {
+		t.Errorf("%d of the burst answered, want at least 400", got)
+	}
+}
+
+// One team sends 80% of twice the capacity. Teams below their share get all they
+// ask for; the large one gets what is left.
+func TestSkew(t *testing.T) {
+	h, rng := loadWorld(t, teamOf("big", 1), teamOf("a", 1), teamOf("b", 1), teamOf("c", 1))
+	var demands []demand
+	for _, id := range []TeamID{"a", "b", "c"} {
+		demands = append(demands, demand{perSecond: 32, request: drafting(id), deadline: 3 * time.Second})
+	}
+	demands = append(demands, demand{perSecond: 384, request: drafting("big"), deadline: 3 * time.Second})
+	offer(h, rng, 10*time.Second, demands...)
+	h.run(5 * time.Second)
+	h.settled()
+	h.refusedAtOnce()
+	sent := map[TeamID]int{}
+	for _, o := range h.outcomes {
+		sent[o.team]++
+	}
+	for _, id := range []TeamID{"a", "b", "c"} {
+		if got := h.delivered(id); got < sent[id]*99/100 {
+			t.Errorf("team %s below its share got %d of %d", id, got, sent[id])
+		}
+		if p99 := percentile(h.waits(id), 0.99); p99 > 600*time.Millisecond {
+			t.Errorf("p99 of team %s: %v", id, p99)
+		}
+	}
+	// 144 a second are left of 240; 5% is allowed for the ticks.
+	if got := h.delivered("big"); got < 1440*95/100 {
+		t.Errorf("big got %d, want 1440", got)
+	}
+}
+
+// Weights share a saturated pool: 3 to 1.
+func TestWeights(t *testing.T) {
+	h, rng := loadWorld(t, teamOf("heavy", 3), teamOf("light", 1))
+	offer(h, rng, 10*time.Second,
+		demand{perSecond: 300, request: drafting("heavy"), deadline: 2 * time.Second},
+		demand{perSecond: 300, request: drafting("light"), deadline: 2 * time.Second})
+	h.run(5 * time.Second)
+	h.settled()
+	h.refusedAtOnce()
+	ratio := float64(h.delivered("heavy")) / float64(h.delivered("light"))
+	if ratio < 2.7 || ratio > 3.3 {
+		t.Errorf("ratio %.2f, want about 3", ratio)
+	}
+}
+
+// At twice saturation goodput is at least 95% of that at saturation.
+func TestSaturationGoodput(t *testing.T) {
+	at := func(factor float64) int {
+		h, rng := loadWorld(t, teamOf("weavers", 1), teamOf("shops", 1))
+		half := 120 * factor
+		offer(h, rng, 15*time.Second,
+			demand{perSecond: half, request: drafting("weavers"), deadline: 2 * time.Second},
+			demand{perSecond: half, request: drafting("shops"), deadline: 2 * time.Second})
+		h.run(4 * time.Second)
+		h.settled()
+		h.refusedAtOnce()
+		return h.delivered("")
+	}
+	once, twice, tenfold := at(1), at(2), at(10)
+	if twice*100 < once*95 || tenfold*100 < once*95 {
+		t.Errorf("goodput %d at saturation, %d at twice, %d at ten times", once, twice, tenfold)
+	}
+}
+
+// Long work of one team does not starve the short work of another.
+func TestLongAndShort(t *testing.T) {
+	h, rng := loadWorld(t, teamOf("long", 1), teamOf("short", 1))
+	long := Request{Team: "long", Model: "weave", MaxTokens: 300, Idempotent: true}
+	offer(h, rng, 15*time.Second,
+		demand{perSecond: 30, request: long, deadline: 12 * time.Second},
+		demand{perSecond: 60, request: drafting("short"), deadline: 3 * time.Second})
+	h.run(15 * time.Second)
+	h.settled()
+	short := h.waits("short")
+	if len(short) < 60*15*90/100 {
+		t.Errorf("%d short answers of about 900", len(short))
+	}
+	if p95 := percentile(short, 0.95); p95 > 1500*time.Millisecond {
+		t.Errorf("p95 of short work: %v", p95)
+	}
+}
+
+// One backend server dies under load: what it ran is run elsewhere where it may
+// be, and its fast refusals draw no work.
+func TestServerDies(t *testing.T) {
+	h, rng := loadWorld(t, teamOf("weavers", 1), teamOf("shops", 1))
+	booking := drafting("shops")
+	booking.Idempotent = false
+	load := []demand{
+		{perSecond: 80, request: drafting("weavers"), deadline: 5 * time.Second},
+		{perSecond: 40, request: booking, deadline: 5 * time.Second},
+	}
+	offer(h, rng, 3*time.Second, load...)
+	for i, a := range h.running {
+		if a.Server == "s0" {
+			h.running[i].ends = h.now
+			h.running[i].result = AttemptUnknown
+		}
+	}
+	h.ended = func(d Dispatch, r Request) AttemptResult {
+		if d.Server == "s0" {
+			return AttemptNotRun
+		}
+		return AttemptCompleted
+	}
+	h.took = func(d Dispatch, r Request) time.Duration {
+		if d.Server == "s0" {
+			return step
+		}
+		return paced(d, r)
+	}
+	offer(h, rng, 5*time.Second, load...)
+	h.servers(serversOf(6, 8, weave1, draft1)[1:]...)
+	offer(h, rng, 3*time.Second, load...)
+	h.run(5 * time.Second)
+	h.settled()
+	total, failed := len(h.outcomes), 0
+	for id, o := range h.outcomes {
+		switch c := o.command.(type) {
+		case Fail:
+			failed++
+			if o.team != "shops" {
+				t.Errorf("idempotent request %d failed: %+v", id, c)
+			}
+		case Refuse:
+			t.Errorf("request %d refused: %+v", id, c)
+		}
+	}
+	if failed > 8 {
+		t.Errorf("%d of %d failed, want at most the 8 that s0 ran", failed, total)
+	}
+}
--- a/decision/place.go
+++ b/decision/place.go
@@ -22,9 +22,6 @@
 			}
 		}
 	}
-	for _, p := range w.busy {
-		p.backlogged = true
-	}
 }
 
 // placeNext places the pool's next request. It says whether the queue moved.
@@ -43,20 +40,20 @@
 		w.giveUp(r, ReasonNoServer)
 		return true
 	}
+	w.left(p, r)
 	p.queue.Pop()
 	w.dequeued(r)
-	if p.backlogged {
-		p.drain.left(it.Cost)
-	}
 	w.dispatch(r, s)
 	return true
 }
 
-// hopeless says that not even half of the usual time is left for the answer.
-// Under saturation a slot given to such work is lost for one that can still be
-// answered. Half, since the estimate of one request's length is rough.
+// hopeless says that the time left is less than the answer usually takes.
+//
+// Load: saturation, where the queue stands at the edge of its deadlines. A slot
+// given to work that ends too late is lost for work that would not: with half
+// the usual time allowed here, a third of the answers came too late.
 func (w *World) hopeless(r *request) bool {
-	need := r.pool.drain.service(r.item.Cost) / 2
+	need := r.pool.pace.service(r.item.Cost)
 	return w.now.Add(need).After(r.deadline)
 }
 
--- a/decision/queue.go
+++ b/decision/queue.go
@@ -1,7 +1,5 @@
 package decision
 
-import "masticplank.example/decision/internal/fair"
-
 // aim points the request at a version's or service's pool.
 func (w *World) aim(r *request, to choice) {
 	r.version = to.version
@@ -33,10 +31,12 @@
 // none for another version.
 func (w *World) enqueue(r *request) {
 	p := r.pool
-	p.queue.Push(p.flow(r.team), &r.item)
+	f := p.flow(r.team)
+	p.queue.Push(&f.Flow, &r.item)
 	r.state = stateQueued
 	r.team.queued++
 	w.watch(r, r.deadline)
+	p.addBacklog(f)
 	if p.busyPos < 0 {
 		p.busyPos = len(w.busy)
 		w.busy = append(w.busy, p)
@@ -56,6 +56,9 @@
 func (w *World) dequeued(r *request) {
 	r.state = stateArrived
 	r.team.queued--
+	if f := r.pool.flow(r.team); f.Len() == 0 {
+		r.pool.removeBacklog(f)
+	}
 	if r.pool.queue.Len() == 0 {
 		w.idle(r.pool)
 	}
@@ -73,22 +76,45 @@
 	w.busy[last] = nil
 	w.busy = w.busy[:last]
 	p.busyPos = -1
-	p.backlogged = false
 }
 
 // flow is the team's part of the pool's queue.
-func (p *pool) flow(t *team) *fair.Flow[*request] {
+func (p *pool) flow(t *team) *flow {
 	for len(p.flows) <= t.index {
 		p.flows = append(p.flows, nil)
 	}
 	if p.flows[t.index] == nil {
-		p.flows[t.index] = p.queue.NewFlow(t.Weight)
+		f := &flow{backlogPos: -1}
+		p.queue.Init(&f.Flow, t.Weight)
+		p.flows[t.index] = f
 	}
 	return p.flows[t.index]
 }
 
 func (p *pool) setWeight(t *team) {
 	if t.index < len(p.flows) && p.flows[t.index] != nil {
-		p.queue.SetWeight(p.flows[t.index], t.Weight)
+		p.queue.SetWeight(&p.flows[t.index].Flow, t.Weight)
+	}
+}
+
+func (p *pool) addBacklog(f *flow) {
+	if f.backlogPos >= 0 {
+		return
+	}
+	f.backlogPos = len(p.backlog)
+	p.backlog = append(p.backlog, f)
+}
+
+func (p *pool) removeBacklog(f *flow) {
+	if f.backlogPos < 0 {
+		return
 	}
+	last := len(p.backlog) - 1
+	moved := p.backlog[last]
+	p.backlog[f.backlogPos] = moved
+	moved.backlogPos = f.backlogPos
+	p.backlog[last] = nil
+	p.backlog = p.backlog[:last]
+	f.backlogPos = -1
+	f.backlogged = false
 }
--- a/decision/tables.go
+++ b/decision/tables.go
@@ -20,6 +20,9 @@
 	pools    map[VersionID]*pool
 	services map[ServiceID]*pool
 
+	// departed are servers that the list has dropped and that still run
+	// something.
+	departed map[ServerID]*server
 	// serverList is the servers in the order in which they were first listed.
 	serverList []*server
 	// busy are the pools with queued requests, in no particular order.
@@ -41,6 +44,7 @@
 		models:      map[ModelID]*model{},
 		versions:    map[VersionID]*version{},
 		servers:     map[ServerID]*server{},
+		departed:    map[ServerID]*server{},
 		pools:       map[VersionID]*pool{},
 		services:    map[ServiceID]*pool{},
 		requests:    map[RequestID]*request{},
@@ -98,18 +102,30 @@
 	version VersionID
 	service ServiceID
 	queue   fair.Queue[*request]
-	// flows by team.index.
-	flows []*fair.Flow[*request]
+	// flows by team.index; nil for a team that never used the pool.
+	flows []*flow
+	// backlog are the flows with queued requests.
+	backlog []*flow
 	// free are the servers that can take a request now. Keeping the set makes
 	// "is the pool saturated" and a random candidate O(1) at any size.
 	free []freeSlot
 	// usable and slots count the servers that are neither leaving nor gone.
 	usable int
 	slots  int
-	drain  drainMeter
+	pace   paceMeter
+	use    useMeter
 	// busyPos is the place in tables.busy, or -1.
 	busyPos int
-	// backlogged says that the last tick left work in the queue.
+}
+
+// flow is a team's part of a pool's queue, and how fast it drains.
+type flow struct {
+	fair.Flow[*request]
+	drain drainMeter
+	use   useMeter
+	// backlogPos is the place in pool.backlog, or -1.
+	backlogPos int
+	// backlogged says that the last tick left work in the flow.
 	backlogged bool
 }
 
--- a/decision/world.go
+++ b/decision/world.go
@@ -52,8 +52,7 @@
 	return w.out
 }
 
-// begin starts a tick: the clock moves on and the backlogged pools' meters with
-// it. The work is by backlogged pools, which are as few as versions.
+// begin starts a tick: the clock moves on.
 func (w *World) begin(now time.Time) {
 	elapsed := time.Duration(0)
 	if now.After(w.now) {
@@ -62,9 +61,7 @@
 		}
 		w.now = now
 	}
-	for _, p := range w.busy {
-		p.drain.advance(elapsed, w.cfg.DrainWindow)
-	}
+	w.advanceDrains(elapsed)
 	w.arrived = w.arrived[:0]
 	w.ended = w.ended[:0]
 	w.rated = w.rated[:0]
--- a/decision/world_test.go
+++ b/decision/world_test.go
@@ -6,7 +6,7 @@
 )
 
 // small returns a harness with two teams, two models and two servers.
-func small(t testing.TB) *harness {
+func small(t reporter) *harness {
 	h := newHarness(t, DefaultConfig())
 	h.manifest(1, []Team{teamOf("weavers", 1), teamOf("shops", 1)}, smallVersions())
 	h.servers(serversOf(2, 2, weave1, draft1)...)
