--- /dev/null
+++ b/router/internal/demo/check.go
@@ -0,0 +1,171 @@
+package demo
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"masticplank.example/router/internal/billing"
+	"masticplank.example/router/internal/outcome"
+	"masticplank.example/router/internal/standin/engine"
+	"masticplank.example/router/internal/standin/service"
+)
+
+// maxExamples bounds the examples kept of one broken promise.
+const maxExamples = 5
+
+// The promises that the demo checks.
+const (
+	promiseAnswered  = "every request has an answer that fits it"
+	promiseWhole     = "a completed answer is whole and the caller's own"
+	promiseAllowed   = "a request runs only on a version that its team may use"
+	promiseWithdrawn = "a withdrawn version gets no new work"
+	promiseSession   = "a session keeps its version"
+	promiseBilled    = "a completed request is billed exactly once"
+	promiseNotRun    = "a refused request was not run and is not billed"
+	promiseOnce      = "a reservation runs at most once"
+	promiseManifest  = "an accepted manifest is in force everywhere in seconds"
+)
+
+// promises in the order of the report.
+var promises = []string{
+	promiseAnswered, promiseWhole, promiseAllowed, promiseWithdrawn, promiseSession,
+	promiseBilled, promiseNotRun, promiseOnce, promiseManifest,
+}
+
+// checker holds the results to the promises.
+type checker struct {
+	// faults says that faults were switched on: then a request may fail, but
+	// no other promise may break.
+	faults bool
+	// withdrawnAt is when the withdrawal was in force everywhere.
+	withdrawnAt time.Time
+	caller      *caller
+	ledger      ledger
+	// runs are the shop's counts by Idempotency-Key.
+	runs   map[string]int
+	broken map[string][]string
+}
+
+func (c *checker) breaks(promise, format string, args ...any) {
+	c.broken[promise] = append(c.broken[promise], fmt.Sprintf(format, args...))
+}
+
+// check holds every result to every promise.
+func (c *checker) check(results []result) {
+	byKey := map[string][]result{}
+	for _, r := range results {
+		byKey[r.request.key] = append(byKey[r.request.key], r)
+		c.checkAnswered(r)
+		if r.completed() {
+			c.checkCompleted(r)
+		}
+	}
+	for key, same := range byKey {
+		c.checkKey(key, same)
+	}
+	for id := range c.ledger.bills {
+		if _, known := byKey[id]; !known {
+			c.breaks(promiseBilled, "a bill for request %s, which nobody sent", id)
+		}
+	}
+}
+
+// checkAnswered allows each kind its outcomes.
+func (c *checker) checkAnswered(r result) {
+	switch {
+	case r.request.kind == kindForbidden:
+		if r.outcome != string(outcome.Refused) || r.code != "model_not_allowed" {
+			c.breaks(promiseAnswered, "%s: asked for a model that is not allowed, got %s", r, r.code)
+		}
+	case r.completed(), r.outcome == string(outcome.Refused):
+	case r.outcome == string(outcome.AlreadyRun) && r.request.kind == kindTwice:
+	case c.faults:
+	default:
+		c.breaks(promiseAnswered, "%s: %s %s: %v", r, r.outcome, r.code, r.err)
+	}
+}
+
+func (c *checker) checkCompleted(r result) {
+	if r.request.chat.Messages == nil {
+		c.checkService(r)
+		return
+	}
+	chat := r.request.chat
+	if r.status != http.StatusOK || !engine.Check(r.text, r.version, chat.Messages, chat.MaxTokens) {
+		c.breaks(promiseWhole, "%s: status %d, text %.60q", r, r.status, r.text)
+	}
+	if model, _ := splitVersion(r.version); !r.request.team.mayUse(model) || chat.Model != "" && chat.Model != model {
+		c.breaks(promiseAllowed, "%s: asked for %q, ran on %s", r, chat.Model, r.version)
+	}
+	if r.version == versionOld && !c.withdrawnAt.IsZero() && r.began.After(c.withdrawnAt) {
+		c.breaks(promiseWithdrawn, "%s: began %s after the withdrawal was in force", r, r.began.Sub(c.withdrawnAt))
+	}
+	if r.request.kind == kindSession {
+		model, _ := splitVersion(r.version)
+		pinned := c.caller.pins[r.request.team.id][r.request.session][model]
+		if pinned != r.version {
+			c.breaks(promiseSession, "%s: pinned to %q, ran on %s", r, pinned, r.version)
+		}
+	}
+}
+
+func (c *checker) checkService(r result) {
+	var answer service.Answer
+	if err := json.Unmarshal(r.body, &answer); err != nil {
+		c.breaks(promiseWhole, "%s: %v", r, err)
+		return
+	}
+	own := answer.Path == r.request.path && answer.Key == r.request.key && answer.Body == r.request.body
+	if !own {
+		c.breaks(promiseWhole, "%s: got the answer to %s %s %s", r, answer.Method, answer.Path, answer.Key)
+	}
+}
+
+// checkKey looks at all that was answered for one Idempotency-Key.
+func (c *checker) checkKey(key string, same []result) {
+	completed, refused := 0, 0
+	for _, r := range same {
+		switch r.outcome {
+		case string(outcome.Completed):
+			completed++
+		case string(outcome.Refused):
+			refused++
+		}
+	}
+	bills := c.ledger.bills[key]
+	first := same[0]
+	if len(bills) > 1 || completed > 0 && len(bills) == 0 {
+		c.breaks(promiseBilled, "%s: %d bills", first, len(bills))
+	}
+	if refused == len(same) && (len(bills) > 0 || c.runs[key] > 0) {
+		c.breaks(promiseNotRun, "%s: refused, but %d runs and %d bills", first, c.runs[key], len(bills))
+	}
+	if c.runs[key] > 1 || completed > 1 {
+		c.breaks(promiseOnce, "%s: %d runs, completed %d times", first, c.runs[key], completed)
+	}
+	if completed > 0 && len(bills) == 1 {
+		c.checkBill(same, bills[0])
+	}
+}
+
+// checkBill holds a bill to the answer that it is for.
+func (c *checker) checkBill(same []result, b billing.Bill) {
+	for _, r := range same {
+		if !r.completed() {
+			continue
+		}
+		if b.Team != r.request.team.id || b.Version != r.version || b.Outcome != string(outcome.Completed) {
+			c.breaks(promiseBilled, "%s: ran on %q, billed %+v", r, r.version, b)
+		}
+		if r.request.chat.Messages != nil && b.CompletionTokens < r.request.chat.MaxTokens {
+			c.breaks(promiseBilled, "%s: %d tokens given, %d billed", r, r.request.chat.MaxTokens, b.CompletionTokens)
+		}
+	}
+}
+
+// String names a result in an example.
+func (r result) String() string {
+	return fmt.Sprintf("request %d (%s, %s, %s)", r.request.index, r.request.kind, r.request.team.id, r.request.key)
+}
--- /dev/null
+++ b/router/internal/demo/demo.go
@@ -0,0 +1,269 @@
+// Package demo runs the whole product in one process on loopback: the
+// platform's stand-ins, three engines, a shop and two entry instances. It puts
+// a mixed load through them with a roll-out halfway, and holds what the callers
+// saw, what the shop counted and what the log says to the promises.
+package demo
+
+import (
+	"context"
+	"io"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"masticplank.example/router/internal/adminclient"
+	"masticplank.example/router/internal/manifest"
+	"masticplank.example/router/internal/standin/engine"
+	"masticplank.example/router/internal/standin/logsvc"
+	"masticplank.example/router/internal/standin/service"
+)
+
+const (
+	// readyTimeout bounds the wait for the instances to be ready.
+	readyTimeout = 15 * time.Second
+	// rolloutTimeout bounds the wait for a manifest; past it a promise is broken.
+	rolloutTimeout = 5 * time.Second
+	// pollEvery is how often states are asked for.
+	pollEvery = 10 * time.Millisecond
+)
+
+// Config of a run.
+type Config struct {
+	// Requests of the load, at least 1.
+	Requests int
+	// Workers is how many requests are under way at once.
+	Workers int
+	// Seed of the load.
+	Seed uint64
+	// Faults switches faults of the platform and the backend servers on.
+	Faults bool
+	// Progress is told of each request that has ended; nil for no one. It is
+	// called from several goroutines.
+	Progress func()
+	// Log takes the instances' logs; nil discards them.
+	Log io.Writer
+}
+
+// Run starts everything, puts the load through, stops everything, and reports.
+// An error means that the demo itself could not be done.
+func Run(ctx context.Context, cfg Config) (Report, error) {
+	if cfg.Log == nil {
+		cfg.Log = io.Discard
+	}
+	if cfg.Progress == nil {
+		cfg.Progress = func() {}
+	}
+	began := time.Now()
+	s, err := newStage(ctx, cfg.Log)
+	if err != nil {
+		return Report{}, trace.Wrap(err)
+	}
+	defer s.stop()
+	r := &run{cfg: cfg, stage: s, broken: map[string][]string{}}
+	if err := r.prepare(ctx); err != nil {
+		return Report{}, trace.Wrap(err)
+	}
+	defer r.caller.close()
+	results := r.load(ctx)
+	report, err := r.report(ctx, results)
+	report.Seconds = time.Since(began).Seconds()
+	return report, trace.Wrap(err)
+}
+
+// run is one run of the demo.
+type run struct {
+	cfg    Config
+	stage  *stage
+	caller *caller
+
+	// withdrawnAt is when the second manifest was in force everywhere.
+	withdrawnAt time.Time
+	rollout     time.Duration
+	broken      map[string][]string
+}
+
+// prepare publishes the first manifest and opens the sessions.
+func (r *run) prepare(ctx context.Context) error {
+	if _, err := r.publish(ctx, firstManifest(), readyTimeout); err != nil {
+		return trace.Wrap(err)
+	}
+	var addrs []string
+	for _, i := range r.stage.instances {
+		if err := waitReady(ctx, i.Admin); err != nil {
+			return err
+		}
+		addrs = append(addrs, i.API)
+	}
+	r.caller = newCaller(addrs)
+	if err := r.caller.openSessions(ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	if r.cfg.Faults {
+		r.stage.breakThings()
+	}
+	return nil
+}
+
+// breakThings switches on faults that callers must not suffer from beyond an
+// honest failure.
+func (s *stage) breakThings() {
+	s.log.Faults.Set(logsvc.Faults{LostReply: 3, LostBefore: 2})
+	s.shop.Faults.Set(service.Faults{LostReply: 2, Busy: 2, FailAfter: 1})
+	s.engines[0].Faults.Set(engine.Faults{WrongNonce: 2, Truncate: 2, DuplicateChunk: 2})
+	s.engines[1].Faults.Set(engine.Faults{Busy: 5, EndEarly: 2, Crossed: 2, LostReply: 2})
+}
+
+// publish publishes m through the first instance and waits until all have it.
+func (r *run) publish(ctx context.Context, m manifest.Manifest, timeout time.Duration) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	began := time.Now()
+	first := adminclient.New(r.stage.instances[0].Admin, operatorKey)
+	for {
+		answer, err := first.Publish(ctx, m, true)
+		if err == nil && answer.Accepted() {
+			if err := r.waitInForce(ctx, answer.Generation); err != nil {
+				return 0, err
+			}
+			return time.Since(began), nil
+		}
+		if err == nil && len(answer.Faults) > 0 {
+			return 0, trace.Wrap(answer.Faults)
+		}
+		// Not accepted yet, as when the instance has only just started.
+		if waitErr := sleep(ctx, pollEvery); waitErr != nil {
+			return 0, trace.Wrap(waitErr, "publishing %s: %s %s %v", m.Publication, answer.Code, answer.Message, err)
+		}
+	}
+}
+
+// waitInForce waits until every instance has the generation in force.
+func (r *run) waitInForce(ctx context.Context, generation uint64) error {
+	for _, i := range r.stage.instances {
+		client := adminclient.New(i.Admin, "")
+		for {
+			var status struct {
+				Generation uint64 `json:"generation"`
+			}
+			if err := client.Get(ctx, "/status", &status); err == nil && status.Generation >= generation {
+				break
+			}
+			if err := sleep(ctx, pollEvery); err != nil {
+				return trace.Wrap(err, "generation %d is not in force at %s", generation, i.Admin)
+			}
+		}
+	}
+	return nil
+}
+
+// load sends the whole load, with the roll-out once half of it has begun.
+func (r *run) load(ctx context.Context) []result {
+	requests := plan(r.cfg.Requests, r.cfg.Seed)
+	var results collector
+	var next atomic.Int64
+	var wg sync.WaitGroup
+	half := make(chan struct{})
+	for range max(r.cfg.Workers, 1) {
+		wg.Go(func() {
+			for {
+				i := int(next.Add(1)) - 1
+				if i >= len(requests) {
+					return
+				}
+				if i == len(requests)/2 {
+					close(half)
+				}
+				results.add(r.send(ctx, &requests[i])...)
+				r.cfg.Progress()
+			}
+		})
+	}
+	wg.Go(func() {
+		<-half
+		r.rollOut(ctx)
+	})
+	wg.Wait()
+	return results.all
+}
+
+// rollOut publishes the second manifest under traffic.
+func (r *run) rollOut(ctx context.Context) {
+	took, err := r.publish(ctx, secondManifest(), rolloutTimeout)
+	if err != nil {
+		r.broken[promiseManifest] = append(r.broken[promiseManifest], err.Error())
+		return
+	}
+	r.rollout = took
+	r.withdrawnAt = time.Now()
+}
+
+// send sends one request of the load; kindTwice goes to two instances at once.
+func (r *run) send(ctx context.Context, req *request) []result {
+	if req.kind != kindTwice {
+		return []result{r.caller.send(ctx, req, req.index)}
+	}
+	out := make([]result, 2)
+	var wg sync.WaitGroup
+	for i := range out {
+		wg.Go(func() { out[i] = r.caller.send(ctx, req, i) })
+	}
+	wg.Wait()
+	return out
+}
+
+func (r *run) report(ctx context.Context, results []result) (Report, error) {
+	var want []string
+	for _, one := range results {
+		if one.completed() {
+			want = append(want, one.request.key)
+		}
+	}
+	l, err := readLedger(ctx, r.stage.logURL, want)
+	if err != nil {
+		return Report{}, err
+	}
+	c := &checker{
+		faults:      r.cfg.Faults,
+		withdrawnAt: r.withdrawnAt,
+		caller:      r.caller,
+		ledger:      l,
+		runs:        r.stage.shop.Stats().Runs,
+		broken:      r.broken,
+	}
+	c.check(results)
+	report := newReport(results, l, c.broken)
+	report.Requests = r.cfg.Requests
+	report.Faults = r.cfg.Faults
+	report.RolloutMS = float64(r.rollout.Microseconds()) / 1000
+	return report, nil
+}
+
+// collector gathers results from several goroutines.
+type collector struct {
+	mu  sync.Mutex
+	all []result
+}
+
+func (c *collector) add(results ...result) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.all = append(c.all, results...)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// splitVersion parts "model@version".
+func splitVersion(id string) (model, version string) {
+	model, version, _ = strings.Cut(id, "@")
+	return model, version
+}
--- /dev/null
+++ b/router/internal/demo/scenario.go
@@ -0,0 +1,131 @@
+package demo
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"masticplank.example/router/internal/manifest"
+	"masticplank.example/router/internal/standin/engine"
+)
+
+// Names of the scenario.
+const (
+	serviceShop  = "shop"
+	modelSmall   = "small"
+	modelLarge   = "large"
+	versionSmall = "small@1"
+	// versionOld is withdrawn halfway, in favour of versionNew.
+	versionOld = "large@1"
+	versionNew = "large@2"
+	// reservationPrice is billed for each completed call of the shop.
+	reservationPrice = 0.01
+)
+
+// domains are the co-op's failure domains.
+var domains = []string{"salle-rimouski", "salle-matane", "salle-riviere"}
+
+// team is a caller with its API key. The keys are for the demo alone.
+type team struct {
+	id  string
+	key string
+	// models that it may ask for.
+	models []string
+	// quality that its answers should have in the mean.
+	quality float64
+}
+
+func demoTeams() []team {
+	return []team{
+		{id: "weavers", key: "demo-key-weavers", models: []string{modelSmall, modelLarge}, quality: 0.8},
+		{id: "dyers", key: "demo-key-dyers", models: []string{modelSmall}, quality: 0.5},
+		{id: "clerks", key: "demo-key-clerks", models: []string{modelSmall, modelLarge}, quality: 0.55},
+	}
+}
+
+// engineVersions are what each engine stand-in can run.
+func engineVersions() []engine.Version {
+	small := engine.Version{
+		ID:         versionSmall,
+		Quality:    0.65,
+		FirstToken: 2 * time.Millisecond,
+		PerBlock:   100 * time.Microsecond,
+		InterToken: 300 * time.Microsecond,
+	}
+	old := engine.Version{
+		ID:         versionOld,
+		Quality:    0.88,
+		FirstToken: 6 * time.Millisecond,
+		PerBlock:   300 * time.Microsecond,
+		InterToken: time.Millisecond,
+	}
+	renewed := old
+	renewed.ID = versionNew
+	renewed.Quality = 0.92
+	return []engine.Version{small, old, renewed}
+}
+
+// firstManifest has the old version serving and the new one not yet there.
+func firstManifest() manifest.Manifest {
+	return scenarioManifest("demo-1",
+		manifest.Version{ID: versionOld, Model: modelLarge, State: manifest.StateServing, Share: 1, Cost: 2, Quality: 0.88},
+	)
+}
+
+// secondManifest withdraws the old version and serves the new one.
+func secondManifest() manifest.Manifest {
+	return scenarioManifest("demo-2",
+		manifest.Version{ID: versionOld, Model: modelLarge, State: manifest.StateWithdrawn, Cost: 2, Quality: 0.88},
+		manifest.Version{ID: versionNew, Model: modelLarge, State: manifest.StateServing, Share: 1, Predecessor: versionOld, Cost: 2, Quality: 0.92},
+	)
+}
+
+func scenarioManifest(publication string, large ...manifest.Version) manifest.Manifest {
+	small := manifest.Version{ID: versionSmall, Model: modelSmall, State: manifest.StateServing, Share: 1, Cost: 0.2, Quality: 0.65}
+	m := manifest.Manifest{
+		Publication: publication,
+		Versions:    append([]manifest.Version{small}, large...),
+		Services: []manifest.Service{{
+			ID:    serviceShop,
+			Price: reservationPrice,
+			Routes: []manifest.Route{
+				{Method: "GET", Path: "/stock/*", Idempotent: true},
+				{Method: "POST", Path: "/reservations", Idempotent: false},
+			},
+		}},
+	}
+	for _, t := range demoTeams() {
+		m.Teams = append(m.Teams, teamRow(t, m.Versions))
+	}
+	return m
+}
+
+func teamRow(t team, versions []manifest.Version) manifest.Team {
+	row := manifest.Team{
+		ID:            t.id,
+		KeyHashes:     []string{keyHash(t.key)},
+		Weight:        1,
+		QualityTarget: t.quality,
+		Services:      []string{serviceShop},
+	}
+	for _, v := range versions {
+		if t.mayUse(v.Model) {
+			row.Allowed = append(row.Allowed, v.ID)
+		}
+	}
+	return row
+}
+
+func (t team) mayUse(model string) bool {
+	for _, m := range t.models {
+		if m == model {
+			return true
+		}
+	}
+	return false
+}
+
+func keyHash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
