decision: learnt quality and cost, and the cascade plan

Cause: the cheapest version that meets a team's target is not known from the manifest; it differs by task class and drifts.

A plan is the cheapest single version or pair whose expected quality, less one standard error, meets the target. The bar below which a first answer is replaced comes from the histogram of its ratings: a fixed bar at the target escalates more than the target needs. The rule "skip the cheap step when c1+P*c2 > c2" falls out of comparing the pair's cost with the dear version's.

A rating service that is late, out of range, no number, or stuck on one unlikely value counts as down: nothing is held for it, estimates stay, their uncertainty widens with age.

--- /dev/null
+++ b/decision/internal/estimate/estimate_test.go
@@ -0,0 +1,317 @@
+package estimate
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Date(2026, 9, 1, 8, 0, 0, 0, time.UTC)
+
+type (
+	table = Table[string, string, string]
+	query = Query[string, string, string]
+	key   = Task[string, string]
+)
+
+var drafts = key{"weavers", "draft"}
+
+const (
+	small = "small@1"
+	large = "large@1"
+)
+
+var bothOptions = []Option[string]{{small, 1}, {large, 10}}
+
+// nature is how good a version's answers are: easy requests get easy, hard ones
+// hard, with some noise.
+type nature struct{ easy, hard float64 }
+
+// bench serves requests by plans and counts what came of it.
+type bench struct {
+	t          *table
+	rng        *rand.Rand
+	natures    map[string]nature
+	hardShare  float64
+	now        time.Time
+	served     int
+	quality    float64
+	cost       float64
+	calls      map[string]int
+	raterSays  func(score float64) (rated float64, late bool)
+	afterwards func(p Plan[string])
+}
+
+func newBench(seed uint64, prior map[string]float64) *bench {
+	t := New[string, string, string](DefaultConfig())
+	t.Apply(prior)
+	return &bench{
+		t:         t,
+		rng:       rand.New(rand.NewPCG(seed, 1)),
+		hardShare: 0.3,
+		now:       epoch,
+		calls:     make(map[string]int),
+		raterSays: func(score float64) (float64, bool) { return score, false },
+	}
+}
+
+var honestPrior = map[string]float64{small: 0.7, large: 0.88}
+
+// answer runs one attempt and returns its true quality and what the rater says.
+func (b *bench) answer(v string, hard bool) (score, rated float64, late bool) {
+	n := b.natures[v]
+	score = n.easy
+	if hard {
+		score = n.hard
+	}
+	score = min(max(score+0.06*b.rng.NormFloat64(), 0), 1)
+	rated, late = b.raterSays(score)
+	b.calls[v]++
+	cost := map[string]float64{small: 1, large: 10}[v]
+	b.cost += cost * 256 / 1000
+	b.t.Ended(drafts, v, 256)
+	b.t.Rated(drafts, v, rated, late, b.now)
+	return score, rated, late
+}
+
+// serve runs n requests by the table's plans.
+func (b *bench) serve(n int, target float64, mayHold bool) {
+	b.served, b.quality, b.cost = 0, 0, 0
+	b.calls = make(map[string]int)
+	for range n {
+		b.now = b.now.Add(100 * time.Millisecond)
+		hard := b.rng.Float64() < b.hardShare
+		p := b.t.Plan(query{Task: drafts, Target: target, Options: bothOptions,
+			MayHold: mayHold, Draw: b.rng.Float64(), Now: b.now})
+		score, rated, late := b.answer(p.First, hard)
+		if !late && p.Escalate(rated, time.Minute, time.Second) {
+			score, rated, late = b.answer(p.Second, hard)
+			if !late {
+				b.t.RatedSecond(drafts, p.First, p.Second, rated)
+			}
+		}
+		b.served++
+		b.quality += score
+		if b.afterwards != nil {
+			b.afterwards(p)
+		}
+	}
+}
+
+func TestPlansMeetTheTargetAtLowCost(t *testing.T) {
+	usual := map[string]nature{small: {0.85, 0.45}, large: {0.92, 0.85}}
+	equal := map[string]nature{small: {0.9, 0.9}, large: {0.92, 0.85}}
+	poor := map[string]nature{small: {0.3, 0.2}, large: {0.92, 0.85}}
+	cases := []struct {
+		name    string
+		natures map[string]nature
+		target  float64
+		mayHold bool
+		// most is the dearest mean cost, in parts of always-large.
+		most float64
+	}{
+		{"cheap alone meets a low target", usual, 0.70, true, 0.3},
+		{"cascade", usual, 0.82, true, 0.55},
+		{"high target", usual, 0.86, true, 0.75},
+		{"cheap as good as dear, against the manifest", equal, 0.86, true, 0.2},
+		{"cheap step never pays", poor, 0.86, true, 1.05},
+		{"no hold", usual, 0.82, false, 1.05},
+		{"out of reach", usual, 0.99, true, 1.2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range uint64(10) {
+				b := newBench(seed, honestPrior)
+				b.natures = c.natures
+				b.serve(1000, c.target, c.mayHold)
+				b.serve(2000, c.target, c.mayHold)
+				quality, cost := b.quality/2000, b.cost/2000/2.56
+				want := min(c.target, 0.89) - 0.01
+				if quality < want || cost > c.most {
+					t.Errorf("seed %d: quality %.3f, cost %.2f of always-large", seed, quality, cost)
+				}
+			}
+		})
+	}
+}
+
+func TestRatingServiceFaults(t *testing.T) {
+	never := func(float64) (float64, bool) { return 0, true }
+	nonsense := func(float64) (float64, bool) { return math.NaN(), false }
+	tooBig := func(float64) (float64, bool) { return 85, false }
+	stuck := func(float64) (float64, bool) { return 0, false }
+	cases := []struct {
+		name  string
+		fault func(float64) (float64, bool)
+	}{{"late", never}, {"no number", nonsense}, {"out of range", tooBig}, {"stuck at 0", stuck}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(1, honestPrior)
+			b.natures = map[string]nature{small: {0.85, 0.45}, large: {0.92, 0.85}}
+			b.serve(2000, 0.82, true)
+			before, sure := b.t.Quality(drafts, large, b.now)
+			healthy := b.raterSays
+			b.raterSays = c.fault
+			b.serve(60, 0.82, true)
+			if !b.t.RaterDown() {
+				t.Fatal("the fault was not noticed within 60 requests")
+			}
+			b.afterwards = func(p Plan[string]) {
+				if p.Cascade {
+					t.Fatal("an answer was held for a rating service that is down")
+				}
+			}
+			b.serve(2000, 0.82, true)
+			b.afterwards = nil
+			after, unsure := b.t.Quality(drafts, large, b.now.Add(time.Hour))
+			if math.Abs(before-after) > 0.05 || unsure < 1.5*sure {
+				t.Errorf("large went from %.3f±%.4f to %.3f±%.4f", before, sure, after, unsure)
+			}
+			if q := b.quality / 2000; q < 0.81 {
+				t.Errorf("quality fell to %.3f", q)
+			}
+			b.raterSays = healthy
+			b.serve(60, 0.82, true)
+			if b.t.RaterDown() {
+				t.Error("not trusted again within 60 requests")
+			}
+		})
+	}
+}
+
+func TestEscalateNeedsTime(t *testing.T) {
+	p := Plan[string]{First: small, Cascade: true, Second: large, Bar: 0.6}
+	single := Plan[string]{First: small}
+	cases := []struct {
+		plan  Plan[string]
+		score float64
+		left  time.Duration
+		want  bool
+	}{
+		{p, 0.5, time.Minute, true},
+		{p, 0.6, time.Minute, false},
+		{p, 0.5, time.Second, false},
+		{p, 0.5, -time.Second, false},
+		{single, 0, time.Minute, false},
+	}
+	for _, c := range cases {
+		if got := c.plan.Escalate(c.score, c.left, 2*time.Second); got != c.want {
+			t.Errorf("%+v rated %v with %v left: %v", c.plan, c.score, c.left, got)
+		}
+	}
+}
+
+// A new class starts from what the other classes saw of a version.
+func TestNewClassStartsFromTheOthers(t *testing.T) {
+	b := newBench(1, map[string]float64{small: 0.2, large: 0.88})
+	for range 500 {
+		b.t.Rated(drafts, small, 0.9, false, epoch)
+		b.t.Rated(drafts, small, 0.85, false, epoch)
+	}
+	if q, _ := b.t.Quality(key{"shops", "lookup"}, small, epoch); q < 0.8 {
+		t.Errorf("quality of the new class is %.2f", q)
+	}
+}
+
+// Plans choose among the options only, the cost of a pair is never above that of
+// its dear step alone where both meet the target, and equal inputs plan alike.
+func TestPlanProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := New[string, string, string](DefaultConfig()), New[string, string, string](DefaultConfig())
+		prior := map[string]float64{}
+		var options []Option[string]
+		for i := range rapid.IntRange(1, 6).Draw(t, "versions") {
+			id := fmt.Sprintf("m%d@1", i)
+			prior[id] = rapid.Float64Range(-0.5, 1.5).Draw(t, "quality")
+			options = append(options, Option[string]{id, rapid.Float64Range(0, 20).Draw(t, "cost")})
+		}
+		a.Apply(prior)
+		b.Apply(prior)
+		now := epoch
+		for _, s := range rapid.SliceOfN(rapid.Uint32(), 1, 100).Draw(t, "steps") {
+			now = now.Add(time.Duration(s>>22) * time.Millisecond)
+			o := options[int(s%16)%len(options)]
+			score := float64(s>>8%1024)/1000 - 0.01
+			q := query{Task: key{"t", fmt.Sprint(s >> 4 % 3)}, Target: float64(s>>12%100) / 100,
+				Options: options[:1+int(s>>6)%len(options)], MayHold: s&32 != 0,
+				Draw: float64(s) / math.MaxUint32, Now: now}
+			for _, x := range []*table{a, b} {
+				x.Ended(q.Task, o.Version, int(s%2000))
+				x.Rated(q.Task, o.Version, score, s&1024 == 0, now)
+				x.RatedSecond(q.Task, options[0].Version, o.Version, score)
+			}
+			p, p2 := a.Plan(q), b.Plan(q)
+			if p != p2 {
+				t.Fatalf("%+v and %+v from equal inputs", p, p2)
+			}
+			checkPlan(t, p, q)
+		}
+	})
+}
+
+func checkPlan(t *rapid.T, p Plan[string], q query) {
+	t.Helper()
+	offered := map[string]bool{}
+	for _, o := range q.Options {
+		offered[o.Version] = true
+	}
+	if !offered[p.First] || p.Cascade && (!offered[p.Second] || p.First == p.Second) {
+		t.Fatalf("%+v for %v", p, q.Options)
+	}
+	if p.Cascade && !q.MayHold {
+		t.Fatalf("%+v may not hold", p)
+	}
+	if math.IsNaN(p.Quality) || math.IsNaN(p.Cost) || p.Cost < 0 {
+		t.Fatalf("%+v", p)
+	}
+}
+
+func TestTasksAreBounded(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.Tasks = 10
+	x := New[string, string, string](cfg)
+	x.Apply(honestPrior)
+	for i := range 1000 {
+		x.Rated(key{"t", fmt.Sprint(i)}, small, 0.5, false, epoch)
+		x.Rated(drafts, "gone@1", 0.5, false, epoch)
+	}
+	x.Apply(map[string]float64{small: 0.7})
+	if x.tasks.Len() > 10 || len(x.overall) > 1 {
+		t.Errorf("%d tasks and %d versions", x.tasks.Len(), len(x.overall))
+	}
+}
+
+func BenchmarkPlan(b *testing.B) {
+	x := New[string, string, string](DefaultConfig())
+	x.Apply(honestPrior)
+	q := query{Task: drafts, Target: 0.8, Options: bothOptions, MayHold: true, Draw: 0.9, Now: epoch}
+	b.ReportAllocs()
+	for i := range b.N {
+		x.Rated(drafts, small, float64(i%10)/10, false, epoch)
+		x.Plan(q)
+	}
+}
+
+func ExampleTable() {
+	t := New[string, string, string](DefaultConfig())
+	t.Apply(map[string]float64{small: 0.7, large: 0.9})
+	for i := range 300 {
+		score := 0.9
+		if i%4 == 0 {
+			score = 0.3
+		}
+		t.Ended(drafts, small, 100)
+		t.Rated(drafts, small, score, false, epoch)
+		t.Rated(drafts, large, 0.93-0.01*float64(i%3), false, epoch)
+	}
+	p := t.Plan(query{Task: drafts, Target: 0.85, Options: bothOptions, MayHold: true, Draw: 0.99, Now: epoch})
+	fmt.Println(p.First, p.Cascade, p.Second)
+	fmt.Println(p.Escalate(0.3, time.Minute, 5*time.Second), p.Escalate(0.9, time.Minute, 5*time.Second))
+	// Output:
+	// small@1 true large@1
+	// true false
+}
--- /dev/null
+++ b/decision/internal/estimate/row.go
@@ -0,0 +1,117 @@
+package estimate
+
+import (
+	"math"
+	"time"
+)
+
+// bins is the number of bars that a plan can choose between; 0.05 apart is finer
+// than raters are repeatable.
+const bins = 20
+
+// row is what is known of one version for one task: a discounted histogram of
+// its ratings, with each bin's own sum, so that raters that give few values (0
+// and 1, say) lose nothing by the binning.
+type row struct {
+	count [bins]float64
+	sum   [bins]float64
+	sumSq float64
+	// total is the sum of count, n the part of it that stands for real ratings.
+	total, n float64
+	ratedAt  time.Time
+	tokens   float64
+	answers  float64
+}
+
+// priorSpread is the standard deviation that a rating is given before any came.
+const priorSpread = 0.15
+
+// fromQuality fills a row with weight ratings spread around a quality.
+func fromQuality(quality, weight float64) *row {
+	r := &row{}
+	share := [bins]float64{}
+	whole := 0.0
+	for i := range share {
+		x := (float64(i)+0.5)/bins - quality
+		share[i] = math.Exp(-x * x / (2 * priorSpread * priorSpread))
+		whole += share[i]
+	}
+	// The bins' middles are shifted alike so that the mean is the quality.
+	mean := 0.0
+	for i := range share {
+		share[i] /= whole
+		mean += share[i] * (float64(i) + 0.5) / bins
+	}
+	for i := range share {
+		value := (float64(i)+0.5)/bins + quality - mean
+		r.put(i, value, weight*share[i])
+	}
+	return r
+}
+
+// fromRow fills a row with weight ratings distributed like another's.
+func fromRow(o *row, weight float64) *row {
+	r := &row{tokens: o.tokens, answers: min(o.answers, weight)}
+	f := weight / o.total
+	for i := range o.count {
+		r.count[i] = o.count[i] * f
+		r.sum[i] = o.sum[i] * f
+	}
+	r.sumSq = o.sumSq * f
+	r.total = weight
+	return r
+}
+
+func (r *row) put(bin int, value, weight float64) {
+	r.count[bin] += weight
+	r.sum[bin] += weight * value
+	r.sumSq += weight * value * value
+	r.total += weight
+}
+
+// add takes in one rating; older ones lose weight by the memory.
+func (r *row) add(score, memory float64, now time.Time) {
+	keep := 1 - 1/memory
+	for i := range r.count {
+		r.count[i] *= keep
+		r.sum[i] *= keep
+	}
+	r.sumSq *= keep
+	r.total *= keep
+	r.n = r.n*keep + 1
+	r.put(binOf(score), score, 1)
+	r.ratedAt = now
+}
+
+func binOf(score float64) int { return min(int(score*bins), bins-1) }
+
+// addTokens takes in an answer's length.
+func (r *row) addTokens(tokens, memory float64) {
+	r.answers = min(r.answers+1, memory)
+	r.tokens += (tokens - r.tokens) / r.answers
+}
+
+func (r *row) mean() float64 {
+	s := 0.0
+	for _, v := range r.sum {
+		s += v
+	}
+	return s / r.total
+}
+
+// stderr is the standard error of the mean. Ratings age: with none coming, half
+// of their weight is gone after each half-life, so that the estimate stays and
+// its uncertainty widens.
+func (r *row) stderr(now time.Time, halfLife time.Duration) float64 {
+	mean := r.mean()
+	variance := max(r.sumSq/r.total-mean*mean, minVariance)
+	weight := r.total
+	if r.n > 0 {
+		age := max(now.Sub(r.ratedAt), 0)
+		weight *= math.Exp2(-float64(age) / float64(halfLife))
+	}
+	return math.Sqrt(variance / max(weight, 1))
+}
+
+// minVariance keeps a few equal ratings from looking like certainty.
+const minVariance = 0.0025
--- /dev/null
+++ b/decision/internal/estimate/table.go
@@ -0,0 +1,234 @@
+package estimate
+
+import (
+	"cmp"
+	"math"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+// Config holds the limits.
+type Config struct {
+	// PriorWeight is how many ratings the manifest's word, or what other teams
+	// saw of a version, counts for.
+	PriorWeight float64
+	// Memory is how many ratings a row looks back on: enough for a standard
+	// error under 0.01, short enough to follow a season.
+	Memory float64
+	// StaleHalfLife is when ratings without successors count half.
+	StaleHalfLife time.Duration
+	// Confidence is how many standard errors below its estimate a plan is
+	// credited with. At 0 half of the plans that just meet the target miss it.
+	Confidence float64
+	// Explore is the part of requests that try another version first, to learn;
+	// ExploreNew is that part while one is known by fewer than KnownRatings.
+	Explore      float64
+	ExploreNew   float64
+	KnownRatings float64
+	// LateLimit is the part of late ratings from which the rating service counts
+	// as down; then nothing is held for it.
+	LateLimit float64
+	// DefaultTokens is an answer's length before any was seen.
+	DefaultTokens float64
+	// Tasks bounds the pairs of team and class; the least recently used go
+	// first. Callers choose the classes, so their number is no one's promise.
+	Tasks int
+	// ReplanRatings and ReplanAfter bound how old a plan may be.
+	ReplanRatings int
+	ReplanAfter   time.Duration
+}
+
+// DefaultConfig returns the defaults.
+func DefaultConfig() Config {
+	return Config{
+		PriorWeight:   12,
+		Memory:        500,
+		StaleHalfLife: 30 * time.Minute,
+		Confidence:    1,
+		Explore:       0.01,
+		ExploreNew:    0.1,
+		KnownRatings:  40,
+		LateLimit:     0.5,
+		DefaultTokens: 256,
+		Tasks:         2048,
+		ReplanRatings: 8,
+		ReplanAfter:   10 * time.Second,
+	}
+}
+
+// Task is a team's class of requests.
+type Task[T, C cmp.Ordered] struct {
+	Team  T
+	Class C
+}
+
+// Table holds what is known of the versions, per task and overall.
+type Table[T, C, V cmp.Ordered] struct {
+	cfg     Config
+	tasks   *simplelru.LRU[Task[T, C], *task[V]]
+	overall map[V]*row
+	prior   map[V]float64
+	rater   rater
+}
+
+// task is one row of the tasks table.
+type task[V cmp.Ordered] struct {
+	rows map[V]*row
+	// second is the quality of second steps after a first one's escalation.
+	second map[V]*followUp[V]
+	plans  []cachedPlan[V]
+	// news counts the ratings since the plans were made.
+	news int
+}
+
+// followUp is the mean rating of answers that replaced those of a first step.
+// They are for the harder requests, so it lies below the second's own mean.
+type followUp[V cmp.Ordered] struct {
+	second V
+	n, mu  float64
+}
+
+// New returns an empty table.
+func New[T, C, V cmp.Ordered](cfg Config) *Table[T, C, V] {
+	tasks, err := simplelru.NewLRU[Task[T, C], *task[V]](max(cfg.Tasks, 1), nil)
+	if err != nil {
+		// The library fails only for a size below 1.
+		panic(err)
+	}
+	return &Table[T, C, V]{
+		cfg:     cfg,
+		tasks:   tasks,
+		overall: make(map[V]*row),
+		prior:   make(map[V]float64),
+	}
+}
+
+// Apply takes in a manifest's versions with the quality it states. What was
+// learnt of versions that are gone is forgotten.
+func (t *Table[T, C, V]) Apply(quality map[V]float64) {
+	t.prior = make(map[V]float64, len(quality))
+	for v, q := range quality {
+		t.prior[v] = clampQuality(q)
+	}
+	for v := range t.overall {
+		if _, ok := quality[v]; !ok {
+			delete(t.overall, v)
+		}
+	}
+	for _, task := range t.tasks.Values() {
+		task.plans = nil
+		for v := range task.rows {
+			if _, ok := quality[v]; !ok {
+				delete(task.rows, v)
+				delete(task.second, v)
+			}
+		}
+	}
+}
+
+func clampQuality(q float64) float64 {
+	if math.IsNaN(q) {
+		return 0
+	}
+	return min(max(q, 0), 1)
+}
+
+func (t *Table[T, C, V]) task(k Task[T, C]) *task[V] {
+	if found, ok := t.tasks.Get(k); ok {
+		return found
+	}
+	made := &task[V]{rows: make(map[V]*row), second: make(map[V]*followUp[V])}
+	t.tasks.Add(k, made)
+	return made
+}
+
+// row returns a task's row of a version. A new one starts from what all tasks
+// saw of the version, and that from the manifest's word.
+func (t *Table[T, C, V]) row(k *task[V], v V) *row {
+	if r := k.rows[v]; r != nil {
+		return r
+	}
+	r := fromRow(t.all(v), t.cfg.PriorWeight)
+	k.rows[v] = r
+	return r
+}
+
+func (t *Table[T, C, V]) all(v V) *row {
+	if r := t.overall[v]; r != nil {
+		return r
+	}
+	r := fromQuality(t.prior[v], t.cfg.PriorWeight)
+	r.tokens = t.cfg.DefaultTokens
+	r.answers = 1
+	t.overall[v] = r
+	return r
+}
+
+// known reports whether the manifest lists a version; words on others are late
+// and would only fill the tables.
+func (t *Table[T, C, V]) known(v V) bool {
+	_, ok := t.prior[v]
+	return ok
+}
+
+// Ended takes in the length of a whole answer.
+func (t *Table[T, C, V]) Ended(k Task[T, C], v V, tokens int) {
+	if !t.known(v) || tokens < 0 {
+		return
+	}
+	t.row(t.task(k), v).addTokens(float64(tokens), t.cfg.Memory)
+	t.all(v).addTokens(float64(tokens), t.cfg.Memory)
+}
+
+// Rated takes in a rating, or that none came within the budget. It reports
+// whether the rating was used: one out of 0..1, or from a rating service that is
+// stuck on one value, is not.
+func (t *Table[T, C, V]) Rated(k Task[T, C], v V, score float64, late bool, now time.Time) bool {
+	if late {
+		t.rater.missed()
+		return false
+	}
+	if math.IsNaN(score) || score < 0 || score > 1 {
+		t.rater.missed()
+		return false
+	}
+	if !t.known(v) {
+		return false
+	}
+	task := t.task(k)
+	r := t.row(task, v)
+	if t.rater.stuck(score, r) {
+		t.rater.missed()
+		return false
+	}
+	t.rater.answered()
+	r.add(score, t.cfg.Memory, now)
+	t.all(v).add(score, t.cfg.Memory, now)
+	task.news++
+	return true
+}
+
+// RatedSecond takes in the rating of an answer that replaced one of first.
+func (t *Table[T, C, V]) RatedSecond(k Task[T, C], first, second V, score float64) {
+	if math.IsNaN(score) || score < 0 || score > 1 || !t.known(first) {
+		return
+	}
+	task := t.task(k)
+	f := task.second[first]
+	if f == nil || f.second != second {
+		f = &followUp[V]{second: second}
+		task.second[first] = f
+	}
+	f.n = min(f.n+1, t.cfg.Memory)
+	f.mu += (score - f.mu) / f.n
+}
+
+// Quality is the estimate for a task and a version with its standard error.
+func (t *Table[T, C, V]) Quality(k Task[T, C], v V, now time.Time) (mean, stderr float64) {
+	r := t.row(t.task(k), v)
+	return r.mean(), r.stderr(now, t.cfg.StaleHalfLife)
+}
+
+// RaterDown reports whether ratings come too late or make no sense.
+func (t *Table[T, C, V]) RaterDown() bool { return t.rater.late > t.cfg.LateLimit }
