decision: an index from prompt prefixes to backend servers

Cause: engines cache prompt prefixes in limited memory and tell of it late and with gaps; a request should go where the longest part of its prompt is cached.

One map from chained block hash to at most four servers, LRU-bounded. After one gap in a server's events its entries are suspect, after two void. Own dispatches count as cached at once for a bounded time.

--- /dev/null
+++ b/decision/internal/prefix/index_test.go
@@ -0,0 +1,168 @@
+package prefix
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Date(2026, 9, 1, 8, 0, 0, 0, time.UTC)
+
+type (
+	index = Index[string, uint64]
+	match = Match[string]
+)
+
+// chain returns n block hashes that stand for one prompt.
+func chain(prompt uint64, n int) []uint64 {
+	out := make([]uint64, n)
+	for i := range out {
+		out[i] = prompt*1000 + uint64(i)
+	}
+	return out
+}
+
+func TestMatch(t *testing.T) {
+	p := chain(1, 10)
+	mixed := append(slices.Clone(p[:4]), chain(2, 6)...)
+	cases := []struct {
+		name string
+		do   func(x *index)
+		ask  []uint64
+		want []match
+	}{
+		{"nothing known", func(*index) {}, p, nil},
+		{"confirmed", func(x *index) { x.Changed("a", 1, p, nil, epoch) }, p, []match{{"a", 10, true}}},
+		{"own dispatch", func(x *index) { x.Dispatched("a", p, epoch) }, p, []match{{"a", 10, false}}},
+		{"old own dispatch", func(x *index) { x.Dispatched("a", p, epoch.Add(-time.Hour)) }, p, nil},
+		{"confirmed dispatch", func(x *index) {
+			x.Dispatched("a", p, epoch)
+			x.Changed("a", 1, p, nil, epoch)
+			x.Dispatched("a", p, epoch)
+		}, p, []match{{"a", 10, true}}},
+		{"common start", func(x *index) { x.Changed("a", 1, p, nil, epoch) }, mixed, []match{{"a", 4, true}}},
+		{"deepest first", func(x *index) {
+			x.Changed("a", 1, p[:6], nil, epoch)
+			x.Changed("b", 1, p[:9], nil, epoch)
+		}, p, []match{{"b", 9, true}, {"a", 6, true}}},
+		{"evicted", func(x *index) {
+			x.Changed("a", 1, p, nil, epoch)
+			x.Changed("a", 2, nil, p[5:], epoch)
+		}, p, []match{{"a", 5, true}}},
+		{"one gap makes suspect", func(x *index) {
+			x.Changed("a", 1, p, nil, epoch)
+			x.Changed("a", 3, nil, nil, epoch)
+		}, p, []match{{"a", 10, false}}},
+		{"two gaps make void", func(x *index) {
+			x.Changed("a", 1, p, nil, epoch)
+			x.Changed("a", 3, nil, nil, epoch)
+			x.Changed("a", 9, nil, nil, epoch)
+		}, p, nil},
+		{"a restart makes void", func(x *index) {
+			x.Changed("a", 7, p, nil, epoch)
+			x.Changed("a", 1, p[:2], nil, epoch)
+		}, p, []match{{"a", 2, true}}},
+		{"a late event evicts but adds nothing", func(x *index) {
+			x.Changed("a", 3, p[:6], nil, epoch)
+			x.Changed("a", 2, p[6:], p[5:6], epoch)
+		}, p, []match{{"a", 5, true}}},
+		{"forgotten server", func(x *index) {
+			x.Changed("a", 1, p, nil, epoch)
+			x.Forget("a")
+			x.Dispatched("b", p[:1], epoch)
+		}, p, []match{{"b", 1, false}}},
+		{"listed again after forgetting", func(x *index) {
+			x.Changed("a", 9, p, nil, epoch)
+			x.Forget("a")
+			x.Changed("a", 1, p[:3], nil, epoch)
+		}, p, []match{{"a", 3, true}}},
+		{"no more servers than a block has places", func(x *index) {
+			for i := range 9 {
+				x.Changed(fmt.Sprint(i), 1, p, nil, epoch.Add(time.Duration(i)))
+			}
+		}, p, []match{{"8", 10, true}, {"5", 10, true}, {"6", 10, true}, {"7", 10, true}}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			x := New[string, uint64](DefaultConfig())
+			c.do(x)
+			if got := x.Match(c.ask, 8, epoch, nil); !slices.Equal(got, c.want) {
+				t.Errorf("%v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// Whatever comes, the index stays within its bound, a match is no deeper than
+// the prompt, servers that were forgotten are not matched, and equal inputs
+// match alike.
+func TestIndexProperties(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.Blocks = 40
+	rapid.Check(t, func(t *rapid.T) {
+		x, y := New[string, uint64](cfg), New[string, uint64](cfg)
+		gone := map[string]bool{}
+		now := epoch
+		for _, s := range rapid.SliceOfN(rapid.Uint32(), 1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(s>>24) * time.Second)
+			id := fmt.Sprint(s % 5)
+			p := chain(uint64(s>>4%8), 1+int(s>>8%20))
+			for _, z := range []*index{x, y} {
+				switch s >> 14 % 4 {
+				case 0:
+					z.Changed(id, uint64(s>>16%6), p, nil, now)
+				case 1:
+					z.Changed(id, uint64(s>>16%6), nil, p, now)
+				case 2:
+					z.Dispatched(id, p, now)
+				case 3:
+					z.Forget(id)
+				}
+			}
+			gone[id] = s>>14%4 == 3
+			got := x.Match(p, 3, now, nil)
+			if !slices.Equal(got, y.Match(p, 3, now, nil)) {
+				t.Fatal("equal inputs match differently")
+			}
+			if len(got) > 3 || x.Len() > cfg.Blocks {
+				t.Fatalf("%d matches, %d blocks", len(got), x.Len())
+			}
+			for i, m := range got {
+				if m.Blocks < 1 || m.Blocks > len(p) || gone[m.Server] || i > 0 && got[i-1].Blocks < m.Blocks {
+					t.Fatalf("%v for %d blocks", got, len(p))
+				}
+			}
+		}
+	})
+}
+
+func BenchmarkMatch(b *testing.B) {
+	x := New[string, uint64](DefaultConfig())
+	var prompts [][]uint64
+	for i := range 1000 {
+		p := chain(uint64(i), 60)
+		prompts = append(prompts, p)
+		x.Dispatched(fmt.Sprint(i%100), p[:i%60+1], epoch)
+	}
+	var out []match
+	b.ReportAllocs()
+	for i := range b.N {
+		out = x.Match(prompts[i%len(prompts)], 2, epoch, out[:0])
+	}
+}
+
+func ExampleIndex() {
+	x := New[string, uint64](DefaultConfig())
+	now := epoch
+	x.Changed("s1", 1, []uint64{11, 12, 13}, nil, now)
+	x.Dispatched("s2", []uint64{11, 12}, now)
+	for _, m := range x.Match([]uint64{11, 12, 13, 14}, 2, now, nil) {
+		fmt.Println(m.Server, m.Blocks, m.Sure)
+	}
+	// Output:
+	// s1 3 true
+	// s2 2 false
+}
