--- a/router/cmd/masticplank/main.go
+++ b/router/cmd/masticplank/main.go
@@ -8,6 +8,7 @@
 	"github.com/spf13/cobra"
 
 	"masticplank.example/router/internal/cli"
+	"masticplank.example/router/internal/cli/democmd"
 	"masticplank.example/router/internal/cli/manifestcmd"
 	"masticplank.example/router/internal/cli/settingscmd"
 	"masticplank.example/router/internal/cli/standincmd"
@@ -29,6 +30,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(
+		democmd.New(),
 		manifestcmd.New(),
 		settingscmd.New(),
 		standincmd.New(),
--- /dev/null
+++ b/router/internal/demo/check_test.go
@@ -0,0 +1,130 @@
+package demo
+
+import (
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"masticplank.example/router/internal/billing"
+	"masticplank.example/router/internal/standin/engine"
+	"masticplank.example/router/internal/standin/service"
+	"masticplank.example/router/internal/wire"
+)
+
+// soundRun is a session request, a reservation sent twice, and a request for a
+// model that is not allowed, all answered as promised.
+func soundRun() (*checker, []result) {
+	teams := demoTeams()
+	session := &request{
+		kind: kindSession,
+		team: teams[0],
+		key:  "s",
+		chat: wire.ChatRequest{Messages: []wire.Message{{Role: "user", Content: "x"}}, MaxTokens: 5},
+	}
+	twice := &request{index: 1, kind: kindTwice, team: teams[2], key: "t", path: "/reservations", body: "b"}
+	forbidden := &request{index: 2, kind: kindForbidden, team: teams[1], key: "f", chat: session.chat}
+	reserved, _ := json.Marshal(service.Answer{Path: twice.path, Key: twice.key, Body: twice.body, Run: 1})
+	began := time.Unix(100, 0)
+	results := []result{
+		{
+			request: session, began: began, outcome: "completed", status: http.StatusOK, version: versionOld,
+			text: "q=0.880" + engine.Expected(versionOld, session.chat.Messages, 5),
+		},
+		{request: twice, began: began, outcome: "completed", status: http.StatusCreated, body: reserved},
+		{request: twice, began: began, outcome: "already_run", status: http.StatusConflict, code: "already_run"},
+		{request: forbidden, began: began, outcome: "refused", status: http.StatusForbidden, code: "model_not_allowed"},
+	}
+	c := &checker{
+		withdrawnAt: began.Add(time.Second),
+		caller: &caller{pins: map[string][]map[string]string{
+			"weavers": {{modelLarge: versionOld, modelSmall: versionSmall}},
+		}},
+		ledger: ledger{bills: map[string][]billing.Bill{
+			"s": {{Team: "weavers", Request: "s", Version: versionOld, CompletionTokens: 5, Outcome: "completed"}},
+			"t": {{Team: "clerks", Request: "t", Service: serviceShop, Outcome: "completed"}},
+		}},
+		runs:   map[string]int{"t": 1},
+		broken: map[string][]string{},
+	}
+	return c, results
+}
+
+// The demo is worth nothing if it does not see a broken promise, so each is
+// broken here once.
+func TestEachBrokenPromiseIsSeen(t *testing.T) {
+	tests := []struct {
+		name  string
+		spoil func(c *checker, r []result)
+		want  []string
+	}{
+		{"sound", func(*checker, []result) {}, nil},
+		{"shortened answer", func(_ *checker, r []result) { r[0].text = r[0].text[:20] }, []string{promiseWhole}},
+		{"another's reservation", func(_ *checker, r []result) { r[1].body = []byte(`{"key":"z"}`) }, []string{promiseWhole}},
+		{"cut without faults", func(_ *checker, r []result) { r[2].outcome = outcomeCut }, []string{promiseAnswered}},
+		{"forbidden model was run", func(_ *checker, r []result) {
+			r[3].outcome, r[3].code, r[3].version, r[3].status = "completed", "", versionOld, http.StatusOK
+			r[3].text = r[0].text
+		}, []string{promiseAnswered, promiseAllowed, promiseBilled}},
+		{"ran after the withdrawal", func(_ *checker, r []result) { r[0].began = r[0].began.Add(time.Minute) }, []string{promiseWithdrawn}},
+		{"session moved", func(c *checker, _ []result) { c.caller.pins["weavers"][0][modelLarge] = versionNew }, []string{promiseSession}},
+		{"bill lost", func(c *checker, _ []result) { delete(c.ledger.bills, "s") }, []string{promiseBilled}},
+		{"billed twice", func(c *checker, _ []result) {
+			c.ledger.bills["s"] = append(c.ledger.bills["s"], c.ledger.bills["s"]...)
+		}, []string{promiseBilled}},
+		{"wrong version billed", func(c *checker, _ []result) { c.ledger.bills["s"][0].Version = versionSmall }, []string{promiseBilled}},
+		{"billed for nothing", func(c *checker, _ []result) { c.ledger.bills["?"] = []billing.Bill{{Request: "?"}} }, []string{promiseBilled}},
+		{"refused but billed", func(c *checker, _ []result) { c.ledger.bills["f"] = []billing.Bill{{Request: "f"}} }, []string{promiseNotRun}},
+		{"refused but run", func(c *checker, r []result) {
+			r[1].outcome, r[2].outcome = "refused", "refused"
+			delete(c.ledger.bills, "t")
+		}, []string{promiseNotRun}},
+		{"ran twice", func(c *checker, _ []result) { c.runs["t"] = 2 }, []string{promiseOnce}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c, results := soundRun()
+			tt.spoil(c, results)
+			c.check(results)
+			got := slices.Sorted(maps.Keys(c.broken))
+			if want := slices.Sorted(slices.Values(tt.want)); !slices.Equal(got, want) {
+				t.Errorf("broken %v, want %v", c.broken, want)
+			}
+			report := newReport(results, c.ledger, c.broken)
+			if report.Held() != (len(tt.want) == 0) {
+				t.Errorf("held %v", report.Held())
+			}
+		})
+	}
+}
+
+func TestPlanIsTheSameForTheSameSeed(t *testing.T) {
+	a, b := plan(300, 7), plan(300, 7)
+	kinds := map[kind]int{}
+	for i := range a {
+		kinds[a[i].kind]++
+		if a[i].kind != b[i].kind || a[i].path != b[i].path || a[i].chat.Model != b[i].chat.Model {
+			t.Fatalf("request %d differs", i)
+		}
+		if a[i].key == b[i].key {
+			t.Fatalf("request %d has the same key", i)
+		}
+	}
+	if len(kinds) != len(kindParts) {
+		t.Errorf("kinds %v", kinds)
+	}
+}
+
+func TestPercentileByNearestRank(t *testing.T) {
+	var all []time.Duration
+	for i := 100; i > 0; i-- {
+		all = append(all, time.Duration(i)*time.Millisecond)
+	}
+	for q, want := range map[float64]float64{0: 1, 0.5: 50, 0.95: 95, 0.99: 99, 1: 100} {
+		if got := percentile(all, q); got != want {
+			t.Errorf("%v: %v, want %v", q, got, want)
+		}
+	}
+}
--- a/router/internal/demo/scenario.go
+++ b/router/internal/demo/scenario.go
@@ -1,8 +1,6 @@
 package demo
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"time"
 
 	"masticplank.example/router/internal/manifest"
@@ -103,7 +101,7 @@
 func teamRow(t team, versions []manifest.Version) manifest.Team {
 	row := manifest.Team{
 		ID:            t.id,
-		KeyHashes:     []string{keyHash(t.key)},
+		KeyHashes:     []string{manifest.HashKey(t.key)},
 		Weight:        1,
 		QualityTarget: t.quality,
 		Services:      []string{serviceShop},
@@ -124,8 +122,3 @@
 	}
 	return false
 }
-
-func keyHash(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
--- a/router/internal/demo/stage.go
+++ b/router/internal/demo/stage.go
@@ -13,6 +13,7 @@
 	"go.uber.org/fx"
 
 	"masticplank.example/router/internal/daemon"
+	"masticplank.example/router/internal/manifest"
 	"masticplank.example/router/internal/settings"
 	"masticplank.example/router/internal/standin/engine"
 	"masticplank.example/router/internal/standin/listsvc"
@@ -166,7 +167,7 @@
 	cfg.Platform.ListIntervalMS = 100
 	cfg.Platform.LoadIntervalMS = 100
 	cfg.Shutdown.GraceMS = graceMS
-	cfg.OperatorKeyHashes = []string{keyHash(operatorKey)}
+	cfg.OperatorKeyHashes = []string{manifest.HashKey(operatorKey)}
 	// The same ring everywhere, so that any instance reads any session token.
 	secret := base64.StdEncoding.EncodeToString([]byte("demo-session-secret-of-32-bytes!"))
 	cfg.Session.Keys = []settings.SessionKey{{ID: "demo", Secret: secret}}
--- a/router/internal/e2e/process_test.go
+++ b/router/internal/e2e/process_test.go
@@ -48,7 +48,7 @@
 
 // process is one running binary.
 type process struct {
-	t    *testing.T
+	t    testing.TB
 	name string
 	cmd  *exec.Cmd
 
@@ -59,7 +59,7 @@
 }
 
 // start runs a binary and reads its lines from stdout and stderr.
-func start(t *testing.T, name, binary string, args ...string) *process {
+func start(t testing.TB, name, binary string, args ...string) *process {
 	t.Helper()
 	p := &process{
 		t:     t,
@@ -142,7 +142,7 @@
 }
 
 // standin starts "masticplank standin ..." and returns its address.
-func standin(t *testing.T, kind string, args ...string) string {
+func standin(t testing.TB, kind string, args ...string) string {
 	t.Helper()
 	p := start(t, kind, "masticplank", append([]string{"standin", kind, "--listen", "127.0.0.1:0"}, args...)...)
 	return p.await("address", func(line string) (string, bool) {
@@ -157,7 +157,7 @@
 }
 
 // startInstance writes a settings file and starts masticplankd with it.
-func startInstance(t *testing.T, name, domain string, platform map[string]any) *instance {
+func startInstance(t testing.TB, name, domain string, platform map[string]any) *instance {
 	t.Helper()
 	settings := map[string]any{
 		"instance":            name,
@@ -208,7 +208,7 @@
 }
 
 // call sends one request.
-func call(t *testing.T, method, url, key, body string, header map[string]string) reply {
+func call(t testing.TB, method, url, key, body string, header map[string]string) reply {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
@@ -232,7 +232,7 @@
 }
 
 // eventually polls until ok holds; it fails only past patience.
-func eventually(t *testing.T, what string, ok func() bool) {
+func eventually(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(patience)
 	tick := time.NewTicker(10 * time.Millisecond)
