--- /dev/null
+++ b/router/internal/peer/bench_test.go
@@ -0,0 +1,69 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"math"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"masticplank.example/coordination/fold"
+)
+
+// BenchmarkIdle runs the rounds of an idle fleet in one process; one round is
+// one interval. It reports, for each instance and round, the bytes sent and
+// received (with TLS, under it) and the processor time of the whole process.
+// At the default interval of 1 s, bytes/round is bytes/s.
+func BenchmarkIdle(b *testing.B) {
+	ca := newAuthority(b)
+	secure := func(int) *tls.Config { return ca.config(b, "127.0.0.1") }
+	for name, tlsOf := range map[string]func(int) *tls.Config{"plain": nil, "tls": secure} {
+		for _, n := range []int{2, 4, 8, 16} {
+			b.Run(fmt.Sprintf("%s/instances=%d", name, n), func(b *testing.B) { benchIdle(b, n, tlsOf) })
+		}
+	}
+}
+
+func benchIdle(b *testing.B, n int, tlsOf func(int) *tls.Config) {
+	f := fleet(b, n, tlsOf)
+	for _, i := range f {
+		// Numbers as long as a year's log makes them.
+		i.store.set(func(s *fakeStore) {
+			s.digest = fold.Digest{Next: 6_000_000_000, Generation: 24_000_000, Hash: math.MaxUint64}
+			s.status.Head = 6_000_000_000
+		})
+	}
+	var in, out int64
+	count := func(sign int64) {
+		for _, i := range f {
+			in += sign * i.server.in.Count()
+			out += sign * i.server.out.Count()
+		}
+	}
+	count(-1)
+	before := processorTime(b)
+	for b.Loop() {
+		var wg sync.WaitGroup
+		for _, i := range f {
+			wg.Go(func() { i.Round(context.Background()) })
+		}
+		wg.Wait()
+	}
+	used := processorTime(b) - before
+	count(1)
+	rounds := float64(b.N) * float64(n)
+	b.ReportMetric(float64(in)/rounds, "B-in/round")
+	b.ReportMetric(float64(out)/rounds, "B-out/round")
+	b.ReportMetric(float64(used.Microseconds())/rounds, "cpu-µs/round")
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- /dev/null
+++ b/router/internal/peer/chooser.go
@@ -0,0 +1,111 @@
+package peer
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"masticplank.example/router/internal/wire"
+)
+
+// Chooser picks the peers of a round. One goroutine calls it.
+type Chooser interface {
+	// Choose picks from live, the platform's list without the own instance.
+	Choose(live []wire.ListedInstance) []wire.ListedInstance
+	// Failed says that a chosen peer did not answer.
+	Failed(id string)
+}
+
+const (
+	// fanout is how many peers a round has. Three spread a word to n instances
+	// in about log3(n) rounds: 2 rounds for 8, 7 for 880.
+	fanout = 3
+	// keepRounds is how long a peer is kept. Connecting, with TLS, costs more
+	// bytes than many rounds, so peers change one at a time and slowly.
+	keepRounds = 20
+)
+
+// stickyChooser keeps its peers and replaces one every keepRounds rounds. At
+// least one is in another failure domain, where there is one, so that a word
+// leaves a failure domain at once.
+type stickyChooser struct {
+	domain string
+	rng    *rand.Rand
+	round  int
+	kept   []string
+	failed map[string]bool
+}
+
+// NewChooser returns the default Chooser for an instance in domain.
+func NewChooser(domain string, seed uint64) Chooser {
+	return &stickyChooser{
+		domain: domain,
+		rng:    rand.New(rand.NewPCG(seed, seed)),
+		failed: map[string]bool{},
+	}
+}
+
+// Failed drops the peer from those kept.
+func (c *stickyChooser) Failed(id string) {
+	c.kept = slices.DeleteFunc(c.kept, func(k string) bool { return k == id })
+	c.failed[id] = true
+}
+
+// Choose returns up to fanout peers.
+func (c *stickyChooser) Choose(live []wire.ListedInstance) []wire.ListedInstance {
+	byID := make(map[string]wire.ListedInstance, len(live))
+	for _, l := range live {
+		byID[l.ID] = l
+	}
+	c.forget(byID)
+	order := c.rng.Perm(len(live))
+	c.fill(live, order, func(l wire.ListedInstance) bool { return !c.failed[l.ID] })
+	// Those that failed last time come last, and get their chance where no
+	// others are left: an instance that is back must be heard again.
+	c.fill(live, order, func(wire.ListedInstance) bool { return true })
+	c.reachOut(live, order, byID)
+	clear(c.failed)
+	out := make([]wire.ListedInstance, len(c.kept))
+	for i, id := range c.kept {
+		out[i] = byID[id]
+	}
+	return out
+}
+
+// forget drops peers that the list dropped and, every keepRounds, the oldest.
+func (c *stickyChooser) forget(byID map[string]wire.ListedInstance) {
+	c.kept = slices.DeleteFunc(c.kept, func(id string) bool {
+		_, listed := byID[id]
+		return !listed
+	})
+	c.round++
+	if c.round%keepRounds == 0 && len(c.kept) == fanout {
+		c.kept = c.kept[1:]
+	}
+}
+
+func (c *stickyChooser) fill(live []wire.ListedInstance, order []int, ok func(wire.ListedInstance) bool) {
+	for _, i := range order {
+		if len(c.kept) == fanout {
+			return
+		}
+		if ok(live[i]) && !slices.Contains(c.kept, live[i].ID) {
+			c.kept = append(c.kept, live[i].ID)
+		}
+	}
+}
+
+// reachOut swaps the newest peer for one of another failure domain where all
+// are in the own.
+func (c *stickyChooser) reachOut(live []wire.ListedInstance, order []int, byID map[string]wire.ListedInstance) {
+	for _, id := range c.kept {
+		if byID[id].Domain != c.domain {
+			return
+		}
+	}
+	for _, i := range order {
+		if live[i].Domain != c.domain && !c.failed[live[i].ID] && len(c.kept) > 0 {
+			c.kept[len(c.kept)-1] = live[i].ID
+			return
+		}
+	}
+}
--- /dev/null
+++ b/router/internal/peer/chooser_test.go
@@ -0,0 +1,71 @@
+package peer
+
+import (
+	"fmt"
+	"testing"
+
+	"masticplank.example/router/internal/wire"
+)
+
+func listed(n int) []wire.ListedInstance {
+	out := make([]wire.ListedInstance, n)
+	for i := range n {
+		out[i] = wire.ListedInstance{ID: fmt.Sprintf("i%d", i), Domain: domains[i%len(domains)]}
+	}
+	return out
+}
+
+func TestChooserKeepsPeersAndReachesOut(t *testing.T) {
+	for seed := range uint64(50) {
+		c := NewChooser(domains[0], seed)
+		changes, last := 0, map[string]bool{}
+		met := map[string]bool{}
+		const rounds = 10 * keepRounds
+		for range rounds {
+			now, outside := map[string]bool{}, false
+			for _, l := range c.Choose(listed(24)) {
+				now[l.ID], met[l.ID] = true, true
+				outside = outside || l.Domain != domains[0]
+				if !last[l.ID] {
+					changes++
+				}
+			}
+			if len(now) != fanout || !outside {
+				t.Fatalf("seed %d: chose %v", seed, now)
+			}
+			last = now
+		}
+		if changes > fanout+2*rounds/keepRounds {
+			t.Errorf("seed %d: %d changes in %d rounds", seed, changes, rounds)
+		}
+		if len(met) < 2*fanout {
+			t.Errorf("seed %d: only met %v", seed, met)
+		}
+	}
+}
+
+func TestChooserLeavesThoseThatDoNotAnswer(t *testing.T) {
+	for seed := range uint64(50) {
+		c := NewChooser(domains[0], seed)
+		first := c.Choose(listed(8))[0].ID
+		c.Failed(first)
+		for _, l := range c.Choose(listed(8)) {
+			if l.ID == first {
+				t.Errorf("seed %d: chose %s again at once", seed, first)
+			}
+		}
+	}
+	c := NewChooser(domains[0], 1)
+	for _, live := range []int{0, 1, 2, 3, 5} {
+		if got := c.Choose(listed(live)); len(got) != min(live, fanout) {
+			t.Errorf("%d of %d chosen", len(got), live)
+		}
+	}
+	for _, l := range listed(2) {
+		c.Choose(listed(2))
+		c.Failed(l.ID)
+	}
+	if got := c.Choose(listed(2)); len(got) != 2 {
+		t.Errorf("all failed: chose %v", got)
+	}
+}
--- /dev/null
+++ b/router/internal/peer/client.go
@@ -0,0 +1,148 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"sync"
+
+	"github.com/gravitational/trace"
+	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// pool keeps one connection to each peer called lately. Safe for concurrent
+// use.
+type pool struct {
+	tls     *tls.Config
+	in, out gometrics.Counter
+
+	mu     sync.Mutex
+	conns  map[string]*jsonrpc2.Conn
+	closed bool
+}
+
+func newPool(cfg *tls.Config, in, out gometrics.Counter) *pool {
+	return &pool{tls: cfg, in: in, out: out, conns: map[string]*jsonrpc2.Conn{}}
+}
+
+// call sends one request to the peer at addr and decodes its answer. A
+// *jsonrpc2.Error is the peer's own; after any other error, the connection is
+// given up, since a late answer on it would find nobody.
+func (p *pool) call(ctx context.Context, addr, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	conn, err := p.conn(ctx, addr)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	err = conn.Call(ctx, method, params, result)
+	var answered *jsonrpc2.Error
+	if err != nil && !errors.As(err, &answered) {
+		p.drop(addr, conn)
+	}
+	return trace.Wrap(err)
+}
+
+func (p *pool) conn(ctx context.Context, addr string) (*jsonrpc2.Conn, error) {
+	p.mu.Lock()
+	known := p.conns[addr]
+	p.mu.Unlock()
+	if known != nil {
+		return known, nil
+	}
+	raw, err := p.dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	// The context given here ends the connection, so it must not be the call's.
+	conn := jsonrpc2.NewConn(context.Background(), newStream(raw),
+		jsonrpc2.HandlerWithError(refuseAll).SuppressErrClosed(), jsonrpc2.SetLogger(quiet{}))
+	return p.keep(addr, conn)
+}
+
+// keep stores a new connection, or closes it where another call was first.
+func (p *pool) keep(addr string, conn *jsonrpc2.Conn) (*jsonrpc2.Conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		_ = conn.Close()
+		return nil, jsonrpc2.ErrClosed
+	}
+	if first := p.conns[addr]; first != nil {
+		_ = conn.Close()
+		return first, nil
+	}
+	p.conns[addr] = conn
+	go p.forgetOnClose(addr, conn)
+	return conn, nil
+}
+
+// forgetOnClose ends with the connection, which idleTime ends at the latest.
+func (p *pool) forgetOnClose(addr string, conn *jsonrpc2.Conn) {
+	<-conn.DisconnectNotify()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conns[addr] == conn {
+		delete(p.conns, addr)
+	}
+}
+
+func (p *pool) dial(ctx context.Context, addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTime)
+	defer cancel()
+	var d net.Dialer
+	raw, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	counted := countedConn{Conn: raw, in: p.in, out: p.out}
+	if p.tls == nil {
+		return counted, nil
+	}
+	return p.handshake(ctx, counted, addr)
+}
+
+func (p *pool) handshake(ctx context.Context, raw net.Conn, addr string) (net.Conn, error) {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	cfg := p.tls.Clone()
+	cfg.ServerName = host
+	secure := tls.Client(raw, cfg)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return secure, nil
+}
+
+func (p *pool) drop(addr string, conn *jsonrpc2.Conn) {
+	p.mu.Lock()
+	if p.conns[addr] == conn {
+		delete(p.conns, addr)
+	}
+	p.mu.Unlock()
+	_ = conn.Close()
+}
+
+// close ends all connections; later calls fail.
+func (p *pool) close() {
+	p.mu.Lock()
+	p.closed = true
+	conns := p.conns
+	p.conns = map[string]*jsonrpc2.Conn{}
+	p.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Close()
+	}
+}
+
+// refuseAll answers requests that come back over a connection which this
+// instance opened: instances ask only over their own.
+func refuseAll(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no methods here"}
+}
--- /dev/null
+++ b/router/internal/peer/fixture_test.go
@@ -0,0 +1,174 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"masticplank.example/coordination/fold"
+	"masticplank.example/coordination/freshness"
+	"masticplank.example/coordination/node"
+	"masticplank.example/coordination/record"
+	"masticplank.example/decision"
+	"masticplank.example/router/internal/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fixed is the clock of all instances of a test.
+var fixed = time.Date(2026, 9, 1, 8, 0, 0, 0, time.UTC)
+
+// fakeStore is a node.Store whose state is set by the test.
+type fakeStore struct {
+	mu       sync.Mutex
+	digest   fold.Digest
+	status   node.Status
+	snapshot []byte
+	restored []byte
+	outcome  node.Outcome
+	puts     []record.Record
+	watch    func(fold.Change)
+}
+
+func (f *fakeStore) set(change func(*fakeStore)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
+func (f *fakeStore) Digest() fold.Digest { f.mu.Lock(); defer f.mu.Unlock(); return f.digest }
+func (f *fakeStore) Status() node.Status { f.mu.Lock(); defer f.mu.Unlock(); return f.status }
+
+func (f *fakeStore) Put(_ context.Context, r record.Record) node.Result {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.puts = append(f.puts, r)
+	return node.Result{Outcome: f.outcome}
+}
+
+func (f *fakeStore) Snapshot() ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.snapshot, nil
+}
+
+var errBadSnapshot = errors.New("bad snapshot")
+
+func (f *fakeStore) Restore(data []byte) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !bytes.HasPrefix(data, []byte("good")) {
+		return errBadSnapshot
+	}
+	f.restored = data
+	return nil
+}
+
+func (f *fakeStore) Watch(_ record.Class, w func(fold.Change)) func() {
+	f.set(func(f *fakeStore) { f.watch = w })
+	return func() {}
+}
+
+func (f *fakeStore) Release(record.Key, record.Nonce)        {}
+func (f *fakeStore) Lookup(record.Key) (fold.Register, bool) { return fold.Register{}, false }
+
+// inst is one instance of a test's fleet.
+type inst struct {
+	*Node
+	store   *fakeStore
+	events  chan decision.Event
+	vouches chan freshness.Vouch
+	hints   chan struct{}
+}
+
+func (i *inst) Vouched(_ time.Time, v freshness.Vouch) {
+	select {
+	case i.vouches <- v:
+	default: // a test that counts them reads them
+	}
+}
+
+func (i *inst) Send(ev decision.Event) { i.events <- ev }
+
+var domains = []string{"nyarugenge", "gasabo", "kicukiro"}
+
+// fleet starts n instances on loopback that list each other. Their rounds are
+// run by the test.
+func fleet(t testing.TB, n int, tlsOf func(int) *tls.Config) []*inst {
+	t.Helper()
+	list := make([]wire.ListedInstance, n)
+	listeners := make([]net.Listener, n)
+	for i := range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners[i] = ln
+		list[i] = wire.ListedInstance{ID: fmt.Sprintf("i%d", i), Peer: ln.Addr().String(), Domain: domains[i%len(domains)]}
+	}
+	out := make([]*inst, n)
+	for i := range n {
+		out[i] = start(t, list, i, listeners[i], tlsOf)
+	}
+	return out
+}
+
+func start(t testing.TB, list []wire.ListedInstance, i int, ln net.Listener, tlsOf func(int) *tls.Config) *inst {
+	t.Helper()
+	one := &inst{
+		store:   &fakeStore{outcome: node.OutcomeWon, status: node.Status{LogReachable: true, LastHeadRead: fixed}},
+		events:  make(chan decision.Event, 100),
+		vouches: make(chan freshness.Vouch, 1000),
+		hints:   make(chan struct{}, 100),
+	}
+	cfg := Config{Self: list[i], Interval: time.Hour, Seed: uint64(i)}
+	if tlsOf != nil {
+		cfg.TLS = tlsOf(i)
+	}
+	one.Node = New(cfg, Deps{
+		Store:     one.store,
+		Instances: func() []wire.ListedInstance { return list },
+		Vouches:   one,
+		Events:    one,
+		Hint:      func() { one.hints <- struct{}{} },
+		Now:       func() time.Time { return fixed },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- one.Run(ctx, ln) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return one
+}
+
+// round runs one round with all that it started.
+func (i *inst) round() {
+	i.Round(context.Background())
+	i.background.Wait()
+}
+
+func bill(n byte) record.Record {
+	return record.Record{
+		Kind:  record.KindPut,
+		Key:   record.Key(fmt.Sprintf("bill/ecole/%d", n)),
+		Nonce: record.Nonce{n + 1},
+		Value: []byte(`{"cost":1}`),
+	}
+}
+
+// discard drops events.
+type discard struct{}
+
+func (discard) Send(decision.Event) {}
--- /dev/null
+++ b/router/internal/peer/handler.go
@@ -0,0 +1,136 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+
+	"github.com/gravitational/trace"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"masticplank.example/coordination/record"
+)
+
+// handle answers one request. Every parameter is checked before anything
+// changes.
+func (n *Node) handle(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	result, err := n.dispatch(req)
+	var coded *jsonrpc2.Error
+	switch {
+	case err == nil:
+		return result, nil
+	case errors.As(err, &coded):
+		n.reject(trace.Wrap(err, "%q", truncate(req.Method)))
+		return nil, coded
+	default:
+		return nil, failure(CodeFailed, err.Error())
+	}
+}
+
+func (n *Node) dispatch(req *jsonrpc2.Request) (any, error) {
+	switch req.Method {
+	case MethodDigest:
+		return answerTo(req, n.onDigest)
+	case MethodVouch:
+		return answerTo(req, n.onVouch)
+	case MethodFetch:
+		return answerTo(req, n.onFetch)
+	case MethodManifest:
+		return answerTo(req, n.onManifest)
+	case MethodHealth:
+		return answerTo(req, n.onHealth)
+	case MethodHold:
+		return answerTo(req, n.onHold)
+	default:
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method"}
+	}
+}
+
+// sender is what every parameter type says: who sent it.
+type sender interface{ sentBy() string }
+
+func (p DigestParams) sentBy() string   { return p.From }
+func (p VouchParams) sentBy() string    { return p.From }
+func (p FetchParams) sentBy() string    { return p.From }
+func (p ManifestParams) sentBy() string { return p.From }
+func (p HealthParams) sentBy() string   { return p.From }
+func (p HoldParams) sentBy() string     { return p.From }
+
+// answerTo decodes strictly: a key that this program does not know may carry a
+// meaning that must not be dropped.
+func answerTo[P sender](req *jsonrpc2.Request, answer func(P) (any, error)) (any, error) {
+	if req.Params == nil {
+		return nil, invalid("parameters missing")
+	}
+	var p P
+	dec := json.NewDecoder(bytes.NewReader(*req.Params))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&p); err != nil {
+		return nil, invalid("malformed parameters")
+	}
+	if from := p.sentBy(); from == "" || len(from) > maxName {
+		return nil, invalid("sender missing or too long")
+	}
+	return answer(p)
+}
+
+// onDigest answers with the own word. The asker's state is not used: a message
+// that comes unasked may be old, and the own round will ask in turn.
+func (n *Node) onDigest(DigestParams) (any, error) { return n.word(), nil }
+
+func (n *Node) onVouch(VouchParams) (any, error) { return n.word(), nil }
+
+func (n *Node) word() Word { return wordOf(n.state(), n.store.Status(), n.Now()) }
+
+func (n *Node) onFetch(p FetchParams) (any, error) {
+	result, err := n.snaps.piece(p, n.Now())
+	if errors.Is(err, errGone) {
+		return nil, failure(CodeGone, err.Error())
+	}
+	return result, err
+}
+
+// onManifest reads the log at once where the generation is not known yet.
+func (n *Node) onManifest(p ManifestParams) (any, error) {
+	if p.Generation > n.store.Digest().Generation && n.Hint != nil {
+		n.Hint()
+	}
+	return Empty{}, nil
+}
+
+func (n *Node) onHealth(p HealthParams) (any, error) {
+	if err := n.learn(p.Items); err != nil {
+		return nil, invalid(trace.UserMessage(err))
+	}
+	var result HealthResult
+	if p.Want {
+		result.Items = n.board.all(n.Now())
+	}
+	return result, nil
+}
+
+// onHold keeps a second copy of another instance's bill.
+func (n *Node) onHold(p HoldParams) (any, error) {
+	if len(p.Batch) > 2*maxBillBytes {
+		return nil, invalid("bill too long")
+	}
+	batch, err := record.Decode(p.Batch)
+	if err != nil || len(batch.Records) != 1 {
+		return nil, invalid("want one encoded record")
+	}
+	err = n.held.add(batch.Records[0])
+	switch {
+	case errors.Is(err, errFull):
+		return nil, failure(CodeFull, "no room to hold bills")
+	case err != nil:
+		return nil, invalid(trace.UserMessage(err))
+	}
+	return Empty{}, nil
+}
+
+// truncate keeps log lines short.
+func truncate(s string) string {
+	const most = 32
+	return s[:min(len(s), most)]
+}
--- /dev/null
+++ b/router/internal/peer/hostile_test.go
@@ -0,0 +1,197 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"masticplank.example/coordination/record"
+)
+
+// send writes raw bytes to an instance and returns its next message.
+func send(t *testing.T, addr string, raw []byte) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := conn.Write(raw); err != nil {
+		t.Fatal(err)
+	}
+	var answer json.RawMessage
+	if err := (jsonrpc2.VarintObjectCodec{}).ReadObject(bufio.NewReader(conn), &answer); err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	return string(answer)
+}
+
+func framed(message string) []byte {
+	return append(binary.AppendUvarint(nil, uint64(len(message))), message...)
+}
+
+func request(method, params string) []byte {
+	return framed(fmt.Sprintf(`{"jsonrpc":"2.0","id":1,"method":%q,"params":%s}`, method, params))
+}
+
+// holdParams encodes one record for bill.hold.
+func holdParams(t testing.TB, records ...record.Record) string {
+	t.Helper()
+	data, err := record.Encode(record.Batch{Writer: "w", Stamped: fixed, Records: records})
+	if err != nil {
+		t.Fatal(err)
+	}
+	params, err := json.Marshal(HoldParams{From: "x", Batch: data})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(params)
+}
+
+// untouched fails the test where a message changed anything.
+func untouched(t *testing.T, i *inst, name string) {
+	t.Helper()
+	if i.Held() != 0 || i.board.hash(fixed) != 0 || i.store.restored != nil ||
+		len(i.store.puts) != 0 || len(i.events) != 0 || len(i.vouches) != 0 {
+		t.Errorf("%s: state changed", name)
+	}
+}
+
+func TestHostileMessagesGetAnErrorAndChangeNothing(t *testing.T) {
+	i := fleet(t, 1, nil)[0]
+	manifest := record.Record{Kind: record.KindPut, Key: "manifest/1", Nonce: record.Nonce{1}, Value: []byte("x")}
+	release := record.Record{Kind: record.KindRelease, Key: "bill/t/r", Nonce: record.Nonce{1}}
+	large := bill(1)
+	large.Value = make([]byte, maxBillBytes+1)
+	for name, c := range map[string]struct {
+		raw  []byte
+		code int
+	}{
+		"not JSON":          {framed("hello"), jsonrpc2.CodeParseError},
+		"no message":        {framed(`[]`), jsonrpc2.CodeParseError},
+		"too long":          {binary.AppendUvarint(nil, maxMessage+1), jsonrpc2.CodeInvalidRequest},
+		"unknown method":    {request("state.erase", "{}"), jsonrpc2.CodeMethodNotFound},
+		"no parameters":     {framed(`{"jsonrpc":"2.0","id":1,"method":"bill.hold"}`), jsonrpc2.CodeInvalidParams},
+		"null parameters":   {request(MethodVouch, "null"), jsonrpc2.CodeInvalidParams},
+		"wrong type":        {request(MethodDigest, `{"from":"x","next":"y"}`), jsonrpc2.CodeInvalidParams},
+		"negative":          {request(MethodDigest, `{"from":"x","next":-1}`), jsonrpc2.CodeInvalidParams},
+		"unknown key":       {request(MethodVouch, `{"from":"x","root":1}`), jsonrpc2.CodeInvalidParams},
+		"no sender":         {request(MethodVouch, `{}`), jsonrpc2.CodeInvalidParams},
+		"long sender":       {request(MethodVouch, `{"from":"`+strings.Repeat("x", maxName+1)+`"}`), jsonrpc2.CodeInvalidParams},
+		"fetch of nothing":  {request(MethodFetch, `{"from":"x","offset":9}`), CodeGone},
+		"fetch before":      {request(MethodFetch, `{"from":"x","offset":-9}`), CodeGone},
+		"health of unknown": {request(MethodHealth, `{"from":"x","items":[{"kind":"root","id":"a","stamp":1,"until":2,"origin":"o"}]}`), jsonrpc2.CodeInvalidParams},
+		"hold garbage":      {request(MethodHold, `{"from":"x","batch":"AAAA"}`), jsonrpc2.CodeInvalidParams},
+		"hold a manifest":   {request(MethodHold, holdParams(t, manifest)), jsonrpc2.CodeInvalidParams},
+		"hold a release":    {request(MethodHold, holdParams(t, release)), jsonrpc2.CodeInvalidParams},
+		"hold two":          {request(MethodHold, holdParams(t, bill(1), bill(2))), jsonrpc2.CodeInvalidParams},
+		"hold a large one":  {request(MethodHold, holdParams(t, large)), jsonrpc2.CodeInvalidParams},
+	} {
+		answer := send(t, i.self.Peer, c.raw)
+		if !strings.Contains(answer, fmt.Sprintf(`"code":%d`, c.code)) {
+			t.Errorf("%s: got %s, want code %d", name, answer, c.code)
+		}
+		untouched(t, i, name)
+	}
+	if answer := send(t, i.self.Peer, request(MethodVouch, `{"from":"x"}`)); !strings.Contains(answer, `"result"`) {
+		t.Errorf("a good message afterwards got %s", answer)
+	}
+}
+
+// A peer may not ask back over a connection that was opened to it, nor answer
+// with more than a message may hold.
+func TestHostileAnswersEndTheConnection(t *testing.T) {
+	for name, reply := range map[string][]byte{
+		"garbage":   framed("garbage"),
+		"too long":  binary.AppendUvarint(nil, 1<<40),
+		"asks back": request(MethodHold, holdParams(t, bill(1))),
+		"no object": framed(`{"jsonrpc":"2.0","id":0,"result":7}`),
+	} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			r := bufio.NewReader(conn)
+			var m json.RawMessage
+			_ = jsonrpc2.VarintObjectCodec{}.ReadObject(r, &m)
+			_, _ = conn.Write(reply)
+			_ = jsonrpc2.VarintObjectCodec{}.ReadObject(r, &m) // until it closes or refuses
+		}()
+		i := fleet(t, 2, nil)[0]
+		peer := i.self
+		peer.ID, peer.Peer = "evil", ln.Addr().String()
+		if a := i.ask(context.Background(), peer, MethodDigest); a.ok {
+			t.Errorf("%s: taken as an answer", name)
+		}
+		untouched(t, i, name)
+		_ = ln.Close()
+		<-done
+	}
+}
+
+// FuzzMessage sends any message to every method. The first message of a fresh
+// instance may only change it where it is one that an instance sends.
+func FuzzMessage(f *testing.F) {
+	f.Add(MethodVouch, []byte(`{"from":"x"}`))
+	f.Add(MethodDigest, []byte(`{"from":"x","next":1,"gen":1,"hash":1,"board":0}`))
+	f.Add(MethodFetch, []byte(`{"from":"x","after":0,"snapshot":0,"offset":0}`))
+	f.Add(MethodManifest, []byte(`{"from":"x","gen":1}`))
+	f.Add(MethodHealth, []byte(`{"from":"x","items":[{"kind":"leaving","id":"a","stamp":1,"until":2,"origin":"o"}],"want":true}`))
+	f.Add(MethodHold, []byte(holdParams(f, bill(1))))
+	f.Fuzz(func(t *testing.T, method string, params []byte) {
+		store := &fakeStore{snapshot: []byte("good")}
+		one := &inst{store: store}
+		n := New(Config{}, Deps{Store: store, Events: discard{}})
+		raw := json.RawMessage(params)
+		_, err := n.handle(context.Background(), nil, &jsonrpc2.Request{Method: method, Params: &raw})
+		one.Node = n
+		if err != nil {
+			untouched(t, one, method)
+		}
+		for _, r := range n.held.all() {
+			if r.Key.Class() != record.ClassBill {
+				t.Errorf("holds %s", r.Key)
+			}
+		}
+	})
+}
+
+// FuzzStream reads any bytes as messages.
+func FuzzStream(f *testing.F) {
+	f.Add(framed(`{"jsonrpc":"2.0","id":1,"method":"m"}`))
+	f.Add(binary.AppendUvarint(nil, 1<<63))
+	f.Add([]byte{5, '{', '}'})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		here, there := net.Pipe()
+		defer here.Close()
+		go func() {
+			_, _ = there.Write(raw)
+			_ = there.Close()
+		}()
+		s := newStream(here)
+		for {
+			var v json.RawMessage
+			if err := s.ReadObject(&v); err != nil {
+				return
+			}
+			if len(v) > maxMessage {
+				t.Errorf("message of %d bytes", len(v))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/router/internal/peer/limits.go
@@ -0,0 +1,54 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Limits towards other instances, which may be of another version, broken, or
+// somebody else who reached the port.
+const (
+	// maxMessage bounds one message in bytes. The largest is a piece of a
+	// snapshot in base64.
+	maxMessage = 1 << 20
+	// pieceBytes is the most of a snapshot in one answer.
+	pieceBytes = 512 << 10
+	// maxConns bounds the connections taken at once: each of three peers in a
+	// fleet of hundreds may pick this instance by chance, and a stampede must
+	// not take the memory of a small instance.
+	maxConns = 256
+	// messageTime bounds the reading or writing of one message once it began,
+	// so that a byte at a time does not hold a connection.
+	messageTime = 5 * time.Second
+	// idleTime ends a connection without messages. It is longer than peers are
+	// kept (keepRounds), so that a chosen peer keeps its connection.
+	idleTime = 30 * time.Second
+	// dialTime bounds connecting, with TLS.
+	dialTime = time.Second
+	// callTime bounds one call, and so a round with silent peers. It is a fifth
+	// of the default freshness bound, so that several rounds fit in it.
+	callTime = time.Second
+	// fetchTime bounds the transfer of one snapshot.
+	fetchTime = 20 * time.Second
+	// maxName bounds the name of an instance.
+	maxName = 64
+)
+
+// Error codes of answers, beside those of JSON-RPC.
+const (
+	// CodeFull: no room to hold a bill.
+	CodeFull = -32010
+	// CodeGone: the snapshot is not kept any more, or not ahead of the asker.
+	CodeGone = -32011
+	// CodeFailed: the instance could not do it.
+	CodeFailed = -32012
+)
+
+func invalid(text string) *jsonrpc2.Error {
+	return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: text}
+}
+
+func failure(code int64, text string) *jsonrpc2.Error {
+	return &jsonrpc2.Error{Code: code, Message: text}
+}
--- /dev/null
+++ b/router/internal/peer/node.go
@@ -0,0 +1,228 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/jsonrpc2"
+	"golang.org/x/time/rate"
+
+	"masticplank.example/coordination/fold"
+	"masticplank.example/coordination/freshness"
+	"masticplank.example/coordination/node"
+	"masticplank.example/coordination/record"
+	"masticplank.example/decision"
+	"masticplank.example/router/internal/logging"
+	"masticplank.example/router/internal/wire"
+)
+
+// Vouches takes what peers say of the log's head. Safe for concurrent use.
+type Vouches interface {
+	Vouched(now time.Time, v freshness.Vouch)
+}
+
+// Events takes what peers say of health; *driver.Driver is it.
+type Events interface{ Send(decision.Event) }
+
+// Config of a Node.
+type Config struct {
+	// Self is this instance as the list has it.
+	Self wire.ListedInstance
+	// TLS is from TLSConfig; nil for plaintext.
+	TLS *tls.Config
+	// Interval between exchanges.
+	Interval time.Duration
+	// Seed makes the choice of peers repeatable; it should differ between
+	// instances.
+	Seed uint64
+}
+
+// Deps are what a Node works with.
+type Deps struct {
+	Store node.Store
+	// Instances gives the platform's list; it may hold the own instance.
+	Instances func() []wire.ListedInstance
+	Vouches   Vouches
+	Events    Events
+	// Hint asks for a read of the log at once; nil for none. It must not block.
+	Hint func()
+	// Chooser picks the peers; nil for NewChooser.
+	Chooser Chooser
+	// Log may be nil. Registry may be nil.
+	Log      *logging.Logger
+	Registry gometrics.Registry
+	// Now is the clock; nil for time.Now.
+	Now func() time.Time
+}
+
+// Node is this instance among its peers. Its methods are safe for concurrent
+// use, but for Round, which Run calls.
+type Node struct {
+	Deps
+	self     wire.ListedInstance
+	store    node.Store
+	interval time.Duration
+	pool     *pool
+	server   *server
+	board    *board
+	held     *held
+	snaps    *snapshots
+	warnings *rate.Limiter
+	// push wakes Run to pass on what is new at once.
+	push chan struct{}
+	// transferring and flushing guard work that outlasts a round.
+	transferring, flushing atomic.Bool
+	background             sync.WaitGroup
+
+	mu sync.Mutex
+	// unsent are news for the peers of the next push.
+	unsent []HealthItem
+	// tell says that a manifest won which peers were not told of.
+	tell bool
+	// chosen are the peers of the last round; answered says which answered.
+	chosen   []wire.ListedInstance
+	answered map[string]bool
+	// asked counts on through the list for the wide question of an outage.
+	asked int
+}
+
+// New returns a Node; Run starts it.
+func New(cfg Config, deps Deps) *Node {
+	if deps.Now == nil {
+		deps.Now = time.Now
+	}
+	if deps.Registry == nil {
+		deps.Registry = gometrics.NewRegistry()
+	}
+	if deps.Chooser == nil {
+		deps.Chooser = NewChooser(cfg.Self.Domain, cfg.Seed)
+	}
+	in := gometrics.GetOrRegisterCounter("peer.bytes_in", deps.Registry)
+	out := gometrics.GetOrRegisterCounter("peer.bytes_out", deps.Registry)
+	n := &Node{
+		Deps:     deps,
+		self:     cfg.Self,
+		store:    deps.Store,
+		interval: cfg.Interval,
+		pool:     newPool(cfg.TLS, in, out),
+		board:    newBoard(),
+		held:     newHeld(),
+		snaps:    &snapshots{store: deps.Store},
+		warnings: rate.NewLimiter(rate.Every(time.Second), 1),
+		push:     make(chan struct{}, 1),
+		answered: map[string]bool{},
+	}
+	n.server = &server{
+		tls:      cfg.TLS,
+		handler:  jsonrpc2.HandlerWithError(n.handle).SuppressErrClosed(),
+		in:       in,
+		out:      out,
+		rejected: n.reject,
+	}
+	return n
+}
+
+// Run serves peers on ln and exchanges with them until ctx ends, or ln fails.
+func (n *Node) Run(ctx context.Context, ln net.Listener) error {
+	stop := n.store.Watch(record.ClassManifest, n.manifestWon)
+	defer stop()
+	defer n.pool.close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var wg sync.WaitGroup
+	defer n.background.Wait()
+	defer wg.Wait()
+	wg.Go(func() { n.rounds(ctx) })
+	wg.Go(func() { n.pushes(ctx) })
+	err := n.server.serve(ctx, ln)
+	cancel()
+	return trace.Wrap(err)
+}
+
+func (n *Node) rounds(ctx context.Context) {
+	ticker := time.NewTicker(n.interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			n.Round(ctx)
+		}
+	}
+}
+
+func (n *Node) pushes(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.push:
+			n.Push(ctx)
+		}
+	}
+}
+
+// unlessBusy runs f beside the rounds, so that a slow transfer does not keep
+// the instance from hearing that it is fresh, and only once at a time.
+func (n *Node) unlessBusy(busy *atomic.Bool, f func()) {
+	if !busy.CompareAndSwap(false, true) {
+		return
+	}
+	n.background.Go(func() {
+		defer busy.Store(false)
+		f()
+	})
+}
+
+// wake makes Run push soon.
+func (n *Node) wake() {
+	select {
+	case n.push <- struct{}{}:
+	default:
+	}
+}
+
+// manifestWon runs in the fold's goroutine, so it only leaves a note.
+func (n *Node) manifestWon(c fold.Change) {
+	if c.Verdict != fold.VerdictWon {
+		return
+	}
+	n.mu.Lock()
+	n.tell = true
+	n.mu.Unlock()
+	n.wake()
+}
+
+// state is what this instance says of itself.
+func (n *Node) state() State {
+	d := n.store.Digest()
+	return State{
+		From:       n.self.ID,
+		Next:       d.Next,
+		Generation: d.Generation,
+		Hash:       d.Hash,
+		Board:      n.board.hash(n.Now()),
+	}
+}
+
+// reject notes what came from outside and was not accepted. Log lines are
+// limited, since whoever can connect could cause them.
+func (n *Node) reject(err error) {
+	gometrics.GetOrRegisterCounter("peer.rejected", n.Registry).Inc(1)
+	if n.warnings.Allow() {
+		n.Log.Emit(context.Background(), logging.EventPeerRejected, logging.Err(err))
+	}
+}
+
+// Held is how many bills wait here for the log, own and other instances'.
+func (n *Node) Held() int { return n.held.len() }
+
+func peerAttr(id string) slog.Attr { return slog.String("peer", id) }
--- /dev/null
+++ b/router/internal/peer/node_test.go
@@ -0,0 +1,344 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"reflect"
+	"testing"
+	"time"
+
+	"masticplank.example/coordination/fold"
+	"masticplank.example/coordination/node"
+	"masticplank.example/coordination/record"
+	"masticplank.example/decision"
+	"masticplank.example/router/internal/wire"
+)
+
+func TestRoundBringsWordsOnTheHead(t *testing.T) {
+	f := fleet(t, 3, nil)
+	f[1].store.set(func(s *fakeStore) { s.status.Head, s.status.LastHeadRead = 70, fixed.Add(-time.Second) })
+	f[2].store.set(func(s *fakeStore) { s.status.LogReachable, s.status.LastHeadRead = false, time.Time{} })
+	f[0].round()
+	if len(f[0].vouches) != 2 {
+		t.Fatalf("%d words, want 2", len(f[0].vouches))
+	}
+	for range 2 {
+		v := <-f[0].vouches
+		switch v.Peer {
+		case "i1":
+			if v.Head != 70 || v.HeadAge != time.Second || !v.LogReachable {
+				t.Errorf("got %+v", v)
+			}
+		case "i2":
+			if v.LogReachable || v.HeadAge != maxAge {
+				t.Errorf("got %+v", v)
+			}
+		}
+	}
+	if len(f[1].vouches)+len(f[2].vouches) != 0 {
+		t.Error("a question was taken for a word on the head")
+	}
+}
+
+func TestTimeOfTheCallCountsAsAge(t *testing.T) {
+	v := Word{AgeMS: 400}.vouch(300 * time.Millisecond)
+	if v.HeadAge != 700*time.Millisecond {
+		t.Errorf("got %v", v.HeadAge)
+	}
+	if v := (Word{AgeMS: -5}).vouch(-1); v.HeadAge != 0 {
+		t.Errorf("negative age: got %v", v.HeadAge)
+	}
+	if v := (Word{AgeMS: 1 << 62}).vouch(0); v.HeadAge != maxAge {
+		t.Errorf("huge age: got %v", v.HeadAge)
+	}
+}
+
+func TestAnswerUnderAnotherNameIsNoWord(t *testing.T) {
+	f := fleet(t, 2, nil)
+	stale := []wire.ListedInstance{{ID: "gone", Peer: f[1].self.Peer}}
+	f[0].Instances = func() []wire.ListedInstance { return stale }
+	f[0].round()
+	if len(f[0].vouches) != 0 || f[0].answered["gone"] {
+		t.Error("a word was taken from an instance that the list does not have there")
+	}
+}
+
+func TestStateComesFromThePeerThatIsFurthestAheadWhileTheLogIsDown(t *testing.T) {
+	state := append([]byte("good"), bytes.Repeat([]byte("s"), 2*pieceBytes)...)
+	for _, c := range []struct {
+		name      string
+		reachable bool
+		snapshot  []byte
+		want      []byte
+		hints     int
+	}{
+		{"log down", false, state, state, 0},
+		{"log reachable", true, state, nil, 1},
+		{"bad state", false, []byte("evil"), nil, 0},
+	} {
+		f := fleet(t, 3, nil)
+		f[0].store.set(func(s *fakeStore) { s.status.LogReachable = c.reachable; s.digest.Next = 5 })
+		f[1].store.set(func(s *fakeStore) { s.digest.Next = 8 })
+		f[2].store.set(func(s *fakeStore) {
+			s.digest, s.snapshot = fold.Digest{Next: 9, Generation: 1}, c.snapshot
+		})
+		f[0].round()
+		if !bytes.Equal(f[0].store.restored, c.want) {
+			t.Errorf("%s: restored %d bytes, want %d", c.name, len(f[0].store.restored), len(c.want))
+		}
+		if len(f[0].hints) != c.hints {
+			t.Errorf("%s: %d hints, want %d", c.name, len(f[0].hints), c.hints)
+		}
+		if f[1].store.restored != nil || f[2].store.restored != nil {
+			t.Errorf("%s: a peer took the state of one behind it", c.name)
+		}
+	}
+}
+
+func TestAllAreAskedWhileTheLogIsDown(t *testing.T) {
+	f := fleet(t, 8, nil)
+	f[0].store.set(func(s *fakeStore) { s.status.LogReachable = false })
+	f[0].round()
+	heard := map[string]bool{}
+	for range len(f[0].vouches) {
+		heard[(<-f[0].vouches).Peer] = true
+	}
+	if len(heard) != 7 {
+		t.Errorf("heard %v, want all 7", heard)
+	}
+}
+
+func TestPiecesOfASnapshotBelongTogether(t *testing.T) {
+	store := &fakeStore{digest: fold.Digest{Next: 4}, snapshot: make([]byte, pieceBytes+1)}
+	s := &snapshots{store: store}
+	first, err := s.piece(FetchParams{After: 3}, fixed)
+	if err != nil || first.Total != pieceBytes+1 || len(first.Data) != pieceBytes {
+		t.Fatalf("got %d of %d, %v", len(first.Data), first.Total, err)
+	}
+	store.set(func(f *fakeStore) { f.digest.Next, f.snapshot = 9, []byte("newer") })
+	rest, err := s.piece(FetchParams{After: 3, Snapshot: 4, Offset: pieceBytes}, fixed)
+	if err != nil || len(rest.Data) != 1 {
+		t.Errorf("second piece: got %d bytes, %v", len(rest.Data), err)
+	}
+	for name, p := range map[string]FetchParams{
+		"another snapshot": {Snapshot: 5, Offset: 1},
+		"beyond the end":   {Snapshot: 4, Offset: 1 << 40},
+		"before the start": {Snapshot: 4, Offset: -1},
+		"not ahead":        {After: 9},
+	} {
+		if _, err := s.piece(p, fixed); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+	s.drop(fixed.Add(keepSnapshot))
+	if s.data != nil {
+		t.Error("snapshot kept after its time")
+	}
+	for name, got := range map[string]FetchResult{
+		"endless":     {Total: 1 << 60, Data: []byte("x")},
+		"empty piece": {Total: 5},
+		"too much":    {Total: 1, Data: []byte("xx")},
+		"swapped":     {Snapshot: 2, Total: 9, Data: []byte("x")},
+	} {
+		if fits(FetchParams{Snapshot: 1, Offset: 1}, got) == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+}
+
+func TestManifestWonIsPushedAsAHint(t *testing.T) {
+	f := fleet(t, 2, nil)
+	f[0].round() // chooses the peer
+	f[0].store.set(func(s *fakeStore) { s.digest.Generation = 3 })
+	f[0].store.watch(fold.Change{Verdict: fold.VerdictLost})
+	f[0].store.watch(fold.Change{Verdict: fold.VerdictWon})
+	<-f[1].hints
+	if f[1].store.restored != nil {
+		t.Error("a push changed state")
+	}
+}
+
+func TestVerdictReachesEveryInstanceOnce(t *testing.T) {
+	f := fleet(t, 8, nil)
+	for _, i := range f {
+		i.round()
+	}
+	want := decision.VersionVerdict{Version: "résumé@7", Bad: true, Until: fixed.Add(time.Minute)}
+	f[0].ShareVerdict(want)
+	for _, i := range f[1:] {
+		got, ok := (<-i.events).(decision.VersionVerdict)
+		if !ok || got.Version != want.Version || !got.Bad || !got.Until.Equal(want.Until) {
+			t.Errorf("%s: got %+v", i.self.ID, got)
+		}
+	}
+	for _, i := range f {
+		i.round()
+		if len(i.events) != 0 {
+			t.Errorf("%s was told again, or told itself", i.self.ID)
+		}
+	}
+}
+
+func TestBoardsThatDifferAreSwappedInARound(t *testing.T) {
+	f := fleet(t, 2, nil)
+	// The instances have no peers yet, so nothing is pushed.
+	f[0].ShareLeaving("moteur-3")
+	f[0].ShareLeaving("moteur-3")
+	f[1].ShareQuarantine(decision.Quarantine{Fingerprint: 77, Until: fixed.Add(time.Minute)})
+	f[0].round()
+	if got := <-f[1].events; got != (decision.ServerLeaving{Server: "moteur-3"}) {
+		t.Errorf("got %+v", got)
+	}
+	if got, ok := (<-f[0].events).(decision.RequestQuarantined); !ok || got.Fingerprint != 77 {
+		t.Errorf("got %+v", got)
+	}
+	if f[0].board.hash(fixed) != f[1].board.hash(fixed) {
+		t.Error("boards still differ")
+	}
+}
+
+func TestBoardTakesTheLatestWordAndNothingHostile(t *testing.T) {
+	item := func(stamp, life time.Duration, bad bool) HealthItem {
+		at := fixed.Add(stamp)
+		return HealthItem{Kind: HealthVerdict, ID: "m@2", Bad: bad, Stamp: at.UnixMilli(), Until: at.Add(life).UnixMilli(), Origin: "i9"}
+	}
+	b := newBoard()
+	old, newer := item(-2*time.Second, time.Minute, true), item(-time.Second, time.Minute, false)
+	for _, items := range [][]HealthItem{{old}, {newer}, {old}} {
+		if _, err := b.merge(items, fixed); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := b.all(fixed); !reflect.DeepEqual(got, []HealthItem{newer}) {
+		t.Errorf("got %+v", got)
+	}
+	before := b.hash(fixed)
+	for name, bad := range map[string]HealthItem{
+		"from the future": item(time.Hour, time.Minute, true),
+		"for ever":        item(0, maxItemLife+time.Second, true),
+		"unknown kind":    {Kind: "root", ID: "x", Stamp: 1, Until: 2, Origin: "i"},
+		"no id":           {Kind: HealthLeaving, Stamp: 1, Until: 2, Origin: "i"},
+		"no origin":       {Kind: HealthLeaving, ID: "x", Stamp: 1, Until: 2},
+		"no fingerprint":  {Kind: HealthQuarantine, ID: "x", Stamp: 1, Until: 2, Origin: "i"},
+	} {
+		good := item(0, time.Minute, true)
+		if _, err := b.merge([]HealthItem{good, bad}, fixed); err == nil || b.hash(fixed) != before {
+			t.Errorf("%s: got %v, or a part was taken", name, err)
+		}
+	}
+	if len(b.all(fixed.Add(2*time.Minute))) != 0 || b.hash(fixed) != 0 {
+		t.Error("items outlive their time")
+	}
+}
+
+func TestFullBoardsConverge(t *testing.T) {
+	var items []HealthItem
+	for i := range maxItems + 50 {
+		at := fixed.UnixMilli() - int64(i)
+		items = append(items, HealthItem{Kind: HealthLeaving, ID: string(rune('a' + i)), Stamp: at, Until: at + 60_000, Origin: "i"})
+	}
+	x, y := newBoard(), newBoard()
+	for i := range items {
+		if _, err := x.merge(items[i:i+1], fixed); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := y.merge(items[len(items)-1-i:][:1], fixed); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(x.rows) != maxItems || x.hash(fixed) != y.hash(fixed) {
+		t.Errorf("%d rows; equal: %v", len(x.rows), x.hash(fixed) == y.hash(fixed))
+	}
+}
+
+func TestBillIsHeldInTwoFailureDomainsAndFlushedByBoth(t *testing.T) {
+	f := fleet(t, 8, nil)
+	f[0].round() // learns who answers
+	for n := range byte(20) {
+		if err := f[0].Hold(context.Background(), bill(n)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := f[0].Held(); got != 20 {
+		t.Errorf("%d held, want 20", got)
+	}
+	copies := 0
+	for _, i := range f[1:] {
+		copies += i.Held()
+		if i.self.Domain == f[0].self.Domain && i.Held() > 0 {
+			t.Errorf("%s in the same failure domain holds a copy", i.self.ID)
+		}
+	}
+	if copies != 20 {
+		t.Errorf("%d copies, want 20", copies)
+	}
+	f[0].store.set(func(s *fakeStore) { s.outcome = node.OutcomeUnknown })
+	f[0].round()
+	if f[0].Held() != 20 {
+		t.Error("bills with an unknown outcome were dropped")
+	}
+	total := 0
+	for _, i := range f {
+		i.store.set(func(s *fakeStore) { s.outcome = node.OutcomeLost })
+		i.round()
+		total += i.Held()
+	}
+	if total != 0 {
+		t.Errorf("%d bills left after the flush", total)
+	}
+	if !sameBills(f[0].store.puts[:20], f[0].store.puts[20:]) {
+		t.Error("a second try was not the same record")
+	}
+}
+
+func sameBills(a, b []record.Record) bool {
+	seen := map[record.Nonce]bool{}
+	for _, r := range a {
+		seen[r.Nonce] = true
+	}
+	for _, r := range b {
+		if !seen[r.Nonce] {
+			return false
+		}
+	}
+	return len(a) == len(b)
+}
+
+func TestHoldFailsWithoutASecondCopy(t *testing.T) {
+	f := fleet(t, 2, nil)
+	for name, list := range map[string][]wire.ListedInstance{
+		"no peers":       {f[0].self},
+		"peer not there": {f[0].self, {ID: "dead", Peer: "127.0.0.1:1", Domain: "gasabo"}},
+	} {
+		f[0].Instances = func() []wire.ListedInstance { return list }
+		if err := f[0].Hold(context.Background(), bill(1)); err == nil || f[0].Held() != 0 {
+			t.Errorf("%s: got %v with %d held", name, err, f[0].Held())
+		}
+	}
+	f[0].Instances = func() []wire.ListedInstance { return []wire.ListedInstance{f[0].self, f[1].self} }
+	f[1].held.bytes = maxHeldBytes
+	if err := f[0].Hold(context.Background(), bill(1)); err == nil || f[0].Held() != 0 {
+		t.Errorf("full peer: got %v with %d held", err, f[0].Held())
+	}
+	f[1].held.bytes = 0
+	f[0].held.bytes = maxHeldBytes
+	if err := f[0].Hold(context.Background(), bill(1)); err == nil || f[1].Held() != 0 {
+		t.Errorf("full here: got %v with %d copies", err, f[1].Held())
+	}
+}
+
+func TestDrainLeavesNoBillBehind(t *testing.T) {
+	for name, reachable := range map[string]bool{"into the log": true, "to a peer": false} {
+		f := fleet(t, 2, nil)
+		if err := f[0].held.add(bill(1)); err != nil {
+			t.Fatal(err)
+		}
+		f[0].store.set(func(s *fakeStore) { s.status.LogReachable = reachable })
+		if left := f[0].Drain(context.Background()); left != 0 {
+			t.Errorf("%s: %d left", name, left)
+		}
+		if got := len(f[0].store.puts) + f[1].Held(); got != 1 {
+			t.Errorf("%s: %d copies went out, want 1", name, got)
+		}
+	}
+}
--- /dev/null
+++ b/router/internal/peer/server.go
@@ -0,0 +1,82 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"sync"
+
+	"github.com/gravitational/trace"
+	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// server takes the connections of other instances.
+type server struct {
+	tls      *tls.Config
+	handler  jsonrpc2.Handler
+	in, out  gometrics.Counter
+	rejected func(error)
+	wg       sync.WaitGroup
+}
+
+// serve takes connections until ctx ends or ln fails. It returns once every
+// connection has ended.
+func (s *server) serve(ctx context.Context, ln net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	defer stop()
+	defer s.wg.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // ends the connections
+	slots := make(chan struct{}, maxConns)
+	for {
+		raw, err := ln.Accept()
+		if err != nil {
+			return s.acceptError(ctx, err)
+		}
+		select {
+		case slots <- struct{}{}:
+			s.wg.Go(func() {
+				defer func() { <-slots }()
+				s.handle(ctx, raw)
+			})
+		default:
+			s.rejected(trace.LimitExceeded("more than %d connections", maxConns))
+			_ = raw.Close()
+		}
+	}
+}
+
+func (s *server) acceptError(ctx context.Context, err error) error {
+	if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return trace.Wrap(err)
+}
+
+// handle serves one connection. Its requests run one after another, which
+// bounds what one peer can make this instance do at once.
+func (s *server) handle(ctx context.Context, raw net.Conn) {
+	defer func() { _ = raw.Close() }()
+	conn, err := s.secure(ctx, countedConn{Conn: raw, in: s.in, out: s.out})
+	if err != nil {
+		s.rejected(err)
+		return
+	}
+	rpc := jsonrpc2.NewConn(ctx, newStream(conn), s.handler, jsonrpc2.SetLogger(quiet{}))
+	<-rpc.DisconnectNotify()
+}
+
+func (s *server) secure(ctx context.Context, raw net.Conn) (net.Conn, error) {
+	if s.tls == nil {
+		return raw, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, messageTime)
+	defer cancel()
+	secure := tls.Server(raw, s.tls)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return secure, nil
+}
--- /dev/null
+++ b/router/internal/peer/tls.go
@@ -0,0 +1,40 @@
+package peer
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+
+	"github.com/gravitational/trace"
+
+	"masticplank.example/router/internal/settings"
+)
+
+// TLSConfig reads the certificates that the settings name; nil where they name
+// none, which the settings allow on loopback only. Both ends show a certificate
+// of the same authority, and the dialled IP must be in the other's. The files
+// are read once: to rotate, replace the instances.
+func TLSConfig(cfg settings.Peer) (*tls.Config, error) {
+	if cfg.CertFile == "" {
+		return nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(cfg.CertFile, cfg.KeyFile)
+	if err != nil {
+		return nil, trace.Wrap(err, "peer.cert_file and peer.key_file")
+	}
+	pem, err := os.ReadFile(cfg.CAFile)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, trace.BadParameter("peer.ca_file %s has no certificate in PEM", cfg.CAFile)
+	}
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{cert},
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		ClientCAs:    pool,
+		RootCAs:      pool,
+	}, nil
+}
--- /dev/null
+++ b/router/internal/peer/transfer.go
@@ -0,0 +1,113 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"masticplank.example/coordination/fold"
+	"masticplank.example/coordination/node"
+)
+
+// keepSnapshot is how long a snapshot is kept for those that fetch it. It also
+// bounds how often peers can make this instance encode one.
+const keepSnapshot = fetchTime
+
+// snapshots serves pieces of the own state. It keeps one snapshot at a time.
+// Safe for concurrent use.
+type snapshots struct {
+	store node.Store
+
+	mu   sync.Mutex
+	next uint64
+	data []byte
+	at   time.Time
+}
+
+// errGone means that the snapshot asked for is not to be had here.
+var errGone = errors.New("peer: no such snapshot")
+
+// piece returns the part of a snapshot that is asked for.
+func (s *snapshots) piece(p FetchParams, now time.Time) (FetchResult, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.Offset == 0 {
+		if err := s.refresh(p.After, now); err != nil {
+			return FetchResult{}, err
+		}
+	} else if p.Snapshot != s.next {
+		return FetchResult{}, errGone
+	}
+	if p.Offset < 0 || p.Offset >= int64(len(s.data)) {
+		return FetchResult{}, errGone
+	}
+	end := min(p.Offset+pieceBytes, int64(len(s.data)))
+	return FetchResult{Snapshot: s.next, Total: int64(len(s.data)), Data: s.data[p.Offset:end]}, nil
+}
+
+// refresh makes a snapshot ahead of after, unless the kept one is.
+func (s *snapshots) refresh(after uint64, now time.Time) error {
+	fresh := s.data != nil && now.Sub(s.at) < keepSnapshot
+	if fresh && s.next > after {
+		return nil
+	}
+	next := s.store.Digest().Next
+	if next <= after {
+		return errGone
+	}
+	data, err := s.store.Snapshot()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	s.next, s.data, s.at = next, data, now
+	return nil
+}
+
+// drop frees a snapshot that nobody fetches any more.
+func (s *snapshots) drop(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.at) >= keepSnapshot {
+		s.data, s.next = nil, 0
+	}
+}
+
+// fetchState takes over a peer's state. Restore refuses what is malformed or
+// not ahead, so a bad transfer changes nothing.
+func (n *Node) fetchState(ctx context.Context, addr string) error {
+	ctx, cancel := context.WithTimeout(ctx, fetchTime)
+	defer cancel()
+	params := FetchParams{From: n.self.ID, After: n.store.Digest().Next}
+	var data []byte
+	for {
+		var piece FetchResult
+		if err := n.pool.call(ctx, addr, MethodFetch, params, &piece); err != nil {
+			return trace.Wrap(err)
+		}
+		if err := fits(params, piece); err != nil {
+			return trace.Wrap(err)
+		}
+		data = append(data, piece.Data...)
+		if int64(len(data)) == piece.Total {
+			return trace.Wrap(n.store.Restore(data))
+		}
+		params.Snapshot = piece.Snapshot
+		params.Offset = int64(len(data))
+	}
+}
+
+// fits refuses pieces that would not end, or not fit together.
+func fits(asked FetchParams, got FetchResult) error {
+	switch {
+	case got.Total <= 0 || got.Total > fold.MaxSnapshot:
+		return trace.LimitExceeded("snapshot of %d bytes", got.Total)
+	case len(got.Data) == 0 || asked.Offset+int64(len(got.Data)) > got.Total:
+		return trace.BadParameter("piece out of bounds")
+	case asked.Offset > 0 && got.Snapshot != asked.Snapshot:
+		return trace.BadParameter("piece of another snapshot")
+	}
+	return nil
+}
