--- a/router/internal/peer/fixture_test.go
+++ b/router/internal/peer/fixture_test.go
@@ -89,7 +89,7 @@
 	hints   chan struct{}
 }
 
-func (i *inst) Vouched(_ time.Time, v freshness.Vouch) {
+func (i *inst) Vouched(v freshness.Vouch) {
 	select {
 	case i.vouches <- v:
 	default: // a test that counts them reads them
--- a/router/internal/peer/node.go
+++ b/router/internal/peer/node.go
@@ -23,9 +23,10 @@
 	"masticplank.example/router/internal/wire"
 )
 
-// Vouches takes what peers say of the log's head. Safe for concurrent use.
+// Vouches takes what peers say of the log's head, as it comes; *gate.Gate is
+// it. Safe for concurrent use.
 type Vouches interface {
-	Vouched(now time.Time, v freshness.Vouch)
+	Vouched(v freshness.Vouch)
 }
 
 // Events takes what peers say of health; *driver.Driver is it.
--- a/router/internal/peer/round.go
+++ b/router/internal/peer/round.go
@@ -114,8 +114,7 @@
 	if err != nil {
 		return answer{peer: p}
 	}
-	now := n.Now()
-	n.Vouches.Vouched(now, word.vouch(now.Sub(begin)))
+	n.Vouches.Vouched(word.vouch(n.Now().Sub(begin)))
 	return answer{peer: p, word: word, ok: true}
 }
 
--- a/router/internal/session/session.go
+++ b/router/internal/session/session.go
@@ -10,8 +10,6 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
-
-	"masticplank.example/router/internal/manifest"
 )
 
 // Session is what a token or a register holds.
@@ -51,34 +49,6 @@
 	return version, ok
 }
 
-// PinState tells what a pin is worth under the manifest in force.
-type PinState uint8
-
-const (
-	// PinUsable: the version takes the session's work.
-	PinUsable PinState = iota + 1
-	// PinWithdrawn: the version takes no new work at all. The caller must hear
-	// it: another version would silently break the session.
-	PinWithdrawn
-	// PinUnknown: the manifest does not have the version any more, which is
-	// as final as withdrawn.
-	PinUnknown
-)
-
-// StateOf judges a pinned version. A draining version keeps its open sessions.
-func StateOf(versions []manifest.Version, pinned string) PinState {
-	for _, v := range versions {
-		if v.ID != pinned {
-			continue
-		}
-		if v.State == manifest.StateWithdrawn {
-			return PinWithdrawn
-		}
-		return PinUsable
-	}
-	return PinUnknown
-}
-
 // check says what is wrong with s; empty means nothing.
 func (s Session) check() string {
 	switch {
--- a/router/internal/session/token_test.go
+++ b/router/internal/session/token_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/golang-jwt/jwt/v5"
 
-	"masticplank.example/router/internal/manifest"
 	"masticplank.example/router/internal/settings"
 )
 
@@ -139,21 +138,6 @@
 	}
 }
 
-func TestPinStates(t *testing.T) {
-	versions := []manifest.Version{
-		{ID: "m@1", State: manifest.StateWithdrawn},
-		{ID: "m@2", State: manifest.StateDraining},
-		{ID: "m@3", State: manifest.StateServing},
-	}
-	for pinned, want := range map[string]PinState{
-		"m@1": PinWithdrawn, "m@2": PinUsable, "m@3": PinUsable, "m@4": PinUnknown,
-	} {
-		if got := StateOf(versions, pinned); got != want {
-			t.Errorf("%s: got %v, want %v", pinned, got, want)
-		}
-	}
-}
-
 func FuzzVerify(f *testing.F) {
 	now := start
 	ring := tokens(f, &now, "k1")
