Observation carries the outcome's code

Cause: an availability that counts a caller's own faults (an expired key, an unknown model) or its cancelling would burn the budget of a system that works; the kind alone does not tell them apart.

Checked: go test -race, go vet on router/internal/api.

--- a/router/internal/api/api.go
+++ b/router/internal/api/api.go
@@ -50,6 +50,9 @@
 	Team    string
 	Version string
 	Outcome string
+	// Code is the outcome's code where it is not completed; it tells a
+	// caller's own fault from the system's.
+	Code string
 	// FirstToken is zero where none came; InterToken is the mean gap.
 	FirstToken time.Duration
 	InterToken time.Duration
--- a/router/internal/api/attempt.go
+++ b/router/internal/api/attempt.go
@@ -150,7 +150,7 @@
 		return
 	}
 	x.writeAnswer(a)
-	x.observe(string(outcome.Completed))
+	x.observe(outcome.Outcome{Kind: outcome.Completed})
 	x.over = true
 }
 
--- a/router/internal/api/exchange.go
+++ b/router/internal/api/exchange.go
@@ -197,7 +197,7 @@
 		return
 	}
 	x.writeAnswer(x.held)
-	x.observe(string(outcome.Completed))
+	x.observe(outcome.Outcome{Kind: outcome.Completed})
 	x.over = true
 }
 
@@ -227,7 +227,7 @@
 		return
 	}
 	x.over = true
-	x.observe(string(o.Kind))
+	x.observe(o)
 	if x.sent {
 		panic(http.ErrAbortHandler)
 	}
@@ -249,11 +249,12 @@
 	x.finish(outcome.Outcome{Kind: outcome.Unknown, Code: "cancelled", Message: "the request was cancelled"})
 }
 
-func (x *exchange) observe(kind string) {
+func (x *exchange) observe(ended outcome.Outcome) {
 	o := Observation{
 		Team:       x.caller.team.ID,
 		Version:    x.bill.Version,
-		Outcome:    kind,
+		Outcome:    string(ended.Kind),
+		Code:       ended.Code,
 		FirstToken: x.firstToken,
 		Whole:      time.Since(x.start),
 		Cost:       x.bill.Cost,
