Cascade, rating faults, prefix affinity and session versions in the world

Cause: requests that leave the model open took the cheapest model by the manifest's word, answers were never held, and prefix caches were unknown.

A plan now comes from what was learnt per team and class; a first answer is held only where it may be replaced: not streamed, idempotent, with room for two answers and a rating before the deadline. A held answer is whole, so whatever happens to the second step delivers it. Where the planned model's queue is too long, another one that meets the target is used before a refusal. The two deepest prefix matches join the two drawn servers. SessionVersions picks the versions of a new session, never by a probe.

Tests of decision, with -race, pass.

--- a/decision/admit.go
+++ b/decision/admit.go
@@ -31,7 +31,11 @@
 		return
 	}
 	w.aim(r, to)
-	if reason := w.crowded(r); reason != "" {
+	reason := w.crowded(r)
+	if reason == ReasonWaitTooLong && w.spill(r) {
+		reason = ""
+	}
+	if reason != "" {
 		w.refuse(r, reason, w.retryAfter(w.waitFor(r)))
 		return
 	}
--- /dev/null
+++ b/decision/cascade.go
@@ -0,0 +1,150 @@
+package decision
+
+import (
+	"time"
+
+	"masticplank.example/decision/internal/estimate"
+)
+
+// task is what quality and length are learnt by.
+type task = estimate.Task[TeamID, TaskClass]
+
+// plan is how a request runs through the models.
+type plan = estimate.Plan[VersionID]
+
+func newEstimates() *estimate.Table[TeamID, TaskClass, VersionID] {
+	return estimate.New[TeamID, TaskClass, VersionID](estimate.DefaultConfig())
+}
+
+// applyEstimates tells the table what the manifest states of each version.
+func (w *World) applyEstimates() {
+	quality := make(map[VersionID]float64, len(w.versions))
+	for _, v := range w.versions {
+		if !v.gone {
+			quality[v.ID] = v.Quality
+		}
+	}
+	w.estimates.Apply(quality)
+}
+
+// resolveAny plans a request that leaves the model open.
+//
+// Load: many easy requests and a few hard ones. Harm prevented: the dear model's
+// price for the easy ones, or the cheap model's answer for the hard ones. The
+// plan is the cheapest that is expected to meet the team's target.
+func (w *World) resolveAny(t *team, r *request) choice {
+	if len(t.models) == 0 {
+		return refused(ReasonNotAllowed)
+	}
+	w.offerOptions(t, r)
+	if len(w.options) == 0 {
+		return refused(ReasonNoServer)
+	}
+	r.plan = w.planFor(t, r)
+	v := w.versions[r.plan.First]
+	return choice{version: v, pool: v.pool}
+}
+
+// offerOptions lists the version of each allowed model that the request may run
+// on now. A model without a server is left out: another one can answer.
+func (w *World) offerOptions(t *team, r *request) {
+	w.options = w.options[:0]
+	for _, tm := range t.models {
+		v := w.rollout(tm, r.ShareHash)
+		if v != nil && v.pool.usable > 0 {
+			w.options = append(w.options, estimate.Option[VersionID]{Version: v.ID, Cost: v.Cost})
+		}
+	}
+}
+
+func (w *World) planFor(t *team, r *request) plan {
+	switch w.cfg.Policy.Cascade {
+	case CascadeBest:
+		return plan{First: w.bestOption()}
+	case CascadeFixed:
+		return w.fixedPlan(t, r)
+	}
+	return w.estimates.Plan(estimate.Query[TeamID, TaskClass, VersionID]{
+		Task:    task{Team: t.ID, Class: r.Class},
+		Target:  t.QualityTarget,
+		Options: w.options,
+		MayHold: w.mayHold(r),
+		Draw:    w.rng.Float64(),
+		Now:     w.now,
+	})
+}
+
+// mayHold says whether a first answer may be held back and replaced.
+//
+// A streamed answer is not: its caller waits for the first token, so the step
+// that meets the target by itself is taken instead. Nor is one that may run only
+// once. And two answers and a rating must fit the deadline.
+func (w *World) mayHold(r *request) bool {
+	if r.Streamed || !r.Idempotent {
+		return false
+	}
+	longest := time.Duration(0)
+	for _, o := range w.options {
+		p := w.versions[o.Version].pool
+		longest = max(longest, p.pace.service(w.costOf(r)))
+	}
+	return !w.now.Add(2*longest + w.cfg.RateBudget).After(r.deadline)
+}
+
+// bestOption is the version of the highest stated quality.
+func (w *World) bestOption() VersionID {
+	best := w.options[0].Version
+	for _, o := range w.options[1:] {
+		if w.versions[o.Version].Quality > w.versions[best].Quality {
+			best = o.Version
+		}
+	}
+	return best
+}
+
+// fixedPlan is the baseline: the cheapest first, the best behind it.
+func (w *World) fixedPlan(t *team, r *request) plan {
+	first := w.options[0]
+	for _, o := range w.options[1:] {
+		if o.Cost < first.Cost {
+			first = o
+		}
+	}
+	best := w.bestOption()
+	if best == first.Version {
+		return plan{First: best}
+	}
+	if !w.mayHold(r) {
+		return plan{First: best}
+	}
+	return plan{First: first.Version, Cascade: true, Second: best, Bar: t.QualityTarget}
+}
+
+// spill looks for another model where the planned one's queue is too long.
+//
+// Load: a term opening that fills the cheap pool. Harm prevented: a refusal while
+// a model that the team may use, and that meets its target, stands idle. It
+// costs more; it is not done for teams whose share there is used up, since their
+// wait there is too long as well.
+func (w *World) spill(r *request) bool {
+	if r.Model != "" || r.Pinned != "" || r.Service != "" {
+		return false
+	}
+	key := task{Team: r.Team, Class: r.Class}
+	planned, before := r.plan, choice{version: r.version, pool: r.pool}
+	for _, o := range w.options {
+		v := w.versions[o.Version]
+		quality, _ := w.estimates.Quality(key, o.Version, w.now)
+		if v == r.version || quality < r.team.QualityTarget {
+			continue
+		}
+		r.plan = plan{First: o.Version}
+		w.aim(r, choice{version: v, pool: v.pool})
+		if w.crowded(r) == "" {
+			return true
+		}
+	}
+	r.plan = planned
+	w.aim(r, before)
+	return false
+}
--- a/decision/escalate.go
+++ b/decision/escalate.go
@@ -1,4 +1,68 @@
 package decision
 
-// escalate judges ratings.
-func (w *World) escalate() {}
+import "time"
+
+// escalate judges the ratings of held answers: deliver, or replace by the plan's
+// second step.
+//
+// Load: hard requests among easy ones, and a rating service that is late, slow,
+// wrong or down. Harm prevented: an answer below the team's quality; but an
+// answer never waits longer for its rating than its budget, and never past the
+// point where the second step could still be in time.
+func (w *World) escalate() {
+	for _, e := range w.rated {
+		w.learnRating(e)
+		r := w.requests[e.Request]
+		if r != nil && r.state == stateHeld && r.held == e.Attempt {
+			w.judgeHeld(r, e)
+		}
+	}
+}
+
+// learnRating teaches the estimates. The second step's rating is learnt apart,
+// since it answers the harder requests.
+func (w *World) learnRating(e AnswerRated) {
+	key := task{Team: e.Team, Class: e.Class}
+	used := w.estimates.Rated(key, e.Version, e.Score, e.Late, w.now)
+	at := attemptKey{e.Request, e.Attempt}
+	first, second := w.seconds.Peek(at)
+	if !second {
+		return
+	}
+	w.seconds.Remove(at)
+	if used {
+		w.estimates.RatedSecond(key, first, e.Version, e.Score)
+	}
+}
+
+func (w *World) judgeHeld(r *request, e AnswerRated) {
+	v := w.versions[r.plan.Second]
+	if e.Late || v == nil || !w.mayStep(r, v) {
+		w.deliver(r, r.held)
+		return
+	}
+	w.aim(r, choice{version: v, pool: v.pool})
+	need := w.waitFor(r) + v.pool.pace.service(r.item.Cost)
+	if !r.plan.Escalate(e.Score, r.deadline.Sub(w.now), need) {
+		w.deliver(r, r.held)
+		return
+	}
+	w.enqueue(r)
+}
+
+// mayStep says whether the second step may run by the manifest as it is now.
+func (w *World) mayStep(r *request, v *version) bool {
+	return v.serving() && !r.team.gone && r.team.allowed[v.ID] && v.pool.usable > 0 &&
+		int(r.attempts) < w.cfg.MaxAttempts && w.fresh
+}
+
+// rateGrace is how long past the budget the router's word is waited for. It
+// sends one in any case; this only bounds the harm of a lost one.
+const rateGrace = 100 * time.Millisecond
+
+// hold keeps a whole answer back until its rating is in.
+func (w *World) hold(r *request, a *attempt) {
+	r.held = a.key.attempt
+	r.state = stateHeld
+	w.watch(r, w.now.Add(min(a.rateBudget+rateGrace, r.deadline.Sub(w.now))))
+}
--- a/decision/ingest.go
+++ b/decision/ingest.go
@@ -102,8 +102,6 @@
 	}
 }
 
-func (w *World) ingestCache(e CacheChanged) {}
-
 // reportFresh says whether the last load report still counts.
 func (w *World) reportFresh(s *server) bool {
 	return w.now.Sub(s.reportedAt) < w.cfg.ReportLife
--- a/decision/ingest_attempt.go
+++ b/decision/ingest_attempt.go
@@ -23,6 +23,9 @@
 	w.judgeServer(a, e)
 	w.judgeVersion(a, e)
 	w.crashEnded(a, e.Result)
+	if e.Result == AttemptCrashed {
+		w.prefixes.Forget(a.server.ID) // its cache died with it
+	}
 	if a.request.current == a {
 		a.request.current = nil
 		w.ended = append(w.ended, endedAttempt{attempt: a, event: e})
@@ -45,6 +48,9 @@
 		return
 	}
 	a.pool.pace.learn(w.now.Sub(a.started), a.cost)
+	if a.version != "" {
+		w.estimates.Ended(task{Team: a.team.ID, Class: a.request.Class}, a.version, e.Tokens)
+	}
 	if e.Tokens <= 0 || a.pool.service != "" {
 		return
 	}
--- a/decision/ingest_manifest.go
+++ b/decision/ingest_manifest.go
@@ -16,6 +16,7 @@
 	w.applyVersions(e.Versions)
 	w.applyTeams(e.Teams)
 	w.applyVerdicts()
+	w.applyEstimates()
 	w.recheck = true
 }
 
--- a/decision/ingest_servers.go
+++ b/decision/ingest_servers.go
@@ -77,7 +77,7 @@
 	if s.running > 0 {
 		w.departed[s.ID] = s
 	}
-	w.forgetCache(s.ID)
+	w.prefixes.Forget(s.ID)
 }
 
 // ingestLeaving stops new work to a server at once and passes the word on the
@@ -253,5 +253,3 @@
 	}
 	return p
 }
-
-func (w *World) forgetCache(id ServerID) {}
--- a/decision/pick.go
+++ b/decision/pick.go
@@ -48,14 +48,14 @@
 	return w.lastResort(p, r)
 }
 
-// consider adds a server to the candidates, once.
-func (w *World) consider(s *server, p *pool, r *request) {
+// consider adds a server to the candidates, once, and returns its candidate.
+func (w *World) consider(s *server, p *pool, r *request) *place.Candidate {
 	if s == nil {
-		return
+		return nil
 	}
-	for _, drawn := range w.drawn {
+	for i, drawn := range w.drawn {
 		if drawn == s {
-			return
+			return &w.candidates[i]
 		}
 	}
 	w.drawn = append(w.drawn, s)
@@ -69,6 +69,7 @@
 		Ejected: !s.isFree,
 		Tried:   w.avoids(r, s),
 	})
+	return &w.candidates[len(w.candidates)-1]
 }
 
 // samples bounds the draws for a server that the request has not tried.
@@ -135,9 +136,6 @@
 	return load / float64(s.capacity())
 }
 
-// considerCached adds the free server that has most of the prompt cached.
-func (w *World) considerCached(p *pool, r *request) {}
-
 // pickNext is the round robin baseline.
 func (w *World) pickNext(p *pool, r *request) *server {
 	for range len(p.free) {
--- a/decision/place.go
+++ b/decision/place.go
@@ -86,7 +86,7 @@
 		a.version = r.version.ID
 		cmd.Version = a.version
 	}
-	w.planRating(r, &cmd)
+	w.planRating(r, a, &cmd)
 	r.current = a
 	r.state = stateRunning
 	s.running++
@@ -96,15 +96,36 @@
 		w.outliers.Dispatched(s.ID, w.now)
 	}
 	w.refresh(s)
+	w.noteCached(r, s)
 	w.watch(r, r.deadline)
 	w.emit(cmd)
 }
 
-// planRating says whether the answer is to be rated, and held for it.
-func (w *World) planRating(r *request, cmd *Dispatch) {
+// planRating says whether the answer is to be rated, and held for it. All model
+// answers are rated, since also those not held teach, and show that the rating
+// service is back.
+func (w *World) planRating(r *request, a *attempt, cmd *Dispatch) {
 	if r.version == nil {
 		return
 	}
 	cmd.Rate = true
 	cmd.RateBudget = w.rateBudget(r)
+	if r.held != 0 {
+		w.seconds.Add(a.key, r.plan.First)
+		return
+	}
+	a.hold = r.plan.Cascade && w.roomForSecond(r)
+	a.rateBudget = cmd.RateBudget
+	cmd.Hold = a.hold
+}
+
+// roomForSecond says whether a second step would still be in time after this one.
+// If not, to hold the answer would only delay it.
+func (w *World) roomForSecond(r *request) bool {
+	second := w.versions[r.plan.Second]
+	if second == nil {
+		return false
+	}
+	need := r.pool.pace.service(r.item.Cost) + second.pool.pace.service(r.item.Cost) + w.cfg.RateBudget
+	return !w.now.Add(need).After(r.deadline)
 }
--- a/decision/resolve.go
+++ b/decision/resolve.go
@@ -83,36 +83,6 @@
 	return w.withServer(v, v.pool)
 }
 
-// resolveAny takes the cheapest allowed model that meets the team's target.
-func (w *World) resolveAny(t *team, r *request) choice {
-	var best *version
-	for _, tm := range t.models {
-		v := w.rollout(tm, r.ShareHash)
-		if v != nil && v.pool.usable > 0 && (best == nil || better(v, best, t.QualityTarget)) {
-			best = v
-		}
-	}
-	if best != nil {
-		return choice{version: best, pool: best.pool}
-	}
-	if len(t.models) == 0 {
-		return refused(ReasonNotAllowed)
-	}
-	return refused(ReasonNoServer)
-}
-
-// better says whether a is to be preferred to b at the target.
-func better(a, b *version, target float64) bool {
-	meetsA, meetsB := a.Quality >= target, b.Quality >= target
-	if meetsA != meetsB {
-		return meetsA
-	}
-	if meetsA {
-		return a.Cost < b.Cost
-	}
-	return a.Quality > b.Quality
-}
-
 func (w *World) withServer(v *version, p *pool) choice {
 	if p.usable == 0 {
 		return refused(ReasonNoServer)
@@ -128,18 +98,22 @@
 // verdict passes its part to the next older one, its predecessor; only where no
 // older one is left does a newer one take it.
 func (w *World) rollout(tm *teamModel, hash float64) *version {
+	return w.rolloutBy(tm, hash, w.takesNew)
+}
+
+func (w *World) rolloutBy(tm *teamModel, hash float64, takes func(*version) bool) *version {
 	list := tm.rollout
 	if len(list) == 0 {
 		return nil
 	}
 	at := w.shareIndex(tm, hash)
 	for i := at; i < len(list); i++ {
-		if w.takesNew(list[i]) {
+		if takes(list[i]) {
 			return list[i]
 		}
 	}
 	for i := at - 1; i >= 0; i-- {
-		if w.takesNew(list[i]) {
+		if takes(list[i]) {
 			return list[i]
 		}
 	}
--- a/decision/retry.go
+++ b/decision/retry.go
@@ -31,6 +31,10 @@
 
 // completed delivers the answer, or holds it for its rating.
 func (w *World) completed(r *request, e endedAttempt) {
+	if e.attempt.hold {
+		w.hold(r, e.attempt)
+		return
+	}
 	w.deliver(r, e.attempt.key.attempt)
 }
 
--- /dev/null
+++ b/decision/shift_test.go
@@ -0,0 +1,162 @@
+package decision
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// rollOut has weave@2 take half of weave@1's new requests.
+func rollOut(t *testing.T, cfg Config) *harness {
+	h := newHarness(t, cfg)
+	h.manifest(1, []Team{teamOf("weavers", 1)}, []Version{
+		{ID: weave1, Model: "weave", State: VersionServing, Share: 0.5, Quality: 0.8},
+		{ID: weave2, Model: "weave", State: VersionServing, Share: 0.5, Quality: 0.8, Predecessor: weave1},
+	})
+	h.servers(serversOf(6, 8, weave1, weave2)...)
+	h.tick()
+	return h
+}
+
+// A version that turns bad gets at most 1% of the requests after its first 50
+// bad answers; sessions that are pinned to it stay.
+func TestBadVersionIsShutOff(t *testing.T) {
+	tests := map[string]struct {
+		rating func(Dispatch, Request) (float64, bool)
+		result AttemptResult
+	}{
+		"by ratings": {rating: func(d Dispatch, _ Request) (float64, bool) {
+			if d.Version == weave2 {
+				return 0.3, false
+			}
+			return 0.8, false
+		}, result: AttemptCompleted},
+		"by errors": {result: AttemptFailed},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := rollOut(t, DefaultConfig())
+			h.rating = func(Dispatch, Request) (float64, bool) { return 0.8, false }
+			rng := rand.New(rand.NewPCG(5, 5))
+			load := demand{perSecond: 100, request: drafting("weavers"), deadline: 5 * time.Second}
+			offer(h, rng, 5*time.Second, load)
+
+			h.rating = tt.rating
+			h.ended = func(d Dispatch, _ Request) AttemptResult {
+				if d.Version == weave2 {
+					return tt.result
+				}
+				return AttemptCompleted
+			}
+			first, bad, shared := 0, 0, 0
+			h.seen = func(c Command) {
+				if v, ok := c.(ShareVerdict); ok && v.Verdict.Bad && v.Verdict.Version == weave2 {
+					shared++
+				}
+				if d, ok := c.(Dispatch); ok && d.Attempt == 1 {
+					first++
+					if d.Version == weave2 {
+						bad++
+					}
+				}
+			}
+			offer(h, rng, 20*time.Second, load)
+			if first < 1900 || bad > 50+first/100 {
+				t.Errorf("%d of %d requests on the bad version", bad, first)
+			}
+			if shared == 0 {
+				t.Error("the verdict was not shared")
+			}
+			for _, id := range h.w.SessionVersions("weavers", 0.1) {
+				if id == weave2 {
+					t.Error("a new session is pinned to the bad version")
+				}
+			}
+			h.ended = always(AttemptCompleted)
+			pinned := h.arrive(Request{Team: "weavers", Pinned: weave2})
+			h.run(2 * time.Second)
+			if _, ok := h.outcomes[pinned].command.(Deliver); !ok {
+				t.Errorf("pinned request: %+v", h.outcomes[pinned])
+			}
+		})
+	}
+}
+
+// A peer's verdict counts until it lapses.
+func TestPeerVerdict(t *testing.T) {
+	h := rollOut(t, DefaultConfig())
+	h.send(VersionVerdict{Version: weave2, Bad: true, Until: h.now.Add(time.Second)})
+	h.tick()
+	at := func() VersionID { return h.w.SessionVersions("weavers", 0.1)[0] }
+	if got := at(); got != weave1 {
+		t.Errorf("with the verdict: %s", got)
+	}
+	h.run(2 * time.Second)
+	if got := at(); got != weave2 {
+		t.Errorf("after it has lapsed: %s", got)
+	}
+}
+
+// One slow backend server among six is found and left out; callers' waits stay
+// near those without it.
+func TestSlowServer(t *testing.T) {
+	p99 := func(policy Policy) time.Duration {
+		cfg := DefaultConfig()
+		cfg.Policy = policy
+		h := newHarness(t, cfg)
+		h.manifest(1, []Team{teamOf("weavers", 1)}, smallVersions())
+		h.servers(serversOf(6, 8, weave1, draft1)...)
+		h.took = func(d Dispatch, r Request) time.Duration {
+			if d.Server == "s0" {
+				return 10 * paced(d, r)
+			}
+			return paced(d, r)
+		}
+		rng := rand.New(rand.NewPCG(9, 9))
+		load := demand{perSecond: 120, request: drafting("weavers"), deadline: 10 * time.Second}
+		offer(h, rng, 10*time.Second, load)
+		h.outcomes = map[RequestID]outcome{}
+		offer(h, rng, 20*time.Second, load)
+		h.run(10 * time.Second)
+		h.settled()
+		if got := h.delivered(""); got != len(h.outcomes) {
+			t.Errorf("%d of %d delivered", got, len(h.outcomes))
+		}
+		return percentile(h.waits("weavers"), 0.99)
+	}
+	with, without := p99(Policy{}), p99(Policy{NoShift: true})
+	if with > 300*time.Millisecond || without < time.Second {
+		t.Errorf("p99 %v, without ejection %v", with, without)
+	}
+}
+
+// Requests with the same long prefix gather on few servers, but not once these
+// are loaded.
+func TestPrefixAffinity(t *testing.T) {
+	h := newHarness(t, DefaultConfig())
+	h.manifest(1, []Team{teamOf("weavers", 1)}, smallVersions())
+	h.servers(serversOf(6, 8, weave1, draft1)...)
+	used := map[ServerID]int{}
+	h.seen = func(c Command) {
+		if d, ok := c.(Dispatch); ok {
+			used[d.Server]++
+		}
+	}
+	r := drafting("weavers")
+	r.PromptTokens, r.Blocks = 2000, []BlockHash{1, 2, 3, 4}
+	for range 30 {
+		h.arrive(r)
+		h.run(12 * step)
+	}
+	if len(used) > 2 {
+		t.Errorf("one at a time: used %v", used)
+	}
+	clear(used)
+	for range 40 {
+		h.arrive(r)
+	}
+	h.tick()
+	if len(used) < 5 {
+		t.Errorf("40 at once: used %v", used)
+	}
+}
--- a/decision/tables.go
+++ b/decision/tables.go
@@ -181,16 +181,15 @@
 	attempts AttemptID
 	current  *attempt
 	// held is the completed attempt whose answer waits; 0 for none.
-	held        AttemptID
-	heldVersion *version
+	held AttemptID
 	// tried are the servers that ended an attempt without an answer.
 	tried   []*server
 	crashes int
 	// ran says that a backend server may have run it, so it is never refused.
 	ran bool
-	// mayEscalate is the cascade's plan for the present step.
-	mayEscalate bool
-	lastResult  AttemptResult
+	// plan is the cascade's, for a request that leaves the model open.
+	plan       plan
+	lastResult AttemptResult
 }
 
 // requestState is where a request stands.
@@ -222,6 +221,9 @@
 	started time.Time
 	// firstToken is zero until it came.
 	firstToken time.Time
+	// hold says that the answer is kept back until it is rated, for rateBudget.
+	hold       bool
+	rateBudget time.Duration
 	// counted is the crash table's note on the dispatch.
 	counted bool
 	// cost was the estimate, prompt its part that is known beforehand.
--- a/decision/withdraw.go
+++ b/decision/withdraw.go
@@ -26,7 +26,7 @@
 // withdrawStale refuses queued work once freshness has been gone for the grace:
 // it was not run, and another instance can take it.
 func (w *World) withdrawStale() {
-	if len(w.busy) == 0 || w.now.Sub(w.staleSince) < w.cfg.FreshnessGrace {
+	if len(w.busy)+len(w.parked) == 0 || w.now.Sub(w.staleSince) < w.cfg.FreshnessGrace {
 		return
 	}
 	for _, r := range w.queuedRequests() {
@@ -59,8 +59,7 @@
 // recheckStep gives up an escalation that may not run any more: the answer that
 // is held already is whole and was allowed.
 func (w *World) recheckStep(r *request) {
-	v := r.version
-	if v.serving() && r.team.allowed[v.ID] && !r.team.gone && r.pool.usable > 0 {
+	if w.mayStep(r, r.version) {
 		return
 	}
 	w.deliver(r, r.held)
@@ -78,11 +77,11 @@
 	}
 }
 
-// queuedRequests lists all queued requests in order of their ids.
+// queuedRequests lists all queued and parked requests in order of their ids.
 func (w *World) queuedRequests() []*request {
 	var list []*request
 	for _, r := range w.due {
-		if r.state == stateQueued {
+		if r.state == stateQueued || r.state == stateParked {
 			list = append(list, r)
 		}
 	}
--- a/decision/world.go
+++ b/decision/world.go
@@ -4,7 +4,11 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"masticplank.example/decision/internal/estimate"
 	"masticplank.example/decision/internal/place"
+	"masticplank.example/decision/internal/prefix"
 	"masticplank.example/decision/internal/verdict"
 )
 
@@ -19,6 +23,11 @@
 	verdicts *verdict.Versions[VersionID, ServerID]
 	outliers *verdict.Outliers[ServerID, string]
 	crashes  *verdict.Crashes[Fingerprint]
+	// estimates is the learnt quality and length; seconds the dispatched second
+	// steps whose rating is to come, with their first step.
+	estimates *estimate.Table[TeamID, TaskClass, VersionID]
+	seconds   *simplelru.LRU[attemptKey, VersionID]
+	prefixes  *prefix.Index[ServerID, BlockHash]
 
 	now   time.Time
 	fresh bool
@@ -39,6 +48,8 @@
 	// Kept between decisions to save allocations.
 	candidates []place.Candidate
 	drawn      []*server
+	options    []estimate.Option[VersionID]
+	matches    []prefix.Match[ServerID]
 	out        []Command
 }
 
@@ -54,6 +65,10 @@
 		verdicts: newVerdicts(cfg),
 		outliers: newOutliers(cfg),
 		crashes:  newCrashes(cfg),
+
+		estimates: newEstimates(),
+		seconds:   newSeconds(),
+		prefixes:  prefix.New[ServerID, BlockHash](prefix.DefaultConfig()),
 	}
 }
 
@@ -88,3 +103,15 @@
 	w.rated = w.rated[:0]
 	w.out = w.out[:0]
 }
+
+// secondsLimit bounds the second steps whose rating is waited for; a rating that
+// is lost leaves its entry to be pushed out.
+const secondsLimit = 4096
+
+func newSeconds() *simplelru.LRU[attemptKey, VersionID] {
+	lru, err := simplelru.NewLRU[attemptKey, VersionID](secondsLimit, nil)
+	if err != nil {
+		panic(err) // the library fails only for a size below 1
+	}
+	return lru
+}
