decision: a bench for policies under scripted loads

A small model of callers, engines with continuous batching and bounded prefix caches, lagging load reports, lossy cache events and the rating service steps the policies through the loads of both deployments. Nothing is measured yet.

--- /dev/null
+++ b/decision/internal/policytest/load.go
@@ -0,0 +1,219 @@
+package policytest
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"masticplank.example/decision"
+)
+
+// BadKind is how a version turns bad.
+type BadKind uint8
+
+// The ways that a version turns bad.
+const (
+	NotBad BadKind = iota
+	// BadErrors: one answer in four is an error.
+	BadErrors
+	// BadRatings: answers are worth half.
+	BadRatings
+)
+
+// Load is a scripted load.
+type Load struct {
+	Name string
+	Deployment
+	// Rate is the arrivals a second, in parts of the deployment's saturation, at
+	// a time since the start.
+	Rate func(t time.Duration) float64
+	// Skew gives one team 80% of the load.
+	Skew bool
+	// Bad is what becomes of smallNew from BadFrom on.
+	Bad     BadKind
+	BadFrom time.Duration
+	// SlowFactor makes the first small and the first large server this much
+	// slower from SlowFrom on; 0 for none.
+	SlowFactor float64
+	SlowFrom   time.Duration
+	// Length of the run; what arrives before Warm is not counted.
+	Length time.Duration
+	Warm   time.Duration
+}
+
+func steady(rate float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return rate }
+}
+
+// rush is a quiet start, a quick rise over saturation and a fall: a wool-order
+// rush, or the first morning of a term.
+func rush(from, to time.Duration, quiet, peak float64) func(time.Duration) float64 {
+	return func(t time.Duration) float64 {
+		if t < from || t >= to {
+			return quiet
+		}
+		return peak
+	}
+}
+
+const (
+	runLength = 240 * time.Second
+	runWarm   = 60 * time.Second
+)
+
+// Loads lists the loads that are measured.
+func Loads() []Load {
+	coop, agency := Coop(), Agency()
+	base := func(name string, d Deployment, rate func(time.Duration) float64) Load {
+		return Load{Name: name, Deployment: d, Rate: rate, Length: runLength, Warm: runWarm}
+	}
+	badErrors := base("version fails one in four", agency, steady(0.6))
+	badErrors.Bad, badErrors.BadFrom = BadErrors, 100*time.Second
+	badRatings := base("version rated half", coop, steady(0.6))
+	badRatings.Bad, badRatings.BadFrom = BadRatings, 100*time.Second
+	slow := base("one slow server a model", agency, steady(0.6))
+	slow.SlowFactor, slow.SlowFrom = 6, 60*time.Second
+	skew := base("one team at 80%, saturation x1.5", coop, steady(1.5))
+	skew.Skew = true
+	return []Load{
+		base("usual day", coop, steady(0.5)),
+		base("usual day", agency, steady(0.5)),
+		base("wool-order rush", coop, rush(100*time.Second, 160*time.Second, 0.4, 1.6)),
+		base("term opening", agency, rush(80*time.Second, 200*time.Second, 0.3, 1.4)),
+		base("saturation x1", coop, steady(1)),
+		base("saturation x2", coop, steady(2)),
+		base("saturation x1", agency, steady(1)),
+		base("saturation x2", agency, steady(2)),
+		skew,
+		slow,
+		badErrors,
+		badRatings,
+	}
+}
+
+// job is a request as its caller knows it, and what it truly is.
+type job struct {
+	decision.Request
+	arrived  time.Duration
+	instance int
+	hard     bool
+	// tokens is the length of the answer.
+	tokens int
+	// noise is how the answers differ from the versions' mean.
+	noise float64
+	// fate decides, between 0 and 1, whether a failing version fails it.
+	fate float64
+}
+
+// The shapes of requests.
+const (
+	blockTokens    = 32
+	templates      = 6
+	templateBlocks = 24
+	ownBlocks      = 8
+	draftShare     = 0.5
+	hardShare      = 0.35
+	recordShare    = 0.1
+	ratingNoise    = 0.05
+	answerNoise    = 0.05
+	tokensLookup   = 40
+	tokensDraft    = 250
+)
+
+// jobs draws all requests of a run.
+func (l Load) jobs(seed uint64) []*job {
+	rng := rand.New(rand.NewPCG(seed, 0x10ad))
+	var out []*job
+	at := time.Duration(0)
+	for {
+		rate := l.Rate(at) * l.Saturation
+		at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+		if at >= l.Length {
+			return out
+		}
+		out = append(out, l.job(uint64(len(out)+1), at, rng))
+	}
+}
+
+func (l Load) job(id uint64, at time.Duration, rng *rand.Rand) *job {
+	team := pickTeam(rng, l.Skew)
+	j := &job{arrived: at, instance: rng.IntN(l.Instances)}
+	j.Request = decision.Request{
+		ID:          decision.RequestID(id),
+		Team:        teamID(team),
+		ShareHash:   rng.Float64(),
+		Fingerprint: decision.Fingerprint(rng.Uint64()),
+		Class:       lookup,
+		Idempotent:  true,
+		Streamed:    true,
+	}
+	j.noise = answerNoise * rng.NormFloat64()
+	j.fate = rng.Float64()
+	j.tokens = int(tokensLookup * math.Exp(0.4*rng.NormFloat64()))
+	template := rng.IntN(templates)
+	record := rng.Float64() < recordShare
+	if rng.Float64() < draftShare {
+		j.Class = draft
+		j.hard = rng.Float64() < hardShare
+		j.tokens = int(tokensDraft * math.Exp(0.4*rng.NormFloat64()))
+	}
+	j.tokens = max(j.tokens, 4)
+	j.Deadline = start.Add(at + l.Deadlines[j.Class])
+	if record {
+		j.Service = records
+		j.Class = ""
+		j.Idempotent = false
+		j.tokens = 0
+		j.Deadline = start.Add(at + 5*time.Second)
+		return j
+	}
+	j.MaxTokens = 2 * j.tokens
+	j.Blocks = prompt(team, template, rng)
+	j.PromptTokens = len(j.Blocks) * blockTokens
+	return j
+}
+
+func pickTeam(rng *rand.Rand, skew bool) int {
+	x := rng.Float64()
+	if skew {
+		if x < 0.8 {
+			return 9
+		}
+		x = (x - 0.8) * 5
+	}
+	for i, share := range teamShares {
+		x -= share
+		if x < 0 {
+			return i
+		}
+	}
+	return len(teamShares) - 1
+}
+
+// prompt is a team's template and then what is the request's own.
+func prompt(team, template int, rng *rand.Rand) []decision.BlockHash {
+	out := make([]decision.BlockHash, 0, templateBlocks+ownBlocks)
+	for i := range templateBlocks {
+		out = append(out, decision.BlockHash(1e6*(team*templates+template+1)+i))
+	}
+	for range ownBlocks {
+		out = append(out, decision.BlockHash(rng.Uint64()|1<<63))
+	}
+	return out
+}
+
+// quality is what the answer of a version to this request is worth.
+func (j *job) quality(v decision.VersionID, bad BadKind) float64 {
+	t := truths[v]
+	q := t.easy
+	switch {
+	case j.Class == lookup:
+		q = t.lookup
+	case j.hard:
+		q = t.hard
+	}
+	if bad == BadRatings && v == smallNew {
+		q /= 2
+	}
+	return min(max(q+j.noise, 0), 1)
+}
--- /dev/null
+++ b/decision/internal/policytest/report.go
@@ -0,0 +1,136 @@
+package policytest
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"time"
+)
+
+// Figures are a run's results as they are reported.
+type Figures struct {
+	// Cost is the mean per whole answer of a model, Quality its mean rating and
+	// Missed by how much the worst team missed its target.
+	Cost, Quality, Missed float64
+	// Seconds.
+	FirstP50, FirstP95, FirstP99 float64
+	WholeP50, WholeP95, WholeP99 float64
+	// Goodput is whole answers in time a second; Refused and Failed are parts of
+	// all requests.
+	Goodput, Refused, Failed float64
+	LeastShare               float64
+	// Exposed is the requests that ran on the bad version, ExposedAfter the part
+	// of those that arrived after its first 50 bad answers.
+	Exposed, ExposedAfter float64
+}
+
+// Figures computes them.
+func (t *Tally) Figures() Figures {
+	n := max(float64(t.Models), 1)
+	all := max(float64(t.Arrived), 1)
+	counted := (t.load.Length - t.load.Warm).Seconds()
+	return Figures{
+		Cost:         t.Cost / n,
+		Quality:      t.Quality / n,
+		Missed:       t.missed(),
+		FirstP50:     percentile(t.firsts, 0.50).Seconds(),
+		FirstP95:     percentile(t.firsts, 0.95).Seconds(),
+		FirstP99:     percentile(t.firsts, 0.99).Seconds(),
+		WholeP50:     percentile(t.wholes, 0.50).Seconds(),
+		WholeP95:     percentile(t.wholes, 0.95).Seconds(),
+		WholeP99:     percentile(t.wholes, 0.99).Seconds(),
+		Goodput:      float64(t.Whole) / counted,
+		Refused:      float64(t.Refused) / all,
+		Failed:       float64(t.Failed+t.Late+t.Lost) / all,
+		LeastShare:   t.leastShare(),
+		Exposed:      float64(t.bad.exposed),
+		ExposedAfter: float64(t.bad.exposedAfter) / max(float64(t.bad.arrivedAfter), 1),
+	}
+}
+
+// Column is one figure of the report.
+type Column struct {
+	Name string
+	Of   func(Figures) float64
+	Form string
+}
+
+// Columns of the report, in order.
+var Columns = []Column{
+	{"cost", func(f Figures) float64 { return f.Cost }, "%.3f"},
+	{"quality", func(f Figures) float64 { return f.Quality }, "%.3f"},
+	{"target missed by", func(f Figures) float64 { return f.Missed }, "%.3f"},
+	{"first p50 s", func(f Figures) float64 { return f.FirstP50 }, "%.2f"},
+	{"first p95 s", func(f Figures) float64 { return f.FirstP95 }, "%.2f"},
+	{"first p99 s", func(f Figures) float64 { return f.FirstP99 }, "%.2f"},
+	{"whole p50 s", func(f Figures) float64 { return f.WholeP50 }, "%.2f"},
+	{"whole p95 s", func(f Figures) float64 { return f.WholeP95 }, "%.2f"},
+	{"whole p99 s", func(f Figures) float64 { return f.WholeP99 }, "%.2f"},
+	{"goodput /s", func(f Figures) float64 { return f.Goodput }, "%.1f"},
+	{"refused %", func(f Figures) float64 { return 100 * f.Refused }, "%.1f"},
+	{"failed %", func(f Figures) float64 { return 100 * f.Failed }, "%.1f"},
+	{"least share", func(f Figures) float64 { return f.LeastShare }, "%.2f"},
+	{"on bad", func(f Figures) float64 { return f.Exposed }, "%.0f"},
+	{"on bad after 50, %", func(f Figures) float64 { return 100 * f.ExposedAfter }, "%.2f"},
+}
+
+// Spread is the median and the 10th and 90th percentile over seeds.
+type Spread struct{ Median, Low, High float64 }
+
+// SpreadOf computes a figure's spread.
+func SpreadOf(runs []Figures, of func(Figures) float64) Spread {
+	list := make([]float64, 0, len(runs))
+	for _, f := range runs {
+		list = append(list, of(f))
+	}
+	slices.Sort(list)
+	at := func(p float64) float64 { return list[int(p*float64(len(list)-1)+0.5)] }
+	return Spread{Median: at(0.5), Low: at(0.1), High: at(0.9)}
+}
+
+// Row is one policy under one load.
+type Row struct {
+	Policy string
+	Runs   []Figures
+}
+
+// WriteTable writes a load's rows as a Markdown table, a cell being "median
+// (10th to 90th percentile)".
+func WriteTable(w io.Writer, l Load, rows []Row) {
+	fmt.Fprintf(w, "\n### %s, %s\n\n| policy |", l.Deployment.Name, l.Name)
+	for _, c := range Columns {
+		fmt.Fprintf(w, " %s |", c.Name)
+	}
+	fmt.Fprint(w, "\n| --- |")
+	for range Columns {
+		fmt.Fprint(w, " ---: |")
+	}
+	for _, r := range rows {
+		fmt.Fprintf(w, "\n| %s |", r.Policy)
+		for _, c := range Columns {
+			s := SpreadOf(r.Runs, c.Of)
+			fmt.Fprintf(w, " "+c.Form+" ("+c.Form+"–"+c.Form+") |", s.Median, s.Low, s.High)
+		}
+	}
+	fmt.Fprintln(w)
+}
+
+// Measure runs a variant under a load for a number of seeds.
+func Measure(l Load, v Variant, seeds int) Row {
+	row := Row{Policy: v.Name}
+	for seed := range seeds {
+		row.Runs = append(row.Runs, Run(l, uint64(seed+1), v.New).Figures())
+	}
+	return row
+}
+
+// Scaled is the load with its times divided, for short tests.
+func (l Load) Scaled(by int) Load {
+	rate := l.Rate
+	l.Rate = func(t time.Duration) float64 { return rate(t * time.Duration(by)) }
+	l.BadFrom /= time.Duration(by)
+	l.SlowFrom /= time.Duration(by)
+	l.Length /= time.Duration(by)
+	l.Warm /= time.Duration(by)
+	return l
+}
--- /dev/null
+++ b/decision/internal/policytest/tally.go
@@ -0,0 +1,224 @@
+package policytest
+
+import (
+	"slices"
+	"time"
+
+	"masticplank.example/decision"
+)
+
+// caller is a request that waits for its answer.
+type caller struct {
+	job    *job
+	first  time.Duration
+	cost   float64
+	held   map[decision.AttemptID]bool
+	scores map[decision.AttemptID]float64
+	rated  map[decision.AttemptID]time.Duration
+}
+
+// plan notes what a dispatch asks for.
+func (c *caller) plan(d decision.Dispatch) {
+	c.held[d.Attempt] = d.Hold
+	if c.scores == nil {
+		c.scores = make(map[decision.AttemptID]float64)
+		c.rated = make(map[decision.AttemptID]time.Duration)
+	}
+	if d.Rate {
+		c.rated[d.Attempt] = d.RateBudget
+	}
+}
+
+// Tally is what came of one run, for the callers.
+type Tally struct {
+	load Load
+	// Arrived, Whole, Refused, Failed and Late are requests; Late ones were
+	// answered after their deadline, which counts as failed to their callers.
+	// Lost were never answered, Broken commands did not fit any request.
+	Arrived, Whole, Refused, Failed, Late, Lost, Broken int
+	// HeldToDeadline are refusals that came at the deadline.
+	HeldToDeadline int
+	// Cost and Quality are sums over whole answers of models.
+	Cost, Quality float64
+	Models        int
+	// firsts and wholes are times of whole answers of models.
+	firsts, wholes []time.Duration
+	teams          map[decision.TeamID]*teamTally
+	bad            badTally
+}
+
+// teamTally is one team's part.
+type teamTally struct {
+	demand, got  float64
+	quality      float64
+	answers      int
+	target       float64
+	weight       float64
+	costAnswered float64
+}
+
+// badTally follows smallNew once it is bad.
+type badTally struct {
+	answers int
+	// exposed counts requests dispatched to it, and of all requests those that
+	// arrived, from the start of its being bad and from its 50th bad answer on.
+	exposed, exposedAfter int
+	arrivedAfter          int
+}
+
+// badLimit is the number of bad answers after which a version should be barred.
+const badLimit = 50
+
+func newTally(l Load) *Tally {
+	t := &Tally{load: l, teams: make(map[decision.TeamID]*teamTally)}
+	for _, x := range teams() {
+		t.teams[x.ID] = &teamTally{target: x.QualityTarget, weight: float64(x.Weight)}
+	}
+	return t
+}
+
+// work is the size of a request, for shares among teams.
+func work(j *job) float64 { return float64(j.tokens) + 0.1*float64(j.PromptTokens) }
+
+func (t *Tally) counts(j *job) bool { return j.arrived >= t.load.Warm }
+
+func (t *Tally) arrived(j *job) {
+	if j.Service == "" && t.bad.answers >= badLimit {
+		t.bad.arrivedAfter++
+	}
+	if !t.counts(j) {
+		return
+	}
+	t.Arrived++
+	if j.Service == "" {
+		t.teams[j.Team].demand += work(j)
+	}
+}
+
+func (t *Tally) dispatched(_ *job, v decision.VersionID, now time.Duration) {
+	if t.load.Bad == NotBad || now < t.load.BadFrom || v != smallNew {
+		return
+	}
+	t.bad.exposed++
+	if t.bad.answers >= badLimit {
+		t.bad.exposedAfter++
+	}
+}
+
+func (t *Tally) badAnswer(v decision.VersionID, now time.Duration) {
+	if v == smallNew && now >= t.load.BadFrom {
+		t.bad.answers++
+	}
+}
+
+func (t *Tally) delivered(c *caller, a decision.AttemptID, now time.Duration) {
+	j := c.job
+	if !t.counts(j) {
+		return
+	}
+	if now > j.Deadline.Sub(start) {
+		t.Late++
+		return
+	}
+	t.Whole++
+	if j.Service != "" {
+		return
+	}
+	first := now
+	if !c.held[a] && c.first > 0 {
+		first = c.first
+	}
+	t.Models++
+	t.Cost += c.cost
+	t.Quality += c.scores[a]
+	t.firsts = append(t.firsts, first-j.arrived)
+	t.wholes = append(t.wholes, now-j.arrived)
+	team := t.teams[j.Team]
+	team.got += work(j)
+	team.quality += c.scores[a]
+	team.answers++
+	team.costAnswered += c.cost
+}
+
+func (t *Tally) refused(c *caller, r decision.Refuse) {
+	if !t.counts(c.job) {
+		return
+	}
+	t.Refused++
+	if r.Reason == decision.ReasonDeadline {
+		t.HeldToDeadline++
+	}
+}
+
+func (t *Tally) failed(c *caller) {
+	if t.counts(c.job) {
+		t.Failed++
+	}
+}
+
+func (t *Tally) lost(c *caller) {
+	if t.counts(c.job) {
+		t.Lost++
+	}
+}
+
+func percentile(list []time.Duration, p float64) time.Duration {
+	if len(list) == 0 {
+		return 0
+	}
+	s := slices.Clone(list)
+	slices.Sort(s)
+	return s[min(int(p*float64(len(s))), len(s)-1)]
+}
+
+// leastShare is the lowest ratio over the teams of what a team got to its
+// weighted max-min share of what all got. Teams that wanted less than their
+// share should get it all, and nobody's surplus counts against another.
+func (t *Tally) leastShare() float64 {
+	total := 0.0
+	open := make([]*teamTally, 0, len(t.teams))
+	for i := range teamShares {
+		team := t.teams[teamID(i)]
+		total += team.got
+		open = append(open, team)
+	}
+	least := 1.0
+	for len(open) > 0 {
+		weights := 0.0
+		for _, x := range open {
+			weights += x.weight
+		}
+		level := total / weights
+		var rest []*teamTally
+		for _, x := range open {
+			if x.demand > level*x.weight {
+				rest = append(rest, x)
+				continue
+			}
+			total -= x.demand
+			if x.demand > 0 {
+				least = min(least, x.got/x.demand)
+			}
+		}
+		if len(rest) == len(open) {
+			for _, x := range open {
+				least = min(least, x.got/(level*x.weight))
+			}
+			break
+		}
+		open = rest
+	}
+	return least
+}
+
+// missed is by how much the team farthest under its quality target missed it.
+// Teams with under 50 answers are left out: their mean says little.
+func (t *Tally) missed() float64 {
+	worst := 0.0
+	for _, x := range t.teams {
+		if x.answers >= 50 {
+			worst = max(worst, x.target-x.quality/float64(x.answers))
+		}
+	}
+	return worst
+}
