--- a/decision/harness_test.go
+++ b/decision/harness_test.go
@@ -231,17 +231,6 @@
 	return n
 }
 
-// refusals counts refusals by reason.
-func (h *harness) refusals() map[RefusalReason]int {
-	n := map[RefusalReason]int{}
-	for _, o := range h.outcomes {
-		if r, ok := o.command.(Refuse); ok {
-			n[r.Reason]++
-		}
-	}
-	return n
-}
-
 // settled fails the test where a request was left without an answer.
 func (h *harness) settled() {
 	h.t.Helper()
