--- a/decision/admit.go
+++ b/decision/admit.go
@@ -31,7 +31,11 @@
 		return
 	}
 	w.aim(r, to)
-	if reason := w.crowded(r); reason != "" {
+	reason := w.crowded(r)
+	if reason == ReasonWaitTooLong && w.spill(r) {
+		reason = ""
+	}
+	if reason != "" {
 		w.refuse(r, reason, w.retryAfter(w.waitFor(r)))
 		return
 	}
@@ -55,18 +59,6 @@
 	return ""
 }
 
-func (w *World) isQuarantined(f Fingerprint) bool {
-	if f == 0 || len(w.quarantined) == 0 {
-		return false
-	}
-	until, ok := w.quarantined[f]
-	if ok && !w.now.Before(until) {
-		delete(w.quarantined, f)
-		return false
-	}
-	return ok
-}
-
 // crowded refuses what could not be answered in time.
 //
 // Load: a burst, or demand over capacity for long. Harm prevented: work that
@@ -82,6 +74,9 @@
 	if !r.deadline.After(w.now) {
 		return ReasonDeadline
 	}
+	if w.cfg.Policy.NoWaitLimit {
+		return ""
+	}
 	wait := time.Duration(w.cfg.WaitMargin * float64(w.waitFor(r)))
 	need := wait + r.pool.pace.service(r.item.Cost)
 	if w.now.Add(need).After(r.deadline) {
--- a/decision/ingest_attempt.go
+++ b/decision/ingest_attempt.go
@@ -20,7 +20,13 @@
 		w.ingestLeaving(a.server.ID)
 	}
 	w.learnDuration(a, e)
-	if a.request != nil && a.request.current == a {
+	w.judgeServer(a, e)
+	w.judgeVersion(a, e)
+	w.crashEnded(a, e.Result)
+	if e.Result == AttemptCrashed {
+		w.prefixes.Forget(a.server.ID) // its cache died with it
+	}
+	if a.request.current == a {
 		a.request.current = nil
 		w.ended = append(w.ended, endedAttempt{attempt: a, event: e})
 	}
@@ -42,6 +48,9 @@
 		return
 	}
 	a.pool.pace.learn(w.now.Sub(a.started), a.cost)
+	if a.version != "" {
+		w.estimates.Ended(task{Team: a.team.ID, Class: a.request.Class}, a.version, e.Tokens)
+	}
 	if e.Tokens <= 0 || a.pool.service != "" {
 		return
 	}
@@ -49,7 +58,10 @@
 	a.pool.queue.Charge(&a.pool.flow(a.team).Flow, min(actual-a.cost, a.cost))
 }
 
-// ingestRated keeps ratings for the escalate system.
+// ingestRated learns from a rating and keeps it for the escalate system.
 func (w *World) ingestRated(e AnswerRated) {
+	if !e.Late {
+		w.rateVersion(e)
+	}
 	w.rated = append(w.rated, e)
 }
--- a/decision/ingest_manifest.go
+++ b/decision/ingest_manifest.go
@@ -15,6 +15,8 @@
 	w.generation = e.Generation
 	w.applyVersions(e.Versions)
 	w.applyTeams(e.Teams)
+	w.applyVerdicts()
+	w.applyEstimates()
 	w.recheck = true
 }
 
--- a/decision/retry.go
+++ b/decision/retry.go
@@ -31,6 +31,10 @@
 
 // completed delivers the answer, or holds it for its rating.
 func (w *World) completed(r *request, e endedAttempt) {
+	if e.attempt.hold {
+		w.hold(r, e.attempt)
+		return
+	}
 	w.deliver(r, e.attempt.key.attempt)
 }
 
@@ -55,15 +59,11 @@
 // out everywhere: a second crash is the request's doing, not the server's.
 func (w *World) crashed(r *request, e endedAttempt) {
 	r.crashes++
-	if r.crashes < w.cfg.MaxCrashes {
+	if r.crashes < w.cfg.MaxCrashes && !w.isQuarantined(r.Fingerprint) {
 		w.mayHaveRun(r, e)
 		return
 	}
-	until := w.now.Add(w.cfg.QuarantineFor)
-	if r.Fingerprint != 0 {
-		w.quarantined[r.Fingerprint] = until
-		w.emit(Quarantine{Fingerprint: r.Fingerprint, Until: until})
-	}
+	r.ran = true
 	w.failOrHeld(r, AttemptCrashed)
 }
 
--- a/decision/session.go
+++ b/decision/session.go
@@ -3,8 +3,9 @@
 // openSessions answers each new session with the versions that it keeps.
 //
 // It is made for roll-outs under traffic: the versions are those that a request
-// with the same hash would get now, so a version judged bad gets no new session,
-// and raising a share moves no session that is open.
+// with the same hash would get now, so raising a share moves no session that is
+// open. A version judged bad is passed over, and a probe never opens a session,
+// which would hold the session to the bad version for its whole life.
 func (w *World) openSessions() {
 	for _, e := range w.opening {
 		w.emit(PinSession{Session: e.Session, Versions: w.sessionVersions(e)})
@@ -18,7 +19,7 @@
 	}
 	var out []VersionID
 	for _, tm := range t.models {
-		if v := w.rollout(tm, e.ShareHash); v != nil {
+		if v := w.rolloutBy(tm, e.ShareHash, w.isGood); v != nil {
 			out = append(out, v.ID)
 		}
 	}
@@ -51,3 +52,8 @@
 	}
 	return len(r.Pins) > 0
 }
+
+// isGood says whether no verdict speaks against the version.
+func (w *World) isGood(v *version) bool {
+	return w.cfg.Policy.NoShift || !w.verdicts.Bad(v.ID, w.now)
+}
--- a/decision/world.go
+++ b/decision/world.go
@@ -3,6 +3,13 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"masticplank.example/decision/internal/estimate"
+	"masticplank.example/decision/internal/place"
+	"masticplank.example/decision/internal/prefix"
+	"masticplank.example/decision/internal/verdict"
 )
 
 // World holds the tables. It is not safe for concurrent use: one goroutine owns
@@ -10,7 +17,17 @@
 type World struct {
 	cfg Config
 	tables
-	rng *rand.Rand
+	rng    *rand.Rand
+	picker place.Picker
+	// What is learnt from attempts and ratings.
+	verdicts *verdict.Versions[VersionID, ServerID]
+	outliers *verdict.Outliers[ServerID, string]
+	crashes  *verdict.Crashes[Fingerprint]
+	// estimates is the learnt quality and length; seconds the dispatched second
+	// steps whose rating is to come, with their first step.
+	estimates *estimate.Table[TeamID, TaskClass, VersionID]
+	seconds   *simplelru.LRU[attemptKey, VersionID]
+	prefixes  *prefix.Index[ServerID, BlockHash]
 
 	now   time.Time
 	fresh bool
@@ -21,20 +38,39 @@
 	// recheck asks the withdraw system to look at every queued request.
 	recheck bool
 	wakeSeq uint64
+	// turn is the round robin baseline's.
+	turn int
 
 	// What this tick's events leave to the systems.
 	arrived []*request
 	opening []SessionOpening
 	ended   []endedAttempt
 	rated   []AnswerRated
-	out     []Command
+	// Kept between decisions to save allocations.
+	candidates []place.Candidate
+	drawn      []*server
+	options    []estimate.Option[VersionID]
+	matches    []prefix.Match[ServerID]
+	out        []Command
 }
 
 // NewWorld returns an empty world: it refuses everything until it has been told
 // a manifest, servers and that the instance is fresh.
 func NewWorld(cfg Config) *World {
 	cfg = cfg.withDefaults()
-	return &World{cfg: cfg, tables: newTables(), rng: newRand(cfg.Seed)}
+	return &World{
+		cfg:      cfg,
+		tables:   newTables(),
+		rng:      newRand(cfg.Seed),
+		picker:   newPicker(cfg),
+		verdicts: newVerdicts(cfg),
+		outliers: newOutliers(cfg),
+		crashes:  newCrashes(cfg),
+
+		estimates: newEstimates(),
+		seconds:   newSeconds(),
+		prefixes:  prefix.New[ServerID, BlockHash](prefix.DefaultConfig()),
+	}
 }
 
 // Tick applies the events in order, runs the systems once and returns what the
@@ -70,3 +106,15 @@
 	w.rated = w.rated[:0]
 	w.out = w.out[:0]
 }
+
+// secondsLimit bounds the second steps whose rating is waited for; a rating that
+// is lost leaves its entry to be pushed out.
+const secondsLimit = 4096
+
+func newSeconds() *simplelru.LRU[attemptKey, VersionID] {
+	lru, err := simplelru.NewLRU[attemptKey, VersionID](secondsLimit, nil)
+	if err != nil {
+		panic(err) // the library fails only for a size below 1
+	}
+	return lru
+}
