--- a/router/internal/daemon/daemon.go
+++ b/router/internal/daemon/daemon.go
@@ -56,10 +56,10 @@
 			newLogClient, newList, newRater, newUpstream,
 			newHolder, newGate, newNode, newStore,
 			newFleet, newDriver, newDirectory,
-			newHeld, newBiller, newTokens, newNames, newRecorder,
+			newPeers, newBiller, newTokens, newNames, newRecorder,
 			newPublisher, newDrain, newAPI, newStatus, newAdmin,
 		),
-		fx.Invoke(startDriver, startFreshness, startNode, startDirectory, startAdmin, startAPI, startDrain),
+		fx.Invoke(startDriver, startFreshness, startNode, startDirectory, startPeers, startAdmin, startAPI, startDrain),
 	)
 	return app, self
 }
--- a/router/internal/daemon/decide.go
+++ b/router/internal/daemon/decide.go
@@ -6,16 +6,21 @@
 	"encoding/binary"
 	"fmt"
 	"log/slog"
+	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"go.uber.org/fx"
 
+	"masticplank.example/coordination/fold"
 	"masticplank.example/coordination/node"
 	"masticplank.example/coordination/record"
 	"masticplank.example/decision"
 	"masticplank.example/router/internal/driver"
 	"masticplank.example/router/internal/logging"
+	"masticplank.example/router/internal/peer"
 	"masticplank.example/router/internal/settings"
 )
 
@@ -50,7 +55,8 @@
 
 	mu    sync.Mutex
 	store node.Store
-	// shutOff are the versions judged bad here or at a peer.
+	peers *peer.Node
+	// shutOff are the versions judged bad here, and until when.
 	shutOff map[decision.VersionID]time.Time
 }
 
@@ -58,10 +64,31 @@
 	return &fleet{log: log, shutOff: map[decision.VersionID]time.Time{}}
 }
 
+// attach gives the fleet what it sends through; the decision is made before
+// the peers, which need the decision themselves.
+func (f *fleet) attach(store node.Store, peers *peer.Node) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.store, f.peers = store, peers
+}
+
+func (f *fleet) links() (node.Store, *peer.Node) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.store, f.peers
+}
+
 // ShareVerdict implements driver.FleetSink.
 func (f *fleet) ShareVerdict(v decision.VersionVerdict) {
 	f.log.Emit(context.Background(), logging.EventVersionVerdict,
 		slog.String("version", string(v.Version)), slog.Bool("bad", v.Bad))
+	f.note(v)
+	if _, peers := f.links(); peers != nil {
+		peers.ShareVerdict(v)
+	}
+}
+
+func (f *fleet) note(v decision.VersionVerdict) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if v.Bad {
@@ -71,34 +98,57 @@
 	}
 }
 
+// ShutOff lists the versions judged bad here, for operators.
+func (f *fleet) ShutOff() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for v := range f.shutOff {
+		out = append(out, string(v))
+	}
+	slices.Sort(out)
+	return out
+}
+
 // ShareLeaving implements driver.FleetSink.
-func (f *fleet) ShareLeaving(decision.ServerID) {}
+func (f *fleet) ShareLeaving(id decision.ServerID) {
+	if _, peers := f.links(); peers != nil {
+		peers.ShareLeaving(id)
+	}
+}
 
 // Quarantine implements driver.FleetSink: the register makes the fingerprint
-// known everywhere, also to instances that start later.
+// known everywhere, also to instances that start later; the peers' word makes it
+// known while the log is down.
 func (f *fleet) Quarantine(q decision.Quarantine) {
 	f.log.Emit(context.Background(), logging.EventQuarantine,
 		slog.String("fingerprint", fmt.Sprintf("%016x", uint64(q.Fingerprint))),
 		slog.Time("until", q.Until))
-	f.mu.Lock()
-	store := f.store
-	f.mu.Unlock()
-	if store == nil {
-		return
+	store, peers := f.links()
+	if peers != nil {
+		peers.ShareQuarantine(q)
+	}
+	if store != nil {
+		go putQuarantine(store, q)
 	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), quarantineTimeout)
-		defer cancel()
-		store.Put(ctx, quarantineRecord(q))
-	}()
 }
 
-func quarantineRecord(q decision.Quarantine) record.Record {
+func putQuarantine(store node.Store, q decision.Quarantine) {
+	ctx, cancel := context.WithTimeout(context.Background(), quarantineTimeout)
+	defer cancel()
 	rec := record.Record{
 		Kind:     record.KindPut,
 		Key:      record.Key(fmt.Sprintf("%s/%016x", record.ClassQuarantine, uint64(q.Fingerprint))),
 		Lifetime: time.Until(q.Until),
 	}
 	_, _ = rand.Read(rec.Nonce[:])
-	return rec
+	store.Put(ctx, rec)
+}
+
+// quarantined reads a quarantine from the log; false for a key of another form.
+func quarantined(c fold.Change) (decision.RequestQuarantined, bool) {
+	_, text, _ := strings.Cut(string(c.Register.Key), "/")
+	n, err := strconv.ParseUint(text, 16, 64)
+	ok := err == nil && c.Verdict == fold.VerdictWon
+	return decision.RequestQuarantined{Fingerprint: decision.Fingerprint(n), Until: c.Register.Expires}, ok
 }
--- /dev/null
+++ b/router/internal/daemon/peers.go
@@ -0,0 +1,86 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"net"
+
+	"github.com/gravitational/trace"
+	gometrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+
+	"masticplank.example/coordination/fold"
+	"masticplank.example/coordination/node"
+	"masticplank.example/coordination/record"
+	"masticplank.example/router/internal/directory"
+	"masticplank.example/router/internal/driver"
+	"masticplank.example/router/internal/gate"
+	"masticplank.example/router/internal/logging"
+	"masticplank.example/router/internal/peer"
+	"masticplank.example/router/internal/settings"
+	"masticplank.example/router/internal/wire"
+)
+
+// peerParams are what the edge towards the other instances is made of.
+type peerParams struct {
+	fx.In
+
+	Settings  settings.Settings
+	Store     node.Store
+	Directory *directory.Directory
+	Gate      *gate.Gate
+	Driver    *driver.Driver
+	Fleet     *fleet
+	Registry  gometrics.Registry
+	Log       *logging.Logger
+}
+
+func newPeers(p peerParams) (*peer.Node, error) {
+	tls, err := peer.TLSConfig(p.Settings.Peer)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	n := peer.New(peer.Config{
+		Self:     wire.ListedInstance{ID: p.Settings.Instance, Domain: p.Settings.Domain},
+		TLS:      tls,
+		Interval: ms(p.Settings.Peer.IntervalMS),
+		Seed:     randomSeed(),
+	}, peer.Deps{
+		Store:     p.Store,
+		Instances: p.Directory.Instances,
+		Vouches:   p.Gate,
+		Events:    p.Driver,
+		Log:       p.Log,
+		Registry:  p.Registry,
+	})
+	p.Gate.SetFull(n.Full)
+	p.Fleet.attach(p.Store, n)
+	return n, nil
+}
+
+// startPeers serves the other instances and follows what they pass on by the
+// log. At the stop no bill stays here alone.
+func startPeers(lc fx.Lifecycle, p peerParams, n *peer.Node, self *Instance) {
+	p.Store.Watch(record.ClassQuarantine, func(c fold.Change) {
+		if ev, ok := quarantined(c); ok {
+			p.Driver.Send(ev)
+		}
+	})
+	var ln net.Listener
+	lc.Append(fx.StartHook(func(ctx context.Context) error {
+		var err error
+		ln, err = net.Listen("tcp", p.Settings.Listen.Peer)
+		if err != nil {
+			return trace.Wrap(err, "peer listener")
+		}
+		self.Peer = ln.Addr().String()
+		p.Log.Emit(ctx, logging.EventListening, slog.String("listener", "peer"), slog.String("addr", self.Peer))
+		return nil
+	}))
+	background(lc, func(ctx context.Context) {
+		if err := n.Run(ctx, ln); err != nil {
+			p.Log.Emit(ctx, logging.EventPeerRejected, logging.Err(err))
+		}
+	})
+	lc.Append(fx.StopHook(func(ctx context.Context) { n.Drain(ctx) }))
+}
--- a/router/internal/daemon/platform.go
+++ b/router/internal/daemon/platform.go
@@ -51,13 +51,13 @@
 }
 
 func newGate(cfg settings.Settings) *gate.Gate {
-	tracker := freshness.New(freshness.Config{Bound: ms(cfg.Freshness.BoundMS)})
+	tracker := freshness.New(freshness.Config{Self: cfg.Instance, Bound: ms(cfg.Freshness.BoundMS)})
 	return gate.New(tracker, time.Now)
 }
 
 // newNode reads the log. It is the one place that knows how the parts of the
 // coordination library hang together here.
-func newNode(cfg settings.Settings, log platformlog.Log, g *gate.Gate) (*node.Node, error) {
+func newNode(cfg settings.Settings, log platformlog.Log, g *gate.Gate, dir *directory.Directory) (*node.Node, error) {
 	n, err := node.New(log,
 		node.Config{
 			Name:         cfg.Instance,
@@ -65,6 +65,8 @@
 			AppendBudget: cfg.Platform.AppendBudget,
 		},
 		node.WithObserver(g),
+		node.WithLive(func() int { return max(1, len(dir.Instances())) }),
+		node.WithSeed(randomSeed()),
 		node.WithValidator(record.ClassManifest, func(r record.Record, _ *fold.State) error {
 			return manifest.CheckRecord(r)
 		}),
--- a/router/internal/daemon/report.go
+++ b/router/internal/daemon/report.go
@@ -10,6 +10,7 @@
 	"masticplank.example/router/internal/driver"
 	"masticplank.example/router/internal/gate"
 	"masticplank.example/router/internal/manifest"
+	"masticplank.example/router/internal/peer"
 	"masticplank.example/router/internal/settings"
 )
 
@@ -69,7 +70,4 @@
 	}
 }
 
-// newHeld is where bills wait while the log is down.
-func newHeld() billing.Holder { return nil }
-
-func newBiller(store node.Store, h billing.Holder) *billing.Biller { return billing.New(store, h) }
+func newBiller(store node.Store, p *peer.Node) *billing.Biller { return billing.New(store, p) }
--- a/router/internal/peer/held.go
+++ b/router/internal/peer/held.go
@@ -65,6 +65,13 @@
 	return nil
 }
 
+// full says that the next bill might find no room.
+func (h *held) full() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.bills) >= maxHeld || h.bytes+maxBillBytes > maxHeldBytes
+}
+
 func (h *held) remove(n record.Nonce) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/router/internal/peer/node.go
+++ b/router/internal/peer/node.go
@@ -226,4 +226,7 @@
 // Held is how many bills wait here for the log, own and other instances'.
 func (n *Node) Held() int { return n.held.len() }
 
+// Full says that no more bills can be held, so that new work must be refused.
+func (n *Node) Full() bool { return n.held.full() }
+
 func peerAttr(id string) slog.Attr { return slog.String("peer", id) }
