Streams: repeated events dropped, missing ones found

Engines number their events; the numbers were not read. Ruled out: counting tokens against the usage at the end, when the doubled words are out already.

--- a/router/internal/api/outcome_test.go
+++ b/router/internal/api/outcome_test.go
@@ -93,6 +93,40 @@
 	}
 }
 
+// numbered streams events as given, "N|DATA" each.
+func numbered(events ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(wire.HeaderAttempt, r.Header.Get(wire.HeaderAttempt))
+		for _, ev := range events {
+			id, data, _ := strings.Cut(ev, "|")
+			_, _ = io.WriteString(w, "id: "+id+"\ndata: "+data+"\n\n")
+		}
+	}
+}
+
+// TestNumberedStreams repeats and drops events of a stream. Found by the demo
+// under faults (seed 1): a repeated chunk doubled words in the middle.
+func TestNumberedStreams(t *testing.T) {
+	end := "3|" + wire.StreamEnd
+	for _, c := range []struct {
+		name   string
+		events []string
+		broken bool
+	}{
+		{"in order", []string{"0|" + token1, "1|" + token2, "2|" + lastChunk, end}, false},
+		{"repeated", []string{"0|" + token1, "0|" + token1, "1|" + token2, "1|" + token2, "2|" + lastChunk, end}, false},
+		{"missing", []string{"0|" + token1, "2|" + lastChunk, end}, true},
+	} {
+		f := newFixture(t)
+		f.script(numbered(c.events...))
+		got := f.call(context.Background(), http.MethodPost, "/v1/chat/completions", streamed, "")
+		whole := strings.Count(got.body, "over ") == 1 && strings.Count(got.body, "under") == 1
+		if (got.err != nil) != c.broken || (!c.broken && !whole) {
+			t.Errorf("%s: error %v, body %q", c.name, got.err, got.body)
+		}
+	}
+}
+
 // TestBillComesBeforeTheEnd takes the log away: the bill is held, and where
 // that fails too, the answer must not end as a billed one.
 func TestBillComesBeforeTheEnd(t *testing.T) {
--- a/router/internal/api/stream.go
+++ b/router/internal/api/stream.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/tmaxmax/go-sse"
@@ -18,10 +19,11 @@
 const maxEventBytes = 1 << 20
 
 var (
-	errCutStream  = errors.New("the stream ended before its end mark")
-	errBadChunk   = errors.New("the stream holds an event that is not a chunk")
-	errNoUsage    = errors.New("the stream ended without its usage")
-	errCallerGone = errors.New("the caller has gone")
+	errCutStream    = errors.New("the stream ended before its end mark")
+	errBadChunk     = errors.New("the stream holds an event that is not a chunk")
+	errNoUsage      = errors.New("the stream ended without its usage")
+	errMissingEvent = errors.New("an event of the stream is missing")
+	errCallerGone   = errors.New("the caller has gone")
 )
 
 // streamReader follows one engine's stream.
@@ -38,6 +40,8 @@
 	// chunks counts what was generated so far, for the bill of a cancelled
 	// request: an engine sends a token a chunk.
 	chunks int
+	// next is the number that the next event must have; see repeated.
+	next int
 }
 
 // readStream passes an engine's stream on. The chunks that make an answer look
@@ -65,6 +69,13 @@
 		if err != nil {
 			return upstream.ReadFailure(ctx, err)
 		}
+		repeated, err := sr.repeated(ev.LastEventID)
+		if err != nil {
+			return err
+		}
+		if repeated {
+			continue
+		}
 		if ev.Data == wire.StreamEnd {
 			sr.ended = true
 			break
@@ -76,6 +87,25 @@
 	return sr.checkEnd(ctx)
 }
 
+// repeated reads an event's number. Engines that number their events (id: 0, 1,
+// 2, ...) let masticplank drop one that comes twice and refuse a stream with one
+// missing; both would pass unseen otherwise, in the middle of an answer. Events
+// without a number are taken as they come.
+func (sr *streamReader) repeated(id string) (bool, error) {
+	n, err := strconv.Atoi(id)
+	if err != nil {
+		return false, nil
+	}
+	if n > sr.next {
+		return false, &upstream.Failure{Result: decision.AttemptUnknown, Err: errMissingEvent}
+	}
+	if n < sr.next {
+		return true, nil
+	}
+	sr.next++
+	return false, nil
+}
+
 // checkEnd accepts a stream only with its explicit end and usage.
 func (sr *streamReader) checkEnd(ctx context.Context) error {
 	if !sr.ended {
