Wait estimate from the fair queue; short standing queues

Cause: with several instances on one pool the drain of a team's queue is too thin to measure (one request in three seconds), so its guess, all slots of the pool, was eight times too high and requests were refused after waiting. And a queue as long as the deadlines adds its wait to every answer without adding an answer.

The work that goes before a request is now read off the fair queue's tags and divided by the pool's measured drain, which has the data of all teams. After 5 s of backlog a request may wait for a fifth of its time at most. An attempt is held for too late by the usual time and its usual error.

--- a/decision/admit.go
+++ b/decision/admit.go
@@ -78,13 +78,27 @@
 		return ""
 	}
 	wait := time.Duration(w.cfg.WaitMargin * float64(w.waitFor(r)))
-	need := wait + r.pool.pace.service(r.item.Cost)
-	if w.now.Add(need).After(r.deadline) {
+	room := r.deadline.Sub(w.now)
+	if wait+r.pool.pace.atMost(r.item.Cost) > room || wait > w.waitLimit(r.pool, room) {
 		return ReasonWaitTooLong
 	}
 	return ""
 }
 
+// waitLimit is the longest wait that a request may be queued for.
+//
+// Load: demand over capacity for long, against a burst. A burst may use the whole
+// time to the deadline: its queue is worked off afterwards. A queue that stands
+// for longer than a burst adds nothing to what the servers give, but adds its
+// wait to every answer; so it is kept short, and callers are told at once when
+// to come back.
+func (w *World) waitLimit(p *pool, room time.Duration) time.Duration {
+	if p.busyPos < 0 || w.now.Sub(p.since) < w.cfg.BurstFor {
+		return room
+	}
+	return time.Duration(w.cfg.StandingWait * float64(room))
+}
+
 func (w *World) queueLimit(t *team) int {
 	if t.QueueLimit > 0 {
 		return t.QueueLimit
--- a/decision/config.go
+++ b/decision/config.go
@@ -42,6 +42,11 @@
 	DrainWindow time.Duration
 	// WaitMargin multiplies the estimated wait at admission.
 	WaitMargin float64
+	// BurstFor is how long a queue may stand before it counts as overload.
+	BurstFor time.Duration
+	// StandingWait bounds the wait in overload, as a part of the time to the
+	// deadline.
+	StandingWait float64
 	// PromptWeight is the cost of a prompt token in generated tokens.
 	PromptWeight float64
 	// DefaultTokens sizes requests that name no MaxTokens.
@@ -137,9 +142,13 @@
 		RefusedBackoff: 200 * time.Millisecond,
 		RetryAfterMin:  500 * time.Millisecond,
 		// Under the time to a first token that callers put up with.
-		RateBudget:    300 * time.Millisecond,
-		DrainWindow:   5 * time.Second,
-		WaitMargin:    1.1,
+		RateBudget:  300 * time.Millisecond,
+		DrainWindow: 5 * time.Second,
+		WaitMargin:  1.1,
+		// The first rush of a shop's opening; a term opening lasts longer.
+		BurstFor: 5 * time.Second,
+		// Enough queue to keep the slots busy, no more.
+		StandingWait:  0.2,
 		PromptWeight:  0.1,
 		DefaultTokens: 256,
 		ServiceCost:   16,
@@ -176,6 +185,8 @@
 	orDefault(&c.RateBudget, d.RateBudget)
 	orDefault(&c.DrainWindow, d.DrainWindow)
 	orDefault(&c.WaitMargin, d.WaitMargin)
+	orDefault(&c.BurstFor, d.BurstFor)
+	orDefault(&c.StandingWait, d.StandingWait)
 	orDefault(&c.PromptWeight, d.PromptWeight)
 	orDefault(&c.DefaultTokens, d.DefaultTokens)
 	orDefault(&c.ServiceCost, d.ServiceCost)
--- a/decision/drain.go
+++ b/decision/drain.go
@@ -5,15 +5,14 @@
 	"time"
 )
 
-// drainMeter measures how fast a team's part of a pool's queue is worked off, in
-// cost a second.
+// drainMeter measures how fast a pool's queue is worked off, in cost a second.
 //
-// Load: saturation, where other teams and other instances use the same pool.
-// What truly left the queue while it was backlogged shows the part that is the
-// team's, whatever the others do.
+// Load: saturation, where other instances use the same servers. What truly left
+// the queue while there was one shows this instance's part of them.
 type drainMeter struct {
 	// work and busy are what left the queue, and the seconds in which there was
-	// one, both decayed.
+	// one, both decayed by such seconds only: what a saturated pool gave is the
+	// best guess for the next time that it is saturated.
 	work float64
 	busy float64
 }
@@ -75,9 +74,13 @@
 
 // paceMeter measures how long a pool's attempts take for their cost.
 type paceMeter struct {
-	// cost and seconds of completed attempts, decayed by count.
+	// count, cost and seconds of completed attempts, decayed by count.
+	count   float64
 	cost    float64
 	seconds float64
+	// off is the mean part by which an attempt took longer or shorter than was
+	// estimated.
+	off float64
 }
 
 // perAttempt keeps about the last 50 attempts: enough to smooth, few enough to
@@ -86,6 +89,11 @@
 
 // learn notes a completed attempt.
 func (m *paceMeter) learn(took time.Duration, cost float64) {
+	if expected := m.service(cost); expected > 0 {
+		off := math.Abs(took.Seconds()/expected.Seconds() - 1)
+		m.off += (min(off, 1) - m.off) * (1 - perAttempt)
+	}
+	m.count = m.count*perAttempt + 1
 	m.cost = m.cost*perAttempt + cost
 	m.seconds = m.seconds*perAttempt + took.Seconds()
 }
@@ -99,6 +107,19 @@
 	return seconds(cost * m.seconds / m.cost)
 }
 
+// atMost is the estimate with the usual error added: most attempts take less.
+func (m *paceMeter) atMost(cost float64) time.Duration {
+	return time.Duration(float64(m.service(cost)) * (1 + m.off))
+}
+
+// meanCost is that of an attempt.
+func (m *paceMeter) meanCost() float64 {
+	if m.count == 0 {
+		return 0
+	}
+	return m.cost / m.count
+}
+
 // rate guesses the cost a second that so many slots work off; 0 before anything
 // is known.
 func (m *paceMeter) rate(slots int) float64 {
--- a/decision/ingest_servers.go
+++ b/decision/ingest_servers.go
@@ -238,7 +238,7 @@
 func (w *World) newPool() *pool {
 	p := &pool{busyPos: -1}
 	if w.cfg.Policy.FirstCome {
-		p.shared = &flow{backlogPos: -1}
+		p.shared = &flow{}
 		p.queue.Init(&p.shared.Flow, 1)
 	}
 	return p
--- a/decision/internal/fair/fair.go
+++ b/decision/internal/fair/fair.go
@@ -82,6 +82,37 @@
 // Weight is the sum of all flows' weights.
 func (q *Queue[T]) Weight() float64 { return q.weight }
 
+// Ahead is the cost that goes before a new item of the flow, by the present
+// tags: what the flow has queued, and what each other one has queued up to the
+// tag at which the item's turn comes. It costs O(active flows).
+func (q *Queue[T]) Ahead(f *Flow[T]) float64 {
+	turn := f.tag
+	if f.pos < 0 {
+		turn = max(turn, q.virtual)
+	}
+	turn += f.cost / f.weight
+	sum := f.cost
+	for _, other := range q.active {
+		if other != f {
+			sum += min(other.cost, max(turn-other.tag, 0)*other.weight)
+		}
+	}
+	return sum
+}
+
+// ActiveWeight is the sum of the weights of the flows with queued items, and of
+// f.
+func (q *Queue[T]) ActiveWeight(f *Flow[T]) float64 {
+	sum := 0.0
+	for _, other := range q.active {
+		sum += other.weight
+	}
+	if f.pos < 0 {
+		sum += f.weight
+	}
+	return sum
+}
+
 // Push queues an item. A flow that was idle starts at the queue's present tag:
 // it gets its share from now on, and no credit for the time it asked nothing.
 func (q *Queue[T]) Push(f *Flow[T], it *Item[T]) {
--- a/decision/place.go
+++ b/decision/place.go
@@ -64,7 +64,7 @@
 // given to work that ends too late is lost for work that would not: with half
 // the usual time allowed here, a third of the answers came too late.
 func (w *World) hopeless(r *request) bool {
-	need := r.pool.pace.service(r.item.Cost)
+	need := r.pool.pace.atMost(r.item.Cost)
 	return w.now.Add(need).After(r.deadline)
 }
 
--- a/decision/queue.go
+++ b/decision/queue.go
@@ -39,10 +39,10 @@
 	r.state = stateQueued
 	r.team.queued++
 	w.watch(r, r.deadline)
-	p.addBacklog(f)
 	if p.busyPos < 0 {
 		p.busyPos = len(w.busy)
 		w.busy = append(w.busy, p)
+		p.since = w.now
 	}
 }
 
@@ -59,9 +59,6 @@
 func (w *World) dequeued(r *request) {
 	r.state = stateArrived
 	r.team.queued--
-	if f := r.pool.flow(r.team); f.Len() == 0 {
-		r.pool.removeBacklog(f)
-	}
 	if r.pool.queue.Len() == 0 {
 		w.idle(r.pool)
 	}
@@ -79,6 +76,7 @@
 	w.busy[last] = nil
 	w.busy = w.busy[:last]
 	p.busyPos = -1
+	p.backlogged = false
 }
 
 // flow is the team's part of the pool's queue.
@@ -90,7 +88,7 @@
 		p.flows = append(p.flows, nil)
 	}
 	if p.flows[t.index] == nil {
-		f := &flow{backlogPos: -1}
+		f := &flow{}
 		p.queue.Init(&f.Flow, t.Weight)
 		p.flows[t.index] = f
 	}
@@ -102,25 +100,3 @@
 		p.queue.SetWeight(&p.flows[t.index].Flow, t.Weight)
 	}
 }
-
-func (p *pool) addBacklog(f *flow) {
-	if f.backlogPos >= 0 {
-		return
-	}
-	f.backlogPos = len(p.backlog)
-	p.backlog = append(p.backlog, f)
-}
-
-func (p *pool) removeBacklog(f *flow) {
-	if f.backlogPos < 0 {
-		return
-	}
-	last := len(p.backlog) - 1
-	moved := p.backlog[last]
-	p.backlog[f.backlogPos] = moved
-	moved.backlogPos = f.backlogPos
-	p.backlog[last] = nil
-	p.backlog = p.backlog[:last]
-	f.backlogPos = -1
-	f.backlogged = false
-}
--- a/decision/tables.go
+++ b/decision/tables.go
@@ -106,8 +106,6 @@
 	flows []*flow
 	// shared is the one flow of all teams under Policy.FirstCome, else nil.
 	shared *flow
-	// backlog are the flows with queued requests.
-	backlog []*flow
 	// free are the servers that can take a request now. Keeping the set makes
 	// "is the pool saturated" and a random candidate O(1) at any size.
 	free []freeSlot
@@ -115,20 +113,20 @@
 	usable int
 	slots  int
 	pace   paceMeter
+	drain  drainMeter
 	use    useMeter
 	// busyPos is the place in tables.busy, or -1.
 	busyPos int
+	// backlogged says that work was left in the queue since the last tick, and
+	// since says from when on there always was some.
+	backlogged bool
+	since      time.Time
 }
 
-// flow is a team's part of a pool's queue, and how fast it drains.
+// flow is a team's part of a pool's queue.
 type flow struct {
 	fair.Flow[*request]
-	drain drainMeter
-	use   useMeter
-	// backlogPos is the place in pool.backlog, or -1.
-	backlogPos int
-	// backlogged says that the last tick left work in the flow.
-	backlogged bool
+	use useMeter
 }
 
 // freeSlot is an entry of pool.free.
--- a/decision/wait.go
+++ b/decision/wait.go
@@ -2,56 +2,75 @@
 
 import "time"
 
-// waitFor estimates how long the request would wait in its pool's queue: what
-// its team has queued there, over the rate at which that drains.
+// waitFor estimates how long the request would wait in its pool's queue.
 //
-// Load: saturation by one team or by all. The rate is measured for each team by
-// itself, since the queue's whole rate is no team's: it depends on who else asks.
-// Before that is known, the guess is what the pool's slots work off less what the
-// other teams use of late, and at least the team's share by weight. Before anything is known the estimate is 0: a wrong
-// refusal costs a caller more than a short wait.
+// Load: saturation by one team or by all, of a pool that other instances use as
+// well. Two bounds hold. The work that goes before the request by fair queueing,
+// at the rate at which this instance's queue truly drains: it shows the queues of
+// the others as they are, and the request of a team below its share so waits for
+// the next slot only. And the team's own queue at the team's own rate: it shows
+// what the others go on asking for. Before a rate is known the estimate is 0: a
+// wrong refusal costs a caller more than a short wait.
 func (w *World) waitFor(r *request) time.Duration {
 	p := r.pool
 	if p == nil || r.team == nil || p.queue.Len() == 0 && len(p.free) > 0 {
 		return 0
 	}
-	f := p.flow(r.team)
-	rate := f.drain.rate(w.guessRate(p, f), w.cfg.DrainWindow)
-	if rate <= 0 {
+	window := w.cfg.DrainWindow
+	all := p.drain.rate(p.pace.rate(p.slots), window)
+	if all <= 0 {
 		return 0
 	}
-	return seconds((f.Cost() + r.item.Cost) / rate)
+	f := p.flow(r.team)
+	nextSlot := p.pace.meanCost()
+	before := (p.queue.Ahead(&f.Flow) + nextSlot) / w.queuedRate(p, f, all)
+	own := f.Cost() / w.ownRate(p, f, all)
+	return seconds(max(before, own))
 }
 
-// guessRate is the rate at which the flow should drain: what the other teams
-// leave, and at least the share by weight among all that ever used the pool.
-func (w *World) guessRate(p *pool, f *flow) float64 {
-	all := p.pace.rate(p.slots)
+// queuedRate is what is left of the pool's rate for the flows that are queued and
+// for f: the teams that are not queued now will ask for what they use of late,
+// up to their share.
+func (w *World) queuedRate(p *pool, f *flow, all float64) float64 {
+	window := w.cfg.DrainWindow
+	queued := f.use.rate(w.now, window)
+	for _, other := range p.flows {
+		if other != nil && other != f && other.Len() > 0 {
+			queued += other.use.rate(w.now, window)
+		}
+	}
+	idle := p.use.rate(w.now, window) - queued
+	share := p.queue.ActiveWeight(&f.Flow) / p.queue.Weight()
+	return max(all*share, all-idle)
+}
+
+// ownRate is the flow's part of the rate: what the others leave of it by what
+// they use of late, and at least its share among those that are queued.
+func (w *World) ownRate(p *pool, f *flow, all float64) float64 {
 	window := w.cfg.DrainWindow
 	others := p.use.rate(w.now, window) - f.use.rate(w.now, window)
-	return max(all*f.Weight()/p.queue.Weight(), all-others)
+	share := f.Weight() / p.queue.ActiveWeight(&f.Flow)
+	return max(all*share, all-others)
 }
 
-// advanceDrains moves the meters of the backlogged flows on. The work is by
-// flows with queued requests, which are as few as teams times versions.
+// advanceDrains moves the meters of the backlogged pools on. The work is by
+// pools with queued requests, which are as few as versions.
 func (w *World) advanceDrains(elapsed time.Duration) {
 	if elapsed <= 0 {
 		return
 	}
 	for _, p := range w.busy {
-		for _, f := range p.backlog {
-			f.drain.advance(elapsed, w.cfg.DrainWindow)
-			f.backlogged = true
-		}
+		p.drain.advance(elapsed, w.cfg.DrainWindow)
+		p.backlogged = true
 	}
 }
 
-// left notes that a request goes from its flow to a server. What a flow without
+// left notes that a request goes from its queue to a server. What a queue without
 // a backlog sends says nothing of the rate: there it was demand that was short.
 func (w *World) left(p *pool, r *request) {
 	f := p.flow(r.team)
-	if f.backlogged {
-		f.drain.left(r.item.Cost)
+	if p.backlogged {
+		p.drain.left(r.item.Cost)
 	}
 	f.use.add(r.item.Cost, w.now, w.cfg.DrainWindow)
 	p.use.add(r.item.Cost, w.now, w.cfg.DrainWindow)
