Processes killed, frozen and cut; ledger export; one kind of bill

The router's own Bill went in favour of the ledger's, whose nonce follows from the content, so a copy at a peer is the same proposal; cost is summed as float and rounded to millionths once.

--- a/coordination/ledger/bill.go
+++ b/coordination/ledger/bill.go
@@ -30,6 +30,9 @@
 	ErrFull = errors.New("ledger: outage buffer is full")
 )
 
+// MicrosPerUnit is how many CostMicros make one unit of the manifest's cost.
+const MicrosPerUnit = 1_000_000
+
 // maxField bounds a bill's names in bytes; escaped they must fit in a key.
 const maxField = 128
 
--- a/router/cmd/masticplank/main.go
+++ b/router/cmd/masticplank/main.go
@@ -9,6 +9,7 @@
 
 	"masticplank.example/router/internal/cli"
 	"masticplank.example/router/internal/cli/democmd"
+	"masticplank.example/router/internal/cli/ledgercmd"
 	"masticplank.example/router/internal/cli/manifestcmd"
 	"masticplank.example/router/internal/cli/settingscmd"
 	"masticplank.example/router/internal/cli/standincmd"
@@ -31,6 +32,7 @@
 	}
 	root.AddCommand(
 		democmd.New(),
+		ledgercmd.New(),
 		manifestcmd.New(),
 		settingscmd.New(),
 		standincmd.New(),
--- a/router/internal/api/attempt.go
+++ b/router/internal/api/attempt.go
@@ -20,6 +20,7 @@
 func (x *exchange) attempt(ctx context.Context, d decision.Dispatch) {
 	ctx, done := x.ticket.Begin(ctx, d.Attempt)
 	defer done()
+	x.tokensBefore = x.bill.OutputTokens
 	result, err := x.send(ctx, d)
 	if err != nil {
 		x.attemptFailed(ctx, d, err)
@@ -111,10 +112,10 @@
 func (x *exchange) addUsage(version decision.VersionID, u wire.Usage) {
 	const perTokens = 1000
 	x.bill.Version = string(version)
-	x.bill.PromptTokens += u.PromptTokens
-	x.bill.CompletionTokens += u.CompletionTokens
+	x.bill.PromptTokens += uint64(max(0, u.PromptTokens))
+	x.bill.OutputTokens += uint64(max(0, u.CompletionTokens))
 	if v, ok := x.caller.index.Version(string(version)); ok {
-		x.bill.Cost += v.Cost * float64(u.CompletionTokens) / perTokens
+		x.cost += v.Cost * float64(u.CompletionTokens) / perTokens
 	}
 }
 
@@ -146,7 +147,7 @@
 // complete gives the caller an answer that is not held: the bill first, then
 // the end of it.
 func (x *exchange) complete(ctx context.Context, a *answer) {
-	if !x.settle(ctx, "completed") {
+	if !x.settle(ctx) {
 		return
 	}
 	x.writeAnswer(a)
--- a/router/internal/api/exchange.go
+++ b/router/internal/api/exchange.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
+	"masticplank.example/coordination/ledger"
 	"masticplank.example/decision"
-	"masticplank.example/router/internal/billing"
 	"masticplank.example/router/internal/driver"
 	"masticplank.example/router/internal/manifest"
 	"masticplank.example/router/internal/outcome"
@@ -33,8 +34,11 @@
 	claimed *claim
 	// held is the answer kept back until the decision says Deliver.
 	held *answer
-	// bill adds up over all attempts.
-	bill billing.Bill
+	// bill adds up over all attempts; cost is in the manifest's unit.
+	bill ledger.Bill
+	cost float64
+	// tokensBefore is what the attempts before the present one generated.
+	tokensBefore uint64
 	// sent says that a part of an answer went to the caller.
 	sent bool
 	// over says that the caller has the final answer, or can get none.
@@ -66,7 +70,7 @@
 		req:    req,
 		key:    key,
 		start:  time.Now(),
-		bill:   billing.Bill{Team: c.team.ID, Request: key.id},
+		bill:   ledger.Bill{Team: c.team.ID, Request: key.id},
 	}
 }
 
@@ -181,7 +185,7 @@
 		Request: x.req.ID,
 		Attempt: d.Attempt,
 		Result:  result,
-		Tokens:  x.bill.CompletionTokens,
+		Tokens:  int(x.bill.OutputTokens - x.tokensBefore),
 		Sent:    x.sent,
 		Leaving: leaving,
 	})
@@ -193,7 +197,7 @@
 	if x.held == nil || x.held.attempt != c.Attempt {
 		return
 	}
-	if !x.settle(ctx, "completed") {
+	if !x.settle(ctx) {
 		return
 	}
 	x.writeAnswer(x.held)
@@ -202,12 +206,11 @@
 }
 
 // settle makes the bill durable, before the last of the answer goes out.
-func (x *exchange) settle(ctx context.Context, how string) bool {
-	if x.bill.Cost == 0 && x.call != nil {
+func (x *exchange) settle(ctx context.Context) bool {
+	if x.cost == 0 && x.call != nil {
 		return true
 	}
-	x.bill.Outcome = how
-	if err := x.s.Biller.Record(ctx, x.bill); err != nil {
+	if err := x.record(ctx); err != nil {
 		x.finish(outcome.Outcome{
 			Kind:       outcome.Unknown,
 			Code:       "bill_not_durable",
@@ -219,6 +222,12 @@
 	return true
 }
 
+// record writes the bill, its cost rounded to the ledger's unit once.
+func (x *exchange) record(ctx context.Context) error {
+	x.bill.CostMicros = int64(math.Round(x.cost * ledger.MicrosPerUnit))
+	return x.s.Biller.Record(ctx, x.bill)
+}
+
 // finish ends the request with an answer of the router's own. Where a part of
 // an answer is out already, it breaks the connection instead: a cut stream must
 // never look complete.
@@ -241,10 +250,10 @@
 	if x.over {
 		return
 	}
-	if x.bill.CompletionTokens > 0 {
-		x.bill.Outcome = "cancelled"
+	if x.bill.OutputTokens > 0 {
+		x.bill.Canceled = true
 		// Nobody is left to be told of an error; the bill is best effort here.
-		_ = x.s.Biller.Record(context.WithoutCancel(x.r.Context()), x.bill)
+		_ = x.record(context.WithoutCancel(x.r.Context()))
 	}
 	x.finish(outcome.Outcome{Kind: outcome.Unknown, Code: "cancelled", Message: "the request was cancelled"})
 }
@@ -257,7 +266,7 @@
 		Code:       ended.Code,
 		FirstToken: x.firstToken,
 		Whole:      time.Since(x.start),
-		Cost:       x.bill.Cost,
+		Cost:       x.cost,
 	}
 	if x.gaps > 0 {
 		o.InterToken = x.gapTotal / time.Duration(x.gaps)
--- a/router/internal/api/service.go
+++ b/router/internal/api/service.go
@@ -111,7 +111,7 @@
 		return nil, &upstream.Failure{Result: decision.AttemptFailed, Err: errors.New(resp.Status)}
 	}
 	if resp.StatusCode < http.StatusMultipleChoices {
-		x.bill.Cost = x.call.service.Price
+		x.cost = x.call.service.Price
 	}
 	x.markFirstToken()
 	return &answer{attempt: d.Attempt, status: resp.StatusCode, header: resp.Header, body: body}, nil
--- /dev/null
+++ b/router/internal/cli/ledgercmd/ledgercmd.go
@@ -0,0 +1,86 @@
+// Package ledgercmd is "masticplank ledger": the bills, as any reader of the log
+// finds them.
+package ledgercmd
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"masticplank.example/coordination/fold"
+	"masticplank.example/coordination/ledger"
+	"masticplank.example/router/internal/cli"
+	"masticplank.example/router/internal/platform"
+)
+
+// New returns the command with its subcommands.
+func New() *cobra.Command {
+	cmd := &cobra.Command{Use: "ledger", Short: "Read the bills"}
+	cmd.AddCommand(newExport())
+	return cmd
+}
+
+func newExport() *cobra.Command {
+	var logURL, output string
+	var from uint64
+	cmd := &cobra.Command{
+		Use:   "export --log URL",
+		Short: "Write each bill that counts, once",
+		Long: `Write each bill that counts, in the log's order, one JSON object a line (or a
+line of text). Copies of a bill are void and left out. The summary on standard
+error names the offset to give as --from next time; exports in a row give each
+bill once, as long as they come within the log's retention.
+
+Exit status: 0 done, 1 the log could not be read, 3 some bills were malformed.`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := cli.CheckOutput(output, cli.OutputText, cli.OutputJSON); err != nil {
+				return err
+			}
+			return export(cmd, logURL, from, output)
+		},
+	}
+	cmd.Flags().StringVar(&logURL, "log", "", "URL of the platform's log")
+	cmd.Flags().Uint64Var(&from, "from", 0, "offset to start at, from the last export's summary")
+	cmd.Flags().StringVarP(&output, "output", "o", cli.OutputJSON, "text or json")
+	_ = cmd.MarkFlagRequired("log")
+	return cmd
+}
+
+func export(cmd *cobra.Command, logURL string, from uint64, output string) error {
+	emit := jsonLines(cmd)
+	if output == cli.OutputText {
+		emit = textLines(cmd)
+	}
+	sum, err := ledger.Export(cmd.Context(), platform.NewLogClient(logURL), fold.DefaultConfig(), from, emit)
+	if err != nil {
+		return cli.Exit(cli.StatusFailed, err)
+	}
+	fmt.Fprintf(cmd.ErrOrStderr(), "%d bills, %d void copies, %d malformed; next: --from %d\n",
+		sum.Bills, sum.Duplicates, sum.Malformed, sum.Next)
+	if from > 0 && from < sum.First {
+		fmt.Fprintf(cmd.ErrOrStderr(), "warning: the log keeps nothing before offset %d; bills from %d on may be missing\n", sum.First, from)
+	}
+	if sum.Malformed > 0 {
+		return cli.Exitf(cli.StatusPartial, "%d malformed bills", sum.Malformed)
+	}
+	return nil
+}
+
+func jsonLines(cmd *cobra.Command) func(ledger.Line) error {
+	enc := json.NewEncoder(cmd.OutOrStdout())
+	return func(l ledger.Line) error { return enc.Encode(l) }
+}
+
+func textLines(cmd *cobra.Command) func(ledger.Line) error {
+	return func(l ledger.Line) error {
+		what := l.Version
+		if what == "" {
+			what = l.Service
+		}
+		_, err := fmt.Fprintf(cmd.OutOrStdout(), "%d %s %s %s %s tokens %d cost %.6f\n", l.Offset, l.At.UTC().Format("2006-01-02T15:04:05Z"),
+			l.Team, l.Request, what, l.OutputTokens, float64(l.CostMicros)/ledger.MicrosPerUnit)
+		return err
+	}
+}
--- a/router/internal/daemon/platform.go
+++ b/router/internal/daemon/platform.go
@@ -28,6 +28,10 @@
 // the decision hears of a lapse soon after it happened.
 const freshnessInterval = 100 * time.Millisecond
 
+// pollsPerBound is how many long polls fit into the freshness bound: a poll
+// confirms the state as of its start, and one or two may fail without harm.
+const pollsPerBound = 5
+
 func newLogger(w io.Writer, cfg settings.Settings) *logging.Logger {
 	return logging.New(w, cfg.Log).With(slog.String(logging.KeyInstance, cfg.Instance))
 }
@@ -63,6 +67,7 @@
 			Name:         cfg.Instance,
 			Linger:       ms(cfg.Platform.LingerMS),
 			AppendBudget: cfg.Platform.AppendBudget,
+			PollWait:     ms(cfg.Freshness.BoundMS) / pollsPerBound,
 		},
 		node.WithObserver(g),
 		node.WithLive(func() int { return max(1, len(dir.Instances())) }),
--- a/router/internal/daemon/report.go
+++ b/router/internal/daemon/report.go
@@ -37,10 +37,12 @@
 	gate   *gate.Gate
 	holder *manifest.Holder
 	driver *driver.Driver
+	peers  *peer.Node
+	fleet  *fleet
 }
 
-func newStatus(cfg settings.Settings, n *node.Node, g *gate.Gate, h *manifest.Holder, d *driver.Driver) *status {
-	return &status{cfg: cfg, node: n, gate: g, holder: h, driver: d}
+func newStatus(cfg settings.Settings, n *node.Node, g *gate.Gate, h *manifest.Holder, d *driver.Driver, p *peer.Node, f *fleet) *status {
+	return &status{cfg: cfg, node: n, gate: g, holder: h, driver: d, peers: p, fleet: f}
 }
 
 // statusReport is the body of /status.
@@ -50,6 +52,8 @@
 	Generation uint64      `json:"generation"`
 	Mode       string      `json:"mode"`
 	Open       int         `json:"open"`
+	HeldBills  int         `json:"held_bills"`
+	ShutOff    []string    `json:"shut_off,omitempty"`
 	Log        node.Status `json:"log"`
 }
 
@@ -66,6 +70,8 @@
 		Generation: s.holder.Generation(),
 		Mode:       modeNames[s.gate.Mode()],
 		Open:       s.driver.Open(),
+		HeldBills:  s.peers.Held(),
+		ShutOff:    s.fleet.ShutOff(),
 		Log:        s.node.Status(),
 	}
 }
--- a/router/internal/demo/check.go
+++ b/router/internal/demo/check.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"masticplank.example/router/internal/billing"
+	bills "masticplank.example/coordination/ledger"
 	"masticplank.example/router/internal/outcome"
 	"masticplank.example/router/internal/standin/engine"
 	"masticplank.example/router/internal/standin/service"
@@ -134,33 +134,33 @@
 			refused++
 		}
 	}
-	bills := c.ledger.bills[key]
+	billed := c.ledger.bills[key]
 	first := same[0]
-	if len(bills) > 1 || completed > 0 && len(bills) == 0 {
-		c.breaks(promiseBilled, "%s: %d bills", first, len(bills))
+	if len(billed) > 1 || completed > 0 && len(billed) == 0 {
+		c.breaks(promiseBilled, "%s: %d bills", first, len(billed))
 	}
-	if refused == len(same) && (len(bills) > 0 || c.runs[key] > 0) {
-		c.breaks(promiseNotRun, "%s: refused, but %d runs and %d bills", first, c.runs[key], len(bills))
+	if refused == len(same) && (len(billed) > 0 || c.runs[key] > 0) {
+		c.breaks(promiseNotRun, "%s: refused, but %d runs and %d bills", first, c.runs[key], len(billed))
 	}
 	if c.runs[key] > 1 || completed > 1 {
 		c.breaks(promiseOnce, "%s: %d runs, completed %d times", first, c.runs[key], completed)
 	}
-	if completed > 0 && len(bills) == 1 {
-		c.checkBill(same, bills[0])
+	if completed > 0 && len(billed) == 1 {
+		c.checkBill(same, billed[0])
 	}
 }
 
 // checkBill holds a bill to the answer that it is for.
-func (c *checker) checkBill(same []result, b billing.Bill) {
+func (c *checker) checkBill(same []result, b bills.Bill) {
 	for _, r := range same {
 		if !r.completed() {
 			continue
 		}
-		if b.Team != r.request.team.id || b.Version != r.version || b.Outcome != string(outcome.Completed) {
+		if b.Team != r.request.team.id || b.Version != r.version || b.Canceled {
 			c.breaks(promiseBilled, "%s: ran on %q, billed %+v", r, r.version, b)
 		}
-		if r.request.chat.Messages != nil && b.CompletionTokens < r.request.chat.MaxTokens {
-			c.breaks(promiseBilled, "%s: %d tokens given, %d billed", r, r.request.chat.MaxTokens, b.CompletionTokens)
+		if r.request.chat.Messages != nil && int(b.OutputTokens) < r.request.chat.MaxTokens {
+			c.breaks(promiseBilled, "%s: %d tokens given, %d billed", r, r.request.chat.MaxTokens, b.OutputTokens)
 		}
 	}
 }
--- a/router/internal/demo/report.go
+++ b/router/internal/demo/report.go
@@ -10,7 +10,7 @@
 	"text/tabwriter"
 	"time"
 
-	"masticplank.example/router/internal/billing"
+	bills "masticplank.example/coordination/ledger"
 )
 
 // Report is what the demo found.
@@ -191,8 +191,8 @@
 		dearest = max(dearest, v.Cost)
 	}
 	rows := map[string]*VersionRow{}
-	for _, bills := range l.bills {
-		for _, b := range bills {
+	for _, same := range l.bills {
+		for _, b := range same {
 			r.addBill(rows, b, dearest)
 		}
 	}
@@ -204,7 +204,7 @@
 	}
 }
 
-func (r *Report) addBill(rows map[string]*VersionRow, b billing.Bill, dearest float64) {
+func (r *Report) addBill(rows map[string]*VersionRow, b bills.Bill, dearest float64) {
 	name := b.Version
 	if name == "" {
 		name = "service " + b.Service
@@ -215,14 +215,15 @@
 		rows[name] = row
 	}
 	row.Answers++
-	row.Tokens += b.CompletionTokens
-	row.Cost += b.Cost
-	r.Cost.Total += b.Cost
+	row.Tokens += int(b.OutputTokens)
+	cost := float64(b.CostMicros) / bills.MicrosPerUnit
+	row.Cost += cost
+	r.Cost.Total += cost
 	if b.Service != "" {
-		r.Cost.Dearest += b.Cost
+		r.Cost.Dearest += cost
 		return
 	}
-	r.Cost.Dearest += dearest * float64(b.CompletionTokens) / 1000
+	r.Cost.Dearest += dearest * float64(b.OutputTokens) / 1000
 }
 
 // Write prints the report as a short table.
--- /dev/null
+++ b/router/internal/e2e/fleet_test.go
@@ -0,0 +1,204 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"masticplank.example/router/internal/wire"
+)
+
+var domains = []string{"salle-rimouski", "salle-matane", "salle-riviere"}
+
+// fleet is the whole path: a log, a list, three engines, a shop service and some
+// instances, each a process of its own.
+type fleet struct {
+	t         testing.TB
+	log       string
+	list      string
+	shop      string
+	engines   []string
+	instances []*instance
+	// lines are the instances' ways to the log, which a test can cut.
+	lines []*relay
+}
+
+func startFleet(t testing.TB, instances int, shopArgs ...string) *fleet {
+	t.Helper()
+	f := &fleet{
+		t:    t,
+		log:  standin(t, "log"),
+		list: standin(t, "instances"),
+		shop: standin(t, "service", append([]string{"--name", "shop"}, shopArgs...)...),
+	}
+	rating := standin(t, "rating")
+	list := wire.InstanceList{Servers: []wire.ListedServer{
+		{ID: "shop-1", Addr: f.shop, Domain: domains[0], Service: "shop", Slots: 8},
+	}}
+	for n := range 3 {
+		addr := standin(t, "engine")
+		f.engines = append(f.engines, addr)
+		list.Servers = append(list.Servers, wire.ListedServer{
+			ID:       fmt.Sprintf("engine-%d", n+1),
+			Addr:     addr,
+			Domain:   domains[n],
+			Versions: []string{"small@1", "large@1"},
+			Slots:    8,
+		})
+	}
+	f.put("http://"+f.list+"/instances", list)
+	for n := range instances {
+		line := newRelay(t, f.log)
+		f.lines = append(f.lines, line)
+		name := fmt.Sprintf("entry-%d", n+1)
+		i := startInstance(t, name, domains[n%len(domains)], map[string]any{
+			"log_url":    "http://" + line.addr,
+			"list_url":   "http://" + f.list,
+			"rating_url": "http://" + rating,
+		})
+		f.instances = append(f.instances, i)
+		f.put("http://"+f.list+"/instances/"+name, wire.ListedInstance{ID: name, Peer: i.peer, Domain: domains[n%len(domains)]})
+	}
+	return f
+}
+
+// put sends a JSON body to a stand-in.
+func (f *fleet) put(url string, body any) {
+	f.t.Helper()
+	data, err := json.Marshal(body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if r := call(f.t, http.MethodPut, url, "", string(data), nil); r.err != nil || r.status >= http.StatusMultipleChoices {
+		f.t.Fatalf("PUT %s: %+v", url, r)
+	}
+}
+
+// faults switches a stand-in's faults.
+func (f *fleet) faults(addr string, set map[string]any) { f.put("http://"+addr+"/faults", set) }
+
+// status reads an instance's /status.
+func (f *fleet) status(i *instance) (s struct {
+	Generation uint64 `json:"generation"`
+	Mode       string `json:"mode"`
+	Held       int    `json:"held_bills"`
+}) {
+	f.t.Helper()
+	r := call(f.t, http.MethodGet, i.admin+"/status", "", "", nil)
+	_ = json.Unmarshal([]byte(r.body), &s)
+	return s
+}
+
+func (f *fleet) awaitMode(i *instance, mode string) {
+	f.t.Helper()
+	eventually(f.t, i.name+" is "+mode, func() bool { return f.status(i).Mode == mode })
+}
+
+// runs counts how often the shop ran a reservation.
+func (f *fleet) runs(key string) int {
+	f.t.Helper()
+	r := call(f.t, http.MethodGet, "http://"+f.shop+"/stats", "", "", nil)
+	var got struct {
+		Runs map[string]int `json:"runs"`
+	}
+	if err := json.Unmarshal([]byte(r.body), &got); err != nil {
+		f.t.Fatal(err)
+	}
+	return got.Runs[key]
+}
+
+// relay passes TCP connections on, until it is cut.
+type relay struct {
+	addr   string
+	target string
+
+	mu    sync.Mutex
+	cut   bool
+	conns map[net.Conn]bool
+}
+
+func newRelay(t testing.TB, target string) *relay {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{addr: l.Addr().String(), target: target, conns: map[net.Conn]bool{}}
+	t.Cleanup(func() {
+		l.Close()
+		r.setCut(true)
+	})
+	go func() {
+		for {
+			in, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go r.pass(in)
+		}
+	}()
+	return r
+}
+
+// setCut closes what is open and refuses what comes, or ends that.
+func (r *relay) setCut(cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut = cut
+	if !cut {
+		return
+	}
+	for c := range r.conns {
+		c.Close()
+		delete(r.conns, c)
+	}
+}
+
+// keep notes a connection; false where the relay is cut.
+func (r *relay) keep(c net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cut {
+		c.Close()
+		return false
+	}
+	r.conns[c] = true
+	return true
+}
+
+func (r *relay) pass(in net.Conn) {
+	if !r.keep(in) {
+		return
+	}
+	out, err := net.Dial("tcp", r.target)
+	if err != nil {
+		in.Close()
+		return
+	}
+	if !r.keep(out) {
+		in.Close()
+		return
+	}
+	go func() {
+		_, _ = io.Copy(out, in)
+		out.Close()
+	}()
+	_, _ = io.Copy(in, out)
+	in.Close()
+}
+
+// billsOf counts a request's bills in the ledger, read from the log by the
+// operators' tool.
+func (f *fleet) billsOf(request string) int {
+	f.t.Helper()
+	out, err := tool("ledger", "export", "--log", "http://"+f.log)
+	if err != nil {
+		f.t.Fatalf("ledger export: %v: %s", err, out)
+	}
+	return strings.Count(out, request)
+}
--- a/router/internal/e2e/process_test.go
+++ b/router/internal/e2e/process_test.go
@@ -153,7 +153,16 @@
 // instance is one masticplankd.
 type instance struct {
 	*process
-	api, admin string
+	api, admin, peer string
+}
+
+// tuning shortens the times that a test would else wait for. A freshness bound
+// of seconds is what the product runs with; here it only must be well above the
+// time in which a busy machine schedules a process.
+var tuning = map[string]map[string]any{
+	"freshness": {"bound_ms": 2000},
+	"peer":      {"interval_ms": 100},
+	"shutdown":  {"grace_ms": 50},
 }
 
 // startInstance writes a settings file and starts masticplankd with it.
@@ -163,7 +172,9 @@
 		"instance":            name,
 		"domain":              domain,
 		"platform":            platform,
-		"shutdown":            map[string]any{"grace_ms": 50},
+		"freshness":           tuning["freshness"],
+		"peer":                tuning["peer"],
+		"shutdown":            tuning["shutdown"],
 		"session":             map[string]any{"keys": []any{map[string]any{"id": "k1", "secret": "dGhpcnR5LXR3by1ieXRlcy1vZi1zZWNyZXQtaGVyZSE="}}},
 		"operator_key_hashes": []string{operatorKeyHash},
 	}
@@ -176,7 +187,7 @@
 		t.Fatal(err)
 	}
 	i := &instance{process: start(t, name, "masticplankd", "--config", file)}
-	for i.api == "" || i.admin == "" {
+	for i.api == "" || i.admin == "" || i.peer == "" {
 		i.await("listeners", i.listener)
 	}
 	return i
@@ -195,6 +206,8 @@
 		i.api = "http://" + ev.Addr
 	case "admin":
 		i.admin = "http://" + ev.Addr
+	case "peer":
+		i.peer = ev.Addr
 	}
 	return "", true
 }
--- a/router/internal/e2e/thinpath_test.go
+++ b/router/internal/e2e/thinpath_test.go
@@ -24,50 +24,6 @@
 
 var operatorKeyHash = manifest.HashKey(operatorKey)
 
-// fleet is the whole thin path: a log, a list, three engines, a shop service
-// and two instances, each a process of its own.
-type fleet struct {
-	t         *testing.T
-	shop      string
-	instances []*instance
-}
-
-func startFleet(t *testing.T) *fleet {
-	t.Helper()
-	logAddr := standin(t, "log")
-	listAddr := standin(t, "instances")
-	ratingAddr := standin(t, "rating")
-	f := &fleet{t: t, shop: standin(t, "service", "--name", "shop")}
-	list := wire.InstanceList{Servers: []wire.ListedServer{
-		{ID: "shop-1", Addr: f.shop, Domain: "salle-rimouski", Service: "shop", Slots: 8},
-	}}
-	for _, id := range []string{"engine-1", "engine-2", "engine-3"} {
-		list.Servers = append(list.Servers, wire.ListedServer{
-			ID:       id,
-			Addr:     standin(t, "engine"),
-			Domain:   "salle-rimouski",
-			Versions: []string{"small@1", "large@1"},
-			Slots:    8,
-		})
-	}
-	body, err := json.Marshal(list)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if r := call(t, http.MethodPut, "http://"+listAddr+"/instances", "", string(body), nil); r.status >= 300 {
-		t.Fatalf("list: %+v", r)
-	}
-	platform := map[string]any{
-		"log_url":    "http://" + logAddr,
-		"list_url":   "http://" + listAddr,
-		"rating_url": "http://" + ratingAddr,
-	}
-	f.instances = append(f.instances,
-		startInstance(t, "entry-1", "salle-rimouski", platform),
-		startInstance(t, "entry-2", "salle-matane", platform))
-	return f
-}
-
 // testManifest lets the weavers use both models and the shop, the clerks only
 // the small one.
 func testManifest(publication string) manifest.Manifest {
@@ -106,6 +62,11 @@
 		addrs = append(addrs, i.admin)
 	}
 	args = append([]string{"manifest", "publish", file, "--instances", strings.Join(addrs, ","), "--wait", "30s"}, args...)
+	return tool(args...)
+}
+
+// tool runs the operators' tool.
+func tool(args ...string) (string, error) {
 	cmd := exec.Command(filepath.Join(binaries, "masticplank"), args...)
 	cmd.Env = append(os.Environ(), "MASTICPLANK_OPERATOR_KEY="+operatorKey)
 	out, err := cmd.CombinedOutput()
@@ -122,7 +83,7 @@
 }
 
 func TestThinPath(t *testing.T) {
-	f := startFleet(t)
+	f := startFleet(t, 2)
 	eventually(t, "publishing", func() bool {
 		out, err := f.publish(testManifest("run-1"), "--rebase")
 		t.Log(out)
