Cheaper decisions: one exponential a tick, no map of running attempts

Cause, by profile: 10% of a decision went into exponentials of the use meters of each team, 8% into the map of attempts and 6% into comparing times.

The meters now decay forward by one clock, an attempt is reached through its request (only cancelled ones stand in a map), and deadlines are compared as integers.

--- /dev/null
+++ b/decision/bench_test.go
@@ -0,0 +1,123 @@
+package decision
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// benchWorld has so many servers, all of whose slots are taken, and so many
+// queued requests of ten teams.
+type benchWorld struct {
+	w    *World
+	now  time.Time
+	next RequestID
+	// running are the attempts, oldest first.
+	running []attemptKey
+	teams   []TeamID
+	blocks  []BlockHash
+}
+
+const benchSlots = 8
+
+func newBenchWorld(servers, queued int, blocks int) *benchWorld {
+	b := &benchWorld{w: NewWorld(DefaultConfig()), now: epoch}
+	var teams []Team
+	for i := range 10 {
+		id := TeamID(fmt.Sprintf("team%d", i))
+		b.teams = append(b.teams, id)
+		t := teamOf(id, 1+i%3)
+		t.QueueLimit = 1 << 20
+		teams = append(teams, t)
+	}
+	for i := range blocks {
+		b.blocks = append(b.blocks, BlockHash(i+1))
+	}
+	b.tick(
+		FreshnessChanged{Fresh: true},
+		ManifestApplied{Generation: 1, Teams: teams, Versions: smallVersions()},
+		ServersListed{Servers: serversOf(servers, benchSlots, weave1, draft1)},
+	)
+	for range servers * benchSlots {
+		b.tick(b.arrival())
+	}
+	for range queued {
+		b.tick(b.arrival())
+	}
+	return b
+}
+
+func (b *benchWorld) arrival() Event {
+	b.next++
+	return RequestArrived{Request: Request{
+		ID: b.next, Team: b.teams[int(b.next)%len(b.teams)], Model: "weave", MaxTokens: 20, PromptTokens: 500,
+		Idempotent: true, Deadline: epoch.Add(1000 * time.Hour), Blocks: b.blocks,
+	}}
+}
+
+func (b *benchWorld) tick(in ...Event) {
+	b.now = b.now.Add(time.Microsecond)
+	for _, c := range b.w.Tick(b.now, in) {
+		if d, ok := c.(Dispatch); ok {
+			b.running = append(b.running, attemptKey{d.Request, d.Attempt})
+		}
+	}
+}
+
+// decide is one decision: an attempt ends, a request arrives, and the freed slot
+// goes to the next of the queue (or to the request, where there is none).
+func (b *benchWorld) decide() {
+	oldest := b.running[0]
+	b.running = b.running[1:]
+	b.tick(AttemptEnded{Request: oldest.request, Attempt: oldest.attempt, Result: AttemptCompleted, Tokens: 20}, b.arrival())
+}
+
+// BenchmarkDecision is one decision: request in, server out.
+func BenchmarkDecision(b *testing.B) {
+	for _, servers := range []int{15, 100, 1000, 10_000} {
+		for _, queued := range []int{10, 10_000} {
+			b.Run(fmt.Sprintf("servers=%d/queued=%d", servers, queued), func(b *testing.B) {
+				benchDecisions(b, servers, queued, 0)
+			})
+		}
+	}
+}
+
+// BenchmarkDecisionWithPrefix is one decision for a prompt of 16 blocks.
+func BenchmarkDecisionWithPrefix(b *testing.B) {
+	for _, servers := range []int{15, 10_000} {
+		b.Run(fmt.Sprintf("servers=%d/queued=10", servers), func(b *testing.B) {
+			benchDecisions(b, servers, 10, 16)
+		})
+	}
+}
+
+func benchDecisions(b *testing.B, servers, queued, blocks int) {
+	world := newBenchWorld(servers, queued, blocks)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		world.decide()
+	}
+}
+
+// BenchmarkRefusal is the answer to a request that cannot be answered in time,
+// with a full queue: the path that an overload takes most.
+func BenchmarkRefusal(b *testing.B) {
+	for _, servers := range []int{15, 10_000} {
+		b.Run(fmt.Sprintf("servers=%d/queued=10000", servers), func(b *testing.B) {
+			world := newBenchWorld(servers, 10_000, 0)
+			for range 100 {
+				world.decide()
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				world.next++
+				world.tick(RequestArrived{Request: Request{
+					ID: world.next, Team: "team1", Model: "weave", MaxTokens: 20, Deadline: world.now.Add(time.Nanosecond),
+				}})
+			}
+		})
+	}
+}
--- a/decision/command.go
+++ b/decision/command.go
@@ -50,6 +50,7 @@
 		return
 	}
 	w.emit(CancelAttempt{Request: r.ID, Attempt: r.current.key.attempt})
+	w.orphans[r.current.key] = r.current
 	r.current = nil
 }
 
--- a/decision/drain.go
+++ b/decision/drain.go
@@ -40,38 +40,6 @@
 	return (m.work + guess*prior) / (m.busy + prior)
 }
 
-// useMeter measures how much a flow or a pool sends, in cost a second, whether
-// or not there is a backlog.
-type useMeter struct {
-	sum  float64
-	at   time.Time
-	born time.Time
-}
-
-// add notes cost sent now.
-func (m *useMeter) add(cost float64, now time.Time, halfLife time.Duration) {
-	if m.born.IsZero() {
-		m.born = now
-	}
-	m.sum = m.decayed(now, halfLife) + cost
-	m.at = now
-}
-
-// rate is the cost a second of late. A young meter is divided by its age, not by
-// the half-life; under half a second it counts as that old.
-func (m *useMeter) rate(now time.Time, halfLife time.Duration) float64 {
-	if m.born.IsZero() {
-		return 0
-	}
-	age := max(now.Sub(m.born).Seconds(), 0.5)
-	span := (1 - math.Exp2(-age/halfLife.Seconds())) * halfLife.Seconds() / math.Ln2
-	return m.decayed(now, halfLife) / span
-}
-
-func (m *useMeter) decayed(now time.Time, halfLife time.Duration) float64 {
-	return m.sum * math.Exp2(-now.Sub(m.at).Seconds()/halfLife.Seconds())
-}
-
 // paceMeter measures how long a pool's attempts take for their cost.
 type paceMeter struct {
 	// count, cost and seconds of completed attempts, decayed by count.
--- a/decision/expire.go
+++ b/decision/expire.go
@@ -13,7 +13,7 @@
 // once as not run; running work is cancelled at the backend server.
 func (w *World) expire() {
 	w.wakeServers()
-	for len(w.due) > 0 && !w.due[0].due.After(w.now) {
+	for now := w.now.UnixNano(); len(w.due) > 0 && w.due[0].due <= now; {
 		w.expireRequest(w.due[0])
 	}
 }
@@ -47,7 +47,7 @@
 
 // watch sets when the request must be looked at next.
 func (w *World) watch(r *request, at time.Time) {
-	r.due = at
+	r.due = at.UnixNano()
 	if r.duePos < 0 {
 		heap.Push(&w.due, r)
 		return
--- a/decision/heaps.go
+++ b/decision/heaps.go
@@ -7,8 +7,8 @@
 
 func (h dueHeap) Len() int { return len(h) }
 func (h dueHeap) Less(i, j int) bool {
-	if !h[i].due.Equal(h[j].due) {
-		return h[i].due.Before(h[j].due)
+	if h[i].due != h[j].due {
+		return h[i].due < h[j].due
 	}
 	return h[i].ID < h[j].ID
 }
--- a/decision/ingest.go
+++ b/decision/ingest.go
@@ -98,7 +98,7 @@
 // ingestFirstToken notes when an answer began, since the time from there on is
 // the server's pace, without the wait in its queue.
 func (w *World) ingestFirstToken(e FirstToken) {
-	a := w.attempts[attemptKey{e.Request, e.Attempt}]
+	a := w.attemptOf(attemptKey{e.Request, e.Attempt})
 	if a != nil && a.firstToken.IsZero() {
 		a.firstToken = w.now
 	}
--- a/decision/ingest_attempt.go
+++ b/decision/ingest_attempt.go
@@ -9,12 +9,10 @@
 // ingestEnded frees the slot at once, so that the same tick can fill it. What
 // becomes of the request is the retry system's decision.
 func (w *World) ingestEnded(e AttemptEnded) {
-	key := attemptKey{e.Request, e.Attempt}
-	a := w.attempts[key]
+	a := w.attemptOf(attemptKey{e.Request, e.Attempt})
 	if a == nil {
 		return // ended before, or never dispatched: nothing to free
 	}
-	delete(w.attempts, key)
 	w.release(a.server)
 	if e.Leaving {
 		w.ingestLeaving(a.server.ID)
@@ -26,10 +24,21 @@
 	if e.Result == AttemptCrashed {
 		w.prefixes.Forget(a.server.ID) // its cache died with it
 	}
-	if a.request.current == a {
-		a.request.current = nil
-		w.ended = append(w.ended, endedAttempt{attempt: a, event: e})
+	if a.request.current != a {
+		delete(w.orphans, a.key)
+		return
+	}
+	a.request.current = nil
+	w.ended = append(w.ended, endedAttempt{attempt: a, event: e})
+}
+
+// attemptOf finds an attempt that has not ended, or nil.
+func (w *World) attemptOf(key attemptKey) *attempt {
+	r := w.requests[key.request]
+	if r != nil && r.current != nil && r.current.key == key {
+		return r.current
 	}
+	return w.orphans[key]
 }
 
 // release frees a slot.
--- a/decision/place.go
+++ b/decision/place.go
@@ -90,7 +90,6 @@
 	r.current = a
 	r.state = stateRunning
 	s.running++
-	w.attempts[a.key] = a
 	w.crashStarted(a)
 	if s.ejected {
 		w.outliers.Dispatched(s.ID, w.now)
--- a/decision/property_test.go
+++ b/decision/property_test.go
@@ -143,8 +143,8 @@
 	}
 	s.h.run(40 * time.Second)
 	s.h.settled()
-	if len(s.h.w.requests)+len(s.h.w.attempts)+len(s.h.w.due)+len(s.h.w.busy) > 0 {
-		t.Errorf("left over: %d requests, %d attempts", len(s.h.w.requests), len(s.h.w.attempts))
+	if len(s.h.w.requests)+len(s.h.w.orphans)+len(s.h.w.due)+len(s.h.w.busy) > 0 {
+		t.Errorf("left over: %d requests, %d orphans", len(s.h.w.requests), len(s.h.w.orphans))
 	}
 	for _, server := range s.h.w.serverList {
 		if server.running != 0 {
--- a/decision/tables.go
+++ b/decision/tables.go
@@ -29,7 +29,9 @@
 	busy []*pool
 
 	requests map[RequestID]*request
-	attempts map[attemptKey]*attempt
+	// orphans are the attempts that were cancelled and have not ended. The others
+	// are reached by their request.
+	orphans map[attemptKey]*attempt
 	// due orders the live requests by when they must be looked at.
 	due dueHeap
 	// wakes orders the servers that are shut out for a time.
@@ -49,7 +51,7 @@
 		pools:    map[VersionID]*pool{},
 		services: map[ServiceID]*pool{},
 		requests: map[RequestID]*request{},
-		attempts: map[attemptKey]*attempt{},
+		orphans:  map[attemptKey]*attempt{},
 	}
 }
 
@@ -171,8 +173,9 @@
 	state   requestState
 	// deadline is the caller's or the default.
 	deadline time.Time
-	// due is when the request must be looked at next, duePos its heap place.
-	due     time.Time
+	// due is when the request must be looked at next, in Unix nanoseconds, and
+	// duePos its heap place.
+	due     int64
 	duePos  int
 	arrived time.Time
 
--- a/decision/wait.go
+++ b/decision/wait.go
@@ -33,13 +33,13 @@
 // up to their share.
 func (w *World) queuedRate(p *pool, f *flow, all float64) float64 {
 	window := w.cfg.DrainWindow
-	queued := f.use.rate(w.now, window)
+	queued := f.use.rate(&w.useClock, window)
 	for _, other := range p.flows {
 		if other != nil && other != f && other.Len() > 0 {
-			queued += other.use.rate(w.now, window)
+			queued += other.use.rate(&w.useClock, window)
 		}
 	}
-	idle := p.use.rate(w.now, window) - queued
+	idle := p.use.rate(&w.useClock, window) - queued
 	share := p.queue.ActiveWeight(&f.Flow) / p.queue.Weight()
 	return max(all*share, all-idle)
 }
@@ -48,7 +48,7 @@
 // they use of late, and at least its share among those that are queued.
 func (w *World) ownRate(p *pool, f *flow, all float64) float64 {
 	window := w.cfg.DrainWindow
-	others := p.use.rate(w.now, window) - f.use.rate(w.now, window)
+	others := p.use.rate(&w.useClock, window) - f.use.rate(&w.useClock, window)
 	share := f.Weight() / p.queue.ActiveWeight(&f.Flow)
 	return max(all*share, all-others)
 }
@@ -56,6 +56,7 @@
 // advanceDrains moves the meters of the backlogged pools on. The work is by
 // pools with queued requests, which are as few as versions.
 func (w *World) advanceDrains(elapsed time.Duration) {
+	w.advanceUse()
 	if elapsed <= 0 {
 		return
 	}
@@ -72,8 +73,8 @@
 	if p.backlogged {
 		p.drain.left(r.item.Cost)
 	}
-	f.use.add(r.item.Cost, w.now, w.cfg.DrainWindow)
-	p.use.add(r.item.Cost, w.now, w.cfg.DrainWindow)
+	f.use.add(r.item.Cost, &w.useClock)
+	p.use.add(r.item.Cost, &w.useClock)
 }
 
 // retryAfter turns an estimate into the time to come back, with a jitter of a
--- a/decision/world.go
+++ b/decision/world.go
@@ -29,8 +29,10 @@
 	seconds   *simplelru.LRU[attemptKey, VersionID]
 	prefixes  *prefix.Index[ServerID, BlockHash]
 
-	now   time.Time
-	fresh bool
+	now time.Time
+	// useClock is the meters' of use.
+	useClock decayClock
+	fresh    bool
 	// outage says that the log is down for everybody.
 	outage bool
 	// staleSince is when freshness was lost.
