--- a/decision/drain.go
+++ b/decision/drain.go
@@ -5,15 +5,14 @@
 	"time"
 )
 
-// drainMeter measures how fast a team's part of a pool's queue is worked off, in
-// cost a second.
+// drainMeter measures how fast a pool's queue is worked off, in cost a second.
 //
-// Load: saturation, where other teams and other instances use the same pool.
-// What truly left the queue while it was backlogged shows the part that is the
-// team's, whatever the others do.
+// Load: saturation, where other instances use the same servers. What truly left
+// the queue while there was one shows this instance's part of them.
 type drainMeter struct {
 	// work and busy are what left the queue, and the seconds in which there was
-	// one, both decayed.
+	// one, both decayed by such seconds only: what a saturated pool gave is the
+	// best guess for the next time that it is saturated.
 	work float64
 	busy float64
 }
@@ -41,43 +40,15 @@
 	return (m.work + guess*prior) / (m.busy + prior)
 }
 
-// useMeter measures how much a flow or a pool sends, in cost a second, whether
-// or not there is a backlog.
-type useMeter struct {
-	sum  float64
-	at   time.Time
-	born time.Time
-}
-
-// add notes cost sent now.
-func (m *useMeter) add(cost float64, now time.Time, halfLife time.Duration) {
-	if m.born.IsZero() {
-		m.born = now
-	}
-	m.sum = m.decayed(now, halfLife) + cost
-	m.at = now
-}
-
-// rate is the cost a second of late. A young meter is divided by its age, not by
-// the half-life; under half a second it counts as that old.
-func (m *useMeter) rate(now time.Time, halfLife time.Duration) float64 {
-	if m.born.IsZero() {
-		return 0
-	}
-	age := max(now.Sub(m.born).Seconds(), 0.5)
-	span := (1 - math.Exp2(-age/halfLife.Seconds())) * halfLife.Seconds() / math.Ln2
-	return m.decayed(now, halfLife) / span
-}
-
-func (m *useMeter) decayed(now time.Time, halfLife time.Duration) float64 {
-	return m.sum * math.Exp2(-now.Sub(m.at).Seconds()/halfLife.Seconds())
-}
-
 // paceMeter measures how long a pool's attempts take for their cost.
 type paceMeter struct {
-	// cost and seconds of completed attempts, decayed by count.
+	// count, cost and seconds of completed attempts, decayed by count.
+	count   float64
 	cost    float64
 	seconds float64
+	// off is the mean part by which an attempt took longer or shorter than was
+	// estimated.
+	off float64
 }
 
 // perAttempt keeps about the last 50 attempts: enough to smooth, few enough to
@@ -86,6 +57,11 @@
 
 // learn notes a completed attempt.
 func (m *paceMeter) learn(took time.Duration, cost float64) {
+	if expected := m.service(cost); expected > 0 {
+		off := math.Abs(took.Seconds()/expected.Seconds() - 1)
+		m.off += (min(off, 1) - m.off) * (1 - perAttempt)
+	}
+	m.count = m.count*perAttempt + 1
 	m.cost = m.cost*perAttempt + cost
 	m.seconds = m.seconds*perAttempt + took.Seconds()
 }
@@ -99,6 +75,19 @@
 	return seconds(cost * m.seconds / m.cost)
 }
 
+// atMost is the estimate with the usual error added: most attempts take less.
+func (m *paceMeter) atMost(cost float64) time.Duration {
+	return time.Duration(float64(m.service(cost)) * (1 + m.off))
+}
+
+// meanCost is that of an attempt.
+func (m *paceMeter) meanCost() float64 {
+	if m.count == 0 {
+		return 0
+	}
+	return m.cost / m.count
+}
+
 // rate guesses the cost a second that so many slots work off; 0 before anything
 // is known.
 func (m *paceMeter) rate(slots int) float64 {
