Orders to engines under a lease, with fencing

The manifest places versions on engines; one instance for each failure domain plans and sends by a lease in the log, checks it right before each order, sends whole states, loads before it unloads, and reconciles against what the engines report, which now also tells the decision what is loaded where before the list does.

--- a/router/internal/daemon/daemon.go
+++ b/router/internal/daemon/daemon.go
@@ -57,9 +57,9 @@
 			newHolder, newGate, newNode, newStore,
 			newFleet, newDriver, newDirectory,
 			newPeers, newBiller, newTokens, newNames, newRecorder,
-			newPublisher, newDrain, newAPI, newStatus, newAdmin,
+			newPublisher, newOrders, newDrain, newAPI, newStatus, newAdmin,
 		),
-		fx.Invoke(startDriver, startFreshness, startNode, startDirectory, startPeers, startAdmin, startAPI, startDrain),
+		fx.Invoke(startDriver, startFreshness, startNode, startDirectory, startPeers, startOrders, startAdmin, startAPI, startDrain),
 	)
 	return app, self
 }
--- a/router/internal/directory/directory.go
+++ b/router/internal/directory/directory.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,8 +40,12 @@
 	mu        sync.RWMutex
 	servers   map[decision.ServerID]wire.ListedServer
 	instances []wire.ListedInstance
-	loops     map[decision.ServerID]context.CancelFunc
-	known     bool
+	// listed is the last list, subset applied; reported are the versions that
+	// backend servers said they have loaded, which is newer than the list.
+	listed   []wire.ListedServer
+	reported map[decision.ServerID][]string
+	loops    map[decision.ServerID]context.CancelFunc
+	known    bool
 }
 
 // New returns the directory of an instance; Run starts it.
@@ -53,6 +58,7 @@
 		listEvery: listEvery,
 		loadEvery: loadEvery,
 		servers:   map[decision.ServerID]wire.ListedServer{},
+		reported:  map[decision.ServerID][]string{},
 		loops:     map[decision.ServerID]context.CancelFunc{},
 	}
 }
@@ -100,22 +106,59 @@
 	if err != nil {
 		return
 	}
-	subset := Subset(d.instance, got.Servers)
-	rows := make([]decision.Server, 0, len(subset))
-	seen := map[decision.ServerID]wire.ListedServer{}
-	for _, s := range subset {
+	d.mu.Lock()
+	d.listed = Subset(d.instance, got.Servers)
+	d.instances = got.Instances
+	d.mu.Unlock()
+	d.tell()
+	d.mu.Lock()
+	d.known = true
+	d.mu.Unlock()
+	d.matchLoops(ctx)
+}
+
+// tell gives the decision the list, with the versions that the backend servers
+// report themselves where they do: after an order the list is behind them.
+func (d *Directory) tell() {
+	d.mu.Lock()
+	rows := make([]decision.Server, 0, len(d.listed))
+	seen := make(map[decision.ServerID]wire.ListedServer, len(d.listed))
+	for _, s := range d.listed {
+		id := decision.ServerID(s.ID)
+		if versions, told := d.reported[id]; told && s.Service == "" {
+			s.Versions = versions
+		}
 		rows = append(rows, serverRow(s))
-		seen[decision.ServerID(s.ID)] = s
+		seen[id] = s
 	}
-	d.mu.Lock()
 	d.servers = seen
-	d.instances = got.Instances
 	d.mu.Unlock()
 	d.out.Send(decision.ServersListed{Servers: rows})
+}
+
+// Engines lists the engines of a failure domain with their loaded versions.
+func (d *Directory) Engines(domain string) []wire.ListedServer {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	var out []wire.ListedServer
+	for _, listed := range d.listed {
+		s := d.servers[decision.ServerID(listed.ID)]
+		if s.Domain == domain && s.Service == "" {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// noteVersions takes a server's own word on what it has loaded.
+func (d *Directory) noteVersions(id decision.ServerID, versions []string) {
 	d.mu.Lock()
-	d.known = true
+	changed := !slices.Equal(d.servers[id].Versions, versions)
+	d.reported[id] = versions
 	d.mu.Unlock()
-	d.matchLoops(ctx, seen)
+	if changed {
+		d.tell()
+	}
 }
 
 func serverRow(s wire.ListedServer) decision.Server {
@@ -133,16 +176,17 @@
 }
 
 // matchLoops runs one load loop for each listed backend server.
-func (d *Directory) matchLoops(ctx context.Context, seen map[decision.ServerID]wire.ListedServer) {
+func (d *Directory) matchLoops(ctx context.Context) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for id, stop := range d.loops {
-		if _, listed := seen[id]; !listed {
+		if _, listed := d.servers[id]; !listed {
 			stop()
 			delete(d.loops, id)
+			delete(d.reported, id)
 		}
 	}
-	for id := range seen {
+	for id := range d.servers {
 		if _, running := d.loops[id]; running {
 			continue
 		}
@@ -201,6 +245,9 @@
 		Queued:  report.Queued,
 		At:      report.At,
 	})
+	if len(report.Versions) > 0 {
+		d.noteVersions(id, report.Versions)
+	}
 	for _, c := range report.Cache {
 		d.out.Send(cacheEvent(id, c))
 	}
--- a/router/internal/logging/catalogue.go
+++ b/router/internal/logging/catalogue.go
@@ -38,6 +38,9 @@
 	EventServerEjected  = Event{601, "server_ejected", slog.LevelWarn, "A backend server is ejected as an outlier."}
 	EventQuarantine     = Event{602, "quarantine", slog.LevelError, "A request that crashes backend servers is refused everywhere for a time."}
 
+	EventOrderSent   = Event{603, "order_sent", slog.LevelInfo, "An engine was told what to load."}
+	EventOrderFailed = Event{604, "order_failed", slog.LevelWarn, "An engine did not take an order; it is tried again. A stale fencing number means that another instance holds the lease."}
+
 	EventSettingsFaults = Event{700, "settings_faults", slog.LevelError, "The settings have faults; the process does not start."}
 )
 
@@ -53,6 +56,7 @@
 		EventBillHeld, EventBillFlushed, EventBillRefused,
 		EventPeerConnected, EventPeerLost, EventPeerRejected,
 		EventVersionVerdict, EventServerEjected, EventQuarantine,
+		EventOrderSent, EventOrderFailed,
 		EventSettingsFaults,
 	}
 }
--- a/router/internal/manifest/manifest.go
+++ b/router/internal/manifest/manifest.go
@@ -14,10 +14,26 @@
 	Teams       []Team    `json:"teams"`
 	Versions    []Version `json:"versions"`
 	Services    []Service `json:"services,omitempty"`
-	// Orders says how backend servers are told what to load.
+	// Orders says what backend servers are told to load; without it they are
+	// told nothing.
+	Orders     *Orders     `json:"orders,omitempty"`
 	Objectives []Objective `json:"objectives,omitempty"`
 }
 
+// Orders is the wanted state of the engines.
+type Orders struct {
+	Placements []Placement `json:"placements"`
+	// FencedDomains are the failure domains whose engines refuse an order with
+	// an old fencing number. All others are taken to ignore the number.
+	FencedDomains []string `json:"fenced_domains,omitempty"`
+}
+
+// Placement says on how many engines of each failure domain a version is loaded.
+type Placement struct {
+	Version string `json:"version"`
+	Servers int    `json:"servers"`
+}
+
 // Team may use versions and services.
 type Team struct {
 	ID            string   `json:"id"`
--- a/router/internal/manifest/manifest_test.go
+++ b/router/internal/manifest/manifest_test.go
@@ -26,6 +26,7 @@
 			{Method: "GET", Path: "/stock/*", Idempotent: true},
 			{Method: "POST", Path: "/reservations"},
 		}}},
+		Orders:     &Orders{Placements: []Placement{{Version: "draft@1", Servers: 2}}},
 		Objectives: []Objective{{Team: "weavers", Availability: 0.999}},
 	}
 }
@@ -49,6 +50,12 @@
 		"teams[0].services[0]":       func(m *Manifest) { m.Teams[0].Services[0] = "lending" },
 		"teams[0].key_hashes[0]":     func(m *Manifest) { m.Teams[0].KeyHashes[0] = "loom" },
 		"services[0].routes[0].path": func(m *Manifest) { m.Services[0].Routes[0].Path = "/[" },
+		"orders.placements[0].version": func(m *Manifest) {
+			m.Orders = &Orders{Placements: []Placement{{Version: "draft@9", Servers: 1}}}
+		},
+		"orders.placements[0].servers": func(m *Manifest) {
+			m.Orders = &Orders{Placements: []Placement{{Version: "draft@1", Servers: 0}}}
+		},
 		"objectives[0].team":         func(m *Manifest) { m.Objectives[0].Team = "dyers" },
 		"objectives[0].availability": func(m *Manifest) { m.Objectives[0].Availability = 1 },
 	} {
--- a/router/internal/manifest/validate.go
+++ b/router/internal/manifest/validate.go
@@ -19,6 +19,7 @@
 	maxServices = 1_000
 	maxRoutes   = 1_000
 	maxWeight   = 1_000_000
+	maxPlaced   = 100_000
 )
 
 var (
@@ -109,6 +110,7 @@
 	versions := c.versions(m.Versions)
 	services := c.services(m.Services)
 	teams := c.teams(m.Teams, versions, services)
+	c.orders(m.Orders, m.Versions)
 	c.objectives(m.Objectives, teams)
 	return c.faults
 }
@@ -210,6 +212,30 @@
 	}
 }
 
+func (c *checker) orders(o *Orders, versions []Version) {
+	if o == nil {
+		return
+	}
+	states := map[string]string{}
+	for _, v := range versions {
+		states[v.ID] = v.State
+	}
+	seen := map[string]bool{}
+	for i, p := range o.Placements {
+		at := fmt.Sprintf("orders.placements[%d]", i)
+		switch {
+		case states[p.Version] == "":
+			c.add(at+".version", "no version %q", p.Version)
+		case states[p.Version] == StateWithdrawn:
+			c.add(at+".version", "%q is withdrawn and cannot be placed", p.Version)
+		case seen[p.Version]:
+			c.add(at+".version", "%q stands twice", p.Version)
+		}
+		seen[p.Version] = true
+		c.between(at+".servers", float64(p.Servers), 1, maxPlaced)
+	}
+}
+
 func (c *checker) objectives(rows []Objective, teams map[string]bool) {
 	for i, o := range rows {
 		at := fmt.Sprintf("objectives[%d]", i)
--- /dev/null
+++ b/router/internal/orders/orders_test.go
@@ -0,0 +1,227 @@
+package orders
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"masticplank.example/coordination/lease"
+	"masticplank.example/coordination/node"
+	"masticplank.example/coordination/platformlog/logtest"
+	"masticplank.example/router/internal/manifest"
+	"masticplank.example/router/internal/standin/engine"
+	"masticplank.example/router/internal/wire"
+)
+
+func TestPlan(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		engines []Engine
+		wants   []Want
+		loads   int
+		want    []Order
+	}{
+		{"nothing to do", []Engine{{ID: "a", Versions: []string{"m@1"}}}, []Want{{"m@1", 1}}, 4, nil},
+		{"load before unload", []Engine{{ID: "a", Versions: []string{"m@1"}}}, []Want{{"m@2", 1}}, 4,
+			[]Order{{Engine: "a", Versions: []string{"m@1", "m@2"}, Loads: 1}}},
+		{"unload what is not placed", []Engine{{ID: "a", Versions: []string{"m@1", "m@2"}}}, []Want{{"m@2", 1}}, 4,
+			[]Order{{Engine: "a", Versions: []string{"m@2"}}}},
+		{"no budget, nothing unloaded", []Engine{{ID: "a", Versions: []string{"m@1"}}}, []Want{{"m@2", 1}}, 0, nil},
+		{"leaving engines are passed over", []Engine{{ID: "a", Leaving: true}, {ID: "b"}}, []Want{{"m@1", 2}}, 4,
+			[]Order{{Engine: "b", Versions: []string{"m@1"}, Loads: 1}}},
+		{"spread", []Engine{{ID: "a", Versions: []string{"m@1"}}, {ID: "b"}}, []Want{{"m@1", 1}, {"n@1", 1}}, 4,
+			[]Order{{Engine: "b", Versions: []string{"n@1"}, Loads: 1}}},
+	} {
+		if got := Plan(c.engines, c.wants, c.loads); !reflect.DeepEqual(got, c.want) {
+			t.Errorf("%s: got %+v, want %+v", c.name, got, c.want)
+		}
+	}
+}
+
+// TestPlansConverge applies plan after plan to random fleets: the budget is
+// kept in each, what is wanted is reached, and then nothing moves.
+func TestPlansConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		versions := []string{"a@1", "a@2", "b@1", "c@1"}
+		engines := make([]Engine, rapid.IntRange(1, 6).Draw(t, "engines"))
+		for i := range engines {
+			engines[i].ID = fmt.Sprintf("e%d", i)
+			engines[i].Versions = rapid.SliceOfNDistinct(rapid.SampledFrom(versions), 0, 4, rapid.ID[string]).Draw(t, "loaded")
+		}
+		var wants []Want
+		for _, v := range versions {
+			if n := rapid.IntRange(0, 4).Draw(t, v); n > 0 {
+				wants = append(wants, Want{v, n})
+			}
+		}
+		loads := rapid.IntRange(1, 3).Draw(t, "loads")
+		const rounds = 40
+		for round := range rounds {
+			orders := Plan(engines, wants, loads)
+			if len(orders) == 0 {
+				break
+			}
+			if round == rounds-1 {
+				t.Fatalf("still moving: %+v", orders)
+			}
+			added := 0
+			for _, o := range orders {
+				added += o.Loads
+				i := slices.IndexFunc(engines, func(e Engine) bool { return e.ID == o.Engine })
+				engines[i].Versions = o.Versions
+			}
+			if added > loads {
+				t.Fatalf("%d loads in one plan, budget %d", added, loads)
+			}
+		}
+		for _, w := range wants {
+			have := 0
+			for _, e := range engines {
+				if has(e, w.Version) {
+					have++
+				}
+			}
+			if have != min(w.Servers, len(engines)) {
+				t.Errorf("%s on %d engines, want %d", w.Version, have, w.Servers)
+			}
+		}
+	})
+}
+
+// world is what a sender sees.
+type world struct {
+	index   *manifest.Index
+	servers []wire.ListedServer
+}
+
+func (w world) Current() *manifest.Index           { return w.index }
+func (w world) Engines(string) []wire.ListedServer { return w.servers }
+
+func newWorld(addr string) world {
+	m := manifest.Manifest{Orders: &manifest.Orders{
+		Placements:    []manifest.Placement{{Version: "large@1", Servers: 1}},
+		FencedDomains: []string{"gasabo"},
+	}}
+	return world{
+		index:   manifest.NewIndex(m, ""),
+		servers: []wire.ListedServer{{ID: "e1", Addr: addr, Domain: "gasabo", Versions: []string{"small@1", "large@1"}}},
+	}
+}
+
+// fakeLease answers as told.
+type fakeLease struct {
+	takes   bool
+	fence   uint64
+	refusal lease.Refusal
+	asked   lease.Engine
+}
+
+func (l *fakeLease) Take(context.Context) bool     { return l.takes }
+func (l *fakeLease) HandOver(context.Context) bool { return true }
+func (l *fakeLease) Check(e lease.Engine) (uint64, lease.Refusal) {
+	l.asked = e
+	return l.fence, l.refusal
+}
+
+// TestSenderAsksTheLease sends only where the lease allows it, right before the
+// order, under its number, and treats a domain that is not named as one whose
+// engines ignore the number.
+func TestSenderAsksTheLease(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		domain string
+		lease  fakeLease
+		sent   string
+		asked  lease.Engine
+	}{
+		{"holder", "gasabo", fakeLease{takes: true, fence: 7}, "7", lease.EngineFences},
+		{"engines ignore fencing", "kicukiro", fakeLease{takes: true, fence: 7}, "7", lease.EngineIgnores},
+		{"not the holder", "gasabo", fakeLease{}, "", 0},
+		{"lapsed after the plan", "gasabo", fakeLease{takes: true, refusal: lease.Lapsed}, "", lease.EngineFences},
+		{"waits after taking over", "kicukiro", fakeLease{takes: true, refusal: lease.Waiting}, "", lease.EngineIgnores},
+	} {
+		sent := ""
+		srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			sent = r.Header.Get(wire.HeaderFencing)
+		}))
+		w := newWorld(strings.TrimPrefix(srv.URL, "http://"))
+		NewSender(c.domain, &c.lease, w, w, nil).Reconcile(context.Background())
+		if sent != c.sent || c.lease.asked != c.asked {
+			t.Errorf("%s: sent %q, asked for %v", c.name, sent, c.lease.asked)
+		}
+		srv.Close()
+	}
+}
+
+// TestOldHolderIsFencedOff pauses a holder past its lease: another instance
+// takes over and orders; the old order then comes to an engine that checks.
+func TestOldHolderIsFencedOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logtest.New()
+		first, second := manager(t, log, "entry-1"), manager(t, log, "entry-2")
+		if !first.Take(t.Context()) {
+			t.Fatal("first did not get the lease")
+		}
+		oldFence, refusal := first.Check(lease.EngineFences)
+		if refusal != lease.Allowed {
+			t.Fatalf("first: %v", refusal)
+		}
+		// first pauses here, between its check and its order.
+		for !second.Take(t.Context()) {
+			time.Sleep(time.Second)
+		}
+		newFence, _ := second.Check(lease.EngineFences)
+		if newFence <= oldFence {
+			t.Fatalf("fencing number %d after %d", newFence, oldFence)
+		}
+		e := engine.New(engine.Config{CheckFencing: true})
+		if code := putTo(e, newFence, "large@1"); code != http.StatusOK {
+			t.Errorf("new holder: %d", code)
+		}
+		if code := putTo(e, oldFence, "small@1"); code != http.StatusConflict {
+			t.Errorf("old holder: %d", code)
+		}
+		if _, refusal := first.Check(lease.EngineFences); refusal == lease.Allowed {
+			t.Error("the old holder still thinks that it may send")
+		}
+	})
+}
+
+func manager(t *testing.T, log *logtest.Log, name string) *lease.Manager {
+	t.Helper()
+	n, err := node.New(log.Client(name), node.Config{Name: name})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := n.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	<-n.Ready()
+	m, err := lease.New(n, lease.Config{Name: "orders-gasabo", Holder: name}, time.Now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		m.Close()
+		_ = n.Stop(context.Background())
+	})
+	return m
+}
+
+func putTo(e *engine.Server, fence uint64, version string) int {
+	body := strings.NewReader(fmt.Sprintf(`{"versions":[%q]}`, version))
+	r := httptest.NewRequest(http.MethodPut, "/orders", body)
+	r.Header.Set(wire.HeaderFencing, fmt.Sprint(fence))
+	w := httptest.NewRecorder()
+	e.ServeHTTP(w, r)
+	return w.Code
+}
--- /dev/null
+++ b/router/internal/orders/sender.go
@@ -0,0 +1,205 @@
+package orders
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/time/rate"
+
+	"masticplank.example/coordination/lease"
+	"masticplank.example/router/internal/logging"
+	"masticplank.example/router/internal/manifest"
+	"masticplank.example/router/internal/wire"
+)
+
+const (
+	// interval between two reconciliations.
+	interval = time.Second
+	// orderTimeout bounds one order. It is under the lease's pause guard, so an
+	// order that is under way ends inside the lease it was checked for.
+	orderTimeout = time.Second
+	// loadsPerSecond and loadBurst are the holder's part of the weight store's
+	// limit; a failure domain has one holder, so they bound the domain.
+	loadsPerSecond = 2
+	loadBurst      = 4
+)
+
+// Lease is the right to send; *lease.Manager is it.
+type Lease interface {
+	Take(ctx context.Context) bool
+	Check(engine lease.Engine) (fence uint64, r lease.Refusal)
+	HandOver(ctx context.Context) bool
+}
+
+// Reports gives the engines of the own failure domain and their loaded versions.
+type Reports interface {
+	Engines(domain string) []wire.ListedServer
+}
+
+// Manifests gives the manifest in force; nil before the first.
+type Manifests interface{ Current() *manifest.Index }
+
+// Sender reconciles the engines of one failure domain. Run it once.
+type Sender struct {
+	domain    string
+	lease     Lease
+	reports   Reports
+	manifests Manifests
+	log       *logging.Logger
+	client    *http.Client
+	budget    *rate.Limiter
+
+	mu sync.Mutex
+	// sent remembers the last order to each engine and its time, so that one
+	// is not repeated before the engine could have reported its effect.
+	sent map[string]time.Time
+}
+
+// NewSender returns a sender for the engines of domain.
+func NewSender(domain string, l Lease, r Reports, m Manifests, log *logging.Logger) *Sender {
+	return &Sender{
+		domain:    domain,
+		lease:     l,
+		reports:   r,
+		manifests: m,
+		log:       log,
+		client:    &http.Client{Timeout: orderTimeout},
+		budget:    rate.NewLimiter(loadsPerSecond, loadBurst),
+		sent:      map[string]time.Time{},
+	}
+}
+
+// Run reconciles until ctx ends, then gives the lease up.
+func (s *Sender) Run(ctx context.Context) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			s.handOver(ctx)
+			return
+		case <-ticker.C:
+			s.Reconcile(ctx)
+		}
+	}
+}
+
+func (s *Sender) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderTimeout)
+	defer cancel()
+	s.lease.HandOver(ctx)
+}
+
+// Reconcile takes or renews the lease and sends the orders that are due.
+func (s *Sender) Reconcile(ctx context.Context) {
+	index := s.manifests.Current()
+	if index == nil || index.Manifest.Orders == nil {
+		return
+	}
+	if !s.lease.Take(ctx) {
+		return
+	}
+	kind := engineKind(index.Manifest.Orders, s.domain)
+	servers := s.reports.Engines(s.domain)
+	for _, o := range Plan(engines(servers), wants(index), int(s.budget.Tokens())) {
+		s.send(ctx, kind, o, servers)
+	}
+}
+
+func engineKind(o *manifest.Orders, domain string) lease.Engine {
+	if slices.Contains(o.FencedDomains, domain) {
+		return lease.EngineFences
+	}
+	return lease.EngineIgnores
+}
+
+func engines(servers []wire.ListedServer) []Engine {
+	var out []Engine
+	for _, s := range servers {
+		out = append(out, Engine{ID: s.ID, Versions: s.Versions, Leaving: s.Leaving})
+	}
+	return out
+}
+
+// wants lists the placements of versions that are not withdrawn.
+func wants(index *manifest.Index) []Want {
+	var out []Want
+	for _, p := range index.Manifest.Orders.Placements {
+		out = append(out, Want{Version: p.Version, Servers: p.Servers})
+	}
+	return out
+}
+
+// send checks the lease right before the order goes out.
+func (s *Sender) send(ctx context.Context, kind lease.Engine, o Order, servers []wire.ListedServer) {
+	if s.settling(o.Engine) {
+		return
+	}
+	fence, refusal := s.lease.Check(kind)
+	if refusal != lease.Allowed {
+		return
+	}
+	err := s.put(ctx, addrOf(o.Engine, servers), fence, o)
+	attrs := []slog.Attr{slog.String("server", o.Engine), slog.Any("versions", o.Versions), slog.Uint64("fencing", fence)}
+	if err != nil {
+		s.log.Emit(ctx, logging.EventOrderFailed, append(attrs, logging.Err(err))...)
+		return
+	}
+	s.budget.AllowN(time.Now(), o.Loads)
+	s.note(o.Engine)
+	s.log.Emit(ctx, logging.EventOrderSent, attrs...)
+}
+
+// settleTime is how long an engine has to report what an order changed.
+const settleTime = 3 * interval
+
+// settling says whether an order to the engine was sent just now.
+func (s *Sender) settling(engine string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.sent[engine]) < settleTime
+}
+
+func (s *Sender) note(engine string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent[engine] = time.Now()
+}
+
+func addrOf(id string, servers []wire.ListedServer) string {
+	for _, s := range servers {
+		if s.ID == id {
+			return s.Addr
+		}
+	}
+	return ""
+}
+
+func (s *Sender) put(ctx context.Context, addr string, fence uint64, o Order) error {
+	body, err := json.Marshal(wire.Order{Versions: o.Versions})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+addr+"/orders", bytes.NewReader(body))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	req.Header.Set(wire.HeaderFencing, strconv.FormatUint(fence, 10))
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return trace.Errorf("the engine answered %s", resp.Status)
+	}
+	return nil
+}
