Wait estimates correct themselves; slow servers are blamed for lost deadlines

Cause: at saturation with many thin queues, waits were 1.5 to 2.5 times the estimate, since later arrivals of teams that were served less go first. And a server so slow that all its attempts are cancelled at their deadline was never judged, since a cancelled attempt says nothing.

The estimate is multiplied by how such estimates turned out of late. An attempt that ran into its deadline after more than the usual time counts against its server. First attempts of an instance may pass a server's slots by a quarter only, by its report; before, one of each instance always could. Permission is checked once more right before a dispatch.

--- a/decision/admit.go
+++ b/decision/admit.go
@@ -79,7 +79,7 @@
 	}
 	wait := time.Duration(w.cfg.WaitMargin * float64(w.waitFor(r)))
 	room := r.deadline.Sub(w.now)
-	if wait+r.pool.pace.atMost(r.item.Cost) > room || wait > w.waitLimit(r.pool, room) {
+	if wait+r.pool.pace.atMost(r.item.Cost) > room || wait > w.waitLimit(r, room) {
 		return ReasonWaitTooLong
 	}
 	return ""
@@ -87,13 +87,15 @@
 
 // waitLimit is the longest wait that a request may be queued for.
 //
-// Load: demand over capacity for long, against a burst. A burst may use the whole
-// time to the deadline: its queue is worked off afterwards. A queue that stands
-// for longer than a burst adds nothing to what the servers give, but adds its
-// wait to every answer; so it is kept short, and callers are told at once when
-// to come back.
-func (w *World) waitLimit(p *pool, room time.Duration) time.Duration {
-	if p.busyPos < 0 || w.now.Sub(p.since) < w.cfg.BurstFor {
+// Load: demand of a team over its share for long, against a burst. A burst may
+// use the whole time to the deadline: its queue is worked off afterwards. A queue
+// that stands for longer than a burst adds nothing to what the servers give, but
+// adds its wait to every answer; so it is kept short, and callers are told at
+// once when to come back. A team without a queue waits for the next slot only,
+// and may.
+func (w *World) waitLimit(r *request, room time.Duration) time.Duration {
+	p := r.pool
+	if p.busyPos < 0 || w.now.Sub(p.since) < w.cfg.BurstFor || p.flow(r.team).Len() == 0 {
 		return room
 	}
 	return time.Duration(w.cfg.StandingWait * float64(room))
--- a/decision/config.go
+++ b/decision/config.go
@@ -32,6 +32,9 @@
 	FreshnessGrace time.Duration
 	// ReportLife is how long a load report counts.
 	ReportLife time.Duration
+	// Overcommit is the part of a server's slots by which instances that run
+	// nothing there may pass them, by what the server reports.
+	Overcommit float64
 	// RefusedBackoff keeps a server that refused an attempt out of the choice.
 	RefusedBackoff time.Duration
 	// RetryAfterMin is the least RetryAfter of a refusal that time may cure.
@@ -138,7 +141,10 @@
 		// one is, so that callers move on to a fresh instance.
 		FreshnessGrace: time.Second,
 		// Four reports at the usual 500 ms.
-		ReportLife:     2 * time.Second,
+		ReportLife: 2 * time.Second,
+		// Enough to let a new instance in; a quarter more in an engine's own queue
+		// costs the rest a quarter of a turn.
+		Overcommit:     0.25,
 		RefusedBackoff: 200 * time.Millisecond,
 		RetryAfterMin:  500 * time.Millisecond,
 		// Under the time to a first token that callers put up with.
@@ -180,6 +186,7 @@
 	orDefault(&c.RetryCap, d.RetryCap)
 	orDefault(&c.FreshnessGrace, d.FreshnessGrace)
 	orDefault(&c.ReportLife, d.ReportLife)
+	orDefault(&c.Overcommit, d.Overcommit)
 	orDefault(&c.RefusedBackoff, d.RefusedBackoff)
 	orDefault(&c.RetryAfterMin, d.RetryAfterMin)
 	orDefault(&c.RateBudget, d.RateBudget)
--- a/decision/drain.go
+++ b/decision/drain.go
@@ -40,6 +40,35 @@
 	return (m.work + guess*prior) / (m.busy + prior)
 }
 
+// biasMeter measures by how much waits turn out longer than was estimated.
+//
+// Load: many teams with thin queues, at saturation. Each later arrival of a team
+// that was served less goes first, which no look at the present queue can show.
+type biasMeter struct {
+	// expected and waited are seconds, decayed by count.
+	expected float64
+	waited   float64
+}
+
+// learn notes that a request waited so long for a slot, or gave up waiting.
+func (m *biasMeter) learn(expected, waited time.Duration) {
+	m.expected = m.expected*perAttempt + expected.Seconds()
+	m.waited = m.waited*perAttempt + waited.Seconds()
+}
+
+// Bounds of the correction: beyond them it is the rate that is wrong, and that
+// is measured by itself.
+const (
+	minBias = 0.5
+	maxBias = 4
+)
+
+// factor is what to multiply an estimate by. One second of a right estimate is
+// counted in, so that the first few waits do not swing it.
+func (m *biasMeter) factor() float64 {
+	return min(max((m.waited+1)/(m.expected+1), minBias), maxBias)
+}
+
 // paceMeter measures how long a pool's attempts take for their cost.
 type paceMeter struct {
 	// count, cost and seconds of completed attempts, decayed by count.
--- a/decision/expire.go
+++ b/decision/expire.go
@@ -36,6 +36,7 @@
 		// it of use to the caller.
 		w.deliver(r, r.held)
 	case r.state == stateRunning:
+		w.blameServer(r.current)
 		w.cancelCurrent(r)
 		w.fail(r, AttemptUnknown)
 	case r.ran:
--- a/decision/ingest_servers.go
+++ b/decision/ingest_servers.go
@@ -149,9 +149,10 @@
 //
 // Load: full saturation, with lagging reports. The own attempts never pass the
 // server's slots. What others run there counts while the report is young, so
-// that eight instances together do not overload a server; but one own attempt is
-// always possible, since otherwise an instance that joins a saturated pool would
-// never get a slot of it.
+// that eight instances together do not overload a server. But a first own
+// attempt may pass the slots by a part: else an instance that joins a saturated
+// pool would never get a slot, since the others refill theirs as they end. It
+// makes the others see the server as full, and so their part shrinks.
 func (w *World) canTake(s *server) bool {
 	if s.gone || s.leaving || w.isBarred(s) {
 		return false
@@ -163,7 +164,10 @@
 	if s.running >= s.capacity() {
 		return false
 	}
-	if s.running == 0 || s.running+s.others < s.capacity() {
+	if s.running+s.others < s.capacity() {
+		return true
+	}
+	if s.running == 0 && s.others < s.capacity()+w.overcommit(s) {
 		return true
 	}
 	if !w.reportFresh(s) {
@@ -173,6 +177,12 @@
 	return false
 }
 
+// overcommit is by how many attempts instances that have none at the server may
+// pass its slots.
+func (w *World) overcommit(s *server) int {
+	return max(int(w.cfg.Overcommit*float64(s.capacity())), 1)
+}
+
 // setFree enters the server into its pools' free sets or takes it out.
 func (w *World) setFree(s *server, free bool) {
 	if s.isFree == free {
--- a/decision/place.go
+++ b/decision/place.go
@@ -34,7 +34,12 @@
 		return false
 	}
 	r := it.Value
+	if reason := w.forbids(r); reason != "" {
+		w.giveUp(r, reason)
+		return true
+	}
 	if w.hopeless(r) {
+		w.waited(r)
 		w.giveUp(r, ReasonWaitTooLong)
 		return true
 	}
@@ -52,12 +57,33 @@
 		return true
 	}
 	w.left(p, r)
+	w.waited(r)
 	p.queue.Pop()
 	w.dequeued(r)
 	w.dispatch(r, s)
 	return true
 }
 
+// forbids checks once more, right before a dispatch, that the request may run
+// where it is about to. The withdraw system has seen to it; the harm of a mistake
+// there is worth a look-up.
+func (w *World) forbids(r *request) RefusalReason {
+	v := r.version
+	switch {
+	case r.team.gone:
+		return ReasonNotAllowed
+	case v == nil && !r.team.services[r.Service]:
+		return ReasonNotAllowed
+	case v == nil:
+		return ""
+	case !r.team.allowed[v.ID]:
+		return ReasonNotAllowed
+	case !v.open():
+		return ReasonVersionWithdrawn
+	}
+	return ""
+}
+
 // hopeless says that the time left is less than the answer usually takes.
 //
 // Load: saturation, where the queue stands at the edge of its deadlines. A slot
--- a/decision/shift.go
+++ b/decision/shift.go
@@ -130,6 +130,23 @@
 	}
 }
 
+// blameServer takes an attempt that ran into its request's deadline as evidence on
+// its backend server, where it had more than the usual time. Without it a server
+// that is so slow that nothing ends in time would never be found: its attempts
+// are all cancelled, and cancelled ones say nothing.
+func (w *World) blameServer(a *attempt) {
+	if a == nil || w.cfg.Policy.NoShift {
+		return
+	}
+	usual := a.pool.pace.atMost(a.cost)
+	if usual == 0 || w.now.Sub(a.started) <= usual {
+		return
+	}
+	if change, ok := w.outliers.Ended(a.server.ID, true, 0, w.now); ok {
+		w.ejection(change)
+	}
+}
+
 // paceOf is the time a unit of work took at the server: by token from the first
 // one on for a model, whole for a plain service; 0 where it says nothing.
 func (w *World) paceOf(a *attempt, e AttemptEnded) time.Duration {
--- a/decision/tables.go
+++ b/decision/tables.go
@@ -116,6 +116,7 @@
 	slots  int
 	pace   paceMeter
 	drain  drainMeter
+	bias   biasMeter
 	use    useMeter
 	// busyPos is the place in tables.busy, or -1.
 	busyPos int
@@ -178,6 +179,10 @@
 	due     int64
 	duePos  int
 	arrived time.Time
+	// expected is the wait that was estimated when it was queued at queuedAt, 0
+	// for none.
+	expected time.Duration
+	queuedAt time.Time
 
 	attempts AttemptID
 	current  *attempt
--- a/decision/wait.go
+++ b/decision/wait.go
@@ -2,7 +2,20 @@
 
 import "time"
 
-// waitFor estimates how long the request would wait in its pool's queue.
+// waitFor estimates how long the request would wait in its pool's queue, by the
+// queue as it stands and by how such estimates turned out of late.
+func (w *World) waitFor(r *request) time.Duration {
+	return time.Duration(float64(w.rawWait(r)) * r.bias())
+}
+
+func (r *request) bias() float64 {
+	if r.pool == nil {
+		return 1
+	}
+	return r.pool.bias.factor()
+}
+
+// rawWait is the estimate by the queue as it stands.
 //
 // Load: saturation by one team or by all, of a pool that other instances use as
 // well. Two bounds hold. The work that goes before the request by fair queueing,
@@ -11,7 +24,7 @@
 // the next slot only. And the team's own queue at the team's own rate: it shows
 // what the others go on asking for. Before a rate is known the estimate is 0: a
 // wrong refusal costs a caller more than a short wait.
-func (w *World) waitFor(r *request) time.Duration {
+func (w *World) rawWait(r *request) time.Duration {
 	p := r.pool
 	if p == nil || r.team == nil || p.queue.Len() == 0 && len(p.free) > 0 {
 		return 0
@@ -77,6 +90,15 @@
 	p.use.add(r.item.Cost, &w.useClock)
 }
 
+// waited notes how the estimate of a request's wait turned out, whether it got a
+// slot or gave up.
+func (w *World) waited(r *request) {
+	if r.expected > 0 {
+		r.pool.bias.learn(r.expected, w.now.Sub(r.queuedAt))
+		r.expected = 0
+	}
+}
+
 // retryAfter turns an estimate into the time to come back, with a jitter of a
 // quarter, so that the refused of one burst do not return as one burst.
 func (w *World) retryAfter(wait time.Duration) time.Duration {
