Report on service-level burn, and status of each instance

Cause: operators must see which team's service level burns its error budget, how fast, and since when, without a store of the project's own.

Slow answers are counted against the objective of their time, so burn rates are exact where a histogram is not, and a changed objective does not rewrite the past. A caller's own faults and cancels count neither way. A page needs 5m and 1h over 14.4, a ticket 30m and 6h over 6; under a wide budget (5 in 100 for latencies), where those rates can hardly be reached, half and a quarter of all requests do. Cost has a ticket for any lasting excess. An instance that does not answer stands first and is named.

--- /dev/null
+++ b/router/internal/cli/reportcmd/reportcmd.go
@@ -0,0 +1,70 @@
+// Package reportcmd is "masticplank report": service levels of a fleet.
+package reportcmd
+
+import (
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"masticplank.example/router/internal/cli"
+	"masticplank.example/router/internal/report"
+)
+
+// New returns the command "report" with its subcommands.
+func New() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "report",
+		Short: "Report on service levels",
+	}
+	cmd.AddCommand(newBurn(time.Now))
+	return cmd
+}
+
+// newBurn takes the clock, for the report's time.
+func newBurn(now func() time.Time) *cobra.Command {
+	var addresses []string
+	var output string
+	cmd := &cobra.Command{
+		Use:   "burn --instances ADDR,...",
+		Short: "Show each team's service levels, error budgets and burn rates",
+		Long: "Show each team's service levels (availability, first token, inter-token,\n" +
+			"cost, exposure to bad versions) against the manifest's objectives, the error\n" +
+			"budget left and burn rates over 5m and 1h, 30m and 6h, merged from the\n" +
+			"instances' own counters. HTML is one page that needs nothing else.\n" +
+			"Exit status: 0 all answered, 3 some did not, 1 none did.",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := cli.CheckOutput(output, cli.OutputText, cli.OutputJSON, cli.OutputHTML); err != nil {
+				return err
+			}
+			return burn(cmd, addresses, output, now)
+		},
+	}
+	cmd.Flags().StringSliceVar(&addresses, "instances", nil, "admin addresses of the instances")
+	cmd.Flags().StringVarP(&output, "output", "o", cli.OutputText, "text, json or html")
+	_ = cmd.MarkFlagRequired("instances")
+	return cmd
+}
+
+func burn(cmd *cobra.Command, addresses []string, output string, now func() time.Time) error {
+	var sources []report.Source
+	for _, a := range cli.Gather[report.Snapshot](cmd.Context(), addresses, "/burn") {
+		sources = append(sources, report.Source{Address: a.Address, Snapshot: a.Value, Err: a.Err})
+	}
+	r := report.Build(now(), sources)
+	if err := write(cmd, r, output); err != nil {
+		return err
+	}
+	return cli.Silent(r.Silent(), len(addresses))
+}
+
+func write(cmd *cobra.Command, r report.Report, output string) error {
+	switch output {
+	case cli.OutputJSON:
+		return cli.WriteJSON(cmd.OutOrStdout(), r)
+	case cli.OutputHTML:
+		return r.WriteHTML(cmd.OutOrStdout())
+	default:
+		return r.WriteText(cmd.OutOrStdout())
+	}
+}
--- /dev/null
+++ b/router/internal/cli/statuscmd/statuscmd.go
@@ -0,0 +1,58 @@
+// Package statuscmd is "masticplank status": where each instance stands.
+package statuscmd
+
+import (
+	"github.com/spf13/cobra"
+
+	"masticplank.example/router/internal/cli"
+	"masticplank.example/router/internal/report"
+)
+
+// New returns the command "status".
+func New() *cobra.Command {
+	var addresses []string
+	var output string
+	cmd := &cobra.Command{
+		Use:   "status --instances ADDR,...",
+		Short: "Show generation, freshness, log, held bills, shut-off versions and ejected servers of each instance",
+		Long: "Show where each instance stands, by its admin listener.\n" +
+			"Exit status: 0 all answered, 3 some did not, 1 none did.",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := cli.CheckOutput(output, cli.OutputText, cli.OutputJSON); err != nil {
+				return err
+			}
+			return show(cmd, addresses, output)
+		},
+	}
+	cmd.Flags().StringSliceVar(&addresses, "instances", nil, "admin addresses of the instances")
+	cmd.Flags().StringVarP(&output, "output", "o", cli.OutputText, "text or json")
+	_ = cmd.MarkFlagRequired("instances")
+	return cmd
+}
+
+func show(cmd *cobra.Command, addresses []string, output string) error {
+	lines := make([]report.StatusLine, 0, len(addresses))
+	silent := 0
+	for _, a := range cli.Gather[report.StatusReport](cmd.Context(), addresses, "/status") {
+		line := report.StatusLine{Address: a.Address}
+		if a.Err != nil {
+			line.Error = a.Err.Error()
+			silent++
+		} else {
+			line.Status = &a.Value
+		}
+		lines = append(lines, line)
+	}
+	if err := write(cmd, lines, output); err != nil {
+		return err
+	}
+	return cli.Silent(silent, len(addresses))
+}
+
+func write(cmd *cobra.Command, lines []report.StatusLine, output string) error {
+	if output == cli.OutputJSON {
+		return cli.WriteJSON(cmd.OutOrStdout(), lines)
+	}
+	return report.WriteStatusText(cmd.OutOrStdout(), lines)
+}
--- /dev/null
+++ b/router/internal/report/burn.go
@@ -0,0 +1,285 @@
+package report
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"masticplank.example/router/internal/manifest"
+)
+
+// LevelKind names a service level.
+type LevelKind string
+
+// The service levels of a team.
+const (
+	LevelAvailability LevelKind = "availability"
+	LevelFirstToken   LevelKind = "first token"
+	LevelInterToken   LevelKind = "inter-token"
+	LevelCost         LevelKind = "cost"
+	LevelExposure     LevelKind = "bad versions"
+)
+
+// State says what a level asks of the people on call.
+type State string
+
+// The states.
+const (
+	// StateOK: nothing.
+	StateOK State = "ok"
+	// StateTicket: the budget burns too fast; look at it this day.
+	StateTicket State = "ticket"
+	// StatePage: it is gone within hours; look at it now.
+	StatePage State = "page"
+	// StateNoData: no events in the last 6 hours.
+	StateNoData State = "no data"
+	// StateNoObjective: the manifest sets none, so nothing is judged.
+	StateNoObjective State = "no objective"
+)
+
+// Burn rates at which both windows of a pair raise a state. A burn rate of 1
+// uses up exactly the budget. The figures are the customary ones for a budget
+// of 30 days: 14.4 over an hour takes 2% of it, 6 over six hours takes 5%.
+const (
+	pageBurn   = 14.4
+	ticketBurn = 6.0
+	// pagePart and ticketPart of all requests raise the state whatever the
+	// budget: under a wide budget the rates above can never be reached.
+	pagePart   = 0.5
+	ticketPart = 0.25
+	// maxBurn bounds a rate, for the scale of a plot.
+	maxBurn = 1e4
+	// costBurn is for cost, whose budget is a mean and not a small part of the
+	// requests: any lasting excess is one.
+	costBurn = 1.0
+	// latencyPart of the answers may be over a latency objective, which is to
+	// be met for 95 in 100.
+	latencyPart = 0.05
+)
+
+// Level is one service level of a team.
+type Level struct {
+	Kind LevelKind `json:"kind"`
+	// Objective in the unit of Measured; 0 for none.
+	Objective float64 `json:"objective"`
+	// Unit of Objective and Measured: "part of 1", "ms" or "cost/request".
+	Unit string `json:"unit"`
+	// Measured: for availability and bad versions the part over 6 h, for
+	// latencies the 95th percentile of the last hour, for cost the mean over
+	// 6 h.
+	Measured float64 `json:"measured"`
+	// Events is how many requests the 6 h hold.
+	Events uint64 `json:"events"`
+	// BudgetLeft is the part of the budget for these 6 h that is not used; it
+	// is negative where more was used than there is.
+	BudgetLeft float64 `json:"budget_left"`
+	// Burn rates by the name of the window.
+	Burn  map[string]float64 `json:"burn"`
+	State State              `json:"state"`
+}
+
+// TeamReport is one team's levels.
+type TeamReport struct {
+	Team   string  `json:"team"`
+	Levels []Level `json:"levels"`
+	points []Point
+}
+
+// InstanceLine says what came of asking one instance.
+type InstanceLine struct {
+	Address    string    `json:"address"`
+	Instance   string    `json:"instance,omitempty"`
+	Answered   bool      `json:"answered"`
+	Error      string    `json:"error,omitempty"`
+	Generation uint64    `json:"generation,omitempty"`
+	Since      time.Time `json:"since,omitzero"`
+}
+
+// Report is the burn report of a fleet.
+type Report struct {
+	At        time.Time      `json:"at"`
+	Instances []InstanceLine `json:"instances"`
+	Bad       []string       `json:"bad_versions"`
+	Teams     []TeamReport   `json:"teams"`
+	// objectives are for the plots.
+	objectives map[string]manifest.Objective
+	bad        map[string]bool
+}
+
+// Silent is how many instances did not answer.
+func (r Report) Silent() int {
+	n := 0
+	for _, i := range r.Instances {
+		if !i.Answered {
+			n++
+		}
+	}
+	return n
+}
+
+// Build merges the snapshots and judges each team's levels. at is the time of
+// the report.
+func Build(at time.Time, sources []Source) Report {
+	f := merge(sources)
+	out := Report{
+		At:         at.UTC().Truncate(time.Second),
+		Instances:  instances(sources),
+		Bad:        []string{},
+		Teams:      []TeamReport{},
+		objectives: f.objectives,
+		bad:        f.bad,
+	}
+	for v := range f.bad {
+		out.Bad = append(out.Bad, v)
+	}
+	slices.Sort(out.Bad)
+	for _, name := range f.names() {
+		out.Teams = append(out.Teams, f.report(name))
+	}
+	return out
+}
+
+func (f *fleet) report(name string) TeamReport {
+	m := f.team(name)
+	o := f.objectives[name]
+	out := TeamReport{Team: name, points: m.sortedPoints()}
+	for _, kind := range []LevelKind{LevelAvailability, LevelFirstToken, LevelInterToken, LevelCost, LevelExposure} {
+		out.Levels = append(out.Levels, m.level(kind, o, f.bad))
+	}
+	return out
+}
+
+func (m *merged) sortedPoints() []Point {
+	var out []Point
+	for begin, c := range m.points {
+		out = append(out, Point{Begin: begin, Counts: c})
+	}
+	slices.SortFunc(out, func(a, b Point) int { return int(a.Begin - b.Begin) })
+	return out
+}
+
+// use is how much of a level's budget a span took: used of allowed, over
+// events. With allowed 0 there is no budget.
+type use struct {
+	used    float64
+	allowed float64
+	events  uint64
+}
+
+// burn is the rate at which the budget goes; 0 without events.
+func (u use) burn() float64 {
+	if u.allowed == 0 {
+		return 0
+	}
+	return min(u.used/u.allowed, maxBurn)
+}
+
+// budget is the part of the events that may be used; 0 without events.
+func (u use) budget() float64 {
+	if u.events == 0 {
+		return 0
+	}
+	return u.allowed / float64(u.events)
+}
+
+// useOf takes a level's events out of counts.
+func useOf(kind LevelKind, c Counts, o manifest.Objective, bad map[string]bool) use {
+	part := func(used, events uint64, budget float64) use {
+		return use{used: float64(used), allowed: budget * float64(events), events: events}
+	}
+	switch kind {
+	case LevelAvailability:
+		return part(c.Unavailable, c.Served+c.Unavailable, 1-o.Availability)
+	case LevelFirstToken:
+		return part(c.FirstSlow, c.First, latencyPart)
+	case LevelInterToken:
+		return part(c.InterSlow, c.Inter, latencyPart)
+	case LevelCost:
+		return use{used: c.Cost, allowed: o.CostPerRequest * float64(c.Billed), events: c.Billed}
+	default:
+		exposed, all := c.Exposed(bad)
+		return part(exposed, all, o.BadExposure)
+	}
+}
+
+func (m *merged) level(kind LevelKind, o manifest.Objective, bad map[string]bool) Level {
+	whole := useOf(kind, m.windows[Window6h.Name], o, bad)
+	l := Level{Kind: kind, Events: whole.events, Burn: map[string]float64{}}
+	l.Objective, l.Unit, l.Measured = m.measure(kind, whole, o)
+	if l.Objective == 0 {
+		l.State = StateNoObjective
+		return l
+	}
+	for _, w := range Windows() {
+		l.Burn[w.Name] = round(useOf(kind, m.windows[w.Name], o, bad).burn())
+	}
+	l.BudgetLeft = round(1 - whole.burn())
+	l.State = judge(l, whole.budget())
+	return l
+}
+
+// measure gives a level's objective, its unit and what was measured.
+func (m *merged) measure(kind LevelKind, whole use, o manifest.Objective) (objective float64, unit string, measured float64) {
+	part := 0.0
+	if whole.events > 0 {
+		part = whole.used / float64(whole.events)
+	}
+	switch kind {
+	case LevelAvailability:
+		if whole.events > 0 {
+			part = 1 - part
+		}
+		return o.Availability, "part of 1", round(part)
+	case LevelFirstToken:
+		return float64(o.FirstTokenMS), "ms", percentile95(m.first)
+	case LevelInterToken:
+		return float64(o.InterTokenMS), "ms", percentile95(m.inter)
+	case LevelCost:
+		return o.CostPerRequest, "cost/request", round(part)
+	default:
+		return o.BadExposure, "part of 1", round(part)
+	}
+}
+
+// judge raises a state where both the long and the short window of a pair are
+// over its rate: the long one so that a few bad seconds wake nobody, the short
+// one so that what is over does not keep on alarming.
+func judge(l Level, budget float64) State {
+	fast := min(l.Burn[Window5m.Name], l.Burn[Window1h.Name])
+	slow := min(l.Burn[Window30m.Name], l.Burn[Window6h.Name])
+	switch {
+	case l.Events == 0:
+		return StateNoData
+	case l.Kind == LevelCost && slow > costBurn:
+		return StateTicket
+	case l.Kind == LevelCost:
+		return StateOK
+	case fast >= min(pageBurn, pagePart/budget):
+		return StatePage
+	case slow >= min(ticketBurn, ticketPart/budget):
+		return StateTicket
+	default:
+		return StateOK
+	}
+}
+
+func percentile95(h *hdrhistogram.Histogram) float64 {
+	if h.TotalCount() == 0 {
+		return 0
+	}
+	return float64(h.ValueAtPercentile(95))
+}
+
+// round keeps six decimals, so that reports do not differ by the order in
+// which floats were added. What is no number, from counts that no instance
+// sends, becomes 0.
+func round(f float64) float64 {
+	const scale = 1e6
+	out := math.Round(f*scale) / scale
+	if math.IsNaN(out) || math.IsInf(out, 0) {
+		return 0
+	}
+	return out
+}
--- /dev/null
+++ b/router/internal/report/fleet.go
@@ -0,0 +1,150 @@
+package report
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"masticplank.example/router/internal/manifest"
+)
+
+// Source is one instance that was asked for its snapshot.
+type Source struct {
+	// Address that was asked.
+	Address string
+	// Snapshot is its answer, where Err is nil.
+	Snapshot Snapshot
+	Err      error
+}
+
+// fleet is what the instances counted together.
+type fleet struct {
+	generation uint64
+	objectives map[string]manifest.Objective
+	bad        map[string]bool
+	teams      map[string]*merged
+}
+
+// merged is one team over all instances.
+type merged struct {
+	windows map[string]Counts
+	points  map[int64]Counts
+	first   *hdrhistogram.Histogram
+	inter   *hdrhistogram.Histogram
+}
+
+// merge adds up the snapshots. Objectives are those of the newest manifest; a
+// version counts as bad where any instance judged it so.
+func merge(sources []Source) *fleet {
+	f := &fleet{bad: map[string]bool{}, teams: map[string]*merged{}}
+	for _, s := range sources {
+		if s.Err != nil {
+			continue
+		}
+		f.addObjectives(s.Snapshot)
+		for _, v := range s.Snapshot.Bad {
+			f.bad[v] = true
+		}
+		for _, t := range s.Snapshot.Teams {
+			f.team(t.Team).add(t)
+		}
+	}
+	return f
+}
+
+func (f *fleet) addObjectives(s Snapshot) {
+	if f.objectives != nil && s.Generation <= f.generation {
+		return
+	}
+	f.generation = s.Generation
+	f.objectives = map[string]manifest.Objective{}
+	for _, o := range s.Objectives {
+		f.objectives[o.Team] = o
+	}
+}
+
+func (f *fleet) team(name string) *merged {
+	m, ok := f.teams[name]
+	if !ok {
+		m = &merged{
+			windows: map[string]Counts{},
+			points:  map[int64]Counts{},
+			first:   newHistogram(),
+			inter:   newHistogram(),
+		}
+		f.teams[name] = m
+	}
+	return m
+}
+
+func (m *merged) add(t TeamSnapshot) {
+	for name, c := range t.Windows {
+		m.windows[name] = sum(m.windows[name], c)
+	}
+	for _, p := range t.Points {
+		m.points[p.Begin] = sum(m.points[p.Begin], p.Counts)
+	}
+	addHistogram(m.first, t.FirstToken)
+	addHistogram(m.inter, t.InterToken)
+}
+
+// sum does not touch a: its map of versions may be a snapshot's.
+func sum(a, b Counts) Counts {
+	var total Counts
+	total.Add(a)
+	total.Add(b)
+	return total
+}
+
+// addHistogram merges an encoded histogram. One that does not decode is left
+// out: percentiles are for people, the levels stand on counters.
+func addHistogram(into *hdrhistogram.Histogram, data []byte) {
+	if len(data) == 0 {
+		return
+	}
+	if h, err := hdrhistogram.Decode(data); err == nil {
+		into.Merge(h)
+	}
+}
+
+// names lists the teams that have counts or an objective.
+func (f *fleet) names() []string {
+	all := map[string]bool{}
+	for name := range f.teams {
+		all[name] = true
+	}
+	for name := range f.objectives {
+		all[name] = true
+	}
+	return slices.Sorted(maps.Keys(all))
+}
+
+// instances is the report's line on each source, those without an answer first.
+func instances(sources []Source) []InstanceLine {
+	out := make([]InstanceLine, 0, len(sources))
+	for _, s := range sources {
+		line := InstanceLine{Address: s.Address}
+		if s.Err != nil {
+			line.Error = s.Err.Error()
+		} else {
+			line.Answered = true
+			line.Instance = s.Snapshot.Instance
+			line.Generation = s.Snapshot.Generation
+			line.Since = s.Snapshot.Since.UTC().Truncate(time.Second)
+		}
+		out = append(out, line)
+	}
+	slices.SortStableFunc(out, func(a, b InstanceLine) int {
+		if a.Answered != b.Answered {
+			if a.Answered {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(a.Instance, b.Instance)
+	})
+	return out
+}
--- /dev/null
+++ b/router/internal/report/plot.go
@@ -0,0 +1,110 @@
+package report
+
+import (
+	"bytes"
+	"fmt"
+	"html/template"
+	"image/color"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"masticplank.example/router/internal/manifest"
+)
+
+// The size of a plot.
+const (
+	plotWidth  = 17 * vg.Centimeter
+	plotHeight = 5.5 * vg.Centimeter
+)
+
+// lineColours tell the levels apart, also for those who do not see red and
+// green as different.
+var lineColours = map[LevelKind]color.Color{
+	LevelAvailability: color.RGBA{R: 0xd5, G: 0x5e, A: 0xff},
+	LevelFirstToken:   color.RGBA{G: 0x72, B: 0xb2, A: 0xff},
+	LevelInterToken:   color.RGBA{G: 0x9e, B: 0x73, A: 0xff},
+	LevelCost:         color.RGBA{R: 0xcc, G: 0x79, B: 0xa7, A: 0xff},
+	LevelExposure:     color.RGBA{R: 0x56, G: 0x56, B: 0x56, A: 0xff},
+}
+
+// plotBurn draws a team's burn rates over the last 6 hours as SVG. Spans
+// without events have no point.
+func plotBurn(team TeamReport, at time.Time, o manifest.Objective, bad map[string]bool) (template.HTML, error) {
+	p := plot.New()
+	p.X.Label.Text = "hours before the report"
+	p.Y.Label.Text = "burn rate"
+	p.X.Min, p.X.Max = -Window6h.Span.Hours(), 0
+	p.Y.Min, p.Y.Max = 0, 2
+	p.Legend.Top, p.Legend.Left = true, true
+	for _, l := range team.Levels {
+		if l.State == StateNoObjective || l.State == StateNoData {
+			continue
+		}
+		if err := addLine(p, l.Kind, burnPoints(team.points, l.Kind, at, o, bad)); err != nil {
+			return "", trace.Wrap(err)
+		}
+	}
+	if err := addBudgetLine(p); err != nil {
+		return "", trace.Wrap(err)
+	}
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(canvas))
+	var b bytes.Buffer
+	if _, err := canvas.WriteTo(&b); err != nil {
+		return "", trace.Wrap(err)
+	}
+	// An XML head may not stand within HTML. The rest is made of numbers and
+	// of this package's own words, so it needs no escaping.
+	svg := b.String()
+	return template.HTML(svg[strings.Index(svg, "<svg"):]), nil
+}
+
+func burnPoints(points []Point, kind LevelKind, at time.Time, o manifest.Objective, bad map[string]bool) plotter.XYs {
+	var out plotter.XYs
+	for _, pt := range points {
+		u := useOf(kind, pt.Counts, o, bad)
+		if u.events == 0 {
+			continue
+		}
+		age := at.Sub(time.Unix(pt.Begin, 0).Add(pointSpan / 2))
+		if age < -pointSpan || age > Window6h.Span+pointSpan {
+			continue // by a clock that is far off
+		}
+		out = append(out, plotter.XY{X: -age.Hours(), Y: round(u.burn())})
+	}
+	return out
+}
+
+func addLine(p *plot.Plot, kind LevelKind, xys plotter.XYs) error {
+	if len(xys) == 0 {
+		return nil
+	}
+	line, points, err := plotter.NewLinePoints(xys)
+	if err != nil {
+		return fmt.Errorf("%s: %w", kind, err)
+	}
+	line.Color = lineColours[kind]
+	points.Color = lineColours[kind]
+	points.Radius = vg.Points(1.5)
+	p.Add(line, points)
+	p.Legend.Add(string(kind), line)
+	return nil
+}
+
+// addBudgetLine marks the rate that uses up exactly the budget.
+func addBudgetLine(p *plot.Plot) error {
+	line, err := plotter.NewLine(plotter.XYs{{X: p.X.Min, Y: 1}, {X: p.X.Max, Y: 1}})
+	if err != nil {
+		return err
+	}
+	line.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
+	p.Add(line)
+	return nil
+}
--- /dev/null
+++ b/router/internal/report/recorder_test.go
@@ -0,0 +1,189 @@
+package report
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"masticplank.example/router/internal/manifest"
+	"masticplank.example/router/internal/outcome"
+)
+
+// clock is set by the test.
+type clock struct{ t time.Time }
+
+func (c *clock) now() time.Time { return c.t }
+
+var begin = time.Date(2026, 9, 1, 6, 0, 0, 0, time.UTC)
+
+func served(team, version string, first time.Duration) Sample {
+	return Sample{Team: team, Version: version, Outcome: outcome.Completed, FirstToken: first, InterToken: 20 * time.Millisecond, Cost: 0.5}
+}
+
+var agencyObjectives = []manifest.Objective{
+	{Team: "ecoles", Availability: 0.99, FirstTokenMS: 350, InterTokenMS: 47, CostPerRequest: 0.4, BadExposure: 0.1},
+	{Team: "parents", Availability: 0.999},
+}
+
+func snapshot(t testing.TB, r *Recorder, name string) Snapshot {
+	t.Helper()
+	s, err := r.Snapshot(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func TestWindowsForgetWhatIsOlder(t *testing.T) {
+	c := &clock{begin}
+	r := NewRecorder(c.now)
+	r.Record(served("ecoles", "m@1", time.Second))
+	for _, step := range []struct {
+		after time.Duration
+		want  map[string]uint64
+	}{
+		{0, map[string]uint64{"5m": 1, "30m": 1, "1h": 1, "6h": 1}},
+		{4 * time.Minute, map[string]uint64{"5m": 1, "30m": 1, "1h": 1, "6h": 1}},
+		{5 * time.Minute, map[string]uint64{"5m": 0, "30m": 1, "1h": 1, "6h": 1}},
+		{30 * time.Minute, map[string]uint64{"5m": 0, "30m": 0, "1h": 1, "6h": 1}},
+		{time.Hour, map[string]uint64{"5m": 0, "30m": 0, "1h": 0, "6h": 1}},
+		{6 * time.Hour, map[string]uint64{"5m": 0, "30m": 0, "1h": 0, "6h": 0}},
+		{60 * time.Hour, map[string]uint64{"5m": 0, "30m": 0, "1h": 0, "6h": 0}},
+	} {
+		c.t = begin.Add(step.after)
+		team := snapshot(t, r, "i").Teams[0]
+		for name, want := range step.want {
+			if got := team.Windows[name].Served; got != want {
+				t.Errorf("after %v, window %s: %d, want %d", step.after, name, got, want)
+			}
+		}
+		hour := step.after < time.Hour
+		if got := team.FirstToken != nil; got != hour {
+			t.Errorf("after %v: histogram kept: %v, want %v", step.after, got, hour)
+		}
+	}
+	// The slot of 6 h ago is the same one now.
+	r.Record(served("ecoles", "m@1", time.Second))
+	if got := snapshot(t, r, "i").Teams[0].Windows["6h"].Served; got != 1 {
+		t.Errorf("a reused slot counts %d", got)
+	}
+}
+
+func TestOnlyTheSystemsFaultsCountAgainstAvailability(t *testing.T) {
+	r := NewRecorder((&clock{begin}).now)
+	for _, s := range []struct {
+		kind outcome.Kind
+		code string
+		want Counts
+	}{
+		{outcome.Completed, "", Counts{Served: 1}},
+		{outcome.Refused, "queue_full", Counts{Unavailable: 1}},
+		{outcome.Refused, "wait_exceeds_deadline", Counts{Unavailable: 1}},
+		{outcome.Refused, "instance_not_fresh", Counts{Unavailable: 1}},
+		{outcome.Refused, "no_backend_server", Counts{Unavailable: 1}},
+		{outcome.Failed, "failed", Counts{Unavailable: 1}},
+		{outcome.Unknown, "unknown", Counts{Unavailable: 1}},
+		{outcome.Refused, "model_not_allowed", Counts{}},
+		{outcome.Refused, "unknown_model", Counts{}},
+		{outcome.Refused, "key_expired", Counts{}},
+		{outcome.Refused, "session_version_withdrawn", Counts{}},
+		{outcome.AlreadyRun, "already_run", Counts{}},
+		{outcome.Unknown, "cancelled", Counts{}},
+	} {
+		var got Counts
+		countAvailability(&got, Sample{Outcome: s.kind, Code: s.code})
+		if !reflect.DeepEqual(got, s.want) {
+			t.Errorf("%s %s: got %+v", s.kind, s.code, got)
+		}
+	}
+	r.Record(Sample{Team: "t", Outcome: outcome.Refused, Code: "queue_full"})
+	if got := snapshot(t, r, "i").Teams[0].Windows["5m"]; got.Unavailable != 1 || got.First != 0 || got.Billed != 0 {
+		t.Errorf("got %+v", got)
+	}
+}
+
+func TestSlowIsJudgedByTheObjectiveOfItsTime(t *testing.T) {
+	r := NewRecorder((&clock{begin}).now)
+	r.Record(served("ecoles", "", time.Second)) // no objective yet
+	r.SetObjectives(1, agencyObjectives)
+	r.Record(served("ecoles", "", 350*time.Millisecond))
+	r.Record(served("ecoles", "", 351*time.Millisecond))
+	r.SetObjectives(2, []manifest.Objective{{Team: "ecoles", FirstTokenMS: 100}})
+	r.Record(served("ecoles", "", 101*time.Millisecond))
+	got := snapshot(t, r, "i").Teams[0].Windows["1h"]
+	if got.First != 4 || got.FirstSlow != 2 || got.InterSlow != 0 {
+		t.Errorf("got %+v", got)
+	}
+}
+
+// TestMergedSnapshotsEqualOneRecorder spreads the same requests over one
+// instance and over three; the reports must agree.
+func TestMergedSnapshotsEqualOneRecorder(t *testing.T) {
+	c := &clock{begin}
+	whole := NewRecorder(c.now)
+	parts := []*Recorder{NewRecorder(c.now), NewRecorder(c.now), NewRecorder(c.now)}
+	for _, r := range append(parts, whole) {
+		r.SetObjectives(7, agencyObjectives)
+	}
+	parts[2].SetVerdict("m@2", true)
+	whole.SetVerdict("m@2", true)
+	whole.SetVerdict("m@9", true)
+	whole.SetVerdict("m@9", false)
+	for i := range 500 {
+		c.t = begin.Add(time.Duration(i) * 44 * time.Second)
+		s := served([]string{"ecoles", "parents"}[i%2], fmt.Sprintf("m@%d", 1+i%3), time.Duration(i%900)*time.Millisecond)
+		if i%50 == 0 {
+			s.Outcome, s.Code = outcome.Failed, "failed"
+		}
+		whole.Record(s)
+		parts[i%3].Record(s)
+	}
+	var sources []Source
+	for i, p := range parts {
+		sources = append(sources, Source{Address: fmt.Sprint(i), Snapshot: roundTrip(t, snapshot(t, p, fmt.Sprint(i)))})
+	}
+	one := Build(c.t, []Source{{Address: "w", Snapshot: snapshot(t, whole, "w")}})
+	three := Build(c.t, sources)
+	if !reflect.DeepEqual(one.Teams[0].Levels, three.Teams[0].Levels) || !reflect.DeepEqual(one.Bad, three.Bad) {
+		t.Errorf("one recorder:\n%+v\nthree:\n%+v", one.Teams[0].Levels, three.Teams[0].Levels)
+	}
+	if one.Teams[0].Levels[0].Events == 0 || one.Teams[0].Levels[4].Measured == 0 {
+		t.Errorf("nothing was measured: %+v", one.Teams[0].Levels)
+	}
+}
+
+func roundTrip(t *testing.T, s Snapshot) Snapshot {
+	t.Helper()
+	data, err := json.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out Snapshot
+	if err := json.Unmarshal(data, &out); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+func TestRecorderIsBounded(t *testing.T) {
+	r := NewRecorder((&clock{begin}).now)
+	for i := range 2 * maxTeams {
+		r.Record(served(fmt.Sprintf("team-%d", i), "m@1", time.Hour))
+		r.Record(served("team-0", fmt.Sprintf("m@%d", i), -time.Hour))
+		r.SetVerdict(fmt.Sprintf("m@%d", i), true)
+	}
+	s := snapshot(t, r, "i")
+	if len(s.Teams) != maxTeams+1 || len(s.Bad) != maxVersions {
+		t.Errorf("%d teams, %d bad versions", len(s.Teams), len(s.Bad))
+	}
+	for _, team := range s.Teams {
+		if got := len(team.Windows["6h"].Versions); got > maxVersions+1 {
+			t.Errorf("%s: %d versions", team.Team, got)
+		}
+		if team.Team == otherTeams && team.Windows["6h"].Served != maxTeams {
+			t.Errorf("%d requests of other teams", team.Windows["6h"].Served)
+		}
+	}
+}
--- /dev/null
+++ b/router/internal/report/report_test.go
@@ -0,0 +1,169 @@
+package report
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"masticplank.example/router/internal/outcome"
+)
+
+// afternoon is a fleet of two instances, and one that does not answer, over
+// three hours: a version turns bad in the last half hour.
+func afternoon(t *testing.T) Report {
+	t.Helper()
+	c := &clock{begin}
+	a, b := NewRecorder(c.now), NewRecorder(c.now)
+	for _, r := range []*Recorder{a, b} {
+		r.SetObjectives(41, agencyObjectives)
+	}
+	const steps = 3 * 60 * 2
+	for i := range steps {
+		c.t = begin.Add(time.Duration(i) * 30 * time.Second)
+		s := served("ecoles", "resume@3", 120*time.Millisecond)
+		if i >= steps-60 {
+			s = served("ecoles", "resume@4", 900*time.Millisecond)
+			if i%2 == 0 {
+				s.Outcome, s.Code = outcome.Failed, "failed"
+			}
+		}
+		a.Record(s)
+		b.Record(served("parents", "lettre@1", 80*time.Millisecond))
+	}
+	a.SetVerdict("resume@4", true)
+	return Build(c.t, []Source{
+		{Address: "10.62.1.11:8081", Snapshot: roundTrip(t, snapshot(t, a, "entry-nyarugenge-1"))},
+		{Address: "10.62.3.12:8081", Err: errors.New("no answer from http://10.62.3.12:8081")},
+		{Address: "10.62.2.11:8081", Snapshot: roundTrip(t, snapshot(t, b, "entry-gasabo-1"))},
+	})
+}
+
+func TestGolden(t *testing.T) {
+	r := afternoon(t)
+	g := goldie.New(t, goldie.WithFixtureDir("testdata"))
+	var text, page bytes.Buffer
+	if err := r.WriteText(&text); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.WriteHTML(&page); err != nil {
+		t.Fatal(err)
+	}
+	g.Assert(t, "burn.txt", text.Bytes())
+	g.Assert(t, "burn.html", page.Bytes())
+	g.AssertJson(t, "burn.json", r)
+	for _, out := range []string{text.String(), page.String()} {
+		if !strings.Contains(out, "10.62.3.12:8081: no answer from") {
+			t.Error("the instance that did not answer is not named")
+		}
+	}
+	for _, outside := range []string{"src=", "<link", "@import", "url("} {
+		if strings.Contains(page.String(), outside) {
+			t.Errorf("the page is not self-contained: %s", outside)
+		}
+	}
+}
+
+func TestPageEscapesNames(t *testing.T) {
+	r := Build(begin, []Source{
+		{Address: "<script>a", Err: errors.New("<script>b")},
+		{Snapshot: Snapshot{Instance: "<script>c", Bad: []string{"<script>d"}, Teams: []TeamSnapshot{{Team: "<script>e"}}}},
+	})
+	var page bytes.Buffer
+	if err := r.WriteHTML(&page); err != nil {
+		t.Fatal(err)
+	}
+	if strings.Contains(page.String(), "<script>") {
+		t.Error("a name came through unescaped")
+	}
+}
+
+func TestJudge(t *testing.T) {
+	rates := func(r5m, r1h, r30m, r6h float64) map[string]float64 {
+		return map[string]float64{"5m": r5m, "1h": r1h, "30m": r30m, "6h": r6h}
+	}
+	for _, c := range []struct {
+		name   string
+		kind   LevelKind
+		burn   map[string]float64
+		events uint64
+		budget float64
+		want   State
+	}{
+		{"quiet", LevelAvailability, rates(0, 0, 0, 0), 9, 0.001, StateOK},
+		{"no events", LevelAvailability, rates(0, 0, 0, 0), 0, 0, StateNoData},
+		{"fast burn", LevelAvailability, rates(20, 15, 15, 3), 9, 0.001, StatePage},
+		{"fast but over", LevelAvailability, rates(0, 15, 1, 3), 9, 0.001, StateOK},
+		{"a few bad seconds", LevelAvailability, rates(100, 2, 3, 0.5), 9, 0.001, StateOK},
+		{"slow burn", LevelAvailability, rates(7, 7, 7, 6), 9, 0.001, StateTicket},
+		{"slow but over", LevelAvailability, rates(0, 2, 0, 6), 9, 0.001, StateOK},
+		{"half slow under a wide budget", LevelFirstToken, rates(10, 10, 10, 10), 9, 0.05, StatePage},
+		{"quarter slow under a wide budget", LevelFirstToken, rates(5, 5, 5, 5), 9, 0.05, StateTicket},
+		{"cost at the objective", LevelCost, rates(1, 1, 1, 1), 9, 1, StateOK},
+		{"cost over it", LevelCost, rates(1.2, 1.2, 1.2, 1.1), 9, 1, StateTicket},
+		{"cost far over it", LevelCost, rates(50, 50, 50, 50), 9, 1, StateTicket},
+	} {
+		got := judge(Level{Kind: c.kind, Burn: c.burn, Events: c.events}, c.budget)
+		if got != c.want {
+			t.Errorf("%s: got %s, want %s", c.name, got, c.want)
+		}
+	}
+}
+
+func TestNewestObjectivesCount(t *testing.T) {
+	old := Snapshot{Instance: "a", Generation: 1, Objectives: agencyObjectives[1:]}
+	newer := Snapshot{Instance: "b", Generation: 2, Objectives: agencyObjectives[:1]}
+	for _, sources := range [][]Source{{{Snapshot: old}, {Snapshot: newer}}, {{Snapshot: newer}, {Snapshot: old}}} {
+		r := Build(begin, sources)
+		if len(r.Teams) != 1 || r.Teams[0].Team != "ecoles" || r.Teams[0].Levels[0].State != StateNoData {
+			t.Errorf("got %+v", r.Teams)
+		}
+	}
+}
+
+// FuzzBuild takes any answer of an instance.
+func FuzzBuild(f *testing.F) {
+	f.Add([]byte(`{"objectives":[{"team":"a","cost_per_request":1}],"teams":[{"team":"a","windows":{"6h":{"cost":1,"billed":1}}}]}`))
+	f.Add([]byte(`{"objectives":[{"team":"a","cost_per_request":1e-300}],"teams":[{"team":"a","windows":{"6h":{"cost":1e308,"billed":1}},"points":[{"begin":1788242400,"cost":1e308,"billed":1},{"begin":-9000000000000000000}],"first_token":"AAAA"}]}`))
+	f.Add([]byte(`{"bad":["v"],"teams":[{"team":"a","windows":{"6h":{"cost":-1e308,"served":18446744073709551615,"unavailable":1,"versions":{"v":1}}}}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var s Snapshot
+		if json.Unmarshal(data, &s) != nil {
+			return
+		}
+		report := Build(begin, []Source{{Snapshot: s}})
+		var out bytes.Buffer
+		if err := report.WriteText(&out); err != nil {
+			t.Error(err)
+		}
+		if err := report.WriteHTML(&out); err != nil {
+			t.Error(err)
+		}
+		if _, err := json.Marshal(report); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+func TestStatusGolden(t *testing.T) {
+	lines := []StatusLine{
+		{Address: "10.41.1.11:8081", Status: &StatusReport{
+			Instance: "entry-rimouski-1", Domain: "salle-rimouski", Generation: 41, Mode: "fresh", Open: 12,
+			Offset: 900, Head: 900, LogReachable: true, ShutOff: []string{"patron@4"}, Ejected: []string{"moteur-3", "moteur-7"},
+		}},
+		{Address: "10.41.2.11:8081", Status: &StatusReport{
+			Instance: "entry-matane-1", Domain: "salle-matane", Generation: 40, Mode: "outage",
+			Offset: 880, Head: 900, Lag: 20, HeldBills: 7,
+		}},
+		{Address: "10.41.3.11:8081", Error: "no answer from http://10.41.3.11:8081"},
+	}
+	var out bytes.Buffer
+	if err := WriteStatusText(&out, lines); err != nil {
+		t.Fatal(err)
+	}
+	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "status.txt", out.Bytes())
+}
