--- a/decision/tables.go
+++ b/decision/tables.go
@@ -29,7 +29,9 @@
 	busy []*pool
 
 	requests map[RequestID]*request
-	attempts map[attemptKey]*attempt
+	// orphans are the attempts that were cancelled and have not ended. The others
+	// are reached by their request.
+	orphans map[attemptKey]*attempt
 	// due orders the live requests by when they must be looked at.
 	due dueHeap
 	// wakes orders the servers that are shut out for a time.
@@ -49,7 +51,7 @@
 		pools:    map[VersionID]*pool{},
 		services: map[ServiceID]*pool{},
 		requests: map[RequestID]*request{},
-		attempts: map[attemptKey]*attempt{},
+		orphans:  map[attemptKey]*attempt{},
 	}
 }
 
@@ -106,8 +108,6 @@
 	flows []*flow
 	// shared is the one flow of all teams under Policy.FirstCome, else nil.
 	shared *flow
-	// backlog are the flows with queued requests.
-	backlog []*flow
 	// free are the servers that can take a request now. Keeping the set makes
 	// "is the pool saturated" and a random candidate O(1) at any size.
 	free []freeSlot
@@ -115,20 +115,20 @@
 	usable int
 	slots  int
 	pace   paceMeter
+	drain  drainMeter
 	use    useMeter
 	// busyPos is the place in tables.busy, or -1.
 	busyPos int
+	// backlogged says that work was left in the queue since the last tick, and
+	// since says from when on there always was some.
+	backlogged bool
+	since      time.Time
 }
 
-// flow is a team's part of a pool's queue, and how fast it drains.
+// flow is a team's part of a pool's queue.
 type flow struct {
 	fair.Flow[*request]
-	drain drainMeter
-	use   useMeter
-	// backlogPos is the place in pool.backlog, or -1.
-	backlogPos int
-	// backlogged says that the last tick left work in the flow.
-	backlogged bool
+	use useMeter
 }
 
 // freeSlot is an entry of pool.free.
@@ -173,8 +173,9 @@
 	state   requestState
 	// deadline is the caller's or the default.
 	deadline time.Time
-	// due is when the request must be looked at next, duePos its heap place.
-	due     time.Time
+	// due is when the request must be looked at next, in Unix nanoseconds, and
+	// duePos its heap place.
+	due     int64
 	duePos  int
 	arrived time.Time
 
--- a/router/internal/daemon/report.go
+++ b/router/internal/daemon/report.go
@@ -10,6 +10,7 @@
 	"masticplank.example/router/internal/driver"
 	"masticplank.example/router/internal/gate"
 	"masticplank.example/router/internal/manifest"
+	"masticplank.example/router/internal/peer"
 	"masticplank.example/router/internal/settings"
 )
 
@@ -36,10 +37,12 @@
 	gate   *gate.Gate
 	holder *manifest.Holder
 	driver *driver.Driver
+	peers  *peer.Node
+	fleet  *fleet
 }
 
-func newStatus(cfg settings.Settings, n *node.Node, g *gate.Gate, h *manifest.Holder, d *driver.Driver) *status {
-	return &status{cfg: cfg, node: n, gate: g, holder: h, driver: d}
+func newStatus(cfg settings.Settings, n *node.Node, g *gate.Gate, h *manifest.Holder, d *driver.Driver, p *peer.Node, f *fleet) *status {
+	return &status{cfg: cfg, node: n, gate: g, holder: h, driver: d, peers: p, fleet: f}
 }
 
 // statusReport is the body of /status.
@@ -49,6 +52,8 @@
 	Generation uint64      `json:"generation"`
 	Mode       string      `json:"mode"`
 	Open       int         `json:"open"`
+	HeldBills  int         `json:"held_bills"`
+	ShutOff    []string    `json:"shut_off,omitempty"`
 	Log        node.Status `json:"log"`
 }
 
@@ -65,11 +70,10 @@
 		Generation: s.holder.Generation(),
 		Mode:       modeNames[s.gate.Mode()],
 		Open:       s.driver.Open(),
+		HeldBills:  s.peers.Held(),
+		ShutOff:    s.fleet.ShutOff(),
 		Log:        s.node.Status(),
 	}
 }
 
-// newHeld is where bills wait while the log is down.
-func newHeld() billing.Holder { return nil }
-
-func newBiller(store node.Store, h billing.Holder) *billing.Biller { return billing.New(store, h) }
+func newBiller(store node.Store, p *peer.Node) *billing.Biller { return billing.New(store, p) }
