Burn report, status and ejections wired into the daemon

/status and /burn of the admin edge carry what masticplank status and report burn read; verdicts of peers count for both; the decision tells of ejections by a command. go test ./router/... ran on this tree.

--- a/decision/commands.go
+++ b/decision/commands.go
@@ -60,6 +60,13 @@
 // ShareLeaving tells the peers of a leaving backend server.
 type ShareLeaving struct{ Server ServerID }
 
+// NoteEjection tells operators that a backend server is ejected as an outlier, or
+// back. It is this instance's own finding and changes nothing elsewhere.
+type NoteEjection struct {
+	Server  ServerID
+	Ejected bool
+}
+
 // Quarantine records a crashing request for all instances.
 type Quarantine struct {
 	Fingerprint Fingerprint
@@ -74,4 +81,5 @@
 func (CancelAttempt) command() {}
 func (ShareVerdict) command()  {}
 func (ShareLeaving) command()  {}
+func (NoteEjection) command()  {}
 func (Quarantine) command()    {}
--- a/decision/shift.go
+++ b/decision/shift.go
@@ -66,8 +66,7 @@
 	w.outliers.Apply(list)
 	for _, s := range w.serverList {
 		if s.ejected && w.outliers.Admit(s.ID, w.now) == verdict.Open {
-			s.ejected = false // it changed its group and starts anew
-			w.refresh(s)
+			w.eject(s, false) // it changed its group and starts anew
 		}
 	}
 }
@@ -165,11 +164,19 @@
 
 func (w *World) ejection(e verdict.Ejection[ServerID]) {
 	if s := w.servers[e.Server]; s != nil {
-		s.ejected = e.Ejected
-		w.refresh(s)
+		w.eject(s, e.Ejected)
 	}
 }
 
+// eject takes a server out of the choice, or back in, and tells the operators.
+func (w *World) eject(s *server, ejected bool) {
+	if s.ejected != ejected {
+		w.emit(NoteEjection{Server: s.ID, Ejected: ejected})
+	}
+	s.ejected = ejected
+	w.refresh(s)
+}
+
 // trialCheck is how often an ejected server is asked about.
 const trialCheck = time.Second
 
--- a/router/cmd/masticplank/main.go
+++ b/router/cmd/masticplank/main.go
@@ -11,8 +11,10 @@
 	"masticplank.example/router/internal/cli/democmd"
 	"masticplank.example/router/internal/cli/ledgercmd"
 	"masticplank.example/router/internal/cli/manifestcmd"
+	"masticplank.example/router/internal/cli/reportcmd"
 	"masticplank.example/router/internal/cli/settingscmd"
 	"masticplank.example/router/internal/cli/standincmd"
+	"masticplank.example/router/internal/cli/statuscmd"
 )
 
 func main() {
@@ -34,8 +36,10 @@
 		democmd.New(),
 		ledgercmd.New(),
 		manifestcmd.New(),
+		reportcmd.New(),
 		settingscmd.New(),
 		standincmd.New(),
+		statuscmd.New(),
 	)
 	return root
 }
--- a/router/internal/daemon/daemon.go
+++ b/router/internal/daemon/daemon.go
@@ -56,7 +56,7 @@
 			newLogClient, newList, newRater, newUpstream,
 			newHolder, newGate, newNode, newStore,
 			newFleet, newDriver, newDirectory,
-			newPeers, newBiller, newTokens, newNames, newRecorder,
+			newPeers, newBiller, newTokens, newNames, newReport, newRecorder,
 			newPublisher, newOrders, newDrain, newAPI, newStatus, newAdmin,
 		),
 		fx.Invoke(startDriver, startFreshness, startNode, startDirectory, startPeers, startOrders, startAdmin, startAPI, startDrain),
--- a/router/internal/daemon/decide.go
+++ b/router/internal/daemon/decide.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"fmt"
 	"log/slog"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -21,6 +22,7 @@
 	"masticplank.example/router/internal/driver"
 	"masticplank.example/router/internal/logging"
 	"masticplank.example/router/internal/peer"
+	"masticplank.example/router/internal/report"
 	"masticplank.example/router/internal/settings"
 )
 
@@ -35,6 +37,7 @@
 	c.Domain = decision.DomainID(cfg.Domain)
 	c.QueueLimit = cfg.Decision.QueueLimit
 	c.RetryRatio = cfg.Decision.RetryBudget
+	c.MaxEjected = cfg.Decision.MaxEjected
 	c.RateBudget = ms(cfg.Decision.RateBudgetMS)
 	c.DefaultDeadline = ms(cfg.Limits.DefaultDeadlineMS)
 	return driver.New(decision.NewWorld(c), f)
@@ -49,19 +52,22 @@
 
 func startDriver(lc fx.Lifecycle, d *driver.Driver) { background(lc, d.Run) }
 
-// fleet carries the decision's words to the other instances.
+// fleet carries the decision's words to the other instances, and theirs to the
+// decision; it remembers both for operators.
 type fleet struct {
-	log *logging.Logger
+	log    *logging.Logger
+	report *report.Recorder
 
 	mu    sync.Mutex
 	store node.Store
 	peers *peer.Node
-	// shutOff are the versions judged bad here, and until when.
-	shutOff map[decision.VersionID]time.Time
+	// shutOff are the versions judged bad here or at a peer.
+	shutOff map[string]bool
+	ejected map[string]bool
 }
 
-func newFleet(log *logging.Logger) *fleet {
-	return &fleet{log: log, shutOff: map[decision.VersionID]time.Time{}}
+func newFleet(log *logging.Logger, r *report.Recorder) *fleet {
+	return &fleet{log: log, report: r, shutOff: map[string]bool{}, ejected: map[string]bool{}}
 }
 
 // attach gives the fleet what it sends through; the decision is made before
@@ -78,10 +84,22 @@
 	return f.store, f.peers
 }
 
+// fromPeers hands what peers pass on to the decision.
+type fromPeers struct {
+	fleet  *fleet
+	driver *driver.Driver
+}
+
+// Send implements peer.Events.
+func (p fromPeers) Send(ev decision.Event) {
+	if v, ok := ev.(decision.VersionVerdict); ok {
+		p.fleet.note(v)
+	}
+	p.driver.Send(ev)
+}
+
 // ShareVerdict implements driver.FleetSink.
 func (f *fleet) ShareVerdict(v decision.VersionVerdict) {
-	f.log.Emit(context.Background(), logging.EventVersionVerdict,
-		slog.String("version", string(v.Version)), slog.Bool("bad", v.Bad))
 	f.note(v)
 	if _, peers := f.links(); peers != nil {
 		peers.ShareVerdict(v)
@@ -89,25 +107,34 @@
 }
 
 func (f *fleet) note(v decision.VersionVerdict) {
+	f.log.Emit(context.Background(), logging.EventVersionVerdict,
+		slog.String("version", string(v.Version)), slog.Bool("bad", v.Bad))
+	f.report.SetVerdict(string(v.Version), v.Bad)
+	f.set(f.shutOff, string(v.Version), v.Bad)
+}
+
+// NoteEjection implements driver.FleetSink.
+func (f *fleet) NoteEjection(c decision.NoteEjection) {
+	f.log.Emit(context.Background(), logging.EventServerEjected,
+		slog.String("server", string(c.Server)), slog.Bool("ejected", c.Ejected))
+	f.set(f.ejected, string(c.Server), c.Ejected)
+}
+
+func (f *fleet) set(in map[string]bool, name string, is bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if v.Bad {
-		f.shutOff[v.Version] = v.Until
+	if is {
+		in[name] = true
 	} else {
-		delete(f.shutOff, v.Version)
+		delete(in, name)
 	}
 }
 
-// ShutOff lists the versions judged bad here, for operators.
-func (f *fleet) ShutOff() []string {
+// status lists the versions shut off and the backend servers ejected.
+func (f *fleet) status() (shutOff, ejected []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out []string
-	for v := range f.shutOff {
-		out = append(out, string(v))
-	}
-	slices.Sort(out)
-	return out
+	return slices.Sorted(maps.Keys(f.shutOff)), slices.Sorted(maps.Keys(f.ejected))
 }
 
 // ShareLeaving implements driver.FleetSink.
--- a/router/internal/daemon/peers.go
+++ b/router/internal/daemon/peers.go
@@ -49,7 +49,7 @@
 		Store:     p.Store,
 		Instances: p.Directory.Instances,
 		Vouches:   p.Gate,
-		Events:    p.Driver,
+		Events:    fromPeers{p.Fleet, p.Driver},
 		Log:       p.Log,
 		Registry:  p.Registry,
 	})
--- a/router/internal/daemon/platform.go
+++ b/router/internal/daemon/platform.go
@@ -20,6 +20,7 @@
 	"masticplank.example/router/internal/logging"
 	"masticplank.example/router/internal/manifest"
 	"masticplank.example/router/internal/platform"
+	"masticplank.example/router/internal/report"
 	"masticplank.example/router/internal/settings"
 	"masticplank.example/router/internal/upstream"
 )
@@ -92,9 +93,10 @@
 
 // newHolder tells the decision of each manifest before callers' requests are
 // read under it.
-func newHolder(d *driver.Driver, log *logging.Logger) *manifest.Holder {
+func newHolder(d *driver.Driver, r *report.Recorder, log *logging.Logger) *manifest.Holder {
 	return manifest.NewHolder(func(x *manifest.Index) {
 		d.Send(x.Tables())
+		r.SetObjectives(x.Manifest.Generation, x.Manifest.Objectives)
 		log.Emit(context.Background(), logging.EventManifestApplied,
 			slog.Uint64("generation", x.Manifest.Generation),
 			slog.String("digest", x.Digest))
--- a/router/internal/daemon/report.go
+++ b/router/internal/daemon/report.go
@@ -1,7 +1,10 @@
 package daemon
 
 import (
+	"time"
+
 	gometrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
 
 	"masticplank.example/coordination/freshness"
 	"masticplank.example/coordination/node"
@@ -10,14 +13,23 @@
 	"masticplank.example/router/internal/driver"
 	"masticplank.example/router/internal/gate"
 	"masticplank.example/router/internal/manifest"
+	"masticplank.example/router/internal/outcome"
 	"masticplank.example/router/internal/peer"
+	"masticplank.example/router/internal/report"
 	"masticplank.example/router/internal/settings"
 )
 
-// recorder counts ended requests by outcome, with go-metrics.
-type recorder struct{ registry gometrics.Registry }
+func newReport() *report.Recorder { return report.NewRecorder(time.Now) }
 
-func newRecorder(r gometrics.Registry) api.Recorder { return &recorder{registry: r} }
+// recorder hands each ended request to the metrics and the burn report.
+type recorder struct {
+	registry gometrics.Registry
+	report   *report.Recorder
+}
+
+func newRecorder(r gometrics.Registry, rep *report.Recorder) api.Recorder {
+	return &recorder{registry: r, report: rep}
+}
 
 // Observe implements api.Recorder.
 func (r *recorder) Observe(o api.Observation) {
@@ -26,36 +38,34 @@
 	if o.FirstToken > 0 {
 		gometrics.GetOrRegisterTimer("request.first_token", r.registry).Update(o.FirstToken)
 	}
+	r.report.Record(report.Sample{
+		Team:       o.Team,
+		Version:    o.Version,
+		Outcome:    outcome.Kind(o.Outcome),
+		Code:       o.Code,
+		FirstToken: o.FirstToken,
+		InterToken: o.InterToken,
+		Cost:       o.Cost,
+	})
 }
 
-func burnOf(api.Recorder) any { return nil }
+// status answers /status and /burn.
+type status struct{ statusParams }
 
-// status is what /status shows.
-type status struct {
-	cfg    settings.Settings
-	node   *node.Node
-	gate   *gate.Gate
-	holder *manifest.Holder
-	driver *driver.Driver
-	peers  *peer.Node
-	fleet  *fleet
-}
+type statusParams struct {
+	fx.In
 
-func newStatus(cfg settings.Settings, n *node.Node, g *gate.Gate, h *manifest.Holder, d *driver.Driver, p *peer.Node, f *fleet) *status {
-	return &status{cfg: cfg, node: n, gate: g, holder: h, driver: d, peers: p, fleet: f}
+	Settings settings.Settings
+	Node     *node.Node
+	Gate     *gate.Gate
+	Holder   *manifest.Holder
+	Driver   *driver.Driver
+	Peers    *peer.Node
+	Fleet    *fleet
+	Report   *report.Recorder
 }
 
-// statusReport is the body of /status.
-type statusReport struct {
-	Instance   string      `json:"instance"`
-	Domain     string      `json:"domain"`
-	Generation uint64      `json:"generation"`
-	Mode       string      `json:"mode"`
-	Open       int         `json:"open"`
-	HeldBills  int         `json:"held_bills"`
-	ShutOff    []string    `json:"shut_off,omitempty"`
-	Log        node.Status `json:"log"`
-}
+func newStatus(p statusParams) *status { return &status{p} }
 
 var modeNames = map[freshness.Mode]string{
 	freshness.ModeStale:  "stale",
@@ -63,17 +73,34 @@
 	freshness.ModeOutage: "outage",
 }
 
-func (s *status) report() statusReport {
-	return statusReport{
-		Instance:   s.cfg.Instance,
-		Domain:     s.cfg.Domain,
-		Generation: s.holder.Generation(),
-		Mode:       modeNames[s.gate.Mode()],
-		Open:       s.driver.Open(),
-		HeldBills:  s.peers.Held(),
-		ShutOff:    s.fleet.ShutOff(),
-		Log:        s.node.Status(),
+// report is the body of /status.
+func (s *status) report() report.StatusReport {
+	log := s.Node.Status()
+	shutOff, ejected := s.Fleet.status()
+	return report.StatusReport{
+		Instance:     s.Settings.Instance,
+		Domain:       s.Settings.Domain,
+		Generation:   s.Holder.Generation(),
+		Mode:         modeNames[s.Gate.Mode()],
+		Open:         s.Driver.Open(),
+		Offset:       log.Next,
+		Head:         log.Head,
+		Lag:          max(log.Head, log.Next) - log.Next,
+		LogReachable: log.LogReachable,
+		HeldBills:    s.Peers.Held(),
+		ShutOff:      shutOff,
+		Ejected:      ejected,
+	}
+}
+
+// burn is the body of /burn. A snapshot that cannot be encoded is a broken
+// invariant of the histograms; the report then names this instance as empty.
+func (s *status) burn() report.Snapshot {
+	snapshot, err := s.Report.Snapshot(s.Settings.Instance)
+	if err != nil {
+		return report.Snapshot{Instance: s.Settings.Instance}
 	}
+	return snapshot
 }
 
 func newBiller(store node.Store, p *peer.Node) *billing.Biller { return billing.New(store, p) }
--- a/router/internal/daemon/serve.go
+++ b/router/internal/daemon/serve.go
@@ -92,14 +92,14 @@
 }
 
 // newAdmin builds the operators' edge.
-func newAdmin(cfg settings.Settings, r gometrics.Registry, d *drain, h *manifest.Holder, p *publish.Publisher, s *status, rec api.Recorder) http.Handler {
+func newAdmin(cfg settings.Settings, r gometrics.Registry, d *drain, h *manifest.Holder, p *publish.Publisher, s *status) http.Handler {
 	return admin.New(admin.Deps{
 		Registry:          r,
 		Readiness:         d,
 		Manifests:         h,
 		Publisher:         p,
 		Status:            func() any { return s.report() },
-		Burn:              func() any { return burnOf(rec) },
+		Burn:              func() any { return s.burn() },
 		OperatorKeyHashes: cfg.OperatorKeyHashes,
 	})
 }
--- a/router/internal/driver/driver.go
+++ b/router/internal/driver/driver.go
@@ -29,6 +29,7 @@
 type FleetSink interface {
 	ShareVerdict(decision.VersionVerdict)
 	ShareLeaving(decision.ServerID)
+	NoteEjection(decision.NoteEjection)
 	Quarantine(decision.Quarantine)
 }
 
@@ -146,6 +147,8 @@
 			d.sink.ShareVerdict(c.Verdict)
 		case decision.ShareLeaving:
 			d.sink.ShareLeaving(c.Server)
+		case decision.NoteEjection:
+			d.sink.NoteEjection(c)
 		case decision.Quarantine:
 			d.sink.Quarantine(c)
 		}
