--- a/router/internal/daemon/daemon.go
+++ b/router/internal/daemon/daemon.go
@@ -46,7 +46,14 @@
 // it starts.
 func New(cfg settings.Settings, log io.Writer) (*fx.App, *Instance) {
 	self := &Instance{}
-	app := fx.New(
+	app := fx.New(options(cfg, self, log))
+	return app, self
+}
+
+// options is the whole graph. The invokes stand in the order of starting; the
+// stop runs through them in reverse, so the drain comes first.
+func options(cfg settings.Settings, self *Instance, log io.Writer) fx.Option {
+	return fx.Options(
 		fx.NopLogger,
 		fx.StopTimeout(stopTimeout(cfg)),
 		fx.Supply(cfg, self),
@@ -59,9 +66,11 @@
 			newPeers, newBiller, newTokens, newNames, newReport, newRecorder,
 			newPublisher, newOrders, newDrain, newAPI, newStatus, newAdmin,
 		),
-		fx.Invoke(startDriver, startFreshness, startNode, startDirectory, startPeers, startOrders, startAdmin, startAPI, startDrain),
+		fx.Invoke(
+			startDriver, startFreshness, startNode, startDirectory,
+			startPeers, startOrders, startAdmin, startAPI, startDrain,
+		),
 	)
-	return app, self
 }
 
 // stopTimeout lets the whole shutdown happen; fx's default of 15 s would cut
--- a/router/internal/daemon/report.go
+++ b/router/internal/daemon/report.go
@@ -50,7 +50,7 @@
 }
 
 // status answers /status and /burn.
-type status struct{ statusParams }
+type status struct{ parts statusParams }
 
 type statusParams struct {
 	fx.In
@@ -65,7 +65,7 @@
 	Report   *report.Recorder
 }
 
-func newStatus(p statusParams) *status { return &status{p} }
+func newStatus(p statusParams) *status { return &status{parts: p} }
 
 var modeNames = map[freshness.Mode]string{
 	freshness.ModeStale:  "stale",
@@ -75,19 +75,19 @@
 
 // report is the body of /status.
 func (s *status) report() report.StatusReport {
-	log := s.Node.Status()
-	shutOff, ejected := s.Fleet.status()
+	log := s.parts.Node.Status()
+	shutOff, ejected := s.parts.Fleet.status()
 	return report.StatusReport{
-		Instance:     s.Settings.Instance,
-		Domain:       s.Settings.Domain,
-		Generation:   s.Holder.Generation(),
-		Mode:         modeNames[s.Gate.Mode()],
-		Open:         s.Driver.Open(),
+		Instance:     s.parts.Settings.Instance,
+		Domain:       s.parts.Settings.Domain,
+		Generation:   s.parts.Holder.Generation(),
+		Mode:         modeNames[s.parts.Gate.Mode()],
+		Open:         s.parts.Driver.Open(),
 		Offset:       log.Next,
 		Head:         log.Head,
 		Lag:          max(log.Head, log.Next) - log.Next,
 		LogReachable: log.LogReachable,
-		HeldBills:    s.Peers.Held(),
+		HeldBills:    s.parts.Peers.Held(),
 		ShutOff:      shutOff,
 		Ejected:      ejected,
 	}
@@ -96,9 +96,9 @@
 // burn is the body of /burn. A snapshot that cannot be encoded is a broken
 // invariant of the histograms; the report then names this instance as empty.
 func (s *status) burn() report.Snapshot {
-	snapshot, err := s.Report.Snapshot(s.Settings.Instance)
+	snapshot, err := s.parts.Report.Snapshot(s.parts.Settings.Instance)
 	if err != nil {
-		return report.Snapshot{Instance: s.Settings.Instance}
+		return report.Snapshot{Instance: s.parts.Settings.Instance}
 	}
 	return snapshot
 }
