Deliver what is whole in the tick of its deadline; judge slow servers sooner

Cause: deadlines were looked at before the ends of the same tick, so that a whole answer was reported as unknown. Seen as a nil attempt while trying to track overdue attempts; the test fails with the old order.

An attempt cut off by its deadline now counts as evidence on the server's pace (as many tokens as were to be expected in that time), and four attempts decide instead of eleven, since each of eight instances sees an eighth of them.

Tried and dropped: scoring servers down that run attempts of more than 1.5 times the usual time.

--- a/decision/drain.go
+++ b/decision/drain.go
@@ -78,6 +78,9 @@
 	// off is the mean part by which an attempt took longer or shorter than was
 	// estimated.
 	off float64
+	// answered is the mean part of the tokens that were allowed for that an
+	// answer had.
+	answered float64
 }
 
 // perAttempt keeps about the last 50 attempts: enough to smooth, few enough to
@@ -95,6 +98,18 @@
 	m.seconds = m.seconds*perAttempt + took.Seconds()
 }
 
+// learnTokens notes an answer's length as a part of what was allowed for.
+func (m *paceMeter) learnTokens(tokens, allowed float64) {
+	if allowed <= 0 {
+		return
+	}
+	part := min(tokens/allowed, 1)
+	if m.answered == 0 {
+		m.answered = part
+	}
+	m.answered += (part - m.answered) * (1 - perAttempt)
+}
+
 // service estimates how long an attempt of the cost takes; 0 before anything is
 // known.
 func (m *paceMeter) service(cost float64) time.Duration {
--- a/decision/ingest_attempt.go
+++ b/decision/ingest_attempt.go
@@ -63,6 +63,7 @@
 	if e.Tokens <= 0 || a.pool.service != "" {
 		return
 	}
+	a.pool.pace.learnTokens(float64(e.Tokens), a.cost-a.prompt)
 	actual := a.prompt + float64(e.Tokens)
 	a.pool.queue.Charge(&a.pool.flow(a.team).Flow, min(actual-a.cost, a.cost))
 }
--- a/decision/shift.go
+++ b/decision/shift.go
@@ -33,10 +33,17 @@
 	return verdict.NewVersions[VersionID, ServerID](c)
 }
 
+// slowSample is the attempts, discounted, that call a server slow: four. Each of
+// eight instances sees an eighth of a server's attempts, and a slow one gives few;
+// the pace of a token differs by little among healthy servers.
+const slowSample = 3.5
+
 func newOutliers(cfg Config) *verdict.Outliers[ServerID, string] {
 	c := verdict.DefaultOutlierConfig()
 	c.SlowFactor = cfg.SlowFactor
 	c.MaxShare = cfg.MaxEjected
+	c.SlowSample = slowSample
+	c.PaceMemory = 8
 	return verdict.NewOutliers[ServerID, string](c)
 }
 
@@ -131,18 +138,18 @@
 }
 
 // blameServer takes an attempt that ran into its request's deadline as evidence on
-// its backend server, where it had more than the usual time. Without it a server
-// that is so slow that nothing ends in time would never be found: its attempts
-// are all cancelled, and cancelled ones say nothing.
+// its backend server's pace: as many tokens as were to be expected, in the time
+// that it had. Without it a server that is so slow that little ends in time would
+// be judged by its shortest answers only, since the rest are cancelled.
 func (w *World) blameServer(a *attempt) {
 	if a == nil || w.cfg.Policy.NoShift {
 		return
 	}
-	usual := a.pool.pace.atMost(a.cost)
-	if usual == 0 || w.now.Sub(a.started) <= usual {
-		return
+	pace := w.now.Sub(a.started)
+	if a.pool.service == "" {
+		pace = w.tokenPace(a, int(a.pool.pace.answered*(a.cost-a.prompt)))
 	}
-	if change, ok := w.outliers.Ended(a.server.ID, true, 0, w.now); ok {
+	if change, ok := w.outliers.Ended(a.server.ID, false, pace, w.now); ok {
 		w.ejection(change)
 	}
 }
@@ -153,14 +160,18 @@
 	if a.pool.service != "" {
 		return w.now.Sub(a.started)
 	}
-	if e.Tokens <= 0 {
+	return w.tokenPace(a, e.Tokens)
+}
+
+func (w *World) tokenPace(a *attempt, tokens int) time.Duration {
+	if tokens <= 0 {
 		return 0
 	}
 	from := a.firstToken
 	if from.IsZero() {
 		from = a.started
 	}
-	return w.now.Sub(from) / time.Duration(e.Tokens)
+	return w.now.Sub(from) / time.Duration(tokens)
 }
 
 func (w *World) ejection(e verdict.Ejection[ServerID]) {
--- a/decision/world.go
+++ b/decision/world.go
@@ -78,12 +78,16 @@
 // Tick applies the events in order, runs the systems once and returns what the
 // router must do, in order. A now before the last one counts as the last one.
 // The commands returned are valid until the next Tick.
+//
+// Ends and ratings are judged before deadlines, so that an answer that is whole in
+// the tick of its deadline is delivered; escalations before placing, so that they
+// join this tick's.
 func (w *World) Tick(now time.Time, in []Event) []Command {
 	w.begin(now)
 	w.ingest(in)
-	w.expire()
 	w.retry()
 	w.escalate()
+	w.expire()
 	w.openSessions()
 	w.admit()
 	w.withdraw()
--- a/decision/world_test.go
+++ b/decision/world_test.go
@@ -96,6 +96,13 @@
 			setup: func(h *harness) { h.took = func(Dispatch, Request) time.Duration { return time.Hour } },
 			want:  Fail{Request: 1, Result: AttemptUnknown},
 		},
+		{
+			name: "ends in the tick of its deadline", request: Request{Model: "weave", Deadline: epoch.Add(time.Second)},
+			setup: func(h *harness) {
+				h.took = func(Dispatch, Request) time.Duration { return time.Second - step }
+			},
+			want: Deliver{Request: 1, Attempt: 1},
+		},
 		{
 			name: "all leaving", request: Request{Model: "weave"},
 			setup: func(h *harness) { h.send(ServerLeaving{Server: "s0"}, ServerLeaving{Server: "s1"}) },
