--- a/router/cmd/masticplank/main.go
+++ b/router/cmd/masticplank/main.go
@@ -9,9 +9,12 @@
 
 	"masticplank.example/router/internal/cli"
 	"masticplank.example/router/internal/cli/democmd"
+	"masticplank.example/router/internal/cli/ledgercmd"
 	"masticplank.example/router/internal/cli/manifestcmd"
+	"masticplank.example/router/internal/cli/reportcmd"
 	"masticplank.example/router/internal/cli/settingscmd"
 	"masticplank.example/router/internal/cli/standincmd"
+	"masticplank.example/router/internal/cli/statuscmd"
 )
 
 func main() {
@@ -31,9 +34,12 @@
 	}
 	root.AddCommand(
 		democmd.New(),
+		ledgercmd.New(),
 		manifestcmd.New(),
+		reportcmd.New(),
 		settingscmd.New(),
 		standincmd.New(),
+		statuscmd.New(),
 	)
 	return root
 }
