Hold the queue after a pause; pins of sessions in the properties

Cause: a process that resumes from a pause ticks with its queue before the freshness is looked at again, and could dispatch by an old manifest.

A gap of 2.5 s between ticks now holds all dispatches until the freshness is told anew, for half a second at most (it is looked at every 100 ms). A second step on a version that the session keeps may run while that version drains. The harness checks that a session's request never runs on another version of a model that it has a pin for.

Ruled out: refusing everything after a gap until told; where the freshness did not change nothing tells it, and the instance would stay shut.

--- a/decision/config.go
+++ b/decision/config.go
@@ -30,6 +30,11 @@
 	RetryCap float64
 	// FreshnessGrace is how long queued work outlives the loss of freshness.
 	FreshnessGrace time.Duration
+	// PauseGap is the time between two ticks that counts as a pause of the process.
+	PauseGap time.Duration
+	// PauseHold is how long nothing is dispatched after a pause, unless the
+	// freshness is told anew before.
+	PauseHold time.Duration
 	// ReportLife is how long a load report counts.
 	ReportLife time.Duration
 	// Overcommit is the part of a server's slots by which instances that run
@@ -140,6 +145,12 @@
 		// A blip between two vouches is not worth refusing a queue; a longer
 		// one is, so that callers move on to a fresh instance.
 		FreshnessGrace: time.Second,
+		// Half of the time for which freshness lasts: an instance that was paused
+		// may have missed a manifest.
+		PauseGap: 2500 * time.Millisecond,
+		// Enough for the freshness to be looked at again, and short for callers
+		// where it was no pause but a slow tick.
+		PauseHold: 500 * time.Millisecond,
 		// Four reports at the usual 500 ms.
 		ReportLife: 2 * time.Second,
 		// Enough to let a new instance in; a quarter more in an engine's own queue
@@ -185,6 +196,8 @@
 	orDefault(&c.RetryFloor, d.RetryFloor)
 	orDefault(&c.RetryCap, d.RetryCap)
 	orDefault(&c.FreshnessGrace, d.FreshnessGrace)
+	orDefault(&c.PauseGap, d.PauseGap)
+	orDefault(&c.PauseHold, d.PauseHold)
 	orDefault(&c.ReportLife, d.ReportLife)
 	orDefault(&c.Overcommit, d.Overcommit)
 	orDefault(&c.RefusedBackoff, d.RefusedBackoff)
--- a/decision/escalate.go
+++ b/decision/escalate.go
@@ -1,6 +1,9 @@
 package decision
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // escalate judges the ratings of held answers: deliver, or replace by the plan's
 // second step.
@@ -50,9 +53,11 @@
 	w.enqueue(r)
 }
 
-// mayStep says whether the second step may run by the manifest as it is now.
+// mayStep says whether the second step may run by the manifest as it is now. A
+// version that the session keeps may be draining.
 func (w *World) mayStep(r *request, v *version) bool {
-	return v.serving() && !r.team.gone && r.team.allowed[v.ID] && v.pool.usable > 0 &&
+	takes := v.serving() || v.open() && slices.Contains(r.Pins, v.ID)
+	return takes && !r.team.gone && r.team.allowed[v.ID] && v.pool.usable > 0 &&
 		int(r.attempts) < w.cfg.MaxAttempts && w.fresh
 }
 
--- a/decision/fuzz_test.go
+++ b/decision/fuzz_test.go
@@ -104,6 +104,7 @@
 	}
 	if t.next()%2 == 0 {
 		r.Pinned = ""
+		r.Pins = []VersionID{t.version()}
 	}
 	if t.next()%8 == 0 {
 		r.Service = "stock"
--- a/decision/harness_test.go
+++ b/decision/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -190,6 +191,11 @@
 	if r.Pinned != "" && d.Version != r.Pinned {
 		h.t.Errorf("request %d pinned to %s on %s", d.Request, r.Pinned, d.Version)
 	}
+	for _, pin := range r.Pins {
+		if modelOf(pin) == modelOf(d.Version) && pin != d.Version {
+			h.t.Errorf("request %d of a session on %s on %s", d.Request, pin, d.Version)
+		}
+	}
 	h.inFlight[d.Server]++
 	if h.inFlight[d.Server] > h.slots[d.Server] {
 		h.t.Errorf("server %s has %d in flight, %d slots", d.Server, h.inFlight[d.Server], h.slots[d.Server])
@@ -201,6 +207,12 @@
 	h.running = append(h.running, running{Dispatch: d, ends: h.now.Add(h.took(d, r)), result: h.ended(d, r)})
 }
 
+// modelOf is the part of a version's id before the @.
+func modelOf(id VersionID) string {
+	model, _, _ := strings.Cut(string(id), "@")
+	return model
+}
+
 func (h *harness) cancel(c CancelAttempt) {
 	for i, a := range h.running {
 		if a.Request == c.Request && a.Attempt == c.Attempt {
--- a/decision/ingest.go
+++ b/decision/ingest.go
@@ -1,5 +1,7 @@
 package decision
 
+import "time"
+
 // ingest applies the events to the tables in order. It decides nothing but what
 // an event says by itself; arrivals and ends are left to the later systems, so
 // that these see the whole tick's facts first.
@@ -76,6 +78,10 @@
 	if e.Outage && !w.outage {
 		w.recheck = true
 	}
+	if w.now.After(w.resumedAt) {
+		// Told after the pause; what was on its way before it says nothing.
+		w.holdUntil = time.Time{}
+	}
 	w.fresh = e.Fresh
 	w.outage = e.Outage
 }
--- a/decision/place.go
+++ b/decision/place.go
@@ -9,7 +9,9 @@
 // queued work and ends when none of them has a free server: its cost is by what
 // it places, not by the size of the fleet or of the queues.
 func (w *World) place() {
-	if !w.fresh {
+	if !w.fresh || w.now.Before(w.holdUntil) {
+		// Resumed from a pause, the manifest may be an old one: what is queued
+		// waits until the freshness is told anew.
 		return
 	}
 	w.unpark()
--- a/decision/property_test.go
+++ b/decision/property_test.go
@@ -81,6 +81,9 @@
 	if r.Model == "" && r.Service == "" {
 		r.Pinned = rapid.SampledFrom([]VersionID{"", weave1, weave2}).Draw(s.t, "pinned")
 	}
+	if r.Model == "" && r.Service == "" && r.Pinned == "" {
+		r.Pins = rapid.SampledFrom([][]VersionID{nil, {weave1}, {weave2, draft1}}).Draw(s.t, "pins")
+	}
 	if ms := rapid.IntRange(0, 3000).Draw(s.t, "deadline"); ms > 0 {
 		r.Deadline = s.h.now.Add(time.Duration(ms) * time.Millisecond)
 	}
--- a/decision/world.go
+++ b/decision/world.go
@@ -37,6 +37,10 @@
 	outage bool
 	// staleSince is when freshness was lost.
 	staleSince time.Time
+	// resumedAt is the last tick after a pause, and holdUntil bounds how long
+	// nothing is dispatched after it.
+	resumedAt time.Time
+	holdUntil time.Time
 	// recheck asks the withdraw system to look at every queued request.
 	recheck bool
 	wakeSeq uint64
@@ -105,6 +109,10 @@
 		}
 		w.now = now
 	}
+	if elapsed > w.cfg.PauseGap {
+		w.resumedAt = now
+		w.holdUntil = now.Add(w.cfg.PauseHold)
+	}
 	w.advanceDrains(elapsed)
 	w.arrived = w.arrived[:0]
 	w.opening = w.opening[:0]
--- a/decision/world_test.go
+++ b/decision/world_test.go
@@ -240,3 +240,45 @@
 	}
 	h.settled()
 }
+
+// After a pause nothing queued is dispatched before the freshness is told anew.
+func TestNothingIsDispatchedAfterAPause(t *testing.T) {
+	tests := []struct {
+		name string
+		told *FreshnessChanged
+		want Command
+	}{
+		{name: "still fresh", told: &FreshnessChanged{Fresh: true}, want: Deliver{Request: 5, Attempt: 1}},
+		{name: "not fresh", told: &FreshnessChanged{}, want: Refuse{Request: 5, Reason: ReasonNotFresh}},
+		{name: "not told", want: Deliver{Request: 5, Attempt: 1}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := small(t)
+			for range 5 {
+				h.arrive(Request{Team: "weavers", Model: "weave"})
+			}
+			h.tick()
+			h.now = h.now.Add(4 * time.Second)
+			h.seen = func(c Command) {
+				if _, ok := c.(Dispatch); ok {
+					t.Errorf("dispatched right after the pause: %+v", c)
+				}
+			}
+			h.tick()
+			h.seen = nil
+			if tt.told != nil {
+				h.send(*tt.told)
+			}
+			h.run(3 * time.Second)
+			got := h.outcomes[5].command
+			if r, ok := got.(Refuse); ok {
+				r.RetryAfter = 0
+				got = r
+			}
+			if got != tt.want {
+				t.Errorf("got %+v, want %+v", got, tt.want)
+			}
+		})
+	}
+}
