Slow readers are cut off; a drain leaves no bill at one instance alone

Cause: a caller that does not read blocks the write to it, which no context ends; the engine's slot and the ticket stay taken past any deadline. Each write has a deadline now (limits.write_timeout_ms, 10 s). The drain hands held bills over before it says that it has ended.

--- a/router/internal/api/api.go
+++ b/router/internal/api/api.go
@@ -83,6 +83,9 @@
 	MaxBody int64
 	// ReadTimeout bounds the reading of a body, against slow callers.
 	ReadTimeout time.Duration
+	// WriteTimeout bounds each write to a caller: one that does not read must
+	// not hold an engine's slot.
+	WriteTimeout time.Duration
 	// DefaultDeadline for a request that names none.
 	DefaultDeadline time.Duration
 	// MaxDeadline caps what a caller may ask for.
--- a/router/internal/api/attempt.go
+++ b/router/internal/api/attempt.go
@@ -21,7 +21,7 @@
 	ctx, done := x.ticket.Begin(ctx, d.Attempt)
 	defer done()
 	x.tokensBefore = x.bill.OutputTokens
-	result, err := x.send(ctx, d)
+	result, err := x.exchangeWith(ctx, d)
 	if err != nil {
 		x.attemptFailed(ctx, d, err)
 		return
@@ -35,9 +35,9 @@
 	x.complete(ctx, result)
 }
 
-// send writes the attempt and reads its answer. A stream that is not held flows
+// exchangeWith writes the attempt and reads its answer. A stream that is not held flows
 // to the caller meanwhile, up to its last events.
-func (x *exchange) send(ctx context.Context, d decision.Dispatch) (*answer, error) {
+func (x *exchange) exchangeWith(ctx context.Context, d decision.Dispatch) (*answer, error) {
 	addr, ok := x.s.Servers.Addr(d.Server)
 	if !ok {
 		return nil, &upstream.Failure{Result: decision.AttemptNotRun, Err: errNoAddress}
@@ -165,6 +165,7 @@
 		h.Set("Content-Type", kind)
 	}
 	x.setOutcomeHeaders(a.version)
+	x.limitWrite()
 	x.w.WriteHeader(a.status)
 	// A failed write means that the caller has gone; the bill stands.
 	_, _ = x.w.Write(a.body)
--- a/router/internal/api/exchange.go
+++ b/router/internal/api/exchange.go
@@ -240,6 +240,7 @@
 	if x.sent {
 		panic(http.ErrAbortHandler)
 	}
+	x.limitWrite()
 	writeOutcome(x.w, o)
 }
 
--- a/router/internal/api/fixture_test.go
+++ b/router/internal/api/fixture_test.go
@@ -48,9 +48,10 @@
 	edge    *httptest.Server
 	backend *httptest.Server
 	// ran counts what reached the backend server and was not refused by it.
-	ran     atomic.Int64
-	handler atomic.Value
-	index   atomic.Pointer[manifest.Index]
+	ran          atomic.Int64
+	handler      atomic.Value
+	index        atomic.Pointer[manifest.Index]
+	writeTimeout time.Duration
 }
 
 // Current implements Manifests.
@@ -129,7 +130,12 @@
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	f := &fixture{t: t, log: logtest.New(), gate: &switchGate{}, held: &fakeHolder{}}
+	return newFixtureWith(t, time.Minute)
+}
+
+func newFixtureWith(t *testing.T, writeTimeout time.Duration) *fixture {
+	t.Helper()
+	f := &fixture{t: t, log: logtest.New(), gate: &switchGate{}, held: &fakeHolder{}, writeTimeout: writeTimeout}
 	f.script(chatAnswer)
 	f.backend = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.ran.Add(1)
@@ -211,7 +217,7 @@
 		Rater:     noRater{},
 		Recorder:  noRecorder{},
 		Log:       logging.New(io.Discard, settings.Default().Log),
-		Limits:    Limits{MaxBody: 1 << 16, ReadTimeout: time.Minute, DefaultDeadline: 20 * time.Second, MaxDeadline: time.Minute},
+		Limits:    Limits{MaxBody: 1 << 16, ReadTimeout: time.Minute, WriteTimeout: f.writeTimeout, DefaultDeadline: 20 * time.Second, MaxDeadline: time.Minute},
 	}))
 	f.t.Cleanup(func() { f.edge.Close(); client.Close(); cancel() })
 }
--- a/router/internal/api/outcome_test.go
+++ b/router/internal/api/outcome_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/uuid"
 
@@ -248,3 +251,30 @@
 	f.eventually("the ticket closes", func() bool { return f.driver.Open() == 0 })
 	f.eventually("the bill", func() bool { return len(f.bills()) == 1 })
 }
+
+// TestCallerThatDoesNotReadFreesTheSlot opens a stream and never reads it. The
+// engine writes more than the buffers between hold; past the write timeout its
+// request is cancelled.
+func TestCallerThatDoesNotReadFreesTheSlot(t *testing.T) {
+	f := newFixtureWith(t, 50*time.Millisecond)
+	wide := `{"choices":[{"delta":{"content":"` + strings.Repeat("x", 64<<10) + `"}}]}`
+	cancelled := make(chan struct{})
+	f.script(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(wire.HeaderAttempt, r.Header.Get(wire.HeaderAttempt))
+		for r.Context().Err() == nil {
+			_, _ = io.WriteString(w, "data: "+wide+"\n\n")
+		}
+		close(cancelled)
+	})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.edge.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	head := "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + teamKey + "\r\n"
+	if _, err := io.WriteString(conn, head+"Content-Length: "+strconv.Itoa(len(streamed))+"\r\n\r\n"+streamed); err != nil {
+		t.Fatal(err)
+	}
+	<-cancelled
+	f.eventually("the ticket closes", func() bool { return f.driver.Open() == 0 })
+}
--- a/router/internal/api/stream.go
+++ b/router/internal/api/stream.go
@@ -162,15 +162,27 @@
 // writeEvent sends one event to the caller at once.
 func (x *exchange) writeEvent(version decision.VersionID, data string) error {
 	x.startStream(version)
-	if _, err := x.w.Write([]byte("data: " + data + "\n\n")); err != nil {
+	if err := x.send(data); err != nil {
 		return &upstream.Failure{Result: decision.AttemptCancelled, Err: errCallerGone}
 	}
-	if f, ok := x.w.(http.Flusher); ok {
-		f.Flush()
-	}
 	return nil
 }
 
+// send writes and flushes one event within the write timeout.
+func (x *exchange) send(data string) error {
+	x.limitWrite()
+	if _, err := x.w.Write([]byte("data: " + data + "\n\n")); err != nil {
+		return err
+	}
+	return http.NewResponseController(x.w).Flush()
+}
+
+// limitWrite gives the next write its deadline. Writers without one, as in some
+// tests, go without.
+func (x *exchange) limitWrite() {
+	_ = http.NewResponseController(x.w).SetWriteDeadline(time.Now().Add(x.s.Limits.WriteTimeout))
+}
+
 func (x *exchange) startStream(version decision.VersionID) {
 	if x.sent {
 		return
--- a/router/internal/daemon/peers.go
+++ b/router/internal/daemon/peers.go
@@ -59,7 +59,7 @@
 }
 
 // startPeers serves the other instances and follows what they pass on by the
-// log. At the stop no bill stays here alone.
+// log.
 func startPeers(lc fx.Lifecycle, p peerParams, n *peer.Node, self *Instance) {
 	p.Store.Watch(record.ClassQuarantine, func(c fold.Change) {
 		if ev, ok := quarantined(c); ok {
@@ -82,5 +82,4 @@
 			p.Log.Emit(ctx, logging.EventPeerRejected, logging.Err(err))
 		}
 	})
-	lc.Append(fx.StopHook(func(ctx context.Context) { n.Drain(ctx) }))
 }
--- a/router/internal/daemon/serve.go
+++ b/router/internal/daemon/serve.go
@@ -22,6 +22,7 @@
 	"masticplank.example/router/internal/gate"
 	"masticplank.example/router/internal/logging"
 	"masticplank.example/router/internal/manifest"
+	"masticplank.example/router/internal/peer"
 	"masticplank.example/router/internal/platform"
 	"masticplank.example/router/internal/publish"
 	"masticplank.example/router/internal/session"
@@ -85,6 +86,7 @@
 		Limits: api.Limits{
 			MaxBody:         p.Settings.Limits.MaxBodyBytes,
 			ReadTimeout:     ms(p.Settings.Limits.ReadTimeoutMS),
+			WriteTimeout:    ms(p.Settings.Limits.WriteTimeoutMS),
 			DefaultDeadline: ms(p.Settings.Limits.DefaultDeadlineMS),
 			MaxDeadline:     maxDeadline,
 		},
@@ -150,13 +152,14 @@
 	holder *manifest.Holder
 	list   *directory.Directory
 	driver *driver.Driver
+	peers  *peer.Node
 	log    *logging.Logger
 	server *http.Server
 	leaves atomic.Bool
 }
 
-func newDrain(cfg settings.Settings, g *gate.Gate, h *manifest.Holder, dir *directory.Directory, d *driver.Driver, log *logging.Logger) *drain {
-	return &drain{cfg: cfg, gate: g, holder: h, list: dir, driver: d, log: log}
+func newDrain(cfg settings.Settings, g *gate.Gate, h *manifest.Holder, dir *directory.Directory, d *driver.Driver, p *peer.Node, log *logging.Logger) *drain {
+	return &drain{cfg: cfg, gate: g, holder: h, list: dir, driver: d, peers: p, log: log}
 }
 
 // NotReady implements admin.Readiness.
@@ -194,8 +197,9 @@
 		wait(ctx, drainPoll)
 	}
 	a.Wait(ctx)
-	if open := d.driver.Open(); open > 0 {
-		d.log.Emit(ctx, logging.EventDrainCut, slog.Int("open", open))
+	open, held := d.driver.Open(), d.peers.Drain(ctx)
+	if open > 0 || held > 0 {
+		d.log.Emit(ctx, logging.EventDrainCut, slog.Int("open", open), slog.Int("held_bills", held))
 		return
 	}
 	d.log.Emit(ctx, logging.EventDrainEnd)
--- a/router/internal/logging/catalogue.go
+++ b/router/internal/logging/catalogue.go
@@ -11,8 +11,8 @@
 	EventNotReady   = Event{103, "not_ready", slog.LevelWarn, "Readiness fails; reason says why."}
 	EventStop       = Event{104, "stop", slog.LevelInfo, "The process ends."}
 	EventDrainBegin = Event{105, "drain_begin", slog.LevelInfo, "A planned stop began: readiness fails, requests in progress finish."}
-	EventDrainEnd   = Event{106, "drain_end", slog.LevelInfo, "No request is in progress and all bills are in the log."}
-	EventDrainCut   = Event{107, "drain_cut", slog.LevelError, "The drain time passed with requests still in progress: raise shutdown.drain_ms."}
+	EventDrainEnd   = Event{106, "drain_end", slog.LevelInfo, "No request is in progress, and each bill is in the log or at two peers."}
+	EventDrainCut   = Event{107, "drain_cut", slog.LevelError, "The drain time passed with requests in progress or bills held here alone: raise shutdown.drain_ms."}
 
 	EventManifestApplied  = Event{200, "manifest_applied", slog.LevelInfo, "A new generation is in force here."}
 	EventManifestRejected = Event{201, "manifest_rejected", slog.LevelWarn, "A manifest in the log is invalid and stays out of force; its publisher has the faults."}
--- a/router/internal/settings/defaults.go
+++ b/router/internal/settings/defaults.go
@@ -10,6 +10,7 @@
 	defaultMaxBodyBytes      = 1 << 20
 	defaultMaxHeaderBytes    = 64 << 10
 	defaultReadTimeoutMS     = 10_000
+	defaultWriteTimeoutMS    = 10_000
 	defaultIdleTimeoutMS     = 60_000
 	defaultDeadlineMS        = 30_000
 	defaultFreshnessBoundMS  = 5000
@@ -44,6 +45,7 @@
 			MaxBodyBytes:      defaultMaxBodyBytes,
 			MaxHeaderBytes:    defaultMaxHeaderBytes,
 			ReadTimeoutMS:     defaultReadTimeoutMS,
+			WriteTimeoutMS:    defaultWriteTimeoutMS,
 			IdleTimeoutMS:     defaultIdleTimeoutMS,
 			DefaultDeadlineMS: defaultDeadlineMS,
 		},
--- a/router/internal/settings/fields.go
+++ b/router/internal/settings/fields.go
@@ -51,6 +51,7 @@
 		{"limits.max_body_bytes", "bytes", intRule{1024, 64 << 20}, "The longest request body; a longer one is refused with 413."},
 		{"limits.max_header_bytes", "bytes", intRule{4096, 1 << 20}, "The longest request header."},
 		{"limits.read_timeout_ms", "ms", intRule{100, 10 * minuteMS}, "How long a caller may take to send a whole request."},
+		{"limits.write_timeout_ms", "ms", intRule{100, 10 * minuteMS}, "How long a caller may take to read one part of an answer; past it the connection is cut and the engine's work cancelled."},
 		{"limits.idle_timeout_ms", "ms", intRule{1000, hourMS}, "How long an idle connection of a caller stays open."},
 		{"limits.default_deadline_ms", "ms", intRule{100, hourMS}, "The deadline of a request that names none."},
 
--- a/router/internal/settings/settings.go
+++ b/router/internal/settings/settings.go
@@ -50,6 +50,7 @@
 	MaxBodyBytes      int64 `json:"max_body_bytes"`
 	MaxHeaderBytes    int   `json:"max_header_bytes"`
 	ReadTimeoutMS     int   `json:"read_timeout_ms"`
+	WriteTimeoutMS    int   `json:"write_timeout_ms"`
 	IdleTimeoutMS     int   `json:"idle_timeout_ms"`
 	DefaultDeadlineMS int   `json:"default_deadline_ms"`
 }
