Peers: bounded transfers, real nodes under test, strangers over TLS

Cause: an instance that is cut off from the log alone would take the whole state of a peer in each round, since the others' state moves on with each bill. Its transfers are now at most 1 MiB/s; with a large state it becomes stale instead.

--- a/router/internal/peer/fixture_test.go
+++ b/router/internal/peer/fixture_test.go
@@ -87,8 +87,16 @@
 	events  chan decision.Event
 	vouches chan freshness.Vouch
 	hints   chan struct{}
+
+	mu    sync.Mutex
+	clock time.Time
 }
 
+func (i *inst) now() time.Time { i.mu.Lock(); defer i.mu.Unlock(); return i.clock }
+
+// pass moves the instance's clock on.
+func (i *inst) pass(d time.Duration) { i.mu.Lock(); defer i.mu.Unlock(); i.clock = i.clock.Add(d) }
+
 func (i *inst) Vouched(v freshness.Vouch) {
 	select {
 	case i.vouches <- v:
@@ -103,6 +111,12 @@
 // fleet starts n instances on loopback that list each other. Their rounds are
 // run by the test.
 func fleet(t testing.TB, n int, tlsOf func(int) *tls.Config) []*inst {
+	t.Helper()
+	return fleetOn(t, n, tlsOf, nil)
+}
+
+// fleetOn is a fleet whose stores come from storeOf, by the instance's name.
+func fleetOn(t testing.TB, n int, tlsOf func(int) *tls.Config, storeOf func(string) node.Store) []*inst {
 	t.Helper()
 	list := make([]wire.ListedInstance, n)
 	listeners := make([]net.Listener, n)
@@ -116,12 +130,12 @@
 	}
 	out := make([]*inst, n)
 	for i := range n {
-		out[i] = start(t, list, i, listeners[i], tlsOf)
+		out[i] = start(t, list, i, listeners[i], tlsOf, storeOf)
 	}
 	return out
 }
 
-func start(t testing.TB, list []wire.ListedInstance, i int, ln net.Listener, tlsOf func(int) *tls.Config) *inst {
+func start(t testing.TB, list []wire.ListedInstance, i int, ln net.Listener, tlsOf func(int) *tls.Config, storeOf func(string) node.Store) *inst {
 	t.Helper()
 	one := &inst{
 		store:   &fakeStore{outcome: node.OutcomeWon, status: node.Status{LogReachable: true, LastHeadRead: fixed}},
@@ -133,13 +147,18 @@
 	if tlsOf != nil {
 		cfg.TLS = tlsOf(i)
 	}
+	one.clock = fixed
+	store := node.Store(one.store)
+	if storeOf != nil {
+		store = storeOf(list[i].ID)
+	}
 	one.Node = New(cfg, Deps{
-		Store:     one.store,
+		Store:     store,
 		Instances: func() []wire.ListedInstance { return list },
 		Vouches:   one,
 		Events:    one,
 		Hint:      func() { one.hints <- struct{}{} },
-		Now:       func() time.Time { return fixed },
+		Now:       one.now,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/router/internal/peer/node.go
+++ b/router/internal/peer/node.go
@@ -81,6 +81,8 @@
 	// transferring and flushing guard work that outlasts a round.
 	transferring, flushing atomic.Bool
 	background             sync.WaitGroup
+	// noTransferBefore is used by the one transfer that runs.
+	noTransferBefore time.Time
 
 	mu sync.Mutex
 	// unsent are news for the peers of the next push.
--- a/router/internal/peer/node_test.go
+++ b/router/internal/peer/node_test.go
@@ -95,6 +95,26 @@
 	}
 }
 
+// An instance that is cut off alone would fetch the whole state in each round.
+func TestTransfersOfALargeStateAreApart(t *testing.T) {
+	f := fleet(t, 2, nil)
+	f[0].store.set(func(s *fakeStore) { s.status.LogReachable = false })
+	f[1].store.set(func(s *fakeStore) {
+		s.digest.Next, s.snapshot = 9, append([]byte("good"), make([]byte, transferRate/2)...)
+	})
+	for i, c := range []struct {
+		pass time.Duration
+		want bool
+	}{{0, true}, {250 * time.Millisecond, false}, {240 * time.Millisecond, false}, {20 * time.Millisecond, true}} {
+		f[0].store.set(func(s *fakeStore) { s.restored = nil })
+		f[0].pass(c.pass)
+		f[0].round()
+		if got := f[0].store.restored != nil; got != c.want {
+			t.Errorf("round %d: taken over: %v, want %v", i, got, c.want)
+		}
+	}
+}
+
 func TestAllAreAskedWhileTheLogIsDown(t *testing.T) {
 	f := fleet(t, 8, nil)
 	f[0].store.set(func(s *fakeStore) { s.status.LogReachable = false })
@@ -321,7 +341,13 @@
 		t.Errorf("full peer: got %v with %d held", err, f[0].Held())
 	}
 	f[1].held.bytes = 0
+	if f[0].Full() {
+		t.Error("full with no bill held")
+	}
 	f[0].held.bytes = maxHeldBytes
+	if !f[0].Full() {
+		t.Error("not full without room")
+	}
 	if err := f[0].Hold(context.Background(), bill(1)); err == nil || f[1].Held() != 0 {
 		t.Errorf("full here: got %v with %d copies", err, f[1].Held())
 	}
--- /dev/null
+++ b/router/internal/peer/real_test.go
@@ -0,0 +1,103 @@
+package peer
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"masticplank.example/coordination/fold"
+	"masticplank.example/coordination/node"
+	"masticplank.example/coordination/platformlog/logtest"
+	"masticplank.example/coordination/record"
+)
+
+// watcher tells a test what a real node sees.
+type watcher struct {
+	reads chan struct{}
+	bills chan fold.Change
+}
+
+func (w *watcher) HeadRead(time.Time, uint64) {
+	select {
+	case w.reads <- struct{}{}:
+	default:
+	}
+}
+func (w *watcher) Folded(uint64)        {}
+func (w *watcher) ReadFailed(time.Time) {}
+
+// realNode follows log by a node of its own until the test ends.
+func realNode(t *testing.T, log *logtest.Log, name string) (*node.Node, *watcher) {
+	t.Helper()
+	w := &watcher{reads: make(chan struct{}, 1), bills: make(chan fold.Change, 100)}
+	n, err := node.New(log.Client(name), node.Config{Name: name, Linger: time.Millisecond}, node.WithObserver(w))
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop := n.Watch(record.ClassBill, func(c fold.Change) { w.bills <- c })
+	if err := n.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = n.Stop(ctx)
+		stop()
+	})
+	<-n.Ready()
+	return n, w
+}
+
+// realFleet is a fleet whose instances follow log; seen is by instance.
+func realFleet(t *testing.T, log *logtest.Log, n int) (f []*inst, nodes []*node.Node, seen []*watcher) {
+	t.Helper()
+	f = fleetOn(t, n, nil, func(name string) node.Store {
+		one, w := realNode(t, log, name)
+		nodes, seen = append(nodes, one), append(seen, w)
+		return one
+	})
+	return f, nodes, seen
+}
+
+// TestBillOutlivesItsInstance holds a bill while the log is down, and hears
+// nothing more of the instance that made it.
+func TestBillOutlivesItsInstance(t *testing.T) {
+	log := logtest.New()
+	f, _, seen := realFleet(t, log, 2)
+	log.SetDown(true)
+	if err := f[0].Hold(context.Background(), bill(1)); err != nil {
+		t.Fatal(err)
+	}
+	log.SetDown(false)
+	f[1].untilFlushed(seen[1])
+	if c := <-seen[1].bills; c.Verdict != fold.VerdictWon || c.Register.Nonce != bill(1).Nonce {
+		t.Errorf("got %+v", c)
+	}
+}
+
+// TestBothCopiesMakeOneBill flushes both copies, and one of them twice.
+func TestBothCopiesMakeOneBill(t *testing.T) {
+	f, nodes, seen := realFleet(t, logtest.New(), 2)
+	if err := f[0].Hold(context.Background(), bill(1)); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		if !f[0].flushOne(context.Background(), bill(1)) {
+			t.Error("a bill that is in the log already was not settled")
+		}
+	}
+	for i := range f {
+		f[i].untilFlushed(seen[i])
+		if got := nodes[i].Registers(record.ClassBill); len(got) != 1 {
+			t.Errorf("%s: %d bills, want 1", f[i].self.ID, len(got))
+		}
+	}
+}
+
+// untilFlushed runs rounds, each after the log was read, until no bill is held.
+func (i *inst) untilFlushed(seen *watcher) {
+	for i.Held() > 0 {
+		<-seen.reads
+		i.round()
+	}
+}
--- a/router/internal/peer/round.go
+++ b/router/internal/peer/round.go
@@ -142,7 +142,7 @@
 			best = a
 		}
 	}
-	if best.word.Next <= n.store.Digest().Next {
+	if best.word.Next <= n.store.Digest().Next || n.Now().Before(n.noTransferBefore) {
 		return
 	}
 	if err := n.fetchState(ctx, best.peer.Peer); err != nil {
--- a/router/internal/peer/tls_test.go
+++ b/router/internal/peer/tls_test.go
@@ -117,7 +117,7 @@
 		"trusts another authority": other.config(t, "127.0.0.1"),
 	} {
 		p := newPool(cfg, gometrics.NewCounter(), gometrics.NewCounter())
-		err := p.call(context.Background(), server.self.Peer, MethodHold, HoldParams{From: "x"}, nil)
+		err := p.call(context.Background(), server.self.Peer, MethodVouch, VouchParams{From: "x"}, nil)
 		p.close()
 		if err == nil {
 			t.Errorf("%s: got an answer", name)
--- a/router/internal/peer/transfer.go
+++ b/router/internal/peer/transfer.go
@@ -75,6 +75,17 @@
 	}
 }
 
+// transferRate bounds what an instance that is cut off from the log alone takes
+// from its peers, in bytes/s. The others' state moves on with each bill, so it
+// would fetch all of it in each round; with a large state it becomes stale
+// instead and refuses new work, which is what it is to do then.
+const transferRate = 1 << 20
+
+// restAfter is how long to wait after taking over a state of some size.
+func restAfter(size int) time.Duration {
+	return time.Duration(size) * time.Second / transferRate
+}
+
 // fetchState takes over a peer's state. Restore refuses what is malformed or
 // not ahead, so a bad transfer changes nothing.
 func (n *Node) fetchState(ctx context.Context, addr string) error {
@@ -82,6 +93,7 @@
 	defer cancel()
 	params := FetchParams{From: n.self.ID, After: n.store.Digest().Next}
 	var data []byte
+	defer func() { n.noTransferBefore = n.Now().Add(restAfter(len(data))) }()
 	for {
 		var piece FetchResult
 		if err := n.pool.call(ctx, addr, MethodFetch, params, &piece); err != nil {
