--- a/decision/world.go
+++ b/decision/world.go
@@ -37,6 +37,10 @@
 	outage bool
 	// staleSince is when freshness was lost.
 	staleSince time.Time
+	// resumedAt is the last tick after a pause, and holdUntil bounds how long
+	// nothing is dispatched after it.
+	resumedAt time.Time
+	holdUntil time.Time
 	// recheck asks the withdraw system to look at every queued request.
 	recheck bool
 	wakeSeq uint64
@@ -78,12 +82,16 @@
 // Tick applies the events in order, runs the systems once and returns what the
 // router must do, in order. A now before the last one counts as the last one.
 // The commands returned are valid until the next Tick.
+//
+// Ends and ratings are judged before deadlines, so that an answer that is whole in
+// the tick of its deadline is delivered; escalations before placing, so that they
+// join this tick's.
 func (w *World) Tick(now time.Time, in []Event) []Command {
 	w.begin(now)
 	w.ingest(in)
-	w.expire()
 	w.retry()
 	w.escalate()
+	w.expire()
 	w.openSessions()
 	w.admit()
 	w.withdraw()
@@ -101,6 +109,10 @@
 		}
 		w.now = now
 	}
+	if elapsed > w.cfg.PauseGap {
+		w.resumedAt = now
+		w.holdUntil = now.Add(w.cfg.PauseHold)
+	}
 	w.advanceDrains(elapsed)
 	w.arrived = w.arrived[:0]
 	w.opening = w.opening[:0]
