Bench in-flight apart from servers; fewer allocations and cache misses

Cause: at 10,000 servers the bench also had 80,000 attempts in flight, which no instance has, so it measured the size of the deadline heap. It now has 10,000 there. By profile the heap's comparisons and the attempt's row stood out next: heap entries hold what is compared, and the first attempt is part of the row.

--- a/decision/bench_test.go
+++ b/decision/bench_test.go
@@ -18,9 +18,12 @@
 	blocks  []BlockHash
 }
 
-const benchSlots = 8
+// benchInFlight is about how many attempts one instance has at the largest sizes;
+// at 10,000 servers it has one at each.
+const benchInFlight = 10_000
 
 func newBenchWorld(servers, queued int, blocks int) *benchWorld {
+	slots := min(8, benchInFlight/servers)
 	b := &benchWorld{w: NewWorld(DefaultConfig()), now: epoch}
 	var teams []Team
 	for i := range 10 {
@@ -36,9 +39,9 @@
 	b.tick(
 		FreshnessChanged{Fresh: true},
 		ManifestApplied{Generation: 1, Teams: teams, Versions: smallVersions()},
-		ServersListed{Servers: serversOf(servers, benchSlots, weave1, draft1)},
+		ServersListed{Servers: serversOf(servers, slots, weave1, draft1)},
 	)
-	for range servers * benchSlots {
+	for range servers * slots {
 		b.tick(b.arrival())
 	}
 	for range queued {
--- a/decision/expire.go
+++ b/decision/expire.go
@@ -14,7 +14,7 @@
 func (w *World) expire() {
 	w.wakeServers()
 	for now := w.now.UnixNano(); len(w.due) > 0 && w.due[0].due <= now; {
-		w.expireRequest(w.due[0])
+		w.expireRequest(w.due[0].request)
 	}
 }
 
@@ -48,12 +48,16 @@
 
 // watch sets when the request must be looked at next.
 func (w *World) watch(r *request, at time.Time) {
-	r.due = at.UnixNano()
+	e := dueEntry{due: at.UnixNano(), id: r.ID, request: r}
 	if r.duePos < 0 {
-		heap.Push(&w.due, r)
+		w.pushDue = e
+		heap.Push(&w.due, &w.pushDue)
 		return
 	}
-	heap.Fix(&w.due, r.duePos)
+	if w.due[r.duePos].due != e.due {
+		w.due[r.duePos] = e
+		heap.Fix(&w.due, r.duePos)
+	}
 }
 
 // unwatch takes the request off the heap.
--- a/decision/heaps.go
+++ b/decision/heaps.go
@@ -2,30 +2,39 @@
 
 import "time"
 
+// dueEntry is a request and when it must be looked at, in Unix nanoseconds. The
+// entry holds what is compared, so that ordering touches no row.
+type dueEntry struct {
+	due     int64
+	id      RequestID
+	request *request
+}
+
 // dueHeap orders requests by due, then by id.
-type dueHeap []*request
+type dueHeap []dueEntry
 
 func (h dueHeap) Len() int { return len(h) }
 func (h dueHeap) Less(i, j int) bool {
 	if h[i].due != h[j].due {
 		return h[i].due < h[j].due
 	}
-	return h[i].ID < h[j].ID
+	return h[i].id < h[j].id
 }
 func (h dueHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
-	h[i].duePos = i
-	h[j].duePos = j
+	h[i].request.duePos = i
+	h[j].request.duePos = j
 }
 func (h *dueHeap) Push(x any) {
-	r := x.(*request)
-	r.duePos = len(*h)
-	*h = append(*h, r)
+	// The pointer saves an allocation; see watch.
+	e := *x.(*dueEntry)
+	e.request.duePos = len(*h)
+	*h = append(*h, e)
 }
 func (h *dueHeap) Pop() any {
 	last := len(*h) - 1
-	r := (*h)[last]
-	(*h)[last] = nil
+	r := (*h)[last].request
+	(*h)[last] = dueEntry{}
 	*h = (*h)[:last]
 	r.duePos = -1
 	return r
--- a/decision/place.go
+++ b/decision/place.go
@@ -99,7 +99,8 @@
 // dispatch starts an attempt.
 func (w *World) dispatch(r *request, s *server) {
 	r.attempts++
-	a := &attempt{
+	a := r.newAttempt()
+	*a = attempt{
 		key:     attemptKey{r.ID, r.attempts},
 		request: r,
 		server:  s,
@@ -128,6 +129,15 @@
 	w.emit(cmd)
 }
 
+// newAttempt returns the row for an attempt: the request's own for the first one,
+// which is the only one for nearly all.
+func (r *request) newAttempt() *attempt {
+	if r.attempts == 1 {
+		return &r.firstAttempt
+	}
+	return &attempt{}
+}
+
 // planRating says whether the answer is to be rated, and held for it. All model
 // answers are rated, since also those not held teach, and show that the rating
 // service is back.
--- a/decision/tables.go
+++ b/decision/tables.go
@@ -174,9 +174,7 @@
 	state   requestState
 	// deadline is the caller's or the default.
 	deadline time.Time
-	// due is when the request must be looked at next, in Unix nanoseconds, and
-	// duePos its heap place.
-	due     int64
+	// duePos is its place in tables.due, or -1.
 	duePos  int
 	arrived time.Time
 	// expected is the wait that was estimated when it was queued at queuedAt, 0
@@ -186,6 +184,8 @@
 
 	attempts AttemptID
 	current  *attempt
+	// firstAttempt saves an allocation.
+	firstAttempt attempt
 	// held is the completed attempt whose answer waits; 0 for none.
 	held AttemptID
 	// tried are the servers that ended an attempt without an answer.
--- a/decision/withdraw.go
+++ b/decision/withdraw.go
@@ -80,7 +80,8 @@
 // queuedRequests lists all queued and parked requests in order of their ids.
 func (w *World) queuedRequests() []*request {
 	var list []*request
-	for _, r := range w.due {
+	for _, e := range w.due {
+		r := e.request
 		if r.state == stateQueued || r.state == stateParked {
 			list = append(list, r)
 		}
--- a/decision/world.go
+++ b/decision/world.go
@@ -55,6 +55,7 @@
 	// Kept between decisions to save allocations.
 	candidates []place.Candidate
 	drawn      []*server
+	pushDue    dueEntry
 	options    []estimate.Option[VersionID]
 	matches    []prefix.Match[ServerID]
 	out        []Command
