--- a/router/internal/peer/bench_test.go
+++ b/router/internal/peer/bench_test.go
@@ -21,7 +21,7 @@
 	ca := newAuthority(b)
 	secure := func(int) *tls.Config { return ca.config(b, "127.0.0.1") }
 	for name, tlsOf := range map[string]func(int) *tls.Config{"plain": nil, "tls": secure} {
-		for _, n := range []int{2, 4, 8, 16} {
+		for _, n := range []int{2, 4, 8, 16, 64} {
 			b.Run(fmt.Sprintf("%s/instances=%d", name, n), func(b *testing.B) { benchIdle(b, n, tlsOf) })
 		}
 	}
