--- a/decision/drain.go
+++ b/decision/drain.go
@@ -40,6 +40,35 @@
 	return (m.work + guess*prior) / (m.busy + prior)
 }
 
+// biasMeter measures by how much waits turn out longer than was estimated.
+//
+// Load: many teams with thin queues, at saturation. Each later arrival of a team
+// that was served less goes first, which no look at the present queue can show.
+type biasMeter struct {
+	// expected and waited are seconds, decayed by count.
+	expected float64
+	waited   float64
+}
+
+// learn notes that a request waited so long for a slot, or gave up waiting.
+func (m *biasMeter) learn(expected, waited time.Duration) {
+	m.expected = m.expected*perAttempt + expected.Seconds()
+	m.waited = m.waited*perAttempt + waited.Seconds()
+}
+
+// Bounds of the correction: beyond them it is the rate that is wrong, and that
+// is measured by itself.
+const (
+	minBias = 0.5
+	maxBias = 4
+)
+
+// factor is what to multiply an estimate by. One second of a right estimate is
+// counted in, so that the first few waits do not swing it.
+func (m *biasMeter) factor() float64 {
+	return min(max((m.waited+1)/(m.expected+1), minBias), maxBias)
+}
+
 // paceMeter measures how long a pool's attempts take for their cost.
 type paceMeter struct {
 	// count, cost and seconds of completed attempts, decayed by count.
@@ -49,6 +78,9 @@
 	// off is the mean part by which an attempt took longer or shorter than was
 	// estimated.
 	off float64
+	// answered is the mean part of the tokens that were allowed for that an
+	// answer had.
+	answered float64
 }
 
 // perAttempt keeps about the last 50 attempts: enough to smooth, few enough to
@@ -66,6 +98,18 @@
 	m.seconds = m.seconds*perAttempt + took.Seconds()
 }
 
+// learnTokens notes an answer's length as a part of what was allowed for.
+func (m *paceMeter) learnTokens(tokens, allowed float64) {
+	if allowed <= 0 {
+		return
+	}
+	part := min(tokens/allowed, 1)
+	if m.answered == 0 {
+		m.answered = part
+	}
+	m.answered += (part - m.answered) * (1 - perAttempt)
+}
+
 // service estimates how long an attempt of the cost takes; 0 before anything is
 // known.
 func (m *paceMeter) service(cost float64) time.Duration {
--- a/decision/place.go
+++ b/decision/place.go
@@ -9,7 +9,9 @@
 // queued work and ends when none of them has a free server: its cost is by what
 // it places, not by the size of the fleet or of the queues.
 func (w *World) place() {
-	if !w.fresh {
+	if !w.fresh || w.now.Before(w.holdUntil) {
+		// Resumed from a pause, the manifest may be an old one: what is queued
+		// waits until the freshness is told anew.
 		return
 	}
 	w.unpark()
@@ -34,7 +36,12 @@
 		return false
 	}
 	r := it.Value
+	if reason := w.forbids(r); reason != "" {
+		w.giveUp(r, reason)
+		return true
+	}
 	if w.hopeless(r) {
+		w.waited(r)
 		w.giveUp(r, ReasonWaitTooLong)
 		return true
 	}
@@ -52,12 +59,33 @@
 		return true
 	}
 	w.left(p, r)
+	w.waited(r)
 	p.queue.Pop()
 	w.dequeued(r)
 	w.dispatch(r, s)
 	return true
 }
 
+// forbids checks once more, right before a dispatch, that the request may run
+// where it is about to. The withdraw system has seen to it; the harm of a mistake
+// there is worth a look-up.
+func (w *World) forbids(r *request) RefusalReason {
+	v := r.version
+	switch {
+	case r.team.gone:
+		return ReasonNotAllowed
+	case v == nil && !r.team.services[r.Service]:
+		return ReasonNotAllowed
+	case v == nil:
+		return ""
+	case !r.team.allowed[v.ID]:
+		return ReasonNotAllowed
+	case !v.open():
+		return ReasonVersionWithdrawn
+	}
+	return ""
+}
+
 // hopeless says that the time left is less than the answer usually takes.
 //
 // Load: saturation, where the queue stands at the edge of its deadlines. A slot
--- a/router/internal/logging/catalogue.go
+++ b/router/internal/logging/catalogue.go
@@ -11,8 +11,8 @@
 	EventNotReady   = Event{103, "not_ready", slog.LevelWarn, "Readiness fails; reason says why."}
 	EventStop       = Event{104, "stop", slog.LevelInfo, "The process ends."}
 	EventDrainBegin = Event{105, "drain_begin", slog.LevelInfo, "A planned stop began: readiness fails, requests in progress finish."}
-	EventDrainEnd   = Event{106, "drain_end", slog.LevelInfo, "No request is in progress and all bills are in the log."}
-	EventDrainCut   = Event{107, "drain_cut", slog.LevelError, "The drain time passed with requests still in progress: raise shutdown.drain_ms."}
+	EventDrainEnd   = Event{106, "drain_end", slog.LevelInfo, "No request is in progress, and each bill is in the log or at two peers."}
+	EventDrainCut   = Event{107, "drain_cut", slog.LevelError, "The drain time passed with requests in progress or bills held here alone: raise shutdown.drain_ms."}
 
 	EventManifestApplied  = Event{200, "manifest_applied", slog.LevelInfo, "A new generation is in force here."}
 	EventManifestRejected = Event{201, "manifest_rejected", slog.LevelWarn, "A manifest in the log is invalid and stays out of force; its publisher has the faults."}
@@ -38,6 +38,9 @@
 	EventServerEjected  = Event{601, "server_ejected", slog.LevelWarn, "A backend server is ejected as an outlier."}
 	EventQuarantine     = Event{602, "quarantine", slog.LevelError, "A request that crashes backend servers is refused everywhere for a time."}
 
+	EventOrderSent   = Event{603, "order_sent", slog.LevelInfo, "An engine was told what to load."}
+	EventOrderFailed = Event{604, "order_failed", slog.LevelWarn, "An engine did not take an order; it is tried again. A stale fencing number means that another instance holds the lease."}
+
 	EventSettingsFaults = Event{700, "settings_faults", slog.LevelError, "The settings have faults; the process does not start."}
 )
 
@@ -53,6 +56,7 @@
 		EventBillHeld, EventBillFlushed, EventBillRefused,
 		EventPeerConnected, EventPeerLost, EventPeerRejected,
 		EventVersionVerdict, EventServerEjected, EventQuarantine,
+		EventOrderSent, EventOrderFailed,
 		EventSettingsFaults,
 	}
 }
