--- a/router/internal/peer/node.go
+++ b/router/internal/peer/node.go
@@ -75,7 +75,10 @@
 	board    *board
 	held     *held
 	snaps    *snapshots
+	// warnings and alarms limit log lines that others can cause, or that a
+	// lasting state would repeat in each round.
 	warnings *rate.Limiter
+	alarms   *rate.Limiter
 	// push wakes Run to pass on what is new at once.
 	push chan struct{}
 	// transferring and flushing guard work that outlasts a round.
@@ -119,6 +122,7 @@
 		held:     newHeld(),
 		snaps:    &snapshots{store: deps.Store},
 		warnings: rate.NewLimiter(rate.Every(time.Second), 1),
+		alarms:   rate.NewLimiter(rate.Every(time.Minute), 1),
 		push:     make(chan struct{}, 1),
 		answered: map[string]bool{},
 	}
--- a/router/internal/peer/node_test.go
+++ b/router/internal/peer/node_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,6 +12,8 @@
 	"masticplank.example/coordination/node"
 	"masticplank.example/coordination/record"
 	"masticplank.example/decision"
+	"masticplank.example/router/internal/logging"
+	"masticplank.example/router/internal/settings"
 	"masticplank.example/router/internal/wire"
 )
 
@@ -128,6 +131,35 @@
 	}
 }
 
+func TestUnlikeStatesAtOneOffsetRaiseAnAlarm(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		other fold.Digest
+		want  int
+	}{
+		{"alike", fold.Digest{Next: 5, Hash: 1}, 0},
+		{"elsewhere", fold.Digest{Next: 6, Hash: 2}, 0},
+		{"unlike", fold.Digest{Next: 5, Hash: 2}, 1},
+	} {
+		f := fleet(t, 2, nil)
+		var out bytes.Buffer
+		f[0].Log = logging.New(&out, settings.Default().Log)
+		f[0].store.set(func(s *fakeStore) { s.digest = fold.Digest{Next: 5, Hash: 1} })
+		f[1].store.set(func(s *fakeStore) { s.digest = c.other })
+		for range 3 {
+			f[0].round()
+		}
+		if got := strings.Count(out.String(), logging.EventStateDiverged.Name); got != c.want {
+			t.Errorf("%s: %d alarms, want %d: %s", c.name, got, c.want, out.String())
+		}
+		f[0].Instances = func() []wire.ListedInstance { return nil }
+		f[0].round()
+		if len(f[0].answered) != 0 {
+			t.Errorf("%s: remembers peers that the list dropped", c.name)
+		}
+	}
+}
+
 func TestPiecesOfASnapshotBelongTogether(t *testing.T) {
 	store := &fakeStore{digest: fold.Digest{Next: 4}, snapshot: make([]byte, pieceBytes+1)}
 	s := &snapshots{store: store}
--- a/router/internal/peer/round.go
+++ b/router/internal/peer/round.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 
 	"github.com/gravitational/trace"
+	gometrics "github.com/rcrowley/go-metrics"
 
 	"masticplank.example/coordination/fold"
 	"masticplank.example/router/internal/logging"
@@ -28,8 +30,13 @@
 func (n *Node) Round(ctx context.Context) {
 	live := n.others()
 	chosen := n.Chooser.Choose(live)
+	listed := make(map[string]bool, len(live))
+	for _, l := range live {
+		listed[l.ID] = true
+	}
 	n.mu.Lock()
 	n.chosen = chosen
+	maps.DeleteFunc(n.answered, func(id string, _ bool) bool { return !listed[id] })
 	n.mu.Unlock()
 	reachable := n.store.Status().LogReachable
 	var wg sync.WaitGroup
@@ -159,7 +166,7 @@
 	}
 	own := n.store.Digest()
 	if diverged(own, a.word.digest()) {
-		n.Log.Emit(ctx, logging.EventStateDiverged, peerAttr(a.peer.ID))
+		n.alarm(ctx, a.peer.ID)
 	}
 	if reachable && a.word.Generation > own.Generation && n.Hint != nil {
 		n.Hint()
@@ -169,6 +176,15 @@
 	}
 }
 
+// alarm notes a state that must not be. Nothing is mended by a guess at which
+// side is right: people have to look.
+func (n *Node) alarm(ctx context.Context, id string) {
+	gometrics.GetOrRegisterCounter("peer.diverged", n.Registry).Inc(1)
+	if n.alarms.Allow() {
+		n.Log.Emit(ctx, logging.EventStateDiverged, peerAttr(id))
+	}
+}
+
 // diverged says that two folds of the same entries came to unlike states.
 func diverged(a, b fold.Digest) bool {
 	return a.Next == b.Next && a.Hash != b.Hash
