decision: ratings are compared by class, and instances join half their evidence

Each of 8 instances needed some ten bad ratings by itself, 80 in all.

An instance with half of the evidence (in log chance) now tells its peers, who hold back for 20 s while it goes on; two that have half each have it whole, since they see different requests. Ratings are compared with the predecessor's within a class, since plans give versions different mixes; the reference needs 12 ratings instead of 30, its lower bound being wide while they are few.

--- a/decision/internal/policytest/bench.go
+++ b/decision/internal/policytest/bench.go
@@ -179,6 +179,7 @@
 	case decision.CancelAttempt:
 		b.cancel(instance, c)
 	case decision.ShareVerdict:
+		b.tally.verdict(c.Verdict, b.now)
 		for i := range b.policies {
 			if i != instance {
 				b.tellLater(i, c.Verdict, peerLag)
--- a/decision/internal/policytest/report.go
+++ b/decision/internal/policytest/report.go
@@ -22,6 +22,7 @@
 	// Exposed is the requests that ran on the bad version, ExposedAfter the part
 	// of those that arrived after its first 50 bad answers.
 	Exposed, ExposedAfter float64
+	FalseVerdicts         float64
 }
 
 // Figures computes them.
@@ -30,21 +31,22 @@
 	all := max(float64(t.Arrived), 1)
 	counted := (t.load.Length - t.load.Warm).Seconds()
 	return Figures{
-		Cost:         t.Cost / n,
-		Quality:      t.Quality / n,
-		Missed:       t.missed(),
-		FirstP50:     percentile(t.firsts, 0.50).Seconds(),
-		FirstP95:     percentile(t.firsts, 0.95).Seconds(),
-		FirstP99:     percentile(t.firsts, 0.99).Seconds(),
-		WholeP50:     percentile(t.wholes, 0.50).Seconds(),
-		WholeP95:     percentile(t.wholes, 0.95).Seconds(),
-		WholeP99:     percentile(t.wholes, 0.99).Seconds(),
-		Goodput:      float64(t.Whole) / counted,
-		Refused:      float64(t.Refused) / all,
-		Failed:       float64(t.Failed+t.Late+t.Lost) / all,
-		LeastShare:   t.leastShare(),
-		Exposed:      float64(t.bad.exposed),
-		ExposedAfter: float64(t.bad.exposedAfter) / max(float64(t.bad.arrivedAfter), 1),
+		Cost:          t.Cost / n,
+		Quality:       t.Quality / n,
+		Missed:        t.missed(),
+		FirstP50:      percentile(t.firsts, 0.50).Seconds(),
+		FirstP95:      percentile(t.firsts, 0.95).Seconds(),
+		FirstP99:      percentile(t.firsts, 0.99).Seconds(),
+		WholeP50:      percentile(t.wholes, 0.50).Seconds(),
+		WholeP95:      percentile(t.wholes, 0.95).Seconds(),
+		WholeP99:      percentile(t.wholes, 0.99).Seconds(),
+		Goodput:       float64(t.Whole) / counted,
+		Refused:       float64(t.Refused) / all,
+		Failed:        float64(t.Failed+t.Late+t.Lost) / all,
+		LeastShare:    t.leastShare(),
+		FalseVerdicts: float64(t.FalseVerdicts),
+		Exposed:       float64(t.bad.exposed),
+		ExposedAfter:  float64(t.bad.exposedAfter) / max(float64(t.bad.arrivedAfter), 1),
 	}
 }
 
@@ -71,6 +73,7 @@
 	{"failed %", func(f Figures) float64 { return 100 * f.Failed }, "%.1f"},
 	{"least share", func(f Figures) float64 { return f.LeastShare }, "%.2f"},
 	{"on bad", func(f Figures) float64 { return f.Exposed }, "%.0f"},
+	{"false verdicts", func(f Figures) float64 { return f.FalseVerdicts }, "%.0f"},
 	{"on bad after 50, %", func(f Figures) float64 { return 100 * f.ExposedAfter }, "%.2f"},
 }
 
--- a/decision/internal/policytest/tally.go
+++ b/decision/internal/policytest/tally.go
@@ -38,6 +38,8 @@
 	Arrived, Whole, Refused, Failed, Late, Lost, Broken int
 	// HeldToDeadline are refusals that came at the deadline.
 	HeldToDeadline int
+	// FalseVerdicts are bad words on versions that are well.
+	FalseVerdicts int
 	// Cost and Quality are sums over whole answers of models.
 	Cost, Quality float64
 	Models        int
@@ -116,6 +118,13 @@
 	}
 }
 
+func (t *Tally) verdict(v decision.VersionVerdict, now time.Duration) {
+	isBad := t.load.Bad != NotBad && now >= t.load.BadFrom && v.Version == smallNew
+	if v.Bad && !isBad {
+		t.FalseVerdicts++
+	}
+}
+
 func (t *Tally) delivered(c *caller, a decision.AttemptID, now time.Duration) {
 	j := c.job
 	if !t.counts(j) {
--- a/decision/internal/verdict/versions.go
+++ b/decision/internal/verdict/versions.go
@@ -55,6 +55,8 @@
 	peerBad  time.Time
 	shareAt  time.Time
 	announce bool
+	// suspectAt is when the present suspicion began; zero for none.
+	suspectAt time.Time
 	// The last failures in a row of one server.
 	failServer S
 	failSince  time.Time
@@ -135,12 +137,12 @@
 		return false
 	}
 	if !e.Failed {
-		return t.observe(v, &v.errors, 1, t.errorLine(v))
+		return t.observe(v, &v.errors, noClass, 1, t.errorLine(v), now)
 	}
 	if !v.counts(e, now) {
 		return false
 	}
-	return t.observe(v, &v.errors, 0, t.errorLine(v))
+	return t.observe(v, &v.errors, noClass, 0, t.errorLine(v), now)
 }
 
 // counts reports whether a failure counts against the version.
@@ -157,60 +159,98 @@
 	return e.Alone || v.failStreak <= failedStreak
 }
 
-// Rated takes in a rating. One out of 0..1, or no number, is the rating
+// Rated takes in a rating of an answer to a request of a class. Ratings are
+// compared within a class only: where two versions serve different mixes of easy
+// and hard classes, since plans differ, the one with the hard ones would look
+// worse. One out of 0..1, or no number, is the rating
 // service's fault and not the version's: it is ignored. It reports whether the
 // own verdict changed.
-func (t *Versions[V, S]) Rated(id V, score float64) (changed bool) {
+func (t *Versions[V, S]) Rated(id V, class string, score float64, now time.Time) (changed bool) {
 	v := t.rows[id]
 	if v == nil || math.IsNaN(score) || score < 0 || score > 1 {
 		return false
 	}
-	return t.observe(v, &v.ratings, score, t.ratingLine(v))
+	return t.observe(v, &v.ratings, class, score, t.ratingLine(v, class), now)
 }
 
+// noClass is the class of what has none.
+const noClass = ""
+
 // observe feeds one channel and moves its verdict.
-func (t *Versions[V, S]) observe(v *version[V, S], c *channel, x, line float64) bool {
+func (t *Versions[V, S]) observe(v *version[V, S], c *channel, class string, x, line float64, now time.Time) bool {
 	before := v.bad()
-	c.seen.add(x, t.cfg.Memory)
-	c.recent.add(x, recentMemory)
+	p := c.past(class)
+	p.seen.add(x, t.cfg.Memory)
+	p.recent.add(x, recentMemory)
 	if c.bad {
-		c.probeEnded(x, &t.cfg)
+		c.probeEnded(x, line, &t.cfg)
 	} else {
-		c.watch(x, line, &t.cfg)
+		c.watch(p, x, line, &t.cfg)
+	}
+	if v.peerBad.After(now) {
+		t.join(v)
+	}
+	return v.turned(before)
+}
+
+// turned notes a change of the own verdict since before.
+func (v *version[V, S]) turned(before bool) bool {
+	if v.bad() == before {
+		return false
 	}
-	changed := v.bad() != before
-	if changed {
-		v.announce = true
-		v.offered = 0
+	v.announce = true
+	v.offered = 0
+	v.suspectAt = time.Time{}
+	return true
+}
+
+// join makes a verdict of an own suspicion while a peer holds one as well: the
+// instances see different requests, so their evidence multiplies. With eight
+// instances this finds a bad version by a fourth of the bad answers that each
+// would need by itself.
+func (t *Versions[V, S]) join(v *version[V, S]) {
+	for _, c := range []*channel{&v.errors, &v.ratings} {
+		if c.suspected(&t.cfg) {
+			c.condemn()
+		}
 	}
-	return changed
 }
 
 // errorLine is the share of good ends below which v is worse. The predecessor
 // counts its faults in, so that a cause that hits both bars neither.
 func (t *Versions[V, S]) errorLine(v *version[V, S]) float64 {
 	ok := 1 - referenceErrors
-	if p := t.predecessor(v); p != nil && p.errors.seen.n >= t.cfg.MinReference {
-		ok = min(ok, p.errors.asReference())
-	} else if v.errors.own.n >= t.cfg.MinReference {
-		ok = min(ok, v.errors.own.lower(referenceZ))
+	if ref, known := t.reference(v, noClass, errorsOf); known {
+		ok = min(ok, ref)
 	}
 	return ok - t.cfg.WorseErrors
 }
 
-// ratingLine is the mean rating below which v is worse than its predecessor;
-// while too little is known of that, than its own past; and while that is too
-// little as well, than the manifest's word with some slack.
-func (t *Versions[V, S]) ratingLine(v *version[V, S]) float64 {
-	if p := t.predecessor(v); p != nil && p.ratings.seen.n >= t.cfg.MinReference {
-		return p.ratings.asReference() - t.cfg.WorseRating
-	}
-	if v.ratings.own.n >= t.cfg.MinReference {
-		return v.ratings.own.lower(referenceZ) - t.cfg.WorseRating
+// ratingLine is the mean rating of a class below which v is worse.
+func (t *Versions[V, S]) ratingLine(v *version[V, S], class string) float64 {
+	if ref, known := t.reference(v, class, ratingsOf); known {
+		return ref - t.cfg.WorseRating
 	}
 	return v.row.Quality - t.cfg.PriorSlack
 }
 
+func errorsOf[V, S cmp.Ordered](v *version[V, S]) *channel  { return &v.errors }
+func ratingsOf[V, S cmp.Ordered](v *version[V, S]) *channel { return &v.ratings }
+
+// reference is what v must reach: its predecessor's mean; while too little is
+// known of that, its own past; known is false while that is too little as well.
+func (t *Versions[V, S]) reference(v *version[V, S], class string, of func(*version[V, S]) *channel) (ref float64, known bool) {
+	if p := t.predecessor(v); p != nil {
+		if past := of(p).past(class); past.seen.n >= t.cfg.MinReference {
+			return past.asReference(), true
+		}
+	}
+	if past := of(v).past(class); past.own.n >= t.cfg.MinReference {
+		return past.own.lower(referenceZ), true
+	}
+	return 0, false
+}
+
 func (t *Versions[V, S]) predecessor(v *version[V, S]) *version[V, S] {
 	if p := t.rows[v.row.Predecessor]; p != v {
 		return p
@@ -224,7 +264,7 @@
 
 // Peer takes in a peer's word. A bad one bars the version until its Until, or
 // PeerLimit from now if that is sooner; a good one lifts what peers said. The
-// own verdict stays as it is: own evidence goes first.
+// own verdict is not changed by a word alone: own evidence goes first.
 func (t *Versions[V, S]) Peer(w Word[V], now time.Time) {
 	v := t.rows[w.Version]
 	if v == nil {
@@ -241,6 +281,11 @@
 	if until.After(v.peerBad) {
 		v.peerBad = until
 	}
+	if v.peerBad.After(now) {
+		before := v.bad()
+		t.join(v)
+		v.turned(before)
+	}
 }
 
 // Bad reports whether the version is barred, by own verdict or a peer's.
@@ -265,19 +310,53 @@
 	return Barred
 }
 
-// Share returns the words to tell the peers of now: each change once, and each
-// bad verdict again every ShareEvery while it holds. In the order of the ids.
+// Share returns the words to tell the peers of now, in the order of the ids: each
+// change of a verdict once, each bad one again every ShareEvery while it holds,
+// and likewise a suspicion, which makes the peers hold back while this instance
+// goes on and finds out. So what a bad version gets in the meantime is one
+// instance's part.
 func (t *Versions[V, S]) Share(now time.Time) []Word[V] {
 	var out []Word[V]
 	for _, id := range t.order {
 		v := t.rows[id]
-		due := v.bad() && !now.Before(v.shareAt)
-		if !v.announce && !due {
+		word := Word[V]{Version: id, Bad: true, Until: now.Add(3 * t.cfg.ShareEvery)}
+		switch {
+		case v.bad():
+			if !v.announce && now.Before(v.shareAt) {
+				continue
+			}
+		case t.suspects(v, now):
+			if now.Before(v.shareAt) {
+				continue
+			}
+			word.Until = now.Add(t.cfg.ShareEvery)
+		case v.announce:
+			word.Bad = false
+		default:
 			continue
 		}
 		v.announce = false
 		v.shareAt = now.Add(t.cfg.ShareEvery)
-		out = append(out, Word[V]{Version: id, Bad: v.bad(), Until: now.Add(3 * t.cfg.ShareEvery)})
+		out = append(out, word)
 	}
 	return out
 }
+
+// suspects reports whether the peers are to be told of a suspicion. One that
+// neither grows nor fades, for want of traffic, is dropped after SuspectFor: it
+// must not keep a version barred elsewhere on half the evidence. One that fades
+// is taken back.
+func (t *Versions[V, S]) suspects(v *version[V, S], now time.Time) bool {
+	if !v.errors.suspected(&t.cfg) && !v.ratings.suspected(&t.cfg) {
+		if !v.suspectAt.IsZero() {
+			v.suspectAt = time.Time{}
+			v.announce = true
+		}
+		return false
+	}
+	if v.suspectAt.IsZero() {
+		v.suspectAt = now
+		v.shareAt = now
+	}
+	return now.Sub(v.suspectAt) < t.cfg.SuspectFor
+}
--- a/decision/internal/verdict/versions_config.go
+++ b/decision/internal/verdict/versions_config.go
@@ -35,6 +35,8 @@
 	// ShareEvery is how often an own verdict is said again while it holds. Its
 	// Until is three times as long, so that one lost message lifts nothing.
 	ShareEvery time.Duration
+	// SuspectFor is how long a mere suspicion is told to the peers.
+	SuspectFor time.Duration
 }
 
 // DefaultVersionConfig returns the defaults.
@@ -44,11 +46,12 @@
 		WorseErrors:   0.015,
 		WorseRating:   0.03,
 		PriorSlack:    0.2,
-		MinReference:  30,
+		MinReference:  12,
 		Memory:        1000,
 		ProbeEvery:    250,
 		WrongRecovery: 0.02,
 		PeerLimit:     10 * time.Minute,
 		ShareEvery:    20 * time.Second,
+		SuspectFor:    time.Minute,
 	}
 }
--- a/decision/internal/verdict/versions_test.go
+++ b/decision/internal/verdict/versions_test.go
@@ -45,7 +45,7 @@
 		return true
 	}
 	score := clamp(tr.quality+tr.spread*rng.NormFloat64(), 0, 1)
-	t.Rated(id, score)
+	t.Rated(id, "draft", score, epoch)
 	return score < 0.6
 }
 
@@ -256,7 +256,7 @@
 	v := newPair()
 	for _, score := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1, 7} {
 		for range 1000 {
-			v.Rated(newVersion, score)
+			v.Rated(newVersion, "draft", score, epoch)
 		}
 	}
 	if v.Bad(newVersion, epoch) {
@@ -318,6 +318,45 @@
 	}
 }
 
+// Two instances that each have half of the evidence find a bad version together;
+// a suspicion alone bars it at the peers for a time only, and is taken back.
+func TestSuspicionIsShared(t *testing.T) {
+	suspect := func() *Versions[string, string] {
+		v := newPair()
+		for len(v.Share(epoch)) == 0 {
+			v.Ended(newVersion, fails, epoch)
+		}
+		return v
+	}
+	a, b := suspect(), suspect()
+	if a.Bad(newVersion, epoch) || b.Bad(newVersion, epoch) {
+		t.Fatal("half of the evidence was enough")
+	}
+	word := Word[string]{newVersion, true, epoch.Add(20 * time.Second)}
+	a.Peer(word, epoch)
+	if got := a.Share(epoch); len(got) != 1 || !got[0].Bad {
+		t.Errorf("two halves: %v, want a bad word", got)
+	}
+	if !a.Bad(newVersion, epoch.Add(time.Hour)) {
+		t.Error("two halves made no verdict")
+	}
+	c := newPair()
+	c.Peer(word, epoch)
+	if !c.Bad(newVersion, epoch) || c.Bad(newVersion, word.Until) {
+		t.Error("a peer's suspicion does not bar until its end only")
+	}
+	late := epoch.Add(DefaultVersionConfig().SuspectFor)
+	if got := b.Share(late); len(got) != 0 {
+		t.Errorf("a suspicion that stands still is told for ever: %v", got)
+	}
+	for len(b.Share(late)) == 0 {
+		b.Ended(newVersion, works, epoch)
+	}
+	if b.Bad(newVersion, late) {
+		t.Error("a faded suspicion became a verdict")
+	}
+}
+
 // A new manifest keeps the verdict and drops what nobody lists any more.
 func TestApplyKeepsVerdicts(t *testing.T) {
 	v := newPair()
@@ -348,7 +387,7 @@
 			now := epoch.Add(time.Duration(s>>20) * time.Millisecond)
 			for _, v := range []*Versions[string, string]{a, b} {
 				v.Ended(id, End[string]{Server: ids[s>>4%3], Failed: s&64 != 0, Broken: s&128 != 0}, now)
-				v.Rated(id, score)
+				v.Rated(id, "draft", score, epoch)
 			}
 			got, want := a.Admit(id, now), b.Admit(id, now)
 			if got != want {
--- a/decision/shift.go
+++ b/decision/shift.go
@@ -110,7 +110,7 @@
 
 // rateVersion takes a rating as evidence on its version.
 func (w *World) rateVersion(e AnswerRated) {
-	if w.verdicts.Rated(e.Version, e.Score) {
+	if w.verdicts.Rated(e.Version, string(e.Class), e.Score, w.now) {
 		w.recheck = true
 	}
 }
