--- a/router/internal/daemon/decide.go
+++ b/router/internal/daemon/decide.go
@@ -6,16 +6,23 @@
 	"encoding/binary"
 	"fmt"
 	"log/slog"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"go.uber.org/fx"
 
+	"masticplank.example/coordination/fold"
 	"masticplank.example/coordination/node"
 	"masticplank.example/coordination/record"
 	"masticplank.example/decision"
 	"masticplank.example/router/internal/driver"
 	"masticplank.example/router/internal/logging"
+	"masticplank.example/router/internal/peer"
+	"masticplank.example/router/internal/report"
 	"masticplank.example/router/internal/settings"
 )
 
@@ -30,6 +37,7 @@
 	c.Domain = decision.DomainID(cfg.Domain)
 	c.QueueLimit = cfg.Decision.QueueLimit
 	c.RetryRatio = cfg.Decision.RetryBudget
+	c.MaxEjected = cfg.Decision.MaxEjected
 	c.RateBudget = ms(cfg.Decision.RateBudgetMS)
 	c.DefaultDeadline = ms(cfg.Limits.DefaultDeadlineMS)
 	return driver.New(decision.NewWorld(c), f)
@@ -44,61 +52,130 @@
 
 func startDriver(lc fx.Lifecycle, d *driver.Driver) { background(lc, d.Run) }
 
-// fleet carries the decision's words to the other instances.
+// fleet carries the decision's words to the other instances, and theirs to the
+// decision; it remembers both for operators.
 type fleet struct {
-	log *logging.Logger
+	log    *logging.Logger
+	report *report.Recorder
 
 	mu    sync.Mutex
 	store node.Store
+	peers *peer.Node
 	// shutOff are the versions judged bad here or at a peer.
-	shutOff map[decision.VersionID]time.Time
+	shutOff map[string]bool
+	ejected map[string]bool
 }
 
-func newFleet(log *logging.Logger) *fleet {
-	return &fleet{log: log, shutOff: map[decision.VersionID]time.Time{}}
+func newFleet(log *logging.Logger, r *report.Recorder) *fleet {
+	return &fleet{log: log, report: r, shutOff: map[string]bool{}, ejected: map[string]bool{}}
+}
+
+// attach gives the fleet what it sends through; the decision is made before
+// the peers, which need the decision themselves.
+func (f *fleet) attach(store node.Store, peers *peer.Node) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.store, f.peers = store, peers
+}
+
+func (f *fleet) links() (node.Store, *peer.Node) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.store, f.peers
+}
+
+// fromPeers hands what peers pass on to the decision.
+type fromPeers struct {
+	fleet  *fleet
+	driver *driver.Driver
+}
+
+// Send implements peer.Events.
+func (p fromPeers) Send(ev decision.Event) {
+	if v, ok := ev.(decision.VersionVerdict); ok {
+		p.fleet.note(v)
+	}
+	p.driver.Send(ev)
 }
 
 // ShareVerdict implements driver.FleetSink.
 func (f *fleet) ShareVerdict(v decision.VersionVerdict) {
+	f.note(v)
+	if _, peers := f.links(); peers != nil {
+		peers.ShareVerdict(v)
+	}
+}
+
+func (f *fleet) note(v decision.VersionVerdict) {
 	f.log.Emit(context.Background(), logging.EventVersionVerdict,
 		slog.String("version", string(v.Version)), slog.Bool("bad", v.Bad))
+	f.report.SetVerdict(string(v.Version), v.Bad)
+	f.set(f.shutOff, string(v.Version), v.Bad)
+}
+
+// NoteEjection implements driver.FleetSink.
+func (f *fleet) NoteEjection(c decision.NoteEjection) {
+	f.log.Emit(context.Background(), logging.EventServerEjected,
+		slog.String("server", string(c.Server)), slog.Bool("ejected", c.Ejected))
+	f.set(f.ejected, string(c.Server), c.Ejected)
+}
+
+func (f *fleet) set(in map[string]bool, name string, is bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if v.Bad {
-		f.shutOff[v.Version] = v.Until
+	if is {
+		in[name] = true
 	} else {
-		delete(f.shutOff, v.Version)
+		delete(in, name)
 	}
 }
 
+// status lists the versions shut off and the backend servers ejected.
+func (f *fleet) status() (shutOff, ejected []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Sorted(maps.Keys(f.shutOff)), slices.Sorted(maps.Keys(f.ejected))
+}
+
 // ShareLeaving implements driver.FleetSink.
-func (f *fleet) ShareLeaving(decision.ServerID) {}
+func (f *fleet) ShareLeaving(id decision.ServerID) {
+	if _, peers := f.links(); peers != nil {
+		peers.ShareLeaving(id)
+	}
+}
 
 // Quarantine implements driver.FleetSink: the register makes the fingerprint
-// known everywhere, also to instances that start later.
+// known everywhere, also to instances that start later; the peers' word makes it
+// known while the log is down.
 func (f *fleet) Quarantine(q decision.Quarantine) {
 	f.log.Emit(context.Background(), logging.EventQuarantine,
 		slog.String("fingerprint", fmt.Sprintf("%016x", uint64(q.Fingerprint))),
 		slog.Time("until", q.Until))
-	f.mu.Lock()
-	store := f.store
-	f.mu.Unlock()
-	if store == nil {
-		return
+	store, peers := f.links()
+	if peers != nil {
+		peers.ShareQuarantine(q)
+	}
+	if store != nil {
+		go putQuarantine(store, q)
 	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), quarantineTimeout)
-		defer cancel()
-		store.Put(ctx, quarantineRecord(q))
-	}()
 }
 
-func quarantineRecord(q decision.Quarantine) record.Record {
+func putQuarantine(store node.Store, q decision.Quarantine) {
+	ctx, cancel := context.WithTimeout(context.Background(), quarantineTimeout)
+	defer cancel()
 	rec := record.Record{
 		Kind:     record.KindPut,
 		Key:      record.Key(fmt.Sprintf("%s/%016x", record.ClassQuarantine, uint64(q.Fingerprint))),
 		Lifetime: time.Until(q.Until),
 	}
 	_, _ = rand.Read(rec.Nonce[:])
-	return rec
+	store.Put(ctx, rec)
+}
+
+// quarantined reads a quarantine from the log; false for a key of another form.
+func quarantined(c fold.Change) (decision.RequestQuarantined, bool) {
+	_, text, _ := strings.Cut(string(c.Register.Key), "/")
+	n, err := strconv.ParseUint(text, 16, 64)
+	ok := err == nil && c.Verdict == fold.VerdictWon
+	return decision.RequestQuarantined{Fingerprint: decision.Fingerprint(n), Until: c.Register.Expires}, ok
 }
--- a/router/internal/daemon/platform.go
+++ b/router/internal/daemon/platform.go
@@ -20,6 +20,7 @@
 	"masticplank.example/router/internal/logging"
 	"masticplank.example/router/internal/manifest"
 	"masticplank.example/router/internal/platform"
+	"masticplank.example/router/internal/report"
 	"masticplank.example/router/internal/settings"
 	"masticplank.example/router/internal/upstream"
 )
@@ -28,6 +29,10 @@
 // the decision hears of a lapse soon after it happened.
 const freshnessInterval = 100 * time.Millisecond
 
+// pollsPerBound is how many long polls fit into the freshness bound: a poll
+// confirms the state as of its start, and one or two may fail without harm.
+const pollsPerBound = 5
+
 func newLogger(w io.Writer, cfg settings.Settings) *logging.Logger {
 	return logging.New(w, cfg.Log).With(slog.String(logging.KeyInstance, cfg.Instance))
 }
@@ -51,20 +56,23 @@
 }
 
 func newGate(cfg settings.Settings) *gate.Gate {
-	tracker := freshness.New(freshness.Config{Bound: ms(cfg.Freshness.BoundMS)})
+	tracker := freshness.New(freshness.Config{Self: cfg.Instance, Bound: ms(cfg.Freshness.BoundMS)})
 	return gate.New(tracker, time.Now)
 }
 
 // newNode reads the log. It is the one place that knows how the parts of the
 // coordination library hang together here.
-func newNode(cfg settings.Settings, log platformlog.Log, g *gate.Gate) (*node.Node, error) {
+func newNode(cfg settings.Settings, log platformlog.Log, g *gate.Gate, dir *directory.Directory) (*node.Node, error) {
 	n, err := node.New(log,
 		node.Config{
 			Name:         cfg.Instance,
 			Linger:       ms(cfg.Platform.LingerMS),
 			AppendBudget: cfg.Platform.AppendBudget,
+			PollWait:     ms(cfg.Freshness.BoundMS) / pollsPerBound,
 		},
 		node.WithObserver(g),
+		node.WithLive(func() int { return max(1, len(dir.Instances())) }),
+		node.WithSeed(randomSeed()),
 		node.WithValidator(record.ClassManifest, func(r record.Record, _ *fold.State) error {
 			return manifest.CheckRecord(r)
 		}),
@@ -85,9 +93,10 @@
 
 // newHolder tells the decision of each manifest before callers' requests are
 // read under it.
-func newHolder(d *driver.Driver, log *logging.Logger) *manifest.Holder {
+func newHolder(d *driver.Driver, r *report.Recorder, log *logging.Logger) *manifest.Holder {
 	return manifest.NewHolder(func(x *manifest.Index) {
 		d.Send(x.Tables())
+		r.SetObjectives(x.Manifest.Generation, x.Manifest.Objectives)
 		log.Emit(context.Background(), logging.EventManifestApplied,
 			slog.Uint64("generation", x.Manifest.Generation),
 			slog.String("digest", x.Digest))
