Less control traffic: load on answers, lists only when changed

Ruled out: asking less often for all, which would leave instances blind to each other's load. Backend servers may tell their load on each answer now, and those that did are asked 8 times more seldom; the list is fetched by its ETag. Tests count the lists sent and the intervals.

--- a/router/internal/api/api.go
+++ b/router/internal/api/api.go
@@ -39,6 +39,8 @@
 // Servers finds a backend server's address.
 type Servers interface {
 	Addr(decision.ServerID) (string, bool)
+	// Answered takes the load that a server told on an answer; empty for none.
+	Answered(id decision.ServerID, load string)
 }
 
 // Recorder takes the service-level figures of each ended request. Safe for
--- a/router/internal/api/attempt.go
+++ b/router/internal/api/attempt.go
@@ -52,6 +52,7 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
+	x.s.Servers.Answered(d.Server, resp.Header.Get(wire.HeaderLoad))
 	if x.call != nil {
 		return x.readService(ctx, d, resp)
 	}
--- a/router/internal/api/fixture_test.go
+++ b/router/internal/api/fixture_test.go
@@ -62,6 +62,9 @@
 	return strings.TrimPrefix(f.backend.URL, "http://"), true
 }
 
+// Answered implements Servers.
+func (f *fixture) Answered(decision.ServerID, string) {}
+
 // switchGate refuses with whatever reason it holds.
 type switchGate struct {
 	mu     sync.Mutex
--- a/router/internal/directory/directory.go
+++ b/router/internal/directory/directory.go
@@ -21,6 +21,10 @@
 const (
 	// loadTimeout bounds one load report; a report older than this says little.
 	loadTimeout = 2 * time.Second
+	// answeredStretch is how much more seldom a server is asked for its load while
+	// its answers tell it. It is asked still: for its leaving, its loaded versions
+	// and its cache events.
+	answeredStretch = 8
 	// maxLoadBytes bounds a report's body.
 	maxLoadBytes = 4 << 20
 )
@@ -44,6 +48,8 @@
 	// backend servers said they have loaded, which is newer than the list.
 	listed   []wire.ListedServer
 	reported map[decision.ServerID][]string
+	// answered is when a server last told its load on an answer.
+	answered map[decision.ServerID]time.Time
 	loops    map[decision.ServerID]context.CancelFunc
 	known    bool
 }
@@ -59,6 +65,7 @@
 		loadEvery: loadEvery,
 		servers:   map[decision.ServerID]wire.ListedServer{},
 		reported:  map[decision.ServerID][]string{},
+		answered:  map[decision.ServerID]time.Time{},
 		loops:     map[decision.ServerID]context.CancelFunc{},
 	}
 }
@@ -184,6 +191,7 @@
 			stop()
 			delete(d.loops, id)
 			delete(d.reported, id)
+			delete(d.answered, id)
 		}
 	}
 	for id := range d.servers {
@@ -216,10 +224,35 @@
 		case <-timer.C:
 		}
 		since = d.fetchLoad(ctx, id, since)
-		timer.Reset(pollInterval(d.loadEvery, d.followed()))
+		timer.Reset(d.nextPoll(id))
 	}
 }
 
+// nextPoll is when to ask for a server's load again: seldom, where its answers
+// told it just now.
+func (d *Directory) nextPoll(id decision.ServerID) time.Duration {
+	every := pollInterval(d.loadEvery, d.followed())
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	if time.Since(d.answered[id]) < every {
+		return every * answeredStretch
+	}
+	return every
+}
+
+// Answered takes the load that a server told on an answer (wire.HeaderLoad).
+func (d *Directory) Answered(id decision.ServerID, load string) {
+	running, queued, ok := wire.ParseLoad(load)
+	if !ok {
+		return
+	}
+	now := time.Now()
+	d.mu.Lock()
+	d.answered[id] = now
+	d.mu.Unlock()
+	d.out.Send(decision.LoadReported{Server: id, Running: running, Queued: queued, At: now})
+}
+
 func (d *Directory) followed() int {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
--- a/router/internal/directory/subset_test.go
+++ b/router/internal/directory/subset_test.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"masticplank.example/decision"
 	"masticplank.example/router/internal/wire"
 )
 
@@ -69,3 +71,32 @@
 		}
 	}
 }
+
+// TestAnswersTellTheLoad has a server tell its load on an answer: the decision
+// hears of it at once, and the server is asked more seldom.
+func TestAnswersTellTheLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sent := &events{}
+		d := New("entry-1", nil, sent, time.Second, 250*time.Millisecond)
+		if got := d.nextPoll("s1"); got != 250*time.Millisecond {
+			t.Errorf("before: %v", got)
+		}
+		d.Answered("s1", "3/1")
+		d.Answered("s1", "nonsense")
+		want := decision.LoadReported{Server: "s1", Running: 3, Queued: 1, At: time.Now()}
+		if !slices.Equal(sent.list, []decision.Event{want}) {
+			t.Errorf("got %+v", sent.list)
+		}
+		if got := d.nextPoll("s1"); got != answeredStretch*250*time.Millisecond {
+			t.Errorf("after an answer: %v", got)
+		}
+		time.Sleep(time.Second)
+		if got := d.nextPoll("s1"); got != 250*time.Millisecond {
+			t.Errorf("once the word is old: %v", got)
+		}
+	})
+}
+
+type events struct{ list []decision.Event }
+
+func (e *events) Send(ev decision.Event) { e.list = append(e.list, ev) }
--- a/router/internal/platform/clients_test.go
+++ b/router/internal/platform/clients_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 
@@ -32,6 +34,36 @@
 	}
 }
 
+// TestUnchangedListIsNotSentAgain counts the bytes of lists that were sent.
+func TestUnchangedListIsNotSentAgain(t *testing.T) {
+	svc := listsvc.New(listsvc.Config{List: wire.InstanceList{Servers: []wire.ListedServer{{ID: "e1"}}}})
+	var whole int
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		rec := httptest.NewRecorder()
+		svc.ServeHTTP(rec, r)
+		if rec.Code == http.StatusOK {
+			whole++
+		}
+		maps.Copy(w.Header(), rec.Header())
+		w.WriteHeader(rec.Code)
+		_, _ = w.Write(rec.Body.Bytes())
+	}))
+	defer server.Close()
+	client := NewListClient(server.URL)
+	for i, want := range []string{"e1", "e1", "e2", "e2"} {
+		if i == 2 {
+			svc.Update(func(l *wire.InstanceList) { l.Servers[0].ID = "e2" })
+		}
+		list, err := client.Fetch(context.Background())
+		if err != nil || list.Servers[0].ID != want {
+			t.Errorf("fetch %d: %+v, %v", i, list, err)
+		}
+	}
+	if whole != 2 {
+		t.Errorf("%d lists sent, want 2", whole)
+	}
+}
+
 func TestRatingClient(t *testing.T) {
 	tests := []struct {
 		name   string
--- a/router/internal/platform/list.go
+++ b/router/internal/platform/list.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"masticplank.example/router/internal/wire"
@@ -22,6 +23,10 @@
 type ListClient struct {
 	base   string
 	client *http.Client
+
+	mu   sync.Mutex
+	tag  string
+	last wire.InstanceList
 }
 
 var _ List = (*ListClient)(nil)
@@ -31,7 +36,9 @@
 	return &ListClient{base: strings.TrimRight(base, "/"), client: newClient()}
 }
 
-// Fetch implements List. On an error the caller keeps the list that it has.
+// Fetch implements List. On an error the caller keeps the list that it has. The
+// request names the list had last by its ETag, so an unchanged one is not sent
+// again: a long list fetched every second would be most of an instance's traffic.
 func (c *ListClient) Fetch(ctx context.Context) (wire.InstanceList, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
@@ -39,11 +46,18 @@
 	if err != nil {
 		return wire.InstanceList{}, err
 	}
+	tag, last := c.known()
+	if tag != "" {
+		req.Header.Set("If-None-Match", tag)
+	}
 	resp, err := c.client.Do(req)
 	if err != nil {
 		return wire.InstanceList{}, err
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNotModified && tag != "" {
+		return last, nil
+	}
 	body, err := readAll(resp.Body, maxListBytes)
 	if err != nil {
 		return wire.InstanceList{}, err
@@ -55,5 +69,18 @@
 	if err := json.Unmarshal(body, &list); err != nil {
 		return wire.InstanceList{}, fmt.Errorf("platform: malformed list: %w", err)
 	}
+	c.remember(resp.Header.Get("ETag"), list)
 	return list, nil
 }
+
+func (c *ListClient) known() (tag string, list wire.InstanceList) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tag, c.last
+}
+
+func (c *ListClient) remember(tag string, list wire.InstanceList) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tag, c.last = tag, list
+}
--- a/router/internal/standin/engine/chat.go
+++ b/router/internal/standin/engine/chat.go
@@ -129,6 +129,8 @@
 		faults.WriteError(w, http.StatusInternalServerError, "engine_error", "generation failed")
 		return
 	}
+	running, queued := s.slots.load()
+	w.Header().Set(wire.HeaderLoad, wire.FormatLoad(running, queued))
 	sent := false
 	if j.request.Stream {
 		sent = s.sendStream(ctx, w, j)
--- a/router/internal/standin/listsvc/listsvc.go
+++ b/router/internal/standin/listsvc/listsvc.go
@@ -12,6 +12,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
 	"sync"
@@ -101,20 +102,28 @@
 }
 
 // asOf returns the list that was in force at t, or the oldest known.
-func (s *Server) asOf(t time.Time) wire.InstanceList {
+func (s *Server) asOf(t time.Time) state {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i := len(s.past) - 1; i > 0; i-- {
 		if !s.past[i].since.After(t) {
-			return s.past[i].list
+			return s.past[i]
 		}
 	}
-	return s.past[0].list
+	return s.past[0]
 }
 
-func (s *Server) get(w http.ResponseWriter, _ *http.Request) {
+// get answers 304 to a reader that names the list which it would get.
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
 	lag := time.Duration(s.Faults.Get().LagMS) * time.Millisecond
-	faults.WriteJSON(w, http.StatusOK, s.asOf(s.now().Add(-lag)))
+	now := s.asOf(s.now().Add(-lag))
+	tag := fmt.Sprintf(`"%d"`, now.since.UnixNano())
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	faults.WriteJSON(w, http.StatusOK, now.list)
 }
 
 func (s *Server) put(w http.ResponseWriter, r *http.Request) {
