One account a team over all queues

Cause: with a queue and tags for each pool by itself, a team that can only use one pool got a share of that one, however little it got of the others: max-min among the teams over all capacity is what DESIGN asks for.

Tags now belong to a team's account, which all its flows share. Tags only grow, so a queue's heap is made true at its top when it is looked at; what was charged too much by a wrong estimate is credited to the next charges.

No team below its share is not reached: eight instances share by themselves, each with thin queues.

--- a/decision/ingest_attempt.go
+++ b/decision/ingest_attempt.go
@@ -65,7 +65,7 @@
 	}
 	a.pool.pace.learnTokens(float64(e.Tokens), a.cost-a.prompt)
 	actual := a.prompt + float64(e.Tokens)
-	a.pool.queue.Charge(&a.pool.flow(a.team).Flow, min(actual-a.cost, a.cost))
+	a.team.account.Correct(min(actual-a.cost, a.cost))
 }
 
 // ingestRated learns from a rating and keeps it for the escalate system.
--- a/decision/ingest_manifest.go
+++ b/decision/ingest_manifest.go
@@ -84,7 +84,7 @@
 	for _, row := range rows {
 		t := w.teams[row.ID]
 		if t == nil {
-			t = &team{index: len(w.teams)}
+			t = &team{index: len(w.teams), account: w.fairness.NewAccount(row.Weight)}
 			t.retries.tokens = w.cfg.RetryFloor
 			t.retries.at = w.now
 			w.teams[row.ID] = t
@@ -92,7 +92,7 @@
 		t.Team = row
 		t.gone = false
 		w.applyAllowed(t)
-		w.applyWeight(t)
+		t.account.SetWeight(row.Weight)
 	}
 }
 
@@ -132,13 +132,3 @@
 	}
 	return list
 }
-
-// applyWeight tells the weight to the queues that the team uses already.
-func (w *World) applyWeight(t *team) {
-	for _, p := range w.pools {
-		p.setWeight(t)
-	}
-	for _, p := range w.services {
-		p.setWeight(t)
-	}
-}
--- a/decision/ingest_servers.go
+++ b/decision/ingest_servers.go
@@ -249,7 +249,7 @@
 	p := &pool{busyPos: -1}
 	if w.cfg.Policy.FirstCome {
 		p.shared = &flow{}
-		p.queue.Init(&p.shared.Flow, 1)
+		p.queue.Init(&p.shared.Flow, w.fairness.NewAccount(1))
 	}
 	return p
 }
--- /dev/null
+++ b/decision/internal/fair/account.go
@@ -0,0 +1,101 @@
+package fair
+
+// Group is the accounts that share capacity. The zero value is ready.
+type Group struct {
+	// active are the accounts with something queued.
+	active []*Account
+	// virtual is the largest tag that all active accounts were known to have
+	// reached.
+	virtual float64
+}
+
+// Account is what one team was given, over all queues.
+type Account struct {
+	group  *Group
+	weight float64
+	// tag is the work given divided by the weight; it only grows.
+	tag float64
+	// credit is what was charged too much, by a wrong estimate of the cost; the
+	// next charges are less by it.
+	credit float64
+	queued int
+	pos    int
+}
+
+// NewAccount adds an account. A weight under 1 counts as 1.
+func (g *Group) NewAccount(weight int) *Account {
+	a := &Account{group: g, pos: -1}
+	a.SetWeight(weight)
+	return a
+}
+
+// SetWeight changes the weight for the work that follows.
+func (a *Account) SetWeight(weight int) { a.weight = float64(max(weight, 1)) }
+
+// Correct charges the difference between the true and the estimated cost, so that
+// a team neither gains nor loses by a wrong estimate.
+func (a *Account) Correct(delta float64) {
+	if delta > 0 {
+		a.charge(delta)
+		return
+	}
+	a.credit -= delta
+}
+
+func (a *Account) charge(cost float64) {
+	back := min(a.credit, cost)
+	a.credit -= back
+	a.tag += (cost - back) / a.weight
+}
+
+// startTag is the tag of an item that is queued now. An account that was idle
+// starts where the others are: it gets its share from now on, and nothing for
+// the time in which it asked nothing.
+func (a *Account) startTag() float64 {
+	if a.queued > 0 {
+		return a.tag
+	}
+	return max(a.tag, a.group.reached())
+}
+
+// reached is the least tag of the active accounts; with none, the last one known.
+func (g *Group) reached() float64 {
+	if len(g.active) == 0 {
+		return g.virtual
+	}
+	least := g.active[0].tag
+	for _, a := range g.active[1:] {
+		least = min(least, a.tag)
+	}
+	return max(g.virtual, least)
+}
+
+// join counts a queued item.
+func (a *Account) join() {
+	a.tag = a.startTag()
+	a.queued++
+	if a.pos >= 0 {
+		return
+	}
+	g := a.group
+	g.virtual = g.reached()
+	a.pos = len(g.active)
+	g.active = append(g.active, a)
+}
+
+// leave counts an item that is queued no more.
+func (a *Account) leave() {
+	a.queued--
+	if a.queued > 0 {
+		return
+	}
+	g := a.group
+	g.virtual = g.reached()
+	last := len(g.active) - 1
+	moved := g.active[last]
+	g.active[a.pos] = moved
+	moved.pos = a.pos
+	g.active[last] = nil
+	g.active = g.active[:last]
+	a.pos = -1
+}
--- a/decision/internal/fair/fair_test.go
+++ b/decision/internal/fair/fair_test.go
@@ -11,12 +11,13 @@
 // item of each, by weight.
 func TestSharesByWeight(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
+		var g Group
 		var q Queue[int]
 		weights := rapid.SliceOfN(rapid.IntRange(1, 5), 2, 5).Draw(t, "weights")
 		maxCost := float64(rapid.IntRange(1, 1000).Draw(t, "maxCost"))
 		flows := make([]Flow[int], len(weights))
 		for i, weight := range weights {
-			q.Init(&flows[i], weight)
+			q.Init(&flows[i], g.NewAccount(weight))
 			for range 200 {
 				cost := rapid.Float64Range(1, maxCost).Draw(t, "cost")
 				q.Push(&flows[i], &Item[int]{Value: i, Cost: cost})
@@ -48,10 +49,11 @@
 
 // A flow that was idle is neither owed anything nor behind.
 func TestIdleFlowSavesNoCredit(t *testing.T) {
+	var g Group
 	var q Queue[string]
 	var a, b Flow[string]
-	q.Init(&a, 1)
-	q.Init(&b, 1)
+	q.Init(&a, g.NewAccount(1))
+	q.Init(&b, g.NewAccount(1))
 	for range 100 {
 		q.Push(&a, &Item[string]{Value: "a", Cost: 1})
 	}
@@ -72,14 +74,16 @@
 
 // Priority goes first within a flow, then age; Remove and Charge keep the sums.
 func TestOrderAndSums(t *testing.T) {
+	var g Group
 	var q Queue[string]
 	var a Flow[string]
-	q.Init(&a, 1)
+	account := g.NewAccount(1)
+	q.Init(&a, account)
 	low := &Item[string]{Value: "low", Cost: 2}
 	q.Push(&a, low)
 	q.Push(&a, &Item[string]{Value: "first", Cost: 3, Priority: 1})
 	q.Push(&a, &Item[string]{Value: "second", Cost: 5, Priority: 1})
-	q.Charge(&a, 100)
+	account.Correct(100)
 	if got := q.Pop().Value; got != "first" {
 		t.Errorf("popped %q", got)
 	}
@@ -95,3 +99,47 @@
 		t.Error("not empty in the end")
 	}
 }
+
+// An account is charged over all queues: who had the one alone gives way in the
+// other, until both had the same.
+func TestAccountsSpanQueues(t *testing.T) {
+	var g Group
+	var one, both Queue[string]
+	a, b := g.NewAccount(1), g.NewAccount(1)
+	var aOne, aBoth, bBoth Flow[string]
+	one.Init(&aOne, a)
+	both.Init(&aBoth, a)
+	both.Init(&bBoth, b)
+	push := func(q *Queue[string], f *Flow[string], who string, n int) {
+		for range n {
+			q.Push(f, &Item[string]{Value: who, Cost: 10})
+		}
+	}
+	push(&both, &bBoth, "b", 10)
+	push(&both, &aBoth, "a", 10)
+	push(&one, &aOne, "a", 3)
+	for range 3 {
+		one.Pop()
+	}
+	got := ""
+	for range 8 {
+		got += both.Pop().Value
+	}
+	// b is given the three first that a had; then they are equal and go in turn.
+	if got != "bbbababa" {
+		t.Errorf("order %q", got)
+	}
+}
+
+// What was charged too much is taken off the next charges, and no more.
+func TestCorrection(t *testing.T) {
+	var g Group
+	a := g.NewAccount(2)
+	a.charge(10)
+	a.Correct(-6)
+	a.charge(4)
+	a.charge(4)
+	if a.tag != 6 || a.credit != 0 {
+		t.Errorf("tag %v, credit %v, want 6 and 0", a.tag, a.credit)
+	}
+}
--- /dev/null
+++ b/decision/internal/fair/heaps.go
@@ -0,0 +1,58 @@
+package fair
+
+// itemHeap orders a flow's items by priority, then by age.
+type itemHeap[T any] []*Item[T]
+
+func (h itemHeap[T]) Len() int { return len(h) }
+func (h itemHeap[T]) Less(i, j int) bool {
+	if h[i].Priority != h[j].Priority {
+		return h[i].Priority > h[j].Priority
+	}
+	return h[i].seq < h[j].seq
+}
+func (h itemHeap[T]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].pos = i
+	h[j].pos = j
+}
+func (h *itemHeap[T]) Push(x any) {
+	it := x.(*Item[T])
+	it.pos = len(*h)
+	*h = append(*h, it)
+}
+func (h *itemHeap[T]) Pop() any {
+	last := len(*h) - 1
+	it := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return it
+}
+
+// flowHeap orders the flows with queued items by key, then by age.
+type flowHeap[T any] []*Flow[T]
+
+func (h flowHeap[T]) Len() int { return len(h) }
+func (h flowHeap[T]) Less(i, j int) bool {
+	if h[i].key != h[j].key {
+		return h[i].key < h[j].key
+	}
+	return h[i].order < h[j].order
+}
+func (h flowHeap[T]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].pos = i
+	h[j].pos = j
+}
+func (h *flowHeap[T]) Push(x any) {
+	f := x.(*Flow[T])
+	f.pos = len(*h)
+	*h = append(*h, f)
+}
+func (h *flowHeap[T]) Pop() any {
+	last := len(*h) - 1
+	f := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	f.pos = -1
+	return f
+}
--- a/decision/queue.go
+++ b/decision/queue.go
@@ -90,14 +90,8 @@
 	}
 	if p.flows[t.index] == nil {
 		f := &flow{}
-		p.queue.Init(&f.Flow, t.Weight)
+		p.queue.Init(&f.Flow, t.account)
 		p.flows[t.index] = f
 	}
 	return p.flows[t.index]
 }
-
-func (p *pool) setWeight(t *team) {
-	if t.index < len(p.flows) && p.flows[t.index] != nil {
-		p.queue.SetWeight(&p.flows[t.index].Flow, t.Weight)
-	}
-}
--- a/decision/tables.go
+++ b/decision/tables.go
@@ -12,6 +12,8 @@
 // of a map would break determinism.
 type tables struct {
 	generation uint64
+	// fairness is the teams' accounts.
+	fairness fair.Group
 
 	teams    map[TeamID]*team
 	models   map[ModelID]*model
@@ -60,6 +62,8 @@
 	Team
 	// index is dense, for the pools' flows.
 	index int
+	// account is what the team was given, over all pools.
+	account *fair.Account
 	// gone says that the manifest has dropped the team.
 	gone     bool
 	allowed  map[VersionID]bool
