--- a/decision/bench_test.go
+++ b/decision/bench_test.go
@@ -18,12 +18,7 @@
 	blocks  []BlockHash
 }
 
-// benchInFlight is about how many attempts one instance has at the largest sizes;
-// at 10,000 servers it has one at each.
-const benchInFlight = 10_000
-
-func newBenchWorld(servers, queued int, blocks int) *benchWorld {
-	slots := min(8, benchInFlight/servers)
+func newBenchWorld(servers, slots, queued, blocks int) *benchWorld {
 	b := &benchWorld{w: NewWorld(DefaultConfig()), now: epoch}
 	var teams []Team
 	for i := range 10 {
@@ -75,12 +70,19 @@
 	b.tick(AttemptEnded{Request: oldest.request, Attempt: oldest.attempt, Result: AttemptCompleted, Tokens: 20}, b.arrival())
 }
 
-// BenchmarkDecision is one decision: request in, server out.
+// sizes are numbers of servers and slots. From 100 servers on all have 10,000
+// attempts in flight, so that the size of the fleet is what differs; the first
+// two are of today's deployments and of a hundred such servers.
+var sizes = []struct{ servers, slots int }{{15, 8}, {100, 8}, {100, 100}, {1000, 10}, {10_000, 1}}
+
+// BenchmarkDecision is one decision: an end, a request in, a server out, an
+// answer delivered.
 func BenchmarkDecision(b *testing.B) {
-	for _, servers := range []int{15, 100, 1000, 10_000} {
+	for _, size := range sizes {
 		for _, queued := range []int{10, 10_000} {
-			b.Run(fmt.Sprintf("servers=%d/queued=%d", servers, queued), func(b *testing.B) {
-				benchDecisions(b, servers, queued, 0)
+			name := fmt.Sprintf("servers=%d/inflight=%d/queued=%d", size.servers, size.servers*size.slots, queued)
+			b.Run(name, func(b *testing.B) {
+				benchDecisions(b, newBenchWorld(size.servers, size.slots, queued, 0))
 			})
 		}
 	}
@@ -88,15 +90,15 @@
 
 // BenchmarkDecisionWithPrefix is one decision for a prompt of 16 blocks.
 func BenchmarkDecisionWithPrefix(b *testing.B) {
-	for _, servers := range []int{15, 10_000} {
-		b.Run(fmt.Sprintf("servers=%d/queued=10", servers), func(b *testing.B) {
-			benchDecisions(b, servers, 10, 16)
+	for _, size := range []struct{ servers, slots int }{{15, 8}, {10_000, 1}} {
+		name := fmt.Sprintf("servers=%d/inflight=%d/queued=10", size.servers, size.servers*size.slots)
+		b.Run(name, func(b *testing.B) {
+			benchDecisions(b, newBenchWorld(size.servers, size.slots, 10, 16))
 		})
 	}
 }
 
-func benchDecisions(b *testing.B, servers, queued, blocks int) {
-	world := newBenchWorld(servers, queued, blocks)
+func benchDecisions(b *testing.B, world *benchWorld) {
 	b.ReportAllocs()
 	b.ResetTimer()
 	for range b.N {
@@ -107,9 +109,9 @@
 // BenchmarkRefusal is the answer to a request that cannot be answered in time,
 // with a full queue: the path that an overload takes most.
 func BenchmarkRefusal(b *testing.B) {
-	for _, servers := range []int{15, 10_000} {
-		b.Run(fmt.Sprintf("servers=%d/queued=10000", servers), func(b *testing.B) {
-			world := newBenchWorld(servers, 10_000, 0)
+	for _, size := range []struct{ servers, slots int }{{15, 8}, {10_000, 1}} {
+		b.Run(fmt.Sprintf("servers=%d/queued=10000", size.servers), func(b *testing.B) {
+			world := newBenchWorld(size.servers, size.slots, 10_000, 0)
 			for range 100 {
 				world.decide()
 			}
