--- a/decision/internal/fair/account.go
+++ b/decision/internal/fair/account.go
@@ -7,6 +7,13 @@
 	// virtual is the largest tag that all active accounts were known to have
 	// reached.
 	virtual float64
+	// seq counts the items, for their age.
+	seq uint64
+}
+
+func (g *Group) nextSeq() uint64 {
+	g.seq++
+	return g.seq
 }
 
 // Account is what one team was given, over all queues.
--- a/decision/internal/fair/fair.go
+++ b/decision/internal/fair/fair.go
@@ -22,7 +22,7 @@
 	Value T
 	// Cost in the queues' unit, above 0.
 	Cost float64
-	// Priority within the flow, higher first; equal ones in order of Push.
+	// Priority within the flow, higher first; equal ones in order of first Push.
 	Priority int
 
 	seq  uint64
@@ -61,7 +61,6 @@
 	flows  []*Flow[T]
 	cost   float64
 	len    int
-	seq    uint64
 }
 
 // Init makes f the account's flow of the queue.
@@ -113,11 +112,13 @@
 	return sum
 }
 
-// Push queues an item.
+// Push queues an item. One that was queued before, here or elsewhere, keeps its
+// age: what is tried again does not go to the end.
 func (q *Queue[T]) Push(f *Flow[T], it *Item[T]) {
 	f.account.join()
-	q.seq++
-	it.seq = q.seq
+	if it.seq == 0 {
+		it.seq = f.account.group.nextSeq()
+	}
 	it.flow = f
 	heap.Push(&f.items, it)
 	f.cost += it.Cost
