decision: tests of seldom attempts and of a load that slows all servers

The sample and memory for a slow server move to the package's defaults (four attempts, a memory of eight). Tried and dropped: a CUSUM of paces in place of the sample; both find a server of six times the pace within four attempts and neither ejects any when all turn slow, so the simpler stays.

A running attempt that takes three times the usual would tell in time, and could still be run elsewhere; not done here.

--- a/decision/internal/verdict/outlier_config.go
+++ b/decision/internal/verdict/outlier_config.go
@@ -7,7 +7,9 @@
 	// SlowFactor is how many times the median pace of its peers makes a server
 	// slow. Below 2, uneven work alone would eject healthy ones.
 	SlowFactor float64
-	// SlowSample is how many attempts are needed to call a server slow.
+	// SlowSample is how many attempts, discounted, are needed to call a server
+	// slow: four. Each of eight instances sees an eighth of a server's attempts,
+	// and a slow one ends few.
 	SlowSample float64
 	// PaceMemory is the number of attempts that a server's pace looks back on.
 	PaceMemory float64
@@ -37,8 +39,8 @@
 func DefaultOutlierConfig() OutlierConfig {
 	return OutlierConfig{
 		SlowFactor:   2.5,
-		SlowSample:   8,
-		PaceMemory:   16,
+		SlowSample:   3.5,
+		PaceMemory:   8,
 		WorseErrors:  0.1,
 		FalseAlarm:   1e-4,
 		MaxShare:     0.34,
--- a/decision/internal/verdict/outlier_test.go
+++ b/decision/internal/verdict/outlier_test.go
@@ -118,6 +118,47 @@
 	}
 }
 
+// A load that slows all servers at once ejects none of them.
+func TestAllTurnSlow(t *testing.T) {
+	for seed := range uint64(10) {
+		rng := rand.New(rand.NewPCG(seed, 4))
+		o, ids := pool(12)
+		run(o, ids, epoch, 30, rng, func(string) (bool, float64) { return false, 1 })
+		got := run(o, ids, epoch.Add(30*time.Second), 30, rng, func(string) (bool, float64) { return false, 4 })
+		for id, n := range got {
+			if n < 590 {
+				t.Errorf("seed %d: %s got %d of 600", seed, id, n)
+			}
+		}
+	}
+}
+
+// An instance that sends a server one attempt in 20 s still finds a slow one
+// within four.
+func TestSlowServerIsFoundBySeldomAttempts(t *testing.T) {
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 5))
+		o, ids := pool(12)
+		now, sent := epoch, 0
+		for round := 0; o.Ejected("draft") == 0 && round < 20; round++ {
+			now = now.Add(20 * time.Second)
+			o.Sweep(now)
+			for _, id := range ids {
+				factor := 1.0
+				if id == "s01" && round >= 3 {
+					factor = 6
+					sent++
+				}
+				o.Ended(id, false, pace(rng, factor), now)
+			}
+			o.Sweep(now.Add(2 * time.Second))
+		}
+		if o.Admit("s01", now.Add(2*time.Second)) != Barred || sent > 4 {
+			t.Errorf("seed %d: not found after %d attempts", seed, sent)
+		}
+	}
+}
+
 func TestEjectedServerReturnsByTrial(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 3))
 	o, ids := pool(6)
--- a/decision/shift.go
+++ b/decision/shift.go
@@ -33,17 +33,10 @@
 	return verdict.NewVersions[VersionID, ServerID](c)
 }
 
-// slowSample is the attempts, discounted, that call a server slow: four. Each of
-// eight instances sees an eighth of a server's attempts, and a slow one gives few;
-// the pace of a token differs by little among healthy servers.
-const slowSample = 3.5
-
 func newOutliers(cfg Config) *verdict.Outliers[ServerID, string] {
 	c := verdict.DefaultOutlierConfig()
 	c.SlowFactor = cfg.SlowFactor
 	c.MaxShare = cfg.MaxEjected
-	c.SlowSample = slowSample
-	c.PaceMemory = 8
 	return verdict.NewOutliers[ServerID, string](c)
 }
 
