One holder of bills: peer holds them in ledger.Buffer; a push asks peers at once

Cause: router/internal/peer/held.go and ledger.Buffer both held bills in an outage, with unlike rules. Now ledger.Buffer has what each alone had: bounds in count and bytes, reservations, Full, HoldTwice (both copies or an error), flush with the same nonce, HandOver for the drain. A reservation counts as the largest bill (1.5 KB), so a bill that was let in always finds its bytes. What a peer sends must now parse as a bill under its own key, not merely bear a bill's key.

Fault found and mended: a failed Hold removed the bill's nonce, also where this instance kept the same bill as another's second copy. A resend that reached that instance while it had no peer took the copy away; the first instance's death then left the request unbilled. TestFailedHoldKeepsThePeersCopy, TestHoldTwice.

Flush: first Put alone and none after a failure (before: 256 at once, next group only if all settled). TestBillIsHeldInTwoFailureDomains... expected 20 puts of the failed flush; it now expects 1 and then all 20, that one under its nonce.

peer.Deps.Hint was set nowhere. It asked for a read of the log, which a healthy instance has under way as a long poll anyway; what was missing is the instance whose own line is cut. A manifest.push now makes such a one do a round at once (at most one a second), so it fetches the state. Hint is gone; the tests that counted hints check what follows instead: state taken over with an interval of an hour, nothing moved where the log is read, few rounds for many pushes.

--- a/coordination/ledger/bill.go
+++ b/coordination/ledger/bill.go
@@ -28,6 +28,8 @@
 	ErrBill = errors.New("ledger: invalid bill")
 	// ErrFull means that the outage buffer has no room; new work is refused.
 	ErrFull = errors.New("ledger: outage buffer is full")
+	// ErrNoCopy means that no peer keeps a copy of a bill.
+	ErrNoCopy = errors.New("ledger: no peer keeps a copy")
 )
 
 // MicrosPerUnit is how many CostMicros make one unit of the manifest's cost.
@@ -36,6 +38,10 @@
 // maxField bounds a bill's names in bytes; escaped they must fit in a key.
 const maxField = 128
 
+// MaxValue bounds an encoded bill in bytes: four names and the numbers. A longer
+// one comes from somebody else, and would take more memory than is counted.
+const MaxValue = 1 << 10
+
 // Bill is what one completed request costs its team, all attempts and cascade
 // steps included.
 type Bill struct {
@@ -126,6 +132,9 @@
 	if r.Kind != record.KindPut || !strings.HasPrefix(string(r.Key), string(record.ClassBill)+"/") {
 		return Bill{}, trace.Wrap(ErrBill, "not the Put of a bill")
 	}
+	if len(r.Key) > record.MaxKey || len(r.Value) > MaxValue {
+		return Bill{}, trace.Wrap(ErrBill, "key of %d and value of %d bytes", len(r.Key), len(r.Value))
+	}
 	var w wireBill
 	if err := cbor.Unmarshal(r.Value, &w); err != nil {
 		return Bill{}, trace.Wrap(ErrBill, "%v", err)
--- a/coordination/ledger/buffer.go
+++ b/coordination/ledger/buffer.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
+	"github.com/gravitational/trace"
 
 	"masticplank.example/coordination/node"
 	"masticplank.example/coordination/record"
@@ -14,111 +14,93 @@
 // PutFunc appends a bill and says what became of it; *node.Node's Put is one.
 type PutFunc func(ctx context.Context, r record.Record) node.Result
 
-// CopyFunc hands a copy of a bill to one peer in another failure domain, which
-// calls Accept on its Buffer. It returns nil once the peer holds it.
+// CopyFunc hands a copy of a bill to one peer, best in another failure domain,
+// which calls Accept on its Buffer. It returns nil once the peer holds it.
 type CopyFunc func(ctx context.Context, r record.Record) error
 
 const (
-	// DefaultCapacity is how many bills an instance holds in an outage: about
-	// ten minutes of 100 requests a second, in some 25 MB.
-	DefaultCapacity = 60_000
-	// flushWidth is how many Puts one flush has under way: they share groups,
-	// so the width sets how many bills an append carries.
-	flushWidth = 1000
-	// flushTimeout bounds one Put of a flush.
-	flushTimeout = 5 * time.Second
+	// DefaultBills is how many bills an instance holds in an outage: about ten
+	// minutes of 100 requests a second.
+	DefaultBills = 60_000
+	// DefaultBytes bounds their memory: the default count of bills of some 250
+	// bytes, which is more than usual names take.
+	DefaultBytes = 16 << 20
+	// maxHeldBill is the most that one bill takes; a reservation takes it whole,
+	// since the bill's size is not known yet.
+	maxHeldBill = record.MaxKey + MaxValue
 )
 
+// Limits bound a Buffer; 0 means the default.
+type Limits struct {
+	Bills int
+	Bytes int
+}
+
+func (l Limits) withDefaults() Limits {
+	if l.Bills <= 0 {
+		l.Bills = DefaultBills
+	}
+	if l.Bytes <= 0 {
+		l.Bytes = DefaultBytes
+	}
+	return l
+}
+
 // Buffer holds bills while the log is down, own ones and copies for peers. Room
 // is reserved before a request runs, since a bill that finds no room afterwards
 // would be lost: a full buffer refuses work, never a bill. Safe for concurrent
 // use.
 type Buffer struct {
-	put      PutFunc
-	copyTo   CopyFunc
-	capacity int
+	put    PutFunc
+	copyTo CopyFunc
+	limits Limits
 
 	mu       sync.Mutex
-	held     map[record.Key]record.Record
+	held     map[heldID]record.Record
+	bytes    int
 	reserved int
 }
 
-// NewBuffer returns an empty Buffer. capacity 0 means DefaultCapacity; a nil
-// copyTo means that no peer gets a copy.
-func NewBuffer(capacity int, put PutFunc, copyTo CopyFunc) *Buffer {
-	if capacity <= 0 {
-		capacity = DefaultCapacity
-	}
-	return &Buffer{put: put, copyTo: copyTo, capacity: capacity, held: map[record.Key]record.Record{}}
+// heldID is one proposal. Two bills of one request are two proposals: the log
+// decides between them, not the buffer.
+type heldID struct {
+	key   record.Key
+	nonce record.Nonce
 }
 
-// Reservation is room for one bill. Use exactly one of Hold and Cancel; calls
-// after the first do nothing.
-type Reservation struct {
-	buffer *Buffer
-	once   sync.Once
-}
+func idOf(r record.Record) heldID { return heldID{r.Key, r.Nonce} }
 
-// Reserve takes room for the bill of a request that is about to be admitted.
-// Errors wrap ErrFull: refuse the request.
-func (b *Buffer) Reserve() (*Reservation, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if len(b.held)+b.reserved >= b.capacity {
-		return nil, ErrFull
-	}
-	b.reserved++
-	return &Reservation{buffer: b}, nil
-}
+func sizeOf(r record.Record) int { return len(r.Key) + len(r.Value) }
 
-// Cancel gives the room back: the request was billed through the log, or did
-// not run.
-func (r *Reservation) Cancel() {
-	r.once.Do(func() {
-		r.buffer.mu.Lock()
-		r.buffer.reserved--
-		r.buffer.mu.Unlock()
-	})
-}
-
-// Hold keeps the bill and hands one copy to a peer. It never fails to keep it;
-// copied says whether a peer has it too, so that it outlives this process.
-func (r *Reservation) Hold(ctx context.Context, bill record.Record) (copied bool) {
-	used := false
-	r.once.Do(func() { used = true })
-	if !used {
-		return false
-	}
-	b := r.buffer
-	b.mu.Lock()
-	b.reserved--
-	b.held[bill.Key] = bill
-	b.mu.Unlock()
-	return b.copyTo != nil && b.copyTo(ctx, bill) == nil
+// NewBuffer returns an empty Buffer; a nil copyTo means that no peer gets a
+// copy.
+func NewBuffer(limits Limits, put PutFunc, copyTo CopyFunc) *Buffer {
+	return &Buffer{put: put, copyTo: copyTo, limits: limits.withDefaults(), held: map[heldID]record.Record{}}
 }
 
-// Accept keeps a copy for a peer. Errors wrap ErrBill or ErrFull.
+// Accept keeps a copy for a peer; the same bill again changes nothing. Errors
+// wrap ErrBill or ErrFull.
 func (b *Buffer) Accept(bill record.Record) error {
 	if _, err := Parse(bill); err != nil {
 		return err
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if _, have := b.held[bill.Key]; have {
+	if _, have := b.held[idOf(bill)]; have {
 		return nil
 	}
-	if len(b.held)+b.reserved >= b.capacity {
-		return ErrFull
+	if b.full() {
+		return trace.Wrap(ErrFull)
 	}
-	b.held[bill.Key] = bill
+	b.keep(bill)
 	return nil
 }
 
-// Settle drops the bill of key: it was read from the log.
-func (b *Buffer) Settle(key record.Key) {
+// Full says that no room for another bill can be had.
+func (b *Buffer) Full() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delete(b.held, key)
+	return b.full()
 }
 
 // Len is how many bills are held.
@@ -128,52 +110,42 @@
 	return len(b.held)
 }
 
-// Flush puts the held bills into the log and drops those that the log has, by
-// this Put or by an earlier one. It returns how many are left. The first Put
-// goes alone: with the log down, one failed try is enough.
-func (b *Buffer) Flush(ctx context.Context) (left int) {
-	bills := b.list()
-	if len(bills) == 0 {
-		return 0
-	}
-	if b.flushOne(ctx, bills[0]) {
-		b.flushAll(ctx, bills[1:])
+// Bills returns the bills held, in no order: each is a proposal of its own.
+func (b *Buffer) Bills() []record.Record {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]record.Record, 0, len(b.held))
+	for _, bill := range b.held {
+		out = append(out, bill)
 	}
-	return b.Len()
+	return out
 }
 
-func (b *Buffer) flushAll(ctx context.Context, bills []record.Record) {
-	var g errgroup.Group
-	g.SetLimit(flushWidth)
-	for _, bill := range bills {
-		g.Go(func() error {
-			b.flushOne(ctx, bill)
-			return nil
-		})
-	}
-	_ = g.Wait()
+// The methods below are called with mu held.
+
+func (b *Buffer) full() bool {
+	tooMany := len(b.held)+b.reserved >= b.limits.Bills
+	return tooMany || b.bytes+(b.reserved+1)*maxHeldBill > b.limits.Bytes
 }
 
-func (b *Buffer) flushOne(ctx context.Context, bill record.Record) bool {
-	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
-	defer cancel()
-	switch b.put(ctx, bill).Outcome {
-	case node.OutcomeWon, node.OutcomeLost:
-		b.Settle(bill.Key)
-		return true
-	default:
+// keep returns false where the bill was held before.
+func (b *Buffer) keep(bill record.Record) (added bool) {
+	if _, have := b.held[idOf(bill)]; have {
 		return false
 	}
+	b.held[idOf(bill)] = bill
+	b.bytes += sizeOf(bill)
+	return true
 }
 
-func (b *Buffer) list() []record.Record {
+// settle drops a bill: the log has it, or a peer keeps it instead.
+func (b *Buffer) settle(bill record.Record) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	out := make([]record.Record, 0, len(b.held))
-	for _, bill := range b.held {
-		out = append(out, bill)
+	if _, have := b.held[idOf(bill)]; have {
+		delete(b.held, idOf(bill))
+		b.bytes -= sizeOf(bill)
 	}
-	return out
 }
 
 // Run flushes each interval until ctx ends.
--- a/router/internal/peer/bills.go
+++ b/router/internal/peer/bills.go
@@ -2,44 +2,46 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
 
-	"masticplank.example/coordination/node"
+	"masticplank.example/coordination/ledger"
 	"masticplank.example/coordination/record"
 	"masticplank.example/router/internal/logging"
 	"masticplank.example/router/internal/wire"
 )
 
 const (
+	// maxHeld bounds the bills held, own and for others. At 200 requests a
+	// second for one instance it is near a minute and a half of outage for
+	// both; beyond it new work is refused, since unbilled answers would be the
+	// greater harm.
+	maxHeld = 32_768
+	// maxHeldBytes bounds their memory.
+	maxHeldBytes = 16 << 20
+	// maxHoldBytes bounds the message that carries one bill.
+	maxHoldBytes = 4 * (record.MaxKey + ledger.MaxValue)
 	// holdTries is how many peers are asked to keep a copy, one after another.
 	holdTries = 3
 	// holdTime bounds each of them. A caller waits for it.
 	holdTime = 500 * time.Millisecond
-	// flushTime bounds the wait for one group of bills to be read back.
-	flushTime = 2 * time.Second
-	// flushGroup is how many bills are put at once, so that an outage's bills
-	// share appends and leave room for those of new requests.
-	flushGroup = 256
 )
 
+func newHeld(put ledger.PutFunc, copyTo ledger.CopyFunc) *ledger.Buffer {
+	return ledger.NewBuffer(ledger.Limits{Bills: maxHeld, Bytes: maxHeldBytes}, put, copyTo)
+}
+
 // Hold keeps a bill here and at one peer until the log takes it. A nil error
-// means that both copies exist. After an error neither is kept here, and the
-// answer must not end as if it had been billed; a peer whose word was lost may
-// still have its copy, which the caller's next try with the same key meets as
-// the same bill.
+// means that both copies exist. After an error the answer must not end as if it
+// had been billed; a peer whose word was lost may still have its copy, which
+// the caller's next try with the same key meets as the same bill.
 func (n *Node) Hold(ctx context.Context, r record.Record) error {
-	if err := n.held.add(r); err != nil {
-		n.Log.Emit(ctx, logging.EventBillRefused, logging.Err(err))
-		return trace.Wrap(err)
-	}
-	if err := n.copyOut(ctx, r); err != nil {
-		n.held.remove(r.Nonce)
+	if err := n.hold(ctx, r); err != nil {
 		n.Log.Emit(ctx, logging.EventBillRefused, logging.Err(err))
 		return trace.Wrap(err)
 	}
@@ -47,6 +49,28 @@
 	return nil
 }
 
+func (n *Node) hold(ctx context.Context, r record.Record) error {
+	room, err := n.held.Reserve()
+	if err != nil {
+		return err
+	}
+	return room.HoldTwice(ctx, r)
+}
+
+// accept keeps a second copy of another instance's bill, and only a bill: held
+// records are written to the log in this instance's name, so another class
+// would let one instance write what it likes through another.
+func (n *Node) accept(r record.Record) error {
+	err := n.held.Accept(r)
+	switch {
+	case errors.Is(err, ledger.ErrFull):
+		return failure(CodeFull, "no room to hold bills")
+	case err != nil:
+		return invalid(trace.UserMessage(err))
+	}
+	return nil
+}
+
 // copyOut has one peer keep a copy.
 func (n *Node) copyOut(ctx context.Context, r record.Record) error {
 	batch := record.Batch{Writer: n.self.ID, Stamped: n.Now(), Records: []record.Record{r}}
@@ -94,49 +118,12 @@
 	return out[:min(len(out), holdTries)]
 }
 
-// flush puts held bills into the log, a group at a time, until the log fails.
+// flush puts held bills into the log, until the log fails.
 func (n *Node) flush(ctx context.Context) {
-	done := 0
-	for group := range slices.Chunk(n.held.all(), flushGroup) {
-		settled := n.flushGroup(ctx, group)
-		done += settled
-		if settled < len(group) {
-			break
-		}
-	}
-	if done > 0 {
-		n.Log.Emit(ctx, logging.EventBillFlushed, slog.Int("bills", done), slog.Int("left", n.held.len()))
-	}
-}
-
-func (n *Node) flushGroup(ctx context.Context, group []record.Record) int {
-	ctx, cancel := context.WithTimeout(ctx, flushTime)
-	defer cancel()
-	settled := make([]bool, len(group))
-	var wg sync.WaitGroup
-	for i, r := range group {
-		wg.Go(func() { settled[i] = n.flushOne(ctx, r) })
-	}
-	wg.Wait()
-	count := 0
-	for _, ok := range settled {
-		if ok {
-			count++
-		}
-	}
-	return count
-}
-
-// flushOne puts one bill. It is settled once any bill for the request is the
-// register, by this copy, the other one, or an earlier try. Otherwise it stays
-// held, with the same nonce: putting it again is harmless, dropping it is not.
-func (n *Node) flushOne(ctx context.Context, r record.Record) bool {
-	switch n.store.Put(ctx, r).Outcome {
-	case node.OutcomeWon, node.OutcomeLost:
-		n.held.remove(r.Nonce)
-		return true
-	default:
-		return false
+	before := n.held.Len()
+	left := n.held.Flush(ctx)
+	if done := before - left; done > 0 {
+		n.Log.Emit(ctx, logging.EventBillFlushed, slog.Int("bills", done), slog.Int("left", left))
 	}
 }
 
@@ -147,13 +134,5 @@
 	if n.store.Status().LogReachable {
 		n.flush(ctx)
 	}
-	for _, r := range n.held.all() {
-		if ctx.Err() != nil {
-			break
-		}
-		if n.copyOut(ctx, r) == nil {
-			n.held.remove(r.Nonce)
-		}
-	}
-	return n.held.len()
+	return n.held.HandOver(ctx)
 }
--- a/router/internal/peer/handler.go
+++ b/router/internal/peer/handler.go
@@ -91,10 +91,13 @@
 	return result, err
 }
 
-// onManifest reads the log at once where the generation is not known yet.
+// onManifest is told that a generation is in the log. Where the log answers, the
+// long poll under way brings it. Where it does not, a round at once takes the
+// state over from a peer, so that a cut line delays a manifest by no interval.
 func (n *Node) onManifest(p ManifestParams) (any, error) {
-	if p.Generation > n.store.Digest().Generation && n.Hint != nil {
-		n.Hint()
+	ahead := p.Generation > n.store.Digest().Generation
+	if ahead && !n.store.Status().LogReachable {
+		n.roundEarly()
 	}
 	return Empty{}, nil
 }
@@ -112,19 +115,15 @@
 
 // onHold keeps a second copy of another instance's bill.
 func (n *Node) onHold(p HoldParams) (any, error) {
-	if len(p.Batch) > 2*maxBillBytes {
+	if len(p.Batch) > maxHoldBytes {
 		return nil, invalid("bill too long")
 	}
 	batch, err := record.Decode(p.Batch)
 	if err != nil || len(batch.Records) != 1 {
 		return nil, invalid("want one encoded record")
 	}
-	err = n.held.add(batch.Records[0])
-	switch {
-	case errors.Is(err, errFull):
-		return nil, failure(CodeFull, "no room to hold bills")
-	case err != nil:
-		return nil, invalid(trace.UserMessage(err))
+	if err := n.accept(batch.Records[0]); err != nil {
+		return nil, err
 	}
 	return Empty{}, nil
 }
--- a/router/internal/peer/messages.go
+++ b/router/internal/peer/messages.go
@@ -103,8 +103,8 @@
 	Data     []byte `json:"data"`
 }
 
-// ManifestParams say that a generation is in the log. It is only a hint to read
-// the log at once: what changes state is the log.
+// ManifestParams say that a generation is in the log. It is only a hint to ask
+// the peers at once: what changes state is the log, or a peer's snapshot of it.
 type ManifestParams struct {
 	From       string `json:"from"`
 	Generation uint64 `json:"gen"`
--- a/router/internal/peer/node.go
+++ b/router/internal/peer/node.go
@@ -16,6 +16,7 @@
 
 	"masticplank.example/coordination/fold"
 	"masticplank.example/coordination/freshness"
+	"masticplank.example/coordination/ledger"
 	"masticplank.example/coordination/node"
 	"masticplank.example/coordination/record"
 	"masticplank.example/decision"
@@ -52,8 +53,6 @@
 	Instances func() []wire.ListedInstance
 	Vouches   Vouches
 	Events    Events
-	// Hint asks for a read of the log at once; nil for none. It must not block.
-	Hint func()
 	// Chooser picks the peers; nil for NewChooser.
 	Chooser Chooser
 	// Log may be nil. Registry may be nil.
@@ -73,14 +72,16 @@
 	pool     *pool
 	server   *server
 	board    *board
-	held     *held
+	held     *ledger.Buffer
 	snaps    *snapshots
 	// warnings and alarms limit log lines that others can cause, or that a
 	// lasting state would repeat in each round.
 	warnings *rate.Limiter
 	alarms   *rate.Limiter
-	// push wakes Run to pass on what is new at once.
-	push chan struct{}
+	// push wakes Run to pass on what is new at once, early to make a round
+	// before the interval has passed; earlyRounds limits what others can cause.
+	push, early chan struct{}
+	earlyRounds *rate.Limiter
 	// transferring and flushing guard work that outlasts a round.
 	transferring, flushing atomic.Bool
 	background             sync.WaitGroup
@@ -113,19 +114,21 @@
 	in := gometrics.GetOrRegisterCounter("peer.bytes_in", deps.Registry)
 	out := gometrics.GetOrRegisterCounter("peer.bytes_out", deps.Registry)
 	n := &Node{
-		Deps:     deps,
-		self:     cfg.Self,
-		store:    deps.Store,
-		interval: cfg.Interval,
-		pool:     newPool(cfg.TLS, in, out),
-		board:    newBoard(),
-		held:     newHeld(),
-		snaps:    &snapshots{store: deps.Store},
-		warnings: rate.NewLimiter(rate.Every(time.Second), 1),
-		alarms:   rate.NewLimiter(rate.Every(time.Minute), 1),
-		push:     make(chan struct{}, 1),
-		answered: map[string]bool{},
+		Deps:        deps,
+		self:        cfg.Self,
+		store:       deps.Store,
+		interval:    cfg.Interval,
+		pool:        newPool(cfg.TLS, in, out),
+		board:       newBoard(),
+		snaps:       &snapshots{store: deps.Store},
+		warnings:    rate.NewLimiter(rate.Every(time.Second), 1),
+		alarms:      rate.NewLimiter(rate.Every(time.Minute), 1),
+		push:        make(chan struct{}, 1),
+		early:       make(chan struct{}, 1),
+		earlyRounds: rate.NewLimiter(rate.Every(time.Second), 1),
+		answered:    map[string]bool{},
 	}
+	n.held = newHeld(deps.Store.Put, n.copyOut)
 	n.server = &server{
 		tls:      cfg.TLS,
 		handler:  jsonrpc2.HandlerWithError(n.handle).SuppressErrClosed(),
@@ -161,8 +164,9 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			n.Round(ctx)
+		case <-n.early:
 		}
+		n.Round(ctx)
 	}
 }
 
@@ -190,9 +194,18 @@
 }
 
 // wake makes Run push soon.
-func (n *Node) wake() {
+func (n *Node) wake() { signal(n.push) }
+
+// roundEarly makes Run do a round soon.
+func (n *Node) roundEarly() {
+	if n.earlyRounds.Allow() {
+		signal(n.early)
+	}
+}
+
+func signal(ch chan<- struct{}) {
 	select {
-	case n.push <- struct{}{}:
+	case ch <- struct{}{}:
 	default:
 	}
 }
@@ -230,9 +243,9 @@
 }
 
 // Held is how many bills wait here for the log, own and other instances'.
-func (n *Node) Held() int { return n.held.len() }
+func (n *Node) Held() int { return n.held.Len() }
 
 // Full says that no more bills can be held, so that new work must be refused.
-func (n *Node) Full() bool { return n.held.full() }
+func (n *Node) Full() bool { return n.held.Full() }
 
 func peerAttr(id string) slog.Attr { return slog.String("peer", id) }
--- a/router/internal/peer/round.go
+++ b/router/internal/peer/round.go
@@ -49,12 +49,12 @@
 		if !a.ok {
 			n.Chooser.Failed(a.peer.ID)
 		}
-		wg.Go(func() { n.compare(ctx, a, reachable) })
+		wg.Go(func() { n.compare(ctx, a) })
 	}
 	if !reachable {
 		n.unlessBusy(&n.transferring, func() { n.takeOver(ctx, answers) })
 	}
-	if reachable && n.held.len() > 0 {
+	if reachable && n.held.Len() > 0 {
 		n.unlessBusy(&n.flushing, func() { n.flush(ctx) })
 	}
 	wg.Wait()
@@ -160,7 +160,7 @@
 }
 
 // compare acts on what a peer's word shows to differ from the own state.
-func (n *Node) compare(ctx context.Context, a answer, reachable bool) {
+func (n *Node) compare(ctx context.Context, a answer) {
 	if !a.ok {
 		return
 	}
@@ -168,9 +168,6 @@
 	if diverged(own, a.word.digest()) {
 		n.alarm(ctx, a.peer.ID)
 	}
-	if reachable && a.word.Generation > own.Generation && n.Hint != nil {
-		n.Hint()
-	}
 	if a.word.Board != n.board.hash(n.Now()) {
 		n.swapHealth(ctx, a.peer)
 	}
