histories with checkpoints, trimming and state taken from peers

Cause: the histories never started a node after trimming. Nodes append checkpoints, the log is trimmed to the last whole one, and a node takes another's state, at any moment; the final replay uses the trimmed entries kept aside.

--- a/coordination/history/cluster_test.go
+++ b/coordination/history/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -11,7 +12,9 @@
 
 	"masticplank.example/coordination/fold"
 	"masticplank.example/coordination/node"
+	"masticplank.example/coordination/platformlog"
 	"masticplank.example/coordination/platformlog/logtest"
+	"masticplank.example/coordination/record"
 )
 
 // cluster is a few nodes on one log that goes wrong, in a synctest bubble.
@@ -25,6 +28,8 @@
 	slots []*node.Node
 	names []string
 	born  int
+	// archive holds the entries that were trimmed from the log.
+	archive []platformlog.Entry
 }
 
 const (
@@ -105,7 +110,7 @@
 		case <-time.After(time.Duration(rng.IntN(300)) * time.Millisecond):
 		}
 		slot := rng.IntN(slots)
-		switch rng.IntN(11) {
+		switch rng.IntN(15) {
 		case 0:
 			c.log.LoseReplies(1 + rng.IntN(3))
 		case 1:
@@ -127,6 +132,14 @@
 			c.log.FailAppends(logtest.AppendLate)
 		case 8:
 			c.log.FailAppends(logtest.AppendLate, logtest.AppendRefused, logtest.AppendReplyLost)
+		case 9:
+			if err := c.node(slot).Checkpoint(); err != nil {
+				c.t.Error(err)
+			}
+		case 10:
+			c.trim()
+		case 11:
+			c.transfer(slot, slot+1)
 		default:
 			c.log.SetDown(false)
 			c.log.SetSlow(0)
@@ -134,6 +147,47 @@
 	}
 }
 
+// trim drops what the last whole checkpoint in the log stands for.
+func (c *cluster) trim() {
+	entries := c.log.Entries()
+	var found fold.Assembler
+	for _, e := range entries {
+		b, err := record.Decode(e.Data)
+		if err != nil {
+			c.t.Error(err)
+		}
+		for i := range b.Records {
+			found.Add(&b.Records[i])
+		}
+	}
+	_, next, ok := found.Best()
+	if !ok || next <= entries[0].Offset {
+		return
+	}
+	c.archive = append(c.archive, entries[:next-entries[0].Offset]...)
+	c.log.Trim(next)
+}
+
+// transfer offers one node's state to another, as peers do.
+func (c *cluster) transfer(from, to int) {
+	snapshot, err := c.node(from).Snapshot()
+	if err != nil {
+		c.t.Error(err)
+	}
+	if err := c.node(to).Restore(snapshot); err != nil && !errors.Is(err, node.ErrNotAhead) {
+		c.t.Error(err)
+	}
+}
+
+// whole is a log with all entries, trimmed or not.
+func (c *cluster) whole() *logtest.Log {
+	log := logtest.New()
+	for _, e := range append(c.archive, c.log.Entries()...) {
+		log.Inject(e.Data)
+	}
+	return log
+}
+
 // heal ends all faults and waits until all is appended and folded.
 func (c *cluster) heal() {
 	c.log.SetDown(false)
@@ -155,7 +209,7 @@
 // replay folds the log from its beginning.
 func (c *cluster) replay() *fold.State {
 	s := fold.New(fold.DefaultConfig(), fold.Options{})
-	for _, e := range c.log.Entries() {
+	for _, e := range append(c.archive, c.log.Entries()...) {
 		if _, err := s.Apply(e, nil); err != nil {
 			c.t.Error(err)
 		}
--- a/coordination/history/history_test.go
+++ b/coordination/history/history_test.go
@@ -366,7 +366,7 @@
 		}
 	}
 	exported := map[string]int{}
-	_, err := ledger.Export(context.Background(), c.log.Client("export"), fold.DefaultConfig(), 0, func(l ledger.Line) error {
+	_, err := ledger.Export(context.Background(), c.whole().Client("export"), fold.DefaultConfig(), 0, func(l ledger.Line) error {
 		exported[l.Request]++
 		return nil
 	})
