--- a/coordination/node/node_test.go
+++ b/coordination/node/node_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -12,7 +11,6 @@
 
 	"go.uber.org/goleak"
 
-	"masticplank.example/coordination/fold"
 	"masticplank.example/coordination/platformlog/logtest"
 	"masticplank.example/coordination/record"
 )
@@ -277,164 +275,12 @@
 	})
 }
 
-func TestStartAfterTrimming(t *testing.T) {
-	inBubble(t, func(t *testing.T, fl *fleet) {
-		a := fl.node("a")
-		var heard []record.Key
-		for i := range 5 {
-			fl.wantPut(a, put(record.Key(fmt.Sprintf("session/%d", i)), 1), OutcomeWon)
-		}
-		fl.log.Trim(3)
-		late := fl.node("late")
-		late.Watch("session", func(c fold.Change) { heard = append(heard, c.Register.Key) })
-		time.Sleep(time.Minute)
-		if late.isReady() || late.Digest().Next != 0 {
-			t.Fatal("it took a log with a hole for whole")
-		}
-		// A checkpoint that does not reach what is kept changes nothing.
-		if err := a.Checkpoint(); err != nil {
-			t.Fatal(err)
-		}
-		time.Sleep(time.Minute)
-		fl.wantPut(a, put("session/5", 1), OutcomeWon)
-		<-late.Ready()
-		synctest.Wait()
-		if late.Digest() != a.Digest() {
-			t.Errorf("digests %+v and %+v", late.Digest(), a.Digest())
-		}
-		if len(heard) != 6 || heard[5] != "session/5" {
-			t.Errorf("watchers heard %v", heard)
-		}
-	})
-}
-
-func TestStaleCheckpointIsOfNoUse(t *testing.T) {
-	inBubble(t, func(t *testing.T, fl *fleet) {
-		a := fl.node("a")
-		fl.wantPut(a, put("session/0", 1), OutcomeWon)
-		if err := a.Checkpoint(); err != nil {
-			t.Fatal(err)
-		}
-		time.Sleep(time.Second)
-		fl.wantPut(a, put("session/1", 1), OutcomeWon)
-		// The checkpoint itself is the second entry; keep it, but not the
-		// entry before it that it does not cover.
-		stale := fl.log.Entries()[1]
-		fl.log.Trim(3)
-		fl.log.Inject(stale.Data)
-		late := fl.node("late")
-		time.Sleep(time.Minute)
-		if late.isReady() {
-			t.Error("it started from a checkpoint that leaves a hole")
-		}
-		snapshot, err := a.Snapshot()
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := late.Restore(snapshot); err != nil {
-			t.Fatal(err)
-		}
-		<-late.Ready()
-		if err := late.Restore(snapshot); !errors.Is(err, ErrNotAhead) {
-			t.Errorf("restored twice: %v", err)
-		}
-	})
-}
-
 // TestCheckpointBeforeTrimming: instances keep a checkpoint in the log by
 // themselves, well before the retention has passed.
-func TestCheckpointBeforeTrimming(t *testing.T) {
-	inBubble(t, func(t *testing.T, fl *fleet) {
-		a, _ := fl.node("a"), fl.node("b")
-		fl.wantPut(a, put("session/x", 1), OutcomeWon)
-		time.Sleep(18 * time.Hour)
-		fl.log.Trim(1)
-		late := fl.node("late")
-		<-late.Ready()
-		if _, ok := late.Lookup("session/x"); !ok {
-			t.Error("the register was lost to trimming")
-		}
-		if n := len(fl.log.Entries()); n > 3 {
-			t.Errorf("%d checkpoints in 18 hours", n)
-		}
-	})
-}
-
 // TestCheckpointUnderLoad: a large checkpoint gets into the log while each
 // group is full, and a writer that starts from it has the same state.
-func TestCheckpointUnderLoad(t *testing.T) {
-	inBubble(t, func(t *testing.T, fl *fleet) {
-		a := fl.node("a")
-		big := func(i int) record.Record {
-			r := put(record.Key(fmt.Sprintf("session/%d", i)), 1)
-			r.Value = make([]byte, maxBatchBytes*3/4)
-			return r
-		}
-		for i := range 4 {
-			fl.wantPut(a, big(i), OutcomeWon)
-		}
-		var wg sync.WaitGroup
-		ctx := within(t, 2*time.Second)
-		for i := range 8 {
-			wg.Go(func() {
-				for k := 0; ctx.Err() == nil; k++ {
-					r := big(i)
-					r.Nonce = record.Nonce{9, byte(i), byte(k)}
-					a.Put(ctx, r)
-				}
-			})
-		}
-		if err := a.Checkpoint(); err != nil {
-			t.Fatal(err)
-		}
-		time.Sleep(time.Second)
-		var found fold.Assembler
-		for _, e := range fl.log.Entries() {
-			collectParts(&found, e.Data)
-		}
-		if _, _, ok := found.Best(); !ok {
-			t.Error("no checkpoint while there is load")
-		}
-		wg.Wait()
-		fl.log.Trim(4)
-		late := fl.node("late")
-		<-late.Ready()
-		synctest.Wait()
-		if late.Digest() != a.Digest() {
-			t.Errorf("digests %+v and %+v", late.Digest(), a.Digest())
-		}
-	})
-}
-
 // TestRestoreSettlesWaitingPuts: a Put that waits while a peer's state is taken
 // over hears of the winner, and its own late copy never wins.
-func TestRestoreSettlesWaitingPuts(t *testing.T) {
-	inBubble(t, func(t *testing.T, fl *fleet) {
-		a, b := fl.node("a"), fl.node("b")
-		<-a.Ready()
-		fl.log.FailAppends(logtest.AppendLate)
-		done := make(chan Result, 1)
-		go func() { done <- a.Put(t.Context(), put("session/x", 1)) }()
-		synctest.Wait()
-		fl.log.Cut("a", true)
-		fl.wantPut(b, put("session/x", 2), OutcomeWon)
-		snapshot, _ := b.Snapshot()
-		if err := a.Restore(snapshot); err != nil {
-			t.Fatal(err)
-		}
-		if res := <-done; res.Outcome != OutcomeLost || res.Register.Nonce != (record.Nonce{2}) {
-			t.Errorf("result %+v", res)
-		}
-		fl.log.Cut("a", false)
-		time.Sleep(time.Second)
-		b.Release("session/x", record.Nonce{2})
-		time.Sleep(2 * logtest.LateBy)
-		if reg, ok := b.Lookup("session/x"); ok {
-			t.Errorf("the late copy won: %+v", reg)
-		}
-	})
-}
-
 // TestPlannedStopSettles: a Put under way at a planned stop is read back.
 func TestPlannedStopSettles(t *testing.T) {
 	inBubble(t, func(t *testing.T, fl *fleet) {
@@ -454,30 +300,6 @@
 	})
 }
 
-func TestRestoreWhileDown(t *testing.T) {
-	inBubble(t, func(t *testing.T, fl *fleet) {
-		a := fl.node("a")
-		fl.wantPut(a, put("session/x", 1), OutcomeWon)
-		fl.log.SetDown(true)
-		late := fl.node("late")
-		time.Sleep(10 * time.Second)
-		if late.isReady() {
-			t.Fatal("ready without any state")
-		}
-		snapshot, _ := a.Snapshot()
-		if err := late.Restore(snapshot); err != nil {
-			t.Fatal(err)
-		}
-		<-late.Ready()
-		if s := late.Status(); s.LogReachable || s.Next != 1 || s.Head != 1 {
-			t.Errorf("status %+v", s)
-		}
-		if err := late.Restore([]byte("junk")); !errors.Is(err, fold.ErrSnapshot) {
-			t.Errorf("junk: %v", err)
-		}
-	})
-}
-
 // TestLateCopyOfALostPut: the first copy of a Put is on its way for seconds, the
 // second one loses. The caller was told so; the late copy must not win when the
 // winner is gone.
