node: a Put in doubt is sent again only when it could have been read

Two causes in the traces: - A state taken over from a lagging peer may be older than a Put that waits; whoever held the key then was named as the winner. Now only an own register settles such a Put, all others are in doubt. TestRestoreFromALaggingPeer was red before. - A Put whose reply was lost was sent again after 50 ms though the tail had not read on. The first copy was read as the loser, the second won after the winner's release, until the own release came. Now it is sent again only once the tail has passed a head read after the append (TestNoSecondCopyWhileUnread). What remains is an append that really lands late. The check allows for that in one case only, by the trace: the log has two copies of a nonce whose Put was told no; and it now demands that nobody who was told no holds the key at the end. A failing history is printed with the log's records. TestRestoreSettlesWaitingPuts hears of the winner after the cut now, not from the peer's state: that answer was the fault.

Ruled out: naming the winner from the peer's state where the append's offset is known (the state at that offset is not kept).

--- a/coordination/history/cluster_test.go
+++ b/coordination/history/cluster_test.go
@@ -217,4 +217,40 @@
 	return s
 }
 
+// each calls f for each record of key in the log, trimmed or not.
+func (c *cluster) each(key record.Key, f func(e platformlog.Entry, writer string, r record.Record)) {
+	for _, e := range append(c.archive, c.log.Entries()...) {
+		b, err := record.Decode(e.Data)
+		if err != nil {
+			c.t.Error(err)
+		}
+		for _, r := range b.Records {
+			if r.Key == key {
+				f(e, b.Writer, r)
+			}
+		}
+	}
+}
+
+// records lists what the log has of key.
+func (c *cluster) records(key record.Key) []string {
+	var out []string
+	c.each(key, func(e platformlog.Entry, writer string, r record.Record) {
+		at := e.Time.Sub(c.began)
+		out = append(out, fmt.Sprintf("log %d at %v by %s: kind=%d nonce=%x", e.Offset, at, writer, r.Kind, r.Nonce[:4]))
+	})
+	return out
+}
+
+// copies counts the Puts of each nonce of key in the log.
+func (c *cluster) copies(key record.Key) map[record.Nonce]int {
+	out := map[record.Nonce]int{}
+	c.each(key, func(_ platformlog.Entry, _ string, r record.Record) {
+		if r.Kind == record.KindPut {
+			out[r.Nonce]++
+		}
+	})
+	return out
+}
+
 func (c *cluster) clock() int64 { return int64(time.Since(c.began)) }
--- a/coordination/history/history_test.go
+++ b/coordination/history/history_test.go
@@ -1,11 +1,13 @@
 package history
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -123,6 +125,66 @@
 	Equal: func(a, b any) bool { return a == b },
 }
 
+// check looks at each register's history by itself, and prints the one that is
+// wrong with the log's records of its key. At the end nobody may hold a key who
+// was told that it lost or is void.
+func (r *recorder) check(t *testing.T, c *cluster) {
+	model := registerModel.ToModel()
+	final := c.replay()
+	for _, ops := range registerModel.Partition(r.ops) {
+		key := ops[0].Input.(step).key
+		holder, _ := final.Lookup(key)
+		for _, op := range ops {
+			if saidNo(op) && op.Input.(step).nonce == holder.Nonce {
+				t.Errorf("seed %d: %s is held by %x, who was told no", c.seed, key, holder.Nonce[:4])
+			}
+		}
+		if !porcupine.CheckOperations(model, append(ops, lateCopies(ops, c.copies(key))...)) {
+			t.Errorf("seed %d: the history of %s is not that of a register", c.seed, key)
+			explain(t, c, key, ops)
+		}
+	}
+}
+
+// saidNo: the caller was told that its Put lost or is void.
+func saidNo(op porcupine.Operation) bool {
+	res, ok := op.Output.(node.Result)
+	return ok && (res.Outcome == node.OutcomeLost || res.Outcome == node.OutcomeVoid)
+}
+
+// lateCopies allows for what a Put that was told no may do where the log has
+// more than one copy of it: a copy that lands between the Release of the winner
+// and the own Release holds the key until the latter. Nobody acts on it. Without
+// a second copy in the log nothing is allowed for.
+func lateCopies(ops []porcupine.Operation, copies map[record.Nonce]int) []porcupine.Operation {
+	var out []porcupine.Operation
+	for _, op := range ops {
+		in := op.Input.(step)
+		if !saidNo(op) || copies[in.nonce] < 2 {
+			continue
+		}
+		late := porcupine.Operation{Input: in, Call: op.Call, Return: math.MaxInt64}
+		late.ClientId, late.Output = 2000+op.ClientId, node.Result{Outcome: node.OutcomeUnknown}
+		gone := porcupine.Operation{ClientId: 3000 + op.ClientId, Call: op.Call, Return: math.MaxInt64}
+		gone.Input = step{in.key, in.nonce, true}
+		out = append(out, late, gone)
+	}
+	return out
+}
+
+func explain(t *testing.T, c *cluster, key record.Key, ops []porcupine.Operation) {
+	slices.SortFunc(ops, func(a, b porcupine.Operation) int { return cmp.Compare(a.Call, b.Call) })
+	for _, op := range ops {
+		in := op.Input.(step)
+		res, _ := op.Output.(node.Result)
+		t.Logf("%v to %v: release=%v nonce=%x outcome=%d of %x", time.Duration(op.Call),
+			time.Duration(op.Return), in.release, in.nonce[:4], res.Outcome, res.Register.Nonce[:4])
+	}
+	for _, line := range c.records(key) {
+		t.Log(line)
+	}
+}
+
 func nonce(rng *rand.Rand, client, op int) record.Nonce {
 	n := record.Nonce{byte(client + 1), byte(op + 1)}
 	n[2], n[3] = byte(rng.Uint32()), byte(rng.Uint32())
@@ -174,11 +236,7 @@
 				time.Sleep(time.Duration(rng.IntN(200)) * time.Millisecond)
 			}
 		}
-		run(t, seed, work, func(*cluster) {
-			if !porcupine.CheckOperations(registerModel.ToModel(), r.ops) {
-				t.Errorf("seed %d: the history is not that of registers", seed)
-			}
-		})
+		run(t, seed, work, func(c *cluster) { r.check(t, c) })
 	})
 }
 
@@ -320,9 +378,7 @@
 			}
 		}
 		run(t, seed, work, func(c *cluster) {
-			if !porcupine.CheckOperations(registerModel.ToModel(), r.ops) {
-				t.Errorf("seed %d: the history is not that of claims", seed)
-			}
+			r.check(t, c)
 			b.check(t, c)
 		})
 	})
--- a/coordination/node/append.go
+++ b/coordination/node/append.go
@@ -3,19 +3,12 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"masticplank.example/coordination/platformlog"
 	"masticplank.example/coordination/record"
 )
 
-// doubt is a group whose append lost its reply, and when to send it again.
-type doubt struct {
-	group group
-	due   time.Time
-}
-
 // appender is the state of the appending goroutine.
 type appender struct {
 	node    *Node
@@ -29,7 +22,7 @@
 	a := &appender{node: n, backoff: newRetryWait(n.seed, 2)}
 	for ctx.Err() == nil {
 		stopping := a.wait(ctx)
-		a.resendDue()
+		a.settleDoubts(ctx)
 		a.pace(ctx)
 		sent := a.appendNext(ctx)
 		if stopping && !sent {
@@ -120,33 +113,6 @@
 	return err
 }
 
-// doubt sends what the group settles again later, unless they are read back first.
-func (a *appender) doubt(g group) {
-	g.records = nil
-	a.doubts = append(a.doubts, doubt{g, time.Now().Add(a.backoff.next())})
-}
-
-func (a *appender) resendDue() {
-	now := time.Now()
-	a.doubts = slices.DeleteFunc(a.doubts, func(d doubt) bool {
-		if d.due.After(now) {
-			return false
-		}
-		a.node.proposals.resend(&d.group)
-		return true
-	})
-}
-
-func (a *appender) nextDue() time.Time {
-	first := a.doubts[0].due
-	for _, d := range a.doubts {
-		if d.due.Before(first) {
-			first = d.due
-		}
-	}
-	return first
-}
-
 // rest waits after a refusal. New Puts are void at once meanwhile: with the log
 // down, waiting for it would hold each caller to its deadline.
 func (a *appender) rest(ctx context.Context) {
--- a/coordination/node/node_test.go
+++ b/coordination/node/node_test.go
@@ -275,12 +275,6 @@
 	})
 }
 
-// TestCheckpointBeforeTrimming: instances keep a checkpoint in the log by
-// themselves, well before the retention has passed.
-// TestCheckpointUnderLoad: a large checkpoint gets into the log while each
-// group is full, and a writer that starts from it has the same state.
-// TestRestoreSettlesWaitingPuts: a Put that waits while a peer's state is taken
-// over hears of the winner, and its own late copy never wins.
 // TestPlannedStopSettles: a Put under way at a planned stop is read back.
 func TestPlannedStopSettles(t *testing.T) {
 	inBubble(t, func(t *testing.T, fl *fleet) {
@@ -300,6 +294,24 @@
 	})
 }
 
+// TestNoSecondCopyWhileUnread: the reply is lost and the tail is slow; the Put
+// is not sent again before the tail could have read it.
+func TestNoSecondCopyWhileUnread(t *testing.T) {
+	inBubble(t, func(t *testing.T, fl *fleet) {
+		a := fl.node("a")
+		<-a.Ready()
+		// The tail's second poll starts at 1 s and is under way until 2.8 s.
+		fl.log.SetSlow(1800 * time.Millisecond)
+		time.Sleep(1050 * time.Millisecond)
+		fl.log.SetSlow(0)
+		fl.log.FailAppends(logtest.AppendReplyLost)
+		fl.wantPut(a, put("session/x", 1), OutcomeWon)
+		if n := len(fl.log.Entries()); n != 1 {
+			t.Errorf("%d copies in the log", n)
+		}
+	})
+}
+
 // TestLateCopyOfALostPut: the first copy of a Put is on its way for seconds, the
 // second one loses. The caller was told so; the late copy must not win when the
 // winner is gone.
--- a/coordination/node/proposals.go
+++ b/coordination/node/proposals.go
@@ -53,6 +53,8 @@
 	releases []record.Record
 	dead     map[proposalID]bool
 	extra    []record.Record
+	// orphans are Puts whose record may lie before a state that was taken over.
+	orphans []*proposal
 	// refusing is set while the log is known to take nothing.
 	refusing bool
 	// wake has room for one token: there is something to append.
@@ -270,6 +272,32 @@
 	}
 }
 
+// takeOrphans empties the orphans.
+func (ps *proposals) takeOrphans() []*proposal {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	out := ps.orphans
+	ps.orphans = nil
+	return out
+}
+
+// open reports whether g has anything left that was not read back.
+func (ps *proposals) open(g *group) bool {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	for _, p := range g.puts {
+		if !p.gone {
+			return true
+		}
+	}
+	for _, r := range g.releases {
+		if ps.dead[proposalID{r.Key, r.Nonce}] {
+			return true
+		}
+	}
+	return false
+}
+
 // anySent reports whether a Put that was handed to the log still waits.
 func (ps *proposals) anySent() bool {
 	ps.mu.Lock()
@@ -317,9 +345,11 @@
 	}
 }
 
-// restored settles the Puts whose own record lies before a state that was taken
-// over as a whole: the register tells the winner. One that finds no register
-// stays waiting, since its record may still come.
+// restored goes through the Puts whose own record may lie before a state that
+// was taken over as a whole, so that it is not read back any more. One that
+// holds its register has won. Of the others nothing is known: the state may be
+// older than the Put, and who held the key then may be gone. They are in doubt
+// like those whose reply was lost.
 func (ps *proposals) restored(lookup func(record.Key) (fold.Register, bool)) {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
@@ -327,19 +357,14 @@
 		if p.stage == stageQueued {
 			continue
 		}
-		reg, ok := lookup(id.key)
-		if !ok {
+		if reg, ok := lookup(id.key); ok && reg.Nonce == id.nonce {
+			ps.forget(p)
+			p.done <- Result{Outcome: OutcomeWon, Register: reg}
 			continue
 		}
-		ps.forget(p)
-		res := Result{Outcome: OutcomeLost, Register: reg}
-		if reg.Nonce == id.nonce {
-			res.Outcome = OutcomeWon
-		} else {
-			// Its own record may still be on its way.
-			ps.giveUp(id)
-		}
-		p.done <- res
+		p.unknown = true
+		ps.orphans = append(ps.orphans, p)
+		ps.signal()
 	}
 	// Releases in the part that was skipped are not read back any more.
 	ps.releases = ps.releases[:0]
--- a/coordination/node/restore_test.go
+++ b/coordination/node/restore_test.go
@@ -77,6 +77,8 @@
 	})
 }
 
+// TestCheckpointBeforeTrimming: instances keep a checkpoint in the log by
+// themselves, well before the retention has passed.
 func TestCheckpointBeforeTrimming(t *testing.T) {
 	inBubble(t, func(t *testing.T, fl *fleet) {
 		a, _ := fl.node("a"), fl.node("b")
@@ -94,6 +96,8 @@
 	})
 }
 
+// TestCheckpointUnderLoad: a large checkpoint gets into the log while each
+// group is full, and a writer that starts from it has the same state.
 func TestCheckpointUnderLoad(t *testing.T) {
 	inBubble(t, func(t *testing.T, fl *fleet) {
 		a := fl.node("a")
@@ -138,6 +142,37 @@
 	})
 }
 
+// TestRestoreFromALaggingPeer: the peer's state is older than the Put that
+// waits. Who held the key then says nothing of who holds it now.
+func TestRestoreFromALaggingPeer(t *testing.T) {
+	inBubble(t, func(t *testing.T, fl *fleet) {
+		b, c := fl.node("b"), fl.node("c")
+		fl.wantPut(b, put("session/x", 2), OutcomeWon)
+		synctest.Wait()
+		fl.log.Cut("c", true)
+		b.Release("session/x", record.Nonce{2})
+		time.Sleep(time.Second)
+		// a's first read is under way until 300 ms, its append goes through.
+		fl.log.SetSlow(300 * time.Millisecond)
+		a := fl.node("a")
+		synctest.Wait()
+		fl.log.SetSlow(0)
+		done := make(chan Result, 1)
+		go func() { done <- a.Put(t.Context(), put("session/x", 1)) }()
+		synctest.Wait()
+		snapshot, _ := c.Snapshot()
+		if err := a.Restore(snapshot); err != nil {
+			t.Fatal(err)
+		}
+		if res := <-done; res.Outcome != OutcomeWon {
+			t.Errorf("result %+v", res)
+		}
+	})
+}
+
+// TestRestoreSettlesWaitingPuts: a Put that waits while a peer's state is taken
+// over hears of the winner once its nonce is read back, and its own late copy
+// never wins.
 func TestRestoreSettlesWaitingPuts(t *testing.T) {
 	inBubble(t, func(t *testing.T, fl *fleet) {
 		a, b := fl.node("a"), fl.node("b")
@@ -152,10 +187,10 @@
 		if err := a.Restore(snapshot); err != nil {
 			t.Fatal(err)
 		}
+		fl.log.Cut("a", false)
 		if res := <-done; res.Outcome != OutcomeLost || res.Register.Nonce != (record.Nonce{2}) {
 			t.Errorf("result %+v", res)
 		}
-		fl.log.Cut("a", false)
 		time.Sleep(time.Second)
 		b.Release("session/x", record.Nonce{2})
 		time.Sleep(2 * logtest.LateBy)
