node: a test of a restore past the own record

Cause: with the doubt of Puts that wait during a restore taken out, no test failed. Run: go test -race ./node green.

--- a/coordination/node/restore_test.go
+++ b/coordination/node/restore_test.go
@@ -170,6 +170,32 @@
 	})
 }
 
+// TestRestorePastTheOwnRecord: the own record lies in the part that is skipped,
+// and lost there; it is never read back, and the Put is settled all the same.
+func TestRestorePastTheOwnRecord(t *testing.T) {
+	inBubble(t, func(t *testing.T, fl *fleet) {
+		b := fl.node("b")
+		fl.wantPut(b, put("session/x", 2), OutcomeWon)
+		fl.log.SetSlow(300 * time.Millisecond)
+		a := fl.node("a")
+		synctest.Wait()
+		fl.log.SetSlow(0)
+		done := make(chan Result, 1)
+		go func() { done <- a.Put(within(t, 5*time.Second), put("session/x", 1)) }()
+		synctest.Wait()
+		snapshot, _ := b.Snapshot()
+		if err := a.Restore(snapshot); err != nil {
+			t.Fatal(err)
+		}
+		if next := a.Digest().Next; next != 2 {
+			t.Fatalf("restored to %d, want to be past the own record", next)
+		}
+		if res := <-done; res.Outcome != OutcomeLost || res.Register.Nonce != (record.Nonce{2}) {
+			t.Errorf("result %+v", res)
+		}
+	})
+}
+
 // TestRestoreSettlesWaitingPuts: a Put that waits while a peer's state is taken
 // over hears of the winner once its nonce is read back, and its own late copy
 // never wins.
