node: who is told no may rely on it, also past a kill

The Put had two copies on their way; the first was read back as the loser and a release of the nonce queued; the process was killed before that was appended, and the late copy won when the winner was gone. Such a Put is now answered only once its release is read back. The check allows a late copy to hold the key only within its Put's own call.

--- a/coordination/faultmatrix/claim_test.go
+++ b/coordination/faultmatrix/claim_test.go
@@ -160,6 +160,18 @@
 		time.Sleep(2 * logtest.LateBy)
 		b.put(c, claim(3), node.OutcomeWon)
 	}},
+	{"claim", "append", "late copy, then kill", func(b *bed) {
+		// Told that it lost, and killed the next moment: the late copy must be
+		// dead in the log by then.
+		a, c := b.start("a"), b.start("c")
+		b.put(c, claim(2), node.OutcomeWon)
+		b.log.FailAppends(logtest.AppendLate)
+		b.put(a, claim(1), node.OutcomeLost)
+		b.kill(a)
+		c.Release("claim/t/r", record.Nonce{2})
+		time.Sleep(2 * logtest.LateBy)
+		b.put(c, claim(3), node.OutcomeWon)
+	}},
 	{"claim", "append", "two at once", func(b *bed) {
 		a, c := b.start("a"), b.start("c")
 		first, second := b.going(a, claim(1)), b.going(c, claim(2))
--- a/coordination/history/history_test.go
+++ b/coordination/history/history_test.go
@@ -154,8 +154,9 @@
 
 // lateCopies allows for what a Put that was told no may do where the log has
 // more than one copy of it: a copy that lands between the Release of the winner
-// and the own Release holds the key until the latter. Nobody acts on it. Without
-// a second copy in the log nothing is allowed for.
+// and the own Release holds the key until the latter. Nobody acts on it, and all
+// of it is over before the caller is told. Without a second copy in the log
+// nothing is allowed for.
 func lateCopies(ops []porcupine.Operation, copies map[record.Nonce]int) []porcupine.Operation {
 	var out []porcupine.Operation
 	for _, op := range ops {
@@ -163,9 +164,9 @@
 		if !saidNo(op) || copies[in.nonce] < 2 {
 			continue
 		}
-		late := porcupine.Operation{Input: in, Call: op.Call, Return: math.MaxInt64}
+		late := porcupine.Operation{Input: in, Call: op.Call, Return: op.Return}
 		late.ClientId, late.Output = 2000+op.ClientId, node.Result{Outcome: node.OutcomeUnknown}
-		gone := porcupine.Operation{ClientId: 3000 + op.ClientId, Call: op.Call, Return: math.MaxInt64}
+		gone := porcupine.Operation{ClientId: 3000 + op.ClientId, Call: op.Call, Return: op.Return}
 		gone.Input = step{in.key, in.nonce, true}
 		out = append(out, late, gone)
 	}
--- a/coordination/node/proposals.go
+++ b/coordination/node/proposals.go
@@ -35,6 +35,12 @@
 	// queued is set while it stands in the queue, gone once nobody waits.
 	queued bool
 	gone   bool
+	// verdict is what the caller will be told once the Release is read back.
+	// The Put was read back as a loser, but another copy of it may still come,
+	// and might win where this one did not. Who is told "lost" must be able to
+	// rely on it, also if this process is killed the next moment: so the
+	// nonce is dead in the log first.
+	verdict *Result
 	// unknown is set once an append that carried it lost its reply.
 	unknown bool
 	done    chan Result
@@ -206,7 +212,7 @@
 		p := ps.queue[0]
 		ps.queue = ps.queue[1:]
 		p.queued = false
-		if p.gone {
+		if p.gone || p.verdict != nil {
 			continue
 		}
 		p.stage = stageSent
@@ -260,7 +266,7 @@
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	for _, p := range g.puts {
-		if !p.gone && !p.queued {
+		if !p.gone && !p.queued && p.verdict == nil {
 			ps.enqueue(p)
 		}
 	}
@@ -286,7 +292,7 @@
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	for _, p := range g.puts {
-		if !p.gone {
+		if !p.gone && p.verdict == nil {
 			return true
 		}
 	}
@@ -316,22 +322,32 @@
 	defer ps.mu.Unlock()
 	id := proposalID{c.Record.Key, c.Record.Nonce}
 	if c.Record.Kind == record.KindRelease {
-		delete(ps.dead, id)
+		ps.released(id)
 		return
 	}
 	p := ps.waiting[id]
 	if p == nil || c.Record.Kind != record.KindPut {
 		return
 	}
+	if p.verdict != nil {
+		return
+	}
+	res := Result{Outcome: outcomeOf(c.Verdict), Register: c.Register}
+	if res.Outcome != OutcomeWon && p.sends > 1 && ps.giveUp(id) {
+		p.verdict = &res
+		return
+	}
 	ps.forget(p)
-	outcome := outcomeOf(c.Verdict)
-	if outcome != OutcomeWon && p.sends > 1 {
-		// Another copy may still come, and might win where this one did not
-		// (once the winner has expired). The caller is told that it lost, so
-		// the nonce must be dead for good.
-		ps.giveUp(id)
+	p.done <- res
+}
+
+// released settles the Put that waited for its Release to be read back.
+func (ps *proposals) released(id proposalID) {
+	delete(ps.dead, id)
+	if p := ps.waiting[id]; p != nil && p.verdict != nil {
+		ps.forget(p)
+		p.done <- *p.verdict
 	}
-	p.done <- Result{Outcome: outcome, Register: c.Register}
 }
 
 func outcomeOf(v fold.Verdict) Outcome {
@@ -354,7 +370,7 @@
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	for id, p := range ps.waiting {
-		if p.stage == stageQueued {
+		if p.stage == stageQueued || p.verdict != nil {
 			continue
 		}
 		if reg, ok := lookup(id.key); ok && reg.Nonce == id.nonce {
