--- a/coordination/node/store.go
+++ b/coordination/node/store.go
@@ -6,8 +6,11 @@
 // it of one key. It answers OutcomeVoid only if the record was never handed to
 // the log, the log said that it had no effect, the fold found that it can't
 // win, or this process has given its nonce up. Anything else is
-// OutcomeUnknown. A lost reply is settled by the tail: the record is sent again
-// under the same nonce until it is read back, and two copies count once.
+// OutcomeUnknown. A lost reply is settled by the tail: if the record is not read
+// back by the time the tail has passed a later head, it is sent again under the
+// same nonce, and two copies count once. Where one copy was read back as a loser
+// and another may still come, the caller hears of it only after the nonce is dead
+// in the log.
 package node
 
 import (
