A reservation whose reply was lost is not answered as failed

A broken connection does not tell a death before the effect from a reply lost after it, and a caller who is told of a failure reserves again under a new key.

For work that may not be repeated the outcome is unknown now. The demo checks it.

--- a/router/internal/api/exchange.go
+++ b/router/internal/api/exchange.go
@@ -120,11 +120,18 @@
 		x.releaseClaim()
 		x.finish(refusal(c.Reason, c.RetryAfter))
 	case decision.Fail:
-		x.finish(failure(c.Result))
+		x.finish(failure(c.Result, x.req.Idempotent))
 	}
 }
 
-func failure(result decision.AttemptResult) outcome.Outcome {
+// failure is the outcome of a request whose last attempt ended without an
+// answer. A broken connection does not tell a server that died before the effect
+// from one whose reply was lost after it. For work that may not be repeated that
+// is unknown: a caller who is told of a failure reserves again under a new key.
+func failure(result decision.AttemptResult, idempotent bool) outcome.Outcome {
+	if result == decision.AttemptCrashed && !idempotent {
+		result = decision.AttemptUnknown
+	}
 	switch result {
 	case decision.AttemptFailed:
 		return outcome.Outcome{Kind: outcome.Failed, Code: "backend_server_failed", Message: "the backend server ran the request and failed"}
--- /dev/null
+++ b/router/internal/api/failure_test.go
@@ -0,0 +1,30 @@
+package api
+
+import (
+	"testing"
+
+	"masticplank.example/decision"
+	"masticplank.example/router/internal/outcome"
+)
+
+// Found by "masticplank demo --faults": a reservation whose reply was lost after
+// its effect was answered as failed.
+func TestFailureSaysNoMoreThanIsKnown(t *testing.T) {
+	tests := []struct {
+		result     decision.AttemptResult
+		idempotent bool
+		want       outcome.Kind
+	}{
+		{decision.AttemptFailed, true, outcome.Failed},
+		{decision.AttemptFailed, false, outcome.Failed},
+		{decision.AttemptCrashed, true, outcome.Failed},
+		{decision.AttemptCrashed, false, outcome.Unknown},
+		{decision.AttemptUnknown, true, outcome.Unknown},
+		{decision.AttemptUnknown, false, outcome.Unknown},
+	}
+	for _, tt := range tests {
+		if got := failure(tt.result, tt.idempotent).Kind; got != tt.want {
+			t.Errorf("result %v, idempotent %v: %s, want %s", tt.result, tt.idempotent, got, tt.want)
+		}
+	}
+}
--- a/router/internal/demo/check.go
+++ b/router/internal/demo/check.go
@@ -25,13 +25,14 @@
 	promiseBilled    = "a completed request is billed exactly once"
 	promiseNotRun    = "a refused request was not run and is not billed"
 	promiseOnce      = "a reservation runs at most once"
+	promiseHonest    = "a caller is not told that a reservation failed which took effect"
 	promiseManifest  = "an accepted manifest is in force everywhere in seconds"
 )
 
 // promises in the order of the report.
 var promises = []string{
 	promiseAnswered, promiseWhole, promiseAllowed, promiseWithdrawn, promiseSession,
-	promiseBilled, promiseNotRun, promiseOnce, promiseManifest,
+	promiseBilled, promiseNotRun, promiseOnce, promiseHonest, promiseManifest,
 }
 
 // checker holds the results to the promises.
@@ -145,11 +146,23 @@
 	if c.runs[key] > 1 || completed > 1 {
 		c.breaks(promiseOnce, "%s: %d runs, completed %d times", first, c.runs[key], completed)
 	}
+	c.checkFailed(key, same)
 	if completed > 0 && len(billed) == 1 {
 		c.checkBill(same, billed[0])
 	}
 }
 
+// checkFailed looks for a failure that was none. Only the service's own 500 says
+// that a call ran and failed; a connection that broke says nothing of it, and a
+// caller who is told of a failure reserves again under another key.
+func (c *checker) checkFailed(key string, same []result) {
+	for _, r := range same {
+		if r.outcome == string(outcome.Failed) && r.code != "backend_server_failed" && c.runs[key] > 0 {
+			c.breaks(promiseHonest, "%s: %s, but it took effect", r, r.code)
+		}
+	}
+}
+
 // checkBill holds a bill to the answer that it is for.
 func (c *checker) checkBill(same []result, b bills.Bill) {
 	for _, r := range same {
--- a/router/internal/demo/check_test.go
+++ b/router/internal/demo/check_test.go
@@ -81,6 +81,10 @@
 			r[1].outcome, r[2].outcome = "refused", "refused"
 			delete(c.ledger.bills, "t")
 		}, []string{promiseNotRun}},
+		{"told failed but run", func(c *checker, r []result) {
+			c.faults = true
+			r[1].outcome, r[1].code = "failed", "backend_server_crashed"
+		}, []string{promiseHonest}},
 		{"ran twice", func(c *checker, _ []result) { c.runs["t"] = 2 }, []string{promiseOnce}},
 	}
 	for _, tt := range tests {
