Bills may have a log of their own; a bill is tried for longer

Cause: every instance reads every record, and bills are most of them. ledger.Writer appends bills in groups and goes by the acknowledgement alone: the first bill of a request counts at the reader, so nobody needs to know who was first, and a lost reply is settled by putting the bill again. Default unchanged: platform.bill_log_url is empty.

Found by its test: an instance that had just started knew no peer when the log went down, so a reservation that had run was answered 'bill not durable' at once (TestBillLogDown red, 1 of 9 requests). Ruled out: refusing on arrival, since nothing had failed yet then. A bill is put or held again for 5 s now.

--- /dev/null
+++ b/coordination/ledger/writer_test.go
@@ -0,0 +1,100 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"masticplank.example/coordination/fold"
+	"masticplank.example/coordination/node"
+	"masticplank.example/coordination/platformlog/logtest"
+)
+
+// TestWriterUnderFaults puts bills through each fault of the log, again until
+// they are in, and exports them: each once.
+func TestWriterUnderFaults(t *testing.T) {
+	for name, c := range map[string]struct {
+		fault func(*logtest.Log)
+		first node.Outcome
+	}{
+		"none":               {func(*logtest.Log) {}, node.OutcomeWon},
+		"reply lost":         {func(l *logtest.Log) { l.LoseReplies(1) }, node.OutcomeUnknown},
+		"lost before effect": {func(l *logtest.Log) { l.LoseAppends(1) }, node.OutcomeUnknown},
+		"refused":            {func(l *logtest.Log) { l.RefuseAppends(1) }, node.OutcomeVoid},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			log := logtest.New()
+			w := NewWriter(log.Client("entry-1"), WriterConfig{Name: "entry-1"})
+			ctx, stop := context.WithCancel(t.Context())
+			var running sync.WaitGroup
+			running.Go(func() { w.Run(ctx) })
+			c.fault(log)
+			bill := &Bill{Team: "weavers", Request: "r1"}
+			r, err := bill.Record()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := w.Put(t.Context(), r).Outcome; got != c.first {
+				t.Errorf("%s: outcome %v, want %v", name, got, c.first)
+			}
+			if w.Reachable() != (c.first == node.OutcomeWon) {
+				t.Errorf("%s: reachable %v", name, w.Reachable())
+			}
+			if got := w.Put(t.Context(), r).Outcome; got != node.OutcomeWon {
+				t.Errorf("%s, again: outcome %v", name, got)
+			}
+			stop()
+			running.Wait()
+			if n := exported(t, log); n != 1 {
+				t.Errorf("%s: %d bills", name, n)
+			}
+		})
+	}
+}
+
+func exported(t *testing.T, log *logtest.Log) int {
+	t.Helper()
+	sum, err := Export(context.Background(), log.Client("reader"), fold.DefaultConfig(), 0, func(Line) error { return nil })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return sum.Bills
+}
+
+// TestWriterGroups puts many bills at once: they share appends, paced by the
+// linger, and a stop appends what is queued.
+func TestWriterGroups(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const bills = 500
+		log := logtest.New()
+		log.SetSlow(3 * time.Millisecond)
+		w := NewWriter(log.Client("entry-1"), WriterConfig{Name: "entry-1", Linger: func() time.Duration { return 40 * time.Millisecond }})
+		ctx, stop := context.WithCancel(t.Context())
+		var running, putting sync.WaitGroup
+		running.Go(func() { w.Run(ctx) })
+		for i := range bills {
+			putting.Go(func() {
+				bill := &Bill{Team: "weavers", Request: fmt.Sprint(i)}
+				r, err := bill.Record()
+				if err != nil {
+					t.Error(err)
+				}
+				if got := w.Put(t.Context(), r).Outcome; got != node.OutcomeWon {
+					t.Errorf("bill %d: outcome %v", i, got)
+				}
+			})
+		}
+		putting.Wait()
+		stop()
+		running.Wait()
+		if n := log.Appends(); n > 3 {
+			t.Errorf("%d appends for %d bills at once", n, bills)
+		}
+		if n := exported(t, log); n != bills {
+			t.Errorf("%d bills, want %d", n, bills)
+		}
+	})
+}
--- a/router/internal/billing/billing.go
+++ b/router/internal/billing/billing.go
@@ -17,6 +17,14 @@
 // several group commits long, and short beside a caller's patience.
 const putTimeout = 2 * time.Second
 
+const (
+	// recordTimeout bounds all tries for one bill. It is longer than the list
+	// takes to name a peer to an instance that has just started.
+	recordTimeout = 5 * time.Second
+	// tryInterval is the pause between two tries.
+	tryInterval = 100 * time.Millisecond
+)
+
 // Holder keeps a bill while the log is down: here and at one peer in another
 // failure domain. It flushes by itself once the log is back.
 type Holder interface {
@@ -26,41 +34,66 @@
 
 // Biller records bills. It is safe for concurrent use.
 type Biller struct {
-	store  node.Store
+	log    ledger.Log
 	holder Holder
 }
 
-// New returns a biller. holder may be nil; then a bill needs the log.
-func New(store node.Store, holder Holder) *Biller {
-	return &Biller{store: store, holder: holder}
+// New returns a biller.
+func New(log ledger.Log, holder Holder) *Biller {
+	return &Biller{log: log, holder: holder}
 }
 
-// Record returns nil once the bill is durable: read back from the log (the own
-// one, or one for the same request before it), or held in two places. After an
-// error the answer must not end as if it had been billed.
+// Record returns nil once the bill is durable: in the log (the own one, or one
+// for the same request before it), or held in two places. After an error the
+// answer must not end as if it had been billed.
+//
+// Where neither can be had it tries again for a while: the request has run, and
+// an answer that comes late is worth more to its caller than none.
 func (b *Biller) Record(ctx context.Context, bill ledger.Bill) error {
 	rec, err := bill.Record()
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if b.store.Status().LogReachable || b.holder == nil {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), putTimeout)
-		defer cancel()
-		if b.put(ctx, rec) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+	defer cancel()
+	for {
+		err := b.try(ctx, rec)
+		if err == nil {
 			return nil
 		}
+		if !pause(ctx) {
+			return trace.Wrap(err)
+		}
 	}
-	if b.holder == nil {
-		return trace.ConnectionProblem(nil, "bill %s is not durable: the log did not take it", rec.Key)
+}
+
+// try puts the bill into the log, or holds it.
+func (b *Biller) try(ctx context.Context, rec record.Record) error {
+	if b.log.Reachable() && b.put(ctx, rec) {
+		return nil
 	}
-	return trace.Wrap(b.holder.Hold(context.WithoutCancel(ctx), rec))
+	return trace.Wrap(b.holder.Hold(ctx, rec))
 }
 
 func (b *Biller) put(ctx context.Context, rec record.Record) bool {
-	switch b.store.Put(ctx, rec).Outcome {
+	ctx, cancel := context.WithTimeout(ctx, putTimeout)
+	defer cancel()
+	switch b.log.Put(ctx, rec).Outcome {
 	case node.OutcomeWon, node.OutcomeLost:
 		return true
 	default:
 		return false
 	}
 }
+
+// pause waits between two tries; false once ctx has ended.
+func pause(ctx context.Context) bool {
+	timer := time.NewTimer(tryInterval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/router/internal/daemon/daemon.go
+++ b/router/internal/daemon/daemon.go
@@ -63,7 +63,7 @@
 			newLogClient, newList, newRater, newUpstream,
 			newHolder, newGate, newNode, newStore,
 			newFleet, newDriver, newDirectory,
-			newPeers, newBiller, newTokens, newNames, newReport, newRecorder,
+			newBills, newPeers, newBiller, newTokens, newNames, newReport, newRecorder,
 			newPublisher, newOrders, newDrain, newAPI, newStatus, newAdmin,
 		),
 		fx.Invoke(
--- a/router/internal/daemon/peers.go
+++ b/router/internal/daemon/peers.go
@@ -10,6 +10,7 @@
 	"go.uber.org/fx"
 
 	"masticplank.example/coordination/fold"
+	"masticplank.example/coordination/ledger"
 	"masticplank.example/coordination/node"
 	"masticplank.example/coordination/record"
 	"masticplank.example/router/internal/directory"
@@ -27,6 +28,7 @@
 
 	Settings  settings.Settings
 	Store     node.Store
+	Bills     ledger.Log
 	Directory *directory.Directory
 	Gate      *gate.Gate
 	Driver    *driver.Driver
@@ -47,6 +49,7 @@
 		Seed:     randomSeed(),
 	}, peer.Deps{
 		Store:     p.Store,
+		Bills:     p.Bills,
 		Instances: p.Directory.Instances,
 		Vouches:   p.Gate,
 		Events:    fromPeers{p.Fleet, p.Driver},
--- a/router/internal/daemon/platform.go
+++ b/router/internal/daemon/platform.go
@@ -11,6 +11,7 @@
 
 	"masticplank.example/coordination/fold"
 	"masticplank.example/coordination/freshness"
+	"masticplank.example/coordination/ledger"
 	"masticplank.example/coordination/node"
 	"masticplank.example/coordination/platformlog"
 	"masticplank.example/coordination/record"
@@ -82,6 +83,26 @@
 
 func newStore(n *node.Node) node.Store { return n }
 
+// newBills is where bills go: a log of their own where the settings name one,
+// which keeps them out of what every instance reads.
+func newBills(lc fx.Lifecycle, cfg settings.Settings, store node.Store, dir *directory.Directory) ledger.Log {
+	if cfg.Platform.BillLogURL == "" {
+		return ledger.StoreLog{Store: store}
+	}
+	w := ledger.NewWriter(platform.NewLogClient(cfg.Platform.BillLogURL), ledger.WriterConfig{
+		Name:   cfg.Instance,
+		Linger: func() time.Duration { return billLinger(cfg, len(dir.Instances())) },
+	})
+	background(lc, w.Run)
+	return w
+}
+
+// billLinger keeps the appends of all instances together within the budget.
+func billLinger(cfg settings.Settings, live int) time.Duration {
+	share := time.Duration(live) * time.Second / time.Duration(cfg.Platform.AppendBudget)
+	return max(ms(cfg.Platform.LingerMS), share)
+}
+
 func startNode(lc fx.Lifecycle, n *node.Node, h *manifest.Holder, log *logging.Logger) {
 	n.Watch(record.ClassManifest, func(c fold.Change) {
 		if err := h.Fold(c); err != nil {
--- a/router/internal/daemon/report.go
+++ b/router/internal/daemon/report.go
@@ -7,6 +7,7 @@
 	"go.uber.org/fx"
 
 	"masticplank.example/coordination/freshness"
+	"masticplank.example/coordination/ledger"
 	"masticplank.example/coordination/node"
 	"masticplank.example/router/internal/api"
 	"masticplank.example/router/internal/billing"
@@ -103,4 +104,4 @@
 	return snapshot
 }
 
-func newBiller(store node.Store, p *peer.Node) *billing.Biller { return billing.New(store, p) }
+func newBiller(log ledger.Log, p *peer.Node) *billing.Biller { return billing.New(log, p) }
--- a/router/internal/e2e/failure_test.go
+++ b/router/internal/e2e/failure_test.go
@@ -16,9 +16,14 @@
 )
 
 // readyFleet starts three instances and publishes the first manifest.
-func readyFleet(t *testing.T, shopArgs ...string) *fleet {
+func readyFleet(t *testing.T) *fleet {
 	t.Helper()
-	f := startFleet(t, 3, shopArgs...)
+	return readyFleetWith(t, options{})
+}
+
+func readyFleetWith(t *testing.T, o options) *fleet {
+	t.Helper()
+	f := startFleet(t, 3, o)
 	eventually(t, "publishing", func() bool {
 		_, err := f.publish(testManifest("run-1"), "--rebase")
 		return err == nil
@@ -75,7 +80,7 @@
 // TestKilledWhileAReservationRuns kills the instance between the claim and the
 // answer. Sent again elsewhere it must not run again.
 func TestKilledWhileAReservationRuns(t *testing.T) {
-	f := readyFleet(t, "--work", "500ms")
+	f := readyFleetWith(t, options{shopArgs: []string{"--work", "500ms"}})
 	key := newKey()
 	first := make(chan reply, 1)
 	go func() { first <- f.reserve(f.instances[0], key) }()
@@ -171,6 +176,35 @@
 	}
 }
 
+// TestBillLogDown has bills in a log of their own and takes that one away: all
+// work goes on, reservations too, and each bill is in once the log is back.
+func TestBillLogDown(t *testing.T) {
+	f := readyFleetWith(t, options{billLog: true})
+	var keys []string
+	round := func() {
+		for _, i := range f.instances {
+			key := newKey()
+			keys = append(keys, key)
+			if r := f.reserve(i, key); outcomeOf(r) != "completed" {
+				t.Errorf("%s: %+v", i.name, r)
+			}
+		}
+	}
+	round()
+	f.faults(f.bills, map[string]any{"down": true})
+	round()
+	f.faults(f.bills, map[string]any{})
+	for _, i := range f.instances {
+		eventually(t, "held bills flushed", func() bool { return f.status(i).Held == 0 })
+	}
+	round()
+	for _, key := range keys {
+		if n, runs := f.billsOf(key), f.runs(key); n != 1 || runs != 1 {
+			t.Errorf("%s: %d bills, %d runs", key, n, runs)
+		}
+	}
+}
+
 // TestCutFromTheLogOnly cuts one instance's line to the log: it hears of a new
 // manifest from its peers.
 func TestCutFromTheLogOnly(t *testing.T) {
--- a/router/internal/e2e/fleet_test.go
+++ b/router/internal/e2e/fleet_test.go
@@ -18,8 +18,10 @@
 // fleet is the whole path: a log, a list, three engines, a shop service and some
 // instances, each a process of its own.
 type fleet struct {
-	t         testing.TB
-	log       string
+	t   testing.TB
+	log string
+	// bills is the address of the log that has the bills.
+	bills     string
 	list      string
 	shop      string
 	engines   []string
@@ -28,13 +30,27 @@
 	lines []*relay
 }
 
-func startFleet(t testing.TB, instances int, shopArgs ...string) *fleet {
+// options of a fleet.
+type options struct {
+	// shopArgs go to the shop service's command line.
+	shopArgs []string
+	// billLog gives bills a log of their own.
+	billLog bool
+}
+
+func startFleet(t testing.TB, instances int, o options) *fleet {
 	t.Helper()
 	f := &fleet{
 		t:    t,
 		log:  standin(t, "log"),
 		list: standin(t, "instances"),
-		shop: standin(t, "service", append([]string{"--name", "shop"}, shopArgs...)...),
+		shop: standin(t, "service", append([]string{"--name", "shop"}, o.shopArgs...)...),
+	}
+	f.bills = f.log
+	billURL := ""
+	if o.billLog {
+		f.bills = standin(t, "log")
+		billURL = "http://" + f.bills
 	}
 	rating := standin(t, "rating")
 	list := wire.InstanceList{Servers: []wire.ListedServer{
@@ -57,9 +73,10 @@
 		f.lines = append(f.lines, line)
 		name := fmt.Sprintf("entry-%d", n+1)
 		i := startInstance(t, name, domains[n%len(domains)], map[string]any{
-			"log_url":    "http://" + line.addr,
-			"list_url":   "http://" + f.list,
-			"rating_url": "http://" + rating,
+			"log_url":      "http://" + line.addr,
+			"bill_log_url": billURL,
+			"list_url":     "http://" + f.list,
+			"rating_url":   "http://" + rating,
 		})
 		f.instances = append(f.instances, i)
 		f.put("http://"+f.list+"/instances/"+name, wire.ListedInstance{ID: name, Peer: i.peer, Domain: domains[n%len(domains)]})
@@ -196,7 +213,7 @@
 // operators' tool.
 func (f *fleet) billsOf(request string) int {
 	f.t.Helper()
-	out, err := tool("ledger", "export", "--log", "http://"+f.log)
+	out, err := tool("ledger", "export", "--log", "http://"+f.bills)
 	if err != nil {
 		f.t.Fatalf("ledger export: %v: %s", err, out)
 	}
--- a/router/internal/e2e/publish_bench_test.go
+++ b/router/internal/e2e/publish_bench_test.go
@@ -17,7 +17,7 @@
 // manifest being in force at the slowest of 8 instances: healthy, and with one
 // cut from the log, which hears of it from its peers. Run it with scripts/bench.
 func BenchmarkPublish(b *testing.B) {
-	f := startFleet(b, publishInstances)
+	f := startFleet(b, publishInstances, options{})
 	eventually(b, "publishing", func() bool {
 		_, err := f.publish(testManifest("run-1"), "--rebase")
 		return err == nil
--- a/router/internal/peer/bills.go
+++ b/router/internal/peer/bills.go
@@ -131,7 +131,7 @@
 // where the log does not take them, has one more peer keep each. It returns how
 // many are left, which is 0 unless no peer answers or ctx ended.
 func (n *Node) Drain(ctx context.Context) int {
-	if n.store.Status().LogReachable {
+	if n.Bills.Reachable() {
 		n.flush(ctx)
 	}
 	return n.held.HandOver(ctx)
--- a/router/internal/peer/node.go
+++ b/router/internal/peer/node.go
@@ -49,6 +49,8 @@
 // Deps are what a Node works with.
 type Deps struct {
 	Store node.Store
+	// Bills takes the bills that were held; nil for the Store's log.
+	Bills ledger.Log
 	// Instances gives the platform's list; it may hold the own instance.
 	Instances func() []wire.ListedInstance
 	Vouches   Vouches
@@ -108,6 +110,9 @@
 	if deps.Registry == nil {
 		deps.Registry = gometrics.NewRegistry()
 	}
+	if deps.Bills == nil {
+		deps.Bills = ledger.StoreLog{Store: deps.Store}
+	}
 	if deps.Chooser == nil {
 		deps.Chooser = NewChooser(cfg.Self.Domain, cfg.Seed)
 	}
@@ -128,7 +133,7 @@
 		earlyRounds: rate.NewLimiter(rate.Every(time.Second), 1),
 		answered:    map[string]bool{},
 	}
-	n.held = newHeld(deps.Store.Put, n.copyOut)
+	n.held = newHeld(deps.Bills.Put, n.copyOut)
 	n.server = &server{
 		tls:      cfg.TLS,
 		handler:  jsonrpc2.HandlerWithError(n.handle).SuppressErrClosed(),
--- a/router/internal/peer/round.go
+++ b/router/internal/peer/round.go
@@ -54,7 +54,7 @@
 	if !reachable {
 		n.unlessBusy(&n.transferring, func() { n.takeOver(ctx, answers) })
 	}
-	if reachable && n.held.Len() > 0 {
+	if n.Bills.Reachable() && n.held.Len() > 0 {
 		n.unlessBusy(&n.flushing, func() { n.flush(ctx) })
 	}
 	wg.Wait()
--- a/router/internal/settings/fields.go
+++ b/router/internal/settings/fields.go
@@ -41,6 +41,7 @@
 		{"listen.peer", "", addressRule{}, "Where the other instances connect."},
 
 		{"platform.log_url", "", urlRule{required: true}, "The platform's append-only log."},
+		{"platform.bill_log_url", "", urlRule{}, "A log for bills alone, which no instance reads; empty for the log of all records. The same at every instance."},
 		{"platform.list_url", "", urlRule{required: true}, "The platform's list of live and leaving instances and backend servers."},
 		{"platform.rating_url", "", urlRule{}, "The service that rates answers; empty for none, then no cascade learns."},
 		{"platform.append_budget", "appends/s", intRule{1, 100_000}, "Appends a second for the whole fleet; each instance lingers long enough to stay inside its part."},
--- a/router/internal/settings/settings.go
+++ b/router/internal/settings/settings.go
@@ -32,9 +32,11 @@
 
 // Platform holds the base URLs of the platform's services.
 type Platform struct {
-	LogURL    string `json:"log_url"`
-	ListURL   string `json:"list_url"`
-	RatingURL string `json:"rating_url"`
+	LogURL string `json:"log_url"`
+	// BillLogURL is a log for bills alone; empty for LogURL.
+	BillLogURL string `json:"bill_log_url"`
+	ListURL    string `json:"list_url"`
+	RatingURL  string `json:"rating_url"`
 	// AppendBudget is appends a second for the whole fleet. Default 200.
 	AppendBudget int `json:"append_budget"`
 	// LingerMS is the shortest group commit interval. Default 20.
