A caller that leaves is billed for what came, in every order of events

Cause: TestCallerGoneFreesTheSlot was red now and then. Next looks at the context first, and a write that finds no caller ends the request as abandoned.

--- a/router/internal/api/attempt.go
+++ b/router/internal/api/attempt.go
@@ -131,6 +131,9 @@
 	}
 	x.logAttempt(ctx, d, failure)
 	x.ended(d, result, failure.Leaving)
+	if errors.Is(err, errCallerGone) {
+		x.abandon()
+	}
 }
 
 func (x *exchange) logAttempt(ctx context.Context, d decision.Dispatch, failure *upstream.Failure) {
--- a/router/internal/driver/ticket.go
+++ b/router/internal/driver/ticket.go
@@ -20,8 +20,13 @@
 	cancelled map[decision.AttemptID]bool
 }
 
-// Next waits for the next command. It returns ctx's error when that ends first.
+// Next waits for the next command. It returns ctx's error once that has ended,
+// also where a command waits: for a caller that has gone, the decision's word on a
+// cancelled attempt must not count as the end of the request.
 func (t *Ticket) Next(ctx context.Context) (decision.Command, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
 	select {
 	case cmd := <-t.commands:
 		return cmd, nil
