--- a/decision/internal/policytest/load.go
+++ b/decision/internal/policytest/load.go
@@ -29,6 +29,9 @@
 	Rate func(t time.Duration) float64
 	// Skew gives one team 80% of the load.
 	Skew bool
+	// Model is asked for by all requests; empty leaves it open. Only with one
+	// model do the teams compete for one thing, so that shares can be told.
+	Model decision.ModelID
 	// Bad is what becomes of smallNew from BadFrom on.
 	Bad     BadKind
 	BadFrom time.Duration
@@ -56,6 +59,10 @@
 	}
 }
 
+// largeSaturation is the rate that saturates the large model when all ask for
+// it, in parts of the deployment's saturation.
+const largeSaturation = 0.7
+
 const (
 	runLength = 240 * time.Second
 	runWarm   = 60 * time.Second
@@ -73,8 +80,10 @@
 	badRatings.Bad, badRatings.BadFrom = BadRatings, 100*time.Second
 	slow := base("one slow server a model", agency, steady(0.6))
 	slow.SlowFactor, slow.SlowFrom = 6, 60*time.Second
-	skew := base("one team at 80%, saturation x1.5", coop, steady(1.5))
-	skew.Skew = true
+	skew := base("one team at 80%, large model, saturation x2", coop, steady(2*largeSaturation))
+	skew.Skew, skew.Model = true, largeModel
+	shares := base("large model, saturation x2", agency, steady(2*largeSaturation))
+	shares.Model = largeModel
 	return []Load{
 		base("usual day", coop, steady(0.5)),
 		base("usual day", agency, steady(0.5)),
@@ -85,6 +94,7 @@
 		base("saturation x1", agency, steady(1)),
 		base("saturation x2", agency, steady(2)),
 		skew,
+		shares,
 		slow,
 		badErrors,
 		badRatings,
@@ -168,6 +178,7 @@
 		j.Deadline = start.Add(at + 5*time.Second)
 		return j
 	}
+	j.Model = l.Model
 	j.MaxTokens = 2 * j.tokens
 	j.Blocks = prompt(team, template, rng)
 	j.PromptTokens = len(j.Blocks) * blockTokens
--- a/decision/internal/policytest/report.go
+++ b/decision/internal/policytest/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"slices"
 	"time"
 )
@@ -15,10 +16,12 @@
 	// Seconds.
 	FirstP50, FirstP95, FirstP99 float64
 	WholeP50, WholeP95, WholeP99 float64
-	// Goodput is whole answers in time a second; Refused and Failed are parts of
-	// all requests.
-	Goodput, Refused, Failed float64
-	LeastShare               float64
+	// Goodput is whole answers in time a second, Work their generated tokens (with
+	// a tenth of the prompts') a second; Refused and Failed are parts of all
+	// requests.
+	Goodput, Work, Refused, Failed float64
+	// LeastShare is NaN where the teams do not compete for one model.
+	LeastShare float64
 	// Exposed is the requests that ran on the bad version, ExposedAfter the part
 	// of those that arrived after its first 50 bad answers.
 	Exposed, ExposedAfter float64
@@ -43,6 +46,7 @@
 		Goodput:       float64(t.Whole) / counted,
 		Refused:       float64(t.Refused) / all,
 		Failed:        float64(t.Failed+t.Late+t.Lost) / all,
+		Work:          t.work() / counted,
 		LeastShare:    t.leastShare(),
 		FalseVerdicts: float64(t.FalseVerdicts),
 		Exposed:       float64(t.bad.exposed),
@@ -69,6 +73,7 @@
 	{"whole p95 s", func(f Figures) float64 { return f.WholeP95 }, "%.2f"},
 	{"whole p99 s", func(f Figures) float64 { return f.WholeP99 }, "%.2f"},
 	{"goodput /s", func(f Figures) float64 { return f.Goodput }, "%.1f"},
+	{"work /s", func(f Figures) float64 { return f.Work }, "%.0f"},
 	{"refused %", func(f Figures) float64 { return 100 * f.Refused }, "%.1f"},
 	{"failed %", func(f Figures) float64 { return 100 * f.Failed }, "%.1f"},
 	{"least share", func(f Figures) float64 { return f.LeastShare }, "%.2f"},
@@ -112,6 +117,10 @@
 		fmt.Fprintf(w, "\n| %s |", r.Policy)
 		for _, c := range Columns {
 			s := SpreadOf(r.Runs, c.Of)
+			if math.IsNaN(s.Median) {
+				fmt.Fprint(w, " – |")
+				continue
+			}
 			fmt.Fprintf(w, " "+c.Form+" ("+c.Form+"–"+c.Form+") |", s.Median, s.Low, s.High)
 		}
 	}
--- a/decision/internal/policytest/tally.go
+++ b/decision/internal/policytest/tally.go
@@ -1,6 +1,7 @@
 package policytest
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -186,16 +187,26 @@
 	return s[min(int(p*float64(len(s))), len(s)-1)]
 }
 
+// work is the size of what was answered.
+func (t *Tally) work() float64 {
+	total := 0.0
+	for i := range teamShares {
+		total += t.teams[teamID(i)].got
+	}
+	return total
+}
+
 // leastShare is the lowest ratio over the teams of what a team got to its
 // weighted max-min share of what all got. Teams that wanted less than their
 // share should get it all, and nobody's surplus counts against another.
 func (t *Tally) leastShare() float64 {
-	total := 0.0
+	if t.load.Model == "" {
+		return math.NaN()
+	}
+	total := t.work()
 	open := make([]*teamTally, 0, len(t.teams))
 	for i := range teamShares {
-		team := t.teams[teamID(i)]
-		total += team.got
-		open = append(open, team)
+		open = append(open, t.teams[teamID(i)])
 	}
 	least := 1.0
 	for len(open) > 0 {
