gate: a pause ends freshness, as the design says

Cause: the tracker finds a pause by the gap between ticks, and nothing in the router ticked it: Tracker.Tick had no caller, so its last tick stayed zero and no gap was ever seen. An instance that resumed from a pause of F/2 to F (2.5 to 5 s) let new work in on what it knew before the pause. Past F the age of the last confirmation caught it (TestFrozenInstanceMissesAWithdrawal), but only by a clock that runs on; a suspended machine's monotonic clock does not.

Each look of the gate is now a tick; the freshness loop looks every 100 ms.

Seen red without the tick: "paused: got "", want instance_not_fresh". go test -race ./internal/gate; go test ./internal/e2e ./internal/demo ./internal/daemon: green.

--- a/router/internal/gate/gate.go
+++ b/router/internal/gate/gate.go
@@ -91,8 +91,12 @@
 
 // mode looks at the clock; whoever finds a change tells of it, under the lock,
 // so that the decision has heard of a mode before a caller is let in by it.
+// Each look is a tick, so a pause is found by the first look after it, and what
+// was known before it does not let anything in.
 func (g *Gate) mode() freshness.Mode {
-	mode := g.tracker.Mode(g.now())
+	now := g.now()
+	g.tracker.Tick(now)
+	mode := g.tracker.Mode(now)
 	if mode != g.last {
 		g.last = mode
 		g.changed(mode)
