--- a/router/internal/billing/billing.go
+++ b/router/internal/billing/billing.go
@@ -67,12 +67,14 @@
 	}
 }
 
-// try puts the bill into the log, or holds it.
+// try puts the bill into the log, or holds it. Holding has bounds of its own and
+// is not cut off by ctx: after a pause of this process ctx may have ended without
+// anything having been tried.
 func (b *Biller) try(ctx context.Context, rec record.Record) error {
 	if b.log.Reachable() && b.put(ctx, rec) {
 		return nil
 	}
-	return trace.Wrap(b.holder.Hold(ctx, rec))
+	return trace.Wrap(b.holder.Hold(context.WithoutCancel(ctx), rec))
 }
 
 func (b *Biller) put(ctx context.Context, rec record.Record) bool {
