--- a/decision/load_test.go
+++ b/decision/load_test.go
@@ -200,6 +200,29 @@
 	}
 }
 
+// A queue that stands is kept short: callers of an overloaded pool wait for a part
+// of their time only, and as many are answered.
+func TestStandingQueueIsShort(t *testing.T) {
+	h, rng := loadWorld(t, teamOf("weavers", 1), teamOf("shops", 1))
+	load := []demand{
+		{perSecond: 240, request: drafting("weavers"), deadline: 10 * time.Second},
+		{perSecond: 240, request: drafting("shops"), deadline: 10 * time.Second},
+	}
+	offer(h, rng, 15*time.Second, load...)
+	clear(h.outcomes)
+	offer(h, rng, 10*time.Second, load...)
+	answered := h.delivered("")
+	h.run(10 * time.Second)
+	h.settled()
+	h.refusedAtOnce()
+	if p95 := percentile(h.waits("shops"), 0.95); p95 > 3*time.Second {
+		t.Errorf("p95 of the answers: %v of 10 s", p95)
+	}
+	if answered < 2400*95/100 {
+		t.Errorf("%d answered in 10 s, want 2400", answered)
+	}
+}
+
 // Long work of one team does not starve the short work of another.
 func TestLongAndShort(t *testing.T) {
 	h, rng := loadWorld(t, teamOf("long", 1), teamOf("short", 1))
--- a/decision/world_test.go
+++ b/decision/world_test.go
@@ -79,7 +79,7 @@
 		},
 		{
 			name: "outage, not idempotent", request: Request{Model: "weave"},
-			setup: func(h *harness) { h.send(FreshnessChanged{Fresh: true, Outage: true}) },
+			setup: func(h *harness) { h.send(FreshnessChanged{Fresh: true, Outage: true}); h.tick() },
 			want:  Refuse{Request: 1, Reason: ReasonOutage},
 		},
 		{
