--- a/coordination/faultmatrix/bed_test.go
+++ b/coordination/faultmatrix/bed_test.go
@@ -67,7 +67,8 @@
 		}
 		return nil
 	}
-	cfg := node.Config{Name: name, Fold: foldConfig}
+	// Pages are small, so that catching up takes several reads.
+	cfg := node.Config{Name: name, Fold: foldConfig, PageLimit: 2}
 	n, err := node.New(b.log.Client(name), cfg, node.WithSeed(uint64(name[0])),
 		node.WithObserver(in.tracker), node.WithValidator(record.ClassManifest, refuse))
 	if err == nil {
@@ -234,7 +235,7 @@
 	if peer != nil {
 		copyTo = func(_ context.Context, r record.Record) error { return peer.Accept(r) }
 	}
-	buf := ledger.NewBuffer(1, in.Put, copyTo)
+	buf := ledger.NewBuffer(ledger.Limits{Bills: 1}, in.Put, copyTo)
 	room, err := buf.Reserve()
 	if err != nil {
 		b.t.Fatal(err)
--- a/coordination/history/history_test.go
+++ b/coordination/history/history_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/anishathalye/porcupine"
+	"go.uber.org/goleak"
 
 	"masticplank.example/coordination/fold"
 	"masticplank.example/coordination/ledger"
@@ -25,6 +26,8 @@
 	first = flag.Uint64("history.first", 0, "first seed")
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 func eachSeed(t *testing.T, f func(t *testing.T, seed uint64)) {
 	t.Logf("seeds %d to %d", *first, *first+uint64(*seeds)-1)
 	for i := range uint64(*seeds) {
@@ -352,7 +355,7 @@
 		}
 	}
 	for slot := range 2 {
-		buffer := ledger.NewBuffer(0, c.node(slot).Put, nil)
+		buffer := ledger.NewBuffer(ledger.Limits{}, c.node(slot).Put, nil)
 		for _, rec := range b.bills {
 			if err := buffer.Accept(rec); err != nil {
 				t.Error(err)
@@ -363,7 +366,7 @@
 		}
 	}
 	exported := map[string]int{}
-	_, err := ledger.Export(context.Background(), c.log.Client("export"), fold.DefaultConfig(), 0, func(l ledger.Line) error {
+	_, err := ledger.Export(context.Background(), c.whole().Client("export"), fold.DefaultConfig(), 0, func(l ledger.Line) error {
 		exported[l.Request]++
 		return nil
 	})
--- a/router/internal/api/api.go
+++ b/router/internal/api/api.go
@@ -39,6 +39,8 @@
 // Servers finds a backend server's address.
 type Servers interface {
 	Addr(decision.ServerID) (string, bool)
+	// Answered takes the load that a server told on an answer; empty for none.
+	Answered(id decision.ServerID, load string)
 }
 
 // Recorder takes the service-level figures of each ended request. Safe for
@@ -83,6 +85,9 @@
 	MaxBody int64
 	// ReadTimeout bounds the reading of a body, against slow callers.
 	ReadTimeout time.Duration
+	// WriteTimeout bounds each write to a caller: one that does not read must
+	// not hold an engine's slot.
+	WriteTimeout time.Duration
 	// DefaultDeadline for a request that names none.
 	DefaultDeadline time.Duration
 	// MaxDeadline caps what a caller may ask for.
--- a/router/internal/api/outcome_test.go
+++ b/router/internal/api/outcome_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/uuid"
 
@@ -190,7 +193,7 @@
 		{"not fresh at dispatch", func(f *fixture) { f.gate.refuse(decision.ReasonNotFresh, 1) }, "refused", "completed"},
 		{"not fresh after the claim", func(f *fixture) { f.gate.refuse(decision.ReasonNotFresh, 2) }, "refused", "completed"},
 		{"backend server refuses", func(f *fixture) { f.script(status(503, true)) }, "refused", "completed"},
-		{"backend server dies", func(f *fixture) { f.script(hangUp) }, "failed", "already_run"},
+		{"backend server dies", func(f *fixture) { f.script(hangUp) }, "unknown", "already_run"},
 		{"backend server fails", func(f *fixture) { f.script(status(500, false)) }, "failed", "already_run"},
 		{"another's answer", func(f *fixture) { f.script(wrongNonce) }, "unknown", "already_run"},
 	} {
@@ -231,20 +234,52 @@
 	return got
 }
 
-// TestCallerGoneFreesTheSlot cancels a stream in the middle: the engine sees it
-// end, and what was generated is billed once.
+// TestCallerGoneFreesTheSlot reads the first token of a stream and leaves: the
+// engine sees it end, and what was generated is billed once.
 func TestCallerGoneFreesTheSlot(t *testing.T) {
 	f := newFixture(t)
-	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	f.script(func(w http.ResponseWriter, r *http.Request) {
 		chatStream(token1)(w, r)
-		cancel()
 		<-r.Context().Done()
 		close(ended)
 	})
-	f.call(ctx, http.MethodPost, "/v1/chat/completions", streamed, "")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	resp := f.open(ctx, http.MethodPost, "/v1/chat/completions", streamed, "")
+	defer resp.Body.Close()
+	if _, err := io.ReadFull(resp.Body, make([]byte, len(token1))); err != nil {
+		t.Fatal(err)
+	}
+	cancel()
 	<-ended
 	f.eventually("the ticket closes", func() bool { return f.driver.Open() == 0 })
 	f.eventually("the bill", func() bool { return len(f.bills()) == 1 })
 }
+
+// TestCallerThatDoesNotReadFreesTheSlot opens a stream and never reads it. The
+// engine writes more than the buffers between hold; past the write timeout its
+// request is cancelled.
+func TestCallerThatDoesNotReadFreesTheSlot(t *testing.T) {
+	f := newFixtureWith(t, 50*time.Millisecond)
+	wide := `{"choices":[{"delta":{"content":"` + strings.Repeat("x", 64<<10) + `"}}]}`
+	cancelled := make(chan struct{})
+	f.script(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(wire.HeaderAttempt, r.Header.Get(wire.HeaderAttempt))
+		for r.Context().Err() == nil {
+			_, _ = io.WriteString(w, "data: "+wide+"\n\n")
+		}
+		close(cancelled)
+	})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.edge.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	head := "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + teamKey + "\r\n"
+	if _, err := io.WriteString(conn, head+"Content-Length: "+strconv.Itoa(len(streamed))+"\r\n\r\n"+streamed); err != nil {
+		t.Fatal(err)
+	}
+	<-cancelled
+	f.eventually("the ticket closes", func() bool { return f.driver.Open() == 0 })
+}
--- a/router/internal/daemon/peers.go
+++ b/router/internal/daemon/peers.go
@@ -10,6 +10,7 @@
 	"go.uber.org/fx"
 
 	"masticplank.example/coordination/fold"
+	"masticplank.example/coordination/ledger"
 	"masticplank.example/coordination/node"
 	"masticplank.example/coordination/record"
 	"masticplank.example/router/internal/directory"
@@ -27,6 +28,7 @@
 
 	Settings  settings.Settings
 	Store     node.Store
+	Bills     ledger.Log
 	Directory *directory.Directory
 	Gate      *gate.Gate
 	Driver    *driver.Driver
@@ -47,6 +49,7 @@
 		Seed:     randomSeed(),
 	}, peer.Deps{
 		Store:     p.Store,
+		Bills:     p.Bills,
 		Instances: p.Directory.Instances,
 		Vouches:   p.Gate,
 		Events:    fromPeers{p.Fleet, p.Driver},
@@ -59,7 +62,7 @@
 }
 
 // startPeers serves the other instances and follows what they pass on by the
-// log. At the stop no bill stays here alone.
+// log.
 func startPeers(lc fx.Lifecycle, p peerParams, n *peer.Node, self *Instance) {
 	p.Store.Watch(record.ClassQuarantine, func(c fold.Change) {
 		if ev, ok := quarantined(c); ok {
@@ -82,5 +85,4 @@
 			p.Log.Emit(ctx, logging.EventPeerRejected, logging.Err(err))
 		}
 	})
-	lc.Append(fx.StopHook(func(ctx context.Context) { n.Drain(ctx) }))
 }
--- a/router/internal/daemon/report.go
+++ b/router/internal/daemon/report.go
@@ -7,6 +7,7 @@
 	"go.uber.org/fx"
 
 	"masticplank.example/coordination/freshness"
+	"masticplank.example/coordination/ledger"
 	"masticplank.example/coordination/node"
 	"masticplank.example/router/internal/api"
 	"masticplank.example/router/internal/billing"
@@ -50,7 +51,7 @@
 }
 
 // status answers /status and /burn.
-type status struct{ statusParams }
+type status struct{ parts statusParams }
 
 type statusParams struct {
 	fx.In
@@ -65,7 +66,7 @@
 	Report   *report.Recorder
 }
 
-func newStatus(p statusParams) *status { return &status{p} }
+func newStatus(p statusParams) *status { return &status{parts: p} }
 
 var modeNames = map[freshness.Mode]string{
 	freshness.ModeStale:  "stale",
@@ -75,19 +76,19 @@
 
 // report is the body of /status.
 func (s *status) report() report.StatusReport {
-	log := s.Node.Status()
-	shutOff, ejected := s.Fleet.status()
+	log := s.parts.Node.Status()
+	shutOff, ejected := s.parts.Fleet.status()
 	return report.StatusReport{
-		Instance:     s.Settings.Instance,
-		Domain:       s.Settings.Domain,
-		Generation:   s.Holder.Generation(),
-		Mode:         modeNames[s.Gate.Mode()],
-		Open:         s.Driver.Open(),
+		Instance:     s.parts.Settings.Instance,
+		Domain:       s.parts.Settings.Domain,
+		Generation:   s.parts.Holder.Generation(),
+		Mode:         modeNames[s.parts.Gate.Mode()],
+		Open:         s.parts.Driver.Open(),
 		Offset:       log.Next,
 		Head:         log.Head,
 		Lag:          max(log.Head, log.Next) - log.Next,
 		LogReachable: log.LogReachable,
-		HeldBills:    s.Peers.Held(),
+		HeldBills:    s.parts.Peers.Held(),
 		ShutOff:      shutOff,
 		Ejected:      ejected,
 	}
@@ -96,11 +97,11 @@
 // burn is the body of /burn. A snapshot that cannot be encoded is a broken
 // invariant of the histograms; the report then names this instance as empty.
 func (s *status) burn() report.Snapshot {
-	snapshot, err := s.Report.Snapshot(s.Settings.Instance)
+	snapshot, err := s.parts.Report.Snapshot(s.parts.Settings.Instance)
 	if err != nil {
-		return report.Snapshot{Instance: s.Settings.Instance}
+		return report.Snapshot{Instance: s.parts.Settings.Instance}
 	}
 	return snapshot
 }
 
-func newBiller(store node.Store, p *peer.Node) *billing.Biller { return billing.New(store, p) }
+func newBiller(log ledger.Log, p *peer.Node) *billing.Biller { return billing.New(log, p) }
--- a/router/internal/peer/fixture_test.go
+++ b/router/internal/peer/fixture_test.go
@@ -15,6 +15,7 @@
 
 	"masticplank.example/coordination/fold"
 	"masticplank.example/coordination/freshness"
+	"masticplank.example/coordination/ledger"
 	"masticplank.example/coordination/node"
 	"masticplank.example/coordination/record"
 	"masticplank.example/decision"
@@ -36,6 +37,7 @@
 	outcome  node.Outcome
 	puts     []record.Record
 	watch    func(fold.Change)
+	restores chan struct{}
 }
 
 func (f *fakeStore) set(change func(*fakeStore)) {
@@ -69,6 +71,9 @@
 		return errBadSnapshot
 	}
 	f.restored = data
+	if f.restores != nil {
+		f.restores <- struct{}{}
+	}
 	return nil
 }
 
@@ -86,9 +91,16 @@
 	store   *fakeStore
 	events  chan decision.Event
 	vouches chan freshness.Vouch
-	hints   chan struct{}
+
+	mu    sync.Mutex
+	clock time.Time
 }
 
+func (i *inst) now() time.Time { i.mu.Lock(); defer i.mu.Unlock(); return i.clock }
+
+// pass moves the instance's clock on.
+func (i *inst) pass(d time.Duration) { i.mu.Lock(); defer i.mu.Unlock(); i.clock = i.clock.Add(d) }
+
 func (i *inst) Vouched(v freshness.Vouch) {
 	select {
 	case i.vouches <- v:
@@ -103,6 +115,12 @@
 // fleet starts n instances on loopback that list each other. Their rounds are
 // run by the test.
 func fleet(t testing.TB, n int, tlsOf func(int) *tls.Config) []*inst {
+	t.Helper()
+	return fleetOn(t, n, tlsOf, nil)
+}
+
+// fleetOn is a fleet whose stores come from storeOf, by the instance's name.
+func fleetOn(t testing.TB, n int, tlsOf func(int) *tls.Config, storeOf func(string) node.Store) []*inst {
 	t.Helper()
 	list := make([]wire.ListedInstance, n)
 	listeners := make([]net.Listener, n)
@@ -116,30 +134,33 @@
 	}
 	out := make([]*inst, n)
 	for i := range n {
-		out[i] = start(t, list, i, listeners[i], tlsOf)
+		out[i] = start(t, list, i, listeners[i], tlsOf, storeOf)
 	}
 	return out
 }
 
-func start(t testing.TB, list []wire.ListedInstance, i int, ln net.Listener, tlsOf func(int) *tls.Config) *inst {
+func start(t testing.TB, list []wire.ListedInstance, i int, ln net.Listener, tlsOf func(int) *tls.Config, storeOf func(string) node.Store) *inst {
 	t.Helper()
 	one := &inst{
 		store:   &fakeStore{outcome: node.OutcomeWon, status: node.Status{LogReachable: true, LastHeadRead: fixed}},
 		events:  make(chan decision.Event, 100),
 		vouches: make(chan freshness.Vouch, 1000),
-		hints:   make(chan struct{}, 100),
 	}
 	cfg := Config{Self: list[i], Interval: time.Hour, Seed: uint64(i)}
 	if tlsOf != nil {
 		cfg.TLS = tlsOf(i)
 	}
+	one.clock = fixed
+	store := node.Store(one.store)
+	if storeOf != nil {
+		store = storeOf(list[i].ID)
+	}
 	one.Node = New(cfg, Deps{
-		Store:     one.store,
+		Store:     store,
 		Instances: func() []wire.ListedInstance { return list },
 		Vouches:   one,
 		Events:    one,
-		Hint:      func() { one.hints <- struct{}{} },
-		Now:       func() time.Time { return fixed },
+		Now:       one.now,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -160,11 +181,29 @@
 }
 
 func bill(n byte) record.Record {
-	return record.Record{
-		Kind:  record.KindPut,
-		Key:   record.Key(fmt.Sprintf("bill/ecole/%d", n)),
-		Nonce: record.Nonce{n + 1},
-		Value: []byte(`{"cost":1}`),
+	b := ledger.Bill{Team: "ecole", Request: fmt.Sprint(n), CostMicros: 1, Attempts: 1}
+	r, err := b.Record()
+	if err != nil {
+		panic(err)
+	}
+	return r
+}
+
+// fill takes all room for bills, and returns what gives it back.
+func (i *inst) fill(t *testing.T) (empty func()) {
+	t.Helper()
+	var taken []*ledger.Reservation
+	for !i.Full() {
+		room, err := i.held.Reserve()
+		if err != nil {
+			t.Fatal(err)
+		}
+		taken = append(taken, room)
+	}
+	return func() {
+		for _, room := range taken {
+			room.Cancel()
+		}
 	}
 }
 
