decision: goals of cost, exposure and goodput as tests

Found: at twice saturation 83 of some 2,900 requests are refused only when their deadline has come. A queued request that can no longer be in time is looked at when it would be next, and at its deadline, and not in between.

--- a/decision/internal/policytest/bench.go
+++ b/decision/internal/policytest/bench.go
@@ -100,6 +100,10 @@
 	for _, c := range b.callers {
 		b.tally.lost(c)
 	}
+	for _, e := range b.engines {
+		b.tally.blocks += e.asked
+		b.tally.cached += e.hits
+	}
 }
 
 // faults applies the load's slow servers.
--- a/decision/internal/policytest/engine.go
+++ b/decision/internal/policytest/engine.go
@@ -40,6 +40,8 @@
 	seq     uint64
 	added   []decision.BlockHash
 	removed []decision.BlockHash
+	// asked and hits count the blocks of prompts, and those found in the cache.
+	asked, hits int
 }
 
 func newEngine(s decision.Server) *engine {
@@ -166,6 +168,8 @@
 		}
 		hit++
 	}
+	e.asked += len(r.job.Blocks)
+	e.hits += hit
 	r.prefill = float64(max(len(r.job.Blocks)-hit, 1) * blockTokens)
 	r.left = float64(r.job.tokens)
 }
--- /dev/null
+++ b/decision/internal/policytest/goals_test.go
@@ -0,0 +1,90 @@
+package policytest
+
+import (
+	"testing"
+	"time"
+)
+
+// short is a load cut to what a test can afford.
+func short(l Load) Load {
+	l.Length, l.Warm = 120*time.Second, 40*time.Second
+	l.BadFrom, l.SlowFrom = 60*time.Second, 40*time.Second
+	return l
+}
+
+func find(t *testing.T, deployment, name string) Load {
+	t.Helper()
+	for _, l := range Loads() {
+		if l.Deployment.Name == deployment && l.Name == name {
+			return short(l)
+		}
+	}
+	t.Fatalf("no load %s of %s", name, deployment)
+	return Load{}
+}
+
+func variantNamed(t *testing.T, name string) Variant {
+	t.Helper()
+	for _, v := range Variants() {
+		if v.Name == name {
+			return v
+		}
+	}
+	t.Fatalf("no policy %s", name)
+	return Variant{}
+}
+
+// figures runs one seed and checks what must hold of every run.
+func figures(t *testing.T, l Load, policy string) Figures {
+	t.Helper()
+	tally := Run(l, 1, variantNamed(t, policy).New)
+	if tally.Lost > 0 || tally.Broken > 0 {
+		t.Errorf("%s, %s: %d lost, %d broken commands", l.Name, policy, tally.Lost, tally.Broken)
+	}
+	return tally.Figures()
+}
+
+func TestCostAtTheQualityTarget(t *testing.T) {
+	t.Parallel()
+	l := find(t, "co-op", "usual day")
+	got := figures(t, l, "decision")
+	best := figures(t, l, "always the best model")
+	fixed := figures(t, l, "fixed cascade")
+	if got.Cost > 0.6*best.Cost || got.Cost >= fixed.Cost {
+		t.Errorf("cost %.3f, always the best %.3f, fixed cascade %.3f", got.Cost, best.Cost, fixed.Cost)
+	}
+	if got.Missed > 0.03 {
+		t.Errorf("a target was missed by %.3f", got.Missed)
+	}
+}
+
+func TestBadVersionExposure(t *testing.T) {
+	t.Parallel()
+	for _, l := range []Load{find(t, "agency", "version fails one in four"), find(t, "co-op", "version rated half")} {
+		if got := figures(t, l, "decision"); got.ExposedAfter > 0.01 || got.Exposed > 120 || got.FalseVerdicts > 0 {
+			t.Errorf("%s: %.0f requests on it, %.4f after 50 bad answers, %.0f false verdicts",
+				l.Name, got.Exposed, got.ExposedAfter, got.FalseVerdicts)
+		}
+	}
+}
+
+func TestGoodputBeyondSaturation(t *testing.T) {
+	t.Parallel()
+	once := figures(t, find(t, "co-op", "saturation x1"), "decision")
+	twice := figures(t, find(t, "co-op", "saturation x2"), "decision")
+	if twice.Goodput < 0.95*once.Goodput || twice.Work < 0.95*once.Work {
+		t.Errorf("goodput %.1f at saturation and %.1f at twice; work %.0f and %.0f",
+			once.Goodput, twice.Goodput, once.Work, twice.Work)
+	}
+}
+
+// Equal seeds give equal figures: without that no measurement can be repeated.
+func TestRunsRepeat(t *testing.T) {
+	t.Parallel()
+	l := find(t, "co-op", "wool-order rush")
+	l.Length, l.Warm = 40*time.Second, 10*time.Second
+	a, b := figures(t, l, "decision"), figures(t, l, "decision")
+	if a.Cost != b.Cost || a.FirstP99 != b.FirstP99 || a.Goodput != b.Goodput || a.Cached != b.Cached {
+		t.Errorf("%+v\n%+v", a, b)
+	}
+}
--- a/decision/internal/policytest/report.go
+++ b/decision/internal/policytest/report.go
@@ -20,6 +20,8 @@
 	// a tenth of the prompts') a second; Refused and Failed are parts of all
 	// requests.
 	Goodput, Work, Refused, Failed float64
+	// Cached is the part of prompt blocks found in a prefix cache.
+	Cached float64
 	// LeastShare is NaN where the teams do not compete for one model.
 	LeastShare float64
 	// Exposed is the requests that ran on the bad version, ExposedAfter the part
@@ -47,6 +49,7 @@
 		Refused:       float64(t.Refused) / all,
 		Failed:        float64(t.Failed+t.Late+t.Lost) / all,
 		Work:          t.work() / counted,
+		Cached:        float64(t.cached) / max(float64(t.blocks), 1),
 		LeastShare:    t.leastShare(),
 		FalseVerdicts: float64(t.FalseVerdicts),
 		Exposed:       float64(t.bad.exposed),
@@ -76,6 +79,7 @@
 	{"work /s", func(f Figures) float64 { return f.Work }, "%.0f"},
 	{"refused %", func(f Figures) float64 { return 100 * f.Refused }, "%.1f"},
 	{"failed %", func(f Figures) float64 { return 100 * f.Failed }, "%.1f"},
+	{"prefix cached %", func(f Figures) float64 { return 100 * f.Cached }, "%.0f"},
 	{"least share", func(f Figures) float64 { return f.LeastShare }, "%.2f"},
 	{"on bad", func(f Figures) float64 { return f.Exposed }, "%.0f"},
 	{"false verdicts", func(f Figures) float64 { return f.FalseVerdicts }, "%.0f"},
--- a/decision/internal/policytest/tally.go
+++ b/decision/internal/policytest/tally.go
@@ -47,6 +47,8 @@
 	// wholes are times of whole answers of models, firsts the times to the first
 	// token of those that are streamed.
 	firsts, wholes []time.Duration
+	// blocks are those of all prompts, cached those found in a prefix cache.
+	blocks, cached int
 	teams          map[decision.TeamID]*teamTally
 	bad            badTally
 }
