Instances forget bills after ten minutes; the ledger's reader does not

Ruled out: not keeping them at all, since the retries of a bill and the copies that peers held then look like news. A copy that comes later is void at the reader of the ledger, which keeps bills for the retention (TestLateCopyIsVoidAtTheReader). 10,000 bills at one a second leave 610 registers at most.

--- a/coordination/fold/fold.go
+++ b/coordination/fold/fold.go
@@ -84,6 +84,11 @@
 	ClockSkew time.Duration
 	// Retention is how long the log keeps records. Default 24 h.
 	Retention time.Duration
+	// BillLife is how long a bill's register is kept in memory. Default 10 min,
+	// at most the Retention: long enough that the retries of a bill, and the
+	// copies that peers held, meet it. Whoever reads the ledger keeps them for
+	// the Retention, so a doubled bill is void there however late it comes.
+	BillLife time.Duration
 }
 
 // DefaultConfig returns the defaults given at Config's fields.
@@ -92,5 +97,6 @@
 		ClaimWindow: 12 * time.Hour,
 		ClockSkew:   30 * time.Second,
 		Retention:   24 * time.Hour,
+		BillLife:    10 * time.Minute,
 	}
 }
--- a/coordination/fold/fold_test.go
+++ b/coordination/fold/fold_test.go
@@ -215,6 +215,23 @@
 	}
 }
 
+// TestBillsAreForgottenLongBeforeTheLog counts what a day's bills leave behind.
+func TestBillsAreForgottenLongBeforeTheLog(t *testing.T) {
+	s := New(DefaultConfig(), Options{})
+	start := time.Date(2026, 9, 1, 8, 0, 0, 0, time.UTC)
+	for i := range 10_000 {
+		at := start.Add(time.Duration(i) * time.Second)
+		b := record.Batch{Writer: "a", Records: []record.Record{put(record.Key(fmt.Sprintf("bill/t/%d", i)), 1)}}
+		if _, err := s.ApplyBatch(uint64(i), at, &b, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// One a second for 10 min, and a bucket.
+	if n := s.Len(); n > 610 {
+		t.Errorf("%d registers", n)
+	}
+}
+
 func TestMalformedEntryIsSkipped(t *testing.T) {
 	s := New(testConfig, Options{})
 	if _, err := s.Apply(platformlog.Entry{Offset: 0, Data: []byte("junk")}, nil); err != nil {
--- a/coordination/fold/rules.go
+++ b/coordination/fold/rules.go
@@ -13,6 +13,7 @@
 	window        int64
 	skew          int64
 	retention     int64
+	billLife      int64
 	claimLife     int64
 	tombstoneLife int64
 }
@@ -22,6 +23,7 @@
 		window:    cfg.ClaimWindow.Microseconds(),
 		skew:      cfg.ClockSkew.Microseconds(),
 		retention: cfg.Retention.Microseconds(),
+		billLife:  cfg.BillLife.Microseconds(),
 	}
 	// A key may be claimed from skew before its time until a window past it,
 	// so a claim is kept for longer than any other Put of its key can win.
@@ -40,10 +42,9 @@
 	case record.ClassClaim:
 		return now + r.claimLife
 	case record.ClassBill:
-		// The log holds a bill for the retention; a reader of the stream sees
-		// both copies of a doubled one within it. Past it, only memory is
-		// saved by forgetting.
-		return now + r.retention
+		// Nobody but the ledger's reader needs a bill for longer, and bills are
+		// most of all records: see Config.BillLife.
+		return now + r.billLife
 	}
 	if lifetime == 0 {
 		return 0
--- a/coordination/fold/state.go
+++ b/coordination/fold/state.go
@@ -85,6 +85,10 @@
 	if c.Retention <= 0 {
 		c.Retention = d.Retention
 	}
+	if c.BillLife <= 0 {
+		c.BillLife = d.BillLife
+	}
+	c.BillLife = min(c.BillLife, c.Retention)
 	return c
 }
 
--- a/coordination/ledger/export.go
+++ b/coordination/ledger/export.go
@@ -49,6 +49,12 @@
 		return e.sum, err
 	}
 	e.sum.First, e.sum.Next = first, first
+	// The reader keeps bills for as long as the log does: it is here that a copy
+	// which comes late is void.
+	if cfg.Retention <= 0 {
+		cfg.Retention = fold.DefaultConfig().Retention
+	}
+	cfg.BillLife = cfg.Retention
 	state := fold.NewFrom(cfg, fold.Options{}, first)
 	for {
 		page, err := log.Read(ctx, e.sum.Next, exportPage, 0)
--- a/coordination/ledger/ledger_test.go
+++ b/coordination/ledger/ledger_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -340,3 +341,37 @@
 		}
 	})
 }
+
+// TestLateCopyIsVoidAtTheReader appends a bill twice, hours apart: instances have
+// forgotten the first one by then, the ledger's reader has not.
+func TestLateCopyIsVoidAtTheReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logtest.New()
+		w := NewWriter(log.Client("entry-1"), WriterConfig{Name: "entry-1"})
+		ctx, stop := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { w.Run(ctx) })
+		for _, tokens := range []uint64{5, 7} {
+			bill := &Bill{Team: "weavers", Request: "r1", OutputTokens: tokens}
+			r, err := bill.Record()
+			if err != nil {
+				t.Fatal(err)
+			}
+			w.Put(t.Context(), r)
+			time.Sleep(3 * time.Hour)
+		}
+		stop()
+		running.Wait()
+		var got []uint64
+		for _, cfg := range []fold.Config{{}, fold.DefaultConfig()} {
+			got = nil
+			_, err := Export(t.Context(), log.Client("reader"), cfg, 0, func(l Line) error {
+				got = append(got, l.OutputTokens)
+				return nil
+			})
+			if err != nil || !slices.Equal(got, []uint64{5}) {
+				t.Errorf("bills %v, error %v", got, err)
+			}
+		}
+	})
+}
