A load tool of the product, used by the benches

Cause: the benches had a load generator of their own in test files, a third of them, and operators had none. masticplank load sends a bounded load to loopback and nowhere else.

--- a/router/cmd/masticplank/main.go
+++ b/router/cmd/masticplank/main.go
@@ -10,6 +10,7 @@
 	"masticplank.example/router/internal/cli"
 	"masticplank.example/router/internal/cli/democmd"
 	"masticplank.example/router/internal/cli/ledgercmd"
+	"masticplank.example/router/internal/cli/loadcmd"
 	"masticplank.example/router/internal/cli/manifestcmd"
 	"masticplank.example/router/internal/cli/reportcmd"
 	"masticplank.example/router/internal/cli/settingscmd"
@@ -35,6 +36,7 @@
 	root.AddCommand(
 		democmd.New(),
 		ledgercmd.New(),
+		loadcmd.New(),
 		manifestcmd.New(),
 		reportcmd.New(),
 		settingscmd.New(),
--- /dev/null
+++ b/router/internal/cli/loadcmd/loadcmd.go
@@ -0,0 +1,117 @@
+// Package loadcmd is "masticplank load": a bounded load on loopback, and what its
+// callers got.
+package loadcmd
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"masticplank.example/router/internal/cli"
+	"masticplank.example/router/internal/loadgen"
+)
+
+// Bounds of the flags: a load ends by itself and cannot take a machine down.
+const (
+	maxCallers = 4096
+	maxLength  = 10 * time.Minute
+	maxRate    = 100_000
+)
+
+// result is what the command prints.
+type result struct {
+	loadgen.Phase
+	WholeP50 float64 `json:"whole_p50_ms"`
+	WholeP95 float64 `json:"whole_p95_ms"`
+	WholeP99 float64 `json:"whole_p99_ms"`
+	FirstP50 float64 `json:"first_p50_ms"`
+	FirstP95 float64 `json:"first_p95_ms"`
+	FirstP99 float64 `json:"first_p99_ms"`
+}
+
+// New returns the command.
+func New() *cobra.Command {
+	var base, key, output string
+	var ask loadgen.Ask
+	var plan loadgen.Plan
+	cmd := &cobra.Command{
+		Use:   "load --url http://127.0.0.1:PORT --key KEY",
+		Short: "Send a bounded load to an instance on loopback, and measure it",
+		Long: `Send chat requests to an instance, or to an engine stand-in, and print what the
+callers got. Load goes to loopback only and ends by itself.
+
+Exit status: 0 done, 1 no answer came, 2 a flag is out of range.`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := check(plan, output); err != nil {
+				return err
+			}
+			target, err := loadgen.NewTarget(base, key, ask)
+			if err != nil {
+				return cli.Exit(cli.StatusInvalid, err)
+			}
+			return show(cmd, loadgen.Run(cmd.Context(), target, plan), output)
+		},
+	}
+	flags := cmd.Flags()
+	flags.StringVar(&base, "url", "", "address of the callers' edge")
+	flags.StringVar(&key, "key", "", "the team's API key")
+	flags.StringVar(&ask.Model, "model", "", "model or version; empty lets the cascade choose")
+	flags.StringVar(&ask.Prompt, "prompt", "draft a twill pattern of eight shafts", "the prompt")
+	flags.IntVar(&ask.MaxTokens, "max-tokens", 32, "tokens of an answer")
+	flags.BoolVar(&ask.Stream, "stream", false, "stream the answers")
+	flags.IntVar(&plan.Callers, "callers", 16, "callers side by side")
+	flags.Float64Var(&plan.Rate, "rate", 0, "requests a second in all; 0 is as fast as answers come")
+	flags.DurationVar(&plan.Warmup, "warmup", time.Second, "time that is sent but not counted")
+	flags.DurationVar(&plan.Length, "length", 5*time.Second, "time that is counted")
+	flags.StringVarP(&output, "output", "o", cli.OutputText, "text or json")
+	_ = cmd.MarkFlagRequired("url")
+	return cmd
+}
+
+func check(p loadgen.Plan, output string) error {
+	if err := cli.CheckOutput(output, cli.OutputText, cli.OutputJSON); err != nil {
+		return err
+	}
+	switch {
+	case p.Callers < 1 || p.Callers > maxCallers:
+		return cli.Exitf(cli.StatusInvalid, "--callers %d: want 1 to %d", p.Callers, maxCallers)
+	case p.Length <= 0 || p.Length+p.Warmup > maxLength:
+		return cli.Exitf(cli.StatusInvalid, "--length %v: want more than 0 and, with --warmup, at most %v", p.Length, maxLength)
+	case p.Rate < 0 || p.Rate > maxRate:
+		return cli.Exitf(cli.StatusInvalid, "--rate %v: want 0 to %d", p.Rate, maxRate)
+	}
+	return nil
+}
+
+func show(cmd *cobra.Command, p loadgen.Phase, output string) error {
+	r := summarise(p)
+	if output == cli.OutputJSON {
+		if err := cli.WriteJSON(cmd.OutOrStdout(), r); err != nil {
+			return err
+		}
+	} else {
+		fmt.Fprintf(cmd.OutOrStdout(), "%.0f answers/s, %d failed %s\nwhole        p50 %.2f ms  p95 %.2f ms  p99 %.2f ms\nfirst byte   p50 %.2f ms  p95 %.2f ms  p99 %.2f ms\n",
+			r.Rate, r.Failed, r.Example, r.WholeP50, r.WholeP95, r.WholeP99, r.FirstP50, r.FirstP95, r.FirstP99)
+	}
+	if len(p.Samples) == 0 {
+		return cli.Exitf(cli.StatusFailed, "no answer came: %s", p.Example)
+	}
+	return nil
+}
+
+func summarise(p loadgen.Phase) result {
+	ms := func(pick func(loadgen.Sample) time.Duration, q float64) float64 {
+		return float64(p.Quantile(pick, q).Microseconds()) / 1000
+	}
+	return result{
+		Phase:    p,
+		WholeP50: ms(loadgen.Whole, 0.5),
+		WholeP95: ms(loadgen.Whole, 0.95),
+		WholeP99: ms(loadgen.Whole, 0.99),
+		FirstP50: ms(loadgen.First, 0.5),
+		FirstP95: ms(loadgen.First, 0.95),
+		FirstP99: ms(loadgen.First, 0.99),
+	}
+}
--- a/router/internal/e2e/bench_test.go
+++ b/router/internal/e2e/bench_test.go
@@ -2,14 +2,12 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,6 +15,7 @@
 	"testing"
 	"time"
 
+	"masticplank.example/router/internal/loadgen"
 	"masticplank.example/router/internal/manifest"
 	"masticplank.example/router/internal/wire"
 )
@@ -101,211 +100,94 @@
 	eventually(b, "ready", func() bool {
 		return call(b, http.MethodGet, p.entry.admin+"/readyz", "", "", nil).status == http.StatusOK
 	})
-	c := newBenchCaller()
-	defer c.close()
+	c := loadgen.NewCaller()
+	defer c.Close()
 	eventually(b, "an answer", func() bool {
-		_, err := c.send(p.routed(false))
+		_, err := c.Send(context.Background(), p.routed(b, false))
 		return err == nil
 	})
 }
 
-// target is where a request goes, and what it asks for.
-type target struct {
-	url    string
-	body   []byte
-	stream bool
-}
-
-func newTarget(url, model string, tokens int, stream bool) target {
-	body, err := json.Marshal(wire.ChatRequest{
+func (p *benchPath) target(b *testing.B, base, model string, tokens int, stream bool) loadgen.Target {
+	b.Helper()
+	t, err := loadgen.NewTarget(base, weaversKey, loadgen.Ask{
 		Model:     model,
-		Messages:  []wire.Message{{Role: "user", Content: "draft a twill pattern of eight shafts"}},
+		Prompt:    "draft a twill pattern of eight shafts",
 		MaxTokens: tokens,
 		Stream:    stream,
 	})
 	if err != nil {
-		panic(err)
+		b.Fatal(err)
 	}
-	return target{url: url + "/v1/chat/completions", body: body, stream: stream}
-}
-
-func (p *benchPath) direct(stream bool) target {
-	return newTarget(p.engine, "quick@1", benchTokens, stream)
+	return t
 }
 
-func (p *benchPath) routed(stream bool) target {
-	return newTarget(p.entry.api, "quick", benchTokens, stream)
+func (p *benchPath) direct(b *testing.B, stream bool) loadgen.Target {
+	return p.target(b, p.engine, "quick@1", benchTokens, stream)
 }
 
-// sample is what one request took, in all and to its first byte of body.
-type sample struct{ whole, first time.Duration }
-
-// benchCaller has a connection of its own, so that callers do not wait for each
-// other in a shared pool.
-type benchCaller struct{ client *http.Client }
-
-func newBenchCaller() benchCaller {
-	return benchCaller{&http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}}
+func (p *benchPath) routed(b *testing.B, stream bool) loadgen.Target {
+	return p.target(b, p.entry.api, "quick", benchTokens, stream)
 }
 
-func (c benchCaller) close() { c.client.CloseIdleConnections() }
+// saturate sends as fast as callers get answers; pace sends at a steady rate.
+func saturate(t loadgen.Target, callers int) loadgen.Phase { return pace(t, 0, callers) }
 
-func (c benchCaller) send(t target) (sample, error) {
-	began := time.Now()
-	resp, err := c.open(context.Background(), t)
-	if err != nil {
-		return sample{}, err
-	}
-	defer resp.Body.Close()
-	var one [1]byte
-	if _, err := io.ReadFull(resp.Body, one[:]); err != nil {
-		return sample{}, err
-	}
-	first := time.Since(began)
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return sample{}, err
-	}
-	return sample{whole: time.Since(began), first: first}, nil
-}
-
-func (c benchCaller) open(ctx context.Context, t target) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, t.url, bytes.NewReader(t.body))
-	if err != nil {
-		return nil, err
-	}
-	req.Header.Set("Authorization", "Bearer "+weaversKey)
-	resp, err := c.client.Do(req)
-	if err != nil {
-		return nil, err
-	}
-	if resp.StatusCode != http.StatusOK {
-		body, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
-		resp.Body.Close()
-		return nil, fmt.Errorf("%s: %s", resp.Status, body)
-	}
-	return resp, nil
-}
-
-// phase is what one stretch of load gave.
-type phase struct {
-	rate    float64
-	failed  int64
-	example string
-	samples []sample
-}
-
-// saturate sends as fast as callers get answers.
-func (p *benchPath) saturate(t target, callers int) phase {
-	return p.drive(t, callers, func(int) {})
-}
-
-// pace sends at a steady rate over all callers.
-func (p *benchPath) pace(t target, rate float64, callers int) phase {
-	gap := time.Duration(float64(callers) / rate * float64(time.Second))
-	next := make([]time.Time, callers)
-	for i := range next {
-		next[i] = time.Now().Add(gap * time.Duration(i) / time.Duration(callers))
-	}
-	return p.drive(t, callers, func(i int) {
-		time.Sleep(time.Until(next[i]))
-		next[i] = next[i].Add(gap)
+func pace(t loadgen.Target, rate float64, callers int) loadgen.Phase {
+	return loadgen.Run(context.Background(), t, loadgen.Plan{
+		Callers: callers,
+		Rate:    rate,
+		Warmup:  benchWarmup,
+		Length:  benchPhase,
 	})
 }
 
-func (p *benchPath) drive(t target, callers int, before func(caller int)) phase {
-	var out phase
-	var mu sync.Mutex
-	var failed atomic.Int64
-	var wg sync.WaitGroup
-	start := time.Now()
-	counted := start.Add(benchWarmup)
-	end := counted.Add(benchPhase)
-	for i := range callers {
-		wg.Go(func() {
-			var own []sample
-			c := newBenchCaller()
-			defer c.close()
-			for {
-				before(i)
-				now := time.Now()
-				if now.After(end) {
-					break
-				}
-				s, err := c.send(t)
-				if err != nil {
-					failed.Add(1)
-					mu.Lock()
-					out.example = err.Error()
-					mu.Unlock()
-					continue
-				}
-				if now.After(counted) {
-					own = append(own, s)
-				}
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			out.samples = append(out.samples, own...)
-		})
-	}
-	wg.Wait()
-	out.failed = failed.Load()
-	out.rate = float64(len(out.samples)) / benchPhase.Seconds()
-	return out
-}
-
 // show prints one line and returns the quantiles of what pick reads.
-func (ph phase) show(b *testing.B, name string, pick func(sample) time.Duration) (p50, p99 time.Duration) {
-	all := make([]time.Duration, 0, len(ph.samples))
-	for _, s := range ph.samples {
-		all = append(all, pick(s))
+func show(b *testing.B, ph loadgen.Phase, name string, pick func(loadgen.Sample) time.Duration) (p50, p99 time.Duration) {
+	b.Helper()
+	if len(ph.Samples) == 0 {
+		b.Fatalf("%s: no answers, %d failed: %s", name, ph.Failed, ph.Example)
 	}
-	if len(all) == 0 {
-		b.Fatalf("%s: no answers, %d failed: %s", name, ph.failed, ph.example)
-	}
-	p50, p99 = quantile(all, 0.5), quantile(all, 0.99)
+	p50, p99 = ph.Quantile(pick, 0.5), ph.Quantile(pick, 0.99)
 	fmt.Printf("%-42s %8.0f/s  p50 %8.3f ms  p99 %8.3f ms  failed %d %s\n",
-		name, ph.rate, millis(p50), millis(p99), ph.failed, ph.example)
+		name, ph.Rate, millis(p50), millis(p99), ph.Failed, ph.Example)
 	return p50, p99
 }
 
-func whole(s sample) time.Duration { return s.whole }
-func first(s sample) time.Duration { return s.first }
-
 func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
 // measure compares throughput, then latency at half of the routed throughput.
 func (p *benchPath) measure(b *testing.B) {
-	direct := p.saturate(p.direct(false), benchCallers)
-	direct.show(b, "plain, direct, saturated", whole)
-	routed := p.saturate(p.routed(false), benchCallers)
-	routed.show(b, "plain, routed, saturated", whole)
+	direct := saturate(p.direct(b, false), benchCallers)
+	show(b, direct, "plain, direct, saturated", loadgen.Whole)
+	routed := saturate(p.routed(b, false), benchCallers)
+	show(b, routed, "plain, routed, saturated", loadgen.Whole)
 	// Answers wait for their bill's group commit, so few callers cannot
 	// saturate: throughput needs many of them under way.
-	many := p.saturate(p.routed(false), 16*benchCallers)
-	many.show(b, "plain, routed, saturated, 16 x callers", whole)
-	manyDirect := p.saturate(p.direct(false), 16*benchCallers)
-	manyDirect.show(b, "plain, direct, saturated, 16 x callers", whole)
-	best := max(routed.rate, many.rate)
-	ratio := best / max(direct.rate, manyDirect.rate)
+	many := saturate(p.routed(b, false), 16*benchCallers)
+	show(b, many, "plain, routed, saturated, 16 x callers", loadgen.Whole)
+	manyDirect := saturate(p.direct(b, false), 16*benchCallers)
+	show(b, manyDirect, "plain, direct, saturated, 16 x callers", loadgen.Whole)
+	best := max(routed.Rate, many.Rate)
+	ratio := best / max(direct.Rate, manyDirect.Rate)
 	fmt.Printf("throughput routed / direct: %.3f\n", ratio)
 	b.ReportMetric(best, "routed/s")
 	b.ReportMetric(ratio, "throughput-ratio")
 
 	half := best / 2
 	callers := 16 * benchCallers
-	d50, d99 := p.pace(p.direct(false), half, callers).show(b, "plain, direct, half load", whole)
-	r50, r99 := p.pace(p.routed(false), half, callers).show(b, "plain, routed, half load", whole)
+	d50, d99 := show(b, pace(p.direct(b, false), half, callers), "plain, direct, half load", loadgen.Whole)
+	r50, r99 := show(b, pace(p.routed(b, false), half, callers), "plain, routed, half load", loadgen.Whole)
 	added(b, "plain, whole", d50, d99, r50, r99)
 
 	streams := half / 4
-	directStream := p.pace(p.direct(true), streams, callers)
-	routedStream := p.pace(p.routed(true), streams, callers)
-	d50, d99 = directStream.show(b, "stream, direct, first token", first)
-	r50, r99 = routedStream.show(b, "stream, routed, first token", first)
+	directStream := pace(p.direct(b, true), streams, callers)
+	routedStream := pace(p.routed(b, true), streams, callers)
+	d50, d99 = show(b, directStream, "stream, direct, first token", loadgen.First)
+	r50, r99 = show(b, routedStream, "stream, routed, first token", loadgen.First)
 	added(b, "stream, first token", d50, d99, r50, r99)
-	d50, d99 = directStream.show(b, "stream, direct, whole", whole)
-	r50, r99 = routedStream.show(b, "stream, routed, whole", whole)
+	d50, d99 = show(b, directStream, "stream, direct, whole", loadgen.Whole)
+	r50, r99 = show(b, routedStream, "stream, routed, whole", loadgen.Whole)
 	added(b, "stream, whole", d50, d99, r50, r99)
 }
 
@@ -320,14 +202,14 @@
 	before := p.resident(b)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	slow := newTarget(p.entry.api, "slow", 4096, true)
+	slow := p.target(b, p.entry.api, "slow", 4096, true)
 	var opened atomic.Int64
 	var wg sync.WaitGroup
 	for range benchStreams {
 		wg.Go(func() {
-			c := newBenchCaller()
-			defer c.close()
-			resp, err := c.open(ctx, slow)
+			c := loadgen.NewCaller()
+			defer c.Close()
+			resp, err := c.Open(ctx, slow)
 			if err != nil {
 				return
 			}
@@ -363,9 +245,3 @@
 	b.Fatal("no VmRSS")
 	return 0
 }
-
-// quantile by nearest rank.
-func quantile(all []time.Duration, q float64) time.Duration {
-	slices.Sort(all)
-	return all[min(int(q*float64(len(all))), len(all)-1)]
-}
--- a/router/internal/e2e/tokens_bench_test.go
+++ b/router/internal/e2e/tokens_bench_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"strconv"
@@ -8,6 +9,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"masticplank.example/router/internal/loadgen"
 )
 
 const (
@@ -24,12 +27,12 @@
 	p := startBenchPath(b)
 	for b.Loop() {
 		tokens := p.processorTime(b, func() {
-			p.stream(b, newTarget(p.entry.api, "quick", tokensEach, true))
+			p.stream(b, p.target(b, p.entry.api, "quick", tokensEach, true))
 		})
 		perToken := float64(tokens.Microseconds()) / (tokenStreams * tokensEach)
-		var load phase
-		plain := p.processorTime(b, func() { load = p.pace(p.routed(false), 1000, benchCallers) })
-		perRequest := float64(plain.Microseconds()) / (load.rate * (benchPhase + benchWarmup).Seconds())
+		var load loadgen.Phase
+		plain := p.processorTime(b, func() { load = pace(p.routed(b, false), 1000, benchCallers) })
+		perRequest := float64(plain.Microseconds()) / (load.Rate * (benchPhase + benchWarmup).Seconds())
 		fmt.Printf("processor time: %.2f us a token, %.0f us a plain request of %d tokens\n", perToken, perRequest, benchTokens)
 		b.ReportMetric(perToken, "us/token")
 		b.ReportMetric(perRequest, "us/request")
@@ -37,13 +40,13 @@
 }
 
 // stream reads streams to their end, side by side.
-func (p *benchPath) stream(b *testing.B, t target) {
+func (p *benchPath) stream(b *testing.B, t loadgen.Target) {
 	var wg sync.WaitGroup
 	for range tokenStreams {
 		wg.Go(func() {
-			c := newBenchCaller()
-			defer c.close()
-			if _, err := c.send(t); err != nil {
+			c := loadgen.NewCaller()
+			defer c.Close()
+			if _, err := c.Send(context.Background(), t); err != nil {
 				b.Error(err)
 			}
 		})
--- /dev/null
+++ b/router/internal/loadgen/loadgen.go
@@ -0,0 +1,124 @@
+// Package loadgen sends chat requests at a bounded load and measures what its
+// callers get. It sends to loopback only and ends by itself.
+package loadgen
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"masticplank.example/router/internal/wire"
+)
+
+// Target is where a request goes, and what it asks for.
+type Target struct {
+	// URL of the chat endpoint.
+	URL string
+	// Key is the team's API key; empty for an engine called directly.
+	Key  string
+	Body []byte
+}
+
+// Ask is what a request asks for.
+type Ask struct {
+	// Model or version; empty leaves the choice to the cascade.
+	Model     string
+	Prompt    string
+	MaxTokens int
+	Stream    bool
+}
+
+// NewTarget returns the chat endpoint of base, such as "http://127.0.0.1:8080".
+// A base that is not on loopback is an error: load is for stand-ins only.
+func NewTarget(base, key string, ask Ask) (Target, error) {
+	u, err := url.Parse(base)
+	if err != nil {
+		return Target{}, trace.BadParameter("address %q: %v", base, err)
+	}
+	ip := net.ParseIP(u.Hostname())
+	if ip == nil || !ip.IsLoopback() {
+		return Target{}, trace.BadParameter("address %q is not on loopback: load goes nowhere else", base)
+	}
+	body, err := json.Marshal(wire.ChatRequest{
+		Model:     ask.Model,
+		Messages:  []wire.Message{{Role: "user", Content: ask.Prompt}},
+		MaxTokens: ask.MaxTokens,
+		Stream:    ask.Stream,
+	})
+	if err != nil {
+		return Target{}, trace.Wrap(err)
+	}
+	return Target{URL: base + "/v1/chat/completions", Key: key, Body: body}, nil
+}
+
+// Sample is what one request took, in all and to its first byte of body.
+type Sample struct{ Whole, First time.Duration }
+
+// Whole and First pick a figure of a sample.
+func Whole(s Sample) time.Duration { return s.Whole }
+
+// First is the time to the first byte of body.
+func First(s Sample) time.Duration { return s.First }
+
+// Caller sends one request at a time on a connection of its own, so that callers
+// do not wait for each other in a shared pool. For one goroutine.
+type Caller struct{ client *http.Client }
+
+// NewCaller returns a caller; Close it.
+func NewCaller() Caller {
+	return Caller{&http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}}
+}
+
+// Close drops the caller's connection.
+func (c Caller) Close() { c.client.CloseIdleConnections() }
+
+// Send sends one request and reads its answer whole.
+func (c Caller) Send(ctx context.Context, t Target) (Sample, error) {
+	began := time.Now()
+	resp, err := c.Open(ctx, t)
+	if err != nil {
+		return Sample{}, err
+	}
+	defer resp.Body.Close()
+	var one [1]byte
+	if _, err := io.ReadFull(resp.Body, one[:]); err != nil {
+		return Sample{}, trace.Wrap(err)
+	}
+	first := time.Since(began)
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return Sample{}, trace.Wrap(err)
+	}
+	return Sample{Whole: time.Since(began), First: first}, nil
+}
+
+// maxErrorBytes bounds what of a refusal is kept as an example.
+const maxErrorBytes = 512
+
+// Open sends one request and returns its answer unread. Any status but 200 is an
+// error.
+func (c Caller) Open(ctx context.Context, t Target) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, t.URL, bytes.NewReader(t.Body))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if t.Key != "" {
+		req.Header.Set("Authorization", "Bearer "+t.Key)
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		body, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+		resp.Body.Close()
+		return nil, trace.Errorf("%s: %s", resp.Status, body)
+	}
+	return resp, nil
+}
--- /dev/null
+++ b/router/internal/loadgen/loadgen_test.go
@@ -0,0 +1,45 @@
+package loadgen
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+)
+
+func TestLoadGoesToLoopbackOnly(t *testing.T) {
+	for base, allowed := range map[string]bool{
+		"http://127.0.0.1:8080": true, "http://[::1]:8080": true,
+		"http://10.0.0.7:8080": false, "http://example.org": false, "http://localhost:1": false, "::": false,
+	} {
+		if _, err := NewTarget(base, "", Ask{}); (err == nil) != allowed {
+			t.Errorf("%s: %v", base, err)
+		}
+	}
+}
+
+// TestRunCounts sends to a server that refuses every third request.
+func TestRunCounts(t *testing.T) {
+	var n int
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n++
+		if r.Header.Get("Authorization") != "Bearer k" || n%3 == 0 {
+			http.Error(w, "busy", http.StatusTooManyRequests)
+			return
+		}
+		_, _ = w.Write([]byte("ok"))
+	}))
+	defer s.Close()
+	target, err := NewTarget(s.URL, "k", Ask{Model: "m", MaxTokens: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := Run(context.Background(), target, Plan{Callers: 1, Length: 50 * time.Millisecond})
+	if len(p.Samples) == 0 || p.Failed == 0 || p.Example == "" || p.Rate == 0 {
+		t.Errorf("got %d answers, %d failed, %q", len(p.Samples), p.Failed, p.Example)
+	}
+	if p.Quantile(Whole, 0.99) < p.Quantile(First, 0.5) {
+		t.Error("quantiles")
+	}
+}
