--- a/decision/load_test.go
+++ b/decision/load_test.go
@@ -291,3 +291,36 @@
 		t.Errorf("%d of %d failed, want at most the 8 that s0 ran", failed, total)
 	}
 }
+
+// A server that refuses at once looks idle. Also where nothing ejects it, it is
+// left alone for a moment after each refusal and draws little work.
+func TestRefusingServerDrawsLittleWork(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.Policy.NoShift = true
+	h := newHarness(t, cfg)
+	h.manifest(1, []Team{teamOf("weavers", 1)}, smallVersions())
+	h.servers(serversOf(6, 8, weave1)...)
+	refusals := 0
+	h.took = func(d Dispatch, r Request) time.Duration {
+		if d.Server == "s0" {
+			return step
+		}
+		return paced(d, r)
+	}
+	h.ended = func(d Dispatch, _ Request) AttemptResult {
+		if d.Server == "s0" {
+			refusals++
+			return AttemptNotRun
+		}
+		return AttemptCompleted
+	}
+	h.tick()
+	rng := rand.New(rand.NewPCG(11, 11))
+	offer(h, rng, 4*time.Second, demand{perSecond: 120, request: drafting("weavers"), deadline: 5 * time.Second})
+	h.run(5 * time.Second)
+	h.settled()
+	// 20 times the backoff; about two go there before the first is refused.
+	if refusals > 60 {
+		t.Errorf("%d of %d requests went to the refusing server", refusals, len(h.outcomes))
+	}
+}
