--- a/decision/internal/fair/fair.go
+++ b/decision/internal/fair/fair.go
@@ -135,7 +135,7 @@
 	for len(q.active) > 0 {
 		f := q.active[0]
 		if f.key == f.account.tag {
-			return f.items[0]
+			return f.items[0].item
 		}
 		f.key = f.account.tag
 		heap.Fix(&q.active, 0)
--- a/decision/internal/fair/heaps.go
+++ b/decision/internal/fair/heaps.go
@@ -1,29 +1,36 @@
 package fair
 
+// itemEntry holds what items are ordered by, so that ordering touches no item.
+type itemEntry[T any] struct {
+	priority int
+	seq      uint64
+	item     *Item[T]
+}
+
 // itemHeap orders a flow's items by priority, then by age.
-type itemHeap[T any] []*Item[T]
+type itemHeap[T any] []itemEntry[T]
 
 func (h itemHeap[T]) Len() int { return len(h) }
 func (h itemHeap[T]) Less(i, j int) bool {
-	if h[i].Priority != h[j].Priority {
-		return h[i].Priority > h[j].Priority
+	if h[i].priority != h[j].priority {
+		return h[i].priority > h[j].priority
 	}
 	return h[i].seq < h[j].seq
 }
 func (h itemHeap[T]) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
-	h[i].pos = i
-	h[j].pos = j
+	h[i].item.pos = i
+	h[j].item.pos = j
 }
 func (h *itemHeap[T]) Push(x any) {
 	it := x.(*Item[T])
 	it.pos = len(*h)
-	*h = append(*h, it)
+	*h = append(*h, itemEntry[T]{priority: it.Priority, seq: it.seq, item: it})
 }
 func (h *itemHeap[T]) Pop() any {
 	last := len(*h) - 1
-	it := (*h)[last]
-	(*h)[last] = nil
+	it := (*h)[last].item
+	(*h)[last] = itemEntry[T]{}
 	*h = (*h)[:last]
 	return it
 }
