Queued work is refused at the last moment at which it could still be answered

Cause: a request that had waited too long was refused when it came to the head of its queue, or at its deadline; its caller waited for nothing meanwhile.

--- a/decision/expire.go
+++ b/decision/expire.go
@@ -41,6 +41,9 @@
 		w.fail(r, AttemptUnknown)
 	case r.ran:
 		w.fail(r, r.lastResult)
+	case w.now.Before(r.deadline):
+		w.waited(r)
+		w.giveUp(r, ReasonWaitTooLong)
 	default:
 		w.refuse(r, ReasonDeadline, w.retryAfter(w.waitFor(r)))
 	}
--- a/decision/queue.go
+++ b/decision/queue.go
@@ -1,5 +1,7 @@
 package decision
 
+import "time"
+
 // aim points the request at a version's or service's pool.
 func (w *World) aim(r *request, to choice) {
 	r.version = to.version
@@ -39,7 +41,7 @@
 	p.queue.Push(&f.Flow, &r.item)
 	r.state = stateQueued
 	r.team.queued++
-	w.watch(r, r.deadline)
+	w.watch(r, w.lastStart(r))
 	if p.busyPos < 0 {
 		p.busyPos = len(w.busy)
 		w.busy = append(w.busy, p)
@@ -47,6 +49,19 @@
 	}
 }
 
+// lastStart is the last moment at which the request may leave the queue: after it
+// the answer would usually come too late.
+//
+// Load: saturation, where estimates of waits are wrong for some. Harm prevented: a
+// caller that is held to its deadline for an answer that cannot come any more.
+func (w *World) lastStart(r *request) time.Time {
+	last := r.deadline.Add(-r.pool.pace.atMost(r.item.Cost))
+	if last.Before(w.now) {
+		return w.now
+	}
+	return last
+}
+
 // dequeue takes a queued request out, wherever it stands.
 func (w *World) dequeue(r *request) {
 	if r.state != stateQueued {
