Fault matrix of the router: the request path

Files: router/internal/faultmatrix (new, tests), a seam each in router/internal/upstream (NewClientWith) and router/internal/peer (Config.Dial).

Cause: in router the steps admit, dispatch, stream and final frame were covered by single tests, not by every fault at every step. Three whole instances (decision, node, gate with its tracker, peers over JSON-RPC, callers' edge, billing, publisher) now run in one synctest bubble over in-memory connections, so time is faked and each fault happens at an exact step. Each cell is a line of step, fault and what the caller gets for a plain chat, a streamed chat and a reservation, at first and when it sends the request again elsewhere; beside it every cell is judged by runs at the backend servers, bills in the ledger, versions run after their withdrawal, and generations in force.

Ruled out: real sockets (timed asserts, real sleeps). A key of the bubble's time is made by the test, since uuid.NewV7 never goes back.

--- /dev/null
+++ b/router/internal/faultmatrix/backend_test.go
@@ -0,0 +1,200 @@
+package faultmatrix
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"masticplank.example/decision"
+	"masticplank.example/router/internal/manifest"
+	"masticplank.example/router/internal/wire"
+)
+
+// servers are the backend servers as every instance lists them.
+var servers = []decision.Server{
+	{ID: "e1", Versions: []decision.VersionID{"draft@1", "draft@2"}, Slots: 2},
+	{ID: "e2", Versions: []decision.VersionID{"draft@1", "draft@2"}, Slots: 2},
+	{ID: "s1", Service: "stock", Slots: 2},
+	{ID: "s2", Service: "stock", Slots: 2},
+}
+
+type addresses struct{}
+
+func (addresses) Addr(id decision.ServerID) (string, bool) { return string(id) + ":8000", true }
+
+const teamKey = "loom"
+
+// first is the manifest at the beginning of a cell.
+func first() manifest.Manifest {
+	return manifest.Manifest{
+		Publication: "first",
+		Teams: []manifest.Team{{ID: "weavers", KeyHashes: []string{manifest.HashKey(teamKey)}, Weight: 1,
+			Allowed: []string{"draft@1", "draft@2"}, Services: []string{"stock"}}},
+		Versions: []manifest.Version{
+			{ID: "draft@1", Model: "draft", State: manifest.StateServing, Share: 1, Cost: 2, Quality: 0.9},
+			{ID: "draft@2", Model: "draft", State: manifest.StateServing, Cost: 2, Quality: 0.9},
+		},
+		Services: []manifest.Service{{ID: "stock", Price: 1, Routes: []manifest.Route{{Method: "POST", Path: "/reservations"}}}},
+	}
+}
+
+// withdrawal replaces draft@1 by draft@2.
+func withdrawal(publication string) manifest.Manifest {
+	m := first()
+	m.Publication = publication
+	m.Versions[0].State = manifest.StateWithdrawn
+	m.Versions[0].Share = 0
+	m.Versions[1].Share = 1
+	return m
+}
+
+// What the next run at a backend server does.
+const (
+	crossed    = "crossed"
+	truncated  = "truncated"
+	duplicated = "duplicated"
+	slowly     = "slow"
+	lateTail   = "late tail"
+)
+
+// serve starts a backend server: an engine or a plain service.
+func (b *bed) serve(name string) {
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { b.backend(name, w, r) })}
+	l := b.net.listen(name + ":8000")
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = srv.Serve(l)
+	}()
+	b.t.Cleanup(func() {
+		_ = srv.Close()
+		<-done
+	})
+}
+
+func (b *bed) backend(name string, w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	w.Header().Set(wire.HeaderAttempt, r.Header.Get(wire.HeaderAttempt))
+	if b.isLeaving(name) {
+		w.Header().Set(wire.HeaderNotRun, "true")
+		w.Header().Set(wire.HeaderLeaving, "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if r.URL.Path == "/reservations" {
+		b.reserve(name, w, r)
+		return
+	}
+	var chat wire.ChatRequest
+	_ = json.Unmarshal(body, &chat)
+	b.chat(name, w, chat)
+}
+
+func (b *bed) isLeaving(name string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.nextLeaves {
+		b.nextLeaves = false
+		b.leaving[name] = time.Now()
+	}
+	_, leaves := b.leaving[name]
+	return leaves
+}
+
+// ran notes a run, which was asked to behave in a way.
+func (b *bed) ran(r run) {
+	r.at = time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.runs = append(b.runs, r)
+	b.serving = r.server
+}
+
+// midway is the step at which a run is under way; it returns what to do next.
+func (b *bed) midway() (behaviour string) {
+	b.at(nil, "stream")
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	behaviour, b.behaviour = b.behaviour, ""
+	return behaviour
+}
+
+func (b *bed) reserve(name string, w http.ResponseWriter, r *http.Request) {
+	b.ran(run{request: r.Header.Get(wire.HeaderIdempotencyKey), server: name})
+	if spoil(w, b.midway()) {
+		w.Header().Set("Content-Length", strconv.Itoa(len(reserved)+1))
+	}
+	_, _ = io.WriteString(w, reserved)
+}
+
+// spoil sets the header of a wrong answer; true means cut it short.
+func spoil(w http.ResponseWriter, behaviour string) (short bool) {
+	switch behaviour {
+	case crossed:
+		w.Header().Set(wire.HeaderAttempt, "another's")
+	case slowly:
+		time.Sleep(8 * time.Second)
+	}
+	return behaviour == truncated
+}
+
+const (
+	reserved = `{"reserved":true}`
+	plain    = `{"choices":[{"message":{"role":"assistant","content":"over under"}}],"usage":{"completion_tokens":2}}`
+)
+
+// events of a streamed answer.
+var events = []string{
+	`{"choices":[{"delta":{"content":"over "}}]}`,
+	`{"choices":[{"delta":{"content":"under"}}]}`,
+	`{"choices":[{"delta":{},"finish_reason":"stop"}],"usage":{"completion_tokens":2}}`,
+	wire.StreamEnd,
+}
+
+func (b *bed) chat(name string, w http.ResponseWriter, chat wire.ChatRequest) {
+	b.ran(run{request: chat.Messages[0].Content, version: chat.Model, server: name})
+	if chat.Stream {
+		b.stream(w)
+		return
+	}
+	if spoil(w, b.midway()) {
+		w.Header().Set("Content-Length", strconv.Itoa(len(plain)+1))
+	}
+	_, _ = io.WriteString(w, plain)
+}
+
+// stream sends the first token, has the fault of the step happen, and goes on.
+func (b *bed) stream(w http.ResponseWriter) {
+	b.mu.Lock()
+	if b.behaviour == crossed {
+		spoil(w, crossed)
+		b.behaviour = ""
+	}
+	b.mu.Unlock()
+	w.Header().Set("Content-Type", "text/event-stream")
+	send := func(i int) {
+		_, _ = io.WriteString(w, "id: "+strconv.Itoa(i)+"\ndata: "+events[i]+"\n\n")
+		_ = http.NewResponseController(w).Flush()
+	}
+	send(0)
+	time.Sleep(time.Millisecond) // the token reaches the caller
+	behaviour := b.midway()
+	spoil(w, behaviour)
+	for i := 1; i < len(events); i++ {
+		switch {
+		case behaviour == truncated && i == len(events)-1:
+			panic(http.ErrAbortHandler)
+		case behaviour == duplicated:
+			send(i - 1)
+		}
+		send(i)
+	}
+	if behaviour == lateTail {
+		send(1)
+	}
+}
--- /dev/null
+++ b/router/internal/faultmatrix/cells_test.go
@@ -0,0 +1,108 @@
+package faultmatrix
+
+// requestCells is the matrix of the request path. Lapsed leases have no cell
+// here: leases are for orders to backend servers, and no request takes one.
+//
+// A resend of a chat completes again: it is idempotent, and its one bill stands.
+// A resend of a reservation completes only where the first try was truly not
+// run, and is told already_run in every other case.
+var requestCells = []requestCell{
+	{"admit", "none", "completed>completed", "completed>completed", "completed>already_run"},
+	{"admit", "kill", "gone>completed", "gone>completed", "gone>completed"},
+	{"admit", "cut from log", "completed>completed", "completed>completed", "refused>completed"},
+	{"admit", "cut from all", "refused>completed", "refused>completed", "refused>completed"},
+	{"admit", "freeze", "refused>completed", "refused>completed", "refused>completed"},
+	{"admit", "log down", "completed>completed", "completed>completed", "refused>completed"},
+	{"admit", "log goes down", "completed>completed", "completed>completed", "refused>completed"},
+	{"admit", "slow", "completed>completed", "completed>completed", "completed>already_run"},
+	{"admit", "lost reply", "completed>completed", "completed>completed", "completed>already_run"},
+	{"admit", "operator race", "completed>completed", "completed>completed", "completed>already_run"},
+	{"admit", "leaving", "completed>completed", "completed>completed", "completed>already_run"},
+	{"admit", "server dies", "completed>completed", "completed>completed", "completed>already_run"},
+
+	{"claim", "kill", "", "", "gone>completed"},
+	{"claim", "cut from log", "", "", "refused>completed"},
+	{"claim", "cut from all", "", "", "refused>completed"},
+	{"claim", "freeze", "", "", "refused>completed"},
+	{"claim", "log goes down", "", "", "refused>completed"},
+	{"claim", "slow", "", "", "completed>already_run"},
+	{"claim", "lost reply", "", "", "completed>already_run"},
+	{"claim", "lost append", "", "", "completed>already_run"},
+	{"claim", "operator race", "", "", "completed>already_run"},
+	{"claim", "leaving", "", "", "completed>already_run"},
+
+	// The first record that the request puts into the log, written and not yet
+	// read back: a reservation's claim, a chat's bill.
+	{"read back", "kill", "gone>completed", "cut>completed", "gone>already_run"},
+	// Cut from the log, the instance reads its own claim from a peer's state. Cut
+	// from all, and frozen past the timeouts, it cannot know that the bill counts:
+	// the answer is not given, and the resend is billed by the first bill.
+	{"read back", "cut from log", "completed>completed", "completed>completed", "completed>already_run"},
+	{"read back", "cut from all", "unknown>completed", "cut>completed", "refused>completed"},
+	{"read back", "freeze", "unknown>completed", "cut>completed", "refused>completed"},
+	{"read back", "log goes down", "completed>completed", "completed>completed", "refused>completed"},
+	{"read back", "operator race", "completed>completed", "completed>completed", "completed>already_run"},
+
+	// The decision has sent the request to a backend server; the last look at
+	// the gate and the manifest is still to come.
+	{"dispatch", "kill", "gone>completed", "gone>completed", "gone>completed"},
+	{"dispatch", "cut from log", "completed>completed", "completed>completed", "refused>completed"},
+	{"dispatch", "cut from all", "refused>completed", "refused>completed", "refused>completed"},
+	{"dispatch", "freeze", "completed>completed", "completed>completed", "completed>already_run"},
+	{"dispatch", "log down", "completed>completed", "completed>completed", "refused>completed"},
+	{"dispatch", "operator race", "completed>completed", "completed>completed", "completed>already_run"},
+	{"dispatch", "leaving", "completed>completed", "completed>completed", "completed>already_run"},
+	{"dispatch", "server dies", "completed>completed", "completed>completed", "completed>already_run"},
+	{"dispatch", "slow server", "completed>completed", "completed>completed", "completed>already_run"},
+	{"dispatch", "crossed", "completed>completed", "completed>completed", "unknown>already_run"},
+
+	// The backend server is in the middle of its answer.
+	{"stream", "kill", "gone>completed", "cut>completed", "gone>already_run"},
+	{"stream", "cut from log", "completed>completed", "completed>completed", "completed>already_run"},
+	{"stream", "cut from all", "unknown>completed", "cut>completed", "unknown>already_run"},
+	{"stream", "freeze", "completed>completed", "completed>completed", "completed>already_run"},
+	{"stream", "log down", "completed>completed", "completed>completed", "completed>already_run"},
+	{"stream", "slow", "completed>completed", "completed>completed", "completed>already_run"},
+	{"stream", "lost reply", "completed>completed", "completed>completed", "completed>already_run"},
+	{"stream", "operator race", "completed>completed", "completed>completed", "completed>already_run"},
+	{"stream", "leaving", "completed>completed", "completed>completed", "completed>already_run"},
+	{"stream", "server dies", "completed>completed", "cut>completed", "failed>already_run"},
+	{"stream", "slow server", "completed>completed", "completed>completed", "completed>already_run"},
+	{"stream", "truncated", "completed>completed", "cut>completed", "failed>already_run"},
+	{"stream", "duplicated", "", "completed>completed", ""},
+	{"stream", "late tail", "", "completed>completed", ""},
+
+	{"bill", "kill", "gone>completed", "cut>completed", "gone>already_run"},
+	{"bill", "cut from log", "completed>completed", "completed>completed", "completed>already_run"},
+	{"bill", "cut from all", "unknown>completed", "cut>completed", "unknown>already_run"},
+	{"bill", "freeze", "completed>completed", "completed>completed", "completed>already_run"},
+	{"bill", "log down", "completed>completed", "completed>completed", "completed>already_run"},
+	{"bill", "log goes down", "completed>completed", "completed>completed", "completed>already_run"},
+	{"bill", "slow", "completed>completed", "completed>completed", "completed>already_run"},
+	{"bill", "lost reply", "completed>completed", "completed>completed", "completed>already_run"},
+	{"bill", "lost append", "completed>completed", "completed>completed", "completed>already_run"},
+	{"bill", "operator race", "completed>completed", "completed>completed", "completed>already_run"},
+
+	// The bill is durable, the end of the answer is not out.
+	{"final frame", "kill", "gone>completed", "cut>completed", "gone>already_run"},
+	{"final frame", "cut from log", "completed>completed", "completed>completed", "completed>already_run"},
+	{"final frame", "cut from all", "completed>completed", "completed>completed", "completed>already_run"},
+	{"final frame", "freeze", "completed>completed", "completed>completed", "completed>already_run"},
+	{"final frame", "log down", "completed>completed", "completed>completed", "completed>already_run"},
+	{"final frame", "operator race", "completed>completed", "completed>completed", "completed>already_run"},
+
+	// A planned stop begins while the backend server answers.
+	{"drain", "none", "completed>completed", "completed>completed", "completed>already_run"},
+	{"drain", "kill", "gone>completed", "cut>completed", "gone>already_run"},
+	{"drain", "cut from log", "completed>completed", "completed>completed", "completed>already_run"},
+	{"drain", "cut from all", "unknown>completed", "cut>completed", "unknown>already_run"},
+	{"drain", "freeze", "completed>completed", "completed>completed", "completed>already_run"},
+	{"drain", "log down", "completed>completed", "completed>completed", "completed>already_run"},
+	{"drain", "slow", "completed>completed", "completed>completed", "completed>already_run"},
+	{"drain", "lost reply", "completed>completed", "completed>completed", "completed>already_run"},
+	{"drain", "operator race", "completed>completed", "completed>completed", "completed>already_run"},
+	{"drain", "leaving", "completed>completed", "completed>completed", "completed>already_run"},
+	{"drain", "server dies", "completed>completed", "cut>completed", "failed>already_run"},
+	{"drain", "slow server", "completed>completed", "completed>completed", "completed>already_run"},
+	{"drain", "truncated", "completed>completed", "cut>completed", "failed>already_run"},
+}
--- /dev/null
+++ b/router/internal/faultmatrix/matrix_test.go
@@ -0,0 +1,32 @@
+// The fault matrix: rows are the steps of each path, columns the faults. A cell
+// is named path/step/fault; docs/PROOFS.md says how each was seen red.
+package faultmatrix
+
+import (
+	"testing"
+	"testing/synctest"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func TestRequests(t *testing.T) {
+	seen := map[string]bool{}
+	for _, c := range requestCells {
+		for kind, want := range map[string]string{kindPlain: c.plain, kindStream: c.stream, kindReserve: c.reserve} {
+			name := "request/" + c.step + "/" + c.fault + "/" + kind
+			if seen[name] {
+				t.Errorf("cell %s stands twice", name)
+			}
+			seen[name] = true
+			if want == "" {
+				continue
+			}
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) { c.run(begun(t), kind, want) })
+			})
+		}
+	}
+}
--- /dev/null
+++ b/router/internal/faultmatrix/request_test.go
@@ -0,0 +1,103 @@
+package faultmatrix
+
+import (
+	"time"
+)
+
+// stepDrain is the planned stop of the instance in the middle of an answer.
+const stepDrain = "drain"
+
+// requestCell is one fault at one step of a request. What each kind of work gets
+// stands as "first>again": the answer to the first try at instance a, and to a
+// resend under the same key at b once the fault is over. No answer to the first
+// try means that the kind has no such step.
+type requestCell struct {
+	step, fault            string
+	plain, stream, reserve string
+}
+
+// faults of a request, as they happen at its step.
+var requestFaults = map[string]func(b *bed){
+	"none":         func(*bed) {},
+	"kill":         func(b *bed) { b.kill(b.instances["a"]) },
+	"cut from log": func(b *bed) { b.log.Cut("a", true); time.Sleep(2 * bound) },
+	"cut from all": func(b *bed) { b.log.Cut("a", true); b.isolate("a"); time.Sleep(2 * bound) },
+	"freeze": func(b *bed) {
+		b.freeze(b.instances["a"], func() { b.withdraw("b"); time.Sleep(bound/2 + time.Second) })
+	},
+	"log down":      func(b *bed) { b.log.SetDown(true); time.Sleep(2 * bound) },
+	"log goes down": func(b *bed) { b.log.SetDown(true) },
+	"slow":          func(b *bed) { b.log.SetSlow(time.Second) },
+	"lost reply":    func(b *bed) { b.log.LoseReplies(1) },
+	"lost append":   func(b *bed) { b.log.LoseAppends(1) },
+	"operator race": func(b *bed) { b.race() },
+	"leaving":       func(b *bed) { b.leaves() },
+	"server dies":   func(b *bed) { b.dies() },
+	"slow server":   func(b *bed) { b.behaves(slowly) },
+	"crossed":       func(b *bed) { b.behaves(crossed) },
+	"truncated":     func(b *bed) { b.behaves(truncated) },
+	"duplicated":    func(b *bed) { b.behaves(duplicated) },
+	"late tail":     func(b *bed) { b.behaves(lateTail) },
+}
+
+func (b *bed) behaves(how string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.behaviour = how
+}
+
+// leaves makes the serving backend server leave, or the one called next.
+func (b *bed) leaves() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.serving != "" {
+		b.leaving[b.serving] = time.Now()
+		return
+	}
+	b.nextLeaves = true
+}
+
+// dies takes the serving backend server away, or one of each kind.
+func (b *bed) dies() {
+	b.mu.Lock()
+	serving := b.serving
+	b.mu.Unlock()
+	if serving != "" {
+		b.net.lose(serving)
+		return
+	}
+	b.net.lose("e1")
+	b.net.lose("s1")
+}
+
+// run runs the cell with one kind of work.
+func (c requestCell) run(b *bed, kind, want string) {
+	b.t.Helper()
+	step, fault := c.step, func() { requestFaults[c.fault](b) }
+	if c.step == stepDrain {
+		step, fault = "stream", func() {
+			go b.drain(b.instances["a"])
+			time.Sleep(time.Second)
+			requestFaults[c.fault](b)
+		}
+	}
+	met := b.plan(step, fault)
+	key := newKey()
+	got := b.call(kind, "a", key)
+	met()
+	if c.step == stepDrain {
+		if held := <-b.drained; held > 0 && c.fault != "kill" {
+			b.t.Errorf("a planned stop left %d bills at the instance", held)
+		}
+		if late := b.call(kind, "a", newKey()); late.outcome != gone {
+			b.t.Errorf("a stopped instance answered %s", late.outcome)
+		}
+	}
+	b.heal()
+	again := b.call(kind, "b", key)
+	if outcomes := got.outcome + ">" + again.outcome; outcomes != want {
+		b.t.Errorf("got %s, want %s (%q, %q)", outcomes, want, got.body, again.body)
+	}
+	b.heal()
+	b.judge()
+}
--- a/router/internal/peer/client.go
+++ b/router/internal/peer/client.go
@@ -16,6 +16,7 @@
 // use.
 type pool struct {
 	tls     *tls.Config
+	connect DialFunc
 	in, out gometrics.Counter
 
 	mu     sync.Mutex
@@ -23,8 +24,12 @@
 	closed bool
 }
 
-func newPool(cfg *tls.Config, in, out gometrics.Counter) *pool {
-	return &pool{tls: cfg, in: in, out: out, conns: map[string]*jsonrpc2.Conn{}}
+func newPool(cfg Config, in, out gometrics.Counter) *pool {
+	connect := cfg.Dial
+	if connect == nil {
+		connect = (&net.Dialer{}).DialContext
+	}
+	return &pool{tls: cfg.TLS, connect: connect, in: in, out: out, conns: map[string]*jsonrpc2.Conn{}}
 }
 
 // call sends one request to the peer at addr and decodes its answer. A
@@ -92,8 +97,7 @@
 func (p *pool) dial(ctx context.Context, addr string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTime)
 	defer cancel()
-	var d net.Dialer
-	raw, err := d.DialContext(ctx, "tcp", addr)
+	raw, err := p.connect(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
--- a/router/internal/peer/node.go
+++ b/router/internal/peer/node.go
@@ -33,12 +33,17 @@
 // Events takes what peers say of health; *driver.Driver is it.
 type Events interface{ Send(decision.Event) }
 
+// DialFunc connects to a peer; (*net.Dialer).DialContext is one.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Config of a Node.
 type Config struct {
 	// Self is this instance as the list has it.
 	Self wire.ListedInstance
 	// TLS is from TLSConfig; nil for plaintext.
 	TLS *tls.Config
+	// Dial connects to a peer; nil for TCP.
+	Dial DialFunc
 	// Interval between exchanges.
 	Interval time.Duration
 	// Seed makes the choice of peers repeatable; it should differ between
@@ -118,7 +123,7 @@
 		self:        cfg.Self,
 		store:       deps.Store,
 		interval:    cfg.Interval,
-		pool:        newPool(cfg.TLS, in, out),
+		pool:        newPool(cfg, in, out),
 		board:       newBoard(),
 		snaps:       &snapshots{store: deps.Store},
 		warnings:    rate.NewLimiter(rate.Every(time.Second), 1),
--- a/router/internal/peer/tls_test.go
+++ b/router/internal/peer/tls_test.go
@@ -116,7 +116,7 @@
 		"plaintext": nil, "no certificate": bare, "other authority": foreign,
 		"trusts another authority": other.config(t, "127.0.0.1"),
 	} {
-		p := newPool(cfg, gometrics.NewCounter(), gometrics.NewCounter())
+		p := newPool(Config{TLS: cfg}, gometrics.NewCounter(), gometrics.NewCounter())
 		err := p.call(context.Background(), server.self.Peer, MethodVouch, VouchParams{From: "x"}, nil)
 		p.close()
 		if err == nil {
@@ -125,7 +125,7 @@
 		untouched(t, server, name)
 	}
 	elsewhere := fleet(t, 1, func(int) *tls.Config { return ca.config(t, "10.0.0.9") })[0]
-	p := newPool(ca.config(t, "127.0.0.1"), gometrics.NewCounter(), gometrics.NewCounter())
+	p := newPool(Config{TLS: ca.config(t, "127.0.0.1")}, gometrics.NewCounter(), gometrics.NewCounter())
 	defer p.close()
 	if err := p.call(context.Background(), elsewhere.self.Peer, MethodVouch, VouchParams{From: "x"}, nil); err == nil {
 		t.Error("a certificate for another IP was accepted")
--- a/router/internal/upstream/upstream.go
+++ b/router/internal/upstream/upstream.go
@@ -84,14 +84,22 @@
 	single *http.Transport
 }
 
+// DialFunc connects to a backend server; (*net.Dialer).DialContext is one.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // NewClient returns a client for plaintext backend servers.
 func NewClient() *Client {
-	return &Client{shared: transport(false), single: transport(true)}
+	return NewClientWith((&net.Dialer{Timeout: dialTimeout}).DialContext)
+}
+
+// NewClientWith is NewClient over other connections than TCP, for tests.
+func NewClientWith(dial DialFunc) *Client {
+	return &Client{shared: transport(dial, false), single: transport(dial, true)}
 }
 
-func transport(single bool) *http.Transport {
+func transport(dial DialFunc, single bool) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: idleConns,
 		IdleConnTimeout:     idleTimeout,
 		DisableKeepAlives:   single,
