Fault matrix: publications and an instance's life; a replaced publication stays so

Files: router/internal/{faultmatrix,publish,manifest}.

Two faults that the cells showed, mended:

A publication sent again (its reply was lost, say) after a later one had come in force was taken for a new one with rebase: its old content became the next generation and undid the later manifest, though the same publication id is said to be idempotent. Cause: Publish compared the id with the manifest in force only. The holder now remembers the last 4096 publications that came in force here, and such a repetition is a conflict. Cells publish/push/freeze, publish/read_back/long_freeze, publish/*/operator_race. What is left: an instance that started from a checkpoint knows none from before it.

With the log down a publisher was told "conflict", as if another had won. It is now refused as publish_not_taken, with when to come back; conflict is said only where the generation is taken. Cells publish/publish/log_down, cut_*.

Ruled out for 1: a list of publications inside the manifest (grows each manifest, and old ones would lack it).

--- a/router/internal/faultmatrix/bed_test.go
+++ b/router/internal/faultmatrix/bed_test.go
@@ -60,8 +60,8 @@
 	withdrawn map[string]time.Time
 	// slack is the bound in cells in which an instance may not have heard.
 	slack time.Duration
-	// cutOff are the instances that start cut off from the log.
-	cutOff map[string]bool
+	// startsCut: the next instance starts cut off from the log.
+	startsCut bool
 	// drained is told how many bills a planned stop left at the instance.
 	drained chan int
 }
@@ -110,7 +110,6 @@
 		faults:    map[string]func(){},
 		leaving:   map[string]time.Time{},
 		withdrawn: map[string]time.Time{},
-		cutOff:    map[string]bool{},
 		drained:   make(chan int, 1),
 	}
 	for _, name := range []string{"e1", "e2", "s1", "s2"} {
@@ -157,7 +156,7 @@
 func (b *bed) begin(name string) *instance {
 	b.t.Helper()
 	b.net.revive(name)
-	b.log.Cut(name, b.cutOff[name])
+	b.log.Cut(name, b.startsCut)
 	ctx, cancel := context.WithCancel(context.Background())
 	in := &instance{b: b, name: name, end: cancel}
 	in.gate = gate.New(freshness.New(freshness.Config{Self: name, Bound: bound}), time.Now)
@@ -180,7 +179,8 @@
 	b.mu.Unlock()
 	in.goes(func() { in.driver.Run(ctx) })
 	in.goes(func() { in.look(ctx) })
-	in.goes(func() { _ = in.peers.Run(ctx, b.net.listen(self(name).Peer)) })
+	others := b.net.listen(self(name).Peer)
+	in.goes(func() { _ = in.peers.Run(ctx, others) })
 	in.driver.Send(decision.ServersListed{Servers: servers})
 	in.serveCallers()
 	return in
@@ -248,7 +248,8 @@
 		Recorder:  noRecorder{},
 		Limits:    api.Limits{MaxBody: 1 << 16, ReadTimeout: time.Minute, WriteTimeout: time.Minute, DefaultDeadline: 30 * time.Second, MaxDeadline: time.Minute},
 	})}
-	in.goes(func() { _ = in.server.Serve(in.b.net.listen(in.name + ":80")) })
+	callers := in.b.net.listen(in.name + ":80")
+	in.goes(func() { _ = in.server.Serve(callers) })
 	in.b.t.Cleanup(client.Close)
 }
 
@@ -373,8 +374,14 @@
 		s.b.at(s.instance, "publish")
 	}
 	res := s.Node.Put(ctx, r)
-	if r.Key.Class() == record.ClassBill && res.Outcome == node.OutcomeWon {
+	if res.Outcome != node.OutcomeWon {
+		return res
+	}
+	switch r.Key.Class() {
+	case record.ClassBill:
 		s.b.at(s.instance, "final frame")
+	case record.ClassManifest:
+		s.b.at(s.instance, "push")
 	}
 	return res
 }
--- a/router/internal/faultmatrix/matrix_test.go
+++ b/router/internal/faultmatrix/matrix_test.go
@@ -30,3 +30,26 @@
 		}
 	}
 }
+
+func TestPublications(t *testing.T) {
+	for _, c := range publishCells {
+		t.Run("publish/"+c.step+"/"+c.fault, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { c.run(begun(t)) })
+		})
+	}
+}
+
+func TestLife(t *testing.T) {
+	for _, c := range lifeCells {
+		t.Run(c.path+"/"+c.step+"/"+c.fault, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				b := begun(t)
+				c.run(b)
+				b.heal()
+				b.judge()
+			})
+		})
+	}
+}
--- a/router/internal/faultmatrix/request_test.go
+++ b/router/internal/faultmatrix/request_test.go
@@ -25,12 +25,15 @@
 	"freeze": func(b *bed) {
 		b.freeze(b.instances["a"], func() { b.withdraw("b"); time.Sleep(bound/2 + time.Second) })
 	},
+	"long freeze": func(b *bed) {
+		b.freeze(b.instances["a"], func() { b.withdraw("b"); time.Sleep(2 * bound) })
+	},
 	"log down":      func(b *bed) { b.log.SetDown(true); time.Sleep(2 * bound) },
 	"log goes down": func(b *bed) { b.log.SetDown(true) },
 	"slow":          func(b *bed) { b.log.SetSlow(time.Second) },
 	"lost reply":    func(b *bed) { b.log.LoseReplies(1) },
 	"lost append":   func(b *bed) { b.log.LoseAppends(1) },
-	"operator race": func(b *bed) { b.race() },
+	"operator race": func(b *bed) { b.race("b", "c") },
 	"leaving":       func(b *bed) { b.leaves() },
 	"server dies":   func(b *bed) { b.dies() },
 	"slow server":   func(b *bed) { b.behaves(slowly) },
--- a/router/internal/manifest/holder.go
+++ b/router/internal/manifest/holder.go
@@ -1,6 +1,7 @@
 package manifest
 
 import (
+	"sync"
 	"sync/atomic"
 
 	"github.com/gravitational/trace"
@@ -14,11 +15,21 @@
 	current atomic.Pointer[Index]
 	// applied is told of each newer manifest, in order, before readers see it.
 	applied func(*Index)
+
+	mu sync.Mutex
+	// accepted has the generation of each of the last publications; order is
+	// the oldest first.
+	accepted map[string]uint64
+	order    []string
 }
 
+// maxAccepted bounds the publications remembered: an hour and more of 66,000
+// changes a day, which is far longer than a pipeline repeats one.
+const maxAccepted = 4096
+
 // NewHolder returns an empty holder. applied may be nil; it must not block.
 func NewHolder(applied func(*Index)) *Holder {
-	return &Holder{applied: applied}
+	return &Holder{applied: applied, accepted: map[string]uint64{}}
 }
 
 // Current is the manifest in force; nil before the first.
@@ -32,6 +43,28 @@
 	return 0
 }
 
+// Accepted is the generation that a publication got, where it is one of the last
+// that came in force here.
+func (h *Holder) Accepted(publication string) (generation uint64, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	generation, ok = h.accepted[publication]
+	return generation, ok
+}
+
+func (h *Holder) remember(m Manifest) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if _, again := h.accepted[m.Publication]; !again {
+		h.order = append(h.order, m.Publication)
+	}
+	h.accepted[m.Publication] = m.Generation
+	if len(h.order) > maxAccepted {
+		delete(h.accepted, h.order[0])
+		h.order = h.order[1:]
+	}
+}
+
 // Fold takes a change of a manifest register. The fold gives winners in order;
 // a generation that is not newer changes nothing, so that no replay reverts.
 func (h *Holder) Fold(c fold.Change) error {
@@ -54,6 +87,7 @@
 	if h.applied != nil {
 		h.applied(x)
 	}
+	h.remember(m)
 	h.current.Store(x)
 	return nil
 }
--- a/router/internal/manifest/manifest_test.go
+++ b/router/internal/manifest/manifest_test.go
@@ -1,6 +1,7 @@
 package manifest
 
 import (
+	"fmt"
 	"encoding/json"
 	"slices"
 	"strings"
@@ -112,6 +113,21 @@
 	}
 }
 
+// TestHolderRemembersPublications: the last ones, and no more.
+func TestHolderRemembersPublications(t *testing.T) {
+	h := NewHolder(nil)
+	for i := range uint64(maxAccepted + 2) {
+		h.remember(Manifest{Publication: fmt.Sprint(i), Generation: i + 1})
+	}
+	h.remember(Manifest{Publication: "5", Generation: 9000})
+	if g, ok := h.Accepted("5"); !ok || g != 9000 {
+		t.Errorf("got %d, %v", g, ok)
+	}
+	if _, ok := h.Accepted("1"); ok || len(h.accepted) != maxAccepted || len(h.order) != maxAccepted {
+		t.Errorf("%d remembered in an order of %d", len(h.accepted), len(h.order))
+	}
+}
+
 func TestCheckRecordRefusesWhatValidateRefuses(t *testing.T) {
 	bad := valid()
 	bad.Teams[0].Weight = -1
--- a/router/internal/publish/publish.go
+++ b/router/internal/publish/publish.go
@@ -21,6 +21,9 @@
 // putTimeout bounds the wait for the own manifest to be read back.
 const putTimeout = 5 * time.Second
 
+// retrySoon is when to publish again after the log did not take a manifest.
+const retrySoon = time.Second
+
 // Gate says whether the instance may act on what it knows.
 type Gate interface {
 	MayRun(idempotent bool) decision.RefusalReason
@@ -61,6 +64,11 @@
 	if current != nil && current.Manifest.Publication == m.Publication {
 		return p.result(outcome.Completed, "already_published", "")
 	}
+	if _, before := p.holder.Accepted(m.Publication); before {
+		// A repetition whose first try was accepted long since must not bring
+		// its old content back over what was published after it.
+		return p.result(outcome.Conflict, "conflict", "this publication was accepted before, and a later one is in force")
+	}
 	if rebase {
 		m = over(m, current)
 	}
@@ -113,12 +121,23 @@
 	case node.OutcomeLost:
 		return p.result(outcome.Conflict, "conflict", "another publication has this generation")
 	case node.OutcomeVoid:
-		return p.result(outcome.Conflict, "conflict", "the manifest was not taken: another came first, or the log refused it")
+		return p.notTaken(m)
 	default:
 		return p.result(outcome.Unknown, "publish_unknown", "the log did not answer in time; publish again with the same publication id")
 	}
 }
 
+// notTaken tells a publication that lost its place from one that the log did not
+// take: the first must be made anew, the second can be sent again as it is.
+func (p *Publisher) notTaken(m manifest.Manifest) Result {
+	if p.holder.Generation() >= m.Generation {
+		return p.result(outcome.Conflict, "conflict", "another publication came first")
+	}
+	r := p.result(outcome.Refused, "publish_not_taken", "the log did not take the manifest; publish again")
+	r.Outcome.RetryAfter = retrySoon
+	return r
+}
+
 // publicationNonce is the same for each try of one pipeline run, so that a try
 // whose reply was lost and its repetition are one proposal.
 func publicationNonce(publication string) record.Nonce {
