Fault matrix: a resend that crosses the first try

Files: router/internal/faultmatrix, gofmt in router/internal/manifest's test.

The caller sends the same key to another instance while the first try stands at a step.

--- a/router/internal/faultmatrix/bed_test.go
+++ b/router/internal/faultmatrix/bed_test.go
@@ -54,8 +54,10 @@
 	nextLeaves bool
 	behaviour  string
 	serving    string
-	runs       []run
-	answers    []answer
+	// kind and key are those of the cell's request.
+	kind, key string
+	runs      []run
+	answers   []answer
 	// withdrawn has when a version's withdrawal was in force everywhere.
 	withdrawn map[string]time.Time
 	// slack is the bound in cells in which an instance may not have heard.
--- a/router/internal/faultmatrix/cells_test.go
+++ b/router/internal/faultmatrix/cells_test.go
@@ -19,6 +19,7 @@
 	{"admit", "operator race", "completed>completed", "completed>completed", "completed>already_run"},
 	{"admit", "leaving", "completed>completed", "completed>completed", "completed>already_run"},
 	{"admit", "server dies", "completed>completed", "completed>completed", "completed>already_run"},
+	{"admit", "crossed resend", "completed>completed", "completed>completed", "already_run>already_run"},
 
 	{"claim", "kill", "", "", "gone>completed"},
 	{"claim", "cut from log", "", "", "refused>completed"},
@@ -30,6 +31,7 @@
 	{"claim", "lost append", "", "", "completed>already_run"},
 	{"claim", "operator race", "", "", "completed>already_run"},
 	{"claim", "leaving", "", "", "completed>already_run"},
+	{"claim", "crossed resend", "", "", "already_run>already_run"},
 
 	// The first record that the request puts into the log, written and not yet
 	// read back: a reservation's claim, a chat's bill.
@@ -42,6 +44,7 @@
 	{"read back", "freeze", "unknown>completed", "cut>completed", "refused>completed"},
 	{"read back", "log goes down", "completed>completed", "completed>completed", "refused>completed"},
 	{"read back", "operator race", "completed>completed", "completed>completed", "completed>already_run"},
+	{"read back", "crossed resend", "completed>completed", "completed>completed", "completed>already_run"},
 
 	// The decision has sent the request to a backend server; the last look at
 	// the gate and the manifest is still to come.
@@ -55,6 +58,7 @@
 	{"dispatch", "server dies", "completed>completed", "completed>completed", "completed>already_run"},
 	{"dispatch", "slow server", "completed>completed", "completed>completed", "completed>already_run"},
 	{"dispatch", "crossed", "completed>completed", "completed>completed", "unknown>already_run"},
+	{"dispatch", "crossed resend", "completed>completed", "completed>completed", "already_run>already_run"},
 
 	// The backend server is in the middle of its answer.
 	{"stream", "kill", "gone>completed", "cut>completed", "gone>already_run"},
@@ -71,6 +75,7 @@
 	{"stream", "truncated", "completed>completed", "cut>completed", "failed>already_run"},
 	{"stream", "duplicated", "", "completed>completed", ""},
 	{"stream", "late tail", "", "completed>completed", ""},
+	{"stream", "crossed resend", "completed>completed", "completed>completed", "completed>already_run"},
 
 	{"bill", "kill", "gone>completed", "cut>completed", "gone>already_run"},
 	{"bill", "cut from log", "completed>completed", "completed>completed", "completed>already_run"},
@@ -82,6 +87,7 @@
 	{"bill", "lost reply", "completed>completed", "completed>completed", "completed>already_run"},
 	{"bill", "lost append", "completed>completed", "completed>completed", "completed>already_run"},
 	{"bill", "operator race", "completed>completed", "completed>completed", "completed>already_run"},
+	{"bill", "crossed resend", "completed>completed", "completed>completed", "completed>already_run"},
 
 	// The bill is durable, the end of the answer is not out.
 	{"final frame", "kill", "gone>completed", "cut>completed", "gone>already_run"},
--- a/router/internal/faultmatrix/request_test.go
+++ b/router/internal/faultmatrix/request_test.go
@@ -34,13 +34,15 @@
 	"lost reply":    func(b *bed) { b.log.LoseReplies(1) },
 	"lost append":   func(b *bed) { b.log.LoseAppends(1) },
 	"operator race": func(b *bed) { b.race("b", "c") },
-	"leaving":       func(b *bed) { b.leaves() },
-	"server dies":   func(b *bed) { b.dies() },
-	"slow server":   func(b *bed) { b.behaves(slowly) },
-	"crossed":       func(b *bed) { b.behaves(crossed) },
-	"truncated":     func(b *bed) { b.behaves(truncated) },
-	"duplicated":    func(b *bed) { b.behaves(duplicated) },
-	"late tail":     func(b *bed) { b.behaves(lateTail) },
+	// The caller loses patience and sends the request again, elsewhere.
+	"crossed resend": func(b *bed) { b.call(b.kind, "b", b.key) },
+	"leaving":        func(b *bed) { b.leaves() },
+	"server dies":    func(b *bed) { b.dies() },
+	"slow server":    func(b *bed) { b.behaves(slowly) },
+	"crossed":        func(b *bed) { b.behaves(crossed) },
+	"truncated":      func(b *bed) { b.behaves(truncated) },
+	"duplicated":     func(b *bed) { b.behaves(duplicated) },
+	"late tail":      func(b *bed) { b.behaves(lateTail) },
 }
 
 func (b *bed) behaves(how string) {
@@ -86,6 +88,7 @@
 	}
 	met := b.plan(step, fault)
 	key := newKey()
+	b.kind, b.key = kind, key
 	got := b.call(kind, "a", key)
 	met()
 	if c.step == stepDrain {
--- a/router/internal/manifest/manifest_test.go
+++ b/router/internal/manifest/manifest_test.go
@@ -1,8 +1,8 @@
 package manifest
 
 import (
-	"fmt"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
