Prices from the manifest in force; rejected requests; marked resends

Four faults found by reading the callers' edge through: a version that came with a later manifest was billed at 0, since its price was looked up in the manifest of the request's arrival; an engine's 4xx counted as a completed answer and wrote an empty bill; a resend under one key could fall on another version of a roll-out; and nothing ever marked a resend, so the budget for callers' retries was never drawn on. Two rows more in TestChatOutcomes; router tests of the packages concerned pass.

--- a/router/internal/api/attempt.go
+++ b/router/internal/api/attempt.go
@@ -11,6 +11,7 @@
 
 	"masticplank.example/decision"
 	"masticplank.example/router/internal/logging"
+	"masticplank.example/router/internal/manifest"
 	"masticplank.example/router/internal/outcome"
 	"masticplank.example/router/internal/upstream"
 	"masticplank.example/router/internal/wire"
@@ -77,7 +78,7 @@
 
 // readRejected handles an engine's answer that is not a success. What the
 // engine holds against the request itself (4xx) is the caller's to see; trying
-// it elsewhere would say the same.
+// it elsewhere would say the same. It is no completed answer, and not billed.
 func (x *exchange) readRejected(ctx context.Context, d decision.Dispatch, resp *http.Response) (*answer, error) {
 	body, err := upstream.ReadAll(ctx, resp)
 	if err != nil {
@@ -87,6 +88,7 @@
 	if busy || resp.StatusCode >= http.StatusInternalServerError {
 		return nil, &upstream.Failure{Result: decision.AttemptFailed, Err: errors.New(resp.Status)}
 	}
+	x.rejected = true
 	return &answer{attempt: d.Attempt, version: d.Version, status: resp.StatusCode, header: resp.Header, body: body}, nil
 }
 
@@ -115,9 +117,18 @@
 	x.bill.Version = string(version)
 	x.bill.PromptTokens += uint64(max(0, u.PromptTokens))
 	x.bill.OutputTokens += uint64(max(0, u.CompletionTokens))
-	if v, ok := x.caller.index.Version(string(version)); ok {
-		x.cost += v.Cost * float64(u.CompletionTokens) / perTokens
-	}
+	x.cost += x.price(version) * float64(u.CompletionTokens) / perTokens
+}
+
+// price of a version by the manifest in force. One that was withdrawn from it
+// altogether while the request ran has the price of the request's arrival.
+func (x *exchange) price(version decision.VersionID) float64 {
+	for _, index := range []*manifest.Index{x.s.Manifests.Current(), x.caller.index} {
+		if v, ok := index.Version(string(version)); ok {
+			return v.Cost
+		}
+	}
+	return 0
 }
 
 // attemptFailed tells the decision how the attempt ended. A cancelled one means
@@ -154,11 +165,24 @@
 	if !x.settle(ctx) {
 		return
 	}
+	x.end(a)
+}
+
+// end writes a whole answer and ends the request.
+func (x *exchange) end(a *answer) {
 	x.writeAnswer(a)
-	x.observe(outcome.Outcome{Kind: outcome.Completed})
+	x.observe(x.ending())
 	x.over = true
 }
 
+// ending is the outcome of an answer that came whole.
+func (x *exchange) ending() outcome.Outcome {
+	if x.rejected {
+		return outcome.Outcome{Kind: outcome.Failed, Code: "rejected_by_backend_server"}
+	}
+	return outcome.Outcome{Kind: outcome.Completed}
+}
+
 func (x *exchange) writeAnswer(a *answer) {
 	if a.events != nil {
 		x.writeEvents(a)
@@ -177,7 +201,7 @@
 
 func (x *exchange) setOutcomeHeaders(version decision.VersionID) {
 	h := x.w.Header()
-	h.Set(wire.HeaderOutcome, string(outcome.Completed))
+	h.Set(wire.HeaderOutcome, string(x.ending().Kind))
 	h.Set(wire.HeaderIdempotencyKey, x.key.id)
 	if version != "" {
 		h.Set(wire.HeaderVersion, string(version))
--- a/router/internal/api/chat.go
+++ b/router/internal/api/chat.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/google/uuid"
 
 	"masticplank.example/decision"
 	"masticplank.example/router/internal/outcome"
@@ -48,7 +47,7 @@
 		writeOutcome(w, *bad)
 		return
 	}
-	req, bad := s.chatRequest(r, c, chat, body)
+	req, bad := s.chatRequest(r, c, key, chat, body)
 	if bad != nil {
 		writeOutcome(w, *bad)
 		return
@@ -96,8 +95,8 @@
 }
 
 // chatRequest builds what the decision is told.
-func (s *Server) chatRequest(r *http.Request, c caller, chat wire.ChatRequest, body []byte) (decision.Request, *outcome.Outcome) {
-	req, bad := s.commonRequest(r, c, body)
+func (s *Server) chatRequest(r *http.Request, c caller, key identity, chat wire.ChatRequest, body []byte) (decision.Request, *outcome.Outcome) {
+	req, bad := s.commonRequest(r, c, key, body)
 	if bad != nil {
 		return req, bad
 	}
@@ -117,7 +116,7 @@
 }
 
 // commonRequest reads what all requests have: task, priority, deadline.
-func (s *Server) commonRequest(r *http.Request, c caller, body []byte) (decision.Request, *outcome.Outcome) {
+func (s *Server) commonRequest(r *http.Request, c caller, key identity, body []byte) (decision.Request, *outcome.Outcome) {
 	print := xxhash.New()
 	_, _ = print.WriteString(c.team.ID + "\x00" + r.Method + "\x00" + r.URL.Path + "\x00")
 	_, _ = print.Write(body)
@@ -125,7 +124,9 @@
 		Team:        decision.TeamID(c.team.ID),
 		Class:       decision.TaskClass(r.Header.Get(wire.HeaderTask)),
 		Fingerprint: decision.Fingerprint(print.Sum64()),
-		ShareHash:   shareHash(uuid.NewString()),
+		// By the request's identity, so that a resend falls on the same version.
+		ShareHash: shareHash(key.id),
+		Resend:    isResend(r),
 	}
 	if text := r.Header.Get(wire.HeaderPriority); text != "" {
 		priority, err := strconv.Atoi(text)
@@ -148,6 +149,17 @@
 	return req, nil
 }
 
+// isResend says whether the caller marks the request as sent again. Those draw on
+// the team's budget for retries, so that they cannot keep an overload alive.
+func isResend(r *http.Request) bool {
+	for _, name := range []string{wire.HeaderRetry, wire.HeaderClientRetry} {
+		if n, err := strconv.Atoi(r.Header.Get(name)); err == nil && n > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // shareHash spreads ids evenly over 0 to 1.
 func shareHash(id string) float64 {
 	const span = 1 << 53
--- a/router/internal/api/exchange.go
+++ b/router/internal/api/exchange.go
@@ -39,6 +39,8 @@
 	cost float64
 	// tokensBefore is what the attempts before the present one generated.
 	tokensBefore uint64
+	// rejected says that the engine held something against the request itself.
+	rejected bool
 	// sent says that a part of an answer went to the caller.
 	sent bool
 	// over says that the caller has the final answer, or can get none.
@@ -207,14 +209,13 @@
 	if !x.settle(ctx) {
 		return
 	}
-	x.writeAnswer(x.held)
-	x.observe(outcome.Outcome{Kind: outcome.Completed})
-	x.over = true
+	x.end(x.held)
 }
 
-// settle makes the bill durable, before the last of the answer goes out.
+// settle makes the bill durable, before the last of the answer goes out. A call
+// without a price, and a request that the engine rejected, have none.
 func (x *exchange) settle(ctx context.Context) bool {
-	if x.cost == 0 && x.call != nil {
+	if x.cost == 0 && x.bill.OutputTokens == 0 {
 		return true
 	}
 	if err := x.record(ctx); err != nil {
--- a/router/internal/api/outcome_test.go
+++ b/router/internal/api/outcome_test.go
@@ -73,6 +73,8 @@
 		{"plain, no usage", prompt, status(200, false), "failed", false, 0},
 		{"plain, server error", prompt, status(500, false), "failed", false, 0},
 		{"plain, refused everywhere", prompt, status(503, true), "refused", false, 0},
+		{"plain, rejected by the engine", prompt, status(422, false), "failed", false, 0},
+		{"stream, rejected by the engine", streamed, status(422, false), "failed", false, 0},
 		{"stream cut after a token", streamed, cutAfter(token1), "completed", true, 0},
 		{"stream cut before the end mark", streamed, cutAfter(token1, token2, lastChunk), "completed", true, 0},
 		{"stream ended without its end mark", streamed, chatStream(token1, token2, lastChunk), "completed", true, 0},
--- a/router/internal/api/service.go
+++ b/router/internal/api/service.go
@@ -52,7 +52,7 @@
 		writeOutcome(w, *bad)
 		return
 	}
-	req, bad := s.commonRequest(r, c, body)
+	req, bad := s.commonRequest(r, c, key, body)
 	if bad != nil {
 		writeOutcome(w, *bad)
 		return
--- a/router/internal/wire/wire.go
+++ b/router/internal/wire/wire.go
@@ -24,6 +24,10 @@
 	HeaderDeadline = "Masticplank-Deadline"
 	// HeaderIdempotencyKey is the caller's request identity, a UUIDv7.
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderRetry counts how often the caller has sent this request before;
+	// HeaderClientRetry is what widespread OpenAI clients send for the same.
+	HeaderRetry       = "Masticplank-Retry"
+	HeaderClientRetry = "X-Stainless-Retry-Count"
 	// HeaderLeaving marks a 503 of a backend server that is leaving.
 	HeaderLeaving = "Masticplank-Leaving"
 	// HeaderNotRun marks an answer of a backend server that refused the
