Deadlines are kept apart from the time of day

Cause: the deadline heap compared wall times; setting the clock back by a second would have held requests a second past their deadline, forward refused them.

They are compared as the time since the first tick, which follows the monotonic clock where the times have one.

--- a/decision/expire.go
+++ b/decision/expire.go
@@ -13,7 +13,7 @@
 // once as not run; running work is cancelled at the backend server.
 func (w *World) expire() {
 	w.wakeServers()
-	for now := w.now.UnixNano(); len(w.due) > 0 && w.due[0].due <= now; {
+	for now := w.now.Sub(w.base); len(w.due) > 0 && w.due[0].due <= now; {
 		w.expireRequest(w.due[0].request)
 	}
 }
@@ -51,7 +51,7 @@
 
 // watch sets when the request must be looked at next.
 func (w *World) watch(r *request, at time.Time) {
-	e := dueEntry{due: at.UnixNano(), id: r.ID, request: r}
+	e := dueEntry{due: at.Sub(w.base), id: r.ID, request: r}
 	if r.duePos < 0 {
 		w.pushDue = e
 		heap.Push(&w.due, &w.pushDue)
--- a/decision/heaps.go
+++ b/decision/heaps.go
@@ -2,10 +2,11 @@
 
 import "time"
 
-// dueEntry is a request and when it must be looked at, in Unix nanoseconds. The
-// entry holds what is compared, so that ordering touches no row.
+// dueEntry is a request and when it must be looked at, as the time since the
+// world's first tick: unlike a time of day it stands still when the clock is set.
+// The entry holds what is compared, so that ordering touches no row.
 type dueEntry struct {
-	due     int64
+	due     time.Duration
 	id      RequestID
 	request *request
 }
--- a/decision/world.go
+++ b/decision/world.go
@@ -29,7 +29,9 @@
 	seconds   *simplelru.LRU[attemptKey, VersionID]
 	prefixes  *prefix.Index[ServerID, BlockHash]
 
-	now time.Time
+	// base is the first tick's time.
+	base time.Time
+	now  time.Time
 	// useClock is the meters' of use.
 	useClock decayClock
 	fresh    bool
@@ -105,6 +107,9 @@
 
 // begin starts a tick: the clock moves on.
 func (w *World) begin(now time.Time) {
+	if w.base.IsZero() {
+		w.base = now
+	}
 	elapsed := time.Duration(0)
 	if now.After(w.now) {
 		if !w.now.IsZero() {
