--- a/decision/ingest_servers.go
+++ b/decision/ingest_servers.go
@@ -1,10 +1,6 @@
 package decision
 
-import (
-	"container/heap"
-	"slices"
-	"time"
-)
+import "slices"
 
 // ingestServers makes the table follow the platform's list. Only rows that
 // changed are touched, so that a list of 10,000 with one change costs one pass
@@ -94,10 +90,6 @@
 	w.emit(ShareLeaving{Server: id})
 }
 
-// capacity is how many requests the server runs at once; a row that names none
-// has one.
-func (s *server) capacity() int { return max(s.Slots, 1) }
-
 // join enters a server into its pools.
 func (w *World) join(s *server) {
 	s.member = s.member[:0]
@@ -139,127 +131,3 @@
 	}
 	s.member = s.member[:0]
 }
-
-// refresh recomputes whether the server can take a request now.
-func (w *World) refresh(s *server) {
-	w.setFree(s, w.canTake(s))
-}
-
-// canTake is the capacity and state filter.
-//
-// Load: full saturation, with lagging reports. The own attempts never pass the
-// server's slots. What others run there counts while the report is young, so
-// that eight instances together do not overload a server. But a first own
-// attempt may pass the slots by a part: else an instance that joins a saturated
-// pool would never get a slot, since the others refill theirs as they end. It
-// makes the others see the server as full, and so their part shrinks.
-func (w *World) canTake(s *server) bool {
-	if s.gone || s.leaving || w.isBarred(s) {
-		return false
-	}
-	if w.now.Before(s.shutUntil) {
-		w.wakeAt(s, s.shutUntil)
-		return false
-	}
-	if s.running >= s.capacity() {
-		return false
-	}
-	if s.running+s.others < s.capacity() {
-		return true
-	}
-	if s.running == 0 && s.others < s.capacity()+w.overcommit(s) {
-		return true
-	}
-	if !w.reportFresh(s) {
-		return true
-	}
-	w.wakeAt(s, s.reportedAt.Add(w.cfg.ReportLife))
-	return false
-}
-
-// overcommit is by how many attempts instances that have none at the server may
-// pass its slots.
-func (w *World) overcommit(s *server) int {
-	return max(int(w.cfg.Overcommit*float64(s.capacity())), 1)
-}
-
-// setFree enters the server into its pools' free sets or takes it out.
-func (w *World) setFree(s *server, free bool) {
-	if s.isFree == free {
-		return
-	}
-	s.isFree = free
-	for i := range s.member {
-		if free {
-			s.member[i].pool.addFree(s, i)
-		} else {
-			s.member[i].pool.removeFree(s.member[i].pos)
-			s.member[i].pos = -1
-		}
-	}
-}
-
-func (p *pool) addFree(s *server, member int) {
-	s.member[member].pos = len(p.free)
-	p.free = append(p.free, freeSlot{server: s, member: member})
-}
-
-func (p *pool) removeFree(pos int) {
-	last := len(p.free) - 1
-	moved := p.free[last]
-	p.free[pos] = moved
-	moved.server.member[moved.member].pos = pos
-	p.free[last] = freeSlot{}
-	p.free = p.free[:last]
-}
-
-// shut keeps the server out of the choice until at.
-func (w *World) shut(s *server, at time.Time) {
-	if !at.After(s.shutUntil) {
-		return
-	}
-	s.shutUntil = at
-	w.refresh(s)
-}
-
-// wakeAt has the server looked at again at a time, unless that is to be done
-// sooner anyway.
-func (w *World) wakeAt(s *server, at time.Time) {
-	if !s.wakeAt.IsZero() && !s.wakeAt.After(at) {
-		return
-	}
-	s.wakeAt = at
-	w.wakeSeq++
-	heap.Push(&w.wakes, wake{at: at, seq: w.wakeSeq, server: s})
-}
-
-// poolOf returns the version's pool, made where it is missing: the list and the
-// manifest may come in either order.
-func (w *World) poolOf(id VersionID) *pool {
-	p := w.pools[id]
-	if p == nil {
-		p = w.newPool()
-		p.version = id
-		w.pools[id] = p
-	}
-	return p
-}
-
-func (w *World) newPool() *pool {
-	p := &pool{busyPos: -1}
-	if w.cfg.Policy.FirstCome {
-		p.shared = &flow{}
-		p.queue.Init(&p.shared.Flow, w.fairness.NewAccount(1))
-	}
-	return p
-}
-
-func (w *World) serviceOf(id ServiceID) *pool {
-	p := w.services[id]
-	if p == nil {
-		p = w.newPool()
-		p.service = id
-		w.services[id] = p
-	}
-	return p
-}
--- /dev/null
+++ b/decision/pool.go
@@ -0,0 +1,32 @@
+package decision
+
+// poolOf returns the version's pool, made where it is missing: the list and the
+// manifest may come in either order.
+func (w *World) poolOf(id VersionID) *pool {
+	p := w.pools[id]
+	if p == nil {
+		p = w.newPool()
+		p.version = id
+		w.pools[id] = p
+	}
+	return p
+}
+
+func (w *World) newPool() *pool {
+	p := &pool{busyPos: -1}
+	if w.cfg.Policy.FirstCome {
+		p.shared = &flow{}
+		p.queue.Init(&p.shared.Flow, w.fairness.NewAccount(1))
+	}
+	return p
+}
+
+func (w *World) serviceOf(id ServiceID) *pool {
+	p := w.services[id]
+	if p == nil {
+		p = w.newPool()
+		p.service = id
+		w.services[id] = p
+	}
+	return p
+}
