Processes: an instance replaced while the log is down

It takes the state over from its peers, serves idempotent work, refuses the rest, and knows the claims of before once the log is back.

--- a/router/internal/e2e/failure_test.go
+++ b/router/internal/e2e/failure_test.go
@@ -176,6 +176,39 @@
 	}
 }
 
+// TestReplacedWhileTheLogIsDown starts a new instance in an outage: it takes the
+// state over from its peers, serves idempotent work under the manifest in force, and
+// refuses what needs the log.
+func TestReplacedWhileTheLogIsDown(t *testing.T) {
+	f := readyFleet(t)
+	key := newKey()
+	if r := f.reserve(f.instances[0], key); outcomeOf(r) != "completed" {
+		t.Fatalf("reservation: %+v", r)
+	}
+	f.faults(f.log, map[string]any{"down": true})
+	for _, i := range f.instances {
+		f.awaitMode(i, "outage")
+	}
+	f.instances[0].kill()
+	fresh := f.add()
+	f.awaitMode(fresh, "outage")
+	if s := f.status(fresh); s.Generation != 1 {
+		t.Errorf("generation %d", s.Generation)
+	}
+	eventually(t, "a chat at the new instance", func() bool { return outcomeOf(f.chat(fresh)) == "completed" })
+	if r := f.reserve(fresh, newKey()); outcomeOf(r) != "refused" {
+		t.Errorf("reservation in the outage: %+v", r)
+	}
+	f.faults(f.log, map[string]any{})
+	f.awaitMode(fresh, "fresh")
+	if r := f.reserve(fresh, key); outcomeOf(r) != "already_run" {
+		t.Errorf("the reservation of before: %+v", r)
+	}
+	if n := f.runs(key); n != 1 {
+		t.Errorf("ran %d times", n)
+	}
+}
+
 // TestBillLogDown has bills in a log of their own and takes that one away: all
 // work goes on, reservations too, and each bill is in once the log is back.
 func TestBillLogDown(t *testing.T) {
--- a/router/internal/e2e/fleet_test.go
+++ b/router/internal/e2e/fleet_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -26,6 +27,8 @@
 	shop      string
 	engines   []string
 	instances []*instance
+	// platform are the settings that all instances share.
+	platform map[string]any
 	// lines are the instances' ways to the log, which a test can cut.
 	lines []*relay
 }
@@ -68,22 +71,32 @@
 		})
 	}
 	f.put("http://"+f.list+"/instances", list)
-	for n := range instances {
-		line := newRelay(t, f.log)
-		f.lines = append(f.lines, line)
-		name := fmt.Sprintf("entry-%d", n+1)
-		i := startInstance(t, name, domains[n%len(domains)], map[string]any{
-			"log_url":      "http://" + line.addr,
-			"bill_log_url": billURL,
-			"list_url":     "http://" + f.list,
-			"rating_url":   "http://" + rating,
-		})
-		f.instances = append(f.instances, i)
-		f.put("http://"+f.list+"/instances/"+name, wire.ListedInstance{ID: name, Peer: i.peer, Domain: domains[n%len(domains)]})
+	f.platform = map[string]any{
+		"bill_log_url": billURL,
+		"list_url":     "http://" + f.list,
+		"rating_url":   "http://" + rating,
+	}
+	for range instances {
+		f.add()
 	}
 	return f
 }
 
+// add starts one more instance and lists it.
+func (f *fleet) add() *instance {
+	f.t.Helper()
+	n := len(f.instances)
+	line := newRelay(f.t, f.log)
+	f.lines = append(f.lines, line)
+	platform := maps.Clone(f.platform)
+	platform["log_url"] = "http://" + line.addr
+	name, domain := fmt.Sprintf("entry-%d", n+1), domains[n%len(domains)]
+	i := startInstance(f.t, name, domain, platform)
+	f.instances = append(f.instances, i)
+	f.put("http://"+f.list+"/instances/"+name, wire.ListedInstance{ID: name, Peer: i.peer, Domain: domain})
+	return i
+}
+
 // put sends a JSON body to a stand-in.
 func (f *fleet) put(url string, body any) {
 	f.t.Helper()
