--- a/router/internal/e2e/fleet_test.go
+++ b/router/internal/e2e/fleet_test.go
@@ -222,13 +222,18 @@
 	in.Close()
 }
 
-// billsOf counts a request's bills in the ledger, read from the log by the
-// operators' tool.
+// billsOf counts a request's bills in the ledger.
 func (f *fleet) billsOf(request string) int {
+	f.t.Helper()
+	return strings.Count(f.ledger(), request)
+}
+
+// ledger is read from the log by the operators' tool.
+func (f *fleet) ledger() string {
 	f.t.Helper()
 	out, err := tool("ledger", "export", "--log", "http://"+f.bills)
 	if err != nil {
 		f.t.Fatalf("ledger export: %v: %s", err, out)
 	}
-	return strings.Count(out, request)
+	return out
 }
--- a/router/internal/e2e/process_test.go
+++ b/router/internal/e2e/process_test.go
@@ -235,7 +235,11 @@
 	for name, value := range header {
 		req.Header.Set(name, value)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	return read(http.DefaultClient.Do(req))
+}
+
+// read takes an answer whole.
+func read(resp *http.Response, err error) reply {
 	if err != nil {
 		return reply{err: err}
 	}
