Fault matrix: the claim won, a stream without its end, a log nobody has read

Files: router/internal/faultmatrix.

Guards taken out one by one left some cells green, so the matrix lacked cells for them: refusals after a won claim (release, second look), a stream that ends without its end mark, a pause shorter than the bound (the freeze was so long that age alone refused), and the push (rounds were so frequent that it did not matter). Each has its cells now.

One unsteady cell found and its cause mended: whether others had read a record before the log went down was left to chance (publish/read_back/log_goes_down); it is now two cells, read by the others and read by nobody. A line made while it was being cut stayed open in the in-memory network.

--- a/router/internal/faultmatrix/backend_test.go
+++ b/router/internal/faultmatrix/backend_test.go
@@ -54,6 +54,7 @@
 const (
 	crossed    = "crossed"
 	truncated  = "truncated"
+	unended    = "unended"
 	duplicated = "duplicated"
 	slowly     = "slow"
 	lateTail   = "late tail"
@@ -103,7 +104,7 @@
 		b.leaving[name] = time.Now()
 	}
 	_, leaves := b.leaving[name]
-	return leaves
+	return leaves || b.nobodyRuns
 }
 
 // ran notes a run, which was asked to behave in a way.
@@ -189,6 +190,8 @@
 		switch {
 		case behaviour == truncated && i == len(events)-1:
 			panic(http.ErrAbortHandler)
+		case behaviour == unended && i == len(events)-1:
+			return
 		case behaviour == duplicated:
 			send(i - 1)
 		}
--- a/router/internal/faultmatrix/bed_test.go
+++ b/router/internal/faultmatrix/bed_test.go
@@ -52,6 +52,7 @@
 	// called next; behaviour is what the next run does.
 	leaving    map[string]time.Time
 	nextLeaves bool
+	nobodyRuns bool
 	behaviour  string
 	serving    string
 	// kind and key are those of the cell's request.
@@ -171,7 +172,7 @@
 	})
 	in.gate.OnChange(func(m freshness.Mode) { in.driver.Send(gate.Event(m)) })
 	in.startNode()
-	in.peers = peer.New(peer.Config{Self: self(name), Dial: b.net.dialer(name), Interval: 500 * time.Millisecond, Seed: cfg.Seed},
+	in.peers = peer.New(peer.Config{Self: self(name), Dial: b.net.dialer(name), Interval: 2 * time.Second, Seed: cfg.Seed},
 		peer.Deps{Store: in.Node, Instances: func() []wire.ListedInstance { return fleet }, Vouches: in, Events: in.driver})
 	in.gate.SetFull(in.peers.Full)
 	in.publisher = publish.New(hookStore{in}, in.holder, in.gate)
@@ -307,6 +308,9 @@
 	b.log.SetDown(false)
 	b.log.SetSlow(0)
 	b.net.mend()
+	b.mu.Lock()
+	b.nobodyRuns = false
+	b.mu.Unlock()
 	for _, in := range b.instances {
 		if !b.net.isDown(in.name) {
 			b.log.Cut(in.name, false)
@@ -380,6 +384,8 @@
 		return res
 	}
 	switch r.Key.Class() {
+	case record.ClassClaim:
+		s.b.at(s.instance, "claimed")
 	case record.ClassBill:
 		s.b.at(s.instance, "final frame")
 	case record.ClassManifest:
--- a/router/internal/faultmatrix/cells_test.go
+++ b/router/internal/faultmatrix/cells_test.go
@@ -42,10 +42,25 @@
 	{"read back", "cut from log", "completed>completed", "completed>completed", "completed>already_run"},
 	{"read back", "cut from all", "unknown>completed", "cut>completed", "refused>completed"},
 	{"read back", "freeze", "unknown>completed", "cut>completed", "refused>completed"},
-	{"read back", "log goes down", "completed>completed", "completed>completed", "refused>completed"},
+	{"read back", "log goes down", "completed>completed", "completed>completed", "completed>already_run"},
+	{"read back", faultUnread, "completed>completed", "completed>completed", "refused>completed"},
 	{"read back", "operator race", "completed>completed", "completed>completed", "completed>already_run"},
 	{"read back", "crossed resend", "completed>completed", "completed>completed", "completed>already_run"},
 
+	// The claim is won, the reservation not yet sent: what is refused now must
+	// be free again for the resend.
+	{"claimed", "kill", "", "", "gone>already_run"},
+	{"claimed", "cut from log", "", "", "completed>already_run"},
+	{"claimed", "cut from all", "", "", "refused>completed"},
+	{"claimed", "freeze", "", "", "completed>already_run"},
+	{"claimed", "log goes down", "", "", "completed>already_run"},
+	{"claimed", "log down", "", "", "refused>completed"},
+	{"claimed", "operator race", "", "", "completed>already_run"},
+	{"claimed", "leaving", "", "", "completed>already_run"},
+	{"claimed", "all leave", "", "", "refused>completed"},
+	{"claimed", "server dies", "", "", "completed>already_run"},
+	{"claimed", "crossed resend", "", "", "completed>already_run"},
+
 	// The decision has sent the request to a backend server; the last look at
 	// the gate and the manifest is still to come.
 	{"dispatch", "kill", "gone>completed", "gone>completed", "gone>completed"},
@@ -73,6 +88,7 @@
 	{"stream", "server dies", "completed>completed", "cut>completed", "failed>already_run"},
 	{"stream", "slow server", "completed>completed", "completed>completed", "completed>already_run"},
 	{"stream", "truncated", "completed>completed", "cut>completed", "failed>already_run"},
+	{"stream", "unended", "", "cut>completed", ""},
 	{"stream", "duplicated", "", "completed>completed", ""},
 	{"stream", "late tail", "", "completed>completed", ""},
 	{"stream", "crossed resend", "completed>completed", "completed>completed", "completed>already_run"},
--- a/router/internal/faultmatrix/life_test.go
+++ b/router/internal/faultmatrix/life_test.go
@@ -158,7 +158,7 @@
 		b.serves("c")
 	}},
 	{"life", "catch up", "freeze", func(b *bed) {
-		b.freeze(b.instances["c"], func() { b.withdraw("b"); time.Sleep(bound/2 + time.Second) })
+		b.freeze(b.instances["c"], func() { b.withdraw("b"); time.Sleep(shortOfBound) })
 		b.expect(kindPlain, "c", "refused")
 		b.expect(kindReserve, "c", "refused")
 		b.heal()
--- a/router/internal/faultmatrix/network_test.go
+++ b/router/internal/faultmatrix/network_test.go
@@ -50,7 +50,7 @@
 		to := owner(addr)
 		n.mu.Lock()
 		l := n.listeners[addr]
-		blocked := n.down[from] || n.down[to] || n.cut[pair(from, to)]
+		blocked := n.blocked(from, to)
 		n.mu.Unlock()
 		if l == nil || blocked {
 			return nil, errNoRoute
@@ -63,13 +63,29 @@
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
-		n.mu.Lock()
-		n.lines[&line{from, to, [2]net.Conn{here, there}}] = true
-		n.mu.Unlock()
+		if !n.keep(&line{from, to, [2]net.Conn{here, there}}) {
+			return nil, errNoRoute
+		}
 		return here, nil
 	}
 }
 
+func (n *network) blocked(a, b string) bool {
+	return n.down[a] || n.down[b] || n.cut[pair(a, b)]
+}
+
+// keep notes a new line, unless it was cut while it was being made.
+func (n *network) keep(l *line) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.blocked(l.from, l.to) {
+		_, _ = l.ends[0].Close(), l.ends[1].Close()
+		return false
+	}
+	n.lines[l] = true
+	return true
+}
+
 func pair(a, b string) string { return min(a, b) + "|" + max(a, b) }
 
 // sever ends the lines between two owners until mend.
--- a/router/internal/faultmatrix/publish_test.go
+++ b/router/internal/faultmatrix/publish_test.go
@@ -79,7 +79,8 @@
 	{"read back", "cut from log", "accepted>already_published", 2},
 	{"read back", "cut from all", "publish_unknown>already_published", 2},
 	{"read back", "long freeze", "publish_unknown>conflict", 3},
-	{"read back", "log goes down", "publish_unknown>already_published", 2},
+	{"read back", "log goes down", "accepted>already_published", 2},
+	{"read back", faultUnread, "publish_unknown>already_published", 2},
 	{"read back", "operator race", "accepted>conflict", 3},
 	// The publication is accepted; others have yet to hear of it.
 	{"push", "kill", "gone>already_published", 2},
@@ -94,6 +95,7 @@
 func (c publishCell) run(b *bed) {
 	b.t.Helper()
 	m := withdrawal("p-a")
+	b.othersDeaf(c.fault == faultUnread)
 	met := b.plan(c.step, func() { requestFaults[c.fault](b) })
 	first := b.instances["a"].publisher.Publish(context.Background(), m, true).Outcome.Code
 	met()
--- a/router/internal/faultmatrix/request_test.go
+++ b/router/internal/faultmatrix/request_test.go
@@ -16,6 +16,10 @@
 	plain, stream, reserve string
 }
 
+// shortOfBound, after a withdrawal, makes a pause longer than half the bound and
+// short enough that the confirmation from before it is still young.
+const shortOfBound = bound/2 - 600*time.Millisecond
+
 // faults of a request, as they happen at its step.
 var requestFaults = map[string]func(b *bed){
 	"none":         func(*bed) {},
@@ -23,17 +27,19 @@
 	"cut from log": func(b *bed) { b.log.Cut("a", true); time.Sleep(2 * bound) },
 	"cut from all": func(b *bed) { b.log.Cut("a", true); b.isolate("a"); time.Sleep(2 * bound) },
 	"freeze": func(b *bed) {
-		b.freeze(b.instances["a"], func() { b.withdraw("b"); time.Sleep(bound/2 + time.Second) })
+		b.freeze(b.instances["a"], func() { b.withdraw("b"); time.Sleep(shortOfBound) })
 	},
 	"long freeze": func(b *bed) {
 		b.freeze(b.instances["a"], func() { b.withdraw("b"); time.Sleep(2 * bound) })
 	},
 	"log down":      func(b *bed) { b.log.SetDown(true); time.Sleep(2 * bound) },
-	"log goes down": func(b *bed) { b.log.SetDown(true) },
+	"log goes down": func(b *bed) { time.Sleep(settled); b.log.SetDown(true) },
 	"slow":          func(b *bed) { b.log.SetSlow(time.Second) },
 	"lost reply":    func(b *bed) { b.log.LoseReplies(1) },
 	"lost append":   func(b *bed) { b.log.LoseAppends(1) },
 	"operator race": func(b *bed) { b.race("b", "c") },
+	// Nobody reads what was appended before the log goes down.
+	faultUnread: func(b *bed) { b.log.SetDown(true); b.othersDeaf(false) },
 	// The caller loses patience and sends the request again, elsewhere.
 	"crossed resend": func(b *bed) { b.call(b.kind, "b", b.key) },
 	"leaving":        func(b *bed) { b.leaves() },
@@ -41,10 +47,20 @@
 	"slow server":    func(b *bed) { b.behaves(slowly) },
 	"crossed":        func(b *bed) { b.behaves(crossed) },
 	"truncated":      func(b *bed) { b.behaves(truncated) },
+	"unended":        func(b *bed) { b.behaves(unended) },
+	"all leave":      func(b *bed) { b.allLeave() },
 	"duplicated":     func(b *bed) { b.behaves(duplicated) },
 	"late tail":      func(b *bed) { b.behaves(lateTail) },
 }
 
+const faultUnread = "log goes down unread"
+
+// othersDeaf keeps b and c from reading the log.
+func (b *bed) othersDeaf(deaf bool) {
+	b.instances["b"].deaf.Store(deaf)
+	b.instances["c"].deaf.Store(deaf)
+}
+
 func (b *bed) behaves(how string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -62,6 +78,13 @@
 	b.nextLeaves = true
 }
 
+// allLeave makes every backend server leave until the fleet is healed.
+func (b *bed) allLeave() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.nobodyRuns = true
+}
+
 // dies takes the serving backend server away, or one of each kind.
 func (b *bed) dies() {
 	b.mu.Lock()
@@ -86,6 +109,7 @@
 			requestFaults[c.fault](b)
 		}
 	}
+	b.othersDeaf(c.fault == faultUnread)
 	met := b.plan(step, fault)
 	key := newKey()
 	b.kind, b.key = kind, key
