--- a/coordination/node/proposals.go
+++ b/coordination/node/proposals.go
@@ -53,6 +53,8 @@
 	releases []record.Record
 	dead     map[proposalID]bool
 	extra    []record.Record
+	// orphans are Puts whose record may lie before a state that was taken over.
+	orphans []*proposal
 	// refusing is set while the log is known to take nothing.
 	refusing bool
 	// wake has room for one token: there is something to append.
@@ -181,7 +183,6 @@
 	records  []record.Record
 	puts     []*proposal
 	releases []record.Record
-	extra    []record.Record
 }
 
 // next takes the next group off the queues and marks its Puts as sent. This and
@@ -213,8 +214,10 @@
 		g.puts = append(g.puts, p)
 		g.records = append(g.records, p.record)
 	}
-	for len(ps.extra) > 0 && fits(&ps.extra[0]) {
-		g.extra = append(g.extra, ps.extra[0])
+	// One part of a checkpoint rides along, however full the group is: under
+	// constant load there is never room, and the log would be trimmed with no
+	// checkpoint in it.
+	if len(ps.extra) > 0 && len(g.records) < record.MaxRecords {
 		g.records = append(g.records, ps.extra[0])
 		ps.extra = ps.extra[1:]
 	}
@@ -269,6 +272,44 @@
 	}
 }
 
+// takeOrphans empties the orphans.
+func (ps *proposals) takeOrphans() []*proposal {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	out := ps.orphans
+	ps.orphans = nil
+	return out
+}
+
+// open reports whether g has anything left that was not read back.
+func (ps *proposals) open(g *group) bool {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	for _, p := range g.puts {
+		if !p.gone {
+			return true
+		}
+	}
+	for _, r := range g.releases {
+		if ps.dead[proposalID{r.Key, r.Nonce}] {
+			return true
+		}
+	}
+	return false
+}
+
+// anySent reports whether a Put that was handed to the log still waits.
+func (ps *proposals) anySent() bool {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	for _, p := range ps.waiting {
+		if p.stage == stageSent {
+			return true
+		}
+	}
+	return false
+}
+
 // readBack settles what a folded record of this process's own was waiting for.
 func (ps *proposals) readBack(c *fold.Change) {
 	ps.mu.Lock()
@@ -304,9 +345,11 @@
 	}
 }
 
-// restored settles the Puts whose own record lies before a state that was taken
-// over as a whole: the register tells the winner. One that finds no register
-// stays waiting, since its record may still come.
+// restored goes through the Puts whose own record may lie before a state that
+// was taken over as a whole, so that it is not read back any more. One that
+// holds its register has won. Of the others nothing is known: the state may be
+// older than the Put, and who held the key then may be gone. They are in doubt
+// like those whose reply was lost.
 func (ps *proposals) restored(lookup func(record.Key) (fold.Register, bool)) {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
@@ -314,16 +357,14 @@
 		if p.stage == stageQueued {
 			continue
 		}
-		reg, ok := lookup(id.key)
-		if !ok {
+		if reg, ok := lookup(id.key); ok && reg.Nonce == id.nonce {
+			ps.forget(p)
+			p.done <- Result{Outcome: OutcomeWon, Register: reg}
 			continue
 		}
-		ps.forget(p)
-		res := Result{Outcome: OutcomeLost, Register: reg}
-		if reg.Nonce == id.nonce {
-			res.Outcome = OutcomeWon
-		}
-		p.done <- res
+		p.unknown = true
+		ps.orphans = append(ps.orphans, p)
+		ps.signal()
 	}
 	// Releases in the part that was skipped are not read back any more.
 	ps.releases = ps.releases[:0]
--- a/decision/internal/policytest/bench.go
+++ b/decision/internal/policytest/bench.go
@@ -100,6 +100,10 @@
 	for _, c := range b.callers {
 		b.tally.lost(c)
 	}
+	for _, e := range b.engines {
+		b.tally.blocks += e.asked
+		b.tally.cached += e.hits
+	}
 }
 
 // faults applies the load's slow servers.
@@ -179,6 +183,7 @@
 	case decision.CancelAttempt:
 		b.cancel(instance, c)
 	case decision.ShareVerdict:
+		b.tally.verdict(c.Verdict, b.now)
 		for i := range b.policies {
 			if i != instance {
 				b.tellLater(i, c.Verdict, peerLag)
--- a/decision/internal/policytest/report.go
+++ b/decision/internal/policytest/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"slices"
 	"time"
 )
@@ -15,13 +16,18 @@
 	// Seconds.
 	FirstP50, FirstP95, FirstP99 float64
 	WholeP50, WholeP95, WholeP99 float64
-	// Goodput is whole answers in time a second; Refused and Failed are parts of
-	// all requests.
-	Goodput, Refused, Failed float64
-	LeastShare               float64
+	// Goodput is whole answers in time a second, Work their generated tokens (with
+	// a tenth of the prompts') a second; Refused and Failed are parts of all
+	// requests.
+	Goodput, Work, Refused, Failed float64
+	// Cached is the part of prompt blocks found in a prefix cache.
+	Cached float64
+	// LeastShare is NaN where the teams do not compete for one model.
+	LeastShare float64
 	// Exposed is the requests that ran on the bad version, ExposedAfter the part
 	// of those that arrived after its first 50 bad answers.
 	Exposed, ExposedAfter float64
+	FalseVerdicts         float64
 }
 
 // Figures computes them.
@@ -30,21 +36,24 @@
 	all := max(float64(t.Arrived), 1)
 	counted := (t.load.Length - t.load.Warm).Seconds()
 	return Figures{
-		Cost:         t.Cost / n,
-		Quality:      t.Quality / n,
-		Missed:       t.missed(),
-		FirstP50:     percentile(t.firsts, 0.50).Seconds(),
-		FirstP95:     percentile(t.firsts, 0.95).Seconds(),
-		FirstP99:     percentile(t.firsts, 0.99).Seconds(),
-		WholeP50:     percentile(t.wholes, 0.50).Seconds(),
-		WholeP95:     percentile(t.wholes, 0.95).Seconds(),
-		WholeP99:     percentile(t.wholes, 0.99).Seconds(),
-		Goodput:      float64(t.Whole) / counted,
-		Refused:      float64(t.Refused) / all,
-		Failed:       float64(t.Failed+t.Late+t.Lost) / all,
-		LeastShare:   t.leastShare(),
-		Exposed:      float64(t.bad.exposed),
-		ExposedAfter: float64(t.bad.exposedAfter) / max(float64(t.bad.arrivedAfter), 1),
+		Cost:          t.Cost / n,
+		Quality:       t.Quality / n,
+		Missed:        t.missed(),
+		FirstP50:      percentile(t.firsts, 0.50).Seconds(),
+		FirstP95:      percentile(t.firsts, 0.95).Seconds(),
+		FirstP99:      percentile(t.firsts, 0.99).Seconds(),
+		WholeP50:      percentile(t.wholes, 0.50).Seconds(),
+		WholeP95:      percentile(t.wholes, 0.95).Seconds(),
+		WholeP99:      percentile(t.wholes, 0.99).Seconds(),
+		Goodput:       float64(t.Whole) / counted,
+		Refused:       float64(t.Refused) / all,
+		Failed:        float64(t.Failed+t.Late+t.Lost) / all,
+		Work:          t.work() / counted,
+		Cached:        float64(t.cached) / max(float64(t.blocks), 1),
+		LeastShare:    t.leastShare(),
+		FalseVerdicts: float64(t.FalseVerdicts),
+		Exposed:       float64(t.bad.exposed),
+		ExposedAfter:  float64(t.bad.exposedAfter) / max(float64(t.bad.arrivedAfter), 1),
 	}
 }
 
@@ -67,10 +76,13 @@
 	{"whole p95 s", func(f Figures) float64 { return f.WholeP95 }, "%.2f"},
 	{"whole p99 s", func(f Figures) float64 { return f.WholeP99 }, "%.2f"},
 	{"goodput /s", func(f Figures) float64 { return f.Goodput }, "%.1f"},
+	{"work /s", func(f Figures) float64 { return f.Work }, "%.0f"},
 	{"refused %", func(f Figures) float64 { return 100 * f.Refused }, "%.1f"},
 	{"failed %", func(f Figures) float64 { return 100 * f.Failed }, "%.1f"},
+	{"prefix cached %", func(f Figures) float64 { return 100 * f.Cached }, "%.0f"},
 	{"least share", func(f Figures) float64 { return f.LeastShare }, "%.2f"},
 	{"on bad", func(f Figures) float64 { return f.Exposed }, "%.0f"},
+	{"false verdicts", func(f Figures) float64 { return f.FalseVerdicts }, "%.0f"},
 	{"on bad after 50, %", func(f Figures) float64 { return 100 * f.ExposedAfter }, "%.2f"},
 }
 
@@ -109,6 +121,10 @@
 		fmt.Fprintf(w, "\n| %s |", r.Policy)
 		for _, c := range Columns {
 			s := SpreadOf(r.Runs, c.Of)
+			if math.IsNaN(s.Median) {
+				fmt.Fprint(w, " – |")
+				continue
+			}
 			fmt.Fprintf(w, " "+c.Form+" ("+c.Form+"–"+c.Form+") |", s.Median, s.Low, s.High)
 		}
 	}
--- a/decision/load_test.go
+++ b/decision/load_test.go
@@ -200,6 +200,29 @@
 	}
 }
 
+// A queue that stands is kept short: callers of an overloaded pool wait for a part
+// of their time only, and as many are answered.
+func TestStandingQueueIsShort(t *testing.T) {
+	h, rng := loadWorld(t, teamOf("weavers", 1), teamOf("shops", 1))
+	load := []demand{
+		{perSecond: 240, request: drafting("weavers"), deadline: 10 * time.Second},
+		{perSecond: 240, request: drafting("shops"), deadline: 10 * time.Second},
+	}
+	offer(h, rng, 15*time.Second, load...)
+	clear(h.outcomes)
+	offer(h, rng, 10*time.Second, load...)
+	answered := h.delivered("")
+	h.run(10 * time.Second)
+	h.settled()
+	h.refusedAtOnce()
+	if p95 := percentile(h.waits("shops"), 0.95); p95 > 3*time.Second {
+		t.Errorf("p95 of the answers: %v of 10 s", p95)
+	}
+	if answered < 2400*95/100 {
+		t.Errorf("%d answered in 10 s, want 2400", answered)
+	}
+}
+
 // Long work of one team does not starve the short work of another.
 func TestLongAndShort(t *testing.T) {
 	h, rng := loadWorld(t, teamOf("long", 1), teamOf("short", 1))
@@ -268,3 +291,36 @@
 		t.Errorf("%d of %d failed, want at most the 8 that s0 ran", failed, total)
 	}
 }
+
+// A server that refuses at once looks idle. Also where nothing ejects it, it is
+// left alone for a moment after each refusal and draws little work.
+func TestRefusingServerDrawsLittleWork(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.Policy.NoShift = true
+	h := newHarness(t, cfg)
+	h.manifest(1, []Team{teamOf("weavers", 1)}, smallVersions())
+	h.servers(serversOf(6, 8, weave1)...)
+	refusals := 0
+	h.took = func(d Dispatch, r Request) time.Duration {
+		if d.Server == "s0" {
+			return step
+		}
+		return paced(d, r)
+	}
+	h.ended = func(d Dispatch, _ Request) AttemptResult {
+		if d.Server == "s0" {
+			refusals++
+			return AttemptNotRun
+		}
+		return AttemptCompleted
+	}
+	h.tick()
+	rng := rand.New(rand.NewPCG(11, 11))
+	offer(h, rng, 4*time.Second, demand{perSecond: 120, request: drafting("weavers"), deadline: 5 * time.Second})
+	h.run(5 * time.Second)
+	h.settled()
+	// 20 times the backoff; about two go there before the first is refused.
+	if refusals > 60 {
+		t.Errorf("%d of %d requests went to the refusing server", refusals, len(h.outcomes))
+	}
+}
--- a/decision/shift.go
+++ b/decision/shift.go
@@ -19,31 +19,36 @@
 	if w.cfg.Policy.NoShift {
 		return
 	}
-	for _, word := range w.verdicts.Share(w.now) {
-		w.emit(ShareVerdict{Verdict: VersionVerdict{Version: word.Version, Bad: word.Bad, Until: word.Until}})
+	if !w.now.Before(w.shareAt) {
+		w.shareAt = w.now.Add(shareEvery)
+		w.shareVerdicts()
 	}
 	for _, e := range w.outliers.Sweep(w.now) {
 		w.ejection(e)
 	}
 }
 
+// shareEvery is how often it is looked at whether there is a word for the peers: a
+// small part of the time that it takes to reach them, so that a tick of one event
+// does not pay for it.
+const shareEvery = 20 * time.Millisecond
+
+func (w *World) shareVerdicts() {
+	for _, word := range w.verdicts.Share(w.now) {
+		w.emit(ShareVerdict{Verdict: VersionVerdict{Version: word.Version, Bad: word.Bad, Until: word.Until}})
+	}
+}
+
 func newVerdicts(cfg Config) *verdict.Versions[VersionID, ServerID] {
 	c := verdict.DefaultVersionConfig()
 	c.ProbeEvery = uint64(cfg.ProbeEvery)
 	return verdict.NewVersions[VersionID, ServerID](c)
 }
 
-// slowSample is the attempts, discounted, that call a server slow: four. Each of
-// eight instances sees an eighth of a server's attempts, and a slow one gives few;
-// the pace of a token differs by little among healthy servers.
-const slowSample = 3.5
-
 func newOutliers(cfg Config) *verdict.Outliers[ServerID, string] {
 	c := verdict.DefaultOutlierConfig()
 	c.SlowFactor = cfg.SlowFactor
 	c.MaxShare = cfg.MaxEjected
-	c.SlowSample = slowSample
-	c.PaceMemory = 8
 	return verdict.NewOutliers[ServerID, string](c)
 }
 
@@ -116,7 +121,7 @@
 
 // rateVersion takes a rating as evidence on its version.
 func (w *World) rateVersion(e AnswerRated) {
-	if w.verdicts.Rated(e.Version, e.Score) {
+	if w.verdicts.Rated(e.Version, string(e.Class), e.Score, w.now) {
 		w.recheck = true
 	}
 }
--- a/decision/world.go
+++ b/decision/world.go
@@ -29,7 +29,9 @@
 	seconds   *simplelru.LRU[attemptKey, VersionID]
 	prefixes  *prefix.Index[ServerID, BlockHash]
 
-	now time.Time
+	// base is the first tick's time.
+	base time.Time
+	now  time.Time
 	// useClock is the meters' of use.
 	useClock decayClock
 	fresh    bool
@@ -43,6 +45,8 @@
 	holdUntil time.Time
 	// recheck asks the withdraw system to look at every queued request.
 	recheck bool
+	// shareAt is when the verdicts are looked at for the peers again.
+	shareAt time.Time
 	wakeSeq uint64
 	// turn is the round robin baseline's.
 	turn int
@@ -103,6 +107,9 @@
 
 // begin starts a tick: the clock moves on.
 func (w *World) begin(now time.Time) {
+	if w.base.IsZero() {
+		w.base = now
+	}
 	elapsed := time.Duration(0)
 	if now.After(w.now) {
 		if !w.now.IsZero() {
--- a/router/internal/faultmatrix/backend_test.go
+++ b/router/internal/faultmatrix/backend_test.go
@@ -24,6 +24,8 @@
 
 func (addresses) Addr(id decision.ServerID) (string, bool) { return string(id) + ":8000", true }
 
+func (addresses) Answered(decision.ServerID, string) {}
+
 const teamKey = "loom"
 
 // first is the manifest at the beginning of a cell.
