Beds of the fault matrices are packages of their own files; a relay stand-in

Cause: what whole instances are put together from for tests stood in test files, a tenth of them, and a line that can be cut was written inside one.

--- a/coordination/faultmatrix/doc.go
+++ b/coordination/faultmatrix/doc.go
@@ -1,3 +1,4 @@
-// Package faultmatrix holds no code to import: its tests put each fault to each
-// step of the paths through the log, one named cell each.
+// Package faultmatrix puts each fault to each step of the paths through the log,
+// one named cell each. The tests hold the cells, bed.go the instances that they
+// run on. No program uses it.
 package faultmatrix
--- a/coordination/history/doc.go
+++ b/coordination/history/doc.go
@@ -1,3 +1,4 @@
-// Package history holds no code to import: its tests record concurrent runs of
-// nodes on a faulty log and check the histories.
+// Package history records concurrent runs of nodes on a faulty log; its tests
+// check the histories, cluster.go has the nodes and their callers. No program
+// uses it.
 package history
--- a/router/internal/e2e/failure_test.go
+++ b/router/internal/e2e/failure_test.go
@@ -121,7 +121,7 @@
 	f.withdraw(publisher)
 	// The witness is cut off after the freeze; once it is stale, the frozen
 	// instance's last read is older than the bound as well.
-	f.lines[2].setCut(true)
+	f.lines[2].SetCut(true)
 	f.signal(publisher, syscall.SIGSTOP)
 	f.awaitMode(witness, "stale")
 	f.signal(publisher, syscall.SIGCONT)
@@ -242,7 +242,7 @@
 // manifest from its peers.
 func TestCutFromTheLogOnly(t *testing.T) {
 	f := readyFleet(t)
-	f.lines[0].setCut(true)
+	f.lines[0].SetCut(true)
 	f.withdraw(f.instances[1])
 	eventually(t, "generation 2 at the cut instance", func() bool {
 		return f.status(f.instances[0]).Generation == 2
@@ -258,7 +258,7 @@
 func TestCutFromAll(t *testing.T) {
 	f := readyFleet(t)
 	alone := f.instances[0]
-	f.lines[0].setCut(true)
+	f.lines[0].SetCut(true)
 	for _, i := range f.instances[1:] {
 		if err := i.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
 			t.Fatal(err)
@@ -280,7 +280,7 @@
 			t.Fatal(err)
 		}
 	}
-	f.lines[0].setCut(false)
+	f.lines[0].SetCut(false)
 	f.awaitMode(alone, "fresh")
 	if r := f.chat(alone); outcomeOf(r) != "completed" {
 		t.Errorf("after the cut: %+v", r)
--- a/router/internal/e2e/fleet_test.go
+++ b/router/internal/e2e/fleet_test.go
@@ -3,14 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"maps"
-	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 
+	"masticplank.example/router/internal/standin/relay"
 	"masticplank.example/router/internal/wire"
 )
 
@@ -30,7 +28,7 @@
 	// platform are the settings that all instances share.
 	platform map[string]any
 	// lines are the instances' ways to the log, which a test can cut.
-	lines []*relay
+	lines []*relay.Relay
 }
 
 // options of a fleet.
@@ -86,10 +84,14 @@
 func (f *fleet) add() *instance {
 	f.t.Helper()
 	n := len(f.instances)
-	line := newRelay(f.t, f.log)
+	line, err := relay.New(f.log)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(line.Close)
 	f.lines = append(f.lines, line)
 	platform := maps.Clone(f.platform)
-	platform["log_url"] = "http://" + line.addr
+	platform["log_url"] = "http://" + line.Addr()
 	name, domain := fmt.Sprintf("entry-%d", n+1), domains[n%len(domains)]
 	i := startInstance(f.t, name, domain, platform)
 	f.instances = append(f.instances, i)
@@ -142,86 +144,6 @@
 	return got.Runs[key]
 }
 
-// relay passes TCP connections on, until it is cut.
-type relay struct {
-	addr   string
-	target string
-
-	mu    sync.Mutex
-	cut   bool
-	conns map[net.Conn]bool
-}
-
-func newRelay(t testing.TB, target string) *relay {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	r := &relay{addr: l.Addr().String(), target: target, conns: map[net.Conn]bool{}}
-	t.Cleanup(func() {
-		l.Close()
-		r.setCut(true)
-	})
-	go func() {
-		for {
-			in, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go r.pass(in)
-		}
-	}()
-	return r
-}
-
-// setCut closes what is open and refuses what comes, or ends that.
-func (r *relay) setCut(cut bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.cut = cut
-	if !cut {
-		return
-	}
-	for c := range r.conns {
-		c.Close()
-		delete(r.conns, c)
-	}
-}
-
-// keep notes a connection; false where the relay is cut.
-func (r *relay) keep(c net.Conn) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.cut {
-		c.Close()
-		return false
-	}
-	r.conns[c] = true
-	return true
-}
-
-func (r *relay) pass(in net.Conn) {
-	if !r.keep(in) {
-		return
-	}
-	out, err := net.Dial("tcp", r.target)
-	if err != nil {
-		in.Close()
-		return
-	}
-	if !r.keep(out) {
-		in.Close()
-		return
-	}
-	go func() {
-		_, _ = io.Copy(out, in)
-		out.Close()
-	}()
-	_, _ = io.Copy(in, out)
-	in.Close()
-}
-
 // billsOf counts a request's bills in the ledger.
 func (f *fleet) billsOf(request string) int {
 	f.t.Helper()
--- a/router/internal/e2e/publish_bench_test.go
+++ b/router/internal/e2e/publish_bench_test.go
@@ -25,9 +25,9 @@
 	f.awaitReady()
 	for b.Loop() {
 		report(b, "healthy", f.publishTimes("healthy"))
-		f.lines[0].setCut(true)
+		f.lines[0].SetCut(true)
 		report(b, "one-cut", f.publishTimes("cut"))
-		f.lines[0].setCut(false)
+		f.lines[0].SetCut(false)
 	}
 }
 
