--- a/router/internal/peer/bills.go
+++ b/router/internal/peer/bills.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
-	"time"
 
 	"github.com/gravitational/trace"
 
@@ -28,8 +27,6 @@
 	maxHoldBytes = 4 * (record.MaxKey + ledger.MaxValue)
 	// holdTries is how many peers are asked to keep a copy, one after another.
 	holdTries = 3
-	// holdTime bounds each of them. A caller waits for it.
-	holdTime = 500 * time.Millisecond
 )
 
 func newHeld(put ledger.PutFunc, copyTo ledger.CopyFunc) *ledger.Buffer {
@@ -90,7 +87,7 @@
 }
 
 func (n *Node) holdAt(ctx context.Context, p wire.ListedInstance, data []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, holdTime)
+	ctx, cancel := context.WithTimeout(ctx, n.times.Hold)
 	defer cancel()
 	return n.pool.call(ctx, p.Peer, MethodHold, HoldParams{From: n.self.ID, Batch: data}, nil)
 }
--- a/router/internal/peer/client.go
+++ b/router/internal/peer/client.go
@@ -17,6 +17,7 @@
 type pool struct {
 	tls     *tls.Config
 	connect DialFunc
+	times   Times
 	in, out gometrics.Counter
 
 	mu     sync.Mutex
@@ -29,14 +30,14 @@
 	if connect == nil {
 		connect = (&net.Dialer{}).DialContext
 	}
-	return &pool{tls: cfg.TLS, connect: connect, in: in, out: out, conns: map[string]*jsonrpc2.Conn{}}
+	return &pool{tls: cfg.TLS, connect: connect, times: cfg.Times, in: in, out: out, conns: map[string]*jsonrpc2.Conn{}}
 }
 
 // call sends one request to the peer at addr and decodes its answer. A
 // *jsonrpc2.Error is the peer's own; after any other error, the connection is
 // given up, since a late answer on it would find nobody.
 func (p *pool) call(ctx context.Context, addr, method string, params, result any) error {
-	ctx, cancel := context.WithTimeout(ctx, callTime)
+	ctx, cancel := context.WithTimeout(ctx, p.times.Call)
 	defer cancel()
 	conn, err := p.conn(ctx, addr)
 	if err != nil {
@@ -95,7 +96,7 @@
 }
 
 func (p *pool) dial(ctx context.Context, addr string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTime)
+	ctx, cancel := context.WithTimeout(ctx, p.times.Dial)
 	defer cancel()
 	raw, err := p.connect(ctx, "tcp", addr)
 	if err != nil {
--- a/router/internal/peer/limits.go
+++ b/router/internal/peer/limits.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -24,11 +25,6 @@
 	// idleTime ends a connection without messages. It is longer than peers are
 	// kept (keepRounds), so that a chosen peer keeps its connection.
 	idleTime = 30 * time.Second
-	// dialTime bounds connecting, with TLS.
-	dialTime = time.Second
-	// callTime bounds one call, and so a round with silent peers. It is a fifth
-	// of the default freshness bound, so that several rounds fit in it.
-	callTime = time.Second
 	// fetchTime bounds the transfer of one snapshot.
 	fetchTime = 20 * time.Second
 	// maxName bounds the name of an instance.
@@ -52,3 +48,28 @@
 func failure(code int64, text string) *jsonrpc2.Error {
 	return &jsonrpc2.Error{Code: code, Message: text}
 }
+
+// Times bound what an instance waits for from a peer. A zero takes its default.
+type Times struct {
+	// Dial bounds connecting, with TLS. Default 1 s.
+	Dial time.Duration
+	// Call bounds one call, and so a round with silent peers. Default 1 s: a
+	// fifth of the default freshness bound, so that several rounds fit in it.
+	Call time.Duration
+	// Hold bounds the copy of one bill at one peer. Default 500 ms: a caller
+	// waits for it.
+	Hold time.Duration
+}
+
+const (
+	defaultDial = time.Second
+	defaultCall = time.Second
+	defaultHold = 500 * time.Millisecond
+)
+
+func (t Times) withDefaults() Times {
+	t.Dial = cmp.Or(t.Dial, defaultDial)
+	t.Call = cmp.Or(t.Call, defaultCall)
+	t.Hold = cmp.Or(t.Hold, defaultHold)
+	return t
+}
--- a/router/internal/peer/node.go
+++ b/router/internal/peer/node.go
@@ -44,6 +44,8 @@
 	TLS *tls.Config
 	// Dial connects to a peer; nil for TCP.
 	Dial DialFunc
+	// Times bound the waits for peers.
+	Times Times
 	// Interval between exchanges.
 	Interval time.Duration
 	// Seed makes the choice of peers repeatable; it should differ between
@@ -76,6 +78,7 @@
 	self     wire.ListedInstance
 	store    node.Store
 	interval time.Duration
+	times    Times
 	pool     *pool
 	server   *server
 	board    *board
@@ -109,6 +112,7 @@
 
 // New returns a Node; Run starts it.
 func New(cfg Config, deps Deps) *Node {
+	cfg.Times = cfg.Times.withDefaults()
 	if deps.Now == nil {
 		deps.Now = time.Now
 	}
@@ -128,6 +132,7 @@
 		self:        cfg.Self,
 		store:       deps.Store,
 		interval:    cfg.Interval,
+		times:       cfg.Times,
 		pool:        newPool(cfg, in, out),
 		board:       newBoard(),
 		snaps:       &snapshots{store: deps.Store},
