--- a/router/internal/api/exchange.go
+++ b/router/internal/api/exchange.go
@@ -39,6 +39,8 @@
 	cost float64
 	// tokensBefore is what the attempts before the present one generated.
 	tokensBefore uint64
+	// rejected says that the engine held something against the request itself.
+	rejected bool
 	// sent says that a part of an answer went to the caller.
 	sent bool
 	// over says that the caller has the final answer, or can get none.
@@ -120,11 +122,18 @@
 		x.releaseClaim()
 		x.finish(refusal(c.Reason, c.RetryAfter))
 	case decision.Fail:
-		x.finish(failure(c.Result))
+		x.finish(failure(c.Result, x.req.Idempotent))
 	}
 }
 
-func failure(result decision.AttemptResult) outcome.Outcome {
+// failure is the outcome of a request whose last attempt ended without an
+// answer. A broken connection does not tell a server that died before the effect
+// from one whose reply was lost after it. For work that may not be repeated that
+// is unknown: a caller who is told of a failure reserves again under a new key.
+func failure(result decision.AttemptResult, idempotent bool) outcome.Outcome {
+	if result == decision.AttemptCrashed && !idempotent {
+		result = decision.AttemptUnknown
+	}
 	switch result {
 	case decision.AttemptFailed:
 		return outcome.Outcome{Kind: outcome.Failed, Code: "backend_server_failed", Message: "the backend server ran the request and failed"}
@@ -200,14 +209,13 @@
 	if !x.settle(ctx) {
 		return
 	}
-	x.writeAnswer(x.held)
-	x.observe(outcome.Outcome{Kind: outcome.Completed})
-	x.over = true
+	x.end(x.held)
 }
 
-// settle makes the bill durable, before the last of the answer goes out.
+// settle makes the bill durable, before the last of the answer goes out. A call
+// without a price, and a request that the engine rejected, have none.
 func (x *exchange) settle(ctx context.Context) bool {
-	if x.cost == 0 && x.call != nil {
+	if x.cost == 0 && x.bill.OutputTokens == 0 {
 		return true
 	}
 	if err := x.record(ctx); err != nil {
--- a/router/internal/e2e/publish_bench_test.go
+++ b/router/internal/e2e/publish_bench_test.go
@@ -17,7 +17,7 @@
 // manifest being in force at the slowest of 8 instances: healthy, and with one
 // cut from the log, which hears of it from its peers. Run it with scripts/bench.
 func BenchmarkPublish(b *testing.B) {
-	f := startFleet(b, publishInstances)
+	f := startFleet(b, publishInstances, options{})
 	eventually(b, "publishing", func() bool {
 		_, err := f.publish(testManifest("run-1"), "--rebase")
 		return err == nil
@@ -25,9 +25,9 @@
 	f.awaitReady()
 	for b.Loop() {
 		report(b, "healthy", f.publishTimes("healthy"))
-		f.lines[0].setCut(true)
+		f.lines[0].SetCut(true)
 		report(b, "one-cut", f.publishTimes("cut"))
-		f.lines[0].setCut(false)
+		f.lines[0].SetCut(false)
 	}
 }
 
--- a/router/internal/peer/node.go
+++ b/router/internal/peer/node.go
@@ -33,12 +33,19 @@
 // Events takes what peers say of health; *driver.Driver is it.
 type Events interface{ Send(decision.Event) }
 
+// DialFunc connects to a peer; (*net.Dialer).DialContext is one.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Config of a Node.
 type Config struct {
 	// Self is this instance as the list has it.
 	Self wire.ListedInstance
 	// TLS is from TLSConfig; nil for plaintext.
 	TLS *tls.Config
+	// Dial connects to a peer; nil for TCP.
+	Dial DialFunc
+	// Times bound the waits for peers.
+	Times Times
 	// Interval between exchanges.
 	Interval time.Duration
 	// Seed makes the choice of peers repeatable; it should differ between
@@ -49,6 +56,8 @@
 // Deps are what a Node works with.
 type Deps struct {
 	Store node.Store
+	// Bills takes the bills that were held; nil for the Store's log.
+	Bills ledger.Log
 	// Instances gives the platform's list; it may hold the own instance.
 	Instances func() []wire.ListedInstance
 	Vouches   Vouches
@@ -69,6 +78,7 @@
 	self     wire.ListedInstance
 	store    node.Store
 	interval time.Duration
+	times    Times
 	pool     *pool
 	server   *server
 	board    *board
@@ -102,12 +112,16 @@
 
 // New returns a Node; Run starts it.
 func New(cfg Config, deps Deps) *Node {
+	cfg.Times = cfg.Times.withDefaults()
 	if deps.Now == nil {
 		deps.Now = time.Now
 	}
 	if deps.Registry == nil {
 		deps.Registry = gometrics.NewRegistry()
 	}
+	if deps.Bills == nil {
+		deps.Bills = ledger.StoreLog{Store: deps.Store}
+	}
 	if deps.Chooser == nil {
 		deps.Chooser = NewChooser(cfg.Self.Domain, cfg.Seed)
 	}
@@ -118,7 +132,8 @@
 		self:        cfg.Self,
 		store:       deps.Store,
 		interval:    cfg.Interval,
-		pool:        newPool(cfg.TLS, in, out),
+		times:       cfg.Times,
+		pool:        newPool(cfg, in, out),
 		board:       newBoard(),
 		snaps:       &snapshots{store: deps.Store},
 		warnings:    rate.NewLimiter(rate.Every(time.Second), 1),
@@ -128,7 +143,7 @@
 		earlyRounds: rate.NewLimiter(rate.Every(time.Second), 1),
 		answered:    map[string]bool{},
 	}
-	n.held = newHeld(deps.Store.Put, n.copyOut)
+	n.held = newHeld(deps.Bills.Put, n.copyOut)
 	n.server = &server{
 		tls:      cfg.TLS,
 		handler:  jsonrpc2.HandlerWithError(n.handle).SuppressErrClosed(),
