node: three tests wait for the polls they count on

Cause: TestRestorePastTheOwnRecord failed once, 'restored to 1': the log was made slow before the other node was in its next poll, so its state lacked the record. The two tests that count on a poll under way had the same gap and would have passed without looking. They wait for the bubble to rest first; nothing else is changed.

--- a/coordination/node/node_test.go
+++ b/coordination/node/node_test.go
@@ -280,6 +280,7 @@
 	inBubble(t, func(t *testing.T, fl *fleet) {
 		a := fl.node("a")
 		<-a.Ready()
+		synctest.Wait()
 		// The tail's second poll starts at 1 s and is under way until 1.3 s.
 		fl.log.SetSlow(300 * time.Millisecond)
 		time.Sleep(1050 * time.Millisecond)
@@ -300,6 +301,7 @@
 	inBubble(t, func(t *testing.T, fl *fleet) {
 		a := fl.node("a")
 		<-a.Ready()
+		synctest.Wait()
 		// The tail's second poll starts at 1 s and is under way until 2.8 s.
 		fl.log.SetSlow(1800 * time.Millisecond)
 		time.Sleep(1050 * time.Millisecond)
--- a/coordination/node/restore_test.go
+++ b/coordination/node/restore_test.go
@@ -176,6 +176,7 @@
 	inBubble(t, func(t *testing.T, fl *fleet) {
 		b := fl.node("b")
 		fl.wantPut(b, put("session/x", 2), OutcomeWon)
+		synctest.Wait() // b waits in its next poll, which is not slow
 		fl.log.SetSlow(300 * time.Millisecond)
 		a := fl.node("a")
 		synctest.Wait()
