Time of an attempt by its size; correction of waits for each team

Cause: requests of small teams were refused though their share was not used: a short answer was thought to take 3.0 to 4.6 s of its 8 s, since a long one's time for its cost was taken, and a long one more than its whole deadline. And the correction learnt from busy teams' waits spoke against idle teams.

--- a/decision/drain.go
+++ b/decision/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/bits"
 	"time"
 )
 
@@ -43,7 +44,9 @@
 // biasMeter measures by how much waits turn out longer than was estimated.
 //
 // Load: many teams with thin queues, at saturation. Each later arrival of a team
-// that was served less goes first, which no look at the present queue can show.
+// that was served less goes first, which no look at the present queue can show. It
+// is kept for each team: those below their share wait for a slot only, and the
+// others' longer waits must not speak against them.
 type biasMeter struct {
 	// expected and waited are seconds, decayed by count.
 	expected float64
@@ -81,8 +84,22 @@
 	// answered is the mean part of the tokens that were allowed for that an
 	// answer had.
 	answered float64
+	// sizes are the same by size of the work: a short answer spends most of its
+	// time on its prompt, and takes longer for its cost than a long one.
+	sizes [maxSizes]sizePace
 }
 
+// sizePace is the time of attempts of a size.
+type sizePace struct {
+	cost    float64
+	seconds float64
+}
+
+// maxSizes bounds the sizes, each twice the one before: up to some 500,000 tokens.
+const maxSizes = 20
+
+func sizeOf(cost float64) int { return min(bits.Len(uint(cost)), maxSizes-1) }
+
 // perAttempt keeps about the last 50 attempts: enough to smooth, few enough to
 // follow a change of load within seconds.
 const perAttempt = 0.98
@@ -96,6 +113,9 @@
 	m.count = m.count*perAttempt + 1
 	m.cost = m.cost*perAttempt + cost
 	m.seconds = m.seconds*perAttempt + took.Seconds()
+	size := &m.sizes[sizeOf(cost)]
+	size.cost = size.cost*perAttempt + cost
+	size.seconds = size.seconds*perAttempt + took.Seconds()
 }
 
 // learnTokens notes an answer's length as a part of what was allowed for.
@@ -110,13 +130,19 @@
 	m.answered += (part - m.answered) * (1 - perAttempt)
 }
 
-// service estimates how long an attempt of the cost takes; 0 before anything is
-// known.
+// sizePrior is how many attempts of a size the pace of all sizes counts for.
+const sizePrior = 3
+
+// service estimates how long an attempt of the cost takes, by those of its size
+// and by all; 0 before anything is known.
 func (m *paceMeter) service(cost float64) time.Duration {
 	if m.cost == 0 {
 		return 0
 	}
-	return seconds(cost * m.seconds / m.cost)
+	size := &m.sizes[sizeOf(cost)]
+	prior := sizePrior * cost
+	pace := (size.seconds + prior*m.seconds/m.cost) / (size.cost + prior)
+	return seconds(cost * pace)
 }
 
 // atMost is the estimate with the usual error added: most attempts take less.
--- a/decision/tables.go
+++ b/decision/tables.go
@@ -120,7 +120,6 @@
 	slots  int
 	pace   paceMeter
 	drain  drainMeter
-	bias   biasMeter
 	use    useMeter
 	// busyPos is the place in tables.busy, or -1.
 	busyPos int
@@ -133,7 +132,8 @@
 // flow is a team's part of a pool's queue.
 type flow struct {
 	fair.Flow[*request]
-	use useMeter
+	use  useMeter
+	bias biasMeter
 }
 
 // freeSlot is an entry of pool.free.
--- a/decision/wait.go
+++ b/decision/wait.go
@@ -9,10 +9,10 @@
 }
 
 func (r *request) bias() float64 {
-	if r.pool == nil {
+	if r.pool == nil || r.team == nil {
 		return 1
 	}
-	return r.pool.bias.factor()
+	return r.pool.flow(r.team).bias.factor()
 }
 
 // rawWait is the estimate by the queue as it stands.
@@ -94,7 +94,7 @@
 // slot or gave up.
 func (w *World) waited(r *request) {
 	if r.expected > 0 {
-		r.pool.bias.learn(r.expected, w.now.Sub(r.queuedAt))
+		r.pool.flow(r.team).bias.learn(r.expected, w.now.Sub(r.queuedAt))
 		r.expected = 0
 	}
 }
