A request waits for a busy server that may take it

Cause: where only a server was free that the request must not go to again, it was failed or refused at once, though others were only busy; and one that may run only once could go to a server on trial. The test fails with the old rule.

Such a request is parked outside the queue. A server that crashed is left alone for a moment, as one that refuses.

--- a/decision/crash.go
+++ b/decision/crash.go
@@ -65,9 +65,10 @@
 	}
 }
 
-// park sets a request aside while a copy of it runs that has crashed a server
-// before: were both to crash, more servers than the limit would be down. It is
-// out of the queue, so that it holds up nobody behind it.
+// park sets a request aside that may not run now: while a copy of it runs that has
+// crashed a server before (were both to crash, more servers than the limit would
+// be down), or while only servers are free that must not take it. It is out of the
+// queue, so that it holds up nobody behind it.
 func (w *World) park(r *request) {
 	w.dequeue(r)
 	r.state = stateParked
--- a/decision/pick.go
+++ b/decision/pick.go
@@ -91,13 +91,20 @@
 }
 
 // lastResort gives a request a server that refused it before, where no other one
-// is free: trying again is better than not at all. One that may have crashed a
-// server gets none.
+// is free: trying again is better than not at all. None is given to one that may
+// have crashed a server, nor one on trial to a request that could not be tried
+// again.
 func (w *World) lastResort(p *pool, r *request) *server {
-	if r.crashes > 0 || len(p.free) == 0 {
+	if r.crashes > 0 {
 		return nil
 	}
-	return p.free[w.rng.IntN(len(p.free))].server
+	for range min(samples, len(p.free)) {
+		s := p.free[w.rng.IntN(len(p.free))].server
+		if !s.ejected || r.Idempotent {
+			return s
+		}
+	}
+	return nil
 }
 
 // avoids says whether the request should not go to the server: it failed there,
--- a/decision/place.go
+++ b/decision/place.go
@@ -1,6 +1,8 @@
 package decision
 
 import (
+	"slices"
+
 	"masticplank.example/decision/internal/verdict"
 )
 
@@ -55,7 +57,7 @@
 	}
 	s := w.pick(p, r)
 	if s == nil {
-		w.giveUp(r, ReasonNoServer)
+		w.waitAside(p, r)
 		return true
 	}
 	w.left(p, r)
@@ -66,6 +68,27 @@
 	return true
 }
 
+// waitAside sets a request aside that none of the free servers may take, where the
+// pool has others that may: they are busy now. It holds up nobody meanwhile.
+func (w *World) waitAside(p *pool, r *request) {
+	if r.triedIn(p) >= p.usable {
+		w.giveUp(r, ReasonNoServer)
+		return
+	}
+	w.park(r)
+}
+
+// triedIn counts the pool's usable servers that the request has tried.
+func (r *request) triedIn(p *pool) int {
+	n := 0
+	for i, s := range r.tried {
+		if s.in(p) && !s.leaving && !slices.Contains(r.tried[:i], s) {
+			n++
+		}
+	}
+	return n
+}
+
 // forbids checks once more, right before a dispatch, that the request may run
 // where it is about to. The withdraw system has seen to it; the harm of a mistake
 // there is worth a look-up.
--- a/decision/queue_test.go
+++ b/decision/queue_test.go
@@ -202,3 +202,29 @@
 	}
 	h.settled()
 }
+
+// A request that crashed one server waits for another one that is busy, rather
+// than fail because only the first is free.
+func TestCrashedRequestWaitsForAnotherServer(t *testing.T) {
+	h := newHarness(t, DefaultConfig())
+	h.manifest(1, []Team{teamOf("weavers", 1)}, smallVersions())
+	h.servers(serversOf(2, 1, weave1)...)
+	h.tick()
+	h.took = func(d Dispatch, r Request) time.Duration {
+		return time.Duration(r.MaxTokens) * step
+	}
+	h.ended = func(d Dispatch, _ Request) AttemptResult {
+		if d.Request == 2 && d.Attempt == 1 {
+			return AttemptCrashed
+		}
+		return AttemptCompleted
+	}
+	h.arrive(Request{Team: "weavers", Model: "weave", MaxTokens: 200})
+	h.tick()
+	h.arrive(Request{Team: "weavers", Model: "weave", MaxTokens: 5, Fingerprint: 4, Idempotent: true})
+	h.run(5 * time.Second)
+	if got, want := h.outcomes[2].command, (Deliver{Request: 2, Attempt: 2}); got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	h.settled()
+}
--- a/decision/retry.go
+++ b/decision/retry.go
@@ -59,6 +59,7 @@
 // out everywhere: a second crash is the request's doing, not the server's.
 func (w *World) crashed(r *request, e endedAttempt) {
 	r.crashes++
+	w.shut(e.attempt.server, w.now.Add(w.cfg.RefusedBackoff)) // it starts again
 	if r.crashes < w.cfg.MaxCrashes && !w.isQuarantined(r.Fingerprint) {
 		w.mayHaveRun(r, e)
 		return
--- a/decision/tables.go
+++ b/decision/tables.go
@@ -38,8 +38,7 @@
 	due dueHeap
 	// wakes orders the servers that are shut out for a time.
 	wakes wakeHeap
-	// parked are requests that wait for a copy of theirs, which has crashed a
-	// server before.
+	// parked are requests that wait outside the queues; see park.
 	parked []*request
 }
 
