The next slot comes at the pool's whole rate

Cause: the wait for the next slot was divided by what is left after idle teams, which the first in line does not share with anybody.

--- a/decision/wait.go
+++ b/decision/wait.go
@@ -35,8 +35,8 @@
 		return 0
 	}
 	f := p.flow(r.team)
-	nextSlot := p.pace.meanCost()
-	before := (p.queue.Ahead(&f.Flow) + nextSlot) / w.queuedRate(p, f, all)
+	nextSlot := p.pace.meanCost() / all
+	before := nextSlot + p.queue.Ahead(&f.Flow)/w.queuedRate(p, f, all)
 	own := f.Cost() / w.ownRate(p, f, all)
 	return seconds(max(before, own))
 }
