A team below its share has a bounded credit

Cause: a team that was idle started where the others were, each time; so a small team, whose requests come in twos and threes with pauses between, waited for its second request as if it were at its share, and its callers were refused.

It may now be 2,000 tokens behind the others. The queue's test of no credit stands unchanged, at credit 0.

--- a/decision/config.go
+++ b/decision/config.go
@@ -59,6 +59,9 @@
 	PromptWeight float64
 	// DefaultTokens sizes requests that name no MaxTokens.
 	DefaultTokens int
+	// IdleCredit is the work, in generated tokens, that a team which asked for less
+	// than its share may be given ahead of the others.
+	IdleCredit float64
 	// ServiceCost sizes a call of a plain service, in generated tokens.
 	ServiceCost float64
 	// AffinityWeight is the worth of work saved by a cached prefix, in work.
@@ -168,7 +171,10 @@
 		StandingWait:  0.2,
 		PromptWeight:  0.1,
 		DefaultTokens: 256,
-		ServiceCost:   16,
+		// A few long answers: what a small team asks for at once. More would let a
+		// team that was silent for an hour hold up the others for minutes.
+		IdleCredit:  2000,
+		ServiceCost: 16,
 		// Work saved is worth what it saves.
 		AffinityWeight: 1,
 		// Four fifths leave room for what other instances send meanwhile.
@@ -209,6 +215,7 @@
 	orDefault(&c.StandingWait, d.StandingWait)
 	orDefault(&c.PromptWeight, d.PromptWeight)
 	orDefault(&c.DefaultTokens, d.DefaultTokens)
+	orDefault(&c.IdleCredit, d.IdleCredit)
 	orDefault(&c.ServiceCost, d.ServiceCost)
 	orDefault(&c.AffinityWeight, d.AffinityWeight)
 	orDefault(&c.AffinityBound, d.AffinityBound)
--- a/decision/internal/fair/account.go
+++ b/decision/internal/fair/account.go
@@ -2,6 +2,10 @@
 
 // Group is the accounts that share capacity. The zero value is ready.
 type Group struct {
+	// Credit is the work that an account which asked for less than its share may
+	// be behind the others, and so be given ahead of them: seldom requests come in
+	// twos and threes too. It bounds what a long silence is worth. 0 is none.
+	Credit float64
 	// active are the accounts with something queued.
 	active []*Account
 	// virtual is the largest tag that all active accounts were known to have
@@ -56,13 +60,13 @@
 }
 
 // startTag is the tag of an item that is queued now. An account that was idle
-// starts where the others are: it gets its share from now on, and nothing for
-// the time in which it asked nothing.
+// starts where the others are, less the group's credit: it gets its share from now
+// on, and no more than the credit for the time in which it asked nothing.
 func (a *Account) startTag() float64 {
 	if a.queued > 0 {
 		return a.tag
 	}
-	return max(a.tag, a.group.reached())
+	return max(a.tag, a.group.reached()-a.group.Credit/a.weight)
 }
 
 // reached is the least tag of the active accounts; with none, the last one known.
--- a/decision/internal/fair/fair_test.go
+++ b/decision/internal/fair/fair_test.go
@@ -72,6 +72,31 @@
 	}
 }
 
+// With a credit it is owed that much work, and no more.
+func TestIdleFlowIsOwedTheCredit(t *testing.T) {
+	g := Group{Credit: 5}
+	var q Queue[string]
+	var a, b Flow[string]
+	q.Init(&a, g.NewAccount(1))
+	q.Init(&b, g.NewAccount(1))
+	for range 100 {
+		q.Push(&a, &Item[string]{Value: "a", Cost: 1})
+	}
+	for range 50 {
+		q.Pop()
+	}
+	for range 50 {
+		q.Push(&b, &Item[string]{Value: "b", Cost: 1})
+	}
+	got := ""
+	for range 9 {
+		got += q.Pop().Value
+	}
+	if got != "bbbbbabab" {
+		t.Errorf("order %q, want five of b and then in turn", got)
+	}
+}
+
 // Priority goes first within a flow, then age; Remove and Charge keep the sums.
 func TestOrderAndSums(t *testing.T) {
 	var g Group
--- a/decision/world.go
+++ b/decision/world.go
@@ -69,7 +69,7 @@
 // a manifest, servers and that the instance is fresh.
 func NewWorld(cfg Config) *World {
 	cfg = cfg.withDefaults()
-	return &World{
+	w := &World{
 		cfg:      cfg,
 		tables:   newTables(),
 		rng:      newRand(cfg.Seed),
@@ -82,6 +82,8 @@
 		seconds:   newSeconds(),
 		prefixes:  prefix.New[ServerID, BlockHash](prefix.DefaultConfig()),
 	}
+	w.fairness.Credit = cfg.IdleCredit
+	return w
 }
 
 // Tick applies the events in order, runs the systems once and returns what the
