An attempt that did not run is not charged to its team

Cause: a refusal by a backend server and its retry were charged twice, so a team whose servers refuse lost its share as well.

--- a/decision/ingest_attempt.go
+++ b/decision/ingest_attempt.go
@@ -53,6 +53,9 @@
 // learnDuration keeps the pool's time per unit of cost, and corrects the team's
 // share by what the attempt truly cost.
 func (w *World) learnDuration(a *attempt, e AttemptEnded) {
+	if e.Result == AttemptNotRun {
+		a.team.account.Correct(-a.cost) // nothing was given
+	}
 	if e.Result != AttemptCompleted {
 		return
 	}
