--- a/decision/tables.go
+++ b/decision/tables.go
@@ -38,8 +38,7 @@
 	due dueHeap
 	// wakes orders the servers that are shut out for a time.
 	wakes wakeHeap
-	// parked are requests that wait for a copy of theirs, which has crashed a
-	// server before.
+	// parked are requests that wait outside the queues; see park.
 	parked []*request
 }
 
@@ -120,20 +119,20 @@
 	slots  int
 	pace   paceMeter
 	drain  drainMeter
-	bias   biasMeter
 	use    useMeter
 	// busyPos is the place in tables.busy, or -1.
 	busyPos int
 	// backlogged says that work was left in the queue since the last tick, and
-	// since says from when on there always was some.
+	// backlog for which part of the last while there was some.
 	backlogged bool
-	since      time.Time
+	backlog    backlogMeter
 }
 
 // flow is a team's part of a pool's queue.
 type flow struct {
 	fair.Flow[*request]
-	use useMeter
+	use  useMeter
+	bias biasMeter
 }
 
 // freeSlot is an entry of pool.free.
