Plain answers are read as streams, so that a cancelled one is billed

Cause: a plain chat whose caller goes away is cancelled at the engine, and the plain answer is lost with what it says of tokens, so nothing was billed.

Engines are now always asked for a stream with its usage (stream_options), and the edge puts a plain caller's answer together.

Cells request/stream/caller_leaves/{plain,stream,reserve}; plain chats now also meet unended, duplicated and late events. Seen red without the count of a broken answer's tokens (caller_leaves/plain and /stream, no bill) and without the check of the finish reason (TestChatOutcomes). The matrix's backend server no longer answers plain; TestChatOutcomes keeps the cases of one that does.

go test -race ./internal/api ./internal/faultmatrix; go test ./internal/e2e ./internal/demo ./internal/standin/...: green.

--- a/router/internal/api/attempt.go
+++ b/router/internal/api/attempt.go
@@ -63,7 +63,7 @@
 	if x.chat.Stream {
 		return x.readStream(ctx, d, resp)
 	}
-	return x.readPlain(ctx, d, resp)
+	return x.readWhole(ctx, d, resp)
 }
 
 var errNoAddress = errors.New("the backend server has left the list")
@@ -92,7 +92,7 @@
 	return &answer{attempt: d.Attempt, version: d.Version, status: resp.StatusCode, header: resp.Header, body: body}, nil
 }
 
-// readPlain reads a plain chat answer and counts its tokens.
+// readPlain reads a plain answer of an engine and counts its tokens.
 func (x *exchange) readPlain(ctx context.Context, d decision.Dispatch, resp *http.Response) (*answer, error) {
 	body, err := upstream.ReadAll(ctx, resp)
 	if err != nil {
--- a/router/internal/api/chat.go
+++ b/router/internal/api/chat.go
@@ -166,9 +166,12 @@
 	return float64(xxhash.Sum64String(id)>>11) / span
 }
 
-// chatCall builds the attempt for an engine.
+// chatCall builds the attempt for an engine, which is always asked for a stream;
+// see plain.go.
 func chatCall(chat wire.ChatRequest, version decision.VersionID, addr, nonce string) (upstream.Call, error) {
 	chat.Model = string(version)
+	chat.Stream = true
+	chat.StreamOptions = &wire.StreamOptions{IncludeUsage: true}
 	body, err := json.Marshal(chat)
 	if err != nil {
 		return upstream.Call{}, err
--- a/router/internal/api/fixture_test.go
+++ b/router/internal/api/fixture_test.go
@@ -41,7 +41,7 @@
 // fixture is the callers' edge with a real decision and node over an in-memory
 // log, before one backend server that each test scripts.
 type fixture struct {
-	t       *testing.T
+	t       testing.TB
 	log     *logtest.Log
 	node    *node.Node
 	gate    *switchGate
@@ -135,12 +135,12 @@
 	}
 }
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t testing.TB) *fixture {
 	t.Helper()
 	return newFixtureWith(t, time.Minute)
 }
 
-func newFixtureWith(t *testing.T, writeTimeout time.Duration) *fixture {
+func newFixtureWith(t testing.TB, writeTimeout time.Duration) *fixture {
 	t.Helper()
 	f := &fixture{t: t, log: logtest.New(), gate: &switchGate{}, held: &fakeHolder{}, writeTimeout: writeTimeout}
 	f.script(chatAnswer)
--- a/router/internal/api/outcome_test.go
+++ b/router/internal/api/outcome_test.go
@@ -20,6 +20,7 @@
 const (
 	token1    = `{"choices":[{"delta":{"content":"over "}}]}`
 	token2    = `{"choices":[{"delta":{"content":"under"}}]}`
+	usageOnly = `{"choices":[],"usage":{"completion_tokens":1}}`
 	lastChunk = `{"choices":[{"delta":{},"finish_reason":"stop"}],"usage":{"completion_tokens":2}}`
 )
 
@@ -68,6 +69,10 @@
 	}{
 		{"plain", prompt, chatAnswer, "completed", false, 1},
 		{"stream", streamed, chatStream(token1, token2, lastChunk, wire.StreamEnd), "completed", false, 1},
+		{"plain, streamed by the engine", prompt, chatStream(token1, token2, lastChunk, wire.StreamEnd), "completed", false, 1},
+		{"plain, stream without usage", prompt, chatStream(token1, wire.StreamEnd), "failed", false, 0},
+		{"plain, stream without a reason", prompt, chatStream(token1, usageOnly, wire.StreamEnd), "failed", false, 0},
+		{"plain, cut stream", prompt, cutAfter(token1), "failed", false, 0},
 		{"plain, crash", prompt, hangUp, "failed", false, 0},
 		{"plain, another's answer", prompt, wrongNonce, "unknown", false, 0},
 		{"plain, no usage", prompt, status(200, false), "failed", false, 0},
@@ -94,6 +99,9 @@
 			if n := len(f.bills()); n != c.bills {
 				t.Errorf("%d bills, want %d", n, c.bills)
 			}
+			if c.body == prompt && c.outcome == "completed" && !strings.Contains(got.body, `"content":"over under"`) {
+				t.Errorf("not the whole answer: %q", got.body)
+			}
 		})
 	}
 }
--- /dev/null
+++ b/router/internal/api/plain.go
@@ -0,0 +1,81 @@
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strings"
+
+	"masticplank.example/decision"
+	"masticplank.example/router/internal/upstream"
+	"masticplank.example/router/internal/wire"
+)
+
+// Engines are asked for a stream also where the caller wants a plain answer,
+// which is then put together here. Load: callers that leave, and engines that die,
+// in the middle of long answers. Harm prevented: what was generated until then
+// would be neither known nor billed. An engine that answers plain all the same is
+// taken at its word.
+
+// readWhole reads the answer that a caller of a plain chat gets.
+func (x *exchange) readWhole(ctx context.Context, d decision.Dispatch, resp *http.Response) (*answer, error) {
+	if !strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		return x.readPlain(ctx, d, resp)
+	}
+	sr := x.newStreamReader(d)
+	sr.plain = true
+	if err := sr.follow(ctx, resp); err != nil {
+		return nil, err
+	}
+	x.markFirstToken()
+	body, err := sr.whole()
+	if err != nil {
+		return nil, &upstream.Failure{Result: decision.AttemptFailed, Err: err}
+	}
+	sr.out.text, sr.out.events = sr.text.String(), nil
+	sr.out.header = http.Header{"Content-Type": {"application/json"}}
+	sr.out.body = body
+	return sr.out, nil
+}
+
+// noteChunk keeps what a plain answer has of a chunk beside its text. What names
+// the answer is read from the first chunk alone; reading it from each would cost
+// more than the rest.
+func (sr *streamReader) noteChunk(c streamChunk, data string) error {
+	if sr.text.Len() > upstream.MaxAnswer {
+		return &upstream.Failure{Result: decision.AttemptFailed, Err: errLongAnswer}
+	}
+	if sr.head == nil {
+		sr.head = &wire.ChatResponse{}
+		if err := json.Unmarshal([]byte(data), sr.head); err != nil {
+			return &upstream.Failure{Result: decision.AttemptFailed, Err: errBadChunk}
+		}
+	}
+	for _, choice := range c.Choices {
+		if choice.FinishReason != nil {
+			sr.finish = choice.FinishReason
+		}
+	}
+	return nil
+}
+
+var (
+	errNoFinish   = errors.New("the stream ended without a finish reason")
+	errLongAnswer = errors.New("the answer is larger than the limit")
+)
+
+// whole is the stream as one chat completion.
+func (sr *streamReader) whole() ([]byte, error) {
+	if sr.head == nil || sr.finish == nil {
+		return nil, errNoFinish
+	}
+	out := *sr.head
+	out.Object = "chat.completion"
+	out.Usage = sr.usage
+	out.Choices = []wire.ChatChoice{{
+		Message:      &wire.Message{Role: "assistant", Content: sr.text.String()},
+		FinishReason: sr.finish,
+	}}
+	return json.Marshal(out)
+}
--- a/router/internal/api/stream.go
+++ b/router/internal/api/stream.go
@@ -43,6 +43,11 @@
 	chunks int
 	// text is the answer so far, where it is to be rated.
 	text strings.Builder
+	// plain is set where the caller gets one plain answer; head names it, and
+	// finish is why the engine ended it.
+	plain  bool
+	head   *wire.ChatResponse
+	finish *string
 	// next is the number that the next event must have; see repeated.
 	next int
 }
@@ -51,21 +56,35 @@
 // complete (finish reason, usage, end mark) are kept back in answer.events, to
 // be written once the bill is durable.
 func (x *exchange) readStream(ctx context.Context, d decision.Dispatch, resp *http.Response) (*answer, error) {
-	sr := &streamReader{
+	sr := x.newStreamReader(d)
+	if err := sr.follow(ctx, resp); err != nil {
+		return nil, err
+	}
+	sr.out.text = sr.text.String()
+	return sr.out, nil
+}
+
+func (x *exchange) newStreamReader(d decision.Dispatch) *streamReader {
+	return &streamReader{
 		x:       x,
 		attempt: d,
 		flow:    !d.Hold,
 		out:     &answer{attempt: d.Attempt, version: d.Version, status: http.StatusOK, events: []string{}},
 	}
+}
+
+// follow reads the stream to its end and counts its tokens, or, where it broke
+// off, those that came.
+func (sr *streamReader) follow(ctx context.Context, resp *http.Response) error {
+	version := sr.attempt.Version
 	err := sr.read(ctx, resp)
 	if err != nil {
-		x.bill.Version = string(d.Version)
-		x.addUsage(d.Version, wire.Usage{CompletionTokens: sr.chunks})
-		return nil, err
+		sr.x.bill.Version = string(version)
+		sr.x.addUsage(version, wire.Usage{CompletionTokens: sr.chunks})
+		return err
 	}
-	x.addUsage(d.Version, *sr.usage)
-	sr.out.text = sr.text.String()
-	return sr.out, nil
+	sr.x.addUsage(version, *sr.usage)
+	return nil
 }
 
 func (sr *streamReader) read(ctx context.Context, resp *http.Response) error {
@@ -150,6 +169,9 @@
 	if c.Usage != nil {
 		sr.usage = c.Usage
 	}
+	if sr.plain {
+		return sr.noteChunk(c, data)
+	}
 	if last || !sr.flow || len(sr.out.events) > 0 {
 		sr.out.events = append(sr.out.events, data)
 		return nil
@@ -159,9 +181,12 @@
 
 func (sr *streamReader) token(text string) {
 	sr.chunks++
-	if sr.attempt.Rate {
+	if sr.attempt.Rate || sr.plain {
 		sr.text.WriteString(text)
 	}
+	if sr.plain {
+		return // nothing of it goes to the caller yet
+	}
 	now := time.Now()
 	if sr.chunks == 1 {
 		sr.x.markFirstToken()
--- a/router/internal/faultmatrix/backend_test.go
+++ b/router/internal/faultmatrix/backend_test.go
@@ -148,7 +148,6 @@
 
 const (
 	reserved = `{"reserved":true}`
-	plain    = `{"choices":[{"message":{"role":"assistant","content":"over under"}}],"usage":{"completion_tokens":2}}`
 )
 
 // events of a streamed answer.
@@ -165,10 +164,7 @@
 		b.stream(w)
 		return
 	}
-	if spoil(w, b.midway()) {
-		w.Header().Set("Content-Length", strconv.Itoa(len(plain)+1))
-	}
-	_, _ = io.WriteString(w, plain)
+	b.t.Error("the engine was not asked for a stream")
 }
 
 // stream sends the first token, has the fault of the step happen, and goes on.
--- a/router/internal/faultmatrix/bed_test.go
+++ b/router/internal/faultmatrix/bed_test.go
@@ -58,8 +58,10 @@
 	serving    string
 	// kind and key are those of the cell's request.
 	kind, key string
-	runs      []run
-	answers   []answer
+	// hangUp makes its caller leave.
+	hangUp  context.CancelFunc
+	runs    []run
+	answers []answer
 	// withdrawn has when a version's withdrawal was in force everywhere.
 	withdrawn map[string]time.Time
 	// slack is the bound in cells in which an instance may not have heard.
--- a/router/internal/faultmatrix/caller_test.go
+++ b/router/internal/faultmatrix/caller_test.go
@@ -77,7 +77,12 @@
 	if kind == kindReserve {
 		path, text = "/services/stock/reservations", "{}"
 	}
-	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+via+":80"+path, bytes.NewBufferString(text))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if via == "a" {
+		b.hangUp = cancel
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+via+":80"+path, bytes.NewBufferString(text))
 	if err != nil {
 		b.t.Fatal(err)
 	}
@@ -117,13 +122,18 @@
 	return out
 }
 
+// wholePlain is the streamed answer, put together.
+const wholePlain = `{"id":"","object":"chat.completion","created":0,"model":"","choices":[{"index":0,` +
+	`"message":{"role":"assistant","content":"over under"},"finish_reason":"stop"}],` +
+	`"usage":{"prompt_tokens":0,"completion_tokens":2,"total_tokens":0}}`
+
 // whole is the whole answer of a kind, as the caller is to see it.
 func whole(kind string) string {
 	switch kind {
 	case kindReserve:
 		return reserved
 	case kindPlain:
-		return plain
+		return wholePlain
 	}
 	var out strings.Builder
 	for _, ev := range events {
--- a/router/internal/faultmatrix/cells_test.go
+++ b/router/internal/faultmatrix/cells_test.go
@@ -88,9 +88,10 @@
 	{"stream", "server dies", "completed>completed", "cut>completed", "unknown>already_run"},
 	{"stream", "slow server", "completed>completed", "completed>completed", "completed>already_run"},
 	{"stream", "truncated", "completed>completed", "cut>completed", "unknown>already_run"},
-	{"stream", "unended", "", "cut>completed", ""},
-	{"stream", "duplicated", "", "completed>completed", ""},
-	{"stream", "late tail", "", "completed>completed", ""},
+	{"stream", faultCallerLeaves, "gone>completed", "cut>completed", "gone>already_run"},
+	{"stream", "unended", "completed>completed", "cut>completed", ""},
+	{"stream", "duplicated", "completed>completed", "completed>completed", ""},
+	{"stream", "late tail", "completed>completed", "completed>completed", ""},
 	{"stream", "crossed resend", "completed>completed", "completed>completed", "completed>already_run"},
 
 	{"bill", "kill", "gone>completed", "cut>completed", "gone>already_run"},
--- a/router/internal/faultmatrix/request_test.go
+++ b/router/internal/faultmatrix/request_test.go
@@ -32,12 +32,13 @@
 	"long freeze": func(b *bed) {
 		b.freeze(b.instances["a"], func() { b.withdraw("b"); time.Sleep(2 * bound) })
 	},
-	"log down":      func(b *bed) { b.log.SetDown(true); time.Sleep(2 * bound) },
-	"log goes down": func(b *bed) { time.Sleep(settled); b.log.SetDown(true) },
-	"slow":          func(b *bed) { b.log.SetSlow(time.Second) },
-	"lost reply":    func(b *bed) { b.log.LoseReplies(1) },
-	"lost append":   func(b *bed) { b.log.LoseAppends(1) },
-	"operator race": func(b *bed) { b.race("b", "c") },
+	"log down":        func(b *bed) { b.log.SetDown(true); time.Sleep(2 * bound) },
+	"log goes down":   func(b *bed) { time.Sleep(settled); b.log.SetDown(true) },
+	"slow":            func(b *bed) { b.log.SetSlow(time.Second) },
+	"lost reply":      func(b *bed) { b.log.LoseReplies(1) },
+	"lost append":     func(b *bed) { b.log.LoseAppends(1) },
+	"operator race":   func(b *bed) { b.race("b", "c") },
+	faultCallerLeaves: func(b *bed) { b.hangUp(); time.Sleep(time.Second) },
 	// Nobody reads what was appended before the log goes down.
 	faultUnread: func(b *bed) { b.log.SetDown(true); b.othersDeaf(false) },
 	// The caller loses patience and sends the request again, elsewhere.
@@ -53,6 +54,8 @@
 	"late tail":      func(b *bed) { b.behaves(lateTail) },
 }
 
+const faultCallerLeaves = "caller leaves"
+
 const faultUnread = "log goes down unread"
 
 // othersDeaf keeps b and c from reading the log.
@@ -124,6 +127,9 @@
 		}
 	}
 	b.heal()
+	if bills := b.bills()[key]; c.fault == faultCallerLeaves && bills != 1 {
+		b.t.Errorf("what was generated for a caller that left has %d bills", bills)
+	}
 	again := b.call(kind, "b", key)
 	if outcomes := got.outcome + ">" + again.outcome; outcomes != want {
 		b.t.Errorf("got %s, want %s (%q, %q)", outcomes, want, got.body, again.body)
--- a/router/internal/wire/wire.go
+++ b/router/internal/wire/wire.go
@@ -54,6 +54,14 @@
 	MaxTokens int       `json:"max_tokens,omitempty"`
 	Stream    bool      `json:"stream,omitempty"`
 	Priority  int       `json:"priority,omitempty"`
+	// StreamOptions go to engines only: many tell a stream's usage only when
+	// asked for it.
+	StreamOptions *StreamOptions `json:"stream_options,omitempty"`
+}
+
+// StreamOptions say what a stream is to carry.
+type StreamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
 }
 
 // Usage counts tokens.
