--- a/router/internal/e2e/failure_test.go
+++ b/router/internal/e2e/failure_test.go
@@ -121,7 +121,7 @@
 	f.withdraw(publisher)
 	// The witness is cut off after the freeze; once it is stale, the frozen
 	// instance's last read is older than the bound as well.
-	f.lines[2].setCut(true)
+	f.lines[2].SetCut(true)
 	f.signal(publisher, syscall.SIGSTOP)
 	f.awaitMode(witness, "stale")
 	f.signal(publisher, syscall.SIGCONT)
@@ -176,6 +176,39 @@
 	}
 }
 
+// TestReplacedWhileTheLogIsDown starts a new instance in an outage: it takes the
+// state over from its peers, serves idempotent work under the manifest in force, and
+// refuses what needs the log.
+func TestReplacedWhileTheLogIsDown(t *testing.T) {
+	f := readyFleet(t)
+	key := newKey()
+	if r := f.reserve(f.instances[0], key); outcomeOf(r) != "completed" {
+		t.Fatalf("reservation: %+v", r)
+	}
+	f.faults(f.log, map[string]any{"down": true})
+	for _, i := range f.instances {
+		f.awaitMode(i, "outage")
+	}
+	f.instances[0].kill()
+	fresh := f.add()
+	f.awaitMode(fresh, "outage")
+	if s := f.status(fresh); s.Generation != 1 {
+		t.Errorf("generation %d", s.Generation)
+	}
+	eventually(t, "a chat at the new instance", func() bool { return outcomeOf(f.chat(fresh)) == "completed" })
+	if r := f.reserve(fresh, newKey()); outcomeOf(r) != "refused" {
+		t.Errorf("reservation in the outage: %+v", r)
+	}
+	f.faults(f.log, map[string]any{})
+	f.awaitMode(fresh, "fresh")
+	if r := f.reserve(fresh, key); outcomeOf(r) != "already_run" {
+		t.Errorf("the reservation of before: %+v", r)
+	}
+	if n := f.runs(key); n != 1 {
+		t.Errorf("ran %d times", n)
+	}
+}
+
 // TestBillLogDown has bills in a log of their own and takes that one away: all
 // work goes on, reservations too, and each bill is in once the log is back.
 func TestBillLogDown(t *testing.T) {
@@ -209,7 +242,7 @@
 // manifest from its peers.
 func TestCutFromTheLogOnly(t *testing.T) {
 	f := readyFleet(t)
-	f.lines[0].setCut(true)
+	f.lines[0].SetCut(true)
 	f.withdraw(f.instances[1])
 	eventually(t, "generation 2 at the cut instance", func() bool {
 		return f.status(f.instances[0]).Generation == 2
@@ -225,7 +258,7 @@
 func TestCutFromAll(t *testing.T) {
 	f := readyFleet(t)
 	alone := f.instances[0]
-	f.lines[0].setCut(true)
+	f.lines[0].SetCut(true)
 	for _, i := range f.instances[1:] {
 		if err := i.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
 			t.Fatal(err)
@@ -247,7 +280,7 @@
 			t.Fatal(err)
 		}
 	}
-	f.lines[0].setCut(false)
+	f.lines[0].SetCut(false)
 	f.awaitMode(alone, "fresh")
 	if r := f.chat(alone); outcomeOf(r) != "completed" {
 		t.Errorf("after the cut: %+v", r)
--- a/router/internal/e2e/fleet_test.go
+++ b/router/internal/e2e/fleet_test.go
@@ -3,13 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
-	"net"
+	"maps"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 
+	"masticplank.example/router/internal/standin/relay"
 	"masticplank.example/router/internal/wire"
 )
 
@@ -26,8 +25,10 @@
 	shop      string
 	engines   []string
 	instances []*instance
+	// platform are the settings that all instances share.
+	platform map[string]any
 	// lines are the instances' ways to the log, which a test can cut.
-	lines []*relay
+	lines []*relay.Relay
 }
 
 // options of a fleet.
@@ -68,22 +69,36 @@
 		})
 	}
 	f.put("http://"+f.list+"/instances", list)
-	for n := range instances {
-		line := newRelay(t, f.log)
-		f.lines = append(f.lines, line)
-		name := fmt.Sprintf("entry-%d", n+1)
-		i := startInstance(t, name, domains[n%len(domains)], map[string]any{
-			"log_url":      "http://" + line.addr,
-			"bill_log_url": billURL,
-			"list_url":     "http://" + f.list,
-			"rating_url":   "http://" + rating,
-		})
-		f.instances = append(f.instances, i)
-		f.put("http://"+f.list+"/instances/"+name, wire.ListedInstance{ID: name, Peer: i.peer, Domain: domains[n%len(domains)]})
+	f.platform = map[string]any{
+		"bill_log_url": billURL,
+		"list_url":     "http://" + f.list,
+		"rating_url":   "http://" + rating,
+	}
+	for range instances {
+		f.add()
 	}
 	return f
 }
 
+// add starts one more instance and lists it.
+func (f *fleet) add() *instance {
+	f.t.Helper()
+	n := len(f.instances)
+	line, err := relay.New(f.log)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(line.Close)
+	f.lines = append(f.lines, line)
+	platform := maps.Clone(f.platform)
+	platform["log_url"] = "http://" + line.Addr()
+	name, domain := fmt.Sprintf("entry-%d", n+1), domains[n%len(domains)]
+	i := startInstance(f.t, name, domain, platform)
+	f.instances = append(f.instances, i)
+	f.put("http://"+f.list+"/instances/"+name, wire.ListedInstance{ID: name, Peer: i.peer, Domain: domain})
+	return i
+}
+
 // put sends a JSON body to a stand-in.
 func (f *fleet) put(url string, body any) {
 	f.t.Helper()
@@ -129,93 +144,18 @@
 	return got.Runs[key]
 }
 
-// relay passes TCP connections on, until it is cut.
-type relay struct {
-	addr   string
-	target string
-
-	mu    sync.Mutex
-	cut   bool
-	conns map[net.Conn]bool
-}
-
-func newRelay(t testing.TB, target string) *relay {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	r := &relay{addr: l.Addr().String(), target: target, conns: map[net.Conn]bool{}}
-	t.Cleanup(func() {
-		l.Close()
-		r.setCut(true)
-	})
-	go func() {
-		for {
-			in, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go r.pass(in)
-		}
-	}()
-	return r
-}
-
-// setCut closes what is open and refuses what comes, or ends that.
-func (r *relay) setCut(cut bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.cut = cut
-	if !cut {
-		return
-	}
-	for c := range r.conns {
-		c.Close()
-		delete(r.conns, c)
-	}
-}
-
-// keep notes a connection; false where the relay is cut.
-func (r *relay) keep(c net.Conn) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.cut {
-		c.Close()
-		return false
-	}
-	r.conns[c] = true
-	return true
-}
-
-func (r *relay) pass(in net.Conn) {
-	if !r.keep(in) {
-		return
-	}
-	out, err := net.Dial("tcp", r.target)
-	if err != nil {
-		in.Close()
-		return
-	}
-	if !r.keep(out) {
-		in.Close()
-		return
-	}
-	go func() {
-		_, _ = io.Copy(out, in)
-		out.Close()
-	}()
-	_, _ = io.Copy(in, out)
-	in.Close()
+// billsOf counts a request's bills in the ledger.
+func (f *fleet) billsOf(request string) int {
+	f.t.Helper()
+	return strings.Count(f.ledger(), request)
 }
 
-// billsOf counts a request's bills in the ledger, read from the log by the
-// operators' tool.
-func (f *fleet) billsOf(request string) int {
+// ledger is read from the log by the operators' tool.
+func (f *fleet) ledger() string {
 	f.t.Helper()
 	out, err := tool("ledger", "export", "--log", "http://"+f.bills)
 	if err != nil {
 		f.t.Fatalf("ledger export: %v: %s", err, out)
 	}
-	return strings.Count(out, request)
+	return out
 }
