Bills: requests under way count against the room for bills

Cause: in an outage the gate refused new work once the next bill might find no room. All requests open at that moment would still have held theirs, so the last ones found none and their answers were not given. Full now takes the number of open requests, each as one bill to come of the largest size.

Ruled out for now: a ledger.Reservation taken by each request at admission; it is exact, but has to be carried through the exchange and the biller.

--- a/coordination/ledger/buffer.go
+++ b/coordination/ledger/buffer.go
@@ -97,10 +97,14 @@
 }
 
 // Full says that no room for another bill can be had.
-func (b *Buffer) Full() bool {
+func (b *Buffer) Full() bool { return b.FullFor(0) }
+
+// FullFor says the same where open requests without a reservation will each need
+// room for a bill too: all of them may end while the log takes nothing.
+func (b *Buffer) FullFor(open int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.full()
+	return b.fullFor(open)
 }
 
 // Len is how many bills are held.
@@ -123,9 +127,12 @@
 
 // The methods below are called with mu held.
 
-func (b *Buffer) full() bool {
-	tooMany := len(b.held)+b.reserved >= b.limits.Bills
-	return tooMany || b.bytes+(b.reserved+1)*maxHeldBill > b.limits.Bytes
+func (b *Buffer) full() bool { return b.fullFor(0) }
+
+func (b *Buffer) fullFor(open int) bool {
+	open += b.reserved
+	tooMany := len(b.held)+open >= b.limits.Bills
+	return tooMany || b.bytes+(open+1)*maxHeldBill > b.limits.Bytes
 }
 
 // keep returns false where the bill was held before.
--- a/coordination/ledger/ledger_test.go
+++ b/coordination/ledger/ledger_test.go
@@ -190,6 +190,29 @@
 	}
 }
 
+// TestFullForOpenRequests: each open request counts as a bill to come.
+func TestFullForOpenRequests(t *testing.T) {
+	for name, limits := range map[string]Limits{
+		"in count": {Bills: 4},
+		"in bytes": {Bytes: 4 * maxHeldBill},
+	} {
+		b := NewBuffer(limits, nil, nil)
+		room, err := b.Reserve()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for open, want := range []bool{false, false, false, true} {
+			if got := b.FullFor(open); got != want {
+				t.Errorf("%s: full for %d open: %v", name, open, got)
+			}
+		}
+		room.Cancel()
+		if b.FullFor(3) || !b.FullFor(4) {
+			t.Errorf("%s: a reservation given back still counts", name)
+		}
+	}
+}
+
 // TestHoldTwice: both copies or an error, and an error takes nothing away that
 // was held for a peer.
 func TestHoldTwice(t *testing.T) {
--- a/router/internal/faultmatrix/bed.go
+++ b/router/internal/faultmatrix/bed.go
@@ -177,7 +177,7 @@
 	in.startNode()
 	in.peers = peer.New(peer.Config{Self: self(name), Dial: b.net.dialer(name), Interval: 2 * time.Second, Seed: cfg.Seed},
 		peer.Deps{Store: in.Node, Instances: func() []wire.ListedInstance { return fleet }, Vouches: in, Events: in.driver})
-	in.gate.SetFull(in.peers.Full)
+	in.gate.SetFull(func() bool { return in.peers.Full(in.driver.Open()) })
 	in.publisher = publish.New(hookStore{in}, in.holder, in.gate)
 	b.mu.Lock()
 	b.instances[name] = in
--- a/router/internal/peer/fixture_test.go
+++ b/router/internal/peer/fixture_test.go
@@ -195,7 +195,7 @@
 func (i *inst) fill(t *testing.T) (empty func()) {
 	t.Helper()
 	var taken []*ledger.Reservation
-	for !i.Full() {
+	for !i.Full(0) {
 		room, err := i.held.Reserve()
 		if err != nil {
 			t.Fatal(err)
--- a/router/internal/peer/node.go
+++ b/router/internal/peer/node.go
@@ -261,6 +261,7 @@
 func (n *Node) Held() int { return n.held.Len() }
 
 // Full says that no more bills can be held, so that new work must be refused.
-func (n *Node) Full() bool { return n.held.Full() }
+// open requests are under way here, and each may yet have to hold its bill.
+func (n *Node) Full(open int) bool { return n.held.FullFor(open) }
 
 func peerAttr(id string) slog.Attr { return slog.String("peer", id) }
--- a/router/internal/peer/node_test.go
+++ b/router/internal/peer/node_test.go
@@ -408,11 +408,14 @@
 		t.Errorf("full peer: got %v with %d held", err, f[0].Held())
 	}
 	empty()
-	if f[0].Full() {
+	if f[0].Full(0) {
 		t.Error("full with no bill held")
 	}
+	if !f[0].Full(maxHeld) {
+		t.Error("room for fewer bills than requests are open, and not full")
+	}
 	f[0].fill(t)
-	if !f[0].Full() {
+	if !f[0].Full(0) {
 		t.Error("not full without room")
 	}
 	if err := f[0].Hold(context.Background(), bill(1)); err == nil || f[1].Held() != 0 {
