--- a/router/internal/api/reuse_test.go
+++ b/router/internal/api/reuse_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	stdjson "encoding/json"
 	"net/http"
+	"reflect"
 	"testing"
+
+	"github.com/segmentio/encoding/json"
 )
 
 // TestConnectionsToBackendServersAreKept counts the connections that many
@@ -25,3 +29,21 @@
 		}
 	}
 }
+
+// FuzzChunk feeds what an engine may send as an event to the reader of chunks: it
+// is a chunk or a failure, never a panic.
+func FuzzChunk(f *testing.F) {
+	for _, seed := range []string{token1, lastChunk, `{"choices":[{"delta":null}]}`, `{"choices":{}}`, "nonsense", ""} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, data string) {
+		var mine, standard streamChunk
+		err := json.Unmarshal([]byte(data), &mine)
+		if want := stdjson.Unmarshal([]byte(data), &standard); (err == nil) != (want == nil) {
+			t.Fatalf("read as %v, by the standard library as %v", err, want)
+		}
+		if err == nil && !reflect.DeepEqual(mine, standard) {
+			t.Fatalf("read as %+v, by the standard library as %+v", mine, standard)
+		}
+	})
+}
--- a/router/internal/api/stream.go
+++ b/router/internal/api/stream.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/segmentio/encoding/json"
 	"github.com/tmaxmax/go-sse"
 
 	"masticplank.example/decision"
