decision: package docs say what is wired and bounded

Cause: the wiring notes left out that a word to peers may be a suspicion, and that the prefix index keeps a row for each server named to it.

--- a/decision/internal/policytest/doc.go
+++ b/decision/internal/policytest/doc.go
@@ -12,7 +12,7 @@
 // a bounded prefix cache. Load reports and cache events reach the instances
 // late, and some cache events are lost.
 //
-//	go test ./internal/policytest -run TestMeasure -seeds 20 -v
+//	go test ./internal/policytest -run TestMeasure -seeds 20 -timeout 20m -v
 //
 // prints the tables of docs/MEASUREMENTS.md.
 package policytest
--- a/decision/internal/prefix/doc.go
+++ b/decision/internal/prefix/doc.go
@@ -11,7 +11,8 @@
 //
 // # Wiring
 //
-// On CacheChanged: Index.Changed. On a Dispatch of a prompt: Index.Dispatched.
+// On CacheChanged of a listed server: Index.Changed; one row is kept for each
+// server that was named. On a Dispatch of a prompt: Index.Dispatched.
 // When a server leaves the list or crashes: Index.Forget. When placing:
 // Index.Match, then take a matched server into the choice while its load is
 // within a bound of the others'; past that the queue there costs more than the
--- a/decision/internal/verdict/doc.go
+++ b/decision/internal/verdict/doc.go
@@ -20,7 +20,8 @@
 // not let a probe open a session: it would hold the session to the bad version.
 // On AttemptEnded: Versions.Ended, Outliers.Ended. On AnswerRated (not Late):
 // Versions.Rated. On VersionVerdict: Versions.Peer. Once per tick:
-// Versions.Share for the verdicts to send, Outliers.Sweep. When placing:
+// Versions.Share for the words to send (verdicts, and suspicions that make the
+// peers hold back for a short while), Outliers.Sweep. When placing:
 // Outliers.Admit for each of the few candidates, Outliers.Dispatched for the
 // one taken, Crashes.Admit and Crashes.Started for its fingerprint.
 package verdict
