--- a/router/internal/e2e/bench_test.go
+++ b/router/internal/e2e/bench_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,6 +16,7 @@
 
 	"masticplank.example/router/internal/loadgen"
 	"masticplank.example/router/internal/manifest"
+	"masticplank.example/router/internal/procstat"
 	"masticplank.example/router/internal/wire"
 )
 
@@ -230,18 +230,10 @@
 	wg.Wait()
 }
 
-// resident reads VmRSS of the instance in MB.
 func (p *benchPath) resident(b *testing.B) float64 {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.entry.cmd.Process.Pid))
+	mb, err := procstat.ResidentMB(p.entry.cmd.Process.Pid)
 	if err != nil {
 		b.Fatal(err)
 	}
-	for line := range strings.Lines(string(data)) {
-		var kb float64
-		if n, _ := fmt.Sscanf(line, "VmRSS: %f kB", &kb); n == 1 {
-			return kb / 1024
-		}
-	}
-	b.Fatal("no VmRSS")
-	return 0
+	return mb
 }
--- a/router/internal/e2e/rolling_test.go
+++ b/router/internal/e2e/rolling_test.go
@@ -9,37 +9,22 @@
 	"sync/atomic"
 	"testing"
 
+	"masticplank.example/router/internal/standin/balancer"
 	"masticplank.example/router/internal/wire"
 )
 
-// balancer sends each request to a ready instance, as the platform's does.
-type balancer struct {
-	f *fleet
-
-	mu   sync.Mutex
-	live []*instance
-	next int
+// callers send requests through the balancer.
+type callers struct {
+	t  *testing.T
+	to balancer.Balancer
 	// cut counts answers that broke off after a connection was had: a planned
 	// stop must cause none.
 	cut  atomic.Int64
 	done atomic.Int64
 }
 
-func (b *balancer) set(live []*instance) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.live = append([]*instance(nil), live...)
-}
-
-func (b *balancer) pick() *instance {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.next++
-	return b.live[b.next%len(b.live)]
-}
-
 // send tries until an instance has taken the request.
-func (b *balancer) send(client *http.Client, key string) {
+func (b *callers) send(client *http.Client, key string) {
 	for {
 		r := b.try(client, key)
 		switch {
@@ -50,14 +35,14 @@
 			b.done.Add(1)
 			return
 		case r.err == nil && outcomeOf(r) != "refused":
-			b.f.t.Errorf("%s: %+v", key, r)
+			b.t.Errorf("%s: %+v", key, r)
 			return
 		}
 	}
 }
 
-func (b *balancer) try(client *http.Client, key string) reply {
-	req, err := http.NewRequest(http.MethodPost, b.pick().api+"/v1/chat/completions", strings.NewReader(helloBody))
+func (b *callers) try(client *http.Client, key string) reply {
+	req, err := http.NewRequest(http.MethodPost, b.to.Pick()+"/v1/chat/completions", strings.NewReader(helloBody))
 	if err != nil {
 		return reply{err: err}
 	}
@@ -72,12 +57,20 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
+func edges(live []*instance) []string {
+	var out []string
+	for _, i := range live {
+		out = append(out, i.api)
+	}
+	return out
+}
+
 // TestRollingReplacement replaces all instances, one after another, under load.
 // No answer breaks off and each request is billed once.
 func TestRollingReplacement(t *testing.T) {
 	f := readyFleet(t)
-	b := &balancer{f: f}
-	b.set(f.instances)
+	b := &callers{t: t}
+	b.to.Set(edges(f.instances))
 	stop := make(chan struct{})
 	keys := make(chan string, 1<<16)
 	var wg sync.WaitGroup
@@ -103,7 +96,7 @@
 		})
 		live := f.instances[len(f.instances)-3:]
 		before := b.done.Load()
-		b.set(live)
+		b.to.Set(edges(live))
 		if err := old.terminate(); err != nil {
 			t.Errorf("%s: %v", old.name, err)
 		}
--- a/router/internal/e2e/tokens_bench_test.go
+++ b/router/internal/e2e/tokens_bench_test.go
@@ -3,22 +3,18 @@
 import (
 	"context"
 	"fmt"
-	"os"
-	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"masticplank.example/router/internal/loadgen"
+	"masticplank.example/router/internal/procstat"
 )
 
 const (
 	tokenStreams = 32
 	// tokensEach is long enough that the start of a stream does not count.
 	tokensEach = 8192
-	// clockTick is the unit of processor time in /proc.
-	clockTick = 10 * time.Millisecond
 )
 
 // BenchmarkTokens measures the instance's processor time for each token that
@@ -56,27 +52,15 @@
 
 // processorTime is what the instance used while f ran.
 func (p *benchPath) processorTime(b *testing.B, f func()) time.Duration {
-	before := p.ticks(b)
+	before := p.used(b)
 	f()
-	return time.Duration(p.ticks(b)-before) * clockTick
+	return p.used(b) - before
 }
 
-// ticks reads user and system time from /proc/PID/stat.
-func (p *benchPath) ticks(b *testing.B) int {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.entry.cmd.Process.Pid))
+func (p *benchPath) used(b *testing.B) time.Duration {
+	d, err := procstat.ProcessorTime(p.entry.cmd.Process.Pid)
 	if err != nil {
 		b.Fatal(err)
 	}
-	const user, system = 11, 12 // after the name in parentheses
-	_, rest, _ := strings.Cut(string(data), ") ")
-	fields := strings.Fields(rest)
-	sum := 0
-	for _, i := range []int{user, system} {
-		n, err := strconv.Atoi(fields[i])
-		if err != nil {
-			b.Fatal(err)
-		}
-		sum += n
-	}
-	return sum
+	return d
 }
