Operators can fetch a draft of the next manifest and hash a key

Cause: the operations page told pipelines to read GET /manifest by hand and said nothing of how a key's hash is made.

--- /dev/null
+++ b/router/internal/cli/manifestcmd/get.go
@@ -0,0 +1,88 @@
+package manifestcmd
+
+import (
+	"bufio"
+	"fmt"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"masticplank.example/router/internal/adminclient"
+	"masticplank.example/router/internal/cli"
+	"masticplank.example/router/internal/manifest"
+)
+
+// inForceAnswer is the body of GET /manifest.
+type inForceAnswer struct {
+	Digest   string            `json:"digest"`
+	Manifest manifest.Manifest `json:"manifest"`
+}
+
+// newGet prints what a pipeline generates the next manifest from.
+func newGet() *cobra.Command {
+	var instances []string
+	var next bool
+	cmd := &cobra.Command{
+		Use:   "get --instances ADDR,...",
+		Short: "Print the manifest in force, or a draft of the next one",
+		Long: `Print the manifest in force at the first instance that answers.
+
+With --next it is printed as a draft of the one that follows: its generation and
+parent are set, and its publication id is empty, to be filled in by the run that
+publishes it.`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			answer, err := firstAnswer(cmd, instances)
+			if err != nil {
+				return err
+			}
+			if next {
+				return cli.WriteJSON(cmd.OutOrStdout(), following(answer))
+			}
+			return cli.WriteJSON(cmd.OutOrStdout(), answer.Manifest)
+		},
+	}
+	cmd.Flags().StringSliceVar(&instances, "instances", nil, "admin addresses of the instances")
+	cmd.Flags().BoolVar(&next, "next", false, "print a draft of the manifest that follows")
+	_ = cmd.MarkFlagRequired("instances")
+	return cmd
+}
+
+func firstAnswer(cmd *cobra.Command, instances []string) (inForceAnswer, error) {
+	var last error
+	for _, addr := range instances {
+		var answer inForceAnswer
+		if last = adminclient.New(addr, "").Get(cmd.Context(), "/manifest", &answer); last == nil {
+			return answer, nil
+		}
+	}
+	return inForceAnswer{}, cli.Exitf(cli.StatusFailed, "no instance gave its manifest: %w", last)
+}
+
+// following turns the manifest in force into a draft of the next one.
+func following(a inForceAnswer) manifest.Manifest {
+	m := a.Manifest
+	m.Generation++
+	m.Parent = a.Digest
+	m.Publication = ""
+	return m
+}
+
+// newHashKey prints an API key's hash for a manifest or for settings. The key is
+// read from standard input, so that it is in no process list and no history.
+func newHashKey() *cobra.Command {
+	return &cobra.Command{
+		Use:   "hash-key < KEY",
+		Short: "Print the hash of an API key, for key_hashes or operator_key_hashes",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			line, _ := bufio.NewReader(cmd.InOrStdin()).ReadString('\n')
+			key := strings.TrimRight(line, "\r\n")
+			if key == "" {
+				return cli.Exitf(cli.StatusInvalid, "no key on standard input")
+			}
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), manifest.HashKey(key))
+			return err
+		},
+	}
+}
--- a/router/internal/cli/manifestcmd/manifestcmd.go
+++ b/router/internal/cli/manifestcmd/manifestcmd.go
@@ -16,9 +16,9 @@
 func New() *cobra.Command {
 	cmd := &cobra.Command{
 		Use:   "manifest",
-		Short: "Check, compare and publish manifests",
+		Short: "Check, compare, fetch and publish manifests",
 	}
-	cmd.AddCommand(newCheck(), newDiff(), newPublish(), newStatus())
+	cmd.AddCommand(newCheck(), newDiff(), newGet(), newHashKey(), newPublish(), newStatus())
 	return cmd
 }
 
