Tests of commands share one runner; models stand apart from histories

Logic that stood two and three times in test files: running a command and looking at its output and status, two tests of an idle flow that differ in the credit, and the sequential models that histories are checked against.

--- /dev/null
+++ b/coordination/history/models.go
@@ -0,0 +1,125 @@
+package history
+
+import (
+	"github.com/anishathalye/porcupine"
+
+	"masticplank.example/coordination/node"
+	"masticplank.example/coordination/record"
+)
+
+// The sequential models that histories are checked against.
+
+// step is one operation on a register: a Put, or a Release.
+type step struct {
+	key     record.Key
+	nonce   record.Nonce
+	release bool
+}
+
+// registerState is a register with one winner at most. dead holds the released
+// nonces in a comparable form.
+type registerState struct {
+	winner record.Nonce
+	dead   string
+}
+
+func (s registerState) isDead(n record.Nonce) bool {
+	for i := 0; i+len(n) <= len(s.dead); i += len(n) {
+		if s.dead[i:i+len(n)] == string(n[:]) {
+			return true
+		}
+	}
+	return false
+}
+
+// registerModel is what a register may do, one operation at a time.
+var registerModel = porcupine.NondeterministicModel{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[record.Key][]porcupine.Operation{}
+		for _, op := range history {
+			key := op.Input.(step).key
+			byKey[key] = append(byKey[key], op)
+		}
+		var out [][]porcupine.Operation
+		for _, ops := range byKey {
+			out = append(out, ops)
+		}
+		return out
+	},
+	Init: func() []any { return []any{registerState{}} },
+	Step: func(state, input, output any) []any {
+		s, in := state.(registerState), input.(step)
+		if in.release {
+			if s.winner == in.nonce {
+				s.winner = record.Nonce{}
+			}
+			s.dead += string(in.nonce[:])
+			return []any{s}
+		}
+		res := output.(node.Result)
+		free := s.winner == record.Nonce{} && !s.isDead(in.nonce)
+		won := registerState{in.nonce, s.dead}
+		switch res.Outcome {
+		case node.OutcomeWon:
+			if free {
+				return []any{won}
+			}
+			return nil
+		case node.OutcomeLost:
+			if s.winner == res.Register.Nonce && s.winner != in.nonce {
+				return []any{s}
+			}
+			return nil
+		case node.OutcomeUnknown:
+			if free {
+				return []any{s, won}
+			}
+			return []any{s}
+		default:
+			return []any{s}
+		}
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// publish is one try to replace the manifest of generation parent.
+type publish struct {
+	parent uint64
+	digest string
+	value  string
+}
+
+// manifestState is the manifest in force.
+type manifestState struct {
+	generation uint64
+	digest     string
+}
+
+var manifestModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{manifestState{}} },
+	Step: func(state, input, output any) []any {
+		s, in, res := state.(manifestState), input.(publish), output.(node.Result)
+		fits := s.generation == in.parent && s.digest == in.digest
+		next := manifestState{in.parent + 1, record.ManifestDigest([]byte(in.value))}
+		switch res.Outcome {
+		case node.OutcomeWon:
+			if fits {
+				return []any{next}
+			}
+			return nil
+		case node.OutcomeLost:
+			if s.generation > in.parent {
+				return []any{s}
+			}
+			return nil
+		case node.OutcomeUnknown:
+			if fits {
+				return []any{s, next}
+			}
+			return []any{s}
+		default:
+			return []any{s}
+		}
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
--- a/decision/internal/fair/fair_test.go
+++ b/decision/internal/fair/fair_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -47,53 +48,31 @@
 	return true
 }
 
-// A flow that was idle is neither owed anything nor behind.
-func TestIdleFlowSavesNoCredit(t *testing.T) {
-	var g Group
-	var q Queue[string]
-	var a, b Flow[string]
-	q.Init(&a, g.NewAccount(1))
-	q.Init(&b, g.NewAccount(1))
-	for range 100 {
-		q.Push(&a, &Item[string]{Value: "a", Cost: 1})
-	}
-	for range 50 {
-		q.Pop()
-	}
-	for range 50 {
-		q.Push(&b, &Item[string]{Value: "b", Cost: 1})
-	}
-	got := ""
-	for range 6 {
-		got += q.Pop().Value
-	}
-	if got != "bababa" && got != "ababab" {
-		t.Errorf("order %q, want them in turn", got)
-	}
-}
-
-// With a credit it is owed that much work, and no more.
+// A flow that was idle is neither owed anything nor behind; with a credit it is
+// owed that much work, and no more.
 func TestIdleFlowIsOwedTheCredit(t *testing.T) {
-	g := Group{Credit: 5}
-	var q Queue[string]
-	var a, b Flow[string]
-	q.Init(&a, g.NewAccount(1))
-	q.Init(&b, g.NewAccount(1))
-	for range 100 {
-		q.Push(&a, &Item[string]{Value: "a", Cost: 1})
-	}
-	for range 50 {
-		q.Pop()
-	}
-	for range 50 {
-		q.Push(&b, &Item[string]{Value: "b", Cost: 1})
-	}
-	got := ""
-	for range 9 {
-		got += q.Pop().Value
-	}
-	if got != "bbbbbabab" {
-		t.Errorf("order %q, want five of b and then in turn", got)
+	for credit, want := range map[float64][]string{0: {"bababa", "ababab"}, 5: {"bbbbbabab"}} {
+		g := Group{Credit: credit}
+		var q Queue[string]
+		var a, b Flow[string]
+		q.Init(&a, g.NewAccount(1))
+		q.Init(&b, g.NewAccount(1))
+		for range 100 {
+			q.Push(&a, &Item[string]{Value: "a", Cost: 1})
+		}
+		for range 50 {
+			q.Pop()
+		}
+		for range 50 {
+			q.Push(&b, &Item[string]{Value: "b", Cost: 1})
+		}
+		got := ""
+		for range len(want[0]) {
+			got += q.Pop().Value
+		}
+		if !slices.Contains(want, got) {
+			t.Errorf("credit %v: order %q, want one of %q", credit, got, want)
+		}
 	}
 }
 
--- a/router/internal/cli/manifestcmd/manifestcmd_test.go
+++ b/router/internal/cli/manifestcmd/manifestcmd_test.go
@@ -1,35 +1,18 @@
 package manifestcmd
 
 import (
-	"bytes"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
-	"strings"
 	"testing"
 
 	"masticplank.example/router/internal/cli"
+	"masticplank.example/router/internal/cli/clitest"
 	"masticplank.example/router/internal/manifest"
 )
 
-// run executes "manifest ARGS" and returns its output and exit status.
-func run(stdin string, args ...string) (string, int) {
-	cmd := New()
-	var out bytes.Buffer
-	cmd.SetOut(&out)
-	cmd.SetErr(&out)
-	cmd.SetIn(strings.NewReader(stdin))
-	cmd.SetArgs(args)
-	cmd.SilenceUsage, cmd.SilenceErrors = true, true
-	err := cmd.Execute()
-	if err != nil {
-		out.WriteString(err.Error())
-	}
-	return out.String(), cli.Status(err)
-}
-
 func TestStatuses(t *testing.T) {
 	dir := t.TempDir()
 	write := func(name, text string) string {
@@ -42,24 +25,18 @@
 	good := write("good.json", `{"generation":1,"publication":"p","teams":[],"versions":[]}`)
 	bad := write("bad.json", `{"generation":1,"publication":"","teams":[{"id":"a"}],"versions":[]}`)
 	junk := write("junk.json", `{"teams":1}`)
-	for _, c := range []struct {
-		args []string
-		want int
-	}{
-		{[]string{"check", good}, cli.StatusOK},
-		{[]string{"check", bad}, cli.StatusInvalid},
-		{[]string{"check", "-o", "json", bad}, cli.StatusInvalid},
-		{[]string{"check", junk}, cli.StatusInvalid},
-		{[]string{"check", filepath.Join(dir, "none.json")}, cli.StatusFailed},
-		{[]string{"check", "-o", "xml", good}, cli.StatusInvalid},
-		{[]string{"diff", good, good}, cli.StatusOK},
-		{[]string{"hash-key"}, cli.StatusInvalid},
-		{[]string{"get", "--instances", "127.0.0.1:1"}, cli.StatusFailed},
-	} {
-		if out, got := run("", c.args...); got != c.want {
-			t.Errorf("%v: status %d, want %d: %s", c.args, got, c.want, out)
-		}
-	}
+	clitest.Run(t, New, []clitest.Case{
+		{Name: "good", Args: []string{"check", good}},
+		{Name: "faults", Args: []string{"check", bad}, Status: cli.StatusInvalid, Want: []string{"publication:", "teams[0].weight:"}},
+		{Name: "faults as JSON", Args: []string{"check", "-o", "json", bad}, Status: cli.StatusInvalid, Want: []string{`"path": "publication"`}},
+		{Name: "junk", Args: []string{"check", junk}, Status: cli.StatusInvalid},
+		{Name: "no file", Args: []string{"check", filepath.Join(dir, "none.json")}, Status: cli.StatusFailed},
+		{Name: "format", Args: []string{"check", "-o", "xml", good}, Status: cli.StatusInvalid},
+		{Name: "no difference", Args: []string{"diff", good, good}},
+		{Name: "key", Args: []string{"hash-key"}, Stdin: "loom\n", Want: []string{manifest.HashKey("loom")}},
+		{Name: "no key", Args: []string{"hash-key"}, Status: cli.StatusInvalid},
+		{Name: "no instance", Args: []string{"get", "--instances", "127.0.0.1:1"}, Status: cli.StatusFailed},
+	})
 }
 
 func TestGetNextFollowsTheOneInForce(t *testing.T) {
@@ -67,7 +44,7 @@
 		_ = json.NewEncoder(w).Encode(inForceAnswer{Digest: "d7", Manifest: manifest.Manifest{Generation: 7, Parent: "d6", Publication: "p"}})
 	}))
 	defer s.Close()
-	out, status := run("", "get", "--next", "--instances", s.URL)
+	out, status := clitest.Execute(t, New(), clitest.Case{Args: []string{"get", "--next", "--instances", s.URL}})
 	if status != cli.StatusOK {
 		t.Fatal(out)
 	}
--- a/router/internal/cli/reportcmd/reportcmd_test.go
+++ b/router/internal/cli/reportcmd/reportcmd_test.go
@@ -1,15 +1,16 @@
 package reportcmd
 
 import (
-	"bytes"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"testing"
 	"time"
 
+	"github.com/spf13/cobra"
+
 	"masticplank.example/router/internal/cli"
+	"masticplank.example/router/internal/cli/clitest"
 	"masticplank.example/router/internal/manifest"
 	"masticplank.example/router/internal/outcome"
 	"masticplank.example/router/internal/report"
@@ -47,33 +48,14 @@
 
 func TestBurn(t *testing.T) {
 	a, b, gone := instance(t, "entry-1"), instance(t, "entry-2"), dead()
-	for _, c := range []struct {
-		name   string
-		args   []string
-		status int
-		want   []string
-	}{
-		{"text", []string{"--instances", a + "," + b}, cli.StatusOK, []string{"2 of 2 instances", "entry-1", "ecoles", "100.0%"}},
-		{"one silent", []string{"--instances", a + "," + gone}, cli.StatusPartial, []string{"1 of 2 instances", "NO ANSWER  " + gone, "entry-1"}},
-		{"all silent", []string{"--instances", gone}, cli.StatusFailed, []string{"0 of 1 instances", gone}},
-		{"json", []string{"--instances", a, "-o", "json"}, cli.StatusOK, []string{`"at": "2026-09-01T08:00:00Z"`, `"answered": true`}},
-		{"html", []string{"--instances", a + "," + gone, "-o", "html"}, cli.StatusPartial, []string{"<svg", "No answer from " + gone}},
-		{"format", []string{"--instances", a, "-o", "xml"}, cli.StatusInvalid, nil},
-	} {
-		cmd := newBurn(func() time.Time { return at })
-		var out bytes.Buffer
-		cmd.SetOut(&out)
-		cmd.SetErr(&bytes.Buffer{})
-		cmd.SetArgs(c.args)
-		if got := cli.Status(cmd.ExecuteContext(t.Context())); got != c.status {
-			t.Errorf("%s: exit status %d, want %d", c.name, got, c.status)
-		}
-		for _, want := range c.want {
-			if !strings.Contains(out.String(), want) {
-				t.Errorf("%s: %q is missing in\n%s", c.name, want, out.String())
-			}
-		}
-	}
+	clitest.Run(t, func() *cobra.Command { return newBurn(func() time.Time { return at }) }, []clitest.Case{
+		{Name: "text", Args: []string{"--instances", a + "," + b}, Status: cli.StatusOK, Want: []string{"2 of 2 instances", "entry-1", "ecoles", "100.0%"}},
+		{Name: "one silent", Args: []string{"--instances", a + "," + gone}, Status: cli.StatusPartial, Want: []string{"1 of 2 instances", "NO ANSWER  " + gone, "entry-1"}},
+		{Name: "all silent", Args: []string{"--instances", gone}, Status: cli.StatusFailed, Want: []string{"0 of 1 instances", gone}},
+		{Name: "json", Args: []string{"--instances", a, "-o", "json"}, Status: cli.StatusOK, Want: []string{`"at": "2026-09-01T08:00:00Z"`, `"answered": true`}},
+		{Name: "html", Args: []string{"--instances", a + "," + gone, "-o", "html"}, Status: cli.StatusPartial, Want: []string{"<svg", "No answer from " + gone}},
+		{Name: "format", Args: []string{"--instances", a, "-o", "xml"}, Status: cli.StatusInvalid, Want: nil},
+	})
 	if New().Commands()[0].Name() != "burn" {
 		t.Error("report has no burn")
 	}
