--- a/router/internal/e2e/thinpath_test.go
+++ b/router/internal/e2e/thinpath_test.go
@@ -96,6 +96,7 @@
 	t.Run("refusals", f.testRefusals)
 	t.Run("session", f.testSession)
 	t.Run("conflict", f.testConflict)
+	t.Run("operators", f.testOperators)
 	t.Run("graceful shutdown", f.testShutdown)
 }
 
@@ -260,6 +261,26 @@
 	}
 }
 
+// testOperators reads the fleet with each command that reads.
+func (f *fleet) testOperators(t *testing.T) {
+	addrs := f.instances[0].admin + "," + f.instances[1].admin
+	for _, c := range []struct {
+		args []string
+		want string
+	}{
+		{[]string{"status", "--instances", addrs}, "fresh"},
+		{[]string{"manifest", "status", "--instances", addrs}, "generation 2"},
+		{[]string{"manifest", "get", "--next", "--instances", addrs}, `"generation": 3`},
+		{[]string{"report", "burn", "--instances", addrs}, "2 of 2 instances"},
+		{[]string{"report", "burn", "--instances", addrs, "-o", "html"}, "weavers"},
+		{[]string{"ledger", "export", "--log", "http://" + f.bills, "-o", "text"}, "large@1"},
+	} {
+		if out, err := tool(c.args...); err != nil || !strings.Contains(out, c.want) {
+			t.Errorf("%v: %v: %s", c.args, err, out)
+		}
+	}
+}
+
 // testShutdown sends SIGTERM while a stream runs: the stream ends whole and the
 // process exits with 0.
 func (f *fleet) testShutdown(t *testing.T) {
--- /dev/null
+++ b/router/internal/outcome/outcome_test.go
@@ -0,0 +1,37 @@
+package outcome
+
+import (
+	"os"
+	"strings"
+	"testing"
+)
+
+// TestAPIPageHoldsEveryCode compares the codes that have a status of their own
+// with the page that callers read.
+func TestAPIPageHoldsEveryCode(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/API.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for code := range codeStatus {
+		if !strings.Contains(string(page), "`"+code+"`") {
+			t.Errorf("docs/API.md lacks %s", code)
+		}
+	}
+}
+
+func TestStatusByKind(t *testing.T) {
+	for o, want := range map[Outcome]int{
+		{Kind: Completed}:                                  200,
+		{Kind: Refused, Code: "no_backend_server"}:         503,
+		{Kind: Refused, Code: "queue_full"}:                429,
+		{Kind: Failed, Code: "backend_server_failed"}:      502,
+		{Kind: Failed, Code: "rejected_by_backend_server"}: 400,
+		{Kind: Unknown, Code: "outcome_unknown"}:           504,
+		{Kind: AlreadyRun, Code: "already_run"}:            409,
+	} {
+		if got := o.Status(); got != want {
+			t.Errorf("%+v: status %d, want %d", o, got, want)
+		}
+	}
+}
