--- a/router/internal/daemon/decide.go
+++ b/router/internal/daemon/decide.go
@@ -38,6 +38,7 @@
 	c.QueueLimit = cfg.Decision.QueueLimit
 	c.RetryRatio = cfg.Decision.RetryBudget
 	c.MaxEjected = cfg.Decision.MaxEjected
+	c.Patience = cfg.Decision.OverloadWait
 	c.RateBudget = ms(cfg.Decision.RateBudgetMS)
 	c.DefaultDeadline = ms(cfg.Limits.DefaultDeadlineMS)
 	return driver.New(decision.NewWorld(c), f)
--- a/router/internal/settings/defaults.go
+++ b/router/internal/settings/defaults.go
@@ -21,7 +21,8 @@
 	defaultQueueLimit        = 256
 	defaultRetryBudget       = 0.1
 	defaultRateBudgetMS      = 300
-	defaultMaxEjected        = 0.3
+	defaultMaxEjected        = 0.34
+	defaultOverloadWait      = 0.2
 	defaultListenAddress     = "127.0.0.1:0"
 )
 
@@ -59,6 +60,7 @@
 			RetryBudget:  defaultRetryBudget,
 			RateBudgetMS: defaultRateBudgetMS,
 			MaxEjected:   defaultMaxEjected,
+			OverloadWait: defaultOverloadWait,
 		},
 	}
 }
--- a/router/internal/settings/fields.go
+++ b/router/internal/settings/fields.go
@@ -78,6 +78,7 @@
 		{"decision.retry_budget", "part of 1", floatRule{0, 1}, "Retries allowed, as a part of a team's recent successes."},
 		{"decision.rate_budget_ms", "ms", intRule{0, minuteMS}, "How long a held answer may wait for its rating."},
 		{"decision.max_ejected", "part of 1", floatRule{0, 0.9}, "The largest part of a version's backend servers that may be ejected as outliers."},
+		{"decision.overload_wait", "part of 1", floatRule{0.05, 1}, "The part of its time to the deadline that a request may wait in an overloaded queue; more answers late, less refuses more."},
 
 		{"operator_key_hashes", "", countRule{0, 64}, "Operators' API keys. With none, nobody can publish."},
 		{"operator_key_hashes[]", "hex", hashRule{}, "SHA-256 of an operator's API key: printf %s KEY | sha256sum."},
--- a/router/internal/settings/settings.go
+++ b/router/internal/settings/settings.go
@@ -104,4 +104,6 @@
 	RetryBudget  float64 `json:"retry_budget"`
 	RateBudgetMS int     `json:"rate_budget_ms"`
 	MaxEjected   float64 `json:"max_ejected"`
+	// OverloadWait is a part of a request's time.
+	OverloadWait float64 `json:"overload_wait"`
 }
