One way to make nonces, share hashes and status reads

Read through once more: claims, quarantines and publications made their nonces by hand beside record.NewNonce and record.NonceFrom; the callers' edge had a share hash of its own beside session.ShareHash; manifest publish and status read the instances one after another beside cli.Gather. Each calls the shared piece now.

--- a/router/internal/api/chat.go
+++ b/router/internal/api/chat.go
@@ -12,6 +12,7 @@
 
 	"masticplank.example/decision"
 	"masticplank.example/router/internal/outcome"
+	"masticplank.example/router/internal/session"
 	"masticplank.example/router/internal/upstream"
 	"masticplank.example/router/internal/wire"
 )
@@ -125,7 +126,7 @@
 		Class:       decision.TaskClass(r.Header.Get(wire.HeaderTask)),
 		Fingerprint: decision.Fingerprint(print.Sum64()),
 		// By the request's identity, so that a resend falls on the same version.
-		ShareHash: shareHash(key.id),
+		ShareHash: session.ShareHash(c.team.ID, key.id),
 		Resend:    isResend(r),
 	}
 	if text := r.Header.Get(wire.HeaderPriority); text != "" {
@@ -160,12 +161,6 @@
 	return false
 }
 
-// shareHash spreads ids evenly over 0 to 1.
-func shareHash(id string) float64 {
-	const span = 1 << 53
-	return float64(xxhash.Sum64String(id)>>11) / span
-}
-
 // chatCall builds the attempt for an engine, which is always asked for a stream;
 // see plain.go.
 func chatCall(chat wire.ChatRequest, version decision.VersionID, addr, nonce string) (upstream.Call, error) {
--- a/router/internal/api/claim.go
+++ b/router/internal/api/claim.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"time"
 
 	"masticplank.example/coordination/node"
@@ -31,13 +30,13 @@
 // claim whose outcome is unknown is released first: a late Put of a released
 // nonce never wins, and only this process could have acted on it.
 func (x *exchange) takeClaim(ctx context.Context) *outcome.Outcome {
-	c := &claim{key: record.Key(string(record.ClassClaim) + "/" + x.caller.team.ID + "/" + x.key.id)}
+	c := &claim{
+		key:   record.Key(string(record.ClassClaim) + "/" + x.caller.team.ID + "/" + x.key.id),
+		nonce: record.NewNonce(),
+	}
 	if _, taken := x.s.Store.Lookup(c.key); taken {
 		return alreadyRun()
 	}
-	if _, err := rand.Read(c.nonce[:]); err != nil {
-		return claimRefused("claim_failed", "no randomness for a claim")
-	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	result := x.s.Store.Put(ctx, record.Record{
--- a/router/internal/cli/manifestcmd/publish.go
+++ b/router/internal/cli/manifestcmd/publish.go
@@ -138,11 +138,9 @@
 
 func behind(ctx context.Context, instances []string, generation uint64) []string {
 	var out []string
-	for _, addr := range instances {
-		var s inForce
-		err := adminclient.New(addr, "").Get(ctx, "/status", &s)
-		if err != nil || s.Generation < generation {
-			out = append(out, addr)
+	for _, a := range cli.Gather[inForce](ctx, instances, "/status") {
+		if a.Err != nil || a.Value.Generation < generation {
+			out = append(out, a.Address)
 		}
 	}
 	return out
@@ -178,14 +176,12 @@
 func showStatus(cmd *cobra.Command, instances []string, output string) error {
 	rows := make([]generationRow, 0, len(instances))
 	silent := 0
-	for _, addr := range instances {
-		var s inForce
-		row := generationRow{Instance: addr}
-		if err := adminclient.New(addr, "").Get(cmd.Context(), "/status", &s); err != nil {
-			row.Error = err.Error()
+	for _, a := range cli.Gather[inForce](cmd.Context(), instances, "/status") {
+		row := generationRow{Instance: a.Address, Generation: a.Value.Generation}
+		if a.Err != nil {
+			row.Error = a.Err.Error()
 			silent++
 		}
-		row.Generation = s.Generation
 		rows = append(rows, row)
 	}
 	if err := printRows(cmd, rows, output); err != nil {
--- a/router/internal/daemon/decide.go
+++ b/router/internal/daemon/decide.go
@@ -167,9 +167,9 @@
 	rec := record.Record{
 		Kind:     record.KindPut,
 		Key:      record.Key(fmt.Sprintf("%s/%016x", record.ClassQuarantine, uint64(q.Fingerprint))),
+		Nonce:    record.NewNonce(),
 		Lifetime: time.Until(q.Until),
 	}
-	_, _ = rand.Read(rec.Nonce[:])
 	store.Put(ctx, rec)
 }
 
--- a/router/internal/publish/publish.go
+++ b/router/internal/publish/publish.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -141,10 +140,7 @@
 // publicationNonce is the same for each try of one pipeline run, so that a try
 // whose reply was lost and its repetition are one proposal.
 func publicationNonce(publication string) record.Nonce {
-	sum := sha256.Sum256([]byte("publication/" + publication))
-	var n record.Nonce
-	copy(n[:], sum[:])
-	return n
+	return record.NonceFrom("publication", publication)
 }
 
 func (p *Publisher) result(kind outcome.Kind, code, message string) Result {
