--- /dev/null
+++ b/coordination/keyedlog/keyedlog.go
@@ -0,0 +1,60 @@
+// Package keyedlog is the seam to a log whose records carry keys: the newest record of
+// each key is kept for good, older ones for a while. Clients implement Log.
+package keyedlog
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Record is one record. An empty Value drops the key.
+type Record struct {
+	Key    string
+	Value  []byte
+	Offset uint64
+}
+
+// Batch is what one read returned.
+type Batch struct {
+	Records []Record
+	// Next is the offset to go on from.
+	Next uint64
+}
+
+// Snapshot is the newest record of each key, read page by page.
+type Snapshot struct {
+	Records []Record
+	// Next is the end of the log as it was before the first page was read, so that a
+	// tail from there misses nothing.
+	Next uint64
+}
+
+// Anywhere is the position of an append without a condition.
+const Anywhere = ^uint64(0)
+
+// Log is one topic.
+type Log interface {
+	// Read returns the records from the offset on; with none there it waits for as long
+	// as wait says.
+	Read(ctx context.Context, from uint64, wait time.Duration) (Batch, error)
+	// Newest returns the newest record of each key.
+	Newest(ctx context.Context) (Snapshot, error)
+	// Append adds the records, all or none. Unless at is Anywhere, it fails with
+	// ErrMoved where the log does not end there.
+	Append(ctx context.Context, at uint64, records ...Record) error
+}
+
+// The outcomes of a call that did not succeed. They wrap the cause.
+var (
+	// ErrNotDone: nothing was done; the log is busy or refuses this instance.
+	ErrNotDone = errors.New("the log did nothing")
+	// ErrUnknown: no answer came; a write may have been done, or may be done later.
+	ErrUnknown = errors.New("the log did not answer")
+	// ErrGone: the records from that offset on are not kept any more.
+	ErrGone = errors.New("the log has dropped these records")
+	// ErrMoved: the log ends at another offset than the append named.
+	ErrMoved = errors.New("the log ends elsewhere")
+	// ErrRejected: the call is wrong, and will be wrong again.
+	ErrRejected = errors.New("the log rejects the call")
+)
--- /dev/null
+++ b/decision/passthrough/budget.go
@@ -0,0 +1,63 @@
+package passthrough
+
+import "time"
+
+// budgetBuckets is into how many parts the budget's window is cut: a tenth is the error
+// by which requests count for too long, and the ratio's margin pays for it.
+const budgetBuckets = 10
+
+// Budget bounds the arrivals at one service beyond the first of each request.
+//
+// Load: a service that fails under load, where each failure brings a repeat. Harm
+// prevented: repeats that keep it down. The bound holds over all instances without a
+// message, since each keeps it over its own requests and takes an equal part of the
+// slack.
+type Budget struct {
+	ratio  float64
+	slack  float64
+	step   time.Duration
+	at     int64
+	first  [budgetBuckets]int
+	repeat [budgetBuckets]int
+}
+
+// NewBudget returns a budget: in each window as many repeats as ratio times the
+// requests, and slack more.
+func NewBudget(ratio, slack float64, window time.Duration) *Budget {
+	return &Budget{ratio: ratio, slack: slack, step: max(window/budgetBuckets, time.Millisecond)}
+}
+
+// advance clears the parts of the window that have passed.
+func (b *Budget) advance(now time.Time) {
+	at := now.UnixNano() / int64(b.step)
+	passed := min(at-b.at, budgetBuckets)
+	for i := int64(1); i <= passed; i++ {
+		slot := (b.at + i) % budgetBuckets
+		if passed == budgetBuckets {
+			slot = (at + i) % budgetBuckets
+		}
+		b.first[slot], b.repeat[slot] = 0, 0
+	}
+	b.at = max(b.at, at)
+}
+
+// Request counts a request for the service.
+func (b *Budget) Request(now time.Time) {
+	b.advance(now)
+	b.first[b.at%budgetBuckets]++
+}
+
+// Spend takes one repeat, or says that none is left.
+func (b *Budget) Spend(now time.Time) bool {
+	b.advance(now)
+	firsts, repeats := 0, 0
+	for i := range budgetBuckets {
+		firsts += b.first[i]
+		repeats += b.repeat[i]
+	}
+	if float64(repeats+1) > b.ratio*float64(firsts)+b.slack {
+		return false
+	}
+	b.repeat[b.at%budgetBuckets]++
+	return true
+}
--- /dev/null
+++ b/decision/passthrough/events.go
@@ -0,0 +1,139 @@
+package passthrough
+
+import "time"
+
+// Event is anything that a tick takes in. The set is closed.
+type Event interface{ event() }
+
+// Configured replaces the configuration.
+type Configured struct{ Index *Index }
+
+// Listed replaces the list of backend servers.
+type Listed struct{ Servers []Server }
+
+// Arrived hands over a request. It is answered by one Dispatch or Refuse, at once or
+// when its turn comes, unless Left comes first.
+type Arrived struct{ Request Request }
+
+// Left says that nobody waits for the request any more.
+type Left struct{ Request RequestID }
+
+// Ended closes a Dispatch. It is answered by a Dispatch, Refuse or Finish, unless the
+// result is Completed or Abandoned.
+type Ended struct {
+	Request RequestID
+	Result  Result
+	// Begun says that a part of the answer went to the caller.
+	Begun bool
+	// Misdirected says that another backend server has the address.
+	Misdirected bool
+	// Leaving says that the backend server is leaving.
+	Leaving bool
+	// Cut says that the connection broke, as it does when a backend server crashes.
+	Cut bool
+	// Escalate asks for a larger model, as the answer is not good enough.
+	Escalate bool
+	// Pace is the mean time between the events of a stream, or the time of a whole
+	// plain answer; 0 where it is not known.
+	Pace time.Duration
+}
+
+// Waited says that a request has waited in the queue for as long as MaxWait allows.
+type Waited struct{ Request RequestID }
+
+// Heard is a backend server's word on its load.
+type Heard struct {
+	Server string
+	Load   Load
+}
+
+// FirstByte says that the attempt's answer began, after the time given.
+type FirstByte struct {
+	Request RequestID
+	After   time.Duration
+}
+
+// Confident is an engine's own opinion of its answer, 0 to 1.
+type Confident struct {
+	Request    RequestID
+	Confidence float64
+}
+
+// Crashes is the count of crashes by requests with this fingerprint at other instances.
+type Crashes struct {
+	Fingerprint uint64
+	Count       int
+}
+
+// RolloutSet says how far a roll-out is.
+type RolloutSet struct{ Rollout Rollout }
+
+func (Configured) event() {}
+func (Listed) event()     {}
+func (Arrived) event()    {}
+func (Left) event()       {}
+func (Waited) event()     {}
+func (Ended) event()      {}
+func (Heard) event()      {}
+func (FirstByte) event()  {}
+func (Confident) event()  {}
+func (Crashes) event()    {}
+func (RolloutSet) event() {}
+
+// Command is anything that a tick asks for. The set is closed.
+type Command interface{ command() }
+
+// Dispatch sends the request to a backend server.
+type Dispatch struct {
+	Request RequestID
+	Server  Server
+	// Attempt counts the request's dispatches from 1.
+	Attempt int
+	// Model is the chosen one where the request leaves it open.
+	Model string
+	// Larger says that a larger model could still be asked.
+	Larger bool
+	// Patience is how long the attempt may stay silent; 0 for no bound of its own.
+	Patience time.Duration
+	// Load is the server's load as believed, with its age, for the log.
+	Load    int
+	LoadAge time.Duration
+}
+
+// Refuse ends a request that has not run.
+type Refuse struct {
+	Request    RequestID
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// Finish ends a request with what its last attempt left: the backend server's failure,
+// or word that it may have run.
+type Finish struct {
+	Request RequestID
+	Reason  Reason
+}
+
+// Observed is an end of an attempt that other instances should know of while a
+// roll-out is in progress.
+type Observed struct {
+	Service string
+	Route   string
+	Version string
+	Bad     bool
+}
+
+// CrashSeen says that a request seems to have crashed a backend server.
+type CrashSeen struct {
+	Fingerprint uint64
+}
+
+// Suspect says that the list of backend servers should be read at once.
+type Suspect struct{ Server string }
+
+func (Dispatch) command()  {}
+func (Refuse) command()    {}
+func (Finish) command()    {}
+func (Observed) command()  {}
+func (CrashSeen) command() {}
+func (Suspect) command()   {}
--- /dev/null
+++ b/decision/passthrough/pace.go
@@ -0,0 +1,87 @@
+package passthrough
+
+import "time"
+
+// paceMemory is the number of answers that a mean pace looks back on.
+const paceMemory = 20
+
+// mean is an exponential mean of the last answers.
+type mean struct {
+	value float64
+	n     float64
+}
+
+func (m *mean) add(x float64) {
+	m.n = min(m.n+1, paceMemory)
+	m.value += (x - m.value) / m.n
+}
+
+// paceStats is the mean pace of a service's answers by model size.
+type paceStats struct {
+	by    map[int]*mean
+	drain drainMeter
+}
+
+func (p *paceStats) of(size int) *mean {
+	if p.by == nil {
+		p.by = map[int]*mean{}
+	}
+	m := p.by[size]
+	if m == nil {
+		m = &mean{}
+		p.by[size] = m
+	}
+	return m
+}
+
+// drainMeter measures how many answers a second a service gives to this instance.
+type drainMeter struct {
+	rate float64
+	last time.Time
+}
+
+// drainWindow is the time that the measured rate looks back on.
+const drainWindow = 2 * time.Second
+
+func (d *drainMeter) ended(now time.Time) {
+	if d.last.IsZero() {
+		d.last = now
+		return
+	}
+	gap := max(now.Sub(d.last), time.Millisecond)
+	d.last = now
+	part := min(1, float64(gap)/float64(drainWindow))
+	d.rate += part * (1/gap.Seconds() - d.rate)
+}
+
+// wait estimates how long it takes until so many have left.
+func (d *drainMeter) wait(count int) time.Duration {
+	const leastRate = 1.0 // a second: no worse guess than that after a silence
+	return time.Duration(float64(count) / max(d.rate, leastRate) * float64(time.Second))
+}
+
+// slowMost bounds how slow a server is thought to be: enough to keep work away, not so
+// much that one stall of many seconds keeps it away for good.
+const slowMost = 10
+
+// notePace takes in an answer's pace as evidence on its server.
+func (w *World) notePace(r *request, pace time.Duration) {
+	if pace <= 0 || r.server == nil {
+		return
+	}
+	all := r.service.pace.of(r.size)
+	x := pace.Seconds()
+	if all.n > 3 && all.value > 0 {
+		r.server.slow.add(min(x/all.value, slowMost))
+	}
+	all.add(x)
+}
+
+// slowness is how many times slower than the service's mean the server is: 1 for most.
+func (s *server) slowness() float64 {
+	const leastAnswers = 3
+	if s.slow.n < leastAnswers || s.slow.value < 1 {
+		return 1
+	}
+	return s.slow.value
+}
--- /dev/null
+++ b/decision/passthrough/place.go
@@ -0,0 +1,208 @@
+package passthrough
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// place sends the request to a server with a free place. It says no where there is none
+// now.
+func (w *World) place(r *request) bool {
+	s := w.pick(r)
+	if s == nil {
+		return false
+	}
+	if r.waiting {
+		r.service.queue.take(r)
+		r.waiting = false
+	}
+	r.server = s
+	r.sent = w.now
+	r.attempts++
+	r.tries++
+	s.own++
+	r.confidence = -1
+	w.noteSession(r, s.Version)
+	cmd := Dispatch{
+		Request: r.ID, Server: s.Server, Attempt: r.tries,
+		Patience: patience(r), Load: int(s.load(w.now)),
+	}
+	if !s.toldAt.IsZero() {
+		cmd.LoadAge = w.now.Sub(s.toldAt)
+	}
+	if r.ModelOpen && len(r.Route.Sizes) > 0 {
+		r.size = w.chooseSize(r, s)
+		cmd.Model = r.Route.Sizes[r.size]
+		cmd.Larger = w.mayEscalate(r)
+	}
+	w.emit(cmd)
+	return true
+}
+
+const (
+	// silentPart is the part of the time to the target for which a repeatable plain
+	// request waits for the first byte of an answer before it is tried elsewhere.
+	silentPart = 2.5
+	// silentLeast bounds that time from below: a slow server is no dead one.
+	silentLeast = 400 * time.Millisecond
+)
+
+// patience is how long an attempt may stay silent before another server is asked.
+//
+// Load: a server that hangs or has gone dark. Harm prevented: a caller who waits for it
+// to the end. Only what may run again is given up.
+func patience(r *request) time.Duration {
+	if r.Route.Kind != KindIdempotent || r.attempts >= r.Route.MaxAttempts {
+		return 0
+	}
+	return max(time.Duration(silentPart*float64(r.Route.Target)), silentLeast)
+}
+
+const (
+	// boundFactor and boundSlack are how far over the mean load a server may be and
+	// still be preferred for what its cache holds. A batch that is a third larger costs
+	// a few per cent of each token; a prompt read again costs hundreds of milliseconds.
+	boundFactor = 1.35
+	boundSlack  = 3
+	// overcommit is how many requests over its slots a plain server is given: one that
+	// waits there starts at once when a place is free.
+	overcommit = 1
+)
+
+// pick chooses a server, or nil where none has a free place.
+//
+// Load: many requests that share long prompts, on servers whose load is known late and by
+// all instances alike. Harm prevented: prompts read again everywhere, and all instances
+// sending to the one that looked idle. A request goes to the server that a hash of its
+// shared prompt names, so that all instances agree without a word, and on to the next by
+// the hash once that one has more than its part.
+func (w *World) pick(r *request) *server {
+	list := w.candidates(r, true)
+	if len(list) == 0 {
+		list = w.candidates(r, false)
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	if r.Affinity != 0 {
+		return w.pickByPrompt(r, list)
+	}
+	return w.pickByLoad(list)
+}
+
+// candidates lists the servers that may take the request and have a free place; fresh
+// leaves out those that were tried.
+func (w *World) candidates(r *request, fresh bool) []*server {
+	w.drawn = w.drawn[:0]
+	ro := w.rollouts[r.service.name]
+	wants := ""
+	if ro != nil {
+		wants = w.wantedVersion(r, ro)
+	}
+	for _, s := range r.service.servers {
+		if !s.usable(w.now) || !s.hasRoom(w.now) {
+			continue
+		}
+		if fresh && slices.Contains(r.tried, s) {
+			continue
+		}
+		if ro != nil && !versionFits(s, ro, wants) {
+			continue
+		}
+		w.drawn = append(w.drawn, s)
+	}
+	return w.drawn
+}
+
+// hasRoom says whether the server can take one more.
+func (s *server) hasRoom(now time.Time) bool {
+	slots := s.Slots
+	if s.service.engine && s.service.slots > 0 {
+		slots = s.service.slots
+	}
+	if slots <= 0 {
+		return true
+	}
+	if !s.service.engine {
+		slots += overcommit
+	}
+	return s.load(now) < float64(slots)
+}
+
+// weight is the load that a choice goes by: with one more request, and by the server's
+// pace.
+func (s *server) weight(now time.Time) float64 {
+	return (s.load(now) + 1) * s.slowness()
+}
+
+func (w *World) pickByPrompt(r *request, list []*server) *server {
+	sum := 0.0
+	for _, s := range list {
+		sum += s.weight(w.now)
+	}
+	bound := boundFactor*sum/float64(len(list)) + boundSlack
+	var best, least *server
+	bestScore, leastWeight := uint64(0), math.Inf(1)
+	for _, s := range list {
+		weight := s.weight(w.now)
+		if weight < leastWeight {
+			least, leastWeight = s, weight
+		}
+		score := mix(s.hash ^ r.Affinity)
+		if weight <= bound && (best == nil || score > bestScore) {
+			best, bestScore = s, score
+		}
+	}
+	if best != nil {
+		return best
+	}
+	return least
+}
+
+// nearWeight is the part of a request by which a server in the own failure domain is
+// preferred: it saves 3 ms and bytes between failure domains.
+const nearWeight = 0.4
+
+// pickByLoad takes the better of two drawn servers; of few it looks at all.
+func (w *World) pickByLoad(list []*server) *server {
+	const fewServers = 8 // a scan costs no more than two draws
+	draws := 2
+	if len(list) <= fewServers {
+		draws = len(list)
+	}
+	start := w.rng.IntN(len(list))
+	var best *server
+	bestWeight := math.Inf(1)
+	for i := range draws {
+		s := list[(start+i)%len(list)]
+		if draws < len(list) {
+			s = list[w.rng.IntN(len(list))]
+		}
+		weight := s.weight(w.now)
+		if s.Zone == w.cfg.Zone {
+			weight -= nearWeight
+		}
+		if weight < bestWeight {
+			best, bestWeight = s, weight
+		}
+	}
+	return best
+}
+
+// wantedVersion is the version that the request goes to: the roll-out's target, or "" for
+// any other one.
+func (w *World) wantedVersion(r *request, ro *Rollout) string {
+	if w.wantsNew(r, ro) {
+		return ro.Target
+	}
+	return ""
+}
+
+// versionFits says whether the server has the wanted version.
+func versionFits(s *server, ro *Rollout, wants string) bool {
+	if wants == "" {
+		return s.Version != ro.Target
+	}
+	return s.Version == wants
+}
--- /dev/null
+++ b/decision/passthrough/queue.go
@@ -0,0 +1,131 @@
+package passthrough
+
+import (
+	"time"
+
+	"masticplank.example/decision/internal/fair"
+)
+
+// queue holds the requests that wait for a service: by rank, and within a rank by fair
+// shares of the teams.
+//
+// Load: one team that sends many times its usual, and urgent work behind work that can
+// wait. Harm prevented: a small team that waits behind a large one's burst, and a caller
+// of the first rank behind callers of the last.
+type queue struct {
+	group    fair.Group
+	accounts map[string]*fair.Account
+	ranks    []*rankQueue
+	turn     int
+	len      int
+}
+
+type rankQueue struct {
+	rank  int
+	queue fair.Queue[*waiter]
+	flows map[string]*fair.Flow[*waiter]
+}
+
+// waiter is a request's place in the queue.
+type waiter struct {
+	item  fair.Item[*waiter]
+	r     *request
+	ranks *rankQueue
+}
+
+// lowTurn gives each so many-th place to the last rank first, so that work of a low rank
+// is slowed by a long rush of the higher ones and not stopped.
+const lowTurn = 8
+
+func (q *queue) push(r *request, cost float64) {
+	if q.accounts == nil {
+		q.accounts = map[string]*fair.Account{}
+	}
+	account := q.accounts[r.Team]
+	if account == nil {
+		account = q.group.NewAccount(1)
+		q.accounts[r.Team] = account
+	}
+	rq := q.rank(r.Rank)
+	flow := rq.flows[r.Team]
+	if flow == nil {
+		flow = &fair.Flow[*waiter]{}
+		rq.queue.Init(flow, account)
+		rq.flows[r.Team] = flow
+	}
+	wt := &waiter{r: r, ranks: rq}
+	wt.item.Value, wt.item.Cost = wt, max(cost, 1)
+	r.place = wt
+	rq.queue.Push(flow, &wt.item)
+	q.len++
+}
+
+// rank finds the queue of a rank; the ranks stand in order.
+func (q *queue) rank(rank int) *rankQueue {
+	at := 0
+	for at < len(q.ranks) && q.ranks[at].rank < rank {
+		at++
+	}
+	if at < len(q.ranks) && q.ranks[at].rank == rank {
+		return q.ranks[at]
+	}
+	rq := &rankQueue{rank: rank, flows: map[string]*fair.Flow[*waiter]{}}
+	q.ranks = append(q.ranks, nil)
+	copy(q.ranks[at+1:], q.ranks[at:])
+	q.ranks[at] = rq
+	return rq
+}
+
+// next is the request whose turn it is, or nil.
+func (q *queue) next() *request {
+	if q.len == 0 {
+		return nil
+	}
+	low := q.turn%lowTurn == lowTurn-1
+	for i := range q.ranks {
+		rq := q.ranks[i]
+		if low {
+			rq = q.ranks[len(q.ranks)-1-i]
+		}
+		if it := rq.queue.Peek(); it != nil {
+			return it.Value.r
+		}
+	}
+	return nil
+}
+
+// take removes the request whose turn it was, and charges its team.
+func (q *queue) take(r *request) {
+	r.place.ranks.queue.Pop()
+	r.place = nil
+	q.turn++
+	q.len--
+}
+
+// remove takes a request out that need not wait any more.
+func (q *queue) remove(r *request) {
+	if r.place == nil {
+		return
+	}
+	r.place.ranks.queue.Remove(&r.place.item)
+	r.place = nil
+	q.len--
+}
+
+const (
+	// waitPart is the part of the time to a request's target that it may spend in the
+	// queue: the rest is the backend server's. Past it a caller does better to come
+	// back, as one refusal with a time costs less than an answer that comes too late.
+	waitPart = 0.4
+	// waitMost bounds the wait of requests with distant targets.
+	waitMost = 3 * time.Second
+)
+
+// MaxWait is how long the request may wait in the queue from now.
+func MaxWait(r *Request, now time.Time) time.Duration {
+	room := min(r.Target.Sub(now), r.Deadline.Sub(now))
+	if room <= 0 {
+		room = r.Deadline.Sub(now) / 4
+	}
+	return max(min(time.Duration(waitPart*float64(room)), waitMost), 0)
+}
--- /dev/null
+++ b/decision/passthrough/requests.go
@@ -0,0 +1,261 @@
+package passthrough
+
+import "time"
+
+// arrive admits a request: it is placed at once, waits, or is refused at once with when
+// to come back.
+func (w *World) arrive(in Request) {
+	r := &request{Request: in, arrived: w.now, size: -1, confidence: -1}
+	r.service = w.serviceOf(in.Service)
+	w.requests[r.ID] = r
+	r.service.budget.Request(w.now)
+	if w.crashes.barred(r.Fingerprint, w.now) {
+		w.refuse(r, ReasonQuarantined)
+		return
+	}
+	if !r.Deadline.After(w.now) {
+		w.refuse(r, ReasonDeadline)
+		return
+	}
+	if r.service.queue.len == 0 && w.place(r) {
+		return
+	}
+	w.await(r)
+}
+
+// await queues a request whose turn comes later, or refuses it at once.
+//
+// Load: demand over capacity. Harm prevented: callers who wait for an answer that comes
+// too late. The queue is as long as what drains within the wait that the request can
+// afford; who finds it longer learns at once when to come back.
+func (w *World) await(r *request) {
+	s := r.service
+	if !s.anyUsable(w.now) {
+		w.giveUp(r, ReasonNoServer)
+		return
+	}
+	if s.pace.drain.wait(s.queue.len) > MaxWait(&r.Request, w.now) {
+		w.giveUp(r, ReasonBusy)
+		return
+	}
+	r.waiting = true
+	s.queue.push(r, w.cost(r))
+}
+
+// anyUsable says whether some server is there, if not free.
+func (s *service) anyUsable(now time.Time) bool {
+	for _, srv := range s.servers {
+		if srv.usable(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// cost sizes a request for the teams' shares: tokens, with prompts read in parallel.
+func (w *World) cost(r *request) float64 {
+	const promptPart = 0.1 // of a generated token's cost, as decision.Config.PromptWeight
+	return promptPart*float64(r.PromptTokens) + float64(r.MaxTokens)
+}
+
+// waited refuses a request that has waited for as long as it may.
+func (w *World) waited(id RequestID) {
+	r := w.requests[id]
+	if r == nil || !r.waiting {
+		return
+	}
+	w.giveUp(r, ReasonBusy)
+}
+
+// leave forgets a request that nobody waits for. Its attempt's end comes by itself.
+func (w *World) leave(id RequestID) {
+	r := w.requests[id]
+	if r == nil {
+		return
+	}
+	w.release(r)
+	w.drop(r)
+}
+
+// drop takes a request out of all tables.
+func (w *World) drop(r *request) {
+	if r.waiting {
+		r.service.queue.remove(r)
+		r.waiting = false
+	}
+	delete(w.requests, r.ID)
+}
+
+// release takes the request's attempt off its server.
+func (w *World) release(r *request) {
+	if r.server == nil {
+		return
+	}
+	r.server.own--
+	w.free(r.service)
+	r.server = nil
+}
+
+// free marks that a place may have become free.
+func (w *World) free(s *service) {
+	if !s.isFree && s.queue.len > 0 {
+		s.isFree = true
+		w.freed = append(w.freed, s)
+	}
+}
+
+// placeWaiting gives free places to those that wait.
+func (w *World) placeWaiting() {
+	for _, s := range w.freed {
+		s.isFree = false
+		for r := s.queue.next(); r != nil; r = s.queue.next() {
+			if !w.place(r) {
+				break
+			}
+		}
+	}
+}
+
+// giveUp ends a request without another attempt: refused if it has not run, else with
+// what its last attempt left.
+func (w *World) giveUp(r *request, reason Reason) {
+	if !r.ran {
+		w.refuse(r, reason)
+		return
+	}
+	w.emit(Finish{Request: r.ID, Reason: reason})
+	w.drop(r)
+}
+
+const (
+	// comeBackLeast and comeBackMost bound the time that a refused caller is told.
+	comeBackLeast = 150 * time.Millisecond
+	comeBackMost  = 5 * time.Second
+	// comeBackPart is the part of its remaining time that a caller waits at most.
+	comeBackPart = 0.3
+	// comeBackSpread spreads the times of callers that were refused together, so that
+	// they do not come back together.
+	comeBackSpread = 0.5
+)
+
+// refuse ends a request that has not run, with when to come back.
+func (w *World) refuse(r *request, reason Reason) {
+	after := r.service.pace.drain.wait(r.service.queue.len)
+	if reason == ReasonNoServer {
+		after = max(after, absentFor)
+	}
+	after = max(after, comeBackLeast)
+	after = min(after, comeBackMost, time.Duration(comeBackPart*float64(r.Deadline.Sub(w.now))))
+	after += time.Duration(comeBackSpread * w.rng.Float64() * float64(after))
+	w.emit(Refuse{Request: r.ID, Reason: reason, RetryAfter: max(after, 0)})
+	w.drop(r)
+}
+
+// end takes in an attempt's end, and decides what follows.
+func (w *World) end(e Ended) {
+	r := w.requests[e.Request]
+	if r == nil {
+		return
+	}
+	s := r.server
+	w.release(r)
+	w.judge(r, s, e)
+	r.ran = r.ran || e.Result.ran() || e.Begun
+	switch e.Result {
+	case Completed:
+		w.crashes.answered(r.Fingerprint)
+		r.service.pace.drain.ended(w.now)
+		if e.Escalate && w.again(r, s, true) {
+			return
+		}
+		w.drop(r)
+	case Abandoned:
+		w.drop(r)
+	default:
+		if e.Result != NotSent && r.ran && !r.Route.Repeatable() {
+			w.giveUp(r, ReasonAttempts)
+			return
+		}
+		if !w.again(r, s, false) {
+			w.drop(r)
+		}
+	}
+}
+
+// judge takes the end as evidence on the server, and tells others of it.
+func (w *World) judge(r *request, s *server, e Ended) {
+	if s == nil || e.Result == Abandoned {
+		return
+	}
+	if e.Result == NotSent {
+		r.attempts--
+		s.shutUntil = w.now.Add(absentFor)
+		w.emit(Suspect{Server: s.ID})
+		return
+	}
+	if e.Leaving || e.Misdirected {
+		s.Draining = true
+		w.emit(Suspect{Server: s.ID})
+	}
+	if e.Result == Rejected {
+		s.shutUntil = w.now.Add(refusedFor)
+		return
+	}
+	bad := e.Result != Completed
+	s.health.note(!bad, w.now)
+	if !bad {
+		w.notePace(r, e.Pace)
+	}
+	if e.Cut {
+		w.crashes.broke(r.Fingerprint, 1, w.now)
+		w.emit(CrashSeen{Fingerprint: r.Fingerprint})
+	}
+	if ro := w.rollouts[r.service.name]; ro != nil && !ro.Phase.Ended() {
+		w.emit(Observed{Service: r.service.name, Route: r.Route.Name, Version: s.Version, Bad: bad || w.slowAnswer(r, s, e)})
+	}
+}
+
+// triesMost bounds the servers tried in vain beside the attempts that count.
+const triesMost = 5
+
+// again sends the request to another server, if it may go there. It says whether the
+// request lives on or has been answered.
+//
+// Load: servers that crash, refuse or go silent. Harm prevented: an answer lost where
+// another server could give it, and repeats that bring down those that are left.
+func (w *World) again(r *request, last *server, escalate bool) bool {
+	if last != nil {
+		r.tried = append(r.tried, last)
+	}
+	reason := w.barsAgain(r)
+	if reason != "" {
+		if escalate {
+			return false
+		}
+		w.giveUp(r, reason)
+		return true
+	}
+	if w.place(r) {
+		return true
+	}
+	if escalate {
+		return false
+	}
+	w.await(r)
+	return true
+}
+
+// barsAgain gives the reason why no other attempt may follow.
+func (w *World) barsAgain(r *request) Reason {
+	switch {
+	case !r.Deadline.After(w.now):
+		return ReasonDeadline
+	case r.attempts >= max(r.Route.MaxAttempts, 1), r.tries >= triesMost+r.Route.MaxAttempts:
+		return ReasonAttempts
+	case w.crashes.barred(r.Fingerprint, w.now):
+		return ReasonQuarantined
+	case r.attempts > 0 && !r.service.budget.Spend(w.now):
+		return ReasonRetryBudget
+	}
+	return ""
+}
--- /dev/null
+++ b/decision/passthrough/seam/settings.go
@@ -0,0 +1,48 @@
+package seam
+
+import "time"
+
+// Settings is what a platform tells a process of itself and of its surroundings.
+type Settings struct {
+	// Instance names this instance.
+	Instance string
+	// Zone is its failure domain.
+	Zone string
+	// Zones are the failure domains, in no order.
+	Zones int
+	// Frontend, Readiness and Metrics are the addresses to listen on.
+	Frontend  string
+	Readiness string
+	Metrics   string
+	// Store is the address of the platform's store.
+	Store string
+	// Cores is the part of a core that the process may use, MemoryBytes its memory.
+	Cores       float64
+	MemoryBytes int64
+	// StoreReadsPerSecond and StoreWritesPerSecond are for all instances together.
+	StoreReadsPerSecond  float64
+	StoreWritesPerSecond float64
+	Bounds               Bounds
+}
+
+// Bounds are the figures that the platform holds its services to.
+type Bounds struct {
+	// Revoke bounds how long a key works after a configuration without it.
+	Revoke time.Duration
+	// Apply bounds how long an older configuration may be used.
+	Apply time.Duration
+	// Drain is how long a leaving backend server may still get requests.
+	Drain time.Duration
+	// Grace is the time between SIGTERM and SIGKILL.
+	Grace time.Duration
+	// RetryRatio, RetrySlack and RetryWindow bound repeats over all instances.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// CanaryShare is the part of a service's requests that a bad version may get.
+	CanaryShare float64
+	// Rollback bounds how long a bad version gets requests once it is known.
+	Rollback time.Duration
+	// SessionLife is how long after its last request a session goes on.
+	SessionLife time.Duration
+}
--- /dev/null
+++ b/decision/passthrough/servers.go
@@ -0,0 +1,118 @@
+package passthrough
+
+import (
+	"hash/fnv"
+	"time"
+)
+
+// configure takes over a configuration. Services that it drops keep their servers until
+// the list drops them.
+func (w *World) configure(x *Index) {
+	w.index = x
+	for _, s := range x.Services {
+		row := w.serviceOf(s.Name)
+		row.engine = s.Slots > 0
+		row.slots = s.Slots
+		row.models = s.Models
+	}
+}
+
+func (w *World) serviceOf(name string) *service {
+	s := w.services[name]
+	if s == nil {
+		s = &service{name: name, budget: NewBudget(w.cfg.RetryRatio, w.cfg.RetrySlack, w.cfg.RetryWindow)}
+		w.services[name] = s
+	}
+	return s
+}
+
+// list takes over the list of backend servers. A server that started again under its id
+// begins anew: what was known of it is of the process before.
+func (w *World) list(list []Server) {
+	seen := make(map[string]bool, len(list))
+	for _, s := range list {
+		seen[s.ID] = true
+		row := w.servers[s.ID]
+		if row != nil && row.Born == s.Born && row.Address == s.Address && row.Service == s.Service {
+			s.Draining = s.Draining || row.Draining
+			row.Server = s
+			continue
+		}
+		if row != nil {
+			row.gone = true
+		}
+		w.servers[s.ID] = w.newServer(s)
+	}
+	for id, row := range w.servers {
+		if !seen[id] {
+			row.gone = true
+			delete(w.servers, id)
+		}
+	}
+	w.regroup(list)
+}
+
+func (w *World) newServer(s Server) *server {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(s.ID)) // never fails, by its contract
+	return &server{Server: s, service: w.serviceOf(s.Service), hash: mix(h.Sum64())}
+}
+
+// regroup fills the services' lists, in the list's order.
+func (w *World) regroup(list []Server) {
+	for _, s := range w.services {
+		s.servers = s.servers[:0]
+	}
+	for _, s := range list {
+		row := w.servers[s.ID]
+		row.service.servers = append(row.service.servers, row)
+	}
+	for _, s := range w.services {
+		w.free(s)
+	}
+}
+
+// hear takes in a server's word on its load.
+func (w *World) hear(e Heard) {
+	s := w.servers[e.Server]
+	if s == nil {
+		return
+	}
+	s.told, s.toldAt, s.ownThen = e.Load, w.now, s.own
+	if e.Load.Slots > 0 {
+		s.Slots = e.Load.Slots
+	}
+	w.free(s.service)
+}
+
+// loadLife is how long a stated load counts: at 13 requests a second over 15 servers an
+// instance hears from each about once a second.
+const loadLife = 3 * time.Second
+
+// load is the number of requests thought to be at the server: what it stated, moved by
+// what this instance began and ended since, and fading with its age.
+func (s *server) load(now time.Time) float64 {
+	own := float64(s.own)
+	if s.toldAt.IsZero() {
+		return own
+	}
+	age := now.Sub(s.toldAt)
+	others := float64(s.told.Running + s.told.Waiting - s.ownThen)
+	others *= max(0, 1-float64(age)/float64(loadLife))
+	return own + max(others, 0)
+}
+
+// usable says whether the server may get new work.
+func (s *server) usable(now time.Time) bool {
+	return !s.gone && !s.Draining && !now.Before(s.shutUntil) && !s.health.barred(now)
+}
+
+// mix spreads the bits of a hash (the finalizer of MurmurHash3).
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
--- /dev/null
+++ b/decision/passthrough/silence.go
@@ -0,0 +1,48 @@
+package passthrough
+
+import "time"
+
+// Silence is what was last heard of an attempt that may run again elsewhere.
+type Silence struct {
+	Route *Route
+	// Patience of the dispatch; 0 for no bound of its own.
+	Patience time.Duration
+	// Begun says that the answer began.
+	Begun bool
+	// Attempt is the time since the attempt's last byte, or since its start; Server that
+	// since the server's last byte on any attempt, at most since this attempt's start.
+	Attempt time.Duration
+	Server  time.Duration
+}
+
+const (
+	// gapTimes is how many times a stream's longest pause in time an attempt may stay
+	// silent once it began: a preempted request pauses for longer than the target.
+	gapTimes = 2.5
+	// gapLeast bounds that from below.
+	gapLeast = 1500 * time.Millisecond
+	// darkPart is the part of the target for which a server may be silent on all of its
+	// attempts before the first byte: a running server sends events all the time.
+	darkPart = 0.4
+	darkMost = 1500 * time.Millisecond
+	// firstTimes is how many times the target the first byte may take in any case.
+	firstTimes = 2
+)
+
+// GiveUp says whether the attempt should be given up.
+//
+// Load: servers that go dark or hang, among others that are only busy. Harm prevented: a
+// caller who waits for a dead server; and, by moving those of a busy one, prompts that are
+// read twice just when there is no time for it.
+func (s Silence) GiveUp() bool {
+	if s.Route.Kind != KindStream {
+		return s.Patience > 0 && !s.Begun && s.Attempt > s.Patience
+	}
+	if s.Begun {
+		return s.Attempt > max(time.Duration(gapTimes*float64(s.Route.TargetGap)), gapLeast)
+	}
+	if s.Server > min(time.Duration(darkPart*float64(s.Route.Target)), darkMost) {
+		return true
+	}
+	return s.Attempt > firstTimes*s.Route.Target
+}
--- /dev/null
+++ b/decision/passthrough/world.go
@@ -0,0 +1,191 @@
+package passthrough
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+// Settings are the limits of the decisions; the platform's settings give most of them.
+type Settings struct {
+	// Seed makes every random choice repeatable.
+	Seed uint64
+	// Zone is the instance's own failure domain.
+	Zone string
+	// RetryRatio, RetrySlack and RetryWindow bound repeats at a service: in each window
+	// as many as the ratio times the requests, and this instance's part of the slack.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// SessionLife is how long after its last request a session goes on.
+	SessionLife time.Duration
+}
+
+// sessionTable bounds the sessions that are kept.
+const sessionTable = 8192
+
+// World holds the tables. It is not safe for concurrent use: one owner calls Tick.
+type World struct {
+	cfg      Settings
+	rng      *rand.Rand
+	index    *Index
+	servers  map[string]*server
+	services map[string]*service
+	requests map[RequestID]*request
+	rollouts map[string]*Rollout
+	sessions *simplelru.LRU[string, sessionRow]
+	crashes  crashes
+	routes   map[string]*routeStats
+
+	started time.Time
+	now     time.Time
+	out     []Command
+	// freed are the services in which a place may have become free in this tick.
+	freed []*service
+	// drawn is kept between decisions to save allocations.
+	drawn []*server
+}
+
+// service is the backend servers of one name with the requests that wait for them.
+type service struct {
+	name    string
+	servers []*server
+	queue   queue
+	budget  *Budget
+	// engine says that it runs models, in batches.
+	engine bool
+	slots  int
+	models []Model
+	pace   paceStats
+	isFree bool
+}
+
+// server is a row of the backend servers.
+type server struct {
+	Server
+	service *service
+	// own is this instance's attempts at the server.
+	own int
+	// told is the load that it stated at toldAt, when own was ownThen.
+	told    Load
+	toldAt  time.Time
+	ownThen int
+	// shutUntil keeps it out of the choice for a moment.
+	shutUntil time.Time
+	health    health
+	// slow is the server's pace beside its service's mean.
+	slow mean
+	// hash is the server's part of the affinity hash.
+	hash uint64
+	gone bool
+}
+
+// request is a live request.
+type request struct {
+	Request
+	service *service
+	server  *server
+	arrived time.Time
+	sent    time.Time
+	// attempts counts dispatches that reached a backend server, tries all.
+	attempts int
+	tries    int
+	tried    []*server
+	// ran says that it may have run.
+	ran bool
+	// size is the index of the model asked last, -1 for none.
+	size    int
+	waiting bool
+	place   *waiter
+	// first is the time to the current answer's first byte.
+	first time.Duration
+	// confidence of the current answer, -1 for none told.
+	confidence float64
+}
+
+// New returns an empty world: it refuses everything until it has been told a
+// configuration and backend servers.
+func New(cfg Settings) *World {
+	sessions, err := simplelru.NewLRU[string, sessionRow](sessionTable, nil)
+	if err != nil {
+		panic(err) // the library fails only for a size below 1
+	}
+	const stream = 0x70617373 // any constant: one stream per world
+	return &World{
+		cfg:      cfg,
+		rng:      rand.New(rand.NewPCG(cfg.Seed, stream)),
+		servers:  map[string]*server{},
+		services: map[string]*service{},
+		requests: map[RequestID]*request{},
+		rollouts: map[string]*Rollout{},
+		sessions: sessions,
+		crashes:  newCrashes(),
+		routes:   map[string]*routeStats{},
+	}
+}
+
+// Tick applies the events in order, places what waits, and returns what is to be done.
+// The commands are valid until the next Tick.
+func (w *World) Tick(now time.Time, in ...Event) []Command {
+	if w.started.IsZero() {
+		w.started = now
+	}
+	if now.After(w.now) {
+		w.now = now
+	}
+	w.out = w.out[:0]
+	w.freed = w.freed[:0]
+	for _, e := range in {
+		w.apply(e)
+	}
+	w.placeWaiting()
+	return w.out
+}
+
+func (w *World) apply(e Event) {
+	switch e := e.(type) {
+	case Configured:
+		w.configure(e.Index)
+	case Listed:
+		w.list(e.Servers)
+	case Arrived:
+		w.arrive(e.Request)
+	case Left:
+		w.leave(e.Request)
+	case Waited:
+		w.waited(e.Request)
+	case Ended:
+		w.end(e)
+	case Heard:
+		w.hear(e)
+	case FirstByte:
+		w.firstByte(e)
+	case Confident:
+		w.confident(e)
+	case Crashes:
+		w.crashes.broke(e.Fingerprint, e.Count, w.now)
+	case RolloutSet:
+		w.setRollout(e.Rollout)
+	}
+}
+
+func (w *World) emit(c Command) { w.out = append(w.out, c) }
+
+func (w *World) setRollout(r Rollout) {
+	w.rollouts[r.Service] = &r
+	w.free(w.serviceOf(r.Service))
+}
+
+// Waiting is the number of requests in the queues, and Running of those at backend
+// servers.
+func (w *World) Waiting() (waiting, running int) {
+	for _, r := range w.requests {
+		if r.waiting {
+			waiting++
+		} else {
+			running++
+		}
+	}
+	return waiting, running
+}
--- a/router/cmd/masticplankd/main.go
+++ b/router/cmd/masticplankd/main.go
@@ -8,8 +8,11 @@
 
 	"github.com/spf13/cobra"
 
+	"masticplank.example/decision/passthrough/seam"
+	"masticplank.example/platform"
 	"masticplank.example/router/internal/cli"
 	"masticplank.example/router/internal/daemon"
+	"masticplank.example/router/internal/passthrough"
 	"masticplank.example/router/internal/settings"
 )
 
@@ -22,23 +25,31 @@
 }
 
 func command() *cobra.Command {
-	var config string
+	var config, metrics string
 	cmd := &cobra.Command{
 		Use:   "masticplankd --config FILE",
 		Short: "Run one entry instance",
 		Long: "Run one entry instance until SIGTERM or an interrupt.\n" +
+			"Where the platform names a settings file in the environment, that one is used,\n" +
+			"and only pass-through routes are served.\n" +
 			"Exit status: 0 after a graceful shutdown, 2 for faults in the settings, 1 otherwise.",
 		Args:          cobra.NoArgs,
 		SilenceUsage:  true,
 		SilenceErrors: true,
-		RunE:          func(*cobra.Command, []string) error { return run(config) },
+		RunE:          func(*cobra.Command, []string) error { return run(config, metrics) },
 	}
 	cmd.Flags().StringVar(&config, "config", "", "settings file, JSON with comments")
-	_ = cmd.MarkFlagRequired("config")
+	cmd.Flags().StringVar(&metrics, "metrics", "", "address of the metrics on the platform, as HOST:PORT or :PORT")
 	return cmd
 }
 
-func run(config string) error {
+func run(config, metrics string) error {
+	if path := os.Getenv(platform.SettingsVariable); path != "" {
+		return runOnPlatform(path, metrics)
+	}
+	if config == "" {
+		return cli.Exit(cli.StatusInvalid, errors.New("--config is required"))
+	}
 	cfg, err := settings.Load(config)
 	var faults settings.Faults
 	if errors.As(err, &faults) {
@@ -49,3 +60,16 @@
 	}
 	return daemon.Run(cfg, os.Stderr)
 }
+
+// runOnPlatform runs an instance with the adapter of the users' platform.
+func runOnPlatform(path, metrics string) error {
+	cfg, err := platform.LoadSettings(path)
+	if err != nil {
+		return cli.Exit(cli.StatusInvalid, err)
+	}
+	return passthrough.Run(passthrough.Platform{
+		Headers: platform.Wire{}, Records: platform.Records{}, Store: platform.NewStore(cfg.Store),
+		ReadyPath: platform.ReadyPath,
+		Settings:  func() (seam.Settings, error) { return platform.LoadSettings(path) },
+	}, metrics, os.Stdout)
+}
--- /dev/null
+++ b/router/internal/logging/async.go
@@ -0,0 +1,69 @@
+package logging
+
+import (
+	"bytes"
+	"io"
+	"sync"
+	"time"
+)
+
+const (
+	// asyncRoom is how many bytes of lines may wait to be written: two seconds of the
+	// busiest instance.
+	asyncRoom = 1 << 20
+	// asyncEvery is the time between two writes: one system call takes what came in
+	// between, where one for each line cost more than the lines.
+	asyncEvery = 250 * time.Millisecond
+)
+
+// Async writes lines in the background. It never blocks its callers: lines that find no
+// room are dropped and counted.
+type Async struct {
+	out io.Writer
+
+	mu      sync.Mutex
+	held    bytes.Buffer
+	dropped int
+	pending bool
+	writing sync.Mutex
+}
+
+// NewAsync returns a writer in front of out.
+func NewAsync(out io.Writer) *Async { return &Async{out: out} }
+
+// Write implements io.Writer; p is one line.
+func (a *Async) Write(p []byte) (int, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.held.Len()+len(p) > asyncRoom {
+		a.dropped++
+		return len(p), nil
+	}
+	a.held.Write(p)
+	if !a.pending {
+		a.pending = true
+		time.AfterFunc(asyncEvery, a.Flush)
+	}
+	return len(p), nil
+}
+
+// Flush writes what waits.
+func (a *Async) Flush() {
+	a.writing.Lock()
+	defer a.writing.Unlock()
+	a.mu.Lock()
+	text := bytes.Clone(a.held.Bytes())
+	a.held.Reset()
+	a.pending = false
+	a.mu.Unlock()
+	if len(text) > 0 {
+		_, _ = a.out.Write(text) // a log that cannot be written has nowhere to say so
+	}
+}
+
+// Dropped is the number of lines dropped so far.
+func (a *Async) Dropped() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.dropped
+}
--- a/router/internal/logging/catalogue.go
+++ b/router/internal/logging/catalogue.go
@@ -41,7 +41,29 @@
 	EventOrderSent   = Event{603, "order_sent", slog.LevelInfo, "An engine was told what to load."}
 	EventOrderFailed = Event{604, "order_failed", slog.LevelWarn, "An engine did not take an order; it is tried again. A stale fencing number means that another instance holds the lease."}
 
-	EventSettingsFaults = Event{700, "settings_faults", slog.LevelError, "The settings have faults; the process does not start."}
+	EventLogDropped  = Event{108, "log_dropped", slog.LevelWarn, "Lines of the log were dropped, since they came faster than they could be written; dropped says how many."}
+	EventServeFailed = Event{109, "serve_failed", slog.LevelError, "A listener failed; the process stops."}
+
+	EventConfigApplied  = Event{210, "config_applied", slog.LevelInfo, "A configuration of pass-through routes is in force here."}
+	EventRecordRejected = Event{211, "record_rejected", slog.LevelWarn, "A record in the store cannot be read and changes nothing."}
+	EventServerListed   = Event{212, "server_listed", slog.LevelInfo, "A backend server's entry is new or has changed."}
+	EventServerGone     = Event{213, "server_gone", slog.LevelInfo, "A backend server's entry is gone; reason says how."}
+	EventEntryIgnored   = Event{214, "entry_ignored", slog.LevelWarn, "A backend server's entry cannot be read; it names no server to use."}
+	EventStoreLost      = Event{215, "store_lost", slog.LevelWarn, "A topic of the platform's store does not answer."}
+	EventStoreRegained  = Event{216, "store_regained", slog.LevelInfo, "A topic of the platform's store answers again."}
+
+	EventPassRefused = Event{310, "passthrough_refused", slog.LevelInfo, "A request on a pass-through route was refused and was not run; reason says why."}
+	EventPassAttempt = Event{311, "passthrough_attempt", slog.LevelInfo, "An attempt at a backend server ended; load is what decided for the server."}
+	EventPassFailed  = Event{312, "passthrough_failed", slog.LevelWarn, "A request ended without a success, and ran or may have run; reason says why."}
+	EventCallerLost  = Event{313, "caller_lost", slog.LevelInfo, "A caller has gone before the end of its answer."}
+
+	EventRolloutOrdered   = Event{610, "rollout_ordered", slog.LevelInfo, "The operator ordered a roll-out."}
+	EventRolloutStep      = Event{611, "rollout_step", slog.LevelInfo, "The share of a roll-out's new version changed here."}
+	EventRolloutEnded     = Event{612, "rollout_ended", slog.LevelWarn, "A roll-out has ended; completed says how, the counts say by which answers."}
+	EventRolloutUnwritten = Event{613, "rollout_unwritten", slog.LevelWarn, "A roll-out's state could not be written; it is tried again."}
+
+	EventSettingsReloaded = Event{701, "settings_reloaded", slog.LevelInfo, "The settings file was read again."}
+	EventSettingsFaults   = Event{700, "settings_faults", slog.LevelError, "The settings have faults; the process does not start."}
 )
 
 // Catalogue lists every event by number. An event that is not in it has no
@@ -49,15 +71,19 @@
 func Catalogue() []Event {
 	return []Event{
 		EventStart, EventListening, EventReady, EventNotReady, EventStop,
-		EventDrainBegin, EventDrainEnd, EventDrainCut,
+		EventDrainBegin, EventDrainEnd, EventDrainCut, EventLogDropped, EventServeFailed,
 		EventManifestApplied, EventManifestRejected, EventFreshnessChanged,
 		EventLogUnreachable, EventLogReachable, EventStateRestored, EventStateDiverged,
+		EventConfigApplied, EventRecordRejected, EventServerListed, EventServerGone, EventEntryIgnored,
+		EventStoreLost, EventStoreRegained,
 		EventRequestRefused, EventAttemptFailed, EventWrongNonce,
+		EventPassRefused, EventPassAttempt, EventPassFailed, EventCallerLost,
 		EventBillHeld, EventBillFlushed, EventBillRefused,
 		EventPeerConnected, EventPeerLost, EventPeerRejected,
 		EventVersionVerdict, EventServerEjected, EventQuarantine,
 		EventOrderSent, EventOrderFailed,
-		EventSettingsFaults,
+		EventRolloutOrdered, EventRolloutStep, EventRolloutEnded, EventRolloutUnwritten,
+		EventSettingsFaults, EventSettingsReloaded,
 	}
 }
 
--- /dev/null
+++ b/router/internal/passthrough/app.go
@@ -0,0 +1,200 @@
+package passthrough
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+	gometrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+
+	"masticplank.example/decision/passthrough"
+	"masticplank.example/decision/passthrough/seam"
+	"masticplank.example/router/internal/logging"
+	"masticplank.example/router/internal/settings"
+)
+
+// Platform is what an adapter gives.
+type Platform struct {
+	Headers Headers
+	Records Records
+	Store   Store
+	// ReadyPath is what the balancer asks for readiness.
+	ReadyPath string
+	// Settings reads the settings file; it is read again on SIGHUP and when it changed.
+	Settings func() (seam.Settings, error)
+}
+
+const (
+	// memoryPart is the part of the memory at which the collector works harder.
+	memoryPart = 0.6
+	// expectedInstances bounds from above how many instances share the slack of the retry
+	// budget: they do not know each other.
+	expectedInstances = 24
+	// ratioPart is the part of the budget's ratio that is used: requests that are counted
+	// here may be counted in another window there.
+	ratioPart = 0.85
+	// settingsEvery is how often the settings file is looked at for a change.
+	settingsEvery = 5 * time.Second
+)
+
+// Run serves until SIGTERM or an interrupt. metrics is the port of the metrics, or "".
+func Run(p Platform, metrics string, out io.Writer) error {
+	cfg, err := p.Settings()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	runtime.GOMAXPROCS(max(1, int(cfg.Cores+0.5)))
+	if cfg.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(cfg.MemoryBytes)))
+	}
+	app := fx.New(options(p, cfg, metrics, out))
+	if err := app.Err(); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := app.Start(context.Background()); err != nil {
+		return trace.Wrap(err)
+	}
+	<-app.Wait()
+	return trace.Wrap(app.Stop(context.Background()))
+}
+
+func options(p Platform, cfg seam.Settings, metrics string, out io.Writer) fx.Option {
+	return fx.Options(
+		fx.NopLogger,
+		fx.StopTimeout(cfg.Bounds.Grace),
+		fx.Supply(p, cfg),
+		fx.Provide(
+			func() *logging.Async { return logging.NewAsync(out) },
+			NewClock, gometrics.NewRegistry, provideLogger,
+			func(c Clock) *Knowledge { return NewKnowledge(c, cfg.Bounds.Revoke) },
+			func(l *logging.Logger, c Clock, k *Knowledge, reg gometrics.Registry) *journal {
+				return &journal{log: l, clock: c, known: k, reg: reg}
+			},
+			newDialer, provideDriver, provideBoard, provideList, provideRollouts, provideEdge, provideServer,
+		),
+		fx.Invoke(func(lc fx.Lifecycle, s *server, sd fx.Shutdowner) { startServer(lc, s, sd, p.ReadyPath, metrics) },
+			startTails, watchSettings),
+	)
+}
+
+func provideLogger(out *logging.Async, cfg seam.Settings) *logging.Logger {
+	l := logging.New(out, settings.Log{Level: "info", Format: settings.FormatJSON})
+	return l.With(slog.String(logging.KeyInstance, cfg.Instance))
+}
+
+func provideDriver(c Clock, cfg seam.Settings) *Driver {
+	const seedShift = 20
+	return NewDriver(c, passthrough.Settings{
+		Seed: hashOf(cfg.Instance) ^ uint64(c.Now().UnixNano()>>seedShift), Zone: cfg.Zone,
+		RetryRatio: ratioPart * cfg.Bounds.RetryRatio, RetrySlack: cfg.Bounds.RetrySlack / expectedInstances,
+		RetryWindow: cfg.Bounds.RetryWindow, SessionLife: cfg.Bounds.SessionLife,
+	})
+}
+
+func provideBoard(p Platform, cfg seam.Settings, d *Driver, j *journal, c Clock) *board {
+	b := newBoard(cfg.Instance, p.Store.Observations(), d, j, c)
+	d.observe, d.crash = b.observed, b.crashed
+	return b
+}
+
+func provideList(p Platform, cfg seam.Settings, d *Driver, dial *dialer, j *journal, c Clock) *list {
+	l := newList(p.Records, d, dial, j, c, cfg.Bounds.Drain)
+	d.hurry = l.hurry
+	return l
+}
+
+func provideRollouts(p Platform, cfg seam.Settings, d *Driver, l *list, b *board, j *journal, c Clock) *rollouts {
+	return newRollouts(p.Records, p.Store.Status(), d, l, b, j, c, cfg.Bounds.CanaryShare)
+}
+
+func provideEdge(p Platform, k *Knowledge, d *Driver, dial *dialer, c Clock, j *journal) *Edge {
+	return &Edge{headers: p.Headers, known: k, driver: d, dialer: dial, clock: c, journal: j, closing: func() bool { return false }}
+}
+
+func provideServer(cfg seam.Settings, e *Edge, k *Knowledge, d *Driver, j *journal, reg gometrics.Registry, out *logging.Async) *server {
+	s := &server{settings: cfg, edge: e, known: k, driver: d, journal: j, reg: reg, log: out, failed: func(error) {}}
+	e.closing = s.closing.Load
+	return s
+}
+
+// startServer opens the listeners, and stops when asked to.
+func startServer(lc fx.Lifecycle, s *server, sd fx.Shutdowner, readyPath, metrics string) {
+	s.failed = func(error) { _ = sd.Shutdown(fx.ExitCode(1)) } // it fails only where the stop has begun
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			s.journal.emit(logging.EventStart, slog.String("zone", s.settings.Zone))
+			return s.start(readyPath, metrics)
+		},
+		OnStop: func(context.Context) error {
+			s.stop(s.edge.clock.Now())
+			s.journal.emit(logging.EventStop)
+			s.log.Flush()
+			return nil
+		},
+	})
+}
+
+// startTails follows the store's topics, and carries roll-outs out.
+func startTails(lc fx.Lifecycle, p Platform, k *Knowledge, d *Driver, l *list, m *rollouts, b *board, j *journal, c Clock) {
+	op := &operator{records: p.Records, known: k, driver: d, rollouts: m, journal: j}
+	ctx, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go op.tail(p.Store.Operator(), c).run(ctx)
+			go l.tail(p.Store.Servers(), c).run(ctx)
+			go b.tail(c, m.active).run(ctx)
+			go b.run(ctx)
+			go m.run(ctx)
+			return nil
+		},
+		OnStop: func(context.Context) error { cancel(); return nil },
+	})
+}
+
+// watchSettings reads the settings file again on SIGHUP and when it has changed. Only the
+// bounds are taken over; addresses hold until the next start.
+func watchSettings(lc fx.Lifecycle, p Platform, cfg seam.Settings, k *Knowledge, j *journal) {
+	hup := make(chan os.Signal, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	reload := func() {
+		now, err := p.Settings()
+		if err != nil {
+			j.emit(logging.EventSettingsFaults, slog.String(logging.KeyError, err.Error()))
+			return
+		}
+		if now == cfg {
+			return
+		}
+		cfg = now
+		k.SetBound(now.Bounds.Revoke)
+		j.emit(logging.EventSettingsReloaded, slog.Int64("revoke_ms", now.Bounds.Revoke.Milliseconds()))
+	}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			signal.Notify(hup, syscall.SIGHUP)
+			go func() {
+				tick := time.NewTicker(settingsEvery)
+				defer tick.Stop()
+				for {
+					select {
+					case <-hup:
+					case <-tick.C:
+					case <-ctx.Done():
+						return
+					}
+					reload()
+				}
+			}()
+			return nil
+		},
+		OnStop: func(context.Context) error { cancel(); return nil },
+	})
+}
--- /dev/null
+++ b/router/internal/passthrough/board.go
@@ -0,0 +1,290 @@
+package passthrough
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"masticplank.example/coordination/keyedlog"
+	"masticplank.example/decision/passthrough"
+	"masticplank.example/router/internal/logging"
+)
+
+// board is what the instances tell each other by one topic: the answers that each saw in
+// a roll-out, and requests that crash backend servers. Each instance writes the whole of
+// its own under a key of its own, so that a record lost or written twice does no harm.
+type board struct {
+	instance string
+	log      keyedlog.Log
+	driver   *Driver
+	journal  *journal
+	clock    Clock
+
+	mu sync.Mutex
+	// own are this instance's sheets by service, others those of the others by key.
+	own    map[string]*sheet
+	others map[string]sheet
+	crash  map[uint64]int
+	wake   chan struct{}
+	sentAt time.Time
+}
+
+// sheet is one instance's counts of one roll-out.
+type sheet struct {
+	Instance string `json:"instance"`
+	Service  string `json:"service"`
+	Target   string `json:"target"`
+	Order    uint64 `json:"order"`
+	// ElapsedMS is the time since the order, as the instance knew it when it wrote.
+	ElapsedMS int64 `json:"elapsed_ms"`
+	// Routes are the counts by route.
+	Routes map[string]pair `json:"routes"`
+	// Crash and Times are set in a sheet on a request that crashes servers.
+	Crash uint64 `json:"crash,omitempty"`
+	Times int    `json:"times,omitempty"`
+
+	readAt time.Time
+	dirty  bool
+}
+
+// pair is the answers of the new and of the old version.
+type pair struct {
+	New passthrough.Counts `json:"new"`
+	Old passthrough.Counts `json:"old"`
+}
+
+// view is what all instances saw of one roll-out.
+type view struct {
+	elapsed    time.Duration
+	fresh, old passthrough.Counts
+	bad        bool
+}
+
+const (
+	// boardEvery is the time between two writes of the own sheet while a roll-out is in
+	// progress and its counts of bad answers change.
+	boardEvery = 700 * time.Millisecond
+	// quietEvery is the same while only good answers are to be told.
+	quietEvery = 4 * time.Second
+	// boardWait is how long a read waits for a record while no roll-out is in progress.
+	boardWait = 8 * time.Second
+	keyCrash  = "crash/"
+)
+
+func newBoard(instance string, log keyedlog.Log, driver *Driver, j *journal, clock Clock) *board {
+	return &board{
+		instance: instance, log: log, driver: driver, journal: j, clock: clock,
+		own: map[string]*sheet{}, others: map[string]sheet{}, crash: map[uint64]int{},
+		wake: make(chan struct{}, 1),
+	}
+}
+
+// observed counts an answer. It must not block: the driver calls it.
+func (b *board) observed(o passthrough.Observed) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.own[o.Service]
+	if s == nil {
+		return
+	}
+	p := s.Routes[o.Route]
+	c := &p.Old
+	if o.Version == s.Target {
+		c = &p.New
+	}
+	if o.Bad {
+		c.Bad++
+	} else {
+		c.Good++
+	}
+	s.Routes[o.Route] = p
+	s.dirty = s.dirty || o.Bad && o.Version == s.Target
+}
+
+// crashed counts a crash. It must not block: the driver calls it.
+func (b *board) crashed(c passthrough.CrashSeen) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	const mostCrashes = 256 // written at once; more are a fault of another kind
+	if len(b.crash) < mostCrashes {
+		b.crash[c.Fingerprint]++
+	}
+	b.nudge()
+}
+
+func (b *board) nudge() {
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
+// view sums up what all instances saw of the roll-out.
+func (b *board) view(r *rollout, now time.Time) view {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	own := b.own[r.Service]
+	if own == nil || own.Order != r.offset || own.Target != r.Target {
+		own = &sheet{Instance: b.instance, Service: r.Service, Target: r.Target, Order: r.offset, Routes: map[string]pair{}, dirty: true}
+		b.own[r.Service] = own
+		b.nudge()
+	}
+	out := view{elapsed: now.Sub(r.since)}
+	sums := map[string]pair{}
+	add := func(s *sheet) {
+		for route, p := range s.Routes {
+			sum := sums[route]
+			sum.New.Good += p.New.Good
+			sum.New.Bad += p.New.Bad
+			sum.Old.Good += p.Old.Good
+			sum.Old.Bad += p.Old.Bad
+			sums[route] = sum
+		}
+	}
+	add(own)
+	for _, s := range b.others {
+		if s.Service != r.Service || s.Target != r.Target || s.Order != r.offset || s.Instance == b.instance {
+			continue
+		}
+		add(&s)
+		out.elapsed = max(out.elapsed, time.Duration(s.ElapsedMS)*time.Millisecond+now.Sub(s.readAt))
+	}
+	for _, p := range sums {
+		out.fresh.Good += p.New.Good
+		out.fresh.Bad += p.New.Bad
+		out.old.Good += p.Old.Good
+		out.old.Bad += p.Old.Bad
+		out.bad = out.bad || passthrough.Judge(p.New, p.Old)
+	}
+	out.bad = out.bad || passthrough.Judge(out.fresh, out.old)
+	own.ElapsedMS = out.elapsed.Milliseconds()
+	return out
+}
+
+// tail follows the others' sheets.
+func (b *board) tail(clock Clock, active func() bool) *tail {
+	t := &tail{
+		name: "observations", log: b.log, clock: clock, journal: b.journal,
+		each: b.take,
+		read: func(time.Time, int) {},
+	}
+	t.whole = func(list []keyedlog.Record) {
+		for _, r := range list {
+			b.take(r)
+		}
+	}
+	t.wait = boardWait
+	t.pause = func() time.Duration {
+		if active() {
+			t.wait = 0
+			return boardEvery
+		}
+		t.wait = boardWait
+		return retryMost
+	}
+	return t
+}
+
+// take applies one sheet of another instance.
+func (b *board) take(r keyedlog.Record) {
+	if len(r.Value) == 0 {
+		return
+	}
+	var s sheet
+	if err := json.Unmarshal(r.Value, &s); err != nil {
+		b.journal.emit(logging.EventRecordRejected, slog.String("key", r.Key), slog.String(logging.KeyError, err.Error()))
+		return
+	}
+	if s.Instance == b.instance && s.Crash != 0 {
+		return
+	}
+	if s.Crash != 0 {
+		b.driver.Tell(passthrough.Crashes{Fingerprint: s.Crash, Count: s.Times})
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s.readAt = b.clock.Now()
+	b.others[r.Key] = s
+}
+
+// run writes what this instance has to tell until ctx ends.
+func (b *board) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		records := b.due()
+		if len(records) > 0 {
+			if err := b.log.Append(ctx, keyedlog.Anywhere, records...); err != nil {
+				b.journal.emit(logging.EventStoreLost, slog.String("topic", "observations"), slog.String(logging.KeyError, err.Error()))
+				b.redo()
+			}
+		}
+		wait := boardWait
+		if b.busy() {
+			wait = boardEvery
+		}
+		sleep(ctx, wait, b.wake)
+	}
+}
+
+// busy says whether this instance keeps a sheet.
+func (b *board) busy() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.own) > 0
+}
+
+// due makes the records that are to be written now.
+func (b *board) due() []keyedlog.Record {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []keyedlog.Record
+	now := b.clock.Now()
+	quiet := now.Sub(b.sentAt) >= quietEvery
+	for _, s := range b.own {
+		if s.dirty || quiet {
+			s.dirty = false
+			b.sentAt = now
+			out = append(out, b.encode(fmt.Sprintf("%s/%s/%d/%s", s.Service, s.Target, s.Order, b.instance), s))
+		}
+	}
+	for fingerprint, times := range b.crash {
+		s := &sheet{Instance: b.instance, Crash: fingerprint, Times: times}
+		out = append(out, b.encode(strings.Join([]string{keyCrash, strconv.FormatUint(fingerprint, 16), b.instance}, "/"), s))
+	}
+	clear(b.crash)
+	return out
+}
+
+// redo marks the sheets as not written.
+func (b *board) redo() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.own {
+		s.dirty = true
+	}
+}
+
+func (b *board) encode(key string, s *sheet) keyedlog.Record {
+	text, err := json.Marshal(s)
+	if err != nil {
+		panic(err) // a struct of strings and numbers always encodes
+	}
+	return keyedlog.Record{Key: key, Value: text}
+}
+
+// close forgets the sheets of roll-outs that have ended.
+func (b *board) close(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.own, service)
+	for key, s := range b.others {
+		if s.Service == service {
+			delete(b.others, key)
+		}
+	}
+}
--- /dev/null
+++ b/router/internal/passthrough/driver.go
@@ -0,0 +1,99 @@
+package passthrough
+
+import (
+	"sync"
+
+	"masticplank.example/decision/passthrough"
+)
+
+// Driver owns the world: it takes events from many goroutines and hands the commands on.
+type Driver struct {
+	clock Clock
+	// hurry asks for the list of backend servers to be read at once.
+	hurry func()
+	// observe and crash tell the other instances.
+	observe func(passthrough.Observed)
+	crash   func(passthrough.CrashSeen)
+
+	mu      sync.Mutex
+	world   *passthrough.World
+	tickets map[passthrough.RequestID]*ticket
+	lastID  passthrough.RequestID
+}
+
+// ticket is where the commands on one request go.
+type ticket struct {
+	id       passthrough.RequestID
+	commands chan passthrough.Command
+}
+
+// ticketRoom is more commands than a request can be given before it takes one: each
+// waits for the event that it answers.
+const ticketRoom = 4
+
+// NewDriver returns a driver of a new world.
+func NewDriver(clock Clock, cfg passthrough.Settings) *Driver {
+	return &Driver{
+		clock: clock, world: passthrough.New(cfg), tickets: map[passthrough.RequestID]*ticket{},
+		hurry: func() {}, observe: func(passthrough.Observed) {}, crash: func(passthrough.CrashSeen) {},
+	}
+}
+
+// open hands a request over; its commands come by the ticket.
+func (d *Driver) open(r passthrough.Request) *ticket {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lastID++
+	t := &ticket{id: d.lastID, commands: make(chan passthrough.Command, ticketRoom)}
+	d.tickets[t.id] = t
+	r.ID = t.id
+	d.tick(passthrough.Arrived{Request: r})
+	return t
+}
+
+// close forgets a request.
+func (d *Driver) close(t *ticket) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.tick(passthrough.Left{Request: t.id})
+	delete(d.tickets, t.id)
+}
+
+// Tell gives events to the world.
+func (d *Driver) Tell(events ...passthrough.Event) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.tick(events...)
+}
+
+// Load counts the requests that wait and that run.
+func (d *Driver) Load() (waiting, running int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.world.Waiting()
+}
+
+func (d *Driver) tick(events ...passthrough.Event) {
+	for _, c := range d.world.Tick(d.clock.Now(), events...) {
+		switch c := c.(type) {
+		case passthrough.Dispatch:
+			d.give(c.Request, c)
+		case passthrough.Refuse:
+			d.give(c.Request, c)
+		case passthrough.Finish:
+			d.give(c.Request, c)
+		case passthrough.Observed:
+			d.observe(c)
+		case passthrough.CrashSeen:
+			d.crash(c)
+		case passthrough.Suspect:
+			d.hurry()
+		}
+	}
+}
+
+func (d *Driver) give(id passthrough.RequestID, c passthrough.Command) {
+	if t := d.tickets[id]; t != nil {
+		t.commands <- c
+	}
+}
--- /dev/null
+++ b/router/internal/passthrough/edge.go
@@ -0,0 +1,216 @@
+package passthrough
+
+import (
+	"errors"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"masticplank.example/decision/passthrough"
+	"masticplank.example/decision/passthrough/seam"
+)
+
+// Edge is the callers' side.
+type Edge struct {
+	headers Headers
+	known   *Knowledge
+	driver  *Driver
+	dialer  *dialer
+	clock   Clock
+	journal *journal
+	// closing says that the process is about to stop, so that new requests are refused.
+	closing func() bool
+}
+
+// call is one request of a caller, read whole.
+type call struct {
+	request *http.Request
+	caller  seam.Caller
+	// uri is the request's target as the caller wrote it, path its path.
+	uri  string
+	path string
+	body []byte
+	// index and team are those at arrival.
+	index *passthrough.Index
+	route *passthrough.Route
+	team  *passthrough.Team
+	// arrived, and deadline, when the caller must have a final answer.
+	arrived  time.Time
+	deadline time.Time
+}
+
+// refusal is an answer of the router's own.
+type refusal struct {
+	status int
+	reason passthrough.Reason
+	// after tells when to come back; 0 for no word on it.
+	after time.Duration
+}
+
+// The reasons that the edge gives.
+const (
+	reasonUnknown     passthrough.Reason = "no_configuration"
+	reasonNoRoute     passthrough.Reason = "no_such_route"
+	reasonKey         passthrough.Reason = "unknown_key"
+	reasonTooLarge    passthrough.Reason = "body_too_large"
+	reasonNoAttemptID passthrough.Reason = "attempt_id_missing"
+	reasonStopping    passthrough.Reason = "stopping"
+	reasonMayHaveRun  passthrough.Reason = "may_have_run"
+	reasonTimeout     passthrough.Reason = "timeout"
+)
+
+// retrySoon is told where another instance can take the request now.
+const retrySoon = 200 * time.Millisecond
+
+// ServeHTTP implements http.Handler.
+func (e *Edge) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	c := &call{request: req, caller: e.headers.ReadCaller(req.Header), arrived: e.clock.Now()}
+	c.uri = req.RequestURI
+	if !strings.HasPrefix(c.uri, "/") {
+		c.uri = req.URL.RequestURI()
+	}
+	c.path, _, _ = strings.Cut(c.uri, "?")
+	if no := e.admit(c); no != nil {
+		e.refuse(w, c, *no)
+		return
+	}
+	if no := e.readBody(w, c); no != nil {
+		e.refuse(w, c, *no)
+		return
+	}
+	e.run(w, c)
+}
+
+// admit finds the route and the team, by the configuration in force.
+func (e *Edge) admit(c *call) *refusal {
+	if e.closing() {
+		return &refusal{http.StatusServiceUnavailable, reasonStopping, retrySoon}
+	}
+	c.index = e.known.Index()
+	if c.index == nil {
+		return &refusal{http.StatusServiceUnavailable, reasonUnknown, retrySoon}
+	}
+	c.route = c.index.Route(c.request.Host, c.path)
+	if no := e.forbids(c); no != nil {
+		return no
+	}
+	wait := c.route.Timeout
+	if c.caller.Wait > 0 {
+		wait = min(wait, c.caller.Wait)
+	}
+	c.deadline = c.arrived.Add(wait)
+	return nil
+}
+
+// forbids says why the request must not run by the configuration as it is now. It is
+// asked at arrival and before each dispatch. While the configuration is too old, nothing
+// is refused for good by it.
+func (e *Edge) forbids(c *call) *refusal {
+	index := e.known.Index()
+	route := index.Route(c.request.Host, c.path)
+	if route == nil {
+		return e.denied(http.StatusNotFound, reasonNoRoute)
+	}
+	c.team = index.Team(c.caller.Key)
+	if !index.NeedsKey(route) {
+		return nil
+	}
+	if !e.known.Fresh() {
+		return &refusal{http.StatusServiceUnavailable, passthrough.ReasonNotFresh, retrySoon}
+	}
+	if c.team == nil {
+		return e.denied(http.StatusUnauthorized, reasonKey)
+	}
+	return nil
+}
+
+// denied refuses for good, unless the configuration may be an old one.
+func (e *Edge) denied(status int, reason passthrough.Reason) *refusal {
+	if !e.known.Fresh() {
+		return &refusal{http.StatusServiceUnavailable, passthrough.ReasonNotFresh, retrySoon}
+	}
+	return &refusal{status: status, reason: reason}
+}
+
+// readBody reads the body whole: a request that is to run again must be at hand.
+func (e *Edge) readBody(w http.ResponseWriter, c *call) *refusal {
+	if c.caller.Attempt == "" {
+		return &refusal{status: http.StatusBadRequest, reason: reasonNoAttemptID}
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, c.request.Body, c.index.Limits.MaxBodyBytes))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonTooLarge}
+	case err != nil:
+		e.journal.callerLost(c, err)
+		panic(http.ErrAbortHandler) // the caller has broken off; there is nobody to answer
+	}
+	c.body = body
+	return nil
+}
+
+// refuse answers without having run the request.
+func (e *Edge) refuse(w http.ResponseWriter, c *call, no refusal) {
+	e.journal.refused(c, no)
+	h := w.Header()
+	if no.after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(no.after.Seconds(), 'f', 3, 64))
+	}
+	if no.reason == reasonStopping {
+		h.Set("Connection", "close")
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(no.status)
+	writeAll(w, []byte(string(no.reason)+"\n"))
+}
+
+// writeAll writes to a caller. A caller that has gone shows by its context too, and no
+// other way of telling it is left.
+func writeAll(w io.Writer, text []byte) { _, _ = w.Write(text) }
+
+// fraction turns a text into a fraction of 1 that is alike at all instances.
+func fraction(text string) float64 {
+	const bits = 53
+	return float64(hashOf(text)>>(64-bits)) / (1 << bits)
+}
+
+func hashOf(texts ...string) uint64 {
+	h := fnv.New64a()
+	for _, t := range texts {
+		_, _ = io.WriteString(h, t) // a hash takes every write
+		_, _ = h.Write([]byte{0})
+	}
+	x := h.Sum64()
+	x ^= x >> 29
+	x *= 0xbf58476d1ce4e5b9 // spreads the last characters over all bits
+	return x ^ x>>32
+}
+
+// describe makes the decision's request of a call.
+func (c *call) describe() passthrough.Request {
+	team := ""
+	if c.team != nil {
+		team = c.team.Name
+	}
+	place := c.caller.Session
+	if place == "" {
+		place = c.caller.Attempt
+	}
+	r := passthrough.Request{
+		Route: c.route, Service: c.route.Pick(fraction("service" + c.caller.Attempt)),
+		Team: team, Rank: passthrough.Rank(c.team, c.route), Session: c.caller.Session,
+		PromptTokens: c.caller.PromptTokens, MaxTokens: c.caller.MaxTokens,
+		Share:       fraction("roll-out" + place),
+		Fingerprint: hashOf(c.path, c.caller.Key, string(c.body)),
+		Target:      c.arrived.Add(c.route.Target), Deadline: c.deadline,
+		ModelOpen: c.caller.ModelOpen && len(c.route.Sizes) > 0,
+	}
+	if c.caller.Subject != "" {
+		r.Affinity = hashOf(c.caller.Subject)
+	}
+	return r
+}
--- /dev/null
+++ b/router/internal/passthrough/exchange.go
@@ -0,0 +1,206 @@
+package passthrough
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"masticplank.example/decision/passthrough"
+	"masticplank.example/decision/passthrough/seam"
+)
+
+// exchange carries one request from its admission to its final answer.
+type exchange struct {
+	edge   *Edge
+	call   *call
+	ticket *ticket
+	w      http.ResponseWriter
+	ctx    context.Context
+	// last is the backend server's failure that was kept for the caller, if any.
+	last *answer
+	// ran says that the request may have run.
+	ran bool
+	// stream is the part of a stream that went to the caller.
+	stream stream
+}
+
+// run asks for decisions and follows them until one final answer is out.
+func (e *Edge) run(w http.ResponseWriter, c *call) {
+	left := c.deadline.Sub(e.clock.Now())
+	ctx, cancel := context.WithTimeout(c.request.Context(), max(left, 0))
+	defer cancel()
+	x := &exchange{edge: e, call: c, w: w, ctx: ctx, stream: stream{last: c.caller.LastEvent}}
+	r := c.describe()
+	x.ticket = e.driver.open(r)
+	defer e.driver.close(x.ticket)
+	waiting := time.AfterFunc(passthrough.MaxWait(&r, e.clock.Now()), func() {
+		e.driver.Tell(passthrough.Waited{Request: x.ticket.id})
+	})
+	defer waiting.Stop()
+	for !x.step() {
+	}
+}
+
+// step waits for one command and follows it. It says whether the request has ended.
+func (x *exchange) step() bool {
+	select {
+	case c := <-x.ticket.commands:
+		return x.follow(c)
+	case <-x.ctx.Done():
+		x.expired()
+		return true
+	}
+}
+
+func (x *exchange) follow(c passthrough.Command) bool {
+	switch c := c.(type) {
+	case passthrough.Dispatch:
+		return x.dispatch(c)
+	case passthrough.Refuse:
+		x.refuse(refusal{http.StatusServiceUnavailable, c.Reason, c.RetryAfter})
+	case passthrough.Finish:
+		x.finish(c.Reason)
+	}
+	return true
+}
+
+// expired ends a request whose time has passed, or whose caller has gone.
+func (x *exchange) expired() {
+	if x.call.request.Context().Err() != nil {
+		x.edge.journal.callerLost(x.call, x.ctx.Err())
+		panic(http.ErrAbortHandler)
+	}
+	if !x.ran {
+		x.refuse(refusal{http.StatusServiceUnavailable, passthrough.ReasonDeadline, retrySoon})
+		return
+	}
+	x.fail(http.StatusGatewayTimeout, reasonTimeout)
+}
+
+// refuse ends a request that has not run.
+func (x *exchange) refuse(no refusal) {
+	if x.stream.begun {
+		x.abort(no.reason)
+	}
+	x.edge.refuse(x.w, x.call, no)
+}
+
+// finish ends a request that ran or may have run, with the backend server's own failure
+// where there is one.
+func (x *exchange) finish(reason passthrough.Reason) {
+	if x.last == nil || x.stream.begun {
+		x.fail(http.StatusBadGateway, reasonMayHaveRun)
+		return
+	}
+	x.edge.journal.finished(x.call, x.last.status, reason)
+	x.deliver(x.last)
+}
+
+// fail ends a request that may have run, without an answer. Its status promises nothing.
+func (x *exchange) fail(status int, reason passthrough.Reason) {
+	if x.stream.begun {
+		x.abort(reason)
+	}
+	x.edge.journal.finished(x.call, status, reason)
+	x.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	x.w.WriteHeader(status)
+	writeAll(x.w, []byte(string(reason)+"\n"))
+}
+
+// abort breaks the caller's connection, so that a part of an answer does not look whole.
+func (x *exchange) abort(reason passthrough.Reason) {
+	x.edge.journal.finished(x.call, 0, reason)
+	panic(http.ErrAbortHandler)
+}
+
+// deliver hands a whole answer to the caller, unchanged.
+func (x *exchange) deliver(a *answer) {
+	h := x.w.Header()
+	x.copyHeaders(a.header)
+	h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	x.w.WriteHeader(a.status)
+	writeAll(x.w, a.body)
+}
+
+// copyHeaders copies a backend server's headers. No header of our own is added: net/http
+// leaves out what is set to nil.
+func (x *exchange) copyHeaders(from http.Header) {
+	h := x.w.Header()
+	for name, values := range x.edge.headers.AnswerHeaders(from) {
+		h[name] = values
+	}
+	for _, name := range []string{"Content-Type", "Date"} {
+		if _, ok := h[name]; !ok {
+			h[name] = nil
+		}
+	}
+}
+
+// dispatch runs one attempt, unless the configuration forbids it by now.
+func (x *exchange) dispatch(d passthrough.Dispatch) bool {
+	if no := x.edge.forbids(x.call); no != nil {
+		if x.ran {
+			x.fail(http.StatusBadGateway, no.reason)
+			return true
+		}
+		x.refuse(*no)
+		return true
+	}
+	a := x.attempt(d)
+	out := a.run(x.ctx)
+	x.edge.journal.attempted(x.call, d, out)
+	x.ran = x.ran || out.result == passthrough.Failed || out.result == passthrough.Broken || x.stream.begun
+	if out.load != nil {
+		x.edge.driver.Tell(passthrough.Heard{Server: d.Server.ID, Load: *out.load})
+	}
+	if x.ctx.Err() != nil && out.result != passthrough.Completed {
+		x.edge.driver.Tell(passthrough.Ended{Request: x.ticket.id, Result: passthrough.Abandoned})
+		x.ran = x.ran || out.result != passthrough.NotSent && out.result != passthrough.Rejected
+		x.expired()
+		return true
+	}
+	if out.answer != nil {
+		x.last = out.answer
+	}
+	x.edge.driver.Tell(passthrough.Ended{
+		Request: x.ticket.id, Result: out.result, Begun: x.stream.begun,
+		Misdirected: out.misdirected, Leaving: out.leaving, Cut: out.cut, Pace: out.pace,
+	})
+	if out.result != passthrough.Completed {
+		return false
+	}
+	x.complete(out)
+	return true
+}
+
+// complete gives the caller the rest of a whole answer.
+func (x *exchange) complete(out outcome) {
+	status := http.StatusOK
+	if out.answer != nil {
+		status = out.answer.status
+		x.deliver(out.answer)
+	}
+	x.edge.journal.finished(x.call, status, "")
+}
+
+// attempt prepares one attempt.
+func (x *exchange) attempt(d passthrough.Dispatch) *attempt {
+	c := x.call
+	team := ""
+	if c.team != nil {
+		team = c.team.Name
+	}
+	after := int64(-1)
+	if x.stream.begun {
+		after = x.stream.last
+	}
+	now := x.edge.clock.Now()
+	return &attempt{
+		exchange: x, server: d.Server, began: now, patience: d.Patience,
+		header: x.edge.headers.WriteAttempt(c.request.Header, seam.Attempt{
+			Server: d.Server.ID, Team: team, Left: c.deadline.Sub(now), Model: d.Model,
+			Priority: passthrough.Rank(c.team, c.route), LastEvent: after,
+		}),
+	}
+}
--- /dev/null
+++ b/router/internal/passthrough/journal.go
@@ -0,0 +1,107 @@
+package passthrough
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"masticplank.example/decision/passthrough"
+	"masticplank.example/router/internal/logging"
+)
+
+// journal writes the log and counts the metrics of the pass-through side.
+type journal struct {
+	log   *logging.Logger
+	clock Clock
+	known *Knowledge
+	reg   gometrics.Registry
+}
+
+// The attributes of a line on a request.
+const (
+	keyRequest = "request"
+	keyRoute   = "route"
+	keyTeam    = "team"
+	keyServer  = "server"
+	keyReason  = "reason"
+	keyVersion = "config"
+	keyAge     = "config_age_ms"
+	keyTook    = "took_ms"
+)
+
+// about is what every line on a request says: its id, and by which configuration, of
+// which age, it was decided.
+func (j *journal) about(c *call, more ...slog.Attr) []slog.Attr {
+	out := make([]slog.Attr, 0, 6+len(more))
+	out = append(out, slog.String(keyRequest, c.caller.Attempt))
+	if c.route != nil {
+		out = append(out, slog.String(keyRoute, c.route.Name))
+	}
+	if c.team != nil {
+		out = append(out, slog.String(keyTeam, c.team.Name))
+	}
+	if index := j.known.Index(); index != nil {
+		out = append(out, slog.Uint64(keyVersion, index.Version), slog.Int64(keyAge, j.known.Age().Milliseconds()))
+	}
+	out = append(out, slog.Int64(keyTook, j.clock.Now().Sub(c.arrived).Milliseconds()))
+	return append(out, more...)
+}
+
+func (j *journal) emit(ev logging.Event, attrs ...slog.Attr) {
+	j.log.Emit(context.Background(), ev, attrs...)
+}
+
+func (j *journal) count(name string) {
+	gometrics.GetOrRegisterCounter("passthrough."+name, j.reg).Inc(1)
+}
+
+func (j *journal) observe(name string, took time.Duration) {
+	const sample, alpha = 1028, 0.015 // the library's own advice for a sample of five minutes
+	h := j.reg.GetOrRegister("passthrough."+name, func() gometrics.Histogram {
+		return gometrics.NewHistogram(gometrics.NewExpDecaySample(sample, alpha))
+	}).(gometrics.Histogram)
+	h.Update(took.Milliseconds())
+}
+
+func (j *journal) refused(c *call, no refusal) {
+	j.count("refused." + string(no.reason))
+	j.emit(logging.EventPassRefused, j.about(c,
+		slog.Int("status", no.status), slog.String(keyReason, string(no.reason)),
+		slog.Int64("retry_after_ms", no.after.Milliseconds()))...)
+}
+
+func (j *journal) attempted(c *call, d passthrough.Dispatch, out outcome) {
+	j.count("attempt." + out.result.String())
+	if out.first > 0 {
+		j.observe("first_byte_ms", out.first)
+	}
+	attrs := j.about(c,
+		slog.String(keyServer, d.Server.ID), slog.String("software", d.Server.Version),
+		slog.Int("attempt", d.Attempt), slog.String("result", out.result.String()),
+		slog.Int("load", d.Load), slog.Int64("load_age_ms", d.LoadAge.Milliseconds()),
+		slog.Int64("first_ms", out.first.Milliseconds()))
+	if d.Model != "" {
+		attrs = append(attrs, slog.String("model", d.Model))
+	}
+	if out.err != nil {
+		attrs = append(attrs, slog.String(logging.KeyError, out.err.Error()))
+	}
+	j.emit(logging.EventPassAttempt, attrs...)
+}
+
+func (j *journal) finished(c *call, status int, reason passthrough.Reason) {
+	j.observe("answer_ms", j.clock.Now().Sub(c.arrived))
+	j.count("finished")
+	if reason == "" {
+		return // the attempt's line says it all
+	}
+	j.count("failed." + string(reason))
+	j.emit(logging.EventPassFailed, j.about(c, slog.Int("status", status), slog.String(keyReason, string(reason)))...)
+}
+
+func (j *journal) callerLost(c *call, err error) {
+	j.count("caller_lost")
+	j.emit(logging.EventCallerLost, j.about(c, slog.String(logging.KeyError, err.Error()))...)
+}
--- /dev/null
+++ b/router/internal/passthrough/knowledge.go
@@ -0,0 +1,80 @@
+package passthrough
+
+import (
+	"sync/atomic"
+	"time"
+
+	"masticplank.example/decision/passthrough"
+)
+
+// Knowledge is the configuration in force and how old the word on it is.
+//
+// The age counts from the start of the last read that confirmed it: a configuration that
+// was written while the read was on its way may be missing from the answer.
+type Knowledge struct {
+	clock Clock
+	bound atomic.Int64 // nanoseconds for which a key may be used unconfirmed
+	index atomic.Pointer[passthrough.Index]
+	// confirmed is the start of the last read that confirmed it, in Unix nanoseconds.
+	confirmed atomic.Int64
+}
+
+// The parts of the revocation bound.
+const (
+	// refusePart is the part after which requests with keys are refused: what is left
+	// is for the way to the backend server and for clocks that run unevenly.
+	refusePart = 0.9
+	// unreadyPart is the part after which readiness fails, so that the balancer, which
+	// needs two seconds to notice, moves callers on before they are refused.
+	unreadyPart = 0.5
+)
+
+// NewKnowledge returns the knowledge of nothing; revoke is the revocation bound.
+func NewKnowledge(clock Clock, revoke time.Duration) *Knowledge {
+	k := &Knowledge{clock: clock}
+	k.SetBound(revoke)
+	return k
+}
+
+// SetBound changes the revocation bound.
+func (k *Knowledge) SetBound(revoke time.Duration) { k.bound.Store(int64(revoke)) }
+
+// Index is the configuration in force, or nil while none is known.
+func (k *Knowledge) Index() *passthrough.Index { return k.index.Load() }
+
+// Apply puts a configuration in force, unless a newer one is. It says whether it did.
+// Only the tail of the operator's records calls it.
+func (k *Knowledge) Apply(c passthrough.Config) (*passthrough.Index, bool) {
+	if old := k.index.Load(); old != nil && c.Version <= old.Version {
+		return old, false
+	}
+	x := passthrough.NewIndex(c)
+	k.index.Store(x)
+	return x, true
+}
+
+// Confirm notes that a read which began at the time showed what is known to be current.
+func (k *Knowledge) Confirm(began time.Time) {
+	if at := began.UnixNano(); at > k.confirmed.Load() {
+		k.confirmed.Store(at)
+	}
+}
+
+// Age is how old the word on the configuration is.
+func (k *Knowledge) Age() time.Duration {
+	at := k.confirmed.Load()
+	if at == 0 {
+		return time.Duration(1<<63 - 1)
+	}
+	return k.clock.Now().Sub(time.Unix(0, at))
+}
+
+// Fresh says whether keys may be used.
+func (k *Knowledge) Fresh() bool { return k.within(refusePart) }
+
+// Ready says whether callers should be sent here.
+func (k *Knowledge) Ready() bool { return k.Index() != nil && k.within(unreadyPart) }
+
+func (k *Knowledge) within(part float64) bool {
+	return float64(k.Age()) < part*float64(k.bound.Load())
+}
--- /dev/null
+++ b/router/internal/passthrough/list.go
@@ -0,0 +1,199 @@
+package passthrough
+
+import (
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"masticplank.example/coordination/keyedlog"
+	"masticplank.example/decision/passthrough"
+	"masticplank.example/router/internal/logging"
+)
+
+const (
+	// listEvery is the time between two reads of the list: a server that leaves must get
+	// nothing 2 s later, and each read costs a call.
+	listEvery = 600 * time.Millisecond
+	// lapseGrace is how long an entry that went away in an outage of the store is still
+	// believed once the store is back: it returns within two seconds, if the server
+	// lives.
+	lapseGrace = 1500 * time.Millisecond
+	// lapseAfter is the shortest outage in which entries may have lapsed.
+	lapseAfter = 800 * time.Millisecond
+)
+
+// list follows the list of backend servers.
+type list struct {
+	records Records
+	driver  *Driver
+	dialer  *dialer
+	journal *journal
+	clock   Clock
+	drain   time.Duration
+	nudge   chan struct{}
+
+	mu      sync.Mutex
+	entries map[string]passthrough.Server
+	// lapsed are entries that went away in or right after an outage, with the time until
+	// which they are believed.
+	lapsed map[string]time.Time
+	// until ends the time after an outage in which removals may be lapses.
+	until   time.Time
+	changed bool
+	bad     map[string]bool
+}
+
+func newList(records Records, driver *Driver, d *dialer, j *journal, clock Clock, drain time.Duration) *list {
+	return &list{
+		records: records, driver: driver, dialer: d, journal: j, clock: clock, drain: drain,
+		nudge: make(chan struct{}, 1), entries: map[string]passthrough.Server{},
+		lapsed: map[string]time.Time{}, bad: map[string]bool{},
+	}
+}
+
+// hurry asks for the list to be read at once.
+func (l *list) hurry() {
+	select {
+	case l.nudge <- struct{}{}:
+	default:
+	}
+}
+
+func (l *list) tail(log keyedlog.Log, clock Clock) *tail {
+	t := &tail{
+		name: "servers", log: log, clock: clock, journal: l.journal, nudge: l.nudge,
+		pause: func() time.Duration { return listEvery },
+		each:  func(r keyedlog.Record) { l.take(r) },
+	}
+	t.whole = func(records []keyedlog.Record) { l.replace(records) }
+	t.read = func(time.Time, int) {
+		if !t.lost.IsZero() && clock.Now().Sub(t.lost) > lapseAfter {
+			l.outageEnded()
+		}
+		l.publish()
+	}
+	return t
+}
+
+// outageEnded notes that removals may now be lapses.
+func (l *list) outageEnded() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	grace := min(lapseGrace, l.drain*3/4)
+	l.until = l.clock.Now().Add(grace)
+	for id := range l.lapsed {
+		l.lapsed[id] = l.until
+	}
+}
+
+// replace takes over the newest entries.
+func (l *list) replace(records []keyedlog.Record) {
+	seen := map[string]bool{}
+	for _, r := range records {
+		seen[r.Key] = true
+		l.take(r)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id := range l.entries {
+		if !seen[id] {
+			l.remove(id)
+		}
+	}
+}
+
+// take applies one entry. An entry that cannot be read names no server to use.
+func (l *list) take(r keyedlog.Record) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(r.Value) == 0 {
+		l.remove(r.Key)
+		return
+	}
+	s, err := l.records.Server(r)
+	if err != nil {
+		if !l.bad[r.Key] {
+			l.bad[r.Key] = true
+			l.journal.count("entry_ignored")
+			l.journal.emit(logging.EventEntryIgnored, slog.String(keyServer, r.Key), slog.String(logging.KeyError, err.Error()))
+		}
+		l.drop(r.Key, "unreadable")
+		return
+	}
+	delete(l.bad, r.Key)
+	delete(l.lapsed, r.Key)
+	if old, ok := l.entries[s.ID]; ok && old == s {
+		return
+	}
+	l.entries[s.ID] = s
+	l.changed = true
+	l.journal.emit(logging.EventServerListed, slog.String(keyServer, s.ID), slog.String("service", s.Service),
+		slog.String("software", s.Version), slog.Bool("draining", s.Draining), slog.Uint64("offset", r.Offset))
+}
+
+// remove drops an entry, at once or, around an outage, after a while.
+func (l *list) remove(id string) {
+	if _, ok := l.entries[id]; !ok {
+		return
+	}
+	if l.clock.Now().Before(l.until) {
+		l.lapsed[id] = l.until
+		return
+	}
+	l.drop(id, "removed")
+}
+
+func (l *list) drop(id, why string) {
+	if _, ok := l.entries[id]; !ok {
+		return
+	}
+	delete(l.entries, id)
+	delete(l.lapsed, id)
+	l.changed = true
+	l.journal.emit(logging.EventServerGone, slog.String(keyServer, id), slog.String(keyReason, why))
+}
+
+// publish tells the decision of a changed list.
+func (l *list) publish() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	for id, until := range l.lapsed {
+		if !now.Before(until) {
+			l.drop(id, "lapsed")
+		}
+	}
+	if !l.changed {
+		return
+	}
+	l.changed = false
+	out := make([]passthrough.Server, 0, len(l.entries))
+	for _, s := range l.entries {
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b passthrough.Server) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	l.driver.Tell(passthrough.Listed{Servers: out})
+	l.dialer.forget(func(id string) bool { _, ok := l.entries[id]; return ok })
+}
+
+// count is the number of usable servers of a service, at the version and at others.
+func (l *list) count(service, version string) (at, others int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.entries {
+		switch {
+		case s.Service != service || s.Draining:
+		case s.Version == version:
+			at++
+		default:
+			others++
+		}
+	}
+	return at, others
+}
--- /dev/null
+++ b/router/internal/passthrough/operator.go
@@ -0,0 +1,76 @@
+package passthrough
+
+import (
+	"log/slog"
+	"time"
+
+	"masticplank.example/coordination/keyedlog"
+	"masticplank.example/decision/passthrough"
+	"masticplank.example/router/internal/logging"
+)
+
+// operator follows the operator's records: the configuration and the roll-out orders.
+type operator struct {
+	records  Records
+	known    *Knowledge
+	driver   *Driver
+	rollouts *rollouts
+	journal  *journal
+}
+
+// pollWait is how long a read of the operator's records waits for one: four reads fit
+// into half of a revocation bound of 5 s, and one read a second is a price of 0.07.
+const pollWait = 1200 * time.Millisecond
+
+func (o *operator) tail(log keyedlog.Log, clock Clock) *tail {
+	return &tail{
+		name: "operator", log: log, clock: clock, journal: o.journal, wait: pollWait,
+		whole: func(list []keyedlog.Record) {
+			for _, r := range list {
+				o.take(r)
+			}
+		},
+		each: o.take,
+		read: func(began time.Time, _ int) { o.known.Confirm(began) },
+	}
+}
+
+// take applies one record. One that cannot be read changes nothing.
+func (o *operator) take(r keyedlog.Record) {
+	if len(r.Value) == 0 {
+		return
+	}
+	if c, ok, err := o.records.Config(r); ok || err != nil {
+		o.apply(c, r, err)
+		return
+	}
+	order, ok, err := o.records.Order(r)
+	if err != nil {
+		o.reject(r, err)
+		return
+	}
+	if ok {
+		o.rollouts.ordered(order, r.Offset)
+	}
+}
+
+func (o *operator) apply(c passthrough.Config, r keyedlog.Record, err error) {
+	if err != nil {
+		o.reject(r, err)
+		return
+	}
+	index, applied := o.known.Apply(c)
+	if !applied {
+		return
+	}
+	o.driver.Tell(passthrough.Configured{Index: index})
+	o.journal.count("config_applied")
+	o.journal.emit(logging.EventConfigApplied, slog.Uint64(keyVersion, c.Version),
+		slog.Int("routes", len(c.Routes)), slog.Int("teams", len(c.Teams)), slog.Uint64("offset", r.Offset))
+}
+
+func (o *operator) reject(r keyedlog.Record, err error) {
+	o.journal.count("record_rejected")
+	o.journal.emit(logging.EventRecordRejected, slog.String("key", r.Key),
+		slog.Uint64("offset", r.Offset), slog.String(logging.KeyError, err.Error()))
+}
--- /dev/null
+++ b/router/internal/passthrough/tail.go
@@ -0,0 +1,126 @@
+package passthrough
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"masticplank.example/coordination/keyedlog"
+	"masticplank.example/router/internal/logging"
+)
+
+const (
+	// retryFirst and retryMost space the tries of a topic that does not answer: soon at
+	// first, since configurations must be in force within 2 s, then rarely enough that
+	// a fleet does not keep a store down that comes back.
+	retryFirst = 60 * time.Millisecond
+	retryMost  = 400 * time.Millisecond
+)
+
+// tail follows a topic: the newest record of each key first, then every record.
+type tail struct {
+	name    string
+	log     keyedlog.Log
+	clock   Clock
+	journal *journal
+	// wait is how long a read is kept waiting for a record, pause the time between two
+	// reads.
+	wait  time.Duration
+	pause func() time.Duration
+	// nudge ends a pause early; nil for none.
+	nudge chan struct{}
+	// whole is given the newest record of each key, and each the records that follow;
+	// read is told of every read with the time at which it began.
+	whole func([]keyedlog.Record)
+	each  func(keyedlog.Record)
+	read  func(began time.Time, records int)
+
+	next  uint64
+	known bool
+	lost  time.Time
+}
+
+// run follows the topic until ctx ends.
+func (t *tail) run(ctx context.Context) {
+	delay := retryFirst
+	for ctx.Err() == nil {
+		if err := t.once(ctx); err != nil {
+			t.failed(ctx, err)
+			sleep(ctx, delay, nil)
+			delay = min(2*delay, retryMost)
+			continue
+		}
+		t.regained()
+		delay = retryFirst
+		if t.pause != nil {
+			sleep(ctx, t.pause(), t.nudge)
+		}
+	}
+}
+
+// once reads once.
+func (t *tail) once(ctx context.Context) error {
+	began := t.clock.Now()
+	if !t.known {
+		return t.restart(ctx, began)
+	}
+	wait := t.wait
+	if !t.lost.IsZero() {
+		wait = 0 // after a failure the first word counts, not the next record
+	}
+	batch, err := t.log.Read(ctx, t.next, wait)
+	if errors.Is(err, keyedlog.ErrGone) {
+		t.known = false
+		return t.restart(ctx, began)
+	}
+	if err != nil {
+		return err
+	}
+	for _, r := range batch.Records {
+		t.each(r)
+	}
+	t.next = batch.Next
+	t.read(began, len(batch.Records))
+	return nil
+}
+
+// restart reads the newest records. The tail goes on from the end that was read first.
+func (t *tail) restart(ctx context.Context, began time.Time) error {
+	snap, err := t.log.Newest(ctx)
+	if err != nil {
+		return err
+	}
+	t.whole(snap.Records)
+	t.next, t.known = snap.Next, true
+	t.read(began, len(snap.Records))
+	return nil
+}
+
+func (t *tail) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil || !t.lost.IsZero() {
+		return
+	}
+	t.lost = t.clock.Now()
+	t.journal.emit(logging.EventStoreLost, slog.String("topic", t.name), slog.String(logging.KeyError, err.Error()))
+}
+
+func (t *tail) regained() {
+	if t.lost.IsZero() {
+		return
+	}
+	t.journal.emit(logging.EventStoreRegained, slog.String("topic", t.name),
+		slog.Int64("lost_ms", t.clock.Now().Sub(t.lost).Milliseconds()))
+	t.lost = time.Time{}
+}
+
+// sleep waits for d, for a nudge or for the end of ctx.
+func sleep(ctx context.Context, d time.Duration, nudge <-chan struct{}) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-nudge:
+	case <-ctx.Done():
+	}
+}
