--- a/decision/passthrough/budget.go
+++ b/decision/passthrough/budget.go
@@ -47,15 +47,20 @@
 	b.first[b.at%budgetBuckets]++
 }
 
-// Spend takes one repeat, or says that none is left.
-func (b *Budget) Spend(now time.Time) bool {
+// Left is the number of repeats that may go now.
+func (b *Budget) Left(now time.Time) float64 {
 	b.advance(now)
 	firsts, repeats := 0, 0
 	for i := range budgetBuckets {
 		firsts += b.first[i]
 		repeats += b.repeat[i]
 	}
-	if float64(repeats+1) > b.ratio*float64(firsts)+b.slack {
+	return b.ratio*float64(firsts) + b.slack - float64(repeats)
+}
+
+// Spend takes one repeat, or says that none is left.
+func (b *Budget) Spend(now time.Time) bool {
+	if b.Left(now) < 1 {
 		return false
 	}
 	b.repeat[b.at%budgetBuckets]++
--- a/decision/passthrough/cascade.go
+++ b/decision/passthrough/cascade.go
@@ -33,34 +33,51 @@
 	r.first = e.After
 }
 
-// confident notes the engine's opinion of its answer.
-func (w *World) confident(e Confident) {
-	if r := w.requests[e.Request]; r != nil {
-		r.confidence = e.Confidence
-	}
-}
-
-// fullLoad is the part of an engine's places at which the largest model is not asked any
-// more: its pace would keep the places taken for longer than the arrivals allow.
-const fullLoad = 0.75
+const (
+	// barEven is the engine's own even odds on its answer. Measured by asking each of three
+	// models for the same load: answers to requests that a model is too weak for lie below
+	// it, but for one in twenty.
+	barEven = 0.5
+	// barMargin is added since a weak answer costs its whole worth, and an answer replaced
+	// for nothing only a second prompt.
+	barMargin = 0.04
+	// spareRepeats is what the retry budget must hold for an answer to be dropped: the
+	// repeats of failures go first.
+	spareRepeats = 3
+	// fullLoad is the part of an engine's places from which on only the smallest model is
+	// asked: the largest is ten times slower, and keeps places taken for longer than the
+	// arrivals allow.
+	fullLoad = 0.8
+)
 
-// chooseSize is the index of the model to ask: the largest that the load bears.
+// chooseSize is the index of the model to ask.
 //
-// Load: a rush that the largest model, ten times as slow as the smallest, cannot bear.
-// Harm prevented: refusals and late answers for all, where a smaller model answers half
-// of the callers well.
+// Load: requests of which the smallest model answers a half well, and a rush that the
+// largest, ten times as slow, cannot bear. Harm prevented: the largest model's price and
+// time for all, weak answers for the hard half, refusals in a rush. The smallest is asked
+// first; its answer is dropped where it doubts it itself, as long as nothing was sent.
 func (w *World) chooseSize(r *request, s *server) int {
 	last := len(r.Route.Sizes) - 1
 	slots := float64(max(s.service.slots, 1))
-	if s.load(w.now) > fullLoad*slots {
+	switch {
+	case s.load(w.now) > fullLoad*slots:
 		return 0
+	case r.escalated || r.attempts >= r.Route.MaxAttempts:
+		return last
 	}
-	return last
+	return 0
 }
 
-// mayEscalate says whether a larger model could still be asked after this one.
-func (w *World) mayEscalate(r *request) bool {
-	return r.size < len(r.Route.Sizes)-1 && r.attempts < r.Route.MaxAttempts
+// bar is the confidence under which the answer is dropped and a larger model asked; 0 for
+// never.
+func (w *World) bar(r *request) float64 {
+	if r.escalated || r.size >= len(r.Route.Sizes)-1 || r.attempts >= r.Route.MaxAttempts {
+		return 0
+	}
+	if r.service.budget.Left(w.now) < spareRepeats {
+		return 0
+	}
+	return barEven + barMargin
 }
 
 const (
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -31,8 +31,6 @@
 	Leaving bool
 	// Cut says that the connection broke, as it does when a backend server crashes.
 	Cut bool
-	// Escalate asks for a larger model, as the answer is not good enough.
-	Escalate bool
 	// Pace is the mean time between the events of a stream, or the time of a whole
 	// plain answer; 0 where it is not known.
 	Pace time.Duration
@@ -53,12 +51,6 @@
 	After   time.Duration
 }
 
-// Confident is an engine's own opinion of its answer, 0 to 1.
-type Confident struct {
-	Request    RequestID
-	Confidence float64
-}
-
 // Crashes is the count of crashes by requests with this fingerprint at other instances.
 type Crashes struct {
 	Fingerprint uint64
@@ -76,7 +68,6 @@
 func (Ended) event()      {}
 func (Heard) event()      {}
 func (FirstByte) event()  {}
-func (Confident) event()  {}
 func (Crashes) event()    {}
 func (RolloutSet) event() {}
 
@@ -91,8 +82,9 @@
 	Attempt int
 	// Model is the chosen one where the request leaves it open.
 	Model string
-	// Larger says that a larger model could still be asked.
-	Larger bool
+	// Bar is the confidence under which the answer is to be dropped, while nothing of it
+	// was sent, and the request to be ended as Dropped; 0 for never.
+	Bar float64
 	// Patience is how long the attempt may stay silent; 0 for no bound of its own.
 	Patience time.Duration
 	// Load is the server's load as believed, with its age, for the log.
--- a/decision/passthrough/place.go
+++ b/decision/passthrough/place.go
@@ -22,7 +22,6 @@
 	r.attempts++
 	r.tries++
 	s.own++
-	r.confidence = -1
 	w.noteSession(r, s.Version)
 	cmd := Dispatch{
 		Request: r.ID, Server: s.Server, Attempt: r.tries,
@@ -34,7 +33,7 @@
 	if r.ModelOpen && len(r.Route.Sizes) > 0 {
 		r.size = w.chooseSize(r, s)
 		cmd.Model = r.Route.Sizes[r.size]
-		cmd.Larger = w.mayEscalate(r)
+		cmd.Bar = w.bar(r)
 	}
 	w.emit(cmd)
 	return true
--- a/decision/passthrough/requests.go
+++ b/decision/passthrough/requests.go
@@ -5,7 +5,7 @@
 // arrive admits a request: it is placed at once, waits, or is refused at once with when
 // to come back.
 func (w *World) arrive(in Request) {
-	r := &request{Request: in, arrived: w.now, size: -1, confidence: -1}
+	r := &request{Request: in, arrived: w.now, size: -1}
 	r.service = w.serviceOf(in.Service)
 	w.requests[r.ID] = r
 	r.service.budget.Request(w.now)
@@ -165,10 +165,10 @@
 	case Completed:
 		w.crashes.answered(r.Fingerprint)
 		r.service.pace.drain.ended(w.now)
-		if e.Escalate && w.again(r, s, true) {
-			return
-		}
 		w.drop(r)
+	case Dropped:
+		r.escalated = true
+		w.again(r, nil)
 	case Abandoned:
 		w.drop(r)
 	default:
@@ -176,15 +176,13 @@
 			w.giveUp(r, ReasonAttempts)
 			return
 		}
-		if !w.again(r, s, false) {
-			w.drop(r)
-		}
+		w.again(r, s)
 	}
 }
 
 // judge takes the end as evidence on the server, and tells others of it.
 func (w *World) judge(r *request, s *server, e Ended) {
-	if s == nil || e.Result == Abandoned {
+	if s == nil || e.Result == Abandoned || e.Result == Dropped {
 		return
 	}
 	if e.Result == NotSent {
@@ -211,38 +209,28 @@
 		w.emit(CrashSeen{Fingerprint: r.Fingerprint})
 	}
 	if ro := w.rollouts[r.service.name]; ro != nil && !ro.Phase.Ended() {
-		w.emit(Observed{Service: r.service.name, Route: r.Route.Name, Version: s.Version, Bad: bad || w.slowAnswer(r, s, e)})
+		w.emit(Observed{Service: r.service.name, Route: r.Route.Name, Version: s.Version, Bad: e.Result == Failed || e.Cut || w.slowAnswer(r, s, e)})
 	}
 }
 
 // triesMost bounds the servers tried in vain beside the attempts that count.
 const triesMost = 5
 
-// again sends the request to another server, if it may go there. It says whether the
-// request lives on or has been answered.
+// again sends the request to another server than the last one, if it may go there.
 //
 // Load: servers that crash, refuse or go silent. Harm prevented: an answer lost where
 // another server could give it, and repeats that bring down those that are left.
-func (w *World) again(r *request, last *server, escalate bool) bool {
+func (w *World) again(r *request, last *server) {
 	if last != nil {
 		r.tried = append(r.tried, last)
 	}
-	reason := w.barsAgain(r)
-	if reason != "" {
-		if escalate {
-			return false
-		}
+	if reason := w.barsAgain(r); reason != "" {
 		w.giveUp(r, reason)
-		return true
-	}
-	if w.place(r) {
-		return true
+		return
 	}
-	if escalate {
-		return false
+	if !w.place(r) {
+		w.await(r)
 	}
-	w.await(r)
-	return true
 }
 
 // barsAgain gives the reason why no other attempt may follow.
--- a/decision/passthrough/silence.go
+++ b/decision/passthrough/silence.go
@@ -23,8 +23,8 @@
 	gapLeast = 1500 * time.Millisecond
 	// darkPart is the part of the target for which a server may be silent on all of its
 	// attempts before the first byte: a running server sends events all the time.
-	darkPart = 0.4
-	darkMost = 1500 * time.Millisecond
+	darkPart = 0.7
+	darkMost = 3 * time.Second
 	// firstTimes is how many times the target the first byte may take in any case.
 	firstTimes = 2
 )
--- a/decision/passthrough/types.go
+++ b/decision/passthrough/types.go
@@ -75,11 +75,13 @@
 	Broken
 	// Abandoned: nobody waited for it any more.
 	Abandoned
+	// Dropped: the engine doubted its answer, none of which was sent on.
+	Dropped
 )
 
 // String names the result for logs.
 func (r Result) String() string {
-	names := [...]string{"", "completed", "not_sent", "rejected", "failed", "broken", "abandoned"}
+	names := [...]string{"", "completed", "not_sent", "rejected", "failed", "broken", "abandoned", "dropped"}
 	if int(r) < len(names) {
 		return names[r]
 	}
@@ -87,7 +89,7 @@
 }
 
 // ran says whether the request may have run at the backend server.
-func (r Result) ran() bool { return r == Completed || r == Failed || r == Broken }
+func (r Result) ran() bool { return r == Completed || r == Failed || r == Broken || r == Dropped }
 
 // Reason says why a request was refused; the text is stable, for callers and logs.
 type Reason string
--- a/router/internal/passthrough/attempt.go
+++ b/router/internal/passthrough/attempt.go
@@ -24,11 +24,13 @@
 	header   http.Header
 	began    time.Time
 	patience time.Duration
+	// bar is the confidence under which the answer is dropped.
+	bar float64
 
 	conn *conn
 	// silent says that the watch has given the attempt up.
 	silent atomic.Bool
-	// gaps and events measure a stream's pace.
+	// first is the time to the answer's head.
 	first time.Duration
 }
 
@@ -49,7 +51,9 @@
 	cut         bool
 	pace        time.Duration
 	first       time.Duration
-	err         error
+	// confidence is the engine's own, -1 where not told.
+	confidence float64
+	err        error
 }
 
 var (
@@ -140,6 +144,7 @@
 	said := a.exchange.edge.headers.ReadAnswer(resp.StatusCode, resp.Header)
 	out := a.classify(resp, said)
 	out.first = a.first
+	out.confidence = said.Confidence
 	out.leaving = out.leaving || said.Leaving && out.result == passthrough.Rejected
 	out.misdirected = said.Misdirected
 	if said.HasLoad {
--- a/router/internal/passthrough/board.go
+++ b/router/internal/passthrough/board.go
@@ -68,9 +68,9 @@
 const (
 	// boardEvery is the time between two writes of the own sheet while a roll-out is in
 	// progress and its counts of bad answers change.
-	boardEvery = 700 * time.Millisecond
+	boardEvery = 1100 * time.Millisecond
 	// quietEvery is the same while only good answers are to be told.
-	quietEvery = 4 * time.Second
+	quietEvery = 6 * time.Second
 	// boardWait is how long a read waits for a record while no roll-out is in progress.
 	boardWait = 8 * time.Second
 	keyCrash  = "crash/"
--- a/router/internal/passthrough/journal.go
+++ b/router/internal/passthrough/journal.go
@@ -83,7 +83,7 @@
 		slog.Int("load", d.Load), slog.Int64("load_age_ms", d.LoadAge.Milliseconds()),
 		slog.Int64("first_ms", out.first.Milliseconds()))
 	if d.Model != "" {
-		attrs = append(attrs, slog.String("model", d.Model))
+		attrs = append(attrs, slog.String("model", d.Model), slog.Float64("confidence", out.confidence))
 	}
 	if out.err != nil {
 		attrs = append(attrs, slog.String(logging.KeyError, out.err.Error()))
--- a/router/internal/passthrough/list.go
+++ b/router/internal/passthrough/list.go
@@ -14,7 +14,7 @@
 const (
 	// listEvery is the time between two reads of the list: a server that leaves must get
 	// nothing 2 s later, and each read costs a call.
-	listEvery = 600 * time.Millisecond
+	listEvery = 750 * time.Millisecond
 	// lapseGrace is how long an entry that went away in an outage of the store is still
 	// believed once the store is back: it returns within two seconds, if the server
 	// lives.
--- a/router/internal/passthrough/operator.go
+++ b/router/internal/passthrough/operator.go
@@ -20,7 +20,7 @@
 
 // pollWait is how long a read of the operator's records waits for one: four reads fit
 // into half of a revocation bound of 5 s, and one read a second is a price of 0.07.
-const pollWait = 1200 * time.Millisecond
+const pollWait = 1400 * time.Millisecond
 
 func (o *operator) tail(log keyedlog.Log, clock Clock) *tail {
 	return &tail{
--- a/router/internal/passthrough/rollouts.go
+++ b/router/internal/passthrough/rollouts.go
@@ -114,7 +114,7 @@
 }
 
 // lookEvery is how often the register is read while nothing is to be written to it.
-const lookEvery = 1500 * time.Millisecond
+const lookEvery = 3000 * time.Millisecond
 
 // advance plans one roll-out anew, and ends it in the register where its time has come.
 func (m *rollouts) advance(ctx context.Context, r *rollout) {
--- a/router/internal/passthrough/stream.go
+++ b/router/internal/passthrough/stream.go
@@ -31,6 +31,9 @@
 // relay hands a stream to the caller, whole events only, as they come.
 func (a *attempt) relay(resp *http.Response, said seam.Answer) outcome {
 	x := a.exchange
+	if !x.stream.begun && said.Confidence >= 0 && said.Confidence < a.bar {
+		return outcome{result: passthrough.Dropped}
+	}
 	x.edge.driver.Tell(passthrough.FirstByte{Request: x.ticket.id, After: a.first})
 	var held []byte
 	buf := make([]byte, streamBuffer)
