The new version of a roll-out gets nothing before its phase is known

Ruled out: the share's hash, which is alike everywhere. The order now tells the decision at once, and the configuration, which lets requests in, is applied after the orders. Where no server of the wanted version is listed the other takes the work, but a reverted version never does.

--- /dev/null
+++ b/decision/passthrough/cascade_test.go
@@ -0,0 +1,57 @@
+package passthrough
+
+import "testing"
+
+func TestSmallestModelFirstThenTheLargest(t *testing.T) {
+	b := newBench(t, Settings{})
+	b.configure(streamRoute())
+	b.tell(Listed{servers("llm", 3, 8)})
+	for range 20 { // requests fill the retry budget
+		b.tell(Ended{Request: b.arrive(streamRoute(), nil), Result: Completed})
+	}
+	id := b.arrive(streamRoute(), nil)
+	first := b.dispatched(id)
+	if first.Model != "small" || first.Bar <= barEven || first.Bar >= 1 {
+		t.Errorf("first: model %q, bar %v", first.Model, first.Bar)
+	}
+	b.tell(Ended{Request: id, Result: Dropped})
+	second := b.dispatched(id)
+	if second.Model != "large" || second.Bar != 0 {
+		t.Errorf("second: model %q, bar %v", second.Model, second.Bar)
+	}
+}
+
+func TestNothingIsDroppedWithoutBudgetForTheRepeat(t *testing.T) {
+	b := newBench(t, Settings{Seed: 1, RetryRatio: 0, RetrySlack: 1, RetryWindow: 1e9})
+	b.configure(streamRoute())
+	b.tell(Listed{servers("llm", 3, 8)})
+	if d := b.dispatched(b.arrive(streamRoute(), nil)); d.Bar != 0 {
+		t.Errorf("bar %v with an empty budget", d.Bar)
+	}
+}
+
+func TestOneAttemptAsksTheLargest(t *testing.T) {
+	b := newBench(t, Settings{})
+	route := streamRoute()
+	route.MaxAttempts = 1
+	b.configure(route)
+	b.tell(Listed{servers("llm", 3, 8)})
+	if d := b.dispatched(b.arrive(route, nil)); d.Model != "large" || d.Bar != 0 {
+		t.Errorf("model %q, bar %v", d.Model, d.Bar)
+	}
+}
+
+func TestFullServersAreAskedForTheSmallestModel(t *testing.T) {
+	b := newBench(t, Settings{})
+	route := streamRoute()
+	route.MaxAttempts = 1
+	b.configure(route)
+	b.tell(Listed{servers("llm", 1, 8)})
+	model := ""
+	for range 8 {
+		model = b.dispatched(b.arrive(route, nil)).Model
+	}
+	if model != "small" {
+		t.Errorf("the last place was given to %q", model)
+	}
+}
--- /dev/null
+++ b/decision/passthrough/config_test.go
@@ -0,0 +1,54 @@
+package passthrough
+
+import "testing"
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	x := NewIndex(Config{Routes: []Route{
+		{Name: "root", Host: "a.example", Prefix: "/"},
+		{Name: "shop", Host: "a.example", Prefix: "/shop/"},
+		{Name: "wool", Host: "a.example", Prefix: "/shop/wool/"},
+		{Name: "other", Host: "b.example", Prefix: "/shop/"},
+	}})
+	tests := []struct{ host, path, want string }{
+		{"a.example", "/shop/wool/1", "wool"},
+		{"A.example:8080", "/shop/yarn", "shop"},
+		{"a.example", "/shop", "root"},
+		{"b.example", "/shop/wool/1", "other"},
+		{"b.example", "/x", ""},
+		{"c.example", "/shop/", ""},
+	}
+	for _, tt := range tests {
+		got := ""
+		if r := x.Route(tt.host, tt.path); r != nil {
+			got = r.Name
+		}
+		if got != tt.want {
+			t.Errorf("%s%s: %q, want %q", tt.host, tt.path, got, tt.want)
+		}
+	}
+}
+
+func TestWeights(t *testing.T) {
+	r := Route{Backends: []Backend{{"a", 90}, {"none", 0}, {"b", 10}}}
+	for at, want := range map[float64]string{0: "a", 0.89: "a", 0.91: "b", 0.999: "b"} {
+		if got := r.Pick(at); got != want {
+			t.Errorf("%v: %s, want %s", at, got, want)
+		}
+	}
+	if (&Route{}).Pick(0.5) != "" {
+		t.Error("a route without backends picked one")
+	}
+}
+
+func TestKeysAndRanks(t *testing.T) {
+	x := NewIndex(Config{Teams: []Team{{Name: "t", Keys: []string{"k"}, Priority: 3, Ranked: true}, {Name: "u"}}})
+	if x.Team("k") == nil || x.Team("") != nil || x.Team("x") != nil {
+		t.Error("keys are not found by their text alone")
+	}
+	if !x.NeedsKey(&Route{}) || x.NeedsKey(&Route{Public: true}) || NewIndex(Config{}).NeedsKey(&Route{}) {
+		t.Error("needs a key where it should not, or the other way round")
+	}
+	if Rank(x.Team("k"), &Route{Priority: 1}) != 3 || Rank(&Team{}, &Route{Priority: 1}) != 1 || Rank(nil, &Route{Priority: 2}) != 2 {
+		t.Error("the team's rank does not go before the route's")
+	}
+}
--- /dev/null
+++ b/decision/passthrough/harness_test.go
@@ -0,0 +1,131 @@
+package passthrough
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// bench drives a world by hand, on a clock of its own.
+type bench struct {
+	t     *testing.T
+	world *World
+	now   time.Time
+	next  RequestID
+	// commands by request, in order.
+	got map[RequestID][]Command
+	all []Command
+}
+
+// testStart is any time.
+var testStart = time.Unix(1_000_000, 0)
+
+func newBench(t *testing.T, cfg Settings) *bench {
+	t.Helper()
+	if cfg.RetryWindow == 0 {
+		cfg = Settings{Seed: 1, RetryRatio: 0.5, RetrySlack: 5, RetryWindow: 10 * time.Second, SessionLife: 5 * time.Second}
+	}
+	return &bench{t: t, world: New(cfg), now: testStart, got: map[RequestID][]Command{}}
+}
+
+func (b *bench) tell(events ...Event) []Command {
+	out := append([]Command(nil), b.world.Tick(b.now, events...)...)
+	for _, c := range out {
+		b.all = append(b.all, c)
+		switch c := c.(type) {
+		case Dispatch:
+			b.got[c.Request] = append(b.got[c.Request], c)
+		case Refuse:
+			b.got[c.Request] = append(b.got[c.Request], c)
+		case Finish:
+			b.got[c.Request] = append(b.got[c.Request], c)
+		}
+	}
+	return out
+}
+
+func (b *bench) pass(d time.Duration) { b.now = b.now.Add(d) }
+
+// servers lists so many servers of a service, with ids "service-0" on.
+func servers(service string, count, slots int) []Server {
+	var out []Server
+	for i := range count {
+		out = append(out, Server{
+			ID: fmt.Sprintf("%s-%d", service, i), Address: "127.0.0.1:1", Service: service,
+			Zone: "a", Version: "v1", Slots: slots, Born: 1,
+		})
+	}
+	return out
+}
+
+// routes of the tests.
+func plainRoute() *Route {
+	return &Route{Name: "plain", Kind: KindIdempotent, MaxAttempts: 2, Timeout: time.Second,
+		Target: 150 * time.Millisecond, Backends: []Backend{{"shop", 1}}}
+}
+
+func onceRoute() *Route {
+	return &Route{Name: "once", Kind: KindOnce, MaxAttempts: 3, Timeout: time.Second,
+		Target: 150 * time.Millisecond, Backends: []Backend{{"shop", 1}}}
+}
+
+func streamRoute() *Route {
+	return &Route{Name: "stream", Kind: KindStream, Resumable: true, MaxAttempts: 3, Timeout: 25 * time.Second,
+		Target: 4 * time.Second, TargetGap: 800 * time.Millisecond, Sizes: []string{"small", "middle", "large"},
+		Backends: []Backend{{"llm", 1}}}
+}
+
+func (b *bench) configure(routes ...*Route) {
+	c := Config{Version: 1, Services: []Service{{Name: "llm", Slots: 8}, {Name: "shop"}}}
+	for _, r := range routes {
+		c.Routes = append(c.Routes, *r)
+	}
+	b.tell(Configured{NewIndex(c)})
+}
+
+// arrive sends a request on the route; change may set more.
+func (b *bench) arrive(route *Route, change func(*Request)) RequestID {
+	b.next++
+	r := Request{ID: b.next, Route: route, Service: route.Backends[0].Service, Team: "team",
+		Target: b.now.Add(route.Target), Deadline: b.now.Add(route.Timeout),
+		Share: 0.5, Fingerprint: uint64(b.next), ModelOpen: len(route.Sizes) > 0}
+	if change != nil {
+		change(&r)
+	}
+	b.tell(Arrived{r})
+	return b.next
+}
+
+// last is the newest command on the request, or nil.
+func (b *bench) last(id RequestID) Command {
+	list := b.got[id]
+	if len(list) == 0 {
+		return nil
+	}
+	return list[len(list)-1]
+}
+
+func (b *bench) dispatched(id RequestID) Dispatch {
+	b.t.Helper()
+	d, ok := b.last(id).(Dispatch)
+	if !ok {
+		b.t.Fatalf("request %d: got %#v, want a dispatch", id, b.last(id))
+	}
+	return d
+}
+
+func (b *bench) refused(id RequestID, want Reason) Refuse {
+	b.t.Helper()
+	r, ok := b.last(id).(Refuse)
+	if !ok || r.Reason != want {
+		b.t.Fatalf("request %d: got %#v, want a refusal for %q", id, b.last(id), want)
+	}
+	return r
+}
+
+func (b *bench) finished(id RequestID) {
+	b.t.Helper()
+	if _, ok := b.last(id).(Finish); !ok {
+		b.t.Fatalf("request %d: got %#v, want a finish", id, b.last(id))
+	}
+}
--- a/decision/passthrough/place.go
+++ b/decision/passthrough/place.go
@@ -94,11 +94,7 @@
 // leaves out those that were tried.
 func (w *World) candidates(r *request, fresh bool) []*server {
 	w.drawn = w.drawn[:0]
-	ro := w.rollouts[r.service.name]
-	wants := ""
-	if ro != nil {
-		wants = w.wantedVersion(r, ro)
-	}
+	fits := w.fitting(r)
 	for _, s := range r.service.servers {
 		if !s.usable(w.now) || !s.hasRoom(w.now) {
 			continue
@@ -106,7 +102,7 @@
 		if fresh && slices.Contains(r.tried, s) {
 			continue
 		}
-		if ro != nil && !versionFits(s, ro, wants) {
+		if !fits(s) {
 			continue
 		}
 		w.drawn = append(w.drawn, s)
@@ -191,17 +187,41 @@
 
 // wantedVersion is the version that the request goes to: the roll-out's target, or "" for
 // any other one.
+//
+// Where no server with it is listed, the other one takes the work: an instance that
+// started lately may not know yet that the old servers are gone. A bad version gets
+// nothing even then.
 func (w *World) wantedVersion(r *request, ro *Rollout) string {
-	if w.wantsNew(r, ro) {
+	fresh, old := r.service.versions(ro.Target)
+	switch {
+	case ro.Phase == PhaseReverted, w.wantsNew(r, ro) && fresh == 0:
+		return ""
+	case w.wantsNew(r, ro), old == 0:
 		return ro.Target
 	}
 	return ""
 }
 
-// versionFits says whether the server has the wanted version.
-func versionFits(s *server, ro *Rollout, wants string) bool {
-	if wants == "" {
-		return s.Version != ro.Target
+// versions counts the servers that do not leave, at the version and at others.
+func (s *service) versions(target string) (at, others int) {
+	for _, srv := range s.servers {
+		switch {
+		case srv.gone || srv.Draining:
+		case srv.Version == target:
+			at++
+		default:
+			others++
+		}
+	}
+	return at, others
+}
+
+// fitting says of a server whether it has the version that the request goes to.
+func (w *World) fitting(r *request) func(*server) bool {
+	ro := w.rollouts[r.service.name]
+	if ro == nil {
+		return func(*server) bool { return true }
 	}
-	return s.Version == wants
+	wants := w.wantedVersion(r, ro)
+	return func(s *server) bool { return (s.Version == ro.Target) == (wants == ro.Target) }
 }
--- /dev/null
+++ b/decision/passthrough/place_test.go
@@ -0,0 +1,138 @@
+package passthrough
+
+import (
+	"testing"
+	"time"
+)
+
+func TestSharedPromptsGoToOneServerUntilItHasMoreThanItsPart(t *testing.T) {
+	b := newBench(t, Settings{})
+	b.configure(streamRoute())
+	b.tell(Listed{servers("llm", 6, 8)})
+	seen := map[string]int{}
+	for range 20 {
+		id := b.arrive(streamRoute(), func(r *Request) { r.Affinity = 99 })
+		seen[b.dispatched(id).Server.ID]++
+	}
+	most := 0
+	for _, n := range seen {
+		most = max(most, n)
+	}
+	if len(seen) < 2 || len(seen) > 4 {
+		t.Errorf("20 requests of one prompt went to %d servers: %v", len(seen), seen)
+	}
+	if most > 8 {
+		t.Errorf("one server got %d of 20, more than its places", most)
+	}
+}
+
+func TestAllInstancesChooseTheSameServerForAPrompt(t *testing.T) {
+	want := ""
+	for seed := range uint64(5) {
+		b := newBench(t, Settings{Seed: seed, RetryRatio: 1, RetryWindow: time.Second})
+		b.configure(streamRoute())
+		b.tell(Listed{servers("llm", 12, 8)})
+		got := b.dispatched(b.arrive(streamRoute(), func(r *Request) { r.Affinity = 7 })).Server.ID
+		if want == "" {
+			want = got
+		}
+		if got != want {
+			t.Errorf("seed %d: %s, others %s", seed, got, want)
+		}
+	}
+}
+
+func TestDrainingServerGetsNothing(t *testing.T) {
+	b := newBench(t, Settings{})
+	b.configure(plainRoute())
+	list := servers("shop", 2, 6)
+	b.tell(Listed{list})
+	list[0].Draining = true
+	b.tell(Listed{list})
+	for range 10 {
+		id := b.arrive(plainRoute(), nil)
+		if server := b.dispatched(id).Server.ID; server != "shop-1" {
+			t.Fatalf("sent to %s", server)
+		}
+		b.tell(Ended{Request: id, Result: Completed})
+		b.pass(300 * time.Millisecond)
+	}
+}
+
+func TestServerBornAgainBeginsAnew(t *testing.T) {
+	b := newBench(t, Settings{})
+	b.configure(plainRoute())
+	list := servers("shop", 1, 6)
+	b.tell(Listed{list})
+	id := b.arrive(plainRoute(), nil)
+	b.tell(Ended{Request: id, Result: Rejected, Leaving: true})
+	b.pass(time.Second)
+	b.tell(Listed{list})
+	b.refused(b.arrive(plainRoute(), nil), ReasonNoServer)
+	list[0].Born = 2
+	b.tell(Listed{list})
+	b.dispatched(b.arrive(plainRoute(), nil))
+}
+
+func TestLateEndOfAServerThatIsGoneIsHarmless(t *testing.T) {
+	b := newBench(t, Settings{})
+	b.configure(plainRoute())
+	b.tell(Listed{servers("shop", 1, 6)})
+	id := b.arrive(plainRoute(), nil)
+	b.tell(Listed{nil})
+	b.tell(Ended{Request: id, Result: Broken, Cut: true})
+	b.finished(id)
+}
+
+func TestFailingServerIsLeftOut(t *testing.T) {
+	b := newBench(t, Settings{})
+	route := plainRoute()
+	b.configure(route)
+	b.tell(Listed{servers("shop", 3, 6)})
+	sick, late := 0, 0
+	for i := range 200 {
+		b.pass(20 * time.Millisecond)
+		id := b.arrive(route, nil)
+		for range 2 {
+			d, ok := b.last(id).(Dispatch)
+			if !ok {
+				break
+			}
+			if d.Server.ID != "shop-0" {
+				b.tell(Ended{Request: id, Result: Completed})
+				break
+			}
+			sick++
+			if i > 100 {
+				late++
+			}
+			b.tell(Ended{Request: id, Result: Failed})
+		}
+	}
+	if sick > 40 || late > 15 {
+		t.Errorf("the failing server got %d of 200, %d of the last 100", sick, late)
+	}
+}
+
+func TestSilence(t *testing.T) {
+	stream, plain := streamRoute(), plainRoute()
+	tests := []struct {
+		name string
+		s    Silence
+		want bool
+	}{
+		{"stream's server speaks", Silence{Route: stream, Attempt: 5 * time.Second, Server: 100 * time.Millisecond}, false},
+		{"stream's server is dark", Silence{Route: stream, Attempt: 3 * time.Second, Server: 3 * time.Second}, true},
+		{"stream waits for twice its target", Silence{Route: stream, Attempt: 9 * time.Second}, true},
+		{"pause in time", Silence{Route: stream, Begun: true, Attempt: time.Second}, false},
+		{"pause too long", Silence{Route: stream, Begun: true, Attempt: 2100 * time.Millisecond}, true},
+		{"plain with patience", Silence{Route: plain, Patience: 400 * time.Millisecond, Attempt: 300 * time.Millisecond}, false},
+		{"plain without patience left", Silence{Route: plain, Patience: 400 * time.Millisecond, Attempt: 500 * time.Millisecond}, true},
+		{"plain last attempt", Silence{Route: plain, Attempt: 900 * time.Millisecond}, false},
+	}
+	for _, tt := range tests {
+		if got := tt.s.GiveUp(); got != tt.want {
+			t.Errorf("%s: %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
--- a/decision/passthrough/requests.go
+++ b/decision/passthrough/requests.go
@@ -30,7 +30,7 @@
 // afford; who finds it longer learns at once when to come back.
 func (w *World) await(r *request) {
 	s := r.service
-	if !s.anyUsable(w.now) {
+	if !w.anyUsable(r) {
 		w.giveUp(r, ReasonNoServer)
 		return
 	}
@@ -42,10 +42,11 @@
 	s.queue.push(r, w.cost(r))
 }
 
-// anyUsable says whether some server is there, if not free.
-func (s *service) anyUsable(now time.Time) bool {
-	for _, srv := range s.servers {
-		if srv.usable(now) {
+// anyUsable says whether some server may take the request, now or when it has room.
+func (w *World) anyUsable(r *request) bool {
+	fits := w.fitting(r)
+	for _, srv := range r.service.servers {
+		if srv.usable(w.now) && fits(srv) {
 			return true
 		}
 	}
--- /dev/null
+++ b/decision/passthrough/rollout_test.go
@@ -0,0 +1,191 @@
+package passthrough
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func TestPlan(t *testing.T) {
+	o := Order{Service: "llm", Target: "v2", Duration: 24 * time.Second}
+	const allowed = 0.15
+	tests := []struct {
+		at    time.Duration
+		bad   bool
+		phase Phase
+		first bool
+	}{
+		{0, false, PhaseCanary, true},
+		{11 * time.Second, false, PhaseCanary, true},
+		{12 * time.Second, false, PhaseCanary, false},
+		{14 * time.Second, false, PhaseRamp, false},
+		{22 * time.Second, false, PhaseCompleted, false},
+		{3 * time.Second, true, PhaseReverted, true},
+		{22 * time.Second, true, PhaseReverted, false},
+	}
+	for _, tt := range tests {
+		r := Plan(o, tt.at, allowed, tt.bad)
+		if r.Phase != tt.phase || r.FirstHalf != tt.first {
+			t.Errorf("%v bad %v: phase %v, first half %v", tt.at, tt.bad, r.Phase, r.FirstHalf)
+		}
+		if r.Phase == PhaseCanary && r.Share > allowed {
+			t.Errorf("canary gets %v of %v", r.Share, allowed)
+		}
+	}
+}
+
+func TestJudge(t *testing.T) {
+	tests := []struct {
+		name       string
+		fresh, old Counts
+		want       bool
+	}{
+		{"nothing seen", Counts{}, Counts{}, false},
+		{"a few failures", Counts{Good: 3, Bad: 4}, Counts{Good: 100}, false},
+		{"half fail", Counts{Good: 6, Bad: 6}, Counts{Good: 100, Bad: 2}, true},
+		{"a third fails late", Counts{Good: 30, Bad: 14}, Counts{Good: 400, Bad: 8}, true},
+		{"both fail alike", Counts{Good: 20, Bad: 6}, Counts{Good: 200, Bad: 60}, false},
+		{"good with noise", Counts{Good: 60, Bad: 5}, Counts{Good: 600, Bad: 30}, false},
+	}
+	for _, tt := range tests {
+		if got := Judge(tt.fresh, tt.old); got != tt.want {
+			t.Errorf("%s: %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
+// TestSilenceIsNoEvidenceOnAVersion holds that answers given up in an overload, which
+// strike every version, do not hide a bad one.
+func TestSilenceIsNoEvidenceOnAVersion(t *testing.T) {
+	b := newBench(t, Settings{})
+	b.configure(streamRoute())
+	b.tell(Listed{servers("llm", 3, 8)},
+		RolloutSet{Rollout{Order: Order{Service: "llm", Target: "v2"}, Phase: PhaseCanary, Share: 0.1}})
+	id := b.arrive(streamRoute(), nil)
+	b.tell(Ended{Request: id, Result: Broken})
+	for _, c := range b.all {
+		if o, ok := c.(Observed); ok && o.Bad {
+			t.Fatalf("silence was told as bad: %+v", o)
+		}
+	}
+	b.tell(Ended{Request: id, Result: Failed})
+	bad := 0
+	for _, c := range b.all {
+		if o, ok := c.(Observed); ok && o.Bad {
+			bad++
+		}
+	}
+	if bad != 1 {
+		t.Errorf("%d bad answers told, want the failure alone", bad)
+	}
+}
+
+func rolloutBench(t *testing.T) *bench {
+	b := newBench(t, Settings{})
+	b.configure(streamRoute())
+	list := servers("llm", 4, 50)
+	list[2].Version, list[3].Version = "v2", "v2"
+	b.tell(Listed{list})
+	return b
+}
+
+func canary(first bool) RolloutSet {
+	return RolloutSet{Rollout{Order: Order{Service: "llm", Target: "v2"}, Phase: PhaseCanary, Share: 0.2, FirstHalf: first}}
+}
+
+func TestCanaryGetsItsShareByHash(t *testing.T) {
+	b := rolloutBench(t)
+	b.tell(canary(true))
+	for i := range 100 {
+		share := float64(i) / 100
+		id := b.arrive(streamRoute(), func(r *Request) { r.Share = share })
+		if got, want := b.dispatched(id).Server.Version == "v2", share < 0.2; got != want {
+			t.Errorf("share %v: new version %v", share, got)
+		}
+		b.tell(Ended{Request: id, Result: Completed})
+	}
+}
+
+func TestSessionsKeepTheirVersionThroughTheFirstHalf(t *testing.T) {
+	b := rolloutBench(t)
+	b.pass(20 * time.Second)
+	in := func(session string) func(*Request) {
+		return func(r *Request) { r.Session, r.Share = session, 0.05 }
+	}
+	run := func(session string) string {
+		id := b.arrive(streamRoute(), in(session))
+		v := b.dispatched(id).Server.Version
+		b.tell(Ended{Request: id, Result: Completed})
+		return v
+	}
+	b.world.started = b.now.Add(-time.Minute)
+	for i := range 10 {
+		b.tell(RolloutSet{Rollout{Order: Order{Service: "llm", Target: "v2"}, Phase: PhaseReverted}})
+		run(fmt.Sprint("open-", i))
+	}
+	b.tell(canary(true))
+	for i := range 10 {
+		if v := run(fmt.Sprint("open-", i)); v != "v1" {
+			t.Errorf("open session moved to %s", v)
+		}
+		if v := run(fmt.Sprint("new-", i)); v != "v2" {
+			t.Errorf("new session of the canary's share went to %s", v)
+		}
+	}
+	b.tell(canary(false))
+	for i := range 10 {
+		if v := run(fmt.Sprint("new-", i)); v != "v2" {
+			t.Errorf("session of the new version moved back to %s", v)
+		}
+	}
+}
+
+func TestFreshInstanceGivesTheCanaryNoSessions(t *testing.T) {
+	b := rolloutBench(t)
+	b.tell(canary(true))
+	id := b.arrive(streamRoute(), func(r *Request) { r.Session, r.Share = "s", 0.01 })
+	if v := b.dispatched(id).Server.Version; v != "v1" {
+		t.Errorf("a session that may be open went to %s", v)
+	}
+}
+
+func TestRevertedVersionGetsNothing(t *testing.T) {
+	b := rolloutBench(t)
+	b.tell(RolloutSet{Rollout{Order: Order{Service: "llm", Target: "v2"}, Phase: PhaseReverted}})
+	for range 50 {
+		id := b.arrive(streamRoute(), func(r *Request) { r.Share = 0 })
+		if v := b.dispatched(id).Server.Version; v != "v1" {
+			t.Fatalf("sent to %s", v)
+		}
+		b.tell(Ended{Request: id, Result: Completed})
+	}
+}
+
+// TestOldServersGoneWithoutAWord holds for an instance that starts when a roll-out has been
+// completed, before it knows.
+func TestOldServersGoneWithoutAWord(t *testing.T) {
+	b := newBench(t, Settings{})
+	b.configure(streamRoute())
+	list := servers("llm", 2, 8)
+	for i := range list {
+		list[i].Version = "v2"
+	}
+	unknown := Rollout{Order: Order{Service: "llm", Target: "v2"}, Phase: PhaseCanary, FirstHalf: true}
+	b.tell(Listed{list}, RolloutSet{unknown})
+	b.dispatched(b.arrive(streamRoute(), nil))
+	unknown.Phase = PhaseReverted
+	b.tell(RolloutSet{unknown})
+	b.refused(b.arrive(streamRoute(), nil), ReasonNoServer)
+}
+
+func TestNothingGoesToTheNewVersionBeforeThePhaseIsKnown(t *testing.T) {
+	b := rolloutBench(t)
+	b.tell(RolloutSet{Rollout{Order: Order{Service: "llm", Target: "v2"}, Phase: PhaseCanary, FirstHalf: true}})
+	for range 20 {
+		id := b.arrive(streamRoute(), func(r *Request) { r.Share = 0 })
+		if v := b.dispatched(id).Server.Version; v != "v1" {
+			t.Fatalf("sent to %s", v)
+		}
+		b.tell(Ended{Request: id, Result: Completed})
+	}
+}
--- a/router/internal/passthrough/operator.go
+++ b/router/internal/passthrough/operator.go
@@ -25,13 +25,21 @@
 func (o *operator) tail(log keyedlog.Log, clock Clock) *tail {
 	return &tail{
 		name: "operator", log: log, clock: clock, journal: o.journal, wait: pollWait,
-		whole: func(list []keyedlog.Record) {
-			for _, r := range list {
+		whole: o.takeAll,
+		each:  o.take,
+		read:  func(began time.Time, _ int) { o.known.Confirm(began) },
+	}
+}
+
+// takeAll applies the newest records, the configuration last: it lets requests in, and
+// these must find the roll-outs.
+func (o *operator) takeAll(list []keyedlog.Record) {
+	for _, config := range []bool{false, true} {
+		for _, r := range list {
+			if _, ok, _ := o.records.Config(r); ok == config {
 				o.take(r)
 			}
-		},
-		each: o.take,
-		read: func(began time.Time, _ int) { o.known.Confirm(began) },
+		}
 	}
 }
 
--- a/router/internal/passthrough/rollouts.go
+++ b/router/internal/passthrough/rollouts.go
@@ -62,7 +62,12 @@
 	if old := m.open[o.Service]; old != nil && old.Order == o && old.offset == offset {
 		return
 	}
-	m.open[o.Service] = &rollout{Order: o, offset: offset, since: m.clock.Now()}
+	r := &rollout{Order: o, offset: offset, since: m.clock.Now()}
+	// Until the register was read, the new version gets nothing: an instance that starts
+	// in the middle of a roll-out knows neither its phase nor the open sessions.
+	r.plan = passthrough.Rollout{Order: o, Phase: passthrough.PhaseCanary, FirstHalf: true}
+	m.open[o.Service] = r
+	m.driver.Tell(passthrough.RolloutSet{Rollout: r.plan})
 	m.journal.emit(logging.EventRolloutOrdered, slog.String("service", o.Service),
 		slog.String("target", o.Target), slog.Int64("duration_ms", o.Duration.Milliseconds()), slog.Uint64("offset", offset))
 	select {
