--- a/decision/passthrough/cascade.go
+++ b/decision/passthrough/cascade.go
@@ -1,36 +1,31 @@
 package passthrough
 
-import "time"
-
 // routeStats is what is learnt of a route's answers.
 type routeStats struct {
-	// first is the mean time to the first event, by size.
+	// first is the mean logarithm of the time to the first event, by size.
 	first map[int]*mean
 }
 
 func (w *World) stats(route string) *routeStats {
 	st := w.routes[route]
 	if st == nil {
-		st = &routeStats{first: map[int]*mean{}}
+		st = &routeStats{}
 		w.routes[route] = st
 	}
 	return st
 }
 
+// firstOf is the mean logarithm of the time to the first event, in seconds, of answers
+// like the request's.
+func (w *World) firstOf(r *request) *mean {
+	return meanOf(&w.stats(r.Route.Name).first, r.size)
+}
+
 // firstByte notes the time to an answer's first byte.
 func (w *World) firstByte(e FirstByte) {
-	r := w.requests[e.Request]
-	if r == nil || r.server == nil {
-		return
+	if r := w.requests[e.Request]; r != nil {
+		r.first = e.After
 	}
-	st := w.stats(r.Route.Name)
-	m := st.first[r.size]
-	if m == nil {
-		m = &mean{}
-		st.first[r.size] = m
-	}
-	m.add(e.After.Seconds())
-	r.first = e.After
 }
 
 const (
@@ -79,25 +74,3 @@
 	}
 	return barEven + barMargin
 }
-
-const (
-	// slowTimes is how many times the old version's pace makes an answer bad: versions
-	// that are slow are several times slower, and a cold cache costs less than that.
-	slowTimes = 4
-	// slowLeast keeps small differences of short times out.
-	slowLeast = 300 * time.Millisecond
-)
-
-// slowAnswer says whether an answer was much slower than the service's usual.
-func (w *World) slowAnswer(r *request, s *server, e Ended) bool {
-	ro := w.rollouts[r.service.name]
-	if ro == nil || s.Version != ro.Target {
-		return false
-	}
-	usual := r.service.pace.of(r.size)
-	if usual.n > 3 && e.Pace.Seconds() > slowTimes*usual.value && e.Pace > slowLeast/10 {
-		return true
-	}
-	m := w.stats(r.Route.Name).first[r.size]
-	return m != nil && m.n > 3 && r.first > slowLeast && r.first.Seconds() > slowTimes*m.value
-}
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -113,6 +113,10 @@
 	Route   string
 	Version string
 	Bad     bool
+	// First and Pace compare the answer's times with the old version's, for answers of
+	// the new one.
+	First Shift
+	Pace  Shift
 }
 
 // CrashSeen says that a request seems to have crashed a backend server.
--- a/decision/passthrough/pace.go
+++ b/decision/passthrough/pace.go
@@ -19,17 +19,23 @@
 // paceStats is the mean pace of a service's answers by model size.
 type paceStats struct {
 	by    map[int]*mean
+	logs  map[int]*mean
 	drain drainMeter
 }
 
-func (p *paceStats) of(size int) *mean {
-	if p.by == nil {
-		p.by = map[int]*mean{}
+// of is the mean pace in seconds of answers by a model size, log that of its logarithm.
+func (p *paceStats) of(size int) *mean { return meanOf(&p.by, size) }
+
+func (p *paceStats) log(size int) *mean { return meanOf(&p.logs, size) }
+
+func meanOf(by *map[int]*mean, size int) *mean {
+	if *by == nil {
+		*by = map[int]*mean{}
 	}
-	m := p.by[size]
+	m := (*by)[size]
 	if m == nil {
 		m = &mean{}
-		p.by[size] = m
+		(*by)[size] = m
 	}
 	return m
 }
@@ -65,16 +71,18 @@
 const slowMost = 10
 
 // notePace takes in an answer's pace as evidence on its server.
-func (w *World) notePace(r *request, pace time.Duration) {
-	if pace <= 0 || r.server == nil {
+func (w *World) notePace(r *request, s *server, pace time.Duration) {
+	if pace <= 0 {
 		return
 	}
 	all := r.service.pace.of(r.size)
 	x := pace.Seconds()
 	if all.n > 3 && all.value > 0 {
-		r.server.slow.add(min(x/all.value, slowMost))
+		s.slow.add(min(x/all.value, slowMost))
+	}
+	if !w.onTrial(s) {
+		all.add(x)
 	}
-	all.add(x)
 }
 
 // slowness is how many times slower than the service's mean the server is: 1 for most.
--- a/decision/passthrough/place.go
+++ b/decision/passthrough/place.go
@@ -19,6 +19,7 @@
 	}
 	r.server = s
 	r.sent = w.now
+	r.first = 0
 	r.attempts++
 	r.tries++
 	s.own++
--- a/decision/passthrough/place_test.go
+++ b/decision/passthrough/place_test.go
@@ -136,3 +136,41 @@
 		}
 	}
 }
+
+func TestSlowServerGetsLess(t *testing.T) {
+	b := newBench(t, Settings{})
+	route := plainRoute()
+	b.configure(route)
+	b.tell(Listed{servers("shop", 3, 6)})
+	got := map[string]int{}
+	type job struct {
+		id     RequestID
+		server string
+		until  time.Time
+		took   time.Duration
+	}
+	var jobs []job
+	for range 1500 { // 100 requests a second, 30 ms each, one server five times as slow
+		b.pass(10 * time.Millisecond)
+		keep := jobs[:0]
+		for _, j := range jobs {
+			if j.until.After(b.now) {
+				keep = append(keep, j)
+				continue
+			}
+			b.tell(Ended{Request: j.id, Result: Completed, Pace: j.took})
+		}
+		jobs = keep
+		id := b.arrive(route, nil)
+		d := b.dispatched(id)
+		took := 30 * time.Millisecond
+		if d.Server.ID == "shop-1" {
+			took *= 5
+		}
+		got[d.Server.ID]++
+		jobs = append(jobs, job{id, d.Server.ID, b.now.Add(took), took})
+	}
+	if part := float64(got["shop-1"]) / 1500; part > 0.12 {
+		t.Errorf("the slow server got %.2f of the requests: %v", part, got)
+	}
+}
--- a/decision/passthrough/requests.go
+++ b/decision/passthrough/requests.go
@@ -183,7 +183,11 @@
 
 // judge takes the end as evidence on the server, and tells others of it.
 func (w *World) judge(r *request, s *server, e Ended) {
-	if s == nil || e.Result == Abandoned || e.Result == Dropped {
+	if s == nil || e.Result == Abandoned {
+		return
+	}
+	if e.Result == Dropped {
+		w.tell(r, s, e)
 		return
 	}
 	if e.Result == NotSent {
@@ -203,15 +207,13 @@
 	bad := e.Result != Completed
 	s.health.note(!bad, w.now)
 	if !bad {
-		w.notePace(r, e.Pace)
+		w.notePace(r, s, e.Pace)
 	}
 	if e.Cut {
 		w.crashes.broke(r.Fingerprint, 1, w.now)
 		w.emit(CrashSeen{Fingerprint: r.Fingerprint})
 	}
-	if ro := w.rollouts[r.service.name]; ro != nil && !ro.Phase.Ended() {
-		w.emit(Observed{Service: r.service.name, Route: r.Route.Name, Version: s.Version, Bad: e.Result == Failed || e.Cut || w.slowAnswer(r, s, e)})
-	}
+	w.tell(r, s, e)
 }
 
 // triesMost bounds the servers tried in vain beside the attempts that count.
--- a/decision/passthrough/rollout.go
+++ b/decision/passthrough/rollout.go
@@ -39,8 +39,27 @@
 
 // Counts are the answers of one version, by all instances.
 type Counts struct {
-	Good int
-	Bad  int
+	Good int `json:"good"`
+	Bad  int `json:"bad"`
+	// First and Pace compare its times with the old version's.
+	First Shift `json:"first"`
+	Pace  Shift `json:"pace"`
+}
+
+// Add counts one answer.
+func (c Counts) Add(o Observed) Counts {
+	if o.Bad {
+		c.Bad++
+	} else {
+		c.Good++
+	}
+	c.First, c.Pace = c.First.plus(o.First), c.Pace.plus(o.Pace)
+	return c
+}
+
+// Plus sums two counts.
+func (c Counts) Plus(o Counts) Counts {
+	return Counts{Good: c.Good + o.Good, Bad: c.Bad + o.Bad, First: c.First.plus(o.First), Pace: c.Pace.plus(o.Pace)}
 }
 
 // Total is the number of answers.
@@ -72,10 +91,13 @@
 
 // Judge says whether the new version is bad, by what all instances saw of both.
 //
-// Load: a version that fails in a part of its answers, at once, later, or on one route
-// only. Harm prevented: callers who get its answers until a person notices. Recent
+// Load: a version that fails in a part of its answers or is slow, at once, later, or on
+// one route only. Harm prevented: callers who get its answers until a person notices. Recent
 // counts are judged, so that a version that turns bad late is not excused by its start.
 func Judge(fresh, old Counts) bool {
+	if fresh.First.over(firstLimit) || fresh.Pace.over(paceLimit) {
+		return true
+	}
 	if fresh.Bad < judgeAfter {
 		return false
 	}
--- a/decision/passthrough/rollout_test.go
+++ b/decision/passthrough/rollout_test.go
@@ -189,3 +189,50 @@
 		b.tell(Ended{Request: id, Result: Completed})
 	}
 }
+
+// slowBench runs answers of the old and the new version and returns what was told of the
+// new one.
+func slowBench(t *testing.T, fresh func(i int) (first, pace time.Duration)) Counts {
+	b := rolloutBench(t)
+	b.tell(canary(true))
+	var told Counts
+	run := func(share float64, first, pace time.Duration) {
+		id := b.arrive(streamRoute(), func(r *Request) { r.Share = share })
+		b.pass(first)
+		b.tell(FirstByte{Request: id, After: first})
+		for _, c := range b.tell(Ended{Request: id, Result: Completed, Pace: pace}) {
+			if o, ok := c.(Observed); ok && o.Version == "v2" {
+				told = told.Add(o)
+			}
+		}
+	}
+	for i := range 60 {
+		// Times to a first event spread sixfold, by the length of prompts.
+		spread := time.Duration(1 + i%6)
+		run(0.9, 50*time.Millisecond*spread, 40*time.Millisecond)
+		if i%4 == 0 {
+			first, pace := fresh(i)
+			run(0.1, first*spread, pace)
+		}
+	}
+	return told
+}
+
+func TestSlowVersionIsFoundBySpreadTimes(t *testing.T) {
+	tests := []struct {
+		name        string
+		first, pace time.Duration
+		want        bool
+	}{
+		{"like the old one", 50 * time.Millisecond, 40 * time.Millisecond, false},
+		{"cold cache", 90 * time.Millisecond, 45 * time.Millisecond, false},
+		{"eight times as slow to begin", 400 * time.Millisecond, 40 * time.Millisecond, true},
+		{"three times as slow between events", 50 * time.Millisecond, 120 * time.Millisecond, true},
+	}
+	for _, tt := range tests {
+		told := slowBench(t, func(int) (time.Duration, time.Duration) { return tt.first, tt.pace })
+		if got := Judge(told, Counts{Good: 60}); got != tt.want {
+			t.Errorf("%s: judged bad %v, want %v: %+v", tt.name, got, tt.want, told)
+		}
+	}
+}
--- a/router/internal/passthrough/board.go
+++ b/router/internal/passthrough/board.go
@@ -93,17 +93,13 @@
 		return
 	}
 	p := s.Routes[o.Route]
-	c := &p.Old
 	if o.Version == s.Target {
-		c = &p.New
-	}
-	if o.Bad {
-		c.Bad++
+		p.New = p.New.Add(o)
 	} else {
-		c.Good++
+		p.Old = p.Old.Add(o)
 	}
 	s.Routes[o.Route] = p
-	s.dirty = s.dirty || o.Bad && o.Version == s.Target
+	s.dirty = s.dirty || o.Version == s.Target
 }
 
 // crashed counts a crash. It must not block: the driver calls it.
@@ -139,11 +135,7 @@
 	add := func(s *sheet) {
 		for route, p := range s.Routes {
 			sum := sums[route]
-			sum.New.Good += p.New.Good
-			sum.New.Bad += p.New.Bad
-			sum.Old.Good += p.Old.Good
-			sum.Old.Bad += p.Old.Bad
-			sums[route] = sum
+			sums[route] = pair{New: sum.New.Plus(p.New), Old: sum.Old.Plus(p.Old)}
 		}
 	}
 	add(own)
@@ -155,10 +147,7 @@
 		out.elapsed = max(out.elapsed, time.Duration(s.ElapsedMS)*time.Millisecond+now.Sub(s.readAt))
 	}
 	for _, p := range sums {
-		out.fresh.Good += p.New.Good
-		out.fresh.Bad += p.New.Bad
-		out.old.Good += p.Old.Good
-		out.old.Bad += p.Old.Bad
+		out.fresh, out.old = out.fresh.Plus(p.New), out.old.Plus(p.Old)
 		out.bad = out.bad || passthrough.Judge(p.New, p.Old)
 	}
 	out.bad = out.bad || passthrough.Judge(out.fresh, out.old)
--- a/router/internal/passthrough/rollouts.go
+++ b/router/internal/passthrough/rollouts.go
@@ -204,6 +204,7 @@
 	m.journal.emit(logging.EventRolloutEnded, slog.String("service", r.Service), slog.String("target", r.Target),
 		slog.Bool("completed", phase == passthrough.PhaseCompleted), slog.String("how", how),
 		slog.Int("new_good", seen.fresh.Good), slog.Int("new_bad", seen.fresh.Bad),
+		slog.Any("first", seen.fresh.First), slog.Any("pace", seen.fresh.Pace),
 		slog.Int("old_good", seen.old.Good), slog.Int("old_bad", seen.old.Bad))
 }
 
--- a/router/internal/passthrough/stream.go
+++ b/router/internal/passthrough/stream.go
@@ -31,10 +31,10 @@
 // relay hands a stream to the caller, whole events only, as they come.
 func (a *attempt) relay(resp *http.Response, said seam.Answer) outcome {
 	x := a.exchange
+	x.edge.driver.Tell(passthrough.FirstByte{Request: x.ticket.id, After: a.first})
 	if !x.stream.begun && said.Confidence >= 0 && said.Confidence < a.bar {
 		return outcome{result: passthrough.Dropped}
 	}
-	x.edge.driver.Tell(passthrough.FirstByte{Request: x.ticket.id, After: a.first})
 	var held []byte
 	buf := make([]byte, streamBuffer)
 	events := 0
