Sessions keep their version whichever instance they come to

Cause, seen in sessions' log lines: requests of one session go to any instance (104 of 127 to another than before), so a table of one instance cannot tell an open session. Ruled out: giving sessions to the canary never; all model requests have one. Instances now tell each other the open sessions in the canary's share before it gets any, requests that are sent again keep their version, and a reverted version stays out.

--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -57,19 +57,23 @@
 	Count       int
 }
 
+// SessionsOpen names sessions that were open at the old version when an order came.
+type SessionsOpen struct{ Sessions []string }
+
 // RolloutSet says how far a roll-out is.
 type RolloutSet struct{ Rollout Rollout }
 
-func (Configured) event() {}
-func (Listed) event()     {}
-func (Arrived) event()    {}
-func (Left) event()       {}
-func (Waited) event()     {}
-func (Ended) event()      {}
-func (Heard) event()      {}
-func (FirstByte) event()  {}
-func (Crashes) event()    {}
-func (RolloutSet) event() {}
+func (Configured) event()   {}
+func (Listed) event()       {}
+func (Arrived) event()      {}
+func (Left) event()         {}
+func (Waited) event()       {}
+func (Ended) event()        {}
+func (Heard) event()        {}
+func (FirstByte) event()    {}
+func (Crashes) event()      {}
+func (RolloutSet) event()   {}
+func (SessionsOpen) event() {}
 
 // Command is anything that a tick asks for. The set is closed.
 type Command interface{ command() }
--- a/decision/passthrough/place.go
+++ b/decision/passthrough/place.go
@@ -18,6 +18,7 @@
 		r.waiting = false
 	}
 	r.server = s
+	r.version = s.Version
 	r.sent = w.now
 	r.first = 0
 	r.attempts++
@@ -193,7 +194,7 @@
 // started lately may not know yet that the old servers are gone. A bad version gets
 // nothing even then.
 func (w *World) wantedVersion(r *request, ro *Rollout) string {
-	fresh, old := r.service.versions(ro.Target)
+	fresh, old := w.versions(r.service, ro.Target)
 	switch {
 	case ro.Phase == PhaseReverted, w.wantsNew(r, ro) && fresh == 0:
 		return ""
@@ -204,10 +205,10 @@
 }
 
 // versions counts the servers that do not leave, at the version and at others.
-func (s *service) versions(target string) (at, others int) {
+func (w *World) versions(s *service, target string) (at, others int) {
 	for _, srv := range s.servers {
 		switch {
-		case srv.gone || srv.Draining:
+		case srv.gone, srv.Draining, w.barred[versionKey{srv.Service, srv.Version}]:
 		case srv.Version == target:
 			at++
 		default:
@@ -217,12 +218,15 @@
 	return at, others
 }
 
-// fitting says of a server whether it has the version that the request goes to.
+// fitting says of a server whether it has the version that the request goes to. A version
+// that was reverted stays out while another one is rolled out: its servers leave late.
 func (w *World) fitting(r *request) func(*server) bool {
 	ro := w.rollouts[r.service.name]
 	if ro == nil {
 		return func(*server) bool { return true }
 	}
 	wants := w.wantedVersion(r, ro)
-	return func(s *server) bool { return (s.Version == ro.Target) == (wants == ro.Target) }
+	return func(s *server) bool {
+		return (s.Version == ro.Target) == (wants == ro.Target) && !w.barred[versionKey{s.Service, s.Version}]
+	}
 }
--- a/decision/passthrough/rollout.go
+++ b/decision/passthrough/rollout.go
@@ -35,6 +35,9 @@
 	Share float64
 	// FirstHalf says that open sessions still stay at the old version.
 	FirstHalf bool
+	// Opening says that the instances still tell each other which sessions are open; the
+	// new version gets none meanwhile.
+	Opening bool
 }
 
 // Counts are the answers of one version, by all instances.
@@ -76,6 +79,11 @@
 	// rampAt is the part of the duration after which the new version gets all new
 	// work: a bad one shows within seconds, and the old servers need the rest to finish.
 	rampAt = 0.56
+	// openingMost is how long the instances take to tell each other the open sessions: a
+	// write and a read of each, a second apart.
+	openingMost = 3 * time.Second
+	// openingPart bounds that in short roll-outs.
+	openingPart = 0.2
 	// completeAt is the part after which the roll-out is completed: late enough for
 	// streams of ten seconds at the old servers to end.
 	completeAt = 0.9
@@ -113,6 +121,7 @@
 		part = float64(elapsed) / float64(o.Duration)
 	}
 	r.FirstHalf = part < 0.5
+	r.Opening = elapsed < min(openingMost, time.Duration(openingPart*float64(o.Duration)))
 	switch {
 	case bad:
 		r.Phase, r.Share = PhaseReverted, 0
@@ -128,17 +137,21 @@
 // the platform's own bound: clocks differ, and an answer may end late.
 const sessionMemory = 2 * time.Second
 
-// sessionRow is the version that a session last ran on.
+// sessionRow is where a session last ran.
 type sessionRow struct {
+	service string
 	version string
+	share   float64
 	until   time.Time
 }
 
 // wantsNew says whether a request goes to the roll-out's target.
 //
-// Sessions that are open when the order comes stay at the old version through the first
-// half; one that began at the new version stays there. An instance that started lately
-// can not know which sessions are open, and gives the canary none of them until it can.
+// Load: sessions whose requests come to any instance, during an order. Harm prevented: a
+// session that changes its version midway. Sessions that are open when the order comes
+// stay at the old version through the first half: the instances tell each other those in
+// the canary's share, a few each, before it gets any. All others in the share belong to
+// the new version, by a hash that is alike everywhere, and stay there.
 func (w *World) wantsNew(r *request, ro *Rollout) bool {
 	switch ro.Phase {
 	case PhaseCompleted, PhaseRamp:
@@ -146,16 +159,19 @@
 	case PhaseReverted:
 		return false
 	}
+	if r.version != "" {
+		return r.version == ro.Target // it has begun, maybe before the order
+	}
 	if r.Session == "" {
 		return r.Share < ro.Share
 	}
+	if ro.Opening || w.keptOld[r.Session] {
+		return false
+	}
 	row, known := w.sessions.Get(r.Session)
-	if known && w.now.Before(row.until) {
+	if known && w.now.Before(row.until) && row.service == r.service.name {
 		return row.version == ro.Target
 	}
-	if w.now.Sub(w.started) < w.cfg.SessionLife+sessionMemory {
-		return false
-	}
 	return r.Share < ro.Share
 }
 
@@ -165,5 +181,31 @@
 		return
 	}
 	until := r.Deadline.Add(w.cfg.SessionLife + sessionMemory)
-	w.sessions.Add(r.Session, sessionRow{version: version, until: until})
+	w.sessions.Add(r.Session, sessionRow{service: r.service.name, version: version, share: r.Share, until: until})
+}
+
+// OpenSessions lists the sessions of a service that may be open at another version than
+// the target, in the share.
+func (w *World) OpenSessions(service, target string, share float64) []string {
+	var out []string
+	for _, id := range w.sessions.Keys() {
+		row, ok := w.sessions.Peek(id)
+		if ok && row.service == service && row.version != target && row.share < share && w.now.Before(row.until) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// keptLimit bounds the sessions that are kept at the old version in all roll-outs.
+const keptLimit = 1 << 16
+
+// keepOld takes in sessions that other instances saw open.
+func (w *World) keepOld(sessions []string) {
+	if len(w.keptOld) > keptLimit {
+		clear(w.keptOld)
+	}
+	for _, id := range sessions {
+		w.keptOld[id] = true
+	}
 }
--- a/decision/passthrough/rollout_test.go
+++ b/decision/passthrough/rollout_test.go
@@ -118,7 +118,6 @@
 		b.tell(Ended{Request: id, Result: Completed})
 		return v
 	}
-	b.world.started = b.now.Add(-time.Minute)
 	for i := range 10 {
 		b.tell(RolloutSet{Rollout{Order: Order{Service: "llm", Target: "v2"}, Phase: PhaseReverted}})
 		run(fmt.Sprint("open-", i))
@@ -140,15 +139,36 @@
 	}
 }
 
-func TestFreshInstanceGivesTheCanaryNoSessions(t *testing.T) {
+func TestNoSessionMovesBeforeTheOpenOnesAreKnown(t *testing.T) {
 	b := rolloutBench(t)
-	b.tell(canary(true))
+	set := canary(true)
+	set.Rollout.Opening = true
+	b.tell(set)
 	id := b.arrive(streamRoute(), func(r *Request) { r.Session, r.Share = "s", 0.01 })
 	if v := b.dispatched(id).Server.Version; v != "v1" {
 		t.Errorf("a session that may be open went to %s", v)
 	}
 }
 
+// TestSessionOpenAtAnotherInstanceStays holds for sessions whose requests come to any
+// instance.
+func TestSessionOpenAtAnotherInstanceStays(t *testing.T) {
+	there, here := rolloutBench(t), rolloutBench(t)
+	in := func(r *Request) { r.Session, r.Share = "s", 0.01 }
+	there.tell(RolloutSet{Rollout{Order: Order{Service: "llm", Target: "v2"}, Phase: PhaseReverted}})
+	there.arrive(streamRoute(), in)
+	there.arrive(streamRoute(), func(r *Request) { r.Session, r.Share = "outside", 0.5 })
+	open := there.world.OpenSessions("llm", "v2", 0.2)
+	if len(open) != 1 || open[0] != "s" {
+		t.Fatalf("open sessions in the share: %v", open)
+	}
+	here.tell(canary(true))
+	here.tell(SessionsOpen{Sessions: open})
+	if v := here.dispatched(here.arrive(streamRoute(), in)).Server.Version; v != "v1" {
+		t.Errorf("moved to %s", v)
+	}
+}
+
 func TestRevertedVersionGetsNothing(t *testing.T) {
 	b := rolloutBench(t)
 	b.tell(RolloutSet{Rollout{Order: Order{Service: "llm", Target: "v2"}, Phase: PhaseReverted}})
@@ -236,3 +256,35 @@
 		}
 	}
 }
+
+// TestRequestKeepsItsVersionWhenTheOrderComes holds for a request that is sent again, here
+// to a larger model, after an order that came while it ran.
+func TestRequestKeepsItsVersionWhenTheOrderComes(t *testing.T) {
+	b := rolloutBench(t)
+	b.tell(RolloutSet{Rollout{Order: Order{Service: "llm", Target: "v2"}, Phase: PhaseReverted}})
+	id := b.arrive(streamRoute(), func(r *Request) { r.Share = 0 })
+	b.dispatched(id)
+	b.tell(canary(true))
+	b.tell(Ended{Request: id, Result: Dropped})
+	if v := b.dispatched(id).Server.Version; v != "v1" {
+		t.Errorf("moved to %s", v)
+	}
+}
+
+// TestRevertedVersionStaysOutOfTheNextRollout holds while the servers of a reverted version
+// are still there when the next order comes.
+func TestRevertedVersionStaysOutOfTheNextRollout(t *testing.T) {
+	b := newBench(t, Settings{})
+	b.configure(streamRoute())
+	list := servers("llm", 6, 50)
+	list[2].Version, list[3].Version, list[4].Version, list[5].Version = "v2", "v2", "v3", "v3"
+	b.tell(Listed{list}, RolloutSet{Rollout{Order: Order{Service: "llm", Target: "v2"}, Phase: PhaseReverted}})
+	b.tell(RolloutSet{Rollout{Order: Order{Service: "llm", Target: "v3"}, Phase: PhaseCanary, Share: 0.2}})
+	for i := range 50 {
+		id := b.arrive(streamRoute(), func(r *Request) { r.Share = float64(i) / 50 })
+		if v := b.dispatched(id).Server.Version; v == "v2" {
+			t.Fatal("sent to the reverted version")
+		}
+		b.tell(Ended{Request: id, Result: Completed})
+	}
+}
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -34,9 +34,13 @@
 	services map[string]*service
 	requests map[RequestID]*request
 	rollouts map[string]*Rollout
+	// barred are the versions that were reverted, by service.
+	barred   map[versionKey]bool
 	sessions *simplelru.LRU[string, sessionRow]
-	crashes  crashes
-	routes   map[string]*routeStats
+	// keptOld are sessions that stay at the old version in a roll-out's first half.
+	keptOld map[string]bool
+	crashes crashes
+	routes  map[string]*routeStats
 
 	started time.Time
 	now     time.Time
@@ -47,6 +51,9 @@
 	drawn []*server
 }
 
+// versionKey names a version of a service's software.
+type versionKey struct{ service, version string }
+
 // service is the backend servers of one name with the requests that wait for them.
 type service struct {
 	name    string
@@ -86,6 +93,8 @@
 	Request
 	service *service
 	server  *server
+	// version is that of the server it was sent to last.
+	version string
 	arrived time.Time
 	sent    time.Time
 	// attempts counts dispatches that reached a backend server, tries all.
@@ -119,7 +128,9 @@
 		services: map[string]*service{},
 		requests: map[RequestID]*request{},
 		rollouts: map[string]*Rollout{},
+		barred:   map[versionKey]bool{},
 		sessions: sessions,
+		keptOld:  map[string]bool{},
 		crashes:  newCrashes(),
 		routes:   map[string]*routeStats{},
 	}
@@ -163,6 +174,8 @@
 		w.firstByte(e)
 	case Crashes:
 		w.crashes.broke(e.Fingerprint, e.Count, w.now)
+	case SessionsOpen:
+		w.keepOld(e.Sessions)
 	case RolloutSet:
 		w.setRollout(e.Rollout)
 	}
@@ -171,6 +184,15 @@
 func (w *World) emit(c Command) { w.out = append(w.out, c) }
 
 func (w *World) setRollout(r Rollout) {
+	if old := w.rollouts[r.Service]; old == nil || old.Order != r.Order {
+		clear(w.keptOld)
+	}
+	key := versionKey{r.Service, r.Target}
+	if r.Phase == PhaseReverted {
+		w.barred[key] = true
+	} else {
+		delete(w.barred, key)
+	}
 	w.rollouts[r.Service] = &r
 	w.free(w.serviceOf(r.Service))
 }
--- a/router/internal/passthrough/board.go
+++ b/router/internal/passthrough/board.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -44,6 +45,9 @@
 	ElapsedMS int64 `json:"elapsed_ms"`
 	// Routes are the counts by route.
 	Routes map[string]pair `json:"routes"`
+	// Sessions are those that were open at the old version when the order came, in the
+	// canary's share.
+	Sessions []string `json:"sessions,omitempty"`
 	// Crash and Times are set in a sheet on a request that crashes servers.
 	Crash uint64 `json:"crash,omitempty"`
 	Times int    `json:"times,omitempty"`
@@ -155,6 +159,22 @@
 	return out
 }
 
+// open adds the sessions that are open here to the own sheet.
+func (b *board) open(service string, sessions []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.own[service]
+	if s == nil {
+		return
+	}
+	for _, id := range sessions {
+		if !slices.Contains(s.Sessions, id) {
+			s.Sessions = append(s.Sessions, id)
+			s.dirty = true
+		}
+	}
+}
+
 // tail follows the others' sheets.
 func (b *board) tail(clock Clock, active func() bool) *tail {
 	t := &tail{
@@ -196,6 +216,9 @@
 		b.driver.Tell(passthrough.Crashes{Fingerprint: s.Crash, Count: s.Times})
 		return
 	}
+	if len(s.Sessions) > 0 {
+		b.driver.Tell(passthrough.SessionsOpen{Sessions: s.Sessions})
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s.readAt = b.clock.Now()
--- a/router/internal/passthrough/driver.go
+++ b/router/internal/passthrough/driver.go
@@ -66,6 +66,14 @@
 	d.tick(events...)
 }
 
+// openSessions lists a service's sessions that may be open at another version than the
+// target, in the share.
+func (d *Driver) openSessions(service, target string, share float64) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.world.OpenSessions(service, target, share)
+}
+
 // Load counts the requests that wait and that run.
 func (d *Driver) Load() (waiting, running int) {
 	d.mu.Lock()
--- a/router/internal/passthrough/journal.go
+++ b/router/internal/passthrough/journal.go
@@ -24,6 +24,7 @@
 	keyRequest = "request"
 	keyRoute   = "route"
 	keyTeam    = "team"
+	keySession = "session"
 	keyServer  = "server"
 	keyReason  = "reason"
 	keyVersion = "config"
@@ -42,6 +43,9 @@
 	if c.team != nil {
 		out = append(out, slog.String(keyTeam, c.team.Name))
 	}
+	if c.caller.Session != "" {
+		out = append(out, slog.String(keySession, c.caller.Session))
+	}
 	if index := j.known.Index(); index != nil {
 		out = append(out, slog.Uint64(keyVersion, index.Version), slog.Int64(keyAge, j.known.Age().Milliseconds()))
 	}
--- a/router/internal/passthrough/rollouts.go
+++ b/router/internal/passthrough/rollouts.go
@@ -65,7 +65,7 @@
 	r := &rollout{Order: o, offset: offset, since: m.clock.Now()}
 	// Until the register was read, the new version gets nothing: an instance that starts
 	// in the middle of a roll-out knows neither its phase nor the open sessions.
-	r.plan = passthrough.Rollout{Order: o, Phase: passthrough.PhaseCanary, FirstHalf: true}
+	r.plan = passthrough.Rollout{Order: o, Phase: passthrough.PhaseCanary, FirstHalf: true, Opening: true}
 	m.open[o.Service] = r
 	m.driver.Tell(passthrough.RolloutSet{Rollout: r.plan})
 	m.journal.emit(logging.EventRolloutOrdered, slog.String("service", o.Service),
@@ -127,6 +127,9 @@
 	seen := m.board.view(r, now)
 	elapsed := max(now.Sub(r.since), seen.elapsed)
 	plan := passthrough.Plan(r.Order, elapsed, m.share, seen.bad)
+	if plan.Opening {
+		m.board.open(r.Service, m.driver.openSessions(r.Service, r.Target, plan.Share))
+	}
 	if plan.Phase == passthrough.PhaseCompleted && !m.mayComplete(r) {
 		plan.Phase = passthrough.PhaseRamp
 	}
