--- a/decision/passthrough/place.go
+++ b/decision/passthrough/place.go
@@ -79,10 +79,7 @@
 // shared prompt names, so that all instances agree without a word, and on to the next by
 // the hash once that one has more than its part.
 func (w *World) pick(r *request) *server {
-	list := w.candidates(r, true)
-	if len(list) == 0 {
-		list = w.candidates(r, false)
-	}
+	list := w.candidates(r)
 	if len(list) == 0 {
 		return nil
 	}
@@ -92,24 +89,33 @@
 	return w.pickByLoad(list)
 }
 
-// candidates lists the servers that may take the request and have a free place; fresh
-// leaves out those that were tried.
-func (w *World) candidates(r *request, fresh bool) []*server {
-	w.drawn = w.drawn[:0]
+// candidates lists the servers that may take the request and have a free place. Sick ones
+// are left out, and those that the request has tried, as long as others are there: where
+// all look sick, it is the requests or the network, and a try is better than a refusal.
+func (w *World) candidates(r *request) []*server {
 	fits := w.fitting(r)
+	var spare, last []*server
+	w.drawn = w.drawn[:0]
 	for _, s := range r.service.servers {
-		if !s.usable(w.now) || !s.hasRoom(w.now) {
-			continue
-		}
-		if fresh && slices.Contains(r.tried, s) {
+		if !s.usable(w.now) || !s.hasRoom(w.now) || !fits(s) {
 			continue
 		}
-		if !fits(s) {
-			continue
+		switch tried := slices.Contains(r.tried, s); {
+		case !tried && !s.health.barred(w.now):
+			w.drawn = append(w.drawn, s)
+		case !tried:
+			spare = append(spare, s)
+		default:
+			last = append(last, s)
 		}
-		w.drawn = append(w.drawn, s)
 	}
-	return w.drawn
+	switch {
+	case len(w.drawn) > 0:
+		return w.drawn
+	case len(spare) > 0:
+		return spare
+	}
+	return last
 }
 
 // hasRoom says whether the server can take one more.
--- a/decision/passthrough/place_test.go
+++ b/decision/passthrough/place_test.go
@@ -174,3 +174,14 @@
 		t.Errorf("the slow server got %.2f of the requests: %v", part, got)
 	}
 }
+
+func TestSickServersAreUsedWhereAllAreSick(t *testing.T) {
+	b := newBench(t, Settings{})
+	b.configure(onceRoute())
+	b.tell(Listed{servers("shop", 1, 6)})
+	for range 10 {
+		id := b.arrive(onceRoute(), nil)
+		b.dispatched(id)
+		b.tell(Ended{Request: id, Result: Failed})
+	}
+}
--- a/decision/passthrough/servers.go
+++ b/decision/passthrough/servers.go
@@ -102,9 +102,9 @@
 	return own + max(others, 0)
 }
 
-// usable says whether the server may get new work.
+// usable says whether the server may get new work, sick or not.
 func (s *server) usable(now time.Time) bool {
-	return !s.gone && !s.Draining && !now.Before(s.shutUntil) && !s.health.barred(now)
+	return !s.gone && !s.Draining && !now.Before(s.shutUntil)
 }
 
 // mix spreads the bits of a hash (the finalizer of MurmurHash3).
