Roll-outs stay inside the exposure that a bad version may have, to the end

Ruled out: more canary, which shows no more while its servers idle. The canary goes to as many servers as its share is, so that they have load like the rest; the longest routes turn to the new version first, as late as the old servers need to finish, within what the limit leaves.

--- a/decision/passthrough/cascade.go
+++ b/decision/passthrough/cascade.go
@@ -4,6 +4,8 @@
 type routeStats struct {
 	// first is the mean logarithm of the time to the first event, by size.
 	first map[int]*mean
+	// took is the mean time to the whole answer, from the request's arrival, in seconds.
+	took mean
 }
 
 func (w *World) stats(route string) *routeStats {
--- a/decision/passthrough/place.go
+++ b/decision/passthrough/place.go
@@ -232,7 +232,32 @@
 		return func(*server) bool { return true }
 	}
 	wants := w.wantedVersion(r, ro)
+	least := uint64(0)
+	if wants == ro.Target && ro.Phase == PhaseCanary && !w.leads(r, ro) {
+		least = w.canaryServers(r.service, ro)
+	}
 	return func(s *server) bool {
-		return (s.Version == ro.Target) == (wants == ro.Target) && !w.barred[versionKey{s.Service, s.Version}]
+		return (s.Version == ro.Target) == (wants == ro.Target) && s.hash >= least &&
+			!w.barred[versionKey{s.Service, s.Version}]
+	}
+}
+
+// canaryServers is the least hash of the servers that the canary's share goes to: as many
+// of the new ones as the share is of all requests.
+//
+// Load: a version that fails only under load, with a small share on as many servers as
+// the whole traffic has. Harm prevented: a canary that shows nothing, as its servers idle.
+func (w *World) canaryServers(s *service, ro *Rollout) uint64 {
+	var hashes []uint64
+	for _, srv := range s.servers {
+		if srv.Version == ro.Target && srv.usable(w.now) {
+			hashes = append(hashes, srv.hash)
+		}
+	}
+	if len(hashes) == 0 {
+		return 0
 	}
+	slices.Sort(hashes)
+	count := max(int(math.Ceil(ro.Share*float64(len(hashes)))), 1)
+	return hashes[max(len(hashes)-count, 0)]
 }
--- a/decision/passthrough/requests.go
+++ b/decision/passthrough/requests.go
@@ -166,6 +166,7 @@
 	case Completed:
 		w.crashes.answered(r.Fingerprint)
 		r.service.pace.drain.ended(w.now)
+		w.stats(r.Route.Name).took.add(w.now.Sub(r.arrived).Seconds())
 		w.drop(r)
 	case Dropped:
 		r.escalated = true
--- a/decision/passthrough/rollout.go
+++ b/decision/passthrough/rollout.go
@@ -6,10 +6,9 @@
 type Phase uint8
 
 const (
-	// PhaseCanary gives the new version a small share.
+	// PhaseCanary gives the new version a small share, and at its end all new work, so
+	// that none is left at the old version when the roll-out is completed.
 	PhaseCanary Phase = iota + 1
-	// PhaseRamp gives it all new work, so that none is left at the old one.
-	PhaseRamp
 	// PhaseCompleted is the end of a good version's roll-out.
 	PhaseCompleted
 	// PhaseReverted is the end of a bad version's.
@@ -35,6 +34,10 @@
 	Share float64
 	// FirstHalf says that open sessions still stay at the old version.
 	FirstHalf bool
+	// CompleteAt is when it is to be completed, and LeadMost bounds how long before that
+	// requests go to the new version already.
+	CompleteAt time.Time
+	LeadMost   time.Duration
 	// Opening says that the instances still tell each other which sessions are open; the
 	// new version gets none meanwhile.
 	Opening bool
@@ -73,20 +76,23 @@
 func (c Counts) badShare() float64 { return (float64(c.Bad) + 0.5) / (float64(c.Total()) + 1) }
 
 const (
-	// canaryPart is the canary's part of the share that the platform allows: what is
-	// left pays for the ramp, should the version turn bad only then.
-	canaryPart = 0.55
-	// rampAt is the part of the duration after which the new version gets all new
-	// work: a bad one shows within seconds, and the old servers need the rest to finish.
-	rampAt = 0.56
+	// canaryPart is the canary's part of the share that the platform allows: most of that
+	// is needed at the end, when all new work goes to the new version.
+	canaryPart = 0.3
 	// openingMost is how long the instances take to tell each other the open sessions: a
 	// write and a read of each, a second apart.
 	openingMost = 3 * time.Second
 	// openingPart bounds that in short roll-outs.
 	openingPart = 0.2
-	// completeAt is the part after which the roll-out is completed: late enough for
-	// streams of ten seconds at the old servers to end.
-	completeAt = 0.9
+	// completeBefore is how long before the deadline the end is written: time for two
+	// tries at a store that is slow.
+	completeBefore = time.Second
+	// tolerancePart is the part of the tolerated number of requests that is used: what
+	// all instances saw is known a second late.
+	tolerancePart = 0.6
+	// leadFactor stretches the time for which all requests could go to the new version:
+	// those of short routes turn to it later than that.
+	leadFactor = 1.35
 	// judgeAfter is the number of bad answers below which nothing is judged: single
 	// failures happen to good versions too.
 	judgeAfter = 5
@@ -112,27 +118,45 @@
 	return fresh.badShare() > badFloor+badFactor*old.badShare()
 }
 
-// Plan says how far a roll-out is after the time elapsed since its order. canaryShare is
-// the part of all requests that a bad version may get.
-func Plan(o Order, elapsed time.Duration, canaryShare float64, bad bool) Rollout {
-	r := Rollout{Order: o, Phase: PhaseCanary, Share: canaryShare * canaryPart}
-	part := 1.0
-	if o.Duration > 0 {
-		part = float64(elapsed) / float64(o.Duration)
-	}
-	r.FirstHalf = part < 0.5
+// Exposure bounds the requests that a version may get before its roll-out's deadline, be
+// it good or bad: whether it is bad may show only under the whole load.
+type Exposure struct {
+	// Share of all requests, and Tolerance beside it.
+	Share     float64
+	Tolerance float64
+}
+
+// Plan says how far a roll-out is after the time elapsed since its order, by what all
+// instances saw of both versions.
+func Plan(o Order, now time.Time, elapsed time.Duration, limit Exposure, fresh, old Counts, bad bool) Rollout {
+	complete := max(o.Duration-completeBefore, o.Duration/2)
+	r := Rollout{Order: o, Phase: PhaseCanary, Share: limit.Share * canaryPart}
+	r.FirstHalf = elapsed < o.Duration/2
 	r.Opening = elapsed < min(openingMost, time.Duration(openingPart*float64(o.Duration)))
+	r.CompleteAt = now.Add(complete - elapsed)
+	r.LeadMost = lead(o, elapsed, limit, fresh, old)
 	switch {
 	case bad:
 		r.Phase, r.Share = PhaseReverted, 0
-	case part >= completeAt:
+	case elapsed >= complete:
 		r.Phase, r.Share = PhaseCompleted, 1
-	case part >= rampAt:
-		r.Phase, r.Share = PhaseRamp, 1
 	}
 	return r
 }
 
+// lead is how long before the end all requests may go to the new version, so that it gets
+// no more than the limit allows up to the deadline.
+func lead(o Order, elapsed time.Duration, limit Exposure, fresh, old Counts) time.Duration {
+	total := fresh.Total() + old.Total()
+	if total == 0 || elapsed <= 0 {
+		return 0
+	}
+	rate := float64(total) / elapsed.Seconds()
+	allowed := limit.Share*rate*o.Duration.Seconds() + tolerancePart*limit.Tolerance - float64(fresh.Total())
+	spare := time.Duration(allowed/rate*float64(time.Second)) - completeBefore
+	return max(time.Duration(leadFactor*float64(spare)), 0)
+}
+
 // sessionMemory is how long a session's version is kept after its last request, beyond
 // the platform's own bound: clocks differ, and an answer may end late.
 const sessionMemory = 2 * time.Second
@@ -153,11 +177,13 @@
 // the canary's share, a few each, before it gets any. All others in the share belong to
 // the new version, by a hash that is alike everywhere, and stay there.
 func (w *World) wantsNew(r *request, ro *Rollout) bool {
-	switch ro.Phase {
-	case PhaseCompleted, PhaseRamp:
+	switch {
+	case ro.Phase == PhaseCompleted:
 		return true
-	case PhaseReverted:
+	case ro.Phase == PhaseReverted:
 		return false
+	case w.leads(r, ro):
+		return true
 	}
 	if r.version != "" {
 		return r.version == ro.Target // it has begun, maybe before the order
@@ -175,6 +201,21 @@
 	return r.Share < ro.Share
 }
 
+// leads says whether the request goes to the new version since it would still run at the
+// old one when the roll-out is completed.
+//
+// Load: streams of many seconds at servers that stop at once. Harm prevented: their
+// answers cut. The longest turn first, and nothing sooner than it must, since the new
+// version may yet turn out bad.
+func (w *World) leads(r *request, ro *Rollout) bool {
+	if ro.FirstHalf || ro.CompleteAt.IsZero() {
+		return false
+	}
+	const stretch = 1.3 // half of the answers take longer than the mean
+	took := time.Duration(stretch * w.stats(r.Route.Name).took.value * float64(time.Second))
+	return !w.now.Before(ro.CompleteAt.Add(-min(took, ro.LeadMost)))
+}
+
 // noteSession keeps the version that the session runs on.
 func (w *World) noteSession(r *request, version string) {
 	if r.Session == "" {
--- a/decision/passthrough/seam/settings.go
+++ b/decision/passthrough/seam/settings.go
@@ -41,6 +41,8 @@
 	RetryWindow time.Duration
 	// CanaryShare is the part of a service's requests that a bad version may get.
 	CanaryShare float64
+	// CanaryTolerance is the number of requests that it may get beside that.
+	CanaryTolerance float64
 	// Rollback bounds how long a bad version gets requests once it is known.
 	Rollback time.Duration
 	// SessionLife is how long after its last request a session goes on.
--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -112,7 +112,7 @@
 }
 
 func provideRollouts(p Platform, cfg seam.Settings, d *Driver, l *list, b *board, j *journal, c Clock) *rollouts {
-	return newRollouts(p.Records, p.Store.Status(), d, l, b, j, c, cfg.Bounds.CanaryShare)
+	return newRollouts(p.Records, p.Store.Status(), d, l, b, j, c, passthrough.Exposure{Share: cfg.Bounds.CanaryShare, Tolerance: cfg.Bounds.CanaryTolerance})
 }
 
 func provideEdge(p Platform, k *Knowledge, d *Driver, dial *dialer, c Clock, j *journal) *Edge {
--- a/router/internal/passthrough/rollouts.go
+++ b/router/internal/passthrough/rollouts.go
@@ -22,8 +22,8 @@
 	board   *board
 	journal *journal
 	clock   Clock
-	// share is the part of the requests that a bad version may get.
-	share float64
+	// limit bounds the requests that a version may get before its deadline.
+	limit passthrough.Exposure
 
 	mu   sync.Mutex
 	open map[string]*rollout
@@ -46,12 +46,12 @@
 
 // rolloutEvery is how often open roll-outs are looked at: a bad version must be out within
 // seconds of its 50th bad answer.
-const rolloutEvery = 500 * time.Millisecond
+const rolloutEvery = 400 * time.Millisecond
 
-func newRollouts(records Records, status keyedlog.Log, driver *Driver, l *list, b *board, j *journal, clock Clock, share float64) *rollouts {
+func newRollouts(records Records, status keyedlog.Log, driver *Driver, l *list, b *board, j *journal, clock Clock, limit passthrough.Exposure) *rollouts {
 	return &rollouts{
 		records: records, status: status, driver: driver, list: l, board: b, journal: j, clock: clock,
-		share: share, open: map[string]*rollout{}, wake: make(chan struct{}, 1),
+		limit: limit, open: map[string]*rollout{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -126,12 +126,12 @@
 	now := m.clock.Now()
 	seen := m.board.view(r, now)
 	elapsed := max(now.Sub(r.since), seen.elapsed)
-	plan := passthrough.Plan(r.Order, elapsed, m.share, seen.bad)
+	plan := passthrough.Plan(r.Order, now, elapsed, m.limit, seen.fresh, seen.old, seen.bad)
 	if plan.Opening {
 		m.board.open(r.Service, m.driver.openSessions(r.Service, r.Target, plan.Share))
 	}
 	if plan.Phase == passthrough.PhaseCompleted && !m.mayComplete(r) {
-		plan.Phase = passthrough.PhaseRamp
+		plan.Phase = passthrough.PhaseCanary
 	}
 	if plan.Phase.Ended() || !r.announced || now.Sub(r.looked) > lookEvery {
 		plan = m.register(ctx, r, plan, seen)
@@ -194,7 +194,7 @@
 // write: a bad version gets nothing already, a good one is not completed yet.
 func (m *rollouts) undecided(_ *rollout, plan passthrough.Rollout) passthrough.Rollout {
 	if plan.Phase == passthrough.PhaseCompleted {
-		plan.Phase = passthrough.PhaseRamp
+		plan.Phase = passthrough.PhaseCanary
 	}
 	return plan
 }
@@ -216,9 +216,14 @@
 	if plan == r.plan {
 		return
 	}
+	step := plan.Phase != r.plan.Phase || plan.FirstHalf != r.plan.FirstHalf || plan.Opening != r.plan.Opening
 	r.plan = plan
 	m.driver.Tell(passthrough.RolloutSet{Rollout: plan})
+	if !step {
+		return
+	}
 	m.journal.emit(logging.EventRolloutStep, slog.String("service", r.Service), slog.String("target", r.Target),
 		slog.Int("phase", int(plan.Phase)), slog.Float64("share", plan.Share), slog.Bool("first_half", plan.FirstHalf),
+		slog.Int64("lead_ms", plan.LeadMost.Milliseconds()),
 		slog.Int("new_good", seen.fresh.Good), slog.Int("new_bad", seen.fresh.Bad))
 }
