--- a/router/internal/cli/reportcmd/reportcmd.go
+++ b/router/internal/cli/reportcmd/reportcmd.go
@@ -8,6 +8,7 @@
 
 	"masticplank.example/router/internal/cli"
 	"masticplank.example/router/internal/report"
+	"masticplank.example/router/internal/report/page"
 )
 
 // New returns the command "report" with its subcommands.
@@ -63,7 +64,7 @@
 	case cli.OutputJSON:
 		return cli.WriteJSON(cmd.OutOrStdout(), r)
 	case cli.OutputHTML:
-		return r.WriteHTML(cmd.OutOrStdout())
+		return page.WriteHTML(cmd.OutOrStdout(), r)
 	default:
 		return r.WriteText(cmd.OutOrStdout())
 	}
--- /dev/null
+++ b/router/internal/passthrough/fakes_test.go
@@ -0,0 +1,189 @@
+package passthrough
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"masticplank.example/coordination/keyedlog"
+	"masticplank.example/decision/passthrough"
+)
+
+// fakeClock is set by the test.
+type fakeClock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func newFakeClock() *fakeClock { return &fakeClock{now: time.Unix(5000, 0)} }
+
+func (c *fakeClock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *fakeClock) pass(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
+
+// fakeLog is a topic in memory.
+type fakeLog struct {
+	mu      sync.Mutex
+	records []keyedlog.Record
+	first   uint64
+	// read, newest and appended are errors of the next calls.
+	read, newest, appended []error
+	// lose does the next append and gives the error all the same.
+	lose bool
+	// beforeAppend runs before an append, once.
+	beforeAppend func()
+}
+
+func next(errs *[]error) error {
+	if len(*errs) == 0 {
+		return nil
+	}
+	err := (*errs)[0]
+	*errs = (*errs)[1:]
+	return err
+}
+
+func (l *fakeLog) Read(_ context.Context, from uint64, _ time.Duration) (keyedlog.Batch, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := next(&l.read); err != nil {
+		return keyedlog.Batch{}, err
+	}
+	if from < l.first {
+		return keyedlog.Batch{}, keyedlog.ErrGone
+	}
+	out := keyedlog.Batch{Next: uint64(len(l.records))}
+	out.Records = append(out.Records, l.records[from:]...)
+	return out, nil
+}
+
+func (l *fakeLog) Newest(context.Context) (keyedlog.Snapshot, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := next(&l.newest); err != nil {
+		return keyedlog.Snapshot{}, err
+	}
+	last := map[string]keyedlog.Record{}
+	for _, r := range l.records {
+		last[r.Key] = r
+	}
+	out := keyedlog.Snapshot{Next: uint64(len(l.records))}
+	for _, r := range l.records {
+		if last[r.Key].Offset == r.Offset && len(r.Value) > 0 {
+			out.Records = append(out.Records, r)
+		}
+	}
+	return out, nil
+}
+
+func (l *fakeLog) Append(_ context.Context, at uint64, records ...keyedlog.Record) error {
+	l.mu.Lock()
+	hook := l.beforeAppend
+	l.beforeAppend = nil
+	l.mu.Unlock()
+	if hook != nil {
+		hook()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	err := next(&l.appended)
+	if err != nil && !l.lose {
+		return err
+	}
+	if at != keyedlog.Anywhere && at != uint64(len(l.records)) {
+		return keyedlog.ErrMoved
+	}
+	for _, r := range records {
+		r.Offset = uint64(len(l.records))
+		l.records = append(l.records, r)
+	}
+	return err
+}
+
+func (l *fakeLog) put(key, value string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.records = append(l.records, keyedlog.Record{Key: key, Value: []byte(value), Offset: uint64(len(l.records))})
+}
+
+// fakeRecords reads records of words: "config VERSION", "order SERVICE TARGET SECONDS",
+// "server SERVICE VERSION ready|draining", "status TARGET PHASE".
+type fakeRecords struct{}
+
+func (fakeRecords) Config(r keyedlog.Record) (c passthrough.Config, ok bool, err error) {
+	if r.Key != "config" {
+		return c, false, nil
+	}
+	_, err = fmt.Sscanf(string(r.Value), "config %d", &c.Version)
+	return c, true, err
+}
+
+func (fakeRecords) Order(r keyedlog.Record) (o passthrough.Order, ok bool, err error) {
+	if !strings.HasPrefix(r.Key, "order/") {
+		return o, false, nil
+	}
+	secs := 0
+	_, err = fmt.Sscanf(string(r.Value), "order %s %s %d", &o.Service, &o.Target, &secs)
+	o.Duration = time.Duration(secs) * time.Second
+	return o, true, err
+}
+
+func (fakeRecords) Server(r keyedlog.Record) (passthrough.Server, error) {
+	s := passthrough.Server{ID: r.Key, Address: "127.0.0.1:1", Slots: 4, Born: 1}
+	state := ""
+	_, err := fmt.Sscanf(string(r.Value), "server %s %s %s", &s.Service, &s.Version, &state)
+	s.Draining = state == "draining"
+	return s, err
+}
+
+func (fakeRecords) Status(r keyedlog.Record) (service, target string, phase passthrough.Phase, ok bool, err error) {
+	service, ok = strings.CutPrefix(r.Key, "status/")
+	if !ok {
+		return "", "", 0, false, nil
+	}
+	_, err = fmt.Sscanf(string(r.Value), "status %s %d", &target, &phase)
+	return service, target, phase, true, err
+}
+
+func (fakeRecords) StatusRecord(service, target string, phase passthrough.Phase) (keyedlog.Record, error) {
+	return keyedlog.Record{Key: "status/" + service, Value: fmt.Appendf(nil, "status %s %d", target, phase)}, nil
+}
+
+// parts are an instance's parts without its sockets.
+type parts struct {
+	clock    *fakeClock
+	known    *Knowledge
+	driver   *Driver
+	list     *list
+	board    *board
+	rollouts *rollouts
+	operator *operator
+	journal  *journal
+}
+
+// newParts puts an instance together on the given logs.
+func newParts(name string, clock *fakeClock, status, observations keyedlog.Log) *parts {
+	p := &parts{clock: clock}
+	p.known = NewKnowledge(clock, 5*time.Second)
+	p.journal = &journal{clock: clock, known: p.known, reg: metrics.NewRegistry()}
+	p.driver = NewDriver(clock, passthrough.Settings{RetryRatio: 0.5, RetrySlack: 3, RetryWindow: 10 * time.Second, SessionLife: 5 * time.Second})
+	p.board = newBoard(name, observations, p.driver, p.journal, clock)
+	p.driver.observe, p.driver.crash = p.board.observed, p.board.crashed
+	p.list = newList(fakeRecords{}, p.driver, newDialer(clock), p.journal, clock, 2*time.Second)
+	p.rollouts = newRollouts(fakeRecords{}, status, p.driver, p.list, p.board, p.journal, clock,
+		passthrough.Exposure{Share: 0.15, Tolerance: 30})
+	p.operator = &operator{records: fakeRecords{}, known: p.known, driver: p.driver, rollouts: p.rollouts, journal: p.journal}
+	return p
+}
--- /dev/null
+++ b/router/internal/passthrough/knowledge_test.go
@@ -0,0 +1,93 @@
+package passthrough
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"masticplank.example/coordination/keyedlog"
+	"masticplank.example/decision/passthrough"
+)
+
+func TestKnowledgeIsAsOldAsTheStartOfItsRead(t *testing.T) {
+	clock := newFakeClock()
+	k := NewKnowledge(clock, 5*time.Second)
+	if k.Fresh() || k.Ready() {
+		t.Error("fresh before anything is known")
+	}
+	k.Apply(passthrough.Config{Version: 1})
+	began := clock.Now()
+	clock.pass(1400 * time.Millisecond) // the read took this long
+	k.Confirm(began)
+	if got := k.Age(); got != 1400*time.Millisecond || !k.Ready() {
+		t.Errorf("age %v, ready %v", got, k.Ready())
+	}
+	clock.pass(1200 * time.Millisecond)
+	if k.Ready() || !k.Fresh() {
+		t.Error("past half of the bound: want not ready, still fresh")
+	}
+	clock.pass(2 * time.Second)
+	if k.Fresh() {
+		t.Error("fresh past nine tenths of the bound")
+	}
+	k.Confirm(began)
+	if k.Fresh() {
+		t.Error("an old read made it fresh again")
+	}
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	k := NewKnowledge(newFakeClock(), time.Second)
+	k.Apply(passthrough.Config{Version: 7})
+	for _, version := range []uint64{3, 7} {
+		if _, applied := k.Apply(passthrough.Config{Version: version}); applied {
+			t.Errorf("version %d came in force after 7", version)
+		}
+	}
+	if _, applied := k.Apply(passthrough.Config{Version: 9}); !applied || k.Index().Version != 9 {
+		t.Error("version 9 did not come in force")
+	}
+}
+
+func TestOperatorsTailGoesOnAfterDroppedRecords(t *testing.T) {
+	clock, log := newFakeClock(), &fakeLog{}
+	p := newParts("a", clock, &fakeLog{}, &fakeLog{})
+	log.put("config", "config 1")
+	tl := p.operator.tail(log, clock)
+	step := func() error { return tl.once(t.Context()) }
+	if err := step(); err != nil || p.known.Index().Version != 1 {
+		t.Fatalf("%v", err)
+	}
+	log.put("config", "config 2")
+	log.put("order/x", "nonsense")
+	log.put("config", "config 5")
+	log.put("config", "config 4")
+	if err := step(); err != nil || p.known.Index().Version != 5 {
+		t.Fatalf("version %d, %v", p.known.Index().Version, err)
+	}
+	log.put("config", "config 8")
+	log.first = uint64(len(log.records))
+	if err := step(); err != nil || p.known.Index().Version != 8 {
+		t.Fatalf("after dropped records: version %d, %v", p.known.Index().Version, err)
+	}
+	log.read = []error{keyedlog.ErrUnknown}
+	clock.pass(time.Second)
+	age := p.known.Age()
+	if err := step(); !errors.Is(err, keyedlog.ErrUnknown) || p.known.Age() != age {
+		t.Error("a read without an answer confirmed the configuration")
+	}
+}
+
+func TestOrdersAreKnownBeforeRequestsAreLetIn(t *testing.T) {
+	clock := newFakeClock()
+	p := newParts("a", clock, &fakeLog{}, &fakeLog{})
+	seen := false
+	p.operator.takeAll([]keyedlog.Record{
+		{Key: "config", Value: []byte("config 1")},
+		{Key: "order/shop", Value: []byte("order shop v2 24")},
+	})
+	seen = p.rollouts.active()
+	if !seen || p.known.Index() == nil {
+		t.Errorf("order known %v, configuration %v", seen, p.known.Index())
+	}
+}
--- a/router/internal/passthrough/list.go
+++ b/router/internal/passthrough/list.go
@@ -67,11 +67,11 @@
 		each:  func(r keyedlog.Record) { l.take(r) },
 	}
 	t.whole = func(records []keyedlog.Record) { l.replace(records) }
-	t.read = func(time.Time, int) {
-		if !t.lost.IsZero() && clock.Now().Sub(t.lost) > lapseAfter {
+	t.read = func(time.Time, int) { l.publish() }
+	t.back = func(lost time.Duration) {
+		if lost > lapseAfter {
 			l.outageEnded()
 		}
-		l.publish()
 	}
 	return t
 }
--- /dev/null
+++ b/router/internal/passthrough/list_test.go
@@ -0,0 +1,68 @@
+package passthrough
+
+import (
+	"testing"
+	"time"
+
+	"masticplank.example/coordination/keyedlog"
+)
+
+func entry(id, value string) keyedlog.Record { return keyedlog.Record{Key: id, Value: []byte(value)} }
+
+func (l *list) has(id string) bool { _, ok := l.entries[id]; return ok }
+
+func TestEntryThatCannotBeReadNamesNoServer(t *testing.T) {
+	p := newParts("a", newFakeClock(), &fakeLog{}, &fakeLog{})
+	p.list.take(entry("one", "server shop v1 ready"))
+	p.list.take(entry("two", "???"))
+	p.list.take(entry("one", "???"))
+	if p.list.has("one") || p.list.has("two") {
+		t.Errorf("entries %v", p.list.entries)
+	}
+	p.list.take(entry("one", "server shop v1 ready"))
+	if !p.list.has("one") {
+		t.Error("an entry that can be read again is not taken")
+	}
+}
+
+func TestRemovedEntryIsGoneAtOnce(t *testing.T) {
+	p := newParts("a", newFakeClock(), &fakeLog{}, &fakeLog{})
+	p.list.take(entry("one", "server shop v1 ready"))
+	p.list.take(entry("one", ""))
+	if p.list.has("one") {
+		t.Error("still there")
+	}
+}
+
+func TestEntriesThatLapsedInAnOutageAreBelievedForAWhile(t *testing.T) {
+	clock, log := newFakeClock(), &fakeLog{}
+	p := newParts("a", clock, &fakeLog{}, &fakeLog{})
+	tl := p.list.tail(log, clock)
+	log.put("one", "server shop v1 ready")
+	log.put("two", "server shop v1 ready")
+	if err := tl.once(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	log.read = []error{keyedlog.ErrNotDone}
+	tl.failed(t.Context(), tl.once(t.Context()))
+	clock.pass(4 * time.Second)
+	log.put("one", "") // both lapsed while the store was away
+	log.put("two", "")
+	if err := tl.once(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if !p.list.has("one") || !p.list.has("two") {
+		t.Fatalf("entries that may have lapsed are gone at once: %v", p.list.entries)
+	}
+	log.put("one", "server shop v1 ready")
+	if err := tl.once(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	clock.pass(2 * time.Second)
+	if err := tl.once(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if !p.list.has("one") || p.list.has("two") {
+		t.Errorf("want the one that came back alone: %v", p.list.entries)
+	}
+}
--- a/router/internal/passthrough/tail.go
+++ b/router/internal/passthrough/tail.go
@@ -35,6 +35,9 @@
 	whole func([]keyedlog.Record)
 	each  func(keyedlog.Record)
 	read  func(began time.Time, records int)
+	// back is told, before the first records after an outage, how long that was; nil for
+	// nobody.
+	back func(lost time.Duration)
 
 	next  uint64
 	known bool
@@ -51,7 +54,6 @@
 			delay = min(2*delay, retryMost)
 			continue
 		}
-		t.regained()
 		delay = retryFirst
 		if t.pause != nil {
 			sleep(ctx, t.pause(), t.nudge)
@@ -77,6 +79,7 @@
 	if err != nil {
 		return err
 	}
+	t.returned()
 	for _, r := range batch.Records {
 		t.each(r)
 	}
@@ -91,12 +94,14 @@
 	if err != nil {
 		return err
 	}
+	t.returned()
 	t.whole(snap.Records)
 	t.next, t.known = snap.Next, true
 	t.read(began, len(snap.Records))
 	return nil
 }
 
+// failed notes the begin of an outage.
 func (t *tail) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil || !t.lost.IsZero() {
 		return
@@ -105,10 +110,14 @@
 	t.journal.emit(logging.EventStoreLost, slog.String("topic", t.name), slog.String(logging.KeyError, err.Error()))
 }
 
-func (t *tail) regained() {
+// returned notes the end of an outage.
+func (t *tail) returned() {
 	if t.lost.IsZero() {
 		return
 	}
+	if t.back != nil {
+		t.back(t.clock.Now().Sub(t.lost))
+	}
 	t.journal.emit(logging.EventStoreRegained, slog.String("topic", t.name),
 		slog.Int64("lost_ms", t.clock.Now().Sub(t.lost).Milliseconds()))
 	t.lost = time.Time{}
--- /dev/null
+++ b/router/internal/report/export_test.go
@@ -0,0 +1,7 @@
+package report
+
+// What the tests of the page, which stand outside this package, need of its own.
+var (
+	Afternoon = afternoon
+	Begin     = begin
+)
--- a/router/internal/report/html.go
+++ b/router/internal/report/page/html.go
@@ -1,4 +1,6 @@
-package report
+// Package page renders the burn report as a page with plots. It stands apart from the
+// recorder, so that instances do not link the plot library and its fonts.
+package page
 
 import (
 	_ "embed"
@@ -7,39 +9,41 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"masticplank.example/router/internal/report"
 )
 
 //go:embed page.html.tmpl
 var pageSource string
 
-var page = template.Must(template.New("page").Funcs(template.FuncMap{
-	"number":  number,
+var source = template.Must(template.New("page").Funcs(template.FuncMap{
+	"number":  report.Number,
 	"rfc3339": func(t time.Time) string { return t.Format(time.RFC3339) },
 }).Parse(pageSource))
 
 // pageData is what the template shows.
 type pageData struct {
-	Report
+	report.Report
 	Answered int
-	Windows  []Window
+	Windows  []report.Window
 	Sections []section
 }
 
 // section is one team with its plot.
 type section struct {
-	TeamReport
+	report.TeamReport
 	Plot template.HTML
 }
 
 // WriteHTML writes the report as one page that needs nothing else.
-func (r Report) WriteHTML(w io.Writer) error {
-	data := pageData{Report: r, Answered: len(r.Instances) - r.Silent(), Windows: pairs()}
+func WriteHTML(w io.Writer, r report.Report) error {
+	data := pageData{Report: r, Answered: len(r.Instances) - r.Silent(), Windows: report.AlertWindows()}
 	for _, team := range r.Teams {
-		svg, err := plotBurn(team, r.At, r.objectives[team.Team], r.bad)
+		svg, err := plotBurn(r, team)
 		if err != nil {
 			return trace.Wrap(err)
 		}
 		data.Sections = append(data.Sections, section{TeamReport: team, Plot: svg})
 	}
-	return trace.Wrap(page.Execute(w, data))
+	return trace.Wrap(source.Execute(w, data))
 }
--- a/router/internal/report/plot.go
+++ b/router/internal/report/page/plot.go
@@ -1,4 +1,4 @@
-package report
+package page
 
 import (
 	"bytes"
@@ -6,7 +6,6 @@
 	"html/template"
 	"image/color"
 	"strings"
-	"time"
 
 	"github.com/gravitational/trace"
 	"gonum.org/v1/plot"
@@ -15,7 +14,7 @@
 	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgsvg"
 
-	"masticplank.example/router/internal/manifest"
+	"masticplank.example/router/internal/report"
 )
 
 // The size of a plot.
@@ -26,28 +25,28 @@
 
 // lineColours tell the levels apart, also for those who do not see red and
 // green as different.
-var lineColours = map[LevelKind]color.Color{
-	LevelAvailability: color.RGBA{R: 0xd5, G: 0x5e, A: 0xff},
-	LevelFirstToken:   color.RGBA{G: 0x72, B: 0xb2, A: 0xff},
-	LevelInterToken:   color.RGBA{G: 0x9e, B: 0x73, A: 0xff},
-	LevelCost:         color.RGBA{R: 0xcc, G: 0x79, B: 0xa7, A: 0xff},
-	LevelExposure:     color.RGBA{R: 0x56, G: 0x56, B: 0x56, A: 0xff},
+var lineColours = map[report.LevelKind]color.Color{
+	report.LevelAvailability: color.RGBA{R: 0xd5, G: 0x5e, A: 0xff},
+	report.LevelFirstToken:   color.RGBA{G: 0x72, B: 0xb2, A: 0xff},
+	report.LevelInterToken:   color.RGBA{G: 0x9e, B: 0x73, A: 0xff},
+	report.LevelCost:         color.RGBA{R: 0xcc, G: 0x79, B: 0xa7, A: 0xff},
+	report.LevelExposure:     color.RGBA{R: 0x56, G: 0x56, B: 0x56, A: 0xff},
 }
 
 // plotBurn draws a team's burn rates over the last 6 hours as SVG. Spans
 // without events have no point.
-func plotBurn(team TeamReport, at time.Time, o manifest.Objective, bad map[string]bool) (template.HTML, error) {
+func plotBurn(r report.Report, team report.TeamReport) (template.HTML, error) {
 	p := plot.New()
 	p.X.Label.Text = "hours before the report"
 	p.Y.Label.Text = "burn rate"
-	p.X.Min, p.X.Max = -Window6h.Span.Hours(), 0
+	p.X.Min, p.X.Max = -report.Window6h.Span.Hours(), 0
 	p.Y.Min, p.Y.Max = 0, 2
 	p.Legend.Top, p.Legend.Left = true, true
 	for _, l := range team.Levels {
-		if l.State == StateNoObjective || l.State == StateNoData {
+		if l.State == report.StateNoObjective || l.State == report.StateNoData {
 			continue
 		}
-		if err := addLine(p, l.Kind, burnPoints(team.points, l.Kind, at, o, bad)); err != nil {
+		if err := addLine(p, l.Kind, xys(r.Burn(team, l.Kind))); err != nil {
 			return "", trace.Wrap(err)
 		}
 	}
@@ -66,23 +65,15 @@
 	return template.HTML(svg[strings.Index(svg, "<svg"):]), nil
 }
 
-func burnPoints(points []Point, kind LevelKind, at time.Time, o manifest.Objective, bad map[string]bool) plotter.XYs {
+func xys(points []report.BurnPoint) plotter.XYs {
 	var out plotter.XYs
-	for _, pt := range points {
-		u := useOf(kind, pt.Counts, o, bad)
-		if u.events == 0 {
-			continue
-		}
-		age := at.Sub(time.Unix(pt.Begin, 0).Add(pointSpan / 2))
-		if age < -pointSpan || age > Window6h.Span+pointSpan {
-			continue // by a clock that is far off
-		}
-		out = append(out, plotter.XY{X: -age.Hours(), Y: round(u.burn())})
+	for _, p := range points {
+		out = append(out, plotter.XY{X: p.HoursBefore, Y: p.Rate})
 	}
 	return out
 }
 
-func addLine(p *plot.Plot, kind LevelKind, xys plotter.XYs) error {
+func addLine(p *plot.Plot, kind report.LevelKind, xys plotter.XYs) error {
 	if len(xys) == 0 {
 		return nil
 	}
--- a/router/internal/report/text.go
+++ b/router/internal/report/text.go
@@ -41,7 +41,7 @@
 	for _, team := range r.Teams {
 		for _, l := range team.Levels {
 			fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%s\n",
-				team.Team, l.Kind, l.State, l.ObjectiveText(), number(l.Measured), l.Unit, l.Events, l.burnText("\t"))
+				team.Team, l.Kind, l.State, l.ObjectiveText(), Number(l.Measured), l.Unit, l.Events, l.burnText("\t"))
 		}
 	}
 	// A strings.Builder takes every write.
@@ -53,7 +53,7 @@
 	if l.State == StateNoObjective {
 		return "-"
 	}
-	return number(l.Objective)
+	return Number(l.Objective)
 }
 
 // BudgetText is the budget left, in per cent.
@@ -76,13 +76,15 @@
 // the windows stand in pairs.
 func (l Level) burnText(sep string) string {
 	parts := []string{l.BudgetText()}
-	for _, w := range pairs() {
+	for _, w := range AlertWindows() {
 		parts = append(parts, l.BurnText(w.Name))
 	}
 	return strings.Join(parts, sep)
 }
 
 // pairs lists the windows as they are judged: the fast pair, then the slow one.
-func pairs() []Window { return []Window{Window5m, Window1h, Window30m, Window6h} }
+// AlertWindows are the windows of the burn rates, short and long in turn.
+func AlertWindows() []Window { return []Window{Window5m, Window1h, Window30m, Window6h} }
 
-func number(f float64) string { return strconv.FormatFloat(f, 'g', 6, 64) }
+// Number formats a figure for people.
+func Number(f float64) string { return strconv.FormatFloat(f, 'g', 6, 64) }
