A server that says nothing is not taken for idle; prompts to be read weigh

The unknown part now yields to the servers' mean, and own prompts whose answer has not begun weigh by their tokens.

--- a/decision/passthrough/cascade.go
+++ b/decision/passthrough/cascade.go
@@ -27,6 +27,7 @@
 func (w *World) firstByte(e FirstByte) {
 	if r := w.requests[e.Request]; r != nil {
 		r.first = e.After
+		r.hasRead()
 	}
 }
 
--- a/decision/passthrough/place.go
+++ b/decision/passthrough/place.go
@@ -24,6 +24,8 @@
 	r.attempts++
 	r.tries++
 	s.own++
+	s.reading += r.PromptTokens
+	r.reading = true
 	w.noteSession(r, s.Version)
 	cmd := Dispatch{
 		Request: r.ID, Server: s.Server, Attempt: r.tries,
@@ -133,10 +135,14 @@
 	return s.load(now) < float64(slots)
 }
 
-// weight is the load that a choice goes by: with one more request, and by the server's
-// pace.
+// readingTokens is how many prompt tokens weigh as much as one request: what an engine
+// reads in the time in which a usual answer takes its turn in the batch.
+const readingTokens = 6000
+
+// weight is the load that a choice goes by: with one more request, with the prompts that
+// are still to be read, which hold up all others, and by the server's pace.
 func (s *server) weight(now time.Time) float64 {
-	return (s.load(now) + 1) * s.slowness()
+	return (s.load(now) + float64(s.reading)/readingTokens + 1) * s.slowness()
 }
 
 func (w *World) pickByPrompt(r *request, list []*server) *server {
--- a/decision/passthrough/requests.go
+++ b/decision/passthrough/requests.go
@@ -92,11 +92,20 @@
 	if r.server == nil {
 		return
 	}
+	r.hasRead()
 	r.server.own--
 	w.free(r.service)
 	r.server = nil
 }
 
+// hasRead takes the request's prompt off what its server has to read.
+func (r *request) hasRead() {
+	if r.reading && r.server != nil {
+		r.server.reading -= r.PromptTokens
+		r.reading = false
+	}
+}
+
 // free marks that a place may have become free.
 func (w *World) free(s *service) {
 	if !s.isFree && s.queue.len > 0 {
--- a/decision/passthrough/servers.go
+++ b/decision/passthrough/servers.go
@@ -79,6 +79,7 @@
 		return
 	}
 	s.told, s.toldAt, s.ownThen = e.Load, w.now, s.own
+	s.service.noteOthers(w.now)
 	if e.Load.Slots > 0 {
 		s.Slots = e.Load.Slots
 	}
@@ -89,17 +90,40 @@
 // instance hears from each about once a second.
 const loadLife = 3 * time.Second
 
-// load is the number of requests thought to be at the server: what it stated, moved by
-// what this instance began and ended since, and fading with its age.
+// load is the number of requests thought to be at the server: this instance's own, which
+// are known, and the others' by what the server stated. With its age that yields to what
+// the other servers have of the others' requests: a server that says nothing since it is
+// busy must not pass for idle.
 func (s *server) load(now time.Time) float64 {
-	own := float64(s.own)
+	return float64(s.own) + s.others(now)
+}
+
+func (s *server) others(now time.Time) float64 {
+	usual := s.service.usualOthers
 	if s.toldAt.IsZero() {
-		return own
+		return usual
+	}
+	age := min(float64(now.Sub(s.toldAt))/float64(loadLife), 1)
+	return max(s.statedOthers(), 0)*(1-age) + usual*age
+}
+
+// statedOthers is what the server stated, without what this instance had there then.
+func (s *server) statedOthers() float64 {
+	return float64(s.told.Running + s.told.Waiting - s.ownThen)
+}
+
+// noteOthers renews the mean of what the others have at a server.
+func (s *service) noteOthers(now time.Time) {
+	sum, n := 0.0, 0
+	for _, srv := range s.servers {
+		if !srv.toldAt.IsZero() && now.Sub(srv.toldAt) < loadLife {
+			sum += max(srv.statedOthers(), 0)
+			n++
+		}
+	}
+	if n > 0 {
+		s.usualOthers = sum / float64(n)
 	}
-	age := now.Sub(s.toldAt)
-	others := float64(s.told.Running + s.told.Waiting - s.ownThen)
-	others *= max(0, 1-float64(age)/float64(loadLife))
-	return own + max(others, 0)
 }
 
 // usable says whether the server may get new work, sick or not.
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -64,8 +64,10 @@
 	engine bool
 	slots  int
 	models []Model
-	pace   paceStats
-	isFree bool
+	// usualOthers is the mean of what other instances have at a server.
+	usualOthers float64
+	pace        paceStats
+	isFree      bool
 }
 
 // server is a row of the backend servers.
@@ -74,6 +76,8 @@
 	service *service
 	// own is this instance's attempts at the server.
 	own int
+	// reading is the prompt tokens of own requests whose answer has not begun.
+	reading int
 	// told is the load that it stated at toldAt, when own was ownThen.
 	told    Load
 	toldAt  time.Time
@@ -109,6 +113,8 @@
 	place   *waiter
 	// first is the time to the current answer's first byte.
 	first time.Duration
+	// reading says that its prompt counts in its server's.
+	reading bool
 	// escalated says that a smaller model's answer was dropped.
 	escalated bool
 }
--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -80,8 +80,10 @@
 			},
 			newDialer, provideDriver, provideBoard, provideList, provideRollouts, provideEdge, provideServer,
 		),
-		fx.Invoke(func(lc fx.Lifecycle, s *server, sd fx.Shutdowner) { startServer(lc, s, sd, p.ReadyPath, metrics) },
-			startTails, watchSettings),
+		// The stop runs through these in reverse: the configuration must stay fresh until
+		// the last request has been answered.
+		fx.Invoke(watchSettings, startTails,
+			func(lc fx.Lifecycle, s *server, sd fx.Shutdowner) { startServer(lc, s, sd, p.ReadyPath, metrics) }),
 	)
 }
 
