Instances of a failure domain share their reads of the store

Ruled out: longer polls, which make the configuration too old; gossip of freshness among all, which nobody may rely on in an outage. One instance of each failure domain, ranked by a hash, reads; the others ask it over JSON-RPC, and each answer carries its age, so that freshness is as strict as before. Without an answer an instance reads by itself.

--- a/coordination/keyedlog/keyedlog.go
+++ b/coordination/keyedlog/keyedlog.go
@@ -10,9 +10,9 @@
 
 // Record is one record. An empty Value drops the key.
 type Record struct {
-	Key    string
-	Value  []byte
-	Offset uint64
+	Key    string `json:"key"`
+	Value  []byte `json:"value"`
+	Offset uint64 `json:"offset"`
 }
 
 // Batch is what one read returned.
@@ -20,6 +20,9 @@
 	Records []Record
 	// Next is the offset to go on from.
 	Next uint64
+	// Age is how old the word on the log's end is when the read returns, at the most; 0
+	// where the log does not say, which means as old as the read's start.
+	Age time.Duration
 }
 
 // Snapshot is the newest record of each key, read page by page.
@@ -28,6 +31,8 @@
 	// Next is the end of the log as it was before the first page was read, so that a
 	// tail from there misses nothing.
 	Next uint64
+	// Age is as for Batch.
+	Age time.Duration
 }
 
 // Anywhere is the position of an append without a condition.
--- a/decision/passthrough/seam/settings.go
+++ b/decision/passthrough/seam/settings.go
@@ -14,6 +14,8 @@
 	Frontend  string
 	Readiness string
 	Metrics   string
+	// Peers is the address to listen on for other instances; empty for none.
+	Peers string
 	// Store is the address of the platform's store.
 	Store string
 	// Cores is the part of a core that the process may use, MemoryBytes its memory.
--- a/router/internal/logging/catalogue.go
+++ b/router/internal/logging/catalogue.go
@@ -52,6 +52,8 @@
 	EventStoreLost      = Event{215, "store_lost", slog.LevelWarn, "A topic of the platform's store does not answer."}
 	EventStoreRegained  = Event{216, "store_regained", slog.LevelInfo, "A topic of the platform's store answers again."}
 
+	EventCollector = Event{217, "collector", slog.LevelInfo, "Reads of the store go by another instance of the failure domain from now on; by this one itself where collector is empty."}
+
 	EventPassRefused = Event{310, "passthrough_refused", slog.LevelInfo, "A request on a pass-through route was refused and was not run; reason says why."}
 	EventPassAttempt = Event{311, "passthrough_attempt", slog.LevelInfo, "An attempt at a backend server ended; load is what decided for the server."}
 	EventPassFailed  = Event{312, "passthrough_failed", slog.LevelWarn, "A request ended without a success, and ran or may have run; reason says why."}
@@ -75,7 +77,7 @@
 		EventManifestApplied, EventManifestRejected, EventFreshnessChanged,
 		EventLogUnreachable, EventLogReachable, EventStateRestored, EventStateDiverged,
 		EventConfigApplied, EventRecordRejected, EventServerListed, EventServerGone, EventEntryIgnored,
-		EventStoreLost, EventStoreRegained,
+		EventStoreLost, EventStoreRegained, EventCollector,
 		EventRequestRefused, EventAttemptFailed, EventWrongNonce,
 		EventPassRefused, EventPassAttempt, EventPassFailed, EventCallerLost,
 		EventBillHeld, EventBillFlushed, EventBillRefused,
--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -78,7 +78,7 @@
 			func(l *logging.Logger, c Clock, k *Knowledge, reg gometrics.Registry) *journal {
 				return &journal{log: l, clock: c, known: k, reg: reg}
 			},
-			newDialer, provideDriver, provideBoard, provideList, provideRollouts, provideEdge, provideServer,
+			newDialer, provideSharing, provideDriver, provideBoard, provideList, provideRollouts, provideEdge, provideServer,
 		),
 		// The stop runs through these in reverse: the configuration must stay fresh until
 		// the last request has been answered.
@@ -101,8 +101,14 @@
 	})
 }
 
-func provideBoard(p Platform, cfg seam.Settings, d *Driver, j *journal, c Clock) *board {
-	b := newBoard(cfg.Instance, p.Store.Observations(), d, j, c)
+func provideSharing(p Platform, cfg seam.Settings, j *journal, c Clock) *sharing {
+	return newSharing(cfg, p.Store, j, c)
+}
+
+func provideBoard(cfg seam.Settings, sh *sharing, d *Driver, j *journal, c Clock) *board {
+	b := newBoard(cfg.Instance, sh.observations, d, j, c)
+	b.held = sh.take
+	sh.wake = b.nudge
 	d.observe, d.crash = b.observed, b.crashed
 	return b
 }
@@ -113,8 +119,10 @@
 	return l
 }
 
-func provideRollouts(p Platform, cfg seam.Settings, d *Driver, l *list, b *board, j *journal, c Clock) *rollouts {
-	return newRollouts(p.Records, p.Store.Status(), d, l, b, j, c, passthrough.Exposure{Share: cfg.Bounds.CanaryShare, Tolerance: cfg.Bounds.CanaryTolerance})
+func provideRollouts(p Platform, cfg seam.Settings, sh *sharing, d *Driver, l *list, b *board, j *journal, c Clock) *rollouts {
+	m := newRollouts(p.Records, sh.status, d, l, b, j, c, passthrough.Exposure{Share: cfg.Bounds.CanaryShare, Tolerance: cfg.Bounds.CanaryTolerance})
+	m.writes = sh.status.Direct
+	return m
 }
 
 func provideEdge(p Platform, k *Knowledge, d *Driver, dial *dialer, c Clock, j *journal) *Edge {
@@ -145,19 +153,27 @@
 }
 
 // startTails follows the store's topics, and carries roll-outs out.
-func startTails(lc fx.Lifecycle, p Platform, k *Knowledge, d *Driver, l *list, m *rollouts, b *board, j *journal, c Clock) {
-	op := &operator{records: p.Records, known: k, driver: d, rollouts: m, journal: j}
+func startTails(lc fx.Lifecycle, p Platform, sh *sharing, k *Knowledge, d *Driver, l *list, m *rollouts, b *board, j *journal, c Clock) {
+	op := &operator{records: p.Records, known: k, driver: d, rollouts: m, journal: j, collects: sh.server.Collects}
 	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			go op.tail(p.Store.Operator(), c).run(ctx)
-			go l.tail(p.Store.Servers(), c).run(ctx)
-			go b.tail(c, m.active).run(ctx)
-			go b.run(ctx)
-			go m.run(ctx)
+			go func() {
+				sh.join(ctx)
+				go op.tail(sh.operator, c).run(ctx)
+				go l.tail(sh.servers, c).run(ctx)
+				go b.tail(c, m.active).run(ctx)
+				go sh.tail().run(ctx)
+				go b.run(ctx)
+				m.run(ctx)
+			}()
+			return sh.listen(ctx)
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			sh.client.Close()
 			return nil
 		},
-		OnStop: func(context.Context) error { cancel(); return nil },
 	})
 }
 
--- a/router/internal/passthrough/board.go
+++ b/router/internal/passthrough/board.go
@@ -26,6 +26,9 @@
 	journal  *journal
 	clock    Clock
 
+	// held gives the records of other instances that are to be written with the own.
+	held func() []keyedlog.Record
+
 	mu sync.Mutex
 	// own are this instance's sheets by service, others those of the others by key.
 	own    map[string]*sheet
@@ -84,7 +87,7 @@
 	return &board{
 		instance: instance, log: log, driver: driver, journal: j, clock: clock,
 		own: map[string]*sheet{}, others: map[string]sheet{}, crash: map[uint64]int{},
-		wake: make(chan struct{}, 1),
+		wake: make(chan struct{}, 1), held: func() []keyedlog.Record { return nil },
 	}
 }
 
@@ -187,13 +190,16 @@
 			b.take(r)
 		}
 	}
-	t.wait = boardWait
+	t.wait = func() time.Duration {
+		if active() {
+			return 0
+		}
+		return boardWait
+	}
 	t.pause = func() time.Duration {
 		if active() {
-			t.wait = 0
 			return boardEvery
 		}
-		t.wait = boardWait
 		return retryMost
 	}
 	return t
@@ -228,7 +234,7 @@
 // run writes what this instance has to tell until ctx ends.
 func (b *board) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		records := b.due()
+		records := append(b.due(), b.held()...)
 		if len(records) > 0 {
 			if err := b.log.Append(ctx, keyedlog.Anywhere, records...); err != nil {
 				b.journal.emit(logging.EventStoreLost, slog.String("topic", "observations"), slog.String(logging.KeyError, err.Error()))
@@ -240,6 +246,9 @@
 			wait = boardEvery
 		}
 		sleep(ctx, wait, b.wake)
+		// What comes at once goes out in one call.
+		const gather = 150 * time.Millisecond
+		sleep(ctx, gather, nil)
 	}
 }
 
--- a/router/internal/passthrough/fakes_test.go
+++ b/router/internal/passthrough/fakes_test.go
@@ -184,6 +184,7 @@
 	p.list = newList(fakeRecords{}, p.driver, newDialer(clock), p.journal, clock, 2*time.Second)
 	p.rollouts = newRollouts(fakeRecords{}, status, p.driver, p.list, p.board, p.journal, clock,
 		passthrough.Exposure{Share: 0.15, Tolerance: 30})
-	p.operator = &operator{records: fakeRecords{}, known: p.known, driver: p.driver, rollouts: p.rollouts, journal: p.journal}
+	p.operator = &operator{records: fakeRecords{}, known: p.known, driver: p.driver, rollouts: p.rollouts, journal: p.journal,
+		collects: func() bool { return false }}
 	return p
 }
--- a/router/internal/passthrough/operator.go
+++ b/router/internal/passthrough/operator.go
@@ -16,15 +16,29 @@
 	driver   *Driver
 	rollouts *rollouts
 	journal  *journal
+	// collects says whether others read from this instance.
+	collects func() bool
 }
 
-// pollWait is how long a read of the operator's records waits for one: four reads fit
-// into half of a revocation bound of 5 s, and one read a second is a price of 0.07.
-const pollWait = 1400 * time.Millisecond
+func (o *operator) wait() time.Duration {
+	if o.collects() {
+		return collectWait
+	}
+	return pollWait
+}
+
+const (
+	// pollWait is how long a read of the operator's records waits for one. What is known
+	// is up to twice as old, and must stay under half of a revocation bound of 5 s.
+	pollWait = 1100 * time.Millisecond
+	// collectWait is the same where others read from this instance, and add their own
+	// time to it.
+	collectWait = 500 * time.Millisecond
+)
 
 func (o *operator) tail(log keyedlog.Log, clock Clock) *tail {
 	return &tail{
-		name: "operator", log: log, clock: clock, journal: o.journal, wait: pollWait,
+		name: "operator", log: log, clock: clock, journal: o.journal, wait: o.wait,
 		whole: o.takeAll,
 		each:  o.take,
 		read:  func(began time.Time, _ int) { o.known.Confirm(began) },
--- a/router/internal/passthrough/ports.go
+++ b/router/internal/passthrough/ports.go
@@ -40,8 +40,10 @@
 	Servers() keyedlog.Log
 	// Status holds the roll-outs' states.
 	Status() keyedlog.Log
-	// Observations is the instances' own.
+	// Observations is what instances tell each other.
 	Observations() keyedlog.Log
+	// Instances is where they find each other.
+	Instances() keyedlog.Log
 }
 
 // Clock tells the time since some fixed moment. It must go on while the machine is
--- a/router/internal/passthrough/rollouts.go
+++ b/router/internal/passthrough/rollouts.go
@@ -24,6 +24,9 @@
 	clock   Clock
 	// limit bounds the requests that a version may get before its deadline.
 	limit passthrough.Exposure
+	// writes says whether this instance writes the register; the others of its failure
+	// domain only read it, which keeps the calls of a large fleet few.
+	writes func() bool
 
 	mu   sync.Mutex
 	open map[string]*rollout
@@ -51,7 +54,7 @@
 func newRollouts(records Records, status keyedlog.Log, driver *Driver, l *list, b *board, j *journal, clock Clock, limit passthrough.Exposure) *rollouts {
 	return &rollouts{
 		records: records, status: status, driver: driver, list: l, board: b, journal: j, clock: clock,
-		limit: limit, open: map[string]*rollout{}, wake: make(chan struct{}, 1),
+		limit: limit, writes: func() bool { return true }, open: map[string]*rollout{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -156,7 +159,7 @@
 func (m *rollouts) register(ctx context.Context, r *rollout, plan passthrough.Rollout, seen view) passthrough.Rollout {
 	snap, err := m.status.Newest(ctx)
 	if err != nil {
-		return m.undecided(r, plan)
+		return undecided(plan)
 	}
 	for _, rec := range snap.Records {
 		service, target, phase, ok, err := m.records.Status(rec)
@@ -173,6 +176,9 @@
 	if r.announced && !plan.Phase.Ended() {
 		return plan
 	}
+	if !m.writes() {
+		return undecided(plan)
+	}
 	rec, err := m.records.StatusRecord(r.Service, r.Target, plan.Phase)
 	if err == nil {
 		err = m.status.Append(ctx, snap.Next, rec)
@@ -187,12 +193,12 @@
 	case !errors.Is(err, keyedlog.ErrMoved):
 		m.journal.emit(logging.EventRolloutUnwritten, slog.String("service", r.Service), slog.String(logging.KeyError, err.Error()))
 	}
-	return m.undecided(r, plan)
+	return undecided(plan)
 }
 
 // undecided is the plan while the register does not hold the end that this instance would
 // write: a bad version gets nothing already, a good one is not completed yet.
-func (m *rollouts) undecided(_ *rollout, plan passthrough.Rollout) passthrough.Rollout {
+func undecided(plan passthrough.Rollout) passthrough.Rollout {
 	if plan.Phase == passthrough.PhaseCompleted {
 		plan.Phase = passthrough.PhaseCanary
 	}
--- /dev/null
+++ b/router/internal/passthrough/sharing.go
@@ -0,0 +1,207 @@
+package passthrough
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"masticplank.example/coordination/keyedlog"
+	"masticplank.example/decision/passthrough/seam"
+	"masticplank.example/router/internal/logging"
+	"masticplank.example/router/internal/relay"
+)
+
+// sharing lets the instances of a failure domain share their reads of the store.
+type sharing struct {
+	self    relay.Member
+	store   Store
+	members *relay.Members
+	client  *relay.Client
+	server  *relay.Server
+	journal *journal
+	clock   Clock
+
+	operator     *relay.Log
+	servers      *relay.Log
+	status       *relay.Log
+	observations *relay.Log
+	instances    *relay.Log
+
+	mu sync.Mutex
+	// held are records that followers gave, to be written with the own.
+	held []keyedlog.Record
+	wake func()
+}
+
+// The topics' names among instances.
+const (
+	topicOperator     = "operator"
+	topicServers      = "servers"
+	topicStatus       = "status"
+	topicObservations = "observations"
+	topicInstances    = "instances"
+)
+
+const (
+	// oldestOperator is the age past which a collector's word on the configuration is
+	// worth a read of one's own: one that reads well is at most 1.1 s behind.
+	oldestOperator = 1800 * time.Millisecond
+	// oldestServers is the same for the list: a leaving server must be known in 2 s.
+	oldestServers = 1300 * time.Millisecond
+	// oldestOther is for topics that tell what they have to at once.
+	oldestOther = time.Hour
+)
+
+func newSharing(cfg seam.Settings, store Store, j *journal, clock Clock) *sharing {
+	s := &sharing{
+		self:  relay.Member{Name: cfg.Instance, Domain: cfg.Zone, Address: cfg.Peers},
+		store: store, journal: j, clock: clock, wake: func() {},
+	}
+	s.members = relay.NewMembers(s.self, clock.Now)
+	s.client = relay.NewClient(s.members, clock.Now, func(name string) {
+		j.emit(logging.EventCollector, slog.String("collector", name))
+	})
+	caches := map[string]*relay.Cache{}
+	topic := func(name string, log keyedlog.Log, oldest time.Duration) *relay.Log {
+		caches[name] = relay.NewCache(clock.Now)
+		return relay.NewLog(name, log, s.client, caches[name], clock.Now, oldest)
+	}
+	s.operator = topic(topicOperator, store.Operator(), oldestOperator)
+	s.servers = topic(topicServers, store.Servers(), oldestServers)
+	s.status = topic(topicStatus, store.Status(), oldestOther)
+	s.observations = topic(topicObservations, store.Observations(), oldestOther)
+	s.instances = topic(topicInstances, store.Instances(), oldestOther)
+	s.server = relay.NewServer(clock.Now, caches, s.hold)
+	return s
+}
+
+// heldMost bounds the records that are held for followers.
+const heldMost = 1000
+
+// hold takes a follower's records.
+func (s *sharing) hold(_ string, records []keyedlog.Record) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.held)+len(records) > heldMost {
+		return keyedlog.ErrNotDone
+	}
+	s.held = append(s.held, records...)
+	s.wake()
+	return nil
+}
+
+// take returns the held records.
+func (s *sharing) take() []keyedlog.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.held
+	s.held = nil
+	return out
+}
+
+// join makes this instance known and learns of the others. It takes no longer than it
+// must: without the store, the instance reads by itself.
+func (s *sharing) join(ctx context.Context) {
+	if s.self.Address == "" {
+		return
+	}
+	if err := s.learn(ctx); err != nil {
+		s.journal.emit(logging.EventStoreLost, slog.String("topic", topicInstances), slog.String(logging.KeyError, err.Error()))
+		return
+	}
+	if s.listed(ctx) {
+		return
+	}
+	if s.members.Alone() {
+		// All start at once: the others are about to make themselves known.
+		const others = 500 * time.Millisecond
+		sleep(ctx, others, nil)
+		if err := s.learn(ctx); err != nil {
+			s.journal.emit(logging.EventStoreLost, slog.String("topic", topicInstances), slog.String(logging.KeyError, err.Error()))
+		}
+	}
+}
+
+// learn reads the members from the store itself.
+func (s *sharing) learn(ctx context.Context) error {
+	snap, err := s.store.Instances().Newest(ctx)
+	if err != nil {
+		return err
+	}
+	for _, r := range snap.Records {
+		s.member(r)
+	}
+	return nil
+}
+
+// listed makes this instance known, unless it is. It says whether it was.
+func (s *sharing) listed(ctx context.Context) bool {
+	snap, err := s.instances.Newest(ctx)
+	if err == nil {
+		for _, r := range snap.Records {
+			var m relay.Member
+			if json.Unmarshal(r.Value, &m) == nil && m == s.self {
+				return true
+			}
+		}
+	}
+	text, err := json.Marshal(s.self)
+	if err == nil {
+		err = s.store.Instances().Append(ctx, keyedlog.Anywhere, keyedlog.Record{Key: s.self.Name, Value: text})
+	}
+	if err != nil {
+		s.journal.emit(logging.EventStoreLost, slog.String("topic", topicInstances), slog.String(logging.KeyError, err.Error()))
+	}
+	return false
+}
+
+// member takes in one entry.
+func (s *sharing) member(r keyedlog.Record) {
+	if len(r.Value) == 0 {
+		return
+	}
+	var m relay.Member
+	if err := json.Unmarshal(r.Value, &m); err != nil {
+		s.journal.emit(logging.EventRecordRejected, slog.String("key", r.Key), slog.String(logging.KeyError, err.Error()))
+		return
+	}
+	if !s.members.Knows(m) {
+		s.members.Add(m)
+	}
+}
+
+// instancesWait is how long a read of the members waits for a new one.
+const instancesWait = 10 * time.Second
+
+// tail follows the members.
+func (s *sharing) tail() *tail {
+	return &tail{
+		name: topicInstances, log: s.instances, clock: s.clock, journal: s.journal,
+		wait:  func() time.Duration { return instancesWait },
+		pause: func() time.Duration { return time.Second },
+		each:  s.member,
+		whole: func(list []keyedlog.Record) {
+			for _, r := range list {
+				s.member(r)
+			}
+		},
+		read: func(time.Time, int) {},
+	}
+}
+
+// listen answers the followers until ctx ends.
+func (s *sharing) listen(ctx context.Context) error {
+	if s.self.Address == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", s.self.Address)
+	if err != nil {
+		return err
+	}
+	s.journal.emit(logging.EventListening, slog.String("addr", l.Addr().String()))
+	go s.server.Serve(ctx, l)
+	return nil
+}
--- a/router/internal/passthrough/tail.go
+++ b/router/internal/passthrough/tail.go
@@ -26,12 +26,12 @@
 	journal *journal
 	// wait is how long a read is kept waiting for a record, pause the time between two
 	// reads.
-	wait  time.Duration
+	wait  func() time.Duration
 	pause func() time.Duration
 	// nudge ends a pause early; nil for none.
 	nudge chan struct{}
 	// whole is given the newest record of each key, and each the records that follow;
-	// read is told of every read with the time at which it began.
+	// read is told of every read with the time at which the log was as read.
 	whole func([]keyedlog.Record)
 	each  func(keyedlog.Record)
 	read  func(began time.Time, records int)
@@ -67,9 +67,9 @@
 	if !t.known {
 		return t.restart(ctx, began)
 	}
-	wait := t.wait
-	if !t.lost.IsZero() {
-		wait = 0 // after a failure the first word counts, not the next record
+	wait := time.Duration(0)
+	if t.wait != nil && t.lost.IsZero() {
+		wait = t.wait() // after a failure the first word counts, not the next record
 	}
 	batch, err := t.log.Read(ctx, t.next, wait)
 	if errors.Is(err, keyedlog.ErrGone) {
@@ -84,7 +84,7 @@
 		t.each(r)
 	}
 	t.next = batch.Next
-	t.read(began, len(batch.Records))
+	t.read(t.asOf(began, batch.Age), len(batch.Records))
 	return nil
 }
 
@@ -97,10 +97,19 @@
 	t.returned()
 	t.whole(snap.Records)
 	t.next, t.known = snap.Next, true
-	t.read(began, len(snap.Records))
+	t.read(t.asOf(began, snap.Age), len(snap.Records))
 	return nil
 }
 
+// asOf is the time at which the log was as read: the read's start, unless the log says
+// how old its word is.
+func (t *tail) asOf(began time.Time, age time.Duration) time.Time {
+	if age == 0 {
+		return began
+	}
+	return t.clock.Now().Add(-age)
+}
+
 // failed notes the begin of an outage.
 func (t *tail) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil || !t.lost.IsZero() {
--- /dev/null
+++ b/router/internal/relay/cache.go
@@ -0,0 +1,128 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"masticplank.example/coordination/keyedlog"
+)
+
+// cacheRecords bounds the records that are kept of a topic: 75 heartbeats a second of 90
+// backend servers are kept for almost a minute.
+const cacheRecords = 4096
+
+// Cache is what an instance knows of a topic, for those that ask it.
+type Cache struct {
+	now func() time.Time
+
+	mu      sync.Mutex
+	known   bool
+	records []keyedlog.Record
+	newest  map[string]keyedlog.Record
+	first   uint64
+	next    uint64
+	// confirmed is when the log was as known here, at the latest.
+	confirmed time.Time
+	changed   chan struct{}
+}
+
+// NewCache returns an empty cache; now is a clock that goes on while suspended.
+func NewCache(now func() time.Time) *Cache {
+	return &Cache{now: now, newest: map[string]keyedlog.Record{}, changed: make(chan struct{})}
+}
+
+// Replace takes over a snapshot that was current at the time.
+func (c *Cache) Replace(s keyedlog.Snapshot, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.known = true
+	c.records = nil
+	c.first, c.next = s.Next, s.Next
+	clear(c.newest)
+	for _, r := range s.Records {
+		c.newest[r.Key] = r
+	}
+	c.confirm(at)
+}
+
+// Add takes in a batch that was read from the cache's end, and was current at the time.
+func (c *Cache) Add(b keyedlog.Batch, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range b.Records {
+		if len(r.Value) == 0 {
+			delete(c.newest, r.Key)
+		} else {
+			c.newest[r.Key] = r
+		}
+	}
+	c.records = append(c.records, b.Records...)
+	if drop := len(c.records) - cacheRecords; drop > 0 {
+		c.records = append([]keyedlog.Record(nil), c.records[drop:]...)
+		c.first = c.records[0].Offset
+	}
+	c.next = b.Next
+	c.confirm(at)
+}
+
+// confirm notes the time and wakes those that wait.
+func (c *Cache) confirm(at time.Time) {
+	if at.After(c.confirmed) {
+		c.confirmed = at
+	}
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// Read returns the records from the offset on, and waits for one as long as wait says.
+func (c *Cache) Read(ctx context.Context, from uint64, wait time.Duration) (keyedlog.Batch, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		batch, changed, err := c.since(from)
+		if err != nil || len(batch.Records) > 0 {
+			return batch, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			batch, _, err = c.since(from)
+			return batch, err
+		case <-ctx.Done():
+			return keyedlog.Batch{}, ctx.Err()
+		}
+	}
+}
+
+func (c *Cache) since(from uint64) (keyedlog.Batch, <-chan struct{}, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !c.known:
+		return keyedlog.Batch{}, nil, keyedlog.ErrNotDone
+	case from < c.first:
+		return keyedlog.Batch{}, nil, keyedlog.ErrGone
+	case from > c.next:
+		return keyedlog.Batch{}, nil, keyedlog.ErrNotDone // the asker knows more
+	}
+	out := keyedlog.Batch{Next: c.next, Age: c.now().Sub(c.confirmed)}
+	if n := int(c.next - from); n > 0 {
+		out.Records = append(out.Records, c.records[len(c.records)-n:]...)
+	}
+	return out, c.changed, nil
+}
+
+// Newest returns the newest record of each key.
+func (c *Cache) Newest() (keyedlog.Snapshot, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.known {
+		return keyedlog.Snapshot{}, keyedlog.ErrNotDone
+	}
+	out := keyedlog.Snapshot{Next: c.next, Age: c.now().Sub(c.confirmed)}
+	for _, r := range c.newest {
+		out.Records = append(out.Records, r)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/router/internal/relay/log.go
@@ -0,0 +1,84 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"masticplank.example/coordination/keyedlog"
+)
+
+// Log is a topic as this instance reads it: from its collector, or from the store. What
+// it reads is kept for those that ask this instance.
+type Log struct {
+	topic  string
+	store  keyedlog.Log
+	client *Client
+	cache  *Cache
+	now    func() time.Time
+	// oldest is the age past which an answer is worth a read of one's own.
+	oldest time.Duration
+}
+
+// NewLog returns the topic; cache is filled by its reads. An answer of a collector older
+// than oldest is not taken.
+func NewLog(topic string, store keyedlog.Log, client *Client, cache *Cache, now func() time.Time, oldest time.Duration) *Log {
+	return &Log{topic: topic, store: store, client: client, cache: cache, now: now, oldest: oldest}
+}
+
+// Read implements keyedlog.Log.
+func (l *Log) Read(ctx context.Context, from uint64, wait time.Duration) (keyedlog.Batch, error) {
+	out, age, err := l.client.call(ctx, methodRead, readParams{l.topic, from, wait.Milliseconds()}, wait, l.oldest)
+	if err == nil {
+		b := keyedlog.Batch{Records: out.Records, Next: out.Next, Age: age}
+		l.cache.Add(b, l.now().Add(-age))
+		return b, nil
+	}
+	if errors.Is(err, keyedlog.ErrGone) || ctx.Err() != nil {
+		return keyedlog.Batch{}, err
+	}
+	began := l.now()
+	b, err := l.store.Read(ctx, from, wait)
+	if err != nil {
+		return b, err
+	}
+	b.Age = l.now().Sub(began)
+	l.cache.Add(b, began)
+	return b, nil
+}
+
+// Newest implements keyedlog.Log.
+func (l *Log) Newest(ctx context.Context) (keyedlog.Snapshot, error) {
+	out, age, err := l.client.call(ctx, methodNewest, newestParams{l.topic}, 0, l.oldest)
+	if err == nil {
+		s := keyedlog.Snapshot{Records: out.Records, Next: out.Next, Age: age}
+		l.cache.Replace(s, l.now().Add(-age))
+		return s, nil
+	}
+	began := l.now()
+	s, err := l.store.Newest(ctx)
+	if err != nil {
+		return s, err
+	}
+	s.Age = l.now().Sub(began)
+	l.cache.Replace(s, began)
+	return s, nil
+}
+
+// Append implements keyedlog.Log. Without a condition it goes by the collector, which
+// sends the records of several instances in one call; with one, the store is asked.
+func (l *Log) Append(ctx context.Context, at uint64, records ...keyedlog.Record) error {
+	if at == keyedlog.Anywhere {
+		_, _, err := l.client.call(ctx, methodAppend, appendParams{l.topic, records}, 0, l.oldest)
+		if err == nil {
+			return nil
+		}
+	}
+	return l.store.Append(ctx, at, records...)
+}
+
+// Direct says whether this instance reads the store itself.
+func (l *Log) Direct() bool {
+	_, ok := l.client.members.Collector()
+	return !ok
+}
--- /dev/null
+++ b/router/internal/relay/members.go
@@ -0,0 +1,118 @@
+package relay
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Member is an instance that may collect.
+type Member struct {
+	Name    string `json:"name"`
+	Domain  string `json:"domain"`
+	Address string `json:"address"`
+}
+
+const (
+	// failedFor is how long a collector that gave no answer is passed over: about as long
+	// as an instance needs to start again. It doubles up to failedMost for one that is
+	// gone for good.
+	failedFor  = 4 * time.Second
+	failedMost = time.Minute
+	// mostTried is how many ranks are tried before the store is read: one dead instance
+	// is common, two at once are not, and each costs a time-out.
+	mostTried = 2
+)
+
+// Members ranks the instances of a failure domain.
+type Members struct {
+	self Member
+	now  func() time.Time
+
+	mu     sync.Mutex
+	list   map[string]Member
+	ranked []Member
+	failed map[string]failure
+}
+
+// failure is how long a member is passed over.
+type failure struct {
+	until time.Time
+	span  time.Duration
+}
+
+// NewMembers returns the members that are known at first: this instance alone.
+func NewMembers(self Member, now func() time.Time) *Members {
+	m := &Members{self: self, now: now, list: map[string]Member{}, failed: map[string]failure{}}
+	m.Add(self)
+	return m
+}
+
+// Add takes in a member.
+func (m *Members) Add(in Member) {
+	if in.Domain != m.self.Domain || in.Name == "" || in.Address == "" {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.list[in.Name] = in
+	delete(m.failed, in.Name)
+	m.ranked = m.ranked[:0]
+	for _, x := range m.list {
+		m.ranked = append(m.ranked, x)
+	}
+	slices.SortFunc(m.ranked, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
+	})
+}
+
+// Collector is the instance to ask, or none where this one reads the store itself.
+func (m *Members) Collector() (Member, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	passed := 0
+	for _, x := range m.ranked {
+		if x.Name == m.self.Name || passed == mostTried {
+			break
+		}
+		if now.Before(m.failed[x.Name].until) {
+			passed++
+			continue
+		}
+		return x, true
+	}
+	return Member{}, false
+}
+
+// Failed passes a member over for a while.
+func (m *Members) Failed(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	span := min(max(2*m.failed[name].span, failedFor), failedMost)
+	m.failed[name] = failure{until: m.now().Add(span), span: span}
+}
+
+// Answered forgets a member's failures.
+func (m *Members) Answered(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.failed, name)
+}
+
+// Alone says whether no other member is known.
+func (m *Members) Alone() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.list) == 1
+}
+
+// Knows says whether the member is known as given.
+func (m *Members) Knows(in Member) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.list[in.Name] == in
+}
--- /dev/null
+++ b/router/internal/relay/messages.go
@@ -0,0 +1,55 @@
+package relay
+
+import (
+	"time"
+
+	"masticplank.example/coordination/keyedlog"
+)
+
+// The methods.
+const (
+	methodRead   = "read"
+	methodNewest = "newest"
+	methodAppend = "append"
+)
+
+// readParams asks for the records of a topic from an offset on.
+type readParams struct {
+	Topic  string `json:"topic"`
+	From   uint64 `json:"from"`
+	WaitMS int64  `json:"wait_ms"`
+}
+
+// newestParams asks for the newest record of each key.
+type newestParams struct {
+	Topic string `json:"topic"`
+}
+
+// appendParams hands records over to be appended, without a condition.
+type appendParams struct {
+	Topic   string            `json:"topic"`
+	Records []keyedlog.Record `json:"records"`
+}
+
+// answer is what a collector knows.
+type answer struct {
+	Records []keyedlog.Record `json:"records"`
+	Next    uint64            `json:"next"`
+	// AgeUS is how old that is, in microseconds, at the time of answering.
+	AgeUS int64 `json:"age_us"`
+	// TookUS is how long the question waited at the collector.
+	TookUS int64 `json:"took_us"`
+}
+
+// age is how old the answer is at the latest when it comes in, after the time that the
+// whole call took: what the way took may have been all before or all after the answering.
+func (a answer) age(call time.Duration) time.Duration {
+	waited := time.Duration(a.TookUS) * time.Microsecond
+	return time.Duration(a.AgeUS)*time.Microsecond + max(call-waited, 0)
+}
+
+// The codes of errors.
+const (
+	codeNotDone = 1
+	codeGone    = 2
+)
--- /dev/null
+++ b/router/internal/relay/server.go
@@ -0,0 +1,155 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"masticplank.example/coordination/keyedlog"
+)
+
+// Server answers the followers of this instance.
+type Server struct {
+	now    func() time.Time
+	caches map[string]*Cache
+	// append takes records of followers.
+	append func(topic string, records []keyedlog.Record) error
+	asked  atomic.Int64
+
+	mu    sync.Mutex
+	conns map[*jsonrpc2.Conn]bool
+}
+
+// NewServer returns a server of the caches, by topic.
+func NewServer(now func() time.Time, caches map[string]*Cache, take func(topic string, records []keyedlog.Record) error) *Server {
+	return &Server{now: now, caches: caches, append: take, conns: map[*jsonrpc2.Conn]bool{}}
+}
+
+// askedLately is how long after a question an instance counts as a collector.
+const askedLately = 5 * time.Second
+
+// Collects says whether others rely on this instance.
+func (s *Server) Collects() bool {
+	at := s.asked.Load()
+	return at != 0 && s.now().Sub(time.Unix(0, at)) < askedLately
+}
+
+// Serve answers on a listener until ctx ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) {
+	stop := context.AfterFunc(ctx, func() {
+		_ = l.Close()
+		s.closeAll()
+	})
+	defer stop()
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return // the listener is closed
+		}
+		s.add(ctx, c)
+	}
+}
+
+func (s *Server) add(ctx context.Context, c net.Conn) {
+	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed())
+	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{}), handler, jsonrpc2.SetLogger(quiet{}))
+	s.mu.Lock()
+	s.conns[conn] = true
+	s.mu.Unlock()
+	go func() {
+		<-conn.DisconnectNotify()
+		s.mu.Lock()
+		delete(s.conns, conn)
+		s.mu.Unlock()
+	}()
+}
+
+func (s *Server) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.Close()
+	}
+}
+
+// quiet drops the library's own log: what fails shows at the caller.
+type quiet struct{}
+
+// Printf implements jsonrpc2.Logger.
+func (quiet) Printf(string, ...any) {}
+
+func (s *Server) handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	began := s.now()
+	s.asked.Store(began.UnixNano())
+	out, err := s.answer(ctx, req)
+	if err != nil {
+		return nil, coded(err)
+	}
+	out.TookUS = s.now().Sub(began).Microseconds()
+	return out, nil
+}
+
+// longestWait bounds how long a question is kept.
+const longestWait = 10 * time.Second
+
+func (s *Server) answer(ctx context.Context, req *jsonrpc2.Request) (answer, error) {
+	switch req.Method {
+	case methodRead:
+		var p readParams
+		cache, err := s.decode(req, &p, func() string { return p.Topic })
+		if err != nil {
+			return answer{}, err
+		}
+		wait := min(time.Duration(p.WaitMS)*time.Millisecond, longestWait)
+		b, err := cache.Read(ctx, p.From, max(wait, 0))
+		return answer{Records: b.Records, Next: b.Next, AgeUS: b.Age.Microseconds()}, err
+	case methodNewest:
+		var p newestParams
+		cache, err := s.decode(req, &p, func() string { return p.Topic })
+		if err != nil {
+			return answer{}, err
+		}
+		n, err := cache.Newest()
+		return answer{Records: n.Records, Next: n.Next, AgeUS: n.Age.Microseconds()}, err
+	case methodAppend:
+		var p appendParams
+		if _, err := s.decode(req, &p, func() string { return p.Topic }); err != nil {
+			return answer{}, err
+		}
+		return answer{}, s.append(p.Topic, p.Records)
+	}
+	return answer{}, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method"}
+}
+
+// decode decodes the parameters and finds the topic's cache.
+func (s *Server) decode(req *jsonrpc2.Request, into any, topic func() string) (*Cache, error) {
+	if req.Params == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "no parameters"}
+	}
+	if err := json.Unmarshal(*req.Params, into); err != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	cache := s.caches[topic()]
+	if cache == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "unknown topic"}
+	}
+	return cache, nil
+}
+
+// coded turns the log's errors into codes.
+func coded(err error) error {
+	var known *jsonrpc2.Error
+	switch {
+	case errors.As(err, &known):
+		return known
+	case errors.Is(err, keyedlog.ErrGone):
+		return &jsonrpc2.Error{Code: codeGone, Message: err.Error()}
+	}
+	return &jsonrpc2.Error{Code: codeNotDone, Message: err.Error()}
+}
