Collectors pass on what changed, and the strong instances collect

Cause: heartbeats of 90 backend servers, passed on to 29 instances, filled the 10 Mbit/s of a small collector; followers gave it up and read by themselves.

--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -102,7 +102,7 @@
 }
 
 func provideSharing(p Platform, cfg seam.Settings, j *journal, c Clock) *sharing {
-	return newSharing(cfg, p.Store, j, c)
+	return newSharing(cfg, p.Store, p.Records, j, c)
 }
 
 func provideBoard(cfg seam.Settings, sh *sharing, d *Driver, j *journal, c Clock) *board {
--- a/router/internal/passthrough/sharing.go
+++ b/router/internal/passthrough/sharing.go
@@ -55,9 +55,9 @@
 	oldestOther = time.Hour
 )
 
-func newSharing(cfg seam.Settings, store Store, j *journal, clock Clock) *sharing {
+func newSharing(cfg seam.Settings, store Store, records Records, j *journal, clock Clock) *sharing {
 	s := &sharing{
-		self:  relay.Member{Name: cfg.Instance, Domain: cfg.Zone, Address: cfg.Peers},
+		self:  relay.Member{Name: cfg.Instance, Domain: cfg.Zone, Address: cfg.Peers, Cores: cfg.Cores},
 		store: store, journal: j, clock: clock, wake: func() {},
 	}
 	s.members = relay.NewMembers(s.self, clock.Now)
@@ -66,7 +66,11 @@
 	})
 	caches := map[string]*relay.Cache{}
 	topic := func(name string, log keyedlog.Log, oldest time.Duration) *relay.Log {
-		caches[name] = relay.NewCache(clock.Now)
+		same := sameServer(records)
+		if name != topicServers {
+			same = nil
+		}
+		caches[name] = relay.NewCache(clock.Now, same)
 		return relay.NewLog(name, log, s.client, caches[name], clock.Now, oldest)
 	}
 	s.operator = topic(topicOperator, store.Operator(), oldestOperator)
@@ -78,6 +82,16 @@
 	return s
 }
 
+// sameServer says of two entries of a backend server that they differ in nothing that is
+// used: most are heartbeats.
+func sameServer(records Records) func(a, b keyedlog.Record) bool {
+	return func(a, b keyedlog.Record) bool {
+		x, errX := records.Server(a)
+		y, errY := records.Server(b)
+		return errX == nil && errY == nil && x == y
+	}
+}
+
 // heldMost bounds the records that are held for followers.
 const heldMost = 1000
 
--- a/router/internal/relay/cache.go
+++ b/router/internal/relay/cache.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sort"
 	"sync"
 	"time"
 
@@ -15,6 +16,9 @@
 // Cache is what an instance knows of a topic, for those that ask it.
 type Cache struct {
 	now func() time.Time
+	// same says of two records of a key that they mean the same; the second is then not
+	// passed on.
+	same func(a, b keyedlog.Record) bool
 
 	mu      sync.Mutex
 	known   bool
@@ -27,9 +31,14 @@
 	changed   chan struct{}
 }
 
-// NewCache returns an empty cache; now is a clock that goes on while suspended.
-func NewCache(now func() time.Time) *Cache {
-	return &Cache{now: now, newest: map[string]keyedlog.Record{}, changed: make(chan struct{})}
+// NewCache returns an empty cache; now is a clock that goes on while suspended. same says
+// of two records of a key that they mean the same: heartbeats of 90 backend servers, passed
+// on to 29 instances, fill the link of 10 Mbit/s of a small collector. It may be nil.
+func NewCache(now func() time.Time, same func(a, b keyedlog.Record) bool) *Cache {
+	if same == nil {
+		same = func(a, b keyedlog.Record) bool { return false }
+	}
+	return &Cache{now: now, same: same, newest: map[string]keyedlog.Record{}, changed: make(chan struct{})}
 }
 
 // Replace takes over a snapshot that was current at the time.
@@ -51,13 +60,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, r := range b.Records {
-		if len(r.Value) == 0 {
+		old, known := c.newest[r.Key]
+		switch {
+		case len(r.Value) == 0:
 			delete(c.newest, r.Key)
-		} else {
+		case known && c.same(old, r):
+			continue
+		default:
 			c.newest[r.Key] = r
 		}
+		c.records = append(c.records, r)
 	}
-	c.records = append(c.records, b.Records...)
 	if drop := len(c.records) - cacheRecords; drop > 0 {
 		c.records = append([]keyedlog.Record(nil), c.records[drop:]...)
 		c.first = c.records[0].Offset
@@ -107,9 +120,8 @@
 		return keyedlog.Batch{}, nil, keyedlog.ErrNotDone // the asker knows more
 	}
 	out := keyedlog.Batch{Next: c.next, Age: c.now().Sub(c.confirmed)}
-	if n := int(c.next - from); n > 0 {
-		out.Records = append(out.Records, c.records[len(c.records)-n:]...)
-	}
+	at := sort.Search(len(c.records), func(i int) bool { return c.records[i].Offset >= from })
+	out.Records = append(out.Records, c.records[at:]...)
 	return out, c.changed, nil
 }
 
--- a/router/internal/relay/members.go
+++ b/router/internal/relay/members.go
@@ -14,6 +14,8 @@
 	Name    string `json:"name"`
 	Domain  string `json:"domain"`
 	Address string `json:"address"`
+	// Cores is the part of a core that it has: the strong ones collect first.
+	Cores float64 `json:"cores"`
 }
 
 const (
@@ -65,7 +67,7 @@
 		m.ranked = append(m.ranked, x)
 	}
 	slices.SortFunc(m.ranked, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
 	})
 }
 
--- /dev/null
+++ b/router/internal/relay/relay_test.go
@@ -0,0 +1,244 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"masticplank.example/coordination/keyedlog"
+)
+
+// store is a topic in memory that counts its reads.
+type store struct {
+	mu      sync.Mutex
+	records []keyedlog.Record
+	reads   int
+	err     error
+}
+
+func (s *store) Read(_ context.Context, from uint64, _ time.Duration) (keyedlog.Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.err != nil {
+		return keyedlog.Batch{}, s.err
+	}
+	return keyedlog.Batch{Records: append([]keyedlog.Record(nil), s.records[from:]...), Next: uint64(len(s.records))}, nil
+}
+
+func (s *store) Newest(context.Context) (keyedlog.Snapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.err != nil {
+		return keyedlog.Snapshot{}, s.err
+	}
+	return keyedlog.Snapshot{Records: append([]keyedlog.Record(nil), s.records...), Next: uint64(len(s.records))}, nil
+}
+
+func (s *store) Append(_ context.Context, _ uint64, records ...keyedlog.Record) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range records {
+		r.Offset = uint64(len(s.records))
+		s.records = append(s.records, r)
+	}
+	return s.err
+}
+
+func (s *store) put(key, value string) {
+	_ = s.Append(context.Background(), keyedlog.Anywhere, keyedlog.Record{Key: key, Value: []byte(value)}) // in memory
+}
+
+func (s *store) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
+const testTopic = "t"
+
+// instance is one with a collector's server and a follower's log.
+type instance struct {
+	members *Members
+	client  *Client
+	cache   *Cache
+	log     *Log
+	stop    context.CancelFunc
+	taken   []keyedlog.Record
+}
+
+// startInstances starts instances of one failure domain on a shared store. They rank in
+// order, by their cores.
+func startInstances(t *testing.T, st *store, count int, oldest time.Duration) []*instance {
+	t.Helper()
+	var all []*instance
+	var list []Member
+	var listeners []net.Listener
+	for i := range count {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners = append(listeners, l)
+		list = append(list, Member{Name: fmt.Sprint("i", i), Domain: "d", Address: l.Addr().String(), Cores: float64(count - i)})
+	}
+	for i := range count {
+		in := &instance{members: NewMembers(list[i], time.Now)}
+		for _, m := range list {
+			in.members.Add(m)
+		}
+		in.client = NewClient(in.members, time.Now, func(string) {})
+		in.cache = NewCache(time.Now, nil)
+		in.log = NewLog(testTopic, st, in.client, in.cache, time.Now, oldest)
+		srv := NewServer(time.Now, map[string]*Cache{testTopic: in.cache}, func(_ string, r []keyedlog.Record) error {
+			in.taken = append(in.taken, r...)
+			return nil
+		})
+		ctx, stop := context.WithCancel(context.Background())
+		in.stop = stop
+		go srv.Serve(ctx, listeners[i])
+		t.Cleanup(func() { stop(); in.client.Close() })
+		all = append(all, in)
+	}
+	return all
+}
+
+func (in *instance) newest(t *testing.T) keyedlog.Snapshot {
+	t.Helper()
+	s, err := in.log.Newest(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func TestFollowersReadByTheCollector(t *testing.T) {
+	st := &store{}
+	st.put("a", "1")
+	all := startInstances(t, st, 3, time.Minute)
+	all[0].newest(t)
+	for _, in := range all[1:] {
+		if s := in.newest(t); len(s.Records) != 1 || s.Next != 1 || s.Age <= 0 {
+			t.Errorf("snapshot %+v", s)
+		}
+	}
+	if n := st.count(); n != 1 {
+		t.Errorf("the store was read %d times", n)
+	}
+	st.put("b", "2")
+	done := make(chan keyedlog.Batch)
+	go func() {
+		b, err := all[1].log.Read(t.Context(), 1, time.Second)
+		if err != nil {
+			t.Error(err)
+		}
+		done <- b
+	}()
+	time.Sleep(20 * time.Millisecond) // the follower's question waits at the collector
+	if _, err := all[0].log.Read(t.Context(), 1, 0); err != nil {
+		t.Fatal(err)
+	}
+	if b := <-done; len(b.Records) != 1 || b.Records[0].Key != "b" || b.Next != 2 {
+		t.Errorf("batch %+v", b)
+	}
+}
+
+func TestDeadCollectorCostsOneTimeOut(t *testing.T) {
+	st := &store{}
+	st.put("a", "1")
+	all := startInstances(t, st, 4, time.Minute)
+	all[0].newest(t)
+	all[0].stop()
+	all[1].newest(t) // finds it out and reads the store, being the next
+	began := st.count()
+	if s := all[2].newest(t); len(s.Records) != 1 {
+		t.Errorf("snapshot %+v", s)
+	}
+	all[2].newest(t) // now by the second
+	all[3].newest(t)
+	all[3].newest(t)
+	if n := st.count() - began; n > 2 {
+		t.Errorf("two followers read the store %d times after the collector's death", n)
+	}
+	if m, ok := all[2].members.Collector(); !ok || m.Name != "i1" {
+		t.Errorf("collector %+v, %v", m, ok)
+	}
+}
+
+func TestOldAnswerIsNotTaken(t *testing.T) {
+	st := &store{}
+	st.put("a", "1")
+	all := startInstances(t, st, 2, 30*time.Millisecond)
+	all[0].newest(t)
+	time.Sleep(50 * time.Millisecond) // the collector is cut off from the store
+	before := st.count()
+	if s := all[1].newest(t); s.Age > 30*time.Millisecond {
+		t.Errorf("age %v", s.Age)
+	}
+	if st.count() == before {
+		t.Error("the follower took an answer that is too old")
+	}
+}
+
+// TestAgeIsNeverTooYoung holds that an answer's age covers the time since the collector's
+// own read began, however long the question waited on its way.
+func TestAgeIsNeverTooYoung(t *testing.T) {
+	a := answer{AgeUS: 500_000, TookUS: 200_000}
+	if got := a.age(900 * time.Millisecond); got != 1200*time.Millisecond {
+		t.Errorf("age %v, want the age at the answer and all of the way", got)
+	}
+	if got := a.age(100 * time.Millisecond); got != 500*time.Millisecond {
+		t.Errorf("age %v, by clocks that run unevenly", got)
+	}
+}
+
+func TestFollowersRecordsAreHandedOver(t *testing.T) {
+	st := &store{}
+	all := startInstances(t, st, 2, time.Minute)
+	all[0].newest(t)
+	if err := all[1].log.Append(t.Context(), keyedlog.Anywhere, keyedlog.Record{Key: "k", Value: []byte("v")}); err != nil {
+		t.Fatal(err)
+	}
+	if len(all[0].taken) != 1 || len(st.records) != 0 {
+		t.Errorf("the collector took %v", all[0].taken)
+	}
+	if err := all[1].log.Append(t.Context(), 0, keyedlog.Record{Key: "k", Value: []byte("v")}); err != nil || len(st.records) != 1 {
+		t.Errorf("an append with a condition did not go to the store: %v", err)
+	}
+}
+
+func TestCache(t *testing.T) {
+	now := time.Unix(100, 0)
+	same := func(a, b keyedlog.Record) bool { return string(a.Value) == string(b.Value) }
+	c := NewCache(func() time.Time { return now }, same)
+	ctx := t.Context()
+	if _, err := c.Read(ctx, 0, 0); !errors.Is(err, keyedlog.ErrNotDone) {
+		t.Errorf("an empty cache answers %v", err)
+	}
+	c.Replace(keyedlog.Snapshot{Records: []keyedlog.Record{{Key: "a", Value: []byte("1"), Offset: 4}}, Next: 5}, now)
+	if _, err := c.Read(ctx, 3, 0); !errors.Is(err, keyedlog.ErrGone) {
+		t.Errorf("a read from before: %v", err)
+	}
+	if _, err := c.Read(ctx, 9, 0); !errors.Is(err, keyedlog.ErrNotDone) {
+		t.Errorf("a read from after the end: %v", err)
+	}
+	now = now.Add(time.Second)
+	c.Add(keyedlog.Batch{Next: 8, Records: []keyedlog.Record{
+		{Key: "a", Value: []byte("1"), Offset: 5}, {Key: "b", Value: []byte("2"), Offset: 6}, {Key: "a", Offset: 7},
+	}}, now.Add(-300*time.Millisecond))
+	b, err := c.Read(ctx, 5, 0)
+	if err != nil || len(b.Records) != 2 || b.Records[0].Key != "b" || b.Next != 8 || b.Age != 300*time.Millisecond {
+		t.Errorf("batch %+v, %v", b, err)
+	}
+	if b, err := c.Read(ctx, 7, 0); err != nil || len(b.Records) != 1 {
+		t.Errorf("batch %+v, %v", b, err)
+	}
+	if s, err := c.Newest(); err != nil || len(s.Records) != 1 || s.Records[0].Key != "b" {
+		t.Errorf("snapshot %+v, %v", s, err)
+	}
+}
