The largest prompts are given the time to be read

Cause: an attempt was given up after 0.7 of the target without a byte from its server, and a prompt of 50,000 tokens takes three seconds and more to read; with 81 instances a server is heard of too rarely to tell a busy one from a dark one.

--- a/decision/passthrough/place_test.go
+++ b/decision/passthrough/place_test.go
@@ -123,6 +123,8 @@
 	}{
 		{"stream's server speaks", Silence{Route: stream, Attempt: 5 * time.Second, Server: 100 * time.Millisecond}, false},
 		{"stream's server is dark", Silence{Route: stream, Attempt: 3 * time.Second, Server: 3 * time.Second}, true},
+		{"long prompt at a busy server", Silence{Route: stream, PromptTokens: 50000, Attempt: 7 * time.Second, Server: 7 * time.Second}, false},
+		{"long prompt at a dark server", Silence{Route: stream, PromptTokens: 50000, Attempt: 9 * time.Second, Server: 9 * time.Second}, true},
 		{"stream waits for twice its target", Silence{Route: stream, Attempt: 9 * time.Second}, true},
 		{"pause in time", Silence{Route: stream, Begun: true, Attempt: time.Second}, false},
 		{"pause too long", Silence{Route: stream, Begun: true, Attempt: 2100 * time.Millisecond}, true},
--- a/decision/passthrough/silence.go
+++ b/decision/passthrough/silence.go
@@ -7,6 +7,8 @@
 	Route *Route
 	// Patience of the dispatch; 0 for no bound of its own.
 	Patience time.Duration
+	// PromptTokens are to be read before the first byte.
+	PromptTokens int
 	// Begun says that the answer began.
 	Begun bool
 	// Attempt is the time since the attempt's last byte, or since its start; Server that
@@ -25,6 +27,10 @@
 	// attempts before the first byte: a running server sends events all the time.
 	darkPart = 0.7
 	darkMost = 3 * time.Second
+	// readingTime is allowed for each prompt token beside that: a large model reads 19 a
+	// millisecond by itself, and less than half of that among others. Without it the
+	// largest prompts, of 50,000 tokens, were given up again and again.
+	readingTime = 120 * time.Microsecond
 	// firstTimes is how many times the target the first byte may take in any case.
 	firstTimes = 2
 )
@@ -41,8 +47,9 @@
 	if s.Begun {
 		return s.Attempt > max(time.Duration(gapTimes*float64(s.Route.TargetGap)), gapLeast)
 	}
-	if s.Server > min(time.Duration(darkPart*float64(s.Route.Target)), darkMost) {
+	reading := time.Duration(s.PromptTokens) * readingTime
+	if s.Server > min(time.Duration(darkPart*float64(s.Route.Target)), darkMost)+reading {
 		return true
 	}
-	return s.Attempt > firstTimes*s.Route.Target
+	return s.Attempt > firstTimes*s.Route.Target+reading
 }
--- a/router/internal/passthrough/watch.go
+++ b/router/internal/passthrough/watch.go
@@ -56,7 +56,8 @@
 // isSilent asks the decision, by what was heard of the attempt and of its server.
 func (a *attempt) isSilent() bool {
 	now := a.exchange.edge.clock.Now()
-	s := passthrough.Silence{Route: a.exchange.call.route, Patience: a.patience, Begun: a.conn.heard.Load() != 0}
+	s := passthrough.Silence{Route: a.exchange.call.route, Patience: a.patience,
+		PromptTokens: a.exchange.call.caller.PromptTokens, Begun: a.conn.heard.Load() != 0}
 	s.Attempt = now.Sub(a.began)
 	if at := a.conn.heard.Load(); at != 0 {
 		s.Attempt = now.Sub(time.Unix(0, at))
