Waits follow the bounds; an instance that starts again does not wait for others

Cause: a poll's wait was fixed for a revocation bound of 5 s; with 2 s an instance was stale between two polls (e2e, a planned stop past the bound). And after a restart of all, instances looked for collectors before they read.

--- a/decision/passthrough/seam/settings.go
+++ b/decision/passthrough/seam/settings.go
@@ -6,6 +6,8 @@
 type Settings struct {
 	// Instance names this instance.
 	Instance string
+	// FirstStart says that the whole system starts for the first time.
+	FirstStart bool
 	// Zone is its failure domain.
 	Zone string
 	// Zones are the failure domains, in no order.
--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -153,20 +153,16 @@
 }
 
 // startTails follows the store's topics, and carries roll-outs out.
-func startTails(lc fx.Lifecycle, p Platform, sh *sharing, k *Knowledge, d *Driver, l *list, m *rollouts, b *board, j *journal, c Clock) {
+func startTails(lc fx.Lifecycle, p Platform, cfg seam.Settings, sh *sharing, k *Knowledge, d *Driver, l *list, m *rollouts, b *board, j *journal, c Clock) {
 	op := &operator{records: p.Records, known: k, driver: d, rollouts: m, journal: j, collects: sh.server.Collects}
 	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			go func() {
-				sh.join(ctx)
-				go op.tail(sh.operator, c).run(ctx)
-				go l.tail(sh.servers, c).run(ctx)
-				go b.tail(c, m.active).run(ctx)
-				go sh.tail().run(ctx)
-				go b.run(ctx)
-				m.run(ctx)
-			}()
+			tails := []func(context.Context){
+				op.tail(sh.operator, c).run, l.tail(sh.servers, c).run,
+				b.tail(c, m.active).run, sh.tail().run, b.run, m.run,
+			}
+			go startTogether(ctx, sh, cfg.FirstStart, tails)
 			return sh.listen(ctx)
 		},
 		OnStop: func(context.Context) error {
@@ -177,6 +173,21 @@
 	})
 }
 
+// startTogether joins the others and starts the tails. When the whole system starts, no
+// caller waits yet, and an instance that knows its collector first saves its own reads.
+// One that starts again is needed at once, and reads by itself what it needs.
+func startTogether(ctx context.Context, sh *sharing, first bool, tails []func(context.Context)) {
+	if first {
+		sh.join(ctx)
+	}
+	for _, run := range tails {
+		go run(ctx)
+	}
+	if !first {
+		sh.join(ctx)
+	}
+}
+
 // watchSettings reads the settings file again on SIGHUP and when it has changed. Only the
 // bounds are taken over; addresses hold until the next start.
 func watchSettings(lc fx.Lifecycle, p Platform, cfg seam.Settings, k *Knowledge, j *journal) {
--- a/router/internal/passthrough/knowledge.go
+++ b/router/internal/passthrough/knowledge.go
@@ -39,6 +39,9 @@
 // SetBound changes the revocation bound.
 func (k *Knowledge) SetBound(revoke time.Duration) { k.bound.Store(int64(revoke)) }
 
+// Bound is the revocation bound.
+func (k *Knowledge) Bound() time.Duration { return time.Duration(k.bound.Load()) }
+
 // Index is the configuration in force, or nil while none is known.
 func (k *Knowledge) Index() *passthrough.Index { return k.index.Load() }
 
--- a/router/internal/passthrough/list.go
+++ b/router/internal/passthrough/list.go
@@ -12,9 +12,12 @@
 )
 
 const (
-	// listEvery is the time between two reads of the list: a server that leaves must get
-	// nothing 2 s later, and each read costs a call.
-	listEvery = 750 * time.Millisecond
+	// listPart is the part of the time for which a leaving server may still get requests
+	// that lies between two reads of the list: a read may fail once. Each costs a call, so
+	// that they are no more frequent than listLeast.
+	listPart  = 0.37
+	listLeast = 300 * time.Millisecond
+	listMost  = 750 * time.Millisecond
 	// lapseGrace is how long an entry that went away in an outage of the store is still
 	// believed once the store is back: it returns within two seconds, if the server
 	// lives.
@@ -63,7 +66,7 @@
 func (l *list) tail(log keyedlog.Log, clock Clock) *tail {
 	t := &tail{
 		name: "servers", log: log, clock: clock, journal: l.journal, nudge: l.nudge,
-		pause: func() time.Duration { return listEvery },
+		pause: l.every,
 		each:  func(r keyedlog.Record) { l.take(r) },
 	}
 	t.whole = func(records []keyedlog.Record) { l.replace(records) }
@@ -76,6 +79,11 @@
 	return t
 }
 
+// every is the time between two reads.
+func (l *list) every() time.Duration {
+	return min(max(time.Duration(listPart*float64(l.drain)), listLeast), listMost)
+}
+
 // outageEnded notes that removals may now be lapses.
 func (l *list) outageEnded() {
 	l.mu.Lock()
--- a/router/internal/passthrough/operator.go
+++ b/router/internal/passthrough/operator.go
@@ -21,19 +21,21 @@
 }
 
 func (o *operator) wait() time.Duration {
+	part := pollPart
 	if o.collects() {
-		return collectWait
+		part = collectPart
 	}
-	return pollWait
+	return time.Duration(part * float64(o.known.Bound()))
 }
 
 const (
-	// pollWait is how long a read of the operator's records waits for one. What is known
-	// is up to twice as old, and must stay under half of a revocation bound of 5 s.
-	pollWait = 1100 * time.Millisecond
-	// collectWait is the same where others read from this instance, and add their own
+	// pollPart is the part of the revocation bound for which a read of the operator's
+	// records waits for one. What is known is up to twice as old, and must stay under the
+	// half at which readiness fails: 1.1 s of 5 s.
+	pollPart = 0.22
+	// collectPart is the same where others read from this instance, and add their own
 	// time to it.
-	collectWait = 500 * time.Millisecond
+	collectPart = 0.1
 )
 
 func (o *operator) tail(log keyedlog.Log, clock Clock) *tail {
--- a/router/internal/passthrough/sharing.go
+++ b/router/internal/passthrough/sharing.go
@@ -46,11 +46,13 @@
 )
 
 const (
-	// oldestOperator is the age past which a collector's word on the configuration is
-	// worth a read of one's own: one that reads well is at most 1.1 s behind.
-	oldestOperator = 1800 * time.Millisecond
-	// oldestServers is the same for the list: a leaving server must be known in 2 s.
-	oldestServers = 1300 * time.Millisecond
+	// oldestOperator is the age, as a part of the revocation bound, past which a
+	// collector's word on the configuration is worth a read of one's own: one that reads
+	// well is at most two of its own waits behind.
+	oldestOperator = 0.36
+	// oldestServers is the same for the list, as a part of the time for which a leaving
+	// server may still get requests.
+	oldestServers = 0.65
 	// oldestOther is for topics that tell what they have to at once.
 	oldestOther = time.Hour
 )
@@ -73,8 +75,8 @@
 		caches[name] = relay.NewCache(clock.Now, same)
 		return relay.NewLog(name, log, s.client, caches[name], clock.Now, oldest)
 	}
-	s.operator = topic(topicOperator, store.Operator(), oldestOperator)
-	s.servers = topic(topicServers, store.Servers(), oldestServers)
+	s.operator = topic(topicOperator, store.Operator(), part(oldestOperator, cfg.Bounds.Revoke))
+	s.servers = topic(topicServers, store.Servers(), part(oldestServers, cfg.Bounds.Drain))
 	s.status = topic(topicStatus, store.Status(), oldestOther)
 	s.observations = topic(topicObservations, store.Observations(), oldestOther)
 	s.instances = topic(topicInstances, store.Instances(), oldestOther)
@@ -82,6 +84,9 @@
 	return s
 }
 
+// part is a part of a bound.
+func part(p float64, bound time.Duration) time.Duration { return time.Duration(p * float64(bound)) }
+
 // sameServer says of two entries of a backend server that they differ in nothing that is
 // used: most are heartbeats.
 func sameServer(records Records) func(a, b keyedlog.Record) bool {
