The end of a roll-out reaches every instance at once

Also a version whose predecessor nothing was seen of was never judged bad. The register's topic is followed by all now, and its reads by single instances are gone.

--- a/decision/passthrough/rollout.go
+++ b/decision/passthrough/rollout.go
@@ -71,9 +71,11 @@
 // Total is the number of answers.
 func (c Counts) Total() int { return c.Good + c.Bad }
 
-// badShare is the part of bad answers, with one half bad answer added to each side, so
-// that a few answers say little.
-func (c Counts) badShare() float64 { return (float64(c.Bad) + 0.5) / (float64(c.Total()) + 1) }
+// badShare is the part of bad answers, with so many answers added, half a one of them bad,
+// that a few say little.
+func (c Counts) badShare(added float64) float64 {
+	return (float64(c.Bad) + 0.5) / (float64(c.Total()) + added)
+}
 
 const (
 	// canaryPart is the canary's part of the share that the platform allows: most of that
@@ -101,6 +103,10 @@
 	// and answers that get lost strike both.
 	badFloor  = 0.15
 	badFactor = 2.5
+	// newAdded and oldAdded are the answers added to what was seen of each: an old version
+	// of which nothing was seen is taken for a good one.
+	newAdded = 1
+	oldAdded = 10
 )
 
 // Judge says whether the new version is bad, by what all instances saw of both.
@@ -115,7 +121,7 @@
 	if fresh.Bad < judgeAfter {
 		return false
 	}
-	return fresh.badShare() > badFloor+badFactor*old.badShare()
+	return fresh.badShare(newAdded) > badFloor+badFactor*old.badShare(oldAdded)
 }
 
 // Exposure bounds the requests that a version may get before its roll-out's deadline, be
--- a/decision/passthrough/rollout_test.go
+++ b/decision/passthrough/rollout_test.go
@@ -103,6 +103,7 @@
 	}{
 		{"nothing seen", Counts{}, Counts{}, false},
 		{"a few failures", Counts{Good: 3, Bad: 4}, Counts{Good: 100}, false},
+		{"all fail and nothing is seen of the old one", Counts{Bad: 8}, Counts{}, true},
 		{"half fail", Counts{Good: 6, Bad: 6}, Counts{Good: 100, Bad: 2}, true},
 		{"a third fails late", Counts{Good: 30, Bad: 14}, Counts{Good: 400, Bad: 8}, true},
 		{"both fail alike", Counts{Good: 20, Bad: 6}, Counts{Good: 200, Bad: 60}, false},
--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -120,7 +120,7 @@
 }
 
 func provideRollouts(p Platform, cfg seam.Settings, sh *sharing, d *Driver, l *list, b *board, j *journal, c Clock) *rollouts {
-	m := newRollouts(p.Records, sh.status, d, l, b, j, c, passthrough.Exposure{Share: cfg.Bounds.CanaryShare, Tolerance: cfg.Bounds.CanaryTolerance})
+	m := newRollouts(p.Records, p.Store.Status(), d, l, b, j, c, passthrough.Exposure{Share: cfg.Bounds.CanaryShare, Tolerance: cfg.Bounds.CanaryTolerance})
 	m.writes = sh.status.Direct
 	return m
 }
@@ -160,7 +160,7 @@
 		OnStart: func(context.Context) error {
 			tails := []func(context.Context){
 				op.tail(sh.operator, c).run, l.tail(sh.servers, c).run,
-				b.tail(c, m.active).run, sh.tail().run, b.run, m.run,
+				b.tail(c, m.active).run, m.tail(sh.status).run, sh.tail().run, b.run, m.run,
 			}
 			go startTogether(ctx, sh, cfg.FirstStart, tails)
 			return sh.listen(ctx)
--- a/router/internal/passthrough/attempt.go
+++ b/router/internal/passthrough/attempt.go
@@ -136,7 +136,10 @@
 	if a.silent.Load() {
 		return outcome{result: passthrough.Broken, err: errSilent, first: a.first}
 	}
-	return outcome{result: passthrough.Broken, err: err, cut: a.exchange.ctx.Err() == nil, first: a.first}
+	if gone := a.exchange.ctx.Err(); gone != nil {
+		return outcome{result: passthrough.Broken, err: gone, first: a.first} // its end closed the connection
+	}
+	return outcome{result: passthrough.Broken, err: err, cut: true, first: a.first}
 }
 
 // judge takes the answer for what it is.
--- a/router/internal/passthrough/rollouts.go
+++ b/router/internal/passthrough/rollouts.go
@@ -16,7 +16,7 @@
 // since the order and by what all saw; the end is written once, by whoever comes first.
 type rollouts struct {
 	records Records
-	status  keyedlog.Log
+	topic   keyedlog.Log
 	driver  *Driver
 	list    *list
 	board   *board
@@ -30,7 +30,17 @@
 
 	mu   sync.Mutex
 	open map[string]*rollout
-	wake chan struct{}
+	// status is the newest state of each service's roll-out; known says that the
+	// register's topic was read.
+	status map[string]state
+	known  bool
+	wake   chan struct{}
+}
+
+// state is what the register holds of a service's newest roll-out.
+type state struct {
+	target string
+	phase  passthrough.Phase
 }
 
 // rollout is one order with what this instance knows of it.
@@ -40,21 +50,22 @@
 	// since is the time of the order, as far as known.
 	since time.Time
 	plan  passthrough.Rollout
-	// ended is the phase that the register holds, 0 while it holds none; announced says
-	// that it holds that the roll-out is in progress.
-	ended     passthrough.Phase
+	// ended is the phase that the register holds and that was taken over, 0 for none yet;
+	// told is the one that was read from it.
+	ended passthrough.Phase
+	told  passthrough.Phase
+	// announced says that the register holds that the roll-out is in progress.
 	announced bool
-	looked    time.Time
 }
 
 // rolloutEvery is how often open roll-outs are looked at: a bad version must be out within
 // seconds of its 50th bad answer.
 const rolloutEvery = 400 * time.Millisecond
 
-func newRollouts(records Records, status keyedlog.Log, driver *Driver, l *list, b *board, j *journal, clock Clock, limit passthrough.Exposure) *rollouts {
+func newRollouts(records Records, topic keyedlog.Log, driver *Driver, l *list, b *board, j *journal, clock Clock, limit passthrough.Exposure) *rollouts {
 	return &rollouts{
-		records: records, status: status, driver: driver, list: l, board: b, journal: j, clock: clock,
-		limit: limit, writes: func() bool { return true }, open: map[string]*rollout{}, wake: make(chan struct{}, 1),
+		records: records, topic: topic, driver: driver, list: l, board: b, journal: j, clock: clock,
+		limit: limit, writes: func() bool { return true }, open: map[string]*rollout{}, status: map[string]state{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -66,10 +77,13 @@
 		return
 	}
 	r := &rollout{Order: o, offset: offset, since: m.clock.Now()}
-	// Until the register was read, the new version gets nothing: an instance that starts
+	// Until the register's topic was read, the new version gets nothing: an instance that starts
 	// in the middle of a roll-out knows neither its phase nor the open sessions.
 	r.plan = passthrough.Rollout{Order: o, Phase: passthrough.PhaseCanary, FirstHalf: true, Opening: true}
 	m.open[o.Service] = r
+	if st, ok := m.status[o.Service]; ok && st.target == o.Target {
+		m.takeState(r, st.phase)
+	}
 	m.driver.Tell(passthrough.RolloutSet{Rollout: r.plan})
 	m.journal.emit(logging.EventRolloutOrdered, slog.String("service", o.Service),
 		slog.String("target", o.Target), slog.Int64("duration_ms", o.Duration.Milliseconds()), slog.Uint64("offset", offset))
@@ -121,28 +135,91 @@
 	return out
 }
 
-// lookEvery is how often the register is read while nothing is to be written to it.
-const lookEvery = 3000 * time.Millisecond
-
 // advance plans one roll-out anew, and ends it in the register where its time has come.
 func (m *rollouts) advance(ctx context.Context, r *rollout) {
 	now := m.clock.Now()
 	seen := m.board.view(r, now)
 	elapsed := max(now.Sub(r.since), seen.elapsed)
 	plan := passthrough.Plan(r.Order, now, elapsed, m.limit, seen.fresh, seen.old, seen.bad)
+	told, announced, known := m.toldOf(r)
+	if told.Ended() {
+		plan.Phase = told
+		m.end(r, told, seen, "read")
+		m.adopt(r, plan, seen)
+		return
+	}
 	if plan.Opening {
 		m.board.open(r.Service, m.driver.openSessions(r.Service, r.Target, plan.Share))
 	}
 	if plan.Phase == passthrough.PhaseCompleted && !m.mayComplete(r) {
 		plan.Phase = passthrough.PhaseCanary
 	}
-	if plan.Phase.Ended() || !r.announced || now.Sub(r.looked) > lookEvery {
+	switch {
+	case m.writes() && (plan.Phase.Ended() || !announced):
 		plan = m.register(ctx, r, plan, seen)
-		r.looked = now
+	case !known && !plan.Phase.Ended():
+		return // it may have ended long ago
+	default:
+		plan = undecided(plan)
 	}
 	m.adopt(r, plan, seen)
 }
 
+// toldOf is what was read of the roll-out from the register's topic, and whether that was
+// read at all.
+func (m *rollouts) toldOf(r *rollout) (phase passthrough.Phase, announced, known bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return r.told, r.announced, m.known
+}
+
+// tail follows the register's topic, so that an end is known everywhere at once.
+func (m *rollouts) tail(log keyedlog.Log) *tail {
+	t := &tail{
+		name: topicStatus, log: log, clock: m.clock, journal: m.journal,
+		wait:  func() time.Duration { return boardWait },
+		pause: func() time.Duration { return retryMost },
+		each:  m.read,
+	}
+	t.whole = func(list []keyedlog.Record) {
+		for _, rec := range list {
+			m.read(rec)
+		}
+	}
+	t.read = func(time.Time, int) {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.known = true
+	}
+	return t
+}
+
+// read takes in one record of the register's topic. The first end of a roll-out holds.
+func (m *rollouts) read(rec keyedlog.Record) {
+	service, target, phase, ok, err := m.records.Status(rec)
+	if err != nil {
+		m.journal.emit(logging.EventRecordRejected, slog.String("key", rec.Key), slog.String(logging.KeyError, err.Error()))
+		return
+	}
+	if !ok {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.status[service] = state{target, phase}
+	if r := m.open[service]; r != nil && r.Target == target {
+		m.takeState(r, phase)
+	}
+}
+
+// takeState notes what the register holds of a roll-out.
+func (m *rollouts) takeState(r *rollout, phase passthrough.Phase) {
+	r.announced = true
+	if phase.Ended() && !r.told.Ended() {
+		r.told = phase
+	}
+}
+
 // mayComplete says whether the new version has the servers for all of the traffic: the
 // old ones are stopped at once.
 func (m *rollouts) mayComplete(r *rollout) bool {
@@ -157,7 +234,7 @@
 // another instance wrote in between is never overwritten. An append without an answer is
 // read back at the next look, before anything else is written.
 func (m *rollouts) register(ctx context.Context, r *rollout, plan passthrough.Rollout, seen view) passthrough.Rollout {
-	snap, err := m.status.Newest(ctx)
+	snap, err := m.topic.Newest(ctx)
 	if err != nil {
 		return undecided(plan)
 	}
@@ -166,26 +243,23 @@
 		if err != nil || !ok || service != r.Service || target != r.Target {
 			continue
 		}
-		r.announced = true
+		m.announce(r)
 		if phase.Ended() {
 			plan.Phase = phase
 			m.end(r, phase, seen, "read")
 			return plan
 		}
-	}
-	if r.announced && !plan.Phase.Ended() {
-		return plan
-	}
-	if !m.writes() {
-		return undecided(plan)
+		if !plan.Phase.Ended() {
+			return plan
+		}
 	}
 	rec, err := m.records.StatusRecord(r.Service, r.Target, plan.Phase)
 	if err == nil {
-		err = m.status.Append(ctx, snap.Next, rec)
+		err = m.topic.Append(ctx, snap.Next, rec)
 	}
 	switch {
 	case err == nil:
-		r.announced = true
+		m.announce(r)
 		if plan.Phase.Ended() {
 			m.end(r, plan.Phase, seen, "written")
 		}
@@ -196,6 +270,13 @@
 	return undecided(plan)
 }
 
+// announce notes that the register holds the roll-out.
+func (m *rollouts) announce(r *rollout) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r.announced = true
+}
+
 // undecided is the plan while the register does not hold the end that this instance would
 // write: a bad version gets nothing already, a good one is not completed yet.
 func undecided(plan passthrough.Rollout) passthrough.Rollout {
--- a/router/internal/passthrough/rollouts_test.go
+++ b/router/internal/passthrough/rollouts_test.go
@@ -230,3 +230,34 @@
 		t.Errorf("got %+v", c)
 	}
 }
+
+// TestEndReachesInstancesThatDoNotWrite holds for an instance that reads the store by its
+// collector: it takes an end over from the topic, though it would not have judged so.
+func TestEndReachesInstancesThatDoNotWrite(t *testing.T) {
+	clock, status := newFakeClock(), &fakeLog{}
+	writer, follower := newParts("a", clock, status, &fakeLog{}), newParts("b", clock, status, &fakeLog{})
+	follower.rollouts.writes = func() bool { return false }
+	tl := follower.rollouts.tail(status)
+	for _, p := range []*parts{writer, follower} {
+		p.listServers()
+		p.rollouts.ordered(testOrder, 1)
+	}
+	step := func() {
+		t.Helper()
+		writer.rollouts.advance(t.Context(), writer.rollouts.open["shop"])
+		if err := tl.once(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		follower.rollouts.advance(t.Context(), follower.rollouts.open["shop"])
+	}
+	step()
+	clock.pass(5 * time.Second)
+	writer.see("v2", true, 20)
+	step()
+	if got := follower.rollouts.open["shop"].ended; got != passthrough.PhaseReverted {
+		t.Errorf("the follower has %v", got)
+	}
+	if n := len(ends(status)); n != 1 {
+		t.Errorf("%d ends written", n)
+	}
+}
