--- a/decision/passthrough/cascade.go
+++ b/decision/passthrough/cascade.go
@@ -60,7 +60,7 @@
 	switch {
 	case s.load(w.now) > fullLoad*slots:
 		return 0
-	case r.escalated || r.attempts >= r.Route.MaxAttempts:
+	case r.escalated || r.attempts >= r.Route.MaxAttempts || !r.Route.Repeatable():
 		return last
 	}
 	return 0
@@ -69,6 +69,9 @@
 // bar is the confidence under which the answer is dropped and a larger model asked; 0 for
 // never.
 func (w *World) bar(r *request) float64 {
+	if !r.Route.Repeatable() {
+		return 0 // it would run twice
+	}
 	if r.escalated || r.size >= len(r.Route.Sizes)-1 || r.attempts >= r.Route.MaxAttempts {
 		return 0
 	}
--- a/decision/passthrough/cascade_test.go
+++ b/decision/passthrough/cascade_test.go
@@ -41,6 +41,17 @@
 	}
 }
 
+func TestWhatMayNotRunTwiceAsksTheLargest(t *testing.T) {
+	b := newBench(t, Settings{})
+	route := streamRoute()
+	route.Resumable = false
+	b.configure(route)
+	b.tell(Listed{servers("llm", 3, 8)})
+	if d := b.dispatched(b.arrive(route, nil)); d.Model != "large" || d.Bar != 0 {
+		t.Errorf("model %q, bar %v", d.Model, d.Bar)
+	}
+}
+
 func TestFullServersAreAskedForTheSmallestModel(t *testing.T) {
 	b := newBench(t, Settings{})
 	route := streamRoute()
--- /dev/null
+++ b/decision/passthrough/property_test.go
@@ -0,0 +1,215 @@
+package passthrough
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// history drives a world by any events and checks what it commands.
+type history struct {
+	*bench
+	rng    *rand.Rand
+	routes []*Route
+	list   []Server
+	live   map[RequestID]*liveRequest
+	phase  Phase
+}
+
+type liveRequest struct {
+	route   *Route
+	running string
+	ran     bool
+	sent    int
+	notSent int
+}
+
+// TestInvariants runs seeded histories of arrivals, ends of all kinds, callers that leave,
+// lists that change, servers that come back, roll-outs and pauses.
+func TestInvariants(t *testing.T) {
+	for seed := range uint64(400) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runInvariants(t, rand.New(rand.NewPCG(seed, 9)), 400) })
+	}
+}
+
+// FuzzInvariants lets the fuzzer choose the events.
+func FuzzInvariants(f *testing.F) {
+	f.Add(uint64(1), uint64(2))
+	f.Fuzz(func(t *testing.T, a, b uint64) { runInvariants(t, rand.New(rand.NewPCG(a, b)), 200) })
+}
+
+func runInvariants(t *testing.T, rng *rand.Rand, steps int) {
+	h := &history{bench: newBench(t, Settings{}), rng: rng, live: map[RequestID]*liveRequest{}}
+	h.routes = []*Route{plainRoute(), onceRoute(), streamRoute()}
+	h.configure(h.routes...)
+	h.relist()
+	for range steps {
+		h.pass(time.Duration(rng.IntN(80)) * time.Millisecond)
+		h.step()
+		h.checkCounts()
+	}
+}
+
+func (h *history) relist() {
+	h.list = h.list[:0]
+	for _, s := range append(servers("shop", 3, 2), servers("llm", 4, 3)...) {
+		if h.rng.IntN(5) == 0 {
+			continue
+		}
+		s.Draining = h.rng.IntN(6) == 0
+		s.Born = int64(1 + h.rng.IntN(8)/7)
+		if h.rng.IntN(2) == 0 {
+			s.Version = "v2"
+		}
+		h.list = append(h.list, s)
+	}
+	h.do(Listed{append([]Server(nil), h.list...)})
+}
+
+func (h *history) step() {
+	switch h.rng.IntN(14) {
+	case 0:
+		h.relist()
+	case 1:
+		h.phase = []Phase{PhaseCanary, PhaseCompleted, PhaseReverted}[h.rng.IntN(3)]
+		h.do(RolloutSet{Rollout{Order: Order{Service: "llm", Target: "v2"}, Phase: h.phase, Share: 0.3}})
+	case 2:
+		for id, r := range h.live {
+			if r.running != "" && h.rng.IntN(4) == 0 {
+				h.do(Heard{Server: r.running, Load: Load{Running: h.rng.IntN(5), Waiting: h.rng.IntN(3), Slots: 3}})
+			}
+			_ = id
+		}
+	case 3:
+		h.one(func(id RequestID, _ *liveRequest) { h.do(Left{id}); delete(h.live, id) })
+	case 4:
+		h.one(func(id RequestID, _ *liveRequest) { h.do(Waited{id}) })
+	case 5, 6, 7, 8:
+		h.next++
+		route := h.routes[h.rng.IntN(len(h.routes))]
+		h.live[h.next] = &liveRequest{route: route}
+		h.do(Arrived{Request{
+			ID: h.next, Route: route, Service: route.Backends[0].Service, Team: fmt.Sprint(h.rng.IntN(3)), Rank: h.rng.IntN(3),
+			Session: []string{"", "a", "b"}[h.rng.IntN(3)], Affinity: uint64(h.rng.IntN(3)), PromptTokens: h.rng.IntN(9000),
+			Share: h.rng.Float64(), Fingerprint: uint64(h.rng.IntN(30)), Target: h.now.Add(route.Target),
+			Deadline: h.now.Add(time.Duration(h.rng.IntN(3000)) * time.Millisecond), ModelOpen: len(route.Sizes) > 0,
+		}})
+	default:
+		h.one(func(id RequestID, r *liveRequest) {
+			if r.running == "" {
+				return
+			}
+			result := Result(1 + h.rng.IntN(7))
+			if result == Dropped && r.route.Kind != KindStream {
+				result = Broken
+			}
+			r.running = ""
+			r.ran = r.ran || result.ran()
+			if result == NotSent {
+				r.notSent++
+			}
+			if result == Completed || result == Abandoned {
+				delete(h.live, id)
+			}
+			h.do(Ended{Request: id, Result: result, Cut: result == Broken && h.rng.IntN(2) == 0, Pace: time.Millisecond})
+		})
+	}
+}
+
+// one does something to some live request.
+func (h *history) one(do func(RequestID, *liveRequest)) {
+	for id := h.next; id > 0 && id+40 > h.next; id-- {
+		if r := h.live[id]; r != nil && h.rng.IntN(3) == 0 {
+			do(id, r)
+			return
+		}
+	}
+}
+
+// do tells an event and checks every command.
+func (h *history) do(e Event) {
+	h.t.Helper()
+	for _, c := range h.tell(e) {
+		switch c := c.(type) {
+		case Dispatch:
+			h.dispatch(c)
+		case Refuse:
+			r := h.final(c.Request)
+			if r.ran {
+				h.t.Fatalf("request %d was refused though it may have run", c.Request)
+			}
+			if c.RetryAfter < 0 || c.RetryAfter > 2*comeBackMost {
+				h.t.Fatalf("request %d: come back after %v", c.Request, c.RetryAfter)
+			}
+		case Finish:
+			if r := h.final(c.Request); !r.ran {
+				h.t.Fatalf("request %d was not refused though it has not run", c.Request)
+			}
+		}
+	}
+}
+
+func (h *history) final(id RequestID) *liveRequest {
+	r := h.live[id]
+	if r == nil || r.running != "" {
+		h.t.Fatalf("request %d got a second end, or one while it runs", id)
+	}
+	delete(h.live, id)
+	return r
+}
+
+func (h *history) dispatch(c Dispatch) {
+	r := h.live[c.Request]
+	if r == nil || r.running != "" {
+		h.t.Fatalf("request %d was dispatched after its end, or twice", c.Request)
+	}
+	if r.ran && !r.route.Repeatable() {
+		// An engine's doubt is the one reason to ask again for what runs once a time.
+		h.t.Fatalf("request %d of route %s was sent again", c.Request, r.route.Name)
+	}
+	r.running = c.Server.ID
+	r.sent++
+	if r.sent-r.notSent > r.route.MaxAttempts {
+		h.t.Fatalf("request %d was sent %d times", c.Request, r.sent-r.notSent)
+	}
+	for _, s := range h.list {
+		if s.ID != c.Server.ID {
+			continue
+		}
+		if s.Draining || s.Service != r.route.Backends[0].Service {
+			h.t.Fatalf("request %d was sent to %+v", c.Request, s)
+		}
+		if h.phase == PhaseReverted && s.Service == "llm" && s.Version == "v2" {
+			h.t.Fatalf("request %d was sent to a reverted version", c.Request)
+		}
+		return
+	}
+	h.t.Fatalf("request %d was sent to %s, which is not listed", c.Request, c.Server.ID)
+}
+
+// checkCounts holds the servers' counts against the requests that run.
+func (h *history) checkCounts() {
+	running := map[string]int{}
+	for _, r := range h.world.requests {
+		if r.server != nil && !r.server.gone {
+			running[r.server.ID]++
+		}
+	}
+	for id, s := range h.world.servers {
+		if s.own != running[id] || s.reading < 0 {
+			h.t.Fatalf("server %s counts %d, %d run there; %d tokens to read", id, s.own, running[id], s.reading)
+		}
+	}
+	for name, s := range h.world.services {
+		waiting := 0
+		for _, r := range h.world.requests {
+			if r.waiting && r.service == s {
+				waiting++
+			}
+		}
+		if s.queue.len != waiting {
+			h.t.Fatalf("service %s counts %d in its queue, %d wait", name, s.queue.len, waiting)
+		}
+	}
+}
