--- a/decision/passthrough/rollout.go
+++ b/decision/passthrough/rollout.go
@@ -68,6 +68,12 @@
 	return Counts{Good: c.Good + o.Good, Bad: c.Bad + o.Bad, First: c.First.plus(o.First), Pace: c.Pace.plus(o.Pace)}
 }
 
+// Since is what came since an earlier count. An instance that started again counts anew;
+// what it had counted is left out then.
+func (c Counts) Since(o Counts) Counts {
+	return Counts{Good: max(c.Good-o.Good, 0), Bad: max(c.Bad-o.Bad, 0), First: c.First.since(o.First), Pace: c.Pace.since(o.Pace)}
+}
+
 // Total is the number of answers.
 func (c Counts) Total() int { return c.Good + c.Bad }
 
@@ -113,7 +119,7 @@
 //
 // Load: a version that fails in a part of its answers or is slow, at once, later, or on
 // one route only. Harm prevented: callers who get its answers until a person notices. Recent
-// counts are judged, so that a version that turns bad late is not excused by its start.
+// counts are judged too, so that a version that turns bad late is not excused by its start.
 func Judge(fresh, old Counts) bool {
 	if fresh.First.over(firstLimit) || fresh.Pace.over(paceLimit) {
 		return true
--- a/decision/passthrough/verdict.go
+++ b/decision/passthrough/verdict.go
@@ -26,6 +26,14 @@
 	return Shift{N: s.N + o.N, Sum: s.Sum + o.Sum, Squares: s.Squares + o.Squares}
 }
 
+// since is what came since an earlier sum, or nothing where that is not a part of it.
+func (s Shift) since(o Shift) Shift {
+	if s.N < o.N {
+		return Shift{}
+	}
+	return Shift{N: s.N - o.N, Sum: s.Sum - o.Sum, Squares: s.Squares - o.Squares}
+}
+
 const (
 	// shiftAnswers is the least number of answers that a shift is judged by.
 	shiftAnswers = 8
--- a/router/internal/passthrough/board.go
+++ b/router/internal/passthrough/board.go
@@ -57,8 +57,20 @@
 
 	readAt time.Time
 	dirty  bool
+	// past are the sums of all instances at earlier views, oldest first.
+	past []past
 }
 
+// past is what all instances had seen at a time, by route.
+type past struct {
+	at   time.Time
+	sums map[string]pair
+}
+
+// recent is how far back the counts reach that are judged beside the whole: long enough
+// for five bad answers of a canary, short beside a good first half of a roll-out.
+const recent = 5 * time.Second
+
 // pair is the answers of the new and of the old version.
 type pair struct {
 	New passthrough.Counts `json:"new"`
@@ -155,9 +167,8 @@
 	}
 	for _, p := range sums {
 		out.fresh, out.old = out.fresh.Plus(p.New), out.old.Plus(p.Old)
-		out.bad = out.bad || passthrough.Judge(p.New, p.Old)
 	}
-	out.bad = out.bad || passthrough.Judge(out.fresh, out.old)
+	out.bad = judge(sums) || judge(own.lately(now, sums))
 	own.ElapsedMS = out.elapsed.Milliseconds()
 	return out
 }
@@ -178,6 +189,34 @@
 	}
 }
 
+// judge says whether the new version is bad, on some route or on all.
+func judge(sums map[string]pair) bool {
+	var all pair
+	for _, p := range sums {
+		if passthrough.Judge(p.New, p.Old) {
+			return true
+		}
+		all = pair{New: all.New.Plus(p.New), Old: all.Old.Plus(p.Old)}
+	}
+	return passthrough.Judge(all.New, all.Old)
+}
+
+// lately is what came in the recent time, and notes the sums for later.
+func (s *sheet) lately(now time.Time, sums map[string]pair) map[string]pair {
+	for len(s.past) > 1 && now.Sub(s.past[1].at) >= recent {
+		s.past = s.past[1:]
+	}
+	out := map[string]pair{}
+	if len(s.past) > 0 {
+		for route, p := range sums {
+			before := s.past[0].sums[route]
+			out[route] = pair{New: p.New.Since(before.New), Old: p.Old.Since(before.Old)}
+		}
+	}
+	s.past = append(s.past, past{now, sums})
+	return out
+}
+
 // tail follows the others' sheets.
 func (b *board) tail(clock Clock, active func() bool) *tail {
 	t := &tail{
--- a/router/internal/passthrough/rollouts_test.go
+++ b/router/internal/passthrough/rollouts_test.go
@@ -261,3 +261,30 @@
 		t.Errorf("%d ends written", n)
 	}
 }
+
+// TestVersionThatTurnsBadLateIsFoundSoon holds for a version with a long good start.
+func TestVersionThatTurnsBadLateIsFoundSoon(t *testing.T) {
+	clock, status := newFakeClock(), &fakeLog{}
+	p := newParts("a", clock, status, &fakeLog{})
+	p.listServers()
+	p.rollouts.ordered(testOrder, 1)
+	r := p.rollouts.open["shop"]
+	step := func(good, bad int) {
+		clock.pass(400 * time.Millisecond)
+		p.see("v2", false, good)
+		p.see("v2", true, bad)
+		p.see("v1", false, 40)
+		p.rollouts.advance(t.Context(), r)
+	}
+	p.rollouts.advance(t.Context(), r)
+	for range 30 { // 12 s
+		step(5, 0)
+	}
+	bad := 0
+	for ; r.ended == 0 && bad < 50; bad++ {
+		step(1, 1)
+	}
+	if r.ended != passthrough.PhaseReverted || bad > 20 {
+		t.Errorf("ended %v after %d bad answers", r.ended, bad)
+	}
+}
