--- a/router/internal/relay/members.go
+++ b/router/internal/relay/members.go
@@ -112,11 +112,12 @@
 	clear(m.failed)
 }
 
-// First says whether this instance ranks first, whoever answers.
+// First says whether this instance ranks first, whoever answers. One without an address
+// knows nobody, and reads by itself.
 func (m *Members) First() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.ranked[0].Name == m.self.Name
+	return len(m.ranked) == 0 || m.ranked[0].Name == m.self.Name
 }
 
 // Alone says whether no other member is known.
--- a/router/internal/relay/relay_test.go
+++ b/router/internal/relay/relay_test.go
@@ -271,3 +271,18 @@
 		t.Errorf("not by the collector, though it is back: %v", err)
 	}
 }
+
+func TestInstanceWithoutAnAddressReadsByItself(t *testing.T) {
+	st := &store{err: keyedlog.ErrUnknown}
+	members := NewMembers(Member{Name: "alone", Domain: "d"}, time.Now)
+	client := NewClient(members, time.Now, func(string) {})
+	log := NewLog(testTopic, st, client, NewCache(time.Now, nil), time.Now, time.Minute)
+	for range 3 {
+		if _, err := log.Newest(t.Context()); !errors.Is(err, keyedlog.ErrUnknown) {
+			t.Errorf("got %v", err)
+		}
+	}
+	if st.count() != 3 || !members.First() {
+		t.Errorf("%d reads, first %v", st.count(), members.First())
+	}
+}
