--- /dev/null
+++ b/decision/passthrough/load_test.go
@@ -0,0 +1,162 @@
+package passthrough
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// caller is one kind of requests of a load.
+type caller struct {
+	team      string
+	rank      int
+	perSecond func(at time.Duration) float64
+}
+
+// tally is what became of a kind's requests, as its callers see it.
+type tally struct {
+	asked, inTarget, late, refused int
+	// waits are the times until a refusal.
+	waits []time.Duration
+}
+
+func (t tally) served() float64 { return float64(t.inTarget+t.late) / float64(max(t.asked, 1)) }
+
+// replay runs a load on plain servers of the given slots and service time, a millisecond at
+// a time, and returns what became of each kind.
+func replay(t *testing.T, count, slots int, work, length time.Duration, callers []caller) []tally {
+	b := newBench(t, Settings{})
+	route := plainRoute()
+	b.configure(route)
+	b.tell(Listed{servers("shop", count, slots)})
+	rng := rand.New(rand.NewPCG(3, 3))
+	out := make([]tally, len(callers))
+	kind := map[RequestID]int{}
+	arrived := map[RequestID]time.Time{}
+	type job struct {
+		id    RequestID
+		until time.Time
+	}
+	var jobs []job
+	seen := 0
+	follow := func() {
+		for ; seen < len(b.all); seen++ {
+			switch c := b.all[seen].(type) {
+			case Dispatch:
+				took := time.Duration((0.7 + 0.6*rng.Float64()) * float64(work))
+				jobs = append(jobs, job{c.Request, b.now.Add(took)})
+			case Refuse:
+				tl := &out[kind[c.Request]]
+				tl.refused++
+				tl.waits = append(tl.waits, b.now.Sub(arrived[c.Request]))
+			}
+		}
+	}
+	start := b.now
+	owed := make([]float64, len(callers))
+	for b.now.Sub(start) < length {
+		b.pass(time.Millisecond)
+		jobs = slices.DeleteFunc(jobs, func(j job) bool {
+			if j.until.After(b.now) {
+				return false
+			}
+			tl := &out[kind[j.id]]
+			if b.now.Sub(arrived[j.id]) <= route.Target {
+				tl.inTarget++
+			} else {
+				tl.late++
+			}
+			b.tell(Ended{Request: j.id, Result: Completed, Pace: work})
+			return true
+		})
+		follow()
+		for id, at := range arrived { // the queue's patience, as the edge's timer keeps it
+			if r := b.world.requests[id]; r != nil && r.waiting && b.now.Sub(at) >= MaxWait(&Request{Target: at.Add(route.Target), Deadline: at.Add(route.Timeout)}, at) {
+				b.tell(Waited{id})
+			}
+			if b.world.requests[id] == nil && !slices.ContainsFunc(jobs, func(j job) bool { return j.id == id }) {
+				delete(arrived, id)
+			}
+		}
+		follow()
+		for i, c := range callers {
+			for owed[i] += c.perSecond(b.now.Sub(start)) / 1000; owed[i] >= 1; owed[i]-- {
+				out[i].asked++
+				kind[b.next+1], arrived[b.next+1] = i, b.now
+				b.arrive(route, func(r *Request) { r.Team, r.Rank = c.team, c.rank })
+			}
+		}
+		follow()
+	}
+	return out
+}
+
+func steady(rate float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return rate }
+}
+
+// Three servers of 6 slots and 30 ms answer 600 requests a second.
+const (
+	testServers = 3
+	testSlots   = 6
+	testWork    = 30 * time.Millisecond
+)
+
+func TestBurst(t *testing.T) {
+	rush := func(at time.Duration) float64 {
+		if at > 2*time.Second && at < 4*time.Second {
+			return 1500
+		}
+		return 200
+	}
+	got := replay(t, testServers, testSlots, testWork, 7*time.Second, []caller{{"a", 0, rush}})[0]
+	// In the rush 3000 come and 1200 can be answered; the 1000 of the rest all can.
+	if got.inTarget < 1900 {
+		t.Errorf("%d of %d in time, %d late, %d refused", got.inTarget, got.asked, got.late, got.refused)
+	}
+	if got.late > 50 {
+		t.Errorf("%d answers came late: the queue is too long", got.late)
+	}
+	for _, w := range got.waits {
+		if w > 70*time.Millisecond {
+			t.Fatalf("a caller was held for %v and then refused", w)
+		}
+	}
+}
+
+func TestLargeTeamDoesNotPushOutSmallOnes(t *testing.T) {
+	callers := []caller{{"large", 0, steady(1600)}}
+	for i := range 4 {
+		callers = append(callers, caller{fmt.Sprint("small-", i), 0, steady(40)})
+	}
+	got := replay(t, testServers, testSlots, testWork, 4*time.Second, callers)
+	for i, tl := range got[1:] {
+		if tl.served() < 0.9 {
+			t.Errorf("small team %d: %.2f served beside a large one with %.2f", i, tl.served(), got[0].served())
+		}
+	}
+	if used := got[0].inTarget + got[0].late; used < 1400 {
+		t.Errorf("the large team got %d answers of the %d that were left", used, 4*(600-160))
+	}
+}
+
+func TestUrgentWorkGoesFirstAndTheRestIsNotStarved(t *testing.T) {
+	got := replay(t, testServers, testSlots, testWork, 4*time.Second, []caller{
+		{"a", 0, steady(420)}, {"b", 2, steady(600)},
+	})
+	if got[0].served() < 0.93 {
+		t.Errorf("urgent: %.2f served", got[0].served())
+	}
+	if got[1].served() < 0.1 {
+		t.Errorf("the rest: %.2f served", got[1].served())
+	}
+}
+
+func TestCalmLoadIsAllServed(t *testing.T) {
+	got := replay(t, testServers, testSlots, testWork, 4*time.Second, []caller{{"a", 0, steady(300)}})[0]
+	if got.refused > 0 || got.late > 0 {
+		t.Errorf("%d refused, %d late of %d at half of the capacity", got.refused, got.late, got.asked)
+	}
+}
--- a/decision/passthrough/queue.go
+++ b/decision/passthrough/queue.go
@@ -38,6 +38,16 @@
 const lowTurn = 8
 
 func (q *queue) push(r *request, cost float64) {
+	rq, flow := q.flow(r)
+	wt := &waiter{r: r, ranks: rq}
+	wt.item.Value, wt.item.Cost = wt, max(cost, 1)
+	r.place = wt
+	rq.queue.Push(flow, &wt.item)
+	q.len++
+}
+
+// flow finds the part of the queue that the request's team has at its rank.
+func (q *queue) flow(r *request) (*rankQueue, *fair.Flow[*waiter]) {
 	if q.accounts == nil {
 		q.accounts = map[string]*fair.Account{}
 	}
@@ -53,11 +63,29 @@
 		rq.queue.Init(flow, account)
 		rq.flows[r.Team] = flow
 	}
-	wt := &waiter{r: r, ranks: rq}
-	wt.item.Value, wt.item.Cost = wt, max(cost, 1)
-	r.place = wt
-	rq.queue.Push(flow, &wt.item)
-	q.len++
+	return rq, flow
+}
+
+// ahead estimates how many requests would go before this one.
+//
+// Load: a queue that one large team has filled. Harm prevented: a small team's requests
+// refused for a wait that is not theirs, as their turn comes by their own share.
+func (q *queue) ahead(r *request) int {
+	if q.len == 0 {
+		return 0
+	}
+	rq, flow := q.flow(r)
+	count := 0
+	for _, other := range q.ranks {
+		if other.rank < r.Rank {
+			count += other.queue.Len()
+		}
+	}
+	if n := rq.queue.Len(); n > 0 {
+		usual := rq.queue.Cost() / float64(n)
+		count += int(rq.queue.Ahead(flow)/usual + 0.5)
+	}
+	return count
 }
 
 // rank finds the queue of a rank; the ranks stand in order.
--- a/decision/passthrough/requests.go
+++ b/decision/passthrough/requests.go
@@ -34,7 +34,7 @@
 		w.giveUp(r, ReasonNoServer)
 		return
 	}
-	if s.pace.drain.wait(s.queue.len) > MaxWait(&r.Request, w.now) {
+	if s.pace.drain.wait(s.queue.ahead(r)) > MaxWait(&r.Request, w.now) {
 		w.giveUp(r, ReasonBusy)
 		return
 	}
@@ -150,7 +150,7 @@
 
 // refuse ends a request that has not run, with when to come back.
 func (w *World) refuse(r *request, reason Reason) {
-	after := r.service.pace.drain.wait(r.service.queue.len)
+	after := r.service.pace.drain.wait(r.service.queue.ahead(r))
 	if reason == ReasonNoServer {
 		after = max(after, absentFor)
 	}
