--- /dev/null
+++ b/router/internal/passthrough/register.go
@@ -0,0 +1,132 @@
+package passthrough
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"masticplank.example/coordination/keyedlog"
+	"masticplank.example/decision/passthrough"
+	"masticplank.example/router/internal/logging"
+)
+
+// state is what the register holds of a service's newest roll-out.
+type state struct {
+	target string
+	phase  passthrough.Phase
+}
+
+// toldOf is what was read of the roll-out from the register's topic, and whether that was
+// read at all.
+func (m *rollouts) toldOf(r *rollout) (phase passthrough.Phase, announced, known bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return r.told, r.announced, m.known
+}
+
+// tail follows the register's topic, so that an end is known everywhere at once.
+func (m *rollouts) tail(log keyedlog.Log) *tail {
+	t := &tail{
+		name: topicStatus, log: log, clock: m.clock, journal: m.journal,
+		wait: func() time.Duration { return boardWait }, retry: retryRare,
+		pause: func() time.Duration { return retryMost },
+		each:  m.read,
+	}
+	t.whole = func(list []keyedlog.Record) {
+		for _, rec := range list {
+			m.read(rec)
+		}
+	}
+	t.read = func(time.Time, int) {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.known = true
+	}
+	return t
+}
+
+// read takes in one record of the register's topic. The first end of a roll-out holds.
+func (m *rollouts) read(rec keyedlog.Record) {
+	service, target, phase, ok, err := m.records.Status(rec)
+	if err != nil {
+		m.journal.emit(logging.EventRecordRejected, slog.String("key", rec.Key), slog.String(logging.KeyError, err.Error()))
+		return
+	}
+	if !ok {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.status[service] = state{target, phase}
+	if r := m.open[service]; r != nil && r.Target == target {
+		m.takeState(r, phase)
+	}
+}
+
+// takeState notes what the register holds of a roll-out.
+func (m *rollouts) takeState(r *rollout, phase passthrough.Phase) {
+	r.announced = true
+	if phase.Ended() && !r.told.Ended() {
+		r.told = phase
+	}
+}
+
+// register reads the register and, where it holds no end yet, writes the plan's. It
+// returns the plan that holds.
+//
+// Safety: the append is refused unless the topic ends where it was read, so an end that
+// another instance wrote in between is never overwritten. An append without an answer is
+// read back at the next look, before anything else is written.
+func (m *rollouts) register(ctx context.Context, r *rollout, plan passthrough.Rollout, seen view) passthrough.Rollout {
+	snap, err := m.topic.Newest(ctx)
+	if err != nil {
+		return undecided(plan)
+	}
+	for _, rec := range snap.Records {
+		service, target, phase, ok, err := m.records.Status(rec)
+		if err != nil || !ok || service != r.Service || target != r.Target {
+			continue
+		}
+		m.announce(r)
+		if phase.Ended() {
+			plan.Phase = phase
+			m.end(r, phase, seen, "read")
+			return plan
+		}
+		if !plan.Phase.Ended() {
+			return plan
+		}
+	}
+	rec, err := m.records.StatusRecord(r.Service, r.Target, plan.Phase)
+	if err == nil {
+		err = m.topic.Append(ctx, snap.Next, rec)
+	}
+	switch {
+	case err == nil:
+		m.announce(r)
+		if plan.Phase.Ended() {
+			m.end(r, plan.Phase, seen, "written")
+		}
+		return plan
+	case !errors.Is(err, keyedlog.ErrMoved):
+		m.journal.emit(logging.EventRolloutUnwritten, slog.String("service", r.Service), slog.String(logging.KeyError, err.Error()))
+	}
+	return undecided(plan)
+}
+
+// announce notes that the register holds the roll-out.
+func (m *rollouts) announce(r *rollout) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r.announced = true
+}
+
+// undecided is the plan while the register does not hold the end that this instance would
+// write: a bad version gets nothing already, a good one is not completed yet.
+func undecided(plan passthrough.Rollout) passthrough.Rollout {
+	if plan.Phase == passthrough.PhaseCompleted {
+		plan.Phase = passthrough.PhaseCanary
+	}
+	return plan
+}
