The retry budget's slack is shared by the counted fleet; what was unused is gone

Cause: the slack was cut by a fixed 24 instances: with 81 they could have sent 682 repeats beyond the ratio, of 202 allowed. Found by reading. The instances are counted by the topic in which they find each other.

--- a/decision/passthrough/budget.go
+++ b/decision/passthrough/budget.go
@@ -21,6 +21,30 @@
 	repeat [budgetBuckets]int
 }
 
+// unknownFleet is how many instances are thought to share the slack until they are counted:
+// more than any deployment has that is known.
+const unknownFleet = 200
+
+// spareInstances is the part by which the fleet may be larger than counted.
+const spareInstances = 0.15
+
+// share takes this instance's part of the slack.
+func (w *World) share(instances int) {
+	w.fleet = instances
+	for _, s := range w.services {
+		s.budget.slack = w.slack()
+	}
+}
+
+// slack is this instance's part of the retry budget's.
+func (w *World) slack() float64 {
+	count := float64(w.fleet) * (1 + spareInstances)
+	if w.fleet == 0 {
+		count = unknownFleet
+	}
+	return w.cfg.RetrySlack / count
+}
+
 // NewBudget returns a budget: in each window as many repeats as ratio times the
 // requests, and slack more.
 func NewBudget(ratio, slack float64, window time.Duration) *Budget {
--- a/decision/passthrough/config.go
+++ b/decision/passthrough/config.go
@@ -63,15 +63,6 @@
 	Name string
 	// Slots is how many requests an engine runs at once; 0 for a plain service.
 	Slots int
-	// Models are the engine's models with their cost.
-	Models []Model
-}
-
-// Model is a model of an engine.
-type Model struct {
-	Name string
-	// Cost per 1000 generated tokens, in the configuration's unit.
-	Cost float64
 }
 
 // Team is a customer with its keys.
@@ -155,16 +146,6 @@
 	return r.Priority
 }
 
-// Allows says whether the route still leads to the service.
-func (r *Route) Allows(service string) bool {
-	for _, b := range r.Backends {
-		if b.Service == service && b.Weight > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // Pick chooses a service by weight; at is a fraction of 1. It returns "" where no
 // backend has a weight.
 func (r *Route) Pick(at float64) string {
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -60,6 +60,9 @@
 // SessionsOpen names sessions that were open at the old version when an order came.
 type SessionsOpen struct{ Sessions []string }
 
+// Fleet is the number of instances that share the retry budget's slack.
+type Fleet struct{ Instances int }
+
 // RolloutSet says how far a roll-out is.
 type RolloutSet struct{ Rollout Rollout }
 
@@ -72,6 +75,7 @@
 func (Heard) event()        {}
 func (FirstByte) event()    {}
 func (Crashes) event()      {}
+func (Fleet) event()        {}
 func (RolloutSet) event()   {}
 func (SessionsOpen) event() {}
 
--- a/decision/passthrough/harness_test.go
+++ b/decision/passthrough/harness_test.go
@@ -25,7 +25,9 @@
 	if cfg.RetryWindow == 0 {
 		cfg = Settings{Seed: 1, RetryRatio: 0.5, RetrySlack: 5, RetryWindow: 10 * time.Second, SessionLife: 5 * time.Second}
 	}
-	return &bench{t: t, world: New(cfg), now: testStart, got: map[RequestID][]Command{}}
+	b := &bench{t: t, world: New(cfg), now: testStart, got: map[RequestID][]Command{}}
+	b.tell(Fleet{Instances: 1})
+	return b
 }
 
 func (b *bench) tell(events ...Event) []Command {
--- a/decision/passthrough/requests_test.go
+++ b/decision/passthrough/requests_test.go
@@ -151,3 +151,20 @@
 	id := b.arrive(plainRoute(), func(r *Request) { r.Deadline = b.now })
 	b.refused(id, ReasonDeadline)
 }
+
+func TestSlackIsSharedByTheFleet(t *testing.T) {
+	b := newBench(t, Settings{Seed: 1, RetryRatio: 0, RetrySlack: 23, RetryWindow: 10 * time.Second})
+	b.configure(plainRoute())
+	b.tell(Listed{servers("shop", 40, 50)}, Fleet{Instances: 10})
+	repeats := 0
+	for range 30 {
+		id := b.arrive(plainRoute(), nil)
+		b.tell(Ended{Request: id, Result: Failed})
+		if d, ok := b.last(id).(Dispatch); ok && d.Attempt == 2 {
+			repeats++
+		}
+	}
+	if repeats != 2 { // 23 for ten instances, and a part for those not counted yet
+		t.Errorf("%d repeats, want this instance's part of the slack", repeats)
+	}
+}
--- a/decision/passthrough/seam/seam.go
+++ b/decision/passthrough/seam/seam.go
@@ -19,10 +19,7 @@
 	Wait time.Duration
 	// Session is empty for none.
 	Session string
-	// Shared is the prompt's parts up to the last one that other requests share; empty
-	// for none.
-	Shared string
-	// Subject is the last part of Shared alone.
+	// Subject is the last part of the prompt that other requests share; empty for none.
 	Subject string
 	// PromptTokens and MaxTokens are the work; 0 where unknown.
 	PromptTokens int
--- a/decision/passthrough/seam/settings.go
+++ b/decision/passthrough/seam/settings.go
@@ -10,12 +10,9 @@
 	FirstStart bool
 	// Zone is its failure domain.
 	Zone string
-	// Zones are the failure domains, in no order.
-	Zones int
-	// Frontend, Readiness and Metrics are the addresses to listen on.
+	// Frontend and Readiness are the addresses to listen on.
 	Frontend  string
 	Readiness string
-	Metrics   string
 	// Peers is the address to listen on for other instances; empty for none.
 	Peers string
 	// Store is the address of the platform's store.
@@ -23,18 +20,13 @@
 	// Cores is the part of a core that the process may use, MemoryBytes its memory.
 	Cores       float64
 	MemoryBytes int64
-	// StoreReadsPerSecond and StoreWritesPerSecond are for all instances together.
-	StoreReadsPerSecond  float64
-	StoreWritesPerSecond float64
-	Bounds               Bounds
+	Bounds      Bounds
 }
 
 // Bounds are the figures that the platform holds its services to.
 type Bounds struct {
 	// Revoke bounds how long a key works after a configuration without it.
 	Revoke time.Duration
-	// Apply bounds how long an older configuration may be used.
-	Apply time.Duration
 	// Drain is how long a leaving backend server may still get requests.
 	Drain time.Duration
 	// Grace is the time between SIGTERM and SIGKILL.
@@ -47,8 +39,6 @@
 	CanaryShare float64
 	// CanaryTolerance is the number of requests that it may get beside that.
 	CanaryTolerance float64
-	// Rollback bounds how long a bad version gets requests once it is known.
-	Rollback time.Duration
 	// SessionLife is how long after its last request a session goes on.
 	SessionLife time.Duration
 }
--- a/decision/passthrough/servers.go
+++ b/decision/passthrough/servers.go
@@ -13,14 +13,13 @@
 		row := w.serviceOf(s.Name)
 		row.engine = s.Slots > 0
 		row.slots = s.Slots
-		row.models = s.Models
 	}
 }
 
 func (w *World) serviceOf(name string) *service {
 	s := w.services[name]
 	if s == nil {
-		s = &service{name: name, budget: NewBudget(w.cfg.RetryRatio, w.cfg.RetrySlack, w.cfg.RetryWindow)}
+		s = &service{name: name, budget: NewBudget(w.cfg.RetryRatio, w.slack(), w.cfg.RetryWindow)}
 		w.services[name] = s
 	}
 	return s
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -14,7 +14,8 @@
 	// Zone is the instance's own failure domain.
 	Zone string
 	// RetryRatio, RetrySlack and RetryWindow bound repeats at a service: in each window
-	// as many as the ratio times the requests, and this instance's part of the slack.
+	// as many as the ratio times the requests, and this instance's part of the slack,
+	// which all instances share.
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
@@ -42,6 +43,8 @@
 	crashes crashes
 	routes  map[string]*routeStats
 
+	// fleet is the number of instances, 0 where not known.
+	fleet   int
 	started time.Time
 	now     time.Time
 	out     []Command
@@ -63,7 +66,6 @@
 	// engine says that it runs models, in batches.
 	engine bool
 	slots  int
-	models []Model
 	// usualOthers is the mean of what other instances have at a server.
 	usualOthers mean
 	pace        paceStats
@@ -180,6 +182,8 @@
 		w.firstByte(e)
 	case Crashes:
 		w.crashes.broke(e.Fingerprint, e.Count, w.now)
+	case Fleet:
+		w.share(e.Instances)
 	case SessionsOpen:
 		w.keepOld(e.Sessions)
 	case RolloutSet:
--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -35,9 +35,6 @@
 const (
 	// memoryPart is the part of the memory at which the collector works harder.
 	memoryPart = 0.6
-	// expectedInstances bounds from above how many instances share the slack of the retry
-	// budget: they do not know each other.
-	expectedInstances = 24
 	// ratioPart is the part of the budget's ratio that is used: requests that are counted
 	// here may be counted in another window there.
 	ratioPart = 0.85
@@ -96,7 +93,7 @@
 	const seedShift = 20
 	return NewDriver(c, passthrough.Settings{
 		Seed: hashOf(cfg.Instance) ^ uint64(c.Now().UnixNano()>>seedShift), Zone: cfg.Zone,
-		RetryRatio: ratioPart * cfg.Bounds.RetryRatio, RetrySlack: cfg.Bounds.RetrySlack / expectedInstances,
+		RetryRatio: ratioPart * cfg.Bounds.RetryRatio, RetrySlack: cfg.Bounds.RetrySlack,
 		RetryWindow: cfg.Bounds.RetryWindow, SessionLife: cfg.Bounds.SessionLife,
 	})
 }
@@ -109,6 +106,7 @@
 	b := newBoard(cfg.Instance, sh.observations, d, j, c)
 	b.held = sh.take
 	sh.wake = b.nudge
+	sh.counted = func(n int) { d.Tell(passthrough.Fleet{Instances: n}) }
 	d.observe, d.crash = b.observed, b.crashed
 	return b
 }
--- a/router/internal/passthrough/server.go
+++ b/router/internal/passthrough/server.go
@@ -18,12 +18,12 @@
 )
 
 const (
-	// idleMargin is how much longer than callers may a connection stays open: one that
-	// is closed under a request on its way is an answer lost.
-	idleMargin = 5 * time.Second
-	// defaultIdle and defaultHeader hold until a configuration is known.
-	defaultIdle   = 20 * time.Second
-	defaultHeader = 5 * time.Second
+	// idleMost is how long a connection stays open without a request: far longer than the
+	// 15 s for which the operators' configurations let callers use it, since one that is
+	// closed under a request on its way is an answer lost.
+	idleMost = 2 * time.Minute
+	// headerMost bounds the reading of a request's head; configurations allow 3 s.
+	headerMost = 5 * time.Second
 	// leaveRotation is how long after SIGTERM new requests are still served: the balancer
 	// asks once a second and needs two misses, or three where one gets lost.
 	leaveRotation = 3 * time.Second
@@ -52,7 +52,7 @@
 // start opens the listeners; readyPath is what the balancer asks.
 func (s *server) start(readyPath, metricsAddress string) error {
 	s.callers = &http.Server{
-		Handler: s.edge, IdleTimeout: defaultIdle + idleMargin, ReadHeaderTimeout: defaultHeader,
+		Handler: s.edge, IdleTimeout: idleMost, ReadHeaderTimeout: headerMost,
 		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
 	}
 	if err := s.listen(s.callers, s.settings.Frontend); err != nil {
@@ -72,7 +72,7 @@
 }
 
 func (s *server) open(h http.Handler, address string) error {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: defaultHeader}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerMost}
 	s.others = append(s.others, srv)
 	return s.listen(srv, address)
 }
--- a/router/internal/passthrough/sharing.go
+++ b/router/internal/passthrough/sharing.go
@@ -34,6 +34,8 @@
 	// held are records that followers gave, to be written with the own.
 	held []keyedlog.Record
 	wake func()
+	// counted is told how many instances there are.
+	counted func(int)
 }
 
 // The topics' names among instances.
@@ -60,7 +62,7 @@
 func newSharing(cfg seam.Settings, store Store, records Records, j *journal, clock Clock) *sharing {
 	s := &sharing{
 		self:  relay.Member{Name: cfg.Instance, Domain: cfg.Zone, Address: cfg.Peers, Cores: cfg.Cores},
-		store: store, journal: j, clock: clock, wake: func() {},
+		store: store, journal: j, clock: clock, wake: func() {}, counted: func(int) {},
 	}
 	s.members = relay.NewMembers(s.self, clock.Now)
 	s.client = relay.NewClient(s.members, clock.Now, func(name string) {
@@ -189,6 +191,7 @@
 	}
 	if !s.members.Knows(m) {
 		s.members.Add(m)
+		s.counted(s.members.Count())
 	}
 }
 
--- a/router/internal/relay/members.go
+++ b/router/internal/relay/members.go
@@ -34,7 +34,9 @@
 	self Member
 	now  func() time.Time
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// all are the names of the instances of every failure domain.
+	all    map[string]bool
 	list   map[string]Member
 	ranked []Member
 	failed map[string]failure
@@ -48,18 +50,22 @@
 
 // NewMembers returns the members that are known at first: this instance alone.
 func NewMembers(self Member, now func() time.Time) *Members {
-	m := &Members{self: self, now: now, list: map[string]Member{}, failed: map[string]failure{}}
+	m := &Members{self: self, now: now, all: map[string]bool{}, list: map[string]Member{}, failed: map[string]failure{}}
 	m.Add(self)
 	return m
 }
 
 // Add takes in a member.
 func (m *Members) Add(in Member) {
-	if in.Domain != m.self.Domain || in.Name == "" || in.Address == "" {
-		return
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if in.Name == "" || in.Address == "" {
+		return
+	}
+	m.all[in.Name] = true
+	if in.Domain != m.self.Domain {
+		return
+	}
 	m.list[in.Name] = in
 	delete(m.failed, in.Name)
 	m.ranked = m.ranked[:0]
@@ -120,6 +126,14 @@
 	return len(m.ranked) == 0 || m.ranked[0].Name == m.self.Name
 }
 
+// Count is the number of instances of all failure domains that ever were known: an upper
+// bound, up to those that have started a moment ago.
+func (m *Members) Count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.all)
+}
+
 // Alone says whether no other member is known.
 func (m *Members) Alone() bool {
 	m.mu.Lock()
