A request that is queued again has a patience again

Cause: the timer of its wait ran once, at arrival; one that a server refused later could wait in the queue to its deadline. Found by reading.

--- a/router/internal/passthrough/exchange.go
+++ b/router/internal/passthrough/exchange.go
@@ -23,6 +23,8 @@
 	ran bool
 	// stream is the part of a stream that went to the caller.
 	stream stream
+	// patience ends the wait in the queue, at arrival and after each attempt.
+	patience *time.Timer
 }
 
 // run asks for decisions and follows them until one final answer is out.
@@ -34,11 +36,12 @@
 	r := c.describe()
 	x.ticket = e.driver.open(r)
 	defer e.driver.close(x.ticket)
-	waiting := time.AfterFunc(passthrough.MaxWait(&r, e.clock.Now()), func() {
+	x.patience = time.AfterFunc(passthrough.MaxWait(&r, e.clock.Now()), func() {
 		e.driver.Tell(passthrough.Waited{Request: x.ticket.id})
 	})
-	defer waiting.Stop()
+	defer x.patience.Stop()
 	for !x.step() {
+		x.patience.Reset(passthrough.MaxWait(&r, e.clock.Now()))
 	}
 }
 
