--- a/decision/passthrough/rollout.go
+++ b/decision/passthrough/rollout.go
@@ -81,7 +81,7 @@
 // one route only. Harm prevented: callers who get its answers until a person notices. Recent
 // counts are judged too, so that a version that turns bad late is not excused by its start.
 func Judge(fresh, old Counts) bool {
-	if fresh.First.over(firstLimit) || fresh.Pace.over(paceLimit) {
+	if byFirst.over(fresh.First) || byPace.over(fresh.Pace) {
 		return true
 	}
 	if fresh.Bad < judgeAfter {
--- a/decision/passthrough/verdict.go
+++ b/decision/passthrough/verdict.go
@@ -34,27 +34,39 @@
 	return Shift{N: s.N - o.N, Sum: s.Sum - o.Sum, Squares: s.Squares - o.Squares}
 }
 
-const (
-	// shiftAnswers is the least number of answers that a shift is judged by.
-	shiftAnswers = 8
-	// shiftSpread is how many standard errors the mean must lie above the limit.
-	shiftSpread = 2
-	// firstLimit and paceLimit are the ratios to the old version's time to a first event
-	// and time between events that a version may have. A cold cache costs up to twice the
-	// first; slow versions are several times slower in both.
-	firstLimit = 2.2
-	paceLimit  = 1.8
+// measure is how a kind of times is judged.
+type measure struct {
+	// answers is the least number that is judged.
+	answers int
+	// limit is the ratio to the old version's times that a version may have.
+	limit float64
+	// variance is added to that of the logarithms: a few alike ones are no certainty.
+	variance float64
+}
+
+var (
+	// byPace judges the time between events, which depends on the server alone: good
+	// versions are within a fifth of the old one, slow ones at three and a half times.
+	byPace = measure{answers: 5, limit: 1.8, variance: 0.15}
+	// byFirst judges the time to a first event. A cold cache costs up to twice as much, and
+	// a few long prompts ten times: eight answers of one route took good versions for slow
+	// ones in three of six roll-outs.
+	byFirst = measure{answers: 16, limit: 2.2, variance: 0.5}
 )
 
+// shiftSpread is how many standard errors the mean must lie above the limit: it is looked
+// at a hundred times in a roll-out, by route and by time.
+const shiftSpread = 3
+
 // over says whether the mean ratio is above the limit, beyond chance.
-func (s Shift) over(limit float64) bool {
-	if s.N < shiftAnswers {
+func (m measure) over(s Shift) bool {
+	if s.N < m.answers {
 		return false
 	}
 	n := float64(s.N)
 	mean := s.Sum / n
-	spread := math.Sqrt(max(s.Squares/n-mean*mean, 0) / n)
-	return mean-shiftSpread*spread > math.Log(limit)
+	variance := max(s.Squares/n-mean*mean, 0) + m.variance
+	return mean-shiftSpread*math.Sqrt(variance/n) > math.Log(m.limit)
 }
 
 // onTrial says whether the server has the version that is being rolled out.
