Notes on crashes are dropped from the store, and old ones do not count

Cause: the store keeps the newest record of a key for good, so an instance that started would have counted crashes of long ago, and the topic would have grown with each of them. Found by reading.

--- a/router/internal/passthrough/board.go
+++ b/router/internal/passthrough/board.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"log/slog"
 	"slices"
 	"strconv"
@@ -36,6 +35,8 @@
 	crash  map[uint64]int
 	wake   chan struct{}
 	sentAt time.Time
+	// drops are keys of this instance's that are to be dropped, and when.
+	drops map[string]time.Time
 }
 
 const (
@@ -47,12 +48,15 @@
 	// boardWait is how long a read waits for a record while no roll-out is in progress.
 	boardWait = 8 * time.Second
 	keyCrash  = "crash/"
+	// noteLife is how long a note on a crash stays in the store: those that read it then
+	// have counted it, and one that starts later must not.
+	noteLife = 30 * time.Second
 )
 
 func newBoard(instance string, log keyedlog.Log, driver *Driver, j *journal, clock Clock) *board {
 	return &board{
 		instance: instance, log: log, driver: driver, journal: j, clock: clock,
-		own: map[string]*sheet{}, others: map[string]sheet{}, crash: map[uint64]int{},
+		own: map[string]*sheet{}, others: map[string]sheet{}, crash: map[uint64]int{}, drops: map[string]time.Time{},
 		wake: make(chan struct{}, 1), held: func() []keyedlog.Record { return nil },
 	}
 }
@@ -116,11 +120,7 @@
 		each: b.take,
 		read: func(time.Time, int) {},
 	}
-	t.whole = func(list []keyedlog.Record) {
-		for _, r := range list {
-			b.take(r)
-		}
-	}
+	t.whole = b.takeAll
 	t.wait = func() time.Duration {
 		if active() {
 			return 0
@@ -136,6 +136,16 @@
 	return t
 }
 
+// takeAll applies the newest sheets. Notes on crashes among them may be old, and are left
+// out.
+func (b *board) takeAll(list []keyedlog.Record) {
+	for _, r := range list {
+		if !strings.HasPrefix(r.Key, keyCrash) {
+			b.take(r)
+		}
+	}
+}
+
 // take applies one sheet of another instance.
 func (b *board) take(r keyedlog.Record) {
 	if len(r.Value) == 0 {
@@ -201,14 +211,22 @@
 		if s.dirty || quiet {
 			s.dirty = false
 			b.sentAt = now
-			out = append(out, b.encode(fmt.Sprintf("%s/%s/%d/%s", s.Service, s.Target, s.Order, b.instance), s))
+			out = append(out, b.encode(s.key(), s))
 		}
 	}
 	for fingerprint, times := range b.crash {
 		s := &sheet{Instance: b.instance, Crash: fingerprint, Times: times}
-		out = append(out, b.encode(strings.Join([]string{keyCrash, strconv.FormatUint(fingerprint, 16), b.instance}, "/"), s))
+		key := keyCrash + strconv.FormatUint(fingerprint, 16) + "/" + b.instance
+		out = append(out, b.encode(key, s))
+		b.drops[key] = now.Add(noteLife)
 	}
 	clear(b.crash)
+	for key, at := range b.drops {
+		if now.After(at) {
+			delete(b.drops, key)
+			out = append(out, keyedlog.Record{Key: key})
+		}
+	}
 	return out
 }
 
@@ -229,10 +247,14 @@
 	return keyedlog.Record{Key: key, Value: text}
 }
 
-// close forgets the sheets of roll-outs that have ended.
+// close forgets the sheets of a roll-out that has ended, here and, after the others had
+// time to read them, in the store, which keeps the newest record of a key for good.
 func (b *board) close(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if s := b.own[service]; s != nil {
+		b.drops[s.key()] = b.clock.Now().Add(noteLife)
+	}
 	delete(b.own, service)
 	for key, s := range b.others {
 		if s.Service == service {
--- a/router/internal/passthrough/rollouts_test.go
+++ b/router/internal/passthrough/rollouts_test.go
@@ -215,13 +215,17 @@
 func TestBoardTellsCrashesToTheOthers(t *testing.T) {
 	clock, observations := newFakeClock(), &fakeLog{}
 	a, b := newParts("a", clock, &fakeLog{}, observations), newParts("b", clock, &fakeLog{}, observations)
+	tl := b.board.tail(clock, b.rollouts.active)
+	if err := tl.once(t.Context()); err != nil {
+		t.Fatal(err)
+	}
 	for range 3 {
 		a.board.crashed(passthrough.CrashSeen{Fingerprint: 9})
 	}
 	if err := observations.Append(t.Context(), keyedlog.Anywhere, a.board.due()...); err != nil {
 		t.Fatal(err)
 	}
-	if err := b.board.tail(clock, b.rollouts.active).once(t.Context()); err != nil {
+	if err := tl.once(t.Context()); err != nil {
 		t.Fatal(err)
 	}
 	route := &passthrough.Route{Name: "r", Kind: passthrough.KindIdempotent, MaxAttempts: 2, Timeout: time.Second, Target: time.Second}
@@ -288,3 +292,34 @@
 		t.Errorf("ended %v after %d bad answers", r.ended, bad)
 	}
 }
+
+// TestOldNotesOnCrashesDoNotCount holds for an instance that starts long after a crash, and
+// for the store, which must not keep what nobody needs.
+func TestOldNotesOnCrashesDoNotCount(t *testing.T) {
+	clock, observations := newFakeClock(), &fakeLog{}
+	a := newParts("a", clock, &fakeLog{}, observations)
+	for range 3 {
+		a.board.crashed(passthrough.CrashSeen{Fingerprint: 9})
+	}
+	write := func() {
+		t.Helper()
+		if err := observations.Append(t.Context(), keyedlog.Anywhere, a.board.due()...); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write()
+	late := newParts("late", clock, &fakeLog{}, observations)
+	if err := late.board.tail(clock, late.rollouts.active).once(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	route := &passthrough.Route{Name: "r", Kind: passthrough.KindIdempotent, MaxAttempts: 2, Timeout: time.Second, Target: time.Second}
+	tk := late.driver.open(passthrough.Request{Route: route, Service: "shop", Fingerprint: 9, Deadline: clock.Now().Add(time.Second), Target: clock.Now().Add(time.Second)})
+	if c, ok := (<-tk.commands).(passthrough.Refuse); !ok || c.Reason == passthrough.ReasonQuarantined {
+		t.Errorf("got %+v", c)
+	}
+	clock.pass(noteLife + time.Second)
+	write()
+	if snap, err := observations.Newest(t.Context()); err != nil || len(snap.Records) != 0 {
+		t.Errorf("the store keeps %v, %v", snap.Records, err)
+	}
+}
--- a/router/internal/passthrough/sheet.go
+++ b/router/internal/passthrough/sheet.go
@@ -1,6 +1,7 @@
 package passthrough
 
 import (
+	"fmt"
 	"time"
 
 	"masticplank.example/decision/passthrough"
@@ -29,6 +30,11 @@
 	past []past
 }
 
+// key is the sheet's key in the store.
+func (s *sheet) key() string {
+	return fmt.Sprintf("%s/%s/%d/%s", s.Service, s.Target, s.Order, s.Instance)
+}
+
 // past is what all instances had seen at a time, by route.
 type past struct {
 	at   time.Time
