--- /dev/null
+++ b/router/internal/passthrough/histories_test.go
@@ -0,0 +1,153 @@
+package passthrough
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"masticplank.example/coordination/keyedlog"
+	"masticplank.example/decision/passthrough"
+)
+
+// TestConfigurationHistories runs seeded histories of an operator and of instances that
+// read in any order, meet a store that is away or has dropped records, and start again: no
+// instance goes back, and in the end all have the newest version.
+func TestConfigurationHistories(t *testing.T) {
+	for seed := range uint64(300) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runConfigurations(t, seed) })
+	}
+}
+
+func runConfigurations(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	clock, log := newFakeClock(), &fakeLog{}
+	type instance struct {
+		*parts
+		tail    *tail
+		version uint64
+	}
+	start := func(i int) *instance {
+		p := newParts(fmt.Sprint("instance-", i), clock, &fakeLog{}, &fakeLog{})
+		return &instance{parts: p, tail: p.operator.tail(log, clock)}
+	}
+	fleet := []*instance{start(0), start(1), start(2)}
+	newest := uint64(1)
+	log.put("config", "config 1")
+	for range 200 {
+		clock.pass(time.Duration(rng.IntN(300)) * time.Millisecond)
+		i := rng.IntN(len(fleet))
+		switch rng.IntN(9) {
+		case 0:
+			newest += uint64(1 + rng.IntN(5))
+			log.put("config", fmt.Sprint("config ", newest))
+		case 1:
+			// A record that arrives late, and one that cannot be read.
+			log.put("late", "???")
+			log.put("order/x", "???")
+		case 2:
+			log.read = append(log.read, keyedlog.ErrUnknown)
+		case 3:
+			log.first = uint64(len(log.records)) // all but the newest are dropped
+		case 4:
+			if rng.IntN(4) == 0 {
+				fleet[i] = start(i)
+			}
+		default:
+			in := fleet[i]
+			if err := in.tail.once(t.Context()); err != nil {
+				continue
+			}
+			got := in.known.Index().Version
+			if got < in.version {
+				t.Fatalf("instance %d went back from %d to %d", i, in.version, got)
+			}
+			if got != newest {
+				t.Fatalf("instance %d has %d after a read, the newest is %d", i, got, newest)
+			}
+			in.version = got
+		}
+	}
+}
+
+// TestQuarantineHistories runs seeded histories of a request that crashes each server that
+// runs it and comes again at any instance, among requests that are only unlucky: once three
+// crashes were told, it runs no more, and the unlucky ones are not shut out.
+func TestQuarantineHistories(t *testing.T) {
+	for seed := range uint64(300) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runQuarantine(t, seed) })
+	}
+}
+
+func runQuarantine(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	clock, observations := newFakeClock(), &fakeLog{}
+	route := &passthrough.Route{Name: "r", Kind: passthrough.KindIdempotent, MaxAttempts: 1, Timeout: time.Second, Target: time.Second}
+	var fleet []*parts
+	var tails []*tail
+	for i := range 4 {
+		p := newParts(fmt.Sprint("instance-", i), clock, &fakeLog{}, observations)
+		var list []passthrough.Server
+		for n := range 30 {
+			list = append(list, passthrough.Server{ID: fmt.Sprint("s", n), Address: "127.0.0.1:1", Service: "shop", Slots: 50, Born: 1})
+		}
+		p.driver.Tell(passthrough.Listed{Servers: list}, passthrough.Fleet{Instances: 4})
+		tl := p.board.tail(clock, p.rollouts.active)
+		if err := tl.once(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		fleet, tails = append(fleet, p), append(tails, tl)
+	}
+	// send sends a request at some instance and ends it as given; it says whether it ran.
+	send := func(fingerprint uint64, end passthrough.Ended) bool {
+		d := fleet[rng.IntN(len(fleet))].driver
+		tk := d.open(passthrough.Request{Route: route, Service: "shop", Fingerprint: fingerprint,
+			Deadline: clock.Now().Add(time.Second), Target: clock.Now().Add(time.Second)})
+		defer d.close(tk)
+		if _, ran := (<-tk.commands).(passthrough.Dispatch); !ran {
+			return false
+		}
+		end.Request = tk.id
+		d.Tell(end)
+		return true
+	}
+	crash := passthrough.Ended{Result: passthrough.Broken, Cut: true}
+	crashes, late := 0, 0
+	for range 60 {
+		clock.pass(time.Duration(rng.IntN(120)) * time.Millisecond)
+		told := crashes >= 3
+		if told { // the instances' reads and writes have gone through since
+			for i, p := range fleet {
+				if err := observations.Append(t.Context(), keyedlog.Anywhere, p.board.due()...); err != nil {
+					t.Fatal(err)
+				}
+				_ = i
+			}
+			for _, tl := range tails {
+				if err := tl.once(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		if send(1, crash) {
+			crashes++
+			if told {
+				late++
+			}
+		}
+		unlucky := uint64(100 + rng.IntN(5))
+		if rng.IntN(3) == 0 {
+			send(unlucky, crash)
+			send(unlucky, passthrough.Ended{Result: passthrough.Completed})
+		}
+	}
+	if late > 0 {
+		t.Errorf("%d runs after the third crash was told", late)
+	}
+	if crashes > 3 {
+		t.Errorf("%d servers crashed", crashes)
+	}
+	if !send(999, passthrough.Ended{Result: passthrough.Completed}) {
+		t.Error("another request was shut out")
+	}
+}
