One look-up of the route, one word on what may have run, dead state gone

Found by reading the whole change. At arrival the route was looked up twice, by two loads of the configuration: a route that only the newer one had would have been a nil dereference in the handler. The edge kept a list of its own of the results that may have run, without answers dropped for the engine's doubt, so that such a request could have been refused as not run when its time passed in the queue; it now asks passthrough.Result.Ran, as the world does. A collector takes records for the one topic that it writes.

--- a/decision/passthrough/health.go
+++ b/decision/passthrough/health.go
@@ -28,7 +28,6 @@
 type health struct {
 	failed float64
 	total  float64
-	recent int
 	until  time.Time
 	span   time.Duration
 }
@@ -39,14 +38,12 @@
 	h.failed *= keep
 	h.total = h.total*keep + 1
 	if ok {
-		h.recent = 0
 		if h.failed/h.total < sickShare/2 {
 			h.span = 0
 		}
 		return
 	}
 	h.failed++
-	h.recent++
 	if h.failed < sickAfter || h.failed/h.total < sickShare {
 		return
 	}
--- a/decision/passthrough/property_test.go
+++ b/decision/passthrough/property_test.go
@@ -105,7 +105,7 @@
 				result = Broken
 			}
 			r.running = ""
-			r.ran = r.ran || result.ran()
+			r.ran = r.ran || result.Ran()
 			if result == NotSent {
 				r.notSent++
 			}
--- a/decision/passthrough/requests.go
+++ b/decision/passthrough/requests.go
@@ -170,7 +170,7 @@
 	s := r.server
 	w.release(r)
 	w.judge(r, s, e)
-	r.ran = r.ran || e.Result.ran() || e.Begun
+	r.ran = r.ran || e.Result.Ran() || e.Begun
 	switch e.Result {
 	case Completed:
 		w.crashes.answered(r.Fingerprint)
--- a/decision/passthrough/requests_test.go
+++ b/decision/passthrough/requests_test.go
@@ -168,3 +168,15 @@
 		t.Errorf("%d repeats, want this instance's part of the slack", repeats)
 	}
 }
+
+// TestWhatMayHaveRun holds that the edge and the world go by one word: an answer that was
+// dropped for its engine's doubt has run, and must not be refused as not run.
+func TestWhatMayHaveRun(t *testing.T) {
+	for result, want := range map[Result]bool{
+		Completed: true, Failed: true, Broken: true, Dropped: true, NotSent: false, Rejected: false,
+	} {
+		if result.Ran() != want {
+			t.Errorf("%v: %v", result, !want)
+		}
+	}
+}
--- a/decision/passthrough/servers.go
+++ b/decision/passthrough/servers.go
@@ -8,7 +8,6 @@
 // configure takes over a configuration. Services that it drops keep their servers until
 // the list drops them.
 func (w *World) configure(x *Index) {
-	w.index = x
 	for _, s := range x.Services {
 		row := w.serviceOf(s.Name)
 		row.engine = s.Slots > 0
--- a/decision/passthrough/types.go
+++ b/decision/passthrough/types.go
@@ -88,8 +88,9 @@
 	return ""
 }
 
-// ran says whether the request may have run at the backend server.
-func (r Result) ran() bool { return r == Completed || r == Failed || r == Broken || r == Dropped }
+// Ran says whether the request may have run at the backend server. It is the one word on
+// that: what it holds true of must never be refused as not run.
+func (r Result) Ran() bool { return r == Completed || r == Failed || r == Broken || r == Dropped }
 
 // Reason says why a request was refused; the text is stable, for callers and logs.
 type Reason string
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -30,7 +30,6 @@
 type World struct {
 	cfg      Settings
 	rng      *rand.Rand
-	index    *Index
 	servers  map[string]*server
 	services map[string]*service
 	requests map[RequestID]*request
@@ -44,10 +43,9 @@
 	routes  map[string]*routeStats
 
 	// fleet is the number of instances, 0 where not known.
-	fleet   int
-	started time.Time
-	now     time.Time
-	out     []Command
+	fleet int
+	now   time.Time
+	out   []Command
 	// freed are the services in which a place may have become free in this tick.
 	freed []*service
 	// drawn is kept between decisions to save allocations.
@@ -147,9 +145,6 @@
 // Tick applies the events in order, places what waits, and returns what is to be done.
 // The commands are valid until the next Tick.
 func (w *World) Tick(now time.Time, in ...Event) []Command {
-	if w.started.IsZero() {
-		w.started = now
-	}
 	if now.After(w.now) {
 		w.now = now
 	}
--- a/router/internal/passthrough/edge.go
+++ b/router/internal/passthrough/edge.go
@@ -33,8 +33,9 @@
 	uri  string
 	path string
 	body []byte
-	// index and team are those at arrival.
-	index *passthrough.Index
+	// maxBody bounds the body's bytes.
+	maxBody int64
+	// route is that of arrival, team the newest known.
 	route *passthrough.Route
 	team  *passthrough.Team
 	// arrived, and deadline, when the caller must have a final answer.
@@ -89,15 +90,12 @@
 	if e.closing() {
 		return &refusal{http.StatusServiceUnavailable, reasonStopping, retrySoon}
 	}
-	c.index = e.known.Index()
-	if c.index == nil {
-		return &refusal{http.StatusServiceUnavailable, reasonUnknown, retrySoon}
-	}
-	c.route = c.index.Route(c.request.Host, c.path)
-	if no := e.forbids(c); no != nil {
+	route, no := e.look(c)
+	c.route = route
+	if no != nil {
 		return no
 	}
-	wait := c.route.Timeout
+	wait := route.Timeout
 	if c.caller.Wait > 0 {
 		wait = min(wait, c.caller.Wait)
 	}
@@ -105,26 +103,30 @@
 	return nil
 }
 
-// forbids says why the request must not run by the configuration as it is now. It is
-// asked at arrival and before each dispatch. While the configuration is too old, nothing
-// is refused for good by it.
-func (e *Edge) forbids(c *call) *refusal {
+// look finds the route and the team by the configuration as it is now, and says why the
+// request must not run, if so. It is asked at arrival and before each dispatch. While the
+// configuration is too old, nothing is refused for good by it.
+func (e *Edge) look(c *call) (*passthrough.Route, *refusal) {
 	index := e.known.Index()
+	if index == nil {
+		return nil, &refusal{http.StatusServiceUnavailable, reasonUnknown, retrySoon}
+	}
+	c.maxBody = index.Limits.MaxBodyBytes
 	route := index.Route(c.request.Host, c.path)
 	if route == nil {
-		return e.denied(http.StatusNotFound, reasonNoRoute)
+		return nil, e.denied(http.StatusNotFound, reasonNoRoute)
 	}
 	c.team = index.Team(c.caller.Key)
 	if !index.NeedsKey(route) {
-		return nil
+		return route, nil
 	}
 	if !e.known.Fresh() {
-		return &refusal{http.StatusServiceUnavailable, passthrough.ReasonNotFresh, retrySoon}
+		return route, &refusal{http.StatusServiceUnavailable, passthrough.ReasonNotFresh, retrySoon}
 	}
 	if c.team == nil {
-		return e.denied(http.StatusUnauthorized, reasonKey)
+		return route, e.denied(http.StatusUnauthorized, reasonKey)
 	}
-	return nil
+	return route, nil
 }
 
 // denied refuses for good, unless the configuration may be an old one.
@@ -140,7 +142,7 @@
 	if c.caller.Attempt == "" {
 		return &refusal{status: http.StatusBadRequest, reason: reasonNoAttemptID}
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, c.request.Body, c.index.Limits.MaxBodyBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(w, c.request.Body, c.maxBody))
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
--- a/router/internal/passthrough/exchange.go
+++ b/router/internal/passthrough/exchange.go
@@ -142,7 +142,7 @@
 
 // dispatch runs one attempt, unless the configuration forbids it by now.
 func (x *exchange) dispatch(d passthrough.Dispatch) bool {
-	if no := x.edge.forbids(x.call); no != nil {
+	if _, no := x.edge.look(x.call); no != nil {
 		if x.ran {
 			x.fail(http.StatusBadGateway, no.reason)
 			return true
@@ -153,13 +153,12 @@
 	a := x.attempt(d)
 	out := a.run(x.ctx)
 	x.edge.journal.attempted(x.call, d, out)
-	x.ran = x.ran || out.result == passthrough.Failed || out.result == passthrough.Broken || x.stream.begun
+	x.ran = x.ran || out.result.Ran()
 	if out.load != nil {
 		x.edge.driver.Tell(passthrough.Heard{Server: d.Server.ID, Load: *out.load})
 	}
 	if x.ctx.Err() != nil && out.result != passthrough.Completed {
 		x.edge.driver.Tell(passthrough.Ended{Request: x.ticket.id, Result: passthrough.Abandoned})
-		x.ran = x.ran || out.result != passthrough.NotSent && out.result != passthrough.Rejected
 		x.expired()
 		return true
 	}
--- a/router/internal/passthrough/sharing.go
+++ b/router/internal/passthrough/sharing.go
@@ -103,7 +103,10 @@
 const heldMost = 1000
 
 // hold takes a follower's records.
-func (s *sharing) hold(_ string, records []keyedlog.Record) error {
+func (s *sharing) hold(topic string, records []keyedlog.Record) error {
+	if topic != topicObservations {
+		return keyedlog.ErrRejected // the board writes to no other one
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.held)+len(records) > heldMost {
