--- a/decision/passthrough/counts.go
+++ b/decision/passthrough/counts.go
@@ -11,9 +11,11 @@
 
 // Add counts one answer.
 func (c Counts) Add(o Observed) Counts {
-	if o.Bad {
+	switch {
+	case o.Early:
+	case o.Bad:
 		c.Bad++
-	} else {
+	default:
 		c.Good++
 	}
 	c.First, c.Pace = c.First.plus(o.First), c.Pace.plus(o.Pace)
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -51,6 +51,12 @@
 	After   time.Duration
 }
 
+// Paced is the pace of a stream's first events: the mean time between them.
+type Paced struct {
+	Request RequestID
+	Pace    time.Duration
+}
+
 // Crashes is the count of crashes by requests with this fingerprint at other instances.
 type Crashes struct {
 	Fingerprint uint64
@@ -73,6 +79,7 @@
 func (Waited) event()       {}
 func (Ended) event()        {}
 func (Heard) event()        {}
+func (Paced) event()        {}
 func (FirstByte) event()    {}
 func (Crashes) event()      {}
 func (Fleet) event()        {}
@@ -121,6 +128,8 @@
 	Route   string
 	Version string
 	Bad     bool
+	// Early says that the answer goes on, and is not counted yet.
+	Early bool
 	// First and Pace compare the answer's times with the old version's, for answers of
 	// the new one.
 	First Shift
--- a/decision/passthrough/place.go
+++ b/decision/passthrough/place.go
@@ -21,6 +21,7 @@
 	r.version = s.Version
 	r.sent = w.now
 	r.first = 0
+	r.paced = false
 	r.attempts++
 	r.tries++
 	s.own++
--- a/decision/passthrough/rollout_test.go
+++ b/decision/passthrough/rollout_test.go
@@ -164,6 +164,36 @@
 	}
 }
 
+// TestVersionThatEndsNothingIsFound holds for a version whose streams do not end within the
+// roll-out: the pace of their first events is told.
+func TestVersionThatEndsNothingIsFound(t *testing.T) {
+	b := rolloutBench(t)
+	b.tell(canary(true))
+	var told Counts
+	take := func(out []Command) {
+		for _, c := range out {
+			if o, ok := c.(Observed); ok && o.Version == "v2" {
+				told = told.Add(o)
+			}
+		}
+	}
+	for i := range 24 {
+		id := b.arrive(streamRoute(), func(r *Request) { r.Share = 0.9 })
+		take(b.tell(Paced{Request: id, Pace: 40 * time.Millisecond}))
+		take(b.tell(Ended{Request: id, Result: Completed, Pace: 40 * time.Millisecond}))
+		if i%4 == 3 { // these go on and on
+			id := b.arrive(streamRoute(), func(r *Request) { r.Share = 0.1 })
+			take(b.tell(Paced{Request: id, Pace: 400 * time.Millisecond}))
+		}
+	}
+	if told.Total() != 0 || told.Pace.N != 6 {
+		t.Errorf("told %+v, want paces alone", told)
+	}
+	if !Judge(told, Counts{Good: 24}) {
+		t.Error("six streams at ten times the pace were not enough")
+	}
+}
+
 // one is the shift of a single ratio.
 func one(ratio float64) Shift {
 	var s Shift
--- a/decision/passthrough/verdict.go
+++ b/decision/passthrough/verdict.go
@@ -87,10 +87,30 @@
 		first = w.now.Sub(r.sent) // it would have been later still
 	}
 	o.First = w.compare(s, w.firstOf(r), first)
-	o.Pace = w.compare(s, r.service.pace.log(r.size), e.Pace)
+	if !r.paced {
+		o.Pace = w.compare(s, r.service.pace.log(r.size), e.Pace)
+	}
 	w.emit(o)
 }
 
+// paced tells of a stream's pace by its first events, while a roll-out is in progress.
+//
+// Load: a version so slow that its streams do not end within the roll-out. Harm prevented:
+// that it is completed since nothing was seen of it: 3 of 28 answers had ended by then.
+func (w *World) paced(e Paced) {
+	r := w.requests[e.Request]
+	if r == nil || r.server == nil {
+		return
+	}
+	ro := w.rollouts[r.service.name]
+	if ro == nil || ro.Phase.Ended() {
+		return
+	}
+	r.paced = true
+	w.emit(Observed{Service: r.service.name, Route: r.Route.Name, Version: r.server.Version, Early: true,
+		Pace: w.compare(r.server, r.service.pace.log(r.size), e.Pace)})
+}
+
 // usualAnswers is how many answers of the old version make a usual time.
 const usualAnswers = 4
 
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -113,6 +113,8 @@
 	place   *waiter
 	// first is the time to the current answer's first byte.
 	first time.Duration
+	// paced says that the current answer's pace was told.
+	paced bool
 	// reading says that its prompt counts in its server's.
 	reading bool
 	// escalated says that a smaller model's answer was dropped.
@@ -175,6 +177,8 @@
 		w.hear(e)
 	case FirstByte:
 		w.firstByte(e)
+	case Paced:
+		w.paced(e)
 	case Crashes:
 		w.crashes.broke(e.Fingerprint, e.Count, w.now)
 	case Fleet:
--- a/router/internal/passthrough/stream.go
+++ b/router/internal/passthrough/stream.go
@@ -24,6 +24,9 @@
 	// streamBuffer is the room for reading a stream; an event is tens to hundreds of
 	// bytes long.
 	streamBuffer = 4 << 10
+	// paceEvents is how many events tell a stream's pace: enough to level out a pause for
+	// another request's prompt, and two seconds of a version that is eight times slower.
+	paceEvents = 6
 	// eventLimit bounds one event.
 	eventLimit = 1 << 20
 )
@@ -37,7 +40,7 @@
 	}
 	var held []byte
 	buf := make([]byte, streamBuffer)
-	events := 0
+	events, paced := 0, false
 	began := x.edge.clock.Now()
 	for {
 		n, err := resp.Body.Read(buf)
@@ -49,6 +52,10 @@
 				x.begin(resp)
 				x.forward(ready)
 				events += count
+				if events >= paceEvents && !paced {
+					paced = true
+					x.edge.driver.Tell(passthrough.Paced{Request: x.ticket.id, Pace: pace(x.edge.clock.Now().Sub(began), events)})
+				}
 			}
 			if bad != nil {
 				return outcome{result: passthrough.Broken, err: bad}
