The largest model is kept for the higher ranks as all servers fill

Now the taken places of all servers decide, the bar sinks as they fill, sooner for lower ranks, and what was dropped goes to the largest. The log tells what decided: bar, taken places, repeats left, the prompt's size.

Streams that would outlast a stop are sent on at once

Now such a stream is refused as not run, with a time to come back, by the route's usual time. The end of a stop also tells how many were running when it cut them.

Ruled out: refusing all new requests from SIGTERM on (plain calls end in time).

--- a/decision/passthrough/cascade.go
+++ b/decision/passthrough/cascade.go
@@ -1,5 +1,7 @@
 package passthrough
 
+import "time"
+
 // routeStats is what is learnt of a route's answers.
 type routeStats struct {
 	// first is the mean logarithm of the time to the first event, by size.
@@ -17,6 +19,11 @@
 	return st
 }
 
+// usual is how long the route's whole answers take, times a factor.
+func (w *World) usual(route *Route, factor float64) time.Duration {
+	return time.Duration(factor * w.stats(route.Name).took.value * float64(time.Second))
+}
+
 // firstOf is the mean logarithm of the time to the first event, in seconds, of answers
 // like the request's.
 func (w *World) firstOf(r *request) *mean {
@@ -42,10 +49,20 @@
 	// spareRepeats is what the retry budget must hold for an answer to be dropped: the
 	// repeats of failures go first.
 	spareRepeats = 3
-	// fullLoad is the part of an engine's places from which on only the smallest model is
-	// asked: the largest is ten times slower, and keeps places taken for longer than the
-	// arrivals allow.
-	fullLoad = 0.8
+	// fullLoad is the part of a service's places from which on nothing is asked of the
+	// largest model for requests of the first rank: it is ten times slower, and keeps places
+	// taken for longer than the arrivals allow. It is taken over all servers: requests for
+	// one prompt crowd on few of them, and by each server's own places 12 in 100 answers
+	// were weak ones on a day with half of all places free.
+	fullLoad = 1.0
+	// rankStep is what each lower rank has less, down to lowRank: where not all can have
+	// the largest model, those that matter most do.
+	rankStep = 0.12
+	lowRank  = 2
+	// fadeLoad is the part of the places over which the bar sinks to nothing. An instance
+	// knows the load of 90 servers to a fifth of their places only: a step there has all of
+	// them turn at once.
+	fadeLoad = 0.25
 )
 
 // chooseSize is the index of the model to ask.
@@ -53,21 +70,46 @@
 // Load: requests of which the smallest model answers a half well, and a rush that the
 // largest, ten times as slow, cannot bear. Harm prevented: the largest model's price and
 // time for all, weak answers for the hard half, refusals in a rush. The smallest is asked
-// first; its answer is dropped where it doubts it itself, as long as nothing was sent.
-func (w *World) chooseSize(r *request, s *server) int {
+// first; its answer is dropped where it doubts it itself, as long as nothing was sent. What
+// was dropped once is asked of the largest, however full the servers are: the smallest
+// would give the same answer again.
+func (w *World) chooseSize(r *request) int {
 	last := len(r.Route.Sizes) - 1
-	slots := float64(max(s.service.slots, 1))
 	switch {
-	case s.load(w.now) > fullLoad*slots:
+	case r.escalated:
+		return last
+	case w.room(r) <= 0:
 		return 0
-	case r.escalated || r.attempts >= r.Route.MaxAttempts || !r.Route.Repeatable():
+	case r.attempts >= r.Route.MaxAttempts || !r.Route.Repeatable():
 		return last
 	}
 	return 0
 }
 
+// room is how far the largest model may be asked for the request: 1 where there are places
+// for it, less while they fill, and 0 where they are full.
+func (w *World) room(r *request) float64 {
+	full := fullLoad - rankStep*float64(min(r.Rank, lowRank))
+	return min(max((full-w.taken(r.service))/fadeLoad, 0), 1)
+}
+
+// taken is the part of an engine's places that is taken over all its servers.
+func (w *World) taken(s *service) float64 {
+	load, count := 0.0, 0
+	for _, srv := range s.servers {
+		if srv.usable(w.now) {
+			load += min(srv.load(w.now), float64(s.slots))
+			count++
+		}
+	}
+	if s.slots <= 0 || count == 0 {
+		return 0
+	}
+	return load / float64(count*s.slots)
+}
+
 // bar is the confidence under which the answer is dropped and a larger model asked; 0 for
-// never.
+// never. As places fill, only the weakest answers are dropped.
 func (w *World) bar(r *request) float64 {
 	if !r.Route.Repeatable() {
 		return 0 // it would run twice
@@ -78,5 +120,5 @@
 	if r.service.budget.Left(w.now) < spareRepeats {
 		return 0
 	}
-	return barEven + barMargin
+	return (barEven + barMargin) * w.room(r)
 }
--- a/decision/passthrough/cascade_test.go
+++ b/decision/passthrough/cascade_test.go
@@ -66,3 +66,41 @@
 		t.Errorf("the last place was given to %q", model)
 	}
 }
+
+// TestOneCrowdedServerIsNoFullService sends one prompt's requests to one server: its last
+// places, too, go by the cascade while the other servers have room.
+func TestOneCrowdedServerIsNoFullService(t *testing.T) {
+	b := newBench(t, Settings{})
+	b.configure(streamRoute())
+	b.tell(Listed{servers("llm", 8, 8)})
+	for range 20 { // requests fill the retry budget
+		b.tell(Ended{Request: b.arrive(streamRoute(), nil), Result: Completed})
+	}
+	for _, s := range servers("llm", 8, 8)[1:] {
+		b.tell(Heard{Server: s.ID, Load: Load{Running: 3, Slots: 8}})
+	}
+	b.tell(Heard{Server: "llm-0", Load: Load{Running: 7, Slots: 8}})
+	crowded := b.world.servers["llm-0"]
+	r := &request{Request: Request{Route: streamRoute()}, service: crowded.service}
+	if size, bar := b.world.chooseSize(r), b.world.bar(r); size != 0 || bar == 0 {
+		t.Errorf("size %d with the bar %v, want the smallest with a bar", size, bar)
+	}
+}
+
+// TestWhatWasDroppedIsNeverAskedOfTheSmallestAgain: it would doubt its answer again.
+func TestWhatWasDroppedIsNeverAskedOfTheSmallestAgain(t *testing.T) {
+	b := newBench(t, Settings{})
+	b.configure(streamRoute())
+	b.tell(Listed{servers("llm", 2, 8)})
+	for range 20 { // requests fill the retry budget
+		b.tell(Ended{Request: b.arrive(streamRoute(), nil), Result: Completed})
+	}
+	id := b.arrive(streamRoute(), nil)
+	for range 13 {
+		b.arrive(streamRoute(), nil)
+	}
+	b.tell(Ended{Request: id, Result: Dropped})
+	if d := b.dispatched(id); d.Model != "large" {
+		t.Errorf("asked of %q on full servers, want the largest", d.Model)
+	}
+}
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -69,6 +69,9 @@
 // Fleet is the number of instances that share the retry budget's slack.
 type Fleet struct{ Instances int }
 
+// Stopping says that this instance ends at the time given.
+type Stopping struct{ At time.Time }
+
 // RolloutSet says how far a roll-out is.
 type RolloutSet struct{ Rollout Rollout }
 
@@ -85,6 +88,7 @@
 func (Fleet) event()        {}
 func (RolloutSet) event()   {}
 func (SessionsOpen) event() {}
+func (Stopping) event()     {}
 
 // Command is anything that a tick asks for. The set is closed.
 type Command interface{ command() }
@@ -105,6 +109,10 @@
 	// Load is the server's load as believed, with its age, for the log.
 	Load    int
 	LoadAge time.Duration
+	// Taken is the part of the service's places that is taken, as believed, and Repeats
+	// what the retry budget holds: what decided on the model.
+	Taken   float64
+	Repeats float64
 }
 
 // Refuse ends a request that has not run.
--- a/decision/passthrough/load_test.go
+++ b/decision/passthrough/load_test.go
@@ -160,3 +160,24 @@
 		t.Errorf("%d refused, %d late of %d at half of the capacity", got.refused, got.late, got.asked)
 	}
 }
+
+// TestStreamsThatWouldBeCutAreSentOn stops an instance while streams of six seconds come:
+// those that cannot end in time learn at once to go elsewhere, plain calls are served.
+func TestStreamsThatWouldBeCutAreSentOn(t *testing.T) {
+	b := newBench(t, Settings{})
+	stream, plain := streamRoute(), plainRoute()
+	b.configure(stream, plain)
+	b.tell(Listed{append(servers("llm", 3, 8), servers("shop", 3, 8)...)})
+	for range 20 {
+		id := b.arrive(stream, nil)
+		b.pass(6 * time.Second)
+		b.tell(Ended{Request: id, Result: Completed})
+	}
+	b.tell(Stopping{At: b.now.Add(10 * time.Second)})
+	b.dispatched(b.arrive(stream, nil))
+	b.pass(3 * time.Second)
+	if r := b.refused(b.arrive(stream, nil), ReasonStopping); r.RetryAfter <= 0 {
+		t.Error("no word on when to come back")
+	}
+	b.dispatched(b.arrive(plain, nil))
+}
--- a/decision/passthrough/place.go
+++ b/decision/passthrough/place.go
@@ -36,7 +36,8 @@
 		cmd.LoadAge = w.now.Sub(s.toldAt)
 	}
 	if r.ModelOpen && len(r.Route.Sizes) > 0 {
-		r.size = w.chooseSize(r, s)
+		cmd.Taken, cmd.Repeats = w.taken(r.service), r.service.budget.Left(w.now)
+		r.size = w.chooseSize(r)
 		cmd.Model = r.Route.Sizes[r.size]
 		cmd.Bar = w.bar(r)
 	}
--- a/decision/passthrough/requests.go
+++ b/decision/passthrough/requests.go
@@ -17,12 +17,32 @@
 		w.refuse(r, ReasonDeadline)
 		return
 	}
+	if w.outlasts(r) {
+		w.refuse(r, ReasonStopping)
+		return
+	}
 	if r.service.queue.len == 0 && w.place(r) {
 		return
 	}
 	w.await(r)
 }
 
+// stretch is how much longer than the mean an answer may take: half of them take longer
+// than that.
+const stretch = 1.3
+
+// outlasts says whether the request's answer would be cut by the end of this instance.
+//
+// Load: an instance that is told to stop, and gets requests until the balancer has noticed,
+// among them streams as long as all of its grace time. Harm prevented: a stream that is cut
+// midway, where a refusal sends the caller on to an instance that stays.
+func (w *World) outlasts(r *request) bool {
+	if w.endsAt.IsZero() || r.Route.Kind != KindStream {
+		return false
+	}
+	return w.now.Add(w.usual(r.Route, stretch)).After(w.endsAt)
+}
+
 // await queues a request whose turn comes later, or refuses it at once.
 //
 // Load: demand over capacity. Harm prevented: callers who wait for an answer that comes
--- a/decision/passthrough/sessions.go
+++ b/decision/passthrough/sessions.go
@@ -56,9 +56,7 @@
 	if ro.FirstHalf || ro.CompleteAt.IsZero() {
 		return false
 	}
-	const stretch = 1.3 // half of the answers take longer than the mean
-	took := time.Duration(stretch * w.stats(r.Route.Name).took.value * float64(time.Second))
-	return !w.now.Before(ro.CompleteAt.Add(-min(took, ro.LeadMost)))
+	return !w.now.Before(ro.CompleteAt.Add(-min(w.usual(r.Route, stretch), ro.LeadMost)))
 }
 
 // noteSession keeps the version that the session runs on.
--- a/decision/passthrough/types.go
+++ b/decision/passthrough/types.go
@@ -104,4 +104,5 @@
 	ReasonDeadline    Reason = "deadline_passed"
 	ReasonAttempts    Reason = "attempts_spent"
 	ReasonNotFresh    Reason = "configuration_too_old"
+	ReasonStopping    Reason = "stopping"
 )
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -44,8 +44,10 @@
 
 	// fleet is the number of instances, 0 where not known.
 	fleet int
-	now   time.Time
-	out   []Command
+	// endsAt is when this instance ends, where it was told.
+	endsAt time.Time
+	now    time.Time
+	out    []Command
 	// freed are the services in which a place may have become free in this tick.
 	freed []*service
 	// drawn is kept between decisions to save allocations.
@@ -185,6 +187,8 @@
 		w.share(e.Instances)
 	case SessionsOpen:
 		w.keepOld(e.Sessions)
+	case Stopping:
+		w.endsAt = e.At
 	case RolloutSet:
 		w.setRollout(e.Rollout)
 	}
--- a/router/internal/passthrough/edge.go
+++ b/router/internal/passthrough/edge.go
@@ -58,7 +58,6 @@
 	reasonKey         passthrough.Reason = "unknown_key"
 	reasonTooLarge    passthrough.Reason = "body_too_large"
 	reasonNoAttemptID passthrough.Reason = "attempt_id_missing"
-	reasonStopping    passthrough.Reason = "stopping"
 	reasonMayHaveRun  passthrough.Reason = "may_have_run"
 	reasonTimeout     passthrough.Reason = "timeout"
 )
@@ -88,7 +87,7 @@
 // admit finds the route and the team, by the configuration in force.
 func (e *Edge) admit(c *call) *refusal {
 	if e.closing() {
-		return &refusal{http.StatusServiceUnavailable, reasonStopping, retrySoon}
+		return &refusal{http.StatusServiceUnavailable, passthrough.ReasonStopping, retrySoon}
 	}
 	route, no := e.look(c)
 	c.route = route
@@ -162,7 +161,7 @@
 	if no.after > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(no.after.Seconds(), 'f', 3, 64))
 	}
-	if no.reason == reasonStopping {
+	if no.reason == passthrough.ReasonStopping {
 		h.Set("Connection", "close")
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
--- a/router/internal/passthrough/journal.go
+++ b/router/internal/passthrough/journal.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -87,7 +88,9 @@
 		slog.Int("load", d.Load), slog.Int64("load_age_ms", d.LoadAge.Milliseconds()),
 		slog.Int64("first_ms", out.first.Milliseconds()))
 	if d.Model != "" {
-		attrs = append(attrs, slog.String("model", d.Model), slog.Float64("confidence", out.confidence))
+		attrs = append(attrs, slog.String("model", d.Model), slog.Float64("confidence", out.confidence), slog.Float64("bar", d.Bar),
+			slog.Float64("taken", math.Round(100*d.Taken)/100), slog.Float64("repeats_left", math.Round(d.Repeats)),
+			slog.Int("prompt_tokens", c.caller.PromptTokens), slog.Int("most_tokens", c.caller.MaxTokens))
 	}
 	if out.err != nil {
 		attrs = append(attrs, slog.String(logging.KeyError, out.err.Error()))
--- a/router/internal/passthrough/server.go
+++ b/router/internal/passthrough/server.go
@@ -12,6 +12,7 @@
 	"github.com/gorilla/mux"
 	gometrics "github.com/rcrowley/go-metrics"
 
+	"masticplank.example/decision/passthrough"
 	"masticplank.example/decision/passthrough/seam"
 	"masticplank.example/router/internal/logging"
 	"masticplank.example/router/internal/metrics"
@@ -117,6 +118,7 @@
 	_, running := s.driver.Load()
 	s.journal.emit(logging.EventDrainBegin, slog.Int("running", running))
 	grace := s.settings.Bounds.Grace - stopMargin
+	s.driver.Tell(passthrough.Stopping{At: began.Add(grace)})
 	time.Sleep(min(leaveRotation, grace/2))
 	s.closing.Store(true)
 	s.callers.SetKeepAlivesEnabled(false)
@@ -124,11 +126,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), max(left, 0))
 	defer cancel()
 	s.waitIdle(ctx)
+	_, running = s.driver.Load()
 	_ = s.callers.Close() // what is still open has had the whole grace time
 	for _, srv := range s.others {
 		_ = srv.Close()
 	}
-	_, running = s.driver.Load()
 	if running > 0 {
 		s.journal.emit(logging.EventDrainCut, slog.Int("running", running))
 	} else {
