Callers are held while a process that starts learns what it needs

Now they wait until the configuration and the list of backend servers are read, half a second after the start at most.

Ruled out: reading the topics before the others' names (the same wait, and four times the calls to the store).

--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -75,7 +75,7 @@
 			func(l *logging.Logger, c Clock, k *Knowledge, reg gometrics.Registry) *journal {
 				return &journal{log: l, clock: c, known: k, reg: reg}
 			},
-			newDialer, provideSharing, provideDriver, provideBoard, provideList, provideRollouts, provideEdge, provideServer,
+			newDialer, newStarting, provideSharing, provideDriver, provideBoard, provideList, provideRollouts, provideEdge, provideServer,
 		),
 		// The stop runs through these in reverse: the configuration must stay fresh until
 		// the last request has been answered.
@@ -111,8 +111,8 @@
 	return b
 }
 
-func provideList(p Platform, cfg seam.Settings, d *Driver, dial *dialer, j *journal, c Clock) *list {
-	l := newList(p.Records, d, dial, j, c, cfg.Bounds.Drain)
+func provideList(p Platform, cfg seam.Settings, d *Driver, dial *dialer, j *journal, c Clock, st *starting) *list {
+	l := newList(p.Records, d, dial, j, c, cfg.Bounds.Drain, st)
 	d.hurry = l.hurry
 	return l
 }
@@ -123,8 +123,8 @@
 	return m
 }
 
-func provideEdge(p Platform, k *Knowledge, d *Driver, dial *dialer, c Clock, j *journal) *Edge {
-	return &Edge{headers: p.Headers, known: k, driver: d, dialer: dial, clock: c, journal: j, closing: func() bool { return false }}
+func provideEdge(p Platform, k *Knowledge, d *Driver, dial *dialer, c Clock, j *journal, st *starting) *Edge {
+	return &Edge{headers: p.Headers, known: k, driver: d, dialer: dial, clock: c, journal: j, starting: st, closing: func() bool { return false }}
 }
 
 func provideServer(cfg seam.Settings, e *Edge, k *Knowledge, d *Driver, j *journal, reg gometrics.Registry, out *logging.Async) *server {
@@ -151,8 +151,8 @@
 }
 
 // startTails follows the store's topics, and carries roll-outs out.
-func startTails(lc fx.Lifecycle, p Platform, cfg seam.Settings, sh *sharing, k *Knowledge, d *Driver, l *list, m *rollouts, b *board, j *journal, c Clock) {
-	op := &operator{records: p.Records, known: k, driver: d, rollouts: m, journal: j, collects: sh.server.Collects, direct: sh.operator.Direct}
+func startTails(lc fx.Lifecycle, p Platform, cfg seam.Settings, sh *sharing, k *Knowledge, d *Driver, l *list, m *rollouts, b *board, j *journal, c Clock, st *starting) {
+	op := &operator{records: p.Records, known: k, driver: d, rollouts: m, journal: j, starting: st, collects: sh.server.Collects, direct: sh.operator.Direct}
 	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
--- a/router/internal/passthrough/edge.go
+++ b/router/internal/passthrough/edge.go
@@ -21,6 +21,8 @@
 	dialer  *dialer
 	clock   Clock
 	journal *journal
+	// starting holds requests back until the process knows what it needs.
+	starting *starting
 	// closing says that the process is about to stop, so that new requests are refused.
 	closing func() bool
 }
@@ -73,6 +75,7 @@
 		c.uri = req.URL.RequestURI()
 	}
 	c.path, _, _ = strings.Cut(c.uri, "?")
+	e.starting.wait(req.Context())
 	if no := e.admit(c); no != nil {
 		e.refuse(w, c, *no)
 		return
--- a/router/internal/passthrough/list.go
+++ b/router/internal/passthrough/list.go
@@ -35,6 +35,8 @@
 	clock   Clock
 	drain   time.Duration
 	nudge   chan struct{}
+	// starting is told when the list was read first.
+	starting *starting
 
 	mu      sync.Mutex
 	entries map[string]passthrough.Server
@@ -47,9 +49,9 @@
 	bad     map[string]bool
 }
 
-func newList(records Records, driver *Driver, d *dialer, j *journal, clock Clock, drain time.Duration) *list {
+func newList(records Records, driver *Driver, d *dialer, j *journal, clock Clock, drain time.Duration, st *starting) *list {
 	return &list{
-		records: records, driver: driver, dialer: d, journal: j, clock: clock, drain: drain,
+		records: records, driver: driver, dialer: d, journal: j, clock: clock, drain: drain, starting: st,
 		nudge: make(chan struct{}, 1), entries: map[string]passthrough.Server{},
 		lapsed: map[string]time.Time{}, bad: map[string]bool{},
 	}
@@ -70,7 +72,10 @@
 		each:  func(r keyedlog.Record) { l.take(r) },
 	}
 	t.whole = func(records []keyedlog.Record) { l.replace(records) }
-	t.read = func(time.Time, int) { l.publish() }
+	t.read = func(time.Time, int) {
+		l.publish()
+		l.starting.has(learntServers)
+	}
 	t.back = func(lost time.Duration) {
 		if lost > lapseAfter {
 			l.outageEnded()
--- a/router/internal/passthrough/operator.go
+++ b/router/internal/passthrough/operator.go
@@ -16,6 +16,7 @@
 	driver   *Driver
 	rollouts *rollouts
 	journal  *journal
+	starting *starting
 	// collects says whether others read from this instance, direct whether it reads from
 	// the store itself.
 	collects func() bool
@@ -51,7 +52,12 @@
 		name: "operator", log: log, clock: clock, journal: o.journal, wait: o.wait,
 		whole: o.takeAll,
 		each:  o.take,
-		read:  func(began time.Time, _ int) { o.known.Confirm(began) },
+		read: func(began time.Time, _ int) {
+			o.known.Confirm(began)
+			if o.known.Index() != nil {
+				o.starting.has(learntConfig)
+			}
+		},
 	}
 }
 
--- /dev/null
+++ b/router/internal/passthrough/starting_test.go
@@ -0,0 +1,56 @@
+package passthrough
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// realClock is the clock of the test's bubble.
+type realClock struct{}
+
+func (realClock) Now() time.Time { return time.Now() }
+
+func TestCallersWaitUntilTheProcessKnows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStarting(realClock{})
+		began := time.Now()
+		go func() {
+			time.Sleep(80 * time.Millisecond)
+			s.has(learntConfig)
+			s.has(learntConfig)
+			time.Sleep(20 * time.Millisecond)
+			s.has(learntServers)
+			s.has(learntServers)
+		}()
+		s.wait(t.Context())
+		if took := time.Since(began); took != 100*time.Millisecond {
+			t.Errorf("held for %v, want until both are learnt", took)
+		}
+		s.wait(t.Context())
+		if took := time.Since(began); took != 100*time.Millisecond {
+			t.Errorf("held again, %v after the start", took)
+		}
+	})
+}
+
+func TestCallersAreNotHeldForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStarting(realClock{})
+		began := time.Now()
+		s.has(learntServers) // the configuration does not come
+		time.Sleep(startMost / 2)
+		s.wait(t.Context())
+		if took := time.Since(began); took != startMost {
+			t.Errorf("held until %v after the start", took)
+		}
+		s.wait(t.Context())
+		gone, cancel := context.WithCancel(t.Context())
+		cancel()
+		newStarting(realClock{}).wait(gone)
+		if took := time.Since(began); took != startMost {
+			t.Errorf("held past the end, or for a caller who has gone: %v", took)
+		}
+	})
+}
