What a killed process saw of a roll-out still counts

Cause: an instance that starts again wrote its counts under the key of the process before it, so that a version that failed half of its requests was completed after all instances had been killed (3 bad of 10 answers known, 8 had been seen); an instance that found it bad but leaves the register to others could only watch.

Now each process has a sheet of its own, and drops those of the ones before it with its own; a reader takes a bad version back by itself after two seconds; and at the end three bad answers are enough to stop a completion.

--- a/decision/passthrough/rollout.go
+++ b/decision/passthrough/rollout.go
@@ -64,6 +64,8 @@
 	// judgeAfter is the number of bad answers below which nothing is judged: single
 	// failures happen to good versions too.
 	judgeAfter = 5
+	// doubtAfter is the same at the end, where to complete cannot be taken back.
+	doubtAfter = 3
 	// badFloor is the part of bad answers that a version is allowed in any case, and
 	// badFactor how many times the old version's part it may have: servers that fail
 	// and answers that get lost strike both.
@@ -84,10 +86,13 @@
 	if byFirst.over(fresh.First) || byPace.over(fresh.Pace) {
 		return true
 	}
-	if fresh.Bad < judgeAfter {
-		return false
-	}
-	return fresh.badShare(newAdded) > badFloor+badFactor*old.badShare(oldAdded)
+	return failsMore(fresh, old, judgeAfter)
+}
+
+// failsMore says whether the new version fails more than the old one may, by so many bad
+// answers at least.
+func failsMore(fresh, old Counts, least int) bool {
+	return fresh.Bad >= least && fresh.badShare(newAdded) > badFloor+badFactor*old.badShare(oldAdded)
 }
 
 // Exposure bounds the requests that a version may get before its roll-out's deadline, be
@@ -110,6 +115,10 @@
 	switch {
 	case bad:
 		r.Phase, r.Share = PhaseReverted, 0
+	case elapsed >= complete && failsMore(fresh, old, doubtAfter):
+		// Load: a version of which little was seen, as instances were killed or cut off.
+		// Harm prevented: one that failed three of ten answers completed all the same.
+		r.Phase, r.Share = PhaseReverted, 0
 	case elapsed >= complete:
 		r.Phase, r.Share = PhaseCompleted, 1
 	}
--- a/decision/passthrough/rollout_test.go
+++ b/decision/passthrough/rollout_test.go
@@ -437,3 +437,26 @@
 		t.Errorf("the canary went to %d servers", len(seen))
 	}
 }
+
+// TestLittleSeenOfABadVersionIsEnoughAtTheEnd holds that three bad answers of ten stop a
+// completion, and that one alone, or a usual share of many, does not.
+func TestLittleSeenOfABadVersionIsEnoughAtTheEnd(t *testing.T) {
+	order, limit := Order{Duration: 8 * time.Second}, Exposure{Share: 0.2, Tolerance: 30}
+	old := Counts{Good: 115}
+	cases := []struct {
+		fresh Counts
+		want  Phase
+	}{
+		{Counts{Good: 7, Bad: 3}, PhaseReverted},
+		{Counts{Good: 9, Bad: 1}, PhaseCompleted},
+		{Counts{Good: 60, Bad: 4}, PhaseCompleted},
+	}
+	for _, c := range cases {
+		if got := Plan(order, testStart, order.Duration, limit, c.fresh, old, Judge(c.fresh, old)); got.Phase != c.want {
+			t.Errorf("%+v: phase %v, want %v", c.fresh, got.Phase, c.want)
+		}
+		if got := Plan(order, testStart, order.Duration/2, limit, c.fresh, old, Judge(c.fresh, old)); got.Phase != PhaseCanary {
+			t.Errorf("%+v: phase %v halfway", c.fresh, got.Phase)
+		}
+	}
+}
--- a/router/cmd/masticplankd/main.go
+++ b/router/cmd/masticplankd/main.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -17,6 +19,9 @@
 )
 
 func main() {
+	// The settings are watched for a SIGHUP once the parts are put together; one that comes
+	// before must not end the process.
+	signal.Ignore(syscall.SIGHUP)
 	err := command().Execute()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "masticplankd:", err)
--- a/router/internal/passthrough/board.go
+++ b/router/internal/passthrough/board.go
@@ -20,10 +20,12 @@
 // its own under a key of its own, so that a record lost or written twice does no harm.
 type board struct {
 	instance string
-	log      keyedlog.Log
-	driver   *Driver
-	journal  *journal
-	clock    Clock
+	// life tells this process from those before.
+	life    uint64
+	log     keyedlog.Log
+	driver  *Driver
+	journal *journal
+	clock   Clock
 
 	// held gives the records of other instances that are to be written with the own.
 	held func() []keyedlog.Record
@@ -55,7 +57,7 @@
 
 func newBoard(instance string, log keyedlog.Log, driver *Driver, j *journal, clock Clock) *board {
 	return &board{
-		instance: instance, log: log, driver: driver, journal: j, clock: clock,
+		instance: instance, life: uint64(clock.Now().UnixNano()), log: log, driver: driver, journal: j, clock: clock,
 		own: map[string]*sheet{}, others: map[string]sheet{}, crash: map[uint64]int{}, drops: map[string]time.Time{},
 		wake: make(chan struct{}, 1), held: func() []keyedlog.Record { return nil },
 	}
@@ -257,8 +259,12 @@
 	}
 	delete(b.own, service)
 	for key, s := range b.others {
-		if s.Service == service {
-			delete(b.others, key)
+		if s.Service != service {
+			continue
+		}
+		delete(b.others, key)
+		if s.Instance == b.instance {
+			b.drops[key] = b.clock.Now().Add(noteLife) // of a process before this one
 		}
 	}
 }
--- a/router/internal/passthrough/rollouts.go
+++ b/router/internal/passthrough/rollouts.go
@@ -47,6 +47,8 @@
 	// told is the one that was read from it.
 	ended passthrough.Phase
 	told  passthrough.Phase
+	// badSince is when this instance found the version bad, zero while it does not.
+	badSince time.Time
 	// announced says that the register holds that the roll-out is in progress.
 	announced bool
 }
@@ -148,7 +150,7 @@
 		plan.Phase = passthrough.PhaseCanary
 	}
 	switch {
-	case m.writes() && (plan.Phase.Ended() || !announced):
+	case (m.writes() || r.overdue(plan, now)) && (plan.Phase.Ended() || !announced):
 		plan = m.register(ctx, r, plan, seen)
 	case !known && !plan.Phase.Ended():
 		return // it may have ended long ago
@@ -158,6 +160,23 @@
 	m.adopt(r, plan, seen)
 }
 
+// revertAnyway is how long an instance that leaves the register to others waits for them to
+// take a bad version back: they look every 0.4 s, and learn what it saw within a second.
+const revertAnyway = 2 * time.Second
+
+// overdue says whether this instance should take a bad version back by itself: those that
+// write may have lost what they saw, or may never get it.
+func (r *rollout) overdue(plan passthrough.Rollout, now time.Time) bool {
+	if plan.Phase != passthrough.PhaseReverted {
+		r.badSince = time.Time{}
+		return false
+	}
+	if r.badSince.IsZero() {
+		r.badSince = now
+	}
+	return now.Sub(r.badSince) >= revertAnyway
+}
+
 // mayComplete says whether the new version has the servers for all of the traffic: the
 // old ones are stopped at once.
 func (m *rollouts) mayComplete(r *rollout) bool {
--- a/router/internal/passthrough/rollouts_test.go
+++ b/router/internal/passthrough/rollouts_test.go
@@ -323,3 +323,66 @@
 		t.Errorf("the store keeps %v, %v", snap.Records, err)
 	}
 }
+
+// TestWhatAProcessSawOutlivesIt kills an instance after it saw bad answers: they still
+// count, beside those that it sees once it has started again.
+func TestWhatAProcessSawOutlivesIt(t *testing.T) {
+	clock, status, observations := newFakeClock(), &fakeLog{}, &fakeLog{}
+	write := func(p *parts) {
+		if err := observations.Append(t.Context(), keyedlog.Anywhere, p.board.due()...); err != nil {
+			t.Fatal(err)
+		}
+	}
+	start := func() *parts {
+		p := newParts("a", clock, status, observations)
+		p.listServers()
+		p.rollouts.ordered(testOrder, 1)
+		p.board.takeAll(observations.records)
+		p.rollouts.advance(t.Context(), p.rollouts.open["shop"])
+		return p
+	}
+	before := start()
+	before.see("v2", true, 4)
+	write(before)
+	clock.pass(5 * time.Second)
+	after := start()
+	after.see("v2", true, 2)
+	write(after)
+	clock.pass(time.Second)
+	after.rollouts.advance(t.Context(), after.rollouts.open["shop"])
+	if got := ends(status); len(got) != 1 || got[0] != passthrough.PhaseReverted {
+		t.Errorf("ends %v after six bad answers by two processes", got)
+	}
+	clock.pass(noteLife + time.Second)
+	dropped := 0
+	for _, r := range after.board.due() {
+		if len(r.Value) == 0 {
+			dropped++
+		}
+	}
+	if dropped != 2 {
+		t.Errorf("%d sheets are dropped, want those of both processes", dropped)
+	}
+}
+
+// TestReaderTakesABadVersionBackInTheEnd leaves the register to others, who do not see what
+// this instance sees.
+func TestReaderTakesABadVersionBackInTheEnd(t *testing.T) {
+	clock, status := newFakeClock(), &fakeLog{}
+	p := newParts("a", clock, status, &fakeLog{})
+	p.rollouts.writes = func() bool { return false }
+	p.listServers()
+	p.rollouts.ordered(testOrder, 1)
+	r := p.rollouts.open["shop"]
+	p.rollouts.advance(t.Context(), r)
+	p.see("v2", true, 8)
+	p.rollouts.advance(t.Context(), r)
+	if got := ends(status); len(got) != 0 {
+		t.Fatalf("ends %v at once", got)
+	}
+	clock.pass(revertAnyway)
+	p.rollouts.advance(t.Context(), r)
+	if got := ends(status); len(got) != 1 || got[0] != passthrough.PhaseReverted {
+		t.Errorf("ends %v", got)
+	}
+}
--- a/router/internal/passthrough/sheet.go
+++ b/router/internal/passthrough/sheet.go
@@ -10,9 +10,12 @@
 // sheet is one instance's counts of one roll-out.
 type sheet struct {
 	Instance string `json:"instance"`
-	Service  string `json:"service"`
-	Target   string `json:"target"`
-	Order    uint64 `json:"order"`
+	// Life tells the instance's processes apart: one that starts again counts anew, and
+	// what the one before had seen still holds.
+	Life    uint64 `json:"life,omitempty"`
+	Service string `json:"service"`
+	Target  string `json:"target"`
+	Order   uint64 `json:"order"`
 	// ElapsedMS is the time since the order, as the instance knew it when it wrote.
 	ElapsedMS int64 `json:"elapsed_ms"`
 	// Routes are the counts by route.
@@ -32,7 +35,7 @@
 
 // key is the sheet's key in the store.
 func (s *sheet) key() string {
-	return fmt.Sprintf("%s/%s/%d/%s", s.Service, s.Target, s.Order, s.Instance)
+	return fmt.Sprintf("%s/%s/%d/%s/%x", s.Service, s.Target, s.Order, s.Instance, s.Life)
 }
 
 // past is what all instances had seen at a time, by route.
@@ -64,7 +67,7 @@
 	defer b.mu.Unlock()
 	own := b.own[r.Service]
 	if own == nil || own.Order != r.offset || own.Target != r.Target {
-		own = &sheet{Instance: b.instance, Service: r.Service, Target: r.Target, Order: r.offset, Routes: map[string]pair{}, dirty: true}
+		own = &sheet{Instance: b.instance, Life: b.life, Service: r.Service, Target: r.Target, Order: r.offset, Routes: map[string]pair{}, dirty: true}
 		b.own[r.Service] = own
 		b.nudge()
 	}
@@ -78,7 +81,7 @@
 	}
 	add(own)
 	for _, s := range b.others {
-		if s.Service != r.Service || s.Target != r.Target || s.Order != r.offset || s.Instance == b.instance {
+		if s.Service != r.Service || s.Target != r.Target || s.Order != r.offset || s.Instance == b.instance && s.Life == b.life {
 			continue
 		}
 		add(&s)
