No roll-out is completed before the others can tell what they saw

Now an instance that read nothing of the others for 2.5 s, or whose outage ended less than that ago, completes only a version of which it saw five good answers and no bad one. Two tests that drive an instance without its reads now say that it has read; what they hold is unchanged.

--- a/router/cmd/masticplank/main.go
+++ b/router/cmd/masticplank/main.go
@@ -14,6 +14,7 @@
 	"masticplank.example/router/internal/cli/manifestcmd"
 	"masticplank.example/router/internal/cli/reportcmd"
 	"masticplank.example/router/internal/cli/settingscmd"
+	"masticplank.example/router/internal/cli/soakcmd"
 	"masticplank.example/router/internal/cli/standincmd"
 	"masticplank.example/router/internal/cli/statuscmd"
 )
@@ -40,6 +41,7 @@
 		manifestcmd.New(),
 		reportcmd.New(),
 		settingscmd.New(),
+		soakcmd.New(),
 		standincmd.New(),
 		statuscmd.New(),
 	)
--- a/router/internal/passthrough/board.go
+++ b/router/internal/passthrough/board.go
@@ -37,6 +37,10 @@
 	crash  map[uint64]int
 	wake   chan struct{}
 	sentAt time.Time
+	// readAt is the last time that the others' sheets were read, soundSince the end of the
+	// last outage in which they were not.
+	readAt     time.Time
+	soundSince time.Time
 	// drops are keys of this instance's that are to be dropped, and when.
 	drops map[string]time.Time
 }
@@ -120,7 +124,8 @@
 	t := &tail{
 		name: topicObservations, log: b.log, clock: clock, journal: b.journal, retry: retryRare,
 		each: b.take,
-		read: func(time.Time, int) {},
+		read: func(began time.Time, _ int) { b.sound(began) },
+		back: b.regained,
 	}
 	t.whole = b.takeAll
 	t.wait = func() time.Duration {
@@ -138,6 +143,34 @@
 	return t
 }
 
+// gossipTime is how long it takes until what one instance saw is known to another: each
+// writes and reads once in boardEvery, and gathers before that.
+const gossipTime = 2500 * time.Millisecond
+
+// sound notes that the others' sheets were read.
+func (b *board) sound(at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.readAt = at
+}
+
+// regained notes the end of an outage in which nobody could tell anything.
+func (b *board) regained(lost time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if lost > boardEvery {
+		b.soundSince = b.clock.Now()
+	}
+}
+
+// blind says whether the others may have seen what is not known here.
+func (b *board) blind() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	return now.Sub(b.readAt) > gossipTime || now.Sub(b.soundSince) < gossipTime
+}
+
 // takeAll applies the newest sheets. Notes on crashes among them may be old, and are left
 // out.
 func (b *board) takeAll(list []keyedlog.Record) {
--- a/router/internal/passthrough/rollouts.go
+++ b/router/internal/passthrough/rollouts.go
@@ -146,7 +146,7 @@
 	if plan.Opening {
 		m.board.open(r.Service, m.driver.openSessions(r.Service, r.Target, plan.Share))
 	}
-	if plan.Phase == passthrough.PhaseCompleted && !m.mayComplete(r) {
+	if plan.Phase == passthrough.PhaseCompleted && (!m.mayComplete(r) || m.board.blind() && !seen.clean()) {
 		plan.Phase = passthrough.PhaseCanary
 	}
 	switch {
--- a/router/internal/passthrough/rollouts_test.go
+++ b/router/internal/passthrough/rollouts_test.go
@@ -46,6 +46,8 @@
 	}
 	a.see("v2", true, 20) // a alone finds it bad; b would complete it
 	clock.pass(19500 * time.Millisecond)
+	a.board.sound(clock.Now())
+	b.board.sound(clock.Now())
 	status.beforeAppend = func() { b.rollouts.advance(t.Context(), b.rollouts.open["shop"]) }
 	a.rollouts.advance(t.Context(), a.rollouts.open["shop"])
 	a.rollouts.advance(t.Context(), a.rollouts.open["shop"])
@@ -65,6 +67,7 @@
 	r := p.rollouts.open["shop"]
 	p.rollouts.advance(t.Context(), r)
 	clock.pass(19500 * time.Millisecond)
+	p.board.sound(clock.Now())
 	status.lose, status.appended = true, []error{keyedlog.ErrUnknown}
 	p.rollouts.advance(t.Context(), r)
 	if r.ended != 0 {
@@ -386,3 +389,41 @@
 		t.Errorf("ends %v", got)
 	}
 }
+
+// TestNoCompletionBeforeTheOthersCanTell ends an outage of the store at the end of a
+// roll-out: an instance that saw little of the new version waits for the others' word.
+func TestNoCompletionBeforeTheOthersCanTell(t *testing.T) {
+	for _, c := range []struct {
+		good, bad int
+		want      passthrough.Phase
+	}{{2, 1, 0}, {0, 0, 0}, {cleanAnswers, 0, passthrough.PhaseCompleted}} {
+		clock, status, observations := newFakeClock(), &fakeLog{}, &fakeLog{}
+		a, b := newParts("a", clock, status, observations), newParts("b", clock, status, observations)
+		for _, p := range []*parts{a, b} {
+			p.listServers()
+			p.rollouts.ordered(testOrder, 1)
+			p.rollouts.advance(t.Context(), p.rollouts.open["shop"])
+		}
+		a.see("v2", false, c.good)
+		a.see("v2", true, c.bad)
+		b.see("v2", true, 8)
+		clock.pass(testOrder.Duration)
+		a.board.regained(6 * time.Second)
+		a.board.sound(clock.Now())
+		r := a.rollouts.open["shop"]
+		a.rollouts.advance(t.Context(), r)
+		if r.ended != c.want {
+			t.Errorf("%+v: ended as %v at once", c, r.ended)
+		}
+		if err := observations.Append(t.Context(), keyedlog.Anywhere, b.board.due()...); err != nil {
+			t.Fatal(err)
+		}
+		a.board.takeAll(observations.records)
+		clock.pass(gossipTime)
+		a.board.sound(clock.Now())
+		a.rollouts.advance(t.Context(), r)
+		if c.want == 0 && r.ended != passthrough.PhaseReverted {
+			t.Errorf("%+v: ended as %v by the others' word", c, r.ended)
+		}
+	}
+}
--- a/router/internal/passthrough/sheet.go
+++ b/router/internal/passthrough/sheet.go
@@ -61,6 +61,16 @@
 	bad        bool
 }
 
+// cleanAnswers is how many good answers of the new version, with no bad one beside them, are
+// enough to complete it by one instance's word.
+const cleanAnswers = 5
+
+// clean says whether what was seen of the new version leaves no doubt.
+//
+// Load: a store that comes back at the end of a roll-out of which it missed the most. Harm
+// prevented: a version that others saw failing, completed before they could tell.
+func (v view) clean() bool { return v.fresh.Bad == 0 && v.fresh.Good >= cleanAnswers }
+
 // view sums up what all instances saw of the roll-out.
 func (b *board) view(r *rollout, now time.Time) view {
 	b.mu.Lock()
