--- a/coordination/fold/rules.go
+++ b/coordination/fold/rules.go
@@ -70,7 +70,7 @@
 func (s *State) check(class record.Class, r *record.Record) Verdict {
 	switch class {
 	case record.ClassClaim:
-		if !s.rules.claimable(s.clock.now, micros(r.KeyTime)) {
+		if !s.rules.claimable(s.clock.now, record.Micros(r.KeyTime)) {
 			return VerdictVoid
 		}
 	case record.ClassManifest:
--- a/coordination/fold/state.go
+++ b/coordination/fold/state.go
@@ -111,7 +111,7 @@
 	if offset != s.next {
 		return out, trace.Wrap(ErrGap, "offset %d, want %d", offset, s.next)
 	}
-	s.clock.observe(micros(logTime), micros(b.Stamped), b.Writer)
+	s.clock.observe(record.Micros(logTime), record.Micros(b.Stamped), b.Writer)
 	s.collect()
 	for i := range b.Records {
 		out = append(out, s.applyRecord(offset, b.Writer, &b.Records[i]))
@@ -286,7 +286,7 @@
 func (s *State) Malformed() uint64 { return s.malformed }
 
 // Now is the log's time.
-func (s *State) Now() time.Time { return fromMicros(s.clock.now) }
+func (s *State) Now() time.Time { return record.FromMicros(s.clock.now) }
 
 // Config returns the bounds that the state was made with.
 func (s *State) Config() Config { return s.cfg }
@@ -302,17 +302,3 @@
 	_, _ = d.WriteString(string(w.key))
 	return d.Sum64()
 }
-
-func micros(t time.Time) int64 {
-	if t.IsZero() {
-		return 0
-	}
-	return t.UnixMicro()
-}
-
-func fromMicros(us int64) time.Time {
-	if us == 0 {
-		return time.Time{}
-	}
-	return time.UnixMicro(us).UTC()
-}
--- a/coordination/fold/table.go
+++ b/coordination/fold/table.go
@@ -28,8 +28,8 @@
 		Value:   w.value,
 		Writer:  w.writer,
 		Offset:  w.offset,
-		At:      fromMicros(w.at),
-		Expires: fromMicros(w.expires),
+		At:      record.FromMicros(w.at),
+		Expires: record.FromMicros(w.expires),
 	}
 }
 
--- a/coordination/record/codec.go
+++ b/coordination/record/codec.go
@@ -80,7 +80,7 @@
 	w := wireBatch{
 		Version: codecVersion,
 		Writer:  b.Writer,
-		Stamped: micros(b.Stamped),
+		Stamped: Micros(b.Stamped),
 		Records: make([]wireRecord, len(b.Records)),
 	}
 	for i := range b.Records {
@@ -111,7 +111,7 @@
 	}
 	b := Batch{
 		Writer:  w.Writer,
-		Stamped: fromMicros(w.Stamped),
+		Stamped: FromMicros(w.Stamped),
 		Records: make([]Record, len(w.Records)),
 	}
 	for i := range w.Records {
@@ -189,7 +189,7 @@
 		Nonce:    r.Nonce[:],
 		Value:    r.Value,
 		Lifetime: int64(r.Lifetime),
-		KeyTime:  micros(r.KeyTime),
+		KeyTime:  Micros(r.KeyTime),
 	}
 }
 
@@ -204,18 +204,20 @@
 		r.Value = w.Value
 	}
 	r.Lifetime = time.Duration(w.Lifetime)
-	r.KeyTime = fromMicros(w.KeyTime)
+	r.KeyTime = FromMicros(w.KeyTime)
 	return nil
 }
 
-func micros(t time.Time) int64 {
+// Micros is the time in Unix microseconds, 0 for the zero time.
+func Micros(t time.Time) int64 {
 	if t.IsZero() {
 		return 0
 	}
 	return t.UnixMicro()
 }
 
-func fromMicros(us int64) time.Time {
+// FromMicros is the time of Unix microseconds in UTC, the zero time for 0.
+func FromMicros(us int64) time.Time {
 	if us == 0 {
 		return time.Time{}
 	}
--- a/coordination/record/codec_test.go
+++ b/coordination/record/codec_test.go
@@ -20,7 +20,7 @@
 		Kind:     Kind(rapid.IntRange(1, 3).Draw(t, "kind")),
 		Nonce:    Nonce(rapid.SliceOfN(rapid.Byte(), 16, 16).Draw(t, "nonce")),
 		Lifetime: time.Duration(rapid.Int64Range(0, 1<<40).Draw(t, "lifetime")),
-		KeyTime:  fromMicros(rapid.Int64().Draw(t, "keytime")),
+		KeyTime:  FromMicros(rapid.Int64().Draw(t, "keytime")),
 	}
 	r.Nonce[0] |= 1
 	if v := rapid.SliceOfN(rapid.Byte(), 0, 40).Draw(t, "value"); len(v) > 0 {
@@ -36,7 +36,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		in := Batch{
 			Writer:  rapid.StringMatching(`[a-z]{1,10}`).Draw(t, "writer"),
-			Stamped: fromMicros(rapid.Int64Range(1, 1<<55).Draw(t, "stamped")),
+			Stamped: FromMicros(rapid.Int64Range(1, 1<<55).Draw(t, "stamped")),
 			Records: rapid.SliceOfN(rapid.Custom(genRecord), 0, 8).Draw(t, "records"),
 		}
 		data, err := Encode(in)
--- a/decision/passthrough/cascade_test.go
+++ b/decision/passthrough/cascade_test.go
@@ -2,13 +2,19 @@
 
 import "testing"
 
+// fillBudget sends requests that fill the retry budget.
+func (b *bench) fillBudget() {
+	b.t.Helper()
+	for range 20 {
+		b.tell(Ended{Request: b.arrive(streamRoute(), nil), Result: Completed})
+	}
+}
+
 func TestSmallestModelFirstThenTheLargest(t *testing.T) {
 	b := newBench(t, Settings{})
 	b.configure(streamRoute())
 	b.tell(Listed{servers("llm", 3, 8)})
-	for range 20 { // requests fill the retry budget
-		b.tell(Ended{Request: b.arrive(streamRoute(), nil), Result: Completed})
-	}
+	b.fillBudget()
 	id := b.arrive(streamRoute(), nil)
 	first := b.dispatched(id)
 	if first.Model != "small" || first.Bar <= barEven || first.Bar >= 1 {
@@ -73,9 +79,7 @@
 	b := newBench(t, Settings{})
 	b.configure(streamRoute())
 	b.tell(Listed{servers("llm", 8, 8)})
-	for range 20 { // requests fill the retry budget
-		b.tell(Ended{Request: b.arrive(streamRoute(), nil), Result: Completed})
-	}
+	b.fillBudget()
 	for _, s := range servers("llm", 8, 8)[1:] {
 		b.tell(Heard{Server: s.ID, Load: Load{Running: 3, Slots: 8}})
 	}
@@ -92,9 +96,7 @@
 	b := newBench(t, Settings{})
 	b.configure(streamRoute())
 	b.tell(Listed{servers("llm", 2, 8)})
-	for range 20 { // requests fill the retry budget
-		b.tell(Ended{Request: b.arrive(streamRoute(), nil), Result: Completed})
-	}
+	b.fillBudget()
 	id := b.arrive(streamRoute(), nil)
 	for range 13 {
 		b.arrive(streamRoute(), nil)
