--- a/decision/passthrough/cascade.go
+++ b/decision/passthrough/cascade.go
@@ -73,12 +73,12 @@
 // first; its answer is dropped where it doubts it itself, as long as nothing was sent. What
 // was dropped once is asked of the largest, however full the servers are: the smallest
 // would give the same answer again.
-func (w *World) chooseSize(r *request) int {
+func (w *World) chooseSize(r *request, room float64) int {
 	last := len(r.Route.Sizes) - 1
 	switch {
 	case r.escalated:
 		return last
-	case w.room(r) <= 0:
+	case room <= 0:
 		return 0
 	case r.attempts >= r.Route.MaxAttempts || !r.Route.Repeatable():
 		return last
@@ -86,11 +86,12 @@
 	return 0
 }
 
-// room is how far the largest model may be asked for the request: 1 where there are places
-// for it, less while they fill, and 0 where they are full.
-func (w *World) room(r *request) float64 {
-	full := fullLoad - rankStep*float64(min(r.Rank, lowRank))
-	return min(max((full-w.taken(r.service))/fadeLoad, 0), 1)
+// roomFor is how far the largest model may be asked for a request of the rank, with so many
+// of the places taken: 1 where there is room for it, less while they fill, 0 where they are
+// full.
+func roomFor(rank int, taken float64) float64 {
+	full := fullLoad - rankStep*float64(min(rank, lowRank))
+	return min(max((full-taken)/fadeLoad, 0), 1)
 }
 
 // taken is the part of an engine's places that is taken over all its servers.
@@ -110,7 +111,7 @@
 
 // bar is the confidence under which the answer is dropped and a larger model asked; 0 for
 // never. As places fill, only the weakest answers are dropped.
-func (w *World) bar(r *request) float64 {
+func (w *World) bar(r *request, room float64) float64 {
 	if !r.Route.Repeatable() {
 		return 0 // it would run twice
 	}
@@ -120,5 +121,5 @@
 	if r.service.budget.Left(w.now) < spareRepeats {
 		return 0
 	}
-	return (barEven + barMargin) * w.room(r)
+	return (barEven + barMargin) * room
 }
--- a/decision/passthrough/cascade_test.go
+++ b/decision/passthrough/cascade_test.go
@@ -86,7 +86,8 @@
 	b.tell(Heard{Server: "llm-0", Load: Load{Running: 7, Slots: 8}})
 	crowded := b.world.servers["llm-0"]
 	r := &request{Request: Request{Route: streamRoute()}, service: crowded.service}
-	if size, bar := b.world.chooseSize(r), b.world.bar(r); size != 0 || bar == 0 {
+	room := roomFor(r.Rank, b.world.taken(r.service))
+	if size, bar := b.world.chooseSize(r, room), b.world.bar(r, room); size != 0 || bar == 0 {
 		t.Errorf("size %d with the bar %v, want the smallest with a bar", size, bar)
 	}
 }
@@ -106,3 +107,19 @@
 		t.Errorf("asked of %q on full servers, want the largest", d.Model)
 	}
 }
+
+// TestTheLargestModelIsKeptForTheFirstRank fills the places: the last rank loses the largest
+// model first, and the bar sinks bit by bit.
+func TestTheLargestModelIsKeptForTheFirstRank(t *testing.T) {
+	for _, c := range []struct {
+		rank        int
+		taken, want float64
+	}{
+		{0, 0.5, 1}, {0, 0.875, 0.5}, {0, 1, 0},
+		{1, 0.5, 1}, {1, 0.88, 0}, {2, 0.5, 1}, {2, 0.76, 0}, {9, 0.76, 0},
+	} {
+		if got := roomFor(c.rank, c.taken); got < c.want-0.01 || got > c.want+0.01 {
+			t.Errorf("rank %d with %v taken: room %v, want %v", c.rank, c.taken, got, c.want)
+		}
+	}
+}
--- a/decision/passthrough/place.go
+++ b/decision/passthrough/place.go
@@ -37,9 +37,10 @@
 	}
 	if r.ModelOpen && len(r.Route.Sizes) > 0 {
 		cmd.Taken, cmd.Repeats = w.taken(r.service), r.service.budget.Left(w.now)
-		r.size = w.chooseSize(r)
+		room := roomFor(r.Rank, cmd.Taken)
+		r.size = w.chooseSize(r, room)
 		cmd.Model = r.Route.Sizes[r.size]
-		cmd.Bar = w.bar(r)
+		cmd.Bar = w.bar(r, room)
 	}
 	w.emit(cmd)
 	return true
