SIGHUP is ignored on the platform only

Cause: the signal was ignored in main, before the mode is known, so that a daemon of our own settings, which does not watch for it, outlived a hang-up of its terminal as it never had. Now the platform's mode ignores it until its settings are watched, as its first step; the other mode is as before. Ruled out: watching in main (the settings' path is not known there).

--- a/router/cmd/masticplankd/main.go
+++ b/router/cmd/masticplankd/main.go
@@ -19,9 +19,6 @@
 )
 
 func main() {
-	// The settings are watched for a SIGHUP once the parts are put together; one that comes
-	// before must not end the process.
-	signal.Ignore(syscall.SIGHUP)
 	err := command().Execute()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "masticplankd:", err)
@@ -68,6 +65,9 @@
 
 // runOnPlatform runs an instance with the adapter of the users' platform.
 func runOnPlatform(path, metrics string) error {
+	// The settings are watched for a SIGHUP once the parts are put together; one that comes
+	// before must not end the process.
+	signal.Ignore(syscall.SIGHUP)
 	cfg, err := platform.LoadSettings(path)
 	if err != nil {
 		return cli.Exit(cli.StatusInvalid, err)
