One scan of the weights for a dispatch; less state where it can be derived

Behaviour is unchanged, tests keep their assertions (one dropped the clock that is not needed any more): - a dispatch weighed each backend server twice, and each weighing worked out the age of the server's word twice.

--- /dev/null
+++ b/decision/passthrough/bench_test.go
@@ -0,0 +1,34 @@
+package passthrough
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkDispatch is one request placed by its prompt and ended, before so many backend
+// servers that each told its load.
+func BenchmarkDispatch(b *testing.B) {
+	for _, count := range []int{15, 90, 1000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			route := streamRoute()
+			w := New(Settings{Seed: 1, RetryRatio: 0.9, RetrySlack: 200, RetryWindow: 10 * time.Second})
+			now := testStart
+			w.Tick(now, Configured{NewIndex(Config{Routes: []Route{*route}, Services: []Service{{Name: "llm", Slots: 16}}})},
+				Listed{servers("llm", count, 16)})
+			for _, s := range servers("llm", count, 16) {
+				w.Tick(now, Heard{Server: s.ID, Load: Load{Running: 6, Slots: 16}})
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				id := RequestID(i + 1)
+				now = now.Add(time.Microsecond)
+				w.Tick(now, Arrived{Request{
+					ID: id, Route: route, Service: "llm", Affinity: uint64(i % 50), ModelOpen: true,
+					Target: now.Add(route.Target), Deadline: now.Add(route.Timeout), Fingerprint: uint64(id),
+				}})
+				w.Tick(now, Ended{Request: id, Result: Completed})
+			}
+		})
+	}
+}
--- a/decision/passthrough/cascade.go
+++ b/decision/passthrough/cascade.go
@@ -80,12 +80,18 @@
 		return last
 	case room <= 0:
 		return 0
-	case r.attempts >= r.Route.MaxAttempts || !r.Route.Repeatable():
+	case r.onlyTry():
 		return last
 	}
 	return 0
 }
 
+// onlyTry says that no other attempt may follow the one that is being made, so that a weak
+// answer could not be replaced.
+func (r *request) onlyTry() bool {
+	return r.attempts >= r.Route.MaxAttempts || !r.Route.Repeatable()
+}
+
 // roomFor is how far the largest model may be asked for a request of the rank, with so many
 // of the places taken: 1 where there is room for it, less while they fill, 0 where they are
 // full.
@@ -112,10 +118,7 @@
 // bar is the confidence under which the answer is dropped and a larger model asked; 0 for
 // never. As places fill, only the weakest answers are dropped.
 func (w *World) bar(r *request, room float64) float64 {
-	if !r.Route.Repeatable() {
-		return 0 // it would run twice
-	}
-	if r.escalated || r.size >= len(r.Route.Sizes)-1 || r.attempts >= r.Route.MaxAttempts {
+	if r.escalated || r.size >= len(r.Route.Sizes)-1 || r.onlyTry() {
 		return 0
 	}
 	if r.service.budget.Left(w.now) < spareRepeats {
--- a/decision/passthrough/place.go
+++ b/decision/passthrough/place.go
@@ -151,14 +151,17 @@
 
 func (w *World) pickByPrompt(r *request, list []*server) *server {
 	sum := 0.0
+	w.weights = w.weights[:0]
 	for _, s := range list {
-		sum += s.weight(w.now)
+		weight := s.weight(w.now)
+		w.weights = append(w.weights, weight)
+		sum += weight
 	}
 	bound := boundFactor*sum/float64(len(list)) + boundSlack
 	var best, least *server
 	bestScore, leastWeight := uint64(0), math.Inf(1)
-	for _, s := range list {
-		weight := s.weight(w.now)
+	for i, s := range list {
+		weight := w.weights[i]
 		if weight < leastWeight {
 			least, leastWeight = s, weight
 		}
--- a/decision/passthrough/servers.go
+++ b/decision/passthrough/servers.go
@@ -113,7 +113,8 @@
 }
 
 func (s *server) others(now time.Time) float64 {
-	return s.stated(now) + s.service.usualOthers.value*s.forgotten(now)
+	forgotten := s.forgotten(now)
+	return max(s.statedOthers(), 0)*(1-forgotten) + s.service.usualOthers.value*forgotten
 }
 
 // stated is what the others have there by the server's own word, as far as it still counts.
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -50,8 +50,9 @@
 	out    []Command
 	// freed are the services in which a place may have become free in this tick.
 	freed []*service
-	// drawn is kept between decisions to save allocations.
-	drawn []*server
+	// drawn and weights are kept between decisions to save allocations.
+	drawn   []*server
+	weights []float64
 }
 
 // versionKey names a version of a service's software.
--- a/router/internal/passthrough/board.go
+++ b/router/internal/passthrough/board.go
@@ -111,7 +111,7 @@
 		records := append(b.due(), b.held()...)
 		if len(records) > 0 {
 			if err := b.log.Append(ctx, keyedlog.Anywhere, records...); err != nil {
-				b.journal.emit(logging.EventStoreLost, slog.String("topic", "observations"), slog.String(logging.KeyError, err.Error()))
+				b.journal.emit(logging.EventStoreLost, slog.String("topic", topicObservations), slog.String(logging.KeyError, err.Error()))
 				b.redo()
 				b.unwritten()
 			}
--- a/router/internal/passthrough/fakes_test.go
+++ b/router/internal/passthrough/fakes_test.go
@@ -181,10 +181,10 @@
 	p.driver = NewDriver(clock, passthrough.Settings{RetryRatio: 0.5, RetrySlack: 3, RetryWindow: 10 * time.Second, SessionLife: 5 * time.Second})
 	p.board = newBoard(name, observations, p.driver, p.journal, clock)
 	p.driver.observe, p.driver.crash = p.board.observed, p.board.crashed
-	p.list = newList(fakeRecords{}, p.driver, newDialer(clock), p.journal, clock, 2*time.Second, newStarting(clock))
+	p.list = newList(fakeRecords{}, p.driver, newDialer(clock), p.journal, clock, 2*time.Second, newStarting())
 	p.rollouts = newRollouts(fakeRecords{}, status, p.driver, p.list, p.board, p.journal, clock,
 		passthrough.Exposure{Share: 0.15, Tolerance: 30})
-	p.operator = &operator{records: fakeRecords{}, known: p.known, driver: p.driver, rollouts: p.rollouts, journal: p.journal, starting: newStarting(clock),
+	p.operator = &operator{records: fakeRecords{}, known: p.known, driver: p.driver, rollouts: p.rollouts, journal: p.journal, starting: newStarting(),
 		collects: func() bool { return false }, direct: func() bool { return true }}
 	return p
 }
--- a/router/internal/passthrough/list.go
+++ b/router/internal/passthrough/list.go
@@ -1,6 +1,7 @@
 package passthrough
 
 import (
+	"cmp"
 	"log/slog"
 	"slices"
 	"sync"
@@ -67,7 +68,7 @@
 
 func (l *list) tail(log keyedlog.Log, clock Clock) *tail {
 	t := &tail{
-		name: "servers", log: log, clock: clock, journal: l.journal, nudge: l.nudge,
+		name: topicServers, log: log, clock: clock, journal: l.journal, nudge: l.nudge,
 		pause: l.every,
 		each:  func(r keyedlog.Record) { l.take(r) },
 	}
@@ -185,12 +186,7 @@
 	for _, s := range l.entries {
 		out = append(out, s)
 	}
-	slices.SortFunc(out, func(a, b passthrough.Server) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b passthrough.Server) int { return cmp.Compare(a.ID, b.ID) })
 	l.driver.Tell(passthrough.Listed{Servers: out})
 	l.dialer.forget(func(id string) bool { _, ok := l.entries[id]; return ok })
 }
--- a/router/internal/passthrough/operator.go
+++ b/router/internal/passthrough/operator.go
@@ -49,7 +49,7 @@
 
 func (o *operator) tail(log keyedlog.Log, clock Clock) *tail {
 	return &tail{
-		name: "operator", log: log, clock: clock, journal: o.journal, wait: o.wait,
+		name: topicOperator, log: log, clock: clock, journal: o.journal, wait: o.wait,
 		whole: o.takeAll,
 		each:  o.take,
 		read: func(began time.Time, _ int) {
--- a/router/internal/passthrough/rollouts.go
+++ b/router/internal/passthrough/rollouts.go
@@ -89,28 +89,20 @@
 }
 
 // active says whether some roll-out has not ended.
-func (m *rollouts) active() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, r := range m.open {
-		if r.ended == 0 {
-			return true
-		}
-	}
-	return false
-}
+func (m *rollouts) active() bool { return len(m.snapshot()) > 0 }
 
 // run looks at the open roll-outs until ctx ends; without any it sleeps.
 func (m *rollouts) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !m.active() {
+		open := m.snapshot()
+		if len(open) == 0 {
 			select {
 			case <-m.wake:
 			case <-ctx.Done():
 			}
 			continue
 		}
-		for _, r := range m.snapshot() {
+		for _, r := range open {
 			m.advance(ctx, r)
 		}
 		sleep(ctx, rolloutEvery, nil)
--- a/router/internal/passthrough/starting.go
+++ b/router/internal/passthrough/starting.go
@@ -17,12 +17,11 @@
 // open. Harm prevented: a refusal that uses up a caller's last try, a tenth of a second
 // before the answer could have been had.
 type starting struct {
-	clock Clock
-	until time.Time
-
 	mu   sync.Mutex
 	left map[learnt]bool
-	done chan struct{}
+	// over is closed when all is learnt, or the time for that has passed.
+	over    chan struct{}
+	release func()
 }
 
 // learnt is what a process must have learnt before it can serve.
@@ -33,37 +32,27 @@
 	learntServers
 )
 
-func newStarting(clock Clock) *starting {
-	return &starting{
-		clock: clock, until: clock.Now().Add(startMost),
-		left: map[learnt]bool{learntConfig: true, learntServers: true}, done: make(chan struct{}),
-	}
+func newStarting() *starting {
+	s := &starting{left: map[learnt]bool{learntConfig: true, learntServers: true}, over: make(chan struct{})}
+	s.release = sync.OnceFunc(func() { close(s.over) })
+	time.AfterFunc(startMost, s.release)
+	return s
 }
 
 // has notes what was learnt.
 func (s *starting) has(what learnt) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.left[what] {
-		return
-	}
 	delete(s.left, what)
 	if len(s.left) == 0 {
-		close(s.done)
+		s.release()
 	}
 }
 
 // wait returns when all is learnt, or the time for that has passed.
 func (s *starting) wait(ctx context.Context) {
-	left := s.until.Sub(s.clock.Now())
-	if left <= 0 {
-		return
-	}
-	timer := time.NewTimer(left)
-	defer timer.Stop()
 	select {
-	case <-s.done:
-	case <-timer.C:
+	case <-s.over:
 	case <-ctx.Done():
 	}
 }
--- a/router/internal/passthrough/starting_test.go
+++ b/router/internal/passthrough/starting_test.go
@@ -7,14 +7,9 @@
 	"time"
 )
 
-// realClock is the clock of the test's bubble.
-type realClock struct{}
-
-func (realClock) Now() time.Time { return time.Now() }
-
 func TestCallersWaitUntilTheProcessKnows(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newStarting(realClock{})
+		s := newStarting()
 		began := time.Now()
 		go func() {
 			time.Sleep(80 * time.Millisecond)
@@ -37,7 +32,7 @@
 
 func TestCallersAreNotHeldForLong(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newStarting(realClock{})
+		s := newStarting()
 		began := time.Now()
 		s.has(learntServers) // the configuration does not come
 		time.Sleep(startMost / 2)
@@ -48,7 +43,7 @@
 		s.wait(t.Context())
 		gone, cancel := context.WithCancel(t.Context())
 		cancel()
-		newStarting(realClock{}).wait(gone)
+		newStarting().wait(gone)
 		if took := time.Since(began); took != startMost {
 			t.Errorf("held past the end, or for a caller who has gone: %v", took)
 		}
--- a/router/internal/relay/log.go
+++ b/router/internal/relay/log.go
@@ -52,11 +52,10 @@
 	}
 	began := l.now()
 	b, err := l.store.Read(ctx, from, wait)
+	l.asked(ctx, err)
 	if err != nil {
-		l.failed(ctx, err)
 		return b, err
 	}
-	l.client.storeAnswered()
 	b.Age = l.now().Sub(began)
 	l.cache.Add(b, began)
 	return b, nil
@@ -82,19 +81,21 @@
 	}
 	began := l.now()
 	s, err := l.store.Newest(ctx)
+	l.asked(ctx, err)
 	if err != nil {
-		l.failed(ctx, err)
 		return s, err
 	}
-	l.client.storeAnswered()
 	s.Age = l.now().Sub(began)
 	l.cache.Replace(s, began)
 	return s, nil
 }
 
-// failed notes that the store gave no answer, unless the read was ended here.
-func (l *Log) failed(ctx context.Context, err error) {
-	if ctx.Err() == nil && !errors.Is(err, keyedlog.ErrGone) {
+// asked notes whether the store gave an answer, unless the read was ended here.
+func (l *Log) asked(ctx context.Context, err error) {
+	switch {
+	case err == nil:
+		l.client.storeAnswered()
+	case ctx.Err() == nil && !errors.Is(err, keyedlog.ErrGone):
 		l.client.storeFailed()
 	}
 }
--- a/router/internal/relay/members.go
+++ b/router/internal/relay/members.go
@@ -145,13 +145,6 @@
 	return len(m.all)
 }
 
-// Alone says whether no other member is known.
-func (m *Members) Alone() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return len(m.list) == 1
-}
-
 // Knows says whether the member is known as given.
 func (m *Members) Knows(in Member) bool {
 	m.mu.Lock()
