A stream's load is told with its head, not at its end

Cause: the load that an engine states in a stream's head was given to the decision when the stream had ended, up to seconds later, as if it were new. Ruled out: the fading of old loads (it counts from the telling). The line of an attempt tells now what the server stated, and the pace.

--- a/router/internal/passthrough/attempt.go
+++ b/router/internal/passthrough/attempt.go
@@ -43,9 +43,12 @@
 
 // outcome is how an attempt ended.
 type outcome struct {
-	result      passthrough.Result
-	answer      *answer
+	result passthrough.Result
+	answer *answer
+	// load is what the answer's head stated; stream says that the decision knows it since
+	// then.
 	load        *passthrough.Load
+	stream      bool
 	misdirected bool
 	leaving     bool
 	cut         bool
@@ -170,7 +173,9 @@
 		return outcome{result: passthrough.Broken, err: errUnsigned}
 	}
 	if resp.StatusCode == http.StatusOK && isStream(resp.Header) {
-		return a.relay(resp, said)
+		out := a.relay(resp, said)
+		out.stream = true
+		return out
 	}
 	return a.whole(resp)
 }
--- a/router/internal/passthrough/exchange.go
+++ b/router/internal/passthrough/exchange.go
@@ -154,7 +154,7 @@
 	out := a.run(x.ctx)
 	x.edge.journal.attempted(x.call, d, out)
 	x.ran = x.ran || out.result.Ran()
-	if out.load != nil {
+	if out.load != nil && !out.stream {
 		x.edge.driver.Tell(passthrough.Heard{Server: d.Server.ID, Load: *out.load})
 	}
 	if x.ctx.Err() != nil && out.result != passthrough.Completed {
--- a/router/internal/passthrough/journal.go
+++ b/router/internal/passthrough/journal.go
@@ -92,6 +92,12 @@
 			slog.Float64("taken", math.Round(100*d.Taken)/100), slog.Float64("repeats_left", math.Round(d.Repeats)),
 			slog.Int("prompt_tokens", c.caller.PromptTokens), slog.Int("most_tokens", c.caller.MaxTokens))
 	}
+	if out.load != nil {
+		attrs = append(attrs, slog.Int("told_running", out.load.Running), slog.Int("told_waiting", out.load.Waiting))
+	}
+	if out.pace > 0 {
+		attrs = append(attrs, slog.Int64("pace_ms", out.pace.Milliseconds()))
+	}
 	if out.err != nil {
 		attrs = append(attrs, slog.String(logging.KeyError, out.err.Error()))
 	}
--- a/router/internal/passthrough/stream.go
+++ b/router/internal/passthrough/stream.go
@@ -34,7 +34,7 @@
 // relay hands a stream to the caller, whole events only, as they come.
 func (a *attempt) relay(resp *http.Response, said seam.Answer) outcome {
 	x := a.exchange
-	x.edge.driver.Tell(passthrough.FirstByte{Request: x.ticket.id, After: a.first})
+	a.tellBegun(said)
 	if !x.stream.begun && said.Confidence >= 0 && said.Confidence < a.bar {
 		return outcome{result: passthrough.Dropped}
 	}
@@ -77,6 +77,20 @@
 	}
 }
 
+// tellBegun tells the decision that the answer has begun, and the server's load as its head
+// states it.
+//
+// Load: streams of many seconds, at servers whose load changes within tenths of one. Harm
+// prevented: a load that is as old as the stream, taken for what the server has now.
+func (a *attempt) tellBegun(said seam.Answer) {
+	x := a.exchange
+	events := []passthrough.Event{passthrough.FirstByte{Request: x.ticket.id, After: a.first}}
+	if said.HasLoad {
+		events = append(events, passthrough.Heard{Server: a.server.ID, Load: said.Load})
+	}
+	x.edge.driver.Tell(events...)
+}
+
 // pace is the mean time between events.
 func pace(took time.Duration, events int) time.Duration {
 	if events < 2 {
