Engines' load is measured in seconds that they have to read

Cause: engines of 128 places were taken for empty with 9 taken. What fills them is prompts: the largest model reads 30 tokens a millisecond, the smallest 300, and both generate alike.

Now each server's backlog in seconds is kept (own prompts, and others' by what the server states), from speeds learnt of idle engines; choice, the largest model and admission go by it.

--- a/decision/passthrough/cascade.go
+++ b/decision/passthrough/cascade.go
@@ -32,10 +32,21 @@
 
 // firstByte notes the time to an answer's first byte.
 func (w *World) firstByte(e FirstByte) {
-	if r := w.requests[e.Request]; r != nil {
-		r.first = e.After
-		r.hasRead()
+	r := w.requests[e.Request]
+	if r == nil || r.server == nil {
+		return
 	}
+	s := r.server
+	r.first = e.After
+	wasReading := r.reading
+	r.hasRead()
+	if e.HasLoad {
+		w.states(s, e.Load)
+	}
+	if wasReading && r.alone && e.HasLoad && e.Load.Waiting == 0 {
+		r.service.reads.learn(r.size, r.PromptTokens, e.After)
+	}
+	w.free(r.service)
 }
 
 const (
@@ -100,19 +111,42 @@
 	return min(max((full-taken)/fadeLoad, 0), 1)
 }
 
-// taken is the part of an engine's places that is taken over all its servers.
-func (w *World) taken(s *service) float64 {
+const (
+	// longWait is the part of a route's target from which on the mean wait of prompts leaves
+	// no time for the largest model, for the first rank; waitStep is what each lower rank has
+	// less. A prompt dropped there waits once more at the engine, and takes ten times as long.
+	longWait = 0.60
+	waitStep = 0.05
+	// waitFade is the part of the target over which the bar sinks to nothing.
+	waitFade = 0.30
+)
+
+// timeFor is the same as roomFor by time: by the mean wait of prompts, as a part of the
+// route's target.
+//
+// Load: more prompts than the largest model can read, at engines with places free: an engine
+// of 128 places is full of prompts with 20 taken. Harm prevented: prompts of the largest
+// model that hold up everything else, so that nearly all answers come late.
+func timeFor(rank int, wait float64) float64 {
+	long := longWait - waitStep*float64(min(rank, lowRank))
+	return min(max((long-wait)/waitFade, 0), 1)
+}
+
+// filled is the part of an engine's places that is taken over all its servers, and the mean
+// wait of prompts there, in seconds.
+func (w *World) filled(s *service) (taken, wait float64) {
 	load, count := 0.0, 0
 	for _, srv := range s.servers {
 		if srv.usable(w.now) {
 			load += min(srv.load(w.now), float64(s.slots))
+			wait += srv.wait(w.now)
 			count++
 		}
 	}
 	if s.slots <= 0 || count == 0 {
-		return 0
+		return 0, 0
 	}
-	return load / float64(count*s.slots)
+	return load / float64(count*s.slots), wait / float64(count)
 }
 
 // bar is the confidence under which the answer is dropped and a larger model asked; 0 for
--- a/decision/passthrough/cascade_test.go
+++ b/decision/passthrough/cascade_test.go
@@ -86,7 +86,8 @@
 	b.tell(Heard{Server: "llm-0", Load: Load{Running: 7, Slots: 8}})
 	crowded := b.world.servers["llm-0"]
 	r := &request{Request: Request{Route: streamRoute()}, service: crowded.service}
-	room := roomFor(r.Rank, b.world.taken(r.service))
+	taken, _ := b.world.filled(r.service)
+	room := roomFor(r.Rank, taken)
 	if size, bar := b.world.chooseSize(r, room), b.world.bar(r, room); size != 0 || bar == 0 {
 		t.Errorf("size %d with the bar %v, want the smallest with a bar", size, bar)
 	}
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -45,10 +45,13 @@
 	Load   Load
 }
 
-// FirstByte says that the attempt's answer began, after the time given.
+// FirstByte says that the attempt's answer began, after the time given, and what its head
+// states of the server's load, if anything.
 type FirstByte struct {
 	Request RequestID
 	After   time.Duration
+	Load    Load
+	HasLoad bool
 }
 
 // Paced is the pace of a stream's first events: the mean time between them.
@@ -109,9 +112,13 @@
 	// Load is the server's load as believed, with its age, for the log.
 	Load    int
 	LoadAge time.Duration
-	// Taken is the part of the service's places that is taken, as believed, and Repeats
-	// what the retry budget holds: what decided on the model.
+	// Wait is how long the prompt is thought to wait at the server for others to be read.
+	Wait time.Duration
+	// Taken is the part of the service's places that is taken, as believed, Mean the mean
+	// wait at its servers, and Repeats what the retry budget holds: what decided on the
+	// model.
 	Taken   float64
+	Mean    time.Duration
 	Repeats float64
 }
 
--- a/decision/passthrough/pace.go
+++ b/decision/passthrough/pace.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// seconds turns seconds into a duration.
+func seconds(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
+
 // paceMemory is the number of answers that a mean pace looks back on.
 const paceMemory = 20
 
--- a/decision/passthrough/place.go
+++ b/decision/passthrough/place.go
@@ -25,23 +25,24 @@
 	r.attempts++
 	r.tries++
 	s.own++
-	s.reading += r.PromptTokens
-	r.reading = true
 	w.noteSession(r, s.Version)
 	cmd := Dispatch{
 		Request: r.ID, Server: s.Server, Attempt: r.tries,
-		Patience: patience(r), Load: int(s.load(w.now)),
+		Patience: patience(r), Load: int(s.load(w.now)), Wait: seconds(s.wait(w.now)),
 	}
 	if !s.toldAt.IsZero() {
 		cmd.LoadAge = w.now.Sub(s.toldAt)
 	}
 	if r.ModelOpen && len(r.Route.Sizes) > 0 {
-		cmd.Taken, cmd.Repeats = w.taken(r.service), r.service.budget.Left(w.now)
-		room := roomFor(r.Rank, cmd.Taken)
+		mean := 0.0
+		cmd.Taken, mean = w.filled(r.service)
+		cmd.Mean, cmd.Repeats = seconds(mean), r.service.budget.Left(w.now)
+		room := min(roomFor(r.Rank, cmd.Taken), timeFor(r.Rank, mean/r.Route.Target.Seconds()))
 		r.size = w.chooseSize(r, room)
 		cmd.Model = r.Route.Sizes[r.size]
 		cmd.Bar = w.bar(r, room)
 	}
+	w.toRead(r, s)
 	w.emit(cmd)
 	return true
 }
@@ -102,7 +103,7 @@
 	var spare, last []*server
 	w.drawn = w.drawn[:0]
 	for _, s := range r.service.servers {
-		if !s.usable(w.now) || !s.hasRoom(w.now) || !fits(s) {
+		if !s.usable(w.now) || !s.hasRoom(w.now) || !s.readsSoon(r, w.now) || !fits(s) {
 			continue
 		}
 		switch tried := slices.Contains(r.tried, s); {
@@ -139,14 +140,14 @@
 	return float64(s.own)+s.stated(now) < float64(slots)
 }
 
-// readingTokens is how many prompt tokens weigh as much as one request: what an engine
-// reads in the time in which a usual answer takes its turn in the batch.
-const readingTokens = 6000
+// readUnit is how many seconds of prompts that wait to be read weigh as much as one request
+// that runs: running, it takes some 50 us of each step.
+const readUnit = 0.06
 
 // weight is the load that a choice goes by: with one more request, with the prompts that
 // are still to be read, which hold up all others, and by the server's pace.
 func (s *server) weight(now time.Time) float64 {
-	return (s.load(now) + float64(s.reading)/readingTokens + 1) * s.slowness()
+	return (s.load(now)+1)*s.slowness() + s.wait(now)/readUnit
 }
 
 func (w *World) pickByPrompt(r *request, list []*server) *server {
--- /dev/null
+++ b/decision/passthrough/reading.go
@@ -0,0 +1,146 @@
+package passthrough
+
+import "time"
+
+// An engine's time goes into reading prompts: idle, it generates at 15 ms an event with any
+// model, but reads 300 tokens a millisecond with the smallest and 30 with the largest, and
+// all that it generates waits meanwhile. So load is measured here in seconds that an engine
+// has still to read, not in places.
+
+const (
+	// smallestRead and largerRead are the seconds that a prompt token takes to be read by
+	// the smallest and by a larger model, until answers of idle engines have told.
+	smallestRead = 5e-6
+	largerRead   = 30e-6
+	// readMemory is how many prompt tokens the measured speeds look back on: some 50
+	// prompts.
+	readMemory = 200_000
+	// waitLife is how long an engine's word on prompts that wait there counts: they are
+	// read within a second.
+	waitLife = time.Second
+)
+
+// readStats is what is learnt of how a service's engines read prompts.
+type readStats struct {
+	by map[int]*readSpeed
+	// least is the time to a first event where nothing was to be read, in seconds.
+	least float64
+	// work is the mean of the seconds that a prompt takes, and unread that of the prompts of
+	// other instances which wait at a server.
+	work   mean
+	unread mean
+}
+
+// readSpeed sums up the time that answers of idle engines took, and their prompts' tokens.
+type readSpeed struct{ seconds, tokens float64 }
+
+// perToken is how long a prompt token takes to be read, in seconds, with what was cached
+// taken in.
+func (rs *readStats) perToken(size int) float64 {
+	prior := smallestRead
+	if size > 0 {
+		prior = largerRead
+	}
+	sp := rs.by[size]
+	if sp == nil {
+		return prior
+	}
+	const priorTokens = 10_000 // weighs as much as one or two prompts
+	return (sp.seconds + prior*priorTokens) / (sp.tokens + priorTokens)
+}
+
+// learn takes in the time to the first event of an answer that had its engine for itself.
+func (rs *readStats) learn(size, tokens int, took time.Duration) {
+	const drift = 1.001 // a least that an odd answer set too low is forgotten
+	x := took.Seconds()
+	rs.least *= drift
+	if rs.least == 0 || x < rs.least {
+		rs.least = x
+	}
+	if rs.by == nil {
+		rs.by = map[int]*readSpeed{}
+	}
+	sp := rs.by[size]
+	if sp == nil {
+		sp = &readSpeed{}
+		rs.by[size] = sp
+	}
+	sp.seconds += x - rs.least
+	sp.tokens += float64(tokens)
+	if over := sp.tokens / readMemory; over > 1 {
+		sp.seconds /= over
+		sp.tokens /= over
+	}
+}
+
+// toRead counts a request's prompt at the server that it is sent to.
+func (w *World) toRead(r *request, s *server) {
+	if !r.service.engine {
+		return
+	}
+	rs := &r.service.reads
+	r.work = rs.perToken(r.size) * float64(r.PromptTokens)
+	r.alone = s.unread == 0
+	r.reading = true
+	rs.work.add(r.work)
+	s.unread++
+	s.backlog += r.work
+}
+
+// hasRead takes the request's prompt off what its server has to read.
+func (r *request) hasRead() {
+	if !r.reading || r.server == nil {
+		return
+	}
+	r.reading = false
+	r.server.unread--
+	r.server.backlog = max(r.server.backlog-r.work, 0) // rounding may go below
+	if r.server.unread == 0 {
+		r.server.backlog = 0
+	}
+}
+
+// unreadPart is the part of a route's target for which prompts may wait at an engine.
+const unreadPart = 0.4
+
+// readsSoon says whether the engine would come to the request's prompt in time, by what is
+// known of it.
+//
+// Load: more prompts than the engines read. Harm prevented: all of them sent on at once, so
+// that each waits for all others, the urgent ones and those of small teams too, and is given
+// up at its deadline. What waits in the queue here goes by rank and team, and can be refused
+// as not run. A request that has run before is not kept: its caller would have waited for
+// nothing.
+func (s *server) readsSoon(r *request, now time.Time) bool {
+	if !s.service.engine || r.ran {
+		return true
+	}
+	return s.knownWait(now) <= unreadPart*r.Route.Target.Seconds()
+}
+
+// wait is how long a prompt would wait at the server for those before it, in seconds. What
+// is not known of others is taken to be as usual.
+func (s *server) wait(now time.Time) float64 {
+	known := s.knownUnread(now) + s.service.reads.unread.value*s.forgottenUnread(now)
+	return (s.backlog + known*s.service.reads.work.value) * s.slowness()
+}
+
+// knownWait is the same by what is known of others alone.
+func (s *server) knownWait(now time.Time) float64 {
+	return (s.backlog + s.knownUnread(now)*s.service.reads.work.value) * s.slowness()
+}
+
+// knownUnread is the other instances' prompts that wait at the server, by its own word as
+// far as that still counts.
+func (s *server) knownUnread(now time.Time) float64 {
+	return s.othersUnread() * (1 - s.forgottenUnread(now))
+}
+
+func (s *server) othersUnread() float64 { return float64(max(s.told.Waiting-s.unreadThen, 0)) }
+
+func (s *server) forgottenUnread(now time.Time) float64 {
+	if s.toldAt.IsZero() {
+		return 1
+	}
+	return min(float64(now.Sub(s.toldAt))/float64(waitLife), 1)
+}
--- a/decision/passthrough/requests.go
+++ b/decision/passthrough/requests.go
@@ -79,13 +79,18 @@
 	return promptPart*float64(r.PromptTokens) + float64(r.MaxTokens)
 }
 
-// waited refuses a request that has waited for as long as it may.
+// waited refuses a request that has waited for as long as it may, unless there is room by
+// now: what is known of engines ages, and no event tells when it has.
 func (w *World) waited(id RequestID) {
 	r := w.requests[id]
 	if r == nil || !r.waiting {
 		return
 	}
-	w.giveUp(r, ReasonBusy)
+	r.service.queue.remove(r)
+	r.waiting = false
+	if !w.place(r) {
+		w.giveUp(r, ReasonBusy)
+	}
 }
 
 // leave forgets a request that nobody waits for. Its attempt's end comes by itself.
@@ -118,14 +123,6 @@
 	r.server = nil
 }
 
-// hasRead takes the request's prompt off what its server has to read.
-func (r *request) hasRead() {
-	if r.reading && r.server != nil {
-		r.server.reading -= r.PromptTokens
-		r.reading = false
-	}
-}
-
 // free marks that a place may have become free.
 func (w *World) free(s *service) {
 	if !s.isFree && s.queue.len > 0 {
--- a/decision/passthrough/servers.go
+++ b/decision/passthrough/servers.go
@@ -72,14 +72,18 @@
 
 // hear takes in a server's word on its load.
 func (w *World) hear(e Heard) {
-	s := w.servers[e.Server]
-	if s == nil {
-		return
+	if s := w.servers[e.Server]; s != nil {
+		w.states(s, e.Load)
 	}
-	s.told, s.toldAt, s.ownThen = e.Load, w.now, s.own
+}
+
+// states notes what a server states of its load now.
+func (w *World) states(s *server, load Load) {
+	s.told, s.toldAt, s.ownThen, s.unreadThen = load, w.now, s.own, s.unread
+	s.service.reads.unread.add(s.othersUnread())
 	s.service.usualOthers.add(max(s.statedOthers(), 0))
-	if e.Load.Slots > 0 {
-		s.Slots = e.Load.Slots
+	if load.Slots > 0 {
+		s.Slots = load.Slots
 	}
 	w.free(s.service)
 }
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -70,6 +70,7 @@
 	// usualOthers is the mean of what other instances have at a server.
 	usualOthers mean
 	pace        paceStats
+	reads       readStats
 	isFree      bool
 }
 
@@ -79,12 +80,15 @@
 	service *service
 	// own is this instance's attempts at the server.
 	own int
-	// reading is the prompt tokens of own requests whose answer has not begun.
-	reading int
-	// told is the load that it stated at toldAt, when own was ownThen.
-	told    Load
-	toldAt  time.Time
-	ownThen int
+	// unread is this instance's requests there whose answer has not begun, backlog the
+	// seconds that their prompts take to be read.
+	unread  int
+	backlog float64
+	// told is the load that it stated at toldAt, when own was ownThen and unread unreadThen.
+	told       Load
+	toldAt     time.Time
+	ownThen    int
+	unreadThen int
 	// shutUntil keeps it out of the choice for a moment.
 	shutUntil time.Time
 	health    health
@@ -118,8 +122,11 @@
 	first time.Duration
 	// paced says that the current answer's pace was told.
 	paced bool
-	// reading says that its prompt counts in its server's.
+	// reading says that its prompt counts in its server's backlog, with work seconds; alone
+	// that no other of this instance's did then.
 	reading bool
+	work    float64
+	alone   bool
 	// escalated says that a smaller model's answer was dropped.
 	escalated bool
 }
--- a/router/internal/passthrough/stream.go
+++ b/router/internal/passthrough/stream.go
@@ -84,11 +84,9 @@
 // prevented: a load that is as old as the stream, taken for what the server has now.
 func (a *attempt) tellBegun(said seam.Answer) {
 	x := a.exchange
-	events := []passthrough.Event{passthrough.FirstByte{Request: x.ticket.id, After: a.first}}
-	if said.HasLoad {
-		events = append(events, passthrough.Heard{Server: a.server.ID, Load: said.Load})
-	}
-	x.edge.driver.Tell(events...)
+	x.edge.driver.Tell(passthrough.FirstByte{
+		Request: x.ticket.id, After: a.first, Load: said.Load, HasLoad: said.HasLoad,
+	})
 }
 
 // pace is the mean time between events.
