Overload: prompts near home, answers dropped by the load when they begin

(2) The confidence under which an answer is dropped was fixed at dispatch: in a rush, half of what was on its way was asked again of the largest model, two seconds of reading an engine. (3) Forecasts of waits were 1.7 times too long; what others have was left out.

Now a prompt stays in its failure domain while engines read without delay, more so the less of it is shared; the bar is asked for when the answer's head is there; forecasts are scaled by what came, and count what others usually have; a queue's pace is that of what leaves it.

Tests replay 1 to 12 times the load on engines of their own, a hot team, ranks and callers that repeat at once.

--- a/decision/passthrough/cascade.go
+++ b/decision/passthrough/cascade.go
@@ -43,6 +43,9 @@
 	if e.HasLoad {
 		w.states(s, e.Load)
 	}
+	if wasReading {
+		r.service.reads.check(e.After, r.foretold)
+	}
 	if wasReading && r.alone && e.HasLoad && e.Load.Waiting == 0 {
 		r.service.reads.learn(r.size, r.PromptTokens, e.After)
 	}
@@ -115,10 +118,10 @@
 	// longWait is the part of a route's target from which on the mean wait of prompts leaves
 	// no time for the largest model, for the first rank; waitStep is what each lower rank has
 	// less. A prompt dropped there waits once more at the engine, and takes ten times as long.
-	longWait = 0.60
+	longWait = 0.45
 	waitStep = 0.05
 	// waitFade is the part of the target over which the bar sinks to nothing.
-	waitFade = 0.30
+	waitFade = 0.25
 )
 
 // timeFor is the same as roomFor by time: by the mean wait of prompts, as a part of the
@@ -149,14 +152,43 @@
 	return load / float64(count*s.slots), wait / float64(count)
 }
 
-// bar is the confidence under which the answer is dropped and a larger model asked; 0 for
-// never. As places fill, only the weakest answers are dropped.
-func (w *World) bar(r *request, room float64) float64 {
+// roomOf is how far the largest model may be asked for the request, with so many of the
+// places taken and such a mean wait.
+func roomOf(r *request, taken, wait float64) float64 {
+	return min(roomFor(r.Rank, taken), timeFor(r.Rank, wait/r.Route.Target.Seconds()))
+}
+
+// Bar is the confidence under which the answer that has begun is to be dropped, while nothing
+// of it was sent on, and the request to be ended as Dropped; 0 for never. As engines fill,
+// only the weakest answers are dropped.
+//
+// Load: a rush that begins while answers of the smallest model are on their way. Harm
+// prevented: half of them dropped by what was known when they were sent: all engines then
+// read prompts for the largest model, two seconds of them each, before anyone notices.
+func (w *World) Bar(id RequestID) float64 {
+	r := w.requests[id]
+	if r == nil || r.server == nil || r.size == plainSize {
+		return 0
+	}
 	if r.escalated || r.size >= len(r.Route.Sizes)-1 || r.onlyTry() {
 		return 0
 	}
 	if r.service.budget.Left(w.now) < spareRepeats {
 		return 0
 	}
-	return (barEven + barMargin) * room
+	taken, wait := w.filled(r.service)
+	if !w.largestEnds(r, wait) {
+		return 0
+	}
+	return (barEven + barMargin) * roomOf(r, taken, wait)
+}
+
+// endsPart is the part of the time to the deadline in which the largest model must begin its
+// answer, for the rest of it to come too.
+const endsPart = 0.5
+
+// largestEnds says whether the largest model's answer would come before the deadline.
+func (w *World) largestEnds(r *request, wait float64) bool {
+	begins := wait + r.service.reads.perToken(len(r.Route.Sizes)-1)*float64(r.PromptTokens)
+	return begins < endsPart*r.Deadline.Sub(w.now).Seconds()
 }
--- a/decision/passthrough/cascade_test.go
+++ b/decision/passthrough/cascade_test.go
@@ -1,6 +1,9 @@
 package passthrough
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // fillBudget sends requests that fill the retry budget.
 func (b *bench) fillBudget() {
@@ -17,13 +20,13 @@
 	b.fillBudget()
 	id := b.arrive(streamRoute(), nil)
 	first := b.dispatched(id)
-	if first.Model != "small" || first.Bar <= barEven || first.Bar >= 1 {
-		t.Errorf("first: model %q, bar %v", first.Model, first.Bar)
+	if bar := b.world.Bar(id); first.Model != "small" || bar <= barEven || bar >= 1 {
+		t.Errorf("first: model %q, bar %v", first.Model, bar)
 	}
 	b.tell(Ended{Request: id, Result: Dropped})
 	second := b.dispatched(id)
-	if second.Model != "large" || second.Bar != 0 {
-		t.Errorf("second: model %q, bar %v", second.Model, second.Bar)
+	if bar := b.world.Bar(id); second.Model != "large" || bar != 0 {
+		t.Errorf("second: model %q, bar %v", second.Model, bar)
 	}
 }
 
@@ -31,8 +34,10 @@
 	b := newBench(t, Settings{Seed: 1, RetryRatio: 0, RetrySlack: 1, RetryWindow: 1e9})
 	b.configure(streamRoute())
 	b.tell(Listed{servers("llm", 3, 8)})
-	if d := b.dispatched(b.arrive(streamRoute(), nil)); d.Bar != 0 {
-		t.Errorf("bar %v with an empty budget", d.Bar)
+	id := b.arrive(streamRoute(), nil)
+	b.dispatched(id)
+	if bar := b.world.Bar(id); bar != 0 {
+		t.Errorf("bar %v with an empty budget", bar)
 	}
 }
 
@@ -42,8 +47,9 @@
 	route.MaxAttempts = 1
 	b.configure(route)
 	b.tell(Listed{servers("llm", 3, 8)})
-	if d := b.dispatched(b.arrive(route, nil)); d.Model != "large" || d.Bar != 0 {
-		t.Errorf("model %q, bar %v", d.Model, d.Bar)
+	id := b.arrive(route, nil)
+	if d, bar := b.dispatched(id), b.world.Bar(id); d.Model != "large" || bar != 0 {
+		t.Errorf("model %q, bar %v", d.Model, bar)
 	}
 }
 
@@ -53,8 +59,9 @@
 	route.Resumable = false
 	b.configure(route)
 	b.tell(Listed{servers("llm", 3, 8)})
-	if d := b.dispatched(b.arrive(route, nil)); d.Model != "large" || d.Bar != 0 {
-		t.Errorf("model %q, bar %v", d.Model, d.Bar)
+	id := b.arrive(route, nil)
+	if d, bar := b.dispatched(id), b.world.Bar(id); d.Model != "large" || bar != 0 {
+		t.Errorf("model %q, bar %v", d.Model, bar)
 	}
 }
 
@@ -85,11 +92,12 @@
 	}
 	b.tell(Heard{Server: "llm-0", Load: Load{Running: 7, Slots: 8}})
 	crowded := b.world.servers["llm-0"]
-	r := &request{Request: Request{Route: streamRoute()}, service: crowded.service}
-	taken, _ := b.world.filled(r.service)
-	room := roomFor(r.Rank, taken)
-	if size, bar := b.world.chooseSize(r, room), b.world.bar(r, room); size != 0 || bar == 0 {
-		t.Errorf("size %d with the bar %v, want the smallest with a bar", size, bar)
+	r := &request{Request: Request{Route: streamRoute(), Deadline: b.now.Add(time.Second)}, service: crowded.service, server: crowded}
+	b.world.requests[0] = r
+	taken, wait := b.world.filled(r.service)
+	r.size = b.world.chooseSize(r, roomOf(r, taken, wait))
+	if bar := b.world.Bar(0); r.size != 0 || bar == 0 {
+		t.Errorf("size %d with the bar %v, want the smallest with a bar", r.size, bar)
 	}
 }
 
--- /dev/null
+++ b/decision/passthrough/engine_test.go
@@ -0,0 +1,364 @@
+package passthrough
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// The engines of these tests read one prompt after the other and generate between its chunks
+// of 4,000 tokens: 300 tokens a millisecond with the small model, 30 with the large one. The small model's answer is good for one request in two, and its confidence says so.
+const (
+	simEngines = 6
+	simSlots   = 128
+	simStep    = 5 * time.Millisecond
+	simEvents  = 8 // of 15 ms each
+	simTokens  = 2000
+	// simCalm is what the engines bear a second with the large model for every second
+	// request: 6.7 ms and half of 67 ms for each.
+	simCalm = 150.0
+)
+
+// simCallers is a kind of callers.
+type simCallers struct {
+	team string
+	rank int
+	rate float64
+	// again is how often a refused caller asks again at once, whatever it is told.
+	again int
+}
+
+// simTally is what became of a kind's requests.
+type simTally struct {
+	asked, inTarget, late, weak, refused, cut int
+	// hints are the times after which refused callers were told to come back.
+	hints []time.Duration
+}
+
+// credit is 1 for a good answer in time, half for a late one, a twentieth for a weak one.
+func (t simTally) credit() float64 {
+	return float64(t.inTarget) + 0.5*float64(t.late) + 0.05*float64(t.weak)
+}
+
+func (t simTally) served() float64 {
+	return float64(t.inTarget+t.late+t.weak) / float64(max(t.asked, 1))
+}
+
+// simJob is an attempt at an engine.
+type simJob struct {
+	b     *bench
+	id    RequestID
+	model string
+	sent  time.Time
+	left  float64 // milliseconds to read
+	need  float64 // milliseconds to generate
+}
+
+// simEngine is one engine.
+type simEngine struct {
+	id      string
+	queue   []*simJob
+	running []*simJob
+	speed   float64
+}
+
+// simRequest is a caller's request.
+type simRequest struct {
+	kind    int
+	hard    bool
+	target  time.Time
+	end     time.Time
+	waits   time.Time
+	waiting bool
+	again   int
+	done    bool
+}
+
+// sim plays callers, instances and engines together, on one clock.
+type sim struct {
+	t       *testing.T
+	rng     *rand.Rand
+	route   *Route
+	benches []*bench
+	engines map[string]*simEngine
+	kinds   []simCallers
+	tallies []simTally
+	reqs    map[*bench]map[RequestID]*simRequest
+	seen    map[*bench]int
+	now     time.Time
+}
+
+func newSim(t *testing.T, instances int, kinds []simCallers) *sim {
+	t.Helper()
+	s := &sim{t: t, rng: rand.New(rand.NewPCG(7, 7)), kinds: kinds, tallies: make([]simTally, len(kinds)),
+		engines: map[string]*simEngine{}, reqs: map[*bench]map[RequestID]*simRequest{}, seen: map[*bench]int{}, now: testStart}
+	s.route = streamRoute()
+	s.route.Target, s.route.Timeout = 2*time.Second, 8*time.Second
+	s.route.Sizes = []string{"small", "large"}
+	list := servers("llm", simEngines, simSlots)
+	for _, srv := range list {
+		s.engines[srv.ID] = &simEngine{id: srv.ID, speed: 1}
+	}
+	for i := range instances {
+		b := newBench(t, Settings{Seed: uint64(i), RetryRatio: 0.9, RetrySlack: 50, RetryWindow: 10 * time.Second, SessionLife: time.Second})
+		b.tell(Fleet{Instances: instances})
+		c := Config{Version: 1, Services: []Service{{Name: "llm", Slots: simSlots}}, Routes: []Route{*s.route}}
+		b.tell(Configured{NewIndex(c)})
+		b.tell(Listed{list})
+		s.benches = append(s.benches, b)
+		s.reqs[b] = map[RequestID]*simRequest{}
+	}
+	return s
+}
+
+// play runs so long, with the kinds' rates times the factor.
+func (s *sim) play(length time.Duration, factor float64) {
+	owed := make([]float64, len(s.kinds))
+	for until := s.now.Add(length); s.now.Before(until); {
+		s.now = s.now.Add(simStep)
+		for _, b := range s.benches {
+			b.now = s.now
+		}
+		for _, srv := range s.benches[0].world.services["llm"].servers {
+			s.engine(s.engines[srv.ID])
+		}
+		s.timers()
+		for i, k := range s.kinds {
+			for owed[i] += k.rate * factor * simStep.Seconds(); owed[i] >= 1; owed[i]-- {
+				s.arrive(i, k.again, s.rng.IntN(2) == 0)
+			}
+		}
+	}
+}
+
+func (s *sim) arrive(kind, again int, hard bool) {
+	b := s.benches[s.rng.IntN(len(s.benches))]
+	s.tallies[kind].asked++
+	r := &simRequest{kind: kind, hard: hard, again: again, target: s.now.Add(s.route.Target), end: s.now.Add(s.route.Timeout), waiting: true}
+	r.waits = s.now.Add(MaxWait(&Request{Target: r.target, Deadline: r.end}, s.now))
+	s.reqs[b][b.next+1] = r
+	b.arrive(s.route, func(q *Request) {
+		q.Team, q.Rank, q.PromptTokens, q.MaxTokens = s.kinds[kind].team, s.kinds[kind].rank, simTokens, 4*simEvents
+		q.Affinity, q.SharedTokens = uint64(1+s.rng.IntN(200)), simTokens/10
+	})
+	s.follow(b)
+}
+
+// timers ends waits in queues and passed deadlines.
+func (s *sim) timers() {
+	for _, b := range s.benches {
+		for id := RequestID(1); id <= b.next; id++ {
+			r := s.reqs[b][id]
+			if r == nil {
+				continue
+			}
+			switch {
+			case !s.now.Before(r.end):
+				s.tallies[r.kind].cut++
+				delete(s.reqs[b], id)
+				s.drop(b, id)
+				b.tell(Left{id})
+			case r.waiting && !s.now.Before(r.waits):
+				r.waits = r.end
+				b.tell(Waited{id})
+			}
+		}
+		s.follow(b)
+	}
+}
+
+func (s *sim) drop(b *bench, id RequestID) {
+	keep := func(list []*simJob) []*simJob {
+		out := list[:0]
+		for _, j := range list {
+			if j.b != b || j.id != id {
+				out = append(out, j)
+			}
+		}
+		return out
+	}
+	for _, e := range s.engines {
+		e.queue, e.running = keep(e.queue), keep(e.running)
+	}
+}
+
+// follow carries out an instance's commands.
+func (s *sim) follow(b *bench) {
+	for s.seen[b] < len(b.all) {
+		c := b.all[s.seen[b]]
+		s.seen[b]++
+		switch c := c.(type) {
+		case Dispatch:
+			s.reqs[b][c.Request].waiting = false
+			perToken := 1.0 / 300
+			if c.Model == "large" {
+				perToken = 1.0 / 30
+			}
+			e := s.engines[c.Server.ID]
+			e.queue = append(e.queue, &simJob{b: b, id: c.Request, model: c.Model, sent: s.now,
+				left: simTokens * perToken / e.speed, need: simEvents * 15 * (0.5 + s.rng.Float64())})
+		case Refuse:
+			r := s.reqs[b][c.Request]
+			delete(s.reqs[b], c.Request)
+			t := &s.tallies[r.kind]
+			t.refused++
+			t.hints = append(t.hints, c.RetryAfter)
+			if r.again > 0 {
+				s.arrive(r.kind, r.again-1, r.hard)
+			}
+		case Finish:
+			r := s.reqs[b][c.Request]
+			delete(s.reqs[b], c.Request)
+			s.tallies[r.kind].cut++
+		}
+	}
+}
+
+// paceWhileReading is the part of its pace at which an engine generates meanwhile: a step of
+// 4 ms takes the time of a chunk more.
+var paceWhileReading = map[string]float64{"small": 0.25, "large": 0.03}
+
+// engine plays one step of an engine.
+func (s *sim) engine(e *simEngine) {
+	step := float64(simStep.Milliseconds())
+	decode := step
+	for left := step; left > 0 && len(e.queue) > 0; {
+		j := e.queue[0]
+		decode = step * paceWhileReading[j.model]
+		used := min(left, j.left)
+		j.left -= used
+		left -= used
+		if j.left > 0 {
+			break
+		}
+		e.queue = e.queue[1:]
+		s.begin(e, j)
+	}
+	kept := e.running[:0]
+	for _, j := range e.running {
+		j.need -= decode * e.speed
+		if j.need > 0 {
+			kept = append(kept, j)
+			continue
+		}
+		s.answered(j)
+	}
+	e.running = kept
+}
+
+// begin is an answer's head.
+func (s *sim) begin(e *simEngine, j *simJob) {
+	r := s.reqs[j.b][j.id]
+	if r == nil {
+		return
+	}
+	load := Load{Running: len(e.running) + 1, Waiting: len(e.queue), Slots: simSlots}
+	j.b.tell(FirstByte{Request: j.id, After: s.now.Sub(j.sent) + 50*time.Millisecond, Load: load, HasLoad: true})
+	weak := r.hard && j.model == "small"
+	confidence := 0.6 + 0.3*s.rng.Float64()
+	if weak {
+		confidence -= 0.5
+	}
+	if confidence < j.b.world.Bar(j.id) {
+		j.b.tell(Ended{Request: j.id, Result: Dropped})
+		s.follow(j.b)
+		return
+	}
+	if s.now.After(r.target) {
+		r.target = time.Time{} // late
+	}
+	e.running = append(e.running, j)
+	s.follow(j.b)
+}
+
+func (s *sim) answered(j *simJob) {
+	r := s.reqs[j.b][j.id]
+	if r == nil {
+		return
+	}
+	delete(s.reqs[j.b], j.id)
+	t := &s.tallies[r.kind]
+	switch {
+	case r.hard && j.model == "small":
+		t.weak++
+	case r.target.IsZero():
+		t.late++
+	default:
+		t.inTarget++
+	}
+	j.b.tell(Ended{Request: j.id, Result: Completed, Pace: 15 * time.Millisecond})
+	s.follow(j.b)
+}
+
+// TestGoodputHoldsUnderOverload asks for one to twelve times what the engines bear with the
+// large model for every second request; with the small one alone they bear six times that.
+// What callers get a second must not fall by more than a tenth from its peak.
+func TestGoodputHoldsUnderOverload(t *testing.T) {
+	peak := 0.0
+	for _, factor := range []float64{1, 1.5, 2.2, 3.5, 5, 8, 12} {
+		s := newSim(t, 3, []simCallers{{team: "a", rate: simCalm}})
+		const length = 6 * time.Second
+		s.play(2*time.Second, 0.8)
+		s.tallies[0] = simTally{}
+		s.play(length, factor)
+		got := s.tallies[0]
+		credit := got.credit() / length.Seconds()
+		t.Logf("x %.1f: %d asked, %d in time, %d late, %d weak, %d refused, %d cut: %.0f a second",
+			factor, got.asked, got.inTarget, got.late, got.weak, got.refused, got.cut, credit)
+		peak = max(peak, credit)
+		if credit < 0.9*peak {
+			t.Errorf("at %.1f times the load callers get %.0f a second, of %.0f at less", factor, credit, peak)
+		}
+		if got.cut > got.asked/20 {
+			t.Errorf("at %.1f times the load %d of %d waited to their deadline for nothing", factor, got.cut, got.asked)
+		}
+	}
+}
+
+// TestHotTeamPaysForItsOwnBurst has one team ask for ten times what the engines bear, beside
+// four that ask for little.
+func TestHotTeamPaysForItsOwnBurst(t *testing.T) {
+	kinds := []simCallers{{team: "hot", rate: 10 * simCalm}}
+	for i := range 4 {
+		kinds = append(kinds, simCallers{team: fmt.Sprint("small-", i), rate: simCalm / 10})
+	}
+	s := newSim(t, 3, kinds)
+	s.play(6*time.Second, 1)
+	for i, got := range s.tallies[1:] {
+		if got.served() < 0.85 {
+			t.Errorf("small team %d: %.2f served of %d, beside %.2f of the hot one's", i, got.served(), got.asked, s.tallies[0].served())
+		}
+	}
+}
+
+// TestUrgentPromptsGoFirst has the engines full of requests of the last rank.
+func TestUrgentPromptsGoFirst(t *testing.T) {
+	s := newSim(t, 3, []simCallers{{team: "a", rank: 0, rate: 2 * simCalm}, {team: "b", rank: 2, rate: 10 * simCalm}})
+	s.play(6*time.Second, 1)
+	urgent, rest := s.tallies[0], s.tallies[1]
+	if urgent.served() < 0.85 || urgent.served() < rest.served() {
+		t.Errorf("%.2f of the urgent served, %.2f of the rest", urgent.served(), rest.served())
+	}
+	if rest.served() < 0.1 {
+		t.Errorf("the rest is starved: %.2f served", rest.served())
+	}
+}
+
+// TestRepeatsAtOnceDoNotCrowdOutFirstTries has two teams ask for as much, one of which asks
+// again four times at once whenever it is refused.
+func TestRepeatsAtOnceDoNotCrowdOutFirstTries(t *testing.T) {
+	s := newSim(t, 3, []simCallers{{team: "patient", rate: 4 * simCalm}, {team: "pushy", rate: 4 * simCalm, again: 4}})
+	s.play(6*time.Second, 1)
+	patient, pushy := s.tallies[0], s.tallies[1]
+	first := float64(patient.asked)
+	served := float64(patient.inTarget + patient.late + patient.weak)
+	if served < 0.5*first || served < 0.9*float64(pushy.inTarget+pushy.late+pushy.weak) {
+		t.Errorf("patient callers got %.0f answers to %.0f requests, pushy ones %d", served, first, pushy.inTarget+pushy.late+pushy.weak)
+	}
+	for _, after := range append(patient.hints, pushy.hints...) {
+		if after <= 0 {
+			t.Fatal("refused without a time to come back")
+		}
+	}
+}
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -104,9 +104,6 @@
 	Attempt int
 	// Model is the chosen one where the request leaves it open.
 	Model string
-	// Bar is the confidence under which the answer is to be dropped, while nothing of it
-	// was sent, and the request to be ended as Dropped; 0 for never.
-	Bar float64
 	// Patience is how long the attempt may stay silent; 0 for no bound of its own.
 	Patience time.Duration
 	// Load is the server's load as believed, with its age, for the log.
--- a/decision/passthrough/pace.go
+++ b/decision/passthrough/pace.go
@@ -46,7 +46,8 @@
 	return m
 }
 
-// drainMeter measures how many answers a second a service gives to this instance.
+// drainMeter measures how many requests a second leave this instance for a service: with a
+// queue, that is how fast it gets shorter.
 type drainMeter struct {
 	rate float64
 	last time.Time
@@ -55,7 +56,7 @@
 // drainWindow is the time that the measured rate looks back on.
 const drainWindow = 2 * time.Second
 
-func (d *drainMeter) ended(now time.Time) {
+func (d *drainMeter) left(now time.Time) {
 	if d.last.IsZero() {
 		d.last = now
 		return
--- a/decision/passthrough/place.go
+++ b/decision/passthrough/place.go
@@ -17,6 +17,7 @@
 		r.service.queue.take(r)
 		r.waiting = false
 	}
+	r.service.pace.drain.left(w.now)
 	r.server = s
 	r.version = s.Version
 	r.sent = w.now
@@ -37,10 +38,8 @@
 		mean := 0.0
 		cmd.Taken, mean = w.filled(r.service)
 		cmd.Mean, cmd.Repeats = seconds(mean), r.service.budget.Left(w.now)
-		room := min(roomFor(r.Rank, cmd.Taken), timeFor(r.Rank, mean/r.Route.Target.Seconds()))
-		r.size = w.chooseSize(r, room)
+		r.size = w.chooseSize(r, roomOf(r, cmd.Taken, mean))
 		cmd.Model = r.Route.Sizes[r.size]
-		cmd.Bar = w.bar(r, room)
 	}
 	w.toRead(r, s)
 	w.emit(cmd)
@@ -159,24 +158,48 @@
 		sum += weight
 	}
 	bound := boundFactor*sum/float64(len(list)) + boundSlack
-	var best, least *server
-	bestScore, leastWeight := uint64(0), math.Inf(1)
+	keepNear := w.staysNear(r)
+	var best, near, least *server
+	bestScore, nearScore, leastWeight := uint64(0), uint64(0), math.Inf(1)
 	for i, s := range list {
 		weight := w.weights[i]
 		if weight < leastWeight {
 			least, leastWeight = s, weight
 		}
+		if weight > bound {
+			continue
+		}
 		score := mix(s.hash ^ r.Affinity)
-		if weight <= bound && (best == nil || score > bestScore) {
+		if best == nil || score > bestScore {
 			best, bestScore = s, score
 		}
+		if keepNear && s.Zone == w.cfg.Zone && (near == nil || score > nearScore) {
+			near, nearScore = s, score
+		}
 	}
-	if best != nil {
+	switch {
+	case near != nil:
+		return near
+	case best != nil:
 		return best
 	}
 	return least
 }
 
+// nearWait is the mean wait of prompts, in seconds, up to which a prompt that is all shared
+// stays in the own failure domain.
+const nearWait = 0.06
+const nearMost = 0.25
+
+func (w *World) staysNear(r *request) bool {
+	share := 1.0
+	if r.PromptTokens > 0 {
+		share = min(float64(r.SharedTokens)/float64(r.PromptTokens), 1)
+	}
+	_, wait := w.filled(r.service)
+	return share*wait < nearWait && wait < nearMost
+}
+
 // nearWeight is the part of a request by which a server in the own failure domain is
 // preferred: it saves 3 ms and bytes between failure domains.
 const nearWeight = 0.4
--- a/decision/passthrough/reading.go
+++ b/decision/passthrough/reading.go
@@ -18,6 +18,9 @@
 	// waitLife is how long an engine's word on prompts that wait there counts: they are
 	// read within a second.
 	waitLife = time.Second
+	// usualLife is how long what others usually have waiting at a server counts when no
+	// server says anything: who is kept from sending hears nothing.
+	usualLife = 3 * time.Second
 )
 
 // readStats is what is learnt of how a service's engines read prompts.
@@ -25,6 +28,11 @@
 	by map[int]*readSpeed
 	// least is the time to a first event where nothing was to be read, in seconds.
 	least float64
+	// waited and foretold sum up the times to first events and what was foretold of them.
+	waited   float64
+	foretold float64
+	// heardAt is when a server last stated its load.
+	heardAt time.Time
 	// work is the mean of the seconds that a prompt takes, and unread that of the prompts of
 	// other instances which wait at a server.
 	work   mean
@@ -73,6 +81,30 @@
 	}
 }
 
+const (
+	// scaleMemory is the seconds of waiting that the scale of forecasts looks back on.
+	scaleMemory = 20.0
+	// scaleLeast and scaleMost bound it: forecasts that are off by more are none.
+	scaleLeast = 0.3
+	scaleMost  = 2.0
+)
+
+// check sets the time to a first event beside what was foretold of it.
+func (rs *readStats) check(took time.Duration, foretold float64) {
+	rs.waited += max(took.Seconds()-rs.least, 0)
+	rs.foretold += foretold
+	if over := rs.foretold / scaleMemory; over > 1 {
+		rs.waited /= over
+		rs.foretold /= over
+	}
+}
+
+// scale is what forecasts are multiplied by, to be right in the mean.
+func (rs *readStats) scale() float64 {
+	const prior = 1.0 // seconds foretold rightly, until there were answers
+	return min(max((rs.waited+prior)/(rs.foretold+prior), scaleLeast), scaleMost)
+}
+
 // toRead counts a request's prompt at the server that it is sent to.
 func (w *World) toRead(r *request, s *server) {
 	if !r.service.engine {
@@ -81,6 +113,7 @@
 	rs := &r.service.reads
 	r.work = rs.perToken(r.size) * float64(r.PromptTokens)
 	r.alone = s.unread == 0
+	r.foretold = s.unscaledWait(w.now) + r.work
 	r.reading = true
 	rs.work.add(r.work)
 	s.unread++
@@ -101,10 +134,10 @@
 }
 
 // unreadPart is the part of a route's target for which prompts may wait at an engine.
-const unreadPart = 0.4
+const unreadPart = 0.8
 
 // readsSoon says whether the engine would come to the request's prompt in time, by what is
-// known of it.
+// thought of it.
 //
 // Load: more prompts than the engines read. Harm prevented: all of them sent on at once, so
 // that each waits for all others, the urgent ones and those of small teams too, and is given
@@ -115,32 +148,30 @@
 	if !s.service.engine || r.ran {
 		return true
 	}
-	return s.knownWait(now) <= unreadPart*r.Route.Target.Seconds()
+	return s.wait(now) <= unreadPart*r.Route.Target.Seconds()
 }
 
 // wait is how long a prompt would wait at the server for those before it, in seconds. What
 // is not known of others is taken to be as usual.
 func (s *server) wait(now time.Time) float64 {
-	known := s.knownUnread(now) + s.service.reads.unread.value*s.forgottenUnread(now)
-	return (s.backlog + known*s.service.reads.work.value) * s.slowness()
-}
-
-// knownWait is the same by what is known of others alone.
-func (s *server) knownWait(now time.Time) float64 {
-	return (s.backlog + s.knownUnread(now)*s.service.reads.work.value) * s.slowness()
+	return s.unscaledWait(now) * s.service.reads.scale()
 }
 
-// knownUnread is the other instances' prompts that wait at the server, by its own word as
-// far as that still counts.
-func (s *server) knownUnread(now time.Time) float64 {
-	return s.othersUnread() * (1 - s.forgottenUnread(now))
+func (s *server) unscaledWait(now time.Time) float64 {
+	rs := &s.service.reads
+	forgotten := passed(s.toldAt, now, waitLife)
+	usual := rs.unread.value * (1 - passed(rs.heardAt, now, usualLife))
+	others := s.othersUnread()*(1-forgotten) + usual*forgotten
+	return (s.backlog + others*rs.work.value) * s.slowness()
 }
 
+// othersUnread is the other instances' prompts that waited at the server by its own word.
 func (s *server) othersUnread() float64 { return float64(max(s.told.Waiting-s.unreadThen, 0)) }
 
-func (s *server) forgottenUnread(now time.Time) float64 {
-	if s.toldAt.IsZero() {
+// passed is the part of a span that has passed since then, 1 where it never began.
+func passed(since, now time.Time, span time.Duration) float64 {
+	if since.IsZero() {
 		return 1
 	}
-	return min(float64(now.Sub(s.toldAt))/float64(waitLife), 1)
+	return min(float64(now.Sub(since))/float64(span), 1)
 }
--- a/decision/passthrough/requests.go
+++ b/decision/passthrough/requests.go
@@ -191,7 +191,6 @@
 	switch e.Result {
 	case Completed:
 		w.crashes.answered(r.Fingerprint)
-		r.service.pace.drain.ended(w.now)
 		w.stats(r.Route.Name).took.add(w.now.Sub(r.arrived).Seconds())
 		w.drop(r)
 	case Dropped:
--- a/decision/passthrough/seam/seam.go
+++ b/decision/passthrough/seam/seam.go
@@ -21,6 +21,8 @@
 	Session string
 	// Subject is the last part of the prompt that other requests share; empty for none.
 	Subject string
+	// SubjectTokens is its length.
+	SubjectTokens int
 	// PromptTokens and MaxTokens are the work; 0 where unknown.
 	PromptTokens int
 	MaxTokens    int
--- a/decision/passthrough/servers.go
+++ b/decision/passthrough/servers.go
@@ -81,6 +81,7 @@
 func (w *World) states(s *server, load Load) {
 	s.told, s.toldAt, s.ownThen, s.unreadThen = load, w.now, s.own, s.unread
 	s.service.reads.unread.add(s.othersUnread())
+	s.service.reads.heardAt = w.now
 	s.service.usualOthers.add(max(s.statedOthers(), 0))
 	if load.Slots > 0 {
 		s.Slots = load.Slots
@@ -128,10 +129,7 @@
 
 // forgotten is the part, by its age, of the server's word that does not count any more.
 func (s *server) forgotten(now time.Time) float64 {
-	if s.toldAt.IsZero() {
-		return 1
-	}
-	return min(float64(now.Sub(s.toldAt))/float64(s.service.loadLife()), 1)
+	return passed(s.toldAt, now, s.service.loadLife())
 }
 
 // statedOthers is what the server stated, without what this instance had there then.
--- a/decision/passthrough/types.go
+++ b/decision/passthrough/types.go
@@ -44,6 +44,8 @@
 	// Affinity is a hash of the prompt's part that is shared with other requests; 0
 	// for none.
 	Affinity uint64
+	// SharedTokens is the part of PromptTokens that Affinity stands for.
+	SharedTokens int
 	// PromptTokens and MaxTokens size the work; 0 where unknown.
 	PromptTokens int
 	MaxTokens    int
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -124,9 +124,10 @@
 	paced bool
 	// reading says that its prompt counts in its server's backlog, with work seconds; alone
 	// that no other of this instance's did then.
-	reading bool
-	work    float64
-	alone   bool
+	reading  bool
+	work     float64
+	alone    bool
+	foretold float64
 	// escalated says that a smaller model's answer was dropped.
 	escalated bool
 }
--- a/router/internal/passthrough/attempt.go
+++ b/router/internal/passthrough/attempt.go
@@ -24,8 +24,6 @@
 	header   http.Header
 	began    time.Time
 	patience time.Duration
-	// bar is the confidence under which the answer is dropped.
-	bar float64
 
 	conn *conn
 	// silent says that the watch has given the attempt up.
@@ -54,8 +52,10 @@
 	cut         bool
 	pace        time.Duration
 	first       time.Duration
-	// confidence is the engine's own, -1 where not told.
+	// confidence is the engine's own, -1 where not told, bar that under which the answer was
+	// dropped.
 	confidence float64
+	bar        float64
 	err        error
 }
 
--- a/router/internal/passthrough/driver.go
+++ b/router/internal/passthrough/driver.go
@@ -74,6 +74,13 @@
 	return d.world.OpenSessions(service, target, share)
 }
 
+// bar is the confidence under which the request's answer is dropped now.
+func (d *Driver) bar(t *ticket) float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.world.Bar(t.id)
+}
+
 // Load counts the requests that wait and that run.
 func (d *Driver) Load() (waiting, running int) {
 	d.mu.Lock()
--- a/router/internal/passthrough/edge.go
+++ b/router/internal/passthrough/edge.go
@@ -215,6 +215,7 @@
 	}
 	if c.caller.Subject != "" {
 		r.Affinity = hashOf(c.caller.Subject)
+		r.SharedTokens = c.caller.SubjectTokens
 	}
 	return r
 }
--- a/router/internal/passthrough/exchange.go
+++ b/router/internal/passthrough/exchange.go
@@ -199,7 +199,7 @@
 	}
 	now := x.edge.clock.Now()
 	return &attempt{
-		exchange: x, server: d.Server, began: now, patience: d.Patience, bar: d.Bar,
+		exchange: x, server: d.Server, began: now, patience: d.Patience,
 		header: x.edge.headers.WriteAttempt(c.request.Header, seam.Attempt{
 			Server: d.Server.ID, Team: team, Left: c.deadline.Sub(now), Model: d.Model,
 			Priority: passthrough.Rank(c.team, c.route), LastEvent: after,
--- a/router/internal/passthrough/stream.go
+++ b/router/internal/passthrough/stream.go
@@ -35,9 +35,21 @@
 func (a *attempt) relay(resp *http.Response, said seam.Answer) outcome {
 	x := a.exchange
 	a.tellBegun(said)
-	if !x.stream.begun && said.Confidence >= 0 && said.Confidence < a.bar {
-		return outcome{result: passthrough.Dropped}
+	bar := 0.0
+	if !x.stream.begun && said.Confidence >= 0 {
+		bar = x.edge.driver.bar(x.ticket)
 	}
+	if said.Confidence < bar {
+		return outcome{result: passthrough.Dropped, bar: bar}
+	}
+	out := a.pass(resp)
+	out.bar = bar
+	return out
+}
+
+// pass hands on the events.
+func (a *attempt) pass(resp *http.Response) outcome {
+	x := a.exchange
 	var held []byte
 	buf := make([]byte, streamBuffer)
 	events, paced := 0, false
