Plain calls are served while an instance that stops finishes its streams

Cause: three seconds after SIGTERM everything new was refused, for as long as streams went on (up to 7.4 s). Where all instances are stopped in turn, none is in rotation for some time and the balancer sends to all: calls of 60 ms were refused at each.

Ruled out: streams after the balancer has noticed (cut at the end, and lost); waiting for quiet with calls coming (the process would stay to the end).

--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -219,6 +219,17 @@
 	w.free(w.serviceOf(r.Service))
 }
 
+// Streams is the number of streams that wait or run.
+func (w *World) Streams() int {
+	count := 0
+	for _, r := range w.requests {
+		if r.Route.Kind == KindStream {
+			count++
+		}
+	}
+	return count
+}
+
 // Waiting is the number of requests in the queues, and Running of those at backend
 // servers.
 func (w *World) Waiting() (waiting, running int) {
--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -124,12 +124,11 @@
 }
 
 func provideEdge(p Platform, k *Knowledge, d *Driver, dial *dialer, c Clock, j *journal, st *starting) *Edge {
-	return &Edge{headers: p.Headers, known: k, driver: d, dialer: dial, clock: c, journal: j, starting: st, closing: func() bool { return false }}
+	return &Edge{headers: p.Headers, known: k, driver: d, dialer: dial, clock: c, journal: j, starting: st, stopping: &stopping{}}
 }
 
 func provideServer(cfg seam.Settings, e *Edge, k *Knowledge, d *Driver, j *journal, reg gometrics.Registry, out *logging.Async) *server {
 	s := &server{settings: cfg, edge: e, known: k, driver: d, journal: j, reg: reg, log: out, failed: func(error) {}}
-	e.closing = s.closing.Load
 	return s
 }
 
--- a/router/internal/passthrough/driver.go
+++ b/router/internal/passthrough/driver.go
@@ -88,6 +88,13 @@
 	return d.world.Waiting()
 }
 
+// Streams counts the streams that wait or run.
+func (d *Driver) Streams() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.world.Streams()
+}
+
 func (d *Driver) tick(events ...passthrough.Event) {
 	for _, c := range d.world.Tick(d.clock.Now(), events...) {
 		switch c := c.(type) {
--- a/router/internal/passthrough/edge.go
+++ b/router/internal/passthrough/edge.go
@@ -23,8 +23,8 @@
 	journal *journal
 	// starting holds requests back until the process knows what it needs.
 	starting *starting
-	// closing says that the process is about to stop, so that new requests are refused.
-	closing func() bool
+	// stopping says how far the end of the process is.
+	stopping *stopping
 }
 
 // call is one request of a caller, read whole.
@@ -89,19 +89,19 @@
 
 // admit finds the route and the team, by the configuration in force.
 func (e *Edge) admit(c *call) *refusal {
-	if e.closing() {
-		return &refusal{http.StatusServiceUnavailable, passthrough.ReasonStopping, retrySoon}
-	}
 	route, no := e.look(c)
 	c.route = route
 	if no != nil {
 		return no
 	}
+	if e.stopping.refuses(route.Kind) {
+		return &refusal{http.StatusServiceUnavailable, passthrough.ReasonStopping, retrySoon}
+	}
 	wait := route.Timeout
 	if c.caller.Wait > 0 {
 		wait = min(wait, c.caller.Wait)
 	}
-	c.deadline = c.arrived.Add(wait)
+	c.deadline = e.stopping.bound(c.arrived.Add(wait))
 	return nil
 }
 
--- a/router/internal/passthrough/server.go
+++ b/router/internal/passthrough/server.go
@@ -30,6 +30,9 @@
 	leaveRotation = 3 * time.Second
 	// stopMargin is the end of the grace time that is left for closing down.
 	stopMargin = 600 * time.Millisecond
+	// answerMargin is the part before that by which plain calls that came late have their
+	// final answers.
+	answerMargin = 200 * time.Millisecond
 )
 
 // server listens for callers, readiness and metrics.
@@ -43,7 +46,6 @@
 	log      *logging.Async
 
 	stopping atomic.Bool
-	closing  atomic.Bool
 	ready    atomic.Bool
 	callers  *http.Server
 	others   []*http.Server
@@ -112,19 +114,23 @@
 //
 // Load: replacement of all instances, one after the other, while busy. Harm prevented:
 // answers that are cut off, and requests that find a closed port. New requests are served
-// until the balancer has noticed; then the connections are closed with an answer each.
+// until the balancer has noticed, and plain calls for as long as streams go on; then the
+// connections are closed with an answer each.
 func (s *server) stop(began time.Time) {
 	s.stopping.Store(true)
 	_, running := s.driver.Load()
 	s.journal.emit(logging.EventDrainBegin, slog.Int("running", running))
 	grace := s.settings.Bounds.Grace - stopMargin
 	s.driver.Tell(passthrough.Stopping{At: began.Add(grace)})
+	s.edge.stopping.end.Store(began.Add(grace - answerMargin).UnixNano())
 	time.Sleep(min(leaveRotation, grace/2))
-	s.closing.Store(true)
+	s.edge.stopping.phase.Store(int32(phaseFinishing))
 	s.callers.SetKeepAlivesEnabled(false)
 	left := grace - s.edge.clock.Now().Sub(began)
 	ctx, cancel := context.WithTimeout(context.Background(), max(left, 0))
 	defer cancel()
+	s.waitStreams(ctx)
+	s.edge.stopping.phase.Store(int32(phaseClosing))
 	s.waitIdle(ctx)
 	_, running = s.driver.Load()
 	_ = s.callers.Close() // what is still open has had the whole grace time
@@ -138,6 +144,14 @@
 	}
 }
 
+// waitStreams waits until no stream is in progress, or the time for new calls is over.
+func (s *server) waitStreams(ctx context.Context) {
+	end := time.Unix(0, s.edge.stopping.end.Load())
+	for s.driver.Streams() > 0 && s.edge.clock.Now().Before(end) && ctx.Err() == nil {
+		sleep(ctx, idlePoll, nil)
+	}
+}
+
 // idlePoll is how often the end of the last request is looked for.
 const idlePoll = 50 * time.Millisecond
 
--- a/router/internal/passthrough/stream.go
+++ b/router/internal/passthrough/stream.go
@@ -35,10 +35,10 @@
 func (a *attempt) relay(resp *http.Response, said seam.Answer) outcome {
 	x := a.exchange
 	a.tellBegun(said)
-	bar := 0.0
-	if !x.stream.begun && said.Confidence >= 0 {
-		bar = x.edge.driver.bar(x.ticket)
+	if x.stream.begun || said.Confidence < 0 {
+		return a.pass(resp)
 	}
+	bar := x.edge.driver.bar(x.ticket)
 	if said.Confidence < bar {
 		return outcome{result: passthrough.Dropped, bar: bar}
 	}
