The middle model is asked where the smallest one nearly was sure

Cause: every answer that the smallest model doubted was asked of the largest, at twice the middle one's price and four times its reading.

Ruled out: the middle one for all that is doubted (the weaker four fifths are too hard for it by the confidences). The chance is learnt by confidence, so a middle model that is never sure is left out.

--- a/decision/passthrough/cascade.go
+++ b/decision/passthrough/cascade.go
@@ -8,6 +8,7 @@
 	first map[int]*mean
 	// took is the mean time to the whole answer, from the request's arrival, in seconds.
 	took mean
+	next nextStats
 }
 
 func (w *World) stats(route string) *routeStats {
@@ -85,13 +86,15 @@
 // largest, ten times as slow, cannot bear. Harm prevented: the largest model's price and
 // time for all, weak answers for the hard half, refusals in a rush. The smallest is asked
 // first; its answer is dropped where it doubts it itself, as long as nothing was sent. What
-// was dropped once is asked of the largest, however full the servers are: the smallest
+// was dropped once is asked of a larger one, however full the servers are: the smallest
 // would give the same answer again.
 func (w *World) chooseSize(r *request, room float64) int {
 	last := len(r.Route.Sizes) - 1
 	switch {
-	case r.escalated:
+	case r.next > 0 && r.onlyTry():
 		return last
+	case r.next > 0:
+		return r.next
 	case room <= 0:
 		return 0
 	case r.onlyTry():
@@ -170,7 +173,7 @@
 	if r == nil || r.server == nil || r.size == plainSize {
 		return 0
 	}
-	if r.escalated || r.size >= len(r.Route.Sizes)-1 || r.onlyTry() {
+	if r.size >= len(r.Route.Sizes)-1 || r.onlyTry() {
 		return 0
 	}
 	if r.service.budget.Left(w.now) < spareRepeats {
--- a/decision/passthrough/cascade_test.go
+++ b/decision/passthrough/cascade_test.go
@@ -132,3 +132,65 @@
 		}
 	}
 }
+
+// drop ends an answer that its engine doubted.
+func (b *bench) drop(id RequestID, confidence float64) {
+	b.tell(Ended{Request: id, Result: Dropped, Confidence: confidence})
+}
+
+// TestTheMiddleModelIsAskedWhereTheSmallestWasNearlySure: a fifth of what the smallest doubts
+// is a little too hard for it alone. Where the middle model doubts its answer too, the largest
+// is asked, and so are all others.
+func TestTheMiddleModelIsAskedWhereTheSmallestWasNearlySure(t *testing.T) {
+	b := newBench(t, Settings{Seed: 1, RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second, SessionLife: time.Second})
+	b.configure(streamRoute())
+	b.tell(Listed{servers("llm", 3, 800)})
+	near, far := b.arrive(streamRoute(), nil), b.arrive(streamRoute(), nil)
+	b.drop(near, 0.5)
+	b.drop(far, 0.1)
+	if d := b.dispatched(near); d.Model != "middle" || b.world.Bar(near) == 0 {
+		t.Errorf("nearly sure: asked %q with the bar %v", d.Model, b.world.Bar(near))
+	}
+	if d := b.dispatched(far); d.Model != "large" {
+		t.Errorf("far from sure: asked %q", d.Model)
+	}
+	b.drop(near, 0.4)
+	if d := b.dispatched(near); d.Model != "large" || b.world.Bar(near) != 0 {
+		t.Errorf("doubted twice: asked %q with the bar %v", d.Model, b.world.Bar(near))
+	}
+}
+
+// TestAMiddleModelThatIsNeverSureIsAskedNoMore learns from what the middle model says.
+func TestAMiddleModelThatIsNeverSureIsAskedNoMore(t *testing.T) {
+	b := newBench(t, Settings{Seed: 1, RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second, SessionLife: time.Second})
+	b.configure(streamRoute())
+	b.tell(Listed{servers("llm", 3, 800)})
+	asked := 0
+	for range 30 {
+		id := b.arrive(streamRoute(), nil)
+		b.drop(id, 0.5)
+		if b.dispatched(id).Model == "middle" {
+			asked++
+			b.drop(id, 0.3)
+		}
+		b.tell(Ended{Request: id, Result: Completed, Confidence: 0.9})
+	}
+	if asked == 0 || asked > 6 {
+		t.Errorf("the middle model was asked %d times in vain", asked)
+	}
+}
+
+// TestNoMiddleModelWithoutAThirdAttempt: its answer could not be replaced.
+func TestNoMiddleModelWithoutAThirdAttempt(t *testing.T) {
+	b := newBench(t, Settings{})
+	route := streamRoute()
+	route.MaxAttempts = 2
+	b.configure(route)
+	b.tell(Listed{servers("llm", 3, 8)})
+	b.fillBudget()
+	id := b.arrive(route, nil)
+	b.drop(id, 0.5)
+	if d := b.dispatched(id); d.Model != "large" {
+		t.Errorf("asked %q", d.Model)
+	}
+}
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -34,6 +34,8 @@
 	// Pace is the mean time between the events of a stream, or the time of a whole
 	// plain answer; 0 where it is not known.
 	Pace time.Duration
+	// Confidence is the engine's own in its answer, from 0 to 1; below 0 where not told.
+	Confidence float64
 }
 
 // Waited says that a request has waited in the queue for as long as MaxWait allows.
--- a/decision/passthrough/requests.go
+++ b/decision/passthrough/requests.go
@@ -190,11 +190,13 @@
 	r.ran = r.ran || e.Result.Ran() || e.Begun
 	switch e.Result {
 	case Completed:
+		w.noteNext(r, e.Confidence)
 		w.crashes.answered(r.Fingerprint)
 		w.stats(r.Route.Name).took.add(w.now.Sub(r.arrived).Seconds())
 		w.drop(r)
 	case Dropped:
-		r.escalated = true
+		w.noteNext(r, e.Confidence)
+		w.doubted(r, e.Confidence)
 		w.again(r, nil)
 	case Abandoned:
 		w.drop(r)
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -128,8 +128,10 @@
 	work     float64
 	alone    bool
 	foretold float64
-	// escalated says that a smaller model's answer was dropped.
-	escalated bool
+	// next is the model to ask since a smaller one's answer was dropped, with the confidence
+	// doubt; 0 where none was.
+	next  int
+	doubt float64
 }
 
 // New returns an empty world: it refuses everything until it has been told a
--- a/router/internal/passthrough/exchange.go
+++ b/router/internal/passthrough/exchange.go
@@ -168,6 +168,7 @@
 	x.edge.driver.Tell(passthrough.Ended{
 		Request: x.ticket.id, Result: out.result, Begun: x.stream.begun,
 		Misdirected: out.misdirected, Leaving: out.leaving, Cut: out.cut, Pace: out.pace,
+		Confidence: out.confidence,
 	})
 	if out.result != passthrough.Completed {
 		return false
