A prompt does not queue for its cache where it would wait long

Cause: a server was preferred for a cached prompt up to a third over the mean load, counted in requests: 0.45 s of prompts more were within that, for 20 to 200 ms of reading saved.

--- a/decision/passthrough/pick.go
+++ b/decision/passthrough/pick.go
@@ -14,6 +14,11 @@
 	boundSlack  = 3
 )
 
+// waitSlack is how many seconds longer than the mean a prompt may wait at a server that is
+// preferred for what its cache holds: a shared prompt of 6,000 tokens takes the smallest model
+// 20 ms to read again, and the largest 200.
+const waitSlack = 0.15
+
 // pick chooses a server, or nil where none has a free place.
 //
 // Load: many requests that share long prompts, on servers whose load is known late and by
@@ -53,7 +58,7 @@
 		if least.server == nil || c.weight < least.weight {
 			least = c
 		}
-		if c.weight > bound {
+		if c.weight > bound || s.wait(w.now) > f.wait+waitSlack {
 			continue
 		}
 		best = best.byScore(c)
--- a/decision/passthrough/place_test.go
+++ b/decision/passthrough/place_test.go
@@ -286,3 +286,21 @@
 		b.tell(Ended{Request: id, Result: Completed})
 	}
 }
+
+// TestPromptsGoWhereTheyAreReadSoon: an engine with little running and many prompts waiting
+// gets none more, beside one with more running and none waiting.
+func TestPromptsGoWhereTheyAreReadSoon(t *testing.T) {
+	b := newBench(t, Settings{})
+	b.largeEngines()
+	b.tell(Listed{servers("llm", 2, 128)})
+	for i := range 20 {
+		b.tell(
+			Heard{Server: "llm-0", Load: Load{Running: 2, Waiting: 10, Slots: 128}},
+			Heard{Server: "llm-1", Load: Load{Running: 14, Slots: 128}})
+		id := b.arrive(streamRoute(), func(r *Request) { r.Affinity, r.PromptTokens = uint64(i+1), 9000 })
+		if d := b.dispatched(id); i > 0 && d.Server.ID == "llm-0" {
+			t.Errorf("request %d went to the engine with ten prompts to read", i)
+		}
+		b.tell(Ended{Request: id, Result: Completed})
+	}
+}
