A decision views each server once

Cause: a dispatch worked out each server's load and wait up to four times: filter, fill, weight and bound. One pass makes a view of each now.

No behaviour changes.

--- a/decision/passthrough/cascade.go
+++ b/decision/passthrough/cascade.go
@@ -113,7 +113,7 @@
 	if r.service.budget.Left(w.now) < spareRepeats {
 		return 0
 	}
-	f := w.filled(r.service)
+	f := filled(r.service, w.look(r.service))
 	if !w.largestEnds(r, f.wait) {
 		return 0
 	}
--- a/decision/passthrough/cascade_test.go
+++ b/decision/passthrough/cascade_test.go
@@ -94,7 +94,7 @@
 	crowded := b.world.servers["llm-0"]
 	r := &request{Request: Request{Route: streamRoute(), Deadline: b.now.Add(time.Second)}, service: crowded.service, server: crowded}
 	b.world.requests[0] = r
-	r.size = b.world.chooseSize(r, b.world.filled(r.service).room(r))
+	r.size = b.world.chooseSize(r, filled(r.service, b.world.look(r.service)).room(r))
 	if bar := b.world.Bar(0); r.size != 0 || bar == 0 {
 		t.Errorf("size %d with the bar %v, want the smallest with a bar", r.size, bar)
 	}
--- a/decision/passthrough/fill.go
+++ b/decision/passthrough/fill.go
@@ -64,21 +64,18 @@
 	return f
 }
 
-// filled looks at all servers that may get work.
-func (w *World) filled(s *service) fill {
-	load, wait, count := 0.0, 0.0, 0
-	for _, srv := range s.servers {
-		if srv.usable(w.now) {
-			load += min(srv.load(w.now), float64(s.slots))
-			wait += srv.wait(w.now)
-			count++
-		}
-	}
-	if s.slots <= 0 || count == 0 {
+// filled sums up the views of a service's servers.
+func filled(s *service, views []view) fill {
+	if s.slots <= 0 || len(views) == 0 {
 		return fill{}
 	}
-	places := count * s.slots
-	return fill{taken: load / float64(places), wait: wait / float64(count), places: places}
+	load, wait := 0.0, 0.0
+	for _, v := range views {
+		load += min(v.load, float64(s.slots))
+		wait += v.wait
+	}
+	places := len(views) * s.slots
+	return fill{taken: load / float64(places), wait: wait / float64(len(views)), places: places}
 }
 
 // room is how far the largest model may be asked for the request: 1 for freely, 0 for never.
--- a/decision/passthrough/filter.go
+++ b/decision/passthrough/filter.go
@@ -1,9 +1,6 @@
 package passthrough
 
-import (
-	"slices"
-	"time"
-)
+import "slices"
 
 // overcommit is how many requests over its slots a plain server is given: one that
 // waits there starts at once when a place is free.
@@ -12,21 +9,21 @@
 // candidates lists the servers that may take the request and have a free place. Sick ones
 // are left out, and those that the request has tried, as long as others are there: where
 // all look sick, it is the requests or the network, and a try is better than a refusal.
-func (w *World) candidates(r *request) []*server {
+func (w *World) candidates(r *request, views []view) []view {
 	fits := w.fitting(r)
-	var spare, last []*server
+	var spare, last []view
 	w.drawn = w.drawn[:0]
-	for _, s := range r.service.servers {
-		if !s.usable(w.now) || !s.hasRoom(w.now) || !s.readsSoon(r, w.now) || !fits(s) {
+	for _, v := range views {
+		if !v.hasRoom() || !v.readsSoon(r) || !fits(v.server) {
 			continue
 		}
-		switch tried := slices.Contains(r.tried, s); {
-		case !tried && !s.health.barred(w.now):
-			w.drawn = append(w.drawn, s)
+		switch tried := slices.Contains(r.tried, v.server); {
+		case !tried && !v.server.health.barred(w.now):
+			w.drawn = append(w.drawn, v)
 		case !tried:
-			spare = append(spare, s)
+			spare = append(spare, v)
 		default:
-			last = append(last, s)
+			last = append(last, v)
 		}
 	}
 	switch {
@@ -40,7 +37,8 @@
 
 // hasRoom says whether the server can take one more, by what is known of it: what is only
 // likely of a server must shut nobody out, since who sends nothing there hears nothing.
-func (s *server) hasRoom(now time.Time) bool {
+func (v view) hasRoom() bool {
+	s := v.server
 	slots := s.Slots
 	if s.service.engine && s.service.slots > 0 {
 		slots = s.service.slots
@@ -51,5 +49,5 @@
 	if !s.service.engine {
 		slots += overcommit
 	}
-	return float64(s.own)+s.stated(now) < float64(slots)
+	return v.known < float64(slots)
 }
--- a/decision/passthrough/pick.go
+++ b/decision/passthrough/pick.go
@@ -1,10 +1,6 @@
 package passthrough
 
-import (
-	"cmp"
-	"math"
-	"time"
-)
+import "math"
 
 const (
 	// boundFactor and boundSlack are how far over the mean load a server may be and
@@ -19,22 +15,22 @@
 // 20 ms to read again, and the largest 200.
 const waitSlack = 0.15
 
-// pick chooses a server, or nil where none has a free place.
+// pick chooses a server, if one has a free place.
 //
 // Load: many requests that share long prompts, on servers whose load is known late and by
 // all instances alike. Harm prevented: prompts read again everywhere, and all instances
 // sending to the one that looked idle. A request goes to the server that a hash of its
 // shared prompt names, so that all instances agree without a word, and on to the next by
 // the hash once that one has more than its part.
-func (w *World) pick(r *request, f fill) *server {
-	list := w.candidates(r)
+func (w *World) pick(r *request, views []view, f fill) (v view, ok bool) {
+	list := w.candidates(r, views)
 	if len(list) == 0 {
-		return nil
+		return view{}, false
 	}
 	if r.Affinity != 0 {
-		return w.pickByPrompt(r, list, f)
+		return w.pickByPrompt(r, list, f), true
 	}
-	return w.pickByLoad(list)
+	return w.pickByLoad(list), true
 }
 
 // readUnit is how many seconds of prompts that wait to be read weigh as much as one request
@@ -43,55 +39,51 @@
 
 // weight is the load that a choice goes by: with one more request, with the prompts that
 // are still to be read, which hold up all others, and by the server's pace.
-func (s *server) weight(now time.Time) float64 {
-	return (s.load(now)+1)*s.slowness() + s.wait(now)/readUnit
+func (v view) weight() float64 {
+	return (v.load+1)*v.server.slowness() + v.wait/readUnit
 }
 
 // pickByPrompt prefers the server that the hash names, in the own failure domain where
 // there is time for that, among those within the bound; else it takes the least loaded.
-func (w *World) pickByPrompt(r *request, list []*server, f fill) *server {
+func (w *World) pickByPrompt(r *request, list []view, f fill) view {
 	bound := w.bound(list)
 	keepNear := staysNear(r, f.wait)
-	var best, near, least candidate
-	for i, s := range list {
-		c := candidate{s, w.weights[i], mix(s.hash ^ r.Affinity)}
-		if least.server == nil || c.weight < least.weight {
-			least = c
+	best, near, least := none, none, 0
+	var bestScore, nearScore uint64
+	for i, v := range list {
+		if w.weights[i] < w.weights[least] {
+			least = i
 		}
-		if c.weight > bound || s.wait(w.now) > f.wait+waitSlack {
+		if w.weights[i] > bound || v.wait > f.wait+waitSlack {
 			continue
 		}
-		best = best.byScore(c)
-		if keepNear && s.Zone == w.cfg.Zone {
-			near = near.byScore(c)
+		score := mix(v.server.hash ^ r.Affinity)
+		if best == none || score > bestScore {
+			best, bestScore = i, score
+		}
+		if keepNear && v.server.Zone == w.cfg.Zone && (near == none || score > nearScore) {
+			near, nearScore = i, score
 		}
 	}
-	return cmp.Or(near.server, best.server, least.server)
-}
-
-// candidate is a server in a choice by prompt.
-type candidate struct {
-	server *server
-	weight float64
-	// score is the hash of the server and the prompt.
-	score uint64
-}
-
-// byScore is the one of the two with the higher score.
-func (c candidate) byScore(o candidate) candidate {
-	if c.server == nil || o.score > c.score {
-		return o
+	switch {
+	case near != none:
+		return list[near]
+	case best != none:
+		return list[best]
 	}
-	return c
+	return list[least]
 }
 
+// none is the index of no server.
+const none = -1
+
 // bound fills the weights of the list, and gives the weight up to which a server may be
 // preferred for its cache.
-func (w *World) bound(list []*server) float64 {
+func (w *World) bound(list []view) float64 {
 	sum := 0.0
 	w.weights = w.weights[:0]
-	for _, s := range list {
-		weight := s.weight(w.now)
+	for _, v := range list {
+		weight := v.weight()
 		w.weights = append(w.weights, weight)
 		sum += weight
 	}
@@ -127,26 +119,26 @@
 const nearWeight = 0.4
 
 // pickByLoad takes the better of two drawn servers; of few it looks at all.
-func (w *World) pickByLoad(list []*server) *server {
+func (w *World) pickByLoad(list []view) view {
 	const fewServers = 8 // a scan costs no more than two draws
 	draws := 2
 	if len(list) <= fewServers {
 		draws = len(list)
 	}
 	start := w.rng.IntN(len(list))
-	var best *server
+	var best view
 	bestWeight := math.Inf(1)
 	for i := range draws {
-		s := list[(start+i)%len(list)]
+		v := list[(start+i)%len(list)]
 		if draws < len(list) {
-			s = list[w.rng.IntN(len(list))]
+			v = list[w.rng.IntN(len(list))]
 		}
-		weight := s.weight(w.now)
-		if s.Zone == w.cfg.Zone {
+		weight := v.weight()
+		if v.server.Zone == w.cfg.Zone {
 			weight -= nearWeight
 		}
 		if weight < bestWeight {
-			best, bestWeight = s, weight
+			best, bestWeight = v, weight
 		}
 	}
 	return best
--- a/decision/passthrough/place.go
+++ b/decision/passthrough/place.go
@@ -5,11 +5,13 @@
 // place sends the request to a server with a free place. It says no where there is none
 // now.
 func (w *World) place(r *request) bool {
-	f := w.filled(r.service)
-	s := w.pick(r, f)
-	if s == nil {
+	views := w.look(r.service)
+	f := filled(r.service, views)
+	v, ok := w.pick(r, views, f)
+	if !ok {
 		return false
 	}
+	s := v.server
 	if r.waiting {
 		r.service.queue.take(r)
 		r.waiting = false
@@ -26,7 +28,7 @@
 	w.noteSession(r, s.Version)
 	cmd := Dispatch{
 		Request: r.ID, Server: s.Server, Attempt: r.tries,
-		Patience: patience(r), Load: int(s.load(w.now)), Wait: seconds(s.wait(w.now)),
+		Patience: patience(r), Load: int(v.load) + 1, Wait: seconds(v.wait),
 	}
 	if !s.toldAt.IsZero() {
 		cmd.LoadAge = w.now.Sub(s.toldAt)
@@ -37,7 +39,7 @@
 		r.size = w.chooseSize(r, f.room(r))
 		cmd.Model = r.Route.Sizes[r.size]
 	}
-	w.toRead(r, s)
+	w.toRead(r, v)
 	w.emit(cmd)
 	return true
 }
--- a/decision/passthrough/reading.go
+++ b/decision/passthrough/reading.go
@@ -106,14 +106,15 @@
 }
 
 // toRead counts a request's prompt at the server that it is sent to.
-func (w *World) toRead(r *request, s *server) {
+func (w *World) toRead(r *request, v view) {
 	if !r.service.engine {
 		return
 	}
+	s := v.server
 	rs := &r.service.reads
 	r.work = rs.perToken(r.size) * float64(r.PromptTokens)
 	r.alone = s.unread == 0
-	r.foretold = s.unscaledWait(w.now) + r.work
+	r.foretold = v.unscaled + r.work
 	r.reading = true
 	rs.work.add(r.work)
 	s.unread++
@@ -144,34 +145,12 @@
 // up at its deadline. What waits in the queue here goes by rank and team, and can be refused
 // as not run. A request that has run before is not kept: its caller would have waited for
 // nothing.
-func (s *server) readsSoon(r *request, now time.Time) bool {
-	if !s.service.engine || r.ran {
+func (v view) readsSoon(r *request) bool {
+	if !r.service.engine || r.ran {
 		return true
 	}
-	return s.wait(now) <= unreadPart*r.Route.Target.Seconds()
-}
-
-// wait is how long a prompt would wait at the server for those before it, in seconds. What
-// is not known of others is taken to be as usual.
-func (s *server) wait(now time.Time) float64 {
-	return s.unscaledWait(now) * s.service.reads.scale()
-}
-
-func (s *server) unscaledWait(now time.Time) float64 {
-	rs := &s.service.reads
-	forgotten := passed(s.toldAt, now, waitLife)
-	usual := rs.unread.value * (1 - passed(rs.heardAt, now, usualLife))
-	others := s.othersUnread()*(1-forgotten) + usual*forgotten
-	return (s.backlog + others*rs.work.value) * s.slowness()
+	return v.wait <= unreadPart*r.Route.Target.Seconds()
 }
 
 // othersUnread is the other instances' prompts that waited at the server by its own word.
 func (s *server) othersUnread() float64 { return float64(max(s.told.Waiting-s.unreadThen, 0)) }
-
-// passed is the part of a span that has passed since then, 1 where it never began.
-func passed(since, now time.Time, span time.Duration) float64 {
-	if since.IsZero() {
-		return 1
-	}
-	return min(float64(now.Sub(since))/float64(span), 1)
-}
--- a/decision/passthrough/servers.go
+++ b/decision/passthrough/servers.go
@@ -109,29 +109,6 @@
 	return min(max(answers, loadLeast), loadLife)
 }
 
-// load is the number of requests thought to be at the server: this instance's own, which
-// are known, and the others' by what the server stated. With its age that yields to what
-// the other servers have of the others' requests: a server that says nothing since it is
-// busy must not pass for idle.
-func (s *server) load(now time.Time) float64 {
-	return float64(s.own) + s.others(now)
-}
-
-func (s *server) others(now time.Time) float64 {
-	forgotten := s.forgotten(now)
-	return max(s.statedOthers(), 0)*(1-forgotten) + s.service.usualOthers.value*forgotten
-}
-
-// stated is what the others have there by the server's own word, as far as it still counts.
-func (s *server) stated(now time.Time) float64 {
-	return max(s.statedOthers(), 0) * (1 - s.forgotten(now))
-}
-
-// forgotten is the part, by its age, of the server's word that does not count any more.
-func (s *server) forgotten(now time.Time) float64 {
-	return passed(s.toldAt, now, s.service.loadLife())
-}
-
 // statedOthers is what the server stated, without what this instance had there then.
 func (s *server) statedOthers() float64 {
 	return float64(s.told.Running + s.told.Waiting - s.ownThen)
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -50,8 +50,9 @@
 	out    []Command
 	// freed are the services in which a place may have become free in this tick.
 	freed []*service
-	// drawn and weights are kept between decisions to save allocations.
-	drawn   []*server
+	// views, drawn and weights are kept between decisions to save allocations.
+	views   []view
+	drawn   []view
 	weights []float64
 }
 
