--- a/decision/passthrough/fill.go
+++ b/decision/passthrough/fill.go
@@ -1,51 +1,37 @@
 package passthrough
 
-const (
-	// fullLoad is the part of a service's places from which on nothing is asked of the
-	// largest model for requests of the first rank: it is ten times slower, and keeps places
-	// taken for longer than the arrivals allow. It is taken over all servers: requests for
-	// one prompt crowd on few of them, and by each server's own places 12 in 100 answers
-	// were weak ones on a day with half of all places free.
-	fullLoad = 1.0
-	// rankStep is what each lower rank has less, down to lowRank: where not all can have
-	// the largest model, those that matter most do.
-	rankStep = 0.12
-	lowRank  = 2
-	// fadeLoad is the part of the places over which the bar sinks to nothing. An instance
-	// knows the load of 90 servers to a fifth of their places only: a step there has all of
-	// them turn at once.
-	fadeLoad = 0.25
-)
+// fade gives up the largest model as a measure of load grows: freely asked up to full less
+// width, never from full on. Each lower rank has step less, down to lowRank: where not all can
+// have the largest model, those that matter most do.
+type fade struct{ full, step, width float64 }
+
+const lowRank = 2
 
-// roomFor is how far the largest model may be asked for a request of the rank, with so many
-// of the places taken: 1 where there is room for it, less while they fill, 0 where they are
-// full.
-func roomFor(rank int, taken float64) float64 {
-	full := fullLoad - rankStep*float64(min(rank, lowRank))
-	return min(max((full-taken)/fadeLoad, 0), 1)
+// room is how far the largest model may be asked for a request of the rank: 1 where there is
+// room for it, less while load grows, 0 where there is none.
+func (f fade) room(rank int, load float64) float64 {
+	full := f.full - f.step*float64(min(rank, lowRank))
+	return min(max((full-load)/f.width, 0), 1)
 }
 
-const (
-	// longWait is the part of a route's target from which on the mean wait of prompts leaves
-	// no time for the largest model, for the first rank; waitStep is what each lower rank has
-	// less. A prompt dropped there waits once more at the engine, and takes ten times as long.
-	longWait = 0.45
-	waitStep = 0.05
-	// waitFade is the part of the target over which the bar sinks to nothing.
-	waitFade = 0.25
+var (
+	// byPlaces goes by the part of a service's places that is taken: the largest model is ten
+	// times slower, and keeps places taken for longer than the arrivals allow. It is taken
+	// over all servers: requests for one prompt crowd on few of them, and by each server's
+	// own places 12 in 100 answers were weak ones on a day with half of all places free. An
+	// instance knows the load of 90 servers to a fifth of their places only, and a step there
+	// would have all of them turn at once.
+	byPlaces = fade{full: 1, step: 0.12, width: 0.25}
+	// byWait goes by the mean wait of prompts, as a part of the route's target.
+	//
+	// Load: more prompts than the largest model can read, at engines with places free: an
+	// engine of 128 places is full of prompts with 20 taken. Harm prevented: prompts of the
+	// largest model that hold up everything else, so that nearly all answers come late. An
+	// answer that is dropped waits once more, and takes ten times as long: from half of the
+	// target on it would be late.
+	byWait = fade{full: 0.45, step: 0.05, width: 0.25}
 )
 
-// timeFor is the same as roomFor by time: by the mean wait of prompts, as a part of the
-// route's target.
-//
-// Load: more prompts than the largest model can read, at engines with places free: an engine
-// of 128 places is full of prompts with 20 taken. Harm prevented: prompts of the largest
-// model that hold up everything else, so that nearly all answers come late.
-func timeFor(rank int, wait float64) float64 {
-	long := longWait - waitStep*float64(min(rank, lowRank))
-	return min(max((long-wait)/waitFade, 0), 1)
-}
-
 // fill is how full a service's engines are.
 type fill struct {
 	// taken is the part of all places that is taken.
@@ -80,5 +66,5 @@
 
 // room is how far the largest model may be asked for the request: 1 for freely, 0 for never.
 func (f fill) room(r *request) float64 {
-	return min(roomFor(r.Rank, f.taken), timeFor(r.Rank, f.wait/r.Route.Target.Seconds()))
+	return min(byPlaces.room(r.Rank, f.taken), byWait.room(r.Rank, f.wait/r.Route.Target.Seconds()))
 }
