Prompts wait at engines by the time that is left to them

Cause: a prompt could wait here for 0.4 of its target and then at an engine for 0.8: with long prompts, which fill an engine's time before its places, a fifth of the answers came late.

--- a/decision/passthrough/engine_test.go
+++ b/decision/passthrough/engine_test.go
@@ -86,12 +86,14 @@
 	reqs    map[*bench]map[RequestID]*simRequest
 	seen    map[*bench]int
 	now     time.Time
+	// tokens is the length of prompts.
+	tokens int
 }
 
 func newSim(t *testing.T, instances int, kinds []simCallers) *sim {
 	t.Helper()
 	s := &sim{t: t, rng: rand.New(rand.NewPCG(7, 7)), kinds: kinds, tallies: make([]simTally, len(kinds)),
-		engines: map[string]*simEngine{}, reqs: map[*bench]map[RequestID]*simRequest{}, seen: map[*bench]int{}, now: testStart}
+		engines: map[string]*simEngine{}, reqs: map[*bench]map[RequestID]*simRequest{}, seen: map[*bench]int{}, now: testStart, tokens: simTokens}
 	s.route = streamRoute()
 	s.route.Target, s.route.Timeout = 2*time.Second, 8*time.Second
 	s.route.Sizes = []string{"small", "large"}
@@ -138,8 +140,8 @@
 	r.waits = s.now.Add(MaxWait(&Request{Target: r.target, Deadline: r.end}, s.now))
 	s.reqs[b][b.next+1] = r
 	b.arrive(s.route, func(q *Request) {
-		q.Team, q.Rank, q.PromptTokens, q.MaxTokens = s.kinds[kind].team, s.kinds[kind].rank, simTokens, 4*simEvents
-		q.Affinity, q.SharedTokens = uint64(1+s.rng.IntN(200)), simTokens/10
+		q.Team, q.Rank, q.PromptTokens, q.MaxTokens = s.kinds[kind].team, s.kinds[kind].rank, s.tokens, 4*simEvents
+		q.Affinity, q.SharedTokens = uint64(1+s.rng.IntN(200)), s.tokens/10
 	})
 	s.follow(b)
 }
@@ -196,7 +198,7 @@
 			}
 			e := s.engines[c.Server.ID]
 			e.queue = append(e.queue, &simJob{b: b, id: c.Request, model: c.Model, sent: s.now,
-				left: simTokens * perToken / e.speed, need: simEvents * 15 * (0.5 + s.rng.Float64())})
+				left: float64(s.tokens) * perToken / e.speed, need: simEvents * 15 * (0.5 + s.rng.Float64())})
 		case Refuse:
 			r := s.reqs[b][c.Request]
 			delete(s.reqs[b], c.Request)
--- a/decision/passthrough/overload_test.go
+++ b/decision/passthrough/overload_test.go
@@ -77,3 +77,24 @@
 		}
 	}
 }
+
+// TestLongPromptsAreNotPiledUpAtEngines asks for four times the prompts of 12,000 tokens that
+// the engines read with the small model: 128 of them, for which an engine has places, take it
+// five seconds.
+func TestLongPromptsAreNotPiledUpAtEngines(t *testing.T) {
+	const bears = simEngines * 300_000 / 12_000
+	s := newSim(t, 3, []simCallers{{team: "a", rate: 4 * bears}})
+	s.tokens = 12_000
+	s.play(2*time.Second, 1)
+	s.tallies[0] = simTally{}
+	s.play(6*time.Second, 1)
+	got := s.tallies[0]
+	inTime := got.inTarget + got.weak
+	t.Logf("%d asked, %d in time, %d late, %d refused, %d cut", got.asked, inTime, got.late, got.refused, got.cut)
+	if float64(inTime) < 0.7*6*bears {
+		t.Errorf("%d answers in time, of %d that the engines bear", inTime, 6*bears)
+	}
+	if got.late+got.cut > inTime/5 {
+		t.Errorf("%d late and %d cut, beside %d in time", got.late, got.cut, inTime)
+	}
+}
--- a/decision/passthrough/queue.go
+++ b/decision/passthrough/queue.go
@@ -151,9 +151,19 @@
 
 // MaxWait is how long the request may wait in the queue from now.
 func MaxWait(r *Request, now time.Time) time.Duration {
+	return max(min(time.Duration(waitPart*float64(r.timeLeft(now))), waitMost), 0)
+}
+
+// lateWait is the part of the time to the deadline that a request may still wait for once its
+// target has passed.
+const lateWait = 0.25
+
+// timeLeft is how long the request has from now for an answer in time, or, where it is too
+// late for that, for one at all.
+func (r *Request) timeLeft(now time.Time) time.Duration {
 	room := min(r.Target.Sub(now), r.Deadline.Sub(now))
 	if room <= 0 {
-		room = r.Deadline.Sub(now) / 4
+		room = time.Duration(lateWait * float64(r.Deadline.Sub(now)))
 	}
-	return max(min(time.Duration(waitPart*float64(room)), waitMost), 0)
+	return room
 }
--- a/decision/passthrough/reading.go
+++ b/decision/passthrough/reading.go
@@ -134,7 +134,8 @@
 	}
 }
 
-// unreadPart is the part of a route's target for which prompts may wait at an engine.
+// unreadPart is the part of the time that a request has left for which it may wait at an
+// engine.
 const unreadPart = 0.8
 
 // readsSoon says whether the engine would come to the request's prompt in time, by what is
@@ -145,11 +146,11 @@
 // up at its deadline. What waits in the queue here goes by rank and team, and can be refused
 // as not run. A request that has run before is not kept: its caller would have waited for
 // nothing.
-func (v view) readsSoon(r *request) bool {
+func (v view) readsSoon(r *request, now time.Time) bool {
 	if !r.service.engine || r.ran {
 		return true
 	}
-	return v.wait <= unreadPart*r.Route.Target.Seconds()
+	return v.wait <= unreadPart*r.timeLeft(now).Seconds()
 }
 
 // othersUnread is the other instances' prompts that waited at the server by its own word.
