--- a/decision/passthrough/engine_test.go
+++ b/decision/passthrough/engine_test.go
@@ -71,7 +71,6 @@
 	waits   time.Time
 	waiting bool
 	again   int
-	done    bool
 }
 
 // sim plays callers, instances and engines together, on one clock.
