--- a/decision/passthrough/cascade.go
+++ b/decision/passthrough/cascade.go
@@ -45,7 +45,7 @@
 		w.states(s, e.Load)
 	}
 	if wasReading {
-		r.service.reads.check(e.After, r.foretold)
+		r.service.reads.check(e.After, r.forecast)
 	}
 	if wasReading && r.alone && e.HasLoad && e.Load.Waiting == 0 {
 		r.service.reads.learn(r.size, r.PromptTokens, e.After)
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -113,12 +113,12 @@
 	LoadAge time.Duration
 	// Wait is how long the prompt is thought to wait at the server for others to be read.
 	Wait time.Duration
-	// Taken is the part of the service's places that is taken, as believed, Mean the mean
+	// Taken is the part of the service's places that is taken, as believed, MeanWait the mean
 	// wait at its servers, and Repeats what the retry budget holds: what decided on the
 	// model.
-	Taken   float64
-	Mean    time.Duration
-	Repeats float64
+	Taken    float64
+	MeanWait time.Duration
+	Repeats  float64
 }
 
 // Refuse ends a request that has not run.
--- a/decision/passthrough/place.go
+++ b/decision/passthrough/place.go
@@ -35,7 +35,7 @@
 	}
 	if r.ModelOpen && len(r.Route.Sizes) > 0 {
 		f = f.plusOne()
-		cmd.Taken, cmd.Mean, cmd.Repeats = f.taken, seconds(f.wait), r.service.budget.Left(w.now)
+		cmd.Taken, cmd.MeanWait, cmd.Repeats = f.taken, seconds(f.wait), r.service.budget.Left(w.now)
 		r.size = w.chooseSize(r, f.room(r))
 		cmd.Model = r.Route.Sizes[r.size]
 	}
--- a/decision/passthrough/reading.go
+++ b/decision/passthrough/reading.go
@@ -25,12 +25,14 @@
 
 // readStats is what is learnt of how a service's engines read prompts.
 type readStats struct {
+	// by holds the speeds by model size; plainSize stands for models that callers name.
 	by map[int]*readSpeed
 	// least is the time to a first event where nothing was to be read, in seconds.
 	least float64
-	// waited and foretold sum up the times to first events and what was foretold of them.
+	// waited and forecast sum up, in seconds, the times to first events and the forecasts of
+	// them.
 	waited   float64
-	foretold float64
+	forecast float64
 	// heardAt is when a server last stated its load.
 	heardAt time.Time
 	// work is the mean of the seconds that a prompt takes, and unread that of the prompts of
@@ -89,20 +91,20 @@
 	scaleMost  = 2.0
 )
 
-// check sets the time to a first event beside what was foretold of it.
-func (rs *readStats) check(took time.Duration, foretold float64) {
+// check compares the time to a first event with its forecast.
+func (rs *readStats) check(took time.Duration, forecast float64) {
 	rs.waited += max(took.Seconds()-rs.least, 0)
-	rs.foretold += foretold
-	if over := rs.foretold / scaleMemory; over > 1 {
+	rs.forecast += forecast
+	if over := rs.forecast / scaleMemory; over > 1 {
 		rs.waited /= over
-		rs.foretold /= over
+		rs.forecast /= over
 	}
 }
 
 // scale is what forecasts are multiplied by, to be right in the mean.
 func (rs *readStats) scale() float64 {
-	const prior = 1.0 // seconds foretold rightly, until there were answers
-	return min(max((rs.waited+prior)/(rs.foretold+prior), scaleLeast), scaleMost)
+	const prior = 1.0 // seconds forecast rightly, until there were answers
+	return min(max((rs.waited+prior)/(rs.forecast+prior), scaleLeast), scaleMost)
 }
 
 // toRead counts a request's prompt at the server that it is sent to.
@@ -114,7 +116,7 @@
 	rs := &r.service.reads
 	r.work = rs.perToken(r.size) * float64(r.PromptTokens)
 	r.alone = s.unread == 0
-	r.foretold = v.unscaled + r.work
+	r.forecast = v.unscaled + r.work
 	r.reading = true
 	rs.work.add(r.work)
 	s.unread++
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -124,11 +124,12 @@
 	// paced says that the current answer's pace was told.
 	paced bool
 	// reading says that its prompt counts in its server's backlog, with work seconds; alone
-	// that no other of this instance's did then.
+	// that no other of this instance's did then; forecast is how many seconds its first event
+	// was thought to take, unscaled.
 	reading  bool
 	work     float64
 	alone    bool
-	foretold float64
+	forecast float64
 	// next is the model to ask since a smaller one's answer was dropped, with the confidence
 	// doubt; 0 where none was.
 	next  int
--- a/router/internal/passthrough/journal.go
+++ b/router/internal/passthrough/journal.go
@@ -90,7 +90,7 @@
 	if d.Model != "" {
 		attrs = append(attrs, slog.String("model", d.Model), slog.Float64("confidence", out.confidence), slog.Float64("bar", math.Round(100*out.bar)/100),
 			slog.Float64("taken", math.Round(100*d.Taken)/100),
-			slog.Int64("wait_ms", d.Wait.Milliseconds()), slog.Int64("mean_wait_ms", d.Mean.Milliseconds()), slog.Float64("repeats_left", math.Round(d.Repeats)),
+			slog.Int64("wait_ms", d.Wait.Milliseconds()), slog.Int64("mean_wait_ms", d.MeanWait.Milliseconds()), slog.Float64("repeats_left", math.Round(d.Repeats)),
 			slog.Int("prompt_tokens", c.caller.PromptTokens), slog.Int("most_tokens", c.caller.MaxTokens))
 	}
 	if out.load != nil {
