Decisions: one kind of fading ratio, a server's weight worked out once

Read again as a whole. Speeds of reading and the scale of forecasts kept the same two sums with the same forgetting twice: one type (ratio) serves both. A server's weight is part of its view, so its pace is looked up once and the list of weights beside it is gone; how long a request may wait at an engine is worked out once a decision, not once a server. What a first event teaches stands with the reading of prompts. In tests: fields of the engines that nothing set or read are gone, two like set-ups are one.

--- a/decision/passthrough/cascade.go
+++ b/decision/passthrough/cascade.go
@@ -22,7 +22,7 @@
 
 // usual is how long the route's whole answers take, times a factor.
 func (w *World) usual(route *Route, factor float64) time.Duration {
-	return time.Duration(factor * w.stats(route.Name).took.value * float64(time.Second))
+	return seconds(factor * w.stats(route.Name).took.value)
 }
 
 // firstOf is the mean logarithm of the time to the first event, in seconds, of answers
@@ -37,18 +37,11 @@
 	if r == nil || r.server == nil {
 		return
 	}
-	s := r.server
 	r.first = e.After
-	wasReading := r.reading
+	r.service.reads.began(r, e)
 	r.hasRead()
 	if e.HasLoad {
-		w.states(s, e.Load)
-	}
-	if wasReading {
-		r.service.reads.check(e.After, r.forecast)
-	}
-	if wasReading && r.alone && e.HasLoad && e.Load.Waiting == 0 {
-		r.service.reads.learn(r.size, r.PromptTokens, e.After)
+		w.states(r.server, e.Load)
 	}
 	w.free(r.service)
 }
@@ -61,6 +54,9 @@
 	// barMargin is added since a weak answer costs its whole worth, and an answer replaced
 	// for nothing only a second prompt.
 	barMargin = 0.04
+	// sureFrom is the confidence from which on an answer is kept, where there is room for a
+	// larger model.
+	sureFrom = barEven + barMargin
 	// spareRepeats is what the retry budget must hold for an answer to be dropped: the
 	// repeats of failures go first.
 	spareRepeats = 3
@@ -117,7 +113,7 @@
 	if !w.largestEnds(r, f.wait) {
 		return 0
 	}
-	return (barEven + barMargin) * f.room(r)
+	return sureFrom * f.room(r)
 }
 
 // endsPart is the part of the time to the deadline in which the largest model must begin its
--- a/decision/passthrough/cascade_test.go
+++ b/decision/passthrough/cascade_test.go
@@ -137,13 +137,20 @@
 	b.tell(Ended{Request: id, Result: Dropped, Confidence: confidence})
 }
 
+// roomyBench has engines and a retry budget that do not bind.
+func roomyBench(t *testing.T) *bench {
+	t.Helper()
+	b := newBench(t, Settings{Seed: 1, RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second, SessionLife: time.Second})
+	b.configure(streamRoute())
+	b.tell(Listed{servers("llm", 3, 800)})
+	return b
+}
+
 // TestTheMiddleModelIsAskedWhereTheSmallestWasNearlySure: a fifth of what the smallest doubts
 // is a little too hard for it alone. Where the middle model doubts its answer too, the largest
 // is asked, and so are all others.
 func TestTheMiddleModelIsAskedWhereTheSmallestWasNearlySure(t *testing.T) {
-	b := newBench(t, Settings{Seed: 1, RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second, SessionLife: time.Second})
-	b.configure(streamRoute())
-	b.tell(Listed{servers("llm", 3, 800)})
+	b := roomyBench(t)
 	near, far := b.arrive(streamRoute(), nil), b.arrive(streamRoute(), nil)
 	b.drop(near, 0.5)
 	b.drop(far, 0.1)
@@ -161,9 +168,7 @@
 
 // TestAMiddleModelThatIsNeverSureIsAskedNoMore learns from what the middle model says.
 func TestAMiddleModelThatIsNeverSureIsAskedNoMore(t *testing.T) {
-	b := newBench(t, Settings{Seed: 1, RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second, SessionLife: time.Second})
-	b.configure(streamRoute())
-	b.tell(Listed{servers("llm", 3, 800)})
+	b := roomyBench(t)
 	asked := 0
 	for range 30 {
 		id := b.arrive(streamRoute(), nil)
--- a/decision/passthrough/engine_test.go
+++ b/decision/passthrough/engine_test.go
@@ -56,10 +56,8 @@
 
 // simEngine is one engine.
 type simEngine struct {
-	id      string
 	queue   []*simJob
 	running []*simJob
-	speed   float64
 }
 
 // simRequest is a caller's request.
@@ -75,7 +73,6 @@
 
 // sim plays callers, instances and engines together, on one clock.
 type sim struct {
-	t       *testing.T
 	rng     *rand.Rand
 	route   *Route
 	benches []*bench
@@ -91,14 +88,14 @@
 
 func newSim(t *testing.T, instances int, kinds []simCallers) *sim {
 	t.Helper()
-	s := &sim{t: t, rng: rand.New(rand.NewPCG(7, 7)), kinds: kinds, tallies: make([]simTally, len(kinds)),
+	s := &sim{rng: rand.New(rand.NewPCG(7, 7)), kinds: kinds, tallies: make([]simTally, len(kinds)),
 		engines: map[string]*simEngine{}, reqs: map[*bench]map[RequestID]*simRequest{}, seen: map[*bench]int{}, now: testStart, tokens: simTokens}
 	s.route = streamRoute()
 	s.route.Target, s.route.Timeout = 2*time.Second, 8*time.Second
 	s.route.Sizes = []string{"small", "large"}
 	list := servers("llm", simEngines, simSlots)
 	for _, srv := range list {
-		s.engines[srv.ID] = &simEngine{id: srv.ID, speed: 1}
+		s.engines[srv.ID] = &simEngine{}
 	}
 	for i := range instances {
 		b := newBench(t, Settings{Seed: uint64(i), RetryRatio: 0.9, RetrySlack: 50, RetryWindow: 10 * time.Second, SessionLife: time.Second})
@@ -197,7 +194,7 @@
 			}
 			e := s.engines[c.Server.ID]
 			e.queue = append(e.queue, &simJob{b: b, id: c.Request, model: c.Model, sent: s.now,
-				left: float64(s.tokens) * perToken / e.speed, need: simEvents * 15 * (0.5 + s.rng.Float64())})
+				left: float64(s.tokens) * perToken, need: simEvents * 15 * (0.5 + s.rng.Float64())})
 		case Refuse:
 			r := s.reqs[b][c.Request]
 			delete(s.reqs[b], c.Request)
@@ -237,7 +234,7 @@
 	}
 	kept := e.running[:0]
 	for _, j := range e.running {
-		j.need -= decode * e.speed
+		j.need -= decode
 		if j.need > 0 {
 			kept = append(kept, j)
 			continue
--- a/decision/passthrough/filter.go
+++ b/decision/passthrough/filter.go
@@ -10,11 +10,11 @@
 // are left out, and those that the request has tried, as long as others are there: where
 // all look sick, it is the requests or the network, and a try is better than a refusal.
 func (w *World) candidates(r *request, views []view) []view {
-	fits := w.fitting(r)
+	fits, mostUnread := w.fitting(r), r.mostUnread(w.now)
 	var spare, last []view
 	w.drawn = w.drawn[:0]
 	for _, v := range views {
-		if !v.hasRoom() || !v.readsSoon(r, w.now) || !fits(v.server) {
+		if !v.hasRoom() || v.wait > mostUnread || !fits(v.server) {
 			continue
 		}
 		switch tried := slices.Contains(r.tried, v.server); {
--- a/decision/passthrough/nextsize.go
+++ b/decision/passthrough/nextsize.go
@@ -18,7 +18,7 @@
 	// largest one's price, and a quarter of its time, and is paid besides where it fails.
 	nextLeast = 0.6
 	// nearDoubt is the chance that a middle model is sure where the smallest one nearly was,
-	// doubtSlope what that falls by with each hundredth of confidence: until seen otherwise.
+	// doubtSlope what that falls by for a whole of confidence less: until seen otherwise.
 	nearDoubt  = 0.9
 	doubtSlope = 2.5
 )
@@ -30,7 +30,7 @@
 // chance is how likely the middle model is sure of an answer that the smallest one doubted.
 func (n *nextStats) chance(doubt float64) float64 {
 	at := doubtPart(doubt)
-	prior := min(max(nearDoubt-doubtSlope*(barEven+barMargin-doubt), 0), 1)
+	prior := min(max(nearDoubt-doubtSlope*(sureFrom-doubt), 0), 1)
 	return (n.sure[at] + nextPrior*prior) / (n.asked[at] + nextPrior)
 }
 
@@ -66,6 +66,6 @@
 // noteNext learns from how sure a middle model was.
 func (w *World) noteNext(r *request, confidence float64) {
 	if r.next > 0 && r.size == r.next && r.size < len(r.Route.Sizes)-1 && confidence >= 0 {
-		w.stats(r.Route.Name).next.learn(r.doubt, confidence >= barEven+barMargin)
+		w.stats(r.Route.Name).next.learn(r.doubt, confidence >= sureFrom)
 	}
 }
--- a/decision/passthrough/pace.go
+++ b/decision/passthrough/pace.go
@@ -70,7 +70,7 @@
 // wait estimates how long it takes until so many have left.
 func (d *drainMeter) wait(count int) time.Duration {
 	const leastRate = 1.0 // a second: no worse guess than that after a silence
-	return time.Duration(float64(count) / max(d.rate, leastRate) * float64(time.Second))
+	return seconds(float64(count) / max(d.rate, leastRate))
 }
 
 // slowMost bounds how slow a server is thought to be: enough to keep work away, not so
--- a/decision/passthrough/pick.go
+++ b/decision/passthrough/pick.go
@@ -33,28 +33,18 @@
 	return w.pickByLoad(list), true
 }
 
-// readUnit is how many seconds of prompts that wait to be read weigh as much as one request
-// that runs: running, it takes some 50 us of each step.
-const readUnit = 0.06
-
-// weight is the load that a choice goes by: with one more request, with the prompts that
-// are still to be read, which hold up all others, and by the server's pace.
-func (v view) weight() float64 {
-	return (v.load+1)*v.server.slowness() + v.wait/readUnit
-}
-
 // pickByPrompt prefers the server that the hash names, in the own failure domain where
 // there is time for that, among those within the bound; else it takes the least loaded.
 func (w *World) pickByPrompt(r *request, list []view, f fill) view {
-	bound := w.bound(list)
+	bound := bound(list)
 	keepNear := staysNear(r, f.wait)
 	best, near, least := none, none, 0
 	var bestScore, nearScore uint64
 	for i, v := range list {
-		if w.weights[i] < w.weights[least] {
+		if v.weight < list[least].weight {
 			least = i
 		}
-		if w.weights[i] > bound || v.wait > f.wait+waitSlack {
+		if v.weight > bound || v.wait > f.wait+waitSlack {
 			continue
 		}
 		score := mix(v.server.hash ^ r.Affinity)
@@ -77,15 +67,11 @@
 // none is the index of no server.
 const none = -1
 
-// bound fills the weights of the list, and gives the weight up to which a server may be
-// preferred for its cache.
-func (w *World) bound(list []view) float64 {
+// bound is the weight up to which a server of the list may be preferred for its cache.
+func bound(list []view) float64 {
 	sum := 0.0
-	w.weights = w.weights[:0]
 	for _, v := range list {
-		weight := v.weight()
-		w.weights = append(w.weights, weight)
-		sum += weight
+		sum += v.weight
 	}
 	return boundFactor*sum/float64(len(list)) + boundSlack
 }
@@ -133,7 +119,7 @@
 		if draws < len(list) {
 			v = list[w.rng.IntN(len(list))]
 		}
-		weight := v.weight()
+		weight := v.weight
 		if v.server.Zone == w.cfg.Zone {
 			weight -= nearWeight
 		}
--- a/decision/passthrough/reading.go
+++ b/decision/passthrough/reading.go
@@ -1,6 +1,9 @@
 package passthrough
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // An engine's time goes into reading prompts: idle, it generates at 15 ms an event with any
 // model, but reads 300 tokens a millisecond with the smallest and 30 with the largest, and
@@ -25,14 +28,13 @@
 
 // readStats is what is learnt of how a service's engines read prompts.
 type readStats struct {
-	// by holds the speeds by model size; plainSize stands for models that callers name.
-	by map[int]*readSpeed
+	// by is the seconds of answers of idle engines to their prompts' tokens, by model size;
+	// plainSize stands for models that callers name.
+	by map[int]*ratio
 	// least is the time to a first event where nothing was to be read, in seconds.
 	least float64
-	// waited and forecast sum up, in seconds, the times to first events and the forecasts of
-	// them.
-	waited   float64
-	forecast float64
+	// came is the times to first events to the forecasts of them, both in seconds.
+	came ratio
 	// heardAt is when a server last stated its load.
 	heardAt time.Time
 	// work is the mean of the seconds that a prompt takes, and unread that of the prompts of
@@ -41,8 +43,23 @@
 	unread mean
 }
 
-// readSpeed sums up the time that answers of idle engines took, and their prompts' tokens.
-type readSpeed struct{ seconds, tokens float64 }
+// ratio is a sum to another one, of which the older parts fade.
+type ratio struct{ part, whole float64 }
+
+// add takes in one more of each; whole grows to memory at most.
+func (q *ratio) add(part, whole, memory float64) {
+	q.part += part
+	q.whole += whole
+	if over := q.whole / memory; over > 1 {
+		q.part /= over
+		q.whole /= over
+	}
+}
+
+// value is the ratio, with so much weight given to what is thought before anything was seen.
+func (q ratio) value(prior, weight float64) float64 {
+	return (q.part + prior*weight) / (q.whole + weight)
+}
 
 // perToken is how long a prompt token takes to be read, in seconds, with what was cached
 // taken in.
@@ -51,12 +68,12 @@
 	if size > 0 {
 		prior = largerRead
 	}
-	sp := rs.by[size]
-	if sp == nil {
+	speed := rs.by[size]
+	if speed == nil {
 		return prior
 	}
 	const priorTokens = 10_000 // weighs as much as one or two prompts
-	return (sp.seconds + prior*priorTokens) / (sp.tokens + priorTokens)
+	return speed.value(prior, priorTokens)
 }
 
 // learn takes in the time to the first event of an answer that had its engine for itself.
@@ -68,19 +85,14 @@
 		rs.least = x
 	}
 	if rs.by == nil {
-		rs.by = map[int]*readSpeed{}
-	}
-	sp := rs.by[size]
-	if sp == nil {
-		sp = &readSpeed{}
-		rs.by[size] = sp
+		rs.by = map[int]*ratio{}
 	}
-	sp.seconds += x - rs.least
-	sp.tokens += float64(tokens)
-	if over := sp.tokens / readMemory; over > 1 {
-		sp.seconds /= over
-		sp.tokens /= over
+	speed := rs.by[size]
+	if speed == nil {
+		speed = &ratio{}
+		rs.by[size] = speed
 	}
+	speed.add(x-rs.least, float64(tokens), readMemory)
 }
 
 const (
@@ -91,20 +103,22 @@
 	scaleMost  = 2.0
 )
 
-// check compares the time to a first event with its forecast.
-func (rs *readStats) check(took time.Duration, forecast float64) {
-	rs.waited += max(took.Seconds()-rs.least, 0)
-	rs.forecast += forecast
-	if over := rs.forecast / scaleMemory; over > 1 {
-		rs.waited /= over
-		rs.forecast /= over
+// began takes in an answer's first event: how right its forecast was, and, where the engine
+// had nothing else to read, how fast it reads.
+func (rs *readStats) began(r *request, e FirstByte) {
+	if !r.reading {
+		return
+	}
+	rs.came.add(max(e.After.Seconds()-rs.least, 0), r.forecast, scaleMemory)
+	if r.alone && e.HasLoad && e.Load.Waiting == 0 {
+		rs.learn(r.size, r.PromptTokens, e.After)
 	}
 }
 
 // scale is what forecasts are multiplied by, to be right in the mean.
 func (rs *readStats) scale() float64 {
-	const prior = 1.0 // seconds forecast rightly, until there were answers
-	return min(max((rs.waited+prior)/(rs.forecast+prior), scaleLeast), scaleMost)
+	const right, priorSeconds = 1.0, 1.0 // until there were answers
+	return min(max(rs.came.value(right, priorSeconds), scaleLeast), scaleMost)
 }
 
 // toRead counts a request's prompt at the server that it is sent to.
@@ -140,19 +154,19 @@
 // engine.
 const unreadPart = 0.8
 
-// readsSoon says whether the engine would come to the request's prompt in time, by what is
-// thought of it.
+// mostUnread is how long the request's prompt may wait at an engine, in seconds, by what is
+// thought of that.
 //
 // Load: more prompts than the engines read. Harm prevented: all of them sent on at once, so
 // that each waits for all others, the urgent ones and those of small teams too, and is given
 // up at its deadline. What waits in the queue here goes by rank and team, and can be refused
 // as not run. A request that has run before is not kept: its caller would have waited for
 // nothing.
-func (v view) readsSoon(r *request, now time.Time) bool {
+func (r *request) mostUnread(now time.Time) float64 {
 	if !r.service.engine || r.ran {
-		return true
+		return math.Inf(1)
 	}
-	return v.wait <= unreadPart*r.timeLeft(now).Seconds()
+	return unreadPart * r.timeLeft(now).Seconds()
 }
 
 // othersUnread is the other instances' prompts that waited at the server by its own word.
--- a/decision/passthrough/servers.go
+++ b/decision/passthrough/servers.go
@@ -105,7 +105,7 @@
 	if s.engine {
 		return loadLife
 	}
-	answers := time.Duration(loadAnswers * s.pace.of(plainSize).value * float64(time.Second))
+	answers := seconds(loadAnswers * s.pace.of(plainSize).value)
 	return min(max(answers, loadLeast), loadLife)
 }
 
--- a/decision/passthrough/view.go
+++ b/decision/passthrough/view.go
@@ -16,8 +16,15 @@
 	// scaled by what earlier forecasts were worth; wait is with that.
 	unscaled float64
 	wait     float64
+	// weight is the load that a choice goes by: with one more request, with the prompts that
+	// are still to be read, which hold up all others, and by the server's pace.
+	weight float64
 }
 
+// readUnit is how many seconds of prompts that wait to be read weigh as much as one request
+// that runs: running, it takes some 50 us of each step.
+const readUnit = 0.06
+
 // look views the service's servers that may get work. The list is valid until the next look.
 func (w *World) look(s *service) []view {
 	rs := &s.reads
@@ -35,8 +42,10 @@
 		unread := srv.othersUnread()*(1-forgottenUnread) + usualUnread*forgottenUnread
 		v := view{server: srv, known: float64(srv.own) + stated}
 		v.load = v.known + s.usualOthers.value*forgotten
-		v.unscaled = (srv.backlog + unread*rs.work.value) * srv.slowness()
+		slowness := srv.slowness()
+		v.unscaled = (srv.backlog + unread*rs.work.value) * slowness
 		v.wait = v.unscaled * scale
+		v.weight = (v.load+1)*slowness + v.wait/readUnit
 		w.views = append(w.views, v)
 	}
 	return w.views
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -50,10 +50,9 @@
 	out    []Command
 	// freed are the services in which a place may have become free in this tick.
 	freed []*service
-	// views, drawn and weights are kept between decisions to save allocations.
-	views   []view
-	drawn   []view
-	weights []float64
+	// views and drawn are kept between decisions to save allocations.
+	views []view
+	drawn []view
 }
 
 // versionKey names a version of a service's software.
