One state for how far a stop is

Whether the process was told to stop stood twice: as a flag of the server and, from the fourth second on, as a phase beside it. It is one phase now (serving, leaving, finishing, closing), changed by its own methods; readiness asks it, and the time by which calls must be answered is handed on, not read back.

No behaviour changes. Tests of the package and the stops of the whole path pass as they were.

--- a/router/internal/passthrough/server.go
+++ b/router/internal/passthrough/server.go
@@ -45,11 +45,10 @@
 	reg      gometrics.Registry
 	log      *logging.Async
 
-	stopping atomic.Bool
-	ready    atomic.Bool
-	callers  *http.Server
-	others   []*http.Server
-	failed   func(error)
+	ready   atomic.Bool
+	callers *http.Server
+	others  []*http.Server
+	failed  func(error)
 }
 
 // start opens the listeners; readyPath is what the balancer asks.
@@ -97,13 +96,14 @@
 
 // isReady answers the balancer.
 func (s *server) isReady(w http.ResponseWriter, _ *http.Request) {
-	ready := s.known.Ready() && !s.stopping.Load()
+	stopping := s.edge.stopping.begun()
+	ready := s.known.Ready() && !stopping
 	if s.ready.Swap(ready) != ready {
 		ev := logging.EventNotReady
 		if ready {
 			ev = logging.EventReady
 		}
-		s.journal.emit(ev, slog.Int64(keyAge, s.known.Age().Milliseconds()), slog.Bool("stopping", s.stopping.Load()))
+		s.journal.emit(ev, slog.Int64(keyAge, s.known.Age().Milliseconds()), slog.Bool("stopping", stopping))
 	}
 	if !ready {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -117,20 +117,20 @@
 // until the balancer has noticed, and plain calls for as long as streams go on; then the
 // connections are closed with an answer each.
 func (s *server) stop(began time.Time) {
-	s.stopping.Store(true)
+	grace := s.settings.Bounds.Grace - stopMargin
+	answered := began.Add(grace - answerMargin)
+	s.edge.stopping.leave(answered)
 	_, running := s.driver.Load()
 	s.journal.emit(logging.EventDrainBegin, slog.Int("running", running))
-	grace := s.settings.Bounds.Grace - stopMargin
 	s.driver.Tell(passthrough.Stopping{At: began.Add(grace)})
-	s.edge.stopping.end.Store(began.Add(grace - answerMargin).UnixNano())
 	time.Sleep(min(leaveRotation, grace/2))
-	s.edge.stopping.phase.Store(int32(phaseFinishing))
+	s.edge.stopping.enter(phaseFinishing)
 	s.callers.SetKeepAlivesEnabled(false)
 	left := grace - s.edge.clock.Now().Sub(began)
 	ctx, cancel := context.WithTimeout(context.Background(), max(left, 0))
 	defer cancel()
-	s.waitStreams(ctx)
-	s.edge.stopping.phase.Store(int32(phaseClosing))
+	s.waitStreams(ctx, answered)
+	s.edge.stopping.enter(phaseClosing)
 	s.waitIdle(ctx)
 	_, running = s.driver.Load()
 	_ = s.callers.Close() // what is still open has had the whole grace time
@@ -144,9 +144,9 @@
 	}
 }
 
-// waitStreams waits until no stream is in progress, or the time for new calls is over.
-func (s *server) waitStreams(ctx context.Context) {
-	end := time.Unix(0, s.edge.stopping.end.Load())
+// waitStreams waits until no stream is in progress, or until the end of the time for new
+// calls.
+func (s *server) waitStreams(ctx context.Context, end time.Time) {
 	for s.driver.Streams() > 0 && s.edge.clock.Now().Before(end) && ctx.Err() == nil {
 		sleep(ctx, idlePoll, nil)
 	}
