A slow version is told from a slow moment

Cause: a new version's paces and times to a first event were compared with the old version's mean, whatever load each engine had.

- Times are compared with what is usual at the load that the engine's own answer states, learnt at all times, not only during a roll-out.
- Answers over 2.5 times as slow are counted for both versions, and judged as failures are.
- A version in doubt at the end is neither completed nor taken back; it gets nothing more once it may have given 40 bad answers, and all new work for 5 s before it is completed late.
- The judging of pooled sums moves from the sheet into decision/passthrough (Evidence).

--- a/decision/passthrough/cascade.go
+++ b/decision/passthrough/cascade.go
@@ -4,8 +4,8 @@
 
 // routeStats is what is learnt of a route's answers.
 type routeStats struct {
-	// first is the mean logarithm of the time to the first event, by size.
-	first map[int]*mean
+	// first is the usual time to the first event, by size.
+	first map[int]*usualTimes
 	// took is the mean time to the whole answer, from the request's arrival, in seconds.
 	took mean
 	next nextStats
@@ -25,10 +25,9 @@
 	return seconds(factor * w.stats(route.Name).took.value)
 }
 
-// firstOf is the mean logarithm of the time to the first event, in seconds, of answers
-// like the request's.
-func (w *World) firstOf(r *request) *mean {
-	return meanOf(&w.stats(r.Route.Name).first, r.size)
+// firstOf is the usual time to the first event of answers like the request's.
+func (w *World) firstOf(r *request) *usualTimes {
+	return bySize(&w.stats(r.Route.Name).first, r.size)
 }
 
 // firstByte notes the time to an answer's first byte.
@@ -43,6 +42,7 @@
 	if e.HasLoad {
 		w.states(r.server, e.Load)
 	}
+	r.level = levelOf(r.server.told)
 	w.free(r.service)
 }
 
--- a/decision/passthrough/engine_test.go
+++ b/decision/passthrough/engine_test.go
@@ -52,6 +52,12 @@
 	sent  time.Time
 	left  float64 // milliseconds to read
 	need  float64 // milliseconds to generate
+	// events that it makes, from began on.
+	events float64
+	began  time.Time
+	// version of the engine's software; slow says that it works on this one slowly.
+	version string
+	slow    bool
 }
 
 // simEngine is one engine.
@@ -81,15 +87,19 @@
 	tallies []simTally
 	reqs    map[*bench]map[RequestID]*simRequest
 	seen    map[*bench]int
-	now     time.Time
+	// oldest is the first request that may still be open.
+	oldest map[*bench]RequestID
+	now    time.Time
 	// tokens is the length of prompts.
 	tokens int
+	// rollout is one that is played beside the load, nil for none.
+	rollout *simRollout
 }
 
 func newSim(t *testing.T, instances int, kinds []simCallers) *sim {
 	t.Helper()
 	s := &sim{rng: rand.New(rand.NewPCG(7, 7)), kinds: kinds, tallies: make([]simTally, len(kinds)),
-		engines: map[string]*simEngine{}, reqs: map[*bench]map[RequestID]*simRequest{}, seen: map[*bench]int{}, now: testStart, tokens: simTokens}
+		engines: map[string]*simEngine{}, reqs: map[*bench]map[RequestID]*simRequest{}, seen: map[*bench]int{}, oldest: map[*bench]RequestID{}, now: testStart, tokens: simTokens}
 	s.route = streamRoute()
 	s.route.Target, s.route.Timeout = 2*time.Second, 8*time.Second
 	s.route.Sizes = []string{"small", "large"}
@@ -109,6 +119,9 @@
 	return s
 }
 
+// seed makes it another play of the same.
+func (s *sim) seed(seed uint64) { s.rng = rand.New(rand.NewPCG(7, 7+seed)) }
+
 // play runs so long, with the kinds' rates times the factor.
 func (s *sim) play(length time.Duration, factor float64) {
 	owed := make([]float64, len(s.kinds))
@@ -121,6 +134,9 @@
 			s.engine(s.engines[srv.ID])
 		}
 		s.timers()
+		if s.rollout != nil {
+			s.rollout.step()
+		}
 		for i, k := range s.kinds {
 			for owed[i] += k.rate * factor * simStep.Seconds(); owed[i] >= 1; owed[i]-- {
 				s.arrive(i, k.again, s.rng.IntN(2) == 0)
@@ -138,6 +154,9 @@
 	b.arrive(s.route, func(q *Request) {
 		q.Team, q.Rank, q.PromptTokens, q.MaxTokens = s.kinds[kind].team, s.kinds[kind].rank, s.tokens, 4*simEvents
 		q.Affinity, q.SharedTokens = uint64(1+s.rng.IntN(200)), s.tokens/10
+		if s.rollout != nil {
+			q.Share = s.rng.Float64()
+		}
 	})
 	s.follow(b)
 }
@@ -145,7 +164,10 @@
 // timers ends waits in queues and passed deadlines.
 func (s *sim) timers() {
 	for _, b := range s.benches {
-		for id := RequestID(1); id <= b.next; id++ {
+		for s.oldest[b] <= b.next && s.reqs[b][s.oldest[b]] == nil {
+			s.oldest[b]++
+		}
+		for id := s.oldest[b]; id <= b.next; id++ {
 			r := s.reqs[b][id]
 			if r == nil {
 				continue
@@ -193,8 +215,17 @@
 				perToken = 1.0 / 30
 			}
 			e := s.engines[c.Server.ID]
-			e.queue = append(e.queue, &simJob{b: b, id: c.Request, model: c.Model, sent: s.now,
-				left: float64(s.tokens) * perToken, need: simEvents * 15 * (0.5 + s.rng.Float64())})
+			j := &simJob{b: b, id: c.Request, model: c.Model, sent: s.now, version: c.Server.Version,
+				left: float64(s.tokens) * perToken, need: simEvents * 15 * (0.5 + s.rng.Float64())}
+			j.events = j.need / 15
+			if s.rollout != nil {
+				s.rollout.sent(j)
+			}
+			e.queue = append(e.queue, j)
+		case Observed:
+			if s.rollout != nil {
+				s.rollout.observed(c)
+			}
 		case Refuse:
 			r := s.reqs[b][c.Request]
 			delete(s.reqs[b], c.Request)
@@ -265,6 +296,7 @@
 	if s.now.After(r.target) {
 		r.target = time.Time{} // late
 	}
+	j.began = s.now
 	e.running = append(e.running, j)
 	s.follow(j.b)
 }
@@ -284,6 +316,9 @@
 	default:
 		t.inTarget++
 	}
-	j.b.tell(Ended{Request: j.id, Result: Completed, Pace: 15 * time.Millisecond})
+	if s.rollout != nil {
+		s.rollout.answered(j)
+	}
+	j.b.tell(Ended{Request: j.id, Result: Completed, Pace: seconds(s.now.Sub(j.began).Seconds() / j.events)})
 	s.follow(j.b)
 }
--- /dev/null
+++ b/decision/passthrough/evidence.go
@@ -0,0 +1,89 @@
+package passthrough
+
+import "time"
+
+// Pair is the answers of the new and of the old version.
+type Pair struct {
+	New Counts `json:"new"`
+	Old Counts `json:"old"`
+}
+
+// Add counts one answer, as the new version's if it has the target.
+func (p Pair) Add(o Observed, target string) Pair {
+	if o.Version == target {
+		p.New = p.New.Add(o)
+	} else {
+		p.Old = p.Old.Add(o)
+	}
+	return p
+}
+
+// Plus sums two pairs.
+func (p Pair) Plus(o Pair) Pair {
+	return Pair{New: p.New.Plus(o.New), Old: p.Old.Plus(o.Old)}
+}
+
+// since is what came since an earlier pair.
+func (p Pair) since(o Pair) Pair {
+	return Pair{New: p.New.Since(o.New), Old: p.Old.Since(o.Old)}
+}
+
+// Total sums the routes' pairs.
+func Total(sums map[string]Pair) Pair {
+	var all Pair
+	for _, p := range sums {
+		all = all.Plus(p)
+	}
+	return all
+}
+
+// Evidence judges a roll-out by the sums of all instances, by route: since the order, and
+// lately, so that a version that turns bad late is not excused by its start.
+type Evidence struct {
+	// past are the sums at earlier looks, oldest first.
+	past []pastSums
+}
+
+// pastSums is what all instances had seen at a time, by route.
+type pastSums struct {
+	at   time.Time
+	sums map[string]Pair
+}
+
+// recent is how far back the counts reach that are judged beside the whole: long enough
+// for five bad answers of a canary, short beside a good first half of a roll-out.
+const recent = 5 * time.Second
+
+// Bad takes in the sums of now, which the caller must not change later, and says whether the
+// new version is bad, on some route or on all.
+func (e *Evidence) Bad(now time.Time, sums map[string]Pair) bool {
+	lately := e.lately(now, sums)
+	e.past = append(e.past, pastSums{now, sums})
+	return judgeRoutes(sums) || judgeRoutes(lately)
+}
+
+// lately is what came in the recent time.
+func (e *Evidence) lately(now time.Time, sums map[string]Pair) map[string]Pair {
+	for len(e.past) > 1 && now.Sub(e.past[1].at) >= recent {
+		e.past = e.past[1:]
+	}
+	out := map[string]Pair{}
+	if len(e.past) == 0 {
+		return out
+	}
+	for route, p := range sums {
+		out[route] = p.since(e.past[0].sums[route])
+	}
+	return out
+}
+
+// judgeRoutes says whether the new version is bad, on some route or on all.
+func judgeRoutes(sums map[string]Pair) bool {
+	for _, p := range sums {
+		if Judge(p.New, p.Old) {
+			return true
+		}
+	}
+	all := Total(sums)
+	return Judge(all.New, all.Old)
+}
--- a/decision/passthrough/pace.go
+++ b/decision/passthrough/pace.go
@@ -24,26 +24,28 @@
 
 // paceStats is the mean pace of a service's answers by model size.
 type paceStats struct {
-	by    map[int]*mean
-	logs  map[int]*mean
-	drain drainMeter
+	by     map[int]*mean
+	usuals map[int]*usualTimes
+	drain  drainMeter
 }
 
-// of is the mean pace in seconds of answers by a model size, log that of its logarithm.
-func (p *paceStats) of(size int) *mean { return meanOf(&p.by, size) }
+// of is the mean pace in seconds of answers by a model size, usual the logarithm of what is
+// usual of it, by load.
+func (p *paceStats) of(size int) *mean { return bySize(&p.by, size) }
 
-func (p *paceStats) log(size int) *mean { return meanOf(&p.logs, size) }
+func (p *paceStats) usual(size int) *usualTimes { return bySize(&p.usuals, size) }
 
-func meanOf(by *map[int]*mean, size int) *mean {
+// bySize is the map's row of a model size, made where there is none.
+func bySize[T any](by *map[int]*T, size int) *T {
 	if *by == nil {
-		*by = map[int]*mean{}
+		*by = map[int]*T{}
 	}
-	m := (*by)[size]
-	if m == nil {
-		m = &mean{}
-		(*by)[size] = m
+	row := (*by)[size]
+	if row == nil {
+		row = new(T)
+		(*by)[size] = row
 	}
-	return m
+	return row
 }
 
 // drainMeter measures how many requests a second leave this instance for a service: with a
--- a/decision/passthrough/rollout.go
+++ b/decision/passthrough/rollout.go
@@ -38,6 +38,9 @@
 	// requests go to the new version already.
 	CompleteAt time.Time
 	LeadMost   time.Duration
+	// Held says that the roll-out's time is over, and what was seen of the new version neither
+	// clears nor condemns it.
+	Held bool
 	// Opening says that the instances still tell each other which sessions are open; the
 	// new version gets none meanwhile.
 	Opening bool
@@ -84,12 +87,22 @@
 // one route only. Harm prevented: callers who get its answers until a person notices. Recent
 // counts are judged too, so that a version that turns bad late is not excused by its start.
 func Judge(fresh, old Counts) bool {
-	if byFirst.over(fresh.First) || byPace.over(fresh.Pace) {
+	if byFirst.over(fresh.First) || byPace.over(fresh.Pace) || slowMore(fresh.Pace, old.Pace) {
 		return true
 	}
 	return failsMore(fresh, old, judgeAfter)
 }
 
+// slowMore says whether more of the new version's answers than of the old one's are slow by
+// themselves, beyond what it is allowed.
+//
+// Load: a version that is slow in a part of its answers, under a burst. Harm prevented: its
+// mean alone lies near the limit, as the other part is quick at servers that have little to
+// do: one slow by six in 60 of 100 was completed at 1.7 times the usual pace.
+func slowMore(fresh, old Shift) bool {
+	return fresh.Slow >= judgeAfter && fresh.slowShare(newAdded) > badFloor+badFactor*old.slowShare(oldAdded)
+}
+
 // failsMore says whether the new version fails more than the old one may, by so many bad
 // answers at least.
 func failsMore(fresh, old Counts, least int) bool {
@@ -113,6 +126,10 @@
 	r.Opening = elapsed < min(openingMost, time.Duration(openingPart*float64(o.Duration)))
 	r.CompleteAt = now.Add(complete - elapsed)
 	r.LeadMost = lead(o, elapsed, limit, fresh, old)
+	doubted := byPace.doubts(fresh.Pace)
+	if doubted {
+		r.CompleteAt, r.LeadMost = time.Time{}, 0
+	}
 	switch {
 	case bad:
 		r.Phase, r.Share = PhaseReverted, 0
@@ -120,12 +137,26 @@
 		// Load: a version of which little was seen, as instances were killed or cut off.
 		// Harm prevented: one that failed two of seven answers completed all the same.
 		r.Phase, r.Share = PhaseReverted, 0
+	case doubted && fresh.suspects() >= suspectsMost:
+		r.Share, r.Held = 0, elapsed >= complete
+	case doubted && elapsed >= complete:
+		// Load: a version that looks slow under a burst in which little can be told. Harm
+		// prevented: old servers that are gone when it turns out to be slow. It may come late.
+		r.Held = true
 	case elapsed >= complete:
 		r.Phase, r.Share = PhaseCompleted, 1
 	}
 	return r
 }
 
+// suspectsMost is how many answers that failed or were slow a version in doubt may give before
+// it gets no more: the platform bears 50 of a bad version, and what all instances saw is known
+// some ten answers late.
+const suspectsMost = 40
+
+// suspects is the number of answers that a bad version would have given.
+func (c Counts) suspects() int { return c.Bad + c.Pace.Slow }
+
 // lead is how long before the end all requests may go to the new version, so that it gets
 // no more than the limit allows up to the deadline.
 func lead(o Order, elapsed time.Duration, limit Exposure, fresh, old Counts) time.Duration {
--- /dev/null
+++ b/decision/passthrough/rollout_load_test.go
@@ -0,0 +1,183 @@
+package passthrough
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// simRollout is a roll-out that the sim plays beside its load. The instances' counts are
+// pooled with the lag that they have in operation.
+type simRollout struct {
+	sim   *sim
+	order Order
+	start time.Time
+	// share of the new version's answers take by times as long; none where by is 0.
+	share, by float64
+
+	pooled   []simObserved
+	judge    Evidence
+	sums     map[string]Pair
+	lookedAt time.Time
+	end      Phase
+	endedAt  time.Time
+	// bad are the ends of slow answers of the new version, late the requests that it got
+	// longer than the bound after the 50th.
+	bad  []time.Time
+	late int
+	got  int
+}
+
+// simObserved is an observation on its way to the other instances.
+type simObserved struct {
+	at time.Time
+	o  Observed
+}
+
+const (
+	// simLag is how long after an answer all instances count it: a write and a read.
+	simLag = 2 * time.Second
+	// simBound is how long after its 50th bad answer a bad version may get requests.
+	simBound = 5 * time.Second
+	simFatal = 50
+)
+
+// startRollout adds the new version's engines and orders the roll-out.
+func (s *sim) startRollout(ro *simRollout) {
+	list := servers("llm", simEngines, simSlots)
+	for i := range simEngines {
+		fresh := list[i]
+		fresh.ID, fresh.Version = fmt.Sprint("new-", i), "v2"
+		s.engines[fresh.ID] = &simEngine{}
+		list = append(list, fresh)
+	}
+	for _, b := range s.benches {
+		b.tell(Listed{list})
+	}
+	ro.sim, ro.start, ro.sums = s, s.now, map[string]Pair{}
+	ro.order = Order{Service: "llm", Target: "v2", Duration: 20 * time.Second}
+	s.rollout = ro
+}
+
+// sent notes a dispatch, and draws whether the engine is slow with it.
+func (ro *simRollout) sent(j *simJob) {
+	if j.version != ro.order.Target {
+		return
+	}
+	ro.got++
+	if len(ro.bad) >= simFatal && ro.sim.now.Sub(ro.bad[simFatal-1]) > simBound {
+		ro.late++
+	}
+	if ro.by > 0 && ro.sim.rng.Float64() < ro.share {
+		j.slow = true
+		j.left *= ro.by
+		j.need *= ro.by
+	}
+}
+
+func (ro *simRollout) answered(j *simJob) {
+	if j.slow {
+		ro.bad = append(ro.bad, ro.sim.now)
+	}
+}
+
+func (ro *simRollout) observed(o Observed) {
+	ro.pooled = append(ro.pooled, simObserved{ro.sim.now, o})
+}
+
+// step plans anew, as each instance does.
+func (ro *simRollout) step() {
+	const every = 400 * time.Millisecond
+	now := ro.sim.now
+	if ro.end != 0 || now.Sub(ro.lookedAt) < every {
+		return
+	}
+	ro.lookedAt = now
+	for len(ro.pooled) > 0 && now.Sub(ro.pooled[0].at) >= simLag {
+		o := ro.pooled[0].o
+		ro.pooled = ro.pooled[1:]
+		ro.sums[o.Route] = ro.sums[o.Route].Add(o, ro.order.Target)
+	}
+	sums := map[string]Pair{}
+	for route, p := range ro.sums {
+		sums[route] = p
+	}
+	bad := ro.judge.Bad(now, sums)
+	all := Total(sums)
+	limit := Exposure{Share: 0.15, Tolerance: 30}
+	plan := Plan(ro.order, now, now.Sub(ro.start), limit, all.New, all.Old, bad)
+	if plan.Phase.Ended() {
+		ro.end, ro.endedAt = plan.Phase, now
+	}
+	for _, b := range ro.sim.benches {
+		b.tell(RolloutSet{plan})
+	}
+}
+
+// playRollout plays a roll-out of 20 s under so many times the load that the engines bear,
+// which begins a second before the order and lasts for 14 s.
+func playRollout(t *testing.T, seed uint64, load, share, by float64) *simRollout {
+	s := newSim(t, 3, []simCallers{{team: "a", rate: simCalm}})
+	s.seed(seed)
+	ro := &simRollout{share: share, by: by}
+	s.play(3*time.Second, 0.5)
+	s.play(time.Second, load)
+	s.startRollout(ro)
+	s.play(13*time.Second, load)
+	s.play(14*time.Second, 0.5)
+	return ro
+}
+
+// TestSlowVersionIsFoundUnderOverload plays slow versions under loads at which the old one
+// is slow itself. A bad version must not be completed, nor get requests later than the bound
+// after its 50th bad answer.
+func TestSlowVersionIsFoundUnderOverload(t *testing.T) {
+	for _, load := range simLoads {
+		for _, kind := range []struct{ share, by float64 }{{0.4, 8}, {0.6, 6}, {0.9, 4}, {0.5, 5}} {
+			completed, late, open := 0, 0, 0
+			const seeds = 2
+			for seed := range uint64(seeds) {
+				ro := playRollout(t, seed, load, kind.share, kind.by)
+				late += ro.late
+				switch ro.end {
+				case PhaseCompleted:
+					completed++
+				case 0:
+					open++
+				}
+			}
+			t.Logf("load %.1f, %.0f in 100 slow by %.0f: %d of %d completed, %d open, %d requests too late",
+				load, 100*kind.share, kind.by, completed, seeds, open, late)
+			if completed > 0 || late > 0 {
+				t.Errorf("load %.1f, %.0f in 100 slow by %.0f: %d completed, %d requests too late", load, 100*kind.share, kind.by, completed, late)
+			}
+		}
+	}
+}
+
+// TestGoodVersionOutlastsABurst plays good versions under the same loads: none may be taken
+// back, and all are completed once the load is usual again.
+func TestGoodVersionOutlastsABurst(t *testing.T) {
+	for _, load := range simLoads {
+		const seeds = 3
+		reverted, open, late := 0, 0, 0
+		for seed := range uint64(seeds) {
+			ro := playRollout(t, seed, load, 0, 0)
+			switch {
+			case ro.end == PhaseReverted:
+				reverted++
+			case ro.end == 0:
+				open++
+			case ro.endedAt.Sub(ro.start) > ro.order.Duration:
+				late++
+			}
+		}
+		t.Logf("load %.1f: %d of %d taken back, %d open, %d completed late", load, reverted, seeds, open, late)
+		if reverted > 0 || open > 0 {
+			t.Errorf("load %.1f: %d of %d good versions taken back, %d open", load, reverted, seeds, open)
+		}
+	}
+}
+
+// simLoads are what is asked for during a roll-out, as multiples of what the engines bear.
+var simLoads = []float64{0.5, 1.5, 3, 6}
--- a/decision/passthrough/rollout_test.go
+++ b/decision/passthrough/rollout_test.go
@@ -462,3 +462,48 @@
 		}
 	}
 }
+
+// TestVersionInDoubtIsHeld holds that a version which looks slow, but not beyond chance, is
+// neither completed nor taken back at the end, and gets nothing more once it may have given all
+// the bad answers that are borne.
+func TestVersionInDoubtIsHeld(t *testing.T) {
+	order, limit := Order{Duration: 20 * time.Second}, Exposure{Share: 0.1, Tolerance: 30}
+	old := Counts{Good: 4000}
+	// The paces are e^0.55 = 1.7 times the usual in the mean, and spread.
+	doubtful := func(n int) Counts {
+		var c Counts
+		for i := range n {
+			x := 0.05
+			if i%2 == 0 {
+				x = 1.05
+			}
+			c.Good++
+			c.Pace.add(x)
+		}
+		return c
+	}
+	cases := []struct {
+		name  string
+		fresh Counts
+		at    time.Duration
+		held  bool
+		share bool
+		phase Phase
+	}{
+		{"at the end", doubtful(30), order.Duration, true, true, PhaseCanary},
+		{"long after it", doubtful(30), 3 * order.Duration, true, true, PhaseCanary},
+		{"before the end", doubtful(30), order.Duration / 2, false, true, PhaseCanary},
+		{"with all borne", doubtful(90), order.Duration / 2, false, false, PhaseCanary},
+		{"with all borne, at the end", doubtful(90), order.Duration, true, false, PhaseCanary},
+		{"nothing seen of its pace", Counts{Good: 30}, order.Duration, false, true, PhaseCompleted},
+	}
+	for _, c := range cases {
+		got := Plan(order, testStart, c.at, limit, c.fresh, old, false)
+		if got.Phase != c.phase || got.Held != c.held || (got.Share > 0) != c.share {
+			t.Errorf("%s: %+v", c.name, got)
+		}
+		if c.phase == PhaseCanary && !got.CompleteAt.IsZero() {
+			t.Errorf("%s: requests lead over to a version in doubt", c.name)
+		}
+	}
+}
--- a/decision/passthrough/verdict.go
+++ b/decision/passthrough/verdict.go
@@ -12,18 +12,28 @@
 	N       int     `json:"n"`
 	Sum     float64 `json:"sum"`
 	Squares float64 `json:"squares"`
+	// Slow counts those that took over slowFrom times as long.
+	Slow int `json:"slow"`
 }
 
+// slowFrom is how many times as long as usual an answer takes that counts as slow by itself:
+// past the spread of paces at like load, a fortieth of which are, and below the four to eight
+// times of versions that are slow in a part of their answers.
+const slowFrom = 2.5
+
 // add takes in one logarithm of a ratio.
 func (s *Shift) add(x float64) {
 	s.N++
 	s.Sum += x
 	s.Squares += x * x
+	if x > math.Log(slowFrom) {
+		s.Slow++
+	}
 }
 
 // plus sums two shifts.
 func (s Shift) plus(o Shift) Shift {
-	return Shift{N: s.N + o.N, Sum: s.Sum + o.Sum, Squares: s.Squares + o.Squares}
+	return Shift{N: s.N + o.N, Sum: s.Sum + o.Sum, Squares: s.Squares + o.Squares, Slow: s.Slow + o.Slow}
 }
 
 // since is what came since an earlier sum, or nothing where that is not a part of it.
@@ -31,7 +41,13 @@
 	if s.N < o.N {
 		return Shift{}
 	}
-	return Shift{N: s.N - o.N, Sum: s.Sum - o.Sum, Squares: s.Squares - o.Squares}
+	return Shift{N: s.N - o.N, Sum: s.Sum - o.Sum, Squares: s.Squares - o.Squares, Slow: s.Slow - o.Slow}
+}
+
+// slowShare is the part of slow answers, with so many answers added, half a one of them slow,
+// that a few say little.
+func (s Shift) slowShare(added float64) float64 {
+	return (float64(s.Slow) + 0.5) / (float64(s.N) + added)
 }
 
 // measure is how a kind of times is judged.
@@ -63,10 +79,26 @@
 	if s.N < m.answers {
 		return false
 	}
+	mean, err := m.mean(s)
+	return mean-shiftSpread*err > math.Log(m.limit)
+}
+
+// doubts says whether the mean ratio may well be above the limit. A few answers of a good
+// version are off by more than one standard error in one roll-out of six, but seldom so far.
+func (m measure) doubts(s Shift) bool {
+	if s.N < m.answers {
+		return false
+	}
+	mean, err := m.mean(s)
+	return mean+err > math.Log(m.limit)
+}
+
+// mean is the mean logarithm of the ratios, with its standard error.
+func (m measure) mean(s Shift) (mean, err float64) {
 	n := float64(s.N)
-	mean := s.Sum / n
+	mean = s.Sum / n
 	variance := max(s.Squares/n-mean*mean, 0) + m.variance
-	return mean-shiftSpread*math.Sqrt(variance/n) > math.Log(m.limit)
+	return mean, math.Sqrt(variance / n)
 }
 
 // onTrial says whether the server has the version that is being rolled out.
@@ -75,22 +107,26 @@
 	return ro != nil && !ro.Phase.Ended() && s.Version == ro.Target
 }
 
-// tell tells of an attempt's end, while a roll-out is in progress.
+// tell takes in the times of an attempt that has ended, and tells of them while a roll-out is
+// in progress.
 func (w *World) tell(r *request, s *server, e Ended) {
-	ro := w.rollouts[r.service.name]
-	if ro == nil || ro.Phase.Ended() {
-		return
-	}
 	o := Observed{Service: r.service.name, Route: r.Route.Name, Version: s.Version, Bad: e.Result == Failed || e.Cut}
-	first := r.first
+	first, at := r.first, r.level
 	if first == 0 {
-		first = w.now.Sub(r.sent) // it would have been later still
+		first, at = w.now.Sub(r.sent), levelOf(s.told) // it would have been later still
 	}
-	o.First = w.compare(s, w.firstOf(r), first)
+	o.First = w.compare(s, w.firstOf(r), at, first)
 	if !r.paced {
-		o.Pace = w.compare(s, r.service.pace.log(r.size), e.Pace)
+		o.Pace = w.compare(s, r.service.pace.usual(r.size), at, e.Pace)
+	}
+	w.observe(o)
+}
+
+// observe tells of an answer while a roll-out of its service is in progress.
+func (w *World) observe(o Observed) {
+	if ro := w.rollouts[o.Service]; ro != nil && !ro.Phase.Ended() {
+		w.emit(o)
 	}
-	w.emit(o)
 }
 
 // paced tells of a stream's pace by its first events, while a roll-out is in progress.
@@ -102,32 +138,24 @@
 	if r == nil || r.server == nil {
 		return
 	}
-	ro := w.rollouts[r.service.name]
-	if ro == nil || ro.Phase.Ended() {
-		return
-	}
 	r.paced = true
-	w.emit(Observed{Service: r.service.name, Route: r.Route.Name, Version: r.server.Version, Early: true,
-		Pace: w.compare(r.server, r.service.pace.log(r.size), e.Pace)})
+	w.observe(Observed{Service: r.service.name, Route: r.Route.Name, Version: r.server.Version, Early: true,
+		Pace: w.compare(r.server, r.service.pace.usual(r.size), r.level, e.Pace)})
 }
 
-// usualAnswers is how many answers of the old version make a usual time.
-const usualAnswers = 4
-
-// compare sets an answer's time beside the usual one: it becomes a part of that, if the
-// server has the old version, and gives a shift, if it has the new one.
-func (w *World) compare(s *server, usual *mean, took time.Duration) Shift {
+// compare sets an answer's time beside what is usual of the old version at like load, and
+// takes it into that if the server has the old version.
+func (w *World) compare(s *server, usual *usualTimes, at level, took time.Duration) Shift {
 	var out Shift
 	if took <= 0 {
 		return out
 	}
 	x := math.Log(took.Seconds())
-	if !w.onTrial(s) {
-		usual.add(x)
-		return out
+	if usually, ok := usual.at(at); ok {
+		out.add(x - usually)
 	}
-	if usual.n >= usualAnswers {
-		out.add(x - usual.value)
+	if !w.onTrial(s) && !w.barred[versionKey{s.Service, s.Version}] {
+		usual.add(at, x)
 	}
 	return out
 }
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -120,6 +120,8 @@
 	place   *waiter
 	// first is the time to the current answer's first byte.
 	first time.Duration
+	// level is its server's load when the current answer began.
+	level level
 	// paced says that the current answer's pace was told.
 	paced bool
 	// reading says that its prompt counts in its server's backlog, with work seconds; alone
--- a/router/internal/passthrough/board.go
+++ b/router/internal/passthrough/board.go
@@ -72,13 +72,7 @@
 	if s == nil {
 		return
 	}
-	p := s.Routes[o.Route]
-	if o.Version == s.Target {
-		p.New = p.New.Add(o)
-	} else {
-		p.Old = p.Old.Add(o)
-	}
-	s.Routes[o.Route] = p
+	s.Routes[o.Route] = s.Routes[o.Route].Add(o, s.Target)
 	s.dirty = s.dirty || o.Version == s.Target
 }
 
--- a/router/internal/passthrough/rollouts.go
+++ b/router/internal/passthrough/rollouts.go
@@ -49,6 +49,10 @@
 	told  passthrough.Phase
 	// badSince is when this instance found the version bad, zero while it does not.
 	badSince time.Time
+	// held says that the roll-out's time was over while its version was in doubt, finishAt when it
+	// ends since it was cleared.
+	held     bool
+	finishAt time.Time
 	// announced says that the register holds that the roll-out is in progress.
 	announced bool
 }
@@ -138,6 +142,7 @@
 	if plan.Opening {
 		m.board.open(r.Service, m.driver.openSessions(r.Service, r.Target, plan.Share))
 	}
+	plan = r.late(plan, now)
 	if plan.Phase == passthrough.PhaseCompleted && (!m.mayComplete(r) || m.board.blind() && !seen.clean()) {
 		plan.Phase = passthrough.PhaseCanary
 	}
@@ -152,6 +157,28 @@
 	m.adopt(r, plan, seen)
 }
 
+// lateLead is how long the new version gets all new work before a roll-out that was held ends:
+// the old servers stop at once then, with the streams of some seconds that run there.
+const lateLead = 5 * time.Second
+
+// late lets a roll-out that was held end as it would have in time: the new version gets all new
+// work first.
+func (r *rollout) late(plan passthrough.Rollout, now time.Time) passthrough.Rollout {
+	if plan.Held {
+		r.held, r.finishAt = true, time.Time{}
+	}
+	if !r.held || plan.Phase != passthrough.PhaseCompleted {
+		return plan
+	}
+	if r.finishAt.IsZero() {
+		r.finishAt = now.Add(lateLead)
+	}
+	if now.Before(r.finishAt) {
+		plan.Phase, plan.CompleteAt, plan.LeadMost = passthrough.PhaseCanary, r.finishAt, lateLead
+	}
+	return plan
+}
+
 // revertAnyway is how long an instance that leaves the register to others waits for them to
 // take a bad version back: they look every 0.4 s, and learn what it saw within a second.
 const revertAnyway = 2 * time.Second
--- a/router/internal/passthrough/rollouts_test.go
+++ b/router/internal/passthrough/rollouts_test.go
@@ -452,3 +452,41 @@
 		t.Errorf("ended as %v once all can be told", r.ended)
 	}
 }
+
+// TestHeldRolloutEndsOnceItsVersionIsCleared holds a version in doubt past its time, and has it
+// get all new work for a while before the old servers are stopped.
+func TestHeldRolloutEndsOnceItsVersionIsCleared(t *testing.T) {
+	clock, status := newFakeClock(), &fakeLog{}
+	p := newParts("a", clock, status, &fakeLog{})
+	p.listServers()
+	p.rollouts.ordered(testOrder, 1)
+	p.rollouts.known = true // as after a read of the status topic
+	r := p.rollouts.open["shop"]
+	paced := func(count int, x float64) {
+		for range count {
+			s := passthrough.Shift{N: 1, Sum: x, Squares: x * x}
+			p.board.observed(passthrough.Observed{Service: "shop", Route: "r", Version: "v2", Pace: s})
+		}
+	}
+	look := func() passthrough.Phase {
+		p.board.sound(clock.Now())
+		p.rollouts.advance(t.Context(), r)
+		return r.ended
+	}
+	look()
+	paced(15, 0.05)
+	paced(15, 1.05)
+	clock.pass(19500 * time.Millisecond)
+	if got := look(); got != 0 || !r.plan.Held {
+		t.Fatalf("in doubt: ended %v, plan %+v", got, r.plan)
+	}
+	paced(60, 0)
+	clock.pass(6 * time.Second)
+	if got := look(); got != 0 || r.plan.CompleteAt.IsZero() || r.plan.Held {
+		t.Fatalf("cleared: ended %v, plan %+v", got, r.plan)
+	}
+	clock.pass(lateLead)
+	if got := look(); got != passthrough.PhaseCompleted {
+		t.Errorf("at last: ended %v", got)
+	}
+}
--- a/router/internal/passthrough/sheet.go
+++ b/router/internal/passthrough/sheet.go
@@ -19,7 +19,7 @@
 	// ElapsedMS is the time since the order, as the instance knew it when it wrote.
 	ElapsedMS int64 `json:"elapsed_ms"`
 	// Routes are the counts by route.
-	Routes map[string]pair `json:"routes"`
+	Routes map[string]passthrough.Pair `json:"routes"`
 	// Sessions are those that were open at the old version when the order came, in the
 	// canary's share.
 	Sessions []string `json:"sessions,omitempty"`
@@ -29,8 +29,8 @@
 
 	readAt time.Time
 	dirty  bool
-	// past are the sums of all instances at earlier views, oldest first.
-	past []past
+	// evidence judges the sums of all instances.
+	evidence passthrough.Evidence
 }
 
 // key is the sheet's key in the store.
@@ -38,22 +38,6 @@
 	return fmt.Sprintf("%s/%s/%d/%s/%x", s.Service, s.Target, s.Order, s.Instance, s.Life)
 }
 
-// past is what all instances had seen at a time, by route.
-type past struct {
-	at   time.Time
-	sums map[string]pair
-}
-
-// recent is how far back the counts reach that are judged beside the whole: long enough
-// for five bad answers of a canary, short beside a good first half of a roll-out.
-const recent = 5 * time.Second
-
-// pair is the answers of the new and of the old version.
-type pair struct {
-	New passthrough.Counts `json:"new"`
-	Old passthrough.Counts `json:"old"`
-}
-
 // view is what all instances saw of one roll-out.
 type view struct {
 	elapsed    time.Duration
@@ -79,16 +63,15 @@
 	defer b.mu.Unlock()
 	own := b.own[r.Service]
 	if own == nil || own.Order != r.offset || own.Target != r.Target {
-		own = &sheet{Instance: b.instance, Life: b.life, Service: r.Service, Target: r.Target, Order: r.offset, Routes: map[string]pair{}, dirty: true}
+		own = &sheet{Instance: b.instance, Life: b.life, Service: r.Service, Target: r.Target, Order: r.offset, Routes: map[string]passthrough.Pair{}, dirty: true}
 		b.own[r.Service] = own
 		b.nudge()
 	}
 	out := view{elapsed: now.Sub(r.since)}
-	sums := map[string]pair{}
+	sums := map[string]passthrough.Pair{}
 	add := func(s *sheet) {
 		for route, p := range s.Routes {
-			sum := sums[route]
-			sums[route] = pair{New: sum.New.Plus(p.New), Old: sum.Old.Plus(p.Old)}
+			sums[route] = sums[route].Plus(p)
 		}
 	}
 	add(own)
@@ -99,38 +82,9 @@
 		add(&s)
 		out.elapsed = max(out.elapsed, time.Duration(s.ElapsedMS)*time.Millisecond+now.Sub(s.readAt))
 	}
-	for _, p := range sums {
-		out.fresh, out.old = out.fresh.Plus(p.New), out.old.Plus(p.Old)
-	}
-	out.bad = judge(sums) || judge(own.lately(now, sums))
+	all := passthrough.Total(sums)
+	out.fresh, out.old = all.New, all.Old
+	out.bad = own.evidence.Bad(now, sums)
 	own.ElapsedMS = out.elapsed.Milliseconds()
 	return out
 }
-
-// judge says whether the new version is bad, on some route or on all.
-func judge(sums map[string]pair) bool {
-	var all pair
-	for _, p := range sums {
-		if passthrough.Judge(p.New, p.Old) {
-			return true
-		}
-		all = pair{New: all.New.Plus(p.New), Old: all.Old.Plus(p.Old)}
-	}
-	return passthrough.Judge(all.New, all.Old)
-}
-
-// lately is what came in the recent time, and notes the sums for later.
-func (s *sheet) lately(now time.Time, sums map[string]pair) map[string]pair {
-	for len(s.past) > 1 && now.Sub(s.past[1].at) >= recent {
-		s.past = s.past[1:]
-	}
-	out := map[string]pair{}
-	if len(s.past) > 0 {
-		for route, p := range sums {
-			before := s.past[0].sums[route]
-			out[route] = pair{New: p.New.Since(before.New), Old: p.Old.Since(before.Old)}
-		}
-	}
-	s.past = append(s.past, past{now, sums})
-	return out
-}
