Instances find their own failure domain; sheets of roll-outs are small and spread

Cause: when 295 instances start at once, each reads the list of all instances (70 kB, 20 MB for all, a quarter of a second of the store's reads). Half of them gave up after 0.1 s, knew no collector, read all five topics by themselves, and were ready after up to 1.5 s. In a roll-out all wrote their sheets at the same moments, 0.4 MB that 58 followers read from one collector: what must be fresh waited behind, and hundreds of instances turned to the store.

- A list of instances for each failure domain; collectors count the others, and tell their followers the sum.
Until then the other domains are thought to be as large.
- At the first start the strong go first, and the small ones are enlisted by them, in one call.
- A sheet's rows are whole numbers in a fixed order, 0.5 kB instead of 1.5, and quiet sheets are spread over the time and fewer with more instances.

--- a/decision/passthrough/seam/settings.go
+++ b/decision/passthrough/seam/settings.go
@@ -10,6 +10,8 @@
 	FirstStart bool
 	// Zone is its failure domain.
 	Zone string
+	// Zones are all failure domains.
+	Zones []string
 	// Frontend and Readiness are the addresses to listen on.
 	Frontend  string
 	Readiness string
--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"syscall"
@@ -15,6 +16,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/fx"
 
+	"masticplank.example/coordination/keyedlog"
 	"masticplank.example/decision/passthrough"
 	"masticplank.example/decision/passthrough/seam"
 	"masticplank.example/router/internal/logging"
@@ -104,7 +106,8 @@
 
 func provideBoard(cfg seam.Settings, sh *sharing, d *Driver, j *journal, c Clock) *board {
 	b := newBoard(cfg.Instance, sh.observations, d, j, c)
-	b.held = sh.take
+	b.held = func() []keyedlog.Record { return sh.take(topicObservations) }
+	b.fleet = sh.members.Count
 	sh.wake = b.nudge
 	sh.counted = func(n int) { d.Tell(passthrough.Fleet{Instances: n}) }
 	d.observe, d.crash = b.observed, b.crashed
@@ -157,7 +160,7 @@
 		OnStart: func(context.Context) error {
 			tails := []func(context.Context){
 				op.tail(sh.operator, c).run, l.tail(sh.servers, c).run,
-				b.tail(c, m.active).run, m.tail(sh.status).run, sh.tail(ctx).run, b.run, m.run,
+				b.tail(c, m.active).run, m.tail(sh.status).run, sh.tail(ctx).run, sh.census, b.run, m.run,
 			}
 			go startTogether(ctx, sh, cfg.FirstStart, tails)
 			return sh.listen(ctx)
@@ -190,7 +193,7 @@
 			j.emit(logging.EventSettingsFaults, slog.String(logging.KeyError, err.Error()))
 			return
 		}
-		if now == cfg {
+		if reflect.DeepEqual(now, cfg) {
 			return
 		}
 		cfg = now
--- a/router/internal/passthrough/board.go
+++ b/router/internal/passthrough/board.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -25,6 +26,8 @@
 	journal *journal
 	clock   Clock
 
+	// fleet is the number of instances that share the topic.
+	fleet func() int
 	// held gives the records of other instances that are to be written with the own.
 	held func() []keyedlog.Record
 
@@ -34,7 +37,8 @@
 	others map[string]sheet
 	crash  map[uint64]int
 	wake   chan struct{}
-	sentAt time.Time
+	// quietAt is when the sheet is written next though only good answers are to be told.
+	quietAt time.Time
 	// readAt is the last time that the others' sheets were read, soundSince the end of the
 	// last outage in which they were not.
 	readAt     time.Time
@@ -47,8 +51,14 @@
 	// boardEvery is the time between two writes of the own sheet while a roll-out is in
 	// progress and its counts of bad answers change.
 	boardEvery = 1100 * time.Millisecond
-	// quietEvery is the same while only good answers are to be told.
-	quietEvery = 6 * time.Second
+	// quietEvery is the same while only good answers of the old version are to be told, and
+	// quietPerInstance what it is at least for each instance: each reads what all write, and 25
+	// sheets a second tell the number of answers well enough.
+	quietEvery       = 6 * time.Second
+	quietPerInstance = 40 * time.Millisecond
+	// gatherTime is how long a write waits for more, so that what comes at once goes out in one
+	// call.
+	gatherTime = 150 * time.Millisecond
 	// boardWait is how long a read waits for a record while no roll-out is in progress.
 	boardWait = 8 * time.Second
 	// noteLife is how long a note on a crash, or a sheet of a roll-out that has ended, stays in
@@ -60,7 +70,7 @@
 	return &board{
 		instance: instance, life: uint64(clock.Now().UnixNano()), log: log, driver: driver, journal: j, clock: clock,
 		own: map[string]*sheet{}, others: map[string]sheet{}, crash: map[uint64]int{}, drops: map[string]time.Time{},
-		wake: make(chan struct{}, 1), held: func() []keyedlog.Record { return nil },
+		wake: make(chan struct{}, 1), fleet: func() int { return 1 }, held: func() []keyedlog.Record { return nil },
 	}
 }
 
@@ -72,7 +82,7 @@
 	if s == nil {
 		return
 	}
-	s.Routes[o.Route] = s.Routes[o.Route].Add(o, s.Target)
+	s.Routes[o.Route] = sheetRow(passthrough.Pair(s.Routes[o.Route]).Add(o, s.Target))
 	s.dirty = s.dirty || o.Version == s.Target
 }
 
@@ -115,9 +125,7 @@
 			wait = boardEvery
 		}
 		sleep(ctx, wait, b.wake)
-		// What comes at once goes out in one call.
-		const gather = 150 * time.Millisecond
-		sleep(ctx, gather, nil)
+		sleep(ctx, gatherTime, nil)
 	}
 }
 
@@ -134,11 +142,11 @@
 	defer b.mu.Unlock()
 	var out []keyedlog.Record
 	now := b.clock.Now()
-	quiet := now.Sub(b.sentAt) >= quietEvery
+	quiet := !now.Before(b.quietAt)
 	for _, s := range b.own {
 		if s.dirty || quiet {
 			s.dirty = false
-			b.sentAt = now
+			b.quietAt = now.Add(b.quietSpan())
 			out = append(out, b.encode(s.key(), s))
 		}
 	}
@@ -152,6 +160,14 @@
 	return out
 }
 
+// quietSpan is the time to the next sheet without news. It differs from instance to instance:
+// all learn of an order at the same moment, and 295 sheets at once held up what must be fresh
+// behind them, so that hundreds of instances turned to the store.
+func (b *board) quietSpan() time.Duration {
+	span := max(quietEvery, time.Duration(b.fleet())*quietPerInstance)
+	return span/2 + rand.N(span)
+}
+
 // redo marks the sheets as not written.
 func (b *board) redo() {
 	b.mu.Lock()
--- /dev/null
+++ b/router/internal/passthrough/pooling_test.go
@@ -0,0 +1,149 @@
+package passthrough
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"masticplank.example/coordination/keyedlog"
+	"masticplank.example/decision/passthrough"
+)
+
+// pooled is an instance that tells what it sees by its failure domain's collector.
+type pooled struct {
+	*parts
+	collector *pooled
+	held      []keyedlog.Record
+	next      uint64
+	writeAt   time.Time
+	readAt    time.Time
+}
+
+// poolFleet is 295 instances in five failure domains. The first of each reads the store, or the
+// second where the first is turned away.
+type poolFleet struct {
+	t       *testing.T
+	clock   *fakeClock
+	log     *fakeLog
+	all     []*pooled
+	readers []*pooled
+}
+
+func newPoolFleet(t *testing.T, away func(domain int) bool) *poolFleet {
+	const domains, perDomain = 5, 59
+	f := &poolFleet{t: t, clock: newFakeClock(), log: &fakeLog{}}
+	for d := range domains {
+		var list []*pooled
+		for i := range perDomain {
+			p := &pooled{parts: newParts(fmt.Sprint("d", d, "i", i), f.clock, &fakeLog{}, f.log)}
+			p.listServers()
+			p.board.fleet = func() int { return domains * perDomain }
+			p.rollouts.known = true
+			p.rollouts.ordered(passthrough.Order{Service: "shop", Target: "v2", Duration: time.Minute}, 1)
+			p.rollouts.advance(t.Context(), p.rollouts.open["shop"])
+			phase := time.Duration((d*perDomain+i)*37%1100) * time.Millisecond
+			p.writeAt, p.readAt = f.clock.Now().Add(phase), f.clock.Now().Add(phase)
+			list = append(list, p)
+		}
+		reader := list[0]
+		if away(d) {
+			reader = list[1]
+		}
+		for _, p := range list {
+			p.collector = reader
+		}
+		f.readers = append(f.readers, reader)
+		f.all = append(f.all, list...)
+	}
+	return f
+}
+
+// step plays what the loops of all instances do at this moment.
+func (f *poolFleet) step(d time.Duration) {
+	f.clock.pass(d)
+	now := f.clock.Now()
+	for _, p := range f.all {
+		if now.Before(p.writeAt) {
+			continue
+		}
+		p.writeAt = now.Add(boardEvery + gatherTime)
+		records := p.board.due()
+		if p != p.collector {
+			if len(records) > 0 {
+				p.collector.held = append(p.collector.held, records...)
+				p.collector.writeAt = minTime(p.collector.writeAt, now.Add(gatherTime))
+			}
+			continue
+		}
+		if err := f.log.Append(f.t.Context(), keyedlog.Anywhere, append(records, p.held...)...); err != nil {
+			f.t.Fatal(err)
+		}
+		p.held = nil
+	}
+	for _, p := range f.readers {
+		if now.Before(p.readAt) {
+			continue
+		}
+		p.readAt = now.Add(boardEvery)
+		batch, err := f.log.Read(f.t.Context(), p.next, 0)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		for _, r := range batch.Records {
+			p.board.take(r)
+		}
+		p.next = batch.Next
+	}
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// TestPooledCountsOf300InstancesAreSoonKnown holds how old the pooled counts get at those that
+// judge: a bad version must be out within 5 s of its 50th bad answer, of which the look at the
+// counts, the write of the end and its way to all take one.
+func TestPooledCountsOf300InstancesAreSoonKnown(t *testing.T) {
+	const oldest = 4 * time.Second
+	for name, away := range map[string]func(int) bool{
+		"all served":              func(int) bool { return false },
+		"two readers turned away": func(domain int) bool { return domain < 2 },
+	} {
+		f := newPoolFleet(t, away)
+		for range 60 {
+			f.step(50 * time.Millisecond)
+		}
+		worst := time.Duration(0)
+		seen := 0
+		for round := range 20 {
+			p := f.all[(round*67+3)%len(f.all)]
+			p.see("v2", true, 1)
+			seen++
+			began := f.clock.Now()
+			for !f.known(seen) {
+				f.step(50 * time.Millisecond)
+				if f.clock.Now().Sub(began) > time.Minute {
+					t.Fatalf("%s: an answer seen at %s is never known", name, p.board.instance)
+				}
+			}
+			worst = max(worst, f.clock.Now().Sub(began))
+		}
+		t.Logf("%s: a bad answer is known to all that judge after %v at most", name, worst)
+		if worst > oldest {
+			t.Errorf("%s: a bad answer is known after %v, want %v at most", name, worst, oldest)
+		}
+	}
+}
+
+// known says whether all readers count so many bad answers.
+func (f *poolFleet) known(count int) bool {
+	for _, p := range f.readers {
+		if p.board.view(p.rollouts.open["shop"], f.clock.Now()).fresh.Bad < count {
+			return false
+		}
+	}
+	return true
+}
--- a/router/internal/passthrough/ports.go
+++ b/router/internal/passthrough/ports.go
@@ -42,8 +42,8 @@
 	Status() keyedlog.Log
 	// Observations is what instances tell each other.
 	Observations() keyedlog.Log
-	// Instances is where they find each other.
-	Instances() keyedlog.Log
+	// Instances is where those of a failure domain find each other.
+	Instances(domain string) keyedlog.Log
 }
 
 // Clock tells the time since some fixed moment. It must go on while the machine is
--- a/router/internal/passthrough/sharing.go
+++ b/router/internal/passthrough/sharing.go
@@ -32,11 +32,14 @@
 	instances    *relay.Log
 
 	mu sync.Mutex
-	// held are records that followers gave, to be written with the own.
-	held []keyedlog.Record
+	// held are records that followers gave, by topic, to be written with the own.
+	held map[string][]keyedlog.Record
 	wake func()
-	// counted is told how many instances there are.
+	// counted is told how many instances there are, told what it was told last.
 	counted func(int)
+	told    atomic.Int64
+	// elsewhere are the other failure domains.
+	elsewhere []string
 	// listed says that the store has this instance as it is now, enlisted when it was last
 	// told.
 	listed   atomic.Bool
@@ -67,9 +70,14 @@
 func newSharing(cfg seam.Settings, store Store, records Records, j *journal, clock Clock) *sharing {
 	s := &sharing{
 		self:  relay.Member{Name: cfg.Instance, Domain: cfg.Zone, Address: cfg.Peers, Cores: cfg.Cores},
-		store: store, journal: j, clock: clock, wake: func() {}, counted: func(int) {},
+		store: store, journal: j, clock: clock, held: map[string][]keyedlog.Record{}, wake: func() {}, counted: func(int) {},
 	}
-	s.members = relay.NewMembers(s.self, clock.Now)
+	for _, zone := range cfg.Zones {
+		if zone != cfg.Zone {
+			s.elsewhere = append(s.elsewhere, zone)
+		}
+	}
+	s.members = relay.NewMembers(s.self, 1+len(s.elsewhere), clock.Now)
 	s.client = relay.NewClient(s.members, clock.Now)
 	changed := func(topic, name string) {
 		j.emit(logging.EventCollector, slog.String("topic", topic), slog.String("collector", name))
@@ -87,8 +95,8 @@
 	s.servers = topic(topicServers, store.Servers(), part(oldestServers, cfg.Bounds.Drain))
 	s.status = topic(topicStatus, store.Status(), oldestOther)
 	s.observations = topic(topicObservations, store.Observations(), oldestOther)
-	s.instances = topic(topicInstances, store.Instances(), oldestOther)
-	s.server = relay.NewServer(clock.Now, caches, s.hold)
+	s.instances = topic(topicInstances, store.Instances(cfg.Zone), oldestOther)
+	s.server = relay.NewServer(clock.Now, caches, s.hold, s.members.Count)
 	return s
 }
 
@@ -110,35 +118,40 @@
 
 // hold takes a follower's records.
 func (s *sharing) hold(topic string, records []keyedlog.Record) error {
-	if topic != topicObservations {
-		return keyedlog.ErrRejected // the board writes to no other one
+	if topic != topicObservations && topic != topicInstances {
+		return keyedlog.ErrRejected // followers write to no other one
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.held)+len(records) > heldMost {
+	if len(s.held[topic])+len(records) > heldMost {
 		return keyedlog.ErrNotDone
 	}
-	s.held = append(s.held, records...)
-	s.wake()
+	s.held[topic] = append(s.held[topic], records...)
+	if topic == topicObservations {
+		s.wake()
+	}
 	return nil
 }
 
-// take returns the held records.
-func (s *sharing) take() []keyedlog.Record {
+// take returns the held records of a topic.
+func (s *sharing) take(topic string) []keyedlog.Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := s.held
-	s.held = nil
+	out := s.held[topic]
+	delete(s.held, topic)
 	return out
 }
 
-// othersSoon is how long after the first start of the whole system the others have made
-// themselves known: they start within 0.3 s of each other.
-const othersSoon = 600 * time.Millisecond
+// firstSpread is the time over which the instances make themselves known when the whole system
+// starts for the first time, within 0.3 s: those that will collect first, so that the others
+// find them and need no call of their own. Nobody is served yet.
+const firstSpread = 1200 * time.Millisecond
 
-// joinMost bounds the wait for the others' names at a start in the midst of the day: the
-// store answers in 4 ms, and who does not hear from it reads by itself.
-const joinMost = 100 * time.Millisecond
+// joinMost bounds the wait for the others' names: the store answers in 4 ms, and in half a
+// second where hundreds of small instances start at once. Who does not hear from it reads all
+// topics by itself: with a tenth of a second half of 295 did, five calls each, and were ready
+// after 1.5 s.
+const joinMost = 700 * time.Millisecond
 
 // join makes this instance known and learns of the others.
 func (s *sharing) join(ctx context.Context, firstStart bool) {
@@ -146,9 +159,7 @@
 		return
 	}
 	if firstStart {
-		// All start at once, and whoever reads now would take few others for all.
-		s.enlist(ctx)
-		sleep(ctx, othersSoon, nil)
+		sleep(ctx, time.Duration(s.self.Turn()*float64(firstSpread)), nil)
 	}
 	ctx, cancel := context.WithTimeout(ctx, joinMost)
 	defer cancel()
@@ -156,7 +167,8 @@
 		s.lost(err)
 		return
 	}
-	if !s.listed.Load() && !firstStart {
+	s.count()
+	if !s.listed.Load() {
 		s.enlist(ctx)
 	}
 }
@@ -168,7 +180,7 @@
 
 // learn reads the members from the store itself.
 func (s *sharing) learn(ctx context.Context) error {
-	snap, err := s.store.Instances().Newest(ctx)
+	snap, err := s.store.Instances(s.self.Domain).Newest(ctx)
 	if err != nil {
 		return err
 	}
@@ -176,12 +188,12 @@
 	return nil
 }
 
-// enlist makes this instance known.
+// enlist makes this instance known, by its collector if it has one.
 func (s *sharing) enlist(ctx context.Context) {
 	s.enlisted = s.clock.Now()
 	text, err := json.Marshal(s.self)
 	if err == nil {
-		err = s.store.Instances().Append(ctx, keyedlog.Anywhere, keyedlog.Record{Key: s.self.Name, Value: text})
+		err = s.instances.Append(ctx, keyedlog.Anywhere, keyedlog.Record{Key: s.self.Name, Value: text})
 	}
 	if err != nil {
 		s.lost(err)
@@ -220,10 +232,71 @@
 	}
 	if !s.members.Knows(m) {
 		s.members.Add(m)
-		s.counted(s.members.Count())
 	}
 }
 
+// count tells of a changed number of instances.
+func (s *sharing) count() {
+	n := s.members.Count()
+	if s.told.Swap(int64(n)) != int64(n) {
+		s.counted(n)
+	}
+}
+
+// censusEvery is how often the other failure domains' instances are counted: the retry budget,
+// which all share, has room for a fleet that is larger than counted by a sixth.
+const censusEvery = 30 * time.Second
+
+// census counts the instances of the other failure domains where this instance reads the store
+// itself; its followers are told the sum. Each failure domain has a list of its own: at a start
+// of all, 295 instances that read the list of all would wait for 20 MB from the store.
+func (s *sharing) census(ctx context.Context) {
+	counted := time.Time{}
+	for ctx.Err() == nil {
+		s.enlistFollowers(ctx)
+		if s.countsAll() && s.clock.Now().Sub(counted) >= censusEvery {
+			counted = s.clock.Now()
+			for _, zone := range s.elsewhere {
+				s.countAt(ctx, zone)
+			}
+			s.count()
+		}
+		sleep(ctx, enlistEvery, nil)
+	}
+}
+
+// enlistEvery is how often a collector writes down the followers that have told it of
+// themselves: they need not be known sooner, as the others ask those that were there before.
+const enlistEvery = time.Second
+
+// enlistFollowers writes down the instances that told this one of themselves. What is lost
+// they tell again.
+func (s *sharing) enlistFollowers(ctx context.Context) {
+	records := s.take(topicInstances)
+	if len(records) == 0 {
+		return
+	}
+	if err := s.store.Instances(s.self.Domain).Append(ctx, keyedlog.Anywhere, records...); err != nil {
+		s.lost(err)
+	}
+}
+
+// countsAll says whether this instance counts the fleet: it reads the store itself, for others
+// or as the first in rank. In an outage of the store all read it themselves, and must not.
+func (s *sharing) countsAll() bool {
+	return s.instances.Direct() && (s.members.First() || s.server.Collects())
+}
+
+// countAt takes in the instances of another failure domain.
+func (s *sharing) countAt(ctx context.Context, zone string) {
+	snap, err := s.store.Instances(zone).Newest(ctx)
+	if err != nil {
+		s.lost(err)
+		return
+	}
+	s.memberList(snap.Records)
+}
+
 // instancesWait is how long a read of the members waits for a new one.
 const instancesWait = 10 * time.Second
 
@@ -235,7 +308,10 @@
 		pause: func() time.Duration { return time.Second },
 		each:  s.member,
 		whole: s.memberList,
-		read:  func(time.Time, int) { s.keepListed(ctx) },
+		read: func(time.Time, int) {
+			s.keepListed(ctx)
+			s.count()
+		},
 	}
 }
 
--- /dev/null
+++ b/router/internal/passthrough/sharing_test.go
@@ -0,0 +1,133 @@
+package passthrough
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"masticplank.example/coordination/keyedlog"
+	"masticplank.example/decision/passthrough/seam"
+)
+
+// countedLog counts the calls to a topic.
+type countedLog struct {
+	*fakeLog
+	reads, appends int
+}
+
+func (l *countedLog) Newest(ctx context.Context) (keyedlog.Snapshot, error) {
+	l.mu.Lock()
+	l.reads++
+	l.mu.Unlock()
+	return l.fakeLog.Newest(ctx)
+}
+
+func (l *countedLog) Append(ctx context.Context, at uint64, records ...keyedlog.Record) error {
+	l.mu.Lock()
+	l.appends++
+	l.mu.Unlock()
+	return l.fakeLog.Append(ctx, at, records...)
+}
+
+// fakeStore is a store with a list of instances for each failure domain.
+type fakeStore struct {
+	fakeLog
+	mu      sync.Mutex
+	domains map[string]*countedLog
+}
+
+func (s *fakeStore) Operator() keyedlog.Log     { return &s.fakeLog }
+func (s *fakeStore) Servers() keyedlog.Log      { return &s.fakeLog }
+func (s *fakeStore) Status() keyedlog.Log       { return &s.fakeLog }
+func (s *fakeStore) Observations() keyedlog.Log { return &s.fakeLog }
+
+func (s *fakeStore) Instances(domain string) keyedlog.Log { return s.domain(domain) }
+
+func (s *fakeStore) domain(name string) *countedLog {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.domains == nil {
+		s.domains = map[string]*countedLog{}
+	}
+	if s.domains[name] == nil {
+		s.domains[name] = &countedLog{fakeLog: &fakeLog{}}
+	}
+	return s.domains[name]
+}
+
+// startSharing starts an instance's sharing at a port of its own.
+func startSharing(t *testing.T, st Store, clock Clock, name string, cores float64) *sharing {
+	t.Helper()
+	j := &journal{clock: clock, known: NewKnowledge(clock, time.Second), reg: metrics.NewRegistry()}
+	cfg := seam.Settings{Instance: name, Zone: "a", Zones: []string{"a", "b"}, Peers: freePort(t), Cores: cores,
+		Bounds: seam.Bounds{Revoke: time.Second, Drain: time.Second}}
+	sh := newSharing(cfg, st, fakeRecords{}, j, clock)
+	if err := sh.listen(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(sh.client.Close)
+	return sh
+}
+
+// TestFollowersAreEnlistedTogether holds that small instances which start beside a collector
+// are made known by it, in one call for all of them, and that each reads the list of its own
+// failure domain alone.
+func TestFollowersAreEnlistedTogether(t *testing.T) {
+	st, clock := &fakeStore{}, newFakeClock()
+	collector := startSharing(t, st, clock, "strong", 0.8)
+	collector.join(t.Context(), false)
+	const count = 20
+	var followers []*sharing
+	for i := range count {
+		sh := startSharing(t, st, clock, fmt.Sprint("small", i), 0.2)
+		sh.join(t.Context(), false)
+		followers = append(followers, sh)
+	}
+	own, other := st.domain("a"), st.domain("b")
+	if own.appends != 1 {
+		t.Errorf("%d calls made the first instance known, before the collector's own for the others", own.appends)
+	}
+	collector.enlistFollowers(t.Context())
+	if own.appends != 2 || len(own.records) != 1+count {
+		t.Errorf("%d calls wrote %d instances", own.appends, len(own.records))
+	}
+	if own.reads != 1+count || other.reads != 0 {
+		t.Errorf("%d reads of the own list, %d of another", own.reads, other.reads)
+	}
+	if err := followers[0].learn(t.Context()); err != nil || !followers[0].listed.Load() {
+		t.Errorf("a follower does not find itself: %v", err)
+	}
+}
+
+// TestInstanceIsToldAgainWhereItsCollectorLostIt holds for a collector that ends before it has
+// written its followers down.
+func TestInstanceIsToldAgainWhereItsCollectorLostIt(t *testing.T) {
+	st, clock := &fakeStore{}, newFakeClock()
+	collector := startSharing(t, st, clock, "strong", 0.8)
+	collector.join(t.Context(), false)
+	sh := startSharing(t, st, clock, "small", 0.2)
+	sh.join(t.Context(), false)
+	collector.take(topicInstances) // lost
+	clock.pass(enlistAgain + time.Second)
+	sh.keepListed(t.Context())
+	collector.enlistFollowers(t.Context())
+	if n := len(st.domain("a").records); n != 2 {
+		t.Errorf("%d instances are known", n)
+	}
+}
+
+// freePort is an address on loopback that was free a moment ago.
+func freePort(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
--- a/router/internal/passthrough/sheet.go
+++ b/router/internal/passthrough/sheet.go
@@ -19,7 +19,7 @@
 	// ElapsedMS is the time since the order, as the instance knew it when it wrote.
 	ElapsedMS int64 `json:"elapsed_ms"`
 	// Routes are the counts by route.
-	Routes map[string]passthrough.Pair `json:"routes"`
+	Routes map[string]sheetRow `json:"routes"`
 	// Sessions are those that were open at the old version when the order came, in the
 	// canary's share.
 	Sessions []string `json:"sessions,omitempty"`
@@ -63,15 +63,15 @@
 	defer b.mu.Unlock()
 	own := b.own[r.Service]
 	if own == nil || own.Order != r.offset || own.Target != r.Target {
-		own = &sheet{Instance: b.instance, Life: b.life, Service: r.Service, Target: r.Target, Order: r.offset, Routes: map[string]passthrough.Pair{}, dirty: true}
+		own = &sheet{Instance: b.instance, Life: b.life, Service: r.Service, Target: r.Target, Order: r.offset, Routes: map[string]sheetRow{}, dirty: true}
 		b.own[r.Service] = own
 		b.nudge()
 	}
 	out := view{elapsed: now.Sub(r.since)}
 	sums := map[string]passthrough.Pair{}
 	add := func(s *sheet) {
-		for route, p := range s.Routes {
-			sums[route] = sums[route].Plus(p)
+		for route, row := range s.Routes {
+			sums[route] = sums[route].Plus(passthrough.Pair(row))
 		}
 	}
 	add(own)
--- /dev/null
+++ b/router/internal/passthrough/sheetrow.go
@@ -0,0 +1,56 @@
+package passthrough
+
+import (
+	"encoding/json"
+	"math"
+
+	"github.com/gravitational/trace"
+
+	"masticplank.example/decision/passthrough"
+)
+
+// sheetRow is a route's counts as they are written into a sheet: what is judged by, as whole
+// numbers in a fixed order. Hundreds of instances read the sheets of all: written out with names
+// and all digits, 295 of them were 0.6 MB, which took the links of collectors a second.
+type sheetRow passthrough.Pair
+
+// sheetUnits is how many parts of one a sum of logarithms is rounded to.
+const sheetUnits = 1000
+
+// rowLength is the number of a row's parts.
+const rowLength = 13
+
+func units(x float64) int64     { return int64(math.Round(x * sheetUnits)) }
+func fromUnits(n int64) float64 { return float64(n) / sheetUnits }
+
+// MarshalJSON implements json.Marshaler.
+func (r sheetRow) MarshalJSON() ([]byte, error) {
+	fresh, old := r.New, r.Old
+	return json.Marshal([rowLength]int64{
+		int64(fresh.Good), int64(fresh.Bad),
+		int64(fresh.First.N), units(fresh.First.Sum), units(fresh.First.Squares),
+		int64(fresh.Pace.N), units(fresh.Pace.Sum), units(fresh.Pace.Squares), int64(fresh.Pace.Slow),
+		int64(old.Good), int64(old.Bad), int64(old.Pace.N), int64(old.Pace.Slow),
+	})
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (r *sheetRow) UnmarshalJSON(text []byte) error {
+	var in []int64
+	if err := json.Unmarshal(text, &in); err != nil {
+		return trace.Wrap(err)
+	}
+	if len(in) != rowLength {
+		return trace.BadParameter("a row of %d parts instead of %d", len(in), rowLength)
+	}
+	r.New = passthrough.Counts{
+		Good: int(in[0]), Bad: int(in[1]),
+		First: passthrough.Shift{N: int(in[2]), Sum: fromUnits(in[3]), Squares: fromUnits(in[4])},
+		Pace:  passthrough.Shift{N: int(in[5]), Sum: fromUnits(in[6]), Squares: fromUnits(in[7]), Slow: int(in[8])},
+	}
+	r.Old = passthrough.Counts{
+		Good: int(in[9]), Bad: int(in[10]),
+		Pace: passthrough.Shift{N: int(in[11]), Slow: int(in[12])},
+	}
+	return nil
+}
--- /dev/null
+++ b/router/internal/passthrough/sheetrow_test.go
@@ -0,0 +1,62 @@
+package passthrough
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"testing"
+
+	"masticplank.example/decision/passthrough"
+)
+
+// busyRow is a row of a route that was asked for often.
+func busyRow() sheetRow {
+	return sheetRow{
+		New: passthrough.Counts{Good: 120, Bad: 7,
+			First: passthrough.Shift{N: 127, Sum: -61.5271, Squares: 204.33391},
+			Pace:  passthrough.Shift{N: 101, Sum: 55.25, Squares: 91.118, Slow: 19}},
+		Old: passthrough.Counts{Good: 4021, Bad: 55, Pace: passthrough.Shift{N: 3320, Slow: 41}},
+	}
+}
+
+func TestSheetRowKeepsWhatIsJudged(t *testing.T) {
+	in := busyRow()
+	text, err := json.Marshal(in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out sheetRow
+	if err := json.Unmarshal(text, &out); err != nil {
+		t.Fatal(err)
+	}
+	if math.Abs(out.New.First.Sum-in.New.First.Sum) > 1.0/sheetUnits || math.Abs(out.New.Pace.Squares-in.New.Pace.Squares) > 1.0/sheetUnits {
+		t.Errorf("sums of %+v became %+v", in.New, out.New)
+	}
+	out.New.First, in.New.First, out.New.Pace, in.New.Pace = passthrough.Shift{}, passthrough.Shift{}, passthrough.Shift{N: out.New.Pace.N, Slow: out.New.Pace.Slow}, passthrough.Shift{N: in.New.Pace.N, Slow: in.New.Pace.Slow}
+	if out != in {
+		t.Errorf("%+v became %+v", in, out)
+	}
+	for _, bad := range []string{`{}`, `[1,2]`, `"x"`, `[1,2,3,4,5,6,7,8,9,10,11,12,13,14]`} {
+		if err := json.Unmarshal([]byte(bad), &out); err == nil {
+			t.Errorf("%s was taken for a row", bad)
+		}
+	}
+}
+
+// TestSheetsOfAFleetAreSmall bounds what all instances of the target fleet write of a roll-out
+// of five routes: with 4 KB a second for control, a second's sheets are 25 at most.
+func TestSheetsOfAFleetAreSmall(t *testing.T) {
+	const most = 4096 / 6 // bytes: a sixth of a second's, beside heartbeats and configurations
+	s := sheet{Instance: "edge-salle-trois-pistoles-120", Life: 1 << 60, Service: "model-engines", Target: "v2", Order: 1 << 20,
+		ElapsedMS: 23_500, Routes: map[string]sheetRow{}}
+	for i := range 5 {
+		s.Routes[fmt.Sprintf("r-vhma%dj5", i)] = busyRow()
+	}
+	text, err := json.Marshal(&s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(text) > most {
+		t.Errorf("a sheet is %d bytes, more than %d", len(text), most)
+	}
+}
--- a/router/internal/relay/client.go
+++ b/router/internal/relay/client.go
@@ -71,6 +71,7 @@
 			c.drop(m.Address)
 		case age <= oldest:
 			c.members.Answered(m.Name)
+			c.members.Told(out.Fleet)
 			return told{out, age, m.Name}, nil
 		}
 		wait = 0
--- a/router/internal/relay/members.go
+++ b/router/internal/relay/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -18,6 +19,15 @@
 	Cores float64 `json:"cores"`
 }
 
+// Turn is when the member should make itself known among others that start at the same time,
+// from 0 to 1: the strong ones early, since they collect, and others in the order of their rank.
+func (m Member) Turn() float64 {
+	const strongWeight = 3 // of four parts: a strong instance goes before any small one
+	weak := 1 - min(max(m.Cores, 0), 1)
+	hash := float64(xxhash.Sum64String(m.Name)) / math.MaxUint64
+	return (strongWeight*weak + hash) / (strongWeight + 1)
+}
+
 const (
 	// failedFor is how long a collector that gave no answer is passed over: about as long
 	// as an instance needs to start again. It doubles up to failedMost for one that is
@@ -34,8 +44,12 @@
 type Members struct {
 	self Member
 	now  func() time.Time
+	// domains is the number of failure domains.
+	domains int
 
 	mu sync.Mutex
+	// fleet is the most instances that a collector has told of.
+	fleet int
 	// all are the names of the instances of every failure domain.
 	all    map[string]bool
 	list   map[string]Member
@@ -49,9 +63,10 @@
 	span  time.Duration
 }
 
-// NewMembers returns the members that are known at first: this instance alone.
-func NewMembers(self Member, now func() time.Time) *Members {
-	m := &Members{self: self, now: now, all: map[string]bool{}, list: map[string]Member{}, failed: map[string]failure{}}
+// NewMembers returns the members that are known at first: this instance alone, in one of so
+// many failure domains.
+func NewMembers(self Member, domains int, now func() time.Time) *Members {
+	m := &Members{self: self, domains: domains, now: now, all: map[string]bool{}, list: map[string]Member{}, failed: map[string]failure{}}
 	m.Add(self)
 	return m
 }
@@ -137,12 +152,20 @@
 	return len(m.ranked) == 0 || m.ranked[0].Name == m.self.Name
 }
 
-// Count is the number of instances of all failure domains that ever were known: an upper
-// bound, up to those that have started a moment ago.
+// Count is the number of instances of all failure domains that ever were known, here or to a
+// collector: an upper bound, up to those that have started a moment ago. Until they are counted,
+// the other failure domains are thought to be as large as this one.
 func (m *Members) Count() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return len(m.all)
+	return max(len(m.all), m.fleet, m.domains*len(m.list))
+}
+
+// Told takes in a collector's count of the instances.
+func (m *Members) Told(fleet int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fleet = max(m.fleet, fleet)
 }
 
 // Knows says whether the member is known as given.
--- /dev/null
+++ b/router/internal/relay/members_test.go
@@ -0,0 +1,56 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestFollowersLearnTheFleet holds that a follower, which reads the list of its own failure
+// domain only, counts the instances of all as its collector does.
+func TestFollowersLearnTheFleet(t *testing.T) {
+	st := &store{}
+	st.put("a", "1")
+	all := startInstances(t, st, 3, time.Minute)
+	all[0].fleet = 295
+	all[0].newest(t)
+	all[1].newest(t)
+	if n := all[1].members.Count(); n != 295 {
+		t.Errorf("the follower counts %d instances", n)
+	}
+}
+
+// TestUncountedDomainsAreThoughtAlike holds that the count is no lower bound before the other
+// failure domains were counted: the retry budget's slack is shared by it.
+func TestUncountedDomainsAreThoughtAlike(t *testing.T) {
+	m := NewMembers(Member{Name: "self", Domain: "d", Address: "a:1"}, 5, time.Now)
+	for i := range 9 {
+		m.Add(Member{Name: fmt.Sprint("i", i), Domain: "d", Address: "a:2"})
+	}
+	if n := m.Count(); n != 50 {
+		t.Errorf("%d instances, want five times ten", n)
+	}
+	for i := range 60 {
+		m.Add(Member{Name: fmt.Sprint("far", i), Domain: "e", Address: "a:3"})
+	}
+	if n := m.Count(); n != 70 {
+		t.Errorf("%d instances, want the 70 that are known", n)
+	}
+}
+
+// TestStrongInstancesTakeTheFirstTurns holds that those which will collect are known before the
+// small ones ask who does.
+func TestStrongInstancesTakeTheFirstTurns(t *testing.T) {
+	lastStrong, firstSmall := 0.0, 1.0
+	for i := range 60 {
+		strong := Member{Name: fmt.Sprint("strong", i), Cores: 0.8}.Turn()
+		small := Member{Name: fmt.Sprint("small", i), Cores: 0.2}.Turn()
+		lastStrong, firstSmall = max(lastStrong, strong), min(firstSmall, small)
+		if strong < 0 || small > 1 {
+			t.Fatalf("turns %v and %v", strong, small)
+		}
+	}
+	if lastStrong > firstSmall {
+		t.Errorf("a strong instance goes at %.2f, a small one at %.2f", lastStrong, firstSmall)
+	}
+}
--- a/router/internal/relay/messages.go
+++ b/router/internal/relay/messages.go
@@ -41,6 +41,8 @@
 	AgeUS int64 `json:"age_us"`
 	// TookUS is how long the question waited at the collector.
 	TookUS int64 `json:"took_us"`
+	// Fleet is the number of instances of all failure domains.
+	Fleet int `json:"fleet,omitempty"`
 }
 
 // age is how old the answer is at the latest when it comes in, after the time that the
--- a/router/internal/relay/relay_test.go
+++ b/router/internal/relay/relay_test.go
@@ -71,6 +71,7 @@
 	log     *Log
 	stop    context.CancelFunc
 	taken   []keyedlog.Record
+	fleet   int
 }
 
 // startInstances starts instances of one failure domain on a shared store. They rank in
@@ -89,7 +90,7 @@
 		list = append(list, Member{Name: fmt.Sprint("i", i), Domain: "d", Address: l.Addr().String(), Cores: float64(count - i)})
 	}
 	for i := range count {
-		in := &instance{members: NewMembers(list[i], time.Now)}
+		in := &instance{members: NewMembers(list[i], 1, time.Now)}
 		for _, m := range list {
 			in.members.Add(m)
 		}
@@ -99,7 +100,7 @@
 		srv := NewServer(time.Now, map[string]*Cache{testTopic: in.cache}, func(_ string, r []keyedlog.Record) error {
 			in.taken = append(in.taken, r...)
 			return nil
-		})
+		}, func() int { return in.fleet })
 		ctx, stop := context.WithCancel(context.Background())
 		in.stop = stop
 		go srv.Serve(ctx, listeners[i])
@@ -275,7 +276,7 @@
 
 func TestInstanceWithoutAnAddressReadsByItself(t *testing.T) {
 	st := &store{err: keyedlog.ErrUnknown}
-	members := NewMembers(Member{Name: "alone", Domain: "d"}, time.Now)
+	members := NewMembers(Member{Name: "alone", Domain: "d"}, 1, time.Now)
 	client := NewClient(members, time.Now)
 	log := NewLog(testTopic, st, client, NewCache(time.Now, nil), time.Minute, func(string, string) {})
 	for range 3 {
@@ -340,7 +341,7 @@
 // over for as long as for one failure.
 func TestOneOutageCountsOnce(t *testing.T) {
 	now := time.Unix(100, 0)
-	m := NewMembers(Member{Name: "self", Domain: "d", Address: "a:1"}, func() time.Time { return now })
+	m := NewMembers(Member{Name: "self", Domain: "d", Address: "a:1"}, 1, func() time.Time { return now })
 	m.Add(Member{Name: "first", Domain: "d", Address: "a:2", Cores: 1})
 	for range 5 {
 		m.Failed("first")
--- a/router/internal/relay/server.go
+++ b/router/internal/relay/server.go
@@ -20,15 +20,18 @@
 	caches map[string]*Cache
 	// append takes records of followers.
 	append func(topic string, records []keyedlog.Record) error
-	asked  atomic.Int64
+	// fleet is the number of instances.
+	fleet func() int
+	asked atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*jsonrpc2.Conn]bool
 }
 
-// NewServer returns a server of the caches, by topic.
-func NewServer(now func() time.Time, caches map[string]*Cache, take func(topic string, records []keyedlog.Record) error) *Server {
-	return &Server{now: now, caches: caches, append: take, conns: map[*jsonrpc2.Conn]bool{}}
+// NewServer returns a server of the caches, by topic, that hands followers' records to take and
+// tells them the number of instances.
+func NewServer(now func() time.Time, caches map[string]*Cache, take func(topic string, records []keyedlog.Record) error, fleet func() int) *Server {
+	return &Server{now: now, caches: caches, append: take, fleet: fleet, conns: map[*jsonrpc2.Conn]bool{}}
 }
 
 // askedLately is how long after a question an instance counts as a collector.
@@ -91,6 +94,7 @@
 	if err != nil {
 		return nil, coded(err)
 	}
+	out.Fleet = s.fleet()
 	out.TookUS = s.now().Sub(began).Microseconds()
 	return out, nil
 }
