Who has just started is not the one that writes; a silent store is asked less

Cause: an instance counted as reading the store itself before its first read; after a kill of all 295 read the register of roll-outs from the store (304 calls). In an outage of the store each of them asked it every two seconds (860 calls in 12 s): now every two, then four.

--- a/router/internal/relay/client.go
+++ b/router/internal/relay/client.go
@@ -31,6 +31,8 @@
 	// alone.
 	away  bool
 	quiet time.Time
+	// span is how long it is left alone after a failure.
+	span time.Duration
 }
 
 // NewClient returns a client of the members' collector.
@@ -79,10 +81,13 @@
 	return told{}, errNoCollector
 }
 
-// storeQuiet is how long an instance with a collector leaves a store alone that gave no
-// answer: the collector goes on asking, and tells at once when it is back. Without it, 81
-// instances sent 8,000 calls in an outage of 8 s.
-const storeQuiet = 2 * time.Second
+// storeQuiet is how long an instance with a collector leaves a store alone that gave no answer,
+// and storeQuietMost how long it does after several: the collector goes on asking, and tells at
+// once when it is back. Without it, 81 instances sent 8,000 calls in an outage of 8 s.
+const (
+	storeQuiet     = 2 * time.Second
+	storeQuietMost = 4 * time.Second
+)
 
 // storeFailed notes that the store gave this instance no answer either: the collector may
 // be as good as any.
@@ -90,7 +95,10 @@
 	c.members.Forgive()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.away, c.quiet = true, c.now().Add(storeQuiet)
+	if !c.away {
+		c.span = storeQuiet
+	}
+	c.away, c.quiet = true, c.now().Add(c.span)
 }
 
 // storeAnswered notes that it did.
@@ -114,7 +122,8 @@
 	if c.now().Before(c.quiet) {
 		return false
 	}
-	c.quiet = c.now().Add(storeQuiet)
+	c.span = min(2*c.span, storeQuietMost)
+	c.quiet = c.now().Add(c.span)
 	return true
 }
 
--- /dev/null
+++ b/router/internal/relay/client_test.go
@@ -0,0 +1,48 @@
+package relay
+
+import (
+	"testing"
+	"time"
+)
+
+// TestSilentStoreIsAskedLessAndLess plays an outage of half a minute at a follower whose
+// collectors do not know either: five topics fail at a time.
+func TestSilentStoreIsAskedLessAndLess(t *testing.T) {
+	now := time.Unix(100, 0)
+	members := NewMembers(Member{Name: "self", Domain: "d", Address: "a:1"}, 1, func() time.Time { return now })
+	members.Add(Member{Name: "first", Domain: "d", Address: "a:2", Cores: 1})
+	c := NewClient(members, func() time.Time { return now })
+	const topics = 5
+	asked := 0
+	for end := now.Add(30 * time.Second); now.Before(end); now = now.Add(200 * time.Millisecond) {
+		for range topics {
+			if c.mayAskStore() {
+				asked++
+				c.storeFailed()
+			}
+		}
+	}
+	if asked > topics+30/3 {
+		t.Errorf("asked %d times in 30 s", asked)
+	}
+	c.storeAnswered()
+	if !c.mayAskStore() {
+		t.Error("the store is left alone though it answered")
+	}
+}
+
+// TestNobodyReadsDirectlyBeforeItsFirstRead holds that an instance which has just started does
+// not take itself for the one of its failure domain that writes.
+func TestNobodyReadsDirectlyBeforeItsFirstRead(t *testing.T) {
+	st := &store{}
+	st.put("a", "1")
+	all := startInstances(t, st, 2, time.Minute)
+	if all[0].log.Direct() || all[1].log.Direct() {
+		t.Error("direct before the first read")
+	}
+	all[0].newest(t)
+	all[1].newest(t)
+	if !all[0].log.Direct() || all[1].log.Direct() {
+		t.Errorf("direct: %v and %v, want the first alone", all[0].log.Direct(), all[1].log.Direct())
+	}
+}
--- a/router/internal/relay/log.go
+++ b/router/internal/relay/log.go
@@ -23,7 +23,9 @@
 	changed func(topic, name string)
 
 	mu sync.Mutex
-	by string
+	// by is the collector that answered last, "" for none; read says that there was a read.
+	by   string
+	read bool
 }
 
 // NewLog returns the topic; cache is filled by its reads. An answer of a collector older
@@ -113,18 +115,19 @@
 	return l.store.Append(ctx, at, records...)
 }
 
-// Direct says whether this instance reads the topic from the store itself.
+// Direct says whether this instance reads the topic from the store itself. Before its first read
+// that is not known: 295 that had just started took themselves for the one that writes.
 func (l *Log) Direct() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.by == ""
+	return l.read && l.by == ""
 }
 
 // note tells of a change of the collector.
 func (l *Log) note(name string) {
 	l.mu.Lock()
 	same := l.by == name
-	l.by = name
+	l.by, l.read = name, true
 	l.mu.Unlock()
 	if !same {
 		l.changed(l.topic, name)
