--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -114,9 +114,10 @@
 	return b
 }
 
-func provideList(p Platform, cfg seam.Settings, d *Driver, dial *dialer, j *journal, c Clock, st *starting) *list {
+func provideList(p Platform, cfg seam.Settings, sh *sharing, d *Driver, dial *dialer, j *journal, c Clock, st *starting) *list {
 	l := newList(p.Records, d, dial, j, c, cfg.Bounds.Drain, st)
 	d.hurry = l.hurry
+	l.alone = func() bool { return sh.servers.Direct() && !sh.server.Collects() }
 	return l
 }
 
--- a/router/internal/passthrough/list.go
+++ b/router/internal/passthrough/list.go
@@ -15,7 +15,9 @@
 const (
 	// listPart is the part of the time for which a leaving server may still get requests
 	// that lies between two reads of the list: a read may fail once. Each costs a call, so
-	// that they are no more frequent than listLeast.
+	// that they are no more frequent than listLeast. What goes by a collector is read twice,
+	// and so no less often than listMost; an instance that reads for itself alone, since it is
+	// cut off from the others, has no such second step.
 	listPart  = 0.37
 	listLeast = 300 * time.Millisecond
 	listMost  = 750 * time.Millisecond
@@ -38,6 +40,8 @@
 	nudge   chan struct{}
 	// starting is told when the list was read first.
 	starting *starting
+	// alone says whether this instance reads the store, and for itself only.
+	alone func() bool
 
 	mu      sync.Mutex
 	entries map[string]passthrough.Server
@@ -53,6 +57,7 @@
 func newList(records Records, driver *Driver, d *dialer, j *journal, clock Clock, drain time.Duration, st *starting) *list {
 	return &list{
 		records: records, driver: driver, dialer: d, journal: j, clock: clock, drain: drain, starting: st,
+		alone: func() bool { return false },
 		nudge: make(chan struct{}, 1), entries: map[string]passthrough.Server{},
 		lapsed: map[string]time.Time{}, bad: map[string]bool{},
 	}
@@ -87,7 +92,11 @@
 
 // every is the time between two reads.
 func (l *list) every() time.Duration {
-	return min(max(time.Duration(listPart*float64(l.drain)), listLeast), listMost)
+	span := max(time.Duration(listPart*float64(l.drain)), listLeast)
+	if l.alone() {
+		return span
+	}
+	return min(span, listMost)
 }
 
 // outageEnded notes that removals may now be lapses.
--- a/router/internal/passthrough/list_test.go
+++ b/router/internal/passthrough/list_test.go
@@ -66,3 +66,21 @@
 		t.Errorf("want the one that came back alone: %v", p.list.entries)
 	}
 }
+
+// TestListIsReadOftenEnough bounds the time between two reads by what is left of the time for
+// which a leaving server may get requests: by a collector it is read twice.
+func TestListIsReadOftenEnough(t *testing.T) {
+	for _, drain := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 10 * time.Second} {
+		p := newParts("a", newFakeClock(), &fakeLog{}, &fakeLog{})
+		p.list.drain = drain
+		shared := p.list.every()
+		p.list.alone = func() bool { return true }
+		alone := p.list.every()
+		if 2*shared > drain*3/4 {
+			t.Errorf("drain %v: a word that goes by a collector may be %v old", drain, 2*shared)
+		}
+		if 2*alone > drain*3/4 { // one read may fail
+			t.Errorf("drain %v: with one failed read the word is %v old", drain, 2*alone)
+		}
+	}
+}
