Callers' connections are not kept where descriptors run out

Callers that were refused come back by a new connection each time; those before stay open for two minutes. With 4,100 descriptors an instance had none left after ten seconds (peak 3,900 to 4,534): nothing more was accepted.

Past a quarter of the descriptors each connection is closed with its answer.

Also: a refusal for full plain servers has a reason of its own, a held roll-out logs a step, and an uncounted fleet is thought to have 1,000 instances, not 200.

--- a/decision/passthrough/budget.go
+++ b/decision/passthrough/budget.go
@@ -22,8 +22,8 @@
 }
 
 // unknownFleet is how many instances are thought to share the slack until they are counted:
-// more than any deployment has that is known.
-const unknownFleet = 200
+// more than the largest deployment is planned to have, 880.
+const unknownFleet = 1000
 
 // spareInstances is the part by which the fleet may be larger than counted.
 const spareInstances = 0.15
--- a/decision/passthrough/requests.go
+++ b/decision/passthrough/requests.go
@@ -22,7 +22,7 @@
 		return
 	}
 	if w.throttled(r) {
-		w.refuse(r, ReasonBusy)
+		w.refuse(r, ReasonServersFull)
 		return
 	}
 	if r.service.queue.len == 0 && w.place(r) {
--- a/decision/passthrough/seam/settings.go
+++ b/decision/passthrough/seam/settings.go
@@ -22,6 +22,8 @@
 	// Cores is the part of a core that the process may use, MemoryBytes its memory.
 	Cores       float64
 	MemoryBytes int64
+	// Files is the number of descriptors that the process may have, 0 where not known.
+	Files int
 	Bounds      Bounds
 }
 
--- a/decision/passthrough/types.go
+++ b/decision/passthrough/types.go
@@ -101,6 +101,7 @@
 const (
 	ReasonNoServer    Reason = "no_backend_server"
 	ReasonBusy        Reason = "busy"
+	ReasonServersFull Reason = "backend_servers_full"
 	ReasonRetryBudget Reason = "retry_budget_spent"
 	ReasonQuarantined Reason = "request_quarantined"
 	ReasonDeadline    Reason = "deadline_passed"
--- a/decision/passthrough/verdict.go
+++ b/decision/passthrough/verdict.go
@@ -17,8 +17,8 @@
 }
 
 // slowFrom is how many times as long as usual an answer takes that counts as slow by itself:
-// past the spread of paces at like load, a fortieth of which are, and below the four to eight
-// times of versions that are slow in a part of their answers.
+// past the spread of paces at like load, of which 5 to 10 in 100 of a good version's are, and
+// below the four to eight times of versions that are slow in a part of their answers.
 const slowFrom = 2.5
 
 // add takes in one logarithm of a ratio.
--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -127,8 +127,8 @@
 	return m
 }
 
-func provideEdge(p Platform, k *Knowledge, d *Driver, dial *dialer, c Clock, j *journal, st *starting) *Edge {
-	return &Edge{headers: p.Headers, known: k, driver: d, dialer: dial, clock: c, journal: j, starting: st, stopping: &stopping{}}
+func provideEdge(p Platform, cfg seam.Settings, k *Knowledge, d *Driver, dial *dialer, c Clock, j *journal, st *starting) *Edge {
+	return &Edge{headers: p.Headers, known: k, driver: d, dialer: dial, clock: c, journal: j, starting: st, stopping: &stopping{}, conns: newCallerConns(cfg.Files)}
 }
 
 func provideServer(cfg seam.Settings, e *Edge, k *Knowledge, d *Driver, j *journal, reg gometrics.Registry, out *logging.Async) *server {
--- /dev/null
+++ b/router/internal/passthrough/conns_test.go
@@ -0,0 +1,60 @@
+package passthrough
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"masticplank.example/decision/passthrough/seam"
+)
+
+// noHeaders reads and writes none.
+type noHeaders struct{}
+
+func (noHeaders) ReadCaller(http.Header) seam.Caller                     { return seam.Caller{} }
+func (noHeaders) WriteAttempt(h http.Header, _ seam.Attempt) http.Header { return h }
+func (noHeaders) ReadAnswer(int, http.Header) seam.Answer                { return seam.Answer{} }
+func (noHeaders) AnswerHeaders(h http.Header) http.Header                { return h }
+
+// TestConnectionsAreNotKeptWhereDescriptorsRunOut opens one connection after the other, as
+// callers do who come back after a refusal. Past the limit each is closed with its answer.
+func TestConnectionsAreNotKeptWhereDescriptorsRunOut(t *testing.T) {
+	clock := newFakeClock()
+	known := NewKnowledge(clock, time.Second)
+	st := newStarting()
+	st.release()
+	const kept = 10
+	e := &Edge{headers: noHeaders{}, known: known, clock: clock, starting: st, stopping: &stopping{},
+		conns:   newCallerConns(reservedFiles + kept/connsPart),
+		journal: &journal{clock: clock, known: known, reg: metrics.NewRegistry()}}
+	srv := httptest.NewUnstartedServer(e)
+	srv.Config.ConnState = e.conns.track
+	srv.Start()
+	defer srv.Close()
+	closed := 0
+	for range 4 * kept {
+		client := &http.Client{Transport: &http.Transport{}}
+		resp, err := client.Get(srv.URL)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.Close {
+			closed++
+		}
+		defer client.CloseIdleConnections()
+	}
+	if closed < 3*kept-1 {
+		t.Errorf("%d of %d connections closed with their answers", closed, 4*kept)
+	}
+	if n := e.conns.open.Load(); n > kept+2 {
+		t.Errorf("%d connections are open, %d may be kept", n, kept)
+	}
+}
--- a/router/internal/passthrough/edge.go
+++ b/router/internal/passthrough/edge.go
@@ -25,6 +25,8 @@
 	starting *starting
 	// stopping says how far the end of the process is.
 	stopping *stopping
+	// conns counts callers' connections.
+	conns *callerConns
 }
 
 // call is one request of a caller, read whole.
@@ -75,6 +77,9 @@
 		c.uri = req.URL.RequestURI()
 	}
 	c.path, _, _ = strings.Cut(c.uri, "?")
+	if e.conns.crowded() {
+		w.Header().Set("Connection", "close")
+	}
 	e.starting.wait(req.Context())
 	if no := e.admit(c); no != nil {
 		e.refuse(w, c, *no)
--- a/router/internal/passthrough/rollouts.go
+++ b/router/internal/passthrough/rollouts.go
@@ -220,7 +220,8 @@
 	if plan == r.plan {
 		return
 	}
-	step := plan.Phase != r.plan.Phase || plan.FirstHalf != r.plan.FirstHalf || plan.Opening != r.plan.Opening
+	step := plan.Phase != r.plan.Phase || plan.FirstHalf != r.plan.FirstHalf || plan.Opening != r.plan.Opening ||
+		plan.Held != r.plan.Held || (plan.Share > 0) != (r.plan.Share > 0)
 	r.plan = plan
 	m.driver.Tell(passthrough.RolloutSet{Rollout: plan})
 	if !step {
@@ -228,6 +229,7 @@
 	}
 	m.journal.emit(logging.EventRolloutStep, slog.String("service", r.Service), slog.String("target", r.Target),
 		slog.Int("phase", int(plan.Phase)), slog.Float64("share", plan.Share), slog.Bool("first_half", plan.FirstHalf),
+		slog.Bool("held", plan.Held), slog.Any("pace", seen.fresh.Pace),
 		slog.Int64("lead_ms", plan.LeadMost.Milliseconds()),
 		slog.Int("new_good", seen.fresh.Good), slog.Int("new_bad", seen.fresh.Bad))
 }
--- a/router/internal/passthrough/server.go
+++ b/router/internal/passthrough/server.go
@@ -54,7 +54,7 @@
 // start opens the listeners; readyPath is what the balancer asks.
 func (s *server) start(readyPath, metricsAddress string) error {
 	s.callers = &http.Server{
-		Handler: s.edge, IdleTimeout: idleMost, ReadHeaderTimeout: headerMost,
+		Handler: s.edge, IdleTimeout: idleMost, ReadHeaderTimeout: headerMost, ConnState: s.edge.conns.track,
 		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
 	}
 	if err := s.listen(s.callers, s.settings.Frontend); err != nil {
