--- a/decision/passthrough/seam/settings.go
+++ b/decision/passthrough/seam/settings.go
@@ -23,8 +23,8 @@
 	Cores       float64
 	MemoryBytes int64
 	// Files is the number of descriptors that the process may have, 0 where not known.
-	Files int
-	Bounds      Bounds
+	Files  int
+	Bounds Bounds
 }
 
 // Bounds are the figures that the platform holds its services to.
