One rule for shares of bad answers, one reading of a list of instances; engines out of the throttle

Found in a last read of the change; no behaviour is meant to change.

- The rule for failures and the one for slow answers were the same formula twice, as were the two tests of a mean against its limit; each is one function now.
- A held roll-out is decided in one case instead of two.
- A list of instances was read by two functions alike; collecting for followers and counting the fleet were one loop under the second's name.
- The throttle of plain services no longer counts what is sent to engines, which never asked it.

--- a/decision/passthrough/counts.go
+++ b/decision/passthrough/counts.go
@@ -2,11 +2,11 @@
 
 // Counts are the answers of one version, by all instances.
 type Counts struct {
-	Good int `json:"good"`
-	Bad  int `json:"bad"`
+	Good int
+	Bad  int
 	// First and Pace compare its times with the old version's.
-	First Shift `json:"first"`
-	Pace  Shift `json:"pace"`
+	First Shift
+	Pace  Shift
 }
 
 // Add counts one answer.
@@ -27,17 +27,14 @@
 	return Counts{Good: c.Good + o.Good, Bad: c.Bad + o.Bad, First: c.First.plus(o.First), Pace: c.Pace.plus(o.Pace)}
 }
 
-// Since is what came since an earlier count. An instance that started again counts anew;
+// since is what came since an earlier count. An instance that started again counts anew;
 // what it had counted is left out then.
-func (c Counts) Since(o Counts) Counts {
+func (c Counts) since(o Counts) Counts {
 	return Counts{Good: max(c.Good-o.Good, 0), Bad: max(c.Bad-o.Bad, 0), First: c.First.since(o.First), Pace: c.Pace.since(o.Pace)}
 }
 
 // Total is the number of answers.
 func (c Counts) Total() int { return c.Good + c.Bad }
 
-// badShare is the part of bad answers, with so many answers added, half a one of them bad,
-// that a few say little.
-func (c Counts) badShare(added float64) float64 {
-	return (float64(c.Bad) + 0.5) / (float64(c.Total()) + added)
-}
+// failed is the failures among the answers.
+func (c Counts) failed() proportion { return proportion{c.Bad, c.Total()} }
--- a/decision/passthrough/evidence.go
+++ b/decision/passthrough/evidence.go
@@ -4,8 +4,8 @@
 
 // Pair is the answers of the new and of the old version.
 type Pair struct {
-	New Counts `json:"new"`
-	Old Counts `json:"old"`
+	New Counts
+	Old Counts
 }
 
 // Add counts one answer, as the new version's if it has the target.
@@ -25,7 +25,7 @@
 
 // since is what came since an earlier pair.
 func (p Pair) since(o Pair) Pair {
-	return Pair{New: p.New.Since(o.New), Old: p.Old.Since(o.Old)}
+	return Pair{New: p.New.since(o.New), Old: p.Old.since(o.Old)}
 }
 
 // Total sums the routes' pairs.
--- a/decision/passthrough/place.go
+++ b/decision/passthrough/place.go
@@ -25,7 +25,6 @@
 	r.attempts++
 	r.tries++
 	s.own++
-	r.service.throttle.sent(w.now)
 	w.noteSession(r, s.Version)
 	cmd := Dispatch{
 		Request: r.ID, Server: s.Server, Attempt: r.tries,
@@ -40,7 +39,11 @@
 		r.size = w.chooseSize(r, f.room(r))
 		cmd.Model = r.Route.Sizes[r.size]
 	}
-	w.toRead(r, v)
+	if r.service.engine {
+		w.toRead(r, v)
+	} else {
+		r.service.throttle.sent(w.now)
+	}
 	w.emit(cmd)
 	return true
 }
--- a/decision/passthrough/reading.go
+++ b/decision/passthrough/reading.go
@@ -84,15 +84,7 @@
 	if rs.least == 0 || x < rs.least {
 		rs.least = x
 	}
-	if rs.by == nil {
-		rs.by = map[int]*ratio{}
-	}
-	speed := rs.by[size]
-	if speed == nil {
-		speed = &ratio{}
-		rs.by[size] = speed
-	}
-	speed.add(x-rs.least, float64(tokens), readMemory)
+	bySize(&rs.by, size).add(x-rs.least, float64(tokens), readMemory)
 }
 
 const (
@@ -121,11 +113,8 @@
 	return min(max(rs.came.value(right, priorSeconds), scaleLeast), scaleMost)
 }
 
-// toRead counts a request's prompt at the server that it is sent to.
+// toRead counts a request's prompt at the engine that it is sent to.
 func (w *World) toRead(r *request, v view) {
-	if !r.service.engine {
-		return
-	}
 	s := v.server
 	rs := &r.service.reads
 	r.work = rs.perToken(r.size) * float64(r.PromptTokens)
--- a/decision/passthrough/requests.go
+++ b/decision/passthrough/requests.go
@@ -243,11 +243,10 @@
 		s.Draining = true
 		w.emit(Suspect{Server: s.ID})
 	}
-	if e.Cut {
-		r.service.throttle.cut(w.now)
+	if !r.service.engine {
+		r.service.throttle.ended(e, w.now)
 	}
 	if e.Result == Rejected {
-		r.service.throttle.turnedAway(w.now)
 		s.shutUntil = w.now.Add(refusedFor)
 		return
 	}
--- a/decision/passthrough/rollout.go
+++ b/decision/passthrough/rollout.go
@@ -99,14 +99,25 @@
 // Load: a version that is slow in a part of its answers, under a burst. Harm prevented: its
 // mean alone lies near the limit, as the other part is quick at servers that have little to
 // do: one slow by six in 60 of 100 was completed at 1.7 times the usual pace.
-func slowMore(fresh, old Shift) bool {
-	return fresh.Slow >= judgeAfter && fresh.slowShare(newAdded) > badFloor+badFactor*old.slowShare(oldAdded)
-}
+func slowMore(fresh, old Shift) bool { return fresh.slow().more(old.slow(), judgeAfter) }
 
 // failsMore says whether the new version fails more than the old one may, by so many bad
 // answers at least.
-func failsMore(fresh, old Counts, least int) bool {
-	return fresh.Bad >= least && fresh.badShare(newAdded) > badFloor+badFactor*old.badShare(oldAdded)
+func failsMore(fresh, old Counts, least int) bool { return fresh.failed().more(old.failed(), least) }
+
+// proportion is how many of a version's answers were bad in one way.
+type proportion struct{ bad, total int }
+
+// more says whether the new version has more bad answers than it is allowed beside the old one,
+// and so many at least.
+func (p proportion) more(old proportion, least int) bool {
+	return p.bad >= least && p.share(newAdded) > badFloor+badFactor*old.share(oldAdded)
+}
+
+// share is the part of bad answers, with so many answers added, half a one of them bad, that a
+// few say little.
+func (p proportion) share(added float64) float64 {
+	return (float64(p.bad) + 0.5) / (float64(p.total) + added)
 }
 
 // Exposure bounds the requests that a version may get before its roll-out's deadline, be
@@ -137,12 +148,13 @@
 		// Load: a version of which little was seen, as instances were killed or cut off.
 		// Harm prevented: one that failed two of seven answers completed all the same.
 		r.Phase, r.Share = PhaseReverted, 0
-	case doubted && fresh.suspects() >= suspectsMost:
-		r.Share, r.Held = 0, elapsed >= complete
-	case doubted && elapsed >= complete:
+	case doubted:
 		// Load: a version that looks slow under a burst in which little can be told. Harm
 		// prevented: old servers that are gone when it turns out to be slow. It may come late.
-		r.Held = true
+		r.Held = elapsed >= complete
+		if fresh.suspects() >= suspectsMost {
+			r.Share = 0
+		}
 	case elapsed >= complete:
 		r.Phase, r.Share = PhaseCompleted, 1
 	}
--- a/decision/passthrough/rollout_load_test.go
+++ b/decision/passthrough/rollout_load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 )
@@ -98,10 +99,7 @@
 		ro.pooled = ro.pooled[1:]
 		ro.sums[o.Route] = ro.sums[o.Route].Add(o, ro.order.Target)
 	}
-	sums := map[string]Pair{}
-	for route, p := range ro.sums {
-		sums[route] = p
-	}
+	sums := maps.Clone(ro.sums)
 	bad := ro.judge.Bad(now, sums)
 	all := Total(sums)
 	limit := Exposure{Share: 0.15, Tolerance: 30}
--- a/decision/passthrough/servers.go
+++ b/decision/passthrough/servers.go
@@ -73,7 +73,9 @@
 // hear takes in a server's word on its load.
 func (w *World) hear(e Heard) {
 	if s := w.servers[e.Server]; s != nil {
-		s.service.throttle.answered(e.Load, w.now)
+		if !s.service.engine {
+			s.service.throttle.answered(e.Load, w.now)
+		}
 		w.states(s, e.Load)
 	}
 }
--- a/decision/passthrough/throttle.go
+++ b/decision/passthrough/throttle.go
@@ -94,18 +94,19 @@
 	return q.ranks[at]
 }
 
-// sent counts a request that went to a server, turnedAway that a server did not take one.
-func (q *throttle) sent(now time.Time)       { q.taken.add(now, 1) }
-func (q *throttle) turnedAway(now time.Time) { q.lose(now, 1) }
-
-// cut counts a request whose connection broke. A full server resets connections, and so does one
-// that a request has crashed: it counts beside another sign of a full service, of the last second.
-func (q *throttle) cut(now time.Time) {
-	if q.away.now(now) >= cutSign {
+// sent counts a request that went to a server.
+func (q *throttle) sent(now time.Time) { q.taken.add(now, 1) }
+
+// ended takes in whether a server took the request. A full one turns it away, or resets the
+// connection, and so does one that a request has crashed: a broken connection counts beside
+// another sign of a full service, of the last second.
+func (q *throttle) ended(e Ended, now time.Time) {
+	if e.Result == Rejected || e.Cut && q.away.now(now) >= cutSign {
 		q.lose(now, 1)
 	}
 }
 
+// lose counts a part of a request as not taken.
 func (q *throttle) lose(now time.Time, part float64) {
 	q.taken.add(now, -part)
 	q.away.add(now, part)
--- a/decision/passthrough/verdict.go
+++ b/decision/passthrough/verdict.go
@@ -44,11 +44,8 @@
 	return Shift{N: s.N - o.N, Sum: s.Sum - o.Sum, Squares: s.Squares - o.Squares, Slow: s.Slow - o.Slow}
 }
 
-// slowShare is the part of slow answers, with so many answers added, half a one of them slow,
-// that a few say little.
-func (s Shift) slowShare(added float64) float64 {
-	return (float64(s.Slow) + 0.5) / (float64(s.N) + added)
-}
+// slow is the slow ones among the answers.
+func (s Shift) slow() proportion { return proportion{s.Slow, s.N} }
 
 // measure is how a kind of times is judged.
 type measure struct {
@@ -70,35 +67,30 @@
 	byFirst = measure{answers: 16, limit: 2.2, variance: 0.5}
 )
 
-// shiftSpread is how many standard errors the mean must lie above the limit: it is looked
-// at a hundred times in a roll-out, by route and by time.
-const shiftSpread = 3
+const (
+	// shiftSpread is how many standard errors the mean must lie above the limit: it is looked
+	// at a hundred times in a roll-out, by route and by time.
+	shiftSpread = 3
+	// doubtSpread is how many it may lie below the limit for the version to be in doubt: a few
+	// answers of a good version are off by more in one roll-out of six, but seldom so far.
+	doubtSpread = 1
+)
 
 // over says whether the mean ratio is above the limit, beyond chance.
-func (m measure) over(s Shift) bool {
-	if s.N < m.answers {
-		return false
-	}
-	mean, err := m.mean(s)
-	return mean-shiftSpread*err > math.Log(m.limit)
-}
+func (m measure) over(s Shift) bool { return m.above(s, -shiftSpread) }
+
+// doubts says whether the mean ratio may well be above the limit.
+func (m measure) doubts(s Shift) bool { return m.above(s, doubtSpread) }
 
-// doubts says whether the mean ratio may well be above the limit. A few answers of a good
-// version are off by more than one standard error in one roll-out of six, but seldom so far.
-func (m measure) doubts(s Shift) bool {
+// above says whether the mean ratio, with so many standard errors added, is above the limit.
+func (m measure) above(s Shift, errors float64) bool {
 	if s.N < m.answers {
 		return false
 	}
-	mean, err := m.mean(s)
-	return mean+err > math.Log(m.limit)
-}
-
-// mean is the mean logarithm of the ratios, with its standard error.
-func (m measure) mean(s Shift) (mean, err float64) {
 	n := float64(s.N)
-	mean = s.Sum / n
+	mean := s.Sum / n
 	variance := max(s.Squares/n-mean*mean, 0) + m.variance
-	return mean, math.Sqrt(variance / n)
+	return mean+errors*math.Sqrt(variance/n) > math.Log(m.limit)
 }
 
 // onTrial says whether the server has the version that is being rolled out.
--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -161,7 +161,7 @@
 		OnStart: func(context.Context) error {
 			tails := []func(context.Context){
 				op.tail(sh.operator, c).run, l.tail(sh.servers, c).run,
-				b.tail(c, m.active).run, m.tail(sh.status).run, sh.tail(ctx).run, sh.census, b.run, m.run,
+				b.tail(c, m.active).run, m.tail(sh.status).run, sh.tail(ctx).run, sh.collect, b.run, m.run,
 			}
 			go startTogether(ctx, sh, cfg.FirstStart, tails)
 			return sh.listen(ctx)
--- a/router/internal/passthrough/membership.go
+++ b/router/internal/passthrough/membership.go
@@ -32,8 +32,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, joinMost)
 	defer cancel()
-	if err := s.learn(ctx); err != nil {
-		s.lost(err)
+	if !s.learn(ctx, s.self.Domain) {
 		return
 	}
 	s.count()
@@ -47,14 +46,15 @@
 	s.journal.emit(logging.EventStoreLost, slog.String("topic", topicInstances), slog.String(logging.KeyError, err.Error()))
 }
 
-// learn reads the members from the store itself.
-func (s *sharing) learn(ctx context.Context) error {
-	snap, err := s.store.Instances(s.self.Domain).Newest(ctx)
+// learn reads a failure domain's members from the store itself, and says whether it answered.
+func (s *sharing) learn(ctx context.Context, domain string) bool {
+	snap, err := s.store.Instances(domain).Newest(ctx)
 	if err != nil {
-		return err
+		s.lost(err)
+		return false
 	}
 	s.memberList(snap.Records)
-	return nil
+	return true
 }
 
 // enlist makes this instance known, by its collector if it has one.
@@ -116,24 +116,30 @@
 // which all share, has room for a fleet that is larger than counted by a sixth.
 const censusEvery = 30 * time.Second
 
-// census counts the instances of the other failure domains where this instance reads the store
-// itself; its followers are told the sum. Each failure domain has a list of its own: at a start
-// of all, 295 instances that read the list of all would wait for 20 MB from the store.
-func (s *sharing) census(ctx context.Context) {
+// collect does what a collector does for its followers, until ctx ends: it makes them known, and
+// counts the fleet.
+func (s *sharing) collect(ctx context.Context) {
 	counted := time.Time{}
 	for ctx.Err() == nil {
 		s.enlistFollowers(ctx)
 		if s.countsAll() && s.clock.Now().Sub(counted) >= censusEvery {
 			counted = s.clock.Now()
-			for _, zone := range s.elsewhere {
-				s.countAt(ctx, zone)
-			}
-			s.count()
+			s.census(ctx)
 		}
 		sleep(ctx, enlistEvery, nil)
 	}
 }
 
+// census counts the instances of all failure domains; the followers are told the sum. Each
+// failure domain has a list of its own: at a start of all, 295 instances that read the list of
+// all would wait for 20 MB from the store.
+func (s *sharing) census(ctx context.Context) {
+	for _, domain := range s.elsewhere {
+		s.learn(ctx, domain)
+	}
+	s.count()
+}
+
 // enlistEvery is how often a collector writes down the followers that have told it of
 // themselves: they need not be known sooner, as the others ask those that were there before.
 const enlistEvery = time.Second
@@ -156,16 +162,6 @@
 	return s.instances.Direct() && (s.members.First() || s.server.Collects())
 }
 
-// countAt takes in the instances of another failure domain.
-func (s *sharing) countAt(ctx context.Context, zone string) {
-	snap, err := s.store.Instances(zone).Newest(ctx)
-	if err != nil {
-		s.lost(err)
-		return
-	}
-	s.memberList(snap.Records)
-}
-
 // instancesWait is how long a read of the members waits for a new one.
 const instancesWait = 10 * time.Second
 
--- a/router/internal/passthrough/sharing_test.go
+++ b/router/internal/passthrough/sharing_test.go
@@ -99,8 +99,8 @@
 	if own.reads != 1+count || other.reads != 0 {
 		t.Errorf("%d reads of the own list, %d of another", own.reads, other.reads)
 	}
-	if err := followers[0].learn(t.Context()); err != nil || !followers[0].listed.Load() {
-		t.Errorf("a follower does not find itself: %v", err)
+	if !followers[0].learn(t.Context(), "a") || !followers[0].listed.Load() {
+		t.Error("a follower does not find itself")
 	}
 }
 
