Drained failure domains get nothing new; cold servers are fed by few

Cause: neither the operator's order to drain a failure domain nor the state of a cold server was read at all.

Change: the order is in force for arrivals, queue, retries and streams that go on (decision/passthrough drained.go, router draining.go); cold servers get requests from three instances of their failure domain, two each in 1.2 s (warmup.go). A server counts as cold by its entry, by a later start, when a connection to it failed or broke, when its failure domain is taken back, and with its whole failure domain where three are lost there and none answers. Followers wait for changes of the list at their collector (0.35 s at a time) in place of asking every 0.75 s.

Ruled out: a part of the rate for each instance (58 first requests in a second, 15 are borne); a lease on each server in the store.

--- a/decision/passthrough/cascade.go
+++ b/decision/passthrough/cascade.go
@@ -37,6 +37,7 @@
 		return
 	}
 	r.first = e.After
+	w.answered(r.server)
 	r.service.reads.began(r, e)
 	r.hasRead()
 	if e.HasLoad {
--- a/decision/passthrough/config.go
+++ b/decision/passthrough/config.go
@@ -63,6 +63,10 @@
 	Name string
 	// Slots is how many requests an engine runs at once; 0 for a plain service.
 	Slots int
+	// WarmUp is how long after its start a server takes little, WarmUpRate how many requests a
+	// second it takes then; 0 where a start makes no difference.
+	WarmUp     time.Duration
+	WarmUpRate float64
 }
 
 // Team is a customer with its keys.
--- /dev/null
+++ b/decision/passthrough/drained.go
@@ -0,0 +1,69 @@
+package passthrough
+
+import "time"
+
+// setDrained takes over which failure domains get no new work. The servers of one that is taken
+// back may be cold, all of them at the same moment.
+//
+// Load: a failure domain that is emptied for work on it, under full traffic. Harm prevented:
+// requests cut when it goes down; and a rush of all instances at its idle servers once it is
+// back.
+func (w *World) setDrained(domains []string) {
+	before := w.drained
+	w.drained = map[string]bool{}
+	for _, domain := range domains {
+		w.drained[domain] = true
+	}
+	for _, s := range w.servers {
+		s.drained = w.drained[s.Zone]
+	}
+	for domain := range before {
+		if !w.drained[domain] {
+			w.coolDomain(domain, WhyDomainBack)
+		}
+	}
+	for _, s := range w.services {
+		w.free(s)
+	}
+}
+
+// coolDomain takes all servers of a failure domain for cold.
+func (w *World) coolDomain(domain string, why WhyCold) {
+	count := 0
+	var span time.Duration
+	for _, s := range w.servers {
+		if s.Zone != domain {
+			continue
+		}
+		if s.coolFor(s.doubtSpan(), w.now) {
+			count++
+			span = max(span, s.doubtSpan())
+		}
+	}
+	if count > 0 {
+		w.emit(Cooled{Domain: domain, Servers: count, For: span, Why: why})
+	}
+}
+
+// lostServer notes that a server could not be reached, or broke off: it may start again at any
+// moment. Where several of a failure domain are lost and none there answers, all of it is taken
+// to be starting again: most instances have not asked each of its servers meanwhile.
+func (w *World) lostServer(s *server) {
+	if s.service.warmUp.span <= 0 {
+		return
+	}
+	w.cool(s, s.doubtSpan(), WhyLost)
+	lost := w.lost[s.Zone]
+	if lost == nil {
+		lost = map[*server]bool{}
+		w.lost[s.Zone] = lost
+	}
+	lost[s] = true
+	if len(lost) >= domainLostAfter {
+		delete(w.lost, s.Zone)
+		w.coolDomain(s.Zone, WhyDomainLost)
+	}
+}
+
+// answered notes that a server has answered: its failure domain is there.
+func (w *World) answered(s *server) { delete(w.lost, s.Zone) }
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -77,6 +77,15 @@
 // Stopping says that this instance ends at the time given.
 type Stopping struct{ At time.Time }
 
+// Drained replaces the failure domains whose servers get no new work.
+type Drained struct{ Domains []string }
+
+// Neighbours are the instances of this one's failure domain, itself among them.
+type Neighbours struct {
+	Self  string
+	Names []string
+}
+
 // RolloutSet says how far a roll-out is.
 type RolloutSet struct{ Rollout Rollout }
 
@@ -94,6 +103,8 @@
 func (RolloutSet) event()   {}
 func (SessionsOpen) event() {}
 func (Stopping) event()     {}
+func (Drained) event()      {}
+func (Neighbours) event()   {}
 
 // Command is anything that a tick asks for. The set is closed.
 type Command interface{ command() }
@@ -158,9 +169,32 @@
 // Suspect says that the list of backend servers should be read at once.
 type Suspect struct{ Server string }
 
+// WhyCold says why servers are taken for cold.
+type WhyCold string
+
+// The reasons.
+const (
+	WhyListed     WhyCold = "listed"
+	WhyStarted    WhyCold = "started_again"
+	WhyLost       WhyCold = "lost"
+	WhyDomainLost WhyCold = "failure_domain_lost"
+	WhyDomainBack WhyCold = "failure_domain_taken_back"
+)
+
+// Cooled says that servers which were warm are taken for cold from now on: one, or all of a
+// failure domain where Server is empty.
+type Cooled struct {
+	Server  string
+	Domain  string
+	Servers int
+	For     time.Duration
+	Why     WhyCold
+}
+
 func (Dispatch) command()  {}
 func (Refuse) command()    {}
 func (Finish) command()    {}
 func (Observed) command()  {}
 func (CrashSeen) command() {}
 func (Suspect) command()   {}
+func (Cooled) command()    {}
--- a/decision/passthrough/harness_test.go
+++ b/decision/passthrough/harness_test.go
@@ -15,6 +15,8 @@
 	// commands by request, in order.
 	got map[RequestID][]Command
 	all []Command
+	// dispatchedAt are the times of all dispatches.
+	dispatchedAt []time.Time
 }
 
 // testStart is any time.
@@ -37,6 +39,7 @@
 		switch c := c.(type) {
 		case Dispatch:
 			b.got[c.Request] = append(b.got[c.Request], c)
+			b.dispatchedAt = append(b.dispatchedAt, b.now)
 		case Refuse:
 			b.got[c.Request] = append(b.got[c.Request], c)
 		case Finish:
--- a/decision/passthrough/requests.go
+++ b/decision/passthrough/requests.go
@@ -65,8 +65,8 @@
 // afford; who finds it longer learns at once when to come back.
 func (w *World) await(r *request) {
 	s := r.service
-	if !w.anyUsable(r) {
-		w.giveUp(r, ReasonNoServer)
+	if reason := w.noneUsable(r); reason != "" {
+		w.giveUp(r, reason)
 		return
 	}
 	if s.pace.drain.wait(s.queue.ahead(r)) > MaxWait(&r.Request, w.now) {
@@ -77,15 +77,21 @@
 	s.queue.push(r, w.cost(r))
 }
 
-// anyUsable says whether some server may take the request, now or when it has room.
-func (w *World) anyUsable(r *request) bool {
+// noneUsable gives the reason why no server may take the request, now or when it has room; ""
+// where one may.
+func (w *World) noneUsable(r *request) Reason {
 	fits := w.fitting(r)
+	reason := ReasonNoServer
 	for _, srv := range r.service.servers {
-		if srv.usable(w.now) && fits(srv) {
-			return true
+		if !srv.usable(w.now) || !fits(srv) {
+			continue
+		}
+		if !srv.isCold(w.now) || w.feeds(srv) {
+			return ""
 		}
+		reason = ReasonWarmingUp
 	}
-	return false
+	return reason
 }
 
 // cost sizes a request for the teams' shares: tokens, with prompts read in parallel.
@@ -183,8 +189,11 @@
 // refuse ends a request that has not run, with when to come back.
 func (w *World) refuse(r *request, reason Reason) {
 	after := r.service.pace.drain.wait(r.service.queue.ahead(r))
-	if reason == ReasonNoServer {
+	switch reason {
+	case ReasonNoServer:
 		after = max(after, absentFor)
+	case ReasonWarmingUp:
+		after = max(after, w.warmAt(r.service).Sub(w.now))
 	}
 	after = max(after, comeBackLeast)
 	after = min(after, comeBackMost, time.Duration(comeBackPart*float64(r.Deadline.Sub(w.now))))
@@ -236,6 +245,7 @@
 	if e.Result == NotSent {
 		r.attempts--
 		s.shutUntil = w.now.Add(absentFor)
+		w.lostServer(s)
 		w.emit(Suspect{Server: s.ID})
 		return
 	}
@@ -256,6 +266,7 @@
 		w.notePace(r, s, e.Pace)
 	}
 	if e.Cut {
+		w.lostServer(s)
 		w.crashes.broke(r.Fingerprint, 1, w.now)
 		w.emit(CrashSeen{Fingerprint: r.Fingerprint})
 	}
--- a/decision/passthrough/seam/settings.go
+++ b/decision/passthrough/seam/settings.go
@@ -43,6 +43,10 @@
 	CanaryShare float64
 	// CanaryTolerance is the number of requests that it may get beside that.
 	CanaryTolerance float64
+	// WarmUpBurst times a cold server's rate, and WarmUpSlack beside that, is what it may get in
+	// one second from all instances.
+	WarmUpBurst float64
+	WarmUpSlack float64
 	// SessionLife is how long after its last request a session goes on.
 	SessionLife time.Duration
 }
--- a/decision/passthrough/servers.go
+++ b/decision/passthrough/servers.go
@@ -12,6 +12,7 @@
 		row := w.serviceOf(s.Name)
 		row.engine = s.Slots > 0
 		row.slots = s.Slots
+		w.setWarmUp(row, s)
 	}
 }
 
@@ -33,13 +34,21 @@
 		row := w.servers[s.ID]
 		if row != nil && row.Born == s.Born && row.Address == s.Address && row.Service == s.Service {
 			s.Draining = s.Draining || row.Draining
+			told := s.WarmUp != row.WarmUp
 			row.Server = s
+			if told {
+				w.cool(row, s.WarmUp, WhyListed)
+			}
 			continue
 		}
+		fresh := w.newServer(s)
+		w.servers[s.ID] = fresh
+		w.cool(fresh, s.WarmUp, WhyListed)
 		if row != nil {
 			row.gone = true
+			fresh.cold.until = row.cold.until
+			w.cool(fresh, fresh.service.warmUp.span, WhyStarted)
 		}
-		w.servers[s.ID] = w.newServer(s)
 	}
 	for id, row := range w.servers {
 		if !seen[id] {
@@ -51,9 +60,14 @@
 }
 
 func (w *World) newServer(s Server) *server {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(s.ID)) // never fails, by its contract
-	return &server{Server: s, service: w.serviceOf(s.Service), hash: mix(h.Sum64())}
+	return &server{Server: s, service: w.serviceOf(s.Service), hash: hashText(s.ID), drained: w.drained[s.Zone]}
+}
+
+// cool takes one server for cold, and tells of it.
+func (w *World) cool(s *server, span time.Duration, why WhyCold) {
+	if s.coolFor(span, w.now) {
+		w.emit(Cooled{Server: s.ID, Domain: s.Zone, Servers: 1, For: span, Why: why})
+	}
 }
 
 // regroup fills the services' lists, in the list's order.
@@ -73,6 +87,7 @@
 // hear takes in a server's word on its load.
 func (w *World) hear(e Heard) {
 	if s := w.servers[e.Server]; s != nil {
+		w.answered(s)
 		if !s.service.engine {
 			s.service.throttle.answered(e.Load, w.now)
 		}
@@ -119,7 +134,14 @@
 
 // usable says whether the server may get new work, sick or not.
 func (s *server) usable(now time.Time) bool {
-	return !s.gone && !s.Draining && !now.Before(s.shutUntil)
+	return !s.gone && !s.Draining && !s.drained && !now.Before(s.shutUntil)
+}
+
+// hashText is a hash of a name that is alike at all instances.
+func hashText(text string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(text)) // never fails, by its contract
+	return mix(h.Sum64())
 }
 
 // mix spreads the bits of a hash (the finalizer of MurmurHash3).
--- a/decision/passthrough/types.go
+++ b/decision/passthrough/types.go
@@ -17,6 +17,9 @@
 	// Born is the start of the server's process in Unix milliseconds, 0 where unknown:
 	// a server may start again under its id.
 	Born int64
+	// WarmUp is how much longer the server was to take little after its start when its entry
+	// was written; 0 for one that is warm.
+	WarmUp time.Duration
 }
 
 // Load is a backend server's word on itself.
@@ -100,6 +103,7 @@
 // The reasons for a refusal.
 const (
 	ReasonNoServer    Reason = "no_backend_server"
+	ReasonWarmingUp   Reason = "backend_servers_warming_up"
 	ReasonBusy        Reason = "busy"
 	ReasonServersFull Reason = "backend_servers_full"
 	ReasonRetryBudget Reason = "retry_budget_spent"
--- a/decision/passthrough/versions.go
+++ b/decision/passthrough/versions.go
@@ -26,7 +26,7 @@
 func (w *World) versions(s *service, target string) (at, others int) {
 	for _, srv := range s.servers {
 		switch {
-		case srv.gone, srv.Draining, w.barred[versionKey{srv.Service, srv.Version}]:
+		case srv.gone, srv.Draining, srv.drained, w.barred[versionKey{srv.Service, srv.Version}]:
 		case srv.Version == target:
 			at++
 		default:
--- /dev/null
+++ b/decision/passthrough/warmup_test.go
@@ -0,0 +1,263 @@
+package passthrough
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// The limits of the tests' cold servers: 15 requests in a second from all instances.
+const (
+	coldSpan  = 3 * time.Second
+	coldRate  = 6.9
+	coldBurst = 1.5
+	coldSlack = 5.0
+	coldMost  = coldRate*coldBurst + coldSlack
+)
+
+// warmUpConfig has a service whose servers start cold.
+func warmUpConfig() Config {
+	return Config{Version: 1, Routes: []Route{*streamRoute()},
+		Services: []Service{{Name: "llm", Slots: 1000, WarmUp: coldSpan, WarmUpRate: coldRate}}}
+}
+
+// newWarmUpBench is an instance in failure domain "a" with so many neighbours, itself among them.
+func newWarmUpBench(t *testing.T, self string, neighbours int) (*bench, []string) {
+	t.Helper()
+	b := newBench(t, Settings{
+		Seed: 1, Zone: "a", Domains: []string{"a", "b", "c"}, WarmUpBurst: coldBurst, WarmUpSlack: coldSlack,
+		RetryRatio: 0.5, RetrySlack: 5, RetryWindow: 10 * time.Second, SessionLife: 5 * time.Second,
+	})
+	var names []string
+	for i := range neighbours {
+		names = append(names, fmt.Sprintf("i%d", i))
+	}
+	b.tell(Configured{NewIndex(warmUpConfig())}, Neighbours{Self: self, Names: names})
+	return b, names
+}
+
+// cold says of servers that they have just started.
+func cold(list []Server) []Server {
+	for i := range list {
+		list[i].WarmUp = coldSpan
+	}
+	return list
+}
+
+func TestFeedQuotaKeepsTheBound(t *testing.T) {
+	for _, rate := range []float64{0, 0.4, 1, 2, 3.3, 6.9, 20, 100} {
+		for _, burst := range []float64{1, 1.5, 3} {
+			most := rate*burst + coldSlack
+			feeders, each := feedQuota(rate, most)
+			if feeders < 1 || each < 1 {
+				t.Errorf("rate %v: %d feeders of %d", rate, feeders, each)
+			}
+			if got := float64(feedViews * feeders * each); got > most {
+				t.Errorf("rate %v, burst %v: %v requests in a second, %v are borne", rate, burst, got, most)
+			}
+		}
+	}
+}
+
+// TestColdServerUnderViewsThatDiffer plays a burst of all instances at one cold server. Some
+// instances know of neighbours that others do not know yet, or no more.
+func TestColdServerUnderViewsThatDiffer(t *testing.T) {
+	fleets := []struct{ instances, domains int }{{8, 3}, {58, 3}, {300, 5}, {880, 24}}
+	for _, f := range fleets {
+		for seed := range uint64(4) {
+			rng := rand.New(rand.NewPCG(seed, 1))
+			near := f.instances / f.domains
+			var worlds []*bench
+			for i := range near {
+				b, names := newWarmUpBench(t, fmt.Sprintf("i%d", i), near)
+				switch rng.IntN(3) {
+				case 0: // has not heard of those that started lately
+					names = append(names[:max(near*4/5, 1)], fmt.Sprintf("i%d", i))
+				case 1: // remembers some that are gone
+					for j := range near / 5 {
+						names = append(names, fmt.Sprintf("gone%d", j))
+					}
+				}
+				b.tell(Neighbours{Self: fmt.Sprintf("i%d", i), Names: names})
+				b.tell(Listed{cold(inDomains(servers("llm", 1, 1000), "a"))})
+				worlds = append(worlds, b)
+			}
+			most, feeding := 0, 0
+			for range 25 { // 2.5 s
+				sent := 0
+				for _, b := range worlds {
+					b.pass(100 * time.Millisecond)
+					for range 3 {
+						if _, ok := b.last(b.arrive(streamRoute(), nil)).(Dispatch); ok {
+							sent++
+						}
+					}
+				}
+				feeding += sent
+				most = max(most, sent)
+			}
+			if inSecond := inAnySecond(worlds); float64(inSecond) > coldMost {
+				t.Errorf("%d instances, seed %d: %d requests in a second, %.1f are borne", f.instances, seed, inSecond, coldMost)
+			}
+			if feeding == 0 {
+				t.Errorf("%d instances, seed %d: nobody feeds the server", f.instances, seed)
+			}
+		}
+	}
+}
+
+// inAnySecond is the most dispatches of all instances in any second, in steps of 100 ms.
+func inAnySecond(worlds []*bench) int {
+	counts := map[int]int{}
+	for _, b := range worlds {
+		for _, at := range b.dispatchedAt {
+			counts[int(at.Sub(testStart)/(100*time.Millisecond))]++
+		}
+	}
+	most := 0
+	const steps, horizon = 10, 100
+	for from := range horizon {
+		sum := 0
+		for i := range steps {
+			sum += counts[from+i]
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+// TestOtherServersTakeWhatAColdOneMayNot holds that a cold server is no reason to refuse.
+func TestOtherServersTakeWhatAColdOneMayNot(t *testing.T) {
+	b, _ := newWarmUpBench(t, "i0", 1)
+	list := servers("llm", 3, 100)
+	list[0].WarmUp = coldSpan
+	b.tell(Listed{list})
+	for range 100 {
+		b.dispatched(b.arrive(streamRoute(), nil))
+	}
+}
+
+// TestAllServersCold holds that, where all servers of the service are cold, what waits has its
+// turn as they may get more, and by rank.
+func TestAllServersCold(t *testing.T) {
+	b, _ := newWarmUpBench(t, "i0", 1)
+	b.tell(Listed{cold(servers("llm", 1, 100))})
+	for range 2 {
+		b.dispatched(b.arrive(streamRoute(), nil))
+	}
+	low := b.arrive(streamRoute(), func(r *Request) { r.Rank = 2 })
+	high := b.arrive(streamRoute(), nil)
+	if b.last(low) != nil || b.last(high) != nil {
+		t.Fatalf("got %#v and %#v, want both to wait", b.last(low), b.last(high))
+	}
+	b.pass(feedWindow)
+	b.tell()
+	b.dispatched(high)
+	b.dispatched(low)
+}
+
+// TestNobodyFeedsWithoutKnowingItsNeighbours holds that an instance which has just started, and
+// may be one of hundreds, refuses at once and says when to come back.
+func TestNobodyFeedsWithoutKnowingItsNeighbours(t *testing.T) {
+	b, _ := newWarmUpBench(t, "late", 1)
+	b.tell(Neighbours{Self: "late", Names: []string{"i0", "i1", "i2", "i3", "i4", "i5", "i6", "i7", "late"}})
+	fed, refused := 0, 0
+	for i := range 40 {
+		s := cold(servers("llm", i+1, 8))[i:]
+		b.tell(Listed{s})
+		switch c := b.last(b.arrive(streamRoute(), nil)).(type) {
+		case Dispatch:
+			fed++
+		case Refuse:
+			refused++
+			if c.Reason != ReasonWarmingUp || c.RetryAfter <= 0 {
+				t.Fatalf("refused with %+v", c)
+			}
+		}
+	}
+	if fed == 0 || fed > 25 {
+		t.Errorf("feeds %d of 40 servers, refuses at %d", fed, refused)
+	}
+	fresh := newBench(t, Settings{Seed: 1, Zone: "a", WarmUpBurst: coldBurst, WarmUpSlack: coldSlack,
+		RetryRatio: 0.5, RetrySlack: 5, RetryWindow: 10 * time.Second, SessionLife: 5 * time.Second})
+	fresh.tell(Configured{NewIndex(warmUpConfig())}, Listed{cold(servers("llm", 1, 8))})
+	fresh.refused(fresh.arrive(streamRoute(), nil), ReasonWarmingUp)
+}
+
+// TestServerIsWarmInTheEnd holds that the limit ends with the time that the entry gave, also
+// where the same entry is read again and again.
+func TestServerIsWarmInTheEnd(t *testing.T) {
+	b, _ := newWarmUpBench(t, "i0", 1)
+	list := cold(servers("llm", 1, 100))
+	for range 4 {
+		b.tell(Listed{list})
+		b.pass(coldSpan / 4)
+	}
+	b.pass(time.Millisecond)
+	for range 20 {
+		b.dispatched(b.arrive(streamRoute(), nil))
+	}
+}
+
+// TestRefusedConnectionCountsAsAStart holds that a server which could not be reached is fed slowly
+// from then on, before its entry says anything.
+func TestRefusedConnectionCountsAsAStart(t *testing.T) {
+	b, _ := newWarmUpBench(t, "i0", 1)
+	b.tell(Listed{servers("llm", 1, 100)})
+	b.tell(Ended{Request: b.arrive(streamRoute(), nil), Result: NotSent})
+	b.pass(absentFor)
+	sent := 0
+	for range 20 {
+		if _, ok := b.last(b.arrive(streamRoute(), nil)).(Dispatch); ok {
+			sent++
+		}
+	}
+	if sent != 2 {
+		t.Errorf("%d requests at once, want 2", sent)
+	}
+}
+
+// TestLostDomainIsFedSlowly holds that three lost servers of a failure domain stand for all of it,
+// unless others there still answer.
+func TestLostDomainIsFedSlowly(t *testing.T) {
+	for _, answers := range []bool{false, true} {
+		b, _ := newWarmUpBench(t, "i0", 1)
+		list := inDomains(servers("llm", 12, 1000), "a", "b")
+		b.tell(Listed{list})
+		var ids []RequestID
+		for len(ids) < domainLostAfter {
+			if id := b.arrive(streamRoute(), nil); b.dispatched(id).Server.Zone == "a" {
+				ids = append(ids, id)
+			}
+		}
+		for i, id := range ids {
+			if answers && i == domainLostAfter-1 {
+				b.tell(Heard{Server: list[10].ID})
+			}
+			b.tell(Ended{Request: id, Result: Broken, Cut: true})
+		}
+		cooled := 0
+		for _, s := range b.world.servers {
+			if s.isCold(b.now) {
+				cooled++
+			}
+		}
+		if all := cooled == 6; all == answers {
+			t.Errorf("others answer: %v; %d of 6 servers are taken for cold", answers, cooled)
+		}
+	}
+}
+
+// TestRestartUnderTheSameIDIsCold holds that an entry with a later start is one of a cold server.
+func TestRestartUnderTheSameIDIsCold(t *testing.T) {
+	b, _ := newWarmUpBench(t, "i0", 1)
+	list := servers("llm", 1, 8)
+	b.tell(Listed{list})
+	again := servers("llm", 1, 8)
+	again[0].Born = 2
+	b.tell(Listed{again})
+	if s := b.world.servers[list[0].ID]; !s.isCold(b.now) || s.isCold(b.now.Add(coldSpan)) {
+		t.Errorf("cold until %v", s.cold.until)
+	}
+}
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -11,8 +11,9 @@
 type Settings struct {
 	// Seed makes every random choice repeatable.
 	Seed uint64
-	// Zone is the instance's own failure domain.
-	Zone string
+	// Zone is the instance's own failure domain, Domains all that have instances.
+	Zone    string
+	Domains []string
 	// RetryRatio, RetrySlack and RetryWindow bound repeats at a service: in each window
 	// as many as the ratio times the requests, and this instance's part of the slack,
 	// which all instances share.
@@ -21,6 +22,10 @@
 	RetryWindow time.Duration
 	// SessionLife is how long after its last request a session goes on.
 	SessionLife time.Duration
+	// WarmUpBurst times a cold server's rate, and WarmUpSlack beside that, is what it may get in
+	// one second from all instances.
+	WarmUpBurst float64
+	WarmUpSlack float64
 }
 
 // sessionTable bounds the sessions that are kept.
@@ -41,6 +46,11 @@
 	keptOld map[string]bool
 	crashes crashes
 	routes  map[string]*routeStats
+	// drained are the failure domains that get no new work.
+	drained map[string]bool
+	// lost are the servers of each failure domain that were lost since one there answered.
+	lost map[string]map[*server]bool
+	near neighbours
 
 	// fleet is the number of instances, 0 where not known.
 	fleet int
@@ -73,6 +83,7 @@
 	usualOthers mean
 	pace        paceStats
 	reads       readStats
+	warmUp      warmUp
 	isFree      bool
 }
 
@@ -99,6 +110,9 @@
 	// hash is the server's part of the affinity hash.
 	hash uint64
 	gone bool
+	// drained says that its failure domain gets no new work.
+	drained bool
+	cold    coldness
 }
 
 // request is a live request.
@@ -159,6 +173,7 @@
 		keptOld:  map[string]bool{},
 		crashes:  newCrashes(),
 		routes:   map[string]*routeStats{},
+		lost:     map[string]map[*server]bool{},
 	}
 }
 
@@ -173,6 +188,7 @@
 	for _, e := range in {
 		w.apply(e)
 	}
+	w.freeFed()
 	w.placeWaiting()
 	return w.out
 }
@@ -205,6 +221,10 @@
 		w.keepOld(e.Sessions)
 	case Stopping:
 		w.endsAt = e.At
+	case Drained:
+		w.setDrained(e.Domains)
+	case Neighbours:
+		w.setNeighbours(e)
 	case RolloutSet:
 		w.setRollout(e.Rollout)
 	}
--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -97,6 +97,7 @@
 		Seed: hashOf(cfg.Instance) ^ uint64(c.Now().UnixNano()>>seedShift), Zone: cfg.Zone,
 		RetryRatio: ratioPart * cfg.Bounds.RetryRatio, RetrySlack: cfg.Bounds.RetrySlack,
 		RetryWindow: cfg.Bounds.RetryWindow, SessionLife: cfg.Bounds.SessionLife,
+		Domains: cfg.Zones, WarmUpBurst: cfg.Bounds.WarmUpBurst, WarmUpSlack: cfg.Bounds.WarmUpSlack,
 	})
 }
 
@@ -110,13 +111,15 @@
 	b.fleet = sh.members.Count
 	sh.wake = b.nudge
 	sh.counted = func(n int) { d.Tell(passthrough.Fleet{Instances: n}) }
-	d.observe, d.crash = b.observed, b.crashed
+	sh.neighbours = func(names []string) { d.Tell(passthrough.Neighbours{Self: cfg.Instance, Names: names}) }
+	d.observe, d.crash, d.cooled = b.observed, b.crashed, j.cooled
 	return b
 }
 
 func provideList(p Platform, cfg seam.Settings, sh *sharing, d *Driver, dial *dialer, j *journal, c Clock, st *starting) *list {
 	l := newList(p.Records, d, dial, j, c, cfg.Bounds.Drain, st)
 	d.hurry = l.hurry
+	l.follows = func() bool { return !sh.servers.Direct() }
 	l.alone = func() bool { return sh.servers.Direct() && !sh.server.Collects() }
 	return l
 }
@@ -155,7 +158,11 @@
 
 // startTails follows the store's topics, and carries roll-outs out.
 func startTails(lc fx.Lifecycle, p Platform, cfg seam.Settings, sh *sharing, k *Knowledge, d *Driver, l *list, m *rollouts, b *board, j *journal, c Clock, st *starting) {
-	op := &operator{records: p.Records, known: k, driver: d, rollouts: m, journal: j, starting: st, collects: sh.server.Collects, direct: sh.operator.Direct}
+	op := &operator{
+		records: p.Records, known: k, driver: d, rollouts: m, journal: j, starting: st,
+		drained: map[string]bool{}, domains: cfg.Zones,
+		collects: sh.server.Collects, direct: sh.operator.Direct,
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
--- /dev/null
+++ b/router/internal/passthrough/draining_test.go
@@ -0,0 +1,73 @@
+package passthrough
+
+import (
+	"testing"
+
+	"masticplank.example/coordination/keyedlog"
+)
+
+func drainOrder(domain, value string, offset uint64) keyedlog.Record {
+	return keyedlog.Record{Key: "drain/" + domain, Value: []byte(value), Offset: offset}
+}
+
+func TestDrainOrders(t *testing.T) {
+	cases := []struct {
+		name string
+		play func(o *operator)
+		want []string
+	}{
+		{"an order", func(o *operator) { o.take(drainOrder("a", "{}", 1)) }, []string{"a"}},
+		{"bytes that cannot be read", func(o *operator) { o.take(drainOrder("a", "\xff{", 1)) }, []string{"a"}},
+		{"a domain that nobody knows", func(o *operator) { o.take(drainOrder("moon", "{}", 1)) }, []string{"moon"}},
+		{"two domains", func(o *operator) {
+			o.take(drainOrder("a", "{}", 1))
+			o.take(drainOrder("b", "{}", 2))
+		}, []string{"a", "b"}},
+		{"taken back", func(o *operator) {
+			o.take(drainOrder("a", "{}", 1))
+			o.take(drainOrder("a", "", 2))
+		}, nil},
+		{"taken back while the history was dropped", func(o *operator) {
+			o.take(drainOrder("a", "{}", 1))
+			o.take(drainOrder("b", "{}", 2))
+			o.takeAll([]keyedlog.Record{drainOrder("b", "{}", 2)})
+		}, []string{"b"}},
+	}
+	for _, c := range cases {
+		p := newParts("a", newFakeClock(), &fakeLog{}, &fakeLog{})
+		c.play(p.operator)
+		if len(p.operator.drained) != len(c.want) {
+			t.Errorf("%s: drained %v, want %v", c.name, p.operator.drained, c.want)
+		}
+		for _, domain := range c.want {
+			if !p.operator.drained[domain] {
+				t.Errorf("%s: %q is not drained", c.name, domain)
+			}
+		}
+	}
+}
+
+// TestOrderIsKnownBeforeTheConfiguration holds that an instance which starts while a failure
+// domain is drained sends nothing there: the configuration lets requests in.
+func TestOrderIsKnownBeforeTheConfiguration(t *testing.T) {
+	p := newParts("a", newFakeClock(), &fakeLog{}, &fakeLog{})
+	var drainedThen bool
+	p.operator.records = spyRecords{seen: func() { drainedThen = p.operator.drained["a"] }}
+	p.operator.takeAll([]keyedlog.Record{{Key: "config", Value: []byte("config 3")}, drainOrder("a", "{}", 1)})
+	if p.known.Index() == nil || !drainedThen {
+		t.Errorf("configuration known: %v; drained before it: %v", p.known.Index() != nil, drainedThen)
+	}
+}
+
+// spyRecords tells when the configuration is decoded.
+type spyRecords struct {
+	fakeRecords
+	seen func()
+}
+
+func (s spyRecords) DrainedDomain(r keyedlog.Record) (string, bool) {
+	if r.Key == "config" {
+		s.seen() // asked of each record before it is applied
+	}
+	return s.fakeRecords.DrainedDomain(r)
+}
--- a/router/internal/passthrough/driver.go
+++ b/router/internal/passthrough/driver.go
@@ -11,9 +11,10 @@
 	clock Clock
 	// hurry asks for the list of backend servers to be read at once.
 	hurry func()
-	// observe and crash tell the other instances.
+	// observe and crash tell the other instances, cooled the log.
 	observe func(passthrough.Observed)
 	crash   func(passthrough.CrashSeen)
+	cooled  func(passthrough.Cooled)
 
 	mu      sync.Mutex
 	world   *passthrough.World
@@ -36,6 +37,7 @@
 	return &Driver{
 		clock: clock, world: passthrough.New(cfg), tickets: map[passthrough.RequestID]*ticket{},
 		hurry: func() {}, observe: func(passthrough.Observed) {}, crash: func(passthrough.CrashSeen) {},
+		cooled: func(passthrough.Cooled) {},
 	}
 }
 
@@ -110,6 +112,8 @@
 			d.crash(c)
 		case passthrough.Suspect:
 			d.hurry()
+		case passthrough.Cooled:
+			d.cooled(c)
 		}
 	}
 }
--- a/router/internal/passthrough/fakes_test.go
+++ b/router/internal/passthrough/fakes_test.go
@@ -118,7 +118,8 @@
 	l.records = append(l.records, keyedlog.Record{Key: key, Value: []byte(value), Offset: uint64(len(l.records))})
 }
 
-// fakeRecords reads records of words: "config VERSION", "order SERVICE TARGET SECONDS",
+// fakeRecords reads records of words: "config VERSION", "order SERVICE TARGET SECONDS", the key
+// "drain/DOMAIN",
 // "server SERVICE VERSION ready|draining", "status TARGET PHASE".
 type fakeRecords struct{}
 
@@ -140,6 +141,10 @@
 	return o, true, err
 }
 
+func (fakeRecords) DrainedDomain(r keyedlog.Record) (domain string, ok bool) {
+	return strings.CutPrefix(r.Key, "drain/")
+}
+
 func (fakeRecords) Server(r keyedlog.Record) (passthrough.Server, error) {
 	s := passthrough.Server{ID: r.Key, Address: "127.0.0.1:1", Slots: 4, Born: 1}
 	state := ""
@@ -185,6 +190,6 @@
 	p.rollouts = newRollouts(fakeRecords{}, status, p.driver, p.list, p.board, p.journal, clock,
 		passthrough.Exposure{Share: 0.15, Tolerance: 30})
 	p.operator = &operator{records: fakeRecords{}, known: p.known, driver: p.driver, rollouts: p.rollouts, journal: p.journal, starting: newStarting(),
-		collects: func() bool { return false }, direct: func() bool { return true }}
+		drained: map[string]bool{}, domains: []string{"a", "b"}, collects: func() bool { return false }, direct: func() bool { return true }}
 	return p
 }
--- a/router/internal/passthrough/journal.go
+++ b/router/internal/passthrough/journal.go
@@ -62,6 +62,10 @@
 	gometrics.GetOrRegisterCounter("passthrough."+name, j.reg).Inc(1)
 }
 
+func (j *journal) gauge(name string, value int) {
+	gometrics.GetOrRegisterGauge("passthrough."+name, j.reg).Update(int64(value))
+}
+
 func (j *journal) observe(name string, took time.Duration) {
 	const sample, alpha = 1028, 0.015 // the library's own advice for a sample of five minutes
 	h := j.reg.GetOrRegister("passthrough."+name, func() gometrics.Histogram {
@@ -70,6 +74,13 @@
 	h.Update(took.Milliseconds())
 }
 
+// cooled tells that servers are taken for cold. The driver calls it, so it must not block.
+func (j *journal) cooled(c passthrough.Cooled) {
+	j.count("cooled." + string(c.Why))
+	j.emit(logging.EventServerCold, slog.String(keyServer, c.Server), slog.String("domain", c.Domain),
+		slog.Int("servers", c.Servers), slog.Int64("for_ms", c.For.Milliseconds()), slog.String(keyReason, string(c.Why)))
+}
+
 func (j *journal) refused(c *call, no refusal) {
 	j.count("refused." + string(no.reason))
 	j.emit(logging.EventPassRefused, j.about(c,
--- a/router/internal/passthrough/list.go
+++ b/router/internal/passthrough/list.go
@@ -21,6 +21,12 @@
 	listPart  = 0.37
 	listLeast = 300 * time.Millisecond
 	listMost  = 750 * time.Millisecond
+	// followPause gathers changes that come together into one read by a follower: a server that
+	// leaves, or is cold, must be known within a second, and not by one read for each heartbeat.
+	followPause = 100 * time.Millisecond
+	// followWait is how long such a read waits for a change. What it tells may have come by two
+	// other instances, and its age adds up.
+	followWait = 350 * time.Millisecond
 	// lapseGrace is how long an entry that went away in an outage of the store is still
 	// believed once the store is back: it returns within two seconds, if the server
 	// lives.
@@ -40,8 +46,10 @@
 	nudge   chan struct{}
 	// starting is told when the list was read first.
 	starting *starting
-	// alone says whether this instance reads the store, and for itself only.
-	alone func() bool
+	// alone says whether this instance reads the store, and for itself only; follows that it
+	// reads from another instance.
+	alone   func() bool
+	follows func() bool
 
 	mu      sync.Mutex
 	entries map[string]passthrough.Server
@@ -57,7 +65,7 @@
 func newList(records Records, driver *Driver, d *dialer, j *journal, clock Clock, drain time.Duration, st *starting) *list {
 	return &list{
 		records: records, driver: driver, dialer: d, journal: j, clock: clock, drain: drain, starting: st,
-		alone: func() bool { return false },
+		alone: func() bool { return false }, follows: func() bool { return false },
 		nudge: make(chan struct{}, 1), entries: map[string]passthrough.Server{},
 		lapsed: map[string]time.Time{}, bad: map[string]bool{},
 	}
@@ -74,8 +82,8 @@
 func (l *list) tail(log keyedlog.Log, clock Clock) *tail {
 	t := &tail{
 		name: topicServers, log: log, clock: clock, journal: l.journal, nudge: l.nudge,
-		pause: l.every,
-		each:  func(r keyedlog.Record) { l.take(r) },
+		wait: l.wait, pause: l.pause,
+		each: func(r keyedlog.Record) { l.take(r) },
 	}
 	t.whole = func(records []keyedlog.Record) { l.replace(records) }
 	t.read = func(time.Time, int) {
@@ -90,7 +98,24 @@
 	return t
 }
 
-// every is the time between two reads.
+// wait is how long a read waits for a change: not at all in the store, where each heartbeat is
+// one, and for a while where another instance passes on what matters.
+func (l *list) wait() time.Duration {
+	if l.follows() {
+		return min(followWait, l.every())
+	}
+	return 0
+}
+
+// pause is the time from a read to the next one.
+func (l *list) pause() time.Duration {
+	if l.follows() {
+		return followPause
+	}
+	return l.every()
+}
+
+// every is the time between two reads of the store.
 func (l *list) every() time.Duration {
 	span := max(time.Duration(listPart*float64(l.drain)), listLeast)
 	if l.alone() {
--- a/router/internal/passthrough/operator.go
+++ b/router/internal/passthrough/operator.go
@@ -9,7 +9,8 @@
 	"masticplank.example/router/internal/logging"
 )
 
-// operator follows the operator's records: the configuration and the roll-out orders.
+// operator follows the operator's records: the configuration, the roll-out orders, and the
+// failure domains that are to be drained.
 type operator struct {
 	records  Records
 	known    *Knowledge
@@ -17,6 +18,9 @@
 	rollouts *rollouts
 	journal  *journal
 	starting *starting
+	// drained are the failure domains that get no new work, domains all that there are.
+	drained map[string]bool
+	domains []string
 	// collects says whether others read from this instance, direct whether it reads from
 	// the store itself.
 	collects func() bool
@@ -64,6 +68,7 @@
 // takeAll applies the newest records, the configuration last: it lets requests in, and
 // these must find the roll-outs.
 func (o *operator) takeAll(list []keyedlog.Record) {
+	o.takeDrained(list)
 	for _, config := range []bool{false, true} {
 		for _, r := range list {
 			if _, ok, _ := o.records.Config(r); ok == config {
@@ -75,6 +80,10 @@
 
 // take applies one record. One that cannot be read changes nothing.
 func (o *operator) take(r keyedlog.Record) {
+	if domain, ok := o.records.DrainedDomain(r); ok {
+		o.drain(domain, len(r.Value) > 0, r.Offset)
+		return
+	}
 	if len(r.Value) == 0 {
 		return
 	}
--- a/router/internal/passthrough/ports.go
+++ b/router/internal/passthrough/ports.go
@@ -23,6 +23,9 @@
 	Config(r keyedlog.Record) (c passthrough.Config, ok bool, err error)
 	// Order decodes a roll-out order; ok is false for a record of another kind.
 	Order(r keyedlog.Record) (o passthrough.Order, ok bool, err error)
+	// DrainedDomain gives the failure domain that the record asks to drain, or takes back where
+	// its value is empty; ok is false for a record of another kind.
+	DrainedDomain(r keyedlog.Record) (domain string, ok bool)
 	// Server decodes a backend server's entry.
 	Server(r keyedlog.Record) (passthrough.Server, error)
 	// Status decodes how far a service's roll-out is; ok is false for a record of
--- a/router/internal/passthrough/sharing.go
+++ b/router/internal/passthrough/sharing.go
@@ -37,6 +37,9 @@
 	// counted is told how many instances there are, told what it was told last.
 	counted func(int)
 	told    atomic.Int64
+	// neighbours is told of the instances of this failure domain, near how many it was told of.
+	neighbours func([]string)
+	near       atomic.Int64
 	// elsewhere are the other failure domains.
 	elsewhere []string
 	// listed says that the store has this instance as it is now, enlisted when it was last
@@ -70,6 +73,7 @@
 	s := &sharing{
 		self:  relay.Member{Name: cfg.Instance, Domain: cfg.Zone, Address: cfg.Peers, Cores: cfg.Cores},
 		store: store, journal: j, clock: clock, held: map[string][]keyedlog.Record{}, wake: func() {}, counted: func(int) {},
+		neighbours: func([]string) {},
 	}
 	for _, zone := range cfg.Zones {
 		if zone != cfg.Zone {
--- a/router/internal/relay/members.go
+++ b/router/internal/relay/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -168,6 +169,14 @@
 	m.fleet = max(m.fleet, fleet)
 }
 
+// Names are the names of the instances of this failure domain that ever were known, this one
+// among them.
+func (m *Members) Names() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Sorted(maps.Keys(m.list))
+}
+
 // Knows says whether the member is known as given.
 func (m *Members) Knows(in Member) bool {
 	m.mu.Lock()
