--- a/router/internal/relay/cache.go
+++ b/router/internal/relay/cache.go
@@ -29,6 +29,8 @@
 	// confirmed is when the log was as known here, at the latest.
 	confirmed time.Time
 	changed   chan struct{}
+	// packed is the last snapshot that was handed out.
+	packed packedSnapshot
 }
 
 // NewCache returns an empty cache; now is a clock that goes on while suspended. same says
@@ -47,6 +49,7 @@
 	defer c.mu.Unlock()
 	c.known = true
 	c.records = nil
+	c.packed = packedSnapshot{}
 	c.first, c.next = s.Next, s.Next
 	clear(c.newest)
 	for _, r := range s.Records {
@@ -156,19 +159,38 @@
 	return c.now().Sub(c.confirmed)
 }
 
-// Newest returns the newest record of each key.
-func (c *Cache) Newest(ctx context.Context) (keyedlog.Snapshot, error) {
+// newestAnswer is the answer with the newest record of each key. It is packed once for all that ask at
+// about the same time.
+//
+// Load: hundreds of instances that start together before thousands of backend servers. Harm
+// prevented: a collector that writes a megabyte to each of a hundred followers, and is done after
+// many seconds, in which nobody is served.
+func (c *Cache) newestAnswer(ctx context.Context) (answer, error) {
 	if err := c.await(ctx, knownSoon, func() bool { return c.known }); err != nil {
-		return keyedlog.Snapshot{}, err
+		return answer{}, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.known {
-		return keyedlog.Snapshot{}, keyedlog.ErrNotDone
+		return answer{}, keyedlog.ErrNotDone
 	}
-	out := keyedlog.Snapshot{Next: c.next, Age: c.now().Sub(c.confirmed)}
-	for _, r := range c.newest {
-		out.Records = append(out.Records, r)
+	now := c.now()
+	if p := &c.packed; p.made.IsZero() || now.Sub(p.made) > packLife || p.answer.Next < c.first {
+		if err := c.packNow(now); err != nil {
+			return answer{}, err
+		}
 	}
+	out := c.packed.answer
+	out.AgeUS = now.Sub(c.packed.confirmed).Microseconds()
 	return out, nil
 }
+
+// packNow packs a snapshot. The lock is held.
+func (c *Cache) packNow(now time.Time) error {
+	records := make([]keyedlog.Record, 0, len(c.newest))
+	for _, r := range c.newest {
+		records = append(records, r)
+	}
+	c.packed = packedSnapshot{answer: answer{Next: c.next}, confirmed: c.confirmed, made: now}
+	return c.packed.answer.fill(records)
+}
--- a/router/internal/relay/client.go
+++ b/router/internal/relay/client.go
@@ -57,7 +57,12 @@
 // older than oldest: the store is read only when no other instance knows. Only the first
 // is kept waiting for a record, since it uses up the time. params makes the question.
 func (c *Client) call(ctx context.Context, method string, params func(wait time.Duration) any, wait, oldest time.Duration) (told, error) {
-	for _, m := range c.members.Collectors() {
+	return c.callAny(ctx, c.members.Collectors(), method, params, wait, oldest)
+}
+
+// callAny asks the members given, in order, as call does.
+func (c *Client) callAny(ctx context.Context, members []Member, method string, params func(wait time.Duration) any, wait, oldest time.Duration) (told, error) {
+	for _, m := range members {
 		began := c.now()
 		out, err := c.ask(ctx, m, method, params(wait), wait+callTimeout)
 		age := out.age(c.now().Sub(began))
@@ -136,8 +141,10 @@
 		return answer{}, err
 	}
 	var out answer
-	err = conn.Call(ctx, method, params, &out)
-	return out, err
+	if err := conn.Call(ctx, method, params, &out); err != nil {
+		return answer{}, err
+	}
+	return out, out.open()
 }
 
 // connect returns the connection to the member; it is kept from call to call.
--- a/router/internal/relay/log.go
+++ b/router/internal/relay/log.go
@@ -21,6 +21,9 @@
 	oldest time.Duration
 	// changed is told when another collector answers, or none: "".
 	changed func(topic, name string)
+	// Far says that a collector reads from one of another failure domain, where it can, and not
+	// from the store: for a topic that most of the store's bytes go to.
+	Far bool
 
 	mu sync.Mutex
 	// by is the collector that answered last, "" for none; read says that there was a read.
@@ -39,7 +42,7 @@
 	question := func(wait time.Duration) any {
 		return readParams{l.topic, from, wait.Milliseconds(), l.oldest.Milliseconds()}
 	}
-	out, err := l.client.call(ctx, methodRead, question, wait, l.oldest)
+	out, err := l.ask(ctx, methodRead, question, wait)
 	l.note(out.by)
 	if err == nil {
 		b := keyedlog.Batch{Records: out.Records, Next: out.Next, Age: out.age}
@@ -71,7 +74,7 @@
 // Newest implements keyedlog.Log.
 func (l *Log) Newest(ctx context.Context) (keyedlog.Snapshot, error) {
 	question := func(time.Duration) any { return newestParams{l.topic} }
-	out, err := l.client.call(ctx, methodNewest, question, newestTime, l.oldest)
+	out, err := l.ask(ctx, methodNewest, question, newestTime)
 	l.note(out.by)
 	if err == nil {
 		s := keyedlog.Snapshot{Records: out.Records, Next: out.Next, Age: out.age}
@@ -92,6 +95,20 @@
 	return s, nil
 }
 
+// ask asks the collectors of this failure domain and, where there is none, that of another one if
+// the topic goes so far.
+//
+// Load: thousands of heartbeats a second, read by the collector of each failure domain alike. Harm
+// prevented: the store's bytes grow with failure domains times backend servers; they go with the
+// backend servers alone.
+func (l *Log) ask(ctx context.Context, method string, question func(wait time.Duration) any, wait time.Duration) (told, error) {
+	out, err := l.client.call(ctx, method, question, wait, l.oldest)
+	if !l.Far || !errors.Is(err, errNoCollector) {
+		return out, err
+	}
+	return l.client.callAny(ctx, l.client.members.FarCollectors(), method, question, wait, l.oldest)
+}
+
 // asked notes whether the store gave an answer, unless the read was ended here.
 func (l *Log) asked(ctx context.Context, err error) {
 	switch {
--- a/router/internal/relay/members.go
+++ b/router/internal/relay/members.go
@@ -39,6 +39,9 @@
 	// instances may be without the store at once: with two tries every ninth failure domain
 	// had no collector then, and all its instances read for themselves.
 	mostTried = 3
+	// farTried is the same for collectors of other failure domains: a cut between two of these
+	// must not hold up what the store tells at once.
+	farTried = 1
 )
 
 // Members ranks the instances of a failure domain.
@@ -55,6 +58,8 @@
 	all    map[string]bool
 	list   map[string]Member
 	ranked []Member
+	// heads are the first of each other failure domain, in rank.
+	heads  map[string][]Member
 	failed map[string]failure
 }
 
@@ -67,7 +72,7 @@
 // NewMembers returns the members that are known at first: this instance alone, in one of so
 // many failure domains.
 func NewMembers(self Member, domains int, now func() time.Time) *Members {
-	m := &Members{self: self, domains: domains, now: now, all: map[string]bool{}, list: map[string]Member{}, failed: map[string]failure{}}
+	m := &Members{self: self, domains: domains, now: now, all: map[string]bool{}, list: map[string]Member{}, heads: map[string][]Member{}, failed: map[string]failure{}}
 	m.Add(self)
 	return m
 }
@@ -81,6 +86,7 @@
 	}
 	m.all[in.Name] = true
 	if in.Domain != m.self.Domain {
+		m.addHead(in)
 		return
 	}
 	m.list[in.Name] = in
@@ -89,9 +95,43 @@
 	for _, x := range m.list {
 		m.ranked = append(m.ranked, x)
 	}
-	slices.SortFunc(m.ranked, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
-	})
+	slices.SortFunc(m.ranked, byRank)
+}
+
+// byRank orders members: the strong ones first, then by a hash of their names.
+func byRank(a, b Member) int {
+	return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
+}
+
+// headsMost is how many members of another failure domain are kept: one that does not answer is
+// passed over for the next.
+const headsMost = 2
+
+// addHead takes in a member of another failure domain.
+func (m *Members) addHead(in Member) {
+	heads := slices.DeleteFunc(m.heads[in.Domain], func(x Member) bool { return x.Name == in.Name })
+	heads = append(heads, in)
+	slices.SortFunc(heads, byRank)
+	m.heads[in.Domain] = heads[:min(len(heads), headsMost)]
+}
+
+// FarCollectors are the instances of other failure domains to ask, in order, by one that reads
+// the store for its own: those that rank before it and are not passed over. There is none where
+// this one ranks before all, or does not know the others yet.
+func (m *Members) FarCollectors() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	var out []Member
+	for _, heads := range m.heads {
+		for _, x := range heads {
+			if byRank(x, m.self) < 0 && !now.Before(m.failed[x.Name].until) {
+				out = append(out, x)
+			}
+		}
+	}
+	slices.SortFunc(out, byRank)
+	return out[:min(len(out), farTried)]
 }
 
 // Collectors are the instances to ask, in order: those that rank before this one and are
--- a/router/internal/relay/messages.go
+++ b/router/internal/relay/messages.go
@@ -35,8 +35,10 @@
 
 // answer is what a collector knows.
 type answer struct {
-	Records []keyedlog.Record `json:"records"`
-	Next    uint64            `json:"next"`
+	Records []keyedlog.Record `json:"records,omitempty"`
+	// Packed are the records, compressed, where they are many.
+	Packed []byte `json:"packed,omitempty"`
+	Next   uint64 `json:"next"`
 	// AgeUS is how old that is, in microseconds, at the time of answering.
 	AgeUS int64 `json:"age_us"`
 	// TookUS is how long the question waited at the collector.
--- /dev/null
+++ b/router/internal/relay/pack_test.go
@@ -0,0 +1,123 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"masticplank.example/coordination/keyedlog"
+)
+
+// entryOf is an entry of a backend server as a platform writes it: much alike, with an id, an
+// address and a count of its own.
+func entryOf(i int) keyedlog.Record {
+	value := fmt.Sprintf(`{"service":"huvo11a","address":"10.128.%d.%d:8080","zone":"salle-rimouski","version":"v1","slots":12,"state":"ready",`+
+		`"phase":"combined","modelList":[{"name":"daka510000","version":1,"loras":[]}],"sequence":%d}`, i/200, i%200, i)
+	return keyedlog.Record{Key: fmt.Sprintf("i-%08x", uint32(i)*2654435761), Value: []byte(value), Offset: uint64(i)}
+}
+
+func entries(n int) []keyedlog.Record {
+	var out []keyedlog.Record
+	for i := range n {
+		out = append(out, entryOf(i))
+	}
+	return out
+}
+
+func TestPackedRecordsAreTheSame(t *testing.T) {
+	for _, n := range []int{0, 1, packFrom, 3000} {
+		var a answer
+		if err := a.fill(entries(n)); err != nil {
+			t.Fatal(err)
+		}
+		if n >= packFrom && (len(a.Records) != 0 || len(a.Packed) == 0) {
+			t.Errorf("%d records are not packed", n)
+		}
+		if err := a.open(); err != nil {
+			t.Fatal(err)
+		}
+		if len(a.Records) != n {
+			t.Fatalf("%d records of %d", len(a.Records), n)
+		}
+		for i, r := range a.Records {
+			if want := entryOf(i); r.Key != want.Key || string(r.Value) != string(want.Value) || r.Offset != want.Offset {
+				t.Fatalf("record %d is %+v", i, r)
+			}
+		}
+	}
+}
+
+// TestSnapshotFitsASmallLink holds that the entries of 3,000 backend servers reach each of 100
+// followers within half a second by a collector's link of 200 Mbit/s, 125 KB each.
+func TestSnapshotFitsASmallLink(t *testing.T) {
+	const most = 200_000_000 / 8 / 100 / 2
+	packed, err := pack(entries(3000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(packed) > most {
+		t.Errorf("%d bytes, want %d at most", len(packed), most)
+	}
+}
+
+func TestSpoiltPackIsAnError(t *testing.T) {
+	packed, err := pack(entries(40))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, spoilt := range [][]byte{packed[:len(packed)/2], packed[4:], []byte("x")} {
+		a := answer{Packed: spoilt}
+		if err := a.open(); err == nil {
+			t.Errorf("%d bytes were taken for records", len(spoilt))
+		}
+	}
+}
+
+// TestManyAskersShareOneSnapshot holds that a snapshot is packed once for those that start
+// together, says its true age, and is made anew once records that follow it are not kept.
+func TestManyAskersShareOneSnapshot(t *testing.T) {
+	now := time.Unix(100, 0)
+	c := NewCache(func() time.Time { return now }, nil)
+	c.Replace(keyedlog.Snapshot{Records: entries(100), Next: 100}, now)
+	first, err := c.newestAnswer(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	now = now.Add(packLife / 2)
+	c.Add(keyedlog.Batch{Records: []keyedlog.Record{entryOf(100)}, Next: 101}, now)
+	second, err := c.newestAnswer(t.Context())
+	if err != nil || second.Next != 100 || &second.Packed[0] != &first.Packed[0] {
+		t.Errorf("packed anew: %v", err)
+	}
+	if want := (packLife / 2).Microseconds(); second.AgeUS != want {
+		t.Errorf("age %d us, want %d", second.AgeUS, want)
+	}
+	if b, err := c.Read(t.Context(), second.Next, 0); err != nil || len(b.Records) != 1 {
+		t.Errorf("after the snapshot: %+v, %v", b, err)
+	}
+	now = now.Add(packLife)
+	if third, err := c.newestAnswer(t.Context()); err != nil || third.Next != 101 {
+		t.Errorf("next %d, %v", third.Next, err)
+	}
+}
+
+func BenchmarkPack3000(b *testing.B) {
+	list := entries(3000)
+	for b.Loop() {
+		if _, err := pack(list); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkUnpack3000(b *testing.B) {
+	packed, err := pack(entries(3000))
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		if _, err := unpack(packed); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/router/internal/relay/relay_test.go
+++ b/router/internal/relay/relay_test.go
@@ -240,7 +240,7 @@
 	if b, err := c.Read(ctx, 7, 0); err != nil || len(b.Records) != 1 {
 		t.Errorf("batch %+v, %v", b, err)
 	}
-	if s, err := c.Newest(ctx); err != nil || len(s.Records) != 1 || s.Records[0].Key != "b" {
+	if s, err := c.newestAnswer(ctx); err != nil || len(s.Records) != 1 || s.Records[0].Key != "b" {
 		t.Errorf("snapshot %+v, %v", s, err)
 	}
 }
--- a/router/internal/relay/server.go
+++ b/router/internal/relay/server.go
@@ -115,15 +115,18 @@
 			wait = 0
 		}
 		b, err := cache.Read(ctx, p.From, max(wait, 0))
-		return answer{Records: b.Records, Next: b.Next, AgeUS: b.Age.Microseconds()}, err
+		if err != nil {
+			return answer{}, err
+		}
+		out := answer{Next: b.Next, AgeUS: b.Age.Microseconds()}
+		return out, out.fill(b.Records)
 	case methodNewest:
 		var p newestParams
 		cache, err := s.decode(req, &p, func() string { return p.Topic })
 		if err != nil {
 			return answer{}, err
 		}
-		n, err := cache.Newest(ctx)
-		return answer{Records: n.Records, Next: n.Next, AgeUS: n.Age.Microseconds()}, err
+		return cache.newestAnswer(ctx)
 	case methodAppend:
 		var p appendParams
 		if _, err := s.decode(req, &p, func() string { return p.Topic }); err != nil {
