Nobody takes itself for the one that reads while the store is silent

Change: an instance reads a topic directly once the store has answered it. Ruled out: longer pauses between tries, which would hold up what must be in force soon.

--- a/router/internal/relay/log.go
+++ b/router/internal/relay/log.go
@@ -26,9 +26,10 @@
 	Far bool
 
 	mu sync.Mutex
-	// by is the collector that answered last, "" for none; read says that there was a read.
-	by   string
-	read bool
+	// by is the collector that answered last, "" for none; direct says that the last read was
+	// one of the store itself, which answered.
+	by     string
+	direct bool
 }
 
 // NewLog returns the topic; cache is filled by its reads. An answer of a collector older
@@ -111,6 +112,9 @@
 
 // asked notes whether the store gave an answer, unless the read was ended here.
 func (l *Log) asked(ctx context.Context, err error) {
+	l.mu.Lock()
+	l.direct = err == nil || errors.Is(err, keyedlog.ErrGone)
+	l.mu.Unlock()
 	switch {
 	case err == nil:
 		l.client.storeAnswered()
@@ -132,19 +136,24 @@
 	return l.store.Append(ctx, at, records...)
 }
 
-// Direct says whether this instance reads the topic from the store itself. Before its first read
-// that is not known: 295 that had just started took themselves for the one that writes.
+// Direct says whether this instance reads the topic from the store itself: what the others of its
+// failure domain leave to one of them is then its own to do.
+//
+// Load: all instances start again while the store resets their calls, so that none finds the
+// others. Harm prevented: each takes itself for the one that writes, and asks the store several
+// times a second.
 func (l *Log) Direct() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.read && l.by == ""
+	return l.direct
 }
 
 // note tells of a change of the collector.
 func (l *Log) note(name string) {
 	l.mu.Lock()
 	same := l.by == name
-	l.by, l.read = name, true
+	l.by = name
+	l.direct = l.direct && name == ""
 	l.mu.Unlock()
 	if !same {
 		l.changed(l.topic, name)
--- a/router/internal/relay/relay_test.go
+++ b/router/internal/relay/relay_test.go
@@ -337,6 +337,22 @@
 	}
 }
 
+// TestNobodyReadsDirectlyFromASilentStore holds that an instance which finds neither the others nor
+// the store does not take itself for the one that writes.
+func TestNobodyReadsDirectlyFromASilentStore(t *testing.T) {
+	st := &store{err: keyedlog.ErrUnknown}
+	all := startInstances(t, st, 1, time.Minute)
+	if _, err := all[0].log.Newest(t.Context()); err == nil || all[0].log.Direct() {
+		t.Errorf("direct %v after %v", all[0].log.Direct(), err)
+	}
+	st.mu.Lock()
+	st.err = nil
+	st.mu.Unlock()
+	if all[0].newest(t); !all[0].log.Direct() {
+		t.Error("not direct, though the store answered")
+	}
+}
+
 // TestOneOutageCountsOnce holds that a member that all topics find dead at once is passed
 // over for as long as for one failure.
 func TestOneOutageCountsOnce(t *testing.T) {
