An instance that gets little may ask again, too

Cause: an answer is dropped for a larger model only while the retry budget holds three repeats. Each of 300 instances with a request in some seconds never has three: all weak answers are kept, and the ten seconds after a kill of all, too.

Change: half of the window's repeats are kept, three at most. The budget is as it was.

--- a/decision/passthrough/budget.go
+++ b/decision/passthrough/budget.go
@@ -73,13 +73,38 @@
 
 // Left is the number of repeats that may go now.
 func (b *Budget) Left(now time.Time) float64 {
+	repeats := 0
+	whole := b.whole(now)
+	for _, n := range b.repeat {
+		repeats += n
+	}
+	return whole - float64(repeats)
+}
+
+// whole is the number of repeats that the window allows.
+func (b *Budget) whole(now time.Time) float64 {
 	b.advance(now)
-	firsts, repeats := 0, 0
-	for i := range budgetBuckets {
-		firsts += b.first[i]
-		repeats += b.repeat[i]
+	firsts := 0
+	for _, n := range b.first {
+		firsts += n
 	}
-	return b.ratio*float64(firsts) + b.slack - float64(repeats)
+	return b.ratio*float64(firsts) + b.slack
+}
+
+const (
+	// spareRepeats is what the budget must hold for a repeat that could be done without: those
+	// of failures go first. An instance that gets little keeps spareBudget of what it has.
+	spareRepeats = 3.0
+	spareBudget  = 0.5
+)
+
+// Spares says whether a repeat may go that could be done without.
+//
+// Load: hundreds of instances, each with a request in some seconds. Harm prevented: a reserve that
+// none of them ever has, so that all their weak answers are kept.
+func (b *Budget) Spares(now time.Time) bool {
+	need := min(max(spareBudget*b.whole(now), 1), spareRepeats)
+	return b.Left(now) >= need
 }
 
 // Spend takes one repeat, or says that none is left.
--- a/decision/passthrough/cascade.go
+++ b/decision/passthrough/cascade.go
@@ -58,9 +58,6 @@
 	// sureFrom is the confidence from which on an answer is kept, where there is room for a
 	// larger model.
 	sureFrom = barEven + barMargin
-	// spareRepeats is what the retry budget must hold for an answer to be dropped: the
-	// repeats of failures go first.
-	spareRepeats = 3
 )
 
 // chooseSize is the index of the model to ask.
@@ -107,7 +104,7 @@
 	if r.size >= len(r.Route.Sizes)-1 || r.onlyTry() {
 		return 0
 	}
-	if r.service.budget.Left(w.now) < spareRepeats {
+	if !r.service.budget.Spares(w.now) {
 		return 0
 	}
 	f := filled(r.service, w.look(r.service))
--- a/decision/passthrough/cascade_test.go
+++ b/decision/passthrough/cascade_test.go
@@ -198,3 +198,26 @@
 		t.Errorf("asked %q", d.Model)
 	}
 }
+
+// TestInstanceThatGetsLittleDropsWeakAnswers plays one of 300 instances with a request each four
+// seconds, all of them weak: half of these may be asked of a larger model.
+func TestInstanceThatGetsLittleDropsWeakAnswers(t *testing.T) {
+	b := newBench(t, Settings{Seed: 1, RetryRatio: 0.765, RetrySlack: 156, RetryWindow: 10 * time.Second, SessionLife: time.Second})
+	b.tell(Fleet{Instances: 300})
+	b.configure(streamRoute())
+	b.tell(Listed{servers("llm", 3, 8)})
+	const requests = 40
+	dropped := 0
+	for range requests {
+		b.pass(4 * time.Second)
+		id := b.arrive(streamRoute(), nil)
+		if b.world.Bar(id) > 0 {
+			dropped++
+			b.tell(Ended{Request: id, Result: Dropped})
+		}
+		b.tell(Ended{Request: id, Result: Completed, Confidence: 1})
+	}
+	if dropped < requests/2 {
+		t.Errorf("%d of %d weak answers could be dropped", dropped, requests)
+	}
+}
