Instances tell each other what they have at the engines

Cause: 58 instances before 140 engines hear from each every 4 to 10 s by their own answers, while a prompt of the largest model holds an engine up for half a second; two such prompts meet at one engine while others idle.

Ruled out: sums from which each takes its own report of now off (they were older: engines with eight requests passed for idle); sums that cover less than nine in ten instances; prompts that count in full until their answer begins (twice the wait), or not at all once that is overdue (dark engines look idle).

--- a/decision/passthrough/engine_test.go
+++ b/decision/passthrough/engine_test.go
@@ -1,7 +1,9 @@
 package passthrough
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -92,18 +94,26 @@
 	now    time.Time
 	// tokens is the length of prompts.
 	tokens int
+	// shares says that the instances tell each other their loads each shareEvery.
+	shares bool
+	shared time.Time
 	// rollout is one that is played beside the load, nil for none.
 	rollout *simRollout
 }
 
 func newSim(t *testing.T, instances int, kinds []simCallers) *sim {
+	t.Helper()
+	return newSimOf(t, instances, simEngines, kinds)
+}
+
+func newSimOf(t *testing.T, instances, engines int, kinds []simCallers) *sim {
 	t.Helper()
 	s := &sim{rng: rand.New(rand.NewPCG(7, 7)), kinds: kinds, tallies: make([]simTally, len(kinds)),
 		engines: map[string]*simEngine{}, reqs: map[*bench]map[RequestID]*simRequest{}, seen: map[*bench]int{}, oldest: map[*bench]RequestID{}, now: testStart, tokens: simTokens}
 	s.route = streamRoute()
 	s.route.Target, s.route.Timeout = 2*time.Second, 8*time.Second
 	s.route.Sizes = []string{"small", "large"}
-	list := servers("llm", simEngines, simSlots)
+	list := servers("llm", engines, simSlots)
 	for _, srv := range list {
 		s.engines[srv.ID] = &simEngine{}
 	}
@@ -134,6 +144,7 @@
 			s.engine(s.engines[srv.ID])
 		}
 		s.timers()
+		s.share()
 		if s.rollout != nil {
 			s.rollout.step()
 		}
@@ -145,6 +156,34 @@
 	}
 }
 
+// shareEvery is how often the instances tell each other their loads, and how late that is known.
+const shareEvery = 150 * time.Millisecond
+
+// share tells each instance what all others had at the engines.
+func (s *sim) share() {
+	if !s.shares || s.now.Sub(s.shared) < shareEvery {
+		return
+	}
+	s.shared = s.now
+	own := make([][]SharedLoad, len(s.benches))
+	for i, b := range s.benches {
+		own[i] = b.world.OwnLoads()
+	}
+	for i, b := range s.benches {
+		sums := map[uint32]SharedLoad{}
+		for j, rows := range own {
+			for _, row := range rows {
+				if j != i {
+					sum := sums[row.Key]
+					sums[row.Key] = SharedLoad{Key: row.Key, Requests: sum.Requests + row.Requests, Reading: sum.Reading + row.Reading}
+				}
+			}
+		}
+		b.tell(OthersLoads{Loads: slices.Collect(maps.Values(sums)), Instances: len(s.benches) - 1})
+		s.follow(b)
+	}
+}
+
 func (s *sim) arrive(kind, again int, hard bool) {
 	b := s.benches[s.rng.IntN(len(s.benches))]
 	s.tallies[kind].asked++
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -86,6 +86,12 @@
 	Names []string
 }
 
+// OthersLoads is what so many other instances have at the engines.
+type OthersLoads struct {
+	Loads     []SharedLoad
+	Instances int
+}
+
 // RolloutSet says how far a roll-out is.
 type RolloutSet struct{ Rollout Rollout }
 
@@ -104,6 +110,7 @@
 func (SessionsOpen) event() {}
 func (Stopping) event()     {}
 func (Drained) event()      {}
+func (OthersLoads) event()  {}
 func (Neighbours) event()   {}
 
 // Command is anything that a tick asks for. The set is closed.
--- a/decision/passthrough/fill.go
+++ b/decision/passthrough/fill.go
@@ -50,15 +50,18 @@
 	return f
 }
 
-// filled sums up the views of a service's servers.
+// filled sums up the views of a service's servers, by what this instance knows by itself: it tells
+// later, and of less, than the word of all instances, but it errs alike on all days, and how much
+// may be asked of the largest model goes by it. By the others' word, which changes with each
+// prompt, more prompts left their failure domain, and more weak answers were kept.
 func filled(s *service, views []view) fill {
 	if s.slots <= 0 || len(views) == 0 {
 		return fill{}
 	}
 	load, wait := 0.0, 0.0
 	for _, v := range views {
-		load += min(v.load, float64(s.slots))
-		wait += v.wait
+		load += min(v.own.load, float64(s.slots))
+		wait += v.own.wait
 	}
 	places := len(views) * s.slots
 	return fill{taken: load / float64(places), wait: wait / float64(len(views)), places: places}
--- a/decision/passthrough/pick.go
+++ b/decision/passthrough/pick.go
@@ -36,7 +36,7 @@
 // pickByPrompt prefers the server that the hash names, in the own failure domain where
 // there is time for that, among those within the bound; else it takes the least loaded.
 func (w *World) pickByPrompt(r *request, list []view, f fill) view {
-	bound := bound(list)
+	bound, wait := bound(list), meanWait(list)
 	keepNear := staysNear(r, f.wait)
 	best, near, least := none, none, 0
 	var bestScore, nearScore uint64
@@ -44,7 +44,7 @@
 		if v.weight < list[least].weight {
 			least = i
 		}
-		if v.weight > bound || v.wait > f.wait+waitSlack {
+		if v.weight > bound || v.wait > wait+waitSlack {
 			continue
 		}
 		score := mix(v.server.hash ^ r.Affinity)
@@ -67,6 +67,15 @@
 // none is the index of no server.
 const none = -1
 
+// meanWait is the mean wait of prompts at the servers of the list, in seconds.
+func meanWait(list []view) float64 {
+	sum := 0.0
+	for _, v := range list {
+		sum += v.wait
+	}
+	return sum / float64(len(list))
+}
+
 // bound is the weight up to which a server of the list may be preferred for its cache.
 func bound(list []view) float64 {
 	sum := 0.0
--- a/decision/passthrough/reading.go
+++ b/decision/passthrough/reading.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -33,8 +34,10 @@
 	by map[int]*ratio
 	// least is the time to a first event where nothing was to be read, in seconds.
 	least float64
-	// came is the times to first events to the forecasts of them, both in seconds.
-	came ratio
+	// came is the times to first events to this instance's own forecasts of them, both in seconds,
+	// cameShared to those by the word of all instances.
+	came       ratio
+	cameShared ratio
 	// heardAt is when a server last stated its load.
 	heardAt time.Time
 	// work is the mean of the seconds that a prompt takes, and unread that of the prompts of
@@ -101,16 +104,20 @@
 	if !r.reading {
 		return
 	}
-	rs.came.add(max(e.After.Seconds()-rs.least, 0), r.forecast, scaleMemory)
+	took := max(e.After.Seconds()-rs.least, 0)
+	rs.came.add(took, r.ownForecast, scaleMemory)
+	if r.byShared {
+		rs.cameShared.add(took, r.sharedForecast, scaleMemory)
+	}
 	if r.alone && e.HasLoad && e.Load.Waiting == 0 {
 		rs.learn(r.size, r.PromptTokens, e.After)
 	}
 }
 
-// scale is what forecasts are multiplied by, to be right in the mean.
-func (rs *readStats) scale() float64 {
+// scale is what forecasts are multiplied by, to be right in the mean, by what came of earlier ones.
+func scale(came *ratio) float64 {
 	const right, priorSeconds = 1.0, 1.0 // until there were answers
-	return min(max(rs.came.value(right, priorSeconds), scaleLeast), scaleMost)
+	return min(max(came.value(right, priorSeconds), scaleLeast), scaleMost)
 }
 
 // toRead counts a request's prompt at the engine that it is sent to.
@@ -119,10 +126,14 @@
 	rs := &r.service.reads
 	r.work = rs.perToken(r.size) * float64(r.PromptTokens)
 	r.alone = s.unread == 0
-	r.forecast = v.unscaled + r.work
+	r.ownForecast = v.own.unscaled + r.work
+	r.sharedForecast = v.unscaled + r.work
 	r.reading = true
+	r.byShared = w.knowsOthers()
+	r.due = w.now.Add(seconds(v.wait + r.work + rs.least))
 	rs.work.add(r.work)
 	s.unread++
+	s.reads = append(s.reads, r)
 	s.backlog += r.work
 }
 
@@ -133,12 +144,34 @@
 	}
 	r.reading = false
 	r.server.unread--
+	r.server.reads = slices.DeleteFunc(r.server.reads, func(x *request) bool { return x == r })
 	r.server.backlog = max(r.server.backlog-r.work, 0) // rounding may go below
 	if r.server.unread == 0 {
 		r.server.backlog = 0
 	}
 }
 
+// overdue is how long after it was due an answer that has not begun tells that its engine is behind.
+const overdue = 150 * time.Millisecond
+
+// remaining is how many seconds of this instance's prompts the server has still to read: less and
+// less until an answer is due, and all of it again once that is overdue.
+//
+// Load: prompts of tenths of a second, of which most are read in part. Harm prevented: engines that
+// pass for twice as busy as they are, and dark ones that pass for idle.
+func (s *server) remaining(now time.Time) float64 {
+	sum := 0.0
+	for _, r := range s.reads {
+		left := r.due.Sub(now)
+		if left < -overdue {
+			sum += r.work
+			continue
+		}
+		sum += min(max(left.Seconds(), 0), r.work)
+	}
+	return sum
+}
+
 // unreadPart is the part of the time that a request has left for which it may wait at an
 // engine.
 const unreadPart = 0.8
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -51,6 +51,8 @@
 	// lost are the servers of each failure domain that were lost since one there answered.
 	lost map[string]map[*server]bool
 	near neighbours
+	// sharedAt is when the other instances' word on their loads came in.
+	sharedAt time.Time
 
 	// fleet is the number of instances, 0 where not known.
 	fleet int
@@ -97,6 +99,7 @@
 	// seconds that their prompts take to be read.
 	unread  int
 	backlog float64
+	reads   []*request
 	// told is the load that it stated at toldAt, when own was ownThen and unread unreadThen.
 	told       Load
 	toldAt     time.Time
@@ -113,6 +116,8 @@
 	// drained says that its failure domain gets no new work.
 	drained bool
 	cold    coldness
+	// others is what the other instances have there, as of the world's sharedAt.
+	others shared
 }
 
 // request is a live request.
@@ -141,12 +146,16 @@
 	// paced says that the current answer's pace was told.
 	paced bool
 	// reading says that its prompt counts in its server's backlog, with work seconds; alone
-	// that no other of this instance's did then; forecast is how many seconds its first event
-	// was thought to take, unscaled.
-	reading  bool
-	work     float64
-	alone    bool
-	forecast float64
+	// that no other of this instance's did then. Its first event is due at the time due.
+	reading bool
+	work    float64
+	alone   bool
+	due     time.Time
+	// ownForecast is how many seconds its first event was thought to take, unscaled, by what
+	// this instance knows; sharedForecast is the same by the word of all, if byShared.
+	ownForecast    float64
+	sharedForecast float64
+	byShared       bool
 	// next is the model to ask since a smaller one's answer was dropped, with the confidence
 	// doubt; 0 where none was.
 	next  int
@@ -225,6 +234,8 @@
 		w.setDrained(e.Domains)
 	case Neighbours:
 		w.setNeighbours(e)
+	case OthersLoads:
+		w.takeShared(e)
 	case RolloutSet:
 		w.setRollout(e.Rollout)
 	}
--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -20,6 +20,7 @@
 	"masticplank.example/decision/passthrough"
 	"masticplank.example/decision/passthrough/seam"
 	"masticplank.example/router/internal/logging"
+	"masticplank.example/router/internal/relay"
 	"masticplank.example/router/internal/settings"
 )
 
@@ -112,6 +113,9 @@
 	sh.wake = b.nudge
 	sh.counted = func(n int) { d.Tell(passthrough.Fleet{Instances: n}) }
 	sh.neighbours = func(names []string) { d.Tell(passthrough.Neighbours{Self: cfg.Instance, Names: names}) }
+	sh.server.Loads = relay.NewLoads(sh.client, d.ownLoads, func(rows []passthrough.SharedLoad, instances int) {
+		d.Tell(passthrough.OthersLoads{Loads: rows, Instances: instances})
+	})
 	d.observe, d.crash, d.cooled = b.observed, b.crashed, j.cooled
 	return b
 }
@@ -168,7 +172,7 @@
 		OnStart: func(context.Context) error {
 			tails := []func(context.Context){
 				op.tail(sh.operator, c).run, l.tail(sh.servers, c).run,
-				b.tail(c, m.active).run, m.tail(sh.status).run, sh.tail(ctx).run, sh.collect, b.run, m.run,
+				b.tail(c, m.active).run, m.tail(sh.status).run, sh.tail(ctx).run, sh.collect, b.run, m.run, sh.server.Loads.Run,
 			}
 			go startTogether(ctx, sh, cfg.FirstStart, tails)
 			return sh.listen(ctx)
--- a/router/internal/passthrough/driver.go
+++ b/router/internal/passthrough/driver.go
@@ -76,6 +76,13 @@
 	return d.world.OpenSessions(service, target, share)
 }
 
+// ownLoads is what this instance has at the engines.
+func (d *Driver) ownLoads() []passthrough.SharedLoad {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.world.OwnLoads()
+}
+
 // bar is the confidence under which the request's answer is dropped now.
 func (d *Driver) bar(t *ticket) float64 {
 	d.mu.Lock()
--- /dev/null
+++ b/router/internal/relay/loads.go
@@ -0,0 +1,210 @@
+package relay
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"masticplank.example/decision/passthrough"
+)
+
+// Loads lets the instances tell each other what they have at the engines. Each one tells its
+// collector, and gets the sum of all. A collector does the same with the first collector of the
+// failure domains, so that each sum covers all instances.
+type Loads struct {
+	client *Client
+	now    func() time.Time
+	// own gives what this instance has; take is given what all others have.
+	own  func() []passthrough.SharedLoad
+	take func(rows []passthrough.SharedLoad, instances int)
+
+	mu sync.Mutex
+	// below are the reports of those that ask this instance, by name; above is what the collector
+	// knows beyond what this instance told it.
+	below map[string]loadReport
+	above loadReport
+}
+
+// loadReport is what some instances had.
+type loadReport struct {
+	rows []passthrough.SharedLoad
+	// instances is how many they are.
+	instances int
+	at        time.Time
+}
+
+const (
+	// loadsEvery is the time between two reports: a prompt holds up an engine for some tenths of
+	// a second, and a report costs a collector some 50 us of its processor.
+	loadsEvery = 150 * time.Millisecond
+	// loadsLife is how long a report counts: of an instance that is gone, three reports long.
+	loadsLife = 3 * loadsEvery
+	// loadsTimeout bounds a report: later it is of no use.
+	loadsTimeout = 2 * loadsEvery
+)
+
+// NewLoads returns the exchange; own gives what this instance has at the engines, and take is
+// given what so many other instances have.
+func NewLoads(client *Client, own func() []passthrough.SharedLoad, take func(rows []passthrough.SharedLoad, instances int)) *Loads {
+	return &Loads{client: client, now: client.now, own: own, take: take, below: map[string]loadReport{}}
+}
+
+// Run exchanges reports until ctx ends.
+func (l *Loads) Run(ctx context.Context) {
+	tick := time.NewTicker(loadsEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			l.once(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// once tells the collector what is known here, and takes in what it knows beyond that.
+func (l *Loads) once(ctx context.Context) {
+	members := l.client.members
+	to := append(members.Collectors(), members.FarCollectors()...)
+	if len(to) > 0 {
+		l.report(ctx, to[0])
+	}
+	others := total(l.known("", true))
+	l.take(others.rows, others.instances)
+}
+
+// report tells a collector, and keeps what it answers. One that does not answer is found out by
+// the reads of the topics.
+func (l *Loads) report(ctx context.Context, to Member) {
+	mine := total(append(l.known("", false), l.self()))
+	params := loadsParams{Name: l.client.members.self.Name, Rows: packLoads(mine.rows), Instances: mine.instances}
+	out, err := l.client.ask(ctx, to, methodLoads, params, loadsTimeout)
+	if err != nil {
+		return
+	}
+	rows, err := unpackLoads(out.Loads)
+	if err != nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.above = loadReport{rows, out.Instances, l.now()}
+}
+
+// told takes in a report and answers with what all others have.
+func (l *Loads) told(p loadsParams) (answer, error) {
+	rows, err := unpackLoads(p.Rows)
+	if err != nil {
+		return answer{}, err
+	}
+	l.mu.Lock()
+	l.below[p.Name] = loadReport{rows, p.Instances, l.now()}
+	l.mu.Unlock()
+	others := total(append(l.known(p.Name, true), l.self()))
+	return answer{Loads: packLoads(others.rows), Instances: others.instances}, nil
+}
+
+// self is what this instance has.
+func (l *Loads) self() loadReport { return loadReport{rows: l.own(), instances: 1} }
+
+// known are the reports that still count: of those below but for one, and from above if asked for.
+func (l *Loads) known(except string, above bool) []loadReport {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	var out []loadReport
+	for name, r := range l.below {
+		switch {
+		case now.Sub(r.at) > loadsLife:
+			delete(l.below, name)
+		case name != except:
+			out = append(out, r)
+		}
+	}
+	if above && now.Sub(l.above.at) <= loadsLife {
+		out = append(out, l.above)
+	}
+	return out
+}
+
+// total adds reports up.
+func total(reports []loadReport) loadReport {
+	var lists [][]passthrough.SharedLoad
+	var out loadReport
+	for _, r := range reports {
+		lists = append(lists, r.rows)
+		out.instances += r.instances
+	}
+	out.rows = plus(lists...)
+	return out
+}
+
+// plus adds lists up, by server; rows are in the keys' order.
+func plus(lists ...[]passthrough.SharedLoad) []passthrough.SharedLoad {
+	sums := map[uint32]passthrough.SharedLoad{}
+	for _, list := range lists {
+		for _, row := range list {
+			sum := sums[row.Key]
+			sum.Key = row.Key
+			sum.Requests += row.Requests
+			sum.Reading += row.Reading
+			sums[row.Key] = sum
+		}
+	}
+	out := make([]passthrough.SharedLoad, 0, len(sums))
+	for _, row := range sums {
+		out = append(out, row)
+	}
+	slices.SortFunc(out, func(a, b passthrough.SharedLoad) int { return int(int64(a.Key) - int64(b.Key)) })
+	return out
+}
+
+// packLoads writes rows as their key (4 bytes), requests and milliseconds of reading (varints).
+func packLoads(rows []passthrough.SharedLoad) []byte {
+	var out []byte
+	for _, row := range rows {
+		out = binary.BigEndian.AppendUint32(out, row.Key)
+		out = binary.AppendUvarint(out, uint64(max(row.Requests, 0)))
+		out = binary.AppendUvarint(out, uint64(max(row.Reading.Milliseconds(), 0)))
+	}
+	return out
+}
+
+var errLoads = errors.New("a report of loads cannot be read")
+
+const (
+	keyBytes = 4
+	// mostReading and mostRequests bound a row: more is a mistake, and sums must not overflow.
+	mostReading  = 3_600_000 // milliseconds
+	mostRequests = 1_000_000
+)
+
+// unpackLoads reads what packLoads wrote.
+func unpackLoads(text []byte) ([]passthrough.SharedLoad, error) {
+	var out []passthrough.SharedLoad
+	for len(text) > 0 {
+		if len(text) < keyBytes {
+			return nil, errLoads
+		}
+		row := passthrough.SharedLoad{Key: binary.BigEndian.Uint32(text)}
+		text = text[keyBytes:]
+		requests, n := binary.Uvarint(text)
+		if n <= 0 {
+			return nil, errLoads
+		}
+		text = text[n:]
+		reading, n := binary.Uvarint(text)
+		if n <= 0 {
+			return nil, errLoads
+		}
+		text = text[n:]
+		row.Requests = int(min(requests, mostRequests))
+		row.Reading = time.Duration(min(reading, mostReading)) * time.Millisecond
+		out = append(out, row)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/router/internal/relay/loads_test.go
@@ -0,0 +1,133 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"reflect"
+	"testing"
+	"time"
+
+	"masticplank.example/decision/passthrough"
+)
+
+func loadRow(key uint32, requests int, reading time.Duration) passthrough.SharedLoad {
+	return passthrough.SharedLoad{Key: key, Requests: requests, Reading: reading}
+}
+
+func TestLoadsArePackedAndUnpacked(t *testing.T) {
+	rows := []passthrough.SharedLoad{loadRow(0, 1, 0), loadRow(7, 300, 90*time.Second), loadRow(1<<32-1, 0, time.Millisecond)}
+	got, err := unpackLoads(packLoads(rows))
+	if err != nil || !reflect.DeepEqual(got, rows) {
+		t.Errorf("%+v, %v", got, err)
+	}
+	for cut := range packLoads(rows[1:2]) {
+		if cut == 0 {
+			continue
+		}
+		if _, err := unpackLoads(packLoads(rows[1:2])[:cut]); err == nil {
+			t.Errorf("%d bytes of a row were taken", cut)
+		}
+	}
+}
+
+func FuzzUnpackLoads(f *testing.F) {
+	f.Add(packLoads([]passthrough.SharedLoad{loadRow(7, 300, time.Second)}))
+	f.Add([]byte{1, 2, 3, 4, 255, 255, 255, 255, 255, 255, 255, 255, 255, 255, 255})
+	f.Fuzz(func(t *testing.T, text []byte) {
+		rows, err := unpackLoads(text)
+		if err != nil {
+			return
+		}
+		for _, row := range plus(rows, rows) {
+			if row.Requests < 0 || row.Reading < 0 {
+				t.Errorf("row %+v", row)
+			}
+		}
+	})
+}
+
+// loadNode is an instance that exchanges loads.
+type loadNode struct {
+	loads *Loads
+	own   []passthrough.SharedLoad
+	got   []passthrough.SharedLoad
+	// instances is how many those are that got is of.
+	instances int
+}
+
+// startLoads starts instances of two failure domains; the first of all ranks first.
+func startLoads(t *testing.T, names ...string) map[string]*loadNode {
+	t.Helper()
+	members := make([]Member, 0, len(names))
+	listeners := map[string]net.Listener{}
+	for i, name := range names {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners[name] = l
+		members = append(members, Member{Name: name, Domain: name[:1], Address: l.Addr().String(), Cores: float64(len(names) - i)})
+	}
+	out := map[string]*loadNode{}
+	for _, self := range members {
+		known := NewMembers(self, 2, time.Now)
+		for _, m := range members {
+			known.Add(m)
+		}
+		client := NewClient(known, time.Now)
+		n := &loadNode{}
+		n.loads = NewLoads(client, func() []passthrough.SharedLoad { return n.own }, func(rows []passthrough.SharedLoad, instances int) { n.got, n.instances = rows, instances })
+		srv := NewServer(time.Now, nil, nil, func() int { return len(names) })
+		srv.Loads = n.loads
+		ctx, stop := context.WithCancel(t.Context())
+		go srv.Serve(ctx, listeners[self.Name])
+		t.Cleanup(func() { stop(); client.Close() })
+		out[self.Name] = n
+	}
+	return out
+}
+
+// TestAllLearnWhatAllHave plays two failure domains of two: each instance learns the sum of the
+// others, of its own failure domain and beyond, and never its own.
+func TestAllLearnWhatAllHave(t *testing.T) {
+	names := []string{"a1", "a2", "b1", "b2"}
+	nodes := startLoads(t, names...)
+	for i, name := range names {
+		nodes[name].own = []passthrough.SharedLoad{loadRow(1, 1<<i, time.Duration(1<<i)*time.Second)}
+	}
+	for range 3 { // up and down again
+		for _, name := range names {
+			nodes[name].loads.once(t.Context())
+		}
+	}
+	for i, name := range names {
+		want := 1 + 2 + 4 + 8 - 1<<i
+		got := nodes[name].got
+		if nodes[name].instances != len(names)-1 {
+			t.Errorf("%s heard of %d instances", name, nodes[name].instances)
+		}
+		if len(got) != 1 || got[0].Requests != want || got[0].Reading != time.Duration(want)*time.Second {
+			t.Errorf("%s learnt %+v, want %d", name, got, want)
+		}
+	}
+}
+
+// TestLoadsOfThoseThatAreGoneAreForgotten holds that an instance that reports no more has nothing.
+func TestLoadsOfThoseThatAreGoneAreForgotten(t *testing.T) {
+	now := time.Unix(100, 0)
+	members := NewMembers(Member{Name: "a1", Domain: "a", Address: "x:1"}, 1, func() time.Time { return now })
+	l := NewLoads(NewClient(members, func() time.Time { return now }), func() []passthrough.SharedLoad { return nil }, func([]passthrough.SharedLoad, int) {})
+	if _, err := l.told(loadsParams{Name: "a2", Rows: packLoads([]passthrough.SharedLoad{loadRow(1, 2, time.Second)})}); err != nil {
+		t.Fatal(err)
+	}
+	if sum := total(l.known("", true)).rows; len(sum) != 1 || sum[0].Requests != 2 {
+		t.Errorf("sum %+v", sum)
+	}
+	now = now.Add(loadsLife + time.Millisecond)
+	if sum := total(l.known("", true)).rows; len(sum) != 0 {
+		t.Errorf("sum %+v of an instance that is gone", sum)
+	}
+	if _, err := l.told(loadsParams{Name: "a2", Rows: []byte{1}}); err == nil {
+		t.Error("a report that cannot be read was taken")
+	}
+}
--- a/router/internal/relay/messages.go
+++ b/router/internal/relay/messages.go
@@ -11,6 +11,7 @@
 	methodRead   = "read"
 	methodNewest = "newest"
 	methodAppend = "append"
+	methodLoads  = "loads"
 )
 
 // readParams asks for the records of a topic from an offset on.
@@ -33,6 +34,14 @@
 	Records []keyedlog.Record `json:"records"`
 }
 
+// loadsParams tells what an instance, and those that ask it, have at the engines.
+type loadsParams struct {
+	Name string `json:"name"`
+	Rows []byte `json:"rows"`
+	// Instances is how many they are.
+	Instances int `json:"instances"`
+}
+
 // answer is what a collector knows.
 type answer struct {
 	Records []keyedlog.Record `json:"records,omitempty"`
@@ -43,6 +52,10 @@
 	AgeUS int64 `json:"age_us"`
 	// TookUS is how long the question waited at the collector.
 	TookUS int64 `json:"took_us"`
+	// Loads is what other instances have at the engines, as far as known, Instances how many
+	// they are.
+	Loads     []byte `json:"loads,omitempty"`
+	Instances int    `json:"instances,omitempty"`
 	// Fleet is the number of instances of all failure domains.
 	Fleet int `json:"fleet,omitempty"`
 }
--- a/router/internal/relay/server.go
+++ b/router/internal/relay/server.go
@@ -22,6 +22,8 @@
 	append func(topic string, records []keyedlog.Record) error
 	// fleet is the number of instances.
 	fleet func() int
+	// Loads takes reports of loads; nil for none.
+	Loads *Loads
 	asked atomic.Int64
 
 	mu    sync.Mutex
@@ -127,6 +129,15 @@
 			return answer{}, err
 		}
 		return cache.newestAnswer(ctx)
+	case methodLoads:
+		var p loadsParams
+		if err := params(req, &p); err != nil {
+			return answer{}, err
+		}
+		if s.Loads == nil {
+			return answer{}, keyedlog.ErrNotDone
+		}
+		return s.Loads.told(p)
 	case methodAppend:
 		var p appendParams
 		if _, err := s.decode(req, &p, func() string { return p.Topic }); err != nil {
@@ -139,11 +150,8 @@
 
 // decode decodes the parameters and finds the topic's cache.
 func (s *Server) decode(req *jsonrpc2.Request, into any, topic func() string) (*Cache, error) {
-	if req.Params == nil {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "no parameters"}
-	}
-	if err := json.Unmarshal(*req.Params, into); err != nil {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	if err := params(req, into); err != nil {
+		return nil, err
 	}
 	cache := s.caches[topic()]
 	if cache == nil {
@@ -152,6 +160,17 @@
 	return cache, nil
 }
 
+// params decodes a question's parameters.
+func params(req *jsonrpc2.Request, into any) error {
+	if req.Params == nil {
+		return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "no parameters"}
+	}
+	if err := json.Unmarshal(*req.Params, into); err != nil {
+		return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	return nil
+}
+
 // coded turns the log's errors into codes.
 func coded(err error) error {
 	var known *jsonrpc2.Error
