--- /dev/null
+++ b/decision/passthrough/tables.go
@@ -0,0 +1,98 @@
+package passthrough
+
+import "time"
+
+// versionKey names a version of a service's software.
+type versionKey struct{ service, version string }
+
+// service is the backend servers of one name with the requests that wait for them.
+type service struct {
+	name    string
+	servers []*server
+	queue   queue
+	budget  *Budget
+	// throttle bounds what is sent to a plain service.
+	throttle throttle
+	// engine says that it runs models, in batches.
+	engine bool
+	slots  int
+	// usualOthers is the mean of what other instances have at a server.
+	usualOthers mean
+	pace        paceStats
+	reads       readStats
+	warmUp      warmUp
+	isFree      bool
+}
+
+// server is a row of the backend servers.
+type server struct {
+	Server
+	service *service
+	// own is this instance's attempts at the server.
+	own int
+	// reads are this instance's requests there whose answer has not begun, unread is how many
+	// they are, backlog the seconds that their prompts take to be read, in full.
+	unread  int
+	backlog float64
+	reads   []*request
+	// told is the load that it stated at toldAt, when own was ownThen and unread unreadThen.
+	told       Load
+	toldAt     time.Time
+	ownThen    int
+	unreadThen int
+	// shutUntil keeps it out of the choice for a moment.
+	shutUntil time.Time
+	health    health
+	// slow is the server's pace beside its service's mean.
+	slow mean
+	// hash is the server's part of the affinity hash.
+	hash uint64
+	gone bool
+	// drained says that its failure domain gets no new work.
+	drained bool
+	cold    coldness
+	// others is what the other instances have there, as of the world's sharedAt.
+	others shared
+}
+
+// request is a live request.
+type request struct {
+	Request
+	service *service
+	server  *server
+	// version is that of the server it was sent to last.
+	version string
+	arrived time.Time
+	sent    time.Time
+	// attempts counts dispatches that reached a backend server, tries all.
+	attempts int
+	tries    int
+	tried    []*server
+	// ran says that it may have run.
+	ran bool
+	// size is the index of the model asked last, -1 for none.
+	size    int
+	waiting bool
+	place   *waiter
+	// first is the time to the current answer's first byte.
+	first time.Duration
+	// level is its server's load when the current answer began.
+	level level
+	// paced says that the current answer's pace was told.
+	paced bool
+	// reading says that its prompt counts in its server's backlog, with work seconds; alone
+	// that no other of this instance's did then. Its first event is due at the time due.
+	reading bool
+	work    float64
+	alone   bool
+	due     time.Time
+	// ownForecast is how many seconds its first event was thought to take, unscaled, by what
+	// this instance knows; sharedForecast is the same by the word of all, if byShared.
+	ownForecast    float64
+	sharedForecast float64
+	byShared       bool
+	// next is the model to ask since a smaller one's answer was dropped, with the confidence
+	// doubt; 0 where none was.
+	next  int
+	doubt float64
+}
--- a/router/internal/passthrough/list_test.go
+++ b/router/internal/passthrough/list_test.go
@@ -84,3 +84,16 @@
 		}
 	}
 }
+
+// TestFollowersHearOfChangesAtOnce holds that an instance that reads the list from another one
+// waits there for changes, and one that reads the store does not: each heartbeat is one there.
+func TestFollowersHearOfChangesAtOnce(t *testing.T) {
+	p := newParts("a", newFakeClock(), &fakeLog{}, &fakeLog{})
+	if p.list.wait() != 0 || p.list.pause() != p.list.every() {
+		t.Errorf("by the store: waits %v, pauses %v", p.list.wait(), p.list.pause())
+	}
+	p.list.follows = func() bool { return true }
+	if p.list.wait() <= 0 || p.list.pause() >= p.list.every()/4 {
+		t.Errorf("by another instance: waits %v, pauses %v", p.list.wait(), p.list.pause())
+	}
+}
--- a/router/internal/relay/members_test.go
+++ b/router/internal/relay/members_test.go
@@ -54,3 +54,42 @@
 		t.Errorf("a strong instance goes at %.2f, a small one at %.2f", lastStrong, firstSmall)
 	}
 }
+
+// TestTheFirstOfAllReadsForAll holds whom the first of each failure domain asks: the first of those
+// that rank before it, and nobody where none does.
+func TestTheFirstOfAllReadsForAll(t *testing.T) {
+	now := time.Unix(100, 0)
+	all := []Member{
+		{Name: "a1", Domain: "a", Address: "x:1", Cores: 0.8}, {Name: "a2", Domain: "a", Address: "x:2", Cores: 0.2},
+		{Name: "b1", Domain: "b", Address: "x:3", Cores: 0.9}, {Name: "b2", Domain: "b", Address: "x:4", Cores: 0.7},
+		{Name: "c1", Domain: "c", Address: "x:5", Cores: 0.6},
+	}
+	want := map[string]string{"a1": "b1", "b1": "", "c1": "b1"}
+	for _, self := range all {
+		name, asks := self.Name, ""
+		if _, ok := want[name]; !ok {
+			continue
+		}
+		m := NewMembers(self, 3, func() time.Time { return now })
+		for _, other := range all {
+			m.Add(other)
+			m.Add(other) // told again
+		}
+		if far := m.FarCollectors(); len(far) > 0 {
+			asks = far[0].Name
+		}
+		if asks != want[name] {
+			t.Errorf("%s asks %q, want %q", name, asks, want[name])
+		}
+	}
+	m := NewMembers(all[4], 3, func() time.Time { return now })
+	for _, other := range all {
+		m.Add(other)
+	}
+	for _, next := range []string{"a1", "b2"} {
+		m.Failed(m.FarCollectors()[0].Name)
+		if far := m.FarCollectors(); len(far) == 0 || far[0].Name != next {
+			t.Errorf("asks %+v, want %s", far, next)
+		}
+	}
+}
--- a/router/internal/relay/relay_test.go
+++ b/router/internal/relay/relay_test.go
@@ -435,3 +435,29 @@
 		t.Errorf("%d records, %d reads of the store", len(s.Records), st.count())
 	}
 }
+
+// TestOneReadsHeartbeatsForAllDomains holds that collectors of other failure domains read a far
+// topic by the first of all, and the store where that gives no answer.
+func TestOneReadsHeartbeatsForAllDomains(t *testing.T) {
+	st := &store{}
+	st.put("a", "1")
+	all := startInstances(t, st, 1, time.Minute)
+	all[0].newest(t)
+	first := all[0].members.self
+	other := startInstances(t, st, 1, time.Minute)[0]
+	first.Domain, first.Cores = "elsewhere", other.members.self.Cores+1
+	other.members.Add(first)
+	before := st.count()
+	if s := other.newest(t); len(s.Records) != 1 || st.count() != before+1 {
+		t.Errorf("a topic that is not far: %d reads of the store", st.count()-before)
+	}
+	other.log.Far = true
+	before = st.count()
+	if s := other.newest(t); len(s.Records) != 1 || st.count() != before || other.log.Direct() {
+		t.Errorf("%d records, %d reads of the store, direct %v", len(s.Records), st.count()-before, other.log.Direct())
+	}
+	all[0].stop()
+	if s := other.newest(t); len(s.Records) != 1 || st.count() != before+1 || !other.log.Direct() {
+		t.Errorf("the first is gone: %d records, %d reads of the store", len(s.Records), st.count()-before)
+	}
+}
