All that a new version's server cuts off in a crash is one failure

Change: cut answers of the new version are told by server and by the time since the order in steps of two seconds; what all instances saw of one such crash counts once. Failures that a server states count each, as before, and so do cuts that come again and again.

Ruled out: cuts not counted at all (a version that cuts answers off would pass); one for each server (the same, after a few).

--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -160,6 +160,9 @@
 	Route   string
 	Version string
 	Bad     bool
+	// Cut says that the answer was cut off, as when Server crashes.
+	Cut    bool
+	Server string
 	// Early says that the answer goes on, and is not counted yet.
 	Early bool
 	// First and Pace compare the answer's times with the old version's, for answers of
--- a/decision/passthrough/verdict.go
+++ b/decision/passthrough/verdict.go
@@ -102,7 +102,7 @@
 // tell takes in the times of an attempt that has ended, and tells of them while a roll-out is
 // in progress.
 func (w *World) tell(r *request, s *server, e Ended) {
-	o := Observed{Service: r.service.name, Route: r.Route.Name, Version: s.Version, Bad: e.Result == Failed || e.Cut}
+	o := Observed{Service: r.service.name, Route: r.Route.Name, Version: s.Version, Bad: e.Result == Failed || e.Cut, Cut: e.Cut, Server: s.ID}
 	first, at := r.first, r.level
 	if first == 0 {
 		first, at = w.now.Sub(r.sent), levelOf(s.told) // it would have been later still
--- a/router/internal/passthrough/board.go
+++ b/router/internal/passthrough/board.go
@@ -82,6 +82,10 @@
 	if s == nil {
 		return
 	}
+	if o.Cut && o.Version == s.Target {
+		s.noteCut(o)
+		o.Early = true // its times count, and the crash by itself
+	}
 	s.Routes[o.Route] = sheetRow(passthrough.Pair(s.Routes[o.Route]).Add(o, s.Target))
 	s.dirty = s.dirty || o.Version == s.Target
 }
--- a/router/internal/passthrough/sheet.go
+++ b/router/internal/passthrough/sheet.go
@@ -20,6 +20,8 @@
 	ElapsedMS int64 `json:"elapsed_ms"`
 	// Routes are the counts by route.
 	Routes map[string]sheetRow `json:"routes"`
+	// Cuts name the crashes of the new version's servers that cut answers off, by route.
+	Cuts map[string][]string `json:"cuts,omitempty"`
 	// Sessions are those that were open at the old version when the order came, in the
 	// canary's share.
 	Sessions []string `json:"sessions,omitempty"`
@@ -68,8 +70,9 @@
 		b.nudge()
 	}
 	out := view{elapsed: now.Sub(r.since)}
-	sums := map[string]passthrough.Pair{}
+	sums, crashes := map[string]passthrough.Pair{}, cuts{}
 	add := func(s *sheet) {
+		crashes.add(s.Cuts)
 		for route, row := range s.Routes {
 			sums[route] = sums[route].Plus(passthrough.Pair(row))
 		}
@@ -82,6 +85,7 @@
 		add(&s)
 		out.elapsed = max(out.elapsed, time.Duration(s.ElapsedMS)*time.Millisecond+now.Sub(s.readAt))
 	}
+	crashes.count(sums)
 	all := passthrough.Total(sums)
 	out.fresh, out.old = all.New, all.Old
 	out.bad = own.evidence.Bad(now, sums)
