Reports of loads cost by what is in progress, not by the servers known

Change: a report goes through the requests in progress, and a word of the others through the servers that it names. Where a failure domain has more than 60 instances each reports less often, so that its collector gets 400 reports a second at most. Ruled out: sums by difference, which must be resent whole after each loss.

--- a/decision/passthrough/servers.go
+++ b/decision/passthrough/servers.go
@@ -70,13 +70,15 @@
 	}
 }
 
-// regroup fills the services' lists, in the list's order.
+// regroup fills the services' lists, in the list's order, and the keys.
 func (w *World) regroup(list []Server) {
 	for _, s := range w.services {
 		s.servers = s.servers[:0]
 	}
+	clear(w.byKey)
 	for _, s := range list {
 		row := w.servers[s.ID]
+		w.byKey[row.keyOf()] = row
 		row.service.servers = append(row.service.servers, row)
 	}
 	for _, s := range w.services {
--- a/decision/passthrough/sharedload.go
+++ b/decision/passthrough/sharedload.go
@@ -34,10 +34,14 @@
 // OwnLoads is what this instance has at the servers now.
 func (w *World) OwnLoads() []SharedLoad {
 	var out []SharedLoad
-	for _, s := range w.servers {
-		if s.own > 0 && s.service.engine {
-			out = append(out, SharedLoad{Key: s.keyOf(), Requests: s.own, Reading: seconds(s.remaining(w.now))})
+	told := map[*server]bool{}
+	for _, r := range w.requests {
+		s := r.server
+		if s == nil || told[s] || !s.service.engine {
+			continue
 		}
+		told[s] = true
+		out = append(out, SharedLoad{Key: s.keyOf(), Requests: s.own, Reading: seconds(s.remaining(w.now))})
 	}
 	return out
 }
@@ -53,13 +57,15 @@
 		return
 	}
 	w.sharedAt = w.now
-	named := make(map[uint32]SharedLoad, len(e.Loads))
-	for _, l := range e.Loads {
-		named[l.Key] = l
+	for _, s := range w.named {
+		s.others = shared{}
 	}
-	for _, s := range w.servers {
-		l := named[s.keyOf()]
-		s.others = shared{requests: float64(l.Requests), reading: l.Reading.Seconds()}
+	w.named = w.named[:0]
+	for _, l := range e.Loads {
+		if s := w.byKey[l.Key]; s != nil {
+			s.others = shared{requests: float64(l.Requests), reading: l.Reading.Seconds()}
+			w.named = append(w.named, s)
+		}
 	}
 	for _, s := range w.services {
 		w.free(s)
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -51,8 +51,11 @@
 	// lost are the servers of each failure domain that were lost since one there answered.
 	lost map[string]map[*server]bool
 	near neighbours
-	// sharedAt is when the other instances' word on their loads came in.
+	// sharedAt is when the other instances' word on their loads came in, named the servers that it
+	// named, byKey all servers by what stands for them there.
 	sharedAt time.Time
+	named    []*server
+	byKey    map[uint32]*server
 
 	// fleet is the number of instances, 0 where not known.
 	fleet int
@@ -88,6 +91,7 @@
 		crashes:  newCrashes(),
 		routes:   map[string]*routeStats{},
 		lost:     map[string]map[*server]bool{},
+		byKey:    map[uint32]*server{},
 	}
 }
 
--- a/router/internal/relay/loads.go
+++ b/router/internal/relay/loads.go
@@ -37,8 +37,10 @@
 	// loadsEvery is the time between two reports: a prompt holds up an engine for some tenths of
 	// a second, and a report costs a collector some 50 us of its processor.
 	loadsEvery = 150 * time.Millisecond
-	// loadsLife is how long a report counts: of an instance that is gone, three reports long.
-	loadsLife = 3 * loadsEvery
+	// reportTime is the part of a collector's time that one follower's reports may have.
+	reportTime = 2500 * time.Microsecond
+	// loadsLives is how many reports long one counts, of an instance that is gone.
+	loadsLives = 3
 	// loadsTimeout bounds a report: later it is of no use.
 	loadsTimeout = 2 * loadsEvery
 )
@@ -49,14 +51,23 @@
 	return &Loads{client: client, now: client.now, own: own, take: take, below: map[string]loadReport{}}
 }
 
+// every is the time between two reports, by the instances of the failure domain.
+func (l *Loads) every() time.Duration {
+	return max(loadsEvery, time.Duration(l.client.members.Near())*reportTime)
+}
+
+// life is how long a report counts.
+func (l *Loads) life() time.Duration { return loadsLives * l.every() }
+
 // Run exchanges reports until ctx ends.
 func (l *Loads) Run(ctx context.Context) {
-	tick := time.NewTicker(loadsEvery)
-	defer tick.Stop()
+	timer := time.NewTimer(loadsEvery)
+	defer timer.Stop()
 	for {
 		select {
-		case <-tick.C:
+		case <-timer.C:
 			l.once(ctx)
+			timer.Reset(l.every())
 		case <-ctx.Done():
 			return
 		}
@@ -112,17 +123,17 @@
 func (l *Loads) known(except string, above bool) []loadReport {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.now()
+	now, life := l.now(), l.life()
 	var out []loadReport
 	for name, r := range l.below {
 		switch {
-		case now.Sub(r.at) > loadsLife:
+		case now.Sub(r.at) > life:
 			delete(l.below, name)
 		case name != except:
 			out = append(out, r)
 		}
 	}
-	if above && now.Sub(l.above.at) <= loadsLife {
+	if above && now.Sub(l.above.at) <= life {
 		out = append(out, l.above)
 	}
 	return out
--- a/router/internal/relay/loads_test.go
+++ b/router/internal/relay/loads_test.go
@@ -123,7 +123,7 @@
 	if sum := total(l.known("", true)).rows; len(sum) != 1 || sum[0].Requests != 2 {
 		t.Errorf("sum %+v", sum)
 	}
-	now = now.Add(loadsLife + time.Millisecond)
+	now = now.Add(l.life() + time.Millisecond)
 	if sum := total(l.known("", true)).rows; len(sum) != 0 {
 		t.Errorf("sum %+v of an instance that is gone", sum)
 	}
--- a/router/internal/relay/members.go
+++ b/router/internal/relay/members.go
@@ -217,6 +217,13 @@
 	return slices.Sorted(maps.Keys(m.list))
 }
 
+// Near is the number of instances of this failure domain that ever were known.
+func (m *Members) Near() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.list)
+}
+
 // Knows says whether the member is known as given.
 func (m *Members) Knows(in Member) bool {
 	m.mu.Lock()
