--- a/decision/passthrough/warmup.go
+++ b/decision/passthrough/warmup.go
@@ -127,7 +127,7 @@
 
 // neighbours are the instances of this one's failure domain, itself among them.
 type neighbours struct {
-	self  string
+	// names are hashes of their names, own that of this instance's.
 	names []uint64
 	own   uint64
 	// version changes with the names.
@@ -135,7 +135,7 @@
 }
 
 func (w *World) setNeighbours(e Neighbours) {
-	n := neighbours{self: e.Self, own: hashText(e.Self), version: w.near.version + 1}
+	n := neighbours{own: hashText(e.Self), version: w.near.version + 1}
 	for _, name := range e.Names {
 		n.names = append(n.names, hashText(name))
 	}
