The question that finds the store again does not wait for a record

Cause, by the log of the instance: the store's records are dropped at 7 to 10 s, a read of the operator's topic gets no answer at 8.4. From then on one topic asks for all, every two to four seconds, and that one was the roll-outs' state, whose question waits for a record for eight seconds. The configuration came at 13.9.

Change: a question to a store that is away does not wait, and the operator's topic may ask every two seconds whatever the others do. Ruled out: the instances' own topics being cut (its collector was, but the store was reached).

--- a/router/internal/passthrough/sharing.go
+++ b/router/internal/passthrough/sharing.go
@@ -97,6 +97,7 @@
 	s.operator = topic(topicOperator, store.Operator(), part(oldestOperator, cfg.Bounds.Revoke))
 	s.servers = topic(topicServers, store.Servers(), part(oldestServers, cfg.Bounds.Drain))
 	s.servers.Far = true
+	s.operator.Urgent = true
 	s.status = topic(topicStatus, store.Status(), oldestOther)
 	s.observations = topic(topicObservations, store.Observations(), oldestOther)
 	s.instances = topic(topicInstances, store.Instances(cfg.Zone), oldestOther)
--- a/router/internal/relay/client.go
+++ b/router/internal/relay/client.go
@@ -31,6 +31,8 @@
 	// alone.
 	away  bool
 	quiet time.Time
+	// urgentAt is when an urgent topic may ask it again.
+	urgentAt time.Time
 	// span is how long it is left alone after a failure.
 	span time.Duration
 }
@@ -102,6 +104,7 @@
 	defer c.mu.Unlock()
 	if !c.away {
 		c.span = storeQuiet
+		c.urgentAt = c.now().Add(storeQuiet)
 	}
 	c.away, c.quiet = true, c.now().Add(c.span)
 }
@@ -132,6 +135,27 @@
 	return true
 }
 
+// mayAskUrgently says the same for a topic whose records must be in force soon after the store is
+// back: it is not kept waiting for longer than storeQuiet.
+func (c *Client) mayAskUrgently() bool {
+	c.mu.Lock()
+	if c.away && !c.now().Before(c.urgentAt) {
+		c.urgentAt = c.now().Add(storeQuiet)
+		c.mu.Unlock()
+		return true
+	}
+	c.mu.Unlock()
+	return c.mayAskStore()
+}
+
+// storeAway says whether the store gave this instance no answer lately: a question must not wait
+// for a record then, since its answer is what all topics wait for.
+func (c *Client) storeAway() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.away
+}
+
 // ask asks one member, and waits for as long as limit.
 func (c *Client) ask(ctx context.Context, m Member, method string, params any, limit time.Duration) (answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
--- a/router/internal/relay/client_test.go
+++ b/router/internal/relay/client_test.go
@@ -46,3 +46,26 @@
 		t.Errorf("direct: %v and %v, want the first alone", all[0].log.Direct(), all[1].log.Direct())
 	}
 }
+
+// TestUrgentTopicIsNotKeptWaiting plays half a minute in which the store gives no answer, and holds
+// that a topic with a bound may ask it every two seconds, whatever the others have asked.
+func TestUrgentTopicIsNotKeptWaiting(t *testing.T) {
+	now := time.Unix(100, 0)
+	members := NewMembers(Member{Name: "self", Domain: "d", Address: "a:1"}, 1, func() time.Time { return now })
+	members.Add(Member{Name: "first", Domain: "d", Address: "a:2", Cores: 1})
+	c := NewClient(members, func() time.Time { return now })
+	c.storeFailed()
+	last, longest := now, time.Duration(0)
+	for end := now.Add(30 * time.Second); now.Before(end); now = now.Add(100 * time.Millisecond) {
+		if c.mayAskStore() {
+			c.storeFailed() // another topic's question
+		}
+		if c.mayAskUrgently() {
+			longest = max(longest, now.Sub(last))
+			last = now
+		}
+	}
+	if longest > storeQuiet+200*time.Millisecond {
+		t.Errorf("kept waiting for %v", longest)
+	}
+}
--- a/router/internal/relay/log.go
+++ b/router/internal/relay/log.go
@@ -24,6 +24,8 @@
 	// Far says that a collector reads from one of another failure domain, where it can, and not
 	// from the store: for a topic that most of the store's bytes go to.
 	Far bool
+	// Urgent says that the topic's records must be in force soon after an outage of the store.
+	Urgent bool
 
 	mu sync.Mutex
 	// by is the collector that answered last, "" for none; direct says that the last read was
@@ -53,9 +55,12 @@
 	if errors.Is(err, keyedlog.ErrGone) || ctx.Err() != nil {
 		return keyedlog.Batch{}, err
 	}
-	if !l.client.mayAskStore() {
+	if !l.mayAskStore() {
 		return keyedlog.Batch{}, err
 	}
+	if l.client.storeAway() {
+		wait = 0
+	}
 	began := l.now()
 	b, err := l.store.Read(ctx, from, wait)
 	l.asked(ctx, err)
@@ -82,7 +87,7 @@
 		l.cache.Replace(s, l.now().Add(-out.age))
 		return s, nil
 	}
-	if !l.client.mayAskStore() {
+	if !l.mayAskStore() {
 		return keyedlog.Snapshot{}, err
 	}
 	began := l.now()
@@ -110,6 +115,14 @@
 	return l.client.callAny(ctx, l.client.members.FarCollectors(), method, question, wait, l.oldest)
 }
 
+// mayAskStore says whether the topic may be read from the store now.
+func (l *Log) mayAskStore() bool {
+	if l.Urgent {
+		return l.client.mayAskUrgently()
+	}
+	return l.client.mayAskStore()
+}
+
 // asked notes whether the store gave an answer, unless the read was ended here.
 func (l *Log) asked(ctx context.Context, err error) {
 	l.mu.Lock()
--- a/router/internal/relay/relay_test.go
+++ b/router/internal/relay/relay_test.go
@@ -461,3 +461,40 @@
 		t.Errorf("the first is gone: %d records, %d reads of the store", len(s.Records), st.count()-before)
 	}
 }
+
+// waitingStore is a store that keeps a question waiting for as long as it may wait.
+type waitingStore struct {
+	*store
+	waits []time.Duration
+}
+
+func (s *waitingStore) Read(ctx context.Context, from uint64, wait time.Duration) (keyedlog.Batch, error) {
+	s.waits = append(s.waits, wait)
+	return s.store.Read(ctx, from, 0)
+}
+
+// TestQuestionThatFindsTheStoreDoesNotWait holds that the one question which is asked while the
+// store is away does not wait for a record: all topics wait for its answer. One that waited for
+// eight seconds kept the configuration from an instance for five.
+func TestQuestionThatFindsTheStoreDoesNotWait(t *testing.T) {
+	st := &waitingStore{store: &store{}}
+	st.put("a", "1")
+	in := startInstances(t, st.store, 1, time.Minute)[0]
+	in.log.store = st
+	const wait = 8 * time.Second
+	for _, away := range []bool{true, false} {
+		if away {
+			in.log.client.storeFailed()
+		}
+		if _, err := in.log.Read(t.Context(), 0, wait); err != nil {
+			t.Fatal(err)
+		}
+		want := wait
+		if away {
+			want = 0
+		}
+		if got := st.waits[len(st.waits)-1]; got != want {
+			t.Errorf("away %v: waits %v, want %v", away, got, want)
+		}
+	}
+}
