Neighbours are sorted only when they change; far collectors looked up only where asked

Each second's read of the members sorted all names to compare their number, and each report of loads worked out the collectors of other failure domains though its own was asked. No behaviour changes: the same collector is asked, the same names are told.

--- a/router/internal/passthrough/membership.go
+++ b/router/internal/passthrough/membership.go
@@ -106,9 +106,8 @@
 
 // count tells of a changed number of instances, and of neighbours that joined.
 func (s *sharing) count() {
-	names := s.members.Names()
-	if known := int64(len(names)); s.near.Swap(known) != known {
-		s.neighbours(names)
+	if near := int64(s.members.Near()); s.near.Swap(near) != near {
+		s.neighbours(s.members.Names())
 	}
 	n := s.members.Count()
 	if s.told.Swap(int64(n)) != int64(n) {
--- a/router/internal/relay/loads.go
+++ b/router/internal/relay/loads.go
@@ -76,8 +76,10 @@
 
 // once tells the collector what is known here, and takes in what it knows beyond that.
 func (l *Loads) once(ctx context.Context) {
-	members := l.client.members
-	to := append(members.Collectors(), members.FarCollectors()...)
+	to := l.client.members.Collectors()
+	if len(to) == 0 {
+		to = l.client.members.FarCollectors()
+	}
 	if len(to) > 0 {
 		l.report(ctx, to[0])
 	}
