Tests take ports that nobody else gets, and freeze a process before they go on

TestRepeatableCallIsSentElsewhere: the instance's port had been found by listening on port 0 and closing it; until the instance was up another listener on the machine got it ("address already in use").

TestFrozenInstanceMissesAWithdrawal: SIGSTOP takes effect a while after it was sent; the engine's answer bears the second of the start, so the instance served the request before it stood still, and before the withdrawal. Ruled out: a withdrawn version that runs (the engine began before it was withdrawn). The test waits until the kernel shows all threads as stopped. No bound changed.

--- a/router/internal/e2e/failure_test.go
+++ b/router/internal/e2e/failure_test.go
@@ -1,9 +1,15 @@
 package e2e
 
 import (
+	"bytes"
 	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
 	"net/http"
+	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -108,6 +114,37 @@
 	}
 }
 
+// freeze stops a process and waits until none of its threads runs: the signal takes effect
+// a while after it was sent, and a request that comes before that is served as usual.
+func (f *fleet) freeze(i *instance) {
+	f.t.Helper()
+	f.signal(i, syscall.SIGSTOP)
+	eventually(f.t, i.name+" is stopped", func() bool { return threadsStopped(f.t, i.cmd.Process.Pid) })
+}
+
+// threadsStopped tells whether the kernel shows all threads of a process as stopped.
+func threadsStopped(t testing.TB, pid int) bool {
+	t.Helper()
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil || len(files) == 0 {
+		t.Fatalf("threads of %d: %v", pid, err)
+	}
+	for _, file := range files {
+		stat, err := os.ReadFile(file)
+		if errors.Is(err, fs.ErrNotExist) {
+			continue // the thread has ended
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		// The state follows the command's name, which stands in brackets.
+		if !strings.HasPrefix(string(stat[bytes.LastIndexByte(stat, ')')+1:]), " T") {
+			return false
+		}
+	}
+	return true
+}
+
 // TestFrozenInstanceMissesAWithdrawal stops a process for longer than the
 // freshness bound, withdraws a version meanwhile, and lets it go on with a
 // request already in its socket.
@@ -115,14 +152,14 @@
 	f := readyFleet(t)
 	frozen, publisher, witness := f.instances[0], f.instances[1], f.instances[2]
 	before := f.startedOn("large@1")
-	f.signal(frozen, syscall.SIGSTOP)
+	f.freeze(frozen)
 	waiting := make(chan reply, 1)
 	go func() { waiting <- f.chat(frozen) }()
 	f.withdraw(publisher)
 	// The witness is cut off after the freeze; once it is stale, the frozen
 	// instance's last read is older than the bound as well.
 	f.lines[2].SetCut(true)
-	f.signal(publisher, syscall.SIGSTOP)
+	f.freeze(publisher)
 	f.awaitMode(witness, "stale")
 	f.signal(publisher, syscall.SIGCONT)
 	f.signal(frozen, syscall.SIGCONT)
@@ -260,9 +297,7 @@
 	alone := f.instances[0]
 	f.lines[0].SetCut(true)
 	for _, i := range f.instances[1:] {
-		if err := i.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
-			t.Fatal(err)
-		}
+		f.freeze(i)
 	}
 	f.awaitMode(alone, "stale")
 	before := f.startedOn("large@1")
--- a/router/internal/passthrough/sharing_test.go
+++ b/router/internal/passthrough/sharing_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync"
 	"testing"
 	"time"
@@ -12,6 +11,7 @@
 
 	"masticplank.example/coordination/keyedlog"
 	"masticplank.example/decision/passthrough/seam"
+	"masticplank.example/platform/standin"
 )
 
 // countedLog counts the calls to a topic.
@@ -121,13 +121,12 @@
 	}
 }
 
-// freePort is an address on loopback that was free a moment ago.
+// freePort is an address on loopback that nobody listens on.
 func freePort(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := standin.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return addr
 }
--- a/router/internal/upstream/upstream_test.go
+++ b/router/internal/upstream/upstream_test.go
@@ -4,13 +4,13 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 
 	"masticplank.example/decision"
+	"masticplank.example/platform/standin"
 	"masticplank.example/router/internal/wire"
 )
 
@@ -40,12 +40,11 @@
 
 func closedPort(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := standin.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return "http://" + l.Addr().String()
+	return "http://" + addr
 }
 
 // TestResults walks the ways in which an attempt can end. "Not run" may come
