Long prompts of a larger model are read in one failure domain, not in each

Cause: shared prompts stay in their failure domain while engines are not behind, so each is read by a server of every one.

The test failed before: none of 20 prompts was read at one server only.

--- a/decision/passthrough/pick.go
+++ b/decision/passthrough/pick.go
@@ -94,14 +94,24 @@
 	nearMost = 0.25
 )
 
+// readAgainMost is how many seconds a server may spend on reading a request's shared prompt
+// once more in each failure domain, for the prompt's bytes to stay in one.
+const readAgainMost = 0.1
+
 // staysNear says whether the request is kept in the own failure domain.
 //
 // Load: prompts of 18 kB, two thirds of which went to another failure domain and cost a
 // thirtieth of what their answers are worth. Harm prevented: those bytes; and, where engines
 // are behind with reading, each shared prompt read once in every failure domain: then all go
 // to the server that the hash names among all, which holds them already, as it is the one of
-// its own failure domain too.
+// its own failure domain too. So do long prompts that a larger model is to read, ten times as
+// slowly as the smallest, however idle the engines are: what an engine generates for others
+// stands still meanwhile.
 func staysNear(r *request, wait float64) bool {
+	readAgain := r.service.reads.perToken(r.next) * float64(r.SharedTokens)
+	if readAgain > readAgainMost {
+		return false
+	}
 	shared := 1.0
 	if r.PromptTokens > 0 {
 		shared = min(float64(r.SharedTokens)/float64(r.PromptTokens), 1)
--- a/decision/passthrough/place_test.go
+++ b/decision/passthrough/place_test.go
@@ -1,6 +1,7 @@
 package passthrough
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -265,6 +266,49 @@
 	}
 }
 
+// TestLongPromptsOfALargerModelAreReadInOneFailureDomain: the smallest model reads a shared
+// prompt at home, but where its answer was dropped the larger one reads it where all instances
+// send it, so that it is held there; a short prompt stays at home for both.
+func TestLongPromptsOfALargerModelAreReadInOneFailureDomain(t *testing.T) {
+	for _, c := range []struct {
+		shared   int
+		together bool
+	}{{6000, true}, {600, false}} {
+		b := roomyBench(t)
+		b.tell(Listed{domains(4)})
+		reads := map[string]map[string]bool{}
+		const prompts = 20
+		for _, zone := range []string{"a", "b"} {
+			b.world.cfg.Zone = zone
+			for i := range prompts {
+				id := b.arrive(streamRoute(), func(r *Request) {
+					r.Affinity, r.SharedTokens, r.PromptTokens = uint64(i+1), c.shared, 2*c.shared
+				})
+				if d := b.dispatched(id); d.Server.Zone != zone {
+					t.Fatalf("%d shared: the smallest model reads in %s, not at home", c.shared, d.Server.Zone)
+				}
+				b.drop(id, 0.1)
+				d := b.dispatched(id)
+				b.tell(Ended{Request: id, Result: Completed})
+				key := fmt.Sprint(i)
+				if reads[key] == nil {
+					reads[key] = map[string]bool{}
+				}
+				reads[key][d.Server.ID] = true
+			}
+		}
+		alone := 0
+		for _, at := range reads {
+			if len(at) == 1 {
+				alone++
+			}
+		}
+		if together := alone == prompts; together != c.together {
+			t.Errorf("%d shared: %d of %d prompts are read by the larger model at one server only", c.shared, alone, prompts)
+		}
+	}
+}
+
 // TestPromptsLeaveAFailureDomainThatIsFull: one where all engines have twice the load of the
 // others keeps nothing back.
 func TestPromptsLeaveAFailureDomainThatIsFull(t *testing.T) {
