An instance that knows nobody asks a silent store one question at a time

Cause: who ranks first may always ask the store, and who has just started ranks first, as it knows only itself.

Now four questions go at once, as a call may be reset by chance, then one in 350 ms for all topics; the first answer frees all. Ruled out: followers, which already ask rarely; the operator's topic, which has a bound of its own and asks as before. The test counted 1,000 questions in ten seconds before, and now at most 33.

--- a/router/internal/passthrough/tail.go
+++ b/router/internal/passthrough/tail.go
@@ -18,6 +18,8 @@
 	retryMost  = 400 * time.Millisecond
 	// retryRare is the same for topics that have no bound of their own.
 	retryRare = 1500 * time.Millisecond
+	// retryParts is how often the first time between two tries goes into the longest one.
+	retryParts = 4
 )
 
 // tail follows a topic: the newest record of each key first, then every record.
@@ -30,8 +32,8 @@
 	// reads.
 	wait  func() time.Duration
 	pause func() time.Duration
-	// retry is the longest time between two tries of a topic that does not answer; 0 for
-	// the shortest.
+	// retry is the longest time between two tries of a topic that does not answer, retryParts
+	// times the first one; 0 for the shortest.
 	retry time.Duration
 	// nudge ends a pause early; nil for none.
 	nudge chan struct{}
@@ -51,7 +53,8 @@
 
 // run follows the topic until ctx ends.
 func (t *tail) run(ctx context.Context) {
-	delay := retryFirst
+	first := max(retryFirst, t.retry/retryParts)
+	delay := first
 	for ctx.Err() == nil {
 		if err := t.once(ctx); err != nil {
 			t.failed(ctx, err)
@@ -59,7 +62,7 @@
 			delay = min(2*delay, max(t.retry, retryMost))
 			continue
 		}
-		delay = retryFirst
+		delay = first
 		if t.pause != nil {
 			sleep(ctx, t.pause(), t.nudge)
 		}
--- a/router/internal/relay/client.go
+++ b/router/internal/relay/client.go
@@ -33,6 +33,10 @@
 	quiet time.Time
 	// urgentAt is when an urgent topic may ask it again.
 	urgentAt time.Time
+	// probes is how many questions an instance that ranks first has asked in the outage, probeAt
+	// when it may ask another one.
+	probes  int
+	probeAt time.Time
 	// span is how long it is left alone after a failure.
 	span time.Duration
 }
@@ -105,6 +109,7 @@
 	if !c.away {
 		c.span = storeQuiet
 		c.urgentAt = c.now().Add(storeQuiet)
+		c.probes = 0
 	}
 	c.away, c.quiet = true, c.now().Add(c.span)
 }
@@ -116,17 +121,29 @@
 	c.away = false
 }
 
+// probeEvery is how often an instance that ranks first, or knows nobody yet, asks a store that
+// gave no answer: as often as one topic is tried.
+const probeEvery = 350 * time.Millisecond
+
+// freeProbes is how many questions it asks first without a pause: a call that was reset by chance
+// is tried again at once.
+const freeProbes = 4
+
 // mayAskStore says whether this instance may read the store now. While the store is away
 // one topic asks for all of them.
+//
+// Load: instances that start in an outage of the store, know nobody, and try five topics each.
+// Harm prevented: five questions in the place of one, at a store that comes back.
 func (c *Client) mayAskStore() bool {
-	if c.members.First() {
-		return true
-	}
+	first := c.members.First()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.away {
 		return true
 	}
+	if first {
+		return c.mayProbe()
+	}
 	if c.now().Before(c.quiet) {
 		return false
 	}
@@ -135,6 +152,17 @@
 	return true
 }
 
+// mayProbe says whether the time for the next question of a first one has come. It is called with
+// the lock held.
+func (c *Client) mayProbe() bool {
+	if c.probes >= freeProbes && c.now().Before(c.probeAt) {
+		return false
+	}
+	c.probes++
+	c.probeAt = c.now().Add(probeEvery)
+	return true
+}
+
 // mayAskUrgently says the same for a topic whose records must be in force soon after the store is
 // back: it is not kept waiting for longer than storeQuiet.
 func (c *Client) mayAskUrgently() bool {
--- a/router/internal/relay/client_test.go
+++ b/router/internal/relay/client_test.go
@@ -69,3 +69,38 @@
 		t.Errorf("kept waiting for %v", longest)
 	}
 }
+
+// TestInstanceThatKnowsNobodyAsksOneQuestionAtATime plays the start in an outage of ten seconds:
+// five topics are tried by an instance that ranks first, since it has not learnt of any other.
+// The first answer frees all topics at once.
+func TestInstanceThatKnowsNobodyAsksOneQuestionAtATime(t *testing.T) {
+	now := time.Unix(100, 0)
+	members := NewMembers(Member{Name: "self", Domain: "d", Address: "a:1"}, 1, func() time.Time { return now })
+	c := NewClient(members, func() time.Time { return now })
+	const topics, tick = 5, 50 * time.Millisecond
+	asked := 0
+	last, longest := now, time.Duration(0)
+	for end := now.Add(10 * time.Second); now.Before(end); now = now.Add(tick) {
+		for range topics {
+			if !c.mayAskStore() {
+				continue
+			}
+			asked++
+			longest = max(longest, now.Sub(last))
+			last = now
+			c.storeFailed()
+		}
+	}
+	if most := topics + int(10*time.Second/probeEvery); asked > most {
+		t.Errorf("asked %d times in 10 s", asked)
+	}
+	if longest > probeEvery+tick {
+		t.Errorf("the store's return would be seen after %v only", longest)
+	}
+	c.storeAnswered()
+	for range topics {
+		if !c.mayAskStore() {
+			t.Error("a topic is held back though the store answers")
+		}
+	}
+}
