A report of loads that cannot be read leaves a log line

An answer that an asker could not read, and a report that a collector could not, were dropped without a word: an operator of a fleet with two versions saw instances go by their own word only, and not why. Event 211 now names the sender and the error. The test wants the sender's name and failed before. No decision changes.

--- a/router/internal/logging/catalogue.go
+++ b/router/internal/logging/catalogue.go
@@ -45,7 +45,7 @@
 	EventServeFailed = Event{109, "serve_failed", slog.LevelError, "A listener failed; the process stops."}
 
 	EventConfigApplied  = Event{210, "config_applied", slog.LevelInfo, "A configuration of pass-through routes is in force here."}
-	EventRecordRejected = Event{211, "record_rejected", slog.LevelWarn, "A record in the store cannot be read and changes nothing."}
+	EventRecordRejected = Event{211, "record_rejected", slog.LevelWarn, "A record in the store, or another instance's report of loads, cannot be read and changes nothing."}
 	EventServerListed   = Event{212, "server_listed", slog.LevelInfo, "A backend server's entry is new or has changed."}
 	EventServerGone     = Event{213, "server_gone", slog.LevelInfo, "A backend server's entry is gone; reason says how."}
 	EventEntryIgnored   = Event{214, "entry_ignored", slog.LevelWarn, "A backend server's entry cannot be read; it names no server to use."}
--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -116,6 +116,7 @@
 	sh.server.Loads = relay.NewLoads(sh.client, d.ownLoads, func(rows []passthrough.SharedLoad, instances int) {
 		d.Tell(passthrough.OthersLoads{Loads: rows, Instances: instances})
 	})
+	sh.server.Loads.Unreadable = j.unreadableLoads
 	d.observe, d.crash, d.cooled = b.observed, b.crashed, j.cooled
 	return b
 }
--- a/router/internal/passthrough/journal.go
+++ b/router/internal/passthrough/journal.go
@@ -81,6 +81,11 @@
 		slog.Int("servers", c.Servers), slog.Int64("for_ms", c.For.Milliseconds()), slog.String(keyReason, string(c.Why)))
 }
 
+// unreadableLoads tells of another instance's report of loads that changes nothing.
+func (j *journal) unreadableLoads(from string, err error) {
+	j.emit(logging.EventRecordRejected, slog.String("from", from), slog.String(logging.KeyError, err.Error()))
+}
+
 func (j *journal) refused(c *call, no refusal) {
 	j.count("refused." + string(no.reason))
 	j.emit(logging.EventPassRefused, j.about(c,
--- a/router/internal/relay/loads.go
+++ b/router/internal/relay/loads.go
@@ -17,6 +17,9 @@
 	// own gives what this instance has; take is given what all others have.
 	own  func() []passthrough.SharedLoad
 	take func(rows []passthrough.SharedLoad, instances int)
+	// Unreadable is told of a report, or an answer to one, that cannot be read and changes
+	// nothing; nil for nobody.
+	Unreadable func(from string, err error)
 
 	mu sync.Mutex
 	// below are the reports of those that ask this instance, by name; above is what the collector
@@ -96,7 +99,7 @@
 	if err != nil {
 		return
 	}
-	rows, err := unpackLoads(out.Loads)
+	rows, err := l.unpack(to.Name, out.Loads)
 	if err != nil {
 		return
 	}
@@ -105,9 +108,18 @@
 	l.above = loadReport{rows, out.Instances, l.now()}
 }
 
+// unpack reads what another instance sent.
+func (l *Loads) unpack(from string, packed []byte) ([]passthrough.SharedLoad, error) {
+	rows, err := unpackLoads(packed)
+	if err != nil && l.Unreadable != nil {
+		l.Unreadable(from, err)
+	}
+	return rows, err
+}
+
 // told takes in a report and answers with what all others have.
 func (l *Loads) told(p loadsParams) (answer, error) {
-	rows, err := unpackLoads(p.Rows)
+	rows, err := l.unpack(p.Name, p.Rows)
 	if err != nil {
 		return answer{}, err
 	}
--- a/router/internal/relay/loads_test.go
+++ b/router/internal/relay/loads_test.go
@@ -127,7 +127,9 @@
 	if sum := total(l.known("", true)).rows; len(sum) != 0 {
 		t.Errorf("sum %+v of an instance that is gone", sum)
 	}
-	if _, err := l.told(loadsParams{Name: "a2", Rows: []byte{1}}); err == nil {
-		t.Error("a report that cannot be read was taken")
+	from := ""
+	l.Unreadable = func(name string, _ error) { from = name }
+	if _, err := l.told(loadsParams{Name: "a2", Rows: []byte{1}}); err == nil || from != "a2" {
+		t.Errorf("a report that cannot be read was taken, or not told of: %v, of %q", err, from)
 	}
 }
