--- a/decision/internal/verdict/versions.go
+++ b/decision/internal/verdict/versions.go
@@ -16,9 +16,6 @@
 	Quality float64
 }
 
-// Admission says what may be sent to a version or a backend server.
-type Admission uint8
-
 const (
 	// Open takes any work.
 	Open Admission = iota + 1
@@ -28,14 +25,6 @@
 	Barred
 )
 
-// Word is a verdict to tell the peers of, or a change of one.
-type Word[V cmp.Ordered] struct {
-	Version V
-	Bad     bool
-	// Until is when the word lapses by itself.
-	Until time.Time
-}
-
 // Versions judges each version against its predecessor. It is made for a
 // version that turns bad in mid-season, when callers notice late and all at
 // once; it bounds how many requests the version still gets.
@@ -215,148 +204,3 @@
 		}
 	}
 }
-
-// errorLine is the share of good ends below which v is worse. The predecessor
-// counts its faults in, so that a cause that hits both bars neither.
-func (t *Versions[V, S]) errorLine(v *version[V, S]) float64 {
-	ok := 1 - referenceErrors
-	if ref, known := t.reference(v, noClass, errorsOf); known {
-		ok = min(ok, ref)
-	}
-	return ok - t.cfg.WorseErrors
-}
-
-// ratingLine is the mean rating of a class below which v is worse.
-func (t *Versions[V, S]) ratingLine(v *version[V, S], class string) float64 {
-	if ref, known := t.reference(v, class, ratingsOf); known {
-		return ref - t.cfg.WorseRating
-	}
-	return v.row.Quality - t.cfg.PriorSlack
-}
-
-func errorsOf[V, S cmp.Ordered](v *version[V, S]) *channel  { return &v.errors }
-func ratingsOf[V, S cmp.Ordered](v *version[V, S]) *channel { return &v.ratings }
-
-// reference is what v must reach: its predecessor's mean; while too little is
-// known of that, its own past; known is false while that is too little as well.
-func (t *Versions[V, S]) reference(v *version[V, S], class string, of func(*version[V, S]) *channel) (ref float64, known bool) {
-	if p := t.predecessor(v); p != nil {
-		if past := of(p).past(class); past.seen.n >= t.cfg.MinReference {
-			return past.asReference(), true
-		}
-	}
-	if past := of(v).past(class); past.own.n >= t.cfg.MinReference {
-		return past.own.lower(referenceZ), true
-	}
-	return 0, false
-}
-
-func (t *Versions[V, S]) predecessor(v *version[V, S]) *version[V, S] {
-	if p := t.rows[v.row.Predecessor]; p != v {
-		return p
-	}
-	return nil
-}
-
-// referenceZ is the confidence of a reference: at 1.6 standard errors it is
-// truly lower only once in 20.
-const referenceZ = 1.6
-
-// Peer takes in a peer's word. A bad one bars the version until its Until, or
-// PeerLimit from now if that is sooner; a good one lifts what peers said. The
-// own verdict is not changed by a word alone: own evidence goes first.
-func (t *Versions[V, S]) Peer(w Word[V], now time.Time) {
-	v := t.rows[w.Version]
-	if v == nil {
-		return
-	}
-	if !w.Bad {
-		v.peerBad = time.Time{}
-		return
-	}
-	until := w.Until
-	if limit := now.Add(t.cfg.PeerLimit); until.After(limit) {
-		until = limit
-	}
-	if until.After(v.peerBad) {
-		v.peerBad = until
-	}
-	if v.peerBad.After(now) {
-		before := v.bad()
-		t.join(v)
-		v.turned(before)
-	}
-}
-
-// Bad reports whether the version is barred, by own verdict or a peer's.
-func (t *Versions[V, S]) Bad(id V, now time.Time) bool {
-	v := t.rows[id]
-	return v != nil && (v.bad() || v.peerBad.After(now))
-}
-
-// Admit says whether a request that the roll-out gives to the version may go
-// there, and counts it. Every ProbeEvery-th one is a probe. The count runs over
-// requests and not over time, so that the part that a bad version gets is
-// bounded at any load; a burst buys it nothing.
-func (t *Versions[V, S]) Admit(id V, now time.Time) Admission {
-	if !t.Bad(id, now) {
-		return Open
-	}
-	v := t.rows[id]
-	v.offered++
-	if v.offered%t.cfg.ProbeEvery == 0 {
-		return Probe
-	}
-	return Barred
-}
-
-// Share returns the words to tell the peers of now, in the order of the ids: each
-// change of a verdict once, each bad one again every ShareEvery while it holds,
-// and likewise a suspicion, which makes the peers hold back while this instance
-// goes on and finds out. So what a bad version gets in the meantime is one
-// instance's part.
-func (t *Versions[V, S]) Share(now time.Time) []Word[V] {
-	var out []Word[V]
-	for _, id := range t.order {
-		v := t.rows[id]
-		word := Word[V]{Version: id, Bad: true, Until: now.Add(3 * t.cfg.ShareEvery)}
-		switch {
-		case v.bad():
-			if !v.announce && now.Before(v.shareAt) {
-				continue
-			}
-		case t.suspects(v, now):
-			if now.Before(v.shareAt) {
-				continue
-			}
-			word.Until = now.Add(t.cfg.ShareEvery)
-		case v.announce:
-			word.Bad = false
-		default:
-			continue
-		}
-		v.announce = false
-		v.shareAt = now.Add(t.cfg.ShareEvery)
-		out = append(out, word)
-	}
-	return out
-}
-
-// suspects reports whether the peers are to be told of a suspicion. One that
-// neither grows nor fades, for want of traffic, is dropped after SuspectFor: it
-// must not keep a version barred elsewhere on half the evidence. One that fades
-// is taken back.
-func (t *Versions[V, S]) suspects(v *version[V, S], now time.Time) bool {
-	if !v.errors.suspected(&t.cfg) && !v.ratings.suspected(&t.cfg) {
-		if !v.suspectAt.IsZero() {
-			v.suspectAt = time.Time{}
-			v.announce = true
-		}
-		return false
-	}
-	if v.suspectAt.IsZero() {
-		v.suspectAt = now
-		v.shareAt = now
-	}
-	return now.Sub(v.suspectAt) < t.cfg.SuspectFor
-}
--- /dev/null
+++ b/router/internal/directory/load.go
@@ -0,0 +1,154 @@
+package directory
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"masticplank.example/decision"
+	"masticplank.example/router/internal/wire"
+)
+
+// matchLoops runs one load loop for each listed backend server.
+func (d *Directory) matchLoops(ctx context.Context) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, stop := range d.loops {
+		if _, listed := d.servers[id]; !listed {
+			stop()
+			delete(d.loops, id)
+			delete(d.reported, id)
+			delete(d.answered, id)
+		}
+	}
+	for id := range d.servers {
+		if _, running := d.loops[id]; running {
+			continue
+		}
+		loop, stop := context.WithCancel(ctx)
+		d.loops[id] = stop
+		go d.followLoad(loop, id)
+	}
+}
+
+func (d *Directory) stopLoops() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, stop := range d.loops {
+		stop()
+		delete(d.loops, id)
+	}
+}
+
+func (d *Directory) followLoad(ctx context.Context, id decision.ServerID) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var since uint64
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		since = d.fetchLoad(ctx, id, since)
+		timer.Reset(d.nextPoll(id))
+	}
+}
+
+// nextPoll is when to ask for a server's load again: seldom, where its answers
+// told it just now.
+func (d *Directory) nextPoll(id decision.ServerID) time.Duration {
+	every := pollInterval(d.loadEvery, d.followed())
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	if time.Since(d.answered[id]) < every {
+		return every * answeredStretch
+	}
+	return every
+}
+
+// Answered takes the load that a server told on an answer (wire.HeaderLoad).
+func (d *Directory) Answered(id decision.ServerID, load string) {
+	running, queued, ok := wire.ParseLoad(load)
+	if !ok {
+		return
+	}
+	now := time.Now()
+	d.mu.Lock()
+	d.answered[id] = now
+	d.mu.Unlock()
+	d.out.Send(decision.LoadReported{Server: id, Running: running, Queued: queued, At: now})
+}
+
+func (d *Directory) followed() int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return len(d.loops)
+}
+
+// fetchLoad reports one server's load and returns the last cache event seen.
+func (d *Directory) fetchLoad(ctx context.Context, id decision.ServerID, since uint64) uint64 {
+	addr, ok := d.Addr(id)
+	if !ok {
+		return since
+	}
+	report, err := d.getLoad(ctx, addr, since)
+	if err != nil {
+		return since
+	}
+	if report.Leaving {
+		d.out.Send(decision.ServerLeaving{Server: id})
+	}
+	d.out.Send(decision.LoadReported{
+		Server:  id,
+		Running: report.Running,
+		Queued:  report.Queued,
+		At:      report.At,
+	})
+	if len(report.Versions) > 0 {
+		d.noteVersions(id, report.Versions)
+	}
+	for _, c := range report.Cache {
+		d.out.Send(cacheEvent(id, c))
+	}
+	return report.CacheSeq
+}
+
+func (d *Directory) getLoad(ctx context.Context, addr string, since uint64) (wire.LoadReport, error) {
+	url := fmt.Sprintf("http://%s/load?since=%d", addr, since)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return wire.LoadReport{}, err
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return wire.LoadReport{}, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return wire.LoadReport{}, fmt.Errorf("load report: status %d", resp.StatusCode)
+	}
+	var report wire.LoadReport
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxLoadBytes)).Decode(&report)
+	return report, err
+}
+
+func cacheEvent(id decision.ServerID, c wire.CacheEvent) decision.CacheChanged {
+	return decision.CacheChanged{
+		Server:  id,
+		Seq:     c.Seq,
+		Added:   blocks(c.Added),
+		Removed: blocks(c.Removed),
+	}
+}
+
+func blocks(in []uint64) []decision.BlockHash {
+	out := make([]decision.BlockHash, len(in))
+	for i, h := range in {
+		out[i] = decision.BlockHash(h)
+	}
+	return out
+}
--- /dev/null
+++ b/router/internal/faultmatrix/faults.go
@@ -0,0 +1,113 @@
+package faultmatrix
+
+import (
+	"context"
+	"testing/synctest"
+	"time"
+)
+
+// kill ends an instance as the death of its process does: nothing it does from
+// now on reaches anybody. Its goroutines are ended later, without a flush.
+func (b *bed) kill(in *instance) {
+	in.killed.Do(func() {
+		b.log.Cut(in.name, true)
+		b.net.lose(in.name)
+		in.end()
+		in.goes(func() {
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			_ = in.server.Close()
+			_ = in.Stop(ctx)
+		})
+	})
+}
+
+// isolate cuts an instance from its peers.
+func (b *bed) isolate(name string) {
+	for _, l := range fleet {
+		if l.ID != name {
+			b.net.sever(name, l.ID)
+		}
+	}
+}
+
+// freeze holds an instance still while f runs: it looks at no clock and hears
+// nothing, and is as it was when f has ended.
+func (b *bed) freeze(in *instance, f func()) {
+	in.frozen.Store(true)
+	b.log.Cut(in.name, true)
+	b.isolate(in.name)
+	f()
+	b.net.mend()
+	b.log.Cut(in.name, false)
+	in.frozen.Store(false)
+}
+
+// drain is a planned stop, in the daemon's order.
+func (b *bed) drain(in *instance) {
+	_ = in.server.Shutdown(context.Background())
+	for in.driver.Open() > 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	b.drained <- in.peers.Drain(context.Background())
+	b.kill(in)
+}
+
+// heal ends all faults and lets the fleet settle.
+func (b *bed) heal() {
+	b.log.SetDown(false)
+	b.log.SetSlow(0)
+	b.net.mend()
+	b.mu.Lock()
+	b.nobodyRuns = false
+	b.mu.Unlock()
+	for _, in := range b.instances {
+		if !b.net.isDown(in.name) {
+			b.log.Cut(in.name, false)
+		}
+	}
+	time.Sleep(4 * time.Second)
+	synctest.Wait()
+}
+
+// plan sets the fault of a step. met fails the cell where the step did not come,
+// and returns once the fault is over.
+func (b *bed) plan(step string, fault func()) (met func()) {
+	over := make(chan struct{})
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.faults[step] = func() {
+		defer close(over)
+		fault()
+	}
+	return func() {
+		b.t.Helper()
+		b.mu.Lock()
+		_, left := b.faults[step]
+		b.mu.Unlock()
+		if left {
+			b.t.Fatalf("the step %q was not met", step)
+		}
+		<-over
+	}
+}
+
+// at is a step of instance in: the fault planned for it happens now.
+func (b *bed) at(in *instance, step string) {
+	if in != nil && in.name != "a" {
+		return
+	}
+	b.mu.Lock()
+	fault := b.faults[step]
+	delete(b.faults, step)
+	b.mu.Unlock()
+	if fault != nil {
+		fault()
+	}
+}
+
+func (b *bed) planned(in *instance, step string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return in.name == "a" && b.faults[step] != nil
+}
--- /dev/null
+++ b/router/internal/faultmatrix/hooks.go
@@ -0,0 +1,141 @@
+package faultmatrix
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"masticplank.example/coordination/freshness"
+	"masticplank.example/coordination/node"
+	"masticplank.example/coordination/platformlog"
+	"masticplank.example/coordination/platformlog/logtest"
+	"masticplank.example/coordination/record"
+	"masticplank.example/decision"
+	"masticplank.example/router/internal/api"
+	"masticplank.example/router/internal/wire"
+)
+
+// The hooks below stand where the daemon has the part itself.
+
+type hookStore struct{ *instance }
+
+// Status is what billing asks first.
+func (s hookStore) Status() node.Status {
+	s.b.at(s.instance, "bill")
+	return s.Node.Status()
+}
+
+func (s hookStore) Put(ctx context.Context, r record.Record) node.Result {
+	switch r.Key.Class() {
+	case record.ClassClaim:
+		s.b.at(s.instance, "claim")
+	case record.ClassManifest:
+		s.b.at(s.instance, "publish")
+	}
+	res := s.Node.Put(ctx, r)
+	if res.Outcome != node.OutcomeWon {
+		return res
+	}
+	switch r.Key.Class() {
+	case record.ClassClaim:
+		s.b.at(s.instance, "claimed")
+	case record.ClassBill:
+		s.b.at(s.instance, "final frame")
+	case record.ClassManifest:
+		s.b.at(s.instance, "push")
+	}
+	return res
+}
+
+type hookHolder struct{ *instance }
+
+func (h hookHolder) Hold(ctx context.Context, r record.Record) error {
+	err := h.peers.Hold(ctx, r)
+	if err == nil {
+		h.b.at(h.instance, "final frame")
+	}
+	return err
+}
+
+type hookGate struct{ *instance }
+
+func (g hookGate) MayRun(idempotent bool) decision.RefusalReason {
+	g.b.mu.Lock()
+	g.b.asked++
+	asked := g.b.asked
+	g.b.mu.Unlock()
+	switch asked {
+	case 1:
+		g.b.at(g.instance, "admit")
+	case 2:
+		g.b.at(g.instance, "dispatch")
+	}
+	return g.gate.MayRun(idempotent)
+}
+
+type hookLog struct {
+	*logtest.Client
+	in *instance
+}
+
+// Append is the step "read back": the record is in the log, and its writer does
+// not hear of it before the fault has happened.
+func (l hookLog) Append(ctx context.Context, data []byte) (uint64, error) {
+	if !l.in.b.planned(l.in, "read back") {
+		return l.Client.Append(ctx, data)
+	}
+	l.in.deaf.Store(true)
+	offset, err := l.Client.Append(ctx, data)
+	l.in.b.at(l.in, "read back")
+	l.in.deaf.Store(false)
+	return offset, err
+}
+
+func (l hookLog) Read(ctx context.Context, from uint64, limit int, wait time.Duration) (platformlog.Page, error) {
+	page, err := l.Client.Read(ctx, from, limit, wait)
+	if l.in.deaf.Load() {
+		return platformlog.Page{}, platformlog.ErrUnavailable
+	}
+	return page, err
+}
+
+// The observer's methods, and the peers' words, find a frozen instance deaf.
+
+func (in *instance) HeadRead(at time.Time, head uint64) {
+	if !in.frozen.Load() {
+		in.gate.HeadRead(at, head)
+	}
+}
+
+func (in *instance) Folded(next uint64) {
+	if !in.frozen.Load() {
+		in.gate.Folded(next)
+	}
+}
+
+func (in *instance) ReadFailed(at time.Time) {
+	if !in.frozen.Load() {
+		in.gate.ReadFailed(at)
+	}
+}
+
+func (in *instance) Vouched(v freshness.Vouch) {
+	if !in.frozen.Load() {
+		in.gate.Vouched(v)
+	}
+}
+
+type noSink struct{}
+
+func (noSink) ShareVerdict(decision.VersionVerdict) {}
+func (noSink) ShareLeaving(decision.ServerID)       {}
+func (noSink) NoteEjection(decision.NoteEjection)   {}
+func (noSink) Quarantine(decision.Quarantine)       {}
+
+type noRecorder struct{}
+
+func (noRecorder) Observe(api.Observation) {}
+
+type noRater struct{}
+
+func (noRater) Rate(context.Context, wire.RateRequest) (float64, error) { return 0, io.EOF }
--- /dev/null
+++ b/router/internal/faultmatrix/instance.go
@@ -0,0 +1,157 @@
+package faultmatrix
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"masticplank.example/coordination/fold"
+	"masticplank.example/coordination/freshness"
+	"masticplank.example/coordination/ledger"
+	"masticplank.example/coordination/node"
+	"masticplank.example/coordination/record"
+	"masticplank.example/decision"
+	"masticplank.example/router/internal/api"
+	"masticplank.example/router/internal/billing"
+	"masticplank.example/router/internal/driver"
+	"masticplank.example/router/internal/gate"
+	"masticplank.example/router/internal/manifest"
+	"masticplank.example/router/internal/peer"
+	"masticplank.example/router/internal/publish"
+	"masticplank.example/router/internal/session"
+	"masticplank.example/router/internal/settings"
+	"masticplank.example/router/internal/upstream"
+	"masticplank.example/router/internal/wire"
+)
+
+// instance is one entry instance, put together as the daemon does.
+type instance struct {
+	*node.Node
+	b      *bed
+	name   string
+	gate   *gate.Gate
+	holder *manifest.Holder
+	driver *driver.Driver
+	peers  *peer.Node
+	server *http.Server
+	// publisher proposes through the hooked store.
+	publisher *publish.Publisher
+	frozen    atomic.Bool
+	// deaf instances append, but do not hear the log.
+	deaf   atomic.Bool
+	end    context.CancelFunc
+	killed sync.Once
+	ended  sync.WaitGroup
+	// generations are those that came in force here, in order.
+	generations []uint64
+}
+
+// start starts an instance and waits until it is ready.
+func (b *bed) start(name string) *instance {
+	in := b.begin(name)
+	<-in.Ready()
+	return in
+}
+
+// begin starts an instance without waiting for it.
+func (b *bed) begin(name string) *instance {
+	b.t.Helper()
+	b.net.revive(name)
+	b.log.Cut(name, b.startsCut)
+	ctx, cancel := context.WithCancel(context.Background())
+	in := &instance{b: b, name: name, end: cancel}
+	in.gate = gate.New(freshness.New(freshness.Config{Self: name, Bound: bound}), time.Now)
+	cfg := decision.DefaultConfig()
+	cfg.Seed = uint64(name[0])
+	in.driver = driver.New(decision.NewWorld(cfg), noSink{})
+	in.holder = manifest.NewHolder(func(x *manifest.Index) {
+		in.generations = append(in.generations, x.Manifest.Generation)
+		in.driver.Send(x.Tables())
+	})
+	in.gate.OnChange(func(m freshness.Mode) { in.driver.Send(gate.Event(m)) })
+	in.startNode()
+	in.peers = peer.New(peer.Config{Self: self(name), Dial: b.net.dialer(name), Interval: 2 * time.Second, Seed: cfg.Seed},
+		peer.Deps{Store: in.Node, Instances: func() []wire.ListedInstance { return fleet }, Vouches: in, Events: in.driver})
+	in.gate.SetFull(func() bool { return in.peers.Full(in.driver.Open()) })
+	in.publisher = publish.New(hookStore{in}, in.holder, in.gate)
+	b.mu.Lock()
+	b.instances[name] = in
+	b.all = append(b.all, in)
+	b.mu.Unlock()
+	in.goes(func() { in.driver.Run(ctx) })
+	in.goes(func() { in.look(ctx) })
+	others := b.net.listen(self(name).Peer)
+	in.goes(func() { _ = in.peers.Run(ctx, others) })
+	in.driver.Send(decision.ServersListed{Servers: servers})
+	in.serveCallers()
+	return in
+}
+
+func self(name string) wire.ListedInstance {
+	for _, l := range fleet {
+		if l.ID == name {
+			return l
+		}
+	}
+	panic("no instance " + name)
+}
+
+func (in *instance) goes(f func()) { in.ended.Go(f) }
+
+func (in *instance) startNode() {
+	check := func(r record.Record, _ *fold.State) error { return manifest.CheckRecord(r) }
+	n, err := node.New(hookLog{in.b.log.Client(in.name), in}, node.Config{Name: in.name},
+		node.WithObserver(in), node.WithSeed(uint64(in.name[0])), node.WithValidator(record.ClassManifest, check))
+	if err == nil {
+		n.Watch(record.ClassManifest, func(c fold.Change) { _ = in.holder.Fold(c) })
+		err = n.Start(context.Background())
+	}
+	if err != nil {
+		in.b.t.Fatal(err)
+	}
+	in.Node = n
+}
+
+// look looks for the lapse that comes by time alone, as the daemon does.
+func (in *instance) look(ctx context.Context) {
+	ticker := time.NewTicker(100 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		if !in.frozen.Load() {
+			in.gate.Live([]string{"a", "b", "c"})
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (in *instance) serveCallers() {
+	client := upstream.NewClientWith(in.b.net.dialer(in.name))
+	tokens, err := session.NewTokens(settings.Session{TTLSeconds: 60}, time.Now)
+	if err != nil {
+		in.b.t.Fatal(err)
+	}
+	store := hookStore{in}
+	in.server = &http.Server{Handler: api.New(api.Deps{
+		Driver:    in.driver,
+		Manifests: in.holder,
+		Gate:      hookGate{in},
+		Servers:   addresses{},
+		Upstream:  client,
+		Store:     store,
+		Biller:    billing.New(ledger.StoreLog{Store: store}, hookHolder{in}),
+		Tokens:    tokens,
+		Names:     session.NewNames(in.Node, time.Hour),
+		Rater:     noRater{},
+		Recorder:  noRecorder{},
+		Limits:    api.Limits{MaxBody: 1 << 16, ReadTimeout: time.Minute, WriteTimeout: time.Minute, DefaultDeadline: 30 * time.Second, MaxDeadline: time.Minute},
+	})}
+	callers := in.b.net.listen(in.name + ":80")
+	in.goes(func() { _ = in.server.Serve(callers) })
+	in.b.t.Cleanup(client.Close)
+}
--- /dev/null
+++ b/router/internal/passthrough/board_test.go
@@ -0,0 +1,153 @@
+package passthrough
+
+import (
+	"testing"
+	"time"
+
+	"masticplank.example/coordination/keyedlog"
+	"masticplank.example/decision/passthrough"
+)
+
+func TestBoardTellsCrashesToTheOthers(t *testing.T) {
+	clock, observations := newFakeClock(), &fakeLog{}
+	a, b := newParts("a", clock, &fakeLog{}, observations), newParts("b", clock, &fakeLog{}, observations)
+	tl := b.board.tail(clock, b.rollouts.active)
+	if err := tl.once(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		a.board.crashed(passthrough.CrashSeen{Fingerprint: 9})
+	}
+	if err := observations.Append(t.Context(), keyedlog.Anywhere, a.board.due()...); err != nil {
+		t.Fatal(err)
+	}
+	if err := tl.once(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	route := &passthrough.Route{Name: "r", Kind: passthrough.KindIdempotent, MaxAttempts: 2, Timeout: time.Second, Target: time.Second}
+	tk := b.driver.open(passthrough.Request{Route: route, Service: "shop", Fingerprint: 9, Deadline: clock.Now().Add(time.Second), Target: clock.Now().Add(time.Second)})
+	if c, ok := (<-tk.commands).(passthrough.Refuse); !ok || c.Reason != passthrough.ReasonQuarantined {
+		t.Errorf("got %+v", c)
+	}
+}
+
+// TestVersionThatTurnsBadLateIsFoundSoon holds for a version with a long good start.
+func TestVersionThatTurnsBadLateIsFoundSoon(t *testing.T) {
+	clock, status := newFakeClock(), &fakeLog{}
+	p := newParts("a", clock, status, &fakeLog{})
+	p.listServers()
+	p.rollouts.ordered(testOrder, 1)
+	r := p.rollouts.open["shop"]
+	step := func(good, bad int) {
+		clock.pass(400 * time.Millisecond)
+		p.see("v2", false, good)
+		p.see("v2", true, bad)
+		p.see("v1", false, 40)
+		p.rollouts.advance(t.Context(), r)
+	}
+	p.rollouts.advance(t.Context(), r)
+	for range 30 { // 12 s
+		step(5, 0)
+	}
+	bad := 0
+	for ; r.ended == 0 && bad < 50; bad++ {
+		step(1, 1)
+	}
+	if r.ended != passthrough.PhaseReverted || bad > 20 {
+		t.Errorf("ended %v after %d bad answers", r.ended, bad)
+	}
+}
+
+// TestOldNotesOnCrashesDoNotCount holds for an instance that starts long after a crash, and
+// for the store, which must not keep what nobody needs.
+func TestOldNotesOnCrashesDoNotCount(t *testing.T) {
+	clock, observations := newFakeClock(), &fakeLog{}
+	a := newParts("a", clock, &fakeLog{}, observations)
+	for range 3 {
+		a.board.crashed(passthrough.CrashSeen{Fingerprint: 9})
+	}
+	write := func() {
+		t.Helper()
+		if err := observations.Append(t.Context(), keyedlog.Anywhere, a.board.due()...); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write()
+	late := newParts("late", clock, &fakeLog{}, observations)
+	if err := late.board.tail(clock, late.rollouts.active).once(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	route := &passthrough.Route{Name: "r", Kind: passthrough.KindIdempotent, MaxAttempts: 2, Timeout: time.Second, Target: time.Second}
+	tk := late.driver.open(passthrough.Request{Route: route, Service: "shop", Fingerprint: 9, Deadline: clock.Now().Add(time.Second), Target: clock.Now().Add(time.Second)})
+	if c, ok := (<-tk.commands).(passthrough.Refuse); !ok || c.Reason == passthrough.ReasonQuarantined {
+		t.Errorf("got %+v", c)
+	}
+	clock.pass(noteLife + time.Second)
+	write()
+	if snap, err := observations.Newest(t.Context()); err != nil || len(snap.Records) != 0 {
+		t.Errorf("the store keeps %v, %v", snap.Records, err)
+	}
+}
+
+// TestWhatAProcessSawOutlivesIt kills an instance after it saw bad answers: they still
+// count, beside those that it sees once it has started again.
+func TestWhatAProcessSawOutlivesIt(t *testing.T) {
+	clock, status, observations := newFakeClock(), &fakeLog{}, &fakeLog{}
+	write := func(p *parts) {
+		if err := observations.Append(t.Context(), keyedlog.Anywhere, p.board.due()...); err != nil {
+			t.Fatal(err)
+		}
+	}
+	start := func() *parts {
+		p := newParts("a", clock, status, observations)
+		p.listServers()
+		p.rollouts.ordered(testOrder, 1)
+		p.board.takeAll(observations.records)
+		p.rollouts.advance(t.Context(), p.rollouts.open["shop"])
+		return p
+	}
+	before := start()
+	before.see("v2", true, 4)
+	write(before)
+	clock.pass(5 * time.Second)
+	after := start()
+	after.see("v2", true, 2)
+	write(after)
+	clock.pass(time.Second)
+	after.rollouts.advance(t.Context(), after.rollouts.open["shop"])
+	if got := ends(status); len(got) != 1 || got[0] != passthrough.PhaseReverted {
+		t.Errorf("ends %v after six bad answers by two processes", got)
+	}
+	clock.pass(noteLife + time.Second)
+	dropped := 0
+	for _, r := range after.board.due() {
+		if len(r.Value) == 0 {
+			dropped++
+		}
+	}
+	if dropped != 2 {
+		t.Errorf("%d sheets are dropped, want those of both processes", dropped)
+	}
+}
+
+// TestReaderTakesABadVersionBackInTheEnd leaves the register to others, who do not see what
+// this instance sees.
+func TestReaderTakesABadVersionBackInTheEnd(t *testing.T) {
+	clock, status := newFakeClock(), &fakeLog{}
+	p := newParts("a", clock, status, &fakeLog{})
+	p.rollouts.writes = func() bool { return false }
+	p.listServers()
+	p.rollouts.ordered(testOrder, 1)
+	r := p.rollouts.open["shop"]
+	p.rollouts.advance(t.Context(), r)
+	p.see("v2", true, 8)
+	p.rollouts.advance(t.Context(), r)
+	if got := ends(status); len(got) != 0 {
+		t.Fatalf("ends %v at once", got)
+	}
+	clock.pass(revertAnyway)
+	p.rollouts.advance(t.Context(), r)
+	if got := ends(status); len(got) != 1 || got[0] != passthrough.PhaseReverted {
+		t.Errorf("ends %v", got)
+	}
+}
--- /dev/null
+++ b/router/internal/passthrough/register_test.go
@@ -0,0 +1,151 @@
+package passthrough
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"masticplank.example/coordination/keyedlog"
+	"masticplank.example/decision/passthrough"
+)
+
+func TestRegisterHoldsOneEnd(t *testing.T) {
+	clock, status := newFakeClock(), &fakeLog{}
+	a, b := newParts("a", clock, status, &fakeLog{}), newParts("b", clock, status, &fakeLog{})
+	for _, p := range []*parts{a, b} {
+		p.listServers()
+		p.rollouts.ordered(testOrder, 1)
+		p.rollouts.advance(t.Context(), p.rollouts.open["shop"])
+	}
+	a.see("v2", true, 20) // a alone finds it bad; b would complete it
+	clock.pass(19500 * time.Millisecond)
+	a.board.sound(clock.Now())
+	b.board.sound(clock.Now())
+	status.beforeAppend = func() { b.rollouts.advance(t.Context(), b.rollouts.open["shop"]) }
+	a.rollouts.advance(t.Context(), a.rollouts.open["shop"])
+	a.rollouts.advance(t.Context(), a.rollouts.open["shop"])
+	if got := ends(status); len(got) != 1 {
+		t.Fatalf("the register holds %d ends", len(got))
+	}
+	if x, y := a.rollouts.open["shop"].ended, b.rollouts.open["shop"].ended; x != y || x == 0 {
+		t.Errorf("a ended with %v, b with %v", x, y)
+	}
+}
+
+func TestLostAnswerOfTheEndIsReadBack(t *testing.T) {
+	clock, status := newFakeClock(), &fakeLog{}
+	p := newParts("a", clock, status, &fakeLog{})
+	p.listServers()
+	p.rollouts.ordered(testOrder, 1)
+	r := p.rollouts.open["shop"]
+	p.rollouts.advance(t.Context(), r)
+	clock.pass(19500 * time.Millisecond)
+	p.board.sound(clock.Now())
+	status.lose, status.appended = true, []error{keyedlog.ErrUnknown}
+	p.rollouts.advance(t.Context(), r)
+	if r.ended != 0 {
+		t.Error("ended without knowing it")
+	}
+	p.rollouts.advance(t.Context(), r)
+	if got := ends(status); len(got) != 1 || r.ended != passthrough.PhaseCompleted {
+		t.Errorf("ends %v, known %v", got, r.ended)
+	}
+}
+
+// TestRegisterHistories runs seeded histories of instances that plan, lose answers, meet a
+// store that is away, and restart, in any order: one end is written, nobody believes in
+// another, and a version that was told to fail is never completed.
+func TestRegisterHistories(t *testing.T) {
+	for seed := range uint64(300) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runHistory(t, seed) })
+	}
+}
+
+func runHistory(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	clock, status, observations := newFakeClock(), &fakeLog{}, &fakeLog{}
+	bad := seed%2 == 0
+	start := func(i int) *parts {
+		p := newParts(fmt.Sprint("instance-", i), clock, status, observations)
+		p.listServers()
+		p.rollouts.ordered(testOrder, 1)
+		if err := p.board.tail(clock, p.rollouts.active).once(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		return p
+	}
+	if bad { // what was seen before, and told
+		first := start(9)
+		first.rollouts.advance(t.Context(), first.rollouts.open["shop"])
+		first.see("v2", true, 10)
+		if err := observations.Append(t.Context(), keyedlog.Anywhere, first.board.due()...); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var fleet []*parts
+	for i := range 3 {
+		fleet = append(fleet, start(i))
+	}
+	for range 400 {
+		clock.pass(time.Duration(rng.IntN(150)) * time.Millisecond)
+		i := rng.IntN(len(fleet))
+		p := fleet[i]
+		switch rng.IntN(12) {
+		case 0:
+			status.appended = append(status.appended, keyedlog.ErrUnknown)
+			status.lose = rng.IntN(2) == 0
+		case 1:
+			status.newest = append(status.newest, keyedlog.ErrNotDone)
+		case 2:
+			if rng.IntN(6) == 0 {
+				fleet[i] = start(i)
+			}
+		case 3:
+			p.see("v1", false, 5)
+		case 4:
+			p.see("v2", bad, 2)
+		case 5, 6:
+			if err := observations.Append(t.Context(), keyedlog.Anywhere, p.board.due()...); err != nil {
+				t.Fatal(err)
+			}
+		case 7, 8:
+			if err := p.board.tail(clock, p.rollouts.active).once(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+		case 9:
+			// Another instance comes between the next read of the register and its write.
+			other := fleet[rng.IntN(len(fleet))]
+			status.beforeAppend = func() {
+				if r := other.rollouts.open["shop"]; other != p && r.ended == 0 {
+					other.rollouts.advance(t.Context(), r)
+				}
+			}
+		default:
+			if r := p.rollouts.open["shop"]; r.ended == 0 {
+				p.rollouts.advance(t.Context(), r)
+			}
+		}
+	}
+	status.appended, status.newest, status.lose = nil, nil, false
+	clock.pass(20 * time.Second)
+	for _, p := range fleet {
+		for range 3 {
+			if r := p.rollouts.open["shop"]; r.ended == 0 {
+				p.rollouts.advance(t.Context(), r)
+			}
+		}
+	}
+	got := ends(status)
+	if len(got) != 1 {
+		t.Fatalf("the register holds %v", got)
+	}
+	for i, p := range fleet {
+		if known := p.rollouts.open["shop"].ended; known != got[0] {
+			t.Errorf("instance %d has %v, the register %v", i, known, got[0])
+		}
+	}
+	if bad && got[0] == passthrough.PhaseCompleted {
+		t.Error("a version that failed throughout was completed")
+	}
+}
--- /dev/null
+++ b/router/internal/relay/fixture_test.go
@@ -0,0 +1,160 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"masticplank.example/coordination/keyedlog"
+)
+
+// store is a topic in memory that counts its reads.
+type store struct {
+	mu      sync.Mutex
+	records []keyedlog.Record
+	reads   int
+	err     error
+}
+
+func (s *store) Read(_ context.Context, from uint64, _ time.Duration) (keyedlog.Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.err != nil {
+		return keyedlog.Batch{}, s.err
+	}
+	return keyedlog.Batch{Records: append([]keyedlog.Record(nil), s.records[from:]...), Next: uint64(len(s.records))}, nil
+}
+
+func (s *store) Newest(context.Context) (keyedlog.Snapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.err != nil {
+		return keyedlog.Snapshot{}, s.err
+	}
+	return keyedlog.Snapshot{Records: append([]keyedlog.Record(nil), s.records...), Next: uint64(len(s.records))}, nil
+}
+
+func (s *store) Append(_ context.Context, _ uint64, records ...keyedlog.Record) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range records {
+		r.Offset = uint64(len(s.records))
+		s.records = append(s.records, r)
+	}
+	return s.err
+}
+
+func (s *store) put(key, value string) {
+	_ = s.Append(context.Background(), keyedlog.Anywhere, keyedlog.Record{Key: key, Value: []byte(value)}) // in memory
+}
+
+func (s *store) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
+const testTopic = "t"
+
+// instance is one with a collector's server and a follower's log.
+type instance struct {
+	members *Members
+	client  *Client
+	cache   *Cache
+	log     *Log
+	stop    context.CancelFunc
+	taken   []keyedlog.Record
+	fleet   int
+}
+
+// startInstances starts instances of one failure domain on a shared store. They rank in
+// order, by their cores.
+func startInstances(t *testing.T, st *store, count int, oldest time.Duration) []*instance {
+	t.Helper()
+	var all []*instance
+	var list []Member
+	var listeners []net.Listener
+	for i := range count {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners = append(listeners, l)
+		list = append(list, Member{Name: fmt.Sprint("i", i), Domain: "d", Address: l.Addr().String(), Cores: float64(count - i)})
+	}
+	for i := range count {
+		in := &instance{members: NewMembers(list[i], 1, time.Now)}
+		for _, m := range list {
+			in.members.Add(m)
+		}
+		in.client = NewClient(in.members, time.Now)
+		in.cache = NewCache(time.Now, nil)
+		in.log = NewLog(testTopic, st, in.client, in.cache, oldest, func(string, string) {})
+		srv := NewServer(time.Now, map[string]*Cache{testTopic: in.cache}, func(_ string, r []keyedlog.Record) error {
+			in.taken = append(in.taken, r...)
+			return nil
+		}, func() int { return in.fleet })
+		ctx, stop := context.WithCancel(context.Background())
+		in.stop = stop
+		go srv.Serve(ctx, listeners[i])
+		t.Cleanup(func() { stop(); in.client.Close() })
+		all = append(all, in)
+	}
+	return all
+}
+
+func (in *instance) newest(t *testing.T) keyedlog.Snapshot {
+	t.Helper()
+	s, err := in.log.Newest(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// slowLink hands one connection after the other on to a target, byte by byte slowly enough
+// that an answer takes longer than a usual call.
+func slowLink(t *testing.T, target string, delay time.Duration) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			in, err := l.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", target)
+			if err != nil {
+				_ = in.Close()
+				continue
+			}
+			go func() { _, _ = io.Copy(out, in) }()
+			go func() {
+				time.Sleep(delay)
+				_, _ = io.Copy(in, out)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// waitingStore is a store that keeps a question waiting for as long as it may wait.
+type waitingStore struct {
+	*store
+	waits []time.Duration
+}
+
+func (s *waitingStore) Read(ctx context.Context, from uint64, wait time.Duration) (keyedlog.Batch, error) {
+	s.waits = append(s.waits, wait)
+	return s.store.Read(ctx, from, 0)
+}
