An instance that gets little keeps a fifth of its repeats in hand, not a half

Cause: beside 300 instances each gets a request in some seconds; a weak answer is replaced only while half of what the budget's window allows is in hand, so that failures find a repeat. With 6 requests in the window 101 of 1,021 weak answers were kept for want of it (test), though each request brings nine tenths of what its own repeat takes.

From 15 repeats in the window on, three are kept as before. The bound itself is kept where a repeat is spent, and untouched.

--- a/decision/passthrough/budget.go
+++ b/decision/passthrough/budget.go
@@ -93,9 +93,10 @@
 
 const (
 	// spareRepeats is what the budget must hold for a repeat that could be done without: those
-	// of failures go first. An instance that gets little keeps spareBudget of what it has.
+	// of failures go first. An instance that gets little keeps spareBudget of what it has, as each
+	// of its requests brings most of what its own repeat takes.
 	spareRepeats = 3.0
-	spareBudget  = 0.5
+	spareBudget  = 0.2
 )
 
 // Spares says whether a repeat may go that could be done without.
