One list of unread prompts a server; three meanings of 'answered' get three names

A server kept its unread prompts and their number beside them: one list now, its length is the number. 'answered' stood for a failure domain that answers, for a request whose crashes are forgotten and for a server's word on its load.

--- a/decision/passthrough/cascade.go
+++ b/decision/passthrough/cascade.go
@@ -37,7 +37,7 @@
 		return
 	}
 	r.first = e.After
-	w.answered(r.server)
+	w.domainAnswers(r.server)
 	r.service.reads.began(r, e)
 	r.hasRead()
 	if e.HasLoad {
--- a/decision/passthrough/crashes.go
+++ b/decision/passthrough/crashes.go
@@ -48,8 +48,8 @@
 	c.seen.Add(fingerprint, crashRow{count: row.count + count, at: now})
 }
 
-// answered forgets a request that some backend server has answered.
-func (c *crashes) answered(fingerprint uint64) { c.seen.Remove(fingerprint) }
+// forget drops what is held against a request that some backend server has answered.
+func (c *crashes) forget(fingerprint uint64) { c.seen.Remove(fingerprint) }
 
 // barred says whether the request must not run any more.
 func (c *crashes) barred(fingerprint uint64, now time.Time) bool {
--- a/decision/passthrough/drained.go
+++ b/decision/passthrough/drained.go
@@ -65,5 +65,5 @@
 	}
 }
 
-// answered notes that a server has answered: its failure domain is there.
-func (w *World) answered(s *server) { delete(w.lost, s.Zone) }
+// domainAnswers notes that a server has answered: its failure domain is there.
+func (w *World) domainAnswers(s *server) { delete(w.lost, s.Zone) }
--- a/decision/passthrough/ended.go
+++ b/decision/passthrough/ended.go
@@ -13,7 +13,7 @@
 	switch e.Result {
 	case Completed:
 		w.noteNext(r, e.Confidence)
-		w.crashes.answered(r.Fingerprint)
+		w.crashes.forget(r.Fingerprint)
 		w.stats(r.Route.Name).took.add(w.now.Sub(r.arrived).Seconds())
 		w.drop(r)
 	case Dropped:
--- a/decision/passthrough/property_test.go
+++ b/decision/passthrough/property_test.go
@@ -197,8 +197,8 @@
 		}
 	}
 	for id, s := range h.world.servers {
-		if s.own != running[id] || s.unread < 0 || s.unread > s.own || s.backlog < 0 || s.unread == 0 && s.backlog != 0 {
-			h.t.Fatalf("server %s counts %d, %d run there; %d unread, %v s to read", id, s.own, running[id], s.unread, s.backlog)
+		if s.own != running[id] || len(s.unread) > s.own || s.backlog < 0 || len(s.unread) == 0 && s.backlog != 0 {
+			h.t.Fatalf("server %s counts %d, %d run there; %d unread, %v s to read", id, s.own, running[id], len(s.unread), s.backlog)
 		}
 	}
 	for name, s := range h.world.services {
--- a/decision/passthrough/reading.go
+++ b/decision/passthrough/reading.go
@@ -125,15 +125,14 @@
 	s := v.server
 	rs := &r.service.reads
 	r.work = rs.perToken(r.size) * float64(r.PromptTokens)
-	r.alone = s.unread == 0
+	r.alone = len(s.unread) == 0
 	r.ownForecast = v.own.unscaled + r.work
 	r.sharedForecast = v.unscaled + r.work
 	r.reading = true
 	r.byShared = w.knowsOthers()
 	r.due = w.now.Add(seconds(v.wait + r.work + rs.least))
 	rs.work.add(r.work)
-	s.unread++
-	s.reads = append(s.reads, r)
+	s.unread = append(s.unread, r)
 	s.backlog += r.work
 }
 
@@ -143,10 +142,9 @@
 		return
 	}
 	r.reading = false
-	r.server.unread--
-	r.server.reads = slices.DeleteFunc(r.server.reads, func(x *request) bool { return x == r })
+	r.server.unread = slices.DeleteFunc(r.server.unread, func(x *request) bool { return x == r })
 	r.server.backlog = max(r.server.backlog-r.work, 0) // rounding may go below
-	if r.server.unread == 0 {
+	if len(r.server.unread) == 0 {
 		r.server.backlog = 0
 	}
 }
@@ -161,7 +159,7 @@
 // pass for twice as busy as they are, and dark ones that pass for idle.
 func (s *server) remaining(now time.Time) float64 {
 	sum := 0.0
-	for _, r := range s.reads {
+	for _, r := range s.unread {
 		left := r.due.Sub(now)
 		if left < -overdue {
 			sum += r.work
--- a/decision/passthrough/servers.go
+++ b/decision/passthrough/servers.go
@@ -89,9 +89,9 @@
 // hear takes in a server's word on its load.
 func (w *World) hear(e Heard) {
 	if s := w.servers[e.Server]; s != nil {
-		w.answered(s)
+		w.domainAnswers(s)
 		if !s.service.engine {
-			s.service.throttle.answered(e.Load, w.now)
+			s.service.throttle.heard(e.Load, w.now)
 		}
 		w.states(s, e.Load)
 	}
@@ -99,7 +99,7 @@
 
 // states notes what a server states of its load now.
 func (w *World) states(s *server, load Load) {
-	s.told, s.toldAt, s.ownThen, s.unreadThen = load, w.now, s.own, s.unread
+	s.told, s.toldAt, s.ownThen, s.unreadThen = load, w.now, s.own, len(s.unread)
 	s.service.reads.unread.add(s.othersUnread())
 	s.service.reads.heardAt = w.now
 	s.service.usualOthers.add(max(s.statedOthers(), 0))
--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -30,12 +30,11 @@
 	service *service
 	// own is this instance's attempts at the server.
 	own int
-	// reads are this instance's requests there whose answer has not begun, unread is how many
-	// they are, backlog the seconds that their prompts take to be read, in full.
-	unread  int
+	// unread are this instance's requests there whose answer has not begun, backlog the seconds
+	// that their prompts take to be read, in full.
+	unread  []*request
 	backlog float64
-	reads   []*request
-	// told is the load that it stated at toldAt, when own was ownThen and unread unreadThen.
+	// told is the load that it stated at toldAt, when own was ownThen and unreadThen were unread.
 	told       Load
 	toldAt     time.Time
 	ownThen    int
--- a/decision/passthrough/throttle.go
+++ b/decision/passthrough/throttle.go
@@ -112,9 +112,9 @@
 	q.away.add(now, part)
 }
 
-// answered takes in a server's word on its load with an answer: it is crowded where as many wait
+// heard takes in a server's word on its load with an answer: it is crowded where as many wait
 // as run, so that an answer takes twice its work.
-func (q *throttle) answered(load Load, now time.Time) {
+func (q *throttle) heard(load Load, now time.Time) {
 	if load.Slots > 0 && load.Waiting >= load.Slots {
 		q.lose(now, crowdedPart)
 	}
