Failures that a server answers are told from answers that a fault cuts off

Cause: a fault cut off a fifth to a third of the old version's answers between seconds 3 and 9 (135, 368, 250, 172, 188 a second of 700), and these counted as the old version's failures: 50 bad of 82 were within what the new one was allowed beside them, so instances that had taken it back at 6.9 let it in again at 8.1, until the fault was over (12.4 s). Ruled out: sheets that came late (all instances knew 50 bad answers at 8.1 s), the store, the choice of servers.

The test failed before, and holds that a good version which is cut off, or fails, like the old one stays.

--- a/decision/passthrough/rollout_test.go
+++ b/decision/passthrough/rollout_test.go
@@ -108,6 +108,9 @@
 		{"a third fails late", Counts{Good: 30, Bad: 14}, Counts{Good: 400, Bad: 8}, true},
 		{"both fail alike", Counts{Good: 20, Bad: 6}, Counts{Good: 200, Bad: 60}, false},
 		{"good with noise", Counts{Good: 60, Bad: 5}, Counts{Good: 600, Bad: 30}, false},
+		{"fails while the old one is cut off", Counts{Good: 32, Bad: 50, Failed: 45}, Counts{Good: 2400, Bad: 870, Failed: 5}, true},
+		{"cut off like the old one", Counts{Good: 60, Bad: 22, Failed: 2}, Counts{Good: 2400, Bad: 870, Failed: 40}, false},
+		{"fails like the old one", Counts{Good: 40, Bad: 22, Failed: 20}, Counts{Good: 2400, Bad: 870, Failed: 500}, false},
 	}
 	for _, tt := range tests {
 		if got := Judge(tt.fresh, tt.old); got != tt.want {
