Revert "Failures that a server answers are told from answers that a fault cuts off"

Most likely cause, not traced: a verdict by five failed answers under overload takes the version out, its counts stand still, the old one's failures grow, and it is let in again.

A mend must keep a verdict that was once given.

--- a/decision/passthrough/counts.go
+++ b/decision/passthrough/counts.go
@@ -4,9 +4,6 @@
 type Counts struct {
 	Good int
 	Bad  int
-	// Failed are the bad ones that the server itself answered as failures; the others were cut
-	// off on their way.
-	Failed int
 	// First and Pace compare its times with the old version's.
 	First Shift
 	Pace  Shift
@@ -16,11 +13,8 @@
 func (c Counts) Add(o Observed) Counts {
 	switch {
 	case o.Early:
-	case o.Bad && o.Cut:
-		c.Bad++
 	case o.Bad:
 		c.Bad++
-		c.Failed++
 	default:
 		c.Good++
 	}
@@ -30,24 +24,17 @@
 
 // Plus sums two counts.
 func (c Counts) Plus(o Counts) Counts {
-	return Counts{
-		Good: c.Good + o.Good, Bad: c.Bad + o.Bad, Failed: c.Failed + o.Failed,
-		First: c.First.plus(o.First), Pace: c.Pace.plus(o.Pace),
-	}
+	return Counts{Good: c.Good + o.Good, Bad: c.Bad + o.Bad, First: c.First.plus(o.First), Pace: c.Pace.plus(o.Pace)}
 }
 
 // since is what came since an earlier count. An instance that started again counts anew;
 // what it had counted is left out then.
 func (c Counts) since(o Counts) Counts {
-	return Counts{
-		Good: max(c.Good-o.Good, 0), Bad: max(c.Bad-o.Bad, 0), Failed: max(c.Failed-o.Failed, 0),
-		First: c.First.since(o.First), Pace: c.Pace.since(o.Pace),
-	}
+	return Counts{Good: max(c.Good-o.Good, 0), Bad: max(c.Bad-o.Bad, 0), First: c.First.since(o.First), Pace: c.Pace.since(o.Pace)}
 }
 
 // Total is the number of answers.
 func (c Counts) Total() int { return c.Good + c.Bad }
 
-// bad is the bad ones among the answers, failed those that the server answered as failures.
-func (c Counts) bad() proportion    { return proportion{c.Bad, c.Total()} }
-func (c Counts) failed() proportion { return proportion{c.Failed, c.Total()} }
+// failed is the failures among the answers.
+func (c Counts) failed() proportion { return proportion{c.Bad, c.Total()} }
--- a/decision/passthrough/rollout.go
+++ b/decision/passthrough/rollout.go
@@ -103,13 +103,7 @@
 
 // failsMore says whether the new version fails more than the old one may, by so many bad
 // answers at least.
-//
-// Load: a version that answers with failures, while a fault cuts off a fifth of the old one's
-// answers on their way. Harm prevented: the fault counts for the old version's failures, and the
-// new one's pass for as many: it got requests until the fault was over.
-func failsMore(fresh, old Counts, least int) bool {
-	return fresh.bad().more(old.bad(), least) || fresh.failed().more(old.failed(), least)
-}
+func failsMore(fresh, old Counts, least int) bool { return fresh.failed().more(old.failed(), least) }
 
 // proportion is how many of a version's answers were bad in one way.
 type proportion struct{ bad, total int }
--- a/decision/passthrough/rollout_test.go
+++ b/decision/passthrough/rollout_test.go
@@ -108,9 +108,6 @@
 		{"a third fails late", Counts{Good: 30, Bad: 14}, Counts{Good: 400, Bad: 8}, true},
 		{"both fail alike", Counts{Good: 20, Bad: 6}, Counts{Good: 200, Bad: 60}, false},
 		{"good with noise", Counts{Good: 60, Bad: 5}, Counts{Good: 600, Bad: 30}, false},
-		{"fails while the old one is cut off", Counts{Good: 32, Bad: 50, Failed: 45}, Counts{Good: 2400, Bad: 870, Failed: 5}, true},
-		{"cut off like the old one", Counts{Good: 60, Bad: 22, Failed: 2}, Counts{Good: 2400, Bad: 870, Failed: 40}, false},
-		{"fails like the old one", Counts{Good: 40, Bad: 22, Failed: 20}, Counts{Good: 2400, Bad: 870, Failed: 500}, false},
 	}
 	for _, tt := range tests {
 		if got := Judge(tt.fresh, tt.old); got != tt.want {
@@ -119,6 +116,14 @@
 	}
 }
 
+// TestFaultsDoNotHideAFailingVersion holds that a version which fails 45 of 82 answers is bad,
+// though a fault has cut off a quarter of the old version's: counts of both kinds in one.
+func TestFaultsDoNotHideAFailingVersion(t *testing.T) {
+	if !Judge(Counts{Good: 32, Bad: 50}, Counts{Good: 2400, Bad: 870}) {
+		t.Error("a version that fails half of its answers passes beside an old one that a fault strikes")
+	}
+}
+
 // TestSilenceIsNoEvidenceOnAVersion holds that answers given up in an overload, which
 // strike every version, do not hide a bad one.
 func TestSilenceIsNoEvidenceOnAVersion(t *testing.T) {
--- a/router/internal/passthrough/sheetrow.go
+++ b/router/internal/passthrough/sheetrow.go
@@ -17,12 +17,8 @@
 // sheetUnits is how many parts of one a sum of logarithms is rounded to.
 const sheetUnits = 1000
 
-const (
-	// rowLength is the number of a row's parts, shortRow that of an instance which does not tell
-	// failed answers from cut ones.
-	rowLength = 15
-	shortRow  = 13
-)
+// rowLength is the number of a row's parts.
+const rowLength = 13
 
 func units(x float64) int64     { return int64(math.Round(x * sheetUnits)) }
 func fromUnits(n int64) float64 { return float64(n) / sheetUnits }
@@ -35,7 +31,6 @@
 		int64(fresh.First.N), units(fresh.First.Sum), units(fresh.First.Squares),
 		int64(fresh.Pace.N), units(fresh.Pace.Sum), units(fresh.Pace.Squares), int64(fresh.Pace.Slow),
 		int64(old.Good), int64(old.Bad), int64(old.Pace.N), int64(old.Pace.Slow),
-		int64(fresh.Failed), int64(old.Failed),
 	})
 }
 
@@ -45,7 +40,7 @@
 	if err := json.Unmarshal(text, &in); err != nil {
 		return trace.Wrap(err)
 	}
-	if len(in) != rowLength && len(in) != shortRow {
+	if len(in) != rowLength {
 		return trace.BadParameter("a row of %d parts instead of %d", len(in), rowLength)
 	}
 	r.New = passthrough.Counts{
@@ -57,8 +52,5 @@
 		Good: int(in[9]), Bad: int(in[10]),
 		Pace: passthrough.Shift{N: int(in[11]), Slow: int(in[12])},
 	}
-	if len(in) == rowLength {
-		r.New.Failed, r.Old.Failed = int(in[13]), int(in[14])
-	}
 	return nil
 }
--- a/router/internal/passthrough/sheetrow_test.go
+++ b/router/internal/passthrough/sheetrow_test.go
@@ -12,10 +12,10 @@
 // busyRow is a row of a route that was asked for often.
 func busyRow() sheetRow {
 	return sheetRow{
-		New: passthrough.Counts{Good: 120, Bad: 7, Failed: 4,
+		New: passthrough.Counts{Good: 120, Bad: 7,
 			First: passthrough.Shift{N: 127, Sum: -61.5271, Squares: 204.33391},
 			Pace:  passthrough.Shift{N: 101, Sum: 55.25, Squares: 91.118, Slow: 19}},
-		Old: passthrough.Counts{Good: 4021, Bad: 55, Failed: 31, Pace: passthrough.Shift{N: 3320, Slow: 41}},
+		Old: passthrough.Counts{Good: 4021, Bad: 55, Pace: passthrough.Shift{N: 3320, Slow: 41}},
 	}
 }
 
@@ -43,18 +43,6 @@
 	}
 }
 
-// TestRowOfAnEarlierVersionIsRead holds that a row without failed answers apart is read, so that
-// a roll-out during an upgrade is judged by what all instances saw.
-func TestRowOfAnEarlierVersionIsRead(t *testing.T) {
-	var out sheetRow
-	if err := json.Unmarshal([]byte(`[120,7,127,-61527,204334,101,55250,91118,19,4021,55,3320,41]`), &out); err != nil {
-		t.Fatal(err)
-	}
-	if out.New.Bad != 7 || out.Old.Bad != 55 || out.New.Failed != 0 || out.Old.Pace.Slow != 41 {
-		t.Errorf("read as %+v", out)
-	}
-}
-
 // TestSheetsOfAFleetAreSmall bounds what all instances of the target fleet write of a roll-out
 // of five routes: with 4 KB a second for control, a second's sheets are 25 at most.
 func TestSheetsOfAFleetAreSmall(t *testing.T) {
