--- a/decision/internal/verdict/reference.go
+++ b/decision/internal/verdict/reference.go
@@ -1,8 +1,6 @@
 package verdict
 
-import (
-	"cmp"
-)
+import "cmp"
 
 // errorLine is the share of good ends below which v is worse. The predecessor
 // counts its faults in, so that a cause that hits both bars neither.
--- a/decision/passthrough/canary_test.go
+++ b/decision/passthrough/canary_test.go
@@ -95,18 +95,24 @@
 	}
 }
 
-func TestRevertedVersionGetsNothing(t *testing.T) {
-	b := rolloutBench(t)
-	b.tell(RolloutSet{Rollout{Order: Order{Service: "llm", Target: "v2"}, Phase: PhaseReverted}})
-	for range 50 {
+// goToTheOldVersion holds that so many requests of the canary's share go to v1.
+func (b *bench) goToTheOldVersion(count int) {
+	b.t.Helper()
+	for range count {
 		id := b.arrive(streamRoute(), func(r *Request) { r.Share = 0 })
 		if v := b.dispatched(id).Server.Version; v != "v1" {
-			t.Fatalf("sent to %s", v)
+			b.t.Fatalf("sent to %s", v)
 		}
 		b.tell(Ended{Request: id, Result: Completed})
 	}
 }
 
+func TestRevertedVersionGetsNothing(t *testing.T) {
+	b := rolloutBench(t)
+	b.tell(RolloutSet{Rollout{Order: Order{Service: "llm", Target: "v2"}, Phase: PhaseReverted}})
+	b.goToTheOldVersion(50)
+}
+
 // TestOldServersGoneWithoutAWord holds for an instance that starts when a roll-out has been
 // completed, before it knows.
 func TestOldServersGoneWithoutAWord(t *testing.T) {
@@ -127,13 +133,7 @@
 func TestNothingGoesToTheNewVersionBeforeThePhaseIsKnown(t *testing.T) {
 	b := rolloutBench(t)
 	b.tell(RolloutSet{Rollout{Order: Order{Service: "llm", Target: "v2"}, Phase: PhaseCanary, FirstHalf: true}})
-	for range 20 {
-		id := b.arrive(streamRoute(), func(r *Request) { r.Share = 0 })
-		if v := b.dispatched(id).Server.Version; v != "v1" {
-			t.Fatalf("sent to %s", v)
-		}
-		b.tell(Ended{Request: id, Result: Completed})
-	}
+	b.goToTheOldVersion(20)
 }
 
 // TestRequestKeepsItsVersionWhenTheOrderComes holds for a request that is sent again, here
--- a/router/internal/relay/loadrows.go
+++ b/router/internal/relay/loadrows.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"encoding/binary"
 	"errors"
 	"slices"
@@ -25,7 +26,7 @@
 	for _, row := range sums {
 		out = append(out, row)
 	}
-	slices.SortFunc(out, func(a, b passthrough.SharedLoad) int { return int(int64(a.Key) - int64(b.Key)) })
+	slices.SortFunc(out, func(a, b passthrough.SharedLoad) int { return cmp.Compare(a.Key, b.Key) })
 	return out
 }
 
