Rate limits that backend servers state are decoded, logged and counted; no decision goes by them yet

Callers saw nothing of it; two engines of the agency got 16 and 14 requests in four seconds with 11 and 13 allowed, and neither log nor metrics said that they had stated a limit.

The adapter decodes the header once. The world keeps, by server, what the newest answer states: from a stream's head, not its end; an answer without a limit ends it only where its request was sent after the limit was stated, as answers overtake each other. Events 221 and 222 tell of a change, 311 what was believed at dispatch and what the answer stated; counters limit_stated, limit_ended and dispatch.limited. With these the three hypotheses of the incident can be told apart: 311 with limit and first attempts only (second models bypass it), 311 with limit at a rate below it at each instance (the sum exceeds it), 311 without limit (not read).

--- a/decision/passthrough/cascade.go
+++ b/decision/passthrough/cascade.go
@@ -40,6 +40,7 @@
 	w.domainAnswers(r.server)
 	r.service.reads.began(r, e)
 	r.hasRead()
+	w.noteLimit(r.server, r.sent, e.Limit)
 	if e.HasLoad {
 		w.states(r.server, e.Load)
 	}
--- a/decision/passthrough/ended.go
+++ b/decision/passthrough/ended.go
@@ -7,6 +7,9 @@
 		return
 	}
 	s := r.server
+	if e.Limit != nil {
+		w.noteLimit(s, r.sent, *e.Limit)
+	}
 	w.release(r)
 	w.judge(r, s, e)
 	r.ran = r.ran || e.Result.Ran() || e.Begun
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -36,6 +36,8 @@
 	Pace time.Duration
 	// Confidence is the engine's own in its answer, from 0 to 1; below 0 where not told.
 	Confidence float64
+	// Limit is what the answer states, nil where there is none or FirstByte has told it.
+	Limit *RateLimit
 }
 
 // Waited says that a request has waited in the queue for as long as MaxWait allows.
@@ -54,6 +56,7 @@
 	After   time.Duration
 	Load    Load
 	HasLoad bool
+	Limit   RateLimit
 }
 
 // Paced is the pace of a stream's first events: the mean time between them.
@@ -129,6 +132,8 @@
 	// Load is the server's load as believed, with its age, for the log.
 	Load    int
 	LoadAge time.Duration
+	// Limit is the server's rate limit as believed, for the log.
+	Limit RateLimit
 	// Wait is how long the prompt is thought to wait at the server for others to be read.
 	Wait time.Duration
 	// Taken is the part of the service's places that is taken, as believed, MeanWait the mean
@@ -201,10 +206,17 @@
 	Why     WhyCold
 }
 
-func (Dispatch) command()  {}
-func (Refuse) command()    {}
-func (Finish) command()    {}
-func (Observed) command()  {}
-func (CrashSeen) command() {}
-func (Suspect) command()   {}
-func (Cooled) command()    {}
+// LimitChanged says that a server's rate limit is another one from now on.
+type LimitChanged struct {
+	Server string
+	Limit  RateLimit
+}
+
+func (Dispatch) command()     {}
+func (Refuse) command()       {}
+func (Finish) command()       {}
+func (Observed) command()     {}
+func (CrashSeen) command()    {}
+func (Suspect) command()      {}
+func (Cooled) command()       {}
+func (LimitChanged) command() {}
--- a/decision/passthrough/place.go
+++ b/decision/passthrough/place.go
@@ -30,6 +30,7 @@
 	cmd := Dispatch{
 		Request: r.ID, Server: s.Server, Attempt: r.tries,
 		Patience: patience(r), Load: int(v.load) + 1, Wait: seconds(v.wait),
+		Limit: s.limit.RateLimit,
 	}
 	if !s.toldAt.IsZero() {
 		cmd.LoadAge = w.now.Sub(s.toldAt)
--- a/decision/passthrough/seam/seam.go
+++ b/decision/passthrough/seam/seam.go
@@ -60,6 +60,8 @@
 	// Load is its load, where told.
 	Load    passthrough.Load
 	HasLoad bool
+	// Limit is its rate limit; none where not told.
+	Limit passthrough.RateLimit
 	// Confidence in the answer, 0 to 1; -1 where not told.
 	Confidence float64
 }
--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -50,6 +50,7 @@
 	// drained says that its failure domain gets no new work.
 	drained bool
 	cold    coldness
+	limit   serverLimit
 	// others is what the other instances have there, as of the world's sharedAt.
 	others shared
 }
--- a/decision/passthrough/types.go
+++ b/decision/passthrough/types.go
@@ -29,6 +29,15 @@
 	Slots   int
 }
 
+// RateLimit is what a backend server states of the requests that it takes from all instances
+// together.
+type RateLimit struct {
+	// Limited says that the server states a limit.
+	Limited bool
+	// PerSecond is the limit in requests a second.
+	PerSecond float64
+}
+
 // RequestID numbers a request within this instance.
 type RequestID uint64
 
--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -117,7 +117,7 @@
 		d.Tell(passthrough.OthersLoads{Loads: rows, Instances: instances})
 	})
 	sh.server.Loads.Unreadable = j.unreadableLoads
-	d.observe, d.crash, d.cooled = b.observed, b.crashed, j.cooled
+	d.observe, d.crash, d.cooled, d.limited = b.observed, b.crashed, j.cooled, j.limitChanged
 	return b
 }
 
--- a/router/internal/passthrough/attempt.go
+++ b/router/internal/passthrough/attempt.go
@@ -43,9 +43,10 @@
 type outcome struct {
 	result passthrough.Result
 	answer *answer
-	// load is what the answer's head stated; stream says that the decision knows it since
-	// then.
+	// load and limit are what the answer's head stated; stream says that the decision knows
+	// them since then.
 	load        *passthrough.Load
+	limit       *passthrough.RateLimit
 	stream      bool
 	misdirected bool
 	leaving     bool
@@ -156,6 +157,9 @@
 	if said.HasLoad {
 		out.load = &said.Load
 	}
+	if said.Attempt == a.exchange.call.caller.Attempt && !said.Misdirected {
+		out.limit = &said.Limit
+	}
 	return out
 }
 
--- a/router/internal/passthrough/driver.go
+++ b/router/internal/passthrough/driver.go
@@ -11,10 +11,11 @@
 	clock Clock
 	// hurry asks for the list of backend servers to be read at once.
 	hurry func()
-	// observe and crash tell the other instances, cooled the log.
+	// observe and crash tell the other instances, cooled and limited the log.
 	observe func(passthrough.Observed)
 	crash   func(passthrough.CrashSeen)
 	cooled  func(passthrough.Cooled)
+	limited func(passthrough.LimitChanged)
 
 	mu      sync.Mutex
 	world   *passthrough.World
@@ -37,7 +38,7 @@
 	return &Driver{
 		clock: clock, world: passthrough.New(cfg), tickets: map[passthrough.RequestID]*ticket{},
 		hurry: func() {}, observe: func(passthrough.Observed) {}, crash: func(passthrough.CrashSeen) {},
-		cooled: func(passthrough.Cooled) {},
+		cooled: func(passthrough.Cooled) {}, limited: func(passthrough.LimitChanged) {},
 	}
 }
 
@@ -121,6 +122,8 @@
 			d.hurry()
 		case passthrough.Cooled:
 			d.cooled(c)
+		case passthrough.LimitChanged:
+			d.limited(c)
 		}
 	}
 }
--- a/router/internal/passthrough/exchange.go
+++ b/router/internal/passthrough/exchange.go
@@ -157,8 +157,12 @@
 	if out.load != nil && !out.stream {
 		x.edge.driver.Tell(passthrough.Heard{Server: d.Server.ID, Load: *out.load})
 	}
+	limit := out.limit
+	if out.stream {
+		limit = nil
+	}
 	if x.ctx.Err() != nil && out.result != passthrough.Completed {
-		x.edge.driver.Tell(passthrough.Ended{Request: x.ticket.id, Result: passthrough.Abandoned})
+		x.edge.driver.Tell(passthrough.Ended{Request: x.ticket.id, Result: passthrough.Abandoned, Limit: limit})
 		x.expired()
 		return true
 	}
@@ -168,7 +172,7 @@
 	x.edge.driver.Tell(passthrough.Ended{
 		Request: x.ticket.id, Result: out.result, Begun: x.stream.begun,
 		Misdirected: out.misdirected, Leaving: out.leaving, Cut: out.cut, Pace: out.pace,
-		Confidence: out.confidence,
+		Confidence: out.confidence, Limit: limit,
 	})
 	if out.result != passthrough.Completed {
 		return false
--- a/router/internal/passthrough/journal.go
+++ b/router/internal/passthrough/journal.go
@@ -81,6 +81,17 @@
 		slog.Int("servers", c.Servers), slog.Int64("for_ms", c.For.Milliseconds()), slog.String(keyReason, string(c.Why)))
 }
 
+// limitChanged tells of a server's rate limit. The driver calls it, so it must not block.
+func (j *journal) limitChanged(c passthrough.LimitChanged) {
+	if !c.Limit.Limited {
+		j.count("limit_ended")
+		j.emit(logging.EventServerUnlimited, slog.String(keyServer, c.Server))
+		return
+	}
+	j.count("limit_stated")
+	j.emit(logging.EventServerLimited, slog.String(keyServer, c.Server), slog.Float64("per_second", c.Limit.PerSecond))
+}
+
 // unreadableLoads tells of another instance's report of loads that changes nothing.
 func (j *journal) unreadableLoads(from string, err error) {
 	j.emit(logging.EventRecordRejected, slog.String("from", from), slog.String(logging.KeyError, err.Error()))
@@ -109,6 +120,13 @@
 			slog.Int64("wait_ms", d.Wait.Milliseconds()), slog.Int64("mean_wait_ms", d.MeanWait.Milliseconds()), slog.Float64("repeats_left", math.Round(d.Repeats)),
 			slog.Int("prompt_tokens", c.caller.PromptTokens), slog.Int("most_tokens", c.caller.MaxTokens))
 	}
+	if d.Limit.Limited {
+		j.count("dispatch.limited")
+		attrs = append(attrs, slog.Float64("limit", d.Limit.PerSecond))
+	}
+	if out.limit != nil && out.limit.Limited {
+		attrs = append(attrs, slog.Float64("told_limit", out.limit.PerSecond))
+	}
 	if out.load != nil {
 		attrs = append(attrs, slog.Int("told_running", out.load.Running), slog.Int("told_waiting", out.load.Waiting))
 	}
--- a/router/internal/passthrough/stream.go
+++ b/router/internal/passthrough/stream.go
@@ -98,6 +98,7 @@
 	x := a.exchange
 	x.edge.driver.Tell(passthrough.FirstByte{
 		Request: x.ticket.id, After: a.first, Load: said.Load, HasLoad: said.HasLoad,
+		Limit: said.Limit,
 	})
 }
 
