Slow start and subsets by the field's names, in files of their own

A cold server's limits (warmup.go: coldness, coolFor, feeders, feeds, mayFeed, fed) are slow start, the instances that may send to it a subset by rendezvous hashing, in subset.go, so that other limits over all instances can use it. What waits is woken by the service (wakeAt), not by the limits of its cold servers. Moves and names only; tests keep their assertions.

--- a/decision/passthrough/drained.go
+++ b/decision/passthrough/drained.go
@@ -19,7 +19,7 @@
 	}
 	for domain := range before {
 		if !w.drained[domain] {
-			w.coolDomain(domain, WhyDomainBack)
+			w.beginDomainSlowStart(domain, WhyDomainBack)
 		}
 	}
 	for _, s := range w.services {
@@ -27,17 +27,17 @@
 	}
 }
 
-// coolDomain takes all servers of a failure domain for cold.
-func (w *World) coolDomain(domain string, why WhyCold) {
+// beginDomainSlowStart takes all servers of a failure domain for cold.
+func (w *World) beginDomainSlowStart(domain string, why WhyCold) {
 	count := 0
 	var span time.Duration
 	for _, s := range w.servers {
 		if s.Zone != domain {
 			continue
 		}
-		if s.coolFor(s.doubtSpan(), w.now) {
+		if s.beginSlowStart(s.assumedStart(), w.now) {
 			count++
-			span = max(span, s.doubtSpan())
+			span = max(span, s.assumedStart())
 		}
 	}
 	if count > 0 {
@@ -49,10 +49,10 @@
 // moment. Where several of a failure domain are lost and none there answers, all of it is taken
 // to be starting again: most instances have not asked each of its servers meanwhile.
 func (w *World) lostServer(s *server) {
-	if s.service.warmUp.span <= 0 {
+	if s.service.slowStart.span <= 0 {
 		return
 	}
-	w.cool(s, s.doubtSpan(), WhyLost)
+	w.cool(s, s.assumedStart(), WhyLost)
 	lost := w.lost[s.Zone]
 	if lost == nil {
 		lost = map[*server]bool{}
@@ -61,7 +61,7 @@
 	lost[s] = true
 	if len(lost) >= domainLostAfter {
 		delete(w.lost, s.Zone)
-		w.coolDomain(s.Zone, WhyDomainLost)
+		w.beginDomainSlowStart(s.Zone, WhyDomainLost)
 	}
 }
 
--- a/decision/passthrough/place.go
+++ b/decision/passthrough/place.go
@@ -25,7 +25,7 @@
 	r.attempts++
 	r.tries++
 	s.own++
-	w.noteFed(s)
+	w.recordSlowStart(s)
 	w.noteSession(r, s.Version)
 	cmd := Dispatch{
 		Request: r.ID, Server: s.Server, Attempt: r.tries,
--- a/decision/passthrough/requests.go
+++ b/decision/passthrough/requests.go
@@ -86,7 +86,7 @@
 		if !srv.usable(w.now) || !fits(srv) {
 			continue
 		}
-		if !srv.isCold(w.now) || w.feeds(srv) {
+		if !srv.inSlowStart(w.now) || w.inSlowStartSubset(srv) {
 			return ""
 		}
 		reason = ReasonWarmingUp
@@ -193,7 +193,7 @@
 	case ReasonNoServer:
 		after = max(after, absentFor)
 	case ReasonWarmingUp:
-		after = max(after, w.warmAt(r.service).Sub(w.now))
+		after = max(after, w.slowStartEnds(r.service).Sub(w.now))
 	}
 	after = max(after, comeBackLeast)
 	after = min(after, comeBackMost, time.Duration(comeBackPart*float64(r.Deadline.Sub(w.now))))
--- a/decision/passthrough/servers.go
+++ b/decision/passthrough/servers.go
@@ -12,7 +12,7 @@
 		row := w.serviceOf(s.Name)
 		row.engine = s.Slots > 0
 		row.slots = s.Slots
-		w.setWarmUp(row, s)
+		w.setSlowStart(row, s)
 	}
 }
 
@@ -46,8 +46,8 @@
 		w.cool(fresh, s.WarmUp, WhyListed)
 		if row != nil {
 			row.gone = true
-			fresh.cold.until = row.cold.until
-			w.cool(fresh, fresh.service.warmUp.span, WhyStarted)
+			fresh.slowStart.until = row.slowStart.until
+			w.cool(fresh, fresh.service.slowStart.span, WhyStarted)
 		}
 	}
 	for id, row := range w.servers {
@@ -65,7 +65,7 @@
 
 // cool takes one server for cold, and tells of it.
 func (w *World) cool(s *server, span time.Duration, why WhyCold) {
-	if s.coolFor(span, w.now) {
+	if s.beginSlowStart(span, w.now) {
 		w.emit(Cooled{Server: s.ID, Domain: s.Zone, Servers: 1, For: span, Why: why})
 	}
 }
--- a/decision/passthrough/warmup_test.go
+++ b/decision/passthrough/slowstart_test.go
@@ -49,11 +49,11 @@
 	for _, rate := range []float64{0, 0.4, 1, 2, 3.3, 6.9, 20, 100} {
 		for _, burst := range []float64{1, 1.5, 3} {
 			most := rate*burst + coldSlack
-			feeders, each := feedQuota(rate, most)
-			if feeders < 1 || each < 1 {
-				t.Errorf("rate %v: %d feeders of %d", rate, feeders, each)
+			subset, quota := slowStartQuota(rate, most)
+			if subset < 1 || quota < 1 {
+				t.Errorf("rate %v: a subset of %d, %d each", rate, subset, quota)
 			}
-			if got := float64(feedViews * feeders * each); got > most {
+			if got := float64(subsetViews * subset * quota); got > most {
 				t.Errorf("rate %v, burst %v: %v requests in a second, %v are borne", rate, burst, got, most)
 			}
 		}
@@ -101,7 +101,7 @@
 				t.Errorf("%d instances, seed %d: %d requests in a second, %.1f are borne", f.instances, seed, inSecond, coldMost)
 			}
 			if feeding == 0 {
-				t.Errorf("%d instances, seed %d: nobody feeds the server", f.instances, seed)
+				t.Errorf("%d instances, seed %d: nobody sends to the server", f.instances, seed)
 			}
 		}
 	}
@@ -151,7 +151,7 @@
 	if b.last(low) != nil || b.last(high) != nil {
 		t.Fatalf("got %#v and %#v, want both to wait", b.last(low), b.last(high))
 	}
-	b.pass(feedWindow)
+	b.pass(slowStartWindow)
 	b.tell()
 	b.dispatched(high)
 	b.dispatched(low)
@@ -239,7 +239,7 @@
 		}
 		cooled := 0
 		for _, s := range b.world.servers {
-			if s.isCold(b.now) {
+			if s.inSlowStart(b.now) {
 				cooled++
 			}
 		}
@@ -257,7 +257,7 @@
 	again := servers("llm", 1, 8)
 	again[0].Born = 2
 	b.tell(Listed{again})
-	if s := b.world.servers[list[0].ID]; !s.isCold(b.now) || s.isCold(b.now.Add(coldSpan)) {
-		t.Errorf("cold until %v", s.cold.until)
+	if s := b.world.servers[list[0].ID]; !s.inSlowStart(b.now) || s.inSlowStart(b.now.Add(coldSpan)) {
+		t.Errorf("cold until %v", s.slowStart.until)
 	}
 }
--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -20,8 +20,10 @@
 	usualOthers mean
 	pace        paceStats
 	reads       readStats
-	warmUp      warmUp
-	isFree      bool
+	slowStart   slowStartLimits
+	// wakeAt is when what waits is tried again, as a server may get more then; zero for never.
+	wakeAt time.Time
+	isFree bool
 }
 
 // server is a row of the backend servers.
@@ -48,9 +50,9 @@
 	hash uint64
 	gone bool
 	// drained says that its failure domain gets no new work.
-	drained bool
-	cold    coldness
-	limit   serverLimit
+	drained   bool
+	slowStart slowStart
+	limit     serverLimit
 	// others is what the other instances have there, as of the world's sharedAt.
 	others shared
 }
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -106,7 +106,7 @@
 	for _, e := range in {
 		w.apply(e)
 	}
-	w.freeFed()
+	w.wakeWaiting()
 	w.placeWaiting()
 	return w.out
 }
