A reader's place in the store's log is an era and an offset; a restore is found on any topic's answer

Callers: a key that was taken away after the store came back from a copy was accepted for good, since an instance that stood past the copy's end read on behind that record.

Cause: a place was an offset alone, and a restored log gives offsets out again. Now keyedlog.Position has the era, from the header of all answers; a read from a place of another era fails with ErrRestored (an ErrGone), and the reader takes the newest records and goes on from there. Of two answers the later era's stands, whenever the other comes: in the client over all topics, in what an instance keeps for others, and in what a collector that has not noticed yet gives. A conditional append at a place of before is not done where the restore is known, else not taken for done. Followers learn of it by their collector (the field era in their own messages; 0, as from an instance that does not know it, matches any), so the store is read by the collectors alone. Event 223, counter store_restored, gauge store_era.

Ruled out: comparing ends of the log (they may have grown past the place). Stores without the header behave as before.

--- a/router/internal/passthrough/fakes_test.go
+++ b/router/internal/passthrough/fakes_test.go
@@ -38,6 +38,7 @@
 	mu      sync.Mutex
 	records []keyedlog.Record
 	first   uint64
+	era     uint64
 	// read, newest and appended are errors of the next calls.
 	read, newest, appended []error
 	// lose does the next append and gives the error all the same.
@@ -55,17 +56,20 @@
 	return err
 }
 
-func (l *fakeLog) Read(_ context.Context, from uint64, _ time.Duration) (keyedlog.Batch, error) {
+func (l *fakeLog) Read(_ context.Context, from keyedlog.Position, _ time.Duration) (keyedlog.Batch, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err := next(&l.read); err != nil {
 		return keyedlog.Batch{}, err
 	}
-	if from < l.first {
+	if !from.IsOf(l.era) {
+		return keyedlog.Batch{}, keyedlog.ErrRestored
+	}
+	if from.Offset < l.first {
 		return keyedlog.Batch{}, keyedlog.ErrGone
 	}
-	out := keyedlog.Batch{Next: uint64(len(l.records))}
-	out.Records = append(out.Records, l.records[from:]...)
+	out := keyedlog.Batch{Next: l.end()}
+	out.Records = append(out.Records, l.records[from.Offset:]...)
 	return out, nil
 }
 
@@ -79,7 +83,7 @@
 	for _, r := range l.records {
 		last[r.Key] = r
 	}
-	out := keyedlog.Snapshot{Next: uint64(len(l.records))}
+	out := keyedlog.Snapshot{Next: l.end()}
 	for _, r := range l.records {
 		if last[r.Key].Offset == r.Offset && len(r.Value) > 0 {
 			out.Records = append(out.Records, r)
@@ -88,7 +92,7 @@
 	return out, nil
 }
 
-func (l *fakeLog) Append(_ context.Context, at uint64, records ...keyedlog.Record) error {
+func (l *fakeLog) Append(_ context.Context, at keyedlog.Position, records ...keyedlog.Record) error {
 	l.mu.Lock()
 	hook := l.beforeAppend
 	l.beforeAppend = nil
@@ -102,7 +106,7 @@
 	if err != nil && !l.lose {
 		return err
 	}
-	if at != keyedlog.Anywhere && at != uint64(len(l.records)) {
+	if at != keyedlog.Anywhere && at != l.end() {
 		return keyedlog.ErrMoved
 	}
 	for _, r := range records {
@@ -112,6 +116,19 @@
 	return err
 }
 
+// end is where the topic ends. The lock is held.
+func (l *fakeLog) end() keyedlog.Position {
+	return keyedlog.Position{Era: l.era, Offset: uint64(len(l.records))}
+}
+
+// restore has the topic come back with its first records only.
+func (l *fakeLog) restore(records int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.records = l.records[:records:records]
+	l.era++
+}
+
 func (l *fakeLog) put(key, value string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/router/internal/passthrough/pooling_test.go
+++ b/router/internal/passthrough/pooling_test.go
@@ -14,7 +14,7 @@
 	*parts
 	collector *pooled
 	held      []keyedlog.Record
-	next      uint64
+	next      keyedlog.Position
 	writeAt   time.Time
 	readAt    time.Time
 }
--- a/router/internal/passthrough/sharing_test.go
+++ b/router/internal/passthrough/sharing_test.go
@@ -27,7 +27,7 @@
 	return l.fakeLog.Newest(ctx)
 }
 
-func (l *countedLog) Append(ctx context.Context, at uint64, records ...keyedlog.Record) error {
+func (l *countedLog) Append(ctx context.Context, at keyedlog.Position, records ...keyedlog.Record) error {
 	l.mu.Lock()
 	l.appends++
 	l.mu.Unlock()
--- a/router/internal/passthrough/tail.go
+++ b/router/internal/passthrough/tail.go
@@ -42,11 +42,14 @@
 	whole func([]keyedlog.Record)
 	each  func(keyedlog.Record)
 	read  func(began time.Time, records int)
+	// restored is told, before the newest records of a log that came back from a copy; nil for
+	// nobody.
+	restored func()
 	// back is told, before the first records after an outage, how long that was; nil for
 	// nobody.
 	back func(lost time.Duration)
 
-	next  uint64
+	next  keyedlog.Position
 	known bool
 	lost  time.Time
 }
@@ -103,12 +106,27 @@
 		return err
 	}
 	t.returned()
+	if !t.next.IsOf(snap.Next.Era) {
+		t.fromCopy(snap.Next.Era)
+	}
 	t.whole(snap.Records)
 	t.next, t.known = snap.Next, true
 	t.read(t.asOf(began, snap.Age), len(snap.Records))
 	return nil
 }
 
+// fromCopy notes that the log came back from a copy of an earlier state: what was read of it may be
+// missing there.
+func (t *tail) fromCopy(era uint64) {
+	t.journal.count("store_restored")
+	t.journal.gauge("store_era", int(era))
+	t.journal.emit(logging.EventStoreRestored, slog.String("topic", t.name),
+		slog.Uint64("era", era), slog.Uint64("era_before", t.next.Era), slog.Uint64("read_to", t.next.Offset))
+	if t.restored != nil {
+		t.restored()
+	}
+}
+
 // asOf is the time at which the log was as read: the read's start, unless the log says
 // how old its word is.
 func (t *tail) asOf(began time.Time, age time.Duration) time.Time {
--- a/router/internal/relay/cache.go
+++ b/router/internal/relay/cache.go
@@ -25,7 +25,7 @@
 	records []keyedlog.Record
 	newest  map[string]keyedlog.Record
 	first   uint64
-	next    uint64
+	next    keyedlog.Position
 	// confirmed is when the log was as known here, at the latest.
 	confirmed time.Time
 	changed   chan struct{}
@@ -43,14 +43,18 @@
 	return &Cache{now: now, same: same, newest: map[string]keyedlog.Record{}, changed: make(chan struct{})}
 }
 
-// Replace takes over a snapshot that was current at the time.
+// Replace takes over a snapshot that was current at the time, unless a later era is known: it may
+// have been on its way when the log came back from a copy.
 func (c *Cache) Replace(s keyedlog.Snapshot, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.isOfLaterEra(s.Next) {
+		return
+	}
 	c.known = true
 	c.records = nil
 	c.packed = packedSnapshot{}
-	c.first, c.next = s.Next, s.Next
+	c.first, c.next = s.Next.Offset, s.Next
 	clear(c.newest)
 	for _, r := range s.Records {
 		c.newest[r.Key] = r
@@ -58,10 +62,26 @@
 	c.confirm(at)
 }
 
-// Add takes in a batch that was read from the cache's end, and was current at the time.
+// isOfLaterEra says whether the cache is of a later era than a position. The lock is held.
+func (c *Cache) isOfLaterEra(p keyedlog.Position) bool {
+	return !p.IsOf(c.next.Era) && p.Era < c.next.Era
+}
+
+// isLaterThan says whether the cache is of a later era than a position.
+func (c *Cache) isLaterThan(p keyedlog.Position) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isOfLaterEra(p)
+}
+
+// Add takes in a batch that was read from the cache's end, and was current at the time. One of
+// another era does not follow on what is known here.
 func (c *Cache) Add(b keyedlog.Batch, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !b.Next.IsOf(c.next.Era) {
+		return
+	}
 	for _, r := range b.Records {
 		old, known := c.newest[r.Key]
 		switch {
@@ -78,7 +98,7 @@
 		c.records = append([]keyedlog.Record(nil), c.records[drop:]...)
 		c.first = c.records[0].Offset
 	}
-	c.next = b.Next
+	c.next = keyedlog.Position{Era: max(b.Next.Era, c.next.Era), Offset: b.Next.Offset}
 	c.confirm(at)
 }
 
@@ -97,13 +117,13 @@
 // few.
 const knownSoon = 500 * time.Millisecond
 
-// Read returns the records from the offset on, and waits for one as long as wait says.
-func (c *Cache) Read(ctx context.Context, from uint64, wait time.Duration) (keyedlog.Batch, error) {
-	knows := func() bool { return c.known && from <= c.next }
+// Read returns the records from the position on, and waits for one as long as wait says.
+func (c *Cache) Read(ctx context.Context, from keyedlog.Position, wait time.Duration) (keyedlog.Batch, error) {
+	knows := func() bool { return c.known && !c.isBehind(from) }
 	if err := c.await(ctx, knownSoon, knows); err != nil {
 		return keyedlog.Batch{}, err
 	}
-	tells := func() bool { return !knows() || from < c.first || len(c.from(from)) > 0 }
+	tells := func() bool { return !knows() || c.lacks(from) || len(c.from(from.Offset)) > 0 }
 	if err := c.await(ctx, wait, tells); err != nil {
 		return keyedlog.Batch{}, err
 	}
@@ -138,17 +158,32 @@
 	return c.records[at:]
 }
 
-func (c *Cache) since(from uint64) (keyedlog.Batch, error) {
+// isBehind says whether the asker of a position knows more than the cache: a later era, or records
+// of this one that are not known here.
+func (c *Cache) isBehind(from keyedlog.Position) bool {
+	if from.IsOf(c.next.Era) {
+		return from.Offset > c.next.Offset
+	}
+	return from.Era > c.next.Era
+}
+
+// lacks says whether the records from a position on, that the cache is not behind, are not kept: the
+// position is of an earlier era, or too far back.
+func (c *Cache) lacks(from keyedlog.Position) bool {
+	return !from.IsOf(c.next.Era) || from.Offset < c.first
+}
+
+func (c *Cache) since(from keyedlog.Position) (keyedlog.Batch, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case !c.known, from > c.next:
+	case !c.known, c.isBehind(from):
 		return keyedlog.Batch{}, keyedlog.ErrNotDone // the asker knows more
-	case from < c.first:
+	case c.lacks(from):
 		return keyedlog.Batch{}, keyedlog.ErrGone
 	}
 	out := keyedlog.Batch{Next: c.next, Age: c.now().Sub(c.confirmed)}
-	out.Records = append(out.Records, c.from(from)...)
+	out.Records = append(out.Records, c.from(from.Offset)...)
 	return out, nil
 }
 
@@ -175,7 +210,7 @@
 		return answer{}, keyedlog.ErrNotDone
 	}
 	now := c.now()
-	if p := &c.packed; p.made.IsZero() || now.Sub(p.made) > packLife || p.answer.Next < c.first {
+	if p := &c.packed; p.made.IsZero() || now.Sub(p.made) > packLife || p.answer.Next < c.first || p.answer.Era != c.next.Era {
 		if err := c.packNow(now); err != nil {
 			return answer{}, err
 		}
@@ -191,6 +226,6 @@
 	for _, r := range c.newest {
 		records = append(records, r)
 	}
-	c.packed = packedSnapshot{answer: answer{Next: c.next}, confirmed: c.confirmed, made: now}
+	c.packed = packedSnapshot{answer: answer{Next: c.next.Offset, Era: c.next.Era}, confirmed: c.confirmed, made: now}
 	return c.packed.answer.fill(records)
 }
--- a/router/internal/relay/fixture_test.go
+++ b/router/internal/relay/fixture_test.go
@@ -18,16 +18,33 @@
 	records []keyedlog.Record
 	reads   int
 	err     error
+	era     uint64
 }
 
-func (s *store) Read(_ context.Context, from uint64, _ time.Duration) (keyedlog.Batch, error) {
+// end is where the topic ends. The lock is held.
+func (s *store) end() keyedlog.Position {
+	return keyedlog.Position{Era: s.era, Offset: uint64(len(s.records))}
+}
+
+// restore has the topic come back with its first records only.
+func (s *store) restore(records int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records = s.records[:records:records]
+	s.era++
+}
+
+func (s *store) Read(_ context.Context, from keyedlog.Position, _ time.Duration) (keyedlog.Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
 	if s.err != nil {
 		return keyedlog.Batch{}, s.err
 	}
-	return keyedlog.Batch{Records: append([]keyedlog.Record(nil), s.records[from:]...), Next: uint64(len(s.records))}, nil
+	if !from.IsOf(s.era) {
+		return keyedlog.Batch{}, keyedlog.ErrRestored
+	}
+	return keyedlog.Batch{Records: append([]keyedlog.Record(nil), s.records[from.Offset:]...), Next: s.end()}, nil
 }
 
 func (s *store) Newest(context.Context) (keyedlog.Snapshot, error) {
@@ -37,10 +54,10 @@
 	if s.err != nil {
 		return keyedlog.Snapshot{}, s.err
 	}
-	return keyedlog.Snapshot{Records: append([]keyedlog.Record(nil), s.records...), Next: uint64(len(s.records))}, nil
+	return keyedlog.Snapshot{Records: append([]keyedlog.Record(nil), s.records...), Next: s.end()}, nil
 }
 
-func (s *store) Append(_ context.Context, _ uint64, records ...keyedlog.Record) error {
+func (s *store) Append(_ context.Context, _ keyedlog.Position, records ...keyedlog.Record) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range records {
@@ -154,7 +171,7 @@
 	waits []time.Duration
 }
 
-func (s *waitingStore) Read(ctx context.Context, from uint64, wait time.Duration) (keyedlog.Batch, error) {
+func (s *waitingStore) Read(ctx context.Context, from keyedlog.Position, wait time.Duration) (keyedlog.Batch, error) {
 	s.waits = append(s.waits, wait)
 	return s.store.Read(ctx, from, 0)
 }
--- a/router/internal/relay/log.go
+++ b/router/internal/relay/log.go
@@ -41,14 +41,17 @@
 }
 
 // Read implements keyedlog.Log.
-func (l *Log) Read(ctx context.Context, from uint64, wait time.Duration) (keyedlog.Batch, error) {
+func (l *Log) Read(ctx context.Context, from keyedlog.Position, wait time.Duration) (keyedlog.Batch, error) {
 	question := func(wait time.Duration) any {
-		return readParams{l.topic, from, wait.Milliseconds(), l.oldest.Milliseconds()}
+		return readParams{l.topic, from.Offset, from.Era, wait.Milliseconds(), l.oldest.Milliseconds()}
 	}
 	out, err := l.ask(ctx, methodRead, question, wait)
 	l.note(out.by)
+	if err == nil && !from.IsOf(out.Era) {
+		return keyedlog.Batch{}, keyedlog.ErrRestored
+	}
 	if err == nil {
-		b := keyedlog.Batch{Records: out.Records, Next: out.Next, Age: out.age}
+		b := keyedlog.Batch{Records: out.Records, Next: out.position(), Age: out.age}
 		l.cache.Add(b, l.now().Add(-out.age))
 		return b, nil
 	}
@@ -81,9 +84,12 @@
 func (l *Log) Newest(ctx context.Context) (keyedlog.Snapshot, error) {
 	question := func(time.Duration) any { return newestParams{l.topic} }
 	out, err := l.ask(ctx, methodNewest, question, newestTime)
+	if err == nil && l.cache.isLaterThan(out.position()) {
+		err = keyedlog.ErrNotDone // the collector has not noticed yet that the log came back from a copy
+	}
 	l.note(out.by)
 	if err == nil {
-		s := keyedlog.Snapshot{Records: out.Records, Next: out.Next, Age: out.age}
+		s := keyedlog.Snapshot{Records: out.Records, Next: out.position(), Age: out.age}
 		l.cache.Replace(s, l.now().Add(-out.age))
 		return s, nil
 	}
@@ -138,7 +144,7 @@
 
 // Append implements keyedlog.Log. Without a condition it goes by the collector, which
 // sends the records of several instances in one call; with one, the store is asked.
-func (l *Log) Append(ctx context.Context, at uint64, records ...keyedlog.Record) error {
+func (l *Log) Append(ctx context.Context, at keyedlog.Position, records ...keyedlog.Record) error {
 	if at == keyedlog.Anywhere {
 		question := func(time.Duration) any { return appendParams{l.topic, records} }
 		_, err := l.client.call(ctx, methodAppend, question, 0, l.oldest)
--- a/router/internal/relay/messages.go
+++ b/router/internal/relay/messages.go
@@ -14,10 +14,12 @@
 	methodLoads  = "loads"
 )
 
-// readParams asks for the records of a topic from an offset on.
+// readParams asks for the records of a topic from an offset on. An era of 0 is one that the asker
+// does not know.
 type readParams struct {
 	Topic  string `json:"topic"`
 	From   uint64 `json:"from"`
+	Era    uint64 `json:"era,omitempty"`
 	WaitMS int64  `json:"wait_ms"`
 	// OldestMS is the age past which an answer is of no use, and is given at once.
 	OldestMS int64 `json:"oldest_ms"`
@@ -50,6 +52,8 @@
 	// Packed are the records, compressed, where they are many.
 	Packed []byte `json:"packed,omitempty"`
 	Next   uint64 `json:"next"`
+	// Era is the one of the records and of Next; 0 where it is not known.
+	Era uint64 `json:"era,omitempty"`
 	// AgeUS is how old that is, in microseconds, at the time of answering.
 	AgeUS int64 `json:"age_us"`
 	// TookUS is how long the question waited at the collector.
@@ -63,6 +67,9 @@
 	Fleet int `json:"fleet,omitempty"`
 }
 
+// position is where to go on from.
+func (a answer) position() keyedlog.Position { return keyedlog.Position{Era: a.Era, Offset: a.Next} }
+
 // age is how old the answer is at the latest when it comes in, after the time that the
 // whole call took: what the way took may have been all before or all after the answering.
 func (a answer) age(call time.Duration) time.Duration {
--- /dev/null
+++ b/router/internal/relay/restore_test.go
@@ -0,0 +1,92 @@
+package relay
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"masticplank.example/coordination/keyedlog"
+)
+
+// eraSnapshot is a snapshot of one record, of an era.
+func eraSnapshot(era, end uint64, value string) keyedlog.Snapshot {
+	return keyedlog.Snapshot{
+		Records: []keyedlog.Record{{Key: "a", Value: []byte(value), Offset: end - 1}},
+		Next:    keyedlog.Position{Era: era, Offset: end},
+	}
+}
+
+// TestLaterEraStands holds which of two answers a cache keeps, in whichever order they come.
+func TestLaterEraStands(t *testing.T) {
+	now := time.Unix(100, 0)
+	c := NewCache(func() time.Time { return now }, nil)
+	c.Replace(eraSnapshot(1, 9, "before"), now)
+	c.Replace(eraSnapshot(2, 5, "after"), now)
+	c.Replace(eraSnapshot(1, 10, "late"), now)
+	c.Add(keyedlog.Batch{Records: []keyedlog.Record{{Key: "a", Value: []byte("later"), Offset: 9}}, Next: keyedlog.Position{Era: 1, Offset: 10}}, now)
+	if got := string(c.newest["a"].Value); got != "after" || c.next != (keyedlog.Position{Era: 2, Offset: 5}) {
+		t.Errorf("%q up to %+v", got, c.next)
+	}
+	for _, tt := range []struct {
+		from keyedlog.Position
+		want error
+	}{
+		{keyedlog.Position{Era: 1, Offset: 5}, keyedlog.ErrGone},
+		{keyedlog.Position{Era: 3, Offset: 2}, keyedlog.ErrNotDone},
+		{keyedlog.Position{Era: 2, Offset: 6}, keyedlog.ErrNotDone},
+		{keyedlog.Position{Era: 2, Offset: 4}, keyedlog.ErrGone},
+		{keyedlog.Position{Era: 2, Offset: 5}, nil},
+		{keyedlog.At(5), nil}, // of an instance that knows no eras
+	} {
+		if _, err := c.since(tt.from); !errors.Is(err, tt.want) {
+			t.Errorf("from %+v: %v, want %v", tt.from, err, tt.want)
+		}
+	}
+}
+
+// TestFollowersLearnOfARestoreByTheirCollector holds that they do not turn to the store for it.
+func TestFollowersLearnOfARestoreByTheirCollector(t *testing.T) {
+	st := &store{era: 1}
+	st.put("a", "1")
+	all := startInstances(t, st, 4, time.Hour)
+	for _, in := range all {
+		in.newest(t)
+	}
+	before := st.count()
+	st.restore(0)
+	st.put("b", "2")
+	st.put("c", "3")
+	at := keyedlog.Position{Era: 1, Offset: 1}
+	if _, err := all[0].log.Read(t.Context(), at, 0); !errors.Is(err, keyedlog.ErrRestored) {
+		t.Fatalf("the collector's read: %v", err)
+	}
+	all[0].newest(t)
+	for _, in := range all[1:] {
+		if _, err := in.log.Read(t.Context(), at, 0); !errors.Is(err, keyedlog.ErrGone) {
+			t.Errorf("a follower's read: %v", err)
+		}
+		if s := in.newest(t); s.Next != (keyedlog.Position{Era: 2, Offset: 2}) || len(s.Records) != 2 {
+			t.Errorf("a follower has %+v", s)
+		}
+	}
+	if n := st.count() - before; n != 2 {
+		t.Errorf("%d reads of the store, want 2", n)
+	}
+}
+
+// TestCollectorThatHasNotNoticedIsPassedOver holds that an instance which knows of a restore does
+// not go back to the log of before.
+func TestCollectorThatHasNotNoticedIsPassedOver(t *testing.T) {
+	st := &store{era: 1}
+	st.put("a", "1")
+	all := startInstances(t, st, 2, time.Hour)
+	for _, in := range all {
+		in.newest(t)
+	}
+	st.restore(0)
+	st.put("b", "2")
+	all[1].cache.Replace(keyedlog.Snapshot{Next: keyedlog.Position{Era: 2}}, time.Now())
+	if s := all[1].newest(t); s.Next.Era != 2 || len(s.Records) != 1 || s.Records[0].Key != "b" {
+		t.Errorf("got %+v", s)
+	}
+}
--- a/router/internal/relay/server.go
+++ b/router/internal/relay/server.go
@@ -116,11 +116,11 @@
 		if cache.Age() > time.Duration(p.OldestMS)*time.Millisecond {
 			wait = 0
 		}
-		b, err := cache.Read(ctx, p.From, max(wait, 0))
+		b, err := cache.Read(ctx, keyedlog.Position{Era: p.Era, Offset: p.From}, max(wait, 0))
 		if err != nil {
 			return answer{}, err
 		}
-		out := answer{Next: b.Next, AgeUS: b.Age.Microseconds()}
+		out := answer{Next: b.Next.Offset, Era: b.Next.Era, AgeUS: b.Age.Microseconds()}
 		return out, out.fill(b.Records)
 	case methodNewest:
 		var p newestParams
