A restored list of backend servers: what it lacks stays a while, what had left does not come back

Callers of a store that came back from a copy: servers that started since were dropped until they wrote again, and servers that had left were called at addresses that may be another server's by now (421, a new attempt), or at one that drains.

Cause: the newest entries of the copy replaced all that was known. Now entries that it lacks count as lapsed (1.5 s, as after an outage); an entry of a server that had left, by id and start, is believed only when it is written again or still stands after 5 s, as heartbeats that say nothing new are not passed on among instances; a leaving server stays one that leaves. Event 224 tells of each entry that is not believed.

--- a/router/internal/passthrough/journal.go
+++ b/router/internal/passthrough/journal.go
@@ -81,6 +81,12 @@
 		slog.Int("servers", c.Servers), slog.Int64("for_ms", c.For.Milliseconds()), slog.String(keyReason, string(c.Why)))
 }
 
+// beliefKept tells of a belief that holds though a restored store says otherwise.
+func (j *journal) beliefKept(subject, key, why string) {
+	j.count("restore.kept." + subject)
+	j.emit(logging.EventBeliefKept, slog.String("subject", subject), slog.String("key", key), slog.String(keyReason, why))
+}
+
 // limitChanged tells of a server's rate limit. The driver calls it, so it must not block.
 func (j *journal) limitChanged(c passthrough.LimitChanged) {
 	if !c.Limit.Limited {
--- a/router/internal/passthrough/list.go
+++ b/router/internal/passthrough/list.go
@@ -59,7 +59,12 @@
 	// until ends the time after an outage in which removals may be lapses.
 	until   time.Time
 	changed bool
-	bad     map[string]bool
+	// left are servers that have left, doubts entries that are not believed yet.
+	left   map[string]departure
+	doubts map[string]doubt
+	// fromCopy says that the next newest entries are those of a store that came back from a copy.
+	fromCopy bool
+	bad      map[string]bool
 }
 
 func newList(records Records, driver *Driver, d *dialer, j *journal, clock Clock, drain time.Duration, st *starting) *list {
@@ -68,6 +73,7 @@
 		alone: func() bool { return false }, follows: func() bool { return false },
 		nudge: make(chan struct{}, 1), entries: map[string]passthrough.Server{},
 		lapsed: map[string]time.Time{}, bad: map[string]bool{},
+		left: map[string]departure{}, doubts: map[string]doubt{},
 	}
 }
 
@@ -86,6 +92,7 @@
 		each: func(r keyedlog.Record) { l.take(r) },
 	}
 	t.whole = func(records []keyedlog.Record) { l.replace(records) }
+	t.restored = l.restored
 	t.read = func(time.Time, int) {
 		l.publish()
 		l.starting.has(learntServers)
@@ -149,6 +156,7 @@
 			l.remove(id)
 		}
 	}
+	l.fromCopy = false
 }
 
 // take applies one entry. An entry that cannot be read names no server to use.
@@ -171,17 +179,31 @@
 	}
 	delete(l.bad, r.Key)
 	delete(l.lapsed, r.Key)
+	delete(l.doubts, r.Key)
+	if l.fromCopy {
+		if s, ok := l.believed(s, r.Offset); ok {
+			l.put(s, r.Offset)
+		}
+		return
+	}
+	l.put(s, r.Offset)
+}
+
+// put sets a server's entry. The lock is held.
+func (l *list) put(s passthrough.Server, offset uint64) {
 	if old, ok := l.entries[s.ID]; ok && old == s {
 		return
 	}
+	delete(l.left, s.ID)
 	l.entries[s.ID] = s
 	l.changed = true
 	l.journal.emit(logging.EventServerListed, slog.String(keyServer, s.ID), slog.String("service", s.Service),
-		slog.String("software", s.Version), slog.Bool("draining", s.Draining), slog.Uint64("offset", r.Offset))
+		slog.String("software", s.Version), slog.Bool("draining", s.Draining), slog.Uint64("offset", offset))
 }
 
 // remove drops an entry, at once or, around an outage, after a while.
 func (l *list) remove(id string) {
+	delete(l.doubts, id)
 	if _, ok := l.entries[id]; !ok {
 		return
 	}
@@ -193,9 +215,11 @@
 }
 
 func (l *list) drop(id, why string) {
-	if _, ok := l.entries[id]; !ok {
+	s, ok := l.entries[id]
+	if !ok {
 		return
 	}
+	l.departed(s)
 	delete(l.entries, id)
 	delete(l.lapsed, id)
 	l.changed = true
@@ -207,6 +231,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
+	l.settleDoubts(now)
 	for id, until := range l.lapsed {
 		if !now.Before(until) {
 			l.drop(id, "lapsed")
--- /dev/null
+++ b/router/internal/passthrough/list_restore_test.go
@@ -0,0 +1,82 @@
+package passthrough
+
+import (
+	"testing"
+	"time"
+)
+
+// restoredList is a list whose store came back with its first records only, with one that stays,
+// one that left and one that is leaving since the copy, and one that started since.
+func restoredList(t *testing.T) (*parts, *tail, *fakeLog, *fakeClock) {
+	t.Helper()
+	clock, log := newFakeClock(), &fakeLog{era: 1}
+	p := newParts("a", clock, &fakeLog{}, &fakeLog{})
+	tl := p.list.tail(log, clock)
+	log.put("stays", "server shop v1 ready")
+	log.put("left", "server shop v1 ready")
+	log.put("leaves", "server shop v1 ready")
+	read := func() {
+		if err := tl.once(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	read()
+	log.put("left", "")
+	log.put("leaves", "server shop v1 draining")
+	log.put("started", "server shop v1 ready")
+	read()
+	log.restore(3)
+	read()
+	return p, tl, log, clock
+}
+
+func TestServersThatACopyLacksStayForAWhile(t *testing.T) {
+	p, tl, log, clock := restoredList(t)
+	if !p.list.has("started") || !p.list.has("stays") {
+		t.Fatalf("entries %v", p.list.entries)
+	}
+	log.put("started", "server shop v1 ready")
+	clock.pass(lapseGrace)
+	if err := tl.once(t.Context()); err != nil || !p.list.has("started") {
+		t.Errorf("%v; a server that wrote again is gone", err)
+	}
+	p, tl, _, clock = restoredList(t)
+	clock.pass(lapseGrace)
+	if err := tl.once(t.Context()); err != nil || p.list.has("started") {
+		t.Errorf("%v; a server that did not write again is still there", err)
+	}
+}
+
+func TestServersThatLeftDoNotComeBackWithACopy(t *testing.T) {
+	p, tl, log, clock := restoredList(t)
+	if p.list.has("left") {
+		t.Fatal("a server that had left is back")
+	}
+	if s := p.list.entries["leaves"]; !s.Draining {
+		t.Error("a server that is leaving is ready again")
+	}
+	log.put("left", "") // its silence was noticed
+	clock.pass(copyDoubt)
+	if err := tl.once(t.Context()); err != nil || p.list.has("left") {
+		t.Errorf("%v; it is back after all", err)
+	}
+}
+
+// TestServerThatWritesAgainIsBelieved holds for one that was taken for gone and lives, also where
+// its heartbeats are not passed on by the instance that reads the store.
+func TestServerThatWritesAgainIsBelieved(t *testing.T) {
+	p, tl, log, clock := restoredList(t)
+	log.put("left", "server shop v1 ready")
+	if err := tl.once(t.Context()); err != nil || !p.list.has("left") {
+		t.Errorf("%v; a server that wrote again is missing", err)
+	}
+	p, tl, _, clock = restoredList(t)
+	clock.pass(copyDoubt - time.Millisecond)
+	if err := tl.once(t.Context()); err != nil || p.list.has("left") {
+		t.Errorf("%v; believed too soon", err)
+	}
+	clock.pass(time.Millisecond)
+	if err := tl.once(t.Context()); err != nil || !p.list.has("left") {
+		t.Errorf("%v; an entry that still stands is not believed", err)
+	}
+}
