Reads of a restored store confirm the configuration only once the operator had time to write again

Callers: after the store came back from a copy, each read of it confirmed what was in force, also where a later configuration had taken a key away, was acknowledged and lost: the key was accepted for longer than its bound. Versions never went back before, and do not now.

Now reads confirm nothing until a configuration was written since the restore, or a quarter of the revocation bound has passed; and not before the store has the version that is known here. Meanwhile the configuration ages as in an outage: the instance leaves the rotation, then refuses requests with keys, as not run. Ruled out: confirming at once where the copy has the version known here (a later one may be lost with it, and nobody can tell); never confirming before the operator writes (it need not, where the copy lacks nothing).

Without it, TestReadsOfACopyDoNotConfirmAConfigurationThatItLacks and TestReadsOfACopyConfirmAfterAWhile fail.

--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -163,6 +163,7 @@
 func startTails(lc fx.Lifecycle, p Platform, cfg seam.Settings, sh *sharing, k *Knowledge, d *Driver, l *list, m *rollouts, b *board, j *journal, c Clock, st *starting) {
 	op := &operator{
 		records: p.Records, known: k, driver: d, rollouts: m, journal: j, starting: st,
+		trust:   &configTrust{clock: c, bound: k.Bound},
 		drained: map[string]bool{}, domains: cfg.Zones,
 		collects: sh.server.Collects, direct: sh.operator.Direct,
 	}
--- /dev/null
+++ b/router/internal/passthrough/config_restore_test.go
@@ -0,0 +1,102 @@
+package passthrough
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// restoredConfig is an instance that knows configuration 9, whose store came back with version 5, or
+// with 9 too.
+func restoredConfig(t *testing.T, lost bool) (*parts, *tail, *fakeLog, *fakeClock) {
+	t.Helper()
+	clock, log := newFakeClock(), &fakeLog{era: 1}
+	p := newParts("a", clock, &fakeLog{}, &fakeLog{})
+	tl := p.operator.tail(log, clock)
+	log.put("config", "config 5")
+	log.put("config", "config 9")
+	read(t, tl)
+	clock.pass(time.Second)
+	if lost {
+		log.restore(1)
+	} else {
+		log.restore(2)
+	}
+	read(t, tl)
+	return p, tl, log, clock
+}
+
+func read(t *testing.T, tl *tail) {
+	t.Helper()
+	if err := tl.once(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestReadsOfACopyDoNotConfirmAConfigurationThatItLacks holds that an instance which knows more than
+// the store leaves the rotation, then refuses keys, and is back once the operator wrote again.
+func TestReadsOfACopyDoNotConfirmAConfigurationThatItLacks(t *testing.T) {
+	p, tl, log, clock := restoredConfig(t, true)
+	if v := p.known.Index().Version; v != 9 {
+		t.Fatalf("version %d is in force", v)
+	}
+	for range 4 {
+		clock.pass(time.Second)
+		read(t, tl)
+	}
+	if p.known.Ready() || p.known.Fresh() {
+		t.Errorf("5 s after the last word on it: ready %v, fresh %v", p.known.Ready(), p.known.Fresh())
+	}
+	log.put("config", "config 9")
+	read(t, tl)
+	if !p.known.Ready() || p.known.Index().Version != 9 {
+		t.Errorf("after it was written again: ready %v, version %d", p.known.Ready(), p.known.Index().Version)
+	}
+}
+
+// TestReadsOfACopyConfirmAfterAWhile holds that a configuration which the copy has is in doubt only
+// until the operator had time to write a newer one again, and that no instance leaves the rotation
+// for it.
+func TestReadsOfACopyConfirmAfterAWhile(t *testing.T) {
+	p, tl, _, clock := restoredConfig(t, false)
+	before := p.known.Age()
+	clock.pass(time.Second)
+	read(t, tl)
+	if got := p.known.Age(); got != before+time.Second {
+		t.Errorf("a read of the copy confirmed it: age %v, was %v", got, before)
+	}
+	clock.pass(part(settlePart, 5*time.Second) - time.Second)
+	if !p.known.Ready() {
+		t.Errorf("not ready at age %v", p.known.Age())
+	}
+	read(t, tl)
+	if p.known.Age() != 0 {
+		t.Errorf("age %v though the operator had time to write again", p.known.Age())
+	}
+}
+
+// TestKeyRevokedBeforeARestoreStaysRevoked plays restores at any distance after a configuration that
+// took a key away, which is written again later: no version ever goes back.
+func TestKeyRevokedBeforeARestoreStaysRevoked(t *testing.T) {
+	for keep := 1; keep <= 4; keep++ {
+		clock, log := newFakeClock(), &fakeLog{era: 1}
+		p := newParts("a", clock, &fakeLog{}, &fakeLog{})
+		tl := p.operator.tail(log, clock)
+		for v := 1; v <= 4; v++ {
+			log.put("config", fmt.Sprint("config ", v))
+			read(t, tl)
+		}
+		log.restore(keep)
+		read(t, tl)
+		log.put("config", fmt.Sprint("config ", keep)) // an earlier one comes first
+		read(t, tl)
+		if v := p.known.Index().Version; v != 4 {
+			t.Errorf("%d kept: version %d is in force", keep, v)
+		}
+		log.put("config", "config 4")
+		read(t, tl)
+		if p.known.Age() != 0 {
+			t.Errorf("%d kept: not confirmed after it was written again", keep)
+		}
+	}
+}
--- a/router/internal/passthrough/operator.go
+++ b/router/internal/passthrough/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"strconv"
 	"time"
 
 	"masticplank.example/coordination/keyedlog"
@@ -18,6 +19,8 @@
 	rollouts *rollouts
 	journal  *journal
 	starting *starting
+	// trust says whether reads confirm the configuration.
+	trust *configTrust
 	// drained are the failure domains that get no new work, domains all that there are.
 	drained map[string]bool
 	domains []string
@@ -54,10 +57,13 @@
 func (o *operator) tail(log keyedlog.Log, clock Clock) *tail {
 	return &tail{
 		name: topicOperator, log: log, clock: clock, journal: o.journal, wait: o.wait,
-		whole: o.takeAll,
-		each:  o.take,
+		whole:    o.takeAll,
+		each:     o.take,
+		restored: o.restored,
 		read: func(began time.Time, _ int) {
-			o.known.Confirm(began)
+			if o.trust.confirms() {
+				o.known.Confirm(began)
+			}
 			if o.known.Index() != nil {
 				o.starting.has(learntConfig)
 			}
@@ -72,14 +78,23 @@
 	for _, config := range []bool{false, true} {
 		for _, r := range list {
 			if _, ok, _ := o.records.Config(r); ok == config {
-				o.take(r)
+				o.takeRecord(r, false)
 			}
 		}
 	}
 }
 
-// take applies one record. One that cannot be read changes nothing.
-func (o *operator) take(r keyedlog.Record) {
+// restored notes that the store came back from a copy.
+func (o *operator) restored() {
+	o.trust.restored()
+}
+
+// take applies one record that was written since the last read.
+func (o *operator) take(r keyedlog.Record) { o.takeRecord(r, true) }
+
+// takeRecord applies one record; written says that it is a new one, not one of the newest of each
+// key. One that cannot be read changes nothing.
+func (o *operator) takeRecord(r keyedlog.Record, written bool) {
 	if domain, ok := o.records.DrainedDomain(r); ok {
 		o.drain(domain, len(r.Value) > 0, r.Offset)
 		return
@@ -88,7 +103,7 @@
 		return
 	}
 	if c, ok, err := o.records.Config(r); ok || err != nil {
-		o.apply(c, r, err)
+		o.apply(c, r, written, err)
 		return
 	}
 	order, ok, err := o.records.Order(r)
@@ -101,13 +116,17 @@
 	}
 }
 
-func (o *operator) apply(c passthrough.Config, r keyedlog.Record, err error) {
+func (o *operator) apply(c passthrough.Config, r keyedlog.Record, written bool, err error) {
 	if err != nil {
 		o.reject(r, err)
 		return
 	}
+	o.trust.saw(c.Version, written)
 	index, applied := o.known.Apply(c)
 	if !applied {
+		if c.Version < index.Version {
+			o.journal.beliefKept("configuration", strconv.FormatUint(index.Version, 10), "the store has an earlier one")
+		}
 		return
 	}
 	o.driver.Tell(passthrough.Configured{Index: index})
