A drained failure domain stays drained where a restored store lacks the order

Callers and operators: an order to drain that was acknowledged and is not in the copy counted as taken back, so that all instances sent to a failure domain that was about to be shut down, until the operator wrote the order again. Now the domain stays drained for 5 s beyond the restore, by which time the order is written again, or else it was taken back. A copy's order that was taken back since counts until that is written again: drained for some seconds more does no harm.

Without it TestDrainOrderOutlivesARestore fails.

--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -164,7 +164,7 @@
 	op := &operator{
 		records: p.Records, known: k, driver: d, rollouts: m, journal: j, starting: st,
 		trust:   &configTrust{clock: c, bound: k.Bound},
-		drained: map[string]bool{}, domains: cfg.Zones,
+		drained: map[string]bool{}, ordered: map[string]bool{}, kept: map[string]bool{}, domains: cfg.Zones,
 		collects: sh.server.Collects, direct: sh.operator.Direct,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/router/internal/passthrough/draining.go
+++ b/router/internal/passthrough/draining.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"time"
 
 	"masticplank.example/coordination/keyedlog"
 	"masticplank.example/decision/passthrough"
@@ -18,6 +19,7 @@
 	}
 	event := logging.EventDomainBack
 	delete(o.drained, domain)
+	delete(o.kept, domain)
 	if drained {
 		event = logging.EventDomainDrained
 		o.drained[domain] = true
@@ -28,17 +30,37 @@
 		slog.Bool("known", slices.Contains(o.domains, domain)))
 }
 
+// drainKept is how long a failure domain stays drained whose order a restored store lacks: the
+// operator writes it again, unless the domain was taken back meanwhile.
+const drainKept = 5 * time.Second
+
 // takeDrained applies the newest orders to drain: a failure domain that is not among them was
-// taken back meanwhile.
+// taken back meanwhile, or its order is lost with a restored store.
+//
+// Load: an order to drain that was acknowledged and is not in the copy. Harm prevented: all
+// instances sending to a failure domain that is about to lose power.
 func (o *operator) takeDrained(list []keyedlog.Record) {
-	ordered := map[string]bool{}
+	clear(o.ordered)
 	for _, r := range list {
 		if domain, ok := o.records.DrainedDomain(r); ok && len(r.Value) > 0 {
-			ordered[domain] = true
+			o.ordered[domain] = true
 		}
 	}
-	for domain := range maps.Clone(o.drained) {
-		if !ordered[domain] {
+	o.settleDrained()
+}
+
+// settleDrained takes back the failure domains that the store has no order for, unless they are
+// kept.
+func (o *operator) settleDrained() {
+	for _, domain := range slices.Sorted(maps.Keys(o.drained)) {
+		switch {
+		case o.ordered[domain]:
+		case o.trust.clock.Now().Before(o.keepUntil):
+			if !o.kept[domain] {
+				o.kept[domain] = true
+				o.journal.beliefKept("drained", domain, "the store has no order for it")
+			}
+		default:
 			const unknownOffset = 0 // the record that took it back is not kept
 			o.drain(domain, false, unknownOffset)
 		}
--- a/router/internal/passthrough/draining_test.go
+++ b/router/internal/passthrough/draining_test.go
@@ -71,3 +71,42 @@
 	}
 	return s.fakeRecords.DrainedDomain(r)
 }
+
+// TestDrainOrderOutlivesARestore holds that a failure domain stays drained where a copy of the store
+// lacks the order, until the operator had time to write it again; a copy's order that was taken back
+// counts until that is written again.
+func TestDrainOrderOutlivesARestore(t *testing.T) {
+	clock, log := newFakeClock(), &fakeLog{era: 1}
+	p := newParts("a", clock, &fakeLog{}, &fakeLog{})
+	tl := p.operator.tail(log, clock)
+	drained := func(want ...string) {
+		t.Helper()
+		read(t, tl)
+		if len(p.operator.drained) != len(want) || len(want) > 0 && !p.operator.drained[want[0]] {
+			t.Errorf("drained %v, want %v", p.operator.drained, want)
+		}
+	}
+	log.put("config", "config 1")
+	drained()
+	log.put("drain/a", "{}")
+	drained("a")
+	log.restore(1)
+	drained("a")
+	clock.pass(drainKept / 2)
+	log.put("drain/a", "{}")
+	drained("a")
+	clock.pass(drainKept)
+	drained("a")
+	log.put("drain/a", "")
+	drained()
+	log.restore(2)
+	drained("a")
+	log.put("drain/a", "")
+	drained()
+	log.restore(2)
+	drained("a")
+	log.restore(1)
+	drained("a")
+	clock.pass(drainKept) // it was taken back while the store was away
+	drained()
+}
--- a/router/internal/passthrough/operator.go
+++ b/router/internal/passthrough/operator.go
@@ -21,8 +21,13 @@
 	starting *starting
 	// trust says whether reads confirm the configuration.
 	trust *configTrust
-	// drained are the failure domains that get no new work, domains all that there are.
-	drained map[string]bool
+	// drained are the failure domains that get no new work, domains all that there are. ordered
+	// are those that the store has orders for; others among drained are kept until keepUntil.
+	drained   map[string]bool
+	ordered   map[string]bool
+	keepUntil time.Time
+	// kept are those of which the log was told that they are kept.
+	kept    map[string]bool
 	domains []string
 	// collects says whether others read from this instance, direct whether it reads from
 	// the store itself.
@@ -61,6 +66,7 @@
 		each:     o.take,
 		restored: o.restored,
 		read: func(began time.Time, _ int) {
+			o.settleDrained()
 			if o.trust.confirms() {
 				o.known.Confirm(began)
 			}
@@ -87,6 +93,7 @@
 // restored notes that the store came back from a copy.
 func (o *operator) restored() {
 	o.trust.restored()
+	o.keepUntil = o.trust.clock.Now().Add(drainKept)
 }
 
 // take applies one record that was written since the last read.
@@ -96,7 +103,8 @@
 // key. One that cannot be read changes nothing.
 func (o *operator) takeRecord(r keyedlog.Record, written bool) {
 	if domain, ok := o.records.DrainedDomain(r); ok {
-		o.drain(domain, len(r.Value) > 0, r.Offset)
+		o.ordered[domain] = len(r.Value) > 0
+		o.drain(domain, o.ordered[domain], r.Offset)
 		return
 	}
 	if len(r.Value) == 0 {
