A roll-out outlives a restore of the store: its order, its evidence and its end

Callers: after a restore, an order that the operator wrote again at another offset began anew, with a full share for a version of which much was seen; an end that the copy lacked was missing for whoever started later; older sheets of the copy replaced what was known of the others' answers.

Now an order that equals the known one within 10 s of a restore is that one: its time runs on and its sheets count under the new offset, one for each process. Counts of a process only grow, so a sheet with fewer answers is one of a copy. Ruled out: the order's content alone as its identity (an operator may order a target again later).

--- a/router/internal/passthrough/gossip.go
+++ b/router/internal/passthrough/gossip.go
@@ -17,7 +17,7 @@
 		name: topicObservations, log: b.log, clock: clock, journal: b.journal, retry: retryRare,
 		each: b.take,
 		read: func(began time.Time, _ int) { b.sound(began) },
-		back: b.regained,
+		back: b.regained, restored: b.restored,
 	}
 	t.whole = b.takeAll
 	t.wait = func() time.Duration {
@@ -103,6 +103,9 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if known, ok := b.others[r.Key]; ok && known.answers() > s.answers() {
+		return // it is one of a copy of the store
+	}
 	s.readAt = b.clock.Now()
 	b.others[r.Key] = s
 }
--- a/router/internal/passthrough/operator.go
+++ b/router/internal/passthrough/operator.go
@@ -93,6 +93,7 @@
 // restored notes that the store came back from a copy.
 func (o *operator) restored() {
 	o.trust.restored()
+	o.rollouts.restored()
 	o.keepUntil = o.trust.clock.Now().Add(drainKept)
 }
 
--- a/router/internal/passthrough/register.go
+++ b/router/internal/passthrough/register.go
@@ -33,6 +33,7 @@
 		pause: func() time.Duration { return retryMost },
 		each:  m.read,
 	}
+	t.restored = m.restored
 	t.whole = func(list []keyedlog.Record) {
 		for _, rec := range list {
 			m.read(rec)
@@ -58,12 +59,22 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.status[service] = state{target, phase}
+	if !m.olderState(service, target, phase) {
+		m.status[service] = state{target, phase}
+	}
 	if r := m.open[service]; r != nil && r.Target == target {
 		m.takeState(r, phase)
 	}
 }
 
+// olderState says whether a state is one of before the end that is known, as a copy of the store has
+// it. The lock is held.
+func (m *rollouts) olderState(service, target string, phase passthrough.Phase) bool {
+	known := m.status[service]
+	lately := !m.restoredAt.IsZero() && m.clock.Now().Sub(m.restoredAt) < writtenAgainFor
+	return lately && known.target == target && known.phase.Ended() && !phase.Ended()
+}
+
 // takeState notes what the register holds of a roll-out.
 func (m *rollouts) takeState(r *rollout, phase passthrough.Phase) {
 	r.announced = true
--- a/router/internal/passthrough/rollouts.go
+++ b/router/internal/passthrough/rollouts.go
@@ -34,12 +34,18 @@
 	status map[string]state
 	known  bool
 	wake   chan struct{}
+	// restoredAt is when the store came back from a copy last.
+	restoredAt time.Time
 }
 
 // rollout is one order with what this instance knows of it.
 type rollout struct {
 	passthrough.Order
 	offset uint64
+	// earlier are the offsets of the order before it was written again.
+	earlier []uint64
+	// rewriteUntil is until when an end that the store lacks is written again; zero for never.
+	rewriteUntil time.Time
 	// since is the time of the order, as far as known.
 	since time.Time
 	plan  passthrough.Rollout
@@ -72,7 +78,7 @@
 func (m *rollouts) ordered(o passthrough.Order, offset uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if old := m.open[o.Service]; old != nil && old.Order == o && old.offset == offset {
+	if old := m.open[o.Service]; old != nil && (old.Order == o && old.offset == offset || m.writtenAgain(old, o, offset)) {
 		return
 	}
 	r := &rollout{Order: o, offset: offset, since: m.clock.Now()}
@@ -86,6 +92,11 @@
 	m.driver.Tell(passthrough.RolloutSet{Rollout: r.plan})
 	m.journal.emit(logging.EventRolloutOrdered, slog.String("service", o.Service),
 		slog.String("target", o.Target), slog.Int64("duration_ms", o.Duration.Milliseconds()), slog.Uint64("offset", offset))
+	m.rouse()
+}
+
+// rouse has the roll-outs looked at now.
+func (m *rollouts) rouse() {
 	select {
 	case m.wake <- struct{}{}:
 	default:
@@ -98,21 +109,29 @@
 // run looks at the open roll-outs until ctx ends; without any it sleeps.
 func (m *rollouts) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		open := m.snapshot()
-		if len(open) == 0 {
+		if !m.look(ctx) {
 			select {
 			case <-m.wake:
 			case <-ctx.Done():
 			}
 			continue
 		}
-		for _, r := range open {
-			m.advance(ctx, r)
-		}
 		sleep(ctx, rolloutEvery, nil)
 	}
 }
 
+// look advances the open roll-outs and writes lost ends again. It says whether there were any.
+func (m *rollouts) look(ctx context.Context) bool {
+	open, lost := m.snapshot(), m.toRewrite()
+	for _, r := range open {
+		m.advance(ctx, r)
+	}
+	for _, r := range lost {
+		m.rewrite(ctx, r)
+	}
+	return len(open)+len(lost) > 0
+}
+
 // snapshot copies the open roll-outs.
 func (m *rollouts) snapshot() []*rollout {
 	m.mu.Lock()
--- /dev/null
+++ b/router/internal/passthrough/rollouts_restore.go
@@ -0,0 +1,183 @@
+package passthrough
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"masticplank.example/coordination/keyedlog"
+	"masticplank.example/decision/passthrough"
+	"masticplank.example/router/internal/logging"
+)
+
+const (
+	// writtenAgainFor is how long after a restore of the store an order that equals the one known
+	// here is that one, which the operator wrote again.
+	writtenAgainFor = 10 * time.Second
+	// rewriteFor is how long after a restore an end that the store lacks is written again.
+	rewriteFor = 30 * time.Second
+)
+
+// restored notes that the store came back from a copy: ends that this instance knows may have to be
+// written again, and that roll-outs are in progress.
+func (m *rollouts) restored() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	m.restoredAt = now
+	for _, r := range m.open {
+		r.announced = r.known().Ended()
+		if r.announced {
+			r.rewriteUntil = now.Add(rewriteFor)
+		}
+	}
+	m.rouse()
+}
+
+// known is the end that this instance knows, 0 for none. The lock is held.
+func (r *rollout) known() passthrough.Phase {
+	if r.told.Ended() {
+		return r.told
+	}
+	return r.ended
+}
+
+// writtenAgain says whether the order, at another offset, is the one that is known here, and then
+// takes over the offset. The lock is held.
+//
+// Load: a store that comes back from a copy in the middle of a roll-out. Harm prevented: a roll-out
+// that begins anew, with a full share for a version of which much was seen.
+func (m *rollouts) writtenAgain(r *rollout, o passthrough.Order, offset uint64) bool {
+	lately := !m.restoredAt.IsZero() && m.clock.Now().Sub(m.restoredAt) < writtenAgainFor
+	if r.Order != o || !lately {
+		return false
+	}
+	r.earlier = append(r.earlier, r.offset)
+	r.offset = offset
+	m.board.reorder(o.Service, offset)
+	m.journal.beliefKept("rollout", o.Service, "its order was written again")
+	return true
+}
+
+// toRewrite are the roll-outs whose end may have to be written again.
+func (m *rollouts) toRewrite() []*rollout {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []*rollout
+	for _, r := range m.open {
+		if m.clock.Now().Before(r.rewriteUntil) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// rewrite writes the end of a roll-out again where the store lacks it. An end that another instance
+// wrote meanwhile is left, as in register.
+func (m *rollouts) rewrite(ctx context.Context, r *rollout) {
+	if !m.writes() {
+		return
+	}
+	snap, err := m.topic.Newest(ctx)
+	if err != nil {
+		return // it is tried again at the next look
+	}
+	m.mu.Lock()
+	phase := r.known()
+	m.mu.Unlock()
+	for _, rec := range snap.Records {
+		service, target, stored, ok, err := m.records.Status(rec)
+		if err != nil || !ok || service != r.Service || target != r.Target || !stored.Ended() {
+			continue
+		}
+		if stored != phase {
+			m.journal.emit(logging.EventRolloutUnwritten, slog.String("service", r.Service), slog.String(logging.KeyError, "the store holds another end"))
+		}
+		m.rewritten(r)
+		return
+	}
+	rec, err := m.records.StatusRecord(r.Service, r.Target, phase)
+	if err == nil {
+		err = m.topic.Append(ctx, snap.Next, rec)
+	}
+	switch {
+	case err == nil:
+		m.rewritten(r)
+		m.journal.beliefKept("rollout_end", r.Service, "the store lacked it and has it again")
+	case !errors.Is(err, keyedlog.ErrMoved):
+		m.journal.emit(logging.EventRolloutUnwritten, slog.String("service", r.Service), slog.String(logging.KeyError, err.Error()))
+	}
+}
+
+func (m *rollouts) rewritten(r *rollout) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r.rewriteUntil = time.Time{}
+}
+
+// reorder has the own sheet count for the offset at which the order stands now.
+func (b *board) reorder(service string, offset uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.own[service]
+	if s == nil {
+		return
+	}
+	b.drops[s.key()] = b.clock.Now().Add(noteLife)
+	s.Order = offset
+	s.dirty = true
+}
+
+// restored has this instance write its sheets again: a copy of the store lacks some.
+func (b *board) restored() {
+	b.redo()
+	b.nudge()
+}
+
+// answers is the number of answers that a sheet counts. A process's counts only grow.
+func (s *sheet) answers() int {
+	n := 0
+	for _, row := range s.Routes {
+		n += row.New.Good + row.New.Bad + row.Old.Good + row.Old.Bad
+	}
+	return n
+}
+
+// hasSheet says whether a sheet is one of the roll-out.
+func (r *rollout) hasSheet(s *sheet) bool {
+	if s.Service != r.Service || s.Target != r.Target {
+		return false
+	}
+	if s.Order == r.offset {
+		return true
+	}
+	for _, offset := range r.earlier {
+		if s.Order == offset {
+			return true
+		}
+	}
+	return false
+}
+
+// latest are the sheets of other processes on a roll-out: one of each process, which writes under
+// another key once an order is written again. The lock is held.
+func (b *board) latest(r *rollout) map[processID]sheet {
+	out := map[processID]sheet{}
+	for _, s := range b.others {
+		id := processID{s.Instance, s.Life}
+		if !r.hasSheet(&s) || id == (processID{b.instance, b.life}) {
+			continue
+		}
+		if known, ok := out[id]; !ok || known.answers() < s.answers() {
+			out[id] = s
+		}
+	}
+	return out
+}
+
+// processID tells the processes of all instances apart.
+type processID struct {
+	instance string
+	life     uint64
+}
--- /dev/null
+++ b/router/internal/passthrough/rollouts_restore_test.go
@@ -0,0 +1,166 @@
+package passthrough
+
+import (
+	"testing"
+	"time"
+
+	"masticplank.example/coordination/keyedlog"
+	"masticplank.example/decision/passthrough"
+)
+
+const orderValue = "order shop v2 20"
+
+// restoredFleet is some instances in a roll-out, on logs that can come back from a copy.
+type restoredFleet struct {
+	t                              *testing.T
+	clock                          *fakeClock
+	operator, status, observations *fakeLog
+	all                            []*restoredInstance
+}
+
+type restoredInstance struct {
+	*parts
+	operatorTail, statusTail, boardTail *tail
+}
+
+func newRestoredFleet(t *testing.T, names ...string) *restoredFleet {
+	t.Helper()
+	f := &restoredFleet{t: t, clock: newFakeClock(), operator: &fakeLog{era: 1}, status: &fakeLog{era: 1}, observations: &fakeLog{era: 1}}
+	f.operator.put("config", "config 1")
+	for _, name := range names {
+		f.start(name)
+	}
+	f.step()
+	return f
+}
+
+func (f *restoredFleet) start(name string) *restoredInstance {
+	p := newParts(name, f.clock, f.status, f.observations)
+	p.listServers()
+	i := &restoredInstance{parts: p, operatorTail: p.operator.tail(f.operator, f.clock),
+		statusTail: p.rollouts.tail(f.status), boardTail: p.board.tail(f.clock, p.rollouts.active)}
+	f.all = append(f.all, i)
+	return i
+}
+
+// step has each instance read all topics, look at its roll-outs, and write what it has to tell.
+func (f *restoredFleet) step() {
+	f.t.Helper()
+	for _, i := range f.all {
+		for _, tl := range []*tail{i.operatorTail, i.statusTail, i.boardTail} {
+			read(f.t, tl)
+		}
+	}
+	for _, i := range f.all {
+		i.rollouts.look(f.t.Context())
+		if err := f.observations.Append(f.t.Context(), keyedlog.Anywhere, i.board.due()...); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+	f.clock.pass(400 * time.Millisecond)
+}
+
+// TestOrderWrittenAgainIsTheSameRollout holds that an order which comes at another offset after a
+// restore begins nothing anew: its time runs on, and what was seen counts, also for an instance that
+// knows the new offset alone.
+func TestOrderWrittenAgainIsTheSameRollout(t *testing.T) {
+	f := newRestoredFleet(t, "a", "b")
+	copied := len(f.operator.records)
+	f.operator.put("other", "x")
+	f.operator.put("order/shop", orderValue)
+	f.step()
+	f.all[0].see("v2", true, 1)
+	f.all[1].see("v2", true, 2)
+	for range 3 {
+		f.step()
+	}
+	r := f.all[0].rollouts.open["shop"]
+	since := r.since
+	f.operator.restore(copied)
+	f.status.restore(0)
+	f.observations.restore(0)
+	f.step()
+	f.operator.put("order/shop", orderValue)
+	for range 6 {
+		f.step()
+	}
+	f.start("c")
+	for range 3 {
+		f.step()
+	}
+	for _, i := range f.all {
+		if seen := i.board.view(i.rollouts.open["shop"], f.clock.Now()); seen.fresh.Bad != 3 {
+			t.Errorf("%s: %d bad answers are known, want 3", i.board.instance, seen.fresh.Bad)
+		}
+	}
+	if f.all[0].rollouts.open["shop"] != r || r.since != since {
+		t.Error("the roll-out began anew")
+	}
+	f.all[2].see("v2", true, 10)
+	for range 4 {
+		f.step()
+	}
+	for _, i := range f.all {
+		if got := i.rollouts.open["shop"].ended; got != passthrough.PhaseReverted {
+			t.Errorf("%s: ended as %v", i.board.instance, got)
+		}
+	}
+}
+
+// TestEndOfARolloutIsWrittenAgainOnce holds that an end which a restored store lacks is written again,
+// by one instance, and that no other end is.
+func TestEndOfARolloutIsWrittenAgainOnce(t *testing.T) {
+	f := newRestoredFleet(t, "a", "b", "c")
+	f.operator.put("order/shop", orderValue)
+	f.step()
+	copied := len(f.status.records)
+	f.all[0].see("v2", true, 20)
+	for range 8 {
+		f.step()
+	}
+	if got := ends(f.status); len(got) != 1 || got[0] != passthrough.PhaseReverted {
+		t.Fatalf("ends %v", got)
+	}
+	f.status.restore(copied)
+	f.operator.restore(len(f.operator.records))
+	f.observations.restore(0)
+	for range 8 {
+		f.step()
+	}
+	late := f.start("late")
+	for range 60 { // past the order's end
+		f.step()
+	}
+	if got := ends(f.status); len(got) != 1 || got[0] != passthrough.PhaseReverted {
+		t.Errorf("ends %v", got)
+	}
+	if got := late.rollouts.open["shop"].ended; got != passthrough.PhaseReverted {
+		t.Errorf("an instance that started after the restore has %v", got)
+	}
+}
+
+// TestCountsOfACopyDoNotReplaceLaterOnes holds that an instance knows no less of what the others saw
+// after a restore, before they write again.
+func TestCountsOfACopyDoNotReplaceLaterOnes(t *testing.T) {
+	f := newRestoredFleet(t, "a", "b")
+	f.operator.put("order/shop", orderValue)
+	f.step()
+	f.all[0].see("v2", true, 1)
+	f.step()
+	f.step()
+	copied := len(f.observations.records)
+	f.all[0].see("v2", true, 3)
+	f.step()
+	f.step()
+	f.observations.restore(copied)
+	read(t, f.all[1].boardTail)
+	if seen := f.all[1].board.view(f.all[1].rollouts.open["shop"], f.clock.Now()); seen.fresh.Bad != 4 {
+		t.Errorf("%d bad answers are known, want 4", seen.fresh.Bad)
+	}
+	f.step()
+	last := f.start("last")
+	f.step()
+	if seen := last.board.view(last.rollouts.open["shop"], f.clock.Now()); seen.fresh.Bad != 4 {
+		t.Errorf("an instance that started after the restore knows %d bad answers, want 4", seen.fresh.Bad)
+	}
+}
--- a/router/internal/passthrough/sheet.go
+++ b/router/internal/passthrough/sheet.go
@@ -78,10 +78,7 @@
 		}
 	}
 	add(own)
-	for _, s := range b.others {
-		if s.Service != r.Service || s.Target != r.Target || s.Order != r.offset || s.Instance == b.instance && s.Life == b.life {
-			continue
-		}
+	for _, s := range b.latest(r) {
 		add(&s)
 		out.elapsed = max(out.elapsed, time.Duration(s.ElapsedMS)*time.Millisecond+now.Sub(s.readAt))
 	}
