A restored store: instances are told again, and those that start beside it wait for the operator

An instance that a copy of the store lacks makes itself known at once, by its collector where it has one (one call a second for all followers); one that is in the copy does not. Members that the copy lacks stay members, as members are never dropped.

An instance that starts right after a restore reads the copy's configuration and knows no better. The others tell with their load reports which version the store lacks; while they do, an instance with an earlier one is not ready, and refuses requests with keys as not run.

--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -78,6 +78,7 @@
 			func(l *logging.Logger, c Clock, k *Knowledge, reg gometrics.Registry) *journal {
 				return &journal{log: l, clock: c, known: k, reg: reg}
 			},
+			func(c Clock, k *Knowledge) *configTrust { return &configTrust{clock: c, bound: k.Bound} },
 			newDialer, newStarting, provideSharing, provideDriver, provideBoard, provideList, provideRollouts, provideEdge, provideServer,
 		),
 		// The stop runs through these in reverse: the configuration must stay fresh until
@@ -106,14 +107,23 @@
 	return newSharing(cfg, p.Store, p.Records, j, c)
 }
 
-func provideBoard(cfg seam.Settings, sh *sharing, d *Driver, j *journal, c Clock) *board {
+func provideBoard(cfg seam.Settings, sh *sharing, d *Driver, k *Knowledge, trust *configTrust, j *journal, c Clock) *board {
 	b := newBoard(cfg.Instance, sh.observations, d, j, c)
 	b.held = func() []keyedlog.Record { return sh.take(topicObservations) }
 	b.fleet = sh.members.Count
 	sh.wake = b.nudge
 	sh.counted = func(n int) { d.Tell(passthrough.Fleet{Instances: n}) }
 	sh.neighbours = func(names []string) { d.Tell(passthrough.Neighbours{Self: cfg.Instance, Names: names}) }
-	sh.server.Loads = relay.NewLoads(sh.client, d.ownReport, d.takeReport)
+	own := func() relay.Report {
+		out := d.ownReport()
+		out.LostConfig = trust.lost()
+		return out
+	}
+	take := func(others relay.Report) {
+		d.takeReport(others)
+		k.TellLost(others.LostConfig)
+	}
+	sh.server.Loads = relay.NewLoads(sh.client, own, take)
 	sh.server.Loads.Unreadable = j.unreadableLoads
 	d.observe, d.crash, d.cooled, d.limited = b.observed, b.crashed, j.cooled, j.limitChanged
 	return b
@@ -160,10 +170,10 @@
 }
 
 // startTails follows the store's topics, and carries roll-outs out.
-func startTails(lc fx.Lifecycle, p Platform, cfg seam.Settings, sh *sharing, k *Knowledge, d *Driver, l *list, m *rollouts, b *board, j *journal, c Clock, st *starting) {
+func startTails(lc fx.Lifecycle, p Platform, cfg seam.Settings, sh *sharing, k *Knowledge, d *Driver, l *list, m *rollouts, b *board, trust *configTrust, j *journal, c Clock, st *starting) {
 	op := &operator{
 		records: p.Records, known: k, driver: d, rollouts: m, journal: j, starting: st,
-		trust:   &configTrust{clock: c, bound: k.Bound},
+		trust:   trust,
 		drained: map[string]bool{}, ordered: map[string]bool{}, kept: map[string]bool{}, domains: cfg.Zones,
 		collects: sh.server.Collects, direct: sh.operator.Direct,
 	}
--- a/router/internal/passthrough/config_restore_test.go
+++ b/router/internal/passthrough/config_restore_test.go
@@ -100,3 +100,24 @@
 		}
 	}
 }
+
+// TestInstanceThatStartsAfterARestoreWaitsForTheOperator holds that an instance which has the copy's
+// configuration alone serves no keys while others know a later one.
+func TestInstanceThatStartsAfterARestoreWaitsForTheOperator(t *testing.T) {
+	knows, _, log, clock := restoredConfig(t, true)
+	p := newParts("late", clock, &fakeLog{}, &fakeLog{})
+	tl := p.operator.tail(log, clock)
+	read(t, tl)
+	if !p.known.Fresh() {
+		t.Fatal("not fresh with what the store has")
+	}
+	p.known.TellLost(knows.operator.trust.lost())
+	if p.known.Fresh() || p.known.Ready() {
+		t.Error("fresh by a configuration that others know to be an old one")
+	}
+	log.put("config", "config 9")
+	read(t, tl)
+	if !p.known.Fresh() || p.known.Index().Version != 9 {
+		t.Error("not fresh by the one that was written again")
+	}
+}
--- a/router/internal/passthrough/knowledge.go
+++ b/router/internal/passthrough/knowledge.go
@@ -17,6 +17,9 @@
 	index atomic.Pointer[passthrough.Index]
 	// confirmed is the start of the last read that confirmed it, in Unix nanoseconds.
 	confirmed atomic.Int64
+	// lost is a version that another instance knows and the store lacks, told at lostAt.
+	lost   atomic.Uint64
+	lostAt atomic.Int64
 }
 
 // The parts of the revocation bound.
@@ -72,6 +75,30 @@
 	return k.clock.Now().Sub(time.Unix(0, at))
 }
 
+// lostLife is how long another instance's word counts that the store lacks a version: it is told
+// several times a second.
+const lostLife = 2 * time.Second
+
+// TellLost takes in the highest version that another instance knows and that the store lacks since
+// it came back from a copy; 0 for none.
+func (k *Knowledge) TellLost(version uint64) {
+	if version == 0 {
+		return
+	}
+	k.lost.Store(version)
+	k.lostAt.Store(k.clock.Now().UnixNano())
+}
+
+// isOutrun says whether another instance knows a later configuration, which the store has lost.
+//
+// Load: an instance that starts right after the store came back from a copy. Harm prevented: keys
+// that were taken away, accepted by the configuration of the copy.
+func (k *Knowledge) isOutrun() bool {
+	told := time.Unix(0, k.lostAt.Load())
+	index := k.index.Load()
+	return index != nil && index.Version < k.lost.Load() && k.clock.Now().Sub(told) < lostLife
+}
+
 // Fresh says whether keys may be used.
 func (k *Knowledge) Fresh() bool { return k.within(refusePart) }
 
@@ -79,5 +106,5 @@
 func (k *Knowledge) Ready() bool { return k.Index() != nil && k.within(unreadyPart) }
 
 func (k *Knowledge) within(part float64) bool {
-	return float64(k.Age()) < part*float64(k.bound.Load())
+	return !k.isOutrun() && float64(k.Age()) < part*float64(k.bound.Load())
 }
--- a/router/internal/passthrough/membership.go
+++ b/router/internal/passthrough/membership.go
@@ -176,6 +176,11 @@
 		pause: func() time.Duration { return time.Second },
 		each:  s.member,
 		whole: s.memberList,
+		restored: func() {
+			// A copy of the store may lack this instance: unless it shows there, it is told at once.
+			s.listed.Store(false)
+			s.enlisted = time.Time{}
+		},
 		read: func(time.Time, int) {
 			s.keepListed(ctx)
 			s.count()
--- a/router/internal/passthrough/sharing_test.go
+++ b/router/internal/passthrough/sharing_test.go
@@ -121,6 +121,29 @@
 	}
 }
 
+// TestInstanceThatACopyLacksIsToldAgain holds that a restored store has each instance soon, and that
+// one which is in the copy is not told again.
+func TestInstanceThatACopyLacksIsToldAgain(t *testing.T) {
+	st, clock := &fakeStore{}, newFakeClock()
+	own := st.domain("a")
+	own.era = 1
+	sh := startSharing(t, st, clock, "strong", 0.8)
+	tl := sh.tail(t.Context())
+	sh.join(t.Context(), false)
+	read(t, tl)
+	for _, keep := range []int{1, 0} {
+		before := own.appends
+		own.restore(keep)
+		read(t, tl)
+		if told := own.appends - before; told != 1-keep || len(own.records) != 1 {
+			t.Errorf("%d kept: told %d times, %d records", keep, told, len(own.records))
+		}
+	}
+	if sh.members.Count() == 0 || len(sh.members.Names()) != 1 {
+		t.Errorf("members %v", sh.members.Names())
+	}
+}
+
 // freePort is an address on loopback that nobody listens on.
 func freePort(t *testing.T) string {
 	t.Helper()
--- a/router/internal/relay/loads.go
+++ b/router/internal/relay/loads.go
@@ -14,6 +14,9 @@
 	Loads []passthrough.SharedLoad
 	// Limits are the rate limits that they were told by backend servers' answers.
 	Limits []passthrough.PeerLimit
+	// LostConfig is the highest version of the configuration that they know and that the store
+	// lacks since it came back from a copy; 0 for none.
+	LostConfig uint64
 	// Instances is how many they are.
 	Instances int
 }
@@ -105,7 +108,8 @@
 	asked := l.now()
 	mine := l.total(append(l.known("", false), l.self()))
 	params := loadsParams{
-		Name: l.client.members.self.Name, Rows: packLoads(mine.Loads), Limits: packLimits(mine.Limits), Instances: mine.Instances,
+		Name: l.client.members.self.Name, Rows: packLoads(mine.Loads), Limits: packLimits(mine.Limits),
+		LostConfig: mine.LostConfig, Instances: mine.Instances,
 	}
 	out, err := l.client.ask(ctx, to, methodLoads, params, loadsTimeout)
 	if err != nil {
@@ -119,6 +123,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	others.receivedAt = l.now()
+	others.LostConfig = out.LostConfig
 	l.above = others
 }
 
@@ -142,11 +147,12 @@
 	if err != nil {
 		return answer{}, err
 	}
+	in.LostConfig = p.LostConfig
 	l.mu.Lock()
 	l.below[p.Name] = in
 	l.mu.Unlock()
 	others := l.total(append(l.known(p.Name, true), l.self()))
-	return answer{Loads: packLoads(others.Loads), Limits: packLimits(others.Limits), Instances: others.Instances}, nil
+	return answer{Loads: packLoads(others.Loads), Limits: packLimits(others.Limits), LostConfig: others.LostConfig, Instances: others.Instances}, nil
 }
 
 // self is what this instance has.
@@ -182,6 +188,7 @@
 		loads = append(loads, r.Loads)
 		limits = append(limits, aged(r.Limits, now.Sub(r.at)))
 		out.Instances += r.Instances
+		out.LostConfig = max(out.LostConfig, r.LostConfig)
 	}
 	out.Loads = plus(loads...)
 	out.Limits = newest(limits...)
--- a/router/internal/relay/loads_test.go
+++ b/router/internal/relay/loads_test.go
@@ -54,8 +54,10 @@
 	// instances is how many those are that got is of.
 	instances int
 	// limits are what backend servers told this instance, othersLimits what they told others.
-	limits       []passthrough.PeerLimit
-	othersLimits []passthrough.PeerLimit
+	limits []passthrough.PeerLimit
+	// lost is the version of the configuration that the store lacks, as known here and elsewhere.
+	lost, othersLost uint64
+	othersLimits     []passthrough.PeerLimit
 }
 
 // startLoads starts instances of two failure domains; the first of all ranks first.
@@ -79,8 +81,8 @@
 		}
 		client := NewClient(known, time.Now)
 		n := &loadNode{}
-		n.loads = NewLoads(client, func() Report { return Report{Loads: n.own, Limits: n.limits, Instances: 1} }, func(others Report) {
-			n.got, n.instances, n.othersLimits = others.Loads, others.Instances, others.Limits
+		n.loads = NewLoads(client, func() Report { return Report{Loads: n.own, Limits: n.limits, LostConfig: n.lost, Instances: 1} }, func(others Report) {
+			n.got, n.instances, n.othersLimits, n.othersLost = others.Loads, others.Instances, others.Limits, others.LostConfig
 		})
 		srv := NewServer(time.Now, nil, nil, func() int { return len(names) })
 		srv.Loads = n.loads
@@ -162,6 +164,23 @@
 	}
 }
 
+// TestLostConfigurationReachesAll holds that all learn of the highest version that the store lacks.
+func TestLostConfigurationReachesAll(t *testing.T) {
+	names := []string{"a1", "a2", "b1", "b2"}
+	nodes := startLoads(t, names...)
+	nodes["a2"].lost, nodes["b2"].lost = 7, 9
+	for range 3 { // up and down again
+		for _, name := range names {
+			nodes[name].loads.once(t.Context())
+		}
+	}
+	for name, want := range map[string]uint64{"a1": 9, "a2": 9, "b1": 9, "b2": 7} {
+		if got := nodes[name].othersLost; got != want {
+			t.Errorf("%s learnt %d, want %d", name, got, want)
+		}
+	}
+}
+
 func TestLimitsArePackedAndUnpacked(t *testing.T) {
 	rows := []passthrough.PeerLimit{
 		{Key: 0, Age: 3 * time.Second}, {Key: 7, Limit: passthrough.RateLimit{Limited: true}},
--- a/router/internal/relay/messages.go
+++ b/router/internal/relay/messages.go
@@ -42,6 +42,8 @@
 	Rows []byte `json:"rows"`
 	// Limits are the rate limits that they were told.
 	Limits []byte `json:"limits,omitempty"`
+	// LostConfig is the version of the configuration that they know and that the store lacks.
+	LostConfig uint64 `json:"lost_config,omitempty"`
 	// Instances is how many they are.
 	Instances int `json:"instances"`
 }
@@ -60,9 +62,11 @@
 	TookUS int64 `json:"took_us"`
 	// Loads is what other instances have at the engines, as far as known, Instances how many
 	// they are.
-	Loads     []byte `json:"loads,omitempty"`
-	Limits    []byte `json:"limits,omitempty"`
-	Instances int    `json:"instances,omitempty"`
+	Loads  []byte `json:"loads,omitempty"`
+	Limits []byte `json:"limits,omitempty"`
+	// LostConfig is as in loadsParams.
+	LostConfig uint64 `json:"lost_config,omitempty"`
+	Instances  int    `json:"instances,omitempty"`
 	// Fleet is the number of instances of all failure domains.
 	Fleet int `json:"fleet,omitempty"`
 }
