Model check of restores: writes, restores, cuts, kills and starts in any order; two faults it found

Invariants: no key past its bound after its revocation was acknowledged, by an instance that read it or could be told; no version goes back; no server that was known to have left is used again; all that are not cut agree within 7.5 s after the last write.

It found: an instance that had been told that its configuration is an old one took it for fresh again 2 s after it was cut from the others (callers: a key past its bound); and an entry in doubt that was missing after a second restore was believed 5 s later (callers: a server that had left, at an address that may be another's).

Narrowed by a trace: an instance that reads for the first time between a restore and the operator's next write, with nobody to tell it, cannot know what was lost.

--- a/router/internal/passthrough/config_restore_test.go
+++ b/router/internal/passthrough/config_restore_test.go
@@ -121,3 +121,16 @@
 		t.Error("not fresh by the one that was written again")
 	}
 }
+
+// TestInstanceThatWasToldKeepsThatWhenItIsCut holds that a configuration which is known to be an old one
+// does not become fresh once nobody can tell that any more.
+func TestInstanceThatWasToldKeepsThatWhenItIsCut(t *testing.T) {
+	_, _, log, clock := restoredConfig(t, true)
+	p := newParts("late", clock, &fakeLog{}, &fakeLog{})
+	read(t, p.operator.tail(log, clock))
+	p.known.TellLost(9)
+	clock.pass(lostLife + time.Millisecond)
+	if p.known.Fresh() {
+		t.Error("fresh by a read of the copy")
+	}
+}
--- a/router/internal/passthrough/knowledge.go
+++ b/router/internal/passthrough/knowledge.go
@@ -61,6 +61,9 @@
 
 // Confirm notes that a read which began at the time showed what is known to be current.
 func (k *Knowledge) Confirm(began time.Time) {
+	if k.isOutrun() {
+		return
+	}
 	if at := began.UnixNano(); at > k.confirmed.Load() {
 		k.confirmed.Store(at)
 	}
@@ -80,13 +83,17 @@
 const lostLife = 2 * time.Second
 
 // TellLost takes in the highest version that another instance knows and that the store lacks since
-// it came back from a copy; 0 for none.
+// it came back from a copy; 0 for none. What this instance confirmed by the copy does not count then,
+// also once nobody can tell it any more.
 func (k *Knowledge) TellLost(version uint64) {
 	if version == 0 {
 		return
 	}
 	k.lost.Store(version)
 	k.lostAt.Store(k.clock.Now().UnixNano())
+	if k.isOutrun() {
+		k.confirmed.Store(0)
+	}
 }
 
 // isOutrun says whether another instance knows a later configuration, which the store has lost.
@@ -106,5 +113,5 @@
 func (k *Knowledge) Ready() bool { return k.Index() != nil && k.within(unreadyPart) }
 
 func (k *Knowledge) within(part float64) bool {
-	return !k.isOutrun() && float64(k.Age()) < part*float64(k.bound.Load())
+	return float64(k.Age()) < part*float64(k.bound.Load())
 }
--- a/router/internal/passthrough/list.go
+++ b/router/internal/passthrough/list.go
@@ -156,6 +156,11 @@
 			l.remove(id)
 		}
 	}
+	for id := range l.doubts {
+		if !seen[id] {
+			delete(l.doubts, id)
+		}
+	}
 	l.fromCopy = false
 }
 
--- a/router/internal/passthrough/list_restore_test.go
+++ b/router/internal/passthrough/list_restore_test.go
@@ -80,3 +80,19 @@
 		t.Errorf("%v; an entry that still stands is not believed", err)
 	}
 }
+
+// TestDoubtEndsWithItsEntry holds that an entry which is not believed yet, and is missing after a
+// second restore, is not believed later.
+func TestDoubtEndsWithItsEntry(t *testing.T) {
+	p, tl, log, clock := restoredList(t)
+	log.restore(0)
+	for range 2 {
+		if err := tl.once(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		clock.pass(copyDoubt)
+	}
+	if p.list.has("left") {
+		t.Error("a server that had left is back")
+	}
+}
--- /dev/null
+++ b/router/internal/passthrough/restore_model_test.go
@@ -0,0 +1,283 @@
+package passthrough
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// restoreModel is some instances before a store that comes back from copies of itself, with an
+// operator who writes again what was lost.
+type restoreModel struct {
+	t        *rapid.T
+	clock    *fakeClock
+	operator *fakeLog
+	servers  *fakeLog
+	all      []*modelInstance
+	// version is the last that the operator wrote, revokedAt when each version was acknowledged:
+	// each takes a key away.
+	version   int
+	revokedAt map[int]time.Time
+	// rewriteAt is when the operator writes again what the store lost, zero for nothing to write.
+	rewriteAt time.Time
+	// late says that this takes long.
+	late bool
+	// entriesAt is when the servers' entries are as they should be again.
+	entriesAt time.Time
+	// alive are the servers that write entries, gone those that have left.
+	alive map[string]bool
+	gone  map[string]bool
+}
+
+type modelInstance struct {
+	*parts
+	operatorTail, listTail *tail
+	cut                    bool
+	// highest is the highest version that was in force in this process; startedAt when it began to read.
+	highest   uint64
+	startedAt time.Time
+	// mayKnow is the highest version that it read, or could have been told of.
+	mayKnow int
+	// had are the servers that it knew, left those of them that it knows to have left.
+	had, left map[string]bool
+}
+
+// rewriteWithin is how long after a restore the operator has written again; within the time for
+// which reads of the copy confirm nothing.
+const rewriteWithin = time.Second
+
+// rewriteLate is the same where the operator takes long.
+const rewriteLate = 12 * time.Second
+
+func newRestoreModel(t *rapid.T) *restoreModel {
+	m := &restoreModel{t: t, clock: newFakeClock(), operator: &fakeLog{era: 1}, servers: &fakeLog{era: 1},
+		revokedAt: map[int]time.Time{}, alive: map[string]bool{}, gone: map[string]bool{}}
+	m.write(1)
+	for i := range 4 {
+		m.all = append(m.all, m.start(fmt.Sprint("i", i)))
+	}
+	return m
+}
+
+func (m *restoreModel) start(name string) *modelInstance {
+	p := newParts(name, m.clock, &fakeLog{}, &fakeLog{})
+	return &modelInstance{parts: p, operatorTail: p.operator.tail(m.operator, m.clock), listTail: p.list.tail(m.servers, m.clock), startedAt: m.clock.Now(), had: map[string]bool{}, left: map[string]bool{}}
+}
+
+func (m *restoreModel) write(version int) {
+	m.version = version
+	m.operator.put("config", fmt.Sprint("config ", version))
+	if m.revokedAt[version].IsZero() {
+		m.revokedAt[version] = m.clock.Now()
+	}
+}
+
+// pass lets time go by: all but those that are cut read, and tell each other what the store lost.
+func (m *restoreModel) pass(d time.Duration) {
+	m.clock.pass(d)
+	if !m.rewriteAt.IsZero() && !m.clock.Now().Before(m.rewriteAt) {
+		m.rewriteAt = time.Time{}
+		m.write(m.version)
+	}
+	if !m.entriesAt.IsZero() && !m.clock.Now().Before(m.entriesAt) {
+		m.entriesAt = time.Time{}
+		for id := range m.alive {
+			m.servers.put(id, "server shop v1 ready")
+		}
+		for id := range m.gone {
+			m.servers.put(id, "")
+		}
+	}
+	lost := uint64(0)
+	tellable := m.operatorSettled() || m.knowers() > 0
+	for _, i := range m.all {
+		if i.cut {
+			continue
+		}
+		if tellable {
+			i.mayKnow = m.version
+		}
+		if i.known.Index() == nil {
+			i.startedAt = m.clock.Now()
+		}
+		for _, tl := range []*tail{i.operatorTail, i.listTail} {
+			if err := tl.once(m.t.Context()); err != nil {
+				m.t.Fatal(err)
+			}
+		}
+		lost = max(lost, i.operator.trust.lost())
+	}
+	for _, i := range m.all {
+		if !i.cut {
+			i.known.TellLost(lost)
+		}
+	}
+}
+
+// check holds the invariants.
+func (m *restoreModel) check() {
+	now := m.clock.Now()
+	for n, i := range m.all {
+		index := i.known.Index()
+		if index == nil {
+			continue
+		}
+		if index.Version < i.highest {
+			m.t.Fatalf("instance %d went back from version %d to %d", n, i.highest, index.Version)
+		}
+		i.highest = index.Version
+		next, written := m.revokedAt[int(index.Version)+1]
+		late := written && now.Sub(next) > i.known.Bound()
+		// One that started since cannot know what the store lost until another one can tell it.
+		untold := i.startedAt.After(next) && i.mayKnow <= int(index.Version)
+		if late && i.known.Fresh() && !untold {
+			m.t.Fatalf("instance %d uses version %d, %v after %d was acknowledged", n, index.Version, now.Sub(next), index.Version+1)
+		}
+		for id := range m.gone {
+			if i.left[id] && i.list.has(id) {
+				m.t.Fatalf("instance %d uses server %s again, which had left", n, id)
+			}
+			i.left[id] = i.left[id] || i.had[id] && !i.list.has(id)
+			i.had[id] = i.had[id] || i.list.has(id)
+		}
+	}
+}
+
+// restore has the store come back from a copy, and the operator write again in time.
+func (m *restoreModel) restore(t *rapid.T, within time.Duration) {
+	m.operator.restore(rapid.IntRange(0, len(m.operator.records)).Draw(t, "records"))
+	m.servers.restore(rapid.IntRange(0, len(m.servers.records)).Draw(t, "entries"))
+	if m.entriesAt.IsZero() {
+		m.entriesAt = m.clock.Now().Add(span(t, int(rewriteWithin.Milliseconds())))
+	}
+	if m.operatorSettled() {
+		m.rewriteAt = m.clock.Now().Add(span(t, int(within.Milliseconds())))
+		m.late = within > rewriteWithin
+	}
+}
+
+// span draws a time up to so many milliseconds.
+func span(t *rapid.T, most int) time.Duration {
+	return time.Duration(rapid.IntRange(0, most).Draw(t, "ms")) * time.Millisecond
+}
+
+// knowers is how many instances know the operator's last version and can tell the others.
+func (m *restoreModel) knowers() int {
+	n := 0
+	for _, i := range m.all {
+		if m.knows(i) {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *restoreModel) knows(i *modelInstance) bool {
+	index := i.known.Index()
+	return !i.cut && index != nil && int(index.Version) == m.version
+}
+
+// maySpare says whether what the store lost is known without the instance: else nobody can know it
+// until the operator writes again, which takes long then.
+func (m *restoreModel) maySpare(i *modelInstance) bool {
+	return m.operatorSettled() || !m.late || !m.knows(i) || m.knowers() > 1
+}
+
+// operatorSettled says whether nothing is to be written again.
+func (m *restoreModel) operatorSettled() bool { return m.rewriteAt.IsZero() }
+
+// TestRestoresInAnyOrder plays random schedules of writes, restores, cuts, kills and starts: no key is
+// used past its bound, no version goes back, and all that are not cut agree soon after the end.
+func TestRestoresInAnyOrder(t *testing.T) {
+	const rounds = 40 // of 100 schedules, or as many as -rapid.checks says
+	for range rounds {
+		rapid.Check(t, playRestores)
+	}
+}
+
+func playRestores(t *rapid.T) {
+	m := newRestoreModel(t)
+	pick := func() *modelInstance { return m.all[rapid.IntRange(0, len(m.all)-1).Draw(t, "instance")] }
+	t.Repeat(map[string]func(*rapid.T){
+		"pass": func(t *rapid.T) {
+			m.pass(span(t, 700))
+		},
+		"wait": func(t *rapid.T) {
+			for range 4 {
+				m.pass(600 * time.Millisecond)
+				m.check()
+			}
+		},
+		"write": func(*rapid.T) {
+			if m.operatorSettled() {
+				m.write(m.version + 1)
+			}
+		},
+		"restore": func(t *rapid.T) { m.restore(t, rewriteWithin) },
+		"slow restore": func(t *rapid.T) {
+			if m.knowers() == len(m.all) {
+				m.restore(t, rewriteLate)
+			}
+		},
+		"miss": func(t *rapid.T) { // an instance that misses what the store loses then
+			i := pick()
+			if !m.operatorSettled() {
+				t.Skip("the operator has to write again")
+			}
+			i.cut = true
+			m.write(m.version + 1)
+			m.pass(span(t, 700))
+			m.restore(t, rewriteWithin)
+			i.cut = false
+			m.pass(span(t, 700))
+			i.cut = true
+		},
+		"cut": func(*rapid.T) {
+			i := pick()
+			if i.cut || m.maySpare(i) {
+				i.cut = !i.cut
+			}
+		},
+		"kill": func(t *rapid.T) {
+			n := rapid.IntRange(0, len(m.all)-1).Draw(t, "instance")
+			if m.maySpare(m.all[n]) {
+				m.all[n] = m.start(fmt.Sprint("i", n))
+			}
+		},
+		"server starts": func(*rapid.T) {
+			id := fmt.Sprint("s", len(m.alive)+len(m.gone))
+			m.alive[id] = true
+			m.servers.put(id, "server shop v1 ready")
+		},
+		"server leaves": func(*rapid.T) {
+			for id := range m.alive {
+				delete(m.alive, id)
+				m.gone[id] = true
+				m.servers.put(id, "")
+				return
+			}
+		},
+		"": func(*rapid.T) { m.check() },
+	})
+	for _, i := range m.all {
+		i.cut = false
+	}
+	for !m.operatorSettled() {
+		m.pass(250 * time.Millisecond)
+	}
+	for range 30 {
+		m.pass(250 * time.Millisecond)
+	}
+	for n, i := range m.all {
+		if !m.knows(i) || !i.known.Ready() {
+			t.Fatalf("instance %d: %+v of version %d, ready %v", n, i.known.Index(), m.version, i.known.Ready())
+		}
+		for id := range m.alive {
+			if !i.list.has(id) {
+				t.Fatalf("instance %d does not know server %s", n, id)
+			}
+		}
+	}
+}
