A fault that strikes the old version excuses a new one once, and a verdict is final

Now no more than the old version's part and 0.3 beside it; below a tenth of bad answers of the old version nothing changes.

Instances that had taken the version back let it in again a second later, as the old version's failures grew and the new one, which got nothing, could show no more. A verdict of an instance is final now; the end in the register holds as before.

--- a/decision/passthrough/evidence.go
+++ b/decision/passthrough/evidence.go
@@ -40,6 +40,9 @@
 // Evidence judges a roll-out by the sums of all instances, by route: since the order, and
 // lately, so that a version that turns bad late is not excused by its start.
 type Evidence struct {
+	// bad says that the version was found bad: it gets nothing from then on, so that nothing
+	// could clear it but failures of the old version.
+	bad bool
 	// past are the sums at earlier looks, oldest first.
 	past []pastSums
 }
@@ -55,11 +58,15 @@
 const recent = 5 * time.Second
 
 // Bad takes in the sums of now, which the caller must not change later, and says whether the
-// new version is bad, on some route or on all.
+// new version is bad, on some route or on all. That is final.
+//
+// Load: a fault that cuts off the old version's answers while a bad version is taken back. Harm
+// prevented: the bad one let in again, as the old one looks no better by then.
 func (e *Evidence) Bad(now time.Time, sums map[string]Pair) bool {
 	lately := e.lately(now, sums)
 	e.past = append(e.past, pastSums{now, sums})
-	return judgeRoutes(sums) || judgeRoutes(lately)
+	e.bad = e.bad || judgeRoutes(sums) || judgeRoutes(lately)
+	return e.bad
 }
 
 // lately is what came in the recent time.
--- a/decision/passthrough/rollout.go
+++ b/decision/passthrough/rollout.go
@@ -75,6 +75,9 @@
 	// and answers that get lost strike both.
 	badFloor  = 0.15
 	badFactor = 2.5
+	// badBeyond bounds that: what strikes a good part of the old version's answers strikes the
+	// new one's about as often, and must not excuse it twice over.
+	badBeyond = 0.3
 	// newAdded and oldAdded are the answers added to what was seen of each: an old version
 	// of which nothing was seen is taken for a good one.
 	newAdded = 1
@@ -111,7 +114,8 @@
 // more says whether the new version has more bad answers than it is allowed beside the old one,
 // and so many at least.
 func (p proportion) more(old proportion, least int) bool {
-	return p.bad >= least && p.share(newAdded) > badFloor+badFactor*old.share(oldAdded)
+	usual := old.share(oldAdded)
+	return p.bad >= least && p.share(newAdded) > min(badFloor+badFactor*usual, usual+badBeyond)
 }
 
 // share is the part of bad answers, with so many answers added, half a one of them bad, that a
--- a/decision/passthrough/rollout_test.go
+++ b/decision/passthrough/rollout_test.go
@@ -124,6 +124,28 @@
 	}
 }
 
+// TestVerdictOutlastsAFaultOfTheOldVersion holds that a version which was found bad is not let in again
+// since the old one's answers are cut off too: it gets nothing that could clear it.
+func TestVerdictOutlastsAFaultOfTheOldVersion(t *testing.T) {
+	var e Evidence
+	now := testStart
+	look := func(fresh, old Counts) bool {
+		now = now.Add(400 * time.Millisecond)
+		return e.Bad(now, map[string]Pair{"route": {New: fresh, Old: old}})
+	}
+	if look(Counts{Good: 20, Bad: 2}, Counts{Good: 800, Bad: 10}) {
+		t.Fatal("bad by two of 22 answers")
+	}
+	if !look(Counts{Good: 30, Bad: 30}, Counts{Good: 1000, Bad: 20}) {
+		t.Fatal("not bad by half of the answers")
+	}
+	for i := range 40 {
+		if !look(Counts{Good: 30, Bad: 30}, Counts{Good: 1000, Bad: 20 + 100*i}) {
+			t.Fatalf("let in again after %v", now.Sub(testStart))
+		}
+	}
+}
+
 // TestSilenceIsNoEvidenceOnAVersion holds that answers given up in an overload, which
 // strike every version, do not hide a bad one.
 func TestSilenceIsNoEvidenceOnAVersion(t *testing.T) {
