--- a/router/internal/relay/fixture_test.go
+++ b/router/internal/relay/fixture_test.go
@@ -17,10 +17,18 @@
 	mu      sync.Mutex
 	records []keyedlog.Record
 	reads   int
+	newest  int // reads of the newest records
 	err     error
 	era     uint64
 }
 
+// newestReads is how often the newest records were read.
+func (s *store) newestReads() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.newest
+}
+
 // end is where the topic ends. The lock is held.
 func (s *store) end() keyedlog.Position {
 	return keyedlog.Position{Era: s.era, Offset: uint64(len(s.records))}
@@ -51,6 +59,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
+	s.newest++
 	if s.err != nil {
 		return keyedlog.Snapshot{}, s.err
 	}
--- a/router/internal/relay/restore_test.go
+++ b/router/internal/relay/restore_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -90,3 +92,53 @@
 		t.Errorf("got %+v", s)
 	}
 }
+
+// TestRestoreReachesAllByTheirCollectors holds that all instances of a failure domain have the restored
+// state within two seconds, and that the store is read by those that did so before. It prints the
+// time and the reads.
+func TestRestoreReachesAllByTheirCollectors(t *testing.T) {
+	const (
+		entries   = 150
+		pause     = 100 * time.Millisecond
+		wait      = 350 * time.Millisecond
+		longest   = 2 * time.Second
+		mostReads = 4 // of the newest records
+	)
+	for _, count := range []int{8, 58, 300} {
+		st := &store{era: 1}
+		for i := range entries {
+			st.put(fmt.Sprint("server-", i), "an entry of a backend server")
+		}
+		all := startInstances(t, st, count, time.Hour)
+		places := make([]keyedlog.Position, count)
+		for i, in := range all {
+			places[i] = in.newest(t).Next
+		}
+		before := st.newestReads()
+		st.restore(entries / 2)
+		began := time.Now()
+		var done sync.WaitGroup
+		for i, in := range all {
+			done.Go(func() {
+				for time.Since(began) < 10*longest {
+					if _, err := in.log.Read(t.Context(), places[i], wait); errors.Is(err, keyedlog.ErrGone) {
+						if s, err := in.log.Newest(t.Context()); err == nil && s.Next.Era == 2 {
+							return
+						}
+					}
+					time.Sleep(pause)
+				}
+				t.Errorf("%d instances: one does not learn of the restore", count)
+			})
+		}
+		done.Wait()
+		took, reads := time.Since(began), st.newestReads()-before
+		t.Logf("%d instances: %v, %d reads of the store's newest records", count, took.Round(time.Millisecond), reads)
+		if took > longest || reads > mostReads {
+			t.Errorf("%d instances have the restored state after %v, by %d reads of the store", count, took, reads)
+		}
+		for _, in := range all {
+			in.stop()
+		}
+	}
+}
