The throttle, reported and peer loads by the field's names

faded is decayingCount, asks observeDemand, taken and away accepted and rejected, heard observeLoad; what a server states is its reported load, what the other instances have is a peer's.

--- a/decision/passthrough/bench_test.go
+++ b/decision/passthrough/bench_test.go
@@ -17,7 +17,7 @@
 			w.Tick(now, Configured{NewIndex(Config{Routes: []Route{*route}, Services: []Service{{Name: "llm", Slots: 16}}})},
 				Listed{servers("llm", count, 16)})
 			for _, s := range servers("llm", count, 16) {
-				w.Tick(now, Heard{Server: s.ID, Load: Load{Running: 6, Slots: 16}})
+				w.Tick(now, LoadReported{Server: s.ID, Load: Load{Running: 6, Slots: 16}})
 			}
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
--- a/decision/passthrough/cascade.go
+++ b/decision/passthrough/cascade.go
@@ -42,9 +42,9 @@
 	r.hasRead()
 	w.noteLimit(r.server, r.sent, e.Limit)
 	if e.HasLoad {
-		w.states(r.server, e.Load)
+		w.setReportedLoad(r.server, e.Load)
 	}
-	r.level = levelOf(r.server.told)
+	r.level = levelOf(r.server.reported)
 	w.free(r.service)
 }
 
--- a/decision/passthrough/cascade_test.go
+++ b/decision/passthrough/cascade_test.go
@@ -88,9 +88,9 @@
 	b.tell(Listed{servers("llm", 8, 8)})
 	b.fillBudget()
 	for _, s := range servers("llm", 8, 8)[1:] {
-		b.tell(Heard{Server: s.ID, Load: Load{Running: 3, Slots: 8}})
+		b.tell(LoadReported{Server: s.ID, Load: Load{Running: 3, Slots: 8}})
 	}
-	b.tell(Heard{Server: "llm-0", Load: Load{Running: 7, Slots: 8}})
+	b.tell(LoadReported{Server: "llm-0", Load: Load{Running: 7, Slots: 8}})
 	crowded := b.world.servers["llm-0"]
 	r := &request{Request: Request{Route: streamRoute(), Deadline: b.now.Add(time.Second)}, service: crowded.service, server: crowded}
 	b.world.requests[0] = r
--- a/decision/passthrough/ended.go
+++ b/decision/passthrough/ended.go
@@ -55,7 +55,7 @@
 		w.emit(Suspect{Server: s.ID})
 	}
 	if !r.service.engine {
-		r.service.throttle.ended(e, w.now)
+		r.service.throttle.observeEnd(e, w.now)
 	}
 	if e.Result == Rejected {
 		s.shutUntil = w.now.Add(refusedFor)
--- a/decision/passthrough/engine_test.go
+++ b/decision/passthrough/engine_test.go
@@ -165,21 +165,21 @@
 		return
 	}
 	s.shared = s.now
-	own := make([][]SharedLoad, len(s.benches))
+	own := make([][]PeerLoad, len(s.benches))
 	for i, b := range s.benches {
 		own[i] = b.world.OwnLoads()
 	}
 	for i, b := range s.benches {
-		sums := map[uint32]SharedLoad{}
+		sums := map[uint32]PeerLoad{}
 		for j, rows := range own {
 			for _, row := range rows {
 				if j != i {
 					sum := sums[row.Key]
-					sums[row.Key] = SharedLoad{Key: row.Key, Requests: sum.Requests + row.Requests, Reading: sum.Reading + row.Reading}
+					sums[row.Key] = PeerLoad{Key: row.Key, Requests: sum.Requests + row.Requests, Reading: sum.Reading + row.Reading}
 				}
 			}
 		}
-		b.tell(OthersLoads{Loads: slices.Collect(maps.Values(sums)), Instances: len(s.benches) - 1})
+		b.tell(PeerLoads{Loads: slices.Collect(maps.Values(sums)), Instances: len(s.benches) - 1})
 		s.follow(b)
 	}
 }
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -43,8 +43,8 @@
 // Waited says that a request has waited in the queue for as long as MaxWait allows.
 type Waited struct{ Request RequestID }
 
-// Heard is a backend server's word on its load.
-type Heard struct {
+// LoadReported is the load that a backend server reports.
+type LoadReported struct {
 	Server string
 	Load   Load
 }
@@ -89,23 +89,23 @@
 	Names []string
 }
 
-// OthersLoads is what so many other instances have at the engines.
-type OthersLoads struct {
-	Loads     []SharedLoad
+// PeerLoads is what so many other instances have at the engines.
+type PeerLoads struct {
+	Loads     []PeerLoad
 	Instances int
 }
 
 // PeerLimit is what a server's answer to another instance stated of its rate limit.
 type PeerLimit struct {
-	// Key stands for the server, as in SharedLoad.
+	// Key stands for the server, as in PeerLoad.
 	Key   uint32
 	Limit RateLimit
 	// Age is how long ago that was.
 	Age time.Duration
 }
 
-// OthersLimits is what other instances were told of servers' rate limits.
-type OthersLimits struct{ Limits []PeerLimit }
+// PeerLimits is what other instances were told of servers' rate limits.
+type PeerLimits struct{ Limits []PeerLimit }
 
 // RolloutSet says how far a roll-out is.
 type RolloutSet struct{ Rollout Rollout }
@@ -116,7 +116,7 @@
 func (Left) event()         {}
 func (Waited) event()       {}
 func (Ended) event()        {}
-func (Heard) event()        {}
+func (LoadReported) event() {}
 func (Paced) event()        {}
 func (FirstByte) event()    {}
 func (Crashes) event()      {}
@@ -125,8 +125,8 @@
 func (SessionsOpen) event() {}
 func (Stopping) event()     {}
 func (Drained) event()      {}
-func (OthersLoads) event()  {}
-func (OthersLimits) event() {}
+func (PeerLoads) event()    {}
+func (PeerLimits) event()   {}
 func (Neighbours) event()   {}
 
 // Command is anything that a tick asks for. The set is closed.
--- a/decision/passthrough/sharedload.go
+++ b/decision/passthrough/peerload.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// SharedLoad is what some instances have at one backend server.
-type SharedLoad struct {
+// PeerLoad is what some instances have at one backend server.
+type PeerLoad struct {
 	// Key stands for the server: a part of the hash of its id, alike at all instances.
 	Key uint32
 	// Requests is how many they have there, Reading how long their prompts take to be read.
@@ -11,16 +11,16 @@
 	Reading  time.Duration
 }
 
-// sharedLife is how long the other instances' word on what they have at the servers counts: most
-// prompts are read by then.
-const sharedLife = 700 * time.Millisecond
+// peerLoadLife is how long a report of the other instances' loads counts: most prompts are read by
+// then.
+const peerLoadLife = 700 * time.Millisecond
 
-// coveredPart is how many of the other instances must be covered for their word to count: a server
-// that a third of them cannot be heard on looks idle.
-const coveredPart = 0.9
+// peerCoverage is the part of the other instances that a report must cover: one that covers too few
+// under-counts load.
+const peerCoverage = 0.9
 
-// shared is the other instances' word on what they have at a server.
-type shared struct {
+// peerReport is what the other instances report to have at a server.
+type peerReport struct {
 	requests float64
 	reading  float64 // seconds
 }
@@ -32,8 +32,8 @@
 }
 
 // OwnLoads is what this instance has at the servers now.
-func (w *World) OwnLoads() []SharedLoad {
-	var out []SharedLoad
+func (w *World) OwnLoads() []PeerLoad {
+	var out []PeerLoad
 	told := map[*server]bool{}
 	for _, r := range w.requests {
 		s := r.server
@@ -41,29 +41,29 @@
 			continue
 		}
 		told[s] = true
-		out = append(out, SharedLoad{Key: s.keyOf(), Requests: s.own, Reading: seconds(s.remaining(w.now))})
+		out = append(out, PeerLoad{Key: s.keyOf(), Requests: s.own, Reading: seconds(s.remaining(w.now))})
 	}
 	return out
 }
 
-// takeShared takes in what all other instances have at the servers: nothing where a server is not
-// named.
+// applyPeerLoads takes in what all other instances report to have at the servers: nothing where a
+// server is not named.
 //
 // Load: dozens of instances before more engines than each of them hears from in a second, and
 // prompts that hold up an engine for most of one. Harm prevented: two instances that send such
 // prompts to one engine, each taking it for idle, while others are.
-func (w *World) takeShared(e OthersLoads) {
-	if float64(e.Instances) < coveredPart*float64(w.fleet-1) {
+func (w *World) applyPeerLoads(e PeerLoads) {
+	if float64(e.Instances) < peerCoverage*float64(w.fleet-1) {
 		return
 	}
-	w.sharedAt = w.now
+	w.peerLoadsAt = w.now
 	for _, s := range w.named {
-		s.others = shared{}
+		s.peers = peerReport{}
 	}
 	w.named = w.named[:0]
 	for _, l := range e.Loads {
 		if s := w.byKey[l.Key]; s != nil {
-			s.others = shared{requests: float64(l.Requests), reading: l.Reading.Seconds()}
+			s.peers = peerReport{requests: float64(l.Requests), reading: l.Reading.Seconds()}
 			w.named = append(w.named, s)
 		}
 	}
@@ -72,5 +72,5 @@
 	}
 }
 
-// knowsOthers says whether the other instances' word is fresh.
-func (w *World) knowsOthers() bool { return passed(w.sharedAt, w.now, sharedLife) < 1 }
+// knowsPeerLoads says whether the report of the other instances' loads is fresh.
+func (w *World) knowsPeerLoads() bool { return passed(w.peerLoadsAt, w.now, peerLoadLife) < 1 }
--- a/decision/passthrough/sharedload_test.go
+++ b/decision/passthrough/peerload_test.go
@@ -37,11 +37,11 @@
 	b := newBench(t, Settings{})
 	b.tell(Fleet{Instances: 60})
 	for _, heard := range []int{0, 20, 40, 53} {
-		if b.tell(OthersLoads{Instances: heard}); b.world.knowsOthers() {
+		if b.tell(PeerLoads{Instances: heard}); b.world.knowsPeerLoads() {
 			t.Errorf("the word of %d of 59 is taken", heard)
 		}
 	}
-	if b.tell(OthersLoads{Instances: 54}); !b.world.knowsOthers() {
+	if b.tell(PeerLoads{Instances: 54}); !b.world.knowsPeerLoads() {
 		t.Error("the word of 54 of 59 is not taken")
 	}
 }
@@ -53,13 +53,13 @@
 	b.configure(streamRoute())
 	b.tell(Listed{servers("llm", 2, 8)})
 	busy := b.world.servers["llm-0"]
-	b.tell(OthersLoads{Loads: []SharedLoad{{Key: busy.keyOf(), Requests: 8, Reading: time.Second}}})
+	b.tell(PeerLoads{Loads: []PeerLoad{{Key: busy.keyOf(), Requests: 8, Reading: time.Second}}})
 	for range 6 {
 		if d := b.dispatched(b.arrive(streamRoute(), nil)); d.Server.ID == "llm-0" {
 			t.Fatal("went to the engine that is full by the others' word")
 		}
 	}
-	b.pass(sharedLife)
+	b.pass(peerLoadLife)
 	found := false
 	for range 8 {
 		found = found || b.dispatched(b.arrive(streamRoute(), nil)).Server.ID == "llm-0"
--- a/decision/passthrough/place.go
+++ b/decision/passthrough/place.go
@@ -33,8 +33,8 @@
 		Patience: patience(r), Load: int(v.load) + 1, Wait: seconds(v.wait),
 		Limit: s.limit.RateLimit,
 	}
-	if !s.toldAt.IsZero() {
-		cmd.LoadAge = w.now.Sub(s.toldAt)
+	if !s.reportedAt.IsZero() {
+		cmd.LoadAge = w.now.Sub(s.reportedAt)
 	}
 	if r.ModelOpen && len(r.Route.Sizes) > 0 {
 		f = f.plusOne()
@@ -45,7 +45,7 @@
 	if r.service.engine {
 		w.toRead(r, v)
 	} else {
-		r.service.throttle.sent(w.now)
+		r.service.throttle.recordDispatch(w.now)
 	}
 	w.emit(cmd)
 	return true
--- a/decision/passthrough/place_test.go
+++ b/decision/passthrough/place_test.go
@@ -203,7 +203,7 @@
 		b.tell(Ended{Request: id, Result: Completed, Pace: 30 * time.Millisecond})
 	}
 	for _, s := range list {
-		b.tell(Heard{Server: s.ID, Load: Load{Running: 6, Waiting: 4, Slots: 6}})
+		b.tell(LoadReported{Server: s.ID, Load: Load{Running: 6, Waiting: 4, Slots: 6}})
 	}
 	b.pass(200 * time.Millisecond)
 	b.dispatched(b.arrive(route, nil))
@@ -234,7 +234,7 @@
 	const count = 60
 	for i := range count {
 		for _, s := range domains(4) {
-			b.tell(Heard{Server: s.ID, Load: Load{Running: 5 + waiting, Waiting: waiting, Slots: 128}})
+			b.tell(LoadReported{Server: s.ID, Load: Load{Running: 5 + waiting, Waiting: waiting, Slots: 128}})
 		}
 		id := b.arrive(streamRoute(), func(r *Request) {
 			r.Affinity, r.SharedTokens, r.PromptTokens = uint64(i+1), shared, 9000
@@ -320,7 +320,7 @@
 		if s.Zone == "a" {
 			load.Running = 60
 		}
-		b.tell(Heard{Server: s.ID, Load: load})
+		b.tell(LoadReported{Server: s.ID, Load: load})
 	}
 	for i := range 20 {
 		id := b.arrive(streamRoute(), func(r *Request) { r.Affinity, r.PromptTokens = uint64(i+1), 1000 })
@@ -339,8 +339,8 @@
 	b.tell(Listed{servers("llm", 2, 128)})
 	for i := range 20 {
 		b.tell(
-			Heard{Server: "llm-0", Load: Load{Running: 2, Waiting: 10, Slots: 128}},
-			Heard{Server: "llm-1", Load: Load{Running: 14, Slots: 128}})
+			LoadReported{Server: "llm-0", Load: Load{Running: 2, Waiting: 10, Slots: 128}},
+			LoadReported{Server: "llm-1", Load: Load{Running: 14, Slots: 128}})
 		id := b.arrive(streamRoute(), func(r *Request) { r.Affinity, r.PromptTokens = uint64(i+1), 9000 })
 		if d := b.dispatched(id); i > 0 && d.Server.ID == "llm-0" {
 			t.Errorf("request %d went to the engine with ten prompts to read", i)
--- a/decision/passthrough/plain_load_test.go
+++ b/decision/passthrough/plain_load_test.go
@@ -148,7 +148,7 @@
 		s.smallServed++
 	}
 	load := Load{Running: min(busy, shopSlots), Waiting: max(busy-shopSlots, 0), Slots: shopSlots}
-	j.b.tell(Heard{Server: server, Load: load}, Ended{Request: j.id, Result: Completed, Pace: s.now.Sub(at)})
+	j.b.tell(LoadReported{Server: server, Load: load}, Ended{Request: j.id, Result: Completed, Pace: s.now.Sub(at)})
 	s.follow(j.b)
 }
 
@@ -183,7 +183,7 @@
 		return
 	}
 	load := Load{Running: shopSlots, Waiting: shopQueue, Slots: shopSlots}
-	b.tell(Heard{Server: id, Load: load}, Ended{Request: c.Request, Result: Rejected})
+	b.tell(LoadReported{Server: id, Load: load}, Ended{Request: c.Request, Result: Rejected})
 }
 
 // TestFullPlainServersAreLeftAlone asks for up to eight times what five servers bear, by 100
--- a/decision/passthrough/property_test.go
+++ b/decision/passthrough/property_test.go
@@ -77,7 +77,7 @@
 	case 2:
 		for id, r := range h.live {
 			if r.running != "" && h.rng.IntN(4) == 0 {
-				h.do(Heard{Server: r.running, Load: Load{Running: h.rng.IntN(5), Waiting: h.rng.IntN(3), Slots: 3}})
+				h.do(LoadReported{Server: r.running, Load: Load{Running: h.rng.IntN(5), Waiting: h.rng.IntN(3), Slots: 3}})
 			}
 			_ = id
 		}
--- a/decision/passthrough/ratelimit.go
+++ b/decision/passthrough/ratelimit.go
@@ -77,8 +77,8 @@
 	w.setLimit(s, stated, w.now, true)
 }
 
-// takeLimits takes in what other instances were told. The newest answer counts, whoever got it.
-func (w *World) takeLimits(limits []PeerLimit) {
+// applyPeerLimits takes in what other instances were told. The newest answer counts, whoever got it.
+func (w *World) applyPeerLimits(limits []PeerLimit) {
 	for _, l := range limits {
 		s := w.byKey[l.Key]
 		at := w.now.Add(-l.Age)
--- a/decision/passthrough/ratelimit_fleet_test.go
+++ b/decision/passthrough/ratelimit_fleet_test.go
@@ -142,7 +142,7 @@
 				others = append(others, l)
 			}
 		}
-		b.tell(OthersLimits{others})
+		b.tell(PeerLimits{others})
 	}
 	f.reports = f.reports[:0]
 	for i, b := range f.instances {
--- a/decision/passthrough/ratelimit_refuse_test.go
+++ b/decision/passthrough/ratelimit_refuse_test.go
@@ -17,7 +17,7 @@
 	for _, s := range b.world.servers {
 		limits = append(limits, PeerLimit{Key: s.keyOf(), Limit: RateLimit{Limited: true, PerSecond: perSecond}})
 	}
-	b.tell(OthersLimits{limits})
+	b.tell(PeerLimits{limits})
 	return b
 }
 
@@ -89,7 +89,7 @@
 		b.tell(Listed{servers("shop", 1, 8)})
 		s := b.world.servers["shop-0"]
 		for i, age := range tt.ages {
-			b.tell(OthersLimits{[]PeerLimit{{Key: s.keyOf(), Limit: tt.said[i], Age: age}}})
+			b.tell(PeerLimits{[]PeerLimit{{Key: s.keyOf(), Limit: tt.said[i], Age: age}}})
 		}
 		if s.limit.Limited != tt.want {
 			t.Errorf("%s: limited %v", tt.name, s.limit.Limited)
@@ -125,7 +125,7 @@
 		RolloutSet{Rollout{Order: Order{Service: "llm", Target: "v2"}, Phase: PhaseCanary, Share: 0.5}})
 	for i := range 3 {
 		key := b.world.servers[list[i].ID].keyOf()
-		b.tell(OthersLimits{[]PeerLimit{{Key: key, Limit: RateLimit{Limited: true, PerSecond: 0.2}}}})
+		b.tell(PeerLimits{[]PeerLimit{{Key: key, Limit: RateLimit{Limited: true, PerSecond: 0.2}}}})
 	}
 	for range 50 {
 		b.pass(20 * time.Millisecond)
--- a/decision/passthrough/reading.go
+++ b/decision/passthrough/reading.go
@@ -129,7 +129,7 @@
 	r.ownForecast = v.own.unscaled + r.work
 	r.sharedForecast = v.unscaled + r.work
 	r.reading = true
-	r.byShared = w.knowsOthers()
+	r.byShared = w.knowsPeerLoads()
 	r.due = w.now.Add(seconds(v.wait + r.work + rs.least))
 	rs.work.add(r.work)
 	s.unread = append(s.unread, r)
@@ -190,4 +190,4 @@
 }
 
 // othersUnread is the other instances' prompts that waited at the server by its own word.
-func (s *server) othersUnread() float64 { return float64(max(s.told.Waiting-s.unreadThen, 0)) }
+func (s *server) othersUnread() float64 { return float64(max(s.reported.Waiting-s.unreadThen, 0)) }
--- a/decision/passthrough/requests.go
+++ b/decision/passthrough/requests.go
@@ -54,7 +54,7 @@
 	if r.service.engine {
 		return false // these are chosen by their load
 	}
-	q.asks(r.Rank, r.Team, w.now)
+	q.observeDemand(r.Rank, r.Team, w.now)
 	return q.refuses(r.Rank, r.Team, w.now, w.rng.Float64())
 }
 
--- a/decision/passthrough/servers.go
+++ b/decision/passthrough/servers.go
@@ -86,23 +86,23 @@
 	}
 }
 
-// hear takes in a server's word on its load.
-func (w *World) hear(e Heard) {
+// observeLoad takes in the load that a server reports.
+func (w *World) observeLoad(e LoadReported) {
 	if s := w.servers[e.Server]; s != nil {
 		w.domainAnswers(s)
 		if !s.service.engine {
-			s.service.throttle.heard(e.Load, w.now)
+			s.service.throttle.observeLoad(e.Load, w.now)
 		}
-		w.states(s, e.Load)
+		w.setReportedLoad(s, e.Load)
 	}
 }
 
-// states notes what a server states of its load now.
-func (w *World) states(s *server, load Load) {
-	s.told, s.toldAt, s.ownThen, s.unreadThen = load, w.now, s.own, len(s.unread)
+// setReportedLoad notes the load that a server reports now.
+func (w *World) setReportedLoad(s *server, load Load) {
+	s.reported, s.reportedAt, s.ownThen, s.unreadThen = load, w.now, s.own, len(s.unread)
 	s.service.reads.unread.add(s.othersUnread())
 	s.service.reads.heardAt = w.now
-	s.service.usualOthers.add(max(s.statedOthers(), 0))
+	s.service.usualOthers.add(max(s.reportedOthers(), 0))
 	if load.Slots > 0 {
 		s.Slots = load.Slots
 	}
@@ -129,9 +129,9 @@
 	return min(max(answers, loadLeast), loadLife)
 }
 
-// statedOthers is what the server stated, without what this instance had there then.
-func (s *server) statedOthers() float64 {
-	return float64(s.told.Running + s.told.Waiting - s.ownThen)
+// reportedOthers is what the server stated, without what this instance had there then.
+func (s *server) reportedOthers() float64 {
+	return float64(s.reported.Running + s.reported.Waiting - s.ownThen)
 }
 
 // usable says whether the server may get new work, sick or not.
--- a/decision/passthrough/slowstart_test.go
+++ b/decision/passthrough/slowstart_test.go
@@ -233,7 +233,7 @@
 		}
 		for i, id := range ids {
 			if answers && i == domainLostAfter-1 {
-				b.tell(Heard{Server: list[10].ID})
+				b.tell(LoadReported{Server: list[10].ID})
 			}
 			b.tell(Ended{Request: id, Result: Broken, Cut: true})
 		}
--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -36,9 +36,9 @@
 	// that their prompts take to be read, in full.
 	unread  []*request
 	backlog float64
-	// told is the load that it stated at toldAt, when own was ownThen and unreadThen were unread.
-	told       Load
-	toldAt     time.Time
+	// reported is the load that it stated at reportedAt, when own was ownThen and unreadThen were unread.
+	reported   Load
+	reportedAt time.Time
 	ownThen    int
 	unreadThen int
 	// shutUntil keeps it out of the choice for a moment.
@@ -53,8 +53,8 @@
 	drained   bool
 	slowStart slowStart
 	limit     serverLimit
-	// others is what the other instances have there, as of the world's sharedAt.
-	others shared
+	// peers is what the other instances have there, as of the world's peerLoadsAt.
+	peers peerReport
 }
 
 // request is a live request.
--- a/decision/passthrough/throttle.go
+++ b/decision/passthrough/throttle.go
@@ -17,17 +17,17 @@
 // own requests lately, and what it must refuse it refuses to the lower ranks, and to the teams
 // that ask for most.
 type throttle struct {
-	taken faded
-	// away is the number of requests that were not taken, crowded answers in part.
-	away  faded
-	ranks []*rankAsked
+	accepted decayingCount
+	// rejected is the number of requests that were not taken, crowded answers in part.
+	rejected decayingCount
+	ranks    []*demand
 }
 
-// rankAsked is what was asked for at a rank, in all and by team. The ranks stand in order.
-type rankAsked struct {
+// demand is what was asked for at a rank, in all and by team. The ranks stand in order.
+type demand struct {
 	rank  int
-	all   faded
-	teams map[string]*faded
+	all   decayingCount
+	teams map[string]*decayingCount
 }
 
 const (
@@ -54,13 +54,13 @@
 	throttleTeams = 4096
 )
 
-// faded is a count of which the older part fades.
-type faded struct {
+// decayingCount is a count that decays exponentially, with throttleMemory as its time constant.
+type decayingCount struct {
 	value float64
 	at    time.Time
 }
 
-func (f *faded) now(now time.Time) float64 {
+func (f *decayingCount) valueAt(now time.Time) float64 {
 	if !f.at.IsZero() {
 		f.value *= math.Exp(-now.Sub(f.at).Seconds() / throttleMemory.Seconds())
 	}
@@ -68,10 +68,10 @@
 	return f.value
 }
 
-func (f *faded) add(now time.Time, x float64) { f.value = max(f.now(now)+x, 0) }
+func (f *decayingCount) add(now time.Time, x float64) { f.value = max(f.valueAt(now)+x, 0) }
 
-// asks counts a request of a team.
-func (q *throttle) asks(rank int, team string, now time.Time) {
+// observeDemand counts a request of a team.
+func (q *throttle) observeDemand(rank int, team string, now time.Time) {
 	asked := q.rank(rank)
 	asked.all.add(now, 1)
 	if len(asked.teams) > throttleTeams {
@@ -79,60 +79,60 @@
 	}
 	count := asked.teams[team]
 	if count == nil {
-		count = &faded{}
+		count = &decayingCount{}
 		asked.teams[team] = count
 	}
 	count.add(now, 1)
 }
 
 // rank finds what was asked for at a rank.
-func (q *throttle) rank(rank int) *rankAsked {
-	at, found := slices.BinarySearchFunc(q.ranks, rank, func(a *rankAsked, rank int) int { return cmp.Compare(a.rank, rank) })
+func (q *throttle) rank(rank int) *demand {
+	at, found := slices.BinarySearchFunc(q.ranks, rank, func(a *demand, rank int) int { return cmp.Compare(a.rank, rank) })
 	if !found {
-		q.ranks = slices.Insert(q.ranks, at, &rankAsked{rank: rank, teams: map[string]*faded{}})
+		q.ranks = slices.Insert(q.ranks, at, &demand{rank: rank, teams: map[string]*decayingCount{}})
 	}
 	return q.ranks[at]
 }
 
-// sent counts a request that went to a server.
-func (q *throttle) sent(now time.Time) { q.taken.add(now, 1) }
+// recordDispatch counts a request that went to a server.
+func (q *throttle) recordDispatch(now time.Time) { q.accepted.add(now, 1) }
 
-// ended takes in whether a server took the request. A full one turns it away, or resets the
+// observeEnd takes in whether a server took the request. A full one turns it away, or resets the
 // connection, and so does one that a request has crashed: a broken connection counts beside
 // another sign of a full service, of the last second.
-func (q *throttle) ended(e Ended, now time.Time) {
-	if e.Result == Rejected || e.Cut && q.away.now(now) >= cutSign {
-		q.lose(now, 1)
+func (q *throttle) observeEnd(e Ended, now time.Time) {
+	if e.Result == Rejected || e.Cut && q.rejected.valueAt(now) >= cutSign {
+		q.reject(now, 1)
 	}
 }
 
-// lose counts a part of a request as not taken.
-func (q *throttle) lose(now time.Time, part float64) {
-	q.taken.add(now, -part)
-	q.away.add(now, part)
+// reject counts a part of a request as not taken.
+func (q *throttle) reject(now time.Time, part float64) {
+	q.accepted.add(now, -part)
+	q.rejected.add(now, part)
 }
 
-// heard takes in a server's word on its load with an answer: it is crowded where as many wait
+// observeLoad takes in the load that a server reports with an answer: it is crowded where as many wait
 // as run, so that an answer takes twice its work.
-func (q *throttle) heard(load Load, now time.Time) {
+func (q *throttle) observeLoad(load Load, now time.Time) {
 	if load.Slots > 0 && load.Waiting >= load.Slots {
-		q.lose(now, crowdedPart)
+		q.reject(now, crowdedPart)
 	}
 }
 
 // refuses says whether a team's request, which was counted, is refused; draw is a random part
 // of 1.
 func (q *throttle) refuses(rank int, team string, now time.Time, draw float64) bool {
-	if q.away.now(now) < throttleAfter {
+	if q.rejected.valueAt(now) < throttleAfter {
 		return false
 	}
-	allowed := throttleExcess*q.taken.now(now) + throttleProbes
+	allowed := throttleExcess*q.accepted.valueAt(now) + throttleProbes
 	asked := q.rank(rank)
 	left := max(allowed-q.above(rank, now), lowPart*allowed)
-	if asked.all.now(now) <= left {
+	if asked.all.valueAt(now) <= left {
 		return false
 	}
-	return draw*asked.teams[team].now(now) > asked.fairShare(now, left)
+	return draw*asked.teams[team].valueAt(now) > asked.fairShare(now, left)
 }
 
 // above is what was asked for at higher ranks.
@@ -140,7 +140,7 @@
 	sum := 0.0
 	for _, other := range q.ranks {
 		if other.rank < rank {
-			sum += other.all.now(now)
+			sum += other.all.valueAt(now)
 		}
 	}
 	return sum
@@ -148,10 +148,10 @@
 
 // fairShare is what each team may have of so many requests, if those that ask for less get all
 // that they ask for.
-func (q *rankAsked) fairShare(now time.Time, allowed float64) float64 {
+func (q *demand) fairShare(now time.Time, allowed float64) float64 {
 	counts := make([]float64, 0, len(q.teams))
 	for _, count := range q.teams {
-		counts = append(counts, count.now(now))
+		counts = append(counts, count.valueAt(now))
 	}
 	slices.Sort(counts)
 	left := allowed
--- a/decision/passthrough/verdict.go
+++ b/decision/passthrough/verdict.go
@@ -105,7 +105,7 @@
 	o := Observed{Service: r.service.name, Route: r.Route.Name, Version: s.Version, Bad: e.Result == Failed || e.Cut, Cut: e.Cut, Server: s.ID}
 	first, at := r.first, r.level
 	if first == 0 {
-		first, at = w.now.Sub(r.sent), levelOf(s.told) // it would have been later still
+		first, at = w.now.Sub(r.sent), levelOf(s.reported) // it would have been later still
 	}
 	o.First = w.compare(s, w.firstOf(r), at, first)
 	if !r.paced {
--- a/decision/passthrough/view.go
+++ b/decision/passthrough/view.go
@@ -73,15 +73,15 @@
 		now: w.now, service: s, life: s.loadLife(),
 		usualUnread: rs.unread.value * (1 - passed(rs.heardAt, w.now, usualLife)),
 		ownScale:    scale(&rs.came),
-		shared:      s.engine && w.knowsOthers(), sharedScale: scale(&rs.cameShared),
+		shared:      s.engine && w.knowsPeerLoads(), sharedScale: scale(&rs.cameShared),
 	}
 }
 
 // ownForecast is a server's forecast by what this instance knows by itself.
 func (k *knowledge) ownForecast(srv *server, slowness float64) forecast {
-	forgotten := passed(srv.toldAt, k.now, k.life)
-	forgottenUnread := passed(srv.toldAt, k.now, waitLife)
-	stated := max(srv.statedOthers(), 0) * (1 - forgotten)
+	forgotten := passed(srv.reportedAt, k.now, k.life)
+	forgottenUnread := passed(srv.reportedAt, k.now, waitLife)
+	stated := max(srv.reportedOthers(), 0) * (1 - forgotten)
 	unread := srv.othersUnread()*(1-forgottenUnread) + k.usualUnread*forgottenUnread
 	f := forecast{known: float64(srv.own) + stated}
 	f.load = f.known + k.service.usualOthers.value*forgotten
@@ -92,9 +92,9 @@
 
 // sharedForecast is a server's forecast by the word of all instances.
 func (k *knowledge) sharedForecast(srv *server, slowness float64) forecast {
-	load := float64(srv.own) + srv.others.requests
+	load := float64(srv.own) + srv.peers.requests
 	f := forecast{known: load, load: load}
-	f.unscaled = (srv.remaining(k.now) + srv.others.reading) * slowness
+	f.unscaled = (srv.remaining(k.now) + srv.peers.reading) * slowness
 	f.wait = f.unscaled * k.sharedScale
 	return f
 }
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -53,11 +53,11 @@
 	near neighbours
 	// limited are the servers whose rate limit, or its end, other instances may have to be told.
 	limited map[*server]bool
-	// sharedAt is when the other instances' word on their loads came in, named the servers that it
+	// peerLoadsAt is when the other instances' word on their loads came in, named the servers that it
 	// named, byKey all servers by what stands for them there.
-	sharedAt time.Time
-	named    []*server
-	byKey    map[uint32]*server
+	peerLoadsAt time.Time
+	named       []*server
+	byKey       map[uint32]*server
 
 	// fleet is the number of instances, 0 where not known.
 	fleet int
@@ -128,8 +128,8 @@
 		w.waited(e.Request)
 	case Ended:
 		w.end(e)
-	case Heard:
-		w.hear(e)
+	case LoadReported:
+		w.observeLoad(e)
 	case FirstByte:
 		w.firstByte(e)
 	case Paced:
@@ -146,10 +146,10 @@
 		w.setDrained(e.Domains)
 	case Neighbours:
 		w.setNeighbours(e)
-	case OthersLoads:
-		w.takeShared(e)
-	case OthersLimits:
-		w.takeLimits(e.Limits)
+	case PeerLoads:
+		w.applyPeerLoads(e)
+	case PeerLimits:
+		w.applyPeerLimits(e.Limits)
 	case RolloutSet:
 		w.setRollout(e.Rollout)
 	}
--- a/router/internal/passthrough/driver.go
+++ b/router/internal/passthrough/driver.go
@@ -87,7 +87,7 @@
 
 // takeReport takes in what the others tell.
 func (d *Driver) takeReport(others relay.Report) {
-	d.Tell(passthrough.OthersLoads{Loads: others.Loads, Instances: others.Instances}, passthrough.OthersLimits{Limits: others.Limits})
+	d.Tell(passthrough.PeerLoads{Loads: others.Loads, Instances: others.Instances}, passthrough.PeerLimits{Limits: others.Limits})
 }
 
 // bar is the confidence under which the request's answer is dropped now.
--- a/router/internal/passthrough/exchange.go
+++ b/router/internal/passthrough/exchange.go
@@ -155,7 +155,7 @@
 	x.edge.journal.attempted(x.call, d, out)
 	x.ran = x.ran || out.result.Ran()
 	if out.load != nil && !out.stream {
-		x.edge.driver.Tell(passthrough.Heard{Server: d.Server.ID, Load: *out.load})
+		x.edge.driver.Tell(passthrough.LoadReported{Server: d.Server.ID, Load: *out.load})
 	}
 	limit := out.limit
 	if out.stream {
--- a/router/internal/relay/loadrows.go
+++ b/router/internal/relay/loadrows.go
@@ -7,9 +7,9 @@
 )
 
 // plus adds lists up, by server; rows are in the keys' order.
-func plus(lists ...[]passthrough.SharedLoad) []passthrough.SharedLoad {
-	key := func(row passthrough.SharedLoad) uint32 { return row.Key }
-	return mergeRows(lists, key, func(a, b passthrough.SharedLoad) passthrough.SharedLoad {
+func plus(lists ...[]passthrough.PeerLoad) []passthrough.PeerLoad {
+	key := func(row passthrough.PeerLoad) uint32 { return row.Key }
+	return mergeRows(lists, key, func(a, b passthrough.PeerLoad) passthrough.PeerLoad {
 		a.Requests += b.Requests
 		a.Reading += b.Reading
 		return a
@@ -17,7 +17,7 @@
 }
 
 // packLoads writes rows with their requests and milliseconds of reading.
-func packLoads(rows []passthrough.SharedLoad) []byte {
+func packLoads(rows []passthrough.PeerLoad) []byte {
 	var out []byte
 	for _, row := range rows {
 		out = appendRow(out, row.Key, uint64(max(row.Requests, 0)), uint64(max(row.Reading.Milliseconds(), 0)))
@@ -32,10 +32,10 @@
 )
 
 // unpackLoads reads what packLoads wrote.
-func unpackLoads(text []byte) ([]passthrough.SharedLoad, error) {
-	var out []passthrough.SharedLoad
+func unpackLoads(text []byte) ([]passthrough.PeerLoad, error) {
+	var out []passthrough.PeerLoad
 	err := readRows(text, func(key uint32, requests, reading uint64) error {
-		out = append(out, passthrough.SharedLoad{
+		out = append(out, passthrough.PeerLoad{
 			Key: key, Requests: int(min(requests, mostRequests)),
 			Reading: time.Duration(min(reading, mostReading)) * time.Millisecond,
 		})
--- a/router/internal/relay/loads.go
+++ b/router/internal/relay/loads.go
@@ -11,7 +11,7 @@
 // Report is what some instances tell the others.
 type Report struct {
 	// Loads is what they have at the engines.
-	Loads []passthrough.SharedLoad
+	Loads []passthrough.PeerLoad
 	// Limits are the rate limits that they were told by backend servers' answers.
 	Limits []passthrough.PeerLimit
 	// LostConfig is the highest version of the configuration that they know and that the store
@@ -181,7 +181,7 @@
 // total adds reports up: their loads, and of each limit the newest word.
 func (l *Loads) total(reports []loadReport) Report {
 	now := l.now()
-	var loads [][]passthrough.SharedLoad
+	var loads [][]passthrough.PeerLoad
 	var limits [][]passthrough.PeerLimit
 	var out Report
 	for _, r := range reports {
--- a/router/internal/relay/loads_test.go
+++ b/router/internal/relay/loads_test.go
@@ -10,12 +10,12 @@
 	"masticplank.example/decision/passthrough"
 )
 
-func loadRow(key uint32, requests int, reading time.Duration) passthrough.SharedLoad {
-	return passthrough.SharedLoad{Key: key, Requests: requests, Reading: reading}
+func loadRow(key uint32, requests int, reading time.Duration) passthrough.PeerLoad {
+	return passthrough.PeerLoad{Key: key, Requests: requests, Reading: reading}
 }
 
 func TestLoadsArePackedAndUnpacked(t *testing.T) {
-	rows := []passthrough.SharedLoad{loadRow(0, 1, 0), loadRow(7, 300, 90*time.Second), loadRow(1<<32-1, 0, time.Millisecond)}
+	rows := []passthrough.PeerLoad{loadRow(0, 1, 0), loadRow(7, 300, 90*time.Second), loadRow(1<<32-1, 0, time.Millisecond)}
 	got, err := unpackLoads(packLoads(rows))
 	if err != nil || !reflect.DeepEqual(got, rows) {
 		t.Errorf("%+v, %v", got, err)
@@ -31,7 +31,7 @@
 }
 
 func FuzzUnpackLoads(f *testing.F) {
-	f.Add(packLoads([]passthrough.SharedLoad{loadRow(7, 300, time.Second)}))
+	f.Add(packLoads([]passthrough.PeerLoad{loadRow(7, 300, time.Second)}))
 	f.Add([]byte{1, 2, 3, 4, 255, 255, 255, 255, 255, 255, 255, 255, 255, 255, 255})
 	f.Fuzz(func(t *testing.T, text []byte) {
 		rows, err := unpackLoads(text)
@@ -49,8 +49,8 @@
 // loadNode is an instance that exchanges loads.
 type loadNode struct {
 	loads *Loads
-	own   []passthrough.SharedLoad
-	got   []passthrough.SharedLoad
+	own   []passthrough.PeerLoad
+	got   []passthrough.PeerLoad
 	// instances is how many those are that got is of.
 	instances int
 	// limits are what backend servers told this instance, othersLimits what they told others.
@@ -100,7 +100,7 @@
 	names := []string{"a1", "a2", "b1", "b2"}
 	nodes := startLoads(t, names...)
 	for i, name := range names {
-		nodes[name].own = []passthrough.SharedLoad{loadRow(1, 1<<i, time.Duration(1<<i)*time.Second)}
+		nodes[name].own = []passthrough.PeerLoad{loadRow(1, 1<<i, time.Duration(1<<i)*time.Second)}
 	}
 	for range 3 { // up and down again
 		for _, name := range names {
@@ -124,7 +124,7 @@
 	now := time.Unix(100, 0)
 	members := NewMembers(Member{Name: "a1", Domain: "a", Address: "x:1"}, 1, func() time.Time { return now })
 	l := NewLoads(NewClient(members, func() time.Time { return now }), func() Report { return Report{Instances: 1} }, func(Report) {})
-	if _, err := l.told(loadsParams{Name: "a2", Rows: packLoads([]passthrough.SharedLoad{loadRow(1, 2, time.Second)})}); err != nil {
+	if _, err := l.told(loadsParams{Name: "a2", Rows: packLoads([]passthrough.PeerLoad{loadRow(1, 2, time.Second)})}); err != nil {
 		t.Fatal(err)
 	}
 	if sum := l.total(l.known("", true)).Loads; len(sum) != 1 || sum[0].Requests != 2 {
