Restores by the field's names: tombstones, unconfirmed entries, state kept

departed, believed and doubts are bury, reconcile and unconfirmed; isOutrun is isSuperseded; event 224 is state_kept.

--- a/decision/passthrough/ratelimit.go
+++ b/decision/passthrough/ratelimit.go
@@ -8,10 +8,6 @@
 // A server in need states how many requests a second it takes from all instances together. A subset
 // of them sends to it, each a fixed part of that, by a token bucket; the others send none. What one
 // instance learns of a limit, the others are told with their load reports.
-//
-// Weighed and left: a part of the limit for each instance, whose first tokens alone exceed a limit
-// of one a second from a dozen instances on; a count of what all sent lately, which is some tenths
-// of a second old when hundreds of instances decide by it.
 
 const (
 	// limitPart is the part of a limit that is used: the instances may not agree for a moment on
@@ -46,7 +42,7 @@
 	limitTold = 30 * time.Second
 )
 
-// serverLimit is a server's rate limit as this instance believes it.
+// serverLimit is a server's rate limit as this instance knows it.
 type serverLimit struct {
 	RateLimit
 	// statedAt is when the newest answer that states it came in, at this instance if own, or at
--- a/router/internal/logging/catalogue.go
+++ b/router/internal/logging/catalogue.go
@@ -60,7 +60,7 @@
 	EventServerLimited   = Event{221, "server_limited", slog.LevelInfo, "A backend server states how many requests a second it takes from all instances together; own says whether an answer told this instance, or another one did."}
 	EventServerUnlimited = Event{222, "server_unlimited", slog.LevelInfo, "A backend server states no rate limit any more."}
 	EventStoreRestored   = Event{223, "store_restored", slog.LevelWarn, "A topic of the platform's store came back from a copy of an earlier state; its newest records are read again."}
-	EventBeliefKept      = Event{224, "belief_kept", slog.LevelInfo, "What is known here holds though a store that came back from a copy says otherwise; subject and key say what, reason why."}
+	EventStateKept       = Event{224, "state_kept", slog.LevelInfo, "What is known here is kept though a store that came back from a copy says otherwise; subject and key say what, reason why."}
 
 	EventPassRefused = Event{310, "passthrough_refused", slog.LevelInfo, "A request on a pass-through route was refused and was not run; reason says why."}
 	EventPassAttempt = Event{311, "passthrough_attempt", slog.LevelInfo, "An attempt at a backend server ended; load is what decided for the server."}
@@ -86,7 +86,7 @@
 		EventLogUnreachable, EventLogReachable, EventStateRestored, EventStateDiverged,
 		EventConfigApplied, EventRecordRejected, EventServerListed, EventServerGone, EventEntryIgnored,
 		EventStoreLost, EventStoreRegained, EventCollector,
-		EventDomainDrained, EventDomainBack, EventServerCold, EventServerLimited, EventServerUnlimited, EventStoreRestored, EventBeliefKept,
+		EventDomainDrained, EventDomainBack, EventServerCold, EventServerLimited, EventServerUnlimited, EventStoreRestored, EventStateKept,
 		EventRequestRefused, EventAttemptFailed, EventWrongNonce,
 		EventPassRefused, EventPassAttempt, EventPassFailed, EventCallerLost,
 		EventBillHeld, EventBillFlushed, EventBillRefused,
--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -121,7 +121,7 @@
 	}
 	take := func(others relay.Report) {
 		d.takeReport(others)
-		k.TellLost(others.LostConfig)
+		k.NoteLostVersion(others.LostConfig)
 	}
 	sh.server.Loads = relay.NewLoads(sh.client, own, take)
 	sh.server.Loads.Unreadable = j.unreadableLoads
--- a/router/internal/passthrough/config_restore_test.go
+++ b/router/internal/passthrough/config_restore_test.go
@@ -111,7 +111,7 @@
 	if !p.known.Fresh() {
 		t.Fatal("not fresh with what the store has")
 	}
-	p.known.TellLost(knows.operator.trust.lost())
+	p.known.NoteLostVersion(knows.operator.trust.lost())
 	if p.known.Fresh() || p.known.Ready() {
 		t.Error("fresh by a configuration that others know to be an old one")
 	}
@@ -128,8 +128,8 @@
 	_, _, log, clock := restoredConfig(t, true)
 	p := newParts("late", clock, &fakeLog{}, &fakeLog{})
 	read(t, p.operator.tail(log, clock))
-	p.known.TellLost(9)
-	clock.pass(lostLife + time.Millisecond)
+	p.known.NoteLostVersion(9)
+	clock.pass(lostVersionLife + time.Millisecond)
 	if p.known.Fresh() {
 		t.Error("fresh by a read of the copy")
 	}
--- a/router/internal/passthrough/draining.go
+++ b/router/internal/passthrough/draining.go
@@ -58,7 +58,7 @@
 		case o.trust.clock.Now().Before(o.keepUntil):
 			if !o.kept[domain] {
 				o.kept[domain] = true
-				o.journal.beliefKept("drained", domain, "the store has no order for it")
+				o.journal.stateKept("drained", domain, "the store has no order for it")
 			}
 		default:
 			const unknownOffset = 0 // the record that took it back is not kept
--- a/router/internal/passthrough/journal.go
+++ b/router/internal/passthrough/journal.go
@@ -81,10 +81,10 @@
 		slog.Int("servers", c.Servers), slog.Int64("for_ms", c.For.Milliseconds()), slog.String(keyReason, string(c.Why)))
 }
 
-// beliefKept tells of a belief that holds though a restored store says otherwise.
-func (j *journal) beliefKept(subject, key, why string) {
+// stateKept tells of what is kept though a restored store says otherwise.
+func (j *journal) stateKept(subject, key, why string) {
 	j.count("restore.kept." + subject)
-	j.emit(logging.EventBeliefKept, slog.String("subject", subject), slog.String("key", key), slog.String(keyReason, why))
+	j.emit(logging.EventStateKept, slog.String("subject", subject), slog.String("key", key), slog.String(keyReason, why))
 }
 
 // limitChanged tells of a server's rate limit. The driver calls it, so it must not block.
--- a/router/internal/passthrough/knowledge.go
+++ b/router/internal/passthrough/knowledge.go
@@ -61,7 +61,7 @@
 
 // Confirm notes that a read which began at the time showed what is known to be current.
 func (k *Knowledge) Confirm(began time.Time) {
-	if k.isOutrun() {
+	if k.isSuperseded() {
 		return
 	}
 	if at := began.UnixNano(); at > k.confirmed.Load() {
@@ -78,32 +78,32 @@
 	return k.clock.Now().Sub(time.Unix(0, at))
 }
 
-// lostLife is how long another instance's word counts that the store lacks a version: it is told
-// several times a second.
-const lostLife = 2 * time.Second
+// lostVersionLife is how long a report counts that the store lacks a version: it comes several times a
+// second.
+const lostVersionLife = 2 * time.Second
 
-// TellLost takes in the highest version that another instance knows and that the store lacks since
+// NoteLostVersion takes in the highest version that another instance knows and that the store lacks since
 // it came back from a copy; 0 for none. What this instance confirmed by the copy does not count then,
 // also once nobody can tell it any more.
-func (k *Knowledge) TellLost(version uint64) {
+func (k *Knowledge) NoteLostVersion(version uint64) {
 	if version == 0 {
 		return
 	}
 	k.lost.Store(version)
 	k.lostAt.Store(k.clock.Now().UnixNano())
-	if k.isOutrun() {
+	if k.isSuperseded() {
 		k.confirmed.Store(0)
 	}
 }
 
-// isOutrun says whether another instance knows a later configuration, which the store has lost.
+// isSuperseded says whether another instance knows a later configuration, which the store has lost.
 //
 // Load: an instance that starts right after the store came back from a copy. Harm prevented: keys
 // that were taken away, accepted by the configuration of the copy.
-func (k *Knowledge) isOutrun() bool {
+func (k *Knowledge) isSuperseded() bool {
 	told := time.Unix(0, k.lostAt.Load())
 	index := k.index.Load()
-	return index != nil && index.Version < k.lost.Load() && k.clock.Now().Sub(told) < lostLife
+	return index != nil && index.Version < k.lost.Load() && k.clock.Now().Sub(told) < lostVersionLife
 }
 
 // Fresh says whether keys may be used.
--- a/router/internal/passthrough/list.go
+++ b/router/internal/passthrough/list.go
@@ -59,9 +59,9 @@
 	// until ends the time after an outage in which removals may be lapses.
 	until   time.Time
 	changed bool
-	// left are servers that have left, doubts entries that are not believed yet.
-	left   map[string]departure
-	doubts map[string]doubt
+	// tombstones are of servers that have left; unconfirmed are entries that are not used yet.
+	tombstones  map[string]tombstone
+	unconfirmed map[string]unconfirmedEntry
 	// fromCopy says that the next newest entries are those of a store that came back from a copy.
 	fromCopy bool
 	bad      map[string]bool
@@ -73,7 +73,7 @@
 		alone: func() bool { return false }, follows: func() bool { return false },
 		nudge: make(chan struct{}, 1), entries: map[string]passthrough.Server{},
 		lapsed: map[string]time.Time{}, bad: map[string]bool{},
-		left: map[string]departure{}, doubts: map[string]doubt{},
+		tombstones: map[string]tombstone{}, unconfirmed: map[string]unconfirmedEntry{},
 	}
 }
 
@@ -156,9 +156,9 @@
 			l.remove(id)
 		}
 	}
-	for id := range l.doubts {
+	for id := range l.unconfirmed {
 		if !seen[id] {
-			delete(l.doubts, id)
+			delete(l.unconfirmed, id)
 		}
 	}
 	l.fromCopy = false
@@ -184,9 +184,9 @@
 	}
 	delete(l.bad, r.Key)
 	delete(l.lapsed, r.Key)
-	delete(l.doubts, r.Key)
+	delete(l.unconfirmed, r.Key)
 	if l.fromCopy {
-		if s, ok := l.believed(s, r.Offset); ok {
+		if s, ok := l.reconcile(s, r.Offset); ok {
 			l.put(s, r.Offset)
 		}
 		return
@@ -199,7 +199,7 @@
 	if old, ok := l.entries[s.ID]; ok && old == s {
 		return
 	}
-	delete(l.left, s.ID)
+	delete(l.tombstones, s.ID)
 	l.entries[s.ID] = s
 	l.changed = true
 	l.journal.emit(logging.EventServerListed, slog.String(keyServer, s.ID), slog.String("service", s.Service),
@@ -208,7 +208,7 @@
 
 // remove drops an entry, at once or, around an outage, after a while.
 func (l *list) remove(id string) {
-	delete(l.doubts, id)
+	delete(l.unconfirmed, id)
 	if _, ok := l.entries[id]; !ok {
 		return
 	}
@@ -224,7 +224,7 @@
 	if !ok {
 		return
 	}
-	l.departed(s)
+	l.bury(s)
 	delete(l.entries, id)
 	delete(l.lapsed, id)
 	l.changed = true
@@ -236,7 +236,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
-	l.settleDoubts(now)
+	l.confirmPending(now)
 	for id, until := range l.lapsed {
 		if !now.Before(until) {
 			l.drop(id, "lapsed")
--- a/router/internal/passthrough/list_restore.go
+++ b/router/internal/passthrough/list_restore.go
@@ -7,37 +7,35 @@
 )
 
 const (
-	// copyDoubt is how long an entry that a restored store has of a server that had left is not
-	// believed: a server that lives goes on writing, and else its entry is removed after three
-	// heartbeats.
-	copyDoubt = 5 * time.Second
-	// departedMemory is how long a server that has left is remembered; copies of the store are
-	// some seconds old.
-	departedMemory = 2 * time.Minute
+	// confirmAfter is how long an entry that a restored store has of a server that had left is not
+	// used: the entry of a server that is gone is removed after three heartbeats.
+	confirmAfter = 5 * time.Second
+	// tombstoneLife is how long a tombstone is kept; copies of the store are some seconds old.
+	tombstoneLife = 2 * time.Minute
 )
 
-// departure is a server that has left.
-type departure struct {
+// tombstone stands for a server that has left.
+type tombstone struct {
 	born int64
 	at   time.Time
 }
 
-// doubt is an entry that is not believed yet.
-type doubt struct {
+// unconfirmedEntry is an entry of a copy that is not used yet.
+type unconfirmedEntry struct {
 	server passthrough.Server
 	offset uint64
 	until  time.Time
 }
 
-// departed notes that the server has left. The lock is held.
-func (l *list) departed(s passthrough.Server) {
+// bury leaves a tombstone of a server that has left. The lock is held.
+func (l *list) bury(s passthrough.Server) {
 	now := l.clock.Now()
-	for id, d := range l.left {
-		if now.Sub(d.at) > departedMemory {
-			delete(l.left, id)
+	for id, t := range l.tombstones {
+		if now.Sub(t.at) > tombstoneLife {
+			delete(l.tombstones, id)
 		}
 	}
-	l.left[s.ID] = departure{s.Born, now}
+	l.tombstones[s.ID] = tombstone{s.Born, now}
 }
 
 // restored notes that the store came back from a copy.
@@ -52,27 +50,27 @@
 	l.fromCopy = true
 }
 
-// believed is the entry as it is believed when it comes from a copy: what the server said last of
-// leaving holds, and one that had left must write again. The lock is held.
-func (l *list) believed(s passthrough.Server, offset uint64) (out passthrough.Server, ok bool) {
+// reconcile merges an entry of a copy with what is known of the server: one that leaves still does, and
+// one that had left must write again, for which ok is false. The lock is held.
+func (l *list) reconcile(s passthrough.Server, offset uint64) (out passthrough.Server, ok bool) {
 	if old, known := l.entries[s.ID]; known && old.Born == s.Born {
 		s.Draining = s.Draining || old.Draining
 		return s, true
 	}
-	if d, left := l.left[s.ID]; left && d.born == s.Born {
-		l.doubts[s.ID] = doubt{s, offset, l.clock.Now().Add(copyDoubt)}
-		l.journal.beliefKept("server", s.ID, "it had left")
+	if t, left := l.tombstones[s.ID]; left && t.born == s.Born {
+		l.unconfirmed[s.ID] = unconfirmedEntry{s, offset, l.clock.Now().Add(confirmAfter)}
+		l.journal.stateKept("server", s.ID, "it had left")
 		return s, false
 	}
 	return s, true
 }
 
-// settleDoubts takes in the entries that were not believed and still stand. The lock is held.
-func (l *list) settleDoubts(now time.Time) {
-	for id, d := range l.doubts {
-		if !now.Before(d.until) {
-			delete(l.doubts, id)
-			l.put(d.server, d.offset)
+// confirmPending takes in the unconfirmed entries that still stand. The lock is held.
+func (l *list) confirmPending(now time.Time) {
+	for id, entry := range l.unconfirmed {
+		if !now.Before(entry.until) {
+			delete(l.unconfirmed, id)
+			l.put(entry.server, entry.offset)
 		}
 	}
 }
--- a/router/internal/passthrough/list_restore_test.go
+++ b/router/internal/passthrough/list_restore_test.go
@@ -51,7 +51,7 @@
 		t.Error("a server that is leaving is ready again")
 	}
 	log.put("left", "") // its silence was noticed
-	clock.pass(copyDoubt)
+	clock.pass(confirmAfter)
 	if err := tl.once(t.Context()); err != nil || p.list.has("left") {
 		t.Errorf("%v; it is back after all", err)
 	}
@@ -66,7 +66,7 @@
 		t.Errorf("%v; a server that wrote again is missing", err)
 	}
 	p, tl, _, clock = restoredList(t)
-	clock.pass(copyDoubt - time.Millisecond)
+	clock.pass(confirmAfter - time.Millisecond)
 	if err := tl.once(t.Context()); err != nil || p.list.has("left") {
 		t.Errorf("%v; believed too soon", err)
 	}
@@ -76,14 +76,14 @@
 	}
 }
 
-// TestDoubtEndsWithItsEntry holds that an entry which is not believed yet, and is missing after a
+// TestDoubtEndsWithItsEntry holds that an entry which is not used yet, and is missing after a
 // second restore, is not believed later.
 func TestDoubtEndsWithItsEntry(t *testing.T) {
 	p, tl, log, clock := restoredList(t)
 	log.restore(0)
 	for range 2 {
 		read(t, tl)
-		clock.pass(copyDoubt)
+		clock.pass(confirmAfter)
 	}
 	if p.list.has("left") {
 		t.Error("a server that had left is back")
--- a/router/internal/passthrough/operator.go
+++ b/router/internal/passthrough/operator.go
@@ -134,7 +134,7 @@
 	index, applied := o.known.Apply(c)
 	if !applied {
 		if c.Version < index.Version {
-			o.journal.beliefKept("configuration", strconv.FormatUint(index.Version, 10), "the store has an earlier one")
+			o.journal.stateKept("configuration", strconv.FormatUint(index.Version, 10), "the store has an earlier one")
 		}
 		return
 	}
--- a/router/internal/passthrough/restore_model_test.go
+++ b/router/internal/passthrough/restore_model_test.go
@@ -111,7 +111,7 @@
 	}
 	for _, i := range m.all {
 		if !i.cut {
-			i.known.TellLost(lost)
+			i.known.NoteLostVersion(lost)
 		}
 	}
 }
--- a/router/internal/passthrough/rollouts.go
+++ b/router/internal/passthrough/rollouts.go
@@ -92,11 +92,11 @@
 	m.driver.Tell(passthrough.RolloutSet{Rollout: r.plan})
 	m.journal.emit(logging.EventRolloutOrdered, slog.String("service", o.Service),
 		slog.String("target", o.Target), slog.Int64("duration_ms", o.Duration.Milliseconds()), slog.Uint64("offset", offset))
-	m.rouse()
+	m.wakeUp()
 }
 
-// rouse has the roll-outs looked at now.
-func (m *rollouts) rouse() {
+// wakeUp has the roll-outs looked at now.
+func (m *rollouts) wakeUp() {
 	select {
 	case m.wake <- struct{}{}:
 	default:
--- a/router/internal/passthrough/rollouts_restore.go
+++ b/router/internal/passthrough/rollouts_restore.go
@@ -32,7 +32,7 @@
 			r.rewriteUntil = now.Add(rewriteFor)
 		}
 	}
-	m.rouse()
+	m.wakeUp()
 }
 
 // known is the end that this instance knows, 0 for none. The lock is held.
@@ -56,7 +56,7 @@
 	r.earlier = append(r.earlier, r.offset)
 	r.offset = offset
 	m.board.reorder(o.Service, offset)
-	m.journal.beliefKept("rollout", o.Service, "its order was written again")
+	m.journal.stateKept("rollout", o.Service, "its order was written again")
 	return true
 }
 
@@ -104,7 +104,7 @@
 	switch {
 	case err == nil:
 		m.rewritten(r)
-		m.journal.beliefKept("rollout_end", r.Service, "the store lacked it and has it again")
+		m.journal.stateKept("rollout_end", r.Service, "the store lacked it and has it again")
 	case !errors.Is(err, keyedlog.ErrMoved):
 		m.journal.emit(logging.EventRolloutUnwritten, slog.String("service", r.Service), slog.String(logging.KeyError, err.Error()))
 	}
