--- a/router/internal/passthrough/list_restore_test.go
+++ b/router/internal/passthrough/list_restore_test.go
@@ -60,12 +60,12 @@
 // TestServerThatWritesAgainIsBelieved holds for one that was taken for gone and lives, also where
 // its heartbeats are not passed on by the instance that reads the store.
 func TestServerThatWritesAgainIsBelieved(t *testing.T) {
-	p, tl, log, clock := restoredList(t)
+	p, tl, log, _ := restoredList(t)
 	log.put("left", "server shop v1 ready")
 	if err := tl.once(t.Context()); err != nil || !p.list.has("left") {
 		t.Errorf("%v; a server that wrote again is missing", err)
 	}
-	p, tl, _, clock = restoredList(t)
+	p, tl, _, clock := restoredList(t)
 	clock.pass(confirmAfter - time.Millisecond)
 	if err := tl.once(t.Context()); err != nil || p.list.has("left") {
 		t.Errorf("%v; believed too soon", err)
