--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -79,7 +79,7 @@
 				return &journal{log: l, clock: c, known: k, reg: reg}
 			},
 			func(c Clock, k *Knowledge) *configTrust { return &configTrust{clock: c, bound: k.Bound} },
-			newDialer, newStarting, provideSharing, provideDriver, provideBoard, provideList, provideRollouts, provideEdge, provideServer,
+			newDialer, newStarting, provideSharing, provideDriver, provideObservationStore, provideList, provideRollouts, provideEdge, provideServer,
 		),
 		// The stop runs through these in reverse: the configuration must stay fresh until
 		// the last request has been answered.
@@ -107,8 +107,8 @@
 	return newSharing(cfg, p.Store, p.Records, j, c)
 }
 
-func provideBoard(cfg seam.Settings, sh *sharing, d *Driver, k *Knowledge, trust *configTrust, j *journal, c Clock) *board {
-	b := newBoard(cfg.Instance, sh.observations, d, j, c)
+func provideObservationStore(cfg seam.Settings, sh *sharing, d *Driver, k *Knowledge, trust *configTrust, j *journal, c Clock) *observationStore {
+	b := newObservationStore(cfg.Instance, sh.observations, d, j, c)
 	b.held = func() []keyedlog.Record { return sh.take(topicObservations) }
 	b.fleet = sh.members.Count
 	sh.wake = b.nudge
@@ -137,7 +137,7 @@
 	return l
 }
 
-func provideRollouts(p Platform, cfg seam.Settings, sh *sharing, d *Driver, l *list, b *board, j *journal, c Clock) *rollouts {
+func provideRollouts(p Platform, cfg seam.Settings, sh *sharing, d *Driver, l *list, b *observationStore, j *journal, c Clock) *rollouts {
 	m := newRollouts(p.Records, p.Store.Status(), d, l, b, j, c, passthrough.Exposure{Share: cfg.Bounds.CanaryShare, Tolerance: cfg.Bounds.CanaryTolerance})
 	m.writes = sh.status.Direct
 	return m
@@ -170,7 +170,7 @@
 }
 
 // startTails follows the store's topics, and carries roll-outs out.
-func startTails(lc fx.Lifecycle, p Platform, cfg seam.Settings, sh *sharing, k *Knowledge, d *Driver, l *list, m *rollouts, b *board, trust *configTrust, j *journal, c Clock, st *starting) {
+func startTails(lc fx.Lifecycle, p Platform, cfg seam.Settings, sh *sharing, k *Knowledge, d *Driver, l *list, m *rollouts, b *observationStore, trust *configTrust, j *journal, c Clock, st *starting) {
 	op := &operator{
 		records: p.Records, known: k, driver: d, rollouts: m, journal: j, starting: st,
 		trust:   trust,
@@ -181,8 +181,8 @@
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			tails := []func(context.Context){
-				op.tail(sh.operator, c).run, l.tail(sh.servers, c).run,
-				b.tail(c, m.active).run, m.tail(sh.status).run, sh.tail(ctx).run, sh.collect, b.run, m.run, sh.server.Loads.Run,
+				op.reader(sh.operator, c).run, l.reader(sh.servers, c).run,
+				b.reader(c, m.active).run, m.reader(sh.status).run, sh.reader(ctx).run, sh.collect, b.run, m.run, sh.server.Loads.Run,
 			}
 			go startTogether(ctx, sh, cfg.FirstStart, tails)
 			return sh.listen(ctx)
@@ -195,7 +195,7 @@
 	})
 }
 
-// startTogether joins the others and starts the tails: an instance that knows its collector
+// startTogether joins the others and starts the readers: an instance that knows its collector
 // saves its own reads.
 func startTogether(ctx context.Context, sh *sharing, first bool, tails []func(context.Context)) {
 	sh.join(ctx, first)
--- a/router/internal/passthrough/config_restore_test.go
+++ b/router/internal/passthrough/config_restore_test.go
@@ -8,11 +8,11 @@
 
 // restoredConfig is an instance that knows configuration 9, whose store came back with version 5, or
 // with 9 too.
-func restoredConfig(t *testing.T, lost bool) (*parts, *tail, *fakeLog, *fakeClock) {
+func restoredConfig(t *testing.T, lost bool) (*parts, *topicReader, *fakeLog, *fakeClock) {
 	t.Helper()
 	clock, log := newFakeClock(), &fakeLog{era: 1}
 	p := newParts("a", clock, &fakeLog{}, &fakeLog{})
-	tl := p.operator.tail(log, clock)
+	tl := p.operator.reader(log, clock)
 	log.put("config", "config 5")
 	log.put("config", "config 9")
 	read(t, tl)
@@ -26,7 +26,7 @@
 	return p, tl, log, clock
 }
 
-func read(t *testing.T, tl *tail) {
+func read(t *testing.T, tl *topicReader) {
 	t.Helper()
 	if err := tl.once(t.Context()); err != nil {
 		t.Fatal(err)
@@ -81,7 +81,7 @@
 	for keep := 1; keep <= 4; keep++ {
 		clock, log := newFakeClock(), &fakeLog{era: 1}
 		p := newParts("a", clock, &fakeLog{}, &fakeLog{})
-		tl := p.operator.tail(log, clock)
+		tl := p.operator.reader(log, clock)
 		for v := 1; v <= 4; v++ {
 			log.put("config", fmt.Sprint("config ", v))
 			read(t, tl)
@@ -106,7 +106,7 @@
 func TestInstanceThatStartsAfterARestoreWaitsForTheOperator(t *testing.T) {
 	knows, _, log, clock := restoredConfig(t, true)
 	p := newParts("late", clock, &fakeLog{}, &fakeLog{})
-	tl := p.operator.tail(log, clock)
+	tl := p.operator.reader(log, clock)
 	read(t, tl)
 	if !p.known.Fresh() {
 		t.Fatal("not fresh with what the store has")
@@ -127,7 +127,7 @@
 func TestInstanceThatWasToldKeepsThatWhenItIsCut(t *testing.T) {
 	_, _, log, clock := restoredConfig(t, true)
 	p := newParts("late", clock, &fakeLog{}, &fakeLog{})
-	read(t, p.operator.tail(log, clock))
+	read(t, p.operator.reader(log, clock))
 	p.known.NoteLostVersion(9)
 	clock.pass(lostVersionLife + time.Millisecond)
 	if p.known.Fresh() {
--- a/router/internal/passthrough/crashnotes.go
+++ b/router/internal/passthrough/crashnotes.go
@@ -15,7 +15,7 @@
 )
 
 // crashed counts a crash. It must not block: the driver calls it.
-func (b *board) crashed(c passthrough.CrashSeen) {
+func (b *observationStore) crashed(c passthrough.CrashSeen) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.crash) < mostCrashes {
@@ -25,10 +25,10 @@
 }
 
 // crashNotes makes the notes on the crashes that were not told yet; the lock is held.
-func (b *board) crashNotes(now time.Time) []keyedlog.Record {
+func (b *observationStore) crashNotes(now time.Time) []keyedlog.Record {
 	var out []keyedlog.Record
 	for fingerprint, times := range b.crash {
-		s := &sheet{Instance: b.instance, Crash: fingerprint, Times: times}
+		s := &observationSet{Instance: b.instance, Crash: fingerprint, Times: times}
 		key := keyCrash + strconv.FormatUint(fingerprint, 16) + "/" + b.instance
 		out = append(out, b.encode(key, s))
 		b.drops[key] = now.Add(noteLife)
--- a/router/internal/passthrough/cuts.go
+++ b/router/internal/passthrough/cuts.go
@@ -11,7 +11,7 @@
 	// cutTogetherMS is how long after each other answers are cut off that one crash of a server
 	// ends: the instances know the time since the order to some tenths of a second.
 	cutTogetherMS = 2000
-	// cutsMost bounds the crashes that a sheet tells of a route: more than are needed to judge.
+	// cutsMost bounds the crashes that a set tells of a route: more than are needed to judge.
 	cutsMost = 64
 )
 
@@ -26,7 +26,7 @@
 // Harm prevented: a good version taken back, since eight answers that broke with three servers
 // passed for eight failures of eighty. All that one server cuts off at about the same time counts
 // as one failure, whoever saw it; a version that cuts off answers again and again is still told.
-func (s *sheet) noteCut(o passthrough.Observed) {
+func (s *observationSet) noteCut(o passthrough.Observed) {
 	key := cutKey(o.Server, s.ElapsedMS)
 	list := s.Cuts[o.Route]
 	if len(list) >= cutsMost || slices.Contains(list, key) {
--- a/router/internal/passthrough/cuts_test.go
+++ b/router/internal/passthrough/cuts_test.go
@@ -19,17 +19,17 @@
 }
 
 // look takes stock of the roll-out, and returns what all instances saw.
-func (p *parts) look() view { return p.board.view(p.rollouts.open["shop"], p.clock.Now()) }
+func (p *parts) look() view { return p.observations.view(p.rollouts.open["shop"], p.clock.Now()) }
 
 func (p *parts) sees(version string, o passthrough.Observed) {
 	o.Service, o.Route, o.Version = "shop", "r", version
-	p.board.observed(o)
+	p.observations.observed(o)
 }
 
 // tellsTo hands what an instance saw to another one.
 func (p *parts) tellsTo(other *parts) {
-	for _, r := range p.board.due() {
-		other.board.take(r)
+	for _, r := range p.observations.due() {
+		other.observations.take(r)
 	}
 }
 
--- a/router/internal/passthrough/draining_test.go
+++ b/router/internal/passthrough/draining_test.go
@@ -78,7 +78,7 @@
 func TestDrainOrderOutlivesARestore(t *testing.T) {
 	clock, log := newFakeClock(), &fakeLog{era: 1}
 	p := newParts("a", clock, &fakeLog{}, &fakeLog{})
-	tl := p.operator.tail(log, clock)
+	tl := p.operator.reader(log, clock)
 	drained := func(want ...string) {
 		t.Helper()
 		read(t, tl)
--- a/router/internal/passthrough/fakes_test.go
+++ b/router/internal/passthrough/fakes_test.go
@@ -185,14 +185,14 @@
 
 // parts are an instance's parts without its sockets.
 type parts struct {
-	clock    *fakeClock
-	known    *Knowledge
-	driver   *Driver
-	list     *list
-	board    *board
-	rollouts *rollouts
-	operator *operator
-	journal  *journal
+	clock        *fakeClock
+	known        *Knowledge
+	driver       *Driver
+	list         *list
+	observations *observationStore
+	rollouts     *rollouts
+	operator     *operator
+	journal      *journal
 }
 
 // newParts puts an instance together on the given logs.
@@ -201,10 +201,10 @@
 	p.known = NewKnowledge(clock, 5*time.Second)
 	p.journal = &journal{clock: clock, known: p.known, reg: metrics.NewRegistry()}
 	p.driver = NewDriver(clock, passthrough.Settings{RetryRatio: 0.5, RetrySlack: 3, RetryWindow: 10 * time.Second, SessionLife: 5 * time.Second})
-	p.board = newBoard(name, observations, p.driver, p.journal, clock)
-	p.driver.observe, p.driver.crash = p.board.observed, p.board.crashed
+	p.observations = newObservationStore(name, observations, p.driver, p.journal, clock)
+	p.driver.observe, p.driver.crash = p.observations.observed, p.observations.crashed
 	p.list = newList(fakeRecords{}, p.driver, newDialer(clock), p.journal, clock, 2*time.Second, newStarting())
-	p.rollouts = newRollouts(fakeRecords{}, status, p.driver, p.list, p.board, p.journal, clock,
+	p.rollouts = newRollouts(fakeRecords{}, status, p.driver, p.list, p.observations, p.journal, clock,
 		passthrough.Exposure{Share: 0.15, Tolerance: 30})
 	p.operator = &operator{records: fakeRecords{}, known: p.known, driver: p.driver, rollouts: p.rollouts, journal: p.journal, starting: newStarting(),
 		trust:   &configTrust{clock: clock, bound: p.known.Bound},
--- a/router/internal/passthrough/gossip.go
+++ b/router/internal/passthrough/gossip.go
@@ -11,9 +11,9 @@
 	"masticplank.example/router/internal/logging"
 )
 
-// tail follows the others' sheets.
-func (b *board) tail(clock Clock, active func() bool) *tail {
-	t := &tail{
+// reader follows the others' observations.
+func (b *observationStore) reader(clock Clock, active func() bool) *topicReader {
+	t := &topicReader{
 		name: topicObservations, log: b.log, clock: clock, journal: b.journal, retry: retryRare,
 		each: b.take,
 		read: func(began time.Time, _ int) { b.sound(began) },
@@ -24,11 +24,11 @@
 		if active() {
 			return 0
 		}
-		return boardWait
+		return observationsWait
 	}
 	t.pause = func() time.Duration {
 		if active() {
-			return boardEvery
+			return observationsEvery
 		}
 		return retryMost
 	}
@@ -36,50 +36,50 @@
 }
 
 // gossipTime is how long it takes until what one instance saw is known to another: each
-// writes and reads once in boardEvery, and gathers before that.
+// writes and reads once in observationsEvery, and gathers before that.
 const gossipTime = 2500 * time.Millisecond
 
-// sound notes that the others' sheets were read.
-func (b *board) sound(at time.Time) {
+// sound notes that the others' observations were read.
+func (b *observationStore) sound(at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.readAt = at
 }
 
 // regained notes the end of an outage in which nobody could tell anything.
-func (b *board) regained(lost time.Duration) {
+func (b *observationStore) regained(lost time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if lost > boardEvery {
+	if lost > observationsEvery {
 		b.soundSince = b.clock.Now()
 	}
 }
 
-// restored has this instance write its sheets again: a copy of the store lacks some.
-func (b *board) restored() {
+// restored has this instance write its observations again: a copy of the store lacks some.
+func (b *observationStore) restored() {
 	b.redo()
 	b.nudge()
 }
 
 // unwritten notes that this instance could not tell what it saw: the others may be no better
 // off.
-func (b *board) unwritten() {
+func (b *observationStore) unwritten() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.soundSince = b.clock.Now()
 }
 
 // blind says whether the others may have seen what is not known here.
-func (b *board) blind() bool {
+func (b *observationStore) blind() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
 	return now.Sub(b.readAt) > gossipTime || now.Sub(b.soundSince) < gossipTime
 }
 
-// takeAll applies the newest sheets. Notes on crashes among them may be old, and are left
+// takeAll applies the newest observations. Notes on crashes among them may be old, and are left
 // out.
-func (b *board) takeAll(list []keyedlog.Record) {
+func (b *observationStore) takeAll(list []keyedlog.Record) {
 	for _, r := range list {
 		if !strings.HasPrefix(r.Key, keyCrash) {
 			b.take(r)
@@ -87,12 +87,12 @@
 	}
 }
 
-// take applies one sheet of another instance.
-func (b *board) take(r keyedlog.Record) {
+// take applies one set of another instance.
+func (b *observationStore) take(r keyedlog.Record) {
 	if len(r.Value) == 0 {
 		return
 	}
-	var s sheet
+	var s observationSet
 	if err := json.Unmarshal(r.Value, &s); err != nil {
 		b.journal.emit(logging.EventRecordRejected, slog.String("key", r.Key), slog.String(logging.KeyError, err.Error()))
 		return
--- a/router/internal/passthrough/histories_test.go
+++ b/router/internal/passthrough/histories_test.go
@@ -24,12 +24,12 @@
 	clock, log := newFakeClock(), &fakeLog{}
 	type instance struct {
 		*parts
-		tail    *tail
+		reader  *topicReader
 		version uint64
 	}
 	start := func(i int) *instance {
 		p := newParts(fmt.Sprint("instance-", i), clock, &fakeLog{}, &fakeLog{})
-		return &instance{parts: p, tail: p.operator.tail(log, clock)}
+		return &instance{parts: p, reader: p.operator.reader(log, clock)}
 	}
 	fleet := []*instance{start(0), start(1), start(2)}
 	newest := uint64(1)
@@ -55,7 +55,7 @@
 			}
 		default:
 			in := fleet[i]
-			if err := in.tail.once(t.Context()); err != nil {
+			if err := in.reader.once(t.Context()); err != nil {
 				continue
 			}
 			got := in.known.Index().Version
@@ -84,7 +84,7 @@
 	clock, observations := newFakeClock(), &fakeLog{}
 	route := &passthrough.Route{Name: "r", Kind: passthrough.KindIdempotent, MaxAttempts: 1, Timeout: time.Second, Target: time.Second}
 	var fleet []*parts
-	var tails []*tail
+	var tails []*topicReader
 	for i := range 4 {
 		p := newParts(fmt.Sprint("instance-", i), clock, &fakeLog{}, observations)
 		var list []passthrough.Server
@@ -92,7 +92,7 @@
 			list = append(list, passthrough.Server{ID: fmt.Sprint("s", n), Address: "127.0.0.1:1", Service: "shop", Slots: 50, Born: 1})
 		}
 		p.driver.Tell(passthrough.Listed{Servers: list}, passthrough.Fleet{Instances: 4})
-		tl := p.board.tail(clock, p.rollouts.active)
+		tl := p.observations.reader(clock, p.rollouts.active)
 		if err := tl.once(t.Context()); err != nil {
 			t.Fatal(err)
 		}
@@ -118,7 +118,7 @@
 		told := crashes >= 3
 		if told { // the instances' reads and writes have gone through since
 			for i, p := range fleet {
-				if err := observations.Append(t.Context(), keyedlog.Anywhere, p.board.due()...); err != nil {
+				if err := observations.Append(t.Context(), keyedlog.Anywhere, p.observations.due()...); err != nil {
 					t.Fatal(err)
 				}
 				_ = i
--- a/router/internal/passthrough/knowledge.go
+++ b/router/internal/passthrough/knowledge.go
@@ -49,7 +49,7 @@
 func (k *Knowledge) Index() *passthrough.Index { return k.index.Load() }
 
 // Apply puts a configuration in force, unless a newer one is. It says whether it did.
-// Only the tail of the operator's records calls it.
+// Only the reader of the operator's records calls it.
 func (k *Knowledge) Apply(c passthrough.Config) (*passthrough.Index, bool) {
 	if old := k.index.Load(); old != nil && c.Version <= old.Version {
 		return old, false
--- a/router/internal/passthrough/knowledge_test.go
+++ b/router/internal/passthrough/knowledge_test.go
@@ -53,7 +53,7 @@
 	clock, log := newFakeClock(), &fakeLog{}
 	p := newParts("a", clock, &fakeLog{}, &fakeLog{})
 	log.put("config", "config 1")
-	tl := p.operator.tail(log, clock)
+	tl := p.operator.reader(log, clock)
 	step := func() error { return tl.once(t.Context()) }
 	if err := step(); err != nil || p.known.Index().Version != 1 {
 		t.Fatalf("%v", err)
--- a/router/internal/passthrough/list.go
+++ b/router/internal/passthrough/list.go
@@ -85,8 +85,8 @@
 	}
 }
 
-func (l *list) tail(log keyedlog.Log, clock Clock) *tail {
-	t := &tail{
+func (l *list) reader(log keyedlog.Log, clock Clock) *topicReader {
+	t := &topicReader{
 		name: topicServers, log: log, clock: clock, journal: l.journal, nudge: l.nudge,
 		wait: l.wait, pause: l.pause,
 		each: func(r keyedlog.Record) { l.take(r) },
--- a/router/internal/passthrough/list_restore_test.go
+++ b/router/internal/passthrough/list_restore_test.go
@@ -7,11 +7,11 @@
 
 // restoredList is a list whose store came back with its first records only, with one that stays,
 // one that left and one that is leaving since the copy, and one that started since.
-func restoredList(t *testing.T) (*parts, *tail, *fakeLog, *fakeClock) {
+func restoredList(t *testing.T) (*parts, *topicReader, *fakeLog, *fakeClock) {
 	t.Helper()
 	clock, log := newFakeClock(), &fakeLog{era: 1}
 	p := newParts("a", clock, &fakeLog{}, &fakeLog{})
-	tl := p.list.tail(log, clock)
+	tl := p.list.reader(log, clock)
 	log.put("stays", "server shop v1 ready")
 	log.put("left", "server shop v1 ready")
 	log.put("leaves", "server shop v1 ready")
--- a/router/internal/passthrough/list_test.go
+++ b/router/internal/passthrough/list_test.go
@@ -37,7 +37,7 @@
 func TestEntriesThatLapsedInAnOutageAreBelievedForAWhile(t *testing.T) {
 	clock, log := newFakeClock(), &fakeLog{}
 	p := newParts("a", clock, &fakeLog{}, &fakeLog{})
-	tl := p.list.tail(log, clock)
+	tl := p.list.reader(log, clock)
 	log.put("one", "server shop v1 ready")
 	log.put("two", "server shop v1 ready")
 	if err := tl.once(t.Context()); err != nil {
--- a/router/internal/passthrough/membership.go
+++ b/router/internal/passthrough/membership.go
@@ -168,9 +168,9 @@
 // instancesWait is how long a read of the members waits for a new one.
 const instancesWait = 10 * time.Second
 
-// tail follows the members.
-func (s *sharing) tail(ctx context.Context) *tail {
-	return &tail{
+// reader follows the members.
+func (s *sharing) reader(ctx context.Context) *topicReader {
+	return &topicReader{
 		name: topicInstances, log: s.instances, clock: s.clock, journal: s.journal,
 		wait: func() time.Duration { return instancesWait }, retry: retryRare,
 		pause: func() time.Duration { return time.Second },
--- a/router/internal/passthrough/sheetrow.go
+++ b/router/internal/passthrough/observationrow.go
@@ -9,22 +9,22 @@
 	"masticplank.example/decision/passthrough"
 )
 
-// sheetRow is a route's counts as they are written into a sheet: what is judged by, as whole
-// numbers in a fixed order. Hundreds of instances read the sheets of all: written out with names
+// observationRow is a route's counts as they are written into an observation set: what is judged by, as whole
+// numbers in a fixed order. Hundreds of instances read the observations of all: written out with names
 // and all digits, 295 of them were 0.6 MB, which took the links of collectors a second.
-type sheetRow passthrough.Pair
+type observationRow passthrough.Pair
 
-// sheetUnits is how many parts of one a sum of logarithms is rounded to.
-const sheetUnits = 1000
+// observationUnits is how many parts of one a sum of logarithms is rounded to.
+const observationUnits = 1000
 
 // rowLength is the number of a row's parts.
 const rowLength = 13
 
-func units(x float64) int64     { return int64(math.Round(x * sheetUnits)) }
-func fromUnits(n int64) float64 { return float64(n) / sheetUnits }
+func units(x float64) int64     { return int64(math.Round(x * observationUnits)) }
+func fromUnits(n int64) float64 { return float64(n) / observationUnits }
 
 // MarshalJSON implements json.Marshaler.
-func (r sheetRow) MarshalJSON() ([]byte, error) {
+func (r observationRow) MarshalJSON() ([]byte, error) {
 	fresh, old := r.New, r.Old
 	return json.Marshal([rowLength]int64{
 		int64(fresh.Good), int64(fresh.Bad),
@@ -35,7 +35,7 @@
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
-func (r *sheetRow) UnmarshalJSON(text []byte) error {
+func (r *observationRow) UnmarshalJSON(text []byte) error {
 	var in []int64
 	if err := json.Unmarshal(text, &in); err != nil {
 		return trace.Wrap(err)
--- a/router/internal/passthrough/sheetrow_test.go
+++ b/router/internal/passthrough/observationrow_test.go
@@ -10,8 +10,8 @@
 )
 
 // busyRow is a row of a route that was asked for often.
-func busyRow() sheetRow {
-	return sheetRow{
+func busyRow() observationRow {
+	return observationRow{
 		New: passthrough.Counts{Good: 120, Bad: 7,
 			First: passthrough.Shift{N: 127, Sum: -61.5271, Squares: 204.33391},
 			Pace:  passthrough.Shift{N: 101, Sum: 55.25, Squares: 91.118, Slow: 19}},
@@ -25,11 +25,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var out sheetRow
+	var out observationRow
 	if err := json.Unmarshal(text, &out); err != nil {
 		t.Fatal(err)
 	}
-	if math.Abs(out.New.First.Sum-in.New.First.Sum) > 1.0/sheetUnits || math.Abs(out.New.Pace.Squares-in.New.Pace.Squares) > 1.0/sheetUnits {
+	if math.Abs(out.New.First.Sum-in.New.First.Sum) > 1.0/observationUnits || math.Abs(out.New.Pace.Squares-in.New.Pace.Squares) > 1.0/observationUnits {
 		t.Errorf("sums of %+v became %+v", in.New, out.New)
 	}
 	out.New.First, in.New.First, out.New.Pace, in.New.Pace = passthrough.Shift{}, passthrough.Shift{}, passthrough.Shift{N: out.New.Pace.N, Slow: out.New.Pace.Slow}, passthrough.Shift{N: in.New.Pace.N, Slow: in.New.Pace.Slow}
@@ -44,11 +44,11 @@
 }
 
 // TestSheetsOfAFleetAreSmall bounds what all instances of the target fleet write of a roll-out
-// of five routes: with 4 KB a second for control, a second's sheets are 25 at most.
+// of five routes: with 4 KB a second for control, a second's observations are 25 at most.
 func TestSheetsOfAFleetAreSmall(t *testing.T) {
 	const most = 4096 / 6 // bytes: a sixth of a second's, beside heartbeats and configurations
-	s := sheet{Instance: "edge-salle-trois-pistoles-120", Life: 1 << 60, Service: "model-engines", Target: "v2", Order: 1 << 20,
-		ElapsedMS: 23_500, Routes: map[string]sheetRow{}}
+	s := observationSet{Instance: "edge-salle-trois-pistoles-120", Life: 1 << 60, Service: "model-engines", Target: "v2", Order: 1 << 20,
+		ElapsedMS: 23_500, Routes: map[string]observationRow{}}
 	for i := range 5 {
 		s.Routes[fmt.Sprintf("r-vhma%dj5", i)] = busyRow()
 	}
@@ -57,6 +57,6 @@
 		t.Fatal(err)
 	}
 	if len(text) > most {
-		t.Errorf("a sheet is %d bytes, more than %d", len(text), most)
+		t.Errorf("a observationSet is %d bytes, more than %d", len(text), most)
 	}
 }
--- a/router/internal/passthrough/sheet.go
+++ b/router/internal/passthrough/observationset.go
@@ -7,8 +7,8 @@
 	"masticplank.example/decision/passthrough"
 )
 
-// sheet is one instance's counts of one roll-out.
-type sheet struct {
+// observationSet is one instance's counts of one roll-out.
+type observationSet struct {
 	Instance string `json:"instance"`
 	// Life tells the instance's processes apart: one that starts again counts anew, and
 	// what the one before had seen still holds.
@@ -19,13 +19,13 @@
 	// ElapsedMS is the time since the order, as the instance knew it when it wrote.
 	ElapsedMS int64 `json:"elapsed_ms"`
 	// Routes are the counts by route.
-	Routes map[string]sheetRow `json:"routes"`
+	Routes map[string]observationRow `json:"routes"`
 	// Cuts name the crashes of the new version's servers that cut answers off, by route.
 	Cuts map[string][]string `json:"cuts,omitempty"`
 	// Sessions are those that were open at the old version when the order came, in the
 	// canary's share.
 	Sessions []string `json:"sessions,omitempty"`
-	// Crash and Times are set in a sheet on a request that crashes servers.
+	// Crash and Times stand in a set on a request that crashes servers.
 	Crash uint64 `json:"crash,omitempty"`
 	Times int    `json:"times,omitempty"`
 
@@ -35,8 +35,8 @@
 	evidence passthrough.Evidence
 }
 
-// key is the sheet's key in the store.
-func (s *sheet) key() string {
+// key is the set's key in the store.
+func (s *observationSet) key() string {
 	return fmt.Sprintf("%s/%s/%d/%s/%x", s.Service, s.Target, s.Order, s.Instance, s.Life)
 }
 
@@ -60,18 +60,18 @@
 func (v view) clean() bool { return v.fresh.Bad == 0 && v.fresh.Good >= cleanAnswers }
 
 // view sums up what all instances saw of the roll-out.
-func (b *board) view(r *rollout, now time.Time) view {
+func (b *observationStore) view(r *rollout, now time.Time) view {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	own := b.own[r.Service]
 	if own == nil || own.Order != r.offset || own.Target != r.Target {
-		own = &sheet{Instance: b.instance, Life: b.life, Service: r.Service, Target: r.Target, Order: r.offset, Routes: map[string]sheetRow{}, dirty: true}
+		own = &observationSet{Instance: b.instance, Life: b.life, Service: r.Service, Target: r.Target, Order: r.offset, Routes: map[string]observationRow{}, dirty: true}
 		b.own[r.Service] = own
 		b.nudge()
 	}
 	out := view{elapsed: now.Sub(r.since)}
 	sums, crashes := map[string]passthrough.Pair{}, cuts{}
-	add := func(s *sheet) {
+	add := func(s *observationSet) {
 		crashes.add(s.Cuts)
 		for route, row := range s.Routes {
 			sums[route] = sums[route].Plus(passthrough.Pair(row))
@@ -90,8 +90,8 @@
 	return out
 }
 
-// reorder has the own sheet count for the offset at which the order stands now.
-func (b *board) reorder(service string, offset uint64) {
+// reorder has the own set count for the offset at which the order stands now.
+func (b *observationStore) reorder(service string, offset uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.own[service]
@@ -103,8 +103,8 @@
 	s.dirty = true
 }
 
-// answers is the number of answers that a sheet counts. A process's counts only grow.
-func (s *sheet) answers() int {
+// answers is the number of answers that a set counts. A process's counts only grow.
+func (s *observationSet) answers() int {
 	n := 0
 	for _, row := range s.Routes {
 		n += row.New.Good + row.New.Bad + row.Old.Good + row.Old.Bad
@@ -112,8 +112,8 @@
 	return n
 }
 
-// hasSheet says whether a sheet is one of the roll-out.
-func (r *rollout) hasSheet(s *sheet) bool {
+// covers says whether a set is one of the roll-out.
+func (r *rollout) covers(s *observationSet) bool {
 	if s.Service != r.Service || s.Target != r.Target {
 		return false
 	}
@@ -128,13 +128,13 @@
 	return false
 }
 
-// latest are the sheets of other processes on a roll-out: one of each process, which writes under
+// latest are the observations of other processes on a roll-out: one of each process, which writes under
 // another key once an order is written again. The lock is held.
-func (b *board) latest(r *rollout) map[processID]sheet {
-	out := map[processID]sheet{}
+func (b *observationStore) latest(r *rollout) map[processID]observationSet {
+	out := map[processID]observationSet{}
 	for _, s := range b.others {
 		id := processID{s.Instance, s.Life}
-		if !r.hasSheet(&s) || id == (processID{b.instance, b.life}) {
+		if !r.covers(&s) || id == (processID{b.instance, b.life}) {
 			continue
 		}
 		if known, ok := out[id]; !ok || known.answers() < s.answers() {
--- a/router/internal/passthrough/board.go
+++ b/router/internal/passthrough/observationstore.go
@@ -14,10 +14,10 @@
 	"masticplank.example/router/internal/logging"
 )
 
-// board is what the instances tell each other by one topic: the answers that each saw in
+// observationStore is what the instances tell each other by one topic: the answers that each saw in
 // a roll-out, and requests that crash backend servers. Each instance writes the whole of
 // its own under a key of its own, so that a record lost or written twice does no harm.
-type board struct {
+type observationStore struct {
 	instance string
 	// life tells this process from those before.
 	life    uint64
@@ -32,14 +32,14 @@
 	held func() []keyedlog.Record
 
 	mu sync.Mutex
-	// own are this instance's sheets by service, others those of the others by key.
-	own    map[string]*sheet
-	others map[string]sheet
+	// own are this instance's observations by service, others those of the others by key.
+	own    map[string]*observationSet
+	others map[string]observationSet
 	crash  map[uint64]int
 	wake   chan struct{}
-	// quietAt is when the sheet is written next though only good answers are to be told.
+	// quietAt is when the set is written next though only good answers are to be told.
 	quietAt time.Time
-	// readAt is the last time that the others' sheets were read, soundSince the end of the
+	// readAt is the last time that the others' observations were read, soundSince the end of the
 	// last outage in which they were not.
 	readAt     time.Time
 	soundSince time.Time
@@ -48,34 +48,34 @@
 }
 
 const (
-	// boardEvery is the time between two writes of the own sheet while a roll-out is in
+	// observationsEvery is the time between two writes of the own set while a roll-out is in
 	// progress and its counts of bad answers change.
-	boardEvery = 1100 * time.Millisecond
+	observationsEvery = 1100 * time.Millisecond
 	// quietEvery is the same while only good answers of the old version are to be told, and
 	// quietPerInstance what it is at least for each instance: each reads what all write, and 25
-	// sheets a second tell the number of answers well enough.
+	// observations a second tell the number of answers well enough.
 	quietEvery       = 6 * time.Second
 	quietPerInstance = 40 * time.Millisecond
 	// gatherTime is how long a write waits for more, so that what comes at once goes out in one
 	// call.
 	gatherTime = 150 * time.Millisecond
-	// boardWait is how long a read waits for a record while no roll-out is in progress.
-	boardWait = 8 * time.Second
-	// noteLife is how long a note on a crash, or a sheet of a roll-out that has ended, stays in
+	// observationsWait is how long a read waits for a record while no roll-out is in progress.
+	observationsWait = 8 * time.Second
+	// noteLife is how long a note on a crash, or a set of a roll-out that has ended, stays in
 	// the store: those that read it then have counted it, and one that starts later must not.
 	noteLife = 30 * time.Second
 )
 
-func newBoard(instance string, log keyedlog.Log, driver *Driver, j *journal, clock Clock) *board {
-	return &board{
+func newObservationStore(instance string, log keyedlog.Log, driver *Driver, j *journal, clock Clock) *observationStore {
+	return &observationStore{
 		instance: instance, life: uint64(clock.Now().UnixNano()), log: log, driver: driver, journal: j, clock: clock,
-		own: map[string]*sheet{}, others: map[string]sheet{}, crash: map[uint64]int{}, drops: map[string]time.Time{},
+		own: map[string]*observationSet{}, others: map[string]observationSet{}, crash: map[uint64]int{}, drops: map[string]time.Time{},
 		wake: make(chan struct{}, 1), fleet: func() int { return 1 }, held: func() []keyedlog.Record { return nil },
 	}
 }
 
 // observed counts an answer. It must not block: the driver calls it.
-func (b *board) observed(o passthrough.Observed) {
+func (b *observationStore) observed(o passthrough.Observed) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.own[o.Service]
@@ -86,19 +86,19 @@
 		s.noteCut(o)
 		o.Early = true // its times count, and the crash by itself
 	}
-	s.Routes[o.Route] = sheetRow(passthrough.Pair(s.Routes[o.Route]).Add(o, s.Target))
+	s.Routes[o.Route] = observationRow(passthrough.Pair(s.Routes[o.Route]).Add(o, s.Target))
 	s.dirty = s.dirty || o.Version == s.Target
 }
 
-func (b *board) nudge() {
+func (b *observationStore) nudge() {
 	select {
 	case b.wake <- struct{}{}:
 	default:
 	}
 }
 
-// open adds the sessions that are open here to the own sheet.
-func (b *board) open(service string, sessions []string) {
+// open adds the sessions that are open here to the own set.
+func (b *observationStore) open(service string, sessions []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.own[service]
@@ -114,7 +114,7 @@
 }
 
 // run writes what this instance has to tell until ctx ends.
-func (b *board) run(ctx context.Context) {
+func (b *observationStore) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		records := append(b.due(), b.held()...)
 		if len(records) > 0 {
@@ -124,24 +124,24 @@
 				b.unwritten()
 			}
 		}
-		wait := boardWait
+		wait := observationsWait
 		if b.busy() {
-			wait = boardEvery
+			wait = observationsEvery
 		}
 		sleep(ctx, wait, b.wake)
 		sleep(ctx, gatherTime, nil)
 	}
 }
 
-// busy says whether this instance keeps a sheet.
-func (b *board) busy() bool {
+// busy says whether this instance keeps a set.
+func (b *observationStore) busy() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return len(b.own) > 0
 }
 
 // due makes the records that are to be written now.
-func (b *board) due() []keyedlog.Record {
+func (b *observationStore) due() []keyedlog.Record {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []keyedlog.Record
@@ -164,16 +164,16 @@
 	return out
 }
 
-// quietSpan is the time to the next sheet without news. It differs from instance to instance:
-// all learn of an order at the same moment, and 295 sheets at once held up what must be fresh
+// quietSpan is the time to the next set without news. It differs from instance to instance:
+// all learn of an order at the same moment, and 295 observations at once held up what must be fresh
 // behind them, so that hundreds of instances turned to the store.
-func (b *board) quietSpan() time.Duration {
+func (b *observationStore) quietSpan() time.Duration {
 	span := max(quietEvery, time.Duration(b.fleet())*quietPerInstance)
 	return span/2 + rand.N(span)
 }
 
-// redo marks the sheets as not written.
-func (b *board) redo() {
+// redo marks the observations as not written.
+func (b *observationStore) redo() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, s := range b.own {
@@ -181,7 +181,7 @@
 	}
 }
 
-func (b *board) encode(key string, s *sheet) keyedlog.Record {
+func (b *observationStore) encode(key string, s *observationSet) keyedlog.Record {
 	text, err := json.Marshal(s)
 	if err != nil {
 		panic(err) // a struct of strings and numbers always encodes
@@ -189,9 +189,9 @@
 	return keyedlog.Record{Key: key, Value: text}
 }
 
-// close forgets the sheets of a roll-out that has ended, here and, after the others had
+// close forgets the observations of a roll-out that has ended, here and, after the others had
 // time to read them, in the store, which keeps the newest record of a key for good.
-func (b *board) close(service string) {
+func (b *observationStore) close(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if s := b.own[service]; s != nil {
--- a/router/internal/passthrough/board_test.go
+++ b/router/internal/passthrough/observationstore_test.go
@@ -11,14 +11,14 @@
 func TestBoardTellsCrashesToTheOthers(t *testing.T) {
 	clock, observations := newFakeClock(), &fakeLog{}
 	a, b := newParts("a", clock, &fakeLog{}, observations), newParts("b", clock, &fakeLog{}, observations)
-	tl := b.board.tail(clock, b.rollouts.active)
+	tl := b.observations.reader(clock, b.rollouts.active)
 	if err := tl.once(t.Context()); err != nil {
 		t.Fatal(err)
 	}
 	for range 3 {
-		a.board.crashed(passthrough.CrashSeen{Fingerprint: 9})
+		a.observations.crashed(passthrough.CrashSeen{Fingerprint: 9})
 	}
-	if err := observations.Append(t.Context(), keyedlog.Anywhere, a.board.due()...); err != nil {
+	if err := observations.Append(t.Context(), keyedlog.Anywhere, a.observations.due()...); err != nil {
 		t.Fatal(err)
 	}
 	if err := tl.once(t.Context()); err != nil {
@@ -64,17 +64,17 @@
 	clock, observations := newFakeClock(), &fakeLog{}
 	a := newParts("a", clock, &fakeLog{}, observations)
 	for range 3 {
-		a.board.crashed(passthrough.CrashSeen{Fingerprint: 9})
+		a.observations.crashed(passthrough.CrashSeen{Fingerprint: 9})
 	}
 	write := func() {
 		t.Helper()
-		if err := observations.Append(t.Context(), keyedlog.Anywhere, a.board.due()...); err != nil {
+		if err := observations.Append(t.Context(), keyedlog.Anywhere, a.observations.due()...); err != nil {
 			t.Fatal(err)
 		}
 	}
 	write()
 	late := newParts("late", clock, &fakeLog{}, observations)
-	if err := late.board.tail(clock, late.rollouts.active).once(t.Context()); err != nil {
+	if err := late.observations.reader(clock, late.rollouts.active).once(t.Context()); err != nil {
 		t.Fatal(err)
 	}
 	route := &passthrough.Route{Name: "r", Kind: passthrough.KindIdempotent, MaxAttempts: 2, Timeout: time.Second, Target: time.Second}
@@ -94,7 +94,7 @@
 func TestWhatAProcessSawOutlivesIt(t *testing.T) {
 	clock, status, observations := newFakeClock(), &fakeLog{}, &fakeLog{}
 	write := func(p *parts) {
-		if err := observations.Append(t.Context(), keyedlog.Anywhere, p.board.due()...); err != nil {
+		if err := observations.Append(t.Context(), keyedlog.Anywhere, p.observations.due()...); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -102,7 +102,7 @@
 		p := newParts("a", clock, status, observations)
 		p.listServers()
 		p.rollouts.ordered(testOrder, 1)
-		p.board.takeAll(observations.records)
+		p.observations.takeAll(observations.records)
 		p.rollouts.advance(t.Context(), p.rollouts.open["shop"])
 		return p
 	}
@@ -120,13 +120,13 @@
 	}
 	clock.pass(noteLife + time.Second)
 	dropped := 0
-	for _, r := range after.board.due() {
+	for _, r := range after.observations.due() {
 		if len(r.Value) == 0 {
 			dropped++
 		}
 	}
 	if dropped != 2 {
-		t.Errorf("%d sheets are dropped, want those of both processes", dropped)
+		t.Errorf("%d sets are dropped, want those of both processes", dropped)
 	}
 }
 
--- a/router/internal/passthrough/operator.go
+++ b/router/internal/passthrough/operator.go
@@ -59,8 +59,8 @@
 	followPart  = 0.1
 )
 
-func (o *operator) tail(log keyedlog.Log, clock Clock) *tail {
-	return &tail{
+func (o *operator) reader(log keyedlog.Log, clock Clock) *topicReader {
+	return &topicReader{
 		name: topicOperator, log: log, clock: clock, journal: o.journal, wait: o.wait,
 		whole:    o.takeAll,
 		each:     o.take,
--- a/router/internal/passthrough/pooling_test.go
+++ b/router/internal/passthrough/pooling_test.go
@@ -37,7 +37,7 @@
 		for i := range perDomain {
 			p := &pooled{parts: newParts(fmt.Sprint("d", d, "i", i), f.clock, &fakeLog{}, f.log)}
 			p.listServers()
-			p.board.fleet = func() int { return domains * perDomain }
+			p.observations.fleet = func() int { return domains * perDomain }
 			p.rollouts.known = true
 			p.rollouts.ordered(passthrough.Order{Service: "shop", Target: "v2", Duration: time.Minute}, 1)
 			p.rollouts.advance(t.Context(), p.rollouts.open["shop"])
@@ -66,8 +66,8 @@
 		if now.Before(p.writeAt) {
 			continue
 		}
-		p.writeAt = now.Add(boardEvery + gatherTime)
-		records := p.board.due()
+		p.writeAt = now.Add(observationsEvery + gatherTime)
+		records := p.observations.due()
 		if p != p.collector {
 			if len(records) > 0 {
 				p.collector.held = append(p.collector.held, records...)
@@ -84,13 +84,13 @@
 		if now.Before(p.readAt) {
 			continue
 		}
-		p.readAt = now.Add(boardEvery)
+		p.readAt = now.Add(observationsEvery)
 		batch, err := f.log.Read(f.t.Context(), p.next, 0)
 		if err != nil {
 			f.t.Fatal(err)
 		}
 		for _, r := range batch.Records {
-			p.board.take(r)
+			p.observations.take(r)
 		}
 		p.next = batch.Next
 	}
@@ -126,7 +126,7 @@
 			for !f.known(seen) {
 				f.step(50 * time.Millisecond)
 				if f.clock.Now().Sub(began) > time.Minute {
-					t.Fatalf("%s: an answer seen at %s is never known", name, p.board.instance)
+					t.Fatalf("%s: an answer seen at %s is never known", name, p.observations.instance)
 				}
 			}
 			worst = max(worst, f.clock.Now().Sub(began))
@@ -141,7 +141,7 @@
 // known says whether all readers count so many bad answers.
 func (f *poolFleet) known(count int) bool {
 	for _, p := range f.readers {
-		if p.board.view(p.rollouts.open["shop"], f.clock.Now()).fresh.Bad < count {
+		if p.observations.view(p.rollouts.open["shop"], f.clock.Now()).fresh.Bad < count {
 			return false
 		}
 	}
--- a/router/internal/passthrough/register.go
+++ b/router/internal/passthrough/register.go
@@ -25,11 +25,11 @@
 	return r.told, r.announced, m.known
 }
 
-// tail follows the register's topic, so that an end is known everywhere at once.
-func (m *rollouts) tail(log keyedlog.Log) *tail {
-	t := &tail{
+// reader follows the register's topic, so that an end is known everywhere at once.
+func (m *rollouts) reader(log keyedlog.Log) *topicReader {
+	t := &topicReader{
 		name: topicStatus, log: log, clock: m.clock, journal: m.journal,
-		wait: func() time.Duration { return boardWait }, retry: retryRare,
+		wait: func() time.Duration { return observationsWait }, retry: retryRare,
 		pause: func() time.Duration { return retryMost },
 		each:  m.read,
 	}
--- a/router/internal/passthrough/register_test.go
+++ b/router/internal/passthrough/register_test.go
@@ -20,8 +20,8 @@
 	}
 	a.see("v2", true, 20) // a alone finds it bad; b would complete it
 	clock.pass(19500 * time.Millisecond)
-	a.board.sound(clock.Now())
-	b.board.sound(clock.Now())
+	a.observations.sound(clock.Now())
+	b.observations.sound(clock.Now())
 	status.beforeAppend = func() { b.rollouts.advance(t.Context(), b.rollouts.open["shop"]) }
 	a.rollouts.advance(t.Context(), a.rollouts.open["shop"])
 	a.rollouts.advance(t.Context(), a.rollouts.open["shop"])
@@ -41,7 +41,7 @@
 	r := p.rollouts.open["shop"]
 	p.rollouts.advance(t.Context(), r)
 	clock.pass(19500 * time.Millisecond)
-	p.board.sound(clock.Now())
+	p.observations.sound(clock.Now())
 	status.lose, status.appended = true, []error{keyedlog.ErrUnknown}
 	p.rollouts.advance(t.Context(), r)
 	if r.ended != 0 {
@@ -70,7 +70,7 @@
 		p := newParts(fmt.Sprint("instance-", i), clock, status, observations)
 		p.listServers()
 		p.rollouts.ordered(testOrder, 1)
-		if err := p.board.tail(clock, p.rollouts.active).once(t.Context()); err != nil {
+		if err := p.observations.reader(clock, p.rollouts.active).once(t.Context()); err != nil {
 			t.Fatal(err)
 		}
 		return p
@@ -79,7 +79,7 @@
 		first := start(9)
 		first.rollouts.advance(t.Context(), first.rollouts.open["shop"])
 		first.see("v2", true, 10)
-		if err := observations.Append(t.Context(), keyedlog.Anywhere, first.board.due()...); err != nil {
+		if err := observations.Append(t.Context(), keyedlog.Anywhere, first.observations.due()...); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -106,11 +106,11 @@
 		case 4:
 			p.see("v2", bad, 2)
 		case 5, 6:
-			if err := observations.Append(t.Context(), keyedlog.Anywhere, p.board.due()...); err != nil {
+			if err := observations.Append(t.Context(), keyedlog.Anywhere, p.observations.due()...); err != nil {
 				t.Fatal(err)
 			}
 		case 7, 8:
-			if err := p.board.tail(clock, p.rollouts.active).once(t.Context()); err != nil {
+			if err := p.observations.reader(clock, p.rollouts.active).once(t.Context()); err != nil {
 				t.Fatal(err)
 			}
 		case 9:
--- a/router/internal/passthrough/restore_model_test.go
+++ b/router/internal/passthrough/restore_model_test.go
@@ -33,8 +33,8 @@
 
 type modelInstance struct {
 	*parts
-	operatorTail, listTail *tail
-	cut                    bool
+	operatorReader, listReader *topicReader
+	cut                        bool
 	// highest is the highest version that was in force in this process; startedAt when it began to read.
 	highest   uint64
 	startedAt time.Time
@@ -63,7 +63,7 @@
 
 func (m *restoreModel) start(name string) *modelInstance {
 	p := newParts(name, m.clock, &fakeLog{}, &fakeLog{})
-	return &modelInstance{parts: p, operatorTail: p.operator.tail(m.operator, m.clock), listTail: p.list.tail(m.servers, m.clock), startedAt: m.clock.Now(), had: map[string]bool{}, left: map[string]bool{}}
+	return &modelInstance{parts: p, operatorReader: p.operator.reader(m.operator, m.clock), listReader: p.list.reader(m.servers, m.clock), startedAt: m.clock.Now(), had: map[string]bool{}, left: map[string]bool{}}
 }
 
 func (m *restoreModel) write(version int) {
@@ -102,7 +102,7 @@
 		if i.known.Index() == nil {
 			i.startedAt = m.clock.Now()
 		}
-		for _, tl := range []*tail{i.operatorTail, i.listTail} {
+		for _, tl := range []*topicReader{i.operatorReader, i.listReader} {
 			if err := tl.once(m.t.Context()); err != nil {
 				m.t.Fatal(err)
 			}
--- a/router/internal/passthrough/rollouts.go
+++ b/router/internal/passthrough/rollouts.go
@@ -14,13 +14,13 @@
 // rollouts carries the operator's orders out. Each instance plans by itself, by the time
 // since the order and by what all saw; the end is written once, by whoever comes first.
 type rollouts struct {
-	records Records
-	topic   keyedlog.Log
-	driver  *Driver
-	list    *list
-	board   *board
-	journal *journal
-	clock   Clock
+	records      Records
+	topic        keyedlog.Log
+	driver       *Driver
+	list         *list
+	observations *observationStore
+	journal      *journal
+	clock        Clock
 	// limit bounds the requests that a version may get before its deadline.
 	limit passthrough.Exposure
 	// writes says whether this instance writes the register; the others of its failure
@@ -67,9 +67,9 @@
 // seconds of its 50th bad answer.
 const rolloutEvery = 400 * time.Millisecond
 
-func newRollouts(records Records, topic keyedlog.Log, driver *Driver, l *list, b *board, j *journal, clock Clock, limit passthrough.Exposure) *rollouts {
+func newRollouts(records Records, topic keyedlog.Log, driver *Driver, l *list, b *observationStore, j *journal, clock Clock, limit passthrough.Exposure) *rollouts {
 	return &rollouts{
-		records: records, topic: topic, driver: driver, list: l, board: b, journal: j, clock: clock,
+		records: records, topic: topic, driver: driver, list: l, observations: b, journal: j, clock: clock,
 		limit: limit, writes: func() bool { return true }, open: map[string]*rollout{}, status: map[string]state{}, wake: make(chan struct{}, 1),
 	}
 }
@@ -148,7 +148,7 @@
 // advance plans one roll-out anew, and ends it in the register where its time has come.
 func (m *rollouts) advance(ctx context.Context, r *rollout) {
 	now := m.clock.Now()
-	seen := m.board.view(r, now)
+	seen := m.observations.view(r, now)
 	elapsed := max(now.Sub(r.since), seen.elapsed)
 	plan := passthrough.Plan(r.Order, now, elapsed, m.limit, seen.fresh, seen.old, seen.bad)
 	told, announced, known := m.toldOf(r)
@@ -159,10 +159,10 @@
 		return
 	}
 	if plan.Opening {
-		m.board.open(r.Service, m.driver.openSessions(r.Service, r.Target, plan.Share))
+		m.observations.open(r.Service, m.driver.openSessions(r.Service, r.Target, plan.Share))
 	}
 	plan = r.late(plan, now)
-	if plan.Phase == passthrough.PhaseCompleted && (!m.mayComplete(r) || m.board.blind() && !seen.clean()) {
+	if plan.Phase == passthrough.PhaseCompleted && (!m.mayComplete(r) || m.observations.blind() && !seen.clean()) {
 		plan.Phase = passthrough.PhaseCanary
 	}
 	switch {
@@ -226,7 +226,7 @@
 	m.mu.Lock()
 	r.ended = phase
 	m.mu.Unlock()
-	m.board.close(r.Service)
+	m.observations.close(r.Service)
 	m.journal.emit(logging.EventRolloutEnded, slog.String("service", r.Service), slog.String("target", r.Target),
 		slog.Bool("completed", phase == passthrough.PhaseCompleted), slog.String("how", how),
 		slog.Int("new_good", seen.fresh.Good), slog.Int("new_bad", seen.fresh.Bad),
--- a/router/internal/passthrough/rollouts_restore.go
+++ b/router/internal/passthrough/rollouts_restore.go
@@ -55,7 +55,7 @@
 	}
 	r.earlier = append(r.earlier, r.offset)
 	r.offset = offset
-	m.board.reorder(o.Service, offset)
+	m.observations.reorder(o.Service, offset)
 	m.journal.stateKept("rollout", o.Service, "its order was written again")
 	return true
 }
--- a/router/internal/passthrough/rollouts_restore_test.go
+++ b/router/internal/passthrough/rollouts_restore_test.go
@@ -20,7 +20,7 @@
 
 type restoredInstance struct {
 	*parts
-	operatorTail, statusTail, boardTail *tail
+	operatorReader, statusReader, observationsReader *topicReader
 }
 
 func newRestoredFleet(t *testing.T, names ...string) *restoredFleet {
@@ -37,8 +37,8 @@
 func (f *restoredFleet) start(name string) *restoredInstance {
 	p := newParts(name, f.clock, f.status, f.observations)
 	p.listServers()
-	i := &restoredInstance{parts: p, operatorTail: p.operator.tail(f.operator, f.clock),
-		statusTail: p.rollouts.tail(f.status), boardTail: p.board.tail(f.clock, p.rollouts.active)}
+	i := &restoredInstance{parts: p, operatorReader: p.operator.reader(f.operator, f.clock),
+		statusReader: p.rollouts.reader(f.status), observationsReader: p.observations.reader(f.clock, p.rollouts.active)}
 	f.all = append(f.all, i)
 	return i
 }
@@ -47,13 +47,13 @@
 func (f *restoredFleet) step() {
 	f.t.Helper()
 	for _, i := range f.all {
-		for _, tl := range []*tail{i.operatorTail, i.statusTail, i.boardTail} {
+		for _, tl := range []*topicReader{i.operatorReader, i.statusReader, i.observationsReader} {
 			read(f.t, tl)
 		}
 	}
 	for _, i := range f.all {
 		i.rollouts.look(f.t.Context())
-		if err := f.observations.Append(f.t.Context(), keyedlog.Anywhere, i.board.due()...); err != nil {
+		if err := f.observations.Append(f.t.Context(), keyedlog.Anywhere, i.observations.due()...); err != nil {
 			f.t.Fatal(err)
 		}
 	}
@@ -89,8 +89,8 @@
 		f.step()
 	}
 	for _, i := range f.all {
-		if seen := i.board.view(i.rollouts.open["shop"], f.clock.Now()); seen.fresh.Bad != 3 {
-			t.Errorf("%s: %d bad answers are known, want 3", i.board.instance, seen.fresh.Bad)
+		if seen := i.observations.view(i.rollouts.open["shop"], f.clock.Now()); seen.fresh.Bad != 3 {
+			t.Errorf("%s: %d bad answers are known, want 3", i.observations.instance, seen.fresh.Bad)
 		}
 	}
 	if f.all[0].rollouts.open["shop"] != r || r.since != since {
@@ -102,7 +102,7 @@
 	}
 	for _, i := range f.all {
 		if got := i.rollouts.open["shop"].ended; got != passthrough.PhaseReverted {
-			t.Errorf("%s: ended as %v", i.board.instance, got)
+			t.Errorf("%s: ended as %v", i.observations.instance, got)
 		}
 	}
 }
@@ -153,14 +153,14 @@
 	f.step()
 	f.step()
 	f.observations.restore(copied)
-	read(t, f.all[1].boardTail)
-	if seen := f.all[1].board.view(f.all[1].rollouts.open["shop"], f.clock.Now()); seen.fresh.Bad != 4 {
+	read(t, f.all[1].observationsReader)
+	if seen := f.all[1].observations.view(f.all[1].rollouts.open["shop"], f.clock.Now()); seen.fresh.Bad != 4 {
 		t.Errorf("%d bad answers are known, want 4", seen.fresh.Bad)
 	}
 	f.step()
 	last := f.start("last")
 	f.step()
-	if seen := last.board.view(last.rollouts.open["shop"], f.clock.Now()); seen.fresh.Bad != 4 {
+	if seen := last.observations.view(last.rollouts.open["shop"], f.clock.Now()); seen.fresh.Bad != 4 {
 		t.Errorf("an instance that started after the restore knows %d bad answers, want 4", seen.fresh.Bad)
 	}
 }
--- a/router/internal/passthrough/rollouts_test.go
+++ b/router/internal/passthrough/rollouts_test.go
@@ -30,7 +30,7 @@
 
 func (p *parts) see(version string, bad bool, count int) {
 	for range count {
-		p.board.observed(passthrough.Observed{Service: "shop", Route: "r", Version: version, Bad: bad})
+		p.observations.observed(passthrough.Observed{Service: "shop", Route: "r", Version: version, Bad: bad})
 	}
 }
 
@@ -44,13 +44,13 @@
 	a.see("v2", false, 30)
 	a.see("v1", false, 300)
 	a.rollouts.advance(t.Context(), a.rollouts.open["shop"])
-	if err := observations.Append(t.Context(), keyedlog.Anywhere, a.board.due()...); err != nil {
+	if err := observations.Append(t.Context(), keyedlog.Anywhere, a.observations.due()...); err != nil {
 		t.Fatal(err)
 	}
 	b := newParts("b", clock, status, observations)
 	b.listServers()
 	b.rollouts.ordered(testOrder, 1)
-	tl := b.board.tail(clock, b.rollouts.active)
+	tl := b.observations.reader(clock, b.rollouts.active)
 	if err := tl.once(t.Context()); err != nil {
 		t.Fatal(err)
 	}
@@ -79,7 +79,7 @@
 	clock, status := newFakeClock(), &fakeLog{}
 	writer, follower := newParts("a", clock, status, &fakeLog{}), newParts("b", clock, status, &fakeLog{})
 	follower.rollouts.writes = func() bool { return false }
-	tl := follower.rollouts.tail(status)
+	tl := follower.rollouts.reader(status)
 	for _, p := range []*parts{writer, follower} {
 		p.listServers()
 		p.rollouts.ordered(testOrder, 1)
@@ -122,19 +122,19 @@
 		a.see("v2", true, c.bad)
 		b.see("v2", true, 8)
 		clock.pass(testOrder.Duration)
-		a.board.regained(6 * time.Second)
-		a.board.sound(clock.Now())
+		a.observations.regained(6 * time.Second)
+		a.observations.sound(clock.Now())
 		r := a.rollouts.open["shop"]
 		a.rollouts.advance(t.Context(), r)
 		if r.ended != c.want {
 			t.Errorf("%+v: ended as %v at once", c, r.ended)
 		}
-		if err := observations.Append(t.Context(), keyedlog.Anywhere, b.board.due()...); err != nil {
+		if err := observations.Append(t.Context(), keyedlog.Anywhere, b.observations.due()...); err != nil {
 			t.Fatal(err)
 		}
-		a.board.takeAll(observations.records)
+		a.observations.takeAll(observations.records)
 		clock.pass(gossipTime)
-		a.board.sound(clock.Now())
+		a.observations.sound(clock.Now())
 		a.rollouts.advance(t.Context(), r)
 		if c.want == 0 && r.ended != passthrough.PhaseReverted {
 			t.Errorf("%+v: ended as %v by the others' word", c, r.ended)
@@ -142,7 +142,7 @@
 	}
 }
 
-// TestNoCompletionWhileNothingCanBeWritten holds that an instance whose own sheet does not
+// TestNoCompletionWhileNothingCanBeWritten holds that an instance whose own set does not
 // reach the store takes its view of the others' for a part only.
 func TestNoCompletionWhileNothingCanBeWritten(t *testing.T) {
 	clock, status, observations := newFakeClock(), &fakeLog{}, &fakeLog{}
@@ -153,14 +153,14 @@
 	p.rollouts.advance(t.Context(), r)
 	p.see("v2", false, 2)
 	clock.pass(testOrder.Duration)
-	p.board.sound(clock.Now())
-	p.board.unwritten()
+	p.observations.sound(clock.Now())
+	p.observations.unwritten()
 	p.rollouts.advance(t.Context(), r)
 	if r.ended != 0 {
 		t.Fatalf("ended as %v", r.ended)
 	}
 	clock.pass(gossipTime)
-	p.board.sound(clock.Now())
+	p.observations.sound(clock.Now())
 	p.rollouts.advance(t.Context(), r)
 	if r.ended != passthrough.PhaseCompleted {
 		t.Errorf("ended as %v once all can be told", r.ended)
@@ -179,11 +179,11 @@
 	paced := func(count int, x float64) {
 		for range count {
 			s := passthrough.Shift{N: 1, Sum: x, Squares: x * x}
-			p.board.observed(passthrough.Observed{Service: "shop", Route: "r", Version: "v2", Pace: s})
+			p.observations.observed(passthrough.Observed{Service: "shop", Route: "r", Version: "v2", Pace: s})
 		}
 	}
 	look := func() passthrough.Phase {
-		p.board.sound(clock.Now())
+		p.observations.sound(clock.Now())
 		p.rollouts.advance(t.Context(), r)
 		return r.ended
 	}
--- a/router/internal/passthrough/sharing_test.go
+++ b/router/internal/passthrough/sharing_test.go
@@ -128,7 +128,7 @@
 	own := st.domain("a")
 	own.era = 1
 	sh := startSharing(t, st, clock, "strong", 0.8)
-	tl := sh.tail(t.Context())
+	tl := sh.reader(t.Context())
 	sh.join(t.Context(), false)
 	read(t, tl)
 	for _, keep := range []int{1, 0} {
--- a/router/internal/passthrough/tail.go
+++ b/router/internal/passthrough/topicreader.go
@@ -22,8 +22,8 @@
 	retryParts = 4
 )
 
-// tail follows a topic: the newest record of each key first, then every record.
-type tail struct {
+// topicReader follows a topic: the newest record of each key first, then every record.
+type topicReader struct {
 	name    string
 	log     keyedlog.Log
 	clock   Clock
@@ -55,7 +55,7 @@
 }
 
 // run follows the topic until ctx ends.
-func (t *tail) run(ctx context.Context) {
+func (t *topicReader) run(ctx context.Context) {
 	first := max(retryFirst, t.retry/retryParts)
 	delay := first
 	for ctx.Err() == nil {
@@ -73,7 +73,7 @@
 }
 
 // once reads once.
-func (t *tail) once(ctx context.Context) error {
+func (t *topicReader) once(ctx context.Context) error {
 	began := t.clock.Now()
 	if !t.known {
 		return t.restart(ctx, began)
@@ -99,8 +99,8 @@
 	return nil
 }
 
-// restart reads the newest records. The tail goes on from the end that was read first.
-func (t *tail) restart(ctx context.Context, began time.Time) error {
+// restart reads the newest records. The reader goes on from the end that was read first.
+func (t *topicReader) restart(ctx context.Context, began time.Time) error {
 	snap, err := t.log.Newest(ctx)
 	if err != nil {
 		return err
@@ -117,7 +117,7 @@
 
 // fromCopy notes that the log came back from a copy of an earlier state: what was read of it may be
 // missing there.
-func (t *tail) fromCopy(era uint64) {
+func (t *topicReader) fromCopy(era uint64) {
 	t.journal.count("store_restored")
 	t.journal.gauge("store_era", int(era))
 	t.journal.emit(logging.EventStoreRestored, slog.String("topic", t.name),
@@ -129,7 +129,7 @@
 
 // asOf is the time at which the log was as read: the read's start, unless the log says
 // how old its word is.
-func (t *tail) asOf(began time.Time, age time.Duration) time.Time {
+func (t *topicReader) asOf(began time.Time, age time.Duration) time.Time {
 	if age == 0 {
 		return began
 	}
@@ -137,7 +137,7 @@
 }
 
 // failed notes the begin of an outage.
-func (t *tail) failed(ctx context.Context, err error) {
+func (t *topicReader) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil || !t.lost.IsZero() {
 		return
 	}
@@ -146,7 +146,7 @@
 }
 
 // returned notes the end of an outage.
-func (t *tail) returned() {
+func (t *topicReader) returned() {
 	if t.lost.IsZero() {
 		return
 	}
