An instance that stood still waits for the others' word before it completes a version

The instance that wrote the end was suspended from 32.3 to 38.2 s, and woke with no answer of the new version seen; the store had been silent from 34.4 to 37.4, so that the others' counts (8 of 17, 6 of 12, 2 of 8 and 2 of 4 bad) were not written yet. It read the topic once, found nothing, and took that for their word: an outage makes an instance wait for 2.5 s, but it saw none.

Now a pause of its own between two looks at open roll-outs counts like an outage. Ruled out: the restore in the same run (28.8 s, before the order; all six instances had read it), the final verdict (no instance had one). TestNoCompletionRightAfterAPause failed before: ended as completed at once.

--- a/router/internal/passthrough/gossip.go
+++ b/router/internal/passthrough/gossip.go
@@ -61,6 +61,9 @@
 	b.nudge()
 }
 
+// resumed notes that this process stood still, and may have missed what the others tell.
+func (b *observationStore) resumed() { b.unwritten() }
+
 // unwritten notes that this instance could not tell what it saw: the others may be no better
 // off.
 func (b *observationStore) unwritten() {
--- a/router/internal/passthrough/rollouts.go
+++ b/router/internal/passthrough/rollouts.go
@@ -34,6 +34,8 @@
 	status map[string]state
 	known  bool
 	wake   chan struct{}
+	// lookedAt is when open roll-outs were looked at last, zero while there are none.
+	lookedAt time.Time
 	// restoredAt is when the store came back from a copy last.
 	restoredAt time.Time
 }
@@ -123,6 +125,7 @@
 // look advances the open roll-outs and writes lost ends again. It says whether there were any.
 func (m *rollouts) look(ctx context.Context) bool {
 	open, lost := m.snapshot(), m.toRewrite()
+	m.noticePause(len(open) > 0)
 	for _, r := range open {
 		m.advance(ctx, r)
 	}
@@ -132,6 +135,22 @@
 	return len(open)+len(lost) > 0
 }
 
+// noticePause finds out that this process stood still between two looks.
+//
+// Load: an instance that is suspended for the second half of a roll-out, beside an outage of the store
+// that it does not see. Harm prevented: a bad version completed by one that has heard nothing of it,
+// before the others could tell.
+func (m *rollouts) noticePause(open bool) {
+	now := m.clock.Now()
+	if !m.lookedAt.IsZero() && now.Sub(m.lookedAt) > gossipTime {
+		m.observations.resumed()
+	}
+	m.lookedAt = time.Time{}
+	if open {
+		m.lookedAt = now
+	}
+}
+
 // snapshot copies the open roll-outs.
 func (m *rollouts) snapshot() []*rollout {
 	m.mu.Lock()
--- a/router/internal/passthrough/rollouts_test.go
+++ b/router/internal/passthrough/rollouts_test.go
@@ -142,6 +142,36 @@
 	}
 }
 
+// TestNoCompletionRightAfterAPause holds that an instance which was suspended for most of a roll-out, and
+// finds the others' words unwritten, waits for them before it completes a version.
+func TestNoCompletionRightAfterAPause(t *testing.T) {
+	clock, status, observations := newFakeClock(), &fakeLog{}, &fakeLog{}
+	a, b := newParts("a", clock, status, observations), newParts("b", clock, status, observations)
+	for _, p := range []*parts{a, b} {
+		p.listServers()
+		p.rollouts.ordered(testOrder, 1)
+		p.rollouts.look(t.Context())
+	}
+	b.see("v2", true, 8)
+	clock.pass(testOrder.Duration) // a stands still, and b cannot write
+	a.observations.sound(clock.Now())
+	a.rollouts.look(t.Context())
+	r := a.rollouts.open["shop"]
+	if r.ended != 0 {
+		t.Fatalf("ended as %v at once", r.ended)
+	}
+	if err := observations.Append(t.Context(), keyedlog.Anywhere, b.observations.due()...); err != nil {
+		t.Fatal(err)
+	}
+	a.observations.takeAll(observations.records)
+	clock.pass(gossipTime)
+	a.observations.sound(clock.Now())
+	a.rollouts.look(t.Context())
+	if r.ended != passthrough.PhaseReverted {
+		t.Errorf("ended as %v by the others' word", r.ended)
+	}
+}
+
 // TestNoCompletionWhileNothingCanBeWritten holds that an instance whose own set does not
 // reach the store takes its view of the others' for a part only.
 func TestNoCompletionWhileNothingCanBeWritten(t *testing.T) {
