A roll-out's state is read from the register and written to it by one piece of code

Writing an end again after a restore (rewrite) had the register's read, its append under a condition and its log line a second time; both use stored and write now. The time for which a restore counts stood twice too.

--- a/router/internal/passthrough/observationset.go
+++ b/router/internal/passthrough/observationset.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"masticplank.example/decision/passthrough"
@@ -117,15 +118,7 @@
 	if s.Service != r.Service || s.Target != r.Target {
 		return false
 	}
-	if s.Order == r.offset {
-		return true
-	}
-	for _, offset := range r.earlier {
-		if s.Order == offset {
-			return true
-		}
-	}
-	return false
+	return s.Order == r.offset || slices.Contains(r.earlier, s.Order)
 }
 
 // latest are the observations of other processes on a roll-out: one of each process, which writes under
--- a/router/internal/passthrough/register.go
+++ b/router/internal/passthrough/register.go
@@ -71,8 +71,7 @@
 // it. The lock is held.
 func (m *rollouts) olderState(service, target string, phase passthrough.Phase) bool {
 	known := m.status[service]
-	lately := !m.restoredAt.IsZero() && m.clock.Now().Sub(m.restoredAt) < writtenAgainFor
-	return lately && known.target == target && known.phase.Ended() && !phase.Ended()
+	return m.restoredLately() && known.target == target && known.phase.Ended() && !phase.Ended()
 }
 
 // takeState notes what the register holds of a roll-out.
@@ -90,40 +89,60 @@
 // another instance wrote in between is never overwritten. An append without an answer is
 // read back at the next look, before anything else is written.
 func (m *rollouts) register(ctx context.Context, r *rollout, plan passthrough.Rollout, seen view) passthrough.Rollout {
-	snap, err := m.topic.Newest(ctx)
+	stored, end, err := m.stored(ctx, r)
 	if err != nil {
 		return undecided(plan)
 	}
+	if stored != 0 {
+		m.announce(r)
+	}
+	switch {
+	case stored.Ended():
+		plan.Phase = stored
+		m.end(r, stored, seen, "read")
+		return plan
+	case stored != 0 && !plan.Phase.Ended():
+		return plan
+	case !m.write(ctx, r, plan.Phase, end):
+		return undecided(plan)
+	}
+	m.announce(r)
+	if plan.Phase.Ended() {
+		m.end(r, plan.Phase, seen, "written")
+	}
+	return plan
+}
+
+// stored is the phase that the register holds of the roll-out, 0 for none, and where its topic ends.
+func (m *rollouts) stored(ctx context.Context, r *rollout) (phase passthrough.Phase, end keyedlog.Position, err error) {
+	snap, err := m.topic.Newest(ctx)
+	if err != nil {
+		return 0, end, err
+	}
 	for _, rec := range snap.Records {
 		service, target, phase, ok, err := m.records.Status(rec)
-		if err != nil || !ok || service != r.Service || target != r.Target {
-			continue
-		}
-		m.announce(r)
-		if phase.Ended() {
-			plan.Phase = phase
-			m.end(r, phase, seen, "read")
-			return plan
-		}
-		if !plan.Phase.Ended() {
-			return plan
+		if err == nil && ok && service == r.Service && target == r.Target {
+			return phase, snap.Next, nil
 		}
 	}
-	rec, err := m.records.StatusRecord(r.Service, r.Target, plan.Phase)
+	return 0, snap.Next, nil
+}
+
+// write writes a phase of the roll-out where the topic ends at the position, and says whether it did.
+func (m *rollouts) write(ctx context.Context, r *rollout, phase passthrough.Phase, end keyedlog.Position) bool {
+	rec, err := m.records.StatusRecord(r.Service, r.Target, phase)
 	if err == nil {
-		err = m.topic.Append(ctx, snap.Next, rec)
+		err = m.topic.Append(ctx, end, rec)
 	}
-	switch {
-	case err == nil:
-		m.announce(r)
-		if plan.Phase.Ended() {
-			m.end(r, plan.Phase, seen, "written")
-		}
-		return plan
-	case !errors.Is(err, keyedlog.ErrMoved):
-		m.journal.emit(logging.EventRolloutUnwritten, slog.String("service", r.Service), slog.String(logging.KeyError, err.Error()))
+	if err != nil && !errors.Is(err, keyedlog.ErrMoved) {
+		m.unwritten(r, err.Error())
 	}
-	return undecided(plan)
+	return err == nil
+}
+
+// unwritten tells why a roll-out's state is not in the register.
+func (m *rollouts) unwritten(r *rollout, why string) {
+	m.journal.emit(logging.EventRolloutUnwritten, slog.String("service", r.Service), slog.String(logging.KeyError, why))
 }
 
 // announce notes that the register holds the roll-out.
--- a/router/internal/passthrough/rollouts_restore.go
+++ b/router/internal/passthrough/rollouts_restore.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"errors"
-	"log/slog"
 	"time"
 
-	"masticplank.example/coordination/keyedlog"
 	"masticplank.example/decision/passthrough"
-	"masticplank.example/router/internal/logging"
 )
 
 const (
@@ -35,6 +31,11 @@
 	m.wakeUp()
 }
 
+// restoredLately says whether what the store lacked may still be written again. The lock is held.
+func (m *rollouts) restoredLately() bool {
+	return !m.restoredAt.IsZero() && m.clock.Now().Sub(m.restoredAt) < writtenAgainFor
+}
+
 // known is the end that this instance knows, 0 for none. The lock is held.
 func (r *rollout) known() passthrough.Phase {
 	if r.told.Ended() {
@@ -49,8 +50,7 @@
 // Load: a store that comes back from a copy in the middle of a roll-out. Harm prevented: a roll-out
 // that begins anew, with a full share for a version of which much was seen.
 func (m *rollouts) writtenAgain(r *rollout, o passthrough.Order, offset uint64) bool {
-	lately := !m.restoredAt.IsZero() && m.clock.Now().Sub(m.restoredAt) < writtenAgainFor
-	if r.Order != o || !lately {
+	if r.Order != o || !m.restoredLately() {
 		return false
 	}
 	r.earlier = append(r.earlier, r.offset)
@@ -79,34 +79,22 @@
 	if !m.writes() {
 		return
 	}
-	snap, err := m.topic.Newest(ctx)
+	stored, end, err := m.stored(ctx, r)
 	if err != nil {
 		return // it is tried again at the next look
 	}
 	m.mu.Lock()
 	phase := r.known()
 	m.mu.Unlock()
-	for _, rec := range snap.Records {
-		service, target, stored, ok, err := m.records.Status(rec)
-		if err != nil || !ok || service != r.Service || target != r.Target || !stored.Ended() {
-			continue
-		}
+	switch {
+	case stored.Ended():
 		if stored != phase {
-			m.journal.emit(logging.EventRolloutUnwritten, slog.String("service", r.Service), slog.String(logging.KeyError, "the store holds another end"))
+			m.unwritten(r, "the store holds another end")
 		}
 		m.rewritten(r)
-		return
-	}
-	rec, err := m.records.StatusRecord(r.Service, r.Target, phase)
-	if err == nil {
-		err = m.topic.Append(ctx, snap.Next, rec)
-	}
-	switch {
-	case err == nil:
+	case m.write(ctx, r, phase, end):
 		m.rewritten(r)
 		m.journal.stateKept("rollout_end", r.Service, "the store lacked it and has it again")
-	case !errors.Is(err, keyedlog.ErrMoved):
-		m.journal.emit(logging.EventRolloutUnwritten, slog.String("service", r.Service), slog.String(logging.KeyError, err.Error()))
 	}
 }
 
