What a restored store lacks is derived from the configuration in force, not kept beside it

configTrust held the highest version and the bound that Knowledge holds, and compared them twice; the operator reached for its clock. It asks Knowledge now, and confirms by lost. The start of topics' readers bears their name.

--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -78,12 +78,12 @@
 			func(l *logging.Logger, c Clock, k *Knowledge, reg gometrics.Registry) *journal {
 				return &journal{log: l, clock: c, known: k, reg: reg}
 			},
-			func(c Clock, k *Knowledge) *configTrust { return &configTrust{clock: c, bound: k.Bound} },
+			func(c Clock, k *Knowledge) *configTrust { return &configTrust{clock: c, known: k} },
 			newDialer, newStarting, provideSharing, provideDriver, provideObservationStore, provideList, provideRollouts, provideEdge, provideServer,
 		),
 		// The stop runs through these in reverse: the configuration must stay fresh until
 		// the last request has been answered.
-		fx.Invoke(watchSettings, startTails,
+		fx.Invoke(watchSettings, startReaders,
 			func(lc fx.Lifecycle, s *server, sd fx.Shutdowner) { startServer(lc, s, sd, p.ReadyPath, metrics) }),
 	)
 }
@@ -169,22 +169,22 @@
 	})
 }
 
-// startTails follows the store's topics, and carries roll-outs out.
-func startTails(lc fx.Lifecycle, p Platform, cfg seam.Settings, sh *sharing, k *Knowledge, d *Driver, l *list, m *rollouts, b *observationStore, trust *configTrust, j *journal, c Clock, st *starting) {
+// startReaders follows the store's topics, and carries roll-outs out.
+func startReaders(lc fx.Lifecycle, p Platform, cfg seam.Settings, sh *sharing, k *Knowledge, d *Driver, l *list, m *rollouts, b *observationStore, trust *configTrust, j *journal, c Clock, st *starting) {
 	op := &operator{
 		records: p.Records, known: k, driver: d, rollouts: m, journal: j, starting: st,
-		trust:   trust,
+		clock: c, trust: trust,
 		drained: map[string]bool{}, ordered: map[string]bool{}, kept: map[string]bool{}, domains: cfg.Zones,
 		collects: sh.server.Collects, direct: sh.operator.Direct,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			tails := []func(context.Context){
+			runs := []func(context.Context){
 				op.reader(sh.operator, c).run, l.reader(sh.servers, c).run,
 				b.reader(c, m.active).run, m.reader(sh.status).run, sh.reader(ctx).run, sh.collect, b.run, m.run, sh.server.Loads.Run,
 			}
-			go startTogether(ctx, sh, cfg.FirstStart, tails)
+			go startTogether(ctx, sh, cfg.FirstStart, runs)
 			return sh.listen(ctx)
 		},
 		OnStop: func(context.Context) error {
@@ -197,9 +197,9 @@
 
 // startTogether joins the others and starts the readers: an instance that knows its collector
 // saves its own reads.
-func startTogether(ctx context.Context, sh *sharing, first bool, tails []func(context.Context)) {
+func startTogether(ctx context.Context, sh *sharing, first bool, runs []func(context.Context)) {
 	sh.join(ctx, first)
-	for _, run := range tails {
+	for _, run := range runs {
 		go run(ctx)
 	}
 }
--- a/router/internal/passthrough/config_restore.go
+++ b/router/internal/passthrough/config_restore.go
@@ -15,12 +15,11 @@
 // leaves the rotation first, and then refuses requests with keys.
 type configTrust struct {
 	clock Clock
-	// bound is the time for which a key may be used unconfirmed.
-	bound func() time.Duration
+	known *Knowledge
 
 	mu sync.Mutex
-	// version is the highest that this instance knows, stored the highest that the store has.
-	version, stored uint64
+	// stored is the highest version that the store has.
+	stored uint64
 	// until is when reads confirm again; written says that a configuration was written since the
 	// restore.
 	until   time.Time
@@ -37,7 +36,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stored, c.written = 0, false
-	c.until = c.clock.Now().Add(part(settlePart, c.bound()))
+	c.until = c.clock.Now().Add(part(settlePart, c.known.Bound()))
 }
 
 // saw takes in a configuration that the store has; written says that it was read as a new record,
@@ -46,26 +45,25 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stored = max(c.stored, version)
-	c.version = max(c.version, version)
 	c.written = c.written || written
 }
 
 // confirms says whether a read confirms the configuration.
 func (c *configTrust) confirms() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.stored < c.version {
+	if c.lost() != 0 {
 		return false
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	return c.written || !c.clock.Now().Before(c.until)
 }
 
-// lost is the highest version that is known here and that the store lacks, 0 for none.
+// lost is the version in force here if the store lacks it, 0 where it does not.
 func (c *configTrust) lost() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.stored < c.version {
-		return c.version
+	if index := c.known.Index(); index != nil && c.stored < index.Version {
+		return index.Version
 	}
 	return 0
 }
--- a/router/internal/passthrough/draining.go
+++ b/router/internal/passthrough/draining.go
@@ -55,7 +55,7 @@
 	for _, domain := range slices.Sorted(maps.Keys(o.drained)) {
 		switch {
 		case o.ordered[domain]:
-		case o.trust.clock.Now().Before(o.keepUntil):
+		case o.clock.Now().Before(o.keepUntil):
 			if !o.kept[domain] {
 				o.kept[domain] = true
 				o.journal.stateKept("drained", domain, "the store has no order for it")
--- a/router/internal/passthrough/fakes_test.go
+++ b/router/internal/passthrough/fakes_test.go
@@ -207,7 +207,8 @@
 	p.rollouts = newRollouts(fakeRecords{}, status, p.driver, p.list, p.observations, p.journal, clock,
 		passthrough.Exposure{Share: 0.15, Tolerance: 30})
 	p.operator = &operator{records: fakeRecords{}, known: p.known, driver: p.driver, rollouts: p.rollouts, journal: p.journal, starting: newStarting(),
-		trust:   &configTrust{clock: clock, bound: p.known.Bound},
+		clock:   clock,
+		trust:   &configTrust{clock: clock, known: p.known},
 		drained: map[string]bool{}, ordered: map[string]bool{}, kept: map[string]bool{}, domains: []string{"a", "b"}, collects: func() bool { return false }, direct: func() bool { return true }}
 	return p
 }
--- a/router/internal/passthrough/operator.go
+++ b/router/internal/passthrough/operator.go
@@ -19,6 +19,7 @@
 	rollouts *rollouts
 	journal  *journal
 	starting *starting
+	clock    Clock
 	// trust says whether reads confirm the configuration.
 	trust *configTrust
 	// drained are the failure domains that get no new work, domains all that there are. ordered
@@ -94,7 +95,7 @@
 func (o *operator) restored() {
 	o.trust.restored()
 	o.rollouts.restored()
-	o.keepUntil = o.trust.clock.Now().Add(drainKept)
+	o.keepUntil = o.clock.Now().Add(drainKept)
 }
 
 // take applies one record that was written since the last read.
