A report among instances is packed once and unpacked once

Its four parts were put together and taken apart at the asker and at the asked, the lost version after the rest. No behaviour changes, the messages are the same; go test ./router/internal/relay green.

--- a/router/internal/relay/loads.go
+++ b/router/internal/relay/loads.go
@@ -106,53 +106,61 @@
 // the reads of the topics.
 func (l *Loads) report(ctx context.Context, to Member) {
 	asked := l.now()
-	mine := l.total(append(l.known("", false), l.self()))
+	mine := packReport(l.total(append(l.known("", false), l.self())))
 	params := loadsParams{
-		Name: l.client.members.self.Name, Rows: packLoads(mine.Loads), Limits: packLimits(mine.Limits),
-		LostConfig: mine.LostConfig, Instances: mine.Instances,
+		Name: l.client.members.self.Name, Rows: mine.loads, Limits: mine.limits,
+		LostConfig: mine.lostConfig, Instances: mine.instances,
 	}
 	out, err := l.client.ask(ctx, to, methodLoads, params, loadsTimeout)
 	if err != nil {
 		return
 	}
 	// The ages of limits count from the question: an old answer must not look new.
-	others, err := l.unpack(to.Name, out.Loads, out.Limits, out.Instances, asked)
+	others, err := l.unpack(to.Name, packedReport{out.Loads, out.Limits, out.LostConfig, out.Instances}, asked)
 	if err != nil {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	others.receivedAt = l.now()
-	others.LostConfig = out.LostConfig
 	l.above = others
 }
 
-// unpack reads what another instance sent; its ages are as of the time.
-func (l *Loads) unpack(from string, loads, limits []byte, instances int, at time.Time) (loadReport, error) {
-	out := loadReport{at: at, receivedAt: at}
+// packedReport is a report as instances send it.
+type packedReport struct {
+	loads, limits []byte
+	lostConfig    uint64
+	instances     int
+}
+
+func packReport(r Report) packedReport {
+	return packedReport{packLoads(r.Loads), packLimits(r.Limits), r.LostConfig, r.Instances}
+}
+
+// unpack reads what another instance sent; the ages in it are as of the time.
+func (l *Loads) unpack(from string, p packedReport, at time.Time) (loadReport, error) {
+	out := loadReport{at: at, receivedAt: l.now()}
+	out.LostConfig, out.Instances = p.lostConfig, p.instances
 	var err error
-	if out.Loads, err = unpackLoads(loads); err == nil {
-		out.Limits, err = unpackLimits(limits)
+	if out.Loads, err = unpackLoads(p.loads); err == nil {
+		out.Limits, err = unpackLimits(p.limits)
 	}
 	if err != nil && l.Unreadable != nil {
 		l.Unreadable(from, err)
 	}
-	out.Instances = instances
 	return out, err
 }
 
 // told takes in a report and answers with what all others have.
 func (l *Loads) told(p loadsParams) (answer, error) {
-	in, err := l.unpack(p.Name, p.Rows, p.Limits, p.Instances, l.now())
+	in, err := l.unpack(p.Name, packedReport{p.Rows, p.Limits, p.LostConfig, p.Instances}, l.now())
 	if err != nil {
 		return answer{}, err
 	}
-	in.LostConfig = p.LostConfig
 	l.mu.Lock()
 	l.below[p.Name] = in
 	l.mu.Unlock()
-	others := l.total(append(l.known(p.Name, true), l.self()))
-	return answer{Loads: packLoads(others.Loads), Limits: packLimits(others.Limits), LostConfig: others.LostConfig, Instances: others.Instances}, nil
+	out := packReport(l.total(append(l.known(p.Name, true), l.self())))
+	return answer{Loads: out.loads, Limits: out.limits, LostConfig: out.lostConfig, Instances: out.instances}, nil
 }
 
 // self is what this instance has.
