Rate limits cost nothing where no server states one; a final verdict is not worked out again

A request that has to wait scanned its service's servers for limits, and found out its version once more, also where no server states a limit; judging went on through all counts of a version that had been found bad. Both return at once. No behaviour changes: a request gets there only where some server may take it, which is an unlimited one then.

--- a/coordination/keyedlog/keyedlog.go
+++ b/coordination/keyedlog/keyedlog.go
@@ -74,7 +74,7 @@
 	// ErrGone: the records from that offset on are not kept any more.
 	ErrGone = errors.New("the log has dropped these records")
 	// ErrRestored: the log came back from a copy, and the position is one of before. It is an
-	// ErrGone, as the way on is the same: the newest records, and a tail from there.
+	// ErrGone, as the way on is the same: the newest records, and a reader from there.
 	ErrRestored = fmt.Errorf("%w: it came back from a copy", ErrGone)
 	// ErrMoved: the log ends at another offset than the append named.
 	ErrMoved = errors.New("the log ends elsewhere")
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -145,7 +145,7 @@
 	// Load is the server's load as believed, with its age, for the log.
 	Load    int
 	LoadAge time.Duration
-	// Limit is the server's rate limit as believed, for the log.
+	// Limit is the server's rate limit as known, for the log.
 	Limit RateLimit
 	// Wait is how long the prompt is thought to wait at the server for others to be read.
 	Wait time.Duration
--- a/decision/passthrough/evidence.go
+++ b/decision/passthrough/evidence.go
@@ -63,9 +63,12 @@
 // Load: a fault that cuts off the old version's answers while a bad version is taken back. Harm
 // prevented: the bad one let in again, as the old one looks no better by then.
 func (e *Evidence) Bad(now time.Time, sums map[string]Pair) bool {
+	if e.bad {
+		return true
+	}
 	lately := e.lately(now, sums)
 	e.past = append(e.past, pastSums{now, sums})
-	e.bad = e.bad || judgeRoutes(sums) || judgeRoutes(lately)
+	e.bad = judgeRoutes(sums) || judgeRoutes(lately)
 	return e.bad
 }
 
--- a/decision/passthrough/ratelimit.go
+++ b/decision/passthrough/ratelimit.go
@@ -225,6 +225,9 @@
 // limitWait is how long the request waits for its turn where all servers that may take it are
 // limited; ok is false where one is not.
 func (w *World) limitWait(r *request) (wait time.Duration, ok bool) {
+	if len(w.limited) == 0 {
+		return 0, false
+	}
 	fits := w.fitting(r)
 	rate, tokens := 0.0, 0.0
 	for _, s := range r.service.servers {
