Attempts log what a server stated: that it leaves, and how long it wants no requests

Event 311 said neither which answer announced a departure nor what a refusal asked for, so that a header that is not read could not be told from one that is read and then lost, or read on some paths only.

311 has told_leaving and told_retry_after_ms now, with a counter each. No decision uses them. The adapter's field for a closed connection is named after what it is.

--- a/decision/passthrough/seam/seam.go
+++ b/decision/passthrough/seam/seam.go
@@ -56,8 +56,13 @@
 	NotRun bool
 	// Misdirected is true if another server now has the address.
 	Misdirected bool
-	// Leaving is true if the server closes the connection.
+	// ClosesConnection is true if the server closes the connection after the response.
+	ClosesConnection bool
+	// Leaving is true if the server states that it is leaving.
 	Leaving bool
+	// RetryAfter is the time for which a server that refused the request wants no other from
+	// this instance; 0 if not stated.
+	RetryAfter time.Duration
 	// Encoded is true if the body is not the server's own bytes.
 	Encoded bool
 	// Load is the server's load if HasLoad.
--- a/router/internal/passthrough/attempt.go
+++ b/router/internal/passthrough/attempt.go
@@ -53,6 +53,10 @@
 	// the request and is shutting down.
 	misdirected bool
 	leaving     bool
+	// toldLeaving and toldRetryAfter are what the response head states: that the server is leaving,
+	// and for how long it wants no requests from this instance.
+	toldLeaving    bool
+	toldRetryAfter time.Duration
 	// connectionLost is true if the response could not be read to its end although this instance
 	// did not close the connection.
 	connectionLost bool
@@ -162,7 +166,8 @@
 	out := a.classify(resp, meta)
 	out.firstByte = a.firstByte
 	out.confidence = meta.Confidence
-	out.leaving = out.leaving || meta.Leaving && out.result == passthrough.Rejected
+	out.leaving = meta.ClosesConnection && out.result == passthrough.Rejected
+	out.toldLeaving, out.toldRetryAfter = meta.Leaving, meta.RetryAfter
 	out.misdirected = meta.Misdirected
 	if meta.HasLoad {
 		out.load = &meta.Load
--- a/router/internal/passthrough/telemetry.go
+++ b/router/internal/passthrough/telemetry.go
@@ -139,6 +139,14 @@
 	if out.limit != nil && out.limit.Limited {
 		attrs = append(attrs, slog.Float64("told_limit", out.limit.PerSecond))
 	}
+	if out.toldLeaving {
+		t.count("attempt.told_leaving")
+		attrs = append(attrs, slog.Bool("told_leaving", true))
+	}
+	if out.toldRetryAfter > 0 {
+		t.count("attempt.told_retry_after")
+		attrs = append(attrs, slog.Int64("told_retry_after_ms", out.toldRetryAfter.Milliseconds()))
+	}
 	if out.load != nil {
 		attrs = append(attrs, slog.Int("told_running", out.load.Running), slog.Int("told_waiting", out.load.Waiting))
 	}
