A server that states in an answer that it is leaving gets no new requests

Cause: the departure of a server was read from the store only (and guessed from refusals that close the connection). While the store is down the entry stays ready. Class: what a server states about itself is dropped, or used on one path only.

Change: the head of every answer is reported to the decision at once, whatever becomes of the answer (failure, refusal, dropped, truncated, caller gone), for the process that the request was sent to. All dispatches pass usable(), so first attempts, retries, second models, resumed streams and queued requests leave the server out. If it was the last one, what waits in the queue is refused at once.

--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -63,6 +63,14 @@
 	Limit   RateLimit
 }
 
+// ServerStated is what the head of a response states about its server, whatever becomes of the response.
+type ServerStated struct {
+	// Server is the server that the request was sent to.
+	Server Server
+	// Leaving is true if it states that it is leaving.
+	Leaving bool
+}
+
 // EventIntervalMeasured is the mean time between the first events of a stream.
 type EventIntervalMeasured struct {
 	Request       RequestID
@@ -124,6 +132,7 @@
 func (LoadReported) event()          {}
 func (EventIntervalMeasured) event() {}
 func (FirstByte) event()             {}
+func (ServerStated) event()          {}
 func (PeerCrashes) event()           {}
 func (FleetSize) event()             {}
 func (RolloutUpdated) event()        {}
@@ -235,6 +244,9 @@
 	Age time.Duration
 }
 
+// ServerLeaving reports that a server has stated for the first time that it is leaving.
+type ServerLeaving struct{ Server string }
+
 func (Dispatch) command()         {}
 func (Refuse) command()           {}
 func (Finish) command()           {}
@@ -243,3 +255,4 @@
 func (RefreshServers) command()   {}
 func (SlowStartBegun) command()   {}
 func (RateLimitChanged) command() {}
+func (ServerLeaving) command()    {}
--- a/decision/passthrough/servers.go
+++ b/decision/passthrough/servers.go
@@ -32,7 +32,7 @@
 	for _, s := range list {
 		seen[s.ID] = true
 		known := w.servers[s.ID]
-		if known != nil && known.StartTime == s.StartTime && known.Address == s.Address && known.Service == s.Service {
+		if known != nil && known.process() == s.process() {
 			s.Leaving = s.Leaving || known.Leaving
 			changed := s.SlowStartRemaining != known.SlowStartRemaining
 			known.Server = s
@@ -138,9 +138,13 @@
 
 // usable reports whether the server may get new requests, ejected or not.
 func (s *server) usable(now time.Time) bool {
-	return !s.gone && !s.Leaving && !s.drained && !now.Before(s.backoffUntil)
+	return !s.gone && !s.leaving() && !s.drained && !now.Before(s.backoffUntil)
 }
 
+// leaving reports whether the server is leaving, by its entry, by its own statement, or by a response
+// that shows it.
+func (s *server) leaving() bool { return s.Leaving || s.statedLeaving }
+
 // hashString is a hash that is the same at all instances.
 func hashString(s string) uint64 {
 	h := fnv.New64a()
--- /dev/null
+++ b/decision/passthrough/statements_test.go
@@ -0,0 +1,92 @@
+package passthrough
+
+import (
+	"testing"
+	"time"
+)
+
+// leavingReports counts the reports of servers that state that they are leaving.
+func leavingReports(h *harness) int {
+	n := 0
+	for _, c := range h.allCommands {
+		if _, ok := c.(ServerLeaving); ok {
+			n++
+		}
+	}
+	return n
+}
+
+// TestServerThatStatedItsLeavingGetsNothing guards against requests to a server that has stated that it
+// is leaving while its entry is ready: first attempts, retries, second models and resumed streams.
+func TestServerThatStatedItsLeavingGetsNothing(t *testing.T) {
+	h := newHarness(t, Settings{})
+	h.configure(streamRoute())
+	list := servers("llm", 2, 8)
+	h.tick(ServersListed{list})
+	leaving := list[0]
+	h.tick(ServerStated{Server: leaving, Leaving: true}, ServerStated{Server: leaving, Leaving: true})
+	if n := leavingReports(h); n != 1 {
+		t.Errorf("reported %d times that the server is leaving, want once", n)
+	}
+	h.tick(ServersListed{list}) // the list has not changed
+	ends := map[string]AttemptEnded{
+		"first attempt":  {Result: Completed},
+		"retry":          {Result: Failed},
+		"second model":   {Result: Dropped, Confidence: 0.1},
+		"resumed stream": {Result: Broken, Begun: true},
+		"refused":        {Result: Rejected},
+		"not sent":       {Result: NotSent},
+	}
+	for name, end := range ends {
+		for range 5 {
+			h.advance(time.Second)
+			end.Request = h.arrive(streamRoute(), nil)
+			h.tick(end)
+			h.tick(AttemptEnded{Request: end.Request, Result: Completed})
+			for _, c := range h.commands[end.Request] {
+				if d, ok := c.(Dispatch); ok && d.Server.ID == leaving.ID {
+					t.Fatalf("%s: attempt %d went to the server that is leaving", name, d.Attempt)
+				}
+			}
+		}
+	}
+}
+
+// TestStatementOfAnEarlierProcessIsIgnored guards against a late response of a server's former process
+// that keeps requests from the process that has restarted under its id.
+func TestStatementOfAnEarlierProcessIsIgnored(t *testing.T) {
+	h := newHarness(t, Settings{})
+	h.configure(plainRoute())
+	list := servers("shop", 1, 8)
+	h.tick(ServersListed{list})
+	former := h.requireDispatch(h.arrive(plainRoute(), nil)).Server
+	list[0].StartTime++
+	h.tick(ServersListed{list})
+	h.tick(ServerStated{Server: former, Leaving: true})
+	h.requireDispatch(h.arrive(plainRoute(), nil))
+}
+
+// TestQueuedRequestsAreRefusedWhenTheLastServerLeaves guards against requests that wait in the queue for a
+// server which has stated that it is leaving, and against one that is dispatched to it from the queue.
+func TestQueuedRequestsAreRefusedWhenTheLastServerLeaves(t *testing.T) {
+	h := newHarness(t, Settings{})
+	h.configure(streamRoute())
+	list := servers("llm", 1, 8)
+	h.tick(ServersListed{list})
+	var running, queued []RequestID
+	for range 8 {
+		running = append(running, h.arrive(streamRoute(), nil))
+	}
+	for range 3 {
+		queued = append(queued, h.arrive(streamRoute(), nil))
+		if c := h.last(queued[len(queued)-1]); c != nil {
+			t.Fatalf("a request beyond the slots got %#v, want it to wait", c)
+		}
+	}
+	h.tick(ServerStated{Server: list[0], Leaving: true})
+	for _, id := range queued {
+		h.requireRefusal(id, ReasonNoServer)
+	}
+	h.tick(AttemptEnded{Request: running[0], Result: Completed})
+	h.requireRefusal(h.arrive(streamRoute(), nil), ReasonNoServer)
+}
--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -52,6 +52,8 @@
 	// canary's servers and the keys in load reports.
 	hash uint64
 	gone bool
+	// statedLeaving is true once the server's process has stated in a response that it is leaving.
+	statedLeaving bool
 	// drained is true if the server's failure domain gets no new requests.
 	drained   bool
 	slowStart slowStart
--- a/decision/passthrough/types.go
+++ b/decision/passthrough/types.go
@@ -23,6 +23,17 @@
 	SlowStartRemaining time.Duration
 }
 
+// serverProcess identifies a process of a backend server. Another process may have its id or its address
+// later.
+type serverProcess struct {
+	id, address, service string
+	startTime            int64
+}
+
+func (s Server) process() serverProcess {
+	return serverProcess{id: s.ID, address: s.Address, service: s.Service, startTime: s.StartTime}
+}
+
 // Load is the load that a backend server reports of itself, in requests. Running counts those that
 // hold a slot, Waiting those that wait for one, and Slots is the number of slots.
 type Load struct {
--- a/decision/passthrough/versions.go
+++ b/decision/passthrough/versions.go
@@ -29,7 +29,7 @@
 func (w *World) countVersions(s *service, target string) (atTarget, others int) {
 	for _, srv := range s.servers {
 		switch {
-		case srv.gone, srv.Leaving, srv.drained, w.revertedVersions[versionKey{srv.Service, srv.Version}]:
+		case srv.gone, srv.leaving(), srv.drained, w.revertedVersions[versionKey{srv.Service, srv.Version}]:
 		case srv.Version == target:
 			atTarget++
 		default:
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -133,6 +133,8 @@
 		w.observeLoad(e)
 	case FirstByte:
 		w.observeFirstByte(e)
+	case ServerStated:
+		w.observeStatement(e)
 	case EventIntervalMeasured:
 		w.observeEventInterval(e)
 	case PeerCrashes:
--- a/router/internal/passthrough/attempt.go
+++ b/router/internal/passthrough/attempt.go
@@ -163,6 +163,7 @@
 // readOutcome reads the response and returns the attempt's outcome.
 func (a *attempt) readOutcome(resp *http.Response) outcome {
 	meta := a.exchange.handler.headers.ReadResponse(resp.StatusCode, resp.Header)
+	a.reportStatement(meta)
 	out := a.classify(resp, meta)
 	out.firstByte = a.firstByte
 	out.confidence = meta.Confidence
@@ -178,6 +179,15 @@
 	return out
 }
 
+// reportStatement reports to decision/passthrough what the response head states about the server. A
+// statement holds even if the response is not valid, is dropped or has lost its caller; one of another
+// server that now has the address does not.
+func (a *attempt) reportStatement(meta seam.Response) {
+	if meta.Leaving && !meta.Misdirected {
+		a.exchange.handler.driver.Handle(passthrough.ServerStated{Server: a.server, Leaving: meta.Leaving})
+	}
+}
+
 // reportsLimit reports whether a response states the server's rate limit, or that it has none. Only
 // a success states that there is none: a refusal or failure may come from a component that does not
 // know the limit.
--- a/router/internal/passthrough/driver.go
+++ b/router/internal/passthrough/driver.go
@@ -14,12 +14,13 @@
 	// requestServerRead requests an immediate read of the list of backend servers. It is called
 	// with the lock held and must not block.
 	requestServerRead func()
-	// onObservation and onCrash inform the other instances; onSlowStart and onLimitChanged
-	// write to the log. All four are called with the lock held and must not block.
-	onObservation  func(passthrough.Observation)
-	onCrash        func(passthrough.CrashSuspected)
-	onSlowStart    func(passthrough.SlowStartBegun)
-	onLimitChanged func(passthrough.RateLimitChanged)
+	// onObservation and onCrash inform the other instances; onSlowStart, onLimitChanged and
+	// onServerLeaving write to the log. All are called with the lock held and must not block.
+	onObservation   func(passthrough.Observation)
+	onCrash         func(passthrough.CrashSuspected)
+	onSlowStart     func(passthrough.SlowStartBegun)
+	onLimitChanged  func(passthrough.RateLimitChanged)
+	onServerLeaving func(passthrough.ServerLeaving)
 
 	mu      sync.Mutex
 	world   *passthrough.World
@@ -43,6 +44,7 @@
 		clock: clock, world: passthrough.New(cfg), tickets: map[passthrough.RequestID]*ticket{},
 		requestServerRead: func() {}, onObservation: func(passthrough.Observation) {}, onCrash: func(passthrough.CrashSuspected) {},
 		onSlowStart: func(passthrough.SlowStartBegun) {}, onLimitChanged: func(passthrough.RateLimitChanged) {},
+		onServerLeaving: func(passthrough.ServerLeaving) {},
 	}
 }
 
@@ -134,6 +136,8 @@
 			d.onSlowStart(c)
 		case passthrough.RateLimitChanged:
 			d.onLimitChanged(c)
+		case passthrough.ServerLeaving:
+			d.onServerLeaving(c)
 		}
 	}
 }
--- a/router/internal/passthrough/telemetry.go
+++ b/router/internal/passthrough/telemetry.go
@@ -102,6 +102,13 @@
 		slog.Bool("own", c.Own), slog.Int64("age_ms", c.Age.Milliseconds()))
 }
 
+// logServerLeaving counts and logs a server that states that it is leaving. The driver calls it, so it
+// must not block.
+func (t *telemetry) logServerLeaving(c passthrough.ServerLeaving) {
+	t.count("leaving_stated")
+	t.emit(logging.EventServerLeaving, slog.String(keyServer, c.Server))
+}
+
 // logUnreadableLoads logs a peer's load report that cannot be read and is ignored.
 func (t *telemetry) logUnreadableLoads(from string, err error) {
 	t.emit(logging.EventRecordRejected, slog.String("from", from), slog.String(logging.KeyError, err.Error()))
