What is known of a server's process outlives its entry in the list

Cause: a server's row was dropped with its entry, and made anew when the entry came back. With it went all that the server had stated or shown: that it is leaving, a rate limit, failures, slow start. Class: what was learned from answers is bound to the entry of another source.

Change: a row belongs to a process (id, start time, address, service). It is kept after its entry is gone, 16,384 of them at most, and used again if that process is listed again. A restart under the same id is another process and starts afresh; answers of the former process that arrive late go to its own row.

--- a/decision/passthrough/servers.go
+++ b/decision/passthrough/servers.go
@@ -25,8 +25,17 @@
 	return s
 }
 
+// maxDepartedServers bounds the processes that are kept after their entries have gone: the largest planned
+// deployment has 10,000 backend servers, and in an outage of the store all entries may expire at once.
+const maxDepartedServers = 16384
+
 // setServers applies a list of backend servers. A server that restarted under its id gets
-// a new entry, as all that was known is about its previous process.
+// a new entry, as all that was known is about its previous process. If a process is listed again after
+// its entry has gone, all that was known of it still holds.
+//
+// Load: entries that expire while the store is down, or that a restored store lacks, and are written
+// again by the same processes. Harm prevented: what a server has stated (that it is leaving, a rate
+// limit) or has shown (failures) is forgotten, and it gets its full share of requests again.
 func (w *World) setServers(list []Server) {
 	seen := make(map[string]bool, len(list))
 	for _, s := range list {
@@ -41,26 +50,53 @@
 			}
 			continue
 		}
-		added := w.newServer(s)
-		w.servers[s.ID] = added
+		added := w.addServer(s)
 		w.enterSlowStart(added, s.SlowStartRemaining, CauseListed)
 		if known != nil {
-			known.gone = true
+			w.retire(known)
 			added.slowStart.until = known.slowStart.until
 			w.enterSlowStart(added, added.service.slowStart.span, CauseRestarted)
 		}
 	}
 	for id, known := range w.servers {
 		if !seen[id] {
-			known.gone = true
+			w.retire(known)
 			delete(w.servers, id)
 		}
 	}
 	w.rebuildIndexes(list)
 }
 
-func (w *World) newServer(s Server) *server {
-	return &server{Server: s, service: w.serviceOf(s.Service), hash: hashString(s.ID), drained: w.drained[s.Domain]}
+// addServer adds the process of an entry that is new, or is back.
+func (w *World) addServer(s Server) *server {
+	added, known := w.departed.Get(s.process())
+	if known {
+		w.departed.Remove(s.process())
+		added.Server, added.gone = s, false
+	} else {
+		added = &server{Server: s, service: w.serviceOf(s.Service), hash: hashString(s.ID)}
+	}
+	added.drained = w.drained[s.Domain]
+	if added.limit.Limited {
+		w.limitedServers[added] = true
+	}
+	w.servers[s.ID] = added
+	return added
+}
+
+// retire records that a process is no longer listed.
+func (w *World) retire(s *server) {
+	s.gone = true
+	w.departed.Add(s.process(), s)
+}
+
+// findProcess returns the process of a server, listed or not; nil if it is unknown.
+func (w *World) findProcess(p serverProcess) *server {
+	if s := w.servers[p.id]; s != nil && s.process() == p {
+		return s
+	}
+	s, _ := w.departed.Peek(p)
+	return s
 }
 
 // enterSlowStart puts one server in slow start and reports it.
--- a/decision/passthrough/statements.go
+++ b/decision/passthrough/statements.go
@@ -14,9 +14,9 @@
 // stay ready. Harm prevented: requests that are sent to a server which is about to stop, and are cut off
 // or time out.
 func (w *World) observeStatement(e ServerStated) {
-	s := w.servers[e.Server.ID]
-	if s == nil || s.process() != e.Server.process() {
-		return // the process is gone
+	s := w.findProcess(e.Server.process())
+	if s == nil {
+		return
 	}
 	if e.Leaving {
 		w.setStatedLeaving(s)
--- a/decision/passthrough/statements_test.go
+++ b/decision/passthrough/statements_test.go
@@ -90,3 +90,70 @@
 	h.tick(AttemptEnded{Request: running[0], Result: Completed})
 	h.requireRefusal(h.arrive(streamRoute(), nil), ReasonNoServer)
 }
+
+// TestRelistedServerKeepsWhatItStated guards against forgetting what a process has stated or shown when its
+// entry goes and comes back, by itself or beside a restart under its id, and against applying it to the
+// restarted process.
+func TestRelistedServerKeepsWhatItStated(t *testing.T) {
+	newFleet := func() (*harness, []Server) {
+		h := newHarness(t, Settings{})
+		h.configure(plainRoute())
+		list := servers("shop", 2, 8)
+		h.tick(ServersListed{list})
+		return h, list
+	}
+	sent := func(h *harness, to string) int {
+		n := 0
+		for range 20 {
+			h.advance(time.Second)
+			id := h.arrive(plainRoute(), nil)
+			if h.requireDispatch(id).Server.ID == to {
+				n++
+			}
+			h.tick(AttemptEnded{Request: id, Result: Completed})
+		}
+		return n
+	}
+	restarted := func(s Server) Server { s.StartTime++; return s }
+	for name, lists := range map[string][][]int{"its entry expires": {{1}, {0, 1}}, "all entries expire": {{}, {0, 1}}, "twice": {{1}, {0, 1}, {1}, {0, 1}}} {
+		h, list := newFleet()
+		h.tick(ServerStated{Server: list[0], Leaving: true})
+		for _, at := range lists {
+			var now []Server
+			for _, i := range at {
+				now = append(now, list[i])
+			}
+			h.tick(ServersListed{now})
+		}
+		if n := sent(h, list[0].ID); n != 0 {
+			t.Errorf("%s: %d requests to a server that had stated that it is leaving, want 0", name, n)
+		}
+		h.tick(ServersListed{[]Server{restarted(list[0]), list[1]}})
+		if n := sent(h, list[0].ID); n == 0 {
+			t.Errorf("%s: the restarted server gets nothing", name)
+		}
+		h.tick(ServersListed{list}) // a restored store lists the former process
+		if n := sent(h, list[0].ID); n != 0 {
+			t.Errorf("%s: %d requests to the former process in a restored list, want 0", name, n)
+		}
+	}
+
+	h, list := newFleet()
+	h.tick(ServersListed{list[1:]})
+	h.tick(ServerStated{Server: list[0], Leaving: true}) // the answer arrives while the server is not listed
+	h.tick(ServersListed{list})
+	if n := sent(h, list[0].ID); n != 0 {
+		t.Errorf("stated while not listed: %d requests, want 0", n)
+	}
+
+	h, list = newFleet()
+	var id RequestID
+	for id = h.arrive(plainRoute(), nil); h.requireDispatch(id).Server.ID != list[0].ID; id = h.arrive(plainRoute(), nil) {
+	}
+	h.tick(AttemptEnded{Request: id, Result: Completed, Limit: &RateLimit{Limited: true, PerSecond: 0.1}})
+	h.tick(ServersListed{list[1:]})
+	h.tick(ServersListed{list})
+	if n := sent(h, list[0].ID); n > 3 {
+		t.Errorf("%d requests in 20 s to a server that had stated a limit of 0.1 per second, want at most 3", n)
+	}
+}
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -33,9 +33,11 @@
 
 // World holds the tables. It is not safe for concurrent use: a single owner calls Tick.
 type World struct {
-	cfg      Settings
-	rng      *rand.Rand
-	servers  map[string]*server
+	cfg     Settings
+	rng     *rand.Rand
+	servers map[string]*server
+	// departed are processes that are no longer listed, with what is known of them.
+	departed *simplelru.LRU[serverProcess, *server]
 	services map[string]*service
 	requests map[RequestID]*request
 	rollouts map[string]*Rollout
@@ -75,20 +77,17 @@
 
 // New returns an empty world. It refuses all requests until it has a list of backend servers.
 func New(cfg Settings) *World {
-	sessions, err := simplelru.NewLRU[string, sessionEntry](maxSessions, nil)
-	if err != nil {
-		panic(err) // NewLRU fails only for a size below 1
-	}
 	const stream = 0x70617373 // arbitrary: there is one random stream per world
 	return &World{
 		cfg:              cfg,
 		rng:              rand.New(rand.NewPCG(cfg.Seed, stream)),
 		servers:          map[string]*server{},
+		departed:         newLRU[serverProcess, *server](maxDepartedServers),
 		services:         map[string]*service{},
 		requests:         map[RequestID]*request{},
 		rollouts:         map[string]*Rollout{},
 		revertedVersions: map[versionKey]bool{},
-		sessions:         sessions,
+		sessions:         newLRU[string, sessionEntry](maxSessions),
 		keptOnOldVersion: map[string]bool{},
 		crashes:          newCrashes(),
 		routes:           map[string]*routeStats{},
@@ -98,6 +97,15 @@
 	}
 }
 
+// newLRU returns a cache of the size, which is at least 1.
+func newLRU[K comparable, V any](size int) *simplelru.LRU[K, V] {
+	cache, err := simplelru.NewLRU[K, V](size, nil)
+	if err != nil {
+		panic(err) // NewLRU fails only for a size below 1
+	}
+	return cache
+}
+
 // Tick applies the events in order, dispatches queued requests where possible and returns the
 // commands. They are valid until the next Tick.
 func (w *World) Tick(now time.Time, in ...Event) []Command {
