A request is withheld if its server becomes unusable while the connection is opened

Between the two lie the connection (up to 350 ms) and the scheduling of a busy process; within them the server may state that it leaves or wants no requests, be removed, or have its failure domain drained.

Change: after the connection is open, the attempt asks whether the server may still be sent to. If not, it ends as withheld: nothing was written, it counts as no attempt, and the request goes to another server.

--- a/decision/passthrough/attempt.go
+++ b/decision/passthrough/attempt.go
@@ -26,7 +26,7 @@
 	case Abandoned:
 		w.remove(r)
 	default:
-		if e.Result != NotSent && r.mayHaveRun && !r.Route.Retryable() {
+		if e.Result != NotSent && e.Result != Withheld && r.mayHaveRun && !r.Route.Retryable() {
 			w.finishOrRefuse(r, ReasonAttempts)
 			return
 		}
@@ -44,6 +44,10 @@
 		w.observeAttempt(r, s, e)
 		return
 	}
+	if e.Result == Withheld {
+		r.attempts--
+		return
+	}
 	if e.Result == NotSent {
 		r.attempts--
 		s.backOff(w.now.Add(unreachableBackoff))
--- a/decision/passthrough/property_test.go
+++ b/decision/passthrough/property_test.go
@@ -110,13 +110,13 @@
 			if r.server == "" {
 				return
 			}
-			result := Result(1 + h.rng.IntN(7))
+			result := Result(1 + h.rng.IntN(8))
 			if result == Dropped && r.route.Kind != KindStream {
 				result = Broken
 			}
 			r.server = ""
 			r.ran = r.ran || result.MayHaveRun()
-			if result == NotSent {
+			if result == NotSent || result == Withheld {
 				r.notSent++
 			}
 			if result == Completed || result == Abandoned {
--- a/decision/passthrough/statements.go
+++ b/decision/passthrough/statements.go
@@ -29,6 +29,17 @@
 	}
 }
 
+// MaySend reports whether a request that was dispatched to the server may still be sent. The server may
+// have become unusable since then. The short backoff after another request was refused does not count:
+// the server may take this one.
+//
+// Load: a server that refuses many requests at once, while others connect to it. Harm prevented: those
+// arrive tenths of a second after the server has stated that it wants none.
+func (w *World) MaySend(now time.Time, to Server) bool {
+	s := w.findProcess(to.process())
+	return s == nil || s.inService() && !now.Before(s.statedBackoffUntil)
+}
+
 // setStatedLeaving records that a server has stated that it is leaving.
 func (w *World) setStatedLeaving(s *server) {
 	if s.statedLeaving {
@@ -42,21 +53,22 @@
 // setStatedBackoff keeps new requests from a server for the time that it has asked for. Neither a later
 // statement of a shorter time nor a success of an earlier request shortens it.
 func (w *World) setStatedBackoff(s *server, span time.Duration) {
-	if !s.backOff(w.now.Add(span)) {
+	until := w.now.Add(span)
+	if !until.After(s.statedBackoffUntil) {
 		return
 	}
+	s.statedBackoffUntil = until
+	s.backOff(until)
 	w.emit(BackoffStated{Server: s.ID, Duration: span})
 	w.recheckQueue(s.service)
 }
 
 // backOff keeps new requests from the server until the given time, or longer if it was to be left alone
-// for longer already. It reports whether the time has changed.
-func (s *server) backOff(until time.Time) bool {
-	if !until.After(s.backoffUntil) {
-		return false
+// for longer already.
+func (s *server) backOff(until time.Time) {
+	if until.After(s.backoffUntil) {
+		s.backoffUntil = until
 	}
-	s.backoffUntil = until
-	return true
 }
 
 // backoffEnds is when the first of the service's servers that back off takes requests again; the zero
--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -46,7 +46,9 @@
 	// backoffUntil keeps the server from being chosen: for a short time after a refusal or a failed
 	// connection, or for as long as the server has asked.
 	backoffUntil time.Time
-	health       health
+	// statedBackoffUntil is the time until which the server itself wants no requests.
+	statedBackoffUntil time.Time
+	health             health
 	// relativeTime is the server's event interval relative to its service's mean.
 	relativeTime movingAverage
 	// hash is that of the server's id, for the choice by prefix, the subsets of instances, the
--- a/decision/passthrough/types.go
+++ b/decision/passthrough/types.go
@@ -105,11 +105,13 @@
 	// Dropped: the response's confidence was too low; none of it was forwarded to the
 	// caller.
 	Dropped
+	// Withheld: nothing was written, as the server had become unusable since the dispatch.
+	Withheld
 )
 
 // String is the result's name in logs.
 func (r Result) String() string {
-	names := [...]string{"", "completed", "not_sent", "rejected", "failed", "broken", "abandoned", "dropped"}
+	names := [...]string{"", "completed", "not_sent", "rejected", "failed", "broken", "abandoned", "dropped", "withheld"}
 	if int(r) < len(names) {
 		return names[r]
 	}
--- a/router/internal/passthrough/attempt.go
+++ b/router/internal/passthrough/attempt.go
@@ -73,6 +73,7 @@
 }
 
 var (
+	errUnusable         = errors.New("the backend server has become unusable since the request was dispatched: it is leaving, wants no requests for a time, or is no longer listed")
 	errWrongRequest     = errors.New("the response belongs to another request, or is a plain response to a request that continues a stream")
 	errUnverified       = errors.New("the response is a success without a signature, or its body is not the bytes that the backend server sent")
 	errMisleadingStatus = errors.New("the status implies that the request did not run, but the backend server does not confirm it")
@@ -89,6 +90,9 @@
 	}
 	a.conn = c
 	defer func() { _ = c.Close() }() // a connection serves one attempt only
+	if !a.exchange.handler.driver.maySend(a.server) {
+		return outcome{result: passthrough.Withheld, err: errUnusable}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
 	watch := a.watchIdle()
--- a/router/internal/passthrough/driver.go
+++ b/router/internal/passthrough/driver.go
@@ -104,6 +104,13 @@
 	return d.world.ConfidenceThreshold(t.id)
 }
 
+// maySend reports whether a request that was dispatched to the server may still be sent.
+func (d *Driver) maySend(to passthrough.Server) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.world.MaySend(d.clock.Now(), to)
+}
+
 // Load returns the number of queued and of running requests.
 func (d *Driver) Load() (waiting, running int) {
 	d.mu.Lock()
