Instances tell each other which servers have stated that they are leaving

While the store is down, each of hundreds of instances would have to send a leaving server a request to learn that it is leaving, and one that has restarted would have to learn it again.

Change: the load reports carry the processes that are leaving, as hashes, until the store's entry says so or the entry has been gone for two minutes. A process is known by id, start time, address and service, so that a late report does not keep requests from a server that has restarted. What a refusal shows (another server has the address, or the connection closes) is kept apart from the entry and from the server's own statement, and ends with the entry, as before.

Evidence: TestPeersLearnThatAServerIsLeaving, TestLeavingServersReachAll, TestRefusalOfALeavingServerIsReportedToPeers (new behaviour; they do not compile on the code before).

--- a/decision/passthrough/attempt.go
+++ b/decision/passthrough/attempt.go
@@ -56,7 +56,7 @@
 		return
 	}
 	if e.Leaving || e.Misdirected {
-		s.Leaving = true
+		s.shownLeaving = true
 		w.emit(RefreshServers{Server: s.ID})
 	}
 	if !r.service.engine {
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -122,6 +122,10 @@
 // PeerLimits are the rate limits that servers stated to other instances.
 type PeerLimits struct{ Limits []PeerLimit }
 
+// PeerLeaving names processes of servers that have stated to other instances that they are leaving, by
+// the hashes that OwnLeaving returns there.
+type PeerLeaving struct{ Processes []uint64 }
+
 // RolloutUpdated replaces the state of a service's roll-out.
 type RolloutUpdated struct{ Rollout Rollout }
 
@@ -143,6 +147,7 @@
 func (DomainsDrained) event()        {}
 func (PeerLoads) event()             {}
 func (PeerLimits) event()            {}
+func (PeerLeaving) event()           {}
 func (Neighbours) event()            {}
 
 // Command is an output of Tick. The set is closed.
@@ -246,8 +251,12 @@
 	Age time.Duration
 }
 
-// ServerLeaving reports that a server has stated for the first time that it is leaving.
-type ServerLeaving struct{ Server string }
+// ServerLeaving reports that a server has stated for the first time that it is leaving: to this instance
+// if Own is true, else to a peer.
+type ServerLeaving struct {
+	Server string
+	Own    bool
+}
 
 // BackoffStated reports that a server wants no requests from this instance for the duration.
 type BackoffStated struct {
--- a/decision/passthrough/servers.go
+++ b/decision/passthrough/servers.go
@@ -72,9 +72,9 @@
 	added, known := w.departed.Get(s.process())
 	if known {
 		w.departed.Remove(s.process())
-		added.Server, added.gone = s, false
+		added.Server, added.gone, added.shownLeaving = s, false, false
 	} else {
-		added = &server{Server: s, service: w.serviceOf(s.Service), hash: hashString(s.ID)}
+		added = &server{Server: s, service: w.serviceOf(s.Service), hash: hashString(s.ID), processHash: s.process().hash()}
 	}
 	added.drained = w.drained[s.Domain]
 	if added.limit.Limited {
@@ -106,15 +106,18 @@
 	}
 }
 
-// rebuildIndexes rebuilds the services' server lists, in the order of list, and serversByKey.
+// rebuildIndexes rebuilds the services' server lists, in the order of list, serversByKey and
+// serversByProcess.
 func (w *World) rebuildIndexes(list []Server) {
 	for _, s := range w.services {
 		s.servers = s.servers[:0]
 	}
 	clear(w.serversByKey)
+	clear(w.serversByProcess)
 	for _, s := range list {
 		known := w.servers[s.ID]
 		w.serversByKey[known.peerKey()] = known
+		w.serversByProcess[known.processHash] = known
 		known.service.servers = append(known.service.servers, known)
 	}
 	for _, s := range w.services {
@@ -183,9 +186,9 @@
 // backingOff reports whether the server is left alone for a time.
 func (s *server) backingOff(now time.Time) bool { return now.Before(s.backoffUntil) }
 
-// leaving reports whether the server is leaving, by its entry, by its own statement, or by a response
+// leaving reports whether the server is leaving, by its entry, by its own statement, or by a refusal
 // that shows it.
-func (s *server) leaving() bool { return s.Leaving || s.statedLeaving }
+func (s *server) leaving() bool { return s.Leaving || s.statedLeaving || s.shownLeaving }
 
 // hashString is a hash that is the same at all instances.
 func hashString(s string) uint64 {
--- a/decision/passthrough/statements_test.go
+++ b/decision/passthrough/statements_test.go
@@ -157,3 +157,72 @@
 		t.Errorf("%d requests in 20 s to a server that had stated a limit of 0.1 per second, want at most 3", n)
 	}
 }
+
+// TestPeersLearnThatAServerIsLeaving guards against an instance that sends a server a request to learn what
+// the server has stated to another one, against reports that outlast their use, and against a report of a
+// former process that keeps requests from the restarted one.
+func TestPeersLearnThatAServerIsLeaving(t *testing.T) {
+	newInstance := func(list []Server) *harness {
+		h := newHarness(t, Settings{})
+		h.configure(plainRoute())
+		h.tick(ServersListed{list})
+		return h
+	}
+	list := servers("shop", 1, 8)
+	told, peer := newInstance(list), newInstance(list)
+	told.tick(ServerStated{Server: list[0], Leaving: true})
+	reported := told.world.OwnLeaving()
+	if len(reported) != 1 {
+		t.Fatalf("%d processes reported, want the one that is leaving", len(reported))
+	}
+	peer.tick(PeerLeaving{Processes: append([]uint64{1, 2}, reported...)})
+	peer.requireRefusal(peer.arrive(plainRoute(), nil), ReasonNoServer)
+	if n := len(peer.world.OwnLeaving()); n != 0 {
+		t.Errorf("the peer reports %d processes that stated nothing to it, want 0", n)
+	}
+	peer.tick(ServersListed{})
+	peer.tick(ServersListed{list})
+	peer.requireRefusal(peer.arrive(plainRoute(), nil), ReasonNoServer)
+
+	restarted := []Server{list[0]}
+	restarted[0].StartTime++
+	peer.tick(ServersListed{restarted})
+	peer.tick(PeerLeaving{Processes: reported})
+	peer.requireDispatch(peer.arrive(plainRoute(), nil))
+
+	told.tick(ServersListed{})
+	if n := len(told.world.OwnLeaving()); n != 1 {
+		t.Errorf("%d processes reported after the entry has gone, want 1, as it may come back", n)
+	}
+	told.tick(ServersListed{list})
+	draining := []Server{list[0]}
+	draining[0].Leaving = true
+	told.tick(ServersListed{draining})
+	if n := len(told.world.OwnLeaving()); n != 0 {
+		t.Errorf("%d processes reported although their entries say so, want 0", n)
+	}
+
+	told = newInstance(list)
+	told.tick(ServerStated{Server: list[0], Leaving: true})
+	told.tick(ServersListed{})
+	told.advance(leavingReportPeriod + time.Second)
+	told.tick()
+	if n := len(told.world.OwnLeaving()); n != 0 {
+		t.Errorf("%d processes reported that have gone %v ago, want 0", n, leavingReportPeriod)
+	}
+}
+
+// TestRefusalOfALeavingServerIsReportedToPeers guards against a statement that is not reported because the
+// same answer is a refusal that closes the connection.
+func TestRefusalOfALeavingServerIsReportedToPeers(t *testing.T) {
+	h := newHarness(t, Settings{})
+	h.configure(plainRoute())
+	list := servers("shop", 2, 8)
+	h.tick(ServersListed{list})
+	id := h.arrive(plainRoute(), nil)
+	h.tick(ServerStated{Server: h.requireDispatch(id).Server, Leaving: true})
+	h.tick(AttemptEnded{Request: id, Result: Rejected, Leaving: true})
+	if n := len(h.world.OwnLeaving()); n != 1 {
+		t.Errorf("%d processes reported, want 1", n)
+	}
+}
--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -51,12 +51,17 @@
 	health             health
 	// relativeTime is the server's event interval relative to its service's mean.
 	relativeTime movingAverage
-	// hash is that of the server's id, for the choice by prefix, the subsets of instances, the
+	// processHash is that of the server's process. hash is that of the server's id, for the choice by prefix, the subsets of instances, the
 	// canary's servers and the keys in load reports.
-	hash uint64
-	gone bool
-	// statedLeaving is true once the server's process has stated in a response that it is leaving.
-	statedLeaving bool
+	hash, processHash uint64
+	gone              bool
+	// statedLeaving is true once the server's process has stated in a response, to this instance or a
+	// peer, that it is leaving. It stated that to this instance at statedLeavingAt, zero for never.
+	statedLeaving   bool
+	statedLeavingAt time.Time
+	// shownLeaving is true once a refusal has shown that the server is leaving, or that another server has
+	// its address. It lasts until the server's entry is new.
+	shownLeaving bool
 	// drained is true if the server's failure domain gets no new requests.
 	drained   bool
 	slowStart slowStart
--- a/decision/passthrough/types.go
+++ b/decision/passthrough/types.go
@@ -1,6 +1,9 @@
 package passthrough
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Server is an entry of the list of backend servers.
 type Server struct {
@@ -34,6 +37,11 @@
 	return serverProcess{id: s.ID, address: s.Address, service: s.Service, startTime: s.StartTime}
 }
 
+// hash is the same at all instances, and differs between all processes with near certainty.
+func (p serverProcess) hash() uint64 {
+	return hashString(fmt.Sprintf("%q %q %q %d", p.id, p.address, p.service, p.startTime))
+}
+
 // Load is the load that a backend server reports of itself, in requests. Running counts those that
 // hold a slot, Waiting those that wait for one, and Slots is the number of slots.
 type Load struct {
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -61,6 +61,11 @@
 	peerLoadsAt     time.Time
 	reportedByPeers []*server
 	serversByKey    map[uint32]*server
+	// serversByProcess finds the listed servers by the hashes of their processes.
+	serversByProcess map[uint64]*server
+	// leavingServers are the servers that stated to this instance that they are leaving, as long as this
+	// may have to be reported to peers.
+	leavingServers map[*server]bool
 
 	// fleetSize is the number of instances; 0 if unknown.
 	fleetSize int
@@ -94,6 +99,8 @@
 		lostServers:      map[string]map[*server]bool{},
 		limitedServers:   map[*server]bool{},
 		serversByKey:     map[uint32]*server{},
+		serversByProcess: map[uint64]*server{},
+		leavingServers:   map[*server]bool{},
 	}
 }
 
@@ -161,6 +168,8 @@
 		w.applyPeerLoads(e)
 	case PeerLimits:
 		w.applyPeerLimits(e.Limits)
+	case PeerLeaving:
+		w.applyPeerLeaving(e.Processes)
 	case RolloutUpdated:
 		w.setRollout(e.Rollout)
 	}
--- a/router/internal/passthrough/telemetry.go
+++ b/router/internal/passthrough/telemetry.go
@@ -106,7 +106,7 @@
 // must not block.
 func (t *telemetry) logServerLeaving(c passthrough.ServerLeaving) {
 	t.count("leaving_stated")
-	t.emit(logging.EventServerLeaving, slog.String(keyServer, c.Server))
+	t.emit(logging.EventServerLeaving, slog.String(keyServer, c.Server), slog.Bool("own", c.Own))
 }
 
 // logBackoffStated counts and logs a server that wants no requests for a time. The driver calls it, so it
--- a/router/internal/relay/loads_test.go
+++ b/router/internal/relay/loads_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -63,6 +64,9 @@
 	// othersLost, as known to others.
 	lost, othersLost uint64
 	othersLimits     []passthrough.PeerLimit
+	// leaving are processes that stated to this instance that they are leaving, othersLeaving those that
+	// stated it to others.
+	leaving, othersLeaving []uint64
 }
 
 // startExchanges starts instances of several failure domains, given by the first letter of their
@@ -87,8 +91,11 @@
 		}
 		client := NewClient(known, time.Now)
 		n := &exchangeInstance{}
-		n.loads = NewLoadExchange(client, func() Report { return Report{Loads: n.own, Limits: n.limits, LostConfigVersion: n.lost, Instances: 1} }, func(others Report) {
+		n.loads = NewLoadExchange(client, func() Report {
+			return Report{Loads: n.own, Limits: n.limits, Leaving: n.leaving, LostConfigVersion: n.lost, Instances: 1}
+		}, func(others Report) {
 			n.got, n.instances, n.othersLimits, n.othersLost = others.Loads, others.Instances, others.Limits, others.LostConfigVersion
+			n.othersLeaving = others.Leaving
 		})
 		srv := NewServer(time.Now, nil, nil, func() int { return len(names) })
 		srv.LoadExchange = n.loads
@@ -172,6 +179,25 @@
 	}
 }
 
+// TestLeavingServersReachAll guards against instances that do not learn which servers have stated to others
+// that they are leaving.
+func TestLeavingServersReachAll(t *testing.T) {
+	names := []string{"a1", "a2", "b1", "b2"}
+	nodes := startExchanges(t, names...)
+	nodes["a2"].leaving, nodes["b2"].leaving = []uint64{7, 1<<64 - 1}, []uint64{7, 9}
+	for range 3 { // up to the first collector and down again
+		for _, name := range names {
+			nodes[name].loads.exchange(t.Context())
+		}
+	}
+	all := []uint64{7, 9, 1<<64 - 1}
+	for name, want := range map[string][]uint64{"a1": all, "a2": {7, 9}, "b1": all, "b2": {7, 1<<64 - 1}} {
+		if got := nodes[name].othersLeaving; !slices.Equal(got, want) {
+			t.Errorf("%s got the processes %v, want %v", name, got, want)
+		}
+	}
+}
+
 // TestLostConfigurationReachesAll checks that all instances learn the highest version that the
 // store lacks.
 func TestLostConfigurationReachesAll(t *testing.T) {
--- a/router/internal/relay/messages.go
+++ b/router/internal/relay/messages.go
@@ -46,6 +46,9 @@
 	Rows []byte `json:"rows"`
 	// Limits are the rate limits that backend servers stated to them, as packLimits encodes them.
 	Limits []byte `json:"limits,omitempty"`
+	// Leaving are the hashes of the backend servers' processes that stated to them that they are
+	// leaving.
+	Leaving []uint64 `json:"leaving,omitempty"`
 	// LostConfigVersion is the version of the configuration that they know and that the store
 	// lacks.
 	LostConfigVersion uint64 `json:"lost_config,omitempty"`
@@ -67,9 +70,11 @@
 	// TookUS is how long the request was processed at the collector, in microseconds.
 	TookUS int64 `json:"took_us"`
 	// Loads is the known load of other instances at the backend servers, Limits the rate limits
-	// that backend servers stated to those instances, and Instances the number of instances.
-	Loads  []byte `json:"loads,omitempty"`
-	Limits []byte `json:"limits,omitempty"`
+	// that backend servers stated to those instances, Leaving the processes that stated to them that
+	// they are leaving, and Instances the number of instances.
+	Loads   []byte   `json:"loads,omitempty"`
+	Limits  []byte   `json:"limits,omitempty"`
+	Leaving []uint64 `json:"leaving,omitempty"`
 	// LostConfigVersion is as in loadsParams.
 	LostConfigVersion uint64 `json:"lost_config,omitempty"`
 	Instances         int    `json:"instances,omitempty"`
