A roll-out is not completed with new servers that have stated that they are leaving

On completion the old servers are stopped at once. Found by review.

Change: the check asks the decision, which knows it by entry, statement or refusal. TestRolloutIsNotCompletedWhileTheNewServersLeave fails with the entries alone.

--- a/decision/passthrough/statements.go
+++ b/decision/passthrough/statements.go
@@ -44,6 +44,12 @@
 	return s == nil || s.inService() && !now.Before(s.statedBackoffUntil)
 }
 
+// IsLeaving reports whether the server is leaving, by its entry, its own statement or a refusal.
+func (w *World) IsLeaving(of Server) bool {
+	s := w.findProcess(of.process())
+	return of.Leaving || s != nil && s.leaving()
+}
+
 // setStatedLeaving records that a server has stated that it is leaving; own is false if a peer reports it.
 func (w *World) setStatedLeaving(s *server, own bool) {
 	if s.statedLeaving {
--- a/router/internal/passthrough/driver.go
+++ b/router/internal/passthrough/driver.go
@@ -112,6 +112,13 @@
 	return d.world.MaySend(d.clock.Now(), to)
 }
 
+// isLeaving reports whether the server is leaving, whichever way it is known.
+func (d *Driver) isLeaving(s passthrough.Server) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.world.IsLeaving(s)
+}
+
 // Load returns the number of queued and of running requests.
 func (d *Driver) Load() (waiting, running int) {
 	d.mu.Lock()
--- a/router/internal/passthrough/rollouts.go
+++ b/router/internal/passthrough/rollouts.go
@@ -240,7 +240,8 @@
 }
 
 // mayComplete reports whether the new version has enough servers for all traffic: at least one, and at
-// least half as many as all other versions. The old servers are stopped at once on completion.
+// least half as many as all other versions, none of them leaving. The old servers are stopped at once on
+// completion.
 func (m *rollouts) mayComplete(r *rollout) bool {
 	newServers, oldServers := m.servers.countServers(r.Service, r.Target)
 	return newServers > 0 && 2*newServers >= oldServers
--- a/router/internal/passthrough/rollouts_test.go
+++ b/router/internal/passthrough/rollouts_test.go
@@ -241,3 +241,19 @@
 		t.Errorf("after heldRolloutLead: ended as %v, want completed", got)
 	}
 }
+
+// TestRolloutIsNotCompletedWhileTheNewServersLeave guards against the completion of a roll-out, which stops
+// the old servers, while the new ones have stated that they are leaving and their entries are ready.
+func TestRolloutIsNotCompletedWhileTheNewServersLeave(t *testing.T) {
+	p := newTestInstance("a", newFakeClock(), &fakeLog{}, &fakeLog{})
+	p.listServers()
+	p.servers.publish()
+	r := &rollout{Order: testOrder}
+	if !p.rollouts.mayComplete(r) {
+		t.Fatal("the roll-out may not be completed with one server of either version")
+	}
+	p.driver.Handle(passthrough.ServerStated{Server: p.servers.entries["two"], Leaving: true})
+	if p.rollouts.mayComplete(r) {
+		t.Error("the roll-out may be completed although the only new server is leaving")
+	}
+}
--- a/router/internal/passthrough/serverlist.go
+++ b/router/internal/passthrough/serverlist.go
@@ -267,7 +267,7 @@
 	defer l.mu.Unlock()
 	for _, s := range l.entries {
 		switch {
-		case s.Service != service || s.Leaving:
+		case s.Service != service || l.driver.isLeaving(s):
 		case s.Version == version:
 			atVersion++
 		default:
