A refusal with Retry-After does not show that its server is leaving

The platform's servers close a connection now and then without leaving; one that sheds load refuses many requests and would be lost to an instance for good.

Change: a refusal that states a time expects requests after it. TestRefusalWithRetryAfterIsNoDeparture fails without the condition.

--- a/router/internal/passthrough/attempt.go
+++ b/router/internal/passthrough/attempt.go
@@ -171,7 +171,8 @@
 	out := a.classify(resp, meta)
 	out.firstByte = a.firstByte
 	out.confidence = meta.Confidence
-	out.leaving = meta.ClosesConnection && out.result == passthrough.Rejected
+	// A refusal that states a time expects requests after it.
+	out.leaving = meta.ClosesConnection && out.result == passthrough.Rejected && meta.RetryAfter == 0
 	out.toldLeaving, out.toldRetryAfter = meta.Leaving, meta.RetryAfter
 	out.misdirected = meta.Misdirected
 	if meta.HasLoad {
--- a/router/internal/passthrough/attempt_test.go
+++ b/router/internal/passthrough/attempt_test.go
@@ -25,6 +25,44 @@
 	return seam.Response{RequestID: "a", Signed: true, Confidence: -1}
 }
 
+// newServedHandler returns a handler with a route to two servers, each in a failure domain of its own, and the
+// numbers of requests that these received. answer writes their answers; nil for a success.
+func newServedHandler(t *testing.T, headers Headers, answer http.HandlerFunc) (*Handler, []passthrough.Server, *[2]atomic.Int64) {
+	t.Helper()
+	p := newTestInstance("a", newFakeClock(), &fakeLog{}, &fakeLog{})
+	gate := newStartGate()
+	gate.release()
+	h := &Handler{headers: headers, config: p.config, driver: p.driver, dialer: newDialer(p.clock), clock: p.clock,
+		telemetry: p.telemetry, startGate: gate, shutdown: &shutdown{}, conns: newCallerConns(0)}
+	route := passthrough.Route{Name: "r", Host: "a.example", PathPrefix: "/", Kind: passthrough.KindAtMostOnce, Public: true, MaxAttempts: 1,
+		Timeout: time.Second, TargetLatency: time.Second, Backends: []passthrough.Backend{{Service: "shop", Weight: 1}}}
+	index, _ := p.config.Apply(passthrough.Config{Version: 1, Routes: []passthrough.Route{route}, Limits: passthrough.Limits{MaxBodyBytes: 1000}})
+	p.driver.Handle(passthrough.Configured{Index: index}, passthrough.FleetSize{Instances: 1})
+	if answer == nil {
+		answer = func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }
+	}
+	var list []passthrough.Server
+	received := &[2]atomic.Int64{}
+	for i := range received {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			received[i].Add(1)
+			answer(w, r)
+		}))
+		t.Cleanup(srv.Close)
+		list = append(list, passthrough.Server{ID: fmt.Sprint("shop-", i), Address: strings.TrimPrefix(srv.URL, "http://"),
+			Service: "shop", Domain: fmt.Sprint("domain-", i), Slots: 4, StartTime: 1})
+	}
+	p.driver.Handle(passthrough.ServersListed{Servers: list})
+	return h, list, received
+}
+
+// send sends the handler a request and returns the answer.
+func send(h *Handler) *httptest.ResponseRecorder {
+	answer := httptest.NewRecorder()
+	h.ServeHTTP(answer, httptest.NewRequest(http.MethodPost, "http://a.example/x", strings.NewReader("body")))
+	return answer
+}
+
 // TestRequestIsWithheldFromServerThatBecomesUnusable guards against a request that is sent to a server
 // which, while the connection was opened, has stated that it is leaving or wants no requests, or has left
 // the list. The request must go to another server, as its first attempt.
@@ -45,43 +83,20 @@
 	}
 	for name, change := range changes {
 		t.Run(name, func(t *testing.T) {
-			p := newTestInstance("a", newFakeClock(), &fakeLog{}, &fakeLog{})
-			gate := newStartGate()
-			gate.release()
-			h := &Handler{headers: signedHeaders{}, config: p.config, driver: p.driver, dialer: newDialer(p.clock), clock: p.clock,
-				telemetry: p.telemetry, startGate: gate, shutdown: &shutdown{}, conns: newCallerConns(0)}
-			route := passthrough.Route{Name: "r", Host: "a.example", PathPrefix: "/", Kind: passthrough.KindAtMostOnce, Public: true, MaxAttempts: 1,
-				Timeout: time.Second, TargetLatency: time.Second, Backends: []passthrough.Backend{{Service: "shop", Weight: 1}}}
-			index, _ := p.config.Apply(passthrough.Config{Version: 1, Routes: []passthrough.Route{route}, Limits: passthrough.Limits{MaxBodyBytes: 1000}})
-			p.driver.Handle(passthrough.Configured{Index: index}, passthrough.FleetSize{Instances: 1})
-
-			var list []passthrough.Server
-			var received [2]atomic.Int64
-			for i := range received {
-				srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-					received[i].Add(1)
-					_, _ = io.WriteString(w, "ok")
-				}))
-				defer srv.Close()
-				list = append(list, passthrough.Server{ID: fmt.Sprint("shop-", i), Address: strings.TrimPrefix(srv.URL, "http://"),
-					Service: "shop", Domain: fmt.Sprint("domain-", i), Slots: 4, StartTime: 1})
-			}
-			p.driver.Handle(passthrough.ServersListed{Servers: list})
+			h, list, received := newServedHandler(t, signedHeaders{}, nil)
+			p := h.driver
 			chosen := -1
 			h.dialer.net.Control = func(_, address string, _ syscall.RawConn) error {
 				for i, s := range list {
 					if chosen < 0 && s.Address == address {
 						chosen = i
-						change(p.driver, s, []passthrough.Server{list[1-i]})
+						change(p, s, []passthrough.Server{list[1-i]})
 					}
 				}
 				return nil
 			}
 
-			req := httptest.NewRequest(http.MethodPost, "http://a.example/x", strings.NewReader("body"))
-			answer := httptest.NewRecorder()
-			h.ServeHTTP(answer, req)
-			if answer.Code != http.StatusOK {
+			if answer := send(h); answer.Code != http.StatusOK {
 				t.Fatalf("status %d (%s), want 200", answer.Code, answer.Body)
 			}
 			if n := received[chosen].Load(); n != 0 {
@@ -93,3 +108,29 @@
 		})
 	}
 }
+
+// refusingHeaders accepts any response as a refusal that closes the connection and states a time.
+type refusingHeaders struct{ signedHeaders }
+
+func (refusingHeaders) ReadResponse(int, http.Header) seam.Response {
+	return seam.Response{RequestID: "a", NotRun: true, ClosesConnection: true, RetryAfter: time.Second, Confidence: -1}
+}
+
+// TestRefusalWithRetryAfterIsNoDeparture guards against a server that gets nothing for good because its
+// refusal closes the connection, as those of a leaving server do, although it states when it takes requests
+// again.
+func TestRefusalWithRetryAfterIsNoDeparture(t *testing.T) {
+	h, list, received := newServedHandler(t, refusingHeaders{}, nil)
+	for range list {
+		send(h)
+	}
+	h.clock.(*fakeClock).advance(time.Second)
+	for i, s := range list {
+		if received[i].Load() == 0 {
+			t.Fatalf("%s got no request", s.ID)
+		}
+		if !h.driver.maySend(s) {
+			t.Errorf("%s gets no requests after the stated time", s.ID)
+		}
+	}
+}
