--- a/decision/passthrough/backoff_test.go
+++ b/decision/passthrough/backoff_test.go
@@ -145,4 +145,12 @@
 	h.advance(time.Millisecond)
 	h.tick()
 	h.requireDispatch(queued)
+
+	h, list, _, queued = newQueue()
+	h.tick(ServerStated{Server: list[0], RetryAfter: wait - time.Millisecond})
+	h.advance(wait / 2)
+	h.tick(QueueWaitExpired{queued})
+	if got := h.requireRefusal(queued, ReasonBackoff); got.RetryAfter < wait/2-time.Millisecond {
+		t.Errorf("retry after %v, want at least the %v until the server takes requests again", got.RetryAfter, wait/2-time.Millisecond)
+	}
 }
--- a/decision/passthrough/requests.go
+++ b/decision/passthrough/requests.go
@@ -1,6 +1,9 @@
 package passthrough
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // arrive admits a request: it dispatches it, queues it, or refuses it with a retry-after time.
 func (w *World) arrive(in Request) {
@@ -131,7 +134,7 @@
 	r.service.queue.remove(r)
 	r.queued = false
 	if !w.tryDispatch(r) {
-		w.finishOrRefuse(r, ReasonBusy)
+		w.finishOrRefuse(r, cmp.Or(w.serverRefusal(r), ReasonBusy))
 	}
 }
 
--- a/decision/passthrough/servers.go
+++ b/decision/passthrough/servers.go
@@ -183,13 +183,6 @@
 // inService reports whether the server may get requests now or once its backoff has ended.
 func (s *server) inService() bool { return !s.gone && !s.leaving() && !s.drained }
 
-// backingOff reports whether the server is left alone for a time.
-func (s *server) backingOff(now time.Time) bool { return now.Before(s.backoffUntil) }
-
-// leaving reports whether the server is leaving, by its entry, by its own statement, or by a refusal
-// that shows it.
-func (s *server) leaving() bool { return s.Leaving || s.statedLeaving || s.shownLeaving }
-
 // hashString is a hash that is the same at all instances.
 func hashString(s string) uint64 {
 	h := fnv.New64a()
--- a/router/internal/relay/loads.go
+++ b/router/internal/relay/loads.go
@@ -25,9 +25,9 @@
 }
 
 // LoadExchange exchanges the instances' loads at the backend servers, and what backend servers stated:
-// rate limits, and that they are leaving. Each instance sends a report to its collector, and gets the sum of all
-// others. A collector does the same with the first-ranked collector of all failure domains, so that
-// each sum covers all instances.
+// rate limits, and that they are leaving. Each instance sends a report to its collector, and gets the
+// sum of all others. A collector does the same with the first-ranked collector of all failure domains,
+// so that each sum covers all instances.
 type LoadExchange struct {
 	client *Client
 	now    func() time.Time
