--- a/decision/passthrough/backoff_test.go
+++ b/decision/passthrough/backoff_test.go
@@ -9,19 +9,9 @@
 // wants none: first attempts, retries, second models and resumed streams; and against a server that gets
 // nothing once that time is over.
 func TestStatedBackoffHoldsForAllDispatches(t *testing.T) {
-	ends := map[string]AttemptEnded{
-		"first attempt":  {Result: Completed},
-		"retry":          {Result: Failed},
-		"second model":   {Result: Dropped, Confidence: 0.1},
-		"resumed stream": {Result: Broken, Begun: true},
-		"refused":        {Result: Rejected},
-		"not sent":       {Result: NotSent},
-	}
-	for name, end := range ends {
-		h := newHarness(t, Settings{})
-		h.configure(streamRoute())
+	for name, end := range endsOfFirstAttempts {
 		list := servers("llm", 2, 8)
-		h.tick(ServersListed{list})
+		h := newListedHarness(t, streamRoute(), list)
 		h.tick(ServerStated{Server: list[0], RetryAfter: 3 * time.Second})
 		stated := h.now
 		early, late := 0, 0
@@ -68,10 +58,8 @@
 		},
 	}
 	for name, do := range later {
-		h := newHarness(t, Settings{})
-		h.configure(onceRoute())
 		list := servers("shop", 1, 8)
-		h.tick(ServersListed{list})
+		h := newListedHarness(t, onceRoute(), list)
 		running := h.arrive(onceRoute(), nil)
 		h.tick(ServerStated{Server: list[0], RetryAfter: 2 * time.Second})
 		h.advance(10 * time.Millisecond)
@@ -88,10 +76,8 @@
 // TestRestartedServerDoesNotBackOff guards against a server that gets nothing because its former process
 // wanted no requests.
 func TestRestartedServerDoesNotBackOff(t *testing.T) {
-	h := newHarness(t, Settings{})
-	h.configure(plainRoute())
 	list := servers("shop", 1, 8)
-	h.tick(ServersListed{list})
+	h := newListedHarness(t, plainRoute(), list)
 	h.tick(ServerStated{Server: list[0], RetryAfter: time.Minute})
 	list[0].StartTime++
 	h.tick(ServersListed{list})
@@ -101,10 +87,8 @@
 // TestRequestsAreRefusedWhileAllServersBackOff guards against callers that wait for servers which want no
 // requests, and against a retry-after time before the first of them does again.
 func TestRequestsAreRefusedWhileAllServersBackOff(t *testing.T) {
-	h := newHarness(t, Settings{})
-	h.configure(streamRoute())
 	list := servers("llm", 2, 8)
-	h.tick(ServersListed{list})
+	h := newListedHarness(t, streamRoute(), list)
 	h.tick(ServerStated{Server: list[0], RetryAfter: 4 * time.Second}, ServerStated{Server: list[1], RetryAfter: 3 * time.Second})
 	got := h.requireRefusal(h.arrive(streamRoute(), nil), ReasonBackoff)
 	if got.RetryAfter < 3*time.Second {
--- a/decision/passthrough/harness_test.go
+++ b/decision/passthrough/harness_test.go
@@ -90,6 +90,15 @@
 	h.tick(Configured{NewIndex(c)})
 }
 
+// newListedHarness returns a harness with the route and the listed servers.
+func newListedHarness(t *testing.T, route *Route, list []Server) *harness {
+	t.Helper()
+	h := newHarness(t, Settings{})
+	h.configure(route)
+	h.tick(ServersListed{list})
+	return h
+}
+
 // arrive sends a request on the route; change, if not nil, modifies it first.
 func (h *harness) arrive(route *Route, change func(*Request)) RequestID {
 	h.next++
--- a/decision/passthrough/statements_test.go
+++ b/decision/passthrough/statements_test.go
@@ -5,6 +5,16 @@
 	"time"
 )
 
+// endsOfFirstAttempts are ends of a request's first attempt by what follows: all ways to a dispatch.
+var endsOfFirstAttempts = map[string]AttemptEnded{
+	"first attempt":  {Result: Completed},
+	"retry":          {Result: Failed},
+	"second model":   {Result: Dropped, Confidence: 0.1},
+	"resumed stream": {Result: Broken, Begun: true},
+	"refused":        {Result: Rejected},
+	"not sent":       {Result: NotSent},
+}
+
 // leavingReports counts the reports of servers that state that they are leaving.
 func leavingReports(h *harness) int {
 	n := 0
@@ -19,25 +29,15 @@
 // TestServerThatStatedItsLeavingGetsNothing guards against requests to a server that has stated that it
 // is leaving while its entry is ready: first attempts, retries, second models and resumed streams.
 func TestServerThatStatedItsLeavingGetsNothing(t *testing.T) {
-	h := newHarness(t, Settings{})
-	h.configure(streamRoute())
 	list := servers("llm", 2, 8)
-	h.tick(ServersListed{list})
+	h := newListedHarness(t, streamRoute(), list)
 	leaving := list[0]
 	h.tick(ServerStated{Server: leaving, Leaving: true}, ServerStated{Server: leaving, Leaving: true})
 	if n := leavingReports(h); n != 1 {
 		t.Errorf("reported %d times that the server is leaving, want once", n)
 	}
 	h.tick(ServersListed{list}) // the list has not changed
-	ends := map[string]AttemptEnded{
-		"first attempt":  {Result: Completed},
-		"retry":          {Result: Failed},
-		"second model":   {Result: Dropped, Confidence: 0.1},
-		"resumed stream": {Result: Broken, Begun: true},
-		"refused":        {Result: Rejected},
-		"not sent":       {Result: NotSent},
-	}
-	for name, end := range ends {
+	for name, end := range endsOfFirstAttempts {
 		for range 5 {
 			h.advance(time.Second)
 			end.Request = h.arrive(streamRoute(), nil)
@@ -55,10 +55,8 @@
 // TestStatementOfAnEarlierProcessIsIgnored guards against a late response of a server's former process
 // that keeps requests from the process that has restarted under its id.
 func TestStatementOfAnEarlierProcessIsIgnored(t *testing.T) {
-	h := newHarness(t, Settings{})
-	h.configure(plainRoute())
 	list := servers("shop", 1, 8)
-	h.tick(ServersListed{list})
+	h := newListedHarness(t, plainRoute(), list)
 	former := h.requireDispatch(h.arrive(plainRoute(), nil)).Server
 	list[0].StartTime++
 	h.tick(ServersListed{list})
@@ -69,10 +67,8 @@
 // TestQueuedRequestsAreRefusedWhenTheLastServerLeaves guards against requests that wait in the queue for a
 // server which has stated that it is leaving, and against one that is dispatched to it from the queue.
 func TestQueuedRequestsAreRefusedWhenTheLastServerLeaves(t *testing.T) {
-	h := newHarness(t, Settings{})
-	h.configure(streamRoute())
 	list := servers("llm", 1, 8)
-	h.tick(ServersListed{list})
+	h := newListedHarness(t, streamRoute(), list)
 	var running, queued []RequestID
 	for range 8 {
 		running = append(running, h.arrive(streamRoute(), nil))
@@ -95,11 +91,9 @@
 // entry goes and comes back, by itself or beside a restart under its id, and against applying it to the
 // restarted process.
 func TestRelistedServerKeepsWhatItStated(t *testing.T) {
-	newFleet := func() (*harness, []Server) {
-		h := newHarness(t, Settings{})
-		h.configure(plainRoute())
+	newPair := func() (*harness, []Server) {
 		list := servers("shop", 2, 8)
-		h.tick(ServersListed{list})
+		h := newListedHarness(t, plainRoute(), list)
 		return h, list
 	}
 	sent := func(h *harness, to string) int {
@@ -116,7 +110,7 @@
 	}
 	restarted := func(s Server) Server { s.StartTime++; return s }
 	for name, lists := range map[string][][]int{"its entry expires": {{1}, {0, 1}}, "all entries expire": {{}, {0, 1}}, "twice": {{1}, {0, 1}, {1}, {0, 1}}} {
-		h, list := newFleet()
+		h, list := newPair()
 		h.tick(ServerStated{Server: list[0], Leaving: true})
 		for _, at := range lists {
 			var now []Server
@@ -138,7 +132,7 @@
 		}
 	}
 
-	h, list := newFleet()
+	h, list := newPair()
 	h.tick(ServersListed{list[1:]})
 	h.tick(ServerStated{Server: list[0], Leaving: true}) // the answer arrives while the server is not listed
 	h.tick(ServersListed{list})
@@ -146,7 +140,7 @@
 		t.Errorf("stated while not listed: %d requests, want 0", n)
 	}
 
-	h, list = newFleet()
+	h, list = newPair()
 	var id RequestID
 	for id = h.arrive(plainRoute(), nil); h.requireDispatch(id).Server.ID != list[0].ID; id = h.arrive(plainRoute(), nil) {
 	}
@@ -163,10 +157,7 @@
 // former process that keeps requests from the restarted one.
 func TestPeersLearnThatAServerIsLeaving(t *testing.T) {
 	newInstance := func(list []Server) *harness {
-		h := newHarness(t, Settings{})
-		h.configure(plainRoute())
-		h.tick(ServersListed{list})
-		return h
+		return newListedHarness(t, plainRoute(), list)
 	}
 	list := servers("shop", 1, 8)
 	told, peer := newInstance(list), newInstance(list)
@@ -215,10 +206,8 @@
 // TestRefusalOfALeavingServerIsReportedToPeers guards against a statement that is not reported because the
 // same answer is a refusal that closes the connection.
 func TestRefusalOfALeavingServerIsReportedToPeers(t *testing.T) {
-	h := newHarness(t, Settings{})
-	h.configure(plainRoute())
 	list := servers("shop", 2, 8)
-	h.tick(ServersListed{list})
+	h := newListedHarness(t, plainRoute(), list)
 	id := h.arrive(plainRoute(), nil)
 	h.tick(ServerStated{Server: h.requireDispatch(id).Server, Leaving: true})
 	h.tick(AttemptEnded{Request: id, Result: Rejected, Leaving: true})
