A bill names the version of the answer that its caller got

Cause: each attempt that adds tokens to the bill also sets its version. If the answer of a small model is held, the stream of the larger one breaks off, and the held answer is delivered, the broken attempt came last.

Change: when the bill is settled it names the version of the answer that is given.

--- a/router/internal/api/attempt.go
+++ b/router/internal/api/attempt.go
@@ -169,7 +169,7 @@
 // complete gives the caller an answer that is not held: it records the bill
 // first and then writes what remains of the answer.
 func (x *exchange) complete(ctx context.Context, a *answer) {
-	if !x.settleBill(ctx) {
+	if !x.settleBill(ctx, a) {
 		return
 	}
 	x.finishWithAnswer(a)
--- a/router/internal/api/exchange.go
+++ b/router/internal/api/exchange.go
@@ -218,17 +218,21 @@
 	if x.heldAnswer == nil || x.heldAnswer.attempt != c.Attempt {
 		return
 	}
-	if !x.settleBill(ctx) {
+	if !x.settleBill(ctx, x.heldAnswer) {
 		return
 	}
 	x.finishWithAnswer(x.heldAnswer)
 }
 
-// settleBill makes the bill durable before the end of the answer is written. If it
-// cannot, it ends the request and returns false. A request that cost nothing and
+// settleBill makes the bill durable before the end of the answer is written. The
+// bill names the answer's version, whichever attempt came last. If it cannot be made
+// durable, settleBill ends the request and returns false. A request that cost nothing and
 // generated no tokens has no bill, such as a call without a price or a request that
 // the engine rejected.
-func (x *exchange) settleBill(ctx context.Context) bool {
+func (x *exchange) settleBill(ctx context.Context, a *answer) bool {
+	if a.version != "" {
+		x.bill.Version = string(a.version)
+	}
 	if x.cost == 0 && x.bill.OutputTokens == 0 {
 		return true
 	}
