--- a/decision/passthrough/statements_test.go
+++ b/decision/passthrough/statements_test.go
@@ -215,3 +215,25 @@
 		t.Errorf("%d processes reported, want 1", n)
 	}
 }
+
+// TestMisdirectedServerGetsNothingUntilItsEntryIsNew guards against requests to an address that another
+// server has by now, and against a server that gets nothing once its entry is new.
+func TestMisdirectedServerGetsNothingUntilItsEntryIsNew(t *testing.T) {
+	list := servers("shop", 1, 8)
+	moved := []Server{list[0]}
+	moved[0].Address = "127.0.0.1:2"
+	for name, lists := range map[string][][]Server{"its entry comes back": {{}, list}, "it has another address": {moved}} {
+		h := newListedHarness(t, plainRoute(), list)
+		h.tick(AttemptEnded{Request: h.arrive(plainRoute(), nil), Result: Rejected, Misdirected: true})
+		h.advance(time.Minute)
+		h.tick(ServersListed{list}) // the list has not changed
+		h.requireRefusal(h.arrive(plainRoute(), nil), ReasonNoServer)
+		if n := len(h.world.OwnLeaving()); n != 0 {
+			t.Errorf("%s: %d processes reported as leaving, want 0: the server has stated nothing", name, n)
+		}
+		for _, l := range lists {
+			h.tick(ServersListed{l})
+		}
+		h.requireDispatch(h.arrive(plainRoute(), nil))
+	}
+}
