decision/passthrough: a test of a server at a reused address

A server whose address another one had before gets requests, whatever the former one stated, late answers of it and reports of peers about it included. The test passes on the code as it is: the process of a server is known by its id too.

--- a/decision/passthrough/statements_test.go
+++ b/decision/passthrough/statements_test.go
@@ -237,3 +237,18 @@
 		h.requireDispatch(h.arrive(plainRoute(), nil))
 	}
 }
+
+// TestServerAtAReusedAddressGetsRequests guards against a server that gets nothing because the one that had
+// its address before was leaving or wanted no requests.
+func TestServerAtAReusedAddressGetsRequests(t *testing.T) {
+	list := servers("shop", 1, 8)
+	h := newListedHarness(t, plainRoute(), list)
+	h.tick(ServerStated{Server: list[0], Leaving: true, RetryAfter: time.Minute})
+	reused := []Server{list[0]}
+	reused[0].ID = "shop-later"
+	h.tick(ServersListed{reused})
+	h.tick(ServerStated{Server: list[0], Leaving: true}, PeerLeaving{Processes: []uint64{list[0].process().hash()}})
+	if got := h.requireDispatch(h.arrive(plainRoute(), nil)).Server.ID; got != "shop-later" {
+		t.Errorf("dispatched to %s, want the server that has the address now", got)
+	}
+}
