Metrics of an instance's paths to the backend servers

An instance without a path and one that keeps servers out by its own conclusions look alike in the log, as only attempts are logged. Two gauges tell them apart: servers to which the latest dial failed, and the time since a dial succeeded.

--- a/router/internal/passthrough/dialer.go
+++ b/router/internal/passthrough/dialer.go
@@ -20,10 +20,14 @@
 
 	mu           sync.Mutex
 	lastReceived map[string]*atomic.Int64
+	// unreached are the servers to which the latest dial failed; lastDialed is when the latest dial to
+	// any server succeeded, zero for never.
+	unreached  map[string]bool
+	lastDialed time.Time
 }
 
 func newDialer(clock Clock) *dialer {
-	return &dialer{clock: clock, net: net.Dialer{Timeout: connectTimeout, KeepAlive: -1}, lastReceived: map[string]*atomic.Int64{}}
+	return &dialer{clock: clock, net: net.Dialer{Timeout: connectTimeout, KeepAlive: -1}, lastReceived: map[string]*atomic.Int64{}, unreached: map[string]bool{}}
 }
 
 // lastReceivedFrom returns the shared variable that holds when bytes last arrived from the server, in
@@ -48,11 +52,42 @@
 			delete(d.lastReceived, id)
 		}
 	}
+	for id := range d.unreached {
+		if !keep(id) {
+			delete(d.unreached, id)
+		}
+	}
+}
+
+// recordDial records the end of a dial to the server.
+func (d *dialer) recordDial(server string, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err != nil {
+		d.unreached[server] = true
+		return
+	}
+	delete(d.unreached, server)
+	d.lastDialed = d.clock.Now()
+}
+
+// reachability returns the number of servers to which the latest dial failed, and the time since a dial
+// to any server succeeded; 0 if none has yet.
+func (d *dialer) reachability() (unreached int, sinceDialed time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.lastDialed.IsZero() {
+		return len(d.unreached), 0
+	}
+	return len(d.unreached), d.clock.Now().Sub(d.lastDialed)
 }
 
 // dial opens a connection to the server.
 func (d *dialer) dial(ctx context.Context, server, address string) (*conn, error) {
 	c, err := d.net.DialContext(ctx, "tcp", address)
+	if ctx.Err() == nil {
+		d.recordDial(server, err)
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/router/internal/passthrough/server.go
+++ b/router/internal/passthrough/server.go
@@ -179,6 +179,9 @@
 	gometrics.GetOrRegisterGauge("passthrough.waiting", s.registry).Update(int64(waiting))
 	gometrics.GetOrRegisterGauge("passthrough.running", s.registry).Update(int64(running))
 	gometrics.GetOrRegisterGauge("passthrough.config_age_ms", s.registry).Update(s.config.Age().Milliseconds())
+	unreached, sinceDialed := s.handler.dialer.reachability()
+	gometrics.GetOrRegisterGauge("passthrough.servers_unreached", s.registry).Update(int64(unreached))
+	gometrics.GetOrRegisterGauge("passthrough.server_dialed_ms_ago", s.registry).Update(sinceDialed.Milliseconds())
 	gometrics.GetOrRegisterGauge("log.dropped", s.registry).Update(int64(s.log.Dropped()))
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	if err := metrics.Write(w, s.registry); err != nil {
