A build with faults on an instance's link to the backend servers

Loopback cannot cut one process off from servers that others reach. With the tag faultinject masticplankd reads the fault of its link (hang, reset, refuse new connections) from a file; the ordinary build does not link the package. No logic changes: the dial keeps its timeout.

--- a/router/internal/passthrough/dialer.go
+++ b/router/internal/passthrough/dialer.go
@@ -12,11 +12,15 @@
 // A lost SYN is sent again only after a second; another server can respond before that.
 const connectTimeout = 350 * time.Millisecond
 
+// connectFunc opens a connection.
+type connectFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // dialer opens connections to backend servers, one for each attempt, and records when bytes
 // last arrived from each server.
 type dialer struct {
-	clock Clock
-	net   net.Dialer
+	clock   Clock
+	net     *net.Dialer
+	connect connectFunc
 
 	mu           sync.Mutex
 	lastReceived map[string]*atomic.Int64
@@ -27,7 +31,8 @@
 }
 
 func newDialer(clock Clock) *dialer {
-	return &dialer{clock: clock, net: net.Dialer{Timeout: connectTimeout, KeepAlive: -1}, lastReceived: map[string]*atomic.Int64{}, unreached: map[string]bool{}}
+	d := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1}
+	return &dialer{clock: clock, net: d, connect: newConnect(d), lastReceived: map[string]*atomic.Int64{}, unreached: map[string]bool{}}
 }
 
 // lastReceivedFrom returns the shared variable that holds when bytes last arrived from the server, in
@@ -84,7 +89,9 @@
 
 // dial opens a connection to the server.
 func (d *dialer) dial(ctx context.Context, server, address string) (*conn, error) {
-	c, err := d.net.DialContext(ctx, "tcp", address)
+	dialCtx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	c, err := d.connect(dialCtx, "tcp", address)
 	if ctx.Err() == nil {
 		d.recordDial(server, err)
 	}
