decision/passthrough: the state of an instance's path to the backend servers

Callers of instances that were cut off from all servers were refused, or waited for seven connections that timed out one after the other. An instance could not tell a lost path from servers that are down: its failed connections put servers in backoff and slow start, and it told the others of crashes.

The path is suspect once two servers are unreached with no connection to any other meanwhile, and lost once a peer reaches a server that this instance does not. Then all that was concluded since is dropped, and what ends meanwhile says nothing. Reports to the others are held back while several servers are unreached. If peers reach no server either, requests are refused at once.

Nothing reports connections yet.

--- a/decision/passthrough/attempt.go
+++ b/decision/passthrough/attempt.go
@@ -13,6 +13,10 @@
 	w.releaseServer(r)
 	w.recordOutcome(r, s, e)
 	r.mayHaveRun = r.mayHaveRun || e.Result.MayHaveRun() || e.Begun
+	if e.PathLost {
+		w.finishOrRefuse(r, ReasonNoPath)
+		return
+	}
 	switch e.Result {
 	case Completed:
 		w.learnEscalation(r, e.Confidence)
@@ -44,17 +48,19 @@
 		w.observeAttempt(r, s, e)
 		return
 	}
-	if e.Result == Withheld {
+	if e.Result == Withheld || e.Result == NotSent {
 		r.attempts--
+	}
+	if e.Result == Withheld || w.path.saysNothing(r, e) {
 		return
 	}
 	if e.Result == NotSent {
-		r.attempts--
 		s.backOff(w.now.Add(unreachableBackoff))
 		w.serverLost(s)
 		w.emit(RefreshServers{Server: s.ID})
 		return
 	}
+	w.observeSent(r, e)
 	if e.Leaving || e.Misdirected {
 		s.shownLeaving = true
 		w.emit(RefreshServers{Server: s.ID})
@@ -66,6 +72,9 @@
 		s.backOff(w.now.Add(rejectedBackoff))
 		return
 	}
+	if e.ConnectionLost {
+		w.observeLostConnection(s, r, e)
+	}
 	bad := e.Result != Completed
 	s.health.record(!bad, w.now)
 	if !bad {
@@ -74,7 +83,7 @@
 	if e.ConnectionLost {
 		w.serverLost(s)
 		w.crashes.record(r.Fingerprint, 1, w.now)
-		w.emit(CrashSuspected{Fingerprint: r.Fingerprint})
+		w.report(CrashSuspected{Fingerprint: r.Fingerprint})
 	}
 	w.observeAttempt(r, s, e)
 }
--- a/decision/passthrough/crashes.go
+++ b/decision/passthrough/crashes.go
@@ -50,6 +50,13 @@
 	c.entries.Add(fingerprint, crashEntry{count: entry.count + count, at: now})
 }
 
+// withdraw takes one lost connection back.
+func (c *crashes) withdraw(fingerprint uint64) {
+	if entry, ok := c.entries.Peek(fingerprint); ok {
+		c.entries.Add(fingerprint, crashEntry{count: max(entry.count-1, 0), at: entry.at})
+	}
+}
+
 // forget drops the count of a request once one of its attempts has completed.
 func (c *crashes) forget(fingerprint uint64) { c.entries.Remove(fingerprint) }
 
--- a/decision/passthrough/drain.go
+++ b/decision/passthrough/drain.go
@@ -35,6 +35,9 @@
 		if s.Domain != domain {
 			continue
 		}
+		if cause == CauseDomainLost {
+			w.path.remember(s)
+		}
 		if s.beginSlowStart(s.assumedSlowStart(), w.now) {
 			count++
 			span = max(span, s.assumedSlowStart())
--- a/decision/passthrough/seam/settings.go
+++ b/decision/passthrough/seam/settings.go
@@ -18,6 +18,8 @@
 	ReadinessAddr string
 	// PeerAddr is the address to listen on for other instances; empty for none.
 	PeerAddr string
+	// TunnelAddr is the address to listen on for tunnels of other instances; empty for none.
+	TunnelAddr string
 	// StoreAddr is the address of the platform's store.
 	StoreAddr string
 	// Cores is how many CPU cores the process may use, which may be a fraction; MemoryBytes is
--- a/decision/passthrough/types.go
+++ b/decision/passthrough/types.go
@@ -142,6 +142,7 @@
 	ReasonNoServer    Reason = "no_backend_server"
 	ReasonSlowStart   Reason = "backend_servers_warming_up"
 	ReasonBackoff     Reason = "backend_servers_backing_off"
+	ReasonNoPath      Reason = "no_path_to_backend_servers"
 	ReasonLimited     Reason = "backend_servers_limited"
 	ReasonBusy        Reason = "busy"
 	ReasonServersFull Reason = "backend_servers_full"
--- a/decision/passthrough/verdict.go
+++ b/decision/passthrough/verdict.go
@@ -116,13 +116,17 @@
 	if !r.intervalReported {
 		o.EventInterval = w.compareWithBaseline(s, r.service.intervals.baseline(r.model), level, e.EventInterval)
 	}
-	w.emitObservation(o)
+	if e.Result == Broken {
+		w.emitObservation(o, w.report)
+		return
+	}
+	w.emitObservation(o, w.emit)
 }
 
 // emitObservation emits an observation if a roll-out of its service is in progress.
-func (w *World) emitObservation(o Observation) {
+func (w *World) emitObservation(o Observation, emit func(Command)) {
 	if ro := w.rollouts[o.Service]; ro != nil && !ro.Phase.Ended() {
-		w.emit(o)
+		emit(o)
 	}
 }
 
@@ -139,7 +143,7 @@
 	}
 	r.intervalReported = true
 	w.emitObservation(Observation{Service: r.service.name, Route: r.Route.Name, Version: r.server.Version, TimingOnly: true,
-		EventInterval: w.compareWithBaseline(r.server, r.service.intervals.baseline(r.model), r.loadLevel, e.EventInterval)})
+		EventInterval: w.compareWithBaseline(r.server, r.service.intervals.baseline(r.model), r.loadLevel, e.EventInterval)}, w.emit)
 }
 
 // compareWithBaseline returns the statistics of one response's time relative to the old version's
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -53,7 +53,9 @@
 	drained map[string]bool
 	// lostServers are, by failure domain, the servers lost since any server there last responded.
 	lostServers map[string]map[*server]bool
-	neighbours  neighbours
+	// path is the state of this instance's path to the servers.
+	path       path
+	neighbours neighbours
 	// limitedServers are the servers whose rate limit, or its end, may have to be reported to peers.
 	limitedServers map[*server]bool
 	// peerLoadsAt is when the last load report of the peers arrived; reportedByPeers are the
@@ -95,6 +97,7 @@
 		sessions:         newLRU[string, sessionEntry](maxSessions),
 		keptOnOldVersion: map[string]bool{},
 		crashes:          newCrashes(),
+		path:             newPath(),
 		routes:           map[string]*routeStats{},
 		lostServers:      map[string]map[*server]bool{},
 		limitedServers:   map[*server]bool{},
@@ -124,6 +127,7 @@
 	for _, e := range in {
 		w.apply(e)
 	}
+	w.releaseHeld()
 	w.wakeDueServices()
 	w.dispatchQueued()
 	return w.commands
@@ -148,6 +152,8 @@
 		w.observeLoad(e)
 	case FirstByte:
 		w.observeFirstByte(e)
+	case DialEnded:
+		w.observeDial(e)
 	case ServerStated:
 		w.observeStatement(e)
 	case EventIntervalMeasured:
