tunnel: a request of an instance through a peer

An instance without a path to the backend servers can reach its peers. The peer only connects and copies bytes, so that the instance which the caller is connected to decides, accounts and retries as before, and at-most-once stays the matter of one process. HTTP, as net/http speaks it: the body is sent only after 100 Continue, which says that the peer has connected; a trailer says whether the server ended its connection in order, since a peer that is killed ends its own like that.

Weighed against forwarding the request to be decided by the peer: that needs a state of the request in two processes, and limits, budgets and shares that count it twice or nowhere.

--- /dev/null
+++ b/router/internal/tunnel/dialer.go
@@ -0,0 +1,159 @@
+package tunnel
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+const (
+	// peersAsked is how many peers are asked for one tunnel; the next one is asked after hedgeDelay, as a
+	// peer that has just been cut off itself gives no answer. openTimeout bounds the whole.
+	peersAsked  = 4
+	hedgeDelay  = 100 * time.Millisecond
+	openTimeout = 600 * time.Millisecond
+	// enoughPeers is how many peers must fail to connect to a server for no other one to be asked.
+	enoughPeers = 2
+	// fewPeers is the number of usable peers below which others are looked for.
+	fewPeers = 3
+)
+
+// Dialer opens tunnels through peers.
+type Dialer struct {
+	peers     *Peers
+	transport *http.Transport
+	// FindPeers is called, often, while few peers are usable; it must not block.
+	FindPeers func()
+}
+
+// NewDialer returns a dialer that uses the peers.
+func NewDialer(peers *Peers) *Dialer {
+	d := net.Dialer{Timeout: openTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	return &Dialer{
+		peers: peers, FindPeers: func() {},
+		transport: &http.Transport{
+			DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true,
+			// The body is never sent before the peer asks for it.
+			ExpectContinueTimeout: time.Hour,
+		},
+	}
+}
+
+// Dial opens a tunnel to the backend server. The first peer that has connected to it is used. After an error,
+// nothing was sent to the server: ErrUnreachable if a peer with a path could not connect to it, ErrNoPath if
+// peers have no path either, else ErrNoPeer, or ctx's error.
+func (d *Dialer) Dial(ctx context.Context, to Target) (*Conn, error) {
+	peers, usable := d.peers.choose(peersAsked)
+	if usable < fewPeers {
+		d.FindPeers()
+	}
+	timeout, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	r := &race{dialer: d, to: to, results: make(chan result, peersAsked)}
+	defer r.abandon()
+	failure := ErrNoPeer
+	pending, unreachable := 0, 0
+	for {
+		if len(peers) > 0 {
+			r.start(peers[0])
+			peers, pending = peers[1:], pending+1
+		}
+		if pending == 0 {
+			return nil, failure
+		}
+		hedge := time.NewTimer(hedgeDelay)
+		select {
+		case got := <-r.results:
+			pending--
+			if got.err == nil {
+				hedge.Stop()
+				r.returned = got.conn
+				return got.conn, nil
+			}
+			switch {
+			case errors.Is(got.err, ErrNoPath) && failure == ErrNoPeer:
+				failure = ErrNoPath
+			case errors.Is(got.err, ErrUnreachable):
+				failure = ErrUnreachable
+				if unreachable++; unreachable == enoughPeers {
+					peers = nil
+				}
+			}
+		case <-hedge.C:
+		case <-timeout.Done():
+			hedge.Stop()
+			if ctx.Err() != nil {
+				return nil, ctx.Err()
+			}
+			return nil, failure
+		}
+		hedge.Stop()
+	}
+}
+
+// race is the opening of one tunnel through several peers.
+type race struct {
+	dialer  *Dialer
+	to      Target
+	results chan result
+	opened  []*Conn
+	won     gate
+	// returned is the tunnel that is used, nil for none.
+	returned *Conn
+}
+
+// result is the end of the opening through one peer.
+type result struct {
+	conn *Conn
+	err  error
+}
+
+func (r *race) start(through *peer) {
+	c := newConn(r.dialer.peers, through, &r.won)
+	r.opened = append(r.opened, c)
+	go func() {
+		err := c.open(r.dialer.transport, r.to)
+		switch {
+		case err == nil:
+		case errors.Is(err, ErrUnreachable), errors.Is(err, ErrDeclined), errors.Is(err, errLost), errors.Is(err, context.Canceled):
+		default:
+			r.dialer.peers.failed(through)
+		}
+		r.results <- result{c, err}
+	}()
+}
+
+// abandon ends all openings but the one that is used.
+func (r *race) abandon() {
+	r.won.close()
+	for _, c := range r.opened {
+		if c != r.returned {
+			_ = c.Close()
+		}
+	}
+}
+
+// statusError returns the error for a peer's response that refuses a tunnel.
+func statusError(status int) error {
+	switch status {
+	case http.StatusNotFound:
+		return ErrDeclined
+	case http.StatusBadGateway:
+		return ErrUnreachable
+	case http.StatusGatewayTimeout:
+		return ErrNoPath
+	}
+	return ErrNoPeer
+}
+
+// openTunnels returns the number of tunnels that a peer states, 0 for none.
+func openTunnels(h http.Header) int {
+	n, err := strconv.Atoi(h.Get(headerOpen))
+	if err != nil || n < 0 {
+		return 0
+	}
+	return n
+}
--- /dev/null
+++ b/router/internal/tunnel/message.go
@@ -0,0 +1,59 @@
+package tunnel
+
+import (
+	"errors"
+	"net/url"
+)
+
+// path is the path of the requests that open tunnels, with the backend server in the query.
+const path = "/tunnel"
+
+// The parameters of the query.
+const (
+	paramServer  = "server"
+	paramAddress = "address"
+)
+
+// headerOpen states how many tunnels are open at a peer. trailerEnd states how the backend server ended
+// its connection.
+const (
+	headerOpen = "Tunnels-Open"
+	trailerEnd = "Tunnel-End"
+)
+
+// The values of trailerEnd.
+const (
+	endClosed = "closed"
+	endReset  = "reset"
+)
+
+// Target is a backend server that a tunnel leads to.
+type Target struct {
+	ID      string
+	Address string
+}
+
+func (t Target) query() string {
+	return url.Values{paramServer: {t.ID}, paramAddress: {t.Address}}.Encode()
+}
+
+func targetOf(q url.Values) Target {
+	return Target{ID: q.Get(paramServer), Address: q.Get(paramAddress)}
+}
+
+// Errors of tunnels. After the first four, nothing was sent to a backend server.
+var (
+	// ErrNoPeer means that no peer could be asked: none is known, answers and has room.
+	ErrNoPeer = errors.New("no peer could be asked for a tunnel")
+	// ErrNoPath means that the peers that were asked have no path to the backend servers either.
+	ErrNoPath = errors.New("the peers have no path to the backend servers either")
+	// ErrUnreachable means that a peer, which has a path, could not connect to the backend server.
+	ErrUnreachable = errors.New("a peer could not connect to the backend server")
+	// ErrDeclined means that the peer's list does not have the backend server, or not as one that may get
+	// requests.
+	ErrDeclined = errors.New("the peer does not send to the backend server")
+	// ErrReset means that the backend server broke its connection to the peer.
+	ErrReset = errors.New("the backend server broke its connection to the peer")
+	// ErrPeerLost means that the connection to the peer broke, which says nothing about the server.
+	ErrPeerLost = errors.New("the connection to the peer broke")
+)
--- /dev/null
+++ b/router/internal/tunnel/server.go
@@ -0,0 +1,139 @@
+package tunnel
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+// Server opens connections to backend servers for peers.
+type Server struct {
+	// Connect connects to the backend server. It returns ErrDeclined for one that gets no requests,
+	// ErrUnreachable for one that this instance cannot reach while it reaches others, and ErrNoPath if it
+	// reaches none.
+	Connect func(ctx context.Context, to Target) (net.Conn, error)
+	// Limit is how many tunnels may be open.
+	Limit int
+
+	open     atomic.Int64
+	draining atomic.Bool
+}
+
+// Open returns the number of open tunnels.
+func (s *Server) Open() int { return int(s.open.Load()) }
+
+// Drain refuses new tunnels; open ones go on.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// HTTPServer returns the HTTP server that serves tunnels.
+func (s *Server) HTTPServer() *http.Server {
+	const readHeaderTimeout = time.Second
+	return &http.Server{
+		Handler: s, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			detectDeadPeer(c)
+			return ctx
+		},
+	}
+}
+
+// ServeHTTP implements http.Handler.
+//
+// Load: peers that are cut off from all servers, up to all those of a failure domain, each with its callers'
+// whole traffic. Harm prevented: an instance that runs out of descriptors and cannot serve its own callers.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer s.open.Add(-1)
+	open := s.open.Add(1)
+	w.Header().Set(headerOpen, strconv.FormatInt(open-1, 10))
+	w.Header().Set("Connection", "close")
+	if r.URL.Path != path || r.Method != http.MethodPost {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if s.draining.Load() || open > int64(s.Limit) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	server, err := s.Connect(r.Context(), targetOf(r.URL.Query()))
+	if err != nil {
+		w.WriteHeader(statusOf(err))
+		return
+	}
+	defer func() { _ = server.Close() }()
+	s.relay(w, r, server)
+}
+
+// statusOf returns the status of a response to a request for a tunnel that could not be opened.
+func statusOf(err error) int {
+	switch {
+	case errors.Is(err, ErrDeclined):
+		return http.StatusNotFound
+	case errors.Is(err, ErrUnreachable):
+		return http.StatusBadGateway
+	case errors.Is(err, ErrNoPath):
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusServiceUnavailable
+}
+
+// relay copies both directions until the backend server or the peer ends the tunnel.
+func (s *Server) relay(w http.ResponseWriter, r *http.Request, server net.Conn) {
+	control := http.NewResponseController(w)
+	if control.EnableFullDuplex() != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	// The first read of the body sends 100 Continue. A peer that has another tunnel by now sends none.
+	body := bufio.NewReader(r.Body)
+	if _, err := body.Peek(1); err != nil {
+		return
+	}
+	w.Header().Set("Trailer", trailerEnd)
+	w.WriteHeader(http.StatusOK)
+	if control.Flush() != nil {
+		return
+	}
+	stop := context.AfterFunc(r.Context(), func() { _ = server.Close() })
+	defer stop()
+	go func() {
+		// Without the io.Writer the copy would use ReadFrom, which waits for whole buffers.
+		if _, err := io.Copy(struct{ io.Writer }{server}, body); err != nil {
+			_ = server.Close() // the peer is gone, or the server is
+		}
+	}()
+	end := endClosed
+	if err := copyFlushed(w, control, server); err != nil {
+		end = endReset
+	}
+	w.Header().Set(trailerEnd, end)
+}
+
+// copyFlushed copies what the backend server sends as it arrives. It returns nil at the orderly end.
+func copyFlushed(w io.Writer, control *http.ResponseController, server io.Reader) error {
+	const bufferSize = 8 << 10
+	buf := make([]byte, bufferSize)
+	for {
+		n, err := server.Read(buf)
+		if n > 0 {
+			if _, werr := w.Write(buf[:n]); werr != nil {
+				return werr
+			}
+			if werr := control.Flush(); werr != nil {
+				return werr
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/router/internal/tunnel/tunnel_test.go
@@ -0,0 +1,455 @@
+package tunnel
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// backend is a backend server that serves each connection with a function.
+type backend struct {
+	Target
+	// accepted and received count the connections, and those on which anything arrived.
+	accepted, received atomic.Int64
+}
+
+// startBackend starts a backend server. serve gets each connection with the first bytes that arrived.
+func startBackend(t *testing.T, serve func(c *net.TCPConn, first string)) *backend {
+	t.Helper()
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	b := &backend{Target: Target{ID: "server-1", Address: l.Addr().String()}}
+	go func() {
+		for {
+			c, err := l.AcceptTCP()
+			if err != nil {
+				return
+			}
+			b.accepted.Add(1)
+			go func() {
+				defer func() { _ = c.Close() }()
+				buf := make([]byte, 100)
+				n, err := c.Read(buf)
+				if err != nil {
+					return
+				}
+				b.received.Add(1)
+				serve(c, string(buf[:n]))
+			}()
+		}
+	}()
+	return b
+}
+
+// echo sends the first bytes back and closes the connection.
+func echo(c *net.TCPConn, first string) { _, _ = io.WriteString(c, "echo "+first) }
+
+// startServer serves tunnels, and returns its address and a function that ends it as a kill does.
+func startServer(t *testing.T, s *Server) (address string, kill func()) {
+	t.Helper()
+	if s.Connect == nil {
+		s.Connect = func(ctx context.Context, to Target) (net.Conn, error) {
+			var d net.Dialer
+			return d.DialContext(ctx, "tcp", to.Address)
+		}
+	}
+	if s.Limit == 0 {
+		s.Limit = 100
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := s.HTTPServer()
+	go func() { _ = srv.Serve(l) }() // returns once it is closed
+	kill = func() { _ = srv.Close() }
+	t.Cleanup(kill)
+	return l.Addr().String(), kill
+}
+
+// newDialer returns a dialer that knows the peers at the addresses.
+func newTestDialer(addresses ...string) *Dialer {
+	peers := NewPeers(time.Now)
+	for i, a := range addresses {
+		peers.Add(fmt.Sprint("peer-", i), a, false)
+	}
+	return NewDialer(peers)
+}
+
+// exchange sends text through a tunnel and reads all that comes back.
+func exchange(t *testing.T, c *Conn, text string) (string, error) {
+	t.Helper()
+	defer func() { _ = c.Close() }()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	got, err := io.ReadAll(c)
+	return string(got), err
+}
+
+// TestTunnelCarriesBothDirections checks the bytes and the orderly end.
+func TestTunnelCarriesBothDirections(t *testing.T) {
+	b := startBackend(t, echo)
+	address, _ := startServer(t, &Server{})
+	c, err := newTestDialer(address).Dial(t.Context(), b.Target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Peer() != "peer-0" {
+		t.Errorf("through %q, want peer-0", c.Peer())
+	}
+	if got, err := exchange(t, c, "hello"); got != "echo hello" || err != nil {
+		t.Errorf("%q, %v, want the echo and an orderly end", got, err)
+	}
+}
+
+// TestTunnelIsStreamed guards against data that is held back until more arrives, and against a long request
+// whose response begins before it has been sent.
+func TestTunnelIsStreamed(t *testing.T) {
+	next := make(chan struct{})
+	b := startBackend(t, func(c *net.TCPConn, _ string) {
+		for i := range 3 {
+			_, _ = fmt.Fprintf(c, "event %d;", i)
+			<-next
+		}
+		_, _ = io.Copy(io.Discard, c)
+	})
+	address, _ := startServer(t, &Server{})
+	c, err := newTestDialer(address).Dial(t.Context(), b.Target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := io.WriteString(c, "begin"); err != nil {
+		t.Fatal(err)
+	}
+	buf := make([]byte, 100)
+	for i := range 3 {
+		n, err := c.Read(buf)
+		if want := fmt.Sprintf("event %d;", i); string(buf[:n]) != want || err != nil {
+			t.Fatalf("%q, %v, want %q", buf[:n], err, want)
+		}
+		next <- struct{}{}
+	}
+	if _, err := c.Write(make([]byte, 1<<20)); err != nil {
+		t.Errorf("the rest of the request could not be sent: %v", err)
+	}
+}
+
+// TestBrokenConnectionsAreNoOrderlyEnd guards against a response without a length that looks complete
+// although the server or the peer has broken off, and against a peer's end that is taken for the server's.
+func TestBrokenConnectionsAreNoOrderlyEnd(t *testing.T) {
+	t.Run("server", func(t *testing.T) {
+		b := startBackend(t, func(c *net.TCPConn, _ string) {
+			_, _ = io.WriteString(c, "half")
+			time.Sleep(50 * time.Millisecond) // so that the reset does not overtake the data
+			_ = c.SetLinger(0)
+		})
+		address, _ := startServer(t, &Server{})
+		c, err := newTestDialer(address).Dial(t.Context(), b.Target)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := exchange(t, c, "x"); got != "half" || !errors.Is(err, ErrReset) {
+			t.Errorf("%q, %v, want half and %v", got, err, ErrReset)
+		}
+	})
+	t.Run("peer", func(t *testing.T) {
+		var kill func()
+		b := startBackend(t, func(c *net.TCPConn, _ string) {
+			_, _ = io.WriteString(c, "half")
+			time.Sleep(50 * time.Millisecond)
+			kill()
+		})
+		var address string
+		address, kill = startServer(t, &Server{})
+		c, err := newTestDialer(address).Dial(t.Context(), b.Target)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := exchange(t, c, "x"); got != "half" || !errors.Is(err, ErrPeerLost) {
+			t.Errorf("%q, %v, want half and %v", got, err, ErrPeerLost)
+		}
+	})
+}
+
+// TestUnopenedTunnelSendsNothing guards against a request that has been sent although no tunnel was opened.
+func TestUnopenedTunnelSendsNothing(t *testing.T) {
+	refuse := func(err error) func(context.Context, Target) (net.Conn, error) {
+		return func(context.Context, Target) (net.Conn, error) { return nil, err }
+	}
+	hang := func(ctx context.Context, _ Target) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	draining := &Server{}
+	draining.Drain()
+	full := &Server{Limit: 1}
+	full.open.Add(1)
+	cases := map[string]struct {
+		peers []*Server
+		want  error
+	}{
+		"no peer":                         {nil, ErrNoPeer},
+		"peer without a path":             {[]*Server{{Connect: refuse(ErrNoPath)}}, ErrNoPath},
+		"server not in the peer's list":   {[]*Server{{Connect: refuse(ErrDeclined)}}, ErrNoPeer},
+		"server down for the peer":        {[]*Server{{Connect: refuse(ErrUnreachable)}}, ErrUnreachable},
+		"peer stops":                      {[]*Server{draining}, ErrNoPeer},
+		"peer is full":                    {[]*Server{full}, ErrNoPeer},
+		"peer hangs":                      {[]*Server{{Connect: hang}}, ErrNoPeer},
+		"server down for two of three":    {[]*Server{{Connect: refuse(ErrUnreachable)}, {Connect: refuse(ErrUnreachable)}, {Connect: refuse(ErrNoPath)}}, ErrUnreachable},
+		"peers without a path, and hangs": {[]*Server{{Connect: refuse(ErrNoPath)}, {Connect: hang}}, ErrNoPath},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := startBackend(t, echo)
+			var addresses []string
+			for _, s := range c.peers {
+				address, _ := startServer(t, s)
+				addresses = append(addresses, address)
+			}
+			if _, err := newTestDialer(addresses...).Dial(t.Context(), b.Target); !errors.Is(err, c.want) {
+				t.Errorf("%v, want %v", err, c.want)
+			}
+			if n := b.received.Load(); n != 0 {
+				t.Errorf("the server got data on %d connections, want none", n)
+			}
+		})
+	}
+}
+
+// TestOnePeerOfSeveralIsUsed guards against a request that runs twice because two peers have connected to the
+// server for it, and against waiting for peers that give no answer.
+func TestOnePeerOfSeveralIsUsed(t *testing.T) {
+	b := startBackend(t, echo)
+	slow := func(ctx context.Context, to Target) (net.Conn, error) {
+		time.Sleep(hedgeDelay + 20*time.Millisecond)
+		var d net.Dialer
+		return d.DialContext(context.WithoutCancel(ctx), "tcp", to.Address) // connects even if another peer was faster
+	}
+	var addresses []string
+	for range 3 {
+		address, _ := startServer(t, &Server{Connect: slow})
+		addresses = append(addresses, address)
+	}
+	d := newTestDialer(addresses...)
+	const count = 20
+	var requests sync.WaitGroup
+	for i := range count {
+		requests.Go(func() {
+			c, err := d.Dial(t.Context(), b.Target)
+			if err != nil {
+				t.Errorf("tunnel %d: %v", i, err)
+				return
+			}
+			if got, err := exchange(t, c, "hello"); got != "echo hello" || err != nil {
+				t.Errorf("tunnel %d: %q, %v", i, got, err)
+			}
+		})
+	}
+	requests.Wait()
+	for end := time.Now().Add(2 * time.Second); b.accepted.Load() < 2*count; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d connections to the server, want %d: each request asks a second peer", b.accepted.Load(), 2*count)
+		}
+	}
+	if n := b.received.Load(); n != count {
+		t.Errorf("the server got data on %d connections, want %d", n, count)
+	}
+}
+
+// TestClosedTunnelEndsAtTheServer guards against a backend server that goes on working after the caller has
+// left, and against tunnels that are counted for ever.
+func TestClosedTunnelEndsAtTheServer(t *testing.T) {
+	ended := make(chan struct{})
+	b := startBackend(t, func(c *net.TCPConn, _ string) {
+		_, _ = io.Copy(io.Discard, c)
+		close(ended)
+	})
+	s := &Server{}
+	address, _ := startServer(t, s)
+	d := newTestDialer(address)
+	c, err := d.Dial(t.Context(), b.Target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(c, "x"); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.Close()
+	select {
+	case <-ended:
+	case <-time.After(500 * time.Millisecond):
+		t.Error("the server's connection is open half a second after the tunnel was closed")
+	}
+	for end := time.Now().Add(time.Second); s.Open() > 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d tunnels open, want none", s.Open())
+		}
+	}
+	if chosen, _ := d.peers.choose(1); chosen[0].own != 0 {
+		t.Errorf("%d tunnels counted, want none", chosen[0].own)
+	}
+}
+
+// TestDrainingServerFinishesOpenTunnels guards against requests of peers that are cut off by a planned stop.
+func TestDrainingServerFinishesOpenTunnels(t *testing.T) {
+	next := make(chan struct{})
+	b := startBackend(t, func(c *net.TCPConn, _ string) {
+		<-next
+		_, _ = io.WriteString(c, "late")
+	})
+	s := &Server{}
+	address, _ := startServer(t, s)
+	d := newTestDialer(address)
+	c, err := d.Dial(t.Context(), b.Target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Drain()
+	if _, err := d.Dial(t.Context(), b.Target); !errors.Is(err, ErrNoPeer) {
+		t.Errorf("a new tunnel: %v, want %v", err, ErrNoPeer)
+	}
+	close(next)
+	if got, err := exchange(t, c, "x"); got != "late" || err != nil {
+		t.Errorf("the open tunnel: %q, %v, want its response", got, err)
+	}
+}
+
+// TestTunnelsAreSpreadOverPeers guards against peers that all instances of a failure domain choose, while
+// others are idle, and against asking one that has just refused.
+func TestTunnelsAreSpreadOverPeers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := NewPeers(func() time.Time { return now })
+	for i := range 8 {
+		p.Add(fmt.Sprint("peer-", i), fmt.Sprint("10.0.0.", i, ":1"), i >= 4)
+	}
+	counts := map[string]int{}
+	for range 400 {
+		chosen, usable := p.choose(peersAsked)
+		if usable != 8 || len(chosen) != peersAsked {
+			t.Fatalf("%d chosen of %d, want %d of 8", len(chosen), usable, peersAsked)
+		}
+		p.began(chosen[0])
+		counts[chosen[0].name]++
+	}
+	for name, n := range counts {
+		if n < 40 || n > 60 {
+			t.Errorf("%s got %d of 400 tunnels, want about 50", name, n)
+		}
+	}
+	busy := p.peers["peer-0"]
+	p.answered(busy, 1000)
+	p.failed(p.peers["peer-1"])
+	for range 50 {
+		chosen, usable := p.choose(peersAsked)
+		for _, x := range chosen {
+			if x == busy || x.name == "peer-1" {
+				t.Fatalf("%s was chosen, although it is busy or has refused", x.name)
+			}
+		}
+		if usable != 7 {
+			t.Fatalf("%d usable, want 7", usable)
+		}
+	}
+	now = now.Add(minPeerBackoff + loadTTL)
+	if _, usable := p.choose(1); usable != 8 {
+		t.Errorf("%d usable after the backoff, want 8", usable)
+	}
+}
+
+// TestOthersAreLookedForWhileFewPeersAreUsable guards against an instance that knows only peers which are cut
+// off like itself.
+func TestOthersAreLookedForWhileFewPeersAreUsable(t *testing.T) {
+	b := startBackend(t, echo)
+	address, _ := startServer(t, &Server{})
+	d := newTestDialer()
+	d.FindPeers = func() { d.peers.Add("remote", address, true) }
+	_, first := d.Dial(t.Context(), b.Target)
+	if !errors.Is(first, ErrNoPeer) {
+		t.Fatalf("%v, want %v", first, ErrNoPeer)
+	}
+	c, err := d.Dial(t.Context(), b.Target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = c.Close()
+}
+
+// TestDeadPeerIsDetected guards against tunnels that hang for minutes after a peer has lost power, and against
+// a user timeout that ends a connection before its keep-alive probes are used up.
+func TestDeadPeerIsDetected(t *testing.T) {
+	accepted := make(chan net.Conn, 1)
+	address, _ := startServer(t, &Server{Connect: func(context.Context, Target) (net.Conn, error) { return nil, ErrNoPeer }})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		if c, err := l.Accept(); err == nil {
+			detectDeadPeer(c)
+			accepted <- c
+		}
+	}()
+	opened, err := newTestDialer(address).transport.DialContext(t.Context(), "tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]net.Conn{"opened": opened, "accepted": <-accepted} {
+		option := func(level, option int) time.Duration {
+			raw, err := c.(*net.TCPConn).SyscallConn()
+			if err != nil {
+				t.Fatal(err)
+			}
+			var value int
+			_ = raw.Control(func(fd uintptr) { value, err = unix.GetsockoptInt(int(fd), level, option) })
+			if err != nil {
+				t.Fatal(err)
+			}
+			return time.Duration(value)
+		}
+		userTimeout := option(unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT) * time.Millisecond
+		idle, interval, count := option(unix.IPPROTO_TCP, unix.TCP_KEEPIDLE)*time.Second, option(unix.IPPROTO_TCP, unix.TCP_KEEPINTVL)*time.Second, option(unix.IPPROTO_TCP, unix.TCP_KEEPCNT)
+		if userTimeout != deadPeerTimeout {
+			t.Errorf("%s: user timeout %v, want %v", name, userTimeout, deadPeerTimeout)
+		}
+		if probes := idle + count*interval; option(unix.SOL_SOCKET, unix.SO_KEEPALIVE) == 0 || probes != deadPeerTimeout {
+			t.Errorf("%s: a dead peer is detected after %v by probes, want %v", name, probes, deadPeerTimeout)
+		}
+		_ = c.Close()
+	}
+}
+
+// TestOnlyTunnelsAreServed guards against an instance that can be used to reach anything.
+func TestOnlyTunnelsAreServed(t *testing.T) {
+	b := startBackend(t, echo)
+	address, _ := startServer(t, &Server{Connect: func(context.Context, Target) (net.Conn, error) { return nil, ErrDeclined }})
+	for _, target := range []string{"/tunnel?" + b.query(), "/tunnel", "/other", "/tunnel/?" + b.query()} {
+		resp, err := http.Post("http://"+address+target, "", strings.NewReader("x"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusNotFound {
+			t.Errorf("%s: status %d, want 404", target, resp.StatusCode)
+		}
+	}
+	if n := b.accepted.Load(); n != 0 {
+		t.Errorf("%d connections to the server, want none", n)
+	}
+}
