Instances without a path to the backend servers send requests through peers

Cause: the only way to a server was a connection of the instance itself; its failure was taken for the server's.

The dialer asks decision/passthrough for a way. Instances announce the address on which they accept tunnels; lists of other failure domains are read, two a second, when few usable peers are known. A stopping instance opens no new tunnels and finishes the open ones. The time left is computed once the connection is open.

--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -22,6 +22,7 @@
 	"masticplank.example/router/internal/logging"
 	"masticplank.example/router/internal/relay"
 	"masticplank.example/router/internal/settings"
+	"masticplank.example/router/internal/tunnel"
 )
 
 // Platform is the adapter of one platform: its headers, records, store and settings.
@@ -84,7 +85,7 @@
 				return &telemetry{log: l, clock: c, config: config, registry: reg}
 			},
 			func(c Clock, config *ConfigState) *restoreGuard { return &restoreGuard{clock: c, config: config} },
-			newDialer, newStartGate, provideSharing, provideDriver, provideObservationStore, provideServerList, provideRollouts, provideHandler, provideServer,
+			provideDialer, provideTunnelServer, newStartGate, provideSharing, provideDriver, provideObservationStore, provideServerList, provideRollouts, provideHandler, provideServer,
 		),
 		// Hooks stop in reverse order: the readers outlive the server, because the
 		// configuration must stay fresh until the last request has been answered.
@@ -131,7 +132,7 @@
 	sh.server.LoadExchange = relay.NewLoadExchange(sh.client, own, take)
 	sh.server.LoadExchange.OnUnreadable = tel.logUnreadableLoads
 	d.onObservation, d.onCrash, d.onSlowStart, d.onLimitChanged = observations.recordResponse, observations.recordCrash, tel.logSlowStart, tel.logRateLimitChanged
-	d.onServerLeaving, d.onBackoff = tel.logServerLeaving, tel.logBackoffStated
+	d.onServerLeaving, d.onBackoff, d.onPathChanged = tel.logServerLeaving, tel.logBackoffStated, tel.logPathChanged
 	return observations
 }
 
@@ -154,8 +155,28 @@
 	return &Handler{headers: p.Headers, config: config, driver: d, dialer: dial, clock: c, telemetry: tel, startGate: gate, shutdown: &shutdown{}, conns: newCallerConns(cfg.MaxFiles)}
 }
 
-func provideServer(cfg seam.Settings, handler *Handler, config *ConfigState, d *Driver, tel *telemetry, reg gometrics.Registry, out *logging.AsyncWriter) *server {
-	s := &server{settings: cfg, handler: handler, config: config, driver: d, telemetry: tel, registry: reg, log: out, onServeError: func(error) {}}
+func provideDialer(c Clock, d *Driver, sh *sharing) *dialer {
+	tunnels := tunnel.NewDialer(sh.tunnelPeers)
+	tunnels.FindPeers = sh.findTunnelPeers
+	return newDialer(c, d, tunnels)
+}
+
+// maxTunnelsFraction is the fraction of the unreserved descriptors that tunnels of peers may use, two each.
+const maxTunnelsFraction = 0.2
+
+// defaultMaxTunnels is how many tunnels may be open if the limit of descriptors is unknown.
+const defaultMaxTunnels = 200
+
+func provideTunnelServer(cfg seam.Settings, dial *dialer) *tunnel.Server {
+	limit := defaultMaxTunnels
+	if cfg.MaxFiles > 0 {
+		limit = int(maxTunnelsFraction * float64(max(cfg.MaxFiles-reservedDescriptors, 0)) / 2)
+	}
+	return &tunnel.Server{Connect: dial.connectForPeer, Limit: limit}
+}
+
+func provideServer(cfg seam.Settings, handler *Handler, config *ConfigState, d *Driver, tunnels *tunnel.Server, tel *telemetry, reg gometrics.Registry, out *logging.AsyncWriter) *server {
+	s := &server{tunnels: tunnels, settings: cfg, handler: handler, config: config, driver: d, telemetry: tel, registry: reg, log: out, onServeError: func(error) {}}
 	return s
 }
 
--- a/router/internal/passthrough/attempt.go
+++ b/router/internal/passthrough/attempt.go
@@ -14,14 +14,16 @@
 
 	"masticplank.example/decision/passthrough"
 	"masticplank.example/decision/passthrough/seam"
+	"masticplank.example/router/internal/tunnel"
 )
 
 // attempt sends a request once to one backend server. It uses a connection of its own: if a
 // reused connection breaks, it is unknown whether the request ran.
 type attempt struct {
-	exchange         *exchange
-	server           passthrough.Server
-	header           http.Header
+	exchange *exchange
+	server   passthrough.Server
+	// statement is what is stated to the server besides the time left.
+	statement        seam.Attempt
 	startedAt        time.Time
 	firstByteTimeout time.Duration
 
@@ -60,6 +62,11 @@
 	// connectionLost is true if the response could not be read to its end although this instance
 	// did not close the connection.
 	connectionLost bool
+	// peer is the name of the peer that the request was sent through, empty for none. tunnelLost is true if
+	// the connection to it broke, pathLost if this instance has no path and no peer could be asked.
+	peer       string
+	tunnelLost bool
+	pathLost   bool
 	// eventInterval is the mean time between the events of a stream, 0 for fewer than two.
 	// For a plain response it is the time from startedAt to the end of the response.
 	eventInterval time.Duration
@@ -84,9 +91,9 @@
 
 // run sends the request and reads the response.
 func (a *attempt) run(ctx context.Context) outcome {
-	c, err := a.exchange.handler.dialer.dial(ctx, a.server.ID, a.server.Address)
+	c, err := a.exchange.handler.dialer.dial(ctx, a.server)
 	if err != nil {
-		return outcome{result: passthrough.NotSent, err: err}
+		return outcome{result: passthrough.NotSent, err: err, pathLost: errors.Is(err, errNoPath) || errors.Is(err, errNoPeer)}
 	}
 	a.conn = c
 	defer func() { _ = c.Close() }() // a connection serves one attempt only
@@ -111,12 +118,14 @@
 // the attempt's headers.
 func (a *attempt) request() *http.Request {
 	c := a.exchange.call
+	a.statement.Remaining = c.deadline.Sub(a.exchange.handler.clock.Now()) // without the time for the connection
+	header := a.exchange.handler.headers.WriteAttempt(c.request.Header, a.statement)
 	req := &http.Request{
-		Method: c.request.Method, Host: c.request.Host, Header: a.header,
+		Method: c.request.Method, Host: c.request.Host, Header: header,
 		URL: &url.URL{Scheme: "http", Host: a.server.Address, Opaque: c.uri},
 	}
-	if _, ok := a.header["User-Agent"]; !ok {
-		a.header["User-Agent"] = nil // net/http would add its own
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = nil // net/http would add its own
 	}
 	if len(c.body) > 0 {
 		req.Body = io.NopCloser(bytes.NewReader(c.body))
@@ -161,6 +170,9 @@
 	if ctxErr := a.exchange.ctx.Err(); ctxErr != nil {
 		return outcome{result: passthrough.Broken, err: ctxErr, firstByte: a.firstByte} // the context's end closed the connection
 	}
+	if errors.Is(err, tunnel.ErrPeerLost) {
+		return outcome{result: passthrough.Broken, err: err, tunnelLost: true, firstByte: a.firstByte}
+	}
 	return outcome{result: passthrough.Broken, err: err, connectionLost: true, firstByte: a.firstByte}
 }
 
--- a/router/internal/passthrough/dialer.go
+++ b/router/internal/passthrough/dialer.go
@@ -2,10 +2,15 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"masticplank.example/decision/passthrough"
+	"masticplank.example/router/internal/tunnel"
 )
 
 // connectTimeout is the timeout for connecting to a backend server, which usually takes 1 to 3 ms.
@@ -21,6 +26,11 @@
 	clock   Clock
 	net     *net.Dialer
 	connect connectFunc
+	path    pathView
+	tunnels *tunnel.Dialer
+	// directLastReceived is when bytes last arrived on any connection that does not go through a peer, in
+	// Unix nanoseconds of the clock; 0 for never.
+	directLastReceived atomic.Int64
 
 	mu           sync.Mutex
 	lastReceived map[string]*atomic.Int64
@@ -30,9 +40,10 @@
 	lastDialed time.Time
 }
 
-func newDialer(clock Clock) *dialer {
+// newDialer returns a dialer that asks path how to connect, and connects through peers by tunnels.
+func newDialer(clock Clock, path pathView, tunnels *tunnel.Dialer) *dialer {
 	d := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1}
-	return &dialer{clock: clock, net: d, connect: newConnect(d), lastReceived: map[string]*atomic.Int64{}, unreached: map[string]bool{}}
+	return &dialer{clock: clock, net: d, connect: newConnect(d), path: path, tunnels: tunnels, lastReceived: map[string]*atomic.Int64{}, unreached: map[string]bool{}}
 }
 
 // lastReceivedFrom returns the shared variable that holds when bytes last arrived from the server, in
@@ -87,38 +98,238 @@
 	return len(d.unreached), d.clock.Now().Sub(d.lastDialed)
 }
 
-// dial opens a connection to the server.
-func (d *dialer) dial(ctx context.Context, server, address string) (*conn, error) {
+// pathView is what the dialer needs of decision/passthrough.
+type pathView interface {
+	// planPath says how to connect to a server now.
+	planPath() passthrough.PathPlan
+	// reportDial reports how a connection went.
+	reportDial(to passthrough.Server, outcome passthrough.DialOutcome)
+	// pathState returns the state of the path to the servers, and since when it has been so.
+	pathState() (passthrough.PathState, time.Time)
+	// usableServer returns the listed server with the id and the address, if it may get requests.
+	usableServer(id, address string) (passthrough.Server, bool)
+}
+
+// slowDialDelay is the time after which a connection is slow.
+const slowDialDelay = 100 * time.Millisecond
+
+var (
+	// errNoPath means that neither this instance nor the peers that were asked have a path to the servers.
+	errNoPath = errors.New("neither this instance nor its peers have a path to the backend servers")
+	// errNoPeer means that this instance has no path to the servers, and that no peer could be asked.
+	errNoPeer = errors.New("this instance has no path to the backend servers, and no peer could be asked")
+)
+
+// dial opens a connection to the server, through a peer if this instance has no path to the servers. After an
+// error, nothing was sent.
+func (d *dialer) dial(ctx context.Context, to passthrough.Server) (*conn, error) {
+	plan := d.path.planPath()
+	if plan.Probe {
+		go d.probe(to)
+	}
+	switch {
+	case !plan.Direct && !plan.ViaPeer:
+		return nil, errNoPath
+	case !plan.Direct:
+		return d.dialPeer(ctx, to)
+	}
+	directCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	fallback := &peerFallback{dialer: d, ctx: ctx, to: to, cancelDirect: cancel}
+	slow := time.AfterFunc(slowDialDelay, fallback.directIsSlow)
+	direct, err := d.dialDirect(directCtx, to)
+	slow.Stop()
+	if err == nil || ctx.Err() != nil {
+		fallback.abandon()
+		if err != nil {
+			return nil, err
+		}
+		return &conn{ReadWriteCloser: direct, clock: d.clock, serverLastReceived: d.lastReceivedFrom(to.ID), directLastReceived: &d.directLastReceived}, nil
+	}
+	return fallback.directFailed(err)
+}
+
+// dialDirect opens a connection from this instance to the server.
+func (d *dialer) dialDirect(ctx context.Context, to passthrough.Server) (net.Conn, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	c, err := d.connect(dialCtx, "tcp", address)
-	if ctx.Err() == nil {
-		d.recordDial(server, err)
+	c, err := d.connect(dialCtx, "tcp", to.Address)
+	if ctx.Err() != nil {
+		if err == nil {
+			_ = c.Close() // nothing was sent
+		}
+		return nil, ctx.Err()
 	}
+	d.recordDial(to.ID, err)
 	if err != nil {
+		d.path.reportDial(to, passthrough.DialFailed)
 		return nil, err
 	}
-	return &conn{Conn: c, clock: d.clock, serverLastReceived: d.lastReceivedFrom(server)}, nil
+	d.path.reportDial(to, passthrough.DialSucceeded)
+	return c, nil
+}
+
+// probe finds out whether this instance has a path to the server.
+func (d *dialer) probe(to passthrough.Server) {
+	if c, err := d.dialDirect(context.Background(), to); err == nil {
+		_ = c.Close() // nothing was sent
+	}
+}
+
+// dialPeer opens a connection to the server through a peer.
+func (d *dialer) dialPeer(ctx context.Context, to passthrough.Server) (*conn, error) {
+	c, err := d.tunnels.Dial(ctx, tunnel.Target{ID: to.ID, Address: to.Address})
+	switch {
+	case err == nil:
+		d.path.reportDial(to, passthrough.TunnelSucceeded)
+		return &conn{ReadWriteCloser: c, peer: c.Peer(), clock: d.clock, serverLastReceived: d.lastReceivedFrom(to.ID)}, nil
+	case ctx.Err() != nil:
+		return nil, ctx.Err()
+	case errors.Is(err, tunnel.ErrUnreachable):
+		d.path.reportDial(to, passthrough.TunnelFailed)
+		return nil, err
+	case errors.Is(err, tunnel.ErrNoPath):
+		d.path.reportDial(to, passthrough.PeersCutOff)
+		return nil, errNoPath
+	}
+	return nil, errNoPeer
+}
+
+// connectForPeer connects to a server for a peer. It implements tunnel.Server.Connect.
+func (d *dialer) connectForPeer(ctx context.Context, to tunnel.Target) (net.Conn, error) {
+	server, ok := d.path.usableServer(to.ID, to.Address)
+	if !ok {
+		return nil, tunnel.ErrDeclined
+	}
+	if state, _ := d.path.pathState(); state != passthrough.PathUp {
+		return nil, tunnel.ErrNoPath
+	}
+	c, err := d.dialDirect(ctx, server)
+	if err != nil {
+		if state, _ := d.path.pathState(); state != passthrough.PathUp {
+			return nil, tunnel.ErrNoPath
+		}
+		return nil, tunnel.ErrUnreachable
+	}
+	if _, ok := d.path.usableServer(to.ID, to.Address); !ok {
+		_ = c.Close() // nothing was sent
+		return nil, tunnel.ErrDeclined
+	}
+	return c, nil
+}
+
+// hungAfter is how long after the path was lost a direct connection that carries nothing is given up.
+const hungAfter = 300 * time.Millisecond
+
+// directHangs reports whether no direct connection has carried anything since the path to the servers was lost,
+// hungAfter ago or earlier.
+func (d *dialer) directHangs(now time.Time) bool {
+	state, since := d.path.pathState()
+	return state == passthrough.PathLost && now.Sub(since) > hungAfter && d.directLastReceived.Load() < since.UnixNano()
+}
+
+// peerFallback opens a connection through a peer if the direct one is slow or fails while the path to the
+// servers is suspect.
+type peerFallback struct {
+	dialer       *dialer
+	ctx          context.Context
+	to           passthrough.Server
+	cancelDirect context.CancelFunc
+
+	mu sync.Mutex
+	// result has the peer's connection once it was asked; nil before.
+	result chan peerResult
+	// unwanted is true once the direct connection is used.
+	unwanted bool
+}
+
+type peerResult struct {
+	conn *conn
+	err  error
+}
+
+// directIsSlow reports that the direct connection is slow, and asks a peer if the path is suspect.
+func (f *peerFallback) directIsSlow() {
+	f.dialer.path.reportDial(f.to, passthrough.DialSlow)
+	if f.dialer.path.planPath().ViaPeer {
+		f.askPeer()
+	}
+}
+
+// askPeer starts to connect through a peer, unless that has begun.
+func (f *peerFallback) askPeer() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.result != nil || f.unwanted {
+		return
+	}
+	f.result = make(chan peerResult, 1)
+	go func() {
+		c, err := f.dialer.dialPeer(f.ctx, f.to)
+		if err == nil || errors.Is(err, errNoPath) {
+			f.cancelDirect() // nothing was reached for some time, and this connection is slow
+		}
+		f.result <- peerResult{c, err}
+	}()
+}
+
+// abandon closes the peer's connection, if there is or will be one, as the direct one is used.
+func (f *peerFallback) abandon() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unwanted = true
+	if result := f.result; result != nil {
+		go func() {
+			if got := <-result; got.err == nil {
+				_ = got.conn.Close() // nothing was sent
+			}
+		}()
+	}
+}
+
+// directFailed returns the peer's connection after the direct one has failed, or the direct one's error if no
+// peer is asked or could be.
+func (f *peerFallback) directFailed(err error) (*conn, error) {
+	if f.dialer.path.planPath().ViaPeer {
+		f.askPeer()
+	}
+	f.mu.Lock()
+	result := f.result
+	f.mu.Unlock()
+	if result == nil {
+		return nil, err
+	}
+	got := <-result
+	if errors.Is(got.err, errNoPeer) {
+		return nil, err // there is nothing to compare with
+	}
+	return got.conn, got.err
 }
 
 // conn is a connection to a backend server. It records when bytes arrive, for itself and for the
-// server.
+// server, and for all direct connections.
 type conn struct {
-	net.Conn
+	io.ReadWriteCloser
+	// peer is the name of the peer that the connection goes through, empty for none.
+	peer               string
 	clock              Clock
 	serverLastReceived *atomic.Int64
+	directLastReceived *atomic.Int64
 	// lastReceived is when bytes last arrived, in Unix nanoseconds of the clock; 0 before the
 	// first.
 	lastReceived atomic.Int64
 }
 
-// Read implements net.Conn.
+// Read implements io.Reader.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.ReadWriteCloser.Read(p)
 	if n > 0 {
 		at := c.clock.Now().UnixNano()
 		c.lastReceived.Store(at)
 		c.serverLastReceived.Store(at)
+		if c.directLastReceived != nil {
+			c.directLastReceived.Store(at)
+		}
 	}
 	return n, err
 }
--- a/router/internal/passthrough/dialer_test.go
+++ b/router/internal/passthrough/dialer_test.go
@@ -3,16 +3,18 @@
 import (
 	"testing"
 	"time"
+
+	"masticplank.example/decision/passthrough"
 )
 
 // TestReachabilityCountsUnreachedServers checks the figures by which an instance without a path to the
 // servers is told from one that keeps them out.
 func TestReachabilityCountsUnreachedServers(t *testing.T) {
 	clock := newFakeClock()
-	d := newDialer(clock)
+	d := newTestInstance("a", clock, &fakeLog{}, &fakeLog{}).servers.dialer
 	reached := freePort(t)
 	for _, id := range []string{"a", "b"} {
-		if _, err := d.dial(t.Context(), id, reached); err == nil {
+		if _, err := d.dialDirect(t.Context(), passthrough.Server{ID: id, Address: reached}); err == nil {
 			t.Fatal("a dial to a closed port succeeded")
 		}
 	}
--- a/router/internal/passthrough/driver.go
+++ b/router/internal/passthrough/driver.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"masticplank.example/decision/passthrough"
 	"masticplank.example/router/internal/relay"
@@ -15,7 +16,7 @@
 	// with the lock held and must not block.
 	requestServerRead func()
 	// onObservation and onCrash inform the other instances; onSlowStart, onLimitChanged,
-	// onServerLeaving and onBackoff write to the log. All are called with the lock held and must not
+	// onServerLeaving, onBackoff and onPathChanged write to the log. All are called with the lock held and must not
 	// block.
 	onObservation   func(passthrough.Observation)
 	onCrash         func(passthrough.CrashSuspected)
@@ -23,6 +24,7 @@
 	onLimitChanged  func(passthrough.RateLimitChanged)
 	onServerLeaving func(passthrough.ServerLeaving)
 	onBackoff       func(passthrough.BackoffStated)
+	onPathChanged   func(passthrough.PathChanged)
 
 	mu      sync.Mutex
 	world   *passthrough.World
@@ -47,6 +49,7 @@
 		requestServerRead: func() {}, onObservation: func(passthrough.Observation) {}, onCrash: func(passthrough.CrashSuspected) {},
 		onSlowStart: func(passthrough.SlowStartBegun) {}, onLimitChanged: func(passthrough.RateLimitChanged) {},
 		onServerLeaving: func(passthrough.ServerLeaving) {}, onBackoff: func(passthrough.BackoffStated) {},
+		onPathChanged: func(passthrough.PathChanged) {},
 	}
 }
 
@@ -112,6 +115,37 @@
 	return d.world.MaySend(d.clock.Now(), to)
 }
 
+// planPath says how to connect to a server now.
+func (d *Driver) planPath() passthrough.PathPlan {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.world.PlanPath(d.clock.Now())
+}
+
+// reportDial reports how a connection to a server went.
+func (d *Driver) reportDial(to passthrough.Server, outcome passthrough.DialOutcome) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if outcome == passthrough.DialSucceeded && d.world.PathUndisturbed() {
+		return
+	}
+	d.applyLocked(passthrough.DialEnded{Server: to, Outcome: outcome})
+}
+
+// pathState returns the state of the path to the servers, and since when it has been so.
+func (d *Driver) pathState() (passthrough.PathState, time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.world.Path()
+}
+
+// usableServer returns the listed server with the id and the address, if it may get requests.
+func (d *Driver) usableServer(id, address string) (passthrough.Server, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.world.UsableServer(d.clock.Now(), id, address)
+}
+
 // isLeaving reports whether the server is leaving, whichever way it is known.
 func (d *Driver) isLeaving(s passthrough.Server) bool {
 	d.mu.Lock()
@@ -157,6 +191,8 @@
 			d.onServerLeaving(c)
 		case passthrough.BackoffStated:
 			d.onBackoff(c)
+		case passthrough.PathChanged:
+			d.onPathChanged(c)
 		}
 	}
 }
--- a/router/internal/passthrough/exchange.go
+++ b/router/internal/passthrough/exchange.go
@@ -158,6 +158,9 @@
 	}
 	a := x.newAttempt(d)
 	out := a.run(x.ctx)
+	if a.conn != nil {
+		out.peer = a.conn.peer
+	}
 	x.handler.telemetry.logAttempt(x.call, d, out)
 	x.mayHaveRun = x.mayHaveRun || out.result.MayHaveRun()
 	if out.load != nil && !out.loadReported {
@@ -179,6 +182,7 @@
 		Request: x.ticket.id, Result: out.result, Begun: x.stream.begun,
 		Misdirected: out.misdirected, Leaving: out.leaving, ConnectionLost: out.connectionLost, EventInterval: out.eventInterval,
 		Confidence: out.confidence, Limit: limit,
+		ViaPeer: out.peer != "", TunnelLost: out.tunnelLost, PathLost: out.pathLost,
 	})
 	if out.result != passthrough.Completed {
 		return false
@@ -211,9 +215,9 @@
 	now := x.handler.clock.Now()
 	return &attempt{
 		exchange: x, server: d.Server, startedAt: now, firstByteTimeout: d.FirstByteTimeout,
-		header: x.handler.headers.WriteAttempt(c.request.Header, seam.Attempt{
-			Server: d.Server.ID, Team: team, Remaining: c.deadline.Sub(now), Model: d.Model,
+		statement: seam.Attempt{
+			Server: d.Server.ID, Team: team, Model: d.Model,
 			Priority: passthrough.EffectivePriority(c.team, c.route), LastEventID: lastEventID,
-		}),
+		},
 	}
 }
--- a/router/internal/passthrough/handler.go
+++ b/router/internal/passthrough/handler.go
@@ -176,7 +176,7 @@
 	if refused.retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(refused.retryAfter.Seconds(), 'f', 3, 64))
 	}
-	if refused.reason == passthrough.ReasonStopping {
+	if refused.reason == passthrough.ReasonStopping || refused.reason == passthrough.ReasonNoPath {
 		header.Set("Connection", "close")
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
--- a/router/internal/passthrough/idlewatch.go
+++ b/router/internal/passthrough/idlewatch.go
@@ -58,6 +58,9 @@
 // times since bytes last arrived on the attempt's connection, and on any connection from its server.
 func (a *attempt) hasTimedOut() bool {
 	now := a.exchange.handler.clock.Now()
+	if a.conn.peer == "" && a.exchange.handler.dialer.directHangs(now) {
+		return true
+	}
 	s := passthrough.Inactivity{Route: a.exchange.call.route, FirstByteTimeout: a.firstByteTimeout,
 		PromptTokens: a.exchange.call.caller.PromptTokens, Begun: a.conn.lastReceived.Load() != 0}
 	s.AttemptIdle = now.Sub(a.startedAt)
--- a/router/internal/passthrough/membership.go
+++ b/router/internal/passthrough/membership.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"masticplank.example/coordination/keyedlog"
@@ -103,6 +105,9 @@
 	if m == s.self {
 		s.listed.Store(true)
 	}
+	if m.Tunnel != "" && m.Name != s.self.Name {
+		s.tunnelPeers.Add(m.Name, m.Tunnel, m.Domain != s.self.Domain)
+	}
 	if !s.members.Knows(m) {
 		s.members.Add(m)
 	}
@@ -149,6 +154,39 @@
 	s.reportCounts()
 }
 
+const (
+	// tunnelSearchInterval is the time between two searches for peers in other failure domains.
+	tunnelSearchInterval = time.Second
+	// tunnelSearchDomains is how many failure domains' lists a search reads.
+	tunnelSearchDomains = 2
+)
+
+// findTunnelPeers reads the lists of some other failure domains, unless that was done a short time ago. It
+// does not block.
+//
+// Load: all instances of a failure domain are cut off from the backend servers, and most of them know only
+// each other. Harm prevented: none of their callers is served, although other failure domains have a path.
+// The lists are read by those that need them, a few at a time, since all instances reading all lists would
+// cost the store as much as a simultaneous start.
+func (s *sharing) findTunnelPeers() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	if len(s.otherDomains) == 0 || now.Before(s.tunnelSearchAt) {
+		return
+	}
+	s.tunnelSearchAt = now.Add(tunnelSearchInterval)
+	domains := slices.Clone(s.otherDomains)
+	rand.Shuffle(len(domains), func(i, j int) { domains[i], domains[j] = domains[j], domains[i] })
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), joinTimeout)
+		defer cancel()
+		for _, domain := range domains[:min(tunnelSearchDomains, len(domains))] {
+			s.readMembers(ctx, domain)
+		}
+	}()
+}
+
 // followerWriteInterval is the time between two writes of the followers' announcements. They need
 // not be listed sooner: other instances read from those that were listed before.
 const followerWriteInterval = time.Second
--- a/router/internal/passthrough/server.go
+++ b/router/internal/passthrough/server.go
@@ -16,6 +16,7 @@
 	"masticplank.example/decision/passthrough/seam"
 	"masticplank.example/router/internal/logging"
 	"masticplank.example/router/internal/metrics"
+	"masticplank.example/router/internal/tunnel"
 )
 
 const (
@@ -45,6 +46,8 @@
 	telemetry *telemetry
 	registry  gometrics.Registry
 	log       *logging.AsyncWriter
+	// tunnels serves peers that have no path to the backend servers.
+	tunnels *tunnel.Server
 
 	ready        atomic.Bool
 	callers      *http.Server
@@ -67,6 +70,9 @@
 	if err := s.open(ready, s.settings.ReadinessAddr); err != nil {
 		return err
 	}
+	if err := s.openTunnels(); err != nil {
+		return err
+	}
 	if metricsAddress == "" {
 		return nil
 	}
@@ -82,6 +88,16 @@
 	return s.listen(srv, address)
 }
 
+// openTunnels serves peers' tunnels, if this instance has an address for them.
+func (s *server) openTunnels() error {
+	if s.settings.TunnelAddr == "" {
+		return nil
+	}
+	srv := s.tunnels.HTTPServer()
+	s.auxServers = append(s.auxServers, srv)
+	return s.listen(srv, s.settings.TunnelAddr)
+}
+
 // listen opens a listener and serves it in the background.
 func (s *server) listen(srv *http.Server, address string) error {
 	l, err := net.Listen("tcp", address)
@@ -124,6 +140,7 @@
 	grace := s.settings.Bounds.Grace - closeMargin
 	respondBy := began.Add(grace - responseMargin)
 	s.handler.shutdown.begin(respondBy)
+	s.tunnels.Drain()
 	_, running := s.driver.Load()
 	s.telemetry.emit(logging.EventDrainBegin, slog.Int("running", running))
 	s.driver.Handle(passthrough.Stopping{At: began.Add(grace)})
@@ -148,10 +165,10 @@
 	}
 }
 
-// waitStreams waits until no stream is in progress, or until end, after which new requests could not
-// get a response in time.
+// waitStreams waits until no stream and no tunnel of a peer is in progress, or until end, after which new
+// requests could not get a response in time.
 func (s *server) waitStreams(ctx context.Context, end time.Time) {
-	for s.driver.Streams() > 0 && s.handler.clock.Now().Before(end) && ctx.Err() == nil {
+	for s.driver.Streams()+s.tunnels.Open() > 0 && s.handler.clock.Now().Before(end) && ctx.Err() == nil {
 		sleep(ctx, drainPollInterval, nil)
 	}
 }
@@ -182,6 +199,7 @@
 	unreached, sinceDialed := s.handler.dialer.reachability()
 	gometrics.GetOrRegisterGauge("passthrough.servers_unreached", s.registry).Update(int64(unreached))
 	gometrics.GetOrRegisterGauge("passthrough.server_dialed_ms_ago", s.registry).Update(sinceDialed.Milliseconds())
+	gometrics.GetOrRegisterGauge("passthrough.tunnels_open", s.registry).Update(int64(s.tunnels.Open()))
 	gometrics.GetOrRegisterGauge("log.dropped", s.registry).Update(int64(s.log.Dropped()))
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	if err := metrics.Write(w, s.registry); err != nil {
--- a/router/internal/passthrough/sharing.go
+++ b/router/internal/passthrough/sharing.go
@@ -12,6 +12,7 @@
 	"masticplank.example/decision/passthrough/seam"
 	"masticplank.example/router/internal/logging"
 	"masticplank.example/router/internal/relay"
+	"masticplank.example/router/internal/tunnel"
 )
 
 // sharing lets the instances of a failure domain share their reads of the store: a collector reads
@@ -44,6 +45,10 @@
 	// changes; reportedPeers is the last number.
 	onPeers       func([]string)
 	reportedPeers atomic.Int64
+	// tunnelPeers are the instances through which this one can send requests. The lists of other failure
+	// domains are not read for them before tunnelSearchAt.
+	tunnelPeers    *tunnel.Peers
+	tunnelSearchAt time.Time
 	// otherDomains are the other failure domains.
 	otherDomains []string
 	// listed is true if the store has this instance's current entry; announcedAt is when the
@@ -76,9 +81,9 @@
 
 func newSharing(cfg seam.Settings, store Store, records Records, tel *telemetry, clock Clock) *sharing {
 	s := &sharing{
-		self:  relay.Member{Name: cfg.Instance, Domain: cfg.Domain, Address: cfg.PeerAddr, Cores: cfg.Cores},
+		self:  relay.Member{Name: cfg.Instance, Domain: cfg.Domain, Address: cfg.PeerAddr, Cores: cfg.Cores, Tunnel: cfg.TunnelAddr},
 		store: store, telemetry: tel, clock: clock, heldRecords: map[string][]keyedlog.Record{}, onHeldRecords: func() {}, onFleetCount: func(int) {},
-		onPeers: func([]string) {},
+		onPeers: func([]string) {}, tunnelPeers: tunnel.NewPeers(clock.Now),
 	}
 	for _, domain := range cfg.Domains {
 		if domain != cfg.Domain {
--- a/router/internal/passthrough/telemetry.go
+++ b/router/internal/passthrough/telemetry.go
@@ -116,6 +116,19 @@
 	t.emit(logging.EventServerBackoff, slog.String(keyServer, c.Server), slog.Int64("for_ms", c.Duration.Milliseconds()))
 }
 
+// logPathChanged counts and logs that the path to the backend servers is lost, or is back. The driver calls
+// it, so it must not block.
+func (t *telemetry) logPathChanged(c passthrough.PathChanged) {
+	if c.State == passthrough.PathLost {
+		t.count("path_lost")
+		t.gauge("path_is_lost", 1)
+		t.emit(logging.EventPathLost, slog.Int("unreached", c.Unreached))
+		return
+	}
+	t.gauge("path_is_lost", 0)
+	t.emit(logging.EventPathRestored, slog.Int64("after_ms", c.Duration.Milliseconds()))
+}
+
 // logUnreadableLoads logs a peer's load report that cannot be read and is ignored.
 func (t *telemetry) logUnreadableLoads(from string, err error) {
 	t.emit(logging.EventRecordRejected, slog.String("from", from), slog.String(logging.KeyError, err.Error()))
@@ -153,6 +166,10 @@
 	if out.limit != nil && out.limit.Limited {
 		attrs = append(attrs, slog.Float64("told_limit", out.limit.PerSecond))
 	}
+	if out.peer != "" {
+		t.count("attempt.via_peer")
+		attrs = append(attrs, slog.String("peer", out.peer))
+	}
 	if out.toldLeaving {
 		t.count("attempt.told_leaving")
 		attrs = append(attrs, slog.Bool("told_leaving", true))
--- a/router/internal/relay/members.go
+++ b/router/internal/relay/members.go
@@ -19,6 +19,8 @@
 	// Cores is the number of CPU cores that the instance may use; those with more become collectors
 	// first.
 	Cores float64 `json:"cores"`
+	// Tunnel is the address on which the member accepts tunnels; empty for none.
+	Tunnel string `json:"tunnel,omitempty"`
 }
 
 // AnnounceOrder returns when the member announces itself after a common start, as a fraction from 0
