Brittle servers: requests are sent only where there is room for certain

What callers would see: a service's servers say in all answers that one which has to reject more than N requests in a second fails, and then let fewer wait; the header was not read.

While a plain service is brittle, each slot of each server is a permit of one instance, dealt to failure domains in turn and to instances by rendezvous hashing. An instance without a free permit offers the request to neighbours that have some, which connect it.

--- a/decision/passthrough/attempt.go
+++ b/decision/passthrough/attempt.go
@@ -13,6 +13,11 @@
 	w.releaseServer(r)
 	w.recordOutcome(r, s, e)
 	r.mayHaveRun = r.mayHaveRun || e.Result.MayHaveRun() || e.Begun
+	if e.NoPermit {
+		r.service.fullUntil = w.now.Add(fullPause)
+		w.finishOrRefuse(r, ReasonServersFull)
+		return
+	}
 	if e.PathLost {
 		w.finishOrRefuse(r, ReasonNoPath)
 		return
@@ -69,7 +74,7 @@
 		r.service.throttle.observeEnd(e, w.now)
 	}
 	if e.Result == Rejected {
-		s.backOff(w.now.Add(rejectedBackoff))
+		s.backOff(w.now.Add(s.rejectedBackoff(w.now)))
 		return
 	}
 	if e.ConnectionLost {
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -29,6 +29,8 @@
 	Begun bool
 	// ViaPeer is true if the request was sent through a peer. TunnelLost is true if the connection to the
 	// peer broke, PathLost if the path to the servers is lost and no peer could be asked.
+	// NoPermit is true if no peer had a free permit.
+	NoPermit   bool
 	ViaPeer    bool
 	TunnelLost bool
 	PathLost   bool
@@ -76,6 +78,12 @@
 	Leaving bool
 	// RetryAfter is the time for which it wants no requests from this instance; 0 if not stated.
 	RetryAfter time.Duration
+	// Brittle is true if it states that it fails if it has to reject more than BrittlePerSecond requests in
+	// a second.
+	Brittle          bool
+	BrittlePerSecond float64
+	// Sent is when the request was sent.
+	Sent time.Time
 }
 
 // EventIntervalMeasured is the mean time between the first events of a stream.
@@ -172,6 +180,9 @@
 	// report, 0 if there is none; for the log.
 	Load    int
 	LoadAge time.Duration
+	// Peers are the peers that have permits for the server, which this instance has not: the request is sent
+	// through the first one with a free permit. Empty if it is sent by this instance itself.
+	Peers []string
 	// Limit is the server's known rate limit, for the log.
 	Limit RateLimit
 	// PrefillWait is how long the prompt is expected to wait at the server for other prompts.
@@ -269,6 +280,13 @@
 	Duration time.Duration
 }
 
+// BrittleChanged reports that the servers of a service state that they are brittle, or no longer do.
+type BrittleChanged struct {
+	Service   string
+	Brittle   bool
+	PerSecond float64
+}
+
 func (Dispatch) command()         {}
 func (Refuse) command()           {}
 func (Finish) command()           {}
@@ -279,3 +297,4 @@
 func (RateLimitChanged) command() {}
 func (ServerLeaving) command()    {}
 func (BackoffStated) command()    {}
+func (BrittleChanged) command()   {}
--- a/decision/passthrough/filter.go
+++ b/decision/passthrough/filter.go
@@ -15,7 +15,7 @@
 	var ejected, tried []serverView
 	w.eligible = w.eligible[:0]
 	for _, v := range views {
-		if !v.hasFreeSlot() || v.wait > maxWait || !fits(v.server) || !w.allowSlowStart(v.server) || !w.allowLimit(v.server) {
+		if !v.hasFreeSlot() || v.wait > maxWait || !fits(v.server) || !w.allowSlowStart(v.server) || !w.allowLimit(v.server) || !w.allowBrittle(v) {
 			continue
 		}
 		switch wasTried := slices.Contains(r.tried, v.server); {
@@ -29,11 +29,11 @@
 	}
 	switch {
 	case len(w.eligible) > 0:
-		return w.eligible
+		return w.preferOwnPermits(r.service, w.eligible)
 	case len(ejected) > 0:
-		return ejected
+		return w.preferOwnPermits(r.service, ejected)
 	}
-	return tried
+	return w.preferOwnPermits(r.service, tried)
 }
 
 // hasFreeSlot reports whether the server has a free slot. It counts only the known
--- a/decision/passthrough/path.go
+++ b/decision/passthrough/path.go
@@ -272,7 +272,7 @@
 	if e.Result != NotSent && e.Result != Broken {
 		return false
 	}
-	if e.PathLost || e.TunnelLost {
+	if e.PathLost || e.TunnelLost || e.NoPermit {
 		return true
 	}
 	return !e.ViaPeer && (p.state == PathLost || r.sent.Before(p.restoredAt))
--- /dev/null
+++ b/decision/passthrough/permits.go
@@ -0,0 +1,177 @@
+package passthrough
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// While a plain service is brittle, each slot of each of its servers is a permit of one instance. Permits are
+// dealt to the failure domains in turn, and within a failure domain to instances by rendezvous hashing, so
+// that instances that know the same servers and neighbours agree on them without any message. An instance
+// whose permits are in use, or that has none, sends through a peer of its failure domain that has some; the
+// peer sends the request on once a permit is free. So a server never gets more requests than it has slots,
+// however many instances there are.
+
+const (
+	// maxPermitPeers is how many peers a request is offered to.
+	maxPermitPeers = 3
+	// fullPause is for how long no request is offered to peers after all of them had no free permit.
+	fullPause = 80 * time.Millisecond
+)
+
+// permitInputs are the values that a service's permits depend on.
+type permitInputs struct {
+	neighboursVersion int
+	listVersion       int
+}
+
+// permits are an instance's and its neighbours' permits at the servers of a service.
+type permits struct {
+	inputs permitInputs
+	// peers are the names of the neighbours with permits at a server, with their numbers.
+	peers map[*server]map[string]int
+}
+
+// updatePermits deals the service's permits, unless that was done for the same servers and neighbours.
+func (w *World) updatePermits(s *service) {
+	inputs := permitInputs{w.neighbours.version, w.listVersion}
+	if s.permits.inputs == inputs && s.permits.peers != nil {
+		return
+	}
+	s.permits = permits{inputs, map[*server]map[string]int{}}
+	domains := w.cfg.Domains
+	if !slices.Contains(domains, w.cfg.Domain) {
+		domains = []string{w.cfg.Domain}
+	}
+	list := slices.Clone(s.servers)
+	slices.SortFunc(list, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+	dealt := 0
+	for _, srv := range list {
+		srv.permits = 0
+		for slot := range max(srv.Slots, 1) {
+			if domains[dealt%len(domains)] == w.cfg.Domain {
+				w.dealPermit(srv, slot)
+			}
+			dealt++
+		}
+	}
+}
+
+// dealPermit gives a slot of the server to one of the neighbours.
+func (w *World) dealPermit(s *server, slot int) {
+	n := &w.neighbours
+	key := mix(s.hash + uint64(slot))
+	owner, best := "", uint64(0)
+	for i, hash := range n.hashes {
+		if score := mix(hash ^ key); owner == "" || score > best {
+			owner, best = n.names[i], score
+		}
+	}
+	if owner == "" || owner == n.self {
+		s.permits++ // an instance that knows no neighbours is alone
+		return
+	}
+	peers := s.service.permits.peers
+	if peers[s] == nil {
+		peers[s] = map[string]int{}
+	}
+	peers[s][owner]++
+}
+
+// hasPermit reports whether this instance may send to the server itself.
+func (w *World) hasPermit(s *server) bool {
+	w.updatePermits(s.service)
+	return s.permitsUsed < s.permits
+}
+
+// peersHavePermits reports whether a request to the server may be offered to peers.
+func (w *World) peersHavePermits(s *server) bool {
+	w.updatePermits(s.service)
+	if w.now.Before(s.service.fullUntil) {
+		s.service.wakeBy(s.service.fullUntil)
+		return false
+	}
+	return len(s.service.permits.peers[s]) > 0
+}
+
+// permitPeers returns the peers to offer a request for the server to, in a random order that prefers those with
+// more permits.
+func (w *World) permitPeers(s *server) []string {
+	type scored struct {
+		name  string
+		score float64
+	}
+	var list []scored
+	for _, name := range w.neighbours.names {
+		if n := s.service.permits.peers[s][name]; n > 0 {
+			list = append(list, scored{name, w.rng.Float64() / float64(n)})
+		}
+	}
+	slices.SortFunc(list, func(a, b scored) int { return cmp.Compare(a.score, b.score) })
+	var out []string
+	for _, x := range list[:min(len(list), maxPermitPeers)] {
+		out = append(out, x.name)
+	}
+	return out
+}
+
+// preferOwnPermits leaves only the servers for which this instance has a free permit, if there are any.
+func (w *World) preferOwnPermits(s *service, list []serverView) []serverView {
+	if s.engine || !s.isBrittle(w.now) {
+		return list
+	}
+	own := slices.DeleteFunc(slices.Clone(list), func(v serverView) bool { return !w.hasPermit(v.server) })
+	if len(own) > 0 {
+		return own
+	}
+	return list
+}
+
+// takePermit takes a permit for a request at its server, and returns the peers that it must be offered to if
+// this instance has none.
+func (w *World) takePermit(r *request, s *server) (peers []string) {
+	if s.service.engine || !s.service.isBrittle(w.now) {
+		return nil
+	}
+	if w.hasPermit(s) {
+		s.permitsUsed++
+		r.permitted = true
+		return nil
+	}
+	return w.permitPeers(s)
+}
+
+// releasePermit gives back the request's permit.
+func (r *request) releasePermit() {
+	if r.permitted {
+		r.server.permitsUsed--
+		r.permitted = false
+	}
+}
+
+// TakePermitForPeer takes a permit at the listed server for a peer's request, if one is free. The caller must
+// call ReleasePermitForPeer if ok is true.
+func (w *World) TakePermitForPeer(now time.Time, id string) (ok bool) {
+	s := w.servers[id]
+	if s == nil {
+		return false
+	}
+	if now.After(w.now) {
+		w.now = now
+	}
+	if !w.hasPermit(s) {
+		return false
+	}
+	s.permitsUsed++
+	return true
+}
+
+// ReleasePermitForPeer gives back the permit of a peer's request at the server. A process that has taken the
+// server's id since then has permits of its own.
+func (w *World) ReleasePermitForPeer(of Server) {
+	if s := w.findProcess(of.process()); s != nil && s.permitsUsed > 0 {
+		s.permitsUsed--
+		w.markFreed(s.service)
+	}
+}
--- a/decision/passthrough/requests.go
+++ b/decision/passthrough/requests.go
@@ -164,6 +164,7 @@
 		return
 	}
 	r.endPrefill()
+	r.releasePermit()
 	r.server.ownRequests--
 	w.markFreed(r.service)
 	r.server = nil
--- a/decision/passthrough/seam/seam.go
+++ b/decision/passthrough/seam/seam.go
@@ -70,6 +70,10 @@
 	HasLoad bool
 	// Limit is the server's rate limit; the zero value if it stated none.
 	Limit passthrough.RateLimit
+	// Brittle is true if the server states that it fails if it has to reject more than BrittlePerSecond
+	// requests in a second.
+	Brittle          bool
+	BrittlePerSecond float64
 	// Confidence in the response, from 0 to 1; -1 if not stated.
 	Confidence float64
 }
--- a/decision/passthrough/servers.go
+++ b/decision/passthrough/servers.go
@@ -109,6 +109,7 @@
 // rebuildIndexes rebuilds the services' server lists, in the order of list, serversByKey and
 // serversByProcess.
 func (w *World) rebuildIndexes(list []Server) {
+	w.listVersion++
 	for _, s := range w.services {
 		s.servers = s.servers[:0]
 	}
--- a/decision/passthrough/statements.go
+++ b/decision/passthrough/statements.go
@@ -24,6 +24,7 @@
 		}
 		w.setStatedLeaving(s, true)
 	}
+	w.observeBrittle(s, e)
 	if e.RetryAfter > 0 {
 		w.setStatedBackoff(s, e.RetryAfter)
 	}
--- a/decision/passthrough/subset.go
+++ b/decision/passthrough/subset.go
@@ -14,12 +14,15 @@
 	// hashes are the hashes of their names, own is that of this instance.
 	hashes []uint64
 	own    uint64
+	// names are the instances' names, in the order of hashes; self is that of this instance.
+	names []string
+	self  string
 	// version changes with hashes; 0 as long as no neighbours are known.
 	version int
 }
 
 func (w *World) setNeighbours(e Neighbours) {
-	n := neighbours{own: hashString(e.Self), version: w.neighbours.version + 1}
+	n := neighbours{own: hashString(e.Self), version: w.neighbours.version + 1, names: e.Names, self: e.Self}
 	for _, name := range e.Names {
 		n.hashes = append(n.hashes, hashString(name))
 	}
--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -21,6 +21,10 @@
 	intervals  intervalStats
 	prefill    prefillStats
 	slowStart  slowStartLimits
+	brittle    brittle
+	permits    permits
+	// fullUntil is until when no request is offered to peers with permits.
+	fullUntil time.Time
 	// wakeAt is when queued requests are tried again, as a server may take more by then; zero for
 	// never.
 	wakeAt    time.Time
@@ -66,6 +70,9 @@
 	drained   bool
 	slowStart slowStart
 	limit     serverLimit
+	// permits is how many of the server's slots belong to this instance while the service is brittle,
+	// permitsUsed how many of them its own and its peers' requests hold.
+	permits, permitsUsed int
 	// peers is the load of the other instances there, as of the world's peerLoadsAt.
 	peers peerReport
 }
@@ -89,6 +96,8 @@
 	model      int
 	queued     bool
 	queueEntry *queueEntry
+	// permitted is true while the request holds a permit of this instance.
+	permitted bool
 	// firstByte is the time to the first byte of the current response; 0 before it.
 	firstByte time.Duration
 	// loadLevel is the server's load when the current response began.
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -63,6 +63,8 @@
 	peerLoadsAt     time.Time
 	reportedByPeers []*server
 	serversByKey    map[uint32]*server
+	// listVersion changes with the list of servers.
+	listVersion int
 	// serversByProcess finds the listed servers by the hashes of their processes.
 	serversByProcess map[uint64]*server
 	// leavingServers are the servers that stated to this instance that they are leaving, as long as this
--- a/router/internal/logging/catalogue.go
+++ b/router/internal/logging/catalogue.go
@@ -66,6 +66,7 @@
 	EventServerLeaving   = Event{225, "server_leaving", slog.LevelInfo, "A backend server states in an answer that it is leaving: this instance sends it no new requests; own says whether the answer was to this instance or to another one."}
 	EventPathLost        = Event{227, "path_lost", slog.LevelWarn, "This instance reaches no backend server, but a peer does: requests are sent through peers; unreached is the number of servers that it could not reach."}
 	EventPathRestored    = Event{228, "path_restored", slog.LevelInfo, "This instance reaches backend servers again."}
+	EventServiceBrittle  = Event{229, "service_brittle", slog.LevelWarn, "A service's backend servers state that they fail if they reject more than per_second requests in a second, or, if brittle is false, no longer do: requests are sent only where there is room for certain."}
 	EventServerBackoff   = Event{226, "server_backoff", slog.LevelInfo, "A backend server refused a request and states for how long it wants no others from this instance, which sends it none for that time."}
 
 	EventPassthroughRefused = Event{310, "passthrough_refused", slog.LevelInfo, "A request on a pass-through route was refused and was not run; reason says why."}
@@ -92,7 +93,7 @@
 		EventLogUnreachable, EventLogReachable, EventStateRestored, EventStateDiverged,
 		EventConfigApplied, EventRecordRejected, EventServerListed, EventServerGone, EventEntryIgnored,
 		EventStoreLost, EventStoreRegained, EventCollector,
-		EventDomainDrained, EventDomainBack, EventServerCold, EventServerLimited, EventServerUnlimited, EventStoreRestored, EventStateKept, EventServerLeaving, EventServerBackoff, EventPathLost, EventPathRestored,
+		EventDomainDrained, EventDomainBack, EventServerCold, EventServerLimited, EventServerUnlimited, EventStoreRestored, EventStateKept, EventServerLeaving, EventServerBackoff, EventPathLost, EventPathRestored, EventServiceBrittle,
 		EventRequestRefused, EventAttemptFailed, EventWrongNonce,
 		EventPassthroughRefused, EventPassthroughAttempt, EventPassthroughFailed, EventCallerLost,
 		EventBillHeld, EventBillFlushed, EventBillRefused,
--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -132,7 +132,7 @@
 	sh.server.LoadExchange = relay.NewLoadExchange(sh.client, own, take)
 	sh.server.LoadExchange.OnUnreadable = tel.logUnreadableLoads
 	d.onObservation, d.onCrash, d.onSlowStart, d.onLimitChanged = observations.recordResponse, observations.recordCrash, tel.logSlowStart, tel.logRateLimitChanged
-	d.onServerLeaving, d.onBackoff, d.onPathChanged = tel.logServerLeaving, tel.logBackoffStated, tel.logPathChanged
+	d.onServerLeaving, d.onBackoff, d.onPathChanged, d.onBrittle = tel.logServerLeaving, tel.logBackoffStated, tel.logPathChanged, tel.logBrittle
 	return observations
 }
 
--- a/router/internal/passthrough/attempt.go
+++ b/router/internal/passthrough/attempt.go
@@ -23,7 +23,9 @@
 	exchange *exchange
 	server   passthrough.Server
 	// statement is what is stated to the server besides the time left.
-	statement        seam.Attempt
+	statement seam.Attempt
+	// permitPeers are the peers with permits for the server, if this instance has none.
+	permitPeers      []string
 	startedAt        time.Time
 	firstByteTimeout time.Duration
 
@@ -67,6 +69,8 @@
 	peer       string
 	tunnelLost bool
 	pathLost   bool
+	// noPermit is true if no peer had a free permit for the server.
+	noPermit bool
 	// eventInterval is the mean time between the events of a stream, 0 for fewer than two.
 	// For a plain response it is the time from startedAt to the end of the response.
 	eventInterval time.Duration
@@ -91,9 +95,10 @@
 
 // run sends the request and reads the response.
 func (a *attempt) run(ctx context.Context) outcome {
-	c, err := a.exchange.handler.dialer.dial(ctx, a.server)
+	c, err := a.connect(ctx)
 	if err != nil {
-		return outcome{result: passthrough.NotSent, err: err, pathLost: errors.Is(err, errNoPath) || errors.Is(err, errNoPeer)}
+		return outcome{result: passthrough.NotSent, err: err, noPermit: errors.Is(err, errNoPermit),
+			pathLost: errors.Is(err, errNoPath) || errors.Is(err, errNoPeer)}
 	}
 	a.conn = c
 	defer func() { _ = c.Close() }() // a connection serves one attempt only
@@ -114,6 +119,14 @@
 	return a.readOutcome(resp)
 }
 
+// connect opens the connection to the server, through a peer if only peers have permits for it.
+func (a *attempt) connect(ctx context.Context) (*conn, error) {
+	if len(a.permitPeers) > 0 {
+		return a.exchange.handler.dialer.dialWithPermit(ctx, a.server, a.permitPeers)
+	}
+	return a.exchange.handler.dialer.dial(ctx, a.server)
+}
+
 // request builds the request to the backend server: the caller's target and body unchanged, with
 // the attempt's headers.
 func (a *attempt) request() *http.Request {
@@ -200,8 +213,12 @@
 // statement holds even if the response is not valid, is dropped or has lost its caller; one of another
 // server that now has the address does not.
 func (a *attempt) reportStatement(meta seam.Response) {
-	if !meta.Misdirected && (meta.Leaving || meta.RetryAfter > 0) {
-		a.exchange.handler.driver.Handle(passthrough.ServerStated{Server: a.server, Leaving: meta.Leaving, RetryAfter: meta.RetryAfter})
+	driver := a.exchange.handler.driver
+	// The end of a statement is shown by an answer of the server itself.
+	endsBrittle := driver.anyBrittle.Load() && (meta.Signed || meta.NotRun)
+	if !meta.Misdirected && (meta.Leaving || meta.RetryAfter > 0 || meta.Brittle || endsBrittle) {
+		driver.Handle(passthrough.ServerStated{Server: a.server, Leaving: meta.Leaving, RetryAfter: meta.RetryAfter,
+			Brittle: meta.Brittle, BrittlePerSecond: meta.BrittlePerSecond, Sent: a.startedAt})
 	}
 }
 
--- a/router/internal/passthrough/dialer.go
+++ b/router/internal/passthrough/dialer.go
@@ -31,6 +31,8 @@
 	// directLastReceived is when bytes last arrived on any connection that does not go through a peer, in
 	// Unix nanoseconds of the clock; 0 for never.
 	directLastReceived atomic.Int64
+	// permitWaiters is how many requests of peers wait for a permit.
+	permitWaiters atomic.Int64
 
 	mu           sync.Mutex
 	lastReceived map[string]*atomic.Int64
@@ -108,6 +110,10 @@
 	pathState() (passthrough.PathState, time.Time)
 	// usableServer returns the listed server with the id and the address, if it may get requests.
 	usableServer(id, address string) (passthrough.Server, bool)
+	// takePermitForPeer takes a permit at the server for a peer's request, if one is free;
+	// releasePermitForPeer gives it back.
+	takePermitForPeer(id string) bool
+	releasePermitForPeer(of passthrough.Server)
 }
 
 // slowDialDelay is the time after which a connection is slow.
@@ -195,6 +201,60 @@
 	return nil, errNoPeer
 }
 
+// errNoPermit means that no peer had a free permit for the server.
+var errNoPermit = errors.New("no peer has a free permit for the backend server")
+
+// dialWithPermit opens a connection to the server through one of the peers that have permits for it.
+func (d *dialer) dialWithPermit(ctx context.Context, to passthrough.Server, peers []string) (*conn, error) {
+	c, err := d.tunnels.DialWithPermit(ctx, tunnel.Target{ID: to.ID, Address: to.Address, NeedsPermit: true}, peers)
+	switch {
+	case err == nil:
+		return &conn{ReadWriteCloser: c, peer: c.Peer(), clock: d.clock, serverLastReceived: d.lastReceivedFrom(to.ID)}, nil
+	case ctx.Err() != nil:
+		return nil, ctx.Err()
+	}
+	return nil, errNoPermit
+}
+
+const (
+	// permitWait is how long a peer's request waits for a free permit: two requests of a plain service.
+	permitWait = 60 * time.Millisecond
+	// permitPollInterval is the time between two checks for one.
+	permitPollInterval = 4 * time.Millisecond
+	// maxPermitWaiters is how many requests of peers wait at a time.
+	maxPermitWaiters = 32
+)
+
+// awaitPermit takes a permit for a peer's request, and waits for one if all are in use.
+func (d *dialer) awaitPermit(ctx context.Context, server string) bool {
+	defer d.permitWaiters.Add(-1)
+	if d.permitWaiters.Add(1) > maxPermitWaiters {
+		return false
+	}
+	for end := d.clock.Now().Add(permitWait); ; {
+		if d.path.takePermitForPeer(server) {
+			return true
+		}
+		if ctx.Err() != nil || !d.clock.Now().Before(end) {
+			return false
+		}
+		time.Sleep(permitPollInterval)
+	}
+}
+
+// permitConn is a connection for a peer's request. It gives its permit back when it is closed.
+type permitConn struct {
+	net.Conn
+	once    sync.Once
+	release func()
+}
+
+// Close implements net.Conn.
+func (c *permitConn) Close() error {
+	c.once.Do(c.release)
+	return c.Conn.Close()
+}
+
 // connectForPeer connects to a server for a peer. It implements tunnel.Server.Connect.
 func (d *dialer) connectForPeer(ctx context.Context, to tunnel.Target) (net.Conn, error) {
 	server, ok := d.path.usableServer(to.ID, to.Address)
@@ -204,18 +264,27 @@
 	if state, _ := d.path.pathState(); state != passthrough.PathUp {
 		return nil, tunnel.ErrNoPath
 	}
+	release := func() {}
+	if to.NeedsPermit {
+		if !d.awaitPermit(ctx, to.ID) {
+			return nil, tunnel.ErrNoPermit
+		}
+		release = func() { d.path.releasePermitForPeer(server) }
+	}
 	c, err := d.dialDirect(ctx, server)
 	if err != nil {
+		release()
 		if state, _ := d.path.pathState(); state != passthrough.PathUp {
 			return nil, tunnel.ErrNoPath
 		}
 		return nil, tunnel.ErrUnreachable
 	}
 	if _, ok := d.path.usableServer(to.ID, to.Address); !ok {
+		release()
 		_ = c.Close() // nothing was sent
 		return nil, tunnel.ErrDeclined
 	}
-	return c, nil
+	return &permitConn{Conn: c, release: release}, nil
 }
 
 // hungAfter is how long after the path was lost a direct connection that carries nothing is given up.
--- a/router/internal/passthrough/driver.go
+++ b/router/internal/passthrough/driver.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"masticplank.example/decision/passthrough"
@@ -16,7 +17,7 @@
 	// with the lock held and must not block.
 	requestServerRead func()
 	// onObservation and onCrash inform the other instances; onSlowStart, onLimitChanged,
-	// onServerLeaving, onBackoff and onPathChanged write to the log. All are called with the lock held and must not
+	// onServerLeaving, onBackoff, onPathChanged and onBrittle write to the log. All are called with the lock held and must not
 	// block.
 	onObservation   func(passthrough.Observation)
 	onCrash         func(passthrough.CrashSuspected)
@@ -25,6 +26,9 @@
 	onServerLeaving func(passthrough.ServerLeaving)
 	onBackoff       func(passthrough.BackoffStated)
 	onPathChanged   func(passthrough.PathChanged)
+	onBrittle       func(passthrough.BrittleChanged)
+	// anyBrittle is true if the servers of some service were brittle.
+	anyBrittle atomic.Bool
 
 	mu      sync.Mutex
 	world   *passthrough.World
@@ -49,7 +53,7 @@
 		requestServerRead: func() {}, onObservation: func(passthrough.Observation) {}, onCrash: func(passthrough.CrashSuspected) {},
 		onSlowStart: func(passthrough.SlowStartBegun) {}, onLimitChanged: func(passthrough.RateLimitChanged) {},
 		onServerLeaving: func(passthrough.ServerLeaving) {}, onBackoff: func(passthrough.BackoffStated) {},
-		onPathChanged: func(passthrough.PathChanged) {},
+		onPathChanged: func(passthrough.PathChanged) {}, onBrittle: func(passthrough.BrittleChanged) {},
 	}
 }
 
@@ -146,6 +150,21 @@
 	return d.world.UsableServer(d.clock.Now(), id, address)
 }
 
+// takePermitForPeer takes a permit at the server for a peer's request, if one is free.
+func (d *Driver) takePermitForPeer(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.world.TakePermitForPeer(d.clock.Now(), id)
+}
+
+// releasePermitForPeer gives it back.
+func (d *Driver) releasePermitForPeer(of passthrough.Server) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.world.ReleasePermitForPeer(of)
+	d.applyLocked()
+}
+
 // isLeaving reports whether the server is leaving, whichever way it is known.
 func (d *Driver) isLeaving(s passthrough.Server) bool {
 	d.mu.Lock()
@@ -191,6 +210,9 @@
 			d.onServerLeaving(c)
 		case passthrough.BackoffStated:
 			d.onBackoff(c)
+		case passthrough.BrittleChanged:
+			d.anyBrittle.Store(d.anyBrittle.Load() || c.Brittle)
+			d.onBrittle(c)
 		case passthrough.PathChanged:
 			d.onPathChanged(c)
 		}
--- a/router/internal/passthrough/exchange.go
+++ b/router/internal/passthrough/exchange.go
@@ -182,7 +182,7 @@
 		Request: x.ticket.id, Result: out.result, Begun: x.stream.begun,
 		Misdirected: out.misdirected, Leaving: out.leaving, ConnectionLost: out.connectionLost, EventInterval: out.eventInterval,
 		Confidence: out.confidence, Limit: limit,
-		ViaPeer: out.peer != "", TunnelLost: out.tunnelLost, PathLost: out.pathLost,
+		ViaPeer: out.peer != "", TunnelLost: out.tunnelLost, PathLost: out.pathLost, NoPermit: out.noPermit,
 	})
 	if out.result != passthrough.Completed {
 		return false
@@ -214,7 +214,7 @@
 	}
 	now := x.handler.clock.Now()
 	return &attempt{
-		exchange: x, server: d.Server, startedAt: now, firstByteTimeout: d.FirstByteTimeout,
+		exchange: x, server: d.Server, startedAt: now, firstByteTimeout: d.FirstByteTimeout, permitPeers: d.Peers,
 		statement: seam.Attempt{
 			Server: d.Server.ID, Team: team, Model: d.Model,
 			Priority: passthrough.EffectivePriority(c.team, c.route), LastEventID: lastEventID,
--- a/router/internal/passthrough/telemetry.go
+++ b/router/internal/passthrough/telemetry.go
@@ -129,6 +129,13 @@
 	t.emit(logging.EventPathRestored, slog.Int64("after_ms", c.Duration.Milliseconds()))
 }
 
+// logBrittle counts and logs that a service's servers state that they are brittle, or no longer do. The driver
+// calls it, so it must not block.
+func (t *telemetry) logBrittle(c passthrough.BrittleChanged) {
+	t.count("brittle_changed")
+	t.emit(logging.EventServiceBrittle, slog.String("service", c.Service), slog.Bool("brittle", c.Brittle), slog.Float64("per_second", c.PerSecond))
+}
+
 // logUnreadableLoads logs a peer's load report that cannot be read and is ignored.
 func (t *telemetry) logUnreadableLoads(from string, err error) {
 	t.emit(logging.EventRecordRejected, slog.String("from", from), slog.String(logging.KeyError, err.Error()))
--- a/router/internal/tunnel/dialer.go
+++ b/router/internal/tunnel/dialer.go
@@ -94,6 +94,39 @@
 	}
 }
 
+// permitTimeout bounds the opening of a tunnel with a permit through one peer.
+const permitTimeout = 250 * time.Millisecond
+
+// DialWithPermit opens a tunnel to the backend server through the first of the named peers that has a free
+// permit for it. The peers are asked one after the other, so that the request holds one permit at most. After
+// an error, nothing was sent to the server.
+func (d *Dialer) DialWithPermit(ctx context.Context, to Target, names []string) (*Conn, error) {
+	for _, through := range d.peers.named(names) {
+		c := newConn(d.peers, through, &gate{})
+		opened := make(chan error, 1)
+		go func() { opened <- c.open(d.transport, to) }()
+		timeout, cancel := context.WithTimeout(ctx, permitTimeout)
+		var err error
+		select {
+		case err = <-opened:
+		case <-timeout.Done():
+			err = timeout.Err()
+		}
+		cancel()
+		if err == nil {
+			return c, nil
+		}
+		_ = c.Close()
+		if !errors.Is(err, ErrNoPermit) {
+			d.peers.failed(through)
+		}
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+	}
+	return nil, ErrNoPermit
+}
+
 // race is the opening of one tunnel through several peers.
 type race struct {
 	dialer  *Dialer
@@ -118,7 +151,7 @@
 		err := c.open(r.dialer.transport, r.to)
 		switch {
 		case err == nil:
-		case errors.Is(err, ErrUnreachable), errors.Is(err, ErrDeclined), errors.Is(err, errLost), errors.Is(err, context.Canceled):
+		case errors.Is(err, ErrUnreachable), errors.Is(err, ErrDeclined), errors.Is(err, ErrNoPermit), errors.Is(err, errLost), errors.Is(err, context.Canceled):
 		default:
 			r.dialer.peers.failed(through)
 		}
@@ -143,6 +176,8 @@
 		return ErrDeclined
 	case http.StatusBadGateway:
 		return ErrUnreachable
+	case http.StatusTooManyRequests:
+		return ErrNoPermit
 	case http.StatusGatewayTimeout:
 		return ErrNoPath
 	}
--- a/router/internal/tunnel/message.go
+++ b/router/internal/tunnel/message.go
@@ -12,6 +12,7 @@
 const (
 	paramServer  = "server"
 	paramAddress = "address"
+	paramPermit  = "permit"
 )
 
 // headerOpen states how many tunnels are open at a peer. trailerEnd states how the backend server ended
@@ -31,22 +32,30 @@
 type Target struct {
 	ID      string
 	Address string
+	// NeedsPermit is true if the peer must use one of its permits for the server.
+	NeedsPermit bool
 }
 
 func (t Target) query() string {
-	return url.Values{paramServer: {t.ID}, paramAddress: {t.Address}}.Encode()
+	q := url.Values{paramServer: {t.ID}, paramAddress: {t.Address}}
+	if t.NeedsPermit {
+		q.Set(paramPermit, "1")
+	}
+	return q.Encode()
 }
 
 func targetOf(q url.Values) Target {
-	return Target{ID: q.Get(paramServer), Address: q.Get(paramAddress)}
+	return Target{ID: q.Get(paramServer), Address: q.Get(paramAddress), NeedsPermit: q.Has(paramPermit)}
 }
 
-// Errors of tunnels. After the first four, nothing was sent to a backend server.
+// Errors of tunnels. After the first five, nothing was sent to a backend server.
 var (
 	// ErrNoPeer means that no peer could be asked: none is known, answers and has room.
 	ErrNoPeer = errors.New("no peer could be asked for a tunnel")
 	// ErrNoPath means that the peers that were asked have no path to the backend servers either.
 	ErrNoPath = errors.New("the peers have no path to the backend servers either")
+	// ErrNoPermit means that all permits of the peer for the backend server are in use.
+	ErrNoPermit = errors.New("the peer has no free permit for the backend server")
 	// ErrUnreachable means that a peer, which has a path, could not connect to the backend server.
 	ErrUnreachable = errors.New("a peer could not connect to the backend server")
 	// ErrDeclined means that the peer's list does not have the backend server, or not as one that may get
--- a/router/internal/tunnel/peers.go
+++ b/router/internal/tunnel/peers.go
@@ -94,6 +94,20 @@
 	return chosen, len(list)
 }
 
+// named returns the peers with the names that are not in backoff, in that order.
+func (p *Peers) named(names []string) []*peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	var out []*peer
+	for _, name := range names {
+		if x := p.peers[name]; x != nil && !now.Before(x.backoffUntil) {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
 // began counts a tunnel that is being opened, ended takes it back.
 func (p *Peers) began(x *peer) {
 	p.mu.Lock()
--- a/router/internal/tunnel/server.go
+++ b/router/internal/tunnel/server.go
@@ -16,8 +16,8 @@
 // Server opens connections to backend servers for peers.
 type Server struct {
 	// Connect connects to the backend server. It returns ErrDeclined for one that gets no requests,
-	// ErrUnreachable for one that this instance cannot reach while it reaches others, and ErrNoPath if it
-	// reaches none.
+	// ErrUnreachable for one that this instance cannot reach while it reaches others, ErrNoPath if it
+	// reaches none, and ErrNoPermit if the target needs a permit and none is free.
 	Connect func(ctx context.Context, to Target) (net.Conn, error)
 	// Limit is how many tunnels may be open.
 	Limit int
@@ -77,6 +77,8 @@
 		return http.StatusNotFound
 	case errors.Is(err, ErrUnreachable):
 		return http.StatusBadGateway
+	case errors.Is(err, ErrNoPermit):
+		return http.StatusTooManyRequests
 	case errors.Is(err, ErrNoPath):
 		return http.StatusGatewayTimeout
 	}
--- a/router/internal/tunnel/tunnel_test.go
+++ b/router/internal/tunnel/tunnel_test.go
@@ -453,3 +453,49 @@
 		t.Errorf("%d connections to the server, want none", n)
 	}
 }
+
+// TestTunnelWithPermitAsksPeersInTurn guards against a request that holds the permits of several peers at once,
+// and against one that is sent without a permit.
+func TestTunnelWithPermitAsksPeersInTurn(t *testing.T) {
+	b := startBackend(t, echo)
+	var asked [3]atomic.Int64
+	var held, most atomic.Int64
+	connect := func(i int, err error) func(ctx context.Context, to Target) (net.Conn, error) {
+		return func(ctx context.Context, to Target) (net.Conn, error) {
+			asked[i].Add(1)
+			if !to.NeedsPermit {
+				t.Error("the peer is not told that the request needs a permit")
+			}
+			if err != nil {
+				return nil, err
+			}
+			most.Store(max(most.Load(), held.Add(1)))
+			defer held.Add(-1)
+			var d net.Dialer
+			return d.DialContext(ctx, "tcp", to.Address)
+		}
+	}
+	var addresses []string
+	for i, err := range []error{ErrNoPermit, ErrNoPath, nil} {
+		address, _ := startServer(t, &Server{Connect: connect(i, err)})
+		addresses = append(addresses, address)
+	}
+	d := newTestDialer(addresses...)
+	target := Target{ID: b.ID, Address: b.Address, NeedsPermit: true}
+	c, err := d.DialWithPermit(t.Context(), target, []string{"peer-0", "peer-1", "unknown", "peer-2"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := exchange(t, c, "hello"); got != "echo hello" || err != nil || c.Peer() != "peer-2" {
+		t.Errorf("%q, %v through %s, want the echo through peer-2", got, err, c.Peer())
+	}
+	if asked[0].Load() != 1 || asked[1].Load() != 1 || asked[2].Load() != 1 || most.Load() != 1 {
+		t.Errorf("asked %d, %d and %d times, %d connections at once, want one each", asked[0].Load(), asked[1].Load(), asked[2].Load(), most.Load())
+	}
+	if _, err := d.DialWithPermit(t.Context(), target, []string{"peer-0", "peer-1"}); !errors.Is(err, ErrNoPermit) {
+		t.Errorf("%v, want %v", err, ErrNoPermit)
+	}
+	if asked[1].Load() != 1 {
+		t.Error("a peer without a path is asked again at once")
+	}
+}
