--- a/decision/passthrough/permits.go
+++ b/decision/passthrough/permits.go
@@ -49,7 +49,7 @@
 	dealt := 0
 	for _, srv := range list {
 		srv.permits = 0
-		for slot := range max(srv.Slots, 1) {
+		for slot := range max(srv.listedSlots, 1) {
 			if domains[dealt%len(domains)] == w.cfg.Domain {
 				w.dealPermit(srv, slot)
 			}
--- a/decision/passthrough/servers.go
+++ b/decision/passthrough/servers.go
@@ -44,7 +44,7 @@
 		if known != nil && known.process() == s.process() {
 			s.Leaving = s.Leaving || known.Leaving
 			changed := s.SlowStartRemaining != known.SlowStartRemaining
-			known.Server = s
+			known.Server, known.listedSlots = s, s.Slots
 			if changed {
 				w.enterSlowStart(known, s.SlowStartRemaining, CauseListed)
 			}
@@ -76,7 +76,7 @@
 	} else {
 		added = &server{Server: s, service: w.serviceOf(s.Service), hash: hashString(s.ID), processHash: s.process().hash()}
 	}
-	added.drained = w.drained[s.Domain]
+	added.drained, added.listedSlots = w.drained[s.Domain], s.Slots
 	if added.limit.Limited {
 		w.limitedServers[added] = true
 	}
--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -70,6 +70,8 @@
 	drained   bool
 	slowStart slowStart
 	limit     serverLimit
+	// listedSlots is the number of slots in the server's entry, which is the same for all instances.
+	listedSlots int
 	// permits is how many of the server's slots belong to this instance while the service is brittle,
 	// permitsUsed how many of them its own and its peers' requests hold.
 	permits, permitsUsed int
--- a/router/internal/faultdial/faultdial.go
+++ b/router/internal/faultdial/faultdial.go
@@ -159,15 +159,21 @@
 // FileVariable is the environment variable with the path of the file that Follow follows.
 const FileVariable = "MASTICPLANK_FAULT_FILE"
 
+// AppliedSuffix is appended to the path for the name of the file that says which mode is in force.
+const AppliedSuffix = ".applied"
+
 // pollInterval is the time between two reads of the file that Follow follows.
 const pollInterval = 20 * time.Millisecond
 
 // Follow sets the link's fault to the mode in the file, whenever that changes. It does not return.
 func (l *Link) Follow(path string) {
+	applied := None
 	for {
 		text, err := os.ReadFile(path)
-		if err == nil {
-			l.Set(Mode(strings.TrimSpace(string(text))))
+		if mode := Mode(strings.TrimSpace(string(text))); err == nil && mode != applied {
+			l.Set(mode)
+			applied = mode
+			_ = os.WriteFile(path+AppliedSuffix, []byte(mode), 0o600) // whoever waits for it sees a timeout
 		}
 		time.Sleep(pollInterval)
 	}
