--- a/decision/passthrough/seam/settings.go
+++ b/decision/passthrough/seam/settings.go
@@ -12,6 +12,8 @@
 	Domain string
 	// Domains are all failure domains.
 	Domains []string
+	// RegionDomains are the failure domains of the instance's own region.
+	RegionDomains []string
 	// FrontendAddr and ReadinessAddr are the addresses to listen on for callers and for
 	// readiness checks.
 	FrontendAddr  string
--- a/router/internal/passthrough/membership.go
+++ b/router/internal/passthrough/membership.go
@@ -105,7 +105,7 @@
 	if m == s.self {
 		s.listed.Store(true)
 	}
-	if m.Tunnel != "" && m.Name != s.self.Name {
+	if m.Tunnel != "" && m.Name != s.self.Name && slices.Contains(s.regionDomains, m.Domain) {
 		s.tunnelPeers.Add(m.Name, m.Tunnel, m.Domain != s.self.Domain)
 	}
 	if !s.members.Knows(m) {
@@ -172,11 +172,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	if len(s.otherDomains) == 0 || now.Before(s.tunnelSearchAt) {
+	domains := slices.DeleteFunc(slices.Clone(s.regionDomains), func(d string) bool { return d == s.self.Domain })
+	if len(domains) == 0 || now.Before(s.tunnelSearchAt) {
 		return
 	}
 	s.tunnelSearchAt = now.Add(tunnelSearchInterval)
-	domains := slices.Clone(s.otherDomains)
 	rand.Shuffle(len(domains), func(i, j int) { domains[i], domains[j] = domains[j], domains[i] })
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), joinTimeout)
--- a/router/internal/passthrough/sharing.go
+++ b/router/internal/passthrough/sharing.go
@@ -49,6 +49,9 @@
 	// domains are not read for them before tunnelSearchAt.
 	tunnelPeers    *tunnel.Peers
 	tunnelSearchAt time.Time
+	// regionDomains are the failure domains of the own region: requests leave it neither to a server nor to
+	// a peer that the operator has not named.
+	regionDomains []string
 	// otherDomains are the other failure domains.
 	otherDomains []string
 	// listed is true if the store has this instance's current entry; announcedAt is when the
@@ -90,6 +93,7 @@
 			s.otherDomains = append(s.otherDomains, domain)
 		}
 	}
+	s.regionDomains = cfg.RegionDomains
 	s.members = relay.NewMembers(s.self, 1+len(s.otherDomains), clock.Now)
 	s.client = relay.NewClient(s.members, clock.Now)
 	onCollectorChange := func(topic, name string) {
--- a/router/internal/passthrough/sharing_test.go
+++ b/router/internal/passthrough/sharing_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -153,3 +154,37 @@
 	}
 	return addr
 }
+
+// TestTunnelPeersAreFoundInTheOwnRegion guards against instances that know no peer but those of their failure
+// domain, all of which may be cut off with them, and against requests that leave their region through a peer.
+func TestTunnelPeersAreFoundInTheOwnRegion(t *testing.T) {
+	st, clock := &fakeStore{}, newFakeClock()
+	for _, domain := range []string{"a", "b", "c"} {
+		entry := fmt.Sprintf(`{"name":"edge-%s","domain":%q,"address":"10.0.0.1:1","cores":1,"tunnel":"10.0.0.1:2"}`, domain, domain)
+		st.domain(domain).add("edge-"+domain, entry)
+	}
+	tel := &telemetry{clock: clock, config: NewConfigState(clock, time.Second), registry: metrics.NewRegistry()}
+	sh := newSharing(seam.Settings{Instance: "self", Domain: "a", Domains: []string{"a", "b", "c"}, RegionDomains: []string{"a", "b"},
+		PeerAddr: freePort(t), Bounds: seam.Bounds{RevocationDelay: time.Second, Drain: time.Second}}, st, fakeRecords{}, tel, clock)
+	t.Cleanup(sh.client.Close)
+	if !sh.readMembers(t.Context(), "a") || !sh.readMembers(t.Context(), "c") {
+		t.Fatal("the lists of instances cannot be read")
+	}
+	if known := sh.tunnelPeers.Names(); !slices.Equal(known, []string{"edge-a"}) {
+		t.Errorf("peers %v, want those of the own region", known)
+	}
+	for range 20 {
+		sh.findTunnelPeers()
+	}
+	for end := time.Now().Add(2 * time.Second); len(sh.tunnelPeers.Names()) < 2; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("peers %v, want those of the other failure domain too", sh.tunnelPeers.Names())
+		}
+	}
+	own := st.domain("b")
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	if own.reads != 1 {
+		t.Errorf("%d reads of the other failure domain's list by 20 searches at once, want 1", own.reads)
+	}
+}
--- a/router/internal/tunnel/keepalive.go
+++ b/router/internal/tunnel/keepalive.go
@@ -16,15 +16,12 @@
 // peers that pause for a moment.
 const deadPeerTimeout = 3 * time.Second
 
-// setUserTimeout sets a socket's TCP_USER_TIMEOUT.
+// setUserTimeout sets a socket's TCP_USER_TIMEOUT. Where that fails, a dead peer is detected by keep-alive
+// probes alone.
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var err error
-	if controlErr := c.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(deadPeerTimeout.Milliseconds()))
-	}); controlErr != nil {
-		return controlErr
-	}
-	return err
+	return c.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(deadPeerTimeout.Milliseconds()))
+	})
 }
 
 // detectDeadPeer sets both on an accepted connection.
--- a/router/internal/tunnel/peers.go
+++ b/router/internal/tunnel/peers.go
@@ -1,6 +1,7 @@
 package tunnel
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -55,6 +56,13 @@
 	}
 }
 
+// Names returns the names of all known peers, sorted.
+func (p *Peers) Names() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Sorted(maps.Keys(p.peers))
+}
+
 // choose returns up to count peers to ask, in order, and how many could be asked in all. Those with fewer
 // tunnels come first, in a random order if these are equal.
 //
