--- a/decision/passthrough/path.go
+++ b/decision/passthrough/path.go
@@ -235,10 +235,14 @@
 		return PathPlan{ViaPeer: true, Probe: p.takeProbe(now)}
 	case p.state == PathSuspect && now.Before(p.noWayUntil):
 		return PathPlan{Probe: p.takeProbe(now)}
-	case p.state == PathSuspect:
-		return PathPlan{Direct: true, ViaPeer: !now.Before(p.noPeersUntil)}
 	}
-	return PathPlan{Direct: true}
+	return PathPlan{Direct: true, ViaPeer: w.AsksPeers(now)}
+}
+
+// AsksPeers reports whether peers are asked for a connection now.
+func (w *World) AsksPeers(now time.Time) bool {
+	p := &w.path
+	return p.state == PathLost || p.state == PathSuspect && !now.Before(p.noPeersUntil) && !now.Before(p.noWayUntil)
 }
 
 // takeProbe reports whether a probe is due, and counts it.
--- a/decision/passthrough/permits.go
+++ b/decision/passthrough/permits.go
@@ -14,8 +14,8 @@
 // however many instances there are.
 
 const (
-	// maxPermitPeers is how many peers a request is offered to.
-	maxPermitPeers = 3
+	// maxPermitPeers is how many peers with permits are named for a request, some of which may be gone.
+	maxPermitPeers = 8
 	// fullPause is for how long no request is offered to peers after all of them had no free permit.
 	fullPause = 80 * time.Millisecond
 )
--- a/router/internal/passthrough/dialer.go
+++ b/router/internal/passthrough/dialer.go
@@ -104,6 +104,8 @@
 type pathView interface {
 	// planPath says how to connect to a server now.
 	planPath() passthrough.PathPlan
+	// asksPeers reports whether peers are asked for a connection now.
+	asksPeers() bool
 	// reportDial reports how a connection went.
 	reportDial(to passthrough.Server, outcome passthrough.DialOutcome)
 	// pathState returns the state of the path to the servers, and since when it has been so.
@@ -182,111 +184,6 @@
 	}
 }
 
-// dialPeer opens a connection to the server through a peer.
-func (d *dialer) dialPeer(ctx context.Context, to passthrough.Server) (*conn, error) {
-	c, err := d.tunnels.Dial(ctx, tunnel.Target{ID: to.ID, Address: to.Address})
-	switch {
-	case err == nil:
-		d.path.reportDial(to, passthrough.TunnelSucceeded)
-		return &conn{ReadWriteCloser: c, peer: c.Peer(), clock: d.clock, serverLastReceived: d.lastReceivedFrom(to.ID)}, nil
-	case ctx.Err() != nil:
-		return nil, ctx.Err()
-	case errors.Is(err, tunnel.ErrUnreachable):
-		d.path.reportDial(to, passthrough.TunnelFailed)
-		return nil, err
-	case errors.Is(err, tunnel.ErrNoPath):
-		d.path.reportDial(to, passthrough.PeersCutOff)
-		return nil, errNoPath
-	}
-	return nil, errNoPeer
-}
-
-// errNoPermit means that no peer had a free permit for the server.
-var errNoPermit = errors.New("no peer has a free permit for the backend server")
-
-// dialWithPermit opens a connection to the server through one of the peers that have permits for it.
-func (d *dialer) dialWithPermit(ctx context.Context, to passthrough.Server, peers []string) (*conn, error) {
-	c, err := d.tunnels.DialWithPermit(ctx, tunnel.Target{ID: to.ID, Address: to.Address, NeedsPermit: true}, peers)
-	switch {
-	case err == nil:
-		return &conn{ReadWriteCloser: c, peer: c.Peer(), clock: d.clock, serverLastReceived: d.lastReceivedFrom(to.ID)}, nil
-	case ctx.Err() != nil:
-		return nil, ctx.Err()
-	}
-	return nil, errNoPermit
-}
-
-const (
-	// permitWait is how long a peer's request waits for a free permit: two requests of a plain service.
-	permitWait = 60 * time.Millisecond
-	// permitPollInterval is the time between two checks for one.
-	permitPollInterval = 4 * time.Millisecond
-	// maxPermitWaiters is how many requests of peers wait at a time.
-	maxPermitWaiters = 32
-)
-
-// awaitPermit takes a permit for a peer's request, and waits for one if all are in use.
-func (d *dialer) awaitPermit(ctx context.Context, server string) bool {
-	defer d.permitWaiters.Add(-1)
-	if d.permitWaiters.Add(1) > maxPermitWaiters {
-		return false
-	}
-	for end := d.clock.Now().Add(permitWait); ; {
-		if d.path.takePermitForPeer(server) {
-			return true
-		}
-		if ctx.Err() != nil || !d.clock.Now().Before(end) {
-			return false
-		}
-		time.Sleep(permitPollInterval)
-	}
-}
-
-// permitConn is a connection for a peer's request. It gives its permit back when it is closed.
-type permitConn struct {
-	net.Conn
-	once    sync.Once
-	release func()
-}
-
-// Close implements net.Conn.
-func (c *permitConn) Close() error {
-	c.once.Do(c.release)
-	return c.Conn.Close()
-}
-
-// connectForPeer connects to a server for a peer. It implements tunnel.Server.Connect.
-func (d *dialer) connectForPeer(ctx context.Context, to tunnel.Target) (net.Conn, error) {
-	server, ok := d.path.usableServer(to.ID, to.Address)
-	if !ok {
-		return nil, tunnel.ErrDeclined
-	}
-	if state, _ := d.path.pathState(); state != passthrough.PathUp {
-		return nil, tunnel.ErrNoPath
-	}
-	release := func() {}
-	if to.NeedsPermit {
-		if !d.awaitPermit(ctx, to.ID) {
-			return nil, tunnel.ErrNoPermit
-		}
-		release = func() { d.path.releasePermitForPeer(server) }
-	}
-	c, err := d.dialDirect(ctx, server)
-	if err != nil {
-		release()
-		if state, _ := d.path.pathState(); state != passthrough.PathUp {
-			return nil, tunnel.ErrNoPath
-		}
-		return nil, tunnel.ErrUnreachable
-	}
-	if _, ok := d.path.usableServer(to.ID, to.Address); !ok {
-		release()
-		_ = c.Close() // nothing was sent
-		return nil, tunnel.ErrDeclined
-	}
-	return &permitConn{Conn: c, release: release}, nil
-}
-
 // hungAfter is how long after the path was lost a direct connection that carries nothing is given up.
 const hungAfter = 300 * time.Millisecond
 
@@ -297,84 +194,6 @@
 	return state == passthrough.PathLost && now.Sub(since) > hungAfter && d.directLastReceived.Load() < since.UnixNano()
 }
 
-// peerFallback opens a connection through a peer if the direct one is slow or fails while the path to the
-// servers is suspect.
-type peerFallback struct {
-	dialer       *dialer
-	ctx          context.Context
-	to           passthrough.Server
-	cancelDirect context.CancelFunc
-
-	mu sync.Mutex
-	// result has the peer's connection once it was asked; nil before.
-	result chan peerResult
-	// unwanted is true once the direct connection is used.
-	unwanted bool
-}
-
-type peerResult struct {
-	conn *conn
-	err  error
-}
-
-// directIsSlow reports that the direct connection is slow, and asks a peer if the path is suspect.
-func (f *peerFallback) directIsSlow() {
-	f.dialer.path.reportDial(f.to, passthrough.DialSlow)
-	if f.dialer.path.planPath().ViaPeer {
-		f.askPeer()
-	}
-}
-
-// askPeer starts to connect through a peer, unless that has begun.
-func (f *peerFallback) askPeer() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.result != nil || f.unwanted {
-		return
-	}
-	f.result = make(chan peerResult, 1)
-	go func() {
-		c, err := f.dialer.dialPeer(f.ctx, f.to)
-		if err == nil || errors.Is(err, errNoPath) {
-			f.cancelDirect() // nothing was reached for some time, and this connection is slow
-		}
-		f.result <- peerResult{c, err}
-	}()
-}
-
-// abandon closes the peer's connection, if there is or will be one, as the direct one is used.
-func (f *peerFallback) abandon() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.unwanted = true
-	if result := f.result; result != nil {
-		go func() {
-			if got := <-result; got.err == nil {
-				_ = got.conn.Close() // nothing was sent
-			}
-		}()
-	}
-}
-
-// directFailed returns the peer's connection after the direct one has failed, or the direct one's error if no
-// peer is asked or could be.
-func (f *peerFallback) directFailed(err error) (*conn, error) {
-	if f.dialer.path.planPath().ViaPeer {
-		f.askPeer()
-	}
-	f.mu.Lock()
-	result := f.result
-	f.mu.Unlock()
-	if result == nil {
-		return nil, err
-	}
-	got := <-result
-	if errors.Is(got.err, errNoPeer) {
-		return nil, err // there is nothing to compare with
-	}
-	return got.conn, got.err
-}
-
 // conn is a connection to a backend server. It records when bytes arrive, for itself and for the
 // server, and for all direct connections.
 type conn struct {
--- a/router/internal/passthrough/driver.go
+++ b/router/internal/passthrough/driver.go
@@ -126,6 +126,13 @@
 	return d.world.PlanPath(d.clock.Now())
 }
 
+// asksPeers reports whether peers are asked for a connection now.
+func (d *Driver) asksPeers() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.world.AsksPeers(d.clock.Now())
+}
+
 // reportDial reports how a connection to a server went.
 func (d *Driver) reportDial(to passthrough.Server, outcome passthrough.DialOutcome) {
 	d.mu.Lock()
--- a/router/internal/tunnel/dialer.go
+++ b/router/internal/tunnel/dialer.go
@@ -94,14 +94,19 @@
 	}
 }
 
-// permitTimeout bounds the opening of a tunnel with a permit through one peer.
-const permitTimeout = 250 * time.Millisecond
+const (
+	// permitTimeout bounds the opening of a tunnel with a permit through one peer.
+	permitTimeout = 250 * time.Millisecond
+	// permitPeersAsked is how many peers are asked for one such tunnel.
+	permitPeersAsked = 3
+)
 
 // DialWithPermit opens a tunnel to the backend server through the first of the named peers that has a free
 // permit for it. The peers are asked one after the other, so that the request holds one permit at most. After
 // an error, nothing was sent to the server.
 func (d *Dialer) DialWithPermit(ctx context.Context, to Target, names []string) (*Conn, error) {
-	for _, through := range d.peers.named(names) {
+	peers := d.peers.named(names)
+	for _, through := range peers[:min(permitPeersAsked, len(peers))] {
 		c := newConn(d.peers, through, &gate{})
 		opened := make(chan error, 1)
 		go func() { opened <- c.open(d.transport, to) }()
