--- a/decision/passthrough/brittle.go
+++ b/decision/passthrough/brittle.go
@@ -33,12 +33,6 @@
 	return !s.brittle.statedAt.IsZero() && now.Sub(s.brittle.statedAt) < brittleTTL
 }
 
-// IsBrittle reports whether the servers of the service are brittle.
-func (w *World) IsBrittle(service string) bool {
-	s := w.services[service]
-	return s != nil && s.isBrittle(w.now)
-}
-
 // observeBrittle applies what a response of the server states. Responses overtake each other: one without a
 // statement ends it only if its request was sent after the statement.
 func (w *World) observeBrittle(s *server, e ServerStated) {
--- a/decision/passthrough/path.go
+++ b/decision/passthrough/path.go
@@ -91,7 +91,7 @@
 	unreached map[*server]serverKnowledge
 	// unreachedAt is when a server was last not reached.
 	unreachedAt time.Time
-	// crashes are the fingerprints that were counted as crashes since then.
+	// crashes are the fingerprints that were counted as crashes since a direct connection last succeeded.
 	crashes []uint64
 	// peersUnreached are the servers that peers could not reach either since the path became suspect.
 	peersUnreached map[*server]bool
--- a/decision/passthrough/permits_test.go
+++ b/decision/passthrough/permits_test.go
@@ -173,7 +173,7 @@
 	server := h.world.services["shop"].servers[0].Server
 	state := func(brittle bool, sent time.Time) bool {
 		h.tick(ServerStated{Server: server, Brittle: brittle, BrittlePerSecond: 2, Sent: sent})
-		return h.world.IsBrittle("shop")
+		return h.world.services["shop"].isBrittle(h.now)
 	}
 	before := h.now
 	h.advance(time.Second)
@@ -193,7 +193,7 @@
 	state(true, h.now)
 	h.advance(brittleTTL)
 	h.tick()
-	if h.world.IsBrittle("shop") {
+	if h.world.services["shop"].isBrittle(h.now) {
 		t.Errorf("brittle %v after the last statement", brittleTTL)
 	}
 	changes := 0
