--- a/router/internal/tunnel/server.go
+++ b/router/internal/tunnel/server.go
@@ -67,7 +67,7 @@
 		return
 	}
 	defer func() { _ = server.Close() }()
-	s.relay(w, r, server)
+	s.forward(w, r, server)
 }
 
 // statusOf returns the status of a response to a request for a tunnel that could not be opened.
@@ -85,8 +85,8 @@
 	return http.StatusServiceUnavailable
 }
 
-// relay copies both directions until the backend server or the peer ends the tunnel.
-func (s *Server) relay(w http.ResponseWriter, r *http.Request, server net.Conn) {
+// forward copies both directions until the backend server or the peer ends the tunnel.
+func (s *Server) forward(w http.ResponseWriter, r *http.Request, server net.Conn) {
 	control := http.NewResponseController(w)
 	if control.EnableFullDuplex() != nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -105,8 +105,7 @@
 	stop := context.AfterFunc(r.Context(), func() { _ = server.Close() })
 	defer stop()
 	go func() {
-		// Without the io.Writer the copy would use ReadFrom, which waits for whole buffers.
-		if _, err := io.Copy(struct{ io.Writer }{server}, body); err != nil {
+		if _, err := io.Copy(server, body); err != nil {
 			_ = server.Close() // the peer is gone, or the server is
 		}
 	}()
