tunnel: the test of a closed tunnel sees a connection that ends before any data

The test wrote one byte, closed the tunnel at once and waited for its backend to finish; the backend only reports connections on which data arrived, and a tunnel that is closed at once may end before the byte is sent.

The backend now reports the end of each connection.

--- a/router/internal/tunnel/tunnel_test.go
+++ b/router/internal/tunnel/tunnel_test.go
@@ -21,6 +21,8 @@
 	Target
 	// accepted and received count the connections, and those on which anything arrived.
 	accepted, received atomic.Int64
+	// ended gets a value for each connection that is served to its end, or that ends before any data.
+	ended chan struct{}
 }
 
 // startBackend starts a backend server. serve gets each connection with the first bytes that arrived.
@@ -31,7 +33,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	b := &backend{Target: Target{ID: "server-1", Address: l.Addr().String()}}
+	b := &backend{Target: Target{ID: "server-1", Address: l.Addr().String()}, ended: make(chan struct{}, 100)}
 	go func() {
 		for {
 			c, err := l.AcceptTCP()
@@ -40,6 +42,7 @@
 			}
 			b.accepted.Add(1)
 			go func() {
+				defer func() { b.ended <- struct{}{} }()
 				defer func() { _ = c.Close() }()
 				buf := make([]byte, 100)
 				n, err := c.Read(buf)
@@ -273,36 +276,43 @@
 }
 
 // TestClosedTunnelEndsAtTheServer guards against a backend server that goes on working after the caller has
-// left, and against tunnels that are counted for ever.
+// left, and against tunnels that are counted for ever, whether or not the request has reached the server.
 func TestClosedTunnelEndsAtTheServer(t *testing.T) {
-	ended := make(chan struct{})
-	b := startBackend(t, func(c *net.TCPConn, _ string) {
-		_, _ = io.Copy(io.Discard, c)
-		close(ended)
-	})
-	s := &Server{}
-	address, _ := startServer(t, s)
-	d := newTestDialer(address)
-	c, err := d.Dial(t.Context(), b.Target)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := io.WriteString(c, "x"); err != nil {
-		t.Fatal(err)
-	}
-	_ = c.Close()
-	select {
-	case <-ended:
-	case <-time.After(500 * time.Millisecond):
-		t.Error("the server's connection is open half a second after the tunnel was closed")
-	}
-	for end := time.Now().Add(time.Second); s.Open() > 0; time.Sleep(10 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("%d tunnels open, want none", s.Open())
-		}
-	}
-	if chosen, _ := d.peers.choose(1); chosen[0].own != 0 {
-		t.Errorf("%d tunnels counted, want none", chosen[0].own)
+	for name, awaitsData := range map[string]bool{"at once": false, "once the server has the request": true} {
+		t.Run(name, func(t *testing.T) {
+			arrived := make(chan struct{})
+			b := startBackend(t, func(c *net.TCPConn, _ string) {
+				close(arrived)
+				_, _ = io.Copy(io.Discard, c)
+			})
+			s := &Server{}
+			address, _ := startServer(t, s)
+			d := newTestDialer(address)
+			c, err := d.Dial(t.Context(), b.Target)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.WriteString(c, "x"); err != nil {
+				t.Fatal(err)
+			}
+			if awaitsData {
+				<-arrived
+			}
+			_ = c.Close()
+			select {
+			case <-b.ended:
+			case <-time.After(500 * time.Millisecond):
+				t.Error("the server's connection is open half a second after the tunnel was closed")
+			}
+			for end := time.Now().Add(time.Second); s.Open() > 0; time.Sleep(10 * time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatalf("%d tunnels open, want none", s.Open())
+				}
+			}
+			if chosen, _ := d.peers.choose(1); chosen[0].own != 0 {
+				t.Errorf("%d tunnels counted, want none", chosen[0].own)
+			}
+		})
 	}
 }
 
