A response that ends before its long request reaches the caller through a peer

Callers of an instance without a path got 502 or a broken stream where a server answered, and closed, before it had read a long request; with a direct connection they get the answer.

Cause, by a trace of both ends on a scratch copy: (1) the peer closed its connection to the server when a write to it failed, although the response was still to be read; (2) net/http aborts a body read that runs when the handler returns, takes the body for unreadable and closes with unread data, so the kernel resets the connection ("connection reset by peer" 0.2 ms after the end) and the instance's transport drops the part of the response it has not read.

The peer keeps reading after a failed write, and closes the connection to the server only if the instance is gone. Its accepted connections linger: they stop sending, and drop what still arrives, for half a second at most.

--- a/router/internal/passthrough/server.go
+++ b/router/internal/passthrough/server.go
@@ -95,7 +95,12 @@
 	}
 	srv := s.tunnels.HTTPServer()
 	s.auxServers = append(s.auxServers, srv)
-	return s.listen(srv, s.settings.TunnelAddr)
+	l, err := net.Listen("tcp", s.settings.TunnelAddr)
+	if err != nil {
+		return err
+	}
+	s.serve(srv, tunnel.Listener{Listener: l})
+	return nil
 }
 
 // listen opens a listener and serves it in the background.
@@ -104,6 +109,12 @@
 	if err != nil {
 		return err
 	}
+	s.serve(srv, l)
+	return nil
+}
+
+// serve serves the listener in the background.
+func (s *server) serve(srv *http.Server, l net.Listener) {
 	s.telemetry.emit(logging.EventListening, slog.String("addr", l.Addr().String()))
 	go func() {
 		if err := srv.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
@@ -111,7 +122,6 @@
 			s.onServeError(err)
 		}
 	}()
-	return nil
 }
 
 // serveReadiness responds to the load balancer's readiness check.
--- a/router/internal/tunnel/keepalive.go
+++ b/router/internal/tunnel/keepalive.go
@@ -25,13 +25,9 @@
 }
 
 // detectDeadPeer sets both on an accepted connection.
-func detectDeadPeer(c net.Conn) {
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	_ = tcp.SetKeepAliveConfig(keepAlive) // without it, the tunnel ends when its request times out
-	if raw, err := tcp.SyscallConn(); err == nil {
+func detectDeadPeer(c *net.TCPConn) {
+	_ = c.SetKeepAliveConfig(keepAlive) // without it, the tunnel ends when its request times out
+	if raw, err := c.SyscallConn(); err == nil {
 		_ = setUserTimeout("", "", raw)
 	}
 }
--- a/router/internal/tunnel/server.go
+++ b/router/internal/tunnel/server.go
@@ -32,15 +32,11 @@
 // Drain refuses new tunnels; open ones go on.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// HTTPServer returns the HTTP server that serves tunnels.
+// HTTPServer returns the HTTP server that serves tunnels, on a Listener.
 func (s *Server) HTTPServer() *http.Server {
 	const readHeaderTimeout = time.Second
 	return &http.Server{
 		Handler: s, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			detectDeadPeer(c)
-			return ctx
-		},
 	}
 }
 
@@ -104,11 +100,7 @@
 	}
 	stop := context.AfterFunc(r.Context(), func() { _ = server.Close() })
 	defer stop()
-	go func() {
-		if _, err := io.Copy(server, body); err != nil {
-			_ = server.Close() // the peer is gone, or the server is
-		}
-	}()
+	go sendBody(server, body)
 	end := endClosed
 	if err := copyFlushed(w, control, server); err != nil {
 		end = endReset
@@ -116,6 +108,30 @@
 	w.Header().Set(trailerEnd, end)
 }
 
+// sendBody copies the request to the backend server, whose connection it closes if the peer is gone.
+func sendBody(server net.Conn, body io.Reader) {
+	from := &errorRecorder{Reader: body}
+	// A server that takes no more of the request may still be sending its response.
+	if _, err := io.Copy(server, from); err != nil && from.err != nil {
+		_ = server.Close()
+	}
+}
+
+// errorRecorder is a reader that keeps the error of the latest read, if it is not the end.
+type errorRecorder struct {
+	io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (r *errorRecorder) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		r.err = err
+	}
+	return n, err
+}
+
 // copyFlushed copies what the backend server sends as it arrives. It returns nil at the orderly end.
 func copyFlushed(w io.Writer, control *http.ResponseController, server io.Reader) error {
 	const bufferSize = 8 << 10
--- a/router/internal/tunnel/tunnel_test.go
+++ b/router/internal/tunnel/tunnel_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -77,7 +78,7 @@
 		t.Fatal(err)
 	}
 	srv := s.HTTPServer()
-	go func() { _ = srv.Serve(l) }() // returns once it is closed
+	go func() { _ = srv.Serve(Listener{l}) }() // returns once it is closed
 	kill = func() { _ = srv.Close() }
 	t.Cleanup(kill)
 	return l.Addr().String(), kill
@@ -152,6 +153,48 @@
 	}
 }
 
+// TestResponseBeforeTheEndOfALongRequestIsWhole guards against a response that is cut off because the server
+// gave it, and closed the connection, before it had read the request.
+func TestResponseBeforeTheEndOfALongRequestIsWhole(t *testing.T) {
+	response := strings.Repeat("response ", 500)
+	cases := map[string]func(c *net.TCPConn){
+		"broken off": func(*net.TCPConn) {},
+		"half closed": func(c *net.TCPConn) {
+			_ = c.CloseWrite()
+			time.Sleep(20 * time.Millisecond)
+		},
+	}
+	for name, end := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := startBackend(t, func(c *net.TCPConn, _ string) {
+				time.Sleep(5 * time.Millisecond) // the request fills all buffers
+				_, _ = io.WriteString(c, response)
+				end(c)
+			})
+			address, _ := startServer(t, &Server{})
+			d := newTestDialer(address)
+			dials := map[string]func() (io.ReadWriteCloser, error){
+				"directly":       func() (io.ReadWriteCloser, error) { return net.Dial("tcp", b.Address) },
+				"through a peer": func() (io.ReadWriteCloser, error) { return d.Dial(t.Context(), b.Target) },
+			}
+			for way, dial := range dials {
+				for i := range 20 {
+					c, err := dial()
+					if err != nil {
+						t.Fatal(err)
+					}
+					go func() { _, _ = c.Write(make([]byte, 8<<20)) }() // ends with the connection
+					got, err := io.ReadAll(c)
+					_ = c.Close()
+					if string(got) != response {
+						t.Fatalf("%s, %d: %d bytes of %d, %v", way, i, len(got), len(response), err)
+					}
+				}
+			}
+		})
+	}
+}
+
 // TestBrokenConnectionsAreNoOrderlyEnd guards against a response without a length that looks complete
 // although the server or the peer has broken off, and against a peer's end that is taken for the server's.
 func TestBrokenConnectionsAreNoOrderlyEnd(t *testing.T) {
@@ -411,8 +454,7 @@
 	}
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
-		if c, err := l.Accept(); err == nil {
-			detectDeadPeer(c)
+		if c, err := (Listener{l}).Accept(); err == nil {
 			accepted <- c
 		}
 	}()
@@ -422,7 +464,7 @@
 	}
 	for name, c := range map[string]net.Conn{"opened": opened, "accepted": <-accepted} {
 		option := func(level, option int) time.Duration {
-			raw, err := c.(*net.TCPConn).SyscallConn()
+			raw, err := c.(syscall.Conn).SyscallConn()
 			if err != nil {
 				t.Fatal(err)
 			}
