Connections to the first server of a lost path are not reported as crashes

Where an instance lost its path by resets, it told the others at once that the requests at the first server had crashed it; with a popular request at several cut-off instances, all others would have refused it.

Cause: reports were held back only once two servers were unreached, so those on the first one, in the same moment, went out.

A crash is still reported at once when another server is reached.

--- a/decision/passthrough/path_test.go
+++ b/decision/passthrough/path_test.go
@@ -181,9 +181,8 @@
 			}
 		}
 	}
-	// The connections to the first server are taken for a crash: nothing tells them from one yet.
-	if len(reported) > 1 {
-		t.Errorf("told the others that %v have failed, want one server at most", reported)
+	if len(reported) > 0 {
+		t.Errorf("told the others that %v have failed, want no server", reported)
 	}
 	for _, s := range h.world.servers {
 		if !s.usable(h.now) || s.health.ejected(h.now) || s.inSlowStart(h.now) {
@@ -259,6 +258,48 @@
 	}
 }
 
+// TestConnectionsToTheFirstLostServerAreNoCrash guards against requests that all instances refuse as having
+// crashed a server, because it was the first one whose connections broke when the path was lost.
+func TestConnectionsToTheFirstLostServerAreNoCrash(t *testing.T) {
+	for _, isCut := range []bool{true, false} {
+		h, list := newPathHarness(t)
+		running := h.dispatchAll(12)
+		h.allCommands = nil
+		broken := 0
+		for id, d := range running {
+			if d.ID == list[0].ID {
+				h.tick(AttemptEnded{Request: id, Result: Broken, ConnectionLost: true, Confidence: -1})
+				broken++
+			}
+		}
+		if broken == 0 {
+			t.Fatal("the first server has no request")
+		}
+		want := 0
+		if isCut {
+			h.dial(DialFailed, list[1])
+			h.dial(TunnelSucceeded, list[1])
+		} else {
+			want = broken
+			h.dial(DialSucceeded, list[1])
+		}
+		reported := 0
+		for range 2 { // at once, and after all delays
+			reported = 0
+			for _, c := range h.allCommands {
+				if _, ok := c.(CrashSuspected); ok {
+					reported++
+				}
+			}
+			if reported != want {
+				t.Errorf("cut off %v: %d of %d crashes reported, want %d", isCut, reported, broken, want)
+			}
+			h.advance(heldReportDelay)
+			h.tick()
+		}
+	}
+}
+
 // TestRequestWithoutAnyWayIsRefusedAtOnce guards against callers that wait while neither this instance nor a
 // peer has a path to the servers.
 func TestRequestWithoutAnyWayIsRefusedAtOnce(t *testing.T) {
