tunnel: silent peers are left alone, and failed ones are asked last

Callers of an instance without a path waited 0.1 s longer for each request for which a peer without power, or one that had lost its own path too, was asked first: it has the fewest tunnels, and being overtaken by another peer counted as no failure.

--- a/router/internal/tunnel/conn.go
+++ b/router/internal/tunnel/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // Conn is a tunnel: what is written goes to the backend server, and what that sends is read. Once it is
@@ -14,6 +15,8 @@
 	peers   *Peers
 	through *peer
 	won     *gate
+	// began is when the peer was asked.
+	began time.Time
 
 	cancel    context.CancelFunc
 	ctx       context.Context
@@ -57,7 +60,7 @@
 var errLost = errors.New("another peer has opened the tunnel")
 
 func newConn(peers *Peers, through *peer, won *gate) *Conn {
-	c := &Conn{peers: peers, through: through, won: won, connected: make(chan struct{}), answered: make(chan struct{})}
+	c := &Conn{peers: peers, through: through, won: won, began: peers.now(), connected: make(chan struct{}), answered: make(chan struct{})}
 	c.bodyReader, c.bodyWriter = io.Pipe()
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	peers.began(through)
@@ -96,6 +99,18 @@
 	return nil
 }
 
+// heard reports whether the peer has given any answer.
+func (c *Conn) heard() bool {
+	select {
+	case <-c.connected:
+		return true
+	case <-c.answered:
+		return true
+	default:
+		return false
+	}
+}
+
 // requestBody is the body of the request to the peer. Its first read means that the peer has connected to
 // the server.
 type requestBody struct{ conn *Conn }
--- a/router/internal/tunnel/dialer.go
+++ b/router/internal/tunnel/dialer.go
@@ -15,6 +15,8 @@
 	peersAsked  = 4
 	hedgeDelay  = 100 * time.Millisecond
 	openTimeout = 600 * time.Millisecond
+	// silentPeerTimeout is how long a peer takes at most to say that it cannot connect to a server.
+	silentPeerTimeout = 400 * time.Millisecond
 	// enoughPeers is how many peers must fail to connect to a server for no other one to be asked.
 	enoughPeers = 2
 	// fewPeers is the number of usable peers below which others are looked for.
@@ -164,13 +166,23 @@
 	}()
 }
 
-// abandon ends all openings but the one that is used.
+// abandon ends all openings but the one that is used. A peer that has been silent meanwhile is not asked for a
+// time: it has no power, or has lost its own path and not noticed.
 func (r *race) abandon() {
 	r.won.close()
+	maxSilence := silentPeerTimeout
+	if r.returned != nil {
+		maxSilence = hedgeDelay // another peer has reached the server
+	}
+	peers := r.dialer.peers
 	for _, c := range r.opened {
-		if c != r.returned {
-			_ = c.Close()
+		if c == r.returned {
+			continue
+		}
+		if !c.heard() && peers.now().Sub(c.began) >= maxSilence {
+			peers.failed(c.through)
 		}
+		_ = c.Close()
 	}
 }
 
--- a/router/internal/tunnel/peers.go
+++ b/router/internal/tunnel/peers.go
@@ -16,6 +16,8 @@
 	// remotePenalty is how many more open tunnels a peer of another failure domain weighs: a tunnel through
 	// it costs traffic between failure domains.
 	remotePenalty = 3
+	// failedPenalty is the same for a peer whose latest tunnel failed: it may be gone for good.
+	failedPenalty = 3
 	// loadTTL is for how long the number of tunnels that a peer states counts.
 	loadTTL = 2 * time.Second
 )
@@ -88,6 +90,9 @@
 		if x.remote {
 			score += remotePenalty
 		}
+		if x.backoff > 0 {
+			score += failedPenalty
+		}
 		list = append(list, scored{x, score})
 	}
 	slices.SortFunc(list, func(a, b scored) int {
--- a/router/internal/tunnel/tunnel_test.go
+++ b/router/internal/tunnel/tunnel_test.go
@@ -425,6 +425,80 @@
 	}
 }
 
+// TestSilentPeerIsLeftAlone guards against each request waiting for a peer that has no power, or has lost its own
+// path and not noticed, while others answer.
+func TestSilentPeerIsLeftAlone(t *testing.T) {
+	b := startBackend(t, echo)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = silent.Close() })
+	var asked atomic.Int64
+	go func() {
+		for {
+			c, err := silent.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = c.Close() })
+			asked.Add(1)
+		}
+	}()
+	first, _ := startServer(t, &Server{})
+	second, _ := startServer(t, &Server{})
+	d := newTestDialer(silent.Addr().String(), first, second)
+	slow := 0
+	for range 60 {
+		began := time.Now()
+		c, err := d.Dial(t.Context(), b.Target)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if time.Since(began) >= hedgeDelay {
+			slow++
+		}
+		if got, err := exchange(t, c, "hello"); got != "echo hello" || err != nil {
+			t.Fatalf("%q, %v, want the echo", got, err)
+		}
+	}
+	if asked.Load() > 3 || slow > 3 {
+		t.Errorf("the silent peer was asked %d times, %d of 60 requests waited for it, want 3 at most", asked.Load(), slow)
+	}
+}
+
+// TestFailedPeersAreAskedLast guards against instances that were replaced for good, and outnumber those that
+// run, being asked first again and again.
+func TestFailedPeersAreAskedLast(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := NewPeers(func() time.Time { return now })
+	for i := range 20 {
+		p.Add(fmt.Sprint("peer-", i), fmt.Sprint("10.0.0.", i, ":1"), false)
+	}
+	for i := range 16 {
+		p.failed(p.peers[fmt.Sprint("peer-", i)])
+	}
+	now = now.Add(maxPeerBackoff)
+	for range 50 {
+		chosen, usable := p.choose(peersAsked)
+		if usable != 20 {
+			t.Fatalf("%d usable after the backoff, want 20", usable)
+		}
+		for _, x := range chosen {
+			if x.backoff > 0 {
+				t.Fatalf("%s was chosen, whose latest tunnel failed, before peers that have not failed", x.name)
+			}
+		}
+	}
+	p.answered(p.peers["peer-0"], 0)
+	for range 200 {
+		if chosen, _ := p.choose(1); chosen[0].name == "peer-0" {
+			return
+		}
+	}
+	t.Error("a peer that answers again was not chosen in 200 cases")
+}
+
 // TestOthersAreLookedForWhileFewPeersAreUsable guards against an instance that knows only peers which are cut
 // off like itself.
 func TestOthersAreLookedForWhileFewPeersAreUsable(t *testing.T) {
