Brittle engines: permits, as at plain servers, and the statement is passed on

Callers of brittle engines would have lost nearly all their answers.

Cause: each instance concluded from its own view. (1) At engines it kept 0.15 of the slots free by the load that the others had reported up to half a second before, so that 8 or 300 instances sent to the same slots; the engine that fell filled the others, which fell too. (2) An instance that had not had a response since the statement sent as it always does.

Now engines have permits for 0.85 of their slots, which requests that are there when the statement begins hold too; a request without a permit waits in the queue. Instances pass a statement on with their load reports.

--- a/decision/passthrough/attempt.go
+++ b/decision/passthrough/attempt.go
@@ -15,6 +15,10 @@
 	r.mayHaveRun = r.mayHaveRun || e.Result.MayHaveRun() || e.Begun
 	if e.NoPermit {
 		r.service.fullUntil = w.now.Add(fullPause)
+		if r.service.engine {
+			w.retry(r, nil) // it waits: streams have seconds until their first event is due
+			return
+		}
 		w.finishOrRefuse(r, ReasonServersFull)
 		return
 	}
--- a/decision/passthrough/brittle_test.go
+++ b/decision/passthrough/brittle_test.go
@@ -2,17 +2,19 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 )
 
-// brittleFleet simulates instances and plain servers that are brittle: a server that rejects more than
+// brittleFleet simulates instances and servers that are brittle: a server that rejects more than
 // perSecond requests in a second fails for some seconds.
 type brittleFleet struct {
 	rng       *rand.Rand
 	route     *Route
+	kind      brittleKind
 	instances []*harness
 	servers   []*brittleServer
 	now       time.Time
@@ -27,11 +29,34 @@
 	transit   []brittleSend
 	// loads are the instances' reports in transit to the others.
 	loads      map[*harness][]PeerLoad
+	brittle    map[string]float64
 	reportedAt time.Time
 
 	sent, served, refused, failed, rejected, falls int
 }
 
+// brittleKind is a kind of servers: their slots, the mean work of a request, and how many requests wait at a server
+// before they let fewer wait.
+type brittleKind struct {
+	service Service
+	route   *Route
+	slots   int
+	work    time.Duration
+	queue   int
+}
+
+// brittleShops are plain servers, brittleEngines are engines.
+func brittleShops() brittleKind {
+	route := onceRoute()
+	route.MaxAttempts, route.Timeout = 2, 1500*time.Millisecond
+	return brittleKind{Service{Name: "shop"}, route, shopSlots, shopWork, shopQueue}
+}
+
+func brittleEngines() brittleKind {
+	const slots, queue = 24, 48
+	return brittleKind{Service{Name: "llm", Slots: slots}, streamRoute(), slots, 800 * time.Millisecond, queue}
+}
+
 type brittleServer struct {
 	Server
 	jobs       []*shopJob
@@ -59,13 +84,12 @@
 	brittleDownTime       = 4 * time.Second
 )
 
-func newBrittleFleet(t *testing.T, instances, count int, seed uint64) *brittleFleet {
+func newBrittleFleet(t *testing.T, kind brittleKind, instances, count int, seed uint64) *brittleFleet {
 	t.Helper()
-	f := &brittleFleet{rng: rand.New(rand.NewPCG(seed, 9)), route: onceRoute(), now: testStart, queue: shopQueue,
+	f := &brittleFleet{rng: rand.New(rand.NewPCG(seed, 9)), kind: kind, route: kind.route, now: testStart, queue: kind.queue,
 		handled: map[*harness]int{}, byName: map[string]*harness{}, sends: map[*shopJob]brittleSend{}, opened: map[*harness]map[RequestID]time.Time{}, loads: map[*harness][]PeerLoad{}}
-	f.route.MaxAttempts, f.route.Timeout = 2, 1500*time.Millisecond
 	var list []Server
-	for i, s := range servers("shop", count, shopSlots) {
+	for i, s := range servers(kind.service.Name, count, kind.slots) {
 		s.Domain = domainOf(i)
 		list = append(list, s)
 		f.servers = append(f.servers, &brittleServer{Server: s})
@@ -78,7 +102,7 @@
 		h := newHarness(t, Settings{Seed: seed + uint64(i), Domain: domainOf(i), Domains: limitDomains, RetryRatio: 0.9,
 			RetrySlack: 56, RetryWindow: 10 * time.Second, SessionTTL: time.Second})
 		h.tick(FleetSize{Instances: instances}, Neighbours{Self: fmt.Sprintf("i%d", i), Names: names[domainOf(i)]},
-			Configured{NewIndex(Config{Version: 1, Services: []Service{{Name: "shop"}}, Routes: []Route{*f.route}})}, ServersListed{list})
+			Configured{NewIndex(Config{Version: 1, Services: []Service{kind.service}, Routes: []Route{*f.route}})}, ServersListed{list})
 		f.instances = append(f.instances, h)
 		f.byName[fmt.Sprintf("i%d", i)] = h
 		f.opened[h] = map[RequestID]time.Time{}
@@ -88,7 +112,7 @@
 
 // capacity is how many requests the servers serve in a second.
 func (f *brittleFleet) capacity() float64 {
-	return float64(len(f.servers)) * shopSlots * float64(time.Second) / float64(shopWork)
+	return float64(len(f.servers)*f.kind.slots) * float64(time.Second) / float64(f.kind.work)
 }
 
 func (f *brittleFleet) reset() {
@@ -133,6 +157,7 @@
 			sum[l.Key] += l.Requests
 		}
 	}
+	brittle := f.brittle
 	for _, h := range f.instances {
 		var others []PeerLoad
 		own := map[uint32]int{}
@@ -142,17 +167,19 @@
 		for key, n := range sum {
 			others = append(others, PeerLoad{Key: key, Requests: n - own[key]})
 		}
-		h.tick(PeerLoads{Loads: others, Instances: len(f.instances) - 1})
+		h.tick(PeerLoads{Loads: others, Instances: len(f.instances) - 1}, PeerBrittle{brittle})
 		f.carryOut(h)
 	}
+	f.brittle = map[string]float64{}
 	for _, h := range f.instances {
 		f.loads[h] = h.world.OwnLoads()
+		maps.Copy(f.brittle, h.world.OwnBrittle())
 	}
 }
 
 func (f *brittleFleet) expireQueueWaits() {
 	for _, h := range f.instances {
-		if h.world.services["shop"].queue.len == 0 {
+		if h.world.services[f.kind.service.Name].queue.len == 0 {
 			continue
 		}
 		h.tick()
@@ -220,8 +247,8 @@
 		f.carryOut(h)
 		return
 	}
-	if len(s.jobs) < shopSlots+f.queue {
-		work := time.Duration((0.5 + f.rng.Float64()) * float64(shopWork))
+	if len(s.jobs) < f.kind.slots+f.queue {
+		work := time.Duration((0.5 + f.rng.Float64()) * float64(f.kind.work))
 		s.jobs = append(s.jobs, &shopJob{instance: h, id: id, left: work})
 		f.sends[s.jobs[len(s.jobs)-1]] = send
 		return
@@ -250,7 +277,7 @@
 }
 
 func (f *brittleFleet) load(_ *brittleServer, busy int) Load {
-	return Load{Running: min(busy, shopSlots), Waiting: max(busy-shopSlots, 0), Slots: shopSlots}
+	return Load{Running: min(busy, f.kind.slots), Waiting: max(busy-f.kind.slots, 0), Slots: f.kind.slots}
 }
 
 // fall breaks all connections of a server that fails.
@@ -272,7 +299,7 @@
 	var done []*shopJob
 	var kept []*shopJob
 	for i, j := range s.jobs {
-		if i < shopSlots {
+		if i < f.kind.slots {
 			j.left -= brittleStep
 		}
 		if j.left > 0 {
@@ -297,18 +324,32 @@
 // TestBrittleServersDoNotFall guards against instances that each keep to the number of rejections that a
 // brittle server survives, and together exceed it; also after its waiting room has shrunk, at any load.
 func TestBrittleServersDoNotFall(t *testing.T) {
+	testBrittleServers(t, brittleShops, brittleSize{8, 3}, brittleSize{58, 3}, brittleSize{300, 5})
+}
+
+// TestBrittleEnginesDoNotFall is the same for engines, whose load the instances report to each other: they learn of
+// what the others have sent some tenths of a second later.
+func TestBrittleEnginesDoNotFall(t *testing.T) {
+	testBrittleServers(t, brittleEngines, brittleSize{8, 6}, brittleSize{58, 12}, brittleSize{300, 18})
+}
+
+// brittleSize is the size of a simulated fleet.
+type brittleSize struct{ instances, servers int }
+
+func testBrittleServers(t *testing.T, kind func() brittleKind, sizes ...brittleSize) {
+	t.Helper()
 	const (
 		// notice is the time from the first statement until the servers let fewer wait.
 		notice = 3 * time.Second
 		length = 10 * time.Second
 	)
-	for _, size := range []struct{ instances, servers int }{{8, 3}, {58, 3}, {300, 5}} {
+	for _, size := range sizes {
 		for _, perSecond := range []float64{2, 5, 12} {
 			for _, factor := range []float64{0.3, 0.8, 1.5, 4} {
 				name := fmt.Sprintf("%d instances, %.0f rejections, load %.1f", size.instances, perSecond, factor)
 				t.Run(name, func(t *testing.T) {
 					t.Parallel()
-					f := newBrittleFleet(t, size.instances, size.servers, 1)
+					f := newBrittleFleet(t, kind(), size.instances, size.servers, 1)
 					f.simulate(2*time.Second, 0.3)
 					f.perSecond = perSecond
 					f.simulate(notice, 0.3)
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -139,6 +139,10 @@
 // the hashes that OwnLeaving returns there.
 type PeerLeaving struct{ Processes []uint64 }
 
+// PeerBrittle names the services whose servers have stated to other instances, a moment ago, that they are brittle,
+// with the number of rejections a second that these survive.
+type PeerBrittle struct{ PerSecond map[string]float64 }
+
 // RolloutUpdated replaces the state of a service's roll-out.
 type RolloutUpdated struct{ Rollout Rollout }
 
@@ -161,6 +165,7 @@
 func (PeerLoads) event()             {}
 func (PeerLimits) event()            {}
 func (PeerLeaving) event()           {}
+func (PeerBrittle) event()           {}
 func (Neighbours) event()            {}
 
 // Command is an output of Tick. The set is closed.
--- a/decision/passthrough/permits.go
+++ b/decision/passthrough/permits.go
@@ -6,9 +6,10 @@
 	"time"
 )
 
-// While a plain service is brittle, each slot of each of its servers is a permit of one instance. Permits are
-// dealt to the failure domains in turn, and within a failure domain to instances by rendezvous hashing, so
-// that instances that know the same servers and neighbours agree on them without any message. An instance
+// While a service is brittle, each slot of each of its servers is a permit of one instance; at engines some slots
+// stay free. Permits are dealt to the failure domains in turn, and within a failure domain to instances by
+// rendezvous hashing, so that instances that know the same servers and neighbours agree on them without any
+// message. An instance
 // whose permits are in use, or that has none, sends through a peer of its failure domain that has some; the
 // peer sends the request on once a permit is free. So a server never gets more requests than it has slots,
 // however many instances there are.
@@ -49,7 +50,7 @@
 	dealt := 0
 	for _, srv := range list {
 		srv.permits = 0
-		for slot := range max(srv.listedSlots, 1) {
+		for slot := range srv.permitCount() {
 			if domains[dealt%len(domains)] == w.cfg.Domain {
 				w.dealPermit(srv, slot)
 			}
@@ -58,6 +59,14 @@
 	}
 }
 
+// permitCount returns how many permits there are for the server, the same number at all instances.
+func (s *server) permitCount() int {
+	if !s.service.engine {
+		return max(s.listedSlots, 1)
+	}
+	return max(int(engineUtilization*float64(cmp.Or(s.service.slots, s.listedSlots))), 1)
+}
+
 // dealPermit gives a slot of the server to one of the neighbours.
 func (w *World) dealPermit(s *server, slot int) {
 	n := &w.neighbours
@@ -118,7 +127,7 @@
 
 // preferOwnPermits leaves only the servers for which this instance has a free permit, if there are any.
 func (w *World) preferOwnPermits(s *service, list []serverView) []serverView {
-	if s.engine || !s.isBrittle(w.now) {
+	if !s.isBrittle(w.now) {
 		return list
 	}
 	own := slices.DeleteFunc(slices.Clone(list), func(v serverView) bool { return !w.hasPermit(v.server) })
@@ -131,17 +140,32 @@
 // takePermit takes a permit for a request at its server, and returns the peers that it must be offered to if
 // this instance has none.
 func (w *World) takePermit(r *request, s *server) (peers []string) {
-	if s.service.engine || !s.service.isBrittle(w.now) {
+	if !s.service.isBrittle(w.now) {
 		return nil
 	}
 	if w.hasPermit(s) {
-		s.permitsUsed++
-		r.permitted = true
+		r.holdPermit(s)
 		return nil
 	}
 	return w.permitPeers(s)
 }
 
+// holdPermit counts the request as one that holds a permit of this instance at its server.
+func (r *request) holdPermit(s *server) {
+	s.permitsUsed++
+	r.permitted = true
+}
+
+// holdPermits lets the requests that are at the service's servers when these become brittle hold permits, more than
+// there are if need be.
+func (w *World) holdPermits(s *service) {
+	for _, r := range w.requests {
+		if r.server != nil && r.server.service == s && !r.permitted {
+			r.holdPermit(r.server)
+		}
+	}
+}
+
 // releasePermit gives back the request's permit.
 func (r *request) releasePermit() {
 	if r.permitted {
--- a/decision/passthrough/permits_test.go
+++ b/decision/passthrough/permits_test.go
@@ -207,6 +207,42 @@
 	}
 }
 
+// TestPeersHearOfBrittleServers guards against an instance that has not heard a statement itself and sends as it
+// always does, and against a statement that goes round between instances after its end.
+func TestPeersHearOfBrittleServers(t *testing.T) {
+	h := newHarness(t, Settings{Seed: 1, RetryRatio: 5, RetrySlack: 500, RetryWindow: 10 * time.Second, SessionTTL: 5 * time.Second})
+	list := servers("shop", 1, shopSlots)
+	h.tick(Configured{NewIndex(Config{Version: 1, Services: []Service{{Name: "shop"}}, Routes: []Route{*onceRoute()}})}, ServersListed{list})
+	isBrittle := func() bool { return h.world.services["shop"].isBrittle(h.now) }
+	h.tick(PeerBrittle{map[string]float64{"shop": 2, "unknown": 1}})
+	if !isBrittle() || len(h.world.OwnBrittle()) != 0 {
+		t.Errorf("brittle %v, told the others %v, want it known and not passed on", isBrittle(), h.world.OwnBrittle())
+	}
+	h.tick(ServerStated{Server: list[0], Sent: h.now.Add(-time.Second)})
+	if !isBrittle() {
+		t.Error("a response to an earlier request ends the statement")
+	}
+	h.advance(time.Second)
+	h.tick(ServerStated{Server: list[0], Brittle: true, BrittlePerSecond: 2, Sent: h.now})
+	if got := h.world.OwnBrittle(); got["shop"] != 2 {
+		t.Errorf("told the others %v, want the statement", got)
+	}
+	h.advance(brittleReportPeriod)
+	h.tick()
+	if got := h.world.OwnBrittle(); len(got) != 0 {
+		t.Errorf("told the others %v after %v, want nothing", got, brittleReportPeriod)
+	}
+	h.tick(ServerStated{Server: list[0], Sent: h.now}, PeerBrittle{map[string]float64{"shop": 2}})
+	if isBrittle() {
+		t.Error("a peer's report that is older than the end revives the statement")
+	}
+	h.advance(brittleEndHold)
+	h.tick(PeerBrittle{map[string]float64{"shop": 2}})
+	if !isBrittle() {
+		t.Error("a new statement is not heard")
+	}
+}
+
 // TestBrittleEnginesKeepSlotsFree guards against engines that are filled up to their last slot by instances
 // whose knowledge of each other is some tenths of a second old, and against a retry at the next full engine.
 func TestBrittleEnginesKeepSlotsFree(t *testing.T) {
@@ -225,7 +261,7 @@
 			}
 		}
 	}
-	if want := int(brittleUtilization * slots); dispatched != want {
+	if want := int(engineUtilization * slots); dispatched != want {
 		t.Errorf("%d requests sent to an engine with %d slots, want %d", dispatched, slots, want)
 	}
 	h.tick(AttemptEnded{Request: 1, Result: Rejected})
--- a/router/internal/passthrough/driver.go
+++ b/router/internal/passthrough/driver.go
@@ -96,13 +96,13 @@
 func (d *Driver) ownReport() relay.Report {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return relay.Report{Loads: d.world.OwnLoads(), Limits: d.world.OwnLimits(), Leaving: d.world.OwnLeaving(), Instances: 1}
+	return relay.Report{Loads: d.world.OwnLoads(), Limits: d.world.OwnLimits(), Leaving: d.world.OwnLeaving(), Brittle: d.world.OwnBrittle(), Instances: 1}
 }
 
 // applyPeerReport applies the load reports of the peers.
 func (d *Driver) applyPeerReport(others relay.Report) {
 	d.Handle(passthrough.PeerLoads{Loads: others.Loads, Instances: others.Instances}, passthrough.PeerLimits{Limits: others.Limits},
-		passthrough.PeerLeaving{Processes: others.Leaving})
+		passthrough.PeerLeaving{Processes: others.Leaving}, passthrough.PeerBrittle{PerSecond: others.Brittle})
 }
 
 // confidenceThreshold returns the confidence below which the request's response is dropped now.
--- a/router/internal/relay/loads.go
+++ b/router/internal/relay/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -17,6 +18,9 @@
 	Limits []passthrough.PeerLimit
 	// Leaving are the hashes of the backend servers' processes that stated to them that they are leaving.
 	Leaving []uint64
+	// Brittle are the services whose backend servers stated to them a moment ago that they are brittle, with
+	// the number of rejections a second that these survive.
+	Brittle map[string]float64
 	// LostConfigVersion is the highest version of the configuration that they know and that the
 	// store lacks since it was restored; 0 for none.
 	LostConfigVersion uint64
@@ -25,7 +29,7 @@
 }
 
 // LoadExchange exchanges the instances' loads at the backend servers, and what backend servers stated:
-// rate limits, and that they are leaving. Each instance sends a report to its collector, and gets the
+// rate limits, that they are leaving, and that they are brittle. Each instance sends a report to its collector, and gets the
 // sum of all others. A collector does the same with the first-ranked collector of all failure domains,
 // so that each sum covers all instances.
 type LoadExchange struct {
@@ -116,7 +120,7 @@
 	askedAt := l.now()
 	packed := packReport(l.sum(append(l.liveReports("", false), l.currentReport())))
 	params := loadsParams{
-		Name: l.client.members.self.Name, Rows: packed.loads, Limits: packed.limits, Leaving: packed.leaving,
+		Name: l.client.members.self.Name, Rows: packed.loads, Limits: packed.limits, Leaving: packed.leaving, Brittle: packed.brittle,
 		LostConfigVersion: packed.lostConfigVersion, Instances: packed.instances,
 	}
 	out, err := l.client.callMember(ctx, collector, methodLoads, params, reportTimeout)
@@ -125,7 +129,7 @@
 	}
 	// The ages of limits refer to the time of the request, so that a delayed answer does not look
 	// new.
-	others, err := l.unpackReport(collector.Name, packedReport{out.Loads, out.Limits, out.Leaving, out.LostConfigVersion, out.Instances}, askedAt)
+	others, err := l.unpackReport(collector.Name, packedReport{out.Loads, out.Limits, out.Leaving, out.Brittle, out.LostConfigVersion, out.Instances}, askedAt)
 	if err != nil {
 		return
 	}
@@ -138,18 +142,19 @@
 type packedReport struct {
 	loads, limits     []byte
 	leaving           []uint64
+	brittle           map[string]float64
 	lostConfigVersion uint64
 	instances         int
 }
 
 func packReport(r Report) packedReport {
-	return packedReport{packLoads(r.Loads), packLimits(r.Limits), r.Leaving, r.LostConfigVersion, r.Instances}
+	return packedReport{packLoads(r.Loads), packLimits(r.Limits), r.Leaving, r.Brittle, r.LostConfigVersion, r.Instances}
 }
 
 // unpackReport decodes another instance's report; the ages in it refer to the given time.
 func (l *LoadExchange) unpackReport(from string, p packedReport, at time.Time) (timedReport, error) {
 	out := timedReport{asOf: at, receivedAt: l.now()}
-	out.Leaving, out.LostConfigVersion, out.Instances = p.leaving, p.lostConfigVersion, p.instances
+	out.Leaving, out.Brittle, out.LostConfigVersion, out.Instances = p.leaving, p.brittle, p.lostConfigVersion, p.instances
 	var err error
 	if out.Loads, err = unpackLoads(p.loads); err == nil {
 		out.Limits, err = unpackLimits(p.limits)
@@ -162,7 +167,7 @@
 
 // handleReport stores a follower's report and answers with the sum of all others.
 func (l *LoadExchange) handleReport(p loadsParams) (answer, error) {
-	in, err := l.unpackReport(p.Name, packedReport{p.Rows, p.Limits, p.Leaving, p.LostConfigVersion, p.Instances}, l.now())
+	in, err := l.unpackReport(p.Name, packedReport{p.Rows, p.Limits, p.Leaving, p.Brittle, p.LostConfigVersion, p.Instances}, l.now())
 	if err != nil {
 		return answer{}, err
 	}
@@ -170,7 +175,7 @@
 	l.followerReports[p.Name] = in
 	l.mu.Unlock()
 	out := packReport(l.sum(append(l.liveReports(p.Name, true), l.currentReport())))
-	return answer{Loads: out.loads, Limits: out.limits, Leaving: out.leaving, LostConfigVersion: out.lostConfigVersion, Instances: out.instances}, nil
+	return answer{Loads: out.loads, Limits: out.limits, Leaving: out.leaving, Brittle: out.brittle, LostConfigVersion: out.lostConfigVersion, Instances: out.instances}, nil
 }
 
 // currentReport returns this instance's report as of now.
@@ -199,17 +204,18 @@
 	return out
 }
 
-// sum adds up the reports: their loads, for each limit the newest statement, and all servers that are
-// leaving.
+// sum adds up the reports: their loads, for each limit the newest statement, all servers that are leaving, and all
+// services that are brittle.
 func (l *LoadExchange) sum(reports []timedReport) Report {
 	now := l.now()
 	var loads [][]passthrough.PeerLoad
 	var limits [][]passthrough.PeerLimit
-	var out Report
+	out := Report{Brittle: map[string]float64{}}
 	for _, r := range reports {
 		loads = append(loads, r.Loads)
 		limits = append(limits, addAge(r.Limits, now.Sub(r.asOf)))
 		out.Leaving = append(out.Leaving, r.Leaving...)
+		maps.Copy(out.Brittle, r.Brittle)
 		out.Instances += r.Instances
 		out.LostConfigVersion = max(out.LostConfigVersion, r.LostConfigVersion)
 	}
--- a/router/internal/relay/loads_test.go
+++ b/router/internal/relay/loads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"reflect"
 	"slices"
@@ -67,6 +68,8 @@
 	// leaving are processes that stated to this instance that they are leaving, othersLeaving those that
 	// stated it to others.
 	leaving, othersLeaving []uint64
+	// brittle and othersBrittle are the same for services that are brittle.
+	brittle, othersBrittle map[string]float64
 }
 
 // startExchanges starts instances of several failure domains, given by the first letter of their
@@ -92,10 +95,10 @@
 		client := NewClient(known, time.Now)
 		n := &exchangeInstance{}
 		n.loads = NewLoadExchange(client, func() Report {
-			return Report{Loads: n.own, Limits: n.limits, Leaving: n.leaving, LostConfigVersion: n.lost, Instances: 1}
+			return Report{Loads: n.own, Limits: n.limits, Leaving: n.leaving, Brittle: n.brittle, LostConfigVersion: n.lost, Instances: 1}
 		}, func(others Report) {
 			n.got, n.instances, n.othersLimits, n.othersLost = others.Loads, others.Instances, others.Limits, others.LostConfigVersion
-			n.othersLeaving = others.Leaving
+			n.othersLeaving, n.othersBrittle = others.Leaving, others.Brittle
 		})
 		srv := NewServer(time.Now, nil, nil, func() int { return len(names) })
 		srv.LoadExchange = n.loads
@@ -179,6 +182,38 @@
 	}
 }
 
+// TestBrittleServicesReachAll guards against instances that do not learn which services' servers have stated to
+// others that they are brittle.
+func TestBrittleServicesReachAll(t *testing.T) {
+	names := []string{"a1", "a2", "b1", "b2"}
+	nodes := startExchanges(t, names...)
+	nodes["a2"].brittle = map[string]float64{"shop": 3}
+	exchange := func() {
+		for range 3 { // up to the first collector and down again
+			for _, name := range names {
+				nodes[name].loads.exchange(t.Context())
+			}
+		}
+	}
+	exchange()
+	for _, name := range names {
+		want := map[string]float64{"shop": 3}
+		if name == "a2" {
+			want = map[string]float64{} // its own statement does not come back
+		}
+		if got := nodes[name].othersBrittle; !maps.Equal(got, want) {
+			t.Errorf("%s got %v, want %v", name, got, want)
+		}
+	}
+	nodes["a2"].brittle = nil
+	exchange()
+	for _, name := range names {
+		if got := nodes[name].othersBrittle; len(got) != 0 {
+			t.Errorf("%s got %v after the end, want nothing", name, got)
+		}
+	}
+}
+
 // TestLeavingServersReachAll guards against instances that do not learn which servers have stated to others
 // that they are leaving.
 func TestLeavingServersReachAll(t *testing.T) {
--- a/router/internal/relay/messages.go
+++ b/router/internal/relay/messages.go
@@ -49,6 +49,8 @@
 	// Leaving are the hashes of the backend servers' processes that stated to them that they are
 	// leaving.
 	Leaving []uint64 `json:"leaving,omitempty"`
+	// Brittle are the services whose backend servers stated to them that they are brittle.
+	Brittle map[string]float64 `json:"brittle,omitempty"`
 	// LostConfigVersion is the version of the configuration that they know and that the store
 	// lacks.
 	LostConfigVersion uint64 `json:"lost_config,omitempty"`
@@ -78,9 +80,10 @@
 	Loads   []byte   `json:"loads,omitempty"`
 	Limits  []byte   `json:"limits,omitempty"`
 	Leaving []uint64 `json:"leaving,omitempty"`
-	// LostConfigVersion is as in loadsParams.
-	LostConfigVersion uint64 `json:"lost_config,omitempty"`
-	Instances         int    `json:"instances,omitempty"`
+	// Brittle and LostConfigVersion are as in loadsParams.
+	Brittle           map[string]float64 `json:"brittle,omitempty"`
+	LostConfigVersion uint64             `json:"lost_config,omitempty"`
+	Instances         int                `json:"instances,omitempty"`
 	// Fleet is the number of instances of all failure domains.
 	Fleet int `json:"fleet,omitempty"`
 }
