Permits are dealt with bounded loads

Callers of an instance that happened to own few permits were refused far more often than those of its neighbours in a burst: by plain rendezvous hashing one of 20 instances may own 6 permits of 42, or 13 of 120, and another none.

No instance gets more than 1.25 times the mean of its failure domain now, rounded up. TestEachSlotHasOneOwner checks the bound, and failed in both new fleets before.

--- a/decision/passthrough/permits.go
+++ b/decision/passthrough/permits.go
@@ -2,14 +2,15 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
 
 // While a service is brittle, each slot of each of its servers is a permit of one instance; at engines some slots
 // stay free. Permits are dealt to the failure domains in turn, and within a failure domain to instances by
-// rendezvous hashing, so that instances that know the same servers and neighbours agree on them without any
-// message. An instance
+// rendezvous hashing with bounded loads, so that instances that know the same servers and neighbours agree on them
+// without any message, few permits change hands when an instance comes or goes, and none has many more than others. An instance
 // whose permits are in use, or that has none, sends through a peer of its failure domain that has some; the
 // peer sends the request on once a permit is free. So a server never gets more requests than it has slots,
 // however many instances there are.
@@ -19,6 +20,8 @@
 	maxPermitPeers = 8
 	// fullPause is for how long no request is offered to peers after all of them had no free permit.
 	fullPause = 80 * time.Millisecond
+	// maxPermitShare is how many permits an instance has at most, as a multiple of the mean.
+	maxPermitShare = 1.25
 )
 
 // permitInputs are the values that a service's permits depend on.
@@ -47,45 +50,66 @@
 	}
 	list := slices.Clone(s.servers)
 	slices.SortFunc(list, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+	total := 0
+	for _, srv := range list {
+		total += srv.permitCount()
+	}
+	n := &w.neighbours
+	perDomain := float64(total) / float64(len(domains))
+	d := dealer{neighbours: n, counts: make([]int, len(n.names)), limit: int(math.Ceil(maxPermitShare * perDomain / float64(max(len(n.names), 1))))}
 	dealt := 0
 	for _, srv := range list {
 		srv.permits = 0
 		for slot := range srv.permitCount() {
 			if domains[dealt%len(domains)] == w.cfg.Domain {
-				w.dealPermit(srv, slot)
+				d.deal(srv, slot)
 			}
 			dealt++
 		}
 	}
 }
 
-// permitCount returns how many permits there are for the server, the same number at all instances.
-func (s *server) permitCount() int {
-	if !s.service.engine {
-		return max(s.listedSlots, 1)
-	}
-	return max(int(engineUtilization*float64(cmp.Or(s.service.slots, s.listedSlots))), 1)
+// dealer deals the permits of a failure domain to its instances.
+type dealer struct {
+	neighbours *neighbours
+	// counts are how many permits each neighbour has, limit is how many it may have.
+	counts []int
+	limit  int
 }
 
-// dealPermit gives a slot of the server to one of the neighbours.
-func (w *World) dealPermit(s *server, slot int) {
-	n := &w.neighbours
+// deal gives a slot of the server to one of the neighbours.
+func (d *dealer) deal(s *server, slot int) {
+	n := d.neighbours
 	key := mix(s.hash + uint64(slot))
-	owner, best := "", uint64(0)
+	owner, best := -1, uint64(0)
 	for i, hash := range n.hashes {
-		if score := mix(hash ^ key); owner == "" || score > best {
-			owner, best = n.names[i], score
+		if score := mix(hash ^ key); d.counts[i] < d.limit && (owner < 0 || score > best) {
+			owner, best = i, score
 		}
 	}
-	if owner == "" || owner == n.self {
+	if owner < 0 {
 		s.permits++ // an instance that knows no neighbours is alone
 		return
 	}
+	d.counts[owner]++
+	name := n.names[owner]
+	if name == n.self {
+		s.permits++
+		return
+	}
 	peers := s.service.permits.peers
 	if peers[s] == nil {
 		peers[s] = map[string]int{}
 	}
-	peers[s][owner]++
+	peers[s][name]++
+}
+
+// permitCount returns how many permits there are for the server, the same number at all instances.
+func (s *server) permitCount() int {
+	if !s.service.engine {
+		return max(s.listedSlots, 1)
+	}
+	return max(int(engineUtilization*float64(cmp.Or(s.service.slots, s.listedSlots))), 1)
 }
 
 // hasPermit reports whether this instance may send to the server itself.
--- a/decision/passthrough/permits_test.go
+++ b/decision/passthrough/permits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 )
@@ -22,9 +23,9 @@
 }
 
 // TestEachSlotHasOneOwner guards against servers that get more requests than they have slots, because several
-// instances take the same slot for theirs, and against slots that nobody uses.
+// instances take the same slot for theirs, and against slots that nobody uses, or that one instance has most of.
 func TestEachSlotHasOneOwner(t *testing.T) {
-	for _, fleet := range []struct{ instances, domains, servers int }{{1, 1, 3}, {8, 3, 3}, {58, 3, 3}, {300, 5, 5}, {880, 24, 20}, {24, 24, 3}} {
+	for _, fleet := range []struct{ instances, domains, servers int }{{1, 1, 3}, {8, 3, 3}, {20, 1, 7}, {20, 1, 20}, {58, 3, 3}, {300, 5, 5}, {880, 24, 20}, {24, 24, 3}} {
 		t.Run(fmt.Sprintf("%+v", fleet), func(t *testing.T) {
 			var domains []string
 			names := map[string][]string{}
@@ -36,12 +37,14 @@
 				names[d] = append(names[d], fmt.Sprint("edge-", i))
 			}
 			total, without := 0, 0
+			most := int(math.Ceil(maxPermitShare * float64(fleet.servers*shopSlots) / float64(fleet.instances)))
 			for _, d := range domains {
 				inDomain := 0
 				for _, self := range names[d] {
 					h := brittleWorld(t, d, domains, names[d], self, fleet.servers)
 					s := h.world.services["shop"]
 					h.world.updatePermits(s)
+					before := inDomain
 					for _, srv := range s.servers {
 						inDomain += srv.permits
 						others := 0
@@ -52,6 +55,9 @@
 							t.Fatalf("%s deals %d slots to peers, although it is alone in its failure domain", self, others)
 						}
 					}
+					if own := inDomain - before; own > most+1 { // failure domains are not equally large
+						t.Errorf("%s has %d permits, want %d at most", self, own, most+1)
+					}
 				}
 				total += inDomain
 				if inDomain == 0 {
