Queued requests are dispatched again after a peer's request gave its permit back

Callers of a service that had been brittle waited for nothing: at an instance whose peer's request ended while some of its own were queued, no queued request of that service was dispatched any more, also after the brittle time. Only requests that found a free slot on arrival were served.

Cause: the permit was given back outside of World.Tick. That marked the service as freed, Tick cleared the list of freed services at its start, and a service that is marked already is not listed again. The return of a permit is an event now, so that nothing outside of Tick touches the list.

--- a/decision/passthrough/brittle_test.go
+++ b/decision/passthrough/brittle_test.go
@@ -267,7 +267,8 @@
 // release gives back the permit of a request.
 func (f *brittleFleet) release(send brittleSend) {
 	if send.owner != nil {
-		send.owner.world.ReleasePermitForPeer(send.dispatch.Server)
+		send.owner.tick(PeerPermitReleased{send.dispatch.Server})
+		f.carryOut(send.owner)
 	}
 }
 
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -139,6 +139,9 @@
 // the hashes that OwnLeaving returns there.
 type PeerLeaving struct{ Processes []uint64 }
 
+// PeerPermitReleased ends the use of a permit that TakePermitForPeer took at the server.
+type PeerPermitReleased struct{ Server Server }
+
 // PeerBrittle names the services whose servers have stated to other instances, a moment ago, that they are brittle,
 // with the number of rejections a second that these survive.
 type PeerBrittle struct{ PerSecond map[string]float64 }
@@ -166,6 +169,7 @@
 func (PeerLimits) event()            {}
 func (PeerLeaving) event()           {}
 func (PeerBrittle) event()           {}
+func (PeerPermitReleased) event()    {}
 func (Neighbours) event()            {}
 
 // Command is an output of Tick. The set is closed.
--- a/decision/passthrough/permits.go
+++ b/decision/passthrough/permits.go
@@ -199,7 +199,7 @@
 }
 
 // TakePermitForPeer takes a permit at the listed server for a peer's request, if one is free. The caller must
-// call ReleasePermitForPeer if ok is true.
+// report PeerPermitReleased if ok is true.
 func (w *World) TakePermitForPeer(now time.Time, id string) (ok bool) {
 	s := w.servers[id]
 	if s == nil {
@@ -215,9 +215,9 @@
 	return true
 }
 
-// ReleasePermitForPeer gives back the permit of a peer's request at the server. A process that has taken the
+// releasePermitForPeer gives back the permit of a peer's request at the server. A process that has taken the
 // server's id since then has permits of its own.
-func (w *World) ReleasePermitForPeer(of Server) {
+func (w *World) releasePermitForPeer(of Server) {
 	if s := w.findProcess(of.process()); s != nil && s.permitsUsed > 0 {
 		s.permitsUsed--
 		w.markFreed(s.service)
--- a/decision/passthrough/permits_test.go
+++ b/decision/passthrough/permits_test.go
@@ -166,12 +166,32 @@
 	if h.world.TakePermitForPeer(h.now, server.ID) {
 		t.Errorf("a peer got permit %d of %d", shopSlots+1, shopSlots)
 	}
-	h.world.ReleasePermitForPeer(server)
+	h.tick(PeerPermitReleased{server})
 	if !h.world.TakePermitForPeer(h.now, server.ID) {
 		t.Error("a peer got no permit after one was given back")
 	}
 }
 
+// TestQueuedRequestGetsAPeersPermit guards against requests that wait for ever, also after the brittle time, because a
+// peer's request gave its permit back while they were queued.
+func TestQueuedRequestGetsAPeersPermit(t *testing.T) {
+	h := brittleWorld(t, "a", []string{"a"}, []string{"edge-1"}, "edge-1", 1)
+	server := h.world.services["shop"].servers[0].Server
+	for range shopSlots {
+		if !h.world.TakePermitForPeer(h.now, server.ID) {
+			t.Fatal("a peer got no permit, although some are free")
+		}
+	}
+	for i := range shopSlots {
+		id := h.arrive(plainRoute(), nil)
+		if len(h.commands[id]) > 0 {
+			t.Fatalf("request %d got %#v, want it queued", i, h.commands[id][0])
+		}
+		h.tick(PeerPermitReleased{server})
+		h.requireDispatch(id)
+	}
+}
+
 // TestBrittleStatement checks when the statement begins and ends: responses overtake each other, and a service
 // of which nothing is heard is not brittle for ever.
 func TestBrittleStatement(t *testing.T) {
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -178,6 +178,8 @@
 		w.applyPeerLimits(e.Limits)
 	case PeerLeaving:
 		w.applyPeerLeaving(e.Processes)
+	case PeerPermitReleased:
+		w.releasePermitForPeer(e.Server)
 	case PeerBrittle:
 		w.applyPeerBrittle(e.PerSecond)
 	case RolloutUpdated:
--- a/router/internal/passthrough/driver.go
+++ b/router/internal/passthrough/driver.go
@@ -168,8 +168,7 @@
 func (d *Driver) releasePermitForPeer(of passthrough.Server) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.world.ReleasePermitForPeer(of)
-	d.applyLocked()
+	d.applyLocked(passthrough.PeerPermitReleased{Server: of})
 }
 
 // isLeaving reports whether the server is leaving, whichever way it is known.
