Brittle engines: the load that instances report is that of their permits

A brittle engine that was full at the time of the reports got nothing until the next ones, as each instance compared the sum of all with the number of permits, and the sum counted requests that were still being offered to peers.

Instances now report the requests that hold their permits, and only what the others have beyond their permits (streams that began before the statement) is taken from their own.

--- a/decision/passthrough/brittle.go
+++ b/decision/passthrough/brittle.go
@@ -102,8 +102,5 @@
 	if !s.service.isBrittle(w.now) {
 		return true
 	}
-	if s.service.engine && max(v.known, v.load) >= float64(s.permitCount()) {
-		return false // streams that began before the statement
-	}
 	return w.hasPermit(s) || w.peersHavePermits(s)
 }
--- a/decision/passthrough/peerload.go
+++ b/decision/passthrough/peerload.go
@@ -43,7 +43,12 @@
 			continue
 		}
 		seen[s] = true
-		out = append(out, PeerLoad{Key: s.peerKey(), Requests: s.ownRequests, PrefillTime: seconds(s.prefillRemaining(w.now))})
+		out = append(out, PeerLoad{Key: s.peerKey(), Requests: s.sentRequests(w.now), PrefillTime: seconds(s.prefillRemaining(w.now))})
+	}
+	for _, s := range w.brittleEngines() {
+		if s.permitsUsed > 0 && !seen[s] {
+			out = append(out, PeerLoad{Key: s.peerKey(), Requests: s.permitsUsed})
+		}
 	}
 	return out
 }
--- a/decision/passthrough/permits.go
+++ b/decision/passthrough/permits.go
@@ -115,7 +115,16 @@
 // hasPermit reports whether this instance may send to the server itself.
 func (w *World) hasPermit(s *server) bool {
 	w.updatePermits(s.service)
-	return s.permitsUsed < s.permits
+	return s.permitsUsed+w.peersExcess(s) < s.permits
+}
+
+// peersExcess is how many more requests than permits the other instances have at an engine: streams that began before
+// the statement.
+func (w *World) peersExcess(s *server) int {
+	if !s.service.engine || !w.peerLoadsFresh() {
+		return 0
+	}
+	return max(int(s.peers.requests)-(s.permitCount()-s.permits), 0)
 }
 
 // peersHavePermits reports whether a request to the server may be offered to peers.
@@ -198,6 +207,26 @@
 	}
 }
 
+// sentRequests is how many requests this instance accounts for at the server. While the server is brittle, these are
+// the requests that hold its permits, and not its own ones that are still offered to peers.
+func (s *server) sentRequests(now time.Time) int {
+	if s.service.isBrittle(now) {
+		return s.permitsUsed
+	}
+	return s.ownRequests
+}
+
+// brittleEngines returns the engines that are brittle.
+func (w *World) brittleEngines() []*server {
+	var out []*server
+	for _, s := range w.services {
+		if s.engine && s.isBrittle(w.now) {
+			out = append(out, s.servers...)
+		}
+	}
+	return out
+}
+
 // TakePermitForPeer takes a permit at the listed server for a peer's request, if one is free. The caller must
 // report PeerPermitReleased if ok is true.
 func (w *World) TakePermitForPeer(now time.Time, id string) (ok bool) {
