tunnel: the test of a silent peer does not depend on the speed of the machine

It counted requests that took 0.1 s; a busy machine has those without a silent peer. It now counts how often the peer is asked, and allows for its backoff. Without the fix (scratch change) 29 and 40 of 60 requests ask it; with it, 5 of 5 runs pass with the race detector at a load of 15.

--- a/router/internal/tunnel/tunnel_test.go
+++ b/router/internal/tunnel/tunnel_test.go
@@ -448,22 +448,20 @@
 	first, _ := startServer(t, &Server{})
 	second, _ := startServer(t, &Server{})
 	d := newTestDialer(silent.Addr().String(), first, second)
-	slow := 0
-	for range 60 {
-		began := time.Now()
+	const count, maxAsked = 60, 3
+	began := time.Now()
+	for range count {
 		c, err := d.Dial(t.Context(), b.Target)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if time.Since(began) >= hedgeDelay {
-			slow++
-		}
 		if got, err := exchange(t, c, "hello"); got != "echo hello" || err != nil {
 			t.Fatalf("%q, %v, want the echo", got, err)
 		}
 	}
-	if asked.Load() > 3 || slow > 3 {
-		t.Errorf("the silent peer was asked %d times, %d of 60 requests waited for it, want 3 at most", asked.Load(), slow)
+	// A peer is asked again after its backoff, which matters on a machine that is busy.
+	if allowed := maxAsked + int64(time.Since(began)/minPeerBackoff); asked.Load() > allowed {
+		t.Errorf("%d of %d requests asked the silent peer, want %d at most", asked.Load(), count, allowed)
 	}
 }
 
