--- a/decision/passthrough/path.go
+++ b/decision/passthrough/path.go
@@ -15,8 +15,8 @@
 	pathProbeInterval = 200 * time.Millisecond
 	// peerCheckInterval is for how long no peer is asked after peers could not reach the servers either.
 	peerCheckInterval = 700 * time.Millisecond
-	// heldReportDelay is for how long reports to the other instances are held back at most while no server is
-	// reached: as long as it takes to compare with a peer.
+	// heldReportDelay is for how long reports to the other instances are held back while the path is
+	// suspect: as long as it takes to compare with a peer.
 	heldReportDelay = 600 * time.Millisecond
 	// longSuspicion is how long the path must have been suspect, without any connection to a server, for
 	// conclusions about the servers to be dropped although no peer could be asked.
@@ -197,22 +197,11 @@
 		p.restoredAt = w.now
 		w.dropConclusions()
 	}
-	if p.state == PathUp {
-		w.confirmPath()
-		return
+	if p.state != PathUp {
+		p.state, p.changedAt = PathUp, w.now
 	}
-	p.state, p.changedAt = PathUp, w.now
-	clear(p.unreached)
-	p.crashes = p.crashes[:0]
-}
-
-// confirmPath records that a server is reached while the path is up: what was concluded about another one
-// holds.
-func (w *World) confirmPath() {
-	p := &w.path
 	clear(p.unreached)
 	p.crashes = p.crashes[:0]
-	w.releaseHeld(0)
 }
 
 // dropConclusions restores what was known of the servers before they were not reached. A time that a server
@@ -297,8 +286,9 @@
 // succeeded since then.
 func (w *World) observeSent(r *request, e AttemptEnded) {
 	p := &w.path
-	if !e.ViaPeer && p.state == PathUp && r.sent.After(p.unreachedAt) {
-		w.confirmPath()
+	if !e.ViaPeer && p.state == PathUp && !r.sent.Before(p.unreachedAt) {
+		clear(p.unreached)
+		p.crashes = p.crashes[:0]
 	}
 }
 
@@ -311,20 +301,19 @@
 	w.path.crashes = append(w.path.crashes, r.Fingerprint)
 }
 
-// report emits a report to the other instances. It is held back until a server is reached, as the connections to
-// all servers may have broken.
+// report emits a report to the other instances. It is held back while several servers are unreached.
 func (w *World) report(c Command) {
-	if len(w.path.unreached) == 0 {
+	if len(w.path.unreached) < minUnreachedServers {
 		w.emit(c)
 		return
 	}
 	w.path.held = append(w.path.held, heldReport{c, w.now})
 }
 
-// releaseHeld emits the reports that were held back for the time or longer.
-func (w *World) releaseHeld(heldFor time.Duration) {
+// releaseHeld emits the reports that were held back long enough.
+func (w *World) releaseHeld() {
 	p := &w.path
-	for len(p.held) > 0 && w.now.Sub(p.held[0].at) >= heldFor {
+	for len(p.held) > 0 && w.now.Sub(p.held[0].at) >= heldReportDelay {
 		w.emit(p.held[0].command)
 		p.held = p.held[1:]
 	}
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -129,7 +129,7 @@
 	for _, e := range in {
 		w.apply(e)
 	}
-	w.releaseHeld(heldReportDelay)
+	w.releaseHeld()
 	w.wakeDueServices()
 	w.dispatchQueued()
 	return w.commands
