The test of hedged tunnels does not depend on the machine's speed

Cause: the test gives a second peer 20 ms from the hedge delay until the first one answers. Where the second peer's handler runs later, its request has been cancelled by then, which is right: another peer has opened the tunnel.

Change: a peer connects for a request only once a second one has been asked for it, whatever time that takes. Both bounds are as before (two connections for each request, data on one of them), as are the three peers. Each request has its own dialer: one that found a peer slow is not to keep the others from asking it. The product is unchanged.

--- a/router/internal/tunnel/tunnel_test.go
+++ b/router/internal/tunnel/tunnel_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -282,22 +283,35 @@
 // server for it, and against waiting for peers that give no answer.
 func TestOnePeerOfSeveralIsUsed(t *testing.T) {
 	b := startBackend(t, echo)
-	slow := func(ctx context.Context, to Target) (net.Conn, error) {
-		time.Sleep(hedgeDelay + 20*time.Millisecond)
+	const count = 20
+	// A peer connects for a request once another one has been asked for it too.
+	var asked [count]atomic.Int64
+	var secondAsked [count]chan struct{}
+	for i := range secondAsked {
+		secondAsked[i] = make(chan struct{})
+	}
+	connect := func(ctx context.Context, to Target) (net.Conn, error) {
+		i, err := strconv.Atoi(to.ID)
+		if err != nil {
+			return nil, err
+		}
+		if asked[i].Add(1) == 2 {
+			close(secondAsked[i])
+		}
+		<-secondAsked[i]
 		var d net.Dialer
 		return d.DialContext(context.WithoutCancel(ctx), "tcp", to.Address) // connects even if another peer was faster
 	}
 	var addresses []string
 	for range 3 {
-		address, _ := startServer(t, &Server{Connect: slow})
+		address, _ := startServer(t, &Server{Connect: connect})
 		addresses = append(addresses, address)
 	}
-	d := newTestDialer(addresses...)
-	const count = 20
 	var requests sync.WaitGroup
 	for i := range count {
 		requests.Go(func() {
-			c, err := d.Dial(t.Context(), b.Target)
+			// A dialer of its own: a peer that was slower for one request is still asked for the others.
+			c, err := newTestDialer(addresses...).Dial(t.Context(), Target{ID: strconv.Itoa(i), Address: b.Address})
 			if err != nil {
 				t.Errorf("tunnel %d: %v", i, err)
 				return
