A server that peers decline does not cost an instance without a path its callers

What callers saw: at an instance without a path, requests are refused as no_path_to_backend_servers, hundreds in half a second, while two of three servers serve. Peers back off from the third, which has refused their own callers with a Retry-After; the instance without a path cannot know of it, and chooses that server again each time, as it has the lowest load.

Cause: a peer that does not send to a server (ErrDeclined) was not told apart from no peer at all.

Change: Dial and DialWithPermit return ErrDeclined.

--- a/decision/passthrough/attempt.go
+++ b/decision/passthrough/attempt.go
@@ -60,6 +60,11 @@
 	if e.Result == Withheld || e.Result == NotSent {
 		r.attempts--
 	}
+	if e.Declined {
+		// A peer knows more of the server than this instance. Without the backoff, requests would be offered
+		// to peers for this server one after the other.
+		s.backOff(w.now.Add(rejectedBackoff))
+	}
 	if e.Result == Withheld || w.path.saysNothing(r, e) {
 		return
 	}
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -28,12 +28,13 @@
 	// Begun is true if a part of the response was forwarded to the caller.
 	Begun bool
 	// ViaPeer is true if the request was sent through a peer. TunnelLost is true if the connection to the
-	// peer broke, PathLost if the path to the servers is lost and no peer could be asked, and NoPermit if
-	// no peer had a free permit.
+	// peer broke, PathLost if the path to the servers is lost and no peer could be asked, NoPermit if no
+	// peer had a free permit, and Declined if no peer sends to the server.
 	ViaPeer    bool
 	TunnelLost bool
 	PathLost   bool
 	NoPermit   bool
+	Declined   bool
 	// Misdirected is true if another backend server now has the address.
 	Misdirected bool
 	// Leaving is true if the backend server is shutting down.
--- a/decision/passthrough/path_test.go
+++ b/decision/passthrough/path_test.go
@@ -320,3 +320,27 @@
 		}
 	}
 }
+
+// TestServerThatPeersDeclineIsLeftAlone guards against callers who are refused, and requests that are offered to
+// peers one after the other, because peers do not send to one of the servers.
+func TestServerThatPeersDeclineIsLeftAlone(t *testing.T) {
+	h, list := newPathHarness(t)
+	h.dial(DialFailed, list...)
+	h.dial(TunnelSucceeded, list[0])
+	id := h.arrive(streamRoute(), nil)
+	declined := h.last(id).(Dispatch).Server
+	h.tick(AttemptEnded{Request: id, Result: Withheld, Declined: true, Confidence: -1})
+	if got, ok := h.last(id).(Dispatch); !ok || got.Server.ID == declined.ID {
+		t.Fatalf("%#v, want a dispatch to another server than %s", h.last(id), declined.ID)
+	}
+	for range 20 {
+		if got, ok := h.last(h.arrive(streamRoute(), nil)).(Dispatch); ok && got.Server.ID == declined.ID {
+			t.Fatalf("%s is offered again at once", declined.ID)
+		}
+	}
+	h.advance(rejectedBackoff)
+	h.tick()
+	if s := h.world.servers[declined.ID]; !s.usable(h.now) {
+		t.Errorf("%s is not usable %v after peers declined it", declined.ID, rejectedBackoff)
+	}
+}
--- a/router/internal/passthrough/attempt.go
+++ b/router/internal/passthrough/attempt.go
@@ -69,8 +69,9 @@
 	peer       string
 	tunnelLost bool
 	pathLost   bool
-	// noPermit is true if no peer had a free permit for the server.
+	// noPermit is true if no peer had a free permit for the server, declined if no peer sends to it.
 	noPermit bool
+	declined bool
 	// eventInterval is the mean time between the events of a stream, 0 for fewer than two.
 	// For a plain response it is the time from startedAt to the end of the response.
 	eventInterval time.Duration
@@ -96,6 +97,9 @@
 // run sends the request and reads the response.
 func (a *attempt) run(ctx context.Context) outcome {
 	c, err := a.connect(ctx)
+	if errors.Is(err, errDeclined) {
+		return outcome{result: passthrough.Withheld, err: err, declined: true}
+	}
 	if err != nil {
 		return outcome{result: passthrough.NotSent, err: err, noPermit: errors.Is(err, errNoPermit),
 			pathLost: errors.Is(err, errNoPath) || errors.Is(err, errNoPeer)}
--- a/router/internal/passthrough/exchange.go
+++ b/router/internal/passthrough/exchange.go
@@ -182,7 +182,7 @@
 		Request: x.ticket.id, Result: out.result, Begun: x.stream.begun,
 		Misdirected: out.misdirected, Leaving: out.leaving, ConnectionLost: out.connectionLost, EventInterval: out.eventInterval,
 		Confidence: out.confidence, Limit: limit,
-		ViaPeer: out.peer != "", TunnelLost: out.tunnelLost, PathLost: out.pathLost, NoPermit: out.noPermit,
+		ViaPeer: out.peer != "", TunnelLost: out.tunnelLost, PathLost: out.pathLost, NoPermit: out.noPermit, Declined: out.declined,
 	})
 	if out.result != passthrough.Completed {
 		return false
--- a/router/internal/passthrough/peerdial.go
+++ b/router/internal/passthrough/peerdial.go
@@ -24,12 +24,18 @@
 	case errors.Is(err, tunnel.ErrNoPath):
 		d.path.reportDial(to, passthrough.PeersCutOff)
 		return nil, errNoPath
+	case errors.Is(err, tunnel.ErrDeclined):
+		return nil, errDeclined
 	}
 	return nil, errNoPeer
 }
 
-// errNoPermit means that no peer had a free permit for the server.
-var errNoPermit = errors.New("no peer has a free permit for the backend server")
+var (
+	// errNoPermit means that no peer had a free permit for the server.
+	errNoPermit = errors.New("no peer has a free permit for the backend server")
+	// errDeclined means that peers do not send to the server.
+	errDeclined = errors.New("peers do not send to the backend server: it is leaving, wants no requests for a time, or is not in their lists")
+)
 
 // dialWithPermit opens a connection to the server through one of the peers that have permits for it.
 func (d *dialer) dialWithPermit(ctx context.Context, to passthrough.Server, peers []string) (*conn, error) {
@@ -39,6 +45,8 @@
 		return &conn{ReadWriteCloser: c, peer: c.Peer(), clock: d.clock, serverLastReceived: d.lastReceivedFrom(to.ID)}, nil
 	case ctx.Err() != nil:
 		return nil, ctx.Err()
+	case errors.Is(err, tunnel.ErrDeclined):
+		return nil, errDeclined
 	}
 	return nil, errNoPermit
 }
@@ -115,7 +123,7 @@
 		return nil, err
 	}
 	got := <-result
-	if errors.Is(got.err, errNoPeer) {
+	if errors.Is(got.err, errNoPeer) || errors.Is(got.err, errDeclined) {
 		return nil, err // there is nothing to compare with
 	}
 	return got.conn, got.err
--- a/router/internal/tunnel/dialer.go
+++ b/router/internal/tunnel/dialer.go
@@ -45,8 +45,8 @@
 }
 
 // Dial opens a tunnel to the backend server. The first peer that has connected to it is used. After an error,
-// nothing was sent to the server: ErrUnreachable if a peer with a path could not connect to it, ErrNoPath if
-// peers have no path either, else ErrNoPeer, or ctx's error.
+// nothing was sent to the server: ErrUnreachable if a peer with a path could not connect to it, ErrDeclined if a
+// peer does not send to it, ErrNoPath if peers have no path either, else ErrNoPeer, or ctx's error.
 func (d *Dialer) Dial(ctx context.Context, to Target) (*Conn, error) {
 	peers, usable := d.peers.choose(peersAsked)
 	if usable < fewPeers {
@@ -75,11 +75,8 @@
 				r.returned = got.conn
 				return got.conn, nil
 			}
-			switch {
-			case errors.Is(got.err, ErrNoPath) && failure == ErrNoPeer:
-				failure = ErrNoPath
-			case errors.Is(got.err, ErrUnreachable):
-				failure = ErrUnreachable
+			failure = moreSpecific(failure, got.err)
+			if errors.Is(got.err, ErrUnreachable) {
 				if unreachable++; unreachable == enoughPeers {
 					peers = nil
 				}
@@ -96,6 +93,17 @@
 	}
 }
 
+// moreSpecific returns that of the two failures which says more about the backend server. failure is one that
+// Dial returns, err any.
+func moreSpecific(failure, err error) error {
+	for _, specific := range []error{ErrUnreachable, ErrDeclined, ErrNoPath} {
+		if failure == specific || errors.Is(err, specific) {
+			return specific
+		}
+	}
+	return ErrNoPeer
+}
+
 const (
 	// permitTimeout bounds the opening of a tunnel with a permit through one peer.
 	permitTimeout = 250 * time.Millisecond
@@ -105,10 +113,13 @@
 
 // DialWithPermit opens a tunnel to the backend server through the first of the named peers that has a free
 // permit for it. The peers are asked one after the other, so that the request holds one permit at most. After
-// an error, nothing was sent to the server.
+// an error, nothing was sent to the server: ErrDeclined if no peer that was asked sends to it, ErrNoPermit if
+// none has a free permit, or ctx's error.
 func (d *Dialer) DialWithPermit(ctx context.Context, to Target, names []string) (*Conn, error) {
 	peers := d.peers.named(names)
-	for _, through := range peers[:min(permitPeersAsked, len(peers))] {
+	peers = peers[:min(permitPeersAsked, len(peers))]
+	declined := 0
+	for _, through := range peers {
 		c := newConn(d.peers, through, &gate{})
 		opened := make(chan error, 1)
 		go func() { opened <- c.open(d.transport, to) }()
@@ -124,13 +135,19 @@
 			return c, nil
 		}
 		_ = c.Close()
-		if !errors.Is(err, ErrNoPermit) {
+		switch {
+		case errors.Is(err, ErrDeclined):
+			declined++
+		case !errors.Is(err, ErrNoPermit):
 			d.peers.failed(through)
 		}
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
 	}
+	if declined > 0 && declined == len(peers) {
+		return nil, ErrDeclined
+	}
 	return nil, ErrNoPermit
 }
 
