TCP_USER_TIMEOUT on tunnels is tested by what it does

What callers would see: none of this was wrong. So far the tests read the socket options alone; no test showed that the timeout ends a tunnel, nor that it spares a server that reads nothing for a moment.

--- a/router/internal/tunnel/tunnel_test.go
+++ b/router/internal/tunnel/tunnel_test.go
@@ -576,6 +576,57 @@
 	}
 }
 
+// TestLongRequestOutlastsASilentSecond guards against a user timeout that ends the tunnel of a long request while
+// a sound server reads nothing for a moment.
+func TestLongRequestOutlastsASilentSecond(t *testing.T) {
+	const size = 16 << 20 // more than all buffers on the way
+	b := startBackend(t, func(c *net.TCPConn, first string) {
+		time.Sleep(1500 * time.Millisecond)
+		n, _ := io.CopyN(io.Discard, c, size-int64(len(first)))
+		_, _ = fmt.Fprint(c, n+int64(len(first)))
+	})
+	address, _ := startServer(t, &Server{})
+	c, err := newTestDialer(address).Dial(t.Context(), b.Target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := exchange(t, c, strings.Repeat("x", size)); got != strconv.Itoa(size) || err != nil {
+		t.Errorf("the server got %q bytes, %v, want %d", got, err, size)
+	}
+}
+
+// TestPeerThatStopsReadingIsDetected guards against a long request that waits for its deadline at a peer which has
+// stopped: the user timeout ends the tunnel, and nothing before it does.
+func TestPeerThatStopsReadingIsDetected(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		_, _ = c.Read(make([]byte, 4<<10))
+		_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
+	}()
+	c, err := newTestDialer(l.Addr().String()).Dial(t.Context(), Target{ID: "server-1", Address: "127.0.0.1:1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	began := time.Now()
+	// The window is probed at intervals that double, so that the timeout is noticed late.
+	const limit = 3 * deadPeerTimeout
+	time.AfterFunc(limit, func() { _ = c.Close() })
+	_, err = c.Write(make([]byte, 16<<20))
+	if took := time.Since(began); err == nil || took < deadPeerTimeout-100*time.Millisecond || took >= limit {
+		t.Errorf("%v after %v, want an error after %v, and before %v", err, took, deadPeerTimeout, limit)
+	}
+}
+
 // TestOnlyTunnelsAreServed guards against an instance that can be used to reach anything.
 func TestOnlyTunnelsAreServed(t *testing.T) {
 	b := startBackend(t, echo)
