--- a/decision/passthrough/permits.go
+++ b/decision/passthrough/permits.go
@@ -10,10 +10,10 @@
 // While a service is brittle, each slot of each of its servers is a permit of one instance; at engines some slots
 // stay free. Permits are dealt to the failure domains in turn, and within a failure domain to instances by
 // rendezvous hashing with bounded loads, so that instances that know the same servers and neighbours agree on them
-// without any message, few permits change hands when an instance comes or goes, and none has many more than others. An instance
-// whose permits are in use, or that has none, sends through a peer of its failure domain that has some; the
-// peer sends the request on once a permit is free. So a server never gets more requests than it has slots,
-// however many instances there are.
+// without any message, few permits change hands when an instance comes or goes, and none has many more than
+// others. An instance whose permits are in use, or that has none, sends through a peer of its failure domain
+// that has some; the peer sends the request on once a permit is free. So a server never gets more requests than
+// it has slots, however many instances there are.
 
 const (
 	// maxPermitPeers is how many peers with permits are named for a request, some of which may be gone.
--- a/router/internal/relay/loads.go
+++ b/router/internal/relay/loads.go
@@ -28,9 +28,9 @@
 	Instances int
 }
 
-// LoadExchange exchanges the instances' loads at the backend servers, and what backend servers stated:
-// rate limits, that they are leaving, and that they are brittle. Each instance sends a report to its collector, and gets the
-// sum of all others. A collector does the same with the first-ranked collector of all failure domains,
+// LoadExchange exchanges the instances' loads at the backend servers, and what backend servers stated: rate
+// limits, that they are leaving, and that they are brittle. Each instance sends a report to its collector, and
+// gets the sum of all others. A collector does the same with the first-ranked collector of all failure domains,
 // so that each sum covers all instances.
 type LoadExchange struct {
 	client *Client
