Tests of the tunnel: no server shared by parallel cases, four tunnels at a time

What was seen: with the race detector, six copies of the package's tests side by side at a load of 28, 4 of 24 runs report a data race in TestUnopenedTunnelSendsNothing: two of its parallel cases, one of them new, start the same stopping server. At a load of 30, 1 of 24 runs of TestOnePeerOfSeveralIsUsed opens no tunnel within the 0.6 s of the product, for twenty are opened at once.

Change: each case has its own server; four of the twenty tunnels are opened at a time. The checks are unchanged.

--- a/router/internal/tunnel/tunnel_test.go
+++ b/router/internal/tunnel/tunnel_test.go
@@ -242,8 +242,11 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	draining := &Server{}
-	draining.Drain()
+	draining := func() *Server {
+		s := &Server{}
+		s.Drain()
+		return s
+	}
 	full := &Server{Limit: 1}
 	full.open.Add(1)
 	cases := map[string]struct {
@@ -253,11 +256,11 @@
 		"no peer":                         {nil, ErrNoPeer},
 		"peer without a path":             {[]*Server{{Connect: refuse(ErrNoPath)}}, ErrNoPath},
 		"server not in the peer's list":   {[]*Server{{Connect: refuse(ErrDeclined)}}, ErrDeclined},
-		"declined, and a peer stops":      {[]*Server{draining, {Connect: refuse(ErrDeclined)}}, ErrDeclined},
+		"declined, and a peer stops":      {[]*Server{draining(), {Connect: refuse(ErrDeclined)}}, ErrDeclined},
 		"declined, and no path":           {[]*Server{{Connect: refuse(ErrDeclined)}, {Connect: refuse(ErrNoPath)}}, ErrDeclined},
 		"declined, and server down":       {[]*Server{{Connect: refuse(ErrUnreachable)}, {Connect: refuse(ErrDeclined)}}, ErrUnreachable},
 		"server down for the peer":        {[]*Server{{Connect: refuse(ErrUnreachable)}}, ErrUnreachable},
-		"peer stops":                      {[]*Server{draining}, ErrNoPeer},
+		"peer stops":                      {[]*Server{draining()}, ErrNoPeer},
 		"peer is full":                    {[]*Server{full}, ErrNoPeer},
 		"peer hangs":                      {[]*Server{{Connect: hang}}, ErrNoPeer},
 		"server down for two of three":    {[]*Server{{Connect: refuse(ErrUnreachable)}, {Connect: refuse(ErrUnreachable)}, {Connect: refuse(ErrNoPath)}}, ErrUnreachable},
@@ -311,8 +314,11 @@
 		addresses = append(addresses, address)
 	}
 	var requests sync.WaitGroup
+	running := make(chan struct{}, 4)
 	for i := range count {
 		requests.Go(func() {
+			running <- struct{}{}
+			defer func() { <-running }()
 			// A dialer of its own: a peer that was slower for one request is still asked for the others.
 			c, err := newTestDialer(addresses...).Dial(t.Context(), Target{ID: strconv.Itoa(i), Address: b.Address})
 			if err != nil {
