--- a/decision/passthrough/attempt.go
+++ b/decision/passthrough/attempt.go
@@ -79,7 +79,7 @@
 		// to peers for this server one after the other.
 		s.backOff(w.now.Add(rejectedBackoff))
 	}
-	if e.Result == Withheld || r.withdrawn || w.path.saysNothing(r, e) {
+	if e.Result == Withheld || r.withdrawn || w.saysNothing(r, s, e) {
 		return
 	}
 	if e.Result == NotSent {
@@ -88,7 +88,7 @@
 		w.emit(RefreshServers{Server: s.ID})
 		return
 	}
-	w.observeSent(r, e)
+	w.observeSent(r, s, e)
 	if e.Leaving || e.Misdirected {
 		s.shownLeaving = true
 		w.emit(RefreshServers{Server: s.ID})
--- a/decision/passthrough/filter.go
+++ b/decision/passthrough/filter.go
@@ -7,18 +7,21 @@
 const overcommit = 1
 
 // candidates lists the servers that may take the request and have a free slot. It leaves
-// out ejected servers and those that the request has already tried, if there are others.
+// out servers that this instance does not reach itself, ejected ones and those that the request has already tried, if
+// there are others.
 // If all are ejected, the fault is likely in the requests or the network, and an
 // attempt is better than a refusal.
 func (w *World) candidates(r *request, views []serverView) []serverView {
 	fits, maxWait := w.versionFilter(r), r.maxPrefillWait(w.now)
-	var ejected, tried []serverView
+	var unreached, ejected, tried []serverView
 	w.eligible = w.eligible[:0]
 	for _, v := range views {
 		if !v.hasFreeSlot() || v.wait > maxWait || !fits(v.server) || !w.allowSlowStart(v.server) || !w.allowLimit(v.server) || !w.allowBrittle(v) {
 			continue
 		}
 		switch wasTried := slices.Contains(r.tried, v.server); {
+		case !wasTried && w.path.links.Avoids(w.now, v.server.ID):
+			unreached = append(unreached, v)
 		case !wasTried && !v.server.health.ejected(w.now):
 			w.eligible = append(w.eligible, v)
 		case !wasTried:
@@ -31,6 +34,8 @@
 	switch {
 	case len(w.eligible) > 0:
 		list = w.eligible
+	case len(unreached) > 0:
+		list = unreached
 	case len(ejected) > 0:
 		list = ejected
 	}
--- a/decision/passthrough/path.go
+++ b/decision/passthrough/path.go
@@ -1,22 +1,18 @@
 package passthrough
 
-import "time"
+import (
+	"time"
 
-// An instance may lose its path to all backend servers while callers, the store and the other instances
-// still reach it. Its failed connections then say nothing about the servers. They are compared with what
-// peers see: if a peer reaches a server that this instance does not, the path is lost, and requests are
-// sent through peers.
+	"masticplank.example/decision/reach"
+)
+
+// An instance may lose its links to backend servers while callers, the store and the other instances still reach it. Its
+// failed connections then say nothing about the servers. They are compared with what peers see (package reach): if a peer
+// reaches a server that this instance does not, the link is lost, and requests are sent through peers.
 
 const (
-	// minUnreachedServers is how many servers must be unreached, with no connection to any other one
-	// meanwhile, for the path to be suspect: a single server that is down is the common case.
-	minUnreachedServers = 2
-	// maxUnreachedForNoWay is how many servers must be unreached, at the most, for requests to be refused.
-	maxUnreachedForNoWay = 6
-	// pathProbeInterval is the time between two direct connections that are tried while the path is lost.
-	pathProbeInterval = 200 * time.Millisecond
-	// peerCheckInterval is for how long no peer is asked after peers could not reach the servers either.
-	peerCheckInterval = 700 * time.Millisecond
+	// minHeldReports is how many servers must be missed in a row for reports to the other instances to be held back.
+	minHeldReports = 2
 	// heldReportDelay is for how long reports to the other instances are held back while the path is
 	// suspect: as long as it takes to compare with a peer.
 	heldReportDelay = 600 * time.Millisecond
@@ -25,23 +21,6 @@
 	longSuspicion = time.Second
 )
 
-// PathState is what an instance knows of its path to the backend servers.
-type PathState uint8
-
-const (
-	// PathUp: connections to servers succeed.
-	PathUp PathState = iota
-	// PathSuspect: connections to several servers have failed, and none has succeeded since.
-	PathSuspect
-	// PathLost: a peer reaches servers that this instance does not.
-	PathLost
-)
-
-// String is the state's name in logs.
-func (p PathState) String() string {
-	return [...]string{"up", "suspect", "lost"}[p]
-}
-
 // DialOutcome is how a connection attempt to a server went.
 type DialOutcome uint8
 
@@ -56,7 +35,7 @@
 	TunnelSucceeded
 	// TunnelFailed: a peer that reaches other servers could not connect to this one.
 	TunnelFailed
-	// PeersCutOff: the peers that were asked reach no server either.
+	// PeersCutOff: a search among the peers has found none that reaches any server.
 	PeersCutOff
 )
 
@@ -66,46 +45,22 @@
 	Outcome DialOutcome
 }
 
-// PathPlan says how to connect to a server now.
-type PathPlan struct {
-	// Direct and ViaPeer say which ways to try. If both are set, the peer is asked once the direct
-	// connection is slow or has failed; if none is, there is no way.
-	Direct  bool
-	ViaPeer bool
-	// Probe asks for a direct connection that carries no request, to find out whether the path is back.
-	Probe bool
-}
-
-// PathChanged reports that the path to the servers was lost, or is back. Unreached is the number of
-// servers that were not reached.
+// PathChanged reports that links to the servers were lost, or are back. Unreached is the number of servers that were
+// missed in a row.
 type PathChanged struct {
-	State     PathState
+	State     reach.State
 	Unreached int
-	// Duration is how long the path was lost; 0 for PathLost.
+	// Duration is for how long links were lost; 0 for reach.Lost.
 	Duration time.Duration
 }
 
-// path is the state of this instance's path to the backend servers.
+// path is what is known of this instance's links, and what follows for the conclusions about the servers.
 type path struct {
-	state PathState
-	// unreached are the servers that were not reached since a direct connection last succeeded, with what
-	// was known of them before.
-	unreached map[*server]serverKnowledge
-	// unreachedAt is when a server was last not reached.
-	unreachedAt time.Time
-	// crashes are the fingerprints that were counted as crashes since a direct connection last succeeded.
-	crashes []uint64
-	// peersUnreached are the servers that peers could not reach either since the path became suspect.
-	peersUnreached map[*server]bool
-	// changedAt is when the state last changed, restoredAt when the path last came back.
-	changedAt  time.Time
+	links *reach.Links
+	// before is what was known of the servers before they were missed.
+	before map[*server]serverKnowledge
+	// restoredAt is when this instance was last no longer cut off.
 	restoredAt time.Time
-	// nextProbeAt is when the next direct connection is tried while the path is lost; noPeersUntil is
-	// until when no peer is asked.
-	nextProbeAt  time.Time
-	noPeersUntil time.Time
-	// noWayUntil is until when requests are refused, as peers reach no server either.
-	noWayUntil time.Time
 	// held are reports to the other instances that wait for the state to be clear.
 	held []heldReport
 }
@@ -115,6 +70,8 @@
 	backoffUntil   time.Time
 	slowStartUntil time.Time
 	health         health
+	// crashes are the fingerprints that were counted as crashes of the server since.
+	crashes []uint64
 }
 
 // heldReport is a report that is held back.
@@ -124,13 +81,23 @@
 }
 
 func newPath() path {
-	return path{unreached: map[*server]serverKnowledge{}, peersUnreached: map[*server]bool{}}
+	return path{links: reach.NewLinks(), before: map[*server]serverKnowledge{}}
 }
 
 // remember keeps what is known of a server before anything is concluded from its failed connections.
 func (p *path) remember(s *server) {
-	if _, known := p.unreached[s]; !known {
-		p.unreached[s] = serverKnowledge{s.backoffUntil, s.slowStart.until, s.health}
+	if _, known := p.before[s]; !known {
+		p.before[s] = serverKnowledge{backoffUntil: s.backoffUntil, slowStartUntil: s.slowStart.until, health: s.health}
+	}
+}
+
+// setServers forgets the links to servers that are no longer listed.
+func (p *path) setServers(now time.Time, servers map[string]*server) {
+	p.links.SetServers(now, len(servers), func(id string) bool { return servers[id] != nil })
+	for s := range p.before {
+		if s.gone {
+			delete(p.before, s)
+		}
 	}
 }
 
@@ -140,142 +107,125 @@
 	if s == nil {
 		return
 	}
-	p := &w.path
 	switch e.Outcome {
 	case DialSucceeded:
-		w.restorePath()
+		w.linkReached(s)
 	case DialSlow, DialFailed:
-		w.suspectPath(s)
+		w.linkMissed(s)
 	case TunnelSucceeded:
-		if p.state == PathSuspect {
-			w.losePath()
-		}
+		w.peerReached(s)
 	case TunnelFailed:
-		p.peersUnreached[s] = true
-		if p.state == PathSuspect && len(p.peersUnreached) >= minUnreachedServers {
-			p.noPeersUntil = w.now.Add(peerCheckInterval)
-			clear(p.peersUnreached)
-		}
+		w.path.links.PeersMissed(w.now, s.ID)
 	case PeersCutOff:
-		if p.state == PathSuspect && !w.now.Before(p.noWayUntil) && len(p.unreached) >= w.unreachedForNoWay() {
-			p.noWayUntil, p.nextProbeAt = w.now.Add(peerCheckInterval), w.now.Add(pathProbeInterval)
-		}
+		w.path.links.NobodyReaches(w.now)
 	}
 }
 
-// unreachedForNoWay is how many servers must be unreached for requests to be refused.
-//
-// Load: servers that crash one after the other, so that all instances miss some of them at the same time. Harm
-// prevented: each instance hears from the others that they have no path either, and all refuse their requests although
-// most servers are up.
-func (w *World) unreachedForNoWay() int {
-	return min(max((len(w.servers)+1)/2, minUnreachedServers), maxUnreachedForNoWay)
-}
-
-// suspectPath records that a server was not reached.
-func (w *World) suspectPath(s *server) {
-	p := &w.path
-	p.remember(s)
-	p.unreachedAt = w.now
-	if p.state == PathUp && len(p.unreached) >= min(minUnreachedServers, len(w.servers)) {
-		p.state, p.changedAt = PathSuspect, w.now
-		clear(p.peersUnreached)
-	}
+// linkMissed records that a server was not reached.
+func (w *World) linkMissed(s *server) {
+	w.path.remember(s)
+	w.path.links.Missed(w.now, s.ID)
 }
 
-// losePath records that a peer reaches servers that this instance does not. What was concluded from its
-// failed connections is dropped.
+// peerReached records that a peer reaches a server. If this instance does not, what was concluded from its failed
+// connections is dropped.
 //
-// Load: an instance that is cut off from all servers while its callers, the store and its peers reach it.
-// Harm prevented: servers in backoff, ejected or in slow start for up to 12 s after the path is back;
-// requests that all instances refuse as having crashed servers; and good versions that are judged bad.
-func (w *World) losePath() {
-	p := &w.path
-	p.state, p.changedAt, p.nextProbeAt = PathLost, w.now, w.now.Add(pathProbeInterval)
-	w.emit(PathChanged{State: PathLost, Unreached: len(p.unreached)})
-	w.dropConclusions()
+// Load: an instance that is cut off from servers while its callers, the store and its peers reach it. Harm prevented:
+// servers in backoff, ejected or in slow start for up to 12 s after the path is back; requests that all instances
+// refuse as having crashed servers; and good versions that are judged bad.
+func (w *World) peerReached(s *server) {
+	links := w.path.links
+	wasState, _ := links.State()
+	if !links.PeerReached(w.now, s.ID) {
+		return
+	}
+	state, _ := links.State()
+	if state == reach.Lost && wasState != reach.Lost {
+		w.emit(PathChanged{State: reach.Lost, Unreached: links.MissedCount()})
+	}
+	if links.IsCutOff() {
+		w.dropConclusions()
+	} else if state == reach.Lost {
+		w.dropLinkConclusions(s)
+	}
 }
 
-// restorePath records that a direct connection has succeeded.
-func (w *World) restorePath() {
+// linkReached records that a direct connection has succeeded.
+func (w *World) linkReached(s *server) {
 	p := &w.path
-	switch {
-	case p.state == PathLost:
-		w.emit(PathChanged{State: PathUp, Unreached: len(p.unreached), Duration: w.now.Sub(p.changedAt)})
-		p.restoredAt = w.now
-		w.dropConclusions()
-	case p.state == PathSuspect && w.now.Sub(p.changedAt) >= longSuspicion:
+	state, since := p.links.State()
+	wasCutOff := p.links.IsCutOff()
+	unreached := p.links.MissedCount()
+	p.links.Reached(w.now, s.ID)
+	now, _ := p.links.State()
+	if state == reach.Lost && now != reach.Lost {
+		w.emit(PathChanged{State: reach.Up, Unreached: unreached, Duration: w.now.Sub(since)})
+	}
+	if wasCutOff || state == reach.Suspect && w.now.Sub(since) >= longSuspicion {
 		p.restoredAt = w.now
 		w.dropConclusions()
 	}
-	if p.state != PathUp {
-		p.state, p.changedAt = PathUp, w.now
-	}
-	clear(p.unreached)
-	p.crashes = p.crashes[:0]
+	delete(p.before, s)
 }
 
-// dropConclusions restores what was known of the servers before they were not reached. A time that a server
-// has asked for, and a slow start that its entry states, still hold.
+// dropConclusions restores what was known of the servers before they were not reached.
 func (w *World) dropConclusions() {
 	p := &w.path
-	for s, before := range p.unreached {
-		s.backoffUntil = before.backoffUntil
-		s.backOff(s.statedBackoffUntil)
-		s.health = before.health
+	for s, before := range p.before {
 		if s.SlowStartRemaining == 0 {
 			s.slowStart.until = before.slowStartUntil
 		}
+		w.dropLinkConclusions(s)
 	}
-	for _, fingerprint := range p.crashes {
-		w.crashes.withdraw(fingerprint)
-	}
-	clear(p.unreached)
+	clear(p.before)
 	clear(w.lostServers)
-	p.crashes, p.held = p.crashes[:0], p.held[:0]
-	for _, s := range w.services {
-		w.markFreed(s)
-	}
+	p.held = p.held[:0]
 }
 
-// PlanPath says how to connect to a server now. It counts the probe that it asks for.
-func (w *World) PlanPath(now time.Time) PathPlan {
-	p := &w.path
-	switch {
-	case p.state == PathLost:
-		return PathPlan{ViaPeer: true, Probe: p.takeProbe(now)}
-	case w.HasNoWay(now):
-		return PathPlan{Probe: p.takeProbe(now)}
+// dropLinkConclusions restores what was known of one server. A time that it has asked for still holds, and so does its
+// slow start: it may have restarted.
+func (w *World) dropLinkConclusions(s *server) {
+	before, known := w.path.before[s]
+	if !known {
+		return
+	}
+	s.backoffUntil = before.backoffUntil
+	s.backOff(s.statedBackoffUntil)
+	s.health = before.health
+	for _, fingerprint := range before.crashes {
+		w.crashes.withdraw(fingerprint)
 	}
-	return PathPlan{Direct: true, ViaPeer: w.AsksPeers(now)}
+	before.crashes = nil
+	w.path.before[s] = before
+	w.markFreed(s.service)
 }
 
+// PlanPath says how to connect to the server now. It counts the probe that it asks for.
+func (w *World) PlanPath(now time.Time, id string) reach.Plan { return w.path.links.Plan(now, id) }
+
 // HasNoWay reports whether requests are refused, as neither this instance nor its peers reach the servers.
-func (w *World) HasNoWay(now time.Time) bool {
-	return w.path.state == PathSuspect && now.Before(w.path.noWayUntil)
-}
+func (w *World) HasNoWay(now time.Time) bool { return w.path.links.NobodyHasAPath(now) }
 
-// AsksPeers reports whether peers are asked for a connection now.
-func (w *World) AsksPeers(now time.Time) bool {
-	p := &w.path
-	return p.state == PathLost || p.state == PathSuspect && !now.Before(p.noPeersUntil) && !now.Before(p.noWayUntil)
-}
+// AsksPeers reports whether peers are asked for a connection to the server now.
+func (w *World) AsksPeers(now time.Time, id string) bool { return w.path.links.AsksPeers(now, id) }
 
-// takeProbe reports whether a probe is due, and counts it.
-func (p *path) takeProbe(now time.Time) bool {
-	if now.Before(p.nextProbeAt) {
-		return false
-	}
-	p.nextProbeAt = now.Add(pathProbeInterval)
-	return true
-}
-
-// PathUndisturbed reports whether no server is known to be unreached, so that a connection that succeeds
+// PathUndisturbed reports whether there is no evidence against any link, so that a connection that succeeds
 // changes nothing.
-func (w *World) PathUndisturbed() bool { return w.path.state == PathUp && len(w.path.unreached) == 0 }
+func (w *World) PathUndisturbed() bool { return w.path.links.Undisturbed() }
+
+// Path returns the state of the links to the servers, and since when it has been so.
+func (w *World) Path() (reach.State, time.Time) { return w.path.links.State() }
+
+// PathStanding is what this instance tells its peers of its path.
+func (w *World) PathStanding(now time.Time) reach.Standing { return w.path.links.Standing(now) }
 
-// Path returns the state of the path to the servers, and since when it has been so.
-func (w *World) Path() (PathState, time.Time) { return w.path.state, w.path.changedAt }
+// MissesServer reports whether the latest direct connection to the server has failed.
+func (w *World) MissesServer(id string) bool { return w.path.links.Misses(id) }
+
+// LinkLostSince returns since when requests for the server are sent through peers only; ok is false if they are not.
+func (w *World) LinkLostSince(now time.Time, id string) (since time.Time, ok bool) {
+	return w.path.links.LostSince(now, id)
+}
 
 // UsableServer returns the listed server with the id and the address, if it may get requests.
 func (w *World) UsableServer(now time.Time, id, address string) (Server, bool) {
@@ -286,25 +236,24 @@
 	return s.Server, true
 }
 
-// saysNothing reports whether an attempt's failure says nothing about its server: the path was lost
+// saysNothing reports whether an attempt's failure says nothing about its server: its link was lost
 // meanwhile, or the connection to a peer broke.
-func (p *path) saysNothing(r *request, e AttemptEnded) bool {
+func (w *World) saysNothing(r *request, s *server, e AttemptEnded) bool {
 	if e.Result != NotSent && e.Result != Broken {
 		return false
 	}
 	if e.PathLost || e.TunnelLost || e.NoPermit || e.NoShare {
 		return true
 	}
-	return !e.ViaPeer && (p.state == PathLost || r.sent.Before(p.restoredAt))
+	return !e.ViaPeer && (w.path.links.IsLost(w.now, s.ID) || r.sent.Before(w.path.restoredAt))
 }
 
-// observeSent drops what is known of unreached servers if the attempt was sent after it: its connection has
+// observeSent drops the evidence against links if the attempt was sent after it: its connection has
 // succeeded since then.
-func (w *World) observeSent(r *request, e AttemptEnded) {
-	p := &w.path
-	if !e.ViaPeer && p.state == PathUp && !r.sent.Before(p.unreachedAt) {
-		clear(p.unreached)
-		p.crashes = p.crashes[:0]
+func (w *World) observeSent(r *request, s *server, e AttemptEnded) {
+	links := w.path.links
+	if state, _ := links.State(); !e.ViaPeer && state == reach.Up && !links.Undisturbed() && !r.sent.Before(links.LastMissedAt()) {
+		w.linkReached(s)
 	}
 }
 
@@ -313,23 +262,25 @@
 	if e.ViaPeer {
 		return
 	}
-	w.suspectPath(s)
-	w.path.crashes = append(w.path.crashes, r.Fingerprint)
+	w.linkMissed(s)
+	before := w.path.before[s]
+	before.crashes = append(before.crashes, r.Fingerprint)
+	w.path.before[s] = before
 }
 
-// report emits a report to the other instances. It is held back while several servers are unreached.
+// report emits a report to the other instances. It is held back while several servers are missed.
 func (w *World) report(c Command) {
-	if len(w.path.unreached) < minUnreachedServers {
+	if w.path.links.MissedCount() < minHeldReports {
 		w.emit(c)
 		return
 	}
 	w.path.held = append(w.path.held, heldReport{c, w.now})
 }
 
-// releaseHeld emits the reports that were held back long enough.
-func (w *World) releaseHeld() {
+// releaseHeldAfter emits the reports that were held back for the delay.
+func (w *World) releaseHeldAfter(delay time.Duration) {
 	p := &w.path
-	for len(p.held) > 0 && w.now.Sub(p.held[0].at) >= heldReportDelay {
+	for len(p.held) > 0 && w.now.Sub(p.held[0].at) >= delay {
 		w.emit(p.held[0].command)
 		p.held = p.held[1:]
 	}
--- a/decision/passthrough/path_test.go
+++ b/decision/passthrough/path_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"masticplank.example/decision/reach"
 )
 
 // newPathHarness returns a harness with a stream route to six engines, of which half are in each of two
@@ -26,7 +28,7 @@
 	return out
 }
 
-func (h *harness) wantPath(want PathState) {
+func (h *harness) wantPath(want reach.State) {
 	h.t.Helper()
 	if got, _ := h.world.Path(); got != want {
 		h.t.Fatalf("path %v, want %v", got, want)
@@ -39,21 +41,24 @@
 	for _, outcome := range []DialOutcome{DialFailed, DialSlow} {
 		h, list := newPathHarness(t)
 		h.dial(outcome, list[0], list[0])
-		h.wantPath(PathUp)
+		h.wantPath(reach.Up)
 		h.dial(outcome, list[1])
-		h.wantPath(PathSuspect)
-		if plan := h.world.PlanPath(h.now); !plan.Direct || !plan.ViaPeer {
+		h.wantPath(reach.Suspect)
+		if plan := h.world.PlanPath(h.now, list[1].ID); !plan.Direct || !plan.ViaPeer {
 			t.Errorf("plan %+v while the path is suspect, want both ways", plan)
 		}
 		h.dial(TunnelSucceeded, list[1])
-		h.wantPath(PathLost)
+		h.wantPath(reach.Lost)
 		h.dial(DialFailed, list[2])
-		h.wantPath(PathLost)
+		h.wantPath(reach.Lost)
 		h.dial(DialSucceeded, list[2])
-		h.wantPath(PathUp)
-		if plan := h.world.PlanPath(h.now); plan != (PathPlan{Direct: true}) {
+		h.wantPath(reach.Up)
+		if plan := h.world.PlanPath(h.now, list[2].ID); plan != (reach.Plan{Direct: true}) {
 			t.Errorf("plan %+v after the path is back, want direct connections only", plan)
 		}
+		if plan := h.world.PlanPath(h.now, list[1].ID); !plan.Direct {
+			t.Errorf("plan %+v for a server not reached since, want a direct connection", plan)
+		}
 	}
 }
 
@@ -65,23 +70,43 @@
 		h.dial(DialFailed, list[0])
 		h.dial(DialSucceeded, list[1])
 		h.dial(DialFailed, list[2])
-		h.wantPath(PathUp)
+		h.wantPath(reach.Up)
 	}
 }
 
 // TestNoPeerIsAskedWhileServersAreDownForAll guards against a wave of useless requests to peers when the
 // servers cannot be reached by anyone.
 func TestNoPeerIsAskedWhileServersAreDownForAll(t *testing.T) {
+	h, list := newPathHarness(t)
+	h.dial(DialFailed, list...)
+	h.dial(TunnelFailed, list...)
+	h.wantPath(reach.Suspect)
+	const pause = 700 * time.Millisecond
+	for _, s := range list {
+		if plan := h.world.PlanPath(h.now, s.ID); plan.ViaPeer || !plan.Direct {
+			t.Errorf("%s: plan %+v after peers could not reach it either, want direct connections only", s.ID, plan)
+		}
+	}
+	h.advance(pause)
+	if plan := h.world.PlanPath(h.now, list[0].ID); !plan.ViaPeer {
+		t.Errorf("plan %+v after %v, want peers to be asked again", plan, pause)
+	}
+}
+
+// TestServersThatAreDownForAllDoNotHideALostPath guards against an instance that asks no peer for any server, because
+// peers could not connect to two that are down for all.
+func TestServersThatAreDownForAllDoNotHideALostPath(t *testing.T) {
 	h, list := newPathHarness(t)
 	h.dial(DialFailed, list...)
 	h.dial(TunnelFailed, list[0], list[1])
-	h.wantPath(PathSuspect)
-	if plan := h.world.PlanPath(h.now); plan.ViaPeer || !plan.Direct {
-		t.Errorf("plan %+v after peers could not reach the servers either, want direct connections only", plan)
+	if plan := h.world.PlanPath(h.now, list[2].ID); !plan.ViaPeer {
+		t.Errorf("plan %+v for a server that peers have not missed, want them to be asked", plan)
 	}
-	h.advance(peerCheckInterval)
-	if plan := h.world.PlanPath(h.now); !plan.ViaPeer {
-		t.Errorf("plan %+v after %v, want peers to be asked again", plan, peerCheckInterval)
+	h.dial(TunnelSucceeded, list[2])
+	h.wantPath(reach.Lost)
+	h.dial(TunnelFailed, list[0])
+	if plan := h.world.PlanPath(h.now, list[3].ID); !plan.ViaPeer || plan.Direct {
+		t.Errorf("plan %+v while the path is lost, want peers only", plan)
 	}
 }
 
@@ -92,12 +117,12 @@
 	h := newListedHarness(t, streamRoute(), list)
 	h.dial(DialFailed, list[0], list[1], list[2])
 	h.dial(PeersCutOff, list[2])
-	if plan := h.world.PlanPath(h.now); !plan.Direct || h.world.HasNoWay(h.now) {
+	if plan := h.world.PlanPath(h.now, list[3].ID); !plan.Direct || h.world.HasNoWay(h.now) {
 		t.Errorf("plan %+v with 3 of 18 servers unreached, want direct connections", plan)
 	}
 	h.dial(DialFailed, list[3:9]...)
 	h.dial(PeersCutOff, list[8])
-	if plan := h.world.PlanPath(h.now); plan.Direct || !h.world.HasNoWay(h.now) {
+	if plan := h.world.PlanPath(h.now, list[0].ID); plan.Direct || !h.world.HasNoWay(h.now) {
 		t.Errorf("plan %+v with 9 of 18 servers unreached, want no way", plan)
 	}
 }
@@ -108,15 +133,15 @@
 	h, list := newPathHarness(t)
 	h.dial(DialFailed, list[:len(list)/2]...)
 	h.dial(PeersCutOff, list[1])
-	if plan := h.world.PlanPath(h.now); plan != (PathPlan{}) || !h.world.HasNoWay(h.now) {
+	if plan := h.world.PlanPath(h.now, list[0].ID); plan != (reach.Plan{}) || !h.world.HasNoWay(h.now) {
 		t.Errorf("plan %+v, want no way", plan)
 	}
-	h.advance(pathProbeInterval)
-	if plan := h.world.PlanPath(h.now); plan != (PathPlan{Probe: true}) {
-		t.Errorf("plan %+v after %v, want a probe", plan, pathProbeInterval)
+	h.advance(reach.ProbeInterval)
+	if plan := h.world.PlanPath(h.now, list[0].ID); plan != (reach.Plan{Probe: true}) {
+		t.Errorf("plan %+v after %v, want a probe", plan, reach.ProbeInterval)
 	}
 	h.dial(DialSucceeded, list[0])
-	if plan := h.world.PlanPath(h.now); plan != (PathPlan{Direct: true}) {
+	if plan := h.world.PlanPath(h.now, list[0].ID); plan != (reach.Plan{Direct: true}) {
 		t.Errorf("plan %+v after the path is back, want direct connections", plan)
 	}
 }
@@ -130,7 +155,7 @@
 	probes := 0
 	for range 1000 {
 		h.advance(time.Millisecond)
-		plan := h.world.PlanPath(h.now)
+		plan := h.world.PlanPath(h.now, list[0].ID)
 		if plan.Direct {
 			t.Fatalf("plan %+v while the path is lost, want no direct connection but probes", plan)
 		}
@@ -139,7 +164,7 @@
 		}
 	}
 	if probes < 4 || probes > 5 {
-		t.Errorf("%d probes in a second, want one each %v", probes, pathProbeInterval)
+		t.Errorf("%d probes in a second, want one each %v", probes, reach.ProbeInterval)
 	}
 }
 
@@ -184,7 +209,7 @@
 	}
 	h.dial(DialFailed, list...)
 	h.dial(TunnelSucceeded, list[0])
-	h.wantPath(PathLost)
+	h.wantPath(reach.Lost)
 	h.advance(2 * heldReportDelay)
 	h.tick()
 	reported := map[string]bool{}
--- a/decision/passthrough/servers.go
+++ b/decision/passthrough/servers.go
@@ -54,6 +54,7 @@
 		w.enterSlowStart(added, s.SlowStartRemaining, CauseListed)
 		if known != nil {
 			w.retire(known)
+			w.path.links.Forget(w.now, s.ID)
 			added.slowStart.until = known.slowStart.until
 			w.enterSlowStart(added, added.service.slowStart.span, CauseRestarted)
 		}
@@ -65,6 +66,7 @@
 		}
 	}
 	w.rebuildIndexes(list)
+	w.path.setServers(w.now, w.servers)
 }
 
 // addServer adds the process of an entry that is new, or is back.
--- a/decision/passthrough/silent_test.go
+++ b/decision/passthrough/silent_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"masticplank.example/decision/reach"
 )
 
 // silentSim lets one of three plain servers fall silent: it accepts requests and answers none of them until it
@@ -90,7 +92,7 @@
 			if srv.health.ejected(s.now) || !srv.usable(s.now) || srv.inSlowStart(s.now) {
 				t.Errorf("ejected %v, usable %v, in slow start %v 0.2 s after it went on", srv.health.ejected(s.now), srv.usable(s.now), srv.inSlowStart(s.now))
 			}
-			if path, _ := s.world.Path(); path != PathUp {
+			if path, _ := s.world.Path(); path != reach.Up {
 				t.Errorf("path %v, want up", path)
 			}
 			for _, c := range s.allCommands {
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -138,7 +138,7 @@
 	for _, e := range in {
 		w.apply(e)
 	}
-	w.releaseHeld()
+	w.releaseHeldAfter(heldReportDelay)
 	w.wakeDueServices()
 	w.dispatchQueued()
 	return w.commands
--- a/router/internal/logging/catalogue.go
+++ b/router/internal/logging/catalogue.go
@@ -65,8 +65,9 @@
 	EventStoreRestored   = Event{223, "store_restored", slog.LevelWarn, "A topic of the platform's store was restored from a backup of an earlier state; its newest records are read again."}
 	EventStateKept       = Event{224, "state_kept", slog.LevelInfo, "State of this instance is kept although a store restored from a backup says otherwise; subject and key say which, reason why."}
 	EventServerLeaving   = Event{225, "server_leaving", slog.LevelInfo, "A backend server states in an answer that it is leaving: this instance sends it no new requests; own says whether the answer was to this instance or to another one."}
-	EventPathLost        = Event{227, "path_lost", slog.LevelWarn, "This instance reaches no backend server, but a peer does: requests are sent through peers; unreached is the number of servers that it could not reach."}
+	EventPathLost        = Event{227, "path_lost", slog.LevelWarn, "Peers reach several backend servers, or all, that this instance does not: requests for them are sent through peers; unreached is the number of servers that it missed in a row."}
 	EventPathRestored    = Event{228, "path_restored", slog.LevelInfo, "This instance reaches backend servers again."}
+	EventPathNowhere     = Event{230, "path_nowhere", slog.LevelWarn, "This instance misses backend servers and looked for a peer with a path; none of those that were asked has one. Requests are refused meanwhile, and the search goes on; known is the number of peers that it knows."}
 	EventServiceBrittle  = Event{229, "service_brittle", slog.LevelWarn, "A service's backend servers state that they fail if they reject more than per_second requests in a second, or, if brittle is false, no longer do: requests are sent only where there is room for certain."}
 	EventServerBackoff   = Event{226, "server_backoff", slog.LevelInfo, "A backend server refused a request and states for how long it wants no others from this instance, which sends it none for that time."}
 
@@ -94,7 +95,7 @@
 		EventLogUnreachable, EventLogReachable, EventStateRestored, EventStateDiverged,
 		EventConfigApplied, EventRecordRejected, EventServerListed, EventServerGone, EventEntryIgnored,
 		EventStoreLost, EventStoreRegained, EventCollector,
-		EventDomainDrained, EventDomainBack, EventServerCold, EventServerLimited, EventServerUnlimited, EventStoreRestored, EventStateKept, EventServerLeaving, EventServerBackoff, EventPathLost, EventPathRestored, EventServiceBrittle,
+		EventDomainDrained, EventDomainBack, EventServerCold, EventServerLimited, EventServerUnlimited, EventStoreRestored, EventStateKept, EventServerLeaving, EventServerBackoff, EventPathLost, EventPathRestored, EventServiceBrittle, EventPathNowhere,
 		EventRequestRefused, EventAttemptFailed, EventWrongNonce,
 		EventPassthroughRefused, EventPassthroughAttempt, EventPassthroughFailed, EventCallerLost,
 		EventBillHeld, EventBillFlushed, EventBillRefused,
--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -19,6 +19,7 @@
 	"masticplank.example/coordination/keyedlog"
 	"masticplank.example/decision/passthrough"
 	"masticplank.example/decision/passthrough/seam"
+	"masticplank.example/decision/reach"
 	"masticplank.example/router/internal/logging"
 	"masticplank.example/router/internal/relay"
 	"masticplank.example/router/internal/settings"
@@ -165,9 +166,9 @@
 	return &Handler{headers: p.Headers, config: config, driver: d, dialer: dial, clock: c, telemetry: tel, startGate: gate, shutdown: &shutdown{}, conns: newCallerConns(cfg.MaxFiles)}
 }
 
-func provideDialer(c Clock, d *Driver, sh *sharing) *dialer {
+func provideDialer(c Clock, d *Driver, sh *sharing, tel *telemetry) *dialer {
 	tunnels := tunnel.NewDialer(sh.tunnelPeers)
-	tunnels.FindPeers = sh.findTunnelPeers
+	tunnels.FindPeers, tunnels.OnNoPath = sh.findTunnelPeers, tel.logNoPath
 	return newDialer(c, d, tunnels)
 }
 
@@ -177,12 +178,13 @@
 // defaultMaxTunnels is how many tunnels may be open if the limit of descriptors is unknown.
 const defaultMaxTunnels = 200
 
-func provideTunnelServer(cfg seam.Settings, dial *dialer) *tunnel.Server {
+func provideTunnelServer(cfg seam.Settings, dial *dialer, d *Driver, sh *sharing) *tunnel.Server {
 	limit := defaultMaxTunnels
 	if cfg.MaxFiles > 0 {
 		limit = int(maxTunnelsFraction * float64(max(cfg.MaxFiles-reservedDescriptors, 0)) / 2)
 	}
-	return &tunnel.Server{Connect: dial.connectForPeer, Limit: limit}
+	tell := func(domain string) reach.Answer { return sh.tunnelPeers.Tell(d.pathStanding(), domain) }
+	return &tunnel.Server{Connect: dial.connectForPeer, Limit: limit, Tell: tell}
 }
 
 func provideServer(cfg seam.Settings, handler *Handler, config *ConfigState, d *Driver, sh *sharing, tunnels *tunnel.Server, tel *telemetry, reg gometrics.Registry, out *logging.AsyncWriter) *server {
--- a/router/internal/passthrough/attempt_test.go
+++ b/router/internal/passthrough/attempt_test.go
@@ -13,6 +13,7 @@
 
 	"masticplank.example/decision/passthrough"
 	"masticplank.example/decision/passthrough/seam"
+	"masticplank.example/decision/reach"
 	"masticplank.example/router/internal/tunnel"
 )
 
@@ -33,7 +34,7 @@
 	p := newTestInstance("a", newFakeClock(), &fakeLog{}, &fakeLog{})
 	gate := newStartGate()
 	gate.release()
-	h := &Handler{headers: headers, config: p.config, driver: p.driver, dialer: newDialer(p.clock, p.driver, tunnel.NewDialer(tunnel.NewPeers(p.clock.Now))), clock: p.clock,
+	h := &Handler{headers: headers, config: p.config, driver: p.driver, dialer: newDialer(p.clock, p.driver, tunnel.NewDialer(tunnel.NewPeers(p.clock.Now, reach.Peer{}, nil))), clock: p.clock,
 		telemetry: p.telemetry, startGate: gate, shutdown: &shutdown{}, conns: newCallerConns(0)}
 	route := passthrough.Route{Name: "r", Host: "a.example", PathPrefix: "/", Kind: passthrough.KindAtMostOnce, Public: true, MaxAttempts: 1,
 		Timeout: time.Second, TargetLatency: time.Second, Backends: []passthrough.Backend{{Service: "shop", Weight: 1}}}
--- a/router/internal/passthrough/dialer.go
+++ b/router/internal/passthrough/dialer.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"masticplank.example/decision/passthrough"
+	"masticplank.example/decision/reach"
 	"masticplank.example/router/internal/tunnel"
 )
 
@@ -28,14 +29,11 @@
 	connect connectFunc
 	path    pathView
 	tunnels *tunnel.Dialer
-	// directLastReceived is when bytes last arrived on any connection that does not go through a peer, in
-	// Unix nanoseconds of the clock; 0 for never.
-	directLastReceived atomic.Int64
 	// permitWaiters is how many requests of peers wait for a permit.
 	permitWaiters atomic.Int64
 
 	mu           sync.Mutex
-	lastReceived map[string]*atomic.Int64
+	lastReceived map[string]*receiveTimes
 	// unreached are the servers to which the latest dial failed; lastDialed is when the latest dial to
 	// any server succeeded, zero for never.
 	unreached  map[string]bool
@@ -45,17 +43,22 @@
 // newDialer returns a dialer that asks path how to connect, and connects through peers by tunnels.
 func newDialer(clock Clock, path pathView, tunnels *tunnel.Dialer) *dialer {
 	d := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1}
-	return &dialer{clock: clock, net: d, connect: newConnect(d), path: path, tunnels: tunnels, lastReceived: map[string]*atomic.Int64{}, unreached: map[string]bool{}}
+	return &dialer{clock: clock, net: d, connect: newConnect(d), path: path, tunnels: tunnels, lastReceived: map[string]*receiveTimes{}, unreached: map[string]bool{}}
 }
 
-// lastReceivedFrom returns the shared variable that holds when bytes last arrived from the server, in
-// Unix nanoseconds of the clock; 0 for never. It creates the variable if there is none.
-func (d *dialer) lastReceivedFrom(server string) *atomic.Int64 {
+// receiveTimes are when bytes last arrived from a server, on any connection and on direct ones, in Unix nanoseconds of
+// the clock; 0 for never.
+type receiveTimes struct {
+	any, direct atomic.Int64
+}
+
+// timesOf returns the shared times of the server. It creates them if there are none.
+func (d *dialer) timesOf(server string) *receiveTimes {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p := d.lastReceived[server]
 	if p == nil {
-		p = new(atomic.Int64)
+		p = &receiveTimes{}
 		d.lastReceived[server] = p
 	}
 	return p
@@ -103,15 +106,20 @@
 // pathView is what the dialer needs of decision/passthrough.
 type pathView interface {
 	// planPath says how to connect to a server now.
-	planPath() passthrough.PathPlan
-	// asksPeers reports whether peers are asked for a connection now.
-	asksPeers() bool
+	planPath(id string) reach.Plan
+	// asksPeers reports whether peers are asked for a connection to the server now.
+	asksPeers(id string) bool
 	// hasNoWay reports whether requests are refused, as neither this instance nor its peers reach the servers.
 	hasNoWay() bool
 	// reportDial reports how a connection went.
 	reportDial(to passthrough.Server, outcome passthrough.DialOutcome)
-	// pathState returns the state of the path to the servers, and since when it has been so.
-	pathState() (passthrough.PathState, time.Time)
+	// pathStanding is what peers are told of this instance's path.
+	pathStanding() reach.Standing
+	// missesServer reports whether the latest direct connection to the server has failed.
+	missesServer(id string) bool
+	// linkLostSince returns since when requests for the server are sent through peers only; ok is false if they
+	// are not.
+	linkLostSince(id string) (since time.Time, ok bool)
 	// usableServer returns the listed server with the id and the address, if it may get requests.
 	usableServer(id, address string) (passthrough.Server, bool)
 	// takePermitForPeer takes a permit at the server for a peer's request, if one is free;
@@ -136,7 +144,7 @@
 // dial opens a connection to the server, through a peer if this instance has no path to the servers. After an
 // error, nothing was sent.
 func (d *dialer) dial(ctx context.Context, to passthrough.Server) (*conn, error) {
-	plan := d.path.planPath()
+	plan := d.path.planPath(to.ID)
 	if plan.Probe {
 		go d.probe(to)
 	}
@@ -157,7 +165,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{ReadWriteCloser: direct, clock: d.clock, serverLastReceived: d.lastReceivedFrom(to.ID), directLastReceived: &d.directLastReceived}, nil
+		return &conn{ReadWriteCloser: direct, clock: d.clock, server: d.timesOf(to.ID)}, nil
 	}
 	return fallback.directFailed(err)
 }
@@ -183,31 +191,32 @@
 }
 
 // probe finds out whether this instance has a path to the server.
-func (d *dialer) probe(to passthrough.Server) {
-	if c, err := d.dialDirect(context.Background(), to); err == nil {
-		_ = c.Close() // nothing was sent
+func (d *dialer) probe(to passthrough.Server) bool {
+	c, err := d.dialDirect(context.Background(), to)
+	if err != nil {
+		return false
 	}
+	_ = c.Close() // nothing was sent
+	return true
 }
 
-// hungAfter is how long after the path was lost a direct connection that carries nothing is given up.
+// hungAfter is how long after its link was lost a direct connection that carries nothing is given up.
 const hungAfter = 300 * time.Millisecond
 
-// directHangs reports whether no direct connection has carried anything since the path to the servers was lost,
+// directHangs reports whether no direct connection to the server has carried anything since its link was lost,
 // hungAfter ago or earlier.
-func (d *dialer) directHangs(now time.Time) bool {
-	state, since := d.path.pathState()
-	return state == passthrough.PathLost && now.Sub(since) > hungAfter && d.directLastReceived.Load() < since.UnixNano()
+func (d *dialer) directHangs(server string, now time.Time) bool {
+	since, lost := d.path.linkLostSince(server)
+	return lost && now.Sub(since) > hungAfter && d.timesOf(server).direct.Load() < since.UnixNano()
 }
 
-// conn is a connection to a backend server. It records when bytes arrive, for itself and for the
-// server, and for all direct connections.
+// conn is a connection to a backend server. It records when bytes arrive, for itself and for the server.
 type conn struct {
 	io.ReadWriteCloser
 	// peer is the name of the peer that the connection goes through, empty for none.
-	peer               string
-	clock              Clock
-	serverLastReceived *atomic.Int64
-	directLastReceived *atomic.Int64
+	peer   string
+	clock  Clock
+	server *receiveTimes
 	// lastReceived is when bytes last arrived, in Unix nanoseconds of the clock; 0 before the
 	// first.
 	lastReceived atomic.Int64
@@ -219,9 +228,9 @@
 	if n > 0 {
 		at := c.clock.Now().UnixNano()
 		c.lastReceived.Store(at)
-		c.serverLastReceived.Store(at)
-		if c.directLastReceived != nil {
-			c.directLastReceived.Store(at)
+		c.server.any.Store(at)
+		if c.peer == "" {
+			c.server.direct.Store(at)
 		}
 	}
 	return n, err
--- a/router/internal/passthrough/driver.go
+++ b/router/internal/passthrough/driver.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"masticplank.example/decision/passthrough"
+	"masticplank.example/decision/reach"
 	"masticplank.example/router/internal/relay"
 )
 
@@ -143,17 +144,17 @@
 }
 
 // planPath says how to connect to a server now.
-func (d *Driver) planPath() passthrough.PathPlan {
+func (d *Driver) planPath(id string) reach.Plan {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.world.PlanPath(d.clock.Now())
+	return d.world.PlanPath(d.clock.Now(), id)
 }
 
-// asksPeers reports whether peers are asked for a connection now.
-func (d *Driver) asksPeers() bool {
+// asksPeers reports whether peers are asked for a connection to the server now.
+func (d *Driver) asksPeers(id string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.world.AsksPeers(d.clock.Now())
+	return d.world.AsksPeers(d.clock.Now(), id)
 }
 
 // hasNoWay reports whether requests are refused, as neither this instance nor its peers reach the servers.
@@ -173,11 +174,25 @@
 	d.applyLocked(passthrough.DialEnded{Server: to, Outcome: outcome})
 }
 
-// pathState returns the state of the path to the servers, and since when it has been so.
-func (d *Driver) pathState() (passthrough.PathState, time.Time) {
+// pathStanding is what peers are told of this instance's path.
+func (d *Driver) pathStanding() reach.Standing {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.world.Path()
+	return d.world.PathStanding(d.clock.Now())
+}
+
+// missesServer reports whether the latest direct connection to the server has failed.
+func (d *Driver) missesServer(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.world.MissesServer(id)
+}
+
+// linkLostSince returns since when requests for the server are sent through peers only; ok is false if they are not.
+func (d *Driver) linkLostSince(id string) (since time.Time, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.world.LinkLostSince(d.clock.Now(), id)
 }
 
 // usableServer returns the listed server with the id and the address, if it may get requests.
--- a/router/internal/passthrough/fakes_test.go
+++ b/router/internal/passthrough/fakes_test.go
@@ -11,6 +11,7 @@
 
 	"masticplank.example/coordination/keyedlog"
 	"masticplank.example/decision/passthrough"
+	"masticplank.example/decision/reach"
 	"masticplank.example/router/internal/tunnel"
 )
 
@@ -204,7 +205,7 @@
 	p.driver = NewDriver(clock, passthrough.Settings{RetryRatio: 0.5, RetrySlack: 3, RetryWindow: 10 * time.Second, SessionTTL: 5 * time.Second})
 	p.observations = newObservationStore(name, observations, p.driver, p.telemetry, clock)
 	p.driver.onObservation, p.driver.onCrash = p.observations.recordResponse, p.observations.recordCrash
-	p.servers = newServerList(fakeRecords{}, p.driver, newDialer(clock, p.driver, tunnel.NewDialer(tunnel.NewPeers(clock.Now))), p.telemetry, clock, 2*time.Second, newStartGate())
+	p.servers = newServerList(fakeRecords{}, p.driver, newDialer(clock, p.driver, tunnel.NewDialer(tunnel.NewPeers(clock.Now, reach.Peer{}, nil))), p.telemetry, clock, 2*time.Second, newStartGate())
 	p.rollouts = newRollouts(fakeRecords{}, status, p.driver, p.servers, p.observations, p.telemetry, clock,
 		passthrough.ExposureLimit{Share: 0.15, Tolerance: 30})
 	p.operator = &operator{records: fakeRecords{}, config: p.config, driver: p.driver, rollouts: p.rollouts, telemetry: p.telemetry, startGate: newStartGate(),
--- a/router/internal/passthrough/idlewatch.go
+++ b/router/internal/passthrough/idlewatch.go
@@ -58,7 +58,7 @@
 // times since bytes last arrived on the attempt's connection, and on any connection from its server.
 func (a *attempt) hasTimedOut() bool {
 	now := a.exchange.handler.clock.Now()
-	if a.conn.peer == "" && a.exchange.handler.dialer.directHangs(now) {
+	if a.conn.peer == "" && a.exchange.handler.dialer.directHangs(a.server.ID, now) {
 		return true
 	}
 	s := passthrough.Inactivity{Route: a.exchange.call.route, FirstByteTimeout: a.firstByteTimeout,
@@ -67,6 +67,6 @@
 	if at := a.conn.lastReceived.Load(); at != 0 {
 		s.AttemptIdle = now.Sub(time.Unix(0, at))
 	}
-	s.ServerIdle = now.Sub(time.Unix(0, max(a.conn.serverLastReceived.Load(), a.startedAt.UnixNano())))
+	s.ServerIdle = now.Sub(time.Unix(0, max(a.conn.server.any.Load(), a.startedAt.UnixNano())))
 	return s.TimedOut()
 }
--- a/router/internal/passthrough/membership.go
+++ b/router/internal/passthrough/membership.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"masticplank.example/coordination/keyedlog"
+	"masticplank.example/decision/reach"
 	"masticplank.example/router/internal/logging"
 	"masticplank.example/router/internal/relay"
 )
@@ -106,7 +107,7 @@
 		s.listed.Store(true)
 	}
 	if m.Tunnel != "" && m.Name != s.self.Name && slices.Contains(s.regionDomains, m.Domain) {
-		s.tunnelPeers.Add(m.Name, m.Tunnel, m.Domain != s.self.Domain)
+		s.tunnelPeers.Add(reach.Peer{Name: m.Name, Address: m.Tunnel, Domain: m.Domain})
 	}
 	if !s.members.Knows(m) {
 		s.members.Add(m)
--- a/router/internal/passthrough/peerconnect.go
+++ b/router/internal/passthrough/peerconnect.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"masticplank.example/decision/passthrough"
+	"masticplank.example/decision/reach"
 	"masticplank.example/router/internal/tunnel"
 )
 
@@ -55,8 +56,8 @@
 	if !ok {
 		return nil, tunnel.ErrDeclined
 	}
-	if state, _ := d.path.pathState(); state != passthrough.PathUp {
-		return nil, tunnel.ErrNoPath
+	if err := d.offersPath(server); err != nil {
+		return nil, err
 	}
 	release := func() {}
 	if to.NeedsPermit {
@@ -68,13 +69,10 @@
 	if to.NeedsShare && !d.await(ctx, func() bool { return d.path.takeShareForPeer(to.ID) }) {
 		return nil, tunnel.ErrNoPermit
 	}
-	c, err := d.dialDirect(ctx, server)
+	c, err := d.connectDirectly(ctx, server)
 	if err != nil {
 		release()
-		if state, _ := d.path.pathState(); state != passthrough.PathUp {
-			return nil, tunnel.ErrNoPath
-		}
-		return nil, tunnel.ErrUnreachable
+		return nil, err
 	}
 	if _, ok := d.path.usableServer(to.ID, to.Address); !ok {
 		release()
@@ -83,3 +81,34 @@
 	}
 	return &permitConn{Conn: c, release: release}, nil
 }
+
+// offersPath returns nil if this instance may reach the server for a peer, else what the peer is told.
+func (d *dialer) offersPath(to passthrough.Server) error {
+	switch {
+	case d.path.pathStanding() == reach.None:
+		return tunnel.ErrNoPath
+	case d.path.missesServer(to.ID):
+		return d.unreachable()
+	}
+	return nil
+}
+
+// unreachable is what a peer is told of a server that this instance could not connect to.
+func (d *dialer) unreachable() error {
+	switch d.path.pathStanding() {
+	case reach.None:
+		return tunnel.ErrNoPath
+	case reach.Doubtful:
+		return tunnel.ErrDoubtful
+	}
+	return tunnel.ErrUnreachable
+}
+
+// connectDirectly connects to the server from this instance.
+func (d *dialer) connectDirectly(ctx context.Context, to passthrough.Server) (net.Conn, error) {
+	c, err := d.dialDirect(ctx, to)
+	if err != nil {
+		return nil, d.unreachable()
+	}
+	return c, nil
+}
--- a/router/internal/passthrough/peerdial.go
+++ b/router/internal/passthrough/peerdial.go
@@ -15,7 +15,7 @@
 	switch {
 	case err == nil:
 		d.path.reportDial(to, passthrough.TunnelSucceeded)
-		return &conn{ReadWriteCloser: c, peer: c.Peer(), clock: d.clock, serverLastReceived: d.lastReceivedFrom(to.ID)}, nil
+		return &conn{ReadWriteCloser: c, peer: c.Peer(), clock: d.clock, server: d.timesOf(to.ID)}, nil
 	case ctx.Err() != nil:
 		return nil, ctx.Err()
 	case errors.Is(err, tunnel.ErrUnreachable):
@@ -55,7 +55,7 @@
 	c, err := d.tunnels.DialWithPermit(ctx, to, peers)
 	switch {
 	case err == nil:
-		return &conn{ReadWriteCloser: c, peer: c.Peer(), clock: d.clock, serverLastReceived: d.lastReceivedFrom(to.ID)}, nil
+		return &conn{ReadWriteCloser: c, peer: c.Peer(), clock: d.clock, server: d.timesOf(to.ID)}, nil
 	case ctx.Err() != nil:
 		return nil, ctx.Err()
 	case errors.Is(err, tunnel.ErrDeclined):
@@ -87,7 +87,7 @@
 // directIsSlow reports that the direct connection is slow, and asks a peer if the path is suspect.
 func (f *peerFallback) directIsSlow() {
 	f.dialer.path.reportDial(f.to, passthrough.DialSlow)
-	if f.dialer.path.asksPeers() {
+	if f.dialer.path.asksPeers(f.to.ID) {
 		f.askPeer()
 	}
 }
@@ -126,7 +126,7 @@
 // directFailed returns the peer's connection after the direct one has failed, or the direct one's error if no
 // peer is asked or could be.
 func (f *peerFallback) directFailed(err error) (*conn, error) {
-	if f.dialer.path.asksPeers() {
+	if f.dialer.path.asksPeers(f.to.ID) {
 		f.askPeer()
 	}
 	f.mu.Lock()
--- a/router/internal/passthrough/sharing.go
+++ b/router/internal/passthrough/sharing.go
@@ -10,6 +10,7 @@
 
 	"masticplank.example/coordination/keyedlog"
 	"masticplank.example/decision/passthrough/seam"
+	"masticplank.example/decision/reach"
 	"masticplank.example/router/internal/logging"
 	"masticplank.example/router/internal/relay"
 	"masticplank.example/router/internal/tunnel"
@@ -90,7 +91,8 @@
 	s := &sharing{
 		self:  relay.Member{Name: cfg.Instance, Domain: cfg.Domain, Address: cfg.PeerAddr, Cores: cfg.Cores, Tunnel: cfg.TunnelAddr},
 		store: store, telemetry: tel, clock: clock, heldRecords: map[string][]keyedlog.Record{}, onHeldRecords: func() {}, onFleetCount: func(int) {},
-		onPeers: func([]string) {}, onRemotePeers: func(string, []string) {}, tunnelPeers: tunnel.NewPeers(clock.Now),
+		onPeers: func([]string) {}, onRemotePeers: func(string, []string) {},
+		tunnelPeers: tunnel.NewPeers(clock.Now, reach.Peer{Name: cfg.Instance, Address: cfg.TunnelAddr, Domain: cfg.Domain}, cfg.RegionDomains),
 	}
 	for _, domain := range cfg.Domains {
 		if domain != cfg.Domain {
--- a/router/internal/passthrough/telemetry.go
+++ b/router/internal/passthrough/telemetry.go
@@ -11,6 +11,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"masticplank.example/decision/passthrough"
+	"masticplank.example/decision/reach"
 	"masticplank.example/router/internal/logging"
 )
 
@@ -121,7 +122,7 @@
 // logPathChanged counts and logs that the path to the backend servers is lost, or is back. The driver calls
 // it, so it must not block.
 func (t *telemetry) logPathChanged(c passthrough.PathChanged) {
-	if c.State == passthrough.PathLost {
+	if c.State == reach.Lost {
 		t.count("path_lost")
 		t.gauge("path_is_lost", 1)
 		t.emit(logging.EventPathLost, slog.Int("unreached", c.Unreached))
@@ -131,6 +132,12 @@
 	t.emit(logging.EventPathRestored, slog.Int64("after_ms", c.Duration.Milliseconds()))
 }
 
+// logNoPath counts and logs that a search has found no peer with a path.
+func (t *telemetry) logNoPath(known int) {
+	t.count("path_nowhere")
+	t.emit(logging.EventPathNowhere, slog.Int("known", known))
+}
+
 // logBrittle counts and logs that a service's servers state that they are brittle, or no longer do. The driver
 // calls it, so it must not block.
 func (t *telemetry) logBrittle(c passthrough.BrittleChanged) {
--- a/router/internal/tunnel/dialer.go
+++ b/router/internal/tunnel/dialer.go
@@ -19,41 +19,84 @@
 	silentPeerTimeout = 400 * time.Millisecond
 	// enoughPeers is how many peers must fail to connect to a server for no other one to be asked.
 	enoughPeers = 2
-	// fewPeers is the number of usable peers below which others are looked for.
-	fewPeers = 3
 )
 
 // Dialer opens tunnels through peers.
 type Dialer struct {
 	peers     *Peers
 	transport *http.Transport
-	// FindPeers is called, often, while few peers are usable; it must not block.
+	search    *searcher
+	// FindPeers is called, often, while few peers are known; it must not block.
 	FindPeers func()
+	// OnNoPath is called when a search has found no peer with a path, with the number of peers that are known.
+	OnNoPath func(known int)
 }
 
 // NewDialer returns a dialer that uses the peers.
 func NewDialer(peers *Peers) *Dialer {
 	d := net.Dialer{Timeout: openTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
-	return &Dialer{
-		peers: peers, FindPeers: func() {},
+	out := &Dialer{
+		peers: peers, FindPeers: func() {}, OnNoPath: func(int) {},
 		transport: &http.Transport{
 			DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true,
 			// The body is never sent before the peer asks for it.
 			ExpectContinueTimeout: time.Hour,
 		},
 	}
+	out.search = &searcher{peers: peers, transport: out.transport, findPeers: func() { out.FindPeers() }, onExhausted: func(known int) { out.OnNoPath(known) }}
+	return out
 }
 
 // Dial opens a tunnel to the backend server. The first peer that has connected to it is used. After an error,
 // nothing was sent to the server: ErrUnreachable if a peer with a path could not connect to it, ErrDeclined if a
-// peer does not send to it, ErrNoPath if peers have no path either, else ErrNoPeer, or ctx's error.
+// peer does not send to it, ErrNoPath if a search has found none with a path, else ErrNoPeer, or ctx's error.
 func (d *Dialer) Dial(ctx context.Context, to Target) (*Conn, error) {
-	peers, usable := d.peers.choose(peersAsked)
-	if usable < fewPeers {
-		d.FindPeers()
-	}
 	timeout, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
+	for {
+		peers, err := d.peersFor(timeout, to)
+		if err == nil {
+			var c *Conn
+			if c, err = d.dialThrough(timeout, to, peers); err == nil {
+				return c, nil
+			}
+			// These peers have no path either; others may.
+			if (errors.Is(err, ErrNoPath) || errors.Is(err, ErrDoubtful)) && timeout.Err() == nil {
+				continue
+			}
+		}
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+		return nil, err
+	}
+}
+
+// peersFor returns the peers to ask for the tunnel. While none is known to have a path, it waits for the search.
+func (d *Dialer) peersFor(ctx context.Context, to Target) ([]*peer, error) {
+	for {
+		progress := d.search.want()
+		switch c := d.peers.candidatesFor(to.ID); {
+		case len(c.peers) > 0:
+			return c.peers, nil
+		case c.exhausted:
+			return nil, ErrNoPath
+		case c.unreachable:
+			return nil, ErrUnreachable
+		case c.usable == 0:
+			d.FindPeers()
+			return nil, ErrNoPeer
+		}
+		select {
+		case <-progress:
+		case <-ctx.Done():
+			return nil, ErrNoPeer
+		}
+	}
+}
+
+// dialThrough opens the tunnel through one of the peers.
+func (d *Dialer) dialThrough(ctx context.Context, to Target, peers []*peer) (*Conn, error) {
 	r := &race{dialer: d, to: to, results: make(chan result, peersAsked)}
 	defer r.abandon()
 	failure := ErrNoPeer
@@ -82,11 +125,8 @@
 				}
 			}
 		case <-hedge.C:
-		case <-timeout.Done():
+		case <-ctx.Done():
 			hedge.Stop()
-			if ctx.Err() != nil {
-				return nil, ctx.Err()
-			}
 			return nil, failure
 		}
 		hedge.Stop()
@@ -96,7 +136,7 @@
 // moreSpecific returns that of the two failures which says more about the backend server. failure is one that
 // Dial returns, err any.
 func moreSpecific(failure, err error) error {
-	for _, specific := range []error{ErrUnreachable, ErrDeclined, ErrNoPath} {
+	for _, specific := range []error{ErrUnreachable, ErrDeclined, ErrNoPath, ErrDoubtful} {
 		if failure == specific || errors.Is(err, specific) {
 			return specific
 		}
@@ -105,7 +145,7 @@
 }
 
 const (
-	// permitTimeout bounds the opening of a tunnel with a permit through one peer.
+	// permitTimeout bounds the opening of a tunnel with a permit through one peer, which may open another one itself.
 	permitTimeout = 250 * time.Millisecond
 	// permitPeersAsked is how many peers are asked for one such tunnel.
 	permitPeersAsked = 3
@@ -138,7 +178,10 @@
 		switch {
 		case errors.Is(err, ErrDeclined):
 			declined++
-		case !errors.Is(err, ErrNoPermit):
+		case errors.Is(err, ErrNoPermit):
+		case errors.Is(err, ErrNoPath), errors.Is(err, ErrUnreachable), errors.Is(err, ErrDoubtful), errors.Is(err, ErrNoPeer):
+			d.peers.pause(through)
+		default:
 			d.peers.failed(through)
 		}
 		if ctx.Err() != nil {
@@ -173,9 +216,12 @@
 	r.opened = append(r.opened, c)
 	go func() {
 		err := c.open(r.dialer.transport, r.to)
+		r.dialer.peers.observe(through, r.to.ID, err)
 		switch {
 		case err == nil:
-		case errors.Is(err, ErrUnreachable), errors.Is(err, ErrDeclined), errors.Is(err, ErrNoPermit), errors.Is(err, errLost), errors.Is(err, context.Canceled):
+		case errors.Is(err, ErrUnreachable), errors.Is(err, ErrDoubtful), errors.Is(err, ErrNoPath), errors.Is(err, ErrDeclined), errors.Is(err, ErrNoPermit), errors.Is(err, errLost), errors.Is(err, context.Canceled):
+		case errors.Is(err, ErrNoPeer):
+			r.dialer.peers.pause(through)
 		default:
 			r.dialer.peers.failed(through)
 		}
@@ -214,6 +260,8 @@
 		return ErrNoPermit
 	case http.StatusGatewayTimeout:
 		return ErrNoPath
+	case http.StatusFailedDependency:
+		return ErrDoubtful
 	}
 	return ErrNoPeer
 }
--- a/router/internal/tunnel/message.go
+++ b/router/internal/tunnel/message.go
@@ -54,7 +54,7 @@
 	return Target{ID: q.Get(paramServer), Address: q.Get(paramAddress), NeedsPermit: q.Has(paramPermit), NeedsShare: q.Has(paramShare)}
 }
 
-// Errors of tunnels. After the first five, nothing was sent to a backend server.
+// Errors of tunnels. After the first six, nothing was sent to a backend server.
 var (
 	// ErrNoPeer means that no peer could be asked: none is known, answers and has room.
 	ErrNoPeer = errors.New("no peer could be asked for a tunnel")
@@ -65,6 +65,8 @@
 	ErrNoPermit = errors.New("the peer has no free permit for the backend server")
 	// ErrUnreachable means that a peer, which has a path, could not connect to the backend server.
 	ErrUnreachable = errors.New("a peer could not connect to the backend server")
+	// ErrDoubtful means that a peer could not connect to the backend server, and has reached no other one lately.
+	ErrDoubtful = errors.New("a peer that may have no path could not connect to the backend server")
 	// ErrDeclined means that the peer's list does not have the backend server, or not as one that may get
 	// requests.
 	ErrDeclined = errors.New("the peer does not send to the backend server")
--- a/router/internal/tunnel/server.go
+++ b/router/internal/tunnel/server.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"log/slog"
@@ -11,16 +12,20 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"masticplank.example/decision/reach"
 )
 
 // Server opens connections to backend servers for peers.
 type Server struct {
 	// Connect connects to the backend server. It returns ErrDeclined for one that gets no requests,
-	// ErrUnreachable for one that this instance cannot reach while it reaches others, ErrNoPath if it
-	// reaches none, and ErrNoPermit if the target needs a permit and none is free.
+	// ErrUnreachable for one that this instance cannot reach while it reaches others, ErrDoubtful if it may
+	// reach none, ErrNoPath if it reaches none, and ErrNoPermit if the target needs a permit and none is free.
 	Connect func(ctx context.Context, to Target) (net.Conn, error)
 	// Limit is how many tunnels may be open.
 	Limit int
+	// Tell returns what a peer of the failure domain that asks for a path is told; nil for nothing.
+	Tell func(domain string) reach.Answer
 
 	open     atomic.Int64
 	draining atomic.Bool
@@ -45,6 +50,11 @@
 // Load: peers that are cut off from all servers, up to all those of a failure domain, each with its callers'
 // whole traffic. Harm prevented: an instance that runs out of descriptors and cannot serve its own callers.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == pathsPath && r.Method == http.MethodGet && s.Tell != nil && !s.draining.Load() {
+		w.Header().Set("Connection", "close")
+		_ = json.NewEncoder(w).Encode(packAnswer(s.Tell(r.URL.Query().Get(paramDomain)))) // the peer asks again
+		return
+	}
 	defer s.open.Add(-1)
 	open := s.open.Add(1)
 	w.Header().Set(headerOpen, strconv.FormatInt(open-1, 10))
@@ -57,7 +67,8 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	server, err := s.Connect(r.Context(), targetOf(r.URL.Query()))
+	to := targetOf(r.URL.Query())
+	server, err := s.Connect(r.Context(), to)
 	if err != nil {
 		w.WriteHeader(statusOf(err))
 		return
@@ -77,6 +88,8 @@
 		return http.StatusTooManyRequests
 	case errors.Is(err, ErrNoPath):
 		return http.StatusGatewayTimeout
+	case errors.Is(err, ErrDoubtful):
+		return http.StatusFailedDependency
 	}
 	return http.StatusServiceUnavailable
 }
--- a/router/internal/tunnel/tunnel_test.go
+++ b/router/internal/tunnel/tunnel_test.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"masticplank.example/decision/reach"
 )
 
 // backend is a backend server that serves each connection with a function.
@@ -87,9 +89,9 @@
 
 // newDialer returns a dialer that knows the peers at the addresses.
 func newTestDialer(addresses ...string) *Dialer {
-	peers := NewPeers(time.Now)
+	peers := NewPeers(time.Now, reach.Peer{Name: "self", Domain: "a"}, nil)
 	for i, a := range addresses {
-		peers.Add(fmt.Sprint("peer-", i), a, false)
+		peers.Add(reach.Peer{Name: fmt.Sprint("peer-", i), Address: a, Domain: "a"})
 	}
 	return NewDialer(peers)
 }
@@ -375,7 +377,7 @@
 					t.Fatalf("%d tunnels open, want none", s.Open())
 				}
 			}
-			if chosen, _ := d.peers.choose(1); chosen[0].own != 0 {
+			if chosen, _ := d.peers.choose(1, "server-1"); chosen[0].own != 0 {
 				t.Errorf("%d tunnels counted, want none", chosen[0].own)
 			}
 		})
@@ -410,13 +412,13 @@
 // others are idle, and against asking one that has just refused.
 func TestTunnelsAreSpreadOverPeers(t *testing.T) {
 	now := time.Unix(1000, 0)
-	p := NewPeers(func() time.Time { return now })
+	p := NewPeers(func() time.Time { return now }, reach.Peer{Name: "self", Domain: "a"}, nil)
 	for i := range 8 {
-		p.Add(fmt.Sprint("peer-", i), fmt.Sprint("10.0.0.", i, ":1"), i >= 4)
+		p.Add(reach.Peer{Name: fmt.Sprint("peer-", i), Address: fmt.Sprint("10.0.0.", i, ":1"), Domain: []string{"a", "b"}[i/4]})
 	}
 	counts := map[string]int{}
 	for range 400 {
-		chosen, usable := p.choose(peersAsked)
+		chosen, usable := p.choose(peersAsked, "server-1")
 		if usable != 8 || len(chosen) != peersAsked {
 			t.Fatalf("%d chosen of %d, want %d of 8", len(chosen), usable, peersAsked)
 		}
@@ -432,7 +434,7 @@
 	p.answered(busy, 1000)
 	p.failed(p.peers["peer-1"])
 	for range 50 {
-		chosen, usable := p.choose(peersAsked)
+		chosen, usable := p.choose(peersAsked, "server-1")
 		for _, x := range chosen {
 			if x == busy || x.name == "peer-1" {
 				t.Fatalf("%s was chosen, although it is busy or has refused", x.name)
@@ -443,7 +445,7 @@
 		}
 	}
 	now = now.Add(minPeerBackoff + loadTTL)
-	if _, usable := p.choose(1); usable != 8 {
+	if _, usable := p.choose(1, "server-1"); usable != 8 {
 		t.Errorf("%d usable after the backoff, want 8", usable)
 	}
 }
@@ -492,16 +494,16 @@
 // run, being asked first again and again.
 func TestFailedPeersAreAskedLast(t *testing.T) {
 	now := time.Unix(1000, 0)
-	p := NewPeers(func() time.Time { return now })
+	p := NewPeers(func() time.Time { return now }, reach.Peer{Name: "self", Domain: "a"}, nil)
 	for i := range 20 {
-		p.Add(fmt.Sprint("peer-", i), fmt.Sprint("10.0.0.", i, ":1"), false)
+		p.Add(reach.Peer{Name: fmt.Sprint("peer-", i), Address: fmt.Sprint("10.0.0.", i, ":1"), Domain: "a"})
 	}
 	for i := range 16 {
 		p.failed(p.peers[fmt.Sprint("peer-", i)])
 	}
 	now = now.Add(maxPeerBackoff)
 	for range 50 {
-		chosen, usable := p.choose(peersAsked)
+		chosen, usable := p.choose(peersAsked, "server-1")
 		if usable != 20 {
 			t.Fatalf("%d usable after the backoff, want 20", usable)
 		}
@@ -513,7 +515,7 @@
 	}
 	p.answered(p.peers["peer-0"], 0)
 	for range 200 {
-		if chosen, _ := p.choose(1); chosen[0].name == "peer-0" {
+		if chosen, _ := p.choose(1, "server-1"); chosen[0].name == "peer-0" {
 			return
 		}
 	}
@@ -526,7 +528,7 @@
 	b := startBackend(t, echo)
 	address, _ := startServer(t, &Server{})
 	d := newTestDialer()
-	d.FindPeers = func() { d.peers.Add("remote", address, true) }
+	d.FindPeers = func() { d.peers.Add(reach.Peer{Name: "remote", Address: address, Domain: "b"}) }
 	_, first := d.Dial(t.Context(), b.Target)
 	if !errors.Is(first, ErrNoPeer) {
 		t.Fatalf("%v, want %v", first, ErrNoPeer)
@@ -610,13 +612,20 @@
 	}
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = c.Close() })
+			first := make([]byte, 4<<10)
+			n, _ := c.Read(first)
+			if strings.HasPrefix(string(first[:n]), "GET ") { // it is asked for a path
+				_, _ = io.WriteString(c, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+				continue
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
 		}
-		t.Cleanup(func() { _ = c.Close() })
-		_, _ = c.Read(make([]byte, 4<<10))
-		_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
 	}()
 	c, err := newTestDialer(l.Addr().String()).Dial(t.Context(), Target{ID: "server-1", Address: "127.0.0.1:1"})
 	if err != nil {
