Permits and parts of rate limits of instances without a path are used through peers

Cause: permits and parts of rate limits are dealt to instances, whether they have a path or not. One without a path said 'no path' before it looked at them, and was then left alone as failed. A permit is a right to send, not a path.

Change: the holder takes its permit or token, and connects as for a request of its own, through a peer if need be. A plain tunnel is not passed on again, so that a request goes through two peers at most. Weighed: dealing only to those with a path (views differ for a second, and a slot is used twice), and passing the right on by itself (the holder cannot tell when the request ends if it loses the asker). Slow start needs nothing: a holder of a quota uses it through peers.

--- a/router/internal/passthrough/peerconnect.go
+++ b/router/internal/passthrough/peerconnect.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -56,8 +58,11 @@
 	if !ok {
 		return nil, tunnel.ErrDeclined
 	}
-	if err := d.offersPath(server); err != nil {
-		return nil, err
+	needsRight := to.NeedsPermit || to.NeedsShare
+	if !needsRight {
+		if err := d.offersPath(server); err != nil {
+			return nil, err
+		}
 	}
 	release := func() {}
 	if to.NeedsPermit {
@@ -69,7 +74,11 @@
 	if to.NeedsShare && !d.await(ctx, func() bool { return d.path.takeShareForPeer(to.ID) }) {
 		return nil, tunnel.ErrNoPermit
 	}
-	c, err := d.connectDirectly(ctx, server)
+	connect := d.connectDirectly
+	if needsRight {
+		connect = d.connectAnyWay
+	}
+	c, err := connect(ctx, server)
 	if err != nil {
 		release()
 		return nil, err
@@ -112,3 +121,41 @@
 	}
 	return c, nil
 }
+
+// connectAnyWay connects to the server from this instance, or through a peer with a path.
+//
+// Load: permits and parts of rate limits that belong to instances without a path, most of a failure domain or of the
+// fleet. Harm prevented: their callers, and those of others, are refused although servers have room. Passing the right to
+// send on by itself would save a hop, but the holder could not tell when the request ends if it loses the peer, and would
+// use a slot twice.
+func (d *dialer) connectAnyWay(ctx context.Context, to passthrough.Server) (net.Conn, error) {
+	c, err := d.dial(ctx, to)
+	if err != nil && ctx.Err() == nil && !errors.Is(err, errNoPath) && !errors.Is(err, errNoPeer) && !errors.Is(err, errDeclined) {
+		c, err = d.dialPeer(ctx, to) // the direct connection has failed, and nothing is known of the path yet
+	}
+	switch {
+	case err == nil:
+		return &forwardedConn{ReadWriteCloser: c}, nil
+	case errors.Is(err, errDeclined):
+		return nil, tunnel.ErrDeclined
+	case errors.Is(err, errNoPath), errors.Is(err, errNoPeer):
+		return nil, tunnel.ErrNoPath
+	}
+	return nil, tunnel.ErrUnreachable
+}
+
+// forwardedConn is a connection to a server, direct or through a peer, of which only reading, writing and closing are
+// used.
+type forwardedConn struct {
+	net.Conn
+	io.ReadWriteCloser
+}
+
+// Read implements net.Conn.
+func (c *forwardedConn) Read(p []byte) (int, error) { return c.ReadWriteCloser.Read(p) }
+
+// Write implements net.Conn.
+func (c *forwardedConn) Write(p []byte) (int, error) { return c.ReadWriteCloser.Write(p) }
+
+// Close implements net.Conn.
+func (c *forwardedConn) Close() error { return c.ReadWriteCloser.Close() }
--- a/router/internal/tunnel/server.go
+++ b/router/internal/tunnel/server.go
@@ -117,6 +117,9 @@
 	end := endClosed
 	if err := copyFlushed(w, control, server); err != nil {
 		end = endReset
+		if errors.Is(err, ErrPeerLost) {
+			return // a tunnel of this instance's own has ended, and not the server's connection
+		}
 	}
 	w.Header().Set(trailerEnd, end)
 }
