A cut is told from a crash by connecting to another server

Cause: connections that break at the first server of a cut were reported as crashes at once, as nothing told them from one yet; with many instances cut off, three such reports of equal requests are reached in a moment. The same at an instance that carries a request for a peer and loses its own path: it told the peer that the server had broken the connection.

An instance that carries a request does so before it says how the server ended its connection.

--- a/decision/passthrough/attempt.go
+++ b/decision/passthrough/attempt.go
@@ -111,7 +111,7 @@
 	if e.ConnectionLost {
 		w.serverLost(s)
 		w.crashes.record(r.Fingerprint, 1, w.now)
-		w.report(CrashSuspected{Fingerprint: r.Fingerprint})
+		w.reportCrash(CrashSuspected{Fingerprint: r.Fingerprint})
 		w.observeCrash(r, s)
 	}
 	w.observeAttempt(r, s, e)
--- a/decision/passthrough/path.go
+++ b/decision/passthrough/path.go
@@ -54,6 +54,9 @@
 	Duration time.Duration
 }
 
+// ProbePath asks for a connection to the server that carries no request, and for its outcome as DialEnded.
+type ProbePath struct{ Server Server }
+
 // path is what is known of this instance's links, and what follows for the conclusions about the servers.
 type path struct {
 	links *reach.Links
@@ -166,6 +169,9 @@
 		w.dropConclusions()
 	}
 	delete(p.before, s)
+	if unreached == 1 {
+		w.releaseHeldAfter(0) // the server that was missed is lost, and not the path
+	}
 }
 
 // dropConclusions restores what was known of the servers before they were not reached.
@@ -252,20 +258,55 @@
 // succeeded since then.
 func (w *World) observeSent(r *request, s *server, e AttemptEnded) {
 	links := w.path.links
-	if state, _ := links.State(); !e.ViaPeer && state == reach.Up && !links.Undisturbed() && !r.sent.Before(links.LastMissedAt()) {
+	if state, _ := links.State(); !e.ViaPeer && state == reach.Up && !links.Undisturbed() && r.sent.After(links.LastMissedAt()) {
 		w.linkReached(s)
 	}
 }
 
-// observeLostConnection records that an attempt's connection broke.
+// observeLostConnection records that an attempt's connection broke. If no other server is missed, one is probed, to
+// tell a server that has crashed from a path that is lost.
+//
+// Load: instances that lose their path by resets, with equal requests on it. Harm prevented: each reports those of the
+// first server that it has lost as crashes, and all instances refuse such requests.
 func (w *World) observeLostConnection(s *server, r *request, e AttemptEnded) {
 	if e.ViaPeer {
 		return
 	}
+	isFirst := w.path.links.MissedCount() == 0
 	w.linkMissed(s)
 	before := w.path.before[s]
 	before.crashes = append(before.crashes, r.Fingerprint)
 	w.path.before[s] = before
+	if other, ok := w.OtherServer(s.ID); ok && isFirst {
+		w.emit(ProbePath{other})
+	}
+}
+
+// OtherServer returns a server other than the one that is expected to be reached; ok is false if there is none.
+func (w *World) OtherServer(id string) (other Server, ok bool) {
+	var best *server
+	var bestScore uint64
+	salt := hashString(id) ^ uint64(w.now.UnixNano())
+	for _, s := range w.servers {
+		score := mix(s.hash ^ salt)
+		if s.ID != id && s.usable(w.now) && !w.path.links.Misses(s.ID) && (best == nil || score > bestScore) {
+			best, bestScore = s, score
+		}
+	}
+	if best == nil {
+		return Server{}, false
+	}
+	return best.Server, true
+}
+
+// reportCrash emits a report of a crash to the other instances. It is held back while the server, or several, are missed
+// and no other one was reached since.
+func (w *World) reportCrash(c CrashSuspected) {
+	if w.path.links.MissedCount() == 0 || len(w.servers) == 1 {
+		w.emit(c)
+		return
+	}
+	w.path.held = append(w.path.held, heldReport{c, w.now})
 }
 
 // report emits a report to the other instances. It is held back while several servers are missed.
@@ -288,3 +329,4 @@
 
 func (DialEnded) event()     {}
 func (PathChanged) command() {}
+func (ProbePath) command()   {}
--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -169,7 +169,9 @@
 func provideDialer(c Clock, d *Driver, sh *sharing, tel *telemetry) *dialer {
 	tunnels := tunnel.NewDialer(sh.tunnelPeers)
 	tunnels.FindPeers, tunnels.OnNoPath = sh.findTunnelPeers, tel.logNoPath
-	return newDialer(c, d, tunnels)
+	dial := newDialer(c, d, tunnels)
+	d.onProbe = func(to passthrough.Server) { go dial.probe(to) }
+	return dial
 }
 
 // maxTunnelsFraction is the fraction of the unreserved descriptors that tunnels of peers may use, two each.
@@ -184,7 +186,7 @@
 		limit = int(maxTunnelsFraction * float64(max(cfg.MaxFiles-reservedDescriptors, 0)) / 2)
 	}
 	tell := func(domain string) reach.Answer { return sh.tunnelPeers.Tell(d.pathStanding(), domain) }
-	return &tunnel.Server{Connect: dial.connectForPeer, Limit: limit, Tell: tell}
+	return &tunnel.Server{Connect: dial.connectForPeer, Limit: limit, Tell: tell, PathUp: dial.reachesOthers}
 }
 
 func provideServer(cfg seam.Settings, handler *Handler, config *ConfigState, d *Driver, sh *sharing, tunnels *tunnel.Server, tel *telemetry, reg gometrics.Registry, out *logging.AsyncWriter) *server {
--- a/router/internal/passthrough/dialer.go
+++ b/router/internal/passthrough/dialer.go
@@ -120,6 +120,9 @@
 	// linkLostSince returns since when requests for the server are sent through peers only; ok is false if they
 	// are not.
 	linkLostSince(id string) (since time.Time, ok bool)
+	// otherServer returns a server other than the one to connect to, to tell a lost path from a lost server; ok is
+	// false if there is none.
+	otherServer(id string) (other passthrough.Server, ok bool)
 	// usableServer returns the listed server with the id and the address, if it may get requests.
 	usableServer(id, address string) (passthrough.Server, bool)
 	// takePermitForPeer takes a permit at the server for a peer's request, if one is free;
--- a/router/internal/passthrough/driver.go
+++ b/router/internal/passthrough/driver.go
@@ -30,6 +30,9 @@
 	onBrittle       func(passthrough.BrittleChanged)
 	// onPartsQuarantined writes to the log and informs the other instances.
 	onPartsQuarantined func(passthrough.PartsQuarantined)
+	// onProbe connects to a server and reports how that went; it is called with the lock held and must not block. nil
+	// if there is nothing to connect with: then connections count as possible.
+	onProbe func(passthrough.Server)
 	// anyBrittle is true if the servers of some service were brittle.
 	anyBrittle atomic.Bool
 
@@ -195,6 +198,14 @@
 	return d.world.LinkLostSince(d.clock.Now(), id)
 }
 
+// otherServer returns a server other than the one to connect to, to tell a lost path from a lost server; ok is false if
+// there is none.
+func (d *Driver) otherServer(id string) (other passthrough.Server, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.world.OtherServer(id)
+}
+
 // usableServer returns the listed server with the id and the address, if it may get requests.
 func (d *Driver) usableServer(id, address string) (passthrough.Server, bool) {
 	d.mu.Lock()
@@ -247,6 +258,7 @@
 
 // applyLocked applies events and passes on the resulting commands. The lock is held.
 func (d *Driver) applyLocked(events ...passthrough.Event) {
+	var assumed []passthrough.Event
 	for _, c := range d.world.Tick(d.clock.Now(), events...) {
 		switch c := c.(type) {
 		case passthrough.Dispatch:
@@ -280,8 +292,17 @@
 			}
 		case passthrough.PathChanged:
 			d.onPathChanged(c)
+		case passthrough.ProbePath:
+			if d.onProbe != nil {
+				d.onProbe(c.Server)
+				continue
+			}
+			assumed = append(assumed, passthrough.DialEnded{Server: c.Server, Outcome: passthrough.DialSucceeded})
 		}
 	}
+	if len(assumed) > 0 {
+		d.applyLocked(assumed...)
+	}
 }
 
 // send passes a command to its request, unless the request was closed. The lock is held.
--- a/router/internal/passthrough/peerconnect.go
+++ b/router/internal/passthrough/peerconnect.go
@@ -144,6 +144,18 @@
 	return nil, tunnel.ErrUnreachable
 }
 
+// reachesOthers reports whether this instance reaches another server than the one, whose connection has broken.
+func (d *dialer) reachesOthers(id string) bool {
+	other, ok := d.path.otherServer(id)
+	if !ok {
+		return true // there is nothing to compare with
+	}
+	if standing := d.path.pathStanding(); standing == reach.None || standing == reach.Doubtful {
+		return false
+	}
+	return d.probe(other)
+}
+
 // forwardedConn is a connection to a server, direct or through a peer, of which only reading, writing and closing are
 // used.
 type forwardedConn struct {
--- a/router/internal/tunnel/server.go
+++ b/router/internal/tunnel/server.go
@@ -24,6 +24,9 @@
 	Connect func(ctx context.Context, to Target) (net.Conn, error)
 	// Limit is how many tunnels may be open.
 	Limit int
+	// PathUp reports whether this instance reaches other servers than the one, after a connection to that has broken;
+	// nil for always.
+	PathUp func(server string) bool
 	// Tell returns what a peer of the failure domain that asks for a path is told; nil for nothing.
 	Tell func(domain string) reach.Answer
 
@@ -74,7 +77,7 @@
 		return
 	}
 	defer func() { _ = server.Close() }()
-	s.forward(w, r, server)
+	s.forward(w, r, server, to.ID)
 }
 
 // statusOf returns the status of a response to a request for a tunnel that could not be opened.
@@ -95,7 +98,7 @@
 }
 
 // forward copies both directions until the backend server or the peer ends the tunnel.
-func (s *Server) forward(w http.ResponseWriter, r *http.Request, server net.Conn) {
+func (s *Server) forward(w http.ResponseWriter, r *http.Request, server net.Conn, id string) {
 	control := http.NewResponseController(w)
 	if control.EnableFullDuplex() != nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -117,8 +120,9 @@
 	end := endClosed
 	if err := copyFlushed(w, control, server); err != nil {
 		end = endReset
-		if errors.Is(err, ErrPeerLost) {
-			return // a tunnel of this instance's own has ended, and not the server's connection
+		// A tunnel of this instance's own, or its own path, may have been lost, and not the server.
+		if errors.Is(err, ErrPeerLost) || r.Context().Err() == nil && s.PathUp != nil && !s.PathUp(id) {
+			return
 		}
 	}
 	w.Header().Set(trailerEnd, end)
