--- a/decision/passthrough/path.go
+++ b/decision/passthrough/path.go
@@ -225,8 +225,8 @@
 // PathStanding is what this instance tells its peers of its path.
 func (w *World) PathStanding(now time.Time) reach.Standing { return w.path.links.Standing(now) }
 
-// MissesServer reports whether the latest direct connection to the server has failed.
-func (w *World) MissesServer(id string) bool { return w.path.links.Misses(id) }
+// MissesServer reports whether the latest direct connection to the server has failed, a moment ago, or its link is lost.
+func (w *World) MissesServer(now time.Time, id string) bool { return w.path.links.Misses(now, id) }
 
 // LinkLostSince returns since when requests for the server are sent through peers only; ok is false if they are not.
 func (w *World) LinkLostSince(now time.Time, id string) (since time.Time, ok bool) {
@@ -289,7 +289,7 @@
 	salt := hashString(id) ^ uint64(w.now.UnixNano())
 	for _, s := range w.servers {
 		score := mix(s.hash ^ salt)
-		if s.ID != id && s.usable(w.now) && !w.path.links.Misses(s.ID) && (best == nil || score > bestScore) {
+		if s.ID != id && s.usable(w.now) && !w.path.links.Misses(w.now, s.ID) && (best == nil || score > bestScore) {
 			best, bestScore = s, score
 		}
 	}
--- a/decision/reach/links.go
+++ b/decision/reach/links.go
@@ -11,6 +11,9 @@
 	maxMissedForNone = 12
 	// ProbeInterval is the time between two direct connections that carry no request, while links are lost.
 	ProbeInterval = 200 * time.Millisecond
+	// missedTTL is for how long peers are told that a server is missed: it may be back, and this instance send it
+	// nothing.
+	missedTTL = 2 * time.Second
 	// peersMissedPause is for how long peers are not asked for a server that they could not reach either.
 	peersMissedPause = 700 * time.Millisecond
 	// nobodyPause is for how long requests are refused after a search has found no peer with a path. The search
@@ -102,8 +105,10 @@
 	retryAt time.Time
 	// retries counts how often that was in vain.
 	retries int
-	// misses counts direct connections that failed; peersMissedAt is when peers could not reach the server either.
+	// misses counts direct connections that failed, the last one at missedAt; peersMissedAt is when peers could not
+	// reach the server either.
 	misses        int
+	missedAt      time.Time
 	peersMissedAt time.Time
 }
 
@@ -143,7 +148,7 @@
 // Missed records that a direct connection to the server is slow, has failed or has broken.
 func (l *Links) Missed(now time.Time, server string) {
 	k := l.linkOf(server)
-	k.misses++
+	k.misses, k.missedAt = k.misses+1, now
 	l.missed[server], l.missedAt = true, now
 	l.update(now)
 }
@@ -310,8 +315,11 @@
 	return All
 }
 
-// Misses reports whether the latest direct connection to the server has failed.
-func (l *Links) Misses(server string) bool { return l.links[server] != nil }
+// Misses reports whether the latest direct connection to the server has failed, a moment ago, or its link is lost.
+func (l *Links) Misses(now time.Time, server string) bool {
+	k := l.links[server]
+	return k != nil && (k.isLost(now) || k.misses > 0 && now.Sub(k.missedAt) < missedTTL)
+}
 
 // NobodyHasAPath reports whether requests are refused, as neither this instance nor its peers reach the servers.
 func (l *Links) NobodyHasAPath(now time.Time) bool {
--- a/decision/reach/links_test.go
+++ b/decision/reach/links_test.go
@@ -131,3 +131,16 @@
 	l.PeerReached(now, serverName(1))
 	want(None)
 }
+
+// TestMissedServerIsTriedForPeersAgain guards against an instance that says for ever that it misses a server, as it sends
+// that nothing itself.
+func TestMissedServerIsTriedForPeersAgain(t *testing.T) {
+	l, now := newTestLinks(8)
+	l.Missed(now, serverName(0))
+	if !l.Misses(now, serverName(0)) {
+		t.Error("not missed")
+	}
+	if l.Misses(now.Add(missedTTL), serverName(0)) {
+		t.Errorf("still missed after %v", missedTTL)
+	}
+}
--- a/decision/reach/sim_test.go
+++ b/decision/reach/sim_test.go
@@ -228,7 +228,12 @@
 		switch {
 		case n.paths.Exhausted(s.now, anyPeer):
 			n.links.NobodyReaches(s.now)
-			done(false)
+			if n.links.NobodyHasAPath(s.now) || n.links.IsLost(s.now, serverName(server)) {
+				done(false)
+				return
+			}
+			n.backoff[server] = s.now.Add(simBackoff) // the server may be down, others may be reached
+			n.try(left-1, done)
 		case n.paths.Known(s.now) > 0: // none of them reaches the server
 			n.backoff[server] = s.now.Add(simBackoff)
 			n.try(left-1, done)
@@ -272,7 +277,7 @@
 	if standing == None {
 		return None
 	}
-	if n.links.Misses(serverName(server)) || !n.dial(server) {
+	if n.links.Misses(n.sim.now, serverName(server)) || !n.dial(server) {
 		return max(n.links.Standing(n.sim.now), Some)
 	}
 	n.carried++
--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -191,6 +191,7 @@
 
 func provideServer(cfg seam.Settings, handler *Handler, config *ConfigState, d *Driver, sh *sharing, tunnels *tunnel.Server, tel *telemetry, reg gometrics.Registry, out *logging.AsyncWriter) *server {
 	s := &server{tunnels: tunnels, settings: cfg, handler: handler, config: config, driver: d, telemetry: tel, registry: reg, log: out, onServeError: func(error) {}}
+	tunnels.Busy = s.overload.lacksTime
 	s.overload.onCrowded = func() {
 		if d.hasRemoteLimits() {
 			sh.readRegionPeers()
--- a/router/internal/passthrough/dialer.go
+++ b/router/internal/passthrough/dialer.go
@@ -115,7 +115,8 @@
 	reportDial(to passthrough.Server, outcome passthrough.DialOutcome)
 	// pathStanding is what peers are told of this instance's path.
 	pathStanding() reach.Standing
-	// missesServer reports whether the latest direct connection to the server has failed.
+	// missesServer reports whether the latest direct connection to the server has failed, a moment ago, or its link is
+	// lost.
 	missesServer(id string) bool
 	// linkLostSince returns since when requests for the server are sent through peers only; ok is false if they
 	// are not.
--- a/router/internal/passthrough/driver.go
+++ b/router/internal/passthrough/driver.go
@@ -184,11 +184,11 @@
 	return d.world.PathStanding(d.clock.Now())
 }
 
-// missesServer reports whether the latest direct connection to the server has failed.
+// missesServer reports whether the latest direct connection to the server has failed, a moment ago, or its link is lost.
 func (d *Driver) missesServer(id string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.world.MissesServer(id)
+	return d.world.MissesServer(d.clock.Now(), id)
 }
 
 // linkLostSince returns since when requests for the server are sent through peers only; ok is false if they are not.
--- a/router/internal/passthrough/overload.go
+++ b/router/internal/passthrough/overload.go
@@ -20,6 +20,8 @@
 	lowLag          = 40 * time.Millisecond
 	highLag         = 200 * time.Millisecond
 	maxShedFraction = 0.95
+	// maxTunnelLag is the mean lag from which on no tunnels are opened for peers.
+	maxTunnelLag = 100 * time.Millisecond
 	// None is closed unless minCrowdRate new connections or more come in a second, and crowdFactor times as many as
 	// on average over meanPeriod before: otherwise the processor is short for other reasons, and closing connections
 	// would not help.
@@ -49,6 +51,8 @@
 	meanRate   float64
 	observed   int
 	shed       float64
+	// meanLag is the mean of samples.
+	meanLag time.Duration
 	// onCrowded is called, often, while many more connections come than usual. It may be nil.
 	onCrowded func()
 }
@@ -94,7 +98,7 @@
 		sum += s
 	}
 	mean := sum / lagSamples
-	o.shed = 0
+	o.meanLag, o.shed = mean, 0
 	if crowded {
 		o.shed = min(max(float64(mean-lowLag)/float64(highLag-lowLag), 0), maxShedFraction)
 	}
@@ -107,6 +111,13 @@
 	return o.shed
 }
 
+// lacksTime reports whether the processor is too busy to serve peers besides the own callers.
+func (o *overload) lacksTime() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.meanLag >= maxTunnelLag
+}
+
 // run measures the lag until ctx ends.
 func (o *overload) run(ctx context.Context) {
 	timer := time.NewTimer(lagInterval)
--- a/router/internal/passthrough/overload_test.go
+++ b/router/internal/passthrough/overload_test.go
@@ -121,3 +121,21 @@
 		t.Errorf("%d connections were closed, want 1", len(closed))
 	}
 }
+
+// TestBusyInstanceCarriesNothingForPeers guards against callers that wait because their instance carries the requests of
+// peers, with a processor that is too busy.
+func TestBusyInstanceCarriesNothingForPeers(t *testing.T) {
+	var o overload
+	for range lagSamples {
+		o.observe(time.Millisecond)
+	}
+	if o.lacksTime() {
+		t.Error("lacks time at a lag of 1 ms")
+	}
+	for range lagSamples {
+		o.observe(maxLagSample)
+	}
+	if !o.lacksTime() {
+		t.Errorf("does not lack time at a lag of %v", maxLagSample)
+	}
+}
--- a/router/internal/tunnel/server.go
+++ b/router/internal/tunnel/server.go
@@ -24,6 +24,8 @@
 	Connect func(ctx context.Context, to Target) (net.Conn, error)
 	// Limit is how many tunnels may be open.
 	Limit int
+	// Busy reports whether this instance has no processor time to spare, so that it opens no new tunnels; nil for never.
+	Busy func() bool
 	// PathUp reports whether this instance reaches other servers than the one, after a connection to that has broken;
 	// nil for always.
 	PathUp func(server string) bool
@@ -51,7 +53,8 @@
 // ServeHTTP implements http.Handler.
 //
 // Load: peers that are cut off from all servers, up to all those of a failure domain, each with its callers'
-// whole traffic. Harm prevented: an instance that runs out of descriptors and cannot serve its own callers.
+// whole traffic. Harm prevented: an instance that runs out of descriptors or processor time and cannot serve its own
+// callers.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == pathsPath && r.Method == http.MethodGet && s.Tell != nil && !s.draining.Load() {
 		w.Header().Set("Connection", "close")
@@ -66,7 +69,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	if s.draining.Load() || open > int64(s.Limit) {
+	if s.draining.Load() || open > int64(s.Limit) || s.Busy != nil && s.Busy() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/router/internal/tunnel/tunnel_test.go
+++ b/router/internal/tunnel/tunnel_test.go
@@ -251,6 +251,7 @@
 	}
 	full := &Server{Limit: 1}
 	full.open.Add(1)
+	busy := &Server{Busy: func() bool { return true }}
 	cases := map[string]struct {
 		peers []*Server
 		want  error
@@ -264,6 +265,7 @@
 		"server down for the peer":        {[]*Server{{Connect: refuse(ErrUnreachable)}}, ErrUnreachable},
 		"peer stops":                      {[]*Server{draining()}, ErrNoPeer},
 		"peer is full":                    {[]*Server{full}, ErrNoPeer},
+		"peer is busy":                    {[]*Server{busy}, ErrNoPeer},
 		"peer hangs":                      {[]*Server{{Connect: hang}}, ErrNoPeer},
 		"server down for two of three":    {[]*Server{{Connect: refuse(ErrUnreachable)}, {Connect: refuse(ErrUnreachable)}, {Connect: refuse(ErrNoPath)}}, ErrUnreachable},
 		"peers without a path, and hangs": {[]*Server{{Connect: refuse(ErrNoPath)}, {Connect: hang}}, ErrNoPath},
@@ -450,6 +452,23 @@
 	}
 }
 
+// TestPeerWithoutRoomIsAskedAgainSoon guards against a peer that is left alone for longer and longer, although it answers.
+func TestPeerWithoutRoomIsAskedAgainSoon(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := NewPeers(func() time.Time { return now }, reach.Peer{Name: "self", Domain: "a"}, nil)
+	p.Add(reach.Peer{Name: "peer-0", Address: "10.0.0.1:1", Domain: "a"})
+	for range 10 {
+		p.pause(p.peers["peer-0"])
+		if _, usable := p.choose(1, "server-1"); usable != 0 {
+			t.Fatal("asked again at once")
+		}
+		now = now.Add(minPeerBackoff)
+		if _, usable := p.choose(1, "server-1"); usable != 1 {
+			t.Fatalf("not asked again after %v", minPeerBackoff)
+		}
+	}
+}
+
 // TestSilentPeerIsLeftAlone guards against each request waiting for a peer that has no power, or has lost its own
 // path and not noticed, while others answer.
 func TestSilentPeerIsLeftAlone(t *testing.T) {
