--- a/router/internal/tunnel/conn.go
+++ b/router/internal/tunnel/conn.go
@@ -5,7 +5,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -21,6 +23,8 @@
 	cancel    context.CancelFunc
 	ctx       context.Context
 	closeOnce sync.Once
+	// reachedPeer is true once the connection to the peer is open.
+	reachedPeer atomic.Bool
 	// connected is closed once the peer has asked for the body, and so has connected to the server.
 	connected     chan struct{}
 	connectedOnce sync.Once
@@ -72,7 +76,8 @@
 
 // open asks the peer for the tunnel and waits until it is open or refused.
 func (c *Conn) open(transport http.RoundTripper, to Target) error {
-	req, err := http.NewRequestWithContext(c.ctx, http.MethodPost, "http://"+c.through.address+path+"?"+to.query(), &requestBody{conn: c})
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { c.reachedPeer.Store(true) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(c.ctx, trace), http.MethodPost, "http://"+c.through.address+path+"?"+to.query(), &requestBody{conn: c})
 	if err != nil {
 		return err
 	}
--- a/router/internal/tunnel/dialer.go
+++ b/router/internal/tunnel/dialer.go
@@ -146,7 +146,7 @@
 
 const (
 	// permitTimeout bounds the opening of a tunnel with a permit through one peer, which may open another one itself.
-	permitTimeout = 250 * time.Millisecond
+	permitTimeout = 400 * time.Millisecond
 	// permitPeersAsked is how many peers are asked for one such tunnel.
 	permitPeersAsked = 3
 )
@@ -181,6 +181,8 @@
 		case errors.Is(err, ErrNoPermit):
 		case errors.Is(err, ErrNoPath), errors.Is(err, ErrUnreachable), errors.Is(err, ErrDoubtful), errors.Is(err, ErrNoPeer):
 			d.peers.pause(through)
+		case errors.Is(err, context.DeadlineExceeded) && c.reachedPeer.Load():
+			d.peers.pause(through) // it runs, but it, or the peer that it asks, is slow
 		default:
 			d.peers.failed(through)
 		}
--- a/router/internal/tunnel/tunnel_test.go
+++ b/router/internal/tunnel/tunnel_test.go
@@ -726,6 +726,27 @@
 	}
 }
 
+// TestSlowPeerWithPermitsIsAskedAgainSoon guards against permits that nobody asks for, for up to 15 s, as their holder was
+// slow to connect for others again and again.
+func TestSlowPeerWithPermitsIsAskedAgainSoon(t *testing.T) {
+	b := startBackend(t, echo)
+	slow, _ := startServer(t, &Server{Connect: func(ctx context.Context, _ Target) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}})
+	d := newTestDialer(slow)
+	target := Target{ID: b.ID, Address: b.Address, NeedsPermit: true}
+	for range 3 {
+		if _, err := d.DialWithPermit(t.Context(), target, []string{"peer-0"}); !errors.Is(err, ErrNoPermit) {
+			t.Fatalf("%v, want %v", err, ErrNoPermit)
+		}
+		time.Sleep(minPeerBackoff)
+		if _, usable := d.peers.choose(1, target.ID); usable != 1 {
+			t.Fatalf("not asked again after %v", minPeerBackoff)
+		}
+	}
+}
+
 // TestPeerThatDeclinesAServerIsAskedForOthers guards against a peer that is left alone, and against a service
 // that is taken for full, because peers do not send to one of its servers.
 func TestPeerThatDeclinesAServerIsAskedForOthers(t *testing.T) {
