A cut restores nothing old; full peers with a path say nothing of a server

(1) What was known of a server before it was missed was kept until a connection to it succeeded; a cut much later restored it, and so ended the slow start of a server that had restarted in between. Now it is kept for 2 s while others are reached, as the suspicion lasts at most. (2) If all peers with a path were without room, a server that they do not even try was taken for down. Now requests are refused at once, as no peer can be asked.

Tests: TestCutDoesNotEndTheSlowStartOfARestartedServer, TestFullPeersAreNoServerThatIsDown.

--- a/decision/passthrough/drain.go
+++ b/decision/passthrough/drain.go
@@ -37,7 +37,7 @@
 		}
 		begin := s.beginSlowStart
 		if cause == CauseDomainLost {
-			w.path.remember(s)
+			w.path.remember(s, w.now)
 			begin = s.presumeSlowStart
 		}
 		if begin(s.assumedSlowStart(), w.now) {
--- a/decision/passthrough/path.go
+++ b/decision/passthrough/path.go
@@ -19,6 +19,9 @@
 	// longSuspicion is how long the path must have been suspect, without any connection to a server, for
 	// conclusions about the servers to be dropped although no peer could be asked.
 	longSuspicion = time.Second
+	// knowledgeTTL is how long what was known of a missed server may be restored while others are reached. After that
+	// the server may have restarted.
+	knowledgeTTL = 2 * time.Second
 )
 
 // DialOutcome is how a connection attempt to a server went.
@@ -73,6 +76,8 @@
 	backoffUntil   time.Time
 	slowStartUntil time.Time
 	health         health
+	// at is when this was known.
+	at time.Time
 	// crashes are the fingerprints that were counted as crashes of the server since.
 	crashes []uint64
 }
@@ -88,9 +93,21 @@
 }
 
 // remember keeps what is known of a server before anything is concluded from its failed connections.
-func (p *path) remember(s *server) {
+func (p *path) remember(s *server, now time.Time) {
 	if _, known := p.before[s]; !known {
-		p.before[s] = serverKnowledge{backoffUntil: s.backoffUntil, slowStartUntil: s.slowStart.until, health: s.health}
+		p.before[s] = serverKnowledge{backoffUntil: s.backoffUntil, slowStartUntil: s.slowStart.until, health: s.health, at: now}
+	}
+}
+
+// forgetOld drops what was known of servers without evidence against their links, or long ago.
+//
+// Load: servers that restart after they were missed. Harm prevented: a later cut ends their slow start, as an earlier
+// state is restored, and they crash again.
+func (p *path) forgetOld(now time.Time) {
+	for s, before := range p.before {
+		if !p.links.HasEvidence(s.ID) || now.Sub(before.at) >= knowledgeTTL {
+			delete(p.before, s)
+		}
 	}
 }
 
@@ -126,7 +143,7 @@
 
 // linkMissed records that a server was not reached.
 func (w *World) linkMissed(s *server) {
-	w.path.remember(s)
+	w.path.remember(s, w.now)
 	w.path.links.Missed(w.now, s.ID)
 }
 
@@ -168,7 +185,7 @@
 		p.restoredAt = w.now
 		w.dropConclusions()
 	}
-	delete(p.before, s)
+	p.forgetOld(w.now)
 	if unreached == 1 {
 		w.releaseHeldAfter(0) // the server that was missed is lost, and not the path
 	}
--- a/decision/passthrough/path_test.go
+++ b/decision/passthrough/path_test.go
@@ -386,3 +386,23 @@
 		t.Errorf("%s is not usable %v after peers declined it", declined.ID, rejectedBackoff)
 	}
 }
+
+// TestCutDoesNotEndTheSlowStartOfARestartedServer guards against a server that is sent too much, as a cut restores what was
+// known of it before it was missed and has restarted.
+func TestCutDoesNotEndTheSlowStartOfARestartedServer(t *testing.T) {
+	h := newHarness(t, Settings{Seed: 1, RetryRatio: 5, RetrySlack: 500, RetryWindow: 10 * time.Second, SessionTTL: 5 * time.Second,
+		SlowStartBurst: 1.5, SlowStartSlack: 5, Domain: "a", Domains: []string{"a"}})
+	h.tick(Configured{NewIndex(Config{Version: 1, Services: []Service{{Name: "llm", Slots: 8, SlowStartDuration: 9 * time.Second, SlowStartRate: 10}}, Routes: []Route{*streamRoute()}})})
+	list := servers("llm", 8, 8)
+	h.tick(ServersListed{list})
+	h.dial(DialFailed, list[0])
+	h.advance(knowledgeTTL)
+	s := h.world.servers[list[0].ID]
+	h.world.serverLost(s)
+	h.dial(DialSucceeded, list[1])
+	h.dial(DialFailed, list[2], list[3])
+	h.dial(TunnelSucceeded, list[3])
+	if !s.inSlowStart(h.now) {
+		t.Error("the server is no longer in slow start")
+	}
+}
--- a/decision/reach/links.go
+++ b/decision/reach/links.go
@@ -273,6 +273,9 @@
 // Undisturbed reports whether there is no evidence against any link.
 func (l *Links) Undisturbed() bool { return len(l.links) == 0 && l.state == Up }
 
+// HasEvidence reports whether there is evidence against the link to the server.
+func (l *Links) HasEvidence(server string) bool { return l.links[server] != nil }
+
 // IsLost reports whether requests for the server are not sent directly.
 func (l *Links) IsLost(now time.Time, server string) bool {
 	k := l.links[server]
--- a/decision/reach/paths.go
+++ b/decision/reach/paths.go
@@ -235,6 +235,11 @@
 	return count
 }
 
+// HasUsable reports whether any peer that can be asked is known to have a path.
+func (p *Paths) HasUsable(now time.Time, usable func(name string) bool) bool {
+	return slices.ContainsFunc(p.list, func(x *peerPath) bool { return now.Sub(x.pathAt) < pathTTL && usable(x.Name) })
+}
+
 // remote is how many peers of other failure domains are known.
 func (p *Paths) remote() int {
 	count := 0
--- a/router/internal/tunnel/dialer.go
+++ b/router/internal/tunnel/dialer.go
@@ -83,7 +83,7 @@
 			return nil, ErrNoPath
 		case c.unreachable:
 			return nil, ErrUnreachable
-		case c.usable == 0:
+		case c.usable == 0, c.full:
 			d.FindPeers()
 			return nil, ErrNoPeer
 		}
--- a/router/internal/tunnel/peers.go
+++ b/router/internal/tunnel/peers.go
@@ -144,9 +144,10 @@
 	// usable is how many peers could be asked in all.
 	usable int
 	// exhausted is true if a search has found none with a path, unreachable if peers with a path are known and none of
-	// them reaches the server.
+	// them reaches the server, full if those with a path have no room.
 	exhausted   bool
 	unreachable bool
+	full        bool
 }
 
 // candidatesFor returns the peers to ask for a tunnel to the server. There are none while the search for one with a path
@@ -165,7 +166,10 @@
 	if len(chosen) > 0 && (p.paths.Prefer(now, chosen[0].name, server) == reach.Proven || p.paths.BurstEnded(p.isUsable)) {
 		out.peers = chosen
 	}
-	out.unreachable = len(out.peers) == 0 && p.paths.Known(now) > 0
+	if len(out.peers) == 0 {
+		out.unreachable = p.paths.HasUsable(now, p.isUsable)
+		out.full = !out.unreachable && p.paths.Known(now) > 0 && p.paths.BurstEnded(p.isUsable)
+	}
 	return out
 }
 
--- a/router/internal/tunnel/tunnel_test.go
+++ b/router/internal/tunnel/tunnel_test.go
@@ -469,6 +469,29 @@
 	}
 }
 
+// TestFullPeersAreNoServerThatIsDown guards against servers that are left alone because the peers with a path have no room.
+func TestFullPeersAreNoServerThatIsDown(t *testing.T) {
+	b := startBackend(t, echo)
+	var busy atomic.Bool
+	address, _ := startServer(t, &Server{Busy: busy.Load})
+	d := newTestDialer(address)
+	c, err := d.Dial(t.Context(), b.Target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = c.Close()
+	busy.Store(true)
+	for range 3 {
+		began := time.Now()
+		if _, err := d.Dial(t.Context(), b.Target); !errors.Is(err, ErrNoPeer) {
+			t.Errorf("%v, want %v", err, ErrNoPeer)
+		}
+		if took := time.Since(began); took >= openTimeout {
+			t.Errorf("known after %v, want at once", took)
+		}
+	}
+}
+
 // TestSilentPeerIsLeftAlone guards against each request waiting for a peer that has no power, or has lost its own
 // path and not noticed, while others answer.
 func TestSilentPeerIsLeftAlone(t *testing.T) {
