Adapter: stated slowness, engine memory, expected length, shared admission; carriers for speeds and demand

What callers saw: where servers state a fourth figure with their load, the header was dropped whole: all engines were full while each instance took 2 in 100 slots for taken. Cause: platform/headers.go wanted exactly three parts. Decoded besides: the engines' memory and tokens an event, the caller's expected length, and whether admission is shared. Interfaces: decision/speed, decision/admission and their rows in the load reports; their decisions follow. Result: no decision changes yet but the load that such servers state.

--- a/decision/passthrough/config.go
+++ b/decision/passthrough/config.go
@@ -64,6 +64,10 @@
 	// Slots is how many requests an engine runs at once; 0 for a plain service, which runs no
 	// models.
 	Slots int
+	// TokenCapacity is how many tokens of prompts and responses an engine holds, TokensPerEvent how many tokens an
+	// event of its streams has; 0 if unknown.
+	TokenCapacity  int
+	TokensPerEvent int
 	// SlowStartDuration is how long after its start a server takes only SlowStartRate requests
 	// per second; 0 if the service needs no slow start.
 	SlowStartDuration time.Duration
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -1,6 +1,11 @@
 package passthrough
 
-import "time"
+import (
+	"time"
+
+	"masticplank.example/decision/admission"
+	"masticplank.example/decision/speed"
+)
 
 // Event is an input of Tick. The set is closed.
 type Event interface{ event() }
@@ -154,6 +159,16 @@
 // with the number of rejections a second that these survive.
 type PeerBrittle struct{ PerSecond map[string]float64 }
 
+// PeerSpeeds is what the other instances know of the backend servers' speeds.
+type PeerSpeeds struct{ Rows []speed.Row }
+
+// PeerDemand is the sum of what the callers of the other instances ask for. Instances is the number of instances in
+// it.
+type PeerDemand struct {
+	Demand    []admission.Demand
+	Instances int
+}
+
 // RolloutUpdated replaces the state of a service's roll-out.
 type RolloutUpdated struct{ Rollout Rollout }
 
@@ -178,6 +193,8 @@
 func (PeerLeaving) event()           {}
 func (PeerBrittle) event()           {}
 func (PeerPermitReleased) event()    {}
+func (PeerSpeeds) event()            {}
+func (PeerDemand) event()            {}
 func (Neighbours) event()            {}
 func (RemoteNeighbours) event()      {}
 
--- a/decision/passthrough/requests.go
+++ b/decision/passthrough/requests.go
@@ -1,9 +1,6 @@
 package passthrough
 
-import (
-	"cmp"
-	"time"
-)
+import "cmp"
 
 // arrive admits a request: it dispatches it, queues it, or refuses it with a retry-after time.
 func (w *World) arrive(in Request) {
@@ -204,44 +201,3 @@
 	w.emit(Finish{Request: r.ID, Reason: reason})
 	w.remove(r)
 }
-
-const (
-	// minRetryAfter and maxRetryAfter bound the retry-after time of a refusal.
-	minRetryAfter = 150 * time.Millisecond
-	maxRetryAfter = 5 * time.Second
-	// retryAfterFraction bounds the retry-after time, before jitter, as a fraction of the time to
-	// the request's deadline.
-	retryAfterFraction = 0.3
-	// retryAfterJitter is the largest fraction that is added at random, so that callers that were
-	// refused together do not return together.
-	retryAfterJitter = 0.5
-)
-
-// refuse ends a request that has not run, with a retry-after time for its caller.
-func (w *World) refuse(r *request, reason Reason) {
-	if reason == ReasonPartQuarantined {
-		w.emit(Refuse{Request: r.ID, Reason: reason, RetryAfter: quarantineRetryAfter})
-		w.remove(r)
-		return
-	}
-	retryAfter := r.service.intervals.departures.wait(r.service.queue.ahead(r))
-	switch reason {
-	case ReasonNoServer:
-		retryAfter = max(retryAfter, unreachableBackoff)
-	case ReasonBackoff:
-		retryAfter = max(retryAfter, unreachableBackoff, w.backoffEnds(r.service).Sub(w.now))
-	case ReasonSlowStart:
-		retryAfter = max(retryAfter, w.slowStartEnds(r.service).Sub(w.now))
-	case ReasonLimited:
-		wait, _ := w.limitWait(r)
-		if wait == never {
-			wait = unreachableBackoff // another instance may be in a server's subset
-		}
-		retryAfter = max(retryAfter, wait)
-	}
-	retryAfter = max(retryAfter, minRetryAfter)
-	retryAfter = min(retryAfter, maxRetryAfter, time.Duration(retryAfterFraction*float64(r.Deadline.Sub(w.now))))
-	retryAfter += time.Duration(retryAfterJitter * w.rng.Float64() * float64(retryAfter))
-	w.emit(Refuse{Request: r.ID, Reason: reason, RetryAfter: max(retryAfter, 0)})
-	w.remove(r)
-}
--- a/decision/passthrough/seam/seam.go
+++ b/decision/passthrough/seam/seam.go
@@ -29,6 +29,9 @@
 	// PromptTokens and MaxTokens are the size of the request; 0 if unknown.
 	PromptTokens int
 	MaxTokens    int
+	// ExpectedTokens is the caller's estimate of the number of generated tokens, right in the median but often far
+	// off; 0 if not stated.
+	ExpectedTokens int
 	// ChooseModel is true if the router chooses the model.
 	ChooseModel bool
 	// LastEventID is the id of the last event that the caller has, -1 for none.
@@ -70,6 +73,8 @@
 	// Load is the server's load if HasLoad.
 	Load    passthrough.Load
 	HasLoad bool
+	// LoadUnreadable is true if the server states a load that cannot be read.
+	LoadUnreadable bool
 	// Limit is the server's rate limit; the zero value if it stated none.
 	Limit passthrough.RateLimit
 	// Brittle is true if the server states that it fails if it has to reject more than BrittlePerSecond
--- a/decision/passthrough/seam/settings.go
+++ b/decision/passthrough/seam/settings.go
@@ -32,7 +32,9 @@
 	MaxFiles int
 	// Heartbeat is the interval at which backend servers write their entries; 0 if unknown.
 	Heartbeat time.Duration
-	Bounds    Bounds
+	// SharedAdmission is true if the instances decide together which requests get a service's room.
+	SharedAdmission bool
+	Bounds          Bounds
 }
 
 // Bounds are the limits that the platform holds its services to.
--- a/decision/passthrough/servers.go
+++ b/decision/passthrough/servers.go
@@ -12,6 +12,7 @@
 		svc := w.serviceOf(s.Name)
 		svc.engine = s.Slots > 0
 		svc.slots = s.Slots
+		svc.tokenCapacity, svc.tokensPerEvent = s.TokenCapacity, s.TokensPerEvent
 		w.configureSlowStart(svc, s)
 	}
 }
@@ -145,6 +146,7 @@
 	s.service.prefill.meanOthersPrefilling.add(s.othersPrefilling())
 	s.service.prefill.lastReportAt = w.now
 	s.service.meanOthers.add(max(s.reportedOthers(), 0))
+	w.observeSpeed(s, load)
 	if load.Slots > 0 {
 		s.Slots = load.Slots
 	}
--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -16,6 +16,9 @@
 	// engine is true for servers that run models and batch requests.
 	engine bool
 	slots  int
+	// tokenCapacity is how many tokens of prompts and responses an engine holds, tokensPerEvent how many tokens an
+	// event of its streams has; 0 if unknown.
+	tokenCapacity, tokensPerEvent int
 	// meanOthers is the mean number of other instances' requests at a server.
 	meanOthers movingAverage
 	intervals  intervalStats
--- a/decision/passthrough/types.go
+++ b/decision/passthrough/types.go
@@ -43,11 +43,13 @@
 }
 
 // Load is the load that a backend server reports of itself, in requests. Running counts those that
-// hold a slot, Waiting those that wait for one, and Slots is the number of slots.
+// hold a slot, Waiting those that wait for one, and Slots is the number of slots. Slowdown is how many times as long as
+// usual work takes on the server's machine at this moment, 0 if the server does not state it.
 type Load struct {
-	Running int
-	Waiting int
-	Slots   int
+	Running  int
+	Waiting  int
+	Slots    int
+	Slowdown float64
 }
 
 // RateLimit is the limit that a backend server states for the requests of all instances
@@ -85,6 +87,8 @@
 	// PromptTokens and MaxTokens are the size of the request; 0 if unknown.
 	PromptTokens int
 	MaxTokens    int
+	// ExpectedTokens is the caller's estimate of the number of generated tokens; 0 if not stated.
+	ExpectedTokens int
 	// RolloutPosition is in [0, 1): the request goes to a roll-out's target if its position is
 	// below the target's share.
 	RolloutPosition float64
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -7,6 +7,7 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"masticplank.example/decision/internal/culprit"
+	"masticplank.example/decision/speed"
 )
 
 // Settings are the limits of the decisions. Most come from the platform's settings.
@@ -28,6 +29,8 @@
 	// plus SlowStartSlack, in any second.
 	SlowStartBurst float64
 	SlowStartSlack float64
+	// SharedAdmission is true if the instances decide together which requests get a service's room.
+	SharedAdmission bool
 }
 
 // maxSessions bounds the session table.
@@ -50,6 +53,8 @@
 	// roll-out's first half.
 	keptOnOldVersion map[string]bool
 	crashes          crashes
+	// speeds is what is known of the servers' speeds.
+	speeds speed.Table
 	// culprits finds the parts of prompts that crash servers.
 	culprits *culprit.Finder
 	routes   map[string]*routeStats
@@ -195,6 +200,10 @@
 		w.applyPeerLimits(e.Limits)
 	case PeerLeaving:
 		w.applyPeerLeaving(e.Processes)
+	case PeerSpeeds:
+		w.applyPeerSpeeds(e)
+	case PeerDemand:
+		w.applyPeerDemand(e)
 	case PeerPermitReleased:
 		w.releasePermitForPeer(e.Server)
 	case PeerBrittle:
--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -107,6 +107,7 @@
 		RetryRatio: retryRatioFraction * cfg.Bounds.RetryRatio, RetrySlack: cfg.Bounds.RetrySlack,
 		RetryWindow: cfg.Bounds.RetryWindow, SessionTTL: cfg.Bounds.SessionTTL,
 		Domains: cfg.Domains, SlowStartBurst: cfg.Bounds.SlowStartBurst, SlowStartSlack: cfg.Bounds.SlowStartSlack,
+		SharedAdmission: cfg.SharedAdmission,
 	})
 }
 
--- a/router/internal/passthrough/attempt.go
+++ b/router/internal/passthrough/attempt.go
@@ -228,6 +228,9 @@
 	if meta.HasLoad {
 		out.load = &meta.Load
 	}
+	if meta.LoadUnreadable {
+		a.exchange.handler.telemetry.logUnreadableServerLoad(a.server)
+	}
 	if meta.RequestID == a.exchange.call.caller.RequestID && reportsLimit(resp.StatusCode, meta) {
 		out.limit = &meta.Limit
 	}
--- a/router/internal/passthrough/driver.go
+++ b/router/internal/passthrough/driver.go
@@ -106,7 +106,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return relay.Report{Loads: d.world.OwnLoads(), Limits: d.world.OwnLimits(), Leaving: d.world.OwnLeaving(), Brittle: d.world.OwnBrittle(),
-		Crashes: d.world.OwnEvidence(d.clock.Now()), Instances: 1}
+		Speeds: d.world.OwnSpeeds(), Demand: d.world.OwnDemand(), Crashes: d.world.OwnEvidence(d.clock.Now()), Instances: 1}
 }
 
 // hasRemoteLimits reports whether only instances of other failure domains have a part of some server's rate limit.
@@ -120,6 +120,7 @@
 func (d *Driver) applyPeerReport(others relay.Report) {
 	d.Handle(passthrough.PeerLoads{Loads: others.Loads, Instances: others.Instances}, passthrough.PeerLimits{Limits: others.Limits},
 		passthrough.PeerLeaving{Processes: others.Leaving}, passthrough.PeerBrittle{PerSecond: others.Brittle},
+		passthrough.PeerSpeeds{Rows: others.Speeds}, passthrough.PeerDemand{Demand: others.Demand, Instances: others.Instances},
 		passthrough.PeerEvidence{Evidence: others.Crashes, Instances: others.Instances})
 }
 
--- a/router/internal/passthrough/telemetry.go
+++ b/router/internal/passthrough/telemetry.go
@@ -21,6 +21,8 @@
 	clock    Clock
 	config   *ConfigState
 	registry gometrics.Registry
+	// unreadableLoads are the servers whose unreadable loads were logged.
+	unreadableLoads processSet
 }
 
 // The log attributes of events about a request.
@@ -158,6 +160,14 @@
 	t.emit(logging.EventRecordRejected, slog.String("from", from), slog.String(logging.KeyError, err.Error()))
 }
 
+// logUnreadableServerLoad counts a stated load that cannot be read, and logs the first one of each process of a server.
+func (t *telemetry) logUnreadableServerLoad(s passthrough.Server) {
+	t.count("load_unreadable")
+	if t.unreadableLoads.add(s) {
+		t.emit(logging.EventLoadUnreadable, slog.String(keyServer, s.ID))
+	}
+}
+
 // logRefused counts and logs a refused request.
 func (t *telemetry) logRefused(c *call, ref refusal) {
 	t.count("refused." + string(ref.reason))
@@ -211,6 +221,9 @@
 	}
 	if out.load != nil {
 		attrs = append(attrs, slog.Int("told_running", out.load.Running), slog.Int("told_waiting", out.load.Waiting))
+		if out.load.Slowdown > 0 {
+			attrs = append(attrs, slog.Float64("told_slowdown", out.load.Slowdown))
+		}
 	}
 	if out.eventInterval > 0 {
 		attrs = append(attrs, slog.Int64("pace_ms", out.eventInterval.Milliseconds()))
--- /dev/null
+++ b/router/internal/relay/demandrows.go
@@ -0,0 +1,47 @@
+package relay
+
+import (
+	"encoding/binary"
+	"math"
+
+	"masticplank.example/decision/admission"
+)
+
+const (
+	// workScale is the number of encoded units per unit of work.
+	workScale = 1000
+	// maxWork is the largest value of a row; larger ones are clamped, so that sums cannot overflow.
+	maxWork = 1e9
+)
+
+// packDemand encodes rows: the hashes of service and team (4 bytes each, big endian), and as varints the priority and
+// the three values.
+func packDemand(rows []admission.Demand) []byte {
+	var out []byte
+	for _, row := range rows {
+		out = binary.BigEndian.AppendUint32(out, row.Class.Service)
+		out = binary.BigEndian.AppendUint32(out, row.Class.Team)
+		out = binary.AppendUvarint(out, uint64(row.Class.Priority))
+		for _, x := range []float64{row.Offered, row.Admitted, row.Waiting} {
+			out = binary.AppendUvarint(out, uint64(min(max(x, 0), maxWork)*workScale+0.5))
+		}
+	}
+	return out
+}
+
+// unpackDemand decodes what packDemand wrote.
+func unpackDemand(data []byte) ([]admission.Demand, error) {
+	var out []admission.Demand
+	for len(data) > 0 {
+		r := rowReader{data: data}
+		row := admission.Demand{Class: admission.Class{Service: r.key(), Team: r.key(), Priority: uint8(min(r.uvarint(), math.MaxUint8))}}
+		for _, x := range []*float64{&row.Offered, &row.Admitted, &row.Waiting} {
+			*x = min(float64(r.uvarint())/workScale, maxWork)
+		}
+		if r.malformed {
+			return nil, errMalformedRow
+		}
+		out, data = append(out, row), r.data
+	}
+	return out, nil
+}
--- a/router/internal/relay/loads.go
+++ b/router/internal/relay/loads.go
@@ -7,7 +7,9 @@
 	"sync"
 	"time"
 
+	"masticplank.example/decision/admission"
 	"masticplank.example/decision/passthrough"
+	"masticplank.example/decision/speed"
 )
 
 // Report is what one or several instances report to the others.
@@ -21,6 +23,9 @@
 	// Brittle are the services whose backend servers stated to them a moment ago that they are brittle, with
 	// the number of rejections a second that these survive.
 	Brittle map[string]float64
+	// Speeds is what they know of the backend servers' speeds, Demand is what their callers ask for.
+	Speeds []speed.Row
+	Demand []admission.Demand
 	// Crashes are backend servers that crashed, and what may be the cause.
 	Crashes passthrough.CrashEvidence
 	// FoundBad are the hashes of the roll-outs in progress whose versions they find bad.
@@ -124,7 +129,7 @@
 	askedAt := l.now()
 	packed := packReport(l.sum(append(l.liveReports("", false), l.currentReport())), l.now())
 	params := loadsParams{
-		Name: l.client.members.self.Name, Rows: packed.loads, Limits: packed.limits, Leaving: packed.leaving, Brittle: packed.brittle, Crashes: packed.crashes, FoundBad: packed.foundBad,
+		Name: l.client.members.self.Name, Rows: packed.loads, Limits: packed.limits, Leaving: packed.leaving, Brittle: packed.brittle, Speeds: packed.speeds, Demand: packed.demand, Crashes: packed.crashes, FoundBad: packed.foundBad,
 		LostConfigVersion: packed.lostConfigVersion, Instances: packed.instances,
 	}
 	out, err := l.client.callMember(ctx, collector, methodLoads, params, reportTimeout)
@@ -133,7 +138,7 @@
 	}
 	// The ages of limits refer to the time of the request, so that a delayed answer does not look
 	// new.
-	others, err := l.unpackReport(collector.Name, packedReport{out.Loads, out.Limits, out.Leaving, out.Brittle, out.Crashes, out.FoundBad, out.LostConfigVersion, out.Instances}, askedAt)
+	others, err := l.unpackReport(collector.Name, packedReport{out.Loads, out.Limits, out.Leaving, out.Brittle, out.Speeds, out.Demand, out.Crashes, out.FoundBad, out.LostConfigVersion, out.Instances}, askedAt)
 	if err != nil {
 		return
 	}
@@ -147,6 +152,7 @@
 	loads, limits     []byte
 	leaving           []uint64
 	brittle           map[string]float64
+	speeds, demand    []byte
 	crashes           packedEvidence
 	foundBad          []uint64
 	lostConfigVersion uint64
@@ -155,7 +161,7 @@
 
 // packReport encodes a report as of the given time.
 func packReport(r Report, now time.Time) packedReport {
-	return packedReport{packLoads(r.Loads), packLimits(r.Limits), r.Leaving, r.Brittle, packEvidence(r.Crashes, now), r.FoundBad, r.LostConfigVersion, r.Instances}
+	return packedReport{packLoads(r.Loads), packLimits(r.Limits), r.Leaving, r.Brittle, packSpeeds(r.Speeds), packDemand(r.Demand), packEvidence(r.Crashes, now), r.FoundBad, r.LostConfigVersion, r.Instances}
 }
 
 // unpackReport decodes another instance's report; the ages in it refer to the given time.
@@ -167,6 +173,12 @@
 	if out.Loads, err = unpackLoads(p.loads); err == nil {
 		out.Limits, err = unpackLimits(p.limits)
 	}
+	if err == nil {
+		out.Speeds, err = unpackSpeeds(p.speeds)
+	}
+	if err == nil {
+		out.Demand, err = unpackDemand(p.demand)
+	}
 	if err != nil && l.OnUnreadable != nil {
 		l.OnUnreadable(from, err)
 	}
@@ -175,7 +187,7 @@
 
 // handleReport stores a follower's report and answers with the sum of all others.
 func (l *LoadExchange) handleReport(p loadsParams) (answer, error) {
-	in, err := l.unpackReport(p.Name, packedReport{p.Rows, p.Limits, p.Leaving, p.Brittle, p.Crashes, p.FoundBad, p.LostConfigVersion, p.Instances}, l.now())
+	in, err := l.unpackReport(p.Name, packedReport{p.Rows, p.Limits, p.Leaving, p.Brittle, p.Speeds, p.Demand, p.Crashes, p.FoundBad, p.LostConfigVersion, p.Instances}, l.now())
 	if err != nil {
 		return answer{}, err
 	}
@@ -183,7 +195,7 @@
 	l.followerReports[p.Name] = in
 	l.mu.Unlock()
 	out := packReport(l.sum(append(l.liveReports(p.Name, true), l.currentReport())), l.now())
-	return answer{Loads: out.loads, Limits: out.limits, Leaving: out.leaving, Brittle: out.brittle, Crashes: out.crashes, FoundBad: out.foundBad, LostConfigVersion: out.lostConfigVersion, Instances: out.instances}, nil
+	return answer{Loads: out.loads, Limits: out.limits, Leaving: out.leaving, Brittle: out.brittle, Speeds: out.speeds, Demand: out.demand, Crashes: out.crashes, FoundBad: out.foundBad, LostConfigVersion: out.lostConfigVersion, Instances: out.instances}, nil
 }
 
 // currentReport returns this instance's report as of now.
@@ -212,17 +224,21 @@
 	return out
 }
 
-// sum adds up the reports: their loads, for each limit the newest statement, all servers that are leaving, and all
-// services that are brittle.
+// sum adds up the reports: their loads and demand, for each limit and speed the newest statement, all servers that are
+// leaving, and all services that are brittle.
 func (l *LoadExchange) sum(reports []timedReport) Report {
 	now := l.now()
 	var loads [][]passthrough.PeerLoad
 	var limits [][]passthrough.PeerLimit
+	var speeds [][]speed.Row
+	var demand [][]admission.Demand
 	var evidence passthrough.CrashEvidence
 	out := Report{Brittle: map[string]float64{}}
 	for _, r := range reports {
 		loads = append(loads, r.Loads)
 		limits = append(limits, addAge(r.Limits, now.Sub(r.asOf)))
+		speeds = append(speeds, addSpeedAge(r.Speeds, now.Sub(r.asOf)))
+		demand = append(demand, r.Demand)
 		out.Leaving = append(out.Leaving, r.Leaving...)
 		out.FoundBad = append(out.FoundBad, r.FoundBad...)
 		maps.Copy(out.Brittle, r.Brittle)
@@ -237,6 +253,7 @@
 	out.Crashes = passthrough.CombineEvidence(evidence)
 	out.Loads = sumLoads(loads...)
 	out.Limits = newestLimits(limits...)
+	out.Speeds, out.Demand = mergeSpeeds(speeds...), admission.Sum(demand...)
 	out.Leaving, out.FoundBad = sortedUnique(out.Leaving), sortedUnique(out.FoundBad)
 	return out
 }
--- a/router/internal/relay/messages.go
+++ b/router/internal/relay/messages.go
@@ -51,6 +51,10 @@
 	Leaving []uint64 `json:"leaving,omitempty"`
 	// Brittle are the services whose backend servers stated to them that they are brittle.
 	Brittle map[string]float64 `json:"brittle,omitempty"`
+	// Speeds are the backend servers' speeds, as packSpeeds encodes them, Demand the demand for services, as
+	// packDemand encodes it.
+	Speeds []byte `json:"speeds,omitempty"`
+	Demand []byte `json:"demand,omitempty"`
 	// Crashes is the evidence of crashed backend servers.
 	Crashes packedEvidence `json:"evidence,omitzero"`
 	// FoundBad are the hashes of the roll-outs whose versions they find bad.
@@ -84,8 +88,10 @@
 	Loads   []byte   `json:"loads,omitempty"`
 	Limits  []byte   `json:"limits,omitempty"`
 	Leaving []uint64 `json:"leaving,omitempty"`
-	// Brittle, Crashes, FoundBad and LostConfigVersion are as in loadsParams.
+	// Brittle, Speeds, Demand, Crashes, FoundBad and LostConfigVersion are as in loadsParams.
 	Brittle           map[string]float64 `json:"brittle,omitempty"`
+	Speeds            []byte             `json:"speeds,omitempty"`
+	Demand            []byte             `json:"demand,omitempty"`
 	Crashes           packedEvidence     `json:"evidence,omitzero"`
 	FoundBad          []uint64           `json:"found_bad,omitempty"`
 	LostConfigVersion uint64             `json:"lost_config,omitempty"`
--- a/router/internal/relay/rows.go
+++ b/router/internal/relay/rows.go
@@ -63,3 +63,31 @@
 	slices.SortFunc(out, func(a, b T) int { return cmp.Compare(key(a), key(b)) })
 	return out
 }
+
+// rowReader reads the fields of one row. Once a field cannot be read, malformed is set, and all fields are 0.
+type rowReader struct {
+	data      []byte
+	malformed bool
+}
+
+// key reads a key of 4 bytes, big endian.
+func (r *rowReader) key() uint32 {
+	if r.malformed || len(r.data) < keyBytes {
+		r.malformed = true
+		return 0
+	}
+	out := binary.BigEndian.Uint32(r.data)
+	r.data = r.data[keyBytes:]
+	return out
+}
+
+// uvarint reads a varint.
+func (r *rowReader) uvarint() uint64 {
+	out, n := binary.Uvarint(r.data)
+	if r.malformed || n <= 0 {
+		r.malformed = true
+		return 0
+	}
+	r.data = r.data[n:]
+	return out
+}
