--- a/router/internal/relay/capacityrows_test.go
+++ b/router/internal/relay/capacityrows_test.go
@@ -57,3 +57,26 @@
 		t.Error("a truncated row was accepted")
 	}
 }
+
+// FuzzUnpackSpeedsAndDemand guards against a decoder of speeds or demand that panics on damaged reports, or returns
+// values below zero or beyond the bounds of a row.
+func FuzzUnpackSpeedsAndDemand(f *testing.F) {
+	f.Add(packSpeeds([]speed.Row{{Server: 7, Usual: 1.6, Samples: 3, Now: 4, Age: time.Second}}))
+	f.Add(packDemand([]admission.Demand{{Class: admission.Class{Service: 7, Team: 9, Priority: 2}, Offered: 1.5}}))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if rows, err := unpackSpeeds(data); err == nil {
+			for _, row := range mergeSpeeds(rows, rows) {
+				if row.Usual < 0 || row.Usual > maxFactor || row.Now < 0 || row.Now > maxFactor || row.Age < 0 || row.Samples < 0 {
+					t.Errorf("speed %+v is out of bounds", row)
+				}
+			}
+		}
+		if rows, err := unpackDemand(data); err == nil {
+			for _, row := range admission.Sum(rows) {
+				if row.Offered < 0 || row.Admitted < 0 || row.Waiting < 0 {
+					t.Errorf("demand %+v is below zero", row)
+				}
+			}
+		}
+	})
+}
