Idle connections show when a plain server goes down; requests that may run once avoid suspects

Cause: the server accepts connections while it is down and resets them once a request is sent. Each of 70 instances found that out by itself, with a request that may run at most once, in each of its turns. Change: each instance keeps an idle connection to each plain server, and leaves a server alone that resets it; suspects get requests that may run again first.

--- a/decision/passthrough/attempt.go
+++ b/decision/passthrough/attempt.go
@@ -89,6 +89,7 @@
 		return
 	}
 	w.observeSent(r, s, e)
+	w.recordResponse(s, e)
 	if e.Leaving || e.Misdirected {
 		s.shownLeaving = true
 		w.emit(RefreshServers{Server: s.ID})
--- a/decision/passthrough/config.go
+++ b/decision/passthrough/config.go
@@ -68,6 +68,8 @@
 	// event of its streams has; 0 if unknown.
 	TokenCapacity  int
 	TokensPerEvent int
+	// MaxConns is how many connections a server takes from all instances together, 0 if unknown.
+	MaxConns int
 	// SlowStartDuration is how long after its start a server takes only SlowStartRate requests
 	// per second; 0 if the service needs no slow start.
 	SlowStartDuration time.Duration
--- a/decision/passthrough/servers.go
+++ b/decision/passthrough/servers.go
@@ -12,7 +12,7 @@
 		svc := w.serviceOf(s.Name)
 		svc.engine = s.Slots > 0
 		svc.slots = s.Slots
-		svc.tokenCapacity, svc.tokensPerEvent = s.TokenCapacity, s.TokensPerEvent
+		svc.tokenCapacity, svc.tokensPerEvent, svc.maxConns = s.TokenCapacity, s.TokensPerEvent, s.MaxConns
 		w.configureSlowStart(svc, s)
 	}
 }
--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -19,6 +19,10 @@
 	// tokenCapacity is how many tokens of prompts and responses an engine holds, tokensPerEvent how many tokens an
 	// event of its streams has; 0 if unknown.
 	tokenCapacity, tokensPerEvent int
+	// maxConns is how many connections a server takes from all instances together, 0 if unknown.
+	maxConns int
+	// statesSpeed is true once a server of the service has stated how long work takes on its machine.
+	statesSpeed bool
 	// meanOthers is the mean number of other instances' requests at a server.
 	meanOthers movingAverage
 	intervals  intervalStats
@@ -62,6 +66,8 @@
 	// canary's servers and the keys in load reports.
 	hash, processHash uint64
 	gone              bool
+	// suspect is true once a connection to the server broke or was reset, until it responds again.
+	suspect bool
 	// statedLeaving is true once the server's process has stated in a response, to this instance or a
 	// peer, that it is leaving. It stated that to this instance at statedLeavingAt, zero for never.
 	statedLeaving   bool
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -200,6 +200,8 @@
 		w.applyPeerLimits(e.Limits)
 	case PeerLeaving:
 		w.applyPeerLeaving(e.Processes)
+	case ConnectionReset:
+		w.observeReset(e)
 	case PeerSpeeds:
 		w.applyPeerSpeeds(e)
 	case PeerDemand:
--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -171,6 +171,10 @@
 	tunnels := tunnel.NewDialer(sh.tunnelPeers)
 	tunnels.FindPeers, tunnels.OnNoPath = sh.findTunnelPeers, tel.logNoPath
 	dial := newDialer(c, d, tunnels)
+	dial.idle.onReset = func(s passthrough.Server) {
+		tel.logIdleReset(s)
+		d.reportReset(s)
+	}
 	d.onProbe = func(to passthrough.Server) { go dial.probe(to) }
 	return dial
 }
--- a/router/internal/passthrough/attempt.go
+++ b/router/internal/passthrough/attempt.go
@@ -31,7 +31,10 @@
 	startedAt        time.Time
 	firstByteTimeout time.Duration
 
-	conn *conn
+	conn   *conn
+	reader *bufio.Reader
+	// reusable is true if the connection is open and idle after a complete response.
+	reusable bool
 	// timedOut is true if the idle watch has closed the connection.
 	timedOut atomic.Bool
 	// withdrawn is true if the connection was closed because a part of the prompt crashes servers.
@@ -116,7 +119,7 @@
 			pathLost: errors.Is(err, errNoPath) || errors.Is(err, errNoPeer)}
 	}
 	a.conn = c
-	defer func() { _ = c.Close() }() // a connection serves one attempt only
+	defer a.release()
 	withdraw := func() {
 		a.withdrawn.Store(true)
 		go func() { _ = c.Close() }() // the driver's lock is held, and a tunnel may close slowly
@@ -130,7 +133,8 @@
 	defer watch.stop()
 	req := a.request()
 	go a.send(req)
-	resp, err := readHead(c, req)
+	a.reader = bufio.NewReader(c)
+	resp, err := readHead(a.reader, req)
 	if err != nil {
 		return a.brokenOutcome(err)
 	}
@@ -138,6 +142,15 @@
 	return a.readOutcome(resp)
 }
 
+// release closes the connection, which serves one attempt only, or leaves it idle to show when the server goes down.
+func (a *attempt) release() {
+	d := a.exchange.handler.dialer
+	if a.reusable && a.conn.peer == "" && d.path.keepsIdle(a.server.ID) && d.idle.keep(a.server, a.conn) {
+		return
+	}
+	_ = a.conn.Close()
+}
+
 // connect opens the connection to the server, through a peer if only peers may send to it.
 func (a *attempt) connect(ctx context.Context) (*conn, error) {
 	if len(a.permitPeers) > 0 {
@@ -183,8 +196,7 @@
 }
 
 // readHead reads the final response's head and skips informational (1xx) ones.
-func readHead(c *conn, req *http.Request) (*http.Response, error) {
-	r := bufio.NewReader(c)
+func readHead(r *bufio.Reader, req *http.Request) (*http.Response, error) {
 	for {
 		resp, err := http.ReadResponse(r, req)
 		if err != nil {
@@ -307,6 +319,7 @@
 	if err != nil {
 		return a.brokenOutcome(err)
 	}
+	a.reusable = !resp.Close && !endsWithConnection(resp) && a.reader.Buffered() == 0
 	out := outcome{
 		result:        passthrough.Completed,
 		response:      &response{resp.StatusCode, resp.Header, body},
--- a/router/internal/passthrough/dialer.go
+++ b/router/internal/passthrough/dialer.go
@@ -38,12 +38,17 @@
 	// any server succeeded, zero for never.
 	unreached  map[string]bool
 	lastDialed time.Time
+
+	// idle are connections that show when a server goes down.
+	idle idleConns
 }
 
 // newDialer returns a dialer that asks path how to connect, and connects through peers by tunnels.
 func newDialer(clock Clock, path pathView, tunnels *tunnel.Dialer) *dialer {
 	d := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1}
-	return &dialer{clock: clock, net: d, connect: newConnect(d), path: path, tunnels: tunnels, lastReceived: map[string]*receiveTimes{}, unreached: map[string]bool{}}
+	out := &dialer{clock: clock, net: d, connect: newConnect(d), path: path, tunnels: tunnels, lastReceived: map[string]*receiveTimes{}, unreached: map[string]bool{}}
+	out.idle.onReset = path.reportReset
+	return out
 }
 
 // receiveTimes are when bytes last arrived from a server, on any connection and on direct ones, in Unix nanoseconds of
@@ -78,6 +83,7 @@
 			delete(d.unreached, id)
 		}
 	}
+	d.idle.retain(keep)
 }
 
 // recordDial records the end of a dial to the server.
@@ -113,6 +119,10 @@
 	hasNoWay() bool
 	// reportDial reports how a connection went.
 	reportDial(to passthrough.Server, outcome passthrough.DialOutcome)
+	// reportReset reports that a server has reset an idle connection.
+	reportReset(of passthrough.Server)
+	// keepsIdle reports whether this instance keeps an idle connection to the server.
+	keepsIdle(id string) bool
 	// pathStanding is what peers are told of this instance's path.
 	pathStanding() reach.Standing
 	// missesServer reports whether the latest direct connection to the server has failed, a moment ago, or its link is
--- a/router/internal/passthrough/driver.go
+++ b/router/internal/passthrough/driver.go
@@ -178,6 +178,18 @@
 	d.applyLocked(passthrough.DialEnded{Server: to, Outcome: outcome})
 }
 
+// reportReset reports that a server has reset an idle connection.
+func (d *Driver) reportReset(of passthrough.Server) {
+	d.Handle(passthrough.ConnectionReset{Server: of})
+}
+
+// keepsIdle reports whether this instance keeps an idle connection to the server.
+func (d *Driver) keepsIdle(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.world.KeepsIdle(id)
+}
+
 // pathStanding is what peers are told of this instance's path.
 func (d *Driver) pathStanding() reach.Standing {
 	d.mu.Lock()
--- a/router/internal/passthrough/telemetry.go
+++ b/router/internal/passthrough/telemetry.go
@@ -168,6 +168,12 @@
 	}
 }
 
+// logIdleReset counts and logs a server that has reset an idle connection.
+func (t *telemetry) logIdleReset(s passthrough.Server) {
+	t.count("idle_reset")
+	t.emit(logging.EventIdleReset, slog.String(keyServer, s.ID))
+}
+
 // logRefused counts and logs a refused request.
 func (t *telemetry) logRefused(c *call, ref refusal) {
 	t.count("refused." + string(ref.reason))
