Speeds: table of servers' factors, pooled over instances; placement by factor

Callers on slow engines waited as long as the engines' queues, since slow engines got as many prompts as fast ones. Views, waits, prefill rates, the prefix hash and baselines use the factor, only for services whose servers state it.

--- a/decision/passthrough/intervals.go
+++ b/decision/passthrough/intervals.go
@@ -87,7 +87,7 @@
 		return
 	}
 	mean := r.service.intervals.average(r.model)
-	x := interval.Seconds()
+	x := interval.Seconds() / s.statedFactor()
 	if mean.n > 3 && mean.value > 0 {
 		s.relativeTime.add(min(x/mean.value, maxSlowdown))
 	}
--- a/decision/passthrough/pick.go
+++ b/decision/passthrough/pick.go
@@ -32,6 +32,9 @@
 	if v, ok := w.pickStaleLimited(list); ok {
 		return v, true
 	}
+	if r.service.statesSpeeds {
+		r.addOwnPrefill(list)
+	}
 	if r.PrefixHash != 0 {
 		return w.pickByPrefix(r, list, occ), true
 	}
@@ -45,7 +48,7 @@
 	maxWeight, meanWait := loadBound(list), meanPrefillWait(list)
 	keepLocal := staysLocal(r, occ.prefillWait)
 	best, local, lightest := noIndex, noIndex, 0
-	var bestScore, localScore uint64
+	var bestScore, localScore float64
 	for i, v := range list {
 		if v.weight < list[lightest].weight {
 			lightest = i
@@ -53,7 +56,7 @@
 		if v.weight > maxWeight || v.wait > meanWait+prefillWaitSlack {
 			continue
 		}
-		score := mix(v.server.hash ^ r.PrefixHash)
+		score := r.prefixScore(v)
 		if best == noIndex || score > bestScore {
 			best, bestScore = i, score
 		}
@@ -70,6 +73,26 @@
 	return list[lightest]
 }
 
+// prefixScore is the score of a server for the request's prefix, the same at all instances. With stated speeds the
+// servers are weighted (rendezvous hashing), so that each gets prefixes in proportion to its speed.
+func (r *request) prefixScore(v serverView) float64 {
+	hash := mix(v.server.hash ^ r.PrefixHash)
+	if !r.service.statesSpeeds {
+		return float64(hash)
+	}
+	const bits = 53 // of a float64's mantissa
+	uniform := (float64(hash>>(64-bits)) + 0.5) / (1 << bits)
+	return -1 / (math.Log(uniform) * v.factor)
+}
+
+// addOwnPrefill adds to the servers' weights the time that the request's own prompt takes there.
+func (r *request) addOwnPrefill(list []serverView) {
+	requests := r.service.prefill.perToken(max(r.nextModel, 0)) * float64(r.PromptTokens) / prefillSecondsPerRequest
+	for i := range list {
+		list[i].weight += requests * list[i].factor
+	}
+}
+
 // noIndex stands for no server.
 const noIndex = -1
 
--- a/decision/passthrough/prefill.go
+++ b/decision/passthrough/prefill.go
@@ -46,6 +46,8 @@
 	// mean number of other instances' prompts that wait at a server.
 	meanPrefillTime      movingAverage
 	meanOthersPrefilling movingAverage
+	// lateness is the mean logarithm of the ratio of actual to expected times to the first byte.
+	lateness movingAverage
 }
 
 // ratio is the ratio of two sums in which older terms fade.
@@ -81,15 +83,16 @@
 	return speed.value(prior, priorTokens)
 }
 
-// learn records the time to the first byte of a response that had its engine to itself.
-func (ps *prefillStats) learn(model, tokens int, took time.Duration) {
+// learn records the time to the first byte of a response that had its engine to itself, where work takes factor times
+// as long as usual.
+func (ps *prefillStats) learn(model, tokens int, took time.Duration, factor float64) {
 	const drift = 1.001 // the minimum rises slowly, to forget an outlier
 	x := took.Seconds()
 	ps.minFirstByte *= drift
 	if ps.minFirstByte == 0 || x < ps.minFirstByte {
 		ps.minFirstByte = x
 	}
-	entryFor(&ps.perModel, model).add(x-ps.minFirstByte, float64(tokens), prefillMemoryTokens)
+	entryFor(&ps.perModel, model).add((x-ps.minFirstByte)/factor, float64(tokens), prefillMemoryTokens)
 }
 
 const (
@@ -112,7 +115,7 @@
 		ps.peerAccuracy.add(took, r.peerForecast, forecastMemory)
 	}
 	if r.prefillAlone && e.HasLoad && e.Load.Waiting == 0 {
-		ps.learn(r.model, r.PromptTokens, e.After)
+		ps.learn(r.model, r.PromptTokens, e.After, r.server.statedFactor())
 	}
 }
 
@@ -127,14 +130,18 @@
 func (w *World) beginPrefill(r *request, v serverView) {
 	s := v.server
 	ps := &r.service.prefill
-	r.prefillTime = ps.perToken(r.model) * float64(r.PromptTokens)
+	unitTime := ps.perToken(r.model) * float64(r.PromptTokens)
+	r.prefillTime = unitTime
+	if r.service.statesSpeeds {
+		r.prefillTime *= v.factor
+	}
 	r.prefillAlone = len(s.prefilling) == 0
 	r.ownForecast = v.own.unscaledWait + r.prefillTime
 	r.peerForecast = v.unscaledWait + r.prefillTime
 	r.prefilling = true
 	r.usedPeerForecast = w.peerLoadsFresh()
 	r.firstByteDue = w.now.Add(seconds(v.wait + r.prefillTime + ps.minFirstByte))
-	ps.meanPrefillTime.add(r.prefillTime)
+	ps.meanPrefillTime.add(unitTime)
 	s.prefilling = append(s.prefilling, r)
 	s.prefillBacklog += r.prefillTime
 }
--- a/decision/passthrough/servers.go
+++ b/decision/passthrough/servers.go
@@ -68,6 +68,7 @@
 	}
 	w.rebuildIndexes(list)
 	w.path.setServers(w.now, w.servers)
+	w.retainSpeeds()
 }
 
 // addServer adds the process of an entry that is new, or is back.
--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -23,9 +23,11 @@
 	meanOthers movingAverage
 	intervals  intervalStats
 	prefill    prefillStats
-	slowStart  slowStartLimits
-	brittle    brittle
-	permits    permits
+	// statesSpeeds is true once one of the service's servers has stated how long work takes on its machine.
+	statesSpeeds bool
+	slowStart    slowStartLimits
+	brittle      brittle
+	permits      permits
 	// fullUntil is until when no request is offered to peers with permits.
 	fullUntil time.Time
 	// wakeAt is when queued requests are tried again, as a server may take more by then; zero for
@@ -56,6 +58,11 @@
 	// statedBackoffUntil is the time until which the server itself wants no requests.
 	statedBackoffUntil time.Time
 	health             health
+	// usual is how many times as long as at a server of unit speed work usually takes at the server, stated the same
+	// without what was measured; both are 0 unless the service states speeds.
+	usual, stated float64
+	// slowUnstated is true while measured times show that the server is slow without stating it.
+	slowUnstated bool
 	// relativeTime is the server's event interval relative to its service's mean.
 	relativeTime movingAverage
 	// processHash is that of the server's process. hash is that of the server's id, for the choice by prefix, the subsets of instances, the
--- a/decision/passthrough/verdict.go
+++ b/decision/passthrough/verdict.go
@@ -115,6 +115,7 @@
 	o.FirstByte = w.compareWithBaseline(s, w.firstByteBaseline(r), level, first)
 	if !r.intervalReported {
 		o.EventInterval = w.compareWithBaseline(s, r.service.intervals.baseline(r.model), level, e.EventInterval)
+		w.measureInterval(s, o.EventInterval)
 	}
 	if e.Result == Broken {
 		w.emitObservation(o, w.report)
@@ -142,19 +143,20 @@
 		return
 	}
 	r.intervalReported = true
-	w.emitObservation(Observation{Service: r.service.name, Route: r.Route.Name, Version: r.server.Version, TimingOnly: true,
-		EventInterval: w.compareWithBaseline(r.server, r.service.intervals.baseline(r.model), r.loadLevel, e.EventInterval)}, w.emit)
+	times := w.compareWithBaseline(r.server, r.service.intervals.baseline(r.model), r.loadLevel, e.EventInterval)
+	w.measureInterval(r.server, times)
+	w.emitObservation(Observation{Service: r.service.name, Route: r.Route.Name, Version: r.server.Version, TimingOnly: true, EventInterval: times}, w.emit)
 }
 
 // compareWithBaseline returns the statistics of one response's time relative to the old version's
 // at a similar load; they are empty without a baseline. If the server has the old version, the time
-// is added to the baseline.
+// is added to the baseline. Times are taken at unit speed, so that no version fails for its machines.
 func (w *World) compareWithBaseline(s *server, baseline *baselineTimes, level loadLevel, took time.Duration) LogRatioStats {
 	var out LogRatioStats
 	if took <= 0 {
 		return out
 	}
-	x := math.Log(took.Seconds())
+	x := math.Log(took.Seconds() / s.statedFactor())
 	if baselineLog, ok := baseline.at(level); ok {
 		out.add(x - baselineLog)
 	}
--- a/decision/passthrough/view.go
+++ b/decision/passthrough/view.go
@@ -11,8 +11,10 @@
 	forecast
 	own forecast
 	// weight is what servers are compared by, in requests: the load with one more request,
-	// multiplied by the server's slowdown, plus the prefill wait, which delays all other requests.
+	// multiplied by the server's factor, plus the prefill wait, which delays all other requests.
 	weight float64
+	// factor is how many times as long as usual work is expected to take at the server.
+	factor float64
 }
 
 // forecast is the expected load of a server.
@@ -45,13 +47,13 @@
 			}
 			continue
 		}
-		slowdown := srv.slowdown()
-		v := serverView{server: srv, own: in.ownForecast(srv, slowdown)}
+		factor := w.speedFactor(srv)
+		v := serverView{server: srv, factor: factor, own: in.ownForecast(srv, factor)}
 		v.forecast = v.own
 		if in.peersFresh {
-			v.forecast = in.peerForecast(srv, slowdown)
+			v.forecast = in.peerForecast(srv, factor)
 		}
-		v.weight = (v.load+1)*slowdown + v.wait/prefillSecondsPerRequest
+		v.weight = (v.load+1)*factor + v.wait/prefillSecondsPerRequest
 		w.views = append(w.views, v)
 	}
 	return w.views
@@ -83,27 +85,35 @@
 }
 
 // ownForecast is the forecast from this instance's knowledge alone.
-func (in *forecastInput) ownForecast(srv *server, slowdown float64) forecast {
+func (in *forecastInput) ownForecast(srv *server, factor float64) forecast {
 	aged := elapsedFraction(srv.reportedAt, in.now, in.reportTTL)
 	prefillAged := elapsedFraction(srv.reportedAt, in.now, reportedPrefillTTL)
 	reported := max(srv.reportedOthers(), 0) * (1 - aged)
 	prefilling := srv.othersPrefilling()*(1-prefillAged) + in.meanOthersPrefilling*prefillAged
 	f := forecast{known: float64(srv.ownRequests) + reported}
 	f.load = f.known + in.service.meanOthers.value*aged
-	f.unscaledWait = (srv.prefillBacklog + prefilling*in.service.prefill.meanPrefillTime.value) * slowdown
+	f.unscaledWait = srv.prefillBacklog*in.backlogFactor(factor) + prefilling*in.service.prefill.meanPrefillTime.value*factor
 	f.wait = f.unscaledWait * in.ownScale
 	return f
 }
 
 // peerForecast is the forecast from the peers' load reports.
-func (in *forecastInput) peerForecast(srv *server, slowdown float64) forecast {
+func (in *forecastInput) peerForecast(srv *server, factor float64) forecast {
 	load := float64(srv.ownRequests) + srv.peers.requests
 	f := forecast{known: load, load: load}
-	f.unscaledWait = (srv.prefillRemaining(in.now) + srv.peers.prefillTime) * slowdown
+	f.unscaledWait = (srv.prefillRemaining(in.now) + srv.peers.prefillTime) * in.backlogFactor(factor)
 	f.wait = f.unscaledWait * in.peerScale
 	return f
 }
 
+// backlogFactor is what a backlog is multiplied by: with stated speeds it is in the server's own seconds already.
+func (in *forecastInput) backlogFactor(factor float64) float64 {
+	if in.service.statesSpeeds {
+		return 1
+	}
+	return factor
+}
+
 // elapsedFraction is the fraction of span that has passed since a time, at most 1; it is 1 for
 // the zero time.
 func elapsedFraction(since, now time.Time, span time.Duration) float64 {
--- a/router/internal/logging/catalogue.go
+++ b/router/internal/logging/catalogue.go
@@ -69,7 +69,7 @@
 	EventPathRestored    = Event{228, "path_restored", slog.LevelInfo, "This instance reaches backend servers again."}
 	EventPathNowhere     = Event{230, "path_nowhere", slog.LevelWarn, "This instance misses backend servers and looked for a peer with a path; none of those that were asked has one. Requests are refused meanwhile, and the search goes on; known is the number of peers that it knows."}
 	EventServiceBrittle  = Event{229, "service_brittle", slog.LevelWarn, "A service's backend servers state that they fail if they reject more than per_second requests in a second, or, if brittle is false, no longer do: requests are sent only where there is room for certain."}
-	EventLoadUnreadable = Event{231, "load_unreadable", slog.LevelWarn, "A backend server states a load that cannot be read; it counts as not stated. Logged once for each process of a server."}
+	EventLoadUnreadable  = Event{231, "load_unreadable", slog.LevelWarn, "A backend server states a load that cannot be read; it counts as not stated. Logged once for each process of a server."}
 	EventServerBackoff   = Event{226, "server_backoff", slog.LevelInfo, "A backend server refused a request and states for how long it wants no others from this instance, which sends it none for that time."}
 
 	EventPassthroughRefused = Event{310, "passthrough_refused", slog.LevelInfo, "A request on a pass-through route was refused and was not run; reason says why."}
--- a/router/internal/relay/speedrows.go
+++ b/router/internal/relay/speedrows.go
@@ -14,16 +14,20 @@
 	maxFactor     = 1000.0
 	maxSamples    = 1_000_000
 	maxSpeedAgeMS = 60_000
+	// maxSpeedRows bounds the rows of a report, so that one about 10,000 servers has 6 KB.
+	maxSpeedRows = 512
 )
 
 // packSpeeds encodes rows: a server's key (4 bytes, big endian), and as varints its usual factor, the samples, its
-// present factor, and that one's age in ms.
+// present factor, that one's age in ms, its ratio and that one's samples.
 func packSpeeds(rows []speed.Row) []byte {
 	var out []byte
 	for _, row := range rows {
 		out = appendRow(out, uint32(row.Server), packFactor(row.Usual), uint64(min(max(row.Samples, 0), maxSamples)))
 		out = binary.AppendUvarint(out, packFactor(row.Now))
 		out = binary.AppendUvarint(out, uint64(min(max(row.Age.Milliseconds(), 0), maxSpeedAgeMS)))
+		out = binary.AppendUvarint(out, packFactor(row.Ratio))
+		out = binary.AppendUvarint(out, uint64(min(max(row.RatioSamples, 0), maxSamples)))
 	}
 	return out
 }
@@ -38,6 +42,8 @@
 		row.Samples = int(min(r.uvarint(), maxSamples))
 		row.Now = unpackFactor(r.uvarint())
 		row.Age = time.Duration(min(r.uvarint(), maxSpeedAgeMS)) * time.Millisecond
+		row.Ratio = unpackFactor(r.uvarint())
+		row.RatioSamples = int(min(r.uvarint(), maxSamples))
 		if r.malformed {
 			return nil, errMalformedRow
 		}
@@ -60,9 +66,9 @@
 	return out
 }
 
-// mergeSpeeds merges the rows of several lists: the mean of the usual factors by their samples, and the newest
-// statement.
+// mergeSpeeds merges the rows of several lists: the means of the usual factors and of the ratios by their samples, and
+// the newest statement. At most maxSpeedRows remain.
 func mergeSpeeds(lists ...[]speed.Row) []speed.Row {
 	key := func(row speed.Row) uint32 { return uint32(row.Server) }
-	return mergeRows(lists, key, speed.Row.Merge)
+	return speed.Bound(mergeRows(lists, key, speed.Row.Merge), maxSpeedRows)
 }
