--- a/decision/passthrough/dispatch.go
+++ b/decision/passthrough/dispatch.go
@@ -38,6 +38,10 @@
 	if !s.reportedAt.IsZero() {
 		cmd.LoadAge = w.now.Sub(s.reportedAt)
 	}
+	if r.service.statesSpeeds {
+		cmd.Speed = v.factor
+		cmd.StatedSlowdown, cmd.StatedAge = w.speeds.Newest(w.now, s.speedKey())
+	}
 	if r.ChooseModel && len(r.Route.Models) > 0 {
 		occ = occ.withOneMore()
 		cmd.Utilization, cmd.MeanPrefillWait, cmd.RetriesLeft = occ.utilization, seconds(occ.prefillWait), r.service.budget.Remaining(w.now)
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -225,6 +225,11 @@
 	Limit RateLimit
 	// PrefillWait is how long the prompt is expected to wait at the server for other prompts.
 	PrefillWait time.Duration
+	// Speed is the factor by which the server was chosen, StatedSlowdown the server's newest statement and StatedAge
+	// its age, for the log; all are 0 if the service states no speeds, the last two if this server has stated none.
+	Speed          float64
+	StatedSlowdown float64
+	StatedAge      time.Duration
 	// Utilization is the forecast fraction of the service's slots that are taken,
 	// MeanPrefillWait the mean wait of prompts at its servers, and RetriesLeft the rest of the
 	// retry budget: the inputs to the choice of the model.
--- /dev/null
+++ b/decision/passthrough/hotprefix.go
@@ -0,0 +1,100 @@
+package passthrough
+
+import (
+	"math"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+const (
+	// hotPrefixMemory is the time that the load of a prefix looks back on: an instance gets a request of a prefix
+	// that has a quarter of a route's requests every two seconds.
+	hotPrefixMemory = 10 * time.Second
+	// hotPrefixUtilization is the part of a server's time that the prompts of one prefix may take: the rest is for
+	// other prefixes and for generation, which waits meanwhile.
+	hotPrefixUtilization = 0.5
+	// maxPrefixServers bounds the servers of one prefix: each repeats its prefill once.
+	maxPrefixServers = 8
+	// maxPrefixes bounds the prefixes whose load is known.
+	maxPrefixes = 256
+)
+
+// hotPrefixes measures the load of prefixes at this instance.
+type hotPrefixes struct {
+	loads *simplelru.LRU[uint64, *prefixLoad]
+}
+
+// prefixLoad is the prefill time in seconds of a prefix's requests; older ones weigh less.
+type prefixLoad struct {
+	seconds float64
+	at      time.Time
+}
+
+// decayed is the load at a later time.
+func (l *prefixLoad) decayed(now time.Time) float64 {
+	return l.seconds * math.Exp(-float64(now.Sub(l.at))/float64(hotPrefixMemory))
+}
+
+// serverCount is how many servers the prefix needs, if each of the given number of instances has as much load of it as
+// this one.
+//
+// Load: a prefix with a quarter of a route's requests. Harm prevented: all instances send them to one server until they
+// learn of its load, and then all to the next.
+func (h *hotPrefixes) serverCount(now time.Time, prefix uint64, instances int) int {
+	if h.loads == nil {
+		return 1
+	}
+	l, ok := h.loads.Get(prefix)
+	if !ok {
+		return 1
+	}
+	busy := l.decayed(now) / hotPrefixMemory.Seconds() * float64(max(instances, 1))
+	return min(max(int(math.Ceil(busy/hotPrefixUtilization)), 1), maxPrefixServers)
+}
+
+// record adds a request's prefill time to its prefix.
+func (h *hotPrefixes) record(now time.Time, prefix uint64, seconds float64) {
+	if h.loads == nil {
+		h.loads = newLRU[uint64, *prefixLoad](maxPrefixes)
+	}
+	l, ok := h.loads.Get(prefix)
+	if !ok {
+		l = &prefixLoad{at: now}
+		h.loads.Add(prefix, l)
+	}
+	l.seconds, l.at = l.decayed(now)+seconds, now
+}
+
+// firstServers are the servers with the highest scores, best first.
+type firstServers struct {
+	index [maxPrefixServers]int
+	score [maxPrefixServers]float64
+	len   int
+}
+
+// add adds a server, if it is among the first count.
+func (f *firstServers) add(index int, score float64, count int) {
+	if f.len == count && score <= f.score[count-1] {
+		return
+	}
+	f.len = min(f.len+1, count)
+	at := f.len - 1
+	for ; at > 0 && f.score[at-1] < score; at-- {
+		f.index[at], f.score[at] = f.index[at-1], f.score[at-1]
+	}
+	f.index[at], f.score[at] = index, score
+}
+
+// lighterOfTwo is the better of two random servers of several, so that the instances do not all choose the same one.
+func (w *World) lighterOfTwo(list []serverView, f *firstServers) serverView {
+	if f.len == 1 {
+		return list[f.index[0]]
+	}
+	a := w.rng.IntN(f.len)
+	b := (a + 1 + w.rng.IntN(f.len-1)) % f.len
+	if list[f.index[b]].weight < list[f.index[a]].weight {
+		a = b
+	}
+	return list[f.index[a]]
+}
--- a/decision/passthrough/pick.go
+++ b/decision/passthrough/pick.go
@@ -47,28 +47,27 @@
 func (w *World) pickByPrefix(r *request, list []serverView, occ occupancy) serverView {
 	maxWeight, meanWait := loadBound(list), meanPrefillWait(list)
 	keepLocal := staysLocal(r, occ.prefillWait)
-	best, local, lightest := noIndex, noIndex, 0
-	var bestScore, localScore float64
+	count := w.prefixServerCount(r)
+	var best, local firstServers
+	lightest := 0
 	for i, v := range list {
 		if v.weight < list[lightest].weight {
 			lightest = i
 		}
-		if v.weight > maxWeight || v.wait > meanWait+prefillWaitSlack {
+		if v.weight > maxWeight || v.wait+v.ownPrefill > meanWait+prefillWaitSlack {
 			continue
 		}
 		score := r.prefixScore(v)
-		if best == noIndex || score > bestScore {
-			best, bestScore = i, score
-		}
-		if keepLocal && v.server.Domain == w.cfg.Domain && (local == noIndex || score > localScore) {
-			local, localScore = i, score
+		best.add(i, score, count)
+		if keepLocal && v.server.Domain == w.cfg.Domain {
+			local.add(i, score, count)
 		}
 	}
 	switch {
-	case local != noIndex:
-		return list[local]
-	case best != noIndex:
-		return list[best]
+	case local.len > 0:
+		return w.lighterOfTwo(list, &local)
+	case best.len > 0:
+		return w.lighterOfTwo(list, &best)
 	}
 	return list[lightest]
 }
@@ -86,21 +85,40 @@
 }
 
 // addOwnPrefill adds to the servers' weights the time that the request's own prompt takes there.
+//
+// Load: prompts that take a fast server a second, and a slow one three. Harm prevented: callers who wait that long for
+// a server that would otherwise be preferred for its cache, and the others there who wait with them.
 func (r *request) addOwnPrefill(list []serverView) {
-	requests := r.service.prefill.perToken(max(r.nextModel, 0)) * float64(r.PromptTokens) / prefillSecondsPerRequest
+	unitTime := r.unitPrefill()
 	for i := range list {
-		list[i].weight += requests * list[i].factor
+		v := &list[i]
+		v.ownPrefill = unitTime * v.momentary
+		v.weight += v.ownPrefill / prefillSecondsPerRequest
 	}
 }
 
-// noIndex stands for no server.
-const noIndex = -1
+// unitPrefill is how long the request's prompt takes at a server of unit speed, in seconds.
+func (r *request) unitPrefill() float64 {
+	return r.service.prefill.perToken(r.nextModel) * float64(r.PromptTokens)
+}
+
+// prefixServerCount is how many servers the request's prefix is spread over, and records the request's load.
+func (w *World) prefixServerCount(r *request) int {
+	if !r.service.statesSpeeds {
+		return 1
+	}
+	hot := &r.service.hotPrefixes
+	count := hot.serverCount(w.now, r.PrefixHash, w.fleetSize)
+	hot.record(w.now, r.PrefixHash, r.unitPrefill())
+	return count
+}
 
-// meanPrefillWait is the mean wait of prompts at the servers of the list, in seconds.
+// meanPrefillWait is the mean time until the request's prompt would be processed at the servers of the list, in
+// seconds; without stated speeds only the wait for others.
 func meanPrefillWait(list []serverView) float64 {
 	sum := 0.0
 	for _, v := range list {
-		sum += v.wait
+		sum += v.wait + v.ownPrefill
 	}
 	return sum / float64(len(list))
 }
--- a/decision/passthrough/speeds.go
+++ b/decision/passthrough/speeds.go
@@ -48,6 +48,9 @@
 func (w *World) refreshSpeed(s *server) {
 	key := s.speedKey()
 	s.usual, s.stated = w.speeds.Usual(w.now, key), w.speeds.Stating(key)
+	if newest, age := w.speeds.Newest(w.now, key); newest != s.stated {
+		s.changedAt = w.now.Add(-age)
+	}
 	if slow := w.speeds.Slow(key); slow != s.slowUnstated {
 		s.slowUnstated = slow
 		w.emit(SpeedChanged{Server: s.ID, Slow: slow, Factor: s.usual})
@@ -93,16 +96,21 @@
 // OwnSpeeds returns what this instance has learned of the backend servers' speeds.
 func (w *World) OwnSpeeds() []speed.Row { return w.speeds.Report(w.now) }
 
-// speedFactor is how many times as long as usual work is expected to take at the server: for a plain server, whose
-// responses take milliseconds, at this moment.
-func (w *World) speedFactor(s *server) float64 {
-	switch {
-	case !s.service.statesSpeeds:
-		return s.slowdown()
-	case s.service.engine:
-		return s.usual
+// speedFactors are how many times as long as usual work is expected to take at the server: usually, and at this moment.
+// A plain server's work takes milliseconds, so that the moment counts for all of it.
+func (w *World) speedFactors(s *server) (factor, momentary float64) {
+	if !s.service.statesSpeeds {
+		slowdown := s.slowdown()
+		return slowdown, slowdown
+	}
+	momentary = s.usual
+	if w.now.Sub(s.changedAt) < speed.StatementTTL {
+		momentary = w.speeds.Now(w.now, s.speedKey())
+	}
+	if s.service.engine {
+		return s.usual, momentary
 	}
-	return w.speeds.Now(w.now, s.speedKey())
+	return momentary, momentary
 }
 
 // statedFactor is how many times as long as usual work takes at the server by its statements; 1 if there are none. What
@@ -132,7 +140,7 @@
 	lateness := &r.service.prefill.lateness
 	mean := lateness.value
 	lateness.add(late)
-	if lateness.n >= minBaselineCount {
+	if lateness.n > minBaselineCount {
 		w.measureSpeed(r.server, late-mean+math.Log(r.server.usual/r.server.statedFactor()))
 	}
 }
@@ -146,7 +154,31 @@
 	w.refreshSpeed(s)
 }
 
-// newestStatement returns the newest statement of a server and its age, for the log.
-func (w *World) newestStatement(s *server) (slowdown float64, age time.Duration) {
-	return w.speeds.Newest(w.now, s.speedKey())
+// SpeedClasses counts the servers of services that state speeds: those that are faster or slower than a server of unit
+// speed by a fifth or more, the others, and among all of them those that are slow without stating it.
+type SpeedClasses struct{ Fast, Usual, Slow, UnstatedSlow int }
+
+// SpeedClasses returns the numbers of servers by class, for the metrics.
+func (w *World) SpeedClasses() SpeedClasses {
+	const fast, slow = 0.8, 1.25
+	var out SpeedClasses
+	for _, s := range w.services {
+		if !s.statesSpeeds {
+			continue
+		}
+		for _, srv := range s.servers {
+			switch {
+			case srv.usual <= fast:
+				out.Fast++
+			case srv.usual < slow:
+				out.Usual++
+			default:
+				out.Slow++
+			}
+			if srv.slowUnstated {
+				out.UnstatedSlow++
+			}
+		}
+	}
+	return out
 }
--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -25,6 +25,7 @@
 	prefill    prefillStats
 	// statesSpeeds is true once one of the service's servers has stated how long work takes on its machine.
 	statesSpeeds bool
+	hotPrefixes  hotPrefixes
 	slowStart    slowStartLimits
 	brittle      brittle
 	permits      permits
@@ -61,6 +62,8 @@
 	// usual is how many times as long as at a server of unit speed work usually takes at the server, stated the same
 	// without what was measured; both are 0 unless the service states speeds.
 	usual, stated float64
+	// changedAt is when the server last stated another factor than its usual one.
+	changedAt time.Time
 	// slowUnstated is true while measured times show that the server is slow without stating it.
 	slowUnstated bool
 	// relativeTime is the server's event interval relative to its service's mean.
--- a/decision/passthrough/view.go
+++ b/decision/passthrough/view.go
@@ -13,8 +13,11 @@
 	// weight is what servers are compared by, in requests: the load with one more request,
 	// multiplied by the server's factor, plus the prefill wait, which delays all other requests.
 	weight float64
-	// factor is how many times as long as usual work is expected to take at the server.
-	factor float64
+	// factor is how many times as long as usual work is expected to take at the server, momentary the same for
+	// work of some tens of milliseconds.
+	factor, momentary float64
+	// ownPrefill is how long the request's own prompt takes there in seconds, with stated speeds.
+	ownPrefill float64
 }
 
 // forecast is the expected load of a server.
@@ -47,8 +50,8 @@
 			}
 			continue
 		}
-		factor := w.speedFactor(srv)
-		v := serverView{server: srv, factor: factor, own: in.ownForecast(srv, factor)}
+		factor, momentary := w.speedFactors(srv)
+		v := serverView{server: srv, factor: factor, momentary: momentary, own: in.ownForecast(srv, factor)}
 		v.forecast = v.own
 		if in.peersFresh {
 			v.forecast = in.peerForecast(srv, factor)
--- a/decision/speed/table.go
+++ b/decision/speed/table.go
@@ -42,9 +42,11 @@
 	minStatementGap = 20 * time.Millisecond
 	// ownMemory is how long a statement to this instance is reported to others.
 	ownMemory = 10 * time.Second
-	// statementDecay is the time constant at which a statement gives way to the usual factor: machines are busy
-	// for some tens to hundred milliseconds.
-	statementDecay = 100 * time.Millisecond
+	// statementDecay is the time constant at which a statement gives way to the usual factor: half of the machines
+	// that state that they are busy still are a quarter of a second later, and none after 0.6 s.
+	statementDecay = 250 * time.Millisecond
+	// StatementTTL is how long a statement makes a difference.
+	StatementTTL = 600 * time.Millisecond
 	// maxOwnRows bounds the rows that one instance reports: as many as it gets responses from servers in ownMemory.
 	maxOwnRows = 96
 )
@@ -112,12 +114,16 @@
 	t.judge(now, e)
 }
 
-// Apply replaces what the other instances know.
+// Apply replaces what the other instances know. A usual factor that is no longer reported still holds: it is the
+// machine's.
 func (t *Table) Apply(now time.Time, rows []Row) {
 	t.applied++
 	t.appliedAt = now
 	for _, row := range rows {
 		e := t.entry(row.Server)
+		if row.Samples == 0 {
+			row.Usual, row.Samples = e.peers.Usual, e.peers.Samples
+		}
 		e.peers, e.peersApplied = row, t.applied
 		if row.Now > 0 {
 			e.statements.add(now.Add(-row.Age), row.Now)
@@ -135,7 +141,7 @@
 	for s, e := range t.own {
 		row := Row{Server: s}
 		if now.Sub(e.ownAt) <= ownMemory {
-			row.Usual, row.Samples = e.stated(t), e.ownStatements
+			row.Usual, row.Samples = e.stated(), e.ownStatements
 			row.Now, row.Age = e.statements.newest, now.Sub(e.statements.newestAt)
 		}
 		row.Ratio, row.RatioSamples = e.measured.mean(now)
@@ -178,7 +184,7 @@
 	if e == nil {
 		return 1
 	}
-	return e.stated(t) * t.excess(now, e)
+	return e.stated() * t.excess(now, e)
 }
 
 // Stating returns what Usual returns by the server's statements alone.
@@ -187,7 +193,7 @@
 	if e == nil {
 		return 1
 	}
-	return e.stated(t)
+	return e.stated()
 }
 
 // Now returns how many times as long work takes at the server at this moment: the newest statement as long as it
@@ -197,8 +203,8 @@
 	if e == nil {
 		return 1
 	}
-	usual := e.stated(t)
-	if st := &e.statements; st.newest > 0 {
+	usual := e.stated()
+	if st := &e.statements; st.newest > 0 && now.Sub(st.newestAt) < StatementTTL {
 		usual += (st.newest - usual) * math.Exp(-float64(max(now.Sub(st.newestAt), 0))/float64(statementDecay))
 	}
 	return usual * t.excess(now, e)
@@ -225,8 +231,8 @@
 
 // stated is the usual factor by the server's statements: their median, or while there are few, what the other
 // instances know.
-func (e *entry) stated(t *Table) float64 {
-	if e.statements.count < enoughStatements && e.peersApplied == t.applied && e.peers.Samples > e.statements.count && e.peers.Usual > 0 {
+func (e *entry) stated() float64 {
+	if e.statements.count < enoughStatements && e.peers.Samples > e.statements.count && e.peers.Usual > 0 {
 		return e.peers.Usual
 	}
 	return e.statements.median()
--- a/router/internal/logging/catalogue.go
+++ b/router/internal/logging/catalogue.go
@@ -70,6 +70,7 @@
 	EventPathNowhere     = Event{230, "path_nowhere", slog.LevelWarn, "This instance misses backend servers and looked for a peer with a path; none of those that were asked has one. Requests are refused meanwhile, and the search goes on; known is the number of peers that it knows."}
 	EventServiceBrittle  = Event{229, "service_brittle", slog.LevelWarn, "A service's backend servers state that they fail if they reject more than per_second requests in a second, or, if brittle is false, no longer do: requests are sent only where there is room for certain."}
 	EventLoadUnreadable  = Event{231, "load_unreadable", slog.LevelWarn, "A backend server states a load that cannot be read; it counts as not stated. Logged once for each process of a server."}
+	EventServerSpeed     = Event{232, "server_speed", slog.LevelInfo, "A backend server takes a multiple of the time that it states, by measured times of all instances, or, if slow is false, no longer does: it gets fewer requests meanwhile; factor is how many times as long as usual work is taken to last there."}
 	EventServerBackoff   = Event{226, "server_backoff", slog.LevelInfo, "A backend server refused a request and states for how long it wants no others from this instance, which sends it none for that time."}
 
 	EventPassthroughRefused = Event{310, "passthrough_refused", slog.LevelInfo, "A request on a pass-through route was refused and was not run; reason says why."}
@@ -96,7 +97,7 @@
 		EventLogUnreachable, EventLogReachable, EventStateRestored, EventStateDiverged,
 		EventConfigApplied, EventRecordRejected, EventServerListed, EventServerGone, EventEntryIgnored,
 		EventStoreLost, EventStoreRegained, EventCollector,
-		EventDomainDrained, EventDomainBack, EventServerCold, EventServerLimited, EventServerUnlimited, EventStoreRestored, EventStateKept, EventServerLeaving, EventServerBackoff, EventPathLost, EventPathRestored, EventServiceBrittle, EventPathNowhere, EventLoadUnreadable,
+		EventDomainDrained, EventDomainBack, EventServerCold, EventServerLimited, EventServerUnlimited, EventStoreRestored, EventStateKept, EventServerLeaving, EventServerBackoff, EventPathLost, EventPathRestored, EventServiceBrittle, EventPathNowhere, EventLoadUnreadable, EventServerSpeed,
 		EventRequestRefused, EventAttemptFailed, EventWrongNonce,
 		EventPassthroughRefused, EventPassthroughAttempt, EventPassthroughFailed, EventCallerLost,
 		EventBillHeld, EventBillFlushed, EventBillRefused,
--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -144,6 +144,7 @@
 		tel.logPartsQuarantined(c)
 		observations.recordQuarantine(c)
 	}
+	d.onSpeed, d.onSpeedClasses = tel.logServerSpeed, tel.gaugeSpeeds
 	d.onServerLeaving, d.onBackoff, d.onPathChanged, d.onBrittle = tel.logServerLeaving, tel.logBackoffStated, tel.logPathChanged, tel.logBrittle
 	return observations
 }
--- a/router/internal/passthrough/driver.go
+++ b/router/internal/passthrough/driver.go
@@ -30,6 +30,9 @@
 	onBrittle       func(passthrough.BrittleChanged)
 	// onPartsQuarantined writes to the log and informs the other instances.
 	onPartsQuarantined func(passthrough.PartsQuarantined)
+	// onSpeed and onSpeedClasses write to the log and the metrics. They must not block.
+	onSpeed        func(passthrough.SpeedChanged)
+	onSpeedClasses func(passthrough.SpeedClasses)
 	// onProbe connects to a server and reports how that went; it is called with the lock held and must not block. nil
 	// if there is nothing to connect with: then connections count as possible.
 	onProbe func(passthrough.Server)
@@ -63,6 +66,7 @@
 		onServerLeaving: func(passthrough.ServerLeaving) {}, onBackoff: func(passthrough.BackoffStated) {},
 		onPathChanged: func(passthrough.PathChanged) {}, onBrittle: func(passthrough.BrittleChanged) {},
 		onPartsQuarantined: func(passthrough.PartsQuarantined) {},
+		onSpeed:            func(passthrough.SpeedChanged) {}, onSpeedClasses: func(passthrough.SpeedClasses) {},
 	}
 }
 
@@ -122,6 +126,9 @@
 		passthrough.PeerLeaving{Processes: others.Leaving}, passthrough.PeerBrittle{PerSecond: others.Brittle},
 		passthrough.PeerSpeeds{Rows: others.Speeds}, passthrough.PeerDemand{Demand: others.Demand, Instances: others.Instances},
 		passthrough.PeerEvidence{Evidence: others.Crashes, Instances: others.Instances})
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.onSpeedClasses(d.world.SpeedClasses())
 }
 
 // confidenceThreshold returns the confidence below which the request's response is dropped now.
@@ -287,6 +294,8 @@
 			d.onBrittle(c)
 		case passthrough.PartsQuarantined:
 			d.onPartsQuarantined(c)
+		case passthrough.SpeedChanged:
+			d.onSpeed(c)
 		case passthrough.Withdraw:
 			if t := d.tickets[c.Request]; t != nil && t.withdraw != nil {
 				t.withdraw()
--- a/router/internal/passthrough/telemetry.go
+++ b/router/internal/passthrough/telemetry.go
@@ -147,6 +147,23 @@
 	t.emit(logging.EventServiceBrittle, slog.String("service", c.Service), slog.Bool("brittle", c.Brittle), slog.Float64("per_second", c.PerSecond))
 }
 
+// logServerSpeed counts and logs that a server is slow without stating it, or no longer is. The driver calls it, so it
+// must not block.
+func (t *telemetry) logServerSpeed(c passthrough.SpeedChanged) {
+	t.count("speed_changed")
+	t.emit(logging.EventServerSpeed, slog.String(keyServer, c.Server), slog.Bool("slow", c.Slow), slog.Float64("factor", round2(c.Factor)))
+}
+
+// gaugeSpeeds sets the numbers of servers of services that state speeds, by class.
+func (t *telemetry) gaugeSpeeds(c passthrough.SpeedClasses) {
+	t.gauge("speed.fast", c.Fast)
+	t.gauge("speed.usual", c.Usual)
+	t.gauge("speed.slow", c.Slow)
+	t.gauge("speed.unstated_slow", c.UnstatedSlow)
+}
+
+func round2(x float64) float64 { return math.Round(100*x) / 100 }
+
 // logPartsQuarantined counts and logs parts of prompts that are quarantined. The driver calls it, so it must not
 // block.
 func (t *telemetry) logPartsQuarantined(c passthrough.PartsQuarantined) {
@@ -190,6 +207,10 @@
 		slog.Int("attempt", d.Attempt), slog.String("result", out.result.String()),
 		slog.Int("load", d.Load), slog.Int64("load_age_ms", d.LoadAge.Milliseconds()),
 		slog.Int64("first_ms", out.firstByte.Milliseconds()))
+	if d.Speed > 0 {
+		attrs = append(attrs, slog.Float64("speed", round2(d.Speed)), slog.Float64("stated_slowdown", round2(d.StatedSlowdown)),
+			slog.Int64("stated_age_ms", d.StatedAge.Milliseconds()))
+	}
 	if d.Model != "" {
 		attrs = append(attrs, slog.String("model", d.Model), slog.Float64("confidence", out.confidence), slog.Float64("bar", math.Round(100*out.confidenceThreshold)/100),
 			slog.Float64("taken", math.Round(100*d.Utilization)/100),
