--- a/decision/passthrough/suspects.go
+++ b/decision/passthrough/suspects.go
@@ -16,7 +16,7 @@
 func (ConnectionReset) event() {}
 
 // poolsEvidence reports whether the instances decide on the service by the evidence of all of them.
-func (w *World) poolsEvidence(s *service) bool { return w.cfg.SharedAdmission || s.statesSpeed }
+func (w *World) poolsEvidence(s *service) bool { return w.cfg.SharedAdmission || s.statesSpeeds }
 
 // observeReset applies a reset of an idle connection. The server is left alone for a time, unless all other servers of
 // its service are: then the connections may have been lost, not the servers.
