--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -21,15 +21,16 @@
 	tokenCapacity, tokensPerEvent int
 	// maxConns is how many connections a server takes from all instances together, 0 if unknown.
 	maxConns int
-	// statesSpeed is true once a server of the service has stated how long work takes on its machine.
-	statesSpeed bool
 	// meanOthers is the mean number of other instances' requests at a server.
 	meanOthers movingAverage
 	intervals  intervalStats
 	prefill    prefillStats
-	slowStart  slowStartLimits
-	brittle    brittle
-	permits    permits
+	// statesSpeeds is true once one of the service's servers has stated how long work takes on its machine.
+	statesSpeeds bool
+	hotPrefixes  hotPrefixes
+	slowStart    slowStartLimits
+	brittle      brittle
+	permits      permits
 	// fullUntil is until when no request is offered to peers with permits.
 	fullUntil time.Time
 	// wakeAt is when queued requests are tried again, as a server may take more by then; zero for
@@ -60,6 +61,13 @@
 	// statedBackoffUntil is the time until which the server itself wants no requests.
 	statedBackoffUntil time.Time
 	health             health
+	// usual is how many times as long as at a server of unit speed work usually takes at the server, stated the same
+	// without what was measured; both are 0 unless the service states speeds.
+	usual, stated float64
+	// changedAt is when the server last stated another factor than its usual one.
+	changedAt time.Time
+	// slowUnstated is true while measured times show that the server is slow without stating it.
+	slowUnstated bool
 	// relativeTime is the server's event interval relative to its service's mean.
 	relativeTime movingAverage
 	// processHash is that of the server's process. hash is that of the server's id, for the choice by prefix, the subsets of instances, the
