Completion: forecast of the last token, choice of server and model by it

Cause: nothing forecast when a response ends, at the choice of server and model or later. Change: decision/completion forecasts the last token; candidates at which it comes too late are left out if there are others, a smaller model is asked if need be, and what no idle server could complete is refused as not run.

--- a/decision/passthrough/attempt.go
+++ b/decision/passthrough/attempt.go
@@ -11,6 +11,7 @@
 		w.observeLimit(s, r.sent, *e.Limit)
 	}
 	w.releaseServer(r)
+	r.observeEnd(e)
 	w.recordOutcome(r, s, e)
 	r.mayHaveRun = r.mayHaveRun || e.Result.MayHaveRun() || e.Begun
 	if e.NoPermit {
@@ -104,9 +105,12 @@
 		w.observeLostConnection(s, r, e)
 	}
 	bad := e.Result != Completed
-	s.health.record(!bad, w.now)
+	if !e.GivenUp { // a server that is busy or slow for a time has not failed
+		s.health.record(!bad, w.now)
+	}
 	if !bad {
 		w.recordInterval(r, s, e.EventInterval)
+		w.observePace(r, s, e.EventInterval)
 	}
 	if e.ConnectionLost {
 		w.serverLost(s)
--- a/decision/passthrough/cascade.go
+++ b/decision/passthrough/cascade.go
@@ -112,7 +112,7 @@
 		return 0
 	}
 	occ := occupancyOf(r.service, w.viewServers(r.service))
-	if !w.largestInTime(r, occ.prefillWait) {
+	if !w.largestInTime(r, occ.prefillWait) || !w.replaceableInTime(r, w.views) {
 		return 0
 	}
 	return minConfidence * occ.headroom(r)
--- a/decision/passthrough/dispatch.go
+++ b/decision/passthrough/dispatch.go
@@ -2,9 +2,12 @@
 
 import "time"
 
-// tryDispatch sends the request to a server with a free slot. It returns false if there
-// is none now.
+// tryDispatch sends the request to a server with a free slot, or refuses it if it cannot be completed in time. It
+// returns false if no slot is free now.
 func (w *World) tryDispatch(r *request) bool {
+	if w.refuseUncompletable(r) {
+		return true
+	}
 	views := w.viewServers(r.service)
 	occ := occupancyOf(r.service, views)
 	v, ok := w.pickServer(r, views, occ)
@@ -41,9 +44,10 @@
 	if r.ChooseModel && len(r.Route.Models) > 0 {
 		occ = occ.withOneMore()
 		cmd.Utilization, cmd.MeanPrefillWait, cmd.RetriesLeft = occ.utilization, seconds(occ.prefillWait), r.service.budget.Remaining(w.now)
-		r.model = w.chooseModel(r, occ.headroom(r))
+		r.model = r.timelyModel(w.chooseModel(r, occ.headroom(r)))
 		cmd.Model = r.Route.Models[r.model]
 	}
+	cmd.Forecast = w.recordForecast(r, v).End
 	if r.service.engine {
 		w.beginPrefill(r, v)
 	} else {
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -50,6 +50,10 @@
 	// EventInterval is the mean time between the events of a stream, or the response time of a
 	// plain response; 0 if unknown.
 	EventInterval time.Duration
+	// Events is the number of whole events of a stream that were received.
+	Events int
+	// GivenUp is true if this instance has closed the connection as GivesUp said.
+	GivenUp bool
 	// Confidence is the engine's confidence in its response, from 0 to 1; negative if it stated
 	// none.
 	Confidence float64
@@ -225,6 +229,8 @@
 	Limit RateLimit
 	// PrefillWait is how long the prompt is expected to wait at the server for other prompts.
 	PrefillWait time.Duration
+	// Forecast is when the response's last event is expected after the dispatch; 0 if that is not forecast.
+	Forecast time.Duration
 	// Utilization is the forecast fraction of the service's slots that are taken,
 	// MeanPrefillWait the mean wait of prompts at its servers, and RetriesLeft the rest of the
 	// retry budget: the inputs to the choice of the model.
@@ -238,6 +244,8 @@
 	Request    RequestID
 	Reason     Reason
 	RetryAfter time.Duration
+	// Forecast is the least time that the response takes and TimeLeft that to the deadline, for ReasonNoTime.
+	Forecast, TimeLeft time.Duration
 }
 
 // Finish ends a request that may have run, without another attempt. Its caller gets the last
--- a/decision/passthrough/filter.go
+++ b/decision/passthrough/filter.go
@@ -10,8 +10,13 @@
 // out servers that this instance does not reach itself, ejected ones and those that the request has already tried, if
 // there are others.
 // If all are ejected, the fault is likely in the requests or the network, and an
-// attempt is better than a refusal.
+// attempt is better than a refusal. Of the rest, it lists those that complete the response in time.
 func (w *World) candidates(r *request, views []serverView) []serverView {
+	return w.preferTimely(r, w.usableCandidates(r, views), views)
+}
+
+// usableCandidates lists the candidates whatever the time that they take.
+func (w *World) usableCandidates(r *request, views []serverView) []serverView {
 	fits, maxWait := w.versionFilter(r), r.maxPrefillWait(w.now)
 	var unreached, ejected, tried []serverView
 	w.eligible = w.eligible[:0]
--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -1,6 +1,10 @@
 package passthrough
 
-import "time"
+import (
+	"time"
+
+	"masticplank.example/decision/completion"
+)
 
 // versionKey identifies a version of a service's software.
 type versionKey struct{ service, version string }
@@ -23,9 +27,12 @@
 	meanOthers movingAverage
 	intervals  intervalStats
 	prefill    prefillStats
-	slowStart  slowStartLimits
-	brittle    brittle
-	permits    permits
+	// rates are the rates of generation, statesSpeed is true once a server has stated how fast its machine is.
+	rates       completion.Rates
+	statesSpeed bool
+	slowStart   slowStartLimits
+	brittle     brittle
+	permits     permits
 	// fullUntil is until when no request is offered to peers with permits.
 	fullUntil time.Time
 	// wakeAt is when queued requests are tried again, as a server may take more by then; zero for
@@ -130,4 +137,5 @@
 	// If it is a middle model, droppedConfidence is the confidence of the dropped response.
 	nextModel         int
 	droppedConfidence float64
+	timely            timely
 }
--- a/decision/passthrough/types.go
+++ b/decision/passthrough/types.go
@@ -158,7 +158,9 @@
 	// ReasonPartQuarantined: a part of the prompt crashes servers.
 	ReasonPartQuarantined Reason = "prompt_part_quarantined"
 	ReasonDeadline        Reason = "deadline_passed"
-	ReasonAttempts        Reason = "attempts_spent"
-	ReasonNotFresh        Reason = "configuration_too_old"
-	ReasonStopping        Reason = "stopping"
+	// ReasonNoTime: no server could complete the response before the deadline.
+	ReasonNoTime   Reason = "cannot_complete_in_time"
+	ReasonAttempts Reason = "attempts_spent"
+	ReasonNotFresh Reason = "configuration_too_old"
+	ReasonStopping Reason = "stopping"
 )
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -91,9 +91,10 @@
 	commands []Command
 	// freed are the services that may have got a free slot in this tick.
 	freed []*service
-	// views and eligible are reused between decisions to save allocations.
+	// views, eligible and timely are reused between decisions to save allocations.
 	views    []serverView
 	eligible []serverView
+	timely   []serverView
 }
 
 // New returns an empty world. It refuses all requests until it has a list of backend servers.
