Completion: attempts that can't end in time are given up for another server

What callers saw: short requests with 4 s to their deadline waited up to it at full engines without a first byte; long streams went on at slow engines until their deadline. Cause: Inactivity allows twice the target latency, 10 s, whatever the deadline, and a stream that has begun was never compared with its deadline. Change: the idle watch asks the decision whether another server is forecast to end the response in time; event 314. No failure of the server.

--- a/decision/completion/overdue.go
+++ b/decision/completion/overdue.go
@@ -6,8 +6,9 @@
 type Progress struct {
 	// Since is the time since its dispatch.
 	Since time.Duration
-	// Events is the number of events received, 0 before the response has begun; Interval the time between them at the
-	// present rate, 0 if unknown.
+	// Begun is true once the response's head has arrived. Events is the number of events received, Interval the time
+	// between them at the present rate, 0 if unknown.
+	Begun    bool
 	Events   int
 	Interval time.Duration
 }
@@ -36,7 +37,7 @@
 	if p.Events > 0 {
 		return p.missesDeadline(left, remaining)
 	}
-	return p.Since-first >= minOverdue
+	return !p.Begun && p.Since-first >= minOverdue
 }
 
 // GivesUp reports whether an attempt is better given up for another server, with the time left to the deadline. first is
--- a/decision/passthrough/completion.go
+++ b/decision/passthrough/completion.go
@@ -269,6 +269,14 @@
 	}
 }
 
+// observeFirstPace learns from the first events of a stream. Without them, nothing would be learned of the slowest streams,
+// which never end.
+func (w *World) observeFirstPace(e EventIntervalMeasured) {
+	if r := w.requests[e.Request]; r != nil && r.server != nil {
+		w.observePace(r, r.server, e.EventInterval)
+	}
+}
+
 // observePace learns from the event interval of a response at a server.
 func (w *World) observePace(r *request, s *server, interval time.Duration) {
 	if r.timely.forecast.End > 0 {
--- a/decision/passthrough/dispatch.go
+++ b/decision/passthrough/dispatch.go
@@ -35,7 +35,7 @@
 	w.recordSession(r, s.Version)
 	cmd := Dispatch{
 		Request: r.ID, Server: s.Server, Attempt: r.dispatches,
-		FirstByteTimeout: firstByteTimeout(r), Load: int(v.load) + 1, PrefillWait: seconds(v.wait),
+		At: w.now, FirstByteTimeout: firstByteTimeout(r), Load: int(v.load) + 1, PrefillWait: seconds(v.wait),
 		Limit: s.limit.RateLimit, Peers: peers, SharePeers: sharePeers,
 	}
 	if !s.reportedAt.IsZero() {
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -229,7 +229,9 @@
 	Limit RateLimit
 	// PrefillWait is how long the prompt is expected to wait at the server for other prompts.
 	PrefillWait time.Duration
-	// Forecast is when the response's last event is expected after the dispatch; 0 if that is not forecast.
+	// At is the time of the dispatch, Forecast when the response's last event is expected after it; 0 if that is not
+	// forecast.
+	At       time.Time
 	Forecast time.Duration
 	// Utilization is the forecast fraction of the service's slots that are taken,
 	// MeanPrefillWait the mean wait of prompts at its servers, and RetriesLeft the rest of the
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -174,6 +174,7 @@
 	case ServerStated:
 		w.observeStatement(e)
 	case EventIntervalMeasured:
+		w.observeFirstPace(e)
 		w.observeEventInterval(e)
 	case PeerCrashes:
 		w.crashes.record(e.Fingerprint, e.Count, w.now)
--- a/router/internal/logging/catalogue.go
+++ b/router/internal/logging/catalogue.go
@@ -69,13 +69,14 @@
 	EventPathRestored    = Event{228, "path_restored", slog.LevelInfo, "This instance reaches backend servers again."}
 	EventPathNowhere     = Event{230, "path_nowhere", slog.LevelWarn, "This instance misses backend servers and looked for a peer with a path; none of those that were asked has one. Requests are refused meanwhile, and the search goes on; known is the number of peers that it knows."}
 	EventServiceBrittle  = Event{229, "service_brittle", slog.LevelWarn, "A service's backend servers state that they fail if they reject more than per_second requests in a second, or, if brittle is false, no longer do: requests are sent only where there is room for certain."}
-	EventLoadUnreadable = Event{231, "load_unreadable", slog.LevelWarn, "A backend server states a load that cannot be read; it counts as not stated. Logged once for each process of a server."}
+	EventLoadUnreadable  = Event{231, "load_unreadable", slog.LevelWarn, "A backend server states a load that cannot be read; it counts as not stated. Logged once for each process of a server."}
 	EventServerBackoff   = Event{226, "server_backoff", slog.LevelInfo, "A backend server refused a request and states for how long it wants no others from this instance, which sends it none for that time."}
 
 	EventPassthroughRefused = Event{310, "passthrough_refused", slog.LevelInfo, "A request on a pass-through route was refused and was not run; reason says why."}
 	EventPassthroughAttempt = Event{311, "passthrough_attempt", slog.LevelInfo, "An attempt at a backend server ended; load is the load by which the server was chosen."}
 	EventPassthroughFailed  = Event{312, "passthrough_failed", slog.LevelWarn, "A request ended without a success, and ran or may have run; reason says why."}
 	EventCallerLost         = Event{313, "caller_lost", slog.LevelInfo, "A caller disconnected before the end of its answer."}
+	EventAttemptGivenUp     = Event{314, "attempt_given_up", slog.LevelInfo, "An attempt was given up as its response was not expected to end before the deadline, and was at another backend server; elsewhere_ms is the forecast there."}
 
 	EventRolloutOrdered   = Event{610, "rollout_ordered", slog.LevelInfo, "The operator ordered a roll-out."}
 	EventRolloutStep      = Event{611, "rollout_step", slog.LevelInfo, "The share of a roll-out's new version changed at this instance."}
@@ -98,7 +99,7 @@
 		EventStoreLost, EventStoreRegained, EventCollector,
 		EventDomainDrained, EventDomainBack, EventServerCold, EventServerLimited, EventServerUnlimited, EventStoreRestored, EventStateKept, EventServerLeaving, EventServerBackoff, EventPathLost, EventPathRestored, EventServiceBrittle, EventPathNowhere, EventLoadUnreadable,
 		EventRequestRefused, EventAttemptFailed, EventWrongNonce,
-		EventPassthroughRefused, EventPassthroughAttempt, EventPassthroughFailed, EventCallerLost,
+		EventPassthroughRefused, EventPassthroughAttempt, EventPassthroughFailed, EventCallerLost, EventAttemptGivenUp,
 		EventBillHeld, EventBillFlushed, EventBillRefused,
 		EventPeerConnected, EventPeerLost, EventPeerRejected,
 		EventVersionVerdict, EventServerEjected, EventQuarantine,
--- a/router/internal/passthrough/attempt.go
+++ b/router/internal/passthrough/attempt.go
@@ -36,6 +36,12 @@
 	timedOut atomic.Bool
 	// withdrawn is true if the connection was closed because a part of the prompt crashes servers.
 	withdrawn atomic.Bool
+	// forecast is when the last event is expected after startedAt; 0 if that is not forecast.
+	forecast time.Duration
+	// givenUp is true if the idle watch has closed the connection as another server is forecast to be in time.
+	givenUp atomic.Bool
+	// pace counts the events for the idle watch.
+	pace pace
 	// firstByte is the time from startedAt to the response head.
 	firstByte time.Duration
 	// events is the number of whole events of a stream that were received.
@@ -70,6 +76,8 @@
 	// connectionLost is true if the response could not be read to its end although this instance
 	// did not close the connection.
 	connectionLost bool
+	// givenUp is true if the attempt was given up as it could not end before the deadline, and another server may.
+	givenUp bool
 	// peer is the name of the peer that the request was sent through, empty for none. tunnelLost is true if
 	// the connection to it broke, pathLost if this instance has no path and no peer could be asked.
 	peer       string
@@ -101,6 +109,7 @@
 	errUnverified       = errors.New("the response is a success without a signature, or its body is not the bytes that the backend server sent")
 	errMisleadingStatus = errors.New("the status implies that the request did not run, but the backend server does not confirm it")
 	errTimedOut         = errors.New("timed out: the backend server sent nothing for too long")
+	errGivenUp          = errors.New("given up: the response is not expected to end before the deadline, and that of another backend server is")
 	errEventOrder       = errors.New("an event of the stream is missing, repeated or has a malformed id")
 	errMalformedStream  = errors.New("the stream ended without a numbered event or within an event, or an event exceeds the size limit")
 )
@@ -202,6 +211,9 @@
 	if a.withdrawn.Load() {
 		return outcome{result: passthrough.Broken, err: errWithdrawn, firstByte: a.firstByte}
 	}
+	if a.givenUp.Load() {
+		return outcome{result: passthrough.Broken, err: errGivenUp, givenUp: true, firstByte: a.firstByte}
+	}
 	if a.timedOut.Load() {
 		return outcome{result: passthrough.Broken, err: errTimedOut, firstByte: a.firstByte}
 	}
--- a/router/internal/passthrough/driver.go
+++ b/router/internal/passthrough/driver.go
@@ -131,6 +131,13 @@
 	return d.world.ConfidenceThreshold(t.id)
 }
 
+// givesUp reports whether the request's attempt is to be given up for another server, and why.
+func (d *Driver) givesUp(t *ticket, p passthrough.Progress) (passthrough.GivenUp, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.world.GivesUp(d.clock.Now(), t.id, p)
+}
+
 // partVerdicts returns the parts of prompts that are quarantined.
 func (d *Driver) partVerdicts() []passthrough.PartVerdict {
 	d.mu.Lock()
--- a/router/internal/passthrough/exchange.go
+++ b/router/internal/passthrough/exchange.go
@@ -64,6 +64,7 @@
 	case passthrough.Dispatch:
 		return x.dispatch(c)
 	case passthrough.Refuse:
+		x.call.forecast, x.call.timeLeft = c.Forecast, c.TimeLeft
 		x.refuse(refusal{http.StatusServiceUnavailable, c.Reason, c.RetryAfter})
 	case passthrough.Finish:
 		x.finish(c.Reason)
@@ -184,7 +185,7 @@
 	x.handler.driver.Handle(passthrough.AttemptEnded{
 		Request: x.ticket.id, Result: out.result, Begun: x.stream.begun,
 		Misdirected: out.misdirected, Leaving: out.leaving, ConnectionLost: out.connectionLost, EventInterval: out.eventInterval,
-		Confidence: out.confidence, Limit: limit,
+		Confidence: out.confidence, Limit: limit, Events: out.events, GivenUp: out.givenUp,
 		ViaPeer: out.peer != "", TunnelLost: out.tunnelLost, PathLost: out.pathLost, NoPermit: out.noPermit, NoShare: out.noShare, Declined: out.declined,
 	})
 	if out.result != passthrough.Completed {
@@ -217,7 +218,7 @@
 	}
 	now := x.handler.clock.Now()
 	return &attempt{
-		exchange: x, server: d.Server, startedAt: now, firstByteTimeout: d.FirstByteTimeout, permitPeers: d.Peers, sharePeers: d.SharePeers,
+		exchange: x, server: d.Server, startedAt: now, forecast: d.Forecast, firstByteTimeout: d.FirstByteTimeout, permitPeers: d.Peers, sharePeers: d.SharePeers,
 		statement: seam.Attempt{
 			Server: d.Server.ID, Team: team, Model: d.Model,
 			Priority: passthrough.EffectivePriority(c.team, c.route), LastEventID: lastEventID,
--- a/router/internal/passthrough/handler.go
+++ b/router/internal/passthrough/handler.go
@@ -48,6 +48,8 @@
 	// due.
 	arrived  time.Time
 	deadline time.Time
+	// forecast and timeLeft are those of a refusal for passthrough.ReasonNoTime, for the log.
+	forecast, timeLeft time.Duration
 }
 
 // refusal is the router's own response to a request that did not run.
--- a/router/internal/passthrough/idlewatch.go
+++ b/router/internal/passthrough/idlewatch.go
@@ -12,6 +12,8 @@
 	mu    sync.Mutex
 	timer *time.Timer
 	done  bool
+	// recent are the events of a stream at the checks of the last paceWindow, oldest first.
+	recent []paceSample
 }
 
 // idleCheckInterval is the time between two checks of an attempt: a fraction of the shortest
@@ -30,7 +32,7 @@
 	return wt
 }
 
-// check closes the connection of an attempt that has timed out, else schedules the next check.
+// check closes the connection of an attempt that has timed out or is given up, else schedules the next check.
 func (wt *idleWatch) check(a *attempt) {
 	wt.mu.Lock()
 	defer wt.mu.Unlock()
@@ -42,9 +44,49 @@
 		_ = a.conn.Close()
 		return
 	}
+	if wt.givesUp(a) {
+		a.givenUp.Store(true)
+		_ = a.conn.Close()
+		return
+	}
 	wt.timer.Reset(idleCheckInterval)
 }
 
+// givesUp reports whether the response is not expected to end before the deadline while that of another server is.
+func (wt *idleWatch) givesUp(a *attempt) bool {
+	if a.forecast <= 0 {
+		return false
+	}
+	p := wt.progress(a)
+	why, ok := a.exchange.handler.driver.givesUp(a.exchange.ticket, p)
+	if ok {
+		a.exchange.handler.telemetry.logGivenUp(a.exchange.call, a.server, p, why)
+	}
+	return ok
+}
+
+// progress returns how far the attempt is.
+func (wt *idleWatch) progress(a *attempt) passthrough.Progress {
+	now := a.exchange.handler.clock.Now()
+	events, first := a.pace.read()
+	p := passthrough.Progress{Since: now.Sub(a.startedAt), Events: events}
+	if events == 0 && a.conn.lastReceived.Load() != 0 {
+		p.Begun = true
+		return p
+	}
+	if events > 1 {
+		p.Interval = now.Sub(first) / time.Duration(events-1)
+	}
+	wt.recent = append(wt.recent, paceSample{now, events})
+	for len(wt.recent) > 1 && now.Sub(wt.recent[1].at) >= paceWindow {
+		wt.recent = wt.recent[1:]
+	}
+	if oldest := wt.recent[0]; now.Sub(oldest.at) >= paceWindow && events > oldest.events {
+		p.Interval = min(p.Interval, now.Sub(oldest.at)/time.Duration(events-oldest.events))
+	}
+	return p
+}
+
 func (wt *idleWatch) stop() {
 	wt.mu.Lock()
 	defer wt.mu.Unlock()
--- a/router/internal/passthrough/stream.go
+++ b/router/internal/passthrough/stream.go
@@ -69,6 +69,7 @@
 					x.handler.driver.Handle(passthrough.FirstEvent{Request: x.ticket.id})
 				}
 				a.events += count
+				a.pace.add(count, x.handler.clock.Now())
 				if a.events >= intervalEvents && !reported {
 					reported = true
 					x.handler.driver.Handle(passthrough.EventIntervalMeasured{Request: x.ticket.id, EventInterval: eventInterval(x.handler.clock.Now().Sub(began), a.events)})
--- a/router/internal/passthrough/telemetry.go
+++ b/router/internal/passthrough/telemetry.go
@@ -36,6 +36,8 @@
 	keyConfigVersion = "config"
 	keyConfigAge     = "config_age_ms"
 	keyTook          = "took_ms"
+	keyForecast      = "forecast_ms"
+	keyTimeLeft      = "time_left_ms"
 )
 
 // requestAttrs returns the attributes that all events about a request have, followed by those in more:
@@ -173,6 +175,9 @@
 	t.count("refused." + string(ref.reason))
 	attrs := t.requestAttrs(c, slog.Int("status", ref.status), slog.String(keyReason, string(ref.reason)),
 		slog.Int64("retry_after_ms", ref.retryAfter.Milliseconds()))
+	if ref.reason == passthrough.ReasonNoTime {
+		attrs = append(attrs, slog.Int64(keyForecast, c.forecast.Milliseconds()), slog.Int64(keyTimeLeft, c.timeLeft.Milliseconds()))
+	}
 	if ref.reason == passthrough.ReasonPartQuarantined {
 		attrs = append(attrs, slog.String("parts", strings.Join(c.caller.SharedParts, ",")))
 	}
@@ -196,6 +201,10 @@
 			slog.Int64("wait_ms", d.PrefillWait.Milliseconds()), slog.Int64("mean_wait_ms", d.MeanPrefillWait.Milliseconds()), slog.Float64("repeats_left", math.Round(d.RetriesLeft)),
 			slog.Int("prompt_tokens", c.caller.PromptTokens), slog.Int("most_tokens", c.caller.MaxTokens))
 	}
+	if d.Forecast > 0 {
+		t.observeForecast(c, d, out)
+		attrs = append(attrs, slog.Int64(keyForecast, d.Forecast.Milliseconds()), slog.Int("expected_tokens", c.caller.ExpectedTokens))
+	}
 	if len(c.caller.SharedParts) > 0 {
 		attrs = append(attrs, slog.String("parts", strings.Join(c.caller.SharedParts, ",")), slog.Int("events", out.events),
 			slog.Int64("server_start_ms", d.Server.StartTime))
@@ -234,6 +243,23 @@
 	t.emit(logging.EventPassthroughAttempt, attrs...)
 }
 
+// observeForecast counts attempts by what was forecast: in time or late, and whether they completed.
+func (t *telemetry) observeForecast(c *call, d passthrough.Dispatch, out outcome) {
+	name := "forecast.in_time."
+	if d.Forecast > c.deadline.Sub(d.At) {
+		name = "forecast.late."
+	}
+	t.count(name + out.result.String())
+}
+
+// logGivenUp counts and logs an attempt that is given up as another server is forecast to end the response in time.
+func (t *telemetry) logGivenUp(c *call, s passthrough.Server, p passthrough.Progress, why passthrough.GivenUp) {
+	t.count("attempt.given_up")
+	t.emit(logging.EventAttemptGivenUp, t.requestAttrs(c, slog.String(keyServer, s.ID), slog.Int("events", p.Events),
+		slog.Int64("event_interval_ms", p.Interval.Milliseconds()), slog.Int64("first_forecast_ms", why.First.Milliseconds()),
+		slog.Int64("elsewhere_ms", why.Elsewhere.Milliseconds()), slog.Int64(keyTimeLeft, why.Left.Milliseconds()))...)
+}
+
 // logFinished counts a request that has ended, and logs it if it failed; reason is empty for a
 // success.
 func (t *telemetry) logFinished(c *call, status int, reason passthrough.Reason) {
