Completion: streams are moved late rather than early; delays of first events are learned

Cause: a rate of 6 events and an estimate of tokens that is often far off. Change: a stream is moved once the rest fits less than 1.8 times into the time left elsewhere; a request that was moved asks no larger model than before; by how much first events come later than forecast is learned; a smaller model is asked only where the larger one doesn't fit even without the margin.

--- a/decision/completion/completion_test.go
+++ b/decision/completion/completion_test.go
@@ -98,6 +98,7 @@
 		"overdue, and the last chance":                   {Progress{Since: 1300 * ms}, 1000 * ms, 10, better, true},
 		"begun, without an event":                        {Progress{Since: 2500 * ms, Begun: true}, 1500 * ms, 10, better, false},
 		"slow stream":                                    {Progress{Begun: true, Events: 20, Interval: 270 * ms}, 10 * time.Second, 60, Forecast{End: 6 * time.Second}, true},
+		"slow stream that can wait":                      {Progress{Begun: true, Events: 20, Interval: 270 * ms}, 10 * time.Second, 60, Forecast{End: 3 * time.Second}, false},
 		"slow stream, the other is little faster":        {Progress{Begun: true, Events: 20, Interval: 200 * ms}, 10 * time.Second, 51, Forecast{End: 8 * time.Second}, false},
 		"slow stream that just misses it":                {Progress{Begun: true, Events: 20, Interval: 200 * ms}, 10 * time.Second, 52, Forecast{End: 3 * time.Second}, false},
 		"slow stream near its expected end":              {Progress{Begun: true, Events: 60, Interval: 270 * ms}, 100 * ms, 0, Forecast{End: 50 * ms}, false},
--- a/decision/completion/forecast.go
+++ b/decision/completion/forecast.go
@@ -27,13 +27,16 @@
 type Forecast struct {
 	FirstEvent time.Duration
 	End        time.Duration
+	// Delay is the part of both that comes from first events being later than forecast lately.
+	Delay time.Duration
 }
 
 // Forecast forecasts the work at a place. The prompt is processed at the server's present speed; generation lasts for
 // seconds, by which a momentary slowness has passed.
 func (r *Rates) Forecast(w Work, p Place) Forecast {
-	first := p.Wait + w.Overhead + scale(w.Prefill, p.Now)
-	return Forecast{FirstEvent: first, End: first + r.Generation(w.Events, p)}
+	delay := scale(r.Delay(), p.Usual)
+	first := p.Wait + w.Overhead + scale(w.Prefill, p.Now) + delay
+	return Forecast{Delay: delay, FirstEvent: first, End: first + r.Generation(w.Events, p)}
 }
 
 // Generation is how long the events take after the first one has begun.
--- a/decision/completion/overdue.go
+++ b/decision/completion/overdue.go
@@ -29,6 +29,9 @@
 	// betterFraction is the fraction of the time here in which the other server must be done: the repeated prefill
 	// delays the responses there.
 	betterFraction = 0.75
+	// urgency is how many times the rest of a stream would fit into the time left at another server when it is moved
+	// there. As long as it fits more often, the stream stays: its rate may improve, and it may be shorter than estimated.
+	urgency = 1.8
 )
 
 // MayMiss reports whether the attempt may have to be given up if another server is better: first and remaining are
@@ -55,7 +58,8 @@
 		return false
 	}
 	if p.Events > 0 {
-		return scale(time.Duration(remaining)*p.Interval, betterFraction) > elsewhere.End
+		here := time.Duration(remaining) * p.Interval
+		return scale(here, betterFraction) > elsewhere.End && scale(elsewhere.End, urgency) > left
 	}
 	late := p.Since - first
 	// What is late by a time is expected to take about as long again.
--- a/decision/completion/rates.go
+++ b/decision/completion/rates.go
@@ -35,6 +35,8 @@
 	levels [loadLevels]mean
 	// fastest is the shortest event interval seen, in seconds; 0 for none.
 	fastest float64
+	// delay is by how much first events come later than forecast, in seconds at unit speed.
+	delay mean
 	// lengths are the lengths of whole responses in tokens, by route.
 	lengths map[string]*mean
 }
@@ -42,8 +44,11 @@
 // mean is a mean in which older values fade.
 type mean struct{ value, n float64 }
 
-func (m *mean) add(x float64) {
-	m.n = min(m.n+1, rateMemory)
+func (m *mean) add(x float64) { m.addWithin(x, rateMemory) }
+
+// addWithin is add with a memory of its own.
+func (m *mean) addWithin(x, memory float64) {
+	m.n = min(m.n+1, memory)
 	m.value += (x - m.value) / m.n
 }
 
@@ -93,6 +98,28 @@
 	return min(seconds(r.fastest), idleInterval)
 }
 
+// delayMemory is how many first events the delay looks back on: a crest builds up within seconds.
+const delayMemory = 20
+
+// maxDelay bounds what one first event says, and in seconds.
+const maxDelay = 5.0
+
+// ObserveFirstEvent records that the first event came after the given time, or had not come by then, at a server that
+// takes factor times as long as one of unit speed.
+//
+// Load: a crest at which the prompts of all instances wait at engines, which none of them knows in time. Harm prevented:
+// larger models asked, and weak responses dropped, by waits that are forecast at a tenth of what they are.
+func (r *Rates) ObserveFirstEvent(f Forecast, took time.Duration, factor float64) {
+	if f.End <= 0 || factor <= 0 {
+		return
+	}
+	late := (took - f.FirstEvent + f.Delay).Seconds() / factor
+	r.delay.addWithin(min(max(late, -maxDelay), maxDelay), delayMemory)
+}
+
+// Delay is by how much a first event is expected to come later than by wait and prefill, at unit speed.
+func (r *Rates) Delay() time.Duration { return seconds(max(r.delay.withPrior(0, priorResponses), 0)) }
+
 // ObserveLength records the length of a whole response on a route, in tokens.
 func (r *Rates) ObserveLength(route string, tokens int) {
 	if tokens <= 0 {
--- a/decision/passthrough/attempt.go
+++ b/decision/passthrough/attempt.go
@@ -10,6 +10,9 @@
 	if e.Limit != nil {
 		w.observeLimit(s, r.sent, *e.Limit)
 	}
+	if r.firstByte == 0 && (e.GivenUp || e.Result == Abandoned) {
+		w.observeDelay(r, w.now.Sub(r.sent))
+	}
 	w.releaseServer(r)
 	r.observeEnd(e)
 	w.recordOutcome(r, s, e)
--- a/decision/passthrough/cascade.go
+++ b/decision/passthrough/cascade.go
@@ -39,6 +39,7 @@
 		return
 	}
 	r.firstByte = e.After
+	w.observeDelay(r, e.After)
 	w.domainResponded(r.server)
 	r.service.prefill.observeFirstByte(r, e)
 	r.endPrefill()
--- a/decision/passthrough/completion.go
+++ b/decision/passthrough/completion.go
@@ -19,7 +19,7 @@
 	sentBeside float64
 	// events is the number of events that the caller has had in earlier attempts.
 	events int
-	// heldModel is true if the response goes on in the model that began it.
+	// heldModel is true if no larger model than before is requested, as the time is short.
 	heldModel bool
 }
 
@@ -86,15 +86,17 @@
 	}
 	left := r.Deadline.Sub(w.now)
 	planned := w.plannedModel(r, views)
+	r.timely.limited = true
 	for model := planned; model >= min(planned, 0); model-- {
-		timely := w.endingWithin(r, list, model, left)
-		if len(timely) == 0 {
-			continue
+		r.timely.modelLimit = model
+		if timely := w.endingWithin(r, list, model, left); len(timely) > 0 {
+			return timely
+		}
+		// Without the margin: the weaker response of a smaller model is worth little, and is only better than none.
+		if timely := w.endingWithin(r, list, model, time.Duration(completion.Margin*float64(left))); len(timely) > 0 {
+			return w.endingFirst(r, timely, model)
 		}
-		r.timely.modelLimit, r.timely.limited = model, true
-		return timely
 	}
-	r.timely.modelLimit, r.timely.limited = min(planned, 0), true
 	return w.endingFirst(r, list, min(planned, 0))
 }
 
@@ -263,12 +265,19 @@
 // observeEnd learns from the end of a response's attempt.
 func (r *request) observeEnd(e AttemptEnded) {
 	r.timely.events += e.Events
-	r.timely.heldModel = e.GivenUp && r.timely.events > 0
+	r.timely.heldModel = e.GivenUp
 	if e.Result == Completed {
 		r.service.rates.ObserveLength(r.Route.Name, r.timely.events*r.service.tokensPerEvent)
 	}
 }
 
+// observeDelay learns from when a response begins or, if late, has not begun yet.
+func (w *World) observeDelay(r *request, took time.Duration) {
+	if r.server != nil {
+		r.service.rates.ObserveFirstEvent(r.timely.forecast, took, w.speeds.Usual(w.now, r.server.speedKey()))
+	}
+}
+
 // observeFirstPace learns from the first events of a stream. Without them, nothing would be learned of the slowest streams,
 // which never end.
 func (w *World) observeFirstPace(e EventIntervalMeasured) {
