--- a/decision/passthrough/attempt.go
+++ b/decision/passthrough/attempt.go
@@ -10,7 +10,11 @@
 	if e.Limit != nil {
 		w.observeLimit(s, r.sent, *e.Limit)
 	}
+	if r.firstByte == 0 && (e.GivenUp || e.Result == Abandoned) {
+		w.observeDelay(r, w.now.Sub(r.sent))
+	}
 	w.releaseServer(r)
+	r.observeEnd(e)
 	w.recordOutcome(r, s, e)
 	r.mayHaveRun = r.mayHaveRun || e.Result.MayHaveRun() || e.Begun
 	if e.NoPermit {
@@ -105,9 +109,12 @@
 		w.observeLostConnection(s, r, e)
 	}
 	bad := e.Result != Completed
-	s.health.record(!bad, w.now)
+	if !e.GivenUp { // a server that is busy or slow for a time has not failed
+		s.health.record(!bad, w.now)
+	}
 	if !bad {
 		w.recordInterval(r, s, e.EventInterval)
+		w.observePace(r, s, e.EventInterval)
 	}
 	if e.ConnectionLost {
 		w.serverLost(s)
--- a/decision/passthrough/cascade.go
+++ b/decision/passthrough/cascade.go
@@ -39,6 +39,7 @@
 		return
 	}
 	r.firstByte = e.After
+	w.observeDelay(r, e.After)
 	w.domainResponded(r.server)
 	r.service.prefill.observeFirstByte(r, e)
 	w.measureFirstByte(r, e.After)
@@ -113,7 +114,7 @@
 		return 0
 	}
 	occ := occupancyOf(r.service, w.viewServers(r.service))
-	if !w.largestInTime(r, occ.prefillWait) {
+	if !w.largestInTime(r, occ.prefillWait) || !w.replaceableInTime(r, w.views) {
 		return 0
 	}
 	return minConfidence * occ.headroom(r)
--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -1,6 +1,10 @@
 package passthrough
 
-import "time"
+import (
+	"time"
+
+	"masticplank.example/decision/completion"
+)
 
 // versionKey identifies a version of a service's software.
 type versionKey struct{ service, version string }
@@ -28,9 +32,11 @@
 	// statesSpeeds is true once one of the service's servers has stated how long work takes on its machine.
 	statesSpeeds bool
 	hotPrefixes  hotPrefixes
-	slowStart    slowStartLimits
-	brittle      brittle
-	permits      permits
+	// rates are the rates of generation.
+	rates     completion.Rates
+	slowStart slowStartLimits
+	brittle   brittle
+	permits   permits
 	// fullUntil is until when no request is offered to peers with permits.
 	fullUntil time.Time
 	// wakeAt is when queued requests are tried again, as a server may take more by then; zero for
@@ -144,4 +150,5 @@
 	// If it is a middle model, droppedConfidence is the confidence of the dropped response.
 	nextModel         int
 	droppedConfidence float64
+	timely            timely
 }
