Larger models: who gets them is planned over all instances (first version, untested)

Callers saw weak responses while engines were idle, and failures after a restart of all instances. Cause: each instance knew only its own part of the load. Change: package decision/cascade plans by the pooled backlog, by priority and gain; the tokens of requests count against the engines' memory. Result: not measured yet.

--- a/decision/passthrough/attempt.go
+++ b/decision/passthrough/attempt.go
@@ -45,6 +45,7 @@
 	case Dropped:
 		w.learnEscalation(r, e.Confidence)
 		w.chooseEscalation(r, e.Confidence)
+		r.weakConfidence = e.Confidence
 		w.retry(r, nil)
 	case Abandoned:
 		w.remove(r)
@@ -135,6 +136,9 @@
 		w.finishOrRefuse(r, reason)
 		return
 	}
+	if w.waitForLarger(r) {
+		return
+	}
 	if !w.tryDispatch(r) {
 		w.enqueue(r)
 	}
--- a/decision/passthrough/cascade.go
+++ b/decision/passthrough/cascade.go
@@ -105,6 +105,10 @@
 	if r == nil || r.server == nil || r.model == noModel {
 		return 0
 	}
+	if w.plansLarger(r.service) {
+		threshold, _ := w.plannedThreshold(r)
+		return threshold
+	}
 	if r.model >= len(r.Route.Models)-1 || r.lastAttempt() {
 		return 0
 	}
--- a/decision/passthrough/dispatch.go
+++ b/decision/passthrough/dispatch.go
@@ -26,6 +26,7 @@
 	r.attempts++
 	r.dispatches++
 	s.ownRequests++
+	r.takeTokens()
 	w.recordSlowStart(s)
 	sharePeers := w.takeShare(s)
 	peers := w.takePermit(r, s)
@@ -41,7 +42,15 @@
 	if r.ChooseModel && len(r.Route.Models) > 0 {
 		occ = occ.withOneMore()
 		cmd.Utilization, cmd.MeanPrefillWait, cmd.RetriesLeft = occ.utilization, seconds(occ.prefillWait), r.service.budget.Remaining(w.now)
-		r.model = w.chooseModel(r, occ.headroom(r))
+		if w.plansLarger(r.service) {
+			pool := w.pool(r.service, views)
+			cmd.Utilization, cmd.MeanPrefillWait, cmd.Pooled = pool.Utilization, seconds(pool.Backlog), pool.Shared
+			cmd.WaitedForLarger, cmd.SinceArrival = r.waitedForLarger, w.now.Sub(r.arrived)
+			r.model = w.choosePlanned(r, pool, v)
+			cmd.LargerModel = r.model > 0
+		} else {
+			r.model = w.chooseModel(r, occ.headroom(r))
+		}
 		cmd.Model = r.Route.Models[r.model]
 	}
 	if r.service.engine {
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -231,6 +231,13 @@
 	Utilization     float64
 	MeanPrefillWait time.Duration
 	RetriesLeft     float64
+	// The following are set only if the instances decide together who gets the larger models. Pooled is true if
+	// Utilization and MeanPrefillWait are those of all instances; LargerModel if the chosen model is not the smallest.
+	Pooled      bool
+	LargerModel bool
+	// WaitedForLarger is how long the request has waited for a larger model, SinceArrival how long ago it arrived.
+	WaitedForLarger time.Duration
+	SinceArrival    time.Duration
 }
 
 // Refuse ends a request that has not run.
--- a/decision/passthrough/filter.go
+++ b/decision/passthrough/filter.go
@@ -39,7 +39,7 @@
 	case len(ejected) > 0:
 		list = ejected
 	}
-	return w.preferOwnShares(w.preferOwnPermits(r.service, list))
+	return w.preferRoom(r, w.preferOwnShares(w.preferOwnPermits(r.service, list)))
 }
 
 // hasFreeSlot reports whether the server has a free slot. It counts only the known
--- a/decision/passthrough/peerload.go
+++ b/decision/passthrough/peerload.go
@@ -10,6 +10,8 @@
 	// among them still take for prefill.
 	Requests    int
 	PrefillTime time.Duration
+	// Tokens is the size of these requests, prompts and expected responses; 0 if it is not counted.
+	Tokens int
 }
 
 // peerLoadTTL is how long a load report of the peers counts: most of the prompts in it are
@@ -24,6 +26,7 @@
 type peerReport struct {
 	requests    float64
 	prefillTime float64 // seconds
+	tokens      float64
 }
 
 // peerKey identifies the server's process in load reports. A report on a former process under the same id
@@ -43,7 +46,11 @@
 			continue
 		}
 		seen[s] = true
-		out = append(out, PeerLoad{Key: s.peerKey(), Requests: s.sentRequests(w.now), PrefillTime: seconds(s.prefillRemaining(w.now))})
+		load := PeerLoad{Key: s.peerKey(), Requests: s.sentRequests(w.now), PrefillTime: seconds(s.prefillRemaining(w.now))}
+		if w.countsTokens(s.service) {
+			load.Tokens = s.ownTokens
+		}
+		out = append(out, load)
 	}
 	for _, s := range w.brittleEngines() {
 		if s.permitsUsed > 0 && !seen[s] {
@@ -70,7 +77,7 @@
 	w.reportedByPeers = w.reportedByPeers[:0]
 	for _, l := range e.Loads {
 		if s := w.serversByKey[l.Key]; s != nil {
-			s.peers = peerReport{requests: float64(l.Requests), prefillTime: l.PrefillTime.Seconds()}
+			s.peers = peerReport{requests: float64(l.Requests), prefillTime: l.PrefillTime.Seconds(), tokens: float64(l.Tokens)}
 			w.reportedByPeers = append(w.reportedByPeers, s)
 		}
 	}
--- a/decision/passthrough/refusal.go
+++ b/decision/passthrough/refusal.go
@@ -21,6 +21,11 @@
 		w.remove(r)
 		return
 	}
+	if reason == ReasonTooLarge {
+		w.emit(Refuse{Request: r.ID, Reason: reason, RetryAfter: maxRetryAfter})
+		w.remove(r)
+		return
+	}
 	retryAfter := r.service.intervals.departures.wait(r.service.queue.ahead(r))
 	switch reason {
 	case ReasonNoServer:
--- a/decision/passthrough/requests.go
+++ b/decision/passthrough/requests.go
@@ -8,6 +8,7 @@
 	r.service = w.serviceOf(in.Service)
 	w.requests[r.ID] = r
 	r.service.budget.RecordRequest(w.now)
+	w.recordLargerWork(r)
 	if w.crashes.quarantined(r.Fingerprint, w.now) {
 		w.refuse(r, ReasonQuarantined)
 		return
@@ -20,6 +21,10 @@
 		w.refuse(r, ReasonDeadline)
 		return
 	}
+	if w.exceedsMemory(r) {
+		w.refuse(r, ReasonTooLarge)
+		return
+	}
 	if w.outlivesInstance(r) {
 		w.refuse(r, ReasonStopping)
 		return
@@ -83,6 +88,9 @@
 // waitRefusal returns the reason for a refusal if the request would wait too long in the queue, or
 // "" if it would not.
 func (w *World) waitRefusal(r *request) Reason {
+	if w.holdsDropped(r) {
+		return ""
+	}
 	maxWait := MaxQueueWait(&r.Request, w.now)
 	if wait, limited := w.limitWait(r); limited {
 		if wait > maxWait {
@@ -129,7 +137,7 @@
 // request earlier.
 func (w *World) queueWaitExpired(id RequestID) {
 	r := w.requests[id]
-	if r == nil || !r.queued {
+	if r == nil || !r.queued || w.holdsDropped(r) {
 		return
 	}
 	r.service.queue.remove(r)
@@ -156,6 +164,7 @@
 		r.service.queue.remove(r)
 		r.queued = false
 	}
+	w.stopWaitingForLarger(r)
 	delete(w.requests, r.ID)
 }
 
@@ -167,6 +176,7 @@
 	r.endPrefill()
 	r.releasePermit()
 	r.server.ownRequests--
+	r.releaseTokens()
 	w.markFreed(r.service)
 	r.server = nil
 }
--- a/decision/passthrough/speeds.go
+++ b/decision/passthrough/speeds.go
@@ -8,6 +8,7 @@
 // observeSpeed records what a response states about its server's machine.
 func (w *World) observeSpeed(s *server, load Load) {
 	if load.Slowdown > 0 {
+		s.service.statesSpeed = true
 		w.speeds.Stated(w.now, s.speedKey(), load.Slowdown)
 	}
 }
--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -1,6 +1,10 @@
 package passthrough
 
-import "time"
+import (
+	"time"
+
+	"masticplank.example/decision/cascade"
+)
 
 // versionKey identifies a version of a service's software.
 type versionKey struct{ service, version string }
@@ -19,6 +23,11 @@
 	// tokenCapacity is how many tokens of prompts and responses an engine holds, tokensPerEvent how many tokens an
 	// event of its streams has; 0 if unknown.
 	tokenCapacity, tokensPerEvent int
+	// statesSpeed is true once an engine of the service has stated how fast its machine is.
+	statesSpeed bool
+	// planner decides who gets the larger models; meanTokens is the mean size of a request in tokens.
+	planner    cascade.Planner
+	meanTokens movingAverage
 	// meanOthers is the mean number of other instances' requests at a server.
 	meanOthers movingAverage
 	intervals  intervalStats
@@ -40,6 +49,8 @@
 	service *service
 	// ownRequests counts this instance's requests at the server.
 	ownRequests int
+	// ownTokens is how many tokens these have.
+	ownTokens int
 	// prefilling are this instance's requests there whose response has not begun; prefillBacklog is
 	// the sum of their whole prefill times in seconds, also of prompts that are partly processed.
 	prefilling     []*request
@@ -130,4 +141,12 @@
 	// If it is a middle model, droppedConfidence is the confidence of the dropped response.
 	nextModel         int
 	droppedConfidence float64
+	// weakConfidence is the confidence of the last dropped response. waitsForLarger is true while the request waits
+	// for a larger model, since waitBegan; waitedForLarger is how long it has done so before. gaveUpLarger is true once it
+	// has waited for as long as it may, and gets the smallest model.
+	weakConfidence  float64
+	waitsForLarger  bool
+	waitBegan       time.Time
+	waitedForLarger time.Duration
+	gaveUpLarger    bool
 }
--- a/decision/passthrough/types.go
+++ b/decision/passthrough/types.go
@@ -151,6 +151,7 @@
 	ReasonBackoff     Reason = "backend_servers_backing_off"
 	ReasonNoPath      Reason = "no_path_to_backend_servers"
 	ReasonLimited     Reason = "backend_servers_limited"
+	ReasonTooLarge    Reason = "prompt_exceeds_engine_memory"
 	ReasonBusy        Reason = "busy"
 	ReasonServersFull Reason = "backend_servers_full"
 	ReasonRetryBudget Reason = "retry_budget_spent"
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -146,6 +146,7 @@
 	w.releaseHeldAfter(heldReportDelay)
 	w.wakeDueServices()
 	w.dispatchQueued()
+	w.releaseForLarger()
 	return w.commands
 }
 
@@ -246,7 +247,7 @@
 // RequestCounts returns how many requests are queued and how many are at backend servers.
 func (w *World) RequestCounts() (waiting, running int) {
 	for _, r := range w.requests {
-		if r.queued {
+		if r.queued || r.waitsForLarger {
 			waiting++
 		} else {
 			running++
--- a/router/internal/passthrough/attempt.go
+++ b/router/internal/passthrough/attempt.go
@@ -91,6 +91,8 @@
 	// whose confidence is below confidenceThreshold is dropped.
 	confidence          float64
 	confidenceThreshold float64
+	// keptBecause is why a weak response was kept; empty if it was not weak, or that is not known.
+	keptBecause string
 	err                 error
 }
 
--- a/router/internal/passthrough/driver.go
+++ b/router/internal/passthrough/driver.go
@@ -131,6 +131,13 @@
 	return d.world.ConfidenceThreshold(t.id)
 }
 
+// keptBecause returns why a response of the confidence is kept although it is weak; "" if it is not, or that is not known.
+func (d *Driver) keptBecause(t *ticket, confidence float64) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.world.KeptBecause(t.id, confidence)
+}
+
 // partVerdicts returns the parts of prompts that are quarantined.
 func (d *Driver) partVerdicts() []passthrough.PartVerdict {
 	d.mu.Lock()
--- a/router/internal/passthrough/stream.go
+++ b/router/internal/passthrough/stream.go
@@ -44,7 +44,9 @@
 	if meta.Confidence < threshold {
 		return outcome{result: passthrough.Dropped, confidenceThreshold: threshold}
 	}
+	keptBecause := x.handler.driver.keptBecause(x.ticket, meta.Confidence)
 	out := a.relayEvents(resp)
+	out.keptBecause = keptBecause
 	out.confidenceThreshold = threshold
 	return out
 }
--- a/router/internal/passthrough/telemetry.go
+++ b/router/internal/passthrough/telemetry.go
@@ -196,6 +196,7 @@
 			slog.Int64("wait_ms", d.PrefillWait.Milliseconds()), slog.Int64("mean_wait_ms", d.MeanPrefillWait.Milliseconds()), slog.Float64("repeats_left", math.Round(d.RetriesLeft)),
 			slog.Int("prompt_tokens", c.caller.PromptTokens), slog.Int("most_tokens", c.caller.MaxTokens))
 	}
+	attrs = append(attrs, t.largerAttrs(c, d, out)...)
 	if len(c.caller.SharedParts) > 0 {
 		attrs = append(attrs, slog.String("parts", strings.Join(c.caller.SharedParts, ",")), slog.Int("events", out.events),
 			slog.Int64("server_start_ms", d.Server.StartTime))
@@ -234,6 +235,34 @@
 	t.emit(logging.EventPassthroughAttempt, attrs...)
 }
 
+// largerAttrs counts what a larger model was asked for in vain, weak responses that were kept and waits for a larger model,
+// and returns the attributes that say why. Nothing is counted where each instance decides this alone.
+func (t *telemetry) largerAttrs(c *call, d passthrough.Dispatch, out outcome) []slog.Attr {
+	var attrs []slog.Attr
+	if d.Pooled {
+		attrs = append(attrs, slog.Bool("pooled", true))
+	}
+	if out.keptBecause != "" && out.result == passthrough.Completed {
+		t.count("weak_kept." + out.keptBecause)
+		attrs = append(attrs, slog.String("kept", out.keptBecause))
+	}
+	if d.WaitedForLarger > 0 {
+		t.count("larger.waited")
+		t.observeDuration("larger_wait_ms", d.WaitedForLarger)
+		attrs = append(attrs, slog.Int64("larger_wait_ms", d.WaitedForLarger.Milliseconds()))
+	}
+	if !d.LargerModel {
+		return attrs
+	}
+	switch {
+	case out.result != passthrough.Completed:
+		t.count("larger.broken")
+	case d.SinceArrival+out.firstByte > c.route.TargetLatency:
+		t.count("larger.late")
+	}
+	return attrs
+}
+
 // logFinished counts a request that has ended, and logs it if it failed; reason is empty for a
 // success.
 func (t *telemetry) logFinished(c *call, status int, reason passthrough.Reason) {
--- a/router/internal/relay/loads.go
+++ b/router/internal/relay/loads.go
@@ -129,7 +129,7 @@
 	askedAt := l.now()
 	packed := packReport(l.sum(append(l.liveReports("", false), l.currentReport())), l.now())
 	params := loadsParams{
-		Name: l.client.members.self.Name, Rows: packed.loads, Limits: packed.limits, Leaving: packed.leaving, Brittle: packed.brittle, Speeds: packed.speeds, Demand: packed.demand, Crashes: packed.crashes, FoundBad: packed.foundBad,
+		Name: l.client.members.self.Name, Rows: packed.loads, Tokens: packed.tokens, Limits: packed.limits, Leaving: packed.leaving, Brittle: packed.brittle, Speeds: packed.speeds, Demand: packed.demand, Crashes: packed.crashes, FoundBad: packed.foundBad,
 		LostConfigVersion: packed.lostConfigVersion, Instances: packed.instances,
 	}
 	out, err := l.client.callMember(ctx, collector, methodLoads, params, reportTimeout)
@@ -138,7 +138,7 @@
 	}
 	// The ages of limits refer to the time of the request, so that a delayed answer does not look
 	// new.
-	others, err := l.unpackReport(collector.Name, packedReport{out.Loads, out.Limits, out.Leaving, out.Brittle, out.Speeds, out.Demand, out.Crashes, out.FoundBad, out.LostConfigVersion, out.Instances}, askedAt)
+	others, err := l.unpackReport(collector.Name, packedReport{out.Loads, out.Tokens, out.Limits, out.Leaving, out.Brittle, out.Speeds, out.Demand, out.Crashes, out.FoundBad, out.LostConfigVersion, out.Instances}, askedAt)
 	if err != nil {
 		return
 	}
@@ -149,7 +149,8 @@
 
 // packedReport is a report as it is sent.
 type packedReport struct {
-	loads, limits     []byte
+	loads, tokens     []byte
+	limits            []byte
 	leaving           []uint64
 	brittle           map[string]float64
 	speeds, demand    []byte
@@ -161,7 +162,7 @@
 
 // packReport encodes a report as of the given time.
 func packReport(r Report, now time.Time) packedReport {
-	return packedReport{packLoads(r.Loads), packLimits(r.Limits), r.Leaving, r.Brittle, packSpeeds(r.Speeds), packDemand(r.Demand), packEvidence(r.Crashes, now), r.FoundBad, r.LostConfigVersion, r.Instances}
+	return packedReport{packLoads(r.Loads), packTokens(r.Loads), packLimits(r.Limits), r.Leaving, r.Brittle, packSpeeds(r.Speeds), packDemand(r.Demand), packEvidence(r.Crashes, now), r.FoundBad, r.LostConfigVersion, r.Instances}
 }
 
 // unpackReport decodes another instance's report; the ages in it refer to the given time.
@@ -171,6 +172,9 @@
 	out.Crashes = p.crashes.unpack(at)
 	var err error
 	if out.Loads, err = unpackLoads(p.loads); err == nil {
+		err = unpackTokens(p.tokens, out.Loads)
+	}
+	if err == nil {
 		out.Limits, err = unpackLimits(p.limits)
 	}
 	if err == nil {
@@ -187,7 +191,7 @@
 
 // handleReport stores a follower's report and answers with the sum of all others.
 func (l *LoadExchange) handleReport(p loadsParams) (answer, error) {
-	in, err := l.unpackReport(p.Name, packedReport{p.Rows, p.Limits, p.Leaving, p.Brittle, p.Speeds, p.Demand, p.Crashes, p.FoundBad, p.LostConfigVersion, p.Instances}, l.now())
+	in, err := l.unpackReport(p.Name, packedReport{p.Rows, p.Tokens, p.Limits, p.Leaving, p.Brittle, p.Speeds, p.Demand, p.Crashes, p.FoundBad, p.LostConfigVersion, p.Instances}, l.now())
 	if err != nil {
 		return answer{}, err
 	}
@@ -195,7 +199,7 @@
 	l.followerReports[p.Name] = in
 	l.mu.Unlock()
 	out := packReport(l.sum(append(l.liveReports(p.Name, true), l.currentReport())), l.now())
-	return answer{Loads: out.loads, Limits: out.limits, Leaving: out.leaving, Brittle: out.brittle, Speeds: out.speeds, Demand: out.demand, Crashes: out.crashes, FoundBad: out.foundBad, LostConfigVersion: out.lostConfigVersion, Instances: out.instances}, nil
+	return answer{Loads: out.loads, Tokens: out.tokens, Limits: out.limits, Leaving: out.leaving, Brittle: out.brittle, Speeds: out.speeds, Demand: out.demand, Crashes: out.crashes, FoundBad: out.foundBad, LostConfigVersion: out.lostConfigVersion, Instances: out.instances}, nil
 }
 
 // currentReport returns this instance's report as of now.
--- a/router/internal/relay/messages.go
+++ b/router/internal/relay/messages.go
@@ -44,6 +44,8 @@
 	Name string `json:"name"`
 	// Rows are the loads at the backend servers, as packLoads encodes them.
 	Rows []byte `json:"rows"`
+	// Tokens are the sizes of the requests in Rows, as packTokens encodes them.
+	Tokens []byte `json:"tokens,omitempty"`
 	// Limits are the rate limits that backend servers stated to them, as packLimits encodes them.
 	Limits []byte `json:"limits,omitempty"`
 	// Leaving are the hashes of the backend servers' processes that stated to them that they are
@@ -85,7 +87,9 @@
 	// Loads is the known load of other instances at the backend servers, Limits the rate limits
 	// that backend servers stated to those instances, Leaving the processes that stated to them that
 	// they are leaving, and Instances the number of instances.
-	Loads   []byte   `json:"loads,omitempty"`
+	Loads []byte `json:"loads,omitempty"`
+	// Tokens are the sizes of the requests in Loads.
+	Tokens  []byte   `json:"tokens,omitempty"`
 	Limits  []byte   `json:"limits,omitempty"`
 	Leaving []uint64 `json:"leaving,omitempty"`
 	// Brittle, Speeds, Demand, Crashes, FoundBad and LostConfigVersion are as in loadsParams.
