--- a/decision/cascade/pool.go
+++ b/decision/cascade/pool.go
@@ -28,8 +28,9 @@
 	// backlogRamp is the backlog as a fraction of the shortest target. A request whose response was dropped waits for it
 	// twice: once at the smallest model and once at the larger one, whose prefill comes on top.
 	backlogRamp = ramp{full: 0.15, none: 0.4}
-	// ampleRamp is the same for requests that are given the largest model at once, half of which do not need it.
-	ampleRamp = ramp{full: 0.02, none: 0.1}
+	// ampleRamp is the same for requests that are given the largest model at once, half of which do not need it: they get
+	// what room there is before any request whose response was dropped has to do without.
+	ampleRamp = ramp{full: 0.05, none: 0.15}
 	// utilizationRamp is the fraction of slots that are taken: a larger model's request holds its slot longer.
 	utilizationRamp = ramp{full: 0.75, none: 1}
 )
