Larger models: backlog of the engine in the middle; tests of the world, of memory for tokens and of the reports

Change: the middle engine counts; waits expect the backlog to shrink at a quarter of the speed, and end after a quarter of the time to the deadline.

--- a/decision/cascade/planner.go
+++ b/decision/cascade/planner.go
@@ -63,14 +63,12 @@
 	// beginFraction is the fraction of the time to the deadline within which a larger model must begin its response, to leave
 	// time for the rest of it.
 	beginFraction = 0.5
-	// waitFraction is the fraction of the spare time to its target for which a request may be expected to wait; the rest is
-	// for what the forecast does not know.
-	waitFraction = 0.5
-	// lateWaitFraction is the fraction of the time to the deadline for which a request waits for a larger model if its
-	// target passes meanwhile.
-	lateWaitFraction = 0.25
-	// maxWaitFraction bounds every wait, so that the response still begins within beginFraction of what is left.
-	maxWaitFraction = 1.0 / 3
+	// waitFraction is how fast the backlog is expected to shrink while a request waits, as a fraction of the speed that it would have
+	// if no others arrived.
+	waitFraction = 0.25
+	// maxWaitFraction is the fraction of the time to the deadline for which a request waits at most: a response of the
+	// smallest model must still be possible after it.
+	maxWaitFraction = 0.25
 	// releaseInterval is the least time between two releases of waiting requests: the age of what instances know of each
 	// other. More often, they would all fill the same room again before they see that it is filled.
 	releaseInterval = 300 * time.Millisecond
@@ -174,7 +172,10 @@
 // Wait adds a request that waits for room.
 func (p *Planner) Wait(now time.Time, pool Pool, r Request) {
 	left := r.Deadline.Sub(now).Seconds()
-	wait := max(r.Target.Sub(now).Seconds()-pool.Backlog-r.Prefill, lateWaitFraction*left)
+	wait := r.Target.Sub(now).Seconds() - pool.Backlog - r.Prefill
+	if wait <= 0 {
+		wait = left
+	}
 	wait = max(min(wait, maxWaitFraction*left), 0)
 	p.waiting = append(p.waiting, waiter{r, now.Add(time.Duration(wait * float64(time.Second)))})
 }
--- a/decision/cascade/sim_test.go
+++ b/decision/cascade/sim_test.go
@@ -84,6 +84,8 @@
 	// blind instances get no reports: the first ones of the fleet.
 	blind      int
 	maxBacklog float64
+	// waits and vain are how many requests waited for a larger model, and how many of them did not get one.
+	waits, vain int
 }
 
 func newSim(instances int) *sim {
@@ -227,6 +229,10 @@
 		c := s.waiting[r.ID]
 		delete(s.waiting, r.ID)
 		c.Doubt = 1 // it does not wait again
+		s.waits++
+		if !r.Larger {
+			s.vain++
+		}
 		s.send(c, r.Larger)
 	}
 }
@@ -270,7 +276,7 @@
 				s.blind = blind
 				s.run(3, 1)
 				s.measure(8, 2.6)
-				t.Logf("goodput %.0f, backlog up to %.2f s", s.goodput(8), s.maxBacklog)
+				t.Logf("goodput %.0f, backlog up to %.2f s, %d of %d waits in vain", s.goodput(8), s.maxBacklog, s.vain, s.waits)
 				s.checkOrder(t)
 				if got := s.tallies[0]; got.credit() < 0.9 {
 					t.Errorf("credit %.2f of the most urgent kind, want at least 0.9", got.credit())
@@ -304,7 +310,7 @@
 			s.measure(8, factor*simCapacity)
 			s.checkOrder(t)
 			got := s.goodput(8)
-			t.Logf("%d instances, %.1f times the capacity: goodput %.0f, backlog up to %.2f s", instances, factor, got, s.maxBacklog)
+			t.Logf("%d instances, %.1f times the capacity: goodput %.0f, backlog up to %.2f s, %d of %d waits in vain", instances, factor, got, s.maxBacklog, s.vain, s.waits)
 			if full = max(full, got); got < 0.9*full {
 				t.Errorf("%d instances, %.1f times the capacity: goodput %.0f, want at least 0.9 of %.0f", instances, factor, got, full)
 			}
--- a/router/internal/relay/loads_test.go
+++ b/router/internal/relay/loads_test.go
@@ -34,6 +34,28 @@
 	}
 }
 
+// TestTokensArePackedBesideLoads checks that tokens are the same after packing and unpacking, but for rounding, that reports
+// without them are read, and that damaged ones are an error.
+func TestTokensArePackedBesideLoads(t *testing.T) {
+	rows := []passthrough.PeerLoad{{Key: 1, Tokens: 54_656}, {Key: 2}, {Key: 3, Tokens: 64}}
+	packed := packTokens(rows)
+	got := []passthrough.PeerLoad{{Key: 1}, {Key: 2}, {Key: 3}}
+	if err := unpackTokens(packed, got); err != nil || !reflect.DeepEqual(got, rows) {
+		t.Errorf("unpacked %+v, error %v, want the rows that were packed", got, err)
+	}
+	if err := unpackTokens(nil, got); err != nil || packTokens(rows[1:2]) != nil {
+		t.Errorf("error %v, want none for a report without tokens, and none sent if there are none", err)
+	}
+	for _, damaged := range [][]byte{packed[:len(packed)-1], append(packed, 1), {255}} {
+		if err := unpackTokens(damaged, got); err == nil {
+			t.Errorf("%v was accepted", damaged)
+		}
+	}
+	if sum := sumLoads(rows, rows); sum[0].Tokens != 2*54_656 {
+		t.Errorf("the sum has %d tokens, want twice 54,656", sum[0].Tokens)
+	}
+}
+
 // FuzzUnpackLoads guards against a panic or a negative sum because of a damaged report.
 func FuzzUnpackLoads(f *testing.F) {
 	f.Add(packLoads([]passthrough.PeerLoad{loadRow(7, 300, time.Second)}))
