--- a/decision/passthrough/dispatch.go
+++ b/decision/passthrough/dispatch.go
@@ -29,6 +29,7 @@
 	r.attempts++
 	r.dispatches++
 	s.ownRequests++
+	r.takeTokens()
 	w.recordSlowStart(s)
 	sharePeers := w.takeShare(s)
 	peers := w.takePermit(r, s)
@@ -48,8 +49,17 @@
 	if r.ChooseModel && len(r.Route.Models) > 0 {
 		occ = occ.withOneMore()
 		cmd.Utilization, cmd.MeanPrefillWait, cmd.RetriesLeft = occ.utilization, seconds(occ.prefillWait), r.service.budget.Remaining(w.now)
-		r.model = r.timelyModel(w.chooseModel(r, occ.headroom(r)))
+		if w.plansLarger(r.service) {
+			pool := w.pool(r.service, views)
+			cmd.Utilization, cmd.MeanPrefillWait, cmd.Pooled = pool.Utilization, seconds(pool.Backlog), pool.Shared
+			cmd.WaitedForLarger, cmd.SinceArrival = r.waitedForLarger, w.now.Sub(r.arrived)
+			r.model = w.choosePlanned(r, pool, v)
+		} else {
+			r.model = w.chooseModel(r, occ.headroom(r))
+		}
+		r.model = r.timelyModel(r.model)
 		cmd.Model = r.Route.Models[r.model]
+		cmd.LargerModel = w.plansLarger(r.service) && r.model > 0
 	}
 	cmd.Forecast = w.recordForecast(r, v).End
 	if r.service.engine {
--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"masticplank.example/decision/cascade"
 	"masticplank.example/decision/completion"
 )
 
@@ -25,6 +26,9 @@
 	tokenCapacity, tokensPerEvent int
 	// maxConns is how many connections a server takes from all instances together, 0 if unknown.
 	maxConns int
+	// planner decides who gets the larger models; meanTokens is the mean size of a request in tokens.
+	planner    cascade.Planner
+	meanTokens movingAverage
 	// meanOthers is the mean number of other instances' requests at a server.
 	meanOthers movingAverage
 	intervals  intervalStats
@@ -51,6 +55,8 @@
 	service *service
 	// ownRequests counts this instance's requests at the server.
 	ownRequests int
+	// ownTokens is how many tokens these have.
+	ownTokens int
 	// prefilling are this instance's requests there whose response has not begun; prefillBacklog is
 	// the sum of their whole prefill times in seconds, also of prompts that are partly processed.
 	prefilling     []*request
@@ -151,4 +157,12 @@
 	nextModel         int
 	droppedConfidence float64
 	timely            timely
+	// weakConfidence is the confidence of the last dropped response. waitsForLarger is true while the request waits
+	// for a larger model, since waitBegan; waitedForLarger is how long it has done so before. gaveUpLarger is true once it
+	// has waited for as long as it may, and gets the smallest model.
+	weakConfidence  float64
+	waitsForLarger  bool
+	waitBegan       time.Time
+	waitedForLarger time.Duration
+	gaveUpLarger    bool
 }
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -95,6 +95,8 @@
 	views    []serverView
 	eligible []serverView
 	timely   []serverView
+	// engineWaits is reused in the same way.
+	engineWaits []engineWait
 }
 
 // New returns an empty world. It refuses all requests until it has a list of backend servers.
@@ -147,6 +149,7 @@
 	w.releaseHeldAfter(heldReportDelay)
 	w.wakeDueServices()
 	w.dispatchQueued()
+	w.releaseForLarger()
 	return w.commands
 }
 
@@ -250,7 +253,7 @@
 // RequestCounts returns how many requests are queued and how many are at backend servers.
 func (w *World) RequestCounts() (waiting, running int) {
 	for _, r := range w.requests {
-		if r.queued {
+		if r.queued || r.waitsForLarger {
 			waiting++
 		} else {
 			running++
--- a/router/internal/passthrough/driver.go
+++ b/router/internal/passthrough/driver.go
@@ -145,6 +145,13 @@
 	return d.world.GivesUp(d.clock.Now(), t.id, p)
 }
 
+// keptBecause returns why a response of the confidence is kept although it is weak; "" if it is not, or that is not known.
+func (d *Driver) keptBecause(t *ticket, confidence float64) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.world.KeptBecause(t.id, confidence)
+}
+
 // partVerdicts returns the parts of prompts that are quarantined.
 func (d *Driver) partVerdicts() []passthrough.PartVerdict {
 	d.mu.Lock()
--- a/router/internal/passthrough/telemetry.go
+++ b/router/internal/passthrough/telemetry.go
@@ -232,6 +232,7 @@
 		t.observeForecast(c, d, out)
 		attrs = append(attrs, slog.Int64(keyForecast, d.Forecast.Milliseconds()), slog.Int("expected_tokens", c.caller.ExpectedTokens))
 	}
+	attrs = append(attrs, t.largerAttrs(c, d, out)...)
 	if len(c.caller.SharedParts) > 0 {
 		attrs = append(attrs, slog.String("parts", strings.Join(c.caller.SharedParts, ",")), slog.Int("events", out.events),
 			slog.Int64("server_start_ms", d.Server.StartTime))
@@ -287,6 +288,34 @@
 		slog.Int64("elsewhere_ms", why.Elsewhere.Milliseconds()), slog.Int64(keyTimeLeft, why.Left.Milliseconds()))...)
 }
 
+// largerAttrs counts what a larger model was asked for in vain, weak responses that were kept and waits for a larger model,
+// and returns the attributes that say why. Nothing is counted where each instance decides this alone.
+func (t *telemetry) largerAttrs(c *call, d passthrough.Dispatch, out outcome) []slog.Attr {
+	var attrs []slog.Attr
+	if d.Pooled {
+		attrs = append(attrs, slog.Bool("pooled", true))
+	}
+	if out.keptBecause != "" && out.result == passthrough.Completed {
+		t.count("weak_kept." + out.keptBecause)
+		attrs = append(attrs, slog.String("kept", out.keptBecause))
+	}
+	if d.WaitedForLarger > 0 {
+		t.count("larger.waited")
+		t.observeDuration("larger_wait_ms", d.WaitedForLarger)
+		attrs = append(attrs, slog.Int64("larger_wait_ms", d.WaitedForLarger.Milliseconds()))
+	}
+	if !d.LargerModel {
+		return attrs
+	}
+	switch {
+	case out.result != passthrough.Completed:
+		t.count("larger.broken")
+	case d.SinceArrival+out.firstByte > c.route.TargetLatency:
+		t.count("larger.late")
+	}
+	return attrs
+}
+
 // logFinished counts a request that has ended, and logs it if it failed; reason is empty for a
 // success.
 func (t *telemetry) logFinished(c *call, status int, reason passthrough.Reason) {
