--- a/decision/passthrough/cascade.go
+++ b/decision/passthrough/cascade.go
@@ -41,7 +41,6 @@
 	r.firstByte = e.After
 	w.domainResponded(r.server)
 	r.service.prefill.observeFirstByte(r, e)
-	w.measureFirstByte(r, e.After)
 	r.endPrefill()
 	w.observeLimit(r.server, r.sent, e.Limit)
 	if e.HasLoad {
--- a/decision/passthrough/hotprefix.go
+++ b/decision/passthrough/hotprefix.go
@@ -13,9 +13,9 @@
 	hotPrefixMemory = 10 * time.Second
 	// hotPrefixUtilization is the part of a server's time that the prompts of one prefix may take: the rest is for
 	// other prefixes and for generation, which waits meanwhile.
-	hotPrefixUtilization = 0.5
+	hotPrefixUtilization = 0.35
 	// maxPrefixServers bounds the servers of one prefix: each repeats its prefill once.
-	maxPrefixServers = 8
+	maxPrefixServers = 16
 	// maxPrefixes bounds the prefixes whose load is known.
 	maxPrefixes = 256
 )
@@ -85,16 +85,3 @@
 	}
 	f.index[at], f.score[at] = index, score
 }
-
-// lighterOfTwo is the better of two random servers of several, so that the instances do not all choose the same one.
-func (w *World) lighterOfTwo(list []serverView, f *firstServers) serverView {
-	if f.len == 1 {
-		return list[f.index[0]]
-	}
-	a := w.rng.IntN(f.len)
-	b := (a + 1 + w.rng.IntN(f.len-1)) % f.len
-	if list[f.index[b]].weight < list[f.index[a]].weight {
-		a = b
-	}
-	return list[f.index[a]]
-}
--- a/decision/passthrough/pick.go
+++ b/decision/passthrough/pick.go
@@ -32,8 +32,8 @@
 	if v, ok := w.pickStaleLimited(list); ok {
 		return v, true
 	}
-	if r.service.statesSpeeds {
-		r.addOwnPrefill(list)
+	if r.service.statesSpeeds && r.service.engine {
+		return w.pickBySpeed(r, list, occ), true
 	}
 	if r.PrefixHash != 0 {
 		return w.pickByPrefix(r, list, occ), true
@@ -47,78 +47,40 @@
 func (w *World) pickByPrefix(r *request, list []serverView, occ occupancy) serverView {
 	maxWeight, meanWait := loadBound(list), meanPrefillWait(list)
 	keepLocal := staysLocal(r, occ.prefillWait)
-	count := w.prefixServerCount(r)
-	var best, local firstServers
-	lightest := 0
+	best, local, lightest := noIndex, noIndex, 0
+	var bestScore, localScore uint64
 	for i, v := range list {
 		if v.weight < list[lightest].weight {
 			lightest = i
 		}
-		if v.weight > maxWeight || v.wait+v.ownPrefill > meanWait+prefillWaitSlack {
+		if v.weight > maxWeight || v.wait > meanWait+prefillWaitSlack {
 			continue
 		}
-		score := r.prefixScore(v)
-		best.add(i, score, count)
-		if keepLocal && v.server.Domain == w.cfg.Domain {
-			local.add(i, score, count)
+		score := mix(v.server.hash ^ r.PrefixHash)
+		if best == noIndex || score > bestScore {
+			best, bestScore = i, score
+		}
+		if keepLocal && v.server.Domain == w.cfg.Domain && (local == noIndex || score > localScore) {
+			local, localScore = i, score
 		}
 	}
 	switch {
-	case local.len > 0:
-		return w.lighterOfTwo(list, &local)
-	case best.len > 0:
-		return w.lighterOfTwo(list, &best)
+	case local != noIndex:
+		return list[local]
+	case best != noIndex:
+		return list[best]
 	}
 	return list[lightest]
 }
 
-// prefixScore is the score of a server for the request's prefix, the same at all instances. With stated speeds the
-// servers are weighted (rendezvous hashing), so that each gets prefixes in proportion to its speed.
-func (r *request) prefixScore(v serverView) float64 {
-	hash := mix(v.server.hash ^ r.PrefixHash)
-	if !r.service.statesSpeeds {
-		return float64(hash)
-	}
-	const bits = 53 // of a float64's mantissa
-	uniform := (float64(hash>>(64-bits)) + 0.5) / (1 << bits)
-	return -1 / (math.Log(uniform) * v.factor)
-}
-
-// addOwnPrefill adds to the servers' weights the time that the request's own prompt takes there.
-//
-// Load: prompts that take a fast server a second, and a slow one three. Harm prevented: callers who wait that long for
-// a server that would otherwise be preferred for its cache, and the others there who wait with them.
-func (r *request) addOwnPrefill(list []serverView) {
-	unitTime := r.unitPrefill()
-	for i := range list {
-		v := &list[i]
-		v.ownPrefill = unitTime * v.momentary
-		v.weight += v.ownPrefill / prefillSecondsPerRequest
-	}
-}
-
-// unitPrefill is how long the request's prompt takes at a server of unit speed, in seconds.
-func (r *request) unitPrefill() float64 {
-	return r.service.prefill.perToken(r.nextModel) * float64(r.PromptTokens)
-}
-
-// prefixServerCount is how many servers the request's prefix is spread over, and records the request's load.
-func (w *World) prefixServerCount(r *request) int {
-	if !r.service.statesSpeeds {
-		return 1
-	}
-	hot := &r.service.hotPrefixes
-	count := hot.serverCount(w.now, r.PrefixHash, w.fleetSize)
-	hot.record(w.now, r.PrefixHash, r.unitPrefill())
-	return count
-}
+// noIndex stands for no server.
+const noIndex = -1
 
-// meanPrefillWait is the mean time until the request's prompt would be processed at the servers of the list, in
-// seconds; without stated speeds only the wait for others.
+// meanPrefillWait is the mean wait of prompts at the servers of the list, in seconds.
 func meanPrefillWait(list []serverView) float64 {
 	sum := 0.0
 	for _, v := range list {
-		sum += v.wait + v.ownPrefill
+		sum += v.wait
 	}
 	return sum / float64(len(list))
 }
--- a/decision/passthrough/prefill.go
+++ b/decision/passthrough/prefill.go
@@ -46,8 +46,6 @@
 	// mean number of other instances' prompts that wait at a server.
 	meanPrefillTime      movingAverage
 	meanOthersPrefilling movingAverage
-	// lateness is the mean logarithm of the ratio of actual to expected times to the first byte.
-	lateness movingAverage
 }
 
 // ratio is the ratio of two sums in which older terms fade.
@@ -177,6 +175,9 @@
 			sum += r.prefillTime
 			continue
 		}
+		if s.service.statesSpeeds {
+			left = left.Abs() // a late prompt's engine is busy, likely for as long again
+		}
 		sum += min(max(left.Seconds(), 0), r.prefillTime)
 	}
 	return sum
--- a/decision/passthrough/speeds.go
+++ b/decision/passthrough/speeds.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"time"
 
 	"masticplank.example/decision/speed"
 )
@@ -129,27 +128,14 @@
 	}
 }
 
-// measureFirstByte records how the time to a response's first byte compares with the one expected, less by how much
-// expectations are off at all servers.
-func (w *World) measureFirstByte(r *request, took time.Duration) {
-	expected := r.firstByteDue.Sub(r.sent)
-	if !r.service.statesSpeeds || !r.prefilling || took <= 0 || expected <= 0 {
-		return
-	}
-	late := math.Log(took.Seconds() / expected.Seconds())
-	lateness := &r.service.prefill.lateness
-	mean := lateness.value
-	lateness.add(late)
-	if lateness.n > minBaselineCount {
-		w.measureSpeed(r.server, late-mean+math.Log(r.server.usual/r.server.statedFactor()))
-	}
-}
-
 // measureSpeed records the logarithm of the ratio of a response's time to the one expected by its server's statements.
 func (w *World) measureSpeed(s *server, logRatio float64) {
 	if !s.service.statesSpeeds || w.runsTarget(s) {
 		return
 	}
+	if newest, age := w.speeds.Newest(w.now, s.speedKey()); age < speed.StatementTTL && newest > s.statedFactor() {
+		logRatio -= math.Log(newest / s.statedFactor())
+	}
 	w.speeds.Measured(w.now, s.speedKey(), math.Exp(logRatio))
 	w.refreshSpeed(s)
 }
--- a/decision/passthrough/view.go
+++ b/decision/passthrough/view.go
@@ -16,8 +16,6 @@
 	// factor is how many times as long as usual work is expected to take at the server, momentary the same for
 	// work of some tens of milliseconds.
 	factor, momentary float64
-	// ownPrefill is how long the request's own prompt takes there in seconds, with stated speeds.
-	ownPrefill float64
 }
 
 // forecast is the expected load of a server.
--- a/decision/speed/statements.go
+++ b/decision/speed/statements.go
@@ -1,6 +1,7 @@
 package speed
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -25,14 +26,19 @@
 	s.newest, s.newestAt = slowdown, at
 }
 
-// median is the lower median of the statements, as a busy machine states too much rather than too little; 1 if there
-// are none.
-func (s *statements) median() float64 {
+// usual is the lower third of the statements, as a busy machine states too much and none states too little; 1 if there
+// are none. Fewer than enoughStatements may all be about one busy moment, so that they count together with the 1 of an
+// unknown server.
+func (s *statements) usual() float64 {
 	if s.count == 0 {
 		return 1
 	}
 	sorted := s.values
 	values := sorted[:s.count]
 	slices.Sort(values)
-	return values[(s.count-1)/2]
+	lower := values[(s.count-1)/3]
+	if s.count < enoughStatements {
+		return math.Sqrt(lower)
+	}
+	return lower
 }
--- a/decision/speed/table.go
+++ b/decision/speed/table.go
@@ -29,15 +29,16 @@
 }
 
 const (
-	// statementMemory is how many statements the usual factor is the median of. All instances together get two to
-	// four a second from an engine, so that it follows a change within three seconds, and machines that are busy a
-	// seventh of the time do not move it.
+	// statementMemory is how many statements the usual factor comes from. All instances together get two to four a
+	// second from an engine, so that it follows a change within three seconds, and machines that are busy a seventh
+	// of the time do not move it.
 	statementMemory = 9
-	// enoughStatements is how many statements make the median better than the mean of the other instances.
-	enoughStatements = 3
-	// sameStatement is the difference in time up to which equal statements count as one: other instances repeat
-	// the newest one in each report, with an age that is known within the delay of a message.
-	sameStatement = 100 * time.Millisecond
+	// enoughStatements is how many statements are better than what the other instances take for usual.
+	enoughStatements = 2
+	// sameStatement is the difference in time up to which equal statements count as one: they are about the same
+	// moment of a busy machine, or the same one in several reports, with an age that is known within the delay of a
+	// message.
+	sameStatement = 250 * time.Millisecond
 	// minStatementGap is the same for statements that differ.
 	minStatementGap = 20 * time.Millisecond
 	// ownMemory is how long a statement to this instance is reported to others.
@@ -229,13 +230,13 @@
 	}
 }
 
-// stated is the usual factor by the server's statements: their median, or while there are few, what the other
+// stated is the usual factor by the server's statements: what they come to, or while there are few, what the other
 // instances know.
 func (e *entry) stated() float64 {
 	if e.statements.count < enoughStatements && e.peers.Samples > e.statements.count && e.peers.Usual > 0 {
 		return e.peers.Usual
 	}
-	return e.statements.median()
+	return e.statements.usual()
 }
 
 // Merge returns what two groups of instances know of the same server: the means of Usual and of Ratio by their
