Larger models: all engines' waits count for the backlog

Cause: the engine in the middle was idle, as half of the engines get few requests (just started, or far from shared prefixes), while others had 100 waiting. Change: the mean again.

--- a/decision/passthrough/larger.go
+++ b/decision/passthrough/larger.go
@@ -1,11 +1,6 @@
 package passthrough
 
-import (
-	"cmp"
-	"slices"
-
-	"masticplank.example/decision/cascade"
-)
+import "masticplank.example/decision/cascade"
 
 // planLimit is why a weak response is kept.
 type planLimit = cascade.Limit
@@ -18,44 +13,30 @@
 	return s.engine && (w.cfg.SharedAdmission || s.statesSpeed)
 }
 
-// engineWait is how long a prompt waits at an engine, in seconds, and how fast the engine is.
-type engineWait struct{ wait, speed float64 }
-
 // pool sums up the views of a service's engines: by the load reports of the other instances if they are fresh, else by
-// this instance's own knowledge. An engine that takes twice as long counts half. The backlog is that of the engine in the
-// middle.
+// this instance's own knowledge. An engine that takes twice as long counts half.
 //
-// Load: a quarter of the engines ten times as slow as usual. Harm prevented: their backlog of seconds, which no other request waits
-// for, in the mean of all engines, so that weak responses are kept beside engines that have time.
+// Load: callers that share few prefixes beside engines that have just started. Harm prevented: a backlog that is judged by the
+// engines that get few requests, so that the others are filled with the largest model's prefill and reject requests. All
+// engines' waits count, also the longest.
 func (w *World) pool(s *service, views []serverView) cascade.Pool {
 	p := cascade.Pool{Instances: max(w.fleetSize, 1), Shared: w.peerLoadsFresh() || w.fleetSize == 1}
-	load := 0.0
-	w.engineWaits = w.engineWaits[:0]
+	load, backlog := 0.0, 0.0
 	for _, v := range views {
-		e := engineWait{v.wait, 1 / max(w.speeds.Usual(w.now, v.server.speedKey()), 1.0/maxSlowdown)}
-		w.engineWaits = append(w.engineWaits, e)
-		p.Capacity += e.speed
+		speed := 1 / max(w.speeds.Usual(w.now, v.server.speedKey()), 1.0/maxSlowdown)
 		load += min(v.load, float64(s.slots))
+		backlog += v.wait * speed
+		p.Capacity += speed
+	}
+	if p.Capacity > 0 {
+		p.Backlog = backlog / p.Capacity
 	}
-	p.Backlog = middleWait(w.engineWaits, p.Capacity)
 	if slots := len(views) * s.slots; slots > 0 {
 		p.Utilization = load / float64(slots)
 	}
 	return p
 }
 
-// middleWait is the wait that half of the engines, by speed, are below. It sorts the list.
-func middleWait(list []engineWait, speed float64) float64 {
-	slices.SortFunc(list, func(a, b engineWait) int { return cmp.Compare(a.wait, b.wait) })
-	below := 0.0
-	for _, e := range list {
-		if below += e.speed; below >= speed/2 {
-			return e.wait
-		}
-	}
-	return 0
-}
-
 // recordLargerWork counts a request among those that may need a larger model.
 func (w *World) recordLargerWork(r *request) {
 	if r.ChooseModel && len(r.Route.Models) > 1 && w.plansLarger(r.service) {
