--- a/decision/passthrough/larger_test.go
+++ b/decision/passthrough/larger_test.go
@@ -42,13 +42,13 @@
 	h := newPlannedHarness(t, 1)
 	id := h.arrivePrompt()
 	h.requireDispatch(id)
-	h.reportBacklog(1700 * time.Millisecond)
-	if threshold := h.world.ConfidenceThreshold(id); threshold <= 0.1 {
-		t.Fatalf("confidence threshold %v, want the response dropped", threshold)
+	h.reportBacklog(1200 * time.Millisecond)
+	if threshold := h.world.ConfidenceThreshold(id); threshold <= 0.4 {
+		t.Fatalf("confidence threshold %v, want a response with 0.4 dropped", threshold)
 	}
-	h.dropResponse(id, 0.1)
+	h.dropResponse(id, 0.4)
 	if n := len(h.commands[id]); n != 1 {
-		t.Fatalf("%d commands with all engines full, want no second dispatch", n)
+		t.Fatalf("%d commands with engines that are behind, want no second dispatch", n)
 	}
 	h.advance(400 * time.Millisecond)
 	h.reportBacklog(0)
