Larger models: only a request whose response was just dropped waits

What callers would have seen: a stream of a larger model that breaks midway and is resumed only when there is room. Change: a wait follows a dropped response only; services are released in the order of their names, so that equal seeds give equal choices.

--- a/decision/passthrough/attempt.go
+++ b/decision/passthrough/attempt.go
@@ -45,7 +45,7 @@
 	case Dropped:
 		w.learnEscalation(r, e.Confidence)
 		w.chooseEscalation(r, e.Confidence)
-		r.weakConfidence = e.Confidence
+		r.dropped, r.weakConfidence = true, e.Confidence
 		w.retry(r, nil)
 	case Abandoned:
 		w.remove(r)
--- a/decision/passthrough/dispatch.go
+++ b/decision/passthrough/dispatch.go
@@ -21,7 +21,7 @@
 	r.version = s.Version
 	r.sent = w.now
 	r.firstByte = 0
-	r.eventsBegun, r.withdrawn = false, false
+	r.eventsBegun, r.withdrawn, r.dropped = false, false, false
 	r.intervalReported = false
 	r.attempts++
 	r.dispatches++
--- a/decision/passthrough/larger.go
+++ b/decision/passthrough/larger.go
@@ -1,6 +1,11 @@
 package passthrough
 
-import "masticplank.example/decision/cascade"
+import (
+	"cmp"
+	"slices"
+
+	"masticplank.example/decision/cascade"
+)
 
 // planLimit is why a weak response is kept.
 type planLimit = cascade.Limit
@@ -126,10 +131,10 @@
 	return model
 }
 
-// waitForLarger lets a request whose response was dropped wait if there is no room for the larger model now. It returns
+// waitForLarger lets a request wait whose response was just dropped, if there is no room for the larger model now. It returns
 // false if there is. It waits outside the queue, so that it blocks no other.
 func (w *World) waitForLarger(r *request) bool {
-	if r.nextModel == 0 || !w.plansLarger(r.service) {
+	if !r.dropped || !w.plansLarger(r.service) {
 		return false
 	}
 	pool, plan := w.pool(r.service, w.viewServers(r.service)), r.plan(r.nextModel, r.weakConfidence)
@@ -152,10 +157,14 @@
 // releaseForLarger sends on the requests that have waited for a larger model and find room, and those that cannot wait any
 // longer: these get the smallest model's response after all, rather than none.
 func (w *World) releaseForLarger() {
+	var due []*service
 	for _, s := range w.services {
-		if !s.planner.DueForRelease(w.now) {
-			continue
+		if s.planner.DueForRelease(w.now) {
+			due = append(due, s)
 		}
+	}
+	slices.SortFunc(due, func(a, b *service) int { return cmp.Compare(a.name, b.name) }) // equal seeds give equal choices
+	for _, s := range due {
 		pool := w.pool(s, w.viewServers(s))
 		for _, release := range s.planner.Release(w.now, pool, w.rng.Float64) {
 			r := w.requests[RequestID(release.ID)]
--- a/decision/passthrough/larger_test.go
+++ b/decision/passthrough/larger_test.go
@@ -57,6 +57,19 @@
 	}
 }
 
+// TestBrokenStreamDoesNotWait guards against a pause in the middle of a response: a larger model's stream that breaks is resumed
+// at once, however far behind the engines are.
+func TestBrokenStreamDoesNotWait(t *testing.T) {
+	h := newPlannedHarness(t, 1)
+	id := h.arrivePrompt()
+	h.dropResponse(id, 0.1)
+	h.reportBacklog(1500 * time.Millisecond)
+	h.tick(AttemptEnded{Request: id, Result: Broken, Begun: true, ConnectionLost: true})
+	if d := h.requireDispatch(id); d.Attempt != 3 {
+		t.Errorf("attempt %d after the second one has broken, want a third one at once", d.Attempt)
+	}
+}
+
 // TestVainWaitEndsWithTheSmallestModel guards against a request that gets no response at all as it has waited for a larger model.
 func TestVainWaitEndsWithTheSmallestModel(t *testing.T) {
 	h := newPlannedHarness(t, 1)
--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -141,9 +141,10 @@
 	// If it is a middle model, droppedConfidence is the confidence of the dropped response.
 	nextModel         int
 	droppedConfidence float64
-	// weakConfidence is the confidence of the last dropped response. waitsForLarger is true while the request waits
+	// dropped is true from the end of a dropped response to the next dispatch, weakConfidence its confidence. waitsForLarger is true while the request waits
 	// for a larger model, since waitBegan; waitedForLarger is how long it has done so before. gaveUpLarger is true once it
 	// has waited for as long as it may, and gets the smallest model.
+	dropped         bool
 	weakConfidence  float64
 	waitsForLarger  bool
 	waitBegan       time.Time
