Bound what is held for slow readers, and do not blame servers for them

What callers saw: an instance held any number of bodies and responses for callers that send or read slowly, without a bound and without an end; a stream whose caller did not read was given up as the server's silence. Cause: no bound of the bytes held, no deadline of reads and writes of callers, and no measure of who was waited for. Evidence: by reading the code (idlewatch counted the time in which nothing was read from the server as its idle time).

--- a/decision/passthrough/attempt.go
+++ b/decision/passthrough/attempt.go
@@ -79,7 +79,7 @@
 		// to peers for this server one after the other.
 		s.backOff(w.now.Add(rejectedBackoff))
 	}
-	if e.Result == Withheld || r.withdrawn || w.saysNothing(r, s, e) {
+	if e.Result == Withheld || r.withdrawn || e.CallerStalled || w.saysNothing(r, s, e) {
 		return
 	}
 	if e.Result == NotSent {
@@ -110,13 +110,24 @@
 	}
 	if e.ConnectionLost {
 		w.serverLost(s)
-		w.crashes.record(r.Fingerprint, 1, w.now)
-		w.reportCrash(CrashSuspected{Fingerprint: r.Fingerprint})
-		w.observeCrash(r, s)
+		w.recordCrash(r, s, e)
 	}
 	w.observeAttempt(r, s, e)
 }
 
+// recordCrash records that the request may have crashed the server.
+//
+// Load: callers that do not read, so that their server holds what it has made for them. Harm prevented: a server that
+// crashes by what it holds is taken for one that was crashed by a request, which all instances then refuse.
+func (w *World) recordCrash(r *request, s *server, e AttemptEnded) {
+	if e.HeldUnread {
+		return
+	}
+	w.crashes.record(r.Fingerprint, 1, w.now)
+	w.reportCrash(CrashSuspected{Fingerprint: r.Fingerprint})
+	w.observeCrash(r, s)
+}
+
 // maxUndeliveredDispatches is how many dispatches a request may have beyond its route's
 // MaxAttempts, as dispatches that reach no server do not count as attempts.
 const maxUndeliveredDispatches = 5
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -47,6 +47,10 @@
 	Leaving bool
 	// ConnectionLost is true if the connection broke, as it does when a backend server crashes.
 	ConnectionLost bool
+	// CallerStalled is true if the stream broke after its caller had not read it for some time. HeldUnread is true if the
+	// connection was lost while the server held the response of another such stream, by which it may have crashed.
+	CallerStalled bool
+	HeldUnread    bool
 	// EventInterval is the mean time between the events of a stream, or the response time of a
 	// plain response; 0 if unknown.
 	EventInterval time.Duration
--- a/decision/passthrough/path.go
+++ b/decision/passthrough/path.go
@@ -291,9 +291,11 @@
 	}
 	isFirst := w.path.links.MissedCount() == 0
 	w.linkMissed(s)
-	before := w.path.before[s]
-	before.crashes = append(before.crashes, r.Fingerprint)
-	w.path.before[s] = before
+	if !e.HeldUnread {
+		before := w.path.before[s]
+		before.crashes = append(before.crashes, r.Fingerprint)
+		w.path.before[s] = before
+	}
 	if other, ok := w.OtherServer(s.ID); ok && isFirst {
 		w.emit(ProbePath{other})
 	}
--- a/router/internal/passthrough/attempt.go
+++ b/router/internal/passthrough/attempt.go
@@ -9,6 +9,7 @@
 	"mime"
 	"net/http"
 	"net/url"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -40,6 +41,8 @@
 	firstByte time.Duration
 	// events is the number of whole events of a stream that were received.
 	events int
+	// stall tells whether the caller reads the stream.
+	stall callerStall
 }
 
 // response is a backend server's complete response.
@@ -80,6 +83,12 @@
 	noPermit bool
 	noShare  bool
 	declined bool
+	// callerStalled is true if the stream broke after its caller had not read it for some time, heldUnread if the
+	// connection was lost while the server held the response of another such stream. callerLost is true if nothing more
+	// can be sent to the caller.
+	callerStalled bool
+	heldUnread    bool
+	callerLost    bool
 	// eventInterval is the mean time between the events of a stream, 0 for fewer than two.
 	// For a plain response it is the time from startedAt to the end of the response.
 	eventInterval time.Duration
@@ -298,12 +307,19 @@
 	return err == nil && mediaType == "text/event-stream"
 }
 
-// maxResponseBytes is the size at which the body of a plain response is cut off.
+// maxResponseBytes is the size from which on a plain response is passed on before it has been read to its end.
 const maxResponseBytes = 16 << 20
 
-// readWhole reads a plain response to its end before any of it goes to the caller.
+// readWhole reads a plain response to its end before any of it goes to the caller, unless it is too long for that.
 func (a *attempt) readWhole(resp *http.Response) outcome {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	size := int64(streamBufferSize)
+	if resp.ContentLength >= 0 {
+		size = min(resp.ContentLength, maxResponseBytes) + 1 // the end is read without a larger buffer
+	}
+	body, err := readHeld(io.LimitReader(resp.Body, maxResponseBytes), size, &a.exchange.responses)
+	if errors.Is(err, errNoRoom) || err == nil && len(body) == maxResponseBytes {
+		return a.passOn(resp, body)
+	}
 	if err != nil {
 		return a.brokenOutcome(err)
 	}
@@ -320,3 +336,21 @@
 	}
 	return out
 }
+
+// passOn passes a response on as it arrives, as it is too long to be held; read is its beginning. If it breaks, the
+// caller's connection is closed.
+func (a *attempt) passOn(resp *http.Response, read []byte) outcome {
+	x := a.exchange
+	if resp.StatusCode >= http.StatusInternalServerError || x.stream.begun {
+		return outcome{result: passthrough.Failed, err: errNoRoom}
+	}
+	if resp.ContentLength >= 0 {
+		x.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+	}
+	x.writeHead(resp)
+	from := io.MultiReader(bytes.NewReader(read), resp.Body)
+	if _, err := io.CopyBuffer(struct{ io.Writer }{x.w}, from, make([]byte, streamBufferSize)); err != nil {
+		return outcome{result: passthrough.Broken, err: err, callerLost: true}
+	}
+	return outcome{result: passthrough.Completed, eventInterval: x.handler.clock.Now().Sub(a.startedAt)}
+}
--- a/router/internal/passthrough/attempt_test.go
+++ b/router/internal/passthrough/attempt_test.go
@@ -35,7 +35,7 @@
 	gate := newStartGate()
 	gate.release()
 	h := &Handler{headers: headers, config: p.config, driver: p.driver, dialer: newDialer(p.clock, p.driver, tunnel.NewDialer(tunnel.NewPeers(p.clock.Now, reach.Peer{}, nil))), clock: p.clock,
-		telemetry: p.telemetry, startGate: gate, shutdown: &shutdown{}, conns: newCallerConns(0)}
+		telemetry: p.telemetry, startGate: gate, shutdown: &shutdown{}, conns: newCallerConns(0), held: newHeldBytes(0)}
 	route := passthrough.Route{Name: "r", Host: "a.example", PathPrefix: "/", Kind: passthrough.KindAtMostOnce, Public: true, MaxAttempts: 1,
 		Timeout: time.Second, TargetLatency: time.Second, Backends: []passthrough.Backend{{Service: "shop", Weight: 1}}}
 	index, _ := p.config.Apply(passthrough.Config{Version: 1, Routes: []passthrough.Route{route}, Limits: passthrough.Limits{MaxBodyBytes: 1000}})
--- a/router/internal/passthrough/exchange.go
+++ b/router/internal/passthrough/exchange.go
@@ -24,6 +24,8 @@
 	mayHaveRun bool
 	// stream is the progress of the streamed response to the caller.
 	stream stream
+	// responses is what is held of the backend servers' responses.
+	responses hold
 	// queueTimer ends the request's wait in the queue. It is started on arrival and again after
 	// each attempt.
 	queueTimer *time.Timer
@@ -35,7 +37,9 @@
 	remaining := c.deadline.Sub(h.clock.Now())
 	ctx, cancel := context.WithTimeout(c.request.Context(), max(remaining, 0))
 	defer cancel()
-	x := &exchange{handler: h, call: c, w: w, ctx: ctx, stream: stream{lastEventID: c.caller.LastEventID}}
+	x := &exchange{handler: h, call: c, w: w, ctx: ctx, stream: stream{lastEventID: c.caller.LastEventID},
+		responses: hold{bytes: h.held, direction: toCaller}}
+	defer x.responses.release()
 	r := c.decisionRequest()
 	x.ticket = h.driver.open(r)
 	defer h.driver.close(x.ticket)
@@ -164,6 +168,7 @@
 	if a.conn != nil {
 		out.peer = a.conn.peer
 	}
+	out.heldUnread = out.connectionLost && x.handler.streams.anyStalled(d.Server, x.handler.clock.Now())
 	x.handler.telemetry.logAttempt(x.call, d, out)
 	x.mayHaveRun = x.mayHaveRun || out.result.MayHaveRun()
 	if out.load != nil && !out.loadReported {
@@ -173,7 +178,7 @@
 	if out.loadReported {
 		limit = nil
 	}
-	if x.ctx.Err() != nil && out.result != passthrough.Completed {
+	if (x.ctx.Err() != nil || out.callerLost) && out.result != passthrough.Completed {
 		x.handler.driver.Handle(passthrough.AttemptEnded{Request: x.ticket.id, Result: passthrough.Abandoned, Limit: limit})
 		x.expire()
 		return true
@@ -186,6 +191,7 @@
 		Misdirected: out.misdirected, Leaving: out.leaving, ConnectionLost: out.connectionLost, EventInterval: out.eventInterval,
 		Confidence: out.confidence, Limit: limit,
 		ViaPeer: out.peer != "", TunnelLost: out.tunnelLost, PathLost: out.pathLost, NoPermit: out.noPermit, NoShare: out.noShare, Declined: out.declined,
+		CallerStalled: out.callerStalled, HeldUnread: out.heldUnread,
 	})
 	if out.result != passthrough.Completed {
 		return false
--- a/router/internal/passthrough/handler.go
+++ b/router/internal/passthrough/handler.go
@@ -1,7 +1,6 @@
 package passthrough
 
 import (
-	"errors"
 	"hash/fnv"
 	"io"
 	"net/http"
@@ -28,6 +27,10 @@
 	shutdown *shutdown
 	// conns counts callers' connections.
 	conns *callerConns
+	// held bounds the bytes that are held for callers and backend servers.
+	held *heldBytes
+	// streams are the streams that are relayed now.
+	streams streamSet
 }
 
 // call is one request of a caller with its whole body.
@@ -38,6 +41,8 @@
 	uri  string
 	path string
 	body []byte
+	// bodyUnread is true until the whole body has been read.
+	bodyUnread bool
 	// maxBody is the maximum size of the body in bytes.
 	maxBody int64
 	// route is the route found on arrival; team is the team by the newest configuration, nil for
@@ -60,10 +65,12 @@
 
 // The reasons that only this package gives; decision/passthrough defines the others.
 const (
-	reasonNoConfig    passthrough.Reason = "no_configuration"
-	reasonNoRoute     passthrough.Reason = "no_such_route"
-	reasonUnknownKey  passthrough.Reason = "unknown_key"
-	reasonTooLarge    passthrough.Reason = "body_too_large"
+	reasonNoConfig   passthrough.Reason = "no_configuration"
+	reasonNoRoute    passthrough.Reason = "no_such_route"
+	reasonUnknownKey passthrough.Reason = "unknown_key"
+	reasonTooLarge   passthrough.Reason = "body_too_large"
+	// reasonNoRoom: as many bytes are held for callers and backend servers as may be.
+	reasonNoRoom      passthrough.Reason = "held_bytes_at_bound"
 	reasonNoRequestID passthrough.Reason = "attempt_id_missing"
 	reasonMayHaveRun  passthrough.Reason = "may_have_run"
 	// reasonTimeout: the deadline passed and the request may have run.
@@ -76,7 +83,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	c := &call{request: req, caller: h.headers.ReadCaller(req.Header), arrived: h.clock.Now()}
+	c := &call{request: req, caller: h.headers.ReadCaller(req.Header), arrived: h.clock.Now(), bodyUnread: req.ContentLength != 0}
 	c.uri = req.RequestURI
 	if !strings.HasPrefix(c.uri, "/") {
 		c.uri = req.URL.RequestURI()
@@ -90,7 +97,10 @@
 		h.refuse(w, c, *denied)
 		return
 	}
-	if denied := h.readBody(w, c); denied != nil {
+	h.boundWrites(w, c)
+	body := &hold{bytes: h.held, direction: toServer}
+	defer body.release()
+	if denied := h.readBody(w, c, body); denied != nil {
 		h.refuse(w, c, *denied)
 		return
 	}
@@ -150,28 +160,9 @@
 	return &refusal{status: status, reason: reason}
 }
 
-// readBody reads the whole body, since a retry needs it again. It returns the refusal if the body is
-// too large or the request has no id, else nil.
-func (h *Handler) readBody(w http.ResponseWriter, c *call) *refusal {
-	if c.caller.RequestID == "" {
-		return &refusal{status: http.StatusBadRequest, reason: reasonNoRequestID}
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, c.request.Body, c.maxBody))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonTooLarge}
-	case err != nil:
-		h.telemetry.logCallerLost(c, err)
-		panic(http.ErrAbortHandler) // the caller has disconnected, so no response is possible
-	}
-	c.body = body
-	return nil
-}
-
 // refuse responds to a request that did not run.
 func (h *Handler) refuse(w http.ResponseWriter, c *call, refused refusal) {
-	h.telemetry.logRefused(c, refused)
+	h.telemetry.logRefused(c, refused, h.held)
 	header := w.Header()
 	if refused.retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(refused.retryAfter.Seconds(), 'f', 3, 64))
@@ -179,6 +170,9 @@
 	if refused.reason == passthrough.ReasonStopping || refused.reason == passthrough.ReasonNoPath {
 		header.Set("Connection", "close")
 	}
+	if c.bodyUnread {
+		boundDrain(w, refused.reason)
+	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	w.WriteHeader(refused.status)
 	writeAll(w, []byte(string(refused.reason)+"\n"))
--- a/router/internal/passthrough/idlewatch.go
+++ b/router/internal/passthrough/idlewatch.go
@@ -57,6 +57,9 @@
 // hasTimedOut reports whether the attempt has timed out. decision/passthrough computes this from the
 // times since bytes last arrived on the attempt's connection, and on any connection from its server.
 func (a *attempt) hasTimedOut() bool {
+	if a.stall.isWriting() {
+		return false // the caller has not taken what the server sent
+	}
 	now := a.exchange.handler.clock.Now()
 	if a.conn.peer == "" && a.exchange.handler.dialer.directHangs(a.server.ID, now) {
 		return true
--- /dev/null
+++ b/router/internal/passthrough/readbody.go
@@ -0,0 +1,120 @@
+package passthrough
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"masticplank.example/decision/passthrough"
+)
+
+const (
+	// firstBodyBytes is the first buffer for a body of unknown length, in bytes.
+	firstBodyBytes = 4 << 10
+	// drainTimeout bounds how long the rest of a refused request's body is read, so that a caller which still sends
+	// it finds the response before the connection is closed.
+	drainTimeout = 500 * time.Millisecond
+	// writeGrace is how long after its deadline a response is still written to a caller that reads it slowly.
+	writeGrace = 2 * time.Second
+)
+
+// readBody reads the whole body, since a retry needs it again. It returns the refusal if the body is too large or does
+// not fit into what may be held, or if the request has no id, else nil.
+func (h *Handler) readBody(w http.ResponseWriter, c *call, body *hold) *refusal {
+	if c.caller.RequestID == "" {
+		return &refusal{status: http.StatusBadRequest, reason: reasonNoRequestID}
+	}
+	if c.request.ContentLength == 0 {
+		return nil
+	}
+	if c.request.ContentLength > c.maxBody {
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonTooLarge}
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(h.wallTime(c.deadline)) // a writer of a test may have none
+	var err error
+	if c.request.ContentLength > 0 {
+		err = c.readSized(body)
+	} else {
+		err = c.readUnsized(http.MaxBytesReader(w, c.request.Body, c.maxBody), body)
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		_ = control.SetReadDeadline(time.Time{})
+		c.bodyUnread = false
+		return nil
+	case errors.Is(err, errNoRoom):
+		return &refusal{http.StatusServiceUnavailable, reasonNoRoom, retryElsewhereAfter}
+	case errors.As(err, &tooLarge):
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonTooLarge}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &refusal{http.StatusServiceUnavailable, passthrough.ReasonDeadline, retryElsewhereAfter}
+	}
+	h.telemetry.logCallerLost(c, err)
+	panic(http.ErrAbortHandler) // the caller has disconnected, so no response is possible
+}
+
+// readSized reads a body of known length. Nothing is read of one that does not fit.
+func (c *call) readSized(body *hold) error {
+	if !body.add(c.request.ContentLength) {
+		return errNoRoom
+	}
+	c.body = make([]byte, c.request.ContentLength)
+	_, err := io.ReadFull(c.request.Body, c.body)
+	return err
+}
+
+// readUnsized reads a body of unknown length, and stops once it no longer fits.
+func (c *call) readUnsized(from io.Reader, body *hold) error {
+	text, err := readHeld(from, firstBodyBytes, body)
+	c.body = text
+	return err
+}
+
+// readHeld reads to the end, into a buffer that begins with a size in bytes and grows while that fits. Otherwise it returns
+// what it has read, with errNoRoom.
+func readHeld(from io.Reader, size int64, held *hold) ([]byte, error) {
+	if !held.add(size) {
+		return nil, errNoRoom
+	}
+	buf := make([]byte, 0, size)
+	for {
+		if len(buf) == cap(buf) {
+			if !held.add(int64(cap(buf))) {
+				return buf, errNoRoom
+			}
+			buf = append(make([]byte, 0, 2*cap(buf)), buf...)
+		}
+		n, err := from.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		if errors.Is(err, io.EOF) {
+			return buf, nil
+		}
+		if err != nil {
+			return buf, err
+		}
+	}
+}
+
+// wallTime converts a time of the clock to one of the machine's clock, which deadlines of connections use.
+func (h *Handler) wallTime(at time.Time) time.Time {
+	return time.Now().Add(at.Sub(h.clock.Now()))
+}
+
+// boundWrites bounds how long the response is written, so that what is held for a caller that stopped reading is given
+// back.
+func (h *Handler) boundWrites(w http.ResponseWriter, c *call) {
+	_ = http.NewResponseController(w).SetWriteDeadline(h.wallTime(c.deadline.Add(writeGrace))) // a writer of a test may have none
+}
+
+// boundDrain bounds how long the rest of a refused request's body is read. If there was no room for it, or it did not
+// come in time, the refusal is sent before that.
+func boundDrain(w http.ResponseWriter, reason passthrough.Reason) {
+	if reason == reasonNoRoom || reason == passthrough.ReasonDeadline {
+		w.Header().Set("Connection", "close")
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(drainTimeout)) // a writer of a test may have none
+}
--- a/router/internal/passthrough/stream.go
+++ b/router/internal/passthrough/stream.go
@@ -49,22 +49,39 @@
 	return out
 }
 
-// relayEvents relays events to the caller as they arrive. It relays whole events only.
+// relayEvents relays events to the caller as they arrive. It relays whole events only, and reads no more from the server
+// than the caller takes.
 func (a *attempt) relayEvents(resp *http.Response) outcome {
+	streams := &a.exchange.handler.streams
+	streams.add(a)
+	defer streams.remove(a)
+	out := a.copyEvents(resp)
+	if (out.connectionLost || errors.Is(out.err, errMalformedStream)) && a.stall.stalled() {
+		out.connectionLost, out.callerStalled = false, true
+	}
+	return out
+}
+
+// copyEvents copies the events.
+func (a *attempt) copyEvents(resp *http.Response) outcome {
 	x := a.exchange
 	var pending []byte
 	buf := make([]byte, streamBufferSize)
 	reported := false
 	began := x.handler.clock.Now()
 	for {
-		n, err := resp.Body.Read(buf)
+		n, err := a.readStream(resp.Body, buf)
 		if n > 0 {
+			if !x.holdPending(len(pending) + n) {
+				return outcome{result: passthrough.Broken, err: errNoRoom, callerLost: true}
+			}
 			pending = append(pending, buf[:n]...)
 			whole, partial := splitEvents(pending)
 			count, orderErr := x.advanceEventID(whole)
 			if orderErr == nil && len(whole) > 0 {
-				x.writeHead(resp)
-				x.writeEvents(whole)
+				if writeErr := a.writeEvents(resp, whole); writeErr != nil {
+					return outcome{result: passthrough.Broken, err: writeErr, callerLost: true}
+				}
 				if a.events == 0 && count > 0 {
 					x.handler.driver.Handle(passthrough.FirstEvent{Request: x.ticket.id})
 				}
@@ -95,6 +112,19 @@
 	}
 }
 
+// readStream reads from the server, and records for how long it was waited for.
+func (a *attempt) readStream(from io.Reader, buf []byte) (int, error) {
+	began := a.exchange.handler.clock.Now()
+	n, err := from.Read(buf)
+	a.stall.endRead(a.exchange.handler.clock.Now().Sub(began))
+	return n, err
+}
+
+// holdPending reserves what a stream holds beyond its fixed buffers, up to n bytes in all.
+func (x *exchange) holdPending(n int) bool {
+	return x.responses.add(int64(n-2*streamBufferSize) - x.responses.n)
+}
+
 // endsWithConnection reports whether the response has neither a length nor chunks.
 func endsWithConnection(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
@@ -133,12 +163,22 @@
 	x.stream.begun = true
 }
 
-// writeEvents sends events to the caller and flushes them.
-func (x *exchange) writeEvents(events []byte) {
-	writeAll(x.w, events)
-	if err := http.NewResponseController(x.w).Flush(); err != nil {
+// writeEvents sends events to the caller and flushes them. An error means that nothing more can be sent.
+func (a *attempt) writeEvents(resp *http.Response, events []byte) error {
+	x, clock := a.exchange, a.exchange.handler.clock
+	a.stall.beginWrite(clock.Now())
+	x.writeHead(resp)
+	_, err := x.w.Write(events)
+	if err == nil {
+		err = http.NewResponseController(x.w).Flush()
+	}
+	ended := clock.Now()
+	a.conn.lastReceived.Store(ended.UnixNano()) // the server was not idle while nothing was read from it
+	a.stall.endWrite(ended)
+	if err != nil {
 		x.handler.telemetry.logCallerLost(x.call, err)
 	}
+	return err
 }
 
 // splitEvents splits a text into whole events and the beginning of the next one.
--- a/router/internal/passthrough/telemetry.go
+++ b/router/internal/passthrough/telemetry.go
@@ -169,10 +169,15 @@
 }
 
 // logRefused counts and logs a refused request.
-func (t *telemetry) logRefused(c *call, ref refusal) {
+func (t *telemetry) logRefused(c *call, ref refusal, held *heldBytes) {
 	t.count("refused." + string(ref.reason))
 	attrs := t.requestAttrs(c, slog.Int("status", ref.status), slog.String(keyReason, string(ref.reason)),
 		slog.Int64("retry_after_ms", ref.retryAfter.Milliseconds()))
+	if ref.reason == reasonNoRoom {
+		sums := held.sums()
+		attrs = append(attrs, slog.Int64("body_bytes", c.request.ContentLength), slog.Int64("held_request_bytes", sums[toServer]),
+			slog.Int64("held_response_bytes", sums[toCaller]), slog.Int64("held_bound", held.limitOf(toServer)))
+	}
 	if ref.reason == passthrough.ReasonPartQuarantined {
 		attrs = append(attrs, slog.String("parts", strings.Join(c.caller.SharedParts, ",")))
 	}
@@ -182,6 +187,9 @@
 // logAttempt counts and logs an attempt that has ended.
 func (t *telemetry) logAttempt(c *call, d passthrough.Dispatch, out outcome) {
 	t.count("attempt." + out.result.String())
+	if out.callerStalled {
+		t.count("attempt.caller_stalled")
+	}
 	if out.firstByte > 0 {
 		t.observeDuration("first_byte_ms", out.firstByte)
 	}
@@ -228,6 +236,12 @@
 	if out.eventInterval > 0 {
 		attrs = append(attrs, slog.Int64("pace_ms", out.eventInterval.Milliseconds()))
 	}
+	if out.callerStalled {
+		attrs = append(attrs, slog.Bool("caller_stalled", true))
+	}
+	if out.heldUnread {
+		attrs = append(attrs, slog.Bool("held_unread", true))
+	}
 	if out.err != nil {
 		attrs = append(attrs, slog.String(logging.KeyError, out.err.Error()))
 	}
