--- a/router/internal/passthrough/callerstall.go
+++ b/router/internal/passthrough/callerstall.go
@@ -30,6 +30,9 @@
 	// unread is for how long writes have blocked since all that the server had sent was read; waited is for how long
 	// the server was waited for since the last of them.
 	unread, waited time.Duration
+	// everBlocked is true once a write has blocked: the times between the stream's events then say nothing about the
+	// server.
+	everBlocked bool
 }
 
 // beginWrite records that a write to the caller begins.
@@ -39,6 +42,7 @@
 func (c *callerStall) endWrite(now time.Time) {
 	took := now.Sub(time.Unix(0, c.writingSince.Swap(0)))
 	if took >= blockedWrite {
+		c.everBlocked = true
 		c.unread += took
 		c.waited = 0
 	}
--- a/router/internal/passthrough/stream.go
+++ b/router/internal/passthrough/stream.go
@@ -86,9 +86,9 @@
 					x.handler.driver.Handle(passthrough.FirstEvent{Request: x.ticket.id})
 				}
 				a.events += count
-				if a.events >= intervalEvents && !reported {
+				if interval := a.eventInterval(began); a.events >= intervalEvents && !reported && interval > 0 {
 					reported = true
-					x.handler.driver.Handle(passthrough.EventIntervalMeasured{Request: x.ticket.id, EventInterval: eventInterval(x.handler.clock.Now().Sub(began), a.events)})
+					x.handler.driver.Handle(passthrough.EventIntervalMeasured{Request: x.ticket.id, EventInterval: interval})
 				}
 			}
 			if orderErr != nil {
@@ -100,7 +100,7 @@
 		case err == nil && len(pending) <= maxEventBytes:
 			continue
 		case errors.Is(err, io.EOF) && len(pending) == 0 && a.events > 0:
-			return outcome{result: passthrough.Completed, eventInterval: eventInterval(x.handler.clock.Now().Sub(began), a.events)}
+			return outcome{result: passthrough.Completed, eventInterval: a.eventInterval(began)}
 		case errors.Is(err, io.EOF):
 			// Without a length or chunks, a server that crashes ends its response like this.
 			return outcome{result: passthrough.Broken, err: errMalformedStream, connectionLost: endsWithConnection(resp)}
@@ -144,12 +144,13 @@
 	})
 }
 
-// eventInterval returns the mean time between events, 0 for fewer than two.
-func eventInterval(elapsed time.Duration, events int) time.Duration {
-	if events < 2 {
+// eventInterval returns the mean time between the events of a stream that began then, 0 for fewer than two or if the caller
+// has kept the stream waiting.
+func (a *attempt) eventInterval(began time.Time) time.Duration {
+	if a.events < 2 || a.stall.everBlocked {
 		return 0
 	}
-	return elapsed / time.Duration(events-1)
+	return a.exchange.handler.clock.Now().Sub(began) / time.Duration(a.events-1)
 }
 
 // writeHead sends the first backend server's response head to the caller. If another server continues the
