No path says that a request has not run once one has

What callers saw: a caller that repeated a request with its id got a second run, or a 503 that says not run. Cause: nothing knew which requests had run here. The other paths kept the promise. Change: recentIDs remembers for a minute the ids of requests that must run at most once and may have run; a repeat gets 502. A Refuse for a request that may have run ends as a failure (never seen).

--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -164,7 +164,7 @@
 }
 
 func provideHandler(p Platform, cfg seam.Settings, config *ConfigState, d *Driver, dial *dialer, c Clock, tel *telemetry, gate *startGate) *Handler {
-	return &Handler{headers: p.Headers, config: config, driver: d, dialer: dial, clock: c, telemetry: tel, startGate: gate, shutdown: &shutdown{}, conns: newCallerConns(cfg.MaxFiles), held: newHeldBytes(cfg.MemoryBytes)}
+	return &Handler{headers: p.Headers, config: config, driver: d, dialer: dial, clock: c, telemetry: tel, startGate: gate, shutdown: &shutdown{}, conns: newCallerConns(cfg.MaxFiles), held: newHeldBytes(cfg.MemoryBytes), recent: newRecentIDs()}
 }
 
 func provideDialer(c Clock, d *Driver, sh *sharing, tel *telemetry) *dialer {
--- a/router/internal/passthrough/attempt_test.go
+++ b/router/internal/passthrough/attempt_test.go
@@ -47,7 +47,7 @@
 	gate := newStartGate()
 	gate.release()
 	h := &Handler{headers: headers, config: p.config, driver: p.driver, dialer: newDialer(p.clock, p.driver, tunnel.NewDialer(tunnel.NewPeers(p.clock.Now, reach.Peer{}, nil))), clock: p.clock,
-		telemetry: p.telemetry, startGate: gate, shutdown: &shutdown{}, conns: newCallerConns(0), held: newHeldBytes(0)}
+		telemetry: p.telemetry, startGate: gate, shutdown: &shutdown{}, conns: newCallerConns(0), held: newHeldBytes(0), recent: newRecentIDs()}
 	index, _ := p.config.Apply(passthrough.Config{Version: 1, Routes: []passthrough.Route{route}, Limits: passthrough.Limits{MaxBodyBytes: 1000}})
 	p.driver.Handle(passthrough.Configured{Index: index}, passthrough.FleetSize{Instances: 1})
 	if answer == nil {
--- a/router/internal/passthrough/conns_test.go
+++ b/router/internal/passthrough/conns_test.go
@@ -30,7 +30,7 @@
 	gate.release()
 	const kept = 10
 	handler := &Handler{headers: noHeaders{}, config: config, clock: clock, startGate: gate, shutdown: &shutdown{},
-		conns: newCallerConns(reservedDescriptors + kept/idleConnFraction), held: newHeldBytes(0),
+		conns: newCallerConns(reservedDescriptors + kept/idleConnFraction), held: newHeldBytes(0), recent: newRecentIDs(),
 		telemetry: &telemetry{clock: clock, config: config, registry: metrics.NewRegistry()}}
 	srv := httptest.NewUnstartedServer(handler)
 	srv.Config.ConnState = handler.conns.track
--- a/router/internal/passthrough/exchange.go
+++ b/router/internal/passthrough/exchange.go
@@ -40,6 +40,14 @@
 	x := &exchange{handler: h, call: c, w: w, ctx: ctx, stream: stream{lastEventID: c.caller.LastEventID},
 		responses: hold{bytes: h.held, direction: toCaller}}
 	defer x.responses.release()
+	if !c.route.Retryable() {
+		k := requestKey{c.caller.Key, c.caller.RequestID}
+		if !h.recent.begin(k, h.clock.Now()) {
+			x.fail(http.StatusBadGateway, reasonMayHaveRun)
+			return
+		}
+		defer func() { h.recent.end(k, x.mayHaveRun, h.clock.Now()) }()
+	}
 	r := c.decisionRequest()
 	x.ticket = h.driver.open(r)
 	defer h.driver.close(x.ticket)
@@ -68,6 +76,10 @@
 	case passthrough.Dispatch:
 		return x.dispatch(c)
 	case passthrough.Refuse:
+		if x.mayHaveRun {
+			x.finish(c.Reason)
+			return true
+		}
 		x.refuse(refusal{http.StatusServiceUnavailable, c.Reason, c.RetryAfter})
 	case passthrough.Finish:
 		x.finish(c.Reason)
--- a/router/internal/passthrough/handler.go
+++ b/router/internal/passthrough/handler.go
@@ -31,6 +31,8 @@
 	held *heldBytes
 	// streams are the streams that are relayed now.
 	streams streamSet
+	// recent are the ids of requests that must not run again.
+	recent *recentIDs
 }
 
 // call is one request of a caller with its whole body.
