Nothing of a former process holds for a server that has restarted under its id

Cause: a load that a late response states, and a connection that is lost late, were applied by the server's id. Change: LoadReported names the process; linkMissed, observeLostConnection and serverLost ignore processes that are gone; the dialer keeps times by process, as a new process kept requests at the dead one waiting.

--- a/decision/passthrough/drain.go
+++ b/decision/passthrough/drain.go
@@ -55,7 +55,7 @@
 // whole domain is assumed to restart, as most instances have not tried each of its servers by
 // then.
 func (w *World) serverLost(s *server) {
-	if s.service.slowStart.span <= 0 {
+	if s.service.slowStart.span <= 0 || s.gone {
 		return
 	}
 	w.enterSlowStart(s, s.assumedSlowStart(), CauseServerLost)
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -68,7 +68,9 @@
 // LoadReported is the load that a backend server reports.
 type LoadReported struct {
 	Server string
-	Load   Load
+	// StartTime is that of the server's process; 0 if unknown.
+	StartTime int64
+	Load      Load
 }
 
 // FirstByte is the start of an attempt's response. After is the time since its dispatch; Load, if
--- a/decision/passthrough/path.go
+++ b/decision/passthrough/path.go
@@ -141,8 +141,11 @@
 	}
 }
 
-// linkMissed records that a server was not reached.
+// linkMissed records that a server was not reached. A former process says nothing about the link to the present one.
 func (w *World) linkMissed(s *server) {
+	if s.gone {
+		return
+	}
 	w.path.remember(s, w.now)
 	w.path.links.Missed(w.now, s.ID)
 }
@@ -286,7 +289,7 @@
 // Load: instances that lose their path by resets, with equal requests on it. Harm prevented: each reports those of the
 // first server that it has lost as crashes, and all instances refuse such requests.
 func (w *World) observeLostConnection(s *server, r *request, e AttemptEnded) {
-	if e.ViaPeer {
+	if e.ViaPeer || s.gone {
 		return
 	}
 	isFirst := w.path.links.MissedCount() == 0
--- a/decision/passthrough/servers.go
+++ b/decision/passthrough/servers.go
@@ -129,9 +129,9 @@
 	}
 }
 
-// observeLoad applies a server's load report.
+// observeLoad applies a server's load report. One of a former process says nothing about the present one.
 func (w *World) observeLoad(e LoadReported) {
-	if s := w.servers[e.Server]; s != nil {
+	if s := w.servers[e.Server]; s != nil && (e.StartTime == 0 || e.StartTime == s.StartTime) {
 		w.domainResponded(s)
 		if !s.service.engine {
 			s.service.throttle.observeLoad(e.Load, w.now)
--- a/router/internal/passthrough/dialer.go
+++ b/router/internal/passthrough/dialer.go
@@ -33,7 +33,7 @@
 	permitWaiters atomic.Int64
 
 	mu           sync.Mutex
-	lastReceived map[string]*receiveTimes
+	lastReceived map[processKey]*receiveTimes
 	// unreached are the servers to which the latest dial failed; lastDialed is when the latest dial to
 	// any server succeeded, zero for never.
 	unreached  map[string]bool
@@ -43,7 +43,7 @@
 // newDialer returns a dialer that asks path how to connect, and connects through peers by tunnels.
 func newDialer(clock Clock, path pathView, tunnels *tunnel.Dialer) *dialer {
 	d := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1}
-	return &dialer{clock: clock, net: d, connect: newConnect(d), path: path, tunnels: tunnels, lastReceived: map[string]*receiveTimes{}, unreached: map[string]bool{}}
+	return &dialer{clock: clock, net: d, connect: newConnect(d), path: path, tunnels: tunnels, lastReceived: map[processKey]*receiveTimes{}, unreached: map[string]bool{}}
 }
 
 // receiveTimes are when bytes last arrived from a server, on any connection and on direct ones, in Unix nanoseconds of
@@ -52,14 +52,22 @@
 	any, direct atomic.Int64
 }
 
-// timesOf returns the shared times of the server. It creates them if there are none.
-func (d *dialer) timesOf(server string) *receiveTimes {
+// processKey identifies a process of a server: a server may restart under its id, and the bytes of its new process say nothing
+// about requests that were sent to the former one.
+type processKey struct {
+	id        string
+	startTime int64
+}
+
+// timesOf returns the shared times of the server's process. It creates them if there are none.
+func (d *dialer) timesOf(s passthrough.Server) *receiveTimes {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	p := d.lastReceived[server]
+	k := processKey{s.ID, s.StartTime}
+	p := d.lastReceived[k]
 	if p == nil {
 		p = &receiveTimes{}
-		d.lastReceived[server] = p
+		d.lastReceived[k] = p
 	}
 	return p
 }
@@ -68,9 +76,9 @@
 func (d *dialer) retain(keep func(server string) bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for id := range d.lastReceived {
-		if !keep(id) {
-			delete(d.lastReceived, id)
+	for k := range d.lastReceived {
+		if !keep(k.id) {
+			delete(d.lastReceived, k)
 		}
 	}
 	for id := range d.unreached {
@@ -169,7 +177,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{ReadWriteCloser: direct, clock: d.clock, server: d.timesOf(to.ID)}, nil
+		return &conn{ReadWriteCloser: direct, clock: d.clock, server: d.timesOf(to)}, nil
 	}
 	return fallback.directFailed(err)
 }
@@ -209,8 +217,8 @@
 
 // directHangs reports whether no direct connection to the server has carried anything since its link was lost,
 // hungAfter ago or earlier.
-func (d *dialer) directHangs(server string, now time.Time) bool {
-	since, lost := d.path.linkLostSince(server)
+func (d *dialer) directHangs(server passthrough.Server, now time.Time) bool {
+	since, lost := d.path.linkLostSince(server.ID)
 	return lost && now.Sub(since) > hungAfter && d.timesOf(server).direct.Load() < since.UnixNano()
 }
 
--- a/router/internal/passthrough/exchange.go
+++ b/router/internal/passthrough/exchange.go
@@ -184,7 +184,7 @@
 	x.handler.telemetry.logAttempt(x.call, d, out)
 	x.mayHaveRun = x.mayHaveRun || out.result.MayHaveRun()
 	if out.load != nil && !out.loadReported {
-		x.handler.driver.Handle(passthrough.LoadReported{Server: d.Server.ID, Load: *out.load})
+		x.handler.driver.Handle(passthrough.LoadReported{Server: d.Server.ID, StartTime: d.Server.StartTime, Load: *out.load})
 	}
 	limit := out.limit
 	if out.loadReported {
--- a/router/internal/passthrough/idlewatch.go
+++ b/router/internal/passthrough/idlewatch.go
@@ -61,7 +61,7 @@
 		return false // the caller has not taken what the server sent
 	}
 	now := a.exchange.handler.clock.Now()
-	if a.conn.peer == "" && a.exchange.handler.dialer.directHangs(a.server.ID, now) {
+	if a.conn.peer == "" && a.exchange.handler.dialer.directHangs(a.server, now) {
 		return true
 	}
 	s := passthrough.Inactivity{Route: a.exchange.call.route, FirstByteTimeout: a.firstByteTimeout,
--- a/router/internal/passthrough/peerdial.go
+++ b/router/internal/passthrough/peerdial.go
@@ -15,7 +15,7 @@
 	switch {
 	case err == nil:
 		d.path.reportDial(to, passthrough.TunnelSucceeded)
-		return &conn{ReadWriteCloser: c, peer: c.Peer(), clock: d.clock, server: d.timesOf(to.ID)}, nil
+		return &conn{ReadWriteCloser: c, peer: c.Peer(), clock: d.clock, server: d.timesOf(to)}, nil
 	case ctx.Err() != nil:
 		return nil, ctx.Err()
 	case errors.Is(err, tunnel.ErrUnreachable):
@@ -41,21 +41,21 @@
 
 // dialWithPermit opens a connection to the server through one of the peers that have permits for it.
 func (d *dialer) dialWithPermit(ctx context.Context, to passthrough.Server, peers []string) (*conn, error) {
-	return d.dialNamed(ctx, tunnel.Target{ID: to.ID, Address: to.Address, NeedsPermit: true}, peers, errNoPermit)
+	return d.dialNamed(ctx, to, tunnel.Target{ID: to.ID, Address: to.Address, NeedsPermit: true}, peers, errNoPermit)
 }
 
 // dialWithShare opens a connection to the server through one of the peers that have a part of its rate limit.
 func (d *dialer) dialWithShare(ctx context.Context, to passthrough.Server, peers []string) (*conn, error) {
-	return d.dialNamed(ctx, tunnel.Target{ID: to.ID, Address: to.Address, NeedsShare: true}, peers, errNoShare)
+	return d.dialNamed(ctx, to, tunnel.Target{ID: to.ID, Address: to.Address, NeedsShare: true}, peers, errNoShare)
 }
 
 // dialNamed opens a connection to the server through one of the named peers. It returns errNone if none of those
 // that were asked may send to it now.
-func (d *dialer) dialNamed(ctx context.Context, to tunnel.Target, peers []string, errNone error) (*conn, error) {
-	c, err := d.tunnels.DialWithPermit(ctx, to, peers)
+func (d *dialer) dialNamed(ctx context.Context, to passthrough.Server, target tunnel.Target, peers []string, errNone error) (*conn, error) {
+	c, err := d.tunnels.DialWithPermit(ctx, target, peers)
 	switch {
 	case err == nil:
-		return &conn{ReadWriteCloser: c, peer: c.Peer(), clock: d.clock, server: d.timesOf(to.ID)}, nil
+		return &conn{ReadWriteCloser: c, peer: c.Peer(), clock: d.clock, server: d.timesOf(to)}, nil
 	case ctx.Err() != nil:
 		return nil, ctx.Err()
 	case errors.Is(err, tunnel.ErrDeclined):
