--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -47,6 +47,10 @@
 	Leaving bool
 	// ConnectionLost is true if the connection broke, as it does when a backend server crashes.
 	ConnectionLost bool
+	// CallerStalled is true if the stream broke after its caller had not read it for some time. HeldUnread is true if the
+	// connection was lost while the server held the response of another such stream, by which it may have crashed.
+	CallerStalled bool
+	HeldUnread    bool
 	// EventInterval is the mean time between the events of a stream, or the response time of a
 	// plain response; 0 if unknown.
 	EventInterval time.Duration
@@ -68,7 +72,9 @@
 // LoadReported is the load that a backend server reports.
 type LoadReported struct {
 	Server string
-	Load   Load
+	// StartTime is that of the server's process; 0 if unknown.
+	StartTime int64
+	Load      Load
 }
 
 // FirstByte is the start of an attempt's response. After is the time since its dispatch; Load, if
--- a/router/internal/passthrough/idleconns.go
+++ b/router/internal/passthrough/idleconns.go
@@ -16,7 +16,7 @@
 	onReset func(passthrough.Server)
 
 	mu    sync.Mutex
-	conns map[process]io.Closer
+	conns map[processKey]io.Closer
 }
 
 // maxIdleConns bounds the idle connections, one descriptor each.
@@ -25,11 +25,11 @@
 // keep keeps the connection, unless there is one to the server already or there are too many. It reports whether it
 // has taken the connection over.
 func (i *idleConns) keep(s passthrough.Server, c io.ReadCloser) bool {
-	key := process{s.ID, s.StartTime}
+	key := keyOfProcess(s)
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if i.conns == nil {
-		i.conns = map[process]io.Closer{}
+		i.conns = map[processKey]io.Closer{}
 	}
 	if i.conns[key] != nil || len(i.conns) >= maxIdleConns {
 		return false
@@ -40,7 +40,7 @@
 }
 
 // watch waits for the end of the connection. Bytes on it belong to no request: it is closed.
-func (i *idleConns) watch(s passthrough.Server, key process, c io.ReadCloser) {
+func (i *idleConns) watch(s passthrough.Server, key processKey, c io.ReadCloser) {
 	var one [1]byte
 	_, err := c.Read(one[:])
 	_ = c.Close()
