--- a/decision/passthrough/view.go
+++ b/decision/passthrough/view.go
@@ -93,7 +93,7 @@
 	prefilling := srv.othersPrefilling()*(1-prefillAged) + in.meanOthersPrefilling*prefillAged
 	f := forecast{known: float64(srv.ownRequests) + reported}
 	f.load = f.known + in.service.meanOthers.value*aged
-	f.unscaledWait = srv.prefillBacklog*in.backlogFactor(factor) + prefilling*in.service.prefill.meanPrefillTime.value*factor
+	f.unscaledWait = in.waitFor(srv.prefillBacklog, prefilling*in.service.prefill.meanPrefillTime.value, factor)
 	f.wait = f.unscaledWait * in.ownScale
 	return f
 }
@@ -102,17 +102,18 @@
 func (in *forecastInput) peerForecast(srv *server, factor float64) forecast {
 	load := float64(srv.ownRequests) + srv.peers.requests
 	f := forecast{known: load, load: load}
-	f.unscaledWait = (srv.prefillRemaining(in.now) + srv.peers.prefillTime) * in.backlogFactor(factor)
+	f.unscaledWait = in.waitFor(srv.prefillRemaining(in.now)+srv.peers.prefillTime, 0, factor)
 	f.wait = f.unscaledWait * in.peerScale
 	return f
 }
 
-// backlogFactor is what a backlog is multiplied by: with stated speeds it is in the server's own seconds already.
-func (in *forecastInput) backlogFactor(factor float64) float64 {
+// waitFor is how long a server takes for a backlog, and for others' prompts that take unitTime at unit speed, in seconds.
+// With stated speeds the backlog is in the server's own time already.
+func (in *forecastInput) waitFor(backlog, unitTime, factor float64) float64 {
 	if in.service.statesSpeeds {
-		return 1
+		return backlog + unitTime*factor
 	}
-	return factor
+	return (backlog + unitTime) * factor
 }
 
 // elapsedFraction is the fraction of span that has passed since a time, at most 1; it is 1 for
