Speeds: decisions look up no factor

A choice among servers that had just stated another factor than their usual one sorted nine statements for each of them. Each server now keeps its newest statement and its usual factor, computed when a statement arrives.

--- a/decision/passthrough/bench_test.go
+++ b/decision/passthrough/bench_test.go
@@ -21,8 +21,11 @@
 			now := testStart
 			w.Tick(now, Configured{NewIndex(Config{Routes: []Route{*route}, Services: []Service{{Name: "llm", Slots: 16}}})},
 				ServersListed{servers("llm", count, 16)})
-			for _, s := range servers("llm", count, 16) {
-				w.Tick(now, LoadReported{Server: s.ID, Load: Load{Running: 6, Slots: 16, Slowdown: slowdown}})
+			for range 2 { // a single statement may be about a busy moment
+				now = now.Add(time.Second / 2)
+				for _, s := range servers("llm", count, 16) {
+					w.Tick(now, LoadReported{Server: s.ID, Load: Load{Running: 6, Slots: 16, Slowdown: slowdown}})
+				}
 			}
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
--- a/decision/passthrough/speeds.go
+++ b/decision/passthrough/speeds.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"masticplank.example/decision/speed"
 )
@@ -47,8 +48,11 @@
 func (w *World) refreshSpeed(s *server) {
 	key := s.speedKey()
 	s.usual, s.stated = w.speeds.Usual(w.now, key), w.speeds.Stating(key)
-	if newest, age := w.speeds.Newest(w.now, key); newest != s.stated {
-		s.changedAt = w.now.Add(-age)
+	if newest, age := w.speeds.Newest(w.now, key); newest > 0 {
+		s.newest, s.changedAt = newest, w.now.Add(-age)
+	}
+	if s.newest == s.stated {
+		s.changedAt = time.Time{}
 	}
 	if slow := w.speeds.Slow(key); slow != s.slowUnstated {
 		s.slowUnstated = slow
@@ -103,8 +107,8 @@
 		return slowdown, slowdown
 	}
 	momentary = s.usual
-	if w.now.Sub(s.changedAt) < speed.StatementTTL {
-		momentary = w.speeds.Now(w.now, s.speedKey())
+	if age := w.now.Sub(s.changedAt); age < speed.StatementTTL {
+		momentary *= speed.Present(s.stated, s.newest, age) / s.stated
 	}
 	if s.service.engine {
 		return s.usual, momentary
--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -62,7 +62,8 @@
 	// usual is how many times as long as at a server of unit speed work usually takes at the server, stated the same
 	// without what was measured; both are 0 unless the service states speeds.
 	usual, stated float64
-	// changedAt is when the server last stated another factor than its usual one.
+	// newest is the server's newest statement, changedAt when it was made; zero if it is the usual factor.
+	newest    float64
 	changedAt time.Time
 	// slowUnstated is true while measured times show that the server is slow without stating it.
 	slowUnstated bool
--- a/decision/speed/statements.go
+++ b/decision/speed/statements.go
@@ -12,6 +12,8 @@
 	count, next int
 	newest      float64
 	newestAt    time.Time
+	// usual is what estimate returned after the last statement; 0 if there are none.
+	usual float64
 }
 
 // add adds a statement, unless it is older than the newest one or the same.
@@ -24,15 +26,12 @@
 	s.next = (s.next + 1) % statementMemory
 	s.count = min(s.count+1, statementMemory)
 	s.newest, s.newestAt = slowdown, at
+	s.usual = s.estimate()
 }
 
-// usual is the lower third of the statements, as a busy machine states too much and none states too little; 1 if there
-// are none. Fewer than enoughStatements may all be about one busy moment, so that they count together with the 1 of an
+// estimate is the lower third of the statements, as a busy machine states too much and none states too little. Fewer than enoughStatements may all be about one busy moment, so that they count together with the 1 of an
 // unknown server.
-func (s *statements) usual() float64 {
-	if s.count == 0 {
-		return 1
-	}
+func (s *statements) estimate() float64 {
 	sorted := s.values
 	values := sorted[:s.count]
 	slices.Sort(values)
--- a/decision/speed/table.go
+++ b/decision/speed/table.go
@@ -205,12 +205,21 @@
 		return 1
 	}
 	usual := e.stated()
-	if st := &e.statements; st.newest > 0 && now.Sub(st.newestAt) < StatementTTL {
-		usual += (st.newest - usual) * math.Exp(-float64(max(now.Sub(st.newestAt), 0))/float64(statementDecay))
+	if st := &e.statements; st.newest > 0 {
+		usual = Present(usual, st.newest, now.Sub(st.newestAt))
 	}
 	return usual * t.excess(now, e)
 }
 
+// Present returns how many times as long as usual work takes now at a server with a usual factor, by a statement of the
+// given age.
+func Present(usual, stated float64, age time.Duration) float64 {
+	if age >= StatementTTL {
+		return usual
+	}
+	return usual + (stated-usual)*math.Exp(-float64(max(age, 0))/float64(statementDecay))
+}
+
 // Newest returns the newest statement of a server and the time since then; 0 if there is none.
 func (t *Table) Newest(now time.Time, s Server) (slowdown float64, age time.Duration) {
 	e := t.entries[s]
@@ -236,7 +245,10 @@
 	if e.statements.count < enoughStatements && e.peers.Samples > e.statements.count && e.peers.Usual > 0 {
 		return e.peers.Usual
 	}
-	return e.statements.usual()
+	if e.statements.usual == 0 {
+		return 1
+	}
+	return e.statements.usual
 }
 
 // Merge returns what two groups of instances know of the same server: the means of Usual and of Ratio by their
