--- a/decision/passthrough/completion_sim_test.go
+++ b/decision/passthrough/completion_sim_test.go
@@ -33,8 +33,6 @@
 // endTally counts the outcomes of a kind's requests.
 type endTally struct{ sent, inTime, late, refused, failed int }
 
-func (t endTally) ended() float64 { return float64(t.inTime) / float64(max(t.sent, 1)) }
-
 // endRequest is a caller's request, endJob its attempt at an engine.
 type endRequest struct {
 	kind              int
@@ -237,7 +235,6 @@
 		switch {
 		case !s.now.Before(r.deadline):
 			s.tallies[r.kind].late++
-			if dbg && r.kind==2 { m:="-"; if r.job!=nil {m=r.job.model}; println("late", r.id, r.kind, r.waiting, m, r.h.world.requests[r.id].attempts, r.events, r.done) }
 			s.forget(r)
 			r.h.tick(RequestCancelled{r.id})
 			s.carryOut(r.h)
@@ -264,8 +261,7 @@
 		if j.events > 1 {
 			p.Interval = s.now.Sub(j.first) / time.Duration(j.events-1)
 		}
-		if why, ok := r.h.world.GivesUp(s.now, r.id, p); ok && !noGive {
-			if dbg && r.kind==2 { println("gu", r.id, r.kind, j.events, j.model, "since", int(p.Since.Milliseconds()), "left", int(why.Left.Milliseconds()), "first", int(why.First.Milliseconds()), "else", int(why.Elsewhere.Milliseconds()), "q", len(j.engine.queue), len(j.engine.running), "speed", int(10*j.engine.speed)) }
+		if _, ok := r.h.world.GivesUp(s.now, r.id, p); ok {
 			s.givenUp++
 			s.removeJob(r)
 			r.done += j.events
@@ -374,17 +370,29 @@
 	return s
 }
 
-var noGive, dbg bool
-func TestCompletionFigures(t *testing.T) {
-	for _, load := range [][2]float64{{2, 4}, {2.5, 5}, {3, 7}} {
-		for _, n := range []struct{ instances, engines int }{{8, 16}, {70, 24}} {
-			for _, tokens := range []int{0, endTokens,-endTokens} {
-			noGive = tokens<0
-			if tokens<0 {tokens= -tokens}
-			dbg = !noGive && tokens>0 && load[1]==5 && n.instances==70
-				s := simulateDay(t, n.instances, n.engines, tokens, 1, load[0], load[1])
-				t.Logf("%v %d instances, %d engines, tokens %d: %v %+v second %d given up %d early %d", load, n.instances, n.engines, tokens,noGive, s.tallies, s.second, s.givenUp, s.refusedEarly)
+// endLoads are sizes at which the instances see different parts of the load: each has from an eighth of it to a request
+// every few seconds.
+var endLoads = []struct{ instances, engines int }{{8, 16}, {70, 24}, {300, 24}, {880, 24}}
+
+// TestMoreEndInTimeWithForecasts guards against streams and short requests that wait at engines where they cannot end
+// before their deadline, at a crest, and against refusals of what could have been served.
+func TestMoreEndInTimeWithForecasts(t *testing.T) {
+	for _, n := range endLoads {
+		without, with := 0, 0
+		for seed := range uint64(2) {
+			off := simulateDay(t, n.instances, n.engines, 0, seed, 3, 7)
+			on := simulateDay(t, n.instances, n.engines, endTokens, seed, 3, 7)
+			for i := range on.tallies {
+				without += off.tallies[i].sent - off.tallies[i].inTime
+				with += on.tallies[i].sent - on.tallies[i].inTime
 			}
+			if on.refusedEarly > 0 {
+				t.Errorf("%d instances, seed %d: %d requests refused that an idle engine could have served, want none", n.instances, seed, on.refusedEarly)
+			}
+			t.Logf("%d instances, seed %d: without %+v, with %+v, given up %d", n.instances, seed, off.tallies, on.tallies, on.givenUp)
+		}
+		if with >= without {
+			t.Errorf("%d instances: %d requests did not end in time with forecasts, %d without; want fewer", n.instances, with, without)
 		}
 	}
 }
