--- a/router/internal/passthrough/givenup_test.go
+++ b/router/internal/passthrough/givenup_test.go
@@ -161,18 +161,6 @@
 	}
 }
 
-// waitFor fails the test unless the condition holds soon.
-func waitFor(t *testing.T, what string, holds func() bool) {
-	t.Helper()
-	for range 100 {
-		if holds() {
-			return
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	t.Error(what)
-}
-
 // TestOverdueAttemptGoesToAnotherServer guards against a short request that waits for its first event up to its deadline,
 // while another server could answer.
 func TestOverdueAttemptGoesToAnotherServer(t *testing.T) {
