--- a/decision/passthrough/hotprefix.go
+++ b/decision/passthrough/hotprefix.go
@@ -31,41 +31,26 @@
 	at      time.Time
 }
 
-// decayed is the load at a later time.
-func (l *prefixLoad) decayed(now time.Time) float64 {
-	return l.seconds * math.Exp(-float64(now.Sub(l.at))/float64(hotPrefixMemory))
-}
-
-// serverCount is how many servers the prefix needs, if each of the given number of instances has as much load of it as
-// this one.
+// add adds a request's prefill time to its prefix, and returns how many servers the prefix needed before that, if each of
+// the given number of instances has as much load of it as this one.
 //
 // Load: a prefix with a quarter of a route's requests. Harm prevented: all instances send them to one server until they
 // learn of its load, and then all to the next.
-func (h *hotPrefixes) serverCount(now time.Time, prefix uint64, instances int) int {
+func (h *hotPrefixes) add(now time.Time, prefix uint64, seconds float64, instances int) int {
 	if h.loads == nil {
-		return 1
+		h.loads = newLRU[uint64, *prefixLoad](maxPrefixes)
 	}
 	l, ok := h.loads.Get(prefix)
 	if !ok {
+		h.loads.Add(prefix, &prefixLoad{seconds: seconds, at: now})
 		return 1
 	}
-	busy := l.decayed(now) / hotPrefixMemory.Seconds() * float64(max(instances, 1))
+	load := l.seconds * math.Exp(-float64(now.Sub(l.at))/float64(hotPrefixMemory))
+	l.seconds, l.at = load+seconds, now
+	busy := load / hotPrefixMemory.Seconds() * float64(max(instances, 1))
 	return min(max(int(math.Ceil(busy/hotPrefixUtilization)), 1), maxPrefixServers)
 }
 
-// record adds a request's prefill time to its prefix.
-func (h *hotPrefixes) record(now time.Time, prefix uint64, seconds float64) {
-	if h.loads == nil {
-		h.loads = newLRU[uint64, *prefixLoad](maxPrefixes)
-	}
-	l, ok := h.loads.Get(prefix)
-	if !ok {
-		l = &prefixLoad{at: now}
-		h.loads.Add(prefix, l)
-	}
-	l.seconds, l.at = l.decayed(now)+seconds, now
-}
-
 // firstServers are the servers with the highest scores, best first.
 type firstServers struct {
 	index [maxPrefixServers]int
--- a/decision/passthrough/pickbyspeed.go
+++ b/decision/passthrough/pickbyspeed.go
@@ -41,10 +41,8 @@
 	if r.PrefixHash == 0 {
 		return best, bestWeight
 	}
-	hot := &r.service.hotPrefixes
 	uncached := max(unitTime-perToken*float64(r.PrefixTokens), 0)
-	count := hot.serverCount(w.now, r.PrefixHash, w.fleetSize)
-	hot.record(w.now, r.PrefixHash, uncached)
+	count := r.service.hotPrefixes.add(w.now, r.PrefixHash, uncached, w.fleetSize)
 	first := w.firstByHash(r, list, count, local)
 	for _, i := range w.twoOf(&first) {
 		if weight := w.weightWith(list[i], uncached); weight < bestWeight {
--- a/decision/passthrough/speeds_test.go
+++ b/decision/passthrough/speeds_test.go
@@ -48,15 +48,15 @@
 	now := testStart
 	for range 20 {
 		now = now.Add(500 * time.Millisecond)
-		hot.record(now, prefix, 0.03)
+		hot.add(now, prefix, 0.03, instances)
 	}
-	if got := hot.serverCount(now, prefix, instances); got < 5 {
+	if got := hot.add(now, prefix, 0, instances); got < 5 {
 		t.Errorf("a prefix that keeps four servers busy gets %d, want at least 5", got)
 	}
-	if got := hot.serverCount(now, prefix+1, instances); got != 1 {
+	if got := hot.add(now, prefix+1, 0, instances); got != 1 {
 		t.Errorf("an unknown prefix gets %d servers, want 1", got)
 	}
-	if got := hot.serverCount(now.Add(3*hotPrefixMemory), prefix, instances); got != 1 {
+	if got := hot.add(now.Add(3*hotPrefixMemory), prefix, 0, instances); got != 1 {
 		t.Errorf("the prefix has %d servers long after its last request, want 1", got)
 	}
 }
