--- a/decision/passthrough/attempt.go
+++ b/decision/passthrough/attempt.go
@@ -10,7 +10,11 @@
 	if e.Limit != nil {
 		w.observeLimit(s, r.sent, *e.Limit)
 	}
+	if r.firstByte == 0 && (e.GivenUp || e.Result == Abandoned) {
+		w.observeDelay(r, w.now.Sub(r.sent))
+	}
 	w.releaseServer(r)
+	r.observeEnd(e)
 	w.recordOutcome(r, s, e)
 	r.mayHaveRun = r.mayHaveRun || e.Result.MayHaveRun() || e.Begun
 	if e.NoPermit {
@@ -45,6 +49,7 @@
 	case Dropped:
 		w.learnEscalation(r, e.Confidence)
 		w.chooseEscalation(r, e.Confidence)
+		r.dropped, r.weakConfidence = true, e.Confidence
 		w.retry(r, nil)
 	case Abandoned:
 		w.remove(r)
@@ -79,7 +84,7 @@
 		// to peers for this server one after the other.
 		s.backOff(w.now.Add(rejectedBackoff))
 	}
-	if e.Result == Withheld || r.withdrawn || w.saysNothing(r, s, e) {
+	if e.Result == Withheld || r.withdrawn || e.CallerStalled || w.saysNothing(r, s, e) {
 		return
 	}
 	if e.Result == NotSent {
@@ -105,19 +110,33 @@
 		w.observeLostConnection(s, r, e)
 	}
 	bad := e.Result != Completed
-	s.health.record(!bad, w.now)
+	if !e.GivenUp { // a server that is busy or slow for a time has not failed
+		s.health.record(!bad, w.now)
+	}
 	if !bad {
 		w.recordInterval(r, s, e.EventInterval)
+		w.observePace(r, s, e.EventInterval)
 	}
 	if e.ConnectionLost {
 		w.serverLost(s)
-		w.crashes.record(r.Fingerprint, 1, w.now)
-		w.reportCrash(CrashSuspected{Fingerprint: r.Fingerprint})
-		w.observeCrash(r, s)
+		w.recordCrash(r, s, e)
 	}
 	w.observeAttempt(r, s, e)
 }
 
+// recordCrash records that the request may have crashed the server.
+//
+// Load: callers that do not read, so that their server holds what it has made for them. Harm prevented: a server that
+// crashes by what it holds is taken for one that was crashed by a request, which all instances then refuse.
+func (w *World) recordCrash(r *request, s *server, e AttemptEnded) {
+	if e.HeldUnread {
+		return
+	}
+	w.crashes.record(r.Fingerprint, 1, w.now)
+	w.reportCrash(CrashSuspected{Fingerprint: r.Fingerprint})
+	w.observeCrash(r, s)
+}
+
 // maxUndeliveredDispatches is how many dispatches a request may have beyond its route's
 // MaxAttempts, as dispatches that reach no server do not count as attempts.
 const maxUndeliveredDispatches = 5
@@ -136,6 +155,9 @@
 		w.finishOrRefuse(r, reason)
 		return
 	}
+	if w.waitForLarger(r) {
+		return
+	}
 	if !w.tryDispatch(r) {
 		w.enqueue(r)
 	}
--- a/decision/passthrough/cascade.go
+++ b/decision/passthrough/cascade.go
@@ -39,9 +39,9 @@
 		return
 	}
 	r.firstByte = e.After
+	w.observeDelay(r, e.After)
 	w.domainResponded(r.server)
 	r.service.prefill.observeFirstByte(r, e)
-	w.measureFirstByte(r, e.After)
 	r.endPrefill()
 	w.observeLimit(r.server, r.sent, e.Limit)
 	if e.HasLoad {
@@ -106,6 +106,10 @@
 	if r == nil || r.server == nil || r.model == noModel {
 		return 0
 	}
+	if w.plansLarger(r.service) {
+		threshold, _ := w.plannedThreshold(r)
+		return threshold
+	}
 	if r.model >= len(r.Route.Models)-1 || r.lastAttempt() {
 		return 0
 	}
@@ -113,7 +117,7 @@
 		return 0
 	}
 	occ := occupancyOf(r.service, w.viewServers(r.service))
-	if !w.largestInTime(r, occ.prefillWait) {
+	if !w.largestInTime(r, occ.prefillWait) || !w.replaceableInTime(r, w.views) {
 		return 0
 	}
 	return minConfidence * occ.headroom(r)
--- a/decision/passthrough/dispatch.go
+++ b/decision/passthrough/dispatch.go
@@ -2,9 +2,12 @@
 
 import "time"
 
-// tryDispatch sends the request to a server with a free slot. It returns false if there
-// is none now.
+// tryDispatch sends the request to a server with a free slot, or refuses it if it cannot be completed in time. It
+// returns false if no slot is free now.
 func (w *World) tryDispatch(r *request) bool {
+	if w.refuseUncompletable(r) {
+		return true
+	}
 	views := w.viewServers(r.service)
 	occ := occupancyOf(r.service, views)
 	v, ok := w.pickServer(r, views, occ)
@@ -21,18 +24,19 @@
 	r.version = s.Version
 	r.sent = w.now
 	r.firstByte = 0
-	r.eventsBegun, r.withdrawn = false, false
+	r.eventsBegun, r.withdrawn, r.dropped = false, false, false
 	r.intervalReported = false
 	r.attempts++
 	r.dispatches++
 	s.ownRequests++
+	r.takeTokens()
 	w.recordSlowStart(s)
 	sharePeers := w.takeShare(s)
 	peers := w.takePermit(r, s)
 	w.recordSession(r, s.Version)
 	cmd := Dispatch{
 		Request: r.ID, Server: s.Server, Attempt: r.dispatches,
-		FirstByteTimeout: firstByteTimeout(r), Load: int(v.load) + 1, PrefillWait: seconds(v.wait),
+		At: w.now, FirstByteTimeout: firstByteTimeout(r), Load: int(v.load) + 1, PrefillWait: seconds(v.wait),
 		Limit: s.limit.RateLimit, Peers: peers, SharePeers: sharePeers,
 	}
 	if !s.reportedAt.IsZero() {
@@ -45,9 +49,19 @@
 	if r.ChooseModel && len(r.Route.Models) > 0 {
 		occ = occ.withOneMore()
 		cmd.Utilization, cmd.MeanPrefillWait, cmd.RetriesLeft = occ.utilization, seconds(occ.prefillWait), r.service.budget.Remaining(w.now)
-		r.model = w.chooseModel(r, occ.headroom(r))
+		if w.plansLarger(r.service) {
+			pool := w.pool(r.service, views)
+			cmd.Utilization, cmd.MeanPrefillWait, cmd.Pooled = pool.Utilization, seconds(pool.Backlog), pool.Shared
+			cmd.WaitedForLarger, cmd.SinceArrival = r.waitedForLarger, w.now.Sub(r.arrived)
+			r.model = w.choosePlanned(r, pool, v)
+		} else {
+			r.model = w.chooseModel(r, occ.headroom(r))
+		}
+		r.model = r.timelyModel(r.model)
 		cmd.Model = r.Route.Models[r.model]
+		cmd.LargerModel = w.plansLarger(r.service) && r.model > 0
 	}
+	cmd.Forecast = w.recordForecast(r, v).End
 	if r.service.engine {
 		w.beginPrefill(r, v)
 	} else {
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -47,9 +47,17 @@
 	Leaving bool
 	// ConnectionLost is true if the connection broke, as it does when a backend server crashes.
 	ConnectionLost bool
+	// CallerStalled is true if the stream broke after its caller had not read it for some time. HeldUnread is true if the
+	// connection was lost while the server held the response of another such stream, by which it may have crashed.
+	CallerStalled bool
+	HeldUnread    bool
 	// EventInterval is the mean time between the events of a stream, or the response time of a
 	// plain response; 0 if unknown.
 	EventInterval time.Duration
+	// Events is the number of whole events of a stream that were received.
+	Events int
+	// GivenUp is true if this instance has closed the connection as GivesUp said.
+	GivenUp bool
 	// Confidence is the engine's confidence in its response, from 0 to 1; negative if it stated
 	// none.
 	Confidence float64
@@ -64,7 +72,9 @@
 // LoadReported is the load that a backend server reports.
 type LoadReported struct {
 	Server string
-	Load   Load
+	// StartTime is that of the server's process; 0 if unknown.
+	StartTime int64
+	Load      Load
 }
 
 // FirstByte is the start of an attempt's response. After is the time since its dispatch; Load, if
@@ -230,12 +240,23 @@
 	Speed          float64
 	StatedSlowdown float64
 	StatedAge      time.Duration
+	// At is the time of the dispatch, Forecast when the response's last event is expected after it; 0 if that is not
+	// forecast.
+	At       time.Time
+	Forecast time.Duration
 	// Utilization is the forecast fraction of the service's slots that are taken,
 	// MeanPrefillWait the mean wait of prompts at its servers, and RetriesLeft the rest of the
 	// retry budget: the inputs to the choice of the model.
 	Utilization     float64
 	MeanPrefillWait time.Duration
 	RetriesLeft     float64
+	// The following are set only if the instances decide together who gets the larger models. Pooled is true if
+	// Utilization and MeanPrefillWait are those of all instances; LargerModel if the chosen model is not the smallest.
+	Pooled      bool
+	LargerModel bool
+	// WaitedForLarger is how long the request has waited for a larger model, SinceArrival how long ago it arrived.
+	WaitedForLarger time.Duration
+	SinceArrival    time.Duration
 }
 
 // Refuse ends a request that has not run.
@@ -243,6 +264,8 @@
 	Request    RequestID
 	Reason     Reason
 	RetryAfter time.Duration
+	// Forecast is the least time that the response takes and TimeLeft that to the deadline, for ReasonNoTime.
+	Forecast, TimeLeft time.Duration
 }
 
 // Finish ends a request that may have run, without another attempt. Its caller gets the last
--- a/decision/passthrough/speeds.go
+++ b/decision/passthrough/speeds.go
@@ -48,8 +48,11 @@
 func (w *World) refreshSpeed(s *server) {
 	key := s.speedKey()
 	s.usual, s.stated = w.speeds.Usual(w.now, key), w.speeds.Stating(key)
-	if newest, age := w.speeds.Newest(w.now, key); newest != s.stated {
-		s.changedAt = w.now.Add(-age)
+	if newest, age := w.speeds.Newest(w.now, key); newest > 0 {
+		s.newest, s.changedAt = newest, w.now.Add(-age)
+	}
+	if s.newest == s.stated {
+		s.changedAt = time.Time{}
 	}
 	if slow := w.speeds.Slow(key); slow != s.slowUnstated {
 		s.slowUnstated = slow
@@ -104,8 +107,8 @@
 		return slowdown, slowdown
 	}
 	momentary = s.usual
-	if w.now.Sub(s.changedAt) < speed.StatementTTL {
-		momentary = w.speeds.Now(w.now, s.speedKey())
+	if age := w.now.Sub(s.changedAt); age < speed.StatementTTL {
+		momentary *= speed.Present(s.stated, s.newest, age) / s.stated
 	}
 	if s.service.engine {
 		return s.usual, momentary
@@ -129,27 +132,14 @@
 	}
 }
 
-// measureFirstByte records how the time to a response's first byte compares with the one expected, less by how much
-// expectations are off at all servers.
-func (w *World) measureFirstByte(r *request, took time.Duration) {
-	expected := r.firstByteDue.Sub(r.sent)
-	if !r.service.statesSpeeds || !r.prefilling || took <= 0 || expected <= 0 {
-		return
-	}
-	late := math.Log(took.Seconds() / expected.Seconds())
-	lateness := &r.service.prefill.lateness
-	mean := lateness.value
-	lateness.add(late)
-	if lateness.n > minBaselineCount {
-		w.measureSpeed(r.server, late-mean+math.Log(r.server.usual/r.server.statedFactor()))
-	}
-}
-
 // measureSpeed records the logarithm of the ratio of a response's time to the one expected by its server's statements.
 func (w *World) measureSpeed(s *server, logRatio float64) {
 	if !s.service.statesSpeeds || w.runsTarget(s) {
 		return
 	}
+	if newest, age := w.speeds.Newest(w.now, s.speedKey()); age < speed.StatementTTL && newest > s.statedFactor() {
+		logRatio -= math.Log(newest / s.statedFactor())
+	}
 	w.speeds.Measured(w.now, s.speedKey(), math.Exp(logRatio))
 	w.refreshSpeed(s)
 }
--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -1,6 +1,11 @@
 package passthrough
 
-import "time"
+import (
+	"time"
+
+	"masticplank.example/decision/cascade"
+	"masticplank.example/decision/completion"
+)
 
 // versionKey identifies a version of a service's software.
 type versionKey struct{ service, version string }
@@ -21,6 +26,9 @@
 	tokenCapacity, tokensPerEvent int
 	// maxConns is how many connections a server takes from all instances together, 0 if unknown.
 	maxConns int
+	// planner decides who gets the larger models; meanTokens is the mean size of a request in tokens.
+	planner    cascade.Planner
+	meanTokens movingAverage
 	// meanOthers is the mean number of other instances' requests at a server.
 	meanOthers movingAverage
 	intervals  intervalStats
@@ -28,9 +36,11 @@
 	// statesSpeeds is true once one of the service's servers has stated how long work takes on its machine.
 	statesSpeeds bool
 	hotPrefixes  hotPrefixes
-	slowStart    slowStartLimits
-	brittle      brittle
-	permits      permits
+	// rates are the rates of generation.
+	rates     completion.Rates
+	slowStart slowStartLimits
+	brittle   brittle
+	permits   permits
 	// fullUntil is until when no request is offered to peers with permits.
 	fullUntil time.Time
 	// wakeAt is when queued requests are tried again, as a server may take more by then; zero for
@@ -45,6 +55,8 @@
 	service *service
 	// ownRequests counts this instance's requests at the server.
 	ownRequests int
+	// ownTokens is how many tokens these have.
+	ownTokens int
 	// prefilling are this instance's requests there whose response has not begun; prefillBacklog is
 	// the sum of their whole prefill times in seconds, also of prompts that are partly processed.
 	prefilling     []*request
@@ -64,7 +76,8 @@
 	// usual is how many times as long as at a server of unit speed work usually takes at the server, stated the same
 	// without what was measured; both are 0 unless the service states speeds.
 	usual, stated float64
-	// changedAt is when the server last stated another factor than its usual one.
+	// newest is the server's newest statement, changedAt when it was made; zero if it is the usual factor.
+	newest    float64
 	changedAt time.Time
 	// slowUnstated is true while measured times show that the server is slow without stating it.
 	slowUnstated bool
@@ -144,4 +157,14 @@
 	// If it is a middle model, droppedConfidence is the confidence of the dropped response.
 	nextModel         int
 	droppedConfidence float64
+	timely            timely
+	// dropped is true from the end of a dropped response to the next dispatch, weakConfidence its confidence. waitsForLarger is true while the request waits
+	// for a larger model, since waitBegan; waitedForLarger is how long it has done so before. gaveUpLarger is true once it
+	// has waited for as long as it may, and gets the smallest model.
+	dropped         bool
+	weakConfidence  float64
+	waitsForLarger  bool
+	waitBegan       time.Time
+	waitedForLarger time.Duration
+	gaveUpLarger    bool
 }
--- a/decision/passthrough/types.go
+++ b/decision/passthrough/types.go
@@ -151,6 +151,7 @@
 	ReasonBackoff     Reason = "backend_servers_backing_off"
 	ReasonNoPath      Reason = "no_path_to_backend_servers"
 	ReasonLimited     Reason = "backend_servers_limited"
+	ReasonTooLarge    Reason = "prompt_exceeds_engine_memory"
 	ReasonBusy        Reason = "busy"
 	ReasonServersFull Reason = "backend_servers_full"
 	ReasonRetryBudget Reason = "retry_budget_spent"
@@ -158,7 +159,9 @@
 	// ReasonPartQuarantined: a part of the prompt crashes servers.
 	ReasonPartQuarantined Reason = "prompt_part_quarantined"
 	ReasonDeadline        Reason = "deadline_passed"
-	ReasonAttempts        Reason = "attempts_spent"
-	ReasonNotFresh        Reason = "configuration_too_old"
-	ReasonStopping        Reason = "stopping"
+	// ReasonNoTime: no server could complete the response before the deadline.
+	ReasonNoTime   Reason = "cannot_complete_in_time"
+	ReasonAttempts Reason = "attempts_spent"
+	ReasonNotFresh Reason = "configuration_too_old"
+	ReasonStopping Reason = "stopping"
 )
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -91,9 +91,10 @@
 	commands []Command
 	// freed are the services that may have got a free slot in this tick.
 	freed []*service
-	// views and eligible are reused between decisions to save allocations.
+	// views, eligible and timely are reused between decisions to save allocations.
 	views    []serverView
 	eligible []serverView
+	timely   []serverView
 }
 
 // New returns an empty world. It refuses all requests until it has a list of backend servers.
@@ -146,6 +147,7 @@
 	w.releaseHeldAfter(heldReportDelay)
 	w.wakeDueServices()
 	w.dispatchQueued()
+	w.releaseForLarger()
 	return w.commands
 }
 
@@ -173,6 +175,7 @@
 	case ServerStated:
 		w.observeStatement(e)
 	case EventIntervalMeasured:
+		w.observeFirstPace(e)
 		w.observeEventInterval(e)
 	case PeerCrashes:
 		w.crashes.record(e.Fingerprint, e.Count, w.now)
@@ -248,7 +251,7 @@
 // RequestCounts returns how many requests are queued and how many are at backend servers.
 func (w *World) RequestCounts() (waiting, running int) {
 	for _, r := range w.requests {
-		if r.queued {
+		if r.queued || r.waitsForLarger {
 			waiting++
 		} else {
 			running++
--- a/decision/speed/statements.go
+++ b/decision/speed/statements.go
@@ -1,6 +1,7 @@
 package speed
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -11,6 +12,8 @@
 	count, next int
 	newest      float64
 	newestAt    time.Time
+	// usual is what estimate returned after the last statement; 0 if there are none.
+	usual float64
 }
 
 // add adds a statement, unless it is older than the newest one or the same.
@@ -23,16 +26,18 @@
 	s.next = (s.next + 1) % statementMemory
 	s.count = min(s.count+1, statementMemory)
 	s.newest, s.newestAt = slowdown, at
+	s.usual = s.estimate()
 }
 
-// median is the lower median of the statements, as a busy machine states too much rather than too little; 1 if there
-// are none.
-func (s *statements) median() float64 {
-	if s.count == 0 {
-		return 1
-	}
+// estimate is the lower third of the statements, as a busy machine states too much and none states too little. Fewer than enoughStatements may all be about one busy moment, so that they count together with the 1 of an
+// unknown server.
+func (s *statements) estimate() float64 {
 	sorted := s.values
 	values := sorted[:s.count]
 	slices.Sort(values)
-	return values[(s.count-1)/2]
+	lower := values[(s.count-1)/3]
+	if s.count < enoughStatements {
+		return math.Sqrt(lower)
+	}
+	return lower
 }
--- a/router/internal/logging/catalogue.go
+++ b/router/internal/logging/catalogue.go
@@ -78,6 +78,7 @@
 	EventPassthroughAttempt = Event{311, "passthrough_attempt", slog.LevelInfo, "An attempt at a backend server ended; load is the load by which the server was chosen."}
 	EventPassthroughFailed  = Event{312, "passthrough_failed", slog.LevelWarn, "A request ended without a success, and ran or may have run; reason says why."}
 	EventCallerLost         = Event{313, "caller_lost", slog.LevelInfo, "A caller disconnected before the end of its answer."}
+	EventAttemptGivenUp     = Event{314, "attempt_given_up", slog.LevelInfo, "An attempt was given up as its response was not expected to end before the deadline, and was at another backend server; elsewhere_ms is the forecast there."}
 
 	EventRolloutOrdered   = Event{610, "rollout_ordered", slog.LevelInfo, "The operator ordered a roll-out."}
 	EventRolloutStep      = Event{611, "rollout_step", slog.LevelInfo, "The share of a roll-out's new version changed at this instance."}
@@ -100,7 +101,7 @@
 		EventStoreLost, EventStoreRegained, EventCollector,
 		EventDomainDrained, EventDomainBack, EventServerCold, EventServerLimited, EventServerUnlimited, EventStoreRestored, EventStateKept, EventServerLeaving, EventServerBackoff, EventPathLost, EventPathRestored, EventServiceBrittle, EventPathNowhere, EventLoadUnreadable, EventServerSpeed, EventIdleReset,
 		EventRequestRefused, EventAttemptFailed, EventWrongNonce,
-		EventPassthroughRefused, EventPassthroughAttempt, EventPassthroughFailed, EventCallerLost,
+		EventPassthroughRefused, EventPassthroughAttempt, EventPassthroughFailed, EventCallerLost, EventAttemptGivenUp,
 		EventBillHeld, EventBillFlushed, EventBillRefused,
 		EventPeerConnected, EventPeerLost, EventPeerRejected,
 		EventVersionVerdict, EventServerEjected, EventQuarantine,
--- a/router/internal/passthrough/attempt.go
+++ b/router/internal/passthrough/attempt.go
@@ -9,6 +9,7 @@
 	"mime"
 	"net/http"
 	"net/url"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -39,10 +40,18 @@
 	timedOut atomic.Bool
 	// withdrawn is true if the connection was closed because a part of the prompt crashes servers.
 	withdrawn atomic.Bool
+	// forecast is when the last event is expected after startedAt; 0 if that is not forecast.
+	forecast time.Duration
+	// givenUp is true if the idle watch has closed the connection as another server is forecast to be in time.
+	givenUp atomic.Bool
+	// pace counts the events for the idle watch.
+	pace pace
 	// firstByte is the time from startedAt to the response head.
 	firstByte time.Duration
 	// events is the number of whole events of a stream that were received.
 	events int
+	// stall tells whether the caller reads the stream.
+	stall callerStall
 }
 
 // response is a backend server's complete response.
@@ -73,6 +82,8 @@
 	// connectionLost is true if the response could not be read to its end although this instance
 	// did not close the connection.
 	connectionLost bool
+	// givenUp is true if the attempt was given up as it could not end before the deadline, and another server may.
+	givenUp bool
 	// peer is the name of the peer that the request was sent through, empty for none. tunnelLost is true if
 	// the connection to it broke, pathLost if this instance has no path and no peer could be asked.
 	peer       string
@@ -83,6 +94,12 @@
 	noPermit bool
 	noShare  bool
 	declined bool
+	// callerStalled is true if the stream broke after its caller had not read it for some time, heldUnread if the
+	// connection was lost while the server held the response of another such stream. callerLost is true if nothing more
+	// can be sent to the caller.
+	callerStalled bool
+	heldUnread    bool
+	callerLost    bool
 	// eventInterval is the mean time between the events of a stream, 0 for fewer than two.
 	// For a plain response it is the time from startedAt to the end of the response.
 	eventInterval time.Duration
@@ -94,7 +111,9 @@
 	// whose confidence is below confidenceThreshold is dropped.
 	confidence          float64
 	confidenceThreshold float64
-	err                 error
+	// keptBecause is why a weak response was kept; empty if it was not weak, or that is not known.
+	keptBecause string
+	err         error
 }
 
 var (
@@ -104,6 +123,7 @@
 	errUnverified       = errors.New("the response is a success without a signature, or its body is not the bytes that the backend server sent")
 	errMisleadingStatus = errors.New("the status implies that the request did not run, but the backend server does not confirm it")
 	errTimedOut         = errors.New("timed out: the backend server sent nothing for too long")
+	errGivenUp          = errors.New("given up: the response is not expected to end before the deadline, and that of another backend server is")
 	errEventOrder       = errors.New("an event of the stream is missing, repeated or has a malformed id")
 	errMalformedStream  = errors.New("the stream ended without a numbered event or within an event, or an event exceeds the size limit")
 )
@@ -214,6 +234,9 @@
 	if a.withdrawn.Load() {
 		return outcome{result: passthrough.Broken, err: errWithdrawn, firstByte: a.firstByte}
 	}
+	if a.givenUp.Load() {
+		return outcome{result: passthrough.Broken, err: errGivenUp, givenUp: true, firstByte: a.firstByte}
+	}
 	if a.timedOut.Load() {
 		return outcome{result: passthrough.Broken, err: errTimedOut, firstByte: a.firstByte}
 	}
@@ -310,12 +333,19 @@
 	return err == nil && mediaType == "text/event-stream"
 }
 
-// maxResponseBytes is the size at which the body of a plain response is cut off.
+// maxResponseBytes is the size from which on a plain response is passed on before it has been read to its end.
 const maxResponseBytes = 16 << 20
 
-// readWhole reads a plain response to its end before any of it goes to the caller.
+// readWhole reads a plain response to its end before any of it goes to the caller, unless it is too long for that.
 func (a *attempt) readWhole(resp *http.Response) outcome {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	size := int64(streamBufferSize)
+	if resp.ContentLength >= 0 {
+		size = min(resp.ContentLength, maxResponseBytes) + 1 // the end is read without a larger buffer
+	}
+	body, err := readHeld(io.LimitReader(resp.Body, maxResponseBytes), size, &a.exchange.responses)
+	if errors.Is(err, errNoRoom) || err == nil && len(body) == maxResponseBytes {
+		return a.passOn(resp, body)
+	}
 	if err != nil {
 		return a.brokenOutcome(err)
 	}
@@ -333,3 +363,21 @@
 	}
 	return out
 }
+
+// passOn passes a response on as it arrives, as it is too long to be held; read is its beginning. If it breaks, the
+// caller's connection is closed.
+func (a *attempt) passOn(resp *http.Response, read []byte) outcome {
+	x := a.exchange
+	if resp.StatusCode >= http.StatusInternalServerError || x.stream.begun {
+		return outcome{result: passthrough.Failed, err: errNoRoom}
+	}
+	if resp.ContentLength >= 0 {
+		x.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+	}
+	x.writeHead(resp)
+	from := io.MultiReader(bytes.NewReader(read), resp.Body)
+	if _, err := io.CopyBuffer(struct{ io.Writer }{x.w}, from, make([]byte, streamBufferSize)); err != nil {
+		return outcome{result: passthrough.Broken, err: err, callerLost: true}
+	}
+	return outcome{result: passthrough.Completed, eventInterval: x.handler.clock.Now().Sub(a.startedAt)}
+}
--- a/router/internal/passthrough/driver.go
+++ b/router/internal/passthrough/driver.go
@@ -138,6 +138,20 @@
 	return d.world.ConfidenceThreshold(t.id)
 }
 
+// givesUp reports whether the request's attempt is to be given up for another server, and why.
+func (d *Driver) givesUp(t *ticket, p passthrough.Progress) (passthrough.GivenUp, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.world.GivesUp(d.clock.Now(), t.id, p)
+}
+
+// keptBecause returns why a response of the confidence is kept although it is weak; "" if it is not, or that is not known.
+func (d *Driver) keptBecause(t *ticket, confidence float64) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.world.KeptBecause(t.id, confidence)
+}
+
 // partVerdicts returns the parts of prompts that are quarantined.
 func (d *Driver) partVerdicts() []passthrough.PartVerdict {
 	d.mu.Lock()
--- a/router/internal/passthrough/exchange.go
+++ b/router/internal/passthrough/exchange.go
@@ -24,6 +24,8 @@
 	mayHaveRun bool
 	// stream is the progress of the streamed response to the caller.
 	stream stream
+	// responses is what is held of the backend servers' responses.
+	responses hold
 	// queueTimer ends the request's wait in the queue. It is started on arrival and again after
 	// each attempt.
 	queueTimer *time.Timer
@@ -35,7 +37,17 @@
 	remaining := c.deadline.Sub(h.clock.Now())
 	ctx, cancel := context.WithTimeout(c.request.Context(), max(remaining, 0))
 	defer cancel()
-	x := &exchange{handler: h, call: c, w: w, ctx: ctx, stream: stream{lastEventID: c.caller.LastEventID}}
+	x := &exchange{handler: h, call: c, w: w, ctx: ctx, stream: stream{lastEventID: c.caller.LastEventID},
+		responses: hold{bytes: h.held, direction: toCaller}}
+	defer x.responses.release()
+	if !c.route.Retryable() {
+		k := requestKey{c.caller.Key, c.caller.RequestID}
+		if !h.recent.begin(k, h.clock.Now()) {
+			x.fail(http.StatusBadGateway, reasonMayHaveRun)
+			return
+		}
+		defer func() { h.recent.end(k, x.mayHaveRun, h.clock.Now()) }()
+	}
 	r := c.decisionRequest()
 	x.ticket = h.driver.open(r)
 	defer h.driver.close(x.ticket)
@@ -64,6 +76,11 @@
 	case passthrough.Dispatch:
 		return x.dispatch(c)
 	case passthrough.Refuse:
+		if x.mayHaveRun {
+			x.finish(c.Reason)
+			return true
+		}
+		x.call.forecast, x.call.timeLeft = c.Forecast, c.TimeLeft
 		x.refuse(refusal{http.StatusServiceUnavailable, c.Reason, c.RetryAfter})
 	case passthrough.Finish:
 		x.finish(c.Reason)
@@ -164,16 +181,17 @@
 	if a.conn != nil {
 		out.peer = a.conn.peer
 	}
+	out.heldUnread = out.connectionLost && x.handler.streams.anyStalled(d.Server, x.handler.clock.Now())
 	x.handler.telemetry.logAttempt(x.call, d, out)
 	x.mayHaveRun = x.mayHaveRun || out.result.MayHaveRun()
 	if out.load != nil && !out.loadReported {
-		x.handler.driver.Handle(passthrough.LoadReported{Server: d.Server.ID, Load: *out.load})
+		x.handler.driver.Handle(passthrough.LoadReported{Server: d.Server.ID, StartTime: d.Server.StartTime, Load: *out.load})
 	}
 	limit := out.limit
 	if out.loadReported {
 		limit = nil
 	}
-	if x.ctx.Err() != nil && out.result != passthrough.Completed {
+	if (x.ctx.Err() != nil || out.callerLost) && out.result != passthrough.Completed {
 		x.handler.driver.Handle(passthrough.AttemptEnded{Request: x.ticket.id, Result: passthrough.Abandoned, Limit: limit})
 		x.expire()
 		return true
@@ -184,8 +202,9 @@
 	x.handler.driver.Handle(passthrough.AttemptEnded{
 		Request: x.ticket.id, Result: out.result, Begun: x.stream.begun,
 		Misdirected: out.misdirected, Leaving: out.leaving, ConnectionLost: out.connectionLost, EventInterval: out.eventInterval,
-		Confidence: out.confidence, Limit: limit,
+		Confidence: out.confidence, Limit: limit, Events: out.events, GivenUp: out.givenUp,
 		ViaPeer: out.peer != "", TunnelLost: out.tunnelLost, PathLost: out.pathLost, NoPermit: out.noPermit, NoShare: out.noShare, Declined: out.declined,
+		CallerStalled: out.callerStalled, HeldUnread: out.heldUnread,
 	})
 	if out.result != passthrough.Completed {
 		return false
@@ -217,7 +236,7 @@
 	}
 	now := x.handler.clock.Now()
 	return &attempt{
-		exchange: x, server: d.Server, startedAt: now, firstByteTimeout: d.FirstByteTimeout, permitPeers: d.Peers, sharePeers: d.SharePeers,
+		exchange: x, server: d.Server, startedAt: now, forecast: d.Forecast, firstByteTimeout: d.FirstByteTimeout, permitPeers: d.Peers, sharePeers: d.SharePeers,
 		statement: seam.Attempt{
 			Server: d.Server.ID, Team: team, Model: d.Model,
 			Priority: passthrough.EffectivePriority(c.team, c.route), LastEventID: lastEventID,
--- a/router/internal/passthrough/stream.go
+++ b/router/internal/passthrough/stream.go
@@ -44,34 +44,54 @@
 	if meta.Confidence < threshold {
 		return outcome{result: passthrough.Dropped, confidenceThreshold: threshold}
 	}
+	keptBecause := x.handler.driver.keptBecause(x.ticket, meta.Confidence)
 	out := a.relayEvents(resp)
+	out.keptBecause = keptBecause
 	out.confidenceThreshold = threshold
 	return out
 }
 
-// relayEvents relays events to the caller as they arrive. It relays whole events only.
+// relayEvents relays events to the caller as they arrive. It relays whole events only, and reads no more from the server
+// than the caller takes.
 func (a *attempt) relayEvents(resp *http.Response) outcome {
+	streams := &a.exchange.handler.streams
+	streams.add(a)
+	defer streams.remove(a)
+	out := a.copyEvents(resp)
+	if (out.connectionLost || errors.Is(out.err, errMalformedStream)) && a.stall.stalled() {
+		out.connectionLost, out.callerStalled = false, true
+	}
+	return out
+}
+
+// copyEvents copies the events.
+func (a *attempt) copyEvents(resp *http.Response) outcome {
 	x := a.exchange
 	var pending []byte
 	buf := make([]byte, streamBufferSize)
 	reported := false
 	began := x.handler.clock.Now()
 	for {
-		n, err := resp.Body.Read(buf)
+		n, err := a.readStream(resp.Body, buf)
 		if n > 0 {
+			if !x.holdPending(len(pending) + n) {
+				return outcome{result: passthrough.Broken, err: errNoRoom, callerLost: true}
+			}
 			pending = append(pending, buf[:n]...)
 			whole, partial := splitEvents(pending)
 			count, orderErr := x.advanceEventID(whole)
 			if orderErr == nil && len(whole) > 0 {
-				x.writeHead(resp)
-				x.writeEvents(whole)
+				if writeErr := a.writeEvents(resp, whole); writeErr != nil {
+					return outcome{result: passthrough.Broken, err: writeErr, callerLost: true}
+				}
 				if a.events == 0 && count > 0 {
 					x.handler.driver.Handle(passthrough.FirstEvent{Request: x.ticket.id})
 				}
 				a.events += count
-				if a.events >= intervalEvents && !reported {
+				a.pace.add(count, x.handler.clock.Now())
+				if interval := a.eventInterval(began); a.events >= intervalEvents && !reported && interval > 0 {
 					reported = true
-					x.handler.driver.Handle(passthrough.EventIntervalMeasured{Request: x.ticket.id, EventInterval: eventInterval(x.handler.clock.Now().Sub(began), a.events)})
+					x.handler.driver.Handle(passthrough.EventIntervalMeasured{Request: x.ticket.id, EventInterval: interval})
 				}
 			}
 			if orderErr != nil {
@@ -83,7 +103,7 @@
 		case err == nil && len(pending) <= maxEventBytes:
 			continue
 		case errors.Is(err, io.EOF) && len(pending) == 0 && a.events > 0:
-			return outcome{result: passthrough.Completed, eventInterval: eventInterval(x.handler.clock.Now().Sub(began), a.events)}
+			return outcome{result: passthrough.Completed, eventInterval: a.eventInterval(began)}
 		case errors.Is(err, io.EOF):
 			// Without a length or chunks, a server that crashes ends its response like this.
 			return outcome{result: passthrough.Broken, err: errMalformedStream, connectionLost: endsWithConnection(resp)}
@@ -95,6 +115,19 @@
 	}
 }
 
+// readStream reads from the server, and records for how long it was waited for.
+func (a *attempt) readStream(from io.Reader, buf []byte) (int, error) {
+	began := a.exchange.handler.clock.Now()
+	n, err := from.Read(buf)
+	a.stall.endRead(a.exchange.handler.clock.Now().Sub(began))
+	return n, err
+}
+
+// holdPending reserves what a stream holds beyond its fixed buffers, up to n bytes in all.
+func (x *exchange) holdPending(n int) bool {
+	return x.responses.add(int64(n-2*streamBufferSize) - x.responses.n)
+}
+
 // endsWithConnection reports whether the response has neither a length nor chunks.
 func endsWithConnection(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
@@ -114,12 +147,13 @@
 	})
 }
 
-// eventInterval returns the mean time between events, 0 for fewer than two.
-func eventInterval(elapsed time.Duration, events int) time.Duration {
-	if events < 2 {
+// eventInterval returns the mean time between the events of a stream that began then, 0 for fewer than two or if the caller
+// has kept the stream waiting.
+func (a *attempt) eventInterval(began time.Time) time.Duration {
+	if a.events < 2 || a.stall.everBlocked {
 		return 0
 	}
-	return elapsed / time.Duration(events-1)
+	return a.exchange.handler.clock.Now().Sub(began) / time.Duration(a.events-1)
 }
 
 // writeHead sends the first backend server's response head to the caller. If another server continues the
@@ -133,12 +167,22 @@
 	x.stream.begun = true
 }
 
-// writeEvents sends events to the caller and flushes them.
-func (x *exchange) writeEvents(events []byte) {
-	writeAll(x.w, events)
-	if err := http.NewResponseController(x.w).Flush(); err != nil {
+// writeEvents sends events to the caller and flushes them. An error means that nothing more can be sent.
+func (a *attempt) writeEvents(resp *http.Response, events []byte) error {
+	x, clock := a.exchange, a.exchange.handler.clock
+	a.stall.beginWrite(clock.Now())
+	x.writeHead(resp)
+	_, err := x.w.Write(events)
+	if err == nil {
+		err = http.NewResponseController(x.w).Flush()
+	}
+	ended := clock.Now()
+	a.conn.lastReceived.Store(ended.UnixNano()) // the server was not idle while nothing was read from it
+	a.stall.endWrite(ended)
+	if err != nil {
 		x.handler.telemetry.logCallerLost(x.call, err)
 	}
+	return err
 }
 
 // splitEvents splits a text into whole events and the beginning of the next one.
--- a/router/internal/passthrough/telemetry.go
+++ b/router/internal/passthrough/telemetry.go
@@ -36,6 +36,8 @@
 	keyConfigVersion = "config"
 	keyConfigAge     = "config_age_ms"
 	keyTook          = "took_ms"
+	keyForecast      = "forecast_ms"
+	keyTimeLeft      = "time_left_ms"
 )
 
 // requestAttrs returns the attributes that all events about a request have, followed by those in more:
@@ -192,10 +194,18 @@
 }
 
 // logRefused counts and logs a refused request.
-func (t *telemetry) logRefused(c *call, ref refusal) {
+func (t *telemetry) logRefused(c *call, ref refusal, held *heldBytes) {
 	t.count("refused." + string(ref.reason))
 	attrs := t.requestAttrs(c, slog.Int("status", ref.status), slog.String(keyReason, string(ref.reason)),
 		slog.Int64("retry_after_ms", ref.retryAfter.Milliseconds()))
+	if ref.reason == passthrough.ReasonNoTime {
+		attrs = append(attrs, slog.Int64(keyForecast, c.forecast.Milliseconds()), slog.Int64(keyTimeLeft, c.timeLeft.Milliseconds()))
+	}
+	if ref.reason == reasonNoRoom {
+		sums := held.sums()
+		attrs = append(attrs, slog.Int64("body_bytes", c.request.ContentLength), slog.Int64("held_request_bytes", sums[toServer]),
+			slog.Int64("held_response_bytes", sums[toCaller]), slog.Int64("held_bound", held.limitOf(toServer)))
+	}
 	if ref.reason == passthrough.ReasonPartQuarantined {
 		attrs = append(attrs, slog.String("parts", strings.Join(c.caller.SharedParts, ",")))
 	}
@@ -205,6 +215,9 @@
 // logAttempt counts and logs an attempt that has ended.
 func (t *telemetry) logAttempt(c *call, d passthrough.Dispatch, out outcome) {
 	t.count("attempt." + out.result.String())
+	if out.callerStalled {
+		t.count("attempt.caller_stalled")
+	}
 	if out.firstByte > 0 {
 		t.observeDuration("first_byte_ms", out.firstByte)
 	}
@@ -223,6 +236,11 @@
 			slog.Int64("wait_ms", d.PrefillWait.Milliseconds()), slog.Int64("mean_wait_ms", d.MeanPrefillWait.Milliseconds()), slog.Float64("repeats_left", math.Round(d.RetriesLeft)),
 			slog.Int("prompt_tokens", c.caller.PromptTokens), slog.Int("most_tokens", c.caller.MaxTokens))
 	}
+	if d.Forecast > 0 {
+		t.observeForecast(c, d, out)
+		attrs = append(attrs, slog.Int64(keyForecast, d.Forecast.Milliseconds()), slog.Int("expected_tokens", c.caller.ExpectedTokens))
+	}
+	attrs = append(attrs, t.largerAttrs(c, d, out)...)
 	if len(c.caller.SharedParts) > 0 {
 		attrs = append(attrs, slog.String("parts", strings.Join(c.caller.SharedParts, ",")), slog.Int("events", out.events),
 			slog.Int64("server_start_ms", d.Server.StartTime))
@@ -255,12 +273,63 @@
 	if out.eventInterval > 0 {
 		attrs = append(attrs, slog.Int64("pace_ms", out.eventInterval.Milliseconds()))
 	}
+	if out.callerStalled {
+		attrs = append(attrs, slog.Bool("caller_stalled", true))
+	}
+	if out.heldUnread {
+		attrs = append(attrs, slog.Bool("held_unread", true))
+	}
 	if out.err != nil {
 		attrs = append(attrs, slog.String(logging.KeyError, out.err.Error()))
 	}
 	t.emit(logging.EventPassthroughAttempt, attrs...)
 }
 
+// observeForecast counts attempts by what was forecast: in time or late, and whether they completed.
+func (t *telemetry) observeForecast(c *call, d passthrough.Dispatch, out outcome) {
+	name := "forecast.in_time."
+	if d.Forecast > c.deadline.Sub(d.At) {
+		name = "forecast.late."
+	}
+	t.count(name + out.result.String())
+}
+
+// logGivenUp counts and logs an attempt that is given up as another server is forecast to end the response in time.
+func (t *telemetry) logGivenUp(c *call, s passthrough.Server, p passthrough.Progress, why passthrough.GivenUp) {
+	t.count("attempt.given_up")
+	t.emit(logging.EventAttemptGivenUp, t.requestAttrs(c, slog.String(keyServer, s.ID), slog.Int("events", p.Events),
+		slog.Int64("event_interval_ms", p.Interval.Milliseconds()), slog.Int64("first_forecast_ms", why.First.Milliseconds()),
+		slog.Int64("elsewhere_ms", why.Elsewhere.Milliseconds()), slog.Int64(keyTimeLeft, why.Left.Milliseconds()))...)
+}
+
+// largerAttrs counts what a larger model was asked for in vain, weak responses that were kept and waits for a larger model,
+// and returns the attributes that say why. Nothing is counted where each instance decides this alone.
+func (t *telemetry) largerAttrs(c *call, d passthrough.Dispatch, out outcome) []slog.Attr {
+	var attrs []slog.Attr
+	if d.Pooled {
+		attrs = append(attrs, slog.Bool("pooled", true))
+	}
+	if out.keptBecause != "" && out.result == passthrough.Completed {
+		t.count("weak_kept." + out.keptBecause)
+		attrs = append(attrs, slog.String("kept", out.keptBecause))
+	}
+	if d.WaitedForLarger > 0 {
+		t.count("larger.waited")
+		t.observeDuration("larger_wait_ms", d.WaitedForLarger)
+		attrs = append(attrs, slog.Int64("larger_wait_ms", d.WaitedForLarger.Milliseconds()))
+	}
+	if !d.LargerModel {
+		return attrs
+	}
+	switch {
+	case out.result != passthrough.Completed:
+		t.count("larger.broken")
+	case d.SinceArrival+out.firstByte > c.route.TargetLatency:
+		t.count("larger.late")
+	}
+	return attrs
+}
+
 // logFinished counts a request that has ended, and logs it if it failed; reason is empty for a
 // success.
 func (t *telemetry) logFinished(c *call, status int, reason passthrough.Reason) {
