A test of the router uses a header name of its own

What callers saw: nothing. Cause: the test of refusals named a header of the platform, which only the adapter may know. Change: the fake codec has its own name. Result: the check passes.

--- a/router/internal/passthrough/notrun_test.go
+++ b/router/internal/passthrough/notrun_test.go
@@ -18,7 +18,7 @@
 	"masticplank.example/router/internal/tunnel"
 )
 
-// statedHeaders read "Not-Executed" and "Confidence" of a response, and take each for one to the request.
+// statedHeaders read "Rejected" and "Confidence" of a response, and take each for one to the request.
 type statedHeaders struct{ signedHeaders }
 
 func (statedHeaders) ReadCaller(h http.Header) seam.Caller {
@@ -26,7 +26,7 @@
 }
 
 func (statedHeaders) ReadResponse(_ int, h http.Header) seam.Response {
-	r := seam.Response{RequestID: "a", Signed: true, Confidence: -1, NotRun: h.Get("Not-Executed") != ""}
+	r := seam.Response{RequestID: "a", Signed: true, Confidence: -1, NotRun: h.Get("Rejected") != ""}
 	if h.Get("Confidence") != "" {
 		r.Confidence = 0
 	}
@@ -57,7 +57,7 @@
 	}
 	broken := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 	full := func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Not-Executed", "1")
+		w.Header().Set("Rejected", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 	hang := func(_ http.ResponseWriter, r *http.Request) {
