--- a/decision/passthrough/speeds_sim_test.go
+++ b/decision/passthrough/speeds_sim_test.go
@@ -335,14 +335,20 @@
 
 func (x simTimes) String() string { return fmt.Sprintf("%.0f ms, p99 %.0f ms", x.mean, x.p99) }
 
-// settledTimes are the mean and the 99th percentile of the times to the first event from the fourth second on.
-func (s *speedSim) settledTimes() simTimes {
-	s.run(3 * time.Second)
-	return timesOf(s.run(3 * time.Second))
+// settledTimes are the mean and the 99th percentile of the times to the first event from the fifth second on.
+func (s *speedSim) settledTimes(length time.Duration) simTimes {
+	s.run(5 * time.Second)
+	return timesOf(s.run(length))
 }
 
-// speedSizes are simulated fleets. An instance of the largest one gets a request each eight seconds.
-var speedSizes = []struct{ instances, engines int }{{8, 16}, {68, 140}, {300, 36}, {880, 36}}
+// speedSizes are simulated fleets. An instance of the largest one gets a request each eight seconds. Few engines are
+// simulated for longer, for as many requests.
+var speedSizes = []struct {
+	instances, engines int
+	length             time.Duration
+}{
+	{8, 16, 30 * time.Second}, {68, 140, 5 * time.Second}, {300, 36, 5 * time.Second}, {880, 36, 5 * time.Second},
+}
 
 // maxPart is which part of the times to the first event without stated speeds may be left with them.
 const maxPart = 0.8
@@ -354,7 +360,7 @@
 		for i := range got {
 			s := newSpeedSim(t, size.instances, size.engines)
 			s.silent, s.late = i == 1, 10*time.Millisecond
-			got[i] = s.settledTimes()
+			got[i] = s.settledTimes(size.length)
 		}
 		speeds, silent := got[0], got[1]
 		t.Logf("%d instances, %d engines: speeds %v; none stated %v", size.instances, size.engines, speeds, silent)
@@ -372,7 +378,7 @@
 	for i := range got {
 		s := newSpeedSim(t, 68, 140)
 		s.knowsAll, s.late = i == 0, 10*time.Millisecond
-		got[i] = s.settledTimes()
+		got[i] = s.settledTimes(5 * time.Second)
 	}
 	if got[1].mean > 1.1*got[0].mean || got[1].p99 > 1.3*got[0].p99 {
 		t.Errorf("%v, want at most 1.1 times the mean and 1.3 times the percentile of %v", got[1], got[0])
