--- a/decision/completion/completion_test.go
+++ b/decision/completion/completion_test.go
@@ -5,8 +5,6 @@
 	"time"
 )
 
-var usual = Place{Now: 1, Usual: 1}
-
 // TestForecastAddsWaitPrefillAndGeneration checks the parts of a forecast, and which speed each is scaled by.
 func TestForecastAddsWaitPrefillAndGeneration(t *testing.T) {
 	var r Rates
--- a/decision/passthrough/completion.go
+++ b/decision/passthrough/completion.go
@@ -104,8 +104,9 @@
 // result is valid until the next call.
 func (w *World) endingWithin(r *request, list []serverView, model int, left time.Duration) []serverView {
 	w.timely = w.timely[:0]
+	work := r.workWith(model, r.timely.events)
 	for _, v := range list {
-		if w.forecastAt(r, v, model).EndsWithin(left) {
+		if r.service.rates.Forecast(work, w.placeOf(v)).EndsWithin(left) {
 			w.timely = append(w.timely, v)
 		}
 	}
@@ -119,8 +120,9 @@
 // endingFirst returns the servers of the list at which the response with the model ends first, or not much later.
 func (w *World) endingFirst(r *request, list []serverView, model int) []serverView {
 	first := time.Duration(math.MaxInt64)
+	work := r.workWith(model, r.timely.events)
 	for _, v := range list {
-		first = min(first, w.forecastAt(r, v, model).End)
+		first = min(first, r.service.rates.Forecast(work, w.placeOf(v)).End)
 	}
 	return w.endingWithin(r, list, model, time.Duration(endSlack*completion.Margin*float64(first)))
 }
@@ -207,9 +209,9 @@
 	if !r.forecastsEnd() {
 		return true
 	}
-	left, last := r.Deadline.Sub(w.now), len(r.Route.Models)-1
+	left, work := r.Deadline.Sub(w.now), r.workWith(len(r.Route.Models)-1, r.timely.events)
 	return slices.ContainsFunc(views, func(v serverView) bool {
-		return v.hasFreeSlot() && w.forecastAt(r, v, last).EndsWithin(left)
+		return v.hasFreeSlot() && r.service.rates.Forecast(work, w.placeOf(v)).EndsWithin(left)
 	})
 }
 
@@ -249,12 +251,13 @@
 	present := r.server
 	others := slices.DeleteFunc(slices.Clone(views), func(v serverView) bool { return v.server == present })
 	var best completion.Forecast
+	work := r.workWith(r.model, done)
 	for _, v := range w.usableCandidates(r, others) {
 		s := v.server
 		if slices.Contains(r.tried, s) || s.health.ejected(w.now) || w.path.links.Avoids(w.now, s.ID) {
 			continue
 		}
-		f := r.service.rates.Forecast(r.workWith(r.model, done), w.placeOf(v))
+		f := r.service.rates.Forecast(work, w.placeOf(v))
 		if best.End == 0 || f.End < best.End {
 			best = f
 		}
