--- a/router/internal/passthrough/notrun_test.go
+++ b/router/internal/passthrough/notrun_test.go
@@ -112,7 +112,7 @@
 		"then all servers leave":                   {answers: []http.HandlerFunc{broken}, kind: passthrough.KindIdempotent, meanwhile: func(w world) { leave(w.h, w.list) }},
 		"then its route is removed":                {answers: []http.HandlerFunc{broken}, kind: passthrough.KindIdempotent, meanwhile: func(w world) { removeRoutes(w.h) }},
 		"then the instance stops":                  {answers: []http.HandlerFunc{broken}, kind: passthrough.KindStream, meanwhile: func(w world) { stopSoon(w.h) }},
-		"then the next server is reached no more":  {answers: []http.HandlerFunc{broken}, kind: passthrough.KindIdempotent, meanwhile: func(w world) { refuseConnections(w.h) }},
+		"then the next server is reached no more":  {answers: []http.HandlerFunc{broken}, kind: passthrough.KindIdempotent, prepare: func(w world, ran *atomic.Bool) { refuseConnections(w.h, ran) }},
 		"a doubtful response, then full":           {answers: []http.HandlerFunc{doubtful, full}, kind: passthrough.KindStream},
 		"a stream breaks, then servers are full":   {answers: []http.HandlerFunc{partOfStream, full}, kind: passthrough.KindStream},
 		"it seems to crash servers":                {answers: []http.HandlerFunc{broken}, kind: passthrough.KindIdempotent},
@@ -187,8 +187,15 @@
 
 func removeRoutes(h *Handler) { h.config.Apply(passthrough.Config{Version: 2}) }
 
-func refuseConnections(h *Handler) {
-	h.dialer.connect = func(context.Context, string, string) (net.Conn, error) { return nil, net.ErrClosed }
+// refuseConnections lets no connection be opened once a server has begun to run the request.
+func refuseConnections(h *Handler, ran *atomic.Bool) {
+	connect := h.dialer.connect
+	h.dialer.connect = func(ctx context.Context, network, address string) (net.Conn, error) {
+		if ran.Load() {
+			return nil, net.ErrClosed
+		}
+		return connect(ctx, network, address)
+	}
 }
 
 func restrain(h *Handler, list []passthrough.Server) {
--- a/router/internal/passthrough/slowreaders_test.go
+++ b/router/internal/passthrough/slowreaders_test.go
@@ -188,7 +188,9 @@
 
 // stalledStream is a stream whose events the caller does not read until the server cuts it off.
 type stalledStream struct {
-	// blocked is true once a write of the server has blocked.
+	// written counts the server's bytes. It cuts the response off once cutNow is closed; blocked is true from then on.
+	written atomic.Int64
+	cutNow  chan struct{}
 	blocked atomic.Bool
 	// resumed are the last event ids of later requests.
 	resumed chan string
@@ -212,15 +214,40 @@
 		return
 	}
 	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
-	for id := 0; ; id++ {
+	go func() {
+		<-s.cutNow
+		s.blocked.Store(true)
+		s.cut(c)
+	}()
+	for id := 0; err == nil; id++ {
 		event := fmt.Sprintf("id: %d\ndata: %s\n\n", id, strings.Repeat("e", 32<<10))
-		_ = c.SetWriteDeadline(time.Now().Add(200 * time.Millisecond))
-		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
-			break
+		var n int
+		n, err = fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
+		s.written.Add(int64(n))
+	}
+}
+
+// waitBlocked waits until the server's writes and those to the caller block.
+func (s *stalledStream) waitBlocked(t *testing.T, h *Handler) {
+	t.Helper()
+	const unchanged = 300 * time.Millisecond
+	waitFor(t, "writes block", func() bool {
+		before := s.written.Load()
+		time.Sleep(unchanged)
+		return before > 0 && before == s.written.Load() && h.streams.anyWriting()
+	})
+}
+
+// anyWriting reports whether a write to a caller is in progress.
+func (s *streamSet) anyWriting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for a := range s.attempts {
+		if a.stall.isWriting() {
+			return true
 		}
 	}
-	s.blocked.Store(true)
-	s.cut(c)
+	return false
 }
 
 // blame is what was concluded about servers.
@@ -258,13 +285,15 @@
 		"the caller reads":                  {0, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := &stalledStream{resumed: make(chan string, 1), cut: reset}
+			s := &stalledStream{resumed: make(chan string, 1), cutNow: make(chan struct{}), cut: reset}
 			h, _, _ := newServedHandlerFor(t, slowReaderHeaders{}, streamRoute(), s.serve)
 			b := watchBlame(h)
 			c := dialHandler(t, serveCallers(t, h))
 			_, _ = io.WriteString(c, "POST /x HTTP/1.1\r\nHost: a.example\r\n\r\n")
-			waitFor(t, "the server cuts off the response", s.blocked.Load)
+			s.waitBlocked(t, h)
 			h.clock.(*fakeClock).advance(tt.unreadFor)
+			close(s.cutNow)
+			waitFor(t, "the server cuts off the response", s.blocked.Load)
 			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 			if err != nil {
 				t.Fatal(err)
@@ -286,10 +315,12 @@
 // TestStreamIsNotResumedBeforeItsCallerReads guards against work that is started again for a caller that does not read, and
 // against a server that is given up as silent because its caller does not read.
 func TestStreamIsNotResumedBeforeItsCallerReads(t *testing.T) {
-	s := &stalledStream{resumed: make(chan string, 1), cut: reset}
+	s := &stalledStream{resumed: make(chan string, 1), cutNow: make(chan struct{}), cut: reset}
 	h, _, received := newServedHandlerFor(t, slowReaderHeaders{}, streamRoute(), s.serve)
 	c := dialHandler(t, serveCallers(t, h))
 	_, _ = io.WriteString(c, "POST /x HTTP/1.1\r\nHost: a.example\r\n\r\n")
+	s.waitBlocked(t, h)
+	close(s.cutNow)
 	waitFor(t, "the server cuts off the response", s.blocked.Load)
 	for range 4 {
 		h.clock.(*fakeClock).advance(2 * stallThreshold)
@@ -304,11 +335,11 @@
 
 // TestStreamReadsNoMoreThanItsCallerTakes guards against an instance that reads a stream into its memory.
 func TestStreamReadsNoMoreThanItsCallerTakes(t *testing.T) {
-	s := &stalledStream{resumed: make(chan string, 1), cut: func(net.Conn) {}}
+	s := &stalledStream{resumed: make(chan string, 1), cutNow: make(chan struct{}), cut: func(net.Conn) {}}
 	h, _, _ := newServedHandlerFor(t, slowReaderHeaders{}, streamRoute(), s.serve)
 	c := dialHandler(t, serveCallers(t, h))
 	_, _ = io.WriteString(c, "POST /x HTTP/1.1\r\nHost: a.example\r\n\r\n")
-	waitFor(t, "the server's writes block", s.blocked.Load)
+	s.waitBlocked(t, h)
 	if held := h.held.sums()[toCaller]; held > maxEventBytes {
 		t.Errorf("%d bytes are held", held)
 	}
