Admission is decided for the sum of all instances

Callers saw: an urgent request waits at one instance while another one gives slots to requests that can wait, and refusals after the whole wait in a queue. Cause: queue, throttle and fair shares know this instance's requests only. Change: decision/admission measures demand by service, priority, team and returned callers; every instance derives the same level from its own demand and the others' reports; what is above it is refused on arrival with a time to return. Only if the platform's settings ask for it.

--- a/decision/admission/demand.go
+++ b/decision/admission/demand.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"hash/fnv"
+	"maps"
 	"slices"
 )
 
@@ -13,6 +15,20 @@
 	Team    uint32
 	// Priority is 0 for the most urgent requests.
 	Priority uint8
+	// Returned is true for callers that were refused before and have come back.
+	Returned bool
+}
+
+// ServiceOf is the hash of a service's name, TeamOf that of a team's, as in a Class.
+func ServiceOf(name string) uint32 { return max(hash(name), 1) }
+
+// TeamOf is never 0, which stands for the teams that a report has no room for.
+func TeamOf(name string) uint32 { return max(hash(name), 1) }
+
+func hash(name string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name)) // never fails, by its contract
+	return h.Sum32()
 }
 
 // Demand is the demand of a class at one or several instances. All values are sums, so that reports can be added up.
@@ -32,6 +48,12 @@
 	return d
 }
 
+// Scaled returns a multiple of the demand.
+func (d Demand) Scaled(by float64) Demand {
+	d.Offered, d.Admitted, d.Waiting = d.Offered*by, d.Admitted*by, d.Waiting*by
+	return d
+}
+
 // Sum adds up demands by class, in the order of the classes.
 func Sum(lists ...[]Demand) []Demand {
 	byClass := map[Class]Demand{}
@@ -53,5 +75,49 @@
 
 // compare orders classes by service, priority and team.
 func (c Class) compare(o Class) int {
-	return cmp.Or(cmp.Compare(c.Service, o.Service), cmp.Compare(c.Priority, o.Priority), cmp.Compare(c.Team, o.Team))
+	return cmp.Or(cmp.Compare(c.Service, o.Service), cmp.Compare(c.Priority, o.Priority), cmp.Compare(c.Team, o.Team),
+		cmp.Compare(returnedOrder(c), returnedOrder(o)))
+}
+
+// returnedOrder orders returned callers before others of the class.
+func returnedOrder(c Class) int {
+	if c.Returned {
+		return 0
+	}
+	return 1
+}
+
+// Bounded keeps the rows of the most teams teams of each service and priority that ask for the most, and adds up the others
+// as Team 0.
+//
+// Load: thousands of teams. Harm prevented: reports whose size grows with the number of teams, at each of hundreds of
+// instances.
+func Bounded(rows []Demand, teams int) []Demand {
+	type level struct {
+		service  uint32
+		priority uint8
+	}
+	byLevel := map[level]map[uint32]float64{}
+	for _, d := range rows {
+		key := level{d.Class.Service, d.Class.Priority}
+		if byLevel[key] == nil {
+			byLevel[key] = map[uint32]float64{}
+		}
+		byLevel[key][d.Class.Team] += d.Offered + d.Waiting
+	}
+	kept := map[level]map[uint32]bool{}
+	for key, offered := range byLevel {
+		order := slices.SortedFunc(maps.Keys(offered), func(a, b uint32) int { return cmp.Or(cmp.Compare(offered[b], offered[a]), cmp.Compare(a, b)) })
+		kept[key] = map[uint32]bool{}
+		for _, team := range order[:min(len(order), teams)] {
+			kept[key][team] = true
+		}
+	}
+	out := slices.Clone(rows)
+	for i, d := range out {
+		if !kept[level{d.Class.Service, d.Class.Priority}][d.Class.Team] {
+			out[i].Class.Team = 0
+		}
+	}
+	return Sum(out)
 }
--- /dev/null
+++ b/decision/passthrough/admission_sim_test.go
@@ -0,0 +1,524 @@
+package passthrough
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"masticplank.example/decision/admission"
+)
+
+// roomKind is a kind of callers in roomSim. rate is in requests a second; hot is how many times its usual the first of
+// roomTeams teams sends.
+type roomKind struct {
+	route *Route
+	rate  float64
+	hot   float64
+	tally *roomTally
+	due   float64
+}
+
+// roomTally counts what became of a kind's callers and of their attempts.
+type roomTally struct {
+	callers, served, inAim           int
+	small, smallServed               int
+	first, firstIn, returned, backIn int
+	refused                          []time.Duration
+	// bins are the first four counts by half seconds.
+	bins map[int]*[4]int
+}
+
+func (t roomTally) share() float64 { return float64(t.served) / float64(max(t.callers, 1)) }
+
+const (
+	roomTeams    = 12
+	roomInterval = 150 * time.Millisecond
+	// roomQueue is how many requests wait at a server before it rejects others.
+	roomQueue = 24
+)
+
+// roomCaller is a caller, with its attempt in progress.
+type roomCaller struct {
+	kind            *roomKind
+	team            int
+	aim, deadline   time.Time
+	arrived         time.Time
+	returned, waits bool
+	tries           int
+	impatient       bool
+	tally           *roomTally
+	at              *harness
+	id              RequestID
+}
+
+// roomServer is a backend server with its attempts in order; the first slots of them run.
+type roomServer struct{ jobs []*roomJob }
+
+type roomJob struct {
+	caller *roomCaller
+	id     RequestID
+	left   time.Duration
+	begun  bool
+}
+
+// roomSim simulates callers, instances and the servers of one service.
+type roomSim struct {
+	rng       *rand.Rand
+	cfg       Settings
+	list      []Server
+	slots     int
+	step      time.Duration
+	work      time.Duration
+	engine    bool
+	impatient float64
+	kinds     []*roomKind
+	instances []*harness
+	handled   map[*harness]int
+	callers   map[*harness]map[RequestID]*roomCaller
+	coming    []*roomCaller
+	comingAt  []time.Time
+	servers   map[string]*roomServer
+	now       time.Time
+	reportAt  time.Time
+	pending   []roomReport
+	// lost is the fraction of reports that are lost; silent instances neither send nor get any, paused ones stand still.
+	lost           float64
+	silent, paused map[*harness]bool
+	rejected       int
+}
+
+// roomReport is the sum of the instances' reports at a time.
+type roomReport struct {
+	demand []admission.Demand
+	loads  map[uint32]PeerLoad
+	own    map[*harness]relayed
+}
+
+type relayed struct {
+	demand []admission.Demand
+	loads  []PeerLoad
+}
+
+// newEngineSim returns a simulation of 20 engines of 12 slots with 1 s of work, which serve 240 requests a second: drafts,
+// summaries and tags of priorities 1, 0 and 2. newPlainSim returns one of 3 servers of 6 slots with 15 ms of work, which
+// serve 1,200.
+func newEngineSim(t *testing.T, instances int, shared bool) *roomSim {
+	route := func(name string, priority int, target, timeout time.Duration) *Route {
+		return &Route{Name: name, Kind: KindStream, Priority: priority, MaxAttempts: 3, TargetLatency: target, Timeout: timeout, Backends: []Backend{{"llm", 1}}}
+	}
+	kinds := []*roomKind{
+		{route: route("summaries", 0, 2*time.Second, 20*time.Second), rate: 0.4},
+		{route: route("drafts", 1, 3*time.Second, 25*time.Second), rate: 0.25},
+		{route: route("tags", 2, 4*time.Second, 5*time.Second), rate: 0.25},
+	}
+	return newRoomSim(t, instances, shared, true, servers("llm", 20, 12), time.Second, kinds)
+}
+
+func newPlainSim(t *testing.T, instances int, shared bool) *roomSim {
+	route := func(name string, priority int) *Route {
+		return &Route{Name: name, Kind: KindAtMostOnce, Priority: priority, MaxAttempts: 3, TargetLatency: 120 * time.Millisecond, Timeout: time.Second, Backends: []Backend{{"shop", 1}}}
+	}
+	kinds := []*roomKind{{route: route("bookings", 0), rate: 0.45}, {route: route("lookups", 2), rate: 0.45}}
+	return newRoomSim(t, instances, shared, false, servers("shop", 3, 6), 15*time.Millisecond, kinds)
+}
+
+func newRoomSim(t *testing.T, instances int, shared, engine bool, list []Server, work time.Duration, kinds []*roomKind) *roomSim {
+	s := &roomSim{rng: rand.New(rand.NewPCG(11, uint64(instances))), list: list, slots: list[0].Slots, work: work, engine: engine, kinds: kinds, step: min(5*time.Millisecond, work/10),
+		handled: map[*harness]int{}, callers: map[*harness]map[RequestID]*roomCaller{}, servers: map[string]*roomServer{}, now: testStart,
+		silent: map[*harness]bool{}, paused: map[*harness]bool{}}
+	s.cfg = Settings{RetryRatio: 0.9, RetrySlack: 180, RetryWindow: 10 * time.Second, SessionTTL: time.Second, SharedAdmission: shared}
+	for _, srv := range list {
+		s.servers[srv.ID] = &roomServer{}
+	}
+	for _, k := range kinds {
+		k.hot, k.rate = 1, k.rate*s.capacity()
+	}
+	s.reset()
+	for range instances {
+		s.instances = append(s.instances, s.start(t, instances))
+	}
+	return s
+}
+
+// capacity is how many requests a second the servers serve.
+func (s *roomSim) capacity() float64 {
+	return float64(len(s.list)*s.slots) / s.work.Seconds()
+}
+
+// start returns an instance that has just started, in a fleet of the size.
+func (s *roomSim) start(t *testing.T, fleet int) *harness {
+	cfg := s.cfg
+	cfg.Seed = s.rng.Uint64()
+	h := newHarness(t, cfg)
+	h.now = s.now
+	svc := Service{Name: s.list[0].Service}
+	if s.engine {
+		svc.Slots = s.slots
+	}
+	h.tick(FleetSize{Instances: fleet}, Configured{NewIndex(Config{Version: 1, Services: []Service{svc}})}, ServersListed{s.list})
+	s.callers[h] = map[RequestID]*roomCaller{}
+	return h
+}
+
+// restart replaces all instances; their callers return at once.
+func (s *roomSim) restart(t *testing.T) {
+	var back []*roomCaller
+	for _, h := range s.instances {
+		for _, c := range s.callers[h] {
+			back = append(back, c)
+		}
+	}
+	for i := range s.instances {
+		s.instances[i] = s.start(t, len(s.instances))
+	}
+	for _, srv := range s.servers {
+		srv.jobs = nil
+	}
+	s.pending = nil
+	slices.SortFunc(back, func(a, b *roomCaller) int { return a.deadline.Compare(b.deadline) })
+	for _, c := range back {
+		s.send(c)
+	}
+}
+
+// reset sets all counts to zero; callers in progress still count when they end.
+func (s *roomSim) reset() {
+	for _, k := range s.kinds {
+		k.tally = &roomTally{bins: map[int]*[4]int{}}
+	}
+	s.rejected = 0
+}
+
+// run simulates a time, at factor times the kinds' rates.
+func (s *roomSim) run(length time.Duration, factor float64) {
+	for until := s.now.Add(length); s.now.Before(until); {
+		s.now = s.now.Add(s.step)
+		for _, h := range s.instances {
+			if !s.paused[h] {
+				h.now = s.now
+			}
+		}
+		for _, srv := range s.list {
+			s.serve(srv.ID)
+		}
+		s.expire()
+		s.exchange()
+		for _, k := range s.kinds {
+			usual := k.rate * factor / roomTeams
+			for k.due += usual * (roomTeams - 1 + k.hot) * s.step.Seconds(); k.due >= 1; k.due-- {
+				s.newCaller(k)
+			}
+		}
+		for i := 0; i < len(s.coming); i++ {
+			if s.comingAt[i].After(s.now) {
+				continue
+			}
+			c := s.coming[i]
+			s.coming, s.comingAt = slices.Delete(s.coming, i, i+1), slices.Delete(s.comingAt, i, i+1)
+			i--
+			s.send(c)
+		}
+	}
+}
+
+// drain lets the callers in progress end.
+func (s *roomSim) drain() { s.run(8*time.Second, 0) }
+
+func (s *roomSim) newCaller(k *roomKind) {
+	c := &roomCaller{kind: k, tally: k.tally, impatient: s.rng.Float64() < s.impatient, aim: s.now.Add(k.route.TargetLatency)}
+	c.deadline = s.now.Add(time.Duration((0.85 + 0.15*s.rng.Float64()) * float64(k.route.Timeout)))
+	if draw := s.rng.Float64() * (roomTeams - 1 + k.hot); draw > k.hot {
+		c.team = 1 + s.rng.IntN(roomTeams-1)
+		k.tally.small++
+	}
+	k.tally.callers++
+	s.send(c)
+}
+
+// send sends a caller's request to a random instance.
+func (s *roomSim) send(c *roomCaller) {
+	h := s.instances[s.rng.IntN(len(s.instances))]
+	for s.paused[h] {
+		h = s.instances[s.rng.IntN(len(s.instances))]
+	}
+	c.at, c.id, c.arrived, c.waits = h, h.next+1, s.now, true
+	c.tries++
+	s.callers[h][c.id] = c
+	c.tally.count(s.now, c, 1, 0)
+	h.arrive(c.kind.route, func(r *Request) {
+		r.Team, r.Priority, r.Deadline, r.ChooseModel = fmt.Sprint("team-", c.team), c.kind.route.Priority, c.deadline, false
+	})
+	s.carryOut(h)
+}
+
+// count counts an attempt that began at a time, and its dispatch.
+func (t *roomTally) count(at time.Time, c *roomCaller, attempts, dispatched int) {
+	const binLength = 500 * time.Millisecond
+	key := int(at.Sub(testStart) / binLength)
+	if t.bins[key] == nil {
+		t.bins[key] = &[4]int{}
+	}
+	bin := t.bins[key]
+	if c.returned {
+		t.returned, t.backIn = t.returned+attempts, t.backIn+dispatched
+		bin[2], bin[3] = bin[2]+attempts, bin[3]+dispatched
+		return
+	}
+	t.first, t.firstIn = t.first+attempts, t.firstIn+dispatched
+	bin[0], bin[1] = bin[0]+attempts, bin[1]+dispatched
+}
+
+// passedOver is the part of the returned callers by which fewer of them were admitted than of the first-comers of the
+// same half second.
+func (t *roomTally) passedOver() float64 {
+	const few = 10
+	over, returned := 0.0, 0.0
+	for _, b := range t.bins {
+		if b[0] >= few && b[2] >= few {
+			returned += float64(b[2])
+			over += max(float64(b[1])/float64(b[0])*float64(b[2])-float64(b[3]), 0)
+		}
+	}
+	return over / max(returned, 1)
+}
+
+// expire ends queue waits and deadlines.
+func (s *roomSim) expire() {
+	for _, h := range s.instances {
+		if s.paused[h] {
+			continue
+		}
+		for _, id := range sortedIDs(s.callers[h]) {
+			c := s.callers[h][id]
+			switch {
+			case c == nil:
+			case !s.now.Before(c.deadline):
+				delete(s.callers[h], id)
+				s.removeJob(c)
+				h.tick(RequestCancelled{id})
+			case c.waits:
+				r := h.world.requests[id]
+				if r != nil && r.queued && s.now.Sub(c.arrived) >= MaxQueueWait(&r.Request, c.arrived) {
+					h.tick(QueueWaitExpired{id})
+				}
+			}
+		}
+		s.carryOut(h)
+	}
+}
+
+func sortedIDs(m map[RequestID]*roomCaller) []RequestID {
+	out := make([]RequestID, 0, len(m))
+	for id := range m {
+		out = append(out, id)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (s *roomSim) removeJob(c *roomCaller) {
+	for _, srv := range s.servers {
+		srv.jobs = slices.DeleteFunc(srv.jobs, func(j *roomJob) bool { return j.caller == c && j.id == c.id })
+	}
+}
+
+// serve simulates one step of a server.
+func (s *roomSim) serve(id string) {
+	srv := s.servers[id]
+	var ended []*roomJob
+	for i, j := range srv.jobs {
+		if i >= s.slots {
+			break
+		}
+		if j.left -= s.step; j.left <= 0 {
+			ended = append(ended, j)
+		}
+	}
+	srv.jobs = slices.DeleteFunc(srv.jobs, func(j *roomJob) bool { return j.left <= 0 })
+	load := Load{Running: min(len(srv.jobs), s.slots), Waiting: max(len(srv.jobs)-s.slots, 0), Slots: s.slots}
+	for i, j := range slices.Clone(srv.jobs) {
+		if i < s.slots && !j.begun && s.engine {
+			j.begun = true
+			s.begin(j, load, id)
+		}
+	}
+	for _, j := range ended {
+		if !s.engine {
+			s.begin(j, load, id)
+		}
+		s.complete(j)
+	}
+}
+
+// begin reports the first byte of a response.
+func (s *roomSim) begin(j *roomJob, load Load, server string) {
+	c := j.caller
+	if s.now.Before(c.aim) {
+		c.tally.inAim++
+	}
+	r := c.at.world.requests[j.id]
+	if r == nil || s.paused[c.at] {
+		return
+	}
+	c.at.tick(LoadReported{Server: server, Load: load}, FirstByte{Request: j.id, After: s.now.Sub(r.sent), Load: load, HasLoad: true})
+	s.carryOut(c.at)
+}
+
+func (s *roomSim) complete(j *roomJob) {
+	c, h := j.caller, j.caller.at
+	if s.callers[h][j.id] != c {
+		return
+	}
+	delete(s.callers[h], j.id)
+	c.tally.served++
+	if c.team > 0 {
+		c.tally.smallServed++
+	}
+	if !s.paused[h] {
+		h.tick(AttemptEnded{Request: j.id, Result: Completed, EventInterval: 20 * time.Millisecond})
+		s.carryOut(h)
+	}
+}
+
+// carryOut carries out an instance's commands.
+func (s *roomSim) carryOut(h *harness) {
+	for s.handled[h] < len(h.allCommands) {
+		command := h.allCommands[s.handled[h]]
+		s.handled[h]++
+		switch command := command.(type) {
+		case Dispatch:
+			s.dispatch(h, command)
+		case Refuse:
+			s.refuse(h, command)
+		case Finish:
+			delete(s.callers[h], command.Request)
+		}
+	}
+}
+
+func (s *roomSim) dispatch(h *harness, d Dispatch) {
+	c := s.callers[h][d.Request]
+	if c == nil {
+		return
+	}
+	if c.waits {
+		c.waits = false
+		c.tally.count(c.arrived, c, 0, 1)
+	}
+	srv := s.servers[d.Server.ID]
+	if len(srv.jobs) >= s.slots+roomQueue {
+		s.rejected++
+		h.tick(LoadReported{Server: d.Server.ID, Load: Load{Running: s.slots, Waiting: roomQueue, Slots: s.slots}}, AttemptEnded{Request: d.Request, Result: Rejected})
+		return
+	}
+	srv.jobs = append(srv.jobs, &roomJob{caller: c, id: d.Request, left: time.Duration((0.6 + 0.8*s.rng.Float64()) * float64(s.work))})
+}
+
+// refuse lets a refused caller return, as told or at once.
+func (s *roomSim) refuse(h *harness, r Refuse) {
+	c := s.callers[h][r.Request]
+	delete(s.callers[h], r.Request)
+	if c == nil {
+		return
+	}
+	c.tally.refused = append(c.tally.refused, s.now.Sub(c.arrived))
+	left := c.deadline.Sub(s.now)
+	after := min(r.RetryAfter, left/3)
+	if c.impatient {
+		after = 20 * time.Millisecond
+	}
+	if c.tries > 1 && (!c.impatient || c.tries > 4) || left <= 0 {
+		return
+	}
+	c.returned = !c.impatient
+	s.coming, s.comingAt = append(s.coming, c), append(s.comingAt, s.now.Add(after))
+}
+
+// exchange delivers the reports of one interval ago, and collects the present ones: they are 0.15 to 0.3 s old when they
+// are used.
+func (s *roomSim) exchange() {
+	if s.now.Sub(s.reportAt) < roomInterval {
+		return
+	}
+	s.reportAt = s.now
+	for len(s.pending) > 1 {
+		s.deliver(s.pending[0])
+		s.pending = s.pending[1:]
+	}
+	report := roomReport{loads: map[uint32]PeerLoad{}, own: map[*harness]relayed{}}
+	var all [][]admission.Demand
+	for _, h := range s.instances {
+		if s.silent[h] || s.paused[h] || s.rng.Float64() < s.lost {
+			continue
+		}
+		own := relayed{h.world.OwnDemand(), h.world.OwnLoads()}
+		report.own[h] = own
+		all = append(all, own.demand)
+		for _, l := range own.loads {
+			report.loads[l.Key] = PeerLoad{Key: l.Key, Requests: report.loads[l.Key].Requests + l.Requests}
+		}
+	}
+	report.demand = admission.Sum(all...)
+	s.pending = append(s.pending, report)
+}
+
+func (s *roomSim) deliver(report roomReport) {
+	for _, h := range s.instances {
+		if s.silent[h] || s.paused[h] || s.rng.Float64() < s.lost {
+			continue
+		}
+		own, reported := report.own[h]
+		others := len(report.own)
+		demand, loads := report.demand, report.loads
+		if reported {
+			others--
+			var minus []admission.Demand
+			for _, d := range own.demand {
+				minus = append(minus, d.Scaled(-1))
+			}
+			demand = admission.Sum(demand, minus)
+			loads = map[uint32]PeerLoad{}
+			for key, l := range report.loads {
+				loads[key] = l
+			}
+			for _, l := range own.loads {
+				loads[l.Key] = PeerLoad{Key: l.Key, Requests: loads[l.Key].Requests - l.Requests}
+			}
+		}
+		list := make([]PeerLoad, 0, len(loads))
+		for _, l := range loads {
+			list = append(list, l)
+		}
+		h.tick(PeerLoads{Loads: list, Instances: others}, PeerDemand{Demand: demand, Instances: others})
+		s.carryOut(h)
+	}
+}
+
+// log prints the counts.
+func (s *roomSim) log(t *testing.T, title string) {
+	t.Helper()
+	for _, k := range s.kinds {
+		y := k.tally
+		t.Logf("%s: %s: %.2f of %d served, %.2f in aim, %d refusals told in %v, first-comers admitted %.2f, returned %.2f of %d, passed over %.3f", title, k.route.Name, y.share(), y.callers,
+			float64(y.inAim)/float64(max(y.callers, 1)), len(y.refused), median(y.refused), float64(y.firstIn)/float64(max(y.first, 1)), float64(y.backIn)/float64(max(y.returned, 1)), y.returned, y.passedOver())
+	}
+	t.Logf("%s: %d served of %.0f, %d rejected", title, s.served(), 8*s.capacity(), s.rejected)
+}
+
+func (s *roomSim) served() int {
+	sum := 0
+	for _, k := range s.kinds {
+		sum += k.tally.served
+	}
+	return sum
+}
+
+func median(list []time.Duration) time.Duration {
+	if len(list) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(list))
+	return sorted[len(sorted)/2]
+}
--- a/decision/passthrough/dispatch.go
+++ b/decision/passthrough/dispatch.go
@@ -5,13 +5,17 @@
 // tryDispatch sends the request to a server with a free slot. It returns false if there
 // is none now.
 func (w *World) tryDispatch(r *request) bool {
+	if w.exceedsStartShare(r) {
+		return false
+	}
 	views := w.viewServers(r.service)
 	occ := occupancyOf(r.service, views)
 	v, ok := w.pickServer(r, views, occ)
-	if !ok {
+	if !ok || w.yieldsSlot(r) {
 		return false
 	}
 	s := v.server
+	w.recordAdmitted(r)
 	if r.queued {
 		r.service.queue.take(r)
 		r.queued = false
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -238,6 +238,8 @@
 	Request    RequestID
 	Reason     Reason
 	RetryAfter time.Duration
+	// Admission is what the refusal is based on if admission is shared, else nil.
+	Admission *AdmissionState
 }
 
 // Finish ends a request that may have run, without another attempt. Its caller gets the last
--- a/decision/passthrough/queue.go
+++ b/decision/passthrough/queue.go
@@ -21,13 +21,26 @@
 	len  int
 }
 
-// priorityClass holds the requests of one priority, by team.
+// priorityClass holds the requests of one priority, by team. Callers that have come back after a refusal are a class of
+// their own, if admission is shared.
 type priorityClass struct {
+	rank  rank
+	queue fair.Queue[*queueEntry]
+	flows map[string]*fair.Flow[*queueEntry]
+}
+
+// rank is the order of the classes: by priority, and among equal ones those of returned callers first.
+type rank struct {
 	priority int
-	queue    fair.Queue[*queueEntry]
-	flows    map[string]*fair.Flow[*queueEntry]
+	returned bool
+}
+
+func (a rank) before(b rank) bool {
+	return a.priority < b.priority || a.priority == b.priority && a.returned && !b.returned
 }
 
+func (r *request) rank() rank { return rank{r.Priority, r.returned} }
+
 // queueEntry is a request in the queue.
 type queueEntry struct {
 	item    fair.Item[*queueEntry]
@@ -59,7 +72,7 @@
 		account = q.group.NewAccount(1)
 		q.accounts[r.Team] = account
 	}
-	class := q.class(r.Priority)
+	class := q.class(r.rank())
 	flow := class.flows[r.Team]
 	if flow == nil {
 		flow = &fair.Flow[*queueEntry]{}
@@ -80,7 +93,7 @@
 	class, flow := q.flow(r)
 	count := 0
 	for _, other := range q.classes {
-		if other.priority < r.Priority {
+		if other.rank.before(r.rank()) {
 			count += other.queue.Len()
 		}
 	}
@@ -91,17 +104,16 @@
 	return count
 }
 
-// class returns the class of a priority, and adds it if needed; q.classes is sorted by
-// priority.
-func (q *queue) class(priority int) *priorityClass {
+// class returns the class of a rank, and adds it if needed; q.classes is sorted by rank.
+func (q *queue) class(of rank) *priorityClass {
 	at := 0
-	for at < len(q.classes) && q.classes[at].priority < priority {
+	for at < len(q.classes) && q.classes[at].rank.before(of) {
 		at++
 	}
-	if at < len(q.classes) && q.classes[at].priority == priority {
+	if at < len(q.classes) && q.classes[at].rank == of {
 		return q.classes[at]
 	}
-	class := &priorityClass{priority: priority, flows: map[string]*fair.Flow[*queueEntry]{}}
+	class := &priorityClass{rank: of, flows: map[string]*fair.Flow[*queueEntry]{}}
 	q.classes = append(q.classes, nil)
 	copy(q.classes[at+1:], q.classes[at:])
 	q.classes[at] = class
@@ -113,7 +125,7 @@
 	if q.len == 0 {
 		return nil
 	}
-	low := q.turn%lowPriorityTurn == lowPriorityTurn-1
+	low := q.lowTurn()
 	for i := range q.classes {
 		class := q.classes[i]
 		if low {
@@ -126,6 +138,9 @@
 	return nil
 }
 
+// lowTurn reports whether the next slot goes to the lowest priority first.
+func (q *queue) lowTurn() bool { return q.turn%lowPriorityTurn == lowPriorityTurn-1 }
+
 // take removes the request whose turn it was, and charges its team.
 func (q *queue) take(r *request) {
 	r.queueEntry.class.queue.Pop()
--- a/decision/passthrough/refusal.go
+++ b/decision/passthrough/refusal.go
@@ -21,6 +21,12 @@
 		w.remove(r)
 		return
 	}
+	if w.cfg.SharedAdmission && (reason == ReasonNoRoom || reason == ReasonBusy || reason == ReasonServersFull) {
+		retryAfter, state := w.returnTime(r)
+		w.emit(Refuse{Request: r.ID, Reason: reason, RetryAfter: retryAfter, Admission: state})
+		w.remove(r)
+		return
+	}
 	retryAfter := r.service.intervals.departures.wait(r.service.queue.ahead(r))
 	switch reason {
 	case ReasonNoServer:
--- a/decision/passthrough/requests.go
+++ b/decision/passthrough/requests.go
@@ -1,6 +1,9 @@
 package passthrough
 
-import "cmp"
+import (
+	"cmp"
+	"time"
+)
 
 // arrive admits a request: it dispatches it, queues it, or refuses it with a retry-after time.
 func (w *World) arrive(in Request) {
@@ -24,8 +27,8 @@
 		w.refuse(r, ReasonStopping)
 		return
 	}
-	if w.throttled(r) {
-		w.refuse(r, ReasonServersFull)
+	if reason := w.admissionRefusal(r); reason != "" {
+		w.refuse(r, reason)
 		return
 	}
 	if r.service.queue.len == 0 && w.tryDispatch(r) {
@@ -50,6 +53,18 @@
 	return w.now.Add(w.expectedDuration(r.Route, durationFactor)).After(w.endsAt)
 }
 
+// admissionRefusal counts the request, and returns the reason for a refusal if there is too little room for its class,
+// or "" if it is admitted.
+func (w *World) admissionRefusal(r *request) Reason {
+	switch {
+	case w.cfg.SharedAdmission && !w.admits(r):
+		return ReasonNoRoom
+	case !w.cfg.SharedAdmission && w.throttled(r):
+		return ReasonServersFull
+	}
+	return ""
+}
+
 // throttled counts the request, and reports whether it is refused because its service's servers
 // reject too many.
 func (w *World) throttled(r *request) bool {
@@ -78,6 +93,9 @@
 	}
 	r.queued = true
 	s.queue.push(r, w.cost(r))
+	if w.cfg.SharedAdmission {
+		w.markFreed(s) // those before it may wait for more urgent ones elsewhere
+	}
 }
 
 // waitRefusal returns the reason for a refusal if the request would wait too long in the queue, or
@@ -90,12 +108,21 @@
 		}
 		return ""
 	}
-	if r.service.intervals.departures.wait(r.service.queue.ahead(r)) > maxWait {
+	if w.expectedWait(r) > maxWait {
 		return ReasonBusy
 	}
 	return ""
 }
 
+// expectedWait is how long the request would wait in the queue.
+func (w *World) expectedWait(r *request) time.Duration {
+	wait := r.service.intervals.departures.wait(r.service.queue.ahead(r))
+	if w.cfg.SharedAdmission {
+		return w.pooledWait(r, wait)
+	}
+	return wait
+}
+
 // serverRefusal returns the reason for a refusal if no server may take the request, now or once it
 // has a free slot, or "" if one may.
 func (w *World) serverRefusal(r *request) Reason {
--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -130,4 +130,8 @@
 	// If it is a middle model, droppedConfidence is the confidence of the dropped response.
 	nextModel         int
 	droppedConfidence float64
+	// returned is true if admission is shared and the caller was probably refused before.
+	returned bool
+	// yieldingSince is when the request first left a free slot to more urgent ones elsewhere; zero for never.
+	yieldingSince time.Time
 }
--- a/decision/passthrough/types.go
+++ b/decision/passthrough/types.go
@@ -153,6 +153,8 @@
 	ReasonLimited     Reason = "backend_servers_limited"
 	ReasonBusy        Reason = "busy"
 	ReasonServersFull Reason = "backend_servers_full"
+	// ReasonNoRoom: the request's class (priority, team) has no room at this moment, for the sum of all instances.
+	ReasonNoRoom      Reason = "no_room_for_class"
 	ReasonRetryBudget Reason = "retry_budget_spent"
 	ReasonQuarantined Reason = "request_quarantined"
 	// ReasonPartQuarantined: a part of the prompt crashes servers.
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -83,6 +83,8 @@
 	// may have to be reported to peers.
 	leavingServers map[*server]bool
 
+	// shared is what decides on admission together with the other instances.
+	shared sharedAdmission
 	// fleetSize is the number of instances; 0 if unknown.
 	fleetSize int
 	// endsAt is when this instance stops; zero if it is not stopping.
@@ -138,6 +140,9 @@
 	if now.After(w.now) {
 		w.now = now
 	}
+	if w.shared.startedAt.IsZero() {
+		w.shared.startedAt = w.now
+	}
 	w.commands = w.commands[:0]
 	w.freed = w.freed[:0]
 	for _, e := range in {
@@ -168,6 +173,7 @@
 		w.observeLoad(e)
 	case FirstByte:
 		w.observeFirstByte(e)
+		w.observeWorkTime(e)
 	case DialEnded:
 		w.observeDial(e)
 	case ServerStated:
--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -140,6 +140,7 @@
 	sh.server.LoadExchange.OnUnreadable = tel.logUnreadableLoads
 	d.onObservation, d.onCrash, d.onSlowStart, d.onLimitChanged = observations.recordResponse, observations.recordCrash, tel.logSlowStart, tel.logRateLimitChanged
 	observations.onRead = func() { gate.loaded(prerequisiteObservations) }
+	d.onAdmission = tel.showAdmission
 	d.onPartsQuarantined = func(c passthrough.PartsQuarantined) {
 		tel.logPartsQuarantined(c)
 		observations.recordQuarantine(c)
--- a/router/internal/passthrough/driver.go
+++ b/router/internal/passthrough/driver.go
@@ -30,6 +30,8 @@
 	onBrittle       func(passthrough.BrittleChanged)
 	// onPartsQuarantined writes to the log and informs the other instances.
 	onPartsQuarantined func(passthrough.PartsQuarantined)
+	// onAdmission sets gauges; it is called without the lock.
+	onAdmission func([]passthrough.AdmissionState)
 	// onProbe connects to a server and reports how that went; it is called with the lock held and must not block. nil
 	// if there is nothing to connect with: then connections count as possible.
 	onProbe func(passthrough.Server)
@@ -62,7 +64,7 @@
 		onSlowStart: func(passthrough.SlowStartBegun) {}, onLimitChanged: func(passthrough.RateLimitChanged) {},
 		onServerLeaving: func(passthrough.ServerLeaving) {}, onBackoff: func(passthrough.BackoffStated) {},
 		onPathChanged: func(passthrough.PathChanged) {}, onBrittle: func(passthrough.BrittleChanged) {},
-		onPartsQuarantined: func(passthrough.PartsQuarantined) {},
+		onPartsQuarantined: func(passthrough.PartsQuarantined) {}, onAdmission: func([]passthrough.AdmissionState) {},
 	}
 }
 
@@ -122,6 +124,14 @@
 		passthrough.PeerLeaving{Processes: others.Leaving}, passthrough.PeerBrittle{PerSecond: others.Brittle},
 		passthrough.PeerSpeeds{Rows: others.Speeds}, passthrough.PeerDemand{Demand: others.Demand, Instances: others.Instances},
 		passthrough.PeerEvidence{Evidence: others.Crashes, Instances: others.Instances})
+	d.onAdmission(d.admissionLevels())
+}
+
+// admissionLevels returns the state of admission by service and priority, if it is shared.
+func (d *Driver) admissionLevels() []passthrough.AdmissionState {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.world.AdmissionLevels()
 }
 
 // confidenceThreshold returns the confidence below which the request's response is dropped now.
--- a/router/internal/passthrough/exchange.go
+++ b/router/internal/passthrough/exchange.go
@@ -64,6 +64,7 @@
 	case passthrough.Dispatch:
 		return x.dispatch(c)
 	case passthrough.Refuse:
+		x.call.admission = c.Admission
 		x.refuse(refusal{http.StatusServiceUnavailable, c.Reason, c.RetryAfter})
 	case passthrough.Finish:
 		x.finish(c.Reason)
--- a/router/internal/passthrough/handler.go
+++ b/router/internal/passthrough/handler.go
@@ -44,6 +44,8 @@
 	// none.
 	route *passthrough.Route
 	team  *passthrough.Team
+	// admission is what a refusal for lack of room was based on; nil for none.
+	admission *passthrough.AdmissionState
 	// arrived is when the request arrived, deadline when the final response to the caller is
 	// due.
 	arrived  time.Time
--- a/router/internal/passthrough/telemetry.go
+++ b/router/internal/passthrough/telemetry.go
@@ -176,7 +176,31 @@
 	if ref.reason == passthrough.ReasonPartQuarantined {
 		attrs = append(attrs, slog.String("parts", strings.Join(c.caller.SharedParts, ",")))
 	}
-	t.emit(logging.EventPassthroughRefused, attrs...)
+	t.emit(logging.EventPassthroughRefused, append(attrs, admissionAttrs(c.admission)...)...)
+}
+
+// admissionAttrs are the attributes of a request that was refused for lack of room: the level, room and demand of its
+// class, its rank, and what was known of the other instances.
+func admissionAttrs(a *passthrough.AdmissionState) []slog.Attr {
+	if a == nil {
+		return nil
+	}
+	return []slog.Attr{
+		slog.Float64("level", math.Round(1000*a.Fraction)/1000), slog.Float64("room", math.Round(10*a.Room)/10), slog.Float64("offered", math.Round(10*a.Offered)/10),
+		slog.Int("priority", a.Priority), slog.Bool("returned", a.Returned), slog.Int("position", a.Position),
+		slog.Float64("known_instances", math.Round(a.Known)), slog.Int64("known_age_ms", a.KnownAge.Milliseconds()),
+	}
+}
+
+// showAdmission sets the gauges of level and room, for each service and priority: the level in thousandths, room and
+// demand in units of work a second.
+func (t *telemetry) showAdmission(levels []passthrough.AdmissionState) {
+	for _, a := range levels {
+		name := fmt.Sprintf("admission.%s.%d.", a.Service, a.Priority)
+		t.gauge(name+"level", int(math.Round(1000*a.Fraction)))
+		t.gauge(name+"room", int(min(a.Room, math.MaxInt32)))
+		t.gauge(name+"offered", int(a.Offered))
+	}
 }
 
 // logAttempt counts and logs an attempt that has ended.
--- a/router/internal/relay/capacityrows_test.go
+++ b/router/internal/relay/capacityrows_test.go
@@ -47,6 +47,7 @@
 	rows := []admission.Demand{
 		{Class: admission.Class{Service: 7, Team: 9, Priority: 2}, Offered: 1.5, Admitted: 0.25, Waiting: 3},
 		{Class: admission.Class{Service: 1 << 31, Priority: 0}, Offered: 1},
+		{Class: admission.Class{Service: 1 << 31, Priority: 255, Returned: true}, Waiting: 2},
 	}
 	packed := packDemand(rows)
 	got, err := unpackDemand(packed)
--- a/router/internal/relay/demandrows.go
+++ b/router/internal/relay/demandrows.go
@@ -14,14 +14,14 @@
 	maxWork = 1e9
 )
 
-// packDemand encodes rows: the hashes of service and team (4 bytes each, big endian), and as varints the priority and
-// the three values.
+// packDemand encodes rows: the hashes of service and team (4 bytes each, big endian), and as varints twice the priority,
+// plus one for returned callers, and the three values.
 func packDemand(rows []admission.Demand) []byte {
 	var out []byte
 	for _, row := range rows {
 		out = binary.BigEndian.AppendUint32(out, row.Class.Service)
 		out = binary.BigEndian.AppendUint32(out, row.Class.Team)
-		out = binary.AppendUvarint(out, uint64(row.Class.Priority))
+		out = binary.AppendUvarint(out, 2*uint64(row.Class.Priority)+bit(row.Class.Returned))
 		for _, x := range []float64{row.Offered, row.Admitted, row.Waiting} {
 			out = binary.AppendUvarint(out, uint64(min(max(x, 0), maxWork)*workScale+0.5))
 		}
@@ -34,7 +34,9 @@
 	var out []admission.Demand
 	for len(data) > 0 {
 		r := rowReader{data: data}
-		row := admission.Demand{Class: admission.Class{Service: r.key(), Team: r.key(), Priority: uint8(min(r.uvarint(), math.MaxUint8))}}
+		row := admission.Demand{Class: admission.Class{Service: r.key(), Team: r.key()}}
+		rank := r.uvarint()
+		row.Class.Priority, row.Class.Returned = uint8(min(rank/2, math.MaxUint8)), rank%2 == 1
 		for _, x := range []*float64{&row.Offered, &row.Admitted, &row.Waiting} {
 			*x = min(float64(r.uvarint())/workScale, maxWork)
 		}
@@ -45,3 +47,10 @@
 	}
 	return out, nil
 }
+
+func bit(b bool) uint64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/router/internal/relay/loads.go
+++ b/router/internal/relay/loads.go
@@ -77,6 +77,8 @@
 	// reportTTLIntervals is the number of intervals after which a report no longer counts, as its
 	// instance may be gone.
 	reportTTLIntervals = 3
+	// maxReportedTeams bounds the teams in a sum of reports, for each service and priority.
+	maxReportedTeams = 64
 	// reportTimeout bounds the sending of a report: a later answer would be of no use.
 	reportTimeout = 2 * minReportInterval
 )
@@ -253,7 +255,7 @@
 	out.Crashes = passthrough.CombineEvidence(evidence)
 	out.Loads = sumLoads(loads...)
 	out.Limits = newestLimits(limits...)
-	out.Speeds, out.Demand = mergeSpeeds(speeds...), admission.Sum(demand...)
+	out.Speeds, out.Demand = mergeSpeeds(speeds...), admission.Bounded(admission.Sum(demand...), maxReportedTeams)
 	out.Leaving, out.FoundBad = sortedUnique(out.Leaving), sortedUnique(out.FoundBad)
 	return out
 }
