--- a/decision/passthrough/demand.go
+++ b/decision/passthrough/demand.go
@@ -69,7 +69,7 @@
 	// tolerableQueueWait and tolerableServerWait are the waits in the instances' queues and at engines, as fractions of the
 	// shortest target latency, above which there is too little room: what is admitted would be late. Below that a request
 	// that waits is served in time, and one that is refused and returns is not.
-	tolerableQueueWait  = 0.4 * queueWaitFraction
+	tolerableQueueWait  = 0.75 * queueWaitFraction
 	tolerableServerWait = 0.75
 	// reservedRate is the part of the room that less urgent requests get in any case, minWorkRate the least assumed room.
 	reservedRate = 1.0 / lowPriorityTurn
@@ -336,8 +336,13 @@
 	// slotCorrection is the time in which free slots are filled, or requests that wait at engines are worked off: longer
 	// than the reports' delay.
 	slotCorrection = 500 * time.Millisecond
+	// reportAge is how old the known load of engines is in the mean.
+	reportAge = 300 * time.Millisecond
+	// engineWait is the wait at engines that is aimed at, as a fraction of the shortest target latency: engines that are
+	// kept just full are idle at times.
+	engineWait = 0.25
 	// leastSlotRate is the least part of what engines finish that is sent to them, however many requests wait there.
-	leastSlotRate = 0.5
+	leastSlotRate = 0.2
 	// maxIdleCredit bounds the requests that an instance may send at once after a pause.
 	maxIdleCredit = 2
 )
@@ -350,12 +355,17 @@
 	l := w.levelFor(s)
 	last := l.slots.sharedAt
 	l.slots.sharedAt, l.slots.scarce = w.now, math.MaxInt
-	if l.meanWork.value <= 0 || last.IsZero() {
+	if l.meanWork.value <= 0 {
 		return
 	}
 	use, dt := w.engineUse(s), min(w.now.Sub(last), slotCorrection).Seconds()
+	if last.IsZero() {
+		dt = reportAge.Seconds()
+	}
 	finished := l.finished / l.meanWork.value
-	left := max(finished+(use.free-use.waiting)/slotCorrection.Seconds(), leastSlotRate*finished) * dt
+	// Slots become free before the next report is known, and a short wait at an engine costs no response its target.
+	ahead := finished * (reportAge.Seconds() + engineWait*l.leastTarget.Seconds())
+	left := max(finished+(use.free+ahead-use.waiting)/slotCorrection.Seconds(), leastSlotRate*finished) * dt
 	own, _ := w.slotDemand(admission.OfService(w.ownDemand(), l.key), l.meanWork.value, dt)
 	all, order := w.slotDemand(l.pooled, l.meanWork.value, dt)
 	credit := 0.0
