--- a/decision/passthrough/demand.go
+++ b/decision/passthrough/demand.go
@@ -82,6 +82,8 @@
 	tolerableRejections = 0.15
 	// saturatedPrefillWait is the mean wait of prompts at engines, in seconds, at which these do little else than prefill.
 	saturatedPrefillWait = 0.2
+	// spareSlots is the part of the slots that is free if there is room to spare.
+	spareSlots = 0.1
 	// leastUtilization bounds by how much the room may exceed what is sent to engines now.
 	leastUtilization = 0.25
 	// returnedShare is the share of the route's timeout that is left to callers that were refused before. At first
@@ -225,6 +227,8 @@
 		use.free += max(slots-v.known, 0)
 		wait += v.wait
 	}
+	// Requests that wait at slow engines while others have free slots are no lack of room.
+	use.waiting *= max(1-use.free/(spareSlots*slots*float64(len(views))), 0)
 	busy := min(wait/float64(len(views))/saturatedPrefillWait, 1)
 	use.utilization = max(1-use.free/(float64(len(views))*slots), busy)
 	return use
@@ -333,16 +337,13 @@
 }
 
 const (
-	// slotCorrection is the time in which free slots are filled, or requests that wait at engines are worked off: longer
-	// than the reports' delay.
+	// slotCorrection is the time in which free slots are filled: longer than the reports' delay.
 	slotCorrection = 500 * time.Millisecond
 	// reportAge is how old the known load of engines is in the mean.
 	reportAge = 300 * time.Millisecond
 	// engineWait is the wait at engines that is aimed at, as a fraction of the shortest target latency: engines that are
 	// kept just full are idle at times.
 	engineWait = 0.25
-	// leastSlotRate is the least part of what engines finish that is sent to them, however many requests wait there.
-	leastSlotRate = 0.2
 	// maxIdleCredit bounds the requests that an instance may send at once after a pause.
 	maxIdleCredit = 2
 )
@@ -365,7 +366,7 @@
 	finished := l.finished / l.meanWork.value
 	// Slots become free before the next report is known, and a short wait at an engine costs no response its target.
 	ahead := finished * (reportAge.Seconds() + engineWait*l.leastTarget.Seconds())
-	left := max(finished+(use.free+ahead-use.waiting)/slotCorrection.Seconds(), leastSlotRate*finished) * dt
+	left := (finished + (use.free+max(ahead-use.waiting, 0))/slotCorrection.Seconds()) * dt
 	own, _ := w.slotDemand(admission.OfService(w.ownDemand(), l.key), l.meanWork.value, dt)
 	all, order := w.slotDemand(l.pooled, l.meanWork.value, dt)
 	credit := 0.0
