Shared admission: slots are shared only while there is too little room

Cause suspected: free slots that were shared before any limit was in force. Change: only with a limit.

--- a/decision/passthrough/demand.go
+++ b/decision/passthrough/demand.go
@@ -270,7 +270,7 @@
 	return float64(slots) / math.Exp(l.workTime.value)
 }
 
-// observeWorkTime learns the work time of a plain request that found a free slot.
+// observeWorkTime learns the work time of a plain request from responses of servers where nothing waits.
 func (w *World) observeWorkTime(e FirstByte) {
 	r := w.requests[e.Request]
 	if !w.cfg.SharedAdmission || r == nil || r.service.engine || !e.HasLoad || e.Load.Waiting > 0 || e.After <= 0 {
@@ -405,8 +405,8 @@
 		return false
 	}
 	l := w.levelFor(r.service)
-	if r.Priority < l.slots.scarce {
-		return false
+	if math.IsInf(l.level.Room, 1) || r.Priority < l.slots.scarce {
+		return false // a short wait at an engine is better than one here
 	}
 	if l.slots.credit < 1 || w.leavesToUrgent(r, l) {
 		return true
