--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -266,6 +266,8 @@
 	RetryAfter time.Duration
 	// Forecast is the least time that the response takes and TimeLeft that to the deadline, for ReasonNoTime.
 	Forecast, TimeLeft time.Duration
+	// Admission is what the refusal is based on if admission is shared, else nil.
+	Admission *AdmissionState
 }
 
 // Finish ends a request that may have run, without another attempt. Its caller gets the last
--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -167,4 +167,8 @@
 	waitBegan       time.Time
 	waitedForLarger time.Duration
 	gaveUpLarger    bool
+	// returned is true if admission is shared and the caller was probably refused before.
+	returned bool
+	// yieldingSince is when the request first left a free slot to more urgent ones elsewhere; zero for never.
+	yieldingSince time.Time
 }
--- a/router/internal/passthrough/driver.go
+++ b/router/internal/passthrough/driver.go
@@ -33,6 +33,8 @@
 	// onSpeed and onSpeedClasses write to the log and the metrics. They must not block.
 	onSpeed        func(passthrough.SpeedChanged)
 	onSpeedClasses func(passthrough.SpeedClasses)
+	// onAdmission sets gauges; it is called without the lock.
+	onAdmission func([]passthrough.AdmissionState)
 	// onProbe connects to a server and reports how that went; it is called with the lock held and must not block. nil
 	// if there is nothing to connect with: then connections count as possible.
 	onProbe func(passthrough.Server)
@@ -67,6 +69,7 @@
 		onPathChanged: func(passthrough.PathChanged) {}, onBrittle: func(passthrough.BrittleChanged) {},
 		onPartsQuarantined: func(passthrough.PartsQuarantined) {},
 		onSpeed:            func(passthrough.SpeedChanged) {}, onSpeedClasses: func(passthrough.SpeedClasses) {},
+		onAdmission: func([]passthrough.AdmissionState) {},
 	}
 }
 
@@ -126,11 +129,24 @@
 		passthrough.PeerLeaving{Processes: others.Leaving}, passthrough.PeerBrittle{PerSecond: others.Brittle},
 		passthrough.PeerSpeeds{Rows: others.Speeds}, passthrough.PeerDemand{Demand: others.Demand, Instances: others.Instances},
 		passthrough.PeerEvidence{Evidence: others.Crashes, Instances: others.Instances})
+	d.reportSpeedClasses()
+	d.onAdmission(d.admissionLevels())
+}
+
+// reportSpeedClasses passes the number of servers in each class of speed to the metrics.
+func (d *Driver) reportSpeedClasses() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.onSpeedClasses(d.world.SpeedClasses())
 }
 
+// admissionLevels returns the state of admission by service and priority, if it is shared.
+func (d *Driver) admissionLevels() []passthrough.AdmissionState {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.world.AdmissionLevels()
+}
+
 // confidenceThreshold returns the confidence below which the request's response is dropped now.
 func (d *Driver) confidenceThreshold(t *ticket) float64 {
 	d.mu.Lock()
