Tokens in an engine's memory and expected tokens have names of their own

What callers saw: nothing yet. Cause: two parts each had a method tokens; after the merge the memory of an engine was counted by the expected length of the response, which is learned and changes between the count and its end. Change: memoryTokens, which depends on the request alone.

--- a/decision/passthrough/room.go
+++ b/decision/passthrough/room.go
@@ -14,8 +14,8 @@
 	return r.MaxTokens
 }
 
-// tokens is how many tokens of an engine's memory the request takes: its prompt, and its response as far as expected.
-func (r *Request) tokens() int {
+// memoryTokens is how many tokens of an engine's memory the request takes: its prompt, and its response as far as expected.
+func (r *Request) memoryTokens() int {
 	if n := r.PromptTokens + r.generatedTokens(); n > 0 {
 		return n
 	}
@@ -52,7 +52,7 @@
 	}
 	var fits []serverView
 	for _, v := range list {
-		if w.tokensAt(v.server)+float64(r.tokens()) <= float64(r.service.tokenCapacity) {
+		if w.tokensAt(v.server)+float64(r.memoryTokens()) <= float64(r.service.tokenCapacity) {
 			fits = append(fits, v)
 		}
 	}
@@ -64,8 +64,8 @@
 
 // takeTokens and releaseTokens count the request's tokens at its server.
 func (r *request) takeTokens() {
-	r.server.ownTokens += r.tokens()
-	r.service.meanTokens.add(float64(r.tokens()))
+	r.server.ownTokens += r.memoryTokens()
+	r.service.meanTokens.add(float64(r.memoryTokens()))
 }
 
-func (r *request) releaseTokens() { r.server.ownTokens -= r.tokens() }
+func (r *request) releaseTokens() { r.server.ownTokens -= r.memoryTokens() }
