--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -158,9 +158,9 @@
 	nextModel         int
 	droppedConfidence float64
 	timely            timely
-	// dropped is true from the end of a dropped response to the next dispatch, weakConfidence its confidence. waitsForLarger is true while the request waits
-	// for a larger model, since waitBegan; waitedForLarger is how long it has done so before. gaveUpLarger is true once it
-	// has waited for as long as it may, and gets the smallest model.
+	// dropped is true from the end of a dropped response to the next dispatch, weakConfidence its confidence.
+	// waitsForLarger is true while the request waits for a larger model, since waitBegan; waitedForLarger is how long it
+	// has done so before. gaveUpLarger is true once it has waited for as long as it may, and gets the smallest model.
 	dropped         bool
 	weakConfidence  float64
 	waitsForLarger  bool
