--- a/decision/passthrough/dispatch.go
+++ b/decision/passthrough/dispatch.go
@@ -8,13 +8,17 @@
 	if w.refuseUncompletable(r) {
 		return true
 	}
+	if w.exceedsStartShare(r) {
+		return false
+	}
 	views := w.viewServers(r.service)
 	occ := occupancyOf(r.service, views)
 	v, ok := w.pickServer(r, views, occ)
-	if !ok {
+	if !ok || w.yieldsSlot(r) {
 		return false
 	}
 	s := v.server
+	w.recordAdmitted(r)
 	if r.queued {
 		r.service.queue.take(r)
 		r.queued = false
--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -158,13 +158,17 @@
 	nextModel         int
 	droppedConfidence float64
 	timely            timely
-	// dropped is true from the end of a dropped response to the next dispatch, weakConfidence its confidence. waitsForLarger is true while the request waits
-	// for a larger model, since waitBegan; waitedForLarger is how long it has done so before. gaveUpLarger is true once it
-	// has waited for as long as it may, and gets the smallest model.
+	// dropped is true from the end of a dropped response to the next dispatch, weakConfidence its confidence.
+	// waitsForLarger is true while the request waits for a larger model, since waitBegan; waitedForLarger is how long it
+	// has done so before. gaveUpLarger is true once it has waited for as long as it may, and gets the smallest model.
 	dropped         bool
 	weakConfidence  float64
 	waitsForLarger  bool
 	waitBegan       time.Time
 	waitedForLarger time.Duration
 	gaveUpLarger    bool
+	// returned is true if admission is shared and the caller was probably refused before.
+	returned bool
+	// yieldingSince is when the request first left a free slot to more urgent ones elsewhere; zero for never.
+	yieldingSince time.Time
 }
--- a/decision/passthrough/types.go
+++ b/decision/passthrough/types.go
@@ -154,6 +154,8 @@
 	ReasonTooLarge    Reason = "prompt_exceeds_engine_memory"
 	ReasonBusy        Reason = "busy"
 	ReasonServersFull Reason = "backend_servers_full"
+	// ReasonNoRoom: the request's class (priority, team) has no room at this moment, for the sum of all instances.
+	ReasonNoRoom      Reason = "no_room_for_class"
 	ReasonRetryBudget Reason = "retry_budget_spent"
 	ReasonQuarantined Reason = "request_quarantined"
 	// ReasonPartQuarantined: a part of the prompt crashes servers.
--- a/router/internal/passthrough/exchange.go
+++ b/router/internal/passthrough/exchange.go
@@ -81,6 +81,7 @@
 			return true
 		}
 		x.call.forecast, x.call.timeLeft = c.Forecast, c.TimeLeft
+		x.call.admission = c.Admission
 		x.refuse(refusal{http.StatusServiceUnavailable, c.Reason, c.RetryAfter})
 	case passthrough.Finish:
 		x.finish(c.Reason)
