--- a/decision/passthrough/demand.go
+++ b/decision/passthrough/demand.go
@@ -405,8 +405,8 @@
 		return false
 	}
 	l := w.levelFor(r.service)
-	if math.IsInf(l.level.Room, 1) || r.Priority < l.slots.scarce {
-		return false // a short wait at an engine is better than one here
+	if r.Priority < l.slots.scarce {
+		return false
 	}
 	if l.slots.credit < 1 || w.leavesToUrgent(r, l) {
 		return true
