--- a/decision/passthrough/admission_test.go
+++ b/decision/passthrough/admission_test.go
@@ -120,6 +120,7 @@
 
 // TestAdmissionByEachInstanceAloneBreaksThePromises checks that the checks above fail if admission is not shared.
 func TestAdmissionByEachInstanceAloneBreaksThePromises(t *testing.T) {
+	t.Parallel()
 	for _, load := range roomLoads {
 		broken := 0
 		for _, service := range roomServices {
@@ -137,6 +138,7 @@
 
 // TestGoodputHoldsAboveTheRoom guards against goodput that falls as the load rises above the room.
 func TestGoodputHoldsAboveTheRoom(t *testing.T) {
+	t.Parallel()
 	for _, service := range roomServices {
 		atOne := 0.0
 		for _, factor := range []float64{1, 1.5, 3} {
@@ -218,6 +220,7 @@
 // TestPromisesHoldWithoutCompleteReports guards against an order that is lost with reports that are lost or with instances
 // that are cut off, paused or new.
 func TestPromisesHoldWithoutCompleteReports(t *testing.T) {
+	t.Parallel()
 	for name, disturb := range map[string]func(s *roomSim){
 		"reports lost": func(s *roomSim) { s.lost = 0.3 },
 		"cut off":      func(s *roomSim) { s.silent[s.instances[0]] = true },
--- a/decision/passthrough/completion_sim_test.go
+++ b/decision/passthrough/completion_sim_test.go
@@ -377,6 +377,7 @@
 // TestMoreEndInTimeWithForecasts guards against streams and short requests that wait at engines where they cannot end
 // before their deadline, at a crest, and against refusals of what could have been served.
 func TestMoreEndInTimeWithForecasts(t *testing.T) {
+	t.Parallel()
 	for _, n := range endLoads {
 		without, with := 0, 0
 		for seed := range uint64(2) {
--- a/decision/passthrough/speeds_sim_test.go
+++ b/decision/passthrough/speeds_sim_test.go
@@ -355,6 +355,7 @@
 
 // TestPlacementBySpeedShortensWaits guards against callers that wait for slow engines while fast ones are idle.
 func TestPlacementBySpeedShortensWaits(t *testing.T) {
+	t.Parallel()
 	for _, size := range speedSizes {
 		var got [2]simTimes
 		for i := range got {
@@ -408,6 +409,7 @@
 // TestSpeedsConverge guards against instances that treat engines by what they were, or know nothing of them, for longer
 // than five seconds after the start and three after a change, beside reports that are late or lost.
 func TestSpeedsConverge(t *testing.T) {
+	t.Parallel()
 	for _, instances := range []int{8, 68} {
 		s := newSpeedSim(t, instances, 2*instances)
 		s.lost, s.late, s.cutOff = 0.2, 200*time.Millisecond, 1
