--- a/router/internal/passthrough/givenup_test.go
+++ b/router/internal/passthrough/givenup_test.go
@@ -105,7 +105,7 @@
 	gate.release()
 	h := &Handler{headers: streamHeaders{expectedTokens: streamTestTokens * events}, config: p.config, driver: p.driver, clock: clock,
 		dialer:    newDialer(clock, p.driver, tunnel.NewDialer(tunnel.NewPeers(clock.Now, reach.Peer{}, nil))),
-		telemetry: p.telemetry, startGate: gate, shutdown: &shutdown{}, conns: newCallerConns(0)}
+		telemetry: p.telemetry, startGate: gate, shutdown: &shutdown{}, conns: newCallerConns(0), held: newHeldBytes(0), recent: newRecentIDs()}
 	route := passthrough.Route{Name: "r", Host: "a.example", PathPrefix: "/", Kind: passthrough.KindStream, Resumable: resumable, Public: true,
 		MaxAttempts: 3, Timeout: timeout, TargetLatency: 5 * time.Second, TargetGap: time.Second, Backends: []passthrough.Backend{{Service: "llm", Weight: 1}}}
 	index, _ := p.config.Apply(passthrough.Config{Version: 1, Routes: []passthrough.Route{route}, Limits: passthrough.Limits{MaxBodyBytes: 1000},
@@ -213,6 +213,7 @@
 		t.Run(name, func(t *testing.T) {
 			h, e := newStreamHandler(t, 60, 2500*time.Millisecond, false)
 			warmUp(t, h, e)
+			h.recent = newRecentIDs() // the requests before had the same id
 			e.mu.Lock()
 			e.fault = fault(e)
 			e.mu.Unlock()
