Tests of given-up attempts: each request is the first one with its id

What callers saw: nothing. Cause: the tests repeat one id, which an instance now refuses for a stream that may run once. Evidence: TestStreamThatRunsOnceIsNeverMoved failed while it warmed up. Change: the ids that ran are forgotten before each request of these tests. Result: the five tests pass.

--- a/router/internal/passthrough/givenup_test.go
+++ b/router/internal/passthrough/givenup_test.go
@@ -128,6 +128,7 @@
 
 // sendStream sends the handler a request and returns the answer; aborted is true if the connection was broken off.
 func sendStream(h *Handler) (answer *httptest.ResponseRecorder, aborted bool) {
+	h.recent = newRecentIDs() // all requests of these tests have the same id
 	answer = httptest.NewRecorder()
 	defer func() { aborted = recover() != nil }()
 	h.ServeHTTP(answer, httptest.NewRequest(http.MethodPost, "http://a.example/x", strings.NewReader("body")))
@@ -213,7 +214,6 @@
 		t.Run(name, func(t *testing.T) {
 			h, e := newStreamHandler(t, 60, 2500*time.Millisecond, false)
 			warmUp(t, h, e)
-			h.recent = newRecentIDs() // the requests before had the same id
 			e.mu.Lock()
 			e.fault = fault(e)
 			e.mu.Unlock()
