Refusals reach callers that send a long body and close

Callers saw: a request with a body above the limit, sent with "Connection: close", ended with a reset instead of a 413 in 10 of 40 runs of TestRefusals with the race detector.

Cause: since bodies of stated length are refused unread, nothing limits the close: net/http reads the rest of a body only for connections that it keeps, and closes the others at once. A close with unread bytes is a reset, and the caller loses the refusal.

Change: a refused request's body is read by the handler, for 0.5 s and 256 KB at most, before the refusal, or after it if there was no room for the body or it did not come in time. A caller that waits for "100 Continue" is not asked for its body.

--- a/router/internal/passthrough/handler.go
+++ b/router/internal/passthrough/handler.go
@@ -176,12 +176,21 @@
 	if refused.reason == passthrough.ReasonStopping || refused.reason == passthrough.ReasonNoPath {
 		header.Set("Connection", "close")
 	}
-	if c.bodyUnread {
-		boundDrain(w, refused.reason)
+	first := c.bodyUnread && refused.reason != reasonNoRoom && refused.reason != passthrough.ReasonDeadline
+	if first {
+		c.drain(w)
+	} else if c.bodyUnread {
+		header.Set("Connection", "close")
 	}
+	text := string(refused.reason) + "\n"
 	header.Set("Content-Type", "text/plain; charset=utf-8")
+	header.Set("Content-Length", strconv.Itoa(len(text)))
 	w.WriteHeader(refused.status)
-	writeAll(w, []byte(string(refused.reason)+"\n"))
+	writeAll(w, []byte(text))
+	if c.bodyUnread && !first {
+		_ = http.NewResponseController(w).Flush() // a writer of a test may have none
+		c.drain(w)
+	}
 }
 
 // writeAll writes to a caller. A write error is ignored: the request's context reports a
--- a/router/internal/passthrough/readbody.go
+++ b/router/internal/passthrough/readbody.go
@@ -16,6 +16,8 @@
 	// drainTimeout bounds how long the rest of a refused request's body is read, so that a caller which still sends
 	// it finds the response before the connection is closed.
 	drainTimeout = 500 * time.Millisecond
+	// maxDrainBytes is how much of it is read.
+	maxDrainBytes = 256 << 10
 	// writeGrace is how long after its deadline a response is still written to a caller that reads it slowly.
 	writeGrace = 2 * time.Second
 )
@@ -110,11 +112,12 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(h.wallTime(c.deadline.Add(writeGrace))) // a writer of a test may have none
 }
 
-// boundDrain bounds how long the rest of a refused request's body is read. If there was no room for it, or it did not
-// come in time, the refusal is sent before that.
-func boundDrain(w http.ResponseWriter, reason passthrough.Reason) {
-	if reason == reasonNoRoom || reason == passthrough.ReasonDeadline {
-		w.Header().Set("Connection", "close")
+// drain reads the rest of a refused request's body and drops it. A connection that is closed with unread bytes is reset,
+// and the caller may lose the refusal. A caller that waits for the leave to send its body is not given it.
+func (c *call) drain(w http.ResponseWriter) {
+	if c.request.Header.Get("Expect") != "" {
+		return
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(drainTimeout)) // a writer of a test may have none
+	_, _ = io.CopyN(io.Discard, c.request.Body, maxDrainBytes)                      // what has not come by then is lost
 }
