Servers that fail requests are found by the evidence of all instances

Cause: 17 engines reset each connection within milliseconds while their health check is good. They look idle and are chosen first. A pair of instance and server meets each 20 s, and each instance needs three failures of its own (health.go).

Change: package outlier pools failed and all attempts in the load reports, judges each server by a cumulative sum against the better half of its service, ejects for 1.5 to 6 s, lets two instances try first, and never leaves out more than 0.4 of a service's servers. Servers without failures are reported too: without the others' responses three failures at three instances look like a server that fails all. A connection lost at a suspected server is no longer held against the request. Timeouts, rejections, given-up attempts, lost paths and stalled callers do not count. Log event 234, gauge servers_ejected.

--- a/decision/passthrough/attempt.go
+++ b/decision/passthrough/attempt.go
@@ -73,6 +73,7 @@
 		return
 	}
 	if e.Result == Dropped {
+		w.recordWhole(r, s)
 		w.observeAttempt(r, s, e)
 		return
 	}
@@ -114,9 +115,11 @@
 		s.health.record(!bad, w.now)
 	}
 	if !bad {
+		w.recordWhole(r, s)
 		w.recordInterval(r, s, e.EventInterval)
 		w.observePace(r, s, e.EventInterval)
 	}
+	w.recordFailure(r, s, e)
 	if e.ConnectionLost {
 		w.serverLost(s)
 		w.recordCrash(r, s, e)
@@ -127,9 +130,10 @@
 // recordCrash records that the request may have crashed the server.
 //
 // Load: callers that do not read, so that their server holds what it has made for them. Harm prevented: a server that
-// crashes by what it holds is taken for one that was crashed by a request, which all instances then refuse.
+// crashes by what it holds is taken for one that was crashed by a request, which all instances then refuse. The same holds
+// for a server that resets requests of all kinds: it has not crashed, as a process that starts anew is no suspect.
 func (w *World) recordCrash(r *request, s *server, e AttemptEnded) {
-	if e.HeldUnread {
+	if e.HeldUnread || w.outliers.Suspected(s.outlierKey()) {
 		return
 	}
 	w.crashes.record(r.Fingerprint, 1, w.now)
--- a/decision/passthrough/cascade.go
+++ b/decision/passthrough/cascade.go
@@ -40,6 +40,7 @@
 	}
 	r.firstByte = e.After
 	w.observeDelay(r, e.After)
+	w.recordBegun(r)
 	w.domainResponded(r.server)
 	r.service.prefill.observeFirstByte(r, e)
 	r.endPrefill()
--- a/decision/passthrough/dispatch.go
+++ b/decision/passthrough/dispatch.go
@@ -29,6 +29,7 @@
 	r.sent = w.now
 	r.firstByte = 0
 	r.eventsBegun, r.withdrawn, r.dropped = false, false, false
+	w.recordTrial(r, s)
 	r.intervalReported = false
 	r.attempts++
 	r.dispatches++
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"masticplank.example/decision/admission"
+	"masticplank.example/decision/outlier"
 	"masticplank.example/decision/speed"
 )
 
@@ -172,6 +173,9 @@
 // PeerSpeeds is what the other instances know of the backend servers' speeds.
 type PeerSpeeds struct{ Rows []speed.Row }
 
+// PeerOutliers is what the other instances have lately seen of the backend servers' failures.
+type PeerOutliers struct{ Rows []outlier.Row }
+
 // PeerDemand is the sum of what the callers of the other instances ask for. Instances is the number of instances in
 // it.
 type PeerDemand struct {
@@ -204,6 +208,7 @@
 func (PeerBrittle) event()           {}
 func (PeerPermitReleased) event()    {}
 func (PeerSpeeds) event()            {}
+func (PeerOutliers) event()          {}
 func (PeerDemand) event()            {}
 func (Neighbours) event()            {}
 func (RemoteNeighbours) event()      {}
@@ -348,6 +353,16 @@
 	Duration time.Duration
 }
 
+// ServerEjected reports that a server is ejected by the evidence of all instances, or is used again.
+type ServerEjected struct {
+	Server  string
+	Ejected bool
+	// Failed and Total count the failed and all attempts of all instances that this was decided by, the earlier ones
+	// with less weight. For is how long the server is ejected before it is tried again.
+	Failed, Total float64
+	For           time.Duration
+}
+
 // BrittleChanged reports that the servers of a service state that they are brittle, or no longer do.
 type BrittleChanged struct {
 	Service   string
@@ -365,4 +380,5 @@
 func (RateLimitChanged) command() {}
 func (ServerLeaving) command()    {}
 func (BackoffStated) command()    {}
+func (ServerEjected) command()    {}
 func (BrittleChanged) command()   {}
--- a/decision/passthrough/servers.go
+++ b/decision/passthrough/servers.go
@@ -69,6 +69,7 @@
 	w.rebuildIndexes(list)
 	w.path.setServers(w.now, w.servers)
 	w.retainSpeeds()
+	w.retainOutliers()
 }
 
 // addServer adds the process of an entry that is new, or is back.
@@ -181,9 +182,9 @@
 	return float64(s.reported.Running + s.reported.Waiting - s.ownAtReport)
 }
 
-// usable reports whether the server may get new requests, ejected or not.
+// usable reports whether the server may get new requests, ejected by this instance's own evidence or not.
 func (s *server) usable(now time.Time) bool {
-	return s.inService() && !s.backingOff(now)
+	return s.inService() && !s.backingOff(now) && !s.leftOut
 }
 
 // inService reports whether the server may get requests now or once its backoff has ended.
--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -81,6 +81,8 @@
 	changedAt time.Time
 	// slowUnstated is true while measured times show that the server is slow without stating it.
 	slowUnstated bool
+	// leftOut is true while the server is ejected by the evidence of all instances, or is tried by others.
+	leftOut bool
 	// relativeTime is the server's event interval relative to its service's mean.
 	relativeTime movingAverage
 	// processHash is that of the server's process. hash is that of the server's id, for the choice by prefix, the subsets of instances, the
@@ -134,6 +136,8 @@
 	// ended because a part of the prompt crashes servers.
 	eventsBegun bool
 	withdrawn   bool
+	// evidence is what the request's attempts say about their servers.
+	evidence attemptEvidence
 	// permitted is true while the request holds a permit of this instance.
 	permitted bool
 	// firstByte is the time to the first byte of the current response; 0 before it.
--- a/decision/passthrough/view.go
+++ b/decision/passthrough/view.go
@@ -43,7 +43,7 @@
 	w.views = w.views[:0]
 	for _, srv := range s.servers {
 		if !srv.usable(w.now) {
-			if srv.inService() {
+			if srv.inService() && srv.backingOff(w.now) {
 				s.wakeBy(srv.backoffUntil)
 			}
 			continue
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -7,6 +7,7 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"masticplank.example/decision/internal/culprit"
+	"masticplank.example/decision/outlier"
 	"masticplank.example/decision/speed"
 )
 
@@ -55,6 +56,9 @@
 	crashes          crashes
 	// speeds is what is known of the servers' speeds.
 	speeds speed.Table
+	// outliers finds the servers that fail requests, by the evidence of all instances; it is empty for services
+	// whose instances do not pool their evidence.
+	outliers *outlier.Table
 	// culprits finds the parts of prompts that crash servers.
 	culprits *culprit.Finder
 	routes   map[string]*routeStats
@@ -114,6 +118,7 @@
 		sessions:         newLRU[string, sessionEntry](maxSessions),
 		keptOnOldVersion: map[string]bool{},
 		crashes:          newCrashes(),
+		outliers:         outlier.New(cfg.Seed),
 		culprits:         culprit.NewFinder(),
 		path:             newPath(),
 		routes:           map[string]*routeStats{},
@@ -213,6 +218,8 @@
 		w.observeReset(e)
 	case PeerSpeeds:
 		w.applyPeerSpeeds(e)
+	case PeerOutliers:
+		w.applyPeerOutliers(e)
 	case PeerDemand:
 		w.applyPeerDemand(e)
 	case PeerPermitReleased:
--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -146,6 +146,7 @@
 		observations.recordQuarantine(c)
 	}
 	d.onSpeed, d.onSpeedClasses = tel.logServerSpeed, tel.gaugeSpeeds
+	d.onEjected, d.onEjectedCount = tel.logServerOutlier, tel.gaugeEjected
 	d.onServerLeaving, d.onBackoff, d.onPathChanged, d.onBrittle = tel.logServerLeaving, tel.logBackoffStated, tel.logPathChanged, tel.logBrittle
 	return observations
 }
--- a/router/internal/passthrough/driver.go
+++ b/router/internal/passthrough/driver.go
@@ -33,6 +33,9 @@
 	// onSpeed and onSpeedClasses write to the log and the metrics. They must not block.
 	onSpeed        func(passthrough.SpeedChanged)
 	onSpeedClasses func(passthrough.SpeedClasses)
+	// onEjected and onEjectedCount do so for ejected servers.
+	onEjected      func(passthrough.ServerEjected)
+	onEjectedCount func(int)
 	// onAdmission sets gauges; it is called without the lock.
 	onAdmission func([]passthrough.AdmissionState)
 	// onProbe connects to a server and reports how that went; it is called with the lock held and must not block. nil
@@ -69,6 +72,7 @@
 		onPathChanged: func(passthrough.PathChanged) {}, onBrittle: func(passthrough.BrittleChanged) {},
 		onPartsQuarantined: func(passthrough.PartsQuarantined) {},
 		onSpeed:            func(passthrough.SpeedChanged) {}, onSpeedClasses: func(passthrough.SpeedClasses) {},
+		onEjected: func(passthrough.ServerEjected) {}, onEjectedCount: func(int) {},
 		onAdmission: func([]passthrough.AdmissionState) {},
 	}
 }
@@ -113,7 +117,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return relay.Report{Loads: d.world.OwnLoads(), Limits: d.world.OwnLimits(), Leaving: d.world.OwnLeaving(), Brittle: d.world.OwnBrittle(),
-		Speeds: d.world.OwnSpeeds(), Demand: d.world.OwnDemand(), Crashes: d.world.OwnEvidence(d.clock.Now()), Instances: 1}
+		Speeds: d.world.OwnSpeeds(), Demand: d.world.OwnDemand(), Outliers: d.world.OwnOutliers(), Crashes: d.world.OwnEvidence(d.clock.Now()), Instances: 1}
 }
 
 // hasRemoteLimits reports whether only instances of other failure domains have a part of some server's rate limit.
@@ -128,16 +132,18 @@
 	d.Handle(passthrough.PeerLoads{Loads: others.Loads, Instances: others.Instances}, passthrough.PeerLimits{Limits: others.Limits},
 		passthrough.PeerLeaving{Processes: others.Leaving}, passthrough.PeerBrittle{PerSecond: others.Brittle},
 		passthrough.PeerSpeeds{Rows: others.Speeds}, passthrough.PeerDemand{Demand: others.Demand, Instances: others.Instances},
+		passthrough.PeerOutliers{Rows: others.Outliers},
 		passthrough.PeerEvidence{Evidence: others.Crashes, Instances: others.Instances})
-	d.reportSpeedClasses()
+	d.reportServers()
 	d.onAdmission(d.admissionLevels())
 }
 
-// reportSpeedClasses passes the number of servers in each class of speed to the metrics.
-func (d *Driver) reportSpeedClasses() {
+// reportServers passes the numbers of servers in each class of speed, and of ejected ones, to the metrics.
+func (d *Driver) reportServers() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.onSpeedClasses(d.world.SpeedClasses())
+	d.onEjectedCount(d.world.EjectedServers())
 }
 
 // admissionLevels returns the state of admission by service and priority, if it is shared.
@@ -338,6 +344,8 @@
 			d.onPartsQuarantined(c)
 		case passthrough.SpeedChanged:
 			d.onSpeed(c)
+		case passthrough.ServerEjected:
+			d.onEjected(c)
 		case passthrough.Withdraw:
 			if t := d.tickets[c.Request]; t != nil && t.withdraw != nil {
 				t.withdraw()
--- a/router/internal/passthrough/telemetry.go
+++ b/router/internal/passthrough/telemetry.go
@@ -164,6 +164,17 @@
 	t.gauge("speed.unstated_slow", c.UnstatedSlow)
 }
 
+// logServerOutlier counts and logs that a server is ejected by the evidence of all instances, or is used again. The driver
+// calls it, so it must not block.
+func (t *telemetry) logServerOutlier(c passthrough.ServerEjected) {
+	t.count("outlier_changed")
+	t.emit(logging.EventServerOutlier, slog.String(keyServer, c.Server), slog.Bool("ejected", c.Ejected),
+		slog.Float64("failed", round2(c.Failed)), slog.Float64("attempts", round2(c.Total)), slog.Int64("for_ms", c.For.Milliseconds()))
+}
+
+// gaugeEjected sets the number of servers that are ejected by the evidence of all instances.
+func (t *telemetry) gaugeEjected(count int) { t.gauge("servers_ejected", count) }
+
 func round2(x float64) float64 { return math.Round(100*x) / 100 }
 
 // logPartsQuarantined counts and logs parts of prompts that are quarantined. The driver calls it, so it must not
--- a/router/internal/relay/loads.go
+++ b/router/internal/relay/loads.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"masticplank.example/decision/admission"
+	"masticplank.example/decision/outlier"
 	"masticplank.example/decision/passthrough"
 	"masticplank.example/decision/speed"
 )
@@ -26,6 +27,8 @@
 	// Speeds is what they know of the backend servers' speeds, Demand is what their callers ask for.
 	Speeds []speed.Row
 	Demand []admission.Demand
+	// Outliers is what they have lately seen of the backend servers' failures.
+	Outliers []outlier.Row
 	// Crashes are backend servers that crashed, and what may be the cause.
 	Crashes passthrough.CrashEvidence
 	// FoundBad are the hashes of the roll-outs in progress whose versions they find bad.
@@ -131,7 +134,7 @@
 	askedAt := l.now()
 	packed := packReport(l.sum(append(l.liveReports("", false), l.currentReport())), l.now())
 	params := loadsParams{
-		Name: l.client.members.self.Name, Rows: packed.loads, Tokens: packed.tokens, Limits: packed.limits, Leaving: packed.leaving, Brittle: packed.brittle, Speeds: packed.speeds, Demand: packed.demand, Crashes: packed.crashes, FoundBad: packed.foundBad,
+		Name: l.client.members.self.Name, Rows: packed.loads, Tokens: packed.tokens, Limits: packed.limits, Leaving: packed.leaving, Brittle: packed.brittle, Speeds: packed.speeds, Demand: packed.demand, Outliers: packed.outliers, Crashes: packed.crashes, FoundBad: packed.foundBad,
 		LostConfigVersion: packed.lostConfigVersion, Instances: packed.instances,
 	}
 	out, err := l.client.callMember(ctx, collector, methodLoads, params, reportTimeout)
@@ -140,7 +143,7 @@
 	}
 	// The ages of limits refer to the time of the request, so that a delayed answer does not look
 	// new.
-	others, err := l.unpackReport(collector.Name, packedReport{out.Loads, out.Tokens, out.Limits, out.Leaving, out.Brittle, out.Speeds, out.Demand, out.Crashes, out.FoundBad, out.LostConfigVersion, out.Instances}, askedAt)
+	others, err := l.unpackReport(collector.Name, packedReport{out.Loads, out.Tokens, out.Limits, out.Leaving, out.Brittle, out.Speeds, out.Demand, out.Outliers, out.Crashes, out.FoundBad, out.LostConfigVersion, out.Instances}, askedAt)
 	if err != nil {
 		return
 	}
@@ -156,6 +159,7 @@
 	leaving           []uint64
 	brittle           map[string]float64
 	speeds, demand    []byte
+	outliers          []byte
 	crashes           packedEvidence
 	foundBad          []uint64
 	lostConfigVersion uint64
@@ -164,7 +168,7 @@
 
 // packReport encodes a report as of the given time.
 func packReport(r Report, now time.Time) packedReport {
-	return packedReport{packLoads(r.Loads), packTokens(r.Loads), packLimits(r.Limits), r.Leaving, r.Brittle, packSpeeds(r.Speeds), packDemand(r.Demand), packEvidence(r.Crashes, now), r.FoundBad, r.LostConfigVersion, r.Instances}
+	return packedReport{packLoads(r.Loads), packTokens(r.Loads), packLimits(r.Limits), r.Leaving, r.Brittle, packSpeeds(r.Speeds), packDemand(r.Demand), packOutliers(r.Outliers), packEvidence(r.Crashes, now), r.FoundBad, r.LostConfigVersion, r.Instances}
 }
 
 // unpackReport decodes another instance's report; the ages in it refer to the given time.
@@ -185,6 +189,9 @@
 	if err == nil {
 		out.Demand, err = unpackDemand(p.demand)
 	}
+	if err == nil {
+		out.Outliers, err = unpackOutliers(p.outliers)
+	}
 	if err != nil && l.OnUnreadable != nil {
 		l.OnUnreadable(from, err)
 	}
@@ -193,7 +200,7 @@
 
 // handleReport stores a follower's report and answers with the sum of all others.
 func (l *LoadExchange) handleReport(p loadsParams) (answer, error) {
-	in, err := l.unpackReport(p.Name, packedReport{p.Rows, p.Tokens, p.Limits, p.Leaving, p.Brittle, p.Speeds, p.Demand, p.Crashes, p.FoundBad, p.LostConfigVersion, p.Instances}, l.now())
+	in, err := l.unpackReport(p.Name, packedReport{p.Rows, p.Tokens, p.Limits, p.Leaving, p.Brittle, p.Speeds, p.Demand, p.Outliers, p.Crashes, p.FoundBad, p.LostConfigVersion, p.Instances}, l.now())
 	if err != nil {
 		return answer{}, err
 	}
@@ -201,7 +208,7 @@
 	l.followerReports[p.Name] = in
 	l.mu.Unlock()
 	out := packReport(l.sum(append(l.liveReports(p.Name, true), l.currentReport())), l.now())
-	return answer{Loads: out.loads, Tokens: out.tokens, Limits: out.limits, Leaving: out.leaving, Brittle: out.brittle, Speeds: out.speeds, Demand: out.demand, Crashes: out.crashes, FoundBad: out.foundBad, LostConfigVersion: out.lostConfigVersion, Instances: out.instances}, nil
+	return answer{Loads: out.loads, Tokens: out.tokens, Limits: out.limits, Leaving: out.leaving, Brittle: out.brittle, Speeds: out.speeds, Demand: out.demand, Outliers: out.outliers, Crashes: out.crashes, FoundBad: out.foundBad, LostConfigVersion: out.lostConfigVersion, Instances: out.instances}, nil
 }
 
 // currentReport returns this instance's report as of now.
@@ -230,7 +237,7 @@
 	return out
 }
 
-// sum adds up the reports: their loads and demand, for each limit and speed the newest statement, all servers that are
+// sum adds up the reports: their loads, demand and failures, for each limit and speed the newest statement, all servers that are
 // leaving, and all services that are brittle.
 func (l *LoadExchange) sum(reports []timedReport) Report {
 	now := l.now()
@@ -238,6 +245,7 @@
 	var limits [][]passthrough.PeerLimit
 	var speeds [][]speed.Row
 	var demand [][]admission.Demand
+	var outliers [][]outlier.Row
 	var evidence passthrough.CrashEvidence
 	out := Report{Brittle: map[string]float64{}}
 	for _, r := range reports {
@@ -245,6 +253,7 @@
 		limits = append(limits, addAge(r.Limits, now.Sub(r.asOf)))
 		speeds = append(speeds, addSpeedAge(r.Speeds, now.Sub(r.asOf)))
 		demand = append(demand, r.Demand)
+		outliers = append(outliers, ageOutliers(r.Outliers, now.Sub(r.asOf)))
 		out.Leaving = append(out.Leaving, r.Leaving...)
 		out.FoundBad = append(out.FoundBad, r.FoundBad...)
 		maps.Copy(out.Brittle, r.Brittle)
@@ -260,6 +269,7 @@
 	out.Loads = sumLoads(loads...)
 	out.Limits = newestLimits(limits...)
 	out.Speeds, out.Demand = mergeSpeeds(speeds...), admission.Bounded(admission.Sum(demand...), maxReportedTeams)
+	out.Outliers = sumOutliers(outliers...)
 	out.Leaving, out.FoundBad = sortedUnique(out.Leaving), sortedUnique(out.FoundBad)
 	return out
 }
--- a/router/internal/relay/messages.go
+++ b/router/internal/relay/messages.go
@@ -57,6 +57,8 @@
 	// packDemand encodes it.
 	Speeds []byte `json:"speeds,omitempty"`
 	Demand []byte `json:"demand,omitempty"`
+	// Outliers are the failures that they have lately seen at backend servers, as packOutliers encodes them.
+	Outliers []byte `json:"outliers,omitempty"`
 	// Crashes is the evidence of crashed backend servers.
 	Crashes packedEvidence `json:"evidence,omitzero"`
 	// FoundBad are the hashes of the roll-outs whose versions they find bad.
@@ -92,10 +94,11 @@
 	Tokens  []byte   `json:"tokens,omitempty"`
 	Limits  []byte   `json:"limits,omitempty"`
 	Leaving []uint64 `json:"leaving,omitempty"`
-	// Brittle, Speeds, Demand, Crashes, FoundBad and LostConfigVersion are as in loadsParams.
+	// Brittle, Speeds, Demand, Outliers, Crashes, FoundBad and LostConfigVersion are as in loadsParams.
 	Brittle           map[string]float64 `json:"brittle,omitempty"`
 	Speeds            []byte             `json:"speeds,omitempty"`
 	Demand            []byte             `json:"demand,omitempty"`
+	Outliers          []byte             `json:"outliers,omitempty"`
 	Crashes           packedEvidence     `json:"evidence,omitzero"`
 	FoundBad          []uint64           `json:"found_bad,omitempty"`
 	LostConfigVersion uint64             `json:"lost_config,omitempty"`
