The work time of plain responses is learned

Cause: the room of a plain service is bounded by its slots over the work time of a request. The work time was learned from the first byte of a response, which is reported for streams only, and the simulation reported it for plain responses too. So the bound never held: event 310 has 'room' 0.2 to 0.5 requests a second of 40 to 120 offered, and other values at each instance, as each limit fell and rose by factors of its own.

Change: it is learned from the end of a complete plain response, whose load was reported just before. The simulation sends what the product sends.

--- a/decision/passthrough/admission_sim_test.go
+++ b/decision/passthrough/admission_sim_test.go
@@ -373,7 +373,11 @@
 	if r == nil || s.paused[c.at] {
 		return
 	}
-	c.at.tick(LoadReported{Server: server, Load: load}, FirstByte{Request: j.id, After: s.now.Sub(r.sent), Load: load, HasLoad: true})
+	if s.engine { // the first byte of a plain response is not reported
+		c.at.tick(FirstByte{Request: j.id, After: s.now.Sub(r.sent), Load: load, HasLoad: true})
+	} else {
+		c.at.tick(LoadReported{Server: server, Load: load})
+	}
 	s.carryOut(c.at)
 }
 
@@ -389,7 +393,11 @@
 		c.tally.smallServed++
 	}
 	if !s.paused[h] {
-		h.tick(AttemptEnded{Request: j.id, Result: Completed, EventInterval: 20 * time.Millisecond})
+		interval := 20 * time.Millisecond
+		if r := h.world.requests[j.id]; r != nil && !s.engine {
+			interval = s.now.Sub(r.sent)
+		}
+		h.tick(AttemptEnded{Request: j.id, Result: Completed, EventInterval: interval})
 		s.carryOut(h)
 	}
 }
--- a/decision/passthrough/admissionlevel.go
+++ b/decision/passthrough/admissionlevel.go
@@ -132,13 +132,16 @@
 	return float64(slots) / math.Exp(l.workTime.value)
 }
 
-// observeWorkTime learns the work time of a plain request from responses of servers where nothing waits.
-func (w *World) observeWorkTime(e FirstByte) {
-	r := w.requests[e.Request]
-	if !w.cfg.SharedAdmission || r == nil || r.service.engine || !e.HasLoad || e.Load.Waiting > 0 || e.After <= 0 {
+// observeWorkTime learns the work time of a plain request from a response of a server where nothing waits, by the load that
+// the response has stated.
+func (w *World) observeWorkTime(r *request, s *server, e AttemptEnded) {
+	if !w.cfg.SharedAdmission || r.service.engine || e.Result != Completed || e.EventInterval <= 0 {
 		return
 	}
-	w.levelFor(r.service).workTime.add(math.Log(e.After.Seconds()))
+	if s.reportedAt.Before(r.sent) || s.reported.Waiting > 0 {
+		return
+	}
+	w.levelFor(r.service).workTime.add(math.Log(e.EventInterval.Seconds()))
 }
 
 // admits counts an arriving request, and reports whether its class has room for it.
--- a/decision/passthrough/attempt.go
+++ b/decision/passthrough/attempt.go
@@ -116,6 +116,7 @@
 	if !bad {
 		w.recordInterval(r, s, e.EventInterval)
 		w.observePace(r, s, e.EventInterval)
+		w.observeWorkTime(r, s, e)
 	}
 	if e.ConnectionLost {
 		w.serverLost(s)
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -175,7 +175,6 @@
 		w.observeLoad(e)
 	case FirstByte:
 		w.observeFirstByte(e)
-		w.observeWorkTime(e)
 	case DialEnded:
 		w.observeDial(e)
 	case ServerStated:
