A long plain response on a stream route waits for its caller

Callers saw: a plain response on a route of streams that is passed on as it arrives (longer than 16 MB, or more bytes held than may be) is cut short if its caller does not read for 1.5 s: 3972997 of bytes in the new test.

Cause: the idle watch excuses the server only while an event is written to the caller; passOn did not record its writes, so the server was given up as silent.

Change: passOn records its writes like a stream's. Result: TestLongResponseOnStreamRouteIsNotCutOffWhileItsCallerPauses failed before and passes.

--- a/router/internal/passthrough/attempt.go
+++ b/router/internal/passthrough/attempt.go
@@ -376,8 +376,26 @@
 	}
 	x.writeHead(resp)
 	from := io.MultiReader(bytes.NewReader(read), resp.Body)
-	if _, err := io.CopyBuffer(struct{ io.Writer }{x.w}, from, make([]byte, streamBufferSize)); err != nil {
+	if _, err := io.CopyBuffer(callerWriter{a}, from, make([]byte, streamBufferSize)); err != nil {
 		return outcome{result: passthrough.Broken, err: err, callerLost: true}
 	}
 	return outcome{result: passthrough.Completed, eventInterval: x.handler.clock.Now().Sub(a.startedAt)}
 }
+
+// callerWriter writes to the caller, and records for how long writes block: meanwhile the server is not idle.
+type callerWriter struct{ a *attempt }
+
+// Write implements io.Writer.
+func (w callerWriter) Write(p []byte) (int, error) {
+	clock := w.a.exchange.handler.clock
+	w.a.stall.beginWrite(clock.Now())
+	n, err := w.a.exchange.w.Write(p)
+	w.a.endWrite(clock.Now())
+	return n, err
+}
+
+// endWrite records that a write to the caller has ended.
+func (a *attempt) endWrite(now time.Time) {
+	a.conn.lastReceived.Store(now.UnixNano()) // the server was not idle while nothing was read from it
+	a.stall.endWrite(now)
+}
--- a/router/internal/passthrough/slowreaders_test.go
+++ b/router/internal/passthrough/slowreaders_test.go
@@ -186,6 +186,34 @@
 	waitFor(t, "everything is given back", h.holdsNothing)
 }
 
+// TestLongResponseOnStreamRouteIsNotCutOffWhileItsCallerPauses guards against a server that is given up as silent, and a
+// response that is cut short, because the caller of a plain response that is passed on does not read for a time.
+func TestLongResponseOnStreamRouteIsNotCutOffWhileItsCallerPauses(t *testing.T) {
+	const length = 24 << 20
+	h, _, _ := newServedHandlerFor(t, slowReaderHeaders{}, streamRoute(), func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", fmt.Sprint(length))
+		_, _ = io.WriteString(w, strings.Repeat("z", length))
+	})
+	h.held = newHeldBytes(400_000)
+	c := dialHandler(t, serveCallers(t, h))
+	_ = c.(*net.TCPConn).SetReadBuffer(64 << 10)
+	_, _ = io.WriteString(c, "POST /x HTTP/1.1\r\nHost: a.example\r\n\r\n")
+	reader := bufio.NewReader(c)
+	resp, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(idleCheckInterval)
+	for range 4 {
+		h.clock.(*fakeClock).advance(2 * stallThreshold)
+		time.Sleep(2 * idleCheckInterval)
+	}
+	n, err := io.Copy(io.Discard, resp.Body)
+	if n != length || err != nil {
+		t.Errorf("%d of %d bytes, error %v", n, length, err)
+	}
+}
+
 // stalledStream is a stream whose events the caller does not read until the server cuts it off.
 type stalledStream struct {
 	// written counts the server's bytes. It cuts the response off once cutNow is closed; blocked is true from then on.
--- a/router/internal/passthrough/stream.go
+++ b/router/internal/passthrough/stream.go
@@ -176,9 +176,7 @@
 	if err == nil {
 		err = http.NewResponseController(x.w).Flush()
 	}
-	ended := clock.Now()
-	a.conn.lastReceived.Store(ended.UnixNano()) // the server was not idle while nothing was read from it
-	a.stall.endWrite(ended)
+	a.endWrite(clock.Now())
 	if err != nil {
 		x.handler.telemetry.logCallerLost(x.call, err)
 	}
