Pauses of a stream's caller are left out of its pace

Callers would see: a caller that pauses for a second in a stream is moved to another server, as the events that it did not read count as late, and the prompt is read again there.

Cause: the idle watch excused a server only from being silent while its caller does not read, not from being too slow for the deadline.

Change: while a write blocks the stream is not given up, and the time is left out of its pace.

--- a/router/internal/passthrough/attempt.go
+++ b/router/internal/passthrough/attempt.go
@@ -397,5 +397,5 @@
 // endWrite records that a write to the caller has ended.
 func (a *attempt) endWrite(now time.Time) {
 	a.conn.lastReceived.Store(now.UnixNano()) // the server was not idle while nothing was read from it
-	a.stall.endWrite(now)
+	a.pace.leaveOut(a.stall.endWrite(now))
 }
--- a/router/internal/passthrough/callerstall.go
+++ b/router/internal/passthrough/callerstall.go
@@ -38,14 +38,16 @@
 // beginWrite records that a write to the caller begins.
 func (c *callerStall) beginWrite(now time.Time) { c.writingSince.Store(now.UnixNano()) }
 
-// endWrite records that it has ended.
-func (c *callerStall) endWrite(now time.Time) {
+// endWrite records that it has ended, and returns for how long it has blocked.
+func (c *callerStall) endWrite(now time.Time) time.Duration {
 	took := now.Sub(time.Unix(0, c.writingSince.Swap(0)))
-	if took >= blockedWrite {
-		c.everBlocked = true
-		c.unread += took
-		c.waited = 0
+	if took < blockedWrite {
+		return 0
 	}
+	c.everBlocked = true
+	c.unread += took
+	c.waited = 0
+	return took
 }
 
 // endRead records that the server was waited for.
@@ -62,10 +64,10 @@
 // isWriting reports whether a write to the caller is in progress.
 func (c *callerStall) isWriting() bool { return c.writingSince.Load() != 0 }
 
-// blocksSince reports whether the present write to the caller has blocked for as long as stalled requires.
-func (c *callerStall) blocksSince(now time.Time) bool {
+// blocksFor reports whether the present write to the caller has blocked for that long.
+func (c *callerStall) blocksFor(now time.Time, least time.Duration) bool {
 	since := c.writingSince.Load()
-	return since != 0 && now.Sub(time.Unix(0, since)) >= stallThreshold
+	return since != 0 && now.Sub(time.Unix(0, since)) >= least
 }
 
 // streamSet are the streams that are relayed now. The zero value is empty. It is safe for concurrent use.
@@ -94,7 +96,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for a := range s.attempts {
-		if a.server.ID == of.ID && a.server.StartTime == of.StartTime && a.stall.blocksSince(now) {
+		if a.server.ID == of.ID && a.server.StartTime == of.StartTime && a.stall.blocksFor(now, stallThreshold) {
 			return true
 		}
 	}
--- a/router/internal/passthrough/givenup_test.go
+++ b/router/internal/passthrough/givenup_test.go
@@ -266,3 +266,27 @@
 		t.Errorf("the engines got %d requests, want none", n)
 	}
 }
+
+// TestPaceOfAStreamLeavesOutThePausesOfItsCaller guards against a stream that is given up for another server as too slow,
+// because its caller did not read for a time.
+func TestPaceOfAStreamLeavesOutThePausesOfItsCaller(t *testing.T) {
+	clock := newFakeClock()
+	a := &attempt{exchange: &exchange{handler: &Handler{clock: clock}}, startedAt: clock.Now(), conn: &conn{}}
+	wt := &idleWatch{}
+	const interval = 10 * time.Millisecond
+	for range 3 {
+		for range 10 {
+			clock.advance(interval)
+			a.pace.add(1, clock.Now())
+		}
+		a.stall.beginWrite(clock.Now())
+		clock.advance(2 * time.Second)
+		if !a.waitsForCaller(clock.Now()) {
+			t.Error("a stream whose caller has not read for 2 s may be given up")
+		}
+		a.endWrite(clock.Now())
+		if got := wt.progress(a).Interval; got != interval {
+			t.Errorf("interval %v, want %v", got, interval)
+		}
+	}
+}
--- a/router/internal/passthrough/idlewatch.go
+++ b/router/internal/passthrough/idlewatch.go
@@ -44,7 +44,9 @@
 		_ = a.conn.Close()
 		return
 	}
-	if wt.givesUp(a) {
+	if a.waitsForCaller(a.exchange.handler.clock.Now()) {
+		wt.recent = nil
+	} else if wt.givesUp(a) {
 		a.givenUp.Store(true)
 		_ = a.conn.Close()
 		return
@@ -96,6 +98,9 @@
 	}
 }
 
+// waitsForCaller reports whether the caller has not taken what the server sent for some time.
+func (a *attempt) waitsForCaller(now time.Time) bool { return a.stall.blocksFor(now, blockedWrite) }
+
 // hasTimedOut reports whether the attempt has timed out. decision/passthrough computes this from the
 // times since bytes last arrived on the attempt's connection, and on any connection from its server.
 func (a *attempt) hasTimedOut() bool {
--- a/router/internal/passthrough/pace.go
+++ b/router/internal/passthrough/pace.go
@@ -22,6 +22,13 @@
 	p.events += events
 }
 
+// leaveOut leaves a time since the first event out of the pace.
+func (p *pace) leaveOut(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.first = p.first.Add(d)
+}
+
 // read returns the number of events, and when the first one arrived.
 func (p *pace) read() (events int, first time.Time) {
 	p.mu.Lock()
