A process that stops waits for callers that read or send slowly

Found by review.

Cause: the shutdown waited until no request was queued or at a backend server. A request leaves that count before its response is written, and enters it after its body is read.

Change: connections on which a request is read or answered count as well, within the grace period as before.

--- a/router/internal/passthrough/conns.go
+++ b/router/internal/passthrough/conns.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 )
 
@@ -16,6 +17,9 @@
 // wait in vain (1,800 of 38,000).
 type callerConns struct {
 	open atomic.Int64
+	// active are the connections on which a request is read or answered.
+	mu     sync.Mutex
+	active map[net.Conn]struct{}
 	// idleLimit is how many may stay open between requests, 0 for no limit.
 	idleLimit int64
 }
@@ -32,11 +36,12 @@
 // newCallerConns returns a counter for a process that may open at most maxFiles file descriptors;
 // 0 means unknown, and sets no limit.
 func newCallerConns(maxFiles int) *callerConns {
-	return &callerConns{idleLimit: int64(idleConnFraction * float64(max(maxFiles-reservedDescriptors, 0)))}
+	return &callerConns{active: map[net.Conn]struct{}{}, idleLimit: int64(idleConnFraction * float64(max(maxFiles-reservedDescriptors, 0)))}
 }
 
 // track counts a connection by its state; it is the server's ConnState hook.
-func (c *callerConns) track(_ net.Conn, state http.ConnState) {
+func (c *callerConns) track(conn net.Conn, state http.ConnState) {
+	c.setActive(conn, state == http.StateActive)
 	switch state {
 	case http.StateNew:
 		c.open.Add(1)
@@ -45,6 +50,23 @@
 	}
 }
 
+func (c *callerConns) setActive(conn net.Conn, active bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if active {
+		c.active[conn] = struct{}{}
+	} else {
+		delete(c.active, conn)
+	}
+}
+
+// activeCount returns on how many connections a request is read or answered.
+func (c *callerConns) activeCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.active)
+}
+
 // connKey is the key of a caller's connection in the context of its requests.
 type connKey struct{}
 
--- a/router/internal/passthrough/server.go
+++ b/router/internal/passthrough/server.go
@@ -200,13 +200,13 @@
 const drainPollInterval = 50 * time.Millisecond
 
 // waitIdle waits until no request was in progress at quietPolls checks in a row, so that requests that
-// were already on their way get a response.
+// were already on their way get a response. A request is in progress until its caller has taken the response.
 func (s *server) waitIdle(ctx context.Context) {
 	const quietPolls = 6
 	for idle := 0; idle < quietPolls && ctx.Err() == nil; {
 		waiting, running := s.driver.Load()
 		idle++
-		if waiting+running > 0 {
+		if waiting+running+s.handler.conns.activeCount() > 0 {
 			idle = 0
 		}
 		sleep(ctx, drainPollInterval, nil)
