--- a/router/internal/passthrough/exchange.go
+++ b/router/internal/passthrough/exchange.go
@@ -40,6 +40,8 @@
 	x := &exchange{handler: h, call: c, w: w, ctx: ctx, stream: stream{lastEventID: c.caller.LastEventID},
 		responses: hold{bytes: h.held, direction: toCaller}}
 	defer x.responses.release()
+	h.shutdown.add(x, cancel)
+	defer h.shutdown.remove(x)
 	if !c.route.Retryable() {
 		k := requestKey{c.caller.Key, c.caller.RequestID}
 		if !h.recent.begin(k, h.clock.Now()) {
--- a/router/internal/passthrough/server.go
+++ b/router/internal/passthrough/server.go
@@ -173,6 +173,8 @@
 	remaining := grace - s.handler.clock.Now().Sub(began)
 	ctx, cancel := context.WithTimeout(context.Background(), max(remaining, 0))
 	defer cancel()
+	end := time.AfterFunc(max(remaining-responseMargin/2, 0), s.handler.shutdown.giveUp)
+	defer end.Stop()
 	s.waitStreams(ctx, respondBy)
 	s.handler.shutdown.enter(phaseClosing)
 	s.waitIdle(ctx)
--- a/router/internal/passthrough/shutdown.go
+++ b/router/internal/passthrough/shutdown.go
@@ -1,6 +1,7 @@
 package passthrough
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,47 @@
 	phase atomic.Int32
 	// end is when the last response must be complete, in Unix nanoseconds; set by begin.
 	end atomic.Int64
+
+	mu sync.Mutex
+	// waiting end the waits of the requests in progress; giveUp calls them.
+	waiting map[*exchange]func()
+	// gaveUp is true once they have been called.
+	gaveUp bool
+}
+
+// add records a request in progress, whose wait for a backend server end ends.
+func (s *shutdown) add(x *exchange, end func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gaveUp {
+		end()
+		return
+	}
+	if s.waiting == nil {
+		s.waiting = map[*exchange]func(){}
+	}
+	s.waiting[x] = end
+}
+
+// remove records that nothing is to end the request's wait any more: its response has begun, or it has ended.
+func (s *shutdown) remove(x *exchange) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waiting, x)
+}
+
+// giveUp ends the waits of requests whose response has not begun.
+//
+// Load: requests at servers that hang while the instance stops. Harm prevented: their connections are closed without an
+// answer, and callers do not know whether they were read.
+func (s *shutdown) giveUp() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gaveUp = true
+	for _, end := range s.waiting {
+		end()
+	}
+	clear(s.waiting)
 }
 
 // begin starts the shutdown; the last response must be complete at end.
--- a/router/internal/passthrough/shutdown_test.go
+++ b/router/internal/passthrough/shutdown_test.go
@@ -11,8 +11,29 @@
 	"strings"
 	"testing"
 	"time"
+
+	"masticplank.example/decision/passthrough"
 )
 
+// TestRequestAtAHangingServerIsAnsweredBeforeTheEnd guards against a connection that is closed without an answer when the
+// process stops.
+func TestRequestAtAHangingServerIsAnsweredBeforeTheEnd(t *testing.T) {
+	running := make(chan struct{})
+	route := streamRoute()
+	route.Kind, route.Timeout = passthrough.KindAtMostOnce, time.Minute
+	h, _, _ := newServedHandlerFor(t, signedHeaders{}, route, func(_ http.ResponseWriter, r *http.Request) {
+		close(running)
+		<-r.Context().Done()
+	})
+	c := dialHandler(t, serveCallers(t, h))
+	_, _ = fmt.Fprint(c, "GET /x HTTP/1.1\r\nHost: a.example\r\n\r\n")
+	<-running
+	h.shutdown.giveUp()
+	if got := readStatus(t, c); got != http.StatusGatewayTimeout {
+		t.Errorf("status %d, want %d", got, http.StatusGatewayTimeout)
+	}
+}
+
 // TestShutdownWaitsForSlowCallers guards against a response that is cut short, or a request without an answer, because its
 // caller was still reading or sending while the process stopped.
 func TestShutdownWaitsForSlowCallers(t *testing.T) {
--- a/router/internal/passthrough/stream.go
+++ b/router/internal/passthrough/stream.go
@@ -162,6 +162,7 @@
 	if x.stream.begun {
 		return
 	}
+	x.handler.shutdown.remove(x)
 	x.copyHeaders(resp.Header)
 	x.w.WriteHeader(resp.StatusCode)
 	x.stream.begun = true
