--- a/router/internal/passthrough/exchange.go
+++ b/router/internal/passthrough/exchange.go
@@ -24,8 +24,8 @@
 	mayHaveRun bool
 	// stream is the progress of the streamed response to the caller.
 	stream stream
-	// responses is what is held of the backend servers' responses.
-	responses hold
+	// responses is what is held of the backend servers' responses, pending of the stream that is relayed.
+	responses, pending hold
 	// queueTimer ends the request's wait in the queue. It is started on arrival and again after
 	// each attempt.
 	queueTimer *time.Timer
@@ -38,8 +38,9 @@
 	ctx, cancel := context.WithTimeout(c.request.Context(), max(remaining, 0))
 	defer cancel()
 	x := &exchange{handler: h, call: c, w: w, ctx: ctx, stream: stream{lastEventID: c.caller.LastEventID},
-		responses: hold{bytes: h.held, direction: toCaller}}
+		responses: hold{bytes: h.held, direction: toCaller}, pending: hold{bytes: h.held, direction: toCaller}}
 	defer x.responses.release()
+	defer x.pending.release()
 	h.shutdown.add(x, cancel)
 	defer h.shutdown.remove(x)
 	if !c.route.Retryable() {
--- a/router/internal/passthrough/heldbytes_test.go
+++ b/router/internal/passthrough/heldbytes_test.go
@@ -77,3 +77,16 @@
 		t.Errorf("read %d bytes, error %v", len(text), err)
 	}
 }
+
+// TestEventIsHeldBesideAFailedResponse guards against memory beyond the bound, as an event of a stream counts as a part of an
+// earlier attempt's response that is still held.
+func TestEventIsHeldBesideAFailedResponse(t *testing.T) {
+	held := newHeldBytes(400_000)
+	x := &exchange{responses: hold{bytes: held, direction: toCaller}, pending: hold{bytes: held, direction: toCaller}}
+	if !x.responses.add(60_000) {
+		t.Fatal("no room for the failed response")
+	}
+	if x.holdPending(60_000) {
+		t.Errorf("%d bytes are held and up to 60000 more, the bound is %d", held.sums()[toCaller], held.limit)
+	}
+}
--- a/router/internal/passthrough/stream.go
+++ b/router/internal/passthrough/stream.go
@@ -125,7 +125,7 @@
 
 // holdPending reserves what a stream holds beyond its fixed buffers, up to n bytes in all.
 func (x *exchange) holdPending(n int) bool {
-	return x.responses.add(int64(n-2*streamBufferSize) - x.responses.n)
+	return x.pending.add(int64(n-2*streamBufferSize) - x.pending.n)
 }
 
 // endsWithConnection reports whether the response has neither a length nor chunks.
