Refusals after the deadline state when to retry

Cause: the retry-after time is bounded by a part of the time to the deadline, which is negative then, and a negative time is not written.

Change: it is the least retry-after time then. Result: TestRefusalAfterTheDeadlineStatesWhenToRetry failed in all four cases before, and passes.

--- a/decision/passthrough/refusal.go
+++ b/decision/passthrough/refusal.go
@@ -50,6 +50,9 @@
 	retryAfter = max(retryAfter, minRetryAfter)
 	retryAfter = min(retryAfter, maxRetryAfter, time.Duration(retryAfterFraction*float64(r.Deadline.Sub(w.now))))
 	retryAfter += time.Duration(retryAfterJitter * w.rng.Float64() * float64(retryAfter))
-	w.emit(Refuse{Request: r.ID, Reason: reason, RetryAfter: max(retryAfter, 0)})
+	if retryAfter <= 0 {
+		retryAfter = minRetryAfter // the deadline has passed: the caller's next request has its own
+	}
+	w.emit(Refuse{Request: r.ID, Reason: reason, RetryAfter: retryAfter})
 	w.remove(r)
 }
--- a/decision/passthrough/returntime.go
+++ b/decision/passthrough/returntime.go
@@ -84,6 +84,9 @@
 	least := max(left-time.Duration(returnedShare*float64(r.Route.Timeout))+minRetryAfter/2, minRetryAfter)
 	told := w.shared.returns.Refused(w.now, c, perSecond, left, least, w.rng.Float64())
 	state.Position = told.Position
+	if told.After < 0 {
+		told.After = minRetryAfter // the deadline has passed: the caller's next request has its own
+	}
 	return told.After, state
 }
 
