--- a/decision/passthrough/admissionlevel_test.go
+++ b/decision/passthrough/admissionlevel_test.go
@@ -81,7 +81,7 @@
 	}
 	share := func(name string) float64 { return float64(served[name]) / float64(offered[name]) }
 	t.Logf("%.2f of the urgent requests and %.2f of the others served", share("plain"), share("later"))
-	if share("later") > share("plain") {
-		t.Errorf("%.2f of the less urgent requests were served, and %.2f of the urgent ones", share("later"), share("plain"))
+	if share("plain") < 1.5*share("later") {
+		t.Errorf("%.2f of the less urgent requests were served, and %.2f of the urgent ones; want these half as often again", share("later"), share("plain"))
 	}
 }
