--- a/decision/passthrough/admission_sim_test.go
+++ b/decision/passthrough/admission_sim_test.go
@@ -95,6 +95,8 @@
 	late           int
 	silent, paused map[*harness]bool
 	resumeAt       time.Time
+	// onlyEnds is true if first bytes are reported for streams only, as the router does.
+	onlyEnds       bool
 	rejected, sent int
 	// prefill is how long an engine takes for a prompt, one after the other. teamsRank is true if all teams have a priority of
 	// their own, the same one.
@@ -467,10 +469,9 @@
 	if r == nil || s.paused[c.at] {
 		return
 	}
-	if s.engine { // the first byte of a plain response is not reported
+	c.at.tick(LoadReported{Server: server, Load: load})
+	if s.engine || !s.onlyEnds {
 		c.at.tick(FirstByte{Request: j.id, After: s.now.Sub(r.sent), Load: load, HasLoad: true})
-	} else {
-		c.at.tick(LoadReported{Server: server, Load: load})
 	}
 	s.carryOut(c.at)
 }
--- a/decision/passthrough/admission_test.go
+++ b/decision/passthrough/admission_test.go
@@ -243,6 +243,38 @@
 	}
 }
 
+// addInstances adds instances to the fleet.
+func addInstances(t *testing.T, s *roomSim, count int) {
+	fleet := len(s.instances) + count
+	for range count {
+		s.instances = append(s.instances, s.start(t, fleet))
+	}
+	for _, h := range s.instances {
+		h.tick(FleetSize{Instances: fleet})
+	}
+}
+
+// TestUrgentCallersOfPlainServicesAreServedBesideAddedInstances guards against urgent requests that are refused while
+// there is room for them, with the events that the router reports for plain responses.
+func TestUrgentCallersOfPlainServicesAreServedBesideAddedInstances(t *testing.T) {
+	t.Parallel()
+	for _, service := range roomServices {
+		if service.name != "plain" {
+			continue
+		}
+		s := service.sim(t, 70, true)
+		s.onlyEnds = true
+		overload(s, func(s *roomSim) {
+			addInstances(t, s, 8)
+			roomLoads[0].set(s)
+		})
+		s.log(t, "added")
+		if got := s.kinds[0].tally.share(); got < 1-maxInversion {
+			t.Errorf("%.3f of the most urgent served, for which there is room", got)
+		}
+	}
+}
+
 // TestPromisesHoldWithoutCompleteReports guards against an order that is lost with reports that are lost, or with
 // instances that are cut off, paused or new.
 func TestPromisesHoldWithoutCompleteReports(t *testing.T) {
@@ -254,15 +286,7 @@
 		"paused for 5 s": func(s *roomSim) {
 			s.paused[s.instances[1]], s.resumeAt = true, s.now.Add(5*time.Second)
 		},
-		"added": func(s *roomSim) {
-			fleet := len(s.instances) + 8
-			for range 8 {
-				s.instances = append(s.instances, s.start(t, fleet))
-			}
-			for _, h := range s.instances {
-				h.tick(FleetSize{Instances: fleet})
-			}
-		},
+		"added": func(s *roomSim) { addInstances(t, s, 8) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			for _, service := range roomServices {
