--- a/decision/passthrough/admission_sim_test.go
+++ b/decision/passthrough/admission_sim_test.go
@@ -469,10 +469,11 @@
 	if r == nil || s.paused[c.at] {
 		return
 	}
-	c.at.tick(LoadReported{Server: server, Load: load})
+	events := []Event{LoadReported{Server: server, Load: load}}
 	if s.engine || !s.onlyEnds {
-		c.at.tick(FirstByte{Request: j.id, After: s.now.Sub(r.sent), Load: load, HasLoad: true})
+		events = append(events, FirstByte{Request: j.id, After: s.now.Sub(r.sent), Load: load, HasLoad: true})
 	}
+	c.at.tick(events...)
 	s.carryOut(c.at)
 }
 
