--- a/decision/passthrough/admission_sim_test.go
+++ b/decision/passthrough/admission_sim_test.go
@@ -95,6 +95,8 @@
 	late           int
 	silent, paused map[*harness]bool
 	resumeAt       time.Time
+	// onlyEnds is true if first bytes are reported for streams only, as the router does.
+	onlyEnds       bool
 	rejected, sent int
 	// prefill is how long an engine takes for a prompt, one after the other. teamsRank is true if all teams have a priority of
 	// their own, the same one.
@@ -467,7 +469,11 @@
 	if r == nil || s.paused[c.at] {
 		return
 	}
-	c.at.tick(LoadReported{Server: server, Load: load}, FirstByte{Request: j.id, After: s.now.Sub(r.sent), Load: load, HasLoad: true})
+	events := []Event{LoadReported{Server: server, Load: load}}
+	if s.engine || !s.onlyEnds {
+		events = append(events, FirstByte{Request: j.id, After: s.now.Sub(r.sent), Load: load, HasLoad: true})
+	}
+	c.at.tick(events...)
 	s.carryOut(c.at)
 }
 
@@ -483,7 +489,11 @@
 		c.tally.smallServed++
 	}
 	if !s.paused[h] {
-		h.tick(AttemptEnded{Request: j.id, Result: Completed, EventInterval: 20 * time.Millisecond})
+		interval := 20 * time.Millisecond
+		if r := h.world.requests[j.id]; r != nil && !s.engine {
+			interval = s.now.Sub(r.sent)
+		}
+		h.tick(AttemptEnded{Request: j.id, Result: Completed, EventInterval: interval})
 		s.carryOut(h)
 	}
 }
--- a/decision/passthrough/admissionlevel.go
+++ b/decision/passthrough/admissionlevel.go
@@ -157,19 +157,22 @@
 	return float64(slots) / math.Exp(l.workTime.value)
 }
 
-// observeWorkTime learns the work time of a plain request from its response time and the load that the server states with
+// observeWorkTime learns the work time of a plain request from its response time and the load that the server has stated with
 // the response: with n requests at a server of fewer slots, a response takes n times the work over the slots.
 //
 // Load: a burst at a service with few slots. Harm prevented: room that is measured too low while servers are busy, as
 // requests that found a queue, and left none behind, count as longer work.
-func (w *World) observeWorkTime(e FirstByte) {
-	r := w.requests[e.Request]
-	if !w.cfg.SharedAdmission || r == nil || r.service.engine || !e.HasLoad || e.After <= 0 || e.Load.Slots <= 0 && e.Load.Waiting > 0 {
+func (w *World) observeWorkTime(r *request, s *server, e AttemptEnded) {
+	load := s.reported
+	if !w.cfg.SharedAdmission || r.service.engine || e.Result != Completed || e.EventInterval <= 0 {
 		return
 	}
-	work := e.After.Seconds()
-	if n := e.Load.Running + e.Load.Waiting; e.Load.Slots > 0 && n > e.Load.Slots {
-		work *= float64(e.Load.Slots) / float64(n)
+	if s.reportedAt.Before(r.sent) || load.Slots <= 0 && load.Waiting > 0 {
+		return
+	}
+	work := e.EventInterval.Seconds()
+	if n := load.Running + load.Waiting; load.Slots > 0 && n > load.Slots {
+		work *= float64(load.Slots) / float64(n)
 	}
 	w.levelFor(r.service).workTime.add(math.Log(work))
 }
--- a/decision/passthrough/attempt.go
+++ b/decision/passthrough/attempt.go
@@ -118,6 +118,7 @@
 		w.recordWhole(r, s)
 		w.recordInterval(r, s, e.EventInterval)
 		w.observePace(r, s, e.EventInterval)
+		w.observeWorkTime(r, s, e)
 	}
 	w.recordFailure(r, s, e)
 	if e.ConnectionLost {
--- a/router/internal/passthrough/stream.go
+++ b/router/internal/passthrough/stream.go
@@ -125,7 +125,7 @@
 
 // holdPending reserves what a stream holds beyond its fixed buffers, up to n bytes in all.
 func (x *exchange) holdPending(n int) bool {
-	return x.responses.add(int64(n-2*streamBufferSize) - x.responses.n)
+	return x.pending.add(int64(n-2*streamBufferSize) - x.pending.n)
 }
 
 // endsWithConnection reports whether the response has neither a length nor chunks.
@@ -162,6 +162,7 @@
 	if x.stream.begun {
 		return
 	}
+	x.handler.shutdown.remove(x)
 	x.copyHeaders(resp.Header)
 	x.w.WriteHeader(resp.StatusCode)
 	x.stream.begun = true
@@ -176,9 +177,7 @@
 	if err == nil {
 		err = http.NewResponseController(x.w).Flush()
 	}
-	ended := clock.Now()
-	a.conn.lastReceived.Store(ended.UnixNano()) // the server was not idle while nothing was read from it
-	a.stall.endWrite(ended)
+	a.endWrite(clock.Now())
 	if err != nil {
 		x.handler.telemetry.logCallerLost(x.call, err)
 	}
