--- a/decision/passthrough/filter.go
+++ b/decision/passthrough/filter.go
@@ -62,5 +62,5 @@
 	if !s.service.engine {
 		slots += overcommit
 	}
-	return v.known < float64(slots)
+	return v.known-v.freeing < float64(slots)+v.ahead
 }
--- a/decision/passthrough/peerload.go
+++ b/decision/passthrough/peerload.go
@@ -82,6 +82,9 @@
 		}
 	}
 	for _, s := range w.services {
+		if s.engine && w.poolsEvidence(s) {
+			w.expectLoads(s)
+		}
 		w.markFreed(s)
 	}
 }
--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -12,6 +12,8 @@
 
 // service holds the backend servers of a service and the requests that wait for them.
 type service struct {
+	flows flows
+	ahead, aheadTime, finishing float64
 	name    string
 	servers []*server
 	queue   queue
@@ -51,6 +53,8 @@
 
 // server is an entry of the server list with what this instance knows about it.
 type server struct {
+	finishing, arriving float64
+	sentSinceReport int
 	Server
 	service *service
 	// ownRequests counts this instance's requests at the server.
--- a/decision/passthrough/view.go
+++ b/decision/passthrough/view.go
@@ -26,6 +26,9 @@
 	// replaces it: a server that reports nothing because it is busy must not look idle.
 	load  float64
 	known float64
+	// freeing is how many of the known requests have probably finished since they were reported.
+	freeing float64
+	ahead float64
 	// unscaledWait is how long a prompt is expected to wait at the server, in seconds; wait is
 	// the same time, scaled by the accuracy of earlier forecasts.
 	unscaledWait float64
@@ -73,6 +76,8 @@
 	// peersFresh is true if the peers' load reports still count.
 	peersFresh bool
 	peerScale  float64
+	expects bool
+	reportAge float64
 }
 
 func (w *World) forecastInput(s *service) forecastInput {
@@ -82,6 +87,7 @@
 		meanOthersPrefilling: ps.meanOthersPrefilling.value * (1 - elapsedFraction(ps.lastReportAt, w.now, meanPrefillTTL)),
 		ownScale:             forecastScale(&ps.ownAccuracy),
 		peersFresh:           s.engine && w.peerLoadsFresh(), peerScale: forecastScale(&ps.peerAccuracy),
+		expects: s.engine && w.poolsEvidence(s), reportAge: w.now.Sub(w.peerLoadsAt).Seconds()+kDelay,
 	}
 }
 
@@ -102,6 +108,14 @@
 func (in *forecastInput) peerForecast(srv *server, factor float64) forecast {
 	load := float64(srv.ownRequests) + srv.peers.requests
 	f := forecast{known: load, load: load}
+	if in.expects {
+		f.freeing = min(srv.finishing*in.reportAge, srv.peers.requests)
+		f.ahead = in.service.ahead * knobOver
+		if kStay == 1 && srv.finishing > 0 {
+			f.ahead = srv.finishing * in.service.aheadTime
+		}
+		f.load = load - f.freeing + srv.arriving*in.reportAge
+	}
 	f.unscaledWait = in.waitFor(srv.prefillRemaining(in.now)+srv.peers.prefillTime, 0, factor)
 	f.wait = f.unscaledWait * in.peerScale
 	return f
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -97,6 +97,7 @@
 	views    []serverView
 	eligible []serverView
 	timely   []serverView
+	loadsScratch []float64
 }
 
 // New returns an empty world. It refuses all requests until it has a list of backend servers.
