--- a/decision/passthrough/admission_sim_test.go
+++ b/decision/passthrough/admission_sim_test.go
@@ -130,7 +130,7 @@
 }
 
 func newRoomSim(t *testing.T, instances int, shared, engine bool, list []Server, work time.Duration, kinds []*roomKind) *roomSim {
-	s := &roomSim{rng: rand.New(rand.NewPCG(11+uint64(knob("K_SEED", 0)), uint64(instances))), list: list, slots: list[0].Slots, work: work, engine: engine, kinds: kinds, step: min(5*time.Millisecond, work/10),
+	s := &roomSim{rng: rand.New(rand.NewPCG(11, uint64(instances))), list: list, slots: list[0].Slots, work: work, engine: engine, kinds: kinds, step: min(5*time.Millisecond, work/10),
 		handled: map[*harness]int{}, callers: map[*harness]map[RequestID]*roomCaller{}, servers: map[string]*roomServer{}, now: testStart,
 		silent: map[*harness]bool{}, paused: map[*harness]bool{}}
 	s.cfg = Settings{RetryRatio: 0.9, RetrySlack: 180, RetryWindow: 10 * time.Second, SessionTTL: time.Second, SharedAdmission: shared}
--- a/decision/passthrough/admissionlevel.go
+++ b/decision/passthrough/admissionlevel.go
@@ -74,7 +74,6 @@
 	utilization float64
 	// requests is the number of requests at them, waiting of those that wait for a slot; free is the number of free slots.
 	requests, waiting, free float64
-	engines float64
 }
 
 func (w *World) engineUse(s *service) engineUse {
@@ -83,7 +82,6 @@
 		return engineUse{utilization: 1}
 	}
 	var use engineUse
-	use.engines = float64(len(views))
 	wait, slots := 0.0, float64(s.slots)
 	for _, v := range views {
 		use.requests += v.known
--- a/decision/passthrough/attempt.go
+++ b/decision/passthrough/attempt.go
@@ -13,14 +13,7 @@
 	if r.firstByte == 0 && (e.GivenUp || e.Result == Abandoned) {
 		w.observeDelay(r, w.now.Sub(r.sent))
 	}
-	if e.Result == Completed && r.service.engine && w.poolsEvidence(r.service) {
-		if kStay == 0 {
-			r.service.flows.stay.add(w.now.Sub(r.sent).Seconds())
-		} else if r.firstByte > 0 && s != nil {
-			f, _ := w.speedFactors(s)
-			r.service.flows.stay.add((w.now.Sub(r.sent) - r.firstByte).Seconds()/f + r.prefillTime/f)
-		}
-	}
+	w.recordRun(r, s, e.Result)
 	w.releaseServer(r)
 	r.observeEnd(e)
 	w.recordOutcome(r, s, e)
--- a/decision/passthrough/dispatch.go
+++ b/decision/passthrough/dispatch.go
@@ -33,7 +33,6 @@
 	r.attempts++
 	r.dispatches++
 	s.ownRequests++
-	s.sentSinceReport++
 	r.takeTokens()
 	w.recordSlowStart(s)
 	sharePeers := w.takeShare(s)
--- a/decision/passthrough/expectedload.go
+++ b/decision/passthrough/expectedload.go
@@ -2,150 +2,224 @@
 
 import (
 	"math"
-	"os"
 	"slices"
-	"strconv"
 	"time"
 )
 
-// TRIAL knobs
-func knob(name string, def float64) float64 {
-	if v, err := strconv.ParseFloat(os.Getenv(name), 64); err == nil {
-		return v
-	}
-	return def
-}
-
-var (
-	kFinish = knob("K_FINISH", 1)
-	kIn     = knob("K_IN", 1)
-	kPick   = knob("K_PICK", 4)
-	kDelay  = knob("K_DELAY", 0.15)
-	kSpan   = knob("K_SPAN", 0.3)
+const (
+	// reportDelay is how old a load report of the peers is when it arrives, in the mean.
+	reportDelay = 150 * time.Millisecond
+	// reportSpan is the time from a report's collection to the arrival of the next one, in seconds.
+	reportSpan = 0.3
+	// minPrefillTime is the least prefill time in seconds that shares are computed with.
+	minPrefillTime = 1e-3
+	// minRoom is the room of a server that is expected to be full: if all are, one is as good as another.
+	minRoom = 0.01
+	// fullShareSlots is the part of an engine's slots from which on free ones do not change its share.
+	fullShareSlots = 0.25
 )
 
-// flows is the expected change of the engines' load between two reports.
-type flows struct {
-	// stay is the mean time in seconds that requests spend at engines.
-	stay movingAverage
-	// total is the sum of the others' requests by their last report.
-	total    float64
-	hasTotal bool
-	at time.Time
-	level float64
+// engineFlow is how the load of a service's engines changes between two load reports of the peers.
+type engineFlow struct {
+	// runTime is how long a request occupies a slot at unit speed, its prefill included, in seconds.
+	runTime movingAverage
+	// reported is the number of requests at the engines by the last report, at is when it arrived.
+	reported float64
+	at       time.Time
+	// finishing is how many requests a second end at the engines, those of all instances; 0 if unknown.
+	finishing float64
+	// wait is the wait at engines that is aimed at, in seconds, and waiting the number of requests that may wait at each
+	// while finishing is unknown.
+	wait, waiting float64
+	// usable is the number of usable engines; loads are reused between reports.
+	usable int
+	loads  []float64
 }
 
-// expectLoads computes how the load of the service's engines is expected to change until the next report.
-func (w *World) expectLoads(s *service) {
-	total := 0.0
-	for _, srv := range s.servers {
-		total += srv.peers.requests
+// recordRun records how long a complete response occupied a slot.
+func (w *World) recordRun(r *request, s *server, result Result) {
+	if result != Completed || s == nil || !r.service.engine || r.firstByte <= 0 || !w.poolsEvidence(r.service) {
+		return
 	}
-	f := &s.flows
-	grown := 0.0
-	if f.hasTotal && w.now.Sub(f.at) < peerLoadTTL {
-		grown = max(total-f.total, 0) / max(w.now.Sub(f.at).Seconds(), 0.05)
+	run := (w.now.Sub(r.sent) - r.firstByte).Seconds() + r.prefillTime
+	r.service.flow.runTime.add(run / s.runFactor())
+}
+
+// runFactor is how many times as long as usual a request occupies a slot of the server.
+func (s *server) runFactor() float64 {
+	if s.service.statesSpeeds && s.usual > 0 {
+		return s.usual
 	}
-	f.total, f.hasTotal, f.at = total, true, w.now
-	rate := grown
-	running := 0.0
+	return 1
+}
+
+// expectLoads computes from a report of the peers how the load of the service's engines changes until the next one. All
+// instances compute the same, up to their own requests.
+//
+// Load: 70 to 880 instances whose reports are 0.15 to 0.3 s old, and engines that finish a dozen requests a second. Harm
+// prevented: all instances send what arrives in that time to the few engines that had a free slot, which reject it.
+func (w *World) expectLoads(s *service) {
+	f := &s.flow
 	slots := float64(s.slots)
 	if slots <= 0 {
 		slots = math.Inf(1)
 	}
+	total, finishing := 0.0, 0.0
+	f.loads = f.loads[:0]
 	for _, srv := range s.servers {
-		running += min(srv.peers.requests, slots)
-	}
-	finished := 0.0
-	for _, srv := range s.servers {
-		srv.finishing, srv.sentSinceReport = 0, 0
-		if f.stay.n > 0 && f.stay.value > 0 {
-			if kStay == 0 {
-				srv.finishing = kFinish * min(srv.peers.requests, slots) / f.stay.value * max(total/max(running, 1), 1)
-			} else {
-				factor, _ := w.speedFactors(srv)
-				srv.finishing = kFinish * min(srv.peers.requests, slots) / (f.stay.value * factor)
-			}
+		srv.finishing, srv.arriving = 0, 0
+		if f.runTime.value > 0 {
+			srv.finishing = min(srv.peers.requests, slots) / (f.runTime.value * srv.runFactor())
 		}
-		finished += srv.finishing
-	}
-	rate += finished
-	s.finishing = finished * float64(w.fleetSize) / float64(max(w.fleetSize-1, 1))
-	// Water filling.
-	loads := w.loadsScratch[:0]
-	for _, srv := range s.servers {
+		total += srv.peers.requests
+		finishing += srv.finishing
 		if srv.usable(w.now) {
-			loads = append(loads, max(srv.peers.requests-srv.finishing*kSpan, 0))
+			f.loads = append(f.loads, srv.leftOfReported())
 		}
 	}
-	w.loadsScratch = loads
-	slices.Sort(loads)
-	level := waterLevel(loads, rate*kSpan)
+	arriving := finishing
+	if !f.at.IsZero() && w.now.Sub(f.at) < peerLoadTTL {
+		const minInterval = 0.05 // seconds
+		arriving += max(total-f.reported, 0) / max(w.now.Sub(f.at).Seconds(), minInterval)
+	}
+	f.reported, f.at, f.usable = total, w.now, len(f.loads)
+	f.finishing = finishing * float64(max(w.fleetSize, 1)) / float64(max(w.fleetSize-1, 1))
+	slices.Sort(f.loads)
+	level := fillLevel(f.loads, arriving*reportSpan)
 	for _, srv := range s.servers {
-		srv.arriving = 0
 		if srv.usable(w.now) {
-			srv.arriving = kIn * max(level-max(srv.peers.requests-srv.finishing*kSpan, 0), 0) / kSpan
+			srv.arriving = max(level-srv.leftOfReported(), 0) / reportSpan
 		}
 	}
-	f.level = level
+	if s.statesSpeeds {
+		w.shareBySpeed(s, arriving*peerReportInterval)
+	}
 }
 
-func waterLevel(sorted []float64, volume float64) float64 {
-	sum := 0.0
-	for i, x := range sorted {
-		sum += x
-		n := float64(i + 1)
-		level := (sum + volume) / n
-		if i+1 == len(sorted) || level <= sorted[i+1] {
+// leftOfReported is how many of the peers' reported requests are left when the next report arrives.
+func (s *server) leftOfReported() float64 {
+	return max(s.peers.requests-s.finishing*reportSpan, 0)
+}
+
+// fillLevel is the level that all loads below it are raised to by an added sum. The loads are sorted.
+func fillLevel(loads []float64, added float64) float64 {
+	sum := added
+	for i, load := range loads {
+		sum += load
+		if level := sum / float64(i+1); i+1 == len(loads) || level <= loads[i+1] {
 			return level
 		}
 	}
 	return 0
 }
 
-// pickByRoom chooses at random, in proportion to expected room.
-func (w *World) pickByRoom(list []serverView) (serverView, bool) {
+// ended is how many of the peers' reported requests at the server have probably ended since the report.
+func (in *forecastInput) ended(srv *server) float64 {
+	return min(srv.finishing*in.reportAge, srv.peers.requests)
+}
+
+// waitingAllowed is how many requests may wait at the engine: a short wait costs no response its target, and engines that
+// are kept just full are idle at times.
+func (s *server) waitingAllowed() float64 {
+	if s.finishing > 0 {
+		return s.finishing * s.service.flow.wait
+	}
+	return s.service.flow.waiting
+}
+
+// expectRoom sets what is expected of the server's slots at this moment.
+func (v *serverView) expectRoom(in *forecastInput) {
+	v.spare = in.ended(v.server) + v.server.waitingAllowed()
+	arrived := v.server.arriving * in.reportAge
+	v.room = max(float64(v.server.service.slots)+v.spare-v.known-arrived, minRoom)
+}
+
+// pickByRoom chooses a server at random, in proportion to its expected room, so that instances which know the same send to
+// different servers. ok is false if no server has any.
+func (w *World) pickByRoom(list []serverView) (v serverView, ok bool) {
 	sum := 0.0
 	for i := range list {
-		sum += w.roomWeight(&list[i])
+		sum += list[i].room
 	}
 	if sum <= 0 {
 		return serverView{}, false
 	}
-	x := w.rng.Float64() * sum
+	left := sum * w.rng.Float64()
 	for i := range list {
-		x -= w.roomWeight(&list[i])
-		if x < 0 {
+		if left -= list[i].room; left < 0 {
 			return list[i], true
 		}
 	}
 	return list[len(list)-1], true
 }
 
-func (w *World) roomWeight(v *serverView) float64 {
-	slots := float64(v.server.service.slots)
-	_ = math.Pi
-	switch kPick {
-	case 1: // the common fluid
-		return max(v.server.arriving*kSpan-float64(v.server.sentSinceReport), 0)
-	case 2: // expected room up to slots + ahead
-		return max(slots+knobAhead-v.load, 0.01)
-	case 4:
-		return max(slots+v.ahead-v.load, 0.01)
-	case 5: 
-		return max(max(slots, v.server.service.flows.level)-v.load, 0.01)
-	case 6: 
-		return max(v.server.service.flows.level+2-v.load, 0.01)
-	case 3:
-		return max(slots+knobAhead-v.known+v.freeing, 0.01)
+// peerReportInterval is the time between two load reports of the peers, in seconds.
+const peerReportInterval = 0.15
+
+// shareBySpeed computes which part of the prompts that arrive until the next report each engine takes if all their first
+// events are equally late: first the fast engines, then the usual ones, and those with waiting prompts last.
+func (w *World) shareBySpeed(s *service, prompts float64) {
+	unit := max(s.prefill.meanPrefillTime.value, minPrefillTime)
+	taken := func(level float64) float64 {
+		sum := 0.0
+		for _, srv := range s.servers {
+			sum += srv.promptsUntil(level, unit)
+		}
+		return sum
+	}
+	const maxLevel, steps = 64.0, 12
+	low, high := 0.0, 1.0
+	for taken(high) < prompts && high < maxLevel {
+		high *= 2
+	}
+	for range steps {
+		if mid := (low + high) / 2; taken(mid) < prompts {
+			low = mid
+		} else {
+			high = mid
+		}
+	}
+	most := 0.0
+	for _, srv := range s.servers {
+		srv.share = srv.promptsUntil(high, unit) * srv.shareOfSlots()
+		most = max(most, srv.share)
+	}
+	for _, srv := range s.servers {
+		if most > 0 {
+			srv.share /= most
+		}
 	}
-	return 0
 }
 
-var knobAhead = knob("K_AHEAD", 0)
-
-var knobOver = knob("K_OVER", 1)
+// promptsUntil is how many prompts that take unit seconds at unit speed the engine can process with first events in at most
+// level seconds.
+func (s *server) promptsUntil(level, unit float64) float64 {
+	own := unit * s.runFactor()
+	return max(level-max(s.peers.prefillTime-peerReportInterval/2, 0)-own, 0) / own
+}
 
-var kStay = knob("K_STAY", 1)
+// shareOfSlots lowers the share of an engine with few free slots.
+func (s *server) shareOfSlots() float64 {
+	slots := float64(s.service.slots)
+	if slots <= 0 {
+		return 1
+	}
+	free := slots + s.waitingAllowed() - s.peers.requests + (s.finishing-s.arriving)*reportSpan/2
+	return min(max(free/(fullShareSlots*slots), 0), 1)
+}
 
-var kCap = knob("K_CAP", 1)
+// sample returns the index of a random server of the list, chosen in proportion to the servers' shares.
+func (w *World) sample(list []serverView) int {
+	const tries = 8 // then any is as good
+	i := w.rng.IntN(len(list))
+	if !w.peerLoadsFresh() {
+		return i
+	}
+	for range tries {
+		if w.rng.Float64() < list[i].server.share {
+			break
+		}
+		i = w.rng.IntN(len(list))
+	}
+	return i
+}
--- a/decision/passthrough/filter.go
+++ b/decision/passthrough/filter.go
@@ -48,7 +48,7 @@
 }
 
 // hasFreeSlot reports whether the server has a free slot. It counts only the known
-// load: an instance kept away by an estimate would send the server nothing, and so never learn
+// load, less what has probably ended: an instance kept away by an estimate would send the server nothing, and so never learn
 // its real load.
 func (v serverView) hasFreeSlot() bool {
 	s := v.server
@@ -62,5 +62,5 @@
 	if !s.service.engine {
 		slots += overcommit
 	}
-	return v.known-v.freeing < float64(slots)+v.ahead
+	return v.known < float64(slots)+v.spare
 }
--- a/decision/passthrough/pick.go
+++ b/decision/passthrough/pick.go
@@ -38,10 +38,8 @@
 	if r.PrefixHash != 0 {
 		return w.pickByPrefix(r, list, occ), true
 	}
-	if kPick > 0 && r.service.engine && w.poolsEvidence(r.service) && w.peerLoadsFresh() {
-		if v, ok := w.pickByRoom(list); ok {
-			return v, true
-		}
+	if v, ok := w.pickByRoom(list); ok {
+		return v, true
 	}
 	return w.pickByLoad(list), true
 }
--- a/decision/passthrough/slotshare.go
+++ b/decision/passthrough/slotshare.go
@@ -66,16 +66,12 @@
 		dt = reportAge.Seconds()
 	}
 	finished := l.finished / l.meanWork.value
-	if kCap > 0 && s.finishing > 0 {
-		finished = min(finished, kCap*s.finishing)
+	if s.flow.finishing > 0 {
+		finished = min(finished, s.flow.finishing) // rejected requests count as admitted, and never end at engines
 	}
 	// Slots become free before the next report is known, and a short wait at an engine costs no response its target.
 	ahead := finished * (reportAge.Seconds() + engineWait*l.leastTarget.Seconds())
-	s.ahead = 0
-	s.aheadTime = engineWait * l.leastTarget.Seconds()
-	if use.engines > 0 {
-		s.ahead = max(ahead, 0) / use.engines
-	}
+	s.flow.wait, s.flow.waiting = engineWait*l.leastTarget.Seconds(), ahead/float64(max(s.flow.usable, 1))
 	left := (finished + (use.free+max(ahead-use.waiting, 0))/slotCorrection.Seconds()) * dt
 	own, _ := w.slotDemand(admission.OfService(w.ownDemand(), l.key), l.meanWork.value, dt)
 	all, order := w.slotDemand(l.pooled, l.meanWork.value, dt)
--- a/decision/passthrough/view.go
+++ b/decision/passthrough/view.go
@@ -16,6 +16,9 @@
 	// factor is how many times as long as usual work is expected to take at the server, momentary the same for
 	// work of some tens of milliseconds.
 	factor, momentary float64
+	// spare is how many requests beyond its slots the server may have by the reports: those that have probably ended since
+	// then, and those that may wait there. room is how many more it is expected to have place for at this moment.
+	spare, room float64
 }
 
 // forecast is the expected load of a server.
@@ -26,9 +29,6 @@
 	// replaces it: a server that reports nothing because it is busy must not look idle.
 	load  float64
 	known float64
-	// freeing is how many of the known requests have probably finished since they were reported.
-	freeing float64
-	ahead float64
 	// unscaledWait is how long a prompt is expected to wait at the server, in seconds; wait is
 	// the same time, scaled by the accuracy of earlier forecasts.
 	unscaledWait float64
@@ -56,8 +56,14 @@
 		v.forecast = v.own
 		if in.peersFresh {
 			v.forecast = in.peerForecast(srv, factor)
+			if in.expects {
+				v.expectRoom(&in)
+			}
 		}
 		v.weight = (v.load+1)*factor + v.wait/prefillSecondsPerRequest
+		if in.peersFresh && s.statesSpeeds {
+			v.weight -= in.ended(srv) * factor
+		}
 		w.views = append(w.views, v)
 	}
 	return w.views
@@ -76,7 +82,8 @@
 	// peersFresh is true if the peers' load reports still count.
 	peersFresh bool
 	peerScale  float64
-	expects bool
+	// expects is true if the load is expected to change since the peers' reports, which are reportAge seconds old.
+	expects   bool
 	reportAge float64
 }
 
@@ -87,7 +94,7 @@
 		meanOthersPrefilling: ps.meanOthersPrefilling.value * (1 - elapsedFraction(ps.lastReportAt, w.now, meanPrefillTTL)),
 		ownScale:             forecastScale(&ps.ownAccuracy),
 		peersFresh:           s.engine && w.peerLoadsFresh(), peerScale: forecastScale(&ps.peerAccuracy),
-		expects: s.engine && w.poolsEvidence(s), reportAge: w.now.Sub(w.peerLoadsAt).Seconds()+kDelay,
+		expects: s.engine && w.poolsEvidence(s), reportAge: (w.now.Sub(w.peerLoadsAt) + reportDelay).Seconds(),
 	}
 }
 
@@ -108,13 +115,8 @@
 func (in *forecastInput) peerForecast(srv *server, factor float64) forecast {
 	load := float64(srv.ownRequests) + srv.peers.requests
 	f := forecast{known: load, load: load}
-	if in.expects {
-		f.freeing = min(srv.finishing*in.reportAge, srv.peers.requests)
-		f.ahead = in.service.ahead * knobOver
-		if kStay == 1 && srv.finishing > 0 {
-			f.ahead = srv.finishing * in.service.aheadTime
-		}
-		f.load = load - f.freeing + srv.arriving*in.reportAge
+	if in.expects && !in.service.statesSpeeds {
+		f.load += srv.arriving*in.reportAge - in.ended(srv)
 	}
 	f.unscaledWait = in.waitFor(srv.prefillRemaining(in.now)+srv.peers.prefillTime, 0, factor)
 	f.wait = f.unscaledWait * in.peerScale
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -97,7 +97,6 @@
 	views    []serverView
 	eligible []serverView
 	timely   []serverView
-	loadsScratch []float64
 }
 
 // New returns an empty world. It refuses all requests until it has a list of backend servers.
