--- a/decision/passthrough/expectedload.go
+++ b/decision/passthrough/expectedload.go
@@ -11,17 +11,13 @@
 	reportDelay = 150 * time.Millisecond
 	// reportSpan is the time from a report's collection to the arrival of the next one, in seconds.
 	reportSpan = 0.3
-	// minPrefillTime is the least prefill time in seconds that shares are computed with.
-	minPrefillTime = 1e-3
 	// minRoom is the room of a server that is expected to be full: if all are, one is as good as another.
 	minRoom = 0.01
-	// fullShareSlots is the part of an engine's slots from which on free ones do not change its share.
-	fullShareSlots = 0.25
 )
 
 // engineFlow is how the load of a service's engines changes between two load reports of the peers.
 type engineFlow struct {
-	// runTime is how long a request occupies a slot at unit speed, its prefill included, in seconds.
+	// runTime is how long a request occupies a slot, its prefill included, in seconds.
 	runTime movingAverage
 	// reported is the number of requests at the engines by the last report, at is when it arrived.
 	reported float64
@@ -36,21 +32,19 @@
 	loads  []float64
 }
 
+// expectsLoads reports whether the load of the service's engines is expected to change between the reports. Engines that
+// state speeds are chosen by pickBySpeed, and each of them must be met often enough to state its own.
+func (w *World) expectsLoads(s *service) bool {
+	return s.engine && w.cfg.SharedAdmission && !s.statesSpeeds
+}
+
 // recordRun records how long a complete response occupied a slot.
 func (w *World) recordRun(r *request, s *server, result Result) {
-	if result != Completed || s == nil || !r.service.engine || r.firstByte <= 0 || !w.poolsEvidence(r.service) {
+	if result != Completed || s == nil || r.firstByte <= 0 || !w.expectsLoads(r.service) {
 		return
 	}
 	run := (w.now.Sub(r.sent) - r.firstByte).Seconds() + r.prefillTime
-	r.service.flow.runTime.add(run / s.runFactor())
-}
-
-// runFactor is how many times as long as usual a request occupies a slot of the server.
-func (s *server) runFactor() float64 {
-	if s.service.statesSpeeds && s.usual > 0 {
-		return s.usual
-	}
-	return 1
+	r.service.flow.runTime.add(run)
 }
 
 // expectLoads computes from a report of the peers how the load of the service's engines changes until the next one. All
@@ -69,7 +63,7 @@
 	for _, srv := range s.servers {
 		srv.finishing, srv.arriving = 0, 0
 		if f.runTime.value > 0 {
-			srv.finishing = min(srv.peers.requests, slots) / (f.runTime.value * srv.runFactor())
+			srv.finishing = min(srv.peers.requests, slots) / f.runTime.value
 		}
 		total += srv.peers.requests
 		finishing += srv.finishing
@@ -91,9 +85,6 @@
 			srv.arriving = max(level-srv.leftOfReported(), 0) / reportSpan
 		}
 	}
-	if s.statesSpeeds {
-		w.shareBySpeed(s, arriving*peerReportInterval)
-	}
 }
 
 // leftOfReported is how many of the peers' reported requests are left when the next report arrives.
@@ -129,6 +120,9 @@
 
 // expectRoom sets what is expected of the server's slots at this moment.
 func (v *serverView) expectRoom(in *forecastInput) {
+	if v.server.service.slots <= 0 {
+		return
+	}
 	v.spare = in.ended(v.server) + v.server.waitingAllowed()
 	arrived := v.server.arriving * in.reportAge
 	v.room = max(float64(v.server.service.slots)+v.spare-v.known-arrived, minRoom)
@@ -152,74 +146,3 @@
 	}
 	return list[len(list)-1], true
 }
-
-// peerReportInterval is the time between two load reports of the peers, in seconds.
-const peerReportInterval = 0.15
-
-// shareBySpeed computes which part of the prompts that arrive until the next report each engine takes if all their first
-// events are equally late: first the fast engines, then the usual ones, and those with waiting prompts last.
-func (w *World) shareBySpeed(s *service, prompts float64) {
-	unit := max(s.prefill.meanPrefillTime.value, minPrefillTime)
-	taken := func(level float64) float64 {
-		sum := 0.0
-		for _, srv := range s.servers {
-			sum += srv.promptsUntil(level, unit)
-		}
-		return sum
-	}
-	const maxLevel, steps = 64.0, 12
-	low, high := 0.0, 1.0
-	for taken(high) < prompts && high < maxLevel {
-		high *= 2
-	}
-	for range steps {
-		if mid := (low + high) / 2; taken(mid) < prompts {
-			low = mid
-		} else {
-			high = mid
-		}
-	}
-	most := 0.0
-	for _, srv := range s.servers {
-		srv.share = srv.promptsUntil(high, unit) * srv.shareOfSlots()
-		most = max(most, srv.share)
-	}
-	for _, srv := range s.servers {
-		if most > 0 {
-			srv.share /= most
-		}
-	}
-}
-
-// promptsUntil is how many prompts that take unit seconds at unit speed the engine can process with first events in at most
-// level seconds.
-func (s *server) promptsUntil(level, unit float64) float64 {
-	own := unit * s.runFactor()
-	return max(level-max(s.peers.prefillTime-peerReportInterval/2, 0)-own, 0) / own
-}
-
-// shareOfSlots lowers the share of an engine with few free slots.
-func (s *server) shareOfSlots() float64 {
-	slots := float64(s.service.slots)
-	if slots <= 0 {
-		return 1
-	}
-	free := slots + s.waitingAllowed() - s.peers.requests + (s.finishing-s.arriving)*reportSpan/2
-	return min(max(free/(fullShareSlots*slots), 0), 1)
-}
-
-// sample returns the index of a random server of the list, chosen in proportion to the servers' shares.
-func (w *World) sample(list []serverView) int {
-	const tries = 8 // then any is as good
-	i := w.rng.IntN(len(list))
-	if !w.peerLoadsFresh() {
-		return i
-	}
-	for range tries {
-		if w.rng.Float64() < list[i].server.share {
-			break
-		}
-		i = w.rng.IntN(len(list))
-	}
-	return i
-}
--- a/decision/passthrough/peerload.go
+++ b/decision/passthrough/peerload.go
@@ -82,7 +82,7 @@
 		}
 	}
 	for _, s := range w.services {
-		if s.engine && w.poolsEvidence(s) {
+		if w.expectsLoads(s) {
 			w.expectLoads(s)
 		}
 		w.markFreed(s)
--- a/decision/passthrough/pickbyspeed.go
+++ b/decision/passthrough/pickbyspeed.go
@@ -4,7 +4,7 @@
 
 // sampledServers is how many random servers are compared with those that the prefix hash selects. The instances learn
 // of each other's requests late: if all compared all servers, they would send to the same one meanwhile.
-const sampledServers = 2
+const sampledServers = 4
 
 // uncachedMargin is by how much, in requests, another server must be better than one that has the prefix: each server
 // with a prefix more repeats its prefill, and the forecasts are no better than that.
@@ -22,7 +22,7 @@
 	best, bestWeight := w.pickCached(r, list, local, perToken, unitTime)
 	bestWeight -= uncachedMargin
 	for range min(sampledServers, len(list)) {
-		i := w.sample(list)
+		i := w.rng.IntN(len(list))
 		weight := w.weightWith(list[i], unitTime)
 		if local && list[i].server.Domain != w.cfg.Domain {
 			weight += uncachedMargin
--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -13,7 +13,7 @@
 // service holds the backend servers of a service and the requests that wait for them.
 type service struct {
 	// flow is how the load of engines changes between load reports.
-	flow engineFlow
+	flow    engineFlow
 	name    string
 	servers []*server
 	queue   queue
@@ -54,8 +54,8 @@
 // server is an entry of the server list with what this instance knows about it.
 type server struct {
 	// finishing and arriving are how many requests of the other instances a second are expected to end at an engine, and to
-	// be sent there; share is how often it is compared with others, 1 for the most often.
-	finishing, arriving, share float64
+	// be sent there.
+	finishing, arriving float64
 	Server
 	service *service
 	// ownRequests counts this instance's requests at the server.
--- a/decision/passthrough/view.go
+++ b/decision/passthrough/view.go
@@ -61,9 +61,6 @@
 			}
 		}
 		v.weight = (v.load+1)*factor + v.wait/prefillSecondsPerRequest
-		if in.peersFresh && s.statesSpeeds {
-			v.weight -= in.ended(srv) * factor
-		}
 		w.views = append(w.views, v)
 	}
 	return w.views
@@ -94,7 +91,7 @@
 		meanOthersPrefilling: ps.meanOthersPrefilling.value * (1 - elapsedFraction(ps.lastReportAt, w.now, meanPrefillTTL)),
 		ownScale:             forecastScale(&ps.ownAccuracy),
 		peersFresh:           s.engine && w.peerLoadsFresh(), peerScale: forecastScale(&ps.peerAccuracy),
-		expects: s.engine && w.poolsEvidence(s), reportAge: (w.now.Sub(w.peerLoadsAt) + reportDelay).Seconds(),
+		expects: w.expectsLoads(s), reportAge: (w.now.Sub(w.peerLoadsAt) + reportDelay).Seconds(),
 	}
 }
 
@@ -115,7 +112,7 @@
 func (in *forecastInput) peerForecast(srv *server, factor float64) forecast {
 	load := float64(srv.ownRequests) + srv.peers.requests
 	f := forecast{known: load, load: load}
-	if in.expects && !in.service.statesSpeeds {
+	if in.expects {
 		f.load += srv.arriving*in.reportAge - in.ended(srv)
 	}
 	f.unscaledWait = in.waitFor(srv.prefillRemaining(in.now)+srv.peers.prefillTime, 0, factor)
