Engines are chosen by their expected load between load reports

Cause: load reports are 0.15 to 0.3 s old. The part of the slots that an instance may take counts a short wait at engines, but only engines with a free slot in the report were candidates, so that all of it went to one or two of them. Rejected requests also counted as finished, which raised that part further.

Evidence: a trace of the rejections: 318 requests at 20 engines of 12 slots, one engine with a free slot in the report, which rejected 13 in 40 ms.

Change: where no speeds are stated and half of the slots are taken, each instance computes from a report what ends and what all instances send until the next one, draws a server by the expected room, and lets a few requests wait at each engine. What engines finish is bounded by the slots taken over the measured time in a slot.

--- a/decision/passthrough/expectedload.go
+++ b/decision/passthrough/expectedload.go
@@ -13,6 +13,8 @@
 	reportSpan = 0.3
 	// minRoom is the room of a server that is expected to be full: if all are, one is as good as another.
 	minRoom = 0.01
+	// scarceSlots is the part of the slots that is taken where free ones are few.
+	scarceSlots = 0.5
 )
 
 // engineFlow is how the load of a service's engines changes between two load reports of the peers.
@@ -24,6 +26,8 @@
 	at       time.Time
 	// finishing is how many requests a second end at the engines, those of all instances; 0 if unknown.
 	finishing float64
+	// scarce is true if so many slots are taken that these, not the engines' time for prefill, are what is short.
+	scarce bool
 	// wait is the wait at engines that is aimed at, in seconds, and waiting the number of requests that may wait at each
 	// while finishing is unknown.
 	wait, waiting float64
@@ -77,6 +81,7 @@
 		arriving += max(total-f.reported, 0) / max(w.now.Sub(f.at).Seconds(), minInterval)
 	}
 	f.reported, f.at, f.usable = total, w.now, len(f.loads)
+	f.scarce = total > scarceSlots*slots*float64(f.usable)
 	f.finishing = finishing * float64(max(w.fleetSize, 1)) / float64(max(w.fleetSize-1, 1))
 	slices.Sort(f.loads)
 	level := fillLevel(f.loads, arriving*reportSpan)
@@ -123,6 +128,10 @@
 	if v.server.service.slots <= 0 {
 		return
 	}
+	if v.server.inSlowStart(in.now) {
+		v.room = minRoom // it gets what its slow start allows
+		return
+	}
 	v.spare = in.ended(v.server) + v.server.waitingAllowed()
 	arrived := v.server.arriving * in.reportAge
 	v.room = max(float64(v.server.service.slots)+v.spare-v.known-arrived, minRoom)
--- a/decision/passthrough/slotshare.go
+++ b/decision/passthrough/slotshare.go
@@ -66,7 +66,7 @@
 		dt = reportAge.Seconds()
 	}
 	finished := l.finished / l.meanWork.value
-	if w.expectsLoads(s) && s.flow.finishing > 0 {
+	if w.expectsLoads(s) && s.flow.scarce && s.flow.finishing > 0 {
 		finished = min(finished, s.flow.finishing) // rejected requests count as admitted, and never end at engines
 	}
 	// Slots become free before the next report is known, and a short wait at an engine costs no response its target.
--- a/decision/passthrough/view.go
+++ b/decision/passthrough/view.go
@@ -91,7 +91,7 @@
 		meanOthersPrefilling: ps.meanOthersPrefilling.value * (1 - elapsedFraction(ps.lastReportAt, w.now, meanPrefillTTL)),
 		ownScale:             forecastScale(&ps.ownAccuracy),
 		peersFresh:           s.engine && w.peerLoadsFresh(), peerScale: forecastScale(&ps.peerAccuracy),
-		expects: w.expectsLoads(s), reportAge: (w.now.Sub(w.peerLoadsAt) + reportDelay).Seconds(),
+		expects: w.expectsLoads(s) && s.flow.scarce, reportAge: (w.now.Sub(w.peerLoadsAt) + reportDelay).Seconds(),
 	}
 }
 
