--- a/decision/passthrough/attempt.go
+++ b/decision/passthrough/attempt.go
@@ -13,6 +13,7 @@
 	if r.firstByte == 0 && (e.GivenUp || e.Result == Abandoned) {
 		w.observeDelay(r, w.now.Sub(r.sent))
 	}
+	w.recordRun(r, s, e.Result)
 	w.releaseServer(r)
 	r.observeEnd(e)
 	w.recordOutcome(r, s, e)
--- a/decision/passthrough/peerload.go
+++ b/decision/passthrough/peerload.go
@@ -82,6 +82,9 @@
 		}
 	}
 	for _, s := range w.services {
+		if w.expectsLoads(s) {
+			w.expectLoads(s)
+		}
 		w.markFreed(s)
 	}
 }
--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -12,6 +12,8 @@
 
 // service holds the backend servers of a service and the requests that wait for them.
 type service struct {
+	// flow is how the load of engines changes between load reports.
+	flow    engineFlow
 	name    string
 	servers []*server
 	queue   queue
@@ -51,6 +53,9 @@
 
 // server is an entry of the server list with what this instance knows about it.
 type server struct {
+	// finishing and arriving are how many requests of the other instances a second are expected to end at an engine, and to
+	// be sent there.
+	finishing, arriving float64
 	Server
 	service *service
 	// ownRequests counts this instance's requests at the server.
--- a/decision/passthrough/view.go
+++ b/decision/passthrough/view.go
@@ -16,6 +16,9 @@
 	// factor is how many times as long as usual work is expected to take at the server, momentary the same for
 	// work of some tens of milliseconds.
 	factor, momentary float64
+	// spare is how many requests beyond its slots the server may have by the reports: those that have probably ended since
+	// then, and those that may wait there. room is how many more it is expected to have place for at this moment.
+	spare, room float64
 }
 
 // forecast is the expected load of a server.
@@ -53,6 +56,9 @@
 		v.forecast = v.own
 		if in.peersFresh {
 			v.forecast = in.peerForecast(srv, factor)
+			if in.expects {
+				v.expectRoom(&in)
+			}
 		}
 		v.weight = (v.load+1)*factor + v.wait/prefillSecondsPerRequest
 		w.views = append(w.views, v)
@@ -73,6 +79,9 @@
 	// peersFresh is true if the peers' load reports still count.
 	peersFresh bool
 	peerScale  float64
+	// expects is true if the load is expected to change since the peers' reports, which are reportAge seconds old.
+	expects   bool
+	reportAge float64
 }
 
 func (w *World) forecastInput(s *service) forecastInput {
@@ -82,6 +91,7 @@
 		meanOthersPrefilling: ps.meanOthersPrefilling.value * (1 - elapsedFraction(ps.lastReportAt, w.now, meanPrefillTTL)),
 		ownScale:             forecastScale(&ps.ownAccuracy),
 		peersFresh:           s.engine && w.peerLoadsFresh(), peerScale: forecastScale(&ps.peerAccuracy),
+		expects: w.expectsLoads(s) && s.flow.scarce, reportAge: (w.now.Sub(w.peerLoadsAt) + reportDelay).Seconds(),
 	}
 }
 
@@ -102,6 +112,9 @@
 func (in *forecastInput) peerForecast(srv *server, factor float64) forecast {
 	load := float64(srv.ownRequests) + srv.peers.requests
 	f := forecast{known: load, load: load}
+	if in.expects {
+		f.load += srv.arriving*in.reportAge - in.ended(srv)
+	}
 	f.unscaledWait = in.waitFor(srv.prefillRemaining(in.now)+srv.peers.prefillTime, 0, factor)
 	f.wait = f.unscaledWait * in.peerScale
 	return f
