Outliers: a withdrawn attempt is no response

An attempt whose failure is taken back, as its request may be the cause, kept its count among all attempts, so that it spoke for the server and lowered the failure ratio that the service's servers are compared with: a kind of request that breaks each connection made some servers look sound and others like outliers.

TestRequestThatBreaksAllBlamesNone checks the attempts as well; with the count kept it fails (1.0 attempts at two servers).

--- a/decision/outlier/table.go
+++ b/decision/outlier/table.go
@@ -93,11 +93,15 @@
 	e.ownFailedAt = now
 }
 
-// Withdraw takes back a failed attempt whose cause may be the request.
-func (t *Table) Withdraw(now time.Time, s Server) {
+// Withdraw takes back a failed attempt whose cause may be the request. Responded is as in Failed: an attempt without a
+// response says nothing then, rather than that the server is sound.
+func (t *Table) Withdraw(now time.Time, s Server, responded bool) {
 	if e := t.entries[s]; e != nil {
 		e.own = e.own.asOf(now)
 		e.own.failed = max(e.own.failed-1, 0)
+		if !responded {
+			e.own.total = max(e.own.total-1, e.own.failed)
+		}
 	}
 }
 
--- a/decision/passthrough/outliers.go
+++ b/decision/passthrough/outliers.go
@@ -17,8 +17,15 @@
 type attemptEvidence struct {
 	// begun is true once the present attempt's response has been counted.
 	begun bool
-	// broke are the servers whose connection broke, failed those that responded with a failure of their own.
-	broke, failed []*server
+	// broke are the attempts whose connection broke, failed the servers that responded with a failure of their own.
+	broke  []brokenAttempt
+	failed []*server
+}
+
+// brokenAttempt is an attempt whose connection broke; responded is true if that was after its response had begun.
+type brokenAttempt struct {
+	server    *server
+	responded bool
 }
 
 // outlierKey identifies the server's process in the table of outliers.
@@ -79,13 +86,13 @@
 // it says nothing about servers that are no suspects otherwise.
 func (w *World) recordBroken(r *request, s *server) {
 	w.outliers.Failed(w.now, s.outlierKey(), r.evidence.begun)
-	r.evidence.broke = append(r.evidence.broke, s)
+	r.evidence.broke = append(r.evidence.broke, brokenAttempt{s, r.evidence.begun})
 	if len(r.evidence.broke) < 2 || r.attempts < r.Route.MaxAttempts {
 		return
 	}
 	for _, broke := range r.evidence.broke {
-		if !w.outliers.Suspected(broke.outlierKey()) {
-			w.outliers.Withdraw(w.now, broke.outlierKey())
+		if key := broke.server.outlierKey(); !w.outliers.Suspected(key) {
+			w.outliers.Withdraw(w.now, key, broke.responded)
 		}
 	}
 }
--- a/decision/passthrough/outliers_test.go
+++ b/decision/passthrough/outliers_test.go
@@ -82,7 +82,7 @@
 }
 
 // TestRequestThatBreaksAllBlamesNone guards against sound servers that are ejected for a kind of request that fails at
-// each of them.
+// each of them, and against such attempts that count as responses.
 func TestRequestThatBreaksAllBlamesNone(t *testing.T) {
 	h, route := newOutlierHarness(t, true)
 	id := h.arrive(route, nil)
@@ -91,8 +91,8 @@
 		h.tick(AttemptEnded{Request: id, Result: Broken, ConnectionLost: true})
 	}
 	for _, row := range h.world.OwnOutliers() {
-		if row.Failed > 0 {
-			t.Errorf("%d: %.1f failures", row.Server, row.Failed)
+		if row.Failed > 0 || row.Total > 0 {
+			t.Errorf("%d: %.1f failures and %.1f attempts", row.Server, row.Failed, row.Total)
 		}
 	}
 }
