Outliers: ejected servers that are too many are taken back

At most 0.4 of a service's servers are ejected, but only at the time of an ejection: with a domain drained, or the sound servers leaving, all that remain may be ejected ones, and each caller is refused until a trial ends well. Those that are too many are now taken back, first those whose ejection ends first.

--- a/decision/outlier/judge.go
+++ b/decision/outlier/judge.go
@@ -85,9 +85,34 @@
 			}
 		}
 	}
+	out = append(out, t.reinstateExcess(now, servers)...)
 	return append(out, t.ejectSuspects(now, servers, ejectionScore+2*common)...)
 }
 
+// mostEjected is how many of count servers may be ejected or on trial.
+func mostEjected(count int) int { return int(maxEjectedFraction * float64(count)) }
+
+// reinstateExcess takes back the ejected servers that are too many, those first whose ejection ends first.
+//
+// Load: a failure domain that is drained while servers elsewhere are ejected. Harm prevented: a service whose remaining
+// servers are all ejected, so that each caller is refused.
+func (t *Table) reinstateExcess(now time.Time, servers []Server) []Change {
+	var left []Server
+	for _, s := range servers {
+		if t.Ejected(s) {
+			left = append(left, s)
+		}
+	}
+	slices.SortFunc(left, func(a, b Server) int {
+		return cmp.Or(t.entries[a].until.Compare(t.entries[b].until), cmp.Compare(a, b))
+	})
+	var out []Change
+	for _, s := range left[:max(len(left)-mostEjected(len(servers)), 0)] {
+		out = append(out, t.entries[s].reinstate(s, now))
+	}
+	return out
+}
+
 // reinstateAll takes all ejected servers back, as most of the service's servers fail alike.
 func (t *Table) reinstateAll(now time.Time, servers []Server) []Change {
 	var out []Change
@@ -117,7 +142,7 @@
 	slices.SortFunc(suspects, func(a, b Server) int {
 		return cmp.Or(cmp.Compare(t.entries[b].score, t.entries[a].score), cmp.Compare(a, b))
 	})
-	room := max(int(maxEjectedFraction*float64(len(servers)))-left, 0)
+	room := max(mostEjected(len(servers))-left, 0)
 	var out []Change
 	for _, s := range suspects[:min(room, len(suspects))] {
 		e, draw := t.entries[s], t.rng.Float64()
--- a/decision/outlier/table_test.go
+++ b/decision/outlier/table_test.go
@@ -362,3 +362,15 @@
 		t.Errorf("half a second later: %+v", got)
 	}
 }
+
+// TestServersThatAreLeftAreUsed guards against a service whose sound servers are taken out of service, so that only
+// ejected ones are left and its callers are all refused.
+func TestServersThatAreLeftAreUsed(t *testing.T) {
+	f := newFleet(6, 10)
+	ejectLast(t, f)
+	f.servers = f.servers[8:]
+	f.exchange()
+	if got := f.ejecting(9); got != 0 {
+		t.Errorf("%d instances have ejected one of the last two servers", got)
+	}
+}
