Shared admission: an ejected server is no room

docs/design/outliers.md says that an ejected server is out of the service's room; the nominal room of a plain service counted its slots, and the limit never falls below 0.85 of that: with one of three servers ejected more than the others' room was admitted.

TestEjectedServerIsNoRoom: room for 80 instead of 72 requests a second.

--- a/decision/passthrough/admissionlevel.go
+++ b/decision/passthrough/admissionlevel.go
@@ -146,8 +146,8 @@
 	}
 	slots := 0
 	for _, srv := range s.servers {
-		if !srv.inService() {
-			continue
+		if !srv.inService() || w.outliers.Ejected(srv.outlierKey()) && !w.runsTarget(srv) {
+			continue // an ejected server gets nothing
 		}
 		if srv.Slots <= 0 {
 			return math.Inf(1)
--- a/decision/passthrough/outliers_test.go
+++ b/decision/passthrough/outliers_test.go
@@ -1,6 +1,7 @@
 package passthrough
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -139,3 +140,26 @@
 		t.Error("a server of the new version is ejected")
 	}
 }
+
+// TestEjectedServerIsNoRoom guards against a plain service that admits for the slots of a server that gets nothing, so that
+// what is admitted waits or is rejected.
+func TestEjectedServerIsNoRoom(t *testing.T) {
+	h, _ := newOutlierHarness(t, true)
+	list := servers("shop", 10, 8)
+	h.tick(ServersListed{list})
+	s := h.world.services["shop"]
+	l := h.world.levelFor(s)
+	l.workTime.add(0) // a second
+	if got := h.world.nominalRoom(s, l); math.Abs(got-80) > 0.01 {
+		t.Fatalf("room for %.1f requests a second, want 80", got)
+	}
+	var rows []outlier.Row
+	for _, srv := range s.servers {
+		rows = append(rows, outlier.Row{Server: srv.outlierKey(), Total: 8})
+	}
+	rows[3].Failed, rows[3].Instances = 8, 8
+	h.tick(PeerOutliers{Rows: rows})
+	if got := h.world.nominalRoom(s, l); h.world.EjectedServers() != 1 || math.Abs(got-72) > 0.01 {
+		t.Errorf("%d servers ejected, room for %.1f requests a second, want 1 and 72", h.world.EjectedServers(), got)
+	}
+}
