Shared admission: a limit does not fall below a fiftieth of the demand

A limit that has no estimate and no nominal room (servers that state no slots) falls by up to 0.64 a second with a high pressure and rises by 1.5 a second without: after a minute of pressure 3 it stood at 2.5e-10 of 100 units a second, and took 66 s until it ended (scratch trial).

--- a/decision/admission/limit.go
+++ b/decision/admission/limit.go
@@ -20,6 +20,8 @@
 	// with twice the pressure that is tolerable.
 	growth  = 1.5
 	decline = 0.8
+	// leastOffered bounds a limit as a part of the demand, so that it soon rises again after a long lack of room.
+	leastOffered = 0.02
 	// releaseMargin is how far above the demand a limit ends.
 	releaseMargin = 1.25
 	// leastNominal and mostNominal bound a limit, as parts of the nominal room: rejections are reported for seconds after
@@ -57,6 +59,7 @@
 	switch {
 	case l.rate > 0:
 		l.follow(dt, r)
+		l.rate = max(l.rate, leastOffered*r.Offered)
 	case r.Offered > r.Nominal:
 		l.rate = r.Nominal
 	case r.Pressure >= 1 && r.Estimate > 0:
