Shared admission: the waiting work of a class is summed up in a fixed order

Sums of floats in the order of a map differ in the last digit, and so could a decision close to a threshold. Found by review; no failure seen. The fields of callers' connections stand beside their mutex.

--- a/decision/passthrough/demand.go
+++ b/decision/passthrough/demand.go
@@ -1,7 +1,9 @@
 package passthrough
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"masticplank.example/decision/admission"
@@ -95,8 +97,8 @@
 
 func (w *World) ownDemand() []admission.Demand {
 	waiting := map[admission.Class]float64{}
-	for _, r := range w.requests {
-		if r.queued {
+	for _, id := range slices.Sorted(maps.Keys(w.requests)) { // sums of floats depend on the order
+		if r := w.requests[id]; r.queued {
 			waiting[w.classOf(r)] += w.work(r)
 		}
 	}
--- a/router/internal/passthrough/conns.go
+++ b/router/internal/passthrough/conns.go
@@ -17,11 +17,12 @@
 // wait in vain (1,800 of 38,000).
 type callerConns struct {
 	open atomic.Int64
-	// active are the connections on which a request is read or answered.
-	mu     sync.Mutex
-	active map[net.Conn]struct{}
 	// idleLimit is how many may stay open between requests, 0 for no limit.
 	idleLimit int64
+
+	mu sync.Mutex
+	// active are the connections on which a request is read or answered.
+	active map[net.Conn]struct{}
 }
 
 const (
