--- a/decision/passthrough/outliers_sim_test.go
+++ b/decision/passthrough/outliers_sim_test.go
@@ -341,6 +341,7 @@
 // TestResettingServersAreFoundByAll guards against requests that fail at each instance in turn, at servers that reset them
 // and look idle.
 func TestResettingServersAreFoundByAll(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{8, 70, 300, 880} {
 		for name, disturb := range map[string]func(*outlierSim){
 			"reports":           func(*outlierSim) {},
@@ -349,6 +350,7 @@
 			"instances restart": func(s *outlierSim) { s.after(4*time.Second, s.restartHalf) },
 		} {
 			t.Run(fmt.Sprint(n, " instances, ", name), func(t *testing.T) {
+				t.Parallel()
 				s := newOutlierSim(t, n)
 				disturb(s)
 				s.turn()
@@ -380,6 +382,7 @@
 
 // TestInstancesFailTheirRequestsAlone shows the load: without the others' evidence, requests fail at all instances.
 func TestInstancesFailTheirRequestsAlone(t *testing.T) {
+	t.Parallel()
 	s := newOutlierSim(t, 70)
 	s.off = true
 	s.turn()
@@ -393,6 +396,7 @@
 // TestRecoveredServersAreUsedAgain guards against servers that stay ejected once they serve requests, and against all
 // instances that try one at once.
 func TestRecoveredServersAreUsedAgain(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{8, 70, 300} {
 		s := newOutlierSim(t, n)
 		s.turn()
@@ -411,6 +415,7 @@
 
 // TestRestartedServerIsUsedAtOnce guards against a new process that pays for its predecessor.
 func TestRestartedServerIsUsedAtOnce(t *testing.T) {
+	t.Parallel()
 	s := newOutlierSim(t, 70)
 	s.turn()
 	s.run(4*time.Second, true)
@@ -433,6 +438,7 @@
 // TestSoundServersStayInUse guards against sound servers that are ejected: as requests fail at all of them, as their
 // machines are slow, or as all of them lose a part of their responses.
 func TestSoundServersStayInUse(t *testing.T) {
+	t.Parallel()
 	for name, disturb := range map[string]func(*outlierSim){
 		"a tenth of the requests break each connection": func(s *outlierSim) { s.breaks = 0.1 },
 		"all requests break each connection":            func(s *outlierSim) { s.breaks = 1 },
@@ -449,6 +455,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			s := newOutlierSim(t, 70)
 			disturb(s)
 			s.run(10*time.Second, true)
