--- a/router/internal/passthrough/handler.go
+++ b/router/internal/passthrough/handler.go
@@ -176,8 +176,9 @@
 	if refused.reason == passthrough.ReasonStopping || refused.reason == passthrough.ReasonNoPath {
 		header.Set("Connection", "close")
 	}
-	first := c.bodyUnread && refused.reason != reasonNoRoom && refused.reason != passthrough.ReasonDeadline
-	if first {
+	// A body for which there was no room, or that did not come in time, does not delay its refusal.
+	drainFirst := c.bodyUnread && refused.reason != reasonNoRoom && refused.reason != passthrough.ReasonDeadline
+	if drainFirst {
 		c.drain(w)
 	} else if c.bodyUnread {
 		header.Set("Connection", "close")
@@ -187,7 +188,7 @@
 	header.Set("Content-Length", strconv.Itoa(len(text)))
 	w.WriteHeader(refused.status)
 	writeAll(w, []byte(text))
-	if c.bodyUnread && !first {
+	if c.bodyUnread && !drainFirst {
 		_ = http.NewResponseController(w).Flush() // a writer of a test may have none
 		c.drain(w)
 	}
