--- a/decision/passthrough/attempt.go
+++ b/decision/passthrough/attempt.go
@@ -27,10 +27,8 @@
 		w.finishOrRefuse(r, ReasonServersFull)
 		return
 	}
-	if e.NoShare {
-		if s != nil {
-			s.limit.noShareUntil = w.now.Add(noSharePause)
-		}
+	if e.NoGrant {
+		w.grantRefused(r, s, e.GrantAfter)
 		w.retry(r, nil)
 		return
 	}
--- a/decision/passthrough/dispatch.go
+++ b/decision/passthrough/dispatch.go
@@ -35,15 +35,14 @@
 	r.dispatches++
 	s.ownRequests++
 	r.takeTokens()
-	w.recordSlowStart(s)
-	sharePeers := w.takeShare(s)
 	peers := w.takePermit(r, s)
 	w.recordSession(r, s.Version)
 	cmd := Dispatch{
 		Request: r.ID, Server: s.Server, Attempt: r.dispatches,
 		At: w.now, FirstByteTimeout: firstByteTimeout(r), Load: int(v.load) + 1, PrefillWait: seconds(v.wait),
-		Limit: s.limit.RateLimit, Peers: peers, SharePeers: sharePeers,
+		Limit: s.limit.RateLimit, Peers: peers,
 	}
+	w.takeGrant(r, s, &cmd)
 	if !s.reportedAt.IsZero() {
 		cmd.LoadAge = w.now.Sub(s.reportedAt)
 	}
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -34,14 +34,16 @@
 	// Begun is true if a part of the response was forwarded to the caller.
 	Begun bool
 	// ViaPeer is true if the request was sent through a peer. TunnelLost is true if the connection to the
-	// peer broke, PathLost if the path to the servers is lost and no peer could be asked, NoPermit and NoShare if no
-	// peer had a free permit or a part of the server's rate limit left, and Declined if no peer sends to the server.
+	// peer broke, PathLost if the path to the servers is lost and no peer could be asked, NoPermit if no peer had a
+	// free permit, NoGrant if no grant was to be had, and Declined if no peer sends to the server.
 	ViaPeer    bool
 	TunnelLost bool
 	PathLost   bool
 	NoPermit   bool
-	NoShare    bool
+	NoGrant    bool
 	Declined   bool
+	// GrantAfter is when a grant may be had, for NoGrant; 0 if no holder of the server has answered.
+	GrantAfter time.Duration
 	// Misdirected is true if another backend server now has the address.
 	Misdirected bool
 	// Leaving is true if the backend server is shutting down.
@@ -233,9 +235,11 @@
 	// Peers are the peers that have permits for the server, which this instance has not: the request is sent
 	// through the first one with a free permit. Empty if it is sent by this instance itself.
 	Peers []string
-	// SharePeers are the peers that have a part of the server's rate limit, of which this instance has nothing left,
-	// in the same way.
-	SharePeers []string
+	// Holders are the instances to ask for a grant, in rank, and GrantRequest is the question; Holders is empty if none
+	// is needed or this instance is the server's holder. The request is sent GrantWait after that.
+	Holders      []string
+	GrantRequest GrantRequest
+	GrantWait    time.Duration
 	// Limit is the server's known rate limit, for the log.
 	Limit RateLimit
 	// PrefillWait is how long the prompt is expected to wait at the server for other prompts.
--- a/decision/passthrough/filter.go
+++ b/decision/passthrough/filter.go
@@ -21,7 +21,7 @@
 	var unreached, ejected, tried []serverView
 	w.eligible = w.eligible[:0]
 	for _, v := range views {
-		if !v.hasFreeSlot() || v.wait > maxWait || !fits(v.server) || !w.allowSlowStart(v.server) || !w.allowLimit(v.server) || !w.allowBrittle(v) {
+		if !v.hasFreeSlot() || v.wait > maxWait || !fits(v.server) || !w.allowRate(r, v.server) || !w.allowBrittle(v) {
 			continue
 		}
 		switch wasTried := slices.Contains(r.tried, v.server); {
@@ -44,7 +44,7 @@
 	case len(ejected) > 0:
 		list = ejected
 	}
-	return w.preferRoom(r, w.preferOwnShares(w.preferOwnPermits(r.service, w.preferResponding(r, list))))
+	return w.preferRoom(r, w.preferOwnGrants(w.preferOwnPermits(r.service, w.preferResponding(r, list))))
 }
 
 // hasFreeSlot reports whether the server has a free slot. It counts only the known
--- a/decision/passthrough/path.go
+++ b/decision/passthrough/path.go
@@ -268,7 +268,7 @@
 	if e.Result != NotSent && e.Result != Broken {
 		return false
 	}
-	if e.PathLost || e.TunnelLost || e.NoPermit || e.NoShare {
+	if e.PathLost || e.TunnelLost || e.NoPermit || e.NoGrant {
 		return true
 	}
 	return !e.ViaPeer && (w.path.links.IsLost(w.now, s.ID) || r.sent.Before(w.path.restoredAt))
--- a/decision/passthrough/ratelimit.go
+++ b/decision/passthrough/ratelimit.go
@@ -1,38 +1,24 @@
 package passthrough
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
-// An overloaded server states how many requests per second it accepts from all instances together. A
-// subset of the instances sends to it, or all if they are few; the others send nothing. Each sender
-// has a fixed part of the limit, which a token bucket enforces. An instance to which a server states a
-// limit reports it to the others.
+// An overloaded server states how many requests per second it accepts from all instances together. Its holder keeps that
+// limit with a token bucket (grants.go). An instance to which a server states a limit reports it to the others.
 
 const (
-	// limitUtilization is the fraction of a limit that is used: for a moment the instances may
-	// disagree on the subset, and requests that were sent apart may arrive together.
-	limitUtilization = 0.7
-	// minLimitSubset is the least number of instances that send to a limited server: a single one
-	// could be down, and the server would get nothing.
-	minLimitSubset = 2
-	// limitPerInstance is the part of a limit, in requests per second, for each instance of the
-	// subset. A small limit gets a small subset, so that few requests are sent at the same moment.
-	limitPerInstance = 2.0
-	// limitAllMargin is by how much a limit, in requests per second, may be below the number of
-	// instances for all of them to send to the server.
-	limitAllMargin = 2.0
-	// limitBurstDuration is how long tokens of an instance's part accumulate; minLimitBurst is the
-	// least size of the bucket in requests.
-	limitBurstDuration = 500 * time.Millisecond
+	// limitUtilization is the fraction of a limit that is used: for a moment two instances may both
+	// take themselves for the holder, and requests that were sent apart may arrive together.
+	limitUtilization = 0.75
+	// limitBurstDuration is how long tokens accumulate; minLimitBurst is the least size of the bucket
+	// in requests.
+	limitBurstDuration = 250 * time.Millisecond
 	minLimitBurst      = 1.0
 	// limitProbeRate is used as the limit, in requests per second, of a server whose limit is lower
 	// or zero: only a response can show that the limit has risen.
 	limitProbeRate = 0.05
-	// limitStaleAfter is the time without a statement of a limit to any instance after which another
-	// subset takes over, as all instances of the current one may be gone. The time in which each of
-	// these should have sent limitStaleSends requests is added.
+	// limitStaleAfter is the time without a statement of a limit to any instance after which other
+	// holders take over, as the current ones may all be gone. The time of limitStaleSends grants is
+	// added.
 	limitStaleAfter = 10 * time.Second
 	limitStaleSends = 2
 	// limitProbeAfter is the time without a statement of a limit after which the next request goes
@@ -50,24 +36,7 @@
 	// if it arrived at this instance.
 	statedAt time.Time
 	own      bool
-	// share is this instance's part of the limit in requests per second, computed from shareInputs.
-	share       float64
-	shareInputs limitShareInputs
-	bucket      tokenBucket
-	// peers are the known peers that have a part of the limit, as of peersInputs.
-	peers       []string
-	peersInputs limitShareInputs
-	// noShareUntil is until when no request is offered to them.
-	noShareUntil time.Time
-}
-
-// limitShareInputs are the values that an instance's part of a limit depends on.
-type limitShareInputs struct {
-	perSecond         float64
-	neighboursVersion int
-	remoteVersion     int
-	fleetSize         int
-	rotation          uint64
+	bucket   tokenBucket
 }
 
 // observeLimit applies the limit stated in a response; sent is when its request was sent.
@@ -102,9 +71,9 @@
 		return
 	}
 	if stated.Limited {
-		w.limitShare(s) // starts to fill the bucket
+		s.limit.bucket.setRate(usedLimit(stated.PerSecond), w.now)
 	} else {
-		s.limit.share, s.limit.shareInputs, s.limit.bucket = 0, limitShareInputs{}, tokenBucket{}
+		s.limit.bucket = tokenBucket{}
 		w.markFreed(s.service)
 	}
 	w.emit(RateLimitChanged{Server: s.ID, Limit: stated, Own: own, Age: w.now.Sub(at)})
@@ -126,105 +95,31 @@
 	return out
 }
 
-// limitSubset is how many instances send to a server with the limit.
-func limitSubset(perSecond float64) int {
-	return max(int(perSecond/limitPerInstance)+1, minLimitSubset)
-}
-
 // usedLimit is how many requests per second all instances together may send to a server with the
 // limit.
 func usedLimit(perSecond float64) float64 { return limitUtilization * max(perSecond, limitProbeRate) }
 
-// limitRotation counts how often the subset has been replaced since the server last stated its
+// limitRotation counts how often the holders have been replaced since the server last stated its
 // limit to any instance.
 func (s *server) limitRotation(now time.Time) uint64 {
-	perInstance := usedLimit(s.limit.PerSecond) / float64(limitSubset(s.limit.PerSecond))
-	period := limitStaleAfter + seconds(limitStaleSends/perInstance)
-	return uint64(max(now.Sub(s.limit.statedAt), 0) / period)
-}
-
-// limitShare is this instance's part of a server's limit, in requests per second.
-func (w *World) limitShare(s *server) float64 {
-	inputs := w.limitInputs(s)
-	if inputs != s.limit.shareInputs {
-		s.limit.shareInputs = inputs
-		s.limit.share = w.computeLimitShare(s, inputs.rotation)
-		s.limit.bucket.setRate(s.limit.share, w.now)
-	}
-	return s.limit.share
-}
-
-// limitInputs returns the values that the instances' parts of a server's limit depend on now.
-func (w *World) limitInputs(s *server) limitShareInputs {
-	return limitShareInputs{s.limit.PerSecond, w.neighbours.version, w.remoteVersion, w.fleetSize, s.limitRotation(w.now)}
-}
-
-func (w *World) computeLimitShare(s *server, rotation uint64) float64 {
-	used := usedLimit(s.limit.PerSecond)
-	if w.sharedByAll(s) {
-		return used / float64(w.fleetSize)
-	}
-	domain, key := s.limitSubsetKey(rotation)
-	if !w.inSubset(domain, key, limitSubset(s.limit.PerSecond)) {
+	if !s.limit.Limited {
 		return 0
 	}
-	return used / float64(w.subsetSize(s))
-}
-
-// subsetSize is how many instances send to a server that not all share.
-func (w *World) subsetSize(s *server) int {
-	return min(limitSubset(s.limit.PerSecond), max(len(w.neighbours.hashes), 1))
-}
-
-// sharedByAll reports whether all instances have a part of the server's limit.
-func (w *World) sharedByAll(s *server) bool {
-	return w.fleetSize > 0 && float64(w.fleetSize) <= s.limit.PerSecond+limitAllMargin
+	period := limitStaleAfter + seconds(limitStaleSends/usedLimit(s.limit.PerSecond))
+	return uint64(max(now.Sub(s.limit.statedAt), 0) / period)
 }
 
-// limitSubsetKey returns the failure domain and the key by which the subset of the server is chosen.
-func (s *server) limitSubsetKey(rotation uint64) (domain string, key uint64) {
+// holderKey returns the failure domain and the key by which the holders of the server are chosen.
+func (s *server) holderKey(rotation uint64) (domain string, key uint64) {
 	if rotation > 0 {
 		return "", mix(s.hash + rotation) // any failure domain: all instances of the server's own may be gone
 	}
 	return s.Domain, s.hash
 }
 
-// allowLimit reports whether a request for the server may be sent now, by this instance or through a peer.
-func (w *World) allowLimit(s *server) bool {
-	return !s.limit.Limited || w.hasLimitToken(s) || w.peersMayShare(s)
-}
-
-// hasLimitToken reports whether the server's rate limit lets this instance itself send to it now. If the
-// bucket is empty, it schedules a wake-up for the next token.
-//
-// Load: an overloaded server that accepts a fifth of its usual requests, from hundreds of instances
-// that each send it few. Harm prevented: instances that each keep to the limit by themselves and
-// together exceed it, so that the server does not recover.
-func (w *World) hasLimitToken(s *server) bool {
-	if !s.limit.Limited {
-		return true
-	}
-	if w.limitShare(s) <= 0 {
-		return false
-	}
-	at, ok := s.limit.bucket.nextToken(w.now)
-	if !ok {
-		s.service.wakeBy(at)
-	}
-	return ok
-}
-
-// recordLimit counts a request that is sent to the server.
-func (w *World) recordLimit(s *server) {
-	if s.limit.Limited {
-		s.limit.bucket.take()
-	}
-}
-
 // pickStaleLimited returns a server that has stated its limit to no instance for limitProbeAfter.
 //
-// Load: many servers, so that the few instances that may send to a limited one hardly ever choose
-// it. Harm prevented: a server that accepts everything again and gets nothing for a minute.
+// Load: many servers, so that a limited one is hardly ever chosen. Harm prevented: a server that accepts everything again and gets nothing for a minute.
 func (w *World) pickStaleLimited(list []serverView) (v serverView, ok bool) {
 	if len(w.limitedServers) == 0 {
 		return serverView{}, false
@@ -237,15 +132,14 @@
 	return serverView{}, false
 }
 
-// limitsBlockVersion reports whether rate limits keep every server of a version from taking a
-// request of this instance now.
-func (w *World) limitsBlockVersion(s *service, version string) bool {
+// limitsBlockVersion reports whether rate limits keep every server of a version from taking the request now.
+func (w *World) limitsBlockVersion(r *request, version string) bool {
 	limited := false
-	for _, srv := range s.servers {
+	for _, srv := range r.service.servers {
 		if srv.Version != version || !srv.usable(w.now) {
 			continue
 		}
-		if w.allowLimit(srv) {
+		if !srv.limit.Limited || w.allowRate(r, srv) {
 			return false
 		}
 		limited = true
@@ -253,35 +147,6 @@
 	return limited
 }
 
-// never is a wait without end.
-const never = time.Duration(math.MaxInt64)
-
-// limitWait is how long the request waits for its turn if all servers that may take it are limited;
-// ok is false if any of them is not.
-func (w *World) limitWait(r *request) (wait time.Duration, ok bool) {
-	if len(w.limitedServers) == 0 {
-		return 0, false
-	}
-	fits := w.versionFilter(r)
-	rate, tokens := 0.0, 0.0
-	for _, s := range r.service.servers {
-		if !s.usable(w.now) || !fits(s) {
-			continue
-		}
-		if !s.limit.Limited {
-			return 0, false
-		}
-		rate += w.limitShare(s)
-		rate += w.peersLimitShare(s)
-		tokens += s.limit.bucket.available(w.now)
-	}
-	if rate <= 0 {
-		return never, true
-	}
-	missing := float64(r.service.queue.ahead(r)+1) - tokens
-	return max(seconds(missing/rate), 0), true
-}
-
 // tokenBucket lets a rate of requests through, and a short burst after a pause.
 type tokenBucket struct {
 	// rate is in tokens per second; tokens is their number at the time at.
@@ -305,15 +170,15 @@
 	return min(b.tokens+b.rate*now.Sub(b.at).Seconds(), capacity)
 }
 
-// nextToken refills the bucket. ok reports whether it holds a token; if not, at is when it will.
-func (b *tokenBucket) nextToken(now time.Time) (at time.Time, ok bool) {
+// wait is the time until the next token that nobody has taken in advance.
+func (b *tokenBucket) wait(now time.Time) time.Duration {
 	const rounding = 1e-9
 	b.tokens, b.at = b.available(now), now
-	if b.tokens >= 1-rounding {
-		return now, true
+	if b.tokens >= 1-rounding || b.rate <= 0 {
+		return 0
 	}
-	return now.Add(seconds((1 - b.tokens) / b.rate)), false
+	return seconds((1 - b.tokens) / b.rate)
 }
 
-// take removes a token after nextToken has reported one.
+// take removes a token, which may be one in advance.
 func (b *tokenBucket) take() { b.tokens-- }
--- a/decision/passthrough/refusal.go
+++ b/decision/passthrough/refusal.go
@@ -38,12 +38,10 @@
 		retryAfter = max(retryAfter, unreachableBackoff)
 	case ReasonBackoff:
 		retryAfter = max(retryAfter, unreachableBackoff, w.backoffEnds(r.service).Sub(w.now))
-	case ReasonSlowStart:
-		retryAfter = max(retryAfter, w.slowStartEnds(r.service).Sub(w.now))
-	case ReasonLimited:
-		wait, _ := w.limitWait(r)
+	case ReasonSlowStart, ReasonLimited:
+		wait, _ := w.grantWait(r)
 		if wait == never {
-			wait = unreachableBackoff // another instance may be in a server's subset
+			wait = unreachableBackoff // another instance may know the servers' holders
 		}
 		retryAfter = max(retryAfter, wait)
 	}
--- a/decision/passthrough/requests.go
+++ b/decision/passthrough/requests.go
@@ -110,9 +110,9 @@
 		return ""
 	}
 	maxWait := MaxQueueWait(&r.Request, w.now)
-	if wait, limited := w.limitWait(r); limited {
+	if wait, limited := w.grantWait(r); limited {
 		if wait > maxWait {
-			return ReasonLimited
+			return w.grantRefusalReason(r.service)
 		}
 		return ""
 	}
@@ -143,7 +143,7 @@
 			if reason == ReasonNoServer {
 				reason = ReasonBackoff
 			}
-		case !srv.inSlowStart(w.now) || w.inSlowStartSubset(srv):
+		case !srv.inSlowStart(w.now) || len(w.holders(srv)) > 0:
 			return ""
 		default:
 			reason = ReasonSlowStart
--- a/decision/passthrough/returntime.go
+++ b/decision/passthrough/returntime.go
@@ -63,7 +63,7 @@
 	// In the order of their arrival, and the least urgent first: each makes room for those that stay.
 	slices.SortFunc(list, func(a, b *request) int { return cmp.Or(cmp.Compare(b.urgency, a.urgency), cmp.Compare(b.ID, a.ID)) })
 	for _, r := range list {
-		if _, limited := w.limitWait(r); !limited && w.expectedWait(r) > MaxQueueWait(&r.Request, r.arrived)-w.now.Sub(r.arrived) {
+		if _, limited := w.grantWait(r); !limited && w.expectedWait(r) > MaxQueueWait(&r.Request, r.arrived)-w.now.Sub(r.arrived) {
 			w.refuse(r, ReasonBusy)
 		}
 	}
--- a/decision/passthrough/slowstart.go
+++ b/decision/passthrough/slowstart.go
@@ -6,21 +6,18 @@
 )
 
 // A server that has just started can take few requests, and may crash if it gets more. That limit
-// holds for all instances together, so a subset of them sends to the server, each a fixed part.
+// holds for all instances together, so its holder gives grants for that many (grants.go).
 //
 // A part of the rate for each instance would not do, as 58 instances exceed the limit with a single
 // request each; nor would a lease on each server in the store, which responds too late in an outage.
 
 const (
-	// slowStartSubset is how many instances send to a server in slow start: a single one could be
-	// down, and the server would get nothing.
-	slowStartSubset = 3
-	// maxSubsetViews is how many differing subsets may send at once, as not all instances learn of
-	// started or stopped instances at the same moment.
-	maxSubsetViews = 2
-	// slowStartWindow is the time in which an instance may send its quota: a second, plus a margin
-	// for the different network delays of the instances.
-	slowStartWindow = 1200 * time.Millisecond
+	// maxHolderViews is how many instances may take themselves for a server's holder at once, as not all
+	// instances learn of started or stopped instances at the same moment.
+	maxHolderViews = 2
+	// slowStartWindow is the time in which the holder may give the quota of grants: a second, plus a
+	// margin for the different delays of the instances that use them.
+	slowStartWindow = 1100 * time.Millisecond
 	// restartReportDelay is how long after a server's start its entry may arrive: it is written
 	// late, read by one instance, and passed on from there.
 	restartReportDelay = 2 * time.Second
@@ -29,28 +26,24 @@
 	domainLostThreshold = 3
 )
 
-// slowStartQuota returns how many instances send to a server in slow start, and how many requests
-// each may send per slowStartWindow. The server takes rate requests per second, and survives at
-// most maxPerSecond in a single second.
-func slowStartQuota(rate, maxPerSecond float64) (subset, quota int) {
-	total := max(int(min(rate, maxPerSecond/maxSubsetViews)), 1)
-	subset = min(total, slowStartSubset)
-	return subset, total / subset
+// slowStartQuota returns how many requests may be sent to a server in slow start per slowStartWindow.
+// The server takes rate requests per second, and survives at most maxPerSecond in a single second.
+func slowStartQuota(rate, maxPerSecond float64) int {
+	return max(int(min(rate, maxPerSecond/maxHolderViews)), 1)
 }
 
 // slowStartLimits are the slow-start limits for a service's servers.
 type slowStartLimits struct {
 	// span is how long a server is in slow start; 0 if the service needs none.
-	span   time.Duration
-	subset int
-	// quota is how many requests an instance of the subset may send per slowStartWindow.
+	span time.Duration
+	// quota is how many requests may be sent to a server per slowStartWindow.
 	quota int
 }
 
 // configureSlowStart applies the limits of a configuration.
 func (w *World) configureSlowStart(s *service, c Service) {
 	s.slowStart.span = c.SlowStartDuration
-	s.slowStart.subset, s.slowStart.quota = slowStartQuota(c.SlowStartRate, w.cfg.SlowStartBurst*c.SlowStartRate+w.cfg.SlowStartSlack)
+	s.slowStart.quota = slowStartQuota(c.SlowStartRate, w.cfg.SlowStartBurst*c.SlowStartRate+w.cfg.SlowStartSlack)
 }
 
 // slowStart is the slow-start state of a server.
@@ -59,12 +52,27 @@
 	until time.Time
 	// knownUntil is the same without what follows from a failure domain that seems to be lost.
 	knownUntil time.Time
-	// recentSends are the times of this instance's latest requests to the server.
-	recentSends []time.Time
-	// inSubset is true if this instance may send to the server, as of version subsetVersion of the
-	// neighbours.
-	inSubset      bool
-	subsetVersion int
+	// turns are the times of the latest grants that this instance has given, in ascending order; some may be ahead.
+	turns []time.Time
+}
+
+// wait is the time until a turn at which no more than quota turns are in any slowStartWindow.
+//
+// Load: a failure domain whose servers come back together during a burst, and look idle to
+// hundreds of instances. Harm prevented: instances that crash the starting servers again.
+func (s *slowStart) wait(now time.Time, quota int) time.Duration {
+	since := now.Add(-slowStartWindow)
+	s.turns = slices.DeleteFunc(s.turns, func(at time.Time) bool { return !at.After(since) })
+	if len(s.turns) < quota {
+		return 0
+	}
+	return max(s.turns[len(s.turns)-quota].Add(slowStartWindow).Sub(now), 0)
+}
+
+// recordTurn counts a grant for the time.
+func (s *slowStart) recordTurn(at time.Time) {
+	s.turns = append(s.turns, at)
+	slices.SortFunc(s.turns, time.Time.Compare)
 }
 
 // inSlowStart reports whether the server may still be starting.
@@ -109,56 +117,6 @@
 	return s.service.slowStart.span + restartReportDelay
 }
 
-// allowSlowStart reports whether the slow start of the server lets this instance send to it now. If
-// the quota is used up, it schedules a wake-up for when there is quota again.
-//
-// Load: a failure domain whose servers come back together during a burst, and look idle to
-// hundreds of instances. Harm prevented: instances that crash the starting servers again.
-func (w *World) allowSlowStart(s *server) bool {
-	if !s.inSlowStart(w.now) {
-		return true
-	}
-	if !w.inSlowStartSubset(s) {
-		return false
-	}
-	since := w.now.Add(-slowStartWindow)
-	s.slowStart.recentSends = slices.DeleteFunc(s.slowStart.recentSends, func(at time.Time) bool { return !at.After(since) })
-	if len(s.slowStart.recentSends) < s.service.slowStart.quota {
-		return true
-	}
-	s.service.wakeBy(s.slowStart.recentSends[0].Add(slowStartWindow))
-	return false
-}
-
-// recordSlowStart counts a request that is sent to the server.
-func (w *World) recordSlowStart(s *server) {
-	if s.inSlowStart(w.now) {
-		s.slowStart.recentSends = append(s.slowStart.recentSends, w.now)
-	}
-}
-
-// inSlowStartSubset reports whether this instance is one of those that send to the server during its
-// slow start.
-func (w *World) inSlowStartSubset(s *server) bool {
-	if s.slowStart.subsetVersion != w.neighbours.version {
-		s.slowStart.subsetVersion = w.neighbours.version
-		s.slowStart.inSubset = w.inSubset(s.Domain, s.hash, s.service.slowStart.subset)
-	}
-	return s.slowStart.inSubset
-}
-
-// slowStartEnds is when the first of the service's servers leaves slow start; the zero time if no
-// usable server is in slow start.
-func (w *World) slowStartEnds(s *service) time.Time {
-	var first time.Time
-	for _, srv := range s.servers {
-		if at := srv.slowStart.until; srv.usable(w.now) && srv.inSlowStart(w.now) && (first.IsZero() || at.Before(first)) {
-			first = at
-		}
-	}
-	return first
-}
-
 // wakeBy schedules another try of the service's queue for the given time, unless an earlier one is
 // scheduled.
 func (s *service) wakeBy(at time.Time) {
--- a/decision/passthrough/suspects.go
+++ b/decision/passthrough/suspects.go
@@ -78,7 +78,7 @@
 	if kept >= float64(w.fleetSize) {
 		return true
 	}
-	return fraction(mix(w.neighbours.own^s.hash)) < kept/float64(w.fleetSize)
+	return fraction(mix(hashString(w.neighbours.self)^s.hash)) < kept/float64(w.fleetSize)
 }
 
 // fraction maps a hash to [0, 1).
--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -106,6 +106,7 @@
 	// drained is true if the server's failure domain gets no new requests.
 	drained   bool
 	slowStart slowStart
+	holding   holding
 	limit     serverLimit
 	// listedSlots is the number of slots in the server's entry, which is the same for all instances.
 	listedSlots int
--- a/decision/passthrough/versions.go
+++ b/decision/passthrough/versions.go
@@ -16,7 +16,7 @@
 	switch {
 	case ro.Phase == PhaseReverted, w.wantsTarget(r, ro) && atTarget == 0:
 		return ""
-	case w.wantsTarget(r, ro) && ro.Phase == PhaseCanary && others > 0 && w.limitsBlockVersion(r.service, ro.Target):
+	case w.wantsTarget(r, ro) && ro.Phase == PhaseCanary && others > 0 && w.limitsBlockVersion(r, ro.Target):
 		return "" // delays the canary, not the callers in its share
 	case w.wantsTarget(r, ro), others == 0:
 		return ro.Target
--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -20,6 +20,7 @@
 	"masticplank.example/decision/passthrough"
 	"masticplank.example/decision/passthrough/seam"
 	"masticplank.example/decision/reach"
+	"masticplank.example/router/internal/grant"
 	"masticplank.example/router/internal/logging"
 	"masticplank.example/router/internal/relay"
 	"masticplank.example/router/internal/settings"
@@ -86,7 +87,7 @@
 				return &telemetry{log: l, clock: c, config: config, registry: reg}
 			},
 			func(c Clock, config *ConfigState) *restoreGuard { return &restoreGuard{clock: c, config: config} },
-			provideDialer, provideTunnelServer, newStartGate, provideSharing, provideDriver, provideObservationStore, provideServerList, provideRollouts, provideHandler, provideServer,
+			provideDialer, provideGrants, provideTunnelServer, newStartGate, provideSharing, provideDriver, provideObservationStore, provideServerList, provideRollouts, provideHandler, provideServer,
 		),
 		// Hooks stop in reverse order: the readers outlive the server, because the
 		// configuration must stay fresh until the last request has been answered.
@@ -124,6 +125,7 @@
 	sh.onRemotePeers = func(domain string, names []string) {
 		d.Handle(passthrough.RemoteNeighbours{Domain: domain, Names: names})
 	}
+	sh.lacksRemotePeers = d.lacksHolders
 	sh.onPeers = func(names []string) { d.Handle(passthrough.Neighbours{Self: cfg.Instance, Names: names}) }
 	own := func() relay.Report {
 		out := d.ownReport()
@@ -166,8 +168,8 @@
 	return m
 }
 
-func provideHandler(p Platform, cfg seam.Settings, config *ConfigState, d *Driver, dial *dialer, c Clock, tel *telemetry, gate *startGate) *Handler {
-	return &Handler{headers: p.Headers, config: config, driver: d, dialer: dial, clock: c, telemetry: tel, startGate: gate, shutdown: &shutdown{}, conns: newCallerConns(cfg.MaxFiles), held: newHeldBytes(cfg.MemoryBytes), recent: newRecentIDs()}
+func provideHandler(p Platform, cfg seam.Settings, config *ConfigState, d *Driver, dial *dialer, grants *grant.Client, c Clock, tel *telemetry, gate *startGate) *Handler {
+	return &Handler{headers: p.Headers, config: config, driver: d, dialer: dial, grants: grants, clock: c, telemetry: tel, startGate: gate, shutdown: &shutdown{}, conns: newCallerConns(cfg.MaxFiles), held: newHeldBytes(cfg.MemoryBytes), recent: newRecentIDs()}
 }
 
 func provideDialer(c Clock, d *Driver, sh *sharing, tel *telemetry) *dialer {
@@ -182,29 +184,30 @@
 	return dial
 }
 
+func provideGrants(lc fx.Lifecycle, c Clock, cfg seam.Settings, d *Driver, sh *sharing, tel *telemetry) *grant.Client {
+	out := grant.NewClient(cfg.Instance, grantDecider{d}, sh.tunnelPeers.Address, c.Now, tel.logSilentHolder)
+	lc.Append(fx.StopHook(out.Close))
+	return out
+}
+
 // maxTunnelsFraction is the fraction of the unreserved descriptors that tunnels of peers may use, two each.
 const maxTunnelsFraction = 0.2
 
 // defaultMaxTunnels is how many tunnels may be open if the limit of descriptors is unknown.
 const defaultMaxTunnels = 200
 
-func provideTunnelServer(cfg seam.Settings, dial *dialer, d *Driver, sh *sharing) *tunnel.Server {
+func provideTunnelServer(cfg seam.Settings, dial *dialer, grants *grant.Client, d *Driver, sh *sharing) *tunnel.Server {
 	limit := defaultMaxTunnels
 	if cfg.MaxFiles > 0 {
 		limit = int(maxTunnelsFraction * float64(max(cfg.MaxFiles-reservedDescriptors, 0)) / 2)
 	}
 	tell := func(domain string) reach.Answer { return sh.tunnelPeers.Tell(d.pathStanding(), domain) }
-	return &tunnel.Server{Connect: dial.connectForPeer, Limit: limit, Tell: tell, PathUp: dial.reachesOthers}
+	return &tunnel.Server{Connect: dial.connectForPeer, Limit: limit, Tell: tell, PathUp: dial.reachesOthers, Grants: grants}
 }
 
 func provideServer(cfg seam.Settings, handler *Handler, config *ConfigState, d *Driver, sh *sharing, tunnels *tunnel.Server, tel *telemetry, reg gometrics.Registry, out *logging.AsyncWriter) *server {
 	s := &server{tunnels: tunnels, settings: cfg, handler: handler, config: config, driver: d, telemetry: tel, registry: reg, log: out, onServeError: func(error) {}}
 	tunnels.Busy = s.overload.lacksTime
-	s.overload.onCrowded = func() {
-		if d.hasRemoteLimits() {
-			sh.readRegionPeers()
-		}
-	}
 	return s
 }
 
@@ -242,7 +245,7 @@
 		OnStart: func(context.Context) error {
 			runs := []func(context.Context){
 				op.reader(sh.operator, c).run, l.reader(sh.servers, c).run,
-				observations.reader(c, m.active).run, m.reader(sh.status).run, sh.reader(ctx).run, sh.runCollector, observations.run, m.run, sh.server.LoadExchange.Run,
+				observations.reader(c, m.active).run, m.reader(sh.status).run, sh.reader(ctx).run, sh.runCollector, sh.runRegion, observations.run, m.run, sh.server.LoadExchange.Run,
 			}
 			go joinAndRun(ctx, sh, cfg.FirstStart, runs)
 			return sh.listen(ctx)
--- a/router/internal/passthrough/attempt.go
+++ b/router/internal/passthrough/attempt.go
@@ -27,8 +27,11 @@
 	statement seam.Attempt
 	// permitPeers are the peers with permits for the server, if this instance has none.
 	permitPeers []string
-	// sharePeers are the peers with a part of the server's rate limit, if this instance has nothing left of its own.
-	sharePeers       []string
+	// holders are the instances to ask for a grant with grantRequest, empty for none; the request is sent grantWait after
+	// that.
+	holders          []string
+	grantRequest     passthrough.GrantRequest
+	grantWait        time.Duration
 	startedAt        time.Time
 	firstByteTimeout time.Duration
 
@@ -89,11 +92,14 @@
 	peer       string
 	tunnelLost bool
 	pathLost   bool
-	// noPermit is true if no peer had a free permit for the server, noShare if nothing was left of the peers' parts
-	// of its rate limit, declined if no peer sends to it.
+	// noPermit is true if no peer had a free permit for the server, declined if no peer sends to it.
 	noPermit bool
-	noShare  bool
 	declined bool
+	// noGrant is true if no grant was to be had; grantAfter is when one may be, 0 if no holder has answered.
+	noGrant    bool
+	grantAfter time.Duration
+	// grantWait is how long the request waited for its turn at a rate-limited server.
+	grantWait time.Duration
 	// callerStalled is true if the stream broke after its caller had not read it for some time, heldUnread if the
 	// connection was lost while the server held the response of another such stream. callerLost is true if nothing more
 	// can be sent to the caller.
@@ -134,8 +140,12 @@
 	if errors.Is(err, errDeclined) {
 		return outcome{result: passthrough.Withheld, err: err, declined: true}
 	}
+	var refused grantRefusedError
+	if errors.As(err, &refused) {
+		return outcome{result: passthrough.NotSent, err: err, noGrant: true, grantAfter: refused.after}
+	}
 	if err != nil {
-		return outcome{result: passthrough.NotSent, err: err, noPermit: errors.Is(err, errNoPermit), noShare: errors.Is(err, errNoShare),
+		return outcome{result: passthrough.NotSent, err: err, noPermit: errors.Is(err, errNoPermit),
 			pathLost: errors.Is(err, errNoPath) || errors.Is(err, errNoPeer)}
 	}
 	a.conn = c
@@ -171,14 +181,14 @@
 	_ = a.conn.Close()
 }
 
-// connect opens the connection to the server, through a peer if only peers may send to it.
+// connect opens the connection to the server, through a peer if only peers may send to it, once the request may be sent.
 func (a *attempt) connect(ctx context.Context) (*conn, error) {
+	if err := a.awaitGrant(ctx); err != nil {
+		return nil, err
+	}
 	if len(a.permitPeers) > 0 {
 		return a.exchange.handler.dialer.dialWithPermit(ctx, a.server, a.permitPeers)
 	}
-	if len(a.sharePeers) > 0 {
-		return a.exchange.handler.dialer.dialWithShare(ctx, a.server, a.sharePeers)
-	}
 	return a.exchange.handler.dialer.dial(ctx, a.server)
 }
 
--- a/router/internal/passthrough/dialer.go
+++ b/router/internal/passthrough/dialer.go
@@ -150,9 +150,6 @@
 	// releasePermitForPeer gives it back.
 	takePermitForPeer(id string) bool
 	releasePermitForPeer(of passthrough.Server)
-	// takeShareForPeer takes a token of this instance's part of the server's rate limit for a peer's request, if
-	// there is one.
-	takeShareForPeer(id string) bool
 }
 
 // slowDialDelay is the time after which a connection is slow.
--- a/router/internal/passthrough/driver.go
+++ b/router/internal/passthrough/driver.go
@@ -120,11 +120,11 @@
 		Speeds: d.world.OwnSpeeds(), Demand: d.world.OwnDemand(), Outliers: d.world.OwnOutliers(), Crashes: d.world.OwnEvidence(d.clock.Now()), Instances: 1}
 }
 
-// hasRemoteLimits reports whether only instances of other failure domains have a part of some server's rate limit.
-func (d *Driver) hasRemoteLimits() bool {
+// lacksHolders reports whether this instance does not know the holders of some rate-limited server.
+func (d *Driver) lacksHolders() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.world.HasRemoteLimits()
+	return d.world.LacksHolders()
 }
 
 // applyPeerReport applies the load reports of the peers.
@@ -276,15 +276,21 @@
 	return d.world.TakePermitForPeer(d.clock.Now(), id)
 }
 
-// takeShareForPeer takes a token of this instance's part of the server's rate limit for a peer's request, if there is
-// one.
-func (d *Driver) takeShareForPeer(id string) bool {
+// grant answers a request for a grant, for a peer or this instance. ok is false if the server gets no requests.
+func (d *Driver) grant(in passthrough.GrantRequest) (out passthrough.Grant, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.world.TakeShareForPeer(d.clock.Now(), id)
+	return d.world.Grant(d.clock.Now(), in)
 }
 
-// releasePermitForPeer gives it back.
+// seniorHolders returns the instances that rank before this one as holders of the server.
+func (d *Driver) seniorHolders(server string) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.world.SeniorHolders(server)
+}
+
+// releasePermitForPeer gives a permit back.
 func (d *Driver) releasePermitForPeer(of passthrough.Server) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/router/internal/passthrough/exchange.go
+++ b/router/internal/passthrough/exchange.go
@@ -185,6 +185,7 @@
 	if a.conn != nil {
 		out.peer = a.conn.peer
 	}
+	out.grantWait = a.grantWait
 	out.heldUnread = out.connectionLost && x.handler.streams.anyStalled(d.Server, x.handler.clock.Now())
 	x.handler.telemetry.logAttempt(x.call, d, out)
 	x.mayHaveRun = x.mayHaveRun || out.result.MayHaveRun()
@@ -207,7 +208,7 @@
 		Request: x.ticket.id, Result: out.result, Begun: x.stream.begun,
 		Misdirected: out.misdirected, Leaving: out.leaving, ConnectionLost: out.connectionLost, EventInterval: out.eventInterval,
 		Confidence: out.confidence, Limit: limit, Events: out.events, GivenUp: out.givenUp,
-		ViaPeer: out.peer != "", TunnelLost: out.tunnelLost, PathLost: out.pathLost, NoPermit: out.noPermit, NoShare: out.noShare, Declined: out.declined,
+		ViaPeer: out.peer != "", TunnelLost: out.tunnelLost, PathLost: out.pathLost, NoPermit: out.noPermit, NoGrant: out.noGrant, GrantAfter: out.grantAfter, Declined: out.declined,
 		CallerStalled: out.callerStalled, HeldUnread: out.heldUnread,
 	})
 	if out.result != passthrough.Completed {
@@ -240,7 +241,8 @@
 	}
 	now := x.handler.clock.Now()
 	return &attempt{
-		exchange: x, server: d.Server, startedAt: now, forecast: d.Forecast, firstByteTimeout: d.FirstByteTimeout, permitPeers: d.Peers, sharePeers: d.SharePeers,
+		exchange: x, server: d.Server, startedAt: now, forecast: d.Forecast, firstByteTimeout: d.FirstByteTimeout, permitPeers: d.Peers,
+		holders: d.Holders, grantRequest: d.GrantRequest, grantWait: d.GrantWait,
 		statement: seam.Attempt{
 			Server: d.Server.ID, Team: team, Model: d.Model,
 			Priority: passthrough.EffectivePriority(c.team, c.route), LastEventID: lastEventID,
--- a/router/internal/passthrough/handler.go
+++ b/router/internal/passthrough/handler.go
@@ -10,6 +10,7 @@
 
 	"masticplank.example/decision/passthrough"
 	"masticplank.example/decision/passthrough/seam"
+	"masticplank.example/router/internal/grant"
 )
 
 // Handler serves callers' requests: it checks each against the configuration in force, submits it
@@ -19,6 +20,7 @@
 	config    *ConfigState
 	driver    *Driver
 	dialer    *dialer
+	grants    *grant.Client
 	clock     Clock
 	telemetry *telemetry
 	// startGate delays requests until the process has read what it needs to serve them.
--- a/router/internal/passthrough/membership.go
+++ b/router/internal/passthrough/membership.go
@@ -106,6 +106,11 @@
 	if m == s.self {
 		s.listed.Store(true)
 	}
+	s.addMember(m)
+}
+
+// addMember adds or updates an instance.
+func (s *sharing) addMember(m relay.Member) {
 	if m.Tunnel != "" && m.Name != s.self.Name && slices.Contains(s.regionDomains, m.Domain) {
 		s.tunnelPeers.Add(reach.Peer{Name: m.Name, Address: m.Tunnel, Domain: m.Domain})
 	}
@@ -131,15 +136,22 @@
 // decision/passthrough).
 const fleetCountInterval = 30 * time.Second
 
+// fleetSettleInterval is the same as long as the number changes, as it does when the system starts.
+const fleetSettleInterval = 2 * time.Second
+
 // runCollector writes the followers' announcements and counts the fleet, if this instance is to do
 // so, until ctx ends.
 func (s *sharing) runCollector(ctx context.Context) {
-	countedAt := time.Time{}
+	countedAt, interval, counted := time.Time{}, fleetSettleInterval, 0
 	for ctx.Err() == nil {
 		s.writeFollowers(ctx)
-		if s.countsFleet() && s.clock.Now().Sub(countedAt) >= fleetCountInterval {
+		if s.countsFleet() && s.clock.Now().Sub(countedAt) >= interval {
 			countedAt = s.clock.Now()
 			s.countFleet(ctx)
+			interval = fleetCountInterval
+			if n := s.members.KnownCount(); n != counted {
+				counted, interval = n, fleetSettleInterval
+			}
 		}
 		sleep(ctx, followerWriteInterval, nil)
 	}
@@ -194,36 +206,61 @@
 }
 
 const (
-	// regionReadInterval is the time between two reads of the lists of the region's other failure domains.
+	// The lists of the region's other failure domains are asked for every regionAskInterval, and every
+	// regionSettleInterval while they change, as they do when the system starts.
+	regionAskInterval    = 15 * time.Second
+	regionSettleInterval = 1500 * time.Millisecond
+	// regionAskSpread is the fraction of an interval over which the questions of several instances are spread.
+	regionAskSpread = 0.3
+	// regionReadInterval is the time between two reads of these lists from the store.
 	regionReadInterval = 10 * time.Second
-	// regionReadSpread is the time over which the reads of several instances are spread.
-	regionReadSpread = 500 * time.Millisecond
 )
 
-// readRegionPeers reads the lists of the region's other failure domains and calls onRemotePeers, unless that was done
-// a short time ago. It does not block.
+// runRegion keeps the lists of the region's other failure domains until ctx ends: the holders of the rate of a backend
+// server are instances of its failure domain. They are asked for in advance, as the requests of a whole region may arrive
+// at any few instances from one moment to the next.
 //
-// Load: one instance gets most new connections of a region, and servers state rate limits. Harm prevented: it refuses
-// its callers although instances of other failure domains have parts of the limits left. Only crowded instances read
-// the lists.
-func (s *sharing) readRegionPeers() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now, domains := s.clock.Now(), s.otherRegionDomains()
-	if len(domains) == 0 || now.Before(s.regionReadAt) {
+// Load: 880 instances in 24 failure domains; a list of a region of eight domains has 300 instances and 40 KB, which a
+// collector sends to each of its followers. Harm prevented: all instances read all lists from the store.
+func (s *sharing) runRegion(ctx context.Context) {
+	domains := s.otherRegionDomains()
+	known := 0
+	for ctx.Err() == nil && len(domains) > 0 {
+		s.askRegion(ctx, domains)
+		interval := regionAskInterval
+		if n := len(s.members.In(domains)); n != known || n == 0 {
+			known, interval = n, regionSettleInterval
+		}
+		s.passOnRegion(domains)
+		sleep(ctx, interval+rand.N(time.Duration(regionAskSpread*float64(interval))), nil)
+	}
+}
+
+// askRegion asks the collector for the instances of the failure domains. An instance that has none counts the fleet
+// itself, or reads the lists if it needs them.
+func (s *sharing) askRegion(ctx context.Context, domains []string) {
+	members, err := s.client.Members(ctx, domains)
+	if err == nil {
+		for _, m := range members {
+			s.addMember(m)
+		}
 		return
 	}
-	s.regionReadAt = now.Add(regionReadInterval)
-	go func() {
-		time.Sleep(rand.N(regionReadSpread))
+	if now := s.clock.Now(); !s.countsFleet() && s.lacksRemotePeers() && !now.Before(s.regionReadAt) {
+		s.regionReadAt = now.Add(regionReadInterval)
 		for _, domain := range domains {
-			ctx, cancel := context.WithTimeout(context.Background(), joinTimeout)
-			if s.readMembers(ctx, domain) {
-				s.onRemotePeers(domain, s.members.RemoteNames(domain))
-			}
-			cancel()
+			s.readMembers(ctx, domain)
 		}
-	}()
+	}
+}
+
+// passOnRegion calls onRemotePeers with the instances of the failure domains.
+func (s *sharing) passOnRegion(domains []string) {
+	for _, domain := range domains {
+		if names := s.members.RemoteNames(domain); len(names) > 0 {
+			s.onRemotePeers(domain, names)
+		}
+	}
 }
 
 // followerWriteInterval is the time between two writes of the followers' announcements. They need
--- a/router/internal/passthrough/overload.go
+++ b/router/internal/passthrough/overload.go
@@ -53,8 +53,6 @@
 	shed       float64
 	// meanLag is the mean of samples.
 	meanLag time.Duration
-	// onCrowded is called, often, while many more connections come than usual. It may be nil.
-	onCrowded func()
 }
 
 // observeConnection counts a new connection.
@@ -88,9 +86,6 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	crowded := o.isCrowded()
-	if crowded && o.onCrowded != nil {
-		o.onCrowded()
-	}
 	o.samples[o.next] = min(max(lag, 0), maxLagSample)
 	o.next = (o.next + 1) % lagSamples
 	var sum time.Duration
--- a/router/internal/passthrough/peerconnect.go
+++ b/router/internal/passthrough/peerconnect.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// permitWait is how long a peer's request waits for a free permit, or a token: two requests of a plain service.
+	// permitWait is how long a peer's request waits for a free permit: two requests of a plain service.
 	permitWait = 60 * time.Millisecond
 	// permitPollInterval is the time between two checks for one.
 	permitPollInterval = 4 * time.Millisecond
@@ -22,14 +22,14 @@
 	maxPermitWaiters = 32
 )
 
-// await takes a permit, or a token of a rate limit, for a peer's request, and waits for one if there is none.
-func (d *dialer) await(ctx context.Context, take func() bool) bool {
+// awaitPermit takes a permit for a peer's request, and waits for one if there is none.
+func (d *dialer) awaitPermit(ctx context.Context, server string) bool {
 	defer d.permitWaiters.Add(-1)
 	if d.permitWaiters.Add(1) > maxPermitWaiters {
 		return false
 	}
 	for end := d.clock.Now().Add(permitWait); ; {
-		if take() {
+		if d.path.takePermitForPeer(server) {
 			return true
 		}
 		if ctx.Err() != nil || !d.clock.Now().Before(end) {
@@ -58,24 +58,20 @@
 	if !ok {
 		return nil, tunnel.ErrDeclined
 	}
-	needsRight := to.NeedsPermit || to.NeedsShare
-	if !needsRight {
+	if !to.NeedsPermit {
 		if err := d.offersPath(server); err != nil {
 			return nil, err
 		}
 	}
 	release := func() {}
 	if to.NeedsPermit {
-		if !d.await(ctx, func() bool { return d.path.takePermitForPeer(to.ID) }) {
+		if !d.awaitPermit(ctx, to.ID) {
 			return nil, tunnel.ErrNoPermit
 		}
 		release = func() { d.path.releasePermitForPeer(server) }
 	}
-	if to.NeedsShare && !d.await(ctx, func() bool { return d.path.takeShareForPeer(to.ID) }) {
-		return nil, tunnel.ErrNoPermit
-	}
 	connect := d.connectDirectly
-	if needsRight {
+	if to.NeedsPermit {
 		connect = d.connectAnyWay
 	}
 	c, err := connect(ctx, server)
@@ -124,10 +120,9 @@
 
 // connectAnyWay connects to the server from this instance, or through a peer with a path.
 //
-// Load: permits and parts of rate limits that belong to instances without a path, most of a failure domain or of the
-// fleet. Harm prevented: their callers, and those of others, are refused although servers have room. Passing the right to
-// send on by itself would save a hop, but the holder could not tell when the request ends if it loses the peer, and would
-// use a slot twice.
+// Load: permits that belong to instances without a path, most of a failure domain or of the fleet. Harm prevented: their
+// callers, and those of others, are refused although servers have room. Passing the permit on by itself would save a hop,
+// but the holder could not tell when the request ends if it loses the peer, and would use a slot twice.
 func (d *dialer) connectAnyWay(ctx context.Context, to passthrough.Server) (net.Conn, error) {
 	c, err := d.dial(ctx, to)
 	if err != nil && ctx.Err() == nil && !errors.Is(err, errNoPath) && !errors.Is(err, errNoPeer) && !errors.Is(err, errDeclined) {
--- a/router/internal/passthrough/peerdial.go
+++ b/router/internal/passthrough/peerdial.go
@@ -33,26 +33,14 @@
 var (
 	// errNoPermit means that no peer had a free permit for the server.
 	errNoPermit = errors.New("no peer has a free permit for the backend server")
-	// errNoShare means that nothing is left of the peers' parts of the backend server's rate limit.
-	errNoShare = errors.New("nothing is left of the peers' parts of the backend server's rate limit")
 	// errDeclined means that peers do not send to the server.
 	errDeclined = errors.New("peers do not send to the backend server: it is leaving, wants no requests for a time, or is not in their lists")
 )
 
-// dialWithPermit opens a connection to the server through one of the peers that have permits for it.
+// dialWithPermit opens a connection to the server through one of the peers that have permits for it. It returns
+// errNoPermit if none of those that were asked has a free one.
 func (d *dialer) dialWithPermit(ctx context.Context, to passthrough.Server, peers []string) (*conn, error) {
-	return d.dialNamed(ctx, to, tunnel.Target{ID: to.ID, Address: to.Address, NeedsPermit: true}, peers, errNoPermit)
-}
-
-// dialWithShare opens a connection to the server through one of the peers that have a part of its rate limit.
-func (d *dialer) dialWithShare(ctx context.Context, to passthrough.Server, peers []string) (*conn, error) {
-	return d.dialNamed(ctx, to, tunnel.Target{ID: to.ID, Address: to.Address, NeedsShare: true}, peers, errNoShare)
-}
-
-// dialNamed opens a connection to the server through one of the named peers. It returns errNone if none of those
-// that were asked may send to it now.
-func (d *dialer) dialNamed(ctx context.Context, to passthrough.Server, target tunnel.Target, peers []string, errNone error) (*conn, error) {
-	c, err := d.tunnels.DialWithPermit(ctx, target, peers)
+	c, err := d.tunnels.DialWithPermit(ctx, tunnel.Target{ID: to.ID, Address: to.Address, NeedsPermit: true}, peers)
 	switch {
 	case err == nil:
 		return &conn{ReadWriteCloser: c, peer: c.Peer(), clock: d.clock, server: d.timesOf(to)}, nil
@@ -61,7 +49,7 @@
 	case errors.Is(err, tunnel.ErrDeclined):
 		return nil, errDeclined
 	}
-	return nil, errNone
+	return nil, errNoPermit
 }
 
 // peerFallback opens a connection through a peer if the direct one is slow or fails while the path to the
--- a/router/internal/passthrough/sharing.go
+++ b/router/internal/passthrough/sharing.go
@@ -46,10 +46,12 @@
 	// changes; reportedPeers is the last number.
 	onPeers       func([]string)
 	reportedPeers atomic.Int64
-	// onRemotePeers is called with the names of another failure domain's instances that readRegionPeers has read,
-	// which reads none before regionReadAt.
-	onRemotePeers func(domain string, names []string)
-	regionReadAt  time.Time
+	// onRemotePeers is called with the names of the instances of another failure domain of the region, often with the
+	// same ones. lacksRemotePeers reports whether some are needed that are not known; the lists are then read from the
+	// store if no collector has them, but not before regionReadAt.
+	onRemotePeers    func(domain string, names []string)
+	lacksRemotePeers func() bool
+	regionReadAt     time.Time
 	// tunnelPeers are the instances through which this one can send requests. The lists of other failure
 	// domains are not read for them before tunnelSearchAt.
 	tunnelPeers    *tunnel.Peers
@@ -91,7 +93,7 @@
 	s := &sharing{
 		self:  relay.Member{Name: cfg.Instance, Domain: cfg.Domain, Address: cfg.PeerAddr, Cores: cfg.Cores, Tunnel: cfg.TunnelAddr},
 		store: store, telemetry: tel, clock: clock, heldRecords: map[string][]keyedlog.Record{}, onHeldRecords: func() {}, onFleetCount: func(int) {},
-		onPeers: func([]string) {}, onRemotePeers: func(string, []string) {},
+		onPeers: func([]string) {}, onRemotePeers: func(string, []string) {}, lacksRemotePeers: func() bool { return false },
 		tunnelPeers: tunnel.NewPeers(clock.Now, reach.Peer{Name: cfg.Instance, Address: cfg.TunnelAddr, Domain: cfg.Domain}, cfg.RegionDomains),
 	}
 	for _, domain := range cfg.Domains {
@@ -122,6 +124,7 @@
 	s.observations = topic(topicObservations, store.Observations(), maxOtherAge)
 	s.instances = topic(topicInstances, store.Instances(cfg.Domain), maxOtherAge)
 	s.server = relay.NewServer(clock.Now, caches, s.holdRecords, s.members.FleetSize)
+	s.server.MembersIn = s.members.In
 	return s
 }
 
--- a/router/internal/passthrough/telemetry.go
+++ b/router/internal/passthrough/telemetry.go
@@ -142,6 +142,12 @@
 	t.emit(logging.EventPathNowhere, slog.Int("known", known))
 }
 
+// logSilentHolder counts and logs that the holder of some backend server's rate has not answered.
+func (t *telemetry) logSilentHolder(holder string, err error) {
+	t.count("holder_silent")
+	t.emit(logging.EventHolderSilent, slog.String("holder", holder), slog.String(logging.KeyError, err.Error()))
+}
+
 // logBrittle counts and logs that a service's servers state that they are brittle, or no longer do. The driver
 // calls it, so it must not block.
 func (t *telemetry) logBrittle(c passthrough.BrittleChanged) {
@@ -247,6 +253,24 @@
 	}
 }
 
+// grantAttrs counts an attempt at a rate-limited server by how it got its grant, and returns what the log says of it.
+func (t *telemetry) grantAttrs(d passthrough.Dispatch, out outcome) []slog.Attr {
+	how, holder := "own", ""
+	switch {
+	case out.noGrant && out.grantAfter == 0:
+		how = "unanswered"
+	case out.noGrant:
+		how = "refused"
+	case len(d.Holders) > 0:
+		how = "asked"
+	}
+	if len(d.Holders) > 0 {
+		holder = d.Holders[0]
+	}
+	t.count("grant." + how)
+	return []slog.Attr{slog.String("grant", how), slog.String("holder", holder), slog.Int64("grant_wait_ms", out.grantWait.Milliseconds())}
+}
+
 // logAttempt counts and logs an attempt that has ended.
 func (t *telemetry) logAttempt(c *call, d passthrough.Dispatch, out outcome) {
 	t.count("attempt." + out.result.String())
@@ -280,6 +304,9 @@
 		attrs = append(attrs, slog.String("parts", strings.Join(c.caller.SharedParts, ",")), slog.Int("events", out.events),
 			slog.Int64("server_start_ms", d.Server.StartTime))
 	}
+	if d.GrantWait > 0 || len(d.Holders) > 0 {
+		attrs = append(attrs, t.grantAttrs(d, out)...)
+	}
 	if d.Limit.Limited {
 		t.count("dispatch.limited")
 		attrs = append(attrs, slog.Float64("limit", d.Limit.PerSecond))
--- a/router/internal/relay/client.go
+++ b/router/internal/relay/client.go
@@ -113,6 +113,14 @@
 	return collectorAnswer{}, failure
 }
 
+// Members asks the collectors for the instances of failure domains. The answer has those that the collector knows, which
+// may be none.
+func (c *Client) Members(ctx context.Context, domains []string) ([]Member, error) {
+	params := func(time.Duration) any { return membersParams{Domains: domains} }
+	out, err := c.call(ctx, methodMembers, params, 0, callTimeout)
+	return out.Members, err
+}
+
 // minStoreBackoff and maxStoreBackoff bound how long an instance that has a collector does not read
 // an unreachable store. The collector keeps probing, and its followers read from it as soon as the
 // store is back. Without backoff, 81 instances make up to 8,000 calls in an outage of 8 s.
--- a/router/internal/relay/members.go
+++ b/router/internal/relay/members.go
@@ -62,10 +62,10 @@
 	mu sync.Mutex
 	// reportedFleetSize is the largest fleet size that a collector has reported.
 	reportedFleetSize int
-	// allNames are the names of the instances of all failure domains, with their domains.
-	allNames map[string]string
-	local    map[string]Member
-	ranked   []Member
+	// all are the instances of all failure domains by name.
+	all    map[string]Member
+	local  map[string]Member
+	ranked []Member
 	// remote are the first-ranked members of each other failure domain, in order of rank.
 	remote   map[string][]Member
 	backoffs map[string]memberBackoff
@@ -80,7 +80,7 @@
 // NewMembers returns the initial members: this instance alone, in one of domainCount failure
 // domains.
 func NewMembers(self Member, domainCount int, now func() time.Time) *Members {
-	m := &Members{self: self, domainCount: domainCount, now: now, allNames: map[string]string{}, local: map[string]Member{}, remote: map[string][]Member{}, backoffs: map[string]memberBackoff{}}
+	m := &Members{self: self, domainCount: domainCount, now: now, all: map[string]Member{}, local: map[string]Member{}, remote: map[string][]Member{}, backoffs: map[string]memberBackoff{}}
 	m.Add(self)
 	return m
 }
@@ -92,7 +92,7 @@
 	if in.Name == "" || in.Address == "" {
 		return
 	}
-	m.allNames[in.Name] = in.Domain
+	m.all[in.Name] = in
 	if in.Domain != m.self.Domain {
 		m.addRemote(in)
 		return
@@ -208,7 +208,14 @@
 func (m *Members) FleetSize() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return max(len(m.allNames), m.reportedFleetSize, m.domainCount*len(m.local))
+	return max(len(m.all), m.reportedFleetSize, m.domainCount*len(m.local))
+}
+
+// KnownCount returns the number of instances of all failure domains that were ever known here.
+func (m *Members) KnownCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.all)
 }
 
 // RaiseFleetSize raises the fleet size to a collector's count.
@@ -231,8 +238,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var out []string
-	for name, in := range m.allNames {
-		if in == domain {
+	for name, in := range m.all {
+		if in.Domain == domain {
 			out = append(out, name)
 		}
 	}
@@ -240,6 +247,20 @@
 	return out
 }
 
+// In returns all instances of the failure domains that were ever known, ordered by name.
+func (m *Members) In(domains []string) []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Member
+	for _, x := range m.all {
+		if slices.Contains(domains, x.Domain) {
+			out = append(out, x)
+		}
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
 // DomainSize returns the number of instances of this failure domain that were ever known.
 func (m *Members) DomainSize() int {
 	m.mu.Lock()
--- a/router/internal/relay/messages.go
+++ b/router/internal/relay/messages.go
@@ -8,10 +8,11 @@
 
 // The JSON-RPC methods.
 const (
-	methodRead   = "read"
-	methodNewest = "newest"
-	methodAppend = "append"
-	methodLoads  = "loads"
+	methodRead    = "read"
+	methodNewest  = "newest"
+	methodAppend  = "append"
+	methodLoads   = "loads"
+	methodMembers = "members"
 )
 
 // readParams requests the records of a topic from an offset on. An era of 0 means that the
@@ -38,6 +39,11 @@
 	Records []keyedlog.Record `json:"records"`
 }
 
+// membersParams requests the instances of failure domains.
+type membersParams struct {
+	Domains []string `json:"domains"`
+}
+
 // loadsParams is the load report of an instance and of those that ask it.
 type loadsParams struct {
 	// Name is the name of the reporting instance.
@@ -103,6 +109,8 @@
 	FoundBad          []uint64           `json:"found_bad,omitempty"`
 	LostConfigVersion uint64             `json:"lost_config,omitempty"`
 	Instances         int                `json:"instances,omitempty"`
+	// Members are the instances of the failure domains that were asked for.
+	Members []Member `json:"members,omitempty"`
 	// Fleet is the number of instances of all failure domains.
 	Fleet int `json:"fleet,omitempty"`
 }
--- a/router/internal/relay/server.go
+++ b/router/internal/relay/server.go
@@ -24,6 +24,8 @@
 	fleetSize func() int
 	// LoadExchange handles load reports; nil to reject them.
 	LoadExchange *LoadExchange
+	// MembersIn returns the known instances of failure domains; nil for none.
+	MembersIn func(domains []string) []Member
 	// lastRequest is the time of the last request, in Unix nanoseconds; 0 for none.
 	lastRequest atomic.Int64
 
@@ -140,6 +142,15 @@
 			return answer{}, keyedlog.ErrNotApplied
 		}
 		return s.LoadExchange.handleReport(p)
+	case methodMembers:
+		var p membersParams
+		if err := decodeParams(req, &p); err != nil {
+			return answer{}, err
+		}
+		if s.MembersIn == nil {
+			return answer{}, keyedlog.ErrNotApplied
+		}
+		return answer{Members: s.MembersIn(p.Domains)}, nil
 	case methodAppend:
 		var p appendParams
 		if _, err := s.decodeForTopic(req, &p, func() string { return p.Topic }); err != nil {
--- a/router/internal/tunnel/message.go
+++ b/router/internal/tunnel/message.go
@@ -13,7 +13,6 @@
 	paramServer  = "server"
 	paramAddress = "address"
 	paramPermit  = "permit"
-	paramShare   = "share"
 )
 
 // headerOpen states how many tunnels are open at a peer. trailerEnd states how the backend server ended
@@ -35,8 +34,6 @@
 	Address string
 	// NeedsPermit is true if the peer must use one of its permits for the server.
 	NeedsPermit bool
-	// NeedsShare is true if the peer must use its part of the server's rate limit.
-	NeedsShare bool
 }
 
 func (t Target) query() string {
@@ -44,14 +41,11 @@
 	if t.NeedsPermit {
 		q.Set(paramPermit, "1")
 	}
-	if t.NeedsShare {
-		q.Set(paramShare, "1")
-	}
 	return q.Encode()
 }
 
 func targetOf(q url.Values) Target {
-	return Target{ID: q.Get(paramServer), Address: q.Get(paramAddress), NeedsPermit: q.Has(paramPermit), NeedsShare: q.Has(paramShare)}
+	return Target{ID: q.Get(paramServer), Address: q.Get(paramAddress), NeedsPermit: q.Has(paramPermit)}
 }
 
 // Errors of tunnels. After the first six, nothing was sent to a backend server.
@@ -60,8 +54,7 @@
 	ErrNoPeer = errors.New("no peer could be asked for a tunnel")
 	// ErrNoPath means that the peers that were asked have no path to the backend servers either.
 	ErrNoPath = errors.New("the peers have no path to the backend servers either")
-	// ErrNoPermit means that all permits of the peer for the backend server are in use, or that nothing is left of
-	// its part of the server's rate limit.
+	// ErrNoPermit means that all permits of the peer for the backend server are in use.
 	ErrNoPermit = errors.New("the peer has no free permit for the backend server")
 	// ErrUnreachable means that a peer, which has a path, could not connect to the backend server.
 	ErrUnreachable = errors.New("a peer could not connect to the backend server")
--- a/router/internal/tunnel/peers.go
+++ b/router/internal/tunnel/peers.go
@@ -83,6 +83,17 @@
 	return slices.Sorted(maps.Keys(p.peers))
 }
 
+// Address returns the address of a known peer.
+func (p *Peers) Address(name string) (address string, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	x := p.peers[name]
+	if x == nil {
+		return "", false
+	}
+	return x.address, true
+}
+
 // choose returns up to count peers to ask for a tunnel to the server, in order, and how many could be asked in all.
 // Those with a path come first, and among them those with fewer tunnels, in a random order if these are equal. If any has
 // a path, no others are asked.
--- a/router/internal/tunnel/server.go
+++ b/router/internal/tunnel/server.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"masticplank.example/decision/reach"
+	"masticplank.example/router/internal/grant"
 )
 
 // Server opens connections to backend servers for peers.
@@ -32,6 +33,9 @@
 	// Tell returns what a peer of the failure domain that asks for a path is told; nil for nothing.
 	Tell func(domain string) reach.Answer
 
+	// Grants answers peers that ask for grants at grant.Path; nil for none.
+	Grants http.Handler
+
 	open     atomic.Int64
 	draining atomic.Bool
 }
@@ -44,9 +48,12 @@
 
 // HTTPServer returns the HTTP server that serves tunnels, on a Listener.
 func (s *Server) HTTPServer() *http.Server {
-	const readHeaderTimeout = time.Second
+	const (
+		readHeaderTimeout = time.Second
+		idleTimeout       = 15 * time.Second
+	)
 	return &http.Server{
-		Handler: s, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
+		Handler: s, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
 	}
 }
 
@@ -61,6 +68,10 @@
 		_ = json.NewEncoder(w).Encode(packAnswer(s.Tell(r.URL.Query().Get(paramDomain)))) // the peer asks again
 		return
 	}
+	if r.URL.Path == grant.Path && s.Grants != nil {
+		s.serveGrant(w, r)
+		return
+	}
 	defer s.open.Add(-1)
 	open := s.open.Add(1)
 	w.Header().Set(headerOpen, strconv.FormatInt(open-1, 10))
@@ -83,6 +94,16 @@
 	s.forward(w, r, server, to.ID)
 }
 
+// serveGrant answers a peer that asks for a grant. A stopping instance gives none: the next holder in rank does.
+func (s *Server) serveGrant(w http.ResponseWriter, r *http.Request) {
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.Grants.ServeHTTP(w, r)
+}
+
 // statusOf returns the status of a response to a request for a tunnel that could not be opened.
 func statusOf(err error) int {
 	switch {
