Bytes without end: bounds on heads, streams, passed-on responses and messages of peers

A server, caller or peer in trouble could send bytes without end. Callers waited to their deadline, and the process kept what it read: a head had no bound but memory, a stream none on what lies between its events, a message between instances none at all, and a slow head kept an attempt alive for as long as it came.

--- a/decision/passthrough/attempt.go
+++ b/decision/passthrough/attempt.go
@@ -18,6 +18,10 @@
 	r.observeEnd(e)
 	w.recordOutcome(r, s, e)
 	r.mayHaveRun = r.mayHaveRun || e.Result.MayHaveRun() || e.Begun
+	if e.Final {
+		w.remove(r)
+		return
+	}
 	if e.NoPermit {
 		r.service.fullUntil = w.now.Add(fullPause)
 		if r.service.engine {
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -44,6 +44,8 @@
 	Declined   bool
 	// GrantAfter is when a grant may be had, for NoGrant; 0 if no holder of the server has answered.
 	GrantAfter time.Duration
+	// Final is true if no other attempt may follow, as the caller already has a part of the response.
+	Final bool
 	// Misdirected is true if another backend server now has the address.
 	Misdirected bool
 	// Leaving is true if the backend server is shutting down.
--- a/router/internal/api/stream.go
+++ b/router/internal/api/stream.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -25,6 +27,7 @@
 	errMalformedChunk  = errors.New("the stream has an event that is not a chat completion chunk")
 	errNoUsage         = errors.New("the stream ended without its token usage")
 	errMissingEvent    = errors.New("an event of the stream is missing")
+	errTooLong         = fmt.Errorf("the stream has more than %d bytes", upstream.MaxAnswerBytes)
 	errCallerGone      = errors.New("the caller has disconnected")
 )
 
@@ -93,7 +96,8 @@
 }
 
 func (sr *streamReader) read(ctx context.Context, resp *http.Response) error {
-	for ev, err := range sse.Read(resp.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+	body := &io.LimitedReader{R: resp.Body, N: upstream.MaxAnswerBytes}
+	for ev, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
 			return upstream.ClassifyReadError(ctx, err)
 		}
@@ -114,6 +118,8 @@
 	}
 	if sr.sawEnd {
 		upstream.DiscardRest(resp)
+	} else if body.N <= 0 {
+		return &upstream.Failure{Result: decision.AttemptUnknown, Err: errTooLong}
 	}
 	return sr.checkEnd(ctx)
 }
--- a/router/internal/passthrough/attempt.go
+++ b/router/internal/passthrough/attempt.go
@@ -49,7 +49,8 @@
 	givenUp atomic.Bool
 	// pace counts the events for the idle watch.
 	pace pace
-	// firstByte is the time from startedAt to the response head.
+	// headRead is true once the response head has been read, firstByte the time from startedAt to that.
+	headRead  atomic.Bool
 	firstByte time.Duration
 	// events is the number of whole events of a stream that were received.
 	events int
@@ -106,6 +107,8 @@
 	callerStalled bool
 	heldUnread    bool
 	callerLost    bool
+	// serverFailed is true if that is the server's fault.
+	serverFailed bool
 	// eventInterval is the mean time between the events of a stream, 0 for fewer than two.
 	// For a plain response it is the time from startedAt to the end of the response.
 	eventInterval time.Duration
@@ -131,6 +134,7 @@
 	errTimedOut         = errors.New("timed out: the backend server sent nothing for too long")
 	errGivenUp          = errors.New("given up: the response is not expected to end before the deadline, and that of another backend server is")
 	errEventOrder       = errors.New("an event of the stream is missing, repeated or has a malformed id")
+	errTooLong          = errors.New("the response exceeds the size limit")
 	errMalformedStream  = errors.New("the stream ended without a numbered event or within an event, or an event exceeds the size limit")
 )
 
@@ -163,11 +167,14 @@
 	defer watch.stop()
 	req := a.request()
 	go a.send(req)
-	a.reader = bufio.NewReader(c)
+	limit := &headLimit{Reader: c, left: maxHeadBytes}
+	a.reader = bufio.NewReader(limit)
 	resp, err := readHead(a.reader, req)
 	if err != nil {
 		return a.brokenOutcome(err)
 	}
+	limit.complete = true
+	a.headRead.Store(true)
 	a.firstByte = a.exchange.handler.clock.Now().Sub(a.startedAt)
 	return a.readOutcome(resp)
 }
@@ -253,6 +260,9 @@
 	if ctxErr := a.exchange.ctx.Err(); ctxErr != nil {
 		return outcome{result: passthrough.Broken, err: ctxErr, firstByte: a.firstByte} // the context's end closed the connection
 	}
+	if errors.Is(err, errHeadTooLong) {
+		return outcome{result: passthrough.Broken, err: err, firstByte: a.firstByte}
+	}
 	if errors.Is(err, tunnel.ErrPeerLost) {
 		return outcome{result: passthrough.Broken, err: err, tunnelLost: true, firstByte: a.firstByte}
 	}
@@ -346,6 +356,10 @@
 // maxResponseBytes is the size from which on a plain response is passed on before it has been read to its end.
 const maxResponseBytes = 16 << 20
 
+// maxPassedOnBytes is the size from which on such a response is given up if it does not state its length: a server in
+// trouble sends bytes without end.
+const maxPassedOnBytes = 256 << 20
+
 // readWhole reads a plain response to its end before any of it goes to the caller, unless it is too long for that.
 func (a *attempt) readWhole(resp *http.Response) outcome {
 	size := int64(streamBufferSize)
@@ -385,13 +399,41 @@
 		x.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
 	x.writeHead(resp)
-	from := io.MultiReader(bytes.NewReader(read), resp.Body)
-	if _, err := io.CopyBuffer(callerWriter{a}, from, make([]byte, streamBufferSize)); err != nil {
+	rest := io.Reader(resp.Body)
+	if resp.ContentLength < 0 {
+		rest = io.LimitReader(rest, maxPassedOnBytes)
+	}
+	from := &errorReader{Reader: io.MultiReader(bytes.NewReader(read), rest)}
+	n, err := io.CopyBuffer(callerWriter{a}, from, make([]byte, streamBufferSize))
+	if err == nil && resp.ContentLength < 0 && n >= maxPassedOnBytes {
+		from.err = errTooLong
+	}
+	if from.err != nil {
+		out := a.brokenOutcome(from.err)
+		out.callerLost, out.serverFailed = true, true
+		return out
+	}
+	if err != nil {
 		return outcome{result: passthrough.Broken, err: err, callerLost: true}
 	}
 	return outcome{result: passthrough.Completed, eventInterval: x.handler.clock.Now().Sub(a.startedAt)}
 }
 
+// errorReader keeps the error of the latest read, if it is not the end.
+type errorReader struct {
+	io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (r *errorReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		r.err = err
+	}
+	return n, err
+}
+
 // callerWriter writes to the caller, and records for how long writes block: meanwhile the server is not idle.
 type callerWriter struct{ a *attempt }
 
--- a/router/internal/passthrough/exchange.go
+++ b/router/internal/passthrough/exchange.go
@@ -197,7 +197,11 @@
 		limit = nil
 	}
 	if (x.ctx.Err() != nil || out.callerLost) && out.result != passthrough.Completed {
-		x.handler.driver.Handle(passthrough.AttemptEnded{Request: x.ticket.id, Result: passthrough.Abandoned, Limit: limit})
+		end := passthrough.AttemptEnded{Request: x.ticket.id, Result: passthrough.Abandoned, Limit: limit}
+		if out.serverFailed && x.ctx.Err() == nil {
+			end.Result, end.Final, end.Begun, end.ConnectionLost = out.result, true, true, out.connectionLost
+		}
+		x.handler.driver.Handle(end)
 		x.expire()
 		return true
 	}
--- a/router/internal/passthrough/idlewatch.go
+++ b/router/internal/passthrough/idlewatch.go
@@ -112,9 +112,9 @@
 		return true
 	}
 	s := passthrough.Inactivity{Route: a.exchange.call.route, FirstByteTimeout: a.firstByteTimeout,
-		PromptTokens: a.exchange.call.caller.PromptTokens, Begun: a.conn.lastReceived.Load() != 0}
+		PromptTokens: a.exchange.call.caller.PromptTokens, Begun: a.headRead.Load()}
 	s.AttemptIdle = now.Sub(a.startedAt)
-	if at := a.conn.lastReceived.Load(); at != 0 {
+	if at := a.conn.lastReceived.Load(); at != 0 && s.Begun {
 		s.AttemptIdle = now.Sub(time.Unix(0, at))
 	}
 	s.ServerIdle = now.Sub(time.Unix(0, max(a.conn.server.any.Load(), a.startedAt.UnixNano())))
--- a/router/internal/passthrough/server.go
+++ b/router/internal/passthrough/server.go
@@ -24,6 +24,8 @@
 	// the 15 s for which operators' configurations let callers reuse a connection, since a
 	// request that is on its way when the connection is closed gets no response.
 	idleTimeout = 2 * time.Minute
+	// maxHeadBytes bounds the head of a request or response; configurations allow requests 16 KiB.
+	maxHeadBytes = 64 << 10
 	// readHeaderTimeout is the timeout for reading a request's head; configurations allow 3 s.
 	readHeaderTimeout = 5 * time.Second
 	// rotationDelay is how long after SIGTERM new requests are still served: the load balancer
@@ -61,10 +63,7 @@
 // start opens the listeners. readyPath is the path of readiness checks; metricsAddress is empty
 // for no metrics.
 func (s *server) start(readyPath, metricsAddress string) error {
-	s.callers = &http.Server{
-		Handler: s.handler, IdleTimeout: idleTimeout, ReadHeaderTimeout: readHeaderTimeout, ConnState: s.handler.conns.track, ConnContext: withConn,
-		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
-	}
+	s.callers = newCallerServer(s.handler)
 	if err := s.listenForCallers(); err != nil {
 		return err
 	}
@@ -84,6 +83,14 @@
 	return s.open(metricsPage, metricsAddress)
 }
 
+// newCallerServer returns the HTTP server for callers.
+func newCallerServer(h *Handler) *http.Server {
+	return &http.Server{
+		Handler: h, IdleTimeout: idleTimeout, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeadBytes, ConnState: h.conns.track, ConnContext: withConn,
+		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
+	}
+}
+
 // open serves h on an auxiliary listener.
 func (s *server) open(h http.Handler, address string) error {
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
--- a/router/internal/passthrough/stream.go
+++ b/router/internal/passthrough/stream.go
@@ -29,7 +29,7 @@
 	// another request's prompt, and small enough that a version that is eight times slower sends
 	// that many in two seconds.
 	intervalEvents = 6
-	// maxEventBytes is the maximum size of an event.
+	// maxEventBytes is the maximum size of an event, and of what a stream may have between two events with an id.
 	maxEventBytes = 1 << 20
 )
 
@@ -68,6 +68,7 @@
 func (a *attempt) copyEvents(resp *http.Response) outcome {
 	x := a.exchange
 	var pending []byte
+	unnumbered := 0
 	buf := make([]byte, streamBufferSize)
 	reported := false
 	began := x.handler.clock.Now()
@@ -78,8 +79,11 @@
 				return outcome{result: passthrough.Broken, err: errNoRoom, callerLost: true}
 			}
 			pending = append(pending, buf[:n]...)
-			whole, partial := splitEvents(pending)
+			whole, partial := splitEvents(pending, n)
 			count, orderErr := x.advanceEventID(whole)
+			if unnumbered += len(whole); count > 0 {
+				unnumbered = 0
+			}
 			if orderErr == nil && len(whole) > 0 {
 				if writeErr := a.writeEvents(resp, whole); writeErr != nil {
 					return outcome{result: passthrough.Broken, err: writeErr, callerLost: true}
@@ -100,7 +104,7 @@
 			pending = append(pending[:0], partial...)
 		}
 		switch {
-		case err == nil && len(pending) <= maxEventBytes:
+		case err == nil && len(pending) <= maxEventBytes && unnumbered <= maxEventBytes:
 			continue
 		case errors.Is(err, io.EOF) && len(pending) == 0 && a.events > 0:
 			return outcome{result: passthrough.Completed, eventInterval: a.eventInterval(began)}
@@ -184,12 +188,14 @@
 	return err
 }
 
-// splitEvents splits a text into whole events and the beginning of the next one.
-func splitEvents(text []byte) (ready, rest []byte) {
+// splitEvents splits a text into whole events and the beginning of the next one. Only its last added bytes are new: no
+// event ends before them.
+func splitEvents(text []byte, added int) (ready, rest []byte) {
 	end := 0
 	for _, separator := range [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")} {
-		if i := bytes.LastIndex(text, separator); i >= 0 {
-			end = max(end, i+len(separator))
+		from := max(len(text)-added-len(separator)+1, 0)
+		if i := bytes.LastIndex(text[from:], separator); i >= 0 {
+			end = max(end, from+i+len(separator))
 		}
 	}
 	return text[:end], text[end:]
--- a/router/internal/platform/transport.go
+++ b/router/internal/platform/transport.go
@@ -11,9 +11,10 @@
 	"masticplank.example/router/internal/wire"
 )
 
-// Limits of the clients. maxShortBodyBytes bounds the answers to appends and
-// ratings.
+// Limits of the clients. maxHeadBytes bounds the heads of answers, maxShortBodyBytes
+// the answers to appends and ratings.
 const (
+	maxHeadBytes      = 64 << 10
 	dialTimeout       = 2 * time.Second
 	idleTimeout       = 90 * time.Second
 	maxIdlePerHost    = 64
@@ -26,9 +27,10 @@
 func newClient() *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxIdleConnsPerHost: maxIdlePerHost,
-			IdleConnTimeout:     idleTimeout,
+			DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxIdleConnsPerHost:    maxIdlePerHost,
+			IdleConnTimeout:        idleTimeout,
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
--- a/router/internal/relay/server.go
+++ b/router/internal/relay/server.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"masticplank.example/coordination/keyedlog"
+	"masticplank.example/router/internal/rpcstream"
 )
 
 // Server answers the instances that read from this one, its followers.
@@ -65,9 +66,21 @@
 	}
 }
 
+const (
+	// maxMessageBytes bounds a message: a snapshot of 10,000 servers has 3 MB before it is packed. messageTimeout bounds
+	// how long it is read or written.
+	maxMessageBytes = 16 << 20
+	messageTimeout  = 5 * time.Second
+)
+
+// newStream returns the stream of messages on a connection.
+func newStream(c net.Conn) *rpcstream.Stream {
+	return rpcstream.New(c, rpcstream.Limits{MaxBytes: maxMessageBytes, MessageTimeout: messageTimeout})
+}
+
 func (s *Server) add(ctx context.Context, c net.Conn) {
 	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed())
-	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{}), handler, jsonrpc2.SetLogger(discardLogger{}))
+	conn := jsonrpc2.NewConn(ctx, newStream(c), handler, jsonrpc2.SetLogger(discardLogger{}))
 	s.mu.Lock()
 	s.conns[conn] = true
 	s.mu.Unlock()
--- a/router/internal/tunnel/dialer.go
+++ b/router/internal/tunnel/dialer.go
@@ -39,6 +39,7 @@
 		peers: peers, FindPeers: func() {}, OnNoPath: func(int) {},
 		transport: &http.Transport{
 			DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true,
+			MaxResponseHeaderBytes: maxHeadBytes,
 			// The body is never sent before the peer asks for it.
 			ExpectContinueTimeout: time.Hour,
 		},
--- a/router/internal/tunnel/message.go
+++ b/router/internal/tunnel/message.go
@@ -15,6 +15,9 @@
 	paramPermit  = "permit"
 )
 
+// maxHeadBytes bounds the head of a request or response between instances.
+const maxHeadBytes = 16 << 10
+
 // headerOpen states how many tunnels are open at a peer. trailerEnd states how the backend server ended
 // its connection.
 const (
--- a/router/internal/tunnel/server.go
+++ b/router/internal/tunnel/server.go
@@ -53,7 +53,7 @@
 		idleTimeout       = 15 * time.Second
 	)
 	return &http.Server{
-		Handler: s, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
+		Handler: s, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
 	}
 }
 
--- a/router/internal/upstream/upstream.go
+++ b/router/internal/upstream/upstream.go
@@ -35,6 +35,8 @@
 	// marker: only the end of the chunked encoding should follow.
 	discardTimeout  = 50 * time.Millisecond
 	maxDiscardBytes = 4096
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 64 << 10
 	// MaxAnswerBytes bounds an answer that is read whole.
 	MaxAnswerBytes = 16 << 20
 )
@@ -110,6 +112,8 @@
 		IdleConnTimeout:     idleTimeout,
 		DisableKeepAlives:   disableKeepAlives,
 		DisableCompression:  true,
+		// An answer's head without end must not take the instance's memory.
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- a/router/internal/upstream/upstream_test.go
+++ b/router/internal/upstream/upstream_test.go
@@ -6,8 +6,10 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"masticplank.example/decision"
 	"masticplank.example/platform/standin"
@@ -156,3 +158,31 @@
 		t.Errorf("got error %v after %d requests, want AttemptNotRun after none", err, count.Load())
 	}
 }
+
+// TestHeadWithoutEndIsGivenUp guards against a backend server that sends a head without end, which would take the
+// instance's memory.
+func TestHeadWithoutEndIsGivenUp(t *testing.T) {
+	closed := make(chan struct{}, 10)
+	url, _ := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX: ")
+		for err == nil {
+			_, err = io.WriteString(conn, strings.Repeat("x", 4096))
+		}
+		closed <- struct{}{}
+	})
+	client := NewClient()
+	defer client.Close()
+	if got := runAttempt(client, url); got == 0 {
+		t.Error("the attempt has succeeded")
+	}
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Error("the connection is still open after 5 s")
+	}
+}
