Permits: few holders of a plain server's slots, asked in the whole region

Each of the slots belonged to another instance, a request asked three of them in its own failure domain, waiting 60 ms at each, and was refused then, although other servers and the permits of the other failure domain were free.

Three slots of a plain server go to the same instance now, so that two instances have those of a server with six; they are asked without a wait first, in all failure domains of the region that are known, and other servers are tried before the request is refused. Engines' slots are dealt one by one as before.

--- a/decision/passthrough/attempt.go
+++ b/decision/passthrough/attempt.go
@@ -23,12 +23,7 @@
 		return
 	}
 	if e.NoPermit {
-		r.service.fullUntil = w.now.Add(fullPause)
-		if r.service.engine {
-			w.retry(r, nil) // it waits: streams have seconds until their first event is due
-			return
-		}
-		w.finishOrRefuse(r, ReasonServersFull)
+		w.noPermit(r, s)
 		return
 	}
 	if e.NoGrant {
--- a/decision/passthrough/permits.go
+++ b/decision/passthrough/permits.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -11,13 +12,19 @@
 // stay free. Permits are dealt to the failure domains in turn, and within a failure domain to instances by
 // rendezvous hashing with bounded loads, so that instances that know the same servers and neighbours agree on them
 // without any message, few permits change hands when an instance comes or goes, and none has many more than
-// others. An instance whose permits are in use, or that has none, sends through a peer of its failure domain
-// that has some; the peer sends the request on once a permit is free. So a server never gets more requests than
-// it has slots, however many instances there are.
+// others. An instance whose permits are in use, or that has none, sends through a peer of its region that has some;
+// the peer sends the request on once a permit is free. So a server never gets more requests than it has slots, however
+// many instances there are.
+//
+// The few slots of a plain server are dealt in chunks, so that a request finds a free one by few questions, and other
+// servers are tried before it is refused. The many slots of engines are dealt one by one, as most streams then use their
+// own instance's and need no peer.
 
 const (
 	// maxPermitPeers is how many peers with permits are named for a request, some of which may be gone.
 	maxPermitPeers = 8
+	// plainPermitChunk is how many slots of a plain server go to the same instance.
+	plainPermitChunk = 3
 	// fullPause is for how long no request is offered to peers after all of them had no free permit.
 	fullPause = 80 * time.Millisecond
 	// maxPermitShare is how many permits an instance has at most, as a multiple of the mean.
@@ -27,19 +34,20 @@
 // permitInputs are the values that a service's permits depend on.
 type permitInputs struct {
 	neighboursVersion int
+	remoteVersion     int
 	listVersion       int
 }
 
-// permits are an instance's and its neighbours' permits at the servers of a service.
+// permits are an instance's and its peers' permits at the servers of a service.
 type permits struct {
 	inputs permitInputs
-	// peers are the names of the neighbours with permits at a server, with their numbers.
+	// peers are the names of the peers with permits at a server, with their numbers.
 	peers map[*server]map[string]int
 }
 
-// updatePermits deals the service's permits, unless that was done for the same servers and neighbours.
+// updatePermits deals the service's permits, unless that was done for the same servers and instances.
 func (w *World) updatePermits(s *service) {
-	inputs := permitInputs{w.neighbours.version, w.listVersion}
+	inputs := permitInputs{w.neighbours.version, w.remoteVersion, w.listVersion}
 	if s.permits.inputs == inputs && s.permits.peers != nil {
 		return
 	}
@@ -53,34 +61,56 @@
 	total := 0
 	for _, srv := range list {
 		total += srv.permitCount()
+		srv.permits = 0
 	}
-	n := &w.neighbours
-	perDomain := float64(total) / float64(len(domains))
-	d := dealer{neighbours: n, counts: make([]int, len(n.names)), limit: int(math.Ceil(maxPermitShare * perDomain / float64(max(len(n.names), 1))))}
+	dealers := w.newDealers(domains, float64(total)/float64(len(domains)))
 	dealt := 0
 	for _, srv := range list {
-		srv.permits = 0
-		for slot := range srv.permitCount() {
-			if domains[dealt%len(domains)] == w.cfg.Domain {
-				d.deal(srv, slot)
+		for first := 0; first < srv.permitCount(); first += s.permitChunk() {
+			if d := dealers[domains[dealt%len(domains)]]; d != nil {
+				d.deal(srv, first, min(s.permitChunk(), srv.permitCount()-first))
 			}
 			dealt++
 		}
 	}
 }
 
+// permitChunk is how many slots of a server of the service go to the same instance.
+func (s *service) permitChunk() int {
+	if s.engine {
+		return 1
+	}
+	return plainPermitChunk
+}
+
+// newDealers returns a dealer for each failure domain whose instances are known. perDomain is the mean number of permits
+// of a failure domain.
+func (w *World) newDealers(domains []string, perDomain float64) map[string]*dealer {
+	out := map[string]*dealer{}
+	for _, domain := range domains {
+		if n := w.instancesOf(domain); n != nil {
+			limit := int(math.Ceil(maxPermitShare * perDomain / float64(max(len(n.names), 1))))
+			out[domain] = &dealer{neighbours: n, self: w.neighbours.self, isOwn: domain == w.cfg.Domain, counts: make([]int, len(n.names)), limit: limit}
+		}
+	}
+	return out
+}
+
 // dealer deals the permits of a failure domain to its instances.
 type dealer struct {
 	neighbours *neighbours
-	// counts are how many permits each neighbour has, limit is how many it may have.
+	// self is this instance, isOwn is true if the failure domain is its own.
+	self  string
+	isOwn bool
+	// counts are how many permits each instance has, limit is how many it may have before it gets no more.
 	counts []int
 	limit  int
 }
 
-// deal gives a slot of the server to one of the neighbours.
-func (d *dealer) deal(s *server, slot int) {
+// deal gives count slots of the server, from the number first on, to one of the instances.
+func (d *dealer) deal(s *server, first, count int) {
 	n := d.neighbours
-	key := mix(s.hash + uint64(slot))
+	key := mix(s.hash + uint64(first))
 	owner, best := -1, uint64(0)
 	for i, hash := range n.hashes {
 		if score := mix(hash ^ key); d.counts[i] < d.limit && (owner < 0 || score > best) {
@@ -88,20 +118,22 @@
 		}
 	}
 	if owner < 0 {
-		s.permits++ // an instance that knows no neighbours is alone
+		if d.isOwn {
+			s.permits += count // an instance that knows no neighbours is alone
+		}
 		return
 	}
-	d.counts[owner]++
+	d.counts[owner] += count
 	name := n.names[owner]
-	if name == n.self {
-		s.permits++
+	if d.isOwn && name == d.self {
+		s.permits += count
 		return
 	}
 	peers := s.service.permits.peers
 	if peers[s] == nil {
 		peers[s] = map[string]int{}
 	}
-	peers[s][name]++
+	peers[s][name] += count
 }
 
 // permitCount returns how many permits there are for the server, the same number at all instances.
@@ -130,8 +162,8 @@
 // peersHavePermits reports whether a request to the server may be offered to peers.
 func (w *World) peersHavePermits(s *server) bool {
 	w.updatePermits(s.service)
-	if w.now.Before(s.service.fullUntil) {
-		s.service.wakeBy(s.service.fullUntil)
+	if until := later(s.fullUntil, s.service.fullUntil); w.now.Before(until) {
+		s.service.wakeBy(until)
 		return false
 	}
 	return len(s.service.permits.peers[s]) > 0
@@ -145,10 +177,9 @@
 		score float64
 	}
 	var list []scored
-	for _, name := range w.neighbours.names {
-		if n := s.service.permits.peers[s][name]; n > 0 {
-			list = append(list, scored{name, w.rng.Float64() / float64(n)})
-		}
+	peers := s.service.permits.peers[s]
+	for _, name := range slices.Sorted(maps.Keys(peers)) {
+		list = append(list, scored{name, w.rng.Float64() / float64(peers[name])})
 	}
 	slices.SortFunc(list, func(a, b scored) int { return cmp.Compare(a.score, b.score) })
 	var out []string
@@ -183,6 +214,28 @@
 	return w.permitPeers(s)
 }
 
+// noPermit tries another server for a request for whose server no peer had a free permit. A request to a plain service is
+// refused if all servers are full; one to an engine waits.
+func (w *World) noPermit(r *request, s *server) {
+	if r.service.engine {
+		r.service.fullUntil = w.now.Add(fullPause)
+		w.retry(r, nil) // streams have seconds until their first event is due
+		return
+	}
+	r.service.throttle.accepted.add(w.now, -1)
+	if s != nil {
+		s.fullUntil = w.now.Add(fullPause)
+		r.dispatches-- // no attempt was made
+	}
+	if reason := w.retryRefusal(r); reason != "" {
+		w.finishOrRefuse(r, reason)
+		return
+	}
+	if !w.tryDispatch(r) {
+		w.finishOrRefuse(r, ReasonServersFull)
+	}
+}
+
 // holdPermit counts the request as one that holds a permit of this instance at its server.
 func (r *request) holdPermit(s *server) {
 	s.permitsUsed++
--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -43,7 +43,7 @@
 	slowStart slowStartLimits
 	brittle   brittle
 	permits   permits
-	// fullUntil is until when no request is offered to peers with permits.
+	// fullUntil is until when no request is offered to peers with permits for engines.
 	fullUntil time.Time
 	// wakeAt is when queued requests are tried again, as a server may take more by then; zero for
 	// never.
@@ -113,6 +113,8 @@
 	// permits is how many of the server's slots belong to this instance while the service is brittle,
 	// permitsUsed how many of them its own and its peers' requests hold.
 	permits, permitsUsed int
+	// fullUntil is until when no request for the server is offered to peers with permits.
+	fullUntil time.Time
 	// peers is the load of the other instances there, as of the world's peerLoadsAt.
 	peers peerReport
 }
--- a/router/internal/passthrough/peerconnect.go
+++ b/router/internal/passthrough/peerconnect.go
@@ -22,6 +22,14 @@
 	maxPermitWaiters = 32
 )
 
+// takePermit takes a permit for a peer's request, and waits for one if the request does.
+func (d *dialer) takePermit(ctx context.Context, to tunnel.Target) bool {
+	if !to.WaitsForPermit {
+		return d.path.takePermitForPeer(to.ID)
+	}
+	return d.awaitPermit(ctx, to.ID)
+}
+
 // awaitPermit takes a permit for a peer's request, and waits for one if there is none.
 func (d *dialer) awaitPermit(ctx context.Context, server string) bool {
 	defer d.permitWaiters.Add(-1)
@@ -65,7 +73,7 @@
 	}
 	release := func() {}
 	if to.NeedsPermit {
-		if !d.awaitPermit(ctx, to.ID) {
+		if !d.takePermit(ctx, to) {
 			return nil, tunnel.ErrNoPermit
 		}
 		release = func() { d.path.releasePermitForPeer(server) }
--- a/router/internal/tunnel/dialer.go
+++ b/router/internal/tunnel/dialer.go
@@ -149,46 +149,37 @@
 	// permitTimeout bounds the opening of a tunnel with a permit through one peer, which may open another one itself.
 	permitTimeout = 400 * time.Millisecond
 	// permitPeersAsked is how many peers are asked for one such tunnel.
-	permitPeersAsked = 3
+	permitPeersAsked = 5
 )
 
 // DialWithPermit opens a tunnel to the backend server through the first of the named peers that has a free
-// permit for it. The peers are asked one after the other, so that the request holds one permit at most. After
-// an error, nothing was sent to the server: ErrDeclined if no peer that was asked sends to it, ErrNoPermit if
-// none has a free permit, or ctx's error.
+// permit for it. The peers are asked one after the other, so that the request holds one permit at most; if none of them
+// has one, the first waits for it. After an error, nothing was sent to the server: ErrDeclined if no peer that was asked
+// sends to it, ErrNoPermit if none has a free permit, or ctx's error.
 func (d *Dialer) DialWithPermit(ctx context.Context, to Target, names []string) (*Conn, error) {
 	peers := d.peers.named(names)
 	peers = peers[:min(permitPeersAsked, len(peers))]
 	declined := 0
+	var full []*peer
+	to.WaitsForPermit = false
 	for _, through := range peers {
-		c := newConn(d.peers, through, &gate{})
-		opened := make(chan error, 1)
-		go func() { opened <- c.open(d.transport, to) }()
-		timeout, cancel := context.WithTimeout(ctx, permitTimeout)
-		var err error
-		select {
-		case err = <-opened:
-		case <-timeout.Done():
-			err = timeout.Err()
-		}
-		cancel()
-		if err == nil {
-			return c, nil
-		}
-		_ = c.Close()
+		c, err := d.openWithPermit(ctx, to, through)
 		switch {
+		case err == nil:
+			return c, nil
+		case ctx.Err() != nil:
+			return nil, ctx.Err()
 		case errors.Is(err, ErrDeclined):
 			declined++
 		case errors.Is(err, ErrNoPermit):
-		case errors.Is(err, ErrNoPath), errors.Is(err, ErrUnreachable), errors.Is(err, ErrDoubtful), errors.Is(err, ErrNoPeer):
-			d.peers.pause(through)
-		case errors.Is(err, context.DeadlineExceeded) && c.reachedPeer.Load():
-			d.peers.pause(through) // it runs, but it, or the peer that it asks, is slow
-		default:
-			d.peers.failed(through)
+			full = append(full, through)
 		}
-		if ctx.Err() != nil {
-			return nil, ctx.Err()
+	}
+	if len(full) > 0 {
+		to.WaitsForPermit = true
+		c, err := d.openWithPermit(ctx, to, full[0])
+		if err == nil || ctx.Err() != nil {
+			return c, ctx.Err()
 		}
 	}
 	if declined > 0 && declined == len(peers) {
@@ -197,6 +188,36 @@
 	return nil, ErrNoPermit
 }
 
+// openWithPermit opens a tunnel through the peer if it has a free permit. A peer that cannot open one otherwise is left
+// alone for a time.
+func (d *Dialer) openWithPermit(ctx context.Context, to Target, through *peer) (*Conn, error) {
+	c := newConn(d.peers, through, &gate{})
+	opened := make(chan error, 1)
+	go func() { opened <- c.open(d.transport, to) }()
+	timeout, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	var err error
+	select {
+	case err = <-opened:
+	case <-timeout.Done():
+		err = timeout.Err()
+	}
+	if err == nil {
+		return c, nil
+	}
+	_ = c.Close()
+	switch {
+	case errors.Is(err, ErrDeclined), errors.Is(err, ErrNoPermit):
+	case errors.Is(err, ErrNoPath), errors.Is(err, ErrUnreachable), errors.Is(err, ErrDoubtful), errors.Is(err, ErrNoPeer):
+		d.peers.pause(through)
+	case errors.Is(err, context.DeadlineExceeded) && c.reachedPeer.Load():
+		d.peers.pause(through) // it runs, but it, or the peer that it asks, is slow
+	default:
+		d.peers.failed(through)
+	}
+	return nil, err
+}
+
 // race is the opening of one tunnel through several peers.
 type race struct {
 	dialer  *Dialer
--- a/router/internal/tunnel/message.go
+++ b/router/internal/tunnel/message.go
@@ -13,6 +13,7 @@
 	paramServer  = "server"
 	paramAddress = "address"
 	paramPermit  = "permit"
+	paramWait    = "wait"
 )
 
 // maxHeadBytes bounds the head of a request or response between instances.
@@ -35,8 +36,9 @@
 type Target struct {
 	ID      string
 	Address string
-	// NeedsPermit is true if the peer must use one of its permits for the server.
-	NeedsPermit bool
+	// NeedsPermit is true if the peer must use one of its permits for the server, WaitsForPermit if it waits for a free one.
+	NeedsPermit    bool
+	WaitsForPermit bool
 }
 
 func (t Target) query() string {
@@ -44,11 +46,14 @@
 	if t.NeedsPermit {
 		q.Set(paramPermit, "1")
 	}
+	if t.WaitsForPermit {
+		q.Set(paramWait, "1")
+	}
 	return q.Encode()
 }
 
 func targetOf(q url.Values) Target {
-	return Target{ID: q.Get(paramServer), Address: q.Get(paramAddress), NeedsPermit: q.Has(paramPermit)}
+	return Target{ID: q.Get(paramServer), Address: q.Get(paramAddress), NeedsPermit: q.Has(paramPermit), WaitsForPermit: q.Has(paramWait)}
 }
 
 // Errors of tunnels. After the first six, nothing was sent to a backend server.
