Grants: a rate-limited server keeps as many regular senders as it had

The first in rank, as many as sent before, choose it as any other server and ask for grants; the test has its former bound.

--- a/decision/passthrough/filter.go
+++ b/decision/passthrough/filter.go
@@ -44,7 +44,7 @@
 	case len(ejected) > 0:
 		list = ejected
 	}
-	return w.preferRoom(r, w.preferOwnGrants(w.preferOwnPermits(r.service, w.preferResponding(r, list))))
+	return w.preferRoom(r, w.preferRegular(w.preferOwnPermits(r.service, w.preferResponding(r, list))))
 }
 
 // hasFreeSlot reports whether the server has a free slot. It counts only the known
--- a/decision/passthrough/grants.go
+++ b/decision/passthrough/grants.go
@@ -13,8 +13,10 @@
 //
 // The holder is chosen by rendezvous hashing among the instances of the server's failure domain. If it gives no answer,
 // the next in rank is asked, at last in another failure domain; that one asks those before it first and else gives grants
-// itself. While instances disagree on
-// the holder, two of them may give grants: the rates are chosen for that.
+// itself. While instances disagree on the holder, two of them may give grants: the rates are chosen for that.
+//
+// As long as other servers have room, only the first few in rank, the regular senders, choose a rate-limited server: more
+// of them would only be refused.
 //
 // Load: 880 instances with 70,000 requests a second, of which any part arrives at any few instances; 80 questions a second
 // for each holder if all servers are rate-limited. Harm prevented: instances refuse requests while the rate that belongs
@@ -25,6 +27,13 @@
 	// reserveHolders how many of another one after that: all instances of the first may be lost.
 	homeHolders    = 3
 	reserveHolders = 2
+	// limitPerSender is the part of a rate limit, in requests per second, for which there is one regular sender,
+	// minLimitSenders how many there are at least. All instances are, if they are at most limitAllMargin more than the
+	// limit. slowStartSenders is how many a server in slow start has.
+	limitPerSender   = 2.0
+	minLimitSenders  = 2
+	limitAllMargin   = 2.0
+	slowStartSenders = 3
 	// A request waits for a granted turn for up to grantWaitFraction of the time left to its target, and maxGrantWait:
 	// a turn that is far ahead is lost if the caller leaves or the request goes elsewhere.
 	grantWaitFraction = 0.5
@@ -66,8 +75,10 @@
 
 // holding is what an instance knows of the holders of a server.
 type holding struct {
-	// names are the holders in rank, as of inputs.
+	// names are the holders in rank, as of inputs; rank is that of this instance among those of their failure domain, from
+	// 0, never if it is in another one.
 	names  []string
+	rank   int
 	inputs holderInputs
 	// pausedUntil is until when the holders are not asked.
 	pausedUntil time.Time
@@ -81,23 +92,50 @@
 func (w *World) holders(s *server) []string {
 	inputs := holderInputs{w.neighbours.version, w.remoteVersion, s.limitRotation(w.now)}
 	if inputs != s.holding.inputs {
-		s.holding.inputs, s.holding.names = inputs, w.findHolders(s, inputs.rotation)
+		s.holding.inputs = inputs
+		s.holding.names, s.holding.rank = w.findHolders(s, inputs.rotation)
 	}
 	return s.holding.names
 }
 
-func (w *World) findHolders(s *server, rotation uint64) []string {
+// findHolders returns the holders, and the rank of this instance.
+func (w *World) findHolders(s *server, rotation uint64) (names []string, rank int) {
 	domain, key := s.holderKey(rotation)
 	domain = w.holderDomain(domain, key)
 	home := w.instancesOf(domain)
 	if w.neighbours.version == 0 || home == nil {
-		return nil
+		return nil, noRank
 	}
-	names := home.firstNames(key, homeHolders)
+	ranked := home.ranked(key)
+	if rank = slices.Index(ranked, w.neighbours.self); rank < 0 {
+		rank = noRank
+	}
+	names = slices.Clone(ranked[:min(homeHolders, len(ranked))])
 	if reserve := w.reserveDomain(domain, key); reserve != "" {
-		names = append(names, w.instancesOf(reserve).firstNames(key, reserveHolders)...)
+		others := w.instancesOf(reserve).ranked(key)
+		names = append(names, others[:min(reserveHolders, len(others))]...)
+	}
+	return names, rank
+}
+
+// noRank is the rank of an instance of another failure domain.
+const noRank = math.MaxInt
+
+// isRegularSender reports whether this instance chooses the rate-limited server although others have room.
+func (w *World) isRegularSender(s *server) bool {
+	if len(w.holders(s)) == 0 {
+		return false
+	}
+	senders := math.MaxInt
+	if s.limit.Limited {
+		if senders = max(int(s.limit.PerSecond/limitPerSender)+1, minLimitSenders); float64(w.fleetSize) <= s.limit.PerSecond+limitAllMargin {
+			senders = math.MaxInt
+		}
+	}
+	if s.inSlowStart(w.now) {
+		senders = min(senders, slowStartSenders)
 	}
-	return names
+	return senders == math.MaxInt || s.holding.rank < senders
 }
 
 // isHolder reports whether this instance is the server's holder.
@@ -205,15 +243,16 @@
 	return max(s.holding.pausedUntil.Sub(w.now), 0)
 }
 
-// preferOwnGrants leaves only the servers that need no grant of a peer, if there are any.
-func (w *World) preferOwnGrants(list []serverView) []serverView {
-	asks := func(v serverView) bool { return w.isRateLimited(v.server) && !w.isHolder(v.server) }
-	if !slices.ContainsFunc(list, asks) {
+// preferRegular leaves only the servers that are not rate-limited, and those of which this instance is a regular sender, if
+// there are any.
+func (w *World) preferRegular(list []serverView) []serverView {
+	isOther := func(v serverView) bool { return w.isRateLimited(v.server) && !w.isRegularSender(v.server) }
+	if !slices.ContainsFunc(list, isOther) {
 		return list
 	}
-	own := slices.DeleteFunc(slices.Clone(list), asks)
-	if len(own) > 0 {
-		return own
+	regular := slices.DeleteFunc(slices.Clone(list), isOther)
+	if len(regular) > 0 {
+		return regular
 	}
 	return list
 }
--- a/decision/passthrough/holders.go
+++ b/decision/passthrough/holders.go
@@ -48,16 +48,16 @@
 	return w.remoteNeighbours[domain]
 }
 
-// firstNames returns the names of the count instances that come first for the key.
-func (n *neighbours) firstNames(key uint64, count int) []string {
+// ranked returns the names of the instances in the order of their ranks for the key.
+func (n *neighbours) ranked(key uint64) []string {
 	list := make([]int, len(n.hashes))
 	for i := range list {
 		list[i] = i
 	}
 	slices.SortFunc(list, func(a, b int) int { return cmp.Compare(mix(n.hashes[b]^key), mix(n.hashes[a]^key)) })
-	var out []string
-	for _, i := range list[:min(count, len(list))] {
-		out = append(out, n.names[i])
+	out := make([]string, len(list))
+	for rank, i := range list {
+		out[rank] = n.names[i]
 	}
 	return out
 }
--- a/decision/passthrough/ratelimit.go
+++ b/decision/passthrough/ratelimit.go
@@ -119,7 +119,8 @@
 
 // pickStaleLimited returns a server that has stated its limit to no instance for limitProbeAfter.
 //
-// Load: many servers, so that a limited one is hardly ever chosen. Harm prevented: a server that accepts everything again and gets nothing for a minute.
+// Load: many servers, so that the few regular senders of a limited one hardly ever choose it. Harm prevented: a server that
+// accepts everything again and gets nothing for a minute.
 func (w *World) pickStaleLimited(list []serverView) (v serverView, ok bool) {
 	if len(w.limitedServers) == 0 {
 		return serverView{}, false
--- a/decision/passthrough/ratelimit_bound_test.go
+++ b/decision/passthrough/ratelimit_bound_test.go
@@ -66,10 +66,11 @@
 		settled := f.now()
 		f.simulate(20*time.Second, load)
 		for i, perSecond := range limitRates {
-			// Its holder has no more for it than for any other server; the others prefer servers without limits.
-			offered := 3 * usualRate / float64(size.instances)
+			// Its regular senders have no more for it than for any other server.
+			senders := max(int(perSecond/limitPerSender)+1, minLimitSenders)
+			offered := 3 * usualRate * float64(senders) / float64(size.instances)
 			if got := f.rate(f.servers[i].ID, settled); got < 0.4*min(perSecond, offered) {
-				t.Errorf("%d instances: a server with a limit of %v per second got %.2f, want at least 0.4 of the lesser of that and what its holder is offered", size.instances, perSecond, got)
+				t.Errorf("%d instances: a server with a limit of %v per second got %.2f, want at least 0.4 of the lesser of that and what its regular senders are offered", size.instances, perSecond, got)
 			}
 		}
 		clear(f.limits)
