Crowds: instances with a fifth of a core; a holder has 0.3 s to answer

A process that gets a fifth of a core stands still for up to 80 ms in each 0.1 s, so that 0.15 s for a question and its answer takes busy instances for silent.

--- a/router/internal/grant/client.go
+++ b/router/internal/grant/client.go
@@ -17,8 +17,8 @@
 const (
 	// askTimeout bounds a question to a holder, forwardTimeout one that is passed on, which must be shorter: the
 	// instance that was asked answers by itself after that.
-	askTimeout     = 150 * time.Millisecond
-	forwardTimeout = 70 * time.Millisecond
+	askTimeout     = 300 * time.Millisecond
+	forwardTimeout = 120 * time.Millisecond
 	// silentPause is for how long an instance that gave no answer is not asked.
 	silentPause = 500 * time.Millisecond
 	// maxAnswerBytes bounds an answer.
