--- a/decision/passthrough/grants.go
+++ b/decision/passthrough/grants.go
@@ -168,6 +168,16 @@
 	return holders
 }
 
+// UnknownLimit returns the rate limit that a peer's request for a grant states, if this instance does not know it. It must be
+// applied before the request is answered.
+func (w *World) UnknownLimit(in GrantRequest) (PeerLimit, bool) {
+	s := w.servers[in.Server]
+	if s == nil || s.StartTime != in.StartTime || !in.Limit.Limited || in.Limit == s.limit.RateLimit {
+		return PeerLimit{}, false
+	}
+	return PeerLimit{Key: s.peerKey(), Limit: in.Limit, Age: in.LimitAge}, true
+}
+
 // Grant answers a peer's request for a grant. ok is false if this instance's list does not have the server's process, or
 // not as one that may get requests.
 func (w *World) Grant(now time.Time, in GrantRequest) (out Grant, ok bool) {
@@ -178,9 +188,6 @@
 	if now.After(w.now) {
 		w.now = now
 	}
-	if in.Limit.Limited {
-		w.applyPeerLimits([]PeerLimit{{Key: s.peerKey(), Limit: in.Limit, Age: in.LimitAge}})
-	}
 	return w.giveGrant(s, in.SlowStart, in.MaxWait), true
 }
 
--- a/decision/passthrough/slowstart.go
+++ b/decision/passthrough/slowstart.go
@@ -56,11 +56,12 @@
 	turns []time.Time
 }
 
-// wait is the time until a turn at which no more than quota turns are in any slowStartWindow.
+// wait is the time until a turn at which no more than quota turns, one at least, are in any slowStartWindow.
 //
 // Load: a failure domain whose servers come back together during a burst, and look idle to
 // hundreds of instances. Harm prevented: instances that crash the starting servers again.
 func (s *slowStart) wait(now time.Time, quota int) time.Duration {
+	quota = max(quota, 1) // the configuration may not have been read yet
 	since := now.Add(-slowStartWindow)
 	s.turns = slices.DeleteFunc(s.turns, func(at time.Time) bool { return !at.After(since) })
 	if len(s.turns) < quota {
--- a/router/internal/passthrough/driver.go
+++ b/router/internal/passthrough/driver.go
@@ -280,6 +280,9 @@
 func (d *Driver) grant(in passthrough.GrantRequest) (out passthrough.Grant, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if l, ok := d.world.UnknownLimit(in); ok {
+		d.applyLocked(passthrough.PeerLimits{Limits: []passthrough.PeerLimit{l}})
+	}
 	return d.world.Grant(d.clock.Now(), in)
 }
 
