Bytes without end: tests of responses that nobody waits for

A rejected response, one whose caller has left and bytes on an idle connection are not read on: the connection is closed. This held before; there was no test.

--- a/router/internal/passthrough/endless_test.go
+++ b/router/internal/passthrough/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 	"time"
 
 	"masticplank.example/decision/passthrough"
+	"masticplank.example/decision/passthrough/seam"
 )
 
 // endlessServer sends the beginning of a response, and then a text again and again until its connection is closed.
@@ -20,6 +22,8 @@
 	begin, again string
 	// pause is the time between two texts.
 	pause time.Duration
+	// address is that of the server, once it is started.
+	address string
 
 	accepted, open, written atomic.Int64
 }
@@ -43,7 +47,13 @@
 			go s.serve(c)
 		}
 	}()
-	return l.Addr().String()
+	s.address = l.Addr().String()
+	return s.address
+}
+
+// listAlone lets the handler know no other server.
+func (s *endlessServer) listAlone(h *Handler) {
+	h.driver.Handle(passthrough.ServersListed{Servers: []passthrough.Server{{ID: "alone", Address: s.address, Service: "shop", Domain: "domain-0", Slots: 4, StartTime: 1}}})
 }
 
 func (s *endlessServer) serve(c net.Conn) {
@@ -275,3 +285,55 @@
 		})
 	}
 }
+
+// rejectingHeaders takes any response for one of a server that has not run the request.
+type rejectingHeaders struct{ signedHeaders }
+
+func (rejectingHeaders) ReadResponse(int, http.Header) seam.Response {
+	return seam.Response{RequestID: "a", NotRun: true, Confidence: -1}
+}
+
+// TestResponseNobodyWaitsForIsNotRead guards against the rest of a response that is read without end after it was rejected,
+// or after its caller has left.
+func TestResponseNobodyWaitsForIsNotRead(t *testing.T) {
+	again := strings.Repeat("x", 8192)
+	t.Run("rejected", func(t *testing.T) {
+		s := &endlessServer{begin: "HTTP/1.1 503 Service Unavailable\r\n\r\n", again: again}
+		h := newEndlessHandler(t, s, passthrough.KindAtMostOnce)
+		s.listAlone(h)
+		h.headers = rejectingHeaders{}
+		send(h)
+		s.waitClosed(t, 2*time.Second)
+		if got := s.written.Load(); s.accepted.Load() == 0 || got > s.accepted.Load()*socketBuffers {
+			t.Errorf("%d connections, %d bytes were read, want some and no more than is buffered", s.accepted.Load(), got)
+		}
+	})
+	t.Run("its caller has left", func(t *testing.T) {
+		s := &endlessServer{begin: plainHead, again: again, pause: time.Millisecond}
+		h := newEndlessHandler(t, s, passthrough.KindAtMostOnce)
+		s.listAlone(h)
+		caller := httptest.NewServer(h)
+		t.Cleanup(caller.Close)
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, caller.URL+"/x", strings.NewReader("body"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Host = "a.example"
+		if resp, err := http.DefaultClient.Do(req); err == nil {
+			_ = resp.Body.Close()
+		}
+		s.waitClosed(t, 2*time.Second)
+		if s.accepted.Load() == 0 {
+			t.Error("the server got no request")
+		}
+	})
+	t.Run("idle connection", func(t *testing.T) {
+		s := &endlessServer{begin: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", again: again, pause: 20 * time.Millisecond}
+		h := newEndlessHandler(t, s, passthrough.KindAtMostOnce)
+		s.listAlone(h)
+		send(h)
+		s.waitClosed(t, 2*time.Second)
+	})
+}
