--- a/router/internal/passthrough/endless_test.go
+++ b/router/internal/passthrough/endless_test.go
@@ -299,7 +299,7 @@
 	again := strings.Repeat("x", 8192)
 	t.Run("rejected", func(t *testing.T) {
 		s := &endlessServer{begin: "HTTP/1.1 503 Service Unavailable\r\n\r\n", again: again}
-		h := newEndlessHandler(t, s, passthrough.KindAtMostOnce)
+		h := newEndlessHandler(t, s, passthrough.KindIdempotent)
 		s.listAlone(h)
 		h.headers = rejectingHeaders{}
 		send(h)
@@ -310,7 +310,7 @@
 	})
 	t.Run("its caller has left", func(t *testing.T) {
 		s := &endlessServer{begin: plainHead, again: again, pause: time.Millisecond}
-		h := newEndlessHandler(t, s, passthrough.KindAtMostOnce)
+		h := newEndlessHandler(t, s, passthrough.KindIdempotent)
 		s.listAlone(h)
 		caller := httptest.NewServer(h)
 		t.Cleanup(caller.Close)
@@ -331,7 +331,7 @@
 	})
 	t.Run("idle connection", func(t *testing.T) {
 		s := &endlessServer{begin: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", again: again, pause: 20 * time.Millisecond}
-		h := newEndlessHandler(t, s, passthrough.KindAtMostOnce)
+		h := newEndlessHandler(t, s, passthrough.KindIdempotent)
 		s.listAlone(h)
 		send(h)
 		s.waitClosed(t, 2*time.Second)
