Review, case 2: one request with another model takes all runners out

Cause: each 421 counts as a sign that the runner has left, and nothing clears that. Done: a script with one instance, three runners of models and one odd request; no fix.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -23,6 +23,7 @@
 // plays are the cases by name.
 var plays = map[string]play{
 	"silence": playSilence,
+	"model":   playModel,
 }
 
 func main() { os.Exit(run()) }
