--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -24,6 +24,7 @@
 var plays = map[string]play{
 	"silence": playSilence,
 	"model":   playModel,
+	"crash":   playCrash,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standins/model.go
+++ b/review/standins/model.go
@@ -52,8 +52,13 @@
 		c.list(p.id, "wuno96b", zones[i%len(zones)], address, p.slots)
 	}
 	c.store.Put("keyed.op", "config", []byte(mixedConfig))
+	return c.startNodes(instances)
+}
+
+// startNodes starts instances, one in each zone, and waits until they are ready.
+func (c *setting) startNodes(count int) ([]*node, error) {
 	var nodes []*node
-	for i := range instances {
+	for i := range count {
 		n, err := c.newNode(fmt.Sprintf("edge-%s-1", zones[i]), zones[i])
 		if err != nil {
 			return nil, err
