--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -25,6 +25,7 @@
 	"silence": playSilence,
 	"model":   playModel,
 	"crash":   playCrash,
+	"path":    playPath,
 }
 
 func main() { os.Exit(run()) }
