--- a/review/standins/crash.go
+++ b/review/standins/crash.go
@@ -88,7 +88,7 @@
 	f.starts++
 	f.address, f.listener, f.conns = l.Addr().String(), l, map[net.Conn]bool{}
 	id := fmt.Sprintf("i-p%d-%d", f.number, f.starts)
-	plain := newPlainRunner(id, 6, 4, 30*time.Millisecond)
+	plain := f.setting.newPlainRunner(id, 6, 4, 30*time.Millisecond)
 	remove := f.setting.list(id, "wuno96b", f.zone, f.address, plain.slots)
 	var once sync.Once
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -147,7 +147,7 @@
 	prices := kind{name: "prices", path: "/cufi504/fi50/2f", method: http.MethodGet, key: "anfqasnmgkcuyj8pjbvk", deadline: 2500 * time.Millisecond}
 	odd := prices
 	odd.name, odd.path, odd.key = "odd", crashPath, "n2ctnfzs989anu6wsjnb"
-	load, all := newClients(), &results{}
+	load, all := c.newClients(), &results{}
 	var senders sync.WaitGroup
 	senders.Go(func() { load.send(nodes, prices, prices.name, 10, crashLength, all) })
 	senders.Go(func() {
--- a/review/standins/load.go
+++ b/review/standins/load.go
@@ -75,11 +75,12 @@
 // clients send requests.
 type clients struct {
 	http   *http.Client
+	note   func(string, ...any)
 	nextID atomic.Int64
 }
 
-func newClients() *clients {
-	return &clients{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}}
+func (c *setting) newClients() *clients {
+	return &clients{note: c.note, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}}
 }
 
 // retries is how often a client tries again, as in the site.
@@ -101,6 +102,9 @@
 // tryOnce sends one request and returns the status of its answer if that is complete, else 0. A 2xx counts only with the
 // runner's signature.
 func (c *clients) tryOnce(n *node, k kind, left time.Duration) (status int, retryAfter time.Duration) {
+	id := fmt.Sprintf("%016x", c.nextID.Add(1))
+	c.note("%s (%s) is sent to %s", id, k.name, n.name)
+	defer func() { c.note("%s (%s) is answered %d", id, k.name, status) }()
 	req, err := http.NewRequest(k.method, "http://"+n.frontend+k.path, strings.NewReader(k.body))
 	if err != nil {
 		return 0, 0
@@ -109,7 +113,7 @@
 	for name, value := range k.headers {
 		req.Header.Set(name, value)
 	}
-	req.Header.Set("Attempt-Id", fmt.Sprintf("%016x", c.nextID.Add(1)))
+	req.Header.Set("Attempt-Id", id)
 	req.Header.Set("Deadline-Ms", fmt.Sprint(left.Milliseconds()))
 	req.Header.Set("Authorization", "Bearer "+k.key)
 	client := *c.http
--- a/review/standins/model.go
+++ b/review/standins/model.go
@@ -37,7 +37,7 @@
 // startMixed starts runners of both services, writes the configuration and starts the instances, one in each zone.
 func (c *setting) startMixed(plain []*plainRunner, instances int) ([]*node, error) {
 	for i, zone := range zones {
-		s := &streamRunner{id: fmt.Sprintf("i-m%d", i+1), count: 5, interval: 40 * time.Millisecond, note: func(string, ...any) {}}
+		s := &streamRunner{id: fmt.Sprintf("i-m%d", i+1), count: 5, interval: 40 * time.Millisecond, note: c.note}
 		address, err := c.serve(s)
 		if err != nil {
 			return nil, err
@@ -79,14 +79,14 @@
 func playModel(c *setting) (int, error) {
 	var plain []*plainRunner
 	for i := range zones {
-		plain = append(plain, newPlainRunner(fmt.Sprintf("i-p%d", i+1), 6, 4, 30*time.Millisecond))
+		plain = append(plain, c.newPlainRunner(fmt.Sprintf("i-p%d", i+1), 6, 4, 30*time.Millisecond))
 	}
 	nodes, err := c.startMixed(plain, 1)
 	if err != nil {
 		return 0, err
 	}
 	defer c.keepLog(nodes[0])
-	load, all := newClients(), &results{}
+	load, all := c.newClients(), &results{}
 	var senders sync.WaitGroup
 	senders.Go(func() { load.send(nodes, stock, stock.name, 10, modelLength, all) })
 	senders.Go(func() {
--- a/review/standins/path.go
+++ b/review/standins/path.go
@@ -41,7 +41,7 @@
 }
 
 func playPath(c *setting) (int, error) {
-	recorder := &targetRecorder{plain: newPlainRunner("i-p1", 6, 4, 5*time.Millisecond), targets: map[string]string{}}
+	recorder := &targetRecorder{plain: c.newPlainRunner("i-p1", 6, 4, 5*time.Millisecond), targets: map[string]string{}}
 	address, err := c.serve(recorder)
 	if err != nil {
 		return 0, err
--- a/review/standins/plain.go
+++ b/review/standins/plain.go
@@ -14,6 +14,7 @@
 	slots int
 	queue int
 	work  time.Duration
+	note  func(string, ...any)
 
 	mu sync.Mutex
 	// present is how many requests are at the runner.
@@ -22,8 +23,8 @@
 	free          chan struct{}
 }
 
-func newPlainRunner(id string, slots, queue int, work time.Duration) *plainRunner {
-	return &plainRunner{id: id, slots: slots, queue: queue, work: work, free: make(chan struct{}, slots)}
+func (c *setting) newPlainRunner(id string, slots, queue int, work time.Duration) *plainRunner {
+	return &plainRunner{id: id, slots: slots, queue: queue, work: work, note: c.note, free: make(chan struct{}, slots)}
 }
 
 // enter counts a request, and reports whether there is room for it and the load to state.
@@ -57,11 +58,13 @@
 		return
 	}
 	if !p.enter(h) {
+		p.note("%s rejects %s", p.id, r.Header.Get("Attempt-Id"))
 		h.Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	defer p.leave()
+	p.note("%s runs %s", p.id, r.Header.Get("Attempt-Id"))
 	p.free <- struct{}{}
 	time.Sleep(p.work)
 	<-p.free
