Callers' connections share a bound of memory and descriptors

What callers saw: clients that send heads without end, or leave them incomplete, ended the process (out of memory); before that, nobody else got a connection. The operator's limits of a head and of idle connections had no effect.

Cause: a head was bounded by itself only (64 KiB), and takes 10 to 15 times its bytes once it is parsed; nothing bounded the number of connections on which no request was complete, nor what the kernel holds for them. Limits of the configuration were decoded and not used.

Change: package connlimit. A listener has a share of the descriptors and of the memory, and counts a connection from its acceptance to its end, with what was read on it, before it is parsed, by bytes and lines. Receive buffers and the backlog are bounded by the same share.

--- /dev/null
+++ b/router/internal/connlimit/plan.go
@@ -0,0 +1,94 @@
+package connlimit
+
+// Bounds are what the connections of one listener may use.
+type Bounds struct {
+	// Conns is how many may be open; 0 for no bound.
+	Conns int
+	// Bytes is the memory that they may use, with what was read of requests; 0 for no bound.
+	Bytes int64
+	// Unread is how many bytes each may have received and not read; 0 for the system's default.
+	Unread int
+	// Backlog is how many more may wait to be accepted; 0 for the system's default.
+	Backlog int
+}
+
+// Plan divides what a process may use among its listeners.
+type Plan struct {
+	// Callers is the listener for callers, Peers that for messages of other instances, Tunnels that for their tunnels and
+	// grants. Aux is each listener for readiness, metrics and operators.
+	Callers, Peers, Tunnels, Aux Bounds
+	// TunnelServers is how many connections to backend servers may be open for tunnels of peers.
+	TunnelServers int
+}
+
+// Fractions of the descriptors that are not reserved. A caller's request needs a second one for its connection to a backend
+// server, so that callers' fraction counts twice. What remains, 0.08, is for connections to the store and to peers.
+const (
+	callerConns       = 0.3
+	tunnelConns       = 0.1
+	tunnelServerConns = 0.1
+	peerConns         = 0.1
+	auxConns          = 0.01
+)
+
+// Fractions of the process's memory.
+const (
+	callerBytes = 0.12
+	tunnelBytes = 0.03
+	peerBytes   = 0.06
+	auxBytes    = 0.01
+	unreadBytes = 0.06
+)
+
+const (
+	// minAuxConns is the least number of connections at a listener for readiness, metrics or operators, and minPeerConns at
+	// one for peers, where few descriptors are stated.
+	minAuxConns  = 8
+	minPeerConns = 32
+	// auxListeners is for how many such listeners the plan provides.
+	auxListeners = 2
+	// minUnread and maxUnread bound the receive buffer of a connection. A smaller one delays heads within the usual limits by
+	// several round trips; a larger one is of no use for them.
+	minUnread = 4 << 10
+	maxUnread = 32 << 10
+	// minBacklog and maxBacklog bound the connections that wait to be accepted: those that come while the process waits for
+	// the processor.
+	minBacklog = 16
+	maxBacklog = 512
+	// The values for a process whose memory or descriptors are not stated.
+	defaultMemory = 512 << 20
+	defaultFiles  = 4096
+	// reservedFiles is how many descriptors are kept for files.
+	reservedFiles = 200
+)
+
+// NewPlan returns the plan of a process that may use memory bytes and open files descriptors; 0 means not stated.
+func NewPlan(memory int64, files int) Plan {
+	if memory <= 0 {
+		memory = defaultMemory
+	}
+	if files <= 0 {
+		files = defaultFiles
+	}
+	free := float64(max(files-reservedFiles, 1))
+	conns := func(fraction float64, least int) int { return max(int(fraction*free), least) }
+	bytes := func(fraction float64) int64 { return int64(fraction * float64(memory)) }
+	p := Plan{
+		Callers:       Bounds{Conns: conns(callerConns, 1), Bytes: bytes(callerBytes)},
+		Peers:         Bounds{Conns: conns(peerConns, min(minPeerConns, int(free/minAuxConns))), Bytes: bytes(peerBytes)},
+		Tunnels:       Bounds{Conns: conns(tunnelConns, 1), Bytes: bytes(tunnelBytes)},
+		Aux:           Bounds{Conns: conns(auxConns, min(minAuxConns, max(int(free/minPeerConns), 1))), Bytes: bytes(auxBytes)},
+		TunnelServers: conns(tunnelServerConns, 1),
+	}
+	listeners := []*Bounds{&p.Callers, &p.Peers, &p.Tunnels, &p.Aux}
+	all := (auxListeners - 1) * p.Aux.Conns
+	for _, b := range listeners {
+		b.Backlog = min(max(b.Conns/2, minBacklog), maxBacklog)
+		all += b.Conns + b.Backlog
+	}
+	unread := min(max(int(unreadBytes*float64(memory))/all, minUnread), maxUnread)
+	for _, b := range listeners {
+		b.Unread = unread
+	}
+	return p
+}
--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -20,6 +20,7 @@
 	"masticplank.example/decision/passthrough"
 	"masticplank.example/decision/passthrough/seam"
 	"masticplank.example/decision/reach"
+	"masticplank.example/router/internal/connlimit"
 	"masticplank.example/router/internal/grant"
 	"masticplank.example/router/internal/logging"
 	"masticplank.example/router/internal/relay"
@@ -190,23 +191,18 @@
 	return out
 }
 
-// maxTunnelsFraction is the fraction of the unreserved descriptors that tunnels of peers may use, two each.
-const maxTunnelsFraction = 0.2
-
-// defaultMaxTunnels is how many tunnels may be open if the limit of descriptors is unknown.
-const defaultMaxTunnels = 200
-
 func provideTunnelServer(cfg seam.Settings, dial *dialer, grants *grant.Client, d *Driver, sh *sharing) *tunnel.Server {
-	limit := defaultMaxTunnels
-	if cfg.MaxFiles > 0 {
-		limit = int(maxTunnelsFraction * float64(max(cfg.MaxFiles-reservedDescriptors, 0)) / 2)
-	}
 	tell := func(domain string) reach.Answer { return sh.tunnelPeers.Tell(d.pathStanding(), domain) }
-	return &tunnel.Server{Connect: dial.connectForPeer, Limit: limit, Tell: tell, PathUp: dial.reachesOthers, Grants: grants}
+	return &tunnel.Server{Connect: dial.connectForPeer, Limit: connPlan(cfg).TunnelServers, Tell: tell, PathUp: dial.reachesOthers, Grants: grants}
+}
+
+// connPlan returns what the listeners may use by the settings.
+func connPlan(cfg seam.Settings) connlimit.Plan {
+	return connlimit.NewPlan(cfg.MemoryBytes, cfg.MaxFiles)
 }
 
 func provideServer(cfg seam.Settings, handler *Handler, config *ConfigState, d *Driver, sh *sharing, tunnels *tunnel.Server, tel *telemetry, reg gometrics.Registry, out *logging.AsyncWriter) *server {
-	s := &server{tunnels: tunnels, settings: cfg, handler: handler, config: config, driver: d, telemetry: tel, registry: reg, log: out, onServeError: func(error) {}}
+	s := &server{plan: connPlan(cfg), listeners: map[string]*connlimit.Listener{}, tunnels: tunnels, settings: cfg, handler: handler, config: config, driver: d, telemetry: tel, registry: reg, log: out, onServeError: func(error) {}}
 	tunnels.Busy = s.overload.lacksTime
 	return s
 }
--- a/router/internal/passthrough/configstate.go
+++ b/router/internal/passthrough/configstate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"masticplank.example/decision/passthrough"
+	"masticplank.example/router/internal/connlimit"
 )
 
 // ConfigState holds the configuration in force and when it was last confirmed to be current.
@@ -54,6 +55,18 @@
 // Index returns the configuration in force, or nil while none is known.
 func (s *ConfigState) Index() *passthrough.Index { return s.index.Load() }
 
+// initialLimits are the limits of callers while no configuration is known.
+var initialLimits = connlimit.Limits{HeadBytes: 64 << 10, HeadTimeout: 5 * time.Second, IdleTimeout: time.Minute}
+
+// callerLimits returns the limits of callers in force.
+func (s *ConfigState) callerLimits() connlimit.Limits {
+	x := s.Index()
+	if x == nil {
+		return initialLimits
+	}
+	return connlimit.Limits{HeadBytes: x.Limits.MaxHeaderBytes, HeadTimeout: x.Limits.HeaderTimeout, IdleTimeout: x.Limits.IdleTimeout}
+}
+
 // Apply puts a configuration in force, unless the version in force is the same or newer. It
 // returns the configuration in force and whether it changed. Only the reader of the operator's
 // records may call it.
--- a/router/internal/passthrough/conns.go
+++ b/router/internal/passthrough/conns.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+
+	"masticplank.example/router/internal/connlimit"
 )
 
 // callerConns counts the open connections of callers.
@@ -68,17 +70,9 @@
 	return len(c.active)
 }
 
-// connKey is the key of a caller's connection in the context of its requests.
-type connKey struct{}
-
-// withConn is the server's ConnContext hook.
-func withConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
-}
-
 // resetOnClose lets the caller's connection end with a reset instead of an orderly end.
 func resetOnClose(ctx context.Context) {
-	if c, ok := ctx.Value(connKey{}).(*net.TCPConn); ok {
+	if c := connlimit.FromContext(ctx); c != nil {
 		_ = c.SetLinger(0) // fails only for a connection that is closed already
 	}
 }
--- a/router/internal/passthrough/endless_test.go
+++ b/router/internal/passthrough/endless_test.go
@@ -257,15 +257,12 @@
 // connection is closed.
 func TestCallerSendsBytesWithoutEnd(t *testing.T) {
 	h, _, _ := newServedHandler(t, signedHeaders{}, nil)
-	srv := httptest.NewUnstartedServer(h)
-	srv.Config = newCallerServer(h)
-	srv.Start()
-	t.Cleanup(srv.Close)
+	address := serveCallers(t, h)
 	for name, begin := range map[string]string{
 		"request line": "GET /", "a line of the head": "GET / HTTP/1.1\r\nHost: a.example\r\nX: ", "body": "POST / HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			c, err := net.Dial("tcp", srv.Listener.Addr().String())
+			c, err := net.Dial("tcp", address)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/router/internal/passthrough/overload.go
+++ b/router/internal/passthrough/overload.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"time"
 )
@@ -130,29 +129,9 @@
 	}
 }
 
-// shedListener closes a share of new connections unread.
-type shedListener struct {
-	net.Listener
-	overload *overload
-	// onShed is called for each connection that is closed.
-	onShed func()
-}
-
-// Accept implements net.Listener.
-func (l *shedListener) Accept() (net.Conn, error) {
-	for {
-		c, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		l.overload.observeConnection()
-		if f := l.overload.fraction(); f == 0 || rand.Float64() >= f {
-			return c, nil
-		}
-		if t, ok := c.(*net.TCPConn); ok {
-			_ = t.SetLinger(0) // the connection is closed in any case
-		}
-		_ = c.Close()
-		l.onShed()
-	}
+// sheds records a new connection, and reports whether it is closed unread.
+func (o *overload) sheds() bool {
+	o.observeConnection()
+	f := o.fraction()
+	return f > 0 && rand.Float64() < f
 }
--- a/router/internal/passthrough/overload_test.go
+++ b/router/internal/passthrough/overload_test.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"masticplank.example/router/internal/connlimit"
 )
 
 // simulateOverload lets connections arrive at load times the capacity for the duration, while the lag is the time to
@@ -90,18 +92,24 @@
 
 // TestClosedConnectionsAreUnread checks that a connection is closed before its request is read, or served.
 func TestClosedConnectionsAreUnread(t *testing.T) {
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := connlimit.Listen("127.0.0.1:0", connlimit.Bounds{}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	closed, o := make(chan bool, 1), &overload{shed: 1}
 	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })}
-	go func() {
-		_ = srv.Serve(&shedListener{Listener: inner, overload: o, onShed: func() { o.observe(0); closed <- true }})
-	}()
+	l.Refuse = func() bool {
+		shed := o.sheds()
+		if shed {
+			o.observe(0)
+			closed <- true
+		}
+		return shed
+	}
+	go func() { _ = srv.Serve(l) }()
 	t.Cleanup(func() { _ = srv.Close() })
 	get := func() error {
-		c, err := net.Dial("tcp", inner.Addr().String())
+		c, err := net.Dial("tcp", l.Addr().String())
 		if err != nil {
 			return err
 		}
--- a/router/internal/passthrough/server.go
+++ b/router/internal/passthrough/server.go
@@ -14,19 +14,16 @@
 
 	"masticplank.example/decision/passthrough"
 	"masticplank.example/decision/passthrough/seam"
+	"masticplank.example/router/internal/connlimit"
 	"masticplank.example/router/internal/logging"
 	"masticplank.example/router/internal/metrics"
 	"masticplank.example/router/internal/tunnel"
 )
 
 const (
-	// idleTimeout is how long a connection stays open without a request. It is much longer than
-	// the 15 s for which operators' configurations let callers reuse a connection, since a
-	// request that is on its way when the connection is closed gets no response.
-	idleTimeout = 2 * time.Minute
-	// maxHeadBytes bounds the head of a request or response; configurations allow requests 16 KiB.
+	// maxHeadBytes bounds the head of a response.
 	maxHeadBytes = 64 << 10
-	// readHeaderTimeout is the timeout for reading a request's head; configurations allow 3 s.
+	// readHeaderTimeout is the timeout for reading the head of a request at an auxiliary listener.
 	readHeaderTimeout = 5 * time.Second
 	// rotationDelay is how long after SIGTERM new requests are still served: the load balancer
 	// checks readiness once a second and needs two failed checks, or three if one gets lost.
@@ -54,6 +51,10 @@
 	// overload decides which callers' connections are closed unread.
 	overload overload
 
+	// plan is what the listeners may use; listeners are those that are open, by name.
+	plan      connlimit.Plan
+	listeners map[string]*connlimit.Listener
+
 	ready        atomic.Bool
 	callers      *http.Server
 	auxServers   []*http.Server
@@ -85,17 +86,19 @@
 
 // newCallerServer returns the HTTP server for callers.
 func newCallerServer(h *Handler) *http.Server {
-	return &http.Server{
-		Handler: h, IdleTimeout: idleTimeout, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeadBytes, ConnState: h.conns.track, ConnContext: withConn,
-		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
-	}
+	return connlimit.HTTPServer(h, h.conns.track)
 }
 
 // open serves h on an auxiliary listener.
 func (s *server) open(h http.Handler, address string) error {
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
 	s.auxServers = append(s.auxServers, srv)
-	return s.listen(srv, address)
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	s.serve(srv, l)
+	return nil
 }
 
 // openTunnels serves peers' tunnels, if this instance has an address for them.
@@ -115,22 +118,23 @@
 
 // listenForCallers serves callers, of whose connections some are closed unread while the process is overloaded.
 func (s *server) listenForCallers() error {
-	l, err := net.Listen("tcp", s.settings.FrontendAddr)
+	l, err := connlimit.Listen(s.settings.FrontendAddr, s.plan.Callers, s.config.callerLimits)
 	if err != nil {
 		return err
 	}
-	s.serve(s.callers, &shedListener{Listener: l, overload: &s.overload, onShed: func() { s.telemetry.count("connections_shed") }})
+	l.Refuse = s.shed
+	s.listeners["callers"] = l
+	s.serve(s.callers, l)
 	return nil
 }
 
-// listen opens a listener and serves it in the background.
-func (s *server) listen(srv *http.Server, address string) error {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return err
+// shed reports whether a new connection of a caller is closed unread.
+func (s *server) shed() bool {
+	if !s.overload.sheds() {
+		return false
 	}
-	s.serve(srv, l)
-	return nil
+	s.telemetry.count("connections_shed")
+	return true
 }
 
 // serve serves the listener in the background.
@@ -235,6 +239,9 @@
 	gometrics.GetOrRegisterGauge("passthrough.servers_unreached", s.registry).Update(int64(unreached))
 	gometrics.GetOrRegisterGauge("passthrough.server_dialed_ms_ago", s.registry).Update(sinceDialed.Milliseconds())
 	gometrics.GetOrRegisterGauge("passthrough.tunnels_open", s.registry).Update(int64(s.tunnels.Open()))
+	for name, l := range s.listeners {
+		s.telemetry.gaugeConnections(name, l.Usage())
+	}
 	gometrics.GetOrRegisterGauge("log.dropped", s.registry).Update(int64(s.log.Dropped()))
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	if err := metrics.Write(w, s.registry); err != nil {
--- a/router/internal/passthrough/slowreaders_test.go
+++ b/router/internal/passthrough/slowreaders_test.go
@@ -14,6 +14,7 @@
 
 	"masticplank.example/decision/passthrough"
 	"masticplank.example/decision/passthrough/seam"
+	"masticplank.example/router/internal/connlimit"
 )
 
 // slowReaderHeaders accepts any response as signed and as that of the request "a", and resumes streams.
@@ -31,7 +32,8 @@
 func serveCallers(t *testing.T, h *Handler) string {
 	t.Helper()
 	srv := httptest.NewUnstartedServer(h)
-	srv.Config.ConnContext = withConn
+	srv.Config = newCallerServer(h)
+	srv.Listener = connlimit.NewListener(srv.Listener, connlimit.Bounds{}, h.config.callerLimits)
 	srv.Start()
 	t.Cleanup(srv.Close)
 	return srv.Listener.Addr().String()
--- a/router/internal/passthrough/telemetry.go
+++ b/router/internal/passthrough/telemetry.go
@@ -12,6 +12,7 @@
 
 	"masticplank.example/decision/passthrough"
 	"masticplank.example/decision/reach"
+	"masticplank.example/router/internal/connlimit"
 	"masticplank.example/router/internal/logging"
 )
 
@@ -74,6 +75,14 @@
 	gometrics.GetOrRegisterGauge("passthrough."+name, t.registry).Update(int64(value))
 }
 
+// gaugeConnections sets the gauges of a listener's connections.
+func (t *telemetry) gaugeConnections(listener string, u connlimit.Usage) {
+	t.gauge("connections."+listener+".open", u.Conns)
+	t.gauge("connections."+listener+".bytes", int(u.Bytes))
+	t.gauge("connections."+listener+".evicted", int(u.Evicted))
+	t.gauge("connections."+listener+".rejected", int(u.Rejected))
+}
+
 func (t *telemetry) observeDuration(name string, duration time.Duration) {
 	const sampleSize, alpha = 1028, 0.015 // the library's recommendation for a bias to the last five minutes
 	h := t.registry.GetOrRegister("passthrough."+name, func() gometrics.Histogram {
