Readiness and metrics have their own share of memory and descriptors

What callers saw: clients at the address of the readiness check took all descriptors and up to 1.7 GB at 64 MB stated (3.2 GB at the metrics); the check and ordinary requests were not answered any more, also after they had gone.

Cause: the listeners had net/http's bound of 1 MiB a head and none of their number.

Change: both listen through connlimit, with the plan's share for auxiliary listeners, apart from that of callers.

--- a/router/internal/passthrough/server.go
+++ b/router/internal/passthrough/server.go
@@ -23,8 +23,6 @@
 const (
 	// maxHeadBytes bounds the head of a response.
 	maxHeadBytes = 64 << 10
-	// readHeaderTimeout is the timeout for reading the head of a request at an auxiliary listener.
-	readHeaderTimeout = 5 * time.Second
 	// rotationDelay is how long after SIGTERM new requests are still served: the load balancer
 	// checks readiness once a second and needs two failed checks, or three if one gets lost.
 	rotationDelay = 3 * time.Second
@@ -70,7 +68,7 @@
 	}
 	ready := mux.NewRouter()
 	ready.HandleFunc(readyPath, s.serveReadiness).Methods(http.MethodGet)
-	if err := s.open(ready, s.settings.ReadinessAddr); err != nil {
+	if err := s.open("readiness", ready, s.settings.ReadinessAddr); err != nil {
 		return err
 	}
 	if err := s.openTunnels(); err != nil {
@@ -81,7 +79,7 @@
 	}
 	metricsPage := mux.NewRouter()
 	metricsPage.HandleFunc("/metrics", s.serveMetrics).Methods(http.MethodGet)
-	return s.open(metricsPage, metricsAddress)
+	return s.open("metrics", metricsPage, metricsAddress)
 }
 
 // newCallerServer returns the HTTP server for callers.
@@ -89,14 +87,18 @@
 	return connlimit.HTTPServer(h, h.conns.track)
 }
 
+// auxLimits bound what clients of auxiliary listeners may do.
+var auxLimits = connlimit.Limits{HeadBytes: 16 << 10, HeadTimeout: 5 * time.Second, IdleTimeout: time.Minute}
+
 // open serves h on an auxiliary listener.
-func (s *server) open(h http.Handler, address string) error {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
-	s.auxServers = append(s.auxServers, srv)
-	l, err := net.Listen("tcp", address)
+func (s *server) open(name string, h http.Handler, address string) error {
+	l, err := connlimit.Listen(address, s.plan.Aux, func() connlimit.Limits { return auxLimits })
 	if err != nil {
 		return err
 	}
+	srv := connlimit.HTTPServer(h, nil)
+	s.auxServers = append(s.auxServers, srv)
+	s.listeners[name] = l
 	s.serve(srv, l)
 	return nil
 }
