Peers' tunnels have their own share of memory and descriptors

What callers saw: clients at the port for tunnels took all descriptors (619 at 500 stated), so that no caller got a connection.

Cause: only open tunnels were counted, not the connections on which none had been asked for; a connection that lingers after its end kept its descriptor uncounted.

Change: the listener is one of connlimit, which also does the lingering; a tunnel counts as a request in progress once its first byte has come.

--- a/router/internal/passthrough/server.go
+++ b/router/internal/passthrough/server.go
@@ -110,11 +110,12 @@
 	}
 	srv := s.tunnels.HTTPServer()
 	s.auxServers = append(s.auxServers, srv)
-	l, err := net.Listen("tcp", s.settings.TunnelAddr)
+	l, err := tunnel.Listen(s.settings.TunnelAddr, s.plan.Tunnels)
 	if err != nil {
 		return err
 	}
-	s.serve(srv, tunnel.Listener{Listener: l})
+	s.listeners["tunnels"] = l.Listener
+	s.serve(srv, l)
 	return nil
 }
 
--- a/router/internal/tunnel/endless_test.go
+++ b/router/internal/tunnel/endless_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"masticplank.example/decision/reach"
+
+	"masticplank.example/router/internal/connlimit"
 )
 
 // serveWithoutEnd accepts connections, sends the beginning of a response on each and then bytes without end. closed gets a
@@ -71,13 +73,13 @@
 
 // TestPeerAsksWithoutEnd guards against a peer whose request for a tunnel has a head without end.
 func TestPeerAsksWithoutEnd(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := Listen("127.0.0.1:0", connlimit.Bounds{})
 	if err != nil {
 		t.Fatal(err)
 	}
 	srv := (&Server{Limit: 1}).HTTPServer()
 	defer func() { _ = srv.Close() }()
-	go func() { _ = srv.Serve(Listener{Listener: l}) }()
+	go func() { _ = srv.Serve(l) }()
 	c, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
--- a/router/internal/tunnel/listener.go
+++ b/router/internal/tunnel/listener.go
@@ -1,17 +1,20 @@
 package tunnel
 
 import (
-	"io"
 	"net"
 	"sync"
-	"time"
-)
 
-// lingerTimeout is how long data of a peer is still read, and dropped, after its connection was closed here.
-const lingerTimeout = 500 * time.Millisecond
+	"masticplank.example/router/internal/connlimit"
+)
 
 // Listener accepts peers' connections for tunnels.
-type Listener struct{ net.Listener }
+type Listener struct{ *connlimit.Listener }
+
+// Listen listens for peers on a TCP address.
+func Listen(address string, b connlimit.Bounds) (Listener, error) {
+	l, err := connlimit.Listen(address, b, func() connlimit.Limits { return peerLimits })
+	return Listener{l}, err
+}
 
 // Accept implements net.Listener.
 func (l Listener) Accept() (net.Conn, error) {
@@ -19,35 +22,24 @@
 	if err != nil {
 		return nil, err
 	}
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return c, nil
+	limited := c.(*connlimit.Conn)
+	if tcp := limited.TCP(); tcp != nil {
+		detectDeadPeer(tcp)
 	}
-	detectDeadPeer(tcp)
-	return &lingeringConn{TCPConn: tcp}, nil
+	return &lingeringConn{Conn: limited}, nil
 }
 
 // lingeringConn is a connection whose Close lets the peer read all that was sent. A server may respond before
 // it has read a long request; closing a connection with unread data resets it, and the peer drops what it has
 // not read yet.
 type lingeringConn struct {
-	*net.TCPConn
+	*connlimit.Conn
 	once sync.Once
 }
 
 // Close implements net.Conn. It does not block.
 func (c *lingeringConn) Close() error {
 	var err error
-	c.once.Do(func() {
-		if err = c.CloseWrite(); err != nil {
-			_ = c.TCPConn.Close() // the connection is broken already
-			return
-		}
-		_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
-		go func() {
-			_, _ = io.Copy(io.Discard, c.TCPConn) // ends when the peer closes its side
-			_ = c.TCPConn.Close()
-		}()
-	})
+	c.once.Do(func() { err = c.CloseLingering() })
 	return err
 }
--- a/router/internal/tunnel/server.go
+++ b/router/internal/tunnel/server.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"strconv"
@@ -14,6 +13,7 @@
 	"time"
 
 	"masticplank.example/decision/reach"
+	"masticplank.example/router/internal/connlimit"
 	"masticplank.example/router/internal/grant"
 )
 
@@ -46,16 +46,11 @@
 // Drain refuses new tunnels; open ones go on.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// peerLimits bound the heads of peers.
+var peerLimits = connlimit.Limits{HeadBytes: maxHeadBytes, HeadTimeout: time.Second, IdleTimeout: 15 * time.Second}
+
 // HTTPServer returns the HTTP server that serves tunnels, on a Listener.
-func (s *Server) HTTPServer() *http.Server {
-	const (
-		readHeaderTimeout = time.Second
-		idleTimeout       = 15 * time.Second
-	)
-	return &http.Server{
-		Handler: s, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
-	}
-}
+func (s *Server) HTTPServer() *http.Server { return connlimit.HTTPServer(s, nil) }
 
 // ServeHTTP implements http.Handler.
 //
@@ -133,6 +128,9 @@
 	if _, err := body.Peek(1); err != nil {
 		return
 	}
+	if c := connlimit.FromContext(r.Context()); c != nil {
+		c.Running()
+	}
 	w.Header().Set("Trailer", trailerEnd)
 	w.WriteHeader(http.StatusOK)
 	if control.Flush() != nil {
--- a/router/internal/tunnel/tunnel_test.go
+++ b/router/internal/tunnel/tunnel_test.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sys/unix"
 
 	"masticplank.example/decision/reach"
+	"masticplank.example/router/internal/connlimit"
 )
 
 // backend is a backend server that serves each connection with a function.
@@ -76,12 +77,12 @@
 	if s.Limit == 0 {
 		s.Limit = 100
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := Listen("127.0.0.1:0", connlimit.Bounds{})
 	if err != nil {
 		t.Fatal(err)
 	}
 	srv := s.HTTPServer()
-	go func() { _ = srv.Serve(Listener{l}) }() // returns once it is closed
+	go func() { _ = srv.Serve(l) }() // returns once it is closed
 	kill = func() { _ = srv.Close() }
 	t.Cleanup(kill)
 	return l.Addr().String(), kill
@@ -586,14 +587,14 @@
 func TestDeadPeerIsDetected(t *testing.T) {
 	accepted := make(chan net.Conn, 1)
 	address, _ := startServer(t, &Server{Connect: func(context.Context, Target) (net.Conn, error) { return nil, ErrNoPeer }})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := Listen("127.0.0.1:0", connlimit.Bounds{})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
-		if c, err := (Listener{l}).Accept(); err == nil {
-			accepted <- c
+		if c, err := l.Accept(); err == nil {
+			accepted <- c.(*lingeringConn).TCP()
 		}
 	}()
 	opened, err := newTestDialer(address).transport.DialContext(t.Context(), "tcp", l.Addr().String())
