Messages between instances share a bound of memory

What callers saw: clients at the first internal port took up to 724 MB at 64 MB stated and all descriptors; with requests that wait for records, 70 MB even with the number of connections bounded.

Cause: any number of connections, messages of up to 16 MiB each that were read without regard to the others, a goroutine for each request, which went on after its connection had ended, and answers that nobody read.

Change: the listener is one of connlimit; messages that are read, requests that are handled and their answers reserve their memory there. Records and reports that are held for followers are bounded by their bytes and their number.

--- a/router/internal/passthrough/sharing.go
+++ b/router/internal/passthrough/sharing.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +10,7 @@
 	"masticplank.example/coordination/keyedlog"
 	"masticplank.example/decision/passthrough/seam"
 	"masticplank.example/decision/reach"
+	"masticplank.example/router/internal/connlimit"
 	"masticplank.example/router/internal/logging"
 	"masticplank.example/router/internal/relay"
 	"masticplank.example/router/internal/tunnel"
@@ -19,7 +19,9 @@
 // sharing lets the instances of a failure domain share their reads of the store: a collector reads
 // the store, and its followers read from the collector.
 type sharing struct {
-	self      relay.Member
+	self relay.Member
+	// bounds are what followers' connections may use.
+	bounds    connlimit.Bounds
 	store     Store
 	members   *relay.Members
 	client    *relay.Client
@@ -91,8 +93,9 @@
 
 func newSharing(cfg seam.Settings, store Store, records Records, tel *telemetry, clock Clock) *sharing {
 	s := &sharing{
-		self:  relay.Member{Name: cfg.Instance, Domain: cfg.Domain, Address: cfg.PeerAddr, Cores: cfg.Cores, Tunnel: cfg.TunnelAddr},
-		store: store, telemetry: tel, clock: clock, heldRecords: map[string][]keyedlog.Record{}, onHeldRecords: func() {}, onFleetCount: func(int) {},
+		bounds: connPlan(cfg).Peers,
+		self:   relay.Member{Name: cfg.Instance, Domain: cfg.Domain, Address: cfg.PeerAddr, Cores: cfg.Cores, Tunnel: cfg.TunnelAddr},
+		store:  store, telemetry: tel, clock: clock, heldRecords: map[string][]keyedlog.Record{}, onHeldRecords: func() {}, onFleetCount: func(int) {},
 		onPeers: func([]string) {}, onRemotePeers: func(string, []string) {}, lacksRemotePeers: func() bool { return false },
 		tunnelPeers: tunnel.NewPeers(clock.Now, reach.Peer{Name: cfg.Instance, Address: cfg.TunnelAddr, Domain: cfg.Domain}, cfg.RegionDomains),
 	}
@@ -143,18 +146,31 @@
 	}
 }
 
-// maxHeldRecords is the maximum number of records per topic that are held for followers.
-const maxHeldRecords = 1000
+// maxHeldRecords and maxHeldBytes bound the records of a topic that are held for followers.
+const (
+	maxHeldRecords = 1000
+	maxHeldBytes   = 4 << 20
+)
+
+// recordBytes sums the sizes of records.
+func recordBytes(records []keyedlog.Record) int {
+	n := 0
+	for _, r := range records {
+		n += len(r.Key) + len(r.Value)
+	}
+	return n
+}
 
 // holdRecords accepts a follower's records to be written later. It returns keyedlog.ErrRejected for
-// a topic that followers do not write, and keyedlog.ErrNotApplied past maxHeldRecords.
+// a topic that followers do not write, and keyedlog.ErrNotApplied past maxHeldRecords or maxHeldBytes.
 func (s *sharing) holdRecords(topic string, records []keyedlog.Record) error {
 	if topic != topicObservations && topic != topicInstances {
 		return keyedlog.ErrRejected // followers write to no other topic
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.heldRecords[topic])+len(records) > maxHeldRecords {
+	held := s.heldRecords[topic]
+	if len(held)+len(records) > maxHeldRecords || recordBytes(held)+recordBytes(records) > maxHeldBytes {
 		return keyedlog.ErrNotApplied
 	}
 	s.heldRecords[topic] = append(s.heldRecords[topic], records...)
@@ -178,7 +194,7 @@
 	if s.self.Address == "" {
 		return nil
 	}
-	l, err := net.Listen("tcp", s.self.Address)
+	l, err := connlimit.Listen(s.self.Address, s.bounds, nil)
 	if err != nil {
 		return err
 	}
--- a/router/internal/peer/client.go
+++ b/router/internal/peer/client.go
@@ -64,7 +64,7 @@
 		return nil, err
 	}
 	// This context ends the connection, so it must not be the call's.
-	conn := jsonrpc2.NewConn(context.Background(), newBoundedStream(raw),
+	conn := jsonrpc2.NewConn(context.Background(), newBoundedStream(raw, nil),
 		jsonrpc2.HandlerWithError(rejectRequest).SuppressErrClosed(), jsonrpc2.SetLogger(discardLogger{}))
 	return p.add(addr, conn)
 }
--- a/router/internal/peer/hostile_test.go
+++ b/router/internal/peer/hostile_test.go
@@ -197,7 +197,7 @@
 			_, _ = there.Write(raw)
 			_ = there.Close()
 		}()
-		s := newBoundedStream(here)
+		s := newBoundedStream(here, nil)
 		for {
 			var v json.RawMessage
 			if err := s.ReadObject(&v); err != nil {
--- a/router/internal/peer/server.go
+++ b/router/internal/peer/server.go
@@ -10,6 +10,8 @@
 	"github.com/gravitational/trace"
 	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"masticplank.example/router/internal/rpcstream"
 )
 
 // server accepts the connections of other instances.
@@ -65,7 +67,8 @@
 		s.onReject(err)
 		return
 	}
-	rpc := jsonrpc2.NewConn(ctx, newBoundedStream(conn), s.handler, jsonrpc2.SetLogger(discardLogger{}))
+	account, _ := raw.(rpcstream.Account) // nil for a listener without a bound
+	rpc := jsonrpc2.NewConn(ctx, newBoundedStream(conn, account), s.handler, jsonrpc2.SetLogger(discardLogger{}))
 	<-rpc.DisconnectNotify()
 }
 
--- a/router/internal/peer/stream.go
+++ b/router/internal/peer/stream.go
@@ -8,9 +8,10 @@
 	"masticplank.example/router/internal/rpcstream"
 )
 
-// newBoundedStream returns the stream of messages on a connection.
-func newBoundedStream(conn net.Conn) *rpcstream.Stream {
-	return rpcstream.New(conn, rpcstream.Limits{MaxBytes: maxMessageBytes, MessageTimeout: messageTimeout, IdleTimeout: idleTimeout})
+// newBoundedStream returns the stream of messages on a connection. account is where their memory is reserved; nil for no
+// bound.
+func newBoundedStream(conn net.Conn, account rpcstream.Account) *rpcstream.Stream {
+	return rpcstream.New(conn, rpcstream.Limits{MaxBytes: maxMessageBytes, MessageTimeout: messageTimeout, IdleTimeout: idleTimeout, Account: account})
 }
 
 // countingConn counts the bytes on a connection, below TLS.
--- a/router/internal/relay/client.go
+++ b/router/internal/relay/client.go
@@ -284,7 +284,7 @@
 		return nil, net.ErrClosed
 	}
 	// This context ends the connection, so it must not be the call's.
-	conn := jsonrpc2.NewConn(context.Background(), newStream(raw),
+	conn := jsonrpc2.NewConn(context.Background(), newStream(raw, nil),
 		jsonrpc2.HandlerWithError(rejectRequest).SuppressErrClosed(), jsonrpc2.SetLogger(discardLogger{}))
 	c.conns[m.Address] = conn
 	return conn, nil
--- a/router/internal/relay/loads.go
+++ b/router/internal/relay/loads.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"masticplank.example/coordination/keyedlog"
 	"masticplank.example/decision/admission"
 	"masticplank.example/decision/outlier"
 	"masticplank.example/decision/passthrough"
@@ -80,6 +81,9 @@
 	// reportTTLIntervals is the number of intervals after which a report no longer counts, as its
 	// instance may be gone.
 	reportTTLIntervals = 3
+	// maxFollowers bounds the instances whose reports are kept, maxNameBytes the name of one.
+	maxFollowers = 1024
+	maxNameBytes = 256
 	// maxReportedTeams bounds the teams in a sum of reports, for each service and priority.
 	maxReportedTeams = 64
 	// reportTimeout bounds the sending of a report: a later answer would be of no use.
@@ -204,13 +208,24 @@
 	if err != nil {
 		return answer{}, err
 	}
-	l.mu.Lock()
-	l.followerReports[p.Name] = in
-	l.mu.Unlock()
+	if !l.store(p.Name, in) {
+		return answer{}, keyedlog.ErrNotApplied
+	}
 	out := packReport(l.sum(append(l.liveReports(p.Name, true), l.currentReport())), l.now())
 	return answer{Loads: out.loads, Tokens: out.tokens, Limits: out.limits, Leaving: out.leaving, Brittle: out.brittle, Speeds: out.speeds, Demand: out.demand, Outliers: out.outliers, Crashes: out.crashes, FoundBad: out.foundBad, LostConfigVersion: out.lostConfigVersion, Instances: out.instances}, nil
 }
 
+// store keeps a follower's report, and reports whether there was room for it.
+func (l *LoadExchange) store(name string, r timedReport) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, known := l.followerReports[name]; !known && len(l.followerReports) >= maxFollowers || len(name) > maxNameBytes {
+		return false
+	}
+	l.followerReports[name] = r
+	return true
+}
+
 // currentReport returns this instance's report as of now.
 func (l *LoadExchange) currentReport() timedReport {
 	return timedReport{Report: l.ownReport(), asOf: l.now()}
--- a/router/internal/relay/server.go
+++ b/router/internal/relay/server.go
@@ -73,23 +73,25 @@
 	messageTimeout  = 5 * time.Second
 )
 
-// newStream returns the stream of messages on a connection.
-func newStream(c net.Conn) *rpcstream.Stream {
-	return rpcstream.New(c, rpcstream.Limits{MaxBytes: maxMessageBytes, MessageTimeout: messageTimeout})
+// newStream returns the stream of messages on a connection. account is where their memory is reserved; nil for no bound.
+func newStream(c net.Conn, account rpcstream.Account) *rpcstream.Stream {
+	return rpcstream.New(c, rpcstream.Limits{MaxBytes: maxMessageBytes, MessageTimeout: messageTimeout, Account: account})
 }
 
 func (s *Server) add(ctx context.Context, c net.Conn) {
-	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed())
-	conn := jsonrpc2.NewConn(ctx, newStream(c), handler, jsonrpc2.SetLogger(discardLogger{}))
+	account, _ := c.(rpcstream.Account) // nil for a listener without a bound
+	handler := rpcstream.NewHandler(s.handle, account)
+	ctx, cancel := context.WithCancel(ctx)
+	conn := jsonrpc2.NewConn(ctx, newStream(c, account), handler, jsonrpc2.SetLogger(discardLogger{}))
 	s.mu.Lock()
 	s.conns[conn] = true
 	s.mu.Unlock()
-	go func() {
-		<-conn.DisconnectNotify()
+	go handler.EndWith(conn, func() {
+		cancel()
 		s.mu.Lock()
 		delete(s.conns, conn)
 		s.mu.Unlock()
-	}()
+	})
 }
 
 func (s *Server) closeAll() {
@@ -106,7 +108,7 @@
 // Printf implements jsonrpc2.Logger.
 func (discardLogger) Printf(string, ...any) {}
 
-func (s *Server) handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+func (s *Server) handle(ctx context.Context, req *jsonrpc2.Request) (any, error) {
 	start := s.now()
 	s.lastRequest.Store(start.UnixNano())
 	out, err := s.dispatch(ctx, req)
