Names that callers choose are kept in tables by their hash if they are long

What callers saw: requests with ids or sessions of 12 KiB, each used once, brought the process to its memory limit; a head of 16 KiB whose prompt consists of empty parts held another 0.6 MB for as long as its body took.

Cause: tables are bounded by their rows (8,192 ids and sessions), not by the length of a row; all parts of a prompt were decoded, although 16 count.

Change: names of more than 128 bytes are replaced by their hash in tables, in messages to other instances and in the log.

--- a/router/internal/passthrough/exchange.go
+++ b/router/internal/passthrough/exchange.go
@@ -44,7 +44,7 @@
 	h.shutdown.add(x, cancel)
 	defer h.shutdown.remove(x)
 	if !c.route.Retryable() {
-		k := requestKey{c.caller.Key, c.caller.RequestID}
+		k := newRequestKey(c.caller.Key, c.caller.RequestID)
 		if !h.recent.begin(k, h.clock.Now()) {
 			x.fail(http.StatusBadGateway, reasonMayHaveRun)
 			return
--- a/router/internal/passthrough/handler.go
+++ b/router/internal/passthrough/handler.go
@@ -232,7 +232,7 @@
 	}
 	r := passthrough.Request{
 		Route: c.route, Service: c.route.PickService(hashFraction("service" + c.caller.RequestID)),
-		Team: team, Priority: passthrough.EffectivePriority(c.team, c.route), Session: c.caller.Session,
+		Team: team, Priority: passthrough.EffectivePriority(c.team, c.route), Session: shortName(c.caller.Session),
 		PromptTokens: c.caller.PromptTokens, MaxTokens: c.caller.MaxTokens, ExpectedTokens: c.caller.ExpectedTokens,
 		RolloutPosition: hashFraction("roll-out" + key),
 		Fingerprint:     hashOf(c.path, c.caller.Key, string(c.body)),
--- a/router/internal/passthrough/recentids.go
+++ b/router/internal/passthrough/recentids.go
@@ -37,6 +37,9 @@
 	return &recentIDs{ended: lru, inProgress: map[requestKey]bool{}}
 }
 
+// newRequestKey returns the key of a request with the caller's API key and id.
+func newRequestKey(key, id string) requestKey { return requestKey{shortName(key), shortName(id)} }
+
 // begin records that a request begins, and reports false if one with its id is in progress or may have run.
 func (r *recentIDs) begin(k requestKey, now time.Time) bool {
 	r.mu.Lock()
--- a/router/internal/passthrough/telemetry.go
+++ b/router/internal/passthrough/telemetry.go
@@ -46,7 +46,7 @@
 // in force, and the time since the request arrived.
 func (t *telemetry) requestAttrs(c *call, more ...slog.Attr) []slog.Attr {
 	out := make([]slog.Attr, 0, 6+len(more))
-	out = append(out, slog.String(keyRequest, c.caller.RequestID))
+	out = append(out, slog.String(keyRequest, shortName(c.caller.RequestID)))
 	if c.route != nil {
 		out = append(out, slog.String(keyRoute, c.route.Name))
 	}
@@ -54,7 +54,7 @@
 		out = append(out, slog.String(keyTeam, c.team.Name))
 	}
 	if c.caller.Session != "" {
-		out = append(out, slog.String(keySession, c.caller.Session))
+		out = append(out, slog.String(keySession, shortName(c.caller.Session)))
 	}
 	if index := t.config.Index(); index != nil {
 		out = append(out, slog.Uint64(keyConfigVersion, index.Version), slog.Int64(keyConfigAge, t.config.Age().Milliseconds()))
@@ -63,6 +63,15 @@
 	return append(out, more...)
 }
 
+// partNames lists the parts of a prompt for the log.
+func partNames(parts []string) string {
+	var names []string
+	for _, p := range parts {
+		names = append(names, shortName(p))
+	}
+	return strings.Join(names, ",")
+}
+
 func (t *telemetry) emit(ev logging.Event, attrs ...slog.Attr) {
 	t.log.Emit(context.Background(), ev, attrs...)
 }
@@ -233,7 +242,7 @@
 			slog.Int64("held_response_bytes", sums[toCaller]), slog.Int64("held_bound", held.limitOf(toServer)))
 	}
 	if ref.reason == passthrough.ReasonPartQuarantined {
-		attrs = append(attrs, slog.String("parts", strings.Join(c.caller.SharedParts, ",")))
+		attrs = append(attrs, slog.String("parts", partNames(c.caller.SharedParts)))
 	}
 	t.emit(logging.EventPassthroughRefused, append(attrs, admissionAttrs(c.admission)...)...)
 }
@@ -310,7 +319,7 @@
 	}
 	attrs = append(attrs, t.largerAttrs(c, d, out)...)
 	if len(c.caller.SharedParts) > 0 {
-		attrs = append(attrs, slog.String("parts", strings.Join(c.caller.SharedParts, ",")), slog.Int("events", out.events),
+		attrs = append(attrs, slog.String("parts", partNames(c.caller.SharedParts)), slog.Int("events", out.events),
 			slog.Int64("server_start_ms", d.Server.StartTime))
 	}
 	if d.GrantWait > 0 || len(d.Holders) > 0 {
