Own mode: settings for memory and descriptors, and listeners within them

What callers saw: as on the platform, clients that send heads, bodies or messages without end took memory and descriptors without a bound, at the API, admin and peer listeners.

Cause: settings had no limit of either; the admin listener took heads of 1 MiB, and bodies of requests were bounded one by one.

Change: limits.memory_bytes (512 MiB) and limits.max_files (4096). The listeners are those of connlimit, a body is charged to its connection, and a request for which there is no room is refused as not run (no_room).

--- a/router/internal/api/chat.go
+++ b/router/internal/api/chat.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"masticplank.example/decision"
+	"masticplank.example/router/internal/connlimit"
 	"masticplank.example/router/internal/outcome"
 	"masticplank.example/router/internal/session"
 	"masticplank.example/router/internal/upstream"
@@ -66,13 +67,17 @@
 	// answer, net/http would take it for a disconnect of the caller.
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(s.Limits.ReadTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.Limits.MaxBodyBytes))
+	body, err := readCharged(http.MaxBytesReader(w, r.Body, s.Limits.MaxBodyBytes), connlimit.FromContext(r.Context()))
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		o := routerRefusal("body_too_large", "the body is larger than "+strconv.FormatInt(s.Limits.MaxBodyBytes, 10)+" bytes")
 		return nil, &o
 	}
+	if errors.Is(err, errNoRoom) {
+		o := outcome.Outcome{Kind: outcome.Refused, Code: "no_room", Message: "as many bytes of requests are held as may be", RetryAfter: time.Second}
+		return nil, &o
+	}
 	if err != nil {
 		o := routerRefusal("malformed_request", "the body could not be read")
 		return nil, &o
@@ -80,6 +85,30 @@
 	return body, nil
 }
 
+// errNoRoom means that the bodies of all requests take as much memory as they may.
+var errNoRoom = errors.New("no room for the body")
+
+// readCharged reads to the end and charges the connection for it until the request has ended; conn is nil for no bound.
+func readCharged(from io.Reader, conn *connlimit.Conn) ([]byte, error) {
+	const first = 4 << 10
+	for buf := make([]byte, 0, first); ; {
+		if len(buf) == cap(buf) {
+			if conn != nil && !conn.Charge(int64(2*cap(buf))) {
+				return nil, errNoRoom
+			}
+			buf = append(make([]byte, 0, 2*cap(buf)), buf...)
+		}
+		n, err := from.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		if errors.Is(err, io.EOF) {
+			return buf, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
 func (s *Server) validateChat(chat wire.ChatRequest, c caller) *outcome.Outcome {
 	var o outcome.Outcome
 	switch {
--- a/router/internal/daemon/daemon.go
+++ b/router/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"runtime/debug"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -27,9 +28,14 @@
 	Peer  string
 }
 
+// memoryLimitFraction times limits.memory_bytes is the soft memory limit of the Go runtime, near which the garbage collector
+// runs more often.
+const memoryLimitFraction = 0.6
+
 // Run runs an instance until SIGTERM or an interrupt, then stops it gracefully. It
 // writes the log to log.
 func Run(cfg settings.Settings, log io.Writer) error {
+	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(cfg.Limits.MemoryBytes)))
 	app, _ := New(cfg, log)
 	if err := app.Err(); err != nil {
 		return trace.Wrap(err)
--- a/router/internal/daemon/peers.go
+++ b/router/internal/daemon/peers.go
@@ -13,6 +13,7 @@
 	"masticplank.example/coordination/ledger"
 	"masticplank.example/coordination/node"
 	"masticplank.example/coordination/record"
+	"masticplank.example/router/internal/connlimit"
 	"masticplank.example/router/internal/directory"
 	"masticplank.example/router/internal/driver"
 	"masticplank.example/router/internal/gate"
@@ -74,7 +75,7 @@
 	var ln net.Listener
 	lc.Append(fx.StartHook(func(ctx context.Context) error {
 		var err error
-		ln, err = net.Listen("tcp", p.Settings.Listen.Peer)
+		ln, err = connlimit.Listen(p.Settings.Listen.Peer, connPlan(p.Settings).Peers, nil)
 		if err != nil {
 			return trace.Wrap(err, "opening the peer listener")
 		}
--- a/router/internal/daemon/serve.go
+++ b/router/internal/daemon/serve.go
@@ -17,6 +17,7 @@
 	"masticplank.example/router/internal/admin"
 	"masticplank.example/router/internal/api"
 	"masticplank.example/router/internal/billing"
+	"masticplank.example/router/internal/connlimit"
 	"masticplank.example/router/internal/directory"
 	"masticplank.example/router/internal/driver"
 	"masticplank.example/router/internal/gate"
@@ -109,26 +110,30 @@
 }
 
 func startAdmin(lc fx.Lifecycle, cfg settings.Settings, h http.Handler, addrs *Addresses, log *logging.Logger) {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: ms(cfg.Limits.ReadTimeoutMS), IdleTimeout: ms(cfg.Limits.IdleTimeoutMS)}
-	addListener(lc, srv, cfg.Listen.Admin, "admin", &addrs.Admin, log)
+	addListener(lc, connlimit.HTTPServer(h, nil), cfg, connPlan(cfg).Aux, cfg.Listen.Admin, "admin", &addrs.Admin, log)
+}
+
+// connPlan returns what the listeners may use by the settings.
+func connPlan(cfg settings.Settings) connlimit.Plan {
+	return connlimit.NewPlan(cfg.Limits.MemoryBytes, cfg.Limits.MaxFiles)
+}
+
+// clientLimits returns what a client may do by the settings.
+func clientLimits(cfg settings.Settings) connlimit.Limits {
+	return connlimit.Limits{HeadBytes: cfg.Limits.MaxHeaderBytes, HeadTimeout: ms(cfg.Limits.ReadTimeoutMS), IdleTimeout: ms(cfg.Limits.IdleTimeoutMS)}
 }
 
 func startAPI(lc fx.Lifecycle, cfg settings.Settings, a *api.Server, d *drain, addrs *Addresses, log *logging.Logger) {
-	d.server = &http.Server{
-		Handler:           a,
-		ReadHeaderTimeout: ms(cfg.Limits.ReadTimeoutMS),
-		IdleTimeout:       ms(cfg.Limits.IdleTimeoutMS),
-		MaxHeaderBytes:    cfg.Limits.MaxHeaderBytes,
-	}
-	addListener(lc, d.server, cfg.Listen.API, "api", &addrs.API, log)
+	d.server = connlimit.HTTPServer(a, nil)
+	addListener(lc, d.server, cfg, connPlan(cfg).Callers, cfg.Listen.API, "api", &addrs.API, log)
 }
 
 // addListener adds a hook that opens a listener on addr at the start, serves it until
 // the stop, and writes its actual address, with the port that was picked, to boundAddr.
-func addListener(lc fx.Lifecycle, srv *http.Server, addr, name string, boundAddr *string, log *logging.Logger) {
+func addListener(lc fx.Lifecycle, srv *http.Server, cfg settings.Settings, bounds connlimit.Bounds, addr, name string, boundAddr *string, log *logging.Logger) {
 	lc.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
-			l, err := net.Listen("tcp", addr)
+			l, err := connlimit.Listen(addr, bounds, func() connlimit.Limits { return clientLimits(cfg) })
 			if err != nil {
 				return trace.Wrap(err, "opening the %s listener", name)
 			}
--- a/router/internal/settings/defaults.go
+++ b/router/internal/settings/defaults.go
@@ -6,6 +6,8 @@
 	defaultLingerMS          = 20
 	defaultListIntervalMS    = 1000
 	defaultLoadIntervalMS    = 250
+	defaultMemoryBytes       = 512 << 20
+	defaultMaxFiles          = 4096
 	defaultMaxBodyBytes      = 1 << 20
 	defaultMaxHeaderBytes    = 64 << 10
 	defaultReadTimeoutMS     = 10_000
@@ -42,6 +44,8 @@
 			LoadIntervalMS: defaultLoadIntervalMS,
 		},
 		Limits: Limits{
+			MemoryBytes:       defaultMemoryBytes,
+			MaxFiles:          defaultMaxFiles,
 			MaxBodyBytes:      defaultMaxBodyBytes,
 			MaxHeaderBytes:    defaultMaxHeaderBytes,
 			ReadTimeoutMS:     defaultReadTimeoutMS,
--- a/router/internal/settings/fields.go
+++ b/router/internal/settings/fields.go
@@ -50,6 +50,8 @@
 		{"platform.list_interval_ms", "ms", intRule{50, minuteMS}, "How often the list is fetched."},
 		{"platform.load_interval_ms", "ms", intRule{20, minuteMS}, "How often each backend server's load is fetched."},
 
+		{"limits.memory_bytes", "bytes", intRule{32 << 20, 1 << 40}, "The memory that the process may use. Clients' connections and what was read on them get a part of it, and give way to each other beyond that."},
+		{"limits.max_files", "descriptors", intRule{300, 1 << 24}, "How many file descriptors the process may have open; 200 of them are kept for files."},
 		{"limits.max_body_bytes", "bytes", intRule{1024, 64 << 20}, "The longest request body; a longer one is refused with 413."},
 		{"limits.max_header_bytes", "bytes", intRule{4096, 1 << 20}, "The longest request header."},
 		{"limits.read_timeout_ms", "ms", intRule{100, 10 * minuteMS}, "How long a caller may take to send a whole request."},
--- a/router/internal/settings/settings.go
+++ b/router/internal/settings/settings.go
@@ -51,8 +51,11 @@
 }
 
 // Limits apply to callers' requests and connections. The admin listener applies
-// ReadTimeoutMS, to request headers, and IdleTimeoutMS too.
+// ReadTimeoutMS, to request headers, and IdleTimeoutMS too. The connections of all
+// listeners share MemoryBytes and MaxFiles.
 type Limits struct {
+	MemoryBytes       int64 `json:"memory_bytes"`
+	MaxFiles          int   `json:"max_files"`
 	MaxBodyBytes      int64 `json:"max_body_bytes"`
 	MaxHeaderBytes    int   `json:"max_header_bytes"`
 	ReadTimeoutMS     int   `json:"read_timeout_ms"`
