Idle connections to backend servers have a share of the descriptors

With few descriptors stated, 64 idle connections to backend servers took those of the store. They are a part of the plan now, 64 at most as before; the plan of all listeners stays within the settings from 300 descriptors on (TestPlanStaysWithinTheSettings failed with the idle connections counted).

--- a/router/internal/connlimit/plan.go
+++ b/router/internal/connlimit/plan.go
@@ -17,18 +17,20 @@
 	// Callers is the listener for callers, Peers that for messages of other instances, Tunnels that for their tunnels and
 	// grants. Aux is each listener for readiness, metrics and operators.
 	Callers, Peers, Tunnels, Aux Bounds
-	// TunnelServers is how many connections to backend servers may be open for tunnels of peers.
-	TunnelServers int
+	// TunnelServers is how many connections to backend servers may be open for tunnels of peers, IdleServers how many without
+	// a request.
+	TunnelServers, IdleServers int
 }
 
 // Fractions of the descriptors that are not reserved. A caller's request needs a second one for its connection to a backend
-// server, so that callers' fraction counts twice. What remains, 0.08, is for connections to the store and to peers.
+// server, so that callers' fraction counts twice. What remains, 0.06, is for connections to the store and to peers.
 const (
 	callerConns       = 0.3
 	tunnelConns       = 0.1
 	tunnelServerConns = 0.1
 	peerConns         = 0.1
 	auxConns          = 0.01
+	idleServerConns   = 0.02
 )
 
 // Fractions of the process's memory.
@@ -41,10 +43,10 @@
 )
 
 const (
-	// minAuxConns is the least number of connections at a listener for readiness, metrics or operators, and minPeerConns at
-	// one for peers, where few descriptors are stated.
-	minAuxConns  = 8
-	minPeerConns = 32
+	// minAuxConns is the least number of connections at a listener for readiness, metrics or operators, unless they were more
+	// than maxAuxShare of the descriptors.
+	minAuxConns = 8
+	maxAuxShare = 0.03
 	// auxListeners is for how many such listeners the plan provides.
 	auxListeners = 2
 	// minUnread and maxUnread bound the receive buffer of a connection. A smaller one delays heads within the usual limits by
@@ -75,10 +77,10 @@
 	bytes := func(fraction float64) int64 { return int64(fraction * float64(memory)) }
 	p := Plan{
 		Callers:       Bounds{Conns: conns(callerConns, 1), Bytes: bytes(callerBytes)},
-		Peers:         Bounds{Conns: conns(peerConns, min(minPeerConns, int(free/minAuxConns))), Bytes: bytes(peerBytes)},
+		Peers:         Bounds{Conns: conns(peerConns, 1), Bytes: bytes(peerBytes)},
 		Tunnels:       Bounds{Conns: conns(tunnelConns, 1), Bytes: bytes(tunnelBytes)},
-		Aux:           Bounds{Conns: conns(auxConns, min(minAuxConns, max(int(free/minPeerConns), 1))), Bytes: bytes(auxBytes)},
-		TunnelServers: conns(tunnelServerConns, 1),
+		Aux:           Bounds{Conns: conns(auxConns, min(minAuxConns, conns(maxAuxShare, 1))), Bytes: bytes(auxBytes)},
+		TunnelServers: conns(tunnelServerConns, 1), IdleServers: conns(idleServerConns, 1),
 	}
 	listeners := []*Bounds{&p.Callers, &p.Peers, &p.Tunnels, &p.Aux}
 	all := (auxListeners - 1) * p.Aux.Conns
--- a/router/internal/connlimit/plan_test.go
+++ b/router/internal/connlimit/plan_test.go
@@ -7,7 +7,7 @@
 	for _, memory := range []int64{48 << 20, 64 << 20, 144 << 20, 284 << 20, 1 << 30} {
 		for _, files := range []int{300, 400, 500, 1024, 4100, 16_384} {
 			p := NewPlan(memory, files)
-			conns := 2*p.Callers.Conns + p.Tunnels.Conns + p.TunnelServers + p.Peers.Conns + auxListeners*p.Aux.Conns
+			conns := 2*p.Callers.Conns + p.Tunnels.Conns + p.TunnelServers + p.IdleServers + p.Peers.Conns + auxListeners*p.Aux.Conns
 			if conns > files-reservedFiles {
 				t.Errorf("%d MB, %d descriptors: %d connections, want at most %d", memory>>20, files, conns, files-reservedFiles)
 			}
--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -173,10 +173,11 @@
 	return &Handler{headers: p.Headers, config: config, driver: d, dialer: dial, grants: grants, clock: c, telemetry: tel, startGate: gate, shutdown: &shutdown{}, conns: newCallerConns(cfg.MaxFiles), held: newHeldBytes(cfg.MemoryBytes), recent: newRecentIDs()}
 }
 
-func provideDialer(c Clock, d *Driver, sh *sharing, tel *telemetry) *dialer {
+func provideDialer(c Clock, cfg seam.Settings, d *Driver, sh *sharing, tel *telemetry) *dialer {
 	tunnels := tunnel.NewDialer(sh.tunnelPeers)
 	tunnels.FindPeers, tunnels.OnNoPath = sh.findTunnelPeers, tel.logNoPath
 	dial := newDialer(c, d, tunnels)
+	dial.idle.limit = min(connPlan(cfg).IdleServers, maxIdleConns)
 	dial.idle.onReset = func(s passthrough.Server) {
 		tel.logIdleReset(s)
 		d.reportReset(s)
--- a/router/internal/passthrough/dialer.go
+++ b/router/internal/passthrough/dialer.go
@@ -47,7 +47,7 @@
 func newDialer(clock Clock, path pathView, tunnels *tunnel.Dialer) *dialer {
 	d := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1}
 	out := &dialer{clock: clock, net: d, connect: newConnect(d), path: path, tunnels: tunnels, lastReceived: map[processKey]*receiveTimes{}, unreached: map[string]bool{}}
-	out.idle.onReset = path.reportReset
+	out.idle.onReset, out.idle.limit = path.reportReset, maxIdleConns
 	return out
 }
 
--- a/router/internal/passthrough/idleconns.go
+++ b/router/internal/passthrough/idleconns.go
@@ -15,11 +15,14 @@
 	// onReset is called when a server has reset its connection.
 	onReset func(passthrough.Server)
 
+	// limit is how many are kept at most.
+	limit int
+
 	mu    sync.Mutex
 	conns map[processKey]io.Closer
 }
 
-// maxIdleConns bounds the idle connections, one descriptor each.
+// maxIdleConns bounds the idle connections, one descriptor each, also where there are descriptors for more.
 const maxIdleConns = 64
 
 // keep keeps the connection, unless there is one to the server already or there are too many. It reports whether it
@@ -31,7 +34,7 @@
 	if i.conns == nil {
 		i.conns = map[processKey]io.Closer{}
 	}
-	if i.conns[key] != nil || len(i.conns) >= maxIdleConns {
+	if i.conns[key] != nil || len(i.conns) >= i.limit {
 		return false
 	}
 	i.conns[key] = c
--- a/router/internal/passthrough/idleconns_test.go
+++ b/router/internal/passthrough/idleconns_test.go
@@ -49,7 +49,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			resets := make(chan passthrough.Server, 1)
-			idle := &idleConns{onReset: func(s passthrough.Server) { resets <- s }}
+			idle := &idleConns{limit: maxIdleConns, onReset: func(s passthrough.Server) { resets <- s }}
 			client, server := openPair(t)
 			defer func() { _ = server.Close() }()
 			to := passthrough.Server{ID: "shop-0", StartTime: 1}
