Connections with long bodies get a larger receive buffer while there is room

With the receive buffers of the plan, 4 to 32 KiB, a client at a distance of some milliseconds sends no more than that in a round trip: a body of 64 KiB takes 16 round trips at 4 KiB. It does not shrink again: a window that shrinks stalls its client (seen in a test: no byte for 10 s).

--- a/router/internal/connlimit/conn.go
+++ b/router/internal/connlimit/conn.go
@@ -7,6 +7,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Limits are what a single client may do.
@@ -57,6 +59,8 @@
 	head                            headCounter
 	// inProgress is true while a request is in progress whose body has been read.
 	inProgress bool
+	// enlarged is true once the receive buffer is that for long bodies. Only readers of bodies use it.
+	enlarged bool
 	// charged is what the present request was charged.
 	charged   int64
 	closeOnce sync.Once
@@ -257,6 +261,26 @@
 	return true
 }
 
+// bodyBuffer is the receive buffer of a connection with long bodies. A client at a distance of some milliseconds sends no more
+// than the buffer holds in a round trip.
+const bodyBuffer = 64 << 10
+
+// enlargeBuffer enlarges the receive buffer, if there is room without idle connections giving way. It stays so until the
+// connection is closed: a window that shrinks makes clients wait for seconds.
+func (c *Conn) enlargeBuffer() {
+	t := c.TCP()
+	if c.enlarged || t == nil || !c.pool.chargeAnswer(&c.member, bodyBuffer, time.Now()) {
+		return
+	}
+	c.enlarged = true
+	if raw, err := t.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) {
+			setReceiveBuffer(fd, bodyBuffer)
+			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, bodyBuffer)
+		})
+	}
+}
+
 // bodyRead records that the body of the request has been read.
 func (c *Conn) bodyRead() {
 	c.mu.Lock()
--- a/router/internal/connlimit/http.go
+++ b/router/internal/connlimit/http.go
@@ -83,20 +83,27 @@
 	}
 	if hasBody {
 		r = r.WithContext(r.Context()) // net/http looks at the body of its own request
-		r.Body = &body{r.Body, c}
+		r.Body = &body{ReadCloser: r.Body, conn: c}
 	}
 	h.Handler.ServeHTTP(w, r)
 }
 
-// body records the end of a request's body.
+// body records the end of a request's body, and gives a long one a larger receive buffer.
 type body struct {
 	io.ReadCloser
 	conn *Conn
+	// read is how many bytes were read.
+	read int
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	before := b.read
+	b.read += n
+	if unread := b.conn.pool.bounds.Unread; err == nil && unread > 0 && before <= unread && b.read > unread {
+		b.conn.enlargeBuffer()
+	}
 	if errors.Is(err, io.EOF) {
 		b.conn.bodyRead()
 	}
--- a/router/internal/connlimit/http_test.go
+++ b/router/internal/connlimit/http_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // waitLimit ends a read of a response that does not come.
@@ -243,3 +245,44 @@
 	}
 	return l.Listener.Accept()
 }
+
+// receiveBuffer returns the size of the receive buffer of the connection of a request.
+func receiveBuffer(t *testing.T, r *http.Request) int {
+	t.Helper()
+	raw, err := FromContext(r.Context()).TCP().SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	size := 0
+	_ = raw.Control(func(fd uintptr) { size, err = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return size
+}
+
+// A connection with a long body gets a larger receive buffer if there is room, and only then.
+func TestLongBodyHasLargerReceiveBuffer(t *testing.T) {
+	const unread, size = 8 << 10, 256 << 10
+	for _, room := range []bool{true, false} {
+		bounds := Bounds{Bytes: 2 * connBytes, Unread: unread}
+		if room {
+			bounds.Bytes += bodyBuffer
+		}
+		sizes := make(chan [2]int, 1)
+		l := serve(t, bounds, testLimits, func(_ http.ResponseWriter, r *http.Request) {
+			before := receiveBuffer(t, r)
+			_, _ = io.Copy(io.Discard, r.Body)
+			sizes <- [2]int{before, receiveBuffer(t, r)}
+		})
+		c := dial(t, l)
+		want := map[bool]int{true: bodyBuffer, false: unread}[room]
+		for _, before := range []int{unread, want} {
+			c.write(fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", size) + strings.Repeat("b", size))
+			c.expect(http.StatusOK)
+			if got := <-sizes; got != [2]int{before, want} {
+				t.Errorf("room %t: receive buffers of %v bytes before and after a body, want %d and %d", room, got, before, want)
+			}
+		}
+	}
+}
--- a/router/internal/connlimit/listener.go
+++ b/router/internal/connlimit/listener.go
@@ -38,13 +38,18 @@
 	return &Listener{Listener: l, pool: newPool(b), limits: limits}
 }
 
-// boundUnread sets the size of the receive buffers of the listener's connections, which inherit it. The kernel doubles the
-// value for its own data. A system that refuses it keeps its default.
+// setReceiveBuffer sets the size of a socket's receive buffer. The kernel doubles the value for its own data.
+func setReceiveBuffer(fd uintptr, size int) {
+	_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size/2)
+}
+
+// boundUnread sets the size of the receive buffers of the listener's connections, which inherit it. A system that refuses it
+// keeps its default.
 func boundUnread(c syscall.RawConn, size int) error {
 	if size <= 0 {
 		return nil
 	}
-	return c.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size/2) })
+	return c.Control(func(fd uintptr) { setReceiveBuffer(fd, size) })
 }
 
 // boundBacklog bounds the connections that wait to be accepted: a process that stands still cannot accept any, and they hold
