A connection that gives way leaves its response to its client

What callers saw: a response that had just been sent was lost with a reset if its connection gave way to another one, although the request had run.

Cause: connections that give way were reset, which drops what the kernel still has to send.

Evidence: TestResponseOutlivesItsConnection, red before (connection reset by peer).

Change: a connection on which a response or a refusal was sent is closed in order, only one without any is reset.

--- a/router/internal/connlimit/conn.go
+++ b/router/internal/connlimit/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -62,7 +63,9 @@
 	// enlarged is true once the receive buffer is that for long bodies. Only readers of bodies use it.
 	enlarged bool
 	// charged is what the present request was charged.
-	charged   int64
+	charged int64
+	// answered is true once a response was sent.
+	answered  atomic.Bool
 	closeOnce sync.Once
 	closeErr  error
 	// done is closed once the connection has given way or is closed.
@@ -72,13 +75,20 @@
 
 func newConn(raw net.Conn, p *pool, limits func() Limits) *Conn {
 	c := &Conn{Conn: raw, pool: p, limits: limits, done: make(chan struct{})}
-	c.member.evict = func() {
-		c.endOnce.Do(func() { close(c.done) })
-		reset(raw)
-	}
+	c.member.evict = c.giveWay
 	return c
 }
 
+// giveWay closes the connection, whose goroutine then ends. A response that was sent on it still reaches its client.
+func (c *Conn) giveWay() {
+	c.endOnce.Do(func() { close(c.done) })
+	if c.answered.Load() {
+		_ = c.Conn.Close() // the connection is given up in any case
+		return
+	}
+	reset(c.Conn)
+}
+
 // start begins the wait for the first head.
 func (c *Conn) start() {
 	if c.limits == nil {
@@ -222,6 +232,7 @@
 // request is complete.
 func (c *Conn) refuse(text string) {
 	c.pool.giveUp(&c.member)
+	c.answered.Store(true)
 	_ = c.SetWriteDeadline(time.Now().Add(refuseTimeout))
 	if _, err := io.WriteString(c.Conn, text); err != nil || c.CloseWrite() != nil {
 		return // the client has disconnected
@@ -296,6 +307,7 @@
 func (c *Conn) requestEnded() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.answered.Store(true)
 	c.pool.refund(&c.member, c.charged)
 	c.charged = 0
 	c.pool.enter(&c.member, phaseIdle, time.Now())
@@ -306,6 +318,7 @@
 // CloseLingering ends the sending direction, so that the client gets all that was sent, and closes the connection once the
 // client has closed its own or some time has passed. It does not block.
 func (c *Conn) CloseLingering() error {
+	c.answered.Store(true)
 	c.pool.giveUp(&c.member)
 	if err := c.CloseWrite(); err != nil {
 		_ = c.Close() // the connection is broken already
@@ -342,9 +355,9 @@
 // Release gives bytes back that were reserved.
 func (c *Conn) Release(n int64) { c.pool.refund(&c.member, n) }
 
-// MessageBegun and MessageRead record that a message between instances is read, and that it is complete. Connections that
-// carry messages are never in progress: both sides repeat what they lose.
+// MessageBegun records that a message between instances is read. Connections that carry messages are never in progress: both
+// sides repeat what they lose.
 func (c *Conn) MessageBegun() { c.pool.enter(&c.member, phaseReading, time.Now()) }
 
-// MessageRead see MessageBegun.
+// MessageRead records that a message between instances is complete.
 func (c *Conn) MessageRead() { c.pool.enter(&c.member, phaseIdle, time.Now()) }
--- a/router/internal/connlimit/http_test.go
+++ b/router/internal/connlimit/http_test.go
@@ -209,6 +209,33 @@
 	}
 }
 
+// A connection that gives way right after its response does not take the response with it.
+func TestResponseOutlivesItsConnection(t *testing.T) {
+	const size = 256 << 10
+	l := serve(t, Bounds{Conns: 1}, testLimits, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, strings.Repeat("r", size)) })
+	for range 20 {
+		c := dial(t, l)
+		c.write(headOf(100))
+		for end := time.Now().Add(waitLimit); l.pool.phaseCount(phaseIdle) == 0 && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		next := dial(t, l)
+		for end := time.Now().Add(waitLimit); l.pool.phaseCount(phaseIdle) > 0 && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		c.expect(http.StatusOK)
+		_ = next.Close()
+		time.Sleep(leastAge)
+	}
+}
+
+// phaseCount returns how many members are in a phase.
+func (p *pool) phaseCount(in phase) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.byPhase[in].Len()
+}
+
 // A listener that cannot accept for a time goes on afterwards.
 func TestAcceptGoesOnAfterErrors(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
