Test: no listener serves HTTP/2

All HTTP servers are built by connlimit.HTTPServer, which sets HTTP/1 as the only protocol; the preface of HTTP/2 is answered with a refusal in HTTP/1.

--- a/router/internal/connlimit/http_test.go
+++ b/router/internal/connlimit/http_test.go
@@ -313,3 +313,13 @@
 		}
 	}
 }
+
+// A client that begins with the preface of HTTP/2 is answered in HTTP/1.
+func TestOnlyHTTP1IsServed(t *testing.T) {
+	c := dial(t, serve(t, Bounds{}, testLimits, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotFound) }))
+	c.write("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\x00\x00\x00\x04\x00\x00\x00\x00\x00")
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil || resp.ProtoMajor != 1 || resp.StatusCode < http.StatusBadRequest {
+		t.Errorf("got %+v, %v, want a refusal in HTTP/1", resp, err)
+	}
+}
