A head that has just begun on a kept connection is not given up

The age after which a head gives way to faster clients was that of its connection, so that the next request on a kept connection had no time at all while many clients came. It is that of the head now. A refusal for want of room states its reason also after the head was parsed.

--- a/router/internal/connlimit/conn.go
+++ b/router/internal/connlimit/conn.go
@@ -35,12 +35,15 @@
 	refuseTimeout = time.Second
 )
 
+// reasonNoRoom is the text of a refusal for want of room.
+const reasonNoRoom = "connections_at_bound"
+
 // The refusals of heads. A request that is answered with 408 or 503 has not run.
 const (
 	refusalEnd      = "\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n"
 	refusalTimeout  = "HTTP/1.1 408 Request Timeout" + refusalEnd + "Content-Length: 13\r\n\r\nhead_timeout\n"
 	refusalTooLarge = "HTTP/1.1 431 Request Header Fields Too Large" + refusalEnd + "Content-Length: 15\r\n\r\nhead_too_large\n"
-	refusalNoRoom   = "HTTP/1.1 503 Service Unavailable" + refusalEnd + "Retry-After: 0.200\r\nContent-Length: 21\r\n\r\nconnections_at_bound\n"
+	refusalNoRoom   = "HTTP/1.1 503 Service Unavailable" + refusalEnd + "Retry-After: 0.200\r\nContent-Length: 21\r\n\r\n" + reasonNoRoom + "\n"
 )
 
 var errRefused = errors.New("the head of the request was refused")
--- a/router/internal/connlimit/http.go
+++ b/router/internal/connlimit/http.go
@@ -78,7 +78,7 @@
 	if !c.requestBegun(requestMemory(r), hasBody) {
 		w.Header().Set("Connection", "close")
 		w.Header().Set("Retry-After", "0.200")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		http.Error(w, reasonNoRoom, http.StatusServiceUnavailable)
 		return
 	}
 	if hasBody {
--- a/router/internal/connlimit/pool.go
+++ b/router/internal/connlimit/pool.go
@@ -25,8 +25,8 @@
 	// patience is how long a head or a body may be incomplete before its connection gives way to all others. Heads of ordinary
 	// clients arrive within a few round trips.
 	patience = 250 * time.Millisecond
-	// leastAge is how long a connection stays open at least: it has come with its request in most cases, and must get the time
-	// to read it.
+	// leastAge is how long a connection is kept at least once it has been accepted or its next head has begun: the whole head has
+	// come by then in most cases, and its goroutine must get the time to read it.
 	leastAge = 20 * time.Millisecond
 	// One in closingShare of the connections, minClosing at least, may have given way without being closed yet.
 	closingShare = 8
@@ -38,8 +38,8 @@
 // member is a connection in a pool.
 type member struct {
 	phase phase
-	// since is when the phase began, opened when the connection was accepted.
-	since, opened time.Time
+	// since is when the phase began.
+	since time.Time
 	// bytes is what was charged.
 	bytes int64
 	// element is the member's place among those of its phase; nil once it has been removed. evicted is true from then on until
@@ -56,7 +56,7 @@
 //  1. those that take longest over a head, or have sent none, longer than patience,
 //  2. those that are idle for longest, as their clients can open another one,
 //  3. those that take longest over a body, longer than patience,
-//  4. those that take longest over a head and are older than leastAge.
+//  4. those that take longest over a head, longer than leastAge.
 //
 // The last rule replaces clients that come faster than heads can become too old: a client that sends its request at once has
 // been read by then.
@@ -86,7 +86,7 @@
 // add admits a connection, for which others may give way. It reports false if there is no room.
 func (p *pool) add(m *member, now time.Time) bool {
 	p.mu.Lock()
-	m.phase, m.since, m.opened = phaseReading, now, now
+	m.phase, m.since = phaseReading, now
 	m.element = p.byPhase[phaseReading].PushBack(m)
 	p.open++
 	victims, ok := p.reserve(m, connBytes, now, p.victim)
@@ -150,7 +150,7 @@
 		return
 	}
 	p.byPhase[m.phase].Remove(m.element)
-	m.phase, m.since, m.opened = phaseReading, time.Time{}, time.Time{}
+	m.phase, m.since = phaseReading, time.Time{}
 	m.element = p.byPhase[phaseReading].PushFront(m)
 }
 
@@ -214,7 +214,7 @@
 		return idle
 	case body != nil && now.Sub(body.since) >= patience:
 		return body
-	case reading != nil && now.Sub(reading.opened) >= leastAge:
+	case reading != nil && now.Sub(reading.since) >= leastAge:
 		return reading
 	}
 	return nil
