One reader of bodies within a bound; names of the connection limits

The API's reader of bodies repeated that of pass-through routes; both use connlimit.ReadAll. Methods are named after what they do: chargeIfRoom, markExpendable, AwaitEnd.

--- a/router/internal/api/chat.go
+++ b/router/internal/api/chat.go
@@ -1,9 +1,9 @@
 package api
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -25,6 +25,8 @@
 	// retryDelay is the Retry-After of refusals whose cause passes within
 	// seconds, such as an instance that is catching up with the log.
 	retryDelay = time.Second
+	// firstBodyBytes is the first buffer for a body, in bytes.
+	firstBodyBytes = 4 << 10
 	// bytesPerToken is the mean length of a token, to estimate a prompt's tokens
 	// from the length of the body before an engine counts them.
 	bytesPerToken = 4
@@ -67,14 +69,14 @@
 	// answer, net/http would take it for a disconnect of the caller.
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(s.Limits.ReadTimeout))
-	body, err := readCharged(http.MaxBytesReader(w, r.Body, s.Limits.MaxBodyBytes), connlimit.FromContext(r.Context()))
+	body, err := connlimit.ReadAll(http.MaxBytesReader(w, r.Body, s.Limits.MaxBodyBytes), firstBodyBytes, reserveFor(r.Context()))
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		o := routerRefusal("body_too_large", "the body is larger than "+strconv.FormatInt(s.Limits.MaxBodyBytes, 10)+" bytes")
 		return nil, &o
 	}
-	if errors.Is(err, errNoRoom) {
+	if errors.Is(err, connlimit.ErrNoRoom) {
 		o := outcome.Outcome{Kind: outcome.Refused, Code: "no_room", Message: "as many bytes of requests are held as may be", RetryAfter: time.Second}
 		return nil, &o
 	}
@@ -85,28 +87,13 @@
 	return body, nil
 }
 
-// errNoRoom means that the bodies of all requests take as much memory as they may.
-var errNoRoom = errors.New("no room for the body")
-
-// readCharged reads to the end and charges the connection for it until the request has ended; conn is nil for no bound.
-func readCharged(from io.Reader, conn *connlimit.Conn) ([]byte, error) {
-	const first = 4 << 10
-	for buf := make([]byte, 0, first); ; {
-		if len(buf) == cap(buf) {
-			if conn != nil && !conn.Charge(int64(2*cap(buf))) {
-				return nil, errNoRoom
-			}
-			buf = append(make([]byte, 0, 2*cap(buf)), buf...)
-		}
-		n, err := from.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		if errors.Is(err, io.EOF) {
-			return buf, nil
-		}
-		if err != nil {
-			return nil, err
-		}
+// reserveFor returns where the memory of a request's body is reserved until the request has ended: at its connection, if that
+// has a bound.
+func reserveFor(ctx context.Context) func(int64) bool {
+	if c := connlimit.FromContext(ctx); c != nil {
+		return c.Charge
 	}
+	return func(int64) bool { return true }
 }
 
 func (s *Server) validateChat(chat wire.ChatRequest, c caller) *outcome.Outcome {
--- a/router/internal/connlimit/conn.go
+++ b/router/internal/connlimit/conn.go
@@ -234,7 +234,7 @@
 // refuse writes the refusal and drops what the client still sends, for a time. Nobody else writes before the head of a
 // request is complete.
 func (c *Conn) refuse(text string) {
-	c.pool.giveUp(&c.member)
+	c.pool.markExpendable(&c.member)
 	c.answered.Store(true)
 	_ = c.SetWriteDeadline(time.Now().Add(refuseTimeout))
 	if _, err := io.WriteString(c.Conn, text); err != nil || c.CloseWrite() != nil {
@@ -283,7 +283,7 @@
 // connection is closed: a window that shrinks makes clients wait for seconds.
 func (c *Conn) enlargeBuffer() {
 	t := c.TCP()
-	if c.enlarged || t == nil || !c.pool.chargeAnswer(&c.member, bodyBuffer, time.Now()) {
+	if c.enlarged || t == nil || !c.pool.chargeIfRoom(&c.member, bodyBuffer, time.Now()) {
 		return
 	}
 	c.enlarged = true
@@ -322,7 +322,7 @@
 // client has closed its own or some time has passed. It does not block.
 func (c *Conn) CloseLingering() error {
 	c.answered.Store(true)
-	c.pool.giveUp(&c.member)
+	c.pool.markExpendable(&c.member)
 	if err := c.CloseWrite(); err != nil {
 		_ = c.Close() // the connection is broken already
 		return err
@@ -353,7 +353,7 @@
 func (c *Conn) Reserve(n int64) bool { return c.pool.charge(&c.member, n, time.Now()) }
 
 // ReserveAnswer reserves n bytes for a message that is sent, and reports whether there is room.
-func (c *Conn) ReserveAnswer(n int64) bool { return c.pool.chargeAnswer(&c.member, n, time.Now()) }
+func (c *Conn) ReserveAnswer(n int64) bool { return c.pool.chargeIfRoom(&c.member, n, time.Now()) }
 
 // Release gives bytes back that were reserved.
 func (c *Conn) Release(n int64) { c.pool.refund(&c.member, n) }
--- a/router/internal/connlimit/pool.go
+++ b/router/internal/connlimit/pool.go
@@ -105,8 +105,9 @@
 	return p.chargeFor(m, n, now, p.victim)
 }
 
-// chargeAnswer is charge for bytes that are sent: only connections that take too long over a head or a message give way.
-func (p *pool) chargeAnswer(m *member, n int64, now time.Time) bool {
+// chargeIfRoom is charge for what is of less use than an idle connection, or can wait: only connections that take too long over
+// a head or a message give way.
+func (p *pool) chargeIfRoom(m *member, n int64, now time.Time) bool {
 	return p.chargeFor(m, n, now, p.slowest)
 }
 
@@ -142,8 +143,8 @@
 	m.element = p.byPhase[to].PushBack(m)
 }
 
-// giveUp lets the connection give way before all others.
-func (p *pool) giveUp(m *member) {
+// markExpendable lets the connection give way before all others.
+func (p *pool) markExpendable(m *member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if m.element == nil {
--- a/router/internal/connlimit/pool_test.go
+++ b/router/internal/connlimit/pool_test.go
@@ -139,7 +139,7 @@
 	p := newTestPool(Bounds{Conns: 2})
 	p.accept("old", phaseReading)
 	p.advance(patience)
-	p.giveUp(p.accept("refused", phaseReading))
+	p.markExpendable(p.accept("refused", phaseReading))
 	p.accept("new", phaseReading)
 	p.expectEvicted(t, "refused")
 }
@@ -197,7 +197,7 @@
 	case 3:
 		p.remove(m)
 	case 4:
-		p.giveUp(m)
+		p.markExpendable(m)
 	}
 }
 
--- a/router/internal/passthrough/attempt.go
+++ b/router/internal/passthrough/attempt.go
@@ -15,6 +15,7 @@
 
 	"masticplank.example/decision/passthrough"
 	"masticplank.example/decision/passthrough/seam"
+	"masticplank.example/router/internal/connlimit"
 	"masticplank.example/router/internal/tunnel"
 )
 
@@ -366,7 +367,7 @@
 	if resp.ContentLength >= 0 {
 		size = min(resp.ContentLength, maxResponseBytes) + 1 // the end is read without a larger buffer
 	}
-	body, err := readHeld(io.LimitReader(resp.Body, maxResponseBytes), size, &a.exchange.responses)
+	body, err := connlimit.ReadAll(io.LimitReader(resp.Body, maxResponseBytes), size, a.exchange.responses.add)
 	if errors.Is(err, errNoRoom) || err == nil && len(body) == maxResponseBytes {
 		return a.passOn(resp, body)
 	}
--- a/router/internal/passthrough/heldbytes.go
+++ b/router/internal/passthrough/heldbytes.go
@@ -1,8 +1,9 @@
 package passthrough
 
 import (
-	"errors"
 	"sync"
+
+	"masticplank.example/router/internal/connlimit"
 )
 
 const (
@@ -27,7 +28,7 @@
 )
 
 // errNoRoom means that as many bytes are held as may be.
-var errNoRoom = errors.New("as many bytes are held for callers and backend servers as may be")
+var errNoRoom = connlimit.ErrNoRoom
 
 // heldBytes bounds the bytes that are held for callers and backend servers. The zero value has no bound. It is safe for
 // concurrent use.
--- a/router/internal/passthrough/heldbytes_test.go
+++ b/router/internal/passthrough/heldbytes_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"strings"
 	"testing"
+
+	"masticplank.example/router/internal/connlimit"
 )
 
 // TestHeldBytesStayWithinTheBound guards against an instance that holds more than its memory allows, or loses room for
@@ -67,13 +69,13 @@
 func TestBodyOfUnknownLengthStopsAtTheBound(t *testing.T) {
 	bytes := &heldBytes{limit: 48_000}
 	held := &hold{bytes: bytes, direction: toServer}
-	text, err := readHeld(strings.NewReader(strings.Repeat("x", 100_000)), firstBodyBytes, held)
+	text, err := connlimit.ReadAll(strings.NewReader(strings.Repeat("x", 100_000)), firstBodyBytes, held.add)
 	if !errors.Is(err, errNoRoom) || int64(len(text)) > bytes.limitOf(toServer) {
 		t.Errorf("read %d bytes, error %v", len(text), err)
 	}
 	held.release()
 	want := strings.Repeat("y", 20_000)
-	if text, err = readHeld(io.MultiReader(strings.NewReader(want[:7]), strings.NewReader(want[7:])), firstBodyBytes, held); err != nil || string(text) != want {
+	if text, err = connlimit.ReadAll(io.MultiReader(strings.NewReader(want[:7]), strings.NewReader(want[7:])), firstBodyBytes, held.add); err != nil || string(text) != want {
 		t.Errorf("read %d bytes, error %v", len(text), err)
 	}
 }
--- a/router/internal/passthrough/readbody.go
+++ b/router/internal/passthrough/readbody.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"masticplank.example/decision/passthrough"
+	"masticplank.example/router/internal/connlimit"
 )
 
 const (
@@ -71,36 +72,11 @@
 
 // readUnsized reads a body of unknown length, and stops once it no longer fits.
 func (c *call) readUnsized(from io.Reader, body *hold) error {
-	text, err := readHeld(from, firstBodyBytes, body)
+	text, err := connlimit.ReadAll(from, firstBodyBytes, body.add)
 	c.body = text
 	return err
 }
 
-// readHeld reads to the end, into a buffer that begins with a size in bytes and grows while that fits. Otherwise it returns
-// what it has read, with errNoRoom.
-func readHeld(from io.Reader, size int64, held *hold) ([]byte, error) {
-	if !held.add(size) {
-		return nil, errNoRoom
-	}
-	buf := make([]byte, 0, size)
-	for {
-		if len(buf) == cap(buf) {
-			if !held.add(int64(cap(buf))) {
-				return buf, errNoRoom
-			}
-			buf = append(make([]byte, 0, 2*cap(buf)), buf...)
-		}
-		n, err := from.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		if errors.Is(err, io.EOF) {
-			return buf, nil
-		}
-		if err != nil {
-			return buf, err
-		}
-	}
-}
-
 // wallTime converts a time of the clock to one of the machine's clock, which deadlines of connections use.
 func (h *Handler) wallTime(at time.Time) time.Time {
 	return time.Now().Add(at.Sub(h.clock.Now()))
--- a/router/internal/relay/server.go
+++ b/router/internal/relay/server.go
@@ -86,12 +86,13 @@
 	s.mu.Lock()
 	s.conns[conn] = true
 	s.mu.Unlock()
-	go handler.EndWith(conn, func() {
+	go func() {
+		handler.AwaitEnd(conn)
 		cancel()
 		s.mu.Lock()
 		delete(s.conns, conn)
 		s.mu.Unlock()
-	})
+	}()
 }
 
 func (s *Server) closeAll() {
--- a/router/internal/rpcstream/handler.go
+++ b/router/internal/rpcstream/handler.go
@@ -38,10 +38,8 @@
 	return &Handler{handle: handle, account: account, slots: make(chan struct{}, maxInFlight)}
 }
 
-// EndWith ends the connection once it has given way to others or has been disconnected, and then calls end. It does not return
-// before that.
-func (h *Handler) EndWith(conn *jsonrpc2.Conn, end func()) {
-	defer end()
+// AwaitEnd returns once the connection has been disconnected, or has given way to others and is closed.
+func (h *Handler) AwaitEnd(conn *jsonrpc2.Conn) {
 	select {
 	case <-conn.DisconnectNotify():
 	case <-h.account.Done():
--- a/router/internal/rpcstream/handler_test.go
+++ b/router/internal/rpcstream/handler_test.go
@@ -68,7 +68,11 @@
 	h := NewHandler(handle, a)
 	server := jsonrpc2.NewConn(ctx, New(there, serverLimits), h, jsonrpc2.SetLogger(discard{}))
 	ended := make(chan struct{})
-	go h.EndWith(server, func() { cancel(); close(ended) })
+	go func() {
+		h.AwaitEnd(server)
+		cancel()
+		close(ended)
+	}()
 	client := jsonrpc2.NewConn(t.Context(), New(here, limits), noHandler{}, jsonrpc2.SetLogger(discard{}))
 	t.Cleanup(func() { _ = client.Close(); <-ended })
 	return client
