--- a/review/standins-2/bed.go
+++ b/review/standins-2/bed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -11,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -88,7 +90,11 @@
 		closers[i]()
 	}
 	b.rec.close()
-	if os.Getenv("KEEP") == "" { _ = os.RemoveAll(b.dir) } else { println(b.dir) }
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(b.dir)
+	} else {
+		println(b.dir)
+	}
 }
 
 func (b *bed) onClose(f func()) {
@@ -121,7 +127,9 @@
 // accepted before that and not answered yet stays unanswered.
 type storeFront struct {
 	*standin.Store
-	away     atomic.Bool
+	away atomic.Bool
+	// busy is true while the store turns the instance away with 503.
+	busy     atomic.Bool
 	listener net.Listener
 	server   *http.Server
 
@@ -172,9 +180,16 @@
 	}
 	out := &bufferedResponse{header: http.Header{}, status: http.StatusOK}
 	f.Store.ServeHTTP(out, r)
+	time.Sleep(answerTime)
 	if f.away.Load() {
 		panic(http.ErrAbortHandler)
 	}
+	if f.busy.Load() {
+		w.Header().Set("Store-Era", out.header.Get("Store-Era"))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	out.limitRead(r)
 	for name, values := range out.header {
 		w.Header()[name] = values
 	}
@@ -182,6 +197,32 @@
 	_, _ = w.Write(out.body) // the instance may have left
 }
 
+// answerTime is how long an answer of the store takes, by the sheets.
+const answerTime = 4 * time.Millisecond
+
+// limitRead leaves as many whole records in the response to a read as maxReadKb allows, at least one.
+func (b *bufferedResponse) limitRead(r *http.Request) {
+	const head, lengthBytes, defaultKB = 16, 4, 1024
+	if r.URL.Path != "/api/log-read" || b.status != http.StatusOK {
+		return
+	}
+	kb, err := strconv.Atoi(r.URL.Query().Get("maxReadKb"))
+	if err != nil {
+		kb = defaultKB
+	}
+	end := head
+	for end+lengthBytes <= len(b.body) {
+		next := end + lengthBytes + int(binary.BigEndian.Uint32(b.body[end:]))
+		if next > len(b.body) || end > head && next-head > kb<<10 {
+			break
+		}
+		end = next
+	}
+	if end < len(b.body) {
+		b.body = b.body[:end]
+	}
+}
+
 // setAway lets the store be away, or come back.
 func (f *storeFront) setAway(away bool) {
 	f.away.Store(away)
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -13,6 +13,7 @@
 
 var checks = map[string]check{
 	"revoke-drill": revokeDrill,
+	"partial-read": partialRead,
 }
 
 func main() { os.Exit(execute(os.Args[1:])) }
