--- a/review/standins-2/bed.go
+++ b/review/standins-2/bed.go
@@ -247,14 +247,29 @@
 	mu                   sync.Mutex
 	state                string
 	silent               bool
+	born                 int64
 	stop                 chan struct{}
 }
 
-func (s *server) entry(sequence int, born int64) map[string]any {
+func (s *server) entry(sequence int) map[string]any {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return map[string]any{"service": s.service, "address": s.address, "zone": "nyarugenge", "version": s.version,
-		"slots": 48, "state": s.state, "coldRemainingMs": 0, "sequence": sequence, "born": born}
+		"slots": 48, "state": s.state, "coldRemainingMs": 0, "sequence": sequence, "born": s.born}
+}
+
+// setSilent lets the server write no entries.
+func (s *server) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
+// restart lets the server write the entries of a new process.
+func (s *server) restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent, s.born = false, time.Now().UnixMilli()
 }
 
 // startServer serves h as a backend server of the service.
@@ -271,14 +286,13 @@
 
 // list writes the entry of a backend server at each heartbeat.
 func (b *bed) list(id, service, version, address string) *server {
-	s := &server{id: id, service: service, version: version, address: address, state: "ready", stop: make(chan struct{})}
-	born := time.Now().UnixMilli()
+	s := &server{id: id, service: service, version: version, address: address, state: "ready", born: time.Now().UnixMilli(), stop: make(chan struct{})}
 	put := func(n int) {
 		s.mu.Lock()
 		silent := s.silent
 		s.mu.Unlock()
 		if !silent && !b.store.away.Load() {
-			_ = b.store.PutJSON("keyed.servers", id, s.entry(n, born)) // a map always encodes
+			_ = b.store.PutJSON("keyed.servers", id, s.entry(n)) // a map always encodes
 		}
 	}
 	put(0)
@@ -322,7 +336,7 @@
 }
 
 func (b *bed) newInstance() (*instance, error) {
-	if l, err := net.Listen("tcp", ":9464"); err != nil {
+	if l, err := net.Listen("tcp", programArgs[len(programArgs)-1]); err != nil {
 		return nil, fmt.Errorf("%w: the port of the metrics is taken: %w", errNotRun, err)
 	} else {
 		_ = l.Close()
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -12,8 +12,10 @@
 type check func(b *bed) (held bool, err error)
 
 var checks = map[string]check{
-	"revoke-drill": revokeDrill,
-	"partial-read": partialRead,
+	"crashing-part":    crashingPart,
+	"crashing-request": crashingRequest,
+	"revoke-drill":     revokeDrill,
+	"partial-read":     partialRead,
 }
 
 func main() { os.Exit(execute(os.Args[1:])) }
