--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -12,6 +12,7 @@
 type check func(b *bed) (held bool, err error)
 
 var checks = map[string]check{
+	"empty-segment":    emptySegment,
 	"crashing-part":    crashingPart,
 	"crashing-request": crashingRequest,
 	"revoke-drill":     revokeDrill,
