--- a/review/standins-2/revokedrill.go
+++ b/review/standins-2/revokedrill.go
@@ -66,7 +66,7 @@
 	b.rec.printf("a copy of the store is made")
 	time.Sleep(copyAge)
 	if b.trouble {
-		b.store.setAway(true)
+		b.store.setAway(true) // from here on no answer leaves the store but that to the operator
 	}
 	if err := b.store.PutJSON("keyed.op", "config", config(9, keptKey)); err != nil {
 		return false, err
