Only a read that reaches the end of a topic confirms what it holds

Evidence: in the log, 45 configurations in three groups; the age falls from 11,301 ms to 33 with the first group, and nine requests with the key run before the last one. Change: a batch states how many records remain; only a read to the end confirms the configuration, the collector's cache and the view of a roll-out's observations. A backlog is read on without a pause, heartbeats are counted for all of it, and a request asks for freshness before it looks the configuration up. Event 236, counter topic_catch_up.

--- a/coordination/keyedlog/keyedlog.go
+++ b/coordination/keyedlog/keyedlog.go
@@ -37,6 +37,9 @@
 	Records []Record
 	// Next is the position to read from next.
 	Next Position
+	// Remaining is how many records the log held after Next when it answered. While there are any, the batch shows
+	// only that Next is not the end of the log, not what the newest records are.
+	Remaining uint64
 	// Age is an upper bound on how old the information about the end of the log is when the
 	// read returns. 0 means that the log does not report it; the information is then as old
 	// as the start of the read.
@@ -46,6 +49,9 @@
 	Steady time.Duration
 }
 
+// AtEnd reports whether the batch reaches the end of the log.
+func (b Batch) AtEnd() bool { return b.Remaining == 0 }
+
 // Snapshot is the result of Newest: the newest record of each key, read page by page.
 type Snapshot struct {
 	Records []Record
--- a/router/internal/logging/catalogue.go
+++ b/router/internal/logging/catalogue.go
@@ -74,6 +74,7 @@
 	EventServerSpeed     = Event{232, "server_speed", slog.LevelInfo, "A backend server takes a multiple of the time that it states, by measured times of all instances, or, if slow is false, no longer does: it gets fewer requests meanwhile; factor is how many times as long as usual work is taken to last there."}
 	EventServerOutlier   = Event{234, "server_outlier", slog.LevelWarn, "A backend server fails more attempts than the others of its service, as all instances see it, and is ejected for for_ms, or, if ejected is false, is used again; failed and attempts are the counts that this was decided by, earlier attempts with less weight."}
 	EventHolderSilent    = Event{235, "holder_silent", slog.LevelWarn, "An instance that holds the rate of rate-limited backend servers gave no answer to a question for a grant; the next in rank is asked for some time."}
+	EventTopicBacklog    = Event{236, "topic_backlog", slog.LevelInfo, "A read of a topic ended before the topic's end: the topic is read on at once and counts as read once the end is reached; remaining is the number of records that followed."}
 	EventServerBackoff   = Event{226, "server_backoff", slog.LevelInfo, "A backend server refused a request and states for how long it wants no others from this instance, which sends it none for that time."}
 
 	EventPassthroughRefused = Event{310, "passthrough_refused", slog.LevelInfo, "A request on a pass-through route was refused and was not run; reason says why."}
@@ -101,7 +102,7 @@
 		EventLogUnreachable, EventLogReachable, EventStateRestored, EventStateDiverged,
 		EventConfigApplied, EventRecordRejected, EventServerListed, EventServerGone, EventEntryIgnored,
 		EventStoreLost, EventStoreRegained, EventCollector,
-		EventDomainDrained, EventDomainBack, EventServerCold, EventServerLimited, EventServerUnlimited, EventStoreRestored, EventStateKept, EventServerLeaving, EventServerBackoff, EventPathLost, EventPathRestored, EventServiceBrittle, EventPathNowhere, EventLoadUnreadable, EventServerSpeed, EventIdleReset, EventServerOutlier, EventHolderSilent,
+		EventDomainDrained, EventDomainBack, EventServerCold, EventServerLimited, EventServerUnlimited, EventStoreRestored, EventStateKept, EventServerLeaving, EventServerBackoff, EventPathLost, EventPathRestored, EventServiceBrittle, EventPathNowhere, EventLoadUnreadable, EventServerSpeed, EventIdleReset, EventServerOutlier, EventHolderSilent, EventTopicBacklog,
 		EventRequestRefused, EventAttemptFailed, EventWrongNonce,
 		EventPassthroughRefused, EventPassthroughAttempt, EventPassthroughFailed, EventCallerLost, EventAttemptGivenUp,
 		EventBillHeld, EventBillFlushed, EventBillRefused,
--- a/router/internal/passthrough/configstate_test.go
+++ b/router/internal/passthrough/configstate_test.go
@@ -1,7 +1,9 @@
 package passthrough
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -99,3 +101,71 @@
 		t.Errorf("order known: %v, configuration: %v, want both", seen, p.config.Index())
 	}
 }
+
+// TestPartOfABacklogConfirmsNothing guards against accepting a revoked key while an instance catches up: a read that
+// stops before the end of the log does not confirm the configuration, the one that reaches it does.
+func TestPartOfABacklogConfirmsNothing(t *testing.T) {
+	clock, log := newFakeClock(), &fakeLog{maxRead: 2}
+	p := newTestInstance("a", clock, &fakeLog{}, &fakeLog{})
+	log.add("config", "config 1")
+	reader := p.operator.reader(log, clock)
+	mustRead(t, reader)
+	clock.advance(5 * time.Second)
+	for version := 2; version <= 6; version++ {
+		log.add("config", fmt.Sprint("config ", version))
+	}
+	for _, inForce := range []uint64{3, 5} {
+		mustRead(t, reader)
+		if got := p.config.Index().Version; got != inForce || p.config.Fresh() {
+			t.Errorf("after a part of the backlog: version %d, fresh %v, want %d and not fresh", got, p.config.Fresh(), inForce)
+		}
+	}
+	mustRead(t, reader)
+	if got := p.config.Index().Version; got != 6 || !p.config.Fresh() {
+		t.Errorf("at the end of the log: version %d, fresh %v, want 6 and fresh", got, p.config.Fresh())
+	}
+}
+
+// TestPartOfABacklogIsReadOnAtOnce guards against a pause between the parts of a backlog, in which backend servers that
+// have left still get requests.
+func TestPartOfABacklogIsReadOnAtOnce(t *testing.T) {
+	clock, log := newFakeClock(), &fakeLog{maxRead: 1}
+	p := newTestInstance("a", clock, &fakeLog{}, &fakeLog{})
+	reader := p.servers.reader(log, clock)
+	mustRead(t, reader)
+	for i := range 20 {
+		log.add("s", fmt.Sprintf("server shop v%d ready", i))
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	pauses := 0
+	reader.pause = func() time.Duration {
+		pauses++
+		cancel()
+		return 0
+	}
+	reader.run(ctx)
+	if reader.next.Offset != 20 || pauses != 1 {
+		t.Errorf("read to offset %d with %d pauses, want 20 with one at the end", reader.next.Offset, pauses)
+	}
+}
+
+// TestPartOfABacklogIsNoCompleteViewOfObservations guards against completing a roll-out on the observations of a part
+// of a backlog.
+func TestPartOfABacklogIsNoCompleteViewOfObservations(t *testing.T) {
+	clock, log := newFakeClock(), &fakeLog{maxRead: 1}
+	p := newTestInstance("a", clock, &fakeLog{}, log)
+	reader := p.observations.reader(clock, func() bool { return true })
+	mustRead(t, reader)
+	clock.advance(2 * propagationTime)
+	log.add("set/b", "{}")
+	log.add("set/c", "{}")
+	mustRead(t, reader)
+	if !p.observations.mayMissRecords() {
+		t.Error("after a part of the backlog: no observations are missing, want some")
+	}
+	mustRead(t, reader)
+	if p.observations.mayMissRecords() {
+		t.Error("at the end of the log: observations are missing, want none")
+	}
+}
--- a/router/internal/passthrough/fakes_test.go
+++ b/router/internal/passthrough/fakes_test.go
@@ -41,6 +41,8 @@
 	records   []keyedlog.Record
 	firstKept uint64
 	era       uint64
+	// maxRead is the largest number of records of one read, 0 for no bound.
+	maxRead int
 	// readErrs, newestErrs and appendErrs are the errors of the next calls.
 	readErrs, newestErrs, appendErrs []error
 	// appendDespiteErr makes appends take effect although they return an error.
@@ -72,6 +74,11 @@
 	}
 	out := keyedlog.Batch{Next: l.end()}
 	out.Records = append(out.Records, l.records[from.Offset:]...)
+	if l.maxRead > 0 && len(out.Records) > l.maxRead {
+		out.Remaining = uint64(len(out.Records) - l.maxRead)
+		out.Records = out.Records[:l.maxRead]
+		out.Next.Offset -= out.Remaining
+	}
 	return out, nil
 }
 
--- a/router/internal/passthrough/handler.go
+++ b/router/internal/passthrough/handler.go
@@ -138,6 +138,8 @@
 // and a refusal if the request must not run. It is called on arrival and before each dispatch. While
 // the configuration is too old, it refuses nothing permanently.
 func (h *Handler) resolve(c *call) (*passthrough.Route, *refusal) {
+	// A configuration that is in force after a confirmation is at least as new as the confirmed one.
+	fresh := h.config.Fresh()
 	index := h.config.Index()
 	if index == nil {
 		return nil, &refusal{http.StatusServiceUnavailable, reasonNoConfig, retryElsewhereAfter}
@@ -145,24 +147,24 @@
 	c.maxBody = index.Limits.MaxBodyBytes
 	route := index.Route(c.request.Host, c.path)
 	if route == nil {
-		return nil, h.deny(http.StatusNotFound, reasonNoRoute)
+		return nil, deny(http.StatusNotFound, reasonNoRoute, fresh)
 	}
 	c.team = index.Team(c.caller.Key)
 	if !index.NeedsKey(route) {
 		return route, nil
 	}
-	if !h.config.Fresh() {
+	if !fresh {
 		return route, &refusal{http.StatusServiceUnavailable, passthrough.ReasonNotFresh, retryElsewhereAfter}
 	}
 	if c.team == nil {
-		return route, h.deny(http.StatusUnauthorized, reasonUnknownKey)
+		return route, deny(http.StatusUnauthorized, reasonUnknownKey, fresh)
 	}
 	return route, nil
 }
 
 // deny returns a permanent refusal, or a temporary one while the configuration may be outdated.
-func (h *Handler) deny(status int, reason passthrough.Reason) *refusal {
-	if !h.config.Fresh() {
+func deny(status int, reason passthrough.Reason, fresh bool) *refusal {
+	if !fresh {
 		return &refusal{http.StatusServiceUnavailable, passthrough.ReasonNotFresh, retryElsewhereAfter}
 	}
 	return &refusal{status: status, reason: reason}
--- a/router/internal/passthrough/membership.go
+++ b/router/internal/passthrough/membership.go
@@ -303,7 +303,7 @@
 			s.listed.Store(false)
 			s.announcedAt = time.Time{}
 		},
-		onRead: func(time.Time, int) {
+		onRead: func() {
 			s.reannounceIfMissing(ctx)
 			s.reportCounts()
 		},
--- a/router/internal/passthrough/observationreader.go
+++ b/router/internal/passthrough/observationreader.go
@@ -16,11 +16,9 @@
 func (st *observationStore) reader(clock Clock, active func() bool) *topicReader {
 	t := &topicReader{
 		name: topicObservations, log: st.log, clock: clock, telemetry: st.telemetry, longestRetryDelay: slowRetryDelay,
-		onRecord: st.apply,
-		onRead: func(asOf time.Time, _ int) {
-			st.markRead(asOf)
-			st.onRead()
-		},
+		onRecord:   st.apply,
+		onCaughtUp: st.markRead,
+		onRead:     func() { st.onRead() },
 		onRecovery: st.onRecovery, onRestore: st.onRestore,
 	}
 	t.onSnapshot = st.applySnapshot
--- a/router/internal/passthrough/operator.go
+++ b/router/internal/passthrough/operator.go
@@ -71,11 +71,13 @@
 		// The other records need no such delay: this process has no earlier state of them.
 		onFirstRead: o.restoreGuard.onFirstRead,
 		onRestore:   o.onRestore,
-		onRead: func(asOf time.Time, _ int) {
-			o.reconcileDrained()
+		onCaughtUp: func(asOf time.Time) {
 			if o.restoreGuard.confirms() {
 				o.config.Confirm(asOf)
 			}
+		},
+		onRead: func() {
+			o.reconcileDrained()
 			if o.config.Index() != nil {
 				o.startGate.loaded(prerequisiteConfig)
 			}
--- a/router/internal/passthrough/register.go
+++ b/router/internal/passthrough/register.go
@@ -40,7 +40,7 @@
 			m.applyRegisterRecord(rec)
 		}
 	}
-	t.onRead = func(time.Time, int) {
+	t.onRead = func() {
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		m.registerRead = true
--- a/router/internal/passthrough/serverlist.go
+++ b/router/internal/passthrough/serverlist.go
@@ -95,7 +95,7 @@
 	}
 	t.onSnapshot = func(records []keyedlog.Record) { l.replace(records) }
 	t.onRestore = l.onRestore
-	t.onRead = func(time.Time, int) {
+	t.onRead = func() {
 		l.publish()
 		l.startGate.loaded(prerequisiteServers)
 	}
--- a/router/internal/passthrough/serverlist_outage.go
+++ b/router/internal/passthrough/serverlist_outage.go
@@ -47,11 +47,13 @@
 		return false
 	}
 	servers, written := l.countHeartbeats(o.written)
-	if servers == 0 {
+	if servers == 0 || len(o.written) == 0 {
 		return false
 	}
+	// Of the records that are not read yet, as many are heartbeats as of those that are.
+	all := float64(written) * (1 + float64(o.remaining)/float64(len(o.written)))
 	expected := float64(o.unread) / float64(l.heartbeat)
-	return expected-float64(written)/float64(servers) <= maxMissedHeartbeats
+	return expected-all/float64(servers) <= maxMissedHeartbeats
 }
 
 // countHeartbeats counts the records of those listed servers that the records do not remove, and these
--- a/router/internal/passthrough/serverlist_test.go
+++ b/router/internal/passthrough/serverlist_test.go
@@ -144,6 +144,23 @@
 	}
 }
 
+// TestServersThatWroteThroughALongOutageAreRemoved guards against requests to a server that has left because the first
+// read after an outage shows only a part of the heartbeats that were written in it.
+func TestServersThatWroteThroughALongOutageAreRemoved(t *testing.T) {
+	heartbeat := entry("one", "server shop v1 ready")
+	for remaining, kept := range map[uint64]bool{0: true, 4: true, 5: false} {
+		p := newTestInstance("a", newFakeClock(), &fakeLog{}, &fakeLog{})
+		p.servers.heartbeat = 1200 * time.Millisecond
+		p.servers.apply(heartbeat)
+		lost := 9 * p.servers.heartbeat
+		p.servers.onRecovery(outage{lost: lost, unread: lost, remaining: remaining, written: []keyedlog.Record{heartbeat, heartbeat, heartbeat, heartbeat}})
+		p.servers.apply(entry("one", ""))
+		if p.servers.has("one") != kept {
+			t.Errorf("4 heartbeats of 9 read and %d more records: listed %v, want %v", remaining, !kept, kept)
+		}
+	}
+}
+
 // TestListIsReadOftenEnough guards against requests to a server that has left because the list was
 // read too late: data that passes through a collector is read twice, and at an instance that reads
 // only for itself one read may fail.
--- a/router/internal/passthrough/topicreader.go
+++ b/router/internal/passthrough/topicreader.go
@@ -40,11 +40,12 @@
 	// wake ends a pause early; nil for none.
 	wake chan struct{}
 	// onSnapshot is called with the newest record of each key, and onRecord with each record
-	// that follows; onRead is called after every read with the time as of which the topic was
-	// read and the number of records.
+	// that follows; onRead is called after every read, nil for none. onCaughtUp is called before
+	// that if the read reached the end of the topic, with the time as of which it did; nil for none.
 	onSnapshot func([]keyedlog.Record)
 	onRecord   func(keyedlog.Record)
-	onRead     func(asOf time.Time, records int)
+	onRead     func()
+	onCaughtUp func(asOf time.Time)
 	// onFirstRead is called before onSnapshot gets the first records that this process reads, with the
 	// log's era; nil for none. onRestore is called before onSnapshot gets the records of a topic that
 	// was restored since; nil for none.
@@ -55,12 +56,13 @@
 	onRecovery func(outage)
 
 	// next is where the next read starts, valid if positioned is true; its era is kept to detect
-	// a restore. readAt is the time as of which the topic was last read, zero for never. lostSince is
-	// the start of the current outage, zero for none; failedReads counts the reads that failed in it,
+	// a restore. readAt is the time as of which the topic was last read to its end, zero for never; remaining
+	// is how many records followed the last read. lostSince is the start of the current outage, zero for none; failedReads counts the reads that failed in it,
 	// withheldReads those of them that did not go to the store.
 	next          keyedlog.Position
 	positioned    bool
 	readAt        time.Time
+	remaining     uint64
 	lostSince     time.Time
 	failedReads   int
 	withheldReads int
@@ -78,7 +80,7 @@
 			continue
 		}
 		delay = minDelay
-		if t.pause != nil {
+		if t.pause != nil && t.remaining == 0 {
 			sleep(ctx, t.pause(), t.wake)
 		}
 	}
@@ -107,7 +109,7 @@
 		t.onRecord(r)
 	}
 	t.next = batch.Next
-	t.noteRead(t.asOf(began, batch.Age), len(batch.Records))
+	t.noteRead(t.asOf(began, batch.Age), batch.Remaining)
 	return nil
 }
 
@@ -126,14 +128,30 @@
 	}
 	t.onSnapshot(snap.Records)
 	t.next, t.positioned = snap.Next, true
-	t.noteRead(t.asOf(began, snap.Age), len(snap.Records))
+	t.noteRead(t.asOf(began, snap.Age), 0)
 	return nil
 }
 
-// noteRead records a successful read and calls onRead.
-func (t *topicReader) noteRead(asOf time.Time, records int) {
-	t.readAt = asOf
-	t.onRead(asOf, records)
+// noteRead records a successful read after which remaining records follow, and calls onCaughtUp and onRead.
+//
+// Load: a reader that the store turned away returns to a backlog that exceeds one read. Harm prevented: it takes
+// the first part for all there is, and accepts a key that a later record revokes.
+func (t *topicReader) noteRead(asOf time.Time, remaining uint64) {
+	if remaining > 0 && t.remaining == 0 {
+		t.telemetry.count("topic_catch_up")
+		t.telemetry.emit(logging.EventTopicBacklog, slog.String("topic", t.name), slog.Uint64("read_to", t.next.Offset),
+			slog.Uint64("remaining", remaining))
+	}
+	t.remaining = remaining
+	if remaining == 0 {
+		t.readAt = asOf
+		if t.onCaughtUp != nil {
+			t.onCaughtUp(asOf)
+		}
+	}
+	if t.onRead != nil {
+		t.onRead()
+	}
 }
 
 // noteRestore logs that the topic was restored from a backup and may lack records that were read
@@ -179,11 +197,12 @@
 	// failure of the store itself was shorter than that.
 	lost   time.Duration
 	unread time.Duration
-	// written are the records written in the unread time, nil if only the newest ones are known. A
-	// collector leaves out those that change nothing; steady is then for how long it has read the topic
-	// without interruption, 0 if unknown.
-	written []keyedlog.Record
-	steady  time.Duration
+	// written are the first records written in the unread time, nil if only the newest ones are known, and remaining
+	// is how many followed them. A collector leaves out those that change nothing; steady is then for how long it has
+	// read the topic without interruption, 0 if unknown.
+	written   []keyedlog.Record
+	remaining uint64
+	steady    time.Duration
 }
 
 // noteRecovery records and logs the end of an outage, and calls onRecovery. b is the batch that
@@ -194,7 +213,7 @@
 	}
 	if t.onRecovery != nil {
 		now := t.clock.Now()
-		t.onRecovery(outage{lost: now.Sub(t.lostSince), unread: now.Sub(t.readAt), written: b.Records, steady: b.Steady})
+		t.onRecovery(outage{lost: now.Sub(t.lostSince), unread: now.Sub(t.readAt), written: b.Records, remaining: b.Remaining, steady: b.Steady})
 	}
 	t.telemetry.emit(logging.EventStoreRegained, slog.String("topic", t.name),
 		slog.Int64("lost_ms", t.clock.Now().Sub(t.lostSince).Milliseconds()),
--- a/router/internal/relay/cache.go
+++ b/router/internal/relay/cache.go
@@ -79,8 +79,9 @@
 	return c.hasLaterEraThanLocked(p)
 }
 
-// Add appends a batch that was read from the cache's end and was current at the given time. A batch
-// of another era is ignored, since it does not continue the cached records.
+// Add appends a batch that was read from the cache's end and was current at the given time, if it reaches the end
+// of the log; otherwise it does not confirm the cached state. A batch of another era is ignored, since it does not
+// continue the cached records.
 func (c *Cache) Add(b keyedlog.Batch, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -104,7 +105,11 @@
 		c.firstOffset = c.records[0].Offset
 	}
 	c.next = keyedlog.Position{Era: max(b.Next.Era, c.next.Era), Offset: b.Next.Offset}
-	c.confirm(at)
+	if b.AtEnd() {
+		c.confirm(at)
+	} else {
+		c.wakeReads()
+	}
 }
 
 // MaxConfirmGap is the longest time between two reads of a topic that count as reading it without
@@ -120,6 +125,11 @@
 		}
 		c.confirmedAt = at
 	}
+	c.wakeReads()
+}
+
+// wakeReads wakes the waiting reads. The lock must be held.
+func (c *Cache) wakeReads() {
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
--- a/router/internal/relay/relay_test.go
+++ b/router/internal/relay/relay_test.go
@@ -195,3 +195,24 @@
 		t.Errorf("steady for %v a second after a gap, want 1s", got)
 	}
 }
+
+// TestPartOfABacklogDoesNotConfirmTheCache guards against followers that accept a revoked key while their collector
+// catches up: the state is as old as the last read that reached the end of the log.
+func TestPartOfABacklogDoesNotConfirmTheCache(t *testing.T) {
+	now := time.Unix(100, 0)
+	c := NewCache(func() time.Time { return now }, nil)
+	c.Replace(keyedlog.Snapshot{Next: keyedlog.AtOffset(0)}, now)
+	now = now.Add(9 * time.Second)
+	ages := map[uint64]time.Duration{}
+	for offset, remaining := range []uint64{1, 0} {
+		c.Add(keyedlog.Batch{Next: keyedlog.AtOffset(uint64(offset + 1)), Remaining: remaining}, now)
+		b, err := c.Read(t.Context(), keyedlog.AtOffset(0), 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ages[remaining] = b.Age
+	}
+	if ages[1] != 9*time.Second || ages[0] != 0 {
+		t.Errorf("age %v after a part of the backlog and %v at its end, want 9s and 0s", ages[1], ages[0])
+	}
+}
