A part of prompts that crashes engines after an event is found

Cause: the first event of a response acquitted the parts of its prompt, and a connection that was lost after it was no evidence; engines that write an event before they crash were never found. Crashes count by the age at which the responses are lost. Responses that may still crash their engine are withdrawn with the verdict.

--- a/decision/internal/culprit/evidence.go
+++ b/decision/internal/culprit/evidence.go
@@ -9,11 +9,13 @@
 // Part identifies a part of a prompt, by a hash that is the same at all instances.
 type Part = uint64
 
-// Suspect is a request that was lost when a server crashed, before any event of its response.
+// Suspect is a request that was lost when a server crashed, before any event of its response or, in the second stage,
+// soon after the first one (see Begun).
 type Suspect struct {
 	// Request is a hash of the request's id.
 	Request uint64
-	// Parts are the parts of its prompt that other requests may share; Sent is when it was sent to the server.
+	// Parts are the parts of its prompt that other requests may share; Sent is when it was sent to the server, or, in
+	// the second stage, when the first event arrived.
 	Parts []Part
 	Sent  time.Time
 }
@@ -27,7 +29,8 @@
 	Suspects []Suspect
 }
 
-// Answer is the latest request with the part on which a response has begun. Sent is when it was sent.
+// Answer is the latest request with the part on which a response has begun or, in the second stage, has been survived.
+// Sent is as in Suspect.
 type Answer struct {
 	Part Part
 	Sent time.Time
@@ -48,9 +51,17 @@
 	Answers    []Answer
 	Candidates []Candidate
 	Verdicts   []Verdict
-	// Answered and Lost count the requests whose response began, and those that were lost before, within about
-	// outcomeMemory.
-	Answered, Lost float64
+	// Waiting and Begun are the outcomes of the two stages.
+	Waiting, Begun Outcomes
+}
+
+// Outcomes count the requests whose stage ended with an answer, and those that were lost in it, within about
+// outcomeMemory.
+type Outcomes struct{ Answered, Lost float64 }
+
+// Add returns the sum of two counts.
+func (o Outcomes) Add(with Outcomes) Outcomes {
+	return Outcomes{Answered: o.Answered + with.Answered, Lost: o.Lost + with.Lost}
 }
 
 const (
@@ -130,6 +141,17 @@
 	return n
 }
 
+// countStage returns the number of suspects in the stage.
+func (c *Crash) countStage(in stage) int {
+	n := 0
+	for _, s := range c.Suspects {
+		if stageOfParts(s.Parts) == in {
+			n++
+		}
+	}
+	return n
+}
+
 // lastSent returns when the latest suspect with the part was sent; the zero time if there is none.
 func (c *Crash) lastSent(p Part) time.Time {
 	var last time.Time
@@ -141,6 +163,18 @@
 	return last
 }
 
+// age returns for how long the part had been at the server: since its first suspect with the part was sent or, in the
+// second stage, had begun its response. It is 0 if there is none.
+func (c *Crash) age(p Part) time.Duration {
+	var longest time.Duration
+	for _, s := range c.Suspects {
+		if slices.Contains(s.Parts, p) {
+			longest = max(longest, c.At.Sub(s.Sent))
+		}
+	}
+	return longest
+}
+
 // expire drops the crashes that no longer count.
 func (t *crashTable) expire(now time.Time) {
 	*t = slices.DeleteFunc(*t, func(c Crash) bool { return now.Sub(c.At) > memory })
@@ -162,7 +196,7 @@
 	for _, c := range e.Crashes {
 		crashes.add(c)
 	}
-	out := Evidence{Crashes: crashes.since(time.Time{}, maxReportedCrashes), Answered: e.Answered, Lost: e.Lost}
+	out := Evidence{Crashes: crashes.since(time.Time{}, maxReportedCrashes), Waiting: e.Waiting, Begun: e.Begun}
 	out.Candidates = combineCandidates(e.Candidates)
 	out.Verdicts = combineVerdicts(e.Verdicts)
 	out.Answers = combineAnswers(e.Answers, out.namedParts())
--- a/decision/internal/culprit/finder.go
+++ b/decision/internal/culprit/finder.go
@@ -26,14 +26,14 @@
 type Finder struct {
 	// crashes are those that all instances saw, own those that this instance saw.
 	crashes, own crashTable
-	// ownAnswers is, by part, when the latest request of this instance was sent on which a response has begun.
+	// ownAnswers is, by part, the latest time of an answer of this instance (Answer.Sent).
 	ownAnswers *simplelru.LRU[Part, time.Time]
 	// acquitted is the same over all instances, for parts that crashes or verdicts name.
 	acquitted *simplelru.LRU[Part, time.Time]
 	// outcomes are those of this instance, others what the other instances reported last.
 	// samples are the sums of both, for as long as crashes count.
-	outcomes outcomes
-	others   outcomes
+	outcomes stageOutcomes
+	others   stageOutcomes
 	samples  []outcomeSample
 	// candidates are those of this instance, named those that other instances reported, by part.
 	candidates map[Part]*candidacy
@@ -69,8 +69,7 @@
 	c := Crash{Process: process, At: at, Suspects: []Suspect{s}}
 	f.own.add(c)
 	f.addCrash(c)
-	f.outcomes.decay(at)
-	f.outcomes.lost++
+	f.outcomes.add(at, s.Parts, Outcomes{Lost: 1})
 }
 
 // addCrash adds a crash to those of all instances, and applies what this instance knows of its suspects.
@@ -85,7 +84,8 @@
 	}
 }
 
-// AddAnswer adds a response of this instance that has begun now, to a request that was sent at the time.
+// AddAnswer adds a response of this instance that has begun now, to a request that was sent at the time; or, with the
+// parts of the second stage, one whose server has survived it by now, and whose first event arrived at the time.
 func (f *Finder) AddAnswer(now time.Time, parts []Part, sent time.Time) {
 	for _, p := range parts {
 		keepLatest(f.ownAnswers, p, sent)
@@ -93,8 +93,7 @@
 			keepLatest(f.acquitted, p, sent)
 		}
 	}
-	f.outcomes.decay(now)
-	f.outcomes.answered++
+	f.outcomes.add(now, parts, Outcomes{Answered: 1})
 }
 
 // isNamed reports whether a crash, a candidate or a verdict names the part.
@@ -118,7 +117,7 @@
 	for _, a := range e.Answers {
 		keepLatest(f.acquitted, a.Part, a.Sent)
 	}
-	f.others = outcomes{answered: e.Answered, lost: e.Lost, at: now}
+	f.others = stageOutcomes{counts: [stages]Outcomes{waiting: e.Waiting, begun: e.Begun}, at: now}
 	var added []Verdict
 	for _, v := range e.Verdicts {
 		if f.AddVerdict(now, v) {
@@ -135,7 +134,7 @@
 	f.outcomes.decay(now)
 	out := Evidence{
 		Crashes: f.own.since(now.Add(-reportPeriod), maxReportedCrashes), Candidates: f.reportedCandidates(),
-		Verdicts: slices.Clone(f.verdicts), Answered: f.outcomes.answered, Lost: f.outcomes.lost,
+		Verdicts: slices.Clone(f.verdicts), Waiting: f.outcomes.counts[waiting], Begun: f.outcomes.counts[begun],
 	}
 	for p := range out.namedParts() {
 		out.addAnswer(f, p)
--- a/decision/internal/culprit/finder_test.go
+++ b/decision/internal/culprit/finder_test.go
@@ -129,6 +129,30 @@
 	}
 }
 
+// TestPartIsFoundAlthoughMostResponsesAreLost guards against a part that crashes few servers, soon after each response on it
+// has begun, and is found late as most other responses are lost within SurvivalTime too, at any age.
+func TestPartIsFoundAlthoughMostResponsesAreLost(t *testing.T) {
+	const bad, frequent = Part(2), Part(3)
+	f, now := NewFinder(), simStart
+	for process := range uint64(8) {
+		now = now.Add(step)
+		lost := func(p Part, age time.Duration) {
+			f.AddCrash(process, now, Suspect{Request: 100*process + p, Parts: Begun([]Part{p}), Sent: now.Add(-age)})
+		}
+		lost(bad, 50*time.Millisecond)
+		if process != 3 {
+			lost(frequent, time.Duration(40+50*process)*time.Millisecond)
+		}
+		lost(100+process, 200*time.Millisecond)
+		f.AddAnswer(now, Begun([]Part{900 + process}), now.Add(-SurvivalTime))
+		f.Convict(now)
+	}
+	f.Convict(now.Add(settleTime))
+	if !f.Holds(now, []Part{bad}) || f.Holds(now, []Part{frequent}) {
+		t.Errorf("verdicts %v, want one on the part that was at all crashes at the same age", f.verdicts)
+	}
+}
+
 // BenchmarkConvict judges as many crashes as are kept, each with as many suspects, after a verdict.
 func BenchmarkConvict(b *testing.B) {
 	f, now := NewFinder(), simStart
--- a/decision/internal/culprit/outcomes.go
+++ b/decision/internal/culprit/outcomes.go
@@ -6,43 +6,59 @@
 	"time"
 )
 
-// outcomes are counts of requests that decay with the time constant outcomeMemory.
-type outcomes struct {
-	// answered are those whose response began, lost those that were lost before.
-	answered, lost float64
-	at             time.Time
+// stageOutcomes are the outcomes of each stage. They decay with the time constant outcomeMemory.
+type stageOutcomes struct {
+	counts [stages]Outcomes
+	at     time.Time
 }
 
-func (o *outcomes) decay(now time.Time) {
-	if elapsed := now.Sub(o.at); elapsed > 0 {
-		keep := math.Exp(-elapsed.Seconds() / outcomeMemory.Seconds())
-		o.answered, o.lost, o.at = o.answered*keep, o.lost*keep, now
+func (o *stageOutcomes) decay(now time.Time) {
+	elapsed := now.Sub(o.at)
+	if elapsed <= 0 {
+		return
 	}
+	keep := math.Exp(-elapsed.Seconds() / outcomeMemory.Seconds())
+	for i := range o.counts {
+		o.counts[i] = Outcomes{Answered: o.counts[i].Answered * keep, Lost: o.counts[i].Lost * keep}
+	}
+	o.at = now
+}
+
+// add adds outcomes of the stage of the parts.
+func (o *stageOutcomes) add(now time.Time, parts []Part, n Outcomes) {
+	o.decay(now)
+	c := &o.counts[stageOfParts(parts)]
+	*c = c.Add(n)
 }
 
-// outcomeSample is how many requests of all instances were answered and lost within about outcomeMemory before a time.
+// outcomeSample holds the outcomes of all instances within about outcomeMemory before a time.
 type outcomeSample struct {
-	at             time.Time
-	answered, lost float64
+	at     time.Time
+	counts [stages]Outcomes
 }
 
 // sampleOutcomes records the counts of all instances as of now.
 func (f *Finder) sampleOutcomes(now time.Time) {
 	f.outcomes.decay(now)
 	f.others.decay(now)
-	f.samples = append(f.samples, outcomeSample{now, f.outcomes.answered + f.others.answered, f.outcomes.lost + f.others.lost})
+	sample := outcomeSample{at: now}
+	for i := range sample.counts {
+		sample.counts[i] = f.outcomes.counts[i].Add(f.others.counts[i])
+	}
+	f.samples = append(f.samples, sample)
 }
 
 // lostFractions estimates, for each of the crashes of the case, which fraction of the requests of all instances were
-// lost at its time, without those that the case explains. A fraction is below 1, and above 0 for want of certainty.
+// lost at its time in the stage of the part, without those that the case explains. A fraction is below 1, and above 0 for want of certainty.
 //
 // Each estimate is the highest one until outcomeMemory after the crash: the reports of other instances arrive late.
 func (f *Finder) lostFractions(c indictment) []float64 {
 	samples := f.samples[f.firstSample(c.crashes[0].At):]
 	bySample := make([]float64, len(samples))
 	for i, s := range samples {
-		lost := max(s.lost-float64(f.explained(s.at, c)), 0)
-		bySample[i] = (lost + 1) / (lost + s.answered + 2)
+		counts := s.counts[c.stage]
+		lost := max(counts.Lost-float64(f.explained(s.at, c)), 0)
+		bySample[i] = (lost + 1) / (lost + counts.Answered + 2)
 	}
 	out := make([]float64, len(c.crashes))
 	for i, crash := range c.crashes {
--- a/decision/internal/culprit/sim_test.go
+++ b/decision/internal/culprit/sim_test.go
@@ -16,7 +16,9 @@
 	// simDown is how long a server is down after a crash, simCrashDelay the time from the begin of the response.
 	simDown       = 3 * time.Second
 	simCrashDelay = 60 * time.Millisecond
-	simAttempts   = 3
+	// simLateCrashDelay is the same for servers that write events first.
+	simLateCrashDelay = 300 * time.Millisecond
+	simAttempts       = 3
 	// simDeciders is how many of the instances draw verdicts of their own; all pass them on.
 	simDeciders = 16
 	// simWindow and simLate are the time from the fifth crash after which simLate requests may reach servers.
@@ -35,6 +37,8 @@
 	badRate float64
 	// domains is the number of failure domains, each of which combines the reports of its instances.
 	domains int
+	// eventsFirst is true if a bad response begins with an event, simLateCrashDelay before the crash.
+	eventsFirst bool
 	// crash lets servers crash for other reasons; nil for never.
 	crash func(s *simFleet)
 	// seconds is the length of the simulation.
@@ -52,6 +56,16 @@
 	sent     time.Time
 	// answerAt is when the first event arrives, or the crash of a bad request begins.
 	answerAt time.Time
+	// begun is true once the first event has arrived.
+	begun bool
+}
+
+// suspect returns the request as a suspect of a crash now.
+func (r *simRequest) suspect() Suspect {
+	if r.begun {
+		return Suspect{Request: r.id, Parts: Begun(r.parts), Sent: r.answerAt}
+	}
+	return Suspect{Request: r.id, Parts: r.parts, Sent: r.sent}
 }
 
 type simServer struct {
@@ -168,7 +182,7 @@
 			continue
 		}
 		r.attempts++
-		r.server, r.sent = at, s.now
+		r.server, r.sent, r.begun = at, s.now, false
 		latency := 20*time.Millisecond + time.Duration(s.rng.ExpFloat64()*float64(120*time.Millisecond))
 		if s.rng.IntN(20) == 0 {
 			latency += time.Duration(s.rng.IntN(1500)) * time.Millisecond
@@ -187,14 +201,14 @@
 	for at, srv := range s.servers {
 		keep := srv.requests[:0]
 		for _, r := range srv.requests {
-			if s.now.Before(r.answerAt) || r.bad != 0 {
-				if r.bad != 0 && !s.now.Before(r.answerAt) && srv.crashAt.IsZero() {
-					srv.crashAt, srv.bad = s.now.Add(simCrashDelay), r.bad
-				}
-				keep = append(keep, r)
+			if !s.now.Before(r.answerAt) {
+				s.beginResponse(srv, r)
+			}
+			if r.bad == 0 && !s.now.Before(r.answerAt.Add(SurvivalTime)) {
+				s.finders[r.instance].AddAnswer(s.now, Begun(r.parts), r.answerAt)
 				continue
 			}
-			s.finders[r.instance].AddAnswer(s.now, r.parts, r.sent)
+			keep = append(keep, r)
 		}
 		srv.requests = keep
 		if !srv.crashAt.IsZero() && !s.now.Before(srv.crashAt) {
@@ -204,6 +218,20 @@
 	}
 }
 
+// beginResponse sends the first event of a response, or lets the server crash soon.
+func (s *simFleet) beginResponse(srv *simServer, r *simRequest) {
+	if r.bad != 0 && srv.crashAt.IsZero() {
+		srv.crashAt, srv.bad = s.now.Add(simCrashDelay), r.bad
+		if s.eventsFirst {
+			srv.crashAt = s.now.Add(simLateCrashDelay)
+		}
+	}
+	if !r.begun && (r.bad == 0 || s.eventsFirst) {
+		r.begun = true
+		s.finders[r.instance].AddAnswer(s.now, r.parts, r.sent)
+	}
+}
+
 // endProcess crashes a server. Its requests are lost and sent again.
 func (s *simFleet) endProcess(at int) {
 	srv := s.servers[at]
@@ -212,7 +240,7 @@
 	process := srv.process
 	*srv = simServer{process: s.processes, upAt: s.now.Add(simDown)}
 	for _, r := range lost {
-		s.finders[r.instance].AddCrash(process, s.now, Suspect{Request: r.id, Parts: r.parts, Sent: r.sent})
+		s.finders[r.instance].AddCrash(process, s.now, r.suspect())
 	}
 	for _, r := range lost {
 		s.send(r)
@@ -233,7 +261,7 @@
 	}
 	srv.requests = keep
 	for _, r := range lost {
-		s.finders[r.instance].AddCrash(srv.process, s.now, Suspect{Request: r.id, Parts: r.parts, Sent: r.sent})
+		s.finders[r.instance].AddCrash(srv.process, s.now, r.suspect())
 		s.send(r)
 	}
 }
@@ -247,7 +275,7 @@
 		srv.requests = slices.DeleteFunc(srv.requests, func(r *simRequest) bool {
 			lost := s.cutOff[r.instance] && !r.answerAt.After(s.now.Add(simTick))
 			if lost {
-				s.finders[r.instance].AddCrash(srv.process, s.now, Suspect{Request: r.id, Parts: r.parts, Sent: r.sent})
+				s.finders[r.instance].AddCrash(srv.process, s.now, r.suspect())
 			}
 			return lost
 		})
@@ -288,7 +316,7 @@
 	sum.Answers = append(sum.Answers, e.Answers...)
 	sum.Candidates = append(sum.Candidates, e.Candidates...)
 	sum.Verdicts = append(sum.Verdicts, e.Verdicts...)
-	sum.Answered, sum.Lost = sum.Answered+e.Answered, sum.Lost+e.Lost
+	sum.Waiting, sum.Begun = sum.Waiting.Add(e.Waiting), sum.Begun.Add(e.Begun)
 }
 
 // judge records which parts all instances hold back, and sound requests that any holds back.
@@ -297,7 +325,7 @@
 		p := 100 + uint64(b)
 		all := true
 		for _, f := range s.finders {
-			all = all && f.convicted([]Part{1, 2, 3, p}) != nil
+			all = all && (f.convicted([]Part{1, 2, 3, p}) != nil || f.convicted(Begun([]Part{1, 2, 3, p})) != nil)
 		}
 		if _, known := s.convictedAt[p]; all && !known {
 			s.convictedAt[p] = s.now
@@ -307,7 +335,7 @@
 		for _, v := range f.verdicts {
 			left, sound := f.remaining(v), true
 			for _, p := range left {
-				sound = sound && (p < 100 || p >= 1000)
+				sound = sound && !s.isBad(p)
 			}
 			if sound && len(left) > 0 {
 				s.wrong[fmt.Sprint(left)] = true
@@ -316,6 +344,16 @@
 	}
 }
 
+// isBad reports whether the part, in either stage, crashes servers.
+func (s *simFleet) isBad(p Part) bool {
+	for b := range s.bad {
+		if p == badPart(b) || p == Begun([]Part{badPart(b)})[0] {
+			return true
+		}
+	}
+	return false
+}
+
 // lateSends is how many requests with the bad part were sent later than simWindow after its fifth crash.
 func (s *simFleet) lateSends(p Part) int {
 	if len(s.badCrashes[p]) < 5 {
@@ -356,6 +394,22 @@
 	}
 }
 
+// TestPartThatCrashesServersAfterEventsIsFound guards against a part that is acquitted by the events that a server writes
+// before it crashes, and is never found.
+func TestPartThatCrashesServersAfterEventsIsFound(t *testing.T) {
+	for _, fleet := range simFleets {
+		for _, badRate := range fleet.badRates {
+			t.Run(fmt.Sprintf("%d instances, %.1f a second", fleet.instances, badRate), func(t *testing.T) {
+				t.Parallel()
+				c := simCase{instances: fleet.instances, servers: fleet.servers, domains: fleet.domains, rate: fleet.rate, bad: 1, badRate: badRate, eventsFirst: true, seconds: 12}
+				for seed := range *simSeeds {
+					runSim(c, seed).checkFound(t)
+				}
+			})
+		}
+	}
+}
+
 // TestTwoPartsBeforeFewServersAreFoundInTime guards against two parts that together are most of a tenth of the requests
 // to 18 servers, of which one is found late as both are at the same crashes.
 func TestTwoPartsBeforeFewServersAreFoundInTime(t *testing.T) {
@@ -486,7 +540,7 @@
 						keep = append(keep, r)
 						continue
 					}
-					s.finders[0].AddCrash(srv.process, s.now, Suspect{Request: r.id, Parts: r.parts, Sent: r.sent})
+					s.finders[0].AddCrash(srv.process, s.now, r.suspect())
 				}
 				srv.requests = keep
 			}
--- a/decision/internal/culprit/verdict.go
+++ b/decision/internal/culprit/verdict.go
@@ -36,6 +36,8 @@
 	answerCover = time.Second
 	// judgePeriod is for how long after the latest crash the evidence is judged: as long as it may still change.
 	judgePeriod = 5 * time.Second
+	// minAge is the least age that distinguishes crashes: load brings down servers soon after responses begin, too.
+	minAge = SurvivalTime / 4
 	// clockSlack is by how much times may differ between instances, which state them as ages.
 	clockSlack = 20 * time.Millisecond
 	// verdictMemory is how long a verdict holds after a request with its parts last came.
@@ -54,7 +56,7 @@
 	}
 	f.sampleOutcomes(now)
 	counts := f.crashCounts()
-	suspects := len(counts)
+	suspects := countStages(counts)
 	f.nominate(now, counts)
 	var out []Verdict
 	for len(f.verdicts) < maxVerdicts {
@@ -69,14 +71,14 @@
 }
 
 // nextVerdict returns a verdict on one of the suspect parts that the evidence allows and that is not known yet.
-func (f *Finder) nextVerdict(now time.Time, suspects int) (Verdict, bool) {
+func (f *Finder) nextVerdict(now time.Time, suspects [stages]int) (Verdict, bool) {
 	if len(f.crashes) < minConvictionCrashes {
 		return Verdict{}, false
 	}
 	blamed := f.blamed()
 	for _, p := range f.convictable(now) {
 		c := f.caseAgainst(now, p, blamed, settleTime)
-		if !c.covers() || !f.suffices(c, suspects) || f.isKnown(c.together) || f.hasRival(c) {
+		if !c.covers() || !f.suffices(c, suspects[c.stage]) || f.isKnown(c.together) || f.hasRival(c) {
 			continue
 		}
 		return Verdict{Parts: c.together, Since: c.crashes[0].At, LastSeen: now, Crashes: len(c.crashes)}, true
@@ -116,10 +118,21 @@
 	return out
 }
 
+// countStages returns the number of parts in each stage.
+func countStages(counts map[Part]int) (out [stages]int) {
+	for p := range counts {
+		out[stageOf(p)]++
+	}
+	return out
+}
+
 // indictment is what speaks against a part.
 type indictment struct {
-	// crashes count against the part.
+	// stage is the one in which the part counts, and crashes are those that count against it.
+	stage   stage
 	crashes []Crash
+	// maxAge is for how long the part had been at the servers at most when these crashed (Crash.age).
+	maxAge time.Duration
 	// together are the part and those that all suspects with it contain, in ascending order.
 	together []Part
 	// answered is true if responses on the part began lately.
@@ -127,7 +140,7 @@
 	// with and all count the steps of coverageStep, from the first crash to the last one, with crashes at which the
 	// part was, and with any.
 	with, all int
-	// explains is, for each crash that is known, the number of suspects that contain the part, or all of them if a
+	// explains is, for each crash that is known, the number of suspects that contain the part, or all of the stage if a
 	// verdict is on another part.
 	explains []int
 }
@@ -135,7 +148,7 @@
 // covers reports whether the part was at enough of the crashes in its time.
 func (c *indictment) covers() bool { return float64(c.with) >= minCoverage*float64(c.all) }
 
-// suffices reports whether the crashes convict one of the suspect parts.
+// suffices reports whether the crashes convict one of the suspect parts of its stage.
 func (f *Finder) suffices(c indictment, suspects int) bool {
 	crashes, improbability := minConvictionCrashes, math.Log(float64(suspects)/maxChance)
 	if c.answered {
@@ -146,15 +159,29 @@
 	}
 	sum := 0.0
 	for _, fraction := range f.lostFractions(c) {
-		sum -= math.Log(fraction)
+		sum -= math.Log(c.lostWithinAge(fraction))
 	}
 	return sum >= improbability
 }
 
+// lostWithinAge returns which fraction of the requests is lost within maxAge of their first event, if fraction is lost
+// within SurvivalTime, at a constant rate. In the first stage, which has no fixed length, it returns fraction.
+//
+// Load: a part that crashes the few servers so often that most responses on other parts are lost soon after they began as
+// well. Harm prevented: its crashes look probable, and it is found after many more. It crashes servers always at the same
+// age; other parts are lost at any.
+func (c *indictment) lostWithinAge(fraction float64) float64 {
+	if c.stage != begun {
+		return fraction
+	}
+	share := min(float64(max(c.maxAge, minAge))/float64(SurvivalTime), 1)
+	return 1 - math.Pow(1-fraction, share)
+}
+
 // caseAgainst collects the crashes that count against the part. Those that other parts are held responsible for do
 // not, nor do those after which less than settle has passed.
 func (f *Finder) caseAgainst(now time.Time, p Part, blamed [][]Part, settle time.Duration) indictment {
-	var out indictment
+	out := indictment{stage: stageOf(p)}
 	answered, ok := f.acquitted.Peek(p)
 	out.answered = ok && now.Sub(answered) <= memory
 	out.explains = make([]int, len(f.crashes))
@@ -162,7 +189,7 @@
 	for i, c := range f.crashes {
 		out.explains[i] = c.count(p)
 		if blamed[i] != nil {
-			out.explains[i] = len(c.Suspects)
+			out.explains[i] = c.countStage(out.stage)
 		}
 		if blamed[i] != nil && !slices.Contains(blamed[i], p) || ok && !c.At.After(answered.Add(answerCover)) {
 			continue
@@ -180,6 +207,7 @@
 		settled := now.Sub(c.At) >= settle
 		if settled && (last.IsZero() || sent.After(last.Add(-clockSlack)) && c.At.Sub(last) > clockSlack) {
 			out.crashes, last = append(out.crashes, c), c.At
+			out.maxAge = max(out.maxAge, c.age(p))
 		}
 	}
 	if len(out.crashes) > 0 {
@@ -250,6 +278,17 @@
 
 // Holds reports whether requests with the parts are held back. Such a request prolongs the verdict.
 func (f *Finder) Holds(now time.Time, parts []Part) bool {
+	return f.holdsInStage(now, parts) || f.HoldsBegun(now, parts)
+}
+
+// HoldsBegun reports whether requests with the parts are held back although their responses have begun: the
+// parts crash servers after that. Such a request prolongs the verdict.
+func (f *Finder) HoldsBegun(now time.Time, parts []Part) bool {
+	return len(f.verdicts) > 0 && f.holdsInStage(now, Begun(parts))
+}
+
+// holdsInStage is Holds for the parts of one stage.
+func (f *Finder) holdsInStage(now time.Time, parts []Part) bool {
 	if len(parts) == 0 || len(f.verdicts) == 0 {
 		return false
 	}
@@ -263,9 +302,13 @@
 
 // SharesPart reports whether the parts contain some that a verdict holds responsible only together with others.
 func (f *Finder) SharesPart(parts []Part) bool {
+	if len(f.verdicts) == 0 {
+		return false
+	}
+	both := append(Begun(parts), parts...)
 	for i := range f.verdicts {
 		left := f.remaining(f.verdicts[i])
-		if len(left) > 1 && slices.ContainsFunc(left, func(p Part) bool { return slices.Contains(parts, p) }) {
+		if len(left) > 1 && slices.ContainsFunc(left, func(p Part) bool { return slices.Contains(both, p) }) {
 			return true
 		}
 	}
--- a/decision/passthrough/attempt.go
+++ b/decision/passthrough/attempt.go
@@ -16,7 +16,11 @@
 	w.recordRun(r, s, e.Result)
 	w.releaseServer(r)
 	r.observeEnd(e)
+	if e.Result == Completed && s != nil {
+		w.beginResponse(r, s)
+	}
 	w.recordOutcome(r, s, e)
+	w.endResponse(r, e.Result == Completed)
 	r.mayHaveRun = r.mayHaveRun || e.Result.MayHaveRun() || e.Begun
 	if e.Final {
 		w.remove(r)
@@ -38,9 +42,6 @@
 	switch e.Result {
 	case Completed:
 		w.learnEscalation(r, e.Confidence)
-		if !r.eventsBegun {
-			w.culprits.AddAnswer(w.now, r.Parts, r.sent)
-		}
 		w.crashes.forget(r.Fingerprint)
 		w.statsOf(r.Route.Name).responseTime.add(w.now.Sub(r.arrived).Seconds())
 		w.remove(r)
@@ -52,7 +53,7 @@
 	case Abandoned:
 		w.remove(r)
 	default:
-		if e.ConnectionLost && !r.eventsBegun && w.culprits.SharesPart(r.Parts) {
+		if e.ConnectionLost && !r.survived(w.now) && w.culprits.SharesPart(r.Parts) {
 			w.finishOrRefuse(r, ReasonPartQuarantined) // it may crash each server that it is sent to
 			return
 		}
--- a/decision/passthrough/dispatch.go
+++ b/decision/passthrough/dispatch.go
@@ -28,7 +28,7 @@
 	r.version = s.Version
 	r.sent = w.now
 	r.firstByte = 0
-	r.eventsBegun, r.withdrawn, r.dropped = false, false, false
+	r.begunAt, r.withdrawn, r.dropped = time.Time{}, false, false
 	w.recordTrial(r, s)
 	r.intervalReported = false
 	r.attempts++
--- a/decision/passthrough/promptparts.go
+++ b/decision/passthrough/promptparts.go
@@ -19,6 +19,8 @@
 	ServerCrash = culprit.Crash
 	// CrashSuspect is such a request.
 	CrashSuspect = culprit.Suspect
+	// CrashOutcomes are counts of requests that were answered, and that were lost.
+	CrashOutcomes = culprit.Outcomes
 	// PartAnswer is the latest request with a part on which a response has begun.
 	PartAnswer = culprit.Answer
 	// PartCandidate is a part that an instance may convict soon.
@@ -63,14 +65,6 @@
 // OwnEvidence returns what this instance tells the others.
 func (w *World) OwnEvidence(now time.Time) CrashEvidence { return w.culprits.Report(now) }
 
-// observeFirstEvent records that the server survived the beginning of the response.
-func (w *World) observeFirstEvent(e FirstEvent) {
-	if r := w.requests[e.Request]; r != nil && r.server != nil && len(r.Parts) > 0 {
-		r.eventsBegun = true
-		w.culprits.AddAnswer(w.now, r.Parts, r.sent)
-	}
-}
-
 // applyPeerEvidence applies what the other instances report, and judges the evidence.
 func (w *World) applyPeerEvidence(e PeerEvidence) {
 	if e.Instances > 0 {
@@ -92,17 +86,8 @@
 	}
 }
 
-// observeCrash records that a server was lost while the request waited for its response. A version that is being
-// rolled out may crash by itself.
-func (w *World) observeCrash(r *request, s *server) {
-	mayCrashByItself := w.runsTarget(s) && w.rollouts[s.Service].Share < 1
-	if len(r.Parts) > 0 && !r.eventsBegun && !mayCrashByItself {
-		w.culprits.AddCrash(s.processHash, w.now, culprit.Suspect{Request: mix(w.cfg.Seed ^ uint64(r.ID)), Parts: r.Parts, Sent: r.sent})
-	}
-}
-
-// quarantineParts applies a verdict: requests with its parts that wait, or are at a server that has not begun to
-// respond, end here; and what was concluded from the crashes is taken back.
+// quarantineParts applies a verdict: requests with its parts that wait, or are at a server that they may still crash,
+// end here; and what was concluded from the crashes is taken back.
 //
 // Load: requests with a part that crashes servers, at all instances. Harm prevented: further servers that crash, and
 // sound requests that are refused although servers are up.
@@ -115,7 +100,7 @@
 			r.service.queue.remove(r)
 			r.queued = false
 			w.finishOrRefuse(r, ReasonPartQuarantined)
-		case r.server != nil && !r.eventsBegun:
+		case r.server != nil && w.mayCrashServer(r):
 			r.withdrawn = true
 			w.emit(Withdraw{Request: r.ID})
 		}
@@ -129,6 +114,14 @@
 	}
 }
 
+// mayCrashServer reports whether the request, whose parts are quarantined, may still crash the server that it is at.
+func (w *World) mayCrashServer(r *request) bool {
+	return r.begunAt.IsZero() || !r.survived(w.now) && w.culprits.HoldsBegun(w.now, r.Parts)
+}
+
+// PartOf returns the part of prompts with a hash.
+func PartOf(hash uint64) uint64 { return culprit.PartOf(hash) }
+
 // isQuarantined reports whether the request contains parts that crash servers.
 func (w *World) isQuarantined(r *request) bool { return w.culprits.Holds(w.now, r.Parts) }
 
--- a/decision/passthrough/promptparts_test.go
+++ b/decision/passthrough/promptparts_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"masticplank.example/decision/internal/culprit"
 )
 
 const (
@@ -171,3 +173,102 @@
 	h.tick(AttemptEnded{Request: id, Result: Broken, ConnectionLost: true})
 	h.requireFinish(id)
 }
+
+// loseServer lets a request with the parts be lost at its server, after the first event of its response if begun is true.
+func (h *harness) loseServer(begun bool, parts ...uint64) {
+	id := h.arrive(streamRoute(), prompt(parts...))
+	h.requireDispatch(id)
+	if begun {
+		h.tick(FirstEvent{Request: id})
+		h.advance(50 * time.Millisecond)
+	}
+	h.tick(AttemptEnded{Request: id, Result: Broken, ConnectionLost: true, Begun: begun})
+	h.tick(RequestCancelled{Request: id})
+}
+
+// serve lets requests with sound parts be answered, and their servers survive that.
+func (h *harness) serve(requests int) {
+	for range requests {
+		id := h.arrive(streamRoute(), prompt(firstPart, otherPart))
+		h.requireDispatch(id)
+		h.tick(FirstEvent{Request: id})
+		h.tick(AttemptEnded{Request: id, Result: Completed})
+	}
+	h.advance(culprit.SurvivalTime)
+	h.tick()
+}
+
+// TestPartThatCrashesServersAfterAnEventIsFound guards against a part of prompts that the first event of each response
+// acquits, although servers write one before they crash.
+func TestPartThatCrashesServersAfterAnEventIsFound(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		h := newEngineHarness(t, 24)
+		h.tick(PeerEvidence{Instances: 1})
+		for crashes := 0; crashes < 8 && len(h.world.OwnEvidence(h.now).Verdicts) == 0; crashes++ {
+			h.serve(6)
+			h.loseServer(begun, firstPart, badPart)
+			own := h.world.OwnEvidence(h.now)
+			h.tick(PeerEvidence{Evidence: CrashEvidence{Candidates: own.Candidates}, Instances: 1})
+		}
+		h.requireRefusal(h.arrive(streamRoute(), prompt(firstPart, badPart)), ReasonPartQuarantined)
+		h.requireDispatch(h.arrive(streamRoute(), prompt(firstPart, otherPart)))
+	}
+}
+
+// TestServerThatGoesOnAcquitsAPart guards against a sound part that is a suspect for as long as its responses last, or that
+// is acquitted by a response which its server has not survived.
+func TestServerThatGoesOnAcquitsAPart(t *testing.T) {
+	for after, want := range map[time.Duration]int{culprit.SurvivalTime - time.Millisecond: 1, culprit.SurvivalTime: 0} {
+		h := newEngineHarness(t, 4)
+		id := h.arrive(streamRoute(), prompt(badPart))
+		h.requireDispatch(id)
+		h.tick(FirstEvent{Request: id})
+		h.advance(after)
+		h.tick(AttemptEnded{Request: id, Result: Broken, ConnectionLost: true, Begun: true})
+		e := h.world.OwnEvidence(h.now)
+		if len(e.Crashes) != want || (e.Begun.Answered > 0) == (want > 0) {
+			t.Errorf("lost %v after the first event: %d crashes, outcomes %v, want %d crashes", after, len(e.Crashes), e.Begun, want)
+		}
+	}
+}
+
+// TestCompleteResponseStaysASuspect guards against a part that is never found as its responses are complete before the
+// server crashes, which requests of other prompts observe.
+func TestCompleteResponseStaysASuspect(t *testing.T) {
+	h := newEngineHarness(t, 1)
+	complete, other := h.arrive(streamRoute(), prompt(badPart)), h.arrive(streamRoute(), prompt(otherPart))
+	h.tick(FirstEvent{Request: complete})
+	h.tick(AttemptEnded{Request: complete, Result: Completed})
+	h.advance(100 * time.Millisecond)
+	h.tick(AttemptEnded{Request: other, Result: Broken, ConnectionLost: true})
+	e := h.world.OwnEvidence(h.now)
+	if len(e.Crashes) != 1 || len(e.Crashes[0].Suspects) != 2 || e.Begun.Lost == 0 {
+		t.Errorf("crashes %v, outcomes %v, want one with both requests as suspects", e.Crashes, e.Begun)
+	}
+}
+
+// TestResponsesThatMayCrashTheirServerAreWithdrawn guards against a server that crashes although the part was quarantined
+// while the response had just begun, and against responses that are ended although the server survives them.
+func TestResponsesThatMayCrashTheirServerAreWithdrawn(t *testing.T) {
+	for _, afterEvents := range []bool{false, true} {
+		parts := []uint64{badPart}
+		if afterEvents {
+			parts = culprit.Begun(parts)
+		}
+		h := newEngineHarness(t, 4)
+		early, late := h.arrive(streamRoute(), prompt(badPart)), h.arrive(streamRoute(), prompt(badPart))
+		h.tick(FirstEvent{Request: early})
+		h.advance(culprit.SurvivalTime)
+		h.tick(FirstEvent{Request: late})
+		withdrawn := map[RequestID]bool{}
+		h.now = h.now.Add(time.Millisecond)
+		for _, c := range h.quarantineParts(parts...) {
+			if c, ok := c.(Withdraw); ok {
+				withdrawn[c.Request] = true
+			}
+		}
+		if withdrawn[early] || withdrawn[late] != afterEvents {
+			t.Errorf("crashes after events %v: withdrawn %v, want request %d: %v", afterEvents, withdrawn, late, afterEvents)
+		}
+	}
+}
--- a/decision/passthrough/requests.go
+++ b/decision/passthrough/requests.go
@@ -182,6 +182,7 @@
 		return
 	}
 	w.releaseServer(r)
+	w.endResponse(r, false)
 	w.remove(r)
 }
 
--- a/decision/passthrough/tables.go
+++ b/decision/passthrough/tables.go
@@ -140,10 +140,10 @@
 	model      int
 	queued     bool
 	queueEntry *queueEntry
-	// eventsBegun is true once an event of the current response has arrived, withdrawn once the current attempt is
-	// ended because a part of the prompt crashes servers.
-	eventsBegun bool
-	withdrawn   bool
+	// begunAt is when the first event of the current response arrived, zero before that. withdrawn is true once the
+	// current attempt is ended because a part of the prompt crashes servers.
+	begunAt   time.Time
+	withdrawn bool
 	// evidence is what the request's attempts say about their servers.
 	evidence attemptEvidence
 	// permitted is true while the request holds a permit of this instance.
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -61,7 +61,9 @@
 	outliers *outlier.Table
 	// culprits finds the parts of prompts that crash servers.
 	culprits *culprit.Finder
-	routes   map[string]*routeStats
+	// begun are the responses that servers have not survived yet, in the order in which they began.
+	begun  []begunResponse
+	routes map[string]*routeStats
 	// drained are the failure domains that get no new requests.
 	drained map[string]bool
 	// lostServers are, by failure domain, the servers lost since any server there last responded.
@@ -151,6 +153,7 @@
 	}
 	w.commands = w.commands[:0]
 	w.freed = w.freed[:0]
+	w.observeSurvivals()
 	for _, e := range in {
 		w.apply(e)
 	}
--- a/router/internal/passthrough/handler.go
+++ b/router/internal/passthrough/handler.go
@@ -242,7 +242,7 @@
 		ChooseModel: c.caller.ChooseModel && len(c.route.Models) > 0,
 	}
 	for _, part := range c.caller.SharedParts[:min(len(c.caller.SharedParts), passthrough.MaxPromptParts)] {
-		r.Parts = append(r.Parts, hashOf(r.Service, part))
+		r.Parts = append(r.Parts, passthrough.PartOf(hashOf(r.Service, part)))
 	}
 	if c.caller.Prefix != "" {
 		r.PrefixHash = hashOf(c.caller.Prefix)
--- a/router/internal/relay/evidence.go
+++ b/router/internal/relay/evidence.go
@@ -14,9 +14,12 @@
 	Answers    []packedAnswer    `json:"answers,omitempty"`
 	Candidates []packedCandidate `json:"candidates,omitempty"`
 	Verdicts   []packedVerdict   `json:"verdicts,omitempty"`
-	// Answered and Lost count requests within about a second.
-	Answered int `json:"answered,omitempty"`
-	Lost     int `json:"lost,omitempty"`
+	// Answered and Lost count requests within about a second that waited for an event of their response, AnsweredBegun
+	// and LostBegun those whose response had just begun.
+	Answered      int `json:"answered,omitempty"`
+	Lost          int `json:"lost,omitempty"`
+	AnsweredBegun int `json:"answered_begun,omitempty"`
+	LostBegun     int `json:"lost_begun,omitempty"`
 }
 
 type packedCrash struct {
@@ -53,7 +56,9 @@
 // packEvidence encodes evidence as of the given time.
 func packEvidence(e passthrough.CrashEvidence, now time.Time) packedEvidence {
 	age := func(at time.Time) int64 { return max(now.Sub(at).Milliseconds(), 0) }
-	out := packedEvidence{Answered: int(math.Round(e.Answered)), Lost: int(math.Round(e.Lost))}
+	round := func(x float64) int { return int(math.Round(x)) }
+	out := packedEvidence{Answered: round(e.Waiting.Answered), Lost: round(e.Waiting.Lost),
+		AnsweredBegun: round(e.Begun.Answered), LostBegun: round(e.Begun.Lost)}
 	for _, c := range e.Crashes {
 		crash := packedCrash{Process: c.Process, AgeMS: age(c.At)}
 		for _, s := range c.Suspects {
@@ -85,8 +90,11 @@
 	timeOf := func(ageMS int64) time.Time {
 		return at.Add(-time.Duration(min(max(ageMS, 0), maxEvidenceAgeMS)) * time.Millisecond)
 	}
-	outcomes := func(n int) float64 { return float64(min(max(n, 0), maxOutcomes)) }
-	out := passthrough.CrashEvidence{Answered: outcomes(p.Answered), Lost: outcomes(p.Lost)}
+	outcomes := func(answered, lost int) passthrough.CrashOutcomes {
+		bound := func(n int) float64 { return float64(min(max(n, 0), maxOutcomes)) }
+		return passthrough.CrashOutcomes{Answered: bound(answered), Lost: bound(lost)}
+	}
+	out := passthrough.CrashEvidence{Waiting: outcomes(p.Answered, p.Lost), Begun: outcomes(p.AnsweredBegun, p.LostBegun)}
 	for _, c := range p.Crashes {
 		crash := passthrough.ServerCrash{Process: c.Process, At: timeOf(c.AgeMS)}
 		for _, s := range c.Suspects {
--- a/router/internal/relay/evidence_test.go
+++ b/router/internal/relay/evidence_test.go
@@ -17,7 +17,8 @@
 		Answers:    []passthrough.PartAnswer{{Part: 1, Sent: ago(40)}},
 		Candidates: []passthrough.PartCandidate{{Part: 9, Named: ago(100), Crashes: 3}},
 		Verdicts:   []passthrough.PartVerdict{{Parts: []uint64{2, 3}, Since: ago(5000), LastSeen: ago(20), Crashes: 4}},
-		Answered:   80, Lost: 3,
+		Waiting:    passthrough.CrashOutcomes{Answered: 80, Lost: 3},
+		Begun:      passthrough.CrashOutcomes{Answered: 60, Lost: 2},
 	}
 }
 
@@ -47,10 +48,10 @@
 		p.Candidates = append(p.Candidates, packedCandidate{Part: uint64(i), AgeMS: -1 << 62, Crashes: 1 << 62})
 		p.Verdicts = append(p.Verdicts, packedVerdict{Parts: []uint64{uint64(i)}})
 	}
-	p.Answered, p.Lost = 1<<62, -5
+	p.Answered, p.Lost, p.AnsweredBegun, p.LostBegun = 1<<62, -5, 1<<62, -5
 	e := p.unpack(time.Unix(1_000, 0))
-	if len(e.Crashes) > 32 || len(e.Answers) > 64 || len(e.Candidates) > 32 || len(e.Verdicts) > 64 || e.Answered > maxOutcomes || e.Lost < 0 {
-		t.Errorf("%d crashes, %d answers, %d candidates, %d verdicts, %.0f answered, %.0f lost, want a bounded report", len(e.Crashes), len(e.Answers), len(e.Candidates), len(e.Verdicts), e.Answered, e.Lost)
+	if len(e.Crashes) > 32 || len(e.Answers) > 64 || len(e.Candidates) > 32 || len(e.Verdicts) > 64 || e.Waiting.Answered > maxOutcomes || e.Waiting.Lost < 0 || e.Begun.Answered > maxOutcomes || e.Begun.Lost < 0 {
+		t.Errorf("%d crashes, %d answers, %d candidates, %d verdicts, outcomes %v and %v, want a bounded report", len(e.Crashes), len(e.Answers), len(e.Candidates), len(e.Verdicts), e.Waiting, e.Begun)
 	}
 	for _, c := range e.Crashes {
 		for _, s := range c.Suspects {
--- a/router/internal/relay/loads.go
+++ b/router/internal/relay/loads.go
@@ -276,7 +276,7 @@
 		evidence.Answers = append(evidence.Answers, r.Crashes.Answers...)
 		evidence.Candidates = append(evidence.Candidates, r.Crashes.Candidates...)
 		evidence.Verdicts = append(evidence.Verdicts, r.Crashes.Verdicts...)
-		evidence.Answered, evidence.Lost = evidence.Answered+r.Crashes.Answered, evidence.Lost+r.Crashes.Lost
+		evidence.Waiting, evidence.Begun = evidence.Waiting.Add(r.Crashes.Waiting), evidence.Begun.Add(r.Crashes.Begun)
 		out.Instances += r.Instances
 		out.LostConfigVersion = max(out.LostConfigVersion, r.LostConfigVersion)
 	}
--- a/router/internal/relay/loads_test.go
+++ b/router/internal/relay/loads_test.go
@@ -247,8 +247,8 @@
 	crash := func(process, request uint64) []passthrough.ServerCrash {
 		return []passthrough.ServerCrash{{Process: process, At: now, Suspects: []passthrough.CrashSuspect{{Request: request, Parts: []uint64{9}, Sent: now}}}}
 	}
-	nodes["a2"].crashes = passthrough.CrashEvidence{Crashes: crash(1, 11), Answers: []passthrough.PartAnswer{{Part: 3, Sent: now}}, Candidates: []passthrough.PartCandidate{{Part: 5, Named: now}}, Answered: 10, Lost: 1}
-	nodes["b2"].crashes = passthrough.CrashEvidence{Crashes: crash(1, 12), Verdicts: []passthrough.PartVerdict{{Parts: []uint64{4}, Since: now, LastSeen: now}}, Answered: 20, Lost: 2}
+	nodes["a2"].crashes = passthrough.CrashEvidence{Crashes: crash(1, 11), Answers: []passthrough.PartAnswer{{Part: 3, Sent: now}}, Candidates: []passthrough.PartCandidate{{Part: 5, Named: now}}, Waiting: passthrough.CrashOutcomes{Answered: 10, Lost: 1}, Begun: passthrough.CrashOutcomes{Answered: 7}}
+	nodes["b2"].crashes = passthrough.CrashEvidence{Crashes: crash(1, 12), Verdicts: []passthrough.PartVerdict{{Parts: []uint64{4}, Since: now, LastSeen: now}}, Waiting: passthrough.CrashOutcomes{Answered: 20, Lost: 2}, Begun: passthrough.CrashOutcomes{Lost: 5}}
 	for range 3 { // up to the first collector and down again
 		for _, name := range names {
 			nodes[name].loads.exchange(t.Context())
@@ -256,7 +256,7 @@
 	}
 	for _, name := range []string{"a1", "b1"} {
 		got := nodes[name].othersCrashes
-		if len(got.Crashes) != 1 || len(got.Crashes[0].Suspects) != 2 || len(got.Answers) != 1 || len(got.Candidates) != 1 || len(got.Verdicts) != 1 || got.Answered != 30 || got.Lost != 3 {
+		if len(got.Crashes) != 1 || len(got.Crashes[0].Suspects) != 2 || len(got.Answers) != 1 || len(got.Candidates) != 1 || len(got.Verdicts) != 1 || got.Waiting != (passthrough.CrashOutcomes{Answered: 30, Lost: 3}) || got.Begun != (passthrough.CrashOutcomes{Answered: 7, Lost: 5}) {
 			t.Errorf("%s got %+v, want one crash with two suspects, one answer, one candidate, one verdict, 30 answered and 3 lost", name, got)
 		}
 	}
