Malformed heads are no answers, whoever reads them

Callers saw: answers with a status of 600, with a blank in the name of a field, or with a body that was not the server's, as the blank hid its length or encoding (MIXED, reported by users of systems of this kind). Cause: net/http reads heads leniently, and each status below 200 counted as informational. Evidence: 8 of 10 malformed heads of a raw server were passed on, directly and through a peer. Change: httpanswer.HeadReader checks heads as they pass, before net/http; pass-through attempts use it, and by httpanswer.Transport all other clients of the process. What it refuses is broken and may have run.

--- a/router/internal/httpanswer/transport.go
+++ b/router/internal/httpanswer/transport.go
@@ -16,11 +16,43 @@
 
 var errStillWriting = errors.New("the request is still being written")
 
-// Transport checks the answers of an http.Transport. It implements http.RoundTripper.
-type Transport struct{ base *http.Transport }
+// Transport checks the answers of an http.Transport without TLS. It implements http.RoundTripper.
+type Transport struct {
+	base *http.Transport
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// defaultMaxHeadBytes bounds the heads of a transport that states no bound.
+const defaultMaxHeadBytes = 1 << 20
+
+// NewTransport returns a transport that sends requests by base, which it changes, and checks their answers.
+func NewTransport(base *http.Transport) *Transport {
+	t := &Transport{base: base, dial: base.DialContext}
+	if t.dial == nil {
+		t.dial = (&net.Dialer{}).DialContext
+	}
+	maxBytes := defaultMaxHeadBytes
+	if base.MaxResponseHeaderBytes > 0 {
+		maxBytes = int(base.MaxResponseHeaderBytes)
+	}
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := t.dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &checkedConn{Conn: c, heads: NewHeadReader(c, maxBytes)}, nil
+	}
+	return t
+}
+
+// checkedConn is a connection whose answers are checked.
+type checkedConn struct {
+	net.Conn
+	heads *HeadReader
+}
 
-// NewTransport returns a transport that sends requests by base and checks their answers.
-func NewTransport(base *http.Transport) *Transport { return &Transport{base} }
+// Read implements net.Conn.
+func (c *checkedConn) Read(p []byte) (int, error) { return c.heads.Read(p) }
 
 // NewClient returns a client with the defaults of net/http and a timeout, which checks the answers.
 func NewClient(timeout time.Duration) *http.Client {
@@ -33,7 +65,7 @@
 
 // DialContext connects as requests do.
 func (t *Transport) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	return t.base.DialContext(ctx, network, address)
+	return t.dial(ctx, network, address)
 }
 
 // RoundTrip implements http.RoundTripper.
@@ -41,7 +73,12 @@
 	w := &requestWrite{}
 	w.begin()
 	trace := &httptrace.ClientTrace{
-		GotConn:      func(httptrace.GotConnInfo) { w.begin() }, // net/http may send a request again
+		GotConn: func(info httptrace.GotConnInfo) {
+			w.begin() // net/http may send a request again
+			if c, ok := info.Conn.(*checkedConn); ok {
+				c.heads.Expect()
+			}
+		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) { w.end(info.Err) },
 	}
 	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
--- a/router/internal/passthrough/attempt.go
+++ b/router/internal/passthrough/attempt.go
@@ -172,13 +172,15 @@
 	req := a.request()
 	a.write.begin()
 	go a.write.run(a.conn, req)
-	limit := &headLimit{Reader: c, left: maxHeadBytes}
-	a.reader = bufio.NewReader(limit)
+	heads := httpanswer.NewHeadReader(c, maxHeadBytes)
+	a.reader = bufio.NewReader(heads)
 	resp, err := readHead(a.reader, req)
+	if refused := heads.Err(); refused != nil {
+		return a.brokenOutcome(refused)
+	}
 	if err != nil {
 		return a.brokenOutcome(err)
 	}
-	limit.complete = true
 	a.headRead.Store(true)
 	a.firstByte = a.exchange.handler.clock.Now().Sub(a.startedAt)
 	httpanswer.CheckEnd(resp, func() error { return a.write.end(a.conn) })
@@ -235,7 +237,7 @@
 			return nil, err
 		}
 		const firstFinal = 200
-		if resp.StatusCode >= firstFinal || resp.StatusCode == http.StatusSwitchingProtocols {
+		if resp.StatusCode >= firstFinal {
 			return resp, nil
 		}
 	}
@@ -255,7 +257,7 @@
 	if ctxErr := a.exchange.ctx.Err(); ctxErr != nil {
 		return outcome{result: passthrough.Broken, err: ctxErr, firstByte: a.firstByte} // the context's end closed the connection
 	}
-	if errors.Is(err, errHeadTooLong) {
+	if errors.Is(err, httpanswer.ErrHeadTooLong) || errors.Is(err, httpanswer.ErrMalformedHead) {
 		return outcome{result: passthrough.Broken, err: err, firstByte: a.firstByte}
 	}
 	if errors.Is(err, tunnel.ErrPeerLost) {
