All answers in progress together have a bound, in both modes

Callers saw: faulty servers sent answers without end; the instance ran out of memory and ended, with the requests of all its callers (reported by other operators). Cause: connections to servers had receive buffers that the kernel lets grow to megabytes; in own mode each answer had a bound of 16 MiB, all together had none. Change: receive buffers towards servers and peers are a share of the memory; in own mode what is held of answers is reserved at the caller's connection, whole answers as they are read, streams until they are passed on.

--- a/router/internal/api/attempt.go
+++ b/router/internal/api/attempt.go
@@ -23,8 +23,10 @@
 	ctx, done := x.ticket.BeginAttempt(ctx, d.Attempt)
 	defer done()
 	x.tokensBefore = x.bill.OutputTokens
+	heldBefore := x.held.n
 	result, err := x.sendAndRead(ctx, d)
 	if err != nil {
+		x.held.shrink(heldBefore)
 		x.reportFailure(ctx, d, err)
 		return
 	}
@@ -83,7 +85,7 @@
 // an error in the request itself: the answer is passed on to the caller, since
 // another server would return the same. It is neither a completed answer nor billed.
 func (x *exchange) readErrorResponse(ctx context.Context, d decision.Dispatch, resp *http.Response) (*answer, error) {
-	body, err := upstream.ReadAll(ctx, resp)
+	body, err := upstream.ReadAll(ctx, resp, x.held.add)
 	if err != nil {
 		return nil, err
 	}
@@ -97,7 +99,7 @@
 // readCompletionBody reads an answer that an engine did not stream and adds its
 // token usage to the bill.
 func (x *exchange) readCompletionBody(ctx context.Context, d decision.Dispatch, resp *http.Response) (*answer, error) {
-	body, err := upstream.ReadAll(ctx, resp)
+	body, err := upstream.ReadAll(ctx, resp, x.held.add)
 	if err != nil {
 		return nil, err
 	}
--- a/router/internal/api/exchange.go
+++ b/router/internal/api/exchange.go
@@ -8,6 +8,7 @@
 
 	"masticplank.example/coordination/ledger"
 	"masticplank.example/decision"
+	"masticplank.example/router/internal/connlimit"
 	"masticplank.example/router/internal/driver"
 	"masticplank.example/router/internal/manifest"
 	"masticplank.example/router/internal/outcome"
@@ -35,6 +36,8 @@
 	claimed *claim
 	// heldAnswer is the last complete answer that waits for a Deliver command.
 	heldAnswer *answer
+	// held is the memory that is reserved for answers.
+	held heldMemory
 	// bill and cost add up over all attempts; cost is in the manifest's unit.
 	bill ledger.Bill
 	cost float64
@@ -81,6 +84,7 @@
 		req:    req,
 		key:    key,
 		start:  time.Now(),
+		held:   heldMemory{conn: connlimit.FromContext(r.Context())},
 		bill:   ledger.Bill{Team: c.team.ID, RequestID: key.id},
 	}
 }
@@ -91,6 +95,7 @@
 		x.finish(decisionRefusal(reason, retryDelay))
 		return
 	}
+	defer x.held.release()
 	x.ticket = x.s.Driver.Submit(x.req)
 	x.req.ID = x.ticket.ID
 	defer x.ticket.Close()
--- a/router/internal/api/fixture_test.go
+++ b/router/internal/api/fixture_test.go
@@ -214,7 +214,7 @@
 		{ID: "s1", Service: "shop", Slots: 4},
 	}})
 	f.driver.Send(decision.FreshnessChanged{Fresh: true})
-	client := upstream.NewClient()
+	client := upstream.NewClient(0)
 	tokens, err := session.NewTokens(settings.Session{TTLSeconds: 60}, time.Now)
 	if err != nil {
 		f.t.Fatal(err)
--- a/router/internal/api/service.go
+++ b/router/internal/api/service.go
@@ -105,7 +105,7 @@
 // service's answer, which costs the service's price if the status is below 300;
 // from 500 on the call ran and failed.
 func (x *exchange) readService(ctx context.Context, d decision.Dispatch, resp *http.Response) (*answer, error) {
-	body, err := upstream.ReadAll(ctx, resp)
+	body, err := upstream.ReadAll(ctx, resp, x.held.add)
 	if err != nil {
 		return nil, err
 	}
--- a/router/internal/api/stream.go
+++ b/router/internal/api/stream.go
@@ -96,8 +96,14 @@
 }
 
 func (sr *streamReader) read(ctx context.Context, resp *http.Response) error {
-	body := &io.LimitedReader{R: resp.Body, N: upstream.MaxAnswerBytes}
+	held := &sr.x.held
+	from := &heldReader{Reader: resp.Body, held: held}
+	body := &io.LimitedReader{R: from, N: upstream.MaxAnswerBytes}
+	kept := held.n
 	for ev, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+		if from.err != nil {
+			return from.err
+		}
 		if err != nil {
 			return upstream.ClassifyReadError(ctx, err)
 		}
@@ -115,6 +121,13 @@
 		if err := sr.handleChunk(ev.Data); err != nil {
 			return err
 		}
+		if sr.keeps() {
+			kept = held.n
+		}
+		held.shrink(kept) // the event was passed on
+	}
+	if from.err != nil {
+		return from.err
 	}
 	if sr.sawEnd {
 		upstream.DiscardRest(resp)
@@ -124,6 +137,11 @@
 	return sr.checkEnd(ctx)
 }
 
+// keeps reports whether events are kept until the end of the stream.
+func (sr *streamReader) keeps() bool {
+	return sr.aggregate || sr.dispatch.NeedsRating || len(sr.out.events) > 0
+}
+
 // isDuplicate checks an event's id against the expected one. If an engine numbers
 // its events (id: 0, 1, 2, ...), duplicates are dropped and a stream that lacks an
 // event fails; otherwise both would go unnoticed in the middle of an answer.
--- a/router/internal/connlimit/listener.go
+++ b/router/internal/connlimit/listener.go
@@ -52,6 +52,15 @@
 	return c.Control(func(fd uintptr) { setReceiveBuffer(fd, size) })
 }
 
+// BoundDialed returns a net.Dialer's Control function that sets the size of the receive buffers of the connections that it
+// opens; see Bounds.Unread.
+//
+// Load: backend servers in trouble that send without end, to many requests at once. Harm prevented: what the kernel holds
+// for the process before it reads exceeds the process's memory.
+func BoundDialed(size int) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error { return boundUnread(c, size) }
+}
+
 // boundBacklog bounds the connections that wait to be accepted: a process that stands still cannot accept any, and they hold
 // unread bytes too. A system that refuses it keeps its default.
 func boundBacklog(l net.Listener, n int) {
--- a/router/internal/connlimit/plan.go
+++ b/router/internal/connlimit/plan.go
@@ -20,6 +20,8 @@
 	// TunnelServers is how many connections to backend servers may be open for tunnels of peers, IdleServers how many without
 	// a request.
 	TunnelServers, IdleServers int
+	// ServerUnread is how many bytes a connection to a backend server or a peer may have received and not read.
+	ServerUnread int
 }
 
 // Fractions of the descriptors that are not reserved. A caller's request needs a second one for its connection to a backend
@@ -40,6 +42,8 @@
 	peerBytes   = 0.06
 	auxBytes    = 0.01
 	unreadBytes = 0.06
+	// serverUnreadBytes is for the connections to backend servers that callers' requests need.
+	serverUnreadBytes = 0.06
 )
 
 const (
@@ -53,6 +57,9 @@
 	// several round trips; a larger one is of no use for them.
 	minUnread = 4 << 10
 	maxUnread = 32 << 10
+	// minServerUnread and maxServerUnread bound the same of a connection to a backend server, whose responses are longer.
+	minServerUnread = 32 << 10
+	maxServerUnread = 128 << 10
 	// minBacklog and maxBacklog bound the connections that wait to be accepted: those that come while the process waits for
 	// the processor.
 	minBacklog = 16
@@ -82,6 +89,7 @@
 		Aux:           Bounds{Conns: conns(auxConns, min(minAuxConns, conns(maxAuxShare, 1))), Bytes: bytes(auxBytes)},
 		TunnelServers: conns(tunnelServerConns, 1), IdleServers: conns(idleServerConns, 1),
 	}
+	p.ServerUnread = min(max(int(serverUnreadBytes*float64(memory))/p.Callers.Conns, minServerUnread), maxServerUnread)
 	listeners := []*Bounds{&p.Callers, &p.Peers, &p.Tunnels, &p.Aux}
 	all := (auxListeners - 1) * p.Aux.Conns
 	for _, b := range listeners {
--- a/router/internal/daemon/platform.go
+++ b/router/internal/daemon/platform.go
@@ -52,8 +52,8 @@
 	return platform.NewRatingClient(cfg.Platform.RatingURL)
 }
 
-func newUpstream(lc fx.Lifecycle) *upstream.Client {
-	c := upstream.NewClient()
+func newUpstream(lc fx.Lifecycle, cfg settings.Settings) *upstream.Client {
+	c := upstream.NewClient(connPlan(cfg).ServerUnread)
 	lc.Append(fx.StopHook(c.Close))
 	return c
 }
--- a/router/internal/passthrough/app.go
+++ b/router/internal/passthrough/app.go
@@ -178,6 +178,8 @@
 	tunnels.FindPeers, tunnels.OnNoPath = sh.findTunnelPeers, tel.logNoPath
 	dial := newDialer(c, d, tunnels)
 	dial.idle.limit = min(connPlan(cfg).IdleServers, maxIdleConns)
+	dial.net.Control = connlimit.BoundDialed(connPlan(cfg).ServerUnread)
+	tunnels.BoundUnread(connPlan(cfg).ServerUnread)
 	dial.idle.onReset = func(s passthrough.Server) {
 		tel.logIdleReset(s)
 		d.reportReset(s)
--- a/router/internal/tunnel/dialer.go
+++ b/router/internal/tunnel/dialer.go
@@ -6,8 +6,10 @@
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
+	"masticplank.example/router/internal/connlimit"
 	"masticplank.example/router/internal/httpanswer"
 )
 
@@ -26,6 +28,7 @@
 // Dialer opens tunnels through peers.
 type Dialer struct {
 	peers     *Peers
+	net       *net.Dialer
 	transport *httpanswer.Transport
 	search    *searcher
 	// FindPeers is called, often, while few peers are known; it must not block.
@@ -36,9 +39,9 @@
 
 // NewDialer returns a dialer that uses the peers.
 func NewDialer(peers *Peers) *Dialer {
-	d := net.Dialer{Timeout: openTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	d := &net.Dialer{Timeout: openTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
 	out := &Dialer{
-		peers: peers, FindPeers: func() {}, OnNoPath: func(int) {},
+		peers: peers, net: d, FindPeers: func() {}, OnNoPath: func(int) {},
 		transport: httpanswer.NewTransport(&http.Transport{
 			DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true,
 			MaxResponseHeaderBytes: maxHeadBytes,
@@ -50,6 +53,18 @@
 	return out
 }
 
+// BoundUnread sets the size of the receive buffers of the connections to peers, in bytes. It must be called before any other
+// method.
+func (d *Dialer) BoundUnread(size int) {
+	bound := connlimit.BoundDialed(size)
+	d.net.Control = func(network, address string, c syscall.RawConn) error {
+		if err := bound(network, address, c); err != nil {
+			return err
+		}
+		return setUserTimeout(network, address, c)
+	}
+}
+
 // Dial opens a tunnel to the backend server. The first peer that has connected to it is used. After an error,
 // nothing was sent to the server: ErrUnreachable if a peer with a path could not connect to it, ErrDeclined if a
 // peer does not send to it, ErrNoPath if a search has found none with a path, else ErrNoPeer, or ctx's error.
--- a/router/internal/upstream/upstream.go
+++ b/router/internal/upstream/upstream.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"masticplank.example/decision"
+	"masticplank.example/router/internal/connlimit"
 	"masticplank.example/router/internal/httpanswer"
 	"masticplank.example/router/internal/wire"
 )
@@ -85,6 +86,8 @@
 	errWrongNonce = errors.New("answer does not echo the attempt's nonce")
 	errRefused    = errors.New("backend server refused the attempt without running it")
 	errTooLarge   = errors.New("answer is larger than the limit")
+	// ErrNoRoom means that the process may not hold more of answers.
+	ErrNoRoom = connlimit.ErrNoRoom
 )
 
 // Client sends attempts to backend servers. It is safe for concurrent use.
@@ -96,9 +99,10 @@
 // DialFunc connects to a backend server, as (*net.Dialer).DialContext does.
 type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
 
-// NewClient returns a client that connects by TCP without TLS.
-func NewClient() *Client {
-	return NewClientWith((&net.Dialer{Timeout: dialTimeout}).DialContext)
+// NewClient returns a client that connects by TCP without TLS. unread is how many bytes each connection may have received and
+// not read; 0 for the system's default.
+func NewClient(unread int) *Client {
+	return NewClientWith((&net.Dialer{Timeout: dialTimeout, Control: connlimit.BoundDialed(unread)}).DialContext)
 }
 
 // NewClientWith returns a client whose connections are made by dial, for tests.
@@ -222,10 +226,15 @@
 	_, _ = io.CopyN(io.Discard, resp.Body, maxDiscardBytes)
 }
 
-// ReadAll reads a whole answer. It returns a *Failure if the answer breaks off or
-// exceeds MaxAnswerBytes.
-func ReadAll(ctx context.Context, resp *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1))
+// ReadAll reads a whole answer. reserve is called with the bytes that it needs more and
+// reports whether there is room. ReadAll returns a *Failure if the answer breaks off, exceeds
+// MaxAnswerBytes or has no room.
+func ReadAll(ctx context.Context, resp *http.Response, reserve func(int64) bool) ([]byte, error) {
+	const firstBuffer = 4 << 10
+	body, err := connlimit.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1), firstBuffer, reserve)
+	if errors.Is(err, ErrNoRoom) {
+		return nil, &Failure{Result: decision.AttemptFailed, Err: err}
+	}
 	if err != nil {
 		return nil, ClassifyReadError(ctx, err)
 	}
--- a/router/internal/upstream/upstream_test.go
+++ b/router/internal/upstream/upstream_test.go
@@ -87,7 +87,7 @@
 			if c.handler != nil {
 				url, _ = startServer(t, c.handler)
 			}
-			client := NewClient()
+			client := NewClient(0)
 			defer client.Close()
 			if got := runAttempt(client, url); got != c.want {
 				t.Errorf("got %v, want %v", got, c.want)
@@ -101,7 +101,7 @@
 	resp, err := client.Send(ctx, Call{Method: http.MethodPost, URL: url, Nonce: "n1", Idempotent: true})
 	if err == nil {
 		defer resp.Body.Close()
-		_, err = ReadAll(ctx, resp)
+		_, err = ReadAll(ctx, resp, func(int64) bool { return true })
 	}
 	var failure *Failure
 	if errors.As(err, &failure) {
@@ -122,7 +122,7 @@
 		}
 		echoNonce(w, r)
 	})
-	client := NewClient()
+	client := NewClient(0)
 	defer client.Close()
 	call := Call{Method: http.MethodPost, URL: url, Nonce: "n1", Header: http.Header{wire.HeaderIdempotencyKey: {"k"}}}
 	for range 3 {
@@ -150,7 +150,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	url, count := startServer(t, echoNonce)
-	client := NewClient()
+	client := NewClient(0)
 	defer client.Close()
 	_, err := client.Send(ctx, Call{Method: http.MethodPost, URL: url, Nonce: "n"})
 	var failure *Failure
@@ -175,7 +175,7 @@
 		}
 		closed <- struct{}{}
 	})
-	client := NewClient()
+	client := NewClient(0)
 	defer client.Close()
 	if got := runAttempt(client, url); got == 0 {
 		t.Error("the attempt has succeeded")
