Requests late in the grace time are refused on all ways to a server

Callers saw: calls that came in the last second before their instance stopped were passed on and cut off, among them calls that may run at most once (reported by other operators; here they got 504 after they had run). Cause: while streams end, calls were accepted until the last response is due, and no request that waited (queue, retry, connection, permit, grant) was asked again how much time is left. Evidence: seven of 134 calls, sent 4.95 to 5.20 s after the SIGTERM of 6 s, ran and got 504.

--- a/decision/passthrough/attempt.go
+++ b/decision/passthrough/attempt.go
@@ -175,6 +175,8 @@
 		return ReasonDeadline
 	case r.attempts >= max(r.Route.MaxAttempts, 1), r.dispatches >= maxUndeliveredDispatches+r.Route.MaxAttempts:
 		return ReasonAttempts
+	case w.outlivesInstance(w.now, r):
+		return ReasonStopping
 	case w.crashes.quarantined(r.Fingerprint, w.now):
 		return ReasonQuarantined
 	case w.isQuarantined(r):
--- a/decision/passthrough/events.go
+++ b/decision/passthrough/events.go
@@ -126,7 +126,7 @@
 // FleetSize is the number of instances, which share the retry budget's slack.
 type FleetSize struct{ Instances int }
 
-// Stopping reports that this instance stops at the given time.
+// Stopping reports that this instance stops: the last response must be complete at the given time.
 type Stopping struct{ At time.Time }
 
 // DomainsDrained replaces the set of failure domains whose servers get no new requests.
--- a/decision/passthrough/load_test.go
+++ b/decision/passthrough/load_test.go
@@ -190,3 +190,64 @@
 	}
 	h.requireDispatch(h.arrive(plain, nil))
 }
+
+// TestLateRequestsAreRefusedOnAllWays guards against requests that are passed on in the last tenths of a second before
+// their instance stops, and are cut off: on arrival, from the queue, as a retry, or after a wait for a connection or a grant.
+func TestLateRequestsAreRefusedOnAllWays(t *testing.T) {
+	const responseTime, left = 200 * time.Millisecond, 500 * time.Millisecond
+	newStopping := func() (*harness, *Route) {
+		h := newHarness(t, Settings{})
+		plain := plainRoute()
+		h.configure(plain)
+		h.tick(ServersListed{servers("shop", 2, 1)})
+		for range 30 {
+			id := h.arrive(plain, nil)
+			h.advance(responseTime)
+			h.tick(AttemptEnded{Request: id, Result: Completed})
+		}
+		h.tick(Stopping{At: h.now.Add(2 * time.Second)})
+		return h, plain
+	}
+	t.Run("on arrival", func(t *testing.T) {
+		h, plain := newStopping()
+		h.requireDispatch(h.arrive(plain, nil))
+		h.advance(2*time.Second - left)
+		if r := h.requireRefusal(h.arrive(plain, nil), ReasonStopping); r.RetryAfter <= 0 {
+			t.Error("refused without a retry-after time, want one above 0")
+		}
+	})
+	t.Run("from the queue", func(t *testing.T) {
+		h, plain := newStopping()
+		long := func(r *Request) { r.Deadline = h.now.Add(10 * time.Second) }
+		running := h.arrive(plain, long)
+		waiting := running
+		for h.last(waiting) != nil {
+			waiting = h.arrive(plain, long)
+		}
+		h.advance(2*time.Second - left)
+		h.tick(AttemptEnded{Request: running, Result: Completed})
+		h.requireRefusal(waiting, ReasonStopping)
+	})
+	t.Run("as a retry", func(t *testing.T) {
+		h, plain := newStopping()
+		id := h.arrive(plain, func(r *Request) { r.Deadline = h.now.Add(10 * time.Second) })
+		h.requireDispatch(id)
+		h.advance(2*time.Second - left)
+		h.tick(AttemptEnded{Request: id, Result: Rejected})
+		h.requireRefusal(id, ReasonStopping)
+	})
+	t.Run("after a wait for a connection", func(t *testing.T) {
+		h, plain := newStopping()
+		id := h.arrive(plain, func(r *Request) { r.Deadline = h.now.Add(10 * time.Second) })
+		server := h.requireDispatch(id).Server
+		if !h.world.MaySend(h.now, id, server) {
+			t.Fatal("a request in time may not be sent")
+		}
+		h.advance(2*time.Second - left)
+		if h.world.MaySend(h.now, id, server) {
+			t.Error("a late request may be sent")
+		}
+		h.tick(AttemptEnded{Request: id, Result: Withheld})
+		h.requireRefusal(id, ReasonStopping)
+	})
+}
--- a/decision/passthrough/requests.go
+++ b/decision/passthrough/requests.go
@@ -28,7 +28,7 @@
 		w.refuse(r, ReasonTooLarge)
 		return
 	}
-	if w.outlivesInstance(r) {
+	if w.outlivesInstance(w.now, r) {
 		w.refuse(r, ReasonStopping)
 		return
 	}
@@ -46,18 +46,6 @@
 // longer than the mean.
 const durationFactor = 1.3
 
-// outlivesInstance reports whether the response would probably be cut off when this instance stops.
-//
-// Load: an instance that is stopping and still gets requests until the load balancer notices, among
-// them streams as long as its whole grace period. Harm prevented: a stream that is cut off
-// midway, while a refusal sends the caller to an instance that stays.
-func (w *World) outlivesInstance(r *request) bool {
-	if w.endsAt.IsZero() || r.Route.Kind != KindStream {
-		return false
-	}
-	return w.now.Add(w.expectedDuration(r.Route, durationFactor)).After(w.endsAt)
-}
-
 // admissionRefusal counts the request, and returns the reason for a refusal if there is too little room for its class,
 // or "" if it is admitted.
 func (w *World) admissionRefusal(r *request) Reason {
--- a/decision/passthrough/statements.go
+++ b/decision/passthrough/statements.go
@@ -37,9 +37,9 @@
 // Load: a server that refuses many requests at once, while others connect to it. Harm prevented: those
 // arrive tenths of a second after the server has stated that it wants none.
 //
-// Nor is it sent if a part of its prompt was quarantined meanwhile.
+// Nor is it sent if a part of its prompt was quarantined meanwhile, or if this instance stops too soon.
 func (w *World) MaySend(now time.Time, id RequestID, to Server) bool {
-	if r := w.requests[id]; r != nil && (r.withdrawn || w.culprits.Holds(now, r.Parts)) {
+	if r := w.requests[id]; r != nil && (r.withdrawn || w.culprits.Holds(now, r.Parts) || w.outlivesInstance(now, r)) {
 		return false
 	}
 	s := w.findProcess(to.process())
--- a/decision/passthrough/world.go
+++ b/decision/passthrough/world.go
@@ -157,6 +157,7 @@
 	for _, e := range in {
 		w.apply(e)
 	}
+	w.refuseOutliving()
 	w.releaseHeldAfter(heldReportDelay)
 	w.wakeDueServices()
 	w.dispatchQueued()
--- a/router/internal/passthrough/handler.go
+++ b/router/internal/passthrough/handler.go
@@ -97,7 +97,7 @@
 		c.uri = req.URL.RequestURI()
 	}
 	c.path, _, _ = strings.Cut(c.uri, "?")
-	if h.conns.overLimit() {
+	if h.conns.overLimit() || h.shutdown.closesConnections() {
 		w.Header().Set("Connection", "close")
 	}
 	h.startGate.wait(req.Context())
--- a/router/internal/passthrough/server.go
+++ b/router/internal/passthrough/server.go
@@ -180,10 +180,9 @@
 	s.tunnels.Drain()
 	_, running := s.driver.Load()
 	s.telemetry.emit(logging.EventDrainBegin, slog.Int("running", running))
-	s.driver.Handle(passthrough.Stopping{At: began.Add(grace)})
+	s.driver.Handle(passthrough.Stopping{At: respondBy})
 	time.Sleep(min(rotationDelay, grace/2))
 	s.handler.shutdown.enter(phaseFinishing)
-	s.callers.SetKeepAlivesEnabled(false)
 	remaining := grace - s.handler.clock.Now().Sub(began)
 	ctx, cancel := context.WithTimeout(context.Background(), max(remaining, 0))
 	defer cancel()
@@ -193,7 +192,7 @@
 	s.handler.shutdown.enter(phaseClosing)
 	s.waitIdle(ctx)
 	_, running = s.driver.Load()
-	_ = s.callers.Close() // requests still in progress have had the whole grace period
+	s.closeCallers()
 	for _, srv := range s.auxServers {
 		_ = srv.Close()
 	}
@@ -204,6 +203,18 @@
 	}
 }
 
+// closeTimeout is how long requests that come while connections are closed have for their refusal.
+const closeTimeout = closeMargin / 4
+
+// closeCallers closes the connections of callers: those without a request first. Requests still in progress after closeTimeout
+// have had the whole grace period.
+func (s *server) closeCallers() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	_ = s.callers.Shutdown(ctx) // what is left is closed now
+	_ = s.callers.Close()
+}
+
 // waitStreams waits until no stream and no tunnel of a peer is in progress, or until end, after which new
 // requests could not get a response in time.
 func (s *server) waitStreams(ctx context.Context, end time.Time) {
--- a/router/internal/passthrough/shutdown.go
+++ b/router/internal/passthrough/shutdown.go
@@ -91,6 +91,10 @@
 // begun reports whether the shutdown has begun.
 func (s *shutdown) begun() bool { return s.current() >= phaseLeaving }
 
+// closesConnections reports whether each connection is closed after its response. Connections without a request stay open until
+// the end: a request that crosses a close is not read, and its caller does not know why.
+func (s *shutdown) closesConnections() bool { return s.current() >= phaseFinishing }
+
 // refuses reports whether a new request of the kind is refused.
 func (s *shutdown) refuses(kind passthrough.Kind) bool {
 	switch s.current() {
