The target of a request reaches the server as its caller sent it

Cause: net/url puts a scheme before an opaque target that begins with two slashes. Change: the request line is written from the caller's target; net/http writes the rest.

--- a/router/internal/passthrough/attempt.go
+++ b/router/internal/passthrough/attempt.go
@@ -171,7 +171,7 @@
 	defer watch.stop()
 	req := a.request()
 	a.write.begin()
-	go a.write.run(a.conn, req)
+	go a.write.run(a.conn, req, a.exchange.call.uri)
 	heads := httpanswer.NewHeadReader(c, maxHeadBytes)
 	a.reader = bufio.NewReader(heads)
 	resp, err := readHead(a.reader, req)
@@ -215,7 +215,7 @@
 	header := a.exchange.handler.headers.WriteAttempt(c.request.Header, a.statement)
 	req := &http.Request{
 		Method: c.request.Method, Host: c.request.Host, Header: header,
-		URL: &url.URL{Scheme: "http", Host: a.server.Address, Opaque: c.uri},
+		URL: &url.URL{Scheme: "http", Host: a.server.Address, Path: "/"}, // requestWrite writes the caller's target
 	}
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = nil // net/http would add its own
--- a/router/internal/passthrough/requestwrite.go
+++ b/router/internal/passthrough/requestwrite.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -21,12 +22,13 @@
 // begin must be called before run.
 func (w *requestWrite) begin() { w.done = make(chan struct{}) }
 
-// run writes the request.
-func (w *requestWrite) run(to io.Writer, req *http.Request) {
+// run writes the request with the target.
+func (w *requestWrite) run(to io.Writer, req *http.Request, target string) {
 	defer close(w.done)
 	const bufferSize = 16 << 10
 	buffered := bufio.NewWriterSize(countingWriter{to, &w.written}, bufferSize)
-	if w.err = req.Write(buffered); w.err == nil {
+	line := req.Method + " " + target + " HTTP/1.1\r\n"
+	if w.err = req.Write(&requestLineWriter{Writer: buffered, line: line}); w.err == nil {
 		w.err = buffered.Flush()
 	}
 }
@@ -57,3 +59,31 @@
 	*w.n += int64(n)
 	return n, err
 }
+
+// requestLineWriter writes a request with another first line than the one that it is given.
+//
+// Load: callers whose targets net/url would write in another way, such as one that begins with two slashes. Harm prevented:
+// the server gets another path than the caller sent, or another host.
+type requestLineWriter struct {
+	io.Writer
+	line string
+	// replaced is true once the first line that was given has ended.
+	replaced bool
+}
+
+// Write implements io.Writer.
+func (w *requestLineWriter) Write(p []byte) (int, error) {
+	if w.replaced {
+		return w.Writer.Write(p)
+	}
+	end := bytes.IndexByte(p, '\n') + 1
+	if end == 0 {
+		return len(p), nil // a part of the line that is replaced
+	}
+	w.replaced = true
+	if _, err := io.WriteString(w.Writer, w.line); err != nil {
+		return 0, err
+	}
+	n, err := w.Writer.Write(p[end:])
+	return end + n, err
+}
