Reading the change as a newcomer: status lines, names, comments

Cause: an error was built for each head that is read, and two comments ran on. Change: parseStatusLine decides before an error is built; neededTime says what it is. No behaviour changes. Result: the tests of httpanswer, stopping and parts pass; the known failure of two parts at once is as before.

--- a/decision/internal/culprit/doc.go
+++ b/decision/internal/culprit/doc.go
@@ -1,8 +1,8 @@
 // Package culprit finds parts of prompts that crash servers, and holds back the requests that contain them.
 //
 // Evidence goes in: the servers that crashed, with the requests that each had not begun to answer, or had just begun,
-// and the parts on which responses have begun and have been survived since. Verdicts come out: sets of parts. All instances pool their evidence, and
-// each draws its own verdicts, which are passed on too. Finder uses no sockets, clocks or goroutines.
+// and the parts on which responses have begun and have been survived since. Verdicts come out: sets of parts. All
+// instances pool their evidence, and each draws its own verdicts, which are passed on too. Finder uses no sockets, clocks or goroutines.
 //
 // What tells a part that crashes servers from the parts of requests that were merely there:
 //
--- a/decision/internal/culprit/outcomes.go
+++ b/decision/internal/culprit/outcomes.go
@@ -49,7 +49,8 @@
 }
 
 // lostFractions estimates, for each of the crashes of the case, which fraction of the requests of all instances were
-// lost at its time in the stage of the part, without those that the case explains. A fraction is below 1, and above 0 for want of certainty.
+// lost at its time in the stage of the part, without those that the case explains. A fraction is below 1, and above 0
+// for want of certainty.
 //
 // Each estimate is the highest one until outcomeMemory after the crash: the reports of other instances arrive late.
 func (f *Finder) lostFractions(c indictment) []float64 {
--- a/decision/passthrough/dispatch.go
+++ b/decision/passthrough/dispatch.go
@@ -3,8 +3,7 @@
 import "time"
 
 // tryDispatch sends the request to a server with a free slot, or refuses it if it cannot be completed in time, or before
-// this instance stops. It
-// returns false if no slot is free now.
+// this instance stops. It returns false if no slot is free now.
 func (w *World) tryDispatch(r *request) bool {
 	if w.outlivesInstance(w.now, r) {
 		w.refuse(r, ReasonStopping)
--- a/decision/passthrough/stopping.go
+++ b/decision/passthrough/stopping.go
@@ -10,8 +10,8 @@
 	// plainDurationFactor is applied to the mean response time of a plain route while this instance stops: a refused request
 	// is served elsewhere, one that is cut off may have run.
 	plainDurationFactor = 3
-	// minLateTime is the least time that a request may need, also on a route without responses yet.
-	minLateTime = 300 * time.Millisecond
+	// minNeededTime is the least time that a request may need, also on a route without responses yet.
+	minNeededTime = 300 * time.Millisecond
 )
 
 // outlivesInstance reports whether a request that has not run would probably be cut off when this instance stops. It holds
@@ -24,15 +24,15 @@
 	if w.endsAt.IsZero() || r.mayHaveRun {
 		return false
 	}
-	return now.Add(w.lateTime(r.Route)).After(w.endsAt)
+	return now.Add(w.neededTime(r.Route)).After(w.endsAt)
 }
 
-// lateTime is how much time must be left for a request on the route.
-func (w *World) lateTime(route *Route) time.Duration {
+// neededTime is how much time must be left for a request on the route.
+func (w *World) neededTime(route *Route) time.Duration {
 	if route.Kind == KindStream {
-		return max(w.expectedDuration(route, durationFactor), minLateTime)
+		return max(w.expectedDuration(route, durationFactor), minNeededTime)
 	}
-	return max(w.expectedDuration(route, plainDurationFactor), minLateTime)
+	return max(w.expectedDuration(route, plainDurationFactor), minNeededTime)
 }
 
 // refuseOutliving refuses the queued requests that would be cut off, while their callers still have time to go elsewhere.
--- a/router/internal/httpanswer/head.go
+++ b/router/internal/httpanswer/head.go
@@ -130,21 +130,29 @@
 
 // setStatusLine begins a head with its first line.
 func (h *head) setStatusLine(line string) error {
+	version, status, ok := parseStatusLine(line)
+	if !ok {
+		return fmt.Errorf("%w: status line %.40q", ErrMalformedHead, line)
+	}
+	*h = head{status: status, http10: version == '0'}
+	return nil
+}
+
+// parseStatusLine returns the digit of HTTP/1.0 or HTTP/1.1, and the status of an answer to a request that asks for no other
+// protocol.
+func parseStatusLine(line string) (version byte, status int, ok bool) {
 	const prefix, versionAt, statusAt, reasonAt = "HTTP/1.", 7, 9, 12
-	malformed := fmt.Errorf("%w: status line %.40q", ErrMalformedHead, line)
-	if len(line) < reasonAt || !strings.HasPrefix(line, prefix) || line[versionAt] != '0' && line[versionAt] != '1' || line[versionAt+1] != ' ' {
-		return malformed
+	if len(line) < reasonAt || !strings.HasPrefix(line, prefix) || line[statusAt-1] != ' ' {
+		return 0, 0, false
 	}
-	if reason := line[reasonAt:]; reason != "" && reason[0] != ' ' || !isFieldValue(reason) {
-		return malformed
+	version = line[versionAt]
+	reason := line[reasonAt:]
+	if version != '0' && version != '1' || reason != "" && reason[0] != ' ' || !isFieldValue(reason) {
+		return 0, 0, false
 	}
-	status, err := strconv.ParseUint(line[statusAt:reasonAt], 10, 16)
+	n, err := strconv.ParseUint(line[statusAt:reasonAt], 10, 16)
 	const first, beyond = 100, 600
-	if err != nil || status < first || status >= beyond || status == http.StatusSwitchingProtocols {
-		return malformed
-	}
-	*h = head{status: int(status), http10: line[versionAt] == '0'}
-	return nil
+	return version, int(n), err == nil && n >= first && n < beyond && n != http.StatusSwitchingProtocols
 }
 
 // addField adds a line with a field.
